--- /dev/null
+++ b/acquaintance/circle/circle.go
@@ -0,0 +1,577 @@
+// Package circle is how daemons know each other and pass on news (DESIGN §3):
+// a partial view shuffled between neighbours, a directory fed by rumour, gaps
+// mended by comparing digests, and suspicion that needs a second witness.
+package circle
+
+import (
+	"math/rand"
+	"sort"
+	"strings"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/kernel/footbridge"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+)
+
+// Settings are the circle's spans; the defaults are ours.
+type Settings struct {
+	Probe     sundial.Micros // between probes of one daemon
+	ProbeWait sundial.Micros // for a direct, then an indirect, echo
+	Suspicion sundial.Micros // from suspect to dead, to speak up
+	Digest    sundial.Micros // between digest swaps
+	Shuffle   sundial.Micros // between shuffles of the partial view
+	Fanout    int            // to how many a rumour is passed on
+	View      int            // size of the partial view
+	Forget    sundial.Micros // after which a dead daemon leaves the directory
+}
+
+// Defaults are the starting values.
+func Defaults() Settings {
+	return Settings{Probe: 200 * sundial.Millisecond, ProbeWait: 300 * sundial.Millisecond,
+		Suspicion: 2 * sundial.Second, Digest: 300 * sundial.Millisecond, Shuffle: 2 * sundial.Second,
+		Fanout: 3, View: 6, Forget: 120 * sundial.Second}
+}
+
+// Messages between circles.
+type (
+	// Gossip passes rumours on.
+	Gossip struct{ Rumours []stride.Rumour }
+	// Digest says what the sender knows; Answer marks the second half of a swap.
+	Digest struct {
+		Known  map[string]Mark
+		Answer bool
+		Stamp  sundial.Micros
+	}
+	// Mend answers a digest: what the sender lacked and what we lack.
+	Mend struct {
+		Rumours []stride.Rumour
+		Want    []string
+		Stamp   sundial.Micros
+	}
+	// Want asks for keys.
+	Want struct{ Keys []string }
+	// Probe asks for an echo; For is set when a helper probes for another.
+	Probe struct {
+		Nonce uint64
+		For   string
+	}
+	// Echo answers a probe.
+	Echo struct {
+		Nonce uint64
+		For   string
+	}
+	// HelpProbe asks a second witness to probe.
+	HelpProbe struct {
+		Nonce  uint64
+		Target string
+	}
+	// Witnessed is the second witness's word.
+	Witnessed struct {
+		Nonce uint64
+		Heard bool
+	}
+	// Shuffle swaps parts of the partial views.
+	Shuffle struct {
+		Peers  []string
+		Answer bool
+	}
+	// Mark is the version of one key.
+	Mark struct{ Epoch, Seq uint64 }
+)
+
+func init() {
+	footbridge.Register(Gossip{}, Digest{}, Mend{}, Want{}, Probe{}, Echo{}, HelpProbe{}, Witnessed{}, Shuffle{})
+}
+
+type probing struct {
+	id, peer string
+	asked    sundial.Micros
+	helped   bool
+	denied   int
+}
+
+type helping struct {
+	asker  string
+	nonce  uint64
+	expiry sundial.Micros
+}
+
+// Circle is one daemon's machine.
+type Circle struct {
+	stride.Out
+	set      Settings
+	self     people.Person
+	seeds    []string
+	chance   *rand.Rand
+	news     map[string]stride.Rumour
+	folk     map[string]people.Person
+	since    map[string]sundial.Micros // when the standing was learnt
+	view     []string
+	probes   map[uint64]*probing
+	helps    map[uint64]helping
+	nonce    uint64
+	hot      []stride.Rumour
+	order    []string // round of probes
+	next     struct{ probe, digest, shuffle, seed sundial.Micros }
+	lastSwap sundial.Micros
+	// Counters for the operators.
+	Heard, Repeated, Mended, Suspected, Refuted int64
+}
+
+// New makes a circle for a daemon; the seed makes its choices repeatable.
+func New(self people.Person, seeds []string, set Settings, seed int64) *Circle {
+	c := &Circle{set: set, self: self, seeds: seeds, chance: rand.New(rand.NewSource(seed)),
+		news: map[string]stride.Rumour{}, folk: map[string]people.Person{}, since: map[string]sundial.Micros{},
+		probes: map[uint64]*probing{}, helps: map[uint64]helping{}}
+	c.speak(0)
+	return c
+}
+
+// Command is an input of the circle.
+type Command = stride.Command[*Circle]
+
+// Do applies a command and hands over the effects.
+func (c *Circle) Do(command Command, now sundial.Micros) []stride.Effect {
+	command.Apply(c, now)
+	return c.Drain()
+}
+
+// Letter is a message that came in.
+type Letter struct {
+	From string
+	Body any
+}
+
+// Apply takes the message by its type.
+func (l Letter) Apply(c *Circle, now sundial.Micros) {
+	c.greet(l.From)
+	switch body := l.Body.(type) {
+	case Gossip:
+		c.hear(body.Rumours, now)
+	case Digest:
+		c.compare(l.From, body, now)
+	case Mend:
+		c.lastSwap = max(c.lastSwap, body.Stamp)
+		c.Mended += int64(len(body.Rumours))
+		c.hear(body.Rumours, now)
+		c.supply(l.From, body.Want)
+	case Want:
+		c.supply(l.From, body.Keys)
+	case Probe:
+		c.Emit(stride.Send{To: l.From, Body: Echo{Nonce: body.Nonce, For: body.For}})
+	case Echo:
+		c.echoed(body)
+	case HelpProbe:
+		c.nonce++
+		c.helps[c.nonce] = helping{asker: l.From, nonce: body.Nonce, expiry: now + c.set.ProbeWait}
+		c.Emit(stride.Send{To: body.Target, Body: Probe{Nonce: c.nonce, For: l.From}})
+	case Witnessed:
+		if p := c.probes[body.Nonce]; p != nil {
+			if body.Heard {
+				delete(c.probes, body.Nonce)
+			} else {
+				p.denied++
+			}
+		}
+	case Shuffle:
+		c.mix(l.From, body)
+	}
+}
+
+// Tell is news that starts at this daemon.
+type Tell struct{ Rumour stride.Rumour }
+
+// Apply takes the news in and passes it on.
+func (t Tell) Apply(c *Circle, now sundial.Micros) { c.hear([]stride.Rumour{t.Rumour}, now) }
+
+// Drain marks this daemon as draining, Leave as gone on purpose.
+type (
+	Drain struct{}
+	Leave struct{}
+)
+
+// Apply spreads that the daemon drains.
+func (Drain) Apply(c *Circle, now sundial.Micros) {
+	c.self.Draining = true
+	c.self.Word++
+	c.speak(now)
+	c.pass()
+}
+
+// Apply spreads that the daemon has left.
+func (Leave) Apply(c *Circle, now sundial.Micros) {
+	c.self.Standing = people.Left
+	c.speak(now)
+	c.pass()
+}
+
+// ClockEvent lets the circle do what is due.
+type ClockEvent struct{}
+
+// Apply does what is due; each duty keeps its own next time.
+func (ClockEvent) Apply(c *Circle, now sundial.Micros) {
+	c.judgeProbes(now)
+	if now >= c.next.probe {
+		c.next.probe = now + c.set.Probe
+		c.probe(now)
+	}
+	if now >= c.next.digest {
+		c.next.digest = now + c.set.Digest
+		c.swap(now)
+	}
+	if now >= c.next.shuffle {
+		c.next.shuffle = now + c.set.Shuffle
+		if peer := c.pick(c.view); peer != "" {
+			c.Emit(stride.Send{To: peer, Body: Shuffle{Peers: append(c.sample(2), c.self.Peer)}})
+		}
+		c.forget(now)
+	}
+	if now >= c.next.seed {
+		c.next.seed = now + 3*sundial.Second
+		if len(c.sound()) < 2 {
+			c.next.seed = now + 200*sundial.Millisecond
+		}
+		if seed := c.pick(c.seeds); seed != "" && seed != c.self.Peer {
+			c.Emit(stride.Send{To: seed, Body: c.digest(now)})
+		}
+		// A dead daemon may only have been cut off: knock once in a while.
+		var dead []string
+		for _, p := range c.sorted() {
+			if p.Standing == people.Dead {
+				dead = append(dead, p.Peer)
+			}
+		}
+		if peer := c.pick(dead); peer != "" {
+			c.Emit(stride.Send{To: peer, Body: c.digest(now)})
+		}
+	}
+	c.pass()
+}
+
+func (c *Circle) speak(now sundial.Micros) {
+	c.hear([]stride.Rumour{{Key: people.Key(c.self.ID), Epoch: c.self.Incarnation, Seq: c.self.Seq(), Value: c.self.Encode()}}, now)
+}
+
+// hear takes rumours in; what is new is told to this daemon's other machines
+// and passed on.
+func (c *Circle) hear(rumours []stride.Rumour, now sundial.Micros) {
+	for _, rumour := range rumours {
+		if known, ok := c.news[rumour.Key]; ok && !rumour.Newer(known) {
+			c.Repeated++
+			continue
+		}
+		if strings.HasPrefix(rumour.Key, "daemon/") {
+			person, ok := people.Decode(rumour.Value)
+			if !ok {
+				continue
+			}
+			if person.ID == c.self.ID && person.Standing != c.self.Standing {
+				// Someone thinks ill of us: speak up with a higher word.
+				if rumour.Epoch == c.self.Incarnation {
+					c.Refuted++
+					c.self.Word = max(c.self.Word, person.Word) + 1
+					c.speak(now)
+				}
+				continue
+			}
+			if _, known := c.folk[person.ID]; !known && person.Standing >= people.Dead {
+				continue // long forgotten here; do not bring it back
+			}
+			if c.folk[person.ID].Standing != person.Standing || c.folk[person.ID].Incarnation != person.Incarnation {
+				c.since[person.ID] = now
+				c.Emit(stride.Explain{What: "standing of a daemon", Fields: map[string]any{"daemon": person.ID, "kind": person.Kind, "standing": person.Standing.String(), "incarnation": person.Incarnation}})
+			}
+			c.folk[person.ID] = person
+		}
+		c.Heard++
+		c.news[rumour.Key] = rumour
+		c.hot = append(c.hot, rumour)
+		c.Emit(stride.Heard{Rumour: rumour})
+	}
+}
+
+// pass sends hot rumours on to a few others.
+func (c *Circle) pass() {
+	if len(c.hot) == 0 {
+		return
+	}
+	hot := c.hot
+	c.hot = nil
+	targets := c.chance.Perm(len(c.view))
+	for i, at := range targets {
+		if i >= c.set.Fanout {
+			break
+		}
+		c.Emit(stride.Send{To: c.view[at], Body: Gossip{Rumours: hot}})
+	}
+}
+
+func (c *Circle) digest(now sundial.Micros) Digest {
+	known := make(map[string]Mark, len(c.news))
+	for key, rumour := range c.news {
+		known[key] = Mark{rumour.Epoch, rumour.Seq}
+	}
+	return Digest{Known: known, Stamp: now}
+}
+
+func (c *Circle) swap(now sundial.Micros) {
+	peers := c.sound()
+	if len(peers) == 0 {
+		return
+	}
+	c.Emit(stride.Send{To: peers[c.chance.Intn(len(peers))].Peer, Body: c.digest(now)})
+}
+
+func (c *Circle) compare(from string, digest Digest, now sundial.Micros) {
+	mend := Mend{Stamp: digest.Stamp}
+	for _, key := range c.keys() {
+		rumour := c.news[key]
+		mark, ok := digest.Known[key]
+		if !ok || rumour.Newer(stride.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}) {
+			mend.Rumours = append(mend.Rumours, rumour)
+		}
+	}
+	wanted := make([]string, 0)
+	for key, mark := range digest.Known {
+		known, ok := c.news[key]
+		if !ok || (stride.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}).Newer(known) {
+			wanted = append(wanted, key)
+		}
+	}
+	sort.Strings(wanted)
+	mend.Want = wanted
+	c.Emit(stride.Send{To: from, Body: mend})
+}
+
+func (c *Circle) supply(to string, keys []string) {
+	var rumours []stride.Rumour
+	for _, key := range keys {
+		if rumour, ok := c.news[key]; ok {
+			rumours = append(rumours, rumour)
+		}
+	}
+	if len(rumours) > 0 {
+		c.Emit(stride.Send{To: to, Body: Gossip{Rumours: rumours}})
+	}
+}
+
+func (c *Circle) probe(now sundial.Micros) {
+	if len(c.order) == 0 {
+		for _, p := range c.sorted() {
+			if p.ID != c.self.ID && p.Standing <= people.Suspect {
+				c.order = append(c.order, p.ID)
+			}
+		}
+		c.chance.Shuffle(len(c.order), func(i, j int) { c.order[i], c.order[j] = c.order[j], c.order[i] })
+	}
+	if len(c.order) == 0 {
+		return
+	}
+	id := c.order[0]
+	c.order = c.order[1:]
+	person, ok := c.folk[id]
+	if !ok || person.Standing > people.Suspect {
+		return
+	}
+	c.nonce++
+	c.probes[c.nonce] = &probing{id: id, peer: person.Peer, asked: now}
+	c.Emit(stride.Send{To: person.Peer, Body: Probe{Nonce: c.nonce}})
+}
+
+func (c *Circle) echoed(echo Echo) {
+	if echo.For != "" {
+		if help, ok := c.helps[echo.Nonce]; ok {
+			delete(c.helps, echo.Nonce)
+			c.Emit(stride.Send{To: help.asker, Body: Witnessed{Nonce: help.nonce, Heard: true}})
+		}
+		return
+	}
+	delete(c.probes, echo.Nonce)
+}
+
+// judgeProbes asks for help where the direct echo stayed out, and suspects
+// only when a second witness could not reach the daemon either.
+func (c *Circle) judgeProbes(now sundial.Micros) {
+	for _, nonce := range sortedNonces(c.helps) {
+		if help := c.helps[nonce]; now >= help.expiry {
+			delete(c.helps, nonce)
+			c.Emit(stride.Send{To: help.asker, Body: Witnessed{Nonce: help.nonce}})
+		}
+	}
+	for _, nonce := range sortedNonces(c.probes) {
+		p := c.probes[nonce]
+		switch {
+		case !p.helped && now-p.asked >= c.set.ProbeWait:
+			p.helped = true
+			helpers := 0
+			for _, at := range c.chance.Perm(len(c.view)) {
+				if peer := c.view[at]; peer != p.peer && helpers < 2 {
+					helpers++
+					c.Emit(stride.Send{To: peer, Body: HelpProbe{Nonce: nonce, Target: p.peer}})
+				}
+			}
+		case p.helped && now-p.asked >= 4*c.set.ProbeWait:
+			delete(c.probes, nonce)
+			if person, ok := c.folk[p.id]; ok && p.denied > 0 && person.Standing == people.Sound {
+				person.Standing = people.Suspect
+				c.Suspected++
+				c.hear([]stride.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
+			}
+		}
+	}
+	for _, person := range c.sorted() {
+		if person.Standing == people.Suspect && now-c.since[person.ID] >= c.set.Suspicion && person.ID != c.self.ID && now-c.lastSwap < c.set.Suspicion {
+			person.Standing = people.Dead
+			c.hear([]stride.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
+		}
+	}
+}
+
+func sortedNonces[T any](m map[uint64]T) []uint64 {
+	out := make([]uint64, 0, len(m))
+	for nonce := range m {
+		out = append(out, nonce)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// forget drops the directory entries of daemons long dead.
+func (c *Circle) forget(now sundial.Micros) {
+	for _, person := range c.sorted() {
+		if person.Standing >= people.Dead && now-c.since[person.ID] > c.set.Forget {
+			delete(c.folk, person.ID)
+			delete(c.since, person.ID)
+			delete(c.news, people.Key(person.ID))
+		}
+	}
+	kept := c.view[:0]
+	for _, peer := range c.view {
+		sound := true
+		for _, person := range c.folk {
+			if person.Peer == peer && person.Standing >= people.Dead {
+				sound = false
+			}
+		}
+		if sound {
+			kept = append(kept, peer)
+		}
+	}
+	c.view = kept
+	for _, person := range c.sound() {
+		if len(c.view) >= c.set.View {
+			break
+		}
+		c.greet(person.Peer)
+	}
+}
+
+func (c *Circle) greet(peer string) {
+	if peer == "" || peer == c.self.Peer {
+		return
+	}
+	for _, known := range c.view {
+		if known == peer {
+			return
+		}
+	}
+	if len(c.view) < c.set.View {
+		c.view = append(c.view, peer)
+	}
+}
+
+func (c *Circle) sample(count int) []string {
+	var out []string
+	for _, at := range c.chance.Perm(len(c.view)) {
+		if len(out) == count {
+			break
+		}
+		out = append(out, c.view[at])
+	}
+	return out
+}
+
+func (c *Circle) mix(from string, shuffle Shuffle) {
+	if !shuffle.Answer {
+		c.Emit(stride.Send{To: from, Body: Shuffle{Peers: c.sample(3), Answer: true}})
+	}
+	for _, peer := range shuffle.Peers {
+		if peer == c.self.Peer || contains(c.view, peer) {
+			continue
+		}
+		if len(c.view) < c.set.View {
+			c.view = append(c.view, peer)
+		} else {
+			c.view[c.chance.Intn(len(c.view))] = peer
+		}
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, one := range list {
+		if one == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Circle) pick(from []string) string {
+	if len(from) == 0 {
+		return ""
+	}
+	return from[c.chance.Intn(len(from))]
+}
+
+func (c *Circle) keys() []string {
+	keys := make([]string, 0, len(c.news))
+	for key := range c.news {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (c *Circle) sorted() []people.Person {
+	out := make([]people.Person, 0, len(c.folk))
+	for _, person := range c.folk {
+		out = append(out, person)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+func (c *Circle) sound() []people.Person {
+	var out []people.Person
+	for _, person := range c.sorted() {
+		if person.Standing <= people.Suspect && person.ID != c.self.ID {
+			out = append(out, person)
+		}
+	}
+	return out
+}
+
+// Folk is a copy of the directory in the agreed order.
+func (c *Circle) Folk() []people.Person { return c.sorted() }
+
+// LastSwap is when this daemon sent the last digest that was answered: news up
+// to then was within its reach.
+func (c *Circle) LastSwap() sundial.Micros { return c.lastSwap }
+
+// News is the rumour known under a key.
+func (c *Circle) News(key string) (stride.Rumour, bool) {
+	rumour, ok := c.news[key]
+	return rumour, ok
+}
+
+// Under lists the rumours whose keys begin with a word, in order.
+func (c *Circle) Under(prefix string) []stride.Rumour {
+	var out []stride.Rumour
+	for _, key := range c.keys() {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, c.news[key])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/acquaintance/people/people.go
@@ -0,0 +1,58 @@
+// Package people says who a daemon is (DESIGN §3).
+package people
+
+import "encoding/json"
+
+// Kinds of daemon.
+const (
+	Trailhead = "trailhead"
+	Refuge    = "refuge"
+	Cairn     = "cairn"
+)
+
+// Standing is how sound a daemon is held to be; a higher one replaces a lower
+// one of the same incarnation and word.
+type Standing uint64
+
+// The standings in the order in which they replace each other.
+const (
+	Sound Standing = iota
+	Suspect
+	Dead
+	Left
+	standings
+)
+
+var standingNames = map[Standing]string{Sound: "sound", Suspect: "suspect", Dead: "dead", Left: "left"}
+
+// String names the standing.
+func (s Standing) String() string { return standingNames[s] }
+
+// Person is one daemon as the directory knows it.
+type Person struct {
+	ID, Kind, Zone string
+	Peer, HTTP     string
+	Incarnation    uint64
+	Word           uint64 // how often it spoke for itself in this incarnation
+	Standing       Standing
+	Draining       bool
+	Version        int
+}
+
+// Seq orders what is said of one incarnation.
+func (p Person) Seq() uint64 { return p.Word*uint64(standings) + uint64(p.Standing) }
+
+// Key is the news key of a daemon.
+func Key(id string) string { return "daemon/" + id }
+
+// Encode and Decode carry a person as news.
+func (p Person) Encode() []byte {
+	data, _ := json.Marshal(p)
+	return data
+}
+
+// Decode reads a person from news.
+func Decode(data []byte) (Person, bool) {
+	var p Person
+	return p, json.Unmarshal(data, &p) == nil && p.ID != ""
+}
--- /dev/null
+++ b/cmd/refuge/main.go
@@ -0,0 +1,91 @@
+// Program refuge is the store daemon: it keeps ledgers and runs their items
+// (DESIGN §6).
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/daemon/lodge"
+	"tuliprudder/daemon/planes"
+	"tuliprudder/daemon/porter"
+	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/path/dispatch"
+	"tuliprudder/path/runner"
+)
+
+func main() {
+	var common rucksack.Common
+	var bounds lodge.Bounds
+	set := keeper.Defaults()
+	settings := rucksack.New("refuge")
+	settings.Common(&common, true)
+	bounds.Settings(settings)
+	mostItems := int64(set.MostItems)
+	settings.Int(&mostItems, "most-items", mostItems, 1, 10_000_000, "items of bundles that may wait here")
+	settings.Int(&set.KeepDone, "keep-done-us", set.KeepDone, 60_000_000, 365*86_400_000_000, "how long a finished bundle stays readable")
+	settings.MustParse(os.Args[1:])
+	set.MostItems = int(mostItems)
+	if err := run(common, bounds, set); err != nil {
+		fmt.Fprintln(os.Stderr, "refuge:", err)
+		os.Exit(1)
+	}
+}
+
+func run(common rucksack.Common, bounds lodge.Bounds, set keeper.Settings) error {
+	l, err := lodge.Open("refuge", people.Refuge, common, bounds)
+	if err != nil {
+		return err
+	}
+	room, records, err := porter.OpenRoom(common.Data)
+	if err != nil {
+		return err
+	}
+	books := keeper.New(keeper.Self{ID: l.Who.ID, Zone: common.Zone, Peer: common.Peer, Life: l.Who.Life}, set, records)
+	if books.BadRecord != nil {
+		return books.BadRecord
+	}
+	ledger := planes.NewLedger(books)
+	l.Porter.Carry(ledger, room)
+	pathSet := dispatch.Defaults()
+	pathSet.MostWaiting = 2*set.MostItems + 1000 // the keeper's own bound comes first
+	backlog := dispatch.New(pathSet, l.Porter.Now, int64(l.Who.Life))
+	allowed := func(slot int, bundle string, item int, now sundial.Micros) (ok bool) {
+		l.Porter.Inside(func(now sundial.Micros) { ok = books.Allowed(slot, bundle, item, now) })
+		return ok
+	}
+	ran := func(word keeper.Ran) {
+		for !l.Porter.Do(func(now sundial.Micros) []stride.Effect { return books.Do(word, now) }) {
+			if !lodge.Wait(sundial.Second, func() bool { return true }) {
+				return
+			}
+		}
+	}
+	items := runner.New(runner.Defaults(), backlog, l.Porter.Now, allowed, ran, l.Log)
+	l.Porter.OnWork(items.Take)
+	l.Path(backlog, nil)
+	l.Office.Ready = func() (why string) {
+		l.Porter.Inside(func(sundial.Micros) {
+			if books.Writer() == 0 {
+				why = "the core has not given this store a writer id yet"
+			}
+		})
+		return why
+	}
+	l.Office.Counters = func() map[string]int64 {
+		out := map[string]int64{}
+		l.Porter.Inside(func(sundial.Micros) {
+			out["rows_listed"], out["bundles_enrolled"], out["outcomes_unknown"], out["takeovers"] = books.Listed, books.Enrolled, books.Unknown, books.Takeovers
+		})
+		out["backlog"], out["items_open"] = int64(backlog.Backlog()), int64(items.Open())
+		return out
+	}
+	l.OnDrain(func() {
+		l.Porter.Do(func(now sundial.Micros) []stride.Effect { return books.Do(keeper.Drain{}, now) })
+	})
+	return l.Run()
+}
--- /dev/null
+++ b/core/chart/chart.go
@@ -0,0 +1,187 @@
+// Package chart is the state the cores keep (DESIGN §5): the plan and its
+// versions, the stores with their permanent writer ids, and which writer has
+// which slot under which epoch.
+package chart
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/tether"
+)
+
+// Version is one plan as it was confirmed.
+type Version struct {
+	Number uint64          `json:"version"`
+	Body   json.RawMessage `json:"plan"`
+	By     string          `json:"by"`
+	At     sundial.Micros  `json:"at_us"`
+}
+
+// Store is a store daemon; its writer id is never given to another.
+type Store struct {
+	ID       string `json:"id"`
+	Writer   int    `json:"writer"`
+	Zone     string `json:"zone"`
+	Peer     string `json:"peer"`
+	Retiring bool   `json:"retiring,omitempty"`
+	Retired  bool   `json:"retired,omitempty"`
+}
+
+// Chart is the whole of it.
+type Chart struct {
+	Fleet      string           `json:"fleet"`
+	Seq        uint64           `json:"seq"`
+	Plans      []Version        `json:"plans"`
+	Stores     map[string]Store `json:"stores"`
+	NextWriter int              `json:"next_writer"`
+	Slots      []tether.Pairing `json:"slots"`
+}
+
+// New is an empty chart.
+func New() *Chart { return &Chart{Stores: map[string]Store{}, NextWriter: 1} }
+
+// Latest is the plan in force; false when none was ever put.
+func (c *Chart) Latest() (Version, bool) {
+	if len(c.Plans) == 0 {
+		return Version{}, false
+	}
+	return c.Plans[len(c.Plans)-1], true
+}
+
+// Map is the part of the chart that every daemon is told.
+type Map struct {
+	Fleet  string           `json:"fleet"`
+	Seq    uint64           `json:"seq"`
+	Stores map[string]Store `json:"stores"`
+	Slots  []tether.Pairing `json:"slots"`
+}
+
+// Map copies that part.
+func (c *Chart) Map() Map {
+	return Map{Fleet: c.Fleet, Seq: c.Seq, Stores: c.Stores, Slots: c.Slots}
+}
+
+// MapKey, PlanKey and CoreKey are the keys of the core's news.
+const (
+	MapKey  = "map"
+	PlanKey = "plan"
+	CoreKey = "core"
+)
+
+// CoreNews says who is primary.
+type CoreNews struct {
+	Fleet   string   `json:"fleet"`
+	Epoch   uint64   `json:"epoch"`
+	Primary string   `json:"primary"`
+	Peer    string   `json:"peer"`
+	Backup  string   `json:"backup"`
+	Cores   []string `json:"cores"`
+}
+
+// Entry is one change of the chart: a command on it.
+type Entry interface {
+	Apply(c *Chart)
+	kind() string
+}
+
+// The changes there are.
+type (
+	// Found begins a fleet with a fixed number of slots.
+	Found struct {
+		Fleet string
+		Slots int
+	}
+	// PutPlan adds the next version.
+	PutPlan struct{ Version Version }
+	// EnrolStore gives a store its writer id, or notes its new address.
+	EnrolStore struct{ Store Store }
+	// Pair writes down new pairings of slots.
+	Pair struct{ Slots map[int]tether.Pairing }
+)
+
+// Apply founds.
+func (e Found) Apply(c *Chart) {
+	if c.Fleet == "" {
+		c.Fleet, c.Slots = e.Fleet, make([]tether.Pairing, e.Slots)
+	}
+}
+
+// Apply adds the version.
+func (e PutPlan) Apply(c *Chart) { c.Plans = append(c.Plans, e.Version) }
+
+// Apply enrols; a known store keeps its writer id.
+func (e EnrolStore) Apply(c *Chart) {
+	store := e.Store
+	if known, ok := c.Stores[store.ID]; ok {
+		store.Writer = known.Writer
+	} else {
+		store.Writer = c.NextWriter
+		c.NextWriter++
+	}
+	stores := make(map[string]Store, len(c.Stores)+1)
+	for id, known := range c.Stores {
+		stores[id] = known
+	}
+	stores[store.ID] = store
+	c.Stores = stores
+}
+
+// Apply writes pairings down; an epoch never goes back.
+func (e Pair) Apply(c *Chart) {
+	slots := append([]tether.Pairing(nil), c.Slots...)
+	for slot, pairing := range e.Slots {
+		if slot >= 0 && slot < len(slots) && pairing.Epoch >= slots[slot].Epoch {
+			slots[slot] = pairing
+		}
+	}
+	c.Slots = slots
+}
+
+func (Found) kind() string      { return "found" }
+func (PutPlan) kind() string    { return "put-plan" }
+func (EnrolStore) kind() string { return "enrol-store" }
+func (Pair) kind() string       { return "pair" }
+
+type wrapped struct {
+	Kind string          `json:"k"`
+	Body json.RawMessage `json:"b"`
+}
+
+var decoders = map[string]func(json.RawMessage) (Entry, error){
+	"found": decode[Found], "put-plan": decode[PutPlan], "enrol-store": decode[EnrolStore], "pair": decode[Pair],
+}
+
+func decode[E Entry](data json.RawMessage) (Entry, error) {
+	var e E
+	err := json.Unmarshal(data, &e)
+	return e, err
+}
+
+// Encode writes an entry for the pair.
+func Encode(e Entry) []byte {
+	body, _ := json.Marshal(e)
+	data, _ := json.Marshal(wrapped{Kind: e.kind(), Body: body})
+	return data
+}
+
+// Play applies an encoded entry.
+func (c *Chart) Play(data []byte) error {
+	var w wrapped
+	if err := json.Unmarshal(data, &w); err != nil {
+		return errors.Wrap(err, "reading a change of the chart")
+	}
+	read, ok := decoders[w.Kind]
+	if !ok {
+		return errors.Errorf("change of an unknown kind %q: run the release that wrote it", w.Kind)
+	}
+	entry, err := read(w.Body)
+	if err != nil {
+		return errors.Wrap(err, "reading a change of the chart")
+	}
+	entry.Apply(c)
+	c.Seq++
+	return nil
+}
--- /dev/null
+++ b/core/planbook/plan.go
@@ -0,0 +1,437 @@
+// Package planbook reads and checks the operators' plans by hand (DESIGN §8):
+// every fault is reported with its path and its remedy, and unknown fields are
+// faults.
+package planbook
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/sundial"
+)
+
+// Labels are names and values that selectors match.
+type Labels map[string]string
+
+// Selector matches labels: each name must have one of the values.
+type Selector map[string][]string
+
+// Matches tells whether the labels satisfy the selector.
+func (s Selector) Matches(labels Labels) bool {
+	for name, values := range s {
+		found := false
+		for _, value := range values {
+			if labels[name] == value {
+				found = true
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// Kinds of route.
+const (
+	OneShot   = "one-shot"
+	Stream    = "stream"
+	Resumable = "resumable"
+	Bundle    = "bundle"
+)
+
+// Class is a priority class: what customers pay for.
+type Class struct {
+	Name      string
+	Rank      int64
+	Allowance int64 // waiting work of one customer of this class
+	Labels    Labels
+}
+
+// Customer is who calls, by its key.
+type Customer struct {
+	Name  string
+	Key   string
+	Class string
+}
+
+// Pool is a set of servers, chosen by their labels.
+type Pool struct {
+	Name    string
+	Labels  Labels
+	Servers Selector
+}
+
+// Route is a way callers may go.
+type Route struct {
+	Name      string
+	Kind      string
+	Labels    Labels
+	Classes   Selector // classes that may use it
+	Pools     Selector // pools that serve it
+	Model     string
+	Adapter   string
+	Weights   string
+	Prefix    string
+	MaxTokens int64
+	Expiry    sundial.Micros
+	MostItems int64
+}
+
+// Plan is a whole configuration.
+type Plan struct {
+	Classes   []Class
+	Customers []Customer
+	Pools     []Pool
+	Routes    []Route
+	Judges    map[string]float64
+	Version   uint64
+
+	byKey   map[string]*Customer
+	byClass map[string]*Class
+	byRoute map[string]*Route
+}
+
+// CustomerOf finds a customer and its class by the key it carries.
+func (p *Plan) CustomerOf(key string) (*Customer, *Class, bool) {
+	customer := p.byKey[key]
+	if customer == nil {
+		return nil, nil, false
+	}
+	return customer, p.byClass[customer.Class], true
+}
+
+// ClassOf is the class of a customer by name; nil when the plan has none.
+func (p *Plan) ClassOf(customer string) *Class {
+	for i := range p.Customers {
+		if p.Customers[i].Name == customer {
+			return p.byClass[p.Customers[i].Class]
+		}
+	}
+	return nil
+}
+
+// Route finds a route by name.
+func (p *Plan) Route(name string) (*Route, bool) {
+	route := p.byRoute[name]
+	return route, route != nil
+}
+
+// PoolsOf lists the pools that serve a route.
+func (p *Plan) PoolsOf(route *Route) []*Pool {
+	var out []*Pool
+	for i := range p.Pools {
+		if route.Pools.Matches(p.Pools[i].Labels) {
+			out = append(out, &p.Pools[i])
+		}
+	}
+	return out
+}
+
+// Serves tells whether a server with these labels serves the route.
+func (p *Plan) Serves(route *Route, labels Labels) bool {
+	for i := range p.Pools {
+		if route.Pools.Matches(p.Pools[i].Labels) && p.Pools[i].Servers.Matches(labels) {
+			return true
+		}
+	}
+	return false
+}
+
+// JudgeNames are the judges a plan may weigh.
+var JudgeNames = []string{"fullness", "prefix", "speed", "spread"}
+
+// Parse reads a plan and reports every fault in it.
+func Parse(data []byte) (*Plan, error) {
+	r := &reader{}
+	var tree any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		r.fault("$", "write one JSON object; %v", err)
+		return nil, r.err()
+	}
+	plan := r.plan(tree)
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	plan.index()
+	return plan, nil
+}
+
+// Check is Parse for those who only want the faults.
+func Check(data []byte) error {
+	_, err := Parse(data)
+	return err
+}
+
+func (p *Plan) index() {
+	p.byKey, p.byClass, p.byRoute = map[string]*Customer{}, map[string]*Class{}, map[string]*Route{}
+	for i := range p.Customers {
+		p.byKey[p.Customers[i].Key] = &p.Customers[i]
+	}
+	for i := range p.Classes {
+		p.byClass[p.Classes[i].Name] = &p.Classes[i]
+	}
+	for i := range p.Routes {
+		p.byRoute[p.Routes[i].Name] = &p.Routes[i]
+	}
+}
+
+type reader struct{ faults []string }
+
+func (r *reader) fault(path, format string, args ...any) {
+	if len(r.faults) < 200 {
+		r.faults = append(r.faults, path+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *reader) err() error {
+	if len(r.faults) == 0 {
+		return nil
+	}
+	return &mishap.Mishap{Kind: mishap.BadPlan, Message: fmt.Sprintf("the plan has %d faults; the plan in force stays", len(r.faults)),
+		Remedy: "correct each named place and put the plan again", Faults: r.faults}
+}
+
+// object checks that a value is an object and that it has only known fields.
+func (r *reader) object(path string, value any, known ...string) map[string]any {
+	fields, ok := value.(map[string]any)
+	if !ok {
+		r.fault(path, "must be an object")
+		return nil
+	}
+	for _, name := range sortedFields(fields) {
+		found := false
+		for _, one := range known {
+			found = found || one == name
+		}
+		if !found {
+			r.fault(path+"."+name, "unknown field; leave it out (known here: %v)", known)
+		}
+	}
+	return fields
+}
+
+func sortedFields[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (r *reader) list(path string, value any, most int) []any {
+	if value == nil {
+		return nil
+	}
+	list, ok := value.([]any)
+	if !ok {
+		r.fault(path, "must be a list")
+	}
+	if len(list) > most {
+		r.fault(path, "has %d entries; keep to at most %d", len(list), most)
+	}
+	return list
+}
+
+func (r *reader) text(path string, value any, needed bool, most int) string {
+	if value == nil {
+		if needed {
+			r.fault(path, "is missing; give a text")
+		}
+		return ""
+	}
+	text, ok := value.(string)
+	switch {
+	case !ok:
+		r.fault(path, "must be a text")
+	case needed && text == "":
+		r.fault(path, "is empty; give a text")
+	case len(text) > most:
+		r.fault(path, "is longer than %d bytes; shorten it", most)
+	}
+	return text
+}
+
+func (r *reader) name(path string, value any) string {
+	text := r.text(path, value, true, 64)
+	for _, c := range text {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.') {
+			r.fault(path, "%q has a letter that names may not have; use letters, digits, - _ .", text)
+			break
+		}
+	}
+	return text
+}
+
+func (r *reader) number(path string, value any, least, most, missing int64) int64 {
+	if value == nil {
+		return missing
+	}
+	number, ok := value.(float64)
+	if !ok || number != float64(int64(number)) {
+		r.fault(path, "must be a whole number from %d to %d", least, most)
+		return missing
+	}
+	if int64(number) < least || int64(number) > most {
+		r.fault(path, "is %d; give a whole number from %d to %d", int64(number), least, most)
+	}
+	return int64(number)
+}
+
+func (r *reader) labels(path string, value any) Labels {
+	if value == nil {
+		return Labels{}
+	}
+	fields, ok := value.(map[string]any)
+	if !ok {
+		r.fault(path, "must be an object of texts")
+		return nil
+	}
+	out := Labels{}
+	for _, name := range sortedFields(fields) {
+		out[name] = r.text(path+"."+name, fields[name], true, 128)
+	}
+	return out
+}
+
+func (r *reader) selector(path string, value any) Selector {
+	if value == nil {
+		r.fault(path, "is missing; give labels to match, or {} for all")
+		return nil
+	}
+	fields, ok := value.(map[string]any)
+	if !ok {
+		r.fault(path, "must be an object: label names with a text or a list of texts")
+		return nil
+	}
+	out := Selector{}
+	for _, name := range sortedFields(fields) {
+		switch values := fields[name].(type) {
+		case string:
+			out[name] = []string{values}
+		case []any:
+			if len(values) == 0 {
+				r.fault(path+"."+name, "is empty and matches nothing; give at least one value")
+			}
+			for i, one := range values {
+				out[name] = append(out[name], r.text(fmt.Sprintf("%s.%s[%d]", path, name, i), one, true, 128))
+			}
+		default:
+			r.fault(path+"."+name, "must be a text or a list of texts")
+		}
+	}
+	return out
+}
+
+func (r *reader) unique(path, what, name string, seen map[string]bool) {
+	if name == "" {
+		return
+	}
+	if seen[name] {
+		r.fault(path, "%s %q is there twice; give each its own", what, name)
+	}
+	seen[name] = true
+}
+
+func (r *reader) plan(tree any) *Plan {
+	plan := &Plan{Judges: map[string]float64{"fullness": 4, "prefix": 2, "speed": 1, "spread": 1}}
+	fields := r.object("$", tree, "classes", "customers", "pools", "routes", "judges")
+	if fields == nil {
+		return plan
+	}
+	classes, names := map[string]bool{}, map[string]bool{}
+	for i, value := range r.list("$.classes", fields["classes"], 64) {
+		path := fmt.Sprintf("$.classes[%d]", i)
+		if f := r.object(path, value, "name", "rank", "allowance", "labels"); f != nil {
+			class := Class{Name: r.name(path+".name", f["name"]), Labels: r.labels(path+".labels", f["labels"]),
+				Rank: r.number(path+".rank", f["rank"], 1, 1000, 0), Allowance: r.number(path+".allowance", f["allowance"], 1, 1_000_000, 0)}
+			if f["rank"] == nil {
+				r.fault(path+".rank", "is missing; give a whole number from 1 to 1000, higher goes first")
+			}
+			if f["allowance"] == nil {
+				r.fault(path+".allowance", "is missing; give how much work of one customer may wait")
+			}
+			r.unique(path+".name", "class", class.Name, classes)
+			plan.Classes = append(plan.Classes, class)
+		}
+	}
+	keys := map[string]bool{}
+	for i, value := range r.list("$.customers", fields["customers"], 10_000) {
+		path := fmt.Sprintf("$.customers[%d]", i)
+		if f := r.object(path, value, "name", "key", "class"); f != nil {
+			customer := Customer{Name: r.name(path+".name", f["name"]), Key: r.text(path+".key", f["key"], true, 256), Class: r.text(path+".class", f["class"], true, 64)}
+			r.unique(path+".name", "customer", customer.Name, names)
+			r.unique(path+".key", "the key of", customer.Key, keys)
+			if customer.Class != "" && !classes[customer.Class] {
+				r.fault(path+".class", "no class %q in this plan; add it, or name one of them", customer.Class)
+			}
+			plan.Customers = append(plan.Customers, customer)
+		}
+	}
+	pools := map[string]bool{}
+	for i, value := range r.list("$.pools", fields["pools"], 256) {
+		path := fmt.Sprintf("$.pools[%d]", i)
+		if f := r.object(path, value, "name", "labels", "servers"); f != nil {
+			pool := Pool{Name: r.name(path+".name", f["name"]), Labels: r.labels(path+".labels", f["labels"]), Servers: r.selector(path+".servers", f["servers"])}
+			r.unique(path+".name", "pool", pool.Name, pools)
+			plan.Pools = append(plan.Pools, pool)
+		}
+	}
+	routes := map[string]bool{}
+	for i, value := range r.list("$.routes", fields["routes"], 20_000) {
+		path := fmt.Sprintf("$.routes[%d]", i)
+		if f := r.object(path, value, "name", "kind", "labels", "classes", "pools", "model", "adapter", "weights", "prefix", "max_tokens", "expiry_us", "most_items"); f != nil {
+			route := r.route(path, f, plan)
+			r.unique(path+".name", "route", route.Name, routes)
+			plan.Routes = append(plan.Routes, route)
+		}
+	}
+	if len(plan.Classes) == 0 {
+		r.fault("$.classes", "is empty; give at least one class")
+	}
+	if fields["judges"] != nil {
+		known := r.object("$.judges", fields["judges"], JudgeNames...)
+		for _, name := range sortedFields(known) {
+			weight, ok := known[name].(float64)
+			if !ok || weight < 0 || weight > 1000 {
+				r.fault("$.judges."+name, "must be a number from 0 to 1000")
+				continue
+			}
+			plan.Judges[name] = weight
+		}
+	}
+	return plan
+}
+
+var routeKinds = map[string]bool{OneShot: true, Stream: true, Resumable: true, Bundle: true}
+
+func (r *reader) route(path string, f map[string]any, plan *Plan) Route {
+	route := Route{Name: r.name(path+".name", f["name"]), Kind: r.text(path+".kind", f["kind"], true, 32),
+		Labels: r.labels(path+".labels", f["labels"]), Classes: r.selector(path+".classes", f["classes"]), Pools: r.selector(path+".pools", f["pools"]),
+		Model: r.text(path+".model", f["model"], true, 128), Adapter: r.text(path+".adapter", f["adapter"], false, 128),
+		Weights: r.text(path+".weights", f["weights"], false, 128), Prefix: r.text(path+".prefix", f["prefix"], false, 64<<10),
+		MaxTokens: r.number(path+".max_tokens", f["max_tokens"], 1, 100_000, 256),
+		Expiry:    r.number(path+".expiry_us", f["expiry_us"], 10_000, 3_600_000_000, 30_000_000),
+		MostItems: r.number(path+".most_items", f["most_items"], 1, 10_000, 1000)}
+	if route.Kind != "" && !routeKinds[route.Kind] {
+		r.fault(path+".kind", "%q is no kind; give one-shot, stream, resumable or bundle", route.Kind)
+	}
+	matched := false
+	for _, class := range plan.Classes {
+		matched = matched || route.Classes.Matches(class.Labels)
+	}
+	if !matched && route.Classes != nil {
+		r.fault(path+".classes", "matches no class of this plan; correct the selector or the classes' labels")
+	}
+	matched = false
+	for _, pool := range plan.Pools {
+		matched = matched || route.Pools.Matches(pool.Labels)
+	}
+	if !matched && route.Pools != nil {
+		r.fault(path+".pools", "matches no pool of this plan; correct the selector or the pools' labels")
+	}
+	return route
+}
--- /dev/null
+++ b/core/summit/asks.go
@@ -0,0 +1,100 @@
+package summit
+
+import (
+	"encoding/json"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/footbridge"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/tether"
+)
+
+// CoreRef is one of the three core identities.
+type CoreRef struct {
+	ID   string `json:"id"`
+	Peer string `json:"peer"`
+	Zone string `json:"zone"`
+}
+
+// Oath is all that a core keeps as a witness: epochs, and who they name.
+type Oath struct {
+	Fleet   string         `json:"fleet"`
+	Granted uint64         `json:"granted"`
+	Grant   tether.Pairing `json:"grant"`
+	Cores   []CoreRef      `json:"cores"`
+	Done    tether.Pairing `json:"done"`
+	Sworn   []CoreRef      `json:"sworn"` // the cores at the last complete pair
+}
+
+// Messages between cores.
+type (
+	// Greet is a core's beat; it carries its oath's epochs.
+	Greet struct {
+		Core  CoreRef
+		Life  uint64
+		Fleet string
+		Oath  Oath
+		Role  string
+	}
+	// Claim asks a witness for an epoch.
+	Claim struct {
+		Fleet   string
+		Pairing tether.Pairing
+		Cores   []CoreRef
+		Base    uint64 // the claimant's last complete epoch
+		From    CoreRef
+	}
+	// Granted answers it.
+	Granted struct {
+		Epoch uint64
+		From  string
+		Yes   bool
+		Why   string
+		Oath  Oath
+	}
+	// Sealing asks a witness to write down that a pair is complete.
+	Sealing struct {
+		Fleet   string
+		Pairing tether.Pairing
+		Cores   []CoreRef
+	}
+	// Sealed answers it.
+	Sealed struct {
+		Epoch uint64
+		From  string
+	}
+)
+
+// What daemons ask the primary.
+type (
+	// PutPlanAsk hands a whole plan in; Base 0 means whatever is in force.
+	PutPlanAsk struct {
+		Body    []byte
+		Base    uint64
+		HasBase bool
+		By      string
+		Expiry  sundial.Micros
+	}
+	// PlanReceipt is the answer once it is on two disks.
+	PlanReceipt struct{ Version uint64 }
+	// PlansAsk reads plans back: one version, or a list of all.
+	PlansAsk struct{ Version uint64 }
+	// Plans is the answer.
+	Plans struct{ Versions []chart.Version }
+	// ShowAsk asks a core for its own account.
+	ShowAsk struct{ Brief bool }
+	// Shown is that account.
+	Shown struct {
+		Core  CoreRef
+		Role  string
+		Epoch uint64
+		Oath  Oath
+		Map   json.RawMessage
+		Plan  uint64
+	}
+)
+
+func init() {
+	footbridge.Register(Greet{}, Claim{}, Granted{}, Sealing{}, Sealed{},
+		PutPlanAsk{}, PlanReceipt{}, PlansAsk{}, Plans{}, ShowAsk{}, Shown{})
+}
--- /dev/null
+++ b/core/summit/election.go
@@ -0,0 +1,455 @@
+package summit
+
+import (
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/tether"
+)
+
+// This file is how the cores agree on who owns (DESIGN §5.1 to §5.3).
+
+func (s *Summit) greet() {
+	hello := Greet{Core: s.self, Life: s.life, Fleet: s.oath.Fleet, Oath: s.oath, Role: s.rope().Role.String()}
+	told := map[string]bool{s.self.Peer: true}
+	tell := func(peer string) {
+		if peer != "" && !told[peer] {
+			told[peer] = true
+			s.Emit(stride.Send{To: peer, Body: hello})
+		}
+	}
+	for _, seed := range s.seeds {
+		tell(seed)
+	}
+	for _, core := range s.oath.Cores {
+		tell(core.Peer)
+	}
+	for _, id := range sortedIDs(s.cores) {
+		tell(s.cores[id].greet.Core.Peer)
+	}
+}
+
+// Cairns tells the core of others the acquaintance has heard of.
+type Cairns struct{ Peers []string }
+
+// Apply greets those that are new; their own greeting makes them known.
+func (c Cairns) Apply(s *Summit, now sundial.Micros) {
+	for _, peer := range c.Peers {
+		if peer != s.self.Peer {
+			s.Emit(stride.Send{To: peer, Body: Greet{Core: s.self, Life: s.life, Fleet: s.oath.Fleet, Oath: s.oath, Role: s.rope().Role.String()}})
+		}
+	}
+}
+
+func (s *Summit) greeted(g Greet, now sundial.Micros) {
+	if g.Core.ID == s.self.ID {
+		return
+	}
+	if s.oath.Fleet != "" && g.Fleet != "" && g.Fleet != s.oath.Fleet {
+		s.Emit(stride.Explain{What: "a core of another fleet greeted; it is passed over", Fields: map[string]any{"peer": g.Core.Peer, "fleet": g.Fleet}})
+		return
+	}
+	// An empty machine at an old address is a new identity: the old one is gone.
+	for id, other := range s.cores {
+		if id != g.Core.ID && other.greet.Core.Peer == g.Core.Peer && other.at < now {
+			delete(s.cores, id)
+		}
+	}
+	s.cores[g.Core.ID] = heardCore{greet: g, at: now}
+	s.learn(g.Oath, now)
+}
+
+// learn takes over what another witness knows to be complete.
+func (s *Summit) learn(other Oath, now sundial.Micros) {
+	if s.oath.Fleet == "" || other.Fleet != s.oath.Fleet || other.Done.Epoch <= s.oath.Done.Epoch {
+		return
+	}
+	s.oath.Done, s.oath.Sworn = other.Done, other.Sworn
+	if other.Done.Epoch >= s.oath.Granted {
+		s.oath.Granted, s.oath.Grant, s.oath.Cores = other.Done.Epoch, other.Done, other.Sworn
+	}
+	s.gang.Store([]stride.Record{s.oathRecord()}, nil)
+	s.align(now)
+}
+
+// align gives up a role that a higher epoch ended.
+func (s *Summit) align(now sundial.Micros) {
+	rope := s.rope()
+	if s.oath.Done.Epoch > rope.Epoch {
+		s.gang.Release(unitCore, rope.Epoch, now)
+	}
+}
+
+func (s *Summit) life2(id string, now sundial.Micros) (uint64, bool) {
+	if id == s.self.ID {
+		return s.life, true
+	}
+	heard, ok := s.cores[id]
+	if !ok || now-heard.at > s.set.CoreSilent {
+		return 0, false
+	}
+	return heard.greet.Life, true
+}
+
+func (s *Summit) zoneOf(id string) string {
+	if id == s.self.ID {
+		return s.self.Zone
+	}
+	if heard, ok := s.cores[id]; ok {
+		return heard.greet.Core.Zone
+	}
+	for _, core := range s.oath.Cores {
+		if core.ID == id {
+			return core.Zone
+		}
+	}
+	return ""
+}
+
+func seat(cores []CoreRef, id string) int {
+	for i, core := range cores {
+		if core.ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// stand works out whether this core should claim, and drives a claim on.
+func (s *Summit) stand(now sundial.Micros) {
+	if s.claim != nil {
+		if now-s.claim.at < claimTries {
+			return
+		}
+		s.claim = nil
+	}
+	if s.oath.Fleet == "" {
+		s.found(now)
+		return
+	}
+	if seat(s.oath.Cores, s.self.ID) < 0 {
+		return
+	}
+	pairing, cores, reason := s.wanted(now)
+	if reason == "" {
+		s.unwell = 0
+		return
+	}
+	if s.unwell == 0 {
+		s.unwell = now
+	}
+	// Each core waits a little longer than the one before it in the seats.
+	if now-s.unwell < sundial.Micros(1+seat(s.oath.Cores, s.self.ID))*250*sundial.Millisecond {
+		return
+	}
+	for _, id := range sortedIDs(s.cores) {
+		if heard := s.cores[id]; heard.greet.Fleet == s.oath.Fleet {
+			pairing.Epoch = max(pairing.Epoch, heard.greet.Oath.Granted+1)
+		}
+	}
+	pairing.Epoch = max(pairing.Epoch, s.oath.Granted+1)
+	s.unwell = now
+	s.Claims++
+	s.Emit(stride.Explain{What: "claiming the cores", Fields: map[string]any{"epoch": pairing.Epoch, "reason": reason, "backup": pairing.Backup.ID}})
+	s.claim = &claiming{claim: Claim{Fleet: s.oath.Fleet, Pairing: pairing, Cores: cores, Base: s.oath.Done.Epoch, From: s.self}, yes: map[string]Oath{}, at: now}
+	s.send()
+}
+
+func (s *Summit) send() {
+	for _, core := range s.claim.claim.Cores {
+		if core.ID != s.self.ID {
+			s.Emit(stride.Send{To: core.Peer, Body: s.claim.claim})
+		}
+	}
+}
+
+// wanted is the pairing this core should claim, with the reason, or none.
+func (s *Summit) wanted(now sundial.Micros) (tether.Pairing, []CoreRef, string) {
+	current := s.oath.Grant
+	current.Complete = s.oath.Done.Epoch == s.oath.Granted
+	if s.oath.Done.Epoch > 0 {
+		current.Trusted = [2]string{s.oath.Done.Owner.ID, s.oath.Done.Backup.ID}
+	}
+	cores := s.oath.Cores
+	if s.oath.Done.Epoch > 0 {
+		cores = s.oath.Sworn
+	}
+	scene := tether.Scene{
+		Life: func(id string) (uint64, bool) {
+			if seat(cores, id) < 0 {
+				return 0, false
+			}
+			return s.life2(id, now)
+		},
+		Zone: s.zoneOf,
+		Spare: func(owner string) string {
+			best := ""
+			for _, core := range cores {
+				if _, ok := s.life2(core.ID, now); ok && core.ID != owner && s.zoneOf(core.ID) != s.zoneOf(owner) {
+					best = core.ID
+				}
+			}
+			return best
+		},
+	}
+	// A grant of ours that came to nothing is no pairing: look at the last
+	// complete one again.
+	if !current.Complete && s.oath.Done.Epoch > 0 && !(current.Owner.ID == s.self.ID && s.rope().Owns() && s.rope().Epoch == current.Epoch) {
+		owner, ok := s.cores[current.Owner.ID]
+		alive := ok && now-owner.at <= s.set.CoreSilent && owner.greet.Oath.Granted == current.Epoch && owner.greet.Role != tether.Cold.String()
+		if !alive {
+			epoch := current.Epoch
+			current = s.oath.Done
+			current.Complete = true
+			next, reason, ok := tether.Next(current, scene)
+			if !ok {
+				// The last pair is whole but its epoch is burnt: its owner renews.
+				life, live := scene.Life(current.Owner.ID)
+				if !live {
+					return tether.Pairing{}, nil, ""
+				}
+				next, reason = current, "epoch burnt by a claim that failed"
+				next.Owner.Life, next.Complete = life, false
+				next.Trusted = [2]string{current.Owner.ID, current.Backup.ID}
+			}
+			next.Epoch = max(next.Epoch, epoch+1)
+			if next.Owner.ID != s.self.ID {
+				return tether.Pairing{}, nil, ""
+			}
+			return next, cores, reason
+		}
+	}
+	next, reason, ok := tether.Next(current, scene)
+	if ok && next.Owner.ID == s.self.ID {
+		return next, cores, reason
+	}
+	if ok || !s.Serving() {
+		return tether.Pairing{}, nil, ""
+	}
+	return s.reseat(current, cores, now)
+}
+
+// reseat gives the seat of a core that is gone to one that has none: one seat
+// at a time, under an epoch of its own.
+func (s *Summit) reseat(current tether.Pairing, cores []CoreRef, now sundial.Micros) (tether.Pairing, []CoreRef, string) {
+	gone := -1
+	for i, core := range cores {
+		heard, ok := s.cores[core.ID]
+		if core.ID != s.self.ID && now-s.serving > s.set.ReplaceAfter && (!ok || now-heard.at > s.set.ReplaceAfter) {
+			gone = i
+		}
+	}
+	if gone < 0 {
+		return tether.Pairing{}, nil, ""
+	}
+	for _, id := range sortedIDs(s.cores) {
+		heard := s.cores[id]
+		if seat(cores, id) >= 0 || now-heard.at > s.set.CoreSilent {
+			continue
+		}
+		seats := append([]CoreRef(nil), cores...)
+		seats[gone] = heard.greet.Core
+		next := tether.Pairing{Epoch: current.Epoch + 1, Owner: current.Owner, Backup: current.Backup, Trusted: [2]string{current.Owner.ID, current.Backup.ID}}
+		return next, seats, "a core is gone; its seat passes to " + id
+	}
+	return tether.Pairing{}, nil, ""
+}
+
+// found begins a fleet: once, and only when three empty cores see each other.
+func (s *Summit) found(now sundial.Micros) {
+	refs := []CoreRef{s.self}
+	for _, id := range sortedIDs(s.cores) {
+		heard := s.cores[id]
+		if heard.greet.Fleet != "" {
+			return // a fleet is founded: wait to be given a seat
+		}
+		if now-heard.at <= s.set.CoreSilent {
+			refs = append(refs, heard.greet.Core)
+		}
+	}
+	if len(refs) != 3 {
+		return
+	}
+	first, second := refs[0], CoreRef{}
+	for _, ref := range refs {
+		if ref.ID < first.ID {
+			first = ref
+		}
+	}
+	if first.ID != s.self.ID {
+		return
+	}
+	for _, ref := range refs {
+		if ref.ID != first.ID && ref.Zone != first.Zone && (second.ID == "" || ref.ID < second.ID) {
+			second = ref
+		}
+	}
+	if second.ID == "" {
+		s.Emit(stride.Explain{What: "can't found: the three cores are in one zone; give them -zone settings that differ"})
+		return
+	}
+	pairing := tether.Pairing{Epoch: 1, Owner: tether.Member{ID: s.self.ID, Life: s.life},
+		Backup: tether.Member{ID: second.ID, Life: s.cores[second.ID].greet.Life}, Trusted: [2]string{s.self.ID, second.ID}}
+	s.claim = &claiming{claim: Claim{Fleet: "f-" + s.self.ID, Pairing: pairing, Cores: refs, From: s.self}, yes: map[string]Oath{}, at: now, found: true}
+	s.send()
+}
+
+// claimed is the witness's part.
+func (s *Summit) claimed(from string, c Claim, now sundial.Micros) {
+	why := s.objection(c, now)
+	answer := Granted{Epoch: c.Pairing.Epoch, From: s.self.ID, Yes: why == "", Why: why}
+	if why != "" {
+		answer.Oath = s.oath
+		s.Emit(stride.Send{To: from, Body: answer})
+		return
+	}
+	s.swear(c, func(now sundial.Micros) {
+		answer.Oath = s.oath
+		s.Emit(stride.Send{To: from, Body: answer})
+	})
+}
+
+// objection is why a witness does not grant a claim; "" when it does.
+func (s *Summit) objection(c Claim, now sundial.Micros) string {
+	switch {
+	case seat(c.Cores, s.self.ID) < 0:
+		return "not a witness of this claim"
+	case s.oath.Fleet == "" && c.Pairing.Epoch == 1 && c.Base == 0:
+		return ""
+	case s.oath.Fleet == "":
+		return "" // given a seat by those who hold the fleet
+	case s.oath.Fleet != c.Fleet:
+		return "another fleet"
+	case c.Pairing.Epoch == s.oath.Granted && s.oath.Grant == c.Pairing:
+		return "" // asked again
+	case c.Pairing.Epoch <= s.oath.Granted:
+		return "a higher epoch is granted"
+	case c.Base < s.oath.Done.Epoch:
+		return "a later pair is complete"
+	case s.Serving() && c.From.ID != s.self.ID:
+		if s.soundOwner(now) {
+			return "this core is primary and its pair is whole"
+		}
+	}
+	done := s.oath.Done
+	if owner, ok := s.cores[done.Owner.ID]; ok && done.Owner.ID != c.Pairing.Owner.ID && now-owner.at < s.set.CoreSilent/2 &&
+		owner.greet.Life == done.Owner.Life && owner.greet.Role == tether.Serving.String() && owner.greet.Oath.Granted == done.Epoch {
+		return "the primary is heard here"
+	}
+	return ""
+}
+
+// soundOwner tells whether this primary still has its backup's ear.
+func (s *Summit) soundOwner(now sundial.Micros) bool { return s.rope().LeaseUntil() > now }
+
+// swear writes the grant down.
+func (s *Summit) swear(c Claim, done func(now sundial.Micros)) {
+	s.oath.Fleet, s.oath.Granted, s.oath.Grant, s.oath.Cores = c.Fleet, c.Pairing.Epoch, c.Pairing, c.Cores
+	if s.oath.Sworn == nil {
+		s.oath.Sworn = c.Cores
+	}
+	s.gang.Store([]stride.Record{s.oathRecord()}, done)
+}
+
+func (s *Summit) granted(g Granted, now sundial.Micros) {
+	if !g.Yes {
+		s.learn(g.Oath, now)
+	}
+	if s.claim == nil || g.Epoch != s.claim.claim.Pairing.Epoch || s.claim.sworn {
+		return
+	}
+	if !g.Yes {
+		s.claim.failed = true
+		return
+	}
+	s.claim.yes[g.From] = g.Oath
+	c := s.claim.claim
+	if s.claim.found {
+		if len(s.claim.yes) < 2 {
+			return
+		}
+	} else if !s.majority(s.claim.yes, c.Cores) || !s.majority(s.claim.yes, s.oath.Sworn) {
+		return
+	}
+	for _, oath := range s.claim.yes {
+		if oath.Done.Epoch > c.Base && !s.AnyHeir {
+			s.claim.failed = true
+			s.learn(oath, now)
+			return
+		}
+	}
+	s.claim.sworn = true
+	mine := s.claim
+	s.swear(c, func(now sundial.Micros) {
+		if s.claim == mine {
+			s.claim = nil
+		}
+		if s.oath.Granted == c.Pairing.Epoch {
+			s.own(c, now)
+		}
+	})
+}
+
+// majority counts this core as one.
+func (s *Summit) majority(yes map[string]Oath, cores []CoreRef) bool {
+	count := 0
+	for _, core := range cores {
+		if _, ok := yes[core.ID]; ok || core.ID == s.self.ID {
+			count++
+		}
+	}
+	return 2*count > len(cores)
+}
+
+func (s *Summit) own(c Claim, now sundial.Micros) {
+	s.Takeovers++
+	backup := c.Cores[seat(c.Cores, c.Pairing.Backup.ID)]
+	s.Emit(stride.Explain{What: "owning the plan", Fields: map[string]any{"epoch": c.Pairing.Epoch, "backup": backup.ID}})
+	s.gang.Own(unitCore, c.Pairing.Epoch, backup.Peer, now)
+}
+
+// sealHere is the witness's part of writing a complete pair down.
+func (s *Summit) sealHere(m Sealing, from string) {
+	if s.oath.Fleet != "" && m.Fleet != s.oath.Fleet || m.Pairing.Epoch < s.oath.Granted || m.Pairing.Epoch < s.oath.Done.Epoch {
+		return
+	}
+	if seat(m.Cores, s.self.ID) < 0 {
+		return
+	}
+	answer := func(now sundial.Micros) {
+		if from == "" {
+			s.sealedBy(s.self.ID, m.Pairing.Epoch, now)
+			return
+		}
+		s.Emit(stride.Send{To: from, Body: Sealed{Epoch: m.Pairing.Epoch, From: s.self.ID}})
+	}
+	s.oath.Fleet = m.Fleet
+	s.oath.Done, s.oath.Sworn = m.Pairing, m.Cores
+	s.oath.Granted, s.oath.Grant, s.oath.Cores = m.Pairing.Epoch, m.Pairing, m.Cores
+	s.gang.Store([]stride.Record{s.oathRecord()}, answer)
+}
+
+func (s *Summit) sealedBy(id string, epoch uint64, now sundial.Micros) {
+	if s.seal == nil || s.seal.pairing.Epoch != epoch || s.rope().Epoch != epoch {
+		return
+	}
+	s.seal.yes[id] = true
+	count := 0
+	for _, core := range s.seal.cores {
+		if s.seal.yes[core.ID] {
+			count++
+		}
+	}
+	if 2*count <= len(s.seal.cores) {
+		return
+	}
+	if s.gang.Complete(unitCore, epoch, now) {
+		s.serving = now
+		s.Emit(stride.Explain{What: "primary", Fields: map[string]any{"epoch": epoch, "backup": s.seal.pairing.Backup.ID}})
+		if s.chart.Fleet == "" {
+			s.propose(change{entry: chart.Found{Fleet: s.oath.Fleet, Slots: s.set.Slots}}, now)
+		}
+		s.publish()
+		s.advance(now)
+	}
+}
--- /dev/null
+++ b/core/summit/office.go
@@ -0,0 +1,315 @@
+package summit
+
+import (
+	"encoding/json"
+	"sort"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/tether"
+)
+
+// This file is what the primary does for the fleet (DESIGN §5.4, §6.6, §8).
+
+// Call is an ask that came in.
+type Call struct {
+	Number uint64
+	Body   any
+}
+
+// Apply answers the ask by its type.
+func (c Call) Apply(s *Summit, now sundial.Micros) {
+	switch ask := c.Body.(type) {
+	case PutPlanAsk:
+		s.putPlan(c.Number, ask, now)
+	case PlansAsk:
+		s.plans(c.Number, ask)
+	case ShowAsk:
+		shown := Shown{Core: s.self, Role: s.rope().Role.String(), Epoch: s.rope().Epoch, Oath: s.oath}
+		shown.Map, _ = json.Marshal(s.chart.Map())
+		if latest, ok := s.chart.Latest(); ok {
+			shown.Plan = latest.Number
+		}
+		s.Emit(stride.Answer{Call: c.Number, Body: shown})
+	default:
+		s.Emit(stride.Answer{Call: c.Number, Err: mishap.New(mishap.BadInput, "run the same release on all daemons", "a core knows no such ask: %T", ask)})
+	}
+}
+
+func (s *Summit) notPrimary(call uint64) {
+	s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.NotReady, sundial.Second, "ask again; the cores are agreeing on a primary", "this core is not primary (%s)", s.rope().Role)})
+}
+
+func (s *Summit) putPlan(call uint64, ask PutPlanAsk, now sundial.Micros) {
+	if !s.Serving() {
+		s.notPrimary(call)
+		return
+	}
+	if s.set.CheckPlan != nil {
+		if err := s.set.CheckPlan(ask.Body); err != nil {
+			s.Emit(stride.Answer{Call: call, Err: err})
+			return
+		}
+	}
+	if len(s.queue) >= 64 {
+		s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.Busy, sundial.Second, "send it again; it was not put", "too many plans wait")})
+		return
+	}
+	s.queue = append(s.queue, change{call: call, until: now + ask.Expiry, put: &plannedPut{ask, now}})
+	s.advance(now)
+}
+
+// plannedPut is a plan that waits for its turn; it gets its number then.
+type plannedPut struct {
+	ask PutPlanAsk
+	at  sundial.Micros
+}
+
+// entry numbers the plan, or turns it away where its base is not in force.
+func (p plannedPut) entry(s *Summit) (chart.PutPlan, error) {
+	latest, _ := s.chart.Latest()
+	if p.ask.HasBase && p.ask.Base != latest.Number {
+		return chart.PutPlan{}, mishap.New(mishap.StaleBase, "read the plan in force, merge, and put with its version as base", "the plan in force is version %d, not %d", latest.Number, p.ask.Base)
+	}
+	return chart.PutPlan{Version: chart.Version{Number: latest.Number + 1, Body: p.ask.Body, By: p.ask.By, At: p.at}}, nil
+}
+
+func (s *Summit) propose(c change, now sundial.Micros) {
+	s.queue = append(s.queue, c)
+	s.advance(now)
+}
+
+// advance takes one change at a time through the pair, so that two operators'
+// plans stand in one order.
+func (s *Summit) advance(now sundial.Micros) {
+	for s.flight == nil && len(s.queue) > 0 && s.Serving() {
+		c := s.queue[0]
+		s.queue = s.queue[1:]
+		if c.put != nil {
+			put, err := c.put.entry(s)
+			if err != nil {
+				s.Emit(stride.Answer{Call: c.call, Err: err})
+				continue
+			}
+			c.entry = put
+			c.body = func() any { return PlanReceipt{Version: put.Version.Number} }
+		}
+		s.Changes++
+		data := chart.Encode(c.entry)
+		if err := s.chart.Play(data); err != nil {
+			s.BadRecord = err
+			return
+		}
+		s.flight = &c
+		s.gang.Append(unitCore, data, now)
+	}
+}
+
+func (s *Summit) plans(call uint64, ask PlansAsk) {
+	if !s.Serving() {
+		s.notPrimary(call)
+		return
+	}
+	confirmed := s.chart.Plans
+	if s.flight != nil && s.flight.put != nil {
+		confirmed = confirmed[:len(confirmed)-1]
+	}
+	var out Plans
+	for _, version := range confirmed {
+		switch {
+		case ask.Version == 0:
+			version.Body = nil
+			out.Versions = append(out.Versions, version)
+		case ask.Version == version.Number:
+			out.Versions = append(out.Versions, version)
+		}
+	}
+	if ask.Version != 0 && len(out.Versions) == 0 {
+		s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.NotFound, "list the versions there are", "no plan version %d", ask.Version)})
+		return
+	}
+	s.Emit(stride.Answer{Call: call, Body: out})
+}
+
+// publish hands what is confirmed to the acquaintance.
+func (s *Summit) publish() {
+	if !s.Serving() || s.flight != nil || s.chart.Fleet == "" {
+		return
+	}
+	if latest, ok := s.chart.Latest(); ok && latest.Number > s.published.plan {
+		s.published.plan = latest.Number
+		value, _ := json.Marshal(latest)
+		s.Emit(stride.Publish{Rumour: stride.Rumour{Key: chart.PlanKey, Seq: latest.Number, Value: value}})
+	}
+	if s.chart.Seq > s.published.seq {
+		s.published.seq = s.chart.Seq
+		value, _ := json.Marshal(s.chart.Map())
+		s.Emit(stride.Publish{Rumour: stride.Rumour{Key: chart.MapKey, Seq: s.chart.Seq, Value: value}})
+	}
+	if epoch := s.rope().Epoch; epoch > s.published.epoch {
+		s.published.epoch = epoch
+		core := chart.CoreNews{Fleet: s.chart.Fleet, Epoch: epoch, Primary: s.self.ID, Peer: s.self.Peer, Backup: s.oath.Done.Backup.ID}
+		for _, ref := range s.oath.Cores {
+			core.Cores = append(core.Cores, ref.Peer)
+		}
+		value, _ := json.Marshal(core)
+		s.Emit(stride.Publish{Rumour: stride.Rumour{Key: chart.CoreKey, Epoch: epoch, Value: value}})
+	}
+}
+
+// storeBeat hears a store; the primary enrols it and tells it its writer id.
+func (s *Summit) storeBeat(from string, beat keeper.Beat, now sundial.Micros) {
+	heard, ok := s.stores[beat.ID]
+	if !ok || heard.beat.Life != beat.Life {
+		heard.first = now
+	}
+	heard.beat, heard.at = beat, now
+	s.stores[beat.ID] = heard
+	if !s.Serving() || s.chart.Fleet == "" {
+		return
+	}
+	known, enrolled := s.chart.Stores[beat.ID]
+	if !enrolled || known.Peer != beat.Peer || known.Zone != beat.Zone {
+		if !s.waiting(func(e chart.Entry) bool { put, ok := e.(chart.EnrolStore); return ok && put.Store.ID == beat.ID }) {
+			s.propose(change{entry: chart.EnrolStore{Store: chart.Store{ID: beat.ID, Zone: beat.Zone, Peer: beat.Peer}}}, now)
+		}
+		return
+	}
+	if s.flight == nil {
+		s.Emit(stride.Send{To: from, Body: keeper.Welcome{Fleet: s.chart.Fleet, Writer: known.Writer, Seq: s.chart.Seq}})
+	}
+	s.complete(beat, now)
+}
+
+func (s *Summit) waiting(match func(chart.Entry) bool) bool {
+	if s.flight != nil && s.flight.entry != nil && match(s.flight.entry) {
+		return true
+	}
+	for _, c := range s.queue {
+		if c.entry != nil && match(c.entry) {
+			return true
+		}
+	}
+	return false
+}
+
+func isPair(e chart.Entry) bool { _, ok := e.(chart.Pair); return ok }
+
+// complete writes down which pairs are whole.
+func (s *Summit) complete(beat keeper.Beat, now sundial.Micros) {
+	if len(beat.Ready) == 0 || s.waiting(isPair) {
+		return
+	}
+	done := map[int]tether.Pairing{}
+	for slot, epoch := range beat.Ready {
+		if slot < 0 || slot >= len(s.chart.Slots) {
+			continue
+		}
+		pairing := s.chart.Slots[slot]
+		if pairing.Epoch == epoch && !pairing.Complete && pairing.Owner.ID == beat.ID && pairing.Owner.Life == beat.Life {
+			pairing.Complete = true
+			pairing.Trusted = [2]string{pairing.Owner.ID, pairing.Backup.ID}
+			done[slot] = pairing
+		}
+	}
+	if len(done) > 0 {
+		s.propose(change{entry: chart.Pair{Slots: done}}, now)
+	}
+}
+
+// storeLife tells whether a store is living, by its beats and by what the
+// others think of it: silence alone counts only after twice the time.
+func (s *Summit) storeLife(id string, now sundial.Micros) (uint64, bool) {
+	heard, ok := s.stores[id]
+	if !ok {
+		return 0, false
+	}
+	silent := now - heard.at
+	if silent > 2*s.set.StoreSilent || (silent > s.set.StoreSilent && s.suspects[id]) {
+		return 0, false
+	}
+	return heard.beat.Life, true
+}
+
+// judge works out the difference between the map and the stores that live.
+func (s *Summit) judge(now sundial.Micros) {
+	if !s.Serving() || s.chart.Fleet == "" || now-s.serving < s.set.Settle || s.waiting(isPair) {
+		return
+	}
+	load := map[string]int{}
+	for _, pairing := range s.chart.Slots {
+		load[pairing.Owner.ID] += 2
+		load[pairing.Backup.ID]++
+	}
+	living := s.living(now)
+	scene := tether.Scene{
+		Life: func(id string) (uint64, bool) { return s.storeLife(id, now) },
+		Zone: func(id string) string { return s.chart.Stores[id].Zone },
+	}
+	spare := func(owner string) string {
+		best := ""
+		for _, id := range living {
+			if id == owner || s.chart.Stores[id].Zone == s.chart.Stores[owner].Zone {
+				continue
+			}
+			if best == "" || load[id] < load[best] {
+				best = id
+			}
+		}
+		return best
+	}
+	scene.Spare = spare
+	changed := map[int]tether.Pairing{}
+	for slot, pairing := range s.chart.Slots {
+		if pairing.Zero() {
+			if next, ok := s.first(living, load, spare, now); ok {
+				changed[slot] = next
+				load[next.Owner.ID] += 2
+				load[next.Backup.ID]++
+			}
+			continue
+		}
+		next, reason, ok := tether.Next(pairing, scene)
+		if !ok {
+			continue
+		}
+		changed[slot] = next
+		load[next.Backup.ID]++
+		s.Emit(stride.Explain{What: "slot paired anew", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": next.Epoch, "owner": next.Owner.ID, "backup": next.Backup.ID}})
+	}
+	if len(changed) > 0 {
+		s.propose(change{entry: chart.Pair{Slots: changed}}, now)
+	}
+}
+
+func (s *Summit) living(now sundial.Micros) []string {
+	var out []string
+	for _, id := range sortedIDs(s.chart.Stores) {
+		if _, ok := s.storeLife(id, now); ok && !s.chart.Stores[id].Retiring {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// first pairs a slot for the first time, once stores of two zones have been
+// there for a moment: the load is spread over all that came in time.
+func (s *Summit) first(living []string, load map[string]int, spare func(string) string, now sundial.Micros) (tether.Pairing, bool) {
+	for _, id := range living {
+		if now-s.stores[id].first < 700*sundial.Millisecond {
+			return tether.Pairing{}, false
+		}
+	}
+	byLoad := append([]string(nil), living...)
+	sort.SliceStable(byLoad, func(i, j int) bool { return load[byLoad[i]] < load[byLoad[j]] })
+	for _, owner := range byLoad {
+		if backup := spare(owner); backup != "" {
+			return tether.Pairing{Epoch: 1, Owner: tether.Member{ID: owner, Life: s.stores[owner].beat.Life},
+				Backup: tether.Member{ID: backup, Life: s.stores[backup].beat.Life}, Trusted: [2]string{owner, backup}}, true
+		}
+	}
+	return tether.Pairing{}, false
+}
--- /dev/null
+++ b/core/summit/summit.go
@@ -0,0 +1,324 @@
+// Package summit is the machine of a core daemon (DESIGN §5). Three cores: one
+// primary, one backup, and each a witness that keeps only epochs. The state is
+// held by one fenced pair, the same as a ledger's; what differs is the granter:
+// here two of the three witnesses.
+package summit
+
+import (
+	"encoding/json"
+	"sort"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/tether"
+)
+
+// Settings of a core; the defaults are ours.
+type Settings struct {
+	Slots        int
+	GreetEvery   sundial.Micros
+	CoreSilent   sundial.Micros // after which a core counts as gone
+	ReplaceAfter sundial.Micros // after which its seat is given to another
+	StoreSilent  sundial.Micros // after which a store counts as gone
+	Settle       sundial.Micros // a new primary listens this long before it judges
+	FoldAfter    int
+	CheckPlan    func(body []byte) error
+}
+
+// Defaults are the starting values.
+func Defaults() Settings {
+	return Settings{Slots: 24, GreetEvery: 250 * sundial.Millisecond, CoreSilent: 1500 * sundial.Millisecond,
+		ReplaceAfter: 4 * sundial.Second, StoreSilent: 2 * sundial.Second, Settle: 1500 * sundial.Millisecond, FoldAfter: 500}
+}
+
+const (
+	unitCore   = "core"
+	unitOath   = "oath"
+	kindOath   = "oath"
+	claimTries = 900 * sundial.Millisecond
+)
+
+type heardCore struct {
+	greet Greet
+	at    sundial.Micros
+}
+
+type heardStore struct {
+	beat  keeper.Beat
+	at    sundial.Micros
+	first sundial.Micros
+}
+
+type claiming struct {
+	claim  Claim
+	yes    map[string]Oath
+	at     sundial.Micros
+	sworn  bool // our own grant is on disk
+	found  bool
+	failed bool
+}
+
+type change struct {
+	entry chart.Entry
+	put   *plannedPut
+	call  uint64
+	body  func() any
+	until sundial.Micros
+}
+
+type sealing struct {
+	pairing tether.Pairing
+	cores   []CoreRef
+	yes     map[string]bool
+	at      sundial.Micros
+}
+
+// Summit is the machine.
+type Summit struct {
+	stride.Out
+	set       Settings
+	self      CoreRef
+	life      uint64
+	seeds     []string
+	gang      *tether.Gang
+	chart     *chart.Chart
+	oath      Oath
+	cores     map[string]heardCore
+	stores    map[string]heardStore
+	suspects  map[string]bool
+	claim     *claiming
+	seal      *sealing
+	queue     []change
+	flight    *change
+	unwell    sundial.Micros // since when a new pairing is wanted
+	serving   sundial.Micros // since when this core serves
+	published struct{ plan, seq, epoch uint64 }
+	writes    int
+	next      struct{ greet, judge sundial.Micros }
+	// Counters for the operators.
+	Claims, Takeovers, Changes int64
+	BadRecord                  error
+	// AnyHeir is a fault planted by tests: a core outside the last complete
+	// pair may own.
+	AnyHeir bool
+}
+
+// New makes a core from what was read back from its disk.
+func New(self CoreRef, life uint64, seeds []string, set Settings, records []stride.Record) *Summit {
+	s := &Summit{set: set, self: self, life: life, seeds: seeds, chart: chart.New(),
+		cores: map[string]heardCore{}, stores: map[string]heardStore{}, suspects: map[string]bool{}}
+	s.gang = tether.NewGang(&s.Out, s)
+	for _, record := range records {
+		if record.Unit == unitOath {
+			if err := json.Unmarshal(record.Body, &s.oath); err != nil {
+				s.BadRecord = err
+			}
+			continue
+		}
+		s.gang.Recover(record)
+	}
+	return s
+}
+
+// Command is an input of a core.
+type Command = stride.Command[*Summit]
+
+// Do applies a command and hands over the effects.
+func (s *Summit) Do(command Command, now sundial.Micros) []stride.Effect {
+	command.Apply(s, now)
+	if s.writes >= s.set.FoldAfter {
+		s.writes = 0
+		s.Emit(stride.Fold{Records: append([]stride.Record{s.oathRecord()}, s.gang.Records()...)})
+	}
+	out := s.Drain()
+	for _, effect := range out {
+		if _, ok := effect.(stride.Store); ok {
+			s.writes++
+		}
+	}
+	return out
+}
+
+func (s *Summit) oathRecord() stride.Record {
+	body, _ := json.Marshal(s.oath)
+	return stride.Record{Unit: unitOath, Kind: kindOath, Epoch: s.oath.Granted, Body: body}
+}
+
+func (s *Summit) rope() *tether.Rope { return s.gang.Rope(unitCore) }
+
+// Gang is the core's pair, for tests.
+func (s *Summit) Gang() *tether.Gang { return s.gang }
+
+// Chart is the core's state; a copy must be taken before it is changed.
+func (s *Summit) Chart() *chart.Chart { return s.chart }
+
+// Oath is what the witness keeps.
+func (s *Summit) Oath() Oath { return s.oath }
+
+// Serving tells whether this core is the primary and may confirm.
+func (s *Summit) Serving() bool { return s.rope().Role == tether.Serving }
+
+// View, Restore and Play hold the chart for the pair.
+func (s *Summit) View(string) [][]byte {
+	data, _ := json.Marshal(s.chart)
+	return [][]byte{data}
+}
+
+// Restore replaces the chart.
+func (s *Summit) Restore(_ string, parts [][]byte) {
+	fresh := chart.New()
+	for _, data := range parts {
+		if err := json.Unmarshal(data, fresh); err != nil {
+			s.BadRecord = err
+			return
+		}
+	}
+	s.chart = fresh
+}
+
+// Play applies a change on the backup or when read back.
+func (s *Summit) Play(_ string, data []byte) {
+	if err := s.chart.Play(data); err != nil {
+		s.BadRecord = err
+	}
+}
+
+// Confirmed answers the operator and takes the next change up.
+func (s *Summit) Confirmed(_ string, seq uint64, now sundial.Micros) {
+	if s.flight != nil {
+		done := s.flight
+		s.flight = nil
+		if done.call != 0 {
+			s.Emit(stride.Answer{Call: done.call, Body: done.body()})
+		}
+	}
+	s.publish()
+	s.advance(now)
+}
+
+// Ready has the witnesses write down that the pair is complete.
+func (s *Summit) Ready(_ string, epoch uint64, now sundial.Micros) {
+	if s.seal == nil || s.seal.pairing.Epoch != epoch {
+		pairing := s.oath.Grant
+		pairing.Complete = true
+		pairing.Trusted = [2]string{pairing.Owner.ID, pairing.Backup.ID}
+		s.seal = &sealing{pairing: pairing, cores: s.oath.Cores, yes: map[string]bool{}}
+	}
+	s.seal.at = now
+	for _, core := range s.seal.cores {
+		if core.ID == s.self.ID {
+			s.sealHere(Sealing{Fleet: s.oath.Fleet, Pairing: s.seal.pairing, Cores: s.seal.cores}, "")
+			continue
+		}
+		s.Emit(stride.Send{To: core.Peer, Body: Sealing{Fleet: s.oath.Fleet, Pairing: s.seal.pairing, Cores: s.seal.cores}})
+	}
+}
+
+// Deposed says "outcome unknown" to who waits.
+func (s *Summit) Deposed(_ string, now sundial.Micros) {
+	lost := s.queue
+	if s.flight != nil {
+		lost = append([]change{*s.flight}, lost...)
+	}
+	s.flight, s.queue, s.seal = nil, nil, nil
+	for _, c := range lost {
+		s.unknown(c.call)
+	}
+	s.Emit(stride.Explain{What: "no longer primary", Fields: map[string]any{"epoch": s.rope().Epoch}})
+}
+
+func (s *Summit) unknown(call uint64) {
+	if call != 0 {
+		s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.OutcomeUnknown, sundial.Second, "read the plan in force back before you send it again", "it is not known whether the plan was made durable")})
+	}
+}
+
+// Stored is the disk's word.
+type Stored struct{ Token uint64 }
+
+// Apply passes the word on to the pair.
+func (d Stored) Apply(s *Summit, now sundial.Micros) { s.gang.Stored(d.Token, now) }
+
+// Suspicion tells the core what the acquaintance thinks of a store.
+type Suspicion struct {
+	ID  string
+	Ill bool
+}
+
+// Apply notes it.
+func (n Suspicion) Apply(s *Summit, now sundial.Micros) {
+	if n.Ill {
+		s.suspects[n.ID] = true
+	} else {
+		delete(s.suspects, n.ID)
+	}
+}
+
+// Letter is a message that came in.
+type Letter struct {
+	From string
+	Body any
+}
+
+// Apply takes it by its type.
+func (l Letter) Apply(s *Summit, now sundial.Micros) {
+	if s.gang.Take(l.From, l.Body, now) {
+		return
+	}
+	switch body := l.Body.(type) {
+	case Greet:
+		s.greeted(body, now)
+	case Claim:
+		s.claimed(l.From, body, now)
+	case Granted:
+		s.granted(body, now)
+	case Sealing:
+		s.sealHere(body, l.From)
+	case Sealed:
+		s.sealedBy(body.From, body.Epoch, now)
+	case keeper.Beat:
+		s.storeBeat(l.From, body, now)
+	}
+}
+
+// ClockEvent lets the core do what is due.
+type ClockEvent struct{}
+
+// Apply does what is due.
+func (ClockEvent) Apply(s *Summit, now sundial.Micros) {
+	s.gang.ClockEvent(now)
+	if now >= s.next.greet {
+		s.next.greet = now + s.set.GreetEvery
+		s.greet()
+	}
+	s.stand(now)
+	if s.flight != nil && now >= s.flight.until && s.flight.call != 0 {
+		s.unknown(s.flight.call)
+		s.flight.call = 0
+	}
+	kept := s.queue[:0]
+	for _, c := range s.queue {
+		if c.call != 0 && now >= c.until {
+			s.Emit(stride.Answer{Call: c.call, Err: mishap.Later(mishap.NotReady, 2*sundial.Second, "send it again; it was not put", "the cores had no complete pair in time")})
+			continue
+		}
+		kept = append(kept, c)
+	}
+	s.queue = kept
+	if now >= s.next.judge {
+		s.next.judge = now + 100*sundial.Millisecond
+		s.judge(now)
+	}
+}
+
+func sortedIDs[V any](m map[string]V) []string {
+	ids := make([]string, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
--- /dev/null
+++ b/daemon/lodge/lodge.go
@@ -0,0 +1,227 @@
+// Package lodge puts a daemon's services together, so that the programs stay
+// thin (DESIGN §2).
+package lodge
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/chart"
+	"tuliprudder/core/planbook"
+	"tuliprudder/daemon/office"
+	"tuliprudder/daemon/porter"
+	"tuliprudder/kernel/almhut"
+	"tuliprudder/kernel/belay"
+	"tuliprudder/kernel/logbook"
+	"tuliprudder/kernel/porch"
+	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/dispatch"
+	"tuliprudder/path/reader"
+	"tuliprudder/path/roster"
+	"tuliprudder/path/serverline"
+)
+
+// Release is the version daemons tell each other.
+const Release = 1
+
+// Bounds of a daemon's front.
+type Bounds struct{ Open, Bytes int64 }
+
+// Settings adds the front's bounds to a reader of settings.
+func (b *Bounds) Settings(r *rucksack.Reader) {
+	r.Int(&b.Open, "most-open", 4096, 1, 1_000_000, "most requests open at once")
+	r.Int(&b.Bytes, "most-bytes", 8<<20, 1024, 256<<20, "largest body of a request, in bytes")
+}
+
+// Lodge is what every daemon has.
+type Lodge struct {
+	Hut    *almhut.Hut
+	Log    zerolog.Logger
+	Who    porter.Identity
+	Porter *porter.Porter
+	Porch  *porch.Porch
+	Office *office.Office
+	Common rucksack.Common
+	drain  []func()
+	grace  time.Duration
+}
+
+// Open begins a daemon: its log, identity, shell and front.
+func Open(program, kind string, common rucksack.Common, bounds Bounds) (*Lodge, error) {
+	var out io.Writer = os.Stderr
+	if common.Log != "" {
+		file, err := os.OpenFile(common.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, errors.Wrap(err, "opening the log")
+		}
+		out = file
+	}
+	serverline.Prepare()
+	proc.SetTimeToForceQuit(time.Hour) // this package drains; go-zero must not end the process first
+	var who porter.Identity
+	var err error
+	if common.Data != "" {
+		if who, err = porter.Lasting(common.Data, kind); err != nil {
+			return nil, err
+		}
+	} else {
+		who = porter.Fleeting(kind, time.Now().UnixMicro())
+	}
+	log := logbook.Open(out, program, who.ID)
+	l := &Lodge{Hut: almhut.New(), Log: log, Who: who, Common: common, grace: 8 * time.Second}
+	person := people.Person{ID: who.ID, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: Release}
+	l.Porter = porter.New(person, common.Seeds, who, log)
+	l.Porter.Address = common.Listen
+	l.Porch = porch.New(common.HTTP, int(bounds.Open), bounds.Bytes)
+	l.Office = &office.Office{Porter: l.Porter, Ready: func() string { return "" }, Counters: func() map[string]int64 { return nil }}
+	return l, nil
+}
+
+// OnDrain adds something to do when the daemon is told to go.
+func (l *Lodge) OnDrain(f func()) { l.drain = append(l.drain, f) }
+
+type front struct{ l *Lodge }
+
+func (f front) Start(_ *almhut.Hut, ends *belay.Stack) error {
+	f.l.Office.Routes(f.l.Porch)
+	return f.l.Porch.Start(ends)
+}
+
+// Run starts the services and waits for the word to go; then it drains.
+func (l *Lodge) Run() error {
+	l.Hut.Register(porter.Name, l.Porter)
+	l.Hut.Register("front", front{l})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := l.Hut.Start(); err != nil {
+		return err
+	}
+	l.Log.Info().Str("zone", l.Common.Zone).Str("peer", l.Common.Peer).Str("http", l.Common.HTTP).Uint64("life", l.Who.Life).Msg("started")
+	<-signals
+	l.Log.Info().Msg("told to go: draining")
+	l.Porter.Draining()
+	var drains sync.WaitGroup
+	for _, f := range l.drain {
+		drains.Add(1)
+		go func() { defer drains.Done(); f() }()
+	}
+	done := make(chan struct{})
+	go func() { drains.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-signals:
+	case <-time.After(l.grace):
+		l.Log.Warn().Msg("the drain took too long; going all the same")
+	}
+	l.Porter.Leaving()
+	time.Sleep(100 * time.Millisecond) // the last word goes out
+	l.Hut.Stop()
+	l.Log.Info().Msg("gone")
+	return nil
+}
+
+// Path joins a dispatcher and a reader to the news.
+func (l *Lodge) Path(d *dispatch.Dispatch, r *reader.Reader) {
+	l.Office.Dispatch, l.Office.Reader = d, r
+	l.Porter.OnSwap(d.SetFresh)
+	l.Porter.Listen(func(rumour stride.Rumour) {
+		if r != nil {
+			r.Hear(rumour)
+		}
+		hear(d, rumour, l.Log)
+	})
+	l.Hut.Register("dispatch", matching{d})
+}
+
+// heardBy says what a dispatcher does with each kind of news.
+var heardBy = map[string]func(d *dispatch.Dispatch, rumour stride.Rumour, log zerolog.Logger){
+	chart.PlanKey: func(d *dispatch.Dispatch, rumour stride.Rumour, log zerolog.Logger) {
+		var version chart.Version
+		if json.Unmarshal(rumour.Value, &version) != nil {
+			return
+		}
+		plan, err := planbook.Parse(version.Body)
+		if err != nil {
+			log.Error().Err(err).Uint64("version", version.Number).Msg("a confirmed plan can't be read here; the one before stays")
+			return
+		}
+		plan.Version = version.Number
+		d.SetPlan(plan)
+		log.Info().Uint64("version", version.Number).Msg("plan in force")
+	},
+	"server": func(d *dispatch.Dispatch, rumour stride.Rumour, log zerolog.Logger) {
+		var server roster.Server
+		if json.Unmarshal(rumour.Value, &server) == nil {
+			d.SetServer(server)
+		}
+	},
+	"load": func(d *dispatch.Dispatch, rumour stride.Rumour, log zerolog.Logger) {
+		var load roster.Load
+		if json.Unmarshal(rumour.Value, &load) == nil {
+			d.SetLoad(strings.TrimPrefix(rumour.Key, "load/"), rumour.Epoch, load)
+		}
+	},
+}
+
+func hear(d *dispatch.Dispatch, rumour stride.Rumour, log zerolog.Logger) {
+	word, _, _ := strings.Cut(rumour.Key, "/")
+	if act, ok := heardBy[word]; ok {
+		act(d, rumour, log)
+	}
+}
+
+type matching struct{ d *dispatch.Dispatch }
+
+// Start starts the matching thread and its clock.
+func (m matching) Start(_ *almhut.Hut, ends *belay.Stack) error {
+	done := make(chan struct{})
+	tick := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(20 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				select {
+				case tick <- struct{}{}:
+				case <-done:
+					return
+				}
+			}
+		}
+	}()
+	go m.d.Run(done, tick)
+	ends.Push(func() { close(done) })
+	return nil
+}
+
+// Folder is a folder below the data folder.
+func (l *Lodge) Folder(name string) string { return filepath.Join(l.Common.Data, name) }
+
+// Wait waits until a condition holds, looking every few milliseconds.
+func Wait(most sundial.Micros, until func() bool) bool {
+	expiry := time.Now().Add(sundial.Span(most))
+	for !until() {
+		if time.Now().After(expiry) {
+			return false
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return true
+}
--- /dev/null
+++ b/daemon/office/office.go
@@ -0,0 +1,323 @@
+// Package office is the operators' and the platform's side of every daemon
+// (DESIGN §8): plans, the list of servers, and what the fleet knows of itself.
+package office
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strconv"
+	"strings"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/core/planbook"
+	"tuliprudder/core/summit"
+	"tuliprudder/daemon/porter"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/porch"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/path/dispatch"
+	"tuliprudder/path/reader"
+	"tuliprudder/path/roster"
+)
+
+// Office hangs on a daemon's porch.
+type Office struct {
+	Porter   *porter.Porter
+	Dispatch *dispatch.Dispatch // nil on cores
+	Reader   *reader.Reader
+	// Ready tells why the daemon is not ready; "" when it is.
+	Ready func() string
+	// Counters adds the daemon's own counts.
+	Counters func() map[string]int64
+}
+
+// Routes hangs the operators' paths on the porch.
+func (o *Office) Routes(p *porch.Porch) {
+	p.Handle(http.MethodGet, "/soundness", o.soundness)
+	p.Handle(http.MethodGet, "/ready", o.ready)
+	p.Handle(http.MethodGet, "/counters", o.counters)
+	p.Handle(http.MethodGet, "/v1/operator/daemons", o.daemons)
+	p.Handle(http.MethodGet, "/v1/operator/map", o.chartMap)
+	p.Handle(http.MethodGet, "/v1/operator/core", o.core)
+	p.Handle(http.MethodGet, "/v1/operator/servers", o.servers)
+	p.Handle(http.MethodPut, "/v1/operator/servers", o.putServers)
+	p.Handle(http.MethodPost, "/v1/operator/servers/:name/leaving", o.leaving)
+	p.Handle(http.MethodGet, "/v1/operator/plan", o.plan)
+	p.Handle(http.MethodPut, "/v1/operator/plan", o.putPlan)
+	p.Handle(http.MethodGet, "/v1/operator/plans", o.plans)
+	p.Handle(http.MethodGet, "/v1/operator/plans/:version", o.plans)
+	p.Handle(http.MethodGet, "/v1/operator/stores/:id", o.store)
+}
+
+func (o *Office) soundness(w http.ResponseWriter, r *http.Request) error {
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"id": o.Porter.Who.ID, "life": o.Porter.Who.Life, "zone": o.Porter.Zone, "sound": true, "now_us": o.Porter.Now()})
+}
+
+func (o *Office) ready(w http.ResponseWriter, r *http.Request) error {
+	if why := o.Ready(); why != "" {
+		return mishap.Later(mishap.NotReady, sundial.Second, "wait; it becomes ready by itself", "%s", why)
+	}
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"ready": true})
+}
+
+func (o *Office) counters(w http.ResponseWriter, r *http.Request) error {
+	out := o.Porter.Counters()
+	for name, value := range o.Counters() {
+		out[name] = value
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	out["heap_bytes"], out["goroutines"] = int64(memory.HeapInuse), int64(runtime.NumGoroutine())
+	return porch.WriteJSON(w, http.StatusOK, out)
+}
+
+func (o *Office) daemons(w http.ResponseWriter, r *http.Request) error {
+	out := []map[string]any{}
+	for _, p := range o.Porter.Folk() {
+		out = append(out, map[string]any{"id": p.ID, "kind": p.Kind, "zone": p.Zone, "peer": p.Peer, "http": p.HTTP,
+			"incarnation": p.Incarnation, "standing": p.Standing.String(), "draining": p.Draining})
+	}
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"daemons": out})
+}
+
+func (o *Office) news(key string, into any, what string) error {
+	rumour, ok := o.Porter.News(key)
+	if !ok {
+		return mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started, or none was ever put", "no %s has arrived yet", what)
+	}
+	return json.Unmarshal(rumour.Value, into)
+}
+
+func (o *Office) chartMap(w http.ResponseWriter, r *http.Request) error {
+	var m chart.Map
+	if err := o.news(chart.MapKey, &m, "map of the stores"); err != nil {
+		return err
+	}
+	return porch.WriteJSON(w, http.StatusOK, m)
+}
+
+func (o *Office) core(w http.ResponseWriter, r *http.Request) error {
+	var c chart.CoreNews
+	if err := o.news(chart.CoreKey, &c, "word of the cores"); err != nil {
+		return err
+	}
+	return porch.WriteJSON(w, http.StatusOK, c)
+}
+
+func (o *Office) plan(w http.ResponseWriter, r *http.Request) error {
+	var version chart.Version
+	if err := o.news(chart.PlanKey, &version, "plan"); err != nil {
+		return err
+	}
+	return porch.WriteJSON(w, http.StatusOK, version)
+}
+
+func (o *Office) primary() (chart.CoreNews, error) {
+	var c chart.CoreNews
+	err := o.news(chart.CoreKey, &c, "word of the cores")
+	return c, err
+}
+
+// askPrimary asks the primary core, or this daemon's own machine if that is it.
+func (o *Office) askPrimary(body any, expiry sundial.Micros) (any, error) {
+	core, err := o.primary()
+	if err != nil {
+		return nil, err
+	}
+	if core.Primary == o.Porter.Who.ID {
+		return o.Porter.AskHere(body)
+	}
+	return o.Porter.Bridge.Ask(core.Peer, body, expiry)
+}
+
+const planExpiry = 5 * sundial.Second
+
+func (o *Office) putPlan(w http.ResponseWriter, r *http.Request) error {
+	data, err := porch.ReadBody(r)
+	if err != nil {
+		return err
+	}
+	if err := planbook.Check(data); err != nil {
+		return err
+	}
+	ask := summit.PutPlanAsk{Body: data, By: r.Header.Get("X-Operator"), Expiry: planExpiry}
+	if text := r.URL.Query().Get("base"); text != "" {
+		base, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return mishap.New(mishap.BadInput, "give the version the plan was made from, or leave base out", "base=%q is no version", text)
+		}
+		ask.Base, ask.HasBase = base, true
+	}
+	got, err := o.askPrimary(ask, planExpiry+sundial.Second)
+	if err != nil {
+		return err
+	}
+	receipt, ok := got.(summit.PlanReceipt)
+	if !ok {
+		return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the core answered %T", got)
+	}
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"version": receipt.Version})
+}
+
+func (o *Office) plans(w http.ResponseWriter, r *http.Request) error {
+	var ask summit.PlansAsk
+	if text := pathvar.Vars(r)["version"]; text != "" {
+		version, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || version == 0 {
+			return mishap.New(mishap.BadInput, "give a version from the list of plans", "%q is no version", text)
+		}
+		ask.Version = version
+	}
+	got, err := o.askPrimary(ask, 3*sundial.Second)
+	if err != nil {
+		return err
+	}
+	plans, ok := got.(summit.Plans)
+	if !ok {
+		return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the core answered %T", got)
+	}
+	if ask.Version > 0 && len(plans.Versions) == 1 {
+		return porch.WriteJSON(w, http.StatusOK, plans.Versions[0])
+	}
+	out := []map[string]any{}
+	for _, version := range plans.Versions {
+		out = append(out, map[string]any{"version": version.Number, "by": version.By, "at_us": version.At})
+	}
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"plans": out})
+}
+
+func (o *Office) store(w http.ResponseWriter, r *http.Request) error {
+	id := pathvar.Vars(r)["id"]
+	for _, person := range o.Porter.Folk() {
+		if person.ID != id {
+			continue
+		}
+		var got any
+		var err error
+		if id == o.Porter.Who.ID {
+			got, err = o.Porter.AskHere(keeper.ShowAsk{})
+		} else {
+			got, err = o.Porter.Bridge.Ask(person.Peer, keeper.ShowAsk{}, 2*sundial.Second)
+		}
+		if err != nil {
+			return err
+		}
+		return porch.WriteJSON(w, http.StatusOK, got)
+	}
+	return mishap.New(mishap.NotFound, "list the daemons to see the ids there are", "no daemon %q is known here", id)
+}
+
+func (o *Office) servers(w http.ResponseWriter, r *http.Request) error {
+	if o.Dispatch == nil {
+		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge", "this daemon assigns no orders")
+	}
+	servers, waiting := o.Dispatch.View()
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"servers": servers, "waiting": waiting})
+}
+
+// ServersBody is the platform's whole list.
+type ServersBody struct {
+	Servers []roster.Server `json:"servers"`
+}
+
+// putServers takes the platform's list: what is not on it is gone.
+func (o *Office) putServers(w http.ResponseWriter, r *http.Request) error {
+	data, err := porch.ReadBody(r)
+	if err != nil {
+		return err
+	}
+	var body ServersBody
+	if err := porch.Decode(data, &body); err != nil {
+		return err
+	}
+	var faults []string
+	listed := map[string]bool{}
+	for i, server := range body.Servers {
+		at := "servers[" + strconv.Itoa(i) + "]"
+		if server.Name == "" || strings.ContainsAny(server.Name, "/ ") {
+			faults = append(faults, at+".name: must be a text without spaces and slashes")
+		}
+		if listed[server.Name] {
+			faults = append(faults, at+".name: is there twice; give each server its own")
+		}
+		listed[server.Name] = true
+		if _, err := netip.ParseAddrPort(server.Address); err != nil {
+			faults = append(faults, at+".address: not an IP number with a port")
+		}
+		if server.Slots < 1 || server.Slots > 100_000 {
+			faults = append(faults, at+".slots: must be from 1 to 100000")
+		}
+		if server.Gone {
+			faults = append(faults, at+".gone: leave the server out of the list instead")
+		}
+	}
+	if len(faults) > 0 {
+		return &mishap.Mishap{Kind: mishap.BadInput, Message: "the list has faults; the list in force stays", Remedy: "correct each named place and put the list again", Faults: faults}
+	}
+	for _, known := range o.known() {
+		if !listed[known.Name] && !known.Gone {
+			known.Gone = true
+			o.tellServer(known)
+		}
+	}
+	for _, server := range body.Servers {
+		o.tellServer(server)
+	}
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"servers": len(body.Servers)})
+}
+
+// known is the platform's list as the news have it.
+func (o *Office) known() []roster.Server {
+	var out []roster.Server
+	for _, rumour := range o.Porter.Under("server/") {
+		var server roster.Server
+		if json.Unmarshal(rumour.Value, &server) == nil {
+			out = append(out, server)
+		}
+	}
+	return out
+}
+
+// tellServer spreads the newest word on a server: always above what is known.
+func (o *Office) tellServer(server roster.Server) {
+	seq := uint64(o.Porter.Now())
+	if known, ok := o.Porter.News(roster.ServerKey(server.Name)); ok {
+		seq = max(seq, known.Seq+1)
+	}
+	value, _ := json.Marshal(server)
+	o.Porter.Tell(stride.Rumour{Key: roster.ServerKey(server.Name), Seq: seq, Value: value})
+}
+
+// leaving marks a server as leaving, or takes the mark back.
+func (o *Office) leaving(w http.ResponseWriter, r *http.Request) error {
+	data, err := porch.ReadBody(r)
+	if err != nil {
+		return err
+	}
+	body := struct {
+		Leaving bool `json:"leaving"`
+	}{Leaving: true}
+	if len(data) > 0 {
+		if err := porch.Decode(data, &body); err != nil {
+			return err
+		}
+	}
+	name := pathvar.Vars(r)["name"]
+	rumour, ok := o.Porter.News(roster.ServerKey(name))
+	if !ok {
+		return mishap.New(mishap.NotFound, "list the servers to see the names there are", "no server %q is on the platform's list", name)
+	}
+	var server roster.Server
+	if err := json.Unmarshal(rumour.Value, &server); err != nil {
+		return err
+	}
+	server.Leaving = body.Leaving
+	o.tellServer(server)
+	return porch.WriteJSON(w, http.StatusOK, server)
+}
--- /dev/null
+++ b/daemon/porter/identity.go
@@ -0,0 +1,63 @@
+package porter
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/strongroom"
+	"tuliprudder/kernel/sundial"
+)
+
+// Identity is who a daemon is. With a disk it is kept there, and each start is
+// a new life; without one each start is a new identity.
+type Identity struct {
+	Kind string `json:"kind"`
+	ID   string `json:"id"`
+	Life uint64 `json:"life"`
+}
+
+func newID(kind string) string {
+	var random [6]byte
+	rand.Read(random[:])
+	return kind + "-" + hex.EncodeToString(random[:])
+}
+
+// Fleeting is the identity of a daemon without a disk.
+func Fleeting(kind string, now sundial.Micros) Identity {
+	return Identity{Kind: kind, ID: newID(kind), Life: uint64(now)}
+}
+
+// Lasting reads the identity from the data folder and begins a new life.
+func Lasting(folder, kind string) (Identity, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return Identity{}, errors.Wrap(err, "making the data folder")
+	}
+	name := filepath.Join(folder, "identity.json")
+	who := Identity{Kind: kind, ID: newID(kind)}
+	data, err := os.ReadFile(name)
+	switch {
+	case err == nil:
+		if json.Unmarshal(data, &who) != nil || who.ID == "" {
+			return Identity{}, mishap.New(mishap.Corrupt, "move the whole data folder away and start empty; the fleet copies back what the pair holds", "identity.json in the data folder can't be read")
+		}
+		if who.Kind != kind {
+			return Identity{}, mishap.New(mishap.WrongFolder, "point -data at this daemon's own folder, or at an empty one", "the data folder belongs to a %s, this is a %s", who.Kind, kind)
+		}
+	case os.IsNotExist(err):
+		// Records without an identity are somebody's, but nobody knows whose.
+		if left, _ := filepath.Glob(filepath.Join(folder, "records", "*.*")); len(left) > 0 {
+			return Identity{}, mishap.New(mishap.Corrupt, "move the whole data folder away and start empty; the fleet copies back what the pair holds", "the data folder has records but no identity.json")
+		}
+	default:
+		return Identity{}, errors.Wrap(err, "reading the identity")
+	}
+	who.Life++
+	data, _ = json.Marshal(who)
+	return who, strongroom.WriteAside(name, data, nil)
+}
--- /dev/null
+++ b/kernel/mishap/mishap.go
@@ -0,0 +1,93 @@
+// Package mishap has the typed kinds of error; every message names the remedy
+// (DESIGN §10).
+package mishap
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is the type of an error, stable for callers and logs.
+type Kind string
+
+// The kinds. OutcomeUnknown is the only one that may be said of an order that
+// may have run; each other kind promises that nothing ran and nothing will.
+const (
+	BadInput       Kind = "bad_input"
+	TooLarge       Kind = "too_large"
+	Unauthorised   Kind = "unknown_customer"
+	UnknownRoute   Kind = "unknown_route"
+	NotFound       Kind = "not_found"
+	BadToken       Kind = "bad_token"
+	Conflict       Kind = "conflict"
+	StaleBase      Kind = "stale_base"
+	BadPlan        Kind = "bad_plan"
+	BadSettings    Kind = "bad_settings"
+	OverAllowance  Kind = "over_allowance"
+	Busy           Kind = "busy"
+	NotReady       Kind = "not_ready"
+	Expired        Kind = "expired"
+	OutcomeUnknown Kind = "outcome_unknown"
+	ServerFault    Kind = "server_fault"
+	WrongFolder    Kind = "wrong_folder"
+	Corrupt        Kind = "corrupt"
+	Refused        Kind = "turned_away"
+)
+
+var statuses = map[Kind]int{
+	BadInput: http.StatusBadRequest, TooLarge: http.StatusRequestEntityTooLarge,
+	Unauthorised: http.StatusUnauthorized, UnknownRoute: http.StatusNotFound,
+	NotFound: http.StatusNotFound, BadToken: http.StatusBadRequest,
+	Conflict: http.StatusConflict, StaleBase: http.StatusConflict,
+	BadPlan: http.StatusUnprocessableEntity, OverAllowance: http.StatusTooManyRequests,
+	Busy: http.StatusTooManyRequests, NotReady: http.StatusServiceUnavailable,
+	Expired: http.StatusRequestTimeout, OutcomeUnknown: http.StatusGatewayTimeout,
+	ServerFault: http.StatusBadGateway, Refused: http.StatusConflict,
+}
+
+// Mishap is an error with its kind, what happened and the remedy.
+type Mishap struct {
+	Kind       Kind     `json:"kind"`
+	Message    string   `json:"message"`
+	Remedy     string   `json:"remedy"`
+	Faults     []string `json:"faults,omitempty"`
+	RetryAfter int64    `json:"retry_after_us,omitempty"`
+}
+
+// Error names what happened and the remedy.
+func (m *Mishap) Error() string {
+	return fmt.Sprintf("%s: %s; remedy: %s", m.Kind, m.Message, m.Remedy)
+}
+
+// Status is the HTTP status of the kind.
+func (m *Mishap) Status() int {
+	if status, ok := statuses[m.Kind]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// New makes a mishap with a stack.
+func New(kind Kind, remedy, format string, args ...any) error {
+	return errors.WithStack(&Mishap{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy})
+}
+
+// Later makes a mishap that tells the caller when to come back.
+func Later(kind Kind, after int64, remedy, format string, args ...any) error {
+	return errors.WithStack(&Mishap{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy, RetryAfter: after})
+}
+
+// Of finds the mishap inside an error; an error without one is a server fault
+// whose outcome is unknown.
+func Of(err error) *Mishap {
+	var found *Mishap
+	if errors.As(err, &found) {
+		return found
+	}
+	return &Mishap{Kind: OutcomeUnknown, Message: err.Error(), Remedy: "ask again with the same idempotency key", RetryAfter: 1_000_000}
+}
+
+// Is tells whether an error is of a kind.
+func Is(err error, kind Kind) bool { return err != nil && Of(err).Kind == kind }
--- /dev/null
+++ b/kernel/porch/reader.go
@@ -0,0 +1,8 @@
+package porch
+
+import (
+	"bytes"
+	"io"
+)
+
+func bytesReader(data []byte) io.Reader { return bytes.NewReader(data) }
--- /dev/null
+++ b/kernel/rucksack/rucksack.go
@@ -0,0 +1,143 @@
+// Package rucksack reads a daemon's settings: flags first, then the settings
+// file; each fault is named, none is guessed away (DESIGN §10).
+package rucksack
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"tuliprudder/kernel/mishap"
+)
+
+// Common are the settings every daemon has.
+type Common struct {
+	Zone   string
+	Peer   string
+	Listen string
+	HTTP   string
+	Seeds  []string
+	Data   string
+	Log    string
+	seeds  string
+}
+
+// Reader reads settings and gathers faults.
+type Reader struct {
+	Flags  *flag.FlagSet
+	faults []string
+	checks []func()
+}
+
+// New makes a reader for a program.
+func New(program string) *Reader {
+	flags := flag.NewFlagSet(program, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	flags.String("settings", "", "settings file: one 'name value' a line")
+	return &Reader{Flags: flags}
+}
+
+// Fault notes a fault in the settings.
+func (r *Reader) Fault(format string, args ...any) {
+	r.faults = append(r.faults, fmt.Sprintf(format, args...))
+}
+
+// Check adds a check that runs once everything is read.
+func (r *Reader) Check(check func()) { r.checks = append(r.checks, check) }
+
+// Address checks that a setting is an IP number with a port.
+func (r *Reader) Address(name, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		r.Fault("-%s %q: not an IP number with a port; write for example 127.0.0.1:7100", name, value)
+	}
+}
+
+// Int adds a whole number with its bounds.
+func (r *Reader) Int(target *int64, name string, value, least, most int64, usage string) {
+	r.Flags.Int64Var(target, name, value, usage)
+	r.Check(func() {
+		if *target < least || *target > most {
+			r.Fault("-%s %d: out of bounds; give a whole number from %d to %d", name, *target, least, most)
+		}
+	})
+}
+
+// Common adds the settings every daemon has; disk says whether it needs one.
+func (r *Reader) Common(c *Common, disk bool) {
+	r.Flags.StringVar(&c.Zone, "zone", "", "the zone this daemon runs in")
+	r.Flags.StringVar(&c.Peer, "peer", "", "address for the fleet's own traffic, IP:port")
+	r.Flags.StringVar(&c.Listen, "peer-listen", "", "address to listen on where it differs from -peer")
+	r.Flags.StringVar(&c.HTTP, "http", "", "address for callers and operators, IP:port")
+	r.Flags.StringVar(&c.seeds, "seeds", "", "three addresses of other daemons, by comma")
+	r.Flags.StringVar(&c.Data, "data", "", "the data folder (daemons with a disk)")
+	r.Flags.StringVar(&c.Log, "log", "", "log file; standard error when empty")
+	r.Check(func() {
+		if c.Zone == "" {
+			r.Fault("-zone is missing; name the zone, for example -zone north")
+		}
+		r.Address("peer", c.Peer)
+		r.Address("http", c.HTTP)
+		if c.Listen == "" {
+			c.Listen = c.Peer
+		} else {
+			r.Address("peer-listen", c.Listen)
+		}
+		for _, seed := range strings.Split(c.seeds, ",") {
+			if seed = strings.TrimSpace(seed); seed != "" {
+				r.Address("seeds", seed)
+				c.Seeds = append(c.Seeds, seed)
+			}
+		}
+		if len(c.Seeds) != 3 {
+			r.Fault("-seeds names %d addresses; give exactly three, by comma", len(c.Seeds))
+		}
+		if disk && c.Data == "" {
+			r.Fault("-data is missing; give a folder on a disk of this machine")
+		}
+	})
+}
+
+// Parse reads the arguments and the settings file and reports every fault.
+func (r *Reader) Parse(args []string) error {
+	err := ff.Parse(r.Flags, args, ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.PlainParser))
+	if err != nil {
+		r.Fault("%v; see -help for the settings there are", err)
+	} else {
+		for _, check := range r.checks {
+			check()
+		}
+	}
+	if extra := r.Flags.Args(); len(extra) > 0 {
+		r.Fault("words that are no settings: %s; leave them out", strings.Join(extra, " "))
+	}
+	if len(r.faults) == 0 {
+		return nil
+	}
+	return &mishap.Mishap{Kind: mishap.BadSettings, Message: fmt.Sprintf("%d faults in the settings", len(r.faults)),
+		Remedy: "correct each named setting", Faults: r.faults}
+}
+
+// MustParse parses or names every fault on standard error and exits with 2.
+func (r *Reader) MustParse(args []string) {
+	for _, arg := range args {
+		if arg == "-help" || arg == "--help" || arg == "-h" {
+			r.Flags.SetOutput(os.Stdout)
+			fmt.Printf("%s: settings\n", r.Flags.Name())
+			r.Flags.PrintDefaults()
+			os.Exit(0)
+		}
+	}
+	if err := r.Parse(args); err != nil {
+		m := mishap.Of(err)
+		fmt.Fprintf(os.Stderr, "%s: %s\n", r.Flags.Name(), m.Message)
+		for _, fault := range m.Faults {
+			fmt.Fprintf(os.Stderr, "  %s\n", fault)
+		}
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/kernel/stride/stride.go
@@ -0,0 +1,97 @@
+// Package stride is what every state machine takes and yields (DESIGN §2):
+// commands and the time in, effects out. Nothing here touches a thread, a
+// socket, a file or a clock.
+package stride
+
+import "tuliprudder/kernel/sundial"
+
+// Effect is one thing the shell has to do.
+type Effect interface{ effect() }
+
+// Send passes a message to a daemon by its address; it may be lost.
+type Send struct {
+	To   string
+	Body any
+}
+
+// Record is one durable entry: it belongs to a unit and is read back in order.
+type Record struct {
+	Unit  string `json:"unit"`
+	Kind  string `json:"kind"`
+	Epoch uint64 `json:"epoch,omitempty"`
+	Seq   uint64 `json:"seq,omitempty"`
+	Body  []byte `json:"body,omitempty"`
+}
+
+// Store writes records and syncs; the shell answers with Stored{Token}.
+type Store struct {
+	Token   uint64
+	Records []Record
+}
+
+// Fold replaces all records stored so far by these, which say the same.
+type Fold struct{ Records []Record }
+
+// Answer ends a call that came in with a call number.
+type Answer struct {
+	Call uint64
+	Body any
+	Err  error
+}
+
+// Rumour is one piece of news: the highest (Epoch, Seq) of a key wins.
+type Rumour struct {
+	Key        string
+	Epoch, Seq uint64
+	Value      []byte
+}
+
+// Newer tells whether r replaces other.
+func (r Rumour) Newer(other Rumour) bool {
+	if r.Epoch != other.Epoch {
+		return r.Epoch > other.Epoch
+	}
+	return r.Seq > other.Seq
+}
+
+// Publish hands news to the acquaintance.
+type Publish struct{ Rumour Rumour }
+
+// Heard tells the other machines of a daemon that news came in.
+type Heard struct{ Rumour Rumour }
+
+// Explain is one decision for the log.
+type Explain struct {
+	What   string
+	Fields map[string]any
+}
+
+// Work asks the path to run something (an item of a bundle).
+type Work struct{ Order any }
+
+func (Send) effect()    {}
+func (Store) effect()   {}
+func (Fold) effect()    {}
+func (Answer) effect()  {}
+func (Publish) effect() {}
+func (Heard) effect()   {}
+func (Explain) effect() {}
+func (Work) effect()    {}
+
+// Command is one input of a machine of type M.
+type Command[M any] interface {
+	Apply(machine M, now sundial.Micros)
+}
+
+// Out collects the effects of one step.
+type Out struct{ effects []Effect }
+
+// Emit adds an effect.
+func (o *Out) Emit(e Effect) { o.effects = append(o.effects, e) }
+
+// Drain hands over what was collected.
+func (o *Out) Drain() []Effect {
+	out := o.effects
+	o.effects = nil
+	return out
+}
--- /dev/null
+++ b/kernel/strongroom/strongroom.go
@@ -0,0 +1,218 @@
+// Package strongroom keeps a machine's records on disk: one file for each
+// version, written aside, synced, renamed, and the folder synced (DESIGN §6.7).
+package strongroom
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+)
+
+const (
+	groupSuffix = ".group"
+	viewSuffix  = ".view"
+	asideSuffix = ".aside"
+	magic       = "TRV1"
+)
+
+// Room is one data folder. It is used by one thread.
+type Room struct {
+	folder string
+	next   uint64
+	// Syncs and Bytes count what the disk was asked for.
+	Syncs, Bytes atomic.Int64
+	// Step is called before each step of a write; tests stop a write there.
+	Step func(step string) error
+}
+
+// Open reads the folder back: the newest view, then the groups after it.
+// Half-written files were never renamed and are removed; a renamed file that
+// does not check out is damage, and the room refuses to open.
+func Open(folder string) (*Room, []stride.Record, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, nil, errors.Wrap(err, "making the data folder")
+	}
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "reading the data folder")
+	}
+	room := &Room{folder: folder, next: 1}
+	var groups, views []uint64
+	for _, entry := range entries {
+		name := entry.Name()
+		switch filepath.Ext(name) {
+		case asideSuffix:
+			if err := os.Remove(filepath.Join(folder, name)); err != nil {
+				return nil, nil, errors.Wrap(err, "removing a half-written file")
+			}
+		case groupSuffix, viewSuffix:
+			var number uint64
+			if _, err := fmt.Sscanf(strings.TrimSuffix(name, filepath.Ext(name)), "%016x", &number); err != nil {
+				return nil, nil, mishap.New(mishap.Corrupt, "move the file out of the data folder", "file %s has a name that is no version", name)
+			}
+			if filepath.Ext(name) == viewSuffix {
+				views = append(views, number)
+			} else {
+				groups = append(groups, number)
+			}
+			room.next = max(room.next, number+1)
+		}
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i] < groups[j] })
+	sort.Slice(views, func(i, j int) bool { return views[i] < views[j] })
+	var records []stride.Record
+	var base uint64
+	if len(views) > 0 {
+		base = views[len(views)-1]
+		if records, err = room.read(base, viewSuffix); err != nil {
+			return nil, nil, err
+		}
+		for _, old := range views[:len(views)-1] {
+			os.Remove(room.path(old, viewSuffix))
+		}
+	}
+	for _, number := range groups {
+		if number < base {
+			os.Remove(room.path(number, groupSuffix))
+			continue
+		}
+		part, err := room.read(number, groupSuffix)
+		if err != nil {
+			return nil, nil, err
+		}
+		records = append(records, part...)
+	}
+	return room, records, nil
+}
+
+func (r *Room) path(number uint64, suffix string) string {
+	return filepath.Join(r.folder, fmt.Sprintf("%016x%s", number, suffix))
+}
+
+func (r *Room) read(number uint64, suffix string) ([]stride.Record, error) {
+	name := r.path(number, suffix)
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading a version")
+	}
+	const remedy = "this disk is damaged: move the whole data folder away and start empty; the fleet copies back what the pair holds"
+	if len(data) < 12 || string(data[:4]) != magic {
+		return nil, mishap.New(mishap.Corrupt, remedy, "file %s is no version file", filepath.Base(name))
+	}
+	if int(binary.BigEndian.Uint32(data[8:12])) != len(data)-12 || crc32.ChecksumIEEE(data[12:]) != binary.BigEndian.Uint32(data[4:8]) {
+		return nil, mishap.New(mishap.Corrupt, remedy, "file %s does not match its checksum", filepath.Base(name))
+	}
+	var records []stride.Record
+	if err := json.Unmarshal(data[12:], &records); err != nil {
+		return nil, mishap.New(mishap.Corrupt, remedy, "file %s cannot be read: %v", filepath.Base(name), err)
+	}
+	return records, nil
+}
+
+func (r *Room) step(name string) error {
+	if r.Step == nil {
+		return nil
+	}
+	return r.Step(name)
+}
+
+// Write makes one commit group durable.
+func (r *Room) Write(records []stride.Record) error { return r.write(records, groupSuffix) }
+
+// Fold writes a view that says what all versions so far say, then removes them.
+func (r *Room) Fold(records []stride.Record) error {
+	if err := r.write(records, viewSuffix); err != nil {
+		return err
+	}
+	base := r.next - 1
+	entries, err := os.ReadDir(r.folder)
+	if err != nil {
+		return errors.Wrap(err, "reading the data folder")
+	}
+	for _, entry := range entries {
+		var number uint64
+		ext := filepath.Ext(entry.Name())
+		if ext != groupSuffix && ext != viewSuffix {
+			continue
+		}
+		if _, err := fmt.Sscanf(entry.Name(), "%016x", &number); err == nil && number < base {
+			os.Remove(filepath.Join(r.folder, entry.Name()))
+		}
+	}
+	return nil
+}
+
+func (r *Room) write(records []stride.Record, suffix string) error {
+	body, err := json.Marshal(records)
+	if err != nil {
+		return errors.Wrap(err, "encoding a version")
+	}
+	var head bytes.Buffer
+	head.WriteString(magic)
+	binary.Write(&head, binary.BigEndian, crc32.ChecksumIEEE(body))
+	binary.Write(&head, binary.BigEndian, uint32(len(body)))
+	head.Write(body)
+	if err := WriteAside(r.path(r.next, suffix), head.Bytes(), r.step); err != nil {
+		return err
+	}
+	r.next++
+	r.Syncs.Add(2)
+	r.Bytes.Add(int64(head.Len()))
+	return nil
+}
+
+// WriteAside makes a file durable: written aside, synced, renamed, and its
+// folder synced. step, when set, is told before each of these.
+func WriteAside(name string, data []byte, step func(string) error) error {
+	if step == nil {
+		step = func(string) error { return nil }
+	}
+	if err := step("write"); err != nil {
+		return err
+	}
+	aside := name + asideSuffix
+	file, err := os.Create(aside)
+	if err != nil {
+		return errors.Wrap(err, "writing aside")
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = step("sync")
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if closing := file.Close(); err == nil {
+		err = closing
+	}
+	if err != nil {
+		return errors.Wrap(err, "syncing a version")
+	}
+	if err := step("rename"); err != nil {
+		return err
+	}
+	if err := os.Rename(aside, name); err != nil {
+		return errors.Wrap(err, "renaming a version")
+	}
+	if err := step("folder"); err != nil {
+		return err
+	}
+	folder, err := os.Open(filepath.Dir(name))
+	if err != nil {
+		return errors.Wrap(err, "opening the folder to sync it")
+	}
+	defer folder.Close()
+	return errors.Wrap(folder.Sync(), "syncing the folder")
+}
--- /dev/null
+++ b/ledger/daybook/daybook.go
@@ -0,0 +1,308 @@
+// Package daybook is the state of one slot (DESIGN §6): its bundles with their
+// one ordered list of results each, and the claims on one-shot orders.
+package daybook
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"tuliprudder/kernel/sundial"
+)
+
+// SlotOf is the slot a bundle or claim belongs to.
+func SlotOf(id string, slots int) int {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	sum := h.Sum64()
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	sum ^= sum >> 33
+	return int(sum % uint64(slots))
+}
+
+// Item is one order of a bundle.
+type Item struct {
+	ID    string `json:"id"`
+	Input string `json:"input"`
+}
+
+// Row is one result with its position and its writer.
+type Row struct {
+	Writer   int    `json:"writer"`
+	Position int64  `json:"position"`
+	Bundle   string `json:"bundle"`
+	Item     int    `json:"item"`
+	ItemID   string `json:"item_id"`
+	Status   string `json:"status"`
+	Output   string `json:"output"`
+	Server   string `json:"server,omitempty"`
+}
+
+// Statuses of a row.
+const (
+	StatusOK     = "ok"
+	StatusFailed = "failed"
+)
+
+// State of a bundle.
+type State string
+
+// The states of a bundle.
+const (
+	Open  State = "open"
+	Done  State = "done"
+	Ended State = "ended"
+)
+
+// Bundle is one bundle and its list. Inputs go once their row is in.
+type Bundle struct {
+	ID       string         `json:"id"`
+	Customer string         `json:"customer"`
+	Key      string         `json:"key"`
+	Hash     string         `json:"hash"`
+	Route    string         `json:"route"`
+	Items    []Item         `json:"items"`
+	State    State          `json:"state"`
+	Enrolled sundial.Micros `json:"enrolled"`
+	Changed  sundial.Micros `json:"changed"`
+	Rows     []Row          `json:"rows"`
+	listed   map[int]bool
+}
+
+// Listed tells whether an item has its row.
+func (b *Bundle) Listed(item int) bool { return b.listed[item] }
+
+// Claim is one caller's key on a one-shot order.
+type Claim struct {
+	Customer string         `json:"customer"`
+	Key      string         `json:"key"`
+	Hash     string         `json:"hash"`
+	Order    string         `json:"order"`
+	State    string         `json:"state"` // claimed, answered, turned-away
+	Answer   []byte         `json:"answer,omitempty"`
+	At       sundial.Micros `json:"at"`
+}
+
+// States of a claim.
+const (
+	Claimed  = "claimed"
+	Answered = "answered"
+	Void     = "turned-away"
+)
+
+// Slot is the state one pair replicates.
+type Slot struct {
+	Bundles map[string]*Bundle
+	Claims  map[string]*Claim
+	Last    map[int]int64 // highest position of each writer in this slot
+}
+
+// NewSlot is an empty slot.
+func NewSlot() *Slot {
+	return &Slot{Bundles: map[string]*Bundle{}, Claims: map[string]*Claim{}, Last: map[int]int64{}}
+}
+
+// Top is the highest position any row of the slot holds.
+func (s *Slot) Top() int64 {
+	top := int64(0)
+	for _, position := range s.Last {
+		top = max(top, position)
+	}
+	return top
+}
+
+// Entry is one change of a slot: a command on it.
+type Entry interface {
+	Apply(slot *Slot)
+	kind() string
+}
+
+// The changes there are.
+type (
+	// Enrol takes a bundle in.
+	Enrol struct{ Bundle Bundle }
+	// List puts a result into its bundle's list.
+	List struct{ Row Row }
+	// End stops a bundle for good.
+	End struct {
+		Bundle string
+		At     sundial.Micros
+	}
+	// Claiming claims a key before its one-shot order starts.
+	Claiming struct{ Claim Claim }
+	// Settling notes how a claimed order went.
+	Settling struct {
+		ID     string
+		State  string
+		Answer []byte
+	}
+	// Forget drops what is past its keeping.
+	Forget struct {
+		Bundles, Claims []string
+	}
+)
+
+// ClaimID is the name of a claim; BundleID of a bundle. Both come from the
+// customer and the key alone, so a repeated key meets itself at any daemon.
+func ClaimID(customer, key string) string { return "c-" + digest(customer, key) }
+
+// BundleID is the name of the bundle of a customer's key.
+func BundleID(customer, key string) string { return "b-" + digest(customer, key) }
+
+// Apply takes the bundle in.
+func (e Enrol) Apply(s *Slot) {
+	bundle := e.Bundle
+	bundle.listed = map[int]bool{}
+	s.Bundles[bundle.ID] = &bundle
+}
+
+// Apply lists the row, unless its item already has one or the bundle is gone.
+func (e List) Apply(s *Slot) {
+	s.Last[e.Row.Writer] = max(s.Last[e.Row.Writer], e.Row.Position)
+	bundle := s.Bundles[e.Row.Bundle]
+	if bundle == nil || bundle.State != Open || bundle.listed[e.Row.Item] {
+		return
+	}
+	bundle.Rows = append(bundle.Rows, e.Row)
+	bundle.listed[e.Row.Item] = true
+	bundle.Items[e.Row.Item].Input = ""
+	if len(bundle.Rows) == len(bundle.Items) {
+		bundle.State = Done
+	}
+}
+
+// Apply ends the bundle; results listed so far stay.
+func (e End) Apply(s *Slot) {
+	if bundle := s.Bundles[e.Bundle]; bundle != nil && bundle.State == Open {
+		bundle.State, bundle.Changed = Ended, e.At
+		for i := range bundle.Items {
+			bundle.Items[i].Input = ""
+		}
+	}
+}
+
+// Apply notes the claim.
+func (e Claiming) Apply(s *Slot) {
+	claim := e.Claim
+	s.Claims[ClaimID(claim.Customer, claim.Key)] = &claim
+}
+
+// Apply settles the claim once.
+func (e Settling) Apply(s *Slot) {
+	if claim := s.Claims[e.ID]; claim != nil && claim.State == Claimed {
+		claim.State, claim.Answer = e.State, e.Answer
+	}
+}
+
+// Apply drops what is named.
+func (e Forget) Apply(s *Slot) {
+	for _, id := range e.Bundles {
+		delete(s.Bundles, id)
+	}
+	for _, id := range e.Claims {
+		delete(s.Claims, id)
+	}
+}
+
+func (Enrol) kind() string    { return "enrol" }
+func (List) kind() string     { return "list" }
+func (End) kind() string      { return "end" }
+func (Claiming) kind() string { return "claim" }
+func (Settling) kind() string { return "settle" }
+func (Forget) kind() string   { return "forget" }
+
+type wrapped struct {
+	Kind string          `json:"k"`
+	Body json.RawMessage `json:"b"`
+}
+
+var decoders = map[string]func(json.RawMessage) (Entry, error){
+	"enrol": decode[Enrol], "list": decode[List], "end": decode[End],
+	"claim": decode[Claiming], "settle": decode[Settling], "forget": decode[Forget],
+}
+
+func decode[E Entry](data json.RawMessage) (Entry, error) {
+	var e E
+	err := json.Unmarshal(data, &e)
+	return e, err
+}
+
+// Encode writes an entry for the pair.
+func Encode(e Entry) []byte {
+	body, _ := json.Marshal(e)
+	data, _ := json.Marshal(wrapped{Kind: e.kind(), Body: body})
+	return data
+}
+
+// Decode reads an entry.
+func Decode(data []byte) (Entry, error) {
+	var w wrapped
+	if err := json.Unmarshal(data, &w); err != nil {
+		return nil, errors.Wrap(err, "reading an entry")
+	}
+	read, ok := decoders[w.Kind]
+	if !ok {
+		return nil, errors.Errorf("entry of an unknown kind %q: run the release that wrote it", w.Kind)
+	}
+	return read(w.Body)
+}
+
+type part struct {
+	Bundle *Bundle       `json:"bundle,omitempty"`
+	Claim  *Claim        `json:"claim,omitempty"`
+	Last   map[int]int64 `json:"last,omitempty"`
+}
+
+// View is the whole slot in parts, in a fixed order.
+func (s *Slot) View() [][]byte {
+	var out [][]byte
+	add := func(p part) {
+		data, _ := json.Marshal(p)
+		out = append(out, data)
+	}
+	add(part{Last: s.Last})
+	for _, id := range sortedKeys(s.Bundles) {
+		add(part{Bundle: s.Bundles[id]})
+	}
+	for _, id := range sortedKeys(s.Claims) {
+		add(part{Claim: s.Claims[id]})
+	}
+	return out
+}
+
+// Restore makes a slot from parts.
+func Restore(parts [][]byte) (*Slot, error) {
+	s := NewSlot()
+	for _, data := range parts {
+		var p part
+		if err := json.Unmarshal(data, &p); err != nil {
+			return nil, errors.Wrap(err, "reading a part of a slot")
+		}
+		if p.Last != nil {
+			s.Last = p.Last
+		}
+		if p.Bundle != nil {
+			p.Bundle.listed = map[int]bool{}
+			for _, row := range p.Bundle.Rows {
+				p.Bundle.listed[row.Item] = true
+			}
+			s.Bundles[p.Bundle.ID] = p.Bundle
+		}
+		if p.Claim != nil {
+			s.Claims[ClaimID(p.Claim.Customer, p.Claim.Key)] = p.Claim
+		}
+	}
+	return s, nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/ledger/keeper/calls.go
@@ -0,0 +1,261 @@
+package keeper
+
+import (
+	"sort"
+
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/tether"
+)
+
+// Call is an ask that came in; its answer carries the number.
+type Call struct {
+	Number uint64
+	Body   any
+}
+
+// Apply answers the ask by its type.
+func (c Call) Apply(k *Keeper, now sundial.Micros) {
+	switch ask := c.Body.(type) {
+	case EnrolAsk:
+		k.enrol(c.Number, ask, now)
+	case EndAsk:
+		k.end(c.Number, ask, now)
+	case StatusAsk:
+		k.status(c.Number, ask)
+	case ReadAsk:
+		k.read(c.Number, ask)
+	case ClaimAsk:
+		k.claim(c.Number, ask, now)
+	case SettleAsk:
+		k.settle(c.Number, ask, now)
+	case ShowAsk:
+		k.Emit(stride.Answer{Call: c.Number, Body: k.show()})
+	default:
+		k.Emit(stride.Answer{Call: c.Number, Err: mishap.New(mishap.BadInput, "run the same release on all daemons", "a store knows no such ask: %T", ask)})
+	}
+}
+
+func (k *Keeper) fail(call uint64, err error) { k.Emit(stride.Answer{Call: call, Err: err}) }
+
+// serving turns away what this keeper can't serve; nothing was written by then.
+func (k *Keeper) serving(call uint64, slot int) (*place, *tether.Rope, bool) {
+	unit := Unit(slot)
+	rope := k.gang.Rope(unit)
+	if rope.Role != tether.Serving {
+		k.fail(call, mishap.Later(mishap.NotReady, sundial.Second, "ask again: the slot is passing to a keeper with two disks", "store %s does not serve slot %d now (%s)", k.self.ID, slot, rope.Role))
+		return nil, nil, false
+	}
+	return k.place(unit), rope, true
+}
+
+func (k *Keeper) enrol(call uint64, ask EnrolAsk, now sundial.Micros) {
+	p, rope, ok := k.serving(call, ask.Slot)
+	if !ok {
+		return
+	}
+	receipt := Receipt{Bundle: ask.Bundle.ID, Items: len(ask.Bundle.Items), Keeper: k.self.ID}
+	if known := p.state.Bundles[ask.Bundle.ID]; known != nil {
+		if known.Hash != ask.Bundle.Hash {
+			k.fail(call, mishap.New(mishap.Conflict, "use a new idempotency key for another body", "the key was used for another body (bundle %s)", known.ID))
+			return
+		}
+		receipt.Repeated = true
+		// Its entry may still be open: the receipt waits for the last one.
+		if rope.Open() > 0 {
+			k.await(rope.Unit, rope.Seq, call, now+ask.Expiry, receipt)
+		} else {
+			k.Emit(stride.Answer{Call: call, Body: receipt})
+		}
+		return
+	}
+	if k.drain {
+		k.fail(call, mishap.Later(mishap.NotReady, 2*sundial.Second, "ask again: the slot passes on", "store %s is draining", k.self.ID))
+		return
+	}
+	if k.openItems()+len(ask.Bundle.Items) > k.set.MostItems {
+		k.fail(call, mishap.Later(mishap.Busy, 5*sundial.Second, "come back after the time given", "store %s has as many waiting items as it may", k.self.ID))
+		return
+	}
+	bundle := ask.Bundle
+	bundle.State, bundle.Enrolled, bundle.Rows = daybook.Open, now, nil
+	seq := k.put(rope.Unit, daybook.Enrol{Bundle: bundle}, now)
+	k.Enrolled++
+	if k.news[rope.Unit] == nil {
+		k.news[rope.Unit] = map[uint64]string{}
+	}
+	k.news[rope.Unit][seq] = bundle.ID
+	k.await(rope.Unit, seq, call, now+ask.Expiry, receipt)
+}
+
+func (k *Keeper) openItems() int {
+	count := 0
+	for _, rope := range k.gang.Ropes() {
+		if !rope.Owns() {
+			continue
+		}
+		for _, bundle := range k.place(rope.Unit).state.Bundles {
+			if bundle.State == daybook.Open {
+				count += len(bundle.Items) - len(bundle.Rows)
+			}
+		}
+	}
+	return count
+}
+
+func (k *Keeper) bundle(call uint64, p *place, id, customer string) (*daybook.Bundle, bool) {
+	found := p.state.Bundles[id]
+	if found == nil || found.Customer != customer {
+		k.fail(call, mishap.New(mishap.NotFound, "check the bundle's name and the customer's key", "no bundle %s of this customer", id))
+		return nil, false
+	}
+	return found, true
+}
+
+func (k *Keeper) end(call uint64, ask EndAsk, now sundial.Micros) {
+	p, rope, ok := k.serving(call, ask.Slot)
+	if !ok {
+		return
+	}
+	bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer)
+	if !ok {
+		return
+	}
+	seq := rope.Seq
+	if bundle.State == daybook.Open {
+		seq = k.put(rope.Unit, daybook.End{Bundle: ask.Bundle, At: now}, now)
+		k.Emit(stride.Work{Order: Revoke{Bundle: ask.Bundle, Slot: -1}})
+	}
+	answer := k.statusOf(p, rope, bundle)
+	if rope.Open() > 0 {
+		k.await(rope.Unit, seq, call, now+ask.Expiry, answer)
+		return
+	}
+	k.Emit(stride.Answer{Call: call, Body: answer})
+}
+
+func (k *Keeper) statusOf(p *place, rope *tether.Rope, b *daybook.Bundle) Status {
+	return Status{Bundle: b.ID, Route: b.Route, State: string(b.State), Items: len(b.Items), Listed: len(b.Rows),
+		Keeper: k.self.ID, Writer: k.writer, Slot: p.slot, Epoch: rope.Epoch, Backup: rope.Peer(), Enrolled: b.Enrolled}
+}
+
+func (k *Keeper) status(call uint64, ask StatusAsk) {
+	p, rope, ok := k.serving(call, ask.Slot)
+	if !ok {
+		return
+	}
+	if bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer); ok {
+		k.Emit(stride.Answer{Call: call, Body: k.statusOf(p, rope, bundle)})
+	}
+}
+
+// read answers "all rows after the token", within the reader's bounds. The
+// slots' epochs have to be the reader's: a deposed keeper would leave rows out.
+func (k *Keeper) read(call uint64, ask ReadAsk) {
+	var out Rows
+	upTo := k.stairs.UpTo()
+	slots := make([]int, 0, len(ask.Slots))
+	for slot := range ask.Slots {
+		slots = append(slots, slot)
+	}
+	sort.Ints(slots)
+	for _, slot := range slots {
+		p, rope, ok := k.serving(call, slot)
+		if !ok {
+			return
+		}
+		if rope.Epoch != ask.Slots[slot] {
+			k.fail(call, mishap.Later(mishap.NotReady, 200*sundial.Millisecond, "ask again: the reader hears of the new epoch soon", "slot %d is at epoch %d, not %d", slot, rope.Epoch, ask.Slots[slot]))
+			return
+		}
+		if ask.Bundle != "" {
+			bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer)
+			if !ok {
+				return
+			}
+			k.collect(bundle, ask, slot, upTo, &out)
+			out.State, out.Items = string(bundle.State), len(bundle.Items)
+			if k.hidden(bundle, ask, slot, upTo) {
+				out.State = string(daybook.Open) // not whole to this reader yet
+			}
+			continue
+		}
+		for _, id := range sortedBundles(p.state) {
+			if bundle := p.state.Bundles[id]; bundle.Customer == ask.Customer {
+				k.collect(bundle, ask, slot, upTo, &out)
+			}
+		}
+	}
+	sort.SliceStable(out.Rows, func(i, j int) bool { return out.Rows[i].Position < out.Rows[j].Position })
+	if ask.Most > 0 && len(out.Rows) > ask.Most {
+		out.Rows, out.More = out.Rows[:ask.Most], true
+	}
+	k.Emit(stride.Answer{Call: call, Body: out})
+}
+
+// hidden tells whether the list has rows that the reader may not read yet.
+func (k *Keeper) hidden(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64) bool {
+	for _, row := range bundle.Rows {
+		if row.Position > ask.Bound[slot][row.Writer] || (row.Writer == k.writer && row.Position > upTo) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) collect(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
+	bound := ask.Bound[slot]
+	for _, row := range bundle.Rows {
+		if row.Writer == k.writer && row.Position > upTo {
+			continue
+		}
+		if row.Position > ask.After[row.Writer] && row.Position <= bound[row.Writer] {
+			out.Rows = append(out.Rows, row)
+		}
+	}
+}
+
+func (k *Keeper) claim(call uint64, ask ClaimAsk, now sundial.Micros) {
+	p, rope, ok := k.serving(call, ask.Slot)
+	if !ok {
+		return
+	}
+	id := daybook.ClaimID(ask.Claim.Customer, ask.Claim.Key)
+	if known := p.state.Claims[id]; known != nil && known.State != daybook.Void {
+		if known.Hash != ask.Claim.Hash {
+			k.fail(call, mishap.New(mishap.Conflict, "use a new idempotency key for another body", "the key was used for another body"))
+			return
+		}
+		answer := ClaimAnswer{Yours: known.Order == ask.Claim.Order, Claim: *known}
+		if rope.Open() > 0 {
+			k.await(rope.Unit, rope.Seq, call, now+ask.Expiry, answer)
+		} else {
+			k.Emit(stride.Answer{Call: call, Body: answer})
+		}
+		return
+	}
+	claim := ask.Claim
+	claim.State, claim.At = daybook.Claimed, now
+	seq := k.put(rope.Unit, daybook.Claiming{Claim: claim}, now)
+	k.await(rope.Unit, seq, call, now+ask.Expiry, ClaimAnswer{Yours: true, Claim: claim})
+}
+
+func (k *Keeper) settle(call uint64, ask SettleAsk, now sundial.Micros) {
+	_, rope, ok := k.serving(call, ask.Slot)
+	if !ok {
+		return
+	}
+	seq := k.put(rope.Unit, daybook.Settling{ID: ask.ID, State: ask.State, Answer: ask.Answer}, now)
+	k.await(rope.Unit, seq, call, now+ask.Expiry, Settled{})
+}
+
+func (k *Keeper) show() Shown {
+	shown := Shown{Store: k.self.ID, Zone: k.self.Zone, Writer: k.writer, Life: k.self.Life,
+		UpTo: k.stairs.UpTo(), Next: k.stairs.Next(), Unfinished: k.stairs.Open()}
+	for _, rope := range k.gang.Ropes() {
+		shown.Slots = append(shown.Slots, SlotShown{Slot: slotOf(rope.Unit), Role: rope.Role.String(), Epoch: rope.Epoch, Seq: rope.Seq, Open: rope.Open(), Bundles: len(k.place(rope.Unit).state.Bundles), Peer: rope.Peer()})
+	}
+	return shown
+}
--- /dev/null
+++ b/ledger/keeper/keeper.go
@@ -0,0 +1,656 @@
+// Package keeper is the machine of a store daemon (DESIGN §6): it holds slots
+// as owner or backup, gives positions to results, and announces its
+// persisted-up-to position to the readers itself.
+package keeper
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/ladder"
+	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/waypost"
+)
+
+// Settings of a keeper; the defaults are ours.
+type Settings struct {
+	MostItems     int            // items that wait, over all its slots
+	FoldAfter     int            // stores between two views on disk
+	KeepDone      sundial.Micros // how long a finished bundle stays readable
+	BeatEvery     sundial.Micros
+	AnnounceEvery sundial.Micros
+}
+
+// Defaults are the starting values.
+func Defaults() Settings {
+	return Settings{MostItems: 50_000, FoldAfter: 2000, KeepDone: 48 * 3600 * sundial.Second,
+		BeatEvery: 300 * sundial.Millisecond, AnnounceEvery: 15 * sundial.Millisecond}
+}
+
+// Self says who the keeper is.
+type Self struct {
+	ID, Zone, Peer string
+	Life           uint64
+}
+
+// ItemOrder is one item to be run on a server.
+type ItemOrder struct {
+	Slot     int
+	Epoch    uint64
+	Bundle   string
+	Item     int
+	Customer string
+	Route    string
+	Input    string
+	Enrolled sundial.Micros
+}
+
+// Revoke tells the path to drop what it still has of a bundle, or of a slot.
+type Revoke struct {
+	Bundle string
+	Slot   int // -1 when a bundle is meant
+}
+
+type place struct {
+	slot  int
+	state *daybook.Slot
+	base  int64
+}
+
+type waiting struct {
+	call   uint64
+	expiry sundial.Micros
+	answer any
+}
+
+type orphan struct {
+	slot      int
+	epoch     uint64
+	positions []int64
+}
+
+type finished struct {
+	slot int
+	row  daybook.Row
+}
+
+// Keeper is the machine.
+type Keeper struct {
+	stride.Out
+	set     Settings
+	self    Self
+	gang    *tether.Gang
+	places  map[string]*place
+	fleet   string
+	writer  int
+	stairs  *ladder.Ladder
+	asking  bool // a reservation is being written
+	chart   chart.Map
+	cairns  []string
+	waits   map[string]map[uint64][]waiting
+	given   map[string]map[uint64]int64 // unit, entry -> position
+	news    map[string]map[uint64]string
+	orphans []orphan
+	held    []finished // results that wait for a position or a serving pair
+	owners  map[int]uint64
+	seq     uint64
+	dirty   bool
+	stores  int
+	next    struct{ beat, announce, forget, resume sundial.Micros }
+	items   int
+	drain   bool
+	// Counters for the operators.
+	Listed, Enrolled, Unknown, Takeovers int64
+	// EarlyAnnounce is a fault planted by tests: positions count as finished
+	// before they are durable.
+	EarlyAnnounce bool
+	BadRecord     error
+}
+
+// Unit is the name of a slot's pair.
+func Unit(slot int) string { return fmt.Sprintf("slot/%03d", slot) }
+
+func slotOf(unit string) int {
+	slot, _ := strconv.Atoi(strings.TrimPrefix(unit, "slot/"))
+	return slot
+}
+
+const (
+	unitSelf     = "self"
+	kindReserved = "reserved"
+	kindWriter   = "writer"
+)
+
+type identity struct {
+	Fleet  string `json:"fleet"`
+	Writer int    `json:"writer"`
+}
+
+// New makes a keeper from what was read back from its disk.
+func New(self Self, set Settings, records []stride.Record) *Keeper {
+	k := &Keeper{set: set, self: self, places: map[string]*place{},
+		waits: map[string]map[uint64][]waiting{}, given: map[string]map[uint64]int64{},
+		news: map[string]map[uint64]string{}, owners: map[int]uint64{}}
+	k.gang = tether.NewGang(&k.Out, k)
+	reserved := int64(0)
+	for _, record := range records {
+		switch {
+		case record.Unit == unitSelf && record.Kind == kindReserved:
+			reserved = max(reserved, int64(record.Seq))
+		case record.Unit == unitSelf && record.Kind == kindWriter:
+			var who identity
+			if json.Unmarshal(record.Body, &who) == nil {
+				k.fleet, k.writer = who.Fleet, who.Writer
+			}
+		default:
+			k.gang.Recover(record)
+		}
+	}
+	k.stairs = ladder.New(reserved)
+	return k
+}
+
+// Command is an input of the keeper.
+type Command = stride.Command[*Keeper]
+
+// Do applies a command and hands over the effects.
+func (k *Keeper) Do(command Command, now sundial.Micros) []stride.Effect {
+	command.Apply(k, now)
+	if k.stores >= k.set.FoldAfter {
+		k.stores = 0
+		k.Emit(stride.Fold{Records: append(k.selfRecords(), k.gang.Records()...)})
+	}
+	out := k.Drain()
+	for _, effect := range out {
+		if _, ok := effect.(stride.Store); ok {
+			k.stores++
+		}
+	}
+	return out
+}
+
+func (k *Keeper) selfRecords() []stride.Record {
+	body, _ := json.Marshal(identity{k.fleet, k.writer})
+	return []stride.Record{{Unit: unitSelf, Kind: kindWriter, Body: body},
+		{Unit: unitSelf, Kind: kindReserved, Seq: uint64(max(k.stairs.Next()-1, k.reservedAtLeast()))}}
+}
+
+func (k *Keeper) reservedAtLeast() int64 { return k.stairs.Reservation() }
+
+// Gang is the keeper's pairs, for tests and operators.
+func (k *Keeper) Gang() *tether.Gang { return k.gang }
+
+// Writer is the keeper's writer id; 0 before the core gave it one.
+func (k *Keeper) Writer() int { return k.writer }
+
+// Fleet is the fleet the keeper belongs to.
+func (k *Keeper) Fleet() string { return k.fleet }
+
+// Allowed tells, right before a start on a server, whether this keeper may
+// start work of a bundle: epoch, fresh lease, and the bundle still open.
+func (k *Keeper) Allowed(slot int, bundle string, item int, now sundial.Micros) bool {
+	rope := k.gang.Rope(Unit(slot))
+	if rope.Role != tether.Serving || now >= rope.LeaseUntil() {
+		return false
+	}
+	found := k.place(Unit(slot)).state.Bundles[bundle]
+	return found != nil && found.State == daybook.Open && !found.Listed(item)
+}
+
+func (k *Keeper) place(unit string) *place {
+	p := k.places[unit]
+	if p == nil {
+		p = &place{slot: slotOf(unit), state: daybook.NewSlot()}
+		k.places[unit] = p
+	}
+	return p
+}
+
+// View is the slot's state for a copy or a view on disk.
+func (k *Keeper) View(unit string) [][]byte { return k.place(unit).state.View() }
+
+// Restore replaces a slot's state.
+func (k *Keeper) Restore(unit string, parts [][]byte) {
+	state, err := daybook.Restore(parts)
+	if err != nil {
+		k.BadRecord = err
+		return
+	}
+	k.place(unit).state = state
+}
+
+// Play applies an entry on the backup or when read back.
+func (k *Keeper) Play(unit string, data []byte) {
+	entry, err := daybook.Decode(data)
+	if err != nil {
+		k.BadRecord = err
+		return
+	}
+	entry.Apply(k.place(unit).state)
+}
+
+// Confirmed answers who waits, finishes the position and starts new work.
+func (k *Keeper) Confirmed(unit string, seq uint64, now sundial.Micros) {
+	for _, w := range k.waits[unit][seq] {
+		k.Emit(stride.Answer{Call: w.call, Body: w.answer})
+	}
+	delete(k.waits[unit], seq)
+	if position, ok := k.given[unit][seq]; ok {
+		delete(k.given[unit], seq)
+		k.stairs.Finish(position)
+		k.dirty = true
+	}
+	if bundle, ok := k.news[unit][seq]; ok {
+		delete(k.news[unit], seq)
+		k.start(unit, bundle)
+	}
+}
+
+// start hands a bundle's open items to the path.
+func (k *Keeper) start(unit, id string) {
+	p := k.place(unit)
+	bundle := p.state.Bundles[id]
+	if bundle == nil || bundle.State != daybook.Open {
+		return
+	}
+	epoch := k.gang.Rope(unit).Epoch
+	for i, item := range bundle.Items {
+		if !bundle.Listed(i) {
+			k.Emit(stride.Work{Order: ItemOrder{Slot: p.slot, Epoch: epoch, Bundle: id, Item: i,
+				Customer: bundle.Customer, Route: bundle.Route, Input: item.Input, Enrolled: bundle.Enrolled}})
+		}
+	}
+}
+
+// Ready tells the cores that a copy is on two disks.
+func (k *Keeper) Ready(unit string, epoch uint64, now sundial.Micros) { k.beat(now) }
+
+// Deposed says "outcome unknown" to who waits and leaves the slot's unfinished
+// positions open until its new owner has settled.
+func (k *Keeper) Deposed(unit string, now sundial.Micros) {
+	k.lose(unit, "the slot passed to another keeper")
+	slot := slotOf(unit)
+	var positions []int64
+	for _, position := range k.given[unit] {
+		positions = append(positions, position)
+	}
+	delete(k.given, unit)
+	delete(k.news, unit)
+	if len(positions) > 0 {
+		sort.Slice(positions, func(i, j int) bool { return positions[i] < positions[j] })
+		k.orphans = append(k.orphans, orphan{slot: slot, epoch: k.gang.Rope(unit).Epoch, positions: positions})
+	}
+	k.Emit(stride.Work{Order: Revoke{Slot: slot}})
+	k.Emit(stride.Explain{What: "slot passed on", Fields: map[string]any{"slot": slot, "unfinished": len(positions)}})
+	k.dirty = true
+}
+
+func (k *Keeper) lose(unit, why string) {
+	for _, seq := range sortedKeys(k.waits[unit]) {
+		for _, w := range k.waits[unit][seq] {
+			k.unknown(w.call, why)
+		}
+	}
+	delete(k.waits, unit)
+}
+
+func (k *Keeper) unknown(call uint64, why string) {
+	k.Unknown++
+	k.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.OutcomeUnknown, sundial.Second, "ask again with the same idempotency key", "it is not known whether this was made durable: %s", why)})
+}
+
+// Stored is the disk's word.
+type Stored struct{ Token uint64 }
+
+// Apply passes the word on to the pair.
+func (s Stored) Apply(k *Keeper, now sundial.Micros) {
+	k.gang.Stored(s.Token, now)
+	k.flush(now)
+}
+
+// Letter is a message that came in.
+type Letter struct {
+	From string
+	Body any
+}
+
+// Apply takes the pair's messages and the core's welcome.
+func (l Letter) Apply(k *Keeper, now sundial.Micros) {
+	if k.gang.Take(l.From, l.Body, now) {
+		return
+	}
+	if welcome, ok := l.Body.(Welcome); ok && welcome.Writer > 0 {
+		if k.fleet != "" && k.fleet != welcome.Fleet {
+			return // another fleet's core: not ours to obey
+		}
+		if k.writer == 0 {
+			k.fleet, k.writer = welcome.Fleet, welcome.Writer
+			body, _ := json.Marshal(identity{k.fleet, k.writer})
+			k.gang.Store([]stride.Record{{Unit: unitSelf, Kind: kindWriter, Body: body}}, nil)
+			k.reserve()
+			k.dirty = true
+		}
+	}
+}
+
+func (k *Keeper) reserve() {
+	wanted := k.stairs.Wanted()
+	if wanted == 0 || k.asking || k.writer == 0 {
+		return
+	}
+	k.asking = true
+	k.gang.Store([]stride.Record{{Unit: unitSelf, Kind: kindReserved, Seq: uint64(wanted)}}, func(now sundial.Micros) {
+		k.asking = false
+		k.stairs.Reserved(wanted)
+		k.flush(now)
+	})
+}
+
+// Cairns tells the keeper the cores' addresses.
+type Cairns struct{ Peers []string }
+
+// Apply notes them.
+func (c Cairns) Apply(k *Keeper, now sundial.Micros) { k.cairns = c.Peers }
+
+// News is a rumour from the acquaintance.
+type News struct{ Rumour stride.Rumour }
+
+// Apply takes a new map, and the announcements that settle orphans.
+func (n News) Apply(k *Keeper, now sundial.Micros) {
+	if n.Rumour.Key == chart.MapKey {
+		var m chart.Map
+		if json.Unmarshal(n.Rumour.Value, &m) == nil && m.Seq > k.chart.Seq && (k.fleet == "" || m.Fleet == k.fleet) {
+			k.chart = m
+			k.follow(now)
+		}
+		return
+	}
+	var a waypost.Announcement
+	if strings.HasPrefix(n.Rumour.Key, "writer/") && len(k.orphans) > 0 && json.Unmarshal(n.Rumour.Value, &a) == nil {
+		for _, claimed := range a.Slots {
+			k.settleOrphans(claimed.Slot, claimed.Epoch)
+		}
+	}
+}
+
+func (k *Keeper) settleOrphans(slot int, epoch uint64) {
+	kept := k.orphans[:0]
+	for _, o := range k.orphans {
+		if o.slot == slot && epoch > o.epoch {
+			for _, position := range o.positions {
+				k.stairs.Finish(position)
+			}
+			k.dirty = true
+			continue
+		}
+		kept = append(kept, o)
+	}
+	k.orphans = kept
+}
+
+// follow works out the difference between the map and what this keeper does.
+func (k *Keeper) follow(now sundial.Micros) {
+	me := tether.Member{ID: k.self.ID, Life: k.self.Life}
+	for slot, pairing := range k.chart.Slots {
+		unit := Unit(slot)
+		rope := k.gang.Rope(unit)
+		switch {
+		case pairing.Epoch < rope.Epoch || pairing.Zero():
+		case pairing.Epoch == rope.Epoch:
+			if pairing.Owner == me && pairing.Complete && k.gang.Complete(unit, pairing.Epoch, now) {
+				k.serve(unit, now)
+			}
+			if pairing.Complete && !pairing.Holds(k.self.ID) && rope.Seq > 0 {
+				k.gang.Drop(unit, pairing.Epoch, now)
+			}
+		case pairing.Owner == me:
+			k.Takeovers++
+			k.Emit(stride.Explain{What: "owning a slot", Fields: map[string]any{"slot": slot, "epoch": pairing.Epoch, "backup": pairing.Backup.ID, "from_role": rope.Role.String()}})
+			k.gang.Own(unit, pairing.Epoch, k.chart.Stores[pairing.Backup.ID].Peer, now)
+			k.dirty = true
+		case pairing.Backup == me:
+			k.gang.Back(unit, pairing.Epoch, k.chart.Stores[pairing.Owner.ID].Peer, now)
+			k.dirty = true
+		case pairing.Holds(k.self.ID):
+			k.gang.Release(unit, pairing.Epoch, now)
+		case pairing.Complete:
+			k.gang.Drop(unit, pairing.Epoch, now)
+		default:
+			k.gang.Release(unit, pairing.Epoch, now)
+		}
+	}
+}
+
+// serve begins to confirm, list and start work under a complete pair.
+func (k *Keeper) serve(unit string, now sundial.Micros) {
+	p := k.place(unit)
+	k.stairs.Raise(p.state.Top())
+	k.reserve()
+	p.base = k.stairs.Next()
+	k.settleOrphans(p.slot, k.gang.Rope(unit).Epoch)
+	k.dirty = true
+	for _, id := range sortedBundles(p.state) {
+		k.start(unit, id)
+	}
+	k.Emit(stride.Explain{What: "serving a slot", Fields: map[string]any{"slot": p.slot, "epoch": k.gang.Rope(unit).Epoch, "base": p.base}})
+	k.flush(now)
+}
+
+func sortedBundles(s *daybook.Slot) []string { return sortedKeys(s.Bundles) }
+
+// sortedKeys gives a map an order, so that the same inputs have the same
+// effects in the same order.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Ran is the path's word that an item has its result.
+type Ran struct {
+	Slot   int
+	Bundle string
+	Item   int
+	Status string
+	Output string
+	Server string
+}
+
+// Apply gives the result its position and lists it.
+func (r Ran) Apply(k *Keeper, now sundial.Micros) {
+	k.held = append(k.held, finished{slot: r.Slot, row: daybook.Row{Bundle: r.Bundle, Item: r.Item, Status: r.Status, Output: r.Output, Server: r.Server}})
+	k.flush(now)
+}
+
+// flush lists held results as far as pairs serve and positions are reserved.
+func (k *Keeper) flush(now sundial.Micros) {
+	if len(k.held) == 0 {
+		return
+	}
+	held := k.held
+	k.held = nil
+	for _, f := range held {
+		unit := Unit(f.slot)
+		rope := k.gang.Rope(unit)
+		bundle := k.place(unit).state.Bundles[f.row.Bundle]
+		if !rope.Owns() || bundle == nil || bundle.State != daybook.Open || f.row.Item < 0 || f.row.Item >= len(bundle.Items) || bundle.Listed(f.row.Item) {
+			continue // another keeper runs it, or it needs no row any more
+		}
+		if rope.Role != tether.Serving {
+			k.held = append(k.held, f)
+			continue
+		}
+		position, ok := k.stairs.Give()
+		if !ok {
+			k.reserve()
+			k.held = append(k.held, f)
+			continue
+		}
+		row := f.row
+		row.Writer, row.Position, row.ItemID = k.writer, position, bundle.Items[row.Item].ID
+		seq := k.put(unit, daybook.List{Row: row}, now)
+		if k.EarlyAnnounce {
+			k.stairs.Finish(position)
+			k.dirty = true
+		} else {
+			if k.given[unit] == nil {
+				k.given[unit] = map[uint64]int64{}
+			}
+			k.given[unit][seq] = position
+		}
+		k.Listed++
+	}
+	k.reserve()
+}
+
+// put applies an entry and appends it; the caller has seen the pair serve.
+func (k *Keeper) put(unit string, entry daybook.Entry, now sundial.Micros) uint64 {
+	data := daybook.Encode(entry)
+	entry.Apply(k.place(unit).state)
+	seq, _ := k.gang.Append(unit, data, now)
+	return seq
+}
+
+func (k *Keeper) await(unit string, seq, call uint64, expiry sundial.Micros, answer any) {
+	if k.waits[unit] == nil {
+		k.waits[unit] = map[uint64][]waiting{}
+	}
+	k.waits[unit][seq] = append(k.waits[unit][seq], waiting{call: call, expiry: expiry, answer: answer})
+}
+
+// ClockEvent lets the keeper do what is due.
+type ClockEvent struct{}
+
+// Apply does what is due.
+func (ClockEvent) Apply(k *Keeper, now sundial.Micros) {
+	k.gang.ClockEvent(now)
+	for _, unit := range sortedKeys(k.waits) {
+		bySeq := k.waits[unit]
+		for _, seq := range sortedKeys(bySeq) {
+			waiters := bySeq[seq]
+			kept := waiters[:0]
+			for _, w := range waiters {
+				if now >= w.expiry {
+					k.unknown(w.call, "no second disk confirmed it in time")
+				} else {
+					kept = append(kept, w)
+				}
+			}
+			if len(kept) == 0 {
+				delete(k.waits[unit], seq)
+			} else {
+				bySeq[seq] = kept
+			}
+		}
+	}
+	if now >= k.next.beat {
+		k.beat(now)
+	}
+	if k.dirty && now >= k.next.announce && k.writer > 0 {
+		k.next.announce = now + k.set.AnnounceEvery
+		k.announce()
+	}
+	if now >= k.next.resume {
+		k.next.resume = now + 2*sundial.Second
+		k.resume()
+	}
+	if now >= k.next.forget {
+		k.next.forget = now + 60*sundial.Second
+		k.forget(now)
+	}
+}
+
+func (k *Keeper) beat(now sundial.Micros) {
+	k.next.beat = now + k.set.BeatEvery
+	ready := map[int]uint64{}
+	for _, rope := range k.gang.Ropes() {
+		if rope.Role == tether.Copied {
+			ready[slotOf(rope.Unit)] = rope.Epoch
+		}
+	}
+	for _, peer := range k.cairns {
+		k.Emit(stride.Send{To: peer, Body: Beat{ID: k.self.ID, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Draining: k.drain}})
+	}
+}
+
+// resume hands open items to the path again: it passes over those it has, and
+// takes up those it dropped while a lease was not fresh or its backlog full.
+func (k *Keeper) resume() {
+	for _, rope := range k.gang.Ropes() {
+		if rope.Role != tether.Serving || rope.Open() > 0 {
+			continue
+		}
+		for _, id := range sortedBundles(k.place(rope.Unit).state) {
+			k.start(rope.Unit, id)
+		}
+	}
+}
+
+// announce tells the readers this writer's persisted-up-to position.
+func (k *Keeper) announce() {
+	k.dirty = false
+	a := waypost.Announcement{Writer: k.writer, Store: k.self.ID, Peer: k.self.Peer, UpTo: k.stairs.UpTo()}
+	for _, rope := range k.gang.Ropes() {
+		if rope.Role != tether.Serving {
+			continue
+		}
+		p := k.place(rope.Unit)
+		claimed := waypost.Claimed{Slot: p.slot, Epoch: rope.Epoch, Base: p.base, Last: map[int]int64{}}
+		for writer, last := range p.state.Last {
+			if writer != k.writer {
+				claimed.Last[writer] = last
+			}
+		}
+		a.Slots = append(a.Slots, claimed)
+	}
+	k.seq++
+	value, _ := json.Marshal(a)
+	k.Emit(stride.Publish{Rumour: stride.Rumour{Key: waypost.Key(k.writer), Epoch: k.self.Life, Seq: k.seq, Value: value}})
+}
+
+// forget drops finished bundles and claims past their keeping.
+func (k *Keeper) forget(now sundial.Micros) {
+	for _, rope := range k.gang.Ropes() {
+		if rope.Role != tether.Serving {
+			continue
+		}
+		var old daybook.Forget
+		state := k.place(rope.Unit).state
+		for _, id := range sortedBundles(state) {
+			if b := state.Bundles[id]; b.State != daybook.Open && now-b.Enrolled > k.set.KeepDone {
+				old.Bundles = append(old.Bundles, id)
+			}
+		}
+		for id, claim := range state.Claims {
+			if now-claim.At > k.set.KeepDone {
+				old.Claims = append(old.Claims, id)
+			}
+		}
+		if len(old.Bundles)+len(old.Claims) > 0 {
+			sort.Strings(old.Claims)
+			k.put(rope.Unit, old, now)
+		}
+	}
+}
+
+// Drain lets the store say that it is about to go.
+type Drain struct{}
+
+// Apply notes it; the next beat tells the cores.
+func (Drain) Apply(k *Keeper, now sundial.Micros) {
+	k.drain = true
+	k.beat(now)
+}
--- /dev/null
+++ b/ledger/tether/tether.go
@@ -0,0 +1,501 @@
+package tether
+
+import (
+	"sort"
+
+	"tuliprudder/kernel/footbridge"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+)
+
+// Role is what this end does in the current epoch.
+type Role int
+
+// The roles. Cold holds data of an earlier life or epoch and does nothing;
+// Copying owns and fills its backup; Copied waits for the granter's word that
+// the pair is complete; Serving confirms; Filling and Backing are the backup's.
+const (
+	Cold Role = iota
+	Copying
+	Copied
+	Serving
+	Filling
+	Backing
+)
+
+var roleNames = map[Role]string{Cold: "cold", Copying: "copying", Copied: "copied", Serving: "serving", Filling: "filling", Backing: "backing"}
+
+// String names the role.
+func (r Role) String() string { return roleNames[r] }
+
+// Messages between the two ends of a unit.
+type (
+	// Copy is the owner's whole state of a unit at the start of an epoch.
+	Copy struct {
+		Unit  string
+		Epoch uint64
+		Seq   uint64
+		Parts [][]byte
+	}
+	// Append is one entry.
+	Append struct {
+		Unit  string
+		Epoch uint64
+		Seq   uint64
+		Entry []byte
+	}
+	// Ack says up to which entry the backup has synced; Copied that the copy is.
+	Ack struct {
+		Unit   string
+		Epoch  uint64
+		Seq    uint64
+		Copied bool
+	}
+	// Fenced tells a deposed owner of the higher epoch.
+	Fenced struct {
+		Unit  string
+		Epoch uint64
+	}
+	// Beat asks the backup for a lease; Leased grants it from the time of asking.
+	Beat struct {
+		Unit  string
+		Epoch uint64
+		Stamp sundial.Micros
+	}
+	Leased struct {
+		Unit  string
+		Epoch uint64
+		Stamp sundial.Micros
+	}
+)
+
+func init() {
+	footbridge.Register(Copy{}, Append{}, Ack{}, Fenced{}, Beat{}, Leased{})
+}
+
+// Spans of the pair; the backup's wait is longer than the owner's lease by a
+// margin for clocks that run unevenly.
+const (
+	Lease     = 1500 * sundial.Millisecond
+	LeaseWait = Lease + 200*sundial.Millisecond
+	BeatEvery = 300 * sundial.Millisecond
+	ResendAt  = 400 * sundial.Millisecond
+	resendCap = 64
+)
+
+// Kinds of record on disk.
+const (
+	KindCopy  = "copy"
+	KindEntry = "entry"
+	KindDrop  = "drop"
+)
+
+// Holder is the state a unit replicates, and what to do when entries confirm.
+type Holder interface {
+	// View is the whole state in parts; Restore starts from parts.
+	View(unit string) [][]byte
+	Restore(unit string, parts [][]byte)
+	// Play applies an entry on the backup or when read back.
+	Play(unit string, entry []byte)
+	// Confirmed tells the owner that an entry is on two disks.
+	Confirmed(unit string, seq uint64, now sundial.Micros)
+	// Ready tells that copy and local sync are done; the granter has to be told.
+	Ready(unit string, epoch uint64, now sundial.Micros)
+	// Deposed tells the owner that it no longer is.
+	Deposed(unit string, now sundial.Micros)
+}
+
+type entry struct {
+	seq    uint64
+	body   []byte
+	local  bool
+	sentAt sundial.Micros
+}
+
+// Rope is one end of one unit.
+type Rope struct {
+	Unit       string
+	Epoch      uint64
+	Role       Role
+	Seq        uint64 // last entry given (owner) or taken (backup)
+	Durable    uint64 // last entry on this disk, in a row
+	remote     uint64 // last entry on the backup's disk
+	confirmed  uint64
+	peer       string // the other end's address
+	open       []entry
+	copySeq    uint64
+	copyEpoch  uint64 // backup: epoch of the copy being written
+	copyLocal  bool
+	copyRemote bool
+	copyAt     sundial.Micros
+	copyWait   sundial.Micros // the granted lease of the former owner ends
+	leaseUntil sundial.Micros // owner: may start work until
+	granted    sundial.Micros // backup: must not own before
+	beatAt     sundial.Micros
+	tookAt     sundial.Micros
+	ackedAt    sundial.Micros
+}
+
+// Peer is the other end's address; Open is how many entries wait.
+func (r *Rope) Peer() string { return r.peer }
+
+// Open is how many entries are not confirmed yet.
+func (r *Rope) Open() int { return len(r.open) }
+
+// LeaseUntil is when the owner's lease ends; zero for others.
+func (r *Rope) LeaseUntil() sundial.Micros {
+	if r.Role != Serving {
+		return 0
+	}
+	return r.leaseUntil
+}
+
+// Owns tells whether this end is the owner in its epoch.
+func (r *Rope) Owns() bool { return r.Role == Copying || r.Role == Copied || r.Role == Serving }
+
+// Gang is all the ropes of a daemon, on one disk and one set of messages.
+type Gang struct {
+	out    *stride.Out
+	holder Holder
+	ropes  map[string]*Rope
+	tokens map[uint64]func(now sundial.Micros)
+	token  uint64
+	// SkipFence is a fault planted by tests: old epochs are not refused.
+	SkipFence bool
+	// SkipRemote is a fault planted by tests: one disk is taken for two.
+	SkipRemote bool
+}
+
+// NewGang makes a gang whose effects go to out.
+func NewGang(out *stride.Out, holder Holder) *Gang {
+	return &Gang{out: out, holder: holder, ropes: map[string]*Rope{}, tokens: map[uint64]func(sundial.Micros){}}
+}
+
+// Rope is the end of a unit; made cold when new.
+func (g *Gang) Rope(unit string) *Rope {
+	r := g.ropes[unit]
+	if r == nil {
+		r = &Rope{Unit: unit}
+		g.ropes[unit] = r
+	}
+	return r
+}
+
+// Ropes lists the units in order.
+func (g *Gang) Ropes() []*Rope {
+	out := make([]*Rope, 0, len(g.ropes))
+	for _, r := range g.ropes {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Unit < out[j].Unit })
+	return out
+}
+
+// Store writes records and runs done once they are synced.
+func (g *Gang) Store(records []stride.Record, done func(now sundial.Micros)) {
+	g.token++
+	if done != nil {
+		g.tokens[g.token] = done
+	}
+	g.out.Emit(stride.Store{Token: g.token, Records: records})
+}
+
+// Stored is the disk's word that a store is synced.
+func (g *Gang) Stored(token uint64, now sundial.Micros) {
+	if done := g.tokens[token]; done != nil {
+		delete(g.tokens, token)
+		done(now)
+	}
+}
+
+// Recover plays one record read back from disk. The unit stays cold: only a new
+// epoch gives it a role again.
+func (g *Gang) Recover(record stride.Record) {
+	r := g.Rope(record.Unit)
+	switch record.Kind {
+	case KindCopy:
+		g.holder.Restore(record.Unit, decodeParts(record.Body))
+		r.Epoch, r.Seq = record.Epoch, record.Seq
+	case KindEntry:
+		if record.Epoch == r.Epoch && record.Seq == r.Seq+1 {
+			r.Seq = record.Seq
+			g.holder.Play(record.Unit, record.Body)
+		}
+	case KindDrop:
+		g.holder.Restore(record.Unit, nil)
+		r.Epoch, r.Seq = record.Epoch, 0
+	}
+	r.Durable = r.Seq
+}
+
+// Records is the gang's state as records that say the same as all so far.
+func (g *Gang) Records() []stride.Record {
+	var out []stride.Record
+	for _, r := range g.Ropes() {
+		if r.Epoch > 0 {
+			out = append(out, stride.Record{Unit: r.Unit, Kind: KindCopy, Epoch: r.Epoch, Seq: r.Seq, Body: encodeParts(g.holder.View(r.Unit))})
+		}
+	}
+	return out
+}
+
+// Own makes this end the owner under a new epoch, with the backup at an
+// address. What it holds is written whole and copied; nothing is confirmed
+// until both are synced and the granter knows.
+func (g *Gang) Own(unit string, epoch uint64, backup string, now sundial.Micros) {
+	r := g.Rope(unit)
+	wait := sundial.Micros(0)
+	if r.Role == Backing || r.Role == Filling {
+		wait = r.granted
+	}
+	r.Epoch, r.Role, r.peer = epoch, Copying, backup
+	r.leaseUntil, r.copyWait = 0, wait
+	r.copyLocal, r.copyRemote, r.copyAt = false, false, 0
+	r.copySeq = r.Seq
+	for i := range r.open {
+		r.open[i].local = true // the copy below carries them
+	}
+	copySeq := r.Seq
+	g.Store([]stride.Record{{Unit: unit, Kind: KindCopy, Epoch: epoch, Seq: copySeq, Body: encodeParts(g.holder.View(unit))}}, func(now sundial.Micros) {
+		if r.Epoch == epoch && r.Owns() {
+			r.copyLocal = true
+			r.Durable = max(r.Durable, copySeq)
+			g.copied(r, now)
+		}
+	})
+	g.tryCopy(r, now)
+}
+
+// Back makes this end the backup under a new epoch; the owner's copy fills it.
+func (g *Gang) Back(unit string, epoch uint64, owner string, now sundial.Micros) {
+	r := g.Rope(unit)
+	was := r.Owns()
+	r.Epoch, r.Role, r.peer = epoch, Filling, owner
+	r.open, r.leaseUntil = nil, 0
+	if was {
+		g.holder.Deposed(unit, now)
+	}
+}
+
+// Release ends any role under a higher epoch; what is held stays on disk until
+// Drop.
+func (g *Gang) Release(unit string, epoch uint64, now sundial.Micros) {
+	r := g.Rope(unit)
+	was := r.Owns()
+	r.Epoch, r.Role, r.open, r.leaseUntil = max(r.Epoch, epoch), Cold, nil, 0
+	if was {
+		g.holder.Deposed(unit, now)
+	}
+}
+
+// Drop forgets a unit that a complete pair elsewhere holds.
+func (g *Gang) Drop(unit string, epoch uint64, now sundial.Micros) {
+	g.Release(unit, epoch, now)
+	r := g.Rope(unit)
+	r.Seq, r.Durable = 0, 0
+	g.holder.Restore(unit, nil)
+	g.Store([]stride.Record{{Unit: unit, Kind: KindDrop, Epoch: epoch}}, nil)
+}
+
+// Complete is the granter's word that the pair of this epoch is written down.
+func (g *Gang) Complete(unit string, epoch uint64, now sundial.Micros) bool {
+	r := g.Rope(unit)
+	if r.Epoch != epoch || r.Role != Copied {
+		return false
+	}
+	r.Role = Serving
+	g.beat(r, now)
+	g.settle(r, now)
+	return true
+}
+
+// Append gives an entry its number, writes it here and sends it to the backup.
+// The caller has applied it. It returns false when this end does not serve.
+func (g *Gang) Append(unit string, body []byte, now sundial.Micros) (uint64, bool) {
+	r := g.Rope(unit)
+	if r.Role != Serving {
+		return 0, false
+	}
+	r.Seq++
+	seq, epoch := r.Seq, r.Epoch
+	r.open = append(r.open, entry{seq: seq, body: body, sentAt: now})
+	g.Store([]stride.Record{{Unit: unit, Kind: KindEntry, Epoch: epoch, Seq: seq, Body: body}}, func(now sundial.Micros) {
+		if r.Epoch != epoch {
+			return
+		}
+		r.Durable = max(r.Durable, seq)
+		for i := range r.open {
+			if r.open[i].seq == seq {
+				r.open[i].local = true
+			}
+		}
+		g.settle(r, now)
+	})
+	g.out.Emit(stride.Send{To: r.peer, Body: Append{Unit: unit, Epoch: epoch, Seq: seq, Entry: body}})
+	return seq, true
+}
+
+// settle confirms, in order, what both disks hold.
+func (g *Gang) settle(r *Rope, now sundial.Micros) {
+	for len(r.open) > 0 && r.Role == Serving {
+		first := r.open[0]
+		if !first.local || (first.seq > r.remote && !g.SkipRemote) {
+			return
+		}
+		r.open = r.open[1:]
+		r.confirmed = first.seq
+		g.holder.Confirmed(r.Unit, first.seq, now)
+	}
+}
+
+func (g *Gang) tryCopy(r *Rope, now sundial.Micros) {
+	if r.Role != Copying || r.copyRemote || now < r.copyWait {
+		return
+	}
+	r.copyAt = now
+	g.out.Emit(stride.Send{To: r.peer, Body: Copy{Unit: r.Unit, Epoch: r.Epoch, Seq: r.copySeq, Parts: g.holder.View(r.Unit)}})
+}
+
+func (g *Gang) copied(r *Rope, now sundial.Micros) {
+	if r.Role == Copying && r.copyLocal && r.copyRemote {
+		r.Role = Copied
+		g.holder.Ready(r.Unit, r.Epoch, now)
+	}
+}
+
+func (g *Gang) beat(r *Rope, now sundial.Micros) {
+	r.beatAt = now
+	g.out.Emit(stride.Send{To: r.peer, Body: Beat{Unit: r.Unit, Epoch: r.Epoch, Stamp: now}})
+}
+
+// ClockEvent renews leases and repeats what was not acknowledged.
+func (g *Gang) ClockEvent(now sundial.Micros) {
+	for _, r := range g.Ropes() {
+		switch r.Role {
+		case Copying:
+			if r.copyAt == 0 || now-r.copyAt >= 2*ResendAt {
+				g.tryCopy(r, now)
+			}
+		case Copied:
+			if now-r.copyAt >= ResendAt {
+				r.copyAt = now
+				g.holder.Ready(r.Unit, r.Epoch, now)
+			}
+		case Serving:
+			if now-r.beatAt >= BeatEvery {
+				g.beat(r, now)
+			}
+			for i := range r.open {
+				if i >= resendCap {
+					break
+				}
+				if e := &r.open[i]; e.seq > r.remote && now-e.sentAt >= ResendAt {
+					e.sentAt = now
+					g.out.Emit(stride.Send{To: r.peer, Body: Append{Unit: r.Unit, Epoch: r.Epoch, Seq: e.seq, Entry: e.body}})
+				}
+			}
+		}
+	}
+}
+
+// Take handles a message of the pair; false when it is none.
+func (g *Gang) Take(from string, body any, now sundial.Micros) bool {
+	switch m := body.(type) {
+	case Copy:
+		g.takeCopy(from, m, now)
+	case Append:
+		g.takeAppend(from, m, now)
+	case Ack:
+		r := g.Rope(m.Unit)
+		if r.Epoch != m.Epoch || !r.Owns() {
+			return true
+		}
+		if m.Copied && r.Role == Copying && !r.copyRemote {
+			r.copyRemote = true
+			r.remote = r.copySeq
+			g.copied(r, now)
+		}
+		r.remote = max(r.remote, m.Seq)
+		r.ackedAt = now
+		g.settle(r, now)
+	case Fenced:
+		if r := g.Rope(m.Unit); m.Epoch > r.Epoch && r.Owns() {
+			g.Release(m.Unit, r.Epoch, now)
+		}
+	case Beat:
+		r := g.Rope(m.Unit)
+		if m.Epoch < r.Epoch && !g.SkipFence {
+			g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
+		} else if m.Epoch == r.Epoch && r.Role == Backing {
+			r.granted = max(r.granted, now+LeaseWait)
+			g.out.Emit(stride.Send{To: from, Body: Leased{Unit: m.Unit, Epoch: m.Epoch, Stamp: m.Stamp}})
+		}
+	case Leased:
+		if r := g.Rope(m.Unit); r.Epoch == m.Epoch && r.Role == Serving {
+			r.leaseUntil = max(r.leaseUntil, m.Stamp+Lease)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (g *Gang) takeCopy(from string, m Copy, now sundial.Micros) {
+	r := g.Rope(m.Unit)
+	switch {
+	case m.Epoch < r.Epoch && !g.SkipFence:
+		g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
+		return
+	case m.Epoch == r.Epoch && r.Role == Backing:
+		g.ack(r, from, true)
+		return
+	case m.Epoch == r.Epoch && r.Role != Filling:
+		return
+	case m.Epoch > r.Epoch:
+		// The owner's word came before the granter's news.
+		g.Back(m.Unit, m.Epoch, from, now)
+	}
+	if r.tookAt != 0 && r.copyEpoch == m.Epoch && now-r.tookAt < 4*ResendAt {
+		return // being written
+	}
+	r.tookAt, r.copyEpoch = now, m.Epoch
+	g.holder.Restore(m.Unit, m.Parts)
+	r.Seq, r.Durable, r.peer = m.Seq, 0, from
+	g.Store([]stride.Record{{Unit: m.Unit, Kind: KindCopy, Epoch: m.Epoch, Seq: m.Seq, Body: encodeParts(m.Parts)}}, func(now sundial.Micros) {
+		if r.Epoch == m.Epoch && r.Role == Filling {
+			r.Role = Backing
+			r.Durable = m.Seq
+			g.ack(r, from, true)
+		}
+	})
+}
+
+func (g *Gang) takeAppend(from string, m Append, now sundial.Micros) {
+	r := g.Rope(m.Unit)
+	if m.Epoch < r.Epoch && !g.SkipFence {
+		g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
+		return
+	}
+	if m.Epoch != r.Epoch || r.Role != Backing {
+		return
+	}
+	if m.Seq <= r.Durable {
+		g.ack(r, from, false)
+		return
+	}
+	if m.Seq != r.Seq+1 {
+		return // out of turn: the owner repeats it
+	}
+	r.Seq = m.Seq
+	g.holder.Play(m.Unit, m.Entry)
+	g.Store([]stride.Record{{Unit: m.Unit, Kind: KindEntry, Epoch: m.Epoch, Seq: m.Seq, Body: m.Entry}}, func(now sundial.Micros) {
+		if r.Epoch == m.Epoch && r.Role == Backing {
+			r.Durable = max(r.Durable, m.Seq)
+			g.ack(r, from, false)
+		}
+	})
+}
+
+func (g *Gang) ack(r *Rope, to string, copied bool) {
+	g.out.Emit(stride.Send{To: to, Body: Ack{Unit: r.Unit, Epoch: r.Epoch, Seq: r.Durable, Copied: copied}})
+}
--- /dev/null
+++ b/path/dispatch/dispatch.go
@@ -0,0 +1,486 @@
+// Package dispatch is a daemon's backlog and the choice of a server (DESIGN
+// §7): orders wait by rank, expire in the backlog, and are assigned to the
+// server with the highest sum of marks.
+package dispatch
+
+import (
+	"container/list"
+	"hash/fnv"
+	"math/rand"
+	"sort"
+	"sync"
+
+	"tuliprudder/core/planbook"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/judges"
+	"tuliprudder/path/roster"
+)
+
+// Settings of a dispatcher; the defaults are ours.
+type Settings struct {
+	MostWaiting int
+	PrefixKept  int
+	BundleLimit float64 // fullness up to which bundles may fill a server
+	LiveLimit   float64 // the same for live orders
+	Rest        sundial.Micros
+	Staleness   sundial.Micros // news older than this: turn away, don't assign
+}
+
+// Defaults are the starting values.
+func Defaults() Settings {
+	return Settings{MostWaiting: 20_000, PrefixKept: 4096, BundleLimit: 0.75, LiveLimit: 1.25, Rest: 300 * sundial.Millisecond, Staleness: 2500 * sundial.Millisecond}
+}
+
+// Order is one piece of work that looks for a server.
+type Order struct {
+	ID       string
+	Customer string
+	Route    *planbook.Route
+	Rank     int64
+	Bundle   bool
+	Prefix   string
+	Expiry   sundial.Micros // 0: none
+	Avoid    map[string]int // servers that turned it away
+	// Permit is asked right before the start; false drops the order.
+	Permit func(now sundial.Micros) bool
+	// Start runs in a thread of its own with the chosen server.
+	Start func(grip *Grip)
+	// Drop ends an order that never started.
+	Drop func(err error)
+
+	seq     uint64
+	place   *list.Element
+	started bool
+	gone    bool
+}
+
+// Grip is an order's hold on its chosen server.
+type Grip struct {
+	Server  roster.Server
+	Marks   []judges.Mark
+	Started sundial.Micros
+	d       *Dispatch
+	s       *state
+	once    sync.Once
+}
+
+type state struct {
+	server    roster.Server
+	load      roster.Load
+	loadEpoch uint64
+	own       int
+	since     []sundial.Micros
+	latency   sundial.Micros
+	failures  int
+	restUntil sundial.Micros
+}
+
+// Dispatch is the backlog and the servers of one daemon.
+type Dispatch struct {
+	mu       sync.Mutex
+	set      Settings
+	clock    func() sundial.Micros
+	plan     *planbook.Plan
+	servers  map[string]*state
+	backlogs map[int64]*list.List // by rank; bundles half a rank lower
+	waiting  map[string]int       // by customer
+	count    int
+	seq      uint64
+	prefixes map[uint64]string
+	prefixed *list.List
+	fresh    sundial.Micros
+	chance   *rand.Rand
+	wake     chan struct{}
+	closed   bool
+	// Counters for the operators.
+	Assigned, Expired, TurnedAway, NotPermitted int64
+}
+
+// New makes a dispatcher.
+func New(set Settings, clock func() sundial.Micros, seed int64) *Dispatch {
+	return &Dispatch{set: set, clock: clock, servers: map[string]*state{}, backlogs: map[int64]*list.List{}, waiting: map[string]int{},
+		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), wake: make(chan struct{}, 1)}
+}
+
+// SetPlan puts a plan in force here.
+func (d *Dispatch) SetPlan(plan *planbook.Plan) {
+	d.mu.Lock()
+	if d.plan == nil || plan.Version > d.plan.Version {
+		d.plan = plan
+	}
+	d.mu.Unlock()
+	d.Wake()
+}
+
+// Plan is the plan in force here; nil before the first.
+func (d *Dispatch) Plan() *planbook.Plan {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.plan
+}
+
+// SetServer takes the platform's word on a server.
+func (d *Dispatch) SetServer(server roster.Server) {
+	d.mu.Lock()
+	s := d.servers[server.Name]
+	if s == nil {
+		s = &state{}
+		d.servers[server.Name] = s
+	}
+	if s.server.Address != server.Address {
+		s.load, s.latency, s.failures, s.restUntil = roster.Load{}, 0, 0, 0
+	}
+	s.server = server
+	d.mu.Unlock()
+	d.Wake()
+}
+
+// SetLoad takes a load figure; one of a lower epoch is turned away.
+func (d *Dispatch) SetLoad(name string, epoch uint64, load roster.Load) {
+	d.mu.Lock()
+	if s := d.servers[name]; s != nil && epoch >= s.loadEpoch {
+		s.load, s.loadEpoch = load, epoch
+		now := d.clock()
+		kept := s.since[:0]
+		for _, at := range s.since {
+			if at > load.At && now-at < 2*sundial.Second {
+				kept = append(kept, at)
+			}
+		}
+		s.since = kept
+	}
+	d.mu.Unlock()
+	d.Wake()
+}
+
+// SetFresh tells up to when this daemon's news count as fresh.
+func (d *Dispatch) SetFresh(lastSwap sundial.Micros) {
+	d.mu.Lock()
+	d.fresh = max(d.fresh, lastSwap)
+	d.mu.Unlock()
+}
+
+// Fresh tells whether the news are fresh enough to assign by.
+func (d *Dispatch) Fresh() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isFresh(d.clock())
+}
+
+func (d *Dispatch) isFresh(now sundial.Micros) bool { return now-d.fresh <= d.set.Staleness }
+
+// Wake lets the matching thread look again.
+func (d *Dispatch) Wake() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Servers copies the platform's list as known here.
+func (d *Dispatch) Servers() []roster.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]roster.Server, 0, len(d.servers))
+	for _, s := range d.servers {
+		out = append(out, s.server)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// ServerView is one server as this daemon sees it.
+type ServerView struct {
+	roster.Server
+	Load    roster.Load    `json:"load"`
+	Own     int            `json:"own"`
+	Latency sundial.Micros `json:"latency_us"`
+}
+
+// View is what this daemon sees, for the operators.
+func (d *Dispatch) View() ([]ServerView, map[string]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []ServerView
+	for _, s := range d.servers {
+		out = append(out, ServerView{s.server, s.load, s.own, s.latency})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	waiting := map[string]int{}
+	for customer, count := range d.waiting {
+		waiting[customer] = count
+	}
+	return out, waiting
+}
+
+// Waiting is how much of a customer's work waits here.
+func (d *Dispatch) Waiting(customer string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waiting[customer]
+}
+
+// Backlog is how many orders wait here in all.
+func (d *Dispatch) Backlog() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.count
+}
+
+func levelOf(o *Order) int64 {
+	if o.Bundle {
+		return 2 * o.Rank
+	}
+	return 2*o.Rank + 1
+}
+
+// Enrol puts an order into the backlog; an error means it never will run.
+func (d *Dispatch) Enrol(o *Order) error {
+	d.mu.Lock()
+	if d.closed {
+		d.mu.Unlock()
+		return mishap.Later(mishap.NotReady, sundial.Second, "ask another daemon", "this daemon is draining")
+	}
+	if d.count >= d.set.MostWaiting {
+		d.TurnedAway++
+		d.mu.Unlock()
+		return mishap.Later(mishap.Busy, 2*sundial.Second, "come back after the time given", "the backlog is full")
+	}
+	d.seq++
+	o.seq = d.seq
+	level := levelOf(o)
+	backlog := d.backlogs[level]
+	if backlog == nil {
+		backlog = list.New()
+		d.backlogs[level] = backlog
+	}
+	o.place = backlog.PushBack(o)
+	d.count++
+	d.waiting[o.Customer]++
+	d.mu.Unlock()
+	d.Wake()
+	return nil
+}
+
+// Cancel takes an order out of the backlog; false when it has started or gone.
+func (d *Dispatch) Cancel(o *Order) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o.started || o.gone {
+		return false
+	}
+	d.remove(o)
+	return true
+}
+
+func (d *Dispatch) remove(o *Order) {
+	d.backlogs[levelOf(o)].Remove(o.place)
+	o.gone = true
+	d.count--
+	if d.waiting[o.Customer]--; d.waiting[o.Customer] <= 0 {
+		delete(d.waiting, o.Customer)
+	}
+}
+
+// Close turns new orders away; what waits is dropped.
+func (d *Dispatch) Close() {
+	d.mu.Lock()
+	d.closed = true
+	var dropped []*Order
+	for _, backlog := range d.backlogs {
+		for e := backlog.Front(); e != nil; e = e.Next() {
+			dropped = append(dropped, e.Value.(*Order))
+		}
+	}
+	for _, o := range dropped {
+		d.remove(o)
+	}
+	d.mu.Unlock()
+	for _, o := range dropped {
+		o.Drop(mishap.Later(mishap.NotReady, sundial.Second, "ask another daemon", "this daemon is draining"))
+	}
+}
+
+// Run is the matching thread: it looks whenever something changed, and at
+// least every 20 ms for what expired. It ends when done is closed.
+func (d *Dispatch) Run(done <-chan struct{}, tick <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-d.wake:
+		case <-tick:
+		}
+		d.Match()
+	}
+}
+
+// Match assigns what can be assigned now, higher ranks first.
+func (d *Dispatch) Match() {
+	type start struct {
+		order *Order
+		grip  *Grip
+	}
+	var starts []start
+	var expired, forbidden []*Order
+	d.mu.Lock()
+	now := d.clock()
+	levels := make([]int64, 0, len(d.backlogs))
+	for level := range d.backlogs {
+		levels = append(levels, level)
+	}
+	sort.Slice(levels, func(i, j int) bool { return levels[i] > levels[j] })
+	fresh := d.isFresh(now)
+	for _, level := range levels {
+		backlog := d.backlogs[level]
+		full := map[*planbook.Route]bool{}
+		var next *list.Element
+		for e := backlog.Front(); e != nil; e = next {
+			next = e.Next()
+			o := e.Value.(*Order)
+			if o.Expiry > 0 && now >= o.Expiry {
+				d.remove(o)
+				expired = append(expired, o)
+				d.Expired++
+				continue
+			}
+			if !fresh || d.plan == nil || full[o.Route] {
+				continue
+			}
+			grip := d.choose(o, now)
+			if grip == nil {
+				if len(o.Avoid) == 0 {
+					full[o.Route] = true
+				}
+				continue
+			}
+			d.remove(o)
+			o.started = true
+			starts = append(starts, start{o, grip})
+		}
+	}
+	d.mu.Unlock()
+	for _, s := range starts {
+		// The permit is asked outside the lock and right before the start.
+		if s.order.Permit != nil && !s.order.Permit(d.clock()) {
+			s.grip.Release(0, true)
+			forbidden = append(forbidden, s.order)
+			continue
+		}
+		go s.order.Start(s.grip)
+	}
+	for _, o := range forbidden {
+		d.mu.Lock()
+		d.NotPermitted++
+		d.mu.Unlock()
+		o.Drop(mishap.New(mishap.Refused, "nothing to do: another keeper runs it, or it has ended", "no permit to start"))
+	}
+	for _, o := range expired {
+		o.Drop(mishap.Later(mishap.Expired, sundial.Second, "ask again with a later expiry, or when it is less busy", "the order expired in the backlog; it did not run and will not"))
+	}
+}
+
+func prefixOf(o *Order) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(o.Route.Model + "\x00" + o.Prefix))
+	return h.Sum64()
+}
+
+// choose picks the server with the highest sum; ties fall by seeded chance.
+func (d *Dispatch) choose(o *Order, now sundial.Micros) *Grip {
+	limit := d.set.LiveLimit
+	if o.Bundle {
+		limit = d.set.BundleLimit
+	}
+	held := d.prefixes[prefixOf(o)]
+	fastest := sundial.Micros(0)
+	names := make([]string, 0, len(d.servers))
+	for name, s := range d.servers {
+		if !s.server.Gone {
+			names = append(names, name)
+		}
+		if s.latency > 0 && (fastest == 0 || s.latency < fastest) {
+			fastest = s.latency
+		}
+	}
+	sort.Strings(names)
+	wish := judges.Wish{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
+	var best []string
+	var bestMarks []judges.Mark
+	top := -1.0
+	for _, name := range names {
+		s := d.servers[name]
+		if !d.plan.Serves(o.Route, s.server.Labels) || o.Avoid[name] >= 3 {
+			continue
+		}
+		sound := s.failures < 3 && (s.load.At == 0 || s.load.Sound)
+		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Told: s.load.Running + s.load.Waiting,
+			Since: len(s.since), Limit: limit, Leaving: s.server.Leaving, Sound: sound, Prefix: held == name,
+			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now}
+		sum, marks, ok := judges.Sum(d.plan.Judges, wish, candidate)
+		if !ok {
+			continue
+		}
+		if sum > top+1e-9 {
+			top, best, bestMarks = sum, best[:0], marks
+		}
+		if sum >= top-1e-9 {
+			best = append(best, name)
+		}
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	chosen := d.servers[best[d.chance.Intn(len(best))]]
+	chosen.own++
+	chosen.since = append(chosen.since, now)
+	d.Assigned++
+	d.remember(prefixOf(o), chosen.server.Name)
+	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, d: d, s: chosen}
+}
+
+func (d *Dispatch) remember(prefix uint64, server string) {
+	if _, known := d.prefixes[prefix]; !known {
+		d.prefixed.PushBack(prefix)
+		if d.prefixed.Len() > d.set.PrefixKept {
+			oldest := d.prefixed.Remove(d.prefixed.Front()).(uint64)
+			delete(d.prefixes, oldest)
+		}
+	}
+	d.prefixes[prefix] = server
+}
+
+// Release lets the server go: took is how long the order ran (0: unknown), and
+// ok whether the server behaved.
+func (g *Grip) Release(took sundial.Micros, ok bool) {
+	g.once.Do(func() {
+		g.d.mu.Lock()
+		g.s.own--
+		if ok {
+			g.s.failures = 0
+			if took > 0 {
+				if g.s.latency == 0 {
+					g.s.latency = took
+				}
+				g.s.latency += (took - g.s.latency) / 8
+			}
+		} else {
+			g.s.failures++
+			g.s.restUntil = g.d.clock() + g.d.set.Rest*sundial.Micros(min(g.s.failures, 8))
+			if g.s.failures >= 3 {
+				g.s.failures = 2 // after its rest it may be tried once
+			}
+		}
+		g.d.mu.Unlock()
+		g.d.Wake()
+	})
+}
+
+// TurnedAway notes that the server was full: it rests a moment.
+func (g *Grip) TurnedAway() {
+	g.d.mu.Lock()
+	g.s.restUntil = g.d.clock() + g.d.set.Rest
+	g.d.mu.Unlock()
+	g.Release(0, true)
+}
--- /dev/null
+++ b/path/judges/judges.go
@@ -0,0 +1,133 @@
+// Package judges picks a server: many small judges give marks that are added up
+// (DESIGN §7.3). A judge may also rule a server out, and says why.
+package judges
+
+import "tuliprudder/kernel/sundial"
+
+// Candidate is what is known of a server when an order looks for one.
+type Candidate struct {
+	Name      string
+	Labels    map[string]string
+	Slots     int
+	Own       int            // this daemon's orders on it now
+	Told      int            // running and waiting there by its last figure
+	Since     int            // this daemon's starts after that figure
+	Limit     float64        // fullness up to which this rank may fill it
+	Leaving   bool           // marked as leaving
+	Sound     bool           // its soundness page answers, and orders come back
+	Prefix    bool           // it lately ran the same prefix
+	Latency   sundial.Micros // what an order takes there of late
+	Fastest   sundial.Micros // the same of the fastest server
+	RestUntil sundial.Micros // it turned an order away; not before
+	Now       sundial.Micros
+}
+
+// Wish is what the order needs.
+type Wish struct{ Model, Adapter, Weights string }
+
+// Mark is one judge's word.
+type Mark struct {
+	Judge string  `json:"judge"`
+	Mark  float64 `json:"mark"`
+	Out   string  `json:"out,omitempty"`
+}
+
+// Judge gives a mark from 0 to 1, or rules the server out with the reason.
+type Judge func(wish Wish, c Candidate) (float64, string)
+
+// Load is the estimate of what the server has: its last figure plus what this
+// daemon started since, and never less than this daemon's own.
+func (c Candidate) Load() int { return max(c.Told+c.Since, c.Own) }
+
+// All are the judges by name, in the order they are asked.
+var All = []struct {
+	Name  string
+	Judge Judge
+}{
+	{"leaving", Leaving}, {"soundness", Soundness}, {"adapter", Adapter}, {"weights", Weights},
+	{"fullness", Fullness}, {"prefix", Prefix}, {"speed", Speed}, {"spread", Spread},
+}
+
+// Leaving rules out a server marked as leaving.
+func Leaving(_ Wish, c Candidate) (float64, string) {
+	if c.Leaving {
+		return 0, "marked as leaving"
+	}
+	return 0, ""
+}
+
+// Soundness rules out a server that does not answer, or rests.
+func Soundness(_ Wish, c Candidate) (float64, string) {
+	if !c.Sound {
+		return 0, "not sound"
+	}
+	if c.Now < c.RestUntil {
+		return 0, "rests after turning an order away"
+	}
+	return 0, ""
+}
+
+// Adapter rules out a server without the adapter the route names.
+func Adapter(w Wish, c Candidate) (float64, string) {
+	if w.Adapter != "" && c.Labels["adapter"] != w.Adapter {
+		return 0, "has not the adapter " + w.Adapter
+	}
+	return 0, ""
+}
+
+// Weights rules out a server with other weights than the route names.
+func Weights(w Wish, c Candidate) (float64, string) {
+	if w.Weights != "" && c.Labels["weights"] != w.Weights {
+		return 0, "has not the weights " + w.Weights
+	}
+	return 0, ""
+}
+
+// Fullness marks free room, and rules out a server full for this rank.
+func Fullness(_ Wish, c Candidate) (float64, string) {
+	if c.Slots <= 0 {
+		return 0, "has no slots"
+	}
+	full := float64(c.Load()) / float64(c.Slots)
+	if full >= c.Limit {
+		return 0, "full for this rank"
+	}
+	return max(0, 1-full), ""
+}
+
+// Prefix marks a server that lately ran the same prefix, but less the fuller it
+// is: affinity must not overload it.
+func Prefix(_ Wish, c Candidate) (float64, string) {
+	if !c.Prefix || c.Slots <= 0 {
+		return 0, ""
+	}
+	return max(0, 1-float64(c.Load())/float64(c.Slots)), ""
+}
+
+// Speed marks a server by how close it comes to the fastest.
+func Speed(_ Wish, c Candidate) (float64, string) {
+	if c.Latency <= 0 || c.Fastest <= 0 {
+		return 0.5, ""
+	}
+	return min(1, float64(c.Fastest)/float64(c.Latency)), ""
+}
+
+// Spread marks a server that few of this daemon's own orders are on: figures
+// that are old everywhere else are fresh here.
+func Spread(_ Wish, c Candidate) (float64, string) { return 1 / float64(1+c.Own), "" }
+
+// Sum asks every judge and adds the weighted marks up.
+func Sum(weights map[string]float64, wish Wish, c Candidate) (float64, []Mark, bool) {
+	total := 0.0
+	marks := make([]Mark, 0, len(All))
+	for _, one := range All {
+		mark, out := one.Judge(wish, c)
+		mark *= weights[one.Name]
+		marks = append(marks, Mark{Judge: one.Name, Mark: mark, Out: out})
+		if out != "" {
+			return 0, marks, false
+		}
+		total += mark
+	}
+	return total, marks, true
+}
--- /dev/null
+++ b/path/roster/roster.go
@@ -0,0 +1,64 @@
+// Package roster is the news about model servers: the platform's list with its
+// leaving marks, and the load figures that one daemon a server reads (DESIGN
+// §7.2, §8.3).
+package roster
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/kernel/sundial"
+)
+
+// Server is one entry of the platform's list.
+type Server struct {
+	Name    string            `json:"name"`
+	Address string            `json:"address"`
+	Labels  map[string]string `json:"labels"`
+	Slots   int               `json:"slots"`
+	Leaving bool              `json:"leaving,omitempty"`
+	Gone    bool              `json:"gone,omitempty"`
+}
+
+// Load is one reading of a server's pages.
+type Load struct {
+	Running int            `json:"running"`
+	Waiting int            `json:"waiting"`
+	Sound   bool           `json:"sound"`
+	At      sundial.Micros `json:"at"`
+	By      string         `json:"by"`
+}
+
+// ServerKey and LoadKey are the news keys of a server.
+func ServerKey(name string) string { return "server/" + name }
+
+// LoadKey is the key of a server's load figures.
+func LoadKey(name string) string { return "load/" + name }
+
+// First is the first live daemon in the agreed order for a duty: each duty has
+// an order of its own, so duties spread over the daemons.
+func First(duty string, folk []people.Person, kind string) string {
+	type place struct {
+		id   string
+		rank uint64
+	}
+	var order []place
+	for _, person := range folk {
+		if person.Kind == kind && person.Standing == people.Sound && !person.Draining {
+			h := fnv.New64a()
+			h.Write([]byte(duty + "\x00" + person.ID))
+			order = append(order, place{person.ID, h.Sum64()})
+		}
+	}
+	if len(order) == 0 {
+		return ""
+	}
+	sort.Slice(order, func(i, j int) bool {
+		if order[i].rank != order[j].rank {
+			return order[i].rank < order[j].rank
+		}
+		return order[i].id < order[j].id
+	})
+	return order[0].id
+}
--- /dev/null
+++ b/path/serverline/serverline.go
@@ -0,0 +1,217 @@
+// Package serverline speaks to model servers by their published protocol: chat
+// completions streamed as events, a soundness page and a metrics page (DESIGN
+// §7.1).
+package serverline
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"tuliprudder/kernel/sundial"
+)
+
+// Outcome is what is certain about an order on a server.
+type Outcome int
+
+// The outcomes: NotStarted is certain, Complete has its end mark, Cut may have
+// run in part or whole, Rejected was read and turned down.
+const (
+	NotStarted Outcome = iota
+	Complete
+	Cut
+	Rejected
+)
+
+var outcomeNames = map[Outcome]string{NotStarted: "not started", Complete: "complete", Cut: "cut", Rejected: "rejected"}
+
+// String names the outcome.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Request is one order for a server.
+type Request struct {
+	Address   string
+	Order     string
+	Model     string
+	Prefix    string
+	Input     string
+	Partial   string // what was already produced, to be gone on with
+	MaxTokens int64
+	Silence   sundial.Micros // longest wait for the next piece
+}
+
+// Prepare sets the shared client up knowingly: it never retries an order, never
+// follows a redirect, uses no proxy, and closes what idles.
+func Prepare() {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 64, MaxConnsPerHost: 0, IdleConnTimeout: 30 * time.Second,
+		ResponseHeaderTimeout: 0, DisableCompression: true, ForceAttemptHTTP2: false,
+	}
+	http.DefaultClient = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type body struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	MaxTokens int64     `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+	User      string    `json:"user,omitempty"`
+	Continue  bool      `json:"continue_final_message,omitempty"`
+	Generate  *bool     `json:"add_generation_prompt,omitempty"`
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// Run sends one order and hands its pieces over as they come. Only a stream
+// with a finish reason and the end mark is complete.
+func Run(ctx context.Context, r Request, piece func(string) error) (Outcome, error) {
+	ask := body{Model: r.Model, MaxTokens: r.MaxTokens, Stream: true, User: r.Order}
+	if r.Prefix != "" {
+		ask.Messages = append(ask.Messages, message{"system", r.Prefix})
+	}
+	ask.Messages = append(ask.Messages, message{"user", r.Input})
+	if r.Partial != "" {
+		no := false
+		ask.Messages, ask.Continue, ask.Generate = append(ask.Messages, message{"assistant", r.Partial}), true, &no
+	}
+	data, err := json.Marshal(ask)
+	if err != nil {
+		return NotStarted, errors.Wrap(err, "encoding the order")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+"/v1/chat/completions", io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		return NotStarted, errors.Wrap(err, "making the request")
+	}
+	request.ContentLength = int64(len(data))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Id", r.Order)
+	silence := time.AfterFunc(sundial.Span(r.Silence), cancel)
+	defer silence.Stop()
+	response, err := httpc.DoRequest(request)
+	if err != nil {
+		if !wrote.Load() {
+			return NotStarted, errors.Wrap(err, "reaching the server")
+		}
+		return Cut, errors.Wrap(err, "the server gave no answer")
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
+		return NotStarted, errors.Errorf("the server turned the order away: %s", response.Status)
+	case response.StatusCode >= 400 && response.StatusCode < 500:
+		return Rejected, errors.Errorf("the server rejected the order: %s", response.Status)
+	case response.StatusCode != http.StatusOK:
+		return Cut, errors.Errorf("the server failed: %s", response.Status)
+	}
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(make([]byte, 4096), 1<<20)
+	finished := false
+	for lines.Scan() {
+		silence.Reset(sundial.Span(r.Silence))
+		text, ok := strings.CutPrefix(lines.Text(), "data:")
+		if !ok {
+			continue
+		}
+		text = strings.TrimSpace(text)
+		if text == "[DONE]" {
+			if finished {
+				return Complete, nil
+			}
+			return Cut, errors.New("the server's end mark came without a finish reason")
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(text), &c); err != nil {
+			return Cut, errors.Wrap(err, "the server sent what is no event")
+		}
+		if c.Error != nil {
+			return Cut, errors.Errorf("the server reported: %s", c.Error.Message)
+		}
+		for _, choice := range c.Choices {
+			if choice.Delta.Content != "" {
+				if err := piece(choice.Delta.Content); err != nil {
+					return Cut, err
+				}
+			}
+			if choice.Finish != nil && *choice.Finish != "" {
+				finished = true
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return Cut, errors.Wrap(err, "the stream broke off")
+	}
+	return Cut, errors.New("the stream ended without its end mark")
+}
+
+// Figures reads a server's soundness and metrics pages.
+func Figures(ctx context.Context, address string) (running, waiting int, err error) {
+	if err := get(ctx, "http://"+address+"/health", func(io.Reader) error { return nil }); err != nil {
+		return 0, 0, err
+	}
+	err = get(ctx, "http://"+address+"/metrics", func(page io.Reader) error {
+		parser := expfmt.NewTextParser(model.LegacyValidation)
+		families, err := parser.TextToMetricFamilies(io.LimitReader(page, 1<<20))
+		if err != nil {
+			return errors.Wrap(err, "reading the metrics page")
+		}
+		sum := func(name string) int {
+			total := 0.0
+			for _, metric := range families[name].GetMetric() {
+				total += metric.GetGauge().GetValue() + metric.GetUntyped().GetValue()
+			}
+			return int(total)
+		}
+		running, waiting = sum("vllm:num_requests_running"), sum("vllm:num_requests_waiting")
+		return nil
+	})
+	return running, waiting, err
+}
+
+func get(ctx context.Context, url string, read func(io.Reader) error) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "making the request")
+	}
+	response, err := httpc.DoRequest(request)
+	if err != nil {
+		return errors.Wrap(err, "reaching the server")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("the page answered %s", response.Status)
+	}
+	return read(response.Body)
+}
