--- /dev/null
+++ b/proof/havoc/havoc.go
@@ -0,0 +1,355 @@
+// Package havoc takes a running fleet through a failure while callers call, and
+// judges (DESIGN §11).
+package havoc
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/rucksack"
+	"tuliprudder/proof/callers"
+	"tuliprudder/proof/camp"
+)
+
+// Settings of a run; a deployment's file gives most.
+type Settings struct {
+	Name, Plan             string
+	Zones, Edges, Stores   int64
+	Cores, Servers, Items  int64
+	Slots, Pieces, PieceUS int64
+	LiveKeys, BundleKey    string
+	BundleRoute            string
+	Workers, Bundles       int64
+	PaceUS, Seed           int64
+	Fault                  string
+	Race, Keep             bool
+}
+
+// Flags hangs the settings on a reader.
+func (s *Settings) Flags(r *rucksack.Reader) {
+	r.Flags.StringVar(&s.Name, "name", "camp", "name of the deployment")
+	r.Flags.StringVar(&s.Plan, "plan", "deploy/ghent.plan.json", "the plan to put")
+	r.Int(&s.Zones, "zones", 3, 2, 16, "zones")
+	r.Int(&s.Edges, "edges", 3, 1, 64, "edge daemons")
+	r.Int(&s.Stores, "stores", 3, 2, 32, "store daemons")
+	r.Int(&s.Cores, "cores", 3, 3, 3, "core daemons")
+	r.Int(&s.Servers, "servers", 3, 1, 64, "model servers")
+	r.Int(&s.Items, "items", 20, 1, 1000, "items of a bundle")
+	r.Int(&s.Slots, "server-slots", 8, 1, 1000, "slots of a server")
+	r.Int(&s.Pieces, "pieces", 6, 1, 64, "pieces of an answer")
+	r.Int(&s.PieceUS, "piece-us", 4000, 0, 1_000_000, "time for a piece")
+	r.Flags.StringVar(&s.LiveKeys, "live-keys", "key-buyers,key-sellers", "keys of live callers")
+	r.Flags.StringVar(&s.BundleKey, "bundle-key", "key-notes", "key of the caller of bundles")
+	r.Flags.StringVar(&s.BundleRoute, "bundle-route", "seller-notes", "route of bundles")
+	r.Int(&s.Workers, "workers", 12, 0, 1000, "live callers at once")
+	r.Int(&s.Bundles, "bundles", 40, 0, 100_000, "bundles to hand in")
+	r.Int(&s.PaceUS, "pace-us", 250_000, 0, 60_000_000, "between two bundles")
+	r.Int(&s.Seed, "seed", 1, 0, 1<<40, "seed of the callers' choices")
+	r.Flags.StringVar(&s.Fault, "fault", "none", "failure to cause: "+strings.Join(Faults(), ", "))
+	r.Flags.BoolVar(&s.Race, "race", false, "build with the race detector")
+	r.Flags.BoolVar(&s.Keep, "keep", false, "keep the files and say where they are")
+	r.Check(func() {
+		if _, ok := faults[s.Fault]; !ok {
+			r.Fault("-fault %q: no such failure; one of %s", s.Fault, strings.Join(Faults(), ", "))
+		}
+	})
+}
+
+// Spec is the fleet the settings describe.
+func (s *Settings) Spec() camp.Spec {
+	return camp.Spec{Name: s.Name, Zones: int(s.Zones), Edges: int(s.Edges), Stores: int(s.Stores), Cores: int(s.Cores), Servers: int(s.Servers),
+		Items: int(s.Items), Plan: s.Plan, Pieces: int(s.Pieces), PieceUS: s.PieceUS, Slots: int(s.Slots)}
+}
+
+// Tour is the callers the settings describe.
+func (s *Settings) Tour(edges func() []string) *callers.Tour {
+	return &callers.Tour{Edges: edges, Seed: s.Seed, LiveKeys: strings.Split(s.LiveKeys, ","), BundleKey: s.BundleKey, BundleRoute: s.BundleRoute,
+		Items: int(s.Items), Pieces: int(s.Pieces), LiveWorkers: int(s.Workers), Bundles: int(s.Bundles), Pace: time.Duration(s.PaceUS) * time.Microsecond}
+}
+
+type scene struct {
+	ctx    context.Context
+	c      *camp.Camp
+	mu     sync.Mutex
+	leaves []callers.Leave
+}
+
+// faults are the failures that can be caused, by name.
+var faults = map[string]func(s *scene) error{
+	"none":         func(*scene) error { return nil },
+	"kill-writer":  func(s *scene) error { return s.crash(s.busiest, 4*time.Second, false) },
+	"wipe-writer":  func(s *scene) error { return s.crash(s.busiest, 4*time.Second, true) },
+	"freeze-store": func(s *scene) error { return s.freeze(s.busiest, 9*time.Second) },
+	"kill-primary": func(s *scene) error { return s.crash(s.primary, 4*time.Second, false) },
+	"wipe-primary": func(s *scene) error { return s.crash(s.primary, 4*time.Second, true) },
+	"freeze-core":  func(s *scene) error { return s.freeze(s.primary, 9*time.Second) },
+	"restart-edge": func(s *scene) error { return s.crash(s.edge, time.Second, false) },
+	"freeze-edge":  func(s *scene) error { return s.freeze(s.edge, 6*time.Second) },
+	"drain-edge":   func(s *scene) error { return s.drain(s.edge) },
+	"drain-store":  func(s *scene) error { return s.drain(s.busiest) },
+	"swap-store":   func(s *scene) error { return s.swap(s.busiest) },
+	"swap-core":    func(s *scene) error { return s.swap(s.primary) },
+	"cut-store":    func(s *scene) error { return s.cut(s.busiest, 6*time.Second) },
+	"cut-core":     func(s *scene) error { return s.cut(s.primary, 6*time.Second) },
+	"dark-server":  func(s *scene) error { return s.server("dark", 6*time.Second) },
+	"cut-server":   func(s *scene) error { return s.server("cut", 4*time.Second) },
+	"kill-server":  func(s *scene) error { return s.crash(s.anyServer, 3*time.Second, false) },
+	"leave-server": func(s *scene) error { return s.leave() },
+	"all-cores":    func(s *scene) error { return s.allCores() },
+	"all-stores":   func(s *scene) error { return s.allStores() },
+	"zone":         func(s *scene) error { return s.zone("zone-1", 8*time.Second) },
+}
+
+// Faults lists the names.
+func Faults() []string {
+	out := make([]string, 0, len(faults))
+	for name := range faults {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Run lets callers call, causes the failure, and judges.
+func Run(ctx context.Context, c *camp.Camp, set Settings) (callers.Verdict, error) {
+	tour := set.Tour(func() []string {
+		var out []string
+		for _, name := range c.Names("trailhead") {
+			out = append(out, c.Get(name).HTTP)
+		}
+		return out
+	})
+	s := &scene{ctx: ctx, c: c}
+	done := make(chan struct{})
+	go func() { defer close(done); tour.Run(ctx) }()
+	var failed error
+	if set.Fault != "none" {
+		select {
+		case <-time.After(2 * time.Second):
+			failed = faults[set.Fault](s)
+		case <-done:
+		}
+	}
+	<-done
+	if failed != nil {
+		return callers.Verdict{}, errors.Wrap(failed, "causing the failure")
+	}
+	if err := readBack(c); err != nil {
+		return callers.Verdict{}, err
+	}
+	var files []string
+	for _, name := range c.Names("scree") {
+		files = append(files, c.StartsFile(name))
+	}
+	starts, err := callers.ReadStarts(files)
+	if err != nil {
+		return callers.Verdict{}, err
+	}
+	return tour.Judge(starts, s.leaves), nil
+}
+
+// readBack reads every plan version back at the end of the day.
+func readBack(c *camp.Camp) error {
+	edge := c.Names("trailhead")[0]
+	return camp.Until(15*time.Second, func() error {
+		var list struct {
+			Plans []struct {
+				Version uint64 `json:"version"`
+			} `json:"plans"`
+		}
+		if err := c.Ask(edge, http.MethodGet, "/v1/operator/plans", nil, &list); err != nil {
+			return err
+		}
+		for _, plan := range list.Plans {
+			if err := c.Ask(edge, http.MethodGet, fmt.Sprintf("/v1/operator/plans/%d", plan.Version), nil, nil); err != nil {
+				return err
+			}
+		}
+		if len(list.Plans) == 0 {
+			return errors.New("no plan can be read back")
+		}
+		return nil
+	})
+}
+
+func (s *scene) wait(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-s.ctx.Done():
+	}
+}
+
+func (s *scene) ask(path string, into any) error {
+	var err error
+	for _, edge := range s.c.Names("trailhead") {
+		if err = s.c.Ask(edge, http.MethodGet, path, nil, into); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// byPeer finds a daemon's name by its address.
+func (s *scene) byPeer(peer string) (string, error) {
+	for _, name := range s.c.Names("") {
+		if s.c.Get(name).Peer == peer {
+			return name, nil
+		}
+	}
+	return "", errors.Errorf("no daemon at %s", peer)
+}
+
+// busiest is the store that owns most slots.
+func (s *scene) busiest() (string, error) {
+	var m chart.Map
+	if err := s.ask("/v1/operator/map", &m); err != nil {
+		return "", err
+	}
+	owned := map[string]int{}
+	best := ""
+	for _, pairing := range m.Slots {
+		owned[pairing.Owner.ID]++
+		if best == "" || owned[pairing.Owner.ID] > owned[best] {
+			best = pairing.Owner.ID
+		}
+	}
+	return s.byPeer(m.Stores[best].Peer)
+}
+
+func (s *scene) primary() (string, error) {
+	var core chart.CoreNews
+	if err := s.ask("/v1/operator/core", &core); err != nil {
+		return "", err
+	}
+	return s.byPeer(core.Peer)
+}
+
+func (s *scene) edge() (string, error)      { return s.c.Names("trailhead")[0], nil }
+func (s *scene) anyServer() (string, error) { return s.c.Names("scree")[0], nil }
+
+type pick func() (string, error)
+
+func (s *scene) crash(who pick, down time.Duration, wipe bool) error {
+	name, err := who()
+	if err != nil {
+		return err
+	}
+	s.c.Kill(name)
+	if wipe {
+		if err := s.c.Wipe(name); err != nil {
+			return err
+		}
+	}
+	s.wait(down)
+	return s.c.Run(name)
+}
+
+func (s *scene) freeze(who pick, span time.Duration) error {
+	name, err := who()
+	if err != nil {
+		return err
+	}
+	s.c.Freeze(name)
+	s.wait(span)
+	s.c.Thaw(name)
+	return nil
+}
+
+func (s *scene) drain(who pick) error {
+	name, err := who()
+	if err != nil {
+		return err
+	}
+	s.c.Stop(name)
+	s.wait(time.Second)
+	return s.c.Run(name)
+}
+
+func (s *scene) swap(who pick) error {
+	name, err := who()
+	if err != nil {
+		return err
+	}
+	s.c.Kill(name)
+	if err := s.c.Wipe(name); err != nil {
+		return err
+	}
+	_, err = s.c.Swap(name, name+"b")
+	return err
+}
+
+func (s *scene) cut(who pick, span time.Duration) error {
+	name, err := who()
+	if err != nil {
+		return err
+	}
+	s.c.CutOff(name, true)
+	s.wait(span)
+	s.c.CutOff(name, false)
+	return nil
+}
+
+func (s *scene) server(mode string, span time.Duration) error {
+	name, _ := s.anyServer()
+	set := func(mode string) error {
+		return s.c.Ask(name, http.MethodPost, "/control", map[string]string{"mode": mode}, nil)
+	}
+	if err := set(mode); err != nil {
+		return err
+	}
+	s.wait(span)
+	return set("")
+}
+
+func (s *scene) leave() error {
+	name, _ := s.anyServer()
+	edges := s.c.Names("trailhead")
+	if err := s.c.Ask(edges[len(edges)-1], http.MethodPost, "/v1/operator/servers/"+name+"/leaving", []byte(`{"leaving":true}`), nil); err != nil {
+		return err
+	}
+	s.leaves = append(s.leaves, callers.Leave{Server: name, From: time.Now().UnixMicro()})
+	return nil
+}
+
+func (s *scene) allOf(kind string) error {
+	names := s.c.Names(kind)
+	for _, name := range names {
+		s.c.Kill(name)
+	}
+	s.wait(time.Second)
+	for _, name := range names {
+		if err := s.c.Run(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scene) allCores() error  { return s.allOf("cairn") }
+func (s *scene) allStores() error { return s.allOf("refuge") }
+
+// zone kills every daemon and server of a zone, then brings them back.
+func (s *scene) zone(zone string, down time.Duration) error {
+	var names []string
+	for _, name := range s.c.Names("") {
+		if d := s.c.Get(name); d.Zone == zone {
+			names = append(names, name)
+			s.c.Kill(name)
+		}
+	}
+	s.wait(down)
+	for _, name := range names {
+		if err := s.c.Run(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
