--- a/path/reader/reader.go
+++ b/path/reader/reader.go
@@ -161,21 +161,8 @@
 		return Page{}, err
 	}
 	r.mu.Lock()
-	upTo, whole := r.view.UpTo()
-	asks := map[string]keeper.ReadAsk{}
 	after := from.Vector()
-	for slot := range r.chart.Slots {
-		owner, ok := r.view.Owner(slot)
-		if !ok {
-			continue
-		}
-		ask, known := asks[owner.Peer]
-		if !known {
-			ask = keeper.ReadAsk{Slots: map[int]uint64{}, Customer: customer, After: after, Bound: map[int]waypost.Vector{}, Most: most}
-		}
-		ask.Slots[slot], ask.Bound[slot] = owner.Epoch, upTo
-		asks[owner.Peer] = ask
-	}
+	asks, upTo, whole := FeedAsks(r.view, len(r.chart.Slots), customer, after, most)
 	r.mu.Unlock()
 	if !whole {
 		return Page{}, mishap.Later(mishap.NotReady, sundial.Second, "ask again with the same token", "a slot passes to another keeper; the feed goes on when it has")
@@ -209,6 +196,26 @@
 	return page, nil
 }
 
+// FeedAsks works out whom to ask for what: each keeper for the slots it serves,
+// up to the vector that may be read now.
+func FeedAsks(view *waypost.View, slots int, customer string, after waypost.Vector, most int) (map[string]keeper.ReadAsk, waypost.Vector, bool) {
+	upTo, whole := view.UpTo()
+	asks := map[string]keeper.ReadAsk{}
+	for slot := 0; slot < slots; slot++ {
+		owner, ok := view.Owner(slot)
+		if !ok {
+			continue
+		}
+		ask, known := asks[owner.Peer]
+		if !known {
+			ask = keeper.ReadAsk{Slots: map[int]uint64{}, Customer: customer, After: after, Bound: map[int]waypost.Vector{}, Most: most}
+		}
+		ask.Slots[slot], ask.Bound[slot] = owner.Epoch, upTo
+		asks[owner.Peer] = ask
+	}
+	return asks, upTo, whole
+}
+
 // Cut orders a page, cuts it, and works out the vector after it: where it was
 // cut, each writer's last row on it; otherwise all that was readable.
 func Cut(page *Page, after, upTo waypost.Vector, most int) waypost.Vector {
--- /dev/null
+++ b/proof/weather/world.go
@@ -0,0 +1,555 @@
+// Package weather is the simulator (DESIGN §11): the daemons' own machines under
+// seeded virtual time, links that drop, repeat, delay and cut, and disks that
+// lose what was not synced, stall, or are wiped.
+package weather
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"sort"
+
+	"tuliprudder/acquaintance/circle"
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/summit"
+	"tuliprudder/daemon/planes"
+	"tuliprudder/daemon/porter"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+)
+
+type event struct {
+	at  sundial.Micros
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// Climate is how bad links and disks are.
+type Climate struct {
+	Drop, Repeat, Late float64
+	LateBy             sundial.Micros
+	Sync               sundial.Micros
+}
+
+// Mild is the climate of an ordinary day.
+func Mild() Climate {
+	return Climate{Drop: 0.002, Repeat: 0.002, Late: 0.01, LateBy: 60 * sundial.Millisecond, Sync: 2 * sundial.Millisecond}
+}
+
+// Node is one daemon.
+type Node struct {
+	world   *World
+	Name    string
+	Kind    string
+	Zone    string
+	Peer    string
+	ID      string
+	life    uint64
+	circle  *circle.Circle
+	machine porter.Machine
+	Keeper  *keeper.Keeper
+	Summit  *summit.Summit
+	edge    *Edge
+	up      bool
+	frozen  bool
+	era     int // raised at every crash: what was under way is gone
+	disk    disk
+	parked  []func() // arrived while frozen
+	calls   map[uint64]func(stride.Answer)
+	number  uint64
+	running map[string]int // items at work: their turn
+	wipes   int
+}
+
+type write struct {
+	records []stride.Record
+	fold    bool
+	token   uint64
+}
+
+type disk struct {
+	durable []stride.Record
+	queue   []write
+	busy    bool
+	stalled sundial.Micros // until
+}
+
+// World is a whole fleet.
+type World struct {
+	Now      sundial.Micros
+	Chance   *rand.Rand
+	Climate  Climate
+	queue    events
+	seq      uint64
+	Nodes    map[string]*Node
+	names    []string
+	byPeer   map[string]*Node
+	cut      map[[2]string]bool
+	Trace    []string
+	Watch    *Watch
+	Steps    int
+	Messages int
+	Syncs    int
+	// Plant lets a test plant a fault in the machines it starts.
+	Plant func(n *Node)
+	// Mutate may change the fate of one message; nil leaves it to the climate.
+	Mutate func(from, to string, body any) (drop, repeat bool, late sundial.Micros)
+	seeds  []string
+}
+
+// Size of a simulated fleet.
+type Size struct{ Zones, Cores, Stores, Edges, Slots int }
+
+// NewWorld makes a fleet that has not booted.
+func NewWorld(seed int64, size Size, climate Climate) *World {
+	w := &World{Now: 1_000_000_000, Chance: rand.New(rand.NewSource(seed)), Climate: climate, Nodes: map[string]*Node{}, byPeer: map[string]*Node{}, cut: map[[2]string]bool{}}
+	w.Watch = newWatch(w)
+	add := func(kind, word string, count int) {
+		for i := 0; i < count; i++ {
+			name := fmt.Sprintf("%s-%d", word, i+1)
+			n := &Node{world: w, Name: name, Kind: kind, Zone: fmt.Sprintf("zone-%d", 1+i%size.Zones), Peer: fmt.Sprintf("10.0.%d.%d:1", len(w.names)+1, i+1)}
+			n.ID = fmt.Sprintf("%s-%02d", kind, i+1)
+			w.Nodes[name], w.byPeer[n.Peer] = n, n
+			w.names = append(w.names, name)
+			if kind == people.Cairn {
+				w.seeds = append(w.seeds, n.Peer)
+			}
+		}
+	}
+	add(people.Cairn, "core", size.Cores)
+	add(people.Refuge, "store", size.Stores)
+	add(people.Trailhead, "edge", size.Edges)
+	for _, name := range w.names {
+		n := w.Nodes[name]
+		w.After(w.between(0, 200*sundial.Millisecond), func() { n.Boot(size.Slots) })
+	}
+	return w
+}
+
+// Names lists the nodes of a kind in order.
+func (w *World) Names(kind string) []string {
+	var out []string
+	for _, name := range w.names {
+		if w.Nodes[name].Kind == kind {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// After does something later.
+func (w *World) After(span sundial.Micros, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.Now + span, seq: w.seq, do: do})
+}
+
+func (w *World) between(least, most sundial.Micros) sundial.Micros {
+	return least + sundial.Micros(w.Chance.Int63n(int64(most-least+1)))
+}
+
+// Run lets time pass.
+func (w *World) Run(span sundial.Micros) {
+	end := w.Now + span
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		next := heap.Pop(&w.queue).(event)
+		w.Now = next.at
+		w.Steps++
+		next.do()
+	}
+	w.Now = end
+}
+
+// Until lets time pass until a condition holds; false when it does not in time.
+func (w *World) Until(most sundial.Micros, holds func() bool) bool {
+	end := w.Now + most
+	for !holds() {
+		if w.Now >= end {
+			return false
+		}
+		w.Run(50 * sundial.Millisecond)
+	}
+	return true
+}
+
+// Note adds a line to the trace, which keeps only the newest.
+func (w *World) Note(format string, args ...any) {
+	w.Trace = append(w.Trace, fmt.Sprintf("%9.3fs ", float64(w.Now-1_000_000_000)/1e6)+fmt.Sprintf(format, args...))
+	if len(w.Trace) > 4000 {
+		w.Trace = w.Trace[len(w.Trace)-2000:]
+	}
+}
+
+// Cut cuts or heals the link between two nodes, both ways.
+func (w *World) Cut(one, other string, cut bool) {
+	w.cut[[2]string{one, other}], w.cut[[2]string{other, one}] = cut, cut
+}
+
+// CutOff cuts or heals all links of a node.
+func (w *World) CutOff(name string, cut bool) {
+	for _, other := range w.names {
+		if other != name {
+			w.Cut(name, other, cut)
+		}
+	}
+}
+
+// carry passes something from one node to another through the weather.
+func (w *World) carry(from, to *Node, body any, deliver func()) {
+	w.Messages++
+	if to == nil || w.cut[[2]string{from.Name, to.Name}] {
+		return
+	}
+	drop, repeat, late := w.Chance.Float64() < w.Climate.Drop, w.Chance.Float64() < w.Climate.Repeat, sundial.Micros(0)
+	if w.Chance.Float64() < w.Climate.Late {
+		late = w.between(0, w.Climate.LateBy)
+	}
+	if w.Mutate != nil {
+		d, r, l := w.Mutate(from.Name, to.Name, body)
+		drop, repeat, late = drop || d, repeat || r, late+l
+	}
+	if drop {
+		return
+	}
+	arrive := func() {
+		if !w.cut[[2]string{from.Name, to.Name}] {
+			to.take(deliver)
+		}
+	}
+	w.After(w.between(150, 900)+late, arrive)
+	if repeat {
+		w.After(w.between(150, 5000)+late, arrive)
+	}
+}
+
+// take runs what arrived, or parks it while the node is frozen.
+func (n *Node) take(do func()) {
+	if !n.up {
+		return
+	}
+	if n.frozen {
+		if len(n.parked) < 4096 {
+			n.parked = append(n.parked, do)
+		}
+		return
+	}
+	do()
+}
+
+// Boot starts a node from what its disk holds.
+func (n *Node) Boot(slots int) {
+	w := n.world
+	n.era++
+	n.life++
+	n.up, n.frozen, n.parked = true, false, nil
+	n.calls, n.running = map[uint64]func(stride.Answer){}, map[string]int{}
+	n.disk.queue, n.disk.busy = nil, false
+	life := n.life
+	if n.Kind == people.Trailhead {
+		life = uint64(w.Now)
+		n.ID = fmt.Sprintf("%s.%d", n.Name, n.era)
+	}
+	person := people.Person{ID: n.ID, Kind: n.Kind, Zone: n.Zone, Peer: n.Peer, Incarnation: life}
+	n.circle = circle.New(person, w.seeds, circle.Defaults(), w.Chance.Int63())
+	n.machine, n.Keeper, n.Summit, n.edge = nil, nil, nil, nil
+	switch n.Kind {
+	case people.Cairn:
+		set := summit.Defaults()
+		set.Slots = slots
+		n.Summit = summit.New(summit.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
+		n.machine = planes.NewCore(n.Summit)
+	case people.Refuge:
+		set := keeper.Defaults()
+		set.FoldAfter = 300
+		n.Keeper = keeper.New(keeper.Self{ID: n.ID, Zone: n.Zone, Peer: n.Peer, Life: life}, set, n.disk.durable)
+		n.machine = planes.NewLedger(n.Keeper)
+	case people.Trailhead:
+		n.edge = newEdge(n)
+	}
+	if w.Plant != nil {
+		w.Plant(n)
+	}
+	w.Note("%s boots as %s life %d with %d records", n.Name, n.ID, life, len(n.disk.durable))
+	era := n.era
+	n.do(n.circle.Drain())
+	var tick func()
+	tick = func() {
+		if n.era != era {
+			return
+		}
+		n.take(func() {
+			n.do(n.circle.Do(circle.ClockEvent{}, w.Now))
+			if n.machine != nil {
+				n.do(n.machine.ClockEvent(w.Now))
+			}
+		})
+		w.After(20*sundial.Millisecond, tick)
+	}
+	w.After(w.between(0, 20*sundial.Millisecond), tick)
+}
+
+// do carries out what a machine decided.
+func (n *Node) do(effects []stride.Effect) {
+	w := n.world
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case stride.Send:
+			to := w.byPeer[e.To]
+			body := e.Body
+			era := n.era
+			_ = era
+			w.carry(n, to, body, func() { to.letter(n.Peer, body) })
+		case stride.Store:
+			n.disk.queue = append(n.disk.queue, write{records: e.Records, token: e.Token})
+			n.spin()
+		case stride.Fold:
+			n.disk.queue = append(n.disk.queue, write{records: e.Records, fold: true})
+			n.spin()
+		case stride.Answer:
+			if back := n.calls[e.Call]; back != nil {
+				delete(n.calls, e.Call)
+				back(e)
+			}
+		case stride.Publish:
+			n.do(n.circle.Do(circle.Tell{Rumour: e.Rumour}, w.Now))
+		case stride.Heard:
+			if n.edge != nil {
+				n.edge.hear(e.Rumour)
+			}
+			if n.machine != nil {
+				n.do(n.machine.Heard(e.Rumour, w.Now))
+			}
+		case stride.Explain:
+			w.Note("%s: %s %v", n.Name, e.What, e.Fields)
+		case stride.Work:
+			n.work(e.Order)
+		}
+	}
+}
+
+func (n *Node) letter(from string, body any) {
+	switch body.(type) {
+	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle:
+		n.do(n.circle.Do(circle.Letter{From: from, Body: body}, n.world.Now))
+	default:
+		if n.machine != nil {
+			n.do(n.machine.Letter(from, body, n.world.Now))
+		}
+	}
+}
+
+// spin lets the disk write what waits: one group, one sync.
+func (n *Node) spin() {
+	if n.disk.busy || len(n.disk.queue) == 0 {
+		return
+	}
+	w := n.world
+	n.disk.busy = true
+	count := 1
+	if !n.disk.queue[0].fold {
+		for count < len(n.disk.queue) && !n.disk.queue[count].fold {
+			count++
+		}
+	}
+	span := w.between(w.Climate.Sync/2, 2*w.Climate.Sync)
+	if n.disk.stalled > w.Now {
+		span += n.disk.stalled - w.Now
+	}
+	era := n.era
+	w.Syncs++
+	w.After(span, func() {
+		if n.era != era || !n.up {
+			return
+		}
+		done := n.disk.queue[:count:count]
+		n.disk.queue = n.disk.queue[count:]
+		n.persist(done)
+		n.disk.busy = false
+		n.take(func() {
+			for _, one := range done {
+				if !one.fold {
+					n.do(n.machine.Stored(one.token, w.Now))
+				}
+			}
+		})
+		n.spin()
+	})
+}
+
+func (n *Node) persist(done []write) {
+	for _, one := range done {
+		if one.fold {
+			n.disk.durable = nil
+		}
+		n.disk.durable = append(n.disk.durable, one.records...)
+	}
+}
+
+// Crash ends a node. With power lost, what was not synced is gone, but a part
+// of it may have reached the disk without anyone having been told.
+func (n *Node) Crash() {
+	if !n.up {
+		return
+	}
+	w := n.world
+	w.Note("%s crashes with %d writes under way", n.Name, len(n.disk.queue))
+	if count := len(n.disk.queue); count > 0 {
+		n.persist(n.disk.queue[:w.Chance.Intn(count+1)])
+	}
+	n.up = false
+	n.era++
+	n.disk.queue, n.disk.busy = nil, false
+}
+
+// Wipe empties a dead node's disk: what boots next is a new identity.
+func (n *Node) Wipe() {
+	n.wipes++
+	n.world.Note("%s is wiped", n.Name)
+	n.disk.durable = nil
+	n.ID = fmt.Sprintf("%s-%02d%c", n.Kind, n.indexOf(), 'a'+n.wipes%26)
+	n.life = 0
+}
+
+func (n *Node) indexOf() int {
+	for i, name := range n.world.Names(n.Kind) {
+		if name == n.Name {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// Freeze and Thaw stop and go on with a node.
+func (n *Node) Freeze() { n.frozen = true; n.world.Note("%s freezes", n.Name) }
+
+// Thaw lets a frozen node go on with what arrived meanwhile.
+func (n *Node) Thaw() {
+	if !n.frozen {
+		return
+	}
+	n.world.Note("%s thaws", n.Name)
+	n.frozen = false
+	parked := n.parked
+	n.parked = nil
+	for _, do := range parked {
+		n.take(do)
+	}
+}
+
+// Stall holds the disk for a span.
+func (n *Node) Stall(span sundial.Micros) {
+	n.disk.stalled = n.world.Now + span
+	n.world.Note("%s: disk stalls for %d ms", n.Name, span/1000)
+}
+
+// Ask asks a node's machine over the network; back is told once: the answer, or
+// an unknown outcome when the expiry passed.
+func (w *World) Ask(from *Node, peer string, body any, expiry sundial.Micros, back func(any, error)) {
+	to := w.byPeer[peer]
+	over := false
+	finish := func(answer any, err error) {
+		if !over {
+			over = true
+			back(answer, err)
+		}
+	}
+	w.After(expiry, func() {
+		finish(nil, mishap.New(mishap.OutcomeUnknown, "ask again with the same key", "no answer in time"))
+	})
+	if to == nil {
+		return
+	}
+	w.carry(from, to, body, func() {
+		if to.machine == nil {
+			return
+		}
+		to.number++
+		to.calls[to.number] = func(a stride.Answer) {
+			w.carry(to, from, nil, func() { finish(a.Body, a.Err) })
+		}
+		to.do(to.machine.Call(to.number, body, w.Now))
+	})
+}
+
+// work runs an item somewhere for a while, as the path would.
+func (n *Node) work(order any) {
+	w := n.world
+	switch o := order.(type) {
+	case keeper.ItemOrder:
+		key := fmt.Sprintf("%s/%d", o.Bundle, o.Item)
+		if n.running[key] != 0 {
+			return
+		}
+		turn := w.Steps + 1
+		n.running[key] = turn
+		era := n.era
+		w.After(w.between(1000, 40_000), func() {
+			if n.era != era {
+				return
+			}
+			n.take(func() {
+				if n.running[key] != turn {
+					return
+				}
+				if !n.Keeper.Allowed(o.Slot, o.Bundle, o.Item, w.Now) {
+					delete(n.running, key)
+					return
+				}
+				w.Watch.started(n, o.Bundle, o.Item)
+				w.After(w.between(5000, 120_000), func() {
+					if n.era != era {
+						return
+					}
+					n.take(func() {
+						if n.running[key] != turn {
+							return
+						}
+						delete(n.running, key)
+						n.do(n.Keeper.Do(keeper.Ran{Slot: o.Slot, Bundle: o.Bundle, Item: o.Item, Status: "ok", Output: "out of " + key}, w.Now))
+					})
+				})
+			})
+		})
+	case keeper.Revoke:
+		for _, key := range sorted(n.running) {
+			if o.Bundle != "" && len(key) > len(o.Bundle) && key[:len(o.Bundle)] == o.Bundle {
+				delete(n.running, key)
+			}
+		}
+		if o.Slot >= 0 {
+			for _, key := range sorted(n.running) {
+				if n.slotOf(key) == o.Slot {
+					delete(n.running, key)
+				}
+			}
+		}
+	}
+}
+
+func sorted[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for key := range m {
+		out = append(out, key)
+	}
+	sort.Strings(out)
+	return out
+}
