--- a/core/summit/election.go
+++ b/core/summit/election.go
@@ -257,11 +257,15 @@
 
 // found begins a fleet: once, and only when three empty cores see each other.
 func (s *Summit) found(now sundial.Micros) {
+	fleet := "f-" + s.self.ID
 	refs := []CoreRef{s.self}
 	for _, id := range sortedIDs(s.cores) {
 		heard := s.cores[id]
-		if heard.greet.Fleet != "" {
-			return // a fleet is founded: wait to be given a seat
+		// A grant of our own founding that came to nothing is asked for again; any
+		// other fleet is founded: wait to be given a seat.
+		ours := heard.greet.Fleet == fleet && heard.greet.Oath.Granted <= 1 && heard.greet.Oath.Done.Epoch == 0
+		if heard.greet.Fleet != "" && !ours {
+			return
 		}
 		if now-heard.at <= s.set.CoreSilent {
 			refs = append(refs, heard.greet.Core)
@@ -290,7 +294,7 @@
 	}
 	pairing := tether.Pairing{Epoch: 1, Owner: tether.Member{ID: s.self.ID, Life: s.life},
 		Backup: tether.Member{ID: second.ID, Life: s.cores[second.ID].greet.Life}, Trusted: [2]string{s.self.ID, second.ID}}
-	s.claim = &claiming{claim: Claim{Fleet: "f-" + s.self.ID, Pairing: pairing, Cores: refs, From: s.self}, yes: map[string]Oath{}, at: now, found: true}
+	s.claim = &claiming{claim: Claim{Fleet: fleet, Pairing: pairing, Cores: refs, From: s.self}, yes: map[string]Oath{}, at: now, found: true}
 	s.send()
 }
 
@@ -322,6 +326,8 @@
 		return "another fleet"
 	case c.Pairing.Epoch == s.oath.Granted && s.oath.Grant == c.Pairing:
 		return "" // asked again
+	case c.Pairing.Epoch == 1 && s.oath.Granted == 1 && s.oath.Done.Epoch == 0 && s.oath.Grant.Owner.ID == c.Pairing.Owner.ID:
+		return "" // the founder asks again, perhaps in another life
 	case c.Pairing.Epoch <= s.oath.Granted:
 		return "a higher epoch is granted"
 	case c.Base < s.oath.Done.Epoch:
