--- /dev/null
+++ b/daemon/porter/identity_test.go
@@ -0,0 +1,52 @@
+package porter
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"tuliprudder/kernel/mishap"
+)
+
+func TestEachStartIsANewLife(t *testing.T) {
+	folder := t.TempDir()
+	first, err := Lasting(folder, "refuge")
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Lasting(folder, "refuge")
+	if err != nil || second.ID != first.ID || second.Life != first.Life+1 {
+		t.Fatalf("first %+v, second %+v, %v", first, second, err)
+	}
+	other, err := Lasting(t.TempDir(), "refuge")
+	if err != nil || other.ID == first.ID {
+		t.Fatalf("an empty folder is %+v, %v", other, err)
+	}
+}
+
+// A folder that is another's, damaged, or without an owner is never guessed at.
+func TestWrongFolders(t *testing.T) {
+	folder := t.TempDir()
+	if _, err := Lasting(folder, "refuge"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Lasting(folder, "cairn"); !mishap.Is(err, mishap.WrongFolder) {
+		t.Fatalf("a store's folder for a core: %v", err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "identity.json"), []byte("{"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Lasting(folder, "refuge"); !mishap.Is(err, mishap.Corrupt) {
+		t.Fatalf("a damaged identity: %v", err)
+	}
+	os.Remove(filepath.Join(folder, "identity.json"))
+	if err := os.MkdirAll(filepath.Join(folder, "records"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "records", "0000000000000001.group"), []byte("x"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Lasting(folder, "refuge"); !mishap.Is(err, mishap.Corrupt) {
+		t.Fatalf("records without an identity: %v", err)
+	}
+}
--- /dev/null
+++ b/path/dispatch/dispatch_test.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"tuliprudder/core/planbook"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/roster"
+)
+
+type bench struct {
+	*Dispatch
+	now     sundial.Micros
+	started chan string
+	dropped chan string
+	route   *planbook.Route
+}
+
+func newBench(t *testing.T, servers ...roster.Server) *bench {
+	t.Helper()
+	b := &bench{now: 10_000_000, started: make(chan string, 100), dropped: make(chan string, 100)}
+	b.Dispatch = New(Defaults(), func() sundial.Micros { return b.now }, 7)
+	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"a","rank":1,"allowance":1}],"customers":[],"pools":[{"name":"p","labels":{"u":"x"},"servers":{"fleet":"main"}}],
+	 "routes":[{"name":"r","kind":"one-shot","classes":{},"pools":{"u":"x"},"model":"m","weights":"w1"}],"judges":{"speed":0}}`))
+	if err != nil {
+		t.Fatal(err, mishap.Of(err).Faults)
+	}
+	plan.Version = 1
+	b.SetPlan(plan)
+	b.route, _ = plan.Route("r")
+	for _, server := range servers {
+		b.SetServer(server)
+	}
+	b.SetFresh(b.now)
+	return b
+}
+
+func server(name string, slots int) roster.Server {
+	return roster.Server{Name: name, Slots: slots, Labels: map[string]string{"fleet": "main", "weights": "w1"}}
+}
+
+func (b *bench) order(name string, rank int64, change func(*Order)) *Order {
+	o := &Order{ID: name, Customer: "c", Route: b.route, Rank: rank, Avoid: map[string]int{}}
+	o.Start = func(grip *Grip) { b.started <- name + "@" + grip.Server.Name }
+	o.Drop = func(err error) { b.dropped <- name + ":" + string(mishap.Of(err).Kind) }
+	if change != nil {
+		change(o)
+	}
+	if err := b.Enrol(o); err != nil {
+		b.dropped <- name + ":" + string(mishap.Of(err).Kind)
+	}
+	return o
+}
+
+func (b *bench) none(t *testing.T, what string) {
+	t.Helper()
+	b.Match()
+	b.Dispatch.mu.Lock()
+	defer b.Dispatch.mu.Unlock()
+	if b.Assigned != 0 {
+		t.Fatalf("%s: an order was assigned", what)
+	}
+}
+
+// The higher rank goes first however late it came; live goes before bundles of
+// its rank.
+func TestRank(t *testing.T) {
+	b := newBench(t, server("s", 4))
+	b.order("low", 1, nil)
+	b.order("bundle", 5, func(o *Order) { o.Bundle = true })
+	b.order("high", 9, nil)
+	b.order("live", 5, nil)
+	var order []string
+	for _, level := range []string{"high", "live", "bundle", "low"} {
+		_ = level
+		b.Dispatch.mu.Lock()
+		b.Dispatch.servers["s"].server.Slots = 1
+		b.Dispatch.servers["s"].own, b.Dispatch.servers["s"].since = 0, nil
+		b.Dispatch.set.LiveLimit, b.Dispatch.set.BundleLimit = 1, 1
+		b.Dispatch.mu.Unlock()
+		b.Match()
+		order = append(order, <-b.started)
+	}
+	if fmt.Sprint(order) != "[high@s live@s bundle@s low@s]" {
+		t.Fatalf("started in the order %v", order)
+	}
+}
+
+// A leaving server, one that is not sound, one with other weights and one out of
+// the pool get nothing; old news assign nothing.
+func TestRuledOut(t *testing.T) {
+	for what, change := range map[string]func(*bench){
+		"leaving":     func(b *bench) { s := server("s", 4); s.Leaving = true; b.SetServer(s) },
+		"gone":        func(b *bench) { s := server("s", 4); s.Gone = true; b.SetServer(s) },
+		"not sound":   func(b *bench) { b.SetLoad("s", 1, roster.Load{At: b.now, Sound: false}) },
+		"full":        func(b *bench) { b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 4, Waiting: 1}) },
+		"weights":     func(b *bench) { s := server("s", 4); s.Labels["weights"] = "w2"; b.SetServer(s) },
+		"other pool":  func(b *bench) { s := server("s", 4); s.Labels["fleet"] = "other"; b.SetServer(s) },
+		"old news":    func(b *bench) { b.now += 2600 * sundial.Millisecond },
+		"turned away": func(b *bench) { b.Dispatch.servers["s"].restUntil = b.now + 1 },
+	} {
+		b := newBench(t, server("s", 4))
+		change(b)
+		b.order("x", 1, nil)
+		b.none(t, what)
+	}
+	b := newBench(t, server("s", 4))
+	b.order("x", 1, nil)
+	b.Match()
+	if got := <-b.started; got != "x@s" {
+		t.Fatalf("without a reason against it: %s", got)
+	}
+}
+
+// An order whose expiry passes leaves the backlog at the next look, whatever
+// holds the servers; a load figure of a lower epoch is turned away.
+func TestExpiryAndEpoch(t *testing.T) {
+	b := newBench(t, server("s", 4))
+	b.SetLoad("s", 5, roster.Load{At: b.now, Sound: false})
+	b.SetLoad("s", 4, roster.Load{At: b.now, Sound: true})
+	b.order("x", 1, func(o *Order) { o.Expiry = b.now + 100 })
+	b.none(t, "the lower epoch's figure was taken")
+	b.now += 100
+	b.Match()
+	if got := <-b.dropped; got != "x:expired" {
+		t.Fatalf("dropped as %s", got)
+	}
+	if b.Backlog() != 0 || b.Waiting("c") != 0 {
+		t.Fatalf("%d still wait", b.Backlog())
+	}
+}
+
+// The permit is asked right before the start; without it nothing starts.
+func TestNoStartWithoutPermit(t *testing.T) {
+	b := newBench(t, server("s", 4))
+	b.order("x", 1, func(o *Order) { o.Permit = func(sundial.Micros) bool { return false } })
+	b.Match()
+	if got := <-b.dropped; got != "x:turned_away" {
+		t.Fatalf("dropped as %s", got)
+	}
+	if len(b.started) != 0 {
+		t.Fatal("it started")
+	}
+}
+
+// Affinity to a prefix does not overload a server, and old figures do not send
+// a herd to one: what this daemon started counts at once.
+func TestNoHerd(t *testing.T) {
+	b := newBench(t, server("s1", 8), server("s2", 8), server("s3", 8))
+	for i := 0; i < 18; i++ {
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Prefix = "same" })
+	}
+	b.Match()
+	got := map[string]int{}
+	for i := 0; i < 18; i++ {
+		name := <-b.started
+		got[name[len(name)-2:]]++
+	}
+	for name, count := range got {
+		if count > 9 {
+			t.Fatalf("%s got %d of 18: %v", name, count, got)
+		}
+	}
+	if len(got) != 3 {
+		t.Fatalf("spread over %v", got)
+	}
+}
--- /dev/null
+++ b/path/gate/gate_test.go
@@ -0,0 +1,240 @@
+package gate
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/core/planbook"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/porch"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/waypost"
+	"tuliprudder/path/dispatch"
+	"tuliprudder/path/reader"
+	"tuliprudder/path/roster"
+	"tuliprudder/path/serverline"
+)
+
+func TestMain(m *testing.M) {
+	serverline.Prepare()
+	logx.Disable()
+	os.Exit(m.Run())
+}
+
+const plan = `{"classes":[{"name":"gold","rank":10,"allowance":5,"labels":{"t":"gold"}}],
+ "customers":[{"name":"c","key":"key-c","class":"gold"}],
+ "pools":[{"name":"p","labels":{"u":"all"},"servers":{"fleet":"main"}}],
+ "routes":[
+  {"name":"once","kind":"one-shot","classes":{"t":"gold"},"pools":{"u":"all"},"model":"m","max_tokens":8,"expiry_us":400000},
+  {"name":"flow","kind":"stream","classes":{"t":"gold"},"pools":{"u":"all"},"model":"m","expiry_us":400000},
+  {"name":"many","kind":"bundle","classes":{"t":"gold"},"pools":{"u":"all"},"model":"m","most_items":3}]}`
+
+type free struct{}
+
+func (free) Take(string, int64, int) (func(), error) { return func() {}, nil }
+
+// gateWith is a gate whose one server answers by f and whose keeper by ask.
+func gateWith(t *testing.T, f http.HandlerFunc, ask reader.Asker) *Gate {
+	t.Helper()
+	clock := func() sundial.Micros { return 1_000_000 }
+	d := dispatch.New(dispatch.Defaults(), clock, 1)
+	parsed, err := planbook.Parse([]byte(plan))
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed.Version = 1
+	d.SetPlan(parsed)
+	d.SetFresh(1_000_000)
+	if f != nil {
+		server := httptest.NewServer(f)
+		t.Cleanup(server.Close)
+		d.SetServer(roster.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4, Labels: map[string]string{"fleet": "main"}})
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go d.Run(done, nil)
+	r := reader.New(ask)
+	value, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: make([]tether.Pairing, 1)})
+	r.Hear(stride.Rumour{Key: chart.MapKey, Seq: 1, Value: value})
+	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: 9, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
+	r.Hear(stride.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said})
+	set := Defaults()
+	set.Silence = 200 * sundial.Millisecond
+	return &Gate{Set: set, Dispatch: d, Reader: r, Purse: free{}, Ask: ask, Clock: clock, Log: zerolog.Nop()}
+}
+
+func call(handle porch.Handler, method, target, key, idem, body string, vars map[string]string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, target, strings.NewReader(body))
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	if idem != "" {
+		request.Header.Set("Idempotency-Key", idem)
+	}
+	recorder := httptest.NewRecorder()
+	request.Body = http.MaxBytesReader(recorder, request.Body, 2000)
+	if err := handle(recorder, pathvar.WithVars(request, vars)); err != nil {
+		porch.WriteError(recorder, err)
+	}
+	return recorder
+}
+
+func kindOf(t *testing.T, r *httptest.ResponseRecorder) mishap.Kind {
+	t.Helper()
+	var body struct {
+		Error mishap.Mishap `json:"error"`
+	}
+	if err := json.Unmarshal(r.Body.Bytes(), &body); err != nil || body.Error.Remedy == "" {
+		t.Fatalf("no typed error with a remedy: %d %s", r.Code, r.Body)
+	}
+	return body.Error.Kind
+}
+
+// Each bad input has its typed error, and neither a server nor a keeper hears
+// of it.
+func TestBadInput(t *testing.T) {
+	var ran atomic.Int64
+	g := gateWith(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) }, func(string, any, sundial.Micros) (any, error) {
+		ran.Add(1)
+		return nil, nil
+	})
+	route := func(name string) map[string]string { return map[string]string{"route": name} }
+	item := `{"id":"%d","input":"x"}`
+	four := []string{}
+	for i := 0; i < 4; i++ {
+		four = append(four, fmt.Sprintf(item, i))
+	}
+	for name, c := range map[string]struct {
+		got  *httptest.ResponseRecorder
+		want mishap.Kind
+	}{
+		"no key":           {call(g.Live, "POST", "/", "", "", `{"input":"x"}`, route("once")), mishap.Unauthorised},
+		"unknown customer": {call(g.Live, "POST", "/", "nobody", "", `{"input":"x"}`, route("once")), mishap.Unauthorised},
+		"unknown route":    {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, route("nowhere")), mishap.UnknownRoute},
+		"malformed":        {call(g.Live, "POST", "/", "key-c", "", `{"input":`, route("once")), mishap.BadInput},
+		"unknown field":    {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","colour":1}`, route("once")), mishap.BadInput},
+		"two values":       {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}{}`, route("once")), mishap.BadInput},
+		"empty input":      {call(g.Live, "POST", "/", "key-c", "", `{"input":""}`, route("once")), mishap.BadInput},
+		"oversize":         {call(g.Live, "POST", "/", "key-c", "", `{"input":"`+strings.Repeat("x", 3000)+`"}`, route("once")), mishap.TooLarge},
+		"too many tokens":  {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","max_tokens":9}`, route("once")), mishap.BadInput},
+		"expired":          {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","expiry_us":-1}`, route("once")), mishap.Expired},
+		"key on a stream":  {call(g.Live, "POST", "/", "key-c", "k", `{"input":"x"}`, route("flow")), mishap.BadInput},
+		"live to bundle":   {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, route("many")), mishap.BadInput},
+		"bundle to live":   {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[]}`, route("once")), mishap.BadInput},
+		"empty bundle":     {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[]}`, route("many")), mishap.BadInput},
+		"oversize bundle":  {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[`+strings.Join(four, ",")+`]}`, route("many")), mishap.TooLarge},
+		"one bad item":     {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[{"id":"a","input":"x"},{"id":"b","input":""}]}`, route("many")), mishap.BadInput},
+		"an id twice":      {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[{"id":"a","input":"x"},{"id":"a","input":"y"}]}`, route("many")), mishap.BadInput},
+		"bad token":        {call(g.Results, "GET", "/?after=AAAA", "key-c", "", "", map[string]string{"bundle": "b"}), mishap.BadToken},
+		"bad limit":        {call(g.Results, "GET", "/?limit=x", "key-c", "", "", map[string]string{"bundle": "b"}), mishap.BadInput},
+		"bad parameter":    {call(g.Feed, "GET", "/?since=1", "key-c", "", "", nil), mishap.BadInput},
+	} {
+		if got := kindOf(t, c.got); got != c.want {
+			t.Errorf("%s: %s, not %s (%s)", name, got, c.want, c.got.Body)
+		}
+	}
+	if ran.Load() != 0 {
+		t.Fatalf("bad input reached a server or a keeper %d times", ran.Load())
+	}
+}
+
+func sse(pieces ...string) string {
+	out := ""
+	for _, piece := range pieces {
+		out += fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", piece)
+	}
+	return out
+}
+
+const finish = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+const done = "data: [DONE]\n\n"
+
+// Only a stream with its finish reason and its end mark looks complete to the
+// caller; a one-shot order that may have run is never run again.
+func TestCutShortNeverLooksComplete(t *testing.T) {
+	for name, body := range map[string]string{
+		"no end mark": sse("a", "b") + finish, "no finish": sse("a", "b") + done, "half": sse("a"),
+		"not an event": sse("a") + "data: {oops\n\n" + finish + done, "an error": sse("a") + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n",
+	} {
+		var runs atomic.Int64
+		answers := func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			fmt.Fprint(w, body)
+		}
+		once := call(gateWith(t, answers, nil).Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "once"})
+		if got := kindOf(t, once); got != mishap.OutcomeUnknown {
+			t.Errorf("%s: a one-shot order is told %s", name, got)
+		}
+		if runs.Load() != 1 {
+			t.Errorf("%s: a one-shot order ran %d times", name, runs.Load())
+		}
+		flow := call(gateWith(t, answers, nil).Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "flow"}).Body.String()
+		if strings.Contains(flow, "event: end") || !strings.Contains(flow, "event: error") || strings.Count(flow, `"text":"a"`) != 1 {
+			t.Errorf("%s: the stream reads %q", name, flow)
+		}
+	}
+	g := gateWith(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, sse("a", "b")+finish+done) }, nil)
+	whole := call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "flow"}).Body.String()
+	if !strings.Contains(whole, "event: end") || strings.Contains(whole, "event: error") {
+		t.Fatalf("a whole stream reads %q", whole)
+	}
+}
+
+// A server that turns an order away has not run it: the order may go elsewhere,
+// and the caller is told when to come back if none takes it.
+func TestTurnedAwayByEveryServer(t *testing.T) {
+	var asked atomic.Int64
+	g := gateWith(t, func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, nil)
+	got := call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "once"})
+	if kind := kindOf(t, got); kind != mishap.Busy && kind != mishap.Expired {
+		t.Fatalf("told %s", kind)
+	}
+	if got.Header().Get("Retry-After") == "" || asked.Load() == 0 {
+		t.Fatalf("Retry-After %q after %d askings", got.Header().Get("Retry-After"), asked.Load())
+	}
+}
+
+// A claimed key is voided before the order is turned away; where that can't be
+// confirmed, the outcome is said to be unknown.
+func TestAClaimIsVoidedBeforeTheOrderIsTurnedAway(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		var states []string
+		g := gateWith(t, nil, func(_ string, body any, _ sundial.Micros) (any, error) {
+			switch ask := body.(type) {
+			case keeper.ClaimAsk:
+				return keeper.ClaimAnswer{Yours: true, Claim: ask.Claim}, nil
+			case keeper.SettleAsk:
+				states = append(states, ask.State)
+				if confirmed {
+					return keeper.Settled{}, nil
+				}
+			}
+			return nil, mishap.New(mishap.OutcomeUnknown, "ask again", "no answer")
+		})
+		got := kindOf(t, call(g.Live, "POST", "/", "key-c", "k1", `{"input":"x"}`, map[string]string{"route": "once"}))
+		want := mishap.Expired
+		if !confirmed {
+			want = mishap.OutcomeUnknown
+		}
+		if got != want || fmt.Sprint(states) != "[turned-away]" {
+			t.Fatalf("confirmed %v: told %s after settling as %v", confirmed, got, states)
+		}
+	}
+}
