--- /dev/null
+++ b/acquaintance/circle/circle_test.go
@@ -0,0 +1,135 @@
+package circle
+
+import (
+	"fmt"
+	"testing"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+)
+
+// town is some circles with links that can be cut.
+type town struct {
+	now     sundial.Micros
+	circles map[string]*Circle
+	names   []string
+	cut     map[string]bool
+	lose    func(body any) bool
+	sent    map[string]int
+}
+
+func newTown(count int) *town {
+	w := &town{now: 1_000_000, circles: map[string]*Circle{}, cut: map[string]bool{}, sent: map[string]int{}}
+	for i := 0; i < count; i++ {
+		name := fmt.Sprintf("d%02d", i)
+		w.names = append(w.names, name)
+		w.circles[name] = New(people.Person{ID: name, Kind: people.Trailhead, Peer: name, Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
+	}
+	return w
+}
+
+func (w *town) deliver(from string, effects []stride.Effect) {
+	for _, effect := range effects {
+		if send, ok := effect.(stride.Send); ok {
+			w.sent[fmt.Sprintf("%T", send.Body)]++
+			to := w.circles[send.To]
+			if to == nil || w.cut[from] || w.cut[send.To] || w.lose != nil && w.lose(send.Body) {
+				continue
+			}
+			w.deliver(send.To, to.Do(Letter{From: from, Body: send.Body}, w.now))
+		}
+	}
+}
+
+func (w *town) pass(span sundial.Micros) {
+	for end := w.now + span; w.now < end; {
+		w.now += 20 * sundial.Millisecond
+		for _, name := range w.names {
+			if !w.cut[name] {
+				w.deliver(name, w.circles[name].Do(ClockEvent{}, w.now))
+			}
+		}
+	}
+}
+
+func (w *town) standing(at, of string) people.Standing {
+	for _, person := range w.circles[at].Folk() {
+		if person.ID == of {
+			return person.Standing
+		}
+	}
+	return 99
+}
+
+// Fifteen daemons that know three seeds come to know all, each through a
+// partial view; news reaches everyone within a moment.
+func TestEveryoneComesToKnowEveryone(t *testing.T) {
+	w := newTown(15)
+	w.pass(3 * sundial.Second)
+	for _, name := range w.names {
+		if known := len(w.circles[name].Folk()); known != 15 {
+			t.Fatalf("%s knows %d of 15", name, known)
+		}
+		if size := len(w.circles[name].view); size > Defaults().View {
+			t.Fatalf("%s talks through %d, not a partial view", name, size)
+		}
+	}
+	w.deliver("d07", w.circles["d07"].Do(Tell{stride.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
+	w.pass(sundial.Second)
+	for _, name := range w.names {
+		if _, ok := w.circles[name].News("plan"); !ok {
+			t.Fatalf("%s has not heard the news after a second", name)
+		}
+	}
+}
+
+// Rumours are lost altogether: comparing digests mends every gap.
+func TestDigestsMendWhatGossipLost(t *testing.T) {
+	w := newTown(9)
+	w.pass(3 * sundial.Second)
+	w.lose = func(body any) bool { _, gossip := body.(Gossip); return gossip }
+	w.deliver("d03", w.circles["d03"].Do(Tell{stride.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
+	w.pass(4 * sundial.Second)
+	for _, name := range w.names {
+		if _, ok := w.circles[name].News("plan"); !ok {
+			t.Fatalf("%s never heard", name)
+		}
+	}
+}
+
+// A daemon that falls silent is suspected, then dead, and sound again when back.
+func TestSilenceAndReturn(t *testing.T) {
+	w := newTown(9)
+	w.pass(3 * sundial.Second)
+	w.cut["d04"] = true
+	w.pass(8 * sundial.Second)
+	if got := w.standing("d00", "d04"); got != people.Dead {
+		t.Fatalf("after 8 s of silence d04 is %s", got)
+	}
+	w.cut["d04"] = false
+	w.pass(8 * sundial.Second)
+	for _, name := range w.names {
+		if got := w.standing(name, "d04"); got != people.Sound {
+			t.Fatalf("at %s d04 is %s after its return", name, got)
+		}
+	}
+}
+
+// A daemon that is itself cut off calls nobody dead: it has no second witness.
+func TestTheOneCutOffSuspectsNobody(t *testing.T) {
+	w := newTown(9)
+	w.pass(3 * sundial.Second)
+	alone := w.circles["d05"]
+	for end := w.now + 10*sundial.Second; w.now < end; w.now += 20 * sundial.Millisecond {
+		alone.Do(ClockEvent{}, w.now)
+	}
+	for _, person := range alone.Folk() {
+		if person.Standing != people.Sound {
+			t.Fatalf("d05, alone, holds %s to be %s", person.ID, person.Standing)
+		}
+	}
+	if alone.LastSwap() > w.now-9*sundial.Second {
+		t.Fatal("d05 takes its news for fresh")
+	}
+}
--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -67,6 +67,7 @@
 	}
 	items := runner.New(runner.Defaults(), backlog, l.Porter.Now, allowed, ran, l.Log)
 	l.Porter.OnWork(items.Take)
+	l.Office.Book = items.Book
 	l.Path(backlog, nil)
 	l.Office.Ready = func() (why string) {
 		l.Porter.Inside(func(sundial.Micros) {
--- a/cmd/trailhead/main.go
+++ b/cmd/trailhead/main.go
@@ -11,6 +11,7 @@
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/gate"
+	"tuliprudder/path/guestbook"
 	"tuliprudder/path/purse"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/scouts"
@@ -58,7 +59,8 @@
 		return count
 	}
 	front := &gate.Gate{Set: gate.Defaults(), Dispatch: backlog, Reader: lists, Purse: purse.NewLocal(edges),
-		Ask: l.Porter.Bridge.Ask, Clock: l.Porter.Now, Log: l.Log, Name: l.Who.ID}
+		Ask: l.Porter.Bridge.Ask, Clock: l.Porter.Now, Log: l.Log, Name: l.Who.ID, Book: guestbook.New(8192)}
+	l.Office.Book = front.Book
 	front.Routes(l.Porch)
 	l.Hut.Register("scouts", &scouts.Scouts{Self: l.Who.ID, News: l.Porter, Dispatch: backlog, Every: scoutEvery})
 	l.Office.Ready = func() string {
--- a/daemon/office/office.go
+++ b/daemon/office/office.go
@@ -22,6 +22,7 @@
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
+	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/roster"
 )
@@ -31,6 +32,7 @@
 	Porter   *porter.Porter
 	Dispatch *dispatch.Dispatch // nil on cores
 	Reader   *reader.Reader
+	Book     *guestbook.Book
 	// Ready tells why the daemon is not ready; "" when it is.
 	Ready func() string
 	// Counters adds the daemon's own counts.
@@ -53,6 +55,8 @@
 	p.Handle(http.MethodGet, "/v1/operator/plans", o.plans)
 	p.Handle(http.MethodGet, "/v1/operator/plans/:version", o.plans)
 	p.Handle(http.MethodGet, "/v1/operator/stores/:id", o.store)
+	p.Handle(http.MethodGet, "/v1/operator/orders", o.order)
+	p.Handle(http.MethodGet, "/v1/operator/bundles/:bundle", o.bundle)
 }
 
 func (o *Office) soundness(w http.ResponseWriter, r *http.Request) error {
@@ -213,6 +217,36 @@
 	return mishap.New(mishap.NotFound, "list the daemons to see the ids there are", "no daemon %q is known here", id)
 }
 
+// order explains an order that this daemon assigned.
+func (o *Office) order(w http.ResponseWriter, r *http.Request) error {
+	name := r.URL.Query().Get("order")
+	if o.Book == nil || name == "" {
+		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge, with ?order=NAME", "this daemon assigns no orders, or no order was named")
+	}
+	story, ok := o.Book.Look(name)
+	if !ok {
+		return mishap.New(mishap.NotFound, "ask the daemon that served it; each remembers its latest orders", "no order %q is remembered here", name)
+	}
+	return porch.WriteJSON(w, http.StatusOK, story)
+}
+
+// bundle explains a bundle: who keeps it, and which server ran which item.
+func (o *Office) bundle(w http.ResponseWriter, r *http.Request) error {
+	if o.Reader == nil {
+		return mishap.New(mishap.NotFound, "ask a trailhead", "this daemon reads no ledgers")
+	}
+	id := pathvar.Vars(r)["bundle"]
+	slot, owner, err := o.Reader.Keeper(id)
+	if err != nil {
+		return err
+	}
+	got, err := o.Porter.Bridge.Ask(owner.Peer, keeper.StatusAsk{Slot: slot, Bundle: id, Operator: true}, 2*sundial.Second)
+	if err != nil {
+		return err
+	}
+	return porch.WriteJSON(w, http.StatusOK, got)
+}
+
 func (o *Office) servers(w http.ResponseWriter, r *http.Request) error {
 	if o.Dispatch == nil {
 		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge", "this daemon assigns no orders")
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -33,6 +33,7 @@
 	StatusAsk struct {
 		Slot             int
 		Bundle, Customer string
+		Operator         bool // of any customer, with its items' servers
 	}
 	// Status is how a bundle stands at its keeper.
 	Status struct {
@@ -45,6 +46,8 @@
 		Epoch         uint64
 		Backup        string
 		Enrolled      sundial.Micros
+		Customer      string
+		Rows          []daybook.Row // for operators
 	}
 	// ReadAsk reads rows after a vector, up to a vector: of one bundle, or of
 	// all a customer's bundles in the slots named with their epochs.
--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -138,7 +138,7 @@
 
 func (k *Keeper) statusOf(p *place, rope *tether.Rope, b *daybook.Bundle) Status {
 	return Status{Bundle: b.ID, Route: b.Route, State: string(b.State), Items: len(b.Items), Listed: len(b.Rows),
-		Keeper: k.self.ID, Writer: k.writer, Slot: p.slot, Epoch: rope.Epoch, Backup: rope.Peer(), Enrolled: b.Enrolled}
+		Keeper: k.self.ID, Writer: k.writer, Slot: p.slot, Epoch: rope.Epoch, Backup: rope.Peer(), Enrolled: b.Enrolled, Customer: b.Customer}
 }
 
 func (k *Keeper) status(call uint64, ask StatusAsk) {
@@ -146,8 +146,18 @@
 	if !ok {
 		return
 	}
+	if known := p.state.Bundles[ask.Bundle]; ask.Operator && known != nil {
+		ask.Customer = known.Customer
+	}
 	if bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer); ok {
-		k.Emit(stride.Answer{Call: call, Body: k.statusOf(p, rope, bundle)})
+		status := k.statusOf(p, rope, bundle)
+		if ask.Operator {
+			for _, row := range bundle.Rows {
+				row.Output = ""
+				status.Rows = append(status.Rows, row)
+			}
+		}
+		k.Emit(stride.Answer{Call: call, Body: status})
 	}
 }
 
--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -20,6 +20,7 @@
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
+	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/serverline"
 )
@@ -54,6 +55,7 @@
 	Clock    func() sundial.Micros
 	Log      zerolog.Logger
 	Name     string
+	Book     *guestbook.Book
 }
 
 // Routes hangs the callers' paths on the porch.
@@ -178,6 +180,8 @@
 	defer cancel()
 	clockEvent := time.AfterFunc(sundial.Span(expiry-g.Clock()), cancel)
 	defer clockEvent.Stop()
+	w.Header().Set("X-Order", order)
+	g.Book.Begin(guestbook.Story{Order: order, Customer: customer.Name, Route: route.Name, Rank: class.Rank, Arrived: arrived})
 	out := &outlet{w: w, order: order, streams: route.Kind != planbook.OneShot, most: g.Set.MostBytes}
 	var last error
 	avoid := map[string]int{}
@@ -194,8 +198,7 @@
 		outcome, err := serverline.Run(ctx, serverline.Request{Address: grip.Server.Address, Order: order, Model: route.Model,
 			Prefix: route.Prefix, Input: body.Input, Partial: out.text.String(), MaxTokens: body.MaxTokens, Silence: g.Set.Silence}, out.piece)
 		took := g.Clock() - grip.Started
-		g.Log.Debug().Str("order", order).Str("route", route.Name).Str("server", grip.Server.Name).Str("outcome", outcome.String()).
-			Interface("marks", grip.Marks).Int64("took_us", took).Err(err).Msg("live order ran")
+		g.Book.Tried(order, told(grip, took, outcome, err))
 		switch {
 		case outcome == serverline.Complete:
 			grip.Release(took, true)
@@ -229,12 +232,22 @@
 			last = mishap.Later(mishap.ServerFault, sundial.Second, "ask again", "no server finished the order: %v", err)
 		}
 	}
+	g.Book.Ended(order, last.Error())
 	if out.started {
 		return out.cut(last)
 	}
 	return g.turnAway(customer, key, last)
 }
 
+// told is one assignment as the guestbook has it.
+func told(grip *dispatch.Grip, took sundial.Micros, outcome serverline.Outcome, err error) guestbook.Try {
+	try := guestbook.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: took, Outcome: outcome.String()}
+	if err != nil {
+		try.Error = err.Error()
+	}
+	return try
+}
+
 // assign waits in the backlog for a server.
 func (g *Gate) assign(ctx context.Context, order *dispatch.Order, started func()) (*dispatch.Grip, error) {
 	type word struct {
--- a/path/gate/gate_test.go
+++ b/path/gate/gate_test.go
@@ -24,6 +24,7 @@
 	"tuliprudder/ledger/tether"
 	"tuliprudder/ledger/waypost"
 	"tuliprudder/path/dispatch"
+	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/roster"
 	"tuliprudder/path/serverline"
@@ -74,7 +75,7 @@
 	r.Hear(stride.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said})
 	set := Defaults()
 	set.Silence = 200 * sundial.Millisecond
-	return &Gate{Set: set, Dispatch: d, Reader: r, Purse: free{}, Ask: ask, Clock: clock, Log: zerolog.Nop()}
+	return &Gate{Set: set, Dispatch: d, Reader: r, Purse: free{}, Ask: ask, Clock: clock, Log: zerolog.Nop(), Book: guestbook.New(8)}
 }
 
 func call(handle porch.Handler, method, target, key, idem, body string, vars map[string]string) *httptest.ResponseRecorder {
--- /dev/null
+++ b/path/guestbook/guestbook.go
@@ -0,0 +1,92 @@
+// Package guestbook remembers what a daemon decided about its latest orders, so
+// that the operators can have any of them explained (DESIGN §10.3).
+package guestbook
+
+import (
+	"sync"
+
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/judges"
+)
+
+// Try is one assignment of an order.
+type Try struct {
+	Server  string         `json:"server"`
+	Marks   []judges.Mark  `json:"marks"`
+	At      sundial.Micros `json:"at_us"`
+	Took    sundial.Micros `json:"took_us"`
+	Outcome string         `json:"outcome"`
+	Error   string         `json:"error,omitempty"`
+}
+
+// Story is what happened to one order.
+type Story struct {
+	Order    string         `json:"order"`
+	Customer string         `json:"customer"`
+	Route    string         `json:"route"`
+	Rank     int64          `json:"rank"`
+	Arrived  sundial.Micros `json:"arrived_us"`
+	Tries    []Try          `json:"tries"`
+	End      string         `json:"end,omitempty"`
+}
+
+// Book keeps the latest stories, a bounded number of them.
+type Book struct {
+	mu      sync.Mutex
+	stories map[string]*Story
+	order   []string
+	next    int
+}
+
+const mostTries = 16
+
+// New makes a book for so many stories.
+func New(size int) *Book {
+	return &Book{stories: map[string]*Story{}, order: make([]string, max(1, size))}
+}
+
+// Begin opens an order's story, or goes on with it; the oldest makes room.
+func (b *Book) Begin(s Story) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stories[s.Order] != nil {
+		return
+	}
+	if old := b.order[b.next]; old != "" {
+		delete(b.stories, old)
+	}
+	b.order[b.next] = s.Order
+	b.next = (b.next + 1) % len(b.order)
+	b.stories[s.Order] = &s
+}
+
+// Tried adds an assignment to an order's story.
+func (b *Book) Tried(order string, try Try) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.stories[order]; s != nil && len(s.Tries) < mostTries {
+		s.Tries = append(s.Tries, try)
+	}
+}
+
+// Ended notes how an order went.
+func (b *Book) Ended(order, end string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.stories[order]; s != nil {
+		s.End = end
+	}
+}
+
+// Look finds an order's story.
+func (b *Book) Look(order string) (Story, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.stories[order]
+	if s == nil {
+		return Story{}, false
+	}
+	out := *s
+	out.Tries = append([]Try(nil), s.Tries...)
+	return out, true
+}
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -17,6 +17,7 @@
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
+	"tuliprudder/path/guestbook"
 	"tuliprudder/path/serverline"
 )
 
@@ -40,6 +41,7 @@
 	allowed  func(slot int, bundle string, item int, now sundial.Micros) bool
 	ran      func(keeper.Ran)
 	log      zerolog.Logger
+	Book     *guestbook.Book
 	mu       sync.Mutex
 	open     map[string]*job
 }
@@ -53,7 +55,7 @@
 
 // New makes a runner.
 func New(set Settings, d *dispatch.Dispatch, clock func() sundial.Micros, allowed func(int, string, int, sundial.Micros) bool, ran func(keeper.Ran), log zerolog.Logger) *Runner {
-	return &Runner{set: set, dispatch: d, clock: clock, allowed: allowed, ran: ran, log: log, open: map[string]*job{}}
+	return &Runner{set: set, dispatch: d, clock: clock, allowed: allowed, ran: ran, log: log, Book: guestbook.New(8192), open: map[string]*job{}}
 }
 
 func name(bundle string, item int) string { return bundle + "/" + strconv.Itoa(item) }
@@ -147,6 +149,12 @@
 		return nil
 	})
 	took := r.clock() - grip.Started
+	try := guestbook.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: took, Outcome: outcome.String()}
+	if err != nil {
+		try.Error = err.Error()
+	}
+	r.Book.Begin(guestbook.Story{Order: order.ID, Customer: order.Customer, Route: order.Route.Name, Rank: order.Rank, Arrived: j.item.Enrolled})
+	r.Book.Tried(order.ID, try)
 	if outcome == serverline.Complete {
 		grip.Release(took, true)
 		r.finish(j, keeper.Ran{Status: daybook.StatusOK, Output: output.String(), Server: grip.Server.Name})
@@ -158,7 +166,6 @@
 	}
 	grip.Release(0, outcome == serverline.Rejected)
 	j.tries++
-	r.log.Debug().Err(err).Str("order", order.ID).Str("server", grip.Server.Name).Str("outcome", outcome.String()).Int("tries", j.tries).Msg("an item did not finish")
 	if outcome == serverline.Rejected || j.tries >= r.set.MostTries {
 		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: "no server finished it: " + err.Error(), Server: grip.Server.Name})
 		return
--- /dev/null
+++ b/proof/camp/camp_test.go
@@ -0,0 +1,75 @@
+package camp_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"tuliprudder/proof/camp"
+	"tuliprudder/proof/havoc"
+)
+
+// A small real fleet of processes, with a failure on the way; every promise is
+// judged by what callers and servers saw. Bounds are generous: the verdict does
+// not hang on the machine's speed.
+func TestASmallFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bin := filepath.Join(t.TempDir(), "bin")
+	if err := camp.Build(root, bin, false); err != nil {
+		t.Fatal(err)
+	}
+	for _, fault := range []string{"kill-writer", "wipe-writer", "freeze-store", "kill-primary", "restart-edge", "leave-server"} {
+		t.Run(fault, func(t *testing.T) {
+			set := havoc.Settings{Name: fault, Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 2, Stores: 3, Cores: 3, Servers: 3, Items: 10,
+				Slots: 8, Pieces: 6, PieceUS: 4000, LiveKeys: "key-buyers,key-sellers", BundleKey: "key-notes", BundleRoute: "seller-notes", Workers: 4, Bundles: 16, PaceUS: 400_000, Seed: 1, Fault: fault}
+			c := camp.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
+			defer c.End()
+			if err := c.Start(); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+			defer cancel()
+			if err := c.Ready(90 * time.Second); err != nil {
+				t.Fatal(err, tails(c))
+			}
+			verdict, err := havoc.Run(ctx, c, set)
+			if err != nil {
+				t.Fatal(err, tails(c))
+			}
+			if verdict.Broken() {
+				t.Fatalf("%s\n%s", verdict, tails(c))
+			}
+			for _, promise := range verdict.Promises[:4] {
+				if promise.Checked == 0 {
+					t.Errorf("nothing was checked of: %s", promise.Name)
+				}
+			}
+		})
+	}
+}
+
+// tails gathers the ends of the logs, for a failure.
+func tails(c *camp.Camp) string {
+	out := ""
+	for _, name := range c.Names("") {
+		for _, suffix := range []string{".log", ".stderr"} {
+			data, err := os.ReadFile(filepath.Join(c.Dir, name+suffix))
+			if err != nil || len(data) == 0 {
+				continue
+			}
+			if len(data) > 1500 {
+				data = data[len(data)-1500:]
+			}
+			out += "== " + name + suffix + "\n" + string(data) + "\n"
+		}
+	}
+	return out
+}
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"flag"
+	"fmt"
+	"strings"
 	"testing"
+
+	"tuliprudder/acquaintance/circle"
+	"tuliprudder/kernel/sundial"
 )
 
 var ghent = Size{Zones: 3, Cores: 3, Stores: 3, Edges: 3, Slots: 8}
@@ -30,3 +35,41 @@
 		t.Logf("seed %d: %d bundles, %d rows, %d plans, %d claims, %d steps", seed, len(w.Watch.Bundles), w.Watch.FeedRows, len(w.Watch.Puts), len(w.Watch.Claims), w.Steps)
 	}
 }
+
+// One message of a quiet day is dropped, repeated or made late; every promise
+// holds whichever it is.
+func TestOneMessageMutated(t *testing.T) {
+	quiet := Climate{Sync: 2 * sundial.Millisecond}
+	small := Size{Zones: 3, Cores: 3, Stores: 3, Edges: 2, Slots: 4}
+	for i := 0; i < 40; i++ {
+		target, count := 40+i*43, 0
+		what := ""
+		day := Day{Seed: 77, Size: small, Climate: quiet, Acts: 1, Only: "bounce a store"}
+		day.Mutate = func(from, to string, body any) (bool, bool, sundial.Micros) {
+			switch body.(type) {
+			case circle.Gossip, circle.Digest, circle.Mend, circle.Probe, circle.Echo:
+				return false, false, 0
+			}
+			if count++; count != target {
+				return false, false, 0
+			}
+			what = fmt.Sprintf("%T from %s to %s", body, from, to)
+			return i%3 == 0, i%3 == 1, sundial.Micros(i%3/2) * 700 * sundial.Millisecond
+		}
+		if w := day.Run(); len(w.Watch.Breaches) > 0 {
+			t.Fatalf("message %d (%s): %s", target, what, w.Report(40))
+		}
+		if what == "" {
+			t.Fatalf("the day had only %d such messages, not %d", count, target)
+		}
+	}
+}
+
+// The same seed lives the same day: verdicts do not depend on the machine.
+func TestTheSameSeedIsTheSameDay(t *testing.T) {
+	day := Day{Seed: 5, Size: ghent, Climate: Mild(), Acts: 4}
+	one, two := day.Run(), day.Run()
+	if one.Steps != two.Steps || one.Messages != two.Messages || strings.Join(one.Trace, "\n") != strings.Join(two.Trace, "\n") {
+		t.Fatalf("%d and %d steps, %d and %d messages", one.Steps, two.Steps, one.Messages, two.Messages)
+	}
+}
