--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -87,6 +87,10 @@
 	}
 	l.OnDrain(func() {
 		l.Porter.Do(func(now sundial.Micros) []stride.Effect { return books.Do(keeper.Drain{}, now) })
+		lodge.Wait(7*sundial.Second, func() (gone bool) {
+			l.Porter.Inside(func(sundial.Micros) { gone = books.Owned() == 0 })
+			return gone
+		})
 	})
 	return l.Run()
 }
--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -98,6 +98,13 @@
 	PutPlan struct{ Version Version }
 	// EnrolStore gives a store its writer id, or notes its new address.
 	EnrolStore struct{ Store Store }
+	// Retire marks a store as retiring, takes the mark back, or writes down that
+	// nothing depends on it any more.
+	Retire struct {
+		ID   string
+		Back bool
+		Done bool
+	}
 	// Pair writes down new pairings of slots.
 	Pair struct{ Slots map[int]tether.Pairing }
 )
@@ -116,11 +123,16 @@
 func (e EnrolStore) Apply(c *Chart) {
 	store := e.Store
 	if known, ok := c.Stores[store.ID]; ok {
-		store.Writer = known.Writer
+		store.Writer, store.Retiring, store.Retired = known.Writer, known.Retiring, known.Retired
 	} else {
 		store.Writer = c.NextWriter
 		c.NextWriter++
 	}
+	c.setStore(store)
+}
+
+// setStore replaces the map, which may have been handed out.
+func (c *Chart) setStore(store Store) {
 	stores := make(map[string]Store, len(c.Stores)+1)
 	for id, known := range c.Stores {
 		stores[id] = known
@@ -129,6 +141,14 @@
 	c.Stores = stores
 }
 
+// Apply marks.
+func (e Retire) Apply(c *Chart) {
+	if store, ok := c.Stores[e.ID]; ok {
+		store.Retiring, store.Retired = !e.Back, e.Done && !e.Back
+		c.setStore(store)
+	}
+}
+
 // Apply writes pairings down; an epoch never goes back.
 func (e Pair) Apply(c *Chart) {
 	slots := append([]tether.Pairing(nil), c.Slots...)
@@ -144,6 +164,7 @@
 func (PutPlan) kind() string    { return "put-plan" }
 func (EnrolStore) kind() string { return "enrol-store" }
 func (Pair) kind() string       { return "pair" }
+func (Retire) kind() string     { return "retire" }
 
 type wrapped struct {
 	Kind string          `json:"k"`
@@ -152,6 +173,7 @@
 
 var decoders = map[string]func(json.RawMessage) (Entry, error){
 	"found": decode[Found], "put-plan": decode[PutPlan], "enrol-store": decode[EnrolStore], "pair": decode[Pair],
+	"retire": decode[Retire],
 }
 
 func decode[E Entry](data json.RawMessage) (Entry, error) {
--- a/core/summit/asks.go
+++ b/core/summit/asks.go
@@ -81,6 +81,18 @@
 	PlansAsk struct{ Version uint64 }
 	// Plans is the answer.
 	Plans struct{ Versions []chart.Version }
+	// RetireAsk empties a store and retires it; Back takes it back.
+	RetireAsk struct {
+		ID     string
+		Back   bool
+		Expiry sundial.Micros
+	}
+	// RetireReceipt tells how far it is.
+	RetireReceipt struct {
+		ID   string
+		Done bool
+		Left int // slots that still depend on it
+	}
 	// ShowAsk asks a core for its own account.
 	ShowAsk struct{ Brief bool }
 	// Shown is that account.
@@ -96,5 +108,5 @@
 
 func init() {
 	footbridge.Register(Greet{}, Claim{}, Granted{}, Sealing{}, Sealed{},
-		PutPlanAsk{}, PlanReceipt{}, PlansAsk{}, Plans{}, ShowAsk{}, Shown{})
+		PutPlanAsk{}, PlanReceipt{}, RetireAsk{}, RetireReceipt{}, PlansAsk{}, Plans{}, ShowAsk{}, Shown{})
 }
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -27,6 +27,8 @@
 		s.putPlan(c.Number, ask, now)
 	case PlansAsk:
 		s.plans(c.Number, ask)
+	case RetireAsk:
+		s.retire(c.Number, ask, now)
 	case ShowAsk:
 		shown := Shown{Core: s.self, Role: s.rope().Role.String(), Epoch: s.rope().Epoch, Oath: s.oath}
 		shown.Map, _ = json.Marshal(s.chart.Map())
@@ -234,6 +236,51 @@
 	return heard.beat.Life, true
 }
 
+// retire marks a store as retiring, where the fleet can do without it.
+func (s *Summit) retire(call uint64, ask RetireAsk, now sundial.Micros) {
+	if !s.Serving() {
+		s.notPrimary(call)
+		return
+	}
+	store, known := s.chart.Stores[ask.ID]
+	if !known {
+		s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.NotFound, "list the stores to see the ids there are", "no store %q is enrolled", ask.ID)})
+		return
+	}
+	receipt := func() any {
+		return RetireReceipt{ID: ask.ID, Done: s.chart.Stores[ask.ID].Retired, Left: s.depends(ask.ID)}
+	}
+	if store.Retiring != ask.Back {
+		s.Emit(stride.Answer{Call: call, Body: receipt()})
+		return
+	}
+	if !ask.Back {
+		zones := map[string]bool{}
+		for _, id := range s.willing(now) {
+			if id != ask.ID {
+				zones[s.chart.Stores[id].Zone] = true
+			}
+		}
+		if len(zones) < 2 {
+			s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.Refused, "add a store in another zone first, or wait until those that are down are back",
+				"without store %s the living stores are in %d zone(s); two copies need two", ask.ID, len(zones))})
+			return
+		}
+	}
+	s.propose(change{entry: chart.Retire{ID: ask.ID, Back: ask.Back}, call: call, body: receipt, until: now + ask.Expiry}, now)
+}
+
+// depends counts the slots that still need a store.
+func (s *Summit) depends(id string) int {
+	count := 0
+	for _, pairing := range s.chart.Slots {
+		if pairing.Holds(id) {
+			count++
+		}
+	}
+	return count
+}
+
 // judge works out the difference between the map and the stores that live.
 func (s *Summit) judge(now sundial.Micros) {
 	if !s.Serving() || s.chart.Fleet == "" || now-s.serving < s.set.Settle || s.waiting(isPair) {
@@ -244,14 +291,10 @@
 		load[pairing.Owner.ID] += 2
 		load[pairing.Backup.ID]++
 	}
-	living := s.living(now)
-	scene := tether.Scene{
-		Life: func(id string) (uint64, bool) { return s.storeLife(id, now) },
-		Zone: func(id string) string { return s.chart.Stores[id].Zone },
-	}
+	willing := s.willing(now)
 	spare := func(owner string) string {
 		best := ""
-		for _, id := range living {
+		for _, id := range willing {
 			if id == owner || s.chart.Stores[id].Zone == s.chart.Stores[owner].Zone {
 				continue
 			}
@@ -261,11 +304,17 @@
 		}
 		return best
 	}
-	scene.Spare = spare
+	scene := tether.Scene{
+		Life:  func(id string) (uint64, bool) { return s.storeLife(id, now) },
+		Zone:  func(id string) string { return s.chart.Stores[id].Zone },
+		Spare: spare,
+	}
 	changed := map[int]tether.Pairing{}
+	unwell := false
 	for slot, pairing := range s.chart.Slots {
+		unwell = unwell || !pairing.Complete
 		if pairing.Zero() {
-			if next, ok := s.first(living, load, spare, now); ok {
+			if next, ok := s.first(willing, load, spare, now); ok {
 				changed[slot] = next
 				load[next.Owner.ID] += 2
 				load[next.Backup.ID]++
@@ -273,6 +322,9 @@
 			continue
 		}
 		next, reason, ok := tether.Next(pairing, scene)
+		if !ok {
+			next, reason, ok = s.leave(pairing, spare, now)
+		}
 		if !ok {
 			continue
 		}
@@ -280,15 +332,116 @@
 		load[next.Backup.ID]++
 		s.Emit(stride.Explain{What: "slot paired anew", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": next.Epoch, "owner": next.Owner.ID, "backup": next.Backup.ID}})
 	}
+	if len(changed) == 0 && !unwell {
+		s.balance(willing, changed, now)
+	}
 	if len(changed) > 0 {
 		s.propose(change{entry: chart.Pair{Slots: changed}}, now)
+		return
+	}
+	for _, id := range sortedIDs(s.chart.Stores) {
+		if store := s.chart.Stores[id]; store.Retiring && !store.Retired && s.depends(id) == 0 {
+			s.Emit(stride.Explain{What: "nothing depends on the store any more; it is retired", Fields: map[string]any{"store": id}})
+			s.propose(change{entry: chart.Retire{ID: id, Done: true}}, now)
+			return
+		}
+	}
+}
+
+// leave moves a slot off a store that is retiring or draining: the backup, which
+// holds all, owns, and a willing store becomes its backup.
+func (s *Summit) leave(p tether.Pairing, spare func(string) string, now sundial.Micros) (tether.Pairing, string, bool) {
+	if !p.Complete {
+		return p, "", false
+	}
+	next := tether.Pairing{Epoch: p.Epoch + 1, Owner: p.Owner, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
+	reason := "the backup's store is going"
+	switch {
+	case s.going(p.Owner.ID, now) && !s.going(p.Backup.ID, now):
+		next.Owner, reason = p.Backup, "the owner's store is going"
+	case s.chart.Stores[p.Backup.ID].Retiring && !s.going(p.Owner.ID, now):
+	default:
+		return p, "", false
+	}
+	other := spare(next.Owner.ID)
+	life, ok := s.storeLife(other, now)
+	if !ok {
+		return p, "", false
+	}
+	next.Backup = tether.Member{ID: other, Life: life}
+	return next, reason, true
+}
+
+// balance moves one slot at a time towards even shares: first its copy, then,
+// once that is whole, its owner.
+func (s *Summit) balance(willing []string, changed map[int]tether.Pairing, now sundial.Micros) {
+	if now < s.next.balance || len(willing) < 2 {
+		return
+	}
+	s.next.balance = now + s.set.BalanceEvery
+	for _, id := range willing {
+		if now-s.stores[id].first < s.set.BalanceAfter {
+			return
+		}
 	}
+	owned, backed := map[string]int{}, map[string]int{}
+	for _, pairing := range s.chart.Slots {
+		owned[pairing.Owner.ID]++
+		backed[pairing.Backup.ID]++
+	}
+	least := func(counts map[string]int) (low, high string) {
+		low, high = willing[0], willing[0]
+		for _, id := range willing {
+			if counts[id] < counts[low] {
+				low = id
+			}
+			if counts[id] > counts[high] {
+				high = id
+			}
+		}
+		return low, high
+	}
+	zone := func(id string) string { return s.chart.Stores[id].Zone }
+	move := func(slot int, owner, backup tether.Member, reason string) {
+		p := s.chart.Slots[slot]
+		changed[slot] = tether.Pairing{Epoch: p.Epoch + 1, Owner: owner, Backup: backup, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
+		s.Emit(stride.Explain{What: "slot moved", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": p.Epoch + 1, "owner": owner.ID, "backup": backup.ID}})
+	}
+	low, high := least(owned)
+	if owned[high]-owned[low] >= 2 {
+		for slot, p := range s.chart.Slots {
+			if p.Owner.ID == high && p.Backup.ID == low {
+				move(slot, p.Backup, p.Owner, "even shares: its backup owns it now")
+				return
+			}
+		}
+		for slot, p := range s.chart.Slots {
+			if p.Owner.ID == high && zone(low) != zone(high) {
+				move(slot, p.Owner, tether.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares: copied to the store that has fewest")
+				return
+			}
+		}
+	}
+	if low, high = least(backed); backed[high]-backed[low] >= 2 {
+		for slot, p := range s.chart.Slots {
+			if p.Backup.ID == high && p.Owner.ID != low && zone(p.Owner.ID) != zone(low) {
+				move(slot, p.Owner, tether.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares of copies")
+				return
+			}
+		}
+	}
+}
+
+// going tells whether a store is on its way out.
+func (s *Summit) going(id string, now sundial.Micros) bool {
+	return s.chart.Stores[id].Retiring || s.stores[id].beat.Draining
 }
 
-func (s *Summit) living(now sundial.Micros) []string {
+// willing lists the living stores that take slots.
+func (s *Summit) willing(now sundial.Micros) []string {
 	var out []string
 	for _, id := range sortedIDs(s.chart.Stores) {
-		if _, ok := s.storeLife(id, now); ok && !s.chart.Stores[id].Retiring {
+		if _, ok := s.storeLife(id, now); ok && !s.going(id, now) {
 			out = append(out, id)
 		}
 	}
@@ -297,13 +450,13 @@
 
 // first pairs a slot for the first time, once stores of two zones have been
 // there for a moment: the load is spread over all that came in time.
-func (s *Summit) first(living []string, load map[string]int, spare func(string) string, now sundial.Micros) (tether.Pairing, bool) {
-	for _, id := range living {
+func (s *Summit) first(willing []string, load map[string]int, spare func(string) string, now sundial.Micros) (tether.Pairing, bool) {
+	for _, id := range willing {
 		if now-s.stores[id].first < 700*sundial.Millisecond {
 			return tether.Pairing{}, false
 		}
 	}
-	byLoad := append([]string(nil), living...)
+	byLoad := append([]string(nil), willing...)
 	sort.SliceStable(byLoad, func(i, j int) bool { return load[byLoad[i]] < load[byLoad[j]] })
 	for _, owner := range byLoad {
 		if backup := spare(owner); backup != "" {
--- a/core/summit/summit.go
+++ b/core/summit/summit.go
@@ -24,6 +24,8 @@
 	ReplaceAfter sundial.Micros // after which its seat is given to another
 	StoreSilent  sundial.Micros // after which a store counts as gone
 	Settle       sundial.Micros // a new primary listens this long before it judges
+	BalanceEvery sundial.Micros // between two moves towards even shares
+	BalanceAfter sundial.Micros // a store lives this long before slots move to it
 	FoldAfter    int
 	CheckPlan    func(body []byte) error
 }
@@ -31,7 +33,8 @@
 // Defaults are the starting values.
 func Defaults() Settings {
 	return Settings{Slots: 24, GreetEvery: 250 * sundial.Millisecond, CoreSilent: 1500 * sundial.Millisecond,
-		ReplaceAfter: 4 * sundial.Second, StoreSilent: 2 * sundial.Second, Settle: 1500 * sundial.Millisecond, FoldAfter: 500}
+		ReplaceAfter: 4 * sundial.Second, StoreSilent: 2 * sundial.Second, Settle: 1500 * sundial.Millisecond,
+		BalanceEvery: 500 * sundial.Millisecond, BalanceAfter: 4 * sundial.Second, FoldAfter: 500}
 }
 
 const (
@@ -97,7 +100,7 @@
 	serving   sundial.Micros // since when this core serves
 	published struct{ plan, seq, epoch uint64 }
 	writes    int
-	next      struct{ greet, judge sundial.Micros }
+	next      struct{ greet, judge, balance sundial.Micros }
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
@@ -218,7 +221,7 @@
 }
 
 // Deposed says "outcome unknown" to who waits.
-func (s *Summit) Deposed(_ string, now sundial.Micros) {
+func (s *Summit) Deposed(_ string, epoch uint64, now sundial.Micros) {
 	lost := s.queue
 	if s.flight != nil {
 		lost = append([]change{*s.flight}, lost...)
@@ -227,7 +230,7 @@
 	for _, c := range lost {
 		s.unknown(c.call)
 	}
-	s.Emit(stride.Explain{What: "no longer primary", Fields: map[string]any{"epoch": s.rope().Epoch}})
+	s.Emit(stride.Explain{What: "no longer primary", Fields: map[string]any{"epoch": epoch}})
 }
 
 func (s *Summit) unknown(call uint64) {
--- a/daemon/office/office.go
+++ b/daemon/office/office.go
@@ -55,6 +55,7 @@
 	p.Handle(http.MethodGet, "/v1/operator/plans", o.plans)
 	p.Handle(http.MethodGet, "/v1/operator/plans/:version", o.plans)
 	p.Handle(http.MethodGet, "/v1/operator/stores/:id", o.store)
+	p.Handle(http.MethodPost, "/v1/operator/stores/:id/retire", o.retire)
 	p.Handle(http.MethodGet, "/v1/operator/orders", o.order)
 	p.Handle(http.MethodGet, "/v1/operator/bundles/:bundle", o.bundle)
 }
@@ -217,6 +218,32 @@
 	return mishap.New(mishap.NotFound, "list the daemons to see the ids there are", "no daemon %q is known here", id)
 }
 
+// retire empties a store and retires it, or takes that back; asked again it
+// tells how far it is.
+func (o *Office) retire(w http.ResponseWriter, r *http.Request) error {
+	data, err := porch.ReadBody(r)
+	if err != nil {
+		return err
+	}
+	var body struct {
+		Back bool `json:"back"`
+	}
+	if len(data) > 0 {
+		if err := porch.Decode(data, &body); err != nil {
+			return err
+		}
+	}
+	got, err := o.askPrimary(summit.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+sundial.Second)
+	if err != nil {
+		return err
+	}
+	receipt, ok := got.(summit.RetireReceipt)
+	if !ok {
+		return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the core answered %T", got)
+	}
+	return porch.WriteJSON(w, http.StatusOK, map[string]any{"store": receipt.ID, "retired": receipt.Done, "slots_left": receipt.Left})
+}
+
 // order explains an order that this daemon assigned.
 func (o *Office) order(w http.ResponseWriter, r *http.Request) error {
 	name := r.URL.Query().Get("order")
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -277,7 +277,7 @@
 
 // Deposed says "outcome unknown" to who waits and leaves the slot's unfinished
 // positions open until its new owner has settled.
-func (k *Keeper) Deposed(unit string, now sundial.Micros) {
+func (k *Keeper) Deposed(unit string, epoch uint64, now sundial.Micros) {
 	k.lose(unit, "the slot passed to another keeper")
 	slot := slotOf(unit)
 	var positions []int64
@@ -288,7 +288,7 @@
 	delete(k.news, unit)
 	if len(positions) > 0 {
 		sort.Slice(positions, func(i, j int) bool { return positions[i] < positions[j] })
-		k.orphans = append(k.orphans, orphan{slot: slot, epoch: k.gang.Rope(unit).Epoch, positions: positions})
+		k.orphans = append(k.orphans, orphan{slot: slot, epoch: epoch, positions: positions})
 	}
 	k.Emit(stride.Work{Order: Revoke{Slot: slot}})
 	k.Emit(stride.Explain{What: "slot passed on", Fields: map[string]any{"slot": slot, "unfinished": len(positions)}})
@@ -646,6 +646,17 @@
 	}
 }
 
+// Owned is how many slots this keeper owns in any role of an owner.
+func (k *Keeper) Owned() int {
+	count := 0
+	for _, rope := range k.gang.Ropes() {
+		if rope.Owns() {
+			count++
+		}
+	}
+	return count
+}
+
 // Drain lets the store say that it is about to go.
 type Drain struct{}
 
--- a/ledger/tether/tether.go
+++ b/ledger/tether/tether.go
@@ -67,10 +67,15 @@
 		Epoch uint64
 		Stamp sundial.Micros
 	}
+	// Yield gives a lease back: the owner of that epoch starts nothing more.
+	Yield struct {
+		Unit  string
+		Epoch uint64
+	}
 )
 
 func init() {
-	footbridge.Register(Copy{}, Append{}, Ack{}, Fenced{}, Beat{}, Leased{})
+	footbridge.Register(Copy{}, Append{}, Ack{}, Fenced{}, Beat{}, Leased{}, Yield{})
 }
 
 // Spans of the pair; the backup's wait is longer than the owner's lease by a
@@ -101,8 +106,8 @@
 	Confirmed(unit string, seq uint64, now sundial.Micros)
 	// Ready tells that copy and local sync are done; the granter has to be told.
 	Ready(unit string, epoch uint64, now sundial.Micros)
-	// Deposed tells the owner that it no longer is.
-	Deposed(unit string, now sundial.Micros)
+	// Deposed tells the owner of an epoch that it no longer is.
+	Deposed(unit string, epoch uint64, now sundial.Micros)
 }
 
 type entry struct {
@@ -131,6 +136,7 @@
 	copyWait   sundial.Micros // the granted lease of the former owner ends
 	leaseUntil sundial.Micros // owner: may start work until
 	granted    sundial.Micros // backup: must not own before
+	grantedAt  uint64         // backup: epoch of the lease it granted
 	beatAt     sundial.Micros
 	tookAt     sundial.Micros
 	ackedAt    sundial.Micros
@@ -269,11 +275,12 @@
 // Back makes this end the backup under a new epoch; the owner's copy fills it.
 func (g *Gang) Back(unit string, epoch uint64, owner string, now sundial.Micros) {
 	r := g.Rope(unit)
-	was := r.Owns()
+	was, old := r.Owns(), r.Epoch
+	g.yield(r)
 	r.Epoch, r.Role, r.peer = epoch, Filling, owner
 	r.open, r.leaseUntil = nil, 0
 	if was {
-		g.holder.Deposed(unit, now)
+		g.holder.Deposed(unit, old, now)
 	}
 }
 
@@ -281,10 +288,18 @@
 // Drop.
 func (g *Gang) Release(unit string, epoch uint64, now sundial.Micros) {
 	r := g.Rope(unit)
-	was := r.Owns()
+	was, old := r.Owns(), r.Epoch
+	g.yield(r)
 	r.Epoch, r.Role, r.open, r.leaseUntil = max(r.Epoch, epoch), Cold, nil, 0
 	if was {
-		g.holder.Deposed(unit, now)
+		g.holder.Deposed(unit, old, now)
+	}
+}
+
+// yield tells the backup that the lease it granted is given back.
+func (g *Gang) yield(r *Rope) {
+	if r.Role == Serving && r.peer != "" {
+		g.out.Emit(stride.Send{To: r.peer, Body: Yield{Unit: r.Unit, Epoch: r.Epoch}})
 	}
 }
 
@@ -427,9 +442,17 @@
 		if m.Epoch < r.Epoch && !g.SkipFence {
 			g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
 		} else if m.Epoch == r.Epoch && r.Role == Backing {
-			r.granted = max(r.granted, now+LeaseWait)
+			r.granted, r.grantedAt = max(r.granted, now+LeaseWait), m.Epoch
 			g.out.Emit(stride.Send{To: from, Body: Leased{Unit: m.Unit, Epoch: m.Epoch, Stamp: m.Stamp}})
 		}
+	case Yield:
+		if r := g.Rope(m.Unit); m.Epoch >= r.grantedAt {
+			r.granted = 0
+			if r.Role == Copying && r.copyWait > now && m.Epoch < r.Epoch {
+				r.copyWait = 0
+				g.tryCopy(r, now)
+			}
+		}
 	case Leased:
 		if r := g.Rope(m.Unit); r.Epoch == m.Epoch && r.Role == Serving {
 			r.leaseUntil = max(r.leaseUntil, m.Stamp+Lease)
--- a/ledger/tether/tether_test.go
+++ b/ledger/tether/tether_test.go
@@ -45,7 +45,7 @@
 	e.confirmed = append(e.confirmed, seq)
 }
 func (e *end) Ready(_ string, epoch uint64, now sundial.Micros) { e.ready = epoch }
-func (e *end) Deposed(_ string, now sundial.Micros)             { e.deposed++ }
+func (e *end) Deposed(_ string, _ uint64, now sundial.Micros)   { e.deposed++ }
 func (e *end) add(text string, now sundial.Micros) (uint64, bool) {
 	if e.gang.Rope("u").Role != Serving {
 		return 0, false
--- a/proof/weather/day.go
+++ b/proof/weather/day.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
 )
 
 // Act is one failure of a day.
@@ -104,6 +105,33 @@
 			}
 			return func() { run(undos) }
 		}},
+		{Name: "retire a store", Span: 6000 * ms, Disk: true, Do: func(w *World) func() {
+			id := w.any("refuge").ID
+			w.Watch.Retire(id, false)
+			return func() { w.Watch.Retire(id, true) }
+		}},
+		{Name: "drain a store", Span: 2500 * ms, Do: func(w *World) func() {
+			n := w.any("refuge")
+			if n.up && !n.frozen {
+				n.do(n.Keeper.Do(keeper.Drain{}, w.Now))
+			}
+			w.Note("%s drains", n.Name)
+			return func() { n.Crash(); n.Boot(slots) }
+		}},
+		{Name: "swap a store", Span: 1500 * ms, Disk: true, Do: func(w *World) func() {
+			n := w.any("refuge")
+			n.Crash()
+			n.Wipe()
+			w.Move(n)
+			return func() { n.Boot(slots) }
+		}},
+		{Name: "swap a core", Span: 1500 * ms, Disk: true, Do: func(w *World) func() {
+			n := w.any("cairn")
+			n.Crash()
+			n.Wipe()
+			w.Move(n)
+			return func() { n.Boot(slots) }
+		}},
 		{Name: "restart an edge", Span: 300 * ms, Do: func(w *World) func() { return crash(w.any("trailhead"), slots) }},
 		{Name: "freeze an edge", Span: 4000 * ms, Do: func(w *World) func() { return freeze(w.any("trailhead")) }},
 	}
--- a/proof/weather/watch.go
+++ b/proof/weather/watch.go
@@ -247,6 +247,33 @@
 	})
 }
 
+// Retire asks the primary to retire a store, or takes it back, until it is told.
+func (v *Watch) Retire(id string, back bool) {
+	v.Busy++
+	tries := 0
+	var try func()
+	try = func() {
+		edge := v.edge()
+		if tries++; tries > 60 {
+			v.Busy--
+			return
+		}
+		if edge == nil || edge.core.Peer == "" {
+			v.w.After(200*sundial.Millisecond, try)
+			return
+		}
+		v.w.Ask(edge.node, edge.core.Peer, summit.RetireAsk{ID: id, Back: back, Expiry: 4 * sundial.Second}, 5*sundial.Second, func(answer any, err error) {
+			if _, ok := answer.(summit.RetireReceipt); err == nil && ok || mishap.Is(err, mishap.Refused) || mishap.Is(err, mishap.NotFound) {
+				v.w.Note("retire %s back %v: %v %v", id, back, answer, err)
+				v.Busy--
+				return
+			}
+			v.w.After(300*sundial.Millisecond, try)
+		})
+	}
+	try()
+}
+
 func (v *Watch) planHeard(e *Edge, version chart.Version) {
 	if version.Number < e.plan {
 		v.breach("%s goes back from plan %d to %d", e.node.Name, e.plan, version.Number)
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -15,6 +15,7 @@
 var (
 	seeds = flag.Int("seeds", 4, "seeds to sweep")
 	first = flag.Int64("first", 1, "first seed")
+	lines = flag.Int("lines", 60, "lines of trace")
 	acts  = flag.Int("acts", 6, "failures a day")
 )
 
@@ -29,7 +30,7 @@
 	for seed := *first; seed < *first+int64(*seeds); seed++ {
 		w := Day{Seed: seed, Size: ghent, Climate: Mild(), Acts: *acts}.Run()
 		if len(w.Watch.Breaches) > 0 {
-			t.Errorf("seed %d: %s", seed, w.Report(60))
+			t.Errorf("seed %d: %s", seed, w.Report(*lines))
 			return
 		}
 		t.Logf("seed %d: %d bundles, %d rows, %d plans, %d claims, %d steps", seed, len(w.Watch.Bundles), w.Watch.FeedRows, len(w.Watch.Puts), len(w.Watch.Claims), w.Steps)
@@ -73,3 +74,16 @@
 		t.Fatalf("%d and %d steps, %d and %d messages", one.Steps, two.Steps, one.Messages, two.Messages)
 	}
 }
+
+// Each of these days once broke a promise; the commit that fixed it names the
+// seed.
+func TestLessons(t *testing.T) {
+	for _, day := range []Day{
+		{Seed: 5005, Size: ghent, Climate: Mild(), Acts: 0}, // a founding whose grants were lost
+		{Seed: 1004, Size: ghent, Climate: Mild(), Acts: 8}, // a deposed writer's open positions never settled
+	} {
+		if w := day.Run(); len(w.Watch.Breaches) > 0 {
+			t.Errorf("seed %d: %s", day.Seed, w.Report(40))
+		}
+	}
+}
--- a/proof/weather/world.go
+++ b/proof/weather/world.go
@@ -79,6 +79,7 @@
 	number  uint64
 	running map[string]int // items at work: their turn
 	wipes   int
+	moves   int
 }
 
 type write struct {
@@ -430,6 +431,15 @@
 	n.disk.queue, n.disk.busy, n.disk.cached = nil, false, nil
 }
 
+// Move gives a dead node a new address: the seeds of others still name the old.
+func (w *World) Move(n *Node) {
+	delete(w.byPeer, n.Peer)
+	n.moves++
+	n.Peer = fmt.Sprintf("10.%d.%s:1", n.moves, n.Name)
+	w.byPeer[n.Peer] = n
+	w.Note("%s moves to %s", n.Name, n.Peer)
+}
+
 // Wipe empties a dead node's disk: what boots next is a new identity.
 func (n *Node) Wipe() {
 	n.wipes++
