The feed keeps a bundle's order over any number of takeovers

A slot had passed on twice; only its newest writer was held back while the first one's rows could not be read, not the one in between. Ruled out: positions given below earlier ones (the list itself was in order) and a stale owner. A slot now keeps its newest runs of rows, writer by writer, and every later run is held while an earlier one is unread.

--- a/ledger/daybook/daybook.go
+++ b/ledger/daybook/daybook.go
@@ -93,11 +93,23 @@
 	Void     = "turned-away"
 )
 
+// Tenure is one writer's run of rows in a slot; the next one's rows all lie
+// above it.
+type Tenure struct {
+	Writer int   `json:"writer"`
+	First  int64 `json:"first"`
+	Last   int64 `json:"last"`
+}
+
+// mostTenures is how many runs are kept; older ones were settled long ago.
+const mostTenures = 12
+
 // Slot is the state one pair replicates.
 type Slot struct {
 	Bundles map[string]*Bundle
 	Claims  map[string]*Claim
 	Last    map[int]int64 // highest position of each writer in this slot
+	Tenures []Tenure      // the newest runs, in the order of their positions
 }
 
 // NewSlot is an empty slot.
@@ -162,6 +174,7 @@
 // Apply lists the row, unless its item already has one or the bundle is gone.
 func (e List) Apply(s *Slot) {
 	s.Last[e.Row.Writer] = max(s.Last[e.Row.Writer], e.Row.Position)
+	s.tenure(e.Row.Writer, e.Row.Position)
 	bundle := s.Bundles[e.Row.Bundle]
 	if bundle == nil || bundle.State != Open || bundle.listed[e.Row.Item] {
 		return
@@ -174,6 +187,18 @@
 	}
 }
 
+// tenure goes on with the newest run or begins the next one.
+func (s *Slot) tenure(writer int, position int64) {
+	if n := len(s.Tenures); n > 0 && s.Tenures[n-1].Writer == writer {
+		s.Tenures[n-1].Last = position
+		return
+	}
+	s.Tenures = append(s.Tenures, Tenure{Writer: writer, First: position, Last: position})
+	if extra := len(s.Tenures) - mostTenures; extra > 0 {
+		s.Tenures = append([]Tenure(nil), s.Tenures[extra:]...)
+	}
+}
+
 // Apply ends the bundle; results listed so far stay.
 func (e End) Apply(s *Slot) {
 	if bundle := s.Bundles[e.Bundle]; bundle != nil && bundle.State == Open {
@@ -254,6 +279,7 @@
 	Bundle *Bundle       `json:"bundle,omitempty"`
 	Claim  *Claim        `json:"claim,omitempty"`
 	Last   map[int]int64 `json:"last,omitempty"`
+	Runs   []Tenure      `json:"tenures,omitempty"`
 }
 
 // View is the whole slot in parts, in a fixed order.
@@ -263,7 +289,7 @@
 		data, _ := json.Marshal(p)
 		out = append(out, data)
 	}
-	add(part{Last: s.Last})
+	add(part{Last: s.Last, Runs: s.Tenures})
 	for _, id := range sortedKeys(s.Bundles) {
 		add(part{Bundle: s.Bundles[id]})
 	}
@@ -282,7 +308,7 @@
 			return nil, errors.Wrap(err, "reading a part of a slot")
 		}
 		if p.Last != nil {
-			s.Last = p.Last
+			s.Last, s.Tenures = p.Last, p.Runs
 		}
 		if p.Bundle != nil {
 			p.Bundle.listed = map[int]bool{}
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -64,7 +64,6 @@
 type place struct {
 	slot  int
 	state *daybook.Slot
-	base  int64
 }
 
 type waiting struct {
@@ -436,13 +435,12 @@
 	p := k.place(unit)
 	k.stairs.Raise(p.state.Top())
 	k.reserve()
-	p.base = k.stairs.Next()
 	k.settleOrphans(p.slot, k.gang.Rope(unit).Epoch)
 	k.dirty = true
 	for _, id := range sortedBundles(p.state) {
 		k.start(unit, id)
 	}
-	k.Emit(stride.Explain{What: "serving a slot", Fields: map[string]any{"slot": p.slot, "epoch": k.gang.Rope(unit).Epoch, "base": p.base}})
+	k.Emit(stride.Explain{What: "serving a slot", Fields: map[string]any{"slot": p.slot, "epoch": k.gang.Rope(unit).Epoch, "first_position": k.stairs.Next()}})
 	k.flush(now)
 }
 
@@ -608,7 +606,7 @@
 			continue
 		}
 		p := k.place(rope.Unit)
-		claimed := waypost.Claimed{Slot: p.slot, Epoch: rope.Epoch, Base: p.base, Last: map[int]int64{}}
+		claimed := waypost.Claimed{Slot: p.slot, Epoch: rope.Epoch, Last: map[int]int64{}, Tenures: append([]daybook.Tenure(nil), p.state.Tenures...)}
 		for writer, last := range p.state.Last {
 			if writer != k.writer {
 				claimed.Last[writer] = last
--- a/ledger/waypost/view.go
+++ b/ledger/waypost/view.go
@@ -6,14 +6,16 @@
 	"sort"
 
 	"tuliprudder/kernel/stride"
+	"tuliprudder/ledger/daybook"
 )
 
 // Claimed is a slot that a writer serves, as it announces it.
 type Claimed struct {
 	Slot  int           `json:"slot"`
 	Epoch uint64        `json:"epoch"`
-	Base  int64         `json:"base"` // first position it may give in this slot
 	Last  map[int]int64 `json:"last"` // where each former writer's rows end
+	// Tenures are the slot's newest runs of rows, writer by writer.
+	Tenures []daybook.Tenure `json:"tenures,omitempty"`
 }
 
 // Announcement is a writer's own word: its persisted-up-to position and the
@@ -109,9 +111,9 @@
 
 // UpTo is the vector for reading over all slots. A writer that serves none any
 // more is read to its end once every slot has settled. A successor is held
-// below its first position in a slot only while the former writer's rows there
-// can't be read yet: so no bundle's order is turned round. It tells whether
-// every slot has an owner to ask.
+// below its first row in a slot only while a former writer's rows there can't be
+// read yet: so no bundle's order is turned round. It tells whether every slot
+// has an owner to ask.
 func (v *View) UpTo() (Vector, bool) {
 	whole := v.slots > 0
 	serving := map[int]bool{}
@@ -138,18 +140,31 @@
 			}
 		}
 	}
+	for v.hold(out) {
+	}
+	return out, whole
+}
+
+// hold keeps each writer below its first row in a slot while an earlier run of
+// that slot can't be read to its end; it tells whether anything changed. Holding
+// one may hold others, so it is repeated until nothing changes.
+func (v *View) hold(out Vector) bool {
+	changed := false
 	for slot := 0; slot < v.slots; slot++ {
 		owner, ok := v.Owner(slot)
 		if !ok {
 			continue
 		}
-		for writer, last := range owner.Last {
-			if last > out[writer] && writer != owner.Writer {
-				out[owner.Writer] = min(out[owner.Writer], owner.Base-1)
+		unread := false
+		for _, run := range owner.Tenures {
+			if unread && out[run.Writer] >= run.First {
+				out[run.Writer] = run.First - 1
+				changed = true
 			}
+			unread = unread || out[run.Writer] < run.Last
 		}
 	}
-	return out, whole
+	return changed
 }
 
 // Said is a writer's last announcement.
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -81,6 +81,7 @@
 	for _, day := range []Day{
 		{Seed: 5005, Size: ghent, Climate: Mild(), Acts: 0}, // a founding whose grants were lost
 		{Seed: 1004, Size: ghent, Climate: Mild(), Acts: 8}, // a deposed writer's open positions never settled
+		{Seed: 6011, Size: ghent, Climate: Mild(), Acts: 8}, // a slot that passed on twice turned its order round in the feed
 	} {
 		if w := day.Run(); len(w.Watch.Breaches) > 0 {
 			t.Errorf("seed %d: %s", day.Seed, w.Report(40))
