--- a/daemon/lodge/lodge.go
+++ b/daemon/lodge/lodge.go
@@ -28,6 +28,7 @@
 	"tuliprudder/kernel/porch"
 	"tuliprudder/kernel/rucksack"
 	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/strongroom"
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/reader"
@@ -84,13 +85,71 @@
 	log := logbook.Open(out, program, who.ID)
 	l := &Lodge{Hut: almhut.New(), Log: log, Who: who, Common: common, grace: 8 * time.Second}
 	person := people.Person{ID: who.ID, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: Release}
-	l.Porter = porter.New(person, common.Seeds, who, log)
+	l.Porter = porter.New(person, append(append([]string(nil), common.Seeds...), l.remembered()...), who, log)
 	l.Porter.Address = common.Listen
 	l.Porch = porch.New(common.HTTP, int(bounds.Open), bounds.Bytes)
 	l.Office = &office.Office{Porter: l.Porter, Ready: func() string { return "" }, Counters: func() map[string]int64 { return nil }}
 	return l, nil
 }
 
+const mostRemembered = 64
+
+// remembered reads the addresses learnt in earlier lives: the seeds may be dead.
+func (l *Lodge) remembered() []string {
+	if l.Common.Data == "" {
+		return nil
+	}
+	data, err := os.ReadFile(l.Folder("peers.json"))
+	if err != nil {
+		return nil
+	}
+	var peers []string
+	if err := json.Unmarshal(data, &peers); err != nil {
+		l.Log.Warn().Err(err).Msg("the learnt addresses can't be read; starting from the seeds alone")
+		return nil
+	}
+	return peers
+}
+
+// remember keeps the addresses learnt, whenever they changed.
+type remember struct{ l *Lodge }
+
+// Start starts the thread.
+func (r remember) Start(_ *almhut.Hut, ends *belay.Stack) error {
+	if r.l.Common.Data == "" {
+		return nil
+	}
+	done := make(chan struct{})
+	ends.Push(func() { close(done) })
+	go func() {
+		ticker := time.NewTicker(5 * time.Second)
+		defer ticker.Stop()
+		last := ""
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			var peers []string
+			for _, person := range r.l.Porter.Folk() {
+				if person.Standing == people.Sound && person.ID != r.l.Who.ID && len(peers) < mostRemembered {
+					peers = append(peers, person.Peer)
+				}
+			}
+			data, _ := json.Marshal(peers)
+			if len(peers) == 0 || string(data) == last {
+				continue
+			}
+			last = string(data)
+			if err := strongroom.WriteAside(r.l.Folder("peers.json"), data, nil); err != nil {
+				r.l.Log.Warn().Err(err).Msg("the learnt addresses could not be kept")
+			}
+		}
+	}()
+	return nil
+}
+
 // OnDrain adds something to do when the daemon is told to go.
 func (l *Lodge) OnDrain(f func()) { l.drain = append(l.drain, f) }
 
@@ -105,6 +164,7 @@
 func (l *Lodge) Run() error {
 	l.Hut.Register(porter.Name, l.Porter)
 	l.Hut.Register("front", front{l})
+	l.Hut.Register("remember", remember{l})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := l.Hut.Start(); err != nil {
--- a/proof/weather/world.go
+++ b/proof/weather/world.go
@@ -435,7 +435,16 @@
 func (w *World) Move(n *Node) {
 	delete(w.byPeer, n.Peer)
 	n.moves++
+	old := n.Peer
 	n.Peer = fmt.Sprintf("10.%d.%s:1", n.moves, n.Name)
+	// Who boots from now on is given the new address; who runs keeps the old.
+	seeds := append([]string(nil), w.seeds...)
+	for i, seed := range seeds {
+		if seed == old {
+			seeds[i] = n.Peer
+		}
+	}
+	w.seeds = seeds
 	w.byPeer[n.Peer] = n
 	w.Note("%s moves to %s", n.Name, n.Peer)
 }
