--- /dev/null
+++ b/proof/weather/history.go
@@ -0,0 +1,103 @@
+package weather
+
+import (
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// The histories of plans and of claimed keys are checked for one order that
+// explains what every operator and every edge was told, those of unknown
+// outcome included (DESIGN §11).
+
+type planInput struct {
+	base    uint64
+	hasBase bool
+}
+
+type planOutput struct {
+	version uint64
+	stale   bool
+	unknown bool
+}
+
+// planModel is one counter: each confirmed plan is the next version.
+var planModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		now, in, out := state.(uint64), input.(planInput), output.(planOutput)
+		fits := !in.hasBase || in.base == now
+		switch {
+		case out.unknown && fits:
+			return []any{now, now + 1}
+		case out.unknown:
+			return []any{now}
+		case out.stale && !fits:
+			return []any{now}
+		case !out.stale && fits && out.version == now+1:
+			return []any{now + 1}
+		}
+		return nil
+	},
+	Equal: func(one, other any) bool { return one == other },
+}
+
+type claimOutput struct {
+	winner  string
+	unknown bool
+}
+
+// claimModel is one word that is written once.
+var claimModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		held, order, out := state.(string), input.(string), output.(claimOutput)
+		switch {
+		case out.unknown && held == "":
+			return []any{"", order}
+		case out.unknown:
+			return []any{held}
+		case held == "" && out.winner == order:
+			return []any{order}
+		case held != "" && out.winner == held:
+			return []any{held}
+		}
+		return nil
+	},
+	Equal: func(one, other any) bool { return one == other },
+}
+
+// CheckHistories looks for those orders; each history that has none is a breach.
+func (v *Watch) CheckHistories() {
+	var plans []porcupine.Operation
+	for i, p := range v.Puts {
+		out := planOutput{version: p.Version, stale: p.Stale, unknown: p.Unknown}
+		end := int64(p.Told)
+		if p.Told == 0 || p.Unknown {
+			out.unknown, end = true, math.MaxInt64
+		} else if p.Version == 0 && !p.Stale {
+			continue // turned away: it never was
+		}
+		plans = append(plans, porcupine.Operation{ClientId: i, Input: planInput{p.Base, p.HasBase}, Call: int64(p.Called), Output: out, Return: end})
+	}
+	if result := porcupine.CheckOperationsTimeout(planModel.ToModel(), plans, 20*time.Second); result == porcupine.Illegal {
+		v.breach("no order of the plans explains what their operators were told")
+	}
+	byKey := map[string][]porcupine.Operation{}
+	for i, c := range v.Claims {
+		out := claimOutput{winner: c.Winner, unknown: c.Unknown}
+		end := int64(c.Told)
+		if c.Told == 0 || c.Unknown {
+			out.unknown, end = true, math.MaxInt64
+		} else if c.Refused {
+			continue
+		}
+		byKey[c.Key] = append(byKey[c.Key], porcupine.Operation{ClientId: i, Input: c.Order, Call: int64(c.Called), Output: out, Return: end})
+	}
+	for _, key := range sorted(byKey) {
+		if result := porcupine.CheckOperationsTimeout(claimModel.ToModel(), byKey[key], 20*time.Second); result == porcupine.Illegal {
+			v.breach("no order explains who won the key %s", key)
+		}
+	}
+}
--- a/proof/weather/planted_test.go
+++ b/proof/weather/planted_test.go
@@ -51,3 +51,30 @@
 		})
 	}
 }
+
+// The histories' checker fails on histories that no order explains.
+func TestHistoriesThatNoOrderExplains(t *testing.T) {
+	for name, spoil := range map[string]func(v *Watch){
+		"one version for two plans": func(v *Watch) {
+			v.Puts = []*Put{{Called: 1, Told: 2, Version: 1}, {Called: 3, Told: 4, Version: 1}}
+		},
+		"a confirmed plan lost": func(v *Watch) {
+			v.Puts = []*Put{{Called: 1, Told: 2, Version: 1}, {Called: 3, Told: 4, Version: 2, HasBase: true, Base: 0}}
+		},
+		"two winners": func(v *Watch) {
+			v.Claims = []*Claimed{{Key: "k", Order: "a", Called: 1, Told: 2, Winner: "a"}, {Key: "k", Order: "b", Called: 3, Told: 4, Winner: "b"}}
+		},
+	} {
+		v := newWatch(NewWorld(1, ghent, Mild()))
+		spoil(v)
+		if v.CheckHistories(); len(v.Breaches) != 1 {
+			t.Errorf("%s: %d breaches", name, len(v.Breaches))
+		}
+	}
+	v := newWatch(NewWorld(1, ghent, Mild()))
+	v.Puts = []*Put{{Called: 1, Told: 2, Version: 1}, {Called: 3, Told: 9, Unknown: true}, {Called: 10, Told: 11, Version: 3}}
+	v.Claims = []*Claimed{{Key: "k", Order: "a", Called: 1, Told: 9, Unknown: true}, {Key: "k", Order: "b", Called: 10, Told: 11, Winner: "a"}}
+	if v.CheckHistories(); len(v.Breaches) != 0 {
+		t.Errorf("an outcome that was unknown may have been either: %v", v.Breaches)
+	}
+}
--- a/proof/weather/watch.go
+++ b/proof/weather/watch.go
@@ -407,6 +407,7 @@
 	}
 	w.Run(4 * sundial.Second)
 	v.planEnd()
+	v.CheckHistories()
 }
 
 // readAll reads a bundle's list page by page from the start.
