--- a/cmd/scree/main.go
+++ b/cmd/scree/main.go
@@ -1,4 +1,4 @@
-// Program scree is a stand-in model server (DESIGN §11): uneven speed, slots, a
+// Program scree is a stand-in model server (DESIGN §9): uneven speed, slots, a
 // prefix cache, and faults on demand. It logs every start.
 package main
 
--- a/path/purse/purse.go
+++ b/path/purse/purse.go
@@ -1,4 +1,4 @@
-// Package purse watches how much of a customer's work waits (DESIGN §9).
+// Package purse watches how much of a customer's work waits (DESIGN §11).
 package purse
 
 import (
--- a/proof/callers/callers.go
+++ b/proof/callers/callers.go
@@ -1,5 +1,5 @@
 // Package callers stands in for the callers and checks every promise by what
-// they and the servers saw (DESIGN §11).
+// they and the servers saw (DESIGN §9).
 package callers
 
 import (
--- a/proof/camp/camp.go
+++ b/proof/camp/camp.go
@@ -1,4 +1,4 @@
-// Package camp runs a whole fleet on one machine (DESIGN §11): every daemon a
+// Package camp runs a whole fleet on one machine (DESIGN §9): every daemon a
 // process with an address of its own, every link through a relay, with kills,
 // freezes, wiped folders and cuts.
 package camp
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -1,5 +1,5 @@
 // Package havoc takes a running fleet through a failure while callers call, and
-// judges (DESIGN §11).
+// judges (DESIGN §9).
 package havoc
 
 import (
--- a/proof/weather/history.go
+++ b/proof/weather/history.go
@@ -9,7 +9,7 @@
 
 // The histories of plans and of claimed keys are checked for one order that
 // explains what every operator and every edge was told, those of unknown
-// outcome included (DESIGN §11).
+// outcome included (DESIGN §9).
 
 type planInput struct {
 	base    uint64
--- a/proof/weather/world.go
+++ b/proof/weather/world.go
@@ -1,4 +1,4 @@
-// Package weather is the simulator (DESIGN §11): the daemons' own machines under
+// Package weather is the simulator (DESIGN §9): the daemons' own machines under
 // seeded virtual time, links that drop, repeat, delay and cut, and disks that
 // lose what was not synced, stall, or are wiped.
 package weather
