Allowances over all daemons by lent shares; ranks over all daemons by limits

Before: each edge had an even part, bundles were not counted at keepers. Rank: fullness limits rise with the level of a class, and servers are told the priority, so the higher goes first over all daemons.

--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -10,11 +10,13 @@
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
+	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/rucksack"
 	"tuliprudder/kernel/stride"
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
+	"tuliprudder/path/purse"
 	"tuliprudder/path/runner"
 )
 
@@ -66,7 +68,26 @@
 		}
 	}
 	items := runner.New(runner.Defaults(), backlog, l.Porter.Now, allowed, ran, l.Log)
-	l.Porter.OnWork(items.Take)
+	shares := purse.New(l.Who.ID, l.Porter, l.Porter.Bridge.Ask, backlog.Waiting)
+	l.Office.Purse = shares
+	l.Hut.Register("purse", shares)
+	l.Porter.OnAsk(func(body any) (any, error, bool) {
+		if ask, ok := body.(keeper.EnrolAsk); ok {
+			answer, err := enrol(l, backlog, shares, ask)
+			return answer, err, true
+		}
+		return shares.Answer(body)
+	})
+	l.Porter.OnWork(func(work any) {
+		if item, ok := work.(keeper.ItemOrder); ok {
+			if plan := backlog.Plan(); plan != nil {
+				if class := plan.ClassOf(item.Customer); class != nil {
+					shares.Told(item.Customer, class.Allowance, plan.Version)
+				}
+			}
+		}
+		items.Take(work)
+	})
 	l.Office.Book = items.Book
 	l.Path(backlog, nil)
 	l.Office.Ready = func() (why string) {
@@ -84,6 +105,8 @@
 			out["disk_wait_us"] = books.DiskWait(now)
 			out["rows_listed"], out["bundles_enrolled"], out["outcomes_unknown"], out["takeovers"] = books.Listed, books.Enrolled, books.Unknown, books.Takeovers
 		})
+		out["shares_held"], out["shares_lent"] = shares.Totals()
+		out["over_allowance"] = shares.Refused
 		out["backlog"], out["items_open"] = int64(backlog.Backlog()), int64(items.Open())
 		return out
 	}
@@ -96,3 +119,29 @@
 	})
 	return l.Run()
 }
+
+// enrol takes shares for a bundle's items before anything is written: from then
+// on they count as waiting until they start. A repeated key needs none.
+func enrol(l *lodge.Lodge, backlog *dispatch.Dispatch, shares *purse.Purse, ask keeper.EnrolAsk) (any, error) {
+	got, err := l.Porter.AskHere(keeper.StatusAsk{Slot: ask.Slot, Bundle: ask.Bundle.ID, Customer: ask.Bundle.Customer})
+	if err != nil && !mishap.Is(err, mishap.NotFound) {
+		return nil, err
+	}
+	if _, known := got.(keeper.Status); known {
+		return l.Porter.AskHere(ask)
+	}
+	plan := backlog.Plan()
+	if plan == nil {
+		return nil, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the store has just started", "no plan has arrived at the keeper yet")
+	}
+	class := plan.ClassOf(ask.Bundle.Customer)
+	if class == nil {
+		return nil, mishap.New(mishap.Unauthorised, "have the operators add the customer to the plan", "the plan has no customer %q", ask.Bundle.Customer)
+	}
+	release, err := shares.Take(ask.Bundle.Customer, class.Allowance, plan.Version, len(ask.Bundle.Items))
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return l.Porter.AskHere(ask)
+}
--- a/cmd/scree/main.go
+++ b/cmd/scree/main.go
@@ -44,7 +44,7 @@
 	r.Check(func() { r.Address("listen", set.listen) })
 	r.MustParse(os.Args[1:])
 	logbook.Open(os.Stderr, "scree", set.name)
-	s := &server{set: set, slots: make(chan struct{}, set.slots)}
+	s := &server{set: set, line: newLine(int(set.slots))}
 	if set.starts != "" {
 		file, err := os.OpenFile(set.starts, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
@@ -71,7 +71,7 @@
 
 type server struct {
 	set     settings
-	slots   chan struct{}
+	line    *line
 	waiting atomic.Int64
 	running atomic.Int64
 	hits    atomic.Int64
@@ -133,6 +133,7 @@
 	MaxTokens int64  `json:"max_tokens"`
 	Stream    bool   `json:"stream"`
 	User      string `json:"user"`
+	Priority  int    `json:"priority"`
 }
 
 func (s *server) complete(w http.ResponseWriter, r *http.Request) error {
@@ -162,14 +163,12 @@
 		return mishap.Later(mishap.NotReady, 1_000_000, "come back", "the queue is full")
 	}
 	s.waiting.Add(1)
-	select {
-	case s.slots <- struct{}{}:
-		s.waiting.Add(-1)
-	case <-r.Context().Done():
-		s.waiting.Add(-1)
+	entered := s.line.enter(r.Context(), body.Priority)
+	s.waiting.Add(-1)
+	if !entered {
 		return nil
 	}
-	defer func() { <-s.slots }()
+	defer s.line.leave()
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	s.started(wellspring.Start{At: time.Now().UnixMicro(), Server: s.set.name, Order: r.Header.Get("X-Request-Id"), Input: input, Resume: partial != ""})
--- a/cmd/trailhead/main.go
+++ b/cmd/trailhead/main.go
@@ -49,16 +49,11 @@
 	backlog := dispatch.New(set, l.Porter.Now, int64(l.Who.Life))
 	lists := reader.New(l.Porter.Bridge.Ask)
 	l.Path(backlog, lists)
-	edges := func() int {
-		count := 0
-		for _, person := range l.Porter.Folk() {
-			if person.Kind == people.Trailhead && person.Standing == people.Sound {
-				count++
-			}
-		}
-		return count
-	}
-	front := &gate.Gate{Set: gate.Defaults(), Dispatch: backlog, Reader: lists, Purse: purse.NewLocal(edges),
+	shares := purse.New(l.Who.ID, l.Porter, l.Porter.Bridge.Ask, nil)
+	l.Porter.OnAsk(shares.Answer)
+	l.Office.Purse = shares
+	l.Hut.Register("purse", shares)
+	front := &gate.Gate{Set: gate.Defaults(), Dispatch: backlog, Reader: lists, Purse: shares,
 		Ask: l.Porter.Bridge.Ask, Clock: l.Porter.Now, Log: l.Log, Name: l.Who.ID, Book: guestbook.New(8192)}
 	l.Office.Book = front.Book
 	front.Routes(l.Porch)
@@ -75,7 +70,8 @@
 		return ""
 	}
 	l.Office.Counters = func() map[string]int64 {
-		return map[string]int64{"backlog": int64(backlog.Backlog()), "assigned": backlog.Assigned, "expired": backlog.Expired, "turned_away": backlog.TurnedAway}
+		held, lent := shares.Totals()
+		return map[string]int64{"shares_held": held, "shares_lent": lent, "over_allowance": shares.Refused, "backlog": int64(backlog.Backlog()), "assigned": backlog.Assigned, "expired": backlog.Expired, "turned_away": backlog.TurnedAway}
 	}
 	l.OnDrain(func() {
 		backlog.Close()
--- a/daemon/office/office.go
+++ b/daemon/office/office.go
@@ -23,6 +23,7 @@
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/guestbook"
+	"tuliprudder/path/purse"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/roster"
 )
@@ -33,6 +34,7 @@
 	Dispatch *dispatch.Dispatch // nil on cores
 	Reader   *reader.Reader
 	Book     *guestbook.Book
+	Purse    *purse.Purse
 	// Ready tells why the daemon is not ready; "" when it is.
 	Ready func() string
 	// Counters adds the daemon's own counts.
@@ -56,6 +58,7 @@
 	p.Handle(http.MethodGet, "/v1/operator/plans/:version", o.plans)
 	p.Handle(http.MethodGet, "/v1/operator/stores/:id", o.store)
 	p.Handle(http.MethodPost, "/v1/operator/stores/:id/retire", o.retire)
+	p.Handle(http.MethodGet, "/v1/operator/purse", o.purse)
 	p.Handle(http.MethodGet, "/v1/operator/orders", o.order)
 	p.Handle(http.MethodGet, "/v1/operator/bundles/:bundle", o.bundle)
 }
@@ -244,6 +247,14 @@
 	return porch.WriteJSON(w, http.StatusOK, map[string]any{"store": receipt.ID, "retired": receipt.Done, "slots_left": receipt.Left})
 }
 
+// purse shows the shares held here and the accounts held here.
+func (o *Office) purse(w http.ResponseWriter, r *http.Request) error {
+	if o.Purse == nil {
+		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge", "this daemon holds no shares")
+	}
+	return porch.WriteJSON(w, http.StatusOK, o.Purse.View())
+}
+
 // order explains an order that this daemon assigned.
 func (o *Office) order(w http.ResponseWriter, r *http.Request) error {
 	name := r.URL.Query().Get("order")
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -245,10 +245,6 @@
 
 // Confirmed answers who waits, finishes the position and starts new work.
 func (k *Keeper) Confirmed(unit string, seq uint64, now sundial.Micros) {
-	for _, w := range k.waits[unit][seq] {
-		k.Emit(stride.Answer{Call: w.call, Body: w.answer})
-	}
-	delete(k.waits[unit], seq)
 	if position, ok := k.given[unit][seq]; ok {
 		delete(k.given[unit], seq)
 		k.stairs.Finish(position)
@@ -258,6 +254,10 @@
 		delete(k.news[unit], seq)
 		k.start(unit, bundle)
 	}
+	for _, w := range k.waits[unit][seq] {
+		k.Emit(stride.Answer{Call: w.call, Body: w.answer})
+	}
+	delete(k.waits[unit], seq)
 }
 
 // start hands a bundle's open items to the path.
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"container/list"
 	"hash/fnv"
 	"math/rand"
+	"slices"
 	"sort"
 	"sync"
 
@@ -21,15 +22,16 @@
 type Settings struct {
 	MostWaiting int
 	PrefixKept  int
-	BundleLimit float64 // fullness up to which bundles may fill a server
-	LiveLimit   float64 // the same for live orders
+	LowLimit    float64        // fullness up to which the lowest level may fill a server
+	HighLimit   float64        // the same for the highest
+	Patience    sundial.Micros // after which one waiting bundle order may go up to a full server
 	Rest        sundial.Micros
 	Staleness   sundial.Micros // news older than this: turn away, don't assign
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{MostWaiting: 20_000, PrefixKept: 4096, BundleLimit: 0.75, LiveLimit: 1.25, Rest: 300 * sundial.Millisecond, Staleness: 2500 * sundial.Millisecond}
+	return Settings{MostWaiting: 20_000, PrefixKept: 4096, LowLimit: 0.7, HighLimit: 1.3, Patience: 3 * sundial.Second, Rest: 300 * sundial.Millisecond, Staleness: 2500 * sundial.Millisecond}
 }
 
 // Order is one piece of work that looks for a server.
@@ -49,7 +51,7 @@
 	// Drop ends an order that never started.
 	Drop func(err error)
 
-	seq     uint64
+	since   sundial.Micros
 	place   *list.Element
 	started bool
 	gone    bool
@@ -60,6 +62,7 @@
 	Server  roster.Server
 	Marks   []judges.Mark
 	Started sundial.Micros
+	bundle  bool
 	d       *Dispatch
 	s       *state
 	once    sync.Once
@@ -82,11 +85,12 @@
 	set      Settings
 	clock    func() sundial.Micros
 	plan     *planbook.Plan
+	levels   []int64
+	bundles  int // bundle orders of this daemon that run
 	servers  map[string]*state
 	backlogs map[int64]*list.List // by rank; bundles half a rank lower
 	waiting  map[string]int       // by customer
 	count    int
-	seq      uint64
 	prefixes map[uint64]string
 	prefixed *list.List
 	fresh    sundial.Micros
@@ -107,7 +111,7 @@
 func (d *Dispatch) SetPlan(plan *planbook.Plan) {
 	d.mu.Lock()
 	if d.plan == nil || plan.Version > d.plan.Version {
-		d.plan = plan
+		d.plan, d.levels = plan, levels(plan)
 	}
 	d.mu.Unlock()
 	d.Wake()
@@ -228,6 +232,48 @@
 	return d.count
 }
 
+// levels are the levels of a plan's classes, lowest first: bundles of a class,
+// then its live orders.
+func levels(plan *planbook.Plan) []int64 {
+	seen := map[int64]bool{}
+	var out []int64
+	for _, class := range plan.Classes {
+		for _, level := range []int64{2 * class.Rank, 2*class.Rank + 1} {
+			if !seen[level] {
+				seen[level] = true
+				out = append(out, level)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// limit is the fullness up to which an order may fill a server: the lower its
+// level, the more room it leaves for those above it, whichever daemon has them.
+// So that bundles never starve, a daemon whose bundles have none running may
+// start one that has waited long up to a full server.
+func (d *Dispatch) limit(o *Order, now sundial.Micros) float64 {
+	place := 1.0
+	if n := len(d.levels); n > 1 {
+		at, _ := slices.BinarySearch(d.levels, levelOf(o))
+		place = float64(min(at, n-1)) / float64(n-1)
+	}
+	limit := d.set.LowLimit + place*(d.set.HighLimit-d.set.LowLimit)
+	if o.Bundle && d.bundles == 0 && now-o.since > d.set.Patience {
+		limit = max(limit, 1)
+	}
+	return limit
+}
+
+// Priority is what a server is told: 0 for the highest level, more for lower.
+func (d *Dispatch) Priority(o *Order) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, _ := slices.BinarySearch(d.levels, levelOf(o))
+	return max(0, len(d.levels)-1-at)
+}
+
 func levelOf(o *Order) int64 {
 	if o.Bundle {
 		return 2 * o.Rank
@@ -247,8 +293,9 @@
 		d.mu.Unlock()
 		return mishap.Later(mishap.Busy, 2*sundial.Second, "come back after the time given", "the backlog is full")
 	}
-	d.seq++
-	o.seq = d.seq
+	if o.since == 0 {
+		o.since = d.clock()
+	}
 	level := levelOf(o)
 	backlog := d.backlogs[level]
 	if backlog == nil {
@@ -389,10 +436,7 @@
 
 // choose picks the server with the highest sum; ties fall by seeded chance.
 func (d *Dispatch) choose(o *Order, now sundial.Micros) *Grip {
-	limit := d.set.LiveLimit
-	if o.Bundle {
-		limit = d.set.BundleLimit
-	}
+	limit := d.limit(o, now)
 	held := d.prefixes[prefixOf(o)]
 	fastest := sundial.Micros(0)
 	names := make([]string, 0, len(d.servers))
@@ -434,10 +478,13 @@
 	}
 	chosen := d.servers[best[d.chance.Intn(len(best))]]
 	chosen.own++
+	if o.Bundle {
+		d.bundles++
+	}
 	chosen.since = append(chosen.since, now)
 	d.Assigned++
 	d.remember(prefixOf(o), chosen.server.Name)
-	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, d: d, s: chosen}
+	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, d: d, s: chosen}
 }
 
 func (d *Dispatch) remember(prefix uint64, server string) {
@@ -457,6 +504,9 @@
 	g.once.Do(func() {
 		g.d.mu.Lock()
 		g.s.own--
+		if g.bundle {
+			g.d.bundles--
+		}
 		if ok {
 			g.s.failures = 0
 			if took > 0 {
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -52,11 +52,9 @@
 	if err != nil {
 		return err
 	}
-	release, err := g.Purse.Take(customer.Name, class.Allowance, len(body.Items))
-	if err != nil {
-		return err
+	if int64(len(body.Items)) > class.Allowance {
+		return mishap.New(mishap.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d items are more than the whole allowance of %d", len(body.Items), class.Allowance)
 	}
-	defer release()
 	words := []string{route.Name}
 	for _, item := range body.Items {
 		words = append(words, item.ID, item.Input)
--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -42,7 +42,7 @@
 // Purse watches the customers' allowances.
 type Purse interface {
 	// Take reserves waiting work; an error turns the order away.
-	Take(customer string, allowance int64, count int) (release func(), err error)
+	Take(customer string, allowance int64, plan uint64, count int) (release func(), err error)
 }
 
 // Gate is the edge daemon's front.
@@ -157,7 +157,7 @@
 	if !g.Dispatch.Fresh() {
 		return mishap.Later(mishap.NotReady, sundial.Second, "ask another daemon, or come back", "this daemon's news are old; it refreshes them first")
 	}
-	release, err := g.Purse.Take(customer.Name, class.Allowance, 1)
+	release, err := g.Purse.Take(customer.Name, class.Allowance, plan.Version, 1)
 	if err != nil {
 		return err
 	}
@@ -186,8 +186,9 @@
 	var last error
 	avoid := map[string]int{}
 	for try := 0; try < g.Set.MostTries; try++ {
-		grip, err := g.assign(ctx, &dispatch.Order{ID: order, Customer: customer.Name, Route: route, Rank: class.Rank,
-			Prefix: route.Prefix, Expiry: expiry, Avoid: avoid}, release)
+		wanted := &dispatch.Order{ID: order, Customer: customer.Name, Route: route, Rank: class.Rank,
+			Prefix: route.Prefix, Expiry: expiry, Avoid: avoid}
+		grip, err := g.assign(ctx, wanted, release)
 		if err != nil {
 			last = err
 			if r.Context().Err() != nil {
@@ -196,7 +197,7 @@
 			break
 		}
 		outcome, err := serverline.Run(ctx, serverline.Request{Address: grip.Server.Address, Order: order, Model: route.Model,
-			Prefix: route.Prefix, Input: body.Input, Partial: out.text.String(), MaxTokens: body.MaxTokens, Silence: g.Set.Silence}, out.piece)
+			Prefix: route.Prefix, Input: body.Input, Partial: out.text.String(), MaxTokens: body.MaxTokens, Priority: g.Dispatch.Priority(wanted), Silence: g.Set.Silence}, out.piece)
 		took := g.Clock() - grip.Started
 		g.Book.Tried(order, told(grip, took, outcome, err))
 		switch {
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -141,7 +141,7 @@
 	}
 	var output strings.Builder
 	outcome, err := serverline.Run(ctx, serverline.Request{Address: grip.Server.Address, Order: order.ID, Model: order.Route.Model,
-		Prefix: order.Route.Prefix, Input: j.item.Input, MaxTokens: order.Route.MaxTokens, Silence: r.set.Silence}, func(piece string) error {
+		Prefix: order.Route.Prefix, Input: j.item.Input, MaxTokens: order.Route.MaxTokens, Priority: r.dispatch.Priority(order), Silence: r.set.Silence}, func(piece string) error {
 		if output.Len()+len(piece) > r.set.MostBytes {
 			return mishap.New(mishap.TooLarge, "lower max_tokens of the route", "the result is over %d bytes", r.set.MostBytes)
 		}
--- a/path/serverline/serverline.go
+++ b/path/serverline/serverline.go
@@ -50,6 +50,7 @@
 	Input     string
 	Partial   string // what was already produced, to be gone on with
 	MaxTokens int64
+	Priority  int            // 0 goes first on the server
 	Silence   sundial.Micros // longest wait for the next piece
 }
 
@@ -75,6 +76,7 @@
 	MaxTokens int64     `json:"max_tokens"`
 	Stream    bool      `json:"stream"`
 	User      string    `json:"user,omitempty"`
+	Priority  int       `json:"priority"`
 	Continue  bool      `json:"continue_final_message,omitempty"`
 	Generate  *bool     `json:"add_generation_prompt,omitempty"`
 }
@@ -94,7 +96,7 @@
 // Run sends one order and hands its pieces over as they come. Only a stream
 // with a finish reason and the end mark is complete.
 func Run(ctx context.Context, r Request, piece func(string) error) (Outcome, error) {
-	ask := body{Model: r.Model, MaxTokens: r.MaxTokens, Stream: true, User: r.Order}
+	ask := body{Model: r.Model, MaxTokens: r.MaxTokens, Stream: true, User: r.Order, Priority: r.Priority}
 	if r.Prefix != "" {
 		ask.Messages = append(ask.Messages, message{"system", r.Prefix})
 	}
