--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -63,6 +63,7 @@
 	Marks   []judges.Mark
 	Started sundial.Micros
 	bundle  bool
+	stay    *stay
 	d       *Dispatch
 	s       *state
 	once    sync.Once
@@ -73,12 +74,33 @@
 	load      roster.Load
 	loadEpoch uint64
 	own       int
-	since     []sundial.Micros
+	stays     []*stay // this daemon's orders of late
+	others    int     // the others' orders at the last figure
 	latency   sundial.Micros
 	failures  int
 	restUntil sundial.Micros
 }
 
+// stay is one order's time on a server; it has not ended while end is 0.
+type stay struct{ start, end sundial.Micros }
+
+// figure takes a reading: what it counts beyond this daemon's own orders at that
+// time is the others'.
+func (s *state) figure(load roster.Load) {
+	mine := 0
+	kept := s.stays[:0]
+	for _, one := range s.stays {
+		if one.start <= load.At && (one.end == 0 || one.end > load.At) {
+			mine++
+		}
+		if one.end == 0 || one.end > load.At {
+			kept = append(kept, one)
+		}
+	}
+	s.stays = kept
+	s.load, s.others = load, max(0, load.Running+load.Waiting-mine)
+}
+
 // Dispatch is the backlog and the servers of one daemon.
 type Dispatch struct {
 	mu       sync.Mutex
@@ -133,7 +155,7 @@
 		d.servers[server.Name] = s
 	}
 	if s.server.Address != server.Address {
-		s.load, s.latency, s.failures, s.restUntil = roster.Load{}, 0, 0, 0
+		s.load, s.others, s.latency, s.failures, s.restUntil = roster.Load{}, 0, 0, 0, 0
 	}
 	s.server = server
 	d.mu.Unlock()
@@ -144,15 +166,8 @@
 func (d *Dispatch) SetLoad(name string, epoch uint64, load roster.Load) {
 	d.mu.Lock()
 	if s := d.servers[name]; s != nil && epoch >= s.loadEpoch {
-		s.load, s.loadEpoch = load, epoch
-		now := d.clock()
-		kept := s.since[:0]
-		for _, at := range s.since {
-			if at > load.At && now-at < 2*sundial.Second {
-				kept = append(kept, at)
-			}
-		}
-		s.since = kept
+		s.loadEpoch = epoch
+		s.figure(load)
 	}
 	d.mu.Unlock()
 	d.Wake()
@@ -459,8 +474,8 @@
 			continue
 		}
 		sound := s.failures < 3 && (s.load.At == 0 || s.load.Sound)
-		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Told: s.load.Running + s.load.Waiting,
-			Since: len(s.since), Limit: limit, Leaving: s.server.Leaving, Sound: sound, Prefix: held == name,
+		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
+			Limit: limit, Leaving: s.server.Leaving, Sound: sound, Prefix: held == name,
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now}
 		sum, marks, ok := judges.Sum(d.plan.Judges, wish, candidate)
 		if !ok {
@@ -481,10 +496,11 @@
 	if o.Bundle {
 		d.bundles++
 	}
-	chosen.since = append(chosen.since, now)
+	here := &stay{start: now}
+	chosen.stays = append(chosen.stays, here)
 	d.Assigned++
 	d.remember(prefixOf(o), chosen.server.Name)
-	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, d: d, s: chosen}
+	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, stay: here, d: d, s: chosen}
 }
 
 func (d *Dispatch) remember(prefix uint64, server string) {
@@ -504,6 +520,7 @@
 	g.once.Do(func() {
 		g.d.mu.Lock()
 		g.s.own--
+		g.stay.end = g.d.clock()
 		if g.bundle {
 			g.d.bundles--
 		}
--- a/path/dispatch/dispatch_test.go
+++ b/path/dispatch/dispatch_test.go
@@ -77,7 +77,7 @@
 		_ = level
 		b.Dispatch.mu.Lock()
 		b.Dispatch.servers["s"].server.Slots = 1
-		b.Dispatch.servers["s"].own, b.Dispatch.servers["s"].since = 0, nil
+		b.Dispatch.servers["s"].own, b.Dispatch.servers["s"].stays = 0, nil
 		b.Dispatch.set.HighLimit, b.Dispatch.set.LowLimit = 1, 1
 		b.Dispatch.mu.Unlock()
 		b.Match()
@@ -191,3 +191,29 @@
 		t.Fatalf("two at a time: %s", <-b.started)
 	}
 }
+
+// Orders that have come and gone since the last figure do not make a server look
+// full: only what runs there now does.
+func TestFinishedOrdersMakeRoomBeforeTheNextFigure(t *testing.T) {
+	b := newBench(t, server("s", 2))
+	b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 1})
+	grips := make(chan *Grip, 1)
+	for i := 0; i < 20; i++ {
+		b.now += 10 * sundial.Millisecond
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip) { grips <- grip } })
+		b.Match()
+		if b.Assigned != int64(i+1) {
+			t.Fatalf("order %d was not assigned, though one other and none of ours runs there", i)
+		}
+		(<-grips).Release(5*sundial.Millisecond, true)
+	}
+	// What ran at the time of a figure is not counted twice.
+	b.order("long", 1, func(o *Order) { o.Start = func(grip *Grip) { grips <- grip } })
+	b.Match()
+	<-grips
+	b.now += sundial.Second / 2
+	b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 2})
+	if s := b.Dispatch.servers["s"]; s.others != 1 || s.own != 1 {
+		t.Fatalf("others %d, own %d", s.others, s.own)
+	}
+}
--- a/path/judges/judges.go
+++ b/path/judges/judges.go
@@ -10,8 +10,7 @@
 	Labels    map[string]string
 	Slots     int
 	Own       int            // this daemon's orders on it now
-	Told      int            // running and waiting there by its last figure
-	Since     int            // this daemon's starts after that figure
+	Others    int            // the others', by its last figure
 	Limit     float64        // fullness up to which this rank may fill it
 	Leaving   bool           // marked as leaving
 	Sound     bool           // its soundness page answers, and orders come back
@@ -35,9 +34,9 @@
 // Judge gives a mark from 0 to 1, or rules the server out with the reason.
 type Judge func(wish Wish, c Candidate) (float64, string)
 
-// Load is the estimate of what the server has: its last figure plus what this
-// daemon started since, and never less than this daemon's own.
-func (c Candidate) Load() int { return max(c.Told+c.Since, c.Own) }
+// Load is the estimate of what the server has: what the others had there at its
+// last figure, and what this daemon has there now.
+func (c Candidate) Load() int { return c.Others + c.Own }
 
 // All are the judges by name, in the order they are asked.
 var All = []struct {
