--- a/cmd/basecamp/main.go
+++ b/cmd/basecamp/main.go
@@ -73,6 +73,7 @@
 		return err
 	}
 	fmt.Print(verdict)
+	fmt.Print(havoc.Figures(c))
 	if verdict.Broken() {
 		return fmt.Errorf("a promise was broken")
 	}
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -113,7 +113,7 @@
 	items   int
 	drain   bool
 	// Counters for the operators.
-	Listed, Enrolled, Unknown, Takeovers int64
+	Listed, Enrolled, Unknown, Takeovers, Entries int64
 	// EarlyAnnounce is a fault planted by tests: positions count as finished
 	// before they are durable.
 	EarlyAnnounce bool
@@ -247,6 +247,7 @@
 
 // Confirmed answers who waits, finishes the position and starts new work.
 func (k *Keeper) Confirmed(unit string, seq uint64, now sundial.Micros) {
+	k.Entries++
 	if position, ok := k.given[unit][seq]; ok {
 		delete(k.given[unit], seq)
 		k.stairs.Finish(position)
--- a/proof/callers/callers.go
+++ b/proof/callers/callers.go
@@ -213,6 +213,34 @@
 	live.Wait()
 	if ctx.Err() == nil {
 		t.lastFeed(ctx)
+		t.lastLists(ctx)
+	}
+}
+
+// lastLists is the day's end: every accepted bundle's list is read back whole.
+func (t *Tour) lastLists(ctx context.Context) {
+	chance := rand.New(rand.NewSource(t.Seed - 3))
+	expiry := time.Now().Add(t.Patience)
+	for _, b := range t.bundles {
+		if !b.Accepted || b.Ended > 0 || len(b.Rows) < len(b.Inputs) {
+			continue
+		}
+		rows := -1
+		for rows < len(b.Rows) {
+			if ctx.Err() != nil || time.Now().After(expiry) {
+				t.breach("bundle %s: only %d of %d results at the day's end", b.ID, max(rows, 0), len(b.Rows))
+				break
+			}
+			p, ok := t.page(ctx, chance, "/v1/bundles/"+b.ID+"/results", "", 1000)
+			if !ok {
+				continue
+			}
+			if rows = len(p.Results); rows > len(b.Rows) || fmt.Sprint(p.Results) != fmt.Sprint(b.Rows[:rows]) {
+				t.breach("bundle %s: read again at the day's end it reads otherwise", b.ID)
+				break
+			}
+		}
+		t.count("lists read back at the day's end", 1)
 	}
 }
 
--- a/proof/camp/camp_test.go
+++ b/proof/camp/camp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -56,6 +57,44 @@
 	}
 }
 
+// The zone drill catches a breach planted on purpose: stores that take one disk
+// for two lose what they accepted when their zone goes.
+func TestTheZoneDrillCatchesAPlantedBreach(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bin := filepath.Join(t.TempDir(), "bin")
+	if err := camp.Build(root, bin, "-tags", "planted"); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("TULIPRUDDER_PLANT", "one-disk")
+	for zone := 1; zone <= 3; zone++ {
+		set := havoc.Settings{Name: "planted", Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 3, Stores: 3, Cores: 3, Servers: 3, Items: 10,
+			Slots: 8, Pieces: 6, PieceUS: 4000, LiveKeys: "key-buyers,key-sellers", BundleKey: "key-notes", BundleRoute: "seller-notes", Workers: 2, Bundles: 24, PaceUS: 150_000, Seed: 1,
+			Fault: "zone-wipe", Zone: fmt.Sprintf("zone-%d", zone), Patience: 12 * time.Second}
+		c := camp.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
+		broken := func() bool {
+			defer c.End()
+			if err := c.Start(); err != nil {
+				t.Fatal(err)
+			}
+			if err := c.Ready(90 * time.Second); err != nil {
+				t.Fatal(err, tails(c))
+			}
+			verdict, err := havoc.Run(context.Background(), c, set)
+			return err != nil || verdict.BrokenUntimed()
+		}()
+		if broken {
+			return
+		}
+	}
+	t.Fatal("the planted breach was not caught in any zone")
+}
+
 // tails gathers the ends of the logs, for a failure.
 func tails(c *camp.Camp) string {
 	out := ""
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -31,6 +31,7 @@
 	Fault                  string
 	Race, Keep             bool
 	Zone                   string
+	Patience               time.Duration // to read a bundle whole; 0: the callers' own
 }
 
 // BuildWords are the compiler's words for the build.
@@ -80,7 +81,7 @@
 // Tour is the callers the settings describe.
 func (s *Settings) Tour(edges func() []string) *callers.Tour {
 	return &callers.Tour{Edges: edges, Seed: s.Seed, LiveKeys: strings.Split(s.LiveKeys, ","), BundleKey: s.BundleKey, BundleRoute: s.BundleRoute,
-		Items: int(s.Items), Pieces: int(s.Pieces), LiveWorkers: int(s.Workers), Bundles: int(s.Bundles), Pace: time.Duration(s.PaceUS) * time.Microsecond}
+		Items: int(s.Items), Pieces: int(s.Pieces), LiveWorkers: int(s.Workers), Bundles: int(s.Bundles), Pace: time.Duration(s.PaceUS) * time.Microsecond, Patience: s.Patience}
 }
 
 type scene struct {
