Copies go in bounded pieces; a backlog is looked through by route and by expiry

Cause: a slot was copied in one message whose call expires after 1 s, so a slot with much history could never be copied; and each look at the backlog walked every waiting order. Before: one message a copy, of any size; after: pieces of 256 KiB, four under way. Each message of such a copy dropped, repeated and delayed: the backup ends whole.

--- a/ledger/tether/tether.go
+++ b/ledger/tether/tether.go
@@ -30,12 +30,20 @@
 
 // Messages between the two ends of a unit.
 type (
-	// Copy is the owner's whole state of a unit at the start of an epoch.
+	// Copy is one piece of the owner's whole state of a unit at the start of an
+	// epoch; a few pieces are under way at a time.
 	Copy struct {
+		Unit      string
+		Epoch     uint64
+		Seq       uint64
+		At, Count int
+		Parts     [][]byte
+	}
+	// Took acknowledges a piece; it is not on disk before Ack says Copied.
+	Took struct {
 		Unit  string
 		Epoch uint64
-		Seq   uint64
-		Parts [][]byte
+		At    int
 	}
 	// Append is one entry.
 	Append struct {
@@ -75,7 +83,7 @@
 )
 
 func init() {
-	footbridge.Register(Copy{}, Append{}, Ack{}, Fenced{}, Beat{}, Leased{}, Yield{})
+	footbridge.Register(Copy{}, Took{}, Append{}, Ack{}, Fenced{}, Beat{}, Leased{}, Yield{})
 }
 
 // Spans of the pair; the backup's wait is longer than the owner's lease by a
@@ -88,6 +96,8 @@
 	lonelyAfter = 800 * sundial.Millisecond
 	resendCap   = 64
 	earlyCap    = 256
+	pieceSize   = 256 << 10
+	pieceRun    = 4 // pieces under way at a time
 )
 
 // Kinds of record on disk.
@@ -132,7 +142,11 @@
 	peer       string // the other end's address
 	open       []entry
 	copySeq    uint64
-	copyEpoch  uint64 // backup: epoch of the copy being written
+	pieces     [][][]byte       // owner: the copy, piece by piece
+	pieceSent  []sundial.Micros // owner: when a piece was last sent
+	pieceTook  []bool
+	gathered   map[int][][]byte // backup: pieces of the epoch's copy
+	copyEpoch  uint64           // backup: epoch of the copy being gathered or written
 	copyLocal  bool
 	copyRemote bool
 	copyAt     sundial.Micros
@@ -143,7 +157,6 @@
 	granted    sundial.Micros // backup: must not own before
 	grantedAt  uint64         // backup: epoch of the lease it granted
 	beatAt     sundial.Micros
-	tookAt     sundial.Micros
 	early      map[uint64]Append // backup: entries that came before their turn
 	ackedAt    sundial.Micros
 }
@@ -288,7 +301,9 @@
 		r.open[i].local = true // the copy below carries them
 	}
 	copySeq := r.Seq
-	g.Store([]stride.Record{{Unit: unit, Kind: KindCopy, Epoch: epoch, Seq: copySeq, Body: encodeParts(g.holder.View(unit))}}, func(now sundial.Micros) {
+	parts := g.holder.View(unit)
+	r.cut(parts)
+	g.Store([]stride.Record{{Unit: unit, Kind: KindCopy, Epoch: epoch, Seq: copySeq, Body: encodeParts(parts)}}, func(now sundial.Micros) {
 		if r.Epoch == epoch && r.Owns() {
 			r.copyLocal = true
 			r.Durable = max(r.Durable, copySeq)
@@ -391,20 +406,56 @@
 	}
 }
 
+// cut divides a copy into pieces of a bounded size.
+func (r *Rope) cut(parts [][]byte) {
+	r.pieces = nil
+	var piece [][]byte
+	size := 0
+	for _, part := range parts {
+		if size > 0 && size+len(part) > pieceSize {
+			r.pieces, piece, size = append(r.pieces, piece), nil, 0
+		}
+		piece, size = append(piece, part), size+len(part)
+	}
+	r.pieces = append(r.pieces, piece)
+	r.pieceSent, r.pieceTook = make([]sundial.Micros, len(r.pieces)), make([]bool, len(r.pieces))
+}
+
+// tryCopy keeps a few pieces under way, and sends again what was not taken.
 func (g *Gang) tryCopy(r *Rope, now sundial.Micros) {
 	if r.Role != Copying || r.copyRemote || now < r.copyWait {
 		return
 	}
-	r.copyAt = now
 	if r.copyFirst == 0 {
 		r.copyFirst = now
 	}
-	g.out.Emit(stride.Send{To: r.peer, Body: Copy{Unit: r.Unit, Epoch: r.Epoch, Seq: r.copySeq, Parts: g.holder.View(r.Unit)}})
+	running, whole := 0, true
+	for at := range r.pieces {
+		if r.pieceTook[at] {
+			continue
+		}
+		whole = false
+		if running++; running > pieceRun {
+			break
+		}
+		if r.pieceSent[at] == 0 || now-r.pieceSent[at] >= 2*ResendAt {
+			r.pieceSent[at] = now
+			g.sendPiece(r, at)
+		}
+	}
+	if whole && now-r.copyAt >= 2*ResendAt {
+		r.copyAt = now
+		g.sendPiece(r, 0) // the word that it is on disk was lost, or is not due yet
+	}
+}
+
+func (g *Gang) sendPiece(r *Rope, at int) {
+	g.out.Emit(stride.Send{To: r.peer, Body: Copy{Unit: r.Unit, Epoch: r.Epoch, Seq: r.copySeq, At: at, Count: len(r.pieces), Parts: r.pieces[at]}})
 }
 
 func (g *Gang) copied(r *Rope, now sundial.Micros) {
 	if r.Role == Copying && r.copyLocal && r.copyRemote {
-		r.Role = Copied
+		r.Role, r.pieces = Copied, nil
 		g.holder.Ready(r.Unit, r.Epoch, now)
 	}
 }
@@ -419,9 +470,7 @@
 	for _, r := range g.Ropes() {
 		switch r.Role {
 		case Copying:
-			if r.copyAt == 0 || now-r.copyAt >= 2*ResendAt {
-				g.tryCopy(r, now)
-			}
+			g.tryCopy(r, now)
 		case Copied:
 			if now-r.copyAt >= ResendAt {
 				r.copyAt = now
@@ -449,6 +498,12 @@
 	switch m := body.(type) {
 	case Copy:
 		g.takeCopy(from, m, now)
+	case Took:
+		if r := g.Rope(m.Unit); r.Epoch == m.Epoch && r.Role == Copying && m.At >= 0 && m.At < len(r.pieceTook) && !r.pieceTook[m.At] {
+			r.pieceTook[m.At] = true
+			r.copyAt, r.copyFirst = now, now // it makes headway
+			g.tryCopy(r, now)
+		}
 	case Append:
 		g.takeAppend(from, m, now)
 	case Ack:
@@ -509,13 +564,25 @@
 		// The owner's word came before the granter's news.
 		g.Back(m.Unit, m.Epoch, from, now)
 	}
-	if r.tookAt != 0 && r.copyEpoch == m.Epoch && now-r.tookAt < 4*ResendAt {
-		return // being written
+	if r.copyEpoch != m.Epoch {
+		r.copyEpoch, r.gathered = m.Epoch, map[int][][]byte{}
+	}
+	g.out.Emit(stride.Send{To: from, Body: Took{Unit: m.Unit, Epoch: m.Epoch, At: m.At}})
+	if r.gathered == nil {
+		return // whole, and being written
+	}
+	r.gathered[m.At] = m.Parts
+	if len(r.gathered) < m.Count {
+		return
+	}
+	var parts [][]byte
+	for at := 0; at < m.Count; at++ {
+		parts = append(parts, r.gathered[at]...)
 	}
-	r.tookAt, r.copyEpoch = now, m.Epoch
-	g.holder.Restore(m.Unit, m.Parts)
+	r.gathered = nil
+	g.holder.Restore(m.Unit, parts)
 	r.Seq, r.Durable, r.peer, r.early = m.Seq, 0, from, nil
-	g.Store([]stride.Record{{Unit: m.Unit, Kind: KindCopy, Epoch: m.Epoch, Seq: m.Seq, Body: encodeParts(m.Parts)}}, func(now sundial.Micros) {
+	g.Store([]stride.Record{{Unit: m.Unit, Kind: KindCopy, Epoch: m.Epoch, Seq: m.Seq, Body: encodeParts(parts)}}, func(now sundial.Micros) {
 		if r.Epoch == m.Epoch && r.Role == Filling {
 			r.Role = Backing
 			r.Durable = m.Seq
--- a/ledger/tether/tether_test.go
+++ b/ledger/tether/tether_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"tuliprudder/kernel/stride"
@@ -61,12 +62,13 @@
 
 // bench is two or three ends with a fate for every message by its number.
 type bench struct {
-	now   sundial.Micros
-	ends  map[string]*end
-	wire  []letter
-	count int
-	fate  func(number int) string
-	late  []letter
+	now     sundial.Micros
+	ends    map[string]*end
+	wire    []letter
+	count   int
+	fate    func(number int) string
+	late    []letter
+	largest int
 }
 
 func newBench(names ...string) *bench {
@@ -102,6 +104,13 @@
 		for _, l := range wire {
 			moved = true
 			b.count++
+			if piece, ok := l.body.(Copy); ok {
+				size := 0
+				for _, part := range piece.Parts {
+					size += len(part)
+				}
+				b.largest = max(b.largest, size)
+			}
 			fate := ""
 			if b.fate != nil {
 				fate = b.fate(b.count)
@@ -237,6 +246,33 @@
 	}
 }
 
+// A large state is copied in pieces, a few at a time, and each piece may be
+// dropped, repeated or late.
+func TestALargeCopyGoesInPieces(t *testing.T) {
+	big := strings.Repeat("x", 100<<10)
+	for number := 0; number <= 24; number++ {
+		for _, fate := range []string{"drop", "repeat", "late"} {
+			b := newBench("a", "b")
+			for i := 0; i < 20; i++ {
+				b.ends["a"].list = append(b.ends["a"].list, fmt.Sprint(i, big))
+			}
+			b.fate = func(now int) string {
+				if now == number {
+					return fate
+				}
+				return ""
+			}
+			b.pair(t, "a", "b", 1)
+			if b.largest > 300<<10 {
+				t.Fatalf("a piece has %d bytes", b.largest)
+			}
+			if fmt.Sprint(b.ends["b"].list) != fmt.Sprint(b.ends["a"].list) {
+				t.Fatalf("message %d %s: the backup has %d of 20 parts", number, fate, len(b.ends["b"].list))
+			}
+		}
+	}
+}
+
 // What was confirmed is read back from either disk.
 func TestReadBack(t *testing.T) {
 	b := newBench("a", "b")
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"container/heap"
 	"container/list"
 	"hash/fnv"
 	"math/rand"
@@ -52,6 +53,8 @@
 	Drop func(err error)
 
 	since   sundial.Micros
+	seq     uint64
+	at      int
 	place   *list.Element
 	started bool
 	gone    bool
@@ -110,9 +113,11 @@
 	levels   []int64
 	bundles  int // bundle orders of this daemon that run
 	servers  map[string]*state
-	backlogs map[int64]*list.List // by rank; bundles half a rank lower
-	waiting  map[string]int       // by customer
+	backlogs map[int64]map[*planbook.Route]*list.List // by level, then by route
+	expiries expiries                                 // those that expire, the next one first
+	waiting  map[string]int                           // by customer
 	count    int
+	seq      uint64
 	prefixes map[uint64]string
 	prefixed *list.List
 	fresh    sundial.Micros
@@ -125,7 +130,7 @@
 
 // New makes a dispatcher.
 func New(set Settings, clock func() sundial.Micros, seed int64) *Dispatch {
-	return &Dispatch{set: set, clock: clock, servers: map[string]*state{}, backlogs: map[int64]*list.List{}, waiting: map[string]int{},
+	return &Dispatch{set: set, clock: clock, servers: map[string]*state{}, backlogs: map[int64]map[*planbook.Route]*list.List{}, waiting: map[string]int{},
 		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), wake: make(chan struct{}, 1)}
 }
 
@@ -311,13 +316,22 @@
 	if o.since == 0 {
 		o.since = d.clock()
 	}
+	d.seq++
+	o.seq = d.seq
 	level := levelOf(o)
-	backlog := d.backlogs[level]
+	if d.backlogs[level] == nil {
+		d.backlogs[level] = map[*planbook.Route]*list.List{}
+	}
+	backlog := d.backlogs[level][o.Route]
 	if backlog == nil {
 		backlog = list.New()
-		d.backlogs[level] = backlog
+		d.backlogs[level][o.Route] = backlog
 	}
 	o.place = backlog.PushBack(o)
+	o.started, o.gone = false, false
+	if o.Expiry > 0 {
+		heap.Push(&d.expiries, o)
+	}
 	d.count++
 	d.waiting[o.Customer]++
 	d.mu.Unlock()
@@ -337,7 +351,15 @@
 }
 
 func (d *Dispatch) remove(o *Order) {
-	d.backlogs[levelOf(o)].Remove(o.place)
+	level := levelOf(o)
+	backlog := d.backlogs[level][o.Route]
+	backlog.Remove(o.place)
+	if backlog.Len() == 0 {
+		delete(d.backlogs[level], o.Route)
+	}
+	if o.Expiry > 0 {
+		heap.Remove(&d.expiries, o.at)
+	}
 	o.gone = true
 	d.count--
 	if d.waiting[o.Customer]--; d.waiting[o.Customer] <= 0 {
@@ -350,9 +372,11 @@
 	d.mu.Lock()
 	d.closed = true
 	var dropped []*Order
-	for _, backlog := range d.backlogs {
-		for e := backlog.Front(); e != nil; e = e.Next() {
-			dropped = append(dropped, e.Value.(*Order))
+	for _, routes := range d.backlogs {
+		for _, backlog := range routes {
+			for e := backlog.Front(); e != nil; e = e.Next() {
+				dropped = append(dropped, e.Value.(*Order))
+			}
 		}
 	}
 	for _, o := range dropped {
@@ -388,38 +412,17 @@
 	var expired, forbidden []*Order
 	d.mu.Lock()
 	now := d.clock()
-	levels := make([]int64, 0, len(d.backlogs))
-	for level := range d.backlogs {
-		levels = append(levels, level)
-	}
-	sort.Slice(levels, func(i, j int) bool { return levels[i] > levels[j] })
-	fresh := d.isFresh(now)
-	for _, level := range levels {
-		backlog := d.backlogs[level]
-		full := map[*planbook.Route]bool{}
-		var next *list.Element
-		for e := backlog.Front(); e != nil; e = next {
-			next = e.Next()
-			o := e.Value.(*Order)
-			if o.Expiry > 0 && now >= o.Expiry {
-				d.remove(o)
-				expired = append(expired, o)
-				d.Expired++
-				continue
-			}
-			if !fresh || d.plan == nil || full[o.Route] {
-				continue
-			}
-			grip := d.choose(o, now)
-			if grip == nil {
-				if len(o.Avoid) == 0 {
-					full[o.Route] = true
-				}
-				continue
+	for len(d.expiries) > 0 && now >= d.expiries[0].Expiry {
+		o := d.expiries[0]
+		d.remove(o)
+		expired = append(expired, o)
+		d.Expired++
+	}
+	if d.isFresh(now) && d.plan != nil {
+		for _, level := range d.open() {
+			for _, backlog := range d.turns(level) {
+				d.drain(backlog, now, func(o *Order, grip *Grip) { starts = append(starts, start{o, grip}) })
 			}
-			d.remove(o)
-			o.started = true
-			starts = append(starts, start{o, grip})
 		}
 	}
 	d.mu.Unlock()
@@ -443,6 +446,73 @@
 	}
 }
 
+// open lists the levels that have orders, highest first.
+func (d *Dispatch) open() []int64 {
+	out := make([]int64, 0, len(d.backlogs))
+	for level, routes := range d.backlogs {
+		if len(routes) > 0 {
+			out = append(out, level)
+		}
+	}
+	slices.Sort(out)
+	slices.Reverse(out)
+	return out
+}
+
+// turns lists a level's backlogs, the one whose first order came first in front.
+func (d *Dispatch) turns(level int64) []*list.List {
+	out := make([]*list.List, 0, len(d.backlogs[level]))
+	for _, backlog := range d.backlogs[level] {
+		out = append(out, backlog)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].Front().Value.(*Order).seq < out[j].Front().Value.(*Order).seq
+	})
+	return out
+}
+
+// drain assigns from one backlog until no server is left for its route. Only an
+// order that has servers to avoid is stepped over.
+func (d *Dispatch) drain(backlog *list.List, now sundial.Micros, start func(*Order, *Grip)) {
+	var next *list.Element
+	for e := backlog.Front(); e != nil; e = next {
+		next = e.Next()
+		o := e.Value.(*Order)
+		grip := d.choose(o, now)
+		if grip == nil {
+			if len(o.Avoid) == 0 {
+				return
+			}
+			continue
+		}
+		d.remove(o)
+		o.started = true
+		start(o, grip)
+	}
+}
+
+// expiries is the heap of orders that expire.
+type expiries []*Order
+
+func (e expiries) Len() int           { return len(e) }
+func (e expiries) Less(i, j int) bool { return e[i].Expiry < e[j].Expiry }
+func (e expiries) Swap(i, j int)      { e[i], e[j] = e[j], e[i]; e[i].at, e[j].at = i, j }
+
+// Push and Pop are the heap's.
+func (e *expiries) Push(x any) {
+	o := x.(*Order)
+	o.at = len(*e)
+	*e = append(*e, o)
+}
+
+// Pop takes the last.
+func (e *expiries) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
 func prefixOf(o *Order) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(o.Route.Model + "\x00" + o.Prefix))
