--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -6,8 +6,7 @@
 import (
 	"encoding/json"
 
-	"github.com/pkg/errors"
-
+	"tuliprudder/kernel/stride"
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/ledger/tether"
 )
@@ -166,42 +165,22 @@
 func (Pair) kind() string       { return "pair" }
 func (Retire) kind() string     { return "retire" }
 
-type wrapped struct {
-	Kind string          `json:"k"`
-	Body json.RawMessage `json:"b"`
-}
-
-var decoders = map[string]func(json.RawMessage) (Entry, error){
-	"found": decode[Found], "put-plan": decode[PutPlan], "enrol-store": decode[EnrolStore], "pair": decode[Pair],
-	"retire": decode[Retire],
-}
-
-func decode[E Entry](data json.RawMessage) (Entry, error) {
-	var e E
-	err := json.Unmarshal(data, &e)
-	return e, err
+var entries = stride.Entries[Entry]{
+	"found":       stride.Decoder(func(e Found) Entry { return e }),
+	"put-plan":    stride.Decoder(func(e PutPlan) Entry { return e }),
+	"enrol-store": stride.Decoder(func(e EnrolStore) Entry { return e }),
+	"pair":        stride.Decoder(func(e Pair) Entry { return e }),
+	"retire":      stride.Decoder(func(e Retire) Entry { return e }),
 }
 
 // Encode writes an entry for the pair.
-func Encode(e Entry) []byte {
-	body, _ := json.Marshal(e)
-	data, _ := json.Marshal(wrapped{Kind: e.kind(), Body: body})
-	return data
-}
+func Encode(e Entry) []byte { return entries.Encode(e.kind(), e) }
 
 // Play applies an encoded entry.
 func (c *Chart) Play(data []byte) error {
-	var w wrapped
-	if err := json.Unmarshal(data, &w); err != nil {
-		return errors.Wrap(err, "reading a change of the chart")
-	}
-	read, ok := decoders[w.Kind]
-	if !ok {
-		return errors.Errorf("change of an unknown kind %q: run the release that wrote it", w.Kind)
-	}
-	entry, err := read(w.Body)
+	entry, err := entries.Decode(data)
 	if err != nil {
-		return errors.Wrap(err, "reading a change of the chart")
+		return err
 	}
 	entry.Apply(c)
 	c.Seq++
--- a/daemon/lodge/lodge.go
+++ b/daemon/lodge/lodge.go
@@ -119,34 +119,23 @@
 	if r.l.Common.Data == "" {
 		return nil
 	}
-	done := make(chan struct{})
-	ends.Push(func() { close(done) })
-	go func() {
-		ticker := time.NewTicker(5 * time.Second)
-		defer ticker.Stop()
-		last := ""
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-			}
-			var peers []string
-			for _, person := range r.l.Porter.Folk() {
-				if person.Standing == people.Sound && person.ID != r.l.Who.ID && len(peers) < mostRemembered {
-					peers = append(peers, person.Peer)
-				}
-			}
-			data, _ := json.Marshal(peers)
-			if len(peers) == 0 || string(data) == last {
-				continue
-			}
-			last = string(data)
-			if err := strongroom.WriteAside(r.l.Folder("peers.json"), data, nil); err != nil {
-				r.l.Log.Warn().Err(err).Msg("the learnt addresses could not be kept")
+	last := ""
+	belay.Every(ends, 5*time.Second, func() {
+		var peers []string
+		for _, person := range r.l.Porter.Folk() {
+			if person.Standing == people.Sound && person.ID != r.l.Who.ID && len(peers) < mostRemembered {
+				peers = append(peers, person.Peer)
 			}
 		}
-	}()
+		data, _ := json.Marshal(peers)
+		if len(peers) == 0 || string(data) == last {
+			return
+		}
+		last = string(data)
+		if err := strongroom.WriteAside(r.l.Folder("peers.json"), data, nil); err != nil {
+			r.l.Log.Warn().Err(err).Msg("the learnt addresses could not be kept")
+		}
+	})
 	return nil
 }
 
@@ -248,26 +237,15 @@
 
 // Start starts the matching thread and its clock.
 func (m matching) Start(_ *almhut.Hut, ends *belay.Stack) error {
-	done := make(chan struct{})
-	tick := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(20 * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				select {
-				case tick <- struct{}{}:
-				case <-done:
-					return
-				}
-			}
+	done, tick := make(chan struct{}), make(chan struct{}, 1)
+	belay.Every(ends, 20*time.Millisecond, func() {
+		select {
+		case tick <- struct{}{}:
+		default:
 		}
-	}()
-	go m.d.Run(done, tick)
+	})
 	ends.Push(func() { close(done) })
+	go m.d.Run(done, tick)
 	return nil
 }
 
--- /dev/null
+++ b/kernel/stride/entries.go
@@ -0,0 +1,46 @@
+package stride
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// Entries is the codec of one state's changes: each kind of change by its name.
+// A kind that this release does not know is never passed over.
+type Entries[E any] map[string]func(json.RawMessage) (E, error)
+
+type wrapped struct {
+	Kind string          `json:"k"`
+	Body json.RawMessage `json:"b"`
+}
+
+// Decoder reads changes of the type T.
+func Decoder[E any, T any](as func(T) E) func(json.RawMessage) (E, error) {
+	return func(data json.RawMessage) (E, error) {
+		var change T
+		err := json.Unmarshal(data, &change)
+		return as(change), errors.Wrap(err, "reading a change")
+	}
+}
+
+// Encode writes a change under its kind.
+func (Entries[E]) Encode(kind string, change E) []byte {
+	body, _ := json.Marshal(change)
+	data, _ := json.Marshal(wrapped{Kind: kind, Body: body})
+	return data
+}
+
+// Decode reads a change back.
+func (e Entries[E]) Decode(data []byte) (E, error) {
+	var none E
+	var w wrapped
+	if err := json.Unmarshal(data, &w); err != nil {
+		return none, errors.Wrap(err, "reading a change")
+	}
+	read, ok := e[w.Kind]
+	if !ok {
+		return none, errors.Errorf("a change of an unknown kind %q: run the release that wrote it", w.Kind)
+	}
+	return read(w.Body)
+}
--- a/ledger/daybook/daybook.go
+++ b/ledger/daybook/daybook.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"tuliprudder/kernel/stride"
 	"tuliprudder/kernel/sundial"
 )
 
@@ -293,41 +294,20 @@
 func (Settling) kind() string { return "settle" }
 func (Forget) kind() string   { return "forget" }
 
-type wrapped struct {
-	Kind string          `json:"k"`
-	Body json.RawMessage `json:"b"`
-}
-
-var decoders = map[string]func(json.RawMessage) (Entry, error){
-	"enrol": decode[Enrol], "list": decode[List], "end": decode[End],
-	"claim": decode[Claiming], "settle": decode[Settling], "forget": decode[Forget],
-}
-
-func decode[E Entry](data json.RawMessage) (Entry, error) {
-	var e E
-	err := json.Unmarshal(data, &e)
-	return e, err
+var entries = stride.Entries[Entry]{
+	"enrol":  stride.Decoder(func(e Enrol) Entry { return e }),
+	"list":   stride.Decoder(func(e List) Entry { return e }),
+	"end":    stride.Decoder(func(e End) Entry { return e }),
+	"claim":  stride.Decoder(func(e Claiming) Entry { return e }),
+	"settle": stride.Decoder(func(e Settling) Entry { return e }),
+	"forget": stride.Decoder(func(e Forget) Entry { return e }),
 }
 
 // Encode writes an entry for the pair.
-func Encode(e Entry) []byte {
-	body, _ := json.Marshal(e)
-	data, _ := json.Marshal(wrapped{Kind: e.kind(), Body: body})
-	return data
-}
+func Encode(e Entry) []byte { return entries.Encode(e.kind(), e) }
 
 // Decode reads an entry.
-func Decode(data []byte) (Entry, error) {
-	var w wrapped
-	if err := json.Unmarshal(data, &w); err != nil {
-		return nil, errors.Wrap(err, "reading an entry")
-	}
-	read, ok := decoders[w.Kind]
-	if !ok {
-		return nil, errors.Errorf("entry of an unknown kind %q: run the release that wrote it", w.Kind)
-	}
-	return read(w.Body)
-}
+func Decode(data []byte) (Entry, error) { return entries.Decode(data) }
 
 type part struct {
 	Bundle *Bundle       `json:"bundle,omitempty"`
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -112,6 +112,20 @@
 
 // Status tells how a bundle stands.
 func (g *Gate) Status(w http.ResponseWriter, r *http.Request) error {
+	return g.askKeeper(w, r, 2*sundial.Second, func(slot int, id, customer string) any {
+		return keeper.StatusAsk{Slot: slot, Bundle: id, Customer: customer}
+	})
+}
+
+// End ends a bundle: durable before it is answered.
+func (g *Gate) End(w http.ResponseWriter, r *http.Request) error {
+	return g.askKeeper(w, r, g.Set.Commit+sundial.Second, func(slot int, id, customer string) any {
+		return keeper.EndAsk{Slot: slot, Bundle: id, Customer: customer, Expiry: g.Set.Commit}
+	})
+}
+
+// askKeeper asks a bundle's keeper something whose answer is how it stands.
+func (g *Gate) askKeeper(w http.ResponseWriter, r *http.Request, expiry sundial.Micros, ask func(slot int, id, customer string) any) error {
 	_, customer, _, err := g.caller(r)
 	if err != nil {
 		return err
@@ -121,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	got, err := g.Ask(owner.Peer, keeper.StatusAsk{Slot: slot, Bundle: id, Customer: customer.Name}, 2*sundial.Second)
+	got, err := g.Ask(owner.Peer, ask(slot, id, customer.Name), expiry)
 	if err != nil {
 		return err
 	}
@@ -138,24 +152,6 @@
 		"kept": map[string]any{"keeper": status.Keeper, "writer": status.Writer, "slot": status.Slot, "epoch": status.Epoch, "backup": status.Backup}})
 }
 
-// End ends a bundle: durable before it is answered.
-func (g *Gate) End(w http.ResponseWriter, r *http.Request) error {
-	_, customer, _, err := g.caller(r)
-	if err != nil {
-		return err
-	}
-	id := part(r, "bundle")
-	slot, owner, err := g.Reader.Keeper(id)
-	if err != nil {
-		return err
-	}
-	got, err := g.Ask(owner.Peer, keeper.EndAsk{Slot: slot, Bundle: id, Customer: customer.Name, Expiry: g.Set.Commit}, g.Set.Commit+sundial.Second)
-	if err != nil {
-		return err
-	}
-	return g.writeStatus(w, got)
-}
-
 // poll reads the paging parameters.
 func (g *Gate) poll(r *http.Request) (token string, most int, wait sundial.Micros, err error) {
 	query := r.URL.Query()
--- a/path/purse/purse.go
+++ b/path/purse/purse.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/almhut"
@@ -297,20 +296,7 @@
 
 // Start starts the thread that renews shares and gives back what is not used.
 func (p *Purse) Start(_ *almhut.Hut, ends *belay.Stack) error {
-	done := make(chan struct{})
-	ends.Push(func() { close(done) })
-	go func() {
-		ticker := time.NewTicker(sundial.Span(LoanSpan / 4))
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				p.Renew()
-			}
-		}
-	}()
+	belay.Every(ends, sundial.Span(LoanSpan/4), p.Renew)
 	return nil
 }
 
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -41,20 +41,7 @@
 // Start starts the thread.
 func (s *Scouts) Start(_ *almhut.Hut, ends *belay.Stack) error {
 	s.busy = map[string]bool{}
-	done := make(chan struct{})
-	ends.Push(func() { close(done) })
-	go func() {
-		ticker := time.NewTicker(sundial.Span(s.Every))
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				s.round()
-			}
-		}
-	}()
+	belay.Every(ends, sundial.Span(s.Every), s.round)
 	return nil
 }
 
