--- a/proof/callers/callers.go
+++ b/proof/callers/callers.go
@@ -40,6 +40,7 @@
 	Ended        bool // a stream with its end mark
 	Asked, Told  int64
 	Kind         string
+	Key          string
 	Once         bool
 }
 
@@ -255,7 +256,7 @@
 		t.stream(ctx, chance, key)
 		return
 	}
-	l := &Live{Input: t.name("once"), Route: "verdict", Asked: now(), Once: true}
+	l := &Live{Input: t.name("once"), Route: "verdict", Asked: now(), Once: true, Key: key}
 	t.mu.Lock()
 	t.lives = append(t.lives, l)
 	t.mu.Unlock()
@@ -297,7 +298,7 @@
 }
 
 func (t *Tour) stream(ctx context.Context, chance *rand.Rand, key string) {
-	l := &Live{Input: t.name("stream"), Route: "label", Asked: now()}
+	l := &Live{Input: t.name("stream"), Route: "label", Asked: now(), Key: key}
 	t.mu.Lock()
 	t.lives = append(t.lives, l)
 	t.mu.Unlock()
--- a/proof/callers/verdict.go
+++ b/proof/callers/verdict.go
@@ -20,7 +20,6 @@
 type Verdict struct {
 	Promises []Promise      `json:"promises"`
 	Counts   map[string]int `json:"counts"`
-	Latency  map[string]int64
 }
 
 // Broken tells whether any promise was broken.
@@ -132,7 +131,8 @@
 		}
 	}
 	told := map[string]int{}
-	var oneShots, streamTimes, bundleTimes []int64
+	var bundleTimes []int64
+	liveTimes := map[string][]int64{}
 	for _, l := range t.lives {
 		told[string(l.Outcome)]++
 		if l.Kind != "" {
@@ -148,14 +148,14 @@
 			}
 			if l.Outcome == OK {
 				check(mixed, l.Output == expected, "order %s: answer %q is not its own", l.Input, l.Output)
-				oneShots = append(oneShots, l.Told-l.Asked)
+				liveTimes["one-shot of "+l.Key] = append(liveTimes["one-shot of "+l.Key], l.Told-l.Asked)
 			}
 			continue
 		}
 		check(streams, strings.HasPrefix(expected, l.Output), "stream %s: pieces dropped, repeated or joined: %q of %q", l.Input, l.Output, expected)
 		if l.Ended {
 			check(mixed, l.Output == expected, "stream %s: ended with %q of %q", l.Input, l.Output, expected)
-			streamTimes = append(streamTimes, l.Told-l.Asked)
+			liveTimes["stream of "+l.Key] = append(liveTimes["stream of "+l.Key], l.Told-l.Asked)
 		}
 		if l.Outcome == Refused {
 			check(single, len(runs) == 0, "stream %s was turned away (%s) and ran", l.Input, l.Kind)
@@ -256,14 +256,15 @@
 			}
 		}
 	}
-	v := Verdict{Counts: t.counts, Latency: map[string]int64{}}
+	v := Verdict{Counts: t.counts}
 	for name, number := range told {
 		v.Counts["live: "+name] = number
 	}
 	v.Counts["bundles accepted"], v.Counts["orders that started on servers"] = accepted, len(starts)
 	v.Counts["feed rows"] = len(t.feed)
 	v.Counts["slowest receipt us"], v.Counts["longest time without a live answer us"] = int(slowest), int(gap)
-	for name, list := range map[string][]int64{"one-shot": oneShots, "stream": streamTimes, "bundle": bundleTimes} {
+	liveTimes["bundle"] = bundleTimes
+	for name, list := range liveTimes {
 		sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
 		if len(list) > 0 {
 			v.Counts[name+" median us"], v.Counts[name+" p99 us"] = int(list[len(list)/2]), int(list[len(list)*99/100])
