Copied and old data folders are turned away; real faults add and retire stores

Cause: a store's identity is in its folder. A copy of the folder, or an old one brought back, came with a trusted identity: the core could have read its disk back as the last complete pair's. The chart now keeps each store's newest life; an older one, or one that lives elsewhere, is told so and ends with the remedy. Before: the copy joined; after: it ends, the original goes on, nothing is lost.

--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -25,6 +25,7 @@
 	Writer   int    `json:"writer"`
 	Zone     string `json:"zone"`
 	Peer     string `json:"peer"`
+	Life     uint64 `json:"life"` // the newest life it was heard in
 	Retiring bool   `json:"retiring,omitempty"`
 	Retired  bool   `json:"retired,omitempty"`
 }
--- a/core/summit/election.go
+++ b/core/summit/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/core/chart"
+	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/stride"
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/ledger/tether"
@@ -43,6 +44,9 @@
 
 func (s *Summit) greeted(g Greet, now sundial.Micros) {
 	if g.Core.ID == s.self.ID {
+		if g.Core.Peer != s.self.Peer && g.Life <= s.life {
+			s.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "start with an empty data folder; the cores give it a seat", "a core of the same identity lives at %s: this data folder is a copy", g.Core.Peer)})
+		}
 		return
 	}
 	if s.oath.Fleet != "" && g.Fleet != "" && g.Fleet != s.oath.Fleet {
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sort"
 
@@ -166,6 +167,11 @@
 // storeBeat hears a store; the primary enrols it and tells it its writer id.
 func (s *Summit) storeBeat(from string, beat keeper.Beat, now sundial.Micros) {
 	heard, ok := s.stores[beat.ID]
+	if why := s.impostor(beat, heard, ok, now); why != "" {
+		s.Emit(stride.Explain{What: "a store is turned away", Fields: map[string]any{"store": beat.ID, "peer": beat.Peer, "life": beat.Life, "reason": why}})
+		s.Emit(stride.Send{To: from, Body: keeper.Unwelcome{ID: beat.ID, Life: beat.Life, Why: why}})
+		return
+	}
 	if !ok || heard.beat.Life != beat.Life {
 		heard.first = now
 	}
@@ -175,9 +181,9 @@
 		return
 	}
 	known, enrolled := s.chart.Stores[beat.ID]
-	if !enrolled || known.Peer != beat.Peer || known.Zone != beat.Zone {
+	if !enrolled || known.Peer != beat.Peer || known.Zone != beat.Zone || known.Life != beat.Life {
 		if !s.waiting(func(e chart.Entry) bool { put, ok := e.(chart.EnrolStore); return ok && put.Store.ID == beat.ID }) {
-			s.propose(change{entry: chart.EnrolStore{Store: chart.Store{ID: beat.ID, Zone: beat.Zone, Peer: beat.Peer}}}, now)
+			s.propose(change{entry: chart.EnrolStore{Store: chart.Store{ID: beat.ID, Zone: beat.Zone, Peer: beat.Peer, Life: beat.Life}}}, now)
 		}
 		return
 	}
@@ -187,6 +193,19 @@
 	s.complete(beat, now)
 }
 
+// impostor tells why a beat is not from the store it names: another process with
+// the same identity lives elsewhere, or a newer life was heard before. Its disk
+// would be taken for the trusted one.
+func (s *Summit) impostor(beat keeper.Beat, heard heardStore, known bool, now sundial.Micros) string {
+	if known && heard.beat.Peer != beat.Peer && now-heard.at < s.set.StoreSilent/2 {
+		return "a store of the same identity lives at " + heard.beat.Peer
+	}
+	if newest := s.chart.Stores[beat.ID].Life; s.Serving() && beat.Life < newest {
+		return fmt.Sprintf("life %d of this store was heard, this is life %d: the folder is an old copy", newest, beat.Life)
+	}
+	return ""
+}
+
 func (s *Summit) waiting(match func(chart.Entry) bool) bool {
 	if s.flight != nil && s.flight.entry != nil && match(s.flight.entry) {
 		return true
--- a/daemon/porter/porter.go
+++ b/daemon/porter/porter.go
@@ -205,6 +205,10 @@
 			p.heard(e.Rumour)
 		case stride.Explain:
 			p.Log.Info().Fields(e.Fields).Msg(e.What)
+		case stride.Halt:
+			p.Log.Error().Err(e.Err).Msg("ending")
+			os.Stderr.WriteString(p.Who.ID + ": " + e.Err.Error() + "\n")
+			p.exit(4)
 		case stride.Work:
 			if p.onWork != nil {
 				p.onWork(e.Order)
--- a/kernel/stride/stride.go
+++ b/kernel/stride/stride.go
@@ -77,6 +77,9 @@
 	Fields map[string]any
 }
 
+// Halt ends the daemon: going on would put a promise at risk.
+type Halt struct{ Err error }
+
 // Work asks the path to run something (an item of a bundle).
 type Work struct{ Order any }
 
@@ -108,3 +111,5 @@
 	o.effects = nil
 	return out
 }
+
+func (Halt) effect() {}
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -117,6 +117,12 @@
 		Stalled        bool           // its disk holds writes back
 		Lonely         map[int]uint64 // owned slots whose backup does not answer, by epoch
 	}
+	// Unwelcome turns a store away for good: its folder is a copy, or an old one.
+	Unwelcome struct {
+		ID   string
+		Life uint64
+		Why  string
+	}
 	// Welcome tells a store its writer id and the fleet.
 	Welcome struct {
 		Fleet  string
@@ -127,5 +133,5 @@
 
 func init() {
 	footbridge.Register(EnrolAsk{}, Receipt{}, EndAsk{}, StatusAsk{}, Status{}, ReadAsk{}, Rows{},
-		ClaimAsk{}, ClaimAnswer{}, SettleAsk{}, Settled{}, ShowAsk{}, Shown{}, Beat{}, Welcome{})
+		ClaimAsk{}, ClaimAnswer{}, SettleAsk{}, Settled{}, ShowAsk{}, Shown{}, Beat{}, Welcome{}, Unwelcome{})
 }
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -347,9 +347,14 @@
 	if k.gang.Take(l.From, l.Body, now) {
 		return
 	}
+	if no, ok := l.Body.(Unwelcome); ok && no.ID == k.self.ID && no.Life == k.self.Life {
+		k.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "start with an empty data folder; the fleet fills it from the pairs", "this data folder is not this store's newest: %s", no.Why)})
+		return
+	}
 	if welcome, ok := l.Body.(Welcome); ok && welcome.Writer > 0 {
 		if k.fleet != "" && k.fleet != welcome.Fleet {
-			return // another fleet's core: not ours to obey
+			k.Emit(stride.Explain{What: "a core of another fleet spoke; its word is passed over; check -seeds", Fields: map[string]any{"fleet": welcome.Fleet, "from": l.From}})
+			return
 		}
 		if k.writer == 0 {
 			k.fleet, k.writer = welcome.Fleet, welcome.Writer
--- a/proof/camp/camp.go
+++ b/proof/camp/camp.go
@@ -289,6 +289,21 @@
 	return d, c.Run(fresh)
 }
 
+// Add starts one more daemon of a kind in a zone; its seeds are daemons that
+// need not be cores.
+func (c *Camp) Add(kind, name, zone string, seeds []string) error {
+	d, err := c.layOut(kind, name, zone, c.address())
+	if err != nil {
+		return err
+	}
+	var peers []string
+	for _, seed := range seeds {
+		peers = append(peers, c.Get(seed).Peer)
+	}
+	d.args = append(d.args, "-seeds", strings.Join(peers, ","))
+	return c.Run(name)
+}
+
 // End kills every process that this camp started.
 func (c *Camp) End() {
 	for _, name := range c.Names("") {
--- a/proof/camp/camp_test.go
+++ b/proof/camp/camp_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,7 +30,8 @@
 	if err := camp.Build(root, bin); err != nil {
 		t.Fatal(err)
 	}
-	for _, fault := range []string{"kill-writer", "wipe-writer", "freeze-store", "kill-primary", "restart-edge", "leave-server"} {
+	badSettings(t, bin)
+	for _, fault := range []string{"kill-writer", "wipe-writer", "freeze-store", "kill-primary", "restart-edge", "leave-server", "retire-store"} {
 		t.Run(fault, func(t *testing.T) {
 			set := havoc.Settings{Name: fault, Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 2, Stores: 3, Cores: 3, Servers: 3, Items: 10,
 				Slots: 8, Pieces: 6, PieceUS: 4000, LiveKeys: "key-buyers,key-sellers", BundleKey: "key-notes", BundleRoute: "seller-notes", Workers: 4, Bundles: 16, PaceUS: 400_000, Seed: 1, Fault: fault}
@@ -57,6 +61,22 @@
 	}
 }
 
+// badSettings starts daemons with settings that are wrong: each names every
+// fault and ends with code 2.
+func badSettings(t *testing.T, bin string) {
+	for _, program := range []string{"trailhead", "refuge", "cairn"} {
+		out, err := exec.Command(filepath.Join(bin, program), "-zone", "z", "-peer", "nowhere", "-colour", "red").CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() != 2 || !strings.Contains(string(out), "colour") {
+			t.Errorf("%s with an unknown setting: %v %s", program, err, out)
+		}
+		out, err = exec.Command(filepath.Join(bin, program), "-zone", "z", "-peer", "nowhere", "-seeds", "127.0.0.1:1").CombinedOutput()
+		if !errors.As(err, &exit) || exit.ExitCode() != 2 || !strings.Contains(string(out), "-peer \"nowhere\"") || !strings.Contains(string(out), "exactly three") {
+			t.Errorf("%s with bad addresses: %v %s", program, err, out)
+		}
+	}
+}
+
 // The zone drill catches a breach planted on purpose: stores that take one disk
 // for two lose what they accepted when their zone goes.
 func TestTheZoneDrillCatchesAPlantedBreach(t *testing.T) {
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -118,6 +118,8 @@
 	"zone":         func(s *scene) error { return s.zone(s.set.zone(), 8*time.Second) },
 	"zone-cut":     func(s *scene) error { return s.cutZone(s.set.zone(), 8*time.Second) },
 	"zone-wipe":    func(s *scene) error { return s.wipeZone(s.set.zone(), 4*time.Second) },
+	"add-store":    func(s *scene) error { return s.add() },
+	"retire-store": func(s *scene) error { return s.retire() },
 	"flock":        func(s *scene) error { return s.flock() },
 }
 
@@ -434,3 +436,80 @@
 	tour.Run(s.ctx)
 	return nil
 }
+
+// add starts one more store and waits until slots have moved to it; its seeds
+// are edges and a store, no core.
+func (s *scene) add() error {
+	edges := s.c.Names("trailhead")
+	if err := s.c.Add("refuge", "store-new", "zone-1", []string{edges[0], edges[len(edges)-1], s.c.Names("refuge")[0]}); err != nil {
+		return err
+	}
+	peer := s.c.Get("store-new").Peer
+	return camp.Until(60*time.Second, func() error {
+		var m chart.Map
+		if err := s.ask("/v1/operator/map", &m); err != nil {
+			return err
+		}
+		owned := 0
+		for _, pairing := range m.Slots {
+			if m.Stores[pairing.Owner.ID].Peer == peer && pairing.Complete {
+				owned++
+			}
+		}
+		if owned < 2 {
+			return errors.Errorf("the new store owns %d slots", owned)
+		}
+		return nil
+	})
+}
+
+// retire empties the busiest store, waits until nothing depends on it, and ends
+// it. Then retiring another has to be refused if the rest would be in one zone.
+func (s *scene) retire() error {
+	name, err := s.busiest()
+	if err != nil {
+		return err
+	}
+	var m chart.Map
+	if err := s.ask("/v1/operator/map", &m); err != nil {
+		return err
+	}
+	byName := map[string]string{}
+	for id, store := range m.Stores {
+		if found, err := s.byPeer(store.Peer); err == nil {
+			byName[found] = id
+		}
+	}
+	edge := s.c.Names("trailhead")[0]
+	empty := func(id string) error {
+		var got struct {
+			Retired bool `json:"retired"`
+			Left    int  `json:"slots_left"`
+		}
+		if err := s.c.Ask(edge, http.MethodPost, "/v1/operator/stores/"+id+"/retire", nil, &got); err != nil {
+			return err
+		}
+		if !got.Retired {
+			return errors.Errorf("%d slots depend on it", got.Left)
+		}
+		return nil
+	}
+	if err := camp.Until(60*time.Second, func() error { return empty(byName[name]) }); err != nil {
+		return err
+	}
+	s.c.Kill(name)
+	if err := s.c.Ask(edge, http.MethodPost, "/v1/operator/stores/nobody/retire", nil, nil); err == nil || !strings.Contains(err.Error(), "not_found") {
+		return errors.Errorf("an unknown store was retired: %v", err)
+	}
+	if len(s.c.Names("refuge")) == 3 {
+		for other, id := range byName {
+			if other == name {
+				continue
+			}
+			if err := s.c.Ask(edge, http.MethodPost, "/v1/operator/stores/"+id+"/retire", nil, nil); err == nil || !strings.Contains(err.Error(), "turned_away") {
+				return errors.Errorf("the last but one store was retired: %v", err)
+			}
+		}
+	}
+	return nil
+}
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"tuliprudder/acquaintance/circle"
+	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/sundial"
 )
 
@@ -133,6 +134,53 @@
 	}
 }
 
+// A data folder copied from another machine, and an old copy of a dead one's, are
+// turned away with the remedy; nothing that was confirmed is lost.
+func TestCopiedFoldersAreTurnedAway(t *testing.T) {
+	for _, kind := range []string{"store-1", "core-1"} {
+		for _, alive := range []bool{true, false} {
+			if kind == "core-1" && !alive {
+				continue // a core's old copy has an old epoch: it can claim nothing
+			}
+			w := NewWorld(8, ghent, Climate{Sync: 2 * sundial.Millisecond})
+			w.Until(10*sundial.Second, w.Settled)
+			w.Watch.Follow()
+			for i := 0; i < 20; i++ {
+				w.Watch.Hand(4, 5)
+			}
+			w.Run(sundial.Second)
+			original := w.Nodes[kind]
+			copied := w.Copy(original, "copy")
+			if !alive {
+				// The original lives two lives more, takes bundles in, and dies.
+				for i := 0; i < 2; i++ {
+					original.Crash()
+					w.Run(500 * sundial.Millisecond)
+					original.Boot(8)
+					w.Until(10*sundial.Second, w.Settled)
+				}
+				for i := 0; i < 20; i++ {
+					w.Watch.Hand(4, 5)
+				}
+				w.Run(2 * sundial.Second)
+				original.Crash()
+				w.Run(5 * sundial.Second)
+			}
+			copied.Boot(8)
+			w.Run(3 * sundial.Second)
+			if !mishap.Is(copied.Halted, mishap.WrongFolder) || original.Halted != nil {
+				t.Fatalf("%s, original alive %v: the copy ended with %v, the original with %v", kind, alive, copied.Halted, original.Halted)
+			}
+			if !alive {
+				original.Boot(8)
+			}
+			if w.Watch.Last(20 * sundial.Second); len(w.Watch.Breaches) > 0 {
+				t.Fatal(w.Report(40))
+			}
+		}
+	}
+}
+
 // Each of these days once broke a promise; the commit that fixed it names the
 // seed.
 func TestLessons(t *testing.T) {
--- a/proof/weather/world.go
+++ b/proof/weather/world.go
@@ -78,6 +78,7 @@
 	calls   map[uint64]func(stride.Answer)
 	number  uint64
 	running map[string]int // items at work: their turn
+	Halted  error
 	wipes   int
 	moves   int
 }
@@ -392,6 +393,11 @@
 			}
 		case stride.Explain:
 			w.Note("%s: %s %v", n.Name, e.What, e.Fields)
+		case stride.Halt:
+			w.Note("%s halts: %v", n.Name, e.Err)
+			n.Halted = e.Err
+			n.Crash()
+			return
 		case stride.Work:
 			n.work(e.Order)
 		}
@@ -508,6 +514,15 @@
 	w.Note("%s moves to %s", n.Name, n.Peer)
 }
 
+// Copy makes another node whose disk is a copy of this one's, as it is now.
+func (w *World) Copy(n *Node, name string) *Node {
+	c := &Node{world: w, Name: name, Kind: n.Kind, Zone: n.Zone, Peer: "10.99." + name + ":1", ID: n.ID, life: n.life}
+	c.disk.durable = append([]stride.Record(nil), n.disk.durable...)
+	w.Nodes[name], w.byPeer[c.Peer] = c, c
+	w.names = append(w.names, name)
+	return c
+}
+
 // Wipe empties a dead node's disk: what boots next is a new identity.
 func (n *Node) Wipe() {
 	n.wipes++
