--- a/acquaintance/circle/circle.go
+++ b/acquaintance/circle/circle.go
@@ -51,6 +51,8 @@
 	}
 	// Want asks for keys.
 	Want struct{ Keys []string }
+	// Hint tells of large rumours by their marks alone; who lacks one asks for it.
+	Hint struct{ Marks map[string]Mark }
 	// Probe asks for an echo; For is set when a helper probes for another.
 	Probe struct {
 		Nonce uint64
@@ -81,7 +83,7 @@
 )
 
 func init() {
-	footbridge.Register(Gossip{}, Digest{}, Mend{}, Want{}, Probe{}, Echo{}, HelpProbe{}, Witnessed{}, Shuffle{})
+	footbridge.Register(Gossip{}, Digest{}, Mend{}, Want{}, Hint{}, Probe{}, Echo{}, HelpProbe{}, Witnessed{}, Shuffle{})
 }
 
 type probing struct {
@@ -91,6 +93,11 @@
 	denied   int
 }
 
+type asking struct {
+	mark Mark
+	at   sundial.Micros
+}
+
 type helping struct {
 	asker  string
 	nonce  uint64
@@ -110,6 +117,7 @@
 	view     []string
 	probes   map[uint64]*probing
 	helps    map[uint64]helping
+	asked    map[string]asking // large rumours asked for, since when
 	nonce    uint64
 	hot      []stride.Rumour
 	order    []string // round of probes
@@ -124,7 +132,7 @@
 func New(self people.Person, seeds []string, set Settings, seed int64) *Circle {
 	c := &Circle{set: set, self: self, seeds: seeds, chance: rand.New(rand.NewSource(seed)),
 		news: map[string]stride.Rumour{}, folk: map[string]people.Person{}, since: map[string]sundial.Micros{},
-		probes: map[uint64]*probing{}, helps: map[uint64]helping{}}
+		probes: map[uint64]*probing{}, helps: map[uint64]helping{}, asked: map[string]asking{}}
 	c.speak(0)
 	return c
 }
@@ -161,6 +169,8 @@
 		c.supply(l.From, body.Want)
 	case Want:
 		c.supply(l.From, body.Keys)
+	case Hint:
+		c.hinted(l.From, body, now)
 	case Probe:
 		c.Emit(stride.Send{To: l.From, Body: Echo{Nonce: body.Nonce, For: body.For}})
 	case Echo:
@@ -294,19 +304,56 @@
 	}
 }
 
+// large is the size from which a rumour is told of by its mark alone: otherwise
+// everyone would get it from several sides.
+const large = 2 << 10
+
 // pass sends hot rumours on to a few others.
 func (c *Circle) pass() {
 	if len(c.hot) == 0 {
 		return
 	}
-	hot := c.hot
+	var small []stride.Rumour
+	marks := map[string]Mark{}
+	for _, rumour := range c.hot {
+		if len(rumour.Value) >= large {
+			marks[rumour.Key] = Mark{rumour.Epoch, rumour.Seq}
+		} else {
+			small = append(small, rumour)
+		}
+	}
 	c.hot = nil
-	targets := c.chance.Perm(len(c.view))
-	for i, at := range targets {
+	for i, at := range c.chance.Perm(len(c.view)) {
 		if i >= c.set.Fanout {
 			break
 		}
-		c.Emit(stride.Send{To: c.view[at], Body: Gossip{Rumours: hot}})
+		if len(small) > 0 {
+			c.Emit(stride.Send{To: c.view[at], Body: Gossip{Rumours: small}})
+		}
+		if len(marks) > 0 {
+			c.Emit(stride.Send{To: c.view[at], Body: Hint{Marks: marks}})
+		}
+	}
+}
+
+// hinted asks the first who told of a rumour this daemon lacks, and another only
+// if that one does not answer for a while.
+func (c *Circle) hinted(from string, hint Hint, now sundial.Micros) {
+	var wanted []string
+	for key, mark := range hint.Marks {
+		told := stride.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}
+		if known, ok := c.news[key]; ok && !told.Newer(known) {
+			continue
+		}
+		if asked, ok := c.asked[key]; ok && asked.mark == mark && now-asked.at < c.set.Digest/2 {
+			continue
+		}
+		c.asked[key] = asking{mark, now}
+		wanted = append(wanted, key)
+	}
+	if len(wanted) > 0 {
+		sort.Strings(wanted)
+		c.Emit(stride.Send{To: from, Body: Want{Keys: wanted}})
 	}
 }
 
--- a/acquaintance/circle/circle_test.go
+++ b/acquaintance/circle/circle_test.go
@@ -85,6 +85,36 @@
 	}
 }
 
+// A large rumour reaches everyone about once, not from every side; and though
+// the first who was asked for it falls silent.
+func TestALargeRumourTravelsOnce(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		w := newTown(15)
+		w.pass(3 * sundial.Second)
+		copies, first := 0, true
+		w.lose = func(body any) bool {
+			gossip, ok := body.(Gossip)
+			if !ok || gossip.Rumours[0].Key != "plan" {
+				return false
+			}
+			copies++
+			drop := lost && first
+			first = false
+			return drop
+		}
+		w.deliver("d07", w.circles["d07"].Do(Tell{stride.Rumour{Key: "plan", Seq: 1, Value: make([]byte, 100<<10)}}, w.now))
+		w.pass(2 * sundial.Second)
+		for _, name := range w.names {
+			if _, ok := w.circles[name].News("plan"); !ok {
+				t.Fatalf("%s has not heard it (first answer lost: %v)", name, lost)
+			}
+		}
+		if copies > 20 {
+			t.Fatalf("it travelled %d times to 14 daemons", copies)
+		}
+	}
+}
+
 // Rumours are lost altogether: comparing digests mends every gap.
 func TestDigestsMendWhatGossipLost(t *testing.T) {
 	w := newTown(9)
--- a/daemon/porter/porter.go
+++ b/daemon/porter/porter.go
@@ -315,7 +315,7 @@
 
 func ofCircle(body any) bool {
 	switch body.(type) {
-	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle:
+	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Hint, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle:
 		return true
 	}
 	return false
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -48,7 +48,7 @@
 		day := Day{Seed: 77, Size: small, Climate: quiet, Acts: 1, Only: "bounce a store"}
 		day.Mutate = func(from, to string, body any) (bool, bool, sundial.Micros) {
 			switch body.(type) {
-			case nil, circle.Gossip, circle.Digest, circle.Mend, circle.Probe, circle.Echo:
+			case nil, circle.Gossip, circle.Digest, circle.Mend, circle.Hint, circle.Probe, circle.Echo:
 				return false, false, 0
 			}
 			if count++; count != target {
--- a/proof/weather/world.go
+++ b/proof/weather/world.go
@@ -406,7 +406,7 @@
 
 func (n *Node) letter(from string, body any) {
 	switch body.(type) {
-	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle:
+	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Hint, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle:
 		n.do(n.circle.Do(circle.Letter{From: from, Body: body}, n.world.Now))
 	default:
 		if n.machine != nil {
