A stream of which a try may have run is never said to be turned away

Cause: the reason told was that of the last try; a first try that was cut before its first piece and a second one turned away came out as busy. The test was told busy before, and outcome unknown after.

--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -185,6 +185,7 @@
 	out := &outlet{w: w, order: order, streams: route.Kind != planbook.OneShot, most: g.Set.MostBytes}
 	var last error
 	avoid := map[string]int{}
+	ran := false // a try of this order may have run, in part at least
 	for try := 0; try < g.Set.MostTries; try++ {
 		wanted := &dispatch.Order{ID: order, Customer: customer.Name, Route: route, Rank: class.Rank,
 			Prefix: route.Prefix, Expiry: expiry, Avoid: avoid}
@@ -229,11 +230,15 @@
 		default:
 			// Nothing has reached the caller yet, or the kind may be gone on with.
 			grip.Release(0, false)
+			ran = true
 			avoid[grip.Server.Name]++
 			last = mishap.Later(mishap.ServerFault, sundial.Second, "ask again", "no server finished the order: %v", err)
 		}
 	}
 	g.Book.Ended(order, last.Error())
+	if ran {
+		last = mishap.Later(mishap.OutcomeUnknown, sundial.Second, "ask anew; this stream does not go on", "a try of the order may have run in part: %v", last)
+	}
 	if out.started {
 		return out.cut(last)
 	}
--- a/path/gate/gate_test.go
+++ b/path/gate/gate_test.go
@@ -239,3 +239,19 @@
 		}
 	}
 }
+
+// A stream whose first try may have run, and whose others were turned away, is
+// not said to be turned away.
+func TestATryThatMayHaveRunIsNeverTurnedAway(t *testing.T) {
+	var asked atomic.Int64
+	g := gateWith(t, func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) > 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}, nil)
+	g.Dispatch.SetServer(roster.Server{Name: "t", Address: g.Dispatch.Servers()[0].Address, Slots: 4, Labels: map[string]string{"fleet": "main"}})
+	got := call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "flow"})
+	if kind := kindOf(t, got); kind != mishap.OutcomeUnknown || asked.Load() < 2 {
+		t.Fatalf("told %s after %d tries, of which the first may have run", kind, asked.Load())
+	}
+}
