--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -30,6 +30,12 @@
 	Staleness   sundial.Micros // news older than this: turn away, don't assign
 }
 
+// A budget of further tries: what an order adds, and the most that is saved up.
+const (
+	retryShare  = 0.2
+	mostRetries = 50.0
+)
+
 // Defaults are the starting values.
 func Defaults() Settings {
 	return Settings{MostWaiting: 20_000, PrefixKept: 4096, LowLimit: 0.7, HighLimit: 1.3, Patience: 3 * sundial.Second, Rest: 300 * sundial.Millisecond, Staleness: 2500 * sundial.Millisecond}
@@ -122,6 +128,8 @@
 	prefixed *list.List
 	fresh    sundial.Micros
 	chance   *rand.Rand
+	paces    []sundial.Micros // the latest assignments
+	retries  float64          // budget for further tries
 	wake     chan struct{}
 	closed   bool
 	// Counters for the operators.
@@ -131,7 +139,7 @@
 // New makes a dispatcher.
 func New(set Settings, clock func() sundial.Micros, seed int64) *Dispatch {
 	return &Dispatch{set: set, clock: clock, servers: map[string]*state{}, backlogs: map[int64]map[*planbook.Route]*list.List{}, waiting: map[string]int{},
-		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), wake: make(chan struct{}, 1)}
+		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), wake: make(chan struct{}, 1), retries: mostRetries}
 }
 
 // SetPlan puts a plan in force here.
@@ -310,8 +318,9 @@
 	}
 	if d.count >= d.set.MostWaiting {
 		d.TurnedAway++
+		after := d.after()
 		d.mu.Unlock()
-		return mishap.Later(mishap.Busy, 2*sundial.Second, "come back after the time given", "the backlog is full")
+		return mishap.Later(mishap.Busy, after, "come back after the time given", "the backlog is full")
 	}
 	if o.since == 0 {
 		o.since = d.clock()
@@ -339,6 +348,35 @@
 	return nil
 }
 
+// after is when the backlog of now will have been worked off, by the pace of the
+// latest assignments, between half a second and half a minute.
+func (d *Dispatch) after() sundial.Micros {
+	if len(d.paces) < 2 {
+		return 2 * sundial.Second
+	}
+	pace := (d.clock() - d.paces[0]) / sundial.Micros(len(d.paces))
+	return min(30*sundial.Second, max(sundial.Second/2, pace*sundial.Micros(d.count)))
+}
+
+// After is the same for who gives an order up.
+func (d *Dispatch) After() sundial.Micros {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.after()
+}
+
+// Retry spends of the budget for further tries: one for every five orders that
+// were assigned, so that a fault of all servers does not multiply the load.
+func (d *Dispatch) Retry() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.retries < 1 {
+		return false
+	}
+	d.retries--
+	return true
+}
+
 // Cancel takes an order out of the backlog; false when it has started or gone.
 func (d *Dispatch) Cancel(o *Order) bool {
 	d.mu.Lock()
@@ -442,7 +480,7 @@
 		o.Drop(mishap.New(mishap.Refused, "nothing to do: another keeper runs it, or it has ended", "no permit to start"))
 	}
 	for _, o := range expired {
-		o.Drop(mishap.Later(mishap.Expired, sundial.Second, "ask again with a later expiry, or when it is less busy", "the order expired in the backlog; it did not run and will not"))
+		o.Drop(mishap.Later(mishap.Expired, d.After(), "ask again with a later expiry, or when it is less busy", "the order expired in the backlog; it did not run and will not"))
 	}
 }
 
@@ -569,6 +607,10 @@
 	here := &stay{start: now}
 	chosen.stays = append(chosen.stays, here)
 	d.Assigned++
+	d.retries = min(mostRetries, d.retries+retryShare)
+	if d.paces = append(d.paces, now); len(d.paces) > 64 {
+		d.paces = d.paces[1:]
+	}
 	d.remember(prefixOf(o), chosen.server.Name)
 	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, stay: here, d: d, s: chosen}
 }
--- a/path/dispatch/dispatch_test.go
+++ b/path/dispatch/dispatch_test.go
@@ -217,3 +217,36 @@
 		t.Fatalf("others %d, own %d", s.others, s.own)
 	}
 }
+
+// Further tries have a budget: where every server fails, they stop multiplying
+// the load; and a full backlog says when it will have been worked off.
+func TestRetriesHaveABudget(t *testing.T) {
+	b := newBench(t, server("s", 1000))
+	spent := 0
+	for b.Retry() {
+		spent++
+	}
+	for i := 0; i < 100; i++ {
+		b.now += 10 * sundial.Millisecond
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip) {} })
+		b.Match()
+	}
+	again := 0
+	for b.Retry() {
+		again++
+	}
+	if spent != mostRetries || again < 15 || again > 25 {
+		t.Fatalf("%d further tries at first, %d after 100 orders", spent, again)
+	}
+	if after := b.After(); after != sundial.Second/2 {
+		t.Fatalf("nothing waits, and one is to come back after %d us", after)
+	}
+	b.Dispatch.set.MostWaiting = 400
+	b.Dispatch.servers["s"].server.Slots = 1
+	for i := 0; i < 400; i++ {
+		b.order("w", 1, nil)
+	}
+	if after := b.After(); after < 3*sundial.Second || after > 5*sundial.Second {
+		t.Fatalf("400 wait at 100 a second, and one is to come back after %d us", after)
+	}
+}
--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -186,7 +186,7 @@
 	var last error
 	avoid := map[string]int{}
 	ran := false // a try of this order may have run, in part at least
-	for try := 0; try < g.Set.MostTries; try++ {
+	for try := 0; try < g.Set.MostTries && (try == 0 || g.Dispatch.Retry()); try++ {
 		wanted := &dispatch.Order{ID: order, Customer: customer.Name, Route: route, Rank: class.Rank,
 			Prefix: route.Prefix, Expiry: expiry, Avoid: avoid}
 		grip, err := g.assign(ctx, wanted, release)
@@ -212,7 +212,7 @@
 		case outcome == serverline.NotStarted:
 			grip.TurnedAway()
 			avoid[grip.Server.Name] = 3
-			last = mishap.Later(mishap.Busy, sundial.Second, "come back after the time given", "no server took the order: %v", err)
+			last = mishap.Later(mishap.Busy, g.Dispatch.After(), "come back after the time given", "no server took the order: %v", err)
 			if len(avoid) >= 3 {
 				clear(avoid)
 			}
@@ -274,7 +274,7 @@
 		return got.grip, got.err
 	case <-ctx.Done():
 		if g.Dispatch.Cancel(order) {
-			return nil, mishap.Later(mishap.Expired, sundial.Second, "ask again with a later expiry, or when it is less busy", "the order expired in the backlog; it did not run and will not")
+			return nil, mishap.Later(mishap.Expired, g.Dispatch.After(), "ask again with a later expiry, or when it is less busy", "the order expired in the backlog; it did not run and will not")
 		}
 		got := <-words
 		if got.grip != nil {
