First pairing spreads owners and backups evenly; operators' pages use one spelling

Cause: a walk through the quick start showed all 24 backups on one of three stores: the first pairing weighed owners and backups as one load. Before: owns 12/0/12, backs 0/24/0; after: 8/8/8 and 8/8/8.

--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -306,10 +306,10 @@
 	if !s.Serving() || s.chart.Fleet == "" || now-s.serving < s.set.Settle || s.waiting(isPair) {
 		return
 	}
-	load := map[string]int{}
+	owned, backed := map[string]int{}, map[string]int{}
 	for _, pairing := range s.chart.Slots {
-		load[pairing.Owner.ID] += 2
-		load[pairing.Backup.ID]++
+		owned[pairing.Owner.ID]++
+		backed[pairing.Backup.ID]++
 	}
 	willing := s.willing(now)
 	spare := func(owner string, shunned ...string) string {
@@ -322,7 +322,7 @@
 				last = id
 				continue
 			}
-			if best == "" || load[id] < load[best] {
+			if best == "" || backed[id] < backed[best] {
 				best = id
 			}
 		}
@@ -341,10 +341,10 @@
 	for slot, pairing := range s.chart.Slots {
 		unwell = unwell || !pairing.Complete
 		if pairing.Zero() {
-			if next, ok := s.first(willing, load, spare, now); ok {
+			if next, ok := s.first(willing, owned, spare, now); ok {
 				changed[slot] = next
-				load[next.Owner.ID] += 2
-				load[next.Backup.ID]++
+				owned[next.Owner.ID]++
+				backed[next.Backup.ID]++
 			}
 			continue
 		}
@@ -359,7 +359,7 @@
 			continue
 		}
 		changed[slot] = next
-		load[next.Backup.ID]++
+		backed[next.Backup.ID]++
 		s.Emit(stride.Explain{What: "slot paired anew", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": next.Epoch, "owner": next.Owner.ID, "backup": next.Backup.ID}})
 	}
 	if len(changed) == 0 && !unwell {
@@ -525,14 +525,14 @@
 
 // first pairs a slot for the first time, once stores of two zones have been
 // there for a moment: the load is spread over all that came in time.
-func (s *Summit) first(willing []string, load map[string]int, spare func(string, ...string) string, now sundial.Micros) (tether.Pairing, bool) {
+func (s *Summit) first(willing []string, owned map[string]int, spare func(string, ...string) string, now sundial.Micros) (tether.Pairing, bool) {
 	for _, id := range willing {
 		if now-s.stores[id].first < 700*sundial.Millisecond {
 			return tether.Pairing{}, false
 		}
 	}
 	byLoad := append([]string(nil), willing...)
-	sort.SliceStable(byLoad, func(i, j int) bool { return load[byLoad[i]] < load[byLoad[j]] })
+	sort.SliceStable(byLoad, func(i, j int) bool { return owned[byLoad[i]] < owned[byLoad[j]] })
 	for _, owner := range byLoad {
 		if backup := spare(owner); backup != "" {
 			return tether.Pairing{Epoch: 1, Owner: tether.Member{ID: owner, Life: s.stores[owner].beat.Life},
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -37,17 +37,19 @@
 	}
 	// Status is how a bundle stands at its keeper.
 	Status struct {
-		Bundle, Route string
-		State         string
-		Items, Listed int
-		Keeper        string
-		Writer        int
-		Slot          int
-		Epoch         uint64
-		Backup        string
-		Enrolled      sundial.Micros
-		Customer      string
-		Rows          []daybook.Row // for operators
+		Bundle   string         `json:"bundle"`
+		Route    string         `json:"route"`
+		State    string         `json:"state"`
+		Items    int            `json:"items"`
+		Listed   int            `json:"listed"`
+		Keeper   string         `json:"keeper"`
+		Writer   int            `json:"writer"`
+		Slot     int            `json:"slot"`
+		Epoch    uint64         `json:"epoch"`
+		Backup   string         `json:"backup"`
+		Enrolled sundial.Micros `json:"enrolled_us"`
+		Customer string         `json:"customer"`
+		Rows     []daybook.Row  `json:"rows"` // for operators
 	}
 	// ReadAsk reads rows after a vector, up to a vector: of one bundle, or of
 	// all a customer's bundles in the slots named with their epochs.
@@ -91,22 +93,24 @@
 	ShowAsk struct{ Brief bool }
 	// Shown is that account.
 	Shown struct {
-		Store, Zone string
-		Writer      int
-		Life        uint64
-		UpTo, Next  int64
-		Unfinished  int
-		Slots       []SlotShown
+		Store      string      `json:"store"`
+		Zone       string      `json:"zone"`
+		Writer     int         `json:"writer"`
+		Life       uint64      `json:"life"`
+		UpTo       int64       `json:"up_to"`
+		Next       int64       `json:"next"`
+		Unfinished int         `json:"unfinished"`
+		Slots      []SlotShown `json:"slots"`
 	}
 	// SlotShown is one slot of it.
 	SlotShown struct {
-		Slot    int
-		Role    string
-		Epoch   uint64
-		Seq     uint64
-		Open    int
-		Bundles int
-		Peer    string
+		Slot    int    `json:"slot"`
+		Role    string `json:"role"`
+		Epoch   uint64 `json:"epoch"`
+		Seq     uint64 `json:"seq"`
+		Open    int    `json:"open"`
+		Bundles int    `json:"bundles"`
+		Peer    string `json:"peer"`
 	}
 	// Beat is a store's word to the cores.
 	Beat struct {
