All three cores exchanged one by one, on real processes; files of other releases

Seen: every core replaced by an empty one at a new address, so that all seeds ever given are dead; a store restarts with its old seeds by the addresses it learnt, an edge with new ones. First seen failing, because the launcher gave new cores only dead seeds. Also: an operator can list a daemon's slowest orders.

--- a/daemon/office/office.go
+++ b/daemon/office/office.go
@@ -258,6 +258,13 @@
 // order explains an order that this daemon assigned.
 func (o *Office) order(w http.ResponseWriter, r *http.Request) error {
 	name := r.URL.Query().Get("order")
+	if text := r.URL.Query().Get("slowest"); o.Book != nil && text != "" {
+		count, err := strconv.Atoi(text)
+		if err != nil || count < 1 || count > 1000 {
+			return mishap.New(mishap.BadInput, "give a whole number from 1 to 1000", "slowest=%q", text)
+		}
+		return porch.WriteJSON(w, http.StatusOK, map[string]any{"orders": o.Book.Slowest(count)})
+	}
 	if o.Book == nil || name == "" {
 		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge, with ?order=NAME", "this daemon assigns no orders, or no order was named")
 	}
--- /dev/null
+++ b/kernel/stride/entries_test.go
@@ -0,0 +1,26 @@
+package stride
+
+import "testing"
+
+type change interface{ word() string }
+
+type old struct{ Text string }
+
+func (o old) word() string { return o.Text }
+
+// A neighbouring release may add a field: it is passed over. A kind of change
+// that this release does not know is never passed over.
+func TestNeighbouringReleases(t *testing.T) {
+	entries := Entries[change]{"old": Decoder(func(o old) change { return o })}
+	got, err := entries.Decode([]byte(`{"k":"old","b":{"Text":"x","Colour":"red"}}`))
+	if err != nil || got.word() != "x" {
+		t.Fatalf("a change with one more field: %v %v", got, err)
+	}
+	if _, err := entries.Decode([]byte(`{"k":"new","b":{}}`)); err == nil {
+		t.Fatal("an unknown kind of change was passed over")
+	}
+	back, err := entries.Decode(entries.Encode("old", old{"y"}))
+	if err != nil || back.word() != "y" {
+		t.Fatalf("written and read: %v %v", back, err)
+	}
+}
--- a/kernel/strongroom/strongroom.go
+++ b/kernel/strongroom/strongroom.go
@@ -116,6 +116,9 @@
 		return nil, errors.Wrap(err, "reading a version")
 	}
 	const remedy = "this disk is damaged: move the whole data folder away and start empty; the fleet copies back what the pair holds"
+	if len(data) >= 12 && string(data[:3]) == magic[:3] && string(data[:4]) != magic {
+		return nil, mishap.New(mishap.WrongFolder, "run the release that wrote it, or its neighbour", "file %s is of form %s, this release reads %s", filepath.Base(name), data[:4], magic)
+	}
 	if len(data) < 12 || string(data[:4]) != magic {
 		return nil, mishap.New(mishap.Corrupt, remedy, "file %s is no version file", filepath.Base(name))
 	}
--- a/kernel/strongroom/strongroom_test.go
+++ b/kernel/strongroom/strongroom_test.go
@@ -125,3 +125,62 @@
 		}
 	}
 }
+
+// A file of another release's form is not taken for damage, nor read.
+func TestAnotherReleasesFile(t *testing.T) {
+	folder := t.TempDir()
+	room, _ := open(t, folder)
+	if err := room.Write(entry(1)); err != nil {
+		t.Fatal(err)
+	}
+	files, _ := filepath.Glob(filepath.Join(folder, "*"+groupSuffix))
+	data, err := os.ReadFile(files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[3] = '9'
+	if err := os.WriteFile(files[0], data, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(folder); !mishap.Is(err, mishap.WrongFolder) {
+		t.Fatalf("told %v", err)
+	}
+}
+
+// The shelf gives back what it was given, after a start as well, and knows
+// damage when it sees it.
+func TestShelf(t *testing.T) {
+	folder := t.TempDir()
+	room, _ := open(t, t.TempDir())
+	shelf, err := OpenShelf(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	records := []stride.Record{{Unit: "b-1", Body: []byte("one")}, {Unit: "b-2", Body: []byte("two")}}
+	if err := shelf.Put(7, records, room); err != nil {
+		t.Fatal(err)
+	}
+	shelf.room.Step = func(step string) error {
+		if step == "rename" {
+			return errPower
+		}
+		return nil
+	}
+	if err := shelf.Put(8, records, room); !errors.Is(err, errPower) {
+		t.Fatalf("the cut was not felt: %v", err)
+	}
+	again, err := OpenShelf(folder)
+	if err != nil || again.Top() != 7 || len(again.Held()) != 1 {
+		t.Fatalf("after the cut it holds %v: %v", again.Held(), err)
+	}
+	if body, err := again.Get(7, "b-2"); err != nil || string(body) != "two" {
+		t.Fatalf("read back %q: %v", body, err)
+	}
+	if _, err := again.Get(7, "b-3"); !mishap.Is(err, mishap.Corrupt) {
+		t.Fatalf("a bundle that is not there: %v", err)
+	}
+	again.Drop([]uint64{7})
+	if _, err := again.Get(7, "b-1"); err == nil {
+		t.Fatal("a dropped file was read")
+	}
+}
--- a/path/guestbook/guestbook.go
+++ b/path/guestbook/guestbook.go
@@ -3,6 +3,7 @@
 package guestbook
 
 import (
+	"sort"
 	"sync"
 
 	"tuliprudder/kernel/sundial"
@@ -90,3 +91,25 @@
 	out.Tries = append([]Try(nil), s.Tries...)
 	return out, true
 }
+
+// Slowest lists the stories that took longest from arrival to their last try's
+// end, the slowest first.
+func (b *Book) Slowest(count int) []Story {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Story, 0, len(b.stories))
+	for _, s := range b.stories {
+		if len(s.Tries) > 0 {
+			one := *s
+			one.Tries = append([]Try(nil), s.Tries...)
+			out = append(out, one)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].span() > out[j].span() })
+	return out[:min(count, len(out))]
+}
+
+func (s Story) span() sundial.Micros {
+	last := s.Tries[len(s.Tries)-1]
+	return last.At + last.Took - s.Arrived
+}
--- a/proof/camp/camp.go
+++ b/proof/camp/camp.go
@@ -269,23 +269,19 @@
 	c.Net.Cut(b.IP, a.IP, cut)
 }
 
-// Swap replaces a dead daemon by an empty one at a new address, under a new name.
+// Swap replaces a dead daemon by an empty one at a new address, under a new name;
+// its seeds are the cores of now.
 func (c *Camp) Swap(name, fresh string) (*Daemon, error) {
 	old := c.Get(name)
 	d, err := c.layOut(old.Kind, fresh, old.Zone, c.address())
 	if err != nil {
 		return nil, err
 	}
-	seeds := ""
-	for i, arg := range old.args {
-		if arg == "-seeds" {
-			seeds = old.args[i+1]
-		}
-	}
-	d.args = append(d.args, "-seeds", seeds)
 	c.mu.Lock()
 	delete(c.daemons, name)
 	c.mu.Unlock()
+	d.args = append(d.args, "-seeds", "")
+	c.Reseed(fresh, c.Names("cairn"))
 	return d, c.Run(fresh)
 }
 
@@ -304,6 +300,20 @@
 	return c.Run(name)
 }
 
+// Reseed gives a daemon other seeds for its next start.
+func (c *Camp) Reseed(name string, seeds []string) {
+	var peers []string
+	for _, seed := range seeds[:3] {
+		peers = append(peers, c.Get(seed).Peer)
+	}
+	d := c.Get(name)
+	for i, arg := range d.args {
+		if arg == "-seeds" {
+			d.args[i+1] = strings.Join(peers, ",")
+		}
+	}
+}
+
 // End kills every process that this camp started.
 func (c *Camp) End() {
 	for _, name := range c.Names("") {
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -120,6 +120,7 @@
 	"zone-wipe":    func(s *scene) error { return s.wipeZone(s.set.zone(), 4*time.Second) },
 	"add-store":    func(s *scene) error { return s.add() },
 	"retire-store": func(s *scene) error { return s.retire() },
+	"exchange":     func(s *scene) error { return s.exchange() },
 	"flock":        func(s *scene) error { return s.flock() },
 }
 
@@ -513,3 +514,49 @@
 	}
 	return nil
 }
+
+// exchange replaces all three cores by empty ones at new addresses, one after
+// the other, so that every seed that was ever given is dead. Then a store comes
+// back with its old seeds, by the addresses it learnt, and an edge with new ones.
+func (s *scene) exchange() error {
+	for _, old := range s.c.Names("cairn") {
+		s.c.Kill(old)
+		if err := s.c.Wipe(old); err != nil {
+			return err
+		}
+		fresh, err := s.c.Swap(old, old+"x")
+		if err != nil {
+			return err
+		}
+		if err := camp.Until(60*time.Second, func() error {
+			var core chart.CoreNews
+			if err := s.ask("/v1/operator/core", &core); err != nil {
+				return err
+			}
+			for _, peer := range core.Cores {
+				if peer == fresh.Peer {
+					return nil
+				}
+			}
+			return errors.Errorf("%s has no seat yet", fresh.Name)
+		}); err != nil {
+			return err
+		}
+		s.wait(time.Second)
+	}
+	store := s.c.Names("refuge")[0]
+	s.c.Kill(store)
+	if err := s.c.Run(store); err != nil {
+		return err
+	}
+	edges := s.c.Names("trailhead")
+	s.c.Kill(edges[0])
+	s.c.Reseed(edges[0], s.c.Names("cairn"))
+	if err := s.c.Run(edges[0]); err != nil {
+		return err
+	}
+	if err := camp.Until(60*time.Second, func() error { return s.c.Ask(store, http.MethodGet, "/ready", nil, nil) }); err != nil {
+		return errors.Wrap(err, "the store with its old seeds")
+	}
+	return camp.Until(60*time.Second, func() error { return s.c.Ask(edges[0], http.MethodGet, "/ready", nil, nil) })
+}
