A busy server's figures are read four times as often

Cause: under contention the top class waited at the edge for up to 400 ms, though servers had room: a figure taken while a server was full held for the whole time between two readings.

--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -36,15 +36,20 @@
 
 	mu   sync.Mutex
 	busy map[string]bool
+	next map[string]sundial.Micros // when a server is due again
 }
 
 // Start starts the thread.
 func (s *Scouts) Start(_ *almhut.Hut, ends *belay.Stack) error {
-	s.busy = map[string]bool{}
-	belay.Every(ends, sundial.Span(s.Every), s.round)
+	s.busy, s.next = map[string]bool{}, map[string]sundial.Micros{}
+	belay.Every(ends, sundial.Span(s.Every/hurry), s.round)
 	return nil
 }
 
+// hurry is how much more often a busy server is looked at: old figures of a full
+// server keep orders waiting that it could take.
+const hurry = 4
+
 func (s *Scouts) round() {
 	folk := s.News.Folk()
 	for _, server := range s.Dispatch.Servers() {
@@ -52,8 +57,10 @@
 			continue
 		}
 		s.mu.Lock()
-		busy := s.busy[server.Name]
-		s.busy[server.Name] = true
+		busy := s.busy[server.Name] || s.News.Now() < s.next[server.Name]
+		if !busy {
+			s.busy[server.Name] = true
+		}
 		s.mu.Unlock()
 		if !busy {
 			go s.look(server)
@@ -73,6 +80,13 @@
 	defer cancel()
 	began := s.News.Now()
 	running, waiting, err := serverline.Figures(ctx, server.Address)
+	rest := s.Every
+	if 2*(running+waiting) >= server.Slots && err == nil {
+		rest = s.Every / hurry
+	}
+	s.mu.Lock()
+	s.next[server.Name] = began + rest - s.Every/(2*hurry)
+	s.mu.Unlock()
 	load := roster.Load{Running: running, Waiting: waiting, Sound: err == nil, At: began, By: s.Self}
 	epoch, seq := uint64(1), uint64(1)
 	if known, ok := s.News.News(roster.LoadKey(server.Name)); ok {
