A reader that waits asks its keepers at most every 40 ms

Cause: every writer's word turns the view, and each waiting reader asked again at each turn: with many readers the asks are readers times announcements.

--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -112,7 +112,7 @@
 		out := map[string]int64{}
 		l.Porter.Inside(func(now sundial.Micros) {
 			out["copies_missing"], out["oldest_unannounced_us"] = books.AtRisk(now)
-			out["entries_confirmed"] = books.Entries
+			out["entries_confirmed"], out["reads"] = books.Entries, books.Reads
 			out["bundles_shelved"] = books.Shelved
 			out["disk_wait_us"] = books.DiskWait(now)
 			out["rows_listed"], out["bundles_enrolled"], out["outcomes_unknown"], out["takeovers"] = books.Listed, books.Enrolled, books.Unknown, books.Takeovers
--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -26,6 +26,7 @@
 	case StatusAsk:
 		k.status(c.Number, ask, now)
 	case ReadAsk:
+		k.Reads++
 		k.read(c.Number, ask, now)
 	case ClaimAsk:
 		k.claim(c.Number, ask, now)
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -113,7 +113,7 @@
 	items   int
 	drain   bool
 	// Counters for the operators.
-	Listed, Enrolled, Unknown, Takeovers, Entries int64
+	Listed, Enrolled, Unknown, Takeovers, Entries, Reads int64
 	// EarlyAnnounce is a fault planted by tests: positions count as finished
 	// before they are durable.
 	EarlyAnnounce bool
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -152,6 +152,9 @@
 		"kept": map[string]any{"keeper": status.Keeper, "writer": status.Writer, "slot": status.Slot, "epoch": status.Epoch, "backup": status.Backup}})
 }
 
+// pollRest is the least time between two asks of one reader that waits.
+const pollRest = 40 * time.Millisecond
+
 // poll reads the paging parameters.
 func (g *Gate) poll(r *http.Request) (token string, most int, wait sundial.Micros, err error) {
 	query := r.URL.Query()
@@ -206,7 +209,7 @@
 	clockEvent := time.NewTimer(sundial.Span(wait))
 	defer clockEvent.Stop()
 	for {
-		turned := g.Reader.Turned()
+		turned, asked := g.Reader.Turned(), time.Now()
 		page, err := read(customer.Name, token, most)
 		passing := mishap.Is(err, mishap.NotReady)
 		if err != nil && (!passing || wait == 0) {
@@ -225,6 +228,14 @@
 		}
 		select {
 		case <-turned:
+			// Every writer's word turns the view: many readers that wait must not
+			// ask the keepers at each of them.
+			pause := time.NewTimer(pollRest - time.Since(asked))
+			select {
+			case <-pause.C:
+			case <-r.Context().Done():
+			}
+			pause.Stop()
 		case <-clockEvent.C:
 			if passing {
 				return err
--- a/proof/havoc/figures.go
+++ b/proof/havoc/figures.go
@@ -25,7 +25,7 @@
 			count++
 			heap, resident = max(heap, counters["heap_bytes"]), max(resident, c.Resident(name))
 			sent, bytes, syncs = sent+counters["messages_sent"], bytes+counters["bytes_out"], syncs+counters["disk_syncs"]
-			for _, word := range []string{"entries_confirmed"} {
+			for _, word := range []string{"entries_confirmed", "reads"} {
 				sums[word] += counters[word]
 			}
 		}
@@ -34,7 +34,7 @@
 		sums[kind+" syncs"] = syncs
 	}
 	if entries := sums["entries_confirmed"]; entries > 0 {
-		fmt.Fprintf(&out, "figures  store syncs for each entry (bundle, row, claim) on two disks: %.2f (%d entries)\n", float64(sums["refuge syncs"])/float64(entries), entries)
+		fmt.Fprintf(&out, "figures  store syncs for each entry (bundle, row, claim) on two disks: %.2f (%d entries); asks of readers: %d\n", float64(sums["refuge syncs"])/float64(entries), entries, sums["reads"])
 	}
 	return out.String()
 }
