--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -94,6 +94,10 @@
 		k.news[rope.Unit] = map[uint64]string{}
 	}
 	k.news[rope.Unit][seq] = bundle.ID
+	if k.RefuseLate && len(bundle.Items)%2 == 0 {
+		k.fail(call, mishap.Later(mishap.NotReady, sundial.Second, "ask again", "turned away too late"))
+		return
+	}
 	k.await(rope.Unit, seq, call, now+ask.Expiry, receipt)
 }
 
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -117,6 +117,9 @@
 	// EarlyAnnounce is a fault planted by tests: positions count as finished
 	// before they are durable.
 	EarlyAnnounce bool
+	// RefuseLate is a fault planted by tests: a bundle is turned away after its
+	// entry was written.
+	RefuseLate bool
 	// NoLease is a fault planted by tests: asks are answered without a lease.
 	NoLease   bool
 	BadRecord error
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -89,7 +89,7 @@
 	c      *camp.Camp
 	set    Settings
 	leaves []callers.Leave
-	extra  []callers.Promise
+	tours  []*callers.Tour // others' than the run's own
 }
 
 // faults are the failures that can be caused, by name.
@@ -173,7 +173,16 @@
 	}
 	verdict := tour.Judge(starts, s.leaves)
 	verdict.Promises = append(verdict.Promises, office(), accounts())
-	verdict.Promises = append(verdict.Promises, s.extra...)
+	for _, other := range s.tours {
+		more := other.Judge(starts, s.leaves)
+		for _, promise := range more.Promises {
+			promise.Name = "flock: " + promise.Name
+			verdict.Promises = append(verdict.Promises, promise)
+		}
+		for name, count := range more.Counts {
+			verdict.Counts["flock: "+name] = count
+		}
+	}
 	return verdict, nil
 }
 
@@ -435,6 +444,7 @@
 	})
 	tour.Seed, tour.LiveWorkers, tour.Pace, tour.Bundles, tour.MostTries = s.set.Seed+7_000_000, 0, 0, 200, 3
 	tour.Run(s.ctx)
+	s.tours = append(s.tours, tour)
 	return nil
 }
 
