--- a/ledger/tether/tether.go
+++ b/ledger/tether/tether.go
@@ -64,16 +64,20 @@
 		Unit  string
 		Epoch uint64
 	}
-	// Beat asks the backup for a lease; Leased grants it from the time of asking.
+	// Beat asks the backup for leases on the units it backs for this owner; Leased
+	// grants them from the time of asking.
 	Beat struct {
-		Unit  string
-		Epoch uint64
+		Units []Tenancy
 		Stamp sundial.Micros
 	}
 	Leased struct {
+		Units []Tenancy
+		Stamp sundial.Micros
+	}
+	// Tenancy is a unit under an epoch.
+	Tenancy struct {
 		Unit  string
 		Epoch uint64
-		Stamp sundial.Micros
 	}
 	// Yield gives a lease back: the owner of that epoch starts nothing more.
 	Yield struct {
@@ -371,7 +375,7 @@
 		return false
 	}
 	r.Role, r.servedAt = Serving, now
-	g.beat(r, now)
+	g.beat(r.peer, []*Rope{r}, now)
 	g.settle(r, now)
 	return true
 }
@@ -492,13 +496,41 @@
 	}
 }
 
-func (g *Gang) beat(r *Rope, now sundial.Micros) {
-	r.beatAt = now
-	g.out.Emit(stride.Send{To: r.peer, Body: Beat{Unit: r.Unit, Epoch: r.Epoch, Stamp: now}})
+// beat asks for leases on some units of one backup.
+func (g *Gang) beat(peer string, ropes []*Rope, now sundial.Micros) {
+	ask := Beat{Stamp: now}
+	for _, r := range ropes {
+		r.beatAt = now
+		ask.Units = append(ask.Units, Tenancy{r.Unit, r.Epoch})
+	}
+	g.out.Emit(stride.Send{To: peer, Body: ask})
+}
+
+// beats renews the leases of every backup that is due, all its units at once.
+func (g *Gang) beats(now sundial.Micros) {
+	due := map[string]bool{}
+	byPeer := map[string][]*Rope{}
+	var peers []string
+	for _, r := range g.Ropes() {
+		if r.Role != Serving {
+			continue
+		}
+		if byPeer[r.peer] == nil {
+			peers = append(peers, r.peer)
+		}
+		byPeer[r.peer] = append(byPeer[r.peer], r)
+		due[r.peer] = due[r.peer] || now-r.beatAt >= BeatEvery
+	}
+	for _, peer := range peers {
+		if due[peer] {
+			g.beat(peer, byPeer[peer], now)
+		}
+	}
 }
 
 // ClockEvent renews leases and repeats what was not acknowledged.
 func (g *Gang) ClockEvent(now sundial.Micros) {
+	g.beats(now)
 	for _, r := range g.Ropes() {
 		switch r.Role {
 		case Copying:
@@ -509,9 +541,6 @@
 				g.holder.Ready(r.Unit, r.Epoch, now)
 			}
 		case Serving:
-			if now-r.beatAt >= BeatEvery {
-				g.beat(r, now)
-			}
 			for i := range r.open {
 				if i >= resendCap {
 					break
@@ -559,12 +588,18 @@
 			g.Release(m.Unit, r.Epoch, now)
 		}
 	case Beat:
-		r := g.Rope(m.Unit)
-		if m.Epoch < r.Epoch && !g.SkipFence {
-			g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
-		} else if m.Epoch == r.Epoch && r.Role == Backing {
-			r.granted, r.grantedAt = max(r.granted, now+LeaseWait), m.Epoch
-			g.out.Emit(stride.Send{To: from, Body: Leased{Unit: m.Unit, Epoch: m.Epoch, Stamp: m.Stamp}})
+		granted := Leased{Stamp: m.Stamp}
+		for _, asked := range m.Units {
+			r := g.Rope(asked.Unit)
+			if asked.Epoch < r.Epoch && !g.SkipFence {
+				g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: asked.Unit, Epoch: r.Epoch}})
+			} else if asked.Epoch == r.Epoch && r.Role == Backing {
+				r.granted, r.grantedAt = max(r.granted, now+LeaseWait), asked.Epoch
+				granted.Units = append(granted.Units, asked)
+			}
+		}
+		if len(granted.Units) > 0 {
+			g.out.Emit(stride.Send{To: from, Body: granted})
 		}
 	case Yield:
 		if r := g.Rope(m.Unit); m.Epoch >= r.grantedAt {
@@ -575,8 +610,10 @@
 			}
 		}
 	case Leased:
-		if r := g.Rope(m.Unit); r.Epoch == m.Epoch && r.Role == Serving {
-			r.leaseUntil = max(r.leaseUntil, m.Stamp+Lease)
+		for _, granted := range m.Units {
+			if r := g.Rope(granted.Unit); r.Epoch == granted.Epoch && r.Role == Serving {
+				r.leaseUntil = max(r.leaseUntil, m.Stamp+Lease)
+			}
 		}
 	default:
 		return false
