--- a/cmd/waymark/main.go
+++ b/cmd/waymark/main.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -83,6 +84,8 @@
 		t.command("core", "core", "who is primary", func([]string) error { return t.show("/v1/operator/core") }),
 		t.command("counters", "counters", "the counters of the daemon at -at", func([]string) error { return t.show("/counters") }),
 		t.command("risks", "risks", "promises at risk now, over all daemons", t.risks),
+		t.command("slowest", "slowest", "the slowest orders that the daemon at -at remembers", func([]string) error { return t.show("/v1/operator/orders?slowest=20") }),
+		t.command("purse", "purse", "shares and accounts of the daemon at -at", func([]string) error { return t.show("/v1/operator/purse") }),
 		t.command("order", "order NAME", "explain an order: which server, with which marks", t.order),
 		t.command("bundle", "bundle ID", "explain a bundle: who keeps it, which server ran what", t.bundle),
 		t.command("leaving", "leaving SERVER", "mark a server as leaving", func(args []string) error { return t.leaving(args, true) }),
@@ -324,47 +327,42 @@
 	return t.show("/v1/operator/stores/" + url.PathEscape(id))
 }
 
-// order asks every daemon that assigns orders; each remembers its latest.
-func (t *tool) order(args []string) error {
-	name, err := one(args, "order")
-	if err != nil {
-		return err
-	}
+// first asks the sound daemons of some kinds one after the other, and prints the
+// first good answer.
+func (t *tool) first(path string, kinds ...string) error {
 	folk, err := t.folk()
 	if err != nil {
 		return err
 	}
+	err = mishap.New(mishap.NotReady, "start one", "no sound daemon of kind %v is known", kinds)
 	for _, d := range folk {
+		if d.Standing != "sound" || !slices.Contains(kinds, d.Kind) {
+			continue
+		}
 		var data json.RawMessage
-		if d.Kind != "cairn" && d.Standing == "sound" && t.ask(d.HTTP, http.MethodGet, "/v1/operator/orders?order="+url.QueryEscape(name), nil, &data) == nil {
-			fmt.Fprintf(t.out, "assigned by %s (%s)\n", d.ID, d.Kind)
+		if err = t.ask(d.HTTP, http.MethodGet, path, nil, &data); err == nil {
+			fmt.Fprintf(t.out, "told by %s\n", d.ID)
 			return t.print(data)
 		}
 	}
-	return mishap.New(mishap.NotFound, "name an order of the last few thousand, as its X-Order header gave it", "no daemon remembers order %q", name)
+	return err
 }
 
-func (t *tool) bundle(args []string) error {
-	id, err := one(args, "bundle")
+// order asks every daemon that assigns orders; each remembers its latest.
+func (t *tool) order(args []string) error {
+	name, err := one(args, "order")
 	if err != nil {
 		return err
 	}
-	folk, err := t.folk()
+	return t.first("/v1/operator/orders?order="+url.QueryEscape(name), "trailhead", "refuge")
+}
+
+func (t *tool) bundle(args []string) error {
+	id, err := one(args, "bundle")
 	if err != nil {
 		return err
 	}
-	for _, d := range folk {
-		if d.Kind == "trailhead" && d.Standing == "sound" {
-			var data json.RawMessage
-			if err = t.ask(d.HTTP, http.MethodGet, "/v1/operator/bundles/"+url.PathEscape(id), nil, &data); err == nil {
-				return t.print(data)
-			}
-		}
-	}
-	if err == nil {
-		err = mishap.New(mishap.NotReady, "start a trailhead", "no sound trailhead is known")
-	}
-	return err
+	return t.first("/v1/operator/bundles/"+url.PathEscape(id), "trailhead")
 }
 
 func (t *tool) leaving(args []string, leaving bool) error {
--- a/cmd/waymark/plan.go
+++ b/cmd/waymark/plan.go
@@ -30,14 +30,10 @@
 		t.importCommand(),
 		t.command("diff", "plan diff VERSION VERSION|FILE", "what changes from one to the other", t.diffPlans),
 		{Name: "check", ShortUsage: "waymark plan check FILE", ShortHelp: "check a plan file without a fleet", Exec: func(_ context.Context, args []string) error {
-			name, err := one(args, "file")
+			data, err := file(args)
 			if err != nil {
 				return err
 			}
-			data, err := os.ReadFile(name)
-			if err != nil {
-				return wrong("%v", err)
-			}
 			if err := planbook.Check(data); err != nil {
 				return err
 			}
@@ -53,14 +49,10 @@
 	flags := flag.NewFlagSet("waymark plan import", flag.ContinueOnError)
 	put := flags.Bool("put", false, "put the plan; without it nothing changes")
 	command := t.command("import", "plan import [-put] FILE", "routes from an OpenAPI file into the plan in force", func(args []string) error {
-		name, err := one(args, "file")
+		data, err := file(args)
 		if err != nil {
 			return err
 		}
-		data, err := os.ReadFile(name)
-		if err != nil {
-			return wrong("%v", err)
-		}
 		now, err := t.readPlan("")
 		if err != nil {
 			return err
@@ -94,14 +86,10 @@
 }
 
 func (t *tool) putPlan(args []string, base string) error {
-	name, err := one(args, "file")
+	data, err := file(args)
 	if err != nil {
 		return err
 	}
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return wrong("%v", err)
-	}
 	if err := planbook.Check(data); err != nil {
 		return err
 	}
@@ -126,6 +114,19 @@
 	return nil
 }
 
+// file reads the one file a command names.
+func file(args []string) ([]byte, error) {
+	name, err := one(args, "file")
+	if err != nil {
+		return nil, err
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, wrong("%v", err)
+	}
+	return data, nil
+}
+
 type version struct {
 	Version uint64          `json:"version"`
 	Plan    json.RawMessage `json:"plan"`
--- a/daemon/porter/porter.go
+++ b/daemon/porter/porter.go
@@ -125,10 +125,7 @@
 		run(func() { p.turn(p.protocol, &p.machineMu) })
 		run(p.write)
 	}
-	done := make(chan struct{})
-	go p.clock(done)
 	ends.Push(func() {
-		close(done)
 		p.gossip.Close()
 		if p.machine != nil {
 			p.protocol.Close()
@@ -136,6 +133,7 @@
 		}
 		threads.Wait()
 	})
+	belay.Every(ends, tickEvery, p.clock)
 	return nil
 }
 
@@ -155,21 +153,12 @@
 	}
 }
 
-// clock is the thread of clock events; one that was not taken yet is not
+// clock sends a clock event to each machine; one that was not taken yet is not
 // doubled.
-func (p *Porter) clock(done chan struct{}) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-done:
-			return
-		case <-ticker.C:
-		}
-		p.tick(0, p.gossip, func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.ClockEvent{}, now) })
-		if p.machine != nil {
-			p.tick(1, p.protocol, p.machine.ClockEvent)
-		}
+func (p *Porter) clock() {
+	p.tick(0, p.gossip, func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.ClockEvent{}, now) })
+	if p.machine != nil {
+		p.tick(1, p.protocol, p.machine.ClockEvent)
 	}
 }
 
