--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -56,7 +56,7 @@
 	if books.BadRecord != nil {
 		return books.BadRecord
 	}
-	plant(books)
+	plant(books, room, common.Data)
 	books.Damaged = func(err error) {
 		l.Log.Error().Err(err).Msg("a shelved bundle can't be read; ending, so that the pair's other end serves")
 		os.Exit(3)
--- a/cmd/refuge/planted.go
+++ b/cmd/refuge/planted.go
@@ -4,17 +4,31 @@
 
 import (
 	"os"
+	"path/filepath"
+	"time"
 
+	"tuliprudder/kernel/strongroom"
 	"tuliprudder/ledger/keeper"
 )
 
 // plant puts a fault into a store on purpose: only builds for the proof of the
 // checkers have it (DESIGN §9).
-func plant(books *keeper.Keeper) {
+func plant(books *keeper.Keeper, room *strongroom.Room, folder string) {
 	switch os.Getenv("TULIPRUDDER_PLANT") {
 	case "one-disk":
 		books.Gang().SkipRemote = true
 	case "early":
 		books.EarlyAnnounce = true
+	case "stall":
+		// The disk holds a write back for as long as a file named STALL is there.
+		room.Step = func(step string) error {
+			for step == "sync" {
+				if _, err := os.Stat(filepath.Join(folder, "STALL")); err != nil {
+					break
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			return nil
+		}
 	}
 }
--- a/cmd/refuge/sound.go
+++ b/cmd/refuge/sound.go
@@ -2,7 +2,10 @@
 
 package main
 
-import "tuliprudder/ledger/keeper"
+import (
+	"tuliprudder/kernel/strongroom"
+	"tuliprudder/ledger/keeper"
+)
 
 // plant does nothing in the daemons that serve.
-func plant(*keeper.Keeper) {}
+func plant(*keeper.Keeper, *strongroom.Room, string) {}
--- a/proof/callers/callers.go
+++ b/proof/callers/callers.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -437,6 +438,42 @@
 	}
 }
 
+// slowly reads a whole list over a connection that takes a few bytes at a time:
+// it gets the same, and the others are judged beside it.
+func (t *Tour) slowly(ctx context.Context, chance *rand.Rand, b *Bundle, path string) {
+	conn, err := net.Dial("tcp", t.edge(chance))
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if limited, ok := conn.(*net.TCPConn); ok {
+		limited.SetReadBuffer(2048)
+	}
+	fmt.Fprintf(conn, "GET %s?limit=1000 HTTP/1.1\r\nHost: edge\r\nAuthorization: Bearer %s\r\nConnection: close\r\n\r\n", path, t.BundleKey)
+	var raw []byte
+	chunk := make([]byte, 256)
+	for ctx.Err() == nil {
+		count, err := conn.Read(chunk)
+		raw = append(raw, chunk[:count]...)
+		if err != nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return // the edge went, or a slot was in passage
+	}
+	var p page
+	if err := json.NewDecoder(response.Body).Decode(&p); err != nil {
+		return
+	}
+	if len(p.Results) > len(b.Rows) || fmt.Sprint(p.Results) != fmt.Sprint(b.Rows[:len(p.Results)]) {
+		t.breach("bundle %s: read again slowly it reads otherwise", b.ID)
+	}
+	t.count("lists read slowly", 1)
+}
+
 type page struct {
 	Results []Row  `json:"results"`
 	Next    string `json:"next"`
@@ -500,6 +537,9 @@
 		}
 		if len(p.Results) == len(rows) {
 			t.count("lists read twice", 1)
+			if chance.Intn(5) == 0 {
+				t.slowly(ctx, chance, b, path)
+			}
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sort"
 	"strings"
 	"time"
@@ -36,10 +38,16 @@
 
 // BuildWords are the compiler's words for the build.
 func (s *Settings) BuildWords() []string {
+	var words []string
 	if s.Race {
-		return []string{"-race"}
+		words = append(words, "-race")
 	}
-	return nil
+	if s.Fault == "stall-disk" {
+		// A disk can't be stalled from outside: these stores can hold writes back.
+		os.Setenv("TULIPRUDDER_PLANT", "stall")
+		words = append(words, "-tags", "planted")
+	}
+	return words
 }
 
 // Flags hangs the settings on a reader.
@@ -122,6 +130,7 @@
 	"retire-store": func(s *scene) error { return s.retire() },
 	"exchange":     func(s *scene) error { return s.exchange() },
 	"roll-servers": func(s *scene) error { return s.roll(4) },
+	"stall-disk":   func(s *scene) error { return s.stall(10 * time.Second) },
 	"flock":        func(s *scene) error { return s.flock() },
 }
 
@@ -602,3 +611,17 @@
 	}
 	return nil
 }
+
+// stall holds back every write of the busiest store's disk for a span.
+func (s *scene) stall(span time.Duration) error {
+	name, err := s.busiest()
+	if err != nil {
+		return err
+	}
+	mark := filepath.Join(s.c.Get(name).Data, "STALL")
+	if err := os.WriteFile(mark, nil, 0o644); err != nil {
+		return errors.Wrap(err, "stalling a disk")
+	}
+	s.wait(span)
+	return errors.Wrap(os.Remove(mark), "letting a disk go on")
+}
