An added store takes its share whatever its zone

Balancing looked only at the one store that owns most, the first of equals; it was in the new store's own zone, so nothing could be moved from it. Ruled out: the copy (the new store backed slots).

--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -464,17 +464,25 @@
 		owned[pairing.Owner.ID]++
 		backed[pairing.Backup.ID]++
 	}
-	least := func(counts map[string]int) (low, high string) {
-		low, high = willing[0], willing[0]
+	// least is who has fewest; above lists those with at least two more, most first.
+	least := func(counts map[string]int) string {
+		low := willing[0]
 		for _, id := range willing {
 			if counts[id] < counts[low] {
 				low = id
 			}
-			if counts[id] > counts[high] {
-				high = id
+		}
+		return low
+	}
+	above := func(counts map[string]int, low string) []string {
+		var out []string
+		for _, id := range willing {
+			if counts[id] >= counts[low]+2 {
+				out = append(out, id)
 			}
 		}
-		return low, high
+		sort.SliceStable(out, func(i, j int) bool { return counts[out[i]] > counts[out[j]] })
+		return out
 	}
 	zone := func(id string) string { return s.chart.Stores[id].Zone }
 	move := func(slot int, owner, backup tether.Member, reason string) {
@@ -482,14 +490,16 @@
 		changed[slot] = tether.Pairing{Epoch: p.Epoch + 1, Owner: owner, Backup: backup, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
 		s.Emit(stride.Explain{What: "slot moved", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": p.Epoch + 1, "owner": owner.ID, "backup": backup.ID}})
 	}
-	low, high := least(owned)
-	if owned[high]-owned[low] >= 2 {
+	low := least(owned)
+	for _, high := range above(owned, low) {
 		for slot, p := range s.chart.Slots {
 			if p.Owner.ID == high && p.Backup.ID == low {
 				move(slot, p.Backup, p.Owner, "even shares: its backup owns it now")
 				return
 			}
 		}
+	}
+	for _, high := range above(owned, low) {
 		for slot, p := range s.chart.Slots {
 			if p.Owner.ID == high && zone(low) != zone(high) && !s.estranged(low, high, now) {
 				move(slot, p.Owner, tether.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares: copied to the store that has fewest")
@@ -497,7 +507,8 @@
 			}
 		}
 	}
-	if low, high = least(backed); backed[high]-backed[low] >= 2 {
+	low = least(backed)
+	for _, high := range above(backed, low) {
 		for slot, p := range s.chart.Slots {
 			if p.Backup.ID == high && p.Owner.ID != low && zone(p.Owner.ID) != zone(low) && !s.estranged(low, p.Owner.ID, now) {
 				move(slot, p.Owner, tether.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares of copies")
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -181,6 +181,40 @@
 	}
 }
 
+// A store that is added to any zone comes to own its share, also where the store
+// that owns most is in its own zone.
+func TestAnAddedStoreTakesItsShare(t *testing.T) {
+	for zone := 1; zone <= 4; zone++ {
+		w := NewWorld(21, Size{Zones: 4, Cores: 3, Stores: 4, Edges: 2, Slots: 24}, Climate{Sync: 2 * sundial.Millisecond})
+		w.Until(10*sundial.Second, w.Settled)
+		w.Watch.Follow()
+		for i := 0; i < 20; i++ {
+			w.Watch.Hand(5, 5)
+		}
+		added := w.Copy(w.Nodes["store-1"], "store-5")
+		added.ID, added.Zone, added.life, added.disk.durable = "refuge-05", fmt.Sprintf("zone-%d", zone), 0, nil
+		added.Boot(24)
+		if !w.Until(60*sundial.Second, func() bool { return added.Keeper.Owned() >= 3 }) {
+			t.Errorf("in zone-%d the added store owns %d of 24 slots after a minute", zone, added.Keeper.Owned())
+		}
+		// Then it comes to rest: nothing is moved to and fro.
+		epochs := func() (sum uint64) {
+			for _, p := range w.primary().Summit.Chart().Slots {
+				sum += p.Epoch
+			}
+			return sum
+		}
+		w.Run(40 * sundial.Second)
+		before := epochs()
+		if w.Run(20 * sundial.Second); epochs() != before {
+			t.Errorf("in zone-%d: slots still move after 40 s", zone)
+		}
+		if w.Watch.Last(20 * sundial.Second); len(w.Watch.Breaches) > 0 {
+			t.Error(w.Report(20))
+		}
+	}
+}
+
 // Lossy and slow links, and pauses shorter than the leases, move no slot and
 // depose no core: a false takeover would show as a pairing made anew.
 func TestBadWeatherAloneMovesNothing(t *testing.T) {
