A store or core with another fleet's seeds ends and names both fleets

Cause: a store's beat did not say its fleet. A store of another fleet was enrolled, got a writer id, and would have been given slots that it never takes; a core among strangers went on for ever.

--- a/core/summit/election.go
+++ b/core/summit/election.go
@@ -50,6 +50,11 @@
 		return
 	}
 	if s.oath.Fleet != "" && g.Fleet != "" && g.Fleet != s.oath.Fleet {
+		if len(s.cores) == 0 && !s.rope().Owns() {
+			// Alone among strangers: this core's seeds are wrong.
+			s.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "correct -seeds, or start with an empty data folder to be given a seat here", "this core is of fleet %s; at its seeds is fleet %s", s.oath.Fleet, g.Fleet)})
+			return
+		}
 		s.Emit(stride.Explain{What: "a core of another fleet greeted; it is passed over", Fields: map[string]any{"peer": g.Core.Peer, "fleet": g.Fleet}})
 		return
 	}
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -197,6 +197,9 @@
 // the same identity lives elsewhere, or a newer life was heard before. Its disk
 // would be taken for the trusted one.
 func (s *Summit) impostor(beat keeper.Beat, heard heardStore, known bool, now sundial.Micros) string {
+	if beat.Fleet != "" && s.oath.Fleet != "" && beat.Fleet != s.oath.Fleet {
+		return fmt.Sprintf("it is of fleet %s, this is %s", beat.Fleet, s.oath.Fleet)
+	}
 	if known && heard.beat.Peer != beat.Peer && now-heard.at < s.set.StoreSilent/2 {
 		return "a store of the same identity lives at " + heard.beat.Peer
 	}
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -117,6 +117,7 @@
 		ID, Zone, Peer string
 		Life           uint64
 		Ready          map[int]uint64 // slots copied, by epoch
+		Fleet          string         // "" before a core gave it a writer id
 		Draining       bool
 		Stalled        bool           // its disk holds writes back
 		Lonely         map[int]uint64 // owned slots whose backup does not answer, by epoch
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -351,7 +351,7 @@
 		return
 	}
 	if no, ok := l.Body.(Unwelcome); ok && no.ID == k.self.ID && no.Life == k.self.Life {
-		k.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "start with an empty data folder; the fleet fills it from the pairs", "this data folder is not this store's newest: %s", no.Why)})
+		k.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "start with an empty data folder, which the fleet fills from the pairs, or correct -seeds", "this data folder does not belong here: %s", no.Why)})
 		return
 	}
 	if welcome, ok := l.Body.(Welcome); ok && welcome.Writer > 0 {
@@ -611,7 +611,7 @@
 		}
 	}
 	for _, peer := range k.cairns {
-		k.Emit(stride.Send{To: peer, Body: Beat{ID: k.self.ID, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
+		k.Emit(stride.Send{To: peer, Body: Beat{Fleet: k.fleet, ID: k.self.ID, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
 	}
 }
 
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -8,6 +8,7 @@
 
 	"tuliprudder/acquaintance/circle"
 	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
 	"tuliprudder/kernel/sundial"
 )
 
@@ -181,6 +182,30 @@
 	}
 }
 
+// A store and a core of another fleet that were given this fleet's seeds end with
+// the remedy, and change nothing here.
+func TestSeedsOfAnotherFleet(t *testing.T) {
+	for kind, record := range map[string]stride.Record{
+		"store-1": {Unit: "self", Kind: "writer", Body: []byte(`{"fleet":"f-other","writer":3}`)},
+		"core-1":  {Unit: "oath", Kind: "oath", Epoch: 4, Body: []byte(`{"fleet":"f-other","granted":4,"cores":[{"id":"x-1"},{"id":"x-2"},{"id":"stranger"}],"done":{"epoch":4},"sworn":[{"id":"x-1"},{"id":"x-2"},{"id":"stranger"}]}`)},
+	} {
+		w := NewWorld(8, ghent, Climate{Sync: 2 * sundial.Millisecond})
+		w.Until(10*sundial.Second, w.Settled)
+		w.Run(3 * sundial.Second)
+		slots := fmt.Sprint(w.primary().Summit.Chart().Slots)
+		stranger := w.Copy(w.Nodes[kind], "stranger")
+		stranger.ID, stranger.life, stranger.disk.durable = "stranger", 3, []stride.Record{record}
+		stranger.Boot(8)
+		w.Run(8 * sundial.Second)
+		if !mishap.Is(stranger.Halted, mishap.WrongFolder) {
+			t.Errorf("%s of another fleet: ended with %v", kind, stranger.Halted)
+		}
+		if now := w.primary().Summit.Chart(); fmt.Sprint(now.Slots) != slots || len(now.Stores) != 3 {
+			t.Errorf("%s of another fleet changed the map: %d stores", kind, len(now.Stores))
+		}
+	}
+}
+
 // A store that is added to any zone comes to own its share, also where the store
 // that owns most is in its own zone.
 func TestAnAddedStoreTakesItsShare(t *testing.T) {
