--- a/proof/callers/callers.go
+++ b/proof/callers/callers.go
@@ -188,6 +188,7 @@
 	if t.Patience == 0 {
 		t.Patience = 60 * time.Second
 	}
+	began := time.Now()
 	liveCtx, stop := context.WithCancel(ctx)
 	var live, bundles sync.WaitGroup
 	for i := 0; i < t.LiveWorkers; i++ {
@@ -213,6 +214,7 @@
 	bundles.Wait()
 	stop()
 	live.Wait()
+	t.count("milliseconds of live callers", int(time.Since(began).Milliseconds()))
 	if ctx.Err() == nil {
 		t.lastFeed(ctx)
 		t.lastLists(ctx)
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -131,6 +131,8 @@
 	"exchange":     func(s *scene) error { return s.exchange() },
 	"roll-servers": func(s *scene) error { return s.roll(4) },
 	"stall-disk":   func(s *scene) error { return s.stall(10 * time.Second) },
+	"roll-daemons": func(s *scene) error { return s.release() },
+	"flock-kill":   func(s *scene) error { return s.flockAndLoss() },
 	"flock":        func(s *scene) error { return s.flock() },
 }
 
@@ -625,3 +627,36 @@
 	s.wait(span)
 	return errors.Wrap(os.Remove(mark), "letting a disk go on")
 }
+
+// release drains and starts every daemon in turn, as a release of them does;
+// each has to be ready before the next one goes.
+func (s *scene) release() error {
+	for _, kind := range []string{"refuge", "cairn", "trailhead"} {
+		for _, name := range s.c.Names(kind) {
+			s.c.Stop(name)
+			if err := s.c.Run(name); err != nil {
+				return err
+			}
+			if err := camp.Until(60*time.Second, func() error { return s.c.Ask(name, http.MethodGet, "/ready", nil, nil) }); err != nil {
+				return errors.Wrap(err, name)
+			}
+			s.wait(time.Second)
+		}
+	}
+	return nil
+}
+
+// flockAndLoss lets a flock come while edges, the holders of accounts among them,
+// are killed and come back one after the other.
+func (s *scene) flockAndLoss() error {
+	flock := make(chan error, 1)
+	go func() { flock <- s.flock() }()
+	for _, name := range s.c.Names("trailhead") {
+		s.wait(500 * time.Millisecond)
+		s.c.Kill(name)
+		if err := s.c.Run(name); err != nil {
+			return err
+		}
+	}
+	return <-flock
+}
