--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -337,7 +337,7 @@
 }
 
 func (r *reader) plan(tree any) *Plan {
-	plan := &Plan{Judges: map[string]float64{"fullness": 4, "prefix": 2, "speed": 1, "spread": 1}}
+	plan := &Plan{Judges: map[string]float64{"fullness": 4, "prefix": 6, "speed": 1, "spread": 1}}
 	fields := r.object("$", tree, "classes", "customers", "pools", "routes", "judges")
 	if fields == nil {
 		return plan
--- /dev/null
+++ b/path/dispatch/judged_test.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"sort"
+	"testing"
+
+	"tuliprudder/core/planbook"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/roster"
+)
+
+// model is a model server in virtual time: slots, a speed, and a cache of
+// prefixes.
+type model struct {
+	name  string
+	free  []sundial.Micros // when each slot is free
+	ends  []sundial.Micros
+	speed sundial.Micros
+	cache []string
+	work  sundial.Micros
+}
+
+// run takes an order and tells when it ends and whether its prefix was cached.
+func (m *model) run(now sundial.Micros, prefix string) (sundial.Micros, bool) {
+	at := 0
+	for i := range m.free {
+		if m.free[i] < m.free[at] {
+			at = i
+		}
+	}
+	hit := slices.Contains(m.cache, prefix)
+	m.cache = append(slices.DeleteFunc(m.cache, func(one string) bool { return one == prefix }), prefix)
+	if len(m.cache) > 4 {
+		m.cache = m.cache[1:]
+	}
+	took := m.speed
+	if !hit {
+		took += 40 * sundial.Millisecond
+	}
+	end := max(now, m.free[at]) + took
+	m.free[at] = end
+	m.ends = append(m.ends, end)
+	m.work += took
+	return end, hit
+}
+
+func (m *model) load(now sundial.Micros) int {
+	m.ends = slices.DeleteFunc(m.ends, func(end sundial.Micros) bool { return end <= now })
+	return len(m.ends)
+}
+
+type figures struct {
+	orders, hits int
+	p99          sundial.Micros
+	uneven       float64 // the busiest server's work over the mean
+}
+
+// live lets six daemons assign to twelve uneven servers for a quarter of a minute of
+// virtual time, with the judges weighed as given.
+func live(t *testing.T, seed int64, weights string) figures {
+	t.Helper()
+	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"a","rank":1,"allowance":1}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{}}],
+	 "routes":[{"name":"r","kind":"one-shot","classes":{},"pools":{"u":"x"},"model":"m"}],"judges":` + weights + `}`))
+	if err != nil {
+		t.Fatal(err, mishap.Of(err).Faults)
+	}
+	plan.Version = 1
+	route, _ := plan.Route("r")
+	now := sundial.Micros(10_000_000)
+	chance := rand.New(rand.NewSource(seed))
+	servers := map[string]*model{}
+	var names []string
+	for i := 0; i < 12; i++ {
+		m := &model{name: fmt.Sprintf("s%02d", i), free: make([]sundial.Micros, 4), speed: sundial.Micros(40+10*(i%3)) * sundial.Millisecond}
+		servers[m.name], names = m, append(names, m.name)
+	}
+	type started struct {
+		id      int
+		arrived sundial.Micros
+		prefix  string
+		grip    *Grip
+	}
+	starts := make(chan started, 4096)
+	var daemons []*Dispatch
+	for i := 0; i < 6; i++ {
+		d := New(Defaults(), func() sundial.Micros { return now }, seed*100+int64(i))
+		d.SetPlan(plan)
+		for _, name := range names {
+			d.SetServer(roster.Server{Name: name, Slots: 4})
+		}
+		daemons = append(daemons, d)
+	}
+	type running struct {
+		end   sundial.Micros
+		began sundial.Micros
+		grip  *Grip
+	}
+	var open []running
+	var latencies []sundial.Micros
+	var out figures
+	next := map[string]sundial.Micros{}
+	for step := 0; step < 3000; step++ {
+		now += 5 * sundial.Millisecond
+		open = slices.DeleteFunc(open, func(r running) bool {
+			if r.end <= now {
+				r.grip.Release(r.end-r.began, true)
+			}
+			return r.end <= now
+		})
+		for _, name := range names {
+			if now >= next[name] {
+				load := servers[name].load(now)
+				next[name] = now + 400*sundial.Millisecond
+				if 2*load >= 4 {
+					next[name] = now + 100*sundial.Millisecond
+				}
+				for _, d := range daemons {
+					d.SetLoad(name, 1, roster.Load{Running: load, Sound: true, At: now})
+				}
+			}
+		}
+		for _, d := range daemons {
+			d.SetFresh(now)
+			for chance.Float64() < 0.22 {
+				out.orders++
+				id, arrived, prefix := out.orders, now, fmt.Sprint(chance.Intn(24)*chance.Intn(24)/24)
+				o := &Order{ID: fmt.Sprint(id), Customer: "c", Route: route, Rank: 1, Prefix: prefix}
+				o.Start = func(grip *Grip) { starts <- started{id, arrived, prefix, grip} }
+				o.Drop = func(error) {}
+				if err := d.Enrol(o); err != nil {
+					t.Fatal(err)
+				}
+			}
+			before := d.Assigned
+			d.Match()
+			var batch []started
+			for n := d.Assigned - before; n > 0; n-- {
+				batch = append(batch, <-starts)
+			}
+			sort.Slice(batch, func(i, j int) bool { return batch[i].id < batch[j].id })
+			for _, s := range batch {
+				end, hit := servers[s.grip.Server.Name].run(now, s.prefix)
+				if hit {
+					out.hits++
+				}
+				latencies = append(latencies, end-s.arrived)
+				open = append(open, running{end, now, s.grip})
+			}
+		}
+	}
+	slices.Sort(latencies)
+	out.p99 = latencies[len(latencies)*99/100]
+	total, most := sundial.Micros(0), sundial.Micros(0)
+	for _, m := range servers {
+		total, most = total+m.work, max(most, m.work)
+	}
+	out.uneven = float64(most) * 12 / float64(total)
+	return out
+}
+
+// The judges together, against fewer of them: affinity to prefixes finds more
+// cached ones, and does not overload a server or lengthen the worst waits.
+func TestJudgesTogether(t *testing.T) {
+	sum := func(weights string) (out figures) {
+		for seed := int64(1); seed <= 3; seed++ {
+			one := live(t, seed, weights)
+			out.orders, out.hits = out.orders+one.orders, out.hits+one.hits
+			out.p99, out.uneven = max(out.p99, one.p99), max(out.uneven, one.uneven)
+		}
+		t.Logf("%-55s %d orders, hits %.0f%%, p99 %d ms, unevenness %.2f", weights, out.orders, 100*float64(out.hits)/float64(out.orders), out.p99/1000, out.uneven)
+		return out
+	}
+	all := sum(`{}`)
+	blind := sum(`{"prefix":0}`)
+	greedy := sum(`{"prefix":50,"fullness":1}`)
+	if float64(all.hits) < 1.15*float64(blind.hits) {
+		t.Errorf("affinity found %d cached prefixes, without it %d", all.hits, blind.hits)
+	}
+	if all.p99 > blind.p99*11/10 || all.uneven > 1.6 {
+		t.Errorf("affinity: p99 %d against %d us, unevenness %.2f", all.p99, blind.p99, all.uneven)
+	}
+	if greedy.orders != all.orders {
+		t.Errorf("not the same orders: %d and %d", greedy.orders, all.orders)
+	}
+}
