--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -119,17 +119,6 @@
 	return route, route != nil
 }
 
-// PoolsOf lists the pools that serve a route.
-func (p *Plan) PoolsOf(route *Route) []*Pool {
-	var out []*Pool
-	for i := range p.Pools {
-		if route.Pools.Matches(p.Pools[i].Labels) {
-			out = append(out, &p.Pools[i])
-		}
-	}
-	return out
-}
-
 // Serves tells whether a server with these labels serves the route.
 func (p *Plan) Serves(route *Route, labels Labels) bool {
 	for i := range p.Pools {
--- a/core/summit/election.go
+++ b/core/summit/election.go
@@ -387,7 +387,7 @@
 		return
 	}
 	for _, oath := range s.claim.yes {
-		if oath.Done.Epoch > c.Base && !s.AnyHeir {
+		if oath.Done.Epoch > c.Base {
 			s.claim.failed = true
 			s.learn(oath, now)
 			return
--- a/core/summit/summit.go
+++ b/core/summit/summit.go
@@ -106,9 +106,6 @@
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
-	// AnyHeir is a fault planted by tests: a core outside the last complete
-	// pair may own.
-	AnyHeir bool
 }
 
 // New makes a core from what was read back from its disk.
--- a/kernel/belay/belay.go
+++ b/kernel/belay/belay.go
@@ -32,10 +32,3 @@
 		fns[i]()
 	}
 }
-
-// Keep forgets the clean-ups: what was built is now someone else's to end.
-func (s *Stack) Keep() {
-	s.mu.Lock()
-	s.fns = nil
-	s.mu.Unlock()
-}
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -110,7 +110,6 @@
 	writes  map[uint64]sundial.Micros // on their way to the disk, since when
 	stalled sundial.Micros            // the disk was last seen stalled
 	next    struct{ beat, announce, forget, resume sundial.Micros }
-	items   int
 	drain   bool
 	// Counters for the operators.
 	Listed, Enrolled, Unknown, Takeovers, Entries, Reads int64
--- a/ledger/waypost/view.go
+++ b/ledger/waypost/view.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
 
 	"tuliprudder/kernel/stride"
 	"tuliprudder/ledger/daybook"
@@ -166,19 +165,3 @@
 	}
 	return changed
 }
-
-// Said is a writer's last announcement.
-func (v *View) Said(writer int) (Announcement, bool) {
-	a, ok := v.said[writer]
-	return a, ok
-}
-
-// Writers lists the writers heard of.
-func (v *View) Writers() []int {
-	out := make([]int, 0, len(v.said))
-	for writer := range v.said {
-		out = append(out, writer)
-	}
-	sort.Ints(out)
-	return out
-}
