--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 
 	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/sundial"
@@ -34,12 +35,14 @@
 	return true
 }
 
-// Kinds of route.
+// Kinds of route. A one-shot order and a stream run at most once; a repeatable
+// order and a resumable stream may run again elsewhere.
 const (
-	OneShot   = "one-shot"
-	Stream    = "stream"
-	Resumable = "resumable"
-	Bundle    = "bundle"
+	OneShot    = "one-shot"
+	Repeatable = "repeatable"
+	Stream     = "stream"
+	Resumable  = "resumable"
+	Bundle     = "bundle"
 )
 
 // Class is a priority class: what customers pay for.
@@ -78,8 +81,38 @@
 	MaxTokens int64
 	Expiry    sundial.Micros
 	MostItems int64
+	Forward   *Forward // set where requests are passed on unchanged (DESIGN §12)
 }
 
+// Forward is what a route says whose requests are matched by host and path and
+// passed on to servers unchanged.
+type Forward struct {
+	Host       string
+	PathPrefix string         // begins and ends with a slash
+	Tries      int64          // most servers that one request, or attempts that one item, may take
+	Aim        sundial.Micros // within which an answer is worth most
+	Gap        sundial.Micros // longest pause between events of a stream that is in time
+	Due        sundial.Micros // within which a bundle's results are due
+	Keep       sundial.Micros // after which an item of a bundle may be given up
+	MostTokens int64          // tokens of bundles that may wait on the route; 0: no limit
+	Split      []Share        // where requests go instead of Pools, by share
+}
+
+// Share is one part of a split route.
+type Share struct {
+	Pools Selector
+	Share int64
+}
+
+// Bounds are what the operator allows callers' requests; 0 leaves the daemon's own.
+type Bounds struct {
+	HeaderBytes, BodyBytes int64
+	HeaderWait, IdleWait   sundial.Micros
+}
+
+// Reader turns an operator's document into a plan; Parse is the product's own.
+type Reader func(document []byte) (*Plan, error)
+
 // Plan is a whole configuration.
 type Plan struct {
 	Classes   []Class
@@ -87,12 +120,26 @@
 	Pools     []Pool
 	Routes    []Route
 	Judges    map[string]float64
+	Bounds    Bounds
+	Number    uint64 // the version the document itself names; 0: it names none
 	Version   uint64
 
 	byKey   map[string]*Customer
 	byName  map[string]*Customer
 	byClass map[string]*Class
 	byRoute map[string]*Route
+	byHost  map[string][]*Route // forwarded routes, longest prefix first
+}
+
+// Match finds the forwarded route of a host whose path prefix is the longest that
+// begins the path; nil when there is none.
+func (p *Plan) Match(host, path string) *Route {
+	for _, route := range p.byHost[host] {
+		if strings.HasPrefix(path, route.Forward.PathPrefix) {
+			return route
+		}
+	}
+	return nil
 }
 
 // CustomerOf finds a customer and its class by the key it carries.
@@ -150,7 +197,7 @@
 	if err := r.err(); err != nil {
 		return nil, err
 	}
-	plan.index()
+	plan.Index()
 	return plan, nil
 }
 
@@ -160,7 +207,8 @@
 	return err
 }
 
-func (p *Plan) index() {
+// Index prepares a plan that was put together by hand for look-ups.
+func (p *Plan) Index() {
 	p.byKey, p.byName = map[string]*Customer{}, map[string]*Customer{}
 	p.byClass, p.byRoute = map[string]*Class{}, map[string]*Route{}
 	for i := range p.Customers {
@@ -172,6 +220,17 @@
 	for i := range p.Routes {
 		p.byRoute[p.Routes[i].Name] = &p.Routes[i]
 	}
+	p.byHost = map[string][]*Route{}
+	for i := range p.Routes {
+		if route := &p.Routes[i]; route.Forward != nil {
+			p.byHost[route.Forward.Host] = append(p.byHost[route.Forward.Host], route)
+		}
+	}
+	for _, routes := range p.byHost {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].Forward.PathPrefix) > len(routes[j].Forward.PathPrefix)
+		})
+	}
 }
 
 type reader struct{ faults []string }
--- a/ledger/daybook/daybook.go
+++ b/ledger/daybook/daybook.go
@@ -24,10 +24,21 @@
 	return int(sum % uint64(slots))
 }
 
-// Item is one order of a bundle.
+// Item is one order of a bundle: an input for the route's model, or a request to
+// be passed on to a server unchanged.
 type Item struct {
-	ID    string `json:"id"`
-	Input string `json:"input"`
+	ID      string   `json:"id"`
+	Input   string   `json:"input,omitempty"`
+	Request *Request `json:"request,omitempty"`
+}
+
+// Request is an item that is passed on to a server unchanged (DESIGN §12).
+type Request struct {
+	Target string            `json:"target"` // path and query
+	Host   string            `json:"host"`
+	Header map[string]string `json:"header,omitempty"`
+	Body   []byte            `json:"body,omitempty"`
+	Tokens int64             `json:"tokens"` // what it counts for in the route's bound on waiting tokens
 }
 
 // Row is one result with its position and its writer.
