--- a/acquaintance/circle/circle.go
+++ b/acquaintance/circle/circle.go
@@ -220,6 +220,12 @@
 // Apply takes the news in and passes it on.
 func (t Tell) Apply(c *Circle, now sundial.Micros) { c.hear([]stride.Rumour{t.Rumour}, now) }
 
+// Reseed names other seeds.
+type Reseed struct{ Seeds []string }
+
+// Apply takes them for the ones to ask.
+func (r Reseed) Apply(c *Circle, now sundial.Micros) { c.seeds = r.Seeds }
+
 // Drain marks this daemon as draining, Leave as gone on purpose.
 type (
 	Drain struct{}
--- a/cmd/cairn/main.go
+++ b/cmd/cairn/main.go
@@ -9,10 +9,8 @@
 	"tuliprudder/core/planbook"
 	"tuliprudder/core/summit"
 	"tuliprudder/daemon/lodge"
-	"tuliprudder/daemon/planes"
-	"tuliprudder/daemon/porter"
+	"tuliprudder/daemon/outfit"
 	"tuliprudder/kernel/rucksack"
-	"tuliprudder/kernel/sundial"
 )
 
 func main() {
@@ -40,37 +38,8 @@
 	if err != nil {
 		return err
 	}
-	room, records, err := porter.OpenRoom(common.Data)
-	if err != nil {
+	if _, err := outfit.NewCore(l, set); err != nil {
 		return err
 	}
-	core := summit.New(summit.CoreRef{ID: l.Who.ID, Peer: common.Peer, Zone: common.Zone}, l.Who.Life, common.Seeds, set, records)
-	if core.BadRecord != nil {
-		return core.BadRecord
-	}
-	l.Porter.Carry(planes.NewCore(core), room)
-	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(sundial.Micros) {
-			if core.Oath().Done.Epoch == 0 {
-				why = "the cores have not founded a fleet yet"
-			}
-		})
-		return why
-	}
-	l.Office.Counters = func() map[string]int64 {
-		out := map[string]int64{}
-		l.Porter.Inside(func(sundial.Micros) {
-			out["core_epoch"], out["core_claims"], out["core_takeovers"], out["core_changes"] = int64(core.Oath().Granted), core.Claims, core.Takeovers, core.Changes
-			if core.Serving() {
-				out["core_primary"] = 1
-				for _, pairing := range core.Chart().Slots {
-					if !pairing.Complete {
-						out["slots_with_one_copy"]++
-					}
-				}
-			}
-		})
-		return out
-	}
 	return l.Run()
 }
--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -8,9 +8,7 @@
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/lodge"
-	"tuliprudder/daemon/muletrack"
-	"tuliprudder/daemon/planes"
-	"tuliprudder/daemon/porter"
+	"tuliprudder/daemon/outfit"
 	"tuliprudder/kernel/rucksack"
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/ledger/keeper"
@@ -39,50 +37,12 @@
 	if err != nil {
 		return err
 	}
-	room, records, err := porter.OpenRoom(common.Data)
+	store, err := outfit.NewStore(l, set)
 	if err != nil {
 		return err
 	}
-	shelf, err := porter.OpenShelf(common.Data)
-	if err != nil {
-		return err
-	}
-	l.Porter.Shelf = shelf
-	books := keeper.New(keeper.Self{ID: l.Who.ID, Zone: common.Zone, Peer: common.Peer, Life: l.Who.Life}, set, records, shelf)
-	if books.BadRecord != nil {
-		return books.BadRecord
-	}
-	plant(books, room, common.Data)
-	books.Damaged = func(err error) {
-		l.Log.Error().Err(err).Msg("a shelved bundle can't be read; ending, so that the pair's other end serves")
-		os.Exit(3)
-	}
-	ledger := planes.NewLedger(l.Who.ID, books, set.MostItems, int64(l.Who.Life))
-	l.Porter.Carry(ledger, room)
-	l.Porter.OnWork(muletrack.New(l.Porter.Now, l.Porter.Word).Take)
-	l.Path(ledger.Road, nil, ledger.Items.Book)
-	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(sundial.Micros) {
-			if books.Writer() == 0 {
-				why = "the core has not given this store a writer id yet"
-			}
-		})
-		return why
-	}
-	l.Office.Counters = func() map[string]int64 {
-		out := map[string]int64{}
-		l.Porter.Inside(func(now sundial.Micros) {
-			out["copies_missing"], out["oldest_unannounced_us"] = books.AtRisk(now)
-			out["entries_confirmed"], out["reads"] = books.Entries, books.Reads
-			out["bundles_shelved"] = books.Shelved
-			out["disk_wait_us"] = books.DiskWait(now)
-			out["shares_held"], out["shares_lent"] = ledger.Purse.Totals(now)
-			out["over_allowance"] = ledger.Purse.Refused
-			out["backlog"], out["items_open"] = int64(ledger.Dispatch.Backlog()), int64(ledger.Items.Open())
-			out["rows_listed"], out["bundles_enrolled"], out["outcomes_unknown"], out["takeovers"] = books.Listed, books.Enrolled, books.Unknown, books.Takeovers
-		})
-		return out
-	}
+	books := store.Keeper
+	plant(books, store.Room, common.Data)
 	l.OnDrain(func() {
 		l.Porter.Word(keeper.Drain{})
 		lodge.Wait(7*sundial.Second, func() (gone bool) {
--- a/cmd/trailhead/main.go
+++ b/cmd/trailhead/main.go
@@ -7,7 +7,7 @@
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/lodge"
-	"tuliprudder/daemon/muletrack"
+	"tuliprudder/daemon/outfit"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/kernel/rucksack"
 	"tuliprudder/kernel/sundial"
@@ -43,10 +43,7 @@
 	if err != nil {
 		return err
 	}
-	edge := planes.NewEdge(l.Who.ID, set, int64(l.Who.Life))
-	l.Porter.Carry(edge, nil)
-	l.Porter.OnWork(muletrack.New(l.Porter.Now, l.Porter.Word).Take)
-	l.Path(edge.Road, edge.Reader, edge.Book)
+	edge := outfit.NewEdge(l, set)
 	front := &gate.Gate{Set: gate.Defaults(), Machine: l.Porter.AskUntil, Word: l.Porter.Word, Clock: l.Porter.Now}
 	front.Routes(l.Porch)
 	l.Office.Ready = func() (why string) {
@@ -62,16 +59,6 @@
 		})
 		return why
 	}
-	l.Office.Counters = func() map[string]int64 {
-		out := map[string]int64{}
-		l.Porter.Inside(func(now sundial.Micros) {
-			out["shares_held"], out["shares_lent"] = edge.Purse.Totals(now)
-			out["over_allowance"], out["backlog"], out["assigned"] = edge.Purse.Refused, int64(edge.Dispatch.Backlog()), edge.Dispatch.Assigned
-			out["expired"], out["turned_away"] = edge.Dispatch.Expired, edge.Dispatch.TurnedAway
-			out["orders_open"], out["reads_waiting"] = int64(edge.Trek.Open()), int64(edge.Reader.Open())
-		})
-		return out
-	}
 	l.OnDrain(func() {
 		l.Porter.Word(planes.Close{})
 		lodge.Wait(6*sundial.Second, func() bool { return l.Porch.Open() == 0 })
--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -65,6 +65,9 @@
 	Name    string
 	Labels  Labels
 	Servers Selector
+	// MostOpen is how many connections one of its servers takes from all daemons
+	// together; 0: no bound is known.
+	MostOpen int64
 }
 
 // Route is a way callers may go.
@@ -173,9 +176,13 @@
 }
 
 // Serves tells whether a server with these labels serves the route.
-func (p *Plan) Serves(route *Route, labels Labels) bool {
+func (p *Plan) Serves(route *Route, labels Labels) bool { return p.Selects(route.Pools, labels) }
+
+// Selects tells whether a server with these labels is in a pool that the selector
+// matches.
+func (p *Plan) Selects(pools Selector, labels Labels) bool {
 	for i := range p.Pools {
-		if route.Pools.Matches(p.Pools[i].Labels) && p.Pools[i].Servers.Matches(labels) {
+		if pools.Matches(p.Pools[i].Labels) && p.Pools[i].Servers.Matches(labels) {
 			return true
 		}
 	}
@@ -185,6 +192,11 @@
 // JudgeNames are the judges a plan may weigh.
 var JudgeNames = []string{"fullness", "prefix", "speed", "spread"}
 
+// DefaultJudges are the judges' weights where a plan names none.
+func DefaultJudges() map[string]float64 {
+	return map[string]float64{"fullness": 4, "prefix": 6, "speed": 1, "spread": 1}
+}
+
 // Parse reads a plan and reports every fault in it.
 func Parse(data []byte) (*Plan, error) {
 	r := &reader{}
@@ -392,7 +404,7 @@
 }
 
 func (r *reader) plan(tree any) *Plan {
-	plan := &Plan{Judges: map[string]float64{"fullness": 4, "prefix": 6, "speed": 1, "spread": 1}}
+	plan := &Plan{Judges: DefaultJudges()}
 	fields := r.object("$", tree, "classes", "customers", "pools", "routes", "judges")
 	if fields == nil {
 		return plan
--- a/daemon/lodge/lodge.go
+++ b/daemon/lodge/lodge.go
@@ -50,8 +50,9 @@
 	Porch  *porch.Porch
 	Office *office.Office
 	Common rucksack.Common
-	drain  []func()
-	grace  time.Duration
+	// Grace is how long a drain may take.
+	Grace sundial.Micros
+	drain []func()
 }
 
 // Open begins a daemon: its log, identity, shell and front.
@@ -76,8 +77,8 @@
 		who = porter.Fleeting(kind, time.Now().UnixMicro())
 	}
 	log := logbook.Open(out, program, who.ID)
-	l := &Lodge{Hut: almhut.New(), Log: log, Who: who, Common: common, grace: 8 * time.Second}
-	person := people.Person{ID: who.ID, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: people.Release}
+	l := &Lodge{Hut: almhut.New(), Log: log, Who: who, Common: common, Grace: 8 * sundial.Second}
+	person := people.Person{ID: who.ID, Name: common.Name, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: people.Release}
 	l.Porter = porter.New(person, append(append([]string(nil), common.Seeds...), l.remembered()...), who, log)
 	l.Porter.Address = common.Listen
 	l.Porch = porch.New(common.HTTP, int(bounds.Open), bounds.Bytes)
@@ -166,7 +167,7 @@
 	select {
 	case <-done:
 	case <-signals:
-	case <-time.After(l.grace):
+	case <-time.After(sundial.Span(l.Grace)):
 		l.Log.Warn().Msg("the drain took too long; going all the same")
 	}
 	l.Porter.Leaving()
--- /dev/null
+++ b/daemon/lookout/lookout.go
@@ -0,0 +1,183 @@
+// Package lookout is the duty of reading the platform's list of servers (service
+// discovery; DESIGN §12.4): one core reads it and tells all; the next in order
+// reads when no word has come for a while.
+package lookout
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/daemon/porter"
+	"tuliprudder/kernel/almhut"
+	"tuliprudder/kernel/belay"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/roster"
+)
+
+// Settings of the duty; the defaults are ours.
+type Settings struct {
+	Every sundial.Micros // between two readings
+	Late  sundial.Micros // silence after which the next in order reads
+	Step  sundial.Micros // how much longer each one after it waits
+	Wait  sundial.Micros // for one reading
+}
+
+// Defaults are the starting values.
+func Defaults() Settings {
+	return Settings{Every: sundial.Second, Late: 1600 * sundial.Millisecond, Step: 300 * sundial.Millisecond, Wait: 900 * sundial.Millisecond}
+}
+
+// StampKey is the news key of the latest reading.
+const StampKey = "lookout"
+
+// Stamp says when the list was read last, and by whom.
+type Stamp struct {
+	By string         `json:"by"`
+	At sundial.Micros `json:"at"`
+}
+
+// Lookout reads the list when it is this daemon's turn.
+type Lookout struct {
+	Set    Settings
+	Porter *porter.Porter
+	// Read reads the whole list.
+	Read func(ctx context.Context) ([]roster.Server, error)
+	// Failed counts the readings that came to nothing.
+	Failed int64
+
+	mu     sync.Mutex
+	heard  uint64         // sequence of the latest stamp heard
+	since  sundial.Micros // when it was heard
+	next   sundial.Micros
+	missed map[string]int
+}
+
+// Start starts the duty's thread.
+func (l *Lookout) Start(_ *almhut.Hut, ends *belay.Stack) error {
+	l.missed = map[string]int{}
+	l.since = l.Porter.Now()
+	belay.Every(ends, 50*time.Millisecond, l.turn)
+	return nil
+}
+
+// turn reads the list if it is due here.
+func (l *Lookout) turn() {
+	now := l.Porter.Now()
+	rumour, known := l.Porter.News(StampKey)
+	if known && rumour.Seq > l.heard {
+		l.heard, l.since = rumour.Seq, now
+	}
+	if now < l.next {
+		return
+	}
+	var stamp Stamp
+	json.Unmarshal(rumour.Value, &stamp)
+	if !Due(l.Porter.Who.ID, stamp.By, l.Porter.Folk(), now-l.since, l.Set) {
+		return
+	}
+	l.next = now + l.Set.Every
+	ctx, cancel := context.WithTimeout(context.Background(), sundial.Span(l.Set.Wait))
+	defer cancel()
+	listed, err := l.Read(ctx)
+	if err != nil {
+		l.Failed++
+		l.Porter.Log.Warn().Err(err).Msg("the platform's list can't be read; what is known serves on")
+		return
+	}
+	var servers []roster.Server
+	for _, one := range l.Porter.Under("server/") {
+		var server roster.Server
+		if json.Unmarshal(one.Value, &server) == nil {
+			servers = append(servers, server)
+		}
+	}
+	for _, server := range Compare(servers, listed, l.missed) {
+		l.Porter.Tell(Word(server, l.Porter.Now()))
+	}
+	value, _ := json.Marshal(Stamp{By: l.Porter.Who.ID, At: l.Porter.Now()})
+	l.heard, l.since = max(l.heard+1, uint64(l.Porter.Now())), l.Porter.Now()
+	l.Porter.Tell(stride.Rumour{Key: StampKey, Seq: l.heard, Value: value})
+}
+
+// Due tells whether a daemon is to read the list: who read it last goes on; when
+// nothing has been heard for a while, the first in the agreed order takes over, the
+// ones after it a little later each.
+func Due(self, last string, folk []people.Person, silent sundial.Micros, set Settings) bool {
+	if last == self {
+		return true
+	}
+	place := 0
+	var ids []string
+	for _, person := range folk {
+		if person.Kind == people.Cairn && person.Standing <= people.Suspect && person.ID != last {
+			ids = append(ids, person.ID)
+		}
+	}
+	sort.Strings(ids)
+	for i, id := range ids {
+		if id == self {
+			place = i
+		}
+	}
+	return silent >= set.Late+sundial.Micros(place)*set.Step
+}
+
+// A server's word only ever goes one way: a name stands for one life of it.
+const (
+	wordUp = iota
+	wordLeaving
+	wordGone
+)
+
+// Word is the news of a server's state: one that leaves never comes back, whoever
+// read an older list later.
+func Word(server roster.Server, now sundial.Micros) stride.Rumour {
+	value, _ := json.Marshal(server)
+	state := uint64(wordUp)
+	switch {
+	case server.Gone:
+		state = wordGone
+	case server.Leaving:
+		state = wordLeaving
+	}
+	return stride.Rumour{Key: roster.ServerKey(server.Name), Epoch: state, Seq: uint64(now), Value: value}
+}
+
+// goneAfter is how many readings in a row have to lack a server before it counts
+// as gone: a list that is read in pages may lack one by chance.
+const goneAfter = 2
+
+// Compare works out what has to be told: what is new, what leaves, what is gone.
+func Compare(known, listed []roster.Server, missed map[string]int) []roster.Server {
+	var out []roster.Server
+	was := map[string]roster.Server{}
+	for _, server := range known {
+		was[server.Name] = server
+	}
+	now := map[string]bool{}
+	for _, server := range listed {
+		now[server.Name] = true
+		delete(missed, server.Name)
+		old, ok := was[server.Name]
+		if !ok || (!old.Leaving && !old.Gone && server.Leaving) || (old.Address != server.Address && !old.Gone) {
+			out = append(out, server)
+		}
+	}
+	for _, server := range known {
+		if now[server.Name] || server.Gone {
+			continue
+		}
+		if missed[server.Name]++; missed[server.Name] >= goneAfter {
+			delete(missed, server.Name)
+			server.Gone = true
+			out = append(out, server)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/daemon/muletrack/forward.go
@@ -0,0 +1,87 @@
+package muletrack
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tuliprudder/path/causeway"
+	"tuliprudder/path/runner"
+	"tuliprudder/path/serverline"
+)
+
+// itemExpiry is how long one try of an item may take before it is broken off: a
+// server that says nothing for so long is taken for lost.
+const itemExpiry = 30 * time.Second
+
+// forward passes an item on to its server unchanged (DESIGN §12.5) and gathers the
+// events of its answer; a later try goes on after the last one.
+func (t *Track) forward(ctx context.Context, w runner.Run) (ran runner.Ran) {
+	ran = runner.Ran{Token: w.Token, Outcome: serverline.Cut, LastEvent: w.Forward.Resume}
+	ctx, cancel := context.WithTimeout(ctx, itemExpiry)
+	defer cancel()
+	item := w.Forward.Request
+	header := make(http.Header, len(item.Header))
+	for name, value := range item.Header {
+		header.Set(name, value)
+	}
+	request := causeway.Request{Address: w.Request.Address, Instance: w.Forward.Instance, Method: http.MethodPost, Target: item.Target, Host: item.Host,
+		ID: w.Forward.ID, Header: header, Body: item.Body, Deadline: time.Now().Add(itemExpiry)}
+	if w.Forward.Resume > 0 {
+		request.LastEvent = strconv.Itoa(w.Forward.Resume)
+	}
+	answer, err := t.Client.Do(ctx, request)
+	if err != nil {
+		ran.Why = err.Error()
+		if causeway.CertaintyOf(err) == causeway.NotWritten {
+			ran.Outcome = serverline.NotStarted
+		}
+		return ran
+	}
+	defer answer.Close()
+	switch {
+	case answer.NotRun:
+		ran.Outcome, ran.Why = serverline.NotStarted, "the server did not run it: "+strconv.Itoa(answer.Status)
+	case answer.Status == http.StatusUnprocessableEntity:
+		ran.Outcome, ran.Why = serverline.Rejected, "the server says that it can never be done"
+	case answer.Status == http.StatusInternalServerError:
+		ran.Failed, ran.Why = true, "the server failed"
+	case answer.Status != http.StatusOK:
+		ran.Why = "the server answered " + strconv.Itoa(answer.Status)
+	default:
+		ran.Outcome, ran.Why = t.gather(w, answer, &ran)
+		return ran
+	}
+	io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10))
+	return ran
+}
+
+// gather takes the events of an answer in. One that is out of its order belongs to
+// no run that was asked for.
+func (t *Track) gather(w runner.Run, answer *causeway.Answer, ran *runner.Ran) (serverline.Outcome, string) {
+	events := causeway.NewEventReader(answer.Body)
+	size := 0
+	for {
+		event, err := events.Next()
+		if err == io.EOF && answer.Delimited {
+			return serverline.Complete, ""
+		}
+		if err != nil {
+			return serverline.Cut, err.Error()
+		}
+		id, err := strconv.Atoi(event.ID)
+		if err != nil || id != ran.LastEvent+1 {
+			return serverline.Cut, "event " + event.ID + " follows event " + strconv.Itoa(ran.LastEvent)
+		}
+		if size += len(event.Data); size > w.MostBytes {
+			return serverline.Cut, "the result is over " + strconv.Itoa(w.MostBytes) + " bytes"
+		}
+		if len(ran.Events) == 0 {
+			t.Tell(runner.Began{Token: w.Token})
+		}
+		ran.LastEvent = id
+		ran.Events = append(ran.Events, event.Data)
+	}
+}
--- a/daemon/office/office.go
+++ b/daemon/office/office.go
@@ -131,8 +131,8 @@
 	return c, err
 }
 
-// askPrimary asks the primary core, or this daemon's own machine if that is it.
-func (o *Office) askPrimary(body any, expiry sundial.Micros) (any, error) {
+// AskPrimary asks the primary core, or this daemon's own machine if that is it.
+func (o *Office) AskPrimary(body any, expiry sundial.Micros) (any, error) {
 	core, err := o.primary()
 	if err != nil {
 		return nil, err
@@ -161,7 +161,7 @@
 		}
 		ask.Base, ask.HasBase = base, true
 	}
-	got, err := o.askPrimary(ask, planExpiry+sundial.Second)
+	got, err := o.AskPrimary(ask, planExpiry+sundial.Second)
 	if err != nil {
 		return err
 	}
@@ -181,7 +181,7 @@
 		}
 		ask.Version = version
 	}
-	got, err := o.askPrimary(ask, 3*sundial.Second)
+	got, err := o.AskPrimary(ask, 3*sundial.Second)
 	if err != nil {
 		return err
 	}
@@ -235,7 +235,7 @@
 			return err
 		}
 	}
-	got, err := o.askPrimary(summit.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+sundial.Second)
+	got, err := o.AskPrimary(summit.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+sundial.Second)
 	if err != nil {
 		return err
 	}
--- a/daemon/planes/edge.go
+++ b/daemon/planes/edge.go
@@ -5,6 +5,7 @@
 	"tuliprudder/kernel/stride"
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/path/dispatch"
+	"tuliprudder/path/ford"
 	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/scouts"
@@ -15,19 +16,22 @@
 type EdgeSettings struct {
 	Dispatch   dispatch.Settings
 	Trek       trek.Settings
+	Ford       ford.Settings
 	ScoutEvery sundial.Micros
 }
 
 // EdgeDefaults are the starting values.
 func EdgeDefaults() EdgeSettings {
-	return EdgeSettings{Dispatch: dispatch.Defaults(), Trek: trek.Defaults(), ScoutEvery: 400 * sundial.Millisecond}
+	return EdgeSettings{Dispatch: dispatch.Defaults(), Trek: trek.Defaults(), Ford: ford.Defaults(), ScoutEvery: 400 * sundial.Millisecond}
 }
 
-// Edge is the machine of an edge daemon: orders, reading, shares, scouts.
+// Edge is the machine of an edge daemon: orders, forwarded requests, reading,
+// shares, scouts.
 type Edge struct {
 	*Road
 	Reader *reader.Reader
 	Trek   *trek.Trek
+	Ford   *ford.Ford
 	Scouts *scouts.Scouts
 	Book   *guestbook.Book
 }
@@ -37,6 +41,7 @@
 	e := &Edge{Road: newRoad(self, set.Dispatch, seed, func(*Road) func(string) int { return nil }), Book: guestbook.New(8192)}
 	e.Reader = reader.New(e.Wire)
 	e.Trek = trek.New(set.Trek, e.Wire, e.Dispatch, e.Purse, e.Reader, e.Book)
+	e.Ford = ford.New(set.Ford, e.Wire, e.Dispatch, seed+1)
 	e.Scouts = scouts.New(self, set.ScoutEvery, e.Wire, e.Dispatch, e.Folk)
 	return e
 }
@@ -79,7 +84,7 @@
 		e.Dispatch.Close(now)
 		e.Wire.Emit(stride.Answer{Call: number})
 	default:
-		if !e.Trek.Call(number, body, now) && !e.Purse.Call(number, body, now) {
+		if !e.Ford.Call(number, body, now) && !e.Trek.Call(number, body, now) && !e.Purse.Call(number, body, now) {
 			e.Wire.Emit(stride.Answer{Call: number, Err: mishap.New(mishap.BadInput, "ask a daemon of the right kind", "an edge answers no such ask: %T", body)})
 		}
 	}
--- a/daemon/planes/road.go
+++ b/daemon/planes/road.go
@@ -21,11 +21,13 @@
 	Wire     *stride.Wire
 	Dispatch *dispatch.Dispatch
 	Purse    *purse.Purse
-	folk     map[string]people.Person
+	// Read turns a confirmed document into a plan.
+	Read planbook.Reader
+	folk map[string]people.Person
 }
 
 func newRoad(self string, set dispatch.Settings, seed int64, waiting func(r *Road) func(string) int) *Road {
-	r := &Road{Wire: stride.NewWire(), Dispatch: dispatch.New(set, seed), folk: map[string]people.Person{}}
+	r := &Road{Wire: stride.NewWire(), Dispatch: dispatch.New(set, seed), Read: planbook.Parse, folk: map[string]people.Person{}}
 	r.Purse = purse.New(self, r.Wire, r.Folk, waiting(r))
 	return r
 }
@@ -54,7 +56,7 @@
 		if json.Unmarshal(rumour.Value, &version) != nil {
 			return
 		}
-		plan, err := planbook.Parse(version.Body)
+		plan, err := r.Read(version.Body)
 		if err != nil {
 			r.Wire.Emit(stride.Explain{What: "a confirmed plan can't be read here; the one before stays", Fields: map[string]any{"version": version.Number, "why": err.Error()}})
 			return
--- a/daemon/porter/porter.go
+++ b/daemon/porter/porter.go
@@ -293,6 +293,11 @@
 // platform: they might not reach most of the fleet.
 const staleAfter = 2500 * sundial.Millisecond
 
+// Reseed names other seeds to ask.
+func (p *Porter) Reseed(seeds []string) {
+	p.gossip.Put(func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.Reseed{Seeds: seeds}, now) })
+}
+
 // Reaches tells whether this daemon hears most of the fleet's roll.
 func (p *Porter) Reaches() error {
 	p.circleMu.Lock()
--- a/kernel/ropeway/ropeway.go
+++ b/kernel/ropeway/ropeway.go
@@ -8,18 +8,22 @@
 type Ring[T any] struct {
 	mu      sync.Mutex
 	wake    *sync.Cond
-	slots   []T
+	slots   []T // grows up to most
+	most    int
 	head, n int
 	closed  bool
 	dropped int64
 }
 
+// firstSlots is the size a ring begins with: most never hold more.
+const firstSlots = 64
+
 // New makes a ring of the given size.
 func New[T any](size int) *Ring[T] {
 	if size < 1 {
 		size = 1
 	}
-	r := &Ring[T]{slots: make([]T, size)}
+	r := &Ring[T]{slots: make([]T, min(size, firstSlots)), most: size}
 	r.wake = sync.NewCond(&r.mu)
 	return r
 }
@@ -28,10 +32,17 @@
 func (r *Ring[T]) Put(v T) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed || r.n == len(r.slots) {
+	if r.closed || r.n == r.most {
 		r.dropped++
 		return false
 	}
+	if r.n == len(r.slots) {
+		grown := make([]T, min(2*r.n, r.most))
+		for i := range r.n {
+			grown[i] = r.slots[(r.head+i)%r.n]
+		}
+		r.slots, r.head = grown, 0
+	}
 	r.slots[(r.head+r.n)%len(r.slots)] = v
 	r.n++
 	r.wake.Signal()
--- a/kernel/rucksack/rucksack.go
+++ b/kernel/rucksack/rucksack.go
@@ -17,6 +17,7 @@
 
 // Common are the settings every daemon has.
 type Common struct {
+	Name   string // the operators' name of the machine; "" for none
 	Zone   string
 	Peer   string
 	Listen string
@@ -69,6 +70,7 @@
 
 // Common adds the settings every daemon has; disk says whether it needs one.
 func (r *Reader) Common(c *Common, disk bool) {
+	r.Flags.StringVar(&c.Name, "name", "", "the operators' name of this machine")
 	r.Flags.StringVar(&c.Zone, "zone", "", "the zone this daemon runs in")
 	r.Flags.StringVar(&c.Peer, "peer", "", "address for the fleet's own traffic, IP:port")
 	r.Flags.StringVar(&c.Listen, "peer-listen", "", "address to listen on where it differs from -peer")
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	Prefix   string
 	Expiry   sundial.Micros // 0: none
 	Avoid    map[string]int // servers that turned it away
+	// Pools, where set, are those that serve this order instead of its route's.
+	Pools planbook.Selector
 	// Permit is asked right before the start; false drops the order.
 	Permit func(now sundial.Micros) bool
 	// Start is told the chosen server.
@@ -228,6 +230,10 @@
 	d.fresh, d.stirred = max(d.fresh, lastSwap), true
 }
 
+// ServeOn has this daemon assign by its last knowledge however old its news are:
+// where the promises bind only daemons that are in touch, serving on is worth more.
+func (d *Dispatch) ServeOn() { d.set.Staleness = 1 << 62 }
+
 // Fresh tells whether the news are fresh enough to assign by.
 func (d *Dispatch) Fresh(now sundial.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
 
@@ -577,7 +583,7 @@
 	top := -1.0
 	for _, name := range names {
 		s := d.servers[name]
-		if !d.plan.Serves(o.Route, s.server.Labels) || o.Avoid[name] >= 3 {
+		if !d.serves(o, s.server.Labels) || o.Avoid[name] >= 3 {
 			continue
 		}
 		sound := s.failures < 3 && (s.load.At == 0 || s.load.Sound)
@@ -614,6 +620,13 @@
 	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, stay: here, d: d, s: chosen}
 }
 
+func (d *Dispatch) serves(o *Order, labels planbook.Labels) bool {
+	if o.Pools != nil {
+		return d.plan.Selects(o.Pools, labels)
+	}
+	return d.plan.Serves(o.Route, labels)
+}
+
 func (d *Dispatch) remember(prefix uint64, server string) {
 	if _, known := d.prefixes[prefix]; !known {
 		d.prefixed.PushBack(prefix)
--- /dev/null
+++ b/path/gate/body.go
@@ -0,0 +1,16 @@
+package gate
+
+import (
+	"net/http"
+
+	"tuliprudder/kernel/porch"
+)
+
+// Body reads a request's body whole, up to a bound.
+func Body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, most)
+	return porch.ReadBody(r)
+}
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -30,7 +30,7 @@
 	}
 	key := r.Header.Get("Idempotency-Key")
 	if key == "" {
-		key = newOrder()
+		key = NewName()
 	}
 	receipt, err := ask[keeper.Receipt](g, r, trek.HandIn{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
 	if err != nil {
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	read := reader.Read{Name: newOrder(), Bundle: bundle, Token: token, Most: most, Wait: wait}
+	read := reader.Read{Name: NewName(), Bundle: bundle, Token: token, Most: most, Wait: wait}
 	page, err := ask[reader.Page](g, r, trek.Page{Caller: caller(r), Read: read}, reader.Left{Name: read.Name})
 	if err != nil {
 		return err
--- /dev/null
+++ b/path/gate/forward.go
@@ -0,0 +1,201 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/causeway"
+	"tuliprudder/path/ford"
+)
+
+// Forwarder passes opaque requests on to servers (DESIGN §12): which server, and
+// whether another is tried, the edge's machine says (path/ford).
+type Forwarder struct {
+	Machine Machine
+	Client  *causeway.Causeway
+	Words   causeway.Words
+	Clock   func() sundial.Micros
+	// Refuse writes a final answer of the edge's own.
+	Refuse func(w http.ResponseWriter, err error)
+	// Bulk takes a request that hands in a bundle.
+	Bulk func(w http.ResponseWriter, r *http.Request, body []byte, bulk ford.Bulk)
+	open atomic.Int64
+}
+
+// Open is how many requests are under way.
+func (f *Forwarder) Open() int64 { return f.open.Load() }
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// endToEnd copies the headers that are passed on.
+func endToEnd(from http.Header) http.Header {
+	out := make(http.Header, len(from))
+	for name, values := range from {
+		out[name] = values
+	}
+	for _, line := range from["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	delete(out, "Content-Length")
+	return out
+}
+
+// passage is one request on its way through.
+type passage struct {
+	f      *Forwarder
+	w      http.ResponseWriter
+	r      *http.Request
+	order  string
+	body   []byte
+	header http.Header
+	began  bool   // the head of an answer has gone to the caller
+	last   string // id of the last event passed on
+}
+
+// Forward serves one request: the machine says to which server it is sent, hears
+// how that went, and says what is next.
+func (f *Forwarder) Forward(w http.ResponseWriter, r *http.Request, arrive ford.Arrive, body []byte) {
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	arrive.Order = NewName()
+	p := &passage{f: f, w: w, r: r, order: arrive.Order, body: body, header: endToEnd(r.Header), last: r.Header.Get(f.Words.LastEvent)}
+	var next any = arrive
+	for {
+		word, err := f.Machine(r.Context(), next, nil, patience)
+		if err != nil {
+			p.fail(err)
+			return
+		}
+		switch said := word.(type) {
+		case ford.Run:
+			next = p.try(said)
+		case ford.Bulk:
+			f.Bulk(w, r, body, said)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// fail gives the edge's own final answer; an answer that has begun is broken off,
+// so that it can't look complete.
+func (p *passage) fail(err error) {
+	if p.began {
+		panic(http.ErrAbortHandler)
+	}
+	p.f.Refuse(p.w, err)
+}
+
+// try sends the request to one server, passes on what it answers, and tells how
+// that went.
+func (p *passage) try(said ford.Run) ford.Ran {
+	ran := ford.Ran{Order: p.order, Outcome: ford.Cut}
+	left := sundial.Span(said.Expiry - p.f.Clock())
+	ctx, cancel := context.WithTimeout(p.r.Context(), left)
+	defer cancel()
+	answer, err := p.f.Client.Do(ctx, causeway.Request{Address: said.Address, Instance: said.Server, Method: p.r.Method, Target: p.r.RequestURI, Host: p.r.Host,
+		ID: p.r.Header.Get(p.f.Words.RequestID), Header: p.header, Body: p.body, Deadline: time.Now().Add(left), LastEvent: p.last})
+	if err != nil {
+		ran.Why, ran.Over = err.Error(), ctx.Err() != nil
+		if causeway.CertaintyOf(err) == causeway.NotWritten {
+			ran.Outcome = ford.Unsent
+		}
+		ran.Began = p.began
+		return ran
+	}
+	defer answer.Close()
+	switch {
+	case answer.NotRun:
+		io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10))
+		ran.Outcome, ran.Why = ford.NotRun, "the server did not run it: "+strconv.Itoa(answer.Status)
+	case answer.Status >= 500 && !said.Last && ford.Repeatable(said.Route), p.began && answer.Status != http.StatusOK:
+		io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10))
+		ran.Outcome, ran.Why = ford.Failed, "the server failed: "+strconv.Itoa(answer.Status)
+	default:
+		err := p.pass(answer)
+		if err == nil {
+			ran.Outcome = ford.Whole
+		} else {
+			ran.Why, ran.Over = err.Error(), ctx.Err() != nil
+		}
+	}
+	ran.Began = p.began
+	return ran
+}
+
+// pass hands an answer on. One that goes on with a stream keeps the first server's
+// head.
+func (p *passage) pass(answer *causeway.Answer) error {
+	stream := answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
+	if !p.began {
+		header := p.w.Header()
+		for name, values := range endToEnd(answer.Header) {
+			header[name] = values
+		}
+		if answer.Length >= 0 && !stream {
+			header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+		}
+	}
+	if stream {
+		return p.events(answer)
+	}
+	data, err := io.ReadAll(answer.Body) // nothing of an answer that is cut short gets out
+	if err != nil {
+		return err
+	}
+	if !answer.Delimited {
+		return mishap.New(mishap.ServerFault, "have the server give its answers a length", "nobody can tell whether the answer is whole")
+	}
+	p.began = true
+	p.w.WriteHeader(answer.Status)
+	_, err = p.w.Write(data)
+	return err
+}
+
+// events passes a stream on, event by event, as they arrive.
+func (p *passage) events(answer *causeway.Answer) error {
+	reader := causeway.NewEventReader(answer.Body)
+	control := http.NewResponseController(p.w)
+	for {
+		event, err := reader.Next()
+		switch {
+		case err == io.EOF && !answer.Delimited:
+			return io.ErrUnexpectedEOF
+		case err == io.EOF:
+			if !p.began {
+				p.began = true
+				p.w.WriteHeader(answer.Status)
+			}
+			return nil
+		case err != nil:
+			return err
+		}
+		if !p.began {
+			p.began = true
+			p.w.WriteHeader(answer.Status)
+		}
+		if _, err := p.w.Write(event.Raw); err != nil {
+			return err
+		}
+		if err := control.Flush(); err != nil {
+			return err
+		}
+		if event.ID != "" {
+			p.last = event.ID
+		}
+	}
+}
--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -52,7 +52,8 @@
 	p.Handle(http.MethodGet, "/v1/results", g.Feed)
 }
 
-func newOrder() string {
+// NewName makes a name for an order that nobody else has.
+func NewName() string {
 	var random [8]byte
 	rand.Read(random[:])
 	return "o-" + hex.EncodeToString(random[:])
@@ -96,7 +97,7 @@
 	if err := porch.Decode(data, &body); err != nil {
 		return err
 	}
-	order := newOrder()
+	order := NewName()
 	w.Header().Set("X-Order", order)
 	out := &outlet{w: w, order: order, most: g.Set.MostBytes}
 	var next any = trek.Live{Order: order, Caller: caller(r), Route: porchVar(r, "route"), Key: r.Header.Get("Idempotency-Key"),
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -39,7 +39,7 @@
 	next     sundial.Micros
 }
 
-// New makes an edge's scouts.
+// New makes an edge's scouts; with no span between readings there are none.
 func New(self string, every sundial.Micros, wire *stride.Wire, d *dispatch.Dispatch, folk func() []people.Person) *Scouts {
 	return &Scouts{self: self, every: every, wire: wire, dispatch: d, folk: folk, due: map[string]sundial.Micros{}, busy: map[string]bool{}, marks: map[string]stride.Rumour{}}
 }
@@ -57,7 +57,7 @@
 
 // ClockEvent sends the shell to the servers that are due and this daemon's duty.
 func (s *Scouts) ClockEvent(now sundial.Micros) {
-	if now < s.next {
+	if now < s.next || s.every == 0 {
 		return
 	}
 	s.next = now + s.every/hurry
