--- /dev/null
+++ b/path/causeway/events_test.go
@@ -0,0 +1,98 @@
+package causeway
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"tuliprudder/kernel/mishap"
+)
+
+const stream = "\xef\xbb\xbf: hello\n\nid: 1\ndata: a\ndata:b\nx-load: 3\nevent: e\nretry: 5\n\n\r\ndata: c\r\n\r\nid\rdata\r\r"
+
+func events(t *testing.T, source io.Reader) (all []Event, err error) {
+	t.Helper()
+	r := NewEventReader(source)
+	for {
+		event, err := r.Next()
+		if err != nil {
+			if _, again := r.Next(); again != err {
+				t.Fatalf("%v after %v", again, err)
+			}
+			return all, err
+		}
+		all = append(all, event)
+	}
+}
+
+func TestEventsHoweverSplit(t *testing.T) {
+	for name, source := range map[string]io.Reader{
+		"whole": strings.NewReader(stream), "bytes": iotest.OneByteReader(strings.NewReader(stream)),
+		"halves": iotest.HalfReader(strings.NewReader(stream)), "end with data": iotest.DataErrReader(strings.NewReader(stream)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			all, err := events(t, source)
+			if err != io.EOF {
+				t.Fatal(err)
+			}
+			var raw []byte
+			var text []string
+			for _, event := range all {
+				raw = append(raw, event.Raw...)
+				text = append(text, fmt.Sprintf("%q %q %v %v", event.ID, event.Data, event.HasData, event.Other))
+			}
+			if string(raw) != stream {
+				t.Fatalf("raw %q", raw)
+			}
+			want := `"" "" false []` + "\n" + `"1" "a\nb" true [{x-load 3}]` + "\n" + `"" "c" true []` + "\n" + `"" "" true []`
+			if got := strings.Join(text, "\n"); got != want {
+				t.Fatalf("events:\n%s", got)
+			}
+		})
+	}
+}
+
+func TestEventComesWithItsBlankLine(t *testing.T) {
+	for _, end := range []string{"\n\n", "\r\n\r\n", "\r\r", "\r\n\r"} {
+		source, sink := io.Pipe()
+		go sink.Write([]byte("data: a" + end)) // and no end of the stream
+		event, err := NewEventReader(source).Next()
+		if err != nil || event.Data != "a" || string(event.Raw) != "data: a"+end {
+			t.Fatalf("%q: %v %v", end, event, err)
+		}
+		source.Close()
+	}
+}
+
+func TestCutEvents(t *testing.T) {
+	for text, want := range map[string]error{
+		"": io.EOF, "data: a\n\n": io.EOF, "data: a\n\n\n": io.EOF,
+		"data: a\n\ndata: b\n": io.ErrUnexpectedEOF, "data: a\n\ndata: b": io.ErrUnexpectedEOF, ": note\n": io.ErrUnexpectedEOF,
+	} {
+		if _, err := events(t, strings.NewReader(text)); err != want {
+			t.Fatalf("%q: %v", text, err)
+		}
+	}
+	broken := errors.New("broken")
+	all, err := events(t, io.MultiReader(strings.NewReader("data: a\n\ndata: b\n"), iotest.ErrReader(broken)))
+	if err != broken || len(all) != 1 {
+		t.Fatalf("%d events, %v", len(all), err)
+	}
+}
+
+func TestEventSizeIsBounded(t *testing.T) {
+	fits := append(bytes.Repeat([]byte("x"), eventLimit-2), "\n\n"...)
+	if all, err := events(t, bytes.NewReader(fits)); err != io.EOF || len(all) != 1 {
+		t.Fatalf("%d events, %v", len(all), err)
+	}
+	for _, more := range []string{"x\n\ndata: next\n\n", strings.Repeat("x", 10000)} {
+		large := append(bytes.Repeat([]byte("x"), eventLimit-2), more...)
+		if all, err := events(t, bytes.NewReader(large)); len(all) != 0 || !mishap.Is(err, mishap.TooLarge) {
+			t.Fatalf("%d events, %v", len(all), err)
+		}
+	}
+}
