An operator may number a plan; its exact repeat gets the receipt again

Cause: only the core numbered plans, so an operator whose versions have numbers of their own could not put them, and one whose answer was lost could not ask again. Conclusion: PutPlanAsk carries a Number that has to be above the version in force; it is judged at its turn in the queue, when nothing is in flight. A repeat writes nothing and is told once most of the roll know the plan in force. Documents are compared as the chart writes them, escapes included. A repeat that expires behind the same number in flight is told that the outcome is unknown, not that nothing was put.

--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -54,6 +54,16 @@
 	return c.Plans[len(c.Plans)-1], true
 }
 
+// Version finds a plan by its number.
+func (c *Chart) Version(number uint64) (Version, bool) {
+	for _, version := range slices.Backward(c.Plans) {
+		if version.Number == number {
+			return version, true
+		}
+	}
+	return Version{}, false
+}
+
 // Map is the part of the chart that every daemon is told.
 type Map struct {
 	Fleet  string           `json:"fleet"`
--- a/core/summit/asks.go
+++ b/core/summit/asks.go
@@ -67,9 +67,12 @@
 
 // What daemons ask the primary.
 type (
-	// PutPlanAsk hands a whole plan in; Base 0 means whatever is in force.
+	// PutPlanAsk hands a whole plan in. HasBase: only where Base is the version in
+	// force, 0 where none is. Number is the operator's own version; 0: the core
+	// numbers it.
 	PutPlanAsk struct {
 		Body    []byte
+		Number  uint64
 		Base    uint64
 		HasBase bool
 		By      string
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -1,6 +1,7 @@
 package summit
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -72,13 +73,41 @@
 	at  sundial.Micros
 }
 
-// entry numbers the plan, or turns it away where its base is not in force.
-func (p plannedPut) entry(s *Summit) (chart.PutPlan, error) {
+// known tells whether the chart has a version of the operator's own number.
+func (p plannedPut) known(s *Summit) bool {
+	_, known := s.chart.Version(p.ask.Number)
+	return p.ask.Number != 0 && known
+}
+
+// entry numbers the plan, or turns it away where its base is not in force or its
+// number is not above the one in force (DESIGN §8.1). A version that is there
+// already is not written again: nil.
+func (p plannedPut) entry(s *Summit) (chart.Entry, uint64, error) {
 	latest, _ := s.chart.Latest()
+	number := p.ask.Number
+	if p.known(s) {
+		if known, _ := s.chart.Version(number); !sameDocument(known.Body, p.ask.Body) {
+			return nil, 0, mishap.New(mishap.StaleBase, "read the plan in force, merge, and put with its version as base and a number above it", "version %d is there already and has another document", number)
+		}
+		return nil, number, nil
+	}
 	if p.ask.HasBase && p.ask.Base != latest.Number {
-		return chart.PutPlan{}, mishap.New(mishap.StaleBase, "read the plan in force, merge, and put with its version as base", "the plan in force is version %d, not %d", latest.Number, p.ask.Base)
+		return nil, 0, mishap.New(mishap.StaleBase, "read the plan in force, merge, and put with its version as base", "the plan in force is version %d, not %d", latest.Number, p.ask.Base)
+	}
+	if number == 0 {
+		number = latest.Number + 1
 	}
-	return chart.PutPlan{Version: chart.Version{Number: latest.Number + 1, Body: p.ask.Body, By: p.ask.By, At: p.at}}, nil
+	if number <= latest.Number {
+		return nil, 0, mishap.New(mishap.BadPlan, fmt.Sprintf("number the plan above %d", latest.Number), "version %d is not above the one in force, %d", p.ask.Number, latest.Number)
+	}
+	return chart.PutPlan{Version: chart.Version{Number: number, Body: p.ask.Body, By: p.ask.By, At: p.at}}, number, nil
+}
+
+// sameDocument compares two documents as the chart writes them: compact.
+func sameDocument(one, other json.RawMessage) bool {
+	a, errA := json.Marshal(one)
+	b, errB := json.Marshal(other)
+	return errA == nil && errB == nil && bytes.Equal(a, b)
 }
 
 func (s *Summit) propose(c change, now sundial.Micros) {
@@ -93,13 +122,18 @@
 		c := s.queue[0]
 		s.queue = s.queue[1:]
 		if c.put != nil {
-			put, err := c.put.entry(s)
+			put, number, err := c.put.entry(s)
 			if err != nil {
 				s.Emit(stride.Answer{Call: c.call, Err: err})
 				continue
 			}
+			c.body = func() any { return PlanReceipt{Version: number} }
+			if put == nil {
+				// All in the chart is confirmed: nothing is in flight.
+				s.answer(c)
+				continue
+			}
 			c.entry = put
-			c.body = func() any { return PlanReceipt{Version: put.Version.Number} }
 		}
 		s.Changes++
 		data := chart.Encode(c.entry)
--- a/core/summit/summit.go
+++ b/core/summit/summit.go
@@ -210,18 +210,26 @@
 	if s.flight != nil {
 		done := s.flight
 		s.flight = nil
-		if latest, ok := s.chart.Latest(); ok && done.put != nil && done.call != 0 {
-			// In force means that most of the fleet know it: then the receipt.
-			s.published.plan = latest.Number
-			s.Emit(stride.Spread{Rumour: planNews(latest), Call: done.call, Body: done.body(), Expiry: spreadFor})
-		} else if done.call != 0 {
-			s.Emit(stride.Answer{Call: done.call, Body: done.body()})
-		}
+		s.answer(*done)
 	}
 	s.publish()
 	s.advance(now)
 }
 
+// answer tells who asked for a change that it is confirmed. A plan is in force once
+// most of the roll know it (DESIGN §8.2): then the receipt.
+func (s *Summit) answer(c change) {
+	if c.call == 0 {
+		return
+	}
+	if latest, ok := s.chart.Latest(); ok && c.put != nil {
+		s.published.plan = max(s.published.plan, latest.Number)
+		s.Emit(stride.Spread{Rumour: planNews(latest), Call: c.call, Body: c.body(), Expiry: spreadFor})
+		return
+	}
+	s.Emit(stride.Answer{Call: c.call, Body: c.body()})
+}
+
 // Ready has the witnesses write down that the pair is complete.
 func (s *Summit) Ready(_ string, epoch uint64, now sundial.Micros) {
 	if s.seal == nil || s.seal.pairing.Epoch != epoch {
@@ -326,6 +334,10 @@
 	kept := s.queue[:0]
 	for _, c := range s.queue {
 		if c.call != 0 && now >= c.until {
+			if c.put != nil && c.put.known(s) {
+				s.unknown(c.call) // the same number is on its way
+				continue
+			}
 			s.Emit(stride.Answer{Call: c.call, Err: mishap.Later(mishap.NotReady, 2*sundial.Second, "send it again; it was not put", "the cores had no complete pair in time")})
 			continue
 		}
--- /dev/null
+++ b/core/summit/summit_test.go
@@ -0,0 +1,299 @@
+package summit
+
+import (
+	"fmt"
+	"testing"
+
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/tether"
+)
+
+// store is a store daemon as far as the cores see it: its beats.
+type store struct {
+	keeper.Beat
+	copies bool // says of each slot it owns that the copy is whole
+	silent bool
+}
+
+type letter struct {
+	to, from string
+	body     any
+}
+
+// bench is some cores that reach each other, and the beats of stores.
+type bench struct {
+	now     sundial.Micros
+	set     Settings
+	cores   map[string]*Summit // by peer
+	stores  []*store
+	wire    []letter
+	drop    func(l letter) bool
+	calls   uint64
+	answers map[uint64]stride.Answer
+	spreads []stride.Spread
+}
+
+func newBench(set Settings) *bench {
+	return &bench{now: 1000, set: set, cores: map[string]*Summit{}, answers: map[uint64]stride.Answer{}}
+}
+
+// core adds an empty core; its peer address is its name.
+func (b *bench) core(id, peer, zone string, seeds ...string) *Summit {
+	s := New(CoreRef{ID: id, Peer: peer, Zone: zone}, 1, seeds, b.set, nil)
+	b.cores[peer] = s
+	return s
+}
+
+// store adds a store.
+func (b *bench) store(id, peer, zone string) *store {
+	s := &store{Beat: keeper.Beat{ID: id, Peer: peer, Zone: zone, Life: 1}, copies: true}
+	b.stores = append(b.stores, s)
+	return s
+}
+
+// take carries out what a core decided.
+func (b *bench) take(peer string, effects []stride.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case stride.Send:
+			b.wire = append(b.wire, letter{e.To, peer, e.Body})
+		case stride.Store:
+			b.take(peer, b.cores[peer].Do(Stored{e.Token}, b.now))
+		case stride.Answer:
+			b.answers[e.Call] = e
+		case stride.Spread:
+			b.spreads = append(b.spreads, e)
+			b.answers[e.Call] = stride.Answer{Call: e.Call, Body: e.Body}
+		}
+	}
+}
+
+func (b *bench) pump() {
+	for len(b.wire) > 0 {
+		wire := b.wire
+		b.wire = nil
+		for _, l := range wire {
+			if to := b.cores[l.to]; to != nil && (b.drop == nil || !b.drop(l)) {
+				b.take(l.to, to.Do(Letter{l.from, l.body}, b.now))
+			}
+		}
+	}
+}
+
+// pass lets time go by.
+func (b *bench) pass(span sundial.Micros) {
+	for end := b.now + span; b.now < end; {
+		b.now += 50 * sundial.Millisecond
+		for _, peer := range sortedIDs(b.cores) {
+			core := b.cores[peer]
+			b.take(peer, core.Do(Fresh{b.now}, b.now))
+			b.take(peer, core.Do(ClockEvent{}, b.now))
+			for _, s := range b.stores {
+				if s.silent {
+					continue
+				}
+				beat := s.Beat
+				beat.Ready = map[int]uint64{}
+				for slot, p := range core.Chart().Slots {
+					if s.copies && p.Owner.ID == s.ID {
+						beat.Ready[slot] = p.Epoch
+					}
+				}
+				b.take(peer, core.Do(Letter{s.Peer, beat}, b.now))
+			}
+		}
+		b.pump()
+	}
+}
+
+// primary is the core that serves; nil when none or two do.
+func (b *bench) primary() *Summit {
+	var found *Summit
+	for _, core := range b.cores {
+		if core.Serving() && found != nil {
+			return nil
+		} else if core.Serving() {
+			found = core
+		}
+	}
+	return found
+}
+
+// ask asks a core and tells the number of the call.
+func (b *bench) ask(core *Summit, body any) uint64 {
+	b.calls++
+	b.take(core.self.Peer, core.Do(Call{b.calls, body}, b.now))
+	return b.calls
+}
+
+// told is the answer to a call that has to be there.
+func (b *bench) told(t *testing.T, call uint64) stride.Answer {
+	t.Helper()
+	answer, ok := b.answers[call]
+	if !ok {
+		t.Fatalf("call %d is not answered", call)
+	}
+	return answer
+}
+
+// fleet is three cores that have founded, three stores and their slots.
+func fleet(t *testing.T, set Settings) *bench {
+	t.Helper()
+	b := newBench(set)
+	for i := 1; i <= 3; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+	}
+	for i := 1; i <= 3; i++ {
+		b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i))
+	}
+	b.settle(t)
+	return b
+}
+
+func small() Settings {
+	set := Defaults()
+	set.Slots = 6
+	return set
+}
+
+// settle waits until one core serves and every slot has a whole pair.
+func (b *bench) settle(t *testing.T) {
+	t.Helper()
+	for i := 0; i < 400; i++ {
+		b.pass(50 * sundial.Millisecond)
+		if p := b.primary(); p != nil && p.flight == nil && whole(p) {
+			return
+		}
+	}
+	t.Fatal("the fleet never settled")
+}
+
+func whole(s *Summit) bool {
+	for _, p := range s.Chart().Slots {
+		if !p.Complete {
+			return false
+		}
+	}
+	return len(s.Chart().Slots) > 0
+}
+
+func put(number, base uint64, body string) PutPlanAsk {
+	return PutPlanAsk{Number: number, Base: base, HasBase: true, Body: []byte(body), By: "o", Expiry: 3 * sundial.Second}
+}
+
+// held keeps the pair's entries from the backup.
+func held(l letter) bool { _, entry := l.body.(tether.Append); return entry }
+
+// A plan carries the operator's own number: it has to be above the one in force,
+// and a stale base is told first.
+func TestPlansCarryTheOperatorsNumber(t *testing.T) {
+	b := fleet(t, small())
+	core := b.primary()
+	for i, step := range []struct {
+		ask  PutPlanAsk
+		want any
+	}{
+		{put(7, 3, `{"a":1}`), mishap.StaleBase}, // nothing is in force
+		{put(7, 0, `{"a":1}`), uint64(7)},
+		{put(7, 0, `{"a":2}`), mishap.StaleBase}, // the number is taken by another
+		{put(5, 0, `{"a":2}`), mishap.StaleBase}, // stale, and not above: stale is told
+		{put(5, 7, `{"a":2}`), mishap.BadPlan},
+		{put(9, 7, `{"a":2}`), uint64(9)},
+		{put(12, 7, `{"a":3}`), mishap.StaleBase},
+		{PutPlanAsk{Number: 8, Body: []byte(`{"a":4}`), Expiry: sundial.Second}, mishap.BadPlan},
+		{PutPlanAsk{Number: 11, Body: []byte(`{"a":4}`), Expiry: sundial.Second}, uint64(11)},
+		{PutPlanAsk{Body: []byte(`{"a":5}`), Expiry: sundial.Second}, uint64(12)}, // the core's own
+	} {
+		call := b.ask(core, step.ask)
+		b.pump()
+		answer := b.told(t, call)
+		switch want := step.want.(type) {
+		case mishap.Kind:
+			if !mishap.Is(answer.Err, want) || mishap.Of(answer.Err).Remedy == "" {
+				t.Errorf("step %d: told %v %v, not %s", i, answer.Body, answer.Err, want)
+			}
+		case uint64:
+			if answer.Body != (PlanReceipt{Version: want}) {
+				t.Errorf("step %d: told %v %v, not version %d", i, answer.Body, answer.Err, want)
+			}
+		}
+	}
+}
+
+// An exact repeat gets the same receipt, whatever its base and what came after it;
+// it writes nothing, and it too says that most of the roll know the plan.
+func TestAnExactRepeatGetsTheSameReceipt(t *testing.T) {
+	b := fleet(t, small())
+	core := b.primary()
+	for _, ask := range []PutPlanAsk{put(3, 0, `{ "a": "x<y" }`), put(3, 0, `{"a":"x<y"}`), put(3, 99, `{"a" : "x<y"}`), put(4, 3, `{}`), put(3, 0, `{"a":"x<y"}`)} {
+		told := len(b.spreads)
+		call := b.ask(core, ask)
+		b.pump()
+		if answer := b.told(t, call); answer.Body != (PlanReceipt{Version: ask.Number}) {
+			t.Fatalf("%d on base %d: told %v %v", ask.Number, ask.Base, answer.Body, answer.Err)
+		}
+		if len(b.spreads) != told+1 {
+			t.Fatalf("%d on base %d: the receipt was given before most of the roll knew the plan", ask.Number, ask.Base)
+		}
+	}
+	if n := len(core.Chart().Plans); n != 2 {
+		t.Fatalf("%d versions are written, not 2", n)
+	}
+}
+
+// A repeat of a version that the pair has not confirmed waits for it.
+func TestARepeatWaitsForTheVersionInFlight(t *testing.T) {
+	b := fleet(t, small())
+	core := b.primary()
+	b.drop = held
+	first, again, other := b.ask(core, put(3, 0, `{"a":1}`)), b.ask(core, put(3, 0, `{"a":1}`)), b.ask(core, put(3, 0, `{"a":2}`))
+	b.pump()
+	if len(b.answers) != 0 {
+		t.Fatalf("answered before the pair confirmed: %v", b.answers)
+	}
+	b.drop = nil
+	b.pass(sundial.Second)
+	for _, call := range []uint64{first, again} {
+		if answer := b.told(t, call); answer.Body != (PlanReceipt{Version: 3}) {
+			t.Errorf("call %d: told %v %v", call, answer.Body, answer.Err)
+		}
+	}
+	if answer := b.told(t, other); !mishap.Is(answer.Err, mishap.StaleBase) {
+		t.Errorf("the same number with another document: told %v %v", answer.Body, answer.Err)
+	}
+	// One that expires while it waits is not told that nothing was put.
+	b.drop = held
+	first, again = b.ask(core, put(5, 3, `{"a":1}`)), b.ask(core, put(5, 3, `{"a":1}`))
+	b.pass(3500 * sundial.Millisecond)
+	for _, call := range []uint64{first, again} {
+		if answer := b.told(t, call); !mishap.Is(answer.Err, mishap.OutcomeUnknown) {
+			t.Errorf("call %d expired: told %v %v", call, answer.Body, answer.Err)
+		}
+	}
+}
+
+// Two operators put on the same base: exactly one of them wins.
+func TestTwoOperatorsOnOneBase(t *testing.T) {
+	for _, second := range []uint64{5, 6, 0} {
+		b := fleet(t, small())
+		core := b.primary()
+		b.drop = held
+		calls := []uint64{b.ask(core, put(5, 0, `{"a":1}`)), b.ask(core, put(second, 0, `{"a":2}`))}
+		b.drop = nil
+		b.pass(sundial.Second)
+		won := 0
+		for _, call := range calls {
+			if answer := b.told(t, call); answer.Err == nil {
+				won++
+			} else if !mishap.Is(answer.Err, mishap.StaleBase) {
+				t.Errorf("the loser is told %v", answer.Err)
+			}
+		}
+		if won != 1 || len(core.Chart().Plans) != 1 {
+			t.Errorf("%d won, %d versions are written", won, len(core.Chart().Plans))
+		}
+	}
+}
