The latest confirmed plan reads back whole, under a fresh lease

Cause: a plan reads back by its number or from the news; neither says which version is the latest that the pair has confirmed. Conclusion: PlansAsk has Latest. A version in flight is not told, and a primary whose lease has ended says not ready: it may have been deposed without knowing. A test has an invalid plan turned away before anything is written.

--- a/core/summit/asks.go
+++ b/core/summit/asks.go
@@ -80,8 +80,12 @@
 	}
 	// PlanReceipt is the answer once it is on two disks.
 	PlanReceipt struct{ Version uint64 }
-	// PlansAsk reads plans back: one version, or a list of all.
-	PlansAsk struct{ Version uint64 }
+	// PlansAsk reads plans back: one version, the latest one that is confirmed, or
+	// a list of all.
+	PlansAsk struct {
+		Version uint64
+		Latest  bool
+	}
 	// Plans is the answer.
 	Plans struct{ Versions []chart.Version }
 	// RetireAsk empties a store and retires it; Back takes it back.
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -29,7 +29,7 @@
 	case PutPlanAsk:
 		s.putPlan(c.Number, ask, now)
 	case PlansAsk:
-		s.plans(c.Number, ask)
+		s.plans(c.Number, ask, now)
 	case RetireAsk:
 		s.retire(c.Number, ask, now)
 	case ShowAsk:
@@ -146,8 +146,10 @@
 	}
 }
 
-func (s *Summit) plans(call uint64, ask PlansAsk) {
-	if !s.Serving() {
+// plans reads back what is confirmed. The latest is told only under a fresh lease: a
+// primary deposed without knowing would take an older one for it.
+func (s *Summit) plans(call uint64, ask PlansAsk, now sundial.Micros) {
+	if !s.Serving() || ask.Latest && !s.soundOwner(now) {
 		s.notPrimary(call)
 		return
 	}
@@ -155,6 +157,14 @@
 	if s.flight != nil && s.flight.put != nil {
 		confirmed = confirmed[:len(confirmed)-1]
 	}
+	if ask.Latest {
+		if len(confirmed) == 0 {
+			s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.NotFound, "put a plan", "no plan was ever put")})
+			return
+		}
+		s.Emit(stride.Answer{Call: call, Body: Plans{Versions: confirmed[len(confirmed)-1:]}})
+		return
+	}
 	var out Plans
 	for _, version := range confirmed {
 		switch {
--- a/core/summit/summit_test.go
+++ b/core/summit/summit_test.go
@@ -297,3 +297,61 @@
 		}
 	}
 }
+
+// The latest version is read back whole, at the serving primary alone, and never
+// one that is in flight; an invalid plan is turned away before anything is written.
+func TestTheLatestConfirmedPlanReadsBack(t *testing.T) {
+	set := small()
+	set.CheckPlan = func(body []byte) error {
+		if string(body) == `{"bad":1}` {
+			return mishap.New(mishap.BadPlan, "correct it", "it is bad")
+		}
+		return nil
+	}
+	b := fleet(t, set)
+	core := b.primary()
+	latest := func(core *Summit) (uint64, error) {
+		answer := b.told(t, b.ask(core, PlansAsk{Latest: true}))
+		if answer.Err != nil {
+			return 0, answer.Err
+		}
+		versions := answer.Body.(Plans).Versions
+		if len(versions) != 1 || string(versions[0].Body) != fmt.Sprintf(`{"n":%d}`, versions[0].Number) {
+			t.Fatalf("read back %+v", versions)
+		}
+		return versions[0].Number, nil
+	}
+	if _, err := latest(core); !mishap.Is(err, mishap.NotFound) {
+		t.Errorf("before any plan: told %v", err)
+	}
+	seq := core.Chart().Seq
+	if answer := b.told(t, b.ask(core, put(2, 0, `{"bad":1}`))); !mishap.Is(answer.Err, mishap.BadPlan) || core.Chart().Seq != seq {
+		t.Errorf("an invalid plan: told %v, %d entries more", answer.Err, core.Chart().Seq-seq)
+	}
+	b.ask(core, put(2, 0, `{"n":2}`))
+	b.pump()
+	b.drop = held
+	b.ask(core, put(4, 2, `{"n":4}`))
+	if number, err := latest(core); number != 2 {
+		t.Errorf("while 4 is in flight: told %d %v", number, err)
+	}
+	b.drop = nil
+	b.pass(sundial.Second)
+	if number, err := latest(core); number != 4 {
+		t.Errorf("after 4 was confirmed: told %d %v", number, err)
+	}
+	for _, other := range b.cores {
+		if other == core {
+			continue
+		}
+		if _, err := latest(other); !mishap.Is(err, mishap.NotReady) {
+			t.Errorf("a core that is not primary: told %v", err)
+		}
+	}
+	// A primary that nobody hears does not know whether it still is one.
+	b.drop = func(l letter) bool { return l.to == core.self.Peer || l.from == core.self.Peer }
+	b.pass(1600 * sundial.Millisecond)
+	if _, err := latest(core); !mishap.Is(err, mishap.NotReady) {
+		t.Errorf("a primary that was cut off: told %v", err)
+	}
+}
