A store is retired by the operator's name, judged in turn, looked at without change

Cause: operators know machines by names of their own, and could only ask how far a retirement is by starting one. Two retirements that waited behind another change were each judged before the other counted, and a receipt could tell of a mark or a pairing that the pair had not confirmed. A store was retired while pairs of others were not whole. Conclusion: persons, beats and the chart carry a Name; RetireAsk has Name and Look and is judged at its turn in the queue, where all in the chart is confirmed. Retired is written only while every slot's pair is whole and nothing waits.

--- a/acquaintance/people/people.go
+++ b/acquaintance/people/people.go
@@ -41,6 +41,7 @@
 	Standing       Standing
 	Draining       bool
 	Version        int
+	Name           string `json:",omitempty"` // the operator's name of the machine; "": none
 }
 
 // Seq orders what is said of one incarnation.
--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -26,7 +26,8 @@
 	Writer   int    `json:"writer"`
 	Zone     string `json:"zone"`
 	Peer     string `json:"peer"`
-	Life     uint64 `json:"life"` // the newest life it was heard in
+	Name     string `json:"name,omitempty"` // the operator's name of the machine
+	Life     uint64 `json:"life"`           // the newest life it was heard in
 	Retiring bool   `json:"retiring,omitempty"`
 	Retired  bool   `json:"retired,omitempty"`
 	// Struck from the roll: it has been silent for long (DESIGN §3.4).
@@ -153,7 +154,8 @@
 	}
 	// PutPlan adds the next version.
 	PutPlan struct{ Version Version }
-	// EnrolStore gives a store its writer id, or notes its new address.
+	// EnrolStore gives a store its writer id, or notes its new address
+	// or name.
 	EnrolStore struct{ Store Store }
 	// Retire marks a store as retiring, takes the mark back, or writes down that
 	// nothing depends on it any more.
@@ -176,7 +178,7 @@
 // Apply adds the version.
 func (e PutPlan) Apply(c *Chart) { c.Plans = append(c.Plans, e.Version) }
 
-// Apply enrols; a known store keeps its writer id.
+// Apply enrols, or notes a new address, name or life; a known store keeps its writer id.
 func (e EnrolStore) Apply(c *Chart) {
 	store := e.Store
 	if known, ok := c.Stores[store.ID]; ok {
@@ -206,6 +208,18 @@
 	return out
 }
 
+// Named finds the store that has the operator's name: one that is not struck, the
+// newest where there are several.
+func (c *Chart) Named(name string) (Store, bool) {
+	var found Store
+	for _, store := range c.Stores {
+		if name != "" && store.Name == name && !store.Struck && store.Writer > found.Writer {
+			found = store
+		}
+	}
+	return found, found.ID != ""
+}
+
 // setStore replaces the map, which may have been handed out.
 func (c *Chart) setStore(store Store) {
 	stores := make(map[string]Store, len(c.Stores)+1)
--- a/core/summit/asks.go
+++ b/core/summit/asks.go
@@ -88,10 +88,13 @@
 	}
 	// Plans is the answer.
 	Plans struct{ Versions []chart.Version }
-	// RetireAsk empties a store and retires it; Back takes it back.
+	// RetireAsk empties a store and retires it; Back takes it back, Look changes
+	// nothing. Where ID is "" the store that the operator calls Name is meant.
 	RetireAsk struct {
 		ID     string
+		Name   string
 		Back   bool
+		Look   bool
 		Expiry sundial.Micros
 	}
 	// RetireReceipt tells how far it is.
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -110,6 +110,23 @@
 	return errA == nil && errB == nil && bytes.Equal(a, b)
 }
 
+// settle judges an operator's ask at its turn: what is to be written, and the answer.
+func (c *change) settle(s *Summit, now sundial.Micros) error {
+	switch {
+	case c.put != nil:
+		entry, number, err := c.put.entry(s)
+		c.entry, c.body = entry, func() any { return PlanReceipt{Version: number} }
+		return err
+	case c.leave != nil:
+		entry, id, err := c.leave.entry(s, now)
+		c.entry, c.body = entry, func() any {
+			return RetireReceipt{ID: id, Done: s.chart.Stores[id].Retired, Left: s.depends(id)}
+		}
+		return err
+	}
+	return nil
+}
+
 func (s *Summit) propose(c change, now sundial.Micros) {
 	s.queue = append(s.queue, c)
 	s.advance(now)
@@ -121,19 +138,14 @@
 	for s.flight == nil && len(s.queue) > 0 && s.Serving() {
 		c := s.queue[0]
 		s.queue = s.queue[1:]
-		if c.put != nil {
-			put, number, err := c.put.entry(s)
-			if err != nil {
-				s.Emit(stride.Answer{Call: c.call, Err: err})
-				continue
-			}
-			c.body = func() any { return PlanReceipt{Version: number} }
-			if put == nil {
-				// All in the chart is confirmed: nothing is in flight.
-				s.answer(c)
-				continue
-			}
-			c.entry = put
+		if err := c.settle(s, now); err != nil {
+			s.Emit(stride.Answer{Call: c.call, Err: err})
+			continue
+		}
+		if c.entry == nil {
+			// Nothing to write; all in the chart is confirmed, as nothing is in flight.
+			s.answer(c)
+			continue
 		}
 		s.Changes++
 		data := chart.Encode(c.entry)
@@ -229,9 +241,9 @@
 		return
 	}
 	known, enrolled := s.chart.Stores[beat.ID]
-	if !enrolled || known.Struck || known.Peer != beat.Peer || known.Zone != beat.Zone || known.Life != beat.Life {
+	if !enrolled || known.Struck || known.Peer != beat.Peer || known.Zone != beat.Zone || known.Name != beat.Name || known.Life != beat.Life {
 		if !s.waiting(func(e chart.Entry) bool { put, ok := e.(chart.EnrolStore); return ok && put.Store.ID == beat.ID }) {
-			s.propose(change{entry: chart.EnrolStore{Store: chart.Store{ID: beat.ID, Zone: beat.Zone, Peer: beat.Peer, Life: beat.Life}}}, now)
+			s.propose(change{entry: chart.EnrolStore{Store: chart.Store{ID: beat.ID, Zone: beat.Zone, Peer: beat.Peer, Name: beat.Name, Life: beat.Life}}}, now)
 		}
 		return
 	}
@@ -271,6 +283,8 @@
 
 func isPair(e chart.Entry) bool { _, ok := e.(chart.Pair); return ok }
 
+func isRetire(e chart.Entry) bool { _, ok := e.(chart.Retire); return ok }
+
 // complete writes down which pairs are whole.
 func (s *Summit) complete(beat keeper.Beat, now sundial.Micros) {
 	if len(beat.Ready) == 0 || s.waiting(isPair) {
@@ -340,38 +354,53 @@
 	}
 }
 
-// retire marks a store as retiring, where the fleet can do without it.
+// lookFor is how long an ask that changes nothing may wait for its turn.
+const lookFor = 2 * sundial.Second
+
+// retire takes in an ask to retire a store; it is judged at its turn.
 func (s *Summit) retire(call uint64, ask RetireAsk, now sundial.Micros) {
 	if !s.Serving() {
 		s.notPrimary(call)
 		return
 	}
-	store, known := s.chart.Stores[ask.ID]
-	if !known {
-		s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.NotFound, "list the stores to see the ids there are", "no store %q is enrolled", ask.ID)})
-		return
+	if ask.Look && ask.Expiry == 0 {
+		ask.Expiry = lookFor
 	}
-	receipt := func() any {
-		return RetireReceipt{ID: ask.ID, Done: s.chart.Stores[ask.ID].Retired, Left: s.depends(ask.ID)}
+	s.propose(change{call: call, until: now + ask.Expiry, leave: &plannedRetire{ask}}, now)
+}
+
+// plannedRetire is an ask to retire a store that waits for its turn: two that come
+// at once are judged one after the other.
+type plannedRetire struct{ ask RetireAsk }
+
+// entry marks a store as retiring, where the fleet can do without it (DESIGN §8.4);
+// nil where there is nothing to change.
+func (p plannedRetire) entry(s *Summit, now sundial.Micros) (chart.Entry, string, error) {
+	store, known := s.chart.Stores[p.ask.ID]
+	if p.ask.ID == "" {
+		if store, known = s.chart.Named(p.ask.Name); !known {
+			return nil, "", mishap.New(mishap.NotFound, "list the stores to see the names there are", "no store is called %q", p.ask.Name)
+		}
 	}
-	if store.Retiring != ask.Back {
-		s.Emit(stride.Answer{Call: call, Body: receipt()})
-		return
+	if !known {
+		return nil, "", mishap.New(mishap.NotFound, "list the stores to see the ids there are", "no store %q is enrolled", p.ask.ID)
+	}
+	if p.ask.Look || store.Retiring != p.ask.Back {
+		return nil, store.ID, nil
 	}
-	if !ask.Back {
+	if !p.ask.Back {
 		zones := map[string]bool{}
 		for _, id := range s.willing(now) {
-			if id != ask.ID {
+			if id != store.ID {
 				zones[s.chart.Stores[id].Zone] = true
 			}
 		}
 		if len(zones) < 2 {
-			s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.Refused, "add a store in another zone first, or wait until those that are down are back",
-				"without store %s the living stores are in %d zone(s); two copies need two", ask.ID, len(zones))})
-			return
+			return nil, "", mishap.New(mishap.Refused, "add a store in another zone first, or wait until those that are down are back",
+				"without store %s the living stores are in %d zone(s); two copies need two", store.ID, len(zones))
 		}
 	}
-	s.propose(change{entry: chart.Retire{ID: ask.ID, Back: ask.Back}, call: call, body: receipt, until: now + ask.Expiry}, now)
+	return chart.Retire{ID: store.ID, Back: p.ask.Back}, store.ID, nil
 }
 
 // depends counts the slots that still need a store.
@@ -454,8 +483,11 @@
 		s.propose(change{entry: chart.Pair{Slots: changed}}, now)
 		return
 	}
+	if unwell || s.flight != nil || len(s.queue) > 0 || !s.reaches(now) {
+		return // every pair is whole before a store may go, and what was asked first counts
+	}
 	for _, id := range sortedIDs(s.chart.Stores) {
-		if store := s.chart.Stores[id]; store.Retiring && !store.Retired && s.depends(id) == 0 && s.reaches(now) {
+		if store := s.chart.Stores[id]; store.Retiring && !store.Retired && s.depends(id) == 0 {
 			s.Emit(stride.Explain{What: "nothing depends on the store any more; it is retired", Fields: map[string]any{"store": id}})
 			s.propose(change{entry: chart.Retire{ID: id, Done: true}}, now)
 			return
--- a/core/summit/summit.go
+++ b/core/summit/summit.go
@@ -72,6 +72,7 @@
 type change struct {
 	entry chart.Entry
 	put   *plannedPut
+	leave *plannedRetire
 	call  uint64
 	body  func() any
 	until sundial.Micros
@@ -263,7 +264,7 @@
 
 func (s *Summit) unknown(call uint64) {
 	if call != 0 {
-		s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.OutcomeUnknown, sundial.Second, "read the plan in force back before you send it again", "it is not known whether the plan was made durable")})
+		s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.OutcomeUnknown, sundial.Second, "read back what is in force before you send it again", "it is not known whether this was made durable")})
 	}
 }
 
@@ -334,8 +335,8 @@
 	kept := s.queue[:0]
 	for _, c := range s.queue {
 		if c.call != 0 && now >= c.until {
-			if c.put != nil && c.put.known(s) {
-				s.unknown(c.call) // the same number is on its way
+			if c.put != nil && c.put.known(s) || c.leave != nil && s.flight != nil && isRetire(s.flight.entry) {
+				s.unknown(c.call) // the same is on its way
 				continue
 			}
 			s.Emit(stride.Answer{Call: c.call, Err: mishap.Later(mishap.NotReady, 2*sundial.Second, "send it again; it was not put", "the cores had no complete pair in time")})
--- a/core/summit/summit_test.go
+++ b/core/summit/summit_test.go
@@ -355,3 +355,170 @@
 		t.Errorf("a primary that was cut off: told %v", err)
 	}
 }
+
+func (b *bench) retire(t *testing.T, ask RetireAsk) (RetireReceipt, error) {
+	t.Helper()
+	ask.Expiry = 3 * sundial.Second
+	call := b.ask(b.primary(), ask)
+	b.pump()
+	answer := b.told(t, call)
+	receipt, _ := answer.Body.(RetireReceipt)
+	return receipt, answer.Err
+}
+
+// A store is retired by the operator's name for its machine: the newest store that
+// is not struck; looking changes nothing; what the operator calls it is kept up to
+// date.
+func TestAStoreIsRetiredByName(t *testing.T) {
+	b := newBench(small())
+	for i := 1; i <= 3; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+		b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i)).Name = fmt.Sprint("machine-", i)
+	}
+	b.settle(t)
+	core := b.primary()
+	for _, ask := range []RetireAsk{{Name: "machine-9"}, {Name: ""}, {ID: "store-9"}, {Name: "machine-9", Look: true}} {
+		if _, err := b.retire(t, ask); !mishap.Is(err, mishap.NotFound) {
+			t.Errorf("%+v: told %v", ask, err)
+		}
+	}
+	b.stores[2].silent = true
+	b.pass(5 * sundial.Second)
+	if _, err := b.retire(t, RetireAsk{Name: "machine-1"}); !mishap.Is(err, mishap.Refused) || mishap.Of(err).Status() != 409 {
+		t.Errorf("two zones would not remain: told %v", err)
+	}
+	b.stores[2].silent = false
+	b.settle(t)
+	// Another store on the same machine: the newer one is meant.
+	fourth := b.store("store-0", "s4", "zone-1")
+	fourth.Name = "machine-1"
+	b.pass(sundial.Second)
+	seq := core.Chart().Seq
+	if receipt, err := b.retire(t, RetireAsk{Name: "machine-1", Look: true}); err != nil || receipt.ID != "store-0" || receipt.Done || core.Chart().Seq != seq || core.Chart().Stores["store-0"].Retiring {
+		t.Fatalf("a look: told %+v %v, and %d entries were written", receipt, err, core.Chart().Seq-seq)
+	}
+	// It gets another name, and then the older one is meant.
+	fourth.Name = "machine-4"
+	b.pass(sundial.Second)
+	if core.Chart().Stores["store-0"].Name != "machine-4" {
+		t.Fatal("the new name was not written down")
+	}
+	receipt, err := b.retire(t, RetireAsk{Name: "machine-1"})
+	if err != nil || receipt.ID != "store-1" || receipt.Done || receipt.Left == 0 {
+		t.Fatalf("told %+v %v", receipt, err)
+	}
+	b.pass(10 * sundial.Second)
+	if receipt, err = b.retire(t, RetireAsk{Name: "machine-1", Look: true}); err != nil || receipt != (RetireReceipt{ID: "store-1", Done: true}) {
+		t.Fatalf("after 10 s: told %+v %v", receipt, err)
+	}
+	if receipt, err = b.retire(t, RetireAsk{ID: "store-1", Name: "machine-2", Back: true}); err != nil || receipt.ID != "store-1" || core.Chart().Stores["store-1"].Retiring {
+		t.Fatalf("taken back: told %+v %v", receipt, err)
+	}
+}
+
+// Two stores are retired at once, and the fleet can do without either but not
+// without both: one is refused.
+func TestTwoRetirementsAreJudgedInTurn(t *testing.T) {
+	b := fleet(t, small())
+	b.store("store-4", "s4", "zone-1")
+	b.pass(sundial.Second)
+	core := b.primary()
+	b.drop = held
+	b.ask(core, put(1, 0, `{}`)) // both wait behind it
+	one := b.ask(core, RetireAsk{ID: "store-2", Expiry: 3 * sundial.Second})
+	two := b.ask(core, RetireAsk{ID: "store-3", Expiry: 3 * sundial.Second})
+	b.drop = nil
+	b.pass(sundial.Second)
+	if first, second := b.told(t, one), b.told(t, two); first.Err != nil || !mishap.Is(second.Err, mishap.Refused) {
+		t.Fatalf("told %v %v and %v %v", first.Body, first.Err, second.Body, second.Err)
+	}
+}
+
+// How far a retirement is, is told of what the pair has confirmed.
+func TestALookWaitsForWhatIsInFlight(t *testing.T) {
+	b := fleet(t, small())
+	b.store("store-4", "s4", "zone-1")
+	b.pass(sundial.Second)
+	core := b.primary()
+	b.drop = held
+	mark := b.ask(core, RetireAsk{ID: "store-1", Expiry: sundial.Second})
+	look := b.ask(core, RetireAsk{ID: "store-1", Look: true})
+	again := b.ask(core, RetireAsk{ID: "store-1", Expiry: sundial.Second})
+	b.pass(1200 * sundial.Millisecond)
+	if _, told := b.answers[look]; told {
+		t.Fatal("told before the pair confirmed the mark")
+	}
+	for _, call := range []uint64{mark, again} {
+		if answer := b.told(t, call); !mishap.Is(answer.Err, mishap.OutcomeUnknown) {
+			t.Errorf("call %d expired: told %v %v", call, answer.Body, answer.Err)
+		}
+	}
+	b.drop = nil
+	b.pass(sundial.Second)
+	if answer := b.told(t, look); answer.Err != nil {
+		t.Fatalf("told %v", answer.Err)
+	}
+}
+
+// A store is retired only when no slot depends on it, those included whose new pair
+// is not whole, and when the others' pairs are whole too.
+func TestRetiredOnlyWhenEveryPairIsWhole(t *testing.T) {
+	set := small()
+	set.BalanceAfter = 3600 * sundial.Second
+	b := fleet(t, set)
+	fourth := b.store("store-4", "s4", "zone-1")
+	b.pass(sundial.Second)
+	look := func(id string) RetireReceipt {
+		receipt, err := b.retire(t, RetireAsk{ID: id, Look: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return receipt
+	}
+	copies := func(whole bool) {
+		for _, s := range b.stores {
+			s.copies = whole
+		}
+	}
+	// Nothing depends on the fourth, but pairs of the others are not whole.
+	copies(false)
+	b.stores[2].Life = 2
+	b.pass(sundial.Second)
+	if whole(b.primary()) {
+		t.Fatal("all pairs are whole; the test shows nothing")
+	}
+	if _, err := b.retire(t, RetireAsk{ID: "store-4"}); err != nil {
+		t.Fatal(err)
+	}
+	b.pass(3 * sundial.Second)
+	if got := look("store-4"); got.Done || got.Left != 0 {
+		t.Fatalf("other pairs are not whole: %+v", got)
+	}
+	copies(true)
+	b.pass(3 * sundial.Second)
+	if got := look("store-4"); !got.Done {
+		t.Fatalf("all is whole: %+v", got)
+	}
+	if _, err := b.retire(t, RetireAsk{ID: fourth.ID, Back: true}); err != nil {
+		t.Fatal(err)
+	}
+	// The slots of the first have new pairs, but none is whole yet.
+	copies(false)
+	if _, err := b.retire(t, RetireAsk{ID: "store-1"}); err != nil {
+		t.Fatal(err)
+	}
+	b.pass(3 * sundial.Second)
+	for slot, p := range b.primary().Chart().Slots {
+		if p.Owner.ID == "store-1" || p.Backup.ID == "store-1" {
+			t.Fatalf("slot %d still names the store: %+v", slot, p)
+		}
+	}
+	if got := look("store-1"); got.Done || got.Left == 0 {
+		t.Fatalf("the new pairs are not whole: %+v", got)
+	}
+	copies(true)
+	b.pass(3 * sundial.Second)
+	if got := look("store-1"); !got.Done || got.Left != 0 {
+		t.Fatalf("all is whole: %+v", got)
+	}
+}
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -115,6 +115,7 @@
 	// Beat is a store's word to the cores.
 	Beat struct {
 		ID, Zone, Peer string
+		Name           string // the operator's name of the machine; "": none
 		Life           uint64
 		Ready          map[int]uint64 // slots copied, by epoch
 		Fleet          string         // "" before a core gave it a writer id
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -44,6 +44,7 @@
 type Self struct {
 	ID, Zone, Peer string
 	Life           uint64
+	Name           string // the operator's name of the machine; "": none
 }
 
 // ItemOrder is one item to be run on a server.
@@ -611,7 +612,7 @@
 		}
 	}
 	for _, peer := range k.cairns {
-		k.Emit(stride.Send{To: peer, Body: Beat{Fleet: k.fleet, ID: k.self.ID, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
+		k.Emit(stride.Send{To: peer, Body: Beat{Fleet: k.fleet, ID: k.self.ID, Name: k.self.Name, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
 	}
 }
 
--- /dev/null
+++ b/ledger/keeper/keeper_test.go
@@ -0,0 +1,29 @@
+package keeper
+
+import (
+	"testing"
+
+	"tuliprudder/kernel/stride"
+)
+
+type noShelf struct{}
+
+func (noShelf) Get(uint64, string) ([]byte, error) { return nil, nil }
+func (noShelf) Held() []uint64                     { return nil }
+func (noShelf) Top() uint64                        { return 0 }
+
+// A store tells the cores the operator's name of its machine.
+func TestABeatCarriesTheName(t *testing.T) {
+	k := New(Self{ID: "s", Zone: "z", Peer: "p", Life: 1, Name: "machine"}, Defaults(), nil, noShelf{})
+	k.Do(Cairns{Peers: []string{"c"}}, 1000)
+	told := false
+	for _, effect := range k.Do(ClockEvent{}, 1_000_000) {
+		if send, ok := effect.(stride.Send); ok {
+			beat, ok := send.Body.(Beat)
+			told = told || ok && beat.Name == "machine" && beat.ID == "s"
+		}
+	}
+	if !told {
+		t.Fatal("no beat carries the name")
+	}
+}
