--- a/core/summit/asks.go
+++ b/core/summit/asks.go
@@ -67,9 +67,12 @@
 
 // What daemons ask the primary.
 type (
-	// PutPlanAsk hands a whole plan in; Base 0 means whatever is in force.
+	// PutPlanAsk hands a whole plan in. HasBase: only where Base is the version in
+	// force, 0 where none is. Number is the operator's own version; 0: the core
+	// numbers it.
 	PutPlanAsk struct {
 		Body    []byte
+		Number  uint64
 		Base    uint64
 		HasBase bool
 		By      string
@@ -77,14 +80,21 @@
 	}
 	// PlanReceipt is the answer once it is on two disks.
 	PlanReceipt struct{ Version uint64 }
-	// PlansAsk reads plans back: one version, or a list of all.
-	PlansAsk struct{ Version uint64 }
+	// PlansAsk reads plans back: one version, the latest one that is confirmed, or
+	// a list of all.
+	PlansAsk struct {
+		Version uint64
+		Latest  bool
+	}
 	// Plans is the answer.
 	Plans struct{ Versions []chart.Version }
-	// RetireAsk empties a store and retires it; Back takes it back.
+	// RetireAsk empties a store and retires it; Back takes it back, Look changes
+	// nothing. Where ID is "" the store that the operator calls Name is meant.
 	RetireAsk struct {
 		ID     string
+		Name   string
 		Back   bool
+		Look   bool
 		Expiry sundial.Micros
 	}
 	// RetireReceipt tells how far it is.
--- /dev/null
+++ b/core/summit/summit_test.go
@@ -0,0 +1,524 @@
+package summit
+
+import (
+	"fmt"
+	"testing"
+
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/tether"
+)
+
+// store is a store daemon as far as the cores see it: its beats.
+type store struct {
+	keeper.Beat
+	copies bool // says of each slot it owns that the copy is whole
+	silent bool
+}
+
+type letter struct {
+	to, from string
+	body     any
+}
+
+// bench is some cores that reach each other, and the beats of stores.
+type bench struct {
+	now     sundial.Micros
+	set     Settings
+	cores   map[string]*Summit // by peer
+	stores  []*store
+	wire    []letter
+	drop    func(l letter) bool
+	calls   uint64
+	answers map[uint64]stride.Answer
+	spreads []stride.Spread
+}
+
+func newBench(set Settings) *bench {
+	return &bench{now: 1000, set: set, cores: map[string]*Summit{}, answers: map[uint64]stride.Answer{}}
+}
+
+// core adds an empty core; its peer address is its name.
+func (b *bench) core(id, peer, zone string, seeds ...string) *Summit {
+	s := New(CoreRef{ID: id, Peer: peer, Zone: zone}, 1, seeds, b.set, nil)
+	b.cores[peer] = s
+	return s
+}
+
+// store adds a store.
+func (b *bench) store(id, peer, zone string) *store {
+	s := &store{Beat: keeper.Beat{ID: id, Peer: peer, Zone: zone, Life: 1}, copies: true}
+	b.stores = append(b.stores, s)
+	return s
+}
+
+// take carries out what a core decided.
+func (b *bench) take(peer string, effects []stride.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case stride.Send:
+			b.wire = append(b.wire, letter{e.To, peer, e.Body})
+		case stride.Store:
+			b.take(peer, b.cores[peer].Do(Stored{e.Token}, b.now))
+		case stride.Answer:
+			b.answers[e.Call] = e
+		case stride.Spread:
+			b.spreads = append(b.spreads, e)
+			b.answers[e.Call] = stride.Answer{Call: e.Call, Body: e.Body}
+		}
+	}
+}
+
+func (b *bench) pump() {
+	for len(b.wire) > 0 {
+		wire := b.wire
+		b.wire = nil
+		for _, l := range wire {
+			if to := b.cores[l.to]; to != nil && (b.drop == nil || !b.drop(l)) {
+				b.take(l.to, to.Do(Letter{l.from, l.body}, b.now))
+			}
+		}
+	}
+}
+
+// pass lets time go by.
+func (b *bench) pass(span sundial.Micros) {
+	for end := b.now + span; b.now < end; {
+		b.now += 50 * sundial.Millisecond
+		for _, peer := range sortedIDs(b.cores) {
+			core := b.cores[peer]
+			b.take(peer, core.Do(Fresh{b.now}, b.now))
+			b.take(peer, core.Do(ClockEvent{}, b.now))
+			for _, s := range b.stores {
+				if s.silent {
+					continue
+				}
+				beat := s.Beat
+				beat.Ready = map[int]uint64{}
+				for slot, p := range core.Chart().Slots {
+					if s.copies && p.Owner.ID == s.ID {
+						beat.Ready[slot] = p.Epoch
+					}
+				}
+				b.take(peer, core.Do(Letter{s.Peer, beat}, b.now))
+			}
+		}
+		b.pump()
+	}
+}
+
+// primary is the core that serves; nil when none or two do.
+func (b *bench) primary() *Summit {
+	var found *Summit
+	for _, core := range b.cores {
+		if core.Serving() && found != nil {
+			return nil
+		} else if core.Serving() {
+			found = core
+		}
+	}
+	return found
+}
+
+// ask asks a core and tells the number of the call.
+func (b *bench) ask(core *Summit, body any) uint64 {
+	b.calls++
+	b.take(core.self.Peer, core.Do(Call{b.calls, body}, b.now))
+	return b.calls
+}
+
+// told is the answer to a call that has to be there.
+func (b *bench) told(t *testing.T, call uint64) stride.Answer {
+	t.Helper()
+	answer, ok := b.answers[call]
+	if !ok {
+		t.Fatalf("call %d is not answered", call)
+	}
+	return answer
+}
+
+// fleet is three cores that have founded, three stores and their slots.
+func fleet(t *testing.T, set Settings) *bench {
+	t.Helper()
+	b := newBench(set)
+	for i := 1; i <= 3; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+	}
+	for i := 1; i <= 3; i++ {
+		b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i))
+	}
+	b.settle(t)
+	return b
+}
+
+func small() Settings {
+	set := Defaults()
+	set.Slots = 6
+	return set
+}
+
+// settle waits until one core serves and every slot has a whole pair.
+func (b *bench) settle(t *testing.T) {
+	t.Helper()
+	for i := 0; i < 400; i++ {
+		b.pass(50 * sundial.Millisecond)
+		if p := b.primary(); p != nil && p.flight == nil && whole(p) {
+			return
+		}
+	}
+	t.Fatal("the fleet never settled")
+}
+
+func whole(s *Summit) bool {
+	for _, p := range s.Chart().Slots {
+		if !p.Complete {
+			return false
+		}
+	}
+	return len(s.Chart().Slots) > 0
+}
+
+func put(number, base uint64, body string) PutPlanAsk {
+	return PutPlanAsk{Number: number, Base: base, HasBase: true, Body: []byte(body), By: "o", Expiry: 3 * sundial.Second}
+}
+
+// held keeps the pair's entries from the backup.
+func held(l letter) bool { _, entry := l.body.(tether.Append); return entry }
+
+// A plan carries the operator's own number: it has to be above the one in force,
+// and a stale base is told first.
+func TestPlansCarryTheOperatorsNumber(t *testing.T) {
+	b := fleet(t, small())
+	core := b.primary()
+	for i, step := range []struct {
+		ask  PutPlanAsk
+		want any
+	}{
+		{put(7, 3, `{"a":1}`), mishap.StaleBase}, // nothing is in force
+		{put(7, 0, `{"a":1}`), uint64(7)},
+		{put(7, 0, `{"a":2}`), mishap.StaleBase}, // the number is taken by another
+		{put(5, 0, `{"a":2}`), mishap.StaleBase}, // stale, and not above: stale is told
+		{put(5, 7, `{"a":2}`), mishap.BadPlan},
+		{put(9, 7, `{"a":2}`), uint64(9)},
+		{put(12, 7, `{"a":3}`), mishap.StaleBase},
+		{PutPlanAsk{Number: 8, Body: []byte(`{"a":4}`), Expiry: sundial.Second}, mishap.BadPlan},
+		{PutPlanAsk{Number: 11, Body: []byte(`{"a":4}`), Expiry: sundial.Second}, uint64(11)},
+		{PutPlanAsk{Body: []byte(`{"a":5}`), Expiry: sundial.Second}, uint64(12)}, // the core's own
+	} {
+		call := b.ask(core, step.ask)
+		b.pump()
+		answer := b.told(t, call)
+		switch want := step.want.(type) {
+		case mishap.Kind:
+			if !mishap.Is(answer.Err, want) || mishap.Of(answer.Err).Remedy == "" {
+				t.Errorf("step %d: told %v %v, not %s", i, answer.Body, answer.Err, want)
+			}
+		case uint64:
+			if answer.Body != (PlanReceipt{Version: want}) {
+				t.Errorf("step %d: told %v %v, not version %d", i, answer.Body, answer.Err, want)
+			}
+		}
+	}
+}
+
+// An exact repeat gets the same receipt, whatever its base and what came after it;
+// it writes nothing, and it too says that most of the roll know the plan.
+func TestAnExactRepeatGetsTheSameReceipt(t *testing.T) {
+	b := fleet(t, small())
+	core := b.primary()
+	for _, ask := range []PutPlanAsk{put(3, 0, `{ "a": "x<y" }`), put(3, 0, `{"a":"x<y"}`), put(3, 99, `{"a" : "x<y"}`), put(4, 3, `{}`), put(3, 0, `{"a":"x<y"}`)} {
+		told := len(b.spreads)
+		call := b.ask(core, ask)
+		b.pump()
+		if answer := b.told(t, call); answer.Body != (PlanReceipt{Version: ask.Number}) {
+			t.Fatalf("%d on base %d: told %v %v", ask.Number, ask.Base, answer.Body, answer.Err)
+		}
+		if len(b.spreads) != told+1 {
+			t.Fatalf("%d on base %d: the receipt was given before most of the roll knew the plan", ask.Number, ask.Base)
+		}
+	}
+	if n := len(core.Chart().Plans); n != 2 {
+		t.Fatalf("%d versions are written, not 2", n)
+	}
+}
+
+// A repeat of a version that the pair has not confirmed waits for it.
+func TestARepeatWaitsForTheVersionInFlight(t *testing.T) {
+	b := fleet(t, small())
+	core := b.primary()
+	b.drop = held
+	first, again, other := b.ask(core, put(3, 0, `{"a":1}`)), b.ask(core, put(3, 0, `{"a":1}`)), b.ask(core, put(3, 0, `{"a":2}`))
+	b.pump()
+	if len(b.answers) != 0 {
+		t.Fatalf("answered before the pair confirmed: %v", b.answers)
+	}
+	b.drop = nil
+	b.pass(sundial.Second)
+	for _, call := range []uint64{first, again} {
+		if answer := b.told(t, call); answer.Body != (PlanReceipt{Version: 3}) {
+			t.Errorf("call %d: told %v %v", call, answer.Body, answer.Err)
+		}
+	}
+	if answer := b.told(t, other); !mishap.Is(answer.Err, mishap.StaleBase) {
+		t.Errorf("the same number with another document: told %v %v", answer.Body, answer.Err)
+	}
+	// One that expires while it waits is not told that nothing was put.
+	b.drop = held
+	first, again = b.ask(core, put(5, 3, `{"a":1}`)), b.ask(core, put(5, 3, `{"a":1}`))
+	b.pass(3500 * sundial.Millisecond)
+	for _, call := range []uint64{first, again} {
+		if answer := b.told(t, call); !mishap.Is(answer.Err, mishap.OutcomeUnknown) {
+			t.Errorf("call %d expired: told %v %v", call, answer.Body, answer.Err)
+		}
+	}
+}
+
+// Two operators put on the same base: exactly one of them wins.
+func TestTwoOperatorsOnOneBase(t *testing.T) {
+	for _, second := range []uint64{5, 6, 0} {
+		b := fleet(t, small())
+		core := b.primary()
+		b.drop = held
+		calls := []uint64{b.ask(core, put(5, 0, `{"a":1}`)), b.ask(core, put(second, 0, `{"a":2}`))}
+		b.drop = nil
+		b.pass(sundial.Second)
+		won := 0
+		for _, call := range calls {
+			if answer := b.told(t, call); answer.Err == nil {
+				won++
+			} else if !mishap.Is(answer.Err, mishap.StaleBase) {
+				t.Errorf("the loser is told %v", answer.Err)
+			}
+		}
+		if won != 1 || len(core.Chart().Plans) != 1 {
+			t.Errorf("%d won, %d versions are written", won, len(core.Chart().Plans))
+		}
+	}
+}
+
+// The latest version is read back whole, at the serving primary alone, and never
+// one that is in flight; an invalid plan is turned away before anything is written.
+func TestTheLatestConfirmedPlanReadsBack(t *testing.T) {
+	set := small()
+	set.CheckPlan = func(body []byte) error {
+		if string(body) == `{"bad":1}` {
+			return mishap.New(mishap.BadPlan, "correct it", "it is bad")
+		}
+		return nil
+	}
+	b := fleet(t, set)
+	core := b.primary()
+	latest := func(core *Summit) (uint64, error) {
+		answer := b.told(t, b.ask(core, PlansAsk{Latest: true}))
+		if answer.Err != nil {
+			return 0, answer.Err
+		}
+		versions := answer.Body.(Plans).Versions
+		if len(versions) != 1 || string(versions[0].Body) != fmt.Sprintf(`{"n":%d}`, versions[0].Number) {
+			t.Fatalf("read back %+v", versions)
+		}
+		return versions[0].Number, nil
+	}
+	if _, err := latest(core); !mishap.Is(err, mishap.NotFound) {
+		t.Errorf("before any plan: told %v", err)
+	}
+	seq := core.Chart().Seq
+	if answer := b.told(t, b.ask(core, put(2, 0, `{"bad":1}`))); !mishap.Is(answer.Err, mishap.BadPlan) || core.Chart().Seq != seq {
+		t.Errorf("an invalid plan: told %v, %d entries more", answer.Err, core.Chart().Seq-seq)
+	}
+	b.ask(core, put(2, 0, `{"n":2}`))
+	b.pump()
+	b.drop = held
+	b.ask(core, put(4, 2, `{"n":4}`))
+	if number, err := latest(core); number != 2 {
+		t.Errorf("while 4 is in flight: told %d %v", number, err)
+	}
+	b.drop = nil
+	b.pass(sundial.Second)
+	if number, err := latest(core); number != 4 {
+		t.Errorf("after 4 was confirmed: told %d %v", number, err)
+	}
+	for _, other := range b.cores {
+		if other == core {
+			continue
+		}
+		if _, err := latest(other); !mishap.Is(err, mishap.NotReady) {
+			t.Errorf("a core that is not primary: told %v", err)
+		}
+	}
+	// A primary that nobody hears does not know whether it still is one.
+	b.drop = func(l letter) bool { return l.to == core.self.Peer || l.from == core.self.Peer }
+	b.pass(1600 * sundial.Millisecond)
+	if _, err := latest(core); !mishap.Is(err, mishap.NotReady) {
+		t.Errorf("a primary that was cut off: told %v", err)
+	}
+}
+
+func (b *bench) retire(t *testing.T, ask RetireAsk) (RetireReceipt, error) {
+	t.Helper()
+	ask.Expiry = 3 * sundial.Second
+	call := b.ask(b.primary(), ask)
+	b.pump()
+	answer := b.told(t, call)
+	receipt, _ := answer.Body.(RetireReceipt)
+	return receipt, answer.Err
+}
+
+// A store is retired by the operator's name for its machine: the newest store that
+// is not struck; looking changes nothing; what the operator calls it is kept up to
+// date.
+func TestAStoreIsRetiredByName(t *testing.T) {
+	b := newBench(small())
+	for i := 1; i <= 3; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+		b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i)).Name = fmt.Sprint("machine-", i)
+	}
+	b.settle(t)
+	core := b.primary()
+	for _, ask := range []RetireAsk{{Name: "machine-9"}, {Name: ""}, {ID: "store-9"}, {Name: "machine-9", Look: true}} {
+		if _, err := b.retire(t, ask); !mishap.Is(err, mishap.NotFound) {
+			t.Errorf("%+v: told %v", ask, err)
+		}
+	}
+	b.stores[2].silent = true
+	b.pass(5 * sundial.Second)
+	if _, err := b.retire(t, RetireAsk{Name: "machine-1"}); !mishap.Is(err, mishap.Refused) || mishap.Of(err).Status() != 409 {
+		t.Errorf("two zones would not remain: told %v", err)
+	}
+	b.stores[2].silent = false
+	b.settle(t)
+	// Another store on the same machine: the newer one is meant.
+	fourth := b.store("store-0", "s4", "zone-1")
+	fourth.Name = "machine-1"
+	b.pass(sundial.Second)
+	seq := core.Chart().Seq
+	if receipt, err := b.retire(t, RetireAsk{Name: "machine-1", Look: true}); err != nil || receipt.ID != "store-0" || receipt.Done || core.Chart().Seq != seq || core.Chart().Stores["store-0"].Retiring {
+		t.Fatalf("a look: told %+v %v, and %d entries were written", receipt, err, core.Chart().Seq-seq)
+	}
+	// It gets another name, and then the older one is meant.
+	fourth.Name = "machine-4"
+	b.pass(sundial.Second)
+	if core.Chart().Stores["store-0"].Name != "machine-4" {
+		t.Fatal("the new name was not written down")
+	}
+	receipt, err := b.retire(t, RetireAsk{Name: "machine-1"})
+	if err != nil || receipt.ID != "store-1" || receipt.Done || receipt.Left == 0 {
+		t.Fatalf("told %+v %v", receipt, err)
+	}
+	b.pass(10 * sundial.Second)
+	if receipt, err = b.retire(t, RetireAsk{Name: "machine-1", Look: true}); err != nil || receipt != (RetireReceipt{ID: "store-1", Done: true}) {
+		t.Fatalf("after 10 s: told %+v %v", receipt, err)
+	}
+	if receipt, err = b.retire(t, RetireAsk{ID: "store-1", Name: "machine-2", Back: true}); err != nil || receipt.ID != "store-1" || core.Chart().Stores["store-1"].Retiring {
+		t.Fatalf("taken back: told %+v %v", receipt, err)
+	}
+}
+
+// Two stores are retired at once, and the fleet can do without either but not
+// without both: one is refused.
+func TestTwoRetirementsAreJudgedInTurn(t *testing.T) {
+	b := fleet(t, small())
+	b.store("store-4", "s4", "zone-1")
+	b.pass(sundial.Second)
+	core := b.primary()
+	b.drop = held
+	b.ask(core, put(1, 0, `{}`)) // both wait behind it
+	one := b.ask(core, RetireAsk{ID: "store-2", Expiry: 3 * sundial.Second})
+	two := b.ask(core, RetireAsk{ID: "store-3", Expiry: 3 * sundial.Second})
+	b.drop = nil
+	b.pass(sundial.Second)
+	if first, second := b.told(t, one), b.told(t, two); first.Err != nil || !mishap.Is(second.Err, mishap.Refused) {
+		t.Fatalf("told %v %v and %v %v", first.Body, first.Err, second.Body, second.Err)
+	}
+}
+
+// How far a retirement is, is told of what the pair has confirmed.
+func TestALookWaitsForWhatIsInFlight(t *testing.T) {
+	b := fleet(t, small())
+	b.store("store-4", "s4", "zone-1")
+	b.pass(sundial.Second)
+	core := b.primary()
+	b.drop = held
+	mark := b.ask(core, RetireAsk{ID: "store-1", Expiry: sundial.Second})
+	look := b.ask(core, RetireAsk{ID: "store-1", Look: true})
+	again := b.ask(core, RetireAsk{ID: "store-1", Expiry: sundial.Second})
+	b.pass(1200 * sundial.Millisecond)
+	if _, told := b.answers[look]; told {
+		t.Fatal("told before the pair confirmed the mark")
+	}
+	for _, call := range []uint64{mark, again} {
+		if answer := b.told(t, call); !mishap.Is(answer.Err, mishap.OutcomeUnknown) {
+			t.Errorf("call %d expired: told %v %v", call, answer.Body, answer.Err)
+		}
+	}
+	b.drop = nil
+	b.pass(sundial.Second)
+	if answer := b.told(t, look); answer.Err != nil {
+		t.Fatalf("told %v", answer.Err)
+	}
+}
+
+// A store is retired only when no slot depends on it, those included whose new pair
+// is not whole, and when the others' pairs are whole too.
+func TestRetiredOnlyWhenEveryPairIsWhole(t *testing.T) {
+	set := small()
+	set.BalanceAfter = 3600 * sundial.Second
+	b := fleet(t, set)
+	fourth := b.store("store-4", "s4", "zone-1")
+	b.pass(sundial.Second)
+	look := func(id string) RetireReceipt {
+		receipt, err := b.retire(t, RetireAsk{ID: id, Look: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return receipt
+	}
+	copies := func(whole bool) {
+		for _, s := range b.stores {
+			s.copies = whole
+		}
+	}
+	// Nothing depends on the fourth, but pairs of the others are not whole.
+	copies(false)
+	b.stores[2].Life = 2
+	b.pass(sundial.Second)
+	if whole(b.primary()) {
+		t.Fatal("all pairs are whole; the test shows nothing")
+	}
+	if _, err := b.retire(t, RetireAsk{ID: "store-4"}); err != nil {
+		t.Fatal(err)
+	}
+	b.pass(3 * sundial.Second)
+	if got := look("store-4"); got.Done || got.Left != 0 {
+		t.Fatalf("other pairs are not whole: %+v", got)
+	}
+	copies(true)
+	b.pass(3 * sundial.Second)
+	if got := look("store-4"); !got.Done {
+		t.Fatalf("all is whole: %+v", got)
+	}
+	if _, err := b.retire(t, RetireAsk{ID: fourth.ID, Back: true}); err != nil {
+		t.Fatal(err)
+	}
+	// The slots of the first have new pairs, but none is whole yet.
+	copies(false)
+	if _, err := b.retire(t, RetireAsk{ID: "store-1"}); err != nil {
+		t.Fatal(err)
+	}
+	b.pass(3 * sundial.Second)
+	for slot, p := range b.primary().Chart().Slots {
+		if p.Owner.ID == "store-1" || p.Backup.ID == "store-1" {
+			t.Fatalf("slot %d still names the store: %+v", slot, p)
+		}
+	}
+	if got := look("store-1"); got.Done || got.Left == 0 {
+		t.Fatalf("the new pairs are not whole: %+v", got)
+	}
+	copies(true)
+	b.pass(3 * sundial.Second)
+	if got := look("store-1"); !got.Done || got.Left != 0 {
+		t.Fatalf("all is whole: %+v", got)
+	}
+}
