Keepers carry opaque items, let their bodies go, and tell a waiting item's body

Cause: items that are passed on unchanged had no way through the keeper, and a caller without a key could not ask for its bundle.

ItemOrder carries the request and the item's id; header and body go once the item is listed or its bundle has ended, by replacing the request, so that a run under way keeps its own. ItemAsk answers with a waiting item's body under the same lease rule as other asks. Anyone finds bundles handed in without a key; a customer's bundle stays its own.

--- a/ledger/daybook/daybook.go
+++ b/ledger/daybook/daybook.go
@@ -41,6 +41,23 @@
 	Tokens int64             `json:"tokens"` // what it counts for in the route's bound on waiting tokens
 }
 
+// Weight is what an item counts for while it waits: a request's tokens, else one.
+func (r *Request) Weight() int {
+	if r == nil || r.Tokens < 1 {
+		return 1
+	}
+	return int(r.Tokens)
+}
+
+// letGo drops what only a run needs. The request is replaced, not changed: a run
+// that is under way still holds it.
+func (i *Item) letGo() {
+	i.Input = ""
+	if r := i.Request; r != nil {
+		i.Request = &Request{Target: r.Target, Host: r.Host, Tokens: r.Tokens}
+	}
+}
+
 // Row is one result with its position and its writer.
 type Row struct {
 	Writer   int    `json:"writer"`
@@ -69,7 +86,7 @@
 	Ended State = "ended"
 )
 
-// Bundle is one bundle and its list. Inputs go once their row is in.
+// Bundle is one bundle and its list. Inputs and bodies go once their row is in.
 type Bundle struct {
 	ID       string         `json:"id"`
 	Customer string         `json:"customer"`
@@ -142,6 +159,19 @@
 // Listed tells whether an item has its row.
 func (b *Bundle) Listed(item int) bool { return b.listed[item] }
 
+// Waiting finds an item by its id that has no row yet and may still get one.
+func (b *Bundle) Waiting(id string) (*Item, bool) {
+	if b.State != Open {
+		return nil, false
+	}
+	for i := range b.Items {
+		if b.Items[i].ID == id && !b.listed[i] {
+			return &b.Items[i], true
+		}
+	}
+	return nil, false
+}
+
 // Claim is one caller's key on a one-shot order.
 type Claim struct {
 	Customer string         `json:"customer"`
@@ -248,7 +278,7 @@
 	}
 	bundle.Rows = append(bundle.Rows, e.Row)
 	bundle.listed[e.Row.Item] = true
-	bundle.Items[e.Row.Item].Input = ""
+	bundle.Items[e.Row.Item].letGo()
 	if len(bundle.Rows) == len(bundle.Items) {
 		bundle.State = Done
 	}
@@ -271,7 +301,7 @@
 	if bundle := s.Bundles[e.Bundle]; bundle != nil && bundle.State == Open {
 		bundle.State, bundle.Changed = Ended, e.At
 		for i := range bundle.Items {
-			bundle.Items[i].Input = ""
+			bundle.Items[i].letGo()
 		}
 	}
 }
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -27,12 +27,14 @@
 	EndAsk struct {
 		Slot             int
 		Bundle, Customer string
+		Anyone           bool // see StatusAsk
 		Expiry           sundial.Micros
 	}
 	// StatusAsk asks how a bundle stands.
 	StatusAsk struct {
 		Slot             int
 		Bundle, Customer string
+		Anyone           bool // the caller carries no key: a bundle without one is found by its name alone
 		Operator         bool // of any customer, with its items' servers
 	}
 	// Status is how a bundle stands at its keeper.
@@ -56,6 +58,7 @@
 	ReadAsk struct {
 		Slots            map[int]uint64
 		Bundle, Customer string
+		Anyone           bool // see StatusAsk
 		After            waypost.Vector
 		Bound            map[int]waypost.Vector // by slot
 		Most             int
@@ -67,6 +70,13 @@
 		Items int
 		More  bool
 	}
+	// ItemAsk asks for the body of an item, by its id, that is not listed yet.
+	ItemAsk struct {
+		Slot         int
+		Bundle, Item string
+	}
+	// ItemAnswer is that body.
+	ItemAnswer struct{ Body []byte }
 	// ClaimAsk claims a key for a one-shot order.
 	ClaimAsk struct {
 		Slot   int
@@ -137,6 +147,6 @@
 )
 
 func init() {
-	footbridge.Register(EnrolAsk{}, Receipt{}, EndAsk{}, StatusAsk{}, Status{}, ReadAsk{}, Rows{},
+	footbridge.Register(EnrolAsk{}, Receipt{}, EndAsk{}, StatusAsk{}, Status{}, ReadAsk{}, Rows{}, ItemAsk{}, ItemAnswer{},
 		ClaimAsk{}, ClaimAnswer{}, SettleAsk{}, Settled{}, ShowAsk{}, Shown{}, Beat{}, Welcome{}, Unwelcome{})
 }
--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -28,6 +28,8 @@
 	case ReadAsk:
 		k.Reads++
 		k.read(c.Number, ask, now)
+	case ItemAsk:
+		k.item(c.Number, ask, now)
 	case ClaimAsk:
 		k.claim(c.Number, ask, now)
 	case SettleAsk:
@@ -122,9 +124,11 @@
 	return count
 }
 
-func (k *Keeper) bundle(call uint64, p *place, id, customer string) (*daybook.Bundle, bool) {
+// bundle finds a customer's bundle. Anyone finds one that was handed in without a
+// key, by its name; a customer's stays its own.
+func (k *Keeper) bundle(call uint64, p *place, id, customer string, anyone bool) (*daybook.Bundle, bool) {
 	found := p.state.Bundles[id]
-	if found == nil || found.Customer != customer {
+	if found == nil || !(anyone && found.Key == "") && found.Customer != customer {
 		k.fail(call, mishap.New(mishap.NotFound, "check the bundle's name and the customer's key", "no bundle %s of this customer", id))
 		return nil, false
 	}
@@ -136,7 +140,7 @@
 	if !ok {
 		return
 	}
-	bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer)
+	bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer, ask.Anyone)
 	if !ok {
 		return
 	}
@@ -167,7 +171,7 @@
 	if known := p.state.Bundles[ask.Bundle]; ask.Operator && known != nil {
 		ask.Customer = known.Customer
 	}
-	if bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer); ok {
+	if bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer, ask.Anyone); ok {
 		status := k.statusOf(p, rope, bundle)
 		if ask.Operator {
 			for _, row := range k.rows(bundle, func(int) int64 { return 0 }) {
@@ -179,6 +183,22 @@
 	}
 }
 
+// item answers with the body of an item that may still run; once it is listed, or
+// its bundle has ended, the body is let go.
+func (k *Keeper) item(call uint64, ask ItemAsk, now sundial.Micros) {
+	p, _, ok := k.serving(call, ask.Slot, now)
+	if !ok {
+		return
+	}
+	if found := p.state.Bundles[ask.Bundle]; found != nil {
+		if item, waits := found.Waiting(ask.Item); waits && item.Request != nil {
+			k.Emit(stride.Answer{Call: call, Body: ItemAnswer{Body: item.Request.Body}})
+			return
+		}
+	}
+	k.fail(call, mishap.New(mishap.NotFound, "nothing to do: it has its result, its bundle has ended, or there never was such an item", "no item %s of bundle %s waits", ask.Item, ask.Bundle))
+}
+
 // read answers "all rows after the token", within the reader's bounds. The
 // slots' epochs have to be the reader's: a deposed keeper would leave rows out.
 func (k *Keeper) read(call uint64, ask ReadAsk, now sundial.Micros) {
@@ -199,7 +219,7 @@
 			return
 		}
 		if ask.Bundle != "" {
-			bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer)
+			bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer, ask.Anyone)
 			if !ok {
 				return
 			}
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -54,7 +54,9 @@
 	Item     int
 	Customer string
 	Route    string
+	ItemID   string
 	Input    string
+	Request  *daybook.Request // passed on unchanged; nil where there is an input
 	Enrolled sundial.Micros
 	Plan     uint64 // version of the plan it was handed in under
 }
@@ -287,7 +289,7 @@
 	for i, item := range bundle.Items {
 		if !bundle.Listed(i) {
 			k.Emit(stride.Work{Order: ItemOrder{Slot: p.slot, Epoch: epoch, Bundle: id, Item: i,
-				Customer: bundle.Customer, Route: bundle.Route, Input: item.Input, Enrolled: bundle.Enrolled, Plan: bundle.Plan}})
+				Customer: bundle.Customer, Route: bundle.Route, ItemID: item.ID, Input: item.Input, Request: item.Request, Enrolled: bundle.Enrolled, Plan: bundle.Plan}})
 		}
 	}
 }
--- /dev/null
+++ b/ledger/keeper/keeper_test.go
@@ -0,0 +1,210 @@
+package keeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/waypost"
+)
+
+// shelf is a shelf in memory.
+type shelf map[uint64][]stride.Record
+
+func (s shelf) Get(file uint64, unit string) ([]byte, error) {
+	for _, record := range s[file] {
+		if record.Unit == unit {
+			return record.Body, nil
+		}
+	}
+	return nil, fmt.Errorf("nothing of %s in file %d", unit, file)
+}
+
+func (s shelf) Held() []uint64 { return nil }
+func (s shelf) Top() uint64    { return 0 }
+
+// bench is a pair of keepers that serves the one slot there is; the disks sync at
+// once unless held.
+type bench struct {
+	t       *testing.T
+	now     sundial.Micros
+	keepers map[string]*Keeper
+	shelves map[string]shelf
+	held    bool // a's disk and wire hold everything back
+	kept    []func()
+	answers map[uint64]stride.Answer
+	orders  []any
+	said    waypost.Announcement
+	call    uint64
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, now: sundial.Second, keepers: map[string]*Keeper{}, shelves: map[string]shelf{}, answers: map[uint64]stride.Answer{}}
+	for _, id := range []string{"a", "b"} {
+		b.shelves[id] = shelf{}
+		b.keepers[id] = New(Self{ID: id, Zone: id, Peer: id, Life: 1}, Defaults(), nil, b.shelves[id])
+	}
+	b.do("a", Letter{Body: Welcome{Fleet: "f", Writer: 1}})
+	b.do("b", Letter{Body: Welcome{Fleet: "f", Writer: 2}})
+	for seq, complete := range []bool{false, true} {
+		m := chart.Map{Fleet: "f", Seq: uint64(seq + 1), Stores: map[string]chart.Store{"a": {Peer: "a"}, "b": {Peer: "b"}},
+			Slots: []tether.Pairing{{Epoch: 1, Owner: tether.Member{ID: "a", Life: 1}, Backup: tether.Member{ID: "b", Life: 1}, Complete: complete}}}
+		value, _ := json.Marshal(m)
+		for _, id := range []string{"a", "b"} {
+			b.do(id, News{Rumour: stride.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}})
+		}
+		b.pass(sundial.Second)
+	}
+	return b
+}
+
+func (b *bench) do(id string, command Command) {
+	for _, effect := range b.keepers[id].Do(command, b.now) {
+		b.carry(id, effect)
+	}
+}
+
+func (b *bench) carry(id string, effect stride.Effect) {
+	if b.held && id == "a" {
+		switch effect.(type) {
+		case stride.Store, stride.Shelve, stride.Send:
+			b.kept = append(b.kept, func() { b.carry(id, effect) })
+			return
+		}
+	}
+	switch e := effect.(type) {
+	case stride.Store:
+		b.do(id, Stored{Token: e.Token})
+	case stride.Shelve:
+		b.shelves[id][e.File] = e.Records
+		b.do(id, Stored{Token: e.Token})
+	case stride.Send:
+		if b.keepers[e.To] != nil {
+			b.do(e.To, Letter{From: id, Body: e.Body})
+		}
+	case stride.Answer:
+		b.answers[e.Call] = e
+	case stride.Work:
+		b.orders = append(b.orders, e.Order)
+	case stride.Publish:
+		if id == "a" {
+			json.Unmarshal(e.Rumour.Value, &b.said)
+		}
+	}
+}
+
+// pass lets time go by.
+func (b *bench) pass(span sundial.Micros) {
+	for end := b.now + span; b.now < end; b.now += 50 * sundial.Millisecond {
+		b.do("a", ClockEvent{})
+		b.do("b", ClockEvent{})
+	}
+}
+
+func (b *bench) ask(body any) (any, error) {
+	b.call++
+	b.do("a", Call{Number: b.call, Body: body})
+	answer := b.answers[b.call]
+	return answer.Body, answer.Err
+}
+
+func (b *bench) must(body any) any {
+	b.t.Helper()
+	answer, err := b.ask(body)
+	if err != nil || answer == nil {
+		b.t.Fatalf("%T: %v %v", body, answer, err)
+	}
+	return answer
+}
+
+func (b *bench) refused(kind mishap.Kind, body any) {
+	b.t.Helper()
+	if answer, err := b.ask(body); !mishap.Is(err, kind) {
+		b.t.Fatalf("%T %+v: %v %v, not %s", body, body, answer, err, kind)
+	}
+}
+
+// lot is a bundle of opaque items, handed in without a key.
+func lot(id string, items int) EnrolAsk {
+	bundle := daybook.Bundle{ID: id, Customer: "route", Hash: "h", Route: "route"}
+	for i := 0; i < items; i++ {
+		bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprint("i", i), Request: &daybook.Request{Target: "/x", Host: "h",
+			Header: map[string]string{"n": "v"}, Body: []byte(fmt.Sprint("body ", i)), Tokens: int64(10 + i)}})
+	}
+	return EnrolAsk{Bundle: bundle, Expiry: sundial.Second}
+}
+
+// An opaque item reaches the path whole; its body is let go once it is listed or
+// its bundle has ended, what it counts for stays, and a run under way keeps it.
+func TestBodiesGoOnceNobodyNeedsThem(t *testing.T) {
+	b := newBench(t)
+	b.must(lot("one", 2))
+	b.must(lot("two", 1))
+	var first ItemOrder
+	for _, order := range b.orders {
+		if item, ok := order.(ItemOrder); ok && item.Bundle == "one" && item.Item == 0 {
+			first = item
+		}
+	}
+	if first.ItemID != "i0" || first.Request == nil || string(first.Request.Body) != "body 0" {
+		t.Fatalf("the path was told %+v", first)
+	}
+	if got := b.must(ItemAsk{Bundle: "one", Item: "i0"}).(ItemAnswer); string(got.Body) != "body 0" {
+		t.Fatalf("the body is %q", got.Body)
+	}
+	b.do("a", Ran{Bundle: "one", Item: 0, Status: daybook.StatusOK, Output: "x"})
+	b.must(EndAsk{Bundle: "two", Anyone: true, Expiry: sundial.Second})
+	for _, k := range b.keepers {
+		for _, id := range []string{"one", "two"} {
+			request := k.place(Unit(0)).state.Bundles[id].Items[0].Request
+			if len(request.Body)+len(request.Header) > 0 || request.Tokens != 10 {
+				t.Fatalf("%s at %s keeps %+v", id, k.self.ID, request)
+			}
+		}
+	}
+	if string(first.Request.Body) != "body 0" {
+		t.Fatal("a run under way lost its body")
+	}
+	for _, ask := range []ItemAsk{{Bundle: "one", Item: "i0"}, {Bundle: "two", Item: "i0"}, {Bundle: "one", Item: "i9"}, {Bundle: "three", Item: "i0"}} {
+		b.refused(mishap.NotFound, ask)
+	}
+	if got := b.must(ItemAsk{Bundle: "one", Item: "i1"}).(ItemAnswer); string(got.Body) != "body 1" {
+		t.Fatalf("the body is %q", got.Body)
+	}
+	if again := b.must(lot("one", 2)).(Receipt); !again.Repeated || again.Items != 2 {
+		t.Fatalf("handed in again: %+v", again)
+	}
+}
+
+// Without a fresh lease a keeper does not deny an item: its successor may have it.
+func TestAnItemIsDeniedOnlyUnderALease(t *testing.T) {
+	b := newBench(t)
+	b.refused(mishap.NotFound, ItemAsk{Bundle: "one", Item: "i0"})
+	b.now += 10 * sundial.Second
+	b.refused(mishap.NotReady, ItemAsk{Bundle: "one", Item: "i0"})
+}
+
+// A bundle without a key is anyone's who knows its name; a customer's stays its own.
+func TestAnyoneFindsWhatWasHandedInWithoutAKey(t *testing.T) {
+	b := newBench(t)
+	b.must(lot("one", 1))
+	mine := lot("mine", 1)
+	mine.Bundle.Customer, mine.Bundle.Key = "c", "k"
+	b.must(mine)
+	b.refused(mishap.NotFound, StatusAsk{Bundle: "one"})
+	if status := b.must(StatusAsk{Bundle: "one", Anyone: true}).(Status); status.Items != 1 {
+		t.Fatalf("it stands so: %+v", status)
+	}
+	b.must(ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "one", Anyone: true})
+	b.refused(mishap.NotFound, StatusAsk{Bundle: "mine", Anyone: true})
+	b.refused(mishap.NotFound, EndAsk{Bundle: "mine", Anyone: true, Expiry: sundial.Second})
+	b.refused(mishap.NotFound, ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "mine", Anyone: true})
+	b.must(StatusAsk{Bundle: "mine", Customer: "c"})
+}
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -46,6 +46,7 @@
 	"keeper.ShowAsk": "an operator's look", "keeper.Shown": "an operator's look",
 	"tether.Fenced":  "a deposed owner has to write on: the pairs' own test mutates it",
 	"summit.ShowAsk": "an operator's look", "summit.Shown": "an operator's look",
+	"keeper.ItemAsk": "a server's look at an opaque item: the keeper's own test", "keeper.ItemAnswer": "the same",
 	"keeper.Unwelcome": "TestCopiedFoldersAreTurnedAway sends it",
 }
 
