A bundle's list can be read by index, and a waiting reader's pace is set

Cause: a caller that counts rows has no token, and a bundle without a key has no customer.

Read by index a list begins at a row's place in its bundle and stops at the first row the reader may not have yet: past the last position it has seen of a writer, or past what has finished. The bound is today's; pages are cut by rows and by bytes but have at least one row.

--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -62,13 +62,20 @@
 		After            waypost.Vector
 		Bound            map[int]waypost.Vector // by slot
 		Most             int
+		// Indexed reads one bundle's own list by index instead: from From on, as
+		// far as every row before is readable, with at most MostBytes of outputs
+		// (0: no bound) but at least one row where one is readable.
+		Indexed   bool
+		From      int
+		MostBytes int
 	}
 	// Rows answers a read; More when the page was cut.
 	Rows struct {
 		Rows  []daybook.Row
 		State string
-		Items int
+		Items int // all the bundle has, shelved or not
 		More  bool
+		Index int // of the first row in the bundle's list, where it was read by index
 	}
 	// ItemAsk asks for the body of an item, by its id, that is not listed yet.
 	ItemAsk struct {
--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -8,6 +8,7 @@
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/waypost"
 )
 
 // Call is an ask that came in; its answer carries the number.
@@ -223,7 +224,11 @@
 			if !ok {
 				return
 			}
-			k.collect(bundle, ask, slot, upTo, &out)
+			if ask.Indexed {
+				k.list(bundle, ask, slot, upTo, &out)
+			} else {
+				k.collect(bundle, ask, slot, upTo, &out)
+			}
 			out.State = string(bundle.State)
 			out.Items, _ = bundle.Counts()
 			if k.hidden(bundle, ask, slot, upTo) {
@@ -237,8 +242,10 @@
 			}
 		}
 	}
-	sort.SliceStable(out.Rows, func(i, j int) bool { return out.Rows[i].Position < out.Rows[j].Position })
-	if ask.Most > 0 && len(out.Rows) > ask.Most {
+	if !ask.Indexed { // a list read by index is in its own order, and cut already
+		sort.SliceStable(out.Rows, func(i, j int) bool { return out.Rows[i].Position < out.Rows[j].Position })
+	}
+	if !ask.Indexed && ask.Most > 0 && len(out.Rows) > ask.Most {
 		out.Rows, out.More = out.Rows[:ask.Most], true
 	}
 	k.Emit(stride.Answer{Call: call, Body: out})
@@ -255,20 +262,52 @@
 		return false
 	}
 	for _, row := range bundle.Rows {
-		if row.Position > ask.Bound[slot][row.Writer] || (row.Writer == k.writer && row.Position > upTo) {
+		if !k.readable(row, ask.Bound[slot], upTo) {
 			return true
 		}
 	}
 	return false
 }
 
+// readable tells whether the reader may have a row: it never reads past the last
+// position it has seen of a writer.
+func (k *Keeper) readable(row daybook.Row, bound waypost.Vector, upTo int64) bool {
+	return row.Position <= bound[row.Writer] && (row.Writer != k.writer || row.Position <= upTo)
+}
+
+// list reads a bundle's list from an index on: an index stays the same row's for
+// good, so it stops at the first row that the reader may not have yet.
+func (k *Keeper) list(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
+	from := max(0, ask.From)
+	out.Index = from
+	if _, count := bundle.Counts(); from >= count {
+		return
+	}
+	rows := bundle.Rows
+	if bundle.Shelved != nil {
+		rows = k.whole(bundle).Rows
+	}
+	size := 0
+	for i, row := range rows {
+		if !k.readable(row, ask.Bound[slot], upTo) {
+			return
+		}
+		if i < from {
+			continue
+		}
+		size += len(row.Output)
+		if n := len(out.Rows); ask.Most > 0 && n >= ask.Most || ask.MostBytes > 0 && n > 0 && size > ask.MostBytes {
+			out.More = true
+			return
+		}
+		out.Rows = append(out.Rows, row)
+	}
+}
+
 func (k *Keeper) collect(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
 	bound := ask.Bound[slot]
 	for _, row := range k.rows(bundle, func(writer int) int64 { return ask.After[writer] }) {
-		if row.Writer == k.writer && row.Position > upTo {
-			continue
-		}
-		if row.Position > ask.After[row.Writer] && row.Position <= bound[row.Writer] {
+		if row.Position > ask.After[row.Writer] && k.readable(row, bound, upTo) {
 			out.Rows = append(out.Rows, row)
 		}
 	}
--- a/ledger/keeper/keeper_test.go
+++ b/ledger/keeper/keeper_test.go
@@ -208,3 +208,87 @@
 	b.refused(mishap.NotFound, ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "mine", Anyone: true})
 	b.must(StatusAsk{Bundle: "mine", Customer: "c"})
 }
+
+// list reads by index and checks where the page begins.
+func (b *bench) list(from int, change func(*ReadAsk)) Rows {
+	b.t.Helper()
+	ask := ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "one", Anyone: true, Indexed: true, From: from,
+		Bound: map[int]waypost.Vector{0: {1: b.said.UpTo}}}
+	if change != nil {
+		change(&ask)
+	}
+	rows := b.must(ask).(Rows)
+	if rows.Index != from {
+		b.t.Fatalf("asked from %d, the page begins at %d", from, rows.Index)
+	}
+	return rows
+}
+
+func (r Rows) ids() (out string) {
+	for _, row := range r.Rows {
+		out += row.ItemID + " "
+	}
+	return out
+}
+
+// A list is read by index: in the order of its rows, cut by count and by bytes,
+// never past what the reader has seen or what has finished, and the same from the
+// shelf.
+func TestAListIsReadByIndex(t *testing.T) {
+	b := newBench(t)
+	b.must(lot("one", 4))
+	for _, item := range []int{2, 0, 3} {
+		b.do("a", Ran{Bundle: "one", Item: item, Status: daybook.StatusOK, Output: "12345"})
+	}
+	b.pass(sundial.Second)
+	if got := b.list(0, nil); got.ids() != "i2 i0 i3 " || got.More || got.Items != 4 || got.State != string(daybook.Open) {
+		t.Fatalf("%+v", got)
+	}
+	if got := b.list(1, func(a *ReadAsk) { a.Most = 1 }); got.ids() != "i0 " || !got.More {
+		t.Fatalf("one row: %+v", got)
+	}
+	if got := b.list(0, func(a *ReadAsk) { a.MostBytes = 11 }); got.ids() != "i2 i0 " || !got.More {
+		t.Fatalf("11 bytes: %+v", got)
+	}
+	if got := b.list(1, func(a *ReadAsk) { a.MostBytes = 1 }); got.ids() != "i0 " || !got.More {
+		t.Fatalf("at least one row: %+v", got)
+	}
+	if got := b.list(3, nil); got.ids() != "" || got.More || got.State != string(daybook.Open) {
+		t.Fatalf("at the end: %+v", got)
+	}
+	// The reader has seen the writer only up to the second row.
+	seen := b.said.UpTo - 1
+	short := func(a *ReadAsk) { a.Bound[0] = waypost.Vector{1: seen} }
+	if got := b.list(0, short); got.ids() != "i2 i0 " || got.More {
+		t.Fatalf("past the bound: %+v", got)
+	}
+	if got := b.list(2, short); got.ids() != "" {
+		t.Fatalf("past the bound: %+v", got)
+	}
+	// The last row is not on two disks yet, whatever the reader claims to have seen.
+	far := func(a *ReadAsk) { a.Bound[0] = waypost.Vector{1: 1 << 40} }
+	b.held = true
+	b.do("a", Ran{Bundle: "one", Item: 1, Status: daybook.StatusFailed, Output: "no"})
+	if got := b.list(2, far); got.ids() != "i3 " || got.State != string(daybook.Open) {
+		t.Fatalf("past what has finished: %+v", got)
+	}
+	b.held = false
+	for _, do := range b.kept {
+		do()
+	}
+	// Settled and shelved: the same list, and an end that is told at once.
+	b.pass(3 * sundial.Second)
+	if b.keepers["a"].Shelved != 1 {
+		t.Fatal("the bundle was not shelved")
+	}
+	if got := b.list(1, short); got.ids() != "i0 " || got.State != string(daybook.Open) || got.Items != 4 {
+		t.Fatalf("from the shelf past the bound: %+v", got)
+	}
+	got := b.list(1, nil)
+	if got.ids() != "i0 i3 i1 " || got.State != string(daybook.Done) || got.Items != 4 || got.Rows[2].Status != daybook.StatusFailed {
+		t.Fatalf("from the shelf: %+v", got)
+	}
+	if got := b.list(4, nil); got.ids() != "" || got.State != string(daybook.Done) || got.Items != 4 {
+		t.Fatalf("the shelf's end: %+v", got)
+	}
+}
--- a/path/reader/reader.go
+++ b/path/reader/reader.go
@@ -24,6 +24,9 @@
 	chart chart.Map
 	open  map[string]*reading // reads that wait for rows, by name
 	order []string            // the same in the order they came
+	// PollRest is the least time between two asks of one reader that waits: every
+	// writer's word turns the view, and many readers must not ask at each of them.
+	PollRest sundial.Micros
 	// Sleepy is a fault planted by tests: the view's turns wake nobody.
 	Sleepy bool
 }
@@ -37,6 +40,12 @@
 	Token    string
 	Most     int
 	Wait     sundial.Micros
+	// Indexed reads one bundle's list from the index From on, without a token: at
+	// most MostBytes of outputs (0: no bound), but at least one row.
+	Indexed   bool
+	From      int
+	MostBytes int
+	Anyone    bool // the caller carries no key: a bundle without one is found by its name alone
 }
 
 type reading struct {
@@ -49,8 +58,7 @@
 	lost   int // asks in a row that no keeper answered in time
 }
 
-// pollRest is the least time between two asks of one reader that waits: every
-// writer's word turns the view, and many readers must not ask at each of them.
+// pollRest is PollRest where nothing else is set.
 const pollRest = 40 * sundial.Millisecond
 
 // passRest is the same while a slot passes on, where no word need turn the view.
@@ -58,7 +66,7 @@
 
 // New makes a reader.
 func New(wire *stride.Wire) *Reader {
-	return &Reader{wire: wire, view: waypost.NewView(), open: map[string]*reading{}}
+	return &Reader{wire: wire, view: waypost.NewView(), open: map[string]*reading{}, PollRest: pollRest}
 }
 
 // Hear takes the news that concern reading.
@@ -83,8 +91,8 @@
 		return
 	}
 	for _, name := range r.order {
-		if one := r.open[name]; !r.Sleepy && one != nil && (one.due == 0 || one.due > one.asked+pollRest) {
-			one.due = max(now, one.asked+pollRest)
+		if one := r.open[name]; !r.Sleepy && one != nil && (one.due == 0 || one.due > one.asked+r.PollRest) {
+			one.due = max(now, one.asked+r.PollRest)
 		}
 	}
 	r.again(now)
@@ -197,6 +205,7 @@
 	State string
 	Items int
 	More  bool
+	Index int // of the first row, where the list is read by index
 }
 
 func scope(fleet, what string) string { return fleet + "/" + what }
@@ -225,7 +234,7 @@
 	r.feed(read, patience, now, back)
 }
 
-// bundle reads one bundle's list after a token.
+// bundle reads one bundle's list after a token, or from an index on.
 func (r *Reader) bundle(read Read, patience, now sundial.Micros, back func(Page, error, sundial.Micros)) {
 	fleet := r.chart.Fleet
 	slot, owner, err := r.Keeper(read.Bundle)
@@ -239,17 +248,24 @@
 		return
 	}
 	after := from.Vector()
-	r.wire.Ask(owner.Peer, keeper.ReadAsk{Slots: map[int]uint64{slot: owner.Epoch}, Bundle: read.Bundle, Customer: read.Customer,
-		After: after, Bound: map[int]waypost.Vector{slot: r.view.Effective(slot)}, Most: read.Most}, patience, func(answer any, err error, now sundial.Micros) {
+	r.wire.Ask(owner.Peer, keeper.ReadAsk{Slots: map[int]uint64{slot: owner.Epoch}, Bundle: read.Bundle, Customer: read.Customer, Anyone: read.Anyone,
+		After: after, Bound: map[int]waypost.Vector{slot: r.view.Effective(slot)}, Most: read.Most,
+		Indexed: read.Indexed, From: read.From, MostBytes: read.MostBytes}, patience, func(answer any, err error, now sundial.Micros) {
 		rows, err := rowsOf(answer, err)
 		if err != nil {
 			back(Page{}, err, now)
 			return
 		}
+		page := Page{Rows: rows.Rows, State: rows.State, Items: rows.Items, More: rows.More, Index: rows.Index}
+		if read.Indexed {
+			back(page, nil, now)
+			return
+		}
 		for _, row := range rows.Rows {
 			after[row.Writer] = max(after[row.Writer], row.Position)
 		}
-		back(Page{Rows: rows.Rows, Next: waypost.NewToken(scope(fleet, read.Bundle), after).String(), State: rows.State, Items: rows.Items, More: rows.More}, nil, now)
+		page.Next = waypost.NewToken(scope(fleet, read.Bundle), after).String()
+		back(page, nil, now)
 	})
 }
 
