What waits is counted by weight; opaque items by their tokens until finished

Cause: a route that passes bundles on bounds waiting tokens, not items, and what a server has not finished is still owed.

Orders have a weight. A store takes a forwarded bundle's tokens from its route's account within MostTokens, asks for nothing where there is no bound, and turns it away where the plan passes nothing on by that route; what came by a takeover is told to the same account. A customer named like the route no longer changes such an order's rank.

--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/planbook"
 	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/stride"
 	"tuliprudder/kernel/sundial"
@@ -56,8 +57,8 @@
 	switch w := order.(type) {
 	case keeper.ItemOrder:
 		if plan := l.Dispatch.Plan(); plan != nil {
-			if class := plan.ClassOf(w.Customer); class != nil {
-				l.Purse.Told(w.Customer, class.Allowance, plan.Version)
+			if allowance := allowance(plan, w.Customer, w.Route, w.Request != nil); allowance > 0 {
+				l.Purse.Told(w.Customer, allowance, plan.Version)
 			}
 		}
 		l.Items.Take(w, now)
@@ -131,12 +132,24 @@
 		l.no(number, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the store has just started", "the plan has not arrived at the keeper yet"))
 		return
 	}
-	class := plan.ClassOf(ask.Bundle.Customer)
-	if class == nil {
+	forward, weight := false, 0
+	for _, item := range ask.Bundle.Items {
+		forward = forward || item.Request != nil
+		weight += item.Request.Weight()
+	}
+	most := allowance(plan, ask.Bundle.Customer, ask.Bundle.Route, forward)
+	switch {
+	case most == gone && forward:
+		l.no(number, mishap.New(mishap.UnknownRoute, "have the operators add the route to the plan", "the plan in force passes no bundles on by a route %q", ask.Bundle.Route))
+		return
+	case most == gone:
 		l.no(number, mishap.New(mishap.Unauthorised, "have the operators add the customer to the plan", "the plan has no customer %q", ask.Bundle.Customer))
 		return
+	case most == boundless:
+		l.keep(keeper.Call{Number: number, Body: ask}, now)
+		return
 	}
-	l.Purse.Take(ask.Bundle.Customer, class.Allowance, plan.Version, len(ask.Bundle.Items), now, func(give purse.Give, err error, now sundial.Micros) {
+	l.Purse.Take(ask.Bundle.Customer, most, plan.Version, weight, now, func(give purse.Give, err error, now sundial.Micros) {
 		if err != nil {
 			l.no(number, err)
 			return
@@ -146,6 +159,29 @@
 	})
 }
 
+// What allowance says where there is no bound, and where the plan has no such
+// route or customer.
+const (
+	boundless = 0
+	gone      = -1
+)
+
+// allowance is how much may wait: of a customer by its class, of a route whose
+// requests are passed on by its own bound on tokens (DESIGN §11.3, §12).
+func allowance(plan *planbook.Plan, customer, route string, forward bool) int64 {
+	if forward {
+		found, _ := plan.Route(route)
+		if found == nil || found.Forward == nil || found.Kind != planbook.Bundle {
+			return gone
+		}
+		return max(boundless, found.Forward.MostTokens)
+	}
+	if class := plan.ClassOf(customer); class != nil {
+		return class.Allowance
+	}
+	return gone
+}
+
 func (l *Ledger) no(number uint64, err error) {
 	l.Wire.Emit(stride.Answer{Call: number, Err: err})
 }
--- /dev/null
+++ b/daemon/planes/ledger_test.go
@@ -0,0 +1,94 @@
+package planes
+
+import (
+	"testing"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/planbook"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/path/purse"
+)
+
+type noShelf struct{}
+
+func (noShelf) Get(uint64, string) ([]byte, error) { return nil, nil }
+func (noShelf) Held() []uint64                     { return nil }
+func (noShelf) Top() uint64                        { return 0 }
+
+// handed is what a store that serves nothing does with a bundle: the ask for a
+// share, if there was one, and the error it answered.
+func handed(t *testing.T, most int64, items ...daybook.Item) (*purse.LendAsk, error) {
+	t.Helper()
+	now := 5 * sundial.Second
+	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
+	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{MostTokens: most}}, {Name: "plain", Kind: planbook.Bundle}}}
+	plan.Index()
+	l.Dispatch.SetPlan(plan, now)
+	l.Fresh(now, now)
+	edge := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
+	l.Heard(stride.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
+	route := "r"
+	if most < 0 {
+		route = "plain"
+	}
+	var lend *purse.LendAsk
+	var err error
+	for _, effect := range l.Call(1, keeper.EnrolAsk{Bundle: daybook.Bundle{ID: "b", Customer: "r", Route: route, Items: items}}, now) {
+		switch e := effect.(type) {
+		case stride.Ask:
+			ask := e.Body.(purse.LendAsk)
+			lend = &ask
+		case stride.Answer:
+			err = e.Err
+		}
+	}
+	return lend, err
+}
+
+func opaque(tokens int64) daybook.Item {
+	return daybook.Item{Request: &daybook.Request{Tokens: tokens}}
+}
+
+// A bundle that is passed on takes its tokens from its route's bound; without a
+// bound it asks for no share, and without such a route it is turned away.
+func TestAForwardedBundleTakesItsTokens(t *testing.T) {
+	lend, err := handed(t, 1000, opaque(300), opaque(40), opaque(0))
+	if err != nil || lend == nil || lend.Customer != "r" || lend.Allowance != 1000 || lend.Want != 341+1000/128 {
+		t.Fatalf("%+v %v", lend, err)
+	}
+	if lend, err := handed(t, 300, opaque(301)); lend != nil || !mishap.Is(err, mishap.OverAllowance) {
+		t.Fatalf("over the whole bound: %+v %v", lend, err)
+	}
+	if lend, err := handed(t, 0, opaque(1<<40)); lend != nil || !mishap.Is(err, mishap.NotReady) {
+		t.Fatalf("without a bound it is the keeper's to answer: %+v %v", lend, err)
+	}
+	if lend, err := handed(t, -1, opaque(1)); lend != nil || !mishap.Is(err, mishap.UnknownRoute) {
+		t.Fatalf("a route that passes nothing on: %+v %v", lend, err)
+	}
+}
+
+// Items that came by a takeover are told at the next renewal, within their
+// route's bound.
+func TestTakenOverItemsAreToldToTheirRoutesAccount(t *testing.T) {
+	now := 5 * sundial.Second
+	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
+	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{MostTokens: 1000}}}}
+	plan.Index()
+	l.Dispatch.SetPlan(plan, now)
+	edge := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
+	l.Heard(stride.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
+	l.work(keeper.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Request: &daybook.Request{Tokens: 70}}, now)
+	for _, effect := range l.ClockEvent(now + sundial.Second) {
+		if ask, ok := effect.(stride.Ask); ok {
+			if lend := ask.Body.(purse.LendAsk); lend.Customer != "r" || lend.Held != 70 || lend.Allowance != 1000 {
+				t.Fatalf("%+v", lend)
+			}
+			return
+		}
+	}
+	t.Fatal("nothing was told")
+}
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -48,6 +48,7 @@
 	Route    *planbook.Route
 	Rank     int64
 	Bundle   bool
+	Weight   int // what it counts for while it waits; 0 counts as 1
 	Prefix   string
 	Expiry   sundial.Micros // 0: none
 	Avoid    map[string]int // servers that turned it away
@@ -119,7 +120,7 @@
 	servers  map[string]*state
 	backlogs map[int64]map[*planbook.Route]*list.List // by level, then by route
 	expiries expiries                                 // those that expire, the next one first
-	waiting  map[string]int                           // by customer
+	waiting  map[string]int                           // weights, by customer
 	count    int
 	seq      uint64
 	prefixes map[uint64]string
@@ -177,7 +178,9 @@
 	if route == nil || !o.Bundle && (class == nil || !route.Classes.Matches(class.Labels)) {
 		return mishap.New(mishap.UnknownRoute, "name a route that the plan opens to this customer's class", "the plan in force has no route %q for this customer any more; the order did not run and will not", o.Route.Name)
 	}
-	if o.Route = route; class != nil {
+	// Where requests are passed on there are no customers, though one may be named
+	// like the route.
+	if o.Route = route; class != nil && route.Forward == nil {
 		o.Rank = class.Rank
 	}
 	return nil
@@ -263,7 +266,7 @@
 	return out, waiting
 }
 
-// Waiting is how much of a customer's work waits here.
+// Waiting is how much of a customer's work waits here, by weight.
 func (d *Dispatch) Waiting(customer string) int {
 	return d.waiting[customer]
 }
@@ -313,6 +316,8 @@
 	return max(0, len(d.levels)-1-at)
 }
 
+func (o *Order) weight() int { return max(1, o.Weight) }
+
 func levelOf(o *Order) int64 {
 	if o.Bundle {
 		return 2 * o.Rank
@@ -357,7 +362,7 @@
 		heap.Push(&d.expiries, o)
 	}
 	d.count++
-	d.waiting[o.Customer]++
+	d.waiting[o.Customer] += o.weight()
 	d.stirred = true
 }
 
@@ -402,7 +407,7 @@
 	}
 	o.gone = true
 	d.count--
-	if d.waiting[o.Customer]--; d.waiting[o.Customer] <= 0 {
+	if d.waiting[o.Customer] -= o.weight(); d.waiting[o.Customer] <= 0 {
 		delete(d.waiting, o.Customer)
 	}
 }
--- a/path/dispatch/dispatch_test.go
+++ b/path/dispatch/dispatch_test.go
@@ -247,3 +247,35 @@
 		t.Fatalf("400 wait at 100 a second, and one is to come back after %d us", after)
 	}
 }
+
+// What waits counts by its weight; an order without one counts as one.
+func TestWaitingCountsWeights(t *testing.T) {
+	b := newBench(t)
+	heavy := b.order("heavy", 1, func(o *Order) { o.Bundle, o.Weight = true, 700 })
+	b.order("light", 1, nil)
+	if got := b.Waiting("c1"); got != 701 || b.Backlog() != 2 {
+		t.Fatalf("%d wait in %d orders", got, b.Backlog())
+	}
+	b.Cancel(heavy)
+	if got := b.Waiting("c1"); got != 1 {
+		t.Fatalf("%d wait once the heavy one is gone", got)
+	}
+}
+
+// Where requests are passed on, a customer that is named like the route changes
+// nothing of the order's rank, and a route without classes keeps it.
+func TestAForwardedOrderKeepsItsRank(t *testing.T) {
+	b := newBench(t, server("s", 4))
+	plan := &planbook.Plan{Version: 2, Judges: b.Plan().Judges, Pools: b.Plan().Pools,
+		Classes:   []planbook.Class{{Name: "a9", Rank: 9, Allowance: 1}},
+		Customers: []planbook.Customer{{Name: "c1", Key: "k", Class: "a9"}},
+		Routes:    []planbook.Route{{Name: "c1", Kind: planbook.Bundle, Forward: &planbook.Forward{}}, {Name: "c2", Kind: planbook.Bundle, Forward: &planbook.Forward{}}}}
+	plan.Index()
+	b.SetPlan(plan, b.now)
+	for i, name := range []string{"c1", "c2"} {
+		o := b.order(name, int64(1+i), func(o *Order) { o.Bundle = true; o.Route, _ = plan.Route(name) })
+		if o.Rank != int64(1+i) {
+			t.Fatalf("%s has rank %d", name, o.Rank)
+		}
+	}
+}
--- a/path/purse/purse.go
+++ b/path/purse/purse.go
@@ -128,7 +128,7 @@
 // and nothing of it has run or will.
 func (p *Purse) Take(customer string, allowance int64, plan uint64, count int, now sundial.Micros, back func(Give, error, sundial.Micros)) {
 	if int64(count) > allowance {
-		back(nil, mishap.New(mishap.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d items are more than the whole allowance of %d", count, allowance), now)
+		back(nil, mishap.New(mishap.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d at once are more than the whole allowance of %d", count, allowance), now)
 		return
 	}
 	s := p.share(customer)
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -63,7 +63,7 @@
 	Book     *guestbook.Book
 	open     map[string]*job
 	runs     map[uint64]*job
-	queued   map[string]int  // by customer: assigned, not begun
+	queued   map[string]int  // weights by customer: assigned, not begun (an opaque item: not finished)
 	parked   map[string]*job // those that could not wait or start here just now
 	kept     map[string]int  // the same, counted by customer
 	// NoPermit is a fault planted by tests: work starts without a lease.
@@ -73,14 +73,15 @@
 }
 
 type job struct {
-	name  string
-	item  keeper.ItemOrder
-	order *dispatch.Order
-	grip  *dispatch.Grip
-	token uint64
-	avoid map[string]int
-	tries int
-	begun bool
+	name   string
+	item   keeper.ItemOrder
+	weight int
+	order  *dispatch.Order
+	grip   *dispatch.Grip
+	token  uint64
+	avoid  map[string]int
+	tries  int
+	begun  bool
 }
 
 // New makes a runner; ran is told each item's result.
@@ -96,7 +97,7 @@
 		return
 	}
 	r.unpark(name)
-	j := &job{name: name, item: item, avoid: map[string]int{}}
+	j := &job{name: name, item: item, weight: item.Request.Weight(), avoid: map[string]int{}}
 	r.open[name] = j
 	r.enrol(j, now)
 }
@@ -113,14 +114,14 @@
 	}
 	route, _ := plan.Route(j.item.Route)
 	rank := int64(1)
-	if class := plan.ClassOf(j.item.Customer); class != nil {
+	if class := plan.ClassOf(j.item.Customer); class != nil && j.item.Request == nil {
 		rank = class.Rank
 	}
 	if route == nil {
 		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
 		return
 	}
-	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Prefix: route.Prefix, Avoid: j.avoid}
+	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Avoid: j.avoid}
 	j.order.Permit = func(now sundial.Micros) bool {
 		return r.NoPermit || r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now)
 	}
@@ -146,7 +147,7 @@
 	r.forget(j)
 	if r.parked[j.name] == nil {
 		r.parked[j.name] = j
-		r.kept[j.item.Customer]++
+		r.kept[j.item.Customer] += j.weight
 	}
 }
 
@@ -156,7 +157,7 @@
 		return
 	}
 	delete(r.parked, name)
-	if r.kept[j.item.Customer]--; r.kept[j.item.Customer] <= 0 {
+	if r.kept[j.item.Customer] -= j.weight; r.kept[j.item.Customer] <= 0 {
 		delete(r.kept, j.item.Customer)
 	}
 }
@@ -176,14 +177,15 @@
 func (r *Runner) start(j *job, route *planbook.Route, grip *dispatch.Grip) {
 	j.grip, j.token, j.begun = grip, r.wire.Token(), false
 	r.runs[j.token] = j
-	r.queued[j.item.Customer]++
+	r.queued[j.item.Customer] += j.weight
 	r.wire.Emit(stride.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Request: serverline.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
 		Prefix: route.Prefix, Input: j.item.Input, MaxTokens: route.MaxTokens, Priority: r.dispatch.Priority(j.order), Silence: r.set.Silence}}})
 }
 
-// Begin notes that a run has begun.
+// Begin notes that a run has begun. What an opaque item counts for is work that
+// its route has not had done: it counts until a server has finished it.
 func (r *Runner) Begin(word Began) {
-	if j := r.runs[word.Token]; j != nil {
+	if j := r.runs[word.Token]; j != nil && j.item.Request == nil {
 		r.begin(j)
 	}
 }
@@ -193,12 +195,13 @@
 		return
 	}
 	j.begun = true
-	if r.queued[j.item.Customer]--; r.queued[j.item.Customer] <= 0 {
+	if r.queued[j.item.Customer] -= j.weight; r.queued[j.item.Customer] <= 0 {
 		delete(r.queued, j.item.Customer)
 	}
 }
 
-// Waiting is how many of a customer's items wait, here or in a server's queue.
+// Waiting is what a customer's items that wait count for, here or in a server's
+// queue; opaque ones that run count as well.
 func (r *Runner) Waiting(customer string) int {
 	return r.dispatch.Waiting(customer) + r.queued[customer] + r.kept[customer]
 }
