Opaque items run on servers, go on after their last event, and count attempts

Cause: an item that is passed on unchanged must never be given up for a server's or our own trouble, only by its route's own rules.

The shell is told of a Forwarded and answers with events, the last one's id, and whether the server failed it. Events are kept between tries, up to MostBytes. An item is listed failed when rejected, at its route's attempts, past its keeping, or without its route; all else lets it wait again. A failed attempt is followed by one elsewhere; where every sound server is avoided, an item of a bundle goes to one of them rather than nowhere, where it waited for ever. A run goes by the route of the plan in force, not by that of its enrolling. Muletrack calls Track.Forward.

--- a/daemon/muletrack/muletrack.go
+++ b/daemon/muletrack/muletrack.go
@@ -20,8 +20,11 @@
 type Track struct {
 	Tell func(body any)
 	Now  func() sundial.Micros
-	mu   sync.Mutex
-	runs map[uint64]context.CancelFunc
+	// Forward passes an opaque item on and tells how that went; set before the
+	// first work comes.
+	Forward func(ctx context.Context, run runner.Run) runner.Ran
+	mu      sync.Mutex
+	runs    map[uint64]context.CancelFunc
 }
 
 // New makes a track.
@@ -57,6 +60,10 @@
 		delete(t.runs, w.Token)
 		t.mu.Unlock()
 	}()
+	if w.Forward != nil {
+		t.Tell(t.forward(ctx, w))
+		return
+	}
 	var output strings.Builder
 	outcome, err := serverline.Run(ctx, w.Request, func(piece string) error {
 		if output.Len()+len(piece) > w.MostBytes {
@@ -75,6 +82,15 @@
 	t.Tell(ran)
 }
 
+func (t *Track) forward(ctx context.Context, w runner.Run) runner.Ran {
+	if t.Forward == nil {
+		return runner.Ran{Token: w.Token, Outcome: serverline.NotStarted, Why: "this daemon passes nothing on to servers; start one that does"}
+	}
+	ran := t.Forward(ctx, w)
+	ran.Token = w.Token
+	return ran
+}
+
 func (t *Track) look(w scouts.Look) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -189,6 +189,7 @@
 // ClockEvent lets the store do what is due.
 func (l *Ledger) ClockEvent(now sundial.Micros) []stride.Effect {
 	l.keep(keeper.ClockEvent{}, now)
+	l.Items.ClockEvent(now)
 	l.Purse.ClockEvent(now)
 	l.Dispatch.Match(now)
 	return l.settle(now)
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -577,15 +577,19 @@
 	}
 	sort.Strings(names)
 	wish := judges.Wish{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
+	avoid := o.Avoid
+	if o.Bundle && len(avoid) > 0 && !d.elsewhere(o, names) {
+		avoid = nil // what was accepted rather goes where it failed than nowhere
+	}
 	var best []string
 	var bestMarks []judges.Mark
 	top := -1.0
 	for _, name := range names {
 		s := d.servers[name]
-		if !d.plan.Serves(o.Route, s.server.Labels) || o.Avoid[name] >= 3 {
+		if !d.plan.Serves(o.Route, s.server.Labels) || avoid[name] >= 3 {
 			continue
 		}
-		sound := s.failures < 3 && (s.load.At == 0 || s.load.Sound)
+		sound := s.sound()
 		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
 			Limit: limit, Leaving: s.server.Leaving && !d.Blind, Sound: sound, Prefix: held == name,
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now}
@@ -619,6 +623,19 @@
 	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, stay: here, d: d, s: chosen}
 }
 
+func (s *state) sound() bool { return s.failures < 3 && (s.load.At == 0 || s.load.Sound) }
+
+// elsewhere tells whether there is a sound server for an order besides those it
+// avoids; one that is full or rests counts, for it will take orders again.
+func (d *Dispatch) elsewhere(o *Order, names []string) bool {
+	for _, name := range names {
+		if s := d.servers[name]; o.Avoid[name] < 3 && s.sound() && !s.server.Leaving && d.plan.Serves(o.Route, s.server.Labels) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatch) remember(prefix uint64, server string) {
 	if _, known := d.prefixes[prefix]; !known {
 		d.prefixed.PushBack(prefix)
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -5,6 +5,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"tuliprudder/core/planbook"
 	"tuliprudder/kernel/mishap"
@@ -36,6 +37,17 @@
 		Token     uint64
 		Request   serverline.Request
 		MostBytes int
+		// Forward is what is passed on unchanged; then only the address, the order's
+		// name, the priority and the silence of Request count. nil for chat items.
+		Forward *Forwarded
+	}
+	// Forwarded is an opaque item on its way to a server (DESIGN §12).
+	Forwarded struct {
+		Request  *daybook.Request
+		Bundle   string
+		ID       string // the item's id
+		Instance string // name of the server
+		Resume   int    // id of the last event that came, over all tries; 0 for none
 	}
 	// Stop says: give this run up; nobody waits for it any more.
 	Stop struct{ Token uint64 }
@@ -45,12 +57,19 @@
 // waits, in the server's own queue as well.
 type Began struct{ Token uint64 }
 
-// Ran is the shell's word on how a run went.
+// Ran is the shell's word on how a run went. Of an opaque item Complete is whole,
+// NotStarted certainly did not run (the server said so, or took no connection),
+// Cut may be gone on with, and Rejected can never be done.
 type Ran struct {
 	Token   uint64
 	Outcome serverline.Outcome
 	Output  string
 	Why     string
+	// Of an opaque item: the data of the events that came in this try, in order and
+	// without those up to Resume; the id of the last of them, 0 for none.
+	Events    []string
+	LastEvent int
+	Failed    bool // the server failed it: an attempt of those the route allows
 }
 
 // Runner is the store daemon's part of the path.
@@ -66,6 +85,7 @@
 	queued   map[string]int  // weights by customer: assigned, not begun (an opaque item: not finished)
 	parked   map[string]*job // those that could not wait or start here just now
 	kept     map[string]int  // the same, counted by customer
+	next     sundial.Micros  // next look at what is too old
 	// NoPermit is a fault planted by tests: work starts without a lease.
 	NoPermit bool
 	// Deaf is a fault planted by tests: work goes on after it was called back.
@@ -80,8 +100,11 @@
 	grip   *dispatch.Grip
 	token  uint64
 	avoid  map[string]int
-	tries  int
+	tries  int // of an opaque item: attempts that failed
 	begun  bool
+	events []string // of an opaque item: what came over all tries
+	size   int      // of the events
+	last   int      // id of the last of them
 }
 
 // New makes a runner; ran is told each item's result.
@@ -96,13 +119,30 @@
 	if r.open[name] != nil {
 		return
 	}
-	r.unpark(name)
+	was := r.unpark(name)
 	j := &job{name: name, item: item, weight: item.Request.Weight(), avoid: map[string]int{}}
+	if was != nil && item.Request != nil {
+		// It goes on where it was: its attempts and events stay.
+		j.avoid, j.tries, j.events, j.size, j.last = was.avoid, was.tries, was.events, was.size, was.last
+	}
 	r.open[name] = j
 	r.enrol(j, now)
 }
 
-const gone = "the route is not in the plan any more"
+const (
+	gone = "the route is not in the plan any more"
+	late = "no server finished it within the time its route keeps items"
+)
+
+// fits tells whether the route still takes such items.
+func fits(j *job, route *planbook.Route) bool {
+	return route != nil && (route.Forward != nil) == (j.item.Request != nil)
+}
+
+// old tells whether an opaque item has waited for longer than its route keeps it.
+func old(j *job, route *planbook.Route, now sundial.Micros) bool {
+	return j.item.Request != nil && route.Forward.Keep > 0 && now > j.item.Enrolled+route.Forward.Keep
+}
 
 // enrol puts an item into the backlog. A route that is gone from the plan fails
 // the item rather than leave the bundle open for ever.
@@ -117,15 +157,19 @@
 	if class := plan.ClassOf(j.item.Customer); class != nil && j.item.Request == nil {
 		rank = class.Rank
 	}
-	if route == nil {
+	if !fits(j, route) {
 		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
 		return
 	}
+	if old(j, route, now) {
+		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: late}, now)
+		return
+	}
 	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Avoid: j.avoid}
 	j.order.Permit = func(now sundial.Micros) bool {
 		return r.NoPermit || r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now)
 	}
-	j.order.Start = func(grip *dispatch.Grip, now sundial.Micros) { r.start(j, route, grip) }
+	j.order.Start = func(grip *dispatch.Grip, now sundial.Micros) { r.start(j, grip, now) }
 	j.order.Drop = func(err error, now sundial.Micros) {
 		if mishap.Is(err, mishap.UnknownRoute) {
 			r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
@@ -151,15 +195,16 @@
 	}
 }
 
-func (r *Runner) unpark(name string) {
+func (r *Runner) unpark(name string) *job {
 	j := r.parked[name]
 	if j == nil {
-		return
+		return nil
 	}
 	delete(r.parked, name)
 	if r.kept[j.item.Customer] -= j.weight; r.kept[j.item.Customer] <= 0 {
 		delete(r.kept, j.item.Customer)
 	}
+	return j
 }
 
 func (r *Runner) forget(j *job) {
@@ -174,11 +219,22 @@
 	r.ran(ran, now)
 }
 
-func (r *Runner) start(j *job, route *planbook.Route, grip *dispatch.Grip) {
+// start goes by the order's route, which is that of the plan in force.
+func (r *Runner) start(j *job, grip *dispatch.Grip, now sundial.Micros) {
+	route := j.order.Route
+	if !fits(j, route) {
+		grip.Release(0, true, now)
+		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
+		return
+	}
 	j.grip, j.token, j.begun = grip, r.wire.Token(), false
 	r.runs[j.token] = j
 	r.queued[j.item.Customer] += j.weight
-	r.wire.Emit(stride.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Request: serverline.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
+	var forward *Forwarded
+	if j.item.Request != nil {
+		forward = &Forwarded{Request: j.item.Request, Bundle: j.item.Bundle, ID: j.item.ItemID, Instance: grip.Server.Name, Resume: j.last}
+	}
+	r.wire.Emit(stride.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Forward: forward, Request: serverline.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
 		Prefix: route.Prefix, Input: j.item.Input, MaxTokens: route.MaxTokens, Priority: r.dispatch.Priority(j.order), Silence: r.set.Silence}}})
 }
 
@@ -219,6 +275,10 @@
 	j.grip, j.token = nil, 0
 	r.Book.Begin(guestbook.Story{Order: j.name, Customer: j.item.Customer, Route: j.item.Route, Rank: j.order.Rank, Arrived: j.item.Enrolled})
 	r.Book.Tried(j.name, guestbook.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: now - grip.Started, Outcome: ran.Outcome.String(), Error: ran.Why})
+	if j.item.Request != nil {
+		r.passedOn(j, grip, ran, now)
+		return
+	}
 	if ran.Outcome == serverline.Complete {
 		grip.Release(now-grip.Started, true, now)
 		r.finish(j, keeper.Ran{Status: daybook.StatusOK, Output: ran.Output, Server: grip.Server.Name}, now)
@@ -240,6 +300,88 @@
 	r.enrol(j, now)
 }
 
+// passedOn decides by how a try of an opaque item went. It is listed as failed only
+// when a server rejects it, when its route's attempts have failed, when it is too
+// old, or when its route is gone; whatever else goes wrong, it waits again.
+func (r *Runner) passedOn(j *job, grip *dispatch.Grip, ran Ran, now sundial.Micros) {
+	server := grip.Server.Name
+	switch {
+	case ran.Failed:
+		grip.Release(0, false, now)
+		r.gather(j, ran)
+		j.tries++
+		j.avoid[server] = 3 // elsewhere first
+		route, _ := r.dispatch.Plan().Route(j.item.Route)
+		if fits(j, route) && route.Forward.Tries > 0 && int64(j.tries) >= route.Forward.Tries {
+			r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: "its attempts have failed: " + ran.Why, Server: server}, now)
+			return
+		}
+	case ran.Outcome == serverline.Complete:
+		grip.Release(now-grip.Started, true, now)
+		r.finish(j, keeper.Ran{Status: daybook.StatusOK, Output: strings.Join(append(j.events, ran.Events...), "\n"), Server: server}, now)
+		return
+	case ran.Outcome == serverline.Rejected:
+		grip.Release(0, true, now)
+		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: "the server rejected it: " + ran.Why, Server: server}, now)
+		return
+	case ran.Outcome == serverline.NotStarted:
+		grip.TurnedAway(now)
+	default:
+		grip.Release(0, false, now)
+		r.gather(j, ran)
+	}
+	r.enrol(j, now)
+}
+
+// gather keeps the events of a try that was not whole, so that the next one goes on
+// after them. Events without a new id can't be gone on with, and come again.
+func (r *Runner) gather(j *job, ran Ran) {
+	if ran.LastEvent <= j.last {
+		return
+	}
+	size := j.size
+	for _, event := range ran.Events {
+		size += len(event)
+	}
+	if size > r.set.MostBytes {
+		r.wire.Emit(stride.Explain{What: "an item's events are more than is kept between tries; it begins anew; raise MostBytes", Fields: map[string]any{"order": j.name, "bytes": size}})
+		j.events, j.size, j.last = nil, 0, 0
+		return
+	}
+	j.events, j.size, j.last = append(j.events, ran.Events...), size, ran.LastEvent
+}
+
+// ClockEvent lists as failed what has waited for longer than its route keeps it, or
+// has none any more.
+// What runs is left to its server.
+func (r *Runner) ClockEvent(now sundial.Micros) {
+	plan := r.dispatch.Plan()
+	if now < r.next || plan == nil {
+		return
+	}
+	r.next = now + sundial.Second
+	due, why := map[string]*job{}, map[string]string{}
+	for _, jobs := range []map[string]*job{r.open, r.parked} {
+		for name, j := range jobs {
+			if j.grip != nil || j.item.Request == nil || plan.Version < j.item.Plan {
+				continue
+			}
+			if route, _ := plan.Route(j.item.Route); !fits(j, route) {
+				due[name], why[name] = j, gone
+			} else if old(j, route, now) {
+				due[name], why[name] = j, late
+			}
+		}
+	}
+	for _, name := range sorted(due) {
+		j := due[name]
+		if r.unpark(name) == nil {
+			r.dispatch.Cancel(j.order)
+		}
+		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: why[name]}, now)
+	}
+}
+
 // Revoke drops what waits or runs of a bundle or of a slot.
 func (r *Runner) Revoke(w keeper.Revoke, now sundial.Micros) {
 	if r.Deaf {
--- a/path/runner/runner_test.go
+++ b/path/runner/runner_test.go
@@ -125,3 +125,201 @@
 		t.Fatalf("%d wait once they are called back", got)
 	}
 }
+
+// went tells how the one run there is went, by its name for the item.
+func (b *bench) went(ran Ran) Run {
+	b.t.Helper()
+	run := b.run()
+	ran.Token = run.Token
+	b.Went(ran, b.now)
+	return run
+}
+
+func (b *bench) only(status, output string) {
+	b.t.Helper()
+	if len(b.listed) != 1 || b.listed[0].Status != status || b.listed[0].Output != output || b.Open() != 0 {
+		b.t.Fatalf("listed %+v, %d open; wanted %s %q", b.listed, b.Open(), status, output)
+	}
+}
+
+func (b *bench) none() {
+	b.t.Helper()
+	if len(b.listed) > 0 {
+		b.t.Fatalf("listed %+v", b.listed)
+	}
+}
+
+// An opaque item goes on after the last event that came, on whichever server, and
+// is listed with the events of all tries.
+func TestAnOpaqueItemGoesOnAfterItsLastEvent(t *testing.T) {
+	b := newBench(t, "s")
+	b.take(7, 1)
+	first := b.went(Ran{Outcome: serverline.Cut, Events: []string{"e1", "e2"}, LastEvent: 2})
+	if f := first.Forward; f == nil || f.Bundle != "b" || f.ID != "i7" || f.Instance != "s" || f.Resume != 0 || string(f.Request.Body) != "body 7" || first.Request.Address != "s:1" {
+		t.Fatalf("the shell was told %+v %+v", first, first.Forward)
+	}
+	if second := b.went(Ran{Outcome: serverline.NotStarted}); second.Forward.Resume != 2 {
+		t.Fatalf("it goes on after %d", second.Forward.Resume)
+	}
+	// What can't be gone on with comes again, and is not kept.
+	b.went(Ran{Outcome: serverline.Cut, Events: []string{"no id"}})
+	b.went(Ran{Failed: true, Events: []string{"e3"}, LastEvent: 3})
+	b.none()
+	if last := b.went(Ran{Outcome: serverline.Complete, Events: []string{"e4", "end"}, LastEvent: 4}); last.Forward.Resume != 3 {
+		t.Fatalf("it goes on after %d", last.Forward.Resume)
+	}
+	b.only(daybook.StatusOK, "e1\ne2\ne3\ne4\nend")
+}
+
+// Events between tries are bounded: beyond that the item begins anew, and is not
+// given up.
+func TestEventsBetweenTriesAreBounded(t *testing.T) {
+	b := newBench(t, "s")
+	b.set.MostBytes = 5
+	b.take(0, 1)
+	b.went(Ran{Outcome: serverline.Cut, Events: []string{"abc"}, LastEvent: 1})
+	b.went(Ran{Outcome: serverline.Cut, Events: []string{"def"}, LastEvent: 2})
+	if run := b.went(Ran{Outcome: serverline.Complete, Events: []string{"abc", "def", "g"}, LastEvent: 3}); run.Forward.Resume != 0 {
+		t.Fatalf("it goes on after %d", run.Forward.Resume)
+	}
+	b.only(daybook.StatusOK, "abc\ndef\ng")
+}
+
+// Only failed attempts count, and only as many as the route allows.
+func TestOnlyFailedAttemptsCount(t *testing.T) {
+	b := newBench(t, "s")
+	b.take(0, 1)
+	for i := 0; i < 3*Defaults().MostTries; i++ {
+		b.went(Ran{Outcome: []serverline.Outcome{serverline.NotStarted, serverline.Cut}[i%2], Why: "broken off"})
+	}
+	b.went(Ran{Failed: true, Why: "500"})
+	b.went(Ran{Failed: true, Why: "500"})
+	b.none()
+	b.went(Ran{Failed: true, Why: "500"})
+	b.only(daybook.StatusFailed, "its attempts have failed: 500")
+}
+
+// What a server rejects is listed at once.
+func TestARejectedItemIsListedAtOnce(t *testing.T) {
+	b := newBench(t, "s")
+	b.take(0, 1)
+	b.went(Ran{Outcome: serverline.Rejected, Why: "422"})
+	b.only(daybook.StatusFailed, "the server rejected it: 422")
+}
+
+// A failed attempt is followed by one elsewhere where there is an elsewhere.
+func TestAFailedAttemptIsFollowedByOneElsewhere(t *testing.T) {
+	b := newBench(t, "s1", "s2")
+	b.take(0, 1)
+	first := b.went(Ran{Failed: true})
+	if second := b.went(Ran{Failed: true}); second.Forward.Instance == first.Forward.Instance {
+		t.Fatalf("both went to %s", first.Forward.Instance)
+	}
+	b.went(Ran{Outcome: serverline.Complete, Events: []string{"x"}, LastEvent: 1})
+	b.only(daybook.StatusOK, "x")
+}
+
+// An item that is parked and handed over again keeps its attempts and events.
+func TestAParkedItemKeepsWhatItHas(t *testing.T) {
+	b := newBench(t, "s")
+	allowed := true
+	b.allowed = func(int, string, int, sundial.Micros) bool { return allowed }
+	b.take(0, 1)
+	b.went(Ran{Failed: true, Events: []string{"e1"}, LastEvent: 1})
+	allowed, b.now = false, b.now+5*sundial.Second
+	if runs := b.runs(); len(runs) != 0 || len(b.parked) != 1 {
+		t.Fatalf("%d runs without a lease, %d parked", len(runs), len(b.parked))
+	}
+	allowed = true
+	b.take(0, 1)
+	if run := b.went(Ran{Failed: true}); run.Forward.Resume != 1 {
+		t.Fatalf("it goes on after %d", run.Forward.Resume)
+	}
+	b.none()
+	b.went(Ran{Failed: true, Why: "500"})
+	b.only(daybook.StatusFailed, "its attempts have failed: 500")
+}
+
+// An item that is too old is listed as failed wherever it waits, but not while a
+// server has it; another plan may give it longer, or less.
+func TestAnItemThatIsTooOldIsListedFailed(t *testing.T) {
+	waits := map[string]func(*bench){
+		"in the backlog": func(*bench) {},
+		"parked":         func(b *bench) { b.d.Close(b.now) },
+		"in the backlog under a newer plan": func(b *bench) {
+			b.plan(2, planbook.Forward{Keep: 24 * hour})
+		},
+	}
+	for name, where := range waits {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			if b.take(0, 9); b.Open() != 1 {
+				t.Fatal("it does not wait")
+			}
+			where(b)
+			b.now += 24 * hour
+			b.ClockEvent(b.now)
+			b.none()
+			b.now += sundial.Second
+			b.ClockEvent(b.now)
+			b.only(daybook.StatusFailed, late)
+			if got := b.Waiting("r"); got != 0 {
+				t.Fatalf("%d wait still", got)
+			}
+		})
+	}
+	t.Run("on a server", func(t *testing.T) {
+		b := newBench(t, "s")
+		b.take(0, 9)
+		run := b.run()
+		b.now += 25 * hour
+		b.ClockEvent(b.now)
+		b.none()
+		b.Went(Ran{Token: run.Token, Outcome: serverline.NotStarted}, b.now)
+		b.only(daybook.StatusFailed, late)
+	})
+	t.Run("kept for good", func(t *testing.T) {
+		b := newBench(t)
+		b.take(0, 9)
+		b.plan(2, planbook.Forward{})
+		b.now += 1000 * hour
+		b.ClockEvent(b.now)
+		b.none()
+	})
+}
+
+// An item whose route is gone, or passes nothing on any more, is listed as failed.
+func TestAnItemWithoutItsRouteIsListedFailed(t *testing.T) {
+	for name, routes := range map[string][]planbook.Route{"gone": nil, "another": {{Name: "r", Kind: planbook.Bundle}}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.take(0, 9)
+			plan := &planbook.Plan{Version: 2, Routes: routes}
+			plan.Index()
+			b.d.SetPlan(plan, b.now)
+			b.now += 2 * sundial.Second
+			b.ClockEvent(b.now)
+			b.only(daybook.StatusFailed, gone)
+		})
+	}
+}
+
+// Items do not wait behind one that can't start, and start in the order they came.
+func TestItemsDoNotWaitBehindOneThatCantStart(t *testing.T) {
+	b := newBench(t, "s1", "s2")
+	b.take(0, 1)
+	first := b.run()
+	b.Went(Ran{Token: first.Token, Failed: true}, b.now) // waits for the other server now
+	other := map[string]string{"s1": "s2", "s2": "s1"}[first.Forward.Instance]
+	b.d.SetLoad(other, 1, roster.Load{Running: 40, Sound: true, At: b.now})
+	b.take(1, 1)
+	b.take(2, 1)
+	b.now += 5 * sundial.Second
+	var got []string
+	for _, run := range b.runs() {
+		got = append(got, run.Forward.ID)
+	}
+	if fmt.Sprint(got) != "[i1 i2]" {
+		t.Fatalf("started %v", got)
+	}
+}
