Bundles of requests are handed in, looked at, read and ended without a key

Cause: callers whose requests are passed on carry no key of ours; the route stands for the customer.

ForwardBundle enrols under the caller's own name on a bundle route that passes on; LookAny, PageAny and ItemBody ask by name. A look that no keeper answered is not_ready, since it changed nothing; ending stays outcome_unknown. A caller with a key gets at none of this: a route that passes on is unknown to it, and an item with a request is turned away, which the bundle body's decoder would have let in since items can carry one.

--- a/path/trek/items.go
+++ b/path/trek/items.go
@@ -8,12 +8,14 @@
 	"tuliprudder/ledger/daybook"
 )
 
-// checkItems names every bad item; one bad item turns the whole bundle away.
-func checkItems(items []daybook.Item, most int) error {
+// checkItems names every bad item; one bad item turns the whole bundle away. An
+// item has an input, or where requests are passed on a request; most is 0 where
+// there is no bound.
+func checkItems(items []daybook.Item, most int, forward bool) error {
 	if len(items) == 0 {
 		return mishap.New(mishap.BadInput, "give the bundle at least one item", "the bundle is empty")
 	}
-	if len(items) > most {
+	if most > 0 && len(items) > most {
 		return mishap.New(mishap.TooLarge, "send several bundles", "the bundle has %d items; the route takes %d", len(items), most)
 	}
 	var faults []string
@@ -26,7 +28,14 @@
 			faults = append(faults, fmt.Sprintf("items[%d].id: %q is that of items[%d] as well; give each its own", i, items[i].ID, first))
 		}
 		seen[items[i].ID] = i
-		if item.Input == "" {
+		switch {
+		case forward && (item.Request == nil || item.Input != ""):
+			faults = append(faults, fmt.Sprintf("items[%d].request: is missing, or has an input beside it; give it a request alone", i))
+		case forward && item.Request.Tokens < 0:
+			faults = append(faults, fmt.Sprintf("items[%d].request.tokens: is %d; give it 0 or more", i, item.Request.Tokens))
+		case !forward && item.Request != nil:
+			faults = append(faults, fmt.Sprintf("items[%d].request: this route passes no requests on; give it an input instead", i))
+		case !forward && item.Input == "":
 			faults = append(faults, fmt.Sprintf("items[%d].input: is empty; give it an input", i))
 		}
 		if len(item.ID) > 256 {
--- a/path/trek/trek.go
+++ b/path/trek/trek.go
@@ -74,6 +74,22 @@
 		Caller string
 		Read   reader.Read
 	}
+	// ForwardBundle is a bundle of requests to be passed on, under its own name; no
+	// caller's key comes with it (DESIGN §12).
+	ForwardBundle struct {
+		Route string
+		ID    string
+		Items []daybook.Item
+	}
+	// LookAny asks how such a bundle stands; End ends it.
+	LookAny struct {
+		Bundle string
+		End    bool
+	}
+	// PageAny reads such a bundle's list.
+	PageAny struct{ Read reader.Read }
+	// ItemBody asks for the body of an item of such a bundle that is not listed yet.
+	ItemBody struct{ Bundle, Item string }
 )
 
 // What the shell is told.
@@ -167,6 +183,14 @@
 		t.look(number, ask, now)
 	case Page:
 		t.page(number, ask, now)
+	case ForwardBundle:
+		t.forwardBundle(number, ask, now)
+	case LookAny:
+		t.lookAny(number, ask, now)
+	case PageAny:
+		t.pageAny(number, ask, now)
+	case ItemBody:
+		t.keep(ask.Bundle, func(slot int) any { return keeper.ItemAsk{Slot: slot, Bundle: ask.Bundle, Item: ask.Item} }, lookExpiry, now, t.passOnLook(number))
 	default:
 		return false
 	}
@@ -196,7 +220,7 @@
 // way finds the route and checks that the customer's class may use it.
 func way(plan *planbook.Plan, class *planbook.Class, name string, bundle bool) (*planbook.Route, error) {
 	route, ok := plan.Route(name)
-	if !ok || !route.Classes.Matches(class.Labels) {
+	if !ok || route.Forward != nil || !route.Classes.Matches(class.Labels) {
 		return nil, mishap.New(mishap.UnknownRoute, "name a route that the plan opens to this customer's class", "no route %q for this customer", name)
 	}
 	if bundle != (route.Kind == planbook.Bundle) {
@@ -446,7 +470,7 @@
 		t.answer(call, nil, err)
 		return
 	}
-	if err := checkItems(ask.Items, int(route.MostItems)); err != nil {
+	if err := checkItems(ask.Items, int(route.MostItems), false); err != nil {
 		t.answer(call, nil, err)
 		return
 	}
@@ -481,6 +505,81 @@
 	return func(body any, err error, _ sundial.Micros) { t.answer(call, body, err) }
 }
 
+// lookExpiry is how long a keeper may take to say how things stand.
+const lookExpiry = 2 * sundial.Second
+
+// passOnLook hands on the answer to a question that changes nothing: where none
+// came, asking again is always safe.
+func (t *Trek) passOnLook(call uint64) stride.Back {
+	return func(body any, err error, _ sundial.Micros) {
+		if err != nil && mishap.Of(err).Kind == mishap.OutcomeUnknown {
+			err = mishap.Later(mishap.NotReady, sundial.Second, "ask again; nothing was changed", "the keeper gave no answer: %v", err)
+		}
+		t.answer(call, body, err)
+	}
+}
+
+// forwardBundle takes a bundle of requests in, as handIn does one of inputs. Its
+// route stands for the customer.
+func (t *Trek) forwardBundle(call uint64, ask ForwardBundle, now sundial.Micros) {
+	plan := t.dispatch.Plan()
+	if plan == nil {
+		t.answer(call, nil, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started", "no plan has arrived yet"))
+		return
+	}
+	route, _ := plan.Route(ask.Route)
+	if route == nil || route.Forward == nil || route.Kind != planbook.Bundle {
+		t.answer(call, nil, mishap.New(mishap.UnknownRoute, "name a route of the plan in force that passes bundles on", "the plan passes no bundles on by a route %q", ask.Route))
+		return
+	}
+	err := nameOf(ask.ID)
+	if err == nil {
+		err = checkItems(ask.Items, int(route.MostItems), true)
+	}
+	if err != nil {
+		t.answer(call, nil, err)
+		return
+	}
+	words := []string{route.Name}
+	for _, item := range ask.Items {
+		words = append(words, item.ID, string(item.Request.Body))
+	}
+	t.keep(ask.ID, func(slot int) any {
+		return keeper.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: daybook.Bundle{ID: ask.ID, Customer: route.Name, Hash: daybook.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
+	}, t.set.Commit+sundial.Second, now, t.passOn(call))
+}
+
+func nameOf(bundle string) error {
+	if bundle == "" || len(bundle) > 256 {
+		return mishap.New(mishap.BadInput, "use a name of at most 256 bytes", "the bundle's name is missing or too long")
+	}
+	return nil
+}
+
+func (t *Trek) lookAny(call uint64, ask LookAny, now sundial.Micros) {
+	if ask.End {
+		t.keep(ask.Bundle, func(slot int) any {
+			return keeper.EndAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true, Expiry: t.set.Commit}
+		}, t.set.Commit+sundial.Second, now, t.passOn(call))
+		return
+	}
+	t.keep(ask.Bundle, func(slot int) any { return keeper.StatusAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true} }, lookExpiry, now, t.passOnLook(call))
+}
+
+// pageAny reads one bundle: without a customer there is no feed.
+func (t *Trek) pageAny(call uint64, ask PageAny, now sundial.Micros) {
+	if err := nameOf(ask.Read.Bundle); err != nil {
+		t.answer(call, nil, err)
+		return
+	}
+	if ask.Read.From < 0 {
+		t.answer(call, nil, mishap.New(mishap.BadInput, "count from 0", "the list has no row %d", ask.Read.From))
+		return
+	}
+	ask.Read.Customer, ask.Read.Anyone = "", true
+	t.reader.Start(ask.Read, now, func(page reader.Page, err error, _ sundial.Micros) { t.answer(call, page, err) })
+}
+
 // look asks a bundle's keeper how it stands, or ends it.
 func (t *Trek) look(call uint64, ask Look, now sundial.Micros) {
 	_, customer, _, err := t.caller(ask.Caller)
@@ -494,7 +593,7 @@
 		}, t.set.Commit+sundial.Second, now, t.passOn(call))
 		return
 	}
-	t.keep(ask.Bundle, func(slot int) any { return keeper.StatusAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name} }, 2*sundial.Second, now, t.passOn(call))
+	t.keep(ask.Bundle, func(slot int) any { return keeper.StatusAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name} }, lookExpiry, now, t.passOn(call))
 }
 
 func (t *Trek) page(call uint64, ask Page, now sundial.Micros) {
@@ -503,6 +602,6 @@
 		t.answer(call, nil, err)
 		return
 	}
-	ask.Read.Customer = customer.Name
+	ask.Read.Customer, ask.Read.Anyone = customer.Name, false
 	t.reader.Start(ask.Read, now, func(page reader.Page, err error, _ sundial.Micros) { t.answer(call, page, err) })
 }
--- /dev/null
+++ b/path/trek/trek_test.go
@@ -0,0 +1,165 @@
+package trek
+
+import (
+	"encoding/json"
+	"testing"
+
+	"tuliprudder/core/chart"
+	"tuliprudder/core/planbook"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/waypost"
+	"tuliprudder/path/dispatch"
+	"tuliprudder/path/guestbook"
+	"tuliprudder/path/reader"
+)
+
+// bench is an edge's orders with one slot, whose keeper is the test.
+type bench struct {
+	*Trek
+	t    *testing.T
+	wire *stride.Wire
+	now  sundial.Micros
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, wire: stride.NewWire(), now: sundial.Second}
+	d, r := dispatch.New(dispatch.Defaults(), 1), reader.New(b.wire)
+	plan := &planbook.Plan{Version: 3, Classes: []planbook.Class{{Name: "a", Rank: 1, Allowance: 9}}, Customers: []planbook.Customer{{Name: "c", Key: "k", Class: "a"}},
+		Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{}}, {Name: "live", Kind: planbook.OneShot, Forward: &planbook.Forward{}},
+			{Name: "chat", Kind: planbook.Bundle, Classes: planbook.Selector{}, MostItems: 9}}}
+	plan.Index()
+	d.SetPlan(plan, b.now)
+	m, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: []tether.Pairing{{Epoch: 1}}})
+	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: 5, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
+	r.Hear(stride.Rumour{Key: chart.MapKey, Seq: 1, Value: m}, b.now)
+	r.Hear(stride.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
+	b.Trek = New(Defaults(), b.wire, d, nil, r, guestbook.New(1))
+	return b
+}
+
+// hand hands an ask in: what the keeper is asked, or what was answered at once.
+func (b *bench) hand(body any) (*stride.Ask, *stride.Answer) {
+	b.t.Helper()
+	if !b.Call(1, body, b.now) {
+		b.t.Fatalf("%T is not for the orders", body)
+	}
+	return b.effects()
+}
+
+func (b *bench) effects() (ask *stride.Ask, answer *stride.Answer) {
+	for _, effect := range b.wire.Drain() {
+		switch e := effect.(type) {
+		case stride.Ask:
+			ask = &e
+		case stride.Answer:
+			answer = &e
+		}
+	}
+	return ask, answer
+}
+
+func (b *bench) refused(kind mishap.Kind, body any) {
+	b.t.Helper()
+	if ask, answer := b.hand(body); ask != nil || answer == nil || !mishap.Is(answer.Err, kind) {
+		b.t.Fatalf("%T: asked %+v, answered %+v, not %s", body, ask, answer, kind)
+	}
+}
+
+func requests(bodies ...string) (items []daybook.Item) {
+	for _, body := range bodies {
+		items = append(items, daybook.Item{Request: &daybook.Request{Target: "/x", Body: []byte(body)}})
+	}
+	return items
+}
+
+// A bundle of requests is enrolled under its own name for its route, and another
+// body under the same name has another hash.
+func TestABundleOfRequestsIsEnrolledForItsRoute(t *testing.T) {
+	b := newBench(t)
+	hashes := map[string]bool{}
+	for _, bodies := range [][]string{{"x", "y"}, {"x", "y"}, {"x", "z"}} {
+		ask, _ := b.hand(ForwardBundle{Route: "r", ID: "mine", Items: requests(bodies...)})
+		if ask == nil || ask.To != "keeper" {
+			t.Fatalf("asked %+v", ask)
+		}
+		bundle := ask.Body.(keeper.EnrolAsk).Bundle
+		if bundle.ID != "mine" || bundle.Customer != "r" || bundle.Route != "r" || bundle.Key != "" || bundle.Plan != 3 || len(bundle.Items) != 2 || bundle.Items[1].ID != "1" {
+			t.Fatalf("%+v", bundle)
+		}
+		hashes[bundle.Hash] = true
+		b.wire.Told(ask.Token, keeper.Receipt{Bundle: "mine"}, nil, b.now)
+		if _, answer := b.effects(); answer == nil || answer.Body.(keeper.Receipt).Bundle != "mine" {
+			t.Fatalf("answered %+v", answer)
+		}
+	}
+	if len(hashes) != 2 {
+		t.Fatalf("%d hashes of two bundles", len(hashes))
+	}
+	b.refused(mishap.UnknownRoute, ForwardBundle{Route: "none", ID: "mine", Items: requests("x")})
+	b.refused(mishap.UnknownRoute, ForwardBundle{Route: "chat", ID: "mine", Items: requests("x")})
+	b.refused(mishap.UnknownRoute, ForwardBundle{Route: "live", ID: "mine", Items: requests("x")})
+	b.refused(mishap.BadInput, ForwardBundle{Route: "r", Items: requests("x")})
+	b.refused(mishap.BadInput, ForwardBundle{Route: "r", ID: "mine", Items: []daybook.Item{{Input: "x"}}})
+}
+
+// A caller with a key does not get at what is passed on unchanged: neither by a
+// route nor by an item.
+func TestCallersWithKeysPassNothingOn(t *testing.T) {
+	b := newBench(t)
+	b.refused(mishap.UnknownRoute, HandIn{Caller: "k", Route: "r", Key: "1", Items: []daybook.Item{{Input: "x"}}})
+	b.refused(mishap.UnknownRoute, Live{Caller: "k", Route: "live", Input: "x"})
+	b.refused(mishap.BadInput, HandIn{Caller: "k", Route: "chat", Key: "1", Items: requests("x")})
+	if ask, answer := b.hand(HandIn{Caller: "k", Route: "chat", Key: "1", Items: []daybook.Item{{Input: "x"}}}); ask == nil {
+		t.Fatalf("a bundle of inputs was turned away: %+v", answer)
+	}
+	ask, _ := b.hand(Page{Caller: "k", Read: reader.Read{Bundle: "one", Anyone: true}})
+	if read := ask.Body.(keeper.ReadAsk); read.Anyone || read.Customer != "c" {
+		t.Fatalf("a caller with a key reads as %+v", read)
+	}
+}
+
+// Without a key a bundle is looked at, ended, read and asked for a body by name.
+// Where no keeper answers a look, that is no word on the bundle.
+func TestABundleWithoutAKeyIsAskedForByItsName(t *testing.T) {
+	b := newBench(t)
+	silence := mishap.New(mishap.OutcomeUnknown, "ask again", "no answer in time")
+	denial := mishap.New(mishap.NotFound, "check the name", "no such bundle")
+	for _, one := range []struct {
+		body   any
+		fits   func(any) bool
+		silent mishap.Kind
+	}{
+		{LookAny{Bundle: "one"}, func(a any) bool {
+			s, ok := a.(keeper.StatusAsk)
+			return ok && s.Bundle == "one" && s.Anyone && !s.Operator
+		}, mishap.NotReady},
+		{LookAny{Bundle: "one", End: true}, func(a any) bool { s, ok := a.(keeper.EndAsk); return ok && s.Bundle == "one" && s.Anyone }, mishap.OutcomeUnknown},
+		{ItemBody{Bundle: "one", Item: "i"}, func(a any) bool { s, ok := a.(keeper.ItemAsk); return ok && s.Bundle == "one" && s.Item == "i" }, mishap.NotReady},
+		{PageAny{Read: reader.Read{Name: "n", Bundle: "one", Indexed: true, From: 4, Customer: "c"}}, func(a any) bool {
+			s, ok := a.(keeper.ReadAsk)
+			return ok && s.Bundle == "one" && s.Anyone && s.Indexed && s.From == 4 && s.Customer == ""
+		}, mishap.NotReady},
+	} {
+		for _, err := range []error{silence, denial} {
+			ask, answer := b.hand(one.body)
+			if ask == nil || !one.fits(ask.Body) {
+				t.Fatalf("%T: asked %+v, answered %+v", one.body, ask, answer)
+			}
+			b.wire.Told(ask.Token, nil, err, b.now)
+			wanted := one.silent
+			if err == denial {
+				wanted = mishap.NotFound
+			}
+			if _, answer := b.effects(); answer == nil || !mishap.Is(answer.Err, wanted) {
+				t.Fatalf("%T: answered %+v, not %s", one.body, answer, wanted)
+			}
+		}
+	}
+	b.refused(mishap.BadInput, PageAny{Read: reader.Read{Indexed: true}})
+	b.refused(mishap.BadInput, PageAny{Read: reader.Read{Bundle: "one", Indexed: true, From: -1}})
+}
