--- a/daemon/muletrack/forward.go
+++ b/daemon/muletrack/forward.go
@@ -16,9 +16,15 @@
 // server that says nothing for so long is taken for lost.
 const itemExpiry = 30 * time.Second
 
-// forward passes an item on to its server unchanged (DESIGN §12.5) and gathers the
+// Forwarder passes opaque items on over a client.
+type Forwarder struct {
+	Client *causeway.Causeway
+	Track  *Track
+}
+
+// Forward passes an item on to its server unchanged (DESIGN §12.5) and gathers the
 // events of its answer; a later try goes on after the last one.
-func (t *Track) forward(ctx context.Context, w runner.Run) (ran runner.Ran) {
+func (f Forwarder) Forward(ctx context.Context, w runner.Run) (ran runner.Ran) {
 	ran = runner.Ran{Token: w.Token, Outcome: serverline.Cut, LastEvent: w.Forward.Resume}
 	ctx, cancel := context.WithTimeout(ctx, itemExpiry)
 	defer cancel()
@@ -28,11 +34,11 @@
 		header.Set(name, value)
 	}
 	request := causeway.Request{Address: w.Request.Address, Instance: w.Forward.Instance, Method: http.MethodPost, Target: item.Target, Host: item.Host,
-		ID: w.Forward.ID, Header: header, Body: item.Body, Deadline: time.Now().Add(itemExpiry)}
+		ID: w.Forward.ID, Header: header, Body: item.Body}
 	if w.Forward.Resume > 0 {
 		request.LastEvent = strconv.Itoa(w.Forward.Resume)
 	}
-	answer, err := t.Client.Do(ctx, request)
+	answer, err := f.Client.Do(ctx, request)
 	if err != nil {
 		ran.Why = err.Error()
 		if causeway.CertaintyOf(err) == causeway.NotWritten {
@@ -51,7 +57,7 @@
 	case answer.Status != http.StatusOK:
 		ran.Why = "the server answered " + strconv.Itoa(answer.Status)
 	default:
-		ran.Outcome, ran.Why = t.gather(w, answer, &ran)
+		ran.Outcome, ran.Why = f.gather(w, answer, &ran)
 		return ran
 	}
 	io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10))
@@ -60,7 +66,7 @@
 
 // gather takes the events of an answer in. One that is out of its order belongs to
 // no run that was asked for.
-func (t *Track) gather(w runner.Run, answer *causeway.Answer, ran *runner.Ran) (serverline.Outcome, string) {
+func (f Forwarder) gather(w runner.Run, answer *causeway.Answer, ran *runner.Ran) (serverline.Outcome, string) {
 	events := causeway.NewEventReader(answer.Body)
 	size := 0
 	for {
@@ -79,7 +85,7 @@
 			return serverline.Cut, "the result is over " + strconv.Itoa(w.MostBytes) + " bytes"
 		}
 		if len(ran.Events) == 0 {
-			t.Tell(runner.Began{Token: w.Token})
+			f.Track.Tell(runner.Began{Token: w.Token})
 		}
 		ran.LastEvent = id
 		ran.Events = append(ran.Events, event.Data)
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -27,12 +27,14 @@
 	EndAsk struct {
 		Slot             int
 		Bundle, Customer string
+		Anyone           bool // see StatusAsk
 		Expiry           sundial.Micros
 	}
 	// StatusAsk asks how a bundle stands.
 	StatusAsk struct {
 		Slot             int
 		Bundle, Customer string
+		Anyone           bool // the caller carries no key: a bundle without one is found by its name alone
 		Operator         bool // of any customer, with its items' servers
 	}
 	// Status is how a bundle stands at its keeper.
@@ -56,17 +58,32 @@
 	ReadAsk struct {
 		Slots            map[int]uint64
 		Bundle, Customer string
+		Anyone           bool // see StatusAsk
 		After            waypost.Vector
 		Bound            map[int]waypost.Vector // by slot
 		Most             int
+		// Indexed reads one bundle's own list by index instead: from From on, as
+		// far as every row before is readable, with at most MostBytes of outputs
+		// (0: no bound) but at least one row where one is readable.
+		Indexed   bool
+		From      int
+		MostBytes int
 	}
 	// Rows answers a read; More when the page was cut.
 	Rows struct {
 		Rows  []daybook.Row
 		State string
-		Items int
+		Items int // all the bundle has, shelved or not
 		More  bool
+		Index int // of the first row in the bundle's list, where it was read by index
 	}
+	// ItemAsk asks for the body of an item, by its id, that is not listed yet.
+	ItemAsk struct {
+		Slot         int
+		Bundle, Item string
+	}
+	// ItemAnswer is that body.
+	ItemAnswer struct{ Body []byte }
 	// ClaimAsk claims a key for a one-shot order.
 	ClaimAsk struct {
 		Slot   int
@@ -138,6 +155,6 @@
 )
 
 func init() {
-	footbridge.Register(EnrolAsk{}, Receipt{}, EndAsk{}, StatusAsk{}, Status{}, ReadAsk{}, Rows{},
+	footbridge.Register(EnrolAsk{}, Receipt{}, EndAsk{}, StatusAsk{}, Status{}, ReadAsk{}, Rows{}, ItemAsk{}, ItemAnswer{},
 		ClaimAsk{}, ClaimAnswer{}, SettleAsk{}, Settled{}, ShowAsk{}, Shown{}, Beat{}, Welcome{}, Unwelcome{})
 }
--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -8,6 +8,7 @@
 	"tuliprudder/kernel/sundial"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/waypost"
 )
 
 // Call is an ask that came in; its answer carries the number.
@@ -28,6 +29,8 @@
 	case ReadAsk:
 		k.Reads++
 		k.read(c.Number, ask, now)
+	case ItemAsk:
+		k.item(c.Number, ask, now)
 	case ClaimAsk:
 		k.claim(c.Number, ask, now)
 	case SettleAsk:
@@ -122,9 +125,11 @@
 	return count
 }
 
-func (k *Keeper) bundle(call uint64, p *place, id, customer string) (*daybook.Bundle, bool) {
+// bundle finds a customer's bundle. Anyone finds one that was handed in without a
+// key, by its name; a customer's stays its own.
+func (k *Keeper) bundle(call uint64, p *place, id, customer string, anyone bool) (*daybook.Bundle, bool) {
 	found := p.state.Bundles[id]
-	if found == nil || found.Customer != customer {
+	if found == nil || !(anyone && found.Key == "") && found.Customer != customer {
 		k.fail(call, mishap.New(mishap.NotFound, "check the bundle's name and the customer's key", "no bundle %s of this customer", id))
 		return nil, false
 	}
@@ -136,7 +141,7 @@
 	if !ok {
 		return
 	}
-	bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer)
+	bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer, ask.Anyone)
 	if !ok {
 		return
 	}
@@ -167,7 +172,7 @@
 	if known := p.state.Bundles[ask.Bundle]; ask.Operator && known != nil {
 		ask.Customer = known.Customer
 	}
-	if bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer); ok {
+	if bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer, ask.Anyone); ok {
 		status := k.statusOf(p, rope, bundle)
 		if ask.Operator {
 			for _, row := range k.rows(bundle, func(int) int64 { return 0 }) {
@@ -179,6 +184,22 @@
 	}
 }
 
+// item answers with the body of an item that may still run; once it is listed, or
+// its bundle has ended, the body is let go.
+func (k *Keeper) item(call uint64, ask ItemAsk, now sundial.Micros) {
+	p, _, ok := k.serving(call, ask.Slot, now)
+	if !ok {
+		return
+	}
+	if found := p.state.Bundles[ask.Bundle]; found != nil {
+		if item, waits := found.Waiting(ask.Item); waits && item.Request != nil {
+			k.Emit(stride.Answer{Call: call, Body: ItemAnswer{Body: item.Request.Body}})
+			return
+		}
+	}
+	k.fail(call, mishap.New(mishap.NotFound, "nothing to do: it has its result, its bundle has ended, or there never was such an item", "no item %s of bundle %s waits", ask.Item, ask.Bundle))
+}
+
 // read answers "all rows after the token", within the reader's bounds. The
 // slots' epochs have to be the reader's: a deposed keeper would leave rows out.
 func (k *Keeper) read(call uint64, ask ReadAsk, now sundial.Micros) {
@@ -199,11 +220,15 @@
 			return
 		}
 		if ask.Bundle != "" {
-			bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer)
+			bundle, ok := k.bundle(call, p, ask.Bundle, ask.Customer, ask.Anyone)
 			if !ok {
 				return
 			}
-			k.collect(bundle, ask, slot, upTo, &out)
+			if ask.Indexed {
+				k.list(bundle, ask, slot, upTo, &out)
+			} else {
+				k.collect(bundle, ask, slot, upTo, &out)
+			}
 			out.State = string(bundle.State)
 			out.Items, _ = bundle.Counts()
 			if k.hidden(bundle, ask, slot, upTo) {
@@ -217,8 +242,10 @@
 			}
 		}
 	}
-	sort.SliceStable(out.Rows, func(i, j int) bool { return out.Rows[i].Position < out.Rows[j].Position })
-	if ask.Most > 0 && len(out.Rows) > ask.Most {
+	if !ask.Indexed { // a list read by index is in its own order, and cut already
+		sort.SliceStable(out.Rows, func(i, j int) bool { return out.Rows[i].Position < out.Rows[j].Position })
+	}
+	if !ask.Indexed && ask.Most > 0 && len(out.Rows) > ask.Most {
 		out.Rows, out.More = out.Rows[:ask.Most], true
 	}
 	k.Emit(stride.Answer{Call: call, Body: out})
@@ -235,20 +262,52 @@
 		return false
 	}
 	for _, row := range bundle.Rows {
-		if row.Position > ask.Bound[slot][row.Writer] || (row.Writer == k.writer && row.Position > upTo) {
+		if !k.readable(row, ask.Bound[slot], upTo) {
 			return true
 		}
 	}
 	return false
 }
 
+// readable tells whether the reader may have a row: it never reads past the last
+// position it has seen of a writer.
+func (k *Keeper) readable(row daybook.Row, bound waypost.Vector, upTo int64) bool {
+	return row.Position <= bound[row.Writer] && (row.Writer != k.writer || row.Position <= upTo)
+}
+
+// list reads a bundle's list from an index on: an index stays the same row's for
+// good, so it stops at the first row that the reader may not have yet.
+func (k *Keeper) list(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
+	from := max(0, ask.From)
+	out.Index = from
+	if _, count := bundle.Counts(); from >= count {
+		return
+	}
+	rows := bundle.Rows
+	if bundle.Shelved != nil {
+		rows = k.whole(bundle).Rows
+	}
+	size := 0
+	for i, row := range rows {
+		if !k.readable(row, ask.Bound[slot], upTo) {
+			return
+		}
+		if i < from {
+			continue
+		}
+		size += len(row.Output)
+		if n := len(out.Rows); ask.Most > 0 && n >= ask.Most || ask.MostBytes > 0 && n > 0 && size > ask.MostBytes {
+			out.More = true
+			return
+		}
+		out.Rows = append(out.Rows, row)
+	}
+}
+
 func (k *Keeper) collect(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
 	bound := ask.Bound[slot]
 	for _, row := range k.rows(bundle, func(writer int) int64 { return ask.After[writer] }) {
-		if row.Writer == k.writer && row.Position > upTo {
-			continue
-		}
-		if row.Position > ask.After[row.Writer] && row.Position <= bound[row.Writer] {
+		if row.Position > ask.After[row.Writer] && k.readable(row, bound, upTo) {
 			out.Rows = append(out.Rows, row)
 		}
 	}
--- a/ledger/keeper/keeper_test.go
+++ b/ledger/keeper/keeper_test.go
@@ -1,29 +1,294 @@
 package keeper
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 
+	"tuliprudder/core/chart"
+	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/waypost"
 )
 
-type noShelf struct{}
-
-func (noShelf) Get(uint64, string) ([]byte, error) { return nil, nil }
-func (noShelf) Held() []uint64                     { return nil }
-func (noShelf) Top() uint64                        { return 0 }
-
-// A store tells the cores the operator's name of its machine.
-func TestABeatCarriesTheName(t *testing.T) {
-	k := New(Self{ID: "s", Zone: "z", Peer: "p", Life: 1, Name: "machine"}, Defaults(), nil, noShelf{})
-	k.Do(Cairns{Peers: []string{"c"}}, 1000)
-	told := false
-	for _, effect := range k.Do(ClockEvent{}, 1_000_000) {
-		if send, ok := effect.(stride.Send); ok {
-			beat, ok := send.Body.(Beat)
-			told = told || ok && beat.Name == "machine" && beat.ID == "s"
+// shelf is a shelf in memory.
+type shelf map[uint64][]stride.Record
+
+func (s shelf) Get(file uint64, unit string) ([]byte, error) {
+	for _, record := range s[file] {
+		if record.Unit == unit {
+			return record.Body, nil
+		}
+	}
+	return nil, fmt.Errorf("nothing of %s in file %d", unit, file)
+}
+
+func (s shelf) Held() []uint64 { return nil }
+func (s shelf) Top() uint64    { return 0 }
+
+// bench is a pair of keepers that serves the one slot there is; the disks sync at
+// once unless held.
+type bench struct {
+	t       *testing.T
+	now     sundial.Micros
+	keepers map[string]*Keeper
+	shelves map[string]shelf
+	held    bool // a's disk and wire hold everything back
+	kept    []func()
+	answers map[uint64]stride.Answer
+	orders  []any
+	said    waypost.Announcement
+	call    uint64
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, now: sundial.Second, keepers: map[string]*Keeper{}, shelves: map[string]shelf{}, answers: map[uint64]stride.Answer{}}
+	for _, id := range []string{"a", "b"} {
+		b.shelves[id] = shelf{}
+		b.keepers[id] = New(Self{ID: id, Zone: id, Peer: id, Life: 1}, Defaults(), nil, b.shelves[id])
+	}
+	b.do("a", Letter{Body: Welcome{Fleet: "f", Writer: 1}})
+	b.do("b", Letter{Body: Welcome{Fleet: "f", Writer: 2}})
+	for seq, complete := range []bool{false, true} {
+		m := chart.Map{Fleet: "f", Seq: uint64(seq + 1), Stores: map[string]chart.Store{"a": {Peer: "a"}, "b": {Peer: "b"}},
+			Slots: []tether.Pairing{{Epoch: 1, Owner: tether.Member{ID: "a", Life: 1}, Backup: tether.Member{ID: "b", Life: 1}, Complete: complete}}}
+		value, _ := json.Marshal(m)
+		for _, id := range []string{"a", "b"} {
+			b.do(id, News{Rumour: stride.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}})
+		}
+		b.pass(sundial.Second)
+	}
+	return b
+}
+
+func (b *bench) do(id string, command Command) {
+	for _, effect := range b.keepers[id].Do(command, b.now) {
+		b.carry(id, effect)
+	}
+}
+
+func (b *bench) carry(id string, effect stride.Effect) {
+	if b.held && id == "a" {
+		switch effect.(type) {
+		case stride.Store, stride.Shelve, stride.Send:
+			b.kept = append(b.kept, func() { b.carry(id, effect) })
+			return
+		}
+	}
+	switch e := effect.(type) {
+	case stride.Store:
+		b.do(id, Stored{Token: e.Token})
+	case stride.Shelve:
+		b.shelves[id][e.File] = e.Records
+		b.do(id, Stored{Token: e.Token})
+	case stride.Send:
+		if b.keepers[e.To] != nil {
+			b.do(e.To, Letter{From: id, Body: e.Body})
+		}
+	case stride.Answer:
+		b.answers[e.Call] = e
+	case stride.Work:
+		b.orders = append(b.orders, e.Order)
+	case stride.Publish:
+		if id == "a" {
+			json.Unmarshal(e.Rumour.Value, &b.said)
+		}
+	}
+}
+
+// pass lets time go by.
+func (b *bench) pass(span sundial.Micros) {
+	for end := b.now + span; b.now < end; b.now += 50 * sundial.Millisecond {
+		b.do("a", ClockEvent{})
+		b.do("b", ClockEvent{})
+	}
+}
+
+func (b *bench) ask(body any) (any, error) {
+	b.call++
+	b.do("a", Call{Number: b.call, Body: body})
+	answer := b.answers[b.call]
+	return answer.Body, answer.Err
+}
+
+func (b *bench) must(body any) any {
+	b.t.Helper()
+	answer, err := b.ask(body)
+	if err != nil || answer == nil {
+		b.t.Fatalf("%T: %v %v", body, answer, err)
+	}
+	return answer
+}
+
+func (b *bench) refused(kind mishap.Kind, body any) {
+	b.t.Helper()
+	if answer, err := b.ask(body); !mishap.Is(err, kind) {
+		b.t.Fatalf("%T %+v: %v %v, not %s", body, body, answer, err, kind)
+	}
+}
+
+// lot is a bundle of opaque items, handed in without a key.
+func lot(id string, items int) EnrolAsk {
+	bundle := daybook.Bundle{ID: id, Customer: "route", Hash: "h", Route: "route"}
+	for i := 0; i < items; i++ {
+		bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprint("i", i), Request: &daybook.Request{Target: "/x", Host: "h",
+			Header: map[string]string{"n": "v"}, Body: []byte(fmt.Sprint("body ", i)), Tokens: int64(10 + i)}})
+	}
+	return EnrolAsk{Bundle: bundle, Expiry: sundial.Second}
+}
+
+// An opaque item reaches the path whole; its body is let go once it is listed or
+// its bundle has ended, what it counts for stays, and a run under way keeps it.
+func TestBodiesGoOnceNobodyNeedsThem(t *testing.T) {
+	b := newBench(t)
+	b.must(lot("one", 2))
+	b.must(lot("two", 1))
+	var first ItemOrder
+	for _, order := range b.orders {
+		if item, ok := order.(ItemOrder); ok && item.Bundle == "one" && item.Item == 0 {
+			first = item
+		}
+	}
+	if first.ItemID != "i0" || first.Request == nil || string(first.Request.Body) != "body 0" {
+		t.Fatalf("the path was told %+v", first)
+	}
+	if got := b.must(ItemAsk{Bundle: "one", Item: "i0"}).(ItemAnswer); string(got.Body) != "body 0" {
+		t.Fatalf("the body is %q", got.Body)
+	}
+	b.do("a", Ran{Bundle: "one", Item: 0, Status: daybook.StatusOK, Output: "x"})
+	b.must(EndAsk{Bundle: "two", Anyone: true, Expiry: sundial.Second})
+	for _, k := range b.keepers {
+		for _, id := range []string{"one", "two"} {
+			request := k.place(Unit(0)).state.Bundles[id].Items[0].Request
+			if len(request.Body)+len(request.Header) > 0 || request.Tokens != 10 {
+				t.Fatalf("%s at %s keeps %+v", id, k.self.ID, request)
+			}
 		}
 	}
-	if !told {
-		t.Fatal("no beat carries the name")
+	if string(first.Request.Body) != "body 0" {
+		t.Fatal("a run under way lost its body")
+	}
+	for _, ask := range []ItemAsk{{Bundle: "one", Item: "i0"}, {Bundle: "two", Item: "i0"}, {Bundle: "one", Item: "i9"}, {Bundle: "three", Item: "i0"}} {
+		b.refused(mishap.NotFound, ask)
+	}
+	if got := b.must(ItemAsk{Bundle: "one", Item: "i1"}).(ItemAnswer); string(got.Body) != "body 1" {
+		t.Fatalf("the body is %q", got.Body)
+	}
+	if again := b.must(lot("one", 2)).(Receipt); !again.Repeated || again.Items != 2 {
+		t.Fatalf("handed in again: %+v", again)
+	}
+}
+
+// Without a fresh lease a keeper does not deny an item: its successor may have it.
+func TestAnItemIsDeniedOnlyUnderALease(t *testing.T) {
+	b := newBench(t)
+	b.refused(mishap.NotFound, ItemAsk{Bundle: "one", Item: "i0"})
+	b.now += 10 * sundial.Second
+	b.refused(mishap.NotReady, ItemAsk{Bundle: "one", Item: "i0"})
+}
+
+// A bundle without a key is anyone's who knows its name; a customer's stays its own.
+func TestAnyoneFindsWhatWasHandedInWithoutAKey(t *testing.T) {
+	b := newBench(t)
+	b.must(lot("one", 1))
+	mine := lot("mine", 1)
+	mine.Bundle.Customer, mine.Bundle.Key = "c", "k"
+	b.must(mine)
+	b.refused(mishap.NotFound, StatusAsk{Bundle: "one"})
+	if status := b.must(StatusAsk{Bundle: "one", Anyone: true}).(Status); status.Items != 1 {
+		t.Fatalf("it stands so: %+v", status)
+	}
+	b.must(ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "one", Anyone: true})
+	b.refused(mishap.NotFound, StatusAsk{Bundle: "mine", Anyone: true})
+	b.refused(mishap.NotFound, EndAsk{Bundle: "mine", Anyone: true, Expiry: sundial.Second})
+	b.refused(mishap.NotFound, ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "mine", Anyone: true})
+	b.must(StatusAsk{Bundle: "mine", Customer: "c"})
+}
+
+// list reads by index and checks where the page begins.
+func (b *bench) list(from int, change func(*ReadAsk)) Rows {
+	b.t.Helper()
+	ask := ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "one", Anyone: true, Indexed: true, From: from,
+		Bound: map[int]waypost.Vector{0: {1: b.said.UpTo}}}
+	if change != nil {
+		change(&ask)
+	}
+	rows := b.must(ask).(Rows)
+	if rows.Index != from {
+		b.t.Fatalf("asked from %d, the page begins at %d", from, rows.Index)
+	}
+	return rows
+}
+
+func (r Rows) ids() (out string) {
+	for _, row := range r.Rows {
+		out += row.ItemID + " "
+	}
+	return out
+}
+
+// A list is read by index: in the order of its rows, cut by count and by bytes,
+// never past what the reader has seen or what has finished, and the same from the
+// shelf.
+func TestAListIsReadByIndex(t *testing.T) {
+	b := newBench(t)
+	b.must(lot("one", 4))
+	for _, item := range []int{2, 0, 3} {
+		b.do("a", Ran{Bundle: "one", Item: item, Status: daybook.StatusOK, Output: "12345"})
+	}
+	b.pass(sundial.Second)
+	if got := b.list(0, nil); got.ids() != "i2 i0 i3 " || got.More || got.Items != 4 || got.State != string(daybook.Open) {
+		t.Fatalf("%+v", got)
+	}
+	if got := b.list(1, func(a *ReadAsk) { a.Most = 1 }); got.ids() != "i0 " || !got.More {
+		t.Fatalf("one row: %+v", got)
+	}
+	if got := b.list(0, func(a *ReadAsk) { a.MostBytes = 11 }); got.ids() != "i2 i0 " || !got.More {
+		t.Fatalf("11 bytes: %+v", got)
+	}
+	if got := b.list(1, func(a *ReadAsk) { a.MostBytes = 1 }); got.ids() != "i0 " || !got.More {
+		t.Fatalf("at least one row: %+v", got)
+	}
+	if got := b.list(3, nil); got.ids() != "" || got.More || got.State != string(daybook.Open) {
+		t.Fatalf("at the end: %+v", got)
+	}
+	// The reader has seen the writer only up to the second row.
+	seen := b.said.UpTo - 1
+	short := func(a *ReadAsk) { a.Bound[0] = waypost.Vector{1: seen} }
+	if got := b.list(0, short); got.ids() != "i2 i0 " || got.More {
+		t.Fatalf("past the bound: %+v", got)
+	}
+	if got := b.list(2, short); got.ids() != "" {
+		t.Fatalf("past the bound: %+v", got)
+	}
+	// The last row is not on two disks yet, whatever the reader claims to have seen.
+	far := func(a *ReadAsk) { a.Bound[0] = waypost.Vector{1: 1 << 40} }
+	b.held = true
+	b.do("a", Ran{Bundle: "one", Item: 1, Status: daybook.StatusFailed, Output: "no"})
+	if got := b.list(2, far); got.ids() != "i3 " || got.State != string(daybook.Open) {
+		t.Fatalf("past what has finished: %+v", got)
+	}
+	b.held = false
+	for _, do := range b.kept {
+		do()
+	}
+	// Settled and shelved: the same list, and an end that is told at once.
+	b.pass(3 * sundial.Second)
+	if b.keepers["a"].Shelved != 1 {
+		t.Fatal("the bundle was not shelved")
+	}
+	if got := b.list(1, short); got.ids() != "i0 " || got.State != string(daybook.Open) || got.Items != 4 {
+		t.Fatalf("from the shelf past the bound: %+v", got)
+	}
+	got := b.list(1, nil)
+	if got.ids() != "i0 i3 i1 " || got.State != string(daybook.Done) || got.Items != 4 || got.Rows[2].Status != daybook.StatusFailed {
+		t.Fatalf("from the shelf: %+v", got)
+	}
+	if got := b.list(4, nil); got.ids() != "" || got.State != string(daybook.Done) || got.Items != 4 {
+		t.Fatalf("the shelf's end: %+v", got)
 	}
 }
--- a/path/causeway/causeway.go
+++ b/path/causeway/causeway.go
@@ -391,3 +391,12 @@
 	}
 	return nil
 }
+
+// CertaintyOf is what an error of Do makes certain.
+func CertaintyOf(err error) Certainty {
+	var fault *Fault
+	if errors.As(err, &fault) {
+		return fault.Certainty
+	}
+	return Unknown
+}
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -48,6 +48,7 @@
 	Route    *planbook.Route
 	Rank     int64
 	Bundle   bool
+	Weight   int // what it counts for while it waits; 0 counts as 1
 	Prefix   string
 	Expiry   sundial.Micros // 0: none
 	Avoid    map[string]int // servers that turned it away
@@ -121,7 +122,7 @@
 	servers  map[string]*state
 	backlogs map[int64]map[*planbook.Route]*list.List // by level, then by route
 	expiries expiries                                 // those that expire, the next one first
-	waiting  map[string]int                           // by customer
+	waiting  map[string]int                           // weights, by customer
 	count    int
 	seq      uint64
 	prefixes map[uint64]string
@@ -179,7 +180,9 @@
 	if route == nil || !o.Bundle && (class == nil || !route.Classes.Matches(class.Labels)) {
 		return mishap.New(mishap.UnknownRoute, "name a route that the plan opens to this customer's class", "the plan in force has no route %q for this customer any more; the order did not run and will not", o.Route.Name)
 	}
-	if o.Route = route; class != nil {
+	// Where requests are passed on there are no customers, though one may be named
+	// like the route.
+	if o.Route = route; class != nil && route.Forward == nil {
 		o.Rank = class.Rank
 	}
 	return nil
@@ -269,7 +272,7 @@
 	return out, waiting
 }
 
-// Waiting is how much of a customer's work waits here.
+// Waiting is how much of a customer's work waits here, by weight.
 func (d *Dispatch) Waiting(customer string) int {
 	return d.waiting[customer]
 }
@@ -319,6 +322,8 @@
 	return max(0, len(d.levels)-1-at)
 }
 
+func (o *Order) weight() int { return max(1, o.Weight) }
+
 func levelOf(o *Order) int64 {
 	if o.Bundle {
 		return 2 * o.Rank
@@ -363,7 +368,7 @@
 		heap.Push(&d.expiries, o)
 	}
 	d.count++
-	d.waiting[o.Customer]++
+	d.waiting[o.Customer] += o.weight()
 	d.stirred = true
 }
 
@@ -408,7 +413,7 @@
 	}
 	o.gone = true
 	d.count--
-	if d.waiting[o.Customer]--; d.waiting[o.Customer] <= 0 {
+	if d.waiting[o.Customer] -= o.weight(); d.waiting[o.Customer] <= 0 {
 		delete(d.waiting, o.Customer)
 	}
 }
@@ -578,15 +583,19 @@
 	}
 	sort.Strings(names)
 	wish := judges.Wish{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
+	avoid := o.Avoid
+	if o.Bundle && len(avoid) > 0 && !d.elsewhere(o, names) {
+		avoid = nil // what was accepted rather goes where it failed than nowhere
+	}
 	var best []string
 	var bestMarks []judges.Mark
 	top := -1.0
 	for _, name := range names {
 		s := d.servers[name]
-		if !d.serves(o, s.server.Labels) || o.Avoid[name] >= 3 {
+		if !d.serves(o, s.server.Labels) || avoid[name] >= 3 {
 			continue
 		}
-		sound := s.failures < 3 && (s.load.At == 0 || s.load.Sound)
+		sound := s.sound()
 		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
 			Limit: limit, Leaving: s.server.Leaving && !d.Blind, Sound: sound, Prefix: held == name,
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now}
@@ -627,6 +636,19 @@
 	return d.plan.Serves(o.Route, labels)
 }
 
+func (s *state) sound() bool { return s.failures < 3 && (s.load.At == 0 || s.load.Sound) }
+
+// elsewhere tells whether there is a sound server for an order besides those it
+// avoids; one that is full or rests counts, for it will take orders again.
+func (d *Dispatch) elsewhere(o *Order, names []string) bool {
+	for _, name := range names {
+		if s := d.servers[name]; o.Avoid[name] < 3 && s.sound() && !s.server.Leaving && d.serves(o, s.server.Labels) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatch) remember(prefix uint64, server string) {
 	if _, known := d.prefixes[prefix]; !known {
 		d.prefixed.PushBack(prefix)
