Any odd number of cores founds; an empty core and an empty store take over sooner

Cause: founding demanded exactly three empty cores, so a fourth that came early stopped it; a seat passed on after one silence whoever waited for it; and the slots of a store whose disk was replaced waited for its silence, which a late beat made longer. Conclusion: Founders says how many found, all of them grant, and where more are heard those at the seeds do; a witness that hears more grants only those. ReplaceSoon is the silence where an empty core is heard, never below the silence that counts as gone, and by default no shorter than ReplaceAfter. A struck store does not live, and a beat of it is passed over while another lives at its address.

--- a/core/summit/asks.go
+++ b/core/summit/asks.go
@@ -9,7 +9,7 @@
 	"tuliprudder/ledger/tether"
 )
 
-// CoreRef is one of the three core identities.
+// CoreRef is the identity of one core.
 type CoreRef struct {
 	ID   string `json:"id"`
 	Peer string `json:"peer"`
--- a/core/summit/election.go
+++ b/core/summit/election.go
@@ -1,6 +1,8 @@
 package summit
 
 import (
+	"slices"
+
 	"tuliprudder/core/chart"
 	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/stride"
@@ -241,33 +243,63 @@
 // reseat gives the seat of a core that is gone to one that has none: one seat
 // at a time, under an epoch of its own.
 func (s *Summit) reseat(current tether.Pairing, cores []CoreRef, now sundial.Micros) (tether.Pairing, []CoreRef, string) {
+	// An empty core takes a seat sooner than one that had a seat before: nobody waits
+	// for it to come back.
+	wait, heir := s.set.ReplaceAfter, CoreRef{}
+	for _, id := range sortedIDs(s.cores) {
+		heard := s.cores[id]
+		if seat(cores, id) >= 0 || now-heard.at > s.set.CoreSilent {
+			continue
+		}
+		empty := heard.greet.Fleet == "" && heard.greet.Oath.Granted == 0
+		if empty && s.set.ReplaceSoon > 0 && s.set.ReplaceSoon < wait {
+			wait, heir = max(s.set.ReplaceSoon, min(s.set.CoreSilent, wait)), heard.greet.Core
+		} else if heir.ID == "" {
+			heir = heard.greet.Core
+		}
+	}
+	if heir.ID == "" || now-s.serving <= wait {
+		return tether.Pairing{}, nil, ""
+	}
 	gone := -1
 	for i, core := range cores {
 		heard, ok := s.cores[core.ID]
-		if core.ID != s.self.ID && now-s.serving > s.set.ReplaceAfter && (!ok || now-heard.at > s.set.ReplaceAfter) {
+		if core.ID != s.self.ID && (!ok || now-heard.at > wait) {
 			gone = i
 		}
 	}
 	if gone < 0 {
 		return tether.Pairing{}, nil, ""
 	}
+	seats := append([]CoreRef(nil), cores...)
+	seats[gone] = heir
+	next := tether.Pairing{Epoch: current.Epoch + 1, Owner: current.Owner, Backup: current.Backup, Trusted: [2]string{current.Owner.ID, current.Backup.ID}}
+	return next, seats, "a core is gone; its seat passes to " + heir.ID
+}
+
+// founders are the cores that should found a fleet, as this one sees it: all empty
+// cores that are heard, or those at this core's seeds where there are more than it
+// takes. None where they are not as many as it takes (DESIGN §5.1).
+func (s *Summit) founders(now sundial.Micros) []CoreRef {
+	refs := []CoreRef{s.self}
 	for _, id := range sortedIDs(s.cores) {
-		heard := s.cores[id]
-		if seat(cores, id) >= 0 || now-heard.at > s.set.CoreSilent {
-			continue
+		if heard := s.cores[id]; now-heard.at <= s.set.CoreSilent {
+			refs = append(refs, heard.greet.Core)
 		}
-		seats := append([]CoreRef(nil), cores...)
-		seats[gone] = heard.greet.Core
-		next := tether.Pairing{Epoch: current.Epoch + 1, Owner: current.Owner, Backup: current.Backup, Trusted: [2]string{current.Owner.ID, current.Backup.ID}}
-		return next, seats, "a core is gone; its seat passes to " + id
 	}
-	return tether.Pairing{}, nil, ""
+	if len(refs) > s.set.Founders {
+		refs = slices.DeleteFunc(refs, func(ref CoreRef) bool { return !slices.Contains(s.seeds, ref.Peer) })
+	}
+	if len(refs) != s.set.Founders {
+		return nil
+	}
+	return refs
 }
 
-// found begins a fleet: once, and only when three empty cores see each other.
+// found begins a fleet: once, and only when as many empty cores as it takes see
+// each other.
 func (s *Summit) found(now sundial.Micros) {
 	fleet := "f-" + s.self.ID
-	refs := []CoreRef{s.self}
 	for _, id := range sortedIDs(s.cores) {
 		heard := s.cores[id]
 		// A grant of our own founding that came to nothing is asked for again; any
@@ -276,11 +308,9 @@
 		if heard.greet.Fleet != "" && !ours {
 			return
 		}
-		if now-heard.at <= s.set.CoreSilent {
-			refs = append(refs, heard.greet.Core)
-		}
 	}
-	if len(refs) != 3 {
+	refs := s.founders(now)
+	if seat(refs, s.self.ID) < 0 {
 		return
 	}
 	first, second := refs[0], CoreRef{}
@@ -298,7 +328,7 @@
 		}
 	}
 	if second.ID == "" {
-		s.Emit(stride.Explain{What: "can't found: the three cores are in one zone; give them -zone settings that differ"})
+		s.Emit(stride.Explain{What: "can't found: the cores are in one zone; give them -zone settings that differ"})
 		return
 	}
 	pairing := tether.Pairing{Epoch: 1, Owner: tether.Member{ID: s.self.ID, Life: s.life},
@@ -328,6 +358,12 @@
 	case seat(c.Cores, s.self.ID) < 0:
 		return "not a witness of this claim"
 	case s.oath.Fleet == "" && c.Pairing.Epoch == 1 && c.Base == 0:
+		// Where more cores are empty than it takes, their views may differ.
+		for _, ref := range s.founders(now) {
+			if seat(c.Cores, ref.ID) < 0 {
+				return "other cores found the fleet"
+			}
+		}
 		return ""
 	case s.oath.Fleet == "":
 		return "" // given a seat by those who hold the fleet
@@ -380,7 +416,7 @@
 	s.claim.yes[g.From] = g.Oath
 	c := s.claim.claim
 	if s.claim.found {
-		if len(s.claim.yes) < 2 {
+		if len(s.claim.yes) < len(c.Cores)-1 {
 			return
 		}
 	} else if !s.majority(s.claim.yes, c.Cores) || !s.majority(s.claim.yes, s.oath.Sworn) {
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -232,6 +232,9 @@
 		s.Emit(stride.Send{To: from, Body: keeper.Unwelcome{ID: beat.ID, Life: beat.Life, Why: why}})
 		return
 	}
+	if s.replaced(beat.ID, now) {
+		return // a beat that was on its way when its store was replaced
+	}
 	if !ok || heard.beat.Life != beat.Life {
 		heard.first = now
 	}
@@ -269,6 +272,20 @@
 	return ""
 }
 
+// replaced tells whether a store is struck and another one lives at its address.
+func (s *Summit) replaced(id string, now sundial.Micros) bool {
+	store := s.chart.Stores[id]
+	if !store.Struck {
+		return false
+	}
+	for _, other := range s.chart.At(store.Peer) {
+		if _, living := s.storeLife(other, now); living && other != id {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Summit) waiting(match func(chart.Entry) bool) bool {
 	if s.flight != nil && s.flight.entry != nil && match(s.flight.entry) {
 		return true
@@ -309,9 +326,10 @@
 
 // storeLife tells whether a store is living, by its beats and by what the
 // others think of it: silence alone counts only after twice the time.
+// One that is struck is gone at once: its slots are paired anew (DESIGN §3.4).
 func (s *Summit) storeLife(id string, now sundial.Micros) (uint64, bool) {
 	heard, ok := s.stores[id]
-	if !ok {
+	if !ok || s.chart.Stores[id].Struck {
 		return 0, false
 	}
 	silent := now - heard.at
--- a/core/summit/summit.go
+++ b/core/summit/summit.go
@@ -1,7 +1,8 @@
-// Package summit is the machine of a core daemon (DESIGN §5). Three cores: one
-// primary, one backup, and each a witness that keeps only epochs. The state is
+// Package summit is the machine of a core daemon (DESIGN §5). An odd number
+// of cores, three as a rule: one primary, one backup, and each a witness that keeps
+// only epochs. The state is
 // held by one fenced pair, the same as a ledger's; what differs is the granter:
-// here two of the three witnesses.
+// here most of the witnesses.
 package summit
 
 import (
@@ -19,9 +20,11 @@
 // Settings of a core; the defaults are ours.
 type Settings struct {
 	Slots        int
+	Founders     int // cores that found a fleet: an odd number
 	GreetEvery   sundial.Micros
 	CoreSilent   sundial.Micros // after which a core counts as gone
 	ReplaceAfter sundial.Micros // after which its seat is given to another
+	ReplaceSoon  sundial.Micros // the same where an empty core is heard; 0: no sooner
 	StoreSilent  sundial.Micros // after which a store counts as gone
 	Settle       sundial.Micros // a new primary listens this long before it judges
 	BalanceEvery sundial.Micros // between two moves towards even shares
@@ -36,8 +39,8 @@
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{Slots: 24, GreetEvery: 250 * sundial.Millisecond, CoreSilent: 1500 * sundial.Millisecond,
-		ReplaceAfter: 4 * sundial.Second, StoreSilent: 2 * sundial.Second, Settle: 1500 * sundial.Millisecond,
+	return Settings{Slots: 24, Founders: 3, GreetEvery: 250 * sundial.Millisecond, CoreSilent: 1500 * sundial.Millisecond,
+		ReplaceAfter: 4 * sundial.Second, ReplaceSoon: 4 * sundial.Second, StoreSilent: 2 * sundial.Second, Settle: 1500 * sundial.Millisecond,
 		BalanceEvery: 500 * sundial.Millisecond, BalanceAfter: 4 * sundial.Second, ApartFor: 30 * sundial.Second, FoldAfter: 500,
 		Staleness: 2500 * sundial.Millisecond, StrikeAfter: 10 * sundial.Second, LostAfter: 20 * sundial.Second}
 }
--- a/core/summit/summit_test.go
+++ b/core/summit/summit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"tuliprudder/kernel/mishap"
@@ -522,3 +523,190 @@
 		t.Fatalf("all is whole: %+v", got)
 	}
 }
+
+// seats are the ids of the cores that have one, as the primary knows them.
+func (b *bench) seats() (ids []string) {
+	if p := b.primary(); p != nil {
+		for _, ref := range p.Oath().Sworn {
+			ids = append(ids, ref.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Five cores found a fleet when all of them are there and grant it, and it outlives
+// two of them.
+func TestFiveCoresFoundAFleet(t *testing.T) {
+	set := small()
+	set.Founders = 5
+	b := newBench(set)
+	add := func(i int) {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i%3), "c1", "c2", "c3", "c4", "c5")
+	}
+	for i := 1; i <= 4; i++ {
+		add(i)
+	}
+	for i := 1; i <= 3; i++ {
+		b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i))
+	}
+	b.pass(5 * sundial.Second)
+	for _, core := range b.cores {
+		if core.Oath().Fleet != "" {
+			t.Fatalf("four of five founded %s", core.Oath().Fleet)
+		}
+	}
+	add(5)
+	b.drop = func(l letter) bool { _, grant := l.body.(Granted); return grant && l.from == "c5" }
+	b.pass(5 * sundial.Second)
+	if b.primary() != nil {
+		t.Fatal("founded without the grant of one of the five")
+	}
+	b.drop = nil
+	b.settle(t)
+	if got := fmt.Sprint(b.seats()); got != "[core-1 core-2 core-3 core-4 core-5]" {
+		t.Fatalf("seats: %s", got)
+	}
+	delete(b.cores, b.primary().self.Peer)
+	b.pass(10 * sundial.Second)
+	if b.primary() == nil {
+		t.Fatal("four of five have no primary")
+	}
+	delete(b.cores, b.primary().self.Peer)
+	b.pass(10 * sundial.Second)
+	core := b.primary()
+	if core == nil {
+		t.Fatal("three of five have no primary")
+	}
+	call := b.ask(core, put(1, 0, `{}`))
+	b.pump()
+	if answer := b.told(t, call); answer.Err != nil {
+		t.Fatal(answer.Err)
+	}
+}
+
+// Where more empty cores are heard than it takes, those at the seeds found the
+// fleet, whichever id is lowest, and whoever was heard first.
+func TestTheCoresAtTheSeedsFound(t *testing.T) {
+	for _, early := range []bool{true, false} {
+		b := newBench(small())
+		stranger := func() {
+			b.core("core-0", "c9", "zone-1", "c1", "c2", "c3")
+			b.core("core-4", "c8", "zone-2", "c1", "c2", "c3")
+		}
+		if early {
+			stranger()
+		}
+		for i := 1; i <= 3; i++ {
+			b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+			b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i))
+			b.pass(300 * sundial.Millisecond)
+		}
+		if !early {
+			stranger()
+		}
+		b.settle(t)
+		b.pass(10 * sundial.Second)
+		if got := fmt.Sprint(b.seats()); got != "[core-1 core-2 core-3]" {
+			t.Errorf("strangers early %v: seats %s", early, got)
+		}
+	}
+}
+
+// A witness that hears more empty cores than it takes does not grant the founding of
+// others than those it would found with: its grant would bind it to them.
+func TestAWitnessGrantsItsOwnFoundersOnly(t *testing.T) {
+	b := newBench(small())
+	for i := 1; i <= 4; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c2", "c3", "c4")
+	}
+	b.drop = func(l letter) bool { _, claim := l.body.(Claim); return claim }
+	b.pass(sundial.Second)
+	witness := b.cores["c2"]
+	var refs []CoreRef
+	for i := 1; i <= 3; i++ {
+		refs = append(refs, b.cores[fmt.Sprint("c", i)].self)
+	}
+	claim := Claim{Fleet: "f-core-1", Pairing: tether.Pairing{Epoch: 1}, Cores: refs, From: refs[0]}
+	witness.Do(Letter{"c1", claim}, b.now)
+	if witness.Oath().Fleet != "" {
+		t.Fatal("granted the founding of other cores")
+	}
+	claim.Fleet, claim.Cores = "f-core-2", append(refs[1:], b.cores["c4"].self)
+	witness.Do(Letter{"c3", claim}, b.now)
+	if witness.Oath().Fleet == "" {
+		t.Fatal("did not grant the founding of its own")
+	}
+}
+
+// The seat of a core that is gone passes to an empty core sooner than to one that
+// had a seat; without the setting both wait equally long.
+func TestAnEmptyCoreTakesASeatSooner(t *testing.T) {
+	for _, soon := range []sundial.Micros{0, 2 * sundial.Second, 60 * sundial.Second} {
+		set := small()
+		set.ReplaceAfter, set.ReplaceSoon = 20*sundial.Second, soon
+		b := fleet(t, set)
+		b.pass(3 * sundial.Second)
+		lose := func() (string, *Summit) {
+			for _, peer := range sortedIDs(b.cores) {
+				if core := b.cores[peer]; core != b.primary() && core.self.ID != b.primary().Oath().Done.Backup.ID && seat(b.primary().Oath().Sworn, core.self.ID) >= 0 {
+					delete(b.cores, peer)
+					return core.self.ID, core
+				}
+			}
+			t.Fatal("no core to lose")
+			return "", nil
+		}
+		lost, old := lose()
+		b.core("core-9", "c9", "zone-9", "c1", "c2", "c3")
+		b.pass(5 * sundial.Second)
+		given := !slices.Contains(b.seats(), lost) && slices.Contains(b.seats(), "core-9")
+		if given != (soon == 2*sundial.Second) {
+			t.Errorf("soon %d: after 5 s the seats are %v", soon, b.seats())
+		}
+		b.pass(20 * sundial.Second)
+		if !slices.Contains(b.seats(), "core-9") {
+			t.Errorf("soon %d: after 25 s the seats are %v", soon, b.seats())
+		}
+		// The old one is back without a seat, and another is lost.
+		b.cores[old.self.Peer] = old
+		b.pass(3 * sundial.Second)
+		lose()
+		if b.pass(10 * sundial.Second); slices.Contains(b.seats(), lost) {
+			t.Errorf("soon %d: one that had a seat has one again after 10 s", soon)
+		}
+		if b.pass(20 * sundial.Second); !slices.Contains(b.seats(), lost) {
+			t.Errorf("soon %d: one that had a seat has none after 30 s: %v", soon, b.seats())
+		}
+	}
+}
+
+// An empty store at the address of another: the former one's slots are paired anew
+// at once, and a beat of it that comes late does not bring it back.
+func TestAReplacedStoresSlotsAreNotAwaited(t *testing.T) {
+	set := small()
+	set.StoreSilent = 60 * sundial.Second
+	b := fleet(t, set)
+	core := b.primary()
+	if core.depends("store-1") == 0 {
+		t.Fatal("no slot depends on the store; the test shows nothing")
+	}
+	late := b.stores[0].Beat
+	b.stores[0].silent = true
+	b.store("store-9", "s1", "zone-1")
+	b.pass(sundial.Second)
+	if n := core.depends("store-1"); n != 0 || !whole(core) {
+		t.Fatalf("after a second %d slots depend on the store that was replaced, all whole %v", n, whole(core))
+	}
+	b.take(core.self.Peer, core.Do(Letter{"s1", late}, b.now))
+	b.pass(sundial.Second)
+	if !core.Chart().Stores["store-1"].Struck {
+		t.Fatal("a late beat brought the store back")
+	}
+	// Its disk is put back, and the other one is gone for good.
+	b.stores[3].silent, b.stores[0].silent, b.stores[0].Life = true, false, 2
+	b.pass(121 * sundial.Second)
+	if core.Chart().Stores["store-1"].Struck {
+		t.Fatal("the store is back and still does not count")
+	}
+}
