Plans say which requests are passed on unchanged, and what callers are allowed

Cause: Forward, Share and Bounds were in the plan's types but not in its grammar. Conclusion: routes have forward, plans have bounds, each fault with its path: two routes of one host and prefix, shares that add up to 0, a prefix without its slashes, a split beside pools. Serves goes by the split where there is one. A repeatable route has to be a forwarded one: the callers' front would answer any other as a stream.

--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -174,8 +174,20 @@
 
 // Serves tells whether a server with these labels serves the route.
 func (p *Plan) Serves(route *Route, labels Labels) bool {
+	if route.Forward != nil && len(route.Forward.Split) > 0 {
+		for _, part := range route.Forward.Split {
+			if part.Share > 0 && p.serves(part.Pools, labels) {
+				return true
+			}
+		}
+		return false
+	}
+	return p.serves(route.Pools, labels)
+}
+
+func (p *Plan) serves(pools Selector, labels Labels) bool {
 	for i := range p.Pools {
-		if route.Pools.Matches(p.Pools[i].Labels) && p.Pools[i].Servers.Matches(labels) {
+		if pools.Matches(p.Pools[i].Labels) && p.Pools[i].Servers.Matches(labels) {
 			return true
 		}
 	}
@@ -393,7 +405,7 @@
 
 func (r *reader) plan(tree any) *Plan {
 	plan := &Plan{Judges: map[string]float64{"fullness": 4, "prefix": 6, "speed": 1, "spread": 1}}
-	fields := r.object("$", tree, "classes", "customers", "pools", "routes", "judges")
+	fields := r.object("$", tree, "classes", "customers", "pools", "routes", "judges", "bounds")
 	if fields == nil {
 		return plan
 	}
@@ -435,12 +447,19 @@
 			plan.Pools = append(plan.Pools, pool)
 		}
 	}
-	routes := map[string]bool{}
+	routes, places := map[string]bool{}, map[[2]string]string{}
 	for i, value := range r.list("$.routes", fields["routes"], 20_000) {
 		path := fmt.Sprintf("$.routes[%d]", i)
-		if f := r.object(path, value, "name", "kind", "labels", "classes", "pools", "model", "adapter", "weights", "prefix", "max_tokens", "expiry_us", "most_items"); f != nil {
+		if f := r.object(path, value, "name", "kind", "labels", "classes", "pools", "model", "adapter", "weights", "prefix", "max_tokens", "expiry_us", "most_items", "forward"); f != nil {
 			route := r.route(path, f, plan)
 			r.unique(path+".name", "route", route.Name, routes)
+			if forward := route.Forward; forward != nil && forward.Host != "" && forward.PathPrefix != "" {
+				place := [2]string{forward.Host, forward.PathPrefix}
+				if other, taken := places[place]; taken {
+					r.fault(path+".forward", "route %q has this host and path prefix too; give each route its own", other)
+				}
+				places[place] = route.Name
+			}
 			plan.Routes = append(plan.Routes, route)
 		}
 	}
@@ -458,21 +477,42 @@
 			plan.Judges[name] = weight
 		}
 	}
+	if fields["bounds"] != nil {
+		if f := r.object("$.bounds", fields["bounds"], "header_bytes", "body_bytes", "header_wait_us", "idle_wait_us"); f != nil {
+			plan.Bounds = Bounds{HeaderBytes: r.number("$.bounds.header_bytes", f["header_bytes"], 1024, 1<<20, 0),
+				BodyBytes:  r.number("$.bounds.body_bytes", f["body_bytes"], 1024, 256<<20, 0),
+				HeaderWait: r.number("$.bounds.header_wait_us", f["header_wait_us"], 10_000, hour, 0),
+				IdleWait:   r.number("$.bounds.idle_wait_us", f["idle_wait_us"], 10_000, hour, 0)}
+		}
+	}
 	return plan
 }
 
-var routeKinds = map[string]bool{OneShot: true, Stream: true, Resumable: true, Bundle: true}
+const hour = 3600 * sundial.Second
+
+var routeKinds = map[string]bool{OneShot: true, Repeatable: true, Stream: true, Resumable: true, Bundle: true}
 
 func (r *reader) route(path string, f map[string]any, plan *Plan) Route {
 	route := Route{Name: r.name(path+".name", f["name"]), Kind: r.text(path+".kind", f["kind"], true, 32),
-		Labels: r.labels(path+".labels", f["labels"]), Classes: r.selector(path+".classes", f["classes"]), Pools: r.selector(path+".pools", f["pools"]),
-		Model: r.text(path+".model", f["model"], true, 128), Adapter: r.text(path+".adapter", f["adapter"], false, 128),
+		Labels: r.labels(path+".labels", f["labels"]), Classes: r.selector(path+".classes", f["classes"]),
+		Model: r.text(path+".model", f["model"], f["forward"] == nil, 128), Adapter: r.text(path+".adapter", f["adapter"], false, 128),
 		Weights: r.text(path+".weights", f["weights"], false, 128), Prefix: r.text(path+".prefix", f["prefix"], false, 64<<10),
 		MaxTokens: r.number(path+".max_tokens", f["max_tokens"], 1, 100_000, 256),
 		Expiry:    r.number(path+".expiry_us", f["expiry_us"], 10_000, 3_600_000_000, 30_000_000),
 		MostItems: r.number(path+".most_items", f["most_items"], 1, 10_000, 1000)}
 	if route.Kind != "" && !routeKinds[route.Kind] {
-		r.fault(path+".kind", "%q is no kind; give one-shot, stream, resumable or bundle", route.Kind)
+		r.fault(path+".kind", "%q is no kind; give one-shot, repeatable, stream, resumable or bundle", route.Kind)
+	}
+	if route.Kind == Repeatable && f["forward"] == nil {
+		r.fault(path+".kind", "only a route that is passed on unchanged may be repeatable; give it a forward, or another kind")
+	}
+	if f["forward"] != nil {
+		route.Forward = r.forward(path+".forward", f["forward"], plan)
+	}
+	if split := route.Forward != nil && len(route.Forward.Split) > 0; !split {
+		route.Pools = r.pools(path+".pools", f["pools"], plan)
+	} else if f["pools"] != nil {
+		r.fault(path+".pools", "the split says where requests go; leave one of the two out")
 	}
 	matched := false
 	for _, class := range plan.Classes {
@@ -481,12 +521,54 @@
 	if !matched && route.Classes != nil {
 		r.fault(path+".classes", "matches no class of this plan; correct the selector or the classes' labels")
 	}
-	matched = false
+	return route
+}
+
+// pools reads a selector that has to match one of the plan's pools.
+func (r *reader) pools(path string, value any, plan *Plan) Selector {
+	selector, matched := r.selector(path, value), false
 	for _, pool := range plan.Pools {
-		matched = matched || route.Pools.Matches(pool.Labels)
+		matched = matched || selector.Matches(pool.Labels)
 	}
-	if !matched && route.Pools != nil {
-		r.fault(path+".pools", "matches no pool of this plan; correct the selector or the pools' labels")
+	if !matched && selector != nil {
+		r.fault(path, "matches no pool of this plan; correct the selector or the pools' labels")
 	}
-	return route
+	return selector
+}
+
+// forward reads which requests a route passes on unchanged, and how.
+func (r *reader) forward(path string, value any, plan *Plan) *Forward {
+	f := r.object(path, value, "host", "path_prefix", "tries", "aim_us", "gap_us", "due_us", "keep_us", "most_tokens", "split")
+	if f == nil {
+		return nil
+	}
+	forward := &Forward{Host: r.text(path+".host", f["host"], true, 253), PathPrefix: r.text(path+".path_prefix", f["path_prefix"], true, 1024),
+		Tries: r.number(path+".tries", f["tries"], 1, 100, 1), Aim: r.number(path+".aim_us", f["aim_us"], 1000, 24*hour, 0),
+		Gap: r.number(path+".gap_us", f["gap_us"], 1000, 24*hour, 0), Due: r.number(path+".due_us", f["due_us"], 1000, 365*24*hour, 0),
+		Keep: r.number(path+".keep_us", f["keep_us"], 1000, 365*24*hour, 0), MostTokens: r.number(path+".most_tokens", f["most_tokens"], 0, 1<<53, 0)}
+	if strings.ToLower(forward.Host) != forward.Host || strings.ContainsAny(forward.Host, "/ ") {
+		r.fault(path+".host", "%q is no host; write it in lower case, without spaces and slashes", forward.Host)
+	}
+	if prefix := forward.PathPrefix; prefix != "" && (prefix[0] != '/' || prefix[len(prefix)-1] != '/') {
+		r.fault(path+".path_prefix", "%q must begin and end with a slash", prefix)
+	}
+	if f["split"] == nil {
+		return forward
+	}
+	sum := int64(0)
+	for i, value := range r.list(path+".split", f["split"], 64) {
+		at := fmt.Sprintf("%s.split[%d]", path, i)
+		if one := r.object(at, value, "pools", "share"); one != nil {
+			part := Share{Pools: r.pools(at+".pools", one["pools"], plan), Share: r.number(at+".share", one["share"], 0, 1_000_000, 0)}
+			if one["share"] == nil {
+				r.fault(at+".share", "is missing; give a whole number from 0 to 1000000")
+			}
+			sum += part.Share
+			forward.Split = append(forward.Split, part)
+		}
+	}
+	if sum == 0 {
+		r.fault(path+".split", "the shares add up to 0; give at least one part a share, or leave the split out")
+	}
+	return forward
 }
