--- a/daemon/outfit/outfit.go
+++ b/daemon/outfit/outfit.go
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	l.Porter.Shelf = shelf
-	books := keeper.New(keeper.Self{ID: l.Who.ID, Zone: l.Common.Zone, Peer: l.Common.Peer, Life: l.Who.Life}, set, records, shelf)
+	books := keeper.New(keeper.Self{ID: l.Who.ID, Name: l.Common.Name, Zone: l.Common.Zone, Peer: l.Common.Peer, Life: l.Who.Life}, set, records, shelf)
 	if books.BadRecord != nil {
 		return nil, books.BadRecord
 	}
