Tests: the store's clock reaches old items, and a run goes by the plan in force

Cause: taking the runner's clock event out of the store's machine failed no test.

Both are held by a test now; taking the call out fails the first, an older route the second.

--- a/daemon/planes/ledger_test.go
+++ b/daemon/planes/ledger_test.go
@@ -92,3 +92,21 @@
 	}
 	t.Fatal("nothing was told")
 }
+
+// The store's clock lets go of items that are too old.
+func TestTheClockReachesItemsThatAreTooOld(t *testing.T) {
+	now := 5 * sundial.Second
+	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
+	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{Keep: 10 * sundial.Second}}}}
+	plan.Index()
+	l.Dispatch.SetPlan(plan, now)
+	l.work(keeper.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Enrolled: now, Request: &daybook.Request{}}, now)
+	l.ClockEvent(now + 10*sundial.Second)
+	if l.Items.Open() != 1 {
+		t.Fatal("it was let go too early")
+	}
+	l.ClockEvent(now + 12*sundial.Second)
+	if l.Items.Open() != 0 {
+		t.Fatal("it waits still")
+	}
+}
--- a/path/runner/runner_test.go
+++ b/path/runner/runner_test.go
@@ -323,3 +323,16 @@
 		t.Fatalf("started %v", got)
 	}
 }
+
+// An item that waits runs by the route of the plan in force, not by that under
+// which it began to wait.
+func TestARunGoesByThePlanInForce(t *testing.T) {
+	b := newBench(t, "s")
+	b.Take(keeper.ItemOrder{Bundle: "c", Customer: "c", Route: "chat", Input: "x", Plan: 1}, b.now)
+	plan := &planbook.Plan{Version: 2, Judges: map[string]float64{"spread": 1}, Pools: []planbook.Pool{{Name: "p"}}, Routes: []planbook.Route{{Name: "chat", Kind: planbook.Bundle, Model: "new"}}}
+	plan.Index()
+	b.d.SetPlan(plan, b.now)
+	if run := b.run(); run.Request.Model != "new" || run.Forward != nil {
+		t.Fatalf("%+v", run)
+	}
+}
