Prompts to be read weigh when a server is chosen; keepers keep to their part

Cause: with the affinity to prefixes that chat routes weigh, items and requests of one route went to one server until it was over half full; a lot's prompts held up every stream there. Ruled out: connections (1673 new), slots (no refusals).

--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -200,7 +200,7 @@
 }
 
 // JudgeNames are the judges a plan may weigh.
-var JudgeNames = []string{"fullness", "prefix", "speed", "spread"}
+var JudgeNames = []string{"fullness", "prefix", "speed", "spread", "reading", "silence"}
 
 // DefaultJudges are the judges' weights where a plan names none.
 func DefaultJudges() map[string]float64 {
--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -104,7 +104,7 @@
 		l.Items.Went(ask, now)
 		l.Wire.Emit(stride.Answer{Call: number})
 	case runner.Began:
-		l.Items.Begin(ask)
+		l.Items.Begin(ask, now)
 		l.Wire.Emit(stride.Answer{Call: number})
 	case keeper.Drain:
 		l.keep(ask, now)
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	Bundle   bool
 	Weight   int // what it counts for while it waits; 0 counts as 1
 	Prefix   string
+	Prompt   int64          // tokens that the server reads before it begins
 	Expiry   sundial.Micros // 0: none
 	Avoid    map[string]int // servers that turned it away
 	// Pools, where set, are those that serve this order instead of its route's.
@@ -75,6 +76,8 @@
 	Marks   []judges.Mark
 	Started sundial.Micros
 	bundle  bool
+	prompt  int64
+	begun   bool
 	stay    *stay
 	d       *Dispatch
 	s       *state
@@ -91,6 +94,19 @@
 	latency   sundial.Micros
 	failures  int
 	restUntil sundial.Micros
+	bundles   int            // this daemon's items
+	opening   int            // those of them that it has not begun
+	reading   int64          // prompt tokens of this daemon's orders that it has not begun
+	pending   []*Grip        // these orders, the oldest first
+	heard     sundial.Micros // when it last began or ended one
+}
+
+// silent is how long the server has left this daemon's orders without a word.
+func (s *state) silent(now sundial.Micros) sundial.Micros {
+	if len(s.pending) == 0 {
+		return 0
+	}
+	return now - max(s.heard, s.pending[0].Started)
 }
 
 // stay is one order's time on a server; it has not ended while end is 0.
@@ -119,6 +135,7 @@
 	plan     *planbook.Plan
 	levels   []int64
 	bundles  int // bundle orders of this daemon that run
+	keepers  int // stores that live
 	servers  map[string]*state
 	backlogs map[int64]map[*planbook.Route]*list.List // by level, then by route
 	expiries expiries                                 // those that expire, the next one first
@@ -237,6 +254,9 @@
 // where the promises bind only daemons that are in touch, serving on is worth more.
 func (d *Dispatch) ServeOn() { d.set.Staleness = 1 << 62 }
 
+// SetKeepers tells how many stores live.
+func (d *Dispatch) SetKeepers(count int) { d.keepers = count }
+
 // Fresh tells whether the news are fresh enough to assign by.
 func (d *Dispatch) Fresh(now sundial.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
 
@@ -598,7 +618,10 @@
 		sound := s.sound()
 		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
 			Limit: limit, Leaving: s.server.Leaving && !d.Blind, Sound: sound, Prefix: held == name,
-			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now}
+			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now)}
+		if o.Bundle && o.Route.Forward != nil {
+			candidate.Share = &judges.Share{Keepers: d.keepers, Running: s.bundles, Opening: s.opening}
+		}
 		sum, marks, ok := judges.Sum(d.plan.Judges, wish, candidate)
 		if !ok {
 			continue
@@ -626,7 +649,13 @@
 		d.paces = d.paces[1:]
 	}
 	d.remember(prefixOf(o), chosen.server.Name)
-	return &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, stay: here, d: d, s: chosen}
+	grip := &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, prompt: o.Prompt, stay: here, d: d, s: chosen}
+	chosen.pending, chosen.reading = append(chosen.pending, grip), chosen.reading+grip.prompt
+	if o.Bundle {
+		chosen.bundles++
+		chosen.opening++
+	}
+	return grip
 }
 
 func (d *Dispatch) serves(o *Order, labels planbook.Labels) bool {
@@ -660,17 +689,44 @@
 	d.prefixes[prefix] = server
 }
 
+// Began notes that the server has begun the order: its prompt is read.
+func (g *Grip) Began(now sundial.Micros) {
+	if g.over || g.begun {
+		return
+	}
+	g.s.heard = now
+	g.begin()
+}
+
+func (g *Grip) begin() {
+	if g.begun {
+		return
+	}
+	g.begun = true
+	g.d.stirred = true
+	g.s.reading -= g.prompt
+	if g.bundle {
+		g.s.opening--
+	}
+	g.s.pending = slices.DeleteFunc(g.s.pending, func(one *Grip) bool { return one == g })
+}
+
 // Release lets the server go: took is how long the order ran (0: unknown), and
 // ok whether the server behaved.
 func (g *Grip) Release(took sundial.Micros, ok bool, now sundial.Micros) {
 	if g.over {
 		return
 	}
+	g.begin()
 	g.over = true
 	g.s.own--
 	g.stay.end = now
 	if g.bundle {
 		g.d.bundles--
+		g.s.bundles--
+	}
+	if ok {
+		g.s.heard = now
 	}
 	g.d.stirred = true
 	if ok {
--- a/path/ford/ford.go
+++ b/path/ford/ford.go
@@ -34,7 +34,8 @@
 		Host, Path string
 		Wait       sundial.Micros // how long the caller will wait; 0: it did not say
 		Parts      []Part         // of its prompt, in order
-		Tokens     int64          // prompt and output
+		Prompt     int64          // tokens to be read
+		Output     int64          // tokens put out at the most
 		Resumes    bool           // the caller goes on with a stream that was cut
 	}
 	// Ran tells how a try on a server went.
@@ -45,6 +46,8 @@
 		Over    bool // the caller has left, or its expiry passed
 		Why     string
 	}
+	// Began tells that a server has begun the request.
+	Began struct{ Order string }
 	// Part is a part of a prompt that requests may share.
 	Part struct {
 		ID     string
@@ -124,6 +127,11 @@
 		f.arrive(number, ask, now)
 	case Ran:
 		f.went(number, ask, now)
+	case Began:
+		if r := f.open[ask.Order]; r != nil && r.grip != nil {
+			r.grip.Began(now)
+		}
+		f.answer(number, nil, nil)
 	default:
 		return false
 	}
@@ -183,7 +191,7 @@
 		f.giveUp(r, mishap.Later(mishap.Expired, f.set.Back, "ask again with a later expiry", "the request's time is over"), now)
 		return
 	}
-	r.wanted = &dispatch.Order{ID: r.Order, Customer: r.route.Name, Route: r.route, Rank: r.rank, Prefix: prefix(r.Parts), Pools: f.pools(r.route), Expiry: f.hold(r, now), Avoid: r.avoid}
+	r.wanted = &dispatch.Order{ID: r.Order, Customer: r.route.Name, Route: r.route, Rank: r.rank, Prefix: prefix(r.Parts), Prompt: r.Prompt, Pools: f.pools(r.route), Expiry: f.hold(r, now), Avoid: r.avoid}
 	r.wanted.Drop = func(err error, now sundial.Micros) {
 		if last != nil {
 			err = last
--- a/path/gate/forward.go
+++ b/path/gate/forward.go
@@ -19,6 +19,7 @@
 // whether another is tried, the edge's machine says (path/ford).
 type Forwarder struct {
 	Machine Machine
+	Word    func(body any) // tells the machine something that has no answer
 	Client  *causeway.Causeway
 	Words   causeway.Words
 	Clock   func() sundial.Micros
@@ -169,6 +170,7 @@
 // events passes a stream on, event by event, as they arrive.
 func (p *passage) events(answer *causeway.Answer) error {
 	reader := causeway.NewEventReader(answer.Body)
+	begun := false
 	control := http.NewResponseController(p.w)
 	for {
 		event, err := reader.Next()
@@ -184,6 +186,10 @@
 		case err != nil:
 			return err
 		}
+		if !begun {
+			begun = true
+			p.f.Word(ford.Began{Order: p.order})
+		}
 		if !p.began {
 			p.began = true
 			p.w.WriteHeader(answer.Status)
--- a/path/judges/judges.go
+++ b/path/judges/judges.go
@@ -19,6 +19,17 @@
 	Fastest   sundial.Micros // the same of the fastest server
 	RestUntil sundial.Micros // it turned an order away; not before
 	Now       sundial.Micros
+	Reading   int64          // prompt tokens of this daemon's orders that it has not begun
+	Silent    sundial.Micros // how long it has left this daemon's orders without a word
+	Share     *Share         // set for an item that is passed on unchanged
+}
+
+// Share is what one keeper's items may take of a server: each keeps to its part,
+// so that all together leave room for live orders without asking each other.
+type Share struct {
+	Keepers int // keepers that live now
+	Running int // this daemon's items on the server
+	Opening int // those of them that it has not begun
 }
 
 // Wish is what the order needs.
@@ -44,7 +55,45 @@
 	Judge Judge
 }{
 	{"leaving", Leaving}, {"soundness", Soundness}, {"adapter", Adapter}, {"weights", Weights},
-	{"fullness", Fullness}, {"prefix", Prefix}, {"speed", Speed}, {"spread", Spread},
+	{"share", KeeperShare}, {"fullness", Fullness}, {"prefix", Prefix}, {"speed", Speed}, {"spread", Spread},
+	{"reading", Reading}, {"silence", Silence},
+}
+
+// mostOpening is how many items of one keeper a server may have to begin at a time:
+// it reads their prompts between the tokens of the others.
+const mostOpening = 1
+
+// KeeperShare rules out a server on which this keeper's items have their part.
+func KeeperShare(_ Wish, c Candidate) (float64, string) {
+	switch {
+	case c.Share == nil:
+		return 0, ""
+	case c.Share.Opening >= mostOpening:
+		return 0, "has items to begin"
+	case c.Share.Running >= max(1, int(c.Limit*float64(c.Slots)/float64(max(1, c.Share.Keepers)))):
+		return 0, "this keeper's items have their part of it"
+	}
+	return 0, ""
+}
+
+// readingScale is how many tokens of prompts halve the mark.
+const readingScale = 2000
+
+// Reading marks a server that has few tokens of prompts to read.
+func Reading(_ Wish, c Candidate) (float64, string) {
+	return 1 / (1 + float64(c.Reading)/readingScale), ""
+}
+
+// mostSilence is how long a server may leave orders without a word before others
+// go elsewhere: one that is lost says nothing.
+const mostSilence = 350 * sundial.Millisecond
+
+// Silence marks a server that lets hear of itself.
+func Silence(_ Wish, c Candidate) (float64, string) {
+	if c.Silent > mostSilence {
+		return 0, ""
+	}
+	return 1, ""
 }
 
 // Leaving rules out a server marked as leaving.
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -165,7 +165,7 @@
 		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: late}, now)
 		return
 	}
-	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Avoid: j.avoid}
+	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Prompt: int64(j.weight), Avoid: j.avoid}
 	j.order.Permit = func(now sundial.Micros) bool {
 		return r.NoPermit || r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now)
 	}
@@ -240,8 +240,13 @@
 
 // Begin notes that a run has begun. What an opaque item counts for is work that
 // its route has not had done: it counts until a server has finished it.
-func (r *Runner) Begin(word Began) {
-	if j := r.runs[word.Token]; j != nil && j.item.Request == nil {
+func (r *Runner) Begin(word Began, now sundial.Micros) {
+	j := r.runs[word.Token]
+	if j == nil {
+		return
+	}
+	j.grip.Began(now)
+	if j.item.Request == nil {
 		r.begin(j)
 	}
 }
