What waits is counted from the ledger; stores share the servers' room by demand

Ruled out: the arithmetic of loans (tests of purse pass). Accepted work now counts at its slot's owner from the write on, through restarts, and lingers when a slot passes; holders ask every store on the map, and lend nothing before they know it.

--- /dev/null
+++ b/daemon/planes/demand.go
@@ -0,0 +1,76 @@
+package planes
+
+import (
+	"sort"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/kernel/footbridge"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+)
+
+// Stores share the servers' room for items by what each has to run (DESIGN §12.6):
+// each tells the others its demand, and takes the part that is its own. An old word
+// or a lost one only makes the parts less even.
+
+// Demand is a store's word on how many items it has to run.
+type Demand struct {
+	ID    string
+	Items int
+}
+
+func init() { footbridge.Register(Demand{}) }
+
+const (
+	demandEvery = 250 * sundial.Millisecond // when it changed
+	demandLate  = sundial.Second            // when it did not
+	demandKept  = 3 * sundial.Second        // a store not heard for so long has none
+)
+
+type demand struct {
+	items int
+	at    sundial.Micros
+}
+
+// demands is what a store knows of the others' demands.
+type demands struct {
+	self  string
+	heard map[string]demand
+	said  int
+	at    sundial.Micros
+}
+
+func (d *demands) hear(word Demand, now sundial.Micros) {
+	d.heard[word.ID] = demand{word.Items, now}
+}
+
+// part is this store's part of the room, by its own demand and the others'.
+func (d *demands) part(own int, now sundial.Micros) float64 {
+	sum := max(1, own)
+	for id, one := range d.heard {
+		if now-one.at > demandKept {
+			delete(d.heard, id)
+			continue
+		}
+		sum += one.items
+	}
+	return float64(max(1, own)) / float64(sum)
+}
+
+// tell tells the other stores, when there is something to tell.
+func (d *demands) tell(own int, folk map[string]people.Person, emit func(stride.Effect), now sundial.Micros) {
+	if own == d.said && now-d.at < demandLate || now-d.at < demandEvery {
+		return
+	}
+	d.said, d.at = own, now
+	ids := make([]string, 0, len(folk))
+	for id := range folk {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		if person := folk[id]; person.Kind == people.Refuge && id != d.self && person.Standing <= people.Suspect {
+			emit(stride.Send{To: person.Peer, Body: Demand{ID: d.self, Items: own}})
+		}
+	}
+}
--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/chart"
 	"tuliprudder/core/planbook"
 	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/stride"
@@ -20,6 +21,11 @@
 	Items  *runner.Runner
 	cairns cairns
 	gives  map[uint64]purse.Give // shares taken for bundles that are being enrolled
+	// waiting is what requests that are passed on count for, by customer; count is
+	// when it is counted again.
+	waiting map[string]int
+	counted sundial.Micros
+	demands demands
 }
 
 // NewLedger puts a store's machine together; the seed makes its choices
@@ -27,10 +33,16 @@
 func NewLedger(self string, k *keeper.Keeper, mostItems int, seed int64) *Ledger {
 	set := dispatch.Defaults()
 	set.MostWaiting = 2*mostItems + 1000 // the keeper's own bound comes first
-	l := &Ledger{Keeper: k, cairns: cairns{folk: map[string]people.Person{}}, gives: map[uint64]purse.Give{}}
+	l := &Ledger{Keeper: k, cairns: cairns{folk: map[string]people.Person{}}, gives: map[uint64]purse.Give{}, waiting: map[string]int{}, demands: demands{self: self, heard: map[string]demand{}}}
 	l.Road = newRoad(self, set, seed, func(*Road) func(string) int {
-		return func(customer string) int { return l.Items.Waiting(customer) }
+		return func(customer string) int {
+			if count, ok := l.waiting[customer]; ok {
+				return count
+			}
+			return l.Items.Waiting(customer)
+		}
 	})
+	l.Purse.Map = func() (chart.Map, bool) { return k.Chart(), k.Mapped() }
 	l.Items = runner.New(runner.Defaults(), l.Wire, l.Dispatch, k.Allowed, func(ran keeper.Ran, now sundial.Micros) { l.keep(ran, now) })
 	return l
 }
@@ -69,7 +81,11 @@
 
 // Letter is a message.
 func (l *Ledger) Letter(from string, body any, now sundial.Micros) []stride.Effect {
-	l.keep(keeper.Letter{From: from, Body: body}, now)
+	if word, ok := body.(Demand); ok {
+		l.demands.hear(word, now)
+	} else {
+		l.keep(keeper.Letter{From: from, Body: body}, now)
+	}
 	return l.settle(now)
 }
 
@@ -149,13 +165,21 @@
 		l.keep(keeper.Call{Number: number, Body: ask}, now)
 		return
 	}
+	l.recount(now)
 	l.Purse.Take(ask.Bundle.Customer, most, plan.Version, weight, now, func(give purse.Give, err error, now sundial.Micros) {
 		if err != nil {
 			l.no(number, err)
 			return
 		}
-		l.gives[number] = give
+		if !forward {
+			l.gives[number] = give
+			l.keep(keeper.Call{Number: number, Body: ask}, now)
+			return
+		}
+		// Once it is written its requests are counted from the ledger.
 		l.keep(keeper.Call{Number: number, Body: ask}, now)
+		l.recount(now)
+		give(now)
 	})
 }
 
@@ -186,9 +210,38 @@
 	l.Wire.Emit(stride.Answer{Call: number, Err: err})
 }
 
+// recount counts what waits from the ledger; what is told of at renewals has to be
+// known to the purse.
+func (l *Ledger) recount(now sundial.Micros) {
+	l.counted = now
+	was := l.waiting
+	l.waiting = l.Keeper.Waiting(now)
+	plan := l.Dispatch.Plan()
+	for customer := range l.waiting {
+		if plan != nil {
+			if most := allowance(plan, customer, customer, true); most > 0 {
+				l.Purse.Told(customer, most, plan.Version)
+			}
+		}
+	}
+	for customer := range was {
+		if _, ok := l.waiting[customer]; !ok {
+			l.waiting[customer] = 0
+		}
+	}
+}
+
+// recountEvery is how old the count of what waits may be.
+const recountEvery = 100 * sundial.Millisecond
+
 // ClockEvent lets the store do what is due.
 func (l *Ledger) ClockEvent(now sundial.Micros) []stride.Effect {
 	l.keep(keeper.ClockEvent{}, now)
+	if now-l.counted >= recountEvery {
+		l.recount(now)
+		l.demands.tell(l.Items.Open(), l.folk, l.Wire.Emit, now)
+		l.Dispatch.SetPart(l.demands.part(l.Items.Open(), now))
+	}
 	l.Items.ClockEvent(now)
 	l.Purse.ClockEvent(now)
 	l.Dispatch.Match(now)
--- a/daemon/planes/road.go
+++ b/daemon/planes/road.go
@@ -50,13 +50,6 @@
 		} else if ok {
 			r.folk[person.ID] = person
 		}
-		keepers := 0
-		for _, person := range r.folk {
-			if person.Kind == people.Refuge && person.Standing == people.Sound {
-				keepers++
-			}
-		}
-		r.Dispatch.SetKeepers(keepers)
 	},
 	chart.PlanKey: func(r *Road, rumour stride.Rumour, now sundial.Micros) {
 		var version chart.Version
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -107,7 +107,8 @@
 	given   map[string]map[uint64]int64 // unit, entry -> position
 	news    map[string]map[uint64]string
 	orphans []orphan
-	held    []finished // results that wait for a position or a serving pair
+	left    []lingering // slots that passed on, counted for a while
+	held    []finished  // results that wait for a position or a serving pair
 	seq     uint64
 	dirty   bool
 	stores  int
@@ -206,6 +207,9 @@
 
 func (k *Keeper) reservedAtLeast() int64 { return k.stairs.Reservation() }
 
+// Chart is the map of the stores as the keeper knows it.
+func (k *Keeper) Chart() chart.Map { return k.chart }
+
 // Gang is the keeper's pairs, for tests and operators.
 func (k *Keeper) Gang() *tether.Gang { return k.gang }
 
@@ -302,6 +306,7 @@
 // positions open until its new owner has settled.
 func (k *Keeper) Deposed(unit string, epoch uint64, now sundial.Micros) {
 	k.lose(unit, "the slot passed to another keeper")
+	k.leave(unit, now)
 	slot := slotOf(unit)
 	var positions []int64
 	for _, position := range k.given[unit] {
--- /dev/null
+++ b/ledger/keeper/waiting.go
@@ -0,0 +1,82 @@
+package keeper
+
+import (
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/tether"
+)
+
+// What waits of the requests that are passed on is counted from the ledger itself
+// (DESIGN §11.3, §12.5): what was accepted counts at its slot's owner from the
+// moment it is written, through restarts and passages, until it is listed or ended.
+
+// lingerFor is how long a slot that passed on still counts here: its new owner has
+// told by then.
+const lingerFor = sundial.Second
+
+type lingering struct {
+	until  sundial.Micros
+	counts map[string]int
+}
+
+// Waiting is what the requests that wait or run here count for, by customer.
+func (k *Keeper) Waiting(now sundial.Micros) map[string]int {
+	out := map[string]int{}
+	for _, rope := range k.gang.Ropes() {
+		if k.counts(rope) {
+			add(out, waitingOf(k.place(rope.Unit).state))
+		}
+	}
+	for _, left := range k.left {
+		if now < left.until {
+			add(out, left.counts)
+		}
+	}
+	return out
+}
+
+// counts tells whether a slot's work counts here: at its owner, and at one that
+// was its owner in an earlier life until another is.
+func (k *Keeper) counts(rope *tether.Rope) bool {
+	if rope.Owns() {
+		return true
+	}
+	slot := slotOf(rope.Unit)
+	return rope.Role == tether.Cold && slot < len(k.chart.Slots) && k.chart.Slots[slot].Owner.ID == k.self.ID
+}
+
+// leave keeps what a slot counted for in mind for a while.
+func (k *Keeper) leave(unit string, now sundial.Micros) {
+	kept := k.left[:0]
+	for _, left := range k.left {
+		if now < left.until {
+			kept = append(kept, left)
+		}
+	}
+	k.left = append(kept, lingering{until: now + lingerFor, counts: waitingOf(k.place(unit).state)})
+}
+
+func add(to, from map[string]int) {
+	for customer, count := range from {
+		to[customer] += count
+	}
+}
+
+// waitingOf counts a slot's requests that are not listed.
+func waitingOf(state *daybook.Slot) map[string]int {
+	out := map[string]int{}
+	for _, bundle := range state.Bundles {
+		if bundle.State != daybook.Open {
+			continue
+		}
+		for i, item := range bundle.Items {
+			if item.Request != nil && !bundle.Listed(i) {
+				out[bundle.Customer] += item.Request.Weight()
+			}
+		}
+	}
+	return out
+}
+
+// Mapped tells whether the keeper knows which slots are its own.
+func (k *Keeper) Mapped() bool { return k.chart.Seq > 0 }
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -134,8 +134,8 @@
 	set      Settings
 	plan     *planbook.Plan
 	levels   []int64
-	bundles  int // bundle orders of this daemon that run
-	keepers  int // stores that live
+	bundles  int     // bundle orders of this daemon that run
+	part     float64 // of the room for items, this store's
 	servers  map[string]*state
 	backlogs map[int64]map[*planbook.Route]*list.List // by level, then by route
 	expiries expiries                                 // those that expire, the next one first
@@ -162,7 +162,7 @@
 // New makes a dispatcher.
 func New(set Settings, seed int64) *Dispatch {
 	return &Dispatch{set: set, servers: map[string]*state{}, backlogs: map[int64]map[*planbook.Route]*list.List{}, waiting: map[string]int{},
-		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), retries: mostRetries}
+		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), retries: mostRetries, part: 1}
 }
 
 // SetPlan puts a plan in force here, for what waits as well: each order goes by
@@ -250,12 +250,16 @@
 	d.fresh, d.stirred = max(d.fresh, lastSwap), true
 }
 
-// ServeOn has this daemon assign by its last knowledge however old its news are:
-// where the promises bind only daemons that are in touch, serving on is worth more.
-func (d *Dispatch) ServeOn() { d.set.Staleness = 1 << 62 }
+// ServeOn as Staleness has a daemon assign by its last knowledge however old its
+// news are: where the promises bind only daemons that are in touch, serving on is
+// worth more.
+const ServeOn sundial.Micros = 1 << 62
 
-// SetKeepers tells how many stores live.
-func (d *Dispatch) SetKeepers(count int) { d.keepers = count }
+// SetPart tells which part of the servers' room for items is this store's.
+func (d *Dispatch) SetPart(part float64) { d.part, d.stirred = part, true }
+
+// Adjust changes the settings before the first order comes.
+func (d *Dispatch) Adjust(change func(set *Settings)) { change(&d.set) }
 
 // Fresh tells whether the news are fresh enough to assign by.
 func (d *Dispatch) Fresh(now sundial.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
@@ -620,7 +624,7 @@
 			Limit: limit, Leaving: s.server.Leaving && !d.Blind, Sound: sound, Prefix: held == name,
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now)}
 		if o.Bundle && o.Route.Forward != nil {
-			candidate.Share = &judges.Share{Keepers: d.keepers, Running: s.bundles, Opening: s.opening}
+			candidate.Share = &judges.Share{Part: d.part, Running: s.bundles, Opening: s.opening}
 		}
 		sum, marks, ok := judges.Sum(d.plan.Judges, wish, candidate)
 		if !ok {
--- a/path/purse/account.go
+++ b/path/purse/account.go
@@ -21,8 +21,9 @@
 )
 
 type loan struct {
-	count int
-	until sundial.Micros
+	count  int
+	until  sundial.Micros
+	passed sundial.Micros // since when its work is known to be others'
 }
 
 // Account is one customer's account at its holder. It is a plain machine: time
@@ -54,7 +55,7 @@
 	delete(a.missing, borrower)
 	a.used = now
 	if held > 0 {
-		a.loans[borrower] = loan{held, now + a.span(borrower)}
+		a.loans[borrower] = loan{count: held, until: now + a.span(borrower)}
 	} else {
 		delete(a.loans, borrower)
 	}
@@ -79,6 +80,28 @@
 	}
 }
 
+// Borrowers lists those who hold loans.
+func (a *Account) Borrowers() []string {
+	out := make([]string, 0, len(a.loans))
+	for id := range a.loans {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Passed lets go of a loan whose work is others', once they have had time to tell
+// it.
+func (a *Account) Passed(borrower string, now sundial.Micros) {
+	l := a.loans[borrower]
+	if l.passed == 0 {
+		l.passed = now
+		a.loans[borrower] = l
+	} else if now-l.passed >= passedAfter {
+		delete(a.loans, borrower)
+	}
+}
+
 // Missing lists the borrowers still to be asked.
 func (a *Account) Missing() []string {
 	out := make([]string, 0, len(a.missing))
@@ -118,7 +141,7 @@
 		}
 	}
 	granted := max(held, min(want, int(allowance)-others))
-	a.loans[borrower] = loan{granted, now + a.span(borrower)}
+	a.loans[borrower] = loan{count: granted, until: now + a.span(borrower)}
 	return granted
 }
 
--- a/path/purse/purse.go
+++ b/path/purse/purse.go
@@ -1,9 +1,11 @@
 package purse
 
 import (
+	"slices"
 	"sort"
 
 	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/chart"
 	"tuliprudder/kernel/footbridge"
 	"tuliprudder/kernel/mishap"
 	"tuliprudder/kernel/stride"
@@ -53,6 +55,10 @@
 	// Waiting is work that waits here without having been taken one by one
 	// (items of bundles at a keeper).
 	Waiting func(customer string) int
+	// Map is the map of the stores as this daemon knows it; false before it knows
+	// any. Without it nobody can tell who else may hold work, and what this daemon
+	// holds is not known either. nil: there are no stores.
+	Map func() (chart.Map, bool)
 	// SkipRebuild is a fault planted by tests: a successor lends at once.
 	SkipRebuild bool
 	// Boundless is a fault planted by tests: whatever comes is let in.
@@ -254,8 +260,12 @@
 // told what they hold, or they had time enough.
 func (p *Purse) Lend(ask LendAsk, now sundial.Micros, back func(LendAnswer, sundial.Micros)) {
 	a := p.accounts[ask.Customer]
+	if !p.mapped() {
+		back(LendAnswer{Epoch: ask.Epoch, Granted: ask.Held}, now)
+		return
+	}
 	if a == nil || ask.Epoch > a.Epoch {
-		a = Open(ask.Epoch+1, p.borrowers(), now)
+		a = Open(ask.Epoch+1, p.holders(), now)
 		a.SkipRebuild, a.Keeps = p.SkipRebuild, p.keeps
 		p.accounts[ask.Customer] = a
 		// This daemon's own share is known at once.
@@ -299,6 +309,67 @@
 	return p.kept[borrower]
 }
 
+// mapped tells whether this daemon knows which stores there are.
+func (p *Purse) mapped() bool {
+	if p.Map == nil {
+		return true
+	}
+	_, known := p.Map()
+	return known
+}
+
+// holders are all that may hold work: the daemons that live, and the stores that
+// count, whether this daemon has heard of them in this life or not.
+func (p *Purse) holders() []string {
+	out := p.borrowers()
+	if p.Map == nil {
+		return out
+	}
+	m, _ := p.Map()
+	for _, id := range sorted(m.Stores) {
+		if store := m.Stores[id]; !store.Struck && !store.Retired && !slices.Contains(out, id) && id != p.Self {
+			out = append(out, id)
+			p.kept[id] = true
+		}
+	}
+	return out
+}
+
+// passedAfter is how long after a store's last slot has passed on its successors
+// have had time to tell what they took over.
+const passedAfter = 1500 * sundial.Millisecond
+
+// passOn lets go of what is held for stores that are gone and own no slot any more:
+// those that took their slots over tell it now.
+func (p *Purse) passOn(now sundial.Micros) {
+	if p.Map == nil {
+		return
+	}
+	m, known := p.Map()
+	if !known {
+		return
+	}
+	owns := map[string]bool{}
+	for _, pairing := range m.Slots {
+		owns[pairing.Owner.ID] = true
+		if !pairing.Complete {
+			owns[pairing.Trusted[0]], owns[pairing.Trusted[1]] = true, true
+		}
+	}
+	for _, person := range p.Folk() {
+		if person.Standing == people.Sound {
+			owns[person.ID] = true
+		}
+	}
+	for _, a := range p.accounts {
+		for _, id := range a.Borrowers() {
+			if p.kept[id] && !owns[id] {
+				a.Passed(id, now)
+			}
+		}
+	}
+}
+
 // borrowers are all daemons that may hold shares.
 func (p *Purse) borrowers() []string {
 	var out []string
@@ -361,6 +432,10 @@
 	case LendAsk:
 		p.Lend(ask, now, func(answer LendAnswer, now sundial.Micros) { p.Wire.Emit(stride.Answer{Call: number, Body: answer}) })
 	case TellAsk:
+		if !p.mapped() {
+			p.Wire.Emit(stride.Answer{Call: number, Err: mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started", "what is held here is not known yet")})
+			return true
+		}
 		p.Wire.Emit(stride.Answer{Call: number, Body: p.Tell(ask)})
 	default:
 		return false
@@ -399,6 +474,7 @@
 			p.ask(customer, now)
 		})
 	}
+	p.passOn(now)
 	for _, customer := range sorted(p.accounts) {
 		if p.accounts[customer].Idle(now) && p.rounds[customer] == nil {
 			delete(p.accounts, customer)
