Slots pass on sooner; a new primary judges once it has heard every store

Cause: lots of a store that is killed or frozen waited 2 s for its silence and more for a lease of 1.5 s; after a stop of the whole fleet slots were paired 1.5 s after the primary served although all stores had spoken. Moves towards even shares ran open items again. Leases are 1 s; balance leaves busy slots unless shares are very uneven. Logs tell standings only where they change for the worse or back.

--- a/acquaintance/circle/circle.go
+++ b/acquaintance/circle/circle.go
@@ -322,7 +322,9 @@
 			}
 			if c.folk[person.ID].Standing != person.Standing || c.folk[person.ID].Incarnation != person.Incarnation {
 				c.since[person.ID] = now
-				c.Emit(stride.Explain{What: "standing of a daemon", Fields: map[string]any{"daemon": person.ID, "kind": person.Kind, "standing": person.Standing.String(), "incarnation": person.Incarnation}})
+				if was := c.folk[person.ID].Standing; was != people.Sound || person.Standing != people.Sound {
+					c.Emit(stride.Explain{What: "standing of a daemon", Fields: map[string]any{"daemon": person.ID, "kind": person.Kind, "standing": person.Standing.String(), "incarnation": person.Incarnation}})
+				}
 			}
 			c.folk[person.ID] = person
 		}
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -432,9 +432,28 @@
 	return count
 }
 
+// settled tells whether a new primary has heard enough to judge who lives: all the
+// stores that count, or as long as it listens to the others.
+func (s *Summit) settled(now sundial.Micros) bool {
+	if now-s.serving >= s.set.Settle {
+		return true
+	}
+	heard := 0
+	for id, store := range s.chart.Stores {
+		if store.Struck || store.Retired {
+			continue
+		}
+		if s.stores[id].at < s.serving {
+			return false
+		}
+		heard++
+	}
+	return heard > 0
+}
+
 // judge works out the difference between the map and the stores that live.
 func (s *Summit) judge(now sundial.Micros) {
-	if !s.Serving() || s.chart.Fleet == "" || now-s.serving < s.set.Settle || s.waiting(isPair) {
+	if !s.Serving() || s.chart.Fleet == "" || !s.settled(now) || s.waiting(isPair) {
 		return
 	}
 	owned, backed := map[string]int{}, map[string]int{}
@@ -582,6 +601,10 @@
 	return now < s.apart[couple(one, other)]
 }
 
+// pressing is how uneven the shares have to be for a slot to move whose bundles are
+// open: the new owner runs their items anew.
+const pressing = 6
+
 // balance moves one slot at a time towards even shares: first its copy, then,
 // once that is whole, its owner.
 func (s *Summit) balance(willing []string, changed map[int]tether.Pairing, now sundial.Micros) {
@@ -628,7 +651,7 @@
 	low := least(owned)
 	for _, high := range above(owned, low) {
 		for slot, p := range s.chart.Slots {
-			if p.Owner.ID == high && p.Backup.ID == low {
+			if p.Owner.ID == high && p.Backup.ID == low && (owned[high]-owned[low] >= pressing || !slices.Contains(s.stores[high].beat.Busy, slot)) {
 				move(slot, p.Backup, p.Owner, "even shares: its backup owns it now")
 				return
 			}
--- a/ledger/daybook/daybook.go
+++ b/ledger/daybook/daybook.go
@@ -214,6 +214,16 @@
 	return &Slot{Bundles: map[string]*Bundle{}, Claims: map[string]*Claim{}, Last: map[int]int64{}}
 }
 
+// Open tells whether any bundle of the slot is open.
+func (s *Slot) Open() bool {
+	for _, bundle := range s.Bundles {
+		if bundle.State == Open {
+			return true
+		}
+	}
+	return false
+}
+
 // Top is the highest position any row of the slot holds.
 func (s *Slot) Top() int64 {
 	top := int64(0)
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -139,6 +139,7 @@
 		Draining       bool
 		Stalled        bool           // its disk holds writes back
 		Lonely         map[int]uint64 // owned slots whose backup does not answer, by epoch
+		Busy           []int          // owned slots with bundles that are open: moving them runs items again
 	}
 	// Unwelcome turns a store away for good: its folder is a copy, or an old one.
 	Unwelcome struct {
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -618,8 +618,14 @@
 			ready[slotOf(rope.Unit)] = rope.Epoch
 		}
 	}
+	var busy []int
+	for _, rope := range k.gang.Ropes() {
+		if rope.Owns() && k.place(rope.Unit).state.Open() {
+			busy = append(busy, slotOf(rope.Unit))
+		}
+	}
 	for _, peer := range k.cairns {
-		k.Emit(stride.Send{To: peer, Body: Beat{Fleet: k.fleet, ID: k.self.ID, Name: k.self.Name, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
+		k.Emit(stride.Send{To: peer, Body: Beat{Busy: busy, Fleet: k.fleet, ID: k.self.ID, Name: k.self.Name, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
 	}
 }
 
--- a/ledger/tether/tether.go
+++ b/ledger/tether/tether.go
@@ -93,9 +93,9 @@
 // Spans of the pair; the backup's wait is longer than the owner's lease by a
 // margin for clocks that run unevenly.
 const (
-	Lease       = 1500 * sundial.Millisecond
+	Lease       = 1000 * sundial.Millisecond
 	LeaseWait   = Lease + 200*sundial.Millisecond
-	BeatEvery   = 300 * sundial.Millisecond
+	BeatEvery   = 250 * sundial.Millisecond
 	ResendAt    = 400 * sundial.Millisecond
 	lonelyAfter = 800 * sundial.Millisecond
 	resendCap   = 64
