--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -200,7 +200,7 @@
 }
 
 // JudgeNames are the judges a plan may weigh.
-var JudgeNames = []string{"fullness", "prefix", "speed", "spread", "reading", "silence"}
+var JudgeNames = []string{"fullness", "prefix", "speed", "spread", "reading", "silence", "turn"}
 
 // DefaultJudges are the judges' weights where a plan names none.
 func DefaultJudges() map[string]float64 {
--- a/daemon/planes/road.go
+++ b/daemon/planes/road.go
@@ -23,11 +23,12 @@
 	Purse    *purse.Purse
 	// Read turns a confirmed document into a plan.
 	Read planbook.Reader
+	self string
 	folk map[string]people.Person
 }
 
 func newRoad(self string, set dispatch.Settings, seed int64, waiting func(r *Road) func(string) int) *Road {
-	r := &Road{Wire: stride.NewWire(), Dispatch: dispatch.New(set, seed), Read: planbook.Parse, folk: map[string]people.Person{}}
+	r := &Road{Wire: stride.NewWire(), Dispatch: dispatch.New(set, seed), Read: planbook.Parse, self: self, folk: map[string]people.Person{}}
 	r.Purse = purse.New(self, r.Wire, r.Folk, waiting(r))
 	return r
 }
@@ -42,6 +43,28 @@
 	return out
 }
 
+// turn is this daemon's place among those of its kind in the agreed order, from 0
+// to 1; stores begin half a step later than edges.
+func (r *Road) turn() float64 {
+	mine, ok := r.folk[r.self]
+	if !ok {
+		return 0
+	}
+	before, all := 0.0, 0.0
+	for id, person := range r.folk {
+		if person.Kind == mine.Kind && person.Standing <= people.Suspect {
+			all++
+			if id < r.self {
+				before++
+			}
+		}
+	}
+	if mine.Kind == people.Refuge {
+		before += 0.5
+	}
+	return before / max(1, all)
+}
+
 // heardBy says what the road does with each kind of news.
 var heardBy = map[string]func(r *Road, rumour stride.Rumour, now sundial.Micros){
 	"daemon": func(r *Road, rumour stride.Rumour, now sundial.Micros) {
@@ -50,6 +73,7 @@
 		} else if ok {
 			r.folk[person.ID] = person
 		}
+		r.Dispatch.SetTurn(r.turn())
 	},
 	chart.PlanKey: func(r *Road, rumour stride.Rumour, now sundial.Micros) {
 		var version chart.Version
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -135,6 +135,7 @@
 	plan     *planbook.Plan
 	levels   []int64
 	bundles  int     // bundle orders of this daemon that run
+	turn     float64 // where this daemon's own order of servers begins, from 0 to 1
 	part     float64 // of the room for items, this store's
 	servers  map[string]*state
 	backlogs map[int64]map[*planbook.Route]*list.List // by level, then by route
@@ -255,6 +256,9 @@
 // worth more.
 const ServeOn sundial.Micros = 1 << 62
 
+// SetTurn tells where this daemon's own order of servers begins, from 0 to 1.
+func (d *Dispatch) SetTurn(begin float64) { d.turn = begin }
+
 // SetPart tells which part of the servers' room for items is this store's.
 func (d *Dispatch) SetPart(part float64) { d.part, d.stirred = part, true }
 
@@ -614,7 +618,8 @@
 	var best []string
 	var bestMarks []judges.Mark
 	top := -1.0
-	for _, name := range names {
+	begin := int(d.turn * float64(len(names)))
+	for i, name := range names {
 		s := d.servers[name]
 		if !d.serves(o, s.server.Labels) || avoid[name] >= 3 {
 			continue
@@ -622,7 +627,8 @@
 		sound := s.sound()
 		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
 			Limit: limit, Leaving: s.server.Leaving && !d.Blind, Sound: sound, Prefix: held == name,
-			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now)}
+			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now),
+			Turn: float64((i-begin+len(names))%len(names)) / float64(len(names))}
 		if o.Bundle && o.Route.Forward != nil {
 			candidate.Share = &judges.Share{Part: d.part, Running: s.bundles, Opening: s.opening}
 		}
--- a/path/judges/judges.go
+++ b/path/judges/judges.go
@@ -25,6 +25,7 @@
 	Now       sundial.Micros
 	Reading   int64          // prompt tokens of this daemon's orders that it has not begun
 	Silent    sundial.Micros // how long it has left this daemon's orders without a word
+	Turn      float64        // its place in this daemon's own order of servers, from 0 to 1
 	Share     *Share         // set for an item that is passed on unchanged
 }
 
@@ -60,9 +61,14 @@
 }{
 	{"leaving", Leaving}, {"soundness", Soundness}, {"adapter", Adapter}, {"weights", Weights},
 	{"share", KeeperShare}, {"fullness", Fullness}, {"prefix", Prefix}, {"speed", Speed}, {"spread", Spread},
-	{"reading", Reading}, {"silence", Silence},
+	{"reading", Reading}, {"silence", Silence}, {"turn", Turn},
 }
 
+// Turn marks a server by its place in this daemon's own order. Daemons begin their
+// orders at different servers, so that those which don't know of each other's latest
+// orders seldom meet; the further ones are for when the first are busy.
+func Turn(_ Wish, c Candidate) (float64, string) { return 1 - c.Turn, "" }
+
 // mostOpening is how many items of one keeper a server may have to begin at a time:
 // it reads their prompts between the tokens of the others.
 const mostOpening = 1
