--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -84,7 +84,7 @@
 	MaxTokens int64
 	Expiry    sundial.Micros
 	MostItems int64
-	Forward   *Forward // set where requests are passed on unchanged (DESIGN §12)
+	Forward   *Forward // set where requests are passed on unchanged (DESIGN §12.1)
 }
 
 // Forward is what a route says whose requests are matched by host and path and
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -80,7 +80,7 @@
 }
 
 // entry numbers the plan, or turns it away where its base is not in force or its
-// number is not above the one in force (DESIGN §8.1). A version that is there
+// number is not above the one in force (DESIGN §8.1, §12.7). A version that is there
 // already is not written again: nil.
 func (p plannedPut) entry(s *Summit) (chart.Entry, uint64, error) {
 	latest, _ := s.chart.Latest()
@@ -391,7 +391,7 @@
 // at once are judged one after the other.
 type plannedRetire struct{ ask RetireAsk }
 
-// entry marks a store as retiring, where the fleet can do without it (DESIGN §8.4);
+// entry marks a store as retiring, where the fleet can do without it (DESIGN §8.4, §12.7);
 // nil where there is nothing to change.
 func (p plannedRetire) entry(s *Summit, now sundial.Micros) (chart.Entry, string, error) {
 	store, known := s.chart.Stores[p.ask.ID]
@@ -433,7 +433,7 @@
 }
 
 // settled tells whether a new primary has heard enough to judge who lives: all the
-// stores that count, or as long as it listens to the others.
+// stores that count, or as long as it listens to the others (DESIGN §5.4).
 func (s *Summit) settled(now sundial.Micros) bool {
 	if now-s.serving >= s.set.Settle {
 		return true
--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -191,7 +191,7 @@
 )
 
 // allowance is how much may wait: of a customer by its class, of a route whose
-// requests are passed on by its own bound on tokens (DESIGN §11.3, §12).
+// requests are passed on by its own bound on tokens (DESIGN §11.3, §12.5).
 func allowance(plan *planbook.Plan, customer, route string, forward bool) int64 {
 	if forward {
 		found, _ := plan.Route(route)
--- a/kernel/porch/raw.go
+++ b/kernel/porch/raw.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Raw is a front whose handler sees every request as it came (DESIGN §12). It is
+// Raw is a front whose handler sees every request as it came (DESIGN §12.2). It is
 // net/http's own server: go-zero's router cleans paths, traces each request, and
 // closes its listener by itself a second after the word to go, while callers are
 // still being sent here.
--- a/ledger/daybook/daybook.go
+++ b/ledger/daybook/daybook.go
@@ -32,7 +32,7 @@
 	Request *Request `json:"request,omitempty"`
 }
 
-// Request is an item that is passed on to a server unchanged (DESIGN §12).
+// Request is an item that is passed on to a server unchanged (DESIGN §12.5).
 type Request struct {
 	Target string            `json:"target"` // path and query
 	Host   string            `json:"host"`
--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -276,7 +276,7 @@
 }
 
 // list reads a bundle's list from an index on: an index stays the same row's for
-// good, so it stops at the first row that the reader may not have yet.
+// good, so it stops at the first row that the reader may not have yet (DESIGN §12.5).
 func (k *Keeper) list(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
 	from := max(0, ask.From)
 	out.Index = from
--- a/path/causeway/causeway.go
+++ b/path/causeway/causeway.go
@@ -1,5 +1,5 @@
 // Package causeway is an HTTP/1.1 client for opaque requests: a bounded
-// connection pool for each server (DESIGN §12).
+// connection pool for each server (DESIGN §12.3).
 //
 // The Transport of net/http isn't used, for three reasons. The bound on a
 // server's connections is shared by all daemons, so a request that finds no
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -252,7 +252,7 @@
 
 // ServeOn as Staleness has a daemon assign by its last knowledge however old its
 // news are: where the promises bind only daemons that are in touch, serving on is
-// worth more.
+// worth more (DESIGN §3.4).
 const ServeOn sundial.Micros = 1 << 62
 
 // SetPart tells which part of the servers' room for items is this store's.
--- a/path/ford/ford.go
+++ b/path/ford/ford.go
@@ -1,5 +1,5 @@
 // Package ford is the way of opaque requests through an edge (reverse proxying;
-// DESIGN §12): which route a request matches, which server it is passed on to, how
+// DESIGN §12.1, §12.2): which route a request matches, which server it is passed on to, how
 // often it may be sent, and what its caller may be told for certain. It is a part
 // of the edge's machine: the sockets are the shell's.
 package ford
--- a/path/gate/forward.go
+++ b/path/gate/forward.go
@@ -15,7 +15,7 @@
 	"tuliprudder/path/ford"
 )
 
-// Forwarder passes opaque requests on to servers (DESIGN §12): which server, and
+// Forwarder passes opaque requests on to servers (DESIGN §12.2): which server, and
 // whether another is tried, the edge's machine says (path/ford).
 type Forwarder struct {
 	Machine Machine
--- a/path/judges/judges.go
+++ b/path/judges/judges.go
@@ -1,5 +1,5 @@
 // Package judges picks a server: many small judges give marks that are added up
-// (DESIGN §7.3). A judge may also rule a server out, and says why.
+// (DESIGN §7.3, §12.6). A judge may also rule a server out, and says why.
 package judges
 
 import (
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -1,4 +1,4 @@
-// Package runner runs a keeper's items on servers (DESIGN §6.3, §7): each waits
+// Package runner runs a keeper's items on servers (DESIGN §6.3, §7, §12.5): each waits
 // in the backlog by its customer's rank, and is started only under a fresh
 // lease. It is a part of the store's machine: the sockets are the shell's.
 package runner
@@ -41,7 +41,7 @@
 		// name, the priority and the silence of Request count. nil for chat items.
 		Forward *Forwarded
 	}
-	// Forwarded is an opaque item on its way to a server (DESIGN §12).
+	// Forwarded is an opaque item on its way to a server (DESIGN §12.5).
 	Forwarded struct {
 		Request  *daybook.Request
 		Bundle   string
--- a/path/trek/trek.go
+++ b/path/trek/trek.go
@@ -75,7 +75,7 @@
 		Read   reader.Read
 	}
 	// ForwardBundle is a bundle of requests to be passed on, under its own name; no
-	// caller's key comes with it (DESIGN §12).
+	// caller's key comes with it (DESIGN §12.5).
 	ForwardBundle struct {
 		Route string
 		ID    string
