--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -253,7 +253,7 @@
 
 // ServeOn as Staleness has a daemon assign by its last knowledge however old its
 // news are: where the promises bind only daemons that are in touch, serving on is
-// worth more.
+// worth more (DESIGN §3.4).
 const ServeOn sundial.Micros = 1 << 62
 
 // SetTurn tells where this daemon's own order of servers begins, from 0 to 1.
