Items that found no lease start as soon as there is one; delay-bounded windows

Cause: when a slot began to serve, its items were handed to the path before the lease's answer (one round trip); refused a start, they lay until the keeper handed them over again after 2 s.

--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -99,6 +99,7 @@
 	reading   int64          // prompt tokens of this daemon's orders that it has not begun
 	pending   []*Grip        // these orders, the oldest first
 	heard     sundial.Micros // when it last began or ended one
+	window    window         // of items
 }
 
 // silent is how long the server has left this daemon's orders without a word.
@@ -630,7 +631,7 @@
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now),
 			Turn: float64((i-begin+len(names))%len(names)) / float64(len(names))}
 		if o.Bundle && o.Route.Forward != nil {
-			candidate.Share = &judges.Share{Part: d.part, Running: s.bundles, Opening: s.opening}
+			candidate.Share = &judges.Share{Part: d.part, Window: s.window.room(), Running: s.bundles, Opening: s.opening}
 		}
 		sum, marks, ok := judges.Sum(d.plan.Judges, wish, candidate)
 		if !ok {
@@ -705,6 +706,9 @@
 		return
 	}
 	g.s.heard = now
+	if g.bundle {
+		g.s.window.began(now-g.Started, now)
+	}
 	g.begin()
 }
 
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -86,6 +86,7 @@
 	parked   map[string]*job // those that could not wait or start here just now
 	kept     map[string]int  // the same, counted by customer
 	next     sundial.Micros  // next look at what is too old
+	tried    sundial.Micros  // last look at what could not start
 	// NoPermit is a fault planted by tests: work starts without a lease.
 	NoPermit bool
 	// Deaf is a fault planted by tests: work goes on after it was called back.
@@ -356,12 +357,33 @@
 	j.events, j.size, j.last = append(j.events, ran.Events...), size, ran.LastEvent
 }
 
+// retryEvery is the time between two looks at what could not start.
+const retryEvery = 50 * sundial.Millisecond
+
+// retry takes up again what may start now: a slot's items are handed over when it
+// begins to serve, a moment before its lease is there.
+func (r *Runner) retry(plan *planbook.Plan, now sundial.Micros) {
+	if now < r.tried+retryEvery || len(r.parked) == 0 {
+		return
+	}
+	r.tried = now
+	for _, name := range sorted(r.parked) {
+		if j := r.parked[name]; j != nil && plan.Version >= j.item.Plan && r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now) {
+			r.Take(j.item, now)
+		}
+	}
+}
+
 // ClockEvent lists as failed what has waited for longer than its route keeps it, or
 // has none any more.
 // What runs is left to its server.
 func (r *Runner) ClockEvent(now sundial.Micros) {
 	plan := r.dispatch.Plan()
-	if now < r.next || plan == nil {
+	if plan == nil {
+		return
+	}
+	r.retry(plan, now)
+	if now < r.next {
 		return
 	}
 	r.next = now + sundial.Second
--- a/path/runner/runner_test.go
+++ b/path/runner/runner_test.go
@@ -360,3 +360,26 @@
 		t.Fatalf("%+v", run)
 	}
 }
+
+// What found no fresh lease when its slot began to serve starts as soon as there is
+// one; the keeper does not have to hand it over again.
+func TestAParkedItemStartsOnceItMay(t *testing.T) {
+	b := newBench(t, "s")
+	lease := false
+	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, sundial.Micros) bool { return lease }, func(keeper.Ran, sundial.Micros) {})
+	b.take(0, 1)
+	if runs := b.runs(); len(runs) != 0 {
+		t.Fatalf("%d runs without a lease", len(runs))
+	}
+	b.now += retryEvery
+	b.ClockEvent(b.now)
+	if runs := b.runs(); len(runs) != 0 {
+		t.Fatalf("%d runs without a lease", len(runs))
+	}
+	lease = true
+	b.now += retryEvery
+	b.ClockEvent(b.now)
+	if runs := b.runs(); len(runs) != 1 {
+		t.Fatalf("%d runs with a lease, not one", len(runs))
+	}
+}
