--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -188,6 +188,18 @@
 	return p.Selects(route.Pools, labels)
 }
 
+// MostOpen is how many connections a server with these labels takes from all daemons
+// together; 0: no bound is known.
+func (p *Plan) MostOpen(labels Labels) int64 {
+	most := int64(0)
+	for i := range p.Pools {
+		if pool := &p.Pools[i]; pool.MostOpen > 0 && pool.Servers.Matches(labels) && (most == 0 || pool.MostOpen < most) {
+			most = pool.MostOpen
+		}
+	}
+	return most
+}
+
 // Selects tells whether a server with these labels is in a pool that the selector
 // matches.
 func (p *Plan) Selects(pools Selector, labels Labels) bool {
--- /dev/null
+++ b/daemon/outfit/tend.go
@@ -0,0 +1,82 @@
+package outfit
+
+import (
+	"time"
+
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/daemon/lodge"
+	"tuliprudder/daemon/planes"
+	"tuliprudder/kernel/almhut"
+	"tuliprudder/kernel/belay"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/path/causeway"
+	"tuliprudder/path/roster"
+)
+
+// Tend keeps the connections to servers in order: each server's bound is shared out
+// over the daemons, and what leads to servers that are gone is closed (DESIGN §12.3).
+type Tend struct {
+	Lodge  *lodge.Lodge
+	Road   *planes.Road
+	Client *causeway.Causeway
+	gone   map[string]bool
+}
+
+// Start starts the thread.
+func (t *Tend) Start(_ *almhut.Hut, ends *belay.Stack) error {
+	t.gone = map[string]bool{}
+	belay.Every(ends, time.Second, t.turn)
+	return nil
+}
+
+func (t *Tend) turn() {
+	t.Client.Sweep()
+	var servers []roster.Server
+	var folk []people.Person
+	most := map[string]int64{}
+	t.Lodge.Porter.Inside(func(sundial.Micros) {
+		servers, folk = t.Road.Dispatch.Servers(), t.Road.Folk()
+		plan := t.Road.Dispatch.Plan()
+		for _, server := range servers {
+			if plan != nil {
+				most[server.Name] = plan.MostOpen(server.Labels)
+			}
+		}
+	})
+	edges, stores, kind := 0, 0, ""
+	for _, person := range folk {
+		switch person.Kind {
+		case people.Trailhead:
+			edges++
+		case people.Refuge:
+			stores++
+		}
+		if person.ID == t.Lodge.Who.ID {
+			kind = person.Kind
+		}
+	}
+	for _, server := range servers {
+		if server.Gone {
+			if !t.gone[server.Name] {
+				t.gone[server.Name] = true
+				t.Client.Forget(server.Address)
+			}
+			continue
+		}
+		if bound := most[server.Name]; bound > 0 {
+			t.Client.SetMost(server.Address, Connections(kind, int(bound), server.Slots, edges, stores))
+		}
+	}
+}
+
+// Connections is a daemon's part of the connections that a server takes: a store may
+// have as many as there are places and a few more, within half of all; the edges
+// share the rest.
+func Connections(kind string, bound, slots, edges, stores int) int {
+	const spare = 4
+	store := max(1, min(slots+spare, bound/2/max(1, stores), (bound-edges)/max(1, stores)))
+	if kind == people.Refuge {
+		return store
+	}
+	return max(1, (bound-store*stores)/max(1, edges))
+}
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -760,6 +760,17 @@
 	}
 }
 
+// Leave lets the server go without a word on it: its order ended for reasons of its
+// own.
+func (g *Grip) Leave(now sundial.Micros) {
+	if g.over {
+		return
+	}
+	heard, failures := g.s.heard, g.s.failures
+	g.Release(0, true, now)
+	g.s.heard, g.s.failures = heard, failures
+}
+
 // TurnedAway notes that the server was full: it rests a moment.
 func (g *Grip) TurnedAway(now sundial.Micros) {
 	g.s.restUntil = now + g.d.set.Rest
--- a/path/dispatch/dispatch_test.go
+++ b/path/dispatch/dispatch_test.go
@@ -279,3 +279,31 @@
 		}
 	}
 }
+
+// An order that ends for reasons of its own says nothing of its server: one that is
+// silent stays so, and its failures stay counted.
+func TestLeaveSaysNothingOfTheServer(t *testing.T) {
+	d := New(Defaults(), 1)
+	plan := &planbook.Plan{Version: 1, Pools: []planbook.Pool{{Name: "p"}}, Judges: map[string]float64{"spread": 1},
+		Routes: []planbook.Route{{Name: "r", Kind: planbook.Stream, Forward: &planbook.Forward{}}}, Customers: []planbook.Customer{{Name: "r", Class: "c"}}, Classes: []planbook.Class{{Name: "c", Rank: 1}}}
+	plan.Index()
+	d.SetPlan(plan, 1)
+	d.SetServer(roster.Server{Name: "s", Address: "s:1", Slots: 4})
+	route, _ := plan.Route("r")
+	now := sundial.Second
+	d.SetFresh(now)
+	var grips []*Grip
+	for range 2 {
+		o := &Order{ID: "o", Customer: "r", Route: route, Rank: 1}
+		o.Start = func(grip *Grip, _ sundial.Micros) { grips = append(grips, grip) }
+		if err := d.Enrol(o, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.Settle(now)
+	later := now + 2*sundial.Second
+	grips[0].Leave(later)
+	if silent := d.servers["s"].silent(later); silent != 2*sundial.Second {
+		t.Fatalf("the server is silent for %d us", silent)
+	}
+}
--- a/path/ford/ford.go
+++ b/path/ford/ford.go
@@ -44,6 +44,7 @@
 		Outcome Outcome
 		Began   bool // some of the answer has reached the caller
 		Over    bool // the caller has left, or its expiry passed
+		Here    bool // what went wrong says nothing of the server
 		Why     string
 	}
 	// Began tells that a server has begun the request.
@@ -61,13 +62,14 @@
 // The outcomes. Unsent: no byte of it reached a server. NotRun: the server's own
 // word that it did not run it. Whole: the answer was passed on whole. Failed: the
 // server answered with a failure of its own that has not been passed on. Cut: it
-// may have run, in part or whole.
+// may have run, in part or whole. Invalid: no server could be sent it.
 const (
 	Unsent Outcome = iota
 	NotRun
 	Whole
 	Failed
 	Cut
+	Invalid
 )
 
 // What the shell is told.
@@ -252,8 +254,16 @@
 		f.Passed++
 		f.end(r, Over{}, nil)
 		return
+	case Invalid:
+		grip.Leave(now)
+		f.end(r, nil, mishap.New(mishap.BadInput, "correct the request", "%s", ran.Why))
+		return
 	case Unsent:
-		grip.Release(0, false, now)
+		if ran.Here || ran.Over {
+			grip.Leave(now)
+		} else {
+			grip.Release(0, false, now)
+		}
 		r.sent--
 	case NotRun:
 		grip.TurnedAway(now)
@@ -261,7 +271,11 @@
 		grip.Release(0, true, now)
 		r.ran = true
 	case Cut:
-		grip.Release(0, ran.Over, now)
+		if ran.Over {
+			grip.Leave(now)
+		} else {
+			grip.Release(0, false, now)
+		}
 		r.ran = true
 	}
 	r.avoid[grip.Server.Name] = 3
@@ -272,7 +286,7 @@
 	case r.ran && !Repeatable(r.route) && !f.SecondRun,
 		ran.Began && r.route.Kind != planbook.Resumable:
 		f.giveUp(r, why, now)
-	case !f.more(r) && !(ran.Outcome == Unsent && len(r.avoid) <= 4):
+	case !f.more(r):
 		f.giveUp(r, why, now)
 	default:
 		f.Again++
--- a/path/gate/forward.go
+++ b/path/gate/forward.go
@@ -112,8 +112,11 @@
 		ID: p.r.Header.Get(p.f.Words.RequestID), Header: p.header, Body: p.body, Deadline: time.Now().Add(left), LastEvent: p.last})
 	if err != nil {
 		ran.Why, ran.Over = err.Error(), ctx.Err() != nil
-		if causeway.CertaintyOf(err) == causeway.NotWritten {
-			ran.Outcome = ford.Unsent
+		switch {
+		case mishap.Is(err, mishap.BadInput):
+			ran.Outcome = ford.Invalid
+		case causeway.CertaintyOf(err) == causeway.NotWritten:
+			ran.Outcome, ran.Here = ford.Unsent, mishap.Is(err, mishap.Busy)
 		}
 		ran.Began = p.began
 		return ran
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -27,7 +27,7 @@
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{MostTries: 8, Silence: 4 * sundial.Second, MostBytes: 256 << 10}
+	return Settings{MostTries: 8, Silence: 4 * sundial.Second, MostBytes: 1 << 20}
 }
 
 // What the shell is told, as work.
