--- a/path/dispatch/window.go
+++ b/path/dispatch/window.go
@@ -17,7 +17,7 @@
 	mostWindow  = 4096.0
 	windowCut   = 0.8
 	// A delay of twice the base and a slack means that work waits at the server.
-	windowSlack = 80 * sundial.Millisecond
+	windowSlack = 40 * sundial.Millisecond
 	// One congestion is answered once.
 	windowRest = 200 * sundial.Millisecond
 	// The base rises by one part in so many of what a delay exceeds it by.
