A route that passes requests on needs no customer of its name

By a plan of the product's own form every such request was denied as an unknown route: the backlog looked for a customer called like the route, which only the adapter's plans have.

--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -193,8 +193,9 @@
 		return nil
 	}
 	route, class := d.plan.Lookup(o.Route.Name, o.Customer)
-	// What was accepted runs for as long as there is a route for it.
-	if route == nil || !o.Bundle && (class == nil || !route.Classes.Matches(class.Labels)) {
+	// What was accepted runs for as long as there is a route for it, and requests that
+	// are passed on belong to no customer.
+	if route == nil || !o.Bundle && o.Route.Forward == nil && (class == nil || !route.Classes.Matches(class.Labels)) {
 		return mishap.New(mishap.UnknownRoute, "name a route that the plan opens to this customer's class", "the plan in force has no route %q for this customer any more; the order did not run and will not", o.Route.Name)
 	}
 	// Where requests are passed on there are no customers, though one may be named
--- a/path/ford/ford_test.go
+++ b/path/ford/ford_test.go
@@ -451,3 +451,19 @@
 	}
 	b.idle("the route goes")
 }
+
+// A route that requests are passed on by needs no customer of its name: in a plan of
+// the product's own form callers carry no key there.
+func TestARouteWithoutACustomer(t *testing.T) {
+	b := newBench(t, []string{"a"})
+	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"c","rank":5,"allowance":1}],"pools":[{"name":"a","labels":{"u":"a"},"servers":{"pool":"a"}}],
+	 "routes":[{"name":"r","kind":"repeatable","classes":{},"pools":{"u":"a"},"forward":{"host":"h.example","path_prefix":"/x/"}}]}`))
+	if err != nil {
+		t.Fatal(err, mishap.Of(err).Faults)
+	}
+	plan.Version = 1
+	b.d.SetPlan(plan, b.now)
+	if run := b.run(b.arrive("o", "h.example")); run.Server != "a0" {
+		t.Errorf("sent as %+v", run)
+	}
+}
