A failed try leaves nothing in the answer; a joined stream goes on at its own place

Found by new tests of the forwarder: - the head of an answer that was cut before anything got out stayed in the caller's answer: the stamp in a refusal, a length of the wrong answer; - blank lines after the last event of a stream were left out; - a server that answered a resumed stream with 200 and no stream, or from another event, was joined to it and the whole taken as complete.

--- a/path/causeway/events.go
+++ b/path/causeway/events.go
@@ -73,6 +73,10 @@
 	return Event{}, e.final
 }
 
+// Rest is what came after the last event and belongs to none, once Next has given
+// io.EOF: blank lines.
+func (e *EventReader) Rest() []byte { return e.buffer }
+
 // scan goes on through the buffer to the end of the event, if it is there.
 func (e *EventReader) scan() (Event, bool) {
 	for e.at < len(e.buffer) {
--- a/path/causeway/events_test.go
+++ b/path/causeway/events_test.go
@@ -77,6 +77,13 @@
 			t.Fatalf("%q: %v", text, err)
 		}
 	}
+	blank := NewEventReader(strings.NewReader("data: a\n\n\r\n\n"))
+	if _, err := blank.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := blank.Next(); err != io.EOF || string(blank.Rest()) != "\r\n\n" {
+		t.Fatalf("%v, and %q is left", err, blank.Rest())
+	}
 	broken := errors.New("broken")
 	all, err := events(t, io.MultiReader(strings.NewReader("data: a\n\ndata: b\n"), iotest.ErrReader(broken)))
 	if err != broken || len(all) != 1 {
--- a/path/gate/forward.go
+++ b/path/gate/forward.go
@@ -138,39 +138,63 @@
 	return ran
 }
 
-// pass hands an answer on. One that goes on with a stream keeps the first server's
-// head.
-func (p *passage) pass(answer *causeway.Answer) error {
-	stream := answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
-	if !p.began {
-		header := p.w.Header()
-		for name, values := range endToEnd(answer.Header) {
-			header[name] = values
-		}
-		if answer.Length >= 0 && !stream {
-			header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
-		}
+// begin sends the head of an answer to the caller; one that goes on with a stream
+// keeps the first server's.
+func (p *passage) begin(answer *causeway.Answer, length int) {
+	if p.began {
+		return
+	}
+	p.began = true
+	header := p.w.Header()
+	for name, values := range endToEnd(answer.Header) {
+		header[name] = values
 	}
-	if stream {
+	if length >= 0 {
+		header.Set("Content-Length", strconv.Itoa(length))
+	}
+	p.w.WriteHeader(answer.Status)
+}
+
+// pass hands an answer on. Of one that is cut before anything got out, nothing does:
+// not its head either.
+func (p *passage) pass(answer *causeway.Answer) error {
+	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
 		return p.events(answer)
 	}
-	data, err := io.ReadAll(answer.Body) // nothing of an answer that is cut short gets out
+	if p.began {
+		return mishap.New(mishap.ServerFault, "have the server go on with the stream", "the server goes on with no stream of events")
+	}
+	data, err := io.ReadAll(answer.Body)
 	if err != nil {
 		return err
 	}
 	if !answer.Delimited {
 		return mishap.New(mishap.ServerFault, "have the server give its answers a length", "nobody can tell whether the answer is whole")
 	}
-	p.began = true
-	p.w.WriteHeader(answer.Status)
+	length := -1
+	if answer.Length >= 0 {
+		length = len(data)
+	}
+	p.begin(answer, length)
 	_, err = p.w.Write(data)
 	return err
 }
 
+// follows tells whether an event is the one after the last that was passed on; ids
+// that are no numbers can't be told apart.
+func follows(last, id string) bool {
+	before, err := strconv.ParseInt(last, 10, 64)
+	if err != nil || id == "" {
+		return true
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	return err != nil || next == before+1
+}
+
 // events passes a stream on, event by event, as they arrive.
 func (p *passage) events(answer *causeway.Answer) error {
 	reader := causeway.NewEventReader(answer.Body)
-	begun := false
+	begun, joins := false, p.began
 	control := http.NewResponseController(p.w)
 	for {
 		event, err := reader.Next()
@@ -178,22 +202,19 @@
 		case err == io.EOF && !answer.Delimited:
 			return io.ErrUnexpectedEOF
 		case err == io.EOF:
-			if !p.began {
-				p.began = true
-				p.w.WriteHeader(answer.Status)
-			}
-			return nil
+			p.begin(answer, -1)
+			_, err = p.w.Write(reader.Rest())
+			return err
 		case err != nil:
 			return err
+		case joins && !follows(p.last, event.ID):
+			return mishap.New(mishap.ServerFault, "have the server go on after the event it is told", "event %s came after event %s", event.ID, p.last)
 		}
 		if !begun {
 			begun = true
 			p.f.Word(ford.Began{Order: p.order})
 		}
-		if !p.began {
-			p.began = true
-			p.w.WriteHeader(answer.Status)
-		}
+		p.begin(answer, -1)
 		if _, err := p.w.Write(event.Raw); err != nil {
 			return err
 		}
@@ -201,7 +222,7 @@
 			return err
 		}
 		if event.ID != "" {
-			p.last = event.ID
+			p.last, joins = event.ID, false
 		}
 	}
 }
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -678,3 +678,91 @@
 	}
 	c.idle()
 }
+
+// Of a try that was cut before anything got out nothing reaches the caller, its
+// head included.
+func TestNothingIsLeftOfAFailedTry(t *testing.T) {
+	var mu sync.Mutex
+	tries := 0
+	answers := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		tries++
+		first := tries == 1
+		mu.Unlock()
+		kind := "text/plain"
+		if strings.HasPrefix(r.URL.Path, "/resume/") {
+			kind = eventStream
+		}
+		head(w, r, "stamp-2", kind)
+		if first {
+			w.Header().Set("X-First", "yes")
+			w.Header().Set("X-Stamp", "stamp-1")
+			w.Header().Set("Content-Length", "1000")
+			say(w, "id: 1\n")
+			cut()
+		}
+		say(w, run(1, 3))
+	}
+	for _, kind := range []string{"again", "resume", "once"} {
+		tries = 0
+		c := servers(t, answers, answers)
+		answer := c.ask("POST", "/"+kind+"/x", "y")
+		want, stamp := got{status: 200, body: run(1, 3)}, "stamp-2"
+		if kind == "once" {
+			want.status, want.body, stamp = http.StatusBadGateway, answer.body, ""
+		}
+		if answer.err != nil || answer.status != want.status || answer.body != want.body || answer.header.Get("X-First") != "" || answer.header.Get("X-Stamp") != stamp {
+			t.Errorf("%s: %+v", kind, answer)
+		}
+		c.idle()
+	}
+}
+
+// What follows the last event is part of the stream's bytes as well.
+func TestBlankLinesAtTheEnd(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n\r\n", "\n\n\n"} {
+		c := servers(t, func(w http.ResponseWriter, r *http.Request) {
+			head(w, r, "stamp", eventStream)
+			say(w, run(1, 2))
+			say(w, end)
+		})
+		if answer := c.ask("POST", "/flow/x", "y"); answer.err != nil || answer.body != run(1, 2)+end {
+			t.Errorf("%q: %q %v", end, answer.body, answer.err)
+		}
+		c.idle()
+	}
+}
+
+// A server that goes on with something else than the stream has not gone on with it.
+func TestResumedByAnotherKindOfAnswer(t *testing.T) {
+	for name, later := range map[string]http.HandlerFunc{
+		"no stream": func(w http.ResponseWriter, r *http.Request) {
+			head(w, r, "", "text/plain")
+			io.WriteString(w, "hello")
+		},
+		"an empty body": func(w http.ResponseWriter, r *http.Request) { head(w, r, "", "text/plain") },
+		"from the start": func(w http.ResponseWriter, r *http.Request) {
+			head(w, r, "", eventStream)
+			say(w, run(1, 4))
+		},
+		"a later place": func(w http.ResponseWriter, r *http.Request) {
+			head(w, r, "", eventStream)
+			say(w, run(4, 6))
+		},
+	} {
+		answers := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(words.LastEvent) != "" {
+				later(w, r)
+				return
+			}
+			head(w, r, "stamp", eventStream)
+			say(w, run(1, 2))
+			cut()
+		}
+		c := servers(t, answers, answers, answers)
+		if answer := c.ask("POST", "/resume/x", "y"); answer.status != 200 || answer.body != run(1, 2) || answer.err == nil {
+			t.Errorf("%s: %+v", name, answer)
+		}
+		c.idle()
+	}
+}
