--- /dev/null
+++ b/proof/standin/fleet.go
@@ -0,0 +1,253 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// Machine is one machine with its process.
+type Machine struct {
+	Name, Role, Zone, IP  string
+	Front, Ready, Control string
+	Data                  string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// Fleet is the machines of a day, each with an address of its own on the loopback
+// network.
+type Fleet struct {
+	Dir, Program string
+	Bounds       map[string]any
+	List         string // address of the platform's list
+	octet        int
+	next         int
+	ports        int // the first of the range that daemons speak on
+	machines     map[string]*Machine
+}
+
+// NewFleet makes a fleet without machines.
+func NewFleet(dir, program string) *Fleet {
+	return &Fleet{Dir: dir, Program: program, octet: 1 + os.Getpid()%250, machines: map[string]*Machine{}}
+}
+
+// Build builds the adapter's program into a folder.
+func Build(root, bin string) (string, error) {
+	program := filepath.Join(bin, "tuliprudder")
+	build := exec.Command("go", "build", "-o", program, "./platform/tuliprudder")
+	build.Dir = root
+	out, err := build.CombinedOutput()
+	return program, errors.Wrapf(err, "building: %s", out)
+}
+
+// Address is an address that nothing else of the fleet has.
+func (f *Fleet) Address() string {
+	f.next++
+	return fmt.Sprintf("127.%d.%d.%d", f.octet, 201+f.next/200, 1+f.next%200)
+}
+
+// port is a port that the kernel finds free.
+func port(ip string) (string, error) {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", errors.Wrap(err, "finding a free port")
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// Add lays a machine out without starting it.
+func (f *Fleet) Add(role, zone string) (*Machine, error) {
+	m := &Machine{Name: fmt.Sprintf("%s-%s-%d", role, zone, len(f.machines)+1), Role: role, Zone: zone, IP: f.Address()}
+	var err error
+	for _, target := range map[string][]*string{"edge": {&m.Front, &m.Ready}, "core": {&m.Control}}[role] {
+		if *target, err = port(m.IP); err != nil {
+			return nil, err
+		}
+	}
+	if role != "edge" {
+		m.Data = filepath.Join(f.Dir, m.Name+".data")
+		if err := os.MkdirAll(m.Data, 0o755); err != nil {
+			return nil, errors.Wrap(err, "making a data folder")
+		}
+	}
+	f.machines[m.Name] = m
+	return m, nil
+}
+
+// Of are the machines of a role, in order.
+func (f *Fleet) Of(role string) (out []*Machine) {
+	for _, m := range f.machines {
+		if m.Role == role {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+const portsEach = 6
+
+// findPorts finds a range of ports that is free on every machine.
+func (f *Fleet) findPorts() error {
+	for range 100 {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "finding free ports")
+		}
+		base := first.Addr().(*net.TCPAddr).Port
+		first.Close()
+		if base+portsEach > 65535 || !f.free(base) {
+			continue
+		}
+		f.ports = base
+		return nil
+	}
+	return errors.New("no range of ports is free on all machines")
+}
+
+func (f *Fleet) free(base int) bool {
+	for _, m := range f.machines {
+		for p := base; p < base+portsEach; p++ {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", m.IP, p))
+			if err != nil {
+				return false
+			}
+			listener.Close()
+		}
+	}
+	return true
+}
+
+// Start starts all machines at once, for the first time.
+func (f *Fleet) Start() error {
+	if err := f.findPorts(); err != nil {
+		return err
+	}
+	for _, role := range []string{"core", "store", "edge"} {
+		for _, m := range f.Of(role) {
+			if err := f.Run(m, true); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// settings writes a machine's settings file.
+func (f *Fleet) settings(m *Machine, bootstrap bool) (string, error) {
+	listen, seeds := map[string]string{}, []string{}
+	for name, address := range map[string]string{"front": m.Front, "ready": m.Ready, "ctl": m.Control} {
+		if address != "" {
+			listen[name] = address
+		}
+	}
+	for _, core := range f.Of("core") {
+		if len(seeds) < 3 {
+			seeds = append(seeds, core.Control)
+		}
+	}
+	var data any
+	if m.Data != "" {
+		data = m.Data
+	}
+	body, err := json.MarshalIndent(map[string]any{"node": m.Name, "role": m.Role, "ip": m.IP, "az": m.Zone, "region": "here", "listen": listen,
+		"port-range": []int{f.ports, f.ports + portsEach - 1}, "seeds": seeds, "bootstrap": bootstrap, "counted": m.Data != "", "data-dir": data,
+		"limits": map[string]any{"ram-mb": 300, "cpu-frac": 0.5}, "tolerate": map[string]any{"machines": 1}, "bounds": f.Bounds,
+		"cloud": map[string]any{"addr": f.List, "rate-per-s": 40}, "not-known": []string{"to any release"}}, "", " ")
+	if err != nil {
+		return "", errors.Wrap(err, "encoding settings")
+	}
+	file := filepath.Join(f.Dir, m.Name+".json")
+	return file, errors.Wrap(os.WriteFile(file, body, 0o644), "writing settings")
+}
+
+// Run starts a machine's process.
+func (f *Fleet) Run(m *Machine, bootstrap bool) error {
+	file, err := f.settings(m, bootstrap)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(f.Program, m.Role)
+	cmd.Env = append(os.Environ(), "TULIPRUDDER_CONFIG="+file)
+	errs, err := os.OpenFile(filepath.Join(f.Dir, m.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "opening the log")
+	}
+	cmd.Stdout, cmd.Stderr = errs, errs
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		errs.Close()
+		return errors.Wrapf(err, "starting %s", m.Name)
+	}
+	exited := make(chan struct{})
+	go func() { cmd.Wait(); errs.Close(); close(exited) }()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cmd, m.exited = cmd, exited
+	return nil
+}
+
+// Signal sends a signal to a machine's process.
+func (m *Machine) Signal(signal syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		m.cmd.Process.Signal(signal)
+	}
+}
+
+// Exited is closed once the process has ended.
+func (m *Machine) Exited() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.exited
+}
+
+// Code is the exit code of a process that has ended.
+func (m *Machine) Code() int { return m.cmd.ProcessState.ExitCode() }
+
+// Kill ends a process at once, and waits for its end.
+func (m *Machine) Kill() {
+	m.Signal(syscall.SIGKILL)
+	<-m.Exited()
+}
+
+// End kills every process that this fleet started.
+func (f *Fleet) End() {
+	for _, m := range f.machines {
+		if m.Exited() != nil {
+			m.Kill()
+		}
+	}
+}
+
+// Tails gathers the ends of the logs, for a failure.
+func (f *Fleet) Tails() string {
+	var out strings.Builder
+	for _, role := range []string{"core", "store", "edge"} {
+		for _, m := range f.Of(role) {
+			data, err := os.ReadFile(filepath.Join(f.Dir, m.Name+".log"))
+			if err != nil {
+				continue
+			}
+			if len(data) > 1500 {
+				data = data[len(data)-1500:]
+			}
+			fmt.Fprintf(&out, "== %s\n%s\n", m.Name, data)
+		}
+	}
+	return out.String()
+}
