--- a/proof/standin/book.go
+++ b/proof/standin/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -95,6 +96,20 @@
 	}
 }
 
+// Withdrawn notes that a configuration was refused: it must not come into force.
+func (b *Book) Withdrawn(number int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.versions = slices.DeleteFunc(b.versions, func(one *version) bool { return one.Version == number })
+}
+
+// Dropped tells whether the newest configuration has a route no more.
+func (b *Book) Dropped(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.versions) > 0 && b.versions[len(b.versions)-1].route(name) == nil
+}
+
 // since are the configurations that may have been in force at some time since then.
 func (b *Book) since(then time.Time) (out []*version) {
 	for _, one := range b.versions {
--- a/proof/standin/callers.go
+++ b/proof/standin/callers.go
@@ -234,6 +234,8 @@
 			}
 			c.mu.Unlock()
 			return
+		case got.status == http.StatusNotFound && c.Book.Dropped(route.Name):
+			return
 		case !again:
 			c.mu.Lock()
 			c.unknown++
--- a/proof/standin/operator.go
+++ b/proof/standin/operator.go
@@ -147,8 +147,12 @@
 	}
 	o.Book.Sent(c)
 	status, _, err := o.Call(ctx, http.MethodPost, "/config/replace", body, base)
-	if status == http.StatusOK && err == nil {
+	switch {
+	case err != nil:
+	case status == http.StatusOK:
 		o.Book.Acknowledged(c.Version)
+	default:
+		o.Book.Withdrawn(c.Version)
 	}
 	return status, err
 }
--- a/proof/standin/server.go
+++ b/proof/standin/server.go
@@ -53,6 +53,7 @@
 	kept    map[string]bool // parts of prompts, each with all before it
 	taken   int             // orders in all
 	leaving bool
+	until   time.Time // no request may come later to one that leaves
 }
 
 // StartServer starts a server on an address of its own.
@@ -68,11 +69,12 @@
 	return s, nil
 }
 
-// Leave has the server go: its answers close their connections; it serves on.
-func (s *Server) Leave() {
+// Leave has the server go: its answers close their connections; it serves on, but
+// after a while no request may come to it any more.
+func (s *Server) Leave(after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving = true
+	s.leaving, s.until = true, time.Now().Add(after)
 }
 
 // Crash ends it at once.
@@ -124,6 +126,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	leaving, taken, active, waiting := s.leaving, s.taken, s.active, len(s.waiting)
+	late := leaving && time.Now().After(s.until)
 	s.mu.Unlock()
 	w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(s.Idle.Seconds())))
 	if leaving {
@@ -150,6 +153,9 @@
 		notRun(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if late && r.URL.Path != healthPath {
+		s.book.Fault("drain: the request %s came to the server %s, which had left", id, s.ID)
+	}
 	ctx := r.Context()
 	if ms, err := strconv.ParseFloat(r.Header.Get(headDeadline), 64); err == nil {
 		var cancel context.CancelFunc
--- a/proof/standin/standin_test.go
+++ b/proof/standin/standin_test.go
@@ -221,6 +221,10 @@
 	d.served("the new route", func(_, byRoute map[string]int) bool { return byRoute["new"] >= 20 })
 	phase("changed")
 
+	// A server leaves; soon nothing may come to it any more.
+	d.servers[0].Leave(d.list.Lag + 3*time.Second)
+	d.list.Set(d.servers...)
+
 	// A store is killed; lots go on without it, and it comes back.
 	store := d.fleet.Of("store")[0]
 	handIn(3)
@@ -234,9 +238,7 @@
 	await(11)
 	phase("the store is back")
 
-	// A server leaves, and an edge is told to go; no request is lost.
-	d.servers[0].Leave()
-	d.list.Set(d.servers...)
+	// An edge is told to go; no request is lost.
 	edge := d.fleet.Of("edge")[0]
 	told := time.Now()
 	edge.Signal(syscall.SIGTERM)
@@ -272,6 +274,9 @@
 	d.must(d.lots.End(ctx, parked))
 	d.readConfiguration(second())
 	phase("read back")
+	if !time.Now().After(d.servers[0].until) {
+		t.Error("the day ended before the server that leaves had to be left alone")
+	}
 
 	edges, byRoute, unknown, joined := d.callers.Counts()
 	t.Logf("served %v by edges, %v on routes; %d stayed unknown; %d streams were joined; %d runs; %d calls of the list above its rate", edges, byRoute, unknown, joined, d.book.Runs(), d.list.Over())
