--- a/path/ford/ford.go
+++ b/path/ford/ford.go
@@ -111,6 +111,7 @@
 	grip   *dispatch.Grip
 	avoid  map[string]int
 	sent   int64
+	unsent int
 	ran    bool
 }
 
@@ -239,6 +240,10 @@
 // more tells whether the request may be sent to a further server.
 func (f *Ford) more(r *request) bool { return r.sent < max(1, r.route.Forward.Tries) }
 
+// mostUnsent is how many servers that take no connection are passed over: each may
+// cost the time of one.
+const mostUnsent = 3
+
 // went decides by how a try went.
 func (f *Ford) went(call uint64, ran Ran, now sundial.Micros) {
 	r := f.open[ran.Order]
@@ -265,6 +270,7 @@
 			grip.Release(0, false, now)
 		}
 		r.sent--
+		r.unsent++
 	case NotRun:
 		grip.TurnedAway(now)
 	case Failed:
@@ -286,7 +292,7 @@
 	case r.ran && !Repeatable(r.route) && !f.SecondRun,
 		ran.Began && r.route.Kind != planbook.Resumable:
 		f.giveUp(r, why, now)
-	case !f.more(r):
+	case !f.more(r), r.unsent > mostUnsent:
 		f.giveUp(r, why, now)
 	default:
 		f.Again++
