--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -8,7 +8,6 @@
 	"container/heap"
 	"container/list"
 	"hash/fnv"
-	"math"
 	"math/rand"
 	"slices"
 	"sort"
@@ -137,7 +136,6 @@
 	plan     *planbook.Plan
 	levels   []int64
 	bundles  int     // bundle orders of this daemon that run
-	opening  int     // those of them that their servers have not begun
 	turn     float64 // where this daemon's own order of servers begins, from 0 to 1
 	part     float64 // of the room for items, this store's
 	servers  map[string]*state
@@ -634,8 +632,7 @@
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now),
 			Turn: float64((i-begin+len(names))%len(names)) / float64(len(names))}
 		if o.Bundle && o.Route.Forward != nil {
-			candidate.Share = &judges.Share{Part: d.part, Window: s.window.room(), Running: s.bundles, Opening: s.opening,
-				Begins: max(1, int(math.Round(2*d.part*float64(len(names))))), Waiting: d.opening}
+			candidate.Share = &judges.Share{Part: d.part, Window: s.window.room(), Running: s.bundles, Opening: s.opening}
 		}
 		sum, marks, ok := judges.Sum(d.plan.Judges, wish, candidate)
 		if !ok {
@@ -669,7 +666,6 @@
 	if o.Bundle {
 		chosen.bundles++
 		chosen.opening++
-		d.opening++
 	}
 	return grip
 }
@@ -726,7 +722,6 @@
 	g.s.reading -= g.prompt
 	if g.bundle {
 		g.s.opening--
-		g.d.opening--
 	}
 	g.s.pending = slices.DeleteFunc(g.s.pending, func(one *Grip) bool { return one == g })
 }
--- a/path/judges/judges.go
+++ b/path/judges/judges.go
@@ -33,11 +33,9 @@
 // so that all together leave room for live orders.
 type Share struct {
 	Part    float64 // of what all keepers' items may take, by what each has to run
-	Window  int     // what the server begins without delay
+	Window  int     // how many the server begins without delay; 0: not known
 	Running int     // this daemon's items on the server
 	Opening int     // those of them that it has not begun
-	Begins  int     // how many items of this daemon all servers may have to begin
-	Waiting int     // how many they have to begin
 }
 
 // Wish is what the order needs.
@@ -83,9 +81,7 @@
 		return 0, ""
 	case c.Share.Opening >= mostOpening:
 		return 0, "has items to begin"
-	case c.Share.Waiting >= c.Share.Begins:
-		return 0, "other servers have items of this keeper to begin"
-	case c.Share.Running >= c.Share.Window:
+	case c.Share.Window > 0 && c.Share.Running >= c.Share.Window:
 		return 0, "begins items late"
 	case c.Share.Running >= max(1, int(math.Round(c.Limit*float64(c.Slots)*c.Share.Part))):
 		return 0, "this keeper's items have their part of it"
--- a/path/judges/judges_test.go
+++ b/path/judges/judges_test.go
@@ -28,6 +28,8 @@
 		"one has to begin":         {&Share{Part: 1, Running: 1, Opening: 1}, 0.75, 16, true},
 		"all have begun":           {&Share{Part: 1, Running: 8, Opening: 0}, 0.75, 16, false},
 		"more than its part":       {&Share{Part: 0.5, Running: 9}, 0.75, 16, true},
+		"the window, room left":    {&Share{Part: 1, Running: 4, Window: 5}, 0.75, 16, false},
+		"the window, full":         {&Share{Part: 1, Running: 5, Window: 5}, 0.75, 16, true},
 		"a higher limit":           {&Share{Part: 1, Running: 12}, 1, 16, false},
 		"a server with few slots":  {&Share{Part: 0.5, Running: 0}, 0.75, 1, false},
 		"the same, and it has one": {&Share{Part: 0.5, Running: 1}, 0.75, 1, true},
@@ -108,3 +110,12 @@
 		t.Errorf("ruled out by %v", marks)
 	}
 }
+
+// A server's place in the daemon's own order is its mark, the first the highest.
+func TestTurn(t *testing.T) {
+	for place, want := range map[float64]float64{0: 1, 0.25: 0.75, 0.75: 0.25} {
+		if mark, out := Turn(Wish{}, Candidate{Turn: place}); mark != want || out != "" {
+			t.Errorf("place %v: mark %v, out %q", place, mark, out)
+		}
+	}
+}
