--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -404,7 +404,9 @@
 	if n.Rumour.Key == chart.MapKey {
 		var m chart.Map
 		if json.Unmarshal(n.Rumour.Value, &m) == nil && m.Seq > k.chart.Seq && (k.fleet == "" || m.Fleet == k.fleet) {
+			was := k.chart
 			k.chart = m
+			k.free(was)
 			k.follow(now)
 		}
 		return
@@ -432,6 +434,17 @@
 	k.orphans = kept
 }
 
+// free gives up the leases granted to lives that have ended: a store that has started
+// again is another life, and the one before starts nothing more (DESIGN §4.4).
+func (k *Keeper) free(was chart.Map) {
+	for slot, pairing := range was.Slots {
+		rope := k.gang.Rope(Unit(slot))
+		if pairing.Epoch == rope.Epoch && pairing.Owner.ID != k.self.ID && k.chart.Stores[pairing.Owner.ID].Life > pairing.Owner.Life {
+			k.gang.Void(rope.Unit)
+		}
+	}
+}
+
 // follow works out the difference between the map and what this keeper does.
 func (k *Keeper) follow(now sundial.Micros) {
 	me := tether.Member{ID: k.self.ID, Life: k.self.Life}
--- a/ledger/tether/tether.go
+++ b/ledger/tether/tether.go
@@ -328,6 +328,9 @@
 	g.tryCopy(r, now)
 }
 
+// Void ends the lease that this backup granted: the life it was granted to is over.
+func (g *Gang) Void(unit string) { g.Rope(unit).granted = 0 }
+
 // Back makes this end the backup under a new epoch; the owner's copy fills it.
 func (g *Gang) Back(unit string, epoch uint64, owner string, now sundial.Micros) {
 	r := g.Rope(unit)
