--- a/daemon/outfit/outfit.go
+++ b/daemon/outfit/outfit.go
@@ -71,6 +71,7 @@
 		os.Exit(3)
 	}
 	ledger := planes.NewLedger(l.Who.ID, books, set.MostItems, int64(l.Who.Life))
+	ledger.Greet(l.Common.Seeds)
 	track := muletrack.New(l.Porter.Now, l.Porter.Word)
 	l.Porter.Carry(ledger, room)
 	l.Porter.OnWork(track.Take)
--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -47,6 +47,13 @@
 	return l
 }
 
+// Greet names the seeds: until this store has heard of the cores, its beats go there,
+// so that one that has started again is paired without waiting for news.
+func (l *Ledger) Greet(seeds []string) {
+	l.cairns.seeds = seeds
+	l.keep(keeper.Cairns{Peers: l.cairns.peers()}, 0)
+}
+
 // keep applies a command to the keeper and takes what is the path's.
 func (l *Ledger) keep(command keeper.Command, now sundial.Micros) {
 	for _, effect := range l.Keeper.Do(command, now) {
--- a/daemon/planes/ledger_test.go
+++ b/daemon/planes/ledger_test.go
@@ -110,3 +110,18 @@
 		t.Fatal("it waits still")
 	}
 }
+
+// A store that knows no core yet beats at its seeds.
+func TestAStoreThatStartsBeatsAtItsSeeds(t *testing.T) {
+	k := keeper.New(keeper.Self{ID: "s", Zone: "z", Peer: "p", Life: 2}, keeper.Defaults(), nil, noShelf{})
+	l := NewLedger("s", k, 10, 1)
+	l.Greet([]string{"seed:1"})
+	for _, effect := range l.ClockEvent(sundial.Second) {
+		if send, ok := effect.(stride.Send); ok && send.To == "seed:1" {
+			if beat, ok := send.Body.(keeper.Beat); ok && beat.Life == 2 {
+				return
+			}
+		}
+	}
+	t.Fatal("no beat went to the seed")
+}
--- a/daemon/planes/planes.go
+++ b/daemon/planes/planes.go
@@ -60,6 +60,11 @@
 	for _, id := range ids {
 		add(c.folk[id].Peer)
 	}
+	if len(out) == 0 {
+		for _, peer := range c.seeds {
+			add(peer)
+		}
+	}
 	return out
 }
 
