--- /dev/null
+++ b/cmd/belvedere/page.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"tuliprudder/kernel/rucksack"
+	"tuliprudder/proof/hollow"
+)
+
+// page works the tables of the capacity page out anew from the committed runs.
+func page(args []string) {
+	r := rucksack.New("belvedere page")
+	tables := r.Flags.String("tables", "docs/capacity", "folder of the runs' tables")
+	path := r.Flags.String("page", "docs/CAPACITY.md", "the page")
+	r.MustParse(args)
+	if err := rewrite(*tables, *path); err != nil {
+		fail(err)
+	}
+}
+
+func rewrite(folder, path string) error {
+	tables, err := hollow.ReadTables(folder)
+	if err != nil {
+		return err
+	}
+	old, err := os.ReadFile(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	text, err := hollow.Page(string(old), tables)
+	if err != nil {
+		return err
+	}
+	return errors.WithStack(os.WriteFile(path, []byte(text), 0o644))
+}
--- /dev/null
+++ b/proof/hollow/bench_test.go
@@ -0,0 +1,273 @@
+package hollow
+
+import (
+	"encoding/gob"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"tuliprudder/acquaintance/circle"
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/planbook"
+	"tuliprudder/kernel/footbridge"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/waypost"
+	"tuliprudder/path/dispatch"
+	"tuliprudder/path/roster"
+	"tuliprudder/path/scouts"
+)
+
+// The figures of docs/CAPACITY.md that are not of whole fleets:
+// GOMAXPROCS=1 go test -run Nothing -bench . -benchtime 2s ./proof/hollow
+
+type quiet struct{ heard chan struct{} }
+
+func (q quiet) Deliver(footbridge.Envelope)            { q.heard <- struct{}{} }
+func (q quiet) Ask(l footbridge.Envelope) (any, error) { return l.Body, nil }
+func report(b *testing.B, began int64, per int, as string) {
+	b.ReportMetric(float64(processCPU()-began)/1000/float64(b.N*per), as)
+}
+
+// One call of net/rpc between two processes' ends, both ends together.
+func BenchmarkCallOverALine(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	there := quiet{make(chan struct{}, 1)}
+	end, err := footbridge.New(address, there).Listen(address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer end()
+	here := footbridge.New("127.0.0.1:0", there)
+	here.Send(address, circle.Probe{Nonce: 1})
+	<-there.heard
+	b.ResetTimer()
+	began := processCPU()
+	for range b.N {
+		here.Send(address, circle.Probe{Nonce: 1})
+		<-there.heard
+	}
+	report(b, began, 1, "cpu-µs/call")
+}
+
+// What one line's encoder and one decoder keep after the largest message.
+func BenchmarkLineMemory(b *testing.B) {
+	for _, keys := range []int{500, 11_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			known := map[string]circle.Mark{}
+			for i := range keys {
+				known[fmt.Sprintf("server/server-%05d", i)] = circle.Mark{Seq: 1_000_000_000_000_000 + uint64(i)}
+			}
+			batch := footbridge.Batch{Letters: []footbridge.Envelope{{Body: circle.Digest{Known: known}}}}
+			for range b.N {
+				var encoders []*gob.Encoder
+				var decoders []*gob.Decoder
+				before := inUse()
+				for range 16 {
+					var s sizer
+					encoder := gob.NewEncoder(&s)
+					must(encoder.Encode(batch))
+					encoders = append(encoders, encoder)
+				}
+				with := inUse()
+				for range 16 {
+					reader, writer := net.Pipe()
+					decoder := gob.NewDecoder(reader)
+					go func() { must(gob.NewEncoder(writer).Encode(batch)) }()
+					must(decoder.Decode(&footbridge.Batch{}))
+					decoders = append(decoders, decoder)
+				}
+				b.ReportMetric(float64(with-before)/16, "encoder-B")
+				b.ReportMetric(float64(inUse()-with)/16, "decoder-B")
+				runtime.KeepAlive(encoders)
+				runtime.KeepAlive(decoders)
+			}
+		})
+	}
+}
+
+func plan(b *testing.B) *planbook.Plan {
+	f := &Fleet{Set: Settings{Customers: 450, Routes: 60}}
+	plan, err := planbook.Parse(f.document(1))
+	if err != nil {
+		b.Fatal(err)
+	}
+	plan.Version = 1
+	return plan
+}
+
+func backlog(b *testing.B, servers, running int) *dispatch.Dispatch {
+	d := dispatch.New(dispatch.Defaults(), 1)
+	d.SetPlan(plan(b), 1)
+	d.SetFresh(1)
+	for _, s := range New(Settings{Servers: int64(servers), Zones: 11, Regions: 3}).servers {
+		d.SetServer(s.word)
+		d.SetLoad(s.word.Name, 1, roster.Load{Running: running, Sound: true, At: 1})
+	}
+	return d
+}
+
+func order(b *testing.B, d *dispatch.Dispatch, i int) *dispatch.Order {
+	route, _ := d.Plan().Route("route-000")
+	return &dispatch.Order{ID: fmt.Sprint(i), Customer: "tenant-001", Route: route, Rank: 100, Prefix: fmt.Sprint(i % 100), Expiry: 1 << 40,
+		Start: func(grip *dispatch.Grip, now sundial.Micros) { grip.Release(1000, true, now) }, Drop: func(error, sundial.Micros) {}}
+}
+
+// Choosing a server for one order.
+func BenchmarkChoose(b *testing.B) {
+	for _, servers := range []int{60, 960, 5500} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			d := backlog(b, servers, 10)
+			b.ResetTimer()
+			began := processCPU()
+			for i := range b.N {
+				if err := d.Enrol(order(b, d, i), 2); err != nil {
+					b.Fatal(err)
+				}
+				d.Settle(2)
+			}
+			report(b, began, 1, "cpu-µs/order")
+		})
+	}
+}
+
+// A server's figure that comes in while one order waits for room.
+func BenchmarkFigureWhileOneWaits(b *testing.B) {
+	for _, servers := range []int{60, 960, 5500} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			d := backlog(b, servers, 100)
+			if err := d.Enrol(order(b, d, 1), 2); err != nil {
+				b.Fatal(err)
+			}
+			d.Settle(2)
+			b.ResetTimer()
+			began := processCPU()
+			for i := range b.N {
+				d.SetLoad("server-0001", 1, roster.Load{Running: 100, Sound: true, At: sundial.Micros(i + 2)})
+				d.Settle(2)
+			}
+			report(b, began, 1, "cpu-µs/figure")
+		})
+	}
+}
+
+// An edge's look whether its duties are due, ten times a second.
+func BenchmarkDutyRound(b *testing.B) {
+	for _, size := range [][2]int{{60, 8}, {960, 8}, {5500, 8}, {5500, 245}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			var folk []people.Person
+			for i := range size[1] {
+				folk = append(folk, people.Person{ID: fmt.Sprintf("trailhead-%03d.1", i), Kind: people.Trailhead, Zone: "zone-01", Peer: "10.0.0.1:7100"})
+			}
+			wire := stride.NewWire()
+			s := scouts.New("nobody", 400*sundial.Millisecond, wire, backlog(b, size[0], 1), func() []people.Person { return folk })
+			b.ResetTimer()
+			began := processCPU()
+			for i := range b.N {
+				s.ClockEvent(sundial.Micros(i+1) * sundial.Second)
+				wire.Drain()
+			}
+			report(b, began, 1, "cpu-µs/round")
+		})
+	}
+}
+
+// A digest of everything, compared with one's own.
+func BenchmarkCompareDigest(b *testing.B) {
+	for _, servers := range []int{60, 960, 5500} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			c := circle.New(people.Person{ID: "x", Kind: people.Trailhead, Peer: "p", Incarnation: 1}, nil, circle.Defaults(), 1)
+			known := map[string]circle.Mark{}
+			var told []stride.Rumour
+			for i := range servers {
+				for _, key := range []string{"server/", "load/"} {
+					rumour := stride.Rumour{Key: fmt.Sprintf("%sserver-%04d", key, i), Epoch: 1, Seq: 1, Value: []byte(strings.Repeat("x", 120))}
+					told, known[rumour.Key] = append(told, rumour), circle.Mark{Epoch: 1, Seq: 1}
+				}
+			}
+			c.Do(circle.Letter{Body: circle.Gossip{Rumours: told}}, 1)
+			b.ResetTimer()
+			began := processCPU()
+			for range b.N {
+				c.Do(circle.Letter{From: "q", Body: circle.Digest{Known: known}}, 2)
+			}
+			report(b, began, 1, "cpu-µs/digest")
+		})
+	}
+}
+
+// A feed's token by the number of writers.
+func BenchmarkToken(b *testing.B) {
+	for _, writers := range []int{4, 24, 100, 300} {
+		b.Run(fmt.Sprint(writers), func(b *testing.B) {
+			vector := waypost.Vector{}
+			for i := range writers {
+				vector[i+1] = int64(8_000_000 + 977*i)
+			}
+			letters := 0
+			for range b.N {
+				letters = len(waypost.NewToken("fleet", vector).String())
+			}
+			b.ReportMetric(float64(letters), "letters")
+		})
+	}
+}
+
+// The vector that a reader may read up to, over all slots.
+func BenchmarkUpTo(b *testing.B) {
+	for _, size := range [][2]int{{24, 24}, {512, 100}, {1024, 300}} {
+		b.Run(fmt.Sprintf("%dslots%dwriters", size[0], size[1]), func(b *testing.B) {
+			v := waypost.NewView()
+			v.SetMap(make([]uint64, size[0]))
+			for w := range size[1] {
+				value := `{"writer":` + fmt.Sprint(w+1) + `,"store":"s","peer":"p","up_to":1000,"slots":[`
+				for slot := w; slot < size[0]; slot += size[1] {
+					if slot > w {
+						value += ","
+					}
+					value += fmt.Sprintf(`{"slot":%d,"epoch":1,"last":{"%d":5},"tenures":[{"writer":%d,"first":1,"last":5},{"writer":%d,"first":6,"last":900}]}`, slot, (w+1)%size[1]+1, (w+1)%size[1]+1, w+1)
+				}
+				v.Hear(stride.Rumour{Key: waypost.Key(w + 1), Epoch: 1, Seq: 1, Value: []byte(value + "]}")})
+			}
+			b.ResetTimer()
+			began := processCPU()
+			for range b.N {
+				v.UpTo()
+			}
+			report(b, began, 1, "cpu-µs/page")
+		})
+	}
+}
+
+// A lot of many items on a keeper without a backup's answer: what taking it in
+// costs, and what it keeps.
+func BenchmarkLot(b *testing.B) {
+	for _, items := range []int{1000, 10_000, 87_000} {
+		b.Run(fmt.Sprint(items), func(b *testing.B) {
+			bundle := daybook.Bundle{ID: "lot", Customer: "tenant-001", Key: "k", Hash: "h", Route: "route-002", State: daybook.Open}
+			for i := range items {
+				bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprintf("item-%05d", i), Input: strings.Repeat("x", 400)})
+			}
+			size := 0
+			b.ResetTimer()
+			began := processCPU()
+			for range b.N {
+				size = len(daybook.Encode(daybook.Enrol{Bundle: bundle}))
+			}
+			report(b, began, 1, "cpu-µs/lot")
+			b.ReportMetric(float64(size), "entry-B")
+			b.ReportMetric(float64(keeper.Defaults().MostItems), "most-items")
+			time.Sleep(0)
+		})
+	}
+}
--- /dev/null
+++ b/proof/hollow/daemon.go
@@ -0,0 +1,394 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"tuliprudder/acquaintance/circle"
+	"tuliprudder/acquaintance/people"
+	"tuliprudder/core/chart"
+	"tuliprudder/core/planbook"
+	"tuliprudder/core/summit"
+	"tuliprudder/daemon/planes"
+	"tuliprudder/daemon/porter"
+	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/sundial"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/path/roster"
+	"tuliprudder/path/runner"
+	"tuliprudder/path/scouts"
+	"tuliprudder/path/serverline"
+)
+
+// tickEvery is the porter's.
+const tickEvery = 15 * sundial.Millisecond
+
+// daemon is one daemon: its acquaintance, and its plane's machine where it has one.
+type daemon struct {
+	fleet         *Fleet
+	kind, id      string
+	number        int
+	zone, peer    string
+	place, region int
+	whole         bool
+	life          uint64
+	era           int
+	up            bool
+	circle        *circle.Circle
+	machine       porter.Machine
+	summit        *summit.Summit
+	keeper        *keeper.Keeper
+	calls         map[uint64]func(stride.Answer)
+	lines         []*line
+	asks          map[*daemon]*line
+	disk          disk
+	duty          int // servers it reads
+	hollow        map[string]loadMark
+	phase         sundial.Micros // within a hollow edge's beat of readings
+	planVersion   uint64
+}
+
+type loadMark struct{ epoch, seq uint64 }
+
+// disk takes what is stored in groups, a few milliseconds each.
+type disk struct {
+	durable []stride.Record
+	shelf   shelf
+	queue   []stride.Effect
+	busy    bool
+}
+
+type shelf map[uint64]map[string][]byte
+
+// Get, Held and Top are the keeper's view of the shelf.
+func (s shelf) Get(file uint64, unit string) ([]byte, error) {
+	if body, ok := s[file][unit]; ok {
+		return body, nil
+	}
+	return nil, mishap.New(mishap.Corrupt, "", "no %s in shelf file %d", unit, file)
+}
+
+// Held lists the files.
+func (s shelf) Held() []uint64 {
+	var out []uint64
+	for file := range s {
+		out = append(out, file)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Top is the last file.
+func (s shelf) Top() uint64 {
+	top := uint64(0)
+	for file := range s {
+		top = max(top, file)
+	}
+	return top
+}
+
+func (d *daemon) person() people.Person {
+	return people.Person{ID: d.id, Kind: d.kind, Zone: d.zone, Peer: d.peer, HTTP: d.peer, Incarnation: d.life, Version: people.Release}
+}
+
+// boot starts a daemon from what its disk holds. Those told are known from the
+// start, so that a run need not wait for a large fleet to get acquainted.
+func (d *daemon) boot(told []stride.Rumour) {
+	f := d.fleet
+	d.era++
+	d.life++
+	d.up = true
+	if d.kind == people.Trailhead {
+		d.life = uint64(f.Now)
+		d.id = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, d.era)
+	}
+	d.calls, d.asks, d.hollow = map[uint64]func(stride.Answer){}, map[*daemon]*line{}, map[string]loadMark{}
+	d.planVersion, d.phase = 0, f.between(0, 100*sundial.Millisecond)
+	d.circle = circle.New(d.person(), f.seeds, circle.Defaults(), f.chance.Int63())
+	switch {
+	case d.kind == people.Cairn:
+		set := summit.Defaults()
+		set.Slots, set.CheckPlan = int(f.Set.Slots), planbook.Check
+		d.summit = summit.New(summit.CoreRef{ID: d.id, Peer: d.peer, Zone: d.zone}, d.life, f.seeds, set, d.disk.durable)
+		d.machine = planes.NewCore(d.summit)
+	case d.kind == people.Refuge:
+		if d.disk.shelf == nil {
+			d.disk.shelf = shelf{}
+		}
+		set := keeper.Defaults()
+		d.keeper = keeper.New(keeper.Self{ID: d.id, Zone: d.zone, Peer: d.peer, Life: d.life}, set, d.disk.durable, d.disk.shelf)
+		d.machine = planes.NewLedger(d.id, d.keeper, set.MostItems, f.chance.Int63())
+	case d.whole:
+		d.machine = planes.NewEdge(d.id, planes.EdgeDefaults(), f.chance.Int63())
+	}
+	d.step(func() {
+		d.do(d.circle.Drain())
+		if len(told) > 0 {
+			d.acquaint(told)
+		}
+	})
+	era := d.era
+	var tick func()
+	tick = func() {
+		if d.era != era || !d.up {
+			return
+		}
+		d.step(func() {
+			d.do(d.circle.Do(circle.ClockEvent{}, f.Now))
+			if d.machine != nil {
+				d.do(d.machine.ClockEvent(f.Now))
+			}
+		})
+		f.after(tickEvery, tick)
+	}
+	f.after(f.between(0, tickEvery), tick)
+}
+
+// acquaint tells a daemon all at once what a fleet that has run for long knows:
+// a view of six others at random, and the news. It passes none of it on.
+func (d *daemon) acquaint(told []stride.Rumour) {
+	f := d.fleet
+	for range 6 {
+		other := f.daemons[f.chance.Intn(len(f.daemons))]
+		d.do(d.circle.Do(circle.Letter{From: other.peer, Body: circle.Gossip{}}, f.Now))
+	}
+	d.do(d.circle.Do(circle.Letter{Body: circle.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
+	for _, effect := range d.circle.Do(circle.ClockEvent{}, f.Now) {
+		if _, sends := effect.(stride.Send); !sends {
+			d.do([]stride.Effect{effect})
+		}
+	}
+}
+
+// crash ends a daemon; what was not synced is gone.
+func (d *daemon) crash() {
+	d.up = false
+	d.era++
+	d.disk.queue, d.disk.busy = nil, false
+	for _, l := range d.lines {
+		delete(d.fleet.lines, l.lineKey)
+	}
+	d.lines = nil
+}
+
+// step runs one of the daemon's steps under the clock, then sends what it left.
+func (d *daemon) step(do func()) {
+	was := d.fleet.charge(d)
+	do()
+	d.fleet.charge(was)
+	d.fleet.flush()
+}
+
+func (d *daemon) letter(from string, body any) {
+	switch body.(type) {
+	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Hint, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle, circle.Press, circle.Pressed:
+		d.do(d.circle.Do(circle.Letter{From: from, Body: body}, d.fleet.Now))
+	default:
+		if d.machine != nil {
+			d.do(d.machine.Letter(from, body, d.fleet.Now))
+		}
+	}
+}
+
+func (d *daemon) call(body any, back func(stride.Answer)) {
+	d.fleet.calls++
+	d.calls[d.fleet.calls] = back
+	d.do(d.machine.Call(d.fleet.calls, body, d.fleet.Now))
+}
+
+// do carries out what a machine decided, as the porter does.
+func (d *daemon) do(effects []stride.Effect) {
+	f := d.fleet
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case stride.Send:
+			f.send(d, e.To, e.Body)
+		case stride.Store, stride.Fold, stride.Shelve, stride.Unshelve:
+			d.disk.queue = append(d.disk.queue, effect)
+			d.spin()
+		case stride.Answer:
+			if back := d.calls[e.Call]; back != nil {
+				delete(d.calls, e.Call)
+				back(e)
+			}
+		case stride.Publish:
+			d.do(d.circle.Do(circle.Tell{Rumour: e.Rumour}, f.Now))
+		case stride.Spread:
+			d.do(d.circle.Do(circle.Spread(e), f.Now))
+		case stride.Heard:
+			if e.Rumour.Key == chart.PlanKey && e.Rumour.Seq > d.planVersion {
+				d.planVersion = e.Rumour.Seq
+				f.plan.heard(f, d, e.Rumour.Seq)
+			}
+			if d.machine != nil {
+				d.do(d.machine.Heard(e.Rumour, f.Now))
+			} else if name, ok := loadOf(e.Rumour.Key); ok {
+				d.hollow[name] = loadMark{e.Rumour.Epoch, e.Rumour.Seq}
+			}
+		case stride.Fresh:
+			if d.machine != nil {
+				d.do(d.machine.Fresh(e.At, f.Now))
+			}
+		case stride.Ask:
+			era := d.era
+			f.ask(d, e.To, e.Body, e.Expiry, func(body any, err error) {
+				if d.up && d.era == era {
+					d.step(func() { d.do(d.machine.Told(e.Token, body, err, f.Now)) })
+				}
+			})
+		case stride.Work:
+			d.work(e.Order)
+		case stride.Halt:
+			d.crash()
+			return
+		}
+	}
+}
+
+func loadOf(key string) (string, bool) {
+	if len(key) > 5 && key[:5] == "load/" {
+		return key[5:], true
+	}
+	return "", false
+}
+
+// spin lets the disk write what waits: one group, one sync.
+func (d *daemon) spin() {
+	if d.disk.busy || len(d.disk.queue) == 0 {
+		return
+	}
+	f := d.fleet
+	d.disk.busy = true
+	group := d.disk.queue
+	d.disk.queue = nil
+	era := d.era
+	f.count(d).syncs++
+	f.after(f.between(1, 4)*sundial.Millisecond, func() {
+		if d.era != era || !d.up {
+			return
+		}
+		d.disk.busy = false
+		d.step(func() {
+			for _, effect := range group {
+				switch e := effect.(type) {
+				case stride.Store:
+					d.disk.durable = append(d.disk.durable, e.Records...)
+					d.do(d.machine.Stored(e.Token, f.Now))
+				case stride.Fold:
+					d.disk.durable = e.Records
+				case stride.Shelve:
+					file := map[string][]byte{}
+					for _, record := range e.Records {
+						file[record.Unit] = record.Body
+					}
+					d.disk.shelf[e.File] = file
+					d.do(d.machine.Stored(e.Token, f.Now))
+				case stride.Unshelve:
+					for _, file := range e.Files {
+						delete(d.disk.shelf, file)
+					}
+				}
+			}
+			d.spin()
+		})
+	})
+}
+
+// work does what a machine wants of the servers.
+func (d *daemon) work(order any) {
+	f := d.fleet
+	era := d.era
+	later := func(span sundial.Micros, body any) {
+		f.after(span, func() {
+			if d.era == era && d.up {
+				d.step(func() { d.do(d.machine.Call(0, body, f.Now)) })
+			}
+		})
+	}
+	switch o := order.(type) {
+	case scouts.Look:
+		if !f.served {
+			f.held = append(f.held, func() { d.work(order) })
+			return
+		}
+		f.count(d).looks++
+		running := f.running(o.Name)
+		later(f.between(500, 2500), scouts.Looked{Look: o, Running: running, Sound: true, Began: f.Now})
+	case runner.Run:
+		span := f.between(100, 300) * sundial.Millisecond
+		later(span/8, runner.Began{Token: o.Token})
+		later(span, runner.Ran{Token: o.Token, Outcome: serverline.Complete, Output: itemOutput})
+	}
+}
+
+// running is a server's figure of now.
+func (f *Fleet) running(name string) int {
+	var number int
+	fmt.Sscanf(name, "server-%d", &number)
+	if number > 0 && number <= len(f.servers) && f.servers[number-1].busy {
+		return 32 + f.chance.Intn(24)
+	}
+	return f.chance.Intn(24)
+}
+
+// assign gives the hollow edges their duties; a reader that is no longer the
+// first ends, and its successor reads under a higher epoch.
+func (f *Fleet) assign() {
+	byID := map[string]*daemon{}
+	for _, d := range f.daemons {
+		byID[d.id], d.duty = d, 0
+	}
+	for id, servers := range f.duties() {
+		d := byID[id]
+		if d == nil {
+			continue
+		}
+		d.duty = len(servers)
+		for _, s := range servers {
+			if d.whole || s.reader == d && s.era == d.era {
+				continue
+			}
+			s.reader, s.era = d, d.era
+			d.read(s)
+		}
+	}
+}
+
+// read has a hollow edge read a server as the scouts do: one figure every
+// 400 ms, four times as often for a server that is at least half full.
+func (d *daemon) read(s *hollowServer) {
+	f, era := d.fleet, d.era
+	every := planes.EdgeDefaults().ScoutEvery
+	if s.busy {
+		every /= 4
+	}
+	name := s.word.Name
+	own := loadMark{}
+	tell := func() {
+		if d.era != era || !d.up || s.reader != d {
+			return
+		}
+		d.step(func() {
+			if mark := d.hollow[name]; own.epoch == 0 || mark.epoch > own.epoch {
+				own = loadMark{epoch: mark.epoch + 1}
+			}
+			own.seq++
+			value, _ := json.Marshal(roster.Load{Running: f.running(name), Sound: true, At: f.Now, By: d.id})
+			d.do(d.circle.Do(circle.Tell{Rumour: stride.Rumour{Key: roster.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
+		})
+	}
+	var once func()
+	once = func() {
+		if d.era != era || !d.up || s.reader != d {
+			return
+		}
+		f.count(d).looks++
+		f.after(f.between(500, 2500), tell)
+		f.after(every, once)
+	}
+	// An edge sends for all that is due at once, every quarter of the span.
+	beat := planes.EdgeDefaults().ScoutEvery / 4
+	f.after((beat-f.Now%beat+d.phase)%beat, once)
+}
--- /dev/null
+++ b/proof/hollow/hollow_test.go
@@ -0,0 +1,136 @@
+package hollow
+
+import (
+	"encoding/gob"
+	"io"
+	"math/rand"
+	"net/rpc"
+	"os"
+	"strings"
+	"testing"
+
+	"tuliprudder/acquaintance/circle"
+	"tuliprudder/kernel/footbridge"
+	"tuliprudder/kernel/stride"
+	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/tether"
+)
+
+// What is counted for a line is what one encoder of its own would have written.
+func TestALineIsCountedAsByItsOwnEncoder(t *testing.T) {
+	chance := rand.New(rand.NewSource(1))
+	bodies := []any{
+		circle.Probe{Nonce: 300}, circle.Echo{Nonce: 7, For: "a"}, circle.Gossip{Rumours: []stride.Rumour{{Key: "load/x", Epoch: 1, Seq: 900, Value: make([]byte, 120)}}},
+		circle.Digest{Known: map[string]circle.Mark{"one": {Epoch: 1, Seq: 2}}, Stamp: 1}, circle.Mend{Rumours: []stride.Rumour{{Key: "k"}}, Ages: circle.Ages{Raw: map[string]int64{"s": 4}}},
+		keeper.Beat{ID: "s", Ready: map[int]uint64{1: 2}}, tether.Beat{}, circle.Shuffle{Peers: []string{"a", "b"}},
+	}
+	c := newCodec()
+	for range 20 {
+		var own sizer
+		line := gob.NewEncoder(&own)
+		l, counted := &kindSet{}, 0
+		for seq := range 40 {
+			body := bodies[chance.Intn(len(bodies))]
+			batch := footbridge.Batch{Letters: []footbridge.Envelope{{From: "10.0.0.1:1", Body: body}}}
+			// One number for all requests: their length is counted as a constant.
+			must(line.Encode(&rpc.Request{ServiceMethod: "Post.Deliver", Seq: 1000}))
+			must(line.Encode(batch))
+			counted += c.deliver + c.describe(l, kindDeliver)
+			kind := c.kind(body)
+			counted += c.describe(l, kind)
+			must(c.encoder.Encode(batch))
+			counted += c.buffer.Len()
+			var back footbridge.Batch
+			must(c.decoder.Decode(&back))
+			if counted != own.bytes {
+				t.Fatalf("message %d (%T): counted %d bytes, its own encoder wrote %d", seq, body, counted, own.bytes)
+			}
+		}
+	}
+}
+
+func small() Settings {
+	return Settings{Daemons: 8, Stores: 3, Cores: 3, WholeEdges: 2, Servers: 6, Zones: 3, Regions: 2, Slots: 4, ZoneDelay: 500, RegionDelay: 10_000,
+		Warm: 1, Seconds: 4, Changes: 3600, Customers: 5, Routes: 6, Items: 40, BundleItems: 10, Memory: 4000, Seed: 1}
+}
+
+// A small fleet settles, serves, and is counted; a figure that is left at nothing
+// would be a measurement that does not measure.
+func TestASmallFleetIsMeasured(t *testing.T) {
+	r := Run(small(), io.Discard)
+	if r.Settled < 0 || r.Stale > 0 || r.Stopped != "" {
+		t.Fatalf("settled after %v s, share of old news %v, stopped: %q", r.Settled, r.Stale, r.Stopped)
+	}
+	if r.Changes == 0 || r.ChangeMost > 2000 || r.Items < 20 || r.ItemsRefused > 0 {
+		t.Fatalf("%d changes in force, the slowest in %v ms; %v items a second, share of bundles refused %v", r.Changes, r.ChangeMost, r.Items, r.ItemsRefused)
+	}
+	for _, role := range []string{"duty", "store", "core", "primary"} {
+		f := r.Roles[role]
+		if f.Messages <= 0 || f.Bytes <= 0 || f.CPU <= 0 || f.Heap <= 0 || f.Kinds["circle.Digest"] == nil {
+			t.Fatalf("%s: %+v", role, *f)
+		}
+	}
+	if len(r.Record()) != len(Columns()) {
+		t.Fatalf("%d figures under %d names", len(r.Record()), len(Columns()))
+	}
+}
+
+// The same seed gives the same messages.
+func TestTheSameSeedSendsTheSame(t *testing.T) {
+	set := small()
+	set.Items = 0
+	one, other := Run(set, io.Discard), Run(set, io.Discard)
+	for _, role := range Roles {
+		if a, b := one.Roles[role], other.Roles[role]; a.Messages != b.Messages || a.Bytes != b.Bytes {
+			t.Fatalf("%s: %v messages and %v bytes, then %v and %v", role, a.Messages, a.Bytes, b.Messages, b.Bytes)
+		}
+	}
+}
+
+// A hollow edge sends what a whole one sends while no callers come.
+func TestHollowEdgesSendAsWholeOnes(t *testing.T) {
+	set := small()
+	set.Items, set.Daemons, set.WholeEdges, set.Seconds = 0, 12, 6, 10
+	whole := Run(set, io.Discard)
+	set.WholeEdges = 0
+	hollow := Run(set, io.Discard)
+	bytes := func(r *Result) (sum float64) {
+		for _, role := range []string{"edge", "duty", "hollow"} {
+			sum += r.Roles[role].Bytes * r.Roles[role].Daemons
+		}
+		return sum
+	}
+	if a, b := bytes(whole), bytes(hollow); a < 0.9*b || a > 1.1*b {
+		t.Fatalf("whole edges send %.0f bytes a second, hollow ones %.0f", a, b)
+	}
+}
+
+// The figures in the tables of the capacity page are those of the committed runs.
+func TestThePageSaysWhatTheRunsSay(t *testing.T) {
+	tables, err := ReadTables("../../docs/capacity")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Page(string(page), tables)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again != string(page) {
+		old, fresh := strings.Split(string(page), "\n"), strings.Split(again, "\n")
+		for i := range min(len(old), len(fresh)) {
+			if old[i] != fresh[i] {
+				t.Fatalf("line %d of docs/CAPACITY.md says\n%s\nthe runs say\n%s\nrun: go run ./cmd/belvedere page", i+1, old[i], fresh[i])
+			}
+		}
+		t.Fatal("docs/CAPACITY.md is shorter or longer than the runs make it; run: go run ./cmd/belvedere page")
+	}
+	for _, group := range Groups {
+		if len(tables.Runs[group]) == 0 && group != "full" {
+			t.Errorf("no runs of the group %q are committed", group)
+		}
+	}
+}
