--- a/cmd/belvedere/main.go
+++ b/cmd/belvedere/main.go
@@ -17,7 +17,8 @@
 	out, kinds   string
 }
 
-func read(args []string) (*rucksack.Reader, *settings) {
+// reader knows the settings and checks them together.
+func reader() (*rucksack.Reader, *settings) {
 	set := &settings{}
 	r := rucksack.New("belvedere")
 	s := &set.Settings
@@ -83,7 +84,6 @@
 			r.Fault("-seconds %d does not hold the cuts; give at least %d", s.Seconds, s.CutRegion+s.CutZone+8)
 		}
 	})
-	r.MustParse(args)
 	return r, set
 }
 
@@ -92,7 +92,8 @@
 		page(os.Args[2:])
 		return
 	}
-	_, set := read(os.Args[1:])
+	r, set := reader()
+	r.MustParse(os.Args[1:])
 	for seed := set.first; seed < set.first+set.seeds; seed++ {
 		set.Seed = seed
 		fmt.Fprintf(os.Stderr, "%d daemons (%d edges of which %d whole, %d stores, %d cores), %d servers, %d changes an hour, %d items a second, seed %d\n",
