--- a/cmd/belvedere/main.go
+++ b/cmd/belvedere/main.go
@@ -5,8 +5,10 @@
 import (
 	"encoding/csv"
 	"fmt"
+	"io"
 	"os"
 
+	"tuliprudder/kernel/logbook"
 	"tuliprudder/kernel/rucksack"
 	"tuliprudder/proof/hollow"
 )
@@ -28,6 +30,7 @@
 	r.Int(&s.WholeEdges, "whole-edges", -1, -1, 1000, "edges that run their whole machine, the rest being hollow; -1: all")
 	r.Int(&s.Servers, "servers", 60, 1, 10_000, "model servers")
 	r.Int(&s.Busy, "busy", 0, 0, 100, "share of the servers that are at least half full, in percent")
+	r.Int(&s.Late, "late-servers", 0, 0, 1, "1: the servers come once the fleet has settled, which spares a large run much time")
 	r.Int(&s.Zones, "zones", 11, 2, 64, "zones")
 	r.Int(&s.Regions, "regions", 3, 1, 16, "regions")
 	r.Int(&s.Slots, "slots", 24, 1, 4096, "slots of bundles")
@@ -94,6 +97,7 @@
 	}
 	r, set := reader()
 	r.MustParse(os.Args[1:])
+	logbook.Open(io.Discard, "belvedere", "") // the libraries' own log would stand between the lines of the table
 	for seed := set.first; seed < set.first+set.seeds; seed++ {
 		set.Seed = seed
 		fmt.Fprintf(os.Stderr, "%d daemons (%d edges of which %d whole, %d stores, %d cores), %d servers, %d changes an hour, %d items a second, seed %d\n",
--- a/docs/capacity/runs.sh
+++ b/docs/capacity/runs.sh
@@ -31,8 +31,8 @@
   full)
     # Without failures, then with a hundred times the daily restarts, a region and
     # a zone cut, and fewer servers.
-    run full -daemons 350 -servers 5500 -whole-edges 2 -seconds 5 -warm 1 -memory 3800
-    run full -daemons 350 -servers 60 -whole-edges 2 -seconds 30 -warm 1 -restarts 6250 -cut-region 8 -cut-zone 8 ;;
+    run full -daemons 350 -servers 5500 -late-servers 1 -whole-edges 2 -seconds 4 -warm 1 -memory 3800
+    run full -daemons 350 -servers 60 -whole-edges 2 -seconds 20 -warm 1 -restarts 6250 -cut-region 5 -cut-zone 5 ;;
   *)
     echo "no group $group; name some of: changes items servers busy presses daemons full" >&2
     exit 2
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -34,6 +34,7 @@
 	place, region int
 	whole         bool
 	life          uint64
+	booted        sundial.Micros
 	era           int
 	up            bool
 	circle        *circle.Circle
@@ -99,7 +100,7 @@
 	f := d.fleet
 	d.era++
 	d.life++
-	d.up = true
+	d.up, d.booted = true, f.Now
 	if d.kind == people.Trailhead {
 		d.life = uint64(f.Now)
 		d.id = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, d.era)
@@ -154,6 +155,12 @@
 		other := f.daemons[f.chance.Intn(len(f.daemons))]
 		d.do(d.circle.Do(circle.Letter{From: other.peer, Body: circle.Gossip{}}, f.Now))
 	}
+	d.learn(told)
+}
+
+// learn takes news in that everybody is told at this moment, and passes none on.
+func (d *daemon) learn(told []stride.Rumour) {
+	f := d.fleet
 	d.do(d.circle.Do(circle.Letter{Body: circle.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
 	for _, effect := range d.circle.Do(circle.ClockEvent{}, f.Now) {
 		if _, sends := effect.(stride.Send); !sends {
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -20,6 +20,7 @@
 type Settings struct {
 	Daemons, Stores, Cores, WholeEdges int64
 	Servers, Busy                      int64 // busy: share of servers at least half full, in percent
+	Late                               int64 // 1: the servers come once the fleet has settled
 	Zones, Regions, Slots              int64
 	ZoneDelay, RegionDelay             int64 // one way between zones, between regions, in µs
 	Warm, Seconds                      int64
@@ -230,7 +231,7 @@
 		if !d.up {
 			continue
 		}
-		age := f.Now - d.circle.LastSwap()
+		age := f.Now - max(d.circle.LastSwap(), d.booted)
 		f.stale.ages = append(f.stale.ages, age)
 		if age > staleAfter {
 			f.stale.stale++
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -66,8 +66,16 @@
 		if !r.within(f, say) {
 			return r
 		}
+		if second%5 == 4 {
+			say("not settled yet")
+		}
 	}
 	say("settled after %g s; the plan and the servers come", r.Settled)
+	if set.Late > 0 {
+		for _, d := range f.daemons {
+			d.step(func() { d.learn(f.words()) })
+		}
+	}
 	f.putPlan()
 	f.run(sundial.Second)
 	f.served = true
@@ -143,14 +151,23 @@
 			d.life = 0
 		}
 	}
-	for _, s := range f.servers {
-		told = append(told, roster.Word(s.word, stride.Rumour{}, f.Now))
+	if f.Set.Late == 0 {
+		told = append(told, f.words()...)
 	}
 	for _, d := range f.daemons {
 		d.boot(told)
 	}
 }
 
+// words are the platform's on all servers.
+func (f *Fleet) words() []stride.Rumour {
+	var out []stride.Rumour
+	for _, s := range f.servers {
+		out = append(out, roster.Word(s.word, stride.Rumour{}, f.Now))
+	}
+	return out
+}
+
 // begin starts the count.
 func (f *Fleet) begin() {
 	f.charge(nil)
