--- a/daemon/muletrack/forward_test.go
+++ b/daemon/muletrack/forward_test.go
@@ -19,7 +19,7 @@
 	"tuliprudder/path/serverline"
 )
 
-var words = causeway.Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Not-Run", LastEvent: "Last-Event-ID", Deadline: "X-Deadline-Ms"}
+var words = causeway.Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEvent: "Last-Event-ID", Deadline: "X-Time-Left-Ms"}
 
 // forwarder passes items on over a client of its own; what it tells the machine
 // meanwhile comes on the channel.
--- a/path/causeway/causeway_test.go
+++ b/path/causeway/causeway_test.go
@@ -20,7 +20,7 @@
 	"tuliprudder/kernel/mishap"
 )
 
-var words = Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Not-Run", LastEvent: "Last-Event-ID", Deadline: "X-Deadline-Ms"}
+var words = Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEvent: "Last-Event-ID", Deadline: "X-Time-Left-Ms"}
 
 // serve runs one script for each connection, in order of their coming.
 func serve(t *testing.T, scripts ...func(*peer)) string {
@@ -379,7 +379,7 @@
 
 func TestServerSaysNotRun(t *testing.T) {
 	for name, text := range map[string]string{
-		"header": "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: a\r\nX-Not-Run:\r\nContent-Length: 0\r\n\r\n",
+		"header": "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: a\r\nX-Unrun:\r\nContent-Length: 0\r\n\r\n",
 		"421":    "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -494,7 +494,7 @@
 	seen := make(chan string, 2)
 	address := serve(t, func(p *peer) {
 		for r := p.ask(); r != nil; r = p.ask() {
-			seen <- strings.Join(r.Header.Values("X-Deadline-Ms"), ",")
+			seen <- strings.Join(r.Header.Values("X-Time-Left-Ms"), ",")
 			p.say(whole("a", "", ""))
 		}
 	})
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -38,7 +38,7 @@
   {"name":"brief","kind":"repeatable","classes":{},"pools":{"u":"all"},"expiry_us":300000,"forward":{"host":"h.example","path_prefix":"/brief/","tries":3}},
   {"name":"many","kind":"bundle","classes":{},"pools":{"u":"all"},"forward":{"host":"h.example","path_prefix":"/many/"}}]}`
 
-var words = causeway.Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Not-Run", LastEvent: "Last-Event-ID", Deadline: "X-Deadline-Ms"}
+var words = causeway.Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEvent: "Last-Event-ID", Deadline: "X-Time-Left-Ms"}
 
 // crossing is an edge that passes requests on to stand-in servers.
 type crossing struct {
