--- a/acquaintance/circle/circle.go
+++ b/acquaintance/circle/circle.go
@@ -9,45 +9,45 @@
 	"strings"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 )
 
 // Settings are the circle's spans; the defaults are ours.
 type Settings struct {
-	Probe     sundial.Micros // between probes of one daemon
-	ProbeWait sundial.Micros // for a direct, then an indirect, echo
-	Suspicion sundial.Micros // from suspect to dead, to speak up
-	Digest    sundial.Micros // between digest swaps
-	Shuffle   sundial.Micros // between shuffles of the partial view
-	Fanout    int            // to how many a rumour is passed on
-	View      int            // size of the partial view
-	Forget    sundial.Micros // after which a dead daemon leaves the directory
+	Probe     clock.Micros // between probes of one daemon
+	ProbeWait clock.Micros // for a direct, then an indirect, echo
+	Suspicion clock.Micros // from suspect to dead, to speak up
+	Digest    clock.Micros // between digest swaps
+	Shuffle   clock.Micros // between shuffles of the partial view
+	Fanout    int          // to how many a rumour is passed on
+	View      int          // size of the partial view
+	Forget    clock.Micros // after which a dead daemon leaves the directory
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{Probe: 200 * sundial.Millisecond, ProbeWait: 300 * sundial.Millisecond,
-		Suspicion: 2 * sundial.Second, Digest: 300 * sundial.Millisecond, Shuffle: 2 * sundial.Second,
-		Fanout: 3, View: 6, Forget: 120 * sundial.Second}
+	return Settings{Probe: 200 * clock.Millisecond, ProbeWait: 300 * clock.Millisecond,
+		Suspicion: 2 * clock.Second, Digest: 300 * clock.Millisecond, Shuffle: 2 * clock.Second,
+		Fanout: 3, View: 6, Forget: 120 * clock.Second}
 }
 
 // Messages between circles.
 type (
 	// Gossip passes rumours on.
-	Gossip struct{ Rumours []stride.Rumour }
+	Gossip struct{ Rumours []machine.Rumour }
 	// Digest says what the sender knows; Answer marks the second half of a swap.
 	Digest struct {
 		Known  map[string]Mark
 		Answer bool
-		Stamp  sundial.Micros
+		Stamp  clock.Micros
 	}
 	// Mend answers a digest: what the sender lacked and what we lack.
 	Mend struct {
-		Rumours []stride.Rumour
+		Rumours []machine.Rumour
 		Want    []string
-		Stamp   sundial.Micros
+		Stamp   clock.Micros
 		Ages    Ages
 		Counts  bool // false from a release that knows no ages
 	}
@@ -85,51 +85,51 @@
 )
 
 func init() {
-	footbridge.Register(Gossip{}, Digest{}, Mend{}, Want{}, Hint{}, Probe{}, Echo{}, HelpProbe{}, Witnessed{}, Shuffle{})
+	transport.Register(Gossip{}, Digest{}, Mend{}, Want{}, Hint{}, Probe{}, Echo{}, HelpProbe{}, Witnessed{}, Shuffle{})
 }
 
 type probing struct {
 	id, peer string
-	asked    sundial.Micros
+	asked    clock.Micros
 	helped   bool
 	denied   int
 }
 
 type asking struct {
 	mark Mark
-	at   sundial.Micros
+	at   clock.Micros
 }
 
 type helping struct {
 	asker  string
 	nonce  uint64
-	expiry sundial.Micros
+	expiry clock.Micros
 }
 
 // Circle is one daemon's machine.
 type Circle struct {
-	stride.Out
+	machine.Out
 	set      Settings
 	self     people.Person
 	seeds    []string
 	chance   *rand.Rand
-	news     map[string]stride.Rumour
+	news     map[string]machine.Rumour
 	folk     map[string]people.Person
-	since    map[string]sundial.Micros // when the standing was learnt
+	since    map[string]clock.Micros // when the standing was learnt
 	view     []string
 	probes   map[uint64]*probing
 	helps    map[uint64]helping
 	asked    map[string]asking // large rumours asked for, since when
 	nonce    uint64
-	hot      []stride.Rumour
+	hot      []machine.Rumour
 	order    []string // round of probes
-	next     struct{ probe, digest, shuffle, seed sundial.Micros }
-	lastSwap sundial.Micros
-	far      bool                      // the next digest goes to another zone
-	roll     map[string]int            // who counts, and for how much (roll.go)
-	counted  map[string]sundial.Micros // up to when the news include what each of the roll knew
-	raw      map[string]sundial.Micros // the same with those that have just come back
-	rooted   bool                      // this daemon has heard from most of the roll in this life
+	next     struct{ probe, digest, shuffle, seed clock.Micros }
+	lastSwap clock.Micros
+	far      bool                    // the next digest goes to another zone
+	roll     map[string]int          // who counts, and for how much (roll.go)
+	counted  map[string]clock.Micros // up to when the news include what each of the roll knew
+	raw      map[string]clock.Micros // the same with those that have just come back
+	rooted   bool                    // this daemon has heard from most of the roll in this life
 	presses  map[uint64]*pressing
 	// NoRoll is a fault planted by tests: any daemon of another zone makes news
 	// fresh, whatever it has heard itself.
@@ -141,17 +141,17 @@
 // New makes a circle for a daemon; the seed makes its choices repeatable.
 func New(self people.Person, seeds []string, set Settings, seed int64) *Circle {
 	c := &Circle{set: set, self: self, seeds: seeds, chance: rand.New(rand.NewSource(seed)),
-		news: map[string]stride.Rumour{}, folk: map[string]people.Person{}, since: map[string]sundial.Micros{},
-		probes: map[uint64]*probing{}, helps: map[uint64]helping{}, asked: map[string]asking{}, counted: map[string]sundial.Micros{}, raw: map[string]sundial.Micros{}, presses: map[uint64]*pressing{}}
+		news: map[string]machine.Rumour{}, folk: map[string]people.Person{}, since: map[string]clock.Micros{},
+		probes: map[uint64]*probing{}, helps: map[uint64]helping{}, asked: map[string]asking{}, counted: map[string]clock.Micros{}, raw: map[string]clock.Micros{}, presses: map[uint64]*pressing{}}
 	c.speak(0)
 	return c
 }
 
 // Command is an input of the circle.
-type Command = stride.Command[*Circle]
+type Command = machine.Command[*Circle]
 
 // Do applies a command and hands over the effects.
-func (c *Circle) Do(command Command, now sundial.Micros) []stride.Effect {
+func (c *Circle) Do(command Command, now clock.Micros) []machine.Effect {
 	command.Apply(c, now)
 	return c.Drain()
 }
@@ -163,7 +163,7 @@
 }
 
 // Apply takes the message by its type.
-func (l Letter) Apply(c *Circle, now sundial.Micros) {
+func (l Letter) Apply(c *Circle, now clock.Micros) {
 	c.greet(l.From)
 	switch body := l.Body.(type) {
 	case Gossip:
@@ -178,12 +178,12 @@
 			c.learn(body.Ages, body.Stamp, now)
 		} else if c.afar(l.From) && body.Stamp > c.lastSwap {
 			c.lastSwap = body.Stamp
-			c.Emit(stride.Fresh{At: c.lastSwap})
+			c.Emit(machine.Fresh{At: c.lastSwap})
 		}
 	case Press:
-		c.hear([]stride.Rumour{body.Rumour}, now)
+		c.hear([]machine.Rumour{body.Rumour}, now)
 		c.pass()
-		c.Emit(stride.Send{To: l.From, Body: Pressed{Nonce: body.Nonce, ID: c.self.ID}})
+		c.Emit(machine.Send{To: l.From, Body: Pressed{Nonce: body.Nonce, ID: c.self.ID}})
 	case Pressed:
 		if p := c.presses[body.Nonce]; p != nil {
 			p.done[body.ID] = true
@@ -194,13 +194,13 @@
 	case Hint:
 		c.hinted(l.From, body, now)
 	case Probe:
-		c.Emit(stride.Send{To: l.From, Body: Echo{Nonce: body.Nonce, For: body.For}})
+		c.Emit(machine.Send{To: l.From, Body: Echo{Nonce: body.Nonce, For: body.For}})
 	case Echo:
 		c.echoed(body)
 	case HelpProbe:
 		c.nonce++
 		c.helps[c.nonce] = helping{asker: l.From, nonce: body.Nonce, expiry: now + c.set.ProbeWait}
-		c.Emit(stride.Send{To: body.Target, Body: Probe{Nonce: c.nonce, For: l.From}})
+		c.Emit(machine.Send{To: body.Target, Body: Probe{Nonce: c.nonce, For: l.From}})
 	case Witnessed:
 		if p := c.probes[body.Nonce]; p != nil {
 			if body.Heard {
@@ -215,16 +215,16 @@
 }
 
 // Tell is news that starts at this daemon.
-type Tell struct{ Rumour stride.Rumour }
+type Tell struct{ Rumour machine.Rumour }
 
 // Apply takes the news in and passes it on.
-func (t Tell) Apply(c *Circle, now sundial.Micros) { c.hear([]stride.Rumour{t.Rumour}, now) }
+func (t Tell) Apply(c *Circle, now clock.Micros) { c.hear([]machine.Rumour{t.Rumour}, now) }
 
 // Reseed names other seeds.
 type Reseed struct{ Seeds []string }
 
 // Apply takes them for the ones to ask.
-func (r Reseed) Apply(c *Circle, now sundial.Micros) { c.seeds = r.Seeds }
+func (r Reseed) Apply(c *Circle, now clock.Micros) { c.seeds = r.Seeds }
 
 // Drain marks this daemon as draining, Leave as gone on purpose.
 type (
@@ -233,7 +233,7 @@
 )
 
 // Apply spreads that the daemon drains.
-func (Drain) Apply(c *Circle, now sundial.Micros) {
+func (Drain) Apply(c *Circle, now clock.Micros) {
 	c.self.Draining = true
 	c.self.Word++
 	c.speak(now)
@@ -241,7 +241,7 @@
 }
 
 // Apply spreads that the daemon has left.
-func (Leave) Apply(c *Circle, now sundial.Micros) {
+func (Leave) Apply(c *Circle, now clock.Micros) {
 	c.self.Standing = people.Left
 	c.speak(now)
 	c.pass()
@@ -251,7 +251,7 @@
 type ClockEvent struct{}
 
 // Apply does what is due; each duty keeps its own next time.
-func (ClockEvent) Apply(c *Circle, now sundial.Micros) {
+func (ClockEvent) Apply(c *Circle, now clock.Micros) {
 	c.judgeProbes(now)
 	c.press(now)
 	if now >= c.next.probe {
@@ -265,17 +265,17 @@
 	if now >= c.next.shuffle {
 		c.next.shuffle = now + c.set.Shuffle
 		if peer := c.pick(c.view); peer != "" {
-			c.Emit(stride.Send{To: peer, Body: Shuffle{Peers: append(c.sample(2), c.self.Peer)}})
+			c.Emit(machine.Send{To: peer, Body: Shuffle{Peers: append(c.sample(2), c.self.Peer)}})
 		}
 		c.forget(now)
 	}
 	if now >= c.next.seed {
-		c.next.seed = now + 3*sundial.Second
+		c.next.seed = now + 3*clock.Second
 		if len(c.sound()) < 2 {
-			c.next.seed = now + 200*sundial.Millisecond
+			c.next.seed = now + 200*clock.Millisecond
 		}
 		if seed := c.pick(c.seeds); seed != "" && seed != c.self.Peer {
-			c.Emit(stride.Send{To: seed, Body: c.digest(now)})
+			c.Emit(machine.Send{To: seed, Body: c.digest(now)})
 		}
 		// A dead daemon may only have been cut off: knock once in a while.
 		var dead []string
@@ -285,19 +285,19 @@
 			}
 		}
 		if peer := c.pick(dead); peer != "" {
-			c.Emit(stride.Send{To: peer, Body: c.digest(now)})
+			c.Emit(machine.Send{To: peer, Body: c.digest(now)})
 		}
 	}
 	c.pass()
 }
 
-func (c *Circle) speak(now sundial.Micros) {
-	c.hear([]stride.Rumour{{Key: people.Key(c.self.ID), Epoch: c.self.Incarnation, Seq: c.self.Seq(), Value: c.self.Encode()}}, now)
+func (c *Circle) speak(now clock.Micros) {
+	c.hear([]machine.Rumour{{Key: people.Key(c.self.ID), Epoch: c.self.Incarnation, Seq: c.self.Seq(), Value: c.self.Encode()}}, now)
 }
 
 // hear takes rumours in; what is new is told to this daemon's other machines
 // and passed on.
-func (c *Circle) hear(rumours []stride.Rumour, now sundial.Micros) {
+func (c *Circle) hear(rumours []machine.Rumour, now clock.Micros) {
 	for _, rumour := range rumours {
 		if known, ok := c.news[rumour.Key]; ok && !rumour.Newer(known) {
 			c.Repeated++
@@ -323,7 +323,7 @@
 			if c.folk[person.ID].Standing != person.Standing || c.folk[person.ID].Incarnation != person.Incarnation {
 				c.since[person.ID] = now
 				if was := c.folk[person.ID].Standing; was != people.Sound || person.Standing != people.Sound {
-					c.Emit(stride.Explain{What: "standing of a daemon", Fields: map[string]any{"daemon": person.ID, "kind": person.Kind, "standing": person.Standing.String(), "incarnation": person.Incarnation}})
+					c.Emit(machine.Explain{What: "standing of a daemon", Fields: map[string]any{"daemon": person.ID, "kind": person.Kind, "standing": person.Standing.String(), "incarnation": person.Incarnation}})
 				}
 			}
 			c.folk[person.ID] = person
@@ -332,7 +332,7 @@
 		c.news[rumour.Key] = rumour
 		c.count(rumour.Key)
 		c.hot = append(c.hot, rumour)
-		c.Emit(stride.Heard{Rumour: rumour})
+		c.Emit(machine.Heard{Rumour: rumour})
 	}
 }
 
@@ -345,7 +345,7 @@
 	if len(c.hot) == 0 {
 		return
 	}
-	var small []stride.Rumour
+	var small []machine.Rumour
 	marks := map[string]Mark{}
 	for _, rumour := range c.hot {
 		if len(rumour.Value) >= large {
@@ -360,20 +360,20 @@
 			break
 		}
 		if len(small) > 0 {
-			c.Emit(stride.Send{To: c.view[at], Body: Gossip{Rumours: small}})
+			c.Emit(machine.Send{To: c.view[at], Body: Gossip{Rumours: small}})
 		}
 		if len(marks) > 0 {
-			c.Emit(stride.Send{To: c.view[at], Body: Hint{Marks: marks}})
+			c.Emit(machine.Send{To: c.view[at], Body: Hint{Marks: marks}})
 		}
 	}
 }
 
 // hinted asks the first who told of a rumour this daemon lacks, and another only
 // if that one does not answer for a while.
-func (c *Circle) hinted(from string, hint Hint, now sundial.Micros) {
+func (c *Circle) hinted(from string, hint Hint, now clock.Micros) {
 	var wanted []string
 	for key, mark := range hint.Marks {
-		told := stride.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}
+		told := machine.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}
 		if known, ok := c.news[key]; ok && !told.Newer(known) {
 			continue
 		}
@@ -385,11 +385,11 @@
 	}
 	if len(wanted) > 0 {
 		sort.Strings(wanted)
-		c.Emit(stride.Send{To: from, Body: Want{Keys: wanted}})
+		c.Emit(machine.Send{To: from, Body: Want{Keys: wanted}})
 	}
 }
 
-func (c *Circle) digest(now sundial.Micros) Digest {
+func (c *Circle) digest(now clock.Micros) Digest {
 	known := make(map[string]Mark, len(c.news))
 	for key, rumour := range c.news {
 		known[key] = Mark{rumour.Epoch, rumour.Seq}
@@ -399,7 +399,7 @@
 
 // swap compares digests with one daemon; every other time with one of the roll in
 // another zone: from those it hears soonest what most of the roll know.
-func (c *Circle) swap(now sundial.Micros) {
+func (c *Circle) swap(now clock.Micros) {
 	c.far = !c.far
 	var peers []string
 	for _, person := range c.sound() {
@@ -413,7 +413,7 @@
 		}
 	}
 	if peer := c.pick(peers); peer != "" {
-		c.Emit(stride.Send{To: peer, Body: c.digest(now)})
+		c.Emit(machine.Send{To: peer, Body: c.digest(now)})
 	}
 }
 
@@ -433,40 +433,40 @@
 	return !elsewhere
 }
 
-func (c *Circle) compare(from string, digest Digest, now sundial.Micros) {
+func (c *Circle) compare(from string, digest Digest, now clock.Micros) {
 	mend := Mend{Stamp: digest.Stamp, Ages: c.ages(now), Counts: true}
 	for _, key := range c.keys() {
 		rumour := c.news[key]
 		mark, ok := digest.Known[key]
-		if !ok || rumour.Newer(stride.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}) {
+		if !ok || rumour.Newer(machine.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}) {
 			mend.Rumours = append(mend.Rumours, rumour)
 		}
 	}
 	wanted := make([]string, 0)
 	for key, mark := range digest.Known {
 		known, ok := c.news[key]
-		if !ok || (stride.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}).Newer(known) {
+		if !ok || (machine.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}).Newer(known) {
 			wanted = append(wanted, key)
 		}
 	}
 	sort.Strings(wanted)
 	mend.Want = wanted
-	c.Emit(stride.Send{To: from, Body: mend})
+	c.Emit(machine.Send{To: from, Body: mend})
 }
 
 func (c *Circle) supply(to string, keys []string) {
-	var rumours []stride.Rumour
+	var rumours []machine.Rumour
 	for _, key := range keys {
 		if rumour, ok := c.news[key]; ok {
 			rumours = append(rumours, rumour)
 		}
 	}
 	if len(rumours) > 0 {
-		c.Emit(stride.Send{To: to, Body: Gossip{Rumours: rumours}})
+		c.Emit(machine.Send{To: to, Body: Gossip{Rumours: rumours}})
 	}
 }
 
-func (c *Circle) probe(now sundial.Micros) {
+func (c *Circle) probe(now clock.Micros) {
 	if len(c.order) == 0 {
 		for _, p := range c.sorted() {
 			if p.ID != c.self.ID && p.Standing <= people.Suspect {
@@ -486,14 +486,14 @@
 	}
 	c.nonce++
 	c.probes[c.nonce] = &probing{id: id, peer: person.Peer, asked: now}
-	c.Emit(stride.Send{To: person.Peer, Body: Probe{Nonce: c.nonce}})
+	c.Emit(machine.Send{To: person.Peer, Body: Probe{Nonce: c.nonce}})
 }
 
 func (c *Circle) echoed(echo Echo) {
 	if echo.For != "" {
 		if help, ok := c.helps[echo.Nonce]; ok {
 			delete(c.helps, echo.Nonce)
-			c.Emit(stride.Send{To: help.asker, Body: Witnessed{Nonce: help.nonce, Heard: true}})
+			c.Emit(machine.Send{To: help.asker, Body: Witnessed{Nonce: help.nonce, Heard: true}})
 		}
 		return
 	}
@@ -502,11 +502,11 @@
 
 // judgeProbes asks for help where the direct echo stayed out, and suspects
 // only when a second witness could not reach the daemon either.
-func (c *Circle) judgeProbes(now sundial.Micros) {
+func (c *Circle) judgeProbes(now clock.Micros) {
 	for _, nonce := range sortedNonces(c.helps) {
 		if help := c.helps[nonce]; now >= help.expiry {
 			delete(c.helps, nonce)
-			c.Emit(stride.Send{To: help.asker, Body: Witnessed{Nonce: help.nonce}})
+			c.Emit(machine.Send{To: help.asker, Body: Witnessed{Nonce: help.nonce}})
 		}
 	}
 	for _, nonce := range sortedNonces(c.probes) {
@@ -518,7 +518,7 @@
 			for _, at := range c.chance.Perm(len(c.view)) {
 				if peer := c.view[at]; peer != p.peer && helpers < 2 {
 					helpers++
-					c.Emit(stride.Send{To: peer, Body: HelpProbe{Nonce: nonce, Target: p.peer}})
+					c.Emit(machine.Send{To: peer, Body: HelpProbe{Nonce: nonce, Target: p.peer}})
 				}
 			}
 		case p.helped && now-p.asked >= 4*c.set.ProbeWait:
@@ -526,14 +526,14 @@
 			if person, ok := c.folk[p.id]; ok && p.denied > 0 && person.Standing == people.Sound {
 				person.Standing = people.Suspect
 				c.Suspected++
-				c.hear([]stride.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
+				c.hear([]machine.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
 			}
 		}
 	}
 	for _, person := range c.sorted() {
 		if person.Standing == people.Suspect && now-c.since[person.ID] >= c.set.Suspicion && person.ID != c.self.ID && now-c.lastSwap < c.set.Suspicion {
 			person.Standing = people.Dead
-			c.hear([]stride.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
+			c.hear([]machine.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
 		}
 	}
 }
@@ -548,7 +548,7 @@
 }
 
 // forget drops the directory entries of daemons long dead.
-func (c *Circle) forget(now sundial.Micros) {
+func (c *Circle) forget(now clock.Micros) {
 	for _, person := range c.sorted() {
 		if person.Standing >= people.Dead && now-c.since[person.ID] > c.set.Forget {
 			delete(c.folk, person.ID)
@@ -604,7 +604,7 @@
 
 func (c *Circle) mix(from string, shuffle Shuffle) {
 	if !shuffle.Answer {
-		c.Emit(stride.Send{To: from, Body: Shuffle{Peers: c.sample(3), Answer: true}})
+		c.Emit(machine.Send{To: from, Body: Shuffle{Peers: c.sample(3), Answer: true}})
 	}
 	for _, peer := range shuffle.Peers {
 		if peer == c.self.Peer || contains(c.view, peer) {
@@ -667,17 +667,17 @@
 
 // LastSwap is when this daemon sent the last digest that was answered: news up
 // to then was within its reach.
-func (c *Circle) LastSwap() sundial.Micros { return c.lastSwap }
+func (c *Circle) LastSwap() clock.Micros { return c.lastSwap }
 
 // News is the rumour known under a key.
-func (c *Circle) News(key string) (stride.Rumour, bool) {
+func (c *Circle) News(key string) (machine.Rumour, bool) {
 	rumour, ok := c.news[key]
 	return rumour, ok
 }
 
 // Under lists the rumours whose keys begin with a word, in order.
-func (c *Circle) Under(prefix string) []stride.Rumour {
-	var out []stride.Rumour
+func (c *Circle) Under(prefix string) []machine.Rumour {
+	var out []machine.Rumour
 	for _, key := range c.keys() {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, c.news[key])
--- a/acquaintance/circle/circle_test.go
+++ b/acquaintance/circle/circle_test.go
@@ -5,13 +5,13 @@
 	"testing"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 )
 
 // town is some circles with links that can be cut.
 type town struct {
-	now     sundial.Micros
+	now     clock.Micros
 	circles map[string]*Circle
 	names   []string
 	cut     map[string]bool
@@ -30,9 +30,9 @@
 	return w
 }
 
-func (w *town) deliver(from string, effects []stride.Effect) {
+func (w *town) deliver(from string, effects []machine.Effect) {
 	for _, effect := range effects {
-		if send, ok := effect.(stride.Send); ok {
+		if send, ok := effect.(machine.Send); ok {
 			w.sent[fmt.Sprintf("%T", send.Body)]++
 			to := w.circles[send.To]
 			if to == nil || w.cut[from] || w.cut[send.To] || w.lose != nil && w.lose(send.Body) || w.apart != nil && w.apart(from, send.To) {
@@ -43,9 +43,9 @@
 	}
 }
 
-func (w *town) pass(span sundial.Micros) {
+func (w *town) pass(span clock.Micros) {
 	for end := w.now + span; w.now < end; {
-		w.now += 20 * sundial.Millisecond
+		w.now += 20 * clock.Millisecond
 		for _, name := range w.names {
 			if !w.cut[name] {
 				w.deliver(name, w.circles[name].Do(ClockEvent{}, w.now))
@@ -67,7 +67,7 @@
 // partial view; news reaches everyone within a moment.
 func TestEveryoneComesToKnowEveryone(t *testing.T) {
 	w := newTown(15)
-	w.pass(3 * sundial.Second)
+	w.pass(3 * clock.Second)
 	for _, name := range w.names {
 		if known := len(w.circles[name].Folk()); known != 15 {
 			t.Fatalf("%s knows %d of 15", name, known)
@@ -76,8 +76,8 @@
 			t.Fatalf("%s talks through %d, not a partial view", name, size)
 		}
 	}
-	w.deliver("d07", w.circles["d07"].Do(Tell{stride.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
-	w.pass(sundial.Second)
+	w.deliver("d07", w.circles["d07"].Do(Tell{machine.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
+	w.pass(clock.Second)
 	for _, name := range w.names {
 		if _, ok := w.circles[name].News("plan"); !ok {
 			t.Fatalf("%s has not heard the news after a second", name)
@@ -90,7 +90,7 @@
 func TestALargeRumourTravelsOnce(t *testing.T) {
 	for _, lost := range []bool{false, true} {
 		w := newTown(15)
-		w.pass(3 * sundial.Second)
+		w.pass(3 * clock.Second)
 		copies, first := 0, true
 		w.lose = func(body any) bool {
 			gossip, ok := body.(Gossip)
@@ -102,8 +102,8 @@
 			first = false
 			return drop
 		}
-		w.deliver("d07", w.circles["d07"].Do(Tell{stride.Rumour{Key: "plan", Seq: 1, Value: make([]byte, 100<<10)}}, w.now))
-		w.pass(2 * sundial.Second)
+		w.deliver("d07", w.circles["d07"].Do(Tell{machine.Rumour{Key: "plan", Seq: 1, Value: make([]byte, 100<<10)}}, w.now))
+		w.pass(2 * clock.Second)
 		for _, name := range w.names {
 			if _, ok := w.circles[name].News("plan"); !ok {
 				t.Fatalf("%s has not heard it (first answer lost: %v)", name, lost)
@@ -118,10 +118,10 @@
 // Rumours are lost altogether: comparing digests mends every gap.
 func TestDigestsMendWhatGossipLost(t *testing.T) {
 	w := newTown(9)
-	w.pass(3 * sundial.Second)
+	w.pass(3 * clock.Second)
 	w.lose = func(body any) bool { _, gossip := body.(Gossip); return gossip }
-	w.deliver("d03", w.circles["d03"].Do(Tell{stride.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
-	w.pass(4 * sundial.Second)
+	w.deliver("d03", w.circles["d03"].Do(Tell{machine.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
+	w.pass(4 * clock.Second)
 	for _, name := range w.names {
 		if _, ok := w.circles[name].News("plan"); !ok {
 			t.Fatalf("%s never heard", name)
@@ -132,14 +132,14 @@
 // A daemon that falls silent is suspected, then dead, and sound again when back.
 func TestSilenceAndReturn(t *testing.T) {
 	w := newTown(9)
-	w.pass(3 * sundial.Second)
+	w.pass(3 * clock.Second)
 	w.cut["d04"] = true
-	w.pass(8 * sundial.Second)
+	w.pass(8 * clock.Second)
 	if got := w.standing("d00", "d04"); got != people.Dead {
 		t.Fatalf("after 8 s of silence d04 is %s", got)
 	}
 	w.cut["d04"] = false
-	w.pass(8 * sundial.Second)
+	w.pass(8 * clock.Second)
 	for _, name := range w.names {
 		if got := w.standing(name, "d04"); got != people.Sound {
 			t.Fatalf("at %s d04 is %s after its return", name, got)
@@ -156,14 +156,14 @@
 		w.names = append(w.names, name)
 		w.circles[name] = New(people.Person{ID: name, Kind: people.Trailhead, Peer: name, Zone: fmt.Sprint(i % 3), Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
 	}
-	w.pass(3 * sundial.Second)
+	w.pass(3 * clock.Second)
 	w.apart = func(one, other string) bool {
 		return (w.circles[one].self.Zone == "0") != (w.circles[other].self.Zone == "0")
 	}
-	w.pass(4 * sundial.Second)
+	w.pass(4 * clock.Second)
 	for _, name := range w.names {
 		age := w.now - w.circles[name].LastSwap()
-		if cut := w.circles[name].self.Zone == "0"; cut != (age > 2500*sundial.Millisecond) {
+		if cut := w.circles[name].self.Zone == "0"; cut != (age > 2500*clock.Millisecond) {
 			t.Errorf("%s, in the cut zone %v: its news are %d us old", name, cut, age)
 		}
 	}
@@ -176,25 +176,25 @@
 		c := New(people.Person{ID: "e", Kind: people.Trailhead, Peer: "e", Zone: "z"}, nil, Defaults(), 1)
 		for id, version := range map[string]int{"s1": 2, "s2": 2, "s3": 1, "k1": 2, "k2": 2} {
 			p := people.Person{ID: id, Kind: people.Refuge, Peer: id, Zone: "y", Version: version}
-			c.Do(Tell{stride.Rumour{Key: people.Key(id), Seq: p.Seq(), Value: p.Encode()}}, 1)
+			c.Do(Tell{machine.Rumour{Key: people.Key(id), Seq: p.Seq(), Value: p.Encode()}}, 1)
 		}
-		c.Do(Tell{stride.Rumour{Key: "map", Seq: 1, Value: []byte(`{"stores":{"s1":{},"s2":{},"s3":{}}}`)}}, 1)
-		c.Do(Tell{stride.Rumour{Key: "core", Seq: 1, Value: []byte(`{"seats":["k1","k2","k3"]}`)}}, 1)
-		var answer *stride.Answer
+		c.Do(Tell{machine.Rumour{Key: "map", Seq: 1, Value: []byte(`{"stores":{"s1":{},"s2":{},"s3":{}}}`)}}, 1)
+		c.Do(Tell{machine.Rumour{Key: "core", Seq: 1, Value: []byte(`{"seats":["k1","k2","k3"]}`)}}, 1)
+		var answer *machine.Answer
 		pressed := map[string]uint64{}
-		take := func(effects []stride.Effect) {
+		take := func(effects []machine.Effect) {
 			for _, effect := range effects {
-				if a, ok := effect.(stride.Answer); ok {
+				if a, ok := effect.(machine.Answer); ok {
 					answer = &a
 				}
-				if send, ok := effect.(stride.Send); ok {
+				if send, ok := effect.(machine.Send); ok {
 					if press, ok := send.Body.(Press); ok {
 						pressed[send.To] = press.Nonce
 					}
 				}
 			}
 		}
-		take(c.Do(Spread{Rumour: stride.Rumour{Key: "server/a", Seq: 1}, Call: 7, Body: "out", Expiry: sundial.Second}, 10))
+		take(c.Do(Spread{Rumour: machine.Rumour{Key: "server/a", Seq: 1}, Call: 7, Body: "out", Expiry: clock.Second}, 10))
 		if _, old := pressed["s3"]; old || len(pressed) != 4 || answer != nil {
 			t.Fatalf("pressed %v, answered %v before anybody's word", pressed, answer)
 		}
@@ -206,7 +206,7 @@
 		if reached {
 			take(c.Do(Letter{From: "k1", Body: Pressed{Nonce: pressed["k1"], ID: "k1"}}, 30))
 		}
-		take(c.Do(ClockEvent{}, 2*sundial.Second))
+		take(c.Do(ClockEvent{}, 2*clock.Second))
 		if answer == nil || answer.Call != 7 || (answer.Err == nil) != reached {
 			t.Fatalf("most reached %v: answered %+v", reached, answer)
 		}
@@ -216,9 +216,9 @@
 // A daemon that is itself cut off calls nobody dead: it has no second witness.
 func TestTheOneCutOffSuspectsNobody(t *testing.T) {
 	w := newTown(9)
-	w.pass(3 * sundial.Second)
+	w.pass(3 * clock.Second)
 	alone := w.circles["d05"]
-	for end := w.now + 10*sundial.Second; w.now < end; w.now += 20 * sundial.Millisecond {
+	for end := w.now + 10*clock.Second; w.now < end; w.now += 20 * clock.Millisecond {
 		alone.Do(ClockEvent{}, w.now)
 	}
 	for _, person := range alone.Folk() {
@@ -226,7 +226,7 @@
 			t.Fatalf("d05, alone, holds %s to be %s", person.ID, person.Standing)
 		}
 	}
-	if alone.LastSwap() > w.now-9*sundial.Second {
+	if alone.LastSwap() > w.now-9*clock.Second {
 		t.Fatal("d05 takes its news for fresh")
 	}
 }
--- a/acquaintance/circle/roll.go
+++ b/acquaintance/circle/roll.go
@@ -5,10 +5,10 @@
 	"sort"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 )
 
 // Which news are fresh, and what counts as told (DESIGN §3.4): both need most of
@@ -19,7 +19,7 @@
 type (
 	// Press tells a daemon of the roll something at once, and wants its word.
 	Press struct {
-		Rumour stride.Rumour
+		Rumour machine.Rumour
 		Nonce  uint64
 	}
 	// Pressed is that word: the daemon knows it, or something newer.
@@ -30,34 +30,34 @@
 	// Ages says up to how long ago the sender's news include all that each daemon
 	// of the roll knew. Raw counts those too that have come back only now, and may
 	// lack what they knew before.
-	Ages struct{ Counted, Raw map[string]sundial.Micros }
+	Ages struct{ Counted, Raw map[string]clock.Micros }
 )
 
-func init() { footbridge.Register(Press{}, Pressed{}) }
+func init() { transport.Register(Press{}, Pressed{}) }
 
 // Spread is news that starts at this daemon, whose teller waits until most of the
 // roll know it: then the answer is given.
 type Spread struct {
-	Rumour stride.Rumour
+	Rumour machine.Rumour
 	Call   uint64
 	Body   any
-	Expiry sundial.Micros
+	Expiry clock.Micros
 }
 
 type pressing struct {
 	Spread
-	until, next sundial.Micros
+	until, next clock.Micros
 	done        map[string]bool
 }
 
 // pressRelease is the first release that knows a press.
 const pressRelease = 2
 
-const pressEvery = 120 * sundial.Millisecond
+const pressEvery = 120 * clock.Millisecond
 
 // Apply takes the news in and presses the roll.
-func (s Spread) Apply(c *Circle, now sundial.Micros) {
-	c.hear([]stride.Rumour{s.Rumour}, now)
+func (s Spread) Apply(c *Circle, now clock.Micros) {
+	c.hear([]machine.Rumour{s.Rumour}, now)
 	c.pass()
 	c.nonce++
 	c.presses[c.nonce] = &pressing{Spread: s, until: now + s.Expiry, done: map[string]bool{c.self.ID: true}}
@@ -65,17 +65,17 @@
 }
 
 // press sends again to those who have not given their word.
-func (c *Circle) press(now sundial.Micros) {
+func (c *Circle) press(now clock.Micros) {
 	for _, nonce := range sortedNonces(c.presses) {
 		p := c.presses[nonce]
 		switch {
 		case c.most(func(id string) bool { return p.done[id] }):
 			delete(c.presses, nonce)
-			c.Emit(stride.Answer{Call: p.Call, Body: p.Body})
+			c.Emit(machine.Answer{Call: p.Call, Body: p.Body})
 			continue
 		case now >= p.until:
 			delete(c.presses, nonce)
-			c.Emit(stride.Answer{Call: p.Call, Err: mishap.Later(mishap.OutcomeUnknown, sundial.Second, "read back what is in force, or put it again at another daemon", "it was told, but most of the fleet has not said yet that it heard")})
+			c.Emit(machine.Answer{Call: p.Call, Err: errs.Later(errs.OutcomeUnknown, clock.Second, "read back what is in force, or put it again at another daemon", "it was told, but most of the fleet has not said yet that it heard")})
 			continue
 		case now < p.next:
 			continue
@@ -86,9 +86,9 @@
 				// The release before knows no press, and would lose what travels with
 				// it: it is told by gossip, as it was, and taken at its silence.
 				p.done[person.ID] = true
-				c.Emit(stride.Send{To: person.Peer, Body: Gossip{Rumours: []stride.Rumour{p.Rumour}}})
+				c.Emit(machine.Send{To: person.Peer, Body: Gossip{Rumours: []machine.Rumour{p.Rumour}}})
 			} else if c.roll[person.ID] > 0 && !p.done[person.ID] {
-				c.Emit(stride.Send{To: person.Peer, Body: Press{Rumour: p.Rumour, Nonce: nonce}})
+				c.Emit(machine.Send{To: person.Peer, Body: Press{Rumour: p.Rumour, Nonce: nonce}})
 			}
 		}
 	}
@@ -111,7 +111,7 @@
 func (c *Circle) count(key string) {
 	if key == chart.MapKey || key == chart.CoreKey {
 		c.roll = chart.Roll(c.news[chart.MapKey].Value, c.news[chart.CoreKey].Value)
-		for _, stamps := range []map[string]sundial.Micros{c.counted, c.raw} {
+		for _, stamps := range []map[string]clock.Micros{c.counted, c.raw} {
 			for id := range stamps {
 				if c.roll[id] == 0 {
 					delete(stamps, id)
@@ -122,8 +122,8 @@
 }
 
 // ages is what this daemon's news include, for another to add to its own.
-func (c *Circle) ages(now sundial.Micros) Ages {
-	out := Ages{Counted: map[string]sundial.Micros{}, Raw: map[string]sundial.Micros{}}
+func (c *Circle) ages(now clock.Micros) Ages {
+	out := Ages{Counted: map[string]clock.Micros{}, Raw: map[string]clock.Micros{}}
 	for id, at := range c.counted {
 		out.Counted[id] = now - at
 	}
@@ -141,11 +141,11 @@
 
 // learn adds what another's news included when it answered a digest sent at
 // asked: by now this daemon's include it too.
-func (c *Circle) learn(ages Ages, asked, now sundial.Micros) {
+func (c *Circle) learn(ages Ages, asked, now clock.Micros) {
 	if len(c.roll) == 0 {
 		return
 	}
-	add := func(to, from map[string]sundial.Micros) {
+	add := func(to, from map[string]clock.Micros) {
 		for id, age := range from {
 			if c.roll[id] > 0 && id != c.self.ID {
 				to[id] = max(to[id], asked-age)
@@ -159,15 +159,15 @@
 	c.rooted = c.rooted || c.most(func(id string) bool { return id == c.self.ID || now-c.raw[id] < c.set.Suspicion && c.raw[id] > 0 })
 	if at := c.upTo(now); at > c.lastSwap {
 		c.lastSwap = at
-		c.Emit(stride.Fresh{At: at})
+		c.Emit(machine.Fresh{At: at})
 	}
 }
 
 // upTo is the time up to which this daemon's news include what most of the roll
 // knew.
-func (c *Circle) upTo(now sundial.Micros) sundial.Micros {
+func (c *Circle) upTo(now clock.Micros) clock.Micros {
 	type stamp struct {
-		at     sundial.Micros
+		at     clock.Micros
 		weight int
 	}
 	var stamps []stamp
--- a/cmd/avalanche/main.go
+++ b/cmd/avalanche/main.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/camp"
 	"tuliprudder/proof/havoc"
 )
@@ -22,7 +22,7 @@
 
 func main() {
 	var set havoc.Settings
-	r := rucksack.New("avalanche")
+	r := settings.New("avalanche")
 	set.Flags(r)
 	way := r.Flags.String("way", "kill", "how the zone goes: kill, cut (its daemons live on) or wipe (its stores' disks too)")
 	planted := r.Flags.String("planted", "", "build the stores with this fault, to see the drill catch it: one-disk or early")
--- a/cmd/barometer/main.go
+++ b/cmd/barometer/main.go
@@ -9,19 +9,19 @@
 	"runtime"
 	"sync"
 
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/weather"
 )
 
-type settings struct {
+type options struct {
 	first, seeds, acts, workers, lines int64
 	zones, stores, edges, slots        int64
 	only                               string
 }
 
 func main() {
-	var set settings
-	r := rucksack.New("barometer")
+	var set options
+	r := settings.New("barometer")
 	r.Int(&set.first, "first", 1, 0, 1<<40, "first seed")
 	r.Int(&set.seeds, "seeds", 1000, 1, 1<<30, "how many seeds")
 	r.Int(&set.acts, "acts", 10, 0, 1000, "failures a day")
@@ -38,12 +38,12 @@
 	}
 }
 
-func (set settings) day(seed int64) weather.Day {
+func (set options) day(seed int64) weather.Day {
 	return weather.Day{Seed: seed, Acts: int(set.acts), Only: set.only, Climate: weather.Mild(),
 		Size: weather.Size{Zones: int(set.zones), Cores: 3, Stores: int(set.stores), Edges: int(set.edges), Slots: int(set.slots)}}
 }
 
-func sweep(set settings) int {
+func sweep(set options) int {
 	seeds := make(chan int64)
 	var mu sync.Mutex
 	var workers sync.WaitGroup
--- a/cmd/basecamp/main.go
+++ b/cmd/basecamp/main.go
@@ -12,14 +12,14 @@
 	"syscall"
 	"time"
 
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/camp"
 	"tuliprudder/proof/havoc"
 )
 
 func main() {
 	var set havoc.Settings
-	r := rucksack.New("basecamp")
+	r := settings.New("basecamp")
 	set.Flags(r)
 	stay := r.Flags.Bool("stay", false, "boot, put the plan, and stay until interrupted")
 	r.MustParse(os.Args[1:])
--- a/cmd/belvedere/main.go
+++ b/cmd/belvedere/main.go
@@ -8,21 +8,21 @@
 	"io"
 	"os"
 
-	"tuliprudder/kernel/logbook"
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/logging"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/hollow"
 )
 
-type settings struct {
+type options struct {
 	hollow.Settings
 	seeds, first int64
 	out, kinds   string
 }
 
 // reader knows the settings and checks them together.
-func reader() (*rucksack.Reader, *settings) {
-	set := &settings{}
-	r := rucksack.New("belvedere")
+func reader() (*settings.Reader, *options) {
+	set := &options{}
+	r := settings.New("belvedere")
 	s := &set.Settings
 	r.Int(&s.Daemons, "daemons", 30, 5, 1000, "daemons in all: cores, stores, and edges for the rest")
 	r.Int(&s.Stores, "stores", 0, 0, 500, "stores; 0: two in seven of the daemons, at least three")
@@ -97,7 +97,7 @@
 	}
 	r, set := reader()
 	r.MustParse(os.Args[1:])
-	logbook.Open(io.Discard, "belvedere", "") // the libraries' own log would stand between the lines of the table
+	logging.Open(io.Discard, "belvedere", "") // the libraries' own log would stand between the lines of the table
 	for seed := set.first; seed < set.first+set.seeds; seed++ {
 		set.Seed = seed
 		fmt.Fprintf(os.Stderr, "%d daemons (%d edges of which %d whole, %d stores, %d cores), %d servers, %d changes an hour, %d items a second, seed %d\n",
--- a/cmd/belvedere/main_test.go
+++ b/cmd/belvedere/main_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 // Bad settings are all named, each with its remedy, before anything starts.
@@ -29,7 +29,7 @@
 			t.Errorf("%v is taken", one.args)
 			continue
 		}
-		if faults := strings.Join(mishap.Of(err).Faults, "; "); !strings.Contains(faults, one.says) {
+		if faults := strings.Join(errs.Of(err).Faults, "; "); !strings.Contains(faults, one.says) {
 			t.Errorf("%v: %s", one.args, faults)
 		}
 	}
--- a/cmd/belvedere/page.go
+++ b/cmd/belvedere/page.go
@@ -5,13 +5,13 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/hollow"
 )
 
 // page works the tables of the capacity page out anew from the committed runs.
 func page(args []string) {
-	r := rucksack.New("belvedere page")
+	r := settings.New("belvedere page")
 	tables := r.Flags.String("tables", "docs/capacity", "folder of the runs' tables")
 	path := r.Flags.String("page", "docs/CAPACITY.md", "the page")
 	r.MustParse(args)
--- a/cmd/cairn/main.go
+++ b/cmd/cairn/main.go
@@ -10,14 +10,14 @@
 	"tuliprudder/core/summit"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/outfit"
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/settings"
 )
 
 func main() {
-	var common rucksack.Common
+	var common settings.Common
 	var bounds lodge.Bounds
 	set := summit.Defaults()
-	settings := rucksack.New("cairn")
+	settings := settings.New("cairn")
 	settings.Common(&common, true)
 	bounds.Settings(settings)
 	slots := int64(set.Slots)
@@ -33,7 +33,7 @@
 	}
 }
 
-func run(common rucksack.Common, bounds lodge.Bounds, set summit.Settings) error {
+func run(common settings.Common, bounds lodge.Bounds, set summit.Settings) error {
 	l, err := lodge.Open("cairn", people.Cairn, common, bounds)
 	if err != nil {
 		return err
--- a/cmd/rambler/main.go
+++ b/cmd/rambler/main.go
@@ -9,14 +9,14 @@
 	"strings"
 	"syscall"
 
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/callers"
 	"tuliprudder/proof/havoc"
 )
 
 func main() {
 	var set havoc.Settings
-	r := rucksack.New("rambler")
+	r := settings.New("rambler")
 	set.Flags(r)
 	edges := r.Flags.String("at", "", "http addresses of edges, by comma")
 	starts := r.Flags.String("starts", "", "the servers' logs of starts, by comma")
--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -9,16 +9,16 @@
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/outfit"
-	"tuliprudder/kernel/rucksack"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/ledger/keeper"
 )
 
 func main() {
-	var common rucksack.Common
+	var common settings.Common
 	var bounds lodge.Bounds
 	set := keeper.Defaults()
-	settings := rucksack.New("refuge")
+	settings := settings.New("refuge")
 	settings.Common(&common, true)
 	bounds.Settings(settings)
 	mostItems := int64(set.MostItems)
@@ -32,7 +32,7 @@
 	}
 }
 
-func run(common rucksack.Common, bounds lodge.Bounds, set keeper.Settings) error {
+func run(common settings.Common, bounds lodge.Bounds, set keeper.Settings) error {
 	l, err := lodge.Open("refuge", people.Refuge, common, bounds)
 	if err != nil {
 		return err
@@ -42,11 +42,11 @@
 		return err
 	}
 	books := store.Keeper
-	plant(books, store.Room, common.Data)
+	plant(books, store.Folder, common.Data)
 	l.OnDrain(func() {
 		l.Porter.Word(keeper.Drain{})
-		lodge.Wait(7*sundial.Second, func() (gone bool) {
-			l.Porter.Inside(func(sundial.Micros) { gone = books.Owned() == 0 })
+		lodge.Wait(7*clock.Second, func() (gone bool) {
+			l.Porter.Inside(func(clock.Micros) { gone = books.Owned() == 0 })
 			return gone
 		})
 	})
--- a/cmd/refuge/planted.go
+++ b/cmd/refuge/planted.go
@@ -7,13 +7,13 @@
 	"path/filepath"
 	"time"
 
-	"tuliprudder/kernel/strongroom"
+	"tuliprudder/kernel/storage"
 	"tuliprudder/ledger/keeper"
 )
 
 // plant puts a fault into a store on purpose: only builds for the proof of the
 // checkers have it (DESIGN §9).
-func plant(books *keeper.Keeper, room *strongroom.Room, folder string) {
+func plant(books *keeper.Keeper, room *storage.Folder, folder string) {
 	switch os.Getenv("TULIPRUDDER_PLANT") {
 	case "one-disk":
 		books.Gang().SkipRemote = true
--- a/cmd/refuge/sound.go
+++ b/cmd/refuge/sound.go
@@ -3,9 +3,9 @@
 package main
 
 import (
-	"tuliprudder/kernel/strongroom"
+	"tuliprudder/kernel/storage"
 	"tuliprudder/ledger/keeper"
 )
 
 // plant does nothing in the daemons that serve.
-func plant(*keeper.Keeper, *strongroom.Room, string) {}
+func plant(*keeper.Keeper, *storage.Folder, string) {}
--- a/cmd/scree/main.go
+++ b/cmd/scree/main.go
@@ -14,15 +14,15 @@
 	"syscall"
 	"time"
 
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/logbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/porch"
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/httpserver"
+	"tuliprudder/kernel/logging"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/wellspring"
 )
 
-type settings struct {
+type options struct {
 	listen, name, starts string
 	slots, queue         int64
 	pieceUS, prefillUS   int64
@@ -30,8 +30,8 @@
 }
 
 func main() {
-	var set settings
-	r := rucksack.New("scree")
+	var set options
+	r := settings.New("scree")
 	r.Flags.StringVar(&set.listen, "listen", "", "address to serve on, IP:port")
 	r.Flags.StringVar(&set.name, "name", "scree", "name of the server in its log")
 	r.Flags.StringVar(&set.starts, "starts", "", "file that every start is logged to")
@@ -43,7 +43,7 @@
 	r.Int(&set.pieces, "pieces", 6, 1, 10_000, "pieces of an answer")
 	r.Check(func() { r.Address("listen", set.listen) })
 	r.MustParse(os.Args[1:])
-	logbook.Open(os.Stderr, "scree", set.name)
+	logging.Open(os.Stderr, "scree", set.name)
 	s := &server{set: set, line: newLine(int(set.slots))}
 	if set.starts != "" {
 		file, err := os.OpenFile(set.starts, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -53,12 +53,12 @@
 		}
 		s.log = file
 	}
-	front := porch.New(set.listen, 100_000, 16<<20)
+	front := httpserver.New(set.listen, 100_000, 16<<20)
 	front.Handle(http.MethodPost, "/v1/chat/completions", s.complete)
 	front.Handle(http.MethodGet, "/health", s.health)
 	front.Handle(http.MethodGet, "/metrics", s.metrics)
 	front.Handle(http.MethodPost, "/control", s.control)
-	var ends belay.Stack
+	var ends cleanup.Stack
 	defer ends.Run()
 	if err := front.Start(&ends); err != nil {
 		fmt.Fprintln(os.Stderr, "scree:", err)
@@ -70,7 +70,7 @@
 }
 
 type server struct {
-	set     settings
+	set     options
 	line    *line
 	waiting atomic.Int64
 	running atomic.Int64
@@ -89,23 +89,23 @@
 // control sets a fault: {"mode":"dark"} holds everything open and silent,
 // "cut" breaks streams off half way, "refuse" turns away, "" ends it.
 func (s *server) control(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
 	var body struct {
 		Mode string `json:"mode"`
 	}
-	if err := porch.Decode(data, &body); err != nil {
+	if err := httpserver.Decode(data, &body); err != nil {
 		return err
 	}
 	s.mode.Store(body.Mode)
-	return porch.WriteJSON(w, http.StatusOK, body)
+	return httpserver.WriteJSON(w, http.StatusOK, body)
 }
 
 func (s *server) health(w http.ResponseWriter, r *http.Request) error {
 	s.darken(r)
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"status": "ok"})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"status": "ok"})
 }
 
 func (s *server) metrics(w http.ResponseWriter, r *http.Request) error {
@@ -137,13 +137,13 @@
 }
 
 func (s *server) complete(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
 	var body ask
 	if err := json.Unmarshal(data, &body); err != nil {
-		return mishap.New(mishap.BadInput, "send a chat completion", "%v", err)
+		return errs.New(errs.BadInput, "send a chat completion", "%v", err)
 	}
 	prefix, input, partial := "", "", ""
 	for _, m := range body.Messages {
@@ -157,10 +157,10 @@
 		}
 	}
 	if input == "" {
-		return mishap.New(mishap.BadInput, "send a user message", "no user message")
+		return errs.New(errs.BadInput, "send a user message", "no user message")
 	}
 	if s.is("refuse") || s.waiting.Load() >= s.set.queue+s.set.slots {
-		return mishap.Later(mishap.NotReady, 1_000_000, "come back", "the queue is full")
+		return errs.Later(errs.NotReady, 1_000_000, "come back", "the queue is full")
 	}
 	s.waiting.Add(1)
 	entered := s.line.enter(r.Context(), body.Priority)
--- a/cmd/trailhead/main.go
+++ b/cmd/trailhead/main.go
@@ -9,16 +9,16 @@
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/outfit"
 	"tuliprudder/daemon/planes"
-	"tuliprudder/kernel/rucksack"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/path/gate"
 )
 
 func main() {
-	var common rucksack.Common
+	var common settings.Common
 	var bounds lodge.Bounds
 	set := planes.EdgeDefaults()
-	settings := rucksack.New("trailhead")
+	settings := settings.New("trailhead")
 	settings.Common(&common, false)
 	bounds.Settings(settings)
 	mostWaiting := int64(set.Dispatch.MostWaiting)
@@ -38,7 +38,7 @@
 	}
 }
 
-func run(common rucksack.Common, bounds lodge.Bounds, set planes.EdgeSettings) error {
+func run(common settings.Common, bounds lodge.Bounds, set planes.EdgeSettings) error {
 	l, err := lodge.Open("trailhead", people.Trailhead, common, bounds)
 	if err != nil {
 		return err
@@ -47,7 +47,7 @@
 	front := &gate.Gate{Set: gate.Defaults(), Machine: l.Porter.AskUntil, Word: l.Porter.Word, Clock: l.Porter.Now}
 	front.Routes(l.Porch)
 	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(now sundial.Micros) {
+		l.Porter.Inside(func(now clock.Micros) {
 			switch {
 			case edge.Dispatch.Plan() == nil:
 				why = "no plan has arrived yet"
@@ -61,7 +61,7 @@
 	}
 	l.OnDrain(func() {
 		l.Porter.Word(planes.Close{})
-		lodge.Wait(6*sundial.Second, func() bool { return l.Porch.Open() == 0 })
+		lodge.Wait(6*clock.Second, func() bool { return l.Porch.Open() == 0 })
 	})
 	return l.Run()
 }
--- a/cmd/waymark/main.go
+++ b/cmd/waymark/main.go
@@ -21,7 +21,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 // tool is what every command needs.
@@ -39,7 +39,7 @@
 			os.Exit(2)
 		}
 		t.complain(os.Stderr, err)
-		if mishap.Is(err, mishap.BadSettings) {
+		if errs.Is(err, errs.BadSettings) {
 			os.Exit(2)
 		}
 		os.Exit(1)
@@ -48,7 +48,7 @@
 
 // complain names the fault, its parts and the remedy.
 func (t *tool) complain(w io.Writer, err error) {
-	m := mishap.Of(err)
+	m := errs.Of(err)
 	fmt.Fprintf(w, "waymark: %s: %s\n", m.Kind, m.Message)
 	for _, fault := range m.Faults {
 		fmt.Fprintf(w, "  %s\n", fault)
@@ -57,7 +57,7 @@
 }
 
 func wrong(format string, args ...any) error {
-	return mishap.New(mishap.BadSettings, "see waymark -help", format, args...)
+	return errs.New(errs.BadSettings, "see waymark -help", format, args...)
 }
 
 func (t *tool) command(name, usage, help string, run func(args []string) error) *ffcli.Command {
@@ -104,21 +104,21 @@
 	request.Header.Set("X-Operator", t.by)
 	response, err := t.http.Do(request)
 	if err != nil {
-		return mishap.New(mishap.NotReady, "name another daemon with -at", "the daemon at %s gave no answer: %v", at, err)
+		return errs.New(errs.NotReady, "name another daemon with -at", "the daemon at %s gave no answer: %v", at, err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return mishap.New(mishap.OutcomeUnknown, "read back what is in force before asking again", "the answer broke off: %v", err)
+		return errs.New(errs.OutcomeUnknown, "read back what is in force before asking again", "the answer broke off: %v", err)
 	}
 	if response.StatusCode/100 != 2 {
 		var typed struct {
-			Error *mishap.Mishap `json:"error"`
+			Error *errs.Error `json:"error"`
 		}
 		if json.Unmarshal(data, &typed) == nil && typed.Error != nil {
 			return typed.Error
 		}
-		return mishap.New(mishap.ServerFault, "check that -at names a daemon's http address", "%s answered %s", at, response.Status)
+		return errs.New(errs.ServerFault, "check that -at names a daemon's http address", "%s answered %s", at, response.Status)
 	}
 	if into == nil {
 		return nil
@@ -334,7 +334,7 @@
 	if err != nil {
 		return err
 	}
-	err = mishap.New(mishap.NotReady, "start one", "no sound daemon of kind %v is known", kinds)
+	err = errs.New(errs.NotReady, "start one", "no sound daemon of kind %v is known", kinds)
 	for _, d := range folk {
 		if d.Standing != "sound" || !slices.Contains(kinds, d.Kind) {
 			continue
@@ -420,7 +420,7 @@
 		}
 		var counters map[string]int64
 		if err := t.ask(d.HTTP, http.MethodGet, "/counters", nil, &counters); err != nil {
-			rows = append(rows, []string{d.ID, "gives no counters", mishap.Of(err).Message})
+			rows = append(rows, []string{d.ID, "gives no counters", errs.Of(err).Message})
 			continue
 		}
 		for _, risk := range []struct {
--- a/cmd/waymark/plan.go
+++ b/cmd/waymark/plan.go
@@ -14,7 +14,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/path/guidebook"
 )
 
@@ -191,7 +191,7 @@
 			body = v.Plan
 		}
 		if err := json.Unmarshal(body, &trees[i]); err != nil {
-			return mishap.New(mishap.BadPlan, "give a plan file", "%s is no plan: %v", name, err)
+			return errs.New(errs.BadPlan, "give a plan file", "%s is no plan: %v", name, err)
 		}
 	}
 	lines := Diff(trees[0], trees[1])
--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -7,8 +7,8 @@
 	"encoding/json"
 	"slices"
 
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/tether"
 )
 
@@ -17,7 +17,7 @@
 	Number uint64          `json:"version"`
 	Body   json.RawMessage `json:"plan"`
 	By     string          `json:"by"`
-	At     sundial.Micros  `json:"at_us"`
+	At     clock.Micros    `json:"at_us"`
 }
 
 // Store is a store daemon; its writer id is never given to another.
@@ -255,12 +255,12 @@
 func (Pair) kind() string       { return "pair" }
 func (Retire) kind() string     { return "retire" }
 
-var entries = stride.Entries[Entry]{
-	"found":       stride.Decoder(func(e Found) Entry { return e }),
-	"put-plan":    stride.Decoder(func(e PutPlan) Entry { return e }),
-	"enrol-store": stride.Decoder(func(e EnrolStore) Entry { return e }),
-	"pair":        stride.Decoder(func(e Pair) Entry { return e }),
-	"retire":      stride.Decoder(func(e Retire) Entry { return e }),
+var entries = machine.Entries[Entry]{
+	"found":       machine.Decoder(func(e Found) Entry { return e }),
+	"put-plan":    machine.Decoder(func(e PutPlan) Entry { return e }),
+	"enrol-store": machine.Decoder(func(e EnrolStore) Entry { return e }),
+	"pair":        machine.Decoder(func(e Pair) Entry { return e }),
+	"retire":      machine.Decoder(func(e Retire) Entry { return e }),
 }
 
 // Encode writes an entry for the pair.
--- a/core/planbook/plan.go
+++ b/core/planbook/plan.go
@@ -9,8 +9,8 @@
 	"sort"
 	"strings"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 )
 
 // Labels are names and values that selectors match.
@@ -82,7 +82,7 @@
 	Weights   string
 	Prefix    string
 	MaxTokens int64
-	Expiry    sundial.Micros
+	Expiry    clock.Micros
 	MostItems int64
 	Forward   *Forward // set where requests are passed on unchanged (DESIGN §12.1)
 }
@@ -91,14 +91,14 @@
 // passed on to servers unchanged.
 type Forward struct {
 	Host       string
-	PathPrefix string         // begins and ends with a slash
-	Tries      int64          // most servers that one request, or attempts that one item, may take
-	Aim        sundial.Micros // within which an answer is worth most
-	Gap        sundial.Micros // longest pause between events of a stream that is in time
-	Due        sundial.Micros // within which a bundle's results are due
-	Keep       sundial.Micros // after which an item of a bundle may be given up
-	MostTokens int64          // tokens of bundles that may wait on the route; 0: no limit
-	Split      []Share        // where requests go instead of Pools, by share
+	PathPrefix string       // begins and ends with a slash
+	Tries      int64        // most servers that one request, or attempts that one item, may take
+	Aim        clock.Micros // within which an answer is worth most
+	Gap        clock.Micros // longest pause between events of a stream that is in time
+	Due        clock.Micros // within which a bundle's results are due
+	Keep       clock.Micros // after which an item of a bundle may be given up
+	MostTokens int64        // tokens of bundles that may wait on the route; 0: no limit
+	Split      []Share      // where requests go instead of Pools, by share
 }
 
 // Share is one part of a split route.
@@ -110,7 +110,7 @@
 // Bounds are what the operator allows callers' requests; 0 leaves the daemon's own.
 type Bounds struct {
 	HeaderBytes, BodyBytes int64
-	HeaderWait, IdleWait   sundial.Micros
+	HeaderWait, IdleWait   clock.Micros
 }
 
 // Reader turns an operator's document into a plan; Parse is the product's own.
@@ -279,7 +279,7 @@
 	if len(r.faults) == 0 {
 		return nil
 	}
-	return &mishap.Mishap{Kind: mishap.BadPlan, Message: fmt.Sprintf("the plan has %d faults; the plan in force stays", len(r.faults)),
+	return &errs.Error{Kind: errs.BadPlan, Message: fmt.Sprintf("the plan has %d faults; the plan in force stays", len(r.faults)),
 		Remedy: "correct each named place and put the plan again", Faults: r.faults}
 }
 
@@ -510,7 +510,7 @@
 	return plan
 }
 
-const hour = 3600 * sundial.Second
+const hour = 3600 * clock.Second
 
 var routeKinds = map[string]bool{OneShot: true, Repeatable: true, Stream: true, Resumable: true, Bundle: true}
 
--- a/core/planbook/plan_test.go
+++ b/core/planbook/plan_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 func TestTheDeploymentsPlans(t *testing.T) {
@@ -18,7 +18,7 @@
 		}
 		plan, err := Parse(data)
 		if err != nil {
-			t.Fatalf("%s: %v %v", name, err, mishap.Of(err).Faults)
+			t.Fatalf("%s: %v %v", name, err, errs.Of(err).Faults)
 		}
 		kinds := map[string]int{}
 		for _, route := range plan.Routes {
@@ -37,10 +37,10 @@
 	 "pools":[{"name":"p","labels":{"u":3}}],
 	 "routes":[{"name":"r","kind":"dance","classes":{"t":"none"},"pools":{"u":[]},"model":""}],
 	 "judges":{"mood":1,"speed":-1},"extra":true}`))
-	if !mishap.Is(err, mishap.BadPlan) {
+	if !errs.Is(err, errs.BadPlan) {
 		t.Fatalf("told %v", err)
 	}
-	all := strings.Join(mishap.Of(err).Faults, "\n")
+	all := strings.Join(errs.Of(err).Faults, "\n")
 	for _, path := range []string{"$.classes[0].rank: is 0", "$.classes[0].allowance: is -3", "$.classes[1].name: class \"a\" is there twice", "$.classes[1].rank: must be a whole number",
 		"$.classes[1].allowance: is missing", "$.classes[2].name:", "$.classes[2].hue: unknown field", "$.customers[0].class: no class \"zz\"", "$.customers[1].key:", "$.pools[0].labels.u: must be a text",
 		"$.pools[0].servers: is missing", "$.routes[0].kind: \"dance\"", "$.routes[0].classes: matches no class", "$.routes[0].pools.u: is empty", "$.routes[0].model: is empty", "$.judges.mood: unknown field", "$.judges.speed:", "$.extra: unknown field"} {
@@ -68,7 +68,7 @@
 		forwardedRoute("other", `"kind":"stream","pools":{},"model":"m","forward":{"host":"b.example","path_prefix":"/v1/"}`),
 	}, ","))))
 	if err != nil {
-		t.Fatalf("%v %v", err, mishap.Of(err).Faults)
+		t.Fatalf("%v %v", err, errs.Of(err).Faults)
 	}
 	want := Forward{Host: "a.example", PathPrefix: "/v1/", Tries: 3, Aim: 2_000_000, Gap: 500_000, Due: 3_600_000_000, Keep: 7_200_000_000, MostTokens: 1_000_000,
 		Split: []Share{{Selector{"u": {"1"}}, 90}, {Selector{"u": {"2"}}, 10}, {Selector{"u": {"3"}}, 0}}}
@@ -114,10 +114,10 @@
 		forwardedRoute("r9", `"kind":"stream","pools":{}`),
 		forwardedRoute("r10", `"kind":"repeatable","pools":{},"model":"m"`),
 	}, ","))))
-	if !mishap.Is(err, mishap.BadPlan) {
+	if !errs.Is(err, errs.BadPlan) {
 		t.Fatalf("told %v", err)
 	}
-	faults := mishap.Of(err).Faults
+	faults := errs.Of(err).Faults
 	all := strings.Join(faults, "\n")
 	want := []string{"$.bounds.header_bytes: is 1;", "$.bounds.body_bytes: must be a whole number", "$.bounds.colour: unknown field",
 		`$.routes[1].forward: route "r0" has this host and path prefix`, "$.routes[2].forward.host: \"A/b\"", "$.routes[2].forward.path_prefix: \"v1/\" must begin", "$.routes[2].forward.tries: is 0", "$.routes[2].forward.hue: unknown",
--- a/core/summit/asks.go
+++ b/core/summit/asks.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/transport"
 	"tuliprudder/ledger/tether"
 )
 
@@ -76,7 +76,7 @@
 		Base    uint64
 		HasBase bool
 		By      string
-		Expiry  sundial.Micros
+		Expiry  clock.Micros
 	}
 	// PlanReceipt is the answer once it is on two disks.
 	PlanReceipt struct{ Version uint64 }
@@ -95,7 +95,7 @@
 		Name   string
 		Back   bool
 		Look   bool
-		Expiry sundial.Micros
+		Expiry clock.Micros
 	}
 	// RetireReceipt tells how far it is.
 	RetireReceipt struct {
@@ -117,6 +117,6 @@
 )
 
 func init() {
-	footbridge.Register(Greet{}, Claim{}, Granted{}, Sealing{}, Sealed{},
+	transport.Register(Greet{}, Claim{}, Granted{}, Sealing{}, Sealed{},
 		PutPlanAsk{}, PlanReceipt{}, RetireAsk{}, RetireReceipt{}, PlansAsk{}, Plans{}, ShowAsk{}, Shown{})
 }
--- a/core/summit/election.go
+++ b/core/summit/election.go
@@ -4,9 +4,9 @@
 	"slices"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/tether"
 )
 
@@ -18,7 +18,7 @@
 	tell := func(peer string) {
 		if peer != "" && !told[peer] {
 			told[peer] = true
-			s.Emit(stride.Send{To: peer, Body: hello})
+			s.Emit(machine.Send{To: peer, Body: hello})
 		}
 	}
 	for _, seed := range s.seeds {
@@ -36,28 +36,28 @@
 type Cairns struct{ Peers []string }
 
 // Apply greets those that are new; their own greeting makes them known.
-func (c Cairns) Apply(s *Summit, now sundial.Micros) {
+func (c Cairns) Apply(s *Summit, now clock.Micros) {
 	for _, peer := range c.Peers {
 		if peer != s.self.Peer {
-			s.Emit(stride.Send{To: peer, Body: Greet{Core: s.self, Life: s.life, Fleet: s.oath.Fleet, Oath: s.oath, Role: s.rope().Role.String()}})
+			s.Emit(machine.Send{To: peer, Body: Greet{Core: s.self, Life: s.life, Fleet: s.oath.Fleet, Oath: s.oath, Role: s.rope().Role.String()}})
 		}
 	}
 }
 
-func (s *Summit) greeted(g Greet, now sundial.Micros) {
+func (s *Summit) greeted(g Greet, now clock.Micros) {
 	if g.Core.ID == s.self.ID {
 		if g.Core.Peer != s.self.Peer && g.Life <= s.life {
-			s.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "start with an empty data folder; the cores give it a seat", "a core of the same identity lives at %s: this data folder is a copy", g.Core.Peer)})
+			s.Emit(machine.Halt{Err: errs.New(errs.WrongFolder, "start with an empty data folder; the cores give it a seat", "a core of the same identity lives at %s: this data folder is a copy", g.Core.Peer)})
 		}
 		return
 	}
 	if s.oath.Fleet != "" && g.Fleet != "" && g.Fleet != s.oath.Fleet {
 		if len(s.cores) == 0 && !s.rope().Owns() {
 			// Alone among strangers: this core's seeds are wrong.
-			s.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "correct -seeds, or start with an empty data folder to be given a seat here", "this core is of fleet %s; at its seeds is fleet %s", s.oath.Fleet, g.Fleet)})
+			s.Emit(machine.Halt{Err: errs.New(errs.WrongFolder, "correct -seeds, or start with an empty data folder to be given a seat here", "this core is of fleet %s; at its seeds is fleet %s", s.oath.Fleet, g.Fleet)})
 			return
 		}
-		s.Emit(stride.Explain{What: "a core of another fleet greeted; it is passed over", Fields: map[string]any{"peer": g.Core.Peer, "fleet": g.Fleet}})
+		s.Emit(machine.Explain{What: "a core of another fleet greeted; it is passed over", Fields: map[string]any{"peer": g.Core.Peer, "fleet": g.Fleet}})
 		return
 	}
 	// An empty machine at an old address is a new identity: the old one is gone.
@@ -71,7 +71,7 @@
 }
 
 // learn takes over what another witness knows to be complete.
-func (s *Summit) learn(other Oath, now sundial.Micros) {
+func (s *Summit) learn(other Oath, now clock.Micros) {
 	if s.oath.Fleet == "" || other.Fleet != s.oath.Fleet || other.Done.Epoch <= s.oath.Done.Epoch {
 		return
 	}
@@ -79,19 +79,19 @@
 	if other.Done.Epoch >= s.oath.Granted {
 		s.oath.Granted, s.oath.Grant, s.oath.Cores = other.Done.Epoch, other.Done, other.Sworn
 	}
-	s.gang.Store([]stride.Record{s.oathRecord()}, nil)
+	s.gang.Store([]machine.Record{s.oathRecord()}, nil)
 	s.align(now)
 }
 
 // align gives up a role that a higher epoch ended.
-func (s *Summit) align(now sundial.Micros) {
+func (s *Summit) align(now clock.Micros) {
 	rope := s.rope()
 	if s.oath.Done.Epoch > rope.Epoch {
 		s.gang.Release(unitCore, rope.Epoch, now)
 	}
 }
 
-func (s *Summit) life2(id string, now sundial.Micros) (uint64, bool) {
+func (s *Summit) life2(id string, now clock.Micros) (uint64, bool) {
 	if id == s.self.ID {
 		return s.life, true
 	}
@@ -127,7 +127,7 @@
 }
 
 // stand works out whether this core should claim, and drives a claim on.
-func (s *Summit) stand(now sundial.Micros) {
+func (s *Summit) stand(now clock.Micros) {
 	if s.claim != nil {
 		if now-s.claim.at < claimTries {
 			return
@@ -150,7 +150,7 @@
 		s.unwell = now
 	}
 	// Each core waits a little longer than the one before it in the seats.
-	if now-s.unwell < sundial.Micros(1+seat(s.oath.Cores, s.self.ID))*250*sundial.Millisecond {
+	if now-s.unwell < clock.Micros(1+seat(s.oath.Cores, s.self.ID))*250*clock.Millisecond {
 		return
 	}
 	for _, id := range sortedIDs(s.cores) {
@@ -161,7 +161,7 @@
 	pairing.Epoch = max(pairing.Epoch, s.oath.Granted+1)
 	s.unwell = now
 	s.Claims++
-	s.Emit(stride.Explain{What: "claiming the cores", Fields: map[string]any{"epoch": pairing.Epoch, "reason": reason, "backup": pairing.Backup.ID}})
+	s.Emit(machine.Explain{What: "claiming the cores", Fields: map[string]any{"epoch": pairing.Epoch, "reason": reason, "backup": pairing.Backup.ID}})
 	s.claim = &claiming{claim: Claim{Fleet: s.oath.Fleet, Pairing: pairing, Cores: cores, Base: s.oath.Done.Epoch, From: s.self}, yes: map[string]Oath{}, at: now}
 	s.send()
 }
@@ -169,13 +169,13 @@
 func (s *Summit) send() {
 	for _, core := range s.claim.claim.Cores {
 		if core.ID != s.self.ID {
-			s.Emit(stride.Send{To: core.Peer, Body: s.claim.claim})
+			s.Emit(machine.Send{To: core.Peer, Body: s.claim.claim})
 		}
 	}
 }
 
 // wanted is the pairing this core should claim, with the reason, or none.
-func (s *Summit) wanted(now sundial.Micros) (tether.Pairing, []CoreRef, string) {
+func (s *Summit) wanted(now clock.Micros) (tether.Pairing, []CoreRef, string) {
 	current := s.oath.Grant
 	current.Complete = s.oath.Done.Epoch == s.oath.Granted
 	if s.oath.Done.Epoch > 0 {
@@ -242,7 +242,7 @@
 
 // reseat gives the seat of a core that is gone to one that has none: one seat
 // at a time, under an epoch of its own.
-func (s *Summit) reseat(current tether.Pairing, cores []CoreRef, now sundial.Micros) (tether.Pairing, []CoreRef, string) {
+func (s *Summit) reseat(current tether.Pairing, cores []CoreRef, now clock.Micros) (tether.Pairing, []CoreRef, string) {
 	// An empty core takes a seat sooner than one that had a seat before: nobody waits
 	// for it to come back.
 	wait, heir := s.set.ReplaceAfter, CoreRef{}
@@ -280,7 +280,7 @@
 // founders are the cores that should found a fleet, as this one sees it: all empty
 // cores that are heard, or those at this core's seeds where there are more than it
 // takes. None where they are not as many as it takes (DESIGN §5.1).
-func (s *Summit) founders(now sundial.Micros) []CoreRef {
+func (s *Summit) founders(now clock.Micros) []CoreRef {
 	refs := []CoreRef{s.self}
 	for _, id := range sortedIDs(s.cores) {
 		if heard := s.cores[id]; now-heard.at <= s.set.CoreSilent {
@@ -298,7 +298,7 @@
 
 // found begins a fleet: once, and only when as many empty cores as it takes see
 // each other.
-func (s *Summit) found(now sundial.Micros) {
+func (s *Summit) found(now clock.Micros) {
 	fleet := "f-" + s.self.ID
 	for _, id := range sortedIDs(s.cores) {
 		heard := s.cores[id]
@@ -328,7 +328,7 @@
 		}
 	}
 	if second.ID == "" {
-		s.Emit(stride.Explain{What: "can't found: the cores are in one zone; give them -zone settings that differ"})
+		s.Emit(machine.Explain{What: "can't found: the cores are in one zone; give them -zone settings that differ"})
 		return
 	}
 	pairing := tether.Pairing{Epoch: 1, Owner: tether.Member{ID: s.self.ID, Life: s.life},
@@ -338,22 +338,22 @@
 }
 
 // claimed is the witness's part.
-func (s *Summit) claimed(from string, c Claim, now sundial.Micros) {
+func (s *Summit) claimed(from string, c Claim, now clock.Micros) {
 	why := s.objection(c, now)
 	answer := Granted{Epoch: c.Pairing.Epoch, From: s.self.ID, Yes: why == "", Why: why}
 	if why != "" {
 		answer.Oath = s.oath
-		s.Emit(stride.Send{To: from, Body: answer})
+		s.Emit(machine.Send{To: from, Body: answer})
 		return
 	}
-	s.swear(c, func(now sundial.Micros) {
+	s.swear(c, func(now clock.Micros) {
 		answer.Oath = s.oath
-		s.Emit(stride.Send{To: from, Body: answer})
+		s.Emit(machine.Send{To: from, Body: answer})
 	})
 }
 
 // objection is why a witness does not grant a claim; "" when it does.
-func (s *Summit) objection(c Claim, now sundial.Micros) string {
+func (s *Summit) objection(c Claim, now clock.Micros) string {
 	switch {
 	case seat(c.Cores, s.self.ID) < 0:
 		return "not a witness of this claim"
@@ -391,18 +391,18 @@
 }
 
 // soundOwner tells whether this primary still has its backup's ear.
-func (s *Summit) soundOwner(now sundial.Micros) bool { return s.rope().LeaseUntil() > now }
+func (s *Summit) soundOwner(now clock.Micros) bool { return s.rope().LeaseUntil() > now }
 
 // swear writes the grant down.
-func (s *Summit) swear(c Claim, done func(now sundial.Micros)) {
+func (s *Summit) swear(c Claim, done func(now clock.Micros)) {
 	s.oath.Fleet, s.oath.Granted, s.oath.Grant, s.oath.Cores = c.Fleet, c.Pairing.Epoch, c.Pairing, c.Cores
 	if s.oath.Sworn == nil {
 		s.oath.Sworn = c.Cores
 	}
-	s.gang.Store([]stride.Record{s.oathRecord()}, done)
+	s.gang.Store([]machine.Record{s.oathRecord()}, done)
 }
 
-func (s *Summit) granted(g Granted, now sundial.Micros) {
+func (s *Summit) granted(g Granted, now clock.Micros) {
 	if !g.Yes {
 		s.learn(g.Oath, now)
 	}
@@ -431,7 +431,7 @@
 	}
 	s.claim.sworn = true
 	mine := s.claim
-	s.swear(c, func(now sundial.Micros) {
+	s.swear(c, func(now clock.Micros) {
 		if s.claim == mine {
 			s.claim = nil
 		}
@@ -452,10 +452,10 @@
 	return 2*count > len(cores)
 }
 
-func (s *Summit) own(c Claim, now sundial.Micros) {
+func (s *Summit) own(c Claim, now clock.Micros) {
 	s.Takeovers++
 	backup := c.Cores[seat(c.Cores, c.Pairing.Backup.ID)]
-	s.Emit(stride.Explain{What: "owning the plan", Fields: map[string]any{"epoch": c.Pairing.Epoch, "backup": backup.ID}})
+	s.Emit(machine.Explain{What: "owning the plan", Fields: map[string]any{"epoch": c.Pairing.Epoch, "backup": backup.ID}})
 	s.gang.Own(unitCore, c.Pairing.Epoch, backup.Peer, now)
 }
 
@@ -467,20 +467,20 @@
 	if seat(m.Cores, s.self.ID) < 0 {
 		return
 	}
-	answer := func(now sundial.Micros) {
+	answer := func(now clock.Micros) {
 		if from == "" {
 			s.sealedBy(s.self.ID, m.Pairing.Epoch, now)
 			return
 		}
-		s.Emit(stride.Send{To: from, Body: Sealed{Epoch: m.Pairing.Epoch, From: s.self.ID}})
+		s.Emit(machine.Send{To: from, Body: Sealed{Epoch: m.Pairing.Epoch, From: s.self.ID}})
 	}
 	s.oath.Fleet = m.Fleet
 	s.oath.Done, s.oath.Sworn = m.Pairing, m.Cores
 	s.oath.Granted, s.oath.Grant, s.oath.Cores = m.Pairing.Epoch, m.Pairing, m.Cores
-	s.gang.Store([]stride.Record{s.oathRecord()}, answer)
+	s.gang.Store([]machine.Record{s.oathRecord()}, answer)
 }
 
-func (s *Summit) sealedBy(id string, epoch uint64, now sundial.Micros) {
+func (s *Summit) sealedBy(id string, epoch uint64, now clock.Micros) {
 	if s.seal == nil || s.seal.pairing.Epoch != epoch || s.rope().Epoch != epoch {
 		return
 	}
@@ -496,7 +496,7 @@
 	}
 	if s.gang.Complete(unitCore, epoch, now) {
 		s.serving = now
-		s.Emit(stride.Explain{What: "primary", Fields: map[string]any{"epoch": epoch, "backup": s.seal.pairing.Backup.ID}})
+		s.Emit(machine.Explain{What: "primary", Fields: map[string]any{"epoch": epoch, "backup": s.seal.pairing.Backup.ID}})
 		if s.chart.Fleet == "" {
 			s.propose(change{entry: chart.Found{Fleet: s.oath.Fleet, Slots: s.set.Slots}}, now)
 		}
--- a/core/summit/listed.go
+++ b/core/summit/listed.go
@@ -5,8 +5,8 @@
 	"sort"
 	"strings"
 
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 )
 
 // The platform's words on servers start at any daemon and live in memory there.
@@ -21,29 +21,29 @@
 )
 
 // Listed is the platform's word on a server, as the news have it.
-type Listed struct{ Rumour stride.Rumour }
+type Listed struct{ Rumour machine.Rumour }
 
 // Apply writes it down where it is newer.
-func (l Listed) Apply(s *Summit, now sundial.Micros) {
+func (l Listed) Apply(s *Summit, now clock.Micros) {
 	if !strings.HasPrefix(l.Rumour.Key, listedKeys) || !l.Rumour.Newer(s.listed[l.Rumour.Key]) {
 		return
 	}
 	if _, known := s.listed[l.Rumour.Key]; !known && len(s.listed) >= mostListed {
-		s.Emit(stride.Explain{What: "more servers than a core writes down; put a shorter list", Fields: map[string]any{"server": l.Rumour.Key}})
+		s.Emit(machine.Explain{What: "more servers than a core writes down; put a shorter list", Fields: map[string]any{"server": l.Rumour.Key}})
 		return
 	}
 	s.listed[l.Rumour.Key] = l.Rumour
-	s.gang.Store([]stride.Record{listedRecord(l.Rumour)}, nil)
+	s.gang.Store([]machine.Record{listedRecord(l.Rumour)}, nil)
 }
 
-func listedRecord(rumour stride.Rumour) stride.Record {
+func listedRecord(rumour machine.Rumour) machine.Record {
 	body, _ := json.Marshal(rumour)
-	return stride.Record{Unit: unitListed, Kind: kindListed, Epoch: rumour.Epoch, Seq: rumour.Seq, Body: body}
+	return machine.Record{Unit: unitListed, Kind: kindListed, Epoch: rumour.Epoch, Seq: rumour.Seq, Body: body}
 }
 
 // relist reads one back.
-func (s *Summit) relist(record stride.Record) {
-	var rumour stride.Rumour
+func (s *Summit) relist(record machine.Record) {
+	var rumour machine.Rumour
 	if err := json.Unmarshal(record.Body, &rumour); err != nil {
 		s.BadRecord = err
 		return
@@ -60,12 +60,12 @@
 	}
 	s.retold = true
 	for _, key := range s.listedInOrder() {
-		s.Emit(stride.Publish{Rumour: s.listed[key]})
+		s.Emit(machine.Publish{Rumour: s.listed[key]})
 	}
 }
 
-func (s *Summit) listedRecords() []stride.Record {
-	var out []stride.Record
+func (s *Summit) listedRecords() []machine.Record {
+	var out []machine.Record
 	for _, key := range s.listedInOrder() {
 		out = append(out, listedRecord(s.listed[key]))
 	}
--- a/core/summit/office.go
+++ b/core/summit/office.go
@@ -8,9 +8,9 @@
 	"sort"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/tether"
 )
@@ -24,7 +24,7 @@
 }
 
 // Apply answers the ask by its type.
-func (c Call) Apply(s *Summit, now sundial.Micros) {
+func (c Call) Apply(s *Summit, now clock.Micros) {
 	switch ask := c.Body.(type) {
 	case PutPlanAsk:
 		s.putPlan(c.Number, ask, now)
@@ -38,29 +38,29 @@
 		if latest, ok := s.chart.Latest(); ok {
 			shown.Plan = latest.Number
 		}
-		s.Emit(stride.Answer{Call: c.Number, Body: shown})
+		s.Emit(machine.Answer{Call: c.Number, Body: shown})
 	default:
-		s.Emit(stride.Answer{Call: c.Number, Err: mishap.New(mishap.BadInput, "run the same release on all daemons", "a core knows no such ask: %T", ask)})
+		s.Emit(machine.Answer{Call: c.Number, Err: errs.New(errs.BadInput, "run the same release on all daemons", "a core knows no such ask: %T", ask)})
 	}
 }
 
 func (s *Summit) notPrimary(call uint64) {
-	s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.NotReady, sundial.Second, "ask again; the cores are agreeing on a primary", "this core is not primary (%s)", s.rope().Role)})
+	s.Emit(machine.Answer{Call: call, Err: errs.Later(errs.NotReady, clock.Second, "ask again; the cores are agreeing on a primary", "this core is not primary (%s)", s.rope().Role)})
 }
 
-func (s *Summit) putPlan(call uint64, ask PutPlanAsk, now sundial.Micros) {
+func (s *Summit) putPlan(call uint64, ask PutPlanAsk, now clock.Micros) {
 	if !s.Serving() {
 		s.notPrimary(call)
 		return
 	}
 	if s.set.CheckPlan != nil {
 		if err := s.set.CheckPlan(ask.Body); err != nil {
-			s.Emit(stride.Answer{Call: call, Err: err})
+			s.Emit(machine.Answer{Call: call, Err: err})
 			return
 		}
 	}
 	if len(s.queue) >= 64 {
-		s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.Busy, sundial.Second, "send it again; it was not put", "too many plans wait")})
+		s.Emit(machine.Answer{Call: call, Err: errs.Later(errs.Busy, clock.Second, "send it again; it was not put", "too many plans wait")})
 		return
 	}
 	s.queue = append(s.queue, change{call: call, until: now + ask.Expiry, put: &plannedPut{ask, now}})
@@ -70,7 +70,7 @@
 // plannedPut is a plan that waits for its turn; it gets its number then.
 type plannedPut struct {
 	ask PutPlanAsk
-	at  sundial.Micros
+	at  clock.Micros
 }
 
 // known tells whether the chart has a version of the operator's own number.
@@ -87,18 +87,18 @@
 	number := p.ask.Number
 	if p.known(s) {
 		if known, _ := s.chart.Version(number); !sameDocument(known.Body, p.ask.Body) {
-			return nil, 0, mishap.New(mishap.StaleBase, "read the plan in force, merge, and put with its version as base and a number above it", "version %d is there already and has another document", number)
+			return nil, 0, errs.New(errs.StaleBase, "read the plan in force, merge, and put with its version as base and a number above it", "version %d is there already and has another document", number)
 		}
 		return nil, number, nil
 	}
 	if p.ask.HasBase && p.ask.Base != latest.Number {
-		return nil, 0, mishap.New(mishap.StaleBase, "read the plan in force, merge, and put with its version as base", "the plan in force is version %d, not %d", latest.Number, p.ask.Base)
+		return nil, 0, errs.New(errs.StaleBase, "read the plan in force, merge, and put with its version as base", "the plan in force is version %d, not %d", latest.Number, p.ask.Base)
 	}
 	if number == 0 {
 		number = latest.Number + 1
 	}
 	if number <= latest.Number {
-		return nil, 0, mishap.New(mishap.BadPlan, fmt.Sprintf("number the plan above %d", latest.Number), "version %d is not above the one in force, %d", p.ask.Number, latest.Number)
+		return nil, 0, errs.New(errs.BadPlan, fmt.Sprintf("number the plan above %d", latest.Number), "version %d is not above the one in force, %d", p.ask.Number, latest.Number)
 	}
 	return chart.PutPlan{Version: chart.Version{Number: number, Body: p.ask.Body, By: p.ask.By, At: p.at}}, number, nil
 }
@@ -111,7 +111,7 @@
 }
 
 // settle judges an operator's ask at its turn: what is to be written, and the answer.
-func (c *change) settle(s *Summit, now sundial.Micros) error {
+func (c *change) settle(s *Summit, now clock.Micros) error {
 	switch {
 	case c.put != nil:
 		entry, number, err := c.put.entry(s)
@@ -127,19 +127,19 @@
 	return nil
 }
 
-func (s *Summit) propose(c change, now sundial.Micros) {
+func (s *Summit) propose(c change, now clock.Micros) {
 	s.queue = append(s.queue, c)
 	s.advance(now)
 }
 
 // advance takes one change at a time through the pair, so that two operators'
 // plans stand in one order.
-func (s *Summit) advance(now sundial.Micros) {
+func (s *Summit) advance(now clock.Micros) {
 	for s.flight == nil && len(s.queue) > 0 && s.Serving() {
 		c := s.queue[0]
 		s.queue = s.queue[1:]
 		if err := c.settle(s, now); err != nil {
-			s.Emit(stride.Answer{Call: c.call, Err: err})
+			s.Emit(machine.Answer{Call: c.call, Err: err})
 			continue
 		}
 		if c.entry == nil {
@@ -160,7 +160,7 @@
 
 // plans reads back what is confirmed. The latest is told only under a fresh lease: a
 // primary deposed without knowing would take an older one for it.
-func (s *Summit) plans(call uint64, ask PlansAsk, now sundial.Micros) {
+func (s *Summit) plans(call uint64, ask PlansAsk, now clock.Micros) {
 	if !s.Serving() || ask.Latest && !s.soundOwner(now) {
 		s.notPrimary(call)
 		return
@@ -171,10 +171,10 @@
 	}
 	if ask.Latest {
 		if len(confirmed) == 0 {
-			s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.NotFound, "put a plan", "no plan was ever put")})
+			s.Emit(machine.Answer{Call: call, Err: errs.New(errs.NotFound, "put a plan", "no plan was ever put")})
 			return
 		}
-		s.Emit(stride.Answer{Call: call, Body: Plans{Versions: confirmed[len(confirmed)-1:]}})
+		s.Emit(machine.Answer{Call: call, Body: Plans{Versions: confirmed[len(confirmed)-1:]}})
 		return
 	}
 	var out Plans
@@ -188,10 +188,10 @@
 		}
 	}
 	if ask.Version != 0 && len(out.Versions) == 0 {
-		s.Emit(stride.Answer{Call: call, Err: mishap.New(mishap.NotFound, "list the versions there are", "no plan version %d", ask.Version)})
+		s.Emit(machine.Answer{Call: call, Err: errs.New(errs.NotFound, "list the versions there are", "no plan version %d", ask.Version)})
 		return
 	}
-	s.Emit(stride.Answer{Call: call, Body: out})
+	s.Emit(machine.Answer{Call: call, Body: out})
 }
 
 // publish hands what is confirmed to the acquaintance.
@@ -201,12 +201,12 @@
 	}
 	if latest, ok := s.chart.Latest(); ok && latest.Number > s.published.plan {
 		s.published.plan = latest.Number
-		s.Emit(stride.Publish{Rumour: planNews(latest)})
+		s.Emit(machine.Publish{Rumour: planNews(latest)})
 	}
 	if s.chart.Seq > s.published.seq {
 		s.published.seq = s.chart.Seq
 		value, _ := json.Marshal(s.chart.Map())
-		s.Emit(stride.Publish{Rumour: stride.Rumour{Key: chart.MapKey, Seq: s.chart.Seq, Value: value}})
+		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: chart.MapKey, Seq: s.chart.Seq, Value: value}})
 	}
 	if epoch := s.rope().Epoch; epoch > s.published.epoch {
 		s.published.epoch = epoch
@@ -215,21 +215,21 @@
 			core.Cores, core.Seats = append(core.Cores, ref.Peer), append(core.Seats, ref.ID)
 		}
 		value, _ := json.Marshal(core)
-		s.Emit(stride.Publish{Rumour: stride.Rumour{Key: chart.CoreKey, Epoch: epoch, Value: value}})
+		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: chart.CoreKey, Epoch: epoch, Value: value}})
 	}
 }
 
-func planNews(version chart.Version) stride.Rumour {
+func planNews(version chart.Version) machine.Rumour {
 	value, _ := json.Marshal(version)
-	return stride.Rumour{Key: chart.PlanKey, Seq: version.Number, Value: value}
+	return machine.Rumour{Key: chart.PlanKey, Seq: version.Number, Value: value}
 }
 
 // storeBeat hears a store; the primary enrols it and tells it its writer id.
-func (s *Summit) storeBeat(from string, beat keeper.Beat, now sundial.Micros) {
+func (s *Summit) storeBeat(from string, beat keeper.Beat, now clock.Micros) {
 	heard, ok := s.stores[beat.ID]
 	if why := s.impostor(beat, heard, ok, now); why != "" {
-		s.Emit(stride.Explain{What: "a store is turned away", Fields: map[string]any{"store": beat.ID, "peer": beat.Peer, "life": beat.Life, "reason": why}})
-		s.Emit(stride.Send{To: from, Body: keeper.Unwelcome{ID: beat.ID, Life: beat.Life, Why: why}})
+		s.Emit(machine.Explain{What: "a store is turned away", Fields: map[string]any{"store": beat.ID, "peer": beat.Peer, "life": beat.Life, "reason": why}})
+		s.Emit(machine.Send{To: from, Body: keeper.Unwelcome{ID: beat.ID, Life: beat.Life, Why: why}})
 		return
 	}
 	if s.replaced(beat.ID, now) {
@@ -251,7 +251,7 @@
 		return
 	}
 	if s.flight == nil {
-		s.Emit(stride.Send{To: from, Body: keeper.Welcome{Fleet: s.chart.Fleet, Writer: known.Writer, Seq: s.chart.Seq}})
+		s.Emit(machine.Send{To: from, Body: keeper.Welcome{Fleet: s.chart.Fleet, Writer: known.Writer, Seq: s.chart.Seq}})
 	}
 	s.complete(beat, now)
 }
@@ -259,7 +259,7 @@
 // impostor tells why a beat is not from the store it names: another process with
 // the same identity lives elsewhere, or a newer life was heard before. Its disk
 // would be taken for the trusted one.
-func (s *Summit) impostor(beat keeper.Beat, heard heardStore, known bool, now sundial.Micros) string {
+func (s *Summit) impostor(beat keeper.Beat, heard heardStore, known bool, now clock.Micros) string {
 	if beat.Fleet != "" && s.oath.Fleet != "" && beat.Fleet != s.oath.Fleet {
 		return fmt.Sprintf("it is of fleet %s, this is %s", beat.Fleet, s.oath.Fleet)
 	}
@@ -273,7 +273,7 @@
 }
 
 // replaced tells whether a store is struck and another one lives at its address.
-func (s *Summit) replaced(id string, now sundial.Micros) bool {
+func (s *Summit) replaced(id string, now clock.Micros) bool {
 	store := s.chart.Stores[id]
 	if !store.Struck {
 		return false
@@ -303,7 +303,7 @@
 func isRetire(e chart.Entry) bool { _, ok := e.(chart.Retire); return ok }
 
 // complete writes down which pairs are whole.
-func (s *Summit) complete(beat keeper.Beat, now sundial.Micros) {
+func (s *Summit) complete(beat keeper.Beat, now clock.Micros) {
 	if len(beat.Ready) == 0 || s.waiting(isPair) {
 		return
 	}
@@ -327,7 +327,7 @@
 // storeLife tells whether a store is living, by its beats and by what the
 // others think of it: silence alone counts only after twice the time.
 // One that is struck is gone at once: its slots are paired anew (DESIGN §3.4).
-func (s *Summit) storeLife(id string, now sundial.Micros) (uint64, bool) {
+func (s *Summit) storeLife(id string, now clock.Micros) (uint64, bool) {
 	heard, ok := s.stores[id]
 	if !ok || s.chart.Stores[id].Struck {
 		return 0, false
@@ -340,22 +340,22 @@
 }
 
 // Fresh tells up to when this daemon's news include what most of the roll knew.
-type Fresh struct{ At sundial.Micros }
+type Fresh struct{ At clock.Micros }
 
 // Apply notes it.
-func (f Fresh) Apply(s *Summit, now sundial.Micros) { s.fresh = max(s.fresh, f.At) }
+func (f Fresh) Apply(s *Summit, now clock.Micros) { s.fresh = max(s.fresh, f.At) }
 
 // reaches tells whether this core hears most of the roll: only then may it take
 // somebody off it. Before the first plan there is nothing to keep apart. One that has
 // served for long without hearing most of the roll takes those it does not hear for
 // lost: otherwise a fleet that lost most of it at once would never come back.
-func (s *Summit) reaches(now sundial.Micros) bool {
+func (s *Summit) reaches(now clock.Micros) bool {
 	return len(s.chart.Plans) == 0 || now-s.fresh <= s.set.Staleness || now-max(s.fresh, s.serving) > s.set.LostAfter
 }
 
 // strike takes a store off the roll that has been silent for long and that no slot
 // depends on, so that lost ones do not come to be half of those who count.
-func (s *Summit) strike(now sundial.Micros) {
+func (s *Summit) strike(now clock.Micros) {
 	if !s.reaches(now) || len(s.chart.Plans) == 0 || now-s.serving < s.set.StrikeAfter {
 		return
 	}
@@ -366,17 +366,17 @@
 		}
 		store.Struck = true
 		if !s.waiting(func(e chart.Entry) bool { put, ok := e.(chart.EnrolStore); return ok && put.Store.ID == id }) {
-			s.Emit(stride.Explain{What: "a silent store no longer counts", Fields: map[string]any{"store": id}})
+			s.Emit(machine.Explain{What: "a silent store no longer counts", Fields: map[string]any{"store": id}})
 			s.propose(change{entry: chart.EnrolStore{Store: store}}, now)
 		}
 	}
 }
 
 // lookFor is how long an ask that changes nothing may wait for its turn.
-const lookFor = 2 * sundial.Second
+const lookFor = 2 * clock.Second
 
 // retire takes in an ask to retire a store; it is judged at its turn.
-func (s *Summit) retire(call uint64, ask RetireAsk, now sundial.Micros) {
+func (s *Summit) retire(call uint64, ask RetireAsk, now clock.Micros) {
 	if !s.Serving() {
 		s.notPrimary(call)
 		return
@@ -393,15 +393,15 @@
 
 // entry marks a store as retiring, where the fleet can do without it (DESIGN §8.4, §12.7);
 // nil where there is nothing to change.
-func (p plannedRetire) entry(s *Summit, now sundial.Micros) (chart.Entry, string, error) {
+func (p plannedRetire) entry(s *Summit, now clock.Micros) (chart.Entry, string, error) {
 	store, known := s.chart.Stores[p.ask.ID]
 	if p.ask.ID == "" {
 		if store, known = s.chart.Named(p.ask.Name); !known {
-			return nil, "", mishap.New(mishap.NotFound, "list the stores to see the names there are", "no store is called %q", p.ask.Name)
+			return nil, "", errs.New(errs.NotFound, "list the stores to see the names there are", "no store is called %q", p.ask.Name)
 		}
 	}
 	if !known {
-		return nil, "", mishap.New(mishap.NotFound, "list the stores to see the ids there are", "no store %q is enrolled", p.ask.ID)
+		return nil, "", errs.New(errs.NotFound, "list the stores to see the ids there are", "no store %q is enrolled", p.ask.ID)
 	}
 	if p.ask.Look || store.Retiring != p.ask.Back {
 		return nil, store.ID, nil
@@ -414,7 +414,7 @@
 			}
 		}
 		if len(zones) < 2 {
-			return nil, "", mishap.New(mishap.Refused, "add a store in another zone first, or wait until those that are down are back",
+			return nil, "", errs.New(errs.Refused, "add a store in another zone first, or wait until those that are down are back",
 				"without store %s the living stores are in %d zone(s); two copies need two", store.ID, len(zones))
 		}
 	}
@@ -434,7 +434,7 @@
 
 // settled tells whether a new primary has heard enough to judge who lives: all the
 // stores that count, or as long as it listens to the others (DESIGN §5.4).
-func (s *Summit) settled(now sundial.Micros) bool {
+func (s *Summit) settled(now clock.Micros) bool {
 	if now-s.serving >= s.set.Settle {
 		return true
 	}
@@ -452,7 +452,7 @@
 }
 
 // judge works out the difference between the map and the stores that live.
-func (s *Summit) judge(now sundial.Micros) {
+func (s *Summit) judge(now clock.Micros) {
 	if !s.Serving() || s.chart.Fleet == "" || !s.settled(now) || s.waiting(isPair) {
 		return
 	}
@@ -511,7 +511,7 @@
 		}
 		changed[slot] = next
 		backed[next.Backup.ID]++
-		s.Emit(stride.Explain{What: "slot paired anew", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": next.Epoch, "owner": next.Owner.ID, "backup": next.Backup.ID}})
+		s.Emit(machine.Explain{What: "slot paired anew", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": next.Epoch, "owner": next.Owner.ID, "backup": next.Backup.ID}})
 	}
 	if len(changed) == 0 && !unwell {
 		s.balance(willing, changed, now)
@@ -525,7 +525,7 @@
 	}
 	for _, id := range sortedIDs(s.chart.Stores) {
 		if store := s.chart.Stores[id]; store.Retiring && !store.Retired && s.depends(id) == 0 {
-			s.Emit(stride.Explain{What: "nothing depends on the store any more; it is retired", Fields: map[string]any{"store": id}})
+			s.Emit(machine.Explain{What: "nothing depends on the store any more; it is retired", Fields: map[string]any{"store": id}})
 			s.propose(change{entry: chart.Retire{ID: id, Done: true}}, now)
 			return
 		}
@@ -534,7 +534,7 @@
 
 // leave moves a slot off a store that is retiring or draining: the backup, which
 // holds all, owns, and a willing store becomes its backup.
-func (s *Summit) leave(p tether.Pairing, spare func(string, ...string) string, now sundial.Micros) (tether.Pairing, string, bool) {
+func (s *Summit) leave(p tether.Pairing, spare func(string, ...string) string, now clock.Micros) (tether.Pairing, string, bool) {
 	if !p.Complete {
 		return p, "", false
 	}
@@ -560,7 +560,7 @@
 // though both live, or whose backup's disk is stalled. An owner that is alone
 // again before its pair was ever whole gives way to the other trusted store: it
 // may be the one that nobody hears.
-func (s *Summit) console(slot int, p tether.Pairing, spare func(string, ...string) string, now sundial.Micros) (tether.Pairing, string, bool) {
+func (s *Summit) console(slot int, p tether.Pairing, spare func(string, ...string) string, now clock.Micros) (tether.Pairing, string, bool) {
 	lonely := s.stores[p.Owner.ID].beat.Lonely[slot] == p.Epoch
 	alone := lonely || !p.Complete && s.going(p.Owner.ID, now)
 	if !alone && (p.Complete || !s.going(p.Backup.ID, now)) {
@@ -597,7 +597,7 @@
 }
 
 // estranged tells whether two stores were out of each other's reach of late.
-func (s *Summit) estranged(one, other string, now sundial.Micros) bool {
+func (s *Summit) estranged(one, other string, now clock.Micros) bool {
 	return now < s.apart[couple(one, other)]
 }
 
@@ -607,7 +607,7 @@
 
 // balance moves one slot at a time towards even shares: first its copy, then,
 // once that is whole, its owner.
-func (s *Summit) balance(willing []string, changed map[int]tether.Pairing, now sundial.Micros) {
+func (s *Summit) balance(willing []string, changed map[int]tether.Pairing, now clock.Micros) {
 	if now < s.next.balance || len(willing) < 2 {
 		return
 	}
@@ -646,7 +646,7 @@
 	move := func(slot int, owner, backup tether.Member, reason string) {
 		p := s.chart.Slots[slot]
 		changed[slot] = tether.Pairing{Epoch: p.Epoch + 1, Owner: owner, Backup: backup, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
-		s.Emit(stride.Explain{What: "slot moved", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": p.Epoch + 1, "owner": owner.ID, "backup": backup.ID}})
+		s.Emit(machine.Explain{What: "slot moved", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": p.Epoch + 1, "owner": owner.ID, "backup": backup.ID}})
 	}
 	low := least(owned)
 	for _, high := range above(owned, low) {
@@ -677,12 +677,12 @@
 }
 
 // going tells whether a store is on its way out.
-func (s *Summit) going(id string, now sundial.Micros) bool {
+func (s *Summit) going(id string, now clock.Micros) bool {
 	return s.chart.Stores[id].Retiring || s.stores[id].beat.Draining || s.stores[id].beat.Stalled
 }
 
 // willing lists the living stores that take slots.
-func (s *Summit) willing(now sundial.Micros) []string {
+func (s *Summit) willing(now clock.Micros) []string {
 	var out []string
 	for _, id := range sortedIDs(s.chart.Stores) {
 		if _, ok := s.storeLife(id, now); ok && !s.going(id, now) {
@@ -694,9 +694,9 @@
 
 // first pairs a slot for the first time, once stores of two zones have been
 // there for a moment: the load is spread over all that came in time.
-func (s *Summit) first(willing []string, owned map[string]int, spare func(string, ...string) string, now sundial.Micros) (tether.Pairing, bool) {
+func (s *Summit) first(willing []string, owned map[string]int, spare func(string, ...string) string, now clock.Micros) (tether.Pairing, bool) {
 	for _, id := range willing {
-		if now-s.stores[id].first < 700*sundial.Millisecond {
+		if now-s.stores[id].first < 700*clock.Millisecond {
 			return tether.Pairing{}, false
 		}
 	}
--- a/core/summit/settled_test.go
+++ b/core/summit/settled_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // A new primary judges at once when it has heard all stores that count since it
@@ -16,7 +16,7 @@
 		t.Fatal("it judges before any store has spoken")
 	}
 	b.stores[2].silent = true
-	b.pass(100 * sundial.Millisecond)
+	b.pass(100 * clock.Millisecond)
 	if p.settled(b.now) {
 		t.Fatal("it judges before the third store has spoken")
 	}
@@ -24,7 +24,7 @@
 		t.Fatal("it waits for a silent store for ever")
 	}
 	b.stores[2].silent = false
-	b.pass(100 * sundial.Millisecond)
+	b.pass(100 * clock.Millisecond)
 	if !p.settled(b.now) {
 		t.Fatal("it has heard every store and does not judge")
 	}
@@ -53,7 +53,7 @@
 				}
 			}
 			b.store("store-4", "s4", "zone-2")
-			b.pass(20 * sundial.Second)
+			b.pass(20 * clock.Second)
 			if got := owners(b.primary()); (got["store-4"] > 0) != c.moves {
 				t.Fatalf("owners after a store was added: %v", got)
 			}
--- a/core/summit/summit.go
+++ b/core/summit/summit.go
@@ -10,9 +10,9 @@
 	"sort"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/tether"
 )
@@ -21,52 +21,52 @@
 type Settings struct {
 	Slots        int
 	Founders     int // cores that found a fleet: an odd number
-	GreetEvery   sundial.Micros
-	CoreSilent   sundial.Micros // after which a core counts as gone
-	ReplaceAfter sundial.Micros // after which its seat is given to another
-	ReplaceSoon  sundial.Micros // the same where an empty core is heard; 0: no sooner
-	StoreSilent  sundial.Micros // after which a store counts as gone
-	Settle       sundial.Micros // a new primary listens this long before it judges
-	BalanceEvery sundial.Micros // between two moves towards even shares
-	BalanceAfter sundial.Micros // a store lives this long before slots move to it
-	ApartFor     sundial.Micros // two stores out of reach are not paired again before
+	GreetEvery   clock.Micros
+	CoreSilent   clock.Micros // after which a core counts as gone
+	ReplaceAfter clock.Micros // after which its seat is given to another
+	ReplaceSoon  clock.Micros // the same where an empty core is heard; 0: no sooner
+	StoreSilent  clock.Micros // after which a store counts as gone
+	Settle       clock.Micros // a new primary listens this long before it judges
+	BalanceEvery clock.Micros // between two moves towards even shares
+	BalanceAfter clock.Micros // a store lives this long before slots move to it
+	ApartFor     clock.Micros // two stores out of reach are not paired again before
 	FoldAfter    int
-	Staleness    sundial.Micros // news older than this: the roll is not changed
-	StrikeAfter  sundial.Micros // silence after which a store no longer counts
-	LostAfter    sundial.Micros // after which a core takes those of the roll it does not hear for lost
+	Staleness    clock.Micros // news older than this: the roll is not changed
+	StrikeAfter  clock.Micros // silence after which a store no longer counts
+	LostAfter    clock.Micros // after which a core takes those of the roll it does not hear for lost
 	CheckPlan    func(body []byte) error
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{Slots: 24, Founders: 3, GreetEvery: 250 * sundial.Millisecond, CoreSilent: 1500 * sundial.Millisecond,
-		ReplaceAfter: 4 * sundial.Second, ReplaceSoon: 4 * sundial.Second, StoreSilent: 2 * sundial.Second, Settle: 1500 * sundial.Millisecond,
-		BalanceEvery: 500 * sundial.Millisecond, BalanceAfter: 4 * sundial.Second, ApartFor: 30 * sundial.Second, FoldAfter: 500,
-		Staleness: 2500 * sundial.Millisecond, StrikeAfter: 10 * sundial.Second, LostAfter: 20 * sundial.Second}
+	return Settings{Slots: 24, Founders: 3, GreetEvery: 250 * clock.Millisecond, CoreSilent: 1500 * clock.Millisecond,
+		ReplaceAfter: 4 * clock.Second, ReplaceSoon: 4 * clock.Second, StoreSilent: 2 * clock.Second, Settle: 1500 * clock.Millisecond,
+		BalanceEvery: 500 * clock.Millisecond, BalanceAfter: 4 * clock.Second, ApartFor: 30 * clock.Second, FoldAfter: 500,
+		Staleness: 2500 * clock.Millisecond, StrikeAfter: 10 * clock.Second, LostAfter: 20 * clock.Second}
 }
 
 const (
 	unitCore   = "core"
 	unitOath   = "oath"
 	kindOath   = "oath"
-	claimTries = 900 * sundial.Millisecond
+	claimTries = 900 * clock.Millisecond
 )
 
 type heardCore struct {
 	greet Greet
-	at    sundial.Micros
+	at    clock.Micros
 }
 
 type heardStore struct {
 	beat  keeper.Beat
-	at    sundial.Micros
-	first sundial.Micros
+	at    clock.Micros
+	first clock.Micros
 }
 
 type claiming struct {
 	claim  Claim
 	yes    map[string]Oath
-	at     sundial.Micros
+	at     clock.Micros
 	sworn  bool // our own grant is on disk
 	found  bool
 	failed bool
@@ -78,19 +78,19 @@
 	leave *plannedRetire
 	call  uint64
 	body  func() any
-	until sundial.Micros
+	until clock.Micros
 }
 
 type sealing struct {
 	pairing tether.Pairing
 	cores   []CoreRef
 	yes     map[string]bool
-	at      sundial.Micros
+	at      clock.Micros
 }
 
 // Summit is the machine.
 type Summit struct {
-	stride.Out
+	machine.Out
 	set       Settings
 	self      CoreRef
 	life      uint64
@@ -101,28 +101,28 @@
 	cores     map[string]heardCore
 	stores    map[string]heardStore
 	suspects  map[string]bool
-	apart     map[[2]string]sundial.Micros // stores out of reach of each other, until
+	apart     map[[2]string]clock.Micros // stores out of reach of each other, until
 	claim     *claiming
 	seal      *sealing
 	queue     []change
 	flight    *change
-	unwell    sundial.Micros // since when a new pairing is wanted
-	serving   sundial.Micros // since when this core serves
+	unwell    clock.Micros // since when a new pairing is wanted
+	serving   clock.Micros // since when this core serves
 	published struct{ plan, seq, epoch uint64 }
 	writes    int
-	next      struct{ greet, judge, balance sundial.Micros }
+	next      struct{ greet, judge, balance clock.Micros }
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
-	listed                     map[string]stride.Rumour // the platform's words on servers
+	listed                     map[string]machine.Rumour // the platform's words on servers
 	retold                     bool
-	fresh                      sundial.Micros // up to when its news include what most of the roll knew
+	fresh                      clock.Micros // up to when its news include what most of the roll knew
 }
 
 // New makes a core from what was read back from its disk.
-func New(self CoreRef, life uint64, seeds []string, set Settings, records []stride.Record) *Summit {
+func New(self CoreRef, life uint64, seeds []string, set Settings, records []machine.Record) *Summit {
 	s := &Summit{set: set, self: self, life: life, seeds: seeds, chart: chart.New(),
-		cores: map[string]heardCore{}, stores: map[string]heardStore{}, suspects: map[string]bool{}, apart: map[[2]string]sundial.Micros{}, listed: map[string]stride.Rumour{}}
+		cores: map[string]heardCore{}, stores: map[string]heardStore{}, suspects: map[string]bool{}, apart: map[[2]string]clock.Micros{}, listed: map[string]machine.Rumour{}}
 	s.gang = tether.NewGang(&s.Out, s)
 	for _, record := range records {
 		if record.Unit == unitOath {
@@ -141,27 +141,27 @@
 }
 
 // Command is an input of a core.
-type Command = stride.Command[*Summit]
+type Command = machine.Command[*Summit]
 
 // Do applies a command and hands over the effects.
-func (s *Summit) Do(command Command, now sundial.Micros) []stride.Effect {
+func (s *Summit) Do(command Command, now clock.Micros) []machine.Effect {
 	command.Apply(s, now)
 	if s.writes >= s.set.FoldAfter {
 		s.writes = 0
-		s.Emit(stride.Fold{Records: append(append([]stride.Record{s.oathRecord()}, s.listedRecords()...), s.gang.Records()...)})
+		s.Emit(machine.Fold{Records: append(append([]machine.Record{s.oathRecord()}, s.listedRecords()...), s.gang.Records()...)})
 	}
 	out := s.Drain()
 	for _, effect := range out {
-		if _, ok := effect.(stride.Store); ok {
+		if _, ok := effect.(machine.Store); ok {
 			s.writes++
 		}
 	}
 	return out
 }
 
-func (s *Summit) oathRecord() stride.Record {
+func (s *Summit) oathRecord() machine.Record {
 	body, _ := json.Marshal(s.oath)
-	return stride.Record{Unit: unitOath, Kind: kindOath, Epoch: s.oath.Granted, Body: body}
+	return machine.Record{Unit: unitOath, Kind: kindOath, Epoch: s.oath.Granted, Body: body}
 }
 
 func (s *Summit) rope() *tether.Rope { return s.gang.Rope(unitCore) }
@@ -207,10 +207,10 @@
 }
 
 // spreadFor is how long a plan may take until most of the fleet know it.
-const spreadFor = 2 * sundial.Second
+const spreadFor = 2 * clock.Second
 
 // Confirmed answers the operator and takes the next change up.
-func (s *Summit) Confirmed(_ string, seq uint64, now sundial.Micros) {
+func (s *Summit) Confirmed(_ string, seq uint64, now clock.Micros) {
 	if s.flight != nil {
 		done := s.flight
 		s.flight = nil
@@ -228,14 +228,14 @@
 	}
 	if latest, ok := s.chart.Latest(); ok && c.put != nil {
 		s.published.plan = max(s.published.plan, latest.Number)
-		s.Emit(stride.Spread{Rumour: planNews(latest), Call: c.call, Body: c.body(), Expiry: spreadFor})
+		s.Emit(machine.Spread{Rumour: planNews(latest), Call: c.call, Body: c.body(), Expiry: spreadFor})
 		return
 	}
-	s.Emit(stride.Answer{Call: c.call, Body: c.body()})
+	s.Emit(machine.Answer{Call: c.call, Body: c.body()})
 }
 
 // Ready has the witnesses write down that the pair is complete.
-func (s *Summit) Ready(_ string, epoch uint64, now sundial.Micros) {
+func (s *Summit) Ready(_ string, epoch uint64, now clock.Micros) {
 	if s.seal == nil || s.seal.pairing.Epoch != epoch {
 		pairing := s.oath.Grant
 		pairing.Complete = true
@@ -248,12 +248,12 @@
 			s.sealHere(Sealing{Fleet: s.oath.Fleet, Pairing: s.seal.pairing, Cores: s.seal.cores}, "")
 			continue
 		}
-		s.Emit(stride.Send{To: core.Peer, Body: Sealing{Fleet: s.oath.Fleet, Pairing: s.seal.pairing, Cores: s.seal.cores}})
+		s.Emit(machine.Send{To: core.Peer, Body: Sealing{Fleet: s.oath.Fleet, Pairing: s.seal.pairing, Cores: s.seal.cores}})
 	}
 }
 
 // Deposed says "outcome unknown" to who waits.
-func (s *Summit) Deposed(_ string, epoch uint64, now sundial.Micros) {
+func (s *Summit) Deposed(_ string, epoch uint64, now clock.Micros) {
 	lost := s.queue
 	if s.flight != nil {
 		lost = append([]change{*s.flight}, lost...)
@@ -262,12 +262,12 @@
 	for _, c := range lost {
 		s.unknown(c.call)
 	}
-	s.Emit(stride.Explain{What: "no longer primary", Fields: map[string]any{"epoch": epoch}})
+	s.Emit(machine.Explain{What: "no longer primary", Fields: map[string]any{"epoch": epoch}})
 }
 
 func (s *Summit) unknown(call uint64) {
 	if call != 0 {
-		s.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.OutcomeUnknown, sundial.Second, "read back what is in force before you send it again", "it is not known whether this was made durable")})
+		s.Emit(machine.Answer{Call: call, Err: errs.Later(errs.OutcomeUnknown, clock.Second, "read back what is in force before you send it again", "it is not known whether this was made durable")})
 	}
 }
 
@@ -275,7 +275,7 @@
 type Stored struct{ Token uint64 }
 
 // Apply passes the word on to the pair.
-func (d Stored) Apply(s *Summit, now sundial.Micros) { s.gang.Stored(d.Token, now) }
+func (d Stored) Apply(s *Summit, now clock.Micros) { s.gang.Stored(d.Token, now) }
 
 // Suspicion tells the core what the acquaintance thinks of a store.
 type Suspicion struct {
@@ -284,7 +284,7 @@
 }
 
 // Apply notes it.
-func (n Suspicion) Apply(s *Summit, now sundial.Micros) {
+func (n Suspicion) Apply(s *Summit, now clock.Micros) {
 	if n.Ill {
 		s.suspects[n.ID] = true
 	} else {
@@ -299,7 +299,7 @@
 }
 
 // Apply takes it by its type.
-func (l Letter) Apply(s *Summit, now sundial.Micros) {
+func (l Letter) Apply(s *Summit, now clock.Micros) {
 	if s.gang.Take(l.From, l.Body, now) {
 		return
 	}
@@ -323,7 +323,7 @@
 type ClockEvent struct{}
 
 // Apply does what is due.
-func (ClockEvent) Apply(s *Summit, now sundial.Micros) {
+func (ClockEvent) Apply(s *Summit, now clock.Micros) {
 	s.retell()
 	s.gang.ClockEvent(now)
 	if now >= s.next.greet {
@@ -342,14 +342,14 @@
 				s.unknown(c.call) // the same is on its way
 				continue
 			}
-			s.Emit(stride.Answer{Call: c.call, Err: mishap.Later(mishap.NotReady, 2*sundial.Second, "send it again; it was not put", "the cores had no complete pair in time")})
+			s.Emit(machine.Answer{Call: c.call, Err: errs.Later(errs.NotReady, 2*clock.Second, "send it again; it was not put", "the cores had no complete pair in time")})
 			continue
 		}
 		kept = append(kept, c)
 	}
 	s.queue = kept
 	if now >= s.next.judge {
-		s.next.judge = now + 100*sundial.Millisecond
+		s.next.judge = now + 100*clock.Millisecond
 		s.judge(now)
 	}
 }
--- a/core/summit/summit_test.go
+++ b/core/summit/summit_test.go
@@ -5,9 +5,9 @@
 	"slices"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/tether"
 )
@@ -26,19 +26,19 @@
 
 // bench is some cores that reach each other, and the beats of stores.
 type bench struct {
-	now     sundial.Micros
+	now     clock.Micros
 	set     Settings
 	cores   map[string]*Summit // by peer
 	stores  []*store
 	wire    []letter
 	drop    func(l letter) bool
 	calls   uint64
-	answers map[uint64]stride.Answer
-	spreads []stride.Spread
+	answers map[uint64]machine.Answer
+	spreads []machine.Spread
 }
 
 func newBench(set Settings) *bench {
-	return &bench{now: 1000, set: set, cores: map[string]*Summit{}, answers: map[uint64]stride.Answer{}}
+	return &bench{now: 1000, set: set, cores: map[string]*Summit{}, answers: map[uint64]machine.Answer{}}
 }
 
 // core adds an empty core; its peer address is its name.
@@ -56,18 +56,18 @@
 }
 
 // take carries out what a core decided.
-func (b *bench) take(peer string, effects []stride.Effect) {
+func (b *bench) take(peer string, effects []machine.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
-		case stride.Send:
+		case machine.Send:
 			b.wire = append(b.wire, letter{e.To, peer, e.Body})
-		case stride.Store:
+		case machine.Store:
 			b.take(peer, b.cores[peer].Do(Stored{e.Token}, b.now))
-		case stride.Answer:
+		case machine.Answer:
 			b.answers[e.Call] = e
-		case stride.Spread:
+		case machine.Spread:
 			b.spreads = append(b.spreads, e)
-			b.answers[e.Call] = stride.Answer{Call: e.Call, Body: e.Body}
+			b.answers[e.Call] = machine.Answer{Call: e.Call, Body: e.Body}
 		}
 	}
 }
@@ -85,9 +85,9 @@
 }
 
 // pass lets time go by.
-func (b *bench) pass(span sundial.Micros) {
+func (b *bench) pass(span clock.Micros) {
 	for end := b.now + span; b.now < end; {
-		b.now += 50 * sundial.Millisecond
+		b.now += 50 * clock.Millisecond
 		for _, peer := range sortedIDs(b.cores) {
 			core := b.cores[peer]
 			b.take(peer, core.Do(Fresh{b.now}, b.now))
@@ -131,7 +131,7 @@
 }
 
 // told is the answer to a call that has to be there.
-func (b *bench) told(t *testing.T, call uint64) stride.Answer {
+func (b *bench) told(t *testing.T, call uint64) machine.Answer {
 	t.Helper()
 	answer, ok := b.answers[call]
 	if !ok {
@@ -164,7 +164,7 @@
 func (b *bench) settle(t *testing.T) {
 	t.Helper()
 	for i := 0; i < 400; i++ {
-		b.pass(50 * sundial.Millisecond)
+		b.pass(50 * clock.Millisecond)
 		if p := b.primary(); p != nil && p.flight == nil && whole(p) {
 			return
 		}
@@ -182,7 +182,7 @@
 }
 
 func put(number, base uint64, body string) PutPlanAsk {
-	return PutPlanAsk{Number: number, Base: base, HasBase: true, Body: []byte(body), By: "o", Expiry: 3 * sundial.Second}
+	return PutPlanAsk{Number: number, Base: base, HasBase: true, Body: []byte(body), By: "o", Expiry: 3 * clock.Second}
 }
 
 // held keeps the pair's entries from the backup.
@@ -197,23 +197,23 @@
 		ask  PutPlanAsk
 		want any
 	}{
-		{put(7, 3, `{"a":1}`), mishap.StaleBase}, // nothing is in force
+		{put(7, 3, `{"a":1}`), errs.StaleBase}, // nothing is in force
 		{put(7, 0, `{"a":1}`), uint64(7)},
-		{put(7, 0, `{"a":2}`), mishap.StaleBase}, // the number is taken by another
-		{put(5, 0, `{"a":2}`), mishap.StaleBase}, // stale, and not above: stale is told
-		{put(5, 7, `{"a":2}`), mishap.BadPlan},
+		{put(7, 0, `{"a":2}`), errs.StaleBase}, // the number is taken by another
+		{put(5, 0, `{"a":2}`), errs.StaleBase}, // stale, and not above: stale is told
+		{put(5, 7, `{"a":2}`), errs.BadPlan},
 		{put(9, 7, `{"a":2}`), uint64(9)},
-		{put(12, 7, `{"a":3}`), mishap.StaleBase},
-		{PutPlanAsk{Number: 8, Body: []byte(`{"a":4}`), Expiry: sundial.Second}, mishap.BadPlan},
-		{PutPlanAsk{Number: 11, Body: []byte(`{"a":4}`), Expiry: sundial.Second}, uint64(11)},
-		{PutPlanAsk{Body: []byte(`{"a":5}`), Expiry: sundial.Second}, uint64(12)}, // the core's own
+		{put(12, 7, `{"a":3}`), errs.StaleBase},
+		{PutPlanAsk{Number: 8, Body: []byte(`{"a":4}`), Expiry: clock.Second}, errs.BadPlan},
+		{PutPlanAsk{Number: 11, Body: []byte(`{"a":4}`), Expiry: clock.Second}, uint64(11)},
+		{PutPlanAsk{Body: []byte(`{"a":5}`), Expiry: clock.Second}, uint64(12)}, // the core's own
 	} {
 		call := b.ask(core, step.ask)
 		b.pump()
 		answer := b.told(t, call)
 		switch want := step.want.(type) {
-		case mishap.Kind:
-			if !mishap.Is(answer.Err, want) || mishap.Of(answer.Err).Remedy == "" {
+		case errs.Kind:
+			if !errs.Is(answer.Err, want) || errs.Of(answer.Err).Remedy == "" {
 				t.Errorf("step %d: told %v %v, not %s", i, answer.Body, answer.Err, want)
 			}
 		case uint64:
@@ -256,21 +256,21 @@
 		t.Fatalf("answered before the pair confirmed: %v", b.answers)
 	}
 	b.drop = nil
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	for _, call := range []uint64{first, again} {
 		if answer := b.told(t, call); answer.Body != (PlanReceipt{Version: 3}) {
 			t.Errorf("call %d: told %v %v", call, answer.Body, answer.Err)
 		}
 	}
-	if answer := b.told(t, other); !mishap.Is(answer.Err, mishap.StaleBase) {
+	if answer := b.told(t, other); !errs.Is(answer.Err, errs.StaleBase) {
 		t.Errorf("the same number with another document: told %v %v", answer.Body, answer.Err)
 	}
 	// One that expires while it waits is not told that nothing was put.
 	b.drop = held
 	first, again = b.ask(core, put(5, 3, `{"a":1}`)), b.ask(core, put(5, 3, `{"a":1}`))
-	b.pass(3500 * sundial.Millisecond)
+	b.pass(3500 * clock.Millisecond)
 	for _, call := range []uint64{first, again} {
-		if answer := b.told(t, call); !mishap.Is(answer.Err, mishap.OutcomeUnknown) {
+		if answer := b.told(t, call); !errs.Is(answer.Err, errs.OutcomeUnknown) {
 			t.Errorf("call %d expired: told %v %v", call, answer.Body, answer.Err)
 		}
 	}
@@ -284,12 +284,12 @@
 		b.drop = held
 		calls := []uint64{b.ask(core, put(5, 0, `{"a":1}`)), b.ask(core, put(second, 0, `{"a":2}`))}
 		b.drop = nil
-		b.pass(sundial.Second)
+		b.pass(clock.Second)
 		won := 0
 		for _, call := range calls {
 			if answer := b.told(t, call); answer.Err == nil {
 				won++
-			} else if !mishap.Is(answer.Err, mishap.StaleBase) {
+			} else if !errs.Is(answer.Err, errs.StaleBase) {
 				t.Errorf("the loser is told %v", answer.Err)
 			}
 		}
@@ -305,7 +305,7 @@
 	set := small()
 	set.CheckPlan = func(body []byte) error {
 		if string(body) == `{"bad":1}` {
-			return mishap.New(mishap.BadPlan, "correct it", "it is bad")
+			return errs.New(errs.BadPlan, "correct it", "it is bad")
 		}
 		return nil
 	}
@@ -322,11 +322,11 @@
 		}
 		return versions[0].Number, nil
 	}
-	if _, err := latest(core); !mishap.Is(err, mishap.NotFound) {
+	if _, err := latest(core); !errs.Is(err, errs.NotFound) {
 		t.Errorf("before any plan: told %v", err)
 	}
 	seq := core.Chart().Seq
-	if answer := b.told(t, b.ask(core, put(2, 0, `{"bad":1}`))); !mishap.Is(answer.Err, mishap.BadPlan) || core.Chart().Seq != seq {
+	if answer := b.told(t, b.ask(core, put(2, 0, `{"bad":1}`))); !errs.Is(answer.Err, errs.BadPlan) || core.Chart().Seq != seq {
 		t.Errorf("an invalid plan: told %v, %d entries more", answer.Err, core.Chart().Seq-seq)
 	}
 	b.ask(core, put(2, 0, `{"n":2}`))
@@ -337,7 +337,7 @@
 		t.Errorf("while 4 is in flight: told %d %v", number, err)
 	}
 	b.drop = nil
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	if number, err := latest(core); number != 4 {
 		t.Errorf("after 4 was confirmed: told %d %v", number, err)
 	}
@@ -345,21 +345,21 @@
 		if other == core {
 			continue
 		}
-		if _, err := latest(other); !mishap.Is(err, mishap.NotReady) {
+		if _, err := latest(other); !errs.Is(err, errs.NotReady) {
 			t.Errorf("a core that is not primary: told %v", err)
 		}
 	}
 	// A primary that nobody hears does not know whether it still is one.
 	b.drop = func(l letter) bool { return l.to == core.self.Peer || l.from == core.self.Peer }
-	b.pass(1600 * sundial.Millisecond)
-	if _, err := latest(core); !mishap.Is(err, mishap.NotReady) {
+	b.pass(1600 * clock.Millisecond)
+	if _, err := latest(core); !errs.Is(err, errs.NotReady) {
 		t.Errorf("a primary that was cut off: told %v", err)
 	}
 }
 
 func (b *bench) retire(t *testing.T, ask RetireAsk) (RetireReceipt, error) {
 	t.Helper()
-	ask.Expiry = 3 * sundial.Second
+	ask.Expiry = 3 * clock.Second
 	call := b.ask(b.primary(), ask)
 	b.pump()
 	answer := b.told(t, call)
@@ -379,13 +379,13 @@
 	b.settle(t)
 	core := b.primary()
 	for _, ask := range []RetireAsk{{Name: "machine-9"}, {Name: ""}, {ID: "store-9"}, {Name: "machine-9", Look: true}} {
-		if _, err := b.retire(t, ask); !mishap.Is(err, mishap.NotFound) {
+		if _, err := b.retire(t, ask); !errs.Is(err, errs.NotFound) {
 			t.Errorf("%+v: told %v", ask, err)
 		}
 	}
 	b.stores[2].silent = true
-	b.pass(5 * sundial.Second)
-	if _, err := b.retire(t, RetireAsk{Name: "machine-1"}); !mishap.Is(err, mishap.Refused) || mishap.Of(err).Status() != 409 {
+	b.pass(5 * clock.Second)
+	if _, err := b.retire(t, RetireAsk{Name: "machine-1"}); !errs.Is(err, errs.Refused) || errs.Of(err).Status() != 409 {
 		t.Errorf("two zones would not remain: told %v", err)
 	}
 	b.stores[2].silent = false
@@ -393,14 +393,14 @@
 	// Another store on the same machine: the newer one is meant.
 	fourth := b.store("store-0", "s4", "zone-1")
 	fourth.Name = "machine-1"
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	seq := core.Chart().Seq
 	if receipt, err := b.retire(t, RetireAsk{Name: "machine-1", Look: true}); err != nil || receipt.ID != "store-0" || receipt.Done || core.Chart().Seq != seq || core.Chart().Stores["store-0"].Retiring {
 		t.Fatalf("a look: told %+v %v, and %d entries were written", receipt, err, core.Chart().Seq-seq)
 	}
 	// It gets another name, and then the older one is meant.
 	fourth.Name = "machine-4"
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	if core.Chart().Stores["store-0"].Name != "machine-4" {
 		t.Fatal("the new name was not written down")
 	}
@@ -408,7 +408,7 @@
 	if err != nil || receipt.ID != "store-1" || receipt.Done || receipt.Left == 0 {
 		t.Fatalf("told %+v %v", receipt, err)
 	}
-	b.pass(10 * sundial.Second)
+	b.pass(10 * clock.Second)
 	if receipt, err = b.retire(t, RetireAsk{Name: "machine-1", Look: true}); err != nil || receipt != (RetireReceipt{ID: "store-1", Done: true}) {
 		t.Fatalf("after 10 s: told %+v %v", receipt, err)
 	}
@@ -422,15 +422,15 @@
 func TestTwoRetirementsAreJudgedInTurn(t *testing.T) {
 	b := fleet(t, small())
 	b.store("store-4", "s4", "zone-1")
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	core := b.primary()
 	b.drop = held
 	b.ask(core, put(1, 0, `{}`)) // both wait behind it
-	one := b.ask(core, RetireAsk{ID: "store-2", Expiry: 3 * sundial.Second})
-	two := b.ask(core, RetireAsk{ID: "store-3", Expiry: 3 * sundial.Second})
+	one := b.ask(core, RetireAsk{ID: "store-2", Expiry: 3 * clock.Second})
+	two := b.ask(core, RetireAsk{ID: "store-3", Expiry: 3 * clock.Second})
 	b.drop = nil
-	b.pass(sundial.Second)
-	if first, second := b.told(t, one), b.told(t, two); first.Err != nil || !mishap.Is(second.Err, mishap.Refused) {
+	b.pass(clock.Second)
+	if first, second := b.told(t, one), b.told(t, two); first.Err != nil || !errs.Is(second.Err, errs.Refused) {
 		t.Fatalf("told %v %v and %v %v", first.Body, first.Err, second.Body, second.Err)
 	}
 }
@@ -439,23 +439,23 @@
 func TestALookWaitsForWhatIsInFlight(t *testing.T) {
 	b := fleet(t, small())
 	b.store("store-4", "s4", "zone-1")
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	core := b.primary()
 	b.drop = held
-	mark := b.ask(core, RetireAsk{ID: "store-1", Expiry: sundial.Second})
+	mark := b.ask(core, RetireAsk{ID: "store-1", Expiry: clock.Second})
 	look := b.ask(core, RetireAsk{ID: "store-1", Look: true})
-	again := b.ask(core, RetireAsk{ID: "store-1", Expiry: sundial.Second})
-	b.pass(1200 * sundial.Millisecond)
+	again := b.ask(core, RetireAsk{ID: "store-1", Expiry: clock.Second})
+	b.pass(1200 * clock.Millisecond)
 	if _, told := b.answers[look]; told {
 		t.Fatal("told before the pair confirmed the mark")
 	}
 	for _, call := range []uint64{mark, again} {
-		if answer := b.told(t, call); !mishap.Is(answer.Err, mishap.OutcomeUnknown) {
+		if answer := b.told(t, call); !errs.Is(answer.Err, errs.OutcomeUnknown) {
 			t.Errorf("call %d expired: told %v %v", call, answer.Body, answer.Err)
 		}
 	}
 	b.drop = nil
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	if answer := b.told(t, look); answer.Err != nil {
 		t.Fatalf("told %v", answer.Err)
 	}
@@ -465,10 +465,10 @@
 // is not whole, and when the others' pairs are whole too.
 func TestRetiredOnlyWhenEveryPairIsWhole(t *testing.T) {
 	set := small()
-	set.BalanceAfter = 3600 * sundial.Second
+	set.BalanceAfter = 3600 * clock.Second
 	b := fleet(t, set)
 	fourth := b.store("store-4", "s4", "zone-1")
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	look := func(id string) RetireReceipt {
 		receipt, err := b.retire(t, RetireAsk{ID: id, Look: true})
 		if err != nil {
@@ -484,19 +484,19 @@
 	// Nothing depends on the fourth, but pairs of the others are not whole.
 	copies(false)
 	b.stores[2].Life = 2
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	if whole(b.primary()) {
 		t.Fatal("all pairs are whole; the test shows nothing")
 	}
 	if _, err := b.retire(t, RetireAsk{ID: "store-4"}); err != nil {
 		t.Fatal(err)
 	}
-	b.pass(3 * sundial.Second)
+	b.pass(3 * clock.Second)
 	if got := look("store-4"); got.Done || got.Left != 0 {
 		t.Fatalf("other pairs are not whole: %+v", got)
 	}
 	copies(true)
-	b.pass(3 * sundial.Second)
+	b.pass(3 * clock.Second)
 	if got := look("store-4"); !got.Done {
 		t.Fatalf("all is whole: %+v", got)
 	}
@@ -508,7 +508,7 @@
 	if _, err := b.retire(t, RetireAsk{ID: "store-1"}); err != nil {
 		t.Fatal(err)
 	}
-	b.pass(3 * sundial.Second)
+	b.pass(3 * clock.Second)
 	for slot, p := range b.primary().Chart().Slots {
 		if p.Owner.ID == "store-1" || p.Backup.ID == "store-1" {
 			t.Fatalf("slot %d still names the store: %+v", slot, p)
@@ -518,7 +518,7 @@
 		t.Fatalf("the new pairs are not whole: %+v", got)
 	}
 	copies(true)
-	b.pass(3 * sundial.Second)
+	b.pass(3 * clock.Second)
 	if got := look("store-1"); !got.Done || got.Left != 0 {
 		t.Fatalf("all is whole: %+v", got)
 	}
@@ -550,7 +550,7 @@
 	for i := 1; i <= 3; i++ {
 		b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i))
 	}
-	b.pass(5 * sundial.Second)
+	b.pass(5 * clock.Second)
 	for _, core := range b.cores {
 		if core.Oath().Fleet != "" {
 			t.Fatalf("four of five founded %s", core.Oath().Fleet)
@@ -558,7 +558,7 @@
 	}
 	add(5)
 	b.drop = func(l letter) bool { _, grant := l.body.(Granted); return grant && l.from == "c5" }
-	b.pass(5 * sundial.Second)
+	b.pass(5 * clock.Second)
 	if b.primary() != nil {
 		t.Fatal("founded without the grant of one of the five")
 	}
@@ -568,12 +568,12 @@
 		t.Fatalf("seats: %s", got)
 	}
 	delete(b.cores, b.primary().self.Peer)
-	b.pass(10 * sundial.Second)
+	b.pass(10 * clock.Second)
 	if b.primary() == nil {
 		t.Fatal("four of five have no primary")
 	}
 	delete(b.cores, b.primary().self.Peer)
-	b.pass(10 * sundial.Second)
+	b.pass(10 * clock.Second)
 	core := b.primary()
 	if core == nil {
 		t.Fatal("three of five have no primary")
@@ -600,13 +600,13 @@
 		for i := 1; i <= 3; i++ {
 			b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
 			b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i))
-			b.pass(300 * sundial.Millisecond)
+			b.pass(300 * clock.Millisecond)
 		}
 		if !early {
 			stranger()
 		}
 		b.settle(t)
-		b.pass(10 * sundial.Second)
+		b.pass(10 * clock.Second)
 		if got := fmt.Sprint(b.seats()); got != "[core-1 core-2 core-3]" {
 			t.Errorf("strangers early %v: seats %s", early, got)
 		}
@@ -621,7 +621,7 @@
 		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c2", "c3", "c4")
 	}
 	b.drop = func(l letter) bool { _, claim := l.body.(Claim); return claim }
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	witness := b.cores["c2"]
 	var refs []CoreRef
 	for i := 1; i <= 3; i++ {
@@ -642,11 +642,11 @@
 // The seat of a core that is gone passes to an empty core sooner than to one that
 // had a seat; without the setting both wait equally long.
 func TestAnEmptyCoreTakesASeatSooner(t *testing.T) {
-	for _, soon := range []sundial.Micros{0, 2 * sundial.Second, 60 * sundial.Second} {
+	for _, soon := range []clock.Micros{0, 2 * clock.Second, 60 * clock.Second} {
 		set := small()
-		set.ReplaceAfter, set.ReplaceSoon = 20*sundial.Second, soon
+		set.ReplaceAfter, set.ReplaceSoon = 20*clock.Second, soon
 		b := fleet(t, set)
-		b.pass(3 * sundial.Second)
+		b.pass(3 * clock.Second)
 		lose := func() (string, *Summit) {
 			for _, peer := range sortedIDs(b.cores) {
 				if core := b.cores[peer]; core != b.primary() && core.self.ID != b.primary().Oath().Done.Backup.ID && seat(b.primary().Oath().Sworn, core.self.ID) >= 0 {
@@ -659,23 +659,23 @@
 		}
 		lost, old := lose()
 		b.core("core-9", "c9", "zone-9", "c1", "c2", "c3")
-		b.pass(5 * sundial.Second)
+		b.pass(5 * clock.Second)
 		given := !slices.Contains(b.seats(), lost) && slices.Contains(b.seats(), "core-9")
-		if given != (soon == 2*sundial.Second) {
+		if given != (soon == 2*clock.Second) {
 			t.Errorf("soon %d: after 5 s the seats are %v", soon, b.seats())
 		}
-		b.pass(20 * sundial.Second)
+		b.pass(20 * clock.Second)
 		if !slices.Contains(b.seats(), "core-9") {
 			t.Errorf("soon %d: after 25 s the seats are %v", soon, b.seats())
 		}
 		// The old one is back without a seat, and another is lost.
 		b.cores[old.self.Peer] = old
-		b.pass(3 * sundial.Second)
+		b.pass(3 * clock.Second)
 		lose()
-		if b.pass(10 * sundial.Second); slices.Contains(b.seats(), lost) {
+		if b.pass(10 * clock.Second); slices.Contains(b.seats(), lost) {
 			t.Errorf("soon %d: one that had a seat has one again after 10 s", soon)
 		}
-		if b.pass(20 * sundial.Second); !slices.Contains(b.seats(), lost) {
+		if b.pass(20 * clock.Second); !slices.Contains(b.seats(), lost) {
 			t.Errorf("soon %d: one that had a seat has none after 30 s: %v", soon, b.seats())
 		}
 	}
@@ -685,7 +685,7 @@
 // at once, and a beat of it that comes late does not bring it back.
 func TestAReplacedStoresSlotsAreNotAwaited(t *testing.T) {
 	set := small()
-	set.StoreSilent = 60 * sundial.Second
+	set.StoreSilent = 60 * clock.Second
 	b := fleet(t, set)
 	core := b.primary()
 	if core.depends("store-1") == 0 {
@@ -694,18 +694,18 @@
 	late := b.stores[0].Beat
 	b.stores[0].silent = true
 	b.store("store-9", "s1", "zone-1")
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	if n := core.depends("store-1"); n != 0 || !whole(core) {
 		t.Fatalf("after a second %d slots depend on the store that was replaced, all whole %v", n, whole(core))
 	}
 	b.take(core.self.Peer, core.Do(Letter{"s1", late}, b.now))
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	if !core.Chart().Stores["store-1"].Struck {
 		t.Fatal("a late beat brought the store back")
 	}
 	// Its disk is put back, and the other one is gone for good.
 	b.stores[3].silent, b.stores[0].silent, b.stores[0].Life = true, false, 2
-	b.pass(121 * sundial.Second)
+	b.pass(121 * clock.Second)
 	if core.Chart().Stores["store-1"].Struck {
 		t.Fatal("the store is back and still does not count")
 	}
--- a/daemon/lodge/lodge.go
+++ b/daemon/lodge/lodge.go
@@ -20,13 +20,13 @@
 	"tuliprudder/daemon/office"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
-	"tuliprudder/kernel/almhut"
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/logbook"
-	"tuliprudder/kernel/porch"
-	"tuliprudder/kernel/rucksack"
-	"tuliprudder/kernel/strongroom"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/httpserver"
+	"tuliprudder/kernel/logging"
+	"tuliprudder/kernel/services"
+	"tuliprudder/kernel/settings"
+	"tuliprudder/kernel/storage"
 	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/serverline"
@@ -36,27 +36,27 @@
 type Bounds struct{ Open, Bytes int64 }
 
 // Settings adds the front's bounds to a reader of settings.
-func (b *Bounds) Settings(r *rucksack.Reader) {
+func (b *Bounds) Settings(r *settings.Reader) {
 	r.Int(&b.Open, "most-open", 4096, 1, 1_000_000, "most requests open at once")
 	r.Int(&b.Bytes, "most-bytes", 8<<20, 1024, 256<<20, "largest body of a request, in bytes")
 }
 
 // Lodge is what every daemon has.
 type Lodge struct {
-	Hut    *almhut.Hut
-	Log    zerolog.Logger
-	Who    porter.Identity
-	Porter *porter.Porter
-	Porch  *porch.Porch
-	Office *office.Office
-	Common rucksack.Common
+	Services *services.Registry
+	Log      zerolog.Logger
+	Who      porter.Identity
+	Porter   *porter.Porter
+	Porch    *httpserver.Server
+	Office   *office.Office
+	Common   settings.Common
 	// Grace is how long a drain may take.
-	Grace sundial.Micros
+	Grace clock.Micros
 	drain []func()
 }
 
 // Open begins a daemon: its log, identity, shell and front.
-func Open(program, kind string, common rucksack.Common, bounds Bounds) (*Lodge, error) {
+func Open(program, kind string, common settings.Common, bounds Bounds) (*Lodge, error) {
 	var out io.Writer = os.Stderr
 	if common.Log != "" {
 		file, err := os.OpenFile(common.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -76,12 +76,12 @@
 	} else {
 		who = porter.Fleeting(kind, time.Now().UnixMicro())
 	}
-	log := logbook.Open(out, program, who.ID)
-	l := &Lodge{Hut: almhut.New(), Log: log, Who: who, Common: common, Grace: 8 * sundial.Second}
+	log := logging.Open(out, program, who.ID)
+	l := &Lodge{Services: services.New(), Log: log, Who: who, Common: common, Grace: 8 * clock.Second}
 	person := people.Person{ID: who.ID, Name: common.Name, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: people.Release}
 	l.Porter = porter.New(person, append(append([]string(nil), common.Seeds...), l.remembered()...), who, log)
 	l.Porter.Address = common.Listen
-	l.Porch = porch.New(common.HTTP, int(bounds.Open), bounds.Bytes)
+	l.Porch = httpserver.New(common.HTTP, int(bounds.Open), bounds.Bytes)
 	l.Office = &office.Office{Porter: l.Porter, Ready: func() string { return "" }, Counters: func() map[string]int64 { return nil }}
 	return l, nil
 }
@@ -109,12 +109,12 @@
 type remember struct{ l *Lodge }
 
 // Start starts the thread.
-func (r remember) Start(_ *almhut.Hut, ends *belay.Stack) error {
+func (r remember) Start(_ *services.Registry, ends *cleanup.Stack) error {
 	if r.l.Common.Data == "" {
 		return nil
 	}
 	last := ""
-	belay.Every(ends, 5*time.Second, func() {
+	cleanup.Every(ends, 5*time.Second, func() {
 		var peers []string
 		for _, person := range r.l.Porter.Folk() {
 			if person.Standing == people.Sound && person.ID != r.l.Who.ID && len(peers) < mostRemembered {
@@ -126,7 +126,7 @@
 			return
 		}
 		last = string(data)
-		if err := strongroom.WriteAside(r.l.Folder("peers.json"), data, nil); err != nil {
+		if err := storage.WriteAside(r.l.Folder("peers.json"), data, nil); err != nil {
 			r.l.Log.Warn().Err(err).Msg("the learnt addresses could not be kept")
 		}
 	})
@@ -138,19 +138,19 @@
 
 type front struct{ l *Lodge }
 
-func (f front) Start(_ *almhut.Hut, ends *belay.Stack) error {
+func (f front) Start(_ *services.Registry, ends *cleanup.Stack) error {
 	f.l.Office.Routes(f.l.Porch)
 	return f.l.Porch.Start(ends)
 }
 
 // Run starts the services and waits for the word to go; then it drains.
 func (l *Lodge) Run() error {
-	l.Hut.Register(porter.Name, l.Porter)
-	l.Hut.Register("front", front{l})
-	l.Hut.Register("remember", remember{l})
+	l.Services.Register(porter.Name, l.Porter)
+	l.Services.Register("front", front{l})
+	l.Services.Register("remember", remember{l})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	if err := l.Hut.Start(); err != nil {
+	if err := l.Services.Start(); err != nil {
 		return err
 	}
 	l.Log.Info().Str("zone", l.Common.Zone).Str("peer", l.Common.Peer).Str("http", l.Common.HTTP).Uint64("life", l.Who.Life).Msg("started")
@@ -167,12 +167,12 @@
 	select {
 	case <-done:
 	case <-signals:
-	case <-time.After(sundial.Span(l.Grace)):
+	case <-time.After(clock.Span(l.Grace)):
 		l.Log.Warn().Msg("the drain took too long; going all the same")
 	}
 	l.Porter.Leaving()
 	time.Sleep(100 * time.Millisecond) // the last word goes out
-	l.Hut.Stop()
+	l.Services.Stop()
 	l.Log.Info().Msg("gone")
 	return nil
 }
@@ -186,8 +186,8 @@
 func (l *Lodge) Folder(name string) string { return filepath.Join(l.Common.Data, name) }
 
 // Wait waits until a condition holds, looking every few milliseconds.
-func Wait(most sundial.Micros, until func() bool) bool {
-	expiry := time.Now().Add(sundial.Span(most))
+func Wait(most clock.Micros, until func() bool) bool {
+	expiry := time.Now().Add(clock.Span(most))
 	for !until() {
 		if time.Now().After(expiry) {
 			return false
--- a/daemon/lookout/lookout.go
+++ b/daemon/lookout/lookout.go
@@ -12,24 +12,24 @@
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/porter"
-	"tuliprudder/kernel/almhut"
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/services"
 	"tuliprudder/path/roster"
 )
 
 // Settings of the duty; the defaults are ours.
 type Settings struct {
-	Every sundial.Micros // between two readings
-	Late  sundial.Micros // silence after which the next in order reads
-	Step  sundial.Micros // how much longer each one after it waits
-	Wait  sundial.Micros // for one reading
+	Every clock.Micros // between two readings
+	Late  clock.Micros // silence after which the next in order reads
+	Step  clock.Micros // how much longer each one after it waits
+	Wait  clock.Micros // for one reading
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{Every: sundial.Second, Late: 1600 * sundial.Millisecond, Step: 300 * sundial.Millisecond, Wait: 900 * sundial.Millisecond}
+	return Settings{Every: clock.Second, Late: 1600 * clock.Millisecond, Step: 300 * clock.Millisecond, Wait: 900 * clock.Millisecond}
 }
 
 // StampKey is the news key of the latest reading.
@@ -37,8 +37,8 @@
 
 // Stamp says when the list was read last, and by whom.
 type Stamp struct {
-	By string         `json:"by"`
-	At sundial.Micros `json:"at"`
+	By string       `json:"by"`
+	At clock.Micros `json:"at"`
 }
 
 // Lookout reads the list when it is this daemon's turn.
@@ -51,17 +51,17 @@
 	Failed int64
 
 	mu     sync.Mutex
-	heard  uint64         // sequence of the latest stamp heard
-	since  sundial.Micros // when it was heard
-	next   sundial.Micros
+	heard  uint64       // sequence of the latest stamp heard
+	since  clock.Micros // when it was heard
+	next   clock.Micros
 	missed map[string]int
 }
 
 // Start starts the duty's thread.
-func (l *Lookout) Start(_ *almhut.Hut, ends *belay.Stack) error {
+func (l *Lookout) Start(_ *services.Registry, ends *cleanup.Stack) error {
 	l.missed = map[string]int{}
 	l.since = l.Porter.Now()
-	belay.Every(ends, 50*time.Millisecond, l.turn)
+	cleanup.Every(ends, 50*time.Millisecond, l.turn)
 	return nil
 }
 
@@ -81,7 +81,7 @@
 		return
 	}
 	l.next = now + l.Set.Every
-	ctx, cancel := context.WithTimeout(context.Background(), sundial.Span(l.Set.Wait))
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Span(l.Set.Wait))
 	defer cancel()
 	listed, err := l.Read(ctx)
 	if err != nil {
@@ -101,13 +101,13 @@
 	}
 	value, _ := json.Marshal(Stamp{By: l.Porter.Who.ID, At: l.Porter.Now()})
 	l.heard, l.since = max(l.heard+1, uint64(l.Porter.Now())), l.Porter.Now()
-	l.Porter.Tell(stride.Rumour{Key: StampKey, Seq: l.heard, Value: value})
+	l.Porter.Tell(machine.Rumour{Key: StampKey, Seq: l.heard, Value: value})
 }
 
 // Due tells whether a daemon is to read the list: who read it last goes on; when
 // nothing has been heard for a while, the first in the agreed order takes over, the
 // ones after it a little later each.
-func Due(self, last string, folk []people.Person, silent sundial.Micros, set Settings) bool {
+func Due(self, last string, folk []people.Person, silent clock.Micros, set Settings) bool {
 	if last == self {
 		return true
 	}
@@ -124,7 +124,7 @@
 			place = i
 		}
 	}
-	return silent >= set.Late+sundial.Micros(place)*set.Step
+	return silent >= set.Late+clock.Micros(place)*set.Step
 }
 
 // A server's word only ever goes one way: a name stands for one life of it.
@@ -136,7 +136,7 @@
 
 // Word is the news of a server's state: one that leaves never comes back, whoever
 // read an older list later.
-func Word(server roster.Server, now sundial.Micros) stride.Rumour {
+func Word(server roster.Server, now clock.Micros) machine.Rumour {
 	value, _ := json.Marshal(server)
 	state := uint64(wordUp)
 	switch {
@@ -145,7 +145,7 @@
 	case server.Leaving:
 		state = wordLeaving
 	}
-	return stride.Rumour{Key: roster.ServerKey(server.Name), Epoch: state, Seq: uint64(now), Value: value}
+	return machine.Rumour{Key: roster.ServerKey(server.Name), Epoch: state, Seq: uint64(now), Value: value}
 }
 
 // goneAfter is how many readings in a row have to lack a server before it counts
--- a/daemon/lookout/lookout_test.go
+++ b/daemon/lookout/lookout_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/path/roster"
 )
 
@@ -61,7 +61,7 @@
 	}
 	for _, c := range []struct {
 		self, last string
-		silent     sundial.Micros
+		silent     clock.Micros
 		due        bool
 	}{{"b", "b", 0, true}, {"a", "b", 0, false}, {"a", "b", set.Late, true}, {"c", "b", set.Late, false}, {"c", "b", set.Late + set.Step, true}} {
 		if got := Due(c.self, c.last, folk, c.silent, set); got != c.due {
--- a/daemon/muletrack/forward_test.go
+++ b/daemon/muletrack/forward_test.go
@@ -12,7 +12,7 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/path/causeway"
 	"tuliprudder/path/runner"
@@ -25,7 +25,7 @@
 // meanwhile comes on the channel.
 func forwarder() (Forwarder, chan any) {
 	told := make(chan any, 8)
-	return Forwarder{Client: causeway.New(words, causeway.Settings{}), Track: New(func() sundial.Micros { return 1 }, func(body any) { told <- body })}, told
+	return Forwarder{Client: causeway.New(words, causeway.Settings{}), Track: New(func() clock.Micros { return 1 }, func(body any) { told <- body })}, told
 }
 
 func item(address string, resume int) runner.Run {
--- a/daemon/muletrack/muletrack.go
+++ b/daemon/muletrack/muletrack.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/path/runner"
 	"tuliprudder/path/scouts"
 	"tuliprudder/path/serverline"
@@ -19,7 +19,7 @@
 // Track carries work out; Tell hands the machine its word.
 type Track struct {
 	Tell func(body any)
-	Now  func() sundial.Micros
+	Now  func() clock.Micros
 	// Forward passes an opaque item on and tells how that went; set before the
 	// first work comes.
 	Forward func(ctx context.Context, run runner.Run) runner.Ran
@@ -28,7 +28,7 @@
 }
 
 // New makes a track.
-func New(now func() sundial.Micros, tell func(body any)) *Track {
+func New(now func() clock.Micros, tell func(body any)) *Track {
 	return &Track{Tell: tell, Now: now, runs: map[uint64]context.CancelFunc{}}
 }
 
@@ -67,7 +67,7 @@
 	var output strings.Builder
 	outcome, err := serverline.Run(ctx, w.Request, func(piece string) error {
 		if output.Len()+len(piece) > w.MostBytes {
-			return mishap.New(mishap.TooLarge, "lower max_tokens of the route", "the result is over %d bytes", w.MostBytes)
+			return errs.New(errs.TooLarge, "lower max_tokens of the route", "the result is over %d bytes", w.MostBytes)
 		}
 		if output.Len() == 0 {
 			t.Tell(runner.Began{Token: w.Token})
--- a/daemon/muletrack/muletrack_test.go
+++ b/daemon/muletrack/muletrack_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"testing"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/path/runner"
 	"tuliprudder/path/serverline"
 )
@@ -13,7 +13,7 @@
 // back under the run's number; without one it certainly did not start.
 func TestOpaqueItemsArePassedOn(t *testing.T) {
 	told := make(chan any, 1)
-	track := New(func() sundial.Micros { return 1 }, func(body any) { told <- body })
+	track := New(func() clock.Micros { return 1 }, func(body any) { told <- body })
 	work := runner.Run{Token: 7, Forward: &runner.Forwarded{ID: "i"}}
 	track.Take(work)
 	if ran := (<-told).(runner.Ran); ran.Token != 7 || ran.Outcome != serverline.NotStarted || ran.Why == "" {
--- a/daemon/office/office.go
+++ b/daemon/office/office.go
@@ -17,9 +17,9 @@
 	"tuliprudder/core/summit"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/porch"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/httpserver"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/waypost"
 	"tuliprudder/path/dispatch"
@@ -28,7 +28,7 @@
 	"tuliprudder/path/roster"
 )
 
-// Office hangs on a daemon's porch.
+// Office hangs on a daemon's httpserver.
 type Office struct {
 	Porter *porter.Porter
 	Road   *planes.Road   // nil on cores
@@ -40,8 +40,8 @@
 	Counters func() map[string]int64
 }
 
-// Routes hangs the operators' paths on the porch.
-func (o *Office) Routes(p *porch.Porch) {
+// Routes hangs the operators' paths on the httpserver.
+func (o *Office) Routes(p *httpserver.Server) {
 	p.Handle(http.MethodGet, "/soundness", o.soundness)
 	p.Handle(http.MethodGet, "/ready", o.ready)
 	p.Handle(http.MethodGet, "/counters", o.counters)
@@ -63,14 +63,14 @@
 }
 
 func (o *Office) soundness(w http.ResponseWriter, r *http.Request) error {
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"id": o.Porter.Who.ID, "life": o.Porter.Who.Life, "zone": o.Porter.Zone, "sound": true, "now_us": o.Porter.Now()})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"id": o.Porter.Who.ID, "life": o.Porter.Who.Life, "zone": o.Porter.Zone, "sound": true, "now_us": o.Porter.Now()})
 }
 
 func (o *Office) ready(w http.ResponseWriter, r *http.Request) error {
 	if why := o.Ready(); why != "" {
-		return mishap.Later(mishap.NotReady, sundial.Second, "wait; it becomes ready by itself", "%s", why)
+		return errs.Later(errs.NotReady, clock.Second, "wait; it becomes ready by itself", "%s", why)
 	}
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"ready": true})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"ready": true})
 }
 
 func (o *Office) counters(w http.ResponseWriter, r *http.Request) error {
@@ -81,7 +81,7 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	out["heap_bytes"], out["goroutines"] = int64(memory.HeapInuse), int64(runtime.NumGoroutine())
-	return porch.WriteJSON(w, http.StatusOK, out)
+	return httpserver.WriteJSON(w, http.StatusOK, out)
 }
 
 func (o *Office) daemons(w http.ResponseWriter, r *http.Request) error {
@@ -90,13 +90,13 @@
 		out = append(out, map[string]any{"id": p.ID, "kind": p.Kind, "zone": p.Zone, "peer": p.Peer, "http": p.HTTP,
 			"incarnation": p.Incarnation, "standing": p.Standing.String(), "draining": p.Draining})
 	}
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"daemons": out})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"daemons": out})
 }
 
 func (o *Office) news(key string, into any, what string) error {
 	rumour, ok := o.Porter.News(key)
 	if !ok {
-		return mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started, or none was ever put", "no %s has arrived yet", what)
+		return errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started, or none was ever put", "no %s has arrived yet", what)
 	}
 	return json.Unmarshal(rumour.Value, into)
 }
@@ -106,7 +106,7 @@
 	if err := o.news(chart.MapKey, &m, "map of the stores"); err != nil {
 		return err
 	}
-	return porch.WriteJSON(w, http.StatusOK, m)
+	return httpserver.WriteJSON(w, http.StatusOK, m)
 }
 
 func (o *Office) core(w http.ResponseWriter, r *http.Request) error {
@@ -114,7 +114,7 @@
 	if err := o.news(chart.CoreKey, &c, "word of the cores"); err != nil {
 		return err
 	}
-	return porch.WriteJSON(w, http.StatusOK, c)
+	return httpserver.WriteJSON(w, http.StatusOK, c)
 }
 
 func (o *Office) plan(w http.ResponseWriter, r *http.Request) error {
@@ -122,7 +122,7 @@
 	if err := o.news(chart.PlanKey, &version, "plan"); err != nil {
 		return err
 	}
-	return porch.WriteJSON(w, http.StatusOK, version)
+	return httpserver.WriteJSON(w, http.StatusOK, version)
 }
 
 func (o *Office) primary() (chart.CoreNews, error) {
@@ -132,7 +132,7 @@
 }
 
 // AskPrimary asks the primary core, or this daemon's own machine if that is it.
-func (o *Office) AskPrimary(body any, expiry sundial.Micros) (any, error) {
+func (o *Office) AskPrimary(body any, expiry clock.Micros) (any, error) {
 	core, err := o.primary()
 	if err != nil {
 		return nil, err
@@ -140,13 +140,13 @@
 	if core.Primary == o.Porter.Who.ID {
 		return o.Porter.AskHere(body)
 	}
-	return o.Porter.Bridge.Ask(core.Peer, body, expiry)
+	return o.Porter.Transport.Ask(core.Peer, body, expiry)
 }
 
-const planExpiry = 5 * sundial.Second
+const planExpiry = 5 * clock.Second
 
 func (o *Office) putPlan(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
@@ -157,19 +157,19 @@
 	if text := r.URL.Query().Get("base"); text != "" {
 		base, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			return mishap.New(mishap.BadInput, "give the version the plan was made from, or leave base out", "base=%q is no version", text)
+			return errs.New(errs.BadInput, "give the version the plan was made from, or leave base out", "base=%q is no version", text)
 		}
 		ask.Base, ask.HasBase = base, true
 	}
-	got, err := o.AskPrimary(ask, planExpiry+sundial.Second)
+	got, err := o.AskPrimary(ask, planExpiry+clock.Second)
 	if err != nil {
 		return err
 	}
 	receipt, ok := got.(summit.PlanReceipt)
 	if !ok {
-		return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the core answered %T", got)
+		return errs.New(errs.ServerFault, "run the same release on all daemons", "the core answered %T", got)
 	}
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"version": receipt.Version})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"version": receipt.Version})
 }
 
 func (o *Office) plans(w http.ResponseWriter, r *http.Request) error {
@@ -177,26 +177,26 @@
 	if text := pathvar.Vars(r)["version"]; text != "" {
 		version, err := strconv.ParseUint(text, 10, 64)
 		if err != nil || version == 0 {
-			return mishap.New(mishap.BadInput, "give a version from the list of plans", "%q is no version", text)
+			return errs.New(errs.BadInput, "give a version from the list of plans", "%q is no version", text)
 		}
 		ask.Version = version
 	}
-	got, err := o.AskPrimary(ask, 3*sundial.Second)
+	got, err := o.AskPrimary(ask, 3*clock.Second)
 	if err != nil {
 		return err
 	}
 	plans, ok := got.(summit.Plans)
 	if !ok {
-		return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the core answered %T", got)
+		return errs.New(errs.ServerFault, "run the same release on all daemons", "the core answered %T", got)
 	}
 	if ask.Version > 0 && len(plans.Versions) == 1 {
-		return porch.WriteJSON(w, http.StatusOK, plans.Versions[0])
+		return httpserver.WriteJSON(w, http.StatusOK, plans.Versions[0])
 	}
 	out := []map[string]any{}
 	for _, version := range plans.Versions {
 		out = append(out, map[string]any{"version": version.Number, "by": version.By, "at_us": version.At})
 	}
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"plans": out})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"plans": out})
 }
 
 func (o *Office) store(w http.ResponseWriter, r *http.Request) error {
@@ -210,20 +210,20 @@
 		if id == o.Porter.Who.ID {
 			got, err = o.Porter.AskHere(keeper.ShowAsk{})
 		} else {
-			got, err = o.Porter.Bridge.Ask(person.Peer, keeper.ShowAsk{}, 2*sundial.Second)
+			got, err = o.Porter.Transport.Ask(person.Peer, keeper.ShowAsk{}, 2*clock.Second)
 		}
 		if err != nil {
 			return err
 		}
-		return porch.WriteJSON(w, http.StatusOK, got)
+		return httpserver.WriteJSON(w, http.StatusOK, got)
 	}
-	return mishap.New(mishap.NotFound, "list the daemons to see the ids there are", "no daemon %q is known here", id)
+	return errs.New(errs.NotFound, "list the daemons to see the ids there are", "no daemon %q is known here", id)
 }
 
 // retire empties a store and retires it, or takes that back; asked again it
 // tells how far it is.
 func (o *Office) retire(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
@@ -231,29 +231,29 @@
 		Back bool `json:"back"`
 	}
 	if len(data) > 0 {
-		if err := porch.Decode(data, &body); err != nil {
+		if err := httpserver.Decode(data, &body); err != nil {
 			return err
 		}
 	}
-	got, err := o.AskPrimary(summit.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+sundial.Second)
+	got, err := o.AskPrimary(summit.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+clock.Second)
 	if err != nil {
 		return err
 	}
 	receipt, ok := got.(summit.RetireReceipt)
 	if !ok {
-		return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the core answered %T", got)
+		return errs.New(errs.ServerFault, "run the same release on all daemons", "the core answered %T", got)
 	}
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"store": receipt.ID, "retired": receipt.Done, "slots_left": receipt.Left})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"store": receipt.ID, "retired": receipt.Done, "slots_left": receipt.Left})
 }
 
 // purse shows the shares held here and the accounts held here.
 func (o *Office) purse(w http.ResponseWriter, r *http.Request) error {
 	if o.Road == nil {
-		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge", "this daemon holds no shares")
+		return errs.New(errs.NotFound, "ask a trailhead or a refuge", "this daemon holds no shares")
 	}
 	var view map[string]any
-	o.Porter.Inside(func(now sundial.Micros) { view = o.Road.Purse.View(now) })
-	return porch.WriteJSON(w, http.StatusOK, view)
+	o.Porter.Inside(func(now clock.Micros) { view = o.Road.Purse.View(now) })
+	return httpserver.WriteJSON(w, http.StatusOK, view)
 }
 
 // order explains an order that this daemon assigned.
@@ -262,48 +262,48 @@
 	if text := r.URL.Query().Get("slowest"); o.Book != nil && text != "" {
 		count, err := strconv.Atoi(text)
 		if err != nil || count < 1 || count > 1000 {
-			return mishap.New(mishap.BadInput, "give a whole number from 1 to 1000", "slowest=%q", text)
+			return errs.New(errs.BadInput, "give a whole number from 1 to 1000", "slowest=%q", text)
 		}
-		return porch.WriteJSON(w, http.StatusOK, map[string]any{"orders": o.Book.Slowest(count)})
+		return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"orders": o.Book.Slowest(count)})
 	}
 	if o.Book == nil || name == "" {
-		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge, with ?order=NAME", "this daemon assigns no orders, or no order was named")
+		return errs.New(errs.NotFound, "ask a trailhead or a refuge, with ?order=NAME", "this daemon assigns no orders, or no order was named")
 	}
 	story, ok := o.Book.Look(name)
 	if !ok {
-		return mishap.New(mishap.NotFound, "ask the daemon that served it; each remembers its latest orders", "no order %q is remembered here", name)
+		return errs.New(errs.NotFound, "ask the daemon that served it; each remembers its latest orders", "no order %q is remembered here", name)
 	}
-	return porch.WriteJSON(w, http.StatusOK, story)
+	return httpserver.WriteJSON(w, http.StatusOK, story)
 }
 
 // bundle explains a bundle: who keeps it, and which server ran which item.
 func (o *Office) bundle(w http.ResponseWriter, r *http.Request) error {
 	if o.Reader == nil {
-		return mishap.New(mishap.NotFound, "ask a trailhead", "this daemon reads no ledgers")
+		return errs.New(errs.NotFound, "ask a trailhead", "this daemon reads no ledgers")
 	}
 	id := pathvar.Vars(r)["bundle"]
 	var slot int
 	var owner waypost.Owner
 	var err error
-	o.Porter.Inside(func(sundial.Micros) { slot, owner, err = o.Reader.Keeper(id) })
+	o.Porter.Inside(func(clock.Micros) { slot, owner, err = o.Reader.Keeper(id) })
 	if err != nil {
 		return err
 	}
-	got, err := o.Porter.Bridge.Ask(owner.Peer, keeper.StatusAsk{Slot: slot, Bundle: id, Operator: true}, 2*sundial.Second)
+	got, err := o.Porter.Transport.Ask(owner.Peer, keeper.StatusAsk{Slot: slot, Bundle: id, Operator: true}, 2*clock.Second)
 	if err != nil {
 		return err
 	}
-	return porch.WriteJSON(w, http.StatusOK, got)
+	return httpserver.WriteJSON(w, http.StatusOK, got)
 }
 
 func (o *Office) servers(w http.ResponseWriter, r *http.Request) error {
 	if o.Road == nil {
-		return mishap.New(mishap.NotFound, "ask a trailhead or a refuge", "this daemon assigns no orders")
+		return errs.New(errs.NotFound, "ask a trailhead or a refuge", "this daemon assigns no orders")
 	}
 	var servers []dispatch.ServerView
 	var waiting map[string]int
-	o.Porter.Inside(func(sundial.Micros) { servers, waiting = o.Road.Dispatch.View() })
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"servers": servers, "waiting": waiting})
+	o.Porter.Inside(func(clock.Micros) { servers, waiting = o.Road.Dispatch.View() })
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"servers": servers, "waiting": waiting})
 }
 
 // ServersBody is the platform's whole list.
@@ -313,12 +313,12 @@
 
 // putServers takes the platform's list: what is not on it is gone.
 func (o *Office) putServers(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
 	var body ServersBody
-	if err := porch.Decode(data, &body); err != nil {
+	if err := httpserver.Decode(data, &body); err != nil {
 		return err
 	}
 	var faults []string
@@ -343,7 +343,7 @@
 		}
 	}
 	if len(faults) > 0 {
-		return &mishap.Mishap{Kind: mishap.BadInput, Message: "the list has faults; the list in force stays", Remedy: "correct each named place and put the list again", Faults: faults}
+		return &errs.Error{Kind: errs.BadInput, Message: "the list has faults; the list in force stays", Remedy: "correct each named place and put the list again", Faults: faults}
 	}
 	words := body.Servers
 	for _, known := range o.known() {
@@ -355,7 +355,7 @@
 	if err := o.tellServers(words); err != nil {
 		return err
 	}
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"servers": len(body.Servers)})
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"servers": len(body.Servers)})
 }
 
 // known is the platform's list as the news have it.
@@ -372,7 +372,7 @@
 
 // spreadFor is how long the platform's word may take until most of the fleet
 // have heard it.
-const spreadFor = 2 * sundial.Second
+const spreadFor = 2 * clock.Second
 
 // tellServers spreads the newest words on servers, and waits until most of the
 // fleet know each: from then on the promise counts.
@@ -396,7 +396,7 @@
 
 // leaving marks a server as leaving, or takes the mark back.
 func (o *Office) leaving(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
@@ -404,14 +404,14 @@
 		Leaving bool `json:"leaving"`
 	}{Leaving: true}
 	if len(data) > 0 {
-		if err := porch.Decode(data, &body); err != nil {
+		if err := httpserver.Decode(data, &body); err != nil {
 			return err
 		}
 	}
 	name := pathvar.Vars(r)["name"]
 	rumour, ok := o.Porter.News(roster.ServerKey(name))
 	if !ok {
-		return mishap.New(mishap.NotFound, "list the servers to see the names there are", "no server %q is on the platform's list", name)
+		return errs.New(errs.NotFound, "list the servers to see the names there are", "no server %q is on the platform's list", name)
 	}
 	var server roster.Server
 	if err := json.Unmarshal(rumour.Value, &server); err != nil {
@@ -421,5 +421,5 @@
 	if err := o.tellServers([]roster.Server{server}); err != nil {
 		return err
 	}
-	return porch.WriteJSON(w, http.StatusOK, server)
+	return httpserver.WriteJSON(w, http.StatusOK, server)
 }
--- a/daemon/outfit/outfit.go
+++ b/daemon/outfit/outfit.go
@@ -11,8 +11,8 @@
 	"tuliprudder/daemon/muletrack"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
-	"tuliprudder/kernel/strongroom"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/storage"
 	"tuliprudder/ledger/keeper"
 )
 
@@ -31,7 +31,7 @@
 	l.Path(edge.Road, edge.Reader, edge.Book)
 	l.Office.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.Inside(func(now sundial.Micros) {
+		l.Porter.Inside(func(now clock.Micros) {
 			out["shares_held"], out["shares_lent"] = edge.Purse.Totals(now)
 			out["over_allowance"], out["backlog"], out["assigned"] = edge.Purse.Refused, int64(edge.Dispatch.Backlog()), edge.Dispatch.Assigned
 			out["expired"], out["turned_away"] = edge.Dispatch.Expired, edge.Dispatch.TurnedAway
@@ -47,8 +47,8 @@
 // Store is a store daemon's parts.
 type Store struct {
 	*planes.Ledger
-	Track *muletrack.Track
-	Room  *strongroom.Room
+	Track  *muletrack.Track
+	Folder *storage.Folder
 }
 
 // NewStore puts a store daemon together from what its data folder holds.
@@ -77,7 +77,7 @@
 	l.Porter.OnWork(track.Take)
 	l.Path(ledger.Road, nil, ledger.Items.Book)
 	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(sundial.Micros) {
+		l.Porter.Inside(func(clock.Micros) {
 			if books.Writer() == 0 {
 				why = "the core has not given this store a writer id yet"
 			}
@@ -86,7 +86,7 @@
 	}
 	l.Office.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.Inside(func(now sundial.Micros) {
+		l.Porter.Inside(func(now clock.Micros) {
 			out["copies_missing"], out["oldest_unannounced_us"] = books.AtRisk(now)
 			out["entries_confirmed"], out["reads"] = books.Entries, books.Reads
 			out["bundles_shelved"] = books.Shelved
@@ -98,7 +98,7 @@
 		})
 		return out
 	}
-	return &Store{Ledger: ledger, Track: track, Room: room}, nil
+	return &Store{Ledger: ledger, Track: track, Folder: room}, nil
 }
 
 // NewCore puts a core daemon together from what its data folder holds.
@@ -116,7 +116,7 @@
 	}
 	l.Porter.Carry(planes.NewCore(core), room)
 	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(sundial.Micros) {
+		l.Porter.Inside(func(clock.Micros) {
 			if core.Oath().Done.Epoch == 0 {
 				why = "the cores have not founded a fleet yet"
 			}
@@ -125,7 +125,7 @@
 	}
 	l.Office.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.Inside(func(sundial.Micros) {
+		l.Porter.Inside(func(clock.Micros) {
 			out["core_epoch"], out["core_claims"], out["core_takeovers"], out["core_changes"] = int64(core.Oath().Granted), core.Claims, core.Takeovers, core.Changes
 			if core.Serving() {
 				out["core_primary"] = 1
--- a/daemon/outfit/tend.go
+++ b/daemon/outfit/tend.go
@@ -6,9 +6,9 @@
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/planes"
-	"tuliprudder/kernel/almhut"
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/services"
 	"tuliprudder/path/causeway"
 	"tuliprudder/path/roster"
 )
@@ -23,9 +23,9 @@
 }
 
 // Start starts the thread.
-func (t *Tend) Start(_ *almhut.Hut, ends *belay.Stack) error {
+func (t *Tend) Start(_ *services.Registry, ends *cleanup.Stack) error {
 	t.gone = map[string]bool{}
-	belay.Every(ends, time.Second, t.turn)
+	cleanup.Every(ends, time.Second, t.turn)
 	return nil
 }
 
@@ -34,7 +34,7 @@
 	var servers []roster.Server
 	var folk []people.Person
 	most := map[string]int64{}
-	t.Lodge.Porter.Inside(func(sundial.Micros) {
+	t.Lodge.Porter.Inside(func(clock.Micros) {
 		servers, folk = t.Road.Dispatch.Servers(), t.Road.Folk()
 		plan := t.Road.Dispatch.Plan()
 		for _, server := range servers {
--- a/daemon/planes/demand.go
+++ b/daemon/planes/demand.go
@@ -4,9 +4,9 @@
 	"sort"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 )
 
 // Stores share the servers' room for items by what each has to run (DESIGN §12.6):
@@ -19,17 +19,17 @@
 	Items int
 }
 
-func init() { footbridge.Register(Demand{}) }
+func init() { transport.Register(Demand{}) }
 
 const (
-	demandEvery = 250 * sundial.Millisecond // when it changed
-	demandLate  = sundial.Second            // when it did not
-	demandKept  = 3 * sundial.Second        // a store not heard for so long has none
+	demandEvery = 250 * clock.Millisecond // when it changed
+	demandLate  = clock.Second            // when it did not
+	demandKept  = 3 * clock.Second        // a store not heard for so long has none
 )
 
 type demand struct {
 	items int
-	at    sundial.Micros
+	at    clock.Micros
 }
 
 // demands is what a store knows of the others' demands.
@@ -37,15 +37,15 @@
 	self  string
 	heard map[string]demand
 	said  int
-	at    sundial.Micros
+	at    clock.Micros
 }
 
-func (d *demands) hear(word Demand, now sundial.Micros) {
+func (d *demands) hear(word Demand, now clock.Micros) {
 	d.heard[word.ID] = demand{word.Items, now}
 }
 
 // part is this store's part of the room, by its own demand and the others'.
-func (d *demands) part(own int, now sundial.Micros) float64 {
+func (d *demands) part(own int, now clock.Micros) float64 {
 	sum := max(1, own)
 	for id, one := range d.heard {
 		if now-one.at > demandKept {
@@ -58,7 +58,7 @@
 }
 
 // tell tells the other stores, when there is something to tell.
-func (d *demands) tell(own int, folk map[string]people.Person, emit func(stride.Effect), now sundial.Micros) {
+func (d *demands) tell(own int, folk map[string]people.Person, emit func(machine.Effect), now clock.Micros) {
 	if own == d.said && now-d.at < demandLate || now-d.at < demandEvery {
 		return
 	}
@@ -70,7 +70,7 @@
 	sort.Strings(ids)
 	for _, id := range ids {
 		if person := folk[id]; person.Kind == people.Refuge && id != d.self && person.Standing <= people.Suspect {
-			emit(stride.Send{To: person.Peer, Body: Demand{ID: d.self, Items: own}})
+			emit(machine.Send{To: person.Peer, Body: Demand{ID: d.self, Items: own}})
 		}
 	}
 }
--- a/daemon/planes/demand_test.go
+++ b/daemon/planes/demand_test.go
@@ -4,8 +4,8 @@
 	"testing"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 )
 
 // The parts follow the demands, add up to one, and forget who is not heard.
@@ -30,12 +30,12 @@
 		"c": {ID: "c", Kind: people.Trailhead, Peer: "pc"}, "d": {ID: "d", Kind: people.Refuge, Peer: "pd", Standing: people.Dead}}
 	d := demands{self: "a", heard: map[string]demand{}}
 	var told []string
-	tell := func(own int, now sundial.Micros) int {
+	tell := func(own int, now clock.Micros) int {
 		told = nil
-		d.tell(own, folk, func(e stride.Effect) { told = append(told, e.(stride.Send).To) }, now)
+		d.tell(own, folk, func(e machine.Effect) { told = append(told, e.(machine.Send).To) }, now)
 		return len(told)
 	}
-	now := 10 * sundial.Second
+	now := 10 * clock.Second
 	if tell(5, now) != 1 || told[0] != "pb" {
 		t.Fatalf("told %v", told)
 	}
--- a/daemon/planes/edge.go
+++ b/daemon/planes/edge.go
@@ -2,9 +2,9 @@
 
 import (
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/ford"
 	"tuliprudder/path/guestbook"
@@ -18,12 +18,12 @@
 	Dispatch   dispatch.Settings
 	Trek       trek.Settings
 	Ford       ford.Settings
-	ScoutEvery sundial.Micros
+	ScoutEvery clock.Micros
 }
 
 // EdgeDefaults are the starting values.
 func EdgeDefaults() EdgeSettings {
-	return EdgeSettings{Dispatch: dispatch.Defaults(), Trek: trek.Defaults(), Ford: ford.Defaults(), ScoutEvery: 400 * sundial.Millisecond}
+	return EdgeSettings{Dispatch: dispatch.Defaults(), Trek: trek.Defaults(), Ford: ford.Defaults(), ScoutEvery: 400 * clock.Millisecond}
 }
 
 // Edge is the machine of an edge daemon: orders, forwarded requests, reading,
@@ -49,13 +49,13 @@
 }
 
 // Letter is not for an edge: its machine takes asks alone.
-func (e *Edge) Letter(string, any, sundial.Micros) []stride.Effect { return nil }
+func (e *Edge) Letter(string, any, clock.Micros) []machine.Effect { return nil }
 
 // Stored is not for an edge: it keeps nothing.
-func (e *Edge) Stored(uint64, sundial.Micros) []stride.Effect { return nil }
+func (e *Edge) Stored(uint64, clock.Micros) []machine.Effect { return nil }
 
 // Heard is news.
-func (e *Edge) Heard(rumour stride.Rumour, now sundial.Micros) []stride.Effect {
+func (e *Edge) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
 	e.hear(rumour, now)
 	e.Scouts.Hear(rumour)
 	e.Reader.Hear(rumour, now)
@@ -63,7 +63,7 @@
 }
 
 // Told is another daemon's answer.
-func (e *Edge) Told(token uint64, body any, err error, now sundial.Micros) []stride.Effect {
+func (e *Edge) Told(token uint64, body any, err error, now clock.Micros) []machine.Effect {
 	e.Wire.Told(token, body, err, now)
 	return e.settle(now)
 }
@@ -72,29 +72,29 @@
 type Close struct{}
 
 // Call is an ask, of a caller's by the shell or of another daemon's.
-func (e *Edge) Call(number uint64, body any, now sundial.Micros) []stride.Effect {
+func (e *Edge) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	switch ask := body.(type) {
 	case scouts.Looked:
 		e.Scouts.Saw(ask, now)
-		e.Wire.Emit(stride.Answer{Call: number})
+		e.Wire.Emit(machine.Answer{Call: number})
 	case reader.Left:
 		e.Reader.Leave(ask)
-		e.Wire.Emit(stride.Answer{Call: number})
+		e.Wire.Emit(machine.Answer{Call: number})
 	case nil:
-		e.Wire.Emit(stride.Answer{Call: number}) // a caller left whose order goes on
+		e.Wire.Emit(machine.Answer{Call: number}) // a caller left whose order goes on
 	case Close:
 		e.Dispatch.Close(now)
-		e.Wire.Emit(stride.Answer{Call: number})
+		e.Wire.Emit(machine.Answer{Call: number})
 	default:
 		if !e.Ford.Call(number, body, now) && !e.Trek.Call(number, body, now) && !e.Purse.Call(number, body, now) {
-			e.Wire.Emit(stride.Answer{Call: number, Err: mishap.New(mishap.BadInput, "ask a daemon of the right kind", "an edge answers no such ask: %T", body)})
+			e.Wire.Emit(machine.Answer{Call: number, Err: errs.New(errs.BadInput, "ask a daemon of the right kind", "an edge answers no such ask: %T", body)})
 		}
 	}
 	return e.settle(now)
 }
 
 // ClockEvent lets the edge do what is due.
-func (e *Edge) ClockEvent(now sundial.Micros) []stride.Effect {
+func (e *Edge) ClockEvent(now clock.Micros) []machine.Effect {
 	e.Purse.ClockEvent(now)
 	e.Reader.ClockEvent(now)
 	e.Scouts.ClockEvent(now)
--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -4,9 +4,9 @@
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/chart"
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/purse"
@@ -24,7 +24,7 @@
 	// waiting is what requests that are passed on count for, by customer; count is
 	// when it is counted again.
 	waiting map[string]int
-	counted sundial.Micros
+	counted clock.Micros
 	demands demands
 }
 
@@ -43,7 +43,7 @@
 		}
 	})
 	l.Purse.Map = func() (chart.Map, bool) { return k.Chart(), k.Mapped() }
-	l.Items = runner.New(runner.Defaults(), l.Wire, l.Dispatch, k.Allowed, func(ran keeper.Ran, now sundial.Micros) { l.keep(ran, now) })
+	l.Items = runner.New(runner.Defaults(), l.Wire, l.Dispatch, k.Allowed, func(ran keeper.Ran, now clock.Micros) { l.keep(ran, now) })
 	return l
 }
 
@@ -55,13 +55,13 @@
 }
 
 // keep applies a command to the keeper and takes what is the path's.
-func (l *Ledger) keep(command keeper.Command, now sundial.Micros) {
+func (l *Ledger) keep(command keeper.Command, now clock.Micros) {
 	for _, effect := range l.Keeper.Do(command, now) {
 		switch e := effect.(type) {
-		case stride.Work:
+		case machine.Work:
 			l.work(e.Order, now)
 			continue
-		case stride.Answer:
+		case machine.Answer:
 			if give := l.gives[e.Call]; give != nil {
 				// From here on the items count as waiting in the backlog.
 				delete(l.gives, e.Call)
@@ -72,7 +72,7 @@
 	}
 }
 
-func (l *Ledger) work(order any, now sundial.Micros) {
+func (l *Ledger) work(order any, now clock.Micros) {
 	switch w := order.(type) {
 	case keeper.ItemOrder:
 		if plan := l.Dispatch.Plan(); plan != nil {
@@ -87,7 +87,7 @@
 }
 
 // Letter is a message.
-func (l *Ledger) Letter(from string, body any, now sundial.Micros) []stride.Effect {
+func (l *Ledger) Letter(from string, body any, now clock.Micros) []machine.Effect {
 	if word, ok := body.(Demand); ok {
 		l.demands.hear(word, now)
 	} else {
@@ -97,13 +97,13 @@
 }
 
 // Stored is the disk's word.
-func (l *Ledger) Stored(token uint64, now sundial.Micros) []stride.Effect {
+func (l *Ledger) Stored(token uint64, now clock.Micros) []machine.Effect {
 	l.keep(keeper.Stored{Token: token}, now)
 	return l.settle(now)
 }
 
 // Heard is news.
-func (l *Ledger) Heard(rumour stride.Rumour, now sundial.Micros) []stride.Effect {
+func (l *Ledger) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
 	l.hear(rumour, now)
 	if l.cairns.hear(rumour) {
 		l.keep(keeper.Cairns{Peers: l.cairns.peers()}, now)
@@ -113,25 +113,25 @@
 }
 
 // Told is another daemon's answer.
-func (l *Ledger) Told(token uint64, body any, err error, now sundial.Micros) []stride.Effect {
+func (l *Ledger) Told(token uint64, body any, err error, now clock.Micros) []machine.Effect {
 	l.Wire.Told(token, body, err, now)
 	return l.settle(now)
 }
 
 // Call is an ask, or the shell's word on a run.
-func (l *Ledger) Call(number uint64, body any, now sundial.Micros) []stride.Effect {
+func (l *Ledger) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	switch ask := body.(type) {
 	case keeper.EnrolAsk:
 		l.enrol(number, ask, now)
 	case runner.Ran:
 		l.Items.Went(ask, now)
-		l.Wire.Emit(stride.Answer{Call: number})
+		l.Wire.Emit(machine.Answer{Call: number})
 	case runner.Began:
 		l.Items.Begin(ask, now)
-		l.Wire.Emit(stride.Answer{Call: number})
+		l.Wire.Emit(machine.Answer{Call: number})
 	case keeper.Drain:
 		l.keep(ask, now)
-		l.Wire.Emit(stride.Answer{Call: number})
+		l.Wire.Emit(machine.Answer{Call: number})
 	default:
 		if !l.Purse.Call(number, body, now) {
 			l.keep(keeper.Call{Number: number, Body: body}, now)
@@ -142,17 +142,17 @@
 
 // enrol takes shares for a bundle's items before anything is written: from then
 // on they count as waiting until they start. A repeated key needs none.
-func (l *Ledger) enrol(number uint64, ask keeper.EnrolAsk, now sundial.Micros) {
+func (l *Ledger) enrol(number uint64, ask keeper.EnrolAsk, now clock.Micros) {
 	plan := l.Dispatch.Plan()
 	switch {
 	case l.Keeper.Knows(ask.Slot, ask.Bundle.ID):
 		l.keep(keeper.Call{Number: number, Body: ask}, now)
 		return
 	case !l.Dispatch.Fresh(now):
-		l.no(number, mishap.Later(mishap.NotReady, sundial.Second, "ask again; another keeper may take the slot over", "the keeper does not hear most of the fleet"))
+		l.no(number, errs.Later(errs.NotReady, clock.Second, "ask again; another keeper may take the slot over", "the keeper does not hear most of the fleet"))
 		return
 	case plan == nil || plan.Version < ask.Bundle.Plan:
-		l.no(number, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the store has just started", "the plan has not arrived at the keeper yet"))
+		l.no(number, errs.Later(errs.NotReady, clock.Second, "ask again; the store has just started", "the plan has not arrived at the keeper yet"))
 		return
 	}
 	forward, weight := false, 0
@@ -163,17 +163,17 @@
 	most := allowance(plan, ask.Bundle.Customer, ask.Bundle.Route, forward)
 	switch {
 	case most == gone && forward:
-		l.no(number, mishap.New(mishap.UnknownRoute, "have the operators add the route to the plan", "the plan in force passes no bundles on by a route %q", ask.Bundle.Route))
+		l.no(number, errs.New(errs.UnknownRoute, "have the operators add the route to the plan", "the plan in force passes no bundles on by a route %q", ask.Bundle.Route))
 		return
 	case most == gone:
-		l.no(number, mishap.New(mishap.Unauthorised, "have the operators add the customer to the plan", "the plan has no customer %q", ask.Bundle.Customer))
+		l.no(number, errs.New(errs.Unauthorised, "have the operators add the customer to the plan", "the plan has no customer %q", ask.Bundle.Customer))
 		return
 	case most == boundless:
 		l.keep(keeper.Call{Number: number, Body: ask}, now)
 		return
 	}
 	l.recount(now)
-	l.Purse.Take(ask.Bundle.Customer, most, plan.Version, weight, now, func(give purse.Give, err error, now sundial.Micros) {
+	l.Purse.Take(ask.Bundle.Customer, most, plan.Version, weight, now, func(give purse.Give, err error, now clock.Micros) {
 		if err != nil {
 			l.no(number, err)
 			return
@@ -214,12 +214,12 @@
 }
 
 func (l *Ledger) no(number uint64, err error) {
-	l.Wire.Emit(stride.Answer{Call: number, Err: err})
+	l.Wire.Emit(machine.Answer{Call: number, Err: err})
 }
 
 // recount counts what waits from the ledger; what is told of at renewals has to be
 // known to the purse.
-func (l *Ledger) recount(now sundial.Micros) {
+func (l *Ledger) recount(now clock.Micros) {
 	l.counted = now
 	was := l.waiting
 	l.waiting = l.Keeper.Waiting(now)
@@ -239,10 +239,10 @@
 }
 
 // recountEvery is how old the count of what waits may be.
-const recountEvery = 100 * sundial.Millisecond
+const recountEvery = 100 * clock.Millisecond
 
 // ClockEvent lets the store do what is due.
-func (l *Ledger) ClockEvent(now sundial.Micros) []stride.Effect {
+func (l *Ledger) ClockEvent(now clock.Micros) []machine.Effect {
 	l.keep(keeper.ClockEvent{}, now)
 	if now-l.counted >= recountEvery {
 		l.recount(now)
--- a/daemon/planes/ledger_test.go
+++ b/daemon/planes/ledger_test.go
@@ -5,9 +5,9 @@
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/purse"
@@ -23,14 +23,14 @@
 // share, if there was one, and the error it answered.
 func handed(t *testing.T, most int64, items ...daybook.Item) (*purse.LendAsk, error) {
 	t.Helper()
-	now := 5 * sundial.Second
+	now := 5 * clock.Second
 	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
 	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{MostTokens: most}}, {Name: "plain", Kind: planbook.Bundle}}}
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
 	l.Fresh(now, now)
 	edge := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
-	l.Heard(stride.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
+	l.Heard(machine.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
 	route := "r"
 	if most < 0 {
 		route = "plain"
@@ -39,10 +39,10 @@
 	var err error
 	for _, effect := range l.Call(1, keeper.EnrolAsk{Bundle: daybook.Bundle{ID: "b", Customer: "r", Route: route, Items: items}}, now) {
 		switch e := effect.(type) {
-		case stride.Ask:
+		case machine.Ask:
 			ask := e.Body.(purse.LendAsk)
 			lend = &ask
-		case stride.Answer:
+		case machine.Answer:
 			err = e.Err
 		}
 	}
@@ -60,13 +60,13 @@
 	if err != nil || lend == nil || lend.Customer != "r" || lend.Allowance != 1000 || lend.Want != 341+1000/128 {
 		t.Fatalf("%+v %v", lend, err)
 	}
-	if lend, err := handed(t, 300, opaque(301)); lend != nil || !mishap.Is(err, mishap.OverAllowance) {
+	if lend, err := handed(t, 300, opaque(301)); lend != nil || !errs.Is(err, errs.OverAllowance) {
 		t.Fatalf("over the whole bound: %+v %v", lend, err)
 	}
-	if lend, err := handed(t, 0, opaque(1<<40)); lend != nil || !mishap.Is(err, mishap.NotReady) {
+	if lend, err := handed(t, 0, opaque(1<<40)); lend != nil || !errs.Is(err, errs.NotReady) {
 		t.Fatalf("without a bound it is the keeper's to answer: %+v %v", lend, err)
 	}
-	if lend, err := handed(t, -1, opaque(1)); lend != nil || !mishap.Is(err, mishap.UnknownRoute) {
+	if lend, err := handed(t, -1, opaque(1)); lend != nil || !errs.Is(err, errs.UnknownRoute) {
 		t.Fatalf("a route that passes nothing on: %+v %v", lend, err)
 	}
 }
@@ -74,16 +74,16 @@
 // Items that came by a takeover are told at the next renewal, within their
 // route's bound.
 func TestTakenOverItemsAreToldToTheirRoutesAccount(t *testing.T) {
-	now := 5 * sundial.Second
+	now := 5 * clock.Second
 	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
 	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{MostTokens: 1000}}}}
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
 	edge := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
-	l.Heard(stride.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
+	l.Heard(machine.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
 	l.work(keeper.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Request: &daybook.Request{Tokens: 70}}, now)
-	for _, effect := range l.ClockEvent(now + sundial.Second) {
-		if ask, ok := effect.(stride.Ask); ok {
+	for _, effect := range l.ClockEvent(now + clock.Second) {
+		if ask, ok := effect.(machine.Ask); ok {
 			if lend := ask.Body.(purse.LendAsk); lend.Customer != "r" || lend.Held != 70 || lend.Allowance != 1000 {
 				t.Fatalf("%+v", lend)
 			}
@@ -95,17 +95,17 @@
 
 // The store's clock lets go of items that are too old.
 func TestTheClockReachesItemsThatAreTooOld(t *testing.T) {
-	now := 5 * sundial.Second
+	now := 5 * clock.Second
 	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
-	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{Keep: 10 * sundial.Second}}}}
+	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{Keep: 10 * clock.Second}}}}
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
 	l.work(keeper.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Enrolled: now, Request: &daybook.Request{}}, now)
-	l.ClockEvent(now + 10*sundial.Second)
+	l.ClockEvent(now + 10*clock.Second)
 	if l.Items.Open() != 1 {
 		t.Fatal("it was let go too early")
 	}
-	l.ClockEvent(now + 12*sundial.Second)
+	l.ClockEvent(now + 12*clock.Second)
 	if l.Items.Open() != 0 {
 		t.Fatal("it waits still")
 	}
@@ -116,8 +116,8 @@
 	k := keeper.New(keeper.Self{ID: "s", Zone: "z", Peer: "p", Life: 2}, keeper.Defaults(), nil, noShelf{})
 	l := NewLedger("s", k, 10, 1)
 	l.Greet([]string{"seed:1"})
-	for _, effect := range l.ClockEvent(sundial.Second) {
-		if send, ok := effect.(stride.Send); ok && send.To == "seed:1" {
+	for _, effect := range l.ClockEvent(clock.Second) {
+		if send, ok := effect.(machine.Send); ok && send.To == "seed:1" {
 			if beat, ok := send.Body.(keeper.Beat); ok && beat.Life == 2 {
 				return
 			}
--- a/daemon/planes/planes.go
+++ b/daemon/planes/planes.go
@@ -9,8 +9,8 @@
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/chart"
 	"tuliprudder/core/summit"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 )
 
 // cairns gathers the cores' addresses from the directory and the core's news.
@@ -21,7 +21,7 @@
 }
 
 // hear tells whether the addresses changed.
-func (c *cairns) hear(rumour stride.Rumour) bool {
+func (c *cairns) hear(rumour machine.Rumour) bool {
 	if rumour.Key == chart.CoreKey {
 		return json.Unmarshal(rumour.Value, &c.core) == nil
 	}
@@ -80,18 +80,18 @@
 }
 
 // Letter is a message.
-func (c *Core) Letter(from string, body any, now sundial.Micros) []stride.Effect {
+func (c *Core) Letter(from string, body any, now clock.Micros) []machine.Effect {
 	return c.Do(summit.Letter{From: from, Body: body}, now)
 }
 
 // Stored is the disk's word.
-func (c *Core) Stored(token uint64, now sundial.Micros) []stride.Effect {
+func (c *Core) Stored(token uint64, now clock.Micros) []machine.Effect {
 	return c.Do(summit.Stored{Token: token}, now)
 }
 
 // Heard is news: other cores, and what is thought of the stores.
-func (c *Core) Heard(rumour stride.Rumour, now sundial.Micros) []stride.Effect {
-	var out []stride.Effect
+func (c *Core) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
+	var out []machine.Effect
 	if strings.HasPrefix(rumour.Key, "daemon/") {
 		if person, ok := people.Decode(rumour.Value); ok && person.Kind == people.Refuge {
 			out = append(out, c.Do(summit.Suspicion{ID: person.ID, Ill: person.Standing != people.Sound}, now)...)
@@ -107,19 +107,19 @@
 }
 
 // Call is an ask.
-func (c *Core) Call(number uint64, body any, now sundial.Micros) []stride.Effect {
+func (c *Core) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	return c.Do(summit.Call{Number: number, Body: body}, now)
 }
 
 // ClockEvent lets the core do what is due.
-func (c *Core) ClockEvent(now sundial.Micros) []stride.Effect {
+func (c *Core) ClockEvent(now clock.Micros) []machine.Effect {
 	return c.Do(summit.ClockEvent{}, now)
 }
 
 // Told is not for a core: it asks nobody.
-func (c *Core) Told(uint64, any, error, sundial.Micros) []stride.Effect { return nil }
+func (c *Core) Told(uint64, any, error, clock.Micros) []machine.Effect { return nil }
 
 // Fresh tells up to when this daemon's news are within reach.
-func (c *Core) Fresh(at, now sundial.Micros) []stride.Effect {
+func (c *Core) Fresh(at, now clock.Micros) []machine.Effect {
 	return c.Do(summit.Fresh{At: at}, now)
 }
--- a/daemon/planes/road.go
+++ b/daemon/planes/road.go
@@ -8,8 +8,8 @@
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/chart"
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/purse"
 	"tuliprudder/path/roster"
@@ -18,7 +18,7 @@
 // Road is what edges and stores have in common on the way to the servers: the
 // backlog, the shares, and who is who.
 type Road struct {
-	Wire     *stride.Wire
+	Wire     *machine.Wire
 	Dispatch *dispatch.Dispatch
 	Purse    *purse.Purse
 	// Read turns a confirmed document into a plan.
@@ -28,7 +28,7 @@
 }
 
 func newRoad(self string, set dispatch.Settings, seed int64, waiting func(r *Road) func(string) int) *Road {
-	r := &Road{Wire: stride.NewWire(), Dispatch: dispatch.New(set, seed), Read: planbook.Parse, self: self, folk: map[string]people.Person{}}
+	r := &Road{Wire: machine.NewWire(), Dispatch: dispatch.New(set, seed), Read: planbook.Parse, self: self, folk: map[string]people.Person{}}
 	r.Purse = purse.New(self, r.Wire, r.Folk, waiting(r))
 	return r
 }
@@ -66,8 +66,8 @@
 }
 
 // heardBy says what the road does with each kind of news.
-var heardBy = map[string]func(r *Road, rumour stride.Rumour, now sundial.Micros){
-	"daemon": func(r *Road, rumour stride.Rumour, now sundial.Micros) {
+var heardBy = map[string]func(r *Road, rumour machine.Rumour, now clock.Micros){
+	"daemon": func(r *Road, rumour machine.Rumour, now clock.Micros) {
 		if person, ok := people.Decode(rumour.Value); ok && person.Standing >= people.Dead {
 			delete(r.folk, person.ID)
 		} else if ok {
@@ -75,27 +75,27 @@
 		}
 		r.Dispatch.SetTurn(r.turn())
 	},
-	chart.PlanKey: func(r *Road, rumour stride.Rumour, now sundial.Micros) {
+	chart.PlanKey: func(r *Road, rumour machine.Rumour, now clock.Micros) {
 		var version chart.Version
 		if json.Unmarshal(rumour.Value, &version) != nil {
 			return
 		}
 		plan, err := r.Read(version.Body)
 		if err != nil {
-			r.Wire.Emit(stride.Explain{What: "a confirmed plan can't be read here; the one before stays", Fields: map[string]any{"version": version.Number, "why": err.Error()}})
+			r.Wire.Emit(machine.Explain{What: "a confirmed plan can't be read here; the one before stays", Fields: map[string]any{"version": version.Number, "why": err.Error()}})
 			return
 		}
 		plan.Version = version.Number
 		r.Dispatch.SetPlan(plan, now)
-		r.Wire.Emit(stride.Explain{What: "plan in force", Fields: map[string]any{"version": version.Number}})
+		r.Wire.Emit(machine.Explain{What: "plan in force", Fields: map[string]any{"version": version.Number}})
 	},
-	"server": func(r *Road, rumour stride.Rumour, now sundial.Micros) {
+	"server": func(r *Road, rumour machine.Rumour, now clock.Micros) {
 		var server roster.Server
 		if json.Unmarshal(rumour.Value, &server) == nil {
 			r.Dispatch.SetServer(server)
 		}
 	},
-	"load": func(r *Road, rumour stride.Rumour, now sundial.Micros) {
+	"load": func(r *Road, rumour machine.Rumour, now clock.Micros) {
 		var load roster.Load
 		if json.Unmarshal(rumour.Value, &load) == nil {
 			r.Dispatch.SetLoad(strings.TrimPrefix(rumour.Key, "load/"), rumour.Epoch, load)
@@ -103,7 +103,7 @@
 	},
 }
 
-func (r *Road) hear(rumour stride.Rumour, now sundial.Micros) {
+func (r *Road) hear(rumour machine.Rumour, now clock.Micros) {
 	word, _, _ := strings.Cut(rumour.Key, "/")
 	if act, ok := heardBy[word]; ok {
 		act(r, rumour, now)
@@ -111,13 +111,13 @@
 }
 
 // Fresh tells up to when this daemon's news are within reach.
-func (r *Road) Fresh(at, now sundial.Micros) []stride.Effect {
+func (r *Road) Fresh(at, now clock.Micros) []machine.Effect {
 	r.Dispatch.SetFresh(at)
 	return r.settle(now)
 }
 
 // settle ends a step: the backlog is looked through, and the effects go out.
-func (r *Road) settle(now sundial.Micros) []stride.Effect {
+func (r *Road) settle(now clock.Micros) []machine.Effect {
 	r.Dispatch.Settle(now)
 	return r.Wire.Drain()
 }
--- a/daemon/porter/identity.go
+++ b/daemon/porter/identity.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/strongroom"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/storage"
 )
 
 // Identity is who a daemon is. With a disk it is kept there, and each start is
@@ -29,7 +29,7 @@
 }
 
 // Fleeting is the identity of a daemon without a disk.
-func Fleeting(kind string, now sundial.Micros) Identity {
+func Fleeting(kind string, now clock.Micros) Identity {
 	return Identity{Kind: kind, ID: newID(kind), Life: uint64(now)}
 }
 
@@ -44,20 +44,20 @@
 	switch {
 	case err == nil:
 		if json.Unmarshal(data, &who) != nil || who.ID == "" {
-			return Identity{}, mishap.New(mishap.Corrupt, "move the whole data folder away and start empty; the fleet copies back what the pair holds", "identity.json in the data folder can't be read")
+			return Identity{}, errs.New(errs.Corrupt, "move the whole data folder away and start empty; the fleet copies back what the pair holds", "identity.json in the data folder can't be read")
 		}
 		if who.Kind != kind {
-			return Identity{}, mishap.New(mishap.WrongFolder, "point -data at this daemon's own folder, or at an empty one", "the data folder belongs to a %s, this is a %s", who.Kind, kind)
+			return Identity{}, errs.New(errs.WrongFolder, "point -data at this daemon's own folder, or at an empty one", "the data folder belongs to a %s, this is a %s", who.Kind, kind)
 		}
 	case os.IsNotExist(err):
 		// Records without an identity are somebody's, but nobody knows whose.
 		if left, _ := filepath.Glob(filepath.Join(folder, "records", "*.*")); len(left) > 0 {
-			return Identity{}, mishap.New(mishap.Corrupt, "move the whole data folder away and start empty; the fleet copies back what the pair holds", "the data folder has records but no identity.json")
+			return Identity{}, errs.New(errs.Corrupt, "move the whole data folder away and start empty; the fleet copies back what the pair holds", "the data folder has records but no identity.json")
 		}
 	default:
 		return Identity{}, errors.Wrap(err, "reading the identity")
 	}
 	who.Life++
 	data, _ = json.Marshal(who)
-	return who, strongroom.WriteAside(name, data, nil)
+	return who, storage.WriteAside(name, data, nil)
 }
--- a/daemon/porter/identity_test.go
+++ b/daemon/porter/identity_test.go
@@ -5,7 +5,7 @@
 	"path/filepath"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 func TestEachStartIsANewLife(t *testing.T) {
@@ -30,13 +30,13 @@
 	if _, err := Lasting(folder, "refuge"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Lasting(folder, "cairn"); !mishap.Is(err, mishap.WrongFolder) {
+	if _, err := Lasting(folder, "cairn"); !errs.Is(err, errs.WrongFolder) {
 		t.Fatalf("a store's folder for a core: %v", err)
 	}
 	if err := os.WriteFile(filepath.Join(folder, "identity.json"), []byte("{"), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Lasting(folder, "refuge"); !mishap.Is(err, mishap.Corrupt) {
+	if _, err := Lasting(folder, "refuge"); !errs.Is(err, errs.Corrupt) {
 		t.Fatalf("a damaged identity: %v", err)
 	}
 	os.Remove(filepath.Join(folder, "identity.json"))
@@ -46,7 +46,7 @@
 	if err := os.WriteFile(filepath.Join(folder, "records", "0000000000000001.group"), []byte("x"), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Lasting(folder, "refuge"); !mishap.Is(err, mishap.Corrupt) {
+	if _, err := Lasting(folder, "refuge"); !errs.Is(err, errs.Corrupt) {
 		t.Fatalf("records without an identity: %v", err)
 	}
 }
