--- a/daemon/porter/porter.go
+++ b/daemon/porter/porter.go
@@ -16,25 +16,25 @@
 
 	"tuliprudder/acquaintance/circle"
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/almhut"
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/ropeway"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/strongroom"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/ring"
+	"tuliprudder/kernel/services"
+	"tuliprudder/kernel/storage"
+	"tuliprudder/kernel/transport"
 )
 
 // Machine is what the shell needs of the machine of a daemon's plane.
 type Machine interface {
-	Letter(from string, body any, now sundial.Micros) []stride.Effect
-	Stored(token uint64, now sundial.Micros) []stride.Effect
-	Heard(rumour stride.Rumour, now sundial.Micros) []stride.Effect
-	Call(number uint64, body any, now sundial.Micros) []stride.Effect
-	Told(token uint64, body any, err error, now sundial.Micros) []stride.Effect
-	Fresh(at, now sundial.Micros) []stride.Effect
-	ClockEvent(now sundial.Micros) []stride.Effect
+	Letter(from string, body any, now clock.Micros) []machine.Effect
+	Stored(token uint64, now clock.Micros) []machine.Effect
+	Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect
+	Call(number uint64, body any, now clock.Micros) []machine.Effect
+	Told(token uint64, body any, err error, now clock.Micros) []machine.Effect
+	Fresh(at, now clock.Micros) []machine.Effect
+	ClockEvent(now clock.Micros) []machine.Effect
 }
 
 // Name is the porter's name in the hut.
@@ -47,27 +47,27 @@
 	askMost   = 30 * time.Second
 )
 
-type step func(now sundial.Micros) []stride.Effect
+type step func(now clock.Micros) []machine.Effect
 
 // Porter is the shell.
 type Porter struct {
-	Who     Identity
-	Zone    string
-	Address string // to listen on for the fleet's own traffic
-	Sundial *sundial.Sundial
-	Log     zerolog.Logger
-	Bridge  *footbridge.Bridge
-	Room    *strongroom.Room
-	Shelf   *strongroom.Shelf
+	Who       Identity
+	Zone      string
+	Address   string // to listen on for the fleet's own traffic
+	Clock     *clock.Clock
+	Log       zerolog.Logger
+	Transport *transport.Transport
+	Folder    *storage.Folder
+	Shelf     *storage.Shelf
 
 	circle   *circle.Circle
 	circleMu sync.Mutex
-	gossip   *ropeway.Ring[step]
+	gossip   *ring.Ring[step]
 
 	machine   Machine
 	machineMu sync.Mutex
-	protocol  *ropeway.Ring[step]
-	disk      *ropeway.Ring[stride.Effect]
+	protocol  *ring.Ring[step]
+	disk      *ring.Ring[machine.Effect]
 
 	onWork func(any)
 
@@ -79,28 +79,28 @@
 
 // New makes the shell of a daemon.
 func New(person people.Person, seeds []string, who Identity, log zerolog.Logger) *Porter {
-	p := &Porter{Who: who, Zone: person.Zone, Address: person.Peer, Sundial: sundial.New(clockwork.NewRealClock()), Log: log, exit: os.Exit,
-		gossip: ropeway.New[step](ringSize)}
+	p := &Porter{Who: who, Zone: person.Zone, Address: person.Peer, Clock: clock.New(clockwork.NewRealClock()), Log: log, exit: os.Exit,
+		gossip: ring.New[step](ringSize)}
 	p.circle = circle.New(person, seeds, circle.Defaults(), int64(who.Life)^int64(len(who.ID))^time.Now().UnixNano())
-	p.Bridge = footbridge.New(person.Peer, p)
+	p.Transport = transport.New(person.Peer, p)
 	return p
 }
 
 // Carry gives the porter the machine of the daemon's plane.
-func (p *Porter) Carry(machine Machine, room *strongroom.Room) {
-	p.machine, p.Room = machine, room
-	p.protocol, p.disk = ropeway.New[step](ringSize), ropeway.New[stride.Effect](diskRing)
+func (p *Porter) Carry(handler Machine, room *storage.Folder) {
+	p.machine, p.Folder = handler, room
+	p.protocol, p.disk = ring.New[step](ringSize), ring.New[machine.Effect](diskRing)
 }
 
 // OnWork is handed the machine's work.
 func (p *Porter) OnWork(f func(any)) { p.onWork = f }
 
 // Now is the daemon's time.
-func (p *Porter) Now() sundial.Micros { return p.Sundial.Now() }
+func (p *Porter) Now() clock.Micros { return p.Clock.Now() }
 
 // Start starts the threads.
-func (p *Porter) Start(_ *almhut.Hut, ends *belay.Stack) error {
-	unlisten, err := p.Bridge.Listen(p.Address)
+func (p *Porter) Start(_ *services.Registry, ends *cleanup.Stack) error {
+	unlisten, err := p.Transport.Listen(p.Address)
 	if err != nil {
 		return err
 	}
@@ -123,12 +123,12 @@
 		}
 		threads.Wait()
 	})
-	belay.Every(ends, tickEvery, p.clock)
+	cleanup.Every(ends, tickEvery, p.clock)
 	return nil
 }
 
 // turn is a protocol thread: it takes steps off its ring, one after the other.
-func (p *Porter) turn(ring *ropeway.Ring[step], mu *sync.Mutex) {
+func (p *Porter) turn(ring *ring.Ring[step], mu *sync.Mutex) {
 	for {
 		steps := ring.Take(256)
 		if steps == nil {
@@ -146,59 +146,59 @@
 // clock sends a clock event to each machine; one that was not taken yet is not
 // doubled.
 func (p *Porter) clock() {
-	p.tick(0, p.gossip, func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.ClockEvent{}, now) })
+	p.tick(0, p.gossip, func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.ClockEvent{}, now) })
 	if p.machine != nil {
 		p.tick(1, p.protocol, p.machine.ClockEvent)
 	}
 }
 
-func (p *Porter) tick(which int, ring *ropeway.Ring[step], do step) {
+func (p *Porter) tick(which int, ring *ring.Ring[step], do step) {
 	if p.ticking[which].Swap(true) {
 		return
 	}
-	if !ring.Put(func(now sundial.Micros) []stride.Effect { p.ticking[which].Store(false); return do(now) }) {
+	if !ring.Put(func(now clock.Micros) []machine.Effect { p.ticking[which].Store(false); return do(now) }) {
 		p.ticking[which].Store(false)
 	}
 }
 
 // carry does what a machine decided.
-func (p *Porter) carry(effects []stride.Effect) {
+func (p *Porter) carry(effects []machine.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
-		case stride.Send:
+		case machine.Send:
 			if e.To != "" {
-				p.Bridge.Send(e.To, e.Body)
+				p.Transport.Send(e.To, e.Body)
 			}
-		case stride.Store, stride.Fold, stride.Shelve, stride.Unshelve:
+		case machine.Store, machine.Fold, machine.Shelve, machine.Unshelve:
 			if !p.disk.Put(effect) {
 				p.Log.Error().Int("waiting", p.disk.Len()).Msg("the disk takes no more writes; ending, so that the pair's other end serves")
 				p.exit(3)
 			}
-		case stride.Answer:
+		case machine.Answer:
 			if waiting, ok := p.calls.LoadAndDelete(e.Call); ok {
-				waiting.(chan stride.Answer) <- e
+				waiting.(chan machine.Answer) <- e
 			}
-		case stride.Publish:
+		case machine.Publish:
 			p.Tell(e.Rumour)
-		case stride.Spread:
-			p.gossip.Put(func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.Spread(e), now) })
-		case stride.Heard:
+		case machine.Spread:
+			p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Spread(e), now) })
+		case machine.Heard:
 			if p.machine != nil {
-				p.Do(func(now sundial.Micros) []stride.Effect { return p.machine.Heard(e.Rumour, now) })
+				p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Heard(e.Rumour, now) })
 			}
-		case stride.Fresh:
+		case machine.Fresh:
 			if p.machine != nil {
-				p.Do(func(now sundial.Micros) []stride.Effect { return p.machine.Fresh(e.At, now) })
+				p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Fresh(e.At, now) })
 			}
-		case stride.Ask:
+		case machine.Ask:
 			go p.ask(e)
-		case stride.Explain:
+		case machine.Explain:
 			p.Log.Info().Fields(e.Fields).Msg(e.What)
-		case stride.Halt:
+		case machine.Halt:
 			p.Log.Error().Err(e.Err).Msg("ending")
 			os.Stderr.WriteString(p.Who.ID + ": " + e.Err.Error() + "\n")
 			p.exit(4)
-		case stride.Work:
+		case machine.Work:
 			if p.onWork != nil {
 				p.onWork(e.Order)
 			}
@@ -207,13 +207,13 @@
 }
 
 // ask asks another daemon for the machine, and hands it the answer.
-func (p *Porter) ask(e stride.Ask) {
+func (p *Porter) ask(e machine.Ask) {
 	var body any
-	err := mishap.New(mishap.NotReady, "ask again", "the daemon to ask is not known")
+	err := errs.New(errs.NotReady, "ask again", "the daemon to ask is not known")
 	if e.To != "" {
-		body, err = p.Bridge.Ask(e.To, e.Body, e.Expiry)
+		body, err = p.Transport.Ask(e.To, e.Body, e.Expiry)
 	}
-	p.Insist(func(now sundial.Micros) []stride.Effect { return p.machine.Told(e.Token, body, err, now) })
+	p.Insist(func(now clock.Micros) []machine.Effect { return p.machine.Told(e.Token, body, err, now) })
 }
 
 // Insist puts a step for the machine on its ring, and waits where the ring is
@@ -232,11 +232,11 @@
 		if batch == nil {
 			return
 		}
-		var records []stride.Record
+		var records []machine.Record
 		var tokens []uint64
 		stored := func(done []uint64) {
-			p.Insist(func(now sundial.Micros) []stride.Effect {
-				var out []stride.Effect
+			p.Insist(func(now clock.Micros) []machine.Effect {
+				var out []machine.Effect
 				for _, token := range done {
 					out = append(out, p.machine.Stored(token, now)...)
 				}
@@ -247,24 +247,24 @@
 			if len(records) == 0 {
 				return
 			}
-			p.must(p.Room.Write(records))
+			p.must(p.Folder.Write(records))
 			done := tokens
 			records, tokens = nil, nil
 			stored(done)
 		}
 		for _, effect := range batch {
 			switch e := effect.(type) {
-			case stride.Store:
+			case machine.Store:
 				records = append(records, e.Records...)
 				tokens = append(tokens, e.Token)
-			case stride.Fold:
+			case machine.Fold:
 				flush()
-				p.must(p.Room.Fold(e.Records))
-			case stride.Shelve:
+				p.must(p.Folder.Fold(e.Records))
+			case machine.Shelve:
 				flush()
-				p.must(p.Shelf.Put(e.File, e.Records, p.Room))
+				p.must(p.Shelf.Put(e.File, e.Records, p.Folder))
 				stored([]uint64{e.Token})
-			case stride.Unshelve:
+			case machine.Unshelve:
 				flush()
 				p.Shelf.Drop(e.Files)
 			}
@@ -285,17 +285,17 @@
 func (p *Porter) Do(one step) bool { return p.protocol.Put(one) }
 
 // Tell spreads news that starts at this daemon.
-func (p *Porter) Tell(rumour stride.Rumour) {
-	p.gossip.Put(func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.Tell{Rumour: rumour}, now) })
+func (p *Porter) Tell(rumour machine.Rumour) {
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Tell{Rumour: rumour}, now) })
 }
 
 // staleAfter is the age of this daemon's news past which it takes no words of the
 // platform: they might not reach most of the fleet.
-const staleAfter = 2500 * sundial.Millisecond
+const staleAfter = 2500 * clock.Millisecond
 
 // Reseed names other seeds to ask.
 func (p *Porter) Reseed(seeds []string) {
-	p.gossip.Put(func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.Reseed{Seeds: seeds}, now) })
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Reseed{Seeds: seeds}, now) })
 }
 
 // Reaches tells whether this daemon hears most of the fleet's roll.
@@ -304,36 +304,36 @@
 	age := p.Now() - p.circle.LastSwap()
 	p.circleMu.Unlock()
 	if age > staleAfter {
-		return mishap.Later(mishap.NotReady, sundial.Second, "put it at another daemon, or come back", "this daemon does not hear most of the fleet; nothing was told")
+		return errs.Later(errs.NotReady, clock.Second, "put it at another daemon, or come back", "this daemon does not hear most of the fleet; nothing was told")
 	}
 	return nil
 }
 
 // Spread spreads news that start at this daemon, and waits until most of the
 // fleet's roll know them.
-func (p *Porter) Spread(rumour stride.Rumour, expiry sundial.Micros) error {
+func (p *Porter) Spread(rumour machine.Rumour, expiry clock.Micros) error {
 	number := p.number.Add(1)
-	answer := make(chan stride.Answer, 1)
+	answer := make(chan machine.Answer, 1)
 	p.calls.Store(number, answer)
-	if !p.gossip.Put(func(now sundial.Micros) []stride.Effect {
+	if !p.gossip.Put(func(now clock.Micros) []machine.Effect {
 		return p.circle.Do(circle.Spread{Rumour: rumour, Call: number, Expiry: expiry}, now)
 	}) {
 		p.calls.Delete(number)
-		return mishap.Later(mishap.Busy, sundial.Second, "come back after the time given", "the daemon's ring is full")
+		return errs.Later(errs.Busy, clock.Second, "come back after the time given", "the daemon's ring is full")
 	}
 	return (<-answer).Err
 }
 
 // Deliver takes a message off the wire.
-func (p *Porter) Deliver(letter footbridge.Envelope) {
+func (p *Porter) Deliver(letter transport.Envelope) {
 	if ofCircle(letter.Body) {
-		p.gossip.Put(func(now sundial.Micros) []stride.Effect {
+		p.gossip.Put(func(now clock.Micros) []machine.Effect {
 			return p.circle.Do(circle.Letter{From: letter.From, Body: letter.Body}, now)
 		})
 		return
 	}
 	if p.machine != nil {
-		p.Do(func(now sundial.Micros) []stride.Effect { return p.machine.Letter(letter.From, letter.Body, now) })
+		p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Letter(letter.From, letter.Body, now) })
 	}
 }
 
@@ -346,7 +346,7 @@
 }
 
 // Ask answers a question off the wire.
-func (p *Porter) Ask(letter footbridge.Envelope) (any, error) {
+func (p *Porter) Ask(letter transport.Envelope) (any, error) {
 	return p.AskHere(letter.Body)
 }
 
@@ -359,14 +359,14 @@
 // first: then the machine is told so, and its answer is waited for all the same.
 func (p *Porter) AskUntil(ctx context.Context, body, left any, most time.Duration) (any, error) {
 	if p.machine == nil {
-		return nil, mishap.New(mishap.BadInput, "ask a daemon of the right kind", "this daemon answers no such ask: %T", body)
+		return nil, errs.New(errs.BadInput, "ask a daemon of the right kind", "this daemon answers no such ask: %T", body)
 	}
 	number := p.number.Add(1)
-	answer := make(chan stride.Answer, 1)
+	answer := make(chan machine.Answer, 1)
 	p.calls.Store(number, answer)
-	if !p.Do(func(now sundial.Micros) []stride.Effect { return p.machine.Call(number, body, now) }) {
+	if !p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Call(number, body, now) }) {
 		p.calls.Delete(number)
-		return nil, mishap.Later(mishap.Busy, sundial.Second, "come back after the time given", "the daemon's ring is full")
+		return nil, errs.Later(errs.Busy, clock.Second, "come back after the time given", "the daemon's ring is full")
 	}
 	clockEvent := time.NewTimer(most)
 	defer clockEvent.Stop()
@@ -387,7 +387,7 @@
 
 // Word hands the machine a word that nobody waits for the answer of.
 func (p *Porter) Word(body any) {
-	p.Insist(func(now sundial.Micros) []stride.Effect { return p.machine.Call(p.number.Add(1), body, now) })
+	p.Insist(func(now clock.Micros) []machine.Effect { return p.machine.Call(p.number.Add(1), body, now) })
 }
 
 // Folk is the directory as this daemon knows it.
@@ -398,21 +398,21 @@
 }
 
 // News is the rumour known under a key.
-func (p *Porter) News(key string) (stride.Rumour, bool) {
+func (p *Porter) News(key string) (machine.Rumour, bool) {
 	p.circleMu.Lock()
 	defer p.circleMu.Unlock()
 	return p.circle.News(key)
 }
 
 // Under lists the rumours whose keys begin with a word.
-func (p *Porter) Under(prefix string) []stride.Rumour {
+func (p *Porter) Under(prefix string) []machine.Rumour {
 	p.circleMu.Lock()
 	defer p.circleMu.Unlock()
 	return p.circle.Under(prefix)
 }
 
 // Inside runs f while the machine stands still.
-func (p *Porter) Inside(f func(now sundial.Micros)) {
+func (p *Porter) Inside(f func(now clock.Micros)) {
 	p.machineMu.Lock()
 	defer p.machineMu.Unlock()
 	f(p.Now())
@@ -420,19 +420,19 @@
 
 // Draining tells everyone that this daemon goes soon; Leaving that it is gone.
 func (p *Porter) Draining() {
-	p.gossip.Put(func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.Drain{}, now) })
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Drain{}, now) })
 }
 
 // Leaving tells everyone that this daemon has left on purpose.
 func (p *Porter) Leaving() {
-	p.gossip.Put(func(now sundial.Micros) []stride.Effect { return p.circle.Do(circle.Leave{}, now) })
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Leave{}, now) })
 }
 
 // Counters are the shell's counts for the operators.
 func (p *Porter) Counters() map[string]int64 {
 	out := map[string]int64{
-		"messages_sent": p.Bridge.Sent.Load(), "calls_made": p.Bridge.Calls.Load(),
-		"messages_lost": p.Bridge.Lost.Load(), "bytes_out": p.Bridge.BytesOut.Load(),
+		"messages_sent": p.Transport.Sent.Load(), "calls_made": p.Transport.Calls.Load(),
+		"messages_lost": p.Transport.Lost.Load(), "bytes_out": p.Transport.BytesOut.Load(),
 		"news_ring_dropped": p.gossip.Dropped(),
 	}
 	p.circleMu.Lock()
@@ -443,18 +443,18 @@
 	if p.machine != nil {
 		out["protocol_ring_dropped"] = p.protocol.Dropped()
 	}
-	if p.Room != nil {
-		out["disk_syncs"], out["disk_bytes"] = p.Room.Syncs.Load(), p.Room.Bytes.Load()
+	if p.Folder != nil {
+		out["disk_syncs"], out["disk_bytes"] = p.Folder.Syncs.Load(), p.Folder.Bytes.Load()
 	}
 	return out
 }
 
 // OpenShelf opens the shelf under a data folder.
-func OpenShelf(folder string) (*strongroom.Shelf, error) {
-	return strongroom.OpenShelf(filepath.Join(folder, "shelf"))
+func OpenShelf(folder string) (*storage.Shelf, error) {
+	return storage.OpenShelf(filepath.Join(folder, "shelf"))
 }
 
 // OpenRoom opens the records under a data folder.
-func OpenRoom(folder string) (*strongroom.Room, []stride.Record, error) {
-	return strongroom.Open(filepath.Join(folder, "records"))
+func OpenRoom(folder string) (*storage.Folder, []machine.Record, error) {
+	return storage.Open(filepath.Join(folder, "records"))
 }
--- a/kernel/belay/belay.go
+++ b/kernel/cleanup/cleanup.go
@@ -1,5 +1,5 @@
-// Package belay keeps a stack of clean-ups that run in reverse (DESIGN §2).
-package belay
+// Package cleanup keeps a stack of clean-ups that run in reverse (DESIGN §2).
+package cleanup
 
 import "sync"
 
--- a/kernel/belay/every.go
+++ b/kernel/cleanup/every.go
@@ -1,4 +1,4 @@
-package belay
+package cleanup
 
 import "time"
 
--- a/kernel/sundial/sundial.go
+++ b/kernel/clock/clock.go
@@ -1,5 +1,5 @@
-// Package sundial tells the time in whole microseconds (DESIGN §2).
-package sundial
+// Package clock tells the time in whole microseconds (DESIGN §2).
+package clock
 
 import (
 	"time"
@@ -16,28 +16,28 @@
 	Second      Micros = 1000 * Millisecond
 )
 
-// Sundial reads a clock that only moves forward, so that a step of the wall
+// Clock reads a clock that only moves forward, so that a step of the wall
 // clock never shortens a lease.
-type Sundial struct {
+type Clock struct {
 	clock clockwork.Clock
 	start time.Time
 	base  Micros
 }
 
 // New starts a sundial on the given clock.
-func New(clock clockwork.Clock) *Sundial {
+func New(clock clockwork.Clock) *Clock {
 	start := clock.Now()
-	return &Sundial{clock: clock, start: start, base: start.UnixMicro()}
+	return &Clock{clock: clock, start: start, base: start.UnixMicro()}
 }
 
 // Now is the time in microseconds: wall time at the start plus what has
 // passed since by the steady clock.
-func (s *Sundial) Now() Micros {
+func (s *Clock) Now() Micros {
 	return s.base + s.clock.Since(s.start).Microseconds()
 }
 
 // Clock is the clock underneath.
-func (s *Sundial) Clock() clockwork.Clock { return s.clock }
+func (s *Clock) Clock() clockwork.Clock { return s.clock }
 
 // Span turns microseconds into the standard library's duration.
 func Span(m Micros) time.Duration { return time.Duration(m) * time.Microsecond }
--- a/kernel/mishap/mishap.go
+++ b/kernel/errs/errs.go
@@ -1,6 +1,6 @@
-// Package mishap has the typed kinds of error; every message names the remedy
+// Package errs has the typed kinds of error; every message names the remedy
 // (DESIGN §10).
-package mishap
+package errs
 
 import (
 	"fmt"
@@ -47,8 +47,8 @@
 	ServerFault: http.StatusBadGateway, Refused: http.StatusConflict,
 }
 
-// Mishap is an error with its kind, what happened and the remedy.
-type Mishap struct {
+// Error is an error with its kind, what happened and the remedy.
+type Error struct {
 	Kind       Kind     `json:"kind"`
 	Message    string   `json:"message"`
 	Remedy     string   `json:"remedy"`
@@ -57,12 +57,12 @@
 }
 
 // Error names what happened and the remedy.
-func (m *Mishap) Error() string {
+func (m *Error) Error() string {
 	return fmt.Sprintf("%s: %s; remedy: %s", m.Kind, m.Message, m.Remedy)
 }
 
 // Status is the HTTP status of the kind.
-func (m *Mishap) Status() int {
+func (m *Error) Status() int {
 	if status, ok := statuses[m.Kind]; ok {
 		return status
 	}
@@ -71,22 +71,22 @@
 
 // New makes a mishap with a stack.
 func New(kind Kind, remedy, format string, args ...any) error {
-	return errors.WithStack(&Mishap{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy})
+	return errors.WithStack(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy})
 }
 
 // Later makes a mishap that tells the caller when to come back.
 func Later(kind Kind, after int64, remedy, format string, args ...any) error {
-	return errors.WithStack(&Mishap{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy, RetryAfter: after})
+	return errors.WithStack(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy, RetryAfter: after})
 }
 
 // Of finds the mishap inside an error; an error without one is a server fault
 // whose outcome is unknown.
-func Of(err error) *Mishap {
-	var found *Mishap
+func Of(err error) *Error {
+	var found *Error
 	if errors.As(err, &found) {
 		return found
 	}
-	return &Mishap{Kind: OutcomeUnknown, Message: err.Error(), Remedy: "ask again with the same idempotency key", RetryAfter: 1_000_000}
+	return &Error{Kind: OutcomeUnknown, Message: err.Error(), Remedy: "ask again with the same idempotency key", RetryAfter: 1_000_000}
 }
 
 // Is tells whether an error is of a kind.
--- a/kernel/porch/raw.go
+++ b/kernel/httpserver/raw.go
@@ -1,4 +1,4 @@
-package porch
+package httpserver
 
 import (
 	"context"
--- a/kernel/porch/porch.go
+++ b/kernel/httpserver/server.go
@@ -1,8 +1,8 @@
-// Package porch is the HTTP front of every daemon, built on go-zero's rest
+// Package httpserver is the HTTP front of every daemon, built on go-zero's rest
 // (DESIGN §2, §10). Of go-zero's own chain only the recovery stays on: its
 // shedding, breaker, timeout and size limits turn away or cut on their own, and
 // an order's outcome must never be hidden by its front door.
-package porch
+package httpserver
 
 import (
 	"encoding/json"
@@ -15,16 +15,16 @@
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/rest"
 
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 )
 
 // Handler answers one request; an error is written as a typed JSON error.
 type Handler func(w http.ResponseWriter, r *http.Request) error
 
-// Porch gathers routes, then serves them.
-type Porch struct {
+// Server gathers routes, then serves them.
+type Server struct {
 	address string
 	routes  []rest.Route
 	gate    chan struct{}
@@ -32,18 +32,18 @@
 }
 
 // New makes a porch with bounds on open requests and body size.
-func New(address string, mostOpen int, mostBytes int64) *Porch {
-	return &Porch{address: address, gate: make(chan struct{}, mostOpen), most: mostBytes}
+func New(address string, mostOpen int, mostBytes int64) *Server {
+	return &Server{address: address, gate: make(chan struct{}, mostOpen), most: mostBytes}
 }
 
 // Handle adds a route; paths use go-zero's :name for parts.
-func (p *Porch) Handle(method, path string, handle Handler) {
+func (p *Server) Handle(method, path string, handle Handler) {
 	p.routes = append(p.routes, rest.Route{Method: method, Path: path, Handler: func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case p.gate <- struct{}{}:
 			defer func() { <-p.gate }()
 		default:
-			WriteError(w, mishap.Later(mishap.Busy, sundial.Second, "come back after the time given", "this daemon has as many open requests as it may"))
+			WriteError(w, errs.Later(errs.Busy, clock.Second, "come back after the time given", "this daemon has as many open requests as it may"))
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, p.most)
@@ -54,10 +54,10 @@
 }
 
 // Open is how many requests are open.
-func (p *Porch) Open() int { return len(p.gate) }
+func (p *Server) Open() int { return len(p.gate) }
 
 // Start serves until the clean-ups run.
-func (p *Porch) Start(ends *belay.Stack) error {
+func (p *Server) Start(ends *cleanup.Stack) error {
 	address, err := netip.ParseAddrPort(p.address)
 	if err != nil {
 		return errors.Wrap(err, "the http address")
@@ -67,7 +67,7 @@
 	conf.Log.Mode, conf.Log.Encoding = "console", "json"
 	conf.Middlewares.Recover = true
 	server, err := rest.NewServer(conf, rest.WithNotFoundHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		WriteError(w, mishap.New(mishap.NotFound, "see the caller and operator pages for the paths there are", "no such path: %s %s", r.Method, r.URL.Path))
+		WriteError(w, errs.New(errs.NotFound, "see the caller and operator pages for the paths there are", "no such path: %s %s", r.Method, r.URL.Path))
 	})))
 	if err != nil {
 		return errors.Wrap(err, "setting up the http front")
@@ -93,7 +93,7 @@
 // WriteError answers with the typed error and, where the caller may come back,
 // Retry-After in whole seconds.
 func WriteError(w http.ResponseWriter, err error) {
-	m := mishap.Of(err)
+	m := errs.Of(err)
 	if m.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(math.Ceil(float64(m.RetryAfter)/1e6)), 10))
 	}
@@ -106,9 +106,9 @@
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
-			return nil, mishap.New(mishap.TooLarge, "send a smaller body, or several bundles", "the body is over %d bytes", large.Limit)
+			return nil, errs.New(errs.TooLarge, "send a smaller body, or several bundles", "the body is over %d bytes", large.Limit)
 		}
-		return nil, mishap.New(mishap.BadInput, "send the whole body", "the body broke off: %v", err)
+		return nil, errs.New(errs.BadInput, "send the whole body", "the body broke off: %v", err)
 	}
 	return data, nil
 }
@@ -118,10 +118,10 @@
 	decoder := json.NewDecoder(bytesReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return mishap.New(mishap.BadInput, "send JSON of the form on the caller page", "the body is not as expected: %v", err)
+		return errs.New(errs.BadInput, "send JSON of the form on the caller page", "the body is not as expected: %v", err)
 	}
 	if decoder.More() {
-		return mishap.New(mishap.BadInput, "send one JSON value", "something follows the body's JSON")
+		return errs.New(errs.BadInput, "send one JSON value", "something follows the body's JSON")
 	}
 	return nil
 }
--- a/kernel/logbook/logbook.go
+++ b/kernel/logging/logging.go
@@ -1,5 +1,5 @@
-// Package logbook writes the JSON-line log (DESIGN §10).
-package logbook
+// Package logging writes the JSON-line log (DESIGN §10).
+package logging
 
 import (
 	"io"
--- a/kernel/stride/entries.go
+++ b/kernel/machine/entries.go
@@ -1,4 +1,4 @@
-package stride
+package machine
 
 import (
 	"bytes"
--- a/kernel/stride/stride.go
+++ b/kernel/machine/machine.go
@@ -1,9 +1,9 @@
-// Package stride is what every state machine takes and yields (DESIGN §2):
+// Package machine is what every state machine takes and yields (DESIGN §2):
 // commands and the time in, effects out. Nothing here touches a thread, a
 // socket, a file or a clock.
-package stride
+package machine
 
-import "tuliprudder/kernel/sundial"
+import "tuliprudder/kernel/clock"
 
 // Effect is one thing the shell has to do.
 type Effect interface{ effect() }
@@ -96,7 +96,7 @@
 
 // Command is one input of a machine of type M.
 type Command[M any] interface {
-	Apply(machine M, now sundial.Micros)
+	Apply(machine M, now clock.Micros)
 }
 
 // Out collects the effects of one step.
--- a/kernel/stride/wire.go
+++ b/kernel/machine/wire.go
@@ -1,6 +1,6 @@
-package stride
+package machine
 
-import "tuliprudder/kernel/sundial"
+import "tuliprudder/kernel/clock"
 
 // Ask asks a daemon by its address; the shell answers with Told{Token} once: the
 // answer, or an error when the expiry passed.
@@ -8,11 +8,11 @@
 	Token  uint64
 	To     string
 	Body   any
-	Expiry sundial.Micros
+	Expiry clock.Micros
 }
 
 // Fresh tells a daemon's other machines up to when its news are within reach.
-type Fresh struct{ At sundial.Micros }
+type Fresh struct{ At clock.Micros }
 
 // Spread hands news to the acquaintance; the call is answered once most of the
 // fleet's roll know them, or told that it is not known whether they do.
@@ -20,7 +20,7 @@
 	Rumour Rumour
 	Call   uint64
 	Body   any
-	Expiry sundial.Micros
+	Expiry clock.Micros
 }
 
 func (Spread) effect() {}
@@ -28,7 +28,7 @@
 func (Fresh) effect()  {}
 
 // Back takes an answer.
-type Back func(body any, err error, now sundial.Micros)
+type Back func(body any, err error, now clock.Micros)
 
 // Wire is where the parts of one daemon's machine put their effects, and where
 // they wait for the answers of other daemons.
@@ -48,14 +48,14 @@
 }
 
 // Ask asks another daemon; back is told once.
-func (w *Wire) Ask(to string, body any, expiry sundial.Micros, back Back) {
+func (w *Wire) Ask(to string, body any, expiry clock.Micros, back Back) {
 	token := w.Token()
 	w.waits[token] = back
 	w.Emit(Ask{Token: token, To: to, Body: body, Expiry: expiry})
 }
 
 // Told hands an answer to who waits for it; a second one finds nobody.
-func (w *Wire) Told(token uint64, body any, err error, now sundial.Micros) {
+func (w *Wire) Told(token uint64, body any, err error, now clock.Micros) {
 	if back := w.waits[token]; back != nil {
 		delete(w.waits, token)
 		back(body, err, now)
--- a/kernel/ropeway/ropeway.go
+++ b/kernel/ring/ring.go
@@ -1,5 +1,5 @@
-// Package ropeway holds the bounded rings that join threads (DESIGN §2).
-package ropeway
+// Package ring holds the bounded rings that join threads (DESIGN §2).
+package ring
 
 import "sync"
 
--- a/kernel/ropeway/ropeway_test.go
+++ b/kernel/ring/ring_test.go
@@ -1,4 +1,4 @@
-package ropeway
+package ring
 
 import "testing"
 
--- a/kernel/almhut/almhut.go
+++ b/kernel/services/services.go
@@ -1,33 +1,33 @@
-// Package almhut is the micro-kernel: services are registered by name, find
+// Package services is the micro-kernel: services are registered by name, find
 // each other by name, start in order and end in reverse (DESIGN §2).
-package almhut
+package services
 
 import (
 	"sync"
 
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/errs"
 )
 
 // Service is a part of a daemon. Start must not block; what it started is
 // ended by the clean-ups it pushes.
 type Service interface {
-	Start(hut *Hut, ends *belay.Stack) error
+	Start(hut *Registry, ends *cleanup.Stack) error
 }
 
-// Hut holds a daemon's services.
-type Hut struct {
+// Registry holds a daemon's services.
+type Registry struct {
 	mu     sync.Mutex
 	names  []string
 	byName map[string]Service
-	ends   belay.Stack
+	ends   cleanup.Stack
 }
 
 // New makes an empty hut.
-func New() *Hut { return &Hut{byName: map[string]Service{}} }
+func New() *Registry { return &Registry{byName: map[string]Service{}} }
 
 // Register adds a service under a name that is not yet taken.
-func (h *Hut) Register(name string, service Service) {
+func (h *Registry) Register(name string, service Service) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if _, taken := h.byName[name]; taken {
@@ -38,19 +38,19 @@
 }
 
 // Find looks up a service of the wanted type by name.
-func Find[T any](h *Hut, name string) (T, error) {
+func Find[T any](h *Registry, name string) (T, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	found, ok := h.byName[name].(T)
 	if !ok {
 		var none T
-		return none, mishap.New(mishap.BadSettings, "register it before the services that need it", "no service %q of the wanted type", name)
+		return none, errs.New(errs.BadSettings, "register it before the services that need it", "no service %q of the wanted type", name)
 	}
 	return found, nil
 }
 
 // Start starts all in the order of registration; on a fault it ends what ran.
-func (h *Hut) Start() error {
+func (h *Registry) Start() error {
 	for _, name := range h.names {
 		if err := h.byName[name].Start(h, &h.ends); err != nil {
 			h.ends.Run()
@@ -61,4 +61,4 @@
 }
 
 // Stop ends all in reverse.
-func (h *Hut) Stop() { h.ends.Run() }
+func (h *Registry) Stop() { h.ends.Run() }
--- a/kernel/rucksack/rucksack.go
+++ b/kernel/settings/settings.go
@@ -1,6 +1,6 @@
-// Package rucksack reads a daemon's settings: flags first, then the settings
+// Package settings reads a daemon's settings: flags first, then the settings
 // file; each fault is named, none is guessed away (DESIGN §10).
-package rucksack
+package settings
 
 import (
 	"flag"
@@ -12,7 +12,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 // Common are the settings every daemon has.
@@ -120,7 +120,7 @@
 	if len(r.faults) == 0 {
 		return nil
 	}
-	return &mishap.Mishap{Kind: mishap.BadSettings, Message: fmt.Sprintf("%d faults in the settings", len(r.faults)),
+	return &errs.Error{Kind: errs.BadSettings, Message: fmt.Sprintf("%d faults in the settings", len(r.faults)),
 		Remedy: "correct each named setting", Faults: r.faults}
 }
 
@@ -135,7 +135,7 @@
 		}
 	}
 	if err := r.Parse(args); err != nil {
-		m := mishap.Of(err)
+		m := errs.Of(err)
 		fmt.Fprintf(os.Stderr, "%s: %s\n", r.Flags.Name(), m.Message)
 		for _, fault := range m.Faults {
 			fmt.Fprintf(os.Stderr, "  %s\n", fault)
--- a/kernel/rucksack/rucksack_test.go
+++ b/kernel/settings/settings_test.go
@@ -1,4 +1,4 @@
-package rucksack
+package settings
 
 import (
 	"os"
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 func reader() (*Reader, *Common, *int64) {
@@ -22,10 +22,10 @@
 func TestEveryFaultIsNamed(t *testing.T) {
 	r, _, _ := reader()
 	err := r.Parse([]string{"-peer", "localhost:1", "-seeds", "127.0.0.1:1,nonsense", "-number", "11", "stray"})
-	if !mishap.Is(err, mishap.BadSettings) {
+	if !errs.Is(err, errs.BadSettings) {
 		t.Fatalf("told %v", err)
 	}
-	all := strings.Join(mishap.Of(err).Faults, "\n")
+	all := strings.Join(errs.Of(err).Faults, "\n")
 	for _, word := range []string{"-zone is missing", "-peer \"localhost:1\"", "-http", "-seeds \"nonsense\"", "names 2 addresses", "-data is missing", "-number 11", "stray"} {
 		if !strings.Contains(all, word) {
 			t.Errorf("no fault says %q in:\n%s", word, all)
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	r, _, _ = reader()
-	if err := r.Parse([]string{"-settings", file}); !mishap.Is(err, mishap.BadSettings) || !strings.Contains(mishap.Of(err).Faults[0], "colour") {
+	if err := r.Parse([]string{"-settings", file}); !errs.Is(err, errs.BadSettings) || !strings.Contains(errs.Of(err).Faults[0], "colour") {
 		t.Fatalf("an unknown setting in the file: %v", err)
 	}
 }
--- a/kernel/strongroom/shelf.go
+++ b/kernel/storage/shelf.go
@@ -1,4 +1,4 @@
-package strongroom
+package storage
 
 import (
 	"os"
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 )
 
 const shelfSuffix = ".shelf"
@@ -16,7 +16,7 @@
 // Shelf holds files of settled records beside a room's versions. Put and Drop
 // are the disk thread's, Get may be called by any.
 type Shelf struct {
-	room *Room
+	room *Folder
 	top  uint64
 	held []uint64
 	mu   sync.Mutex
@@ -30,7 +30,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, errors.Wrap(err, "making the shelf's folder")
 	}
-	shelf := &Shelf{room: &Room{folder: folder}}
+	shelf := &Shelf{room: &Folder{folder: folder}}
 	entries, err := os.ReadDir(folder)
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the shelf's folder")
@@ -57,7 +57,7 @@
 func (s *Shelf) Top() uint64 { return s.top }
 
 // Put makes a file durable.
-func (s *Shelf) Put(file uint64, records []stride.Record, room *Room) error {
+func (s *Shelf) Put(file uint64, records []machine.Record, room *Folder) error {
 	data, err := encode(records)
 	if err != nil {
 		return err
@@ -86,7 +86,7 @@
 	}
 	body, ok := s.decoded[unit]
 	if !ok {
-		return nil, mishap.New(mishap.Corrupt, "this disk is damaged: move the whole data folder away and start empty", "the shelf's file %d does not hold %s", file, unit)
+		return nil, errs.New(errs.Corrupt, "this disk is damaged: move the whole data folder away and start empty", "the shelf's file %d does not hold %s", file, unit)
 	}
 	return body, nil
 }
--- a/kernel/strongroom/strongroom.go
+++ b/kernel/storage/storage.go
@@ -1,6 +1,6 @@
-// Package strongroom keeps a machine's records on disk: one file for each
+// Package storage keeps a machine's records on disk: one file for each
 // version, written aside, synced, renamed, and the folder synced (DESIGN §6.7).
-package strongroom
+package storage
 
 import (
 	"encoding/binary"
@@ -15,8 +15,8 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 )
 
 const (
@@ -29,8 +29,8 @@
 	magic     = "TRV2"
 )
 
-// Room is one data folder. It is used by one thread.
-type Room struct {
+// Folder is one data folder. It is used by one thread.
+type Folder struct {
 	folder string
 	next   uint64
 	// Syncs and Bytes count what the disk was asked for.
@@ -42,7 +42,7 @@
 // Open reads the folder back: the newest view, then the groups after it.
 // Half-written files were never renamed and are removed; a renamed file that
 // does not check out is damage, and the room refuses to open.
-func Open(folder string) (*Room, []stride.Record, error) {
+func Open(folder string) (*Folder, []machine.Record, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, nil, errors.Wrap(err, "making the data folder")
 	}
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "reading the data folder")
 	}
-	room := &Room{folder: folder, next: 1}
+	room := &Folder{folder: folder, next: 1}
 	var groups, views []uint64
 	for _, entry := range entries {
 		name := entry.Name()
@@ -74,7 +74,7 @@
 	}
 	sort.Slice(groups, func(i, j int) bool { return groups[i] < groups[j] })
 	sort.Slice(views, func(i, j int) bool { return views[i] < views[j] })
-	var records []stride.Record
+	var records []machine.Record
 	var base uint64
 	if len(views) > 0 {
 		base = views[len(views)-1]
@@ -102,16 +102,16 @@
 // numberOf reads a version's number off its file's name.
 func numberOf(name string) (number uint64, err error) {
 	if _, err := fmt.Sscanf(strings.TrimSuffix(name, filepath.Ext(name)), "%016x", &number); err != nil {
-		return 0, mishap.New(mishap.Corrupt, "move the file out of the data folder", "file %s has a name that is no version", name)
+		return 0, errs.New(errs.Corrupt, "move the file out of the data folder", "file %s has a name that is no version", name)
 	}
 	return number, nil
 }
 
-func (r *Room) path(number uint64, suffix string) string {
+func (r *Folder) path(number uint64, suffix string) string {
 	return filepath.Join(r.folder, fmt.Sprintf("%016x%s", number, suffix))
 }
 
-func (r *Room) read(number uint64, suffix string) ([]stride.Record, error) {
+func (r *Folder) read(number uint64, suffix string) ([]machine.Record, error) {
 	name := r.path(number, suffix)
 	data, err := os.ReadFile(name)
 	if err != nil {
@@ -123,23 +123,23 @@
 		form = string(data[:4])
 	}
 	if len(data) >= 12 && form[:3] == magic[:3] && form != magic && form != firstForm {
-		return nil, mishap.New(mishap.WrongFolder, "run the release that wrote it, or its neighbour", "file %s is of form %s, this release reads %s", filepath.Base(name), data[:4], magic)
+		return nil, errs.New(errs.WrongFolder, "run the release that wrote it, or its neighbour", "file %s is of form %s, this release reads %s", filepath.Base(name), data[:4], magic)
 	}
 	if form != magic && form != firstForm {
-		return nil, mishap.New(mishap.Corrupt, remedy, "file %s is no version file", filepath.Base(name))
+		return nil, errs.New(errs.Corrupt, remedy, "file %s is no version file", filepath.Base(name))
 	}
 	if int(binary.BigEndian.Uint32(data[8:12])) != len(data)-12 || crc32.ChecksumIEEE(data[12:]) != binary.BigEndian.Uint32(data[4:8]) {
-		return nil, mishap.New(mishap.Corrupt, remedy, "file %s does not match its checksum", filepath.Base(name))
+		return nil, errs.New(errs.Corrupt, remedy, "file %s does not match its checksum", filepath.Base(name))
 	}
 	records, err := decode(form, data[12:])
 	if err != nil {
-		return nil, mishap.New(mishap.Corrupt, remedy, "file %s cannot be read: %v", filepath.Base(name), err)
+		return nil, errs.New(errs.Corrupt, remedy, "file %s cannot be read: %v", filepath.Base(name), err)
 	}
 	return records, nil
 }
 
 // decode reads the records of a file in either form.
-func decode(form string, body []byte) (records []stride.Record, err error) {
+func decode(form string, body []byte) (records []machine.Record, err error) {
 	if form == firstForm {
 		err = json.Unmarshal(body, &records)
 		return records, err
@@ -158,7 +158,7 @@
 		if err != nil {
 			return nil, err
 		}
-		var record stride.Record
+		var record machine.Record
 		if err := json.Unmarshal(head, &record); err != nil {
 			return nil, err
 		}
@@ -170,7 +170,7 @@
 	return records, nil
 }
 
-func (r *Room) step(name string) error {
+func (r *Folder) step(name string) error {
 	if r.Step == nil {
 		return nil
 	}
@@ -178,10 +178,10 @@
 }
 
 // Write makes one commit group durable.
-func (r *Room) Write(records []stride.Record) error { return r.write(records, groupSuffix) }
+func (r *Folder) Write(records []machine.Record) error { return r.write(records, groupSuffix) }
 
 // Fold writes a view that says what all versions so far say, then removes them.
-func (r *Room) Fold(records []stride.Record) error {
+func (r *Folder) Fold(records []machine.Record) error {
 	if err := r.write(records, viewSuffix); err != nil {
 		return err
 	}
@@ -203,7 +203,7 @@
 	return nil
 }
 
-func (r *Room) write(records []stride.Record, suffix string) error {
+func (r *Folder) write(records []machine.Record, suffix string) error {
 	data, err := encode(records)
 	if err != nil {
 		return err
@@ -218,7 +218,7 @@
 }
 
 // encode puts the mark, checksum and length before the records.
-func encode(records []stride.Record) ([]byte, error) {
+func encode(records []machine.Record) ([]byte, error) {
 	size := 12
 	for _, record := range records {
 		size += len(record.Body) + 128
--- a/kernel/strongroom/strongroom_test.go
+++ b/kernel/storage/storage_test.go
@@ -1,4 +1,4 @@
-package strongroom
+package storage
 
 import (
 	"encoding/binary"
@@ -10,15 +10,15 @@
 	"reflect"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 )
 
-func entry(seq uint64) []stride.Record {
-	return []stride.Record{{Unit: "u", Kind: "entry", Epoch: 1, Seq: seq, Body: []byte("body")}}
+func entry(seq uint64) []machine.Record {
+	return []machine.Record{{Unit: "u", Kind: "entry", Epoch: 1, Seq: seq, Body: []byte("body")}}
 }
 
-func open(t *testing.T, folder string) (*Room, []stride.Record) {
+func open(t *testing.T, folder string) (*Folder, []machine.Record) {
 	t.Helper()
 	room, records, err := Open(folder)
 	if err != nil {
@@ -124,7 +124,7 @@
 		if err := os.WriteFile(files[0], harm(data), 0o644); err != nil {
 			t.Fatal(err)
 		}
-		if _, _, err := Open(folder); !mishap.Is(err, mishap.Corrupt) || mishap.Of(err).Remedy == "" {
+		if _, _, err := Open(folder); !errs.Is(err, errs.Corrupt) || errs.Of(err).Remedy == "" {
 			t.Fatalf("%s: %v", name, err)
 		}
 	}
@@ -146,7 +146,7 @@
 	if err := os.WriteFile(files[0], data, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := Open(folder); !mishap.Is(err, mishap.WrongFolder) {
+	if _, _, err := Open(folder); !errs.Is(err, errs.WrongFolder) {
 		t.Fatalf("told %v", err)
 	}
 }
@@ -160,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	records := []stride.Record{{Unit: "b-1", Body: []byte("one")}, {Unit: "b-2", Body: []byte("two")}}
+	records := []machine.Record{{Unit: "b-1", Body: []byte("one")}, {Unit: "b-2", Body: []byte("two")}}
 	if err := shelf.Put(7, records, room); err != nil {
 		t.Fatal(err)
 	}
@@ -180,7 +180,7 @@
 	if body, err := again.Get(7, "b-2"); err != nil || string(body) != "two" {
 		t.Fatalf("read back %q: %v", body, err)
 	}
-	if _, err := again.Get(7, "b-3"); !mishap.Is(err, mishap.Corrupt) {
+	if _, err := again.Get(7, "b-3"); !errs.Is(err, errs.Corrupt) {
 		t.Fatalf("a bundle that is not there: %v", err)
 	}
 	again.Drop([]uint64{7})
@@ -192,7 +192,7 @@
 // A folder that the release before wrote is read, and goes on in the new form.
 func TestTheFirstFormIsRead(t *testing.T) {
 	folder := t.TempDir()
-	want := []stride.Record{{Unit: "u", Kind: "k", Epoch: 3, Seq: 4, Body: []byte("old")}}
+	want := []machine.Record{{Unit: "u", Kind: "k", Epoch: 3, Seq: 4, Body: []byte("old")}}
 	body, _ := json.Marshal(want)
 	head := append([]byte(firstForm), make([]byte, 8)...)
 	binary.BigEndian.PutUint32(head[4:], crc32.ChecksumIEEE(body))
@@ -204,8 +204,8 @@
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("read %+v, %v", got, err)
 	}
-	next := stride.Record{Unit: "u", Kind: "k", Epoch: 3, Seq: 5, Body: []byte{0, 255, '"'}}
-	if err := room.Write([]stride.Record{next, {Unit: "v", Kind: "empty"}}); err != nil {
+	next := machine.Record{Unit: "u", Kind: "k", Epoch: 3, Seq: 5, Body: []byte{0, 255, '"'}}
+	if err := room.Write([]machine.Record{next, {Unit: "v", Kind: "empty"}}); err != nil {
 		t.Fatal(err)
 	}
 	if _, got, err = Open(folder); err != nil || len(got) != 3 || !reflect.DeepEqual(got[1], next) || got[2].Unit != "v" {
--- a/kernel/footbridge/footbridge.go
+++ b/kernel/transport/transport.go
@@ -1,8 +1,8 @@
-// Package footbridge carries messages between the fleet's own processes over
+// Package transport carries messages between the fleet's own processes over
 // net/rpc (DESIGN §2). A message is one-way and may be lost; an ask has an
 // answer and an expiry. net/rpc knows neither expiry nor cancellation, so every
 // call runs with an expiry here, and one that expires closes its connection.
-package footbridge
+package transport
 
 import (
 	"context"
@@ -18,9 +18,9 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/ropeway"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/ring"
 )
 
 // Envelope is one message with where it came from.
@@ -38,7 +38,7 @@
 // Reply is the answer to an ask.
 type Reply struct {
 	Body   any
-	Mishap *mishap.Mishap
+	Mishap *errs.Error
 }
 
 var (
@@ -70,8 +70,8 @@
 	Ask(letter Envelope) (any, error)
 }
 
-// Bridge is one daemon's end.
-type Bridge struct {
+// Transport is one daemon's end.
+type Transport struct {
 	self     string
 	receiver Receiver
 	mu       sync.Mutex
@@ -90,7 +90,7 @@
 	idleLines  = 256
 )
 
-type line struct{ ring *ropeway.Ring[Envelope] }
+type line struct{ ring *ring.Ring[Envelope] }
 
 type askLine struct {
 	mu     sync.Mutex
@@ -98,12 +98,12 @@
 }
 
 // New makes a bridge for a daemon with the given peer address.
-func New(self string, receiver Receiver) *Bridge {
-	return &Bridge{self: self, receiver: receiver, lines: map[string]*line{}, asks: map[string]*askLine{}}
+func New(self string, receiver Receiver) *Transport {
+	return &Transport{self: self, receiver: receiver, lines: map[string]*line{}, asks: map[string]*askLine{}}
 }
 
 // Post is the service net/rpc serves.
-type Post struct{ bridge *Bridge }
+type Post struct{ bridge *Transport }
 
 // Deliver takes a batch of messages.
 func (p *Post) Deliver(batch Batch, took *Nothing) error {
@@ -118,7 +118,7 @@
 func (p *Post) Ask(letter Envelope, reply *Reply) error {
 	body, err := p.bridge.receiver.Ask(letter)
 	if err != nil {
-		reply.Mishap = mishap.Of(err)
+		reply.Mishap = errs.Of(err)
 		return nil
 	}
 	reply.Body = body
@@ -126,7 +126,7 @@
 }
 
 // Listen serves on an address until the returned function is called.
-func (b *Bridge) Listen(address string) (func(), error) {
+func (b *Transport) Listen(address string) (func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", address)
@@ -166,7 +166,7 @@
 	}, nil
 }
 
-func (b *Bridge) close() {
+func (b *Transport) close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
@@ -183,7 +183,7 @@
 }
 
 // Send queues a message; when the line is full it is dropped and counted.
-func (b *Bridge) Send(to string, body any) {
+func (b *Transport) Send(to string, body any) {
 	b.mu.Lock()
 	l := b.lines[to]
 	if l == nil && !b.closed {
@@ -196,7 +196,7 @@
 				}
 			}
 		}
-		l = &line{ring: ropeway.New[Envelope](ringSize)}
+		l = &line{ring: ring.New[Envelope](ringSize)}
 		b.lines[to] = l
 		go b.carry(to, l.ring)
 	}
@@ -208,7 +208,7 @@
 
 // carry is the thread of one line: it takes what waits and delivers it in one
 // call, so that messages of one moment share a round trip.
-func (b *Bridge) carry(to string, ring *ropeway.Ring[Envelope]) {
+func (b *Transport) carry(to string, ring *ring.Ring[Envelope]) {
 	var client *rpc.Client
 	defer func() {
 		if client != nil {
@@ -266,7 +266,7 @@
 
 // dial goes out from the daemon's own address, so that a network between two
 // daemons sees who speaks.
-func (b *Bridge) dial(to string) (*rpc.Client, error) {
+func (b *Transport) dial(to string) (*rpc.Client, error) {
 	dialer := net.Dialer{Timeout: 500 * time.Millisecond}
 	if own, err := netip.ParseAddrPort(b.self); err == nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: own.Addr().AsSlice()}
@@ -280,7 +280,7 @@
 
 // Ask calls and waits for the answer, at most until the expiry. An error that
 // is no mishap means the outcome is unknown.
-func (b *Bridge) Ask(to string, body any, expiry sundial.Micros) (any, error) {
+func (b *Transport) Ask(to string, body any, expiry clock.Micros) (any, error) {
 	b.mu.Lock()
 	a := b.asks[to]
 	if a == nil {
@@ -294,13 +294,13 @@
 		var err error
 		if client, err = b.dial(to); err != nil {
 			a.mu.Unlock()
-			return nil, mishap.Later(mishap.NotReady, sundial.Second, "ask again; another daemon may serve it by then", "daemon at %s can't be reached: %v", to, err)
+			return nil, errs.Later(errs.NotReady, clock.Second, "ask again; another daemon may serve it by then", "daemon at %s can't be reached: %v", to, err)
 		}
 		a.client = client
 	}
 	a.mu.Unlock()
 	var reply Reply
-	if err := within(client, "Post.Ask", Envelope{From: b.self, Body: body}, &reply, sundial.Span(expiry)); err != nil {
+	if err := within(client, "Post.Ask", Envelope{From: b.self, Body: body}, &reply, clock.Span(expiry)); err != nil {
 		a.mu.Lock()
 		if a.client == client {
 			a.client = nil
--- a/kernel/footbridge/footbridge_test.go
+++ b/kernel/transport/transport_test.go
@@ -1,4 +1,4 @@
-package footbridge
+package transport
 
 import (
 	"net"
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 )
 
 type note struct{ Text string }
@@ -26,12 +26,12 @@
 		<-e.hold
 	}
 	if letter.Body.(note).Text == "fail" {
-		return nil, mishap.New(mishap.Busy, "come back", "no room")
+		return nil, errs.New(errs.Busy, "come back", "no room")
 	}
 	return note{"answer to " + letter.Body.(note).Text}, nil
 }
 
-func listen(t *testing.T) (string, *ears, *Bridge) {
+func listen(t *testing.T) (string, *ears, *Transport) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,7 +71,7 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("a silent peer held the message to another up")
 	}
-	if _, err := here.Ask(silent.Addr().String(), note{"anyone"}, 50*sundial.Millisecond); !mishap.Is(err, mishap.OutcomeUnknown) {
+	if _, err := here.Ask(silent.Addr().String(), note{"anyone"}, 50*clock.Millisecond); !errs.Is(err, errs.OutcomeUnknown) {
 		t.Fatalf("an ask that expired is told as %v", err)
 	}
 }
@@ -80,14 +80,14 @@
 func TestAnExpiredAskDoesNotHoldTheNext(t *testing.T) {
 	there, _, _ := listen(t)
 	_, _, here := listen(t)
-	if _, err := here.Ask(there, note{"hold"}, 50*sundial.Millisecond); !mishap.Is(err, mishap.OutcomeUnknown) {
+	if _, err := here.Ask(there, note{"hold"}, 50*clock.Millisecond); !errs.Is(err, errs.OutcomeUnknown) {
 		t.Fatalf("the held ask: %v", err)
 	}
-	got, err := here.Ask(there, note{"again"}, 20*sundial.Second)
+	got, err := here.Ask(there, note{"again"}, 20*clock.Second)
 	if err != nil || got.(note).Text != "answer to again" {
 		t.Fatalf("the next ask: %v %v", got, err)
 	}
-	if _, err := here.Ask(there, note{"fail"}, 20*sundial.Second); !mishap.Is(err, mishap.Busy) {
+	if _, err := here.Ask(there, note{"fail"}, 20*clock.Second); !errs.Is(err, errs.Busy) {
 		t.Fatalf("a typed error came over as %v", err)
 	}
 }
@@ -101,7 +101,7 @@
 	}
 	address := gone.Addr().String()
 	gone.Close()
-	if _, err := here.Ask(address, note{"x"}, sundial.Second); !mishap.Is(err, mishap.NotReady) {
+	if _, err := here.Ask(address, note{"x"}, clock.Second); !errs.Is(err, errs.NotReady) {
 		t.Fatalf("told %v", err)
 	}
 }
--- a/ledger/daybook/daybook.go
+++ b/ledger/daybook/daybook.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 )
 
 // SlotOf is the slot a bundle or claim belongs to.
@@ -89,18 +89,18 @@
 
 // Bundle is one bundle and its list. Inputs and bodies go once their row is in.
 type Bundle struct {
-	ID       string         `json:"id"`
-	Customer string         `json:"customer"`
-	Key      string         `json:"key"`
-	Hash     string         `json:"hash"`
-	Route    string         `json:"route"`
-	Plan     uint64         `json:"plan,omitempty"` // version of the plan it was handed in under
-	Items    []Item         `json:"items"`
-	State    State          `json:"state"`
-	Enrolled sundial.Micros `json:"enrolled"`
-	Changed  sundial.Micros `json:"changed"`
-	Rows     []Row          `json:"rows"`
-	Shelved  *Place         `json:"shelved,omitempty"`
+	ID       string       `json:"id"`
+	Customer string       `json:"customer"`
+	Key      string       `json:"key"`
+	Hash     string       `json:"hash"`
+	Route    string       `json:"route"`
+	Plan     uint64       `json:"plan,omitempty"` // version of the plan it was handed in under
+	Items    []Item       `json:"items"`
+	State    State        `json:"state"`
+	Enrolled clock.Micros `json:"enrolled"`
+	Changed  clock.Micros `json:"changed"`
+	Rows     []Row        `json:"rows"`
+	Shelved  *Place       `json:"shelved,omitempty"`
 	listed   map[int]bool
 	moving   bool
 }
@@ -175,13 +175,13 @@
 
 // Claim is one caller's key on a one-shot order.
 type Claim struct {
-	Customer string         `json:"customer"`
-	Key      string         `json:"key"`
-	Hash     string         `json:"hash"`
-	Order    string         `json:"order"`
-	State    string         `json:"state"` // claimed, answered, turned-away
-	Answer   []byte         `json:"answer,omitempty"`
-	At       sundial.Micros `json:"at"`
+	Customer string       `json:"customer"`
+	Key      string       `json:"key"`
+	Hash     string       `json:"hash"`
+	Order    string       `json:"order"`
+	State    string       `json:"state"` // claimed, answered, turned-away
+	Answer   []byte       `json:"answer,omitempty"`
+	At       clock.Micros `json:"at"`
 }
 
 // States of a claim.
@@ -249,7 +249,7 @@
 	// End stops a bundle for good.
 	End struct {
 		Bundle string
-		At     sundial.Micros
+		At     clock.Micros
 	}
 	// Claiming claims a key before its one-shot order starts.
 	Claiming struct{ Claim Claim }
@@ -347,13 +347,13 @@
 func (Settling) kind() string { return "settle" }
 func (Forget) kind() string   { return "forget" }
 
-var entries = stride.Entries[Entry]{
-	"enrol":  stride.Decoder(func(e Enrol) Entry { return e }),
-	"list":   stride.Decoder(func(e List) Entry { return e }),
-	"end":    stride.Decoder(func(e End) Entry { return e }),
-	"claim":  stride.Decoder(func(e Claiming) Entry { return e }),
-	"settle": stride.Decoder(func(e Settling) Entry { return e }),
-	"forget": stride.Decoder(func(e Forget) Entry { return e }),
+var entries = machine.Entries[Entry]{
+	"enrol":  machine.Decoder(func(e Enrol) Entry { return e }),
+	"list":   machine.Decoder(func(e List) Entry { return e }),
+	"end":    machine.Decoder(func(e End) Entry { return e }),
+	"claim":  machine.Decoder(func(e Claiming) Entry { return e }),
+	"settle": machine.Decoder(func(e Settling) Entry { return e }),
+	"forget": machine.Decoder(func(e Forget) Entry { return e }),
 }
 
 // Encode writes an entry for the pair.
--- a/ledger/keeper/asks.go
+++ b/ledger/keeper/asks.go
@@ -1,8 +1,8 @@
 package keeper
 
 import (
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/transport"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/waypost"
 )
@@ -14,7 +14,7 @@
 	EnrolAsk struct {
 		Slot   int
 		Bundle daybook.Bundle
-		Expiry sundial.Micros
+		Expiry clock.Micros
 	}
 	// Receipt is the answer once the bundle is on two disks.
 	Receipt struct {
@@ -28,7 +28,7 @@
 		Slot             int
 		Bundle, Customer string
 		Anyone           bool // see StatusAsk
-		Expiry           sundial.Micros
+		Expiry           clock.Micros
 	}
 	// StatusAsk asks how a bundle stands.
 	StatusAsk struct {
@@ -39,19 +39,19 @@
 	}
 	// Status is how a bundle stands at its keeper.
 	Status struct {
-		Bundle   string         `json:"bundle"`
-		Route    string         `json:"route"`
-		State    string         `json:"state"`
-		Items    int            `json:"items"`
-		Listed   int            `json:"listed"`
-		Keeper   string         `json:"keeper"`
-		Writer   int            `json:"writer"`
-		Slot     int            `json:"slot"`
-		Epoch    uint64         `json:"epoch"`
-		Backup   string         `json:"backup"`
-		Enrolled sundial.Micros `json:"enrolled_us"`
-		Customer string         `json:"customer"`
-		Rows     []daybook.Row  `json:"rows"` // for operators
+		Bundle   string        `json:"bundle"`
+		Route    string        `json:"route"`
+		State    string        `json:"state"`
+		Items    int           `json:"items"`
+		Listed   int           `json:"listed"`
+		Keeper   string        `json:"keeper"`
+		Writer   int           `json:"writer"`
+		Slot     int           `json:"slot"`
+		Epoch    uint64        `json:"epoch"`
+		Backup   string        `json:"backup"`
+		Enrolled clock.Micros  `json:"enrolled_us"`
+		Customer string        `json:"customer"`
+		Rows     []daybook.Row `json:"rows"` // for operators
 	}
 	// ReadAsk reads rows after a vector, up to a vector: of one bundle, or of
 	// all a customer's bundles in the slots named with their epochs.
@@ -88,7 +88,7 @@
 	ClaimAsk struct {
 		Slot   int
 		Claim  daybook.Claim
-		Expiry sundial.Micros
+		Expiry clock.Micros
 	}
 	// ClaimAnswer says whether the claim is the asker's, or how the earlier
 	// order of the key went.
@@ -102,7 +102,7 @@
 		ID     string
 		State  string
 		Answer []byte
-		Expiry sundial.Micros
+		Expiry clock.Micros
 	}
 	// Settled answers it.
 	Settled struct{ Done bool }
@@ -156,6 +156,6 @@
 )
 
 func init() {
-	footbridge.Register(EnrolAsk{}, Receipt{}, EndAsk{}, StatusAsk{}, Status{}, ReadAsk{}, Rows{}, ItemAsk{}, ItemAnswer{},
+	transport.Register(EnrolAsk{}, Receipt{}, EndAsk{}, StatusAsk{}, Status{}, ReadAsk{}, Rows{}, ItemAsk{}, ItemAnswer{},
 		ClaimAsk{}, ClaimAnswer{}, SettleAsk{}, Settled{}, ShowAsk{}, Shown{}, Beat{}, Welcome{}, Unwelcome{})
 }
--- a/ledger/keeper/beat_test.go
+++ b/ledger/keeper/beat_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/machine"
 )
 
 // A store tells the cores the operator's name of its machine.
@@ -12,7 +12,7 @@
 	k.Do(Cairns{Peers: []string{"c"}}, 1000)
 	told := false
 	for _, effect := range k.Do(ClockEvent{}, 1_000_000) {
-		if send, ok := effect.(stride.Send); ok {
+		if send, ok := effect.(machine.Send); ok {
 			beat, ok := send.Body.(Beat)
 			told = told || ok && beat.Name == "machine" && beat.ID == "s"
 		}
--- a/ledger/keeper/calls.go
+++ b/ledger/keeper/calls.go
@@ -3,9 +3,9 @@
 import (
 	"sort"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/tether"
 	"tuliprudder/ledger/waypost"
@@ -18,7 +18,7 @@
 }
 
 // Apply answers the ask by its type.
-func (c Call) Apply(k *Keeper, now sundial.Micros) {
+func (c Call) Apply(k *Keeper, now clock.Micros) {
 	switch ask := c.Body.(type) {
 	case EnrolAsk:
 		k.enrol(c.Number, ask, now)
@@ -36,32 +36,32 @@
 	case SettleAsk:
 		k.settle(c.Number, ask, now)
 	case ShowAsk:
-		k.Emit(stride.Answer{Call: c.Number, Body: k.show()})
+		k.Emit(machine.Answer{Call: c.Number, Body: k.show()})
 	default:
-		k.Emit(stride.Answer{Call: c.Number, Err: mishap.New(mishap.BadInput, "run the same release on all daemons", "a store knows no such ask: %T", ask)})
+		k.Emit(machine.Answer{Call: c.Number, Err: errs.New(errs.BadInput, "run the same release on all daemons", "a store knows no such ask: %T", ask)})
 	}
 }
 
-func (k *Keeper) fail(call uint64, err error) { k.Emit(stride.Answer{Call: call, Err: err}) }
+func (k *Keeper) fail(call uint64, err error) { k.Emit(machine.Answer{Call: call, Err: err}) }
 
 // serving turns away what this keeper can't serve; nothing was written by then.
 // Without a fresh lease it may have been deposed without knowing: then it would
 // deny bundles that its successor has accepted.
-func (k *Keeper) serving(call uint64, slot int, now sundial.Micros) (*place, *tether.Rope, bool) {
+func (k *Keeper) serving(call uint64, slot int, now clock.Micros) (*place, *tether.Rope, bool) {
 	unit := Unit(slot)
 	rope := k.gang.Rope(unit)
 	if rope.Role != tether.Serving {
-		k.fail(call, mishap.Later(mishap.NotReady, sundial.Second, "ask again: the slot is passing to a keeper with two disks", "store %s does not serve slot %d now (%s)", k.self.ID, slot, rope.Role))
+		k.fail(call, errs.Later(errs.NotReady, clock.Second, "ask again: the slot is passing to a keeper with two disks", "store %s does not serve slot %d now (%s)", k.self.ID, slot, rope.Role))
 		return nil, nil, false
 	}
 	if now >= rope.LeaseUntil() && !k.NoLease {
-		k.fail(call, mishap.Later(mishap.NotReady, sundial.Second, "ask again: the slot passes on, or its backup answers again", "store %s has no fresh lease on slot %d", k.self.ID, slot))
+		k.fail(call, errs.Later(errs.NotReady, clock.Second, "ask again: the slot passes on, or its backup answers again", "store %s has no fresh lease on slot %d", k.self.ID, slot))
 		return nil, nil, false
 	}
 	return k.place(unit), rope, true
 }
 
-func (k *Keeper) enrol(call uint64, ask EnrolAsk, now sundial.Micros) {
+func (k *Keeper) enrol(call uint64, ask EnrolAsk, now clock.Micros) {
 	p, rope, ok := k.serving(call, ask.Slot, now)
 	if !ok {
 		return
@@ -69,7 +69,7 @@
 	receipt := Receipt{Bundle: ask.Bundle.ID, Items: len(ask.Bundle.Items), Keeper: k.self.ID}
 	if known := p.state.Bundles[ask.Bundle.ID]; known != nil {
 		if known.Hash != ask.Bundle.Hash {
-			k.fail(call, mishap.New(mishap.Conflict, "use a new idempotency key for another body", "the key was used for another body (bundle %s)", known.ID))
+			k.fail(call, errs.New(errs.Conflict, "use a new idempotency key for another body", "the key was used for another body (bundle %s)", known.ID))
 			return
 		}
 		receipt.Repeated = true
@@ -77,16 +77,16 @@
 		if rope.Open() > 0 {
 			k.await(rope.Unit, rope.Seq, call, now+ask.Expiry, receipt)
 		} else {
-			k.Emit(stride.Answer{Call: call, Body: receipt})
+			k.Emit(machine.Answer{Call: call, Body: receipt})
 		}
 		return
 	}
 	if k.drain {
-		k.fail(call, mishap.Later(mishap.NotReady, 2*sundial.Second, "ask again: the slot passes on", "store %s is draining", k.self.ID))
+		k.fail(call, errs.Later(errs.NotReady, 2*clock.Second, "ask again: the slot passes on", "store %s is draining", k.self.ID))
 		return
 	}
 	if k.openItems()+len(ask.Bundle.Items) > k.set.MostItems {
-		k.fail(call, mishap.Later(mishap.Busy, 5*sundial.Second, "come back after the time given", "store %s has as many waiting items as it may", k.self.ID))
+		k.fail(call, errs.Later(errs.Busy, 5*clock.Second, "come back after the time given", "store %s has as many waiting items as it may", k.self.ID))
 		return
 	}
 	bundle := ask.Bundle
@@ -98,7 +98,7 @@
 	}
 	k.news[rope.Unit][seq] = bundle.ID
 	if k.RefuseLate && len(bundle.Items)%2 == 0 {
-		k.fail(call, mishap.Later(mishap.NotReady, sundial.Second, "ask again", "turned away too late"))
+		k.fail(call, errs.Later(errs.NotReady, clock.Second, "ask again", "turned away too late"))
 		return
 	}
 	k.await(rope.Unit, seq, call, now+ask.Expiry, receipt)
@@ -130,13 +130,13 @@
 func (k *Keeper) bundle(call uint64, p *place, id, customer string, anyone bool) (*daybook.Bundle, bool) {
 	found := p.state.Bundles[id]
 	if found == nil || !(anyone && found.Key == "") && found.Customer != customer {
-		k.fail(call, mishap.New(mishap.NotFound, "check the bundle's name and the customer's key", "no bundle %s of this customer", id))
+		k.fail(call, errs.New(errs.NotFound, "check the bundle's name and the customer's key", "no bundle %s of this customer", id))
 		return nil, false
 	}
 	return found, true
 }
 
-func (k *Keeper) end(call uint64, ask EndAsk, now sundial.Micros) {
+func (k *Keeper) end(call uint64, ask EndAsk, now clock.Micros) {
 	p, rope, ok := k.serving(call, ask.Slot, now)
 	if !ok {
 		return
@@ -148,14 +148,14 @@
 	seq := rope.Seq
 	if bundle.State == daybook.Open {
 		seq = k.put(rope.Unit, daybook.End{Bundle: ask.Bundle, At: now}, now)
-		k.Emit(stride.Work{Order: Revoke{Bundle: ask.Bundle, Slot: -1}})
+		k.Emit(machine.Work{Order: Revoke{Bundle: ask.Bundle, Slot: -1}})
 	}
 	answer := k.statusOf(p, rope, bundle)
 	if rope.Open() > 0 {
 		k.await(rope.Unit, seq, call, now+ask.Expiry, answer)
 		return
 	}
-	k.Emit(stride.Answer{Call: call, Body: answer})
+	k.Emit(machine.Answer{Call: call, Body: answer})
 }
 
 func (k *Keeper) statusOf(p *place, rope *tether.Rope, b *daybook.Bundle) Status {
@@ -164,7 +164,7 @@
 		Keeper: k.self.ID, Writer: k.writer, Slot: p.slot, Epoch: rope.Epoch, Backup: rope.Peer(), Enrolled: b.Enrolled, Customer: b.Customer}
 }
 
-func (k *Keeper) status(call uint64, ask StatusAsk, now sundial.Micros) {
+func (k *Keeper) status(call uint64, ask StatusAsk, now clock.Micros) {
 	p, rope, ok := k.serving(call, ask.Slot, now)
 	if !ok {
 		return
@@ -180,29 +180,29 @@
 				status.Rows = append(status.Rows, row)
 			}
 		}
-		k.Emit(stride.Answer{Call: call, Body: status})
+		k.Emit(machine.Answer{Call: call, Body: status})
 	}
 }
 
 // item answers with the body of an item that may still run; once it is listed, or
 // its bundle has ended, the body is let go.
-func (k *Keeper) item(call uint64, ask ItemAsk, now sundial.Micros) {
+func (k *Keeper) item(call uint64, ask ItemAsk, now clock.Micros) {
 	p, _, ok := k.serving(call, ask.Slot, now)
 	if !ok {
 		return
 	}
 	if found := p.state.Bundles[ask.Bundle]; found != nil {
 		if item, waits := found.Waiting(ask.Item); waits && item.Request != nil {
-			k.Emit(stride.Answer{Call: call, Body: ItemAnswer{Body: item.Request.Body}})
+			k.Emit(machine.Answer{Call: call, Body: ItemAnswer{Body: item.Request.Body}})
 			return
 		}
 	}
-	k.fail(call, mishap.New(mishap.NotFound, "nothing to do: it has its result, its bundle has ended, or there never was such an item", "no item %s of bundle %s waits", ask.Item, ask.Bundle))
+	k.fail(call, errs.New(errs.NotFound, "nothing to do: it has its result, its bundle has ended, or there never was such an item", "no item %s of bundle %s waits", ask.Item, ask.Bundle))
 }
 
 // read answers "all rows after the token", within the reader's bounds. The
 // slots' epochs have to be the reader's: a deposed keeper would leave rows out.
-func (k *Keeper) read(call uint64, ask ReadAsk, now sundial.Micros) {
+func (k *Keeper) read(call uint64, ask ReadAsk, now clock.Micros) {
 	var out Rows
 	upTo := k.stairs.UpTo()
 	slots := make([]int, 0, len(ask.Slots))
@@ -216,7 +216,7 @@
 			return
 		}
 		if rope.Epoch != ask.Slots[slot] {
-			k.fail(call, mishap.Later(mishap.NotReady, 200*sundial.Millisecond, "ask again: the reader hears of the new epoch soon", "slot %d is at epoch %d, not %d", slot, rope.Epoch, ask.Slots[slot]))
+			k.fail(call, errs.Later(errs.NotReady, 200*clock.Millisecond, "ask again: the reader hears of the new epoch soon", "slot %d is at epoch %d, not %d", slot, rope.Epoch, ask.Slots[slot]))
 			return
 		}
 		if ask.Bundle != "" {
@@ -248,7 +248,7 @@
 	if !ask.Indexed && ask.Most > 0 && len(out.Rows) > ask.Most {
 		out.Rows, out.More = out.Rows[:ask.Most], true
 	}
-	k.Emit(stride.Answer{Call: call, Body: out})
+	k.Emit(machine.Answer{Call: call, Body: out})
 }
 
 // hidden tells whether the list has rows that the reader may not read yet.
@@ -313,7 +313,7 @@
 	}
 }
 
-func (k *Keeper) claim(call uint64, ask ClaimAsk, now sundial.Micros) {
+func (k *Keeper) claim(call uint64, ask ClaimAsk, now clock.Micros) {
 	p, rope, ok := k.serving(call, ask.Slot, now)
 	if !ok {
 		return
@@ -321,14 +321,14 @@
 	id := daybook.ClaimID(ask.Claim.Customer, ask.Claim.Key)
 	if known := p.state.Claims[id]; known != nil && known.State != daybook.Void {
 		if known.Hash != ask.Claim.Hash {
-			k.fail(call, mishap.New(mishap.Conflict, "use a new idempotency key for another body", "the key was used for another body"))
+			k.fail(call, errs.New(errs.Conflict, "use a new idempotency key for another body", "the key was used for another body"))
 			return
 		}
 		answer := ClaimAnswer{Yours: known.Order == ask.Claim.Order, Claim: *known}
 		if rope.Open() > 0 {
 			k.await(rope.Unit, rope.Seq, call, now+ask.Expiry, answer)
 		} else {
-			k.Emit(stride.Answer{Call: call, Body: answer})
+			k.Emit(machine.Answer{Call: call, Body: answer})
 		}
 		return
 	}
@@ -338,7 +338,7 @@
 	k.await(rope.Unit, seq, call, now+ask.Expiry, ClaimAnswer{Yours: true, Claim: claim})
 }
 
-func (k *Keeper) settle(call uint64, ask SettleAsk, now sundial.Micros) {
+func (k *Keeper) settle(call uint64, ask SettleAsk, now clock.Micros) {
 	_, rope, ok := k.serving(call, ask.Slot, now)
 	if !ok {
 		return
--- a/ledger/keeper/free_test.go
+++ b/ledger/keeper/free_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/tether"
 )
 
@@ -23,11 +23,11 @@
 				Slots: []tether.Pairing{{Epoch: 2, Owner: tether.Member{ID: "b", Life: 1}, Backup: tether.Member{ID: "a", Life: c.life}, Trusted: [2]string{"a", "b"}}}}
 			value, _ := json.Marshal(m)
 			k := b.keepers["b"]
-			effects := k.Do(News{Rumour: stride.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}}, b.now)
-			effects = append(effects, k.Do(ClockEvent{}, b.now+10*sundial.Millisecond)...)
+			effects := k.Do(News{Rumour: machine.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}}, b.now)
+			effects = append(effects, k.Do(ClockEvent{}, b.now+10*clock.Millisecond)...)
 			copying := false
 			for _, effect := range effects {
-				if send, ok := effect.(stride.Send); ok {
+				if send, ok := effect.(machine.Send); ok {
 					_, isCopy := send.Body.(tether.Copy)
 					copying = copying || isCopy
 				}
--- a/ledger/keeper/keeper.go
+++ b/ledger/keeper/keeper.go
@@ -13,9 +13,9 @@
 	"strings"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/ladder"
 	"tuliprudder/ledger/tether"
@@ -24,20 +24,20 @@
 
 // Settings of a keeper; the defaults are ours.
 type Settings struct {
-	MostItems     int            // items that wait, over all its slots
-	FoldAfter     int            // stores between two views on disk
-	KeepDone      sundial.Micros // how long a finished bundle stays readable
-	BeatEvery     sundial.Micros
-	AnnounceEvery sundial.Micros
-	DiskPatience  sundial.Micros // a write that takes longer means a stalled disk
-	DiskProof     sundial.Micros // how long it has to keep up before it counts again
+	MostItems     int          // items that wait, over all its slots
+	FoldAfter     int          // stores between two views on disk
+	KeepDone      clock.Micros // how long a finished bundle stays readable
+	BeatEvery     clock.Micros
+	AnnounceEvery clock.Micros
+	DiskPatience  clock.Micros // a write that takes longer means a stalled disk
+	DiskProof     clock.Micros // how long it has to keep up before it counts again
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{MostItems: 50_000, FoldAfter: 2000, KeepDone: 48 * 3600 * sundial.Second,
-		BeatEvery: 300 * sundial.Millisecond, AnnounceEvery: 15 * sundial.Millisecond,
-		DiskPatience: 1500 * sundial.Millisecond, DiskProof: 5 * sundial.Second}
+	return Settings{MostItems: 50_000, FoldAfter: 2000, KeepDone: 48 * 3600 * clock.Second,
+		BeatEvery: 300 * clock.Millisecond, AnnounceEvery: 15 * clock.Millisecond,
+		DiskPatience: 1500 * clock.Millisecond, DiskProof: 5 * clock.Second}
 }
 
 // Self says who the keeper is.
@@ -58,7 +58,7 @@
 	ItemID   string
 	Input    string
 	Request  *daybook.Request // passed on unchanged; nil where there is an input
-	Enrolled sundial.Micros
+	Enrolled clock.Micros
 	Plan     uint64 // version of the plan it was handed in under
 }
 
@@ -75,7 +75,7 @@
 
 type waiting struct {
 	call   uint64
-	expiry sundial.Micros
+	expiry clock.Micros
 	answer any
 }
 
@@ -92,7 +92,7 @@
 
 // Keeper is the machine.
 type Keeper struct {
-	stride.Out
+	machine.Out
 	set     Settings
 	self    Self
 	gang    *tether.Gang
@@ -112,9 +112,9 @@
 	seq     uint64
 	dirty   bool
 	stores  int
-	writes  map[uint64]sundial.Micros // on their way to the disk, since when
-	stalled sundial.Micros            // the disk was last seen stalled
-	next    struct{ beat, announce, forget, resume sundial.Micros }
+	writes  map[uint64]clock.Micros // on their way to the disk, since when
+	stalled clock.Micros            // the disk was last seen stalled
+	next    struct{ beat, announce, forget, resume clock.Micros }
 	drain   bool
 	// Counters for the operators.
 	Listed, Enrolled, Unknown, Takeovers, Entries, Reads int64
@@ -155,10 +155,10 @@
 }
 
 // New makes a keeper from what was read back from its disk.
-func New(self Self, set Settings, records []stride.Record, shelf Shelf) *Keeper {
+func New(self Self, set Settings, records []machine.Record, shelf Shelf) *Keeper {
 	k := &Keeper{set: set, self: self, shelf: shelf, file: shelf.Top(), files: map[uint64]bool{}, places: map[string]*place{},
 		waits: map[string]map[uint64][]waiting{}, given: map[string]map[uint64]int64{},
-		news: map[string]map[uint64]string{}, writes: map[uint64]sundial.Micros{}}
+		news: map[string]map[uint64]string{}, writes: map[uint64]clock.Micros{}}
 	k.gang = tether.NewGang(&k.Out, k)
 	reserved := int64(0)
 	for _, record := range records {
@@ -180,18 +180,18 @@
 }
 
 // Command is an input of the keeper.
-type Command = stride.Command[*Keeper]
+type Command = machine.Command[*Keeper]
 
 // Do applies a command and hands over the effects.
-func (k *Keeper) Do(command Command, now sundial.Micros) []stride.Effect {
+func (k *Keeper) Do(command Command, now clock.Micros) []machine.Effect {
 	command.Apply(k, now)
 	if k.stores >= k.set.FoldAfter {
 		k.stores = 0
-		k.Emit(stride.Fold{Records: append(k.selfRecords(), k.gang.Records()...)})
+		k.Emit(machine.Fold{Records: append(k.selfRecords(), k.gang.Records()...)})
 	}
 	out := k.Drain()
 	for _, effect := range out {
-		if store, ok := effect.(stride.Store); ok {
+		if store, ok := effect.(machine.Store); ok {
 			k.stores++
 			k.writes[store.Token] = now
 		}
@@ -199,9 +199,9 @@
 	return out
 }
 
-func (k *Keeper) selfRecords() []stride.Record {
+func (k *Keeper) selfRecords() []machine.Record {
 	body, _ := json.Marshal(identity{k.fleet, k.writer})
-	return []stride.Record{{Unit: unitSelf, Kind: kindWriter, Body: body},
+	return []machine.Record{{Unit: unitSelf, Kind: kindWriter, Body: body},
 		{Unit: unitSelf, Kind: kindReserved, Seq: uint64(max(k.stairs.Next()-1, k.reservedAtLeast()))}}
 }
 
@@ -221,7 +221,7 @@
 
 // Allowed tells, right before a start on a server, whether this keeper may
 // start work of a bundle: epoch, fresh lease, and the bundle still open.
-func (k *Keeper) Allowed(slot int, bundle string, item int, now sundial.Micros) bool {
+func (k *Keeper) Allowed(slot int, bundle string, item int, now clock.Micros) bool {
 	rope := k.gang.Rope(Unit(slot))
 	if rope.Role != tether.Serving || now >= rope.LeaseUntil() {
 		return false
@@ -266,7 +266,7 @@
 }
 
 // Confirmed answers who waits, finishes the position and starts new work.
-func (k *Keeper) Confirmed(unit string, seq uint64, now sundial.Micros) {
+func (k *Keeper) Confirmed(unit string, seq uint64, now clock.Micros) {
 	k.Entries++
 	if position, ok := k.given[unit][seq]; ok {
 		delete(k.given[unit], seq)
@@ -278,7 +278,7 @@
 		k.start(unit, bundle)
 	}
 	for _, w := range k.waits[unit][seq] {
-		k.Emit(stride.Answer{Call: w.call, Body: w.answer})
+		k.Emit(machine.Answer{Call: w.call, Body: w.answer})
 	}
 	delete(k.waits[unit], seq)
 }
@@ -293,18 +293,18 @@
 	epoch := k.gang.Rope(unit).Epoch
 	for i, item := range bundle.Items {
 		if !bundle.Listed(i) {
-			k.Emit(stride.Work{Order: ItemOrder{Slot: p.slot, Epoch: epoch, Bundle: id, Item: i,
+			k.Emit(machine.Work{Order: ItemOrder{Slot: p.slot, Epoch: epoch, Bundle: id, Item: i,
 				Customer: bundle.Customer, Route: bundle.Route, ItemID: item.ID, Input: item.Input, Request: item.Request, Enrolled: bundle.Enrolled, Plan: bundle.Plan}})
 		}
 	}
 }
 
 // Ready tells the cores that a copy is on two disks.
-func (k *Keeper) Ready(unit string, epoch uint64, now sundial.Micros) { k.beat(now) }
+func (k *Keeper) Ready(unit string, epoch uint64, now clock.Micros) { k.beat(now) }
 
 // Deposed says "outcome unknown" to who waits and leaves the slot's unfinished
 // positions open until its new owner has settled.
-func (k *Keeper) Deposed(unit string, epoch uint64, now sundial.Micros) {
+func (k *Keeper) Deposed(unit string, epoch uint64, now clock.Micros) {
 	k.lose(unit, "the slot passed to another keeper")
 	k.leave(unit, now)
 	slot := slotOf(unit)
@@ -318,8 +318,8 @@
 		sort.Slice(positions, func(i, j int) bool { return positions[i] < positions[j] })
 		k.orphans = append(k.orphans, orphan{slot: slot, epoch: epoch, positions: positions})
 	}
-	k.Emit(stride.Work{Order: Revoke{Slot: slot}})
-	k.Emit(stride.Explain{What: "slot passed on", Fields: map[string]any{"slot": slot, "unfinished": len(positions)}})
+	k.Emit(machine.Work{Order: Revoke{Slot: slot}})
+	k.Emit(machine.Explain{What: "slot passed on", Fields: map[string]any{"slot": slot, "unfinished": len(positions)}})
 	k.dirty = true
 }
 
@@ -334,14 +334,14 @@
 
 func (k *Keeper) unknown(call uint64, why string) {
 	k.Unknown++
-	k.Emit(stride.Answer{Call: call, Err: mishap.Later(mishap.OutcomeUnknown, sundial.Second, "ask again with the same idempotency key", "it is not known whether this was made durable: %s", why)})
+	k.Emit(machine.Answer{Call: call, Err: errs.Later(errs.OutcomeUnknown, clock.Second, "ask again with the same idempotency key", "it is not known whether this was made durable: %s", why)})
 }
 
 // Stored is the disk's word.
 type Stored struct{ Token uint64 }
 
 // Apply passes the word on to the pair.
-func (s Stored) Apply(k *Keeper, now sundial.Micros) {
+func (s Stored) Apply(k *Keeper, now clock.Micros) {
 	delete(k.writes, s.Token)
 	k.gang.Stored(s.Token, now)
 	k.flush(now)
@@ -354,23 +354,23 @@
 }
 
 // Apply takes the pair's messages and the core's welcome.
-func (l Letter) Apply(k *Keeper, now sundial.Micros) {
+func (l Letter) Apply(k *Keeper, now clock.Micros) {
 	if k.gang.Take(l.From, l.Body, now) {
 		return
 	}
 	if no, ok := l.Body.(Unwelcome); ok && no.ID == k.self.ID && no.Life == k.self.Life {
-		k.Emit(stride.Halt{Err: mishap.New(mishap.WrongFolder, "start with an empty data folder, which the fleet fills from the pairs, or correct -seeds", "this data folder does not belong here: %s", no.Why)})
+		k.Emit(machine.Halt{Err: errs.New(errs.WrongFolder, "start with an empty data folder, which the fleet fills from the pairs, or correct -seeds", "this data folder does not belong here: %s", no.Why)})
 		return
 	}
 	if welcome, ok := l.Body.(Welcome); ok && welcome.Writer > 0 {
 		if k.fleet != "" && k.fleet != welcome.Fleet {
-			k.Emit(stride.Explain{What: "a core of another fleet spoke; its word is passed over; check -seeds", Fields: map[string]any{"fleet": welcome.Fleet, "from": l.From}})
+			k.Emit(machine.Explain{What: "a core of another fleet spoke; its word is passed over; check -seeds", Fields: map[string]any{"fleet": welcome.Fleet, "from": l.From}})
 			return
 		}
 		if k.writer == 0 {
 			k.fleet, k.writer = welcome.Fleet, welcome.Writer
 			body, _ := json.Marshal(identity{k.fleet, k.writer})
-			k.gang.Store([]stride.Record{{Unit: unitSelf, Kind: kindWriter, Body: body}}, nil)
+			k.gang.Store([]machine.Record{{Unit: unitSelf, Kind: kindWriter, Body: body}}, nil)
 			k.reserve()
 			k.dirty = true
 		}
@@ -383,7 +383,7 @@
 		return
 	}
 	k.asking = true
-	k.gang.Store([]stride.Record{{Unit: unitSelf, Kind: kindReserved, Seq: uint64(wanted)}}, func(now sundial.Micros) {
+	k.gang.Store([]machine.Record{{Unit: unitSelf, Kind: kindReserved, Seq: uint64(wanted)}}, func(now clock.Micros) {
 		k.asking = false
 		k.stairs.Reserved(wanted)
 		k.flush(now)
@@ -394,13 +394,13 @@
 type Cairns struct{ Peers []string }
 
 // Apply notes them.
-func (c Cairns) Apply(k *Keeper, now sundial.Micros) { k.cairns = c.Peers }
+func (c Cairns) Apply(k *Keeper, now clock.Micros) { k.cairns = c.Peers }
 
 // News is a rumour from the acquaintance.
-type News struct{ Rumour stride.Rumour }
+type News struct{ Rumour machine.Rumour }
 
 // Apply takes a new map, and the announcements that settle orphans.
-func (n News) Apply(k *Keeper, now sundial.Micros) {
+func (n News) Apply(k *Keeper, now clock.Micros) {
 	if n.Rumour.Key == chart.MapKey {
 		var m chart.Map
 		if json.Unmarshal(n.Rumour.Value, &m) == nil && m.Seq > k.chart.Seq && (k.fleet == "" || m.Fleet == k.fleet) {
@@ -446,7 +446,7 @@
 }
 
 // follow works out the difference between the map and what this keeper does.
-func (k *Keeper) follow(now sundial.Micros) {
+func (k *Keeper) follow(now clock.Micros) {
 	me := tether.Member{ID: k.self.ID, Life: k.self.Life}
 	for slot, pairing := range k.chart.Slots {
 		unit := Unit(slot)
@@ -462,7 +462,7 @@
 			}
 		case pairing.Owner == me:
 			k.Takeovers++
-			k.Emit(stride.Explain{What: "owning a slot", Fields: map[string]any{"slot": slot, "epoch": pairing.Epoch, "backup": pairing.Backup.ID, "from_role": rope.Role.String()}})
+			k.Emit(machine.Explain{What: "owning a slot", Fields: map[string]any{"slot": slot, "epoch": pairing.Epoch, "backup": pairing.Backup.ID, "from_role": rope.Role.String()}})
 			k.gang.Own(unit, pairing.Epoch, k.chart.Stores[pairing.Backup.ID].Peer, now)
 			k.dirty = true
 		case pairing.Backup == me:
@@ -479,7 +479,7 @@
 }
 
 // serve begins to confirm, list and start work under a complete pair.
-func (k *Keeper) serve(unit string, now sundial.Micros) {
+func (k *Keeper) serve(unit string, now clock.Micros) {
 	p := k.place(unit)
 	k.stairs.Raise(p.state.Top())
 	k.reserve()
@@ -488,7 +488,7 @@
 	for _, id := range sortedBundles(p.state) {
 		k.start(unit, id)
 	}
-	k.Emit(stride.Explain{What: "serving a slot", Fields: map[string]any{"slot": p.slot, "epoch": k.gang.Rope(unit).Epoch, "first_position": k.stairs.Next()}})
+	k.Emit(machine.Explain{What: "serving a slot", Fields: map[string]any{"slot": p.slot, "epoch": k.gang.Rope(unit).Epoch, "first_position": k.stairs.Next()}})
 	k.flush(now)
 }
 
@@ -516,13 +516,13 @@
 }
 
 // Apply gives the result its position and lists it.
-func (r Ran) Apply(k *Keeper, now sundial.Micros) {
+func (r Ran) Apply(k *Keeper, now clock.Micros) {
 	k.held = append(k.held, finished{slot: r.Slot, row: daybook.Row{Bundle: r.Bundle, Item: r.Item, Status: r.Status, Output: r.Output, Server: r.Server}})
 	k.flush(now)
 }
 
 // flush lists held results as far as pairs serve and positions are reserved.
-func (k *Keeper) flush(now sundial.Micros) {
+func (k *Keeper) flush(now clock.Micros) {
 	if len(k.held) == 0 {
 		return
 	}
@@ -563,14 +563,14 @@
 }
 
 // put applies an entry and appends it; the caller has seen the pair serve.
-func (k *Keeper) put(unit string, entry daybook.Entry, now sundial.Micros) uint64 {
+func (k *Keeper) put(unit string, entry daybook.Entry, now clock.Micros) uint64 {
 	data := daybook.Encode(entry)
 	entry.Apply(k.place(unit).state)
 	seq, _ := k.gang.Append(unit, data, now)
 	return seq
 }
 
-func (k *Keeper) await(unit string, seq, call uint64, expiry sundial.Micros, answer any) {
+func (k *Keeper) await(unit string, seq, call uint64, expiry clock.Micros, answer any) {
 	if k.waits[unit] == nil {
 		k.waits[unit] = map[uint64][]waiting{}
 	}
@@ -581,7 +581,7 @@
 type ClockEvent struct{}
 
 // Apply does what is due.
-func (ClockEvent) Apply(k *Keeper, now sundial.Micros) {
+func (ClockEvent) Apply(k *Keeper, now clock.Micros) {
 	k.gang.ClockEvent(now)
 	for _, unit := range sortedKeys(k.waits) {
 		bySeq := k.waits[unit]
@@ -610,17 +610,17 @@
 		k.announce()
 	}
 	if now >= k.next.resume {
-		k.next.resume = now + 2*sundial.Second
+		k.next.resume = now + 2*clock.Second
 		k.resume()
 		k.settleDown()
 	}
 	if now >= k.next.forget {
-		k.next.forget = now + 60*sundial.Second
+		k.next.forget = now + 60*clock.Second
 		k.forget(now)
 	}
 }
 
-func (k *Keeper) beat(now sundial.Micros) {
+func (k *Keeper) beat(now clock.Micros) {
 	k.next.beat = now + k.set.BeatEvery
 	ready, lonely := map[int]uint64{}, map[int]uint64{}
 	for _, rope := range k.gang.Ropes() {
@@ -638,7 +638,7 @@
 		}
 	}
 	for _, peer := range k.cairns {
-		k.Emit(stride.Send{To: peer, Body: Beat{Busy: busy, Fleet: k.fleet, ID: k.self.ID, Name: k.self.Name, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
+		k.Emit(machine.Send{To: peer, Body: Beat{Busy: busy, Fleet: k.fleet, ID: k.self.ID, Name: k.self.Name, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
 	}
 }
 
@@ -656,8 +656,8 @@
 }
 
 // DiskWait is how long the oldest write has been on its way to the disk.
-func (k *Keeper) DiskWait(now sundial.Micros) sundial.Micros {
-	oldest := sundial.Micros(0)
+func (k *Keeper) DiskWait(now clock.Micros) clock.Micros {
+	oldest := clock.Micros(0)
 	for _, since := range k.writes {
 		oldest = max(oldest, now-since)
 	}
@@ -666,7 +666,7 @@
 
 // Stalled tells whether the disk holds writes back, or did so a moment ago: its
 // slots pass on until it has kept up for a while.
-func (k *Keeper) Stalled(now sundial.Micros) bool {
+func (k *Keeper) Stalled(now clock.Micros) bool {
 	if k.DiskWait(now) > k.set.DiskPatience {
 		k.stalled = now
 	}
@@ -675,7 +675,7 @@
 
 // AtRisk counts what puts promises at risk here: owned slots without their
 // second copy, and how long the oldest result has waited to be announced.
-func (k *Keeper) AtRisk(now sundial.Micros) (copies int64, oldest sundial.Micros) {
+func (k *Keeper) AtRisk(now clock.Micros) (copies int64, oldest clock.Micros) {
 	for _, rope := range k.gang.Ropes() {
 		if rope.Owns() && rope.Role != tether.Serving {
 			copies++
@@ -704,11 +704,11 @@
 	}
 	k.seq++
 	value, _ := json.Marshal(a)
-	k.Emit(stride.Publish{Rumour: stride.Rumour{Key: waypost.Key(k.writer), Epoch: k.self.Life, Seq: k.seq, Value: value}})
+	k.Emit(machine.Publish{Rumour: machine.Rumour{Key: waypost.Key(k.writer), Epoch: k.self.Life, Seq: k.seq, Value: value}})
 }
 
 // forget drops finished bundles and claims past their keeping.
-func (k *Keeper) forget(now sundial.Micros) {
+func (k *Keeper) forget(now clock.Micros) {
 	for _, rope := range k.gang.Ropes() {
 		if rope.Role != tether.Serving {
 			continue
@@ -748,7 +748,7 @@
 type Drain struct{}
 
 // Apply notes it; the next beat tells the cores.
-func (Drain) Apply(k *Keeper, now sundial.Micros) {
+func (Drain) Apply(k *Keeper, now clock.Micros) {
 	k.drain = true
 	k.beat(now)
 }
--- a/ledger/keeper/keeper_test.go
+++ b/ledger/keeper/keeper_test.go
@@ -6,16 +6,16 @@
 	"testing"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/tether"
 	"tuliprudder/ledger/waypost"
 )
 
 // shelf is a shelf in memory.
-type shelf map[uint64][]stride.Record
+type shelf map[uint64][]machine.Record
 
 func (s shelf) Get(file uint64, unit string) ([]byte, error) {
 	for _, record := range s[file] {
@@ -33,12 +33,12 @@
 // once unless held.
 type bench struct {
 	t       *testing.T
-	now     sundial.Micros
+	now     clock.Micros
 	keepers map[string]*Keeper
 	shelves map[string]shelf
 	held    bool // a's disk and wire hold everything back
 	kept    []func()
-	answers map[uint64]stride.Answer
+	answers map[uint64]machine.Answer
 	orders  []any
 	said    waypost.Announcement
 	call    uint64
@@ -46,7 +46,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{t: t, now: sundial.Second, keepers: map[string]*Keeper{}, shelves: map[string]shelf{}, answers: map[uint64]stride.Answer{}}
+	b := &bench{t: t, now: clock.Second, keepers: map[string]*Keeper{}, shelves: map[string]shelf{}, answers: map[uint64]machine.Answer{}}
 	for _, id := range []string{"a", "b"} {
 		b.shelves[id] = shelf{}
 		b.keepers[id] = New(Self{ID: id, Zone: id, Peer: id, Life: 1}, Defaults(), nil, b.shelves[id])
@@ -58,9 +58,9 @@
 			Slots: []tether.Pairing{{Epoch: 1, Owner: tether.Member{ID: "a", Life: 1}, Backup: tether.Member{ID: "b", Life: 1}, Complete: complete}}}
 		value, _ := json.Marshal(m)
 		for _, id := range []string{"a", "b"} {
-			b.do(id, News{Rumour: stride.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}})
+			b.do(id, News{Rumour: machine.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}})
 		}
-		b.pass(sundial.Second)
+		b.pass(clock.Second)
 	}
 	return b
 }
@@ -71,29 +71,29 @@
 	}
 }
 
-func (b *bench) carry(id string, effect stride.Effect) {
+func (b *bench) carry(id string, effect machine.Effect) {
 	if b.held && id == "a" {
 		switch effect.(type) {
-		case stride.Store, stride.Shelve, stride.Send:
+		case machine.Store, machine.Shelve, machine.Send:
 			b.kept = append(b.kept, func() { b.carry(id, effect) })
 			return
 		}
 	}
 	switch e := effect.(type) {
-	case stride.Store:
+	case machine.Store:
 		b.do(id, Stored{Token: e.Token})
-	case stride.Shelve:
+	case machine.Shelve:
 		b.shelves[id][e.File] = e.Records
 		b.do(id, Stored{Token: e.Token})
-	case stride.Send:
+	case machine.Send:
 		if b.keepers[e.To] != nil {
 			b.do(e.To, Letter{From: id, Body: e.Body})
 		}
-	case stride.Answer:
+	case machine.Answer:
 		b.answers[e.Call] = e
-	case stride.Work:
+	case machine.Work:
 		b.orders = append(b.orders, e.Order)
-	case stride.Publish:
+	case machine.Publish:
 		if id == "a" {
 			json.Unmarshal(e.Rumour.Value, &b.said)
 		}
@@ -101,8 +101,8 @@
 }
 
 // pass lets time go by.
-func (b *bench) pass(span sundial.Micros) {
-	for end := b.now + span; b.now < end; b.now += 50 * sundial.Millisecond {
+func (b *bench) pass(span clock.Micros) {
+	for end := b.now + span; b.now < end; b.now += 50 * clock.Millisecond {
 		b.do("a", ClockEvent{})
 		b.do("b", ClockEvent{})
 	}
@@ -124,9 +124,9 @@
 	return answer
 }
 
-func (b *bench) refused(kind mishap.Kind, body any) {
+func (b *bench) refused(kind errs.Kind, body any) {
 	b.t.Helper()
-	if answer, err := b.ask(body); !mishap.Is(err, kind) {
+	if answer, err := b.ask(body); !errs.Is(err, kind) {
 		b.t.Fatalf("%T %+v: %v %v, not %s", body, body, answer, err, kind)
 	}
 }
@@ -138,7 +138,7 @@
 		bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprint("i", i), Request: &daybook.Request{Target: "/x", Host: "h",
 			Header: map[string]string{"n": "v"}, Body: []byte(fmt.Sprint("body ", i)), Tokens: int64(10 + i)}})
 	}
-	return EnrolAsk{Bundle: bundle, Expiry: sundial.Second}
+	return EnrolAsk{Bundle: bundle, Expiry: clock.Second}
 }
 
 // An opaque item reaches the path whole; its body is let go once it is listed or
@@ -160,7 +160,7 @@
 		t.Fatalf("the body is %q", got.Body)
 	}
 	b.do("a", Ran{Bundle: "one", Item: 0, Status: daybook.StatusOK, Output: "x"})
-	b.must(EndAsk{Bundle: "two", Anyone: true, Expiry: sundial.Second})
+	b.must(EndAsk{Bundle: "two", Anyone: true, Expiry: clock.Second})
 	for _, k := range b.keepers {
 		for _, id := range []string{"one", "two"} {
 			request := k.place(Unit(0)).state.Bundles[id].Items[0].Request
@@ -173,7 +173,7 @@
 		t.Fatal("a run under way lost its body")
 	}
 	for _, ask := range []ItemAsk{{Bundle: "one", Item: "i0"}, {Bundle: "two", Item: "i0"}, {Bundle: "one", Item: "i9"}, {Bundle: "three", Item: "i0"}} {
-		b.refused(mishap.NotFound, ask)
+		b.refused(errs.NotFound, ask)
 	}
 	if got := b.must(ItemAsk{Bundle: "one", Item: "i1"}).(ItemAnswer); string(got.Body) != "body 1" {
 		t.Fatalf("the body is %q", got.Body)
@@ -186,9 +186,9 @@
 // Without a fresh lease a keeper does not deny an item: its successor may have it.
 func TestAnItemIsDeniedOnlyUnderALease(t *testing.T) {
 	b := newBench(t)
-	b.refused(mishap.NotFound, ItemAsk{Bundle: "one", Item: "i0"})
-	b.now += 10 * sundial.Second
-	b.refused(mishap.NotReady, ItemAsk{Bundle: "one", Item: "i0"})
+	b.refused(errs.NotFound, ItemAsk{Bundle: "one", Item: "i0"})
+	b.now += 10 * clock.Second
+	b.refused(errs.NotReady, ItemAsk{Bundle: "one", Item: "i0"})
 }
 
 // A bundle without a key is anyone's who knows its name; a customer's stays its own.
@@ -198,14 +198,14 @@
 	mine := lot("mine", 1)
 	mine.Bundle.Customer, mine.Bundle.Key = "c", "k"
 	b.must(mine)
-	b.refused(mishap.NotFound, StatusAsk{Bundle: "one"})
+	b.refused(errs.NotFound, StatusAsk{Bundle: "one"})
 	if status := b.must(StatusAsk{Bundle: "one", Anyone: true}).(Status); status.Items != 1 {
 		t.Fatalf("it stands so: %+v", status)
 	}
 	b.must(ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "one", Anyone: true})
-	b.refused(mishap.NotFound, StatusAsk{Bundle: "mine", Anyone: true})
-	b.refused(mishap.NotFound, EndAsk{Bundle: "mine", Anyone: true, Expiry: sundial.Second})
-	b.refused(mishap.NotFound, ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "mine", Anyone: true})
+	b.refused(errs.NotFound, StatusAsk{Bundle: "mine", Anyone: true})
+	b.refused(errs.NotFound, EndAsk{Bundle: "mine", Anyone: true, Expiry: clock.Second})
+	b.refused(errs.NotFound, ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "mine", Anyone: true})
 	b.must(StatusAsk{Bundle: "mine", Customer: "c"})
 }
 
@@ -240,7 +240,7 @@
 	for _, item := range []int{2, 0, 3} {
 		b.do("a", Ran{Bundle: "one", Item: item, Status: daybook.StatusOK, Output: "12345"})
 	}
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	if got := b.list(0, nil); got.ids() != "i2 i0 i3 " || got.More || got.Items != 4 || got.State != string(daybook.Open) {
 		t.Fatalf("%+v", got)
 	}
@@ -277,7 +277,7 @@
 		do()
 	}
 	// Settled and shelved: the same list, and an end that is told at once.
-	b.pass(3 * sundial.Second)
+	b.pass(3 * clock.Second)
 	if b.keepers["a"].Shelved != 1 {
 		t.Fatal("the bundle was not shelved")
 	}
--- a/ledger/keeper/shelf.go
+++ b/ledger/keeper/shelf.go
@@ -1,8 +1,8 @@
 package keeper
 
 import (
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/tether"
 )
@@ -50,18 +50,18 @@
 	}
 	k.file++
 	file := k.file
-	records := make([]stride.Record, len(pack))
+	records := make([]machine.Record, len(pack))
 	for i, bundle := range pack {
 		bundle.Move()
-		records[i] = stride.Record{Unit: bundle.ID, Kind: "bundle", Body: bundle.Encode()}
+		records[i] = machine.Record{Unit: bundle.ID, Kind: "bundle", Body: bundle.Encode()}
 	}
-	token := k.gang.Await(func(now sundial.Micros) {
+	token := k.gang.Await(func(now clock.Micros) {
 		for _, bundle := range pack {
 			bundle.Shelve(file)
 		}
 		k.Shelved += int64(len(pack))
 	})
-	k.Emit(stride.Shelve{Token: token, File: file, Records: records})
+	k.Emit(machine.Shelve{Token: token, File: file, Records: records})
 }
 
 // whole reads a shelved bundle back. A file that can't be read is damage: the
@@ -121,7 +121,7 @@
 		}
 	}
 	if len(unused) > 0 {
-		k.Emit(stride.Unshelve{Files: unused})
+		k.Emit(machine.Unshelve{Files: unused})
 	}
 	for file := range used {
 		k.files[file] = true
--- a/ledger/keeper/waiting.go
+++ b/ledger/keeper/waiting.go
@@ -1,7 +1,7 @@
 package keeper
 
 import (
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/tether"
 )
@@ -12,15 +12,15 @@
 
 // lingerFor is how long a slot that passed on still counts here: its new owner has
 // told by then.
-const lingerFor = sundial.Second
+const lingerFor = clock.Second
 
 type lingering struct {
-	until  sundial.Micros
+	until  clock.Micros
 	counts map[string]int
 }
 
 // Waiting is what the requests that wait or run here count for, by customer.
-func (k *Keeper) Waiting(now sundial.Micros) map[string]int {
+func (k *Keeper) Waiting(now clock.Micros) map[string]int {
 	out := map[string]int{}
 	for _, rope := range k.gang.Ropes() {
 		if k.counts(rope) {
@@ -46,7 +46,7 @@
 }
 
 // leave keeps what a slot counted for in mind for a while.
-func (k *Keeper) leave(unit string, now sundial.Micros) {
+func (k *Keeper) leave(unit string, now clock.Micros) {
 	kept := k.left[:0]
 	for _, left := range k.left {
 		if now < left.until {
--- a/ledger/keeper/waiting_test.go
+++ b/ledger/keeper/waiting_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/tether"
 )
 
@@ -14,7 +14,7 @@
 	m := chart.Map{Fleet: "f", Seq: seq, Stores: map[string]chart.Store{"a": {Peer: "a", Life: 1}, "b": {Peer: "b", Life: 1}},
 		Slots: []tether.Pairing{{Epoch: epoch, Owner: tether.Member{ID: owner, Life: ownerLife}, Backup: tether.Member{ID: backup, Life: 1}, Complete: true, Trusted: [2]string{owner, backup}}}}
 	value, _ := json.Marshal(m)
-	return News{Rumour: stride.Rumour{Key: chart.MapKey, Seq: seq, Value: value}}
+	return News{Rumour: machine.Rumour{Key: chart.MapKey, Seq: seq, Value: value}}
 }
 
 // What was accepted counts from the write on; at a store that starts again, until
@@ -45,7 +45,7 @@
 	if got := owner.Waiting(b.now)["route"]; got != 33 {
 		t.Fatalf("%d tokens linger where the slot has just been lost", got)
 	}
-	if got := owner.Waiting(b.now + lingerFor + sundial.Millisecond)["route"]; got != 0 {
+	if got := owner.Waiting(b.now + lingerFor + clock.Millisecond)["route"]; got != 0 {
 		t.Fatalf("%d tokens linger for ever", got)
 	}
 }
--- a/ledger/tether/tether.go
+++ b/ledger/tether/tether.go
@@ -3,9 +3,9 @@
 import (
 	"sort"
 
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 )
 
 // Role is what this end does in the current epoch.
@@ -68,11 +68,11 @@
 	// grants them from the time of asking.
 	Beat struct {
 		Units []Tenancy
-		Stamp sundial.Micros
+		Stamp clock.Micros
 	}
 	Leased struct {
 		Units []Tenancy
-		Stamp sundial.Micros
+		Stamp clock.Micros
 	}
 	// Tenancy is a unit under an epoch.
 	Tenancy struct {
@@ -87,17 +87,17 @@
 )
 
 func init() {
-	footbridge.Register(Copy{}, Took{}, Append{}, Ack{}, Fenced{}, Beat{}, Leased{}, Yield{})
+	transport.Register(Copy{}, Took{}, Append{}, Ack{}, Fenced{}, Beat{}, Leased{}, Yield{})
 }
 
 // Spans of the pair; the backup's wait is longer than the owner's lease by a
 // margin for clocks that run unevenly.
 const (
-	Lease       = 1000 * sundial.Millisecond
-	LeaseWait   = Lease + 200*sundial.Millisecond
-	BeatEvery   = 250 * sundial.Millisecond
-	ResendAt    = 400 * sundial.Millisecond
-	lonelyAfter = 800 * sundial.Millisecond
+	Lease       = 1000 * clock.Millisecond
+	LeaseWait   = Lease + 200*clock.Millisecond
+	BeatEvery   = 250 * clock.Millisecond
+	ResendAt    = 400 * clock.Millisecond
+	lonelyAfter = 800 * clock.Millisecond
 	resendCap   = 64
 	earlyCap    = 256
 	pieceSize   = 256 << 10
@@ -123,19 +123,19 @@
 	// Play applies an entry on the backup or when read back.
 	Play(unit string, entry []byte)
 	// Confirmed tells the owner that an entry is on two disks.
-	Confirmed(unit string, seq uint64, now sundial.Micros)
+	Confirmed(unit string, seq uint64, now clock.Micros)
 	// Ready tells that copy and local sync are done; the granter has to be told.
-	Ready(unit string, epoch uint64, now sundial.Micros)
+	Ready(unit string, epoch uint64, now clock.Micros)
 	// Deposed tells the owner of an epoch that it no longer is.
-	Deposed(unit string, epoch uint64, now sundial.Micros)
+	Deposed(unit string, epoch uint64, now clock.Micros)
 }
 
 type entry struct {
 	seq    uint64
 	body   []byte
 	local  bool
-	sentAt sundial.Micros
-	at     sundial.Micros // when it was given
+	sentAt clock.Micros
+	at     clock.Micros // when it was given
 }
 
 // Rope is one end of one unit.
@@ -150,23 +150,23 @@
 	peer       string // the other end's address
 	open       []entry
 	copySeq    uint64
-	pieces     [][][]byte       // owner: the copy, piece by piece
-	pieceSent  []sundial.Micros // owner: when a piece was last sent
+	pieces     [][][]byte     // owner: the copy, piece by piece
+	pieceSent  []clock.Micros // owner: when a piece was last sent
 	pieceTook  []bool
 	gathered   map[int][][]byte // backup: pieces of the epoch's copy
 	copyEpoch  uint64           // backup: epoch of the copy being gathered or written
 	copyLocal  bool
 	copyRemote bool
-	copyAt     sundial.Micros
-	copyFirst  sundial.Micros // when the copy was first sent
-	servedAt   sundial.Micros
-	copyWait   sundial.Micros // the granted lease of the former owner ends
-	leaseUntil sundial.Micros // owner: may start work until
-	granted    sundial.Micros // backup: must not own before
-	grantedAt  uint64         // backup: epoch of the lease it granted
-	beatAt     sundial.Micros
+	copyAt     clock.Micros
+	copyFirst  clock.Micros // when the copy was first sent
+	servedAt   clock.Micros
+	copyWait   clock.Micros // the granted lease of the former owner ends
+	leaseUntil clock.Micros // owner: may start work until
+	granted    clock.Micros // backup: must not own before
+	grantedAt  uint64       // backup: epoch of the lease it granted
+	beatAt     clock.Micros
 	early      map[uint64]Append // backup: entries that came before their turn
-	ackedAt    sundial.Micros
+	ackedAt    clock.Micros
 }
 
 // Peer is the other end's address; Open is how many entries wait.
@@ -176,7 +176,7 @@
 func (r *Rope) Open() int { return len(r.open) }
 
 // LeaseUntil is when the owner's lease ends; zero for others.
-func (r *Rope) LeaseUntil() sundial.Micros {
+func (r *Rope) LeaseUntil() clock.Micros {
 	if r.Role != Serving {
 		return 0
 	}
@@ -184,7 +184,7 @@
 }
 
 // Oldest is how long the oldest entry that is not confirmed has waited.
-func (r *Rope) Oldest(now sundial.Micros) sundial.Micros {
+func (r *Rope) Oldest(now clock.Micros) clock.Micros {
 	if len(r.open) == 0 {
 		return 0
 	}
@@ -193,7 +193,7 @@
 
 // Lonely tells whether an owner's backup has not answered for a while: neither
 // with a lease nor with the copy.
-func (r *Rope) Lonely(now sundial.Micros) bool {
+func (r *Rope) Lonely(now clock.Micros) bool {
 	switch r.Role {
 	case Serving:
 		return now > r.leaseUntil+lonelyAfter && now-r.servedAt > lonelyAfter
@@ -208,10 +208,10 @@
 
 // Gang is all the ropes of a daemon, on one disk and one set of messages.
 type Gang struct {
-	out    *stride.Out
+	out    *machine.Out
 	holder Holder
 	ropes  map[string]*Rope
-	tokens map[uint64]func(now sundial.Micros)
+	tokens map[uint64]func(now clock.Micros)
 	token  uint64
 	// SkipFence is a fault planted by tests: old epochs are not refused.
 	SkipFence bool
@@ -220,8 +220,8 @@
 }
 
 // NewGang makes a gang whose effects go to out.
-func NewGang(out *stride.Out, holder Holder) *Gang {
-	return &Gang{out: out, holder: holder, ropes: map[string]*Rope{}, tokens: map[uint64]func(sundial.Micros){}}
+func NewGang(out *machine.Out, holder Holder) *Gang {
+	return &Gang{out: out, holder: holder, ropes: map[string]*Rope{}, tokens: map[uint64]func(clock.Micros){}}
 }
 
 // Rope is the end of a unit; made cold when new.
@@ -245,23 +245,23 @@
 }
 
 // Store writes records and runs done once they are synced.
-func (g *Gang) Store(records []stride.Record, done func(now sundial.Micros)) {
+func (g *Gang) Store(records []machine.Record, done func(now clock.Micros)) {
 	g.token++
 	if done != nil {
 		g.tokens[g.token] = done
 	}
-	g.out.Emit(stride.Store{Token: g.token, Records: records})
+	g.out.Emit(machine.Store{Token: g.token, Records: records})
 }
 
 // Await gives a token whose store runs done.
-func (g *Gang) Await(done func(now sundial.Micros)) uint64 {
+func (g *Gang) Await(done func(now clock.Micros)) uint64 {
 	g.token++
 	g.tokens[g.token] = done
 	return g.token
 }
 
 // Stored is the disk's word that a store is synced.
-func (g *Gang) Stored(token uint64, now sundial.Micros) {
+func (g *Gang) Stored(token uint64, now clock.Micros) {
 	if done := g.tokens[token]; done != nil {
 		delete(g.tokens, token)
 		done(now)
@@ -270,7 +270,7 @@
 
 // Recover plays one record read back from disk. The unit stays cold: only a new
 // epoch gives it a role again.
-func (g *Gang) Recover(record stride.Record) {
+func (g *Gang) Recover(record machine.Record) {
 	r := g.Rope(record.Unit)
 	switch record.Kind {
 	case KindCopy:
@@ -289,11 +289,11 @@
 }
 
 // Records is the gang's state as records that say the same as all so far.
-func (g *Gang) Records() []stride.Record {
-	var out []stride.Record
+func (g *Gang) Records() []machine.Record {
+	var out []machine.Record
 	for _, r := range g.Ropes() {
 		if r.Epoch > 0 {
-			out = append(out, stride.Record{Unit: r.Unit, Kind: KindCopy, Epoch: r.Epoch, Seq: r.Seq, Body: encodeParts(g.holder.Brief(r.Unit))})
+			out = append(out, machine.Record{Unit: r.Unit, Kind: KindCopy, Epoch: r.Epoch, Seq: r.Seq, Body: encodeParts(g.holder.Brief(r.Unit))})
 		}
 	}
 	return out
@@ -302,9 +302,9 @@
 // Own makes this end the owner under a new epoch, with the backup at an
 // address. What it holds is written whole and copied; nothing is confirmed
 // until both are synced and the granter knows.
-func (g *Gang) Own(unit string, epoch uint64, backup string, now sundial.Micros) {
+func (g *Gang) Own(unit string, epoch uint64, backup string, now clock.Micros) {
 	r := g.Rope(unit)
-	wait := sundial.Micros(0)
+	wait := clock.Micros(0)
 	if r.Role == Backing || r.Role == Filling {
 		wait = r.granted
 	}
@@ -318,7 +318,7 @@
 	copySeq := r.Seq
 	parts := g.holder.View(unit)
 	r.cut(parts)
-	g.Store([]stride.Record{{Unit: unit, Kind: KindCopy, Epoch: epoch, Seq: copySeq, Body: encodeParts(g.holder.Brief(unit))}}, func(now sundial.Micros) {
+	g.Store([]machine.Record{{Unit: unit, Kind: KindCopy, Epoch: epoch, Seq: copySeq, Body: encodeParts(g.holder.Brief(unit))}}, func(now clock.Micros) {
 		if r.Epoch == epoch && r.Owns() {
 			r.copyLocal = true
 			r.Durable = max(r.Durable, copySeq)
@@ -332,7 +332,7 @@
 func (g *Gang) Void(unit string) { g.Rope(unit).granted = 0 }
 
 // Back makes this end the backup under a new epoch; the owner's copy fills it.
-func (g *Gang) Back(unit string, epoch uint64, owner string, now sundial.Micros) {
+func (g *Gang) Back(unit string, epoch uint64, owner string, now clock.Micros) {
 	r := g.Rope(unit)
 	was, old := r.Owns(), r.Epoch
 	g.yield(r)
@@ -345,7 +345,7 @@
 
 // Release ends any role under a higher epoch; what is held stays on disk until
 // Drop.
-func (g *Gang) Release(unit string, epoch uint64, now sundial.Micros) {
+func (g *Gang) Release(unit string, epoch uint64, now clock.Micros) {
 	r := g.Rope(unit)
 	was, old := r.Owns(), r.Epoch
 	g.yield(r)
@@ -358,21 +358,21 @@
 // yield tells the backup that the lease it granted is given back.
 func (g *Gang) yield(r *Rope) {
 	if r.Role == Serving && r.peer != "" {
-		g.out.Emit(stride.Send{To: r.peer, Body: Yield{Unit: r.Unit, Epoch: r.Epoch}})
+		g.out.Emit(machine.Send{To: r.peer, Body: Yield{Unit: r.Unit, Epoch: r.Epoch}})
 	}
 }
 
 // Drop forgets a unit that a complete pair elsewhere holds.
-func (g *Gang) Drop(unit string, epoch uint64, now sundial.Micros) {
+func (g *Gang) Drop(unit string, epoch uint64, now clock.Micros) {
 	g.Release(unit, epoch, now)
 	r := g.Rope(unit)
 	r.Seq, r.Durable = 0, 0
 	g.holder.Restore(unit, nil)
-	g.Store([]stride.Record{{Unit: unit, Kind: KindDrop, Epoch: epoch}}, nil)
+	g.Store([]machine.Record{{Unit: unit, Kind: KindDrop, Epoch: epoch}}, nil)
 }
 
 // Complete is the granter's word that the pair of this epoch is written down.
-func (g *Gang) Complete(unit string, epoch uint64, now sundial.Micros) bool {
+func (g *Gang) Complete(unit string, epoch uint64, now clock.Micros) bool {
 	r := g.Rope(unit)
 	if r.Epoch != epoch || r.Role != Copied {
 		return false
@@ -385,7 +385,7 @@
 
 // Append gives an entry its number, writes it here and sends it to the backup.
 // The caller has applied it. It returns false when this end does not serve.
-func (g *Gang) Append(unit string, body []byte, now sundial.Micros) (uint64, bool) {
+func (g *Gang) Append(unit string, body []byte, now clock.Micros) (uint64, bool) {
 	r := g.Rope(unit)
 	if r.Role != Serving {
 		return 0, false
@@ -393,7 +393,7 @@
 	r.Seq++
 	seq, epoch := r.Seq, r.Epoch
 	r.open = append(r.open, entry{seq: seq, body: body, sentAt: now, at: now})
-	g.Store([]stride.Record{{Unit: unit, Kind: KindEntry, Epoch: epoch, Seq: seq, Body: body}}, func(now sundial.Micros) {
+	g.Store([]machine.Record{{Unit: unit, Kind: KindEntry, Epoch: epoch, Seq: seq, Body: body}}, func(now clock.Micros) {
 		if r.Epoch != epoch {
 			return
 		}
@@ -406,13 +406,13 @@
 		g.settle(r, now)
 	})
 	if !g.SkipRemote {
-		g.out.Emit(stride.Send{To: r.peer, Body: Append{Unit: unit, Epoch: epoch, Seq: seq, Entry: body}})
+		g.out.Emit(machine.Send{To: r.peer, Body: Append{Unit: unit, Epoch: epoch, Seq: seq, Entry: body}})
 	}
 	return seq, true
 }
 
 // settle confirms, in order, what both disks hold.
-func (g *Gang) settle(r *Rope, now sundial.Micros) {
+func (g *Gang) settle(r *Rope, now clock.Micros) {
 	for len(r.open) > 0 && r.Role == Serving {
 		first := r.open[0]
 		if !first.local || (first.seq > r.remote && !g.SkipRemote) {
@@ -436,11 +436,11 @@
 		piece, size = append(piece, part), size+len(part)
 	}
 	r.pieces = append(r.pieces, piece)
-	r.pieceSent, r.pieceTook = make([]sundial.Micros, len(r.pieces)), make([]bool, len(r.pieces))
+	r.pieceSent, r.pieceTook = make([]clock.Micros, len(r.pieces)), make([]bool, len(r.pieces))
 }
 
 // tryCopy keeps a few pieces under way, and sends again what was not taken.
-func (g *Gang) tryCopy(r *Rope, now sundial.Micros) {
+func (g *Gang) tryCopy(r *Rope, now clock.Micros) {
 	if r.Role != Copying || r.copyRemote || now < r.copyWait {
 		return
 	}
@@ -473,7 +473,7 @@
 }
 
 // underWay counts the pieces of all copies that are on their way.
-func (g *Gang) underWay(now sundial.Micros) int {
+func (g *Gang) underWay(now clock.Micros) int {
 	count := 0
 	for _, r := range g.ropes {
 		if r.Role != Copying {
@@ -489,10 +489,10 @@
 }
 
 func (g *Gang) sendPiece(r *Rope, at int) {
-	g.out.Emit(stride.Send{To: r.peer, Body: Copy{Unit: r.Unit, Epoch: r.Epoch, Seq: r.copySeq, At: at, Count: len(r.pieces), Parts: r.pieces[at]}})
+	g.out.Emit(machine.Send{To: r.peer, Body: Copy{Unit: r.Unit, Epoch: r.Epoch, Seq: r.copySeq, At: at, Count: len(r.pieces), Parts: r.pieces[at]}})
 }
 
-func (g *Gang) copied(r *Rope, now sundial.Micros) {
+func (g *Gang) copied(r *Rope, now clock.Micros) {
 	if r.Role == Copying && r.copyLocal && r.copyRemote {
 		r.Role, r.pieces = Copied, nil
 		g.holder.Ready(r.Unit, r.Epoch, now)
@@ -500,17 +500,17 @@
 }
 
 // beat asks for leases on some units of one backup.
-func (g *Gang) beat(peer string, ropes []*Rope, now sundial.Micros) {
+func (g *Gang) beat(peer string, ropes []*Rope, now clock.Micros) {
 	ask := Beat{Stamp: now}
 	for _, r := range ropes {
 		r.beatAt = now
 		ask.Units = append(ask.Units, Tenancy{r.Unit, r.Epoch})
 	}
-	g.out.Emit(stride.Send{To: peer, Body: ask})
+	g.out.Emit(machine.Send{To: peer, Body: ask})
 }
 
 // beats renews the leases of every backup that is due, all its units at once.
-func (g *Gang) beats(now sundial.Micros) {
+func (g *Gang) beats(now clock.Micros) {
 	due := map[string]bool{}
 	byPeer := map[string][]*Rope{}
 	var peers []string
@@ -532,7 +532,7 @@
 }
 
 // ClockEvent renews leases and repeats what was not acknowledged.
-func (g *Gang) ClockEvent(now sundial.Micros) {
+func (g *Gang) ClockEvent(now clock.Micros) {
 	g.beats(now)
 	for _, r := range g.Ropes() {
 		switch r.Role {
@@ -550,7 +550,7 @@
 				}
 				if e := &r.open[i]; e.seq > r.remote && !g.SkipRemote && now-e.sentAt >= ResendAt {
 					e.sentAt = now
-					g.out.Emit(stride.Send{To: r.peer, Body: Append{Unit: r.Unit, Epoch: r.Epoch, Seq: e.seq, Entry: e.body}})
+					g.out.Emit(machine.Send{To: r.peer, Body: Append{Unit: r.Unit, Epoch: r.Epoch, Seq: e.seq, Entry: e.body}})
 				}
 			}
 		}
@@ -558,7 +558,7 @@
 }
 
 // Take handles a message of the pair; false when it is none.
-func (g *Gang) Take(from string, body any, now sundial.Micros) bool {
+func (g *Gang) Take(from string, body any, now clock.Micros) bool {
 	switch m := body.(type) {
 	case Copy:
 		g.takeCopy(from, m, now)
@@ -595,14 +595,14 @@
 		for _, asked := range m.Units {
 			r := g.Rope(asked.Unit)
 			if asked.Epoch < r.Epoch && !g.SkipFence {
-				g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: asked.Unit, Epoch: r.Epoch}})
+				g.out.Emit(machine.Send{To: from, Body: Fenced{Unit: asked.Unit, Epoch: r.Epoch}})
 			} else if asked.Epoch == r.Epoch && r.Role == Backing {
 				r.granted, r.grantedAt = max(r.granted, now+LeaseWait), asked.Epoch
 				granted.Units = append(granted.Units, asked)
 			}
 		}
 		if len(granted.Units) > 0 {
-			g.out.Emit(stride.Send{To: from, Body: granted})
+			g.out.Emit(machine.Send{To: from, Body: granted})
 		}
 	case Yield:
 		if r := g.Rope(m.Unit); m.Epoch >= r.grantedAt {
@@ -624,11 +624,11 @@
 	return true
 }
 
-func (g *Gang) takeCopy(from string, m Copy, now sundial.Micros) {
+func (g *Gang) takeCopy(from string, m Copy, now clock.Micros) {
 	r := g.Rope(m.Unit)
 	switch {
 	case m.Epoch < r.Epoch && !g.SkipFence:
-		g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
+		g.out.Emit(machine.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
 		return
 	case m.Epoch == r.Epoch && r.Role == Backing:
 		g.ack(r, from, true)
@@ -642,7 +642,7 @@
 	if r.copyEpoch != m.Epoch {
 		r.copyEpoch, r.gathered = m.Epoch, map[int][][]byte{}
 	}
-	g.out.Emit(stride.Send{To: from, Body: Took{Unit: m.Unit, Epoch: m.Epoch, At: m.At}})
+	g.out.Emit(machine.Send{To: from, Body: Took{Unit: m.Unit, Epoch: m.Epoch, At: m.At}})
 	if r.gathered == nil {
 		return // whole, and being written
 	}
@@ -657,7 +657,7 @@
 	r.gathered = nil
 	g.holder.Restore(m.Unit, parts)
 	r.Seq, r.Durable, r.peer, r.early = m.Seq, 0, from, nil
-	g.Store([]stride.Record{{Unit: m.Unit, Kind: KindCopy, Epoch: m.Epoch, Seq: m.Seq, Body: encodeParts(parts)}}, func(now sundial.Micros) {
+	g.Store([]machine.Record{{Unit: m.Unit, Kind: KindCopy, Epoch: m.Epoch, Seq: m.Seq, Body: encodeParts(parts)}}, func(now clock.Micros) {
 		if r.Epoch == m.Epoch && r.Role == Filling {
 			r.Role = Backing
 			r.Durable = m.Seq
@@ -666,10 +666,10 @@
 	})
 }
 
-func (g *Gang) takeAppend(from string, m Append, now sundial.Micros) {
+func (g *Gang) takeAppend(from string, m Append, now clock.Micros) {
 	r := g.Rope(m.Unit)
 	if m.Epoch < r.Epoch && !g.SkipFence {
-		g.out.Emit(stride.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
+		g.out.Emit(machine.Send{To: from, Body: Fenced{Unit: m.Unit, Epoch: r.Epoch}})
 		return
 	}
 	if m.Epoch != r.Epoch || r.Role != Backing {
@@ -703,7 +703,7 @@
 func (g *Gang) takeInTurn(r *Rope, from string, m Append) {
 	r.Seq = m.Seq
 	g.holder.Play(m.Unit, m.Entry)
-	g.Store([]stride.Record{{Unit: m.Unit, Kind: KindEntry, Epoch: m.Epoch, Seq: m.Seq, Body: m.Entry}}, func(now sundial.Micros) {
+	g.Store([]machine.Record{{Unit: m.Unit, Kind: KindEntry, Epoch: m.Epoch, Seq: m.Seq, Body: m.Entry}}, func(now clock.Micros) {
 		if r.Epoch == m.Epoch && r.Role == Backing {
 			r.Durable = max(r.Durable, m.Seq)
 			g.ack(r, from, false)
@@ -712,5 +712,5 @@
 }
 
 func (g *Gang) ack(r *Rope, to string, copied bool) {
-	g.out.Emit(stride.Send{To: to, Body: Ack{Unit: r.Unit, Epoch: r.Epoch, Seq: r.Durable, Copied: copied}})
+	g.out.Emit(machine.Send{To: to, Body: Ack{Unit: r.Unit, Epoch: r.Epoch, Seq: r.Durable, Copied: copied}})
 }
--- a/ledger/tether/tether_test.go
+++ b/ledger/tether/tether_test.go
@@ -5,20 +5,20 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 )
 
 // end is one daemon with one unit, a list of texts.
 type end struct {
-	stride.Out
+	machine.Out
 	name      string
 	gang      *Gang
 	list      []string
 	confirmed []uint64
 	ready     uint64
 	deposed   int
-	durable   []stride.Record
+	durable   []machine.Record
 }
 
 func newEnd(name string) *end {
@@ -44,12 +44,12 @@
 	}
 }
 func (e *end) Play(_ string, body []byte) { e.list = append(e.list, string(body)) }
-func (e *end) Confirmed(_ string, seq uint64, now sundial.Micros) {
+func (e *end) Confirmed(_ string, seq uint64, now clock.Micros) {
 	e.confirmed = append(e.confirmed, seq)
 }
-func (e *end) Ready(_ string, epoch uint64, now sundial.Micros) { e.ready = epoch }
-func (e *end) Deposed(_ string, _ uint64, now sundial.Micros)   { e.deposed++ }
-func (e *end) add(text string, now sundial.Micros) (uint64, bool) {
+func (e *end) Ready(_ string, epoch uint64, now clock.Micros) { e.ready = epoch }
+func (e *end) Deposed(_ string, _ uint64, now clock.Micros)   { e.deposed++ }
+func (e *end) add(text string, now clock.Micros) (uint64, bool) {
 	if e.gang.Rope("u").Role != Serving {
 		return 0, false
 	}
@@ -64,7 +64,7 @@
 
 // bench is two or three ends with a fate for every message by its number.
 type bench struct {
-	now     sundial.Micros
+	now     clock.Micros
 	ends    map[string]*end
 	wire    []letter
 	count   int
@@ -93,9 +93,9 @@
 			for _, effect := range e.Drain() {
 				moved = true
 				switch f := effect.(type) {
-				case stride.Send:
+				case machine.Send:
 					b.wire = append(b.wire, letter{f.To, name, f.Body})
-				case stride.Store:
+				case machine.Store:
 					e.durable = append(e.durable, f.Records...)
 					e.gang.Stored(f.Token, b.now)
 				}
@@ -138,9 +138,9 @@
 }
 
 // pass lets time go by, with clock events.
-func (b *bench) pass(span sundial.Micros) {
+func (b *bench) pass(span clock.Micros) {
 	for end := b.now + span; b.now < end; {
-		b.now += 50 * sundial.Millisecond
+		b.now += 50 * clock.Millisecond
 		for _, e := range b.ends {
 			e.gang.ClockEvent(b.now)
 		}
@@ -153,7 +153,7 @@
 	b.ends[backup].gang.Back("u", epoch, owner, b.now)
 	b.ends[owner].gang.Own("u", epoch, backup, b.now)
 	b.pump()
-	b.pass(3 * sundial.Second)
+	b.pass(3 * clock.Second)
 	if b.ends[owner].ready != epoch {
 		t.Fatalf("%s never had its copy at %s", owner, backup)
 	}
@@ -182,12 +182,12 @@
 				b.pump()
 			}
 		}
-		b.pass(sundial.Second)
+		b.pass(clock.Second)
 		for _, l := range b.late {
 			b.deliver(l)
 		}
 		b.late = nil
-		b.pass(sundial.Second)
+		b.pass(clock.Second)
 		return b
 	}
 	total = run(0, "").count
@@ -213,7 +213,7 @@
 	if _, ok := b.ends["a"].add("stray", b.now); !ok {
 		t.Fatal("the old owner knows already; the test shows nothing")
 	}
-	b.pass(4 * sundial.Second)
+	b.pass(4 * clock.Second)
 	if a := b.ends["a"]; len(a.confirmed) != 0 || a.deposed != 1 {
 		t.Fatalf("the old owner confirmed %v, deposed %d times", a.confirmed, a.deposed)
 	}
@@ -226,7 +226,7 @@
 func TestTakeoverWaitsForTheLease(t *testing.T) {
 	b := newBench("a", "b", "c")
 	b.pair(t, "a", "b", 1)
-	b.pass(sundial.Second)
+	b.pass(clock.Second)
 	until := b.ends["a"].gang.Rope("u").LeaseUntil()
 	if until <= b.now {
 		t.Fatal("the owner has no fresh lease")
@@ -235,11 +235,11 @@
 	delete(b.ends, "a") // frozen
 	b.ends["b"].gang.Own("u", 2, "c", b.now)
 	for b.ends["b"].ready != 2 {
-		b.pass(50 * sundial.Millisecond)
+		b.pass(50 * clock.Millisecond)
 		if b.ends["b"].ready == 2 && b.now < until {
 			t.Fatalf("the copy is done at %d, before the lease ends at %d", b.now, until)
 		}
-		if b.now > until+5*sundial.Second {
+		if b.now > until+5*clock.Second {
 			t.Fatal("the takeover never came")
 		}
 	}
@@ -282,22 +282,22 @@
 	for i := 0; i < 40; i++ {
 		a.list = append(a.list, strings.Repeat("x", 100<<10))
 	}
-	now := sundial.Micros(1000)
+	now := clock.Micros(1000)
 	for i := 0; i < 10; i++ {
 		a.gang.Own(fmt.Sprint("u", i), 1, "b", now)
 	}
 	took, most := 0, 0
 	for round := 0; round < 400; round++ {
-		now += 20 * sundial.Millisecond
+		now += 20 * clock.Millisecond
 		a.gang.ClockEvent(now)
 		var pieces []Copy
 		for _, effect := range a.Drain() {
 			switch f := effect.(type) {
-			case stride.Send:
+			case machine.Send:
 				if piece, ok := f.Body.(Copy); ok {
 					pieces = append(pieces, piece)
 				}
-			case stride.Store:
+			case machine.Store:
 				a.gang.Stored(f.Token, now)
 			}
 		}
--- a/ledger/waypost/token.go
+++ b/ledger/waypost/token.go
@@ -9,7 +9,7 @@
 	"hash/fnv"
 	"sort"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 // Vector holds a position for each writer.
@@ -101,7 +101,7 @@
 		return Token{Fleet: FleetTag(fleet), Ahead: Vector{}}, nil
 	}
 	bad := func(why string) (Token, error) {
-		return Token{}, mishap.New(mishap.BadToken, tokenRemedy, "the position token is %s", why)
+		return Token{}, errs.New(errs.BadToken, tokenRemedy, "the position token is %s", why)
 	}
 	if len(text) > 4096 {
 		return bad("too long")
--- a/ledger/waypost/waypost_test.go
+++ b/ledger/waypost/waypost_test.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 )
 
@@ -60,21 +60,21 @@
 		} else {
 			changed[i] = 'A'
 		}
-		if _, err := Parse("fleet", string(changed)); !mishap.Is(err, mishap.BadToken) {
+		if _, err := Parse("fleet", string(changed)); !errs.Is(err, errs.BadToken) {
 			t.Fatalf("letter %d changed: %v", i, err)
 		}
-		if _, err := Parse("fleet", good[:i]); i > 0 && !mishap.Is(err, mishap.BadToken) {
+		if _, err := Parse("fleet", good[:i]); i > 0 && !errs.Is(err, errs.BadToken) {
 			t.Fatalf("cut at %d: %v", i, err)
 		}
 	}
-	if _, err := Parse("another", good); !mishap.Is(err, mishap.BadToken) {
+	if _, err := Parse("another", good); !errs.Is(err, errs.BadToken) {
 		t.Fatalf("a foreign token: %v", err)
 	}
 }
 
-func said(seq uint64, a Announcement) stride.Rumour {
+func said(seq uint64, a Announcement) machine.Rumour {
 	value, _ := json.Marshal(a)
-	return stride.Rumour{Key: Key(a.Writer), Epoch: 1, Seq: seq, Value: value}
+	return machine.Rumour{Key: Key(a.Writer), Epoch: 1, Seq: seq, Value: value}
 }
 
 func twoWriters() *View {
--- a/path/causeway/causeway.go
+++ b/path/causeway/causeway.go
@@ -22,7 +22,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 // Words are the names of the headers that carry meaning here; one left empty is
@@ -240,7 +240,7 @@
 		return k, place{}, nil
 	}
 	if s.open >= s.most {
-		err := mishap.New(mishap.Busy, "try another server, or come back later", "all %d connections to the server %s are in use", s.most, address)
+		err := errs.New(errs.Busy, "try another server, or come back later", "all %d connections to the server %s are in use", s.most, address)
 		c.tidy(s)
 		return nil, place{}, err
 	}
@@ -363,7 +363,7 @@
 // check refuses what can't be written as one whole request.
 func (c *Causeway) check(r Request) error {
 	refuse := func(format string, args ...any) error {
-		return mishap.New(mishap.BadInput, "send a request that HTTP/1.1 can carry", format, args...)
+		return errs.New(errs.BadInput, "send a request that HTTP/1.1 can carry", format, args...)
 	}
 	if _, err := netip.ParseAddrPort(r.Address); err != nil {
 		return refuse("the server's address %q is no IP and port", r.Address)
--- a/path/causeway/causeway_test.go
+++ b/path/causeway/causeway_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 var words = Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEvent: "Last-Event-ID", Deadline: "X-Time-Left-Ms"}
@@ -402,7 +402,7 @@
 	c := New(words, Settings{MostOpen: 2})
 	first, second := do(t, c, post(address, "a")), do(t, c, post(address, "b"))
 	_, err := c.Do(t.Context(), post(address, "c"))
-	if !mishap.Is(fault(t, err, NotWritten), mishap.Busy) {
+	if !errs.Is(fault(t, err, NotWritten), errs.Busy) {
 		t.Fatal(err)
 	}
 	c.SetMost(address, 3)
@@ -593,7 +593,7 @@
 		r := post("127.0.0.1:1", "a")
 		change(&r)
 		_, err := c.Do(t.Context(), r)
-		if !mishap.Is(fault(t, err, NotWritten), mishap.BadInput) {
+		if !errs.Is(fault(t, err, NotWritten), errs.BadInput) {
 			t.Fatalf("%s: %v", name, err)
 		}
 	}
--- a/path/causeway/events.go
+++ b/path/causeway/events.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 const eventLimit = 1 << 20 // bytes of one event
@@ -51,7 +51,7 @@
 		event, ok := e.scan()
 		switch {
 		case len(event.Raw) > eventLimit, !ok && len(e.buffer) > eventLimit:
-			e.final = mishap.New(mishap.TooLarge, "have the server send smaller events", "an event is larger than %d bytes", eventLimit)
+			e.final = errs.New(errs.TooLarge, "have the server send smaller events", "an event is larger than %d bytes", eventLimit)
 		case ok:
 			return event, nil
 		case e.err == io.EOF && (e.begun || e.line < len(e.buffer)):
--- a/path/causeway/events_test.go
+++ b/path/causeway/events_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"testing/iotest"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 const stream = "\xef\xbb\xbf: hello\n\nid: 1\ndata: a\ndata:b\nx-load: 3\nevent: e\nretry: 5\n\n\r\ndata: c\r\n\r\nid\rdata\r\r"
@@ -98,7 +98,7 @@
 	}
 	for _, more := range []string{"x\n\ndata: next\n\n", strings.Repeat("x", 10000)} {
 		large := append(bytes.Repeat([]byte("x"), eventLimit-2), more...)
-		if all, err := events(t, bytes.NewReader(large)); len(all) != 0 || !mishap.Is(err, mishap.TooLarge) {
+		if all, err := events(t, bytes.NewReader(large)); len(all) != 0 || !errs.Is(err, errs.TooLarge) {
 			t.Fatalf("%d events, %v", len(all), err)
 		}
 	}
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -13,8 +13,8 @@
 	"sort"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/path/judges"
 	"tuliprudder/path/roster"
 )
@@ -23,11 +23,11 @@
 type Settings struct {
 	MostWaiting int
 	PrefixKept  int
-	LowLimit    float64        // fullness up to which the lowest level may fill a server
-	HighLimit   float64        // the same for the highest
-	Patience    sundial.Micros // after which one waiting bundle order may go up to a full server
-	Rest        sundial.Micros
-	Staleness   sundial.Micros // news older than this: turn away, don't assign
+	LowLimit    float64      // fullness up to which the lowest level may fill a server
+	HighLimit   float64      // the same for the highest
+	Patience    clock.Micros // after which one waiting bundle order may go up to a full server
+	Rest        clock.Micros
+	Staleness   clock.Micros // news older than this: turn away, don't assign
 }
 
 // A budget of further tries: what an order adds, and the most that is saved up.
@@ -38,7 +38,7 @@
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{MostWaiting: 20_000, PrefixKept: 4096, LowLimit: 0.7, HighLimit: 1.3, Patience: 3 * sundial.Second, Rest: 300 * sundial.Millisecond, Staleness: 2500 * sundial.Millisecond}
+	return Settings{MostWaiting: 20_000, PrefixKept: 4096, LowLimit: 0.7, HighLimit: 1.3, Patience: 3 * clock.Second, Rest: 300 * clock.Millisecond, Staleness: 2500 * clock.Millisecond}
 }
 
 // Order is one piece of work that looks for a server.
@@ -51,18 +51,18 @@
 	Weight   int // what it counts for while it waits; 0 counts as 1
 	Prefix   string
 	Prompt   int64          // tokens that the server reads before it begins
-	Expiry   sundial.Micros // 0: none
+	Expiry   clock.Micros   // 0: none
 	Avoid    map[string]int // servers that turned it away
 	// Pools, where set, are those that serve this order instead of its route's.
 	Pools planbook.Selector
 	// Permit is asked right before the start; false drops the order.
-	Permit func(now sundial.Micros) bool
+	Permit func(now clock.Micros) bool
 	// Start is told the chosen server.
-	Start func(grip *Grip, now sundial.Micros)
+	Start func(grip *Grip, now clock.Micros)
 	// Drop ends an order that never started.
-	Drop func(err error, now sundial.Micros)
+	Drop func(err error, now clock.Micros)
 
-	since   sundial.Micros
+	since   clock.Micros
 	seq     uint64
 	at      int
 	place   *list.Element
@@ -74,7 +74,7 @@
 type Grip struct {
 	Server  roster.Server
 	Marks   []judges.Mark
-	Started sundial.Micros
+	Started clock.Micros
 	bundle  bool
 	prompt  int64
 	begun   bool
@@ -91,19 +91,19 @@
 	own       int
 	stays     []*stay // this daemon's orders of late
 	others    int     // the others' orders at the last figure
-	latency   sundial.Micros
+	latency   clock.Micros
 	failures  int
-	restUntil sundial.Micros
-	bundles   int            // this daemon's items
-	opening   int            // those of them that it has not begun
-	reading   int64          // prompt tokens of this daemon's orders that it has not begun
-	pending   []*Grip        // these orders, the oldest first
-	heard     sundial.Micros // when it last began or ended one
-	window    window         // of items
+	restUntil clock.Micros
+	bundles   int          // this daemon's items
+	opening   int          // those of them that it has not begun
+	reading   int64        // prompt tokens of this daemon's orders that it has not begun
+	pending   []*Grip      // these orders, the oldest first
+	heard     clock.Micros // when it last began or ended one
+	window    window       // of items
 }
 
 // silent is how long the server has left this daemon's orders without a word.
-func (s *state) silent(now sundial.Micros) sundial.Micros {
+func (s *state) silent(now clock.Micros) clock.Micros {
 	if len(s.pending) == 0 {
 		return 0
 	}
@@ -111,7 +111,7 @@
 }
 
 // stay is one order's time on a server; it has not ended while end is 0.
-type stay struct{ start, end sundial.Micros }
+type stay struct{ start, end clock.Micros }
 
 // figure takes a reading: what it counts beyond this daemon's own orders at that
 // time is the others'.
@@ -146,11 +146,11 @@
 	seq      uint64
 	prefixes map[uint64]string
 	prefixed *list.List
-	fresh    sundial.Micros
+	fresh    clock.Micros
 	chance   *rand.Rand
-	paces    []sundial.Micros // the latest assignments
-	retries  float64          // budget for further tries
-	stirred  bool             // something changed since the last look
+	paces    []clock.Micros // the latest assignments
+	retries  float64        // budget for further tries
+	stirred  bool           // something changed since the last look
 	closed   bool
 	// Blind is a fault planted by tests: old news are taken for fresh, and leaving
 	// marks are passed over.
@@ -170,7 +170,7 @@
 // SetPlan puts a plan in force here, for what waits as well: each order goes by
 // the new plan's route and rank from now on, and one whose route or customer is
 // gone is dropped.
-func (d *Dispatch) SetPlan(plan *planbook.Plan, now sundial.Micros) {
+func (d *Dispatch) SetPlan(plan *planbook.Plan, now clock.Micros) {
 	if d.plan != nil && plan.Version <= d.plan.Version {
 		return
 	}
@@ -198,7 +198,7 @@
 	// What was accepted runs for as long as there is a route for it, and requests that
 	// are passed on belong to no customer.
 	if route == nil || !o.Bundle && o.Route.Forward == nil && (class == nil || !route.Classes.Matches(class.Labels)) {
-		return mishap.New(mishap.UnknownRoute, "name a route that the plan opens to this customer's class", "the plan in force has no route %q for this customer any more; the order did not run and will not", o.Route.Name)
+		return errs.New(errs.UnknownRoute, "name a route that the plan opens to this customer's class", "the plan in force has no route %q for this customer any more; the order did not run and will not", o.Route.Name)
 	}
 	// Where requests are passed on there are no customers, though one may be named
 	// like the route.
@@ -249,14 +249,14 @@
 }
 
 // SetFresh tells up to when this daemon's news count as fresh.
-func (d *Dispatch) SetFresh(lastSwap sundial.Micros) {
+func (d *Dispatch) SetFresh(lastSwap clock.Micros) {
 	d.fresh, d.stirred = max(d.fresh, lastSwap), true
 }
 
 // ServeOn as Staleness has a daemon assign by its last knowledge however old its
 // news are: where the promises bind only daemons that are in touch, serving on is
 // worth more (DESIGN §3.4).
-const ServeOn sundial.Micros = 1 << 62
+const ServeOn clock.Micros = 1 << 62
 
 // SetTurn tells where this daemon's own order of servers begins, from 0 to 1.
 func (d *Dispatch) SetTurn(begin float64) { d.turn = begin }
@@ -268,7 +268,7 @@
 func (d *Dispatch) Adjust(change func(set *Settings)) { change(&d.set) }
 
 // Fresh tells whether the news are fresh enough to assign by.
-func (d *Dispatch) Fresh(now sundial.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
+func (d *Dispatch) Fresh(now clock.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
 
 // Servers copies the platform's list as known here.
 func (d *Dispatch) Servers() []roster.Server {
@@ -283,9 +283,9 @@
 // ServerView is one server as this daemon sees it.
 type ServerView struct {
 	roster.Server
-	Load    roster.Load    `json:"load"`
-	Own     int            `json:"own"`
-	Latency sundial.Micros `json:"latency_us"`
+	Load    roster.Load  `json:"load"`
+	Own     int          `json:"own"`
+	Latency clock.Micros `json:"latency_us"`
 }
 
 // View is what this daemon sees, for the operators.
@@ -333,7 +333,7 @@
 // level, the more room it leaves for those above it, whichever daemon has them.
 // So that bundles never starve, a daemon whose bundles have none running may
 // start one that has waited long up to a full server.
-func (d *Dispatch) limit(o *Order, now sundial.Micros) float64 {
+func (d *Dispatch) limit(o *Order, now clock.Micros) float64 {
 	place := 1.0
 	if n := len(d.levels); n > 1 {
 		at, _ := slices.BinarySearch(d.levels, levelOf(o))
@@ -362,13 +362,13 @@
 }
 
 // Enrol puts an order into the backlog; an error means it never will run.
-func (d *Dispatch) Enrol(o *Order, now sundial.Micros) error {
+func (d *Dispatch) Enrol(o *Order, now clock.Micros) error {
 	if d.closed {
-		return mishap.Later(mishap.NotReady, sundial.Second, "ask another daemon", "this daemon is draining")
+		return errs.Later(errs.NotReady, clock.Second, "ask another daemon", "this daemon is draining")
 	}
 	if d.count >= d.set.MostWaiting {
 		d.TurnedAway++
-		return mishap.Later(mishap.Busy, d.After(now), "come back after the time given", "the backlog is full")
+		return errs.Later(errs.Busy, d.After(now), "come back after the time given", "the backlog is full")
 	}
 	if err := d.follow(o); err != nil {
 		return err
@@ -404,12 +404,12 @@
 
 // After is when the backlog of now will have been worked off, by the pace of the
 // latest assignments, between half a second and half a minute.
-func (d *Dispatch) After(now sundial.Micros) sundial.Micros {
+func (d *Dispatch) After(now clock.Micros) clock.Micros {
 	if len(d.paces) < 2 {
-		return 2 * sundial.Second
+		return 2 * clock.Second
 	}
-	pace := (now - d.paces[0]) / sundial.Micros(len(d.paces))
-	return min(30*sundial.Second, max(sundial.Second/2, pace*sundial.Micros(d.count)))
+	pace := (now - d.paces[0]) / clock.Micros(len(d.paces))
+	return min(30*clock.Second, max(clock.Second/2, pace*clock.Micros(d.count)))
 }
 
 // Retry spends of the budget for further tries: one for every five orders that
@@ -449,27 +449,27 @@
 }
 
 // Close turns new orders away; what waits is dropped.
-func (d *Dispatch) Close(now sundial.Micros) {
+func (d *Dispatch) Close(now clock.Micros) {
 	d.closed = true
 	dropped := d.all()
 	for _, o := range dropped {
 		d.remove(o)
 	}
 	for _, o := range dropped {
-		o.Drop(mishap.Later(mishap.NotReady, sundial.Second, "ask another daemon", "this daemon is draining"), now)
+		o.Drop(errs.Later(errs.NotReady, clock.Second, "ask another daemon", "this daemon is draining"), now)
 	}
 }
 
 // Settle looks for as long as looking changes something: the daemon's machine
 // calls it at the end of each of its steps.
-func (d *Dispatch) Settle(now sundial.Micros) {
+func (d *Dispatch) Settle(now clock.Micros) {
 	for d.stirred {
 		d.Match(now)
 	}
 }
 
 // Match assigns what can be assigned now, higher ranks first.
-func (d *Dispatch) Match(now sundial.Micros) {
+func (d *Dispatch) Match(now clock.Micros) {
 	type start struct {
 		order *Order
 		grip  *Grip
@@ -496,17 +496,17 @@
 		if s.order.Permit != nil && !s.order.Permit(now) {
 			s.grip.Release(0, true, now)
 			d.NotPermitted++
-			s.order.Drop(mishap.New(mishap.Refused, "nothing to do: another keeper runs it, or it has ended", "no permit to start"), now)
+			s.order.Drop(errs.New(errs.Refused, "nothing to do: another keeper runs it, or it has ended", "no permit to start"), now)
 			continue
 		}
 		s.order.Start(s.grip, now)
 	}
 	for _, o := range expired {
 		if o.Expiry == 0 || now < o.Expiry {
-			o.Drop(mishap.Later(mishap.NotReady, sundial.Second, "ask another daemon, or come back", "this daemon's news are old; the order did not run and will not"), now)
+			o.Drop(errs.Later(errs.NotReady, clock.Second, "ask another daemon, or come back", "this daemon's news are old; the order did not run and will not"), now)
 			continue
 		}
-		o.Drop(mishap.Later(mishap.Expired, d.After(now), "ask again with a later expiry, or when it is less busy", "the order expired in the backlog; it did not run and will not"), now)
+		o.Drop(errs.Later(errs.Expired, d.After(now), "ask again with a later expiry, or when it is less busy", "the order expired in the backlog; it did not run and will not"), now)
 	}
 }
 
@@ -551,7 +551,7 @@
 
 // drain assigns from one backlog until no server is left for its route. Only an
 // order that has servers to avoid is stepped over.
-func (d *Dispatch) drain(backlog *list.List, now sundial.Micros, start func(*Order, *Grip)) {
+func (d *Dispatch) drain(backlog *list.List, now clock.Micros, start func(*Order, *Grip)) {
 	var next *list.Element
 	for e := backlog.Front(); e != nil; e = next {
 		next = e.Next()
@@ -598,10 +598,10 @@
 }
 
 // choose picks the server with the highest sum; ties fall by seeded chance.
-func (d *Dispatch) choose(o *Order, now sundial.Micros) *Grip {
+func (d *Dispatch) choose(o *Order, now clock.Micros) *Grip {
 	limit := d.limit(o, now)
 	held := d.prefixes[prefixOf(o)]
-	fastest := sundial.Micros(0)
+	fastest := clock.Micros(0)
 	names := make([]string, 0, len(d.servers))
 	for name, s := range d.servers {
 		if !s.server.Gone {
@@ -702,7 +702,7 @@
 }
 
 // Began notes that the server has begun the order: its prompt is read.
-func (g *Grip) Began(now sundial.Micros) {
+func (g *Grip) Began(now clock.Micros) {
 	if g.over || g.begun {
 		return
 	}
@@ -728,7 +728,7 @@
 
 // Release lets the server go: took is how long the order ran (0: unknown), and
 // ok whether the server behaved.
-func (g *Grip) Release(took sundial.Micros, ok bool, now sundial.Micros) {
+func (g *Grip) Release(took clock.Micros, ok bool, now clock.Micros) {
 	if g.over {
 		return
 	}
@@ -755,7 +755,7 @@
 		return
 	}
 	g.s.failures++
-	g.s.restUntil = now + g.d.set.Rest*sundial.Micros(min(g.s.failures, 8))
+	g.s.restUntil = now + g.d.set.Rest*clock.Micros(min(g.s.failures, 8))
 	if g.s.failures >= 3 {
 		g.s.failures = 2 // after its rest it may be tried once
 	}
@@ -763,7 +763,7 @@
 
 // Leave lets the server go without a word on it: its order ended for reasons of its
 // own.
-func (g *Grip) Leave(now sundial.Micros) {
+func (g *Grip) Leave(now clock.Micros) {
 	if g.over {
 		return
 	}
@@ -773,7 +773,7 @@
 }
 
 // TurnedAway notes that the server was full: it rests a moment.
-func (g *Grip) TurnedAway(now sundial.Micros) {
+func (g *Grip) TurnedAway(now clock.Micros) {
 	g.s.restUntil = now + g.d.set.Rest
 	g.Release(0, true, now)
 }
--- a/path/dispatch/dispatch_test.go
+++ b/path/dispatch/dispatch_test.go
@@ -5,14 +5,14 @@
 	"testing"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/path/roster"
 )
 
 type bench struct {
 	*Dispatch
-	now     sundial.Micros
+	now     clock.Micros
 	started chan string
 	dropped chan string
 	route   *planbook.Route
@@ -26,7 +26,7 @@
 	 "customers":[{"name":"c1","key":"k1","class":"a1"},{"name":"c5","key":"k5","class":"a5"},{"name":"c9","key":"k9","class":"a9"}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{"fleet":"main"}}],
 	 "routes":[{"name":"r","kind":"one-shot","classes":{},"pools":{"u":"x"},"model":"m","weights":"w1"}],"judges":{"speed":0}}`))
 	if err != nil {
-		t.Fatal(err, mishap.Of(err).Faults)
+		t.Fatal(err, errs.Of(err).Faults)
 	}
 	plan.Version = 1
 	b.SetPlan(plan, b.now)
@@ -44,13 +44,13 @@
 
 func (b *bench) order(name string, rank int64, change func(*Order)) *Order {
 	o := &Order{ID: name, Customer: fmt.Sprint("c", rank), Route: b.route, Rank: rank, Avoid: map[string]int{}}
-	o.Start = func(grip *Grip, _ sundial.Micros) { b.started <- name + "@" + grip.Server.Name }
-	o.Drop = func(err error, _ sundial.Micros) { b.dropped <- name + ":" + string(mishap.Of(err).Kind) }
+	o.Start = func(grip *Grip, _ clock.Micros) { b.started <- name + "@" + grip.Server.Name }
+	o.Drop = func(err error, _ clock.Micros) { b.dropped <- name + ":" + string(errs.Of(err).Kind) }
 	if change != nil {
 		change(o)
 	}
 	if err := b.Enrol(o, b.now); err != nil {
-		b.dropped <- name + ":" + string(mishap.Of(err).Kind)
+		b.dropped <- name + ":" + string(errs.Of(err).Kind)
 	}
 	return o
 }
@@ -95,7 +95,7 @@
 		"full":        func(b *bench) { b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 4, Waiting: 2}) },
 		"weights":     func(b *bench) { s := server("s", 4); s.Labels["weights"] = "w2"; b.SetServer(s) },
 		"other pool":  func(b *bench) { s := server("s", 4); s.Labels["fleet"] = "other"; b.SetServer(s) },
-		"old news":    func(b *bench) { b.now += 2600 * sundial.Millisecond },
+		"old news":    func(b *bench) { b.now += 2600 * clock.Millisecond },
 		"turned away": func(b *bench) { b.Dispatch.servers["s"].restUntil = b.now + 1 },
 	} {
 		b := newBench(t, server("s", 4))
@@ -132,7 +132,7 @@
 // The permit is asked right before the start; without it nothing starts.
 func TestNoStartWithoutPermit(t *testing.T) {
 	b := newBench(t, server("s", 4))
-	b.order("x", 1, func(o *Order) { o.Permit = func(sundial.Micros) bool { return false } })
+	b.order("x", 1, func(o *Order) { o.Permit = func(clock.Micros) bool { return false } })
 	b.Match(b.now)
 	if got := <-b.dropped; got != "x:turned_away" {
 		t.Fatalf("dropped as %s", got)
@@ -178,7 +178,7 @@
 	if got := <-b.started; got != "live@s" {
 		t.Fatalf("started %s", got)
 	}
-	b.now += 4 * sundial.Second
+	b.now += 4 * clock.Second
 	b.SetFresh(b.now)
 	b.Match(b.now)
 	if got := <-b.started; got != "b1@s" {
@@ -196,19 +196,19 @@
 	b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 1})
 	grips := make(chan *Grip, 1)
 	for i := 0; i < 20; i++ {
-		b.now += 10 * sundial.Millisecond
-		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip, _ sundial.Micros) { grips <- grip } })
+		b.now += 10 * clock.Millisecond
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip, _ clock.Micros) { grips <- grip } })
 		b.Match(b.now)
 		if b.Assigned != int64(i+1) {
 			t.Fatalf("order %d was not assigned, though one other and none of ours runs there", i)
 		}
-		(<-grips).Release(5*sundial.Millisecond, true, b.now)
+		(<-grips).Release(5*clock.Millisecond, true, b.now)
 	}
 	// What ran at the time of a figure is not counted twice.
-	b.order("long", 1, func(o *Order) { o.Start = func(grip *Grip, _ sundial.Micros) { grips <- grip } })
+	b.order("long", 1, func(o *Order) { o.Start = func(grip *Grip, _ clock.Micros) { grips <- grip } })
 	b.Match(b.now)
 	<-grips
-	b.now += sundial.Second / 2
+	b.now += clock.Second / 2
 	b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 2})
 	if s := b.Dispatch.servers["s"]; s.others != 1 || s.own != 1 {
 		t.Fatalf("others %d, own %d", s.others, s.own)
@@ -224,8 +224,8 @@
 		spent++
 	}
 	for i := 0; i < 100; i++ {
-		b.now += 10 * sundial.Millisecond
-		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip, _ sundial.Micros) {} })
+		b.now += 10 * clock.Millisecond
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip, _ clock.Micros) {} })
 		b.Match(b.now)
 	}
 	again := 0
@@ -235,7 +235,7 @@
 	if spent != mostRetries || again < 15 || again > 25 {
 		t.Fatalf("%d further tries at first, %d after 100 orders", spent, again)
 	}
-	if after := b.After(b.now); after != sundial.Second/2 {
+	if after := b.After(b.now); after != clock.Second/2 {
 		t.Fatalf("nothing waits, and one is to come back after %d us", after)
 	}
 	b.Dispatch.set.MostWaiting = 400
@@ -243,7 +243,7 @@
 	for i := 0; i < 400; i++ {
 		b.order("w", 1, nil)
 	}
-	if after := b.After(b.now); after < 3*sundial.Second || after > 5*sundial.Second {
+	if after := b.After(b.now); after < 3*clock.Second || after > 5*clock.Second {
 		t.Fatalf("400 wait at 100 a second, and one is to come back after %d us", after)
 	}
 }
@@ -290,20 +290,20 @@
 	d.SetPlan(plan, 1)
 	d.SetServer(roster.Server{Name: "s", Address: "s:1", Slots: 4})
 	route, _ := plan.Route("r")
-	now := sundial.Second
+	now := clock.Second
 	d.SetFresh(now)
 	var grips []*Grip
 	for range 2 {
 		o := &Order{ID: "o", Customer: "r", Route: route, Rank: 1}
-		o.Start = func(grip *Grip, _ sundial.Micros) { grips = append(grips, grip) }
+		o.Start = func(grip *Grip, _ clock.Micros) { grips = append(grips, grip) }
 		if err := d.Enrol(o, now); err != nil {
 			t.Fatal(err)
 		}
 	}
 	d.Settle(now)
-	later := now + 2*sundial.Second
+	later := now + 2*clock.Second
 	grips[0].Leave(later)
-	if silent := d.servers["s"].silent(later); silent != 2*sundial.Second {
+	if silent := d.servers["s"].silent(later); silent != 2*clock.Second {
 		t.Fatalf("the server is silent for %d us", silent)
 	}
 }
--- a/path/dispatch/judged_test.go
+++ b/path/dispatch/judged_test.go
@@ -8,8 +8,8 @@
 	"testing"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/path/roster"
 )
 
@@ -17,15 +17,15 @@
 // prefixes.
 type model struct {
 	name  string
-	free  []sundial.Micros // when each slot is free
-	ends  []sundial.Micros
-	speed sundial.Micros
+	free  []clock.Micros // when each slot is free
+	ends  []clock.Micros
+	speed clock.Micros
 	cache []string
-	work  sundial.Micros
+	work  clock.Micros
 }
 
 // run takes an order and tells when it ends and whether its prefix was cached.
-func (m *model) run(now sundial.Micros, prefix string) (sundial.Micros, bool) {
+func (m *model) run(now clock.Micros, prefix string) (clock.Micros, bool) {
 	at := 0
 	for i := range m.free {
 		if m.free[i] < m.free[at] {
@@ -39,7 +39,7 @@
 	}
 	took := m.speed
 	if !hit {
-		took += 40 * sundial.Millisecond
+		took += 40 * clock.Millisecond
 	}
 	end := max(now, m.free[at]) + took
 	m.free[at] = end
@@ -48,14 +48,14 @@
 	return end, hit
 }
 
-func (m *model) load(now sundial.Micros) int {
-	m.ends = slices.DeleteFunc(m.ends, func(end sundial.Micros) bool { return end <= now })
+func (m *model) load(now clock.Micros) int {
+	m.ends = slices.DeleteFunc(m.ends, func(end clock.Micros) bool { return end <= now })
 	return len(m.ends)
 }
 
 type figures struct {
 	orders, hits int
-	p99          sundial.Micros
+	p99          clock.Micros
 	uneven       float64 // the busiest server's work over the mean
 }
 
@@ -66,21 +66,21 @@
 	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"a","rank":1,"allowance":1}],"customers":[{"name":"c","key":"k","class":"a"}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{}}],
 	 "routes":[{"name":"r","kind":"one-shot","classes":{},"pools":{"u":"x"},"model":"m"}],"judges":` + weights + `}`))
 	if err != nil {
-		t.Fatal(err, mishap.Of(err).Faults)
+		t.Fatal(err, errs.Of(err).Faults)
 	}
 	plan.Version = 1
 	route, _ := plan.Route("r")
-	now := sundial.Micros(10_000_000)
+	now := clock.Micros(10_000_000)
 	chance := rand.New(rand.NewSource(seed))
 	servers := map[string]*model{}
 	var names []string
 	for i := 0; i < 12; i++ {
-		m := &model{name: fmt.Sprintf("s%02d", i), free: make([]sundial.Micros, 4), speed: sundial.Micros(40+10*(i%3)) * sundial.Millisecond}
+		m := &model{name: fmt.Sprintf("s%02d", i), free: make([]clock.Micros, 4), speed: clock.Micros(40+10*(i%3)) * clock.Millisecond}
 		servers[m.name], names = m, append(names, m.name)
 	}
 	type started struct {
 		id      int
-		arrived sundial.Micros
+		arrived clock.Micros
 		prefix  string
 		grip    *Grip
 	}
@@ -95,16 +95,16 @@
 		daemons = append(daemons, d)
 	}
 	type running struct {
-		end   sundial.Micros
-		began sundial.Micros
+		end   clock.Micros
+		began clock.Micros
 		grip  *Grip
 	}
 	var open []running
-	var latencies []sundial.Micros
+	var latencies []clock.Micros
 	var out figures
-	next := map[string]sundial.Micros{}
+	next := map[string]clock.Micros{}
 	for step := 0; step < 3000; step++ {
-		now += 5 * sundial.Millisecond
+		now += 5 * clock.Millisecond
 		open = slices.DeleteFunc(open, func(r running) bool {
 			if r.end <= now {
 				r.grip.Release(r.end-r.began, true, now)
@@ -114,9 +114,9 @@
 		for _, name := range names {
 			if now >= next[name] {
 				load := servers[name].load(now)
-				next[name] = now + 400*sundial.Millisecond
+				next[name] = now + 400*clock.Millisecond
 				if 2*load >= 4 {
-					next[name] = now + 100*sundial.Millisecond
+					next[name] = now + 100*clock.Millisecond
 				}
 				for _, d := range daemons {
 					d.SetLoad(name, 1, roster.Load{Running: load, Sound: true, At: now})
@@ -129,8 +129,8 @@
 				out.orders++
 				id, arrived, prefix := out.orders, now, fmt.Sprint(chance.Intn(24)*chance.Intn(24)/24)
 				o := &Order{ID: fmt.Sprint(id), Customer: "c", Route: route, Rank: 1, Prefix: prefix}
-				o.Start = func(grip *Grip, _ sundial.Micros) { starts <- started{id, arrived, prefix, grip} }
-				o.Drop = func(error, sundial.Micros) {}
+				o.Start = func(grip *Grip, _ clock.Micros) { starts <- started{id, arrived, prefix, grip} }
+				o.Drop = func(error, clock.Micros) {}
 				if err := d.Enrol(o, now); err != nil {
 					t.Fatal(err)
 				}
@@ -154,7 +154,7 @@
 	}
 	slices.Sort(latencies)
 	out.p99 = latencies[len(latencies)*99/100]
-	total, most := sundial.Micros(0), sundial.Micros(0)
+	total, most := clock.Micros(0), clock.Micros(0)
 	for _, m := range servers {
 		total, most = total+m.work, max(most, m.work)
 	}
--- a/path/dispatch/window.go
+++ b/path/dispatch/window.go
@@ -1,15 +1,15 @@
 package dispatch
 
-import "tuliprudder/kernel/sundial"
+import "tuliprudder/kernel/clock"
 
 // window bounds how many items a daemon keeps running on a server, by how long the
 // server takes to begin one (delay-based congestion control; DESIGN §12.6): items
 // take what live orders leave, and give way before those wait.
 type window struct {
 	size   float64
-	base   sundial.Micros // about the least delay of late
-	cut    sundial.Micros // when it was last made smaller
-	steady bool           // it has been made smaller once: from then on it grows slowly
+	base   clock.Micros // about the least delay of late
+	cut    clock.Micros // when it was last made smaller
+	steady bool         // it has been made smaller once: from then on it grows slowly
 }
 
 const (
@@ -17,9 +17,9 @@
 	mostWindow  = 4096.0
 	windowCut   = 0.8
 	// A delay of twice the base and a slack means that work waits at the server.
-	windowSlack = 40 * sundial.Millisecond
+	windowSlack = 40 * clock.Millisecond
 	// One congestion is answered once.
-	windowRest = 200 * sundial.Millisecond
+	windowRest = 200 * clock.Millisecond
 	// The base rises by one part in so many of what a delay exceeds it by.
 	baseDrift = 256
 )
@@ -33,7 +33,7 @@
 }
 
 // began takes the delay from an item's start to its first event.
-func (w *window) began(delay, now sundial.Micros) {
+func (w *window) began(delay, now clock.Micros) {
 	w.room()
 	if w.base == 0 || delay < w.base {
 		w.base = delay
--- a/path/dispatch/window_test.go
+++ b/path/dispatch/window_test.go
@@ -3,15 +3,15 @@
 import (
 	"testing"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // The window opens while items begin at once, closes when they wait, once for each
 // congestion, and never closes altogether.
 func TestWindowFollowsTheDelay(t *testing.T) {
 	var w window
-	now := sundial.Second
-	soon, late := 40*sundial.Millisecond, 400*sundial.Millisecond
+	now := clock.Second
+	soon, late := 40*clock.Millisecond, 400*clock.Millisecond
 	for range 20 {
 		w.began(soon, now)
 	}
@@ -25,13 +25,13 @@
 		t.Fatalf("room for %d after one congestion, from %d", got, open)
 	}
 	for i := range 100 {
-		w.began(late, now+sundial.Micros(i+1)*windowRest)
+		w.began(late, now+clock.Micros(i+1)*windowRest)
 	}
 	if w.room() != 1 {
 		t.Fatalf("room for %d on a server that is full", w.room())
 	}
 	before := w.size
-	w.began(soon, now+sundial.Second)
+	w.began(soon, now+clock.Second)
 	if w.size <= before || w.size > before+1 {
 		t.Fatalf("grew from %v to %v", before, w.size)
 	}
--- a/path/ford/ford.go
+++ b/path/ford/ford.go
@@ -8,22 +8,22 @@
 	"math/rand"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/dispatch"
 )
 
 // Settings of the passage; the defaults are ours.
 type Settings struct {
-	HoldShare int64          // a request waits for a server for at most one part in so many of its aim
-	MostHold  sundial.Micros // and never longer than this
-	Back      sundial.Micros // when one that was refused may come back, at the least
+	HoldShare int64        // a request waits for a server for at most one part in so many of its aim
+	MostHold  clock.Micros // and never longer than this
+	Back      clock.Micros // when one that was refused may come back, at the least
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{HoldShare: 5, MostHold: 200 * sundial.Millisecond, Back: 30 * sundial.Millisecond}
+	return Settings{HoldShare: 5, MostHold: 200 * clock.Millisecond, Back: 30 * clock.Millisecond}
 }
 
 // What the shell hands in; each is a call, whose answer is the next word.
@@ -32,11 +32,11 @@
 	Arrive struct {
 		Order      string // the name this edge gave it
 		Host, Path string
-		Wait       sundial.Micros // how long the caller will wait; 0: it did not say
-		Parts      []Part         // of its prompt, in order
-		Prompt     int64          // tokens to be read
-		Output     int64          // tokens put out at the most
-		Resumes    bool           // the caller goes on with a stream that was cut
+		Wait       clock.Micros // how long the caller will wait; 0: it did not say
+		Parts      []Part       // of its prompt, in order
+		Prompt     int64        // tokens to be read
+		Output     int64        // tokens put out at the most
+		Resumes    bool         // the caller goes on with a stream that was cut
 	}
 	// Ran tells how a try on a server went.
 	Ran struct {
@@ -78,7 +78,7 @@
 	Run struct {
 		Address, Server string
 		Route           *planbook.Route
-		Expiry          sundial.Micros
+		Expiry          clock.Micros
 		Last            bool // a failure of this server's own is passed on: no further try follows
 	}
 	// Bulk says: the request hands in a bundle; it is no order for a server.
@@ -90,7 +90,7 @@
 // Ford holds the requests under way.
 type Ford struct {
 	set      Settings
-	wire     *stride.Wire
+	wire     *machine.Wire
 	dispatch *dispatch.Dispatch
 	chance   *rand.Rand
 	open     map[string]*request
@@ -105,7 +105,7 @@
 	Arrive
 	route  *planbook.Route
 	rank   int64
-	expiry sundial.Micros
+	expiry clock.Micros
 	call   uint64
 	wanted *dispatch.Order
 	grip   *dispatch.Grip
@@ -116,7 +116,7 @@
 }
 
 // New makes the part of an edge's machine that passes requests on.
-func New(set Settings, wire *stride.Wire, d *dispatch.Dispatch, seed int64) *Ford {
+func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, seed int64) *Ford {
 	return &Ford{set: set, wire: wire, dispatch: d, chance: rand.New(rand.NewSource(seed)), open: map[string]*request{}}
 }
 
@@ -124,7 +124,7 @@
 func (f *Ford) Open() int { return len(f.open) }
 
 // Call takes what the shell hands in; false for anything else.
-func (f *Ford) Call(number uint64, body any, now sundial.Micros) bool {
+func (f *Ford) Call(number uint64, body any, now clock.Micros) bool {
 	switch ask := body.(type) {
 	case Arrive:
 		f.arrive(number, ask, now)
@@ -142,7 +142,7 @@
 }
 
 func (f *Ford) answer(call uint64, body any, err error) {
-	f.wire.Emit(stride.Answer{Call: call, Body: body, Err: err})
+	f.wire.Emit(machine.Answer{Call: call, Body: body, Err: err})
 }
 
 // Repeatable tells whether requests of a route may run more than once.
@@ -151,16 +151,16 @@
 }
 
 // arrive finds the request's route; a daemon without a plan denies nothing.
-func (f *Ford) arrive(call uint64, ask Arrive, now sundial.Micros) {
+func (f *Ford) arrive(call uint64, ask Arrive, now clock.Micros) {
 	plan := f.dispatch.Plan()
 	if plan == nil {
-		f.answer(call, nil, mishap.Later(mishap.NotReady, f.set.Back, "ask another daemon; this one has just started", "no plan has arrived yet"))
+		f.answer(call, nil, errs.Later(errs.NotReady, f.set.Back, "ask another daemon; this one has just started", "no plan has arrived yet"))
 		return
 	}
 	route := plan.Match(ask.Host, ask.Path)
 	switch {
 	case route == nil:
-		f.answer(call, nil, mishap.New(mishap.UnknownRoute, "correct host and path, or have the operators add a route", "no route for this host and path"))
+		f.answer(call, nil, errs.New(errs.UnknownRoute, "correct host and path, or have the operators add a route", "no route for this host and path"))
 		return
 	case route.Kind == planbook.Bundle:
 		f.answer(call, Bulk{Route: route}, nil)
@@ -180,7 +180,7 @@
 
 // hold is up to when a request may wait for a server: one that has waited longer
 // is worth more to its caller as a refusal that says when to come back.
-func (f *Ford) hold(r *request, now sundial.Micros) sundial.Micros {
+func (f *Ford) hold(r *request, now clock.Micros) clock.Micros {
 	until := now + f.set.MostHold
 	if aim := r.route.Forward.Aim; aim > 0 {
 		until = min(until, now+aim/f.set.HoldShare)
@@ -189,19 +189,19 @@
 }
 
 // seek looks for a server; last is why one is needed once more.
-func (f *Ford) seek(r *request, last error, now sundial.Micros) {
+func (f *Ford) seek(r *request, last error, now clock.Micros) {
 	if now >= r.expiry {
-		f.giveUp(r, mishap.Later(mishap.Expired, f.set.Back, "ask again with a later expiry", "the request's time is over"), now)
+		f.giveUp(r, errs.Later(errs.Expired, f.set.Back, "ask again with a later expiry", "the request's time is over"), now)
 		return
 	}
 	r.wanted = &dispatch.Order{ID: r.Order, Customer: r.route.Name, Route: r.route, Rank: r.rank, Prefix: prefix(r.Parts), Prompt: r.Prompt, Pools: f.pools(r.route), Expiry: f.hold(r, now), Avoid: r.avoid}
-	r.wanted.Drop = func(err error, now sundial.Micros) {
+	r.wanted.Drop = func(err error, now clock.Micros) {
 		if last != nil {
 			err = last
 		}
 		f.giveUp(r, err, now)
 	}
-	r.wanted.Start = func(grip *dispatch.Grip, now sundial.Micros) {
+	r.wanted.Start = func(grip *dispatch.Grip, now clock.Micros) {
 		r.grip = grip
 		r.sent++
 		f.answer(r.call, Run{Address: grip.Server.Address, Server: grip.Server.Name, Route: r.route, Expiry: r.expiry, Last: !f.more(r)}, nil)
@@ -245,10 +245,10 @@
 const mostUnsent = 3
 
 // went decides by how a try went.
-func (f *Ford) went(call uint64, ran Ran, now sundial.Micros) {
+func (f *Ford) went(call uint64, ran Ran, now clock.Micros) {
 	r := f.open[ran.Order]
 	if r == nil || r.grip == nil {
-		f.answer(call, nil, mishap.New(mishap.OutcomeUnknown, "ask anew", "no request %q is under way here", ran.Order))
+		f.answer(call, nil, errs.New(errs.OutcomeUnknown, "ask anew", "no request %q is under way here", ran.Order))
 		return
 	}
 	grip := r.grip
@@ -261,7 +261,7 @@
 		return
 	case Invalid:
 		grip.Leave(now)
-		f.end(r, nil, mishap.New(mishap.BadInput, "correct the request", "%s", ran.Why))
+		f.end(r, nil, errs.New(errs.BadInput, "correct the request", "%s", ran.Why))
 		return
 	case Unsent:
 		if ran.Here || ran.Over {
@@ -285,7 +285,7 @@
 		r.ran = true
 	}
 	r.avoid[grip.Server.Name] = 3
-	why := mishap.Later(mishap.NotReady, f.set.Back, "ask again", "no server took the request: %s", ran.Why)
+	why := errs.Later(errs.NotReady, f.set.Back, "ask again", "no server took the request: %s", ran.Why)
 	switch {
 	case ran.Over:
 		f.giveUp(r, why, now)
@@ -302,15 +302,15 @@
 
 // giveUp ends a request that no server answered: it is refused, with when to come
 // back, only if no try of it can have run.
-func (f *Ford) giveUp(r *request, why error, now sundial.Micros) {
+func (f *Ford) giveUp(r *request, why error, now clock.Micros) {
 	if r.ran {
 		f.Unknown++
-		f.end(r, nil, mishap.New(mishap.ServerFault, "ask again where the request may run twice", "a try of the request may have run: %v", why))
+		f.end(r, nil, errs.New(errs.ServerFault, "ask again where the request may run twice", "a try of the request may have run: %v", why))
 		return
 	}
 	f.Refused++
-	if m := mishap.Of(why); m.Kind != mishap.UnknownRoute {
-		why = mishap.Later(mishap.NotReady, max(f.set.Back, min(m.RetryAfter, r.expiry-now)), m.Remedy, "%s", m.Message)
+	if m := errs.Of(why); m.Kind != errs.UnknownRoute {
+		why = errs.Later(errs.NotReady, max(f.set.Back, min(m.RetryAfter, r.expiry-now)), m.Remedy, "%s", m.Message)
 	}
 	f.end(r, nil, why)
 }
--- a/path/ford/ford_test.go
+++ b/path/ford/ford_test.go
@@ -5,24 +5,24 @@
 	"testing"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/roster"
 )
 
-const millisecond = sundial.Millisecond
+const millisecond = clock.Millisecond
 
 // bench is a ford with a backlog and servers, in virtual time.
 type bench struct {
 	*Ford
 	t       *testing.T
 	d       *dispatch.Dispatch
-	wire    *stride.Wire
-	now     sundial.Micros
+	wire    *machine.Wire
+	now     clock.Micros
 	calls   uint64
-	answers map[uint64]stride.Answer
+	answers map[uint64]machine.Answer
 }
 
 // newBench has servers of the pools a and b, in a list like "a a b"; with routes
@@ -31,7 +31,7 @@
 	t.Helper()
 	set := dispatch.Defaults()
 	set.Staleness = dispatch.ServeOn
-	b := &bench{t: t, d: dispatch.New(set, 7), wire: stride.NewWire(), now: 10 * sundial.Second, answers: map[uint64]stride.Answer{}}
+	b := &bench{t: t, d: dispatch.New(set, 7), wire: machine.NewWire(), now: 10 * clock.Second, answers: map[uint64]machine.Answer{}}
 	b.Ford = New(Defaults(), b.wire, b.d, 7)
 	if len(routes) > 0 {
 		plan := &planbook.Plan{Version: 1, Judges: map[string]float64{"fullness": 1, "spread": 1}, Routes: routes}
@@ -62,7 +62,7 @@
 
 // route is one of a kind; its host is its kind.
 func route(kind string, tries int64) planbook.Route {
-	return planbook.Route{Name: "r-" + kind, Kind: kind, Pools: planbook.Selector{"u": {"a"}}, Expiry: 5 * sundial.Second,
+	return planbook.Route{Name: "r-" + kind, Kind: kind, Pools: planbook.Selector{"u": {"a"}}, Expiry: 5 * clock.Second,
 		Forward: &planbook.Forward{Host: kind, PathPrefix: "/x/", Tries: tries, Aim: 300 * millisecond}}
 }
 
@@ -79,7 +79,7 @@
 func (b *bench) settle() {
 	b.d.Settle(b.now)
 	for _, effect := range b.wire.Drain() {
-		answer, ok := effect.(stride.Answer)
+		answer, ok := effect.(machine.Answer)
 		if !ok {
 			b.t.Fatalf("the ford did %T", effect)
 		}
@@ -90,7 +90,7 @@
 	}
 }
 
-func (b *bench) wait(span sundial.Micros) {
+func (b *bench) wait(span clock.Micros) {
 	b.now += span
 	b.d.Match(b.now)
 	b.settle()
@@ -113,16 +113,16 @@
 // word sums an answer up: where it goes on, what its end is, or that none came yet.
 func (b *bench) word(call uint64) string {
 	answer, came := b.answers[call]
-	m := (*mishap.Mishap)(nil)
+	m := (*errs.Error)(nil)
 	if answer.Err != nil {
-		m = mishap.Of(answer.Err)
+		m = errs.Of(answer.Err)
 	}
 	switch {
 	case !came:
 		return "waits"
-	case m != nil && m.Kind == mishap.NotReady && m.RetryAfter >= Defaults().Back:
+	case m != nil && m.Kind == errs.NotReady && m.RetryAfter >= Defaults().Back:
 		return "refused"
-	case m != nil && m.Kind == mishap.ServerFault && m.RetryAfter == 0:
+	case m != nil && m.Kind == errs.ServerFault && m.RetryAfter == 0:
 		return "unknown"
 	case m != nil:
 		return string(m.Kind)
@@ -174,7 +174,7 @@
 			name := fmt.Sprintf("%s, outcome %d, began %v, %d tries", kind, c.outcome, c.began, c.tries)
 			b := newBench(t, []string{"a", "a", "a"}, route(kind, c.tries))
 			first := b.run(b.arrive("o", kind))
-			if first.Last != (c.tries == last) || first.Route.Kind != kind || first.Address != "at-"+first.Server || first.Expiry != b.now+5*sundial.Second {
+			if first.Last != (c.tries == last) || first.Route.Kind != kind || first.Address != "at-"+first.Server || first.Expiry != b.now+5*clock.Second {
 				t.Errorf("%s: first sent as %+v", name, first)
 			}
 			call := b.call(Ran{Order: "o", Outcome: c.outcome, Began: c.began, Why: "x"})
@@ -231,7 +231,7 @@
 				b.arrive("o", kind)
 				b.call(Ran{Order: "o", Outcome: first})
 				call := b.call(Ran{Order: "o", Outcome: second})
-				b.wait(sundial.Second) // where it waits for a third server, none comes
+				b.wait(clock.Second) // where it waits for a third server, none comes
 				if got := b.word(call); got != "unknown" {
 					t.Errorf("%s, outcomes %d and %d: %s", kind, first, second, got)
 				}
@@ -240,7 +240,7 @@
 			b := newBench(t, []string{"a"}, route(kind, 3))
 			b.arrive("o", kind)
 			call := b.call(Ran{Order: "o", Outcome: first})
-			b.wait(sundial.Second)
+			b.wait(clock.Second)
 			if got := b.word(call); got != "unknown" {
 				t.Errorf("%s, outcome %d and no other server: %s", kind, first, got)
 			}
@@ -283,7 +283,7 @@
 	lots := route(planbook.Bundle, 1)
 	b = newBench(t, []string{"a"}, route(planbook.OneShot, 1), lots)
 	for _, ask := range []Arrive{{Order: "o", Host: "nowhere", Path: "/x/y"}, {Order: "o", Host: planbook.OneShot, Path: "/y/x"}, {Order: "o", Host: planbook.OneShot, Path: "/x"}} {
-		if got := b.word(b.call(ask)); got != string(mishap.UnknownRoute) {
+		if got := b.word(b.call(ask)); got != string(errs.UnknownRoute) {
 			t.Errorf("%s%s: %s", ask.Host, ask.Path, got)
 		}
 	}
@@ -298,13 +298,13 @@
 // its caller's time and its route's; then it is refused with when to come back.
 func TestHoldIsBounded(t *testing.T) {
 	for name, c := range map[string]struct {
-		aim, expiry, wait, want sundial.Micros
+		aim, expiry, wait, want clock.Micros
 	}{
-		"a share of the aim":  {300 * millisecond, 5 * sundial.Second, 0, 60 * millisecond},
-		"a long aim":          {60 * sundial.Second, 500 * sundial.Second, 0, 200 * millisecond},
-		"no aim":              {0, 5 * sundial.Second, 0, 200 * millisecond},
-		"an impatient caller": {300 * millisecond, 5 * sundial.Second, 20 * millisecond, 20 * millisecond},
-		"a short route":       {300 * millisecond, 10 * millisecond, sundial.Second, 10 * millisecond},
+		"a share of the aim":  {300 * millisecond, 5 * clock.Second, 0, 60 * millisecond},
+		"a long aim":          {60 * clock.Second, 500 * clock.Second, 0, 200 * millisecond},
+		"no aim":              {0, 5 * clock.Second, 0, 200 * millisecond},
+		"an impatient caller": {300 * millisecond, 5 * clock.Second, 20 * millisecond, 20 * millisecond},
+		"a short route":       {300 * millisecond, 10 * millisecond, clock.Second, 10 * millisecond},
 	} {
 		r := route(planbook.OneShot, 2)
 		r.Forward.Aim, r.Expiry = c.aim, c.expiry
@@ -326,8 +326,8 @@
 // time.
 func TestAServerComesInTime(t *testing.T) {
 	b := newBench(t, nil, route(planbook.OneShot, 2))
-	call := b.call(Arrive{Order: "o", Host: planbook.OneShot, Path: "/x/y", Wait: sundial.Second})
-	expiry := b.now + sundial.Second
+	call := b.call(Arrive{Order: "o", Host: planbook.OneShot, Path: "/x/y", Wait: clock.Second})
+	expiry := b.now + clock.Second
 	b.wait(50 * millisecond)
 	b.server("late", "a", 4)
 	b.settle()
@@ -341,7 +341,7 @@
 	for outcome, want := range map[Outcome]string{NotRun: "refused", Unsent: "refused", Cut: "unknown"} {
 		b := newBench(t, []string{"a", "a"}, route(planbook.Repeatable, 5))
 		b.arrive("o", planbook.Repeatable)
-		b.now += 5 * sundial.Second
+		b.now += 5 * clock.Second
 		if got := b.word(b.call(Ran{Order: "o", Outcome: outcome})); got != want {
 			t.Errorf("outcome %d: %s", outcome, got)
 		}
@@ -398,10 +398,10 @@
 	if b.word(first) != "waits" || b.word(second) != "again" {
 		t.Errorf("the lower one %s, the higher one %s", b.word(first), b.word(second))
 	}
-	if got := b.word(b.call(Ran{Order: "nobody", Outcome: Whole})); got != string(mishap.OutcomeUnknown) {
+	if got := b.word(b.call(Ran{Order: "nobody", Outcome: Whole})); got != string(errs.OutcomeUnknown) {
 		t.Errorf("a word on nobody's request: %s", got)
 	}
-	if got := b.word(b.call(Ran{Order: "low", Outcome: Whole})); got != string(mishap.OutcomeUnknown) {
+	if got := b.word(b.call(Ran{Order: "low", Outcome: Whole})); got != string(errs.OutcomeUnknown) {
 		t.Errorf("a word on a request that was not sent: %s", got)
 	}
 	b.call(Began{Order: "high"})
@@ -446,7 +446,7 @@
 	named(plan)
 	b.d.SetPlan(plan, b.now)
 	b.settle()
-	if got := b.word(call); got != string(mishap.UnknownRoute) {
+	if got := b.word(call); got != string(errs.UnknownRoute) {
 		t.Errorf("it %s", got)
 	}
 	b.idle("the route goes")
@@ -459,7 +459,7 @@
 	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"c","rank":5,"allowance":1}],"pools":[{"name":"a","labels":{"u":"a"},"servers":{"pool":"a"}}],
 	 "routes":[{"name":"r","kind":"repeatable","classes":{},"pools":{"u":"a"},"forward":{"host":"h.example","path_prefix":"/x/"}}]}`))
 	if err != nil {
-		t.Fatal(err, mishap.Of(err).Faults)
+		t.Fatal(err, errs.Of(err).Faults)
 	}
 	plan.Version = 1
 	b.d.SetPlan(plan, b.now)
--- a/path/gate/body.go
+++ b/path/gate/body.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"tuliprudder/kernel/porch"
+	"tuliprudder/kernel/httpserver"
 )
 
 // Body reads a request's body whole, up to a bound.
@@ -12,5 +12,5 @@
 		return nil, nil
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, most)
-	return porch.ReadBody(r)
+	return httpserver.ReadBody(r)
 }
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -4,9 +4,9 @@
 	"net/http"
 	"strconv"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/porch"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/httpserver"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/reader"
@@ -20,12 +20,12 @@
 
 // Bundle takes a bundle in: whole and on two disks, or not at all.
 func (g *Gate) Bundle(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
 	var body BundleBody
-	if err := porch.Decode(data, &body); err != nil {
+	if err := httpserver.Decode(data, &body); err != nil {
 		return err
 	}
 	key := r.Header.Get("Idempotency-Key")
@@ -34,7 +34,7 @@
 	}
 	receipt, err := ask[keeper.Receipt](g, r, trek.HandIn{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
 	if err != nil {
-		if mishap.Is(err, mishap.OutcomeUnknown) {
+		if errs.Is(err, errs.OutcomeUnknown) {
 			w.Header().Set("Idempotency-Key", key)
 		}
 		return err
@@ -43,7 +43,7 @@
 	if receipt.Repeated {
 		status = http.StatusOK
 	}
-	return porch.WriteJSON(w, status, map[string]any{"bundle": receipt.Bundle, "items": receipt.Items, "idempotency_key": key,
+	return httpserver.WriteJSON(w, status, map[string]any{"bundle": receipt.Bundle, "items": receipt.Items, "idempotency_key": key,
 		"repeated": receipt.Repeated, "keeper": receipt.Keeper, "results": "/v1/bundles/" + receipt.Bundle + "/results"})
 }
 
@@ -58,13 +58,13 @@
 	if err != nil {
 		return err
 	}
-	return porch.WriteJSON(w, http.StatusOK, map[string]any{"bundle": status.Bundle, "route": status.Route, "state": status.State,
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"bundle": status.Bundle, "route": status.Route, "state": status.State,
 		"items": status.Items, "listed": status.Listed, "enrolled_us": status.Enrolled,
 		"kept": map[string]any{"keeper": status.Keeper, "writer": status.Writer, "slot": status.Slot, "epoch": status.Epoch, "backup": status.Backup}})
 }
 
 // poll reads the paging parameters.
-func (g *Gate) poll(r *http.Request) (token string, most int, wait sundial.Micros, err error) {
+func (g *Gate) poll(r *http.Request) (token string, most int, wait clock.Micros, err error) {
 	query := r.URL.Query()
 	number := func(name string, missing, top int64) int64 {
 		text := query.Get(name)
@@ -73,13 +73,13 @@
 		}
 		value, bad := strconv.ParseInt(text, 10, 64)
 		if bad != nil || value < 0 || value > top {
-			err = mishap.New(mishap.BadInput, "give a whole number within the bound", "%s=%q is not within 0 to %d", name, text, top)
+			err = errs.New(errs.BadInput, "give a whole number within the bound", "%s=%q is not within 0 to %d", name, text, top)
 		}
 		return value
 	}
 	for name := range query {
 		if name != "after" && name != "limit" && name != "wait_us" {
-			return "", 0, 0, mishap.New(mishap.BadInput, "use after, limit and wait_us", "no such parameter: %s", name)
+			return "", 0, 0, errs.New(errs.BadInput, "use after, limit and wait_us", "no such parameter: %s", name)
 		}
 	}
 	most = int(number("limit", 100, 1000))
@@ -117,5 +117,5 @@
 	if page.State != "" {
 		answer["state"], answer["items"] = page.State, page.Items
 	}
-	return porch.WriteJSON(w, http.StatusOK, answer)
+	return httpserver.WriteJSON(w, http.StatusOK, answer)
 }
--- a/path/gate/forward.go
+++ b/path/gate/forward.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/path/causeway"
 	"tuliprudder/path/ford"
 )
@@ -22,7 +22,7 @@
 	Word    func(body any) // tells the machine something that has no answer
 	Client  *causeway.Causeway
 	Words   causeway.Words
-	Clock   func() sundial.Micros
+	Clock   func() clock.Micros
 	// Refuse writes a final answer of the edge's own.
 	Refuse func(w http.ResponseWriter, err error)
 	// Bulk takes a request that hands in a bundle.
@@ -105,7 +105,7 @@
 // that went.
 func (p *passage) try(said ford.Run) ford.Ran {
 	ran := ford.Ran{Order: p.order, Outcome: ford.Cut}
-	left := sundial.Span(said.Expiry - p.f.Clock())
+	left := clock.Span(said.Expiry - p.f.Clock())
 	ctx, cancel := context.WithTimeout(p.r.Context(), left)
 	defer cancel()
 	answer, err := p.f.Client.Do(ctx, causeway.Request{Address: said.Address, Instance: said.Server, Method: p.r.Method, Target: p.r.RequestURI, Host: p.r.Host,
@@ -113,10 +113,10 @@
 	if err != nil {
 		ran.Why, ran.Over = err.Error(), ctx.Err() != nil
 		switch {
-		case mishap.Is(err, mishap.BadInput):
+		case errs.Is(err, errs.BadInput):
 			ran.Outcome = ford.Invalid
 		case causeway.CertaintyOf(err) == causeway.NotWritten:
-			ran.Outcome, ran.Here = ford.Unsent, mishap.Is(err, mishap.Busy)
+			ran.Outcome, ran.Here = ford.Unsent, errs.Is(err, errs.Busy)
 		}
 		ran.Began = p.began
 		return ran
@@ -165,14 +165,14 @@
 		return p.events(answer)
 	}
 	if p.began {
-		return mishap.New(mishap.ServerFault, "have the server go on with the stream", "the server goes on with no stream of events")
+		return errs.New(errs.ServerFault, "have the server go on with the stream", "the server goes on with no stream of events")
 	}
 	data, err := io.ReadAll(answer.Body)
 	if err != nil {
 		return err
 	}
 	if !answer.Delimited {
-		return mishap.New(mishap.ServerFault, "have the server give its answers a length", "nobody can tell whether the answer is whole")
+		return errs.New(errs.ServerFault, "have the server give its answers a length", "nobody can tell whether the answer is whole")
 	}
 	length := -1
 	if answer.Length >= 0 {
@@ -211,7 +211,7 @@
 		case err != nil:
 			return err
 		case joins && !follows(p.last, event.ID):
-			return mishap.New(mishap.ServerFault, "have the server go on after the event it is told", "event %s came after event %s", event.ID, p.last)
+			return errs.New(errs.ServerFault, "have the server go on after the event it is told", "event %s came after event %s", event.ID, p.last)
 		}
 		if !begun {
 			begun = true
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -19,10 +19,10 @@
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/planbook"
 	"tuliprudder/daemon/planes"
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/causeway"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/ford"
@@ -53,15 +53,15 @@
 	t.Helper()
 	set := planes.EdgeDefaults()
 	set.Dispatch.Staleness, set.ScoutEvery = dispatch.ServeOn, 0
-	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan stride.Answer{}}
+	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}}
 	parsed, err := planbook.Parse([]byte(forwardPlan))
 	if err != nil {
-		t.Fatal(err, mishap.Of(err).Faults)
+		t.Fatal(err, errs.Of(err).Faults)
 	}
 	parsed.Version = 1
 	self := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
-	s.step(func(now sundial.Micros) []stride.Effect {
-		return s.edge.Heard(stride.Rumour{Key: people.Key("edge"), Value: self.Encode()}, now)
+	s.step(func(now clock.Micros) []machine.Effect {
+		return s.edge.Heard(machine.Rumour{Key: people.Key("edge"), Value: self.Encode()}, now)
 	})
 	c := &crossing{t: t, shell: s}
 	for i, handler := range handlers {
@@ -69,18 +69,18 @@
 		t.Cleanup(server.Close)
 		c.list(fmt.Sprint("s", i), strings.TrimPrefix(server.URL, "http://"))
 	}
-	s.step(func(now sundial.Micros) []stride.Effect {
+	s.step(func(now clock.Micros) []machine.Effect {
 		s.edge.Dispatch.SetPlan(parsed, now)
 		return s.edge.Fresh(now, now)
 	})
-	var ends belay.Stack
+	var ends cleanup.Stack
 	t.Cleanup(ends.Run)
-	belay.Every(&ends, 10*time.Millisecond, func() { s.step(s.edge.ClockEvent) })
+	cleanup.Every(&ends, 10*time.Millisecond, func() { s.step(s.edge.ClockEvent) })
 	c.f = &Forwarder{Machine: s.machine, Client: causeway.New(words, causeway.Settings{}), Words: words, Clock: s.now,
 		Word: func(body any) {
-			s.step(func(now sundial.Micros) []stride.Effect { return s.edge.Call(0, body, now) })
+			s.step(func(now clock.Micros) []machine.Effect { return s.edge.Call(0, body, now) })
 		},
-		Refuse: func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), mishap.Of(err).Status()) },
+		Refuse: func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), errs.Of(err).Status()) },
 		Bulk: func(w http.ResponseWriter, r *http.Request, body []byte, bulk ford.Bulk) {
 			fmt.Fprintf(w, "bulk %s %s", bulk.Route.Name, body)
 		}}
@@ -90,14 +90,14 @@
 			t.Error(err)
 		}
 		wait, _ := strconv.ParseInt(r.Header.Get(words.Deadline), 10, 64)
-		c.f.Forward(w, r, ford.Arrive{Host: r.Host, Path: r.URL.EscapedPath(), Wait: wait * sundial.Millisecond}, body)
+		c.f.Forward(w, r, ford.Arrive{Host: r.Host, Path: r.URL.EscapedPath(), Wait: wait * clock.Millisecond}, body)
 	}))
 	t.Cleanup(c.front.Close)
 	return c
 }
 
 func (c *crossing) list(name, address string) {
-	c.shell.step(func(now sundial.Micros) []stride.Effect {
+	c.shell.step(func(now clock.Micros) []machine.Effect {
 		c.shell.edge.Dispatch.SetServer(roster.Server{Name: name, Address: address, Slots: 64, Labels: map[string]string{"fleet": "main"}})
 		return nil
 	})
--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/porch"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/httpserver"
 	"tuliprudder/path/serverline"
 	"tuliprudder/path/trek"
 )
@@ -22,12 +22,12 @@
 // Settings of the gate; the defaults are ours.
 type Settings struct {
 	MostBytes int
-	MostWait  sundial.Micros // longest long poll
+	MostWait  clock.Micros // longest long poll
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{MostBytes: 256 << 10, MostWait: 30 * sundial.Second}
+	return Settings{MostBytes: 256 << 10, MostWait: 30 * clock.Second}
 }
 
 // Machine asks the edge's machine on behalf of a caller; left is what it is told
@@ -39,11 +39,11 @@
 	Set     Settings
 	Machine Machine
 	Word    func(body any) // tells the machine something that has no answer
-	Clock   func() sundial.Micros
+	Clock   func() clock.Micros
 }
 
-// Routes hangs the callers' paths on the porch.
-func (g *Gate) Routes(p *porch.Porch) {
+// Routes hangs the callers' paths on the httpserver.
+func (g *Gate) Routes(p *httpserver.Server) {
 	p.Handle(http.MethodPost, "/v1/routes/:route/orders", g.Live)
 	p.Handle(http.MethodPost, "/v1/routes/:route/bundles", g.Bundle)
 	p.Handle(http.MethodGet, "/v1/bundles/:bundle", g.Status)
@@ -74,7 +74,7 @@
 	got, err := g.Machine(r.Context(), body, left, patience)
 	answer, ok := got.(T)
 	if err == nil && !ok {
-		err = mishap.New(mishap.ServerFault, "run the same release on all daemons", "the answer was %T", got)
+		err = errs.New(errs.ServerFault, "run the same release on all daemons", "the answer was %T", got)
 	}
 	return answer, err
 }
@@ -89,12 +89,12 @@
 // Live serves one live order of any kind: the machine says on which server it is
 // run, hears how that went, and says what is next.
 func (g *Gate) Live(w http.ResponseWriter, r *http.Request) error {
-	data, err := porch.ReadBody(r)
+	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
 	}
 	var body LiveBody
-	if err := porch.Decode(data, &body); err != nil {
+	if err := httpserver.Decode(data, &body); err != nil {
 		return err
 	}
 	order := NewName()
@@ -117,14 +117,14 @@
 			}
 			return out.end(said)
 		default:
-			return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the answer was %T", word)
+			return errs.New(errs.ServerFault, "run the same release on all daemons", "the answer was %T", word)
 		}
 	}
 }
 
 // run runs one try on its server, and tells how it went.
 func (g *Gate) run(ctx context.Context, said trek.Run, out *outlet) trek.Ran {
-	ctx, cancel := context.WithTimeout(ctx, sundial.Span(said.Expiry-g.Clock()))
+	ctx, cancel := context.WithTimeout(ctx, clock.Span(said.Expiry-g.Clock()))
 	defer cancel()
 	began := false
 	outcome, err := serverline.Run(ctx, said.Request, func(text string) error {
--- a/path/gate/gate_test.go
+++ b/path/gate/gate_test.go
@@ -20,11 +20,11 @@
 	"tuliprudder/core/chart"
 	"tuliprudder/core/planbook"
 	"tuliprudder/daemon/planes"
-	"tuliprudder/kernel/belay"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/porch"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/cleanup"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/httpserver"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/tether"
 	"tuliprudder/ledger/waypost"
@@ -54,35 +54,35 @@
 	mu    sync.Mutex
 	edge  *planes.Edge
 	start time.Time
-	calls map[uint64]chan stride.Answer
+	calls map[uint64]chan machine.Answer
 	last  uint64
 	ask   asker
 }
 
-func (s *shell) now() sundial.Micros { return 1_000_000 + time.Since(s.start).Microseconds() }
+func (s *shell) now() clock.Micros { return 1_000_000 + time.Since(s.start).Microseconds() }
 
 // step takes one step of the machine and does what it decided.
-func (s *shell) step(do func(now sundial.Micros) []stride.Effect) {
+func (s *shell) step(do func(now clock.Micros) []machine.Effect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, effect := range do(s.now()) {
 		switch e := effect.(type) {
-		case stride.Answer:
+		case machine.Answer:
 			if waits := s.calls[e.Call]; waits != nil {
 				waits <- e
 			}
-		case stride.Ask:
+		case machine.Ask:
 			go func() {
 				body, err := s.ask(e.Body)
-				s.step(func(now sundial.Micros) []stride.Effect { return s.edge.Told(e.Token, body, err, now) })
+				s.step(func(now clock.Micros) []machine.Effect { return s.edge.Told(e.Token, body, err, now) })
 			}()
 		}
 	}
 }
 
 func (s *shell) machine(ctx context.Context, body, left any, most time.Duration) (any, error) {
-	answer := make(chan stride.Answer, 1)
-	s.step(func(now sundial.Micros) []stride.Effect {
+	answer := make(chan machine.Answer, 1)
+	s.step(func(now clock.Micros) []machine.Effect {
 		s.last++
 		s.calls[s.last] = answer
 		return s.edge.Call(s.last, body, now)
@@ -95,8 +95,8 @@
 func gateWith(t *testing.T, f http.HandlerFunc, ask asker) (*Gate, *shell) {
 	t.Helper()
 	set := planes.EdgeDefaults()
-	set.Dispatch.Staleness, set.Trek.Silence = 600*sundial.Second, 200*sundial.Millisecond
-	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan stride.Answer{}, ask: ask}
+	set.Dispatch.Staleness, set.Trek.Silence = 600*clock.Second, 200*clock.Millisecond
+	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}, ask: ask}
 	parsed, err := planbook.Parse([]byte(plan))
 	if err != nil {
 		t.Fatal(err)
@@ -105,27 +105,27 @@
 	self := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
 	chartMap, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: make([]tether.Pairing, 1)})
 	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: 9, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
-	for _, rumour := range []stride.Rumour{{Key: people.Key("edge"), Value: self.Encode()}, {Key: chart.MapKey, Seq: 1, Value: chartMap}, {Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said}} {
-		s.step(func(now sundial.Micros) []stride.Effect { return s.edge.Heard(rumour, now) })
+	for _, rumour := range []machine.Rumour{{Key: people.Key("edge"), Value: self.Encode()}, {Key: chart.MapKey, Seq: 1, Value: chartMap}, {Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said}} {
+		s.step(func(now clock.Micros) []machine.Effect { return s.edge.Heard(rumour, now) })
 	}
 	s.edge.Dispatch.SetPlan(parsed, s.now())
-	s.step(func(now sundial.Micros) []stride.Effect { return s.edge.Fresh(now, now) })
+	s.step(func(now clock.Micros) []machine.Effect { return s.edge.Fresh(now, now) })
 	if f != nil {
 		server := httptest.NewServer(f)
 		t.Cleanup(server.Close)
 		s.edge.Dispatch.SetServer(roster.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4, Labels: map[string]string{"fleet": "main"}})
 	}
-	var ends belay.Stack
+	var ends cleanup.Stack
 	t.Cleanup(ends.Run)
-	belay.Every(&ends, 10*time.Millisecond, func() { s.step(s.edge.ClockEvent) })
+	cleanup.Every(&ends, 10*time.Millisecond, func() { s.step(s.edge.ClockEvent) })
 	return &Gate{Set: Defaults(), Machine: s.machine, Clock: s.now, Word: func(body any) {
-		s.step(func(now sundial.Micros) []stride.Effect { return s.edge.Call(0, body, now) })
+		s.step(func(now clock.Micros) []machine.Effect { return s.edge.Call(0, body, now) })
 	}}, s
 }
 
-func live(g *Gate, _ *shell) porch.Handler { return g.Live }
+func live(g *Gate, _ *shell) httpserver.Handler { return g.Live }
 
-func call(handle porch.Handler, method, target, key, idem, body string, vars map[string]string) *httptest.ResponseRecorder {
+func call(handle httpserver.Handler, method, target, key, idem, body string, vars map[string]string) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(method, target, strings.NewReader(body))
 	if key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
@@ -136,15 +136,15 @@
 	recorder := httptest.NewRecorder()
 	request.Body = http.MaxBytesReader(recorder, request.Body, 2000)
 	if err := handle(recorder, pathvar.WithVars(request, vars)); err != nil {
-		porch.WriteError(recorder, err)
+		httpserver.WriteError(recorder, err)
 	}
 	return recorder
 }
 
-func kindOf(t *testing.T, r *httptest.ResponseRecorder) mishap.Kind {
+func kindOf(t *testing.T, r *httptest.ResponseRecorder) errs.Kind {
 	t.Helper()
 	var body struct {
-		Error mishap.Mishap `json:"error"`
+		Error errs.Error `json:"error"`
 	}
 	if err := json.Unmarshal(r.Body.Bytes(), &body); err != nil || body.Error.Remedy == "" {
 		t.Fatalf("no typed error with a remedy: %d %s", r.Code, r.Body)
@@ -168,28 +168,28 @@
 	}
 	for name, c := range map[string]struct {
 		got  *httptest.ResponseRecorder
-		want mishap.Kind
+		want errs.Kind
 	}{
-		"no key":           {call(g.Live, "POST", "/", "", "", `{"input":"x"}`, route("once")), mishap.Unauthorised},
-		"unknown customer": {call(g.Live, "POST", "/", "nobody", "", `{"input":"x"}`, route("once")), mishap.Unauthorised},
-		"unknown route":    {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, route("nowhere")), mishap.UnknownRoute},
-		"malformed":        {call(g.Live, "POST", "/", "key-c", "", `{"input":`, route("once")), mishap.BadInput},
-		"unknown field":    {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","colour":1}`, route("once")), mishap.BadInput},
-		"two values":       {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}{}`, route("once")), mishap.BadInput},
-		"empty input":      {call(g.Live, "POST", "/", "key-c", "", `{"input":""}`, route("once")), mishap.BadInput},
-		"oversize":         {call(g.Live, "POST", "/", "key-c", "", `{"input":"`+strings.Repeat("x", 3000)+`"}`, route("once")), mishap.TooLarge},
-		"too many tokens":  {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","max_tokens":9}`, route("once")), mishap.BadInput},
-		"expired":          {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","expiry_us":-1}`, route("once")), mishap.Expired},
-		"key on a stream":  {call(g.Live, "POST", "/", "key-c", "k", `{"input":"x"}`, route("flow")), mishap.BadInput},
-		"live to bundle":   {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, route("many")), mishap.BadInput},
-		"bundle to live":   {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[]}`, route("once")), mishap.BadInput},
-		"empty bundle":     {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[]}`, route("many")), mishap.BadInput},
-		"oversize bundle":  {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[`+strings.Join(four, ",")+`]}`, route("many")), mishap.TooLarge},
-		"one bad item":     {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[{"id":"a","input":"x"},{"id":"b","input":""}]}`, route("many")), mishap.BadInput},
-		"an id twice":      {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[{"id":"a","input":"x"},{"id":"a","input":"y"}]}`, route("many")), mishap.BadInput},
-		"bad token":        {call(g.Results, "GET", "/?after=AAAA", "key-c", "", "", map[string]string{"bundle": "b"}), mishap.BadToken},
-		"bad limit":        {call(g.Results, "GET", "/?limit=x", "key-c", "", "", map[string]string{"bundle": "b"}), mishap.BadInput},
-		"bad parameter":    {call(g.Feed, "GET", "/?since=1", "key-c", "", "", nil), mishap.BadInput},
+		"no key":           {call(g.Live, "POST", "/", "", "", `{"input":"x"}`, route("once")), errs.Unauthorised},
+		"unknown customer": {call(g.Live, "POST", "/", "nobody", "", `{"input":"x"}`, route("once")), errs.Unauthorised},
+		"unknown route":    {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, route("nowhere")), errs.UnknownRoute},
+		"malformed":        {call(g.Live, "POST", "/", "key-c", "", `{"input":`, route("once")), errs.BadInput},
+		"unknown field":    {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","colour":1}`, route("once")), errs.BadInput},
+		"two values":       {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}{}`, route("once")), errs.BadInput},
+		"empty input":      {call(g.Live, "POST", "/", "key-c", "", `{"input":""}`, route("once")), errs.BadInput},
+		"oversize":         {call(g.Live, "POST", "/", "key-c", "", `{"input":"`+strings.Repeat("x", 3000)+`"}`, route("once")), errs.TooLarge},
+		"too many tokens":  {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","max_tokens":9}`, route("once")), errs.BadInput},
+		"expired":          {call(g.Live, "POST", "/", "key-c", "", `{"input":"x","expiry_us":-1}`, route("once")), errs.Expired},
+		"key on a stream":  {call(g.Live, "POST", "/", "key-c", "k", `{"input":"x"}`, route("flow")), errs.BadInput},
+		"live to bundle":   {call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, route("many")), errs.BadInput},
+		"bundle to live":   {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[]}`, route("once")), errs.BadInput},
+		"empty bundle":     {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[]}`, route("many")), errs.BadInput},
+		"oversize bundle":  {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[`+strings.Join(four, ",")+`]}`, route("many")), errs.TooLarge},
+		"one bad item":     {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[{"id":"a","input":"x"},{"id":"b","input":""}]}`, route("many")), errs.BadInput},
+		"an id twice":      {call(g.Bundle, "POST", "/", "key-c", "", `{"items":[{"id":"a","input":"x"},{"id":"a","input":"y"}]}`, route("many")), errs.BadInput},
+		"bad token":        {call(g.Results, "GET", "/?after=AAAA", "key-c", "", "", map[string]string{"bundle": "b"}), errs.BadToken},
+		"bad limit":        {call(g.Results, "GET", "/?limit=x", "key-c", "", "", map[string]string{"bundle": "b"}), errs.BadInput},
+		"bad parameter":    {call(g.Feed, "GET", "/?since=1", "key-c", "", "", nil), errs.BadInput},
 	} {
 		if got := kindOf(t, c.got); got != c.want {
 			t.Errorf("%s: %s, not %s (%s)", name, got, c.want, c.got.Body)
@@ -224,7 +224,7 @@
 			fmt.Fprint(w, body)
 		}
 		once := call(live(gateWith(t, answers, nil)), "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "once"})
-		if got := kindOf(t, once); got != mishap.OutcomeUnknown {
+		if got := kindOf(t, once); got != errs.OutcomeUnknown {
 			t.Errorf("%s: a one-shot order is told %s", name, got)
 		}
 		if runs.Load() != 1 {
@@ -251,7 +251,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}, nil)
 	got := call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "once"})
-	if kind := kindOf(t, got); kind != mishap.Busy && kind != mishap.Expired {
+	if kind := kindOf(t, got); kind != errs.Busy && kind != errs.Expired {
 		t.Fatalf("told %s", kind)
 	}
 	if got.Header().Get("Retry-After") == "" || asked.Load() == 0 {
@@ -274,12 +274,12 @@
 					return keeper.Settled{}, nil
 				}
 			}
-			return nil, mishap.New(mishap.OutcomeUnknown, "ask again", "no answer")
+			return nil, errs.New(errs.OutcomeUnknown, "ask again", "no answer")
 		})
 		got := kindOf(t, call(g.Live, "POST", "/", "key-c", "k1", `{"input":"x"}`, map[string]string{"route": "once"}))
-		want := mishap.Expired
+		want := errs.Expired
 		if !confirmed {
-			want = mishap.OutcomeUnknown
+			want = errs.OutcomeUnknown
 		}
 		if got != want || fmt.Sprint(states) != "[turned-away]" {
 			t.Fatalf("confirmed %v: told %s after settling as %v", confirmed, got, states)
@@ -300,7 +300,7 @@
 	s.edge.Dispatch.SetServer(roster.Server{Name: "t", Address: s.edge.Dispatch.Servers()[0].Address, Slots: 4, Labels: map[string]string{"fleet": "main"}})
 	s.mu.Unlock()
 	got := call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "flow"})
-	if kind := kindOf(t, got); kind != mishap.OutcomeUnknown || asked.Load() < 2 {
+	if kind := kindOf(t, got); kind != errs.OutcomeUnknown || asked.Load() < 2 {
 		t.Fatalf("told %s after %d tries, of which the first may have run", kind, asked.Load())
 	}
 }
