--- a/path/gate/outlet.go
+++ b/path/gate/outlet.go
@@ -8,8 +8,8 @@
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/porch"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/httpserver"
 	"tuliprudder/path/trek"
 )
 
@@ -28,7 +28,7 @@
 
 func (o *outlet) piece(text string) error {
 	if o.text.Len()+len(text) > o.most {
-		return mishap.New(mishap.TooLarge, "lower max_tokens", "the answer is over %d bytes", o.most)
+		return errs.New(errs.TooLarge, "lower max_tokens", "the answer is over %d bytes", o.most)
 	}
 	o.text.WriteString(text)
 	o.pieces++
@@ -64,7 +64,7 @@
 // end gives the whole answer, or the end mark that only a whole stream has.
 func (o *outlet) end(answer trek.Answer) error {
 	if !o.streams {
-		return porch.WriteJSON(o.w, http.StatusOK, answer)
+		return httpserver.WriteJSON(o.w, http.StatusOK, answer)
 	}
 	o.begin()
 	return o.event("end", map[string]any{"order": answer.Order, "server": answer.Server, "pieces": o.pieces, "bytes": o.text.Len()})
@@ -76,6 +76,6 @@
 	if !o.started {
 		return why
 	}
-	o.event("error", map[string]any{"error": mishap.Of(why)})
+	o.event("error", map[string]any{"error": errs.Of(why)})
 	return nil
 }
--- a/path/guestbook/guestbook.go
+++ b/path/guestbook/guestbook.go
@@ -6,29 +6,29 @@
 	"sort"
 	"sync"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/path/judges"
 )
 
 // Try is one assignment of an order.
 type Try struct {
-	Server  string         `json:"server"`
-	Marks   []judges.Mark  `json:"marks"`
-	At      sundial.Micros `json:"at_us"`
-	Took    sundial.Micros `json:"took_us"`
-	Outcome string         `json:"outcome"`
-	Error   string         `json:"error,omitempty"`
+	Server  string        `json:"server"`
+	Marks   []judges.Mark `json:"marks"`
+	At      clock.Micros  `json:"at_us"`
+	Took    clock.Micros  `json:"took_us"`
+	Outcome string        `json:"outcome"`
+	Error   string        `json:"error,omitempty"`
 }
 
 // Story is what happened to one order.
 type Story struct {
-	Order    string         `json:"order"`
-	Customer string         `json:"customer"`
-	Route    string         `json:"route"`
-	Rank     int64          `json:"rank"`
-	Arrived  sundial.Micros `json:"arrived_us"`
-	Tries    []Try          `json:"tries"`
-	End      string         `json:"end,omitempty"`
+	Order    string       `json:"order"`
+	Customer string       `json:"customer"`
+	Route    string       `json:"route"`
+	Rank     int64        `json:"rank"`
+	Arrived  clock.Micros `json:"arrived_us"`
+	Tries    []Try        `json:"tries"`
+	End      string       `json:"end,omitempty"`
 }
 
 // Book keeps the latest stories, a bounded number of them.
@@ -109,7 +109,7 @@
 	return out[:min(count, len(out))]
 }
 
-func (s Story) span() sundial.Micros {
+func (s Story) span() clock.Micros {
 	last := s.Tries[len(s.Tries)-1]
 	return last.At + last.Took - s.Arrived
 }
--- a/path/guidebook/guidebook.go
+++ b/path/guidebook/guidebook.go
@@ -13,7 +13,7 @@
 	"github.com/getkin/kin-openapi/openapi3"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 // Result is what an import makes.
@@ -42,7 +42,7 @@
 		err = doc.Validate(loader.Context)
 	}
 	if err != nil {
-		return Result{}, mishap.New(mishap.BadInput, "correct the OpenAPI file; the plan stays as it is", "the OpenAPI file can't be read: %v", err)
+		return Result{}, errs.New(errs.BadInput, "correct the OpenAPI file; the plan stays as it is", "the OpenAPI file can't be read: %v", err)
 	}
 	var out Result
 	defaults, faults := settings(doc.Extensions, "the file's "+extension)
@@ -92,10 +92,10 @@
 		}
 	}
 	if len(faults) > 0 {
-		return Result{}, &mishap.Mishap{Kind: mishap.BadInput, Message: "the OpenAPI file has faults; the plan stays as it is", Remedy: "correct each named place", Faults: faults}
+		return Result{}, &errs.Error{Kind: errs.BadInput, Message: "the OpenAPI file has faults; the plan stays as it is", Remedy: "correct each named place", Faults: faults}
 	}
 	if len(out.Routes) == 0 {
-		return Result{}, &mishap.Mishap{Kind: mishap.BadInput, Message: "no operation of the file becomes a route", Remedy: "give POST operations an " + extension + " with a kind", Faults: out.Left}
+		return Result{}, &errs.Error{Kind: errs.BadInput, Message: "no operation of the file becomes a route", Remedy: "give POST operations an " + extension + " with a kind", Faults: out.Left}
 	}
 	if err := out.merge(plan); err != nil {
 		return Result{}, err
@@ -133,12 +133,12 @@
 // merge puts the routes into the plan and checks the whole.
 func (r *Result) merge(plan []byte) error {
 	if err := json.Unmarshal(plan, &r.Plan); err != nil {
-		return mishap.New(mishap.BadPlan, "give the plan in force", "the plan can't be read: %v", err)
+		return errs.New(errs.BadPlan, "give the plan in force", "the plan can't be read: %v", err)
 	}
 	imported := map[string]map[string]any{}
 	for i, route := range r.Routes {
 		if imported[r.Names[i]] != nil {
-			return mishap.New(mishap.BadInput, "give each operation an operationId or a name of its own", "two operations become route %q", r.Names[i])
+			return errs.New(errs.BadInput, "give each operation an operationId or a name of its own", "two operations become route %q", r.Names[i])
 		}
 		imported[r.Names[i]] = route
 	}
--- a/path/guidebook/guidebook_test.go
+++ b/path/guidebook/guidebook_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 )
 
 const file = `{"openapi":"3.0.3","info":{"title":"t","version":"1"},
@@ -28,7 +28,7 @@
 func TestRoutesFromAFile(t *testing.T) {
 	got, err := Import([]byte(file), plan(t))
 	if err != nil {
-		t.Fatal(err, mishap.Of(err).Faults)
+		t.Fatal(err, errs.Of(err).Faults)
 	}
 	if strings.Join(got.Names, " ") != "checkTicket verdict" {
 		t.Fatalf("routes %v", got.Names)
@@ -66,7 +66,7 @@
 		got, err := Import([]byte(broken), plan(t))
 		if err == nil || got.Plan != nil {
 			t.Errorf("%s: %v, %v", name, got.Names, err)
-		} else if m := mishap.Of(err); m.Remedy == "" || m.Kind == mishap.OutcomeUnknown {
+		} else if m := errs.Of(err); m.Remedy == "" || m.Kind == errs.OutcomeUnknown {
 			t.Errorf("%s: no typed error: %v", name, err)
 		}
 	}
--- a/path/judges/judges.go
+++ b/path/judges/judges.go
@@ -5,7 +5,7 @@
 import (
 	"math"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // Candidate is what is known of a server when an order looks for one.
@@ -13,20 +13,20 @@
 	Name      string
 	Labels    map[string]string
 	Slots     int
-	Own       int            // this daemon's orders on it now
-	Others    int            // the others', by its last figure
-	Limit     float64        // fullness up to which this rank may fill it
-	Leaving   bool           // marked as leaving
-	Sound     bool           // its soundness page answers, and orders come back
-	Prefix    bool           // it lately ran the same prefix
-	Latency   sundial.Micros // what an order takes there of late
-	Fastest   sundial.Micros // the same of the fastest server
-	RestUntil sundial.Micros // it turned an order away; not before
-	Now       sundial.Micros
-	Reading   int64          // prompt tokens of this daemon's orders that it has not begun
-	Silent    sundial.Micros // how long it has left this daemon's orders without a word
-	Turn      float64        // its place in this daemon's own order of servers, from 0 to 1
-	Share     *Share         // set for an item that is passed on unchanged
+	Own       int          // this daemon's orders on it now
+	Others    int          // the others', by its last figure
+	Limit     float64      // fullness up to which this rank may fill it
+	Leaving   bool         // marked as leaving
+	Sound     bool         // its soundness page answers, and orders come back
+	Prefix    bool         // it lately ran the same prefix
+	Latency   clock.Micros // what an order takes there of late
+	Fastest   clock.Micros // the same of the fastest server
+	RestUntil clock.Micros // it turned an order away; not before
+	Now       clock.Micros
+	Reading   int64        // prompt tokens of this daemon's orders that it has not begun
+	Silent    clock.Micros // how long it has left this daemon's orders without a word
+	Turn      float64      // its place in this daemon's own order of servers, from 0 to 1
+	Share     *Share       // set for an item that is passed on unchanged
 }
 
 // Share is what one keeper's items may take of a server: each keeps to its part,
@@ -99,7 +99,7 @@
 
 // mostSilence is how long a server may leave orders without a word before others
 // go elsewhere: one that is lost says nothing.
-const mostSilence = 350 * sundial.Millisecond
+const mostSilence = 350 * clock.Millisecond
 
 // Silence marks a server that lets hear of itself.
 func Silence(_ Wish, c Candidate) (float64, string) {
--- a/path/judges/judges_test.go
+++ b/path/judges/judges_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // A keeper's items keep to its part of a server: as many as its part of the room
@@ -85,7 +85,7 @@
 // A server that has left orders without a word for too long loses its mark; it is
 // not ruled out.
 func TestSilence(t *testing.T) {
-	for silent, want := range map[sundial.Micros]float64{0: 1, mostSilence: 1, mostSilence + 1: 0, sundial.Second: 0} {
+	for silent, want := range map[clock.Micros]float64{0: 1, mostSilence: 1, mostSilence + 1: 0, clock.Second: 0} {
 		if mark, out := Silence(Wish{}, Candidate{Silent: silent}); mark != want || out != "" {
 			t.Errorf("%d us silent: mark %v, out %q", silent, mark, out)
 		}
@@ -101,7 +101,7 @@
 		t.Errorf("sum %v, not %v; %v", sum, want, marks)
 	}
 	lost := sound
-	lost.Silent = sundial.Second
+	lost.Silent = clock.Second
 	if other, _, ok := Sum(weights, Wish{}, lost); !ok || other != sum-20 {
 		t.Errorf("a silent one: %v", other)
 	}
--- a/path/purse/account.go
+++ b/path/purse/account.go
@@ -7,23 +7,23 @@
 import (
 	"sort"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // LoanSpan is how long a share is lent; LoanGrace is what the holder adds for
 // clocks that run unevenly.
 const (
-	LoanSpan  = 2 * sundial.Second
-	LoanGrace = 300 * sundial.Millisecond
+	LoanSpan  = 2 * clock.Second
+	LoanGrace = 300 * clock.Millisecond
 	// KeptSpan is how long what a store holds counts after its last word: items
 	// of bundles were accepted, and wait on at the store that takes over.
-	KeptSpan = 12 * sundial.Second
+	KeptSpan = 12 * clock.Second
 )
 
 type loan struct {
 	count  int
-	until  sundial.Micros
-	passed sundial.Micros // since when its work is known to be others'
+	until  clock.Micros
+	passed clock.Micros // since when its work is known to be others'
 }
 
 // Account is one customer's account at its holder. It is a plain machine: time
@@ -33,15 +33,15 @@
 	Keeps   func(borrower string) bool // it holds items of bundles; nil: nobody does
 	loans   map[string]loan
 	missing map[string]bool // borrowers that have not told what they hold
-	opened  sundial.Micros
-	used    sundial.Micros
+	opened  clock.Micros
+	used    clock.Micros
 	// SkipRebuild is a fault planted by tests: a successor lends at once.
 	SkipRebuild bool
 }
 
 // Open begins an account under an epoch: it lends nothing until every borrower
 // has told what it holds, or what it may hold has ended.
-func Open(epoch uint64, borrowers []string, now sundial.Micros) *Account {
+func Open(epoch uint64, borrowers []string, now clock.Micros) *Account {
 	a := &Account{Epoch: epoch, loans: map[string]loan{}, missing: map[string]bool{}, opened: now, used: now}
 	for _, id := range borrowers {
 		a.missing[id] = true
@@ -51,7 +51,7 @@
 
 // Told takes a borrower's word on what it holds; it is believed even above the
 // allowance, because that work waits already.
-func (a *Account) Told(borrower string, held int, now sundial.Micros) {
+func (a *Account) Told(borrower string, held int, now clock.Micros) {
 	delete(a.missing, borrower)
 	a.used = now
 	if held > 0 {
@@ -61,7 +61,7 @@
 	}
 }
 
-func (a *Account) span(borrower string) sundial.Micros {
+func (a *Account) span(borrower string) clock.Micros {
 	if a.Keeps != nil && a.Keeps(borrower) {
 		return KeptSpan
 	}
@@ -70,11 +70,11 @@
 
 // PassageSpan is how long a store that died may take to pass its slots on: its
 // items are told by those that took them over.
-const PassageSpan = 6 * sundial.Second
+const PassageSpan = 6 * clock.Second
 
 // Forgo gives up waiting for a borrower's word that is dead, once its slots have
 // had time to pass on.
-func (a *Account) Forgo(borrower string, now sundial.Micros) {
+func (a *Account) Forgo(borrower string, now clock.Micros) {
 	if now-a.opened > PassageSpan {
 		delete(a.missing, borrower)
 	}
@@ -92,7 +92,7 @@
 
 // Passed lets go of a loan whose work is others', once they have had time to tell
 // it.
-func (a *Account) Passed(borrower string, now sundial.Micros) {
+func (a *Account) Passed(borrower string, now clock.Micros) {
 	l := a.loans[borrower]
 	if l.passed == 0 {
 		l.passed = now
@@ -113,7 +113,7 @@
 }
 
 // Ready tells whether the account may lend.
-func (a *Account) Ready(now sundial.Micros) bool {
+func (a *Account) Ready(now clock.Micros) bool {
 	if a.SkipRebuild {
 		return true
 	}
@@ -127,7 +127,7 @@
 
 // Lend renews what the borrower holds and lends it up to what it wants, within
 // the allowance.
-func (a *Account) Lend(borrower string, held, want int, allowance int64, now sundial.Micros) int {
+func (a *Account) Lend(borrower string, held, want int, allowance int64, now clock.Micros) int {
 	a.Told(borrower, held, now)
 	if want <= held || !a.Ready(now) {
 		return held
@@ -146,7 +146,7 @@
 }
 
 // Lent is how much is lent to whom, for the operators.
-func (a *Account) Lent(now sundial.Micros) map[string]int {
+func (a *Account) Lent(now clock.Micros) map[string]int {
 	out := map[string]int{}
 	for id, l := range a.loans {
 		if now < l.until {
@@ -157,20 +157,20 @@
 }
 
 // Idle tells whether nobody has used the account for a while.
-func (a *Account) Idle(now sundial.Micros) bool { return now-a.used > 30*sundial.Second }
+func (a *Account) Idle(now clock.Micros) bool { return now-a.used > 30*clock.Second }
 
 // Share is a borrower's part of one account.
 type Share struct {
 	Epoch   uint64 // the highest epoch heard of; answers below it are refused
 	Granted int
 	InUse   int
-	Until   sundial.Micros
-	failed  sundial.Micros   // when an ask last failed
-	leaving []sundial.Micros // when work left of late, for Retry-After
+	Until   clock.Micros
+	failed  clock.Micros   // when an ask last failed
+	leaving []clock.Micros // when work left of late, for Retry-After
 }
 
 // Room tells whether so much more fits into what was lent.
-func (s *Share) Room(count int, now sundial.Micros) bool {
+func (s *Share) Room(count int, now clock.Micros) bool {
 	return now < s.Until && s.InUse+count <= s.Granted
 }
 
@@ -178,7 +178,7 @@
 func (s *Share) Take(count int) { s.InUse += count }
 
 // Give returns what was used.
-func (s *Share) Give(count int, now sundial.Micros) {
+func (s *Share) Give(count int, now clock.Micros) {
 	s.InUse = max(0, s.InUse-count)
 	if s.leaving = append(s.leaving, now); len(s.leaving) > 32 {
 		s.leaving = s.leaving[1:]
@@ -186,7 +186,7 @@
 }
 
 // Lent takes the holder's answer; one of a lower epoch is refused.
-func (s *Share) Lent(epoch uint64, granted int, asked sundial.Micros) bool {
+func (s *Share) Lent(epoch uint64, granted int, asked clock.Micros) bool {
 	if epoch < s.Epoch {
 		return false
 	}
@@ -208,10 +208,10 @@
 
 // After is when room for so much more is likely: by the pace at which work has
 // left, between half a second and half a minute.
-func (s *Share) After(count int, now sundial.Micros) sundial.Micros {
+func (s *Share) After(count int, now clock.Micros) clock.Micros {
 	if len(s.leaving) < 2 {
-		return 2 * sundial.Second
+		return 2 * clock.Second
 	}
-	pace := (now - s.leaving[0]) / sundial.Micros(len(s.leaving))
-	return min(30*sundial.Second, max(sundial.Second/2, pace*sundial.Micros(count)))
+	pace := (now - s.leaving[0]) / clock.Micros(len(s.leaving))
+	return min(30*clock.Second, max(clock.Second/2, pace*clock.Micros(count)))
 }
--- a/path/purse/map_test.go
+++ b/path/purse/map_test.go
@@ -5,8 +5,8 @@
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/tether"
 )
 
@@ -14,16 +14,16 @@
 // those it has not heard of in this life; without a map it lends nothing. (Vietnam's
 // trouble-3: after all processes were killed a holder knew too few stores.)
 func TestAHolderWaitsForEveryStoreOnTheMap(t *testing.T) {
-	wire := stride.NewWire()
+	wire := machine.NewWire()
 	folk := []people.Person{{ID: "edge", Kind: people.Trailhead, Peer: "e"}}
 	p := New("edge", wire, func() []people.Person { return folk }, nil)
 	var m chart.Map
 	p.Map = func() (chart.Map, bool) { return m, m.Seq > 0 }
-	now := sundial.Second
+	now := clock.Second
 	ask := func() (answer LendAnswer) {
-		p.Lend(LendAsk{Customer: "c", Borrower: "edge", Want: 10, Allowance: 100, Plan: 1}, now, func(got LendAnswer, _ sundial.Micros) { answer = got })
+		p.Lend(LendAsk{Customer: "c", Borrower: "edge", Want: 10, Allowance: 100, Plan: 1}, now, func(got LendAnswer, _ clock.Micros) { answer = got })
 		for _, effect := range wire.Drain() {
-			if asked, ok := effect.(stride.Ask); ok {
+			if asked, ok := effect.(machine.Ask); ok {
 				wire.Told(asked.Token, nil, nil, now)
 			}
 		}
@@ -45,17 +45,17 @@
 
 // What a store held that is gone is let go once its slots are others', and no sooner.
 func TestALoanPassesOnWithTheSlots(t *testing.T) {
-	p := New("edge", stride.NewWire(), func() []people.Person { return nil }, nil)
+	p := New("edge", machine.NewWire(), func() []people.Person { return nil }, nil)
 	m := chart.Map{Seq: 1, Slots: []tether.Pairing{{Epoch: 1, Owner: tether.Member{ID: "gone"}, Complete: true}}}
 	p.Map = func() (chart.Map, bool) { return m, true }
-	now := sundial.Second
+	now := clock.Second
 	a := Open(1, nil, now)
 	a.Keeps = func(string) bool { return true }
 	a.Told("gone", 40, now)
 	p.accounts["c"], p.kept["gone"] = a, true
 	step := func() int {
 		p.passOn(now)
-		now += sundial.Second
+		now += clock.Second
 		return a.Lent(now)["gone"]
 	}
 	for range 4 {
--- a/path/purse/purse.go
+++ b/path/purse/purse.go
@@ -6,10 +6,10 @@
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 	"tuliprudder/path/roster"
 )
 
@@ -43,13 +43,13 @@
 	}
 )
 
-func init() { footbridge.Register(LendAsk{}, LendAnswer{}, TellAsk{}, TellAnswer{}) }
+func init() { transport.Register(LendAsk{}, LendAnswer{}, TellAsk{}, TellAnswer{}) }
 
 // Purse is one daemon's side: its shares, and the accounts it holds. It is a
 // part of the daemon's machine.
 type Purse struct {
 	Self string
-	Wire *stride.Wire
+	Wire *machine.Wire
 	// Folk is the directory as this daemon knows it.
 	Folk func() []people.Person
 	// Waiting is work that waits here without having been taken one by one
@@ -72,7 +72,7 @@
 	asking   map[string]bool
 	rounds   map[string]*round
 	kept     map[string]bool // stores that were known when an account was opened
-	renew    sundial.Micros
+	renew    clock.Micros
 	// Lent and Refused count for the operators.
 	Lent, Refused int64
 }
@@ -83,20 +83,20 @@
 	allowance int64
 	plan      uint64
 	asked     bool // the ask under way is for this one too
-	back      func(give Give, err error, now sundial.Micros)
+	back      func(give Give, err error, now clock.Micros)
 }
 
 // Give returns what was taken; a second time it does nothing.
-type Give func(now sundial.Micros)
+type Give func(now clock.Micros)
 
 // round is one asking of those who have not told what they hold.
 type round struct {
 	left int
-	then []func(now sundial.Micros)
+	then []func(now clock.Micros)
 }
 
 // New makes a purse.
-func New(self string, wire *stride.Wire, folk func() []people.Person, waiting func(string) int) *Purse {
+func New(self string, wire *machine.Wire, folk func() []people.Person, waiting func(string) int) *Purse {
 	return &Purse{Self: self, Wire: wire, Folk: folk, Waiting: waiting, shares: map[string]*Share{}, terms: map[string]LendAsk{},
 		accounts: map[string]*Account{}, allowed: map[string]LendAsk{}, takers: map[string][]*taker{}, asking: map[string]bool{}, rounds: map[string]*round{}, kept: map[string]bool{}}
 }
@@ -121,20 +121,20 @@
 // held is all that waits here of a customer.
 func (p *Purse) held(s *Share, customer string) int { return s.InUse + p.waits(customer) }
 
-const lendExpiry = 600 * sundial.Millisecond
+const lendExpiry = 600 * clock.Millisecond
 
 // failedFor is how long nobody asks again after an ask that failed: those who
 // wait behind it are turned away at once.
-const failedFor = 400 * sundial.Millisecond
+const failedFor = 400 * clock.Millisecond
 
 // mostTakers is how many may wait for one customer's ask; more are turned away.
 const mostTakers = 4096
 
 // Take reserves waiting work; back is told once. An error turns the order away,
 // and nothing of it has run or will.
-func (p *Purse) Take(customer string, allowance int64, plan uint64, count int, now sundial.Micros, back func(Give, error, sundial.Micros)) {
+func (p *Purse) Take(customer string, allowance int64, plan uint64, count int, now clock.Micros, back func(Give, error, clock.Micros)) {
 	if int64(count) > allowance {
-		back(nil, mishap.New(mishap.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d at once are more than the whole allowance of %d", count, allowance), now)
+		back(nil, errs.New(errs.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d at once are more than the whole allowance of %d", count, allowance), now)
 		return
 	}
 	s := p.share(customer)
@@ -153,12 +153,12 @@
 }
 
 func unreached() error {
-	return mishap.Later(mishap.NotReady, sundial.Second, "come back after the time given", "the customer's account can't be reached")
+	return errs.Later(errs.NotReady, clock.Second, "come back after the time given", "the customer's account can't be reached")
 }
 
 func (p *Purse) giver(customer string, count int) Give {
 	given := false
-	return func(now sundial.Micros) {
+	return func(now clock.Micros) {
 		if !given {
 			given = true
 			p.share(customer).Give(count, now)
@@ -168,7 +168,7 @@
 
 // ask asks the holder for all who wait, one ask at a time for each customer:
 // those who come meanwhile may find room.
-func (p *Purse) ask(customer string, now sundial.Micros) {
+func (p *Purse) ask(customer string, now clock.Micros) {
 	takers := p.takers[customer]
 	if p.asking[customer] || len(takers) == 0 {
 		return
@@ -182,11 +182,11 @@
 	held := p.held(s, customer)
 	ask := LendAsk{Customer: customer, Borrower: p.Self, Epoch: s.Epoch, Held: held, Want: held + sum + int(last.allowance/128), Allowance: last.allowance, Plan: last.plan}
 	p.terms[customer] = ask
-	p.lend(ask, now, func(answer LendAnswer, err error, now sundial.Micros) { p.serve(customer, answer, err, now) })
+	p.lend(ask, now, func(answer LendAnswer, err error, now clock.Micros) { p.serve(customer, answer, err, now) })
 }
 
 // serve lets those in who fit now, and turns away those the ask was for.
-func (p *Purse) serve(customer string, answer LendAnswer, err error, now sundial.Micros) {
+func (p *Purse) serve(customer string, answer LendAnswer, err error, now clock.Micros) {
 	s := p.share(customer)
 	if err != nil {
 		s.failed = now
@@ -206,10 +206,10 @@
 			t.back(nil, unreached(), now)
 		case !answer.Ready:
 			p.Refused++
-			t.back(nil, mishap.Later(mishap.NotReady, sundial.Second, "come back after the time given", "the customer's account passes to another daemon"), now)
+			t.back(nil, errs.Later(errs.NotReady, clock.Second, "come back after the time given", "the customer's account passes to another daemon"), now)
 		default:
 			p.Refused++
-			t.back(nil, mishap.Later(mishap.OverAllowance, s.After(t.count, now), "come back after the time given, or buy a larger allowance",
+			t.back(nil, errs.Later(errs.OverAllowance, s.After(t.count, now), "come back after the time given, or buy a larger allowance",
 				"%d more would take customer %s over its allowance of %d waiting", t.count, customer, t.allowance), now)
 		}
 	}
@@ -233,23 +233,23 @@
 }
 
 // lend asks the holder and takes its answer.
-func (p *Purse) lend(ask LendAsk, asked sundial.Micros, back func(LendAnswer, error, sundial.Micros)) {
+func (p *Purse) lend(ask LendAsk, asked clock.Micros, back func(LendAnswer, error, clock.Micros)) {
 	p.asking[ask.Customer] = true
-	take := func(answer LendAnswer, err error, now sundial.Micros) {
+	take := func(answer LendAnswer, err error, now clock.Micros) {
 		delete(p.asking, ask.Customer)
 		if err == nil && !p.share(ask.Customer).Lent(answer.Epoch, answer.Granted, asked) {
-			err = mishap.New(mishap.NotReady, "ask again", "the holder's epoch is behind")
+			err = errs.New(errs.NotReady, "ask again", "the holder's epoch is behind")
 		}
 		back(answer, err, now)
 	}
 	id, peer := p.holder(ask.Customer)
 	switch id {
 	case "":
-		take(LendAnswer{}, mishap.New(mishap.NotReady, "start an edge", "no live edge holds accounts"), asked)
+		take(LendAnswer{}, errs.New(errs.NotReady, "start an edge", "no live edge holds accounts"), asked)
 	case p.Self:
-		p.Lend(ask, asked, func(answer LendAnswer, now sundial.Micros) { take(answer, nil, now) })
+		p.Lend(ask, asked, func(answer LendAnswer, now clock.Micros) { take(answer, nil, now) })
 	default:
-		p.Wire.Ask(peer, ask, lendExpiry, func(body any, err error, now sundial.Micros) {
+		p.Wire.Ask(peer, ask, lendExpiry, func(body any, err error, now clock.Micros) {
 			answer, _ := body.(LendAnswer)
 			take(answer, err, now)
 		})
@@ -258,7 +258,7 @@
 
 // Lend is the holder's part: it answers once it has asked those who have not
 // told what they hold, or they had time enough.
-func (p *Purse) Lend(ask LendAsk, now sundial.Micros, back func(LendAnswer, sundial.Micros)) {
+func (p *Purse) Lend(ask LendAsk, now clock.Micros, back func(LendAnswer, clock.Micros)) {
 	a := p.accounts[ask.Customer]
 	if !p.mapped() {
 		back(LendAnswer{Epoch: ask.Epoch, Granted: ask.Held}, now)
@@ -283,7 +283,7 @@
 			a.Forgo(id, now)
 		}
 	}
-	answer := func(now sundial.Micros) {
+	answer := func(now clock.Micros) {
 		if terms := p.allowed[ask.Customer]; ask.Plan >= terms.Plan {
 			p.allowed[ask.Customer] = ask
 		}
@@ -337,11 +337,11 @@
 
 // passedAfter is how long after a store's last slot has passed on its successors
 // have had time to tell what they took over.
-const passedAfter = 1500 * sundial.Millisecond
+const passedAfter = 1500 * clock.Millisecond
 
 // passOn lets go of what is held for stores that are gone and own no slot any more:
 // those that took their slots over tell it now.
-func (p *Purse) passOn(now sundial.Micros) {
+func (p *Purse) passOn(now clock.Micros) {
 	if p.Map == nil {
 		return
 	}
@@ -386,7 +386,7 @@
 
 // rebuild asks those who have not told what they hold; who asks meanwhile waits
 // for the same round.
-func (p *Purse) rebuild(customer string, a *Account, then func(now sundial.Micros)) {
+func (p *Purse) rebuild(customer string, a *Account, then func(now clock.Micros)) {
 	if r := p.rounds[customer]; r != nil {
 		r.then = append(r.then, then)
 		return
@@ -396,10 +396,10 @@
 		peers[person.ID] = person.Peer
 	}
 	missing := a.Missing()
-	r := &round{left: len(missing), then: []func(sundial.Micros){then}}
+	r := &round{left: len(missing), then: []func(clock.Micros){then}}
 	p.rounds[customer] = r
 	for _, id := range missing {
-		p.Wire.Ask(peers[id], TellAsk{Customer: customer, Epoch: a.Epoch}, lendExpiry/3, func(body any, err error, now sundial.Micros) {
+		p.Wire.Ask(peers[id], TellAsk{Customer: customer, Epoch: a.Epoch}, lendExpiry/3, func(body any, err error, now clock.Micros) {
 			if told, ok := body.(TellAnswer); ok && err == nil && told.Stale {
 				a.Epoch = max(a.Epoch, told.Epoch+1)
 			} else if ok && err == nil {
@@ -427,16 +427,16 @@
 }
 
 // Call answers the purse's asks; false for any other.
-func (p *Purse) Call(number uint64, body any, now sundial.Micros) bool {
+func (p *Purse) Call(number uint64, body any, now clock.Micros) bool {
 	switch ask := body.(type) {
 	case LendAsk:
-		p.Lend(ask, now, func(answer LendAnswer, now sundial.Micros) { p.Wire.Emit(stride.Answer{Call: number, Body: answer}) })
+		p.Lend(ask, now, func(answer LendAnswer, now clock.Micros) { p.Wire.Emit(machine.Answer{Call: number, Body: answer}) })
 	case TellAsk:
 		if !p.mapped() {
-			p.Wire.Emit(stride.Answer{Call: number, Err: mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started", "what is held here is not known yet")})
+			p.Wire.Emit(machine.Answer{Call: number, Err: errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "what is held here is not known yet")})
 			return true
 		}
-		p.Wire.Emit(stride.Answer{Call: number, Body: p.Tell(ask)})
+		p.Wire.Emit(machine.Answer{Call: number, Body: p.Tell(ask)})
 	default:
 		return false
 	}
@@ -444,7 +444,7 @@
 }
 
 // ClockEvent renews the shares when they are due.
-func (p *Purse) ClockEvent(now sundial.Micros) {
+func (p *Purse) ClockEvent(now clock.Micros) {
 	if now < p.renew {
 		return
 	}
@@ -465,7 +465,7 @@
 		if held == 0 {
 			s.Granted = 0
 		}
-		p.lend(terms, now, func(answer LendAnswer, err error, now sundial.Micros) {
+		p.lend(terms, now, func(answer LendAnswer, err error, now clock.Micros) {
 			if err != nil {
 				// Who came meanwhile is not kept waiting for a second ask.
 				p.serve(customer, answer, err, now)
@@ -482,7 +482,7 @@
 		}
 	}
 	for customer, s := range p.shares {
-		if s.InUse == 0 && s.Granted == 0 && now >= s.Until+600*sundial.Second && p.takers[customer] == nil && !p.asking[customer] {
+		if s.InUse == 0 && s.Granted == 0 && now >= s.Until+600*clock.Second && p.takers[customer] == nil && !p.asking[customer] {
 			delete(p.shares, customer)
 		}
 	}
@@ -497,7 +497,7 @@
 }
 
 // View is what is held and lent here, for the operators.
-func (p *Purse) View(now sundial.Micros) map[string]any {
+func (p *Purse) View(now clock.Micros) map[string]any {
 	shares, accounts := map[string]any{}, map[string]any{}
 	for customer, s := range p.shares {
 		if held := p.held(s, customer); held > 0 || s.Granted > 0 {
@@ -511,7 +511,7 @@
 }
 
 // Totals counts what is held here and lent from here.
-func (p *Purse) Totals(now sundial.Micros) (held, lent int64) {
+func (p *Purse) Totals(now clock.Micros) (held, lent int64) {
 	for customer, s := range p.shares {
 		held += int64(p.held(s, customer))
 	}
--- a/path/purse/purse_test.go
+++ b/path/purse/purse_test.go
@@ -5,13 +5,13 @@
 	"math/rand"
 	"testing"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // flock is a customer's orders at many daemons at once, with holders that die
 // and borrowers that freeze.
 type flock struct {
-	now       sundial.Micros
+	now       clock.Micros
 	chance    *rand.Rand
 	borrowers []string
 	shares    map[string]*Share
@@ -51,7 +51,7 @@
 }
 
 func (f *flock) step() {
-	f.now += sundial.Micros(f.chance.Intn(20_000))
+	f.now += clock.Micros(f.chance.Intn(20_000))
 	id := f.borrowers[f.chance.Intn(len(f.borrowers))]
 	s := f.shares[id]
 	switch f.chance.Intn(12) {
--- a/path/reader/reader.go
+++ b/path/reader/reader.go
@@ -9,9 +9,9 @@
 	"strings"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/waypost"
@@ -19,14 +19,14 @@
 
 // Reader is one reading daemon's side of the ledgers.
 type Reader struct {
-	wire  *stride.Wire
+	wire  *machine.Wire
 	view  *waypost.View
 	chart chart.Map
 	open  map[string]*reading // reads that wait for rows, by name
 	order []string            // the same in the order they came
 	// PollRest is the least time between two asks of one reader that waits: every
 	// writer's word turns the view, and many readers must not ask at each of them.
-	PollRest sundial.Micros
+	PollRest clock.Micros
 	// Sleepy is a fault planted by tests: the view's turns wake nobody.
 	Sleepy bool
 }
@@ -39,7 +39,7 @@
 	Bundle   string // "" for the feed
 	Token    string
 	Most     int
-	Wait     sundial.Micros
+	Wait     clock.Micros
 	// Indexed reads one bundle's list from the index From on, without a token: at
 	// most MostBytes of outputs (0: no bound), but at least one row.
 	Indexed   bool
@@ -50,27 +50,27 @@
 
 type reading struct {
 	Read
-	back   func(Page, error, sundial.Micros)
-	expiry sundial.Micros
-	due    sundial.Micros // not asked again before; 0: only once the view turns
-	asked  sundial.Micros
+	back   func(Page, error, clock.Micros)
+	expiry clock.Micros
+	due    clock.Micros // not asked again before; 0: only once the view turns
+	asked  clock.Micros
 	busy   bool
 	lost   int // asks in a row that no keeper answered in time
 }
 
 // pollRest is PollRest where nothing else is set.
-const pollRest = 40 * sundial.Millisecond
+const pollRest = 40 * clock.Millisecond
 
 // passRest is the same while a slot passes on, where no word need turn the view.
-const passRest = 100 * sundial.Millisecond
+const passRest = 100 * clock.Millisecond
 
 // New makes a reader.
-func New(wire *stride.Wire) *Reader {
+func New(wire *machine.Wire) *Reader {
 	return &Reader{wire: wire, view: waypost.NewView(), open: map[string]*reading{}, PollRest: pollRest}
 }
 
 // Hear takes the news that concern reading.
-func (r *Reader) Hear(rumour stride.Rumour, now sundial.Micros) {
+func (r *Reader) Hear(rumour machine.Rumour, now clock.Micros) {
 	switch {
 	case rumour.Key == chart.MapKey:
 		var m chart.Map
@@ -99,7 +99,7 @@
 }
 
 // Start reads a page; back is told once.
-func (r *Reader) Start(read Read, now sundial.Micros, back func(Page, error, sundial.Micros)) {
+func (r *Reader) Start(read Read, now clock.Micros, back func(Page, error, clock.Micros)) {
 	one := &reading{Read: read, back: back, expiry: now + read.Wait}
 	if read.Wait > 0 {
 		r.open[read.Name] = one
@@ -116,7 +116,7 @@
 	if one := r.open[left.Name]; one != nil {
 		r.close(left.Name)
 		if one.Wait = 0; !one.busy {
-			one.back(Page{}, mishap.New(mishap.NotReady, "ask again with the same token", "the reader left"), 0)
+			one.back(Page{}, errs.New(errs.NotReady, "ask again with the same token", "the reader left"), 0)
 		}
 	}
 }
@@ -138,9 +138,9 @@
 func (r *Reader) Open() int { return len(r.open) }
 
 // ClockEvent asks again for whom it is due, and ends the waits that are over.
-func (r *Reader) ClockEvent(now sundial.Micros) { r.again(now) }
+func (r *Reader) ClockEvent(now clock.Micros) { r.again(now) }
 
-func (r *Reader) again(now sundial.Micros) {
+func (r *Reader) again(now clock.Micros) {
 	for _, name := range append([]string(nil), r.order...) {
 		one := r.open[name]
 		switch {
@@ -156,14 +156,14 @@
 	}
 }
 
-func (r *Reader) ask(one *reading, now sundial.Micros) {
+func (r *Reader) ask(one *reading, now clock.Micros) {
 	one.busy, one.due, one.asked = true, 0, now
-	r.page(one.Read, one.patience(), now, func(page Page, err error, now sundial.Micros) {
+	r.page(one.Read, one.patience(), now, func(page Page, err error, now clock.Micros) {
 		one.busy = false
 		if one.lost++; err == nil {
 			one.lost = 0
 		}
-		passing := mishap.Is(err, mishap.NotReady)
+		passing := errs.Is(err, errs.NotReady)
 		whole := err == nil && (len(page.Rows) > 0 || (page.State != "" && page.State != string(daybook.Open)))
 		if one.Wait == 0 || whole || (err != nil && !passing) {
 			r.close(one.Name)
@@ -188,12 +188,12 @@
 // Keeper is the slot of a bundle or claim and who serves it.
 func (r *Reader) Keeper(id string) (int, waypost.Owner, error) {
 	if len(r.chart.Slots) == 0 {
-		return 0, waypost.Owner{}, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet")
+		return 0, waypost.Owner{}, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet")
 	}
 	slot := daybook.SlotOf(id, len(r.chart.Slots))
 	owner, ok := r.view.Owner(slot)
 	if !ok {
-		return slot, owner, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the slot passes to another keeper", "slot %d has no keeper with two disks now", slot)
+		return slot, owner, errs.Later(errs.NotReady, clock.Second, "ask again; the slot passes to another keeper", "slot %d has no keeper with two disks now", slot)
 	}
 	return slot, owner, nil
 }
@@ -214,19 +214,19 @@
 // waits anyway asks anew sooner, and later each time: a lost message must not
 // hold its rows back for longer than users bear.
 const (
-	readExpiry  = 2 * sundial.Second
-	soonExpiry  = 400 * sundial.Millisecond
+	readExpiry  = 2 * clock.Second
+	soonExpiry  = 400 * clock.Millisecond
 	mostDoubles = 3
 )
 
-func (one *reading) patience() sundial.Micros {
+func (one *reading) patience() clock.Micros {
 	if one.Wait == 0 {
 		return readExpiry
 	}
 	return min(readExpiry, soonExpiry<<min(one.lost, mostDoubles))
 }
 
-func (r *Reader) page(read Read, patience, now sundial.Micros, back func(Page, error, sundial.Micros)) {
+func (r *Reader) page(read Read, patience, now clock.Micros, back func(Page, error, clock.Micros)) {
 	if read.Bundle != "" {
 		r.bundle(read, patience, now, back)
 		return
@@ -235,7 +235,7 @@
 }
 
 // bundle reads one bundle's list after a token, or from an index on.
-func (r *Reader) bundle(read Read, patience, now sundial.Micros, back func(Page, error, sundial.Micros)) {
+func (r *Reader) bundle(read Read, patience, now clock.Micros, back func(Page, error, clock.Micros)) {
 	fleet := r.chart.Fleet
 	slot, owner, err := r.Keeper(read.Bundle)
 	if err != nil {
@@ -250,7 +250,7 @@
 	after := from.Vector()
 	r.wire.Ask(owner.Peer, keeper.ReadAsk{Slots: map[int]uint64{slot: owner.Epoch}, Bundle: read.Bundle, Customer: read.Customer, Anyone: read.Anyone,
 		After: after, Bound: map[int]waypost.Vector{slot: r.view.Effective(slot)}, Most: read.Most,
-		Indexed: read.Indexed, From: read.From, MostBytes: read.MostBytes}, patience, func(answer any, err error, now sundial.Micros) {
+		Indexed: read.Indexed, From: read.From, MostBytes: read.MostBytes}, patience, func(answer any, err error, now clock.Micros) {
 		rows, err := rowsOf(answer, err)
 		if err != nil {
 			back(Page{}, err, now)
@@ -273,23 +273,23 @@
 // reader: reading changes nothing, so asking again is always safe.
 func rowsOf(answer any, err error) (keeper.Rows, error) {
 	if err != nil {
-		if m := mishap.Of(err); m.Kind != mishap.OutcomeUnknown {
+		if m := errs.Of(err); m.Kind != errs.OutcomeUnknown {
 			return keeper.Rows{}, err
 		}
-		return keeper.Rows{}, mishap.Later(mishap.NotReady, sundial.Second, "ask again with the same token", "the keeper gave no answer: %v", err)
+		return keeper.Rows{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "the keeper gave no answer: %v", err)
 	}
 	rows, ok := answer.(keeper.Rows)
 	if !ok {
-		return rows, mishap.New(mishap.ServerFault, "run the same release on all daemons", "the keeper answered %T", answer)
+		return rows, errs.New(errs.ServerFault, "run the same release on all daemons", "the keeper answered %T", answer)
 	}
 	return rows, nil
 }
 
 // feed reads all of a customer's bundles after a token.
-func (r *Reader) feed(read Read, patience, now sundial.Micros, back func(Page, error, sundial.Micros)) {
+func (r *Reader) feed(read Read, patience, now clock.Micros, back func(Page, error, clock.Micros)) {
 	fleet := r.chart.Fleet
 	if fleet == "" {
-		back(Page{}, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet"), now)
+		back(Page{}, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet"), now)
 		return
 	}
 	from, err := waypost.Parse(scope(fleet, "feed/"+read.Customer), read.Token)
@@ -300,7 +300,7 @@
 	after := from.Vector()
 	asks, upTo, whole := FeedAsks(r.view, len(r.chart.Slots), read.Customer, after, read.Most)
 	if !whole {
-		back(Page{}, mishap.Later(mishap.NotReady, sundial.Second, "ask again with the same token", "a slot passes to another keeper; the feed goes on when it has"), now)
+		back(Page{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "a slot passes to another keeper; the feed goes on when it has"), now)
 		return
 	}
 	var page Page
@@ -312,7 +312,7 @@
 	}
 	sort.Strings(peers)
 	for _, peer := range peers {
-		r.wire.Ask(peer, asks[peer], patience, func(answer any, err error, now sundial.Micros) {
+		r.wire.Ask(peer, asks[peer], patience, func(answer any, err error, now clock.Micros) {
 			rows, err := rowsOf(answer, err)
 			if err != nil {
 				failed = err
--- a/path/reader/reader_test.go
+++ b/path/reader/reader_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/tether"
@@ -17,17 +17,17 @@
 type bench struct {
 	*Reader
 	t     *testing.T
-	wire  *stride.Wire
-	now   sundial.Micros
+	wire  *machine.Wire
+	now   clock.Micros
 	seq   uint64
 	pages []Page
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, wire: stride.NewWire(), now: sundial.Second}
+	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
 	b.Reader = New(b.wire)
 	m, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: []tether.Pairing{{Epoch: 1}}})
-	b.Hear(stride.Rumour{Key: chart.MapKey, Seq: 1, Value: m}, b.now)
+	b.Hear(machine.Rumour{Key: chart.MapKey, Seq: 1, Value: m}, b.now)
 	b.say(5)
 	return b
 }
@@ -36,11 +36,11 @@
 func (b *bench) say(upTo int64) {
 	b.seq++
 	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: upTo, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
-	b.Hear(stride.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
+	b.Hear(machine.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
 }
 
 func (b *bench) read(read Read) {
-	b.Start(read, b.now, func(page Page, err error, _ sundial.Micros) {
+	b.Start(read, b.now, func(page Page, err error, _ clock.Micros) {
 		if err != nil {
 			b.t.Fatal(err)
 		}
@@ -49,9 +49,9 @@
 }
 
 // next is what the keeper is asked; nil for nothing.
-func (b *bench) next() *stride.Ask {
+func (b *bench) next() *machine.Ask {
 	for _, effect := range b.wire.Drain() {
-		if ask, ok := effect.(stride.Ask); ok {
+		if ask, ok := effect.(machine.Ask); ok {
 			return &ask
 		}
 	}
@@ -62,8 +62,8 @@
 // it may, and never asks past the last position seen.
 func TestAHeldReadByIndex(t *testing.T) {
 	b := newBench(t)
-	b.PollRest = 7 * sundial.Millisecond
-	b.read(Read{Name: "n", Bundle: "one", Wait: 30 * sundial.Second, Indexed: true, From: 3, MostBytes: 99, Most: 10, Anyone: true})
+	b.PollRest = 7 * clock.Millisecond
+	b.read(Read{Name: "n", Bundle: "one", Wait: 30 * clock.Second, Indexed: true, From: 3, MostBytes: 99, Most: 10, Anyone: true})
 	first := b.next()
 	ask := first.Body.(keeper.ReadAsk)
 	if !ask.Indexed || ask.From != 3 || ask.MostBytes != 99 || ask.Most != 10 || !ask.Anyone || ask.Bound[0][1] != 5 {
@@ -74,12 +74,12 @@
 		t.Fatalf("it did not wait: %+v", b.pages)
 	}
 	b.say(6)
-	b.now += 6 * sundial.Millisecond
+	b.now += 6 * clock.Millisecond
 	b.ClockEvent(b.now)
 	if ask := b.next(); ask != nil {
 		t.Fatal("it asked again too soon")
 	}
-	b.now += sundial.Millisecond
+	b.now += clock.Millisecond
 	b.ClockEvent(b.now)
 	second := b.next()
 	if second == nil || second.Body.(keeper.ReadAsk).Bound[0][1] != 6 {
@@ -94,7 +94,7 @@
 // A settled list's end is told at once.
 func TestTheEndOfASettledListIsToldAtOnce(t *testing.T) {
 	b := newBench(t)
-	b.read(Read{Name: "n", Bundle: "one", Wait: 30 * sundial.Second, Indexed: true, From: 9, Anyone: true})
+	b.read(Read{Name: "n", Bundle: "one", Wait: 30 * clock.Second, Indexed: true, From: 9, Anyone: true})
 	b.wire.Told(b.next().Token, keeper.Rows{State: string(daybook.Done), Items: 9, Index: 9}, nil, b.now)
 	if len(b.pages) != 1 || b.pages[0].State != string(daybook.Done) || b.pages[0].Items != 9 || b.Open() != 0 {
 		t.Fatalf("%+v", b.pages)
--- a/path/roster/roster.go
+++ b/path/roster/roster.go
@@ -9,8 +9,8 @@
 	"sort"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 )
 
 // Server is one entry of the platform's list.
@@ -25,17 +25,17 @@
 
 // Load is one reading of a server's pages.
 type Load struct {
-	Running int            `json:"running"`
-	Waiting int            `json:"waiting"`
-	Sound   bool           `json:"sound"`
-	At      sundial.Micros `json:"at"`
-	By      string         `json:"by"`
+	Running int          `json:"running"`
+	Waiting int          `json:"waiting"`
+	Sound   bool         `json:"sound"`
+	At      clock.Micros `json:"at"`
+	By      string       `json:"by"`
 }
 
 // Word is the newest word on a server, for the news: always above what is known.
-func Word(server Server, known stride.Rumour, now sundial.Micros) stride.Rumour {
+func Word(server Server, known machine.Rumour, now clock.Micros) machine.Rumour {
 	value, _ := json.Marshal(server)
-	return stride.Rumour{Key: ServerKey(server.Name), Seq: max(uint64(now), known.Seq+1), Value: value}
+	return machine.Rumour{Key: ServerKey(server.Name), Seq: max(uint64(now), known.Seq+1), Value: value}
 }
 
 // ServerKey and LoadKey are the news keys of a server.
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -8,9 +8,9 @@
 	"strings"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
@@ -21,13 +21,13 @@
 // Settings of a runner; the defaults are ours.
 type Settings struct {
 	MostTries int
-	Silence   sundial.Micros
+	Silence   clock.Micros
 	MostBytes int
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{MostTries: 8, Silence: 4 * sundial.Second, MostBytes: 1 << 20}
+	return Settings{MostTries: 8, Silence: 4 * clock.Second, MostBytes: 1 << 20}
 }
 
 // What the shell is told, as work.
@@ -75,18 +75,18 @@
 // Runner is the store daemon's part of the path.
 type Runner struct {
 	set      Settings
-	wire     *stride.Wire
+	wire     *machine.Wire
 	dispatch *dispatch.Dispatch
-	allowed  func(slot int, bundle string, item int, now sundial.Micros) bool
-	ran      func(keeper.Ran, sundial.Micros)
+	allowed  func(slot int, bundle string, item int, now clock.Micros) bool
+	ran      func(keeper.Ran, clock.Micros)
 	Book     *guestbook.Book
 	open     map[string]*job
 	runs     map[uint64]*job
 	queued   map[string]int  // weights by customer: assigned, not begun (an opaque item: not finished)
 	parked   map[string]*job // those that could not wait or start here just now
 	kept     map[string]int  // the same, counted by customer
-	next     sundial.Micros  // next look at what is too old
-	tried    sundial.Micros  // last look at what could not start
+	next     clock.Micros    // next look at what is too old
+	tried    clock.Micros    // last look at what could not start
 	// NoPermit is a fault planted by tests: work starts without a lease.
 	NoPermit bool
 	// Deaf is a fault planted by tests: work goes on after it was called back.
@@ -109,13 +109,13 @@
 }
 
 // New makes a runner; ran is told each item's result.
-func New(set Settings, wire *stride.Wire, d *dispatch.Dispatch, allowed func(int, string, int, sundial.Micros) bool, ran func(keeper.Ran, sundial.Micros)) *Runner {
+func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, allowed func(int, string, int, clock.Micros) bool, ran func(keeper.Ran, clock.Micros)) *Runner {
 	return &Runner{set: set, wire: wire, dispatch: d, allowed: allowed, ran: ran, Book: guestbook.New(8192), open: map[string]*job{}, runs: map[uint64]*job{}, queued: map[string]int{}, parked: map[string]*job{}, kept: map[string]int{}}
 }
 
 // Take puts one of the keeper's items into the backlog; one that waits or runs
 // already is passed over.
-func (r *Runner) Take(item keeper.ItemOrder, now sundial.Micros) {
+func (r *Runner) Take(item keeper.ItemOrder, now clock.Micros) {
 	name := item.Bundle + "/" + strconv.Itoa(item.Item)
 	if r.open[name] != nil {
 		return
@@ -141,13 +141,13 @@
 }
 
 // old tells whether an opaque item has waited for longer than its route keeps it.
-func old(j *job, route *planbook.Route, now sundial.Micros) bool {
+func old(j *job, route *planbook.Route, now clock.Micros) bool {
 	return j.item.Request != nil && route.Forward.Keep > 0 && now > j.item.Enrolled+route.Forward.Keep
 }
 
 // enrol puts an item into the backlog. A route that is gone from the plan fails
 // the item rather than leave the bundle open for ever.
-func (r *Runner) enrol(j *job, now sundial.Micros) {
+func (r *Runner) enrol(j *job, now clock.Micros) {
 	plan := r.dispatch.Plan()
 	if plan == nil || plan.Version < j.item.Plan {
 		r.park(j) // this daemon's plan is behind
@@ -167,21 +167,21 @@
 		return
 	}
 	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Prompt: int64(j.weight), Avoid: j.avoid}
-	j.order.Permit = func(now sundial.Micros) bool {
+	j.order.Permit = func(now clock.Micros) bool {
 		return r.NoPermit || r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now)
 	}
-	j.order.Start = func(grip *dispatch.Grip, now sundial.Micros) { r.start(j, grip, now) }
-	j.order.Drop = func(err error, now sundial.Micros) {
-		if mishap.Is(err, mishap.UnknownRoute) {
+	j.order.Start = func(grip *dispatch.Grip, now clock.Micros) { r.start(j, grip, now) }
+	j.order.Drop = func(err error, now clock.Micros) {
+		if errs.Is(err, errs.UnknownRoute) {
 			r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
 			return
 		}
 		r.park(j)
 	}
-	if err := r.dispatch.Enrol(j.order, now); mishap.Is(err, mishap.UnknownRoute) {
+	if err := r.dispatch.Enrol(j.order, now); errs.Is(err, errs.UnknownRoute) {
 		j.order.Drop(err, now)
 	} else if err != nil {
-		r.wire.Emit(stride.Explain{What: "an item found no room in the backlog; the keeper hands it over again", Fields: map[string]any{"order": j.name, "why": err.Error()}})
+		r.wire.Emit(machine.Explain{What: "an item found no room in the backlog; the keeper hands it over again", Fields: map[string]any{"order": j.name, "why": err.Error()}})
 		r.park(j)
 	}
 }
@@ -214,14 +214,14 @@
 	}
 }
 
-func (r *Runner) finish(j *job, ran keeper.Ran, now sundial.Micros) {
+func (r *Runner) finish(j *job, ran keeper.Ran, now clock.Micros) {
 	r.forget(j)
 	ran.Slot, ran.Bundle, ran.Item = j.item.Slot, j.item.Bundle, j.item.Item
 	r.ran(ran, now)
 }
 
 // start goes by the order's route, which is that of the plan in force.
-func (r *Runner) start(j *job, grip *dispatch.Grip, now sundial.Micros) {
+func (r *Runner) start(j *job, grip *dispatch.Grip, now clock.Micros) {
 	route := j.order.Route
 	if !fits(j, route) {
 		grip.Release(0, true, now)
@@ -235,13 +235,13 @@
 	if j.item.Request != nil {
 		forward = &Forwarded{Request: j.item.Request, Bundle: j.item.Bundle, ID: j.item.ItemID, Instance: grip.Server.Name, Resume: j.last}
 	}
-	r.wire.Emit(stride.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Forward: forward, Request: serverline.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
+	r.wire.Emit(machine.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Forward: forward, Request: serverline.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
 		Prefix: route.Prefix, Input: j.item.Input, MaxTokens: route.MaxTokens, Priority: r.dispatch.Priority(j.order), Silence: r.set.Silence}}})
 }
 
 // Begin notes that a run has begun. What an opaque item counts for is work that
 // its route has not had done: it counts until a server has finished it.
-func (r *Runner) Begin(word Began, now sundial.Micros) {
+func (r *Runner) Begin(word Began, now clock.Micros) {
 	j := r.runs[word.Token]
 	if j == nil {
 		return
@@ -270,7 +270,7 @@
 
 // Went takes the shell's word. An item may run again elsewhere: only one result
 // is listed.
-func (r *Runner) Went(ran Ran, now sundial.Micros) {
+func (r *Runner) Went(ran Ran, now clock.Micros) {
 	j := r.runs[ran.Token]
 	if j == nil {
 		return // called back
@@ -309,7 +309,7 @@
 // passedOn decides by how a try of an opaque item went. It is listed as failed only
 // when a server rejects it, when its route's attempts have failed, when it is too
 // old, or when its route is gone; whatever else goes wrong, it waits again.
-func (r *Runner) passedOn(j *job, grip *dispatch.Grip, ran Ran, now sundial.Micros) {
+func (r *Runner) passedOn(j *job, grip *dispatch.Grip, ran Ran, now clock.Micros) {
 	server := grip.Server.Name
 	switch {
 	case ran.Failed:
@@ -350,7 +350,7 @@
 		size += len(event)
 	}
 	if size > r.set.MostBytes {
-		r.wire.Emit(stride.Explain{What: "an item's events are more than is kept between tries; it begins anew; raise MostBytes", Fields: map[string]any{"order": j.name, "bytes": size}})
+		r.wire.Emit(machine.Explain{What: "an item's events are more than is kept between tries; it begins anew; raise MostBytes", Fields: map[string]any{"order": j.name, "bytes": size}})
 		j.events, j.size, j.last = nil, 0, 0
 		return
 	}
@@ -358,11 +358,11 @@
 }
 
 // retryEvery is the time between two looks at what could not start.
-const retryEvery = 50 * sundial.Millisecond
+const retryEvery = 50 * clock.Millisecond
 
 // retry takes up again what may start now: a slot's items are handed over when it
 // begins to serve, a moment before its lease is there.
-func (r *Runner) retry(plan *planbook.Plan, now sundial.Micros) {
+func (r *Runner) retry(plan *planbook.Plan, now clock.Micros) {
 	if now < r.tried+retryEvery || len(r.parked) == 0 {
 		return
 	}
@@ -377,7 +377,7 @@
 // ClockEvent lists as failed what has waited for longer than its route keeps it, or
 // has none any more.
 // What runs is left to its server.
-func (r *Runner) ClockEvent(now sundial.Micros) {
+func (r *Runner) ClockEvent(now clock.Micros) {
 	plan := r.dispatch.Plan()
 	if plan == nil {
 		return
@@ -386,7 +386,7 @@
 	if now < r.next {
 		return
 	}
-	r.next = now + sundial.Second
+	r.next = now + clock.Second
 	due, why := map[string]*job{}, map[string]string{}
 	for _, jobs := range []map[string]*job{r.open, r.parked} {
 		for name, j := range jobs {
@@ -410,7 +410,7 @@
 }
 
 // Revoke drops what waits or runs of a bundle or of a slot.
-func (r *Runner) Revoke(w keeper.Revoke, now sundial.Micros) {
+func (r *Runner) Revoke(w keeper.Revoke, now clock.Micros) {
 	if r.Deaf {
 		return
 	}
@@ -429,7 +429,7 @@
 		}
 		delete(r.open, name)
 		if j.grip != nil {
-			r.wire.Emit(stride.Work{Order: Stop{Token: j.token}})
+			r.wire.Emit(machine.Work{Order: Stop{Token: j.token}})
 			delete(r.runs, j.token)
 			r.begin(j)
 			j.grip.Release(0, true, now)
--- a/path/runner/runner_test.go
+++ b/path/runner/runner_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
@@ -19,17 +19,17 @@
 	*Runner
 	t      *testing.T
 	d      *dispatch.Dispatch
-	wire   *stride.Wire
-	now    sundial.Micros
+	wire   *machine.Wire
+	now    clock.Micros
 	listed []keeper.Ran
 }
 
-const hour = 3600 * sundial.Second
+const hour = 3600 * clock.Second
 
 func newBench(t *testing.T, servers ...string) *bench {
-	b := &bench{t: t, wire: stride.NewWire(), d: dispatch.New(dispatch.Defaults(), 1), now: hour}
-	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, sundial.Micros) bool { return true },
-		func(ran keeper.Ran, _ sundial.Micros) { b.listed = append(b.listed, ran) })
+	b := &bench{t: t, wire: machine.NewWire(), d: dispatch.New(dispatch.Defaults(), 1), now: hour}
+	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, clock.Micros) bool { return true },
+		func(ran keeper.Ran, _ clock.Micros) { b.listed = append(b.listed, ran) })
 	b.plan(1, planbook.Forward{Tries: 3, Keep: 24 * hour})
 	for _, name := range servers {
 		b.d.SetServer(roster.Server{Name: name, Address: name + ":1", Slots: 4})
@@ -57,7 +57,7 @@
 	b.d.Settle(b.now)
 	var out []Run
 	for _, effect := range b.wire.Drain() {
-		if work, ok := effect.(stride.Work); ok {
+		if work, ok := effect.(machine.Work); ok {
 			if run, ok := work.Order.(Run); ok {
 				out = append(out, run)
 			}
@@ -69,7 +69,7 @@
 // run waits out the servers' rests, for the one run there is.
 func (b *bench) run() Run {
 	b.t.Helper()
-	b.now += 5 * sundial.Second
+	b.now += 5 * clock.Second
 	runs := b.runs()
 	if len(runs) != 1 {
 		b.t.Fatalf("%d runs, not one: %+v", len(runs), runs)
@@ -223,10 +223,10 @@
 func TestAParkedItemKeepsWhatItHas(t *testing.T) {
 	b := newBench(t, "s")
 	allowed := true
-	b.allowed = func(int, string, int, sundial.Micros) bool { return allowed }
+	b.allowed = func(int, string, int, clock.Micros) bool { return allowed }
 	b.take(0, 1)
 	b.went(Ran{Failed: true, Events: []string{"e1"}, LastEvent: 1})
-	allowed, b.now = false, b.now+5*sundial.Second
+	allowed, b.now = false, b.now+5*clock.Second
 	if runs := b.runs(); len(runs) != 0 || len(b.parked) != 1 {
 		t.Fatalf("%d runs without a lease, %d parked", len(runs), len(b.parked))
 	}
@@ -260,7 +260,7 @@
 			b.now += 24 * hour
 			b.ClockEvent(b.now)
 			b.none()
-			b.now += sundial.Second
+			b.now += clock.Second
 			b.ClockEvent(b.now)
 			b.only(daybook.StatusFailed, late)
 			if got := b.Waiting("r"); got != 0 {
@@ -297,7 +297,7 @@
 			plan := &planbook.Plan{Version: 2, Routes: routes}
 			plan.Index()
 			b.d.SetPlan(plan, b.now)
-			b.now += 2 * sundial.Second
+			b.now += 2 * clock.Second
 			b.ClockEvent(b.now)
 			b.only(daybook.StatusFailed, gone)
 		})
@@ -337,7 +337,7 @@
 	}
 	started := 0
 	for range 6 {
-		b.now += 5 * sundial.Second
+		b.now += 5 * clock.Second
 		for _, run := range b.runs() {
 			started++
 			b.Begin(Began{Token: run.Token}, b.now)
@@ -366,7 +366,7 @@
 func TestAParkedItemStartsOnceItMay(t *testing.T) {
 	b := newBench(t, "s")
 	lease := false
-	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, sundial.Micros) bool { return lease }, func(keeper.Ran, sundial.Micros) {})
+	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, clock.Micros) bool { return lease }, func(keeper.Ran, clock.Micros) {})
 	b.take(0, 1)
 	if runs := b.runs(); len(runs) != 0 {
 		t.Fatalf("%d runs without a lease", len(runs))
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -9,8 +9,8 @@
 	"strings"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/roster"
 )
@@ -23,25 +23,25 @@
 	Look
 	Running, Waiting int
 	Sound            bool
-	Began            sundial.Micros
+	Began            clock.Micros
 }
 
 // Scouts holds an edge's duties.
 type Scouts struct {
 	self     string
-	every    sundial.Micros
-	wire     *stride.Wire
+	every    clock.Micros
+	wire     *machine.Wire
 	dispatch *dispatch.Dispatch
 	folk     func() []people.Person
-	due      map[string]sundial.Micros // when a server is due again
+	due      map[string]clock.Micros // when a server is due again
 	busy     map[string]bool
-	marks    map[string]stride.Rumour // the latest figures' epoch and sequence
-	next     sundial.Micros
+	marks    map[string]machine.Rumour // the latest figures' epoch and sequence
+	next     clock.Micros
 }
 
 // New makes an edge's scouts; with no span between readings there are none.
-func New(self string, every sundial.Micros, wire *stride.Wire, d *dispatch.Dispatch, folk func() []people.Person) *Scouts {
-	return &Scouts{self: self, every: every, wire: wire, dispatch: d, folk: folk, due: map[string]sundial.Micros{}, busy: map[string]bool{}, marks: map[string]stride.Rumour{}}
+func New(self string, every clock.Micros, wire *machine.Wire, d *dispatch.Dispatch, folk func() []people.Person) *Scouts {
+	return &Scouts{self: self, every: every, wire: wire, dispatch: d, folk: folk, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Rumour{}}
 }
 
 // hurry is how much more often a busy server is looked at: old figures of a full
@@ -49,14 +49,14 @@
 const hurry = 4
 
 // Hear notes the latest figures of a server.
-func (s *Scouts) Hear(rumour stride.Rumour) {
+func (s *Scouts) Hear(rumour machine.Rumour) {
 	if name, ok := strings.CutPrefix(rumour.Key, "load/"); ok {
 		s.marks[name] = rumour
 	}
 }
 
 // ClockEvent sends the shell to the servers that are due and this daemon's duty.
-func (s *Scouts) ClockEvent(now sundial.Micros) {
+func (s *Scouts) ClockEvent(now clock.Micros) {
 	if now < s.next || s.every == 0 {
 		return
 	}
@@ -67,12 +67,12 @@
 			continue
 		}
 		s.busy[server.Name] = true
-		s.wire.Emit(stride.Work{Order: Look{Name: server.Name, Address: server.Address}})
+		s.wire.Emit(machine.Work{Order: Look{Name: server.Name, Address: server.Address}})
 	}
 }
 
 // Saw spreads what was found. Taking the duty over raises its epoch by one.
-func (s *Scouts) Saw(saw Looked, now sundial.Micros) {
+func (s *Scouts) Saw(saw Looked, now clock.Micros) {
 	delete(s.busy, saw.Name)
 	rest := s.every
 	for _, server := range s.dispatch.Servers() {
@@ -91,5 +91,5 @@
 		}
 	}
 	value, _ := json.Marshal(load)
-	s.wire.Emit(stride.Publish{Rumour: stride.Rumour{Key: roster.LoadKey(saw.Name), Epoch: epoch, Seq: seq, Value: value}})
+	s.wire.Emit(machine.Publish{Rumour: machine.Rumour{Key: roster.LoadKey(saw.Name), Epoch: epoch, Seq: seq, Value: value}})
 }
--- a/path/serverline/serverline.go
+++ b/path/serverline/serverline.go
@@ -21,7 +21,7 @@
 	"github.com/prometheus/common/model"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // Outcome is what is certain about an order on a server.
@@ -50,8 +50,8 @@
 	Input     string
 	Partial   string // what was already produced, to be gone on with
 	MaxTokens int64
-	Priority  int            // 0 goes first on the server
-	Silence   sundial.Micros // longest wait for the next piece
+	Priority  int          // 0 goes first on the server
+	Silence   clock.Micros // longest wait for the next piece
 }
 
 // Prepare sets the shared client up knowingly: it never retries an order, never
@@ -120,7 +120,7 @@
 	request.ContentLength = int64(len(data))
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Request-Id", r.Order)
-	silence := time.AfterFunc(sundial.Span(r.Silence), cancel)
+	silence := time.AfterFunc(clock.Span(r.Silence), cancel)
 	defer silence.Stop()
 	response, err := httpc.DoRequest(request)
 	if err != nil {
@@ -142,7 +142,7 @@
 	lines.Buffer(make([]byte, 4096), 1<<20)
 	finished := false
 	for lines.Scan() {
-		silence.Reset(sundial.Span(r.Silence))
+		silence.Reset(clock.Span(r.Silence))
 		text, ok := strings.CutPrefix(lines.Text(), "data:")
 		if !ok {
 			continue
--- a/path/trek/items.go
+++ b/path/trek/items.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strconv"
 
-	"tuliprudder/kernel/mishap"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/ledger/daybook"
 )
 
@@ -13,10 +13,10 @@
 // there is no bound.
 func checkItems(items []daybook.Item, most int, forward bool) error {
 	if len(items) == 0 {
-		return mishap.New(mishap.BadInput, "give the bundle at least one item", "the bundle is empty")
+		return errs.New(errs.BadInput, "give the bundle at least one item", "the bundle is empty")
 	}
 	if most > 0 && len(items) > most {
-		return mishap.New(mishap.TooLarge, "send several bundles", "the bundle has %d items; the route takes %d", len(items), most)
+		return errs.New(errs.TooLarge, "send several bundles", "the bundle has %d items; the route takes %d", len(items), most)
 	}
 	var faults []string
 	seen := map[string]int{}
@@ -43,7 +43,7 @@
 		}
 	}
 	if len(faults) > 0 {
-		return &mishap.Mishap{Kind: mishap.BadInput, Message: "the bundle has bad items; none of it will run", Remedy: "correct each named item and send the bundle again", Faults: faults}
+		return &errs.Error{Kind: errs.BadInput, Message: "the bundle has bad items; none of it will run", Remedy: "correct each named item and send the bundle again", Faults: faults}
 	}
 	return nil
 }
--- a/path/trek/trek.go
+++ b/path/trek/trek.go
@@ -8,9 +8,9 @@
 	"encoding/json"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/dispatch"
@@ -23,13 +23,13 @@
 // Settings of the orders; the defaults are ours.
 type Settings struct {
 	MostTries int
-	Silence   sundial.Micros // longest wait for a server's next piece
-	Commit    sundial.Micros // how long a receipt may take before its outcome is unknown
+	Silence   clock.Micros // longest wait for a server's next piece
+	Commit    clock.Micros // how long a receipt may take before its outcome is unknown
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{MostTries: 4, Silence: 5 * sundial.Second, Commit: 3 * sundial.Second}
+	return Settings{MostTries: 4, Silence: 5 * clock.Second, Commit: 3 * clock.Second}
 }
 
 // What the shell hands in; each is a call, whose answer is the next word.
@@ -98,7 +98,7 @@
 	Run struct {
 		Request serverline.Request
 		Kind    string // of the route
-		Expiry  sundial.Micros
+		Expiry  clock.Micros
 	}
 	// Answer is the end of an order that is whole.
 	Answer struct {
@@ -113,7 +113,7 @@
 // Trek holds the orders under way.
 type Trek struct {
 	set      Settings
-	wire     *stride.Wire
+	wire     *machine.Wire
 	dispatch *dispatch.Dispatch
 	purse    *purse.Purse
 	reader   *reader.Reader
@@ -140,8 +140,8 @@
 	class    *planbook.Class
 	route    *planbook.Route
 	plan     uint64
-	arrived  sundial.Micros
-	expiry   sundial.Micros
+	arrived  clock.Micros
+	expiry   clock.Micros
 	call     uint64 // who waits for the next word
 	wanted   *dispatch.Order
 	grip     *dispatch.Grip
@@ -155,7 +155,7 @@
 }
 
 // New makes the part of an edge's machine that carries orders.
-func New(set Settings, wire *stride.Wire, d *dispatch.Dispatch, p *purse.Purse, r *reader.Reader, book *guestbook.Book) *Trek {
+func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, p *purse.Purse, r *reader.Reader, book *guestbook.Book) *Trek {
 	return &Trek{set: set, wire: wire, dispatch: d, purse: p, reader: r, book: book, open: map[string]*order{}}
 }
 
@@ -163,7 +163,7 @@
 func (t *Trek) Open() int { return len(t.open) }
 
 // Call takes what the shell hands in; false for anything else.
-func (t *Trek) Call(number uint64, body any, now sundial.Micros) bool {
+func (t *Trek) Call(number uint64, body any, now clock.Micros) bool {
 	switch ask := body.(type) {
 	case Live:
 		t.live(number, ask, now)
@@ -198,21 +198,21 @@
 }
 
 func (t *Trek) answer(call uint64, body any, err error) {
-	t.wire.Emit(stride.Answer{Call: call, Body: body, Err: err})
+	t.wire.Emit(machine.Answer{Call: call, Body: body, Err: err})
 }
 
 // caller finds who calls by the key it carries.
 func (t *Trek) caller(key string) (*planbook.Plan, *planbook.Customer, *planbook.Class, error) {
 	plan := t.dispatch.Plan()
 	if plan == nil {
-		return nil, nil, nil, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started", "no plan has arrived yet")
+		return nil, nil, nil, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no plan has arrived yet")
 	}
 	if key == "" {
-		return nil, nil, nil, mishap.New(mishap.Unauthorised, "send the header Authorization: Bearer KEY", "the order carries no customer key")
+		return nil, nil, nil, errs.New(errs.Unauthorised, "send the header Authorization: Bearer KEY", "the order carries no customer key")
 	}
 	customer, class, ok := plan.CustomerOf(key)
 	if !ok {
-		return nil, nil, nil, mishap.New(mishap.Unauthorised, "check the key, or have the operators add the customer to the plan", "no customer has this key")
+		return nil, nil, nil, errs.New(errs.Unauthorised, "check the key, or have the operators add the customer to the plan", "no customer has this key")
 	}
 	return plan, customer, class, nil
 }
@@ -221,24 +221,24 @@
 func way(plan *planbook.Plan, class *planbook.Class, name string, bundle bool) (*planbook.Route, error) {
 	route, ok := plan.Route(name)
 	if !ok || route.Forward != nil || !route.Classes.Matches(class.Labels) {
-		return nil, mishap.New(mishap.UnknownRoute, "name a route that the plan opens to this customer's class", "no route %q for this customer", name)
+		return nil, errs.New(errs.UnknownRoute, "name a route that the plan opens to this customer's class", "no route %q for this customer", name)
 	}
 	if bundle != (route.Kind == planbook.Bundle) {
-		return nil, mishap.New(mishap.BadInput, "hand bundles to /bundles of bundle routes, live orders to /orders of the others", "route %q is of kind %s", name, route.Kind)
+		return nil, errs.New(errs.BadInput, "hand bundles to /bundles of bundle routes, live orders to /orders of the others", "route %q is of kind %s", name, route.Kind)
 	}
 	return route, nil
 }
 
 // live begins an order: it is checked, takes its place in the allowance, claims
 // its key, and waits in the backlog.
-func (t *Trek) live(call uint64, ask Live, now sundial.Micros) {
+func (t *Trek) live(call uint64, ask Live, now clock.Micros) {
 	o := &order{Live: ask, call: call, arrived: now, avoid: map[string]int{}}
 	if err := t.check(o, now); err != nil {
 		t.answer(call, nil, err)
 		return
 	}
 	t.open[o.Order] = o
-	t.purse.Take(o.customer.Name, o.class.Allowance, o.plan, 1, now, func(give purse.Give, err error, now sundial.Micros) {
+	t.purse.Take(o.customer.Name, o.class.Allowance, o.plan, 1, now, func(give purse.Give, err error, now clock.Micros) {
 		if err != nil {
 			t.end(o, nil, err, now)
 			return
@@ -253,7 +253,7 @@
 	})
 }
 
-func (t *Trek) check(o *order, now sundial.Micros) error {
+func (t *Trek) check(o *order, now clock.Micros) error {
 	plan, customer, class, err := t.caller(o.Caller)
 	if err != nil {
 		return err
@@ -264,17 +264,17 @@
 	}
 	switch {
 	case o.Input == "":
-		return mishap.New(mishap.BadInput, "give the order an input", "input is empty")
+		return errs.New(errs.BadInput, "give the order an input", "input is empty")
 	case o.MaxTokens < 0 || o.MaxTokens > route.MaxTokens:
-		return mishap.New(mishap.BadInput, "leave max_tokens out, or keep to the route's bound", "max_tokens %d is not within 1 to %d", o.MaxTokens, route.MaxTokens)
+		return errs.New(errs.BadInput, "leave max_tokens out, or keep to the route's bound", "max_tokens %d is not within 1 to %d", o.MaxTokens, route.MaxTokens)
 	case o.ExpiryUS < 0:
-		return mishap.Later(mishap.Expired, sundial.Second, "give an expiry that lies ahead, in microseconds from now", "the order had expired before it came")
+		return errs.Later(errs.Expired, clock.Second, "give an expiry that lies ahead, in microseconds from now", "the order had expired before it came")
 	case len(o.Key) > 256:
-		return mishap.New(mishap.BadInput, "use a key of at most 256 bytes", "the idempotency key is too long")
+		return errs.New(errs.BadInput, "use a key of at most 256 bytes", "the idempotency key is too long")
 	case o.Key != "" && route.Kind != planbook.OneShot:
-		return mishap.New(mishap.BadInput, "leave the key out: only one-shot orders and bundles take one", "route %q is of kind %s", route.Name, route.Kind)
+		return errs.New(errs.BadInput, "leave the key out: only one-shot orders and bundles take one", "route %q is of kind %s", route.Name, route.Kind)
 	case !t.dispatch.Fresh(now):
-		return mishap.Later(mishap.NotReady, sundial.Second, "ask another daemon, or come back", "this daemon's news are old; it refreshes them first")
+		return errs.Later(errs.NotReady, clock.Second, "ask another daemon, or come back", "this daemon's news are old; it refreshes them first")
 	}
 	o.customer, o.class, o.route, o.plan = customer, class, route, plan.Version
 	o.expiry = now + route.Expiry
@@ -288,7 +288,7 @@
 }
 
 // end gives an order's last word.
-func (t *Trek) end(o *order, answer any, err error, now sundial.Micros) {
+func (t *Trek) end(o *order, answer any, err error, now clock.Micros) {
 	delete(t.open, o.Order)
 	if o.give != nil {
 		o.give(now)
@@ -300,7 +300,7 @@
 }
 
 // keep asks the keeper of a bundle or a claim; back is told once.
-func (t *Trek) keep(id string, body func(slot int) any, expiry, now sundial.Micros, back stride.Back) {
+func (t *Trek) keep(id string, body func(slot int) any, expiry, now clock.Micros, back machine.Back) {
 	slot, owner, err := t.reader.Keeper(id)
 	if err != nil {
 		back(nil, err, now)
@@ -311,10 +311,10 @@
 
 // claim claims the key before anything starts: a repeated key gets the first
 // order's answer.
-func (t *Trek) claim(o *order, now sundial.Micros) {
+func (t *Trek) claim(o *order, now clock.Micros) {
 	claim := daybook.Claim{Customer: o.customer.Name, Key: o.Key, Order: o.Order, Hash: daybook.Hash(o.route.Name, o.Input)}
 	t.keep(daybook.ClaimID(o.customer.Name, o.Key), func(slot int) any { return keeper.ClaimAsk{Slot: slot, Claim: claim, Expiry: t.set.Commit} },
-		t.set.Commit+sundial.Second, now, func(body any, err error, now sundial.Micros) {
+		t.set.Commit+clock.Second, now, func(body any, err error, now clock.Micros) {
 			answer, ok := body.(keeper.ClaimAnswer)
 			switch {
 			case err != nil:
@@ -327,40 +327,40 @@
 			case answer.Claim.State == daybook.Answered:
 				var first Answer
 				if err := json.Unmarshal(answer.Claim.Answer, &first); err != nil {
-					t.end(o, nil, mishap.New(mishap.ServerFault, "run the same release on all daemons", "the key's first answer can't be read: %v", err), now)
+					t.end(o, nil, errs.New(errs.ServerFault, "run the same release on all daemons", "the key's first answer can't be read: %v", err), now)
 					return
 				}
 				first.Replayed = true
 				t.end(o, first, nil, now)
 			default:
-				t.end(o, nil, mishap.Later(mishap.OutcomeUnknown, sundial.Second, "ask again with the same key for the first order's answer", "the key's first order (%s) runs, or was cut off", answer.Claim.Order), now)
+				t.end(o, nil, errs.Later(errs.OutcomeUnknown, clock.Second, "ask again with the same key for the first order's answer", "the key's first order (%s) runs, or was cut off", answer.Claim.Order), now)
 			}
 		})
 }
 
 func strange(body any) error {
-	return mishap.New(mishap.ServerFault, "run the same release on all daemons", "the keeper answered %T", body)
+	return errs.New(errs.ServerFault, "run the same release on all daemons", "the keeper answered %T", body)
 }
 
 // settle notes how a claimed order went, so that a repeated key hears it.
-func (t *Trek) settle(o *order, state string, answer any, now sundial.Micros, back func(error, sundial.Micros)) {
+func (t *Trek) settle(o *order, state string, answer any, now clock.Micros, back func(error, clock.Micros)) {
 	id := daybook.ClaimID(o.customer.Name, o.Key)
 	data, _ := json.Marshal(answer)
 	t.keep(id, func(slot int) any {
 		return keeper.SettleAsk{Slot: slot, ID: id, State: state, Answer: data, Expiry: t.set.Commit}
-	}, t.set.Commit+sundial.Second, now, func(_ any, err error, now sundial.Micros) { back(err, now) })
+	}, t.set.Commit+clock.Second, now, func(_ any, err error, now clock.Micros) { back(err, now) })
 }
 
 // turnAway says no for good. A claimed key is voided durably first; where that
 // can't be confirmed the outcome is unknown.
-func (t *Trek) turnAway(o *order, why error, now sundial.Micros) {
+func (t *Trek) turnAway(o *order, why error, now clock.Micros) {
 	if !o.claimed {
 		t.end(o, nil, why, now)
 		return
 	}
-	t.settle(o, daybook.Void, nil, now, func(err error, now sundial.Micros) {
+	t.settle(o, daybook.Void, nil, now, func(err error, now clock.Micros) {
 		if err != nil {
-			why = mishap.Later(mishap.OutcomeUnknown, sundial.Second, "ask again with the same key", "the order did not run, but its key could not be freed: %v", err)
+			why = errs.Later(errs.OutcomeUnknown, clock.Second, "ask again with the same key", "the order did not run, but its key could not be freed: %v", err)
 		}
 		t.end(o, nil, why, now)
 	})
@@ -368,16 +368,16 @@
 
 // giveUp ends an order that no server finished: it is turned away only if no try
 // of it can have run.
-func (t *Trek) giveUp(o *order, why error, now sundial.Micros) {
+func (t *Trek) giveUp(o *order, why error, now clock.Micros) {
 	if o.ran && !t.LateRefusal {
-		t.end(o, nil, mishap.Later(mishap.OutcomeUnknown, sundial.Second, "ask anew; this stream does not go on", "a try of the order may have run in part: %v", why), now)
+		t.end(o, nil, errs.Later(errs.OutcomeUnknown, clock.Second, "ask anew; this stream does not go on", "a try of the order may have run in part: %v", why), now)
 		return
 	}
 	t.turnAway(o, why, now)
 }
 
 // enrol lets an order wait for a server; last is why it has to once more.
-func (t *Trek) enrol(o *order, last error, now sundial.Micros) {
+func (t *Trek) enrol(o *order, last error, now clock.Micros) {
 	switch {
 	case o.left:
 		t.giveUp(o, gone(), now)
@@ -388,8 +388,8 @@
 	}
 	o.tries++
 	o.wanted = &dispatch.Order{ID: o.Order, Customer: o.customer.Name, Route: o.route, Rank: o.class.Rank, Prefix: o.route.Prefix, Expiry: o.expiry, Avoid: o.avoid}
-	o.wanted.Drop = func(err error, now sundial.Micros) { t.giveUp(o, err, now) }
-	o.wanted.Start = func(grip *dispatch.Grip, now sundial.Micros) {
+	o.wanted.Drop = func(err error, now clock.Micros) { t.giveUp(o, err, now) }
+	o.wanted.Start = func(grip *dispatch.Grip, now clock.Micros) {
 		o.grip = grip
 		if t.FromStart {
 			o.output = ""
@@ -403,12 +403,12 @@
 }
 
 func gone() error {
-	return mishap.New(mishap.Refused, "ask again", "the caller left before the order started")
+	return errs.New(errs.Refused, "ask again", "the caller left before the order started")
 }
 
 // leave takes an order whose caller has gone out of the backlog. One that runs
 // is ended by the shell, which tells how it went.
-func (t *Trek) leave(name string, now sundial.Micros) {
+func (t *Trek) leave(name string, now clock.Micros) {
 	o := t.open[name]
 	if o == nil {
 		return
@@ -420,10 +420,10 @@
 }
 
 // went decides by how a try went.
-func (t *Trek) went(call uint64, ran Ran, now sundial.Micros) {
+func (t *Trek) went(call uint64, ran Ran, now clock.Micros) {
 	o := t.open[ran.Order]
 	if o == nil || o.grip == nil {
-		t.answer(call, nil, mishap.New(mishap.OutcomeUnknown, "ask anew", "no order %q is under way here", ran.Order))
+		t.answer(call, nil, errs.New(errs.OutcomeUnknown, "ask anew", "no order %q is under way here", ran.Order))
 		return
 	}
 	grip := o.grip
@@ -437,34 +437,34 @@
 			t.end(o, answer, nil, now)
 			return
 		}
-		t.settle(o, daybook.Answered, answer, now, func(_ error, now sundial.Micros) { t.end(o, answer, nil, now) })
+		t.settle(o, daybook.Answered, answer, now, func(_ error, now clock.Micros) { t.end(o, answer, nil, now) })
 	case ran.Outcome == serverline.NotStarted:
 		grip.TurnedAway(now)
 		if o.avoid[grip.Server.Name] = 3; len(o.avoid) >= 3 {
 			clear(o.avoid)
 		}
-		t.enrol(o, mishap.Later(mishap.Busy, t.dispatch.After(now), "come back after the time given", "no server took the order: %s", ran.Why), now)
+		t.enrol(o, errs.Later(errs.Busy, t.dispatch.After(now), "come back after the time given", "no server took the order: %s", ran.Why), now)
 	case ran.Outcome == serverline.Rejected:
 		grip.Release(0, true, now)
-		t.giveUp(o, mishap.New(mishap.BadInput, "correct the input for this route's model", "%s", ran.Why), now)
+		t.giveUp(o, errs.New(errs.BadInput, "correct the input for this route's model", "%s", ran.Why), now)
 	case o.route.Kind == planbook.OneShot && !t.SecondRun:
 		// It may have run: never a second time.
 		grip.Release(0, false, now)
-		t.end(o, nil, mishap.Later(mishap.OutcomeUnknown, sundial.Second, "find out by other means whether it ran before asking anew", "the order started on a server and gave no whole answer: %s", ran.Why), now)
+		t.end(o, nil, errs.Later(errs.OutcomeUnknown, clock.Second, "find out by other means whether it ran before asking anew", "the order started on a server and gave no whole answer: %s", ran.Why), now)
 	case ran.Over || (ran.Output != "" && o.route.Kind == planbook.Stream):
 		grip.Release(0, ran.Over, now)
-		t.end(o, nil, mishap.Later(mishap.OutcomeUnknown, sundial.Second, "ask anew; this stream does not go on", "the stream was cut: %s", ran.Why), now)
+		t.end(o, nil, errs.Later(errs.OutcomeUnknown, clock.Second, "ask anew; this stream does not go on", "the stream was cut: %s", ran.Why), now)
 	default:
 		// Nothing has reached the caller yet, or the kind may be gone on with.
 		grip.Release(0, false, now)
 		o.ran = true
 		o.avoid[grip.Server.Name]++
-		t.enrol(o, mishap.Later(mishap.ServerFault, sundial.Second, "ask again", "no server finished the order: %s", ran.Why), now)
+		t.enrol(o, errs.Later(errs.ServerFault, clock.Second, "ask again", "no server finished the order: %s", ran.Why), now)
 	}
 }
 
 // handIn takes a bundle in: whole and on two disks, or not at all.
-func (t *Trek) handIn(call uint64, ask HandIn, now sundial.Micros) {
+func (t *Trek) handIn(call uint64, ask HandIn, now clock.Micros) {
 	plan, customer, class, route, err := t.bundleWay(ask)
 	if err != nil {
 		t.answer(call, nil, err)
@@ -475,7 +475,7 @@
 		return
 	}
 	if int64(len(ask.Items)) > class.Allowance {
-		t.answer(call, nil, mishap.New(mishap.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d items are more than the whole allowance of %d", len(ask.Items), class.Allowance))
+		t.answer(call, nil, errs.New(errs.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d items are more than the whole allowance of %d", len(ask.Items), class.Allowance))
 		return
 	}
 	words := []string{route.Name}
@@ -485,7 +485,7 @@
 	id := daybook.BundleID(customer.Name, ask.Key)
 	t.keep(id, func(slot int) any {
 		return keeper.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: daybook.Bundle{ID: id, Customer: customer.Name, Key: ask.Key, Hash: daybook.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
-	}, t.set.Commit+sundial.Second, now, t.passOn(call))
+	}, t.set.Commit+clock.Second, now, t.passOn(call))
 }
 
 func (t *Trek) bundleWay(ask HandIn) (*planbook.Plan, *planbook.Customer, *planbook.Class, *planbook.Route, error) {
@@ -495,25 +495,25 @@
 	}
 	route, err := way(plan, class, ask.Route, true)
 	if err == nil && (ask.Key == "" || len(ask.Key) > 256) {
-		err = mishap.New(mishap.BadInput, "use a key of at most 256 bytes", "the idempotency key is missing or too long")
+		err = errs.New(errs.BadInput, "use a key of at most 256 bytes", "the idempotency key is missing or too long")
 	}
 	return plan, customer, class, route, err
 }
 
 // passOn hands a keeper's answer to who called.
-func (t *Trek) passOn(call uint64) stride.Back {
-	return func(body any, err error, _ sundial.Micros) { t.answer(call, body, err) }
+func (t *Trek) passOn(call uint64) machine.Back {
+	return func(body any, err error, _ clock.Micros) { t.answer(call, body, err) }
 }
 
 // lookExpiry is how long a keeper may take to say how things stand.
-const lookExpiry = 2 * sundial.Second
+const lookExpiry = 2 * clock.Second
 
 // passOnLook hands on the answer to a question that changes nothing: where none
 // came, asking again is always safe.
-func (t *Trek) passOnLook(call uint64) stride.Back {
-	return func(body any, err error, _ sundial.Micros) {
-		if err != nil && mishap.Of(err).Kind == mishap.OutcomeUnknown {
-			err = mishap.Later(mishap.NotReady, sundial.Second, "ask again; nothing was changed", "the keeper gave no answer: %v", err)
+func (t *Trek) passOnLook(call uint64) machine.Back {
+	return func(body any, err error, _ clock.Micros) {
+		if err != nil && errs.Of(err).Kind == errs.OutcomeUnknown {
+			err = errs.Later(errs.NotReady, clock.Second, "ask again; nothing was changed", "the keeper gave no answer: %v", err)
 		}
 		t.answer(call, body, err)
 	}
@@ -521,15 +521,15 @@
 
 // forwardBundle takes a bundle of requests in, as handIn does one of inputs. Its
 // route stands for the customer.
-func (t *Trek) forwardBundle(call uint64, ask ForwardBundle, now sundial.Micros) {
+func (t *Trek) forwardBundle(call uint64, ask ForwardBundle, now clock.Micros) {
 	plan := t.dispatch.Plan()
 	if plan == nil {
-		t.answer(call, nil, mishap.Later(mishap.NotReady, sundial.Second, "ask again; the daemon has just started", "no plan has arrived yet"))
+		t.answer(call, nil, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no plan has arrived yet"))
 		return
 	}
 	route, _ := plan.Route(ask.Route)
 	if route == nil || route.Forward == nil || route.Kind != planbook.Bundle {
-		t.answer(call, nil, mishap.New(mishap.UnknownRoute, "name a route of the plan in force that passes bundles on", "the plan passes no bundles on by a route %q", ask.Route))
+		t.answer(call, nil, errs.New(errs.UnknownRoute, "name a route of the plan in force that passes bundles on", "the plan passes no bundles on by a route %q", ask.Route))
 		return
 	}
 	err := nameOf(ask.ID)
@@ -546,42 +546,42 @@
 	}
 	t.keep(ask.ID, func(slot int) any {
 		return keeper.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: daybook.Bundle{ID: ask.ID, Customer: route.Name, Hash: daybook.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
-	}, t.set.Commit+sundial.Second, now, t.passOn(call))
+	}, t.set.Commit+clock.Second, now, t.passOn(call))
 }
 
 func nameOf(bundle string) error {
 	if bundle == "" || len(bundle) > 256 {
-		return mishap.New(mishap.BadInput, "use a name of at most 256 bytes", "the bundle's name is missing or too long")
+		return errs.New(errs.BadInput, "use a name of at most 256 bytes", "the bundle's name is missing or too long")
 	}
 	return nil
 }
 
-func (t *Trek) lookAny(call uint64, ask LookAny, now sundial.Micros) {
+func (t *Trek) lookAny(call uint64, ask LookAny, now clock.Micros) {
 	if ask.End {
 		t.keep(ask.Bundle, func(slot int) any {
 			return keeper.EndAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true, Expiry: t.set.Commit}
-		}, t.set.Commit+sundial.Second, now, t.passOn(call))
+		}, t.set.Commit+clock.Second, now, t.passOn(call))
 		return
 	}
 	t.keep(ask.Bundle, func(slot int) any { return keeper.StatusAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true} }, lookExpiry, now, t.passOnLook(call))
 }
 
 // pageAny reads one bundle: without a customer there is no feed.
-func (t *Trek) pageAny(call uint64, ask PageAny, now sundial.Micros) {
+func (t *Trek) pageAny(call uint64, ask PageAny, now clock.Micros) {
 	if err := nameOf(ask.Read.Bundle); err != nil {
 		t.answer(call, nil, err)
 		return
 	}
 	if ask.Read.From < 0 {
-		t.answer(call, nil, mishap.New(mishap.BadInput, "count from 0", "the list has no row %d", ask.Read.From))
+		t.answer(call, nil, errs.New(errs.BadInput, "count from 0", "the list has no row %d", ask.Read.From))
 		return
 	}
 	ask.Read.Customer, ask.Read.Anyone = "", true
-	t.reader.Start(ask.Read, now, func(page reader.Page, err error, _ sundial.Micros) { t.answer(call, page, err) })
+	t.reader.Start(ask.Read, now, func(page reader.Page, err error, _ clock.Micros) { t.answer(call, page, err) })
 }
 
 // look asks a bundle's keeper how it stands, or ends it.
-func (t *Trek) look(call uint64, ask Look, now sundial.Micros) {
+func (t *Trek) look(call uint64, ask Look, now clock.Micros) {
 	_, customer, _, err := t.caller(ask.Caller)
 	if err != nil {
 		t.answer(call, nil, err)
@@ -590,18 +590,18 @@
 	if ask.End {
 		t.keep(ask.Bundle, func(slot int) any {
 			return keeper.EndAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name, Expiry: t.set.Commit}
-		}, t.set.Commit+sundial.Second, now, t.passOn(call))
+		}, t.set.Commit+clock.Second, now, t.passOn(call))
 		return
 	}
 	t.keep(ask.Bundle, func(slot int) any { return keeper.StatusAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name} }, lookExpiry, now, t.passOn(call))
 }
 
-func (t *Trek) page(call uint64, ask Page, now sundial.Micros) {
+func (t *Trek) page(call uint64, ask Page, now clock.Micros) {
 	_, customer, _, err := t.caller(ask.Caller)
 	if err != nil {
 		t.answer(call, nil, err)
 		return
 	}
 	ask.Read.Customer, ask.Read.Anyone = customer.Name, false
-	t.reader.Start(ask.Read, now, func(page reader.Page, err error, _ sundial.Micros) { t.answer(call, page, err) })
+	t.reader.Start(ask.Read, now, func(page reader.Page, err error, _ clock.Micros) { t.answer(call, page, err) })
 }
--- a/path/trek/trek_test.go
+++ b/path/trek/trek_test.go
@@ -6,9 +6,9 @@
 
 	"tuliprudder/core/chart"
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/tether"
@@ -22,12 +22,12 @@
 type bench struct {
 	*Trek
 	t    *testing.T
-	wire *stride.Wire
-	now  sundial.Micros
+	wire *machine.Wire
+	now  clock.Micros
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, wire: stride.NewWire(), now: sundial.Second}
+	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
 	d, r := dispatch.New(dispatch.Defaults(), 1), reader.New(b.wire)
 	plan := &planbook.Plan{Version: 3, Classes: []planbook.Class{{Name: "a", Rank: 1, Allowance: 9}}, Customers: []planbook.Customer{{Name: "c", Key: "k", Class: "a"}},
 		Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{}}, {Name: "live", Kind: planbook.OneShot, Forward: &planbook.Forward{}},
@@ -36,14 +36,14 @@
 	d.SetPlan(plan, b.now)
 	m, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: []tether.Pairing{{Epoch: 1}}})
 	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: 5, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
-	r.Hear(stride.Rumour{Key: chart.MapKey, Seq: 1, Value: m}, b.now)
-	r.Hear(stride.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
+	r.Hear(machine.Rumour{Key: chart.MapKey, Seq: 1, Value: m}, b.now)
+	r.Hear(machine.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
 	b.Trek = New(Defaults(), b.wire, d, nil, r, guestbook.New(1))
 	return b
 }
 
 // hand hands an ask in: what the keeper is asked, or what was answered at once.
-func (b *bench) hand(body any) (*stride.Ask, *stride.Answer) {
+func (b *bench) hand(body any) (*machine.Ask, *machine.Answer) {
 	b.t.Helper()
 	if !b.Call(1, body, b.now) {
 		b.t.Fatalf("%T is not for the orders", body)
@@ -51,21 +51,21 @@
 	return b.effects()
 }
 
-func (b *bench) effects() (ask *stride.Ask, answer *stride.Answer) {
+func (b *bench) effects() (ask *machine.Ask, answer *machine.Answer) {
 	for _, effect := range b.wire.Drain() {
 		switch e := effect.(type) {
-		case stride.Ask:
+		case machine.Ask:
 			ask = &e
-		case stride.Answer:
+		case machine.Answer:
 			answer = &e
 		}
 	}
 	return ask, answer
 }
 
-func (b *bench) refused(kind mishap.Kind, body any) {
+func (b *bench) refused(kind errs.Kind, body any) {
 	b.t.Helper()
-	if ask, answer := b.hand(body); ask != nil || answer == nil || !mishap.Is(answer.Err, kind) {
+	if ask, answer := b.hand(body); ask != nil || answer == nil || !errs.Is(answer.Err, kind) {
 		b.t.Fatalf("%T: asked %+v, answered %+v, not %s", body, ask, answer, kind)
 	}
 }
@@ -100,20 +100,20 @@
 	if len(hashes) != 2 {
 		t.Fatalf("%d hashes of two bundles", len(hashes))
 	}
-	b.refused(mishap.UnknownRoute, ForwardBundle{Route: "none", ID: "mine", Items: requests("x")})
-	b.refused(mishap.UnknownRoute, ForwardBundle{Route: "chat", ID: "mine", Items: requests("x")})
-	b.refused(mishap.UnknownRoute, ForwardBundle{Route: "live", ID: "mine", Items: requests("x")})
-	b.refused(mishap.BadInput, ForwardBundle{Route: "r", Items: requests("x")})
-	b.refused(mishap.BadInput, ForwardBundle{Route: "r", ID: "mine", Items: []daybook.Item{{Input: "x"}}})
+	b.refused(errs.UnknownRoute, ForwardBundle{Route: "none", ID: "mine", Items: requests("x")})
+	b.refused(errs.UnknownRoute, ForwardBundle{Route: "chat", ID: "mine", Items: requests("x")})
+	b.refused(errs.UnknownRoute, ForwardBundle{Route: "live", ID: "mine", Items: requests("x")})
+	b.refused(errs.BadInput, ForwardBundle{Route: "r", Items: requests("x")})
+	b.refused(errs.BadInput, ForwardBundle{Route: "r", ID: "mine", Items: []daybook.Item{{Input: "x"}}})
 }
 
 // A caller with a key does not get at what is passed on unchanged: neither by a
 // route nor by an item.
 func TestCallersWithKeysPassNothingOn(t *testing.T) {
 	b := newBench(t)
-	b.refused(mishap.UnknownRoute, HandIn{Caller: "k", Route: "r", Key: "1", Items: []daybook.Item{{Input: "x"}}})
-	b.refused(mishap.UnknownRoute, Live{Caller: "k", Route: "live", Input: "x"})
-	b.refused(mishap.BadInput, HandIn{Caller: "k", Route: "chat", Key: "1", Items: requests("x")})
+	b.refused(errs.UnknownRoute, HandIn{Caller: "k", Route: "r", Key: "1", Items: []daybook.Item{{Input: "x"}}})
+	b.refused(errs.UnknownRoute, Live{Caller: "k", Route: "live", Input: "x"})
+	b.refused(errs.BadInput, HandIn{Caller: "k", Route: "chat", Key: "1", Items: requests("x")})
 	if ask, answer := b.hand(HandIn{Caller: "k", Route: "chat", Key: "1", Items: []daybook.Item{{Input: "x"}}}); ask == nil {
 		t.Fatalf("a bundle of inputs was turned away: %+v", answer)
 	}
@@ -127,23 +127,23 @@
 // Where no keeper answers a look, that is no word on the bundle.
 func TestABundleWithoutAKeyIsAskedForByItsName(t *testing.T) {
 	b := newBench(t)
-	silence := mishap.New(mishap.OutcomeUnknown, "ask again", "no answer in time")
-	denial := mishap.New(mishap.NotFound, "check the name", "no such bundle")
+	silence := errs.New(errs.OutcomeUnknown, "ask again", "no answer in time")
+	denial := errs.New(errs.NotFound, "check the name", "no such bundle")
 	for _, one := range []struct {
 		body   any
 		fits   func(any) bool
-		silent mishap.Kind
+		silent errs.Kind
 	}{
 		{LookAny{Bundle: "one"}, func(a any) bool {
 			s, ok := a.(keeper.StatusAsk)
 			return ok && s.Bundle == "one" && s.Anyone && !s.Operator
-		}, mishap.NotReady},
-		{LookAny{Bundle: "one", End: true}, func(a any) bool { s, ok := a.(keeper.EndAsk); return ok && s.Bundle == "one" && s.Anyone }, mishap.OutcomeUnknown},
-		{ItemBody{Bundle: "one", Item: "i"}, func(a any) bool { s, ok := a.(keeper.ItemAsk); return ok && s.Bundle == "one" && s.Item == "i" }, mishap.NotReady},
+		}, errs.NotReady},
+		{LookAny{Bundle: "one", End: true}, func(a any) bool { s, ok := a.(keeper.EndAsk); return ok && s.Bundle == "one" && s.Anyone }, errs.OutcomeUnknown},
+		{ItemBody{Bundle: "one", Item: "i"}, func(a any) bool { s, ok := a.(keeper.ItemAsk); return ok && s.Bundle == "one" && s.Item == "i" }, errs.NotReady},
 		{PageAny{Read: reader.Read{Name: "n", Bundle: "one", Indexed: true, From: 4, Customer: "c"}}, func(a any) bool {
 			s, ok := a.(keeper.ReadAsk)
 			return ok && s.Bundle == "one" && s.Anyone && s.Indexed && s.From == 4 && s.Customer == ""
-		}, mishap.NotReady},
+		}, errs.NotReady},
 	} {
 		for _, err := range []error{silence, denial} {
 			ask, answer := b.hand(one.body)
@@ -153,13 +153,13 @@
 			b.wire.Told(ask.Token, nil, err, b.now)
 			wanted := one.silent
 			if err == denial {
-				wanted = mishap.NotFound
+				wanted = errs.NotFound
 			}
-			if _, answer := b.effects(); answer == nil || !mishap.Is(answer.Err, wanted) {
+			if _, answer := b.effects(); answer == nil || !errs.Is(answer.Err, wanted) {
 				t.Fatalf("%T: answered %+v, not %s", one.body, answer, wanted)
 			}
 		}
 	}
-	b.refused(mishap.BadInput, PageAny{Read: reader.Read{Indexed: true}})
-	b.refused(mishap.BadInput, PageAny{Read: reader.Read{Bundle: "one", Indexed: true, From: -1}})
+	b.refused(errs.BadInput, PageAny{Read: reader.Read{Indexed: true}})
+	b.refused(errs.BadInput, PageAny{Read: reader.Read{Bundle: "one", Indexed: true, From: -1}})
 }
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -15,7 +15,7 @@
 	"github.com/pkg/errors"
 
 	"tuliprudder/core/chart"
-	"tuliprudder/kernel/rucksack"
+	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/callers"
 	"tuliprudder/proof/camp"
 )
@@ -51,7 +51,7 @@
 }
 
 // Flags hangs the settings on a reader.
-func (s *Settings) Flags(r *rucksack.Reader) {
+func (s *Settings) Flags(r *settings.Reader) {
 	r.Flags.StringVar(&s.Name, "name", "camp", "name of the deployment")
 	r.Flags.StringVar(&s.Plan, "plan", "deploy/ghent.plan.json", "the plan to put")
 	r.Int(&s.Zones, "zones", 3, 2, 16, "zones")
--- a/proof/hollow/bench_test.go
+++ b/proof/hollow/bench_test.go
@@ -12,9 +12,9 @@
 	"tuliprudder/acquaintance/circle"
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/waypost"
@@ -28,8 +28,8 @@
 
 type quiet struct{ heard chan struct{} }
 
-func (q quiet) Deliver(footbridge.Envelope)            { q.heard <- struct{}{} }
-func (q quiet) Ask(l footbridge.Envelope) (any, error) { return l.Body, nil }
+func (q quiet) Deliver(transport.Envelope)            { q.heard <- struct{}{} }
+func (q quiet) Ask(l transport.Envelope) (any, error) { return l.Body, nil }
 func report(b *testing.B, began int64, per int, as string) {
 	b.ReportMetric(float64(processCPU()-began)/1000/float64(b.N*per), as)
 }
@@ -43,12 +43,12 @@
 	address := listener.Addr().String()
 	listener.Close()
 	there := quiet{make(chan struct{}, 1)}
-	end, err := footbridge.New(address, there).Listen(address)
+	end, err := transport.New(address, there).Listen(address)
 	if err != nil {
 		b.Fatal(err)
 	}
 	defer end()
-	here := footbridge.New("127.0.0.1:0", there)
+	here := transport.New("127.0.0.1:0", there)
 	here.Send(address, circle.Probe{Nonce: 1})
 	<-there.heard
 	b.ResetTimer()
@@ -68,7 +68,7 @@
 			for i := range keys {
 				known[fmt.Sprintf("server/server-%05d", i)] = circle.Mark{Seq: 1_000_000_000_000_000 + uint64(i)}
 			}
-			batch := footbridge.Batch{Letters: []footbridge.Envelope{{Body: circle.Digest{Known: known}}}}
+			batch := transport.Batch{Letters: []transport.Envelope{{Body: circle.Digest{Known: known}}}}
 			for range b.N {
 				var encoders []*gob.Encoder
 				var decoders []*gob.Decoder
@@ -84,7 +84,7 @@
 					reader, writer := net.Pipe()
 					decoder := gob.NewDecoder(reader)
 					go func() { must(gob.NewEncoder(writer).Encode(batch)) }()
-					must(decoder.Decode(&footbridge.Batch{}))
+					must(decoder.Decode(&transport.Batch{}))
 					decoders = append(decoders, decoder)
 				}
 				b.ReportMetric(float64(with-before)/16, "encoder-B")
@@ -120,7 +120,7 @@
 func order(b *testing.B, d *dispatch.Dispatch, i int) *dispatch.Order {
 	route, _ := d.Plan().Route("route-000")
 	return &dispatch.Order{ID: fmt.Sprint(i), Customer: "tenant-001", Route: route, Rank: 100, Prefix: fmt.Sprint(i % 100), Expiry: 1 << 40,
-		Start: func(grip *dispatch.Grip, now sundial.Micros) { grip.Release(1000, true, now) }, Drop: func(error, sundial.Micros) {}}
+		Start: func(grip *dispatch.Grip, now clock.Micros) { grip.Release(1000, true, now) }, Drop: func(error, clock.Micros) {}}
 }
 
 // Choosing a server for one order.
@@ -153,7 +153,7 @@
 			b.ResetTimer()
 			began := processCPU()
 			for i := range b.N {
-				d.SetLoad("server-0001", 1, roster.Load{Running: 100, Sound: true, At: sundial.Micros(i + 2)})
+				d.SetLoad("server-0001", 1, roster.Load{Running: 100, Sound: true, At: clock.Micros(i + 2)})
 				d.Settle(2)
 			}
 			report(b, began, 1, "cpu-µs/figure")
@@ -169,12 +169,12 @@
 			for i := range size[1] {
 				folk = append(folk, people.Person{ID: fmt.Sprintf("trailhead-%03d.1", i), Kind: people.Trailhead, Zone: "zone-01", Peer: "10.0.0.1:7100"})
 			}
-			wire := stride.NewWire()
-			s := scouts.New("nobody", 400*sundial.Millisecond, wire, backlog(b, size[0], 1), func() []people.Person { return folk })
+			wire := machine.NewWire()
+			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []people.Person { return folk })
 			b.ResetTimer()
 			began := processCPU()
 			for i := range b.N {
-				s.ClockEvent(sundial.Micros(i+1) * sundial.Second)
+				s.ClockEvent(clock.Micros(i+1) * clock.Second)
 				wire.Drain()
 			}
 			report(b, began, 1, "cpu-µs/round")
@@ -188,10 +188,10 @@
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			c := circle.New(people.Person{ID: "x", Kind: people.Trailhead, Peer: "p", Incarnation: 1}, nil, circle.Defaults(), 1)
 			known := map[string]circle.Mark{}
-			var told []stride.Rumour
+			var told []machine.Rumour
 			for i := range servers {
 				for _, key := range []string{"server/", "load/"} {
-					rumour := stride.Rumour{Key: fmt.Sprintf("%sserver-%04d", key, i), Epoch: 1, Seq: 1, Value: []byte(strings.Repeat("x", 120))}
+					rumour := machine.Rumour{Key: fmt.Sprintf("%sserver-%04d", key, i), Epoch: 1, Seq: 1, Value: []byte(strings.Repeat("x", 120))}
 					told, known[rumour.Key] = append(told, rumour), circle.Mark{Epoch: 1, Seq: 1}
 				}
 			}
@@ -237,7 +237,7 @@
 					}
 					value += fmt.Sprintf(`{"slot":%d,"epoch":1,"last":{"%d":5},"tenures":[{"writer":%d,"first":1,"last":5},{"writer":%d,"first":6,"last":900}]}`, slot, (w+1)%size[1]+1, (w+1)%size[1]+1, w+1)
 				}
-				v.Hear(stride.Rumour{Key: waypost.Key(w + 1), Epoch: 1, Seq: 1, Value: []byte(value + "]}")})
+				v.Hear(machine.Rumour{Key: waypost.Key(w + 1), Epoch: 1, Seq: 1, Value: []byte(value + "]}")})
 			}
 			b.ResetTimer()
 			began := processCPU()
--- a/proof/hollow/codec.go
+++ b/proof/hollow/codec.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"net/rpc"
 
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 )
 
 // A message is encoded and decoded for real, by the encoder that net/rpc uses.
@@ -75,7 +75,7 @@
 		return size
 	}
 	c.deliver = framed(&rpc.Request{ServiceMethod: "Post.Deliver", Seq: 1000})
-	c.delivered = framed(&rpc.Response{ServiceMethod: "Post.Deliver", Seq: 1000}, &footbridge.Nothing{Took: 1})
+	c.delivered = framed(&rpc.Response{ServiceMethod: "Post.Deliver", Seq: 1000}, &transport.Nothing{Took: 1})
 	c.ask = framed(&rpc.Request{ServiceMethod: "Post.Ask", Seq: 1000})
 	c.asked = framed(&rpc.Response{ServiceMethod: "Post.Ask", Seq: 1000})
 	return c
@@ -96,12 +96,12 @@
 		c.kinds[name] = kind
 		c.samples = append(c.samples, body)
 		// The shared pairs learn the type now, outside of any count.
-		must(c.encoder.Encode(footbridge.Batch{Letters: []footbridge.Envelope{{Body: body}}}))
-		must(c.decoder.Decode(&footbridge.Batch{}))
-		must(c.encoder.Encode(footbridge.Reply{Body: body}))
-		must(c.decoder.Decode(&footbridge.Reply{}))
-		must(c.lone.Encode(footbridge.Batch{Letters: []footbridge.Envelope{{Body: body}}}))
-		must(c.lone.Encode(footbridge.Reply{Body: body}))
+		must(c.encoder.Encode(transport.Batch{Letters: []transport.Envelope{{Body: body}}}))
+		must(c.decoder.Decode(&transport.Batch{}))
+		must(c.encoder.Encode(transport.Reply{Body: body}))
+		must(c.decoder.Decode(&transport.Reply{}))
+		must(c.lone.Encode(transport.Batch{Letters: []transport.Envelope{{Body: body}}}))
+		must(c.lone.Encode(transport.Reply{Body: body}))
 	}
 	return kind
 }
@@ -137,27 +137,27 @@
 	switch kind {
 	case kindDeliver:
 		must(line.Encode(&rpc.Request{}))
-		must(line.Encode(footbridge.Batch{}))
+		must(line.Encode(transport.Batch{}))
 	case kindAsk:
 		must(line.Encode(&rpc.Request{}))
-		must(line.Encode(footbridge.Envelope{}))
+		must(line.Encode(transport.Envelope{}))
 	default:
-		must(line.Encode(footbridge.Batch{Letters: []footbridge.Envelope{{Body: c.samples[kind]}}}))
+		must(line.Encode(transport.Batch{Letters: []transport.Envelope{{Body: c.samples[kind]}}}))
 	}
 }
 
 // size is a letter's own size in a batch, without descriptions.
-func (c *codec) size(letter footbridge.Envelope) int {
+func (c *codec) size(letter transport.Envelope) int {
 	before := c.lonely.bytes
-	must(c.lone.Encode(footbridge.Batch{Letters: []footbridge.Envelope{letter}}))
+	must(c.lone.Encode(transport.Batch{Letters: []transport.Envelope{letter}}))
 	return c.lonely.bytes - before
 }
 
 // copied are the same news in memory of their own, as if they had arrived.
-func (c *codec) copied(rumours []stride.Rumour) []stride.Rumour {
+func (c *codec) copied(rumours []machine.Rumour) []machine.Rumour {
 	var buffer bytes.Buffer
 	must(gob.NewEncoder(&buffer).Encode(rumours))
-	var out []stride.Rumour
+	var out []machine.Rumour
 	must(gob.NewDecoder(&buffer).Decode(&out))
 	return out
 }
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -12,9 +12,9 @@
 	"tuliprudder/core/summit"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/roster"
 	"tuliprudder/path/runner"
@@ -23,7 +23,7 @@
 )
 
 // tickEvery is the porter's.
-const tickEvery = 15 * sundial.Millisecond
+const tickEvery = 15 * clock.Millisecond
 
 // daemon is one daemon: its acquaintance, and its plane's machine where it has one.
 type daemon struct {
@@ -34,20 +34,20 @@
 	place, region int
 	whole         bool
 	life          uint64
-	booted        sundial.Micros
+	booted        clock.Micros
 	era           int
 	up            bool
 	circle        *circle.Circle
 	machine       porter.Machine
 	summit        *summit.Summit
 	keeper        *keeper.Keeper
-	calls         map[uint64]func(stride.Answer)
+	calls         map[uint64]func(machine.Answer)
 	lines         []*line
 	asks          map[*daemon]*line
 	disk          disk
 	duty          int // servers it reads
 	hollow        map[string]loadMark
-	phase         sundial.Micros // within a hollow edge's beat of readings
+	phase         clock.Micros // within a hollow edge's beat of readings
 	planVersion   uint64
 }
 
@@ -55,9 +55,9 @@
 
 // disk takes what is stored in groups, a few milliseconds each.
 type disk struct {
-	durable []stride.Record
+	durable []machine.Record
 	shelf   shelf
-	queue   []stride.Effect
+	queue   []machine.Effect
 	busy    bool
 }
 
@@ -68,7 +68,7 @@
 	if body, ok := s[file][unit]; ok {
 		return body, nil
 	}
-	return nil, mishap.New(mishap.Corrupt, "", "no %s in shelf file %d", unit, file)
+	return nil, errs.New(errs.Corrupt, "", "no %s in shelf file %d", unit, file)
 }
 
 // Held lists the files.
@@ -96,7 +96,7 @@
 
 // boot starts a daemon from what its disk holds. Those told are known from the
 // start, so that a run need not wait for a large fleet to get acquainted.
-func (d *daemon) boot(told []stride.Rumour) {
+func (d *daemon) boot(told []machine.Rumour) {
 	f := d.fleet
 	d.era++
 	d.life++
@@ -105,8 +105,8 @@
 		d.life = uint64(f.Now)
 		d.id = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, d.era)
 	}
-	d.calls, d.asks, d.hollow = map[uint64]func(stride.Answer){}, map[*daemon]*line{}, map[string]loadMark{}
-	d.planVersion, d.phase = 0, f.between(0, 100*sundial.Millisecond)
+	d.calls, d.asks, d.hollow = map[uint64]func(machine.Answer){}, map[*daemon]*line{}, map[string]loadMark{}
+	d.planVersion, d.phase = 0, f.between(0, 100*clock.Millisecond)
 	d.circle = circle.New(d.person(), f.seeds, circle.Defaults(), f.chance.Int63())
 	switch {
 	case d.kind == people.Cairn:
@@ -149,7 +149,7 @@
 
 // acquaint tells a daemon all at once what a fleet that has run for long knows:
 // a view of six others at random, and the news. It passes none of it on.
-func (d *daemon) acquaint(told []stride.Rumour) {
+func (d *daemon) acquaint(told []machine.Rumour) {
 	f := d.fleet
 	for range 6 {
 		other := f.daemons[f.chance.Intn(len(f.daemons))]
@@ -159,12 +159,12 @@
 }
 
 // learn takes news in that everybody is told at this moment, and passes none on.
-func (d *daemon) learn(told []stride.Rumour) {
+func (d *daemon) learn(told []machine.Rumour) {
 	f := d.fleet
 	d.do(d.circle.Do(circle.Letter{Body: circle.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
 	for _, effect := range d.circle.Do(circle.ClockEvent{}, f.Now) {
-		if _, sends := effect.(stride.Send); !sends {
-			d.do([]stride.Effect{effect})
+		if _, sends := effect.(machine.Send); !sends {
+			d.do([]machine.Effect{effect})
 		}
 	}
 }
@@ -199,32 +199,32 @@
 	}
 }
 
-func (d *daemon) call(body any, back func(stride.Answer)) {
+func (d *daemon) call(body any, back func(machine.Answer)) {
 	d.fleet.calls++
 	d.calls[d.fleet.calls] = back
 	d.do(d.machine.Call(d.fleet.calls, body, d.fleet.Now))
 }
 
 // do carries out what a machine decided, as the porter does.
-func (d *daemon) do(effects []stride.Effect) {
+func (d *daemon) do(effects []machine.Effect) {
 	f := d.fleet
 	for _, effect := range effects {
 		switch e := effect.(type) {
-		case stride.Send:
+		case machine.Send:
 			f.send(d, e.To, e.Body)
-		case stride.Store, stride.Fold, stride.Shelve, stride.Unshelve:
+		case machine.Store, machine.Fold, machine.Shelve, machine.Unshelve:
 			d.disk.queue = append(d.disk.queue, effect)
 			d.spin()
-		case stride.Answer:
+		case machine.Answer:
 			if back := d.calls[e.Call]; back != nil {
 				delete(d.calls, e.Call)
 				back(e)
 			}
-		case stride.Publish:
+		case machine.Publish:
 			d.do(d.circle.Do(circle.Tell{Rumour: e.Rumour}, f.Now))
-		case stride.Spread:
+		case machine.Spread:
 			d.do(d.circle.Do(circle.Spread(e), f.Now))
-		case stride.Heard:
+		case machine.Heard:
 			if e.Rumour.Key == chart.PlanKey && e.Rumour.Seq > d.planVersion {
 				d.planVersion = e.Rumour.Seq
 				f.plan.heard(f, d, e.Rumour.Seq)
@@ -234,20 +234,20 @@
 			} else if name, ok := loadOf(e.Rumour.Key); ok {
 				d.hollow[name] = loadMark{e.Rumour.Epoch, e.Rumour.Seq}
 			}
-		case stride.Fresh:
+		case machine.Fresh:
 			if d.machine != nil {
 				d.do(d.machine.Fresh(e.At, f.Now))
 			}
-		case stride.Ask:
+		case machine.Ask:
 			era := d.era
 			f.ask(d, e.To, e.Body, e.Expiry, func(body any, err error) {
 				if d.up && d.era == era {
 					d.step(func() { d.do(d.machine.Told(e.Token, body, err, f.Now)) })
 				}
 			})
-		case stride.Work:
+		case machine.Work:
 			d.work(e.Order)
-		case stride.Halt:
+		case machine.Halt:
 			d.crash()
 			return
 		}
@@ -272,7 +272,7 @@
 	d.disk.queue = nil
 	era := d.era
 	f.count(d).syncs++
-	f.after(f.between(1, 4)*sundial.Millisecond, func() {
+	f.after(f.between(1, 4)*clock.Millisecond, func() {
 		if d.era != era || !d.up {
 			return
 		}
@@ -280,19 +280,19 @@
 		d.step(func() {
 			for _, effect := range group {
 				switch e := effect.(type) {
-				case stride.Store:
+				case machine.Store:
 					d.disk.durable = append(d.disk.durable, e.Records...)
 					d.do(d.machine.Stored(e.Token, f.Now))
-				case stride.Fold:
+				case machine.Fold:
 					d.disk.durable = e.Records
-				case stride.Shelve:
+				case machine.Shelve:
 					file := map[string][]byte{}
 					for _, record := range e.Records {
 						file[record.Unit] = record.Body
 					}
 					d.disk.shelf[e.File] = file
 					d.do(d.machine.Stored(e.Token, f.Now))
-				case stride.Unshelve:
+				case machine.Unshelve:
 					for _, file := range e.Files {
 						delete(d.disk.shelf, file)
 					}
@@ -307,7 +307,7 @@
 func (d *daemon) work(order any) {
 	f := d.fleet
 	era := d.era
-	later := func(span sundial.Micros, body any) {
+	later := func(span clock.Micros, body any) {
 		f.after(span, func() {
 			if d.era == era && d.up {
 				d.step(func() { d.do(d.machine.Call(0, body, f.Now)) })
@@ -324,7 +324,7 @@
 		running := f.running(o.Name)
 		later(f.between(500, 2500), scouts.Looked{Look: o, Running: running, Sound: true, Began: f.Now})
 	case runner.Run:
-		span := f.between(100, 300) * sundial.Millisecond
+		span := f.between(100, 300) * clock.Millisecond
 		later(span/8, runner.Began{Token: o.Token})
 		later(span, runner.Ran{Token: o.Token, Outcome: serverline.Complete, Output: itemOutput})
 	}
@@ -383,7 +383,7 @@
 			}
 			own.seq++
 			value, _ := json.Marshal(roster.Load{Running: f.running(name), Sound: true, At: f.Now, By: d.id})
-			d.do(d.circle.Do(circle.Tell{Rumour: stride.Rumour{Key: roster.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
+			d.do(d.circle.Do(circle.Tell{Rumour: machine.Rumour{Key: roster.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
 		})
 	}
 	var once func()
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -12,7 +12,7 @@
 	"slices"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/path/roster"
 )
 
@@ -38,7 +38,7 @@
 func (s Settings) Edges() int64 { return s.Daemons - s.Stores - s.Cores }
 
 type event struct {
-	at  sundial.Micros
+	at  clock.Micros
 	seq uint64
 	do  func()
 }
@@ -100,7 +100,7 @@
 // Fleet is one run's fleet.
 type Fleet struct {
 	Set     Settings
-	Now     sundial.Micros
+	Now     clock.Micros
 	chance  *rand.Rand
 	queue   queue
 	seq     uint64
@@ -125,7 +125,7 @@
 	leader  *daemon // the primary when counting began
 }
 
-const start sundial.Micros = 1_000_000_000
+const start clock.Micros = 1_000_000_000
 
 // New lays a fleet out.
 func New(set Settings) *Fleet {
@@ -156,17 +156,17 @@
 }
 
 // after does something later.
-func (f *Fleet) after(span sundial.Micros, do func()) {
+func (f *Fleet) after(span clock.Micros, do func()) {
 	f.seq++
 	f.queue.push(event{at: f.Now + span, seq: f.seq, do: do})
 }
 
-func (f *Fleet) between(least, most sundial.Micros) sundial.Micros {
+func (f *Fleet) between(least, most clock.Micros) clock.Micros {
 	return least + f.chance.Int63n(most-least+1)
 }
 
 // run lets time pass.
-func (f *Fleet) run(span sundial.Micros) {
+func (f *Fleet) run(span clock.Micros) {
 	end := f.Now + span
 	for len(f.queue) > 0 && f.queue[0].at <= end {
 		next := f.queue.pop()
@@ -177,7 +177,7 @@
 }
 
 // delay is the way between two daemons.
-func (f *Fleet) delay(from, to *daemon) sundial.Micros {
+func (f *Fleet) delay(from, to *daemon) clock.Micros {
 	base := f.between(150, 900)
 	switch {
 	case from.region != to.region:
@@ -218,11 +218,11 @@
 }
 
 // staleAfter is the age of news from which a daemon assigns nothing.
-const staleAfter = 2500 * sundial.Millisecond
+const staleAfter = 2500 * clock.Millisecond
 
 // staleness are the ages of the daemons' news, looked at twice a second.
 type staleness struct {
-	ages  []sundial.Micros
+	ages  []clock.Micros
 	stale int
 }
 
@@ -246,7 +246,7 @@
 	return float64(s.stale) / float64(len(s.ages))
 }
 
-func (s staleness) quantile(q float64) sundial.Micros {
+func (s staleness) quantile(q float64) clock.Micros {
 	if len(s.ages) == 0 {
 		return 0
 	}
--- a/proof/hollow/hollow_test.go
+++ b/proof/hollow/hollow_test.go
@@ -10,8 +10,8 @@
 	"testing"
 
 	"tuliprudder/acquaintance/circle"
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/stride"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/ledger/tether"
 )
@@ -20,8 +20,8 @@
 func TestALineIsCountedAsByItsOwnEncoder(t *testing.T) {
 	chance := rand.New(rand.NewSource(1))
 	bodies := []any{
-		circle.Probe{Nonce: 300}, circle.Echo{Nonce: 7, For: "a"}, circle.Gossip{Rumours: []stride.Rumour{{Key: "load/x", Epoch: 1, Seq: 900, Value: make([]byte, 120)}}},
-		circle.Digest{Known: map[string]circle.Mark{"one": {Epoch: 1, Seq: 2}}, Stamp: 1}, circle.Mend{Rumours: []stride.Rumour{{Key: "k"}}, Ages: circle.Ages{Raw: map[string]int64{"s": 4}}},
+		circle.Probe{Nonce: 300}, circle.Echo{Nonce: 7, For: "a"}, circle.Gossip{Rumours: []machine.Rumour{{Key: "load/x", Epoch: 1, Seq: 900, Value: make([]byte, 120)}}},
+		circle.Digest{Known: map[string]circle.Mark{"one": {Epoch: 1, Seq: 2}}, Stamp: 1}, circle.Mend{Rumours: []machine.Rumour{{Key: "k"}}, Ages: circle.Ages{Raw: map[string]int64{"s": 4}}},
 		keeper.Beat{ID: "s", Ready: map[int]uint64{1: 2}}, tether.Beat{}, circle.Shuffle{Peers: []string{"a", "b"}},
 	}
 	c := newCodec()
@@ -31,7 +31,7 @@
 		l, counted := &kindSet{}, 0
 		for seq := range 40 {
 			body := bodies[chance.Intn(len(bodies))]
-			batch := footbridge.Batch{Letters: []footbridge.Envelope{{From: "10.0.0.1:1", Body: body}}}
+			batch := transport.Batch{Letters: []transport.Envelope{{From: "10.0.0.1:1", Body: body}}}
 			// One number for all requests: their length is counted as a constant.
 			must(line.Encode(&rpc.Request{ServiceMethod: "Post.Deliver", Seq: 1000}))
 			must(line.Encode(batch))
@@ -40,7 +40,7 @@
 			counted += c.describe(l, kind)
 			must(c.encoder.Encode(batch))
 			counted += c.buffer.Len()
-			var back footbridge.Batch
+			var back transport.Batch
 			must(c.decoder.Decode(&back))
 			if counted != own.bytes {
 				t.Fatalf("message %d (%T): counted %d bytes, its own encoder wrote %d", seq, body, counted, own.bytes)
--- a/proof/hollow/line.go
+++ b/proof/hollow/line.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 )
 
 // As kernel/footbridge has them.
@@ -23,7 +23,7 @@
 type line struct {
 	lineKey
 	there, back kindSet // described to the other end, and by it
-	letters     []footbridge.Envelope
+	letters     []transport.Envelope
 	busy        bool
 	woken       bool
 }
@@ -44,7 +44,7 @@
 		f.count(from).lost++
 		return
 	}
-	l.letters = append(l.letters, footbridge.Envelope{From: from.peer, Body: body})
+	l.letters = append(l.letters, transport.Envelope{From: from.peer, Body: body})
 	if !l.busy && !l.woken {
 		l.woken = true
 		f.woken = append(f.woken, l)
@@ -96,7 +96,7 @@
 		// Nobody takes the call: it expires and closes its connection.
 		l.there, l.back = kindSet{}, kindSet{}
 		f.count(l.from).lost += int64(count)
-		f.after(sundial.Second, func() { f.free(l) })
+		f.after(clock.Second, func() { f.free(l) })
 		return
 	}
 	// The descriptions are learnt first, outside of the clock.
@@ -106,11 +106,11 @@
 		kinds[i] = f.codec.kind(letter.Body)
 		extra += f.codec.describe(&l.there, kinds[i])
 	}
-	batch := footbridge.Batch{Letters: letters}
+	batch := transport.Batch{Letters: letters}
 	was := f.charge(l.from)
 	must(f.codec.encoder.Encode(batch))
 	size := f.codec.buffer.Len()
-	var arrived footbridge.Batch
+	var arrived transport.Batch
 	f.charge(l.to)
 	must(f.codec.decoder.Decode(&arrived))
 	f.charge(was)
@@ -137,7 +137,7 @@
 }
 
 // countBatch counts what a call carried, by kind.
-func (f *Fleet) countBatch(from *daemon, letters []footbridge.Envelope, size, frame int) {
+func (f *Fleet) countBatch(from *daemon, letters []transport.Envelope, size, frame int) {
 	t := f.count(from)
 	t.calls++
 	t.bytes += int64(size + frame)
@@ -162,7 +162,7 @@
 }
 
 // ask is a question with an answer and an expiry, on a connection of its own.
-func (f *Fleet) ask(from *daemon, peer string, body any, expiry sundial.Micros, back func(any, error)) {
+func (f *Fleet) ask(from *daemon, peer string, body any, expiry clock.Micros, back func(any, error)) {
 	to := f.byPeer[peer]
 	over := false
 	finish := func(answer any, err error) {
@@ -172,7 +172,7 @@
 		}
 	}
 	f.after(expiry, func() {
-		finish(nil, mishap.New(mishap.OutcomeUnknown, "ask again", "no answer in time"))
+		finish(nil, errs.New(errs.OutcomeUnknown, "ask again", "no answer in time"))
 	})
 	if to == nil || f.cut(from, to) {
 		return
@@ -185,9 +185,9 @@
 	kind := f.codec.kind(body)
 	frame := f.codec.ask + f.codec.describe(&asking.there, kindAsk) + f.codec.describe(&asking.there, kind)
 	was := f.charge(from)
-	must(f.codec.encoder.Encode(footbridge.Envelope{From: from.peer, Body: body}))
+	must(f.codec.encoder.Encode(transport.Envelope{From: from.peer, Body: body}))
 	size := f.codec.buffer.Len() + frame
-	var letter footbridge.Envelope
+	var letter transport.Envelope
 	f.charge(to)
 	must(f.codec.decoder.Decode(&letter))
 	f.charge(was)
@@ -199,17 +199,17 @@
 			return
 		}
 		to.step(func() {
-			to.call(letter.Body, func(a stride.Answer) {
-				reply := footbridge.Reply{Body: a.Body}
+			to.call(letter.Body, func(a machine.Answer) {
+				reply := transport.Reply{Body: a.Body}
 				if a.Err != nil {
-					reply = footbridge.Reply{Mishap: mishap.Of(a.Err)}
+					reply = transport.Reply{Mishap: errs.Of(a.Err)}
 				} else if a.Body != nil {
 					f.codec.kind(a.Body)
 				}
 				must(f.codec.encoder.Encode(reply))
 				size := f.codec.buffer.Len() + f.codec.asked
 				was := f.charge(from)
-				reply = footbridge.Reply{}
+				reply = transport.Reply{}
 				must(f.codec.decoder.Decode(&reply))
 				f.charge(was)
 				t := f.count(to)
@@ -228,7 +228,7 @@
 	})
 }
 
-func mishapOf(reply footbridge.Reply) error {
+func mishapOf(reply transport.Reply) error {
 	if reply.Mishap != nil {
 		return reply.Mishap
 	}
--- a/proof/hollow/meter.go
+++ b/proof/hollow/meter.go
@@ -104,16 +104,16 @@
 	clockThread  = 3
 )
 
-func clock(which uintptr) int64 {
+func readClock(which uintptr) int64 {
 	var ts syscall.Timespec
 	syscall.Syscall(syscall.SYS_CLOCK_GETTIME, which, uintptr(unsafe.Pointer(&ts)), 0)
 	return ts.Nano()
 }
 
 // threadCPU and processCPU are processor time spent, in nanoseconds.
-func threadCPU() int64 { return clock(clockThread) }
+func threadCPU() int64 { return readClock(clockThread) }
 
-func processCPU() int64 { return clock(clockProcess) }
+func processCPU() int64 { return readClock(clockProcess) }
 
 // Kinds lists what each role sent by kind, per daemon and second.
 func (r *Result) kindRows() [][]string {
--- a/proof/hollow/rounds.go
+++ b/proof/hollow/rounds.go
@@ -8,8 +8,8 @@
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/planbook"
 	"tuliprudder/core/summit"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 )
@@ -17,14 +17,14 @@
 // planRounds are changes of the plan, each until it is in force everywhere.
 type planRounds struct {
 	pending      map[uint64]*planRound
-	spans        []sundial.Micros
+	spans        []clock.Micros
 	put, refused int
 	bytes        int
 	why          string // of the last that was not put, or not known to be
 }
 
 type planRound struct {
-	at   sundial.Micros
+	at   clock.Micros
 	left map[*daemon]bool
 }
 
@@ -83,7 +83,7 @@
 	}
 	f.plan.pending[version] = round
 	p.step(func() {
-		p.call(summit.PutPlanAsk{Body: body, By: "hollow", Expiry: 2 * sundial.Second}, func(a stride.Answer) {
+		p.call(summit.PutPlanAsk{Body: body, By: "hollow", Expiry: 2 * clock.Second}, func(a machine.Answer) {
 			if a.Err != nil {
 				f.plan.refused++
 				f.plan.why = a.Err.Error()
@@ -150,7 +150,7 @@
 		bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprintf("item-%d", i), Input: "the text of one item, as long as a short note that a customer has written about something"})
 	}
 	edge.step(func() {
-		f.ask(edge, store.peer, keeper.EnrolAsk{Slot: slot, Bundle: bundle, Expiry: 2 * sundial.Second}, 3*sundial.Second, func(_ any, err error) {
+		f.ask(edge, store.peer, keeper.EnrolAsk{Slot: slot, Bundle: bundle, Expiry: 2 * clock.Second}, 3*clock.Second, func(_ any, err error) {
 			if err != nil {
 				f.bundles.refused++
 			}
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"tuliprudder/acquaintance/people"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/roster"
 )
 
@@ -59,7 +59,7 @@
 	runtime.GC() // the heap of the run before
 	f.boot()
 	for second := range 90 {
-		if f.run(sundial.Second); f.settled() {
+		if f.run(clock.Second); f.settled() {
 			r.Settled = float64(second + 1)
 			break
 		}
@@ -77,7 +77,7 @@
 		}
 	}
 	f.putPlan()
-	f.run(sundial.Second)
+	f.run(clock.Second)
 	f.served = true
 	held := f.held
 	f.held = nil
@@ -87,7 +87,7 @@
 	f.assign()
 	f.pace(set.Changes, 3600, func() { f.putPlan() })
 	f.pace(set.Items, float64(set.BundleItems), func() { f.hand() })
-	f.run(set.Warm * sundial.Second)
+	f.run(set.Warm * clock.Second)
 	f.begin()
 	say("counting")
 	f.pace(set.Restarts, 3600, func() { f.restarts(r) })
@@ -96,7 +96,7 @@
 	listed := f.listed()
 	suspected, refuted := f.suspicions()
 	for range 2 * set.Seconds {
-		f.run(sundial.Second / 2)
+		f.run(clock.Second / 2)
 		f.lookAtAges()
 		r.Counted += 0.5
 		if !r.within(f, say) {
@@ -138,7 +138,7 @@
 
 // boot starts every daemon, acquainted with all others and with the servers.
 func (f *Fleet) boot() {
-	var told []stride.Rumour
+	var told []machine.Rumour
 	for _, d := range f.daemons {
 		if d.kind == people.Trailhead {
 			d.id, d.life = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, 1), uint64(f.Now)
@@ -146,7 +146,7 @@
 			d.life = 1
 		}
 		person := d.person()
-		told = append(told, stride.Rumour{Key: people.Key(d.id), Epoch: d.life, Seq: person.Seq(), Value: person.Encode()})
+		told = append(told, machine.Rumour{Key: people.Key(d.id), Epoch: d.life, Seq: person.Seq(), Value: person.Encode()})
 		if d.kind != people.Trailhead {
 			d.life = 0
 		}
@@ -160,10 +160,10 @@
 }
 
 // words are the platform's on all servers.
-func (f *Fleet) words() []stride.Rumour {
-	var out []stride.Rumour
+func (f *Fleet) words() []machine.Rumour {
+	var out []machine.Rumour
 	for _, s := range f.servers {
-		out = append(out, roster.Word(s.word, stride.Rumour{}, f.Now))
+		out = append(out, roster.Word(s.word, machine.Rumour{}, f.Now))
 	}
 	return out
 }
@@ -185,7 +185,7 @@
 	if times <= 0 {
 		return
 	}
-	gap := sundial.Micros(in / float64(times) * 1e6)
+	gap := clock.Micros(in / float64(times) * 1e6)
 	var again func()
 	again = func() {
 		do()
@@ -222,12 +222,12 @@
 	r.Restarted++
 	d.crash()
 	f.assign()
-	f.after(f.between(2, 6)*sundial.Second, func() { d.boot(nil); f.assign() })
+	f.after(f.between(2, 6)*clock.Second, func() { d.boot(nil); f.assign() })
 }
 
 // cuts cuts the last region and, after it, the last zone from all others.
 func (f *Fleet) cuts(set Settings, say func(string, ...any)) {
-	cut := func(after, span sundial.Micros, what string, in func(d *daemon) bool) {
+	cut := func(after, span clock.Micros, what string, in func(d *daemon) bool) {
 		if span <= 0 {
 			return
 		}
@@ -250,8 +250,8 @@
 		})
 	}
 	region, zone := int(set.Regions-1), int(set.Zones-1)
-	cut(3*sundial.Second, set.CutRegion*sundial.Second, "a region", func(d *daemon) bool { return d.region == region })
-	cut((8+set.CutRegion)*sundial.Second, set.CutZone*sundial.Second, "a zone", func(d *daemon) bool { return d.place == zone })
+	cut(3*clock.Second, set.CutRegion*clock.Second, "a region", func(d *daemon) bool { return d.region == region })
+	cut((8+set.CutRegion)*clock.Second, set.CutZone*clock.Second, "a zone", func(d *daemon) bool { return d.place == zone })
 }
 
 // gather works out the figures; the heap of a role is what lets go with it.
--- a/proof/weather/callers.go
+++ b/proof/weather/callers.go
@@ -6,8 +6,8 @@
 	"strings"
 
 	"tuliprudder/core/planbook"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/path/serverline"
 	"tuliprudder/path/trek"
 	"tuliprudder/proof/wellspring"
@@ -18,9 +18,9 @@
 	Input, Kind, Customer string
 	Route                 string
 	Key                   string
-	Asked, Told           sundial.Micros
+	Asked, Told           clock.Micros
 	Outcome               string // ok, refused, unknown; "" while it is open
-	Why                   mishap.Kind
+	Why                   errs.Kind
 	Output                string
 	Ended                 bool // its answer is whole
 	Edge                  string
@@ -36,7 +36,7 @@
 )
 
 // patience is how long a caller waits before it goes.
-const patience = 15 * sundial.Second
+const patience = 15 * clock.Second
 
 // customers are who calls, by the key they carry.
 var customers = map[string]string{"key-gold": "gold", "key-silver": "silver", "key-caller": customer}
@@ -78,9 +78,9 @@
 	w := v.w
 	v.Follow()
 	v.PutPlan(false)
-	w.Until(5*sundial.Second, func() bool { return v.Served["plan"] > 0 })
+	w.Until(5*clock.Second, func() bool { return v.Served["plan"] > 0 })
 	v.List(v.edgeNode())
-	w.Run(500 * sundial.Millisecond)
+	w.Run(500 * clock.Millisecond)
 	v.Calling = true
 	for i, who := range []string{"gold", "gold", "silver"} {
 		v.Live(fmt.Sprintf("live-%d", i), who)
@@ -89,7 +89,7 @@
 	count = func() {
 		v.countWaiting()
 		if v.Calling {
-			w.After(50*sundial.Millisecond, count)
+			w.After(50*clock.Millisecond, count)
 		}
 	}
 	count()
@@ -107,7 +107,7 @@
 	var under *serving
 	text := ""
 	var forget func()
-	finish := func(outcome string, why mishap.Kind) {
+	finish := func(outcome string, why errs.Kind) {
 		if over {
 			return
 		}
@@ -123,7 +123,7 @@
 		back()
 	}
 	if !n.up {
-		w.After(sundial.Millisecond, func() { finish(wasRefused, "no connection") })
+		w.After(clock.Millisecond, func() { finish(wasRefused, "no connection") })
 		return
 	}
 	forget = n.onCrash(func() { finish(wasUnknown, "the connection broke") })
@@ -169,8 +169,8 @@
 			o.Ended = true
 			finish(wasOK, "")
 		default:
-			kind := mishap.Of(err).Kind
-			if kind == mishap.OutcomeUnknown || o.Output != "" {
+			kind := errs.Of(err).Kind
+			if kind == errs.OutcomeUnknown || o.Output != "" {
 				finish(wasUnknown, kind)
 			} else {
 				finish(wasRefused, kind)
@@ -214,7 +214,7 @@
 		}
 		n := v.edgeNode()
 		if n == nil {
-			w.After(100*sundial.Millisecond, turn)
+			w.After(100*clock.Millisecond, turn)
 			return
 		}
 		number++
@@ -229,10 +229,10 @@
 			if o.Key != "" && (o.Outcome == wasUnknown || w.Chance.Intn(2) == 0) {
 				v.again(o, 2)
 			}
-			w.After(w.between(20, 200)*sundial.Millisecond, turn)
+			w.After(w.between(20, 200)*clock.Millisecond, turn)
 		})
 		if w.Chance.Intn(12) == 0 {
-			w.After(w.between(0, 60)*sundial.Millisecond, func() { o.leave() })
+			w.After(w.between(0, 60)*clock.Millisecond, func() { o.leave() })
 		}
 	}
 	turn()
@@ -263,7 +263,7 @@
 		case again.Outcome == wasUnknown || o.Outcome == wasUnknown:
 			// Whether the key's order ran is not known, whatever the other was told.
 			o.Outcome = wasUnknown
-			v.w.After(v.w.between(100, 900)*sundial.Millisecond, func() { v.again(o, tries-1) })
+			v.w.After(v.w.between(100, 900)*clock.Millisecond, func() { v.again(o, tries-1) })
 		}
 	})
 }
--- a/proof/weather/day.go
+++ b/proof/weather/day.go
@@ -6,7 +6,7 @@
 
 	"tuliprudder/acquaintance/people"
 	"tuliprudder/core/summit"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/roster"
 )
@@ -15,7 +15,7 @@
 type Act struct {
 	Name string
 	Do   func(w *World) (undo func())
-	Span sundial.Micros
+	Span clock.Micros
 	Disk bool // takes a disk: only when all has its two copies
 }
 
@@ -108,7 +108,7 @@
 
 // Acts are the failures the simulator knows.
 func Acts(slots int) []Act {
-	ms := sundial.Millisecond
+	ms := clock.Millisecond
 	return []Act{
 		{Name: "kill a store", Span: 3000 * ms, Do: func(w *World) func() { return crash(w.any("refuge"), slots) }},
 		{Name: "bounce a store", Span: 200 * ms, Do: func(w *World) func() { return crash(w.any("refuge"), slots) }},
@@ -248,7 +248,7 @@
 		}},
 		{Name: "a bundle ends while its keeper freezes", Span: 5000 * ms, Do: func(w *World) func() {
 			h := w.Watch.Hand(30, 200)
-			w.Until(5*sundial.Second, func() bool { return h.Accepted > 0 })
+			w.Until(5*clock.Second, func() bool { return h.Accepted > 0 })
 			n := w.keeperOf(h)
 			wake := freeze(n)
 			w.Watch.End(h)
@@ -256,7 +256,7 @@
 		}},
 		{Name: "a bundle ends while its keeper is cut off", Span: 5000 * ms, Do: func(w *World) func() {
 			h := w.Watch.Hand(30, 200)
-			w.Until(5*sundial.Second, func() bool { return h.Accepted > 0 })
+			w.Until(5*clock.Second, func() bool { return h.Accepted > 0 })
 			heal := isolate(w, w.keeperOf(h))
 			w.Watch.End(h)
 			return heal
@@ -355,7 +355,7 @@
 			n := w.any("refuge")
 			n.disk.slow = w.between(50, 500) * ms
 			w.Note("%s: every sync takes %d ms", n.Name, n.disk.slow/1000)
-			n.ill = w.Now + 60*sundial.Second
+			n.ill = w.Now + 60*clock.Second
 			return func() { n.disk.slow, n.ill = 0, w.Now }
 		}},
 		{Name: "restart an edge", Span: 300 * ms, Do: func(w *World) func() { return crash(w.any("trailhead"), slots) }},
@@ -365,7 +365,7 @@
 
 // Moments are failures at the worst moment: each waits for it, then strikes.
 func Moments(slots int) []Act {
-	ms := sundial.Millisecond
+	ms := clock.Millisecond
 	after := func(strike func(n *Node) func()) func(w *World) func() {
 		return func(w *World) func() {
 			var undo func()
@@ -380,7 +380,7 @@
 			for i := 0; i < 40; i++ {
 				w.Watch.Hand(3, 200)
 			}
-			w.Until(4*sundial.Second, func() bool { return struck })
+			w.Until(4*clock.Second, func() bool { return struck })
 			w.Watch.AfterReceipt = nil
 			return undo
 		}
@@ -400,14 +400,14 @@
 					undo = freeze(n)
 				}
 			}
-			w.Until(3*sundial.Second, func() bool { return undo != nil })
+			w.Until(3*clock.Second, func() bool { return undo != nil })
 			w.Wrote = nil
 			return undo
 		}},
 		{Name: "moment: the backup lost in the midst of copying", Span: 3000 * ms, Disk: true, Do: func(w *World) func() {
 			undos := []func(){crash(w.any("refuge"), slots)}
 			var backup *Node
-			w.Until(8*sundial.Second, func() bool {
+			w.Until(8*clock.Second, func() bool {
 				for _, name := range w.Names("cairn") {
 					if n := w.Nodes[name]; n.up && n.Summit.Serving() {
 						for _, pairing := range n.Summit.Chart().Slots {
@@ -435,7 +435,7 @@
 					w.After(1, func() { undos = append(undos, crash(to, slots)) })
 				}
 			}
-			w.Until(6*sundial.Second, func() bool { return struck })
+			w.Until(6*clock.Second, func() bool { return struck })
 			w.Spy = nil
 			w.Run(300 * ms)
 			return func() { run(undos) }
@@ -470,7 +470,7 @@
 			first := wipe(w.busiest(), slots)
 			w.Run(500 * ms)
 			first()
-			if !w.Until(20*sundial.Second, w.Settled) {
+			if !w.Until(20*clock.Second, w.Settled) {
 				w.Watch.breach(kept, "no second copy 20 s after a disk was lost: %s", w.Standing())
 				return nil
 			}
@@ -484,7 +484,7 @@
 				w.Move(n)
 				w.Run(300 * ms)
 				n.Boot(slots)
-				if !w.Until(20*sundial.Second, w.Settled) {
+				if !w.Until(20*clock.Second, w.Settled) {
 					w.Watch.breach(back, "the exchange of %s has not settled after 20 s: %s", name, w.Standing())
 				}
 			}
@@ -546,7 +546,7 @@
 	Only    string
 	Busy    bool // the callers use every kind of call early on
 	Plant   func(n *Node)
-	Mutate  func(from, to string, body any) (bool, bool, sundial.Micros)
+	Mutate  func(from, to string, body any) (bool, bool, clock.Micros)
 }
 
 // Run lives the day through and gives the world back.
@@ -554,7 +554,7 @@
 	w := NewWorld(d.Seed, d.Size, d.Climate)
 	w.Plant, w.Mutate = d.Plant, d.Mutate
 	v := w.Watch
-	if !w.Until(10*sundial.Second, func() bool {
+	if !w.Until(10*clock.Second, func() bool {
 		for _, name := range w.Names("trailhead") {
 			if e := w.Nodes[name].edge; e == nil || !e.Reader.Ready() {
 				return false
@@ -592,17 +592,17 @@
 		default:
 			v.Hand(1+w.Chance.Intn(20), 200)
 		}
-		w.After(w.between(50, 400)*sundial.Millisecond, callers)
+		w.After(w.between(50, 400)*clock.Millisecond, callers)
 	}
 	callers()
 	if d.Busy {
 		h := v.Hand(10, 50)
-		w.Run(200 * sundial.Millisecond)
+		w.Run(200 * clock.Millisecond)
 		v.Look()
 		v.End(h)
 		id := w.any("refuge").ID
 		v.Retire(id, false)
-		w.Run(2 * sundial.Second)
+		w.Run(2 * clock.Second)
 		v.Retire(id, true)
 	}
 	acts := append(Acts(d.Size.Slots), Moments(d.Size.Slots)...)
@@ -611,7 +611,7 @@
 		skip[i] = true
 	}
 	for i := 0; i < d.Acts; i++ {
-		w.Run(w.between(200, 3000) * sundial.Millisecond)
+		w.Run(w.between(200, 3000) * clock.Millisecond)
 		act := acts[w.Chance.Intn(len(acts))]
 		for d.Only != "" && !strings.Contains(act.Name, d.Only) {
 			act = acts[w.Chance.Intn(len(acts))]
@@ -619,7 +619,7 @@
 		if skip[i] {
 			continue
 		}
-		if act.Disk && !w.Until(20*sundial.Second, w.Settled) {
+		if act.Disk && !w.Until(20*clock.Second, w.Settled) {
 			v.breach(kept, "no second copy 20 s after a failure: %s", w.Standing())
 			return w
 		}
@@ -631,10 +631,10 @@
 			undo()
 		}
 		if w.Chance.Intn(3) > 0 {
-			w.Until(15*sundial.Second, w.Settled)
+			w.Until(15*clock.Second, w.Settled)
 		}
 	}
-	v.Last(20 * sundial.Second)
+	v.Last(20 * clock.Second)
 	return w
 }
 
--- a/proof/weather/history.go
+++ b/proof/weather/history.go
@@ -6,7 +6,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // The histories of plans and of claimed keys are checked for one order that
@@ -101,7 +101,7 @@
 // Entry is a bundle's operation as its caller saw it.
 type Entry struct {
 	ID           string
-	Called, Told sundial.Micros
+	Called, Told clock.Micros
 	entered
 }
 
--- a/proof/weather/planted_test.go
+++ b/proof/weather/planted_test.go
@@ -5,18 +5,18 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 )
 
 // A checker that can't fail proves nothing: each of these plants a fault in the
 // machines and has to be caught on some seed.
 func TestPlantedFaultsAreCaught(t *testing.T) {
-	ms := sundial.Millisecond
+	ms := clock.Millisecond
 	planted := map[string]struct {
 		plant func(n *Node)
 		only  string
 		acts  int
-		sync  sundial.Micros
+		sync  clock.Micros
 		from  int64     // seed to begin with: one that was seen to catch it
 		broke []Promise // one of these has to be found broken
 	}{
--- a/proof/weather/promises.go
+++ b/proof/weather/promises.go
@@ -6,8 +6,8 @@
 	"strings"
 
 	"tuliprudder/acquaintance/circle"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/path/roster"
 	"tuliprudder/proof/wellspring"
 )
@@ -37,13 +37,13 @@
 var Promises = []Promise{kept, soon, exact, goesOn, refused, ended, onceOnly, mixed, streamed, leaving, inForce, within, back}
 
 // about is the grace for what is to hold within about 3 s.
-const about = 300 * sundial.Millisecond
+const about = 300 * clock.Millisecond
 
 // Breach is one breach of one promise.
 type Breach struct {
 	Promise Promise
 	Text    string
-	At      sundial.Micros
+	At      clock.Micros
 }
 
 // String is the breach as it is printed.
@@ -72,7 +72,7 @@
 
 // mark is a server's leaving mark as the platform put it.
 type mark struct {
-	from, to sundial.Micros // to 0: still leaving
+	from, to clock.Micros // to 0: still leaving
 }
 
 // List puts the platform's whole list of servers at an edge.
@@ -86,7 +86,7 @@
 // does: it is told once most of the fleet know it, or tells elsewhere again.
 func (v *Watch) tell(n *Node, server roster.Server, told func()) {
 	again := func() {
-		v.w.After(200*sundial.Millisecond, func() {
+		v.w.After(200*clock.Millisecond, func() {
 			if other := v.edgeNode(); other != nil {
 				v.tell(other, server, told)
 			} else {
@@ -106,7 +106,7 @@
 		known, _ := n.circle.News(roster.ServerKey(server.Name))
 		n.number++
 		era := n.era
-		n.calls[n.number] = func(a stride.Answer) {
+		n.calls[n.number] = func(a machine.Answer) {
 			switch {
 			case word != v.words[server.Name]:
 			case a.Err == nil:
@@ -116,8 +116,8 @@
 			}
 		}
 		forget := n.onCrash(again)
-		n.do(n.circle.Do(circle.Spread{Rumour: roster.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * sundial.Second}, v.w.Now))
-		v.w.After(3*sundial.Second, func() {
+		n.do(n.circle.Do(circle.Spread{Rumour: roster.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
+		v.w.After(3*clock.Second, func() {
 			if n.era == era {
 				forget()
 			}
@@ -150,7 +150,7 @@
 			continue
 		}
 		v.saw(leaving)
-		if start.At > m.from+3*sundial.Second+about {
+		if start.At > m.from+3*clock.Second+about {
 			v.breach(leaving, "%s was marked as leaving %d us ago and gets %s", start.Server, start.At-m.from, start.Input)
 		}
 	}
@@ -163,13 +163,13 @@
 		return
 	}
 	v.saw(inForce)
-	for _, number := range v.numbersSince(o.Asked - 3*sundial.Second - about) {
+	for _, number := range v.numbersSince(o.Asked - 3*clock.Second - about) {
 		half := fmt.Sprint(number / 3 % 2)
 		if number%3 > 0 && half == v.w.serverNamed(start.Server).half() {
 			return
 		}
 	}
-	v.breach(inForce, "%s, asked %d us ago at %s, runs on %s though none of the plans that can be in force sends it there: %v", o.Input, start.At-o.Asked, o.Edge, start.Server, v.numbersSince(o.Asked-3*sundial.Second-about))
+	v.breach(inForce, "%s, asked %d us ago at %s, runs on %s though none of the plans that can be in force sends it there: %v", o.Input, start.At-o.Asked, o.Edge, start.Server, v.numbersSince(o.Asked-3*clock.Second-about))
 }
 
 func (w *World) serverNamed(name string) *Server {
@@ -183,7 +183,7 @@
 
 // numbersSince are the plans' numbers that may have been in force at some time
 // since then: confirmed ones from before the newest at that time are not.
-func (v *Watch) numbersSince(since sundial.Micros) []int {
+func (v *Watch) numbersSince(since clock.Micros) []int {
 	var out []int
 	newest := uint64(0)
 	for _, p := range v.Puts {
@@ -206,7 +206,7 @@
 	most := 40
 	if who == customer {
 		most = 0
-		for _, number := range v.numbersSince(v.w.Now - 20*sundial.Second) {
+		for _, number := range v.numbersSince(v.w.Now - 20*clock.Second) {
 			most = max(most, 300+20*(number%4))
 		}
 	}
@@ -225,7 +225,7 @@
 			open = append(open, o)
 			// What came to a frozen edge is in nobody's hands yet.
 			n := v.w.Nodes[o.Edge]
-			if unseen := n != nil && n.frozen && o.Asked >= n.ill; !unseen && v.w.Now-o.Asked > sundial.Second {
+			if unseen := n != nil && n.frozen && o.Asked >= n.ill; !unseen && v.w.Now-o.Asked > clock.Second {
 				waiting[o.Customer]++
 			}
 		}
@@ -234,7 +234,7 @@
 	where := func(who string) string {
 		at := map[string]int{}
 		for _, o := range open {
-			if o.Customer == who && v.w.Now-o.Asked > sundial.Second {
+			if o.Customer == who && v.w.Now-o.Asked > clock.Second {
 				at[o.Edge]++
 			}
 		}
@@ -262,19 +262,19 @@
 
 // stillServed judges that live orders went on, some 6 s into the loss of all cores:
 // it is one failure, so the stores have to have been well for a while before it.
-func (v *Watch) stillServed(why string, since sundial.Micros) {
+func (v *Watch) stillServed(why string, since clock.Micros) {
 	for _, name := range v.w.Names("refuge") {
-		if !v.w.Nodes[name].well(since - 15*sundial.Second) {
+		if !v.w.Nodes[name].well(since - 15*clock.Second) {
 			return
 		}
 	}
 	for _, name := range v.w.Names("trailhead") {
 		n := v.w.Nodes[name]
-		if !n.well(since - 5*sundial.Second) {
+		if !n.well(since - 5*clock.Second) {
 			continue
 		}
 		v.saw(back)
-		if max(v.Served[name+" once"], v.Served[name+" flow"], v.Served[name+" long"]) < v.w.Now-3*sundial.Second {
+		if max(v.Served[name+" once"], v.Served[name+" flow"], v.Served[name+" long"]) < v.w.Now-3*clock.Second {
 			told := map[string]int{}
 			for _, o := range v.Orders {
 				if o.Edge == name && o.Told > since {
--- a/proof/weather/server.go
+++ b/proof/weather/server.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"sort"
 
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
 	"tuliprudder/path/roster"
 	"tuliprudder/path/scouts"
 	"tuliprudder/path/serverline"
@@ -23,7 +23,7 @@
 	Zone    string
 	slots   int
 	queue   int
-	speed   sundial.Micros // for a piece
+	speed   clock.Micros // for a piece
 	up      bool
 	mode    string // "", dark, cut, refuse, late
 	running map[*serving]bool
@@ -38,21 +38,21 @@
 	node      *Node
 	era       int
 	request   serverline.Request
-	latency   sundial.Micros
+	latency   clock.Micros
 	piece     func(string)
 	done      func(serverline.Outcome, string)
 	over      bool // the client's end has its outcome
 	dropped   bool // the server's end is rid of it
 	lost      bool // the connection carries nothing any more
 	came      uint64
-	lastPiece sundial.Micros
+	lastPiece clock.Micros
 	left      []string
 	forget    func()
 }
 
 func newServer(w *World, i int, zone string) *Server {
 	return &Server{world: w, Name: fmt.Sprintf("server-%d", i), Address: fmt.Sprintf("10.9.0.%d:80", i), Zone: zone, slots: 3 + i%3, queue: 8,
-		speed: sundial.Micros(4+2*(i%3)) * sundial.Millisecond, up: true, running: map[*serving]bool{}}
+		speed: clock.Micros(4+2*(i%3)) * clock.Millisecond, up: true, running: map[*serving]bool{}}
 }
 
 // Listed is the server as the platform lists it.
@@ -125,7 +125,7 @@
 	one := &serving{server: w.byAddress[request.Address], node: n, era: n.era, request: request, latency: w.between(150, 900), piece: piece, done: done, lastPiece: w.Now}
 	s := one.server
 	if s == nil || w.cut[[2]string{n.Name, s.Name}] {
-		w.After(sundial.Second, func() { one.end(serverline.NotStarted, "no connection") })
+		w.After(clock.Second, func() { one.end(serverline.NotStarted, "no connection") })
 		return one
 	}
 	var silent func()
@@ -151,7 +151,7 @@
 			one.reach(func() { one.end(serverline.NotStarted, "503") })
 		case s.mode == "late":
 			// It says no, but only after a good while.
-			w.After(2*sundial.Second, func() { one.reach(func() { one.end(serverline.NotStarted, "503") }) })
+			w.After(2*clock.Second, func() { one.reach(func() { one.end(serverline.NotStarted, "503") }) })
 		default:
 			s.enter(one)
 		}
@@ -185,7 +185,7 @@
 		}
 		one.left = append(one.left, piece)
 	}
-	prefill := 20 * sundial.Millisecond
+	prefill := 20 * clock.Millisecond
 	for _, known := range s.cache {
 		if known == one.request.Prefix {
 			prefill = 0
@@ -204,7 +204,7 @@
 		return
 	}
 	if s.mode == "dark" {
-		w.After(20*sundial.Millisecond, func() { s.next(one) })
+		w.After(20*clock.Millisecond, func() { s.next(one) })
 		return
 	}
 	if s.mode == "cut" && len(one.left) <= pieces/2 {
@@ -270,7 +270,7 @@
 	span := 2 * w.between(150, 900)
 	saw := scouts.Looked{Look: look, Began: began}
 	if s == nil || w.cut[[2]string{n.Name, s.Name}] || (s.up && s.mode == "dark") {
-		span = sundial.Second
+		span = clock.Second
 	} else if s.up {
 		saw.Running, saw.Waiting, saw.Sound = len(s.running), len(s.waiting), true
 	}
--- a/proof/weather/watch.go
+++ b/proof/weather/watch.go
@@ -7,8 +7,8 @@
 
 	"tuliprudder/core/chart"
 	"tuliprudder/core/summit"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
 	"tuliprudder/ledger/daybook"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/reader"
@@ -21,17 +21,17 @@
 	ID       string
 	Key      string
 	Items    int
-	Accepted sundial.Micros
+	Accepted clock.Micros
 	Maybe    bool
 	GivenUp  bool
-	Ended    sundial.Micros
+	Ended    clock.Micros
 	Starts   int
 	Tries    int
-	Asked    sundial.Micros
-	begun    int                    // items that have started at least once
-	starts   map[string]int         // by item
-	done     map[int]sundial.Micros // when an item's result was whole on a server, last
-	lists    int                    // rows that a waiting reader has seen
+	Asked    clock.Micros
+	begun    int                  // items that have started at least once
+	starts   map[string]int       // by item
+	done     map[int]clock.Micros // when an item's result was whole on a server, last
+	lists    int                  // rows that a waiting reader has seen
 }
 
 // Put is a plan as its operator saw it.
@@ -40,8 +40,8 @@
 	Body    string
 	Base    uint64
 	HasBase bool
-	Called  sundial.Micros
-	Told    sundial.Micros
+	Called  clock.Micros
+	Told    clock.Micros
 	Version uint64 // 0: turned away
 	Stale   bool
 	Refused bool
@@ -51,7 +51,7 @@
 // Claimed is one claim as its edge saw it.
 type Claimed struct {
 	Key, Order   string
-	Called, Told sundial.Micros
+	Called, Told clock.Micros
 	Yours        bool
 	Winner       string
 	Unknown      bool
@@ -82,16 +82,16 @@
 	winners  map[string]string
 	Entries  []*Entry
 	marks    map[string][]mark
-	words    map[string]int            // the platform's words on each server, counted
-	Served   map[string]sundial.Micros // by edge and route: the last whole answer
+	words    map[string]int          // the platform's words on each server, counted
+	Served   map[string]clock.Micros // by edge and route: the last whole answer
 	Counts   map[string]int
 	Started  int // orders that began on servers
 	// MostWaiting is the most that waited of each customer, SlowestRow the longest
 	// from a whole result to a waiting reader with no fault near, SlowestBack the
 	// longest until a kind of service was back after the day's last fault.
 	MostWaiting map[string]int
-	SlowestRow  sundial.Micros
-	SlowestBack sundial.Micros
+	SlowestRow  clock.Micros
+	SlowestBack clock.Micros
 	SlowestKind string
 	// AfterReceipt is told of each bundle as its caller hears that it is accepted.
 	AfterReceipt func(h *Handed, keeper string)
@@ -102,7 +102,7 @@
 
 func newWatch(w *World) *Watch {
 	return &Watch{w: w, Checked: map[Promise]int{}, byID: map[string]*Handed{}, byKey: map[string]*Handed{}, byInput: map[string]*Order{}, holds: map[string]string{}, feedSeen: map[string]int{}, feedLast: map[string]int64{}, plans: map[uint64]string{}, winners: map[string]string{},
-		marks: map[string][]mark{}, words: map[string]int{}, Served: map[string]sundial.Micros{}, Counts: map[string]int{}, MostWaiting: map[string]int{}}
+		marks: map[string][]mark{}, words: map[string]int{}, Served: map[string]clock.Micros{}, Counts: map[string]int{}, MostWaiting: map[string]int{}}
 }
 
 const (
@@ -137,11 +137,11 @@
 		}
 	}
 	lost := func() {
-		finish(nil, mishap.New(mishap.OutcomeUnknown, "ask again with the same key", "the connection broke"))
+		finish(nil, errs.New(errs.OutcomeUnknown, "ask again with the same key", "the connection broke"))
 	}
 	forget = func() {}
 	if !n.up {
-		v.w.After(sundial.Millisecond, func() { finish(nil, mishap.New(mishap.NotReady, "ask another edge", "no connection")) })
+		v.w.After(clock.Millisecond, func() { finish(nil, errs.New(errs.NotReady, "ask another edge", "no connection")) })
 		return
 	}
 	forget = n.onCrash(lost)
@@ -157,7 +157,7 @@
 
 // HandAs is the same under a key of the caller's choice.
 func (v *Watch) HandAs(key string, items, tries int) *Handed {
-	h := &Handed{ID: daybook.BundleID(customer, key), Key: key, Items: items, Asked: v.w.Now, starts: map[string]int{}, done: map[int]sundial.Micros{}}
+	h := &Handed{ID: daybook.BundleID(customer, key), Key: key, Items: items, Asked: v.w.Now, starts: map[string]int{}, done: map[int]clock.Micros{}}
 	v.Bundles, v.byID[h.ID], v.byKey[key] = append(v.Bundles, h), h, h
 	var list []daybook.Item
 	for i := 0; i < items; i++ {
@@ -173,7 +173,7 @@
 			return
 		}
 		if n == nil {
-			v.w.After(100*sundial.Millisecond, try)
+			v.w.After(100*clock.Millisecond, try)
 			return
 		}
 		h.Tries++
@@ -181,7 +181,7 @@
 		v.Entries = append(v.Entries, e)
 		v.here(n, trek.HandIn{Caller: callerKey, Route: "r", Key: key, Items: append([]daybook.Item(nil), list...)}, func(answer any, err error) {
 			e.Told = v.w.Now
-			e.unknown = mishap.Is(err, mishap.OutcomeUnknown)
+			e.unknown = errs.Is(err, errs.OutcomeUnknown)
 			if err != nil && !e.unknown {
 				v.forget(e) // turned away: it never was
 			}
@@ -199,10 +199,10 @@
 				}
 				return
 			}
-			if mishap.Of(err).Kind == mishap.OutcomeUnknown {
+			if errs.Of(err).Kind == errs.OutcomeUnknown {
 				h.Maybe = true
 			}
-			v.w.After(v.w.between(80, 400)*sundial.Millisecond, try)
+			v.w.After(v.w.between(80, 400)*clock.Millisecond, try)
 		})
 	}
 	try()
@@ -228,7 +228,7 @@
 	try = func() {
 		n := v.edgeNode()
 		if n == nil {
-			v.w.After(100*sundial.Millisecond, try)
+			v.w.After(100*clock.Millisecond, try)
 			return
 		}
 		v.here(n, trek.Look{Caller: callerKey, Bundle: h.ID, End: true}, func(answer any, err error) {
@@ -238,7 +238,7 @@
 				v.w.Note("bundle %s ended", h.ID)
 				return
 			}
-			v.w.After(200*sundial.Millisecond, try)
+			v.w.After(200*clock.Millisecond, try)
 		})
 	}
 	try()
@@ -258,11 +258,11 @@
 	e := &Entry{ID: h.ID, Called: v.w.Now, entered: entered{look: true}}
 	v.Entries = append(v.Entries, e)
 	v.here(n, trek.Look{Caller: callerKey, Bundle: h.ID}, func(_ any, err error) {
-		if e.found = err == nil; e.found || mishap.Is(err, mishap.NotFound) {
+		if e.found = err == nil; e.found || errs.Is(err, errs.NotFound) {
 			e.Told = v.w.Now
 		}
 		v.saw(kept)
-		if mishap.Is(err, mishap.NotFound) {
+		if errs.Is(err, errs.NotFound) {
 			v.breach(kept, "%s is told that there is no accepted bundle %s", n.Name, h.ID)
 		}
 	})
@@ -284,7 +284,7 @@
 	}
 	if h.Ended > 0 {
 		v.saw(ended)
-		if v.w.Now > h.Ended+3*sundial.Second+about {
+		if v.w.Now > h.Ended+3*clock.Second+about {
 			v.breach(ended, "%s starts on %s %d us after its bundle ended", start.Input, start.Server, v.w.Now-h.Ended)
 		}
 	}
@@ -298,7 +298,7 @@
 }
 
 // quiet tells whether nothing was done to any daemon since a time.
-func (v *Watch) quiet(since sundial.Micros) bool {
+func (v *Watch) quiet(since clock.Micros) bool {
 	for _, name := range v.w.names {
 		if !v.w.Nodes[name].well(since) {
 			return false
@@ -315,15 +315,15 @@
 		return
 	}
 	if n == nil {
-		v.w.After(100*sundial.Millisecond, func() { v.wait(h, token) })
+		v.w.After(100*clock.Millisecond, func() { v.wait(h, token) })
 		return
 	}
 	v.number++
-	read := reader.Read{Name: fmt.Sprintf("r-%d", v.number), Bundle: h.ID, Token: token, Most: 100, Wait: 2 * sundial.Second}
+	read := reader.Read{Name: fmt.Sprintf("r-%d", v.number), Bundle: h.ID, Token: token, Most: 100, Wait: 2 * clock.Second}
 	v.here(n, trek.Page{Caller: callerKey, Read: read}, func(answer any, err error) {
 		page, _ := answer.(reader.Page)
 		if err != nil {
-			v.w.After(50*sundial.Millisecond, func() { v.wait(h, token) })
+			v.w.After(50*clock.Millisecond, func() { v.wait(h, token) })
 			return
 		}
 		for _, row := range page.Rows {
@@ -337,12 +337,12 @@
 			lag := v.w.Now - max(done, h.Accepted)
 			v.saw(soon)
 			switch {
-			case v.quiet(max(done, h.Accepted) - 15*sundial.Second):
+			case v.quiet(max(done, h.Accepted) - 15*clock.Second):
 				v.SlowestRow = max(v.SlowestRow, lag)
-				if lag > sundial.Second {
+				if lag > clock.Second {
 					v.breach(soon, "%s/%d was whole %d us before a waiting reader at %s could have it", h.ID, row.Item, lag, n.Name)
 				}
-			case lag > 13*sundial.Second && v.quiet(max(done, h.Accepted)+sundial.Second):
+			case lag > 13*clock.Second && v.quiet(max(done, h.Accepted)+clock.Second):
 				v.breach(soon, "%s/%d was whole %d us before a waiting reader at %s could have it", h.ID, row.Item, lag, n.Name)
 			}
 		}
@@ -376,7 +376,7 @@
 			return
 		}
 		if n == nil {
-			v.w.After(100*sundial.Millisecond, turn)
+			v.w.After(100*clock.Millisecond, turn)
 			return
 		}
 		v.number++
@@ -398,7 +398,7 @@
 					v.feedLast[row.Bundle] = row.Position
 				}
 			}
-			v.w.After(v.w.between(20, 150)*sundial.Millisecond, turn)
+			v.w.After(v.w.between(20, 150)*clock.Millisecond, turn)
 		})
 	}
 	turn()
@@ -415,7 +415,7 @@
 	p := &Put{Number: number, Body: string(body), Called: v.w.Now, HasBase: withBase, Base: n.plan}
 	v.Puts = append(v.Puts, p)
 	v.Busy++
-	v.w.Ask(n, n.core.Peer, summit.PutPlanAsk{Body: body, Base: p.Base, HasBase: withBase, By: "sim", Expiry: 4 * sundial.Second}, 5*sundial.Second, func(answer any, err error) {
+	v.w.Ask(n, n.core.Peer, summit.PutPlanAsk{Body: body, Base: p.Base, HasBase: withBase, By: "sim", Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
 		v.Busy--
 		p.Told = v.w.Now
 		v.w.Note("plan number %d (base %d %v): %v %v", p.Number, p.Base, withBase, answer, err)
@@ -428,10 +428,10 @@
 				v.breach(inForce, "plan version %d confirmed as %s and as %s", receipt.Version, known, p.Body)
 			}
 			v.plans[receipt.Version] = p.Body
-			v.w.After(2*sundial.Second, func() { v.planDue(p) })
-		case mishap.Is(err, mishap.StaleBase):
+			v.w.After(2*clock.Second, func() { v.planDue(p) })
+		case errs.Is(err, errs.StaleBase):
 			p.Stale = true
-		case mishap.Is(err, mishap.OutcomeUnknown):
+		case errs.Is(err, errs.OutcomeUnknown):
 			p.Unknown = true
 		default:
 			p.Refused = true
@@ -444,7 +444,7 @@
 func (v *Watch) planDue(p *Put) {
 	for _, name := range v.w.names {
 		n := v.w.Nodes[name]
-		if !n.well(p.Told - sundial.Second) {
+		if !n.well(p.Told - clock.Second) {
 			continue
 		}
 		var inside uint64
@@ -475,16 +475,16 @@
 			return
 		}
 		if n == nil || n.core.Peer == "" {
-			v.w.After(200*sundial.Millisecond, try)
+			v.w.After(200*clock.Millisecond, try)
 			return
 		}
-		v.w.Ask(n, n.core.Peer, summit.RetireAsk{ID: id, Back: back, Expiry: 4 * sundial.Second}, 5*sundial.Second, func(answer any, err error) {
-			if _, ok := answer.(summit.RetireReceipt); err == nil && ok || mishap.Is(err, mishap.Refused) || mishap.Is(err, mishap.NotFound) {
+		v.w.Ask(n, n.core.Peer, summit.RetireAsk{ID: id, Back: back, Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
+			if _, ok := answer.(summit.RetireReceipt); err == nil && ok || errs.Is(err, errs.Refused) || errs.Is(err, errs.NotFound) {
 				v.w.Note("retire %s back %v: %v %v", id, back, answer, err)
 				v.Busy--
 				return
 			}
-			v.w.After(300*sundial.Millisecond, try)
+			v.w.After(300*clock.Millisecond, try)
 		})
 	}
 	try()
@@ -518,12 +518,12 @@
 			}
 			slot, owner, err := n.edge.Reader.Keeper(daybook.ClaimID(customer, key))
 			if err != nil {
-				v.w.After(v.w.between(50, 600)*sundial.Millisecond, try)
+				v.w.After(v.w.between(50, 600)*clock.Millisecond, try)
 				return
 			}
 			c := &Claimed{Key: key, Order: order, Called: v.w.Now}
 			v.Claims = append(v.Claims, c)
-			v.w.Ask(n, owner.Peer, keeper.ClaimAsk{Slot: slot, Claim: daybook.Claim{Customer: customer, Key: key, Hash: "h", Order: order}, Expiry: 3 * sundial.Second}, 4*sundial.Second, func(answer any, err error) {
+			v.w.Ask(n, owner.Peer, keeper.ClaimAsk{Slot: slot, Claim: daybook.Claim{Customer: customer, Key: key, Hash: "h", Order: order}, Expiry: 3 * clock.Second}, 4*clock.Second, func(answer any, err error) {
 				c.Told = v.w.Now
 				got, ok := answer.(keeper.ClaimAnswer)
 				switch {
@@ -535,15 +535,15 @@
 					v.winners[key] = got.Claim.Order
 					v.Busy--
 					return
-				case mishap.Is(err, mishap.OutcomeUnknown):
+				case errs.Is(err, errs.OutcomeUnknown):
 					c.Unknown = true
 				default:
 					c.Refused = true
 				}
-				v.w.After(v.w.between(50, 600)*sundial.Millisecond, try)
+				v.w.After(v.w.between(50, 600)*clock.Millisecond, try)
 			})
 		}
-		v.w.After(v.w.between(0, 50)*sundial.Millisecond, try)
+		v.w.After(v.w.between(0, 50)*clock.Millisecond, try)
 	}
 }
 
@@ -589,11 +589,11 @@
 
 // Last is the day's end: everything healed, service of every kind is back, and
 // every receipt, result and plan is read back.
-func (v *Watch) Last(most sundial.Micros) {
+func (v *Watch) Last(most clock.Micros) {
 	w := v.w
 	healed := w.Now
 	v.serviceBack(healed)
-	if !w.Until(max(0, healed+12*sundial.Second-w.Now), w.Settled) {
+	if !w.Until(max(0, healed+12*clock.Second-w.Now), w.Settled) {
 		v.breach(back, "the fleet has not settled 12 s after the last fault: %s", w.Standing())
 		return
 	}
@@ -619,7 +619,7 @@
 	}
 	v.Reading = false
 	v.readBack()
-	w.Run(4 * sundial.Second)
+	w.Run(4 * clock.Second)
 	v.planEnd()
 	v.CheckHistories()
 }
@@ -642,7 +642,7 @@
 
 // serviceBack asks for every kind of service, at every edge and for every slot,
 // until each is given: it has to be within about 12 s of the last fault.
-func (v *Watch) serviceBack(since sundial.Micros) {
+func (v *Watch) serviceBack(since clock.Micros) {
 	w := v.w
 	want := map[string]func(n *Node, done func()){}
 	for _, name := range w.Names("trailhead") {
@@ -705,9 +705,9 @@
 		}
 	}
 	names := sorted(want)
-	given := map[string]sundial.Micros{}
+	given := map[string]clock.Micros{}
 	busy := map[string]int{}
-	w.Until(12*sundial.Second, func() bool {
+	w.Until(12*clock.Second, func() bool {
 		for _, name := range names {
 			if given[name] > 0 || busy[name] > 3 {
 				continue
@@ -720,7 +720,7 @@
 					given[name] = w.Now
 				}
 			})
-			w.After(500*sundial.Millisecond, func() { busy[name]-- })
+			w.After(500*clock.Millisecond, func() { busy[name]-- })
 		}
 		return len(given) == len(names)
 	})
@@ -760,9 +760,9 @@
 			}
 			done = count >= h.Items && page.State != string(daybook.Open)
 		})
-		w.Until(3*sundial.Second, func() bool { return answered })
+		w.Until(3*clock.Second, func() bool { return answered })
 		if !done {
-			w.Run(30 * sundial.Millisecond)
+			w.Run(30 * clock.Millisecond)
 		}
 	}
 	if count != h.Items || !done {
@@ -787,13 +787,13 @@
 			n, answered, body := w.Nodes[edges[(p.Number+i)%len(edges)]], false, ""
 			for tries := 0; tries < 5 && !answered; tries++ {
 				over := false
-				w.Ask(n, n.core.Peer, summit.PlansAsk{Version: p.Version}, 2*sundial.Second, func(answer any, err error) {
+				w.Ask(n, n.core.Peer, summit.PlansAsk{Version: p.Version}, 2*clock.Second, func(answer any, err error) {
 					over = true
 					if got, ok := answer.(summit.Plans); ok && err == nil && len(got.Versions) == 1 {
 						answered, body = true, string(got.Versions[0].Body)
 					}
 				})
-				w.Until(3*sundial.Second, func() bool { return over })
+				w.Until(3*clock.Second, func() bool { return over })
 			}
 			v.saw(inForce)
 			if body != p.Body {
--- a/proof/weather/weather_test.go
+++ b/proof/weather/weather_test.go
@@ -6,10 +6,10 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/kernel/footbridge"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/transport"
 )
 
 var ghent = Size{Zones: 3, Cores: 3, Stores: 3, Edges: 3, Slots: 8}
@@ -53,12 +53,12 @@
 // One message of a kind is dropped, repeated, made late, or swapped with those
 // behind it, for every kind there is; every promise holds whichever it is.
 func TestOneMessageMutated(t *testing.T) {
-	quiet := Climate{Sync: 2 * sundial.Millisecond}
+	quiet := Climate{Sync: 2 * clock.Millisecond}
 	small := Size{Zones: 3, Cores: 3, Stores: 3, Edges: 2, Slots: 4}
-	live := func(kind string, target int, drop, repeat bool, late sundial.Micros) (*World, map[string]int) {
+	live := func(kind string, target int, drop, repeat bool, late clock.Micros) (*World, map[string]int) {
 		counts := map[string]int{}
 		day := Day{Seed: 77, Size: small, Climate: quiet, Acts: 4, Only: "a store", Busy: true}
-		day.Mutate = func(from, to string, body any) (bool, bool, sundial.Micros) {
+		day.Mutate = func(from, to string, body any) (bool, bool, clock.Micros) {
 			name := fmt.Sprintf("%T", body)
 			if counts[name]++; name != kind || counts[name] != target {
 				return false, false, 0
@@ -68,7 +68,7 @@
 		return day.Run(), counts
 	}
 	_, counts := live("", 0, false, false, 0)
-	for _, kind := range footbridge.Kinds() {
+	for _, kind := range transport.Kinds() {
 		if counts[kind] == 0 {
 			if unseen[kind] == "" {
 				t.Errorf("no day sends a %s: give it a day that does, or name the reason", kind)
@@ -79,7 +79,7 @@
 			t.Parallel()
 			for i, way := range []string{"dropped", "repeated", "late", "swapped"} {
 				target := 1 + counts[kind]*(i+1)/6
-				w, _ := live(kind, target, i == 0, i == 1, []sundial.Micros{0, 0, 700 * sundial.Millisecond, 2 * sundial.Millisecond}[i])
+				w, _ := live(kind, target, i == 0, i == 1, []clock.Micros{0, 0, 700 * clock.Millisecond, 2 * clock.Millisecond}[i])
 				if len(w.Watch.Breaches) > 0 {
 					t.Fatalf("message %d of %d, %s: %s", target, counts[kind], way, w.Report(40))
 				}
@@ -100,16 +100,16 @@
 // A store's disk stalls for half a minute: its slots pass on, and bundles are
 // taken in again long before it is back.
 func TestAStalledDiskPassesItsSlotsOn(t *testing.T) {
-	w := NewWorld(3, ghent, Climate{Sync: 2 * sundial.Millisecond})
-	w.Until(10*sundial.Second, w.Settled)
+	w := NewWorld(3, ghent, Climate{Sync: 2 * clock.Millisecond})
+	w.Until(10*clock.Second, w.Settled)
 	w.Watch.Open()
-	w.Run(2 * sundial.Second)
-	w.Nodes["store-1"].Stall(30 * sundial.Second)
-	w.Run(8 * sundial.Second)
+	w.Run(2 * clock.Second)
+	w.Nodes["store-1"].Stall(30 * clock.Second)
+	w.Run(8 * clock.Second)
 	for i := 0; i < 30; i++ {
 		w.Watch.Hand(3, 5)
 	}
-	w.Run(4 * sundial.Second)
+	w.Run(4 * clock.Second)
 	accepted := 0
 	for _, h := range w.Watch.Bundles {
 		if h.Accepted > 0 {
@@ -119,8 +119,8 @@
 	if accepted != 30 {
 		t.Fatalf("8 s into the stall only %d of 30 bundles were taken in: %s %s", accepted, w.Standing(), w.Report(*lines))
 	}
-	w.Run(25 * sundial.Second)
-	if w.Watch.Last(20 * sundial.Second); len(w.Watch.Breaches) > 0 {
+	w.Run(25 * clock.Second)
+	if w.Watch.Last(20 * clock.Second); len(w.Watch.Breaches) > 0 {
 		t.Fatal(w.Report(30))
 	}
 }
@@ -128,24 +128,24 @@
 // Two stores that both live can't reach each other for half a minute: their
 // slots find other partners, and bundles are taken in meanwhile.
 func TestAPairThatIsCutFindsOtherPartners(t *testing.T) {
-	w := NewWorld(4, ghent, Climate{Sync: 2 * sundial.Millisecond})
-	w.Until(10*sundial.Second, w.Settled)
+	w := NewWorld(4, ghent, Climate{Sync: 2 * clock.Millisecond})
+	w.Until(10*clock.Second, w.Settled)
 	w.Watch.Open()
-	w.Run(6 * sundial.Second)
+	w.Run(6 * clock.Second)
 	w.Cut("store-1", "store-2", true)
-	w.Run(8 * sundial.Second)
+	w.Run(8 * clock.Second)
 	for i := 0; i < 30; i++ {
 		w.Watch.Hand(3, 5)
 	}
-	w.Run(4 * sundial.Second)
+	w.Run(4 * clock.Second)
 	for _, h := range w.Watch.Bundles {
 		if h.Accepted == 0 {
 			t.Fatalf("12 s into the cut bundle %s was not taken in: %s %s", h.ID, w.Standing(), w.Report(60))
 		}
 	}
 	w.Cut("store-1", "store-2", false)
-	w.Run(5 * sundial.Second)
-	if w.Watch.Last(20 * sundial.Second); len(w.Watch.Breaches) > 0 {
+	w.Run(5 * clock.Second)
+	if w.Watch.Last(20 * clock.Second); len(w.Watch.Breaches) > 0 {
 		t.Fatal(w.Report(30))
 	}
 }
@@ -158,39 +158,39 @@
 			if kind == "core-1" && !alive {
 				continue // a core's old copy has an old epoch: it can claim nothing
 			}
-			w := NewWorld(8, ghent, Climate{Sync: 2 * sundial.Millisecond})
-			w.Until(10*sundial.Second, w.Settled)
+			w := NewWorld(8, ghent, Climate{Sync: 2 * clock.Millisecond})
+			w.Until(10*clock.Second, w.Settled)
 			w.Watch.Open()
 			for i := 0; i < 20; i++ {
 				w.Watch.Hand(4, 5)
 			}
-			w.Run(sundial.Second)
+			w.Run(clock.Second)
 			original := w.Nodes[kind]
 			copied := w.Copy(original, "copy")
 			if !alive {
 				// The original lives two lives more, takes bundles in, and dies.
 				for i := 0; i < 2; i++ {
 					original.Crash()
-					w.Run(500 * sundial.Millisecond)
+					w.Run(500 * clock.Millisecond)
 					original.Boot(8)
-					w.Until(10*sundial.Second, w.Settled)
+					w.Until(10*clock.Second, w.Settled)
 				}
 				for i := 0; i < 20; i++ {
 					w.Watch.Hand(4, 5)
 				}
-				w.Run(2 * sundial.Second)
+				w.Run(2 * clock.Second)
 				original.Crash()
-				w.Run(5 * sundial.Second)
+				w.Run(5 * clock.Second)
 			}
 			copied.Boot(8)
-			w.Run(3 * sundial.Second)
-			if !mishap.Is(copied.Halted, mishap.WrongFolder) || original.Halted != nil {
+			w.Run(3 * clock.Second)
+			if !errs.Is(copied.Halted, errs.WrongFolder) || original.Halted != nil {
 				t.Fatalf("%s, original alive %v: the copy ended with %v, the original with %v", kind, alive, copied.Halted, original.Halted)
 			}
 			if !alive {
 				original.Boot(8)
 			}
-			if w.Watch.Last(20 * sundial.Second); len(w.Watch.Breaches) > 0 {
+			if w.Watch.Last(20 * clock.Second); len(w.Watch.Breaches) > 0 {
 				t.Fatal(w.Report(40))
 			}
 		}
@@ -200,20 +200,20 @@
 // A store and a core of another fleet that were given this fleet's seeds end with
 // the remedy, and change nothing here.
 func TestSeedsOfAnotherFleet(t *testing.T) {
-	for kind, record := range map[string]stride.Record{
+	for kind, record := range map[string]machine.Record{
 		"store-1": {Unit: "self", Kind: "writer", Body: []byte(`{"fleet":"f-other","writer":3}`)},
 		"core-1":  {Unit: "oath", Kind: "oath", Epoch: 4, Body: []byte(`{"fleet":"f-other","granted":4,"cores":[{"id":"x-1"},{"id":"x-2"},{"id":"stranger"}],"done":{"epoch":4},"sworn":[{"id":"x-1"},{"id":"x-2"},{"id":"stranger"}]}`)},
 	} {
-		w := NewWorld(8, ghent, Climate{Sync: 2 * sundial.Millisecond})
-		w.Until(10*sundial.Second, w.Settled)
+		w := NewWorld(8, ghent, Climate{Sync: 2 * clock.Millisecond})
+		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
-		w.Run(3 * sundial.Second)
+		w.Run(3 * clock.Second)
 		slots := fmt.Sprint(w.primary().Summit.Chart().Slots)
 		stranger := w.Copy(w.Nodes[kind], "stranger")
-		stranger.ID, stranger.life, stranger.disk.durable = "stranger", 3, []stride.Record{record}
+		stranger.ID, stranger.life, stranger.disk.durable = "stranger", 3, []machine.Record{record}
 		stranger.Boot(8)
-		w.Run(8 * sundial.Second)
-		if !mishap.Is(stranger.Halted, mishap.WrongFolder) {
+		w.Run(8 * clock.Second)
+		if !errs.Is(stranger.Halted, errs.WrongFolder) {
 			t.Errorf("%s of another fleet: ended with %v", kind, stranger.Halted)
 		}
 		if now := w.primary().Summit.Chart(); fmt.Sprint(now.Slots) != slots || len(now.Stores) != 3 {
@@ -226,8 +226,8 @@
 // that owns most is in its own zone.
 func TestAnAddedStoreTakesItsShare(t *testing.T) {
 	for zone := 1; zone <= 2; zone++ {
-		w := NewWorld(21, Size{Zones: 4, Cores: 3, Stores: 4, Edges: 2, Slots: 24}, Climate{Sync: 2 * sundial.Millisecond})
-		w.Until(10*sundial.Second, w.Settled)
+		w := NewWorld(21, Size{Zones: 4, Cores: 3, Stores: 4, Edges: 2, Slots: 24}, Climate{Sync: 2 * clock.Millisecond})
+		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
 		for i := 0; i < 20; i++ {
 			w.Watch.Hand(5, 5)
@@ -235,7 +235,7 @@
 		added := w.Copy(w.Nodes["store-1"], "store-5")
 		added.ID, added.Zone, added.life, added.disk.durable = "refuge-05", fmt.Sprintf("zone-%d", zone), 0, nil
 		added.Boot(24)
-		if !w.Until(60*sundial.Second, func() bool { return added.Keeper.Owned() >= 3 }) {
+		if !w.Until(60*clock.Second, func() bool { return added.Keeper.Owned() >= 3 }) {
 			t.Errorf("in zone-%d the added store owns %d of 24 slots after a minute", zone, added.Keeper.Owned())
 		}
 		// Then it comes to rest: nothing is moved to and fro.
@@ -245,12 +245,12 @@
 			}
 			return sum
 		}
-		w.Run(25 * sundial.Second)
+		w.Run(25 * clock.Second)
 		before := epochs()
-		if w.Run(10 * sundial.Second); epochs() != before {
+		if w.Run(10 * clock.Second); epochs() != before {
 			t.Errorf("in zone-%d: slots still move after 25 s", zone)
 		}
-		if w.Watch.Last(20 * sundial.Second); len(w.Watch.Breaches) > 0 {
+		if w.Watch.Last(20 * clock.Second); len(w.Watch.Breaches) > 0 {
 			t.Error(w.Report(20))
 		}
 	}
@@ -261,11 +261,11 @@
 func TestBadWeatherAloneMovesNothing(t *testing.T) {
 	moved := 0
 	for seed := int64(1); seed <= 3; seed++ {
-		w := NewWorld(seed, ghent, Climate{Drop: 0.02, Repeat: 0.02, Late: 0.2, LateBy: 150 * sundial.Millisecond, Sync: 10 * sundial.Millisecond})
-		if !w.Until(15*sundial.Second, w.Settled) {
+		w := NewWorld(seed, ghent, Climate{Drop: 0.02, Repeat: 0.02, Late: 0.2, LateBy: 150 * clock.Millisecond, Sync: 10 * clock.Millisecond})
+		if !w.Until(15*clock.Second, w.Settled) {
 			t.Fatalf("seed %d: not settled: %s", seed, w.Standing())
 		}
-		w.Run(10 * sundial.Second)
+		w.Run(10 * clock.Second)
 		epochs := func() (out string) {
 			for _, p := range w.primary().Summit.Chart().Slots {
 				out += fmt.Sprint(p.Epoch, p.Owner, " ")
@@ -276,9 +276,9 @@
 		for i := 0; i < 30; i++ {
 			n := w.any([]string{"refuge", "cairn", "trailhead"}[w.Chance.Intn(3)])
 			n.Freeze()
-			w.Run(w.between(50, 500) * sundial.Millisecond)
+			w.Run(w.between(50, 500) * clock.Millisecond)
 			n.Thaw()
-			w.Run(w.between(200, 1500) * sundial.Millisecond)
+			w.Run(w.between(200, 1500) * clock.Millisecond)
 		}
 		if after := epochs(); after != before {
 			moved++
--- a/proof/weather/world.go
+++ b/proof/weather/world.go
@@ -19,9 +19,9 @@
 	"tuliprudder/core/summit"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
-	"tuliprudder/kernel/mishap"
-	"tuliprudder/kernel/stride"
-	"tuliprudder/kernel/sundial"
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/keeper"
 	"tuliprudder/path/purse"
 	"tuliprudder/path/runner"
@@ -30,7 +30,7 @@
 )
 
 type event struct {
-	at  sundial.Micros
+	at  clock.Micros
 	seq uint64
 	do  func()
 }
@@ -56,13 +56,13 @@
 // Climate is how bad links and disks are.
 type Climate struct {
 	Drop, Repeat, Late float64
-	LateBy             sundial.Micros
-	Sync               sundial.Micros
+	LateBy             clock.Micros
+	Sync               clock.Micros
 }
 
 // Mild is the climate of an ordinary day.
 func Mild() Climate {
-	return Climate{Drop: 0.002, Repeat: 0.002, Late: 0.01, LateBy: 60 * sundial.Millisecond, Sync: 2 * sundial.Millisecond}
+	return Climate{Drop: 0.002, Repeat: 0.002, Late: 0.01, LateBy: 60 * clock.Millisecond, Sync: 2 * clock.Millisecond}
 }
 
 // Node is one daemon.
@@ -85,13 +85,13 @@
 	core    chart.CoreNews      // as heard last
 	plan    uint64              // the same
 	cuts    int                 // links of it that are cut now
-	ill     sundial.Micros      // when it was last down, frozen or cut
+	ill     clock.Micros        // when it was last down, frozen or cut
 	up      bool
 	frozen  bool
 	era     int // raised at every crash: what was under way is gone
 	disk    disk
 	parked  []func() // arrived while frozen
-	calls   map[uint64]func(stride.Answer)
+	calls   map[uint64]func(machine.Answer)
 	number  uint64
 	Halted  error
 	wipes   int
@@ -99,7 +99,7 @@
 }
 
 type write struct {
-	records []stride.Record
+	records []machine.Record
 	fold    bool
 	token   uint64
 	shelf   uint64   // a file for the shelf
@@ -113,7 +113,7 @@
 	if body, ok := s.files[file][unit]; ok {
 		return body, nil
 	}
-	return nil, mishap.New(mishap.Corrupt, "", "no %s in shelf file %d", unit, file)
+	return nil, errs.New(errs.Corrupt, "", "no %s in shelf file %d", unit, file)
 }
 
 func (s *shelf) Held() []uint64 {
@@ -134,19 +134,19 @@
 }
 
 type disk struct {
-	durable []stride.Record
+	durable []machine.Record
 	shelf   shelf
 	queue   []write
 	busy    bool
-	stalled sundial.Micros // until
-	slow    sundial.Micros // added to each sync
-	liar    bool           // planted by tests: says synced, keeps it in memory only
+	stalled clock.Micros // until
+	slow    clock.Micros // added to each sync
+	liar    bool         // planted by tests: says synced, keeps it in memory only
 	cached  []write
 }
 
 // World is a whole fleet.
 type World struct {
-	Now       sundial.Micros
+	Now       clock.Micros
 	Chance    *rand.Rand
 	Climate   Climate
 	queue     events
@@ -165,7 +165,7 @@
 	// Plant lets a test plant a fault in the machines it starts.
 	Plant func(n *Node)
 	// Mutate may change the fate of one message; nil leaves it to the climate.
-	Mutate func(from, to string, body any) (drop, repeat bool, late sundial.Micros)
+	Mutate func(from, to string, body any) (drop, repeat bool, late clock.Micros)
 	// Spy sees each message as it is sent; Wrote each node whose disk has just
 	// synced, before its machine hears of it.
 	Spy   func(from, to *Node, body any)
@@ -201,7 +201,7 @@
 	}
 	for _, name := range w.names {
 		n := w.Nodes[name]
-		w.After(w.between(0, 200*sundial.Millisecond), func() { n.Boot(size.Slots) })
+		w.After(w.between(0, 200*clock.Millisecond), func() { n.Boot(size.Slots) })
 	}
 	return w
 }
@@ -218,17 +218,17 @@
 }
 
 // After does something later.
-func (w *World) After(span sundial.Micros, do func()) {
+func (w *World) After(span clock.Micros, do func()) {
 	w.seq++
 	heap.Push(&w.queue, event{at: w.Now + span, seq: w.seq, do: do})
 }
 
-func (w *World) between(least, most sundial.Micros) sundial.Micros {
-	return least + sundial.Micros(w.Chance.Int63n(int64(most-least+1)))
+func (w *World) between(least, most clock.Micros) clock.Micros {
+	return least + clock.Micros(w.Chance.Int63n(int64(most-least+1)))
 }
 
 // Run lets time pass.
-func (w *World) Run(span sundial.Micros) {
+func (w *World) Run(span clock.Micros) {
 	end := w.Now + span
 	for len(w.queue) > 0 && w.queue[0].at <= end {
 		next := heap.Pop(&w.queue).(event)
@@ -240,13 +240,13 @@
 }
 
 // Until lets time pass until a condition holds; false when it does not in time.
-func (w *World) Until(most sundial.Micros, holds func() bool) bool {
+func (w *World) Until(most clock.Micros, holds func() bool) bool {
 	end := w.Now + most
 	for !holds() {
 		if w.Now >= end {
 			return false
 		}
-		w.Run(50 * sundial.Millisecond)
+		w.Run(50 * clock.Millisecond)
 	}
 	return true
 }
@@ -314,7 +314,7 @@
 }
 
 // well tells whether a node has had nothing done to it since a time.
-func (n *Node) well(since sundial.Micros) bool {
+func (n *Node) well(since clock.Micros) bool {
 	return n.up && !n.frozen && n.cuts == 0 && n.ill < since
 }
 
@@ -335,7 +335,7 @@
 	if to == nil || w.cut[[2]string{from.Name, to.Name}] {
 		return
 	}
-	drop, repeat, late := w.Chance.Float64() < w.Climate.Drop, w.Chance.Float64() < w.Climate.Repeat, sundial.Micros(0)
+	drop, repeat, late := w.Chance.Float64() < w.Climate.Drop, w.Chance.Float64() < w.Climate.Repeat, clock.Micros(0)
 	if w.Chance.Float64() < w.Climate.Late {
 		late = w.between(0, w.Climate.LateBy)
 	}
@@ -386,7 +386,7 @@
 	n.era++
 	n.life++
 	n.up, n.frozen, n.parked = true, false, nil
-	n.calls, n.runs, n.crashed, n.ill = map[uint64]func(stride.Answer){}, map[uint64]*serving{}, map[uint64]func(){}, w.Now
+	n.calls, n.runs, n.crashed, n.ill = map[uint64]func(machine.Answer){}, map[uint64]*serving{}, map[uint64]func(){}, w.Now
 	n.core, n.plan, n.ledger = chart.CoreNews{}, 0, nil
 	n.disk.queue, n.disk.busy = nil, false
 	life := n.life
@@ -434,51 +434,51 @@
 				n.do(n.machine.ClockEvent(w.Now))
 			}
 		})
-		w.After(20*sundial.Millisecond, tick)
+		w.After(20*clock.Millisecond, tick)
 	}
-	w.After(w.between(0, 20*sundial.Millisecond), tick)
+	w.After(w.between(0, 20*clock.Millisecond), tick)
 }
 
 // do carries out what a machine decided.
-func (n *Node) do(effects []stride.Effect) {
+func (n *Node) do(effects []machine.Effect) {
 	w := n.world
 	for _, effect := range effects {
 		switch e := effect.(type) {
-		case stride.Send:
+		case machine.Send:
 			to := w.byPeer[e.To]
 			body := e.Body
 			w.carry(n, to, body, func() { to.letter(n.Peer, body) })
-		case stride.Store:
+		case machine.Store:
 			n.disk.queue = append(n.disk.queue, write{records: e.Records, token: e.Token})
 			n.spin()
-		case stride.Fold:
+		case machine.Fold:
 			n.disk.queue = append(n.disk.queue, write{records: e.Records, fold: true})
 			n.spin()
-		case stride.Shelve:
+		case machine.Shelve:
 			n.disk.queue = append(n.disk.queue, write{records: e.Records, token: e.Token, shelf: e.File})
 			n.spin()
-		case stride.Unshelve:
+		case machine.Unshelve:
 			n.disk.queue = append(n.disk.queue, write{drop: e.Files})
 			n.spin()
-		case stride.Answer:
+		case machine.Answer:
 			if back := n.calls[e.Call]; back != nil {
 				delete(n.calls, e.Call)
 				back(e)
 			}
-		case stride.Publish:
+		case machine.Publish:
 			n.do(n.circle.Do(circle.Tell{Rumour: e.Rumour}, w.Now))
-		case stride.Heard:
+		case machine.Heard:
 			n.hear(e.Rumour)
 			if n.machine != nil {
 				n.do(n.machine.Heard(e.Rumour, w.Now))
 			}
-		case stride.Spread:
+		case machine.Spread:
 			n.do(n.circle.Do(circle.Spread(e), w.Now))
-		case stride.Fresh:
+		case machine.Fresh:
 			if n.machine != nil {
 				n.do(n.machine.Fresh(e.At, w.Now))
 			}
-		case stride.Ask:
+		case machine.Ask:
 			era := n.era
 			w.Ask(n, e.To, e.Body, e.Expiry, func(body any, err error) {
 				n.take(func() {
@@ -487,14 +487,14 @@
 					}
 				})
 			})
-		case stride.Explain:
+		case machine.Explain:
 			w.Note("%s: %s %v", n.Name, e.What, e.Fields)
-		case stride.Halt:
+		case machine.Halt:
 			w.Note("%s halts: %v", n.Name, e.Err)
 			n.Halted = e.Err
 			n.Crash()
 			return
-		case stride.Work:
+		case machine.Work:
 			n.work(e.Order)
 		}
 	}
@@ -627,7 +627,7 @@
 // Copy makes another node whose disk is a copy of this one's, as it is now.
 func (w *World) Copy(n *Node, name string) *Node {
 	c := &Node{world: w, Name: name, Kind: n.Kind, Zone: n.Zone, Peer: "10.99." + name + ":1", ID: n.ID, life: n.life}
-	c.disk.durable = append([]stride.Record(nil), n.disk.durable...)
+	c.disk.durable = append([]machine.Record(nil), n.disk.durable...)
 	w.Nodes[name], w.byPeer[c.Peer] = c, c
 	w.names = append(w.names, name)
 	return c
@@ -669,7 +669,7 @@
 }
 
 // Stall holds the disk for a span.
-func (n *Node) Stall(span sundial.Micros) {
+func (n *Node) Stall(span clock.Micros) {
 	n.disk.stalled = n.world.Now + span
 	n.ill = max(n.ill, n.disk.stalled)
 	n.world.Note("%s: disk stalls for %d ms", n.Name, span/1000)
@@ -677,7 +677,7 @@
 
 // Ask asks a node's machine over the network; back is told once: the answer, or
 // an unknown outcome when the expiry passed.
-func (w *World) Ask(from *Node, peer string, body any, expiry sundial.Micros, back func(any, error)) {
+func (w *World) Ask(from *Node, peer string, body any, expiry clock.Micros, back func(any, error)) {
 	to := w.byPeer[peer]
 	over := false
 	finish := func(answer any, err error) {
@@ -687,7 +687,7 @@
 		}
 	}
 	w.After(expiry, func() {
-		finish(nil, mishap.New(mishap.OutcomeUnknown, "ask again with the same key", "no answer in time"))
+		finish(nil, errs.New(errs.OutcomeUnknown, "ask again with the same key", "no answer in time"))
 	})
 	if to == nil {
 		return
@@ -697,7 +697,7 @@
 			return
 		}
 		to.number++
-		to.calls[to.number] = func(a stride.Answer) {
+		to.calls[to.number] = func(a machine.Answer) {
 			w.carry(to, from, a.Body, func() { finish(a.Body, a.Err) })
 		}
 		to.do(to.machine.Call(to.number, body, w.Now))
@@ -741,7 +741,7 @@
 }
 
 // hear notes what a daemon's office knows.
-func (n *Node) hear(rumour stride.Rumour) {
+func (n *Node) hear(rumour machine.Rumour) {
 	switch rumour.Key {
 	case chart.CoreKey:
 		json.Unmarshal(rumour.Value, &n.core)
@@ -757,7 +757,7 @@
 func (n *Node) Here(body any, back func(any, error)) {
 	n.take(func() {
 		n.number++
-		n.calls[n.number] = func(a stride.Answer) { back(a.Body, a.Err) }
+		n.calls[n.number] = func(a machine.Answer) { back(a.Body, a.Err) }
 		n.do(n.machine.Call(n.number, body, n.world.Now))
 	})
 }
