--- a/cmd/cairn/main.go
+++ b/cmd/cairn/main.go
@@ -5,18 +5,18 @@
 	"fmt"
 	"os"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/planbook"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/config"
+	"tuliprudder/core/control"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/outfit"
 	"tuliprudder/kernel/settings"
+	"tuliprudder/membership/identity"
 )
 
 func main() {
 	var common settings.Common
 	var bounds lodge.Bounds
-	set := summit.Defaults()
+	set := control.Defaults()
 	settings := settings.New("cairn")
 	settings.Common(&common, true)
 	bounds.Settings(settings)
@@ -26,15 +26,15 @@
 	settings.Int(&set.CoreSilent, "core-silent-us", set.CoreSilent, 500_000, 60_000_000, "silence after which a core counts as gone")
 	settings.Int(&set.ReplaceAfter, "replace-after-us", set.ReplaceAfter, 1_000_000, 3_600_000_000, "silence after which a core's seat passes on")
 	settings.MustParse(os.Args[1:])
-	set.Slots, set.CheckPlan = int(slots), planbook.Check
+	set.Slots, set.CheckPlan = int(slots), config.Check
 	if err := run(common, bounds, set); err != nil {
 		fmt.Fprintln(os.Stderr, "cairn:", err)
 		os.Exit(1)
 	}
 }
 
-func run(common settings.Common, bounds lodge.Bounds, set summit.Settings) error {
-	l, err := lodge.Open("cairn", people.Cairn, common, bounds)
+func run(common settings.Common, bounds lodge.Bounds, set control.Settings) error {
+	l, err := lodge.Open("cairn", identity.Cairn, common, bounds)
 	if err != nil {
 		return err
 	}
--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -6,18 +6,18 @@
 	"fmt"
 	"os"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/outfit"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/settings"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/identity"
 )
 
 func main() {
 	var common settings.Common
 	var bounds lodge.Bounds
-	set := keeper.Defaults()
+	set := store.Defaults()
 	settings := settings.New("refuge")
 	settings.Common(&common, true)
 	bounds.Settings(settings)
@@ -32,19 +32,19 @@
 	}
 }
 
-func run(common settings.Common, bounds lodge.Bounds, set keeper.Settings) error {
-	l, err := lodge.Open("refuge", people.Refuge, common, bounds)
+func run(common settings.Common, bounds lodge.Bounds, set store.Settings) error {
+	l, err := lodge.Open("refuge", identity.Refuge, common, bounds)
 	if err != nil {
 		return err
 	}
-	store, err := outfit.NewStore(l, set)
+	daemon, err := outfit.NewStore(l, set)
 	if err != nil {
 		return err
 	}
-	books := store.Keeper
-	plant(books, store.Folder, common.Data)
+	books := daemon.Keeper
+	plant(books, daemon.Folder, common.Data)
 	l.OnDrain(func() {
-		l.Porter.Word(keeper.Drain{})
+		l.Porter.Word(store.Drain{})
 		lodge.Wait(7*clock.Second, func() (gone bool) {
 			l.Porter.Inside(func(clock.Micros) { gone = books.Owned() == 0 })
 			return gone
--- a/cmd/refuge/planted.go
+++ b/cmd/refuge/planted.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"tuliprudder/kernel/storage"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
 )
 
 // plant puts a fault into a store on purpose: only builds for the proof of the
 // checkers have it (DESIGN §9).
-func plant(books *keeper.Keeper, room *storage.Folder, folder string) {
+func plant(books *store.Keeper, room *storage.Folder, folder string) {
 	switch os.Getenv("TULIPRUDDER_PLANT") {
 	case "one-disk":
 		books.Gang().SkipRemote = true
--- a/cmd/refuge/sound.go
+++ b/cmd/refuge/sound.go
@@ -4,8 +4,8 @@
 
 import (
 	"tuliprudder/kernel/storage"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
 )
 
 // plant does nothing in the daemons that serve.
-func plant(*keeper.Keeper, *storage.Folder, string) {}
+func plant(*store.Keeper, *storage.Folder, string) {}
--- a/cmd/trailhead/main.go
+++ b/cmd/trailhead/main.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"os"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/outfit"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/settings"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/gate"
 )
 
@@ -39,7 +39,7 @@
 }
 
 func run(common settings.Common, bounds lodge.Bounds, set planes.EdgeSettings) error {
-	l, err := lodge.Open("trailhead", people.Trailhead, common, bounds)
+	l, err := lodge.Open("trailhead", identity.Trailhead, common, bounds)
 	if err != nil {
 		return err
 	}
--- a/cmd/waymark/plan.go
+++ b/cmd/waymark/plan.go
@@ -13,7 +13,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/path/guidebook"
 )
@@ -34,7 +34,7 @@
 			if err != nil {
 				return err
 			}
-			if err := planbook.Check(data); err != nil {
+			if err := config.Check(data); err != nil {
 				return err
 			}
 			fmt.Fprintln(t.out, "the plan is sound")
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	if err := planbook.Check(data); err != nil {
+	if err := config.Check(data); err != nil {
 		return err
 	}
 	return t.put(data, base)
--- a/core/planbook/plan.go
+++ b/core/config/plan.go
@@ -1,7 +1,7 @@
-// Package planbook reads and checks the operators' plans by hand (DESIGN §8):
+// Package config reads and checks the operators' plans by hand (DESIGN §8):
 // every fault is reported with its path and its remedy, and unknown fields are
 // faults.
-package planbook
+package config
 
 import (
 	"encoding/json"
--- a/core/planbook/plan_test.go
+++ b/core/config/plan_test.go
@@ -1,4 +1,4 @@
-package planbook
+package config
 
 import (
 	"fmt"
--- a/core/summit/asks.go
+++ b/core/control/asks.go
@@ -1,12 +1,12 @@
-package summit
+package control
 
 import (
 	"encoding/json"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/transport"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
 )
 
 // CoreRef is the identity of one core.
@@ -18,12 +18,12 @@
 
 // Oath is all that a core keeps as a witness: epochs, and who they name.
 type Oath struct {
-	Fleet   string         `json:"fleet"`
-	Granted uint64         `json:"granted"`
-	Grant   tether.Pairing `json:"grant"`
-	Cores   []CoreRef      `json:"cores"`
-	Done    tether.Pairing `json:"done"`
-	Sworn   []CoreRef      `json:"sworn"` // the cores at the last complete pair
+	Fleet   string              `json:"fleet"`
+	Granted uint64              `json:"granted"`
+	Grant   replication.Pairing `json:"grant"`
+	Cores   []CoreRef           `json:"cores"`
+	Done    replication.Pairing `json:"done"`
+	Sworn   []CoreRef           `json:"sworn"` // the cores at the last complete pair
 }
 
 // Messages between cores.
@@ -39,7 +39,7 @@
 	// Claim asks a witness for an epoch.
 	Claim struct {
 		Fleet   string
-		Pairing tether.Pairing
+		Pairing replication.Pairing
 		Cores   []CoreRef
 		Base    uint64 // the claimant's last complete epoch
 		From    CoreRef
@@ -55,7 +55,7 @@
 	// Sealing asks a witness to write down that a pair is complete.
 	Sealing struct {
 		Fleet   string
-		Pairing tether.Pairing
+		Pairing replication.Pairing
 		Cores   []CoreRef
 	}
 	// Sealed answers it.
@@ -87,7 +87,7 @@
 		Latest  bool
 	}
 	// Plans is the answer.
-	Plans struct{ Versions []chart.Version }
+	Plans struct{ Versions []state.Version }
 	// RetireAsk empties a store and retires it; Back takes it back, Look changes
 	// nothing. Where ID is "" the store that the operator calls Name is meant.
 	RetireAsk struct {
--- a/core/summit/election.go
+++ b/core/control/election.go
@@ -1,13 +1,13 @@
-package summit
+package control
 
 import (
 	"slices"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
 )
 
 // This file is how the cores agree on who owns (DESIGN §5.1 to §5.3).
@@ -175,7 +175,7 @@
 }
 
 // wanted is the pairing this core should claim, with the reason, or none.
-func (s *Summit) wanted(now clock.Micros) (tether.Pairing, []CoreRef, string) {
+func (s *Summit) wanted(now clock.Micros) (replication.Pairing, []CoreRef, string) {
 	current := s.oath.Grant
 	current.Complete = s.oath.Done.Epoch == s.oath.Granted
 	if s.oath.Done.Epoch > 0 {
@@ -185,7 +185,7 @@
 	if s.oath.Done.Epoch > 0 {
 		cores = s.oath.Sworn
 	}
-	scene := tether.Scene{
+	scene := replication.Scene{
 		Life: func(id string) (uint64, bool) {
 			if seat(cores, id) < 0 {
 				return 0, false
@@ -207,17 +207,17 @@
 	// complete one again.
 	if !current.Complete && s.oath.Done.Epoch > 0 && !(current.Owner.ID == s.self.ID && s.rope().Owns() && s.rope().Epoch == current.Epoch) {
 		owner, ok := s.cores[current.Owner.ID]
-		alive := ok && now-owner.at <= s.set.CoreSilent && owner.greet.Oath.Granted == current.Epoch && owner.greet.Role != tether.Cold.String()
+		alive := ok && now-owner.at <= s.set.CoreSilent && owner.greet.Oath.Granted == current.Epoch && owner.greet.Role != replication.Cold.String()
 		if !alive {
 			epoch := current.Epoch
 			current = s.oath.Done
 			current.Complete = true
-			next, reason, ok := tether.Next(current, scene)
+			next, reason, ok := replication.Next(current, scene)
 			if !ok {
 				// The last pair is whole but its epoch is burnt: its owner renews.
 				life, live := scene.Life(current.Owner.ID)
 				if !live {
-					return tether.Pairing{}, nil, ""
+					return replication.Pairing{}, nil, ""
 				}
 				next, reason = current, "epoch burnt by a claim that failed"
 				next.Owner.Life, next.Complete = life, false
@@ -225,24 +225,24 @@
 			}
 			next.Epoch = max(next.Epoch, epoch+1)
 			if next.Owner.ID != s.self.ID {
-				return tether.Pairing{}, nil, ""
+				return replication.Pairing{}, nil, ""
 			}
 			return next, cores, reason
 		}
 	}
-	next, reason, ok := tether.Next(current, scene)
+	next, reason, ok := replication.Next(current, scene)
 	if ok && next.Owner.ID == s.self.ID {
 		return next, cores, reason
 	}
 	if ok || !s.Serving() {
-		return tether.Pairing{}, nil, ""
+		return replication.Pairing{}, nil, ""
 	}
 	return s.reseat(current, cores, now)
 }
 
 // reseat gives the seat of a core that is gone to one that has none: one seat
 // at a time, under an epoch of its own.
-func (s *Summit) reseat(current tether.Pairing, cores []CoreRef, now clock.Micros) (tether.Pairing, []CoreRef, string) {
+func (s *Summit) reseat(current replication.Pairing, cores []CoreRef, now clock.Micros) (replication.Pairing, []CoreRef, string) {
 	// An empty core takes a seat sooner than one that had a seat before: nobody waits
 	// for it to come back.
 	wait, heir := s.set.ReplaceAfter, CoreRef{}
@@ -259,7 +259,7 @@
 		}
 	}
 	if heir.ID == "" || now-s.serving <= wait {
-		return tether.Pairing{}, nil, ""
+		return replication.Pairing{}, nil, ""
 	}
 	gone := -1
 	for i, core := range cores {
@@ -269,11 +269,11 @@
 		}
 	}
 	if gone < 0 {
-		return tether.Pairing{}, nil, ""
+		return replication.Pairing{}, nil, ""
 	}
 	seats := append([]CoreRef(nil), cores...)
 	seats[gone] = heir
-	next := tether.Pairing{Epoch: current.Epoch + 1, Owner: current.Owner, Backup: current.Backup, Trusted: [2]string{current.Owner.ID, current.Backup.ID}}
+	next := replication.Pairing{Epoch: current.Epoch + 1, Owner: current.Owner, Backup: current.Backup, Trusted: [2]string{current.Owner.ID, current.Backup.ID}}
 	return next, seats, "a core is gone; its seat passes to " + heir.ID
 }
 
@@ -331,8 +331,8 @@
 		s.Emit(machine.Explain{What: "can't found: the cores are in one zone; give them -zone settings that differ"})
 		return
 	}
-	pairing := tether.Pairing{Epoch: 1, Owner: tether.Member{ID: s.self.ID, Life: s.life},
-		Backup: tether.Member{ID: second.ID, Life: s.cores[second.ID].greet.Life}, Trusted: [2]string{s.self.ID, second.ID}}
+	pairing := replication.Pairing{Epoch: 1, Owner: replication.Member{ID: s.self.ID, Life: s.life},
+		Backup: replication.Member{ID: second.ID, Life: s.cores[second.ID].greet.Life}, Trusted: [2]string{s.self.ID, second.ID}}
 	s.claim = &claiming{claim: Claim{Fleet: fleet, Pairing: pairing, Cores: refs, From: s.self}, yes: map[string]Oath{}, at: now, found: true}
 	s.send()
 }
@@ -384,7 +384,7 @@
 	}
 	done := s.oath.Done
 	if owner, ok := s.cores[done.Owner.ID]; ok && done.Owner.ID != c.Pairing.Owner.ID && now-owner.at < s.set.CoreSilent/2 &&
-		owner.greet.Life == done.Owner.Life && owner.greet.Role == tether.Serving.String() && owner.greet.Oath.Granted == done.Epoch {
+		owner.greet.Life == done.Owner.Life && owner.greet.Role == replication.Serving.String() && owner.greet.Oath.Granted == done.Epoch {
 		return "the primary is heard here"
 	}
 	return ""
@@ -498,7 +498,7 @@
 		s.serving = now
 		s.Emit(machine.Explain{What: "primary", Fields: map[string]any{"epoch": epoch, "backup": s.seal.pairing.Backup.ID}})
 		if s.chart.Fleet == "" {
-			s.propose(change{entry: chart.Found{Fleet: s.oath.Fleet, Slots: s.set.Slots}}, now)
+			s.propose(change{entry: state.Found{Fleet: s.oath.Fleet, Slots: s.set.Slots}}, now)
 		}
 		s.publish()
 		s.advance(now)
--- a/core/summit/listed.go
+++ b/core/control/listed.go
@@ -1,4 +1,4 @@
-package summit
+package control
 
 import (
 	"encoding/json"
--- a/core/summit/office.go
+++ b/core/control/office.go
@@ -1,4 +1,4 @@
-package summit
+package control
 
 import (
 	"bytes"
@@ -7,12 +7,12 @@
 	"slices"
 	"sort"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/store"
 )
 
 // This file is what the primary does for the fleet (DESIGN §5.4, §6.6, §8).
@@ -82,7 +82,7 @@
 // entry numbers the plan, or turns it away where its base is not in force or its
 // number is not above the one in force (DESIGN §8.1, §12.7). A version that is there
 // already is not written again: nil.
-func (p plannedPut) entry(s *Summit) (chart.Entry, uint64, error) {
+func (p plannedPut) entry(s *Summit) (state.Entry, uint64, error) {
 	latest, _ := s.chart.Latest()
 	number := p.ask.Number
 	if p.known(s) {
@@ -100,7 +100,7 @@
 	if number <= latest.Number {
 		return nil, 0, errs.New(errs.BadPlan, fmt.Sprintf("number the plan above %d", latest.Number), "version %d is not above the one in force, %d", p.ask.Number, latest.Number)
 	}
-	return chart.PutPlan{Version: chart.Version{Number: number, Body: p.ask.Body, By: p.ask.By, At: p.at}}, number, nil
+	return state.PutPlan{Version: state.Version{Number: number, Body: p.ask.Body, By: p.ask.By, At: p.at}}, number, nil
 }
 
 // sameDocument compares two documents as the chart writes them: compact.
@@ -148,7 +148,7 @@
 			continue
 		}
 		s.Changes++
-		data := chart.Encode(c.entry)
+		data := state.Encode(c.entry)
 		if err := s.chart.Play(data); err != nil {
 			s.BadRecord = err
 			return
@@ -206,30 +206,30 @@
 	if s.chart.Seq > s.published.seq {
 		s.published.seq = s.chart.Seq
 		value, _ := json.Marshal(s.chart.Map())
-		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: chart.MapKey, Seq: s.chart.Seq, Value: value}})
+		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: state.MapKey, Seq: s.chart.Seq, Value: value}})
 	}
 	if epoch := s.rope().Epoch; epoch > s.published.epoch {
 		s.published.epoch = epoch
-		core := chart.CoreNews{Fleet: s.chart.Fleet, Epoch: epoch, Primary: s.self.ID, Peer: s.self.Peer, Backup: s.oath.Done.Backup.ID}
+		core := state.CoreNews{Fleet: s.chart.Fleet, Epoch: epoch, Primary: s.self.ID, Peer: s.self.Peer, Backup: s.oath.Done.Backup.ID}
 		for _, ref := range s.oath.Cores {
 			core.Cores, core.Seats = append(core.Cores, ref.Peer), append(core.Seats, ref.ID)
 		}
 		value, _ := json.Marshal(core)
-		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: chart.CoreKey, Epoch: epoch, Value: value}})
+		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: state.CoreKey, Epoch: epoch, Value: value}})
 	}
 }
 
-func planNews(version chart.Version) machine.Rumour {
+func planNews(version state.Version) machine.Rumour {
 	value, _ := json.Marshal(version)
-	return machine.Rumour{Key: chart.PlanKey, Seq: version.Number, Value: value}
+	return machine.Rumour{Key: state.PlanKey, Seq: version.Number, Value: value}
 }
 
 // storeBeat hears a store; the primary enrols it and tells it its writer id.
-func (s *Summit) storeBeat(from string, beat keeper.Beat, now clock.Micros) {
+func (s *Summit) storeBeat(from string, beat store.Beat, now clock.Micros) {
 	heard, ok := s.stores[beat.ID]
 	if why := s.impostor(beat, heard, ok, now); why != "" {
 		s.Emit(machine.Explain{What: "a store is turned away", Fields: map[string]any{"store": beat.ID, "peer": beat.Peer, "life": beat.Life, "reason": why}})
-		s.Emit(machine.Send{To: from, Body: keeper.Unwelcome{ID: beat.ID, Life: beat.Life, Why: why}})
+		s.Emit(machine.Send{To: from, Body: store.Unwelcome{ID: beat.ID, Life: beat.Life, Why: why}})
 		return
 	}
 	if s.replaced(beat.ID, now) {
@@ -245,13 +245,13 @@
 	}
 	known, enrolled := s.chart.Stores[beat.ID]
 	if !enrolled || known.Struck || known.Peer != beat.Peer || known.Zone != beat.Zone || known.Name != beat.Name || known.Life != beat.Life {
-		if !s.waiting(func(e chart.Entry) bool { put, ok := e.(chart.EnrolStore); return ok && put.Store.ID == beat.ID }) {
-			s.propose(change{entry: chart.EnrolStore{Store: chart.Store{ID: beat.ID, Zone: beat.Zone, Peer: beat.Peer, Name: beat.Name, Life: beat.Life}}}, now)
+		if !s.waiting(func(e state.Entry) bool { put, ok := e.(state.EnrolStore); return ok && put.Store.ID == beat.ID }) {
+			s.propose(change{entry: state.EnrolStore{Store: state.Store{ID: beat.ID, Zone: beat.Zone, Peer: beat.Peer, Name: beat.Name, Life: beat.Life}}}, now)
 		}
 		return
 	}
 	if s.flight == nil {
-		s.Emit(machine.Send{To: from, Body: keeper.Welcome{Fleet: s.chart.Fleet, Writer: known.Writer, Seq: s.chart.Seq}})
+		s.Emit(machine.Send{To: from, Body: store.Welcome{Fleet: s.chart.Fleet, Writer: known.Writer, Seq: s.chart.Seq}})
 	}
 	s.complete(beat, now)
 }
@@ -259,7 +259,7 @@
 // impostor tells why a beat is not from the store it names: another process with
 // the same identity lives elsewhere, or a newer life was heard before. Its disk
 // would be taken for the trusted one.
-func (s *Summit) impostor(beat keeper.Beat, heard heardStore, known bool, now clock.Micros) string {
+func (s *Summit) impostor(beat store.Beat, heard heardStore, known bool, now clock.Micros) string {
 	if beat.Fleet != "" && s.oath.Fleet != "" && beat.Fleet != s.oath.Fleet {
 		return fmt.Sprintf("it is of fleet %s, this is %s", beat.Fleet, s.oath.Fleet)
 	}
@@ -286,7 +286,7 @@
 	return false
 }
 
-func (s *Summit) waiting(match func(chart.Entry) bool) bool {
+func (s *Summit) waiting(match func(state.Entry) bool) bool {
 	if s.flight != nil && s.flight.entry != nil && match(s.flight.entry) {
 		return true
 	}
@@ -298,16 +298,16 @@
 	return false
 }
 
-func isPair(e chart.Entry) bool { _, ok := e.(chart.Pair); return ok }
+func isPair(e state.Entry) bool { _, ok := e.(state.Pair); return ok }
 
-func isRetire(e chart.Entry) bool { _, ok := e.(chart.Retire); return ok }
+func isRetire(e state.Entry) bool { _, ok := e.(state.Retire); return ok }
 
 // complete writes down which pairs are whole.
-func (s *Summit) complete(beat keeper.Beat, now clock.Micros) {
+func (s *Summit) complete(beat store.Beat, now clock.Micros) {
 	if len(beat.Ready) == 0 || s.waiting(isPair) {
 		return
 	}
-	done := map[int]tether.Pairing{}
+	done := map[int]replication.Pairing{}
 	for slot, epoch := range beat.Ready {
 		if slot < 0 || slot >= len(s.chart.Slots) {
 			continue
@@ -320,7 +320,7 @@
 		}
 	}
 	if len(done) > 0 {
-		s.propose(change{entry: chart.Pair{Slots: done}}, now)
+		s.propose(change{entry: state.Pair{Slots: done}}, now)
 	}
 }
 
@@ -365,9 +365,9 @@
 			continue
 		}
 		store.Struck = true
-		if !s.waiting(func(e chart.Entry) bool { put, ok := e.(chart.EnrolStore); return ok && put.Store.ID == id }) {
+		if !s.waiting(func(e state.Entry) bool { put, ok := e.(state.EnrolStore); return ok && put.Store.ID == id }) {
 			s.Emit(machine.Explain{What: "a silent store no longer counts", Fields: map[string]any{"store": id}})
-			s.propose(change{entry: chart.EnrolStore{Store: store}}, now)
+			s.propose(change{entry: state.EnrolStore{Store: store}}, now)
 		}
 	}
 }
@@ -393,7 +393,7 @@
 
 // entry marks a store as retiring, where the fleet can do without it (DESIGN §8.4, §12.7);
 // nil where there is nothing to change.
-func (p plannedRetire) entry(s *Summit, now clock.Micros) (chart.Entry, string, error) {
+func (p plannedRetire) entry(s *Summit, now clock.Micros) (state.Entry, string, error) {
 	store, known := s.chart.Stores[p.ask.ID]
 	if p.ask.ID == "" {
 		if store, known = s.chart.Named(p.ask.Name); !known {
@@ -418,7 +418,7 @@
 				"without store %s the living stores are in %d zone(s); two copies need two", store.ID, len(zones))
 		}
 	}
-	return chart.Retire{ID: store.ID, Back: p.ask.Back}, store.ID, nil
+	return state.Retire{ID: store.ID, Back: p.ask.Back}, store.ID, nil
 }
 
 // depends counts the slots that still need a store.
@@ -482,12 +482,12 @@
 		}
 		return best
 	}
-	scene := tether.Scene{
+	scene := replication.Scene{
 		Life:  func(id string) (uint64, bool) { return s.storeLife(id, now) },
 		Zone:  func(id string) string { return s.chart.Stores[id].Zone },
 		Spare: func(owner string) string { return spare(owner) },
 	}
-	changed := map[int]tether.Pairing{}
+	changed := map[int]replication.Pairing{}
 	unwell := false
 	for slot, pairing := range s.chart.Slots {
 		unwell = unwell || !pairing.Complete
@@ -499,7 +499,7 @@
 			}
 			continue
 		}
-		next, reason, ok := tether.Next(pairing, scene)
+		next, reason, ok := replication.Next(pairing, scene)
 		if !ok {
 			next, reason, ok = s.leave(pairing, spare, now)
 		}
@@ -517,7 +517,7 @@
 		s.balance(willing, changed, now)
 	}
 	if len(changed) > 0 {
-		s.propose(change{entry: chart.Pair{Slots: changed}}, now)
+		s.propose(change{entry: state.Pair{Slots: changed}}, now)
 		return
 	}
 	if unwell || s.flight != nil || len(s.queue) > 0 || !s.reaches(now) {
@@ -526,7 +526,7 @@
 	for _, id := range sortedIDs(s.chart.Stores) {
 		if store := s.chart.Stores[id]; store.Retiring && !store.Retired && s.depends(id) == 0 {
 			s.Emit(machine.Explain{What: "nothing depends on the store any more; it is retired", Fields: map[string]any{"store": id}})
-			s.propose(change{entry: chart.Retire{ID: id, Done: true}}, now)
+			s.propose(change{entry: state.Retire{ID: id, Done: true}}, now)
 			return
 		}
 	}
@@ -534,11 +534,11 @@
 
 // leave moves a slot off a store that is retiring or draining: the backup, which
 // holds all, owns, and a willing store becomes its backup.
-func (s *Summit) leave(p tether.Pairing, spare func(string, ...string) string, now clock.Micros) (tether.Pairing, string, bool) {
+func (s *Summit) leave(p replication.Pairing, spare func(string, ...string) string, now clock.Micros) (replication.Pairing, string, bool) {
 	if !p.Complete {
 		return p, "", false
 	}
-	next := tether.Pairing{Epoch: p.Epoch + 1, Owner: p.Owner, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
+	next := replication.Pairing{Epoch: p.Epoch + 1, Owner: p.Owner, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
 	reason := "the backup's store is going"
 	switch {
 	case s.going(p.Owner.ID, now) && !s.going(p.Backup.ID, now):
@@ -552,7 +552,7 @@
 	if !ok {
 		return p, "", false
 	}
-	next.Backup = tether.Member{ID: other, Life: life}
+	next.Backup = replication.Member{ID: other, Life: life}
 	return next, reason, true
 }
 
@@ -560,7 +560,7 @@
 // though both live, or whose backup's disk is stalled. An owner that is alone
 // again before its pair was ever whole gives way to the other trusted store: it
 // may be the one that nobody hears.
-func (s *Summit) console(slot int, p tether.Pairing, spare func(string, ...string) string, now clock.Micros) (tether.Pairing, string, bool) {
+func (s *Summit) console(slot int, p replication.Pairing, spare func(string, ...string) string, now clock.Micros) (replication.Pairing, string, bool) {
 	lonely := s.stores[p.Owner.ID].beat.Lonely[slot] == p.Epoch
 	alone := lonely || !p.Complete && s.going(p.Owner.ID, now)
 	if !alone && (p.Complete || !s.going(p.Backup.ID, now)) {
@@ -569,14 +569,14 @@
 	if lonely {
 		s.apart[couple(p.Owner.ID, p.Backup.ID)] = now + s.set.ApartFor
 	}
-	next := tether.Pairing{Epoch: p.Epoch + 1, Owner: p.Owner, Trusted: p.Trusted}
+	next := replication.Pairing{Epoch: p.Epoch + 1, Owner: p.Owner, Trusted: p.Trusted}
 	shunned := []string{p.Backup.ID}
 	if p.Complete {
 		next.Trusted = [2]string{p.Owner.ID, p.Backup.ID}
 	} else if alone {
 		for _, id := range p.Trusted {
 			if life, ok := s.storeLife(id, now); ok && id != p.Owner.ID && !s.going(id, now) {
-				next.Owner, shunned = tether.Member{ID: id, Life: life}, []string{p.Owner.ID}
+				next.Owner, shunned = replication.Member{ID: id, Life: life}, []string{p.Owner.ID}
 			}
 		}
 	}
@@ -585,7 +585,7 @@
 	if !ok {
 		return p, "", false
 	}
-	next.Backup = tether.Member{ID: other, Life: life}
+	next.Backup = replication.Member{ID: other, Life: life}
 	return next, "owner and backup do not reach each other", true
 }
 
@@ -607,7 +607,7 @@
 
 // balance moves one slot at a time towards even shares: first its copy, then,
 // once that is whole, its owner.
-func (s *Summit) balance(willing []string, changed map[int]tether.Pairing, now clock.Micros) {
+func (s *Summit) balance(willing []string, changed map[int]replication.Pairing, now clock.Micros) {
 	if now < s.next.balance || len(willing) < 2 {
 		return
 	}
@@ -643,9 +643,9 @@
 		return out
 	}
 	zone := func(id string) string { return s.chart.Stores[id].Zone }
-	move := func(slot int, owner, backup tether.Member, reason string) {
+	move := func(slot int, owner, backup replication.Member, reason string) {
 		p := s.chart.Slots[slot]
-		changed[slot] = tether.Pairing{Epoch: p.Epoch + 1, Owner: owner, Backup: backup, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
+		changed[slot] = replication.Pairing{Epoch: p.Epoch + 1, Owner: owner, Backup: backup, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
 		s.Emit(machine.Explain{What: "slot moved", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": p.Epoch + 1, "owner": owner.ID, "backup": backup.ID}})
 	}
 	low := least(owned)
@@ -660,7 +660,7 @@
 	for _, high := range above(owned, low) {
 		for slot, p := range s.chart.Slots {
 			if p.Owner.ID == high && zone(low) != zone(high) && !s.estranged(low, high, now) {
-				move(slot, p.Owner, tether.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares: copied to the store that has fewest")
+				move(slot, p.Owner, replication.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares: copied to the store that has fewest")
 				return
 			}
 		}
@@ -669,7 +669,7 @@
 	for _, high := range above(backed, low) {
 		for slot, p := range s.chart.Slots {
 			if p.Backup.ID == high && p.Owner.ID != low && zone(p.Owner.ID) != zone(low) && !s.estranged(low, p.Owner.ID, now) {
-				move(slot, p.Owner, tether.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares of copies")
+				move(slot, p.Owner, replication.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares of copies")
 				return
 			}
 		}
@@ -694,19 +694,19 @@
 
 // first pairs a slot for the first time, once stores of two zones have been
 // there for a moment: the load is spread over all that came in time.
-func (s *Summit) first(willing []string, owned map[string]int, spare func(string, ...string) string, now clock.Micros) (tether.Pairing, bool) {
+func (s *Summit) first(willing []string, owned map[string]int, spare func(string, ...string) string, now clock.Micros) (replication.Pairing, bool) {
 	for _, id := range willing {
 		if now-s.stores[id].first < 700*clock.Millisecond {
-			return tether.Pairing{}, false
+			return replication.Pairing{}, false
 		}
 	}
 	byLoad := append([]string(nil), willing...)
 	sort.SliceStable(byLoad, func(i, j int) bool { return owned[byLoad[i]] < owned[byLoad[j]] })
 	for _, owner := range byLoad {
 		if backup := spare(owner); backup != "" {
-			return tether.Pairing{Epoch: 1, Owner: tether.Member{ID: owner, Life: s.stores[owner].beat.Life},
-				Backup: tether.Member{ID: backup, Life: s.stores[backup].beat.Life}, Trusted: [2]string{owner, backup}}, true
+			return replication.Pairing{Epoch: 1, Owner: replication.Member{ID: owner, Life: s.stores[owner].beat.Life},
+				Backup: replication.Member{ID: backup, Life: s.stores[backup].beat.Life}, Trusted: [2]string{owner, backup}}, true
 		}
 	}
-	return tether.Pairing{}, false
+	return replication.Pairing{}, false
 }
--- a/core/summit/summit.go
+++ b/core/control/summit.go
@@ -1,20 +1,20 @@
-// Package summit is the machine of a core daemon (DESIGN §5). An odd number
+// Package control is the machine of a core daemon (DESIGN §5). An odd number
 // of cores, three as a rule: one primary, one backup, and each a witness that keeps
 // only epochs. The state is
 // held by one fenced pair, the same as a ledger's; what differs is the granter:
 // here most of the witnesses.
-package summit
+package control
 
 import (
 	"encoding/json"
 	"sort"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/store"
 )
 
 // Settings of a core; the defaults are ours.
@@ -58,7 +58,7 @@
 }
 
 type heardStore struct {
-	beat  keeper.Beat
+	beat  store.Beat
 	at    clock.Micros
 	first clock.Micros
 }
@@ -73,7 +73,7 @@
 }
 
 type change struct {
-	entry chart.Entry
+	entry state.Entry
 	put   *plannedPut
 	leave *plannedRetire
 	call  uint64
@@ -82,7 +82,7 @@
 }
 
 type sealing struct {
-	pairing tether.Pairing
+	pairing replication.Pairing
 	cores   []CoreRef
 	yes     map[string]bool
 	at      clock.Micros
@@ -95,8 +95,8 @@
 	self      CoreRef
 	life      uint64
 	seeds     []string
-	gang      *tether.Gang
-	chart     *chart.Chart
+	gang      *replication.Gang
+	chart     *state.Chart
 	oath      Oath
 	cores     map[string]heardCore
 	stores    map[string]heardStore
@@ -121,9 +121,9 @@
 
 // New makes a core from what was read back from its disk.
 func New(self CoreRef, life uint64, seeds []string, set Settings, records []machine.Record) *Summit {
-	s := &Summit{set: set, self: self, life: life, seeds: seeds, chart: chart.New(),
+	s := &Summit{set: set, self: self, life: life, seeds: seeds, chart: state.New(),
 		cores: map[string]heardCore{}, stores: map[string]heardStore{}, suspects: map[string]bool{}, apart: map[[2]string]clock.Micros{}, listed: map[string]machine.Rumour{}}
-	s.gang = tether.NewGang(&s.Out, s)
+	s.gang = replication.NewGang(&s.Out, s)
 	for _, record := range records {
 		if record.Unit == unitOath {
 			if err := json.Unmarshal(record.Body, &s.oath); err != nil {
@@ -164,19 +164,19 @@
 	return machine.Record{Unit: unitOath, Kind: kindOath, Epoch: s.oath.Granted, Body: body}
 }
 
-func (s *Summit) rope() *tether.Rope { return s.gang.Rope(unitCore) }
+func (s *Summit) rope() *replication.Rope { return s.gang.Rope(unitCore) }
 
 // Gang is the core's pair, for tests.
-func (s *Summit) Gang() *tether.Gang { return s.gang }
+func (s *Summit) Gang() *replication.Gang { return s.gang }
 
 // Chart is the core's state; a copy must be taken before it is changed.
-func (s *Summit) Chart() *chart.Chart { return s.chart }
+func (s *Summit) Chart() *state.Chart { return s.chart }
 
 // Oath is what the witness keeps.
 func (s *Summit) Oath() Oath { return s.oath }
 
 // Serving tells whether this core is the primary and may confirm.
-func (s *Summit) Serving() bool { return s.rope().Role == tether.Serving }
+func (s *Summit) Serving() bool { return s.rope().Role == replication.Serving }
 
 // View, Restore and Play hold the chart for the pair.
 func (s *Summit) View(string) [][]byte {
@@ -187,9 +187,9 @@
 // Brief is the same: a core shelves nothing.
 func (s *Summit) Brief(unit string) [][]byte { return s.View(unit) }
 
-// Restore replaces the chart.
+// Restore replaces the state.
 func (s *Summit) Restore(_ string, parts [][]byte) {
-	fresh := chart.New()
+	fresh := state.New()
 	for _, data := range parts {
 		if err := json.Unmarshal(data, fresh); err != nil {
 			s.BadRecord = err
@@ -314,7 +314,7 @@
 		s.sealHere(body, l.From)
 	case Sealed:
 		s.sealedBy(body.From, body.Epoch, now)
-	case keeper.Beat:
+	case store.Beat:
 		s.storeBeat(l.From, body, now)
 	}
 }
--- a/core/summit/summit_test.go
+++ b/core/control/summit_test.go
@@ -1,4 +1,4 @@
-package summit
+package control
 
 import (
 	"fmt"
@@ -8,13 +8,13 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/store"
 )
 
-// store is a store daemon as far as the cores see it: its beats.
-type store struct {
-	keeper.Beat
+// fakeStore is a store daemon as far as the cores see it: its beats.
+type fakeStore struct {
+	store.Beat
 	copies bool // says of each slot it owns that the copy is whole
 	silent bool
 }
@@ -29,7 +29,7 @@
 	now     clock.Micros
 	set     Settings
 	cores   map[string]*Summit // by peer
-	stores  []*store
+	stores  []*fakeStore
 	wire    []letter
 	drop    func(l letter) bool
 	calls   uint64
@@ -49,8 +49,8 @@
 }
 
 // store adds a store.
-func (b *bench) store(id, peer, zone string) *store {
-	s := &store{Beat: keeper.Beat{ID: id, Peer: peer, Zone: zone, Life: 1}, copies: true}
+func (b *bench) store(id, peer, zone string) *fakeStore {
+	s := &fakeStore{Beat: store.Beat{ID: id, Peer: peer, Zone: zone, Life: 1}, copies: true}
 	b.stores = append(b.stores, s)
 	return s
 }
@@ -186,7 +186,7 @@
 }
 
 // held keeps the pair's entries from the backup.
-func held(l letter) bool { _, entry := l.body.(tether.Append); return entry }
+func held(l letter) bool { _, entry := l.body.(replication.Append); return entry }
 
 // A plan carries the operator's own number: it has to be above the one in force,
 // and a stale base is told first.
@@ -627,7 +627,7 @@
 	for i := 1; i <= 3; i++ {
 		refs = append(refs, b.cores[fmt.Sprint("c", i)].self)
 	}
-	claim := Claim{Fleet: "f-core-1", Pairing: tether.Pairing{Epoch: 1}, Cores: refs, From: refs[0]}
+	claim := Claim{Fleet: "f-core-1", Pairing: replication.Pairing{Epoch: 1}, Cores: refs, From: refs[0]}
 	witness.Do(Letter{"c1", claim}, b.now)
 	if witness.Oath().Fleet != "" {
 		t.Fatal("granted the founding of other cores")
--- a/core/chart/chart.go
+++ b/core/state/chart.go
@@ -1,7 +1,7 @@
-// Package chart is the state the cores keep (DESIGN §5): the plan and its
+// Package state is the state the cores keep (DESIGN §5): the plan and its
 // versions, the stores with their permanent writer ids, and which writer has
 // which slot under which epoch.
-package chart
+package state
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
 )
 
 // Version is one plan as it was confirmed.
@@ -36,12 +36,12 @@
 
 // Chart is the whole of it.
 type Chart struct {
-	Fleet      string           `json:"fleet"`
-	Seq        uint64           `json:"seq"`
-	Plans      []Version        `json:"plans"`
-	Stores     map[string]Store `json:"stores"`
-	NextWriter int              `json:"next_writer"`
-	Slots      []tether.Pairing `json:"slots"`
+	Fleet      string                `json:"fleet"`
+	Seq        uint64                `json:"seq"`
+	Plans      []Version             `json:"plans"`
+	Stores     map[string]Store      `json:"stores"`
+	NextWriter int                   `json:"next_writer"`
+	Slots      []replication.Pairing `json:"slots"`
 }
 
 // New is an empty chart.
@@ -67,10 +67,10 @@
 
 // Map is the part of the chart that every daemon is told.
 type Map struct {
-	Fleet  string           `json:"fleet"`
-	Seq    uint64           `json:"seq"`
-	Stores map[string]Store `json:"stores"`
-	Slots  []tether.Pairing `json:"slots"`
+	Fleet  string                `json:"fleet"`
+	Seq    uint64                `json:"seq"`
+	Stores map[string]Store      `json:"stores"`
+	Slots  []replication.Pairing `json:"slots"`
 }
 
 // Map copies that part.
@@ -165,13 +165,13 @@
 		Done bool
 	}
 	// Pair writes down new pairings of slots.
-	Pair struct{ Slots map[int]tether.Pairing }
+	Pair struct{ Slots map[int]replication.Pairing }
 )
 
 // Apply founds.
 func (e Found) Apply(c *Chart) {
 	if c.Fleet == "" {
-		c.Fleet, c.Slots = e.Fleet, make([]tether.Pairing, e.Slots)
+		c.Fleet, c.Slots = e.Fleet, make([]replication.Pairing, e.Slots)
 	}
 }
 
@@ -240,7 +240,7 @@
 
 // Apply writes pairings down; an epoch never goes back.
 func (e Pair) Apply(c *Chart) {
-	slots := append([]tether.Pairing(nil), c.Slots...)
+	slots := append([]replication.Pairing(nil), c.Slots...)
 	for slot, pairing := range e.Slots {
 		if slot >= 0 && slot < len(slots) && pairing.Epoch >= slots[slot].Epoch {
 			slots[slot] = pairing
--- a/core/chart/chart_test.go
+++ b/core/state/chart_test.go
@@ -1,4 +1,4 @@
-package chart
+package state
 
 import "testing"
 
--- a/daemon/lodge/lodge.go
+++ b/daemon/lodge/lodge.go
@@ -16,7 +16,6 @@
 	"github.com/rs/zerolog"
 	"github.com/zeromicro/go-zero/core/proc"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/office"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
@@ -27,6 +26,7 @@
 	"tuliprudder/kernel/services"
 	"tuliprudder/kernel/settings"
 	"tuliprudder/kernel/storage"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/serverline"
@@ -78,7 +78,7 @@
 	}
 	log := logging.Open(out, program, who.ID)
 	l := &Lodge{Services: services.New(), Log: log, Who: who, Common: common, Grace: 8 * clock.Second}
-	person := people.Person{ID: who.ID, Name: common.Name, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: people.Release}
+	person := identity.Person{ID: who.ID, Name: common.Name, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: identity.Release}
 	l.Porter = porter.New(person, append(append([]string(nil), common.Seeds...), l.remembered()...), who, log)
 	l.Porter.Address = common.Listen
 	l.Porch = httpserver.New(common.HTTP, int(bounds.Open), bounds.Bytes)
@@ -117,7 +117,7 @@
 	cleanup.Every(ends, 5*time.Second, func() {
 		var peers []string
 		for _, person := range r.l.Porter.Folk() {
-			if person.Standing == people.Sound && person.ID != r.l.Who.ID && len(peers) < mostRemembered {
+			if person.Standing == identity.Sound && person.ID != r.l.Who.ID && len(peers) < mostRemembered {
 				peers = append(peers, person.Peer)
 			}
 		}
--- a/daemon/lookout/lookout.go
+++ b/daemon/lookout/lookout.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/porter"
 	"tuliprudder/kernel/cleanup"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/services"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 )
 
@@ -107,14 +107,14 @@
 // Due tells whether a daemon is to read the list: who read it last goes on; when
 // nothing has been heard for a while, the first in the agreed order takes over, the
 // ones after it a little later each.
-func Due(self, last string, folk []people.Person, silent clock.Micros, set Settings) bool {
+func Due(self, last string, folk []identity.Person, silent clock.Micros, set Settings) bool {
 	if last == self {
 		return true
 	}
 	place := 0
 	var ids []string
 	for _, person := range folk {
-		if person.Kind == people.Cairn && person.Standing <= people.Suspect && person.ID != last {
+		if person.Kind == identity.Cairn && person.Standing <= identity.Suspect && person.ID != last {
 			ids = append(ids, person.ID)
 		}
 	}
--- a/daemon/lookout/lookout_test.go
+++ b/daemon/lookout/lookout_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 )
 
@@ -55,9 +55,9 @@
 // One reads; the next in order only after silence, each a little later.
 func TestDue(t *testing.T) {
 	set := Defaults()
-	var folk []people.Person
+	var folk []identity.Person
 	for _, id := range []string{"a", "b", "c"} {
-		folk = append(folk, people.Person{ID: id, Kind: people.Cairn})
+		folk = append(folk, identity.Person{ID: id, Kind: identity.Cairn})
 	}
 	for _, c := range []struct {
 		self, last string
--- a/daemon/muletrack/forward_test.go
+++ b/daemon/muletrack/forward_test.go
@@ -13,7 +13,7 @@
 	"testing"
 
 	"tuliprudder/kernel/clock"
-	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/shard"
 	"tuliprudder/path/causeway"
 	"tuliprudder/path/runner"
 	"tuliprudder/path/serverline"
@@ -31,7 +31,7 @@
 func item(address string, resume int) runner.Run {
 	return runner.Run{Token: 7, MostBytes: 1000, Request: serverline.Request{Address: address},
 		Forward: &runner.Forwarded{ID: "item-1", Instance: "s1", Resume: resume,
-			Request: &daybook.Request{Target: "/lot/a%2Fb?c=1", Host: "lots.example", Header: map[string]string{"X-Model": "m", "x-lower": "l"}, Body: []byte("a\x00b")}}}
+			Request: &shard.Request{Target: "/lot/a%2Fb?c=1", Host: "lots.example", Header: map[string]string{"X-Model": "m", "x-lower": "l"}, Body: []byte("a\x00b")}}}
 }
 
 // server answers items by a function.
--- a/daemon/office/office.go
+++ b/daemon/office/office.go
@@ -12,16 +12,16 @@
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
-	"tuliprudder/core/chart"
-	"tuliprudder/core/planbook"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/config"
+	"tuliprudder/core/control"
+	"tuliprudder/core/state"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/httpserver"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/store"
+	"tuliprudder/ledger/token"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
@@ -102,32 +102,32 @@
 }
 
 func (o *Office) chartMap(w http.ResponseWriter, r *http.Request) error {
-	var m chart.Map
-	if err := o.news(chart.MapKey, &m, "map of the stores"); err != nil {
+	var m state.Map
+	if err := o.news(state.MapKey, &m, "map of the stores"); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, m)
 }
 
 func (o *Office) core(w http.ResponseWriter, r *http.Request) error {
-	var c chart.CoreNews
-	if err := o.news(chart.CoreKey, &c, "word of the cores"); err != nil {
+	var c state.CoreNews
+	if err := o.news(state.CoreKey, &c, "word of the cores"); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, c)
 }
 
 func (o *Office) plan(w http.ResponseWriter, r *http.Request) error {
-	var version chart.Version
-	if err := o.news(chart.PlanKey, &version, "plan"); err != nil {
+	var version state.Version
+	if err := o.news(state.PlanKey, &version, "plan"); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, version)
 }
 
-func (o *Office) primary() (chart.CoreNews, error) {
-	var c chart.CoreNews
-	err := o.news(chart.CoreKey, &c, "word of the cores")
+func (o *Office) primary() (state.CoreNews, error) {
+	var c state.CoreNews
+	err := o.news(state.CoreKey, &c, "word of the cores")
 	return c, err
 }
 
@@ -150,10 +150,10 @@
 	if err != nil {
 		return err
 	}
-	if err := planbook.Check(data); err != nil {
+	if err := config.Check(data); err != nil {
 		return err
 	}
-	ask := summit.PutPlanAsk{Body: data, By: r.Header.Get("X-Operator"), Expiry: planExpiry}
+	ask := control.PutPlanAsk{Body: data, By: r.Header.Get("X-Operator"), Expiry: planExpiry}
 	if text := r.URL.Query().Get("base"); text != "" {
 		base, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
@@ -165,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	receipt, ok := got.(summit.PlanReceipt)
+	receipt, ok := got.(control.PlanReceipt)
 	if !ok {
 		return errs.New(errs.ServerFault, "run the same release on all daemons", "the core answered %T", got)
 	}
@@ -173,7 +173,7 @@
 }
 
 func (o *Office) plans(w http.ResponseWriter, r *http.Request) error {
-	var ask summit.PlansAsk
+	var ask control.PlansAsk
 	if text := pathvar.Vars(r)["version"]; text != "" {
 		version, err := strconv.ParseUint(text, 10, 64)
 		if err != nil || version == 0 {
@@ -185,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	plans, ok := got.(summit.Plans)
+	plans, ok := got.(control.Plans)
 	if !ok {
 		return errs.New(errs.ServerFault, "run the same release on all daemons", "the core answered %T", got)
 	}
@@ -208,9 +208,9 @@
 		var got any
 		var err error
 		if id == o.Porter.Who.ID {
-			got, err = o.Porter.AskHere(keeper.ShowAsk{})
+			got, err = o.Porter.AskHere(store.ShowAsk{})
 		} else {
-			got, err = o.Porter.Transport.Ask(person.Peer, keeper.ShowAsk{}, 2*clock.Second)
+			got, err = o.Porter.Transport.Ask(person.Peer, store.ShowAsk{}, 2*clock.Second)
 		}
 		if err != nil {
 			return err
@@ -235,11 +235,11 @@
 			return err
 		}
 	}
-	got, err := o.AskPrimary(summit.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+clock.Second)
+	got, err := o.AskPrimary(control.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+clock.Second)
 	if err != nil {
 		return err
 	}
-	receipt, ok := got.(summit.RetireReceipt)
+	receipt, ok := got.(control.RetireReceipt)
 	if !ok {
 		return errs.New(errs.ServerFault, "run the same release on all daemons", "the core answered %T", got)
 	}
@@ -283,13 +283,13 @@
 	}
 	id := pathvar.Vars(r)["bundle"]
 	var slot int
-	var owner waypost.Owner
+	var owner token.Owner
 	var err error
 	o.Porter.Inside(func(clock.Micros) { slot, owner, err = o.Reader.Keeper(id) })
 	if err != nil {
 		return err
 	}
-	got, err := o.Porter.Transport.Ask(owner.Peer, keeper.StatusAsk{Slot: slot, Bundle: id, Operator: true}, 2*clock.Second)
+	got, err := o.Porter.Transport.Ask(owner.Peer, store.StatusAsk{Slot: slot, Bundle: id, Operator: true}, 2*clock.Second)
 	if err != nil {
 		return err
 	}
--- a/daemon/outfit/outfit.go
+++ b/daemon/outfit/outfit.go
@@ -5,15 +5,15 @@
 import (
 	"os"
 
-	"tuliprudder/core/planbook"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/config"
+	"tuliprudder/core/control"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/muletrack"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/storage"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
 )
 
 // Edge is an edge daemon's parts.
@@ -52,7 +52,7 @@
 }
 
 // NewStore puts a store daemon together from what its data folder holds.
-func NewStore(l *lodge.Lodge, set keeper.Settings) (*Store, error) {
+func NewStore(l *lodge.Lodge, set store.Settings) (*Store, error) {
 	room, records, err := porter.OpenRoom(l.Common.Data)
 	if err != nil {
 		return nil, err
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	l.Porter.Shelf = shelf
-	books := keeper.New(keeper.Self{ID: l.Who.ID, Name: l.Common.Name, Zone: l.Common.Zone, Peer: l.Common.Peer, Life: l.Who.Life}, set, records, shelf)
+	books := store.New(store.Self{ID: l.Who.ID, Name: l.Common.Name, Zone: l.Common.Zone, Peer: l.Common.Peer, Life: l.Who.Life}, set, records, shelf)
 	if books.BadRecord != nil {
 		return nil, books.BadRecord
 	}
@@ -102,15 +102,15 @@
 }
 
 // NewCore puts a core daemon together from what its data folder holds.
-func NewCore(l *lodge.Lodge, set summit.Settings) (*summit.Summit, error) {
+func NewCore(l *lodge.Lodge, set control.Settings) (*control.Summit, error) {
 	room, records, err := porter.OpenRoom(l.Common.Data)
 	if err != nil {
 		return nil, err
 	}
 	if set.CheckPlan == nil {
-		set.CheckPlan = planbook.Check
+		set.CheckPlan = config.Check
 	}
-	core := summit.New(summit.CoreRef{ID: l.Who.ID, Peer: l.Common.Peer, Zone: l.Common.Zone}, l.Who.Life, l.Common.Seeds, set, records)
+	core := control.New(control.CoreRef{ID: l.Who.ID, Peer: l.Common.Peer, Zone: l.Common.Zone}, l.Who.Life, l.Common.Seeds, set, records)
 	if core.BadRecord != nil {
 		return nil, core.BadRecord
 	}
--- a/daemon/outfit/tend.go
+++ b/daemon/outfit/tend.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/daemon/lodge"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/kernel/cleanup"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/services"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/causeway"
 	"tuliprudder/path/roster"
 )
@@ -32,7 +32,7 @@
 func (t *Tend) turn() {
 	t.Client.Sweep()
 	var servers []roster.Server
-	var folk []people.Person
+	var folk []identity.Person
 	most := map[string]int64{}
 	t.Lodge.Porter.Inside(func(clock.Micros) {
 		servers, folk = t.Road.Dispatch.Servers(), t.Road.Folk()
@@ -46,9 +46,9 @@
 	edges, stores, kind := 0, 0, ""
 	for _, person := range folk {
 		switch person.Kind {
-		case people.Trailhead:
+		case identity.Trailhead:
 			edges++
-		case people.Refuge:
+		case identity.Refuge:
 			stores++
 		}
 		if person.ID == t.Lodge.Who.ID {
@@ -75,7 +75,7 @@
 func Connections(kind string, bound, slots, edges, stores int) int {
 	const spare = 4
 	store := max(1, min(slots+spare, bound/2/max(1, stores), (bound-edges)/max(1, stores)))
-	if kind == people.Refuge {
+	if kind == identity.Refuge {
 		return store
 	}
 	return max(1, (bound-store*stores)/max(1, edges))
--- a/daemon/outfit/tend_test.go
+++ b/daemon/outfit/tend_test.go
@@ -3,14 +3,14 @@
 import (
 	"testing"
 
-	"tuliprudder/acquaintance/people"
+	"tuliprudder/membership/identity"
 )
 
 // All daemons' parts together keep to what a server takes, unless there are more
 // daemons than connections.
 func TestConnectionsAreSharedOut(t *testing.T) {
 	for _, c := range []struct{ bound, slots, edges, stores int }{{180, 16, 9, 3}, {210, 32, 6, 4}, {410, 8, 53, 10}, {79, 16, 49, 9}, {60, 4, 3, 3}, {40, 64, 2, 6}} {
-		edge, store := Connections(people.Trailhead, c.bound, c.slots, c.edges, c.stores), Connections(people.Refuge, c.bound, c.slots, c.edges, c.stores)
+		edge, store := Connections(identity.Trailhead, c.bound, c.slots, c.edges, c.stores), Connections(identity.Refuge, c.bound, c.slots, c.edges, c.stores)
 		if sum := edge*c.edges + store*c.stores; sum > c.bound || edge < 1 || store < 1 {
 			t.Errorf("%+v: %d for each edge and %d for each store make %d", c, edge, store, sum)
 		}
--- a/daemon/planes/demand.go
+++ b/daemon/planes/demand.go
@@ -3,10 +3,10 @@
 import (
 	"sort"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/transport"
+	"tuliprudder/membership/identity"
 )
 
 // Stores share the servers' room for items by what each has to run (DESIGN §12.6):
@@ -58,7 +58,7 @@
 }
 
 // tell tells the other stores, when there is something to tell.
-func (d *demands) tell(own int, folk map[string]people.Person, emit func(machine.Effect), now clock.Micros) {
+func (d *demands) tell(own int, folk map[string]identity.Person, emit func(machine.Effect), now clock.Micros) {
 	if own == d.said && now-d.at < demandLate || now-d.at < demandEvery {
 		return
 	}
@@ -69,7 +69,7 @@
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		if person := folk[id]; person.Kind == people.Refuge && id != d.self && person.Standing <= people.Suspect {
+		if person := folk[id]; person.Kind == identity.Refuge && id != d.self && person.Standing <= identity.Suspect {
 			emit(machine.Send{To: person.Peer, Body: Demand{ID: d.self, Items: own}})
 		}
 	}
--- a/daemon/planes/demand_test.go
+++ b/daemon/planes/demand_test.go
@@ -3,9 +3,9 @@
 import (
 	"testing"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 )
 
 // The parts follow the demands, add up to one, and forget who is not heard.
@@ -26,8 +26,8 @@
 // A store tells the other stores alone, soon when its demand changed, and now and
 // then when it did not.
 func TestDemandsAreToldToStores(t *testing.T) {
-	folk := map[string]people.Person{"a": {ID: "a", Kind: people.Refuge, Peer: "pa"}, "b": {ID: "b", Kind: people.Refuge, Peer: "pb"},
-		"c": {ID: "c", Kind: people.Trailhead, Peer: "pc"}, "d": {ID: "d", Kind: people.Refuge, Peer: "pd", Standing: people.Dead}}
+	folk := map[string]identity.Person{"a": {ID: "a", Kind: identity.Refuge, Peer: "pa"}, "b": {ID: "b", Kind: identity.Refuge, Peer: "pb"},
+		"c": {ID: "c", Kind: identity.Trailhead, Peer: "pc"}, "d": {ID: "d", Kind: identity.Refuge, Peer: "pd", Standing: identity.Dead}}
 	d := demands{self: "a", heard: map[string]demand{}}
 	var told []string
 	tell := func(own int, now clock.Micros) int {
--- a/daemon/planes/edge.go
+++ b/daemon/planes/edge.go
@@ -1,7 +1,7 @@
 package planes
 
 import (
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
@@ -41,7 +41,7 @@
 func NewEdge(self string, set EdgeSettings, seed int64) *Edge {
 	e := &Edge{Road: newRoad(self, set.Dispatch, seed, func(*Road) func(string) int { return nil }), Book: guestbook.New(8192)}
 	e.Reader = reader.New(e.Wire)
-	e.Purse.Map = func() (chart.Map, bool) { return e.Reader.Map(), e.Reader.Map().Seq > 0 }
+	e.Purse.Map = func() (state.Map, bool) { return e.Reader.Map(), e.Reader.Map().Seq > 0 }
 	e.Trek = trek.New(set.Trek, e.Wire, e.Dispatch, e.Purse, e.Reader, e.Book)
 	e.Ford = ford.New(set.Ford, e.Wire, e.Dispatch, seed+1)
 	e.Scouts = scouts.New(self, set.ScoutEvery, e.Wire, e.Dispatch, e.Folk)
--- a/daemon/planes/ledger.go
+++ b/daemon/planes/ledger.go
@@ -1,13 +1,13 @@
 package planes
 
 import (
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/purse"
 	"tuliprudder/path/runner"
@@ -17,7 +17,7 @@
 // and its shares.
 type Ledger struct {
 	*Road
-	Keeper *keeper.Keeper
+	Keeper *store.Keeper
 	Items  *runner.Runner
 	cairns cairns
 	gives  map[uint64]purse.Give // shares taken for bundles that are being enrolled
@@ -30,10 +30,10 @@
 
 // NewLedger puts a store's machine together; the seed makes its choices
 // repeatable.
-func NewLedger(self string, k *keeper.Keeper, mostItems int, seed int64) *Ledger {
+func NewLedger(self string, k *store.Keeper, mostItems int, seed int64) *Ledger {
 	set := dispatch.Defaults()
 	set.MostWaiting = 2*mostItems + 1000 // the keeper's own bound comes first
-	l := &Ledger{Keeper: k, cairns: cairns{folk: map[string]people.Person{}}, gives: map[uint64]purse.Give{}, waiting: map[string]int{}, demands: demands{self: self, heard: map[string]demand{}}}
+	l := &Ledger{Keeper: k, cairns: cairns{folk: map[string]identity.Person{}}, gives: map[uint64]purse.Give{}, waiting: map[string]int{}, demands: demands{self: self, heard: map[string]demand{}}}
 	l.Road = newRoad(self, set, seed, func(*Road) func(string) int {
 		return func(customer string) int {
 			if count, ok := l.waiting[customer]; ok {
@@ -42,8 +42,8 @@
 			return l.Items.Waiting(customer)
 		}
 	})
-	l.Purse.Map = func() (chart.Map, bool) { return k.Chart(), k.Mapped() }
-	l.Items = runner.New(runner.Defaults(), l.Wire, l.Dispatch, k.Allowed, func(ran keeper.Ran, now clock.Micros) { l.keep(ran, now) })
+	l.Purse.Map = func() (state.Map, bool) { return k.Chart(), k.Mapped() }
+	l.Items = runner.New(runner.Defaults(), l.Wire, l.Dispatch, k.Allowed, func(ran store.Ran, now clock.Micros) { l.keep(ran, now) })
 	return l
 }
 
@@ -51,11 +51,11 @@
 // so that one that has started again is paired without waiting for news.
 func (l *Ledger) Greet(seeds []string) {
 	l.cairns.seeds = seeds
-	l.keep(keeper.Cairns{Peers: l.cairns.peers()}, 0)
+	l.keep(store.Cairns{Peers: l.cairns.peers()}, 0)
 }
 
 // keep applies a command to the keeper and takes what is the path's.
-func (l *Ledger) keep(command keeper.Command, now clock.Micros) {
+func (l *Ledger) keep(command store.Command, now clock.Micros) {
 	for _, effect := range l.Keeper.Do(command, now) {
 		switch e := effect.(type) {
 		case machine.Work:
@@ -74,14 +74,14 @@
 
 func (l *Ledger) work(order any, now clock.Micros) {
 	switch w := order.(type) {
-	case keeper.ItemOrder:
+	case store.ItemOrder:
 		if plan := l.Dispatch.Plan(); plan != nil {
 			if allowance := allowance(plan, w.Customer, w.Route, w.Request != nil); allowance > 0 {
 				l.Purse.Told(w.Customer, allowance, plan.Version)
 			}
 		}
 		l.Items.Take(w, now)
-	case keeper.Revoke:
+	case store.Revoke:
 		l.Items.Revoke(w, now)
 	}
 }
@@ -91,14 +91,14 @@
 	if word, ok := body.(Demand); ok {
 		l.demands.hear(word, now)
 	} else {
-		l.keep(keeper.Letter{From: from, Body: body}, now)
+		l.keep(store.Letter{From: from, Body: body}, now)
 	}
 	return l.settle(now)
 }
 
 // Stored is the disk's word.
 func (l *Ledger) Stored(token uint64, now clock.Micros) []machine.Effect {
-	l.keep(keeper.Stored{Token: token}, now)
+	l.keep(store.Stored{Token: token}, now)
 	return l.settle(now)
 }
 
@@ -106,9 +106,9 @@
 func (l *Ledger) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
 	l.hear(rumour, now)
 	if l.cairns.hear(rumour) {
-		l.keep(keeper.Cairns{Peers: l.cairns.peers()}, now)
+		l.keep(store.Cairns{Peers: l.cairns.peers()}, now)
 	}
-	l.keep(keeper.News{Rumour: rumour}, now)
+	l.keep(store.News{Rumour: rumour}, now)
 	return l.settle(now)
 }
 
@@ -121,7 +121,7 @@
 // Call is an ask, or the shell's word on a run.
 func (l *Ledger) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	switch ask := body.(type) {
-	case keeper.EnrolAsk:
+	case store.EnrolAsk:
 		l.enrol(number, ask, now)
 	case runner.Ran:
 		l.Items.Went(ask, now)
@@ -129,12 +129,12 @@
 	case runner.Began:
 		l.Items.Begin(ask, now)
 		l.Wire.Emit(machine.Answer{Call: number})
-	case keeper.Drain:
+	case store.Drain:
 		l.keep(ask, now)
 		l.Wire.Emit(machine.Answer{Call: number})
 	default:
 		if !l.Purse.Call(number, body, now) {
-			l.keep(keeper.Call{Number: number, Body: body}, now)
+			l.keep(store.Call{Number: number, Body: body}, now)
 		}
 	}
 	return l.settle(now)
@@ -142,11 +142,11 @@
 
 // enrol takes shares for a bundle's items before anything is written: from then
 // on they count as waiting until they start. A repeated key needs none.
-func (l *Ledger) enrol(number uint64, ask keeper.EnrolAsk, now clock.Micros) {
+func (l *Ledger) enrol(number uint64, ask store.EnrolAsk, now clock.Micros) {
 	plan := l.Dispatch.Plan()
 	switch {
 	case l.Keeper.Knows(ask.Slot, ask.Bundle.ID):
-		l.keep(keeper.Call{Number: number, Body: ask}, now)
+		l.keep(store.Call{Number: number, Body: ask}, now)
 		return
 	case !l.Dispatch.Fresh(now):
 		l.no(number, errs.Later(errs.NotReady, clock.Second, "ask again; another keeper may take the slot over", "the keeper does not hear most of the fleet"))
@@ -169,7 +169,7 @@
 		l.no(number, errs.New(errs.Unauthorised, "have the operators add the customer to the plan", "the plan has no customer %q", ask.Bundle.Customer))
 		return
 	case most == boundless:
-		l.keep(keeper.Call{Number: number, Body: ask}, now)
+		l.keep(store.Call{Number: number, Body: ask}, now)
 		return
 	}
 	l.recount(now)
@@ -180,11 +180,11 @@
 		}
 		if !forward {
 			l.gives[number] = give
-			l.keep(keeper.Call{Number: number, Body: ask}, now)
+			l.keep(store.Call{Number: number, Body: ask}, now)
 			return
 		}
 		// Once it is written its requests are counted from the ledger.
-		l.keep(keeper.Call{Number: number, Body: ask}, now)
+		l.keep(store.Call{Number: number, Body: ask}, now)
 		l.recount(now)
 		give(now)
 	})
@@ -199,10 +199,10 @@
 
 // allowance is how much may wait: of a customer by its class, of a route whose
 // requests are passed on by its own bound on tokens (DESIGN §11.3, §12.5).
-func allowance(plan *planbook.Plan, customer, route string, forward bool) int64 {
+func allowance(plan *config.Plan, customer, route string, forward bool) int64 {
 	if forward {
 		found, _ := plan.Route(route)
-		if found == nil || found.Forward == nil || found.Kind != planbook.Bundle {
+		if found == nil || found.Forward == nil || found.Kind != config.Bundle {
 			return gone
 		}
 		return max(boundless, found.Forward.MostTokens)
@@ -243,7 +243,7 @@
 
 // ClockEvent lets the store do what is due.
 func (l *Ledger) ClockEvent(now clock.Micros) []machine.Effect {
-	l.keep(keeper.ClockEvent{}, now)
+	l.keep(store.ClockEvent{}, now)
 	if now-l.counted >= recountEvery {
 		l.recount(now)
 		l.demands.tell(l.Items.Open(), l.folk, l.Wire.Emit, now)
--- a/daemon/planes/ledger_test.go
+++ b/daemon/planes/ledger_test.go
@@ -3,13 +3,13 @@
 import (
 	"testing"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/purse"
 )
 
@@ -21,23 +21,23 @@
 
 // handed is what a store that serves nothing does with a bundle: the ask for a
 // share, if there was one, and the error it answered.
-func handed(t *testing.T, most int64, items ...daybook.Item) (*purse.LendAsk, error) {
+func handed(t *testing.T, most int64, items ...shard.Item) (*purse.LendAsk, error) {
 	t.Helper()
 	now := 5 * clock.Second
-	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
-	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{MostTokens: most}}, {Name: "plain", Kind: planbook.Bundle}}}
+	l := NewLedger("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
+	plan := &config.Plan{Version: 1, Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{MostTokens: most}}, {Name: "plain", Kind: config.Bundle}}}
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
 	l.Fresh(now, now)
-	edge := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
-	l.Heard(machine.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
+	edge := identity.Person{ID: "edge", Kind: identity.Trailhead, Zone: "z", Peer: "edge"}
+	l.Heard(machine.Rumour{Key: identity.Key("edge"), Value: edge.Encode()}, now)
 	route := "r"
 	if most < 0 {
 		route = "plain"
 	}
 	var lend *purse.LendAsk
 	var err error
-	for _, effect := range l.Call(1, keeper.EnrolAsk{Bundle: daybook.Bundle{ID: "b", Customer: "r", Route: route, Items: items}}, now) {
+	for _, effect := range l.Call(1, store.EnrolAsk{Bundle: shard.Bundle{ID: "b", Customer: "r", Route: route, Items: items}}, now) {
 		switch e := effect.(type) {
 		case machine.Ask:
 			ask := e.Body.(purse.LendAsk)
@@ -49,8 +49,8 @@
 	return lend, err
 }
 
-func opaque(tokens int64) daybook.Item {
-	return daybook.Item{Request: &daybook.Request{Tokens: tokens}}
+func opaque(tokens int64) shard.Item {
+	return shard.Item{Request: &shard.Request{Tokens: tokens}}
 }
 
 // A bundle that is passed on takes its tokens from its route's bound; without a
@@ -75,13 +75,13 @@
 // route's bound.
 func TestTakenOverItemsAreToldToTheirRoutesAccount(t *testing.T) {
 	now := 5 * clock.Second
-	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
-	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{MostTokens: 1000}}}}
+	l := NewLedger("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
+	plan := &config.Plan{Version: 1, Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{MostTokens: 1000}}}}
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
-	edge := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
-	l.Heard(machine.Rumour{Key: people.Key("edge"), Value: edge.Encode()}, now)
-	l.work(keeper.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Request: &daybook.Request{Tokens: 70}}, now)
+	edge := identity.Person{ID: "edge", Kind: identity.Trailhead, Zone: "z", Peer: "edge"}
+	l.Heard(machine.Rumour{Key: identity.Key("edge"), Value: edge.Encode()}, now)
+	l.work(store.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Request: &shard.Request{Tokens: 70}}, now)
 	for _, effect := range l.ClockEvent(now + clock.Second) {
 		if ask, ok := effect.(machine.Ask); ok {
 			if lend := ask.Body.(purse.LendAsk); lend.Customer != "r" || lend.Held != 70 || lend.Allowance != 1000 {
@@ -96,11 +96,11 @@
 // The store's clock lets go of items that are too old.
 func TestTheClockReachesItemsThatAreTooOld(t *testing.T) {
 	now := 5 * clock.Second
-	l := NewLedger("store", keeper.New(keeper.Self{ID: "store"}, keeper.Defaults(), nil, noShelf{}), 100, 1)
-	plan := &planbook.Plan{Version: 1, Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{Keep: 10 * clock.Second}}}}
+	l := NewLedger("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
+	plan := &config.Plan{Version: 1, Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{Keep: 10 * clock.Second}}}}
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
-	l.work(keeper.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Enrolled: now, Request: &daybook.Request{}}, now)
+	l.work(store.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Enrolled: now, Request: &shard.Request{}}, now)
 	l.ClockEvent(now + 10*clock.Second)
 	if l.Items.Open() != 1 {
 		t.Fatal("it was let go too early")
@@ -113,12 +113,12 @@
 
 // A store that knows no core yet beats at its seeds.
 func TestAStoreThatStartsBeatsAtItsSeeds(t *testing.T) {
-	k := keeper.New(keeper.Self{ID: "s", Zone: "z", Peer: "p", Life: 2}, keeper.Defaults(), nil, noShelf{})
+	k := store.New(store.Self{ID: "s", Zone: "z", Peer: "p", Life: 2}, store.Defaults(), nil, noShelf{})
 	l := NewLedger("s", k, 10, 1)
 	l.Greet([]string{"seed:1"})
 	for _, effect := range l.ClockEvent(clock.Second) {
 		if send, ok := effect.(machine.Send); ok && send.To == "seed:1" {
-			if beat, ok := send.Body.(keeper.Beat); ok && beat.Life == 2 {
+			if beat, ok := send.Body.(store.Beat); ok && beat.Life == 2 {
 				return
 			}
 		}
--- a/daemon/planes/planes.go
+++ b/daemon/planes/planes.go
@@ -6,33 +6,33 @@
 	"sort"
 	"strings"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/control"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 )
 
 // cairns gathers the cores' addresses from the directory and the core's news.
 type cairns struct {
 	seeds []string
-	folk  map[string]people.Person
-	core  chart.CoreNews
+	folk  map[string]identity.Person
+	core  state.CoreNews
 }
 
 // hear tells whether the addresses changed.
 func (c *cairns) hear(rumour machine.Rumour) bool {
-	if rumour.Key == chart.CoreKey {
+	if rumour.Key == state.CoreKey {
 		return json.Unmarshal(rumour.Value, &c.core) == nil
 	}
 	if !strings.HasPrefix(rumour.Key, "daemon/") {
 		return false
 	}
-	person, ok := people.Decode(rumour.Value)
-	if !ok || person.Kind != people.Cairn {
+	person, ok := identity.Decode(rumour.Value)
+	if !ok || person.Kind != identity.Cairn {
 		return false
 	}
-	if person.Standing >= people.Dead {
+	if person.Standing >= identity.Dead {
 		delete(c.folk, person.ID)
 	} else {
 		c.folk[person.ID] = person
@@ -70,50 +70,50 @@
 
 // Core is the summit as the shell's machine.
 type Core struct {
-	*summit.Summit
+	*control.Summit
 	cairns cairns
 }
 
 // NewCore fits a summit in.
-func NewCore(s *summit.Summit) *Core {
-	return &Core{Summit: s, cairns: cairns{folk: map[string]people.Person{}}}
+func NewCore(s *control.Summit) *Core {
+	return &Core{Summit: s, cairns: cairns{folk: map[string]identity.Person{}}}
 }
 
 // Letter is a message.
 func (c *Core) Letter(from string, body any, now clock.Micros) []machine.Effect {
-	return c.Do(summit.Letter{From: from, Body: body}, now)
+	return c.Do(control.Letter{From: from, Body: body}, now)
 }
 
 // Stored is the disk's word.
 func (c *Core) Stored(token uint64, now clock.Micros) []machine.Effect {
-	return c.Do(summit.Stored{Token: token}, now)
+	return c.Do(control.Stored{Token: token}, now)
 }
 
 // Heard is news: other cores, and what is thought of the stores.
 func (c *Core) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
 	var out []machine.Effect
 	if strings.HasPrefix(rumour.Key, "daemon/") {
-		if person, ok := people.Decode(rumour.Value); ok && person.Kind == people.Refuge {
-			out = append(out, c.Do(summit.Suspicion{ID: person.ID, Ill: person.Standing != people.Sound}, now)...)
+		if person, ok := identity.Decode(rumour.Value); ok && person.Kind == identity.Refuge {
+			out = append(out, c.Do(control.Suspicion{ID: person.ID, Ill: person.Standing != identity.Sound}, now)...)
 		}
 	}
 	if strings.HasPrefix(rumour.Key, "server/") {
-		out = append(out, c.Do(summit.Listed{Rumour: rumour}, now)...)
+		out = append(out, c.Do(control.Listed{Rumour: rumour}, now)...)
 	}
 	if c.cairns.hear(rumour) {
-		out = append(out, c.Do(summit.Cairns{Peers: c.cairns.peers()}, now)...)
+		out = append(out, c.Do(control.Cairns{Peers: c.cairns.peers()}, now)...)
 	}
 	return out
 }
 
 // Call is an ask.
 func (c *Core) Call(number uint64, body any, now clock.Micros) []machine.Effect {
-	return c.Do(summit.Call{Number: number, Body: body}, now)
+	return c.Do(control.Call{Number: number, Body: body}, now)
 }
 
 // ClockEvent lets the core do what is due.
 func (c *Core) ClockEvent(now clock.Micros) []machine.Effect {
-	return c.Do(summit.ClockEvent{}, now)
+	return c.Do(control.ClockEvent{}, now)
 }
 
 // Told is not for a core: it asks nobody.
@@ -121,5 +121,5 @@
 
 // Fresh tells up to when this daemon's news are within reach.
 func (c *Core) Fresh(at, now clock.Micros) []machine.Effect {
-	return c.Do(summit.Fresh{At: at}, now)
+	return c.Do(control.Fresh{At: at}, now)
 }
--- a/daemon/planes/road.go
+++ b/daemon/planes/road.go
@@ -5,11 +5,11 @@
 	"sort"
 	"strings"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/purse"
 	"tuliprudder/path/roster"
@@ -22,20 +22,20 @@
 	Dispatch *dispatch.Dispatch
 	Purse    *purse.Purse
 	// Read turns a confirmed document into a plan.
-	Read planbook.Reader
+	Read config.Reader
 	self string
-	folk map[string]people.Person
+	folk map[string]identity.Person
 }
 
 func newRoad(self string, set dispatch.Settings, seed int64, waiting func(r *Road) func(string) int) *Road {
-	r := &Road{Wire: machine.NewWire(), Dispatch: dispatch.New(set, seed), Read: planbook.Parse, self: self, folk: map[string]people.Person{}}
+	r := &Road{Wire: machine.NewWire(), Dispatch: dispatch.New(set, seed), Read: config.Parse, self: self, folk: map[string]identity.Person{}}
 	r.Purse = purse.New(self, r.Wire, r.Folk, waiting(r))
 	return r
 }
 
 // Folk is the directory in the agreed order.
-func (r *Road) Folk() []people.Person {
-	out := make([]people.Person, 0, len(r.folk))
+func (r *Road) Folk() []identity.Person {
+	out := make([]identity.Person, 0, len(r.folk))
 	for _, person := range r.folk {
 		out = append(out, person)
 	}
@@ -52,14 +52,14 @@
 	}
 	before, all := 0.0, 0.0
 	for id, person := range r.folk {
-		if person.Kind == mine.Kind && person.Standing <= people.Suspect {
+		if person.Kind == mine.Kind && person.Standing <= identity.Suspect {
 			all++
 			if id < r.self {
 				before++
 			}
 		}
 	}
-	if mine.Kind == people.Refuge {
+	if mine.Kind == identity.Refuge {
 		before += 0.5
 	}
 	return before / max(1, all)
@@ -68,15 +68,15 @@
 // heardBy says what the road does with each kind of news.
 var heardBy = map[string]func(r *Road, rumour machine.Rumour, now clock.Micros){
 	"daemon": func(r *Road, rumour machine.Rumour, now clock.Micros) {
-		if person, ok := people.Decode(rumour.Value); ok && person.Standing >= people.Dead {
+		if person, ok := identity.Decode(rumour.Value); ok && person.Standing >= identity.Dead {
 			delete(r.folk, person.ID)
 		} else if ok {
 			r.folk[person.ID] = person
 		}
 		r.Dispatch.SetTurn(r.turn())
 	},
-	chart.PlanKey: func(r *Road, rumour machine.Rumour, now clock.Micros) {
-		var version chart.Version
+	state.PlanKey: func(r *Road, rumour machine.Rumour, now clock.Micros) {
+		var version state.Version
 		if json.Unmarshal(rumour.Value, &version) != nil {
 			return
 		}
--- a/daemon/porter/porter.go
+++ b/daemon/porter/porter.go
@@ -14,8 +14,6 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"tuliprudder/acquaintance/circle"
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/cleanup"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
@@ -24,6 +22,8 @@
 	"tuliprudder/kernel/services"
 	"tuliprudder/kernel/storage"
 	"tuliprudder/kernel/transport"
+	"tuliprudder/membership/gossip"
+	"tuliprudder/membership/identity"
 )
 
 // Machine is what the shell needs of the machine of a daemon's plane.
@@ -60,7 +60,7 @@
 	Folder    *storage.Folder
 	Shelf     *storage.Shelf
 
-	circle   *circle.Circle
+	circle   *gossip.Circle
 	circleMu sync.Mutex
 	gossip   *ring.Ring[step]
 
@@ -78,10 +78,10 @@
 }
 
 // New makes the shell of a daemon.
-func New(person people.Person, seeds []string, who Identity, log zerolog.Logger) *Porter {
+func New(person identity.Person, seeds []string, who Identity, log zerolog.Logger) *Porter {
 	p := &Porter{Who: who, Zone: person.Zone, Address: person.Peer, Clock: clock.New(clockwork.NewRealClock()), Log: log, exit: os.Exit,
 		gossip: ring.New[step](ringSize)}
-	p.circle = circle.New(person, seeds, circle.Defaults(), int64(who.Life)^int64(len(who.ID))^time.Now().UnixNano())
+	p.circle = gossip.New(person, seeds, gossip.Defaults(), int64(who.Life)^int64(len(who.ID))^time.Now().UnixNano())
 	p.Transport = transport.New(person.Peer, p)
 	return p
 }
@@ -146,7 +146,7 @@
 // clock sends a clock event to each machine; one that was not taken yet is not
 // doubled.
 func (p *Porter) clock() {
-	p.tick(0, p.gossip, func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.ClockEvent{}, now) })
+	p.tick(0, p.gossip, func(now clock.Micros) []machine.Effect { return p.circle.Do(gossip.ClockEvent{}, now) })
 	if p.machine != nil {
 		p.tick(1, p.protocol, p.machine.ClockEvent)
 	}
@@ -181,7 +181,7 @@
 		case machine.Publish:
 			p.Tell(e.Rumour)
 		case machine.Spread:
-			p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Spread(e), now) })
+			p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(gossip.Spread(e), now) })
 		case machine.Heard:
 			if p.machine != nil {
 				p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Heard(e.Rumour, now) })
@@ -286,7 +286,7 @@
 
 // Tell spreads news that starts at this daemon.
 func (p *Porter) Tell(rumour machine.Rumour) {
-	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Tell{Rumour: rumour}, now) })
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(gossip.Tell{Rumour: rumour}, now) })
 }
 
 // staleAfter is the age of this daemon's news past which it takes no words of the
@@ -295,7 +295,7 @@
 
 // Reseed names other seeds to ask.
 func (p *Porter) Reseed(seeds []string) {
-	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Reseed{Seeds: seeds}, now) })
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(gossip.Reseed{Seeds: seeds}, now) })
 }
 
 // Reaches tells whether this daemon hears most of the fleet's roll.
@@ -316,7 +316,7 @@
 	answer := make(chan machine.Answer, 1)
 	p.calls.Store(number, answer)
 	if !p.gossip.Put(func(now clock.Micros) []machine.Effect {
-		return p.circle.Do(circle.Spread{Rumour: rumour, Call: number, Expiry: expiry}, now)
+		return p.circle.Do(gossip.Spread{Rumour: rumour, Call: number, Expiry: expiry}, now)
 	}) {
 		p.calls.Delete(number)
 		return errs.Later(errs.Busy, clock.Second, "come back after the time given", "the daemon's ring is full")
@@ -328,7 +328,7 @@
 func (p *Porter) Deliver(letter transport.Envelope) {
 	if ofCircle(letter.Body) {
 		p.gossip.Put(func(now clock.Micros) []machine.Effect {
-			return p.circle.Do(circle.Letter{From: letter.From, Body: letter.Body}, now)
+			return p.circle.Do(gossip.Letter{From: letter.From, Body: letter.Body}, now)
 		})
 		return
 	}
@@ -339,7 +339,7 @@
 
 func ofCircle(body any) bool {
 	switch body.(type) {
-	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Hint, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle, circle.Press, circle.Pressed:
+	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
 		return true
 	}
 	return false
@@ -391,7 +391,7 @@
 }
 
 // Folk is the directory as this daemon knows it.
-func (p *Porter) Folk() []people.Person {
+func (p *Porter) Folk() []identity.Person {
 	p.circleMu.Lock()
 	defer p.circleMu.Unlock()
 	return p.circle.Folk()
@@ -420,12 +420,12 @@
 
 // Draining tells everyone that this daemon goes soon; Leaving that it is gone.
 func (p *Porter) Draining() {
-	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Drain{}, now) })
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(gossip.Drain{}, now) })
 }
 
 // Leaving tells everyone that this daemon has left on purpose.
 func (p *Porter) Leaving() {
-	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(circle.Leave{}, now) })
+	p.gossip.Put(func(now clock.Micros) []machine.Effect { return p.circle.Do(gossip.Leave{}, now) })
 }
 
 // Counters are the shell's counts for the operators.
--- a/ledger/ladder/ladder.go
+++ b/ledger/positions/ladder.go
@@ -1,6 +1,6 @@
-// Package ladder gives out a writer's positions and knows its persisted-up-to
+// Package positions gives out a writer's positions and knows its persisted-up-to
 // position: the one before which all have finished (DESIGN §6.2).
-package ladder
+package positions
 
 // Ladder is one writer's positions. Gaps are normal: a position given above a
 // floor leaves one, and so does a restart.
--- a/ledger/ladder/ladder_test.go
+++ b/ledger/positions/ladder_test.go
@@ -1,4 +1,4 @@
-package ladder
+package positions
 
 import "testing"
 
--- a/ledger/tether/pairing.go
+++ b/ledger/replication/pairing.go
@@ -1,7 +1,7 @@
-// Package tether is the fenced pair (DESIGN §4): an owner and a backup in two
+// Package replication is the fenced pair (DESIGN §4): an owner and a backup in two
 // zones hold the same records under an epoch. It serves the plan on the cores
 // and the ledgers on the stores alike.
-package tether
+package replication
 
 // Member is one life of one daemon: its identity and its incarnation. A daemon
 // that restarted is another member life and has to be paired anew.
--- a/ledger/tether/tether_test.go
+++ b/ledger/replication/tether_test.go
@@ -1,4 +1,4 @@
-package tether
+package replication
 
 import (
 	"fmt"
--- a/ledger/daybook/daybook.go
+++ b/ledger/shard/daybook.go
@@ -1,6 +1,6 @@
-// Package daybook is the state of one slot (DESIGN §6): its bundles with their
+// Package shard is the state of one slot (DESIGN §6): its bundles with their
 // one ordered list of results each, and the claims on one-shot orders.
-package daybook
+package shard
 
 import (
 	"encoding/json"
--- a/ledger/daybook/raw_test.go
+++ b/ledger/shard/raw_test.go
@@ -1,4 +1,4 @@
-package daybook
+package shard
 
 import (
 	"reflect"
--- a/ledger/keeper/asks.go
+++ b/ledger/store/asks.go
@@ -1,10 +1,10 @@
-package keeper
+package store
 
 import (
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/transport"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/token"
 )
 
 // What reading daemons ask a keeper; each has an expiry in its own body, so
@@ -13,7 +13,7 @@
 	// EnrolAsk hands a bundle in.
 	EnrolAsk struct {
 		Slot   int
-		Bundle daybook.Bundle
+		Bundle shard.Bundle
 		Expiry clock.Micros
 	}
 	// Receipt is the answer once the bundle is on two disks.
@@ -39,19 +39,19 @@
 	}
 	// Status is how a bundle stands at its keeper.
 	Status struct {
-		Bundle   string        `json:"bundle"`
-		Route    string        `json:"route"`
-		State    string        `json:"state"`
-		Items    int           `json:"items"`
-		Listed   int           `json:"listed"`
-		Keeper   string        `json:"keeper"`
-		Writer   int           `json:"writer"`
-		Slot     int           `json:"slot"`
-		Epoch    uint64        `json:"epoch"`
-		Backup   string        `json:"backup"`
-		Enrolled clock.Micros  `json:"enrolled_us"`
-		Customer string        `json:"customer"`
-		Rows     []daybook.Row `json:"rows"` // for operators
+		Bundle   string       `json:"bundle"`
+		Route    string       `json:"route"`
+		State    string       `json:"state"`
+		Items    int          `json:"items"`
+		Listed   int          `json:"listed"`
+		Keeper   string       `json:"keeper"`
+		Writer   int          `json:"writer"`
+		Slot     int          `json:"slot"`
+		Epoch    uint64       `json:"epoch"`
+		Backup   string       `json:"backup"`
+		Enrolled clock.Micros `json:"enrolled_us"`
+		Customer string       `json:"customer"`
+		Rows     []shard.Row  `json:"rows"` // for operators
 	}
 	// ReadAsk reads rows after a vector, up to a vector: of one bundle, or of
 	// all a customer's bundles in the slots named with their epochs.
@@ -59,8 +59,8 @@
 		Slots            map[int]uint64
 		Bundle, Customer string
 		Anyone           bool // see StatusAsk
-		After            waypost.Vector
-		Bound            map[int]waypost.Vector // by slot
+		After            token.Vector
+		Bound            map[int]token.Vector // by slot
 		Most             int
 		// Indexed reads one bundle's own list by index instead: from From on, as
 		// far as every row before is readable, with at most MostBytes of outputs
@@ -71,7 +71,7 @@
 	}
 	// Rows answers a read; More when the page was cut.
 	Rows struct {
-		Rows  []daybook.Row
+		Rows  []shard.Row
 		State string
 		Items int // all the bundle has, shelved or not
 		More  bool
@@ -87,14 +87,14 @@
 	// ClaimAsk claims a key for a one-shot order.
 	ClaimAsk struct {
 		Slot   int
-		Claim  daybook.Claim
+		Claim  shard.Claim
 		Expiry clock.Micros
 	}
 	// ClaimAnswer says whether the claim is the asker's, or how the earlier
 	// order of the key went.
 	ClaimAnswer struct {
 		Yours bool
-		Claim daybook.Claim
+		Claim shard.Claim
 	}
 	// SettleAsk notes how a claimed order went.
 	SettleAsk struct {
--- a/ledger/keeper/beat_test.go
+++ b/ledger/store/beat_test.go
@@ -1,4 +1,4 @@
-package keeper
+package store
 
 import (
 	"testing"
--- a/ledger/keeper/calls.go
+++ b/ledger/store/calls.go
@@ -1,4 +1,4 @@
-package keeper
+package store
 
 import (
 	"sort"
@@ -6,9 +6,9 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/tether"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/token"
 )
 
 // Call is an ask that came in; its answer carries the number.
@@ -47,10 +47,10 @@
 // serving turns away what this keeper can't serve; nothing was written by then.
 // Without a fresh lease it may have been deposed without knowing: then it would
 // deny bundles that its successor has accepted.
-func (k *Keeper) serving(call uint64, slot int, now clock.Micros) (*place, *tether.Rope, bool) {
+func (k *Keeper) serving(call uint64, slot int, now clock.Micros) (*place, *replication.Rope, bool) {
 	unit := Unit(slot)
 	rope := k.gang.Rope(unit)
-	if rope.Role != tether.Serving {
+	if rope.Role != replication.Serving {
 		k.fail(call, errs.Later(errs.NotReady, clock.Second, "ask again: the slot is passing to a keeper with two disks", "store %s does not serve slot %d now (%s)", k.self.ID, slot, rope.Role))
 		return nil, nil, false
 	}
@@ -90,8 +90,8 @@
 		return
 	}
 	bundle := ask.Bundle
-	bundle.State, bundle.Enrolled, bundle.Rows = daybook.Open, now, nil
-	seq := k.put(rope.Unit, daybook.Enrol{Bundle: bundle}, now)
+	bundle.State, bundle.Enrolled, bundle.Rows = shard.Open, now, nil
+	seq := k.put(rope.Unit, shard.Enrol{Bundle: bundle}, now)
 	k.Enrolled++
 	if k.news[rope.Unit] == nil {
 		k.news[rope.Unit] = map[uint64]string{}
@@ -117,7 +117,7 @@
 			continue
 		}
 		for _, bundle := range k.place(rope.Unit).state.Bundles {
-			if bundle.State == daybook.Open {
+			if bundle.State == shard.Open {
 				count += len(bundle.Items) - len(bundle.Rows)
 			}
 		}
@@ -127,7 +127,7 @@
 
 // bundle finds a customer's bundle. Anyone finds one that was handed in without a
 // key, by its name; a customer's stays its own.
-func (k *Keeper) bundle(call uint64, p *place, id, customer string, anyone bool) (*daybook.Bundle, bool) {
+func (k *Keeper) bundle(call uint64, p *place, id, customer string, anyone bool) (*shard.Bundle, bool) {
 	found := p.state.Bundles[id]
 	if found == nil || !(anyone && found.Key == "") && found.Customer != customer {
 		k.fail(call, errs.New(errs.NotFound, "check the bundle's name and the customer's key", "no bundle %s of this customer", id))
@@ -146,8 +146,8 @@
 		return
 	}
 	seq := rope.Seq
-	if bundle.State == daybook.Open {
-		seq = k.put(rope.Unit, daybook.End{Bundle: ask.Bundle, At: now}, now)
+	if bundle.State == shard.Open {
+		seq = k.put(rope.Unit, shard.End{Bundle: ask.Bundle, At: now}, now)
 		k.Emit(machine.Work{Order: Revoke{Bundle: ask.Bundle, Slot: -1}})
 	}
 	answer := k.statusOf(p, rope, bundle)
@@ -158,7 +158,7 @@
 	k.Emit(machine.Answer{Call: call, Body: answer})
 }
 
-func (k *Keeper) statusOf(p *place, rope *tether.Rope, b *daybook.Bundle) Status {
+func (k *Keeper) statusOf(p *place, rope *replication.Rope, b *shard.Bundle) Status {
 	items, rows := b.Counts()
 	return Status{Bundle: b.ID, Route: b.Route, State: string(b.State), Items: items, Listed: rows,
 		Keeper: k.self.ID, Writer: k.writer, Slot: p.slot, Epoch: rope.Epoch, Backup: rope.Peer(), Enrolled: b.Enrolled, Customer: b.Customer}
@@ -232,7 +232,7 @@
 			out.State = string(bundle.State)
 			out.Items, _ = bundle.Counts()
 			if k.hidden(bundle, ask, slot, upTo) {
-				out.State = string(daybook.Open) // not whole to this reader yet
+				out.State = string(shard.Open) // not whole to this reader yet
 			}
 			continue
 		}
@@ -252,7 +252,7 @@
 }
 
 // hidden tells whether the list has rows that the reader may not read yet.
-func (k *Keeper) hidden(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64) bool {
+func (k *Keeper) hidden(bundle *shard.Bundle, ask ReadAsk, slot int, upTo int64) bool {
 	if bundle.Shelved != nil {
 		for writer, last := range bundle.Shelved.Last {
 			if last > ask.Bound[slot][writer] {
@@ -271,13 +271,13 @@
 
 // readable tells whether the reader may have a row: it never reads past the last
 // position it has seen of a writer.
-func (k *Keeper) readable(row daybook.Row, bound waypost.Vector, upTo int64) bool {
+func (k *Keeper) readable(row shard.Row, bound token.Vector, upTo int64) bool {
 	return row.Position <= bound[row.Writer] && (row.Writer != k.writer || row.Position <= upTo)
 }
 
 // list reads a bundle's list from an index on: an index stays the same row's for
 // good, so it stops at the first row that the reader may not have yet (DESIGN §12.5).
-func (k *Keeper) list(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
+func (k *Keeper) list(bundle *shard.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
 	from := max(0, ask.From)
 	out.Index = from
 	if _, count := bundle.Counts(); from >= count {
@@ -304,7 +304,7 @@
 	}
 }
 
-func (k *Keeper) collect(bundle *daybook.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
+func (k *Keeper) collect(bundle *shard.Bundle, ask ReadAsk, slot int, upTo int64, out *Rows) {
 	bound := ask.Bound[slot]
 	for _, row := range k.rows(bundle, func(writer int) int64 { return ask.After[writer] }) {
 		if row.Position > ask.After[row.Writer] && k.readable(row, bound, upTo) {
@@ -318,8 +318,8 @@
 	if !ok {
 		return
 	}
-	id := daybook.ClaimID(ask.Claim.Customer, ask.Claim.Key)
-	if known := p.state.Claims[id]; known != nil && known.State != daybook.Void {
+	id := shard.ClaimID(ask.Claim.Customer, ask.Claim.Key)
+	if known := p.state.Claims[id]; known != nil && known.State != shard.Void {
 		if known.Hash != ask.Claim.Hash {
 			k.fail(call, errs.New(errs.Conflict, "use a new idempotency key for another body", "the key was used for another body"))
 			return
@@ -333,8 +333,8 @@
 		return
 	}
 	claim := ask.Claim
-	claim.State, claim.At = daybook.Claimed, now
-	seq := k.put(rope.Unit, daybook.Claiming{Claim: claim}, now)
+	claim.State, claim.At = shard.Claimed, now
+	seq := k.put(rope.Unit, shard.Claiming{Claim: claim}, now)
 	k.await(rope.Unit, seq, call, now+ask.Expiry, ClaimAnswer{Yours: true, Claim: claim})
 }
 
@@ -343,7 +343,7 @@
 	if !ok {
 		return
 	}
-	seq := k.put(rope.Unit, daybook.Settling{ID: ask.ID, State: ask.State, Answer: ask.Answer}, now)
+	seq := k.put(rope.Unit, shard.Settling{ID: ask.ID, State: ask.State, Answer: ask.Answer}, now)
 	k.await(rope.Unit, seq, call, now+ask.Expiry, Settled{})
 }
 
--- a/ledger/keeper/free_test.go
+++ b/ledger/store/free_test.go
@@ -1,13 +1,13 @@
-package keeper
+package store
 
 import (
 	"encoding/json"
 	"testing"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
 )
 
 // A backup that takes over from a store that has started again need not wait for
@@ -19,16 +19,16 @@
 	}{"started again": {2, true}, "perhaps cut off": {1, false}} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
-			m := chart.Map{Fleet: "f", Seq: 3, Stores: map[string]chart.Store{"a": {Peer: "a", Life: c.life}, "b": {Peer: "b", Life: 1}},
-				Slots: []tether.Pairing{{Epoch: 2, Owner: tether.Member{ID: "b", Life: 1}, Backup: tether.Member{ID: "a", Life: c.life}, Trusted: [2]string{"a", "b"}}}}
+			m := state.Map{Fleet: "f", Seq: 3, Stores: map[string]state.Store{"a": {Peer: "a", Life: c.life}, "b": {Peer: "b", Life: 1}},
+				Slots: []replication.Pairing{{Epoch: 2, Owner: replication.Member{ID: "b", Life: 1}, Backup: replication.Member{ID: "a", Life: c.life}, Trusted: [2]string{"a", "b"}}}}
 			value, _ := json.Marshal(m)
 			k := b.keepers["b"]
-			effects := k.Do(News{Rumour: machine.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}}, b.now)
+			effects := k.Do(News{Rumour: machine.Rumour{Key: state.MapKey, Seq: m.Seq, Value: value}}, b.now)
 			effects = append(effects, k.Do(ClockEvent{}, b.now+10*clock.Millisecond)...)
 			copying := false
 			for _, effect := range effects {
 				if send, ok := effect.(machine.Send); ok {
-					_, isCopy := send.Body.(tether.Copy)
+					_, isCopy := send.Body.(replication.Copy)
 					copying = copying || isCopy
 				}
 			}
--- a/ledger/keeper/keeper.go
+++ b/ledger/store/keeper.go
@@ -1,7 +1,7 @@
-// Package keeper is the machine of a store daemon (DESIGN §6): it holds slots
+// Package store is the machine of a store daemon (DESIGN §6): it holds slots
 // as owner or backup, gives positions to results, and announces its
 // persisted-up-to position to the readers itself.
-package keeper
+package store
 
 import (
 	"cmp"
@@ -12,14 +12,14 @@
 	"strconv"
 	"strings"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/ladder"
-	"tuliprudder/ledger/tether"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/positions"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/token"
 )
 
 // Settings of a keeper; the defaults are ours.
@@ -57,7 +57,7 @@
 	Route    string
 	ItemID   string
 	Input    string
-	Request  *daybook.Request // passed on unchanged; nil where there is an input
+	Request  *shard.Request // passed on unchanged; nil where there is an input
 	Enrolled clock.Micros
 	Plan     uint64 // version of the plan it was handed in under
 }
@@ -70,7 +70,7 @@
 
 type place struct {
 	slot  int
-	state *daybook.Slot
+	state *shard.Slot
 }
 
 type waiting struct {
@@ -87,7 +87,7 @@
 
 type finished struct {
 	slot int
-	row  daybook.Row
+	row  shard.Row
 }
 
 // Keeper is the machine.
@@ -95,13 +95,13 @@
 	machine.Out
 	set     Settings
 	self    Self
-	gang    *tether.Gang
+	gang    *replication.Gang
 	places  map[string]*place
 	fleet   string
 	writer  int
-	stairs  *ladder.Ladder
+	stairs  *positions.Ladder
 	asking  bool // a reservation is being written
-	chart   chart.Map
+	chart   state.Map
 	cairns  []string
 	waits   map[string]map[uint64][]waiting
 	given   map[string]map[uint64]int64 // unit, entry -> position
@@ -159,7 +159,7 @@
 	k := &Keeper{set: set, self: self, shelf: shelf, file: shelf.Top(), files: map[uint64]bool{}, places: map[string]*place{},
 		waits: map[string]map[uint64][]waiting{}, given: map[string]map[uint64]int64{},
 		news: map[string]map[uint64]string{}, writes: map[uint64]clock.Micros{}}
-	k.gang = tether.NewGang(&k.Out, k)
+	k.gang = replication.NewGang(&k.Out, k)
 	reserved := int64(0)
 	for _, record := range records {
 		switch {
@@ -174,7 +174,7 @@
 			k.gang.Recover(record)
 		}
 	}
-	k.stairs = ladder.New(reserved)
+	k.stairs = positions.New(reserved)
 	k.sweep(shelf.Held())
 	return k
 }
@@ -208,10 +208,10 @@
 func (k *Keeper) reservedAtLeast() int64 { return k.stairs.Reservation() }
 
 // Chart is the map of the stores as the keeper knows it.
-func (k *Keeper) Chart() chart.Map { return k.chart }
+func (k *Keeper) Chart() state.Map { return k.chart }
 
 // Gang is the keeper's pairs, for tests and operators.
-func (k *Keeper) Gang() *tether.Gang { return k.gang }
+func (k *Keeper) Gang() *replication.Gang { return k.gang }
 
 // Writer is the keeper's writer id; 0 before the core gave it one.
 func (k *Keeper) Writer() int { return k.writer }
@@ -223,17 +223,17 @@
 // start work of a bundle: epoch, fresh lease, and the bundle still open.
 func (k *Keeper) Allowed(slot int, bundle string, item int, now clock.Micros) bool {
 	rope := k.gang.Rope(Unit(slot))
-	if rope.Role != tether.Serving || now >= rope.LeaseUntil() {
+	if rope.Role != replication.Serving || now >= rope.LeaseUntil() {
 		return false
 	}
 	found := k.place(Unit(slot)).state.Bundles[bundle]
-	return found != nil && found.State == daybook.Open && !found.Listed(item)
+	return found != nil && found.State == shard.Open && !found.Listed(item)
 }
 
 func (k *Keeper) place(unit string) *place {
 	p := k.places[unit]
 	if p == nil {
-		p = &place{slot: slotOf(unit), state: daybook.NewSlot()}
+		p = &place{slot: slotOf(unit), state: shard.NewSlot()}
 		k.places[unit] = p
 	}
 	return p
@@ -247,7 +247,7 @@
 
 // Restore replaces a slot's state.
 func (k *Keeper) Restore(unit string, parts [][]byte) {
-	state, err := daybook.Restore(parts)
+	state, err := shard.Restore(parts)
 	if err != nil {
 		k.BadRecord = err
 		return
@@ -257,7 +257,7 @@
 
 // Play applies an entry on the backup or when read back.
 func (k *Keeper) Play(unit string, data []byte) {
-	entry, err := daybook.Decode(data)
+	entry, err := shard.Decode(data)
 	if err != nil {
 		k.BadRecord = err
 		return
@@ -287,7 +287,7 @@
 func (k *Keeper) start(unit, id string) {
 	p := k.place(unit)
 	bundle := p.state.Bundles[id]
-	if bundle == nil || bundle.State != daybook.Open {
+	if bundle == nil || bundle.State != shard.Open {
 		return
 	}
 	epoch := k.gang.Rope(unit).Epoch
@@ -401,8 +401,8 @@
 
 // Apply takes a new map, and the announcements that settle orphans.
 func (n News) Apply(k *Keeper, now clock.Micros) {
-	if n.Rumour.Key == chart.MapKey {
-		var m chart.Map
+	if n.Rumour.Key == state.MapKey {
+		var m state.Map
 		if json.Unmarshal(n.Rumour.Value, &m) == nil && m.Seq > k.chart.Seq && (k.fleet == "" || m.Fleet == k.fleet) {
 			was := k.chart
 			k.chart = m
@@ -411,7 +411,7 @@
 		}
 		return
 	}
-	var a waypost.Announcement
+	var a token.Announcement
 	if strings.HasPrefix(n.Rumour.Key, "writer/") && len(k.orphans) > 0 && json.Unmarshal(n.Rumour.Value, &a) == nil {
 		for _, claimed := range a.Slots {
 			k.settleOrphans(claimed.Slot, claimed.Epoch)
@@ -436,7 +436,7 @@
 
 // free gives up the leases granted to lives that have ended: a store that has started
 // again is another life, and the one before starts nothing more (DESIGN §4.4).
-func (k *Keeper) free(was chart.Map) {
+func (k *Keeper) free(was state.Map) {
 	for slot, pairing := range was.Slots {
 		rope := k.gang.Rope(Unit(slot))
 		if pairing.Epoch == rope.Epoch && pairing.Owner.ID != k.self.ID && k.chart.Stores[pairing.Owner.ID].Life > pairing.Owner.Life {
@@ -447,7 +447,7 @@
 
 // follow works out the difference between the map and what this keeper does.
 func (k *Keeper) follow(now clock.Micros) {
-	me := tether.Member{ID: k.self.ID, Life: k.self.Life}
+	me := replication.Member{ID: k.self.ID, Life: k.self.Life}
 	for slot, pairing := range k.chart.Slots {
 		unit := Unit(slot)
 		rope := k.gang.Rope(unit)
@@ -492,7 +492,7 @@
 	k.flush(now)
 }
 
-func sortedBundles(s *daybook.Slot) []string { return sortedKeys(s.Bundles) }
+func sortedBundles(s *shard.Slot) []string { return sortedKeys(s.Bundles) }
 
 // sortedKeys gives a map an order, so that the same inputs have the same
 // effects in the same order.
@@ -517,7 +517,7 @@
 
 // Apply gives the result its position and lists it.
 func (r Ran) Apply(k *Keeper, now clock.Micros) {
-	k.held = append(k.held, finished{slot: r.Slot, row: daybook.Row{Bundle: r.Bundle, Item: r.Item, Status: r.Status, Output: r.Output, Server: r.Server}})
+	k.held = append(k.held, finished{slot: r.Slot, row: shard.Row{Bundle: r.Bundle, Item: r.Item, Status: r.Status, Output: r.Output, Server: r.Server}})
 	k.flush(now)
 }
 
@@ -532,10 +532,10 @@
 		unit := Unit(f.slot)
 		rope := k.gang.Rope(unit)
 		bundle := k.place(unit).state.Bundles[f.row.Bundle]
-		if !rope.Owns() || bundle == nil || bundle.State != daybook.Open || f.row.Item < 0 || f.row.Item >= len(bundle.Items) || bundle.Listed(f.row.Item) {
+		if !rope.Owns() || bundle == nil || bundle.State != shard.Open || f.row.Item < 0 || f.row.Item >= len(bundle.Items) || bundle.Listed(f.row.Item) {
 			continue // another keeper runs it, or it needs no row any more
 		}
-		if rope.Role != tether.Serving {
+		if rope.Role != replication.Serving {
 			k.held = append(k.held, f)
 			continue
 		}
@@ -547,7 +547,7 @@
 		}
 		row := f.row
 		row.Writer, row.Position, row.ItemID = k.writer, position, bundle.Items[row.Item].ID
-		seq := k.put(unit, daybook.List{Row: row}, now)
+		seq := k.put(unit, shard.List{Row: row}, now)
 		if k.EarlyAnnounce {
 			k.stairs.Finish(position)
 			k.dirty = true
@@ -563,8 +563,8 @@
 }
 
 // put applies an entry and appends it; the caller has seen the pair serve.
-func (k *Keeper) put(unit string, entry daybook.Entry, now clock.Micros) uint64 {
-	data := daybook.Encode(entry)
+func (k *Keeper) put(unit string, entry shard.Entry, now clock.Micros) uint64 {
+	data := shard.Encode(entry)
 	entry.Apply(k.place(unit).state)
 	seq, _ := k.gang.Append(unit, data, now)
 	return seq
@@ -627,7 +627,7 @@
 		if rope.Lonely(now) {
 			lonely[slotOf(rope.Unit)] = rope.Epoch
 		}
-		if rope.Role == tether.Copied {
+		if rope.Role == replication.Copied {
 			ready[slotOf(rope.Unit)] = rope.Epoch
 		}
 	}
@@ -646,7 +646,7 @@
 // takes up those it dropped while a lease was not fresh or its backlog full.
 func (k *Keeper) resume() {
 	for _, rope := range k.gang.Ropes() {
-		if rope.Role != tether.Serving || rope.Open() > 0 {
+		if rope.Role != replication.Serving || rope.Open() > 0 {
 			continue
 		}
 		for _, id := range sortedBundles(k.place(rope.Unit).state) {
@@ -677,7 +677,7 @@
 // second copy, and how long the oldest result has waited to be announced.
 func (k *Keeper) AtRisk(now clock.Micros) (copies int64, oldest clock.Micros) {
 	for _, rope := range k.gang.Ropes() {
-		if rope.Owns() && rope.Role != tether.Serving {
+		if rope.Owns() && rope.Role != replication.Serving {
 			copies++
 		}
 		oldest = max(oldest, rope.Oldest(now))
@@ -688,13 +688,13 @@
 // announce tells the readers this writer's persisted-up-to position.
 func (k *Keeper) announce() {
 	k.dirty = false
-	a := waypost.Announcement{Writer: k.writer, Store: k.self.ID, Peer: k.self.Peer, UpTo: k.stairs.UpTo()}
+	a := token.Announcement{Writer: k.writer, Store: k.self.ID, Peer: k.self.Peer, UpTo: k.stairs.UpTo()}
 	for _, rope := range k.gang.Ropes() {
-		if rope.Role != tether.Serving {
+		if rope.Role != replication.Serving {
 			continue
 		}
 		p := k.place(rope.Unit)
-		claimed := waypost.Claimed{Slot: p.slot, Epoch: rope.Epoch, Last: map[int]int64{}, Tenures: append([]daybook.Tenure(nil), p.state.Tenures...)}
+		claimed := token.Claimed{Slot: p.slot, Epoch: rope.Epoch, Last: map[int]int64{}, Tenures: append([]shard.Tenure(nil), p.state.Tenures...)}
 		for writer, last := range p.state.Last {
 			if writer != k.writer {
 				claimed.Last[writer] = last
@@ -704,19 +704,19 @@
 	}
 	k.seq++
 	value, _ := json.Marshal(a)
-	k.Emit(machine.Publish{Rumour: machine.Rumour{Key: waypost.Key(k.writer), Epoch: k.self.Life, Seq: k.seq, Value: value}})
+	k.Emit(machine.Publish{Rumour: machine.Rumour{Key: token.Key(k.writer), Epoch: k.self.Life, Seq: k.seq, Value: value}})
 }
 
 // forget drops finished bundles and claims past their keeping.
 func (k *Keeper) forget(now clock.Micros) {
 	for _, rope := range k.gang.Ropes() {
-		if rope.Role != tether.Serving {
+		if rope.Role != replication.Serving {
 			continue
 		}
-		var old daybook.Forget
+		var old shard.Forget
 		state := k.place(rope.Unit).state
 		for _, id := range sortedBundles(state) {
-			if b := state.Bundles[id]; b.State != daybook.Open && now-b.Enrolled > k.set.KeepDone {
+			if b := state.Bundles[id]; b.State != shard.Open && now-b.Enrolled > k.set.KeepDone {
 				old.Bundles = append(old.Bundles, id)
 			}
 		}
--- a/ledger/keeper/keeper_test.go
+++ b/ledger/store/keeper_test.go
@@ -1,17 +1,17 @@
-package keeper
+package store
 
 import (
 	"encoding/json"
 	"fmt"
 	"testing"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/tether"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/token"
 )
 
 // shelf is a shelf in memory.
@@ -40,7 +40,7 @@
 	kept    []func()
 	answers map[uint64]machine.Answer
 	orders  []any
-	said    waypost.Announcement
+	said    token.Announcement
 	call    uint64
 }
 
@@ -54,11 +54,11 @@
 	b.do("a", Letter{Body: Welcome{Fleet: "f", Writer: 1}})
 	b.do("b", Letter{Body: Welcome{Fleet: "f", Writer: 2}})
 	for seq, complete := range []bool{false, true} {
-		m := chart.Map{Fleet: "f", Seq: uint64(seq + 1), Stores: map[string]chart.Store{"a": {Peer: "a"}, "b": {Peer: "b"}},
-			Slots: []tether.Pairing{{Epoch: 1, Owner: tether.Member{ID: "a", Life: 1}, Backup: tether.Member{ID: "b", Life: 1}, Complete: complete}}}
+		m := state.Map{Fleet: "f", Seq: uint64(seq + 1), Stores: map[string]state.Store{"a": {Peer: "a"}, "b": {Peer: "b"}},
+			Slots: []replication.Pairing{{Epoch: 1, Owner: replication.Member{ID: "a", Life: 1}, Backup: replication.Member{ID: "b", Life: 1}, Complete: complete}}}
 		value, _ := json.Marshal(m)
 		for _, id := range []string{"a", "b"} {
-			b.do(id, News{Rumour: machine.Rumour{Key: chart.MapKey, Seq: m.Seq, Value: value}})
+			b.do(id, News{Rumour: machine.Rumour{Key: state.MapKey, Seq: m.Seq, Value: value}})
 		}
 		b.pass(clock.Second)
 	}
@@ -133,9 +133,9 @@
 
 // lot is a bundle of opaque items, handed in without a key.
 func lot(id string, items int) EnrolAsk {
-	bundle := daybook.Bundle{ID: id, Customer: "route", Hash: "h", Route: "route"}
+	bundle := shard.Bundle{ID: id, Customer: "route", Hash: "h", Route: "route"}
 	for i := 0; i < items; i++ {
-		bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprint("i", i), Request: &daybook.Request{Target: "/x", Host: "h",
+		bundle.Items = append(bundle.Items, shard.Item{ID: fmt.Sprint("i", i), Request: &shard.Request{Target: "/x", Host: "h",
 			Header: map[string]string{"n": "v"}, Body: []byte(fmt.Sprint("body ", i)), Tokens: int64(10 + i)}})
 	}
 	return EnrolAsk{Bundle: bundle, Expiry: clock.Second}
@@ -159,7 +159,7 @@
 	if got := b.must(ItemAsk{Bundle: "one", Item: "i0"}).(ItemAnswer); string(got.Body) != "body 0" {
 		t.Fatalf("the body is %q", got.Body)
 	}
-	b.do("a", Ran{Bundle: "one", Item: 0, Status: daybook.StatusOK, Output: "x"})
+	b.do("a", Ran{Bundle: "one", Item: 0, Status: shard.StatusOK, Output: "x"})
 	b.must(EndAsk{Bundle: "two", Anyone: true, Expiry: clock.Second})
 	for _, k := range b.keepers {
 		for _, id := range []string{"one", "two"} {
@@ -213,7 +213,7 @@
 func (b *bench) list(from int, change func(*ReadAsk)) Rows {
 	b.t.Helper()
 	ask := ReadAsk{Slots: map[int]uint64{0: 1}, Bundle: "one", Anyone: true, Indexed: true, From: from,
-		Bound: map[int]waypost.Vector{0: {1: b.said.UpTo}}}
+		Bound: map[int]token.Vector{0: {1: b.said.UpTo}}}
 	if change != nil {
 		change(&ask)
 	}
@@ -238,10 +238,10 @@
 	b := newBench(t)
 	b.must(lot("one", 4))
 	for _, item := range []int{2, 0, 3} {
-		b.do("a", Ran{Bundle: "one", Item: item, Status: daybook.StatusOK, Output: "12345"})
+		b.do("a", Ran{Bundle: "one", Item: item, Status: shard.StatusOK, Output: "12345"})
 	}
 	b.pass(clock.Second)
-	if got := b.list(0, nil); got.ids() != "i2 i0 i3 " || got.More || got.Items != 4 || got.State != string(daybook.Open) {
+	if got := b.list(0, nil); got.ids() != "i2 i0 i3 " || got.More || got.Items != 4 || got.State != string(shard.Open) {
 		t.Fatalf("%+v", got)
 	}
 	if got := b.list(1, func(a *ReadAsk) { a.Most = 1 }); got.ids() != "i0 " || !got.More {
@@ -253,12 +253,12 @@
 	if got := b.list(1, func(a *ReadAsk) { a.MostBytes = 1 }); got.ids() != "i0 " || !got.More {
 		t.Fatalf("at least one row: %+v", got)
 	}
-	if got := b.list(3, nil); got.ids() != "" || got.More || got.State != string(daybook.Open) {
+	if got := b.list(3, nil); got.ids() != "" || got.More || got.State != string(shard.Open) {
 		t.Fatalf("at the end: %+v", got)
 	}
 	// The reader has seen the writer only up to the second row.
 	seen := b.said.UpTo - 1
-	short := func(a *ReadAsk) { a.Bound[0] = waypost.Vector{1: seen} }
+	short := func(a *ReadAsk) { a.Bound[0] = token.Vector{1: seen} }
 	if got := b.list(0, short); got.ids() != "i2 i0 " || got.More {
 		t.Fatalf("past the bound: %+v", got)
 	}
@@ -266,10 +266,10 @@
 		t.Fatalf("past the bound: %+v", got)
 	}
 	// The last row is not on two disks yet, whatever the reader claims to have seen.
-	far := func(a *ReadAsk) { a.Bound[0] = waypost.Vector{1: 1 << 40} }
+	far := func(a *ReadAsk) { a.Bound[0] = token.Vector{1: 1 << 40} }
 	b.held = true
-	b.do("a", Ran{Bundle: "one", Item: 1, Status: daybook.StatusFailed, Output: "no"})
-	if got := b.list(2, far); got.ids() != "i3 " || got.State != string(daybook.Open) {
+	b.do("a", Ran{Bundle: "one", Item: 1, Status: shard.StatusFailed, Output: "no"})
+	if got := b.list(2, far); got.ids() != "i3 " || got.State != string(shard.Open) {
 		t.Fatalf("past what has finished: %+v", got)
 	}
 	b.held = false
@@ -281,14 +281,14 @@
 	if b.keepers["a"].Shelved != 1 {
 		t.Fatal("the bundle was not shelved")
 	}
-	if got := b.list(1, short); got.ids() != "i0 " || got.State != string(daybook.Open) || got.Items != 4 {
+	if got := b.list(1, short); got.ids() != "i0 " || got.State != string(shard.Open) || got.Items != 4 {
 		t.Fatalf("from the shelf past the bound: %+v", got)
 	}
 	got := b.list(1, nil)
-	if got.ids() != "i0 i3 i1 " || got.State != string(daybook.Done) || got.Items != 4 || got.Rows[2].Status != daybook.StatusFailed {
+	if got.ids() != "i0 i3 i1 " || got.State != string(shard.Done) || got.Items != 4 || got.Rows[2].Status != shard.StatusFailed {
 		t.Fatalf("from the shelf: %+v", got)
 	}
-	if got := b.list(4, nil); got.ids() != "" || got.State != string(daybook.Done) || got.Items != 4 {
+	if got := b.list(4, nil); got.ids() != "" || got.State != string(shard.Done) || got.Items != 4 {
 		t.Fatalf("the shelf's end: %+v", got)
 	}
 }
--- a/ledger/keeper/shelf.go
+++ b/ledger/store/shelf.go
@@ -1,10 +1,10 @@
-package keeper
+package store
 
 import (
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/shard"
 )
 
 // Memory is bounded by open work (DESIGN §6.7): a settled bundle's rows lie in
@@ -26,10 +26,10 @@
 // only once it is on disk; the entries that made them stay on disk until a view
 // refers to the file.
 func (k *Keeper) settleDown() {
-	var pack []*daybook.Bundle
+	var pack []*shard.Bundle
 	size := 0
 	for _, rope := range k.gang.Ropes() {
-		quiet := rope.Role == tether.Serving && rope.Open() == 0 || rope.Role == tether.Backing && rope.Durable == rope.Seq
+		quiet := rope.Role == replication.Serving && rope.Open() == 0 || rope.Role == replication.Backing && rope.Durable == rope.Seq
 		if !quiet {
 			continue
 		}
@@ -66,11 +66,11 @@
 
 // whole reads a shelved bundle back. A file that can't be read is damage: the
 // keeper says so and stops, so that its pair's other end serves.
-func (k *Keeper) whole(b *daybook.Bundle) *daybook.Bundle {
+func (k *Keeper) whole(b *shard.Bundle) *shard.Bundle {
 	data, err := k.shelf.Get(b.Shelved.File, b.ID)
 	if err == nil {
-		var found *daybook.Bundle
-		if found, err = daybook.Unshelved(data); err == nil {
+		var found *shard.Bundle
+		if found, err = shard.Unshelved(data); err == nil {
 			return found
 		}
 	}
@@ -82,7 +82,7 @@
 }
 
 // rows are a bundle's rows after a vector, read back only where there are any.
-func (k *Keeper) rows(b *daybook.Bundle, after func(writer int) int64) []daybook.Row {
+func (k *Keeper) rows(b *shard.Bundle, after func(writer int) int64) []shard.Row {
 	if b.Shelved == nil {
 		return b.Rows
 	}
--- a/ledger/keeper/waiting.go
+++ b/ledger/store/waiting.go
@@ -1,9 +1,9 @@
-package keeper
+package store
 
 import (
 	"tuliprudder/kernel/clock"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/shard"
 )
 
 // What waits of the requests that are passed on is counted from the ledger itself
@@ -37,12 +37,12 @@
 
 // counts tells whether a slot's work counts here: at its owner, and at one that
 // was its owner in an earlier life until another is.
-func (k *Keeper) counts(rope *tether.Rope) bool {
+func (k *Keeper) counts(rope *replication.Rope) bool {
 	if rope.Owns() {
 		return true
 	}
 	slot := slotOf(rope.Unit)
-	return rope.Role == tether.Cold && slot < len(k.chart.Slots) && k.chart.Slots[slot].Owner.ID == k.self.ID
+	return rope.Role == replication.Cold && slot < len(k.chart.Slots) && k.chart.Slots[slot].Owner.ID == k.self.ID
 }
 
 // leave keeps what a slot counted for in mind for a while.
@@ -63,10 +63,10 @@
 }
 
 // waitingOf counts a slot's requests that are not listed.
-func waitingOf(state *daybook.Slot) map[string]int {
+func waitingOf(state *shard.Slot) map[string]int {
 	out := map[string]int{}
 	for _, bundle := range state.Bundles {
-		if bundle.State != daybook.Open {
+		if bundle.State != shard.Open {
 			continue
 		}
 		for i, item := range bundle.Items {
--- a/ledger/keeper/waiting_test.go
+++ b/ledger/store/waiting_test.go
@@ -1,20 +1,20 @@
-package keeper
+package store
 
 import (
 	"encoding/json"
 	"testing"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
 )
 
 func mapNews(seq, epoch uint64, owner, backup string, ownerLife uint64) News {
-	m := chart.Map{Fleet: "f", Seq: seq, Stores: map[string]chart.Store{"a": {Peer: "a", Life: 1}, "b": {Peer: "b", Life: 1}},
-		Slots: []tether.Pairing{{Epoch: epoch, Owner: tether.Member{ID: owner, Life: ownerLife}, Backup: tether.Member{ID: backup, Life: 1}, Complete: true, Trusted: [2]string{owner, backup}}}}
+	m := state.Map{Fleet: "f", Seq: seq, Stores: map[string]state.Store{"a": {Peer: "a", Life: 1}, "b": {Peer: "b", Life: 1}},
+		Slots: []replication.Pairing{{Epoch: epoch, Owner: replication.Member{ID: owner, Life: ownerLife}, Backup: replication.Member{ID: backup, Life: 1}, Complete: true, Trusted: [2]string{owner, backup}}}}
 	value, _ := json.Marshal(m)
-	return News{Rumour: machine.Rumour{Key: chart.MapKey, Seq: seq, Value: value}}
+	return News{Rumour: machine.Rumour{Key: state.MapKey, Seq: seq, Value: value}}
 }
 
 // What was accepted counts from the write on; at a store that starts again, until
--- a/ledger/waypost/token.go
+++ b/ledger/token/token.go
@@ -1,6 +1,6 @@
-// Package waypost is the readers' side of the design page's mechanism (DESIGN
+// Package token is the readers' side of the design page's mechanism (DESIGN
 // §6.4): the position token, and the last position announced by each writer.
-package waypost
+package token
 
 import (
 	"encoding/base64"
--- a/ledger/waypost/view.go
+++ b/ledger/token/view.go
@@ -1,11 +1,11 @@
-package waypost
+package token
 
 import (
 	"encoding/json"
 	"fmt"
 
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/shard"
 )
 
 // Claimed is a slot that a writer serves, as it announces it.
@@ -14,7 +14,7 @@
 	Epoch uint64        `json:"epoch"`
 	Last  map[int]int64 `json:"last"` // where each former writer's rows end
 	// Tenures are the slot's newest runs of rows, writer by writer.
-	Tenures []daybook.Tenure `json:"tenures,omitempty"`
+	Tenures []shard.Tenure `json:"tenures,omitempty"`
 }
 
 // Announcement is a writer's own word: its persisted-up-to position and the
--- a/ledger/waypost/waypost_test.go
+++ b/ledger/token/waypost_test.go
@@ -1,4 +1,4 @@
-package waypost
+package token
 
 import (
 	"encoding/json"
@@ -6,7 +6,7 @@
 
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/shard"
 )
 
 func TestTokenKeepsEveryPosition(t *testing.T) {
@@ -118,7 +118,7 @@
 	if _, whole := v.UpTo(); whole {
 		t.Fatal("the feed is whole while a slot is in passage")
 	}
-	v.Hear(said(2, Announcement{Writer: 2, UpTo: 30, Slots: []Claimed{{Slot: 0, Epoch: 2, Last: map[int]int64{1: 14}, Tenures: []daybook.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 29}}}, {Slot: 1, Epoch: 1}}}))
+	v.Hear(said(2, Announcement{Writer: 2, UpTo: 30, Slots: []Claimed{{Slot: 0, Epoch: 2, Last: map[int]int64{1: 14}, Tenures: []shard.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 29}}}, {Slot: 1, Epoch: 1}}}))
 	if got := v.Effective(0); got[1] != 14 || got[2] != 30 {
 		t.Fatalf("slot 0 may be read to %v", got)
 	}
@@ -136,12 +136,12 @@
 	v.Hear(said(1, Announcement{Writer: 1, UpTo: 10, Slots: []Claimed{{Slot: 0, Epoch: 1}, {Slot: 1, Epoch: 1}}}))
 	v.Hear(said(1, Announcement{Writer: 2, UpTo: 3, Slots: []Claimed{{Slot: 2, Epoch: 1}}}))
 	v.SetMap([]uint64{2, 2, 1})
-	v.Hear(said(2, Announcement{Writer: 2, UpTo: 30, Slots: []Claimed{{Slot: 0, Epoch: 2, Last: map[int]int64{1: 14}, Tenures: []daybook.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 29}}}, {Slot: 2, Epoch: 1}}}))
+	v.Hear(said(2, Announcement{Writer: 2, UpTo: 30, Slots: []Claimed{{Slot: 0, Epoch: 2, Last: map[int]int64{1: 14}, Tenures: []shard.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 29}}}, {Slot: 2, Epoch: 1}}}))
 	upTo, whole := v.UpTo()
 	if whole || upTo[1] != 10 || upTo[2] != 20 {
 		t.Fatalf("up to %v, whole %v; writer 2 has to stay below 21", upTo, whole)
 	}
-	v.Hear(said(3, Announcement{Writer: 2, UpTo: 30, Slots: []Claimed{{Slot: 0, Epoch: 2, Last: map[int]int64{1: 14}, Tenures: []daybook.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 29}}}, {Slot: 1, Epoch: 2, Last: map[int]int64{1: 12}, Tenures: []daybook.Tenure{{Writer: 1, First: 1, Last: 12}}}, {Slot: 2, Epoch: 1}}}))
+	v.Hear(said(3, Announcement{Writer: 2, UpTo: 30, Slots: []Claimed{{Slot: 0, Epoch: 2, Last: map[int]int64{1: 14}, Tenures: []shard.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 29}}}, {Slot: 1, Epoch: 2, Last: map[int]int64{1: 12}, Tenures: []shard.Tenure{{Writer: 1, First: 1, Last: 12}}}, {Slot: 2, Epoch: 1}}}))
 	upTo, whole = v.UpTo()
 	if !whole || upTo[1] != 14 || upTo[2] != 30 {
 		t.Fatalf("all settled: up to %v, whole %v", upTo, whole)
@@ -156,7 +156,7 @@
 	v.Hear(said(1, Announcement{Writer: 1, UpTo: 10}))
 	v.Hear(said(1, Announcement{Writer: 2, UpTo: 90, Slots: []Claimed{{Slot: 1, Epoch: 1}}}))
 	v.Hear(said(1, Announcement{Writer: 3, UpTo: 200, Slots: []Claimed{{Slot: 0, Epoch: 3, Last: map[int]int64{1: 14, 2: 40},
-		Tenures: []daybook.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 40}, {Writer: 3, First: 120, Last: 130}}}}}))
+		Tenures: []shard.Tenure{{Writer: 1, First: 2, Last: 14}, {Writer: 2, First: 21, Last: 40}, {Writer: 3, First: 120, Last: 130}}}}}))
 	upTo, whole := v.UpTo()
 	if whole || upTo[1] != 10 || upTo[2] != 20 || upTo[3] != 119 {
 		t.Fatalf("slot 2 is in passage: up to %v, whole %v", upTo, whole)
--- a/acquaintance/circle/circle.go
+++ b/membership/gossip/circle.go
@@ -1,17 +1,17 @@
-// Package circle is how daemons know each other and pass on news (DESIGN §3):
+// Package gossip is how daemons know each other and pass on news (DESIGN §3):
 // a partial view shuffled between neighbours, a directory fed by rumour, gaps
 // mended by comparing digests, and suspicion that needs a second witness.
-package circle
+package gossip
 
 import (
 	"math/rand"
 	"sort"
 	"strings"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/transport"
+	"tuliprudder/membership/identity"
 )
 
 // Settings are the circle's spans; the defaults are ours.
@@ -110,11 +110,11 @@
 type Circle struct {
 	machine.Out
 	set      Settings
-	self     people.Person
+	self     identity.Person
 	seeds    []string
 	chance   *rand.Rand
 	news     map[string]machine.Rumour
-	folk     map[string]people.Person
+	folk     map[string]identity.Person
 	since    map[string]clock.Micros // when the standing was learnt
 	view     []string
 	probes   map[uint64]*probing
@@ -139,9 +139,9 @@
 }
 
 // New makes a circle for a daemon; the seed makes its choices repeatable.
-func New(self people.Person, seeds []string, set Settings, seed int64) *Circle {
+func New(self identity.Person, seeds []string, set Settings, seed int64) *Circle {
 	c := &Circle{set: set, self: self, seeds: seeds, chance: rand.New(rand.NewSource(seed)),
-		news: map[string]machine.Rumour{}, folk: map[string]people.Person{}, since: map[string]clock.Micros{},
+		news: map[string]machine.Rumour{}, folk: map[string]identity.Person{}, since: map[string]clock.Micros{},
 		probes: map[uint64]*probing{}, helps: map[uint64]helping{}, asked: map[string]asking{}, counted: map[string]clock.Micros{}, raw: map[string]clock.Micros{}, presses: map[uint64]*pressing{}}
 	c.speak(0)
 	return c
@@ -242,7 +242,7 @@
 
 // Apply spreads that the daemon has left.
 func (Leave) Apply(c *Circle, now clock.Micros) {
-	c.self.Standing = people.Left
+	c.self.Standing = identity.Left
 	c.speak(now)
 	c.pass()
 }
@@ -280,7 +280,7 @@
 		// A dead daemon may only have been cut off: knock once in a while.
 		var dead []string
 		for _, p := range c.sorted() {
-			if p.Standing == people.Dead {
+			if p.Standing == identity.Dead {
 				dead = append(dead, p.Peer)
 			}
 		}
@@ -292,7 +292,7 @@
 }
 
 func (c *Circle) speak(now clock.Micros) {
-	c.hear([]machine.Rumour{{Key: people.Key(c.self.ID), Epoch: c.self.Incarnation, Seq: c.self.Seq(), Value: c.self.Encode()}}, now)
+	c.hear([]machine.Rumour{{Key: identity.Key(c.self.ID), Epoch: c.self.Incarnation, Seq: c.self.Seq(), Value: c.self.Encode()}}, now)
 }
 
 // hear takes rumours in; what is new is told to this daemon's other machines
@@ -304,7 +304,7 @@
 			continue
 		}
 		if strings.HasPrefix(rumour.Key, "daemon/") {
-			person, ok := people.Decode(rumour.Value)
+			person, ok := identity.Decode(rumour.Value)
 			if !ok {
 				continue
 			}
@@ -317,12 +317,12 @@
 				}
 				continue
 			}
-			if _, known := c.folk[person.ID]; !known && person.Standing >= people.Dead {
+			if _, known := c.folk[person.ID]; !known && person.Standing >= identity.Dead {
 				continue // long forgotten here; do not bring it back
 			}
 			if c.folk[person.ID].Standing != person.Standing || c.folk[person.ID].Incarnation != person.Incarnation {
 				c.since[person.ID] = now
-				if was := c.folk[person.ID].Standing; was != people.Sound || person.Standing != people.Sound {
+				if was := c.folk[person.ID].Standing; was != identity.Sound || person.Standing != identity.Sound {
 					c.Emit(machine.Explain{What: "standing of a daemon", Fields: map[string]any{"daemon": person.ID, "kind": person.Kind, "standing": person.Standing.String(), "incarnation": person.Incarnation}})
 				}
 			}
@@ -469,7 +469,7 @@
 func (c *Circle) probe(now clock.Micros) {
 	if len(c.order) == 0 {
 		for _, p := range c.sorted() {
-			if p.ID != c.self.ID && p.Standing <= people.Suspect {
+			if p.ID != c.self.ID && p.Standing <= identity.Suspect {
 				c.order = append(c.order, p.ID)
 			}
 		}
@@ -481,7 +481,7 @@
 	id := c.order[0]
 	c.order = c.order[1:]
 	person, ok := c.folk[id]
-	if !ok || person.Standing > people.Suspect {
+	if !ok || person.Standing > identity.Suspect {
 		return
 	}
 	c.nonce++
@@ -523,17 +523,17 @@
 			}
 		case p.helped && now-p.asked >= 4*c.set.ProbeWait:
 			delete(c.probes, nonce)
-			if person, ok := c.folk[p.id]; ok && p.denied > 0 && person.Standing == people.Sound {
-				person.Standing = people.Suspect
+			if person, ok := c.folk[p.id]; ok && p.denied > 0 && person.Standing == identity.Sound {
+				person.Standing = identity.Suspect
 				c.Suspected++
-				c.hear([]machine.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
+				c.hear([]machine.Rumour{{Key: identity.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
 			}
 		}
 	}
 	for _, person := range c.sorted() {
-		if person.Standing == people.Suspect && now-c.since[person.ID] >= c.set.Suspicion && person.ID != c.self.ID && now-c.lastSwap < c.set.Suspicion {
-			person.Standing = people.Dead
-			c.hear([]machine.Rumour{{Key: people.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
+		if person.Standing == identity.Suspect && now-c.since[person.ID] >= c.set.Suspicion && person.ID != c.self.ID && now-c.lastSwap < c.set.Suspicion {
+			person.Standing = identity.Dead
+			c.hear([]machine.Rumour{{Key: identity.Key(person.ID), Epoch: person.Incarnation, Seq: person.Seq(), Value: person.Encode()}}, now)
 		}
 	}
 }
@@ -550,17 +550,17 @@
 // forget drops the directory entries of daemons long dead.
 func (c *Circle) forget(now clock.Micros) {
 	for _, person := range c.sorted() {
-		if person.Standing >= people.Dead && now-c.since[person.ID] > c.set.Forget {
+		if person.Standing >= identity.Dead && now-c.since[person.ID] > c.set.Forget {
 			delete(c.folk, person.ID)
 			delete(c.since, person.ID)
-			delete(c.news, people.Key(person.ID))
+			delete(c.news, identity.Key(person.ID))
 		}
 	}
 	kept := c.view[:0]
 	for _, peer := range c.view {
 		sound := true
 		for _, person := range c.folk {
-			if person.Peer == peer && person.Standing >= people.Dead {
+			if person.Peer == peer && person.Standing >= identity.Dead {
 				sound = false
 			}
 		}
@@ -643,8 +643,8 @@
 	return keys
 }
 
-func (c *Circle) sorted() []people.Person {
-	out := make([]people.Person, 0, len(c.folk))
+func (c *Circle) sorted() []identity.Person {
+	out := make([]identity.Person, 0, len(c.folk))
 	for _, person := range c.folk {
 		out = append(out, person)
 	}
@@ -652,10 +652,10 @@
 	return out
 }
 
-func (c *Circle) sound() []people.Person {
-	var out []people.Person
+func (c *Circle) sound() []identity.Person {
+	var out []identity.Person
 	for _, person := range c.sorted() {
-		if person.Standing <= people.Suspect && person.ID != c.self.ID {
+		if person.Standing <= identity.Suspect && person.ID != c.self.ID {
 			out = append(out, person)
 		}
 	}
@@ -663,7 +663,7 @@
 }
 
 // Folk is a copy of the directory in the agreed order.
-func (c *Circle) Folk() []people.Person { return c.sorted() }
+func (c *Circle) Folk() []identity.Person { return c.sorted() }
 
 // LastSwap is when this daemon sent the last digest that was answered: news up
 // to then was within its reach.
--- a/acquaintance/circle/circle_test.go
+++ b/membership/gossip/circle_test.go
@@ -1,12 +1,12 @@
-package circle
+package gossip
 
 import (
 	"fmt"
 	"testing"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 )
 
 // town is some circles with links that can be cut.
@@ -25,7 +25,7 @@
 	for i := 0; i < count; i++ {
 		name := fmt.Sprintf("d%02d", i)
 		w.names = append(w.names, name)
-		w.circles[name] = New(people.Person{ID: name, Kind: people.Trailhead, Peer: name, Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
+		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Trailhead, Peer: name, Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
 	}
 	return w
 }
@@ -54,7 +54,7 @@
 	}
 }
 
-func (w *town) standing(at, of string) people.Standing {
+func (w *town) standing(at, of string) identity.Standing {
 	for _, person := range w.circles[at].Folk() {
 		if person.ID == of {
 			return person.Standing
@@ -135,13 +135,13 @@
 	w.pass(3 * clock.Second)
 	w.cut["d04"] = true
 	w.pass(8 * clock.Second)
-	if got := w.standing("d00", "d04"); got != people.Dead {
+	if got := w.standing("d00", "d04"); got != identity.Dead {
 		t.Fatalf("after 8 s of silence d04 is %s", got)
 	}
 	w.cut["d04"] = false
 	w.pass(8 * clock.Second)
 	for _, name := range w.names {
-		if got := w.standing(name, "d04"); got != people.Sound {
+		if got := w.standing(name, "d04"); got != identity.Sound {
 			t.Fatalf("at %s d04 is %s after its return", name, got)
 		}
 	}
@@ -154,7 +154,7 @@
 	for i := 0; i < 9; i++ {
 		name := fmt.Sprintf("d%02d", i)
 		w.names = append(w.names, name)
-		w.circles[name] = New(people.Person{ID: name, Kind: people.Trailhead, Peer: name, Zone: fmt.Sprint(i % 3), Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
+		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Trailhead, Peer: name, Zone: fmt.Sprint(i % 3), Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
 	}
 	w.pass(3 * clock.Second)
 	w.apart = func(one, other string) bool {
@@ -173,10 +173,10 @@
 // their word; one of the release before is told by gossip, and sent no press.
 func TestAWordIsOutOnceMostOfTheRollKnowIt(t *testing.T) {
 	for _, reached := range []bool{true, false} {
-		c := New(people.Person{ID: "e", Kind: people.Trailhead, Peer: "e", Zone: "z"}, nil, Defaults(), 1)
+		c := New(identity.Person{ID: "e", Kind: identity.Trailhead, Peer: "e", Zone: "z"}, nil, Defaults(), 1)
 		for id, version := range map[string]int{"s1": 2, "s2": 2, "s3": 1, "k1": 2, "k2": 2} {
-			p := people.Person{ID: id, Kind: people.Refuge, Peer: id, Zone: "y", Version: version}
-			c.Do(Tell{machine.Rumour{Key: people.Key(id), Seq: p.Seq(), Value: p.Encode()}}, 1)
+			p := identity.Person{ID: id, Kind: identity.Refuge, Peer: id, Zone: "y", Version: version}
+			c.Do(Tell{machine.Rumour{Key: identity.Key(id), Seq: p.Seq(), Value: p.Encode()}}, 1)
 		}
 		c.Do(Tell{machine.Rumour{Key: "map", Seq: 1, Value: []byte(`{"stores":{"s1":{},"s2":{},"s3":{}}}`)}}, 1)
 		c.Do(Tell{machine.Rumour{Key: "core", Seq: 1, Value: []byte(`{"seats":["k1","k2","k3"]}`)}}, 1)
@@ -222,7 +222,7 @@
 		alone.Do(ClockEvent{}, w.now)
 	}
 	for _, person := range alone.Folk() {
-		if person.Standing != people.Sound {
+		if person.Standing != identity.Sound {
 			t.Fatalf("d05, alone, holds %s to be %s", person.ID, person.Standing)
 		}
 	}
--- a/acquaintance/circle/roll.go
+++ b/membership/gossip/roll.go
@@ -1,10 +1,10 @@
-package circle
+package gossip
 
 import (
 	"slices"
 	"sort"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
@@ -109,8 +109,8 @@
 
 // count reads the roll anew where the core's news changed.
 func (c *Circle) count(key string) {
-	if key == chart.MapKey || key == chart.CoreKey {
-		c.roll = chart.Roll(c.news[chart.MapKey].Value, c.news[chart.CoreKey].Value)
+	if key == state.MapKey || key == state.CoreKey {
+		c.roll = state.Roll(c.news[state.MapKey].Value, c.news[state.CoreKey].Value)
 		for _, stamps := range []map[string]clock.Micros{c.counted, c.raw} {
 			for id := range stamps {
 				if c.roll[id] == 0 {
--- a/acquaintance/people/people.go
+++ b/membership/identity/people.go
@@ -1,5 +1,5 @@
-// Package people says who a daemon is (DESIGN §3).
-package people
+// Package identity says who a daemon is (DESIGN §3).
+package identity
 
 import "encoding/json"
 
--- a/path/dispatch/dispatch.go
+++ b/path/dispatch/dispatch.go
@@ -12,7 +12,7 @@
 	"slices"
 	"sort"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/path/judges"
@@ -45,7 +45,7 @@
 type Order struct {
 	ID       string
 	Customer string
-	Route    *planbook.Route
+	Route    *config.Route
 	Rank     int64
 	Bundle   bool
 	Weight   int // what it counts for while it waits; 0 counts as 1
@@ -54,7 +54,7 @@
 	Expiry   clock.Micros   // 0: none
 	Avoid    map[string]int // servers that turned it away
 	// Pools, where set, are those that serve this order instead of its route's.
-	Pools planbook.Selector
+	Pools config.Selector
 	// Permit is asked right before the start; false drops the order.
 	Permit func(now clock.Micros) bool
 	// Start is told the chosen server.
@@ -133,15 +133,15 @@
 // Dispatch is the backlog and the servers of one daemon.
 type Dispatch struct {
 	set      Settings
-	plan     *planbook.Plan
+	plan     *config.Plan
 	levels   []int64
 	bundles  int     // bundle orders of this daemon that run
 	turn     float64 // where this daemon's own order of servers begins, from 0 to 1
 	part     float64 // of the room for items, this store's
 	servers  map[string]*state
-	backlogs map[int64]map[*planbook.Route]*list.List // by level, then by route
-	expiries expiries                                 // those that expire, the next one first
-	waiting  map[string]int                           // weights, by customer
+	backlogs map[int64]map[*config.Route]*list.List // by level, then by route
+	expiries expiries                               // those that expire, the next one first
+	waiting  map[string]int                         // weights, by customer
 	count    int
 	seq      uint64
 	prefixes map[uint64]string
@@ -163,14 +163,14 @@
 
 // New makes a dispatcher.
 func New(set Settings, seed int64) *Dispatch {
-	return &Dispatch{set: set, servers: map[string]*state{}, backlogs: map[int64]map[*planbook.Route]*list.List{}, waiting: map[string]int{},
+	return &Dispatch{set: set, servers: map[string]*state{}, backlogs: map[int64]map[*config.Route]*list.List{}, waiting: map[string]int{},
 		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), retries: mostRetries, part: 1}
 }
 
 // SetPlan puts a plan in force here, for what waits as well: each order goes by
 // the new plan's route and rank from now on, and one whose route or customer is
 // gone is dropped.
-func (d *Dispatch) SetPlan(plan *planbook.Plan, now clock.Micros) {
+func (d *Dispatch) SetPlan(plan *config.Plan, now clock.Micros) {
 	if d.plan != nil && plan.Version <= d.plan.Version {
 		return
 	}
@@ -223,7 +223,7 @@
 }
 
 // Plan is the plan in force here; nil before the first.
-func (d *Dispatch) Plan() *planbook.Plan {
+func (d *Dispatch) Plan() *config.Plan {
 	return d.plan
 }
 
@@ -314,7 +314,7 @@
 
 // levels are the levels of a plan's classes, lowest first: bundles of a class,
 // then its live orders.
-func levels(plan *planbook.Plan) []int64 {
+func levels(plan *config.Plan) []int64 {
 	seen := map[int64]bool{}
 	var out []int64
 	for _, class := range plan.Classes {
@@ -385,7 +385,7 @@
 func (d *Dispatch) put(o *Order) {
 	level := levelOf(o)
 	if d.backlogs[level] == nil {
-		d.backlogs[level] = map[*planbook.Route]*list.List{}
+		d.backlogs[level] = map[*config.Route]*list.List{}
 	}
 	backlog := d.backlogs[level][o.Route]
 	if backlog == nil {
@@ -670,7 +670,7 @@
 	return grip
 }
 
-func (d *Dispatch) serves(o *Order, labels planbook.Labels) bool {
+func (d *Dispatch) serves(o *Order, labels config.Labels) bool {
 	if o.Pools != nil {
 		return d.plan.Selects(o.Pools, labels)
 	}
--- a/path/dispatch/dispatch_test.go
+++ b/path/dispatch/dispatch_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/path/roster"
@@ -15,14 +15,14 @@
 	now     clock.Micros
 	started chan string
 	dropped chan string
-	route   *planbook.Route
+	route   *config.Route
 }
 
 func newBench(t *testing.T, servers ...roster.Server) *bench {
 	t.Helper()
 	b := &bench{now: 10_000_000, started: make(chan string, 100), dropped: make(chan string, 100)}
 	b.Dispatch = New(Defaults(), 7)
-	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"a1","rank":1,"allowance":1},{"name":"a5","rank":5,"allowance":1},{"name":"a9","rank":9,"allowance":1}],
+	plan, err := config.Parse([]byte(`{"classes":[{"name":"a1","rank":1,"allowance":1},{"name":"a5","rank":5,"allowance":1},{"name":"a9","rank":9,"allowance":1}],
 	 "customers":[{"name":"c1","key":"k1","class":"a1"},{"name":"c5","key":"k5","class":"a5"},{"name":"c9","key":"k9","class":"a9"}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{"fleet":"main"}}],
 	 "routes":[{"name":"r","kind":"one-shot","classes":{},"pools":{"u":"x"},"model":"m","weights":"w1"}],"judges":{"speed":0}}`))
 	if err != nil {
@@ -266,10 +266,10 @@
 // nothing of the order's rank, and a route without classes keeps it.
 func TestAForwardedOrderKeepsItsRank(t *testing.T) {
 	b := newBench(t, server("s", 4))
-	plan := &planbook.Plan{Version: 2, Judges: b.Plan().Judges, Pools: b.Plan().Pools,
-		Classes:   []planbook.Class{{Name: "a9", Rank: 9, Allowance: 1}},
-		Customers: []planbook.Customer{{Name: "c1", Key: "k", Class: "a9"}},
-		Routes:    []planbook.Route{{Name: "c1", Kind: planbook.Bundle, Forward: &planbook.Forward{}}, {Name: "c2", Kind: planbook.Bundle, Forward: &planbook.Forward{}}}}
+	plan := &config.Plan{Version: 2, Judges: b.Plan().Judges, Pools: b.Plan().Pools,
+		Classes:   []config.Class{{Name: "a9", Rank: 9, Allowance: 1}},
+		Customers: []config.Customer{{Name: "c1", Key: "k", Class: "a9"}},
+		Routes:    []config.Route{{Name: "c1", Kind: config.Bundle, Forward: &config.Forward{}}, {Name: "c2", Kind: config.Bundle, Forward: &config.Forward{}}}}
 	plan.Index()
 	b.SetPlan(plan, b.now)
 	for i, name := range []string{"c1", "c2"} {
@@ -284,8 +284,8 @@
 // silent stays so, and its failures stay counted.
 func TestLeaveSaysNothingOfTheServer(t *testing.T) {
 	d := New(Defaults(), 1)
-	plan := &planbook.Plan{Version: 1, Pools: []planbook.Pool{{Name: "p"}}, Judges: map[string]float64{"spread": 1},
-		Routes: []planbook.Route{{Name: "r", Kind: planbook.Stream, Forward: &planbook.Forward{}}}, Customers: []planbook.Customer{{Name: "r", Class: "c"}}, Classes: []planbook.Class{{Name: "c", Rank: 1}}}
+	plan := &config.Plan{Version: 1, Pools: []config.Pool{{Name: "p"}}, Judges: map[string]float64{"spread": 1},
+		Routes: []config.Route{{Name: "r", Kind: config.Stream, Forward: &config.Forward{}}}, Customers: []config.Customer{{Name: "r", Class: "c"}}, Classes: []config.Class{{Name: "c", Rank: 1}}}
 	plan.Index()
 	d.SetPlan(plan, 1)
 	d.SetServer(roster.Server{Name: "s", Address: "s:1", Slots: 4})
--- a/path/dispatch/judged_test.go
+++ b/path/dispatch/judged_test.go
@@ -7,7 +7,7 @@
 	"sort"
 	"testing"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/path/roster"
@@ -63,7 +63,7 @@
 // virtual time, with the judges weighed as given.
 func live(t *testing.T, seed int64, weights string) figures {
 	t.Helper()
-	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"a","rank":1,"allowance":1}],"customers":[{"name":"c","key":"k","class":"a"}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{}}],
+	plan, err := config.Parse([]byte(`{"classes":[{"name":"a","rank":1,"allowance":1}],"customers":[{"name":"c","key":"k","class":"a"}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{}}],
 	 "routes":[{"name":"r","kind":"one-shot","classes":{},"pools":{"u":"x"},"model":"m"}],"judges":` + weights + `}`))
 	if err != nil {
 		t.Fatal(err, errs.Of(err).Faults)
--- a/path/ford/ford.go
+++ b/path/ford/ford.go
@@ -7,7 +7,7 @@
 import (
 	"math/rand"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
@@ -77,12 +77,12 @@
 	// Run says: send the request to this server, then tell how it went.
 	Run struct {
 		Address, Server string
-		Route           *planbook.Route
+		Route           *config.Route
 		Expiry          clock.Micros
 		Last            bool // a failure of this server's own is passed on: no further try follows
 	}
 	// Bulk says: the request hands in a bundle; it is no order for a server.
-	Bulk struct{ Route *planbook.Route }
+	Bulk struct{ Route *config.Route }
 	// Over says: nothing more is to be done.
 	Over struct{}
 )
@@ -103,7 +103,7 @@
 
 type request struct {
 	Arrive
-	route  *planbook.Route
+	route  *config.Route
 	rank   int64
 	expiry clock.Micros
 	call   uint64
@@ -146,8 +146,8 @@
 }
 
 // Repeatable tells whether requests of a route may run more than once.
-func Repeatable(route *planbook.Route) bool {
-	return route.Kind == planbook.Repeatable || route.Kind == planbook.Resumable
+func Repeatable(route *config.Route) bool {
+	return route.Kind == config.Repeatable || route.Kind == config.Resumable
 }
 
 // arrive finds the request's route; a daemon without a plan denies nothing.
@@ -162,7 +162,7 @@
 	case route == nil:
 		f.answer(call, nil, errs.New(errs.UnknownRoute, "correct host and path, or have the operators add a route", "no route for this host and path"))
 		return
-	case route.Kind == planbook.Bundle:
+	case route.Kind == config.Bundle:
 		f.answer(call, Bulk{Route: route}, nil)
 		return
 	}
@@ -212,7 +212,7 @@
 }
 
 // pools picks the part of a split route that this request goes to.
-func (f *Ford) pools(route *planbook.Route) planbook.Selector {
+func (f *Ford) pools(route *config.Route) config.Selector {
 	sum := int64(0)
 	for _, part := range route.Forward.Split {
 		sum += part.Share
@@ -290,7 +290,7 @@
 	case ran.Over:
 		f.giveUp(r, why, now)
 	case r.ran && !Repeatable(r.route) && !f.SecondRun,
-		ran.Began && r.route.Kind != planbook.Resumable:
+		ran.Began && r.route.Kind != config.Resumable:
 		f.giveUp(r, why, now)
 	case !f.more(r), r.unsent > mostUnsent:
 		f.giveUp(r, why, now)
--- a/path/ford/ford_test.go
+++ b/path/ford/ford_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
@@ -27,16 +27,16 @@
 
 // newBench has servers of the pools a and b, in a list like "a a b"; with routes
 // there is a plan of one route of each kind.
-func newBench(t *testing.T, servers []string, routes ...planbook.Route) *bench {
+func newBench(t *testing.T, servers []string, routes ...config.Route) *bench {
 	t.Helper()
 	set := dispatch.Defaults()
 	set.Staleness = dispatch.ServeOn
 	b := &bench{t: t, d: dispatch.New(set, 7), wire: machine.NewWire(), now: 10 * clock.Second, answers: map[uint64]machine.Answer{}}
 	b.Ford = New(Defaults(), b.wire, b.d, 7)
 	if len(routes) > 0 {
-		plan := &planbook.Plan{Version: 1, Judges: map[string]float64{"fullness": 1, "spread": 1}, Routes: routes}
+		plan := &config.Plan{Version: 1, Judges: map[string]float64{"fullness": 1, "spread": 1}, Routes: routes}
 		for _, pool := range []string{"a", "b"} {
-			plan.Pools = append(plan.Pools, planbook.Pool{Name: pool, Labels: planbook.Labels{"u": pool}, Servers: planbook.Selector{"pool": {pool}}})
+			plan.Pools = append(plan.Pools, config.Pool{Name: pool, Labels: config.Labels{"u": pool}, Servers: config.Selector{"pool": {pool}}})
 		}
 		named(plan)
 		b.d.SetPlan(plan, b.now)
@@ -48,10 +48,10 @@
 }
 
 // named gives a plan's routes the customers and the class they stand for.
-func named(plan *planbook.Plan) {
-	plan.Classes = append(plan.Classes, planbook.Class{Name: "c", Rank: 5})
+func named(plan *config.Plan) {
+	plan.Classes = append(plan.Classes, config.Class{Name: "c", Rank: 5})
 	for _, route := range plan.Routes {
-		plan.Customers = append(plan.Customers, planbook.Customer{Name: route.Name, Class: "c"})
+		plan.Customers = append(plan.Customers, config.Customer{Name: route.Name, Class: "c"})
 	}
 	plan.Index()
 }
@@ -61,9 +61,9 @@
 }
 
 // route is one of a kind; its host is its kind.
-func route(kind string, tries int64) planbook.Route {
-	return planbook.Route{Name: "r-" + kind, Kind: kind, Pools: planbook.Selector{"u": {"a"}}, Expiry: 5 * clock.Second,
-		Forward: &planbook.Forward{Host: kind, PathPrefix: "/x/", Tries: tries, Aim: 300 * millisecond}}
+func route(kind string, tries int64) config.Route {
+	return config.Route{Name: "r-" + kind, Kind: kind, Pools: config.Selector{"u": {"a"}}, Expiry: 5 * clock.Second,
+		Forward: &config.Forward{Host: kind, PathPrefix: "/x/", Tries: tries, Aim: 300 * millisecond}}
 }
 
 // call hands a word to the ford and settles the backlog, as an edge's machine does.
@@ -135,7 +135,7 @@
 // by hand: it is not worked out by the rules it checks.
 func TestWhatFollowsATry(t *testing.T) {
 	const (
-		one, rep, str, res = planbook.OneShot, planbook.Repeatable, planbook.Stream, planbook.Resumable
+		one, rep, str, res = config.OneShot, config.Repeatable, config.Stream, config.Resumable
 		last               = 1 // no further server is allowed
 		more               = 2 // one more is
 	)
@@ -209,7 +209,7 @@
 // A caller that has left, or whose time is over, has no further try; it is only
 // said to be refused where nothing can have run.
 func TestNobodyWaitsAnyMore(t *testing.T) {
-	for _, kind := range []string{planbook.OneShot, planbook.Repeatable, planbook.Stream, planbook.Resumable} {
+	for _, kind := range []string{config.OneShot, config.Repeatable, config.Stream, config.Resumable} {
 		for outcome, want := range map[Outcome]string{Unsent: "refused", NotRun: "refused", Failed: "unknown", Cut: "unknown"} {
 			b := newBench(t, []string{"a", "a"}, route(kind, 5))
 			b.arrive("o", kind)
@@ -224,7 +224,7 @@
 // Once a try may have run, no later one that certainly did not makes a refusal of
 // it: not the server's word, not a connection that fails, not a backlog that is full.
 func TestAMayHaveRunStays(t *testing.T) {
-	for _, kind := range []string{planbook.Repeatable, planbook.Resumable} {
+	for _, kind := range []string{config.Repeatable, config.Resumable} {
 		for _, first := range []Outcome{Failed, Cut} {
 			for _, second := range []Outcome{NotRun, Unsent, Failed, Cut} {
 				b := newBench(t, []string{"a", "a"}, route(kind, 2))
@@ -252,8 +252,8 @@
 // reached does not count.
 func TestTriesAreCounted(t *testing.T) {
 	for _, tries := range []int64{0, 1, 2, 3} {
-		b := newBench(t, []string{"a", "a", "a", "a", "a"}, route(planbook.OneShot, tries))
-		call := b.arrive("o", planbook.OneShot)
+		b := newBench(t, []string{"a", "a", "a", "a", "a"}, route(config.OneShot, tries))
+		call := b.arrive("o", config.OneShot)
 		call = b.call(Ran{Order: "o", Outcome: Unsent})
 		sent, servers := int64(0), map[string]bool{}
 		for b.word(call) == "again" {
@@ -277,17 +277,17 @@
 // not have, and hands lots on.
 func TestRoutes(t *testing.T) {
 	b := newBench(t, []string{"a"})
-	if got := b.word(b.arrive("o", planbook.OneShot)); got != "refused" {
+	if got := b.word(b.arrive("o", config.OneShot)); got != "refused" {
 		t.Errorf("without a plan: %s", got)
 	}
-	lots := route(planbook.Bundle, 1)
-	b = newBench(t, []string{"a"}, route(planbook.OneShot, 1), lots)
-	for _, ask := range []Arrive{{Order: "o", Host: "nowhere", Path: "/x/y"}, {Order: "o", Host: planbook.OneShot, Path: "/y/x"}, {Order: "o", Host: planbook.OneShot, Path: "/x"}} {
+	lots := route(config.Bundle, 1)
+	b = newBench(t, []string{"a"}, route(config.OneShot, 1), lots)
+	for _, ask := range []Arrive{{Order: "o", Host: "nowhere", Path: "/x/y"}, {Order: "o", Host: config.OneShot, Path: "/y/x"}, {Order: "o", Host: config.OneShot, Path: "/x"}} {
 		if got := b.word(b.call(ask)); got != string(errs.UnknownRoute) {
 			t.Errorf("%s%s: %s", ask.Host, ask.Path, got)
 		}
 	}
-	call := b.arrive("o", planbook.Bundle)
+	call := b.arrive("o", config.Bundle)
 	if bulk, ok := b.answers[call].Body.(Bulk); !ok || bulk.Route.Name != lots.Name {
 		t.Errorf("a lot: %+v", b.answers[call])
 	}
@@ -306,10 +306,10 @@
 		"an impatient caller": {300 * millisecond, 5 * clock.Second, 20 * millisecond, 20 * millisecond},
 		"a short route":       {300 * millisecond, 10 * millisecond, clock.Second, 10 * millisecond},
 	} {
-		r := route(planbook.OneShot, 2)
+		r := route(config.OneShot, 2)
 		r.Forward.Aim, r.Expiry = c.aim, c.expiry
 		b := newBench(t, nil, r)
-		call := b.call(Arrive{Order: "o", Host: planbook.OneShot, Path: "/x/y", Wait: c.wait})
+		call := b.call(Arrive{Order: "o", Host: config.OneShot, Path: "/x/y", Wait: c.wait})
 		b.wait(c.want - 1)
 		if got := b.word(call); got != "waits" {
 			t.Errorf("%s: a moment before it %s", name, got)
@@ -325,8 +325,8 @@
 // A request that waits is sent as soon as a server comes, with what is left of its
 // time.
 func TestAServerComesInTime(t *testing.T) {
-	b := newBench(t, nil, route(planbook.OneShot, 2))
-	call := b.call(Arrive{Order: "o", Host: planbook.OneShot, Path: "/x/y", Wait: clock.Second})
+	b := newBench(t, nil, route(config.OneShot, 2))
+	call := b.call(Arrive{Order: "o", Host: config.OneShot, Path: "/x/y", Wait: clock.Second})
 	expiry := b.now + clock.Second
 	b.wait(50 * millisecond)
 	b.server("late", "a", 4)
@@ -339,8 +339,8 @@
 // Once its time is over a request is sent nowhere, whatever its kind.
 func TestNoTryAfterTheExpiry(t *testing.T) {
 	for outcome, want := range map[Outcome]string{NotRun: "refused", Unsent: "refused", Cut: "unknown"} {
-		b := newBench(t, []string{"a", "a"}, route(planbook.Repeatable, 5))
-		b.arrive("o", planbook.Repeatable)
+		b := newBench(t, []string{"a", "a"}, route(config.Repeatable, 5))
+		b.arrive("o", config.Repeatable)
 		b.now += 5 * clock.Second
 		if got := b.word(b.call(Ran{Order: "o", Outcome: outcome})); got != want {
 			t.Errorf("outcome %d: %s", outcome, got)
@@ -350,24 +350,24 @@
 
 // A split route's requests go by the shares; a part without one gets none.
 func TestSplitShares(t *testing.T) {
-	r := route(planbook.OneShot, 1)
-	part := func(pool string, share int64) planbook.Share {
-		return planbook.Share{Pools: planbook.Selector{"u": {pool}}, Share: share}
+	r := route(config.OneShot, 1)
+	part := func(pool string, share int64) config.Share {
+		return config.Share{Pools: config.Selector{"u": {pool}}, Share: share}
 	}
 	for name, c := range map[string]struct {
-		split       []planbook.Share
+		split       []config.Share
 		least, most int // of 2000 that go to b
 	}{
-		"nine to one": {[]planbook.Share{part("a", 90_000), part("b", 10_000)}, 140, 260},
-		"halves":      {[]planbook.Share{part("a", 1), part("b", 1)}, 900, 1100},
-		"all to b":    {[]planbook.Share{part("a", 0), part("b", 7)}, 2000, 2000},
-		"none to b":   {[]planbook.Share{part("a", 7), part("b", 0)}, 0, 0},
+		"nine to one": {[]config.Share{part("a", 90_000), part("b", 10_000)}, 140, 260},
+		"halves":      {[]config.Share{part("a", 1), part("b", 1)}, 900, 1100},
+		"all to b":    {[]config.Share{part("a", 0), part("b", 7)}, 2000, 2000},
+		"none to b":   {[]config.Share{part("a", 7), part("b", 0)}, 0, 0},
 	} {
 		r.Forward.Split = c.split
 		b := newBench(t, []string{"a", "b"}, r)
 		for i := range 2000 {
 			order := fmt.Sprint(i)
-			b.arrive(order, planbook.OneShot)
+			b.arrive(order, config.OneShot)
 			b.call(Ran{Order: order, Outcome: Whole, Began: true})
 		}
 		got := 0
@@ -385,14 +385,14 @@
 // The higher rank goes first when servers are scarce; a word on a request that is
 // not under way finds nobody.
 func TestRankAndStrangers(t *testing.T) {
-	low, high := route(planbook.OneShot, 1), route(planbook.Repeatable, 1)
+	low, high := route(config.OneShot, 1), route(config.Repeatable, 1)
 	b := newBench(t, nil, low, high)
 	plan := *b.d.Plan()
-	plan.Version, plan.Classes = 2, []planbook.Class{{Name: "low", Rank: 1}, {Name: "high", Rank: 9}}
-	plan.Customers = []planbook.Customer{{Name: low.Name, Class: "low"}, {Name: high.Name, Class: "high"}}
+	plan.Version, plan.Classes = 2, []config.Class{{Name: "low", Rank: 1}, {Name: "high", Rank: 9}}
+	plan.Customers = []config.Customer{{Name: low.Name, Class: "low"}, {Name: high.Name, Class: "high"}}
 	plan.Index()
 	b.d.SetPlan(&plan, b.now)
-	first, second := b.arrive("low", planbook.OneShot), b.arrive("high", planbook.Repeatable)
+	first, second := b.arrive("low", config.OneShot), b.arrive("high", config.Repeatable)
 	b.server("only", "a", 1)
 	b.settle()
 	if b.word(first) != "waits" || b.word(second) != "again" {
@@ -414,7 +414,7 @@
 // secondRuns counts, over all kinds and outcomes, the tries of requests that must
 // not run twice after one that may have run.
 func secondRuns(t *testing.T, planted bool) (runs int) {
-	for _, kind := range []string{planbook.OneShot, planbook.Stream} {
+	for _, kind := range []string{config.OneShot, config.Stream} {
 		for _, outcome := range []Outcome{Failed, Cut} {
 			b := newBench(t, []string{"a", "a"}, route(kind, 2))
 			b.SecondRun = planted
@@ -439,10 +439,10 @@
 
 // A plan that drops the route while a request waits ends it.
 func TestTheRouteGoes(t *testing.T) {
-	b := newBench(t, nil, route(planbook.OneShot, 2))
-	call := b.arrive("o", planbook.OneShot)
-	other := route(planbook.Stream, 1)
-	plan := &planbook.Plan{Version: 2, Routes: []planbook.Route{other}}
+	b := newBench(t, nil, route(config.OneShot, 2))
+	call := b.arrive("o", config.OneShot)
+	other := route(config.Stream, 1)
+	plan := &config.Plan{Version: 2, Routes: []config.Route{other}}
 	named(plan)
 	b.d.SetPlan(plan, b.now)
 	b.settle()
@@ -456,7 +456,7 @@
 // the product's own form callers carry no key there.
 func TestARouteWithoutACustomer(t *testing.T) {
 	b := newBench(t, []string{"a"})
-	plan, err := planbook.Parse([]byte(`{"classes":[{"name":"c","rank":5,"allowance":1}],"pools":[{"name":"a","labels":{"u":"a"},"servers":{"pool":"a"}}],
+	plan, err := config.Parse([]byte(`{"classes":[{"name":"c","rank":5,"allowance":1}],"pools":[{"name":"a","labels":{"u":"a"},"servers":{"pool":"a"}}],
 	 "routes":[{"name":"r","kind":"repeatable","classes":{},"pools":{"u":"a"},"forward":{"host":"h.example","path_prefix":"/x/"}}]}`))
 	if err != nil {
 		t.Fatal(err, errs.Of(err).Faults)
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -7,15 +7,15 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/httpserver"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/trek"
 )
 
 // BundleBody is a bundle as handed in.
 type BundleBody struct {
-	Items []daybook.Item `json:"items"`
+	Items []shard.Item `json:"items"`
 }
 
 // Bundle takes a bundle in: whole and on two disks, or not at all.
@@ -32,7 +32,7 @@
 	if key == "" {
 		key = NewName()
 	}
-	receipt, err := ask[keeper.Receipt](g, r, trek.HandIn{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
+	receipt, err := ask[store.Receipt](g, r, trek.HandIn{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
 	if err != nil {
 		if errs.Is(err, errs.OutcomeUnknown) {
 			w.Header().Set("Idempotency-Key", key)
@@ -54,7 +54,7 @@
 func (g *Gate) End(w http.ResponseWriter, r *http.Request) error { return g.look(w, r, true) }
 
 func (g *Gate) look(w http.ResponseWriter, r *http.Request, end bool) error {
-	status, err := ask[keeper.Status](g, r, trek.Look{Caller: caller(r), Bundle: porchVar(r, "bundle"), End: end}, nil)
+	status, err := ask[store.Status](g, r, trek.Look{Caller: caller(r), Bundle: porchVar(r, "bundle"), End: end}, nil)
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 	}
 	results := page.Rows
 	if results == nil {
-		results = []daybook.Row{}
+		results = []shard.Row{}
 	}
 	answer := map[string]any{"results": results, "next": page.Next, "more": page.More}
 	if page.State != "" {
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -16,13 +16,13 @@
 	"testing"
 	"time"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/kernel/cleanup"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/causeway"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/ford"
@@ -54,14 +54,14 @@
 	set := planes.EdgeDefaults()
 	set.Dispatch.Staleness, set.ScoutEvery = dispatch.ServeOn, 0
 	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}}
-	parsed, err := planbook.Parse([]byte(forwardPlan))
+	parsed, err := config.Parse([]byte(forwardPlan))
 	if err != nil {
 		t.Fatal(err, errs.Of(err).Faults)
 	}
 	parsed.Version = 1
-	self := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
+	self := identity.Person{ID: "edge", Kind: identity.Trailhead, Zone: "z", Peer: "edge"}
 	s.step(func(now clock.Micros) []machine.Effect {
-		return s.edge.Heard(machine.Rumour{Key: people.Key("edge"), Value: self.Encode()}, now)
+		return s.edge.Heard(machine.Rumour{Key: identity.Key("edge"), Value: self.Encode()}, now)
 	})
 	c := &crossing{t: t, shell: s}
 	for i, handler := range handlers {
--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/httpserver"
@@ -109,7 +109,7 @@
 		}
 		switch said := word.(type) {
 		case trek.Run:
-			out.streams = said.Kind != planbook.OneShot
+			out.streams = said.Kind != config.OneShot
 			next = g.run(r.Context(), said, out)
 		case trek.Answer:
 			if said.Replayed {
--- a/path/gate/gate_test.go
+++ b/path/gate/gate_test.go
@@ -16,18 +16,18 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
+	"tuliprudder/core/state"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/kernel/cleanup"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/httpserver"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/tether"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/store"
+	"tuliprudder/ledger/token"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 	"tuliprudder/path/serverline"
 )
@@ -97,15 +97,15 @@
 	set := planes.EdgeDefaults()
 	set.Dispatch.Staleness, set.Trek.Silence = 600*clock.Second, 200*clock.Millisecond
 	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}, ask: ask}
-	parsed, err := planbook.Parse([]byte(plan))
+	parsed, err := config.Parse([]byte(plan))
 	if err != nil {
 		t.Fatal(err)
 	}
 	parsed.Version = 1
-	self := people.Person{ID: "edge", Kind: people.Trailhead, Zone: "z", Peer: "edge"}
-	chartMap, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: make([]tether.Pairing, 1)})
-	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: 9, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
-	for _, rumour := range []machine.Rumour{{Key: people.Key("edge"), Value: self.Encode()}, {Key: chart.MapKey, Seq: 1, Value: chartMap}, {Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said}} {
+	self := identity.Person{ID: "edge", Kind: identity.Trailhead, Zone: "z", Peer: "edge"}
+	chartMap, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: make([]replication.Pairing, 1)})
+	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: 9, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
+	for _, rumour := range []machine.Rumour{{Key: identity.Key("edge"), Value: self.Encode()}, {Key: state.MapKey, Seq: 1, Value: chartMap}, {Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}} {
 		s.step(func(now clock.Micros) []machine.Effect { return s.edge.Heard(rumour, now) })
 	}
 	s.edge.Dispatch.SetPlan(parsed, s.now())
@@ -266,12 +266,12 @@
 		var states []string
 		g, _ := gateWith(t, nil, func(body any) (any, error) {
 			switch ask := body.(type) {
-			case keeper.ClaimAsk:
-				return keeper.ClaimAnswer{Yours: true, Claim: ask.Claim}, nil
-			case keeper.SettleAsk:
+			case store.ClaimAsk:
+				return store.ClaimAnswer{Yours: true, Claim: ask.Claim}, nil
+			case store.SettleAsk:
 				states = append(states, ask.State)
 				if confirmed {
-					return keeper.Settled{}, nil
+					return store.Settled{}, nil
 				}
 			}
 			return nil, errs.New(errs.OutcomeUnknown, "ask again", "no answer")
--- a/path/guidebook/guidebook.go
+++ b/path/guidebook/guidebook.go
@@ -12,7 +12,7 @@
 
 	"github.com/getkin/kin-openapi/openapi3"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/errs"
 )
 
@@ -164,5 +164,5 @@
 	if err != nil {
 		return err
 	}
-	return planbook.Check(data)
+	return config.Check(data)
 }
--- a/path/purse/map_test.go
+++ b/path/purse/map_test.go
@@ -3,11 +3,11 @@
 import (
 	"testing"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/membership/identity"
 )
 
 // A holder that has just started asks every store on the map before it lends, also
@@ -15,10 +15,10 @@
 // trouble-3: after all processes were killed a holder knew too few stores.)
 func TestAHolderWaitsForEveryStoreOnTheMap(t *testing.T) {
 	wire := machine.NewWire()
-	folk := []people.Person{{ID: "edge", Kind: people.Trailhead, Peer: "e"}}
-	p := New("edge", wire, func() []people.Person { return folk }, nil)
-	var m chart.Map
-	p.Map = func() (chart.Map, bool) { return m, m.Seq > 0 }
+	folk := []identity.Person{{ID: "edge", Kind: identity.Trailhead, Peer: "e"}}
+	p := New("edge", wire, func() []identity.Person { return folk }, nil)
+	var m state.Map
+	p.Map = func() (state.Map, bool) { return m, m.Seq > 0 }
 	now := clock.Second
 	ask := func() (answer LendAnswer) {
 		p.Lend(LendAsk{Customer: "c", Borrower: "edge", Want: 10, Allowance: 100, Plan: 1}, now, func(got LendAnswer, _ clock.Micros) { answer = got })
@@ -32,8 +32,8 @@
 	if got := ask(); got.Ready || got.Granted != 0 {
 		t.Fatalf("without a map it lent %+v", got)
 	}
-	m = chart.Map{Seq: 1, Stores: map[string]chart.Store{"store": {ID: "store"}, "old": {ID: "old", Struck: true}},
-		Slots: []tether.Pairing{{Epoch: 1, Owner: tether.Member{ID: "store"}, Complete: true}}}
+	m = state.Map{Seq: 1, Stores: map[string]state.Store{"store": {ID: "store"}, "old": {ID: "old", Struck: true}},
+		Slots: []replication.Pairing{{Epoch: 1, Owner: replication.Member{ID: "store"}, Complete: true}}}
 	if got := ask(); got.Ready {
 		t.Fatalf("it lent %+v before the store on the map had told", got)
 	}
@@ -45,9 +45,9 @@
 
 // What a store held that is gone is let go once its slots are others', and no sooner.
 func TestALoanPassesOnWithTheSlots(t *testing.T) {
-	p := New("edge", machine.NewWire(), func() []people.Person { return nil }, nil)
-	m := chart.Map{Seq: 1, Slots: []tether.Pairing{{Epoch: 1, Owner: tether.Member{ID: "gone"}, Complete: true}}}
-	p.Map = func() (chart.Map, bool) { return m, true }
+	p := New("edge", machine.NewWire(), func() []identity.Person { return nil }, nil)
+	m := state.Map{Seq: 1, Slots: []replication.Pairing{{Epoch: 1, Owner: replication.Member{ID: "gone"}, Complete: true}}}
+	p.Map = func() (state.Map, bool) { return m, true }
 	now := clock.Second
 	a := Open(1, nil, now)
 	a.Keeps = func(string) bool { return true }
--- a/path/purse/purse.go
+++ b/path/purse/purse.go
@@ -4,12 +4,12 @@
 	"slices"
 	"sort"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/transport"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 )
 
@@ -51,14 +51,14 @@
 	Self string
 	Wire *machine.Wire
 	// Folk is the directory as this daemon knows it.
-	Folk func() []people.Person
+	Folk func() []identity.Person
 	// Waiting is work that waits here without having been taken one by one
 	// (items of bundles at a keeper).
 	Waiting func(customer string) int
 	// Map is the map of the stores as this daemon knows it; false before it knows
 	// any. Without it nobody can tell who else may hold work, and what this daemon
 	// holds is not known either. nil: there are no stores.
-	Map func() (chart.Map, bool)
+	Map func() (state.Map, bool)
 	// SkipRebuild is a fault planted by tests: a successor lends at once.
 	SkipRebuild bool
 	// Boundless is a fault planted by tests: whatever comes is let in.
@@ -96,7 +96,7 @@
 }
 
 // New makes a purse.
-func New(self string, wire *machine.Wire, folk func() []people.Person, waiting func(string) int) *Purse {
+func New(self string, wire *machine.Wire, folk func() []identity.Person, waiting func(string) int) *Purse {
 	return &Purse{Self: self, Wire: wire, Folk: folk, Waiting: waiting, shares: map[string]*Share{}, terms: map[string]LendAsk{},
 		accounts: map[string]*Account{}, allowed: map[string]LendAsk{}, takers: map[string][]*taker{}, asking: map[string]bool{}, rounds: map[string]*round{}, kept: map[string]bool{}}
 }
@@ -223,7 +223,7 @@
 // holder is the first live edge in the customer's agreed order.
 func (p *Purse) holder(customer string) (id, peer string) {
 	folk := p.Folk()
-	id = roster.First("account/"+customer, folk, people.Trailhead)
+	id = roster.First("account/"+customer, folk, identity.Trailhead)
 	for _, person := range folk {
 		if person.ID == id {
 			return id, person.Peer
@@ -303,7 +303,7 @@
 func (p *Purse) keeps(borrower string) bool {
 	for _, person := range p.Folk() {
 		if person.ID == borrower {
-			return person.Kind == people.Refuge
+			return person.Kind == identity.Refuge
 		}
 	}
 	return p.kept[borrower]
@@ -357,7 +357,7 @@
 		}
 	}
 	for _, person := range p.Folk() {
-		if person.Standing == people.Sound {
+		if person.Standing == identity.Sound {
 			owns[person.ID] = true
 		}
 	}
@@ -374,10 +374,10 @@
 func (p *Purse) borrowers() []string {
 	var out []string
 	for _, person := range p.Folk() {
-		if person.Kind == people.Refuge {
+		if person.Kind == identity.Refuge {
 			p.kept[person.ID] = true
 		}
-		if person.Kind != people.Cairn && person.Standing < people.Dead && person.ID != p.Self {
+		if person.Kind != identity.Cairn && person.Standing < identity.Dead && person.ID != p.Self {
 			out = append(out, person.ID)
 		}
 	}
--- a/path/reader/reader.go
+++ b/path/reader/reader.go
@@ -8,20 +8,20 @@
 	"sort"
 	"strings"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
+	"tuliprudder/ledger/token"
 )
 
 // Reader is one reading daemon's side of the ledgers.
 type Reader struct {
 	wire  *machine.Wire
-	view  *waypost.View
-	chart chart.Map
+	view  *token.View
+	chart state.Map
 	open  map[string]*reading // reads that wait for rows, by name
 	order []string            // the same in the order they came
 	// PollRest is the least time between two asks of one reader that waits: every
@@ -66,14 +66,14 @@
 
 // New makes a reader.
 func New(wire *machine.Wire) *Reader {
-	return &Reader{wire: wire, view: waypost.NewView(), open: map[string]*reading{}, PollRest: pollRest}
+	return &Reader{wire: wire, view: token.NewView(), open: map[string]*reading{}, PollRest: pollRest}
 }
 
 // Hear takes the news that concern reading.
 func (r *Reader) Hear(rumour machine.Rumour, now clock.Micros) {
 	switch {
-	case rumour.Key == chart.MapKey:
-		var m chart.Map
+	case rumour.Key == state.MapKey:
+		var m state.Map
 		if json.Unmarshal(rumour.Value, &m) != nil || m.Seq <= r.chart.Seq {
 			return
 		}
@@ -164,7 +164,7 @@
 			one.lost = 0
 		}
 		passing := errs.Is(err, errs.NotReady)
-		whole := err == nil && (len(page.Rows) > 0 || (page.State != "" && page.State != string(daybook.Open)))
+		whole := err == nil && (len(page.Rows) > 0 || (page.State != "" && page.State != string(shard.Open)))
 		if one.Wait == 0 || whole || (err != nil && !passing) {
 			r.close(one.Name)
 			one.back(page, err, now)
@@ -177,7 +177,7 @@
 }
 
 // Map is the map as heard last.
-func (r *Reader) Map() chart.Map { return r.chart }
+func (r *Reader) Map() state.Map { return r.chart }
 
 // Ready tells whether every slot has a keeper that serves it.
 func (r *Reader) Ready() bool {
@@ -186,11 +186,11 @@
 }
 
 // Keeper is the slot of a bundle or claim and who serves it.
-func (r *Reader) Keeper(id string) (int, waypost.Owner, error) {
+func (r *Reader) Keeper(id string) (int, token.Owner, error) {
 	if len(r.chart.Slots) == 0 {
-		return 0, waypost.Owner{}, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet")
+		return 0, token.Owner{}, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet")
 	}
-	slot := daybook.SlotOf(id, len(r.chart.Slots))
+	slot := shard.SlotOf(id, len(r.chart.Slots))
 	owner, ok := r.view.Owner(slot)
 	if !ok {
 		return slot, owner, errs.Later(errs.NotReady, clock.Second, "ask again; the slot passes to another keeper", "slot %d has no keeper with two disks now", slot)
@@ -200,7 +200,7 @@
 
 // Page is what a caller gets.
 type Page struct {
-	Rows  []daybook.Row
+	Rows  []shard.Row
 	Next  string
 	State string
 	Items int
@@ -242,14 +242,14 @@
 		back(Page{}, err, now)
 		return
 	}
-	from, err := waypost.Parse(scope(fleet, read.Bundle), read.Token)
+	from, err := token.Parse(scope(fleet, read.Bundle), read.Token)
 	if err != nil {
 		back(Page{}, err, now)
 		return
 	}
 	after := from.Vector()
-	r.wire.Ask(owner.Peer, keeper.ReadAsk{Slots: map[int]uint64{slot: owner.Epoch}, Bundle: read.Bundle, Customer: read.Customer, Anyone: read.Anyone,
-		After: after, Bound: map[int]waypost.Vector{slot: r.view.Effective(slot)}, Most: read.Most,
+	r.wire.Ask(owner.Peer, store.ReadAsk{Slots: map[int]uint64{slot: owner.Epoch}, Bundle: read.Bundle, Customer: read.Customer, Anyone: read.Anyone,
+		After: after, Bound: map[int]token.Vector{slot: r.view.Effective(slot)}, Most: read.Most,
 		Indexed: read.Indexed, From: read.From, MostBytes: read.MostBytes}, patience, func(answer any, err error, now clock.Micros) {
 		rows, err := rowsOf(answer, err)
 		if err != nil {
@@ -264,21 +264,21 @@
 		for _, row := range rows.Rows {
 			after[row.Writer] = max(after[row.Writer], row.Position)
 		}
-		page.Next = waypost.NewToken(scope(fleet, read.Bundle), after).String()
+		page.Next = token.NewToken(scope(fleet, read.Bundle), after).String()
 		back(page, nil, now)
 	})
 }
 
 // rowsOf turns a keeper's answer into rows, or what went wrong into words for a
 // reader: reading changes nothing, so asking again is always safe.
-func rowsOf(answer any, err error) (keeper.Rows, error) {
+func rowsOf(answer any, err error) (store.Rows, error) {
 	if err != nil {
 		if m := errs.Of(err); m.Kind != errs.OutcomeUnknown {
-			return keeper.Rows{}, err
+			return store.Rows{}, err
 		}
-		return keeper.Rows{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "the keeper gave no answer: %v", err)
+		return store.Rows{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "the keeper gave no answer: %v", err)
 	}
-	rows, ok := answer.(keeper.Rows)
+	rows, ok := answer.(store.Rows)
 	if !ok {
 		return rows, errs.New(errs.ServerFault, "run the same release on all daemons", "the keeper answered %T", answer)
 	}
@@ -292,7 +292,7 @@
 		back(Page{}, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet"), now)
 		return
 	}
-	from, err := waypost.Parse(scope(fleet, "feed/"+read.Customer), read.Token)
+	from, err := token.Parse(scope(fleet, "feed/"+read.Customer), read.Token)
 	if err != nil {
 		back(Page{}, err, now)
 		return
@@ -326,7 +326,7 @@
 				back(Page{}, failed, now)
 				return
 			}
-			page.Next = waypost.NewToken(scope(fleet, "feed/"+read.Customer), Cut(&page, after, upTo, read.Most)).String()
+			page.Next = token.NewToken(scope(fleet, "feed/"+read.Customer), Cut(&page, after, upTo, read.Most)).String()
 			back(page, nil, now)
 		})
 	}
@@ -334,9 +334,9 @@
 
 // FeedAsks works out whom to ask for what: each keeper for the slots it serves,
 // up to the vector that may be read now.
-func FeedAsks(view *waypost.View, slots int, customer string, after waypost.Vector, most int) (map[string]keeper.ReadAsk, waypost.Vector, bool) {
+func FeedAsks(view *token.View, slots int, customer string, after token.Vector, most int) (map[string]store.ReadAsk, token.Vector, bool) {
 	upTo, whole := view.UpTo()
-	asks := map[string]keeper.ReadAsk{}
+	asks := map[string]store.ReadAsk{}
 	for slot := 0; slot < slots; slot++ {
 		owner, ok := view.Owner(slot)
 		if !ok {
@@ -344,7 +344,7 @@
 		}
 		ask, known := asks[owner.Peer]
 		if !known {
-			ask = keeper.ReadAsk{Slots: map[int]uint64{}, Customer: customer, After: after, Bound: map[int]waypost.Vector{}, Most: most}
+			ask = store.ReadAsk{Slots: map[int]uint64{}, Customer: customer, After: after, Bound: map[int]token.Vector{}, Most: most}
 		}
 		ask.Slots[slot], ask.Bound[slot] = owner.Epoch, upTo
 		asks[owner.Peer] = ask
@@ -354,7 +354,7 @@
 
 // Cut orders a page, cuts it, and works out the vector after it: where it was
 // cut, each writer's last row on it; otherwise all that was readable.
-func Cut(page *Page, after, upTo waypost.Vector, most int) waypost.Vector {
+func Cut(page *Page, after, upTo token.Vector, most int) token.Vector {
 	sort.SliceStable(page.Rows, func(i, j int) bool {
 		if page.Rows[i].Position != page.Rows[j].Position {
 			return page.Rows[i].Position < page.Rows[j].Position
@@ -364,7 +364,7 @@
 	if most > 0 && len(page.Rows) > most {
 		page.Rows, page.More = page.Rows[:most], true
 	}
-	next := waypost.Vector{}
+	next := token.Vector{}
 	for writer, position := range after {
 		next[writer] = position
 	}
--- a/path/reader/reader_test.go
+++ b/path/reader/reader_test.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"testing"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/tether"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
+	"tuliprudder/ledger/token"
 )
 
 // bench is a reader with one slot, whose keeper is the test.
@@ -26,8 +26,8 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
 	b.Reader = New(b.wire)
-	m, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: []tether.Pairing{{Epoch: 1}}})
-	b.Hear(machine.Rumour{Key: chart.MapKey, Seq: 1, Value: m}, b.now)
+	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Pairing{{Epoch: 1}}})
+	b.Hear(machine.Rumour{Key: state.MapKey, Seq: 1, Value: m}, b.now)
 	b.say(5)
 	return b
 }
@@ -35,8 +35,8 @@
 // say is the writer's word.
 func (b *bench) say(upTo int64) {
 	b.seq++
-	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: upTo, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
-	b.Hear(machine.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
+	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: upTo, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
+	b.Hear(machine.Rumour{Key: token.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
 }
 
 func (b *bench) read(read Read) {
@@ -65,11 +65,11 @@
 	b.PollRest = 7 * clock.Millisecond
 	b.read(Read{Name: "n", Bundle: "one", Wait: 30 * clock.Second, Indexed: true, From: 3, MostBytes: 99, Most: 10, Anyone: true})
 	first := b.next()
-	ask := first.Body.(keeper.ReadAsk)
+	ask := first.Body.(store.ReadAsk)
 	if !ask.Indexed || ask.From != 3 || ask.MostBytes != 99 || ask.Most != 10 || !ask.Anyone || ask.Bound[0][1] != 5 {
 		t.Fatalf("the keeper was asked %+v", ask)
 	}
-	b.wire.Told(first.Token, keeper.Rows{State: string(daybook.Open), Items: 9, Index: 3}, nil, b.now)
+	b.wire.Told(first.Token, store.Rows{State: string(shard.Open), Items: 9, Index: 3}, nil, b.now)
 	if len(b.pages) > 0 {
 		t.Fatalf("it did not wait: %+v", b.pages)
 	}
@@ -82,10 +82,10 @@
 	b.now += clock.Millisecond
 	b.ClockEvent(b.now)
 	second := b.next()
-	if second == nil || second.Body.(keeper.ReadAsk).Bound[0][1] != 6 {
+	if second == nil || second.Body.(store.ReadAsk).Bound[0][1] != 6 {
 		t.Fatalf("after the writer's word it asked %+v", second)
 	}
-	b.wire.Told(second.Token, keeper.Rows{Rows: []daybook.Row{{Writer: 1, Position: 6}}, State: string(daybook.Open), Items: 9, Index: 3}, nil, b.now)
+	b.wire.Told(second.Token, store.Rows{Rows: []shard.Row{{Writer: 1, Position: 6}}, State: string(shard.Open), Items: 9, Index: 3}, nil, b.now)
 	if len(b.pages) != 1 || len(b.pages[0].Rows) != 1 || b.pages[0].Index != 3 || b.pages[0].Items != 9 || b.pages[0].Next != "" {
 		t.Fatalf("%+v", b.pages)
 	}
@@ -95,8 +95,8 @@
 func TestTheEndOfASettledListIsToldAtOnce(t *testing.T) {
 	b := newBench(t)
 	b.read(Read{Name: "n", Bundle: "one", Wait: 30 * clock.Second, Indexed: true, From: 9, Anyone: true})
-	b.wire.Told(b.next().Token, keeper.Rows{State: string(daybook.Done), Items: 9, Index: 9}, nil, b.now)
-	if len(b.pages) != 1 || b.pages[0].State != string(daybook.Done) || b.pages[0].Items != 9 || b.Open() != 0 {
+	b.wire.Told(b.next().Token, store.Rows{State: string(shard.Done), Items: 9, Index: 9}, nil, b.now)
+	if len(b.pages) != 1 || b.pages[0].State != string(shard.Done) || b.pages[0].Items != 9 || b.Open() != 0 {
 		t.Fatalf("%+v", b.pages)
 	}
 }
--- a/path/roster/roster.go
+++ b/path/roster/roster.go
@@ -8,9 +8,9 @@
 	"hash/fnv"
 	"sort"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 )
 
 // Server is one entry of the platform's list.
@@ -46,14 +46,14 @@
 
 // First is the first live daemon in the agreed order for a duty: each duty has
 // an order of its own, so duties spread over the daemons.
-func First(duty string, folk []people.Person, kind string) string {
+func First(duty string, folk []identity.Person, kind string) string {
 	type place struct {
 		id   string
 		rank uint64
 	}
 	var order []place
 	for _, person := range folk {
-		if person.Kind == kind && person.Standing == people.Sound && !person.Draining {
+		if person.Kind == kind && person.Standing == identity.Sound && !person.Draining {
 			h := fnv.New64a()
 			h.Write([]byte(duty + "\x00" + person.ID))
 			order = append(order, place{person.ID, h.Sum64()})
--- a/path/runner/runner.go
+++ b/path/runner/runner.go
@@ -7,12 +7,12 @@
 	"strconv"
 	"strings"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/guestbook"
 	"tuliprudder/path/serverline"
@@ -43,7 +43,7 @@
 	}
 	// Forwarded is an opaque item on its way to a server (DESIGN §12.5).
 	Forwarded struct {
-		Request  *daybook.Request
+		Request  *shard.Request
 		Bundle   string
 		ID       string // the item's id
 		Instance string // name of the server
@@ -78,7 +78,7 @@
 	wire     *machine.Wire
 	dispatch *dispatch.Dispatch
 	allowed  func(slot int, bundle string, item int, now clock.Micros) bool
-	ran      func(keeper.Ran, clock.Micros)
+	ran      func(store.Ran, clock.Micros)
 	Book     *guestbook.Book
 	open     map[string]*job
 	runs     map[uint64]*job
@@ -95,7 +95,7 @@
 
 type job struct {
 	name   string
-	item   keeper.ItemOrder
+	item   store.ItemOrder
 	weight int
 	order  *dispatch.Order
 	grip   *dispatch.Grip
@@ -109,13 +109,13 @@
 }
 
 // New makes a runner; ran is told each item's result.
-func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, allowed func(int, string, int, clock.Micros) bool, ran func(keeper.Ran, clock.Micros)) *Runner {
+func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, allowed func(int, string, int, clock.Micros) bool, ran func(store.Ran, clock.Micros)) *Runner {
 	return &Runner{set: set, wire: wire, dispatch: d, allowed: allowed, ran: ran, Book: guestbook.New(8192), open: map[string]*job{}, runs: map[uint64]*job{}, queued: map[string]int{}, parked: map[string]*job{}, kept: map[string]int{}}
 }
 
 // Take puts one of the keeper's items into the backlog; one that waits or runs
 // already is passed over.
-func (r *Runner) Take(item keeper.ItemOrder, now clock.Micros) {
+func (r *Runner) Take(item store.ItemOrder, now clock.Micros) {
 	name := item.Bundle + "/" + strconv.Itoa(item.Item)
 	if r.open[name] != nil {
 		return
@@ -136,12 +136,12 @@
 )
 
 // fits tells whether the route still takes such items.
-func fits(j *job, route *planbook.Route) bool {
+func fits(j *job, route *config.Route) bool {
 	return route != nil && (route.Forward != nil) == (j.item.Request != nil)
 }
 
 // old tells whether an opaque item has waited for longer than its route keeps it.
-func old(j *job, route *planbook.Route, now clock.Micros) bool {
+func old(j *job, route *config.Route, now clock.Micros) bool {
 	return j.item.Request != nil && route.Forward.Keep > 0 && now > j.item.Enrolled+route.Forward.Keep
 }
 
@@ -159,11 +159,11 @@
 		rank = class.Rank
 	}
 	if !fits(j, route) {
-		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
+		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: gone}, now)
 		return
 	}
 	if old(j, route, now) {
-		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: late}, now)
+		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: late}, now)
 		return
 	}
 	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Prompt: int64(j.weight), Avoid: j.avoid}
@@ -173,7 +173,7 @@
 	j.order.Start = func(grip *dispatch.Grip, now clock.Micros) { r.start(j, grip, now) }
 	j.order.Drop = func(err error, now clock.Micros) {
 		if errs.Is(err, errs.UnknownRoute) {
-			r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
+			r.finish(j, store.Ran{Status: shard.StatusFailed, Output: gone}, now)
 			return
 		}
 		r.park(j)
@@ -214,7 +214,7 @@
 	}
 }
 
-func (r *Runner) finish(j *job, ran keeper.Ran, now clock.Micros) {
+func (r *Runner) finish(j *job, ran store.Ran, now clock.Micros) {
 	r.forget(j)
 	ran.Slot, ran.Bundle, ran.Item = j.item.Slot, j.item.Bundle, j.item.Item
 	r.ran(ran, now)
@@ -225,7 +225,7 @@
 	route := j.order.Route
 	if !fits(j, route) {
 		grip.Release(0, true, now)
-		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: gone}, now)
+		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: gone}, now)
 		return
 	}
 	j.grip, j.token, j.begun = grip, r.wire.Token(), false
@@ -287,7 +287,7 @@
 	}
 	if ran.Outcome == serverline.Complete {
 		grip.Release(now-grip.Started, true, now)
-		r.finish(j, keeper.Ran{Status: daybook.StatusOK, Output: ran.Output, Server: grip.Server.Name}, now)
+		r.finish(j, store.Ran{Status: shard.StatusOK, Output: ran.Output, Server: grip.Server.Name}, now)
 		return
 	}
 	if ran.Outcome == serverline.NotStarted {
@@ -297,7 +297,7 @@
 		j.tries++ // one that did not start is no try
 	}
 	if ran.Outcome == serverline.Rejected || j.tries >= r.set.MostTries {
-		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: "no server finished it: " + ran.Why, Server: grip.Server.Name}, now)
+		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "no server finished it: " + ran.Why, Server: grip.Server.Name}, now)
 		return
 	}
 	if j.avoid[grip.Server.Name]++; len(j.avoid) >= 3 {
@@ -319,16 +319,16 @@
 		j.avoid[server] = 3 // elsewhere first
 		route, _ := r.dispatch.Plan().Route(j.item.Route)
 		if fits(j, route) && route.Forward.Tries > 0 && int64(j.tries) >= route.Forward.Tries {
-			r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: "its attempts have failed: " + ran.Why, Server: server}, now)
+			r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "its attempts have failed: " + ran.Why, Server: server}, now)
 			return
 		}
 	case ran.Outcome == serverline.Complete:
 		grip.Release(now-grip.Started, true, now)
-		r.finish(j, keeper.Ran{Status: daybook.StatusOK, Output: strings.Join(append(j.events, ran.Events...), "\n"), Server: server}, now)
+		r.finish(j, store.Ran{Status: shard.StatusOK, Output: strings.Join(append(j.events, ran.Events...), "\n"), Server: server}, now)
 		return
 	case ran.Outcome == serverline.Rejected:
 		grip.Release(0, true, now)
-		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: "the server rejected it: " + ran.Why, Server: server}, now)
+		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "the server rejected it: " + ran.Why, Server: server}, now)
 		return
 	case ran.Outcome == serverline.NotStarted:
 		grip.TurnedAway(now)
@@ -362,7 +362,7 @@
 
 // retry takes up again what may start now: a slot's items are handed over when it
 // begins to serve, a moment before its lease is there.
-func (r *Runner) retry(plan *planbook.Plan, now clock.Micros) {
+func (r *Runner) retry(plan *config.Plan, now clock.Micros) {
 	if now < r.tried+retryEvery || len(r.parked) == 0 {
 		return
 	}
@@ -405,12 +405,12 @@
 		if r.unpark(name) == nil {
 			r.dispatch.Cancel(j.order)
 		}
-		r.finish(j, keeper.Ran{Status: daybook.StatusFailed, Output: why[name]}, now)
+		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: why[name]}, now)
 	}
 }
 
 // Revoke drops what waits or runs of a bundle or of a slot.
-func (r *Runner) Revoke(w keeper.Revoke, now clock.Micros) {
+func (r *Runner) Revoke(w store.Revoke, now clock.Micros) {
 	if r.Deaf {
 		return
 	}
--- a/path/runner/runner_test.go
+++ b/path/runner/runner_test.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"testing"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/roster"
 	"tuliprudder/path/serverline"
@@ -21,7 +21,7 @@
 	d      *dispatch.Dispatch
 	wire   *machine.Wire
 	now    clock.Micros
-	listed []keeper.Ran
+	listed []store.Ran
 }
 
 const hour = 3600 * clock.Second
@@ -29,8 +29,8 @@
 func newBench(t *testing.T, servers ...string) *bench {
 	b := &bench{t: t, wire: machine.NewWire(), d: dispatch.New(dispatch.Defaults(), 1), now: hour}
 	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, clock.Micros) bool { return true },
-		func(ran keeper.Ran, _ clock.Micros) { b.listed = append(b.listed, ran) })
-	b.plan(1, planbook.Forward{Tries: 3, Keep: 24 * hour})
+		func(ran store.Ran, _ clock.Micros) { b.listed = append(b.listed, ran) })
+	b.plan(1, config.Forward{Tries: 3, Keep: 24 * hour})
 	for _, name := range servers {
 		b.d.SetServer(roster.Server{Name: name, Address: name + ":1", Slots: 4})
 	}
@@ -39,16 +39,16 @@
 
 // plan puts a plan in force with one route that passes bundles on and one that
 // does not.
-func (b *bench) plan(version uint64, forward planbook.Forward) {
-	plan := &planbook.Plan{Version: version, Judges: map[string]float64{"spread": 1}, Pools: []planbook.Pool{{Name: "p"}},
-		Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &forward}, {Name: "chat", Kind: planbook.Bundle}}}
+func (b *bench) plan(version uint64, forward config.Forward) {
+	plan := &config.Plan{Version: version, Judges: map[string]float64{"spread": 1}, Pools: []config.Pool{{Name: "p"}},
+		Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &forward}, {Name: "chat", Kind: config.Bundle}}}
 	plan.Index()
 	b.d.SetPlan(plan, b.now)
 }
 
 func (b *bench) take(item int, tokens int64) {
-	b.Take(keeper.ItemOrder{Bundle: "b", Item: item, ItemID: fmt.Sprint("i", item), Customer: "r", Route: "r", Enrolled: hour, Plan: 1,
-		Request: &daybook.Request{Target: "/x", Body: []byte(fmt.Sprint("body ", item)), Tokens: tokens}}, b.now)
+	b.Take(store.ItemOrder{Bundle: "b", Item: item, ItemID: fmt.Sprint("i", item), Customer: "r", Route: "r", Enrolled: hour, Plan: 1,
+		Request: &shard.Request{Target: "/x", Body: []byte(fmt.Sprint("body ", item)), Tokens: tokens}}, b.now)
 }
 
 // runs are the runs the shell is told of now.
@@ -100,7 +100,7 @@
 		t.Fatalf("%d wait once it is finished", got)
 	}
 	// Items with an input count one, and only until a server has begun them.
-	b.Take(keeper.ItemOrder{Bundle: "c", Customer: "c", Route: "chat", Input: "x", Plan: 1}, b.now)
+	b.Take(store.ItemOrder{Bundle: "c", Customer: "c", Route: "chat", Input: "x", Plan: 1}, b.now)
 	third := b.run()
 	if got := b.Waiting("c"); got != 1 {
 		t.Fatalf("%d wait for a server to begin", got)
@@ -120,7 +120,7 @@
 	if got := b.Waiting("r"); got != 530 {
 		t.Fatalf("%d wait", got)
 	}
-	b.Revoke(keeper.Revoke{Bundle: "b", Slot: -1}, b.now)
+	b.Revoke(store.Revoke{Bundle: "b", Slot: -1}, b.now)
 	if got := b.Waiting("r"); got != 0 {
 		t.Fatalf("%d wait once they are called back", got)
 	}
@@ -168,7 +168,7 @@
 	if last := b.went(Ran{Outcome: serverline.Complete, Events: []string{"e4", "end"}, LastEvent: 4}); last.Forward.Resume != 3 {
 		t.Fatalf("it goes on after %d", last.Forward.Resume)
 	}
-	b.only(daybook.StatusOK, "e1\ne2\ne3\ne4\nend")
+	b.only(shard.StatusOK, "e1\ne2\ne3\ne4\nend")
 }
 
 // Events between tries are bounded: beyond that the item begins anew, and is not
@@ -182,7 +182,7 @@
 	if run := b.went(Ran{Outcome: serverline.Complete, Events: []string{"abc", "def", "g"}, LastEvent: 3}); run.Forward.Resume != 0 {
 		t.Fatalf("it goes on after %d", run.Forward.Resume)
 	}
-	b.only(daybook.StatusOK, "abc\ndef\ng")
+	b.only(shard.StatusOK, "abc\ndef\ng")
 }
 
 // Only failed attempts count, and only as many as the route allows.
@@ -196,7 +196,7 @@
 	b.went(Ran{Failed: true, Why: "500"})
 	b.none()
 	b.went(Ran{Failed: true, Why: "500"})
-	b.only(daybook.StatusFailed, "its attempts have failed: 500")
+	b.only(shard.StatusFailed, "its attempts have failed: 500")
 }
 
 // What a server rejects is listed at once.
@@ -204,7 +204,7 @@
 	b := newBench(t, "s")
 	b.take(0, 1)
 	b.went(Ran{Outcome: serverline.Rejected, Why: "422"})
-	b.only(daybook.StatusFailed, "the server rejected it: 422")
+	b.only(shard.StatusFailed, "the server rejected it: 422")
 }
 
 // A failed attempt is followed by one elsewhere where there is an elsewhere.
@@ -216,7 +216,7 @@
 		t.Fatalf("both went to %s", first.Forward.Instance)
 	}
 	b.went(Ran{Outcome: serverline.Complete, Events: []string{"x"}, LastEvent: 1})
-	b.only(daybook.StatusOK, "x")
+	b.only(shard.StatusOK, "x")
 }
 
 // An item that is parked and handed over again keeps its attempts and events.
@@ -237,7 +237,7 @@
 	}
 	b.none()
 	b.went(Ran{Failed: true, Why: "500"})
-	b.only(daybook.StatusFailed, "its attempts have failed: 500")
+	b.only(shard.StatusFailed, "its attempts have failed: 500")
 }
 
 // An item that is too old is listed as failed wherever it waits, but not while a
@@ -247,7 +247,7 @@
 		"in the backlog": func(*bench) {},
 		"parked":         func(b *bench) { b.d.Close(b.now) },
 		"in the backlog under a newer plan": func(b *bench) {
-			b.plan(2, planbook.Forward{Keep: 24 * hour})
+			b.plan(2, config.Forward{Keep: 24 * hour})
 		},
 	}
 	for name, where := range waits {
@@ -262,7 +262,7 @@
 			b.none()
 			b.now += clock.Second
 			b.ClockEvent(b.now)
-			b.only(daybook.StatusFailed, late)
+			b.only(shard.StatusFailed, late)
 			if got := b.Waiting("r"); got != 0 {
 				t.Fatalf("%d wait still", got)
 			}
@@ -276,12 +276,12 @@
 		b.ClockEvent(b.now)
 		b.none()
 		b.Went(Ran{Token: run.Token, Outcome: serverline.NotStarted}, b.now)
-		b.only(daybook.StatusFailed, late)
+		b.only(shard.StatusFailed, late)
 	})
 	t.Run("kept for good", func(t *testing.T) {
 		b := newBench(t)
 		b.take(0, 9)
-		b.plan(2, planbook.Forward{})
+		b.plan(2, config.Forward{})
 		b.now += 1000 * hour
 		b.ClockEvent(b.now)
 		b.none()
@@ -290,16 +290,16 @@
 
 // An item whose route is gone, or passes nothing on any more, is listed as failed.
 func TestAnItemWithoutItsRouteIsListedFailed(t *testing.T) {
-	for name, routes := range map[string][]planbook.Route{"gone": nil, "another": {{Name: "r", Kind: planbook.Bundle}}} {
+	for name, routes := range map[string][]config.Route{"gone": nil, "another": {{Name: "r", Kind: config.Bundle}}} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
 			b.take(0, 9)
-			plan := &planbook.Plan{Version: 2, Routes: routes}
+			plan := &config.Plan{Version: 2, Routes: routes}
 			plan.Index()
 			b.d.SetPlan(plan, b.now)
 			b.now += 2 * clock.Second
 			b.ClockEvent(b.now)
-			b.only(daybook.StatusFailed, gone)
+			b.only(shard.StatusFailed, gone)
 		})
 	}
 }
@@ -328,8 +328,8 @@
 // the keepers that live.
 func TestAKeepersItemsKeepToTheirPart(t *testing.T) {
 	b := newBench(t, "s") // with 4 slots, of which the lowest level may fill 0.7
-	ranked := &planbook.Plan{Version: 2, Classes: []planbook.Class{{Name: "low", Rank: 1}, {Name: "high", Rank: 2}}, Judges: map[string]float64{"spread": 1}, Pools: []planbook.Pool{{Name: "p"}},
-		Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{}}}}
+	ranked := &config.Plan{Version: 2, Classes: []config.Class{{Name: "low", Rank: 1}, {Name: "high", Rank: 2}}, Judges: map[string]float64{"spread": 1}, Pools: []config.Pool{{Name: "p"}},
+		Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{}}}}
 	ranked.Index()
 	b.d.SetPlan(ranked, b.now)
 	for i := range 6 {
@@ -352,8 +352,8 @@
 // which it began to wait.
 func TestARunGoesByThePlanInForce(t *testing.T) {
 	b := newBench(t, "s")
-	b.Take(keeper.ItemOrder{Bundle: "c", Customer: "c", Route: "chat", Input: "x", Plan: 1}, b.now)
-	plan := &planbook.Plan{Version: 2, Judges: map[string]float64{"spread": 1}, Pools: []planbook.Pool{{Name: "p"}}, Routes: []planbook.Route{{Name: "chat", Kind: planbook.Bundle, Model: "new"}}}
+	b.Take(store.ItemOrder{Bundle: "c", Customer: "c", Route: "chat", Input: "x", Plan: 1}, b.now)
+	plan := &config.Plan{Version: 2, Judges: map[string]float64{"spread": 1}, Pools: []config.Pool{{Name: "p"}}, Routes: []config.Route{{Name: "chat", Kind: config.Bundle, Model: "new"}}}
 	plan.Index()
 	b.d.SetPlan(plan, b.now)
 	if run := b.run(); run.Request.Model != "new" || run.Forward != nil {
@@ -366,7 +366,7 @@
 func TestAParkedItemStartsOnceItMay(t *testing.T) {
 	b := newBench(t, "s")
 	lease := false
-	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, clock.Micros) bool { return lease }, func(keeper.Ran, clock.Micros) {})
+	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, clock.Micros) bool { return lease }, func(store.Ran, clock.Micros) {})
 	b.take(0, 1)
 	if runs := b.runs(); len(runs) != 0 {
 		t.Fatalf("%d runs without a lease", len(runs))
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -8,9 +8,9 @@
 	"encoding/json"
 	"strings"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/roster"
 )
@@ -32,7 +32,7 @@
 	every    clock.Micros
 	wire     *machine.Wire
 	dispatch *dispatch.Dispatch
-	folk     func() []people.Person
+	folk     func() []identity.Person
 	due      map[string]clock.Micros // when a server is due again
 	busy     map[string]bool
 	marks    map[string]machine.Rumour // the latest figures' epoch and sequence
@@ -40,7 +40,7 @@
 }
 
 // New makes an edge's scouts; with no span between readings there are none.
-func New(self string, every clock.Micros, wire *machine.Wire, d *dispatch.Dispatch, folk func() []people.Person) *Scouts {
+func New(self string, every clock.Micros, wire *machine.Wire, d *dispatch.Dispatch, folk func() []identity.Person) *Scouts {
 	return &Scouts{self: self, every: every, wire: wire, dispatch: d, folk: folk, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Rumour{}}
 }
 
@@ -63,7 +63,7 @@
 	s.next = now + s.every/hurry
 	folk := s.folk()
 	for _, server := range s.dispatch.Servers() {
-		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || roster.First("load/"+server.Name, folk, people.Trailhead) != s.self {
+		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || roster.First("load/"+server.Name, folk, identity.Trailhead) != s.self {
 			continue
 		}
 		s.busy[server.Name] = true
--- a/path/trek/items.go
+++ b/path/trek/items.go
@@ -5,13 +5,13 @@
 	"strconv"
 
 	"tuliprudder/kernel/errs"
-	"tuliprudder/ledger/daybook"
+	"tuliprudder/ledger/shard"
 )
 
 // checkItems names every bad item; one bad item turns the whole bundle away. An
 // item has an input, or where requests are passed on a request; most is 0 where
 // there is no bound.
-func checkItems(items []daybook.Item, most int, forward bool) error {
+func checkItems(items []shard.Item, most int, forward bool) error {
 	if len(items) == 0 {
 		return errs.New(errs.BadInput, "give the bundle at least one item", "the bundle is empty")
 	}
