--- a/path/trek/trek.go
+++ b/path/trek/trek.go
@@ -7,12 +7,12 @@
 import (
 	"encoding/json"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/guestbook"
 	"tuliprudder/path/purse"
@@ -62,7 +62,7 @@
 		Caller string
 		Route  string
 		Key    string
-		Items  []daybook.Item
+		Items  []shard.Item
 	}
 	// Look asks how a bundle stands; End ends it.
 	Look struct {
@@ -79,7 +79,7 @@
 	ForwardBundle struct {
 		Route string
 		ID    string
-		Items []daybook.Item
+		Items []shard.Item
 	}
 	// LookAny asks how such a bundle stands; End ends it.
 	LookAny struct {
@@ -136,9 +136,9 @@
 
 type order struct {
 	Live
-	customer *planbook.Customer
-	class    *planbook.Class
-	route    *planbook.Route
+	customer *config.Customer
+	class    *config.Class
+	route    *config.Route
 	plan     uint64
 	arrived  clock.Micros
 	expiry   clock.Micros
@@ -190,7 +190,7 @@
 	case PageAny:
 		t.pageAny(number, ask, now)
 	case ItemBody:
-		t.keep(ask.Bundle, func(slot int) any { return keeper.ItemAsk{Slot: slot, Bundle: ask.Bundle, Item: ask.Item} }, lookExpiry, now, t.passOnLook(number))
+		t.keep(ask.Bundle, func(slot int) any { return store.ItemAsk{Slot: slot, Bundle: ask.Bundle, Item: ask.Item} }, lookExpiry, now, t.passOnLook(number))
 	default:
 		return false
 	}
@@ -202,7 +202,7 @@
 }
 
 // caller finds who calls by the key it carries.
-func (t *Trek) caller(key string) (*planbook.Plan, *planbook.Customer, *planbook.Class, error) {
+func (t *Trek) caller(key string) (*config.Plan, *config.Customer, *config.Class, error) {
 	plan := t.dispatch.Plan()
 	if plan == nil {
 		return nil, nil, nil, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no plan has arrived yet")
@@ -218,12 +218,12 @@
 }
 
 // way finds the route and checks that the customer's class may use it.
-func way(plan *planbook.Plan, class *planbook.Class, name string, bundle bool) (*planbook.Route, error) {
+func way(plan *config.Plan, class *config.Class, name string, bundle bool) (*config.Route, error) {
 	route, ok := plan.Route(name)
 	if !ok || route.Forward != nil || !route.Classes.Matches(class.Labels) {
 		return nil, errs.New(errs.UnknownRoute, "name a route that the plan opens to this customer's class", "no route %q for this customer", name)
 	}
-	if bundle != (route.Kind == planbook.Bundle) {
+	if bundle != (route.Kind == config.Bundle) {
 		return nil, errs.New(errs.BadInput, "hand bundles to /bundles of bundle routes, live orders to /orders of the others", "route %q is of kind %s", name, route.Kind)
 	}
 	return route, nil
@@ -271,7 +271,7 @@
 		return errs.Later(errs.Expired, clock.Second, "give an expiry that lies ahead, in microseconds from now", "the order had expired before it came")
 	case len(o.Key) > 256:
 		return errs.New(errs.BadInput, "use a key of at most 256 bytes", "the idempotency key is too long")
-	case o.Key != "" && route.Kind != planbook.OneShot:
+	case o.Key != "" && route.Kind != config.OneShot:
 		return errs.New(errs.BadInput, "leave the key out: only one-shot orders and bundles take one", "route %q is of kind %s", route.Name, route.Kind)
 	case !t.dispatch.Fresh(now):
 		return errs.Later(errs.NotReady, clock.Second, "ask another daemon, or come back", "this daemon's news are old; it refreshes them first")
@@ -312,10 +312,10 @@
 // claim claims the key before anything starts: a repeated key gets the first
 // order's answer.
 func (t *Trek) claim(o *order, now clock.Micros) {
-	claim := daybook.Claim{Customer: o.customer.Name, Key: o.Key, Order: o.Order, Hash: daybook.Hash(o.route.Name, o.Input)}
-	t.keep(daybook.ClaimID(o.customer.Name, o.Key), func(slot int) any { return keeper.ClaimAsk{Slot: slot, Claim: claim, Expiry: t.set.Commit} },
+	claim := shard.Claim{Customer: o.customer.Name, Key: o.Key, Order: o.Order, Hash: shard.Hash(o.route.Name, o.Input)}
+	t.keep(shard.ClaimID(o.customer.Name, o.Key), func(slot int) any { return store.ClaimAsk{Slot: slot, Claim: claim, Expiry: t.set.Commit} },
 		t.set.Commit+clock.Second, now, func(body any, err error, now clock.Micros) {
-			answer, ok := body.(keeper.ClaimAnswer)
+			answer, ok := body.(store.ClaimAnswer)
 			switch {
 			case err != nil:
 				t.end(o, nil, err, now)
@@ -324,7 +324,7 @@
 			case answer.Yours:
 				o.claimed = true
 				t.enrol(o, nil, now)
-			case answer.Claim.State == daybook.Answered:
+			case answer.Claim.State == shard.Answered:
 				var first Answer
 				if err := json.Unmarshal(answer.Claim.Answer, &first); err != nil {
 					t.end(o, nil, errs.New(errs.ServerFault, "run the same release on all daemons", "the key's first answer can't be read: %v", err), now)
@@ -344,10 +344,10 @@
 
 // settle notes how a claimed order went, so that a repeated key hears it.
 func (t *Trek) settle(o *order, state string, answer any, now clock.Micros, back func(error, clock.Micros)) {
-	id := daybook.ClaimID(o.customer.Name, o.Key)
+	id := shard.ClaimID(o.customer.Name, o.Key)
 	data, _ := json.Marshal(answer)
 	t.keep(id, func(slot int) any {
-		return keeper.SettleAsk{Slot: slot, ID: id, State: state, Answer: data, Expiry: t.set.Commit}
+		return store.SettleAsk{Slot: slot, ID: id, State: state, Answer: data, Expiry: t.set.Commit}
 	}, t.set.Commit+clock.Second, now, func(_ any, err error, now clock.Micros) { back(err, now) })
 }
 
@@ -358,7 +358,7 @@
 		t.end(o, nil, why, now)
 		return
 	}
-	t.settle(o, daybook.Void, nil, now, func(err error, now clock.Micros) {
+	t.settle(o, shard.Void, nil, now, func(err error, now clock.Micros) {
 		if err != nil {
 			why = errs.Later(errs.OutcomeUnknown, clock.Second, "ask again with the same key", "the order did not run, but its key could not be freed: %v", err)
 		}
@@ -437,7 +437,7 @@
 			t.end(o, answer, nil, now)
 			return
 		}
-		t.settle(o, daybook.Answered, answer, now, func(_ error, now clock.Micros) { t.end(o, answer, nil, now) })
+		t.settle(o, shard.Answered, answer, now, func(_ error, now clock.Micros) { t.end(o, answer, nil, now) })
 	case ran.Outcome == serverline.NotStarted:
 		grip.TurnedAway(now)
 		if o.avoid[grip.Server.Name] = 3; len(o.avoid) >= 3 {
@@ -447,11 +447,11 @@
 	case ran.Outcome == serverline.Rejected:
 		grip.Release(0, true, now)
 		t.giveUp(o, errs.New(errs.BadInput, "correct the input for this route's model", "%s", ran.Why), now)
-	case o.route.Kind == planbook.OneShot && !t.SecondRun:
+	case o.route.Kind == config.OneShot && !t.SecondRun:
 		// It may have run: never a second time.
 		grip.Release(0, false, now)
 		t.end(o, nil, errs.Later(errs.OutcomeUnknown, clock.Second, "find out by other means whether it ran before asking anew", "the order started on a server and gave no whole answer: %s", ran.Why), now)
-	case ran.Over || (ran.Output != "" && o.route.Kind == planbook.Stream):
+	case ran.Over || (ran.Output != "" && o.route.Kind == config.Stream):
 		grip.Release(0, ran.Over, now)
 		t.end(o, nil, errs.Later(errs.OutcomeUnknown, clock.Second, "ask anew; this stream does not go on", "the stream was cut: %s", ran.Why), now)
 	default:
@@ -482,13 +482,13 @@
 	for _, item := range ask.Items {
 		words = append(words, item.ID, item.Input)
 	}
-	id := daybook.BundleID(customer.Name, ask.Key)
+	id := shard.BundleID(customer.Name, ask.Key)
 	t.keep(id, func(slot int) any {
-		return keeper.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: daybook.Bundle{ID: id, Customer: customer.Name, Key: ask.Key, Hash: daybook.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
+		return store.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: shard.Bundle{ID: id, Customer: customer.Name, Key: ask.Key, Hash: shard.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
 	}, t.set.Commit+clock.Second, now, t.passOn(call))
 }
 
-func (t *Trek) bundleWay(ask HandIn) (*planbook.Plan, *planbook.Customer, *planbook.Class, *planbook.Route, error) {
+func (t *Trek) bundleWay(ask HandIn) (*config.Plan, *config.Customer, *config.Class, *config.Route, error) {
 	plan, customer, class, err := t.caller(ask.Caller)
 	if err != nil {
 		return nil, nil, nil, nil, err
@@ -528,7 +528,7 @@
 		return
 	}
 	route, _ := plan.Route(ask.Route)
-	if route == nil || route.Forward == nil || route.Kind != planbook.Bundle {
+	if route == nil || route.Forward == nil || route.Kind != config.Bundle {
 		t.answer(call, nil, errs.New(errs.UnknownRoute, "name a route of the plan in force that passes bundles on", "the plan passes no bundles on by a route %q", ask.Route))
 		return
 	}
@@ -545,7 +545,7 @@
 		words = append(words, item.ID, string(item.Request.Body))
 	}
 	t.keep(ask.ID, func(slot int) any {
-		return keeper.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: daybook.Bundle{ID: ask.ID, Customer: route.Name, Hash: daybook.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
+		return store.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: shard.Bundle{ID: ask.ID, Customer: route.Name, Hash: shard.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
 	}, t.set.Commit+clock.Second, now, t.passOn(call))
 }
 
@@ -559,11 +559,11 @@
 func (t *Trek) lookAny(call uint64, ask LookAny, now clock.Micros) {
 	if ask.End {
 		t.keep(ask.Bundle, func(slot int) any {
-			return keeper.EndAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true, Expiry: t.set.Commit}
+			return store.EndAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true, Expiry: t.set.Commit}
 		}, t.set.Commit+clock.Second, now, t.passOn(call))
 		return
 	}
-	t.keep(ask.Bundle, func(slot int) any { return keeper.StatusAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true} }, lookExpiry, now, t.passOnLook(call))
+	t.keep(ask.Bundle, func(slot int) any { return store.StatusAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true} }, lookExpiry, now, t.passOnLook(call))
 }
 
 // pageAny reads one bundle: without a customer there is no feed.
@@ -589,11 +589,11 @@
 	}
 	if ask.End {
 		t.keep(ask.Bundle, func(slot int) any {
-			return keeper.EndAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name, Expiry: t.set.Commit}
+			return store.EndAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name, Expiry: t.set.Commit}
 		}, t.set.Commit+clock.Second, now, t.passOn(call))
 		return
 	}
-	t.keep(ask.Bundle, func(slot int) any { return keeper.StatusAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name} }, lookExpiry, now, t.passOn(call))
+	t.keep(ask.Bundle, func(slot int) any { return store.StatusAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name} }, lookExpiry, now, t.passOn(call))
 }
 
 func (t *Trek) page(call uint64, ask Page, now clock.Micros) {
--- a/path/trek/trek_test.go
+++ b/path/trek/trek_test.go
@@ -4,15 +4,15 @@
 	"encoding/json"
 	"testing"
 
-	"tuliprudder/core/chart"
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/tether"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
+	"tuliprudder/ledger/token"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/guestbook"
 	"tuliprudder/path/reader"
@@ -29,15 +29,15 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
 	d, r := dispatch.New(dispatch.Defaults(), 1), reader.New(b.wire)
-	plan := &planbook.Plan{Version: 3, Classes: []planbook.Class{{Name: "a", Rank: 1, Allowance: 9}}, Customers: []planbook.Customer{{Name: "c", Key: "k", Class: "a"}},
-		Routes: []planbook.Route{{Name: "r", Kind: planbook.Bundle, Forward: &planbook.Forward{}}, {Name: "live", Kind: planbook.OneShot, Forward: &planbook.Forward{}},
-			{Name: "chat", Kind: planbook.Bundle, Classes: planbook.Selector{}, MostItems: 9}}}
+	plan := &config.Plan{Version: 3, Classes: []config.Class{{Name: "a", Rank: 1, Allowance: 9}}, Customers: []config.Customer{{Name: "c", Key: "k", Class: "a"}},
+		Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{}}, {Name: "live", Kind: config.OneShot, Forward: &config.Forward{}},
+			{Name: "chat", Kind: config.Bundle, Classes: config.Selector{}, MostItems: 9}}}
 	plan.Index()
 	d.SetPlan(plan, b.now)
-	m, _ := json.Marshal(chart.Map{Fleet: "f", Seq: 1, Slots: []tether.Pairing{{Epoch: 1}}})
-	said, _ := json.Marshal(waypost.Announcement{Writer: 1, Peer: "keeper", UpTo: 5, Slots: []waypost.Claimed{{Slot: 0, Epoch: 1}}})
-	r.Hear(machine.Rumour{Key: chart.MapKey, Seq: 1, Value: m}, b.now)
-	r.Hear(machine.Rumour{Key: waypost.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
+	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Pairing{{Epoch: 1}}})
+	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: 5, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
+	r.Hear(machine.Rumour{Key: state.MapKey, Seq: 1, Value: m}, b.now)
+	r.Hear(machine.Rumour{Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
 	b.Trek = New(Defaults(), b.wire, d, nil, r, guestbook.New(1))
 	return b
 }
@@ -70,9 +70,9 @@
 	}
 }
 
-func requests(bodies ...string) (items []daybook.Item) {
+func requests(bodies ...string) (items []shard.Item) {
 	for _, body := range bodies {
-		items = append(items, daybook.Item{Request: &daybook.Request{Target: "/x", Body: []byte(body)}})
+		items = append(items, shard.Item{Request: &shard.Request{Target: "/x", Body: []byte(body)}})
 	}
 	return items
 }
@@ -87,13 +87,13 @@
 		if ask == nil || ask.To != "keeper" {
 			t.Fatalf("asked %+v", ask)
 		}
-		bundle := ask.Body.(keeper.EnrolAsk).Bundle
+		bundle := ask.Body.(store.EnrolAsk).Bundle
 		if bundle.ID != "mine" || bundle.Customer != "r" || bundle.Route != "r" || bundle.Key != "" || bundle.Plan != 3 || len(bundle.Items) != 2 || bundle.Items[1].ID != "1" {
 			t.Fatalf("%+v", bundle)
 		}
 		hashes[bundle.Hash] = true
-		b.wire.Told(ask.Token, keeper.Receipt{Bundle: "mine"}, nil, b.now)
-		if _, answer := b.effects(); answer == nil || answer.Body.(keeper.Receipt).Bundle != "mine" {
+		b.wire.Told(ask.Token, store.Receipt{Bundle: "mine"}, nil, b.now)
+		if _, answer := b.effects(); answer == nil || answer.Body.(store.Receipt).Bundle != "mine" {
 			t.Fatalf("answered %+v", answer)
 		}
 	}
@@ -104,21 +104,21 @@
 	b.refused(errs.UnknownRoute, ForwardBundle{Route: "chat", ID: "mine", Items: requests("x")})
 	b.refused(errs.UnknownRoute, ForwardBundle{Route: "live", ID: "mine", Items: requests("x")})
 	b.refused(errs.BadInput, ForwardBundle{Route: "r", Items: requests("x")})
-	b.refused(errs.BadInput, ForwardBundle{Route: "r", ID: "mine", Items: []daybook.Item{{Input: "x"}}})
+	b.refused(errs.BadInput, ForwardBundle{Route: "r", ID: "mine", Items: []shard.Item{{Input: "x"}}})
 }
 
 // A caller with a key does not get at what is passed on unchanged: neither by a
 // route nor by an item.
 func TestCallersWithKeysPassNothingOn(t *testing.T) {
 	b := newBench(t)
-	b.refused(errs.UnknownRoute, HandIn{Caller: "k", Route: "r", Key: "1", Items: []daybook.Item{{Input: "x"}}})
+	b.refused(errs.UnknownRoute, HandIn{Caller: "k", Route: "r", Key: "1", Items: []shard.Item{{Input: "x"}}})
 	b.refused(errs.UnknownRoute, Live{Caller: "k", Route: "live", Input: "x"})
 	b.refused(errs.BadInput, HandIn{Caller: "k", Route: "chat", Key: "1", Items: requests("x")})
-	if ask, answer := b.hand(HandIn{Caller: "k", Route: "chat", Key: "1", Items: []daybook.Item{{Input: "x"}}}); ask == nil {
+	if ask, answer := b.hand(HandIn{Caller: "k", Route: "chat", Key: "1", Items: []shard.Item{{Input: "x"}}}); ask == nil {
 		t.Fatalf("a bundle of inputs was turned away: %+v", answer)
 	}
 	ask, _ := b.hand(Page{Caller: "k", Read: reader.Read{Bundle: "one", Anyone: true}})
-	if read := ask.Body.(keeper.ReadAsk); read.Anyone || read.Customer != "c" {
+	if read := ask.Body.(store.ReadAsk); read.Anyone || read.Customer != "c" {
 		t.Fatalf("a caller with a key reads as %+v", read)
 	}
 }
@@ -135,13 +135,13 @@
 		silent errs.Kind
 	}{
 		{LookAny{Bundle: "one"}, func(a any) bool {
-			s, ok := a.(keeper.StatusAsk)
+			s, ok := a.(store.StatusAsk)
 			return ok && s.Bundle == "one" && s.Anyone && !s.Operator
 		}, errs.NotReady},
-		{LookAny{Bundle: "one", End: true}, func(a any) bool { s, ok := a.(keeper.EndAsk); return ok && s.Bundle == "one" && s.Anyone }, errs.OutcomeUnknown},
-		{ItemBody{Bundle: "one", Item: "i"}, func(a any) bool { s, ok := a.(keeper.ItemAsk); return ok && s.Bundle == "one" && s.Item == "i" }, errs.NotReady},
+		{LookAny{Bundle: "one", End: true}, func(a any) bool { s, ok := a.(store.EndAsk); return ok && s.Bundle == "one" && s.Anyone }, errs.OutcomeUnknown},
+		{ItemBody{Bundle: "one", Item: "i"}, func(a any) bool { s, ok := a.(store.ItemAsk); return ok && s.Bundle == "one" && s.Item == "i" }, errs.NotReady},
 		{PageAny{Read: reader.Read{Name: "n", Bundle: "one", Indexed: true, From: 4, Customer: "c"}}, func(a any) bool {
-			s, ok := a.(keeper.ReadAsk)
+			s, ok := a.(store.ReadAsk)
 			return ok && s.Bundle == "one" && s.Anyone && s.Indexed && s.From == 4 && s.Customer == ""
 		}, errs.NotReady},
 	} {
--- a/proof/havoc/havoc.go
+++ b/proof/havoc/havoc.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/core/chart"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/settings"
 	"tuliprudder/proof/callers"
 	"tuliprudder/proof/camp"
@@ -278,7 +278,7 @@
 
 // busiest is the store that owns most slots.
 func (s *scene) busiest() (string, error) {
-	var m chart.Map
+	var m state.Map
 	if err := s.ask("/v1/operator/map", &m); err != nil {
 		return "", err
 	}
@@ -294,7 +294,7 @@
 }
 
 func (s *scene) primary() (string, error) {
-	var core chart.CoreNews
+	var core state.CoreNews
 	if err := s.ask("/v1/operator/core", &core); err != nil {
 		return "", err
 	}
@@ -496,7 +496,7 @@
 	}
 	peer := s.c.Get("store-new").Peer
 	return camp.Until(60*time.Second, func() error {
-		var m chart.Map
+		var m state.Map
 		if err := s.ask("/v1/operator/map", &m); err != nil {
 			return err
 		}
@@ -520,7 +520,7 @@
 	if err != nil {
 		return err
 	}
-	var m chart.Map
+	var m state.Map
 	if err := s.ask("/v1/operator/map", &m); err != nil {
 		return err
 	}
@@ -578,7 +578,7 @@
 			return err
 		}
 		if err := camp.Until(60*time.Second, func() error {
-			var core chart.CoreNews
+			var core state.CoreNews
 			if err := s.ask("/v1/operator/core", &core); err != nil {
 				return err
 			}
--- a/proof/hollow/bench_test.go
+++ b/proof/hollow/bench_test.go
@@ -9,15 +9,15 @@
 	"testing"
 	"time"
 
-	"tuliprudder/acquaintance/circle"
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/transport"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/waypost"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
+	"tuliprudder/ledger/token"
+	"tuliprudder/membership/gossip"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/dispatch"
 	"tuliprudder/path/roster"
 	"tuliprudder/path/scouts"
@@ -49,12 +49,12 @@
 	}
 	defer end()
 	here := transport.New("127.0.0.1:0", there)
-	here.Send(address, circle.Probe{Nonce: 1})
+	here.Send(address, gossip.Probe{Nonce: 1})
 	<-there.heard
 	b.ResetTimer()
 	began := processCPU()
 	for range b.N {
-		here.Send(address, circle.Probe{Nonce: 1})
+		here.Send(address, gossip.Probe{Nonce: 1})
 		<-there.heard
 	}
 	report(b, began, 1, "cpu-µs/call")
@@ -64,11 +64,11 @@
 func BenchmarkLineMemory(b *testing.B) {
 	for _, keys := range []int{500, 11_000} {
 		b.Run(fmt.Sprint(keys), func(b *testing.B) {
-			known := map[string]circle.Mark{}
+			known := map[string]gossip.Mark{}
 			for i := range keys {
-				known[fmt.Sprintf("server/server-%05d", i)] = circle.Mark{Seq: 1_000_000_000_000_000 + uint64(i)}
+				known[fmt.Sprintf("server/server-%05d", i)] = gossip.Mark{Seq: 1_000_000_000_000_000 + uint64(i)}
 			}
-			batch := transport.Batch{Letters: []transport.Envelope{{Body: circle.Digest{Known: known}}}}
+			batch := transport.Batch{Letters: []transport.Envelope{{Body: gossip.Digest{Known: known}}}}
 			for range b.N {
 				var encoders []*gob.Encoder
 				var decoders []*gob.Decoder
@@ -96,9 +96,9 @@
 	}
 }
 
-func plan(b *testing.B) *planbook.Plan {
+func plan(b *testing.B) *config.Plan {
 	f := &Fleet{Set: Settings{Customers: 450, Routes: 60}}
-	plan, err := planbook.Parse(f.document(1))
+	plan, err := config.Parse(f.document(1))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -165,12 +165,12 @@
 func BenchmarkDutyRound(b *testing.B) {
 	for _, size := range [][2]int{{60, 8}, {960, 8}, {5500, 8}, {5500, 245}} {
 		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
-			var folk []people.Person
+			var folk []identity.Person
 			for i := range size[1] {
-				folk = append(folk, people.Person{ID: fmt.Sprintf("trailhead-%03d.1", i), Kind: people.Trailhead, Zone: "zone-01", Peer: "10.0.0.1:7100"})
+				folk = append(folk, identity.Person{ID: fmt.Sprintf("trailhead-%03d.1", i), Kind: identity.Trailhead, Zone: "zone-01", Peer: "10.0.0.1:7100"})
 			}
 			wire := machine.NewWire()
-			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []people.Person { return folk })
+			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []identity.Person { return folk })
 			b.ResetTimer()
 			began := processCPU()
 			for i := range b.N {
@@ -186,20 +186,20 @@
 func BenchmarkCompareDigest(b *testing.B) {
 	for _, servers := range []int{60, 960, 5500} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
-			c := circle.New(people.Person{ID: "x", Kind: people.Trailhead, Peer: "p", Incarnation: 1}, nil, circle.Defaults(), 1)
-			known := map[string]circle.Mark{}
+			c := gossip.New(identity.Person{ID: "x", Kind: identity.Trailhead, Peer: "p", Incarnation: 1}, nil, gossip.Defaults(), 1)
+			known := map[string]gossip.Mark{}
 			var told []machine.Rumour
 			for i := range servers {
 				for _, key := range []string{"server/", "load/"} {
 					rumour := machine.Rumour{Key: fmt.Sprintf("%sserver-%04d", key, i), Epoch: 1, Seq: 1, Value: []byte(strings.Repeat("x", 120))}
-					told, known[rumour.Key] = append(told, rumour), circle.Mark{Epoch: 1, Seq: 1}
+					told, known[rumour.Key] = append(told, rumour), gossip.Mark{Epoch: 1, Seq: 1}
 				}
 			}
-			c.Do(circle.Letter{Body: circle.Gossip{Rumours: told}}, 1)
+			c.Do(gossip.Letter{Body: gossip.Gossip{Rumours: told}}, 1)
 			b.ResetTimer()
 			began := processCPU()
 			for range b.N {
-				c.Do(circle.Letter{From: "q", Body: circle.Digest{Known: known}}, 2)
+				c.Do(gossip.Letter{From: "q", Body: gossip.Digest{Known: known}}, 2)
 			}
 			report(b, began, 1, "cpu-µs/digest")
 		})
@@ -210,13 +210,13 @@
 func BenchmarkToken(b *testing.B) {
 	for _, writers := range []int{4, 24, 100, 300} {
 		b.Run(fmt.Sprint(writers), func(b *testing.B) {
-			vector := waypost.Vector{}
+			vector := token.Vector{}
 			for i := range writers {
 				vector[i+1] = int64(8_000_000 + 977*i)
 			}
 			letters := 0
 			for range b.N {
-				letters = len(waypost.NewToken("fleet", vector).String())
+				letters = len(token.NewToken("fleet", vector).String())
 			}
 			b.ReportMetric(float64(letters), "letters")
 		})
@@ -227,7 +227,7 @@
 func BenchmarkUpTo(b *testing.B) {
 	for _, size := range [][2]int{{24, 24}, {512, 100}, {1024, 300}} {
 		b.Run(fmt.Sprintf("%dslots%dwriters", size[0], size[1]), func(b *testing.B) {
-			v := waypost.NewView()
+			v := token.NewView()
 			v.SetMap(make([]uint64, size[0]))
 			for w := range size[1] {
 				value := `{"writer":` + fmt.Sprint(w+1) + `,"store":"s","peer":"p","up_to":1000,"slots":[`
@@ -237,7 +237,7 @@
 					}
 					value += fmt.Sprintf(`{"slot":%d,"epoch":1,"last":{"%d":5},"tenures":[{"writer":%d,"first":1,"last":5},{"writer":%d,"first":6,"last":900}]}`, slot, (w+1)%size[1]+1, (w+1)%size[1]+1, w+1)
 				}
-				v.Hear(machine.Rumour{Key: waypost.Key(w + 1), Epoch: 1, Seq: 1, Value: []byte(value + "]}")})
+				v.Hear(machine.Rumour{Key: token.Key(w + 1), Epoch: 1, Seq: 1, Value: []byte(value + "]}")})
 			}
 			b.ResetTimer()
 			began := processCPU()
@@ -254,19 +254,19 @@
 func BenchmarkLot(b *testing.B) {
 	for _, items := range []int{1000, 10_000, 87_000} {
 		b.Run(fmt.Sprint(items), func(b *testing.B) {
-			bundle := daybook.Bundle{ID: "lot", Customer: "tenant-001", Key: "k", Hash: "h", Route: "route-002", State: daybook.Open}
+			bundle := shard.Bundle{ID: "lot", Customer: "tenant-001", Key: "k", Hash: "h", Route: "route-002", State: shard.Open}
 			for i := range items {
-				bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprintf("item-%05d", i), Input: strings.Repeat("x", 400)})
+				bundle.Items = append(bundle.Items, shard.Item{ID: fmt.Sprintf("item-%05d", i), Input: strings.Repeat("x", 400)})
 			}
 			size := 0
 			b.ResetTimer()
 			began := processCPU()
 			for range b.N {
-				size = len(daybook.Encode(daybook.Enrol{Bundle: bundle}))
+				size = len(shard.Encode(shard.Enrol{Bundle: bundle}))
 			}
 			report(b, began, 1, "cpu-µs/lot")
 			b.ReportMetric(float64(size), "entry-B")
-			b.ReportMetric(float64(keeper.Defaults().MostItems), "most-items")
+			b.ReportMetric(float64(store.Defaults().MostItems), "most-items")
 			time.Sleep(0)
 		})
 	}
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -5,17 +5,17 @@
 	"fmt"
 	"slices"
 
-	"tuliprudder/acquaintance/circle"
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
-	"tuliprudder/core/planbook"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/config"
+	"tuliprudder/core/control"
+	"tuliprudder/core/state"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/gossip"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 	"tuliprudder/path/runner"
 	"tuliprudder/path/scouts"
@@ -37,10 +37,10 @@
 	booted        clock.Micros
 	era           int
 	up            bool
-	circle        *circle.Circle
+	circle        *gossip.Circle
 	machine       porter.Machine
-	summit        *summit.Summit
-	keeper        *keeper.Keeper
+	summit        *control.Summit
+	keeper        *store.Keeper
 	calls         map[uint64]func(machine.Answer)
 	lines         []*line
 	asks          map[*daemon]*line
@@ -90,8 +90,8 @@
 	return top
 }
 
-func (d *daemon) person() people.Person {
-	return people.Person{ID: d.id, Kind: d.kind, Zone: d.zone, Peer: d.peer, HTTP: d.peer, Incarnation: d.life, Version: people.Release}
+func (d *daemon) person() identity.Person {
+	return identity.Person{ID: d.id, Kind: d.kind, Zone: d.zone, Peer: d.peer, HTTP: d.peer, Incarnation: d.life, Version: identity.Release}
 }
 
 // boot starts a daemon from what its disk holds. Those told are known from the
@@ -101,25 +101,25 @@
 	d.era++
 	d.life++
 	d.up, d.booted = true, f.Now
-	if d.kind == people.Trailhead {
+	if d.kind == identity.Trailhead {
 		d.life = uint64(f.Now)
 		d.id = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, d.era)
 	}
 	d.calls, d.asks, d.hollow = map[uint64]func(machine.Answer){}, map[*daemon]*line{}, map[string]loadMark{}
 	d.planVersion, d.phase = 0, f.between(0, 100*clock.Millisecond)
-	d.circle = circle.New(d.person(), f.seeds, circle.Defaults(), f.chance.Int63())
+	d.circle = gossip.New(d.person(), f.seeds, gossip.Defaults(), f.chance.Int63())
 	switch {
-	case d.kind == people.Cairn:
-		set := summit.Defaults()
-		set.Slots, set.CheckPlan = int(f.Set.Slots), planbook.Check
-		d.summit = summit.New(summit.CoreRef{ID: d.id, Peer: d.peer, Zone: d.zone}, d.life, f.seeds, set, d.disk.durable)
+	case d.kind == identity.Cairn:
+		set := control.Defaults()
+		set.Slots, set.CheckPlan = int(f.Set.Slots), config.Check
+		d.summit = control.New(control.CoreRef{ID: d.id, Peer: d.peer, Zone: d.zone}, d.life, f.seeds, set, d.disk.durable)
 		d.machine = planes.NewCore(d.summit)
-	case d.kind == people.Refuge:
+	case d.kind == identity.Refuge:
 		if d.disk.shelf == nil {
 			d.disk.shelf = shelf{}
 		}
-		set := keeper.Defaults()
-		d.keeper = keeper.New(keeper.Self{ID: d.id, Zone: d.zone, Peer: d.peer, Life: d.life}, set, d.disk.durable, d.disk.shelf)
+		set := store.Defaults()
+		d.keeper = store.New(store.Self{ID: d.id, Zone: d.zone, Peer: d.peer, Life: d.life}, set, d.disk.durable, d.disk.shelf)
 		d.machine = planes.NewLedger(d.id, d.keeper, set.MostItems, f.chance.Int63())
 	case d.whole:
 		d.machine = planes.NewEdge(d.id, planes.EdgeDefaults(), f.chance.Int63())
@@ -137,7 +137,7 @@
 			return
 		}
 		d.step(func() {
-			d.do(d.circle.Do(circle.ClockEvent{}, f.Now))
+			d.do(d.circle.Do(gossip.ClockEvent{}, f.Now))
 			if d.machine != nil {
 				d.do(d.machine.ClockEvent(f.Now))
 			}
@@ -153,7 +153,7 @@
 	f := d.fleet
 	for range 6 {
 		other := f.daemons[f.chance.Intn(len(f.daemons))]
-		d.do(d.circle.Do(circle.Letter{From: other.peer, Body: circle.Gossip{}}, f.Now))
+		d.do(d.circle.Do(gossip.Letter{From: other.peer, Body: gossip.Gossip{}}, f.Now))
 	}
 	d.learn(told)
 }
@@ -161,8 +161,8 @@
 // learn takes news in that everybody is told at this moment, and passes none on.
 func (d *daemon) learn(told []machine.Rumour) {
 	f := d.fleet
-	d.do(d.circle.Do(circle.Letter{Body: circle.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
-	for _, effect := range d.circle.Do(circle.ClockEvent{}, f.Now) {
+	d.do(d.circle.Do(gossip.Letter{Body: gossip.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
+	for _, effect := range d.circle.Do(gossip.ClockEvent{}, f.Now) {
 		if _, sends := effect.(machine.Send); !sends {
 			d.do([]machine.Effect{effect})
 		}
@@ -190,8 +190,8 @@
 
 func (d *daemon) letter(from string, body any) {
 	switch body.(type) {
-	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Hint, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle, circle.Press, circle.Pressed:
-		d.do(d.circle.Do(circle.Letter{From: from, Body: body}, d.fleet.Now))
+	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
+		d.do(d.circle.Do(gossip.Letter{From: from, Body: body}, d.fleet.Now))
 	default:
 		if d.machine != nil {
 			d.do(d.machine.Letter(from, body, d.fleet.Now))
@@ -221,11 +221,11 @@
 				back(e)
 			}
 		case machine.Publish:
-			d.do(d.circle.Do(circle.Tell{Rumour: e.Rumour}, f.Now))
+			d.do(d.circle.Do(gossip.Tell{Rumour: e.Rumour}, f.Now))
 		case machine.Spread:
-			d.do(d.circle.Do(circle.Spread(e), f.Now))
+			d.do(d.circle.Do(gossip.Spread(e), f.Now))
 		case machine.Heard:
-			if e.Rumour.Key == chart.PlanKey && e.Rumour.Seq > d.planVersion {
+			if e.Rumour.Key == state.PlanKey && e.Rumour.Seq > d.planVersion {
 				d.planVersion = e.Rumour.Seq
 				f.plan.heard(f, d, e.Rumour.Seq)
 			}
@@ -383,7 +383,7 @@
 			}
 			own.seq++
 			value, _ := json.Marshal(roster.Load{Running: f.running(name), Sound: true, At: f.Now, By: d.id})
-			d.do(d.circle.Do(circle.Tell{Rumour: machine.Rumour{Key: roster.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
+			d.do(d.circle.Do(gossip.Tell{Rumour: machine.Rumour{Key: roster.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
 		})
 	}
 	var once func()
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -11,8 +11,8 @@
 	"math/rand"
 	"slices"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 )
 
@@ -139,14 +139,14 @@
 			d.id = fmt.Sprintf("%s-%03d", kind, i+1)
 			f.daemons = append(f.daemons, d)
 			f.byPeer[d.peer] = d
-			if kind == people.Cairn && len(f.seeds) < 3 {
+			if kind == identity.Cairn && len(f.seeds) < 3 {
 				f.seeds = append(f.seeds, d.peer)
 			}
 		}
 	}
-	add(people.Cairn, set.Cores, set.Cores)
-	add(people.Refuge, set.Stores, set.Stores)
-	add(people.Trailhead, set.Edges(), set.WholeEdges)
+	add(identity.Cairn, set.Cores, set.Cores)
+	add(identity.Refuge, set.Stores, set.Stores)
+	add(identity.Trailhead, set.Edges(), set.WholeEdges)
 	for i := int64(0); i < set.Servers; i++ {
 		f.servers = append(f.servers, &hollowServer{busy: i*100 < set.Busy*set.Servers, word: roster.Server{
 			Name: fmt.Sprintf("server-%04d", i+1), Address: fmt.Sprintf("http://10.%d.%d.%d:8000", 100+i%set.Zones, i/200, 1+i%200), Slots: 64,
@@ -258,15 +258,15 @@
 // duties are the servers that each edge reads, by the agreed order. It is
 // worked out here once for the hollow edges; whole ones work it out themselves.
 func (f *Fleet) duties() map[string][]*hollowServer {
-	var folk []people.Person
+	var folk []identity.Person
 	for _, d := range f.daemons {
-		if d.kind == people.Trailhead && d.up {
+		if d.kind == identity.Trailhead && d.up {
 			folk = append(folk, d.person())
 		}
 	}
 	out := map[string][]*hollowServer{}
 	for _, s := range f.servers {
-		first := roster.First("load/"+s.word.Name, folk, people.Trailhead)
+		first := roster.First("load/"+s.word.Name, folk, identity.Trailhead)
 		out[first] = append(out[first], s)
 	}
 	return out
--- a/proof/hollow/hollow_test.go
+++ b/proof/hollow/hollow_test.go
@@ -9,20 +9,20 @@
 	"strings"
 	"testing"
 
-	"tuliprudder/acquaintance/circle"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/transport"
-	"tuliprudder/ledger/keeper"
-	"tuliprudder/ledger/tether"
+	"tuliprudder/ledger/replication"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/gossip"
 )
 
 // What is counted for a line is what one encoder of its own would have written.
 func TestALineIsCountedAsByItsOwnEncoder(t *testing.T) {
 	chance := rand.New(rand.NewSource(1))
 	bodies := []any{
-		circle.Probe{Nonce: 300}, circle.Echo{Nonce: 7, For: "a"}, circle.Gossip{Rumours: []machine.Rumour{{Key: "load/x", Epoch: 1, Seq: 900, Value: make([]byte, 120)}}},
-		circle.Digest{Known: map[string]circle.Mark{"one": {Epoch: 1, Seq: 2}}, Stamp: 1}, circle.Mend{Rumours: []machine.Rumour{{Key: "k"}}, Ages: circle.Ages{Raw: map[string]int64{"s": 4}}},
-		keeper.Beat{ID: "s", Ready: map[int]uint64{1: 2}}, tether.Beat{}, circle.Shuffle{Peers: []string{"a", "b"}},
+		gossip.Probe{Nonce: 300}, gossip.Echo{Nonce: 7, For: "a"}, gossip.Gossip{Rumours: []machine.Rumour{{Key: "load/x", Epoch: 1, Seq: 900, Value: make([]byte, 120)}}},
+		gossip.Digest{Known: map[string]gossip.Mark{"one": {Epoch: 1, Seq: 2}}, Stamp: 1}, gossip.Mend{Rumours: []machine.Rumour{{Key: "k"}}, Ages: gossip.Ages{Raw: map[string]int64{"s": 4}}},
+		store.Beat{ID: "s", Ready: map[int]uint64{1: 2}}, replication.Beat{}, gossip.Shuffle{Peers: []string{"a", "b"}},
 	}
 	c := newCodec()
 	for range 20 {
--- a/proof/hollow/meter.go
+++ b/proof/hollow/meter.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"unsafe"
 
-	"tuliprudder/acquaintance/people"
+	"tuliprudder/membership/identity"
 )
 
 // Roles for which figures are told apart. A duty holder is the whole edge that
@@ -40,9 +40,9 @@
 	switch {
 	case d == f.leader:
 		return "primary"
-	case d.kind == people.Cairn:
+	case d.kind == identity.Cairn:
 		return "core"
-	case d.kind == people.Refuge:
+	case d.kind == identity.Refuge:
 		return "store"
 	case d == f.holder:
 		return "duty"
--- a/proof/hollow/rounds.go
+++ b/proof/hollow/rounds.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"strings"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/planbook"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/config"
+	"tuliprudder/core/control"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/identity"
 )
 
 // planRounds are changes of the plan, each until it is in force everywhere.
@@ -37,7 +37,7 @@
 	for i := range f.Set.Customers {
 		customers = append(customers, map[string]any{"name": fmt.Sprintf("tenant-%03d", i), "key": fmt.Sprintf("key-of-tenant-%03d-%x", i, 0x9e3779b97f4a7c15*uint64(i+1)), "class": fmt.Sprintf("class-%d", i%5)})
 	}
-	kinds := []string{planbook.OneShot, planbook.Stream, planbook.Bundle}
+	kinds := []string{config.OneShot, config.Stream, config.Bundle}
 	for i := range 20 {
 		pools = append(pools, map[string]any{"name": fmt.Sprintf("pool-%02d", i), "labels": map[string]any{"use": fmt.Sprintf("model-%02d", i)}, "servers": map[string]any{"model": fmt.Sprintf("model-%02d", i)}})
 	}
@@ -45,7 +45,7 @@
 		kind := kinds[i%3]
 		route := map[string]any{"name": fmt.Sprintf("route-%03d", i), "kind": kind, "classes": map[string]any{"live": "yes"}, "pools": map[string]any{"use": fmt.Sprintf("model-%02d", i/3%20)},
 			"model": fmt.Sprintf("model-%02d", i/3%20), "prefix": strings.Repeat("Answer in one word. ", 10), "max_tokens": 256}
-		if kind == planbook.Bundle {
+		if kind == config.Bundle {
 			route["most_items"] = 10_000
 		} else {
 			route["expiry_us"] = 10_000_000
@@ -83,7 +83,7 @@
 	}
 	f.plan.pending[version] = round
 	p.step(func() {
-		p.call(summit.PutPlanAsk{Body: body, By: "hollow", Expiry: 2 * clock.Second}, func(a machine.Answer) {
+		p.call(control.PutPlanAsk{Body: body, By: "hollow", Expiry: 2 * clock.Second}, func(a machine.Answer) {
 			if a.Err != nil {
 				f.plan.refused++
 				f.plan.why = a.Err.Error()
@@ -130,27 +130,27 @@
 	}
 	slots := p.summit.Chart().Slots
 	id := fmt.Sprintf("bundle-%d-%d", f.Set.Seed, f.bundles.handed)
-	slot := daybook.SlotOf(id, len(slots))
-	var store, edge *daemon
+	slot := shard.SlotOf(id, len(slots))
+	var keeper, edge *daemon
 	for _, d := range f.daemons {
 		if d.id == slots[slot].Owner.ID && d.up {
-			store = d
+			keeper = d
 		}
-		if d.kind == people.Trailhead && d.up && (edge == nil || f.chance.Intn(4) == 0) {
+		if d.kind == identity.Trailhead && d.up && (edge == nil || f.chance.Intn(4) == 0) {
 			edge = d
 		}
 	}
-	if store == nil || edge == nil {
+	if keeper == nil || edge == nil {
 		f.bundles.refused++
 		return
 	}
 	tenant := f.chance.Int63n(f.Set.Customers)
-	bundle := daybook.Bundle{ID: id, Customer: fmt.Sprintf("tenant-%03d", tenant), Key: id, Hash: id, Route: fmt.Sprintf("route-%03d", 2+3*f.chance.Int63n(max(1, f.Set.Routes/3)))}
+	bundle := shard.Bundle{ID: id, Customer: fmt.Sprintf("tenant-%03d", tenant), Key: id, Hash: id, Route: fmt.Sprintf("route-%03d", 2+3*f.chance.Int63n(max(1, f.Set.Routes/3)))}
 	for i := range f.Set.BundleItems {
-		bundle.Items = append(bundle.Items, daybook.Item{ID: fmt.Sprintf("item-%d", i), Input: "the text of one item, as long as a short note that a customer has written about something"})
+		bundle.Items = append(bundle.Items, shard.Item{ID: fmt.Sprintf("item-%d", i), Input: "the text of one item, as long as a short note that a customer has written about something"})
 	}
 	edge.step(func() {
-		f.ask(edge, store.peer, keeper.EnrolAsk{Slot: slot, Bundle: bundle, Expiry: 2 * clock.Second}, 3*clock.Second, func(_ any, err error) {
+		f.ask(edge, keeper.peer, store.EnrolAsk{Slot: slot, Bundle: bundle, Expiry: 2 * clock.Second}, 3*clock.Second, func(_ any, err error) {
 			if err != nil {
 				f.bundles.refused++
 			}
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
-	"tuliprudder/acquaintance/people"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 )
 
@@ -140,14 +140,14 @@
 func (f *Fleet) boot() {
 	var told []machine.Rumour
 	for _, d := range f.daemons {
-		if d.kind == people.Trailhead {
+		if d.kind == identity.Trailhead {
 			d.id, d.life = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, 1), uint64(f.Now)
 		} else {
 			d.life = 1
 		}
 		person := d.person()
-		told = append(told, machine.Rumour{Key: people.Key(d.id), Epoch: d.life, Seq: person.Seq(), Value: person.Encode()})
-		if d.kind != people.Trailhead {
+		told = append(told, machine.Rumour{Key: identity.Key(d.id), Epoch: d.life, Seq: person.Seq(), Value: person.Encode()})
+		if d.kind != identity.Trailhead {
 			d.life = 0
 		}
 	}
@@ -173,7 +173,7 @@
 	f.charge(nil)
 	f.leader = f.primary()
 	for _, d := range f.daemons {
-		if d.kind == people.Trailhead && d.whole && (f.holder == nil || d.duty > f.holder.duty) {
+		if d.kind == identity.Trailhead && d.whole && (f.holder == nil || d.duty > f.holder.duty) {
 			f.holder = d
 		}
 	}
--- a/proof/weather/callers.go
+++ b/proof/weather/callers.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strings"
 
-	"tuliprudder/core/planbook"
+	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/path/serverline"
@@ -42,7 +42,7 @@
 var customers = map[string]string{"key-gold": "gold", "key-silver": "silver", "key-caller": customer}
 
 // kinds are the live routes by the kind of the route.
-var kinds = map[string]string{"once": planbook.OneShot, "flow": planbook.Stream, "long": planbook.Resumable, "extra": planbook.OneShot}
+var kinds = map[string]string{"once": config.OneShot, "flow": config.Stream, "long": config.Resumable, "extra": config.OneShot}
 
 // planOf is a plan as an operator writes it; its number says how it differs from
 // others: the route extra comes and goes, its pool moves, allowances change.
@@ -53,13 +53,13 @@
 	class := func(name string, rank, allowance int) map[string]any {
 		return map[string]any{"name": name, "rank": rank, "allowance": allowance, "labels": map[string]any{"live": "yes"}}
 	}
-	routes := []any{route("once", planbook.OneShot, "all"), route("flow", planbook.Stream, "all"), route("long", planbook.Resumable, "all")}
-	bundles := route("r", planbook.Bundle, "all")
+	routes := []any{route("once", config.OneShot, "all"), route("flow", config.Stream, "all"), route("long", config.Resumable, "all")}
+	bundles := route("r", config.Bundle, "all")
 	delete(bundles, "expiry_us")
 	bundles["most_items"] = 1000
 	routes = append(routes, bundles)
 	if number%3 > 0 {
-		routes = append(routes, route("extra", planbook.OneShot, "half"))
+		routes = append(routes, route("extra", config.OneShot, "half"))
 	}
 	data, _ := json.Marshal(map[string]any{
 		"classes":   []any{class("gold", 300+number%2, 40), class("silver", 200, 40), class("notes", 100, 300+20*(number%4))},
@@ -152,7 +152,7 @@
 					n.Here(trek.Began{Order: name}, func(any, error) {})
 				}
 				text += piece
-				if said.Kind != planbook.OneShot {
+				if said.Kind != config.OneShot {
 					o.Output = text
 				}
 			}, report)
@@ -163,7 +163,7 @@
 				}
 			})
 		case trek.Answer:
-			if o.Kind == planbook.OneShot {
+			if o.Kind == config.OneShot {
 				o.Output = said.Output
 			}
 			o.Ended = true
@@ -221,7 +221,7 @@
 		routes := []string{"once", "once", "flow", "long", "extra"}
 		o := &Order{Customer: who, Route: routes[w.Chance.Intn(len(routes))]}
 		o.Kind, o.Input = kinds[o.Route], fmt.Sprintf("%s/%d", name, number)
-		if o.Kind == planbook.OneShot && w.Chance.Intn(3) == 0 {
+		if o.Kind == config.OneShot && w.Chance.Intn(3) == 0 {
 			o.Key = "k-" + o.Input
 		}
 		v.Orders, v.byInput[o.Input] = append(v.Orders, o), o
@@ -274,7 +274,7 @@
 	v.number++
 	crowd := v.number
 	for i := 0; i < count; i++ {
-		o := &Order{Customer: who, Route: "once", Kind: planbook.OneShot, Input: fmt.Sprintf("crowd-%d/%d", crowd, i)}
+		o := &Order{Customer: who, Route: "once", Kind: config.OneShot, Input: fmt.Sprintf("crowd-%d/%d", crowd, i)}
 		v.Orders, v.byInput[o.Input] = append(v.Orders, o), o
 		w.After(w.between(0, 100_000), func() {
 			if n := v.edgeNode(); n != nil {
@@ -309,7 +309,7 @@
 	}
 	o.Starts = append(o.Starts, start)
 	v.saw(onceOnly)
-	if o.Kind == planbook.OneShot && len(o.Starts) > 1 {
+	if o.Kind == config.OneShot && len(o.Starts) > 1 {
 		v.breach(onceOnly, "one-shot order %s runs a second time, on %s", o.Input, start.Server)
 	}
 	if o.Outcome == wasRefused {
--- a/proof/weather/day.go
+++ b/proof/weather/day.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"strings"
 
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/control"
 	"tuliprudder/kernel/clock"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/roster"
 )
 
@@ -54,14 +54,14 @@
 // holder is the edge that holds a customer's account.
 func (w *World) holder(who string) *Node {
 	if n := w.Watch.edgeNode(); n != nil {
-		id := roster.First("account/"+who, n.edge.Folk(), people.Trailhead)
-		for _, name := range w.Names(people.Trailhead) {
+		id := roster.First("account/"+who, n.edge.Folk(), identity.Trailhead)
+		for _, name := range w.Names(identity.Trailhead) {
 			if w.Nodes[name].ID == id {
 				return w.Nodes[name]
 			}
 		}
 	}
-	return w.any(people.Trailhead)
+	return w.any(identity.Trailhead)
 }
 
 // keeperOf is the store that keeps a bundle, as an edge knows it.
@@ -71,7 +71,7 @@
 			return w.byPeer[owner.Peer]
 		}
 	}
-	return w.any(people.Refuge)
+	return w.any(identity.Refuge)
 }
 
 // primary is the core that serves, or any.
@@ -166,7 +166,7 @@
 		{Name: "drain a store", Span: 2500 * ms, Do: func(w *World) func() {
 			n := w.any("refuge")
 			if n.up && !n.frozen {
-				n.do(n.Keeper.Do(keeper.Drain{}, w.Now))
+				n.do(n.Keeper.Do(store.Drain{}, w.Now))
 			}
 			w.Note("%s drains", n.Name)
 			return func() { n.Crash(); n.Boot(slots) }
@@ -430,7 +430,7 @@
 			w.Watch.PutPlan(false)
 			struck := false
 			w.Spy = func(from, to *Node, body any) {
-				if _, ok := body.(summit.Sealed); ok && !struck && to.up {
+				if _, ok := body.(control.Sealed); ok && !struck && to.up {
 					struck = true
 					w.After(1, func() { undos = append(undos, crash(to, slots)) })
 				}
--- a/proof/weather/promises.go
+++ b/proof/weather/promises.go
@@ -5,9 +5,9 @@
 	"sort"
 	"strings"
 
-	"tuliprudder/acquaintance/circle"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/gossip"
 	"tuliprudder/path/roster"
 	"tuliprudder/proof/wellspring"
 )
@@ -116,7 +116,7 @@
 			}
 		}
 		forget := n.onCrash(again)
-		n.do(n.circle.Do(circle.Spread{Rumour: roster.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
+		n.do(n.circle.Do(gossip.Spread{Rumour: roster.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
 		v.w.After(3*clock.Second, func() {
 			if n.era == era {
 				forget()
--- a/proof/weather/watch.go
+++ b/proof/weather/watch.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"strings"
 
-	"tuliprudder/core/chart"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/control"
+	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
-	"tuliprudder/ledger/daybook"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/shard"
+	"tuliprudder/ledger/store"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/trek"
 	"tuliprudder/proof/wellspring"
@@ -157,11 +157,11 @@
 
 // HandAs is the same under a key of the caller's choice.
 func (v *Watch) HandAs(key string, items, tries int) *Handed {
-	h := &Handed{ID: daybook.BundleID(customer, key), Key: key, Items: items, Asked: v.w.Now, starts: map[string]int{}, done: map[int]clock.Micros{}}
+	h := &Handed{ID: shard.BundleID(customer, key), Key: key, Items: items, Asked: v.w.Now, starts: map[string]int{}, done: map[int]clock.Micros{}}
 	v.Bundles, v.byID[h.ID], v.byKey[key] = append(v.Bundles, h), h, h
-	var list []daybook.Item
+	var list []shard.Item
 	for i := 0; i < items; i++ {
-		list = append(list, daybook.Item{ID: strconv.Itoa(i), Input: itemInput(key, i)})
+		list = append(list, shard.Item{ID: strconv.Itoa(i), Input: itemInput(key, i)})
 	}
 	v.Busy++
 	var try func()
@@ -179,13 +179,13 @@
 		h.Tries++
 		e := &Entry{ID: h.ID, Called: v.w.Now}
 		v.Entries = append(v.Entries, e)
-		v.here(n, trek.HandIn{Caller: callerKey, Route: "r", Key: key, Items: append([]daybook.Item(nil), list...)}, func(answer any, err error) {
+		v.here(n, trek.HandIn{Caller: callerKey, Route: "r", Key: key, Items: append([]shard.Item(nil), list...)}, func(answer any, err error) {
 			e.Told = v.w.Now
 			e.unknown = errs.Is(err, errs.OutcomeUnknown)
 			if err != nil && !e.unknown {
 				v.forget(e) // turned away: it never was
 			}
-			if receipt, ok := answer.(keeper.Receipt); ok && err == nil {
+			if receipt, ok := answer.(store.Receipt); ok && err == nil {
 				e.repeated = receipt.Repeated
 				h.Accepted = v.w.Now
 				v.Busy--
@@ -232,7 +232,7 @@
 			return
 		}
 		v.here(n, trek.Look{Caller: callerKey, Bundle: h.ID, End: true}, func(answer any, err error) {
-			if _, ok := answer.(keeper.Status); ok && err == nil {
+			if _, ok := answer.(store.Status); ok && err == nil {
 				h.Ended = v.w.Now
 				v.Busy--
 				v.w.Note("bundle %s ended", h.ID)
@@ -350,11 +350,11 @@
 	})
 }
 
-func (v *Watch) row(row daybook.Row, where string) {
+func (v *Watch) row(row shard.Row, where string) {
 	key := fmt.Sprintf("%d@%d", row.Writer, row.Position)
 	what := fmt.Sprintf("%s/%d", row.Bundle, row.Item)
 	v.saw(exact)
-	if h := v.byID[row.Bundle]; h != nil && row.Status == daybook.StatusOK {
+	if h := v.byID[row.Bundle]; h != nil && row.Status == shard.StatusOK {
 		v.saw(mixed)
 		if want := wellspring.Answer(itemInput(h.Key, row.Item), pieces); row.Output != want {
 			v.breach(mixed, "%s: %s holds %q, not its answer %q", where, what, row.Output, want)
@@ -415,11 +415,11 @@
 	p := &Put{Number: number, Body: string(body), Called: v.w.Now, HasBase: withBase, Base: n.plan}
 	v.Puts = append(v.Puts, p)
 	v.Busy++
-	v.w.Ask(n, n.core.Peer, summit.PutPlanAsk{Body: body, Base: p.Base, HasBase: withBase, By: "sim", Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
+	v.w.Ask(n, n.core.Peer, control.PutPlanAsk{Body: body, Base: p.Base, HasBase: withBase, By: "sim", Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
 		v.Busy--
 		p.Told = v.w.Now
 		v.w.Note("plan number %d (base %d %v): %v %v", p.Number, p.Base, withBase, answer, err)
-		receipt, ok := answer.(summit.PlanReceipt)
+		receipt, ok := answer.(control.PlanReceipt)
 		switch {
 		case err == nil && ok:
 			p.Version = receipt.Version
@@ -478,8 +478,8 @@
 			v.w.After(200*clock.Millisecond, try)
 			return
 		}
-		v.w.Ask(n, n.core.Peer, summit.RetireAsk{ID: id, Back: back, Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
-			if _, ok := answer.(summit.RetireReceipt); err == nil && ok || errs.Is(err, errs.Refused) || errs.Is(err, errs.NotFound) {
+		v.w.Ask(n, n.core.Peer, control.RetireAsk{ID: id, Back: back, Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
+			if _, ok := answer.(control.RetireReceipt); err == nil && ok || errs.Is(err, errs.Refused) || errs.Is(err, errs.NotFound) {
 				v.w.Note("retire %s back %v: %v %v", id, back, answer, err)
 				v.Busy--
 				return
@@ -490,7 +490,7 @@
 	try()
 }
 
-func (v *Watch) planHeard(n *Node, version chart.Version) {
+func (v *Watch) planHeard(n *Node, version state.Version) {
 	if version.Number < n.plan {
 		v.breach(inForce, "%s goes back from plan %d to %d", n.Name, n.plan, version.Number)
 	}
@@ -516,16 +516,16 @@
 				v.Busy--
 				return
 			}
-			slot, owner, err := n.edge.Reader.Keeper(daybook.ClaimID(customer, key))
+			slot, owner, err := n.edge.Reader.Keeper(shard.ClaimID(customer, key))
 			if err != nil {
 				v.w.After(v.w.between(50, 600)*clock.Millisecond, try)
 				return
 			}
 			c := &Claimed{Key: key, Order: order, Called: v.w.Now}
 			v.Claims = append(v.Claims, c)
-			v.w.Ask(n, owner.Peer, keeper.ClaimAsk{Slot: slot, Claim: daybook.Claim{Customer: customer, Key: key, Hash: "h", Order: order}, Expiry: 3 * clock.Second}, 4*clock.Second, func(answer any, err error) {
+			v.w.Ask(n, owner.Peer, store.ClaimAsk{Slot: slot, Claim: shard.Claim{Customer: customer, Key: key, Hash: "h", Order: order}, Expiry: 3 * clock.Second}, 4*clock.Second, func(answer any, err error) {
 				c.Told = v.w.Now
-				got, ok := answer.(keeper.ClaimAnswer)
+				got, ok := answer.(store.ClaimAnswer)
 				switch {
 				case err == nil && ok:
 					c.Yours, c.Winner = got.Yours, got.Claim.Order
@@ -685,7 +685,7 @@
 		key := ""
 		for i := 0; key == ""; i++ {
 			name := fmt.Sprintf("back-%d-%d", slot, i)
-			if daybook.SlotOf(daybook.BundleID(customer, name), w.slots()) == slot {
+			if shard.SlotOf(shard.BundleID(customer, name), w.slots()) == slot {
 				key = name
 			}
 		}
@@ -758,7 +758,7 @@
 				seen[row.Item], last = true, row.Position
 				count++
 			}
-			done = count >= h.Items && page.State != string(daybook.Open)
+			done = count >= h.Items && page.State != string(shard.Open)
 		})
 		w.Until(3*clock.Second, func() bool { return answered })
 		if !done {
@@ -787,9 +787,9 @@
 			n, answered, body := w.Nodes[edges[(p.Number+i)%len(edges)]], false, ""
 			for tries := 0; tries < 5 && !answered; tries++ {
 				over := false
-				w.Ask(n, n.core.Peer, summit.PlansAsk{Version: p.Version}, 2*clock.Second, func(answer any, err error) {
+				w.Ask(n, n.core.Peer, control.PlansAsk{Version: p.Version}, 2*clock.Second, func(answer any, err error) {
 					over = true
-					if got, ok := answer.(summit.Plans); ok && err == nil && len(got.Versions) == 1 {
+					if got, ok := answer.(control.Plans); ok && err == nil && len(got.Versions) == 1 {
 						answered, body = true, string(got.Versions[0].Body)
 					}
 				})
--- a/proof/weather/world.go
+++ b/proof/weather/world.go
@@ -12,17 +12,17 @@
 	"sort"
 	"strings"
 
-	"tuliprudder/acquaintance/circle"
-	"tuliprudder/acquaintance/people"
-	"tuliprudder/core/chart"
-	"tuliprudder/core/planbook"
-	"tuliprudder/core/summit"
+	"tuliprudder/core/config"
+	"tuliprudder/core/control"
+	"tuliprudder/core/state"
 	"tuliprudder/daemon/planes"
 	"tuliprudder/daemon/porter"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/ledger/keeper"
+	"tuliprudder/ledger/store"
+	"tuliprudder/membership/gossip"
+	"tuliprudder/membership/identity"
 	"tuliprudder/path/purse"
 	"tuliprudder/path/runner"
 	"tuliprudder/path/scouts"
@@ -74,15 +74,15 @@
 	Peer    string
 	ID      string
 	life    uint64
-	circle  *circle.Circle
+	circle  *gossip.Circle
 	machine porter.Machine
-	Keeper  *keeper.Keeper
-	Summit  *summit.Summit
+	Keeper  *store.Keeper
+	Summit  *control.Summit
 	edge    *planes.Edge
 	ledger  *planes.Ledger
 	runs    map[uint64]*serving // items on servers, by token
 	crashed map[uint64]func()   // told when the node crashes
-	core    chart.CoreNews      // as heard last
+	core    state.CoreNews      // as heard last
 	plan    uint64              // the same
 	cuts    int                 // links of it that are cut now
 	ill     clock.Micros        // when it was last down, frozen or cut
@@ -187,14 +187,14 @@
 			n.ID = fmt.Sprintf("%s-%02d", kind, i+1)
 			w.Nodes[name], w.byPeer[n.Peer] = n, n
 			w.names = append(w.names, name)
-			if kind == people.Cairn {
+			if kind == identity.Cairn {
 				w.seeds = append(w.seeds, n.Peer)
 			}
 		}
 	}
-	add(people.Cairn, "core", size.Cores)
-	add(people.Refuge, "store", size.Stores)
-	add(people.Trailhead, "edge", size.Edges)
+	add(identity.Cairn, "core", size.Cores)
+	add(identity.Refuge, "store", size.Stores)
+	add(identity.Trailhead, "edge", size.Edges)
 	for i := 0; i < max(size.Servers, 4); i++ {
 		s := newServer(w, i+1, fmt.Sprintf("zone-%d", 1+i%size.Zones))
 		w.Servers, w.byAddress[s.Address] = append(w.Servers, s), s
@@ -360,7 +360,7 @@
 
 func asked(body any) bool {
 	switch body.(type) {
-	case keeper.EnrolAsk, keeper.EndAsk, keeper.StatusAsk, keeper.ReadAsk, keeper.ClaimAsk, keeper.SettleAsk, summit.PutPlanAsk, summit.RetireAsk, purse.LendAsk, purse.TellAsk:
+	case store.EnrolAsk, store.EndAsk, store.StatusAsk, store.ReadAsk, store.ClaimAsk, store.SettleAsk, control.PutPlanAsk, control.RetireAsk, purse.LendAsk, purse.TellAsk:
 		return true
 	}
 	return false
@@ -387,33 +387,33 @@
 	n.life++
 	n.up, n.frozen, n.parked = true, false, nil
 	n.calls, n.runs, n.crashed, n.ill = map[uint64]func(machine.Answer){}, map[uint64]*serving{}, map[uint64]func(){}, w.Now
-	n.core, n.plan, n.ledger = chart.CoreNews{}, 0, nil
+	n.core, n.plan, n.ledger = state.CoreNews{}, 0, nil
 	n.disk.queue, n.disk.busy = nil, false
 	life := n.life
-	if n.Kind == people.Trailhead {
+	if n.Kind == identity.Trailhead {
 		life = uint64(w.Now)
 		n.ID = fmt.Sprintf("%s.%d", n.Name, n.era)
 	}
-	person := people.Person{ID: n.ID, Kind: n.Kind, Zone: n.Zone, Peer: n.Peer, Incarnation: life, Version: people.Release}
-	n.circle = circle.New(person, w.seeds, circle.Defaults(), w.Chance.Int63())
+	person := identity.Person{ID: n.ID, Kind: n.Kind, Zone: n.Zone, Peer: n.Peer, Incarnation: life, Version: identity.Release}
+	n.circle = gossip.New(person, w.seeds, gossip.Defaults(), w.Chance.Int63())
 	n.machine, n.Keeper, n.Summit, n.edge = nil, nil, nil, nil
 	switch n.Kind {
-	case people.Cairn:
-		set := summit.Defaults()
-		set.Slots, set.CheckPlan = slots, planbook.Check
-		n.Summit = summit.New(summit.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
+	case identity.Cairn:
+		set := control.Defaults()
+		set.Slots, set.CheckPlan = slots, config.Check
+		n.Summit = control.New(control.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
 		n.machine = planes.NewCore(n.Summit)
-	case people.Refuge:
-		set := keeper.Defaults()
+	case identity.Refuge:
+		set := store.Defaults()
 		if n.disk.shelf.files == nil {
 			n.disk.shelf.files = map[uint64]map[string][]byte{}
 		}
 		set.FoldAfter = 300
-		n.Keeper = keeper.New(keeper.Self{ID: n.ID, Zone: n.Zone, Peer: n.Peer, Life: life}, set, n.disk.durable, &n.disk.shelf)
+		n.Keeper = store.New(store.Self{ID: n.ID, Zone: n.Zone, Peer: n.Peer, Life: life}, set, n.disk.durable, &n.disk.shelf)
 		n.Keeper.Damaged = func(err error) { w.Watch.breach(kept, "%s: %v", n.Name, err) }
 		n.ledger = planes.NewLedger(n.ID, n.Keeper, set.MostItems, w.Chance.Int63())
 		n.machine = n.ledger
-	case people.Trailhead:
+	case identity.Trailhead:
 		n.edge = planes.NewEdge(n.ID, planes.EdgeDefaults(), w.Chance.Int63())
 		n.machine = n.edge
 	}
@@ -429,7 +429,7 @@
 			return
 		}
 		n.take(func() {
-			n.do(n.circle.Do(circle.ClockEvent{}, w.Now))
+			n.do(n.circle.Do(gossip.ClockEvent{}, w.Now))
 			if n.machine != nil {
 				n.do(n.machine.ClockEvent(w.Now))
 			}
@@ -466,14 +466,14 @@
 				back(e)
 			}
 		case machine.Publish:
-			n.do(n.circle.Do(circle.Tell{Rumour: e.Rumour}, w.Now))
+			n.do(n.circle.Do(gossip.Tell{Rumour: e.Rumour}, w.Now))
 		case machine.Heard:
 			n.hear(e.Rumour)
 			if n.machine != nil {
 				n.do(n.machine.Heard(e.Rumour, w.Now))
 			}
 		case machine.Spread:
-			n.do(n.circle.Do(circle.Spread(e), w.Now))
+			n.do(n.circle.Do(gossip.Spread(e), w.Now))
 		case machine.Fresh:
 			if n.machine != nil {
 				n.do(n.machine.Fresh(e.At, w.Now))
@@ -502,8 +502,8 @@
 
 func (n *Node) letter(from string, body any) {
 	switch body.(type) {
-	case circle.Gossip, circle.Digest, circle.Mend, circle.Want, circle.Hint, circle.Probe, circle.Echo, circle.HelpProbe, circle.Witnessed, circle.Shuffle, circle.Press, circle.Pressed:
-		n.do(n.circle.Do(circle.Letter{From: from, Body: body}, n.world.Now))
+	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
+		n.do(n.circle.Do(gossip.Letter{From: from, Body: body}, n.world.Now))
 	default:
 		if n.machine != nil {
 			n.do(n.machine.Letter(from, body, n.world.Now))
@@ -743,10 +743,10 @@
 // hear notes what a daemon's office knows.
 func (n *Node) hear(rumour machine.Rumour) {
 	switch rumour.Key {
-	case chart.CoreKey:
+	case state.CoreKey:
 		json.Unmarshal(rumour.Value, &n.core)
-	case chart.PlanKey:
-		var version chart.Version
+	case state.PlanKey:
+		var version state.Version
 		if json.Unmarshal(rumour.Value, &version) == nil {
 			n.world.Watch.planHeard(n, version)
 		}
