--- a/ledger/store/keeper.go
+++ b/ledger/store/store.go
@@ -90,32 +90,32 @@
 	row  shard.Row
 }
 
-// Keeper is the machine.
-type Keeper struct {
+// Store is the machine.
+type Store struct {
 	machine.Out
-	set     Settings
-	self    Self
-	gang    *replication.Gang
-	places  map[string]*place
-	fleet   string
-	writer  int
-	stairs  *positions.Ladder
-	asking  bool // a reservation is being written
-	chart   state.Map
-	cairns  []string
-	waits   map[string]map[uint64][]waiting
-	given   map[string]map[uint64]int64 // unit, entry -> position
-	news    map[string]map[uint64]string
-	orphans []orphan
-	left    []lingering // slots that passed on, counted for a while
-	held    []finished  // results that wait for a position or a serving pair
-	seq     uint64
-	dirty   bool
-	stores  int
-	writes  map[uint64]clock.Micros // on their way to the disk, since when
-	stalled clock.Micros            // the disk was last seen stalled
-	next    struct{ beat, announce, forget, resume clock.Micros }
-	drain   bool
+	set       Settings
+	self      Self
+	groups    *replication.Groups
+	places    map[string]*place
+	fleet     string
+	writer    int
+	stairs    *positions.Ladder
+	asking    bool // a reservation is being written
+	placement state.Map
+	cairns    []string
+	waits     map[string]map[uint64][]waiting
+	given     map[string]map[uint64]int64 // unit, entry -> position
+	news      map[string]map[uint64]string
+	orphans   []orphan
+	left      []lingering // slots that passed on, counted for a while
+	held      []finished  // results that wait for a position or a serving pair
+	seq       uint64
+	dirty     bool
+	stores    int
+	writes    map[uint64]clock.Micros // on their way to the disk, since when
+	stalled   clock.Micros            // the disk was last seen stalled
+	next      struct{ beat, announce, forget, resume clock.Micros }
+	drain     bool
 	// Counters for the operators.
 	Listed, Enrolled, Unknown, Takeovers, Entries, Reads int64
 	// EarlyAnnounce is a fault planted by tests: positions count as finished
@@ -155,11 +155,11 @@
 }
 
 // New makes a keeper from what was read back from its disk.
-func New(self Self, set Settings, records []machine.Record, shelf Shelf) *Keeper {
-	k := &Keeper{set: set, self: self, shelf: shelf, file: shelf.Top(), files: map[uint64]bool{}, places: map[string]*place{},
+func New(self Self, set Settings, records []machine.Record, shelf Shelf) *Store {
+	k := &Store{set: set, self: self, shelf: shelf, file: shelf.Top(), files: map[uint64]bool{}, places: map[string]*place{},
 		waits: map[string]map[uint64][]waiting{}, given: map[string]map[uint64]int64{},
 		news: map[string]map[uint64]string{}, writes: map[uint64]clock.Micros{}}
-	k.gang = replication.NewGang(&k.Out, k)
+	k.groups = replication.NewGroups(&k.Out, k)
 	reserved := int64(0)
 	for _, record := range records {
 		switch {
@@ -171,7 +171,7 @@
 				k.fleet, k.writer = who.Fleet, who.Writer
 			}
 		default:
-			k.gang.Recover(record)
+			k.groups.Recover(record)
 		}
 	}
 	k.stairs = positions.New(reserved)
@@ -180,14 +180,14 @@
 }
 
 // Command is an input of the keeper.
-type Command = machine.Command[*Keeper]
+type Command = machine.Command[*Store]
 
 // Do applies a command and hands over the effects.
-func (k *Keeper) Do(command Command, now clock.Micros) []machine.Effect {
+func (k *Store) Do(command Command, now clock.Micros) []machine.Effect {
 	command.Apply(k, now)
 	if k.stores >= k.set.FoldAfter {
 		k.stores = 0
-		k.Emit(machine.Fold{Records: append(k.selfRecords(), k.gang.Records()...)})
+		k.Emit(machine.Fold{Records: append(k.selfRecords(), k.groups.Records()...)})
 	}
 	out := k.Drain()
 	for _, effect := range out {
@@ -199,38 +199,38 @@
 	return out
 }
 
-func (k *Keeper) selfRecords() []machine.Record {
+func (k *Store) selfRecords() []machine.Record {
 	body, _ := json.Marshal(identity{k.fleet, k.writer})
 	return []machine.Record{{Unit: unitSelf, Kind: kindWriter, Body: body},
 		{Unit: unitSelf, Kind: kindReserved, Seq: uint64(max(k.stairs.Next()-1, k.reservedAtLeast()))}}
 }
 
-func (k *Keeper) reservedAtLeast() int64 { return k.stairs.Reservation() }
+func (k *Store) reservedAtLeast() int64 { return k.stairs.Reservation() }
 
 // Chart is the map of the stores as the keeper knows it.
-func (k *Keeper) Chart() state.Map { return k.chart }
+func (k *Store) State() state.Map { return k.placement }
 
 // Gang is the keeper's pairs, for tests and operators.
-func (k *Keeper) Gang() *replication.Gang { return k.gang }
+func (k *Store) Groups() *replication.Groups { return k.groups }
 
 // Writer is the keeper's writer id; 0 before the core gave it one.
-func (k *Keeper) Writer() int { return k.writer }
+func (k *Store) Writer() int { return k.writer }
 
 // Fleet is the fleet the keeper belongs to.
-func (k *Keeper) Fleet() string { return k.fleet }
+func (k *Store) Fleet() string { return k.fleet }
 
 // Allowed tells, right before a start on a server, whether this keeper may
 // start work of a bundle: epoch, fresh lease, and the bundle still open.
-func (k *Keeper) Allowed(slot int, bundle string, item int, now clock.Micros) bool {
-	rope := k.gang.Rope(Unit(slot))
-	if rope.Role != replication.Serving || now >= rope.LeaseUntil() {
+func (k *Store) Allowed(slot int, bundle string, item int, now clock.Micros) bool {
+	group := k.groups.Group(Unit(slot))
+	if group.Role != replication.Serving || now >= group.LeaseUntil() {
 		return false
 	}
 	found := k.place(Unit(slot)).state.Bundles[bundle]
 	return found != nil && found.State == shard.Open && !found.Listed(item)
 }
 
-func (k *Keeper) place(unit string) *place {
+func (k *Store) place(unit string) *place {
 	p := k.places[unit]
 	if p == nil {
 		p = &place{slot: slotOf(unit), state: shard.NewSlot()}
@@ -240,13 +240,13 @@
 }
 
 // View is the slot's whole state for a copy.
-func (k *Keeper) View(unit string) [][]byte { return k.place(unit).state.View(k.whole) }
+func (k *Store) View(unit string) [][]byte { return k.place(unit).state.View(k.whole) }
 
 // Brief is its state for this daemon's own disk.
-func (k *Keeper) Brief(unit string) [][]byte { return k.place(unit).state.View(nil) }
+func (k *Store) Brief(unit string) [][]byte { return k.place(unit).state.View(nil) }
 
 // Restore replaces a slot's state.
-func (k *Keeper) Restore(unit string, parts [][]byte) {
+func (k *Store) Restore(unit string, parts [][]byte) {
 	state, err := shard.Restore(parts)
 	if err != nil {
 		k.BadRecord = err
@@ -256,7 +256,7 @@
 }
 
 // Play applies an entry on the backup or when read back.
-func (k *Keeper) Play(unit string, data []byte) {
+func (k *Store) Play(unit string, data []byte) {
 	entry, err := shard.Decode(data)
 	if err != nil {
 		k.BadRecord = err
@@ -266,7 +266,7 @@
 }
 
 // Confirmed answers who waits, finishes the position and starts new work.
-func (k *Keeper) Confirmed(unit string, seq uint64, now clock.Micros) {
+func (k *Store) Confirmed(unit string, seq uint64, now clock.Micros) {
 	k.Entries++
 	if position, ok := k.given[unit][seq]; ok {
 		delete(k.given[unit], seq)
@@ -284,13 +284,13 @@
 }
 
 // start hands a bundle's open items to the path.
-func (k *Keeper) start(unit, id string) {
+func (k *Store) start(unit, id string) {
 	p := k.place(unit)
 	bundle := p.state.Bundles[id]
 	if bundle == nil || bundle.State != shard.Open {
 		return
 	}
-	epoch := k.gang.Rope(unit).Epoch
+	epoch := k.groups.Group(unit).Epoch
 	for i, item := range bundle.Items {
 		if !bundle.Listed(i) {
 			k.Emit(machine.Work{Order: ItemOrder{Slot: p.slot, Epoch: epoch, Bundle: id, Item: i,
@@ -300,11 +300,11 @@
 }
 
 // Ready tells the cores that a copy is on two disks.
-func (k *Keeper) Ready(unit string, epoch uint64, now clock.Micros) { k.beat(now) }
+func (k *Store) Ready(unit string, epoch uint64, now clock.Micros) { k.beat(now) }
 
 // Deposed says "outcome unknown" to who waits and leaves the slot's unfinished
 // positions open until its new owner has settled.
-func (k *Keeper) Deposed(unit string, epoch uint64, now clock.Micros) {
+func (k *Store) Deposed(unit string, epoch uint64, now clock.Micros) {
 	k.lose(unit, "the slot passed to another keeper")
 	k.leave(unit, now)
 	slot := slotOf(unit)
@@ -323,7 +323,7 @@
 	k.dirty = true
 }
 
-func (k *Keeper) lose(unit, why string) {
+func (k *Store) lose(unit, why string) {
 	for _, seq := range sortedKeys(k.waits[unit]) {
 		for _, w := range k.waits[unit][seq] {
 			k.unknown(w.call, why)
@@ -332,7 +332,7 @@
 	delete(k.waits, unit)
 }
 
-func (k *Keeper) unknown(call uint64, why string) {
+func (k *Store) unknown(call uint64, why string) {
 	k.Unknown++
 	k.Emit(machine.Answer{Call: call, Err: errs.Later(errs.OutcomeUnknown, clock.Second, "ask again with the same idempotency key", "it is not known whether this was made durable: %s", why)})
 }
@@ -341,9 +341,9 @@
 type Stored struct{ Token uint64 }
 
 // Apply passes the word on to the pair.
-func (s Stored) Apply(k *Keeper, now clock.Micros) {
+func (s Stored) Apply(k *Store, now clock.Micros) {
 	delete(k.writes, s.Token)
-	k.gang.Stored(s.Token, now)
+	k.groups.Stored(s.Token, now)
 	k.flush(now)
 }
 
@@ -354,8 +354,8 @@
 }
 
 // Apply takes the pair's messages and the core's welcome.
-func (l Letter) Apply(k *Keeper, now clock.Micros) {
-	if k.gang.Take(l.From, l.Body, now) {
+func (l Letter) Apply(k *Store, now clock.Micros) {
+	if k.groups.Take(l.From, l.Body, now) {
 		return
 	}
 	if no, ok := l.Body.(Unwelcome); ok && no.ID == k.self.ID && no.Life == k.self.Life {
@@ -370,20 +370,20 @@
 		if k.writer == 0 {
 			k.fleet, k.writer = welcome.Fleet, welcome.Writer
 			body, _ := json.Marshal(identity{k.fleet, k.writer})
-			k.gang.Store([]machine.Record{{Unit: unitSelf, Kind: kindWriter, Body: body}}, nil)
+			k.groups.Store([]machine.Record{{Unit: unitSelf, Kind: kindWriter, Body: body}}, nil)
 			k.reserve()
 			k.dirty = true
 		}
 	}
 }
 
-func (k *Keeper) reserve() {
+func (k *Store) reserve() {
 	wanted := k.stairs.Wanted()
 	if wanted == 0 || k.asking || k.writer == 0 {
 		return
 	}
 	k.asking = true
-	k.gang.Store([]machine.Record{{Unit: unitSelf, Kind: kindReserved, Seq: uint64(wanted)}}, func(now clock.Micros) {
+	k.groups.Store([]machine.Record{{Unit: unitSelf, Kind: kindReserved, Seq: uint64(wanted)}}, func(now clock.Micros) {
 		k.asking = false
 		k.stairs.Reserved(wanted)
 		k.flush(now)
@@ -394,18 +394,18 @@
 type Cairns struct{ Peers []string }
 
 // Apply notes them.
-func (c Cairns) Apply(k *Keeper, now clock.Micros) { k.cairns = c.Peers }
+func (c Cairns) Apply(k *Store, now clock.Micros) { k.cairns = c.Peers }
 
 // News is a rumour from the acquaintance.
 type News struct{ Rumour machine.Rumour }
 
 // Apply takes a new map, and the announcements that settle orphans.
-func (n News) Apply(k *Keeper, now clock.Micros) {
+func (n News) Apply(k *Store, now clock.Micros) {
 	if n.Rumour.Key == state.MapKey {
 		var m state.Map
-		if json.Unmarshal(n.Rumour.Value, &m) == nil && m.Seq > k.chart.Seq && (k.fleet == "" || m.Fleet == k.fleet) {
-			was := k.chart
-			k.chart = m
+		if json.Unmarshal(n.Rumour.Value, &m) == nil && m.Seq > k.placement.Seq && (k.fleet == "" || m.Fleet == k.fleet) {
+			was := k.placement
+			k.placement = m
 			k.free(was)
 			k.follow(now)
 		}
@@ -419,7 +419,7 @@
 	}
 }
 
-func (k *Keeper) settleOrphans(slot int, epoch uint64) {
+func (k *Store) settleOrphans(slot int, epoch uint64) {
 	kept := k.orphans[:0]
 	for _, o := range k.orphans {
 		if o.slot == slot && epoch > o.epoch {
@@ -436,59 +436,59 @@
 
 // free gives up the leases granted to lives that have ended: a store that has started
 // again is another life, and the one before starts nothing more (DESIGN §4.4).
-func (k *Keeper) free(was state.Map) {
+func (k *Store) free(was state.Map) {
 	for slot, pairing := range was.Slots {
-		rope := k.gang.Rope(Unit(slot))
-		if pairing.Epoch == rope.Epoch && pairing.Owner.ID != k.self.ID && k.chart.Stores[pairing.Owner.ID].Life > pairing.Owner.Life {
-			k.gang.Void(rope.Unit)
+		group := k.groups.Group(Unit(slot))
+		if pairing.Epoch == group.Epoch && pairing.Owner.ID != k.self.ID && k.placement.Stores[pairing.Owner.ID].Life > pairing.Owner.Life {
+			k.groups.Void(group.Unit)
 		}
 	}
 }
 
 // follow works out the difference between the map and what this keeper does.
-func (k *Keeper) follow(now clock.Micros) {
+func (k *Store) follow(now clock.Micros) {
 	me := replication.Member{ID: k.self.ID, Life: k.self.Life}
-	for slot, pairing := range k.chart.Slots {
+	for slot, pairing := range k.placement.Slots {
 		unit := Unit(slot)
-		rope := k.gang.Rope(unit)
+		group := k.groups.Group(unit)
 		switch {
-		case pairing.Epoch < rope.Epoch || pairing.Zero():
-		case pairing.Epoch == rope.Epoch:
-			if pairing.Owner == me && pairing.Complete && k.gang.Complete(unit, pairing.Epoch, now) {
+		case pairing.Epoch < group.Epoch || pairing.Zero():
+		case pairing.Epoch == group.Epoch:
+			if pairing.Owner == me && pairing.Complete && k.groups.Complete(unit, pairing.Epoch, now) {
 				k.serve(unit, now)
 			}
-			if pairing.Complete && !pairing.Holds(k.self.ID) && rope.Seq > 0 {
-				k.gang.Drop(unit, pairing.Epoch, now)
+			if pairing.Complete && !pairing.Holds(k.self.ID) && group.Seq > 0 {
+				k.groups.Drop(unit, pairing.Epoch, now)
 			}
 		case pairing.Owner == me:
 			k.Takeovers++
-			k.Emit(machine.Explain{What: "owning a slot", Fields: map[string]any{"slot": slot, "epoch": pairing.Epoch, "backup": pairing.Backup.ID, "from_role": rope.Role.String()}})
-			k.gang.Own(unit, pairing.Epoch, k.chart.Stores[pairing.Backup.ID].Peer, now)
+			k.Emit(machine.Explain{What: "owning a slot", Fields: map[string]any{"slot": slot, "epoch": pairing.Epoch, "backup": pairing.Backup.ID, "from_role": group.Role.String()}})
+			k.groups.Own(unit, pairing.Epoch, k.placement.Stores[pairing.Backup.ID].Peer, now)
 			k.dirty = true
 		case pairing.Backup == me:
-			k.gang.Back(unit, pairing.Epoch, k.chart.Stores[pairing.Owner.ID].Peer, now)
+			k.groups.Back(unit, pairing.Epoch, k.placement.Stores[pairing.Owner.ID].Peer, now)
 			k.dirty = true
 		case pairing.Holds(k.self.ID):
-			k.gang.Release(unit, pairing.Epoch, now)
+			k.groups.Release(unit, pairing.Epoch, now)
 		case pairing.Complete:
-			k.gang.Drop(unit, pairing.Epoch, now)
+			k.groups.Drop(unit, pairing.Epoch, now)
 		default:
-			k.gang.Release(unit, pairing.Epoch, now)
+			k.groups.Release(unit, pairing.Epoch, now)
 		}
 	}
 }
 
 // serve begins to confirm, list and start work under a complete pair.
-func (k *Keeper) serve(unit string, now clock.Micros) {
+func (k *Store) serve(unit string, now clock.Micros) {
 	p := k.place(unit)
 	k.stairs.Raise(p.state.Top())
 	k.reserve()
-	k.settleOrphans(p.slot, k.gang.Rope(unit).Epoch)
+	k.settleOrphans(p.slot, k.groups.Group(unit).Epoch)
 	k.dirty = true
 	for _, id := range sortedBundles(p.state) {
 		k.start(unit, id)
 	}
-	k.Emit(machine.Explain{What: "serving a slot", Fields: map[string]any{"slot": p.slot, "epoch": k.gang.Rope(unit).Epoch, "first_position": k.stairs.Next()}})
+	k.Emit(machine.Explain{What: "serving a slot", Fields: map[string]any{"slot": p.slot, "epoch": k.groups.Group(unit).Epoch, "first_position": k.stairs.Next()}})
 	k.flush(now)
 }
 
@@ -516,13 +516,13 @@
 }
 
 // Apply gives the result its position and lists it.
-func (r Ran) Apply(k *Keeper, now clock.Micros) {
+func (r Ran) Apply(k *Store, now clock.Micros) {
 	k.held = append(k.held, finished{slot: r.Slot, row: shard.Row{Bundle: r.Bundle, Item: r.Item, Status: r.Status, Output: r.Output, Server: r.Server}})
 	k.flush(now)
 }
 
 // flush lists held results as far as pairs serve and positions are reserved.
-func (k *Keeper) flush(now clock.Micros) {
+func (k *Store) flush(now clock.Micros) {
 	if len(k.held) == 0 {
 		return
 	}
@@ -530,12 +530,12 @@
 	k.held = nil
 	for _, f := range held {
 		unit := Unit(f.slot)
-		rope := k.gang.Rope(unit)
+		group := k.groups.Group(unit)
 		bundle := k.place(unit).state.Bundles[f.row.Bundle]
-		if !rope.Owns() || bundle == nil || bundle.State != shard.Open || f.row.Item < 0 || f.row.Item >= len(bundle.Items) || bundle.Listed(f.row.Item) {
+		if !group.Owns() || bundle == nil || bundle.State != shard.Open || f.row.Item < 0 || f.row.Item >= len(bundle.Items) || bundle.Listed(f.row.Item) {
 			continue // another keeper runs it, or it needs no row any more
 		}
-		if rope.Role != replication.Serving {
+		if group.Role != replication.Serving {
 			k.held = append(k.held, f)
 			continue
 		}
@@ -563,14 +563,14 @@
 }
 
 // put applies an entry and appends it; the caller has seen the pair serve.
-func (k *Keeper) put(unit string, entry shard.Entry, now clock.Micros) uint64 {
+func (k *Store) put(unit string, entry shard.Entry, now clock.Micros) uint64 {
 	data := shard.Encode(entry)
 	entry.Apply(k.place(unit).state)
-	seq, _ := k.gang.Append(unit, data, now)
+	seq, _ := k.groups.Append(unit, data, now)
 	return seq
 }
 
-func (k *Keeper) await(unit string, seq, call uint64, expiry clock.Micros, answer any) {
+func (k *Store) await(unit string, seq, call uint64, expiry clock.Micros, answer any) {
 	if k.waits[unit] == nil {
 		k.waits[unit] = map[uint64][]waiting{}
 	}
@@ -581,8 +581,8 @@
 type ClockEvent struct{}
 
 // Apply does what is due.
-func (ClockEvent) Apply(k *Keeper, now clock.Micros) {
-	k.gang.ClockEvent(now)
+func (ClockEvent) Apply(k *Store, now clock.Micros) {
+	k.groups.ClockEvent(now)
 	for _, unit := range sortedKeys(k.waits) {
 		bySeq := k.waits[unit]
 		for _, seq := range sortedKeys(bySeq) {
@@ -620,21 +620,21 @@
 	}
 }
 
-func (k *Keeper) beat(now clock.Micros) {
+func (k *Store) beat(now clock.Micros) {
 	k.next.beat = now + k.set.BeatEvery
 	ready, lonely := map[int]uint64{}, map[int]uint64{}
-	for _, rope := range k.gang.Ropes() {
-		if rope.Lonely(now) {
-			lonely[slotOf(rope.Unit)] = rope.Epoch
+	for _, group := range k.groups.All() {
+		if group.Lonely(now) {
+			lonely[slotOf(group.Unit)] = group.Epoch
 		}
-		if rope.Role == replication.Copied {
-			ready[slotOf(rope.Unit)] = rope.Epoch
+		if group.Role == replication.Copied {
+			ready[slotOf(group.Unit)] = group.Epoch
 		}
 	}
 	var busy []int
-	for _, rope := range k.gang.Ropes() {
-		if rope.Owns() && k.place(rope.Unit).state.Open() {
-			busy = append(busy, slotOf(rope.Unit))
+	for _, group := range k.groups.All() {
+		if group.Owns() && k.place(group.Unit).state.Open() {
+			busy = append(busy, slotOf(group.Unit))
 		}
 	}
 	for _, peer := range k.cairns {
@@ -644,19 +644,19 @@
 
 // resume hands open items to the path again: it passes over those it has, and
 // takes up those it dropped while a lease was not fresh or its backlog full.
-func (k *Keeper) resume() {
-	for _, rope := range k.gang.Ropes() {
-		if rope.Role != replication.Serving || rope.Open() > 0 {
+func (k *Store) resume() {
+	for _, group := range k.groups.All() {
+		if group.Role != replication.Serving || group.Open() > 0 {
 			continue
 		}
-		for _, id := range sortedBundles(k.place(rope.Unit).state) {
-			k.start(rope.Unit, id)
+		for _, id := range sortedBundles(k.place(group.Unit).state) {
+			k.start(group.Unit, id)
 		}
 	}
 }
 
 // DiskWait is how long the oldest write has been on its way to the disk.
-func (k *Keeper) DiskWait(now clock.Micros) clock.Micros {
+func (k *Store) DiskWait(now clock.Micros) clock.Micros {
 	oldest := clock.Micros(0)
 	for _, since := range k.writes {
 		oldest = max(oldest, now-since)
@@ -666,7 +666,7 @@
 
 // Stalled tells whether the disk holds writes back, or did so a moment ago: its
 // slots pass on until it has kept up for a while.
-func (k *Keeper) Stalled(now clock.Micros) bool {
+func (k *Store) Stalled(now clock.Micros) bool {
 	if k.DiskWait(now) > k.set.DiskPatience {
 		k.stalled = now
 	}
@@ -675,26 +675,26 @@
 
 // AtRisk counts what puts promises at risk here: owned slots without their
 // second copy, and how long the oldest result has waited to be announced.
-func (k *Keeper) AtRisk(now clock.Micros) (copies int64, oldest clock.Micros) {
-	for _, rope := range k.gang.Ropes() {
-		if rope.Owns() && rope.Role != replication.Serving {
+func (k *Store) AtRisk(now clock.Micros) (copies int64, oldest clock.Micros) {
+	for _, group := range k.groups.All() {
+		if group.Owns() && group.Role != replication.Serving {
 			copies++
 		}
-		oldest = max(oldest, rope.Oldest(now))
+		oldest = max(oldest, group.Oldest(now))
 	}
 	return copies, oldest
 }
 
 // announce tells the readers this writer's persisted-up-to position.
-func (k *Keeper) announce() {
+func (k *Store) announce() {
 	k.dirty = false
 	a := token.Announcement{Writer: k.writer, Store: k.self.ID, Peer: k.self.Peer, UpTo: k.stairs.UpTo()}
-	for _, rope := range k.gang.Ropes() {
-		if rope.Role != replication.Serving {
+	for _, group := range k.groups.All() {
+		if group.Role != replication.Serving {
 			continue
 		}
-		p := k.place(rope.Unit)
-		claimed := token.Claimed{Slot: p.slot, Epoch: rope.Epoch, Last: map[int]int64{}, Tenures: append([]shard.Tenure(nil), p.state.Tenures...)}
+		p := k.place(group.Unit)
+		claimed := token.Claimed{Slot: p.slot, Epoch: group.Epoch, Last: map[int]int64{}, Tenures: append([]shard.Tenure(nil), p.state.Tenures...)}
 		for writer, last := range p.state.Last {
 			if writer != k.writer {
 				claimed.Last[writer] = last
@@ -708,13 +708,13 @@
 }
 
 // forget drops finished bundles and claims past their keeping.
-func (k *Keeper) forget(now clock.Micros) {
-	for _, rope := range k.gang.Ropes() {
-		if rope.Role != replication.Serving {
+func (k *Store) forget(now clock.Micros) {
+	for _, group := range k.groups.All() {
+		if group.Role != replication.Serving {
 			continue
 		}
 		var old shard.Forget
-		state := k.place(rope.Unit).state
+		state := k.place(group.Unit).state
 		for _, id := range sortedBundles(state) {
 			if b := state.Bundles[id]; b.State != shard.Open && now-b.Enrolled > k.set.KeepDone {
 				old.Bundles = append(old.Bundles, id)
@@ -727,17 +727,17 @@
 		}
 		if len(old.Bundles)+len(old.Claims) > 0 {
 			sort.Strings(old.Claims)
-			k.put(rope.Unit, old, now)
+			k.put(group.Unit, old, now)
 		}
 	}
 	k.sweep(nil)
 }
 
 // Owned is how many slots this keeper owns in any role of an owner.
-func (k *Keeper) Owned() int {
+func (k *Store) Owned() int {
 	count := 0
-	for _, rope := range k.gang.Ropes() {
-		if rope.Owns() {
+	for _, group := range k.groups.All() {
+		if group.Owns() {
 			count++
 		}
 	}
@@ -748,7 +748,7 @@
 type Drain struct{}
 
 // Apply notes it; the next beat tells the cores.
-func (Drain) Apply(k *Keeper, now clock.Micros) {
+func (Drain) Apply(k *Store, now clock.Micros) {
 	k.drain = true
 	k.beat(now)
 }
--- a/ledger/store/keeper_test.go
+++ b/ledger/store/store_test.go
@@ -34,7 +34,7 @@
 type bench struct {
 	t       *testing.T
 	now     clock.Micros
-	keepers map[string]*Keeper
+	keepers map[string]*Store
 	shelves map[string]shelf
 	held    bool // a's disk and wire hold everything back
 	kept    []func()
@@ -46,7 +46,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{t: t, now: clock.Second, keepers: map[string]*Keeper{}, shelves: map[string]shelf{}, answers: map[uint64]machine.Answer{}}
+	b := &bench{t: t, now: clock.Second, keepers: map[string]*Store{}, shelves: map[string]shelf{}, answers: map[uint64]machine.Answer{}}
 	for _, id := range []string{"a", "b"} {
 		b.shelves[id] = shelf{}
 		b.keepers[id] = New(Self{ID: id, Zone: id, Peer: id, Life: 1}, Defaults(), nil, b.shelves[id])
@@ -55,7 +55,7 @@
 	b.do("b", Letter{Body: Welcome{Fleet: "f", Writer: 2}})
 	for seq, complete := range []bool{false, true} {
 		m := state.Map{Fleet: "f", Seq: uint64(seq + 1), Stores: map[string]state.Store{"a": {Peer: "a"}, "b": {Peer: "b"}},
-			Slots: []replication.Pairing{{Epoch: 1, Owner: replication.Member{ID: "a", Life: 1}, Backup: replication.Member{ID: "b", Life: 1}, Complete: complete}}}
+			Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "a", Life: 1}, Backup: replication.Member{ID: "b", Life: 1}, Complete: complete}}}
 		value, _ := json.Marshal(m)
 		for _, id := range []string{"a", "b"} {
 			b.do(id, News{Rumour: machine.Rumour{Key: state.MapKey, Seq: m.Seq, Value: value}})
--- a/ledger/store/waiting.go
+++ b/ledger/store/waiting.go
@@ -20,11 +20,11 @@
 }
 
 // Waiting is what the requests that wait or run here count for, by customer.
-func (k *Keeper) Waiting(now clock.Micros) map[string]int {
+func (k *Store) Waiting(now clock.Micros) map[string]int {
 	out := map[string]int{}
-	for _, rope := range k.gang.Ropes() {
-		if k.counts(rope) {
-			add(out, waitingOf(k.place(rope.Unit).state))
+	for _, group := range k.groups.All() {
+		if k.counts(group) {
+			add(out, waitingOf(k.place(group.Unit).state))
 		}
 	}
 	for _, left := range k.left {
@@ -37,16 +37,16 @@
 
 // counts tells whether a slot's work counts here: at its owner, and at one that
 // was its owner in an earlier life until another is.
-func (k *Keeper) counts(rope *replication.Rope) bool {
-	if rope.Owns() {
+func (k *Store) counts(group *replication.Group) bool {
+	if group.Owns() {
 		return true
 	}
-	slot := slotOf(rope.Unit)
-	return rope.Role == replication.Cold && slot < len(k.chart.Slots) && k.chart.Slots[slot].Owner.ID == k.self.ID
+	slot := slotOf(group.Unit)
+	return group.Role == replication.Cold && slot < len(k.placement.Slots) && k.placement.Slots[slot].Owner.ID == k.self.ID
 }
 
 // leave keeps what a slot counted for in mind for a while.
-func (k *Keeper) leave(unit string, now clock.Micros) {
+func (k *Store) leave(unit string, now clock.Micros) {
 	kept := k.left[:0]
 	for _, left := range k.left {
 		if now < left.until {
@@ -79,4 +79,4 @@
 }
 
 // Mapped tells whether the keeper knows which slots are its own.
-func (k *Keeper) Mapped() bool { return k.chart.Seq > 0 }
+func (k *Store) Mapped() bool { return k.placement.Seq > 0 }
--- a/ledger/store/waiting_test.go
+++ b/ledger/store/waiting_test.go
@@ -12,7 +12,7 @@
 
 func mapNews(seq, epoch uint64, owner, backup string, ownerLife uint64) News {
 	m := state.Map{Fleet: "f", Seq: seq, Stores: map[string]state.Store{"a": {Peer: "a", Life: 1}, "b": {Peer: "b", Life: 1}},
-		Slots: []replication.Pairing{{Epoch: epoch, Owner: replication.Member{ID: owner, Life: ownerLife}, Backup: replication.Member{ID: backup, Life: 1}, Complete: true, Trusted: [2]string{owner, backup}}}}
+		Slots: []replication.Assignment{{Epoch: epoch, Owner: replication.Member{ID: owner, Life: ownerLife}, Backup: replication.Member{ID: backup, Life: 1}, Complete: true, Trusted: [2]string{owner, backup}}}}
 	value, _ := json.Marshal(m)
 	return News{Rumour: machine.Rumour{Key: state.MapKey, Seq: seq, Value: value}}
 }
@@ -29,7 +29,7 @@
 	if got := b.keepers["b"].Waiting(b.now)["route"]; got != 0 {
 		t.Fatalf("%d tokens wait at the backup as well", got)
 	}
-	records := append(b.keepers["a"].selfRecords(), b.keepers["a"].gang.Records()...)
+	records := append(b.keepers["a"].selfRecords(), b.keepers["a"].groups.Records()...)
 	again := New(Self{ID: "a", Zone: "a", Peer: "a", Life: 2}, Defaults(), records, shelf{})
 	again.Do(mapNews(9, 1, "a", "b", 1), b.now)
 	if got := again.Waiting(b.now)["route"]; got != 33 {
--- a/membership/gossip/circle.go
+++ b/membership/gossip/gossip.go
@@ -106,8 +106,8 @@
 	expiry clock.Micros
 }
 
-// Circle is one daemon's machine.
-type Circle struct {
+// Node is one daemon's machine.
+type Node struct {
 	machine.Out
 	set      Settings
 	self     identity.Person
@@ -139,8 +139,8 @@
 }
 
 // New makes a circle for a daemon; the seed makes its choices repeatable.
-func New(self identity.Person, seeds []string, set Settings, seed int64) *Circle {
-	c := &Circle{set: set, self: self, seeds: seeds, chance: rand.New(rand.NewSource(seed)),
+func New(self identity.Person, seeds []string, set Settings, seed int64) *Node {
+	c := &Node{set: set, self: self, seeds: seeds, chance: rand.New(rand.NewSource(seed)),
 		news: map[string]machine.Rumour{}, folk: map[string]identity.Person{}, since: map[string]clock.Micros{},
 		probes: map[uint64]*probing{}, helps: map[uint64]helping{}, asked: map[string]asking{}, counted: map[string]clock.Micros{}, raw: map[string]clock.Micros{}, presses: map[uint64]*pressing{}}
 	c.speak(0)
@@ -148,10 +148,10 @@
 }
 
 // Command is an input of the circle.
-type Command = machine.Command[*Circle]
+type Command = machine.Command[*Node]
 
 // Do applies a command and hands over the effects.
-func (c *Circle) Do(command Command, now clock.Micros) []machine.Effect {
+func (c *Node) Do(command Command, now clock.Micros) []machine.Effect {
 	command.Apply(c, now)
 	return c.Drain()
 }
@@ -163,7 +163,7 @@
 }
 
 // Apply takes the message by its type.
-func (l Letter) Apply(c *Circle, now clock.Micros) {
+func (l Letter) Apply(c *Node, now clock.Micros) {
 	c.greet(l.From)
 	switch body := l.Body.(type) {
 	case Gossip:
@@ -218,13 +218,13 @@
 type Tell struct{ Rumour machine.Rumour }
 
 // Apply takes the news in and passes it on.
-func (t Tell) Apply(c *Circle, now clock.Micros) { c.hear([]machine.Rumour{t.Rumour}, now) }
+func (t Tell) Apply(c *Node, now clock.Micros) { c.hear([]machine.Rumour{t.Rumour}, now) }
 
 // Reseed names other seeds.
 type Reseed struct{ Seeds []string }
 
 // Apply takes them for the ones to ask.
-func (r Reseed) Apply(c *Circle, now clock.Micros) { c.seeds = r.Seeds }
+func (r Reseed) Apply(c *Node, now clock.Micros) { c.seeds = r.Seeds }
 
 // Drain marks this daemon as draining, Leave as gone on purpose.
 type (
@@ -233,7 +233,7 @@
 )
 
 // Apply spreads that the daemon drains.
-func (Drain) Apply(c *Circle, now clock.Micros) {
+func (Drain) Apply(c *Node, now clock.Micros) {
 	c.self.Draining = true
 	c.self.Word++
 	c.speak(now)
@@ -241,7 +241,7 @@
 }
 
 // Apply spreads that the daemon has left.
-func (Leave) Apply(c *Circle, now clock.Micros) {
+func (Leave) Apply(c *Node, now clock.Micros) {
 	c.self.Standing = identity.Left
 	c.speak(now)
 	c.pass()
@@ -251,7 +251,7 @@
 type ClockEvent struct{}
 
 // Apply does what is due; each duty keeps its own next time.
-func (ClockEvent) Apply(c *Circle, now clock.Micros) {
+func (ClockEvent) Apply(c *Node, now clock.Micros) {
 	c.judgeProbes(now)
 	c.press(now)
 	if now >= c.next.probe {
@@ -291,13 +291,13 @@
 	c.pass()
 }
 
-func (c *Circle) speak(now clock.Micros) {
+func (c *Node) speak(now clock.Micros) {
 	c.hear([]machine.Rumour{{Key: identity.Key(c.self.ID), Epoch: c.self.Incarnation, Seq: c.self.Seq(), Value: c.self.Encode()}}, now)
 }
 
 // hear takes rumours in; what is new is told to this daemon's other machines
 // and passed on.
-func (c *Circle) hear(rumours []machine.Rumour, now clock.Micros) {
+func (c *Node) hear(rumours []machine.Rumour, now clock.Micros) {
 	for _, rumour := range rumours {
 		if known, ok := c.news[rumour.Key]; ok && !rumour.Newer(known) {
 			c.Repeated++
@@ -341,7 +341,7 @@
 const large = 2 << 10
 
 // pass sends hot rumours on to a few others.
-func (c *Circle) pass() {
+func (c *Node) pass() {
 	if len(c.hot) == 0 {
 		return
 	}
@@ -370,7 +370,7 @@
 
 // hinted asks the first who told of a rumour this daemon lacks, and another only
 // if that one does not answer for a while.
-func (c *Circle) hinted(from string, hint Hint, now clock.Micros) {
+func (c *Node) hinted(from string, hint Hint, now clock.Micros) {
 	var wanted []string
 	for key, mark := range hint.Marks {
 		told := machine.Rumour{Epoch: mark.Epoch, Seq: mark.Seq}
@@ -389,7 +389,7 @@
 	}
 }
 
-func (c *Circle) digest(now clock.Micros) Digest {
+func (c *Node) digest(now clock.Micros) Digest {
 	known := make(map[string]Mark, len(c.news))
 	for key, rumour := range c.news {
 		known[key] = Mark{rumour.Epoch, rumour.Seq}
@@ -399,7 +399,7 @@
 
 // swap compares digests with one daemon; every other time with one of the roll in
 // another zone: from those it hears soonest what most of the roll know.
-func (c *Circle) swap(now clock.Micros) {
+func (c *Node) swap(now clock.Micros) {
 	c.far = !c.far
 	var peers []string
 	for _, person := range c.sound() {
@@ -420,7 +420,7 @@
 // afar tells whether a daemon is in another zone. A zone that is cut off hears
 // itself well: what its own daemons know does not count as fresh. Where no other
 // zone has ever been known, any daemon is afar.
-func (c *Circle) afar(peer string) bool {
+func (c *Node) afar(peer string) bool {
 	elsewhere := false
 	for _, person := range c.folk {
 		if person.Zone != c.self.Zone {
@@ -433,7 +433,7 @@
 	return !elsewhere
 }
 
-func (c *Circle) compare(from string, digest Digest, now clock.Micros) {
+func (c *Node) compare(from string, digest Digest, now clock.Micros) {
 	mend := Mend{Stamp: digest.Stamp, Ages: c.ages(now), Counts: true}
 	for _, key := range c.keys() {
 		rumour := c.news[key]
@@ -454,7 +454,7 @@
 	c.Emit(machine.Send{To: from, Body: mend})
 }
 
-func (c *Circle) supply(to string, keys []string) {
+func (c *Node) supply(to string, keys []string) {
 	var rumours []machine.Rumour
 	for _, key := range keys {
 		if rumour, ok := c.news[key]; ok {
@@ -466,7 +466,7 @@
 	}
 }
 
-func (c *Circle) probe(now clock.Micros) {
+func (c *Node) probe(now clock.Micros) {
 	if len(c.order) == 0 {
 		for _, p := range c.sorted() {
 			if p.ID != c.self.ID && p.Standing <= identity.Suspect {
@@ -489,7 +489,7 @@
 	c.Emit(machine.Send{To: person.Peer, Body: Probe{Nonce: c.nonce}})
 }
 
-func (c *Circle) echoed(echo Echo) {
+func (c *Node) echoed(echo Echo) {
 	if echo.For != "" {
 		if help, ok := c.helps[echo.Nonce]; ok {
 			delete(c.helps, echo.Nonce)
@@ -502,7 +502,7 @@
 
 // judgeProbes asks for help where the direct echo stayed out, and suspects
 // only when a second witness could not reach the daemon either.
-func (c *Circle) judgeProbes(now clock.Micros) {
+func (c *Node) judgeProbes(now clock.Micros) {
 	for _, nonce := range sortedNonces(c.helps) {
 		if help := c.helps[nonce]; now >= help.expiry {
 			delete(c.helps, nonce)
@@ -548,7 +548,7 @@
 }
 
 // forget drops the directory entries of daemons long dead.
-func (c *Circle) forget(now clock.Micros) {
+func (c *Node) forget(now clock.Micros) {
 	for _, person := range c.sorted() {
 		if person.Standing >= identity.Dead && now-c.since[person.ID] > c.set.Forget {
 			delete(c.folk, person.ID)
@@ -577,7 +577,7 @@
 	}
 }
 
-func (c *Circle) greet(peer string) {
+func (c *Node) greet(peer string) {
 	if peer == "" || peer == c.self.Peer {
 		return
 	}
@@ -591,7 +591,7 @@
 	}
 }
 
-func (c *Circle) sample(count int) []string {
+func (c *Node) sample(count int) []string {
 	var out []string
 	for _, at := range c.chance.Perm(len(c.view)) {
 		if len(out) == count {
@@ -602,7 +602,7 @@
 	return out
 }
 
-func (c *Circle) mix(from string, shuffle Shuffle) {
+func (c *Node) mix(from string, shuffle Shuffle) {
 	if !shuffle.Answer {
 		c.Emit(machine.Send{To: from, Body: Shuffle{Peers: c.sample(3), Answer: true}})
 	}
@@ -627,14 +627,14 @@
 	return false
 }
 
-func (c *Circle) pick(from []string) string {
+func (c *Node) pick(from []string) string {
 	if len(from) == 0 {
 		return ""
 	}
 	return from[c.chance.Intn(len(from))]
 }
 
-func (c *Circle) keys() []string {
+func (c *Node) keys() []string {
 	keys := make([]string, 0, len(c.news))
 	for key := range c.news {
 		keys = append(keys, key)
@@ -643,7 +643,7 @@
 	return keys
 }
 
-func (c *Circle) sorted() []identity.Person {
+func (c *Node) sorted() []identity.Person {
 	out := make([]identity.Person, 0, len(c.folk))
 	for _, person := range c.folk {
 		out = append(out, person)
@@ -652,7 +652,7 @@
 	return out
 }
 
-func (c *Circle) sound() []identity.Person {
+func (c *Node) sound() []identity.Person {
 	var out []identity.Person
 	for _, person := range c.sorted() {
 		if person.Standing <= identity.Suspect && person.ID != c.self.ID {
@@ -663,20 +663,20 @@
 }
 
 // Folk is a copy of the directory in the agreed order.
-func (c *Circle) Folk() []identity.Person { return c.sorted() }
+func (c *Node) Folk() []identity.Person { return c.sorted() }
 
 // LastSwap is when this daemon sent the last digest that was answered: news up
 // to then was within its reach.
-func (c *Circle) LastSwap() clock.Micros { return c.lastSwap }
+func (c *Node) LastSwap() clock.Micros { return c.lastSwap }
 
 // News is the rumour known under a key.
-func (c *Circle) News(key string) (machine.Rumour, bool) {
+func (c *Node) News(key string) (machine.Rumour, bool) {
 	rumour, ok := c.news[key]
 	return rumour, ok
 }
 
 // Under lists the rumours whose keys begin with a word, in order.
-func (c *Circle) Under(prefix string) []machine.Rumour {
+func (c *Node) Under(prefix string) []machine.Rumour {
 	var out []machine.Rumour
 	for _, key := range c.keys() {
 		if strings.HasPrefix(key, prefix) {
--- a/membership/gossip/circle_test.go
+++ b/membership/gossip/gossip_test.go
@@ -12,7 +12,7 @@
 // town is some circles with links that can be cut.
 type town struct {
 	now     clock.Micros
-	circles map[string]*Circle
+	circles map[string]*Node
 	names   []string
 	cut     map[string]bool
 	lose    func(body any) bool
@@ -21,11 +21,11 @@
 }
 
 func newTown(count int) *town {
-	w := &town{now: 1_000_000, circles: map[string]*Circle{}, cut: map[string]bool{}, sent: map[string]int{}}
+	w := &town{now: 1_000_000, circles: map[string]*Node{}, cut: map[string]bool{}, sent: map[string]int{}}
 	for i := 0; i < count; i++ {
 		name := fmt.Sprintf("d%02d", i)
 		w.names = append(w.names, name)
-		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Trailhead, Peer: name, Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
+		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Edge, Peer: name, Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
 	}
 	return w
 }
@@ -150,11 +150,11 @@
 // A zone that is cut off takes its own news for old, though its daemons hear
 // each other; the rest goes on.
 func TestACutZoneIsNotFresh(t *testing.T) {
-	w := &town{now: 1_000_000, circles: map[string]*Circle{}, cut: map[string]bool{}, sent: map[string]int{}}
+	w := &town{now: 1_000_000, circles: map[string]*Node{}, cut: map[string]bool{}, sent: map[string]int{}}
 	for i := 0; i < 9; i++ {
 		name := fmt.Sprintf("d%02d", i)
 		w.names = append(w.names, name)
-		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Trailhead, Peer: name, Zone: fmt.Sprint(i % 3), Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
+		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Edge, Peer: name, Zone: fmt.Sprint(i % 3), Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
 	}
 	w.pass(3 * clock.Second)
 	w.apart = func(one, other string) bool {
@@ -173,9 +173,9 @@
 // their word; one of the release before is told by gossip, and sent no press.
 func TestAWordIsOutOnceMostOfTheRollKnowIt(t *testing.T) {
 	for _, reached := range []bool{true, false} {
-		c := New(identity.Person{ID: "e", Kind: identity.Trailhead, Peer: "e", Zone: "z"}, nil, Defaults(), 1)
+		c := New(identity.Person{ID: "e", Kind: identity.Edge, Peer: "e", Zone: "z"}, nil, Defaults(), 1)
 		for id, version := range map[string]int{"s1": 2, "s2": 2, "s3": 1, "k1": 2, "k2": 2} {
-			p := identity.Person{ID: id, Kind: identity.Refuge, Peer: id, Zone: "y", Version: version}
+			p := identity.Person{ID: id, Kind: identity.Store, Peer: id, Zone: "y", Version: version}
 			c.Do(Tell{machine.Rumour{Key: identity.Key(id), Seq: p.Seq(), Value: p.Encode()}}, 1)
 		}
 		c.Do(Tell{machine.Rumour{Key: "map", Seq: 1, Value: []byte(`{"stores":{"s1":{},"s2":{},"s3":{}}}`)}}, 1)
--- a/membership/gossip/roll.go
+++ b/membership/gossip/roll.go
@@ -56,7 +56,7 @@
 const pressEvery = 120 * clock.Millisecond
 
 // Apply takes the news in and presses the roll.
-func (s Spread) Apply(c *Circle, now clock.Micros) {
+func (s Spread) Apply(c *Node, now clock.Micros) {
 	c.hear([]machine.Rumour{s.Rumour}, now)
 	c.pass()
 	c.nonce++
@@ -65,7 +65,7 @@
 }
 
 // press sends again to those who have not given their word.
-func (c *Circle) press(now clock.Micros) {
+func (c *Node) press(now clock.Micros) {
 	for _, nonce := range sortedNonces(c.presses) {
 		p := c.presses[nonce]
 		switch {
@@ -96,7 +96,7 @@
 
 // most tells whether those who count as told weigh more than half of the roll.
 // Before there is a roll there is nobody to wait for.
-func (c *Circle) most(counts func(id string) bool) bool {
+func (c *Node) most(counts func(id string) bool) bool {
 	sum, all := 0, 0
 	for id, weight := range c.roll {
 		all += weight
@@ -108,7 +108,7 @@
 }
 
 // count reads the roll anew where the core's news changed.
-func (c *Circle) count(key string) {
+func (c *Node) count(key string) {
 	if key == state.MapKey || key == state.CoreKey {
 		c.roll = state.Roll(c.news[state.MapKey].Value, c.news[state.CoreKey].Value)
 		for _, stamps := range []map[string]clock.Micros{c.counted, c.raw} {
@@ -122,7 +122,7 @@
 }
 
 // ages is what this daemon's news include, for another to add to its own.
-func (c *Circle) ages(now clock.Micros) Ages {
+func (c *Node) ages(now clock.Micros) Ages {
 	out := Ages{Counted: map[string]clock.Micros{}, Raw: map[string]clock.Micros{}}
 	for id, at := range c.counted {
 		out.Counted[id] = now - at
@@ -141,7 +141,7 @@
 
 // learn adds what another's news included when it answered a digest sent at
 // asked: by now this daemon's include it too.
-func (c *Circle) learn(ages Ages, asked, now clock.Micros) {
+func (c *Node) learn(ages Ages, asked, now clock.Micros) {
 	if len(c.roll) == 0 {
 		return
 	}
@@ -165,7 +165,7 @@
 
 // upTo is the time up to which this daemon's news include what most of the roll
 // knew.
-func (c *Circle) upTo(now clock.Micros) clock.Micros {
+func (c *Node) upTo(now clock.Micros) clock.Micros {
 	type stamp struct {
 		at     clock.Micros
 		weight int
@@ -192,7 +192,7 @@
 
 // nearRoll are sound daemons of the roll in other zones: they are swapped with
 // every other time.
-func (c *Circle) nearRoll() []string {
+func (c *Node) nearRoll() []string {
 	var out []string
 	for _, person := range c.sound() {
 		if c.roll[person.ID] > 0 && person.Zone != c.self.Zone {
--- a/membership/identity/people.go
+++ b/membership/identity/identity.go
@@ -9,9 +9,9 @@
 
 // Kinds of daemon.
 const (
-	Trailhead = "trailhead"
-	Refuge    = "refuge"
-	Cairn     = "cairn"
+	Edge  = "trailhead"
+	Store = "refuge"
+	Core  = "cairn"
 )
 
 // Standing is how sound a daemon is held to be; a higher one replaces a lower
--- a/path/guestbook/guestbook.go
+++ b/path/decisionlog/decisionlog.go
@@ -1,23 +1,23 @@
-// Package guestbook remembers what a daemon decided about its latest orders, so
+// Package decisionlog remembers what a daemon decided about its latest orders, so
 // that the operators can have any of them explained (DESIGN §10.3).
-package guestbook
+package decisionlog
 
 import (
 	"sort"
 	"sync"
 
 	"tuliprudder/kernel/clock"
-	"tuliprudder/path/judges"
+	"tuliprudder/path/scoring"
 )
 
 // Try is one assignment of an order.
 type Try struct {
-	Server  string        `json:"server"`
-	Marks   []judges.Mark `json:"marks"`
-	At      clock.Micros  `json:"at_us"`
-	Took    clock.Micros  `json:"took_us"`
-	Outcome string        `json:"outcome"`
-	Error   string        `json:"error,omitempty"`
+	Server  string         `json:"server"`
+	Marks   []scoring.Mark `json:"marks"`
+	At      clock.Micros   `json:"at_us"`
+	Took    clock.Micros   `json:"took_us"`
+	Outcome string         `json:"outcome"`
+	Error   string         `json:"error,omitempty"`
 }
 
 // Story is what happened to one order.
--- a/path/runner/runner.go
+++ b/path/execution/execution.go
@@ -1,7 +1,7 @@
-// Package runner runs a keeper's items on servers (DESIGN §6.3, §7, §12.5): each waits
+// Package execution runs a keeper's items on servers (DESIGN §6.3, §7, §12.5): each waits
 // in the backlog by its customer's rank, and is started only under a fresh
 // lease. It is a part of the store's machine: the sockets are the shell's.
-package runner
+package execution
 
 import (
 	"strconv"
@@ -13,9 +13,9 @@
 	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/shard"
 	"tuliprudder/ledger/store"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/guestbook"
-	"tuliprudder/path/serverline"
+	"tuliprudder/path/decisionlog"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/scheduler"
 )
 
 // Settings of a runner; the defaults are ours.
@@ -35,7 +35,7 @@
 	// Run says: run this item on its server, then tell how it went.
 	Run struct {
 		Token     uint64
-		Request   serverline.Request
+		Request   modelclient.Request
 		MostBytes int
 		// Forward is what is passed on unchanged; then only the address, the order's
 		// name, the priority and the silence of Request count. nil for chat items.
@@ -62,7 +62,7 @@
 // Cut may be gone on with, and Rejected can never be done.
 type Ran struct {
 	Token   uint64
-	Outcome serverline.Outcome
+	Outcome modelclient.Outcome
 	Output  string
 	Why     string
 	// Of an opaque item: the data of the events that came in this try, in order and
@@ -76,10 +76,10 @@
 type Runner struct {
 	set      Settings
 	wire     *machine.Wire
-	dispatch *dispatch.Dispatch
+	dispatch *scheduler.Scheduler
 	allowed  func(slot int, bundle string, item int, now clock.Micros) bool
 	ran      func(store.Ran, clock.Micros)
-	Book     *guestbook.Book
+	Book     *decisionlog.Book
 	open     map[string]*job
 	runs     map[uint64]*job
 	queued   map[string]int  // weights by customer: assigned, not begun (an opaque item: not finished)
@@ -97,8 +97,8 @@
 	name   string
 	item   store.ItemOrder
 	weight int
-	order  *dispatch.Order
-	grip   *dispatch.Grip
+	order  *scheduler.Order
+	grip   *scheduler.Grip
 	token  uint64
 	avoid  map[string]int
 	tries  int // of an opaque item: attempts that failed
@@ -109,8 +109,8 @@
 }
 
 // New makes a runner; ran is told each item's result.
-func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, allowed func(int, string, int, clock.Micros) bool, ran func(store.Ran, clock.Micros)) *Runner {
-	return &Runner{set: set, wire: wire, dispatch: d, allowed: allowed, ran: ran, Book: guestbook.New(8192), open: map[string]*job{}, runs: map[uint64]*job{}, queued: map[string]int{}, parked: map[string]*job{}, kept: map[string]int{}}
+func New(set Settings, wire *machine.Wire, d *scheduler.Scheduler, allowed func(int, string, int, clock.Micros) bool, ran func(store.Ran, clock.Micros)) *Runner {
+	return &Runner{set: set, wire: wire, dispatch: d, allowed: allowed, ran: ran, Book: decisionlog.New(8192), open: map[string]*job{}, runs: map[uint64]*job{}, queued: map[string]int{}, parked: map[string]*job{}, kept: map[string]int{}}
 }
 
 // Take puts one of the keeper's items into the backlog; one that waits or runs
@@ -166,11 +166,11 @@
 		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: late}, now)
 		return
 	}
-	j.order = &dispatch.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Prompt: int64(j.weight), Avoid: j.avoid}
+	j.order = &scheduler.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Prompt: int64(j.weight), Avoid: j.avoid}
 	j.order.Permit = func(now clock.Micros) bool {
 		return r.NoPermit || r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now)
 	}
-	j.order.Start = func(grip *dispatch.Grip, now clock.Micros) { r.start(j, grip, now) }
+	j.order.Start = func(grip *scheduler.Grip, now clock.Micros) { r.start(j, grip, now) }
 	j.order.Drop = func(err error, now clock.Micros) {
 		if errs.Is(err, errs.UnknownRoute) {
 			r.finish(j, store.Ran{Status: shard.StatusFailed, Output: gone}, now)
@@ -221,7 +221,7 @@
 }
 
 // start goes by the order's route, which is that of the plan in force.
-func (r *Runner) start(j *job, grip *dispatch.Grip, now clock.Micros) {
+func (r *Runner) start(j *job, grip *scheduler.Grip, now clock.Micros) {
 	route := j.order.Route
 	if !fits(j, route) {
 		grip.Release(0, true, now)
@@ -235,7 +235,7 @@
 	if j.item.Request != nil {
 		forward = &Forwarded{Request: j.item.Request, Bundle: j.item.Bundle, ID: j.item.ItemID, Instance: grip.Server.Name, Resume: j.last}
 	}
-	r.wire.Emit(machine.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Forward: forward, Request: serverline.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
+	r.wire.Emit(machine.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Forward: forward, Request: modelclient.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
 		Prefix: route.Prefix, Input: j.item.Input, MaxTokens: route.MaxTokens, Priority: r.dispatch.Priority(j.order), Silence: r.set.Silence}}})
 }
 
@@ -279,24 +279,24 @@
 	r.begin(j)
 	grip := j.grip
 	j.grip, j.token = nil, 0
-	r.Book.Begin(guestbook.Story{Order: j.name, Customer: j.item.Customer, Route: j.item.Route, Rank: j.order.Rank, Arrived: j.item.Enrolled})
-	r.Book.Tried(j.name, guestbook.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: now - grip.Started, Outcome: ran.Outcome.String(), Error: ran.Why})
+	r.Book.Begin(decisionlog.Story{Order: j.name, Customer: j.item.Customer, Route: j.item.Route, Rank: j.order.Rank, Arrived: j.item.Enrolled})
+	r.Book.Tried(j.name, decisionlog.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: now - grip.Started, Outcome: ran.Outcome.String(), Error: ran.Why})
 	if j.item.Request != nil {
 		r.passedOn(j, grip, ran, now)
 		return
 	}
-	if ran.Outcome == serverline.Complete {
+	if ran.Outcome == modelclient.Complete {
 		grip.Release(now-grip.Started, true, now)
 		r.finish(j, store.Ran{Status: shard.StatusOK, Output: ran.Output, Server: grip.Server.Name}, now)
 		return
 	}
-	if ran.Outcome == serverline.NotStarted {
+	if ran.Outcome == modelclient.NotStarted {
 		grip.TurnedAway(now)
 	} else {
-		grip.Release(0, ran.Outcome == serverline.Rejected, now)
+		grip.Release(0, ran.Outcome == modelclient.Rejected, now)
 		j.tries++ // one that did not start is no try
 	}
-	if ran.Outcome == serverline.Rejected || j.tries >= r.set.MostTries {
+	if ran.Outcome == modelclient.Rejected || j.tries >= r.set.MostTries {
 		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "no server finished it: " + ran.Why, Server: grip.Server.Name}, now)
 		return
 	}
@@ -309,7 +309,7 @@
 // passedOn decides by how a try of an opaque item went. It is listed as failed only
 // when a server rejects it, when its route's attempts have failed, when it is too
 // old, or when its route is gone; whatever else goes wrong, it waits again.
-func (r *Runner) passedOn(j *job, grip *dispatch.Grip, ran Ran, now clock.Micros) {
+func (r *Runner) passedOn(j *job, grip *scheduler.Grip, ran Ran, now clock.Micros) {
 	server := grip.Server.Name
 	switch {
 	case ran.Failed:
@@ -322,15 +322,15 @@
 			r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "its attempts have failed: " + ran.Why, Server: server}, now)
 			return
 		}
-	case ran.Outcome == serverline.Complete:
+	case ran.Outcome == modelclient.Complete:
 		grip.Release(now-grip.Started, true, now)
 		r.finish(j, store.Ran{Status: shard.StatusOK, Output: strings.Join(append(j.events, ran.Events...), "\n"), Server: server}, now)
 		return
-	case ran.Outcome == serverline.Rejected:
+	case ran.Outcome == modelclient.Rejected:
 		grip.Release(0, true, now)
 		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "the server rejected it: " + ran.Why, Server: server}, now)
 		return
-	case ran.Outcome == serverline.NotStarted:
+	case ran.Outcome == modelclient.NotStarted:
 		grip.TurnedAway(now)
 	default:
 		grip.Release(0, false, now)
--- a/path/runner/runner_test.go
+++ b/path/execution/execution_test.go
@@ -1,4 +1,4 @@
-package runner
+package execution
 
 import (
 	"fmt"
@@ -9,16 +9,16 @@
 	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/shard"
 	"tuliprudder/ledger/store"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/roster"
-	"tuliprudder/path/serverline"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/registry"
+	"tuliprudder/path/scheduler"
 )
 
 // bench is a runner whose shell and keeper are the test.
 type bench struct {
 	*Runner
 	t      *testing.T
-	d      *dispatch.Dispatch
+	d      *scheduler.Scheduler
 	wire   *machine.Wire
 	now    clock.Micros
 	listed []store.Ran
@@ -27,12 +27,12 @@
 const hour = 3600 * clock.Second
 
 func newBench(t *testing.T, servers ...string) *bench {
-	b := &bench{t: t, wire: machine.NewWire(), d: dispatch.New(dispatch.Defaults(), 1), now: hour}
+	b := &bench{t: t, wire: machine.NewWire(), d: scheduler.New(scheduler.Defaults(), 1), now: hour}
 	b.Runner = New(Defaults(), b.wire, b.d, func(int, string, int, clock.Micros) bool { return true },
 		func(ran store.Ran, _ clock.Micros) { b.listed = append(b.listed, ran) })
 	b.plan(1, config.Forward{Tries: 3, Keep: 24 * hour})
 	for _, name := range servers {
-		b.d.SetServer(roster.Server{Name: name, Address: name + ":1", Slots: 4})
+		b.d.SetServer(registry.Server{Name: name, Address: name + ":1", Slots: 4})
 	}
 	return b
 }
@@ -90,12 +90,12 @@
 	if got := b.Waiting("r"); got != 500 {
 		t.Fatalf("%d wait while it runs", got)
 	}
-	b.Went(Ran{Token: first.Token, Outcome: serverline.Cut}, b.now)
+	b.Went(Ran{Token: first.Token, Outcome: modelclient.Cut}, b.now)
 	if got := b.Waiting("r"); got != 500 {
 		t.Fatalf("%d wait after a try that was cut", got)
 	}
 	second := b.run()
-	b.Went(Ran{Token: second.Token, Outcome: serverline.Complete}, b.now)
+	b.Went(Ran{Token: second.Token, Outcome: modelclient.Complete}, b.now)
 	if got := b.Waiting("r"); got != 0 {
 		t.Fatalf("%d wait once it is finished", got)
 	}
@@ -154,18 +154,18 @@
 func TestAnOpaqueItemGoesOnAfterItsLastEvent(t *testing.T) {
 	b := newBench(t, "s")
 	b.take(7, 1)
-	first := b.went(Ran{Outcome: serverline.Cut, Events: []string{"e1", "e2"}, LastEvent: 2})
+	first := b.went(Ran{Outcome: modelclient.Cut, Events: []string{"e1", "e2"}, LastEvent: 2})
 	if f := first.Forward; f == nil || f.Bundle != "b" || f.ID != "i7" || f.Instance != "s" || f.Resume != 0 || string(f.Request.Body) != "body 7" || first.Request.Address != "s:1" {
 		t.Fatalf("the shell was told %+v %+v", first, first.Forward)
 	}
-	if second := b.went(Ran{Outcome: serverline.NotStarted}); second.Forward.Resume != 2 {
+	if second := b.went(Ran{Outcome: modelclient.NotStarted}); second.Forward.Resume != 2 {
 		t.Fatalf("it goes on after %d", second.Forward.Resume)
 	}
 	// What can't be gone on with comes again, and is not kept.
-	b.went(Ran{Outcome: serverline.Cut, Events: []string{"no id"}})
+	b.went(Ran{Outcome: modelclient.Cut, Events: []string{"no id"}})
 	b.went(Ran{Failed: true, Events: []string{"e3"}, LastEvent: 3})
 	b.none()
-	if last := b.went(Ran{Outcome: serverline.Complete, Events: []string{"e4", "end"}, LastEvent: 4}); last.Forward.Resume != 3 {
+	if last := b.went(Ran{Outcome: modelclient.Complete, Events: []string{"e4", "end"}, LastEvent: 4}); last.Forward.Resume != 3 {
 		t.Fatalf("it goes on after %d", last.Forward.Resume)
 	}
 	b.only(shard.StatusOK, "e1\ne2\ne3\ne4\nend")
@@ -177,9 +177,9 @@
 	b := newBench(t, "s")
 	b.set.MostBytes = 5
 	b.take(0, 1)
-	b.went(Ran{Outcome: serverline.Cut, Events: []string{"abc"}, LastEvent: 1})
-	b.went(Ran{Outcome: serverline.Cut, Events: []string{"def"}, LastEvent: 2})
-	if run := b.went(Ran{Outcome: serverline.Complete, Events: []string{"abc", "def", "g"}, LastEvent: 3}); run.Forward.Resume != 0 {
+	b.went(Ran{Outcome: modelclient.Cut, Events: []string{"abc"}, LastEvent: 1})
+	b.went(Ran{Outcome: modelclient.Cut, Events: []string{"def"}, LastEvent: 2})
+	if run := b.went(Ran{Outcome: modelclient.Complete, Events: []string{"abc", "def", "g"}, LastEvent: 3}); run.Forward.Resume != 0 {
 		t.Fatalf("it goes on after %d", run.Forward.Resume)
 	}
 	b.only(shard.StatusOK, "abc\ndef\ng")
@@ -190,7 +190,7 @@
 	b := newBench(t, "s")
 	b.take(0, 1)
 	for i := 0; i < 3*Defaults().MostTries; i++ {
-		b.went(Ran{Outcome: []serverline.Outcome{serverline.NotStarted, serverline.Cut}[i%2], Why: "broken off"})
+		b.went(Ran{Outcome: []modelclient.Outcome{modelclient.NotStarted, modelclient.Cut}[i%2], Why: "broken off"})
 	}
 	b.went(Ran{Failed: true, Why: "500"})
 	b.went(Ran{Failed: true, Why: "500"})
@@ -203,7 +203,7 @@
 func TestARejectedItemIsListedAtOnce(t *testing.T) {
 	b := newBench(t, "s")
 	b.take(0, 1)
-	b.went(Ran{Outcome: serverline.Rejected, Why: "422"})
+	b.went(Ran{Outcome: modelclient.Rejected, Why: "422"})
 	b.only(shard.StatusFailed, "the server rejected it: 422")
 }
 
@@ -215,7 +215,7 @@
 	if second := b.went(Ran{Failed: true}); second.Forward.Instance == first.Forward.Instance {
 		t.Fatalf("both went to %s", first.Forward.Instance)
 	}
-	b.went(Ran{Outcome: serverline.Complete, Events: []string{"x"}, LastEvent: 1})
+	b.went(Ran{Outcome: modelclient.Complete, Events: []string{"x"}, LastEvent: 1})
 	b.only(shard.StatusOK, "x")
 }
 
@@ -275,7 +275,7 @@
 		b.now += 25 * hour
 		b.ClockEvent(b.now)
 		b.none()
-		b.Went(Ran{Token: run.Token, Outcome: serverline.NotStarted}, b.now)
+		b.Went(Ran{Token: run.Token, Outcome: modelclient.NotStarted}, b.now)
 		b.only(shard.StatusFailed, late)
 	})
 	t.Run("kept for good", func(t *testing.T) {
@@ -311,7 +311,7 @@
 	first := b.run()
 	b.Went(Ran{Token: first.Token, Failed: true}, b.now) // waits for the other server now
 	other := map[string]string{"s1": "s2", "s2": "s1"}[first.Forward.Instance]
-	b.d.SetLoad(other, 1, roster.Load{Running: 40, Sound: true, At: b.now})
+	b.d.SetLoad(other, 1, registry.Load{Running: 40, Sound: true, At: b.now})
 	b.take(1, 1)
 	b.take(2, 1)
 	second := b.run()
--- a/path/runner/sorted.go
+++ b/path/execution/sorted.go
@@ -1,4 +1,4 @@
-package runner
+package execution
 
 import "sort"
 
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -10,7 +10,7 @@
 	"tuliprudder/ledger/shard"
 	"tuliprudder/ledger/store"
 	"tuliprudder/path/reader"
-	"tuliprudder/path/trek"
+	"tuliprudder/path/requests"
 )
 
 // BundleBody is a bundle as handed in.
@@ -32,7 +32,7 @@
 	if key == "" {
 		key = NewName()
 	}
-	receipt, err := ask[store.Receipt](g, r, trek.HandIn{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
+	receipt, err := ask[store.Receipt](g, r, requests.HandIn{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
 	if err != nil {
 		if errs.Is(err, errs.OutcomeUnknown) {
 			w.Header().Set("Idempotency-Key", key)
@@ -44,7 +44,7 @@
 		status = http.StatusOK
 	}
 	return httpserver.WriteJSON(w, status, map[string]any{"bundle": receipt.Bundle, "items": receipt.Items, "idempotency_key": key,
-		"repeated": receipt.Repeated, "keeper": receipt.Keeper, "results": "/v1/bundles/" + receipt.Bundle + "/results"})
+		"repeated": receipt.Repeated, "keeper": receipt.Store, "results": "/v1/bundles/" + receipt.Bundle + "/results"})
 }
 
 // Status tells how a bundle stands.
@@ -54,13 +54,13 @@
 func (g *Gate) End(w http.ResponseWriter, r *http.Request) error { return g.look(w, r, true) }
 
 func (g *Gate) look(w http.ResponseWriter, r *http.Request, end bool) error {
-	status, err := ask[store.Status](g, r, trek.Look{Caller: caller(r), Bundle: porchVar(r, "bundle"), End: end}, nil)
+	status, err := ask[store.Status](g, r, requests.Look{Caller: caller(r), Bundle: porchVar(r, "bundle"), End: end}, nil)
 	if err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"bundle": status.Bundle, "route": status.Route, "state": status.State,
 		"items": status.Items, "listed": status.Listed, "enrolled_us": status.Enrolled,
-		"kept": map[string]any{"keeper": status.Keeper, "writer": status.Writer, "slot": status.Slot, "epoch": status.Epoch, "backup": status.Backup}})
+		"kept": map[string]any{"keeper": status.Store, "writer": status.Writer, "slot": status.Slot, "epoch": status.Epoch, "backup": status.Backup}})
 }
 
 // poll reads the paging parameters.
@@ -105,7 +105,7 @@
 		return err
 	}
 	read := reader.Read{Name: NewName(), Bundle: bundle, Token: token, Most: most, Wait: wait}
-	page, err := ask[reader.Page](g, r, trek.Page{Caller: caller(r), Read: read}, reader.Left{Name: read.Name})
+	page, err := ask[reader.Page](g, r, requests.Page{Caller: caller(r), Read: read}, reader.Left{Name: read.Name})
 	if err != nil {
 		return err
 	}
--- a/path/gate/forward.go
+++ b/path/gate/forward.go
@@ -11,8 +11,8 @@
 
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
-	"tuliprudder/path/causeway"
-	"tuliprudder/path/ford"
+	"tuliprudder/path/proxy"
+	"tuliprudder/path/upstream"
 )
 
 // Forwarder passes opaque requests on to servers (DESIGN §12.2): which server, and
@@ -20,13 +20,13 @@
 type Forwarder struct {
 	Machine Machine
 	Word    func(body any) // tells the machine something that has no answer
-	Client  *causeway.Causeway
-	Words   causeway.Words
+	Client  *upstream.Client
+	Words   upstream.Words
 	Clock   func() clock.Micros
 	// Refuse writes a final answer of the edge's own.
 	Refuse func(w http.ResponseWriter, err error)
 	// Bulk takes a request that hands in a bundle.
-	Bulk func(w http.ResponseWriter, r *http.Request, body []byte, bulk ford.Bulk)
+	Bulk func(w http.ResponseWriter, r *http.Request, body []byte, bulk proxy.Bulk)
 	open atomic.Int64
 }
 
@@ -68,7 +68,7 @@
 
 // Forward serves one request: the machine says to which server it is sent, hears
 // how that went, and says what is next.
-func (f *Forwarder) Forward(w http.ResponseWriter, r *http.Request, arrive ford.Arrive, body []byte) {
+func (f *Forwarder) Forward(w http.ResponseWriter, r *http.Request, arrive proxy.Arrive, body []byte) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	arrive.Order = NewName()
@@ -81,9 +81,9 @@
 			return
 		}
 		switch said := word.(type) {
-		case ford.Run:
+		case proxy.Run:
 			next = p.try(said)
-		case ford.Bulk:
+		case proxy.Bulk:
 			f.Bulk(w, r, body, said)
 			return
 		default:
@@ -103,20 +103,20 @@
 
 // try sends the request to one server, passes on what it answers, and tells how
 // that went.
-func (p *passage) try(said ford.Run) ford.Ran {
-	ran := ford.Ran{Order: p.order, Outcome: ford.Cut}
+func (p *passage) try(said proxy.Run) proxy.Ran {
+	ran := proxy.Ran{Order: p.order, Outcome: proxy.Cut}
 	left := clock.Span(said.Expiry - p.f.Clock())
 	ctx, cancel := context.WithTimeout(p.r.Context(), left)
 	defer cancel()
-	answer, err := p.f.Client.Do(ctx, causeway.Request{Address: said.Address, Instance: said.Server, Method: p.r.Method, Target: p.r.RequestURI, Host: p.r.Host,
+	answer, err := p.f.Client.Do(ctx, upstream.Request{Address: said.Address, Instance: said.Server, Method: p.r.Method, Target: p.r.RequestURI, Host: p.r.Host,
 		ID: p.r.Header.Get(p.f.Words.RequestID), Header: p.header, Body: p.body, Deadline: time.Now().Add(left), LastEvent: p.last})
 	if err != nil {
 		ran.Why, ran.Over = err.Error(), ctx.Err() != nil
 		switch {
 		case errs.Is(err, errs.BadInput):
-			ran.Outcome = ford.Invalid
-		case causeway.CertaintyOf(err) == causeway.NotWritten:
-			ran.Outcome, ran.Here = ford.Unsent, errs.Is(err, errs.Busy)
+			ran.Outcome = proxy.Invalid
+		case upstream.CertaintyOf(err) == upstream.NotWritten:
+			ran.Outcome, ran.Here = proxy.Unsent, errs.Is(err, errs.Busy)
 		}
 		ran.Began = p.began
 		return ran
@@ -125,14 +125,14 @@
 	switch {
 	case answer.NotRun:
 		io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10))
-		ran.Outcome, ran.Why = ford.NotRun, "the server did not run it: "+strconv.Itoa(answer.Status)
-	case answer.Status >= 500 && !said.Last && ford.Repeatable(said.Route), p.began && answer.Status != http.StatusOK:
+		ran.Outcome, ran.Why = proxy.NotRun, "the server did not run it: "+strconv.Itoa(answer.Status)
+	case answer.Status >= 500 && !said.Last && proxy.Repeatable(said.Route), p.began && answer.Status != http.StatusOK:
 		io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10))
-		ran.Outcome, ran.Why = ford.Failed, "the server failed: "+strconv.Itoa(answer.Status)
+		ran.Outcome, ran.Why = proxy.Failed, "the server failed: "+strconv.Itoa(answer.Status)
 	default:
 		err := p.pass(answer)
 		if err == nil {
-			ran.Outcome = ford.Whole
+			ran.Outcome = proxy.Whole
 		} else {
 			ran.Why, ran.Over = err.Error(), ctx.Err() != nil
 		}
@@ -143,7 +143,7 @@
 
 // begin sends the head of an answer to the caller; one that goes on with a stream
 // keeps the first server's.
-func (p *passage) begin(answer *causeway.Answer, length int) {
+func (p *passage) begin(answer *upstream.Answer, length int) {
 	if p.began {
 		return
 	}
@@ -160,7 +160,7 @@
 
 // pass hands an answer on. Of one that is cut before anything got out, nothing does:
 // not its head either.
-func (p *passage) pass(answer *causeway.Answer) error {
+func (p *passage) pass(answer *upstream.Answer) error {
 	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
 		return p.events(answer)
 	}
@@ -195,8 +195,8 @@
 }
 
 // events passes a stream on, event by event, as they arrive.
-func (p *passage) events(answer *causeway.Answer) error {
-	reader := causeway.NewEventReader(answer.Body)
+func (p *passage) events(answer *upstream.Answer) error {
+	reader := upstream.NewEventReader(answer.Body)
 	begun, joins := false, p.began
 	control := http.NewResponseController(p.w)
 	for {
@@ -215,7 +215,7 @@
 		}
 		if !begun {
 			begun = true
-			p.f.Word(ford.Began{Order: p.order})
+			p.f.Word(proxy.Began{Order: p.order})
 		}
 		p.begin(answer, -1)
 		if _, err := p.w.Write(event.Raw); err != nil {
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -17,16 +17,16 @@
 	"time"
 
 	"tuliprudder/core/config"
-	"tuliprudder/daemon/planes"
+	"tuliprudder/daemon/machines"
 	"tuliprudder/kernel/cleanup"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/causeway"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/ford"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/proxy"
+	"tuliprudder/path/registry"
+	"tuliprudder/path/scheduler"
+	"tuliprudder/path/upstream"
 )
 
 const forwardPlan = `{"classes":[{"name":"c","rank":5,"allowance":1}],"pools":[{"name":"p","labels":{"u":"all"},"servers":{"fleet":"main"}}],
@@ -38,7 +38,7 @@
   {"name":"brief","kind":"repeatable","classes":{},"pools":{"u":"all"},"expiry_us":300000,"forward":{"host":"h.example","path_prefix":"/brief/","tries":3}},
   {"name":"many","kind":"bundle","classes":{},"pools":{"u":"all"},"forward":{"host":"h.example","path_prefix":"/many/"}}]}`
 
-var words = causeway.Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEvent: "Last-Event-ID", Deadline: "X-Time-Left-Ms"}
+var words = upstream.Words{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEvent: "Last-Event-ID", Deadline: "X-Time-Left-Ms"}
 
 // crossing is an edge that passes requests on to stand-in servers.
 type crossing struct {
@@ -51,15 +51,15 @@
 // servers has the edge pass requests on to these; their names are s0, s1, ...
 func servers(t *testing.T, handlers ...http.HandlerFunc) *crossing {
 	t.Helper()
-	set := planes.EdgeDefaults()
-	set.Dispatch.Staleness, set.ScoutEvery = dispatch.ServeOn, 0
-	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}}
+	set := machines.EdgeDefaults()
+	set.Dispatch.Staleness, set.ScoutEvery = scheduler.ServeOn, 0
+	s := &shell{edge: machines.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}}
 	parsed, err := config.Parse([]byte(forwardPlan))
 	if err != nil {
 		t.Fatal(err, errs.Of(err).Faults)
 	}
 	parsed.Version = 1
-	self := identity.Person{ID: "edge", Kind: identity.Trailhead, Zone: "z", Peer: "edge"}
+	self := identity.Person{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
 	s.step(func(now clock.Micros) []machine.Effect {
 		return s.edge.Heard(machine.Rumour{Key: identity.Key("edge"), Value: self.Encode()}, now)
 	})
@@ -76,12 +76,12 @@
 	var ends cleanup.Stack
 	t.Cleanup(ends.Run)
 	cleanup.Every(&ends, 10*time.Millisecond, func() { s.step(s.edge.ClockEvent) })
-	c.f = &Forwarder{Machine: s.machine, Client: causeway.New(words, causeway.Settings{}), Words: words, Clock: s.now,
+	c.f = &Forwarder{Machine: s.machine, Client: upstream.New(words, upstream.Settings{}), Words: words, Clock: s.now,
 		Word: func(body any) {
 			s.step(func(now clock.Micros) []machine.Effect { return s.edge.Call(0, body, now) })
 		},
 		Refuse: func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), errs.Of(err).Status()) },
-		Bulk: func(w http.ResponseWriter, r *http.Request, body []byte, bulk ford.Bulk) {
+		Bulk: func(w http.ResponseWriter, r *http.Request, body []byte, bulk proxy.Bulk) {
 			fmt.Fprintf(w, "bulk %s %s", bulk.Route.Name, body)
 		}}
 	c.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -90,7 +90,7 @@
 			t.Error(err)
 		}
 		wait, _ := strconv.ParseInt(r.Header.Get(words.Deadline), 10, 64)
-		c.f.Forward(w, r, ford.Arrive{Host: r.Host, Path: r.URL.EscapedPath(), Wait: wait * clock.Millisecond}, body)
+		c.f.Forward(w, r, proxy.Arrive{Host: r.Host, Path: r.URL.EscapedPath(), Wait: wait * clock.Millisecond}, body)
 	}))
 	t.Cleanup(c.front.Close)
 	return c
@@ -98,7 +98,7 @@
 
 func (c *crossing) list(name, address string) {
 	c.shell.step(func(now clock.Micros) []machine.Effect {
-		c.shell.edge.Dispatch.SetServer(roster.Server{Name: name, Address: address, Slots: 64, Labels: map[string]string{"fleet": "main"}})
+		c.shell.edge.Dispatch.SetServer(registry.Server{Name: name, Address: address, Slots: 64, Labels: map[string]string{"fleet": "main"}})
 		return nil
 	})
 }
--- a/path/gate/gate.go
+++ b/path/gate/gate.go
@@ -15,8 +15,8 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/httpserver"
-	"tuliprudder/path/serverline"
-	"tuliprudder/path/trek"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/requests"
 )
 
 // Settings of the gate; the defaults are ours.
@@ -100,18 +100,18 @@
 	order := NewName()
 	w.Header().Set("X-Order", order)
 	out := &outlet{w: w, order: order, most: g.Set.MostBytes}
-	var next any = trek.Live{Order: order, Caller: caller(r), Route: porchVar(r, "route"), Key: r.Header.Get("Idempotency-Key"),
+	var next any = requests.Live{Order: order, Caller: caller(r), Route: porchVar(r, "route"), Key: r.Header.Get("Idempotency-Key"),
 		Input: body.Input, MaxTokens: body.MaxTokens, ExpiryUS: body.ExpiryUS}
 	for {
-		word, err := g.Machine(r.Context(), next, trek.Left{Order: order}, patience)
+		word, err := g.Machine(r.Context(), next, requests.Left{Order: order}, patience)
 		if err != nil {
 			return out.cut(err)
 		}
 		switch said := word.(type) {
-		case trek.Run:
+		case requests.Run:
 			out.streams = said.Kind != config.OneShot
 			next = g.run(r.Context(), said, out)
-		case trek.Answer:
+		case requests.Answer:
 			if said.Replayed {
 				w.Header().Set("Idempotency-Replayed", "true")
 			}
@@ -123,18 +123,18 @@
 }
 
 // run runs one try on its server, and tells how it went.
-func (g *Gate) run(ctx context.Context, said trek.Run, out *outlet) trek.Ran {
+func (g *Gate) run(ctx context.Context, said requests.Run, out *outlet) requests.Ran {
 	ctx, cancel := context.WithTimeout(ctx, clock.Span(said.Expiry-g.Clock()))
 	defer cancel()
 	began := false
-	outcome, err := serverline.Run(ctx, said.Request, func(text string) error {
+	outcome, err := modelclient.Run(ctx, said.Request, func(text string) error {
 		if !began {
 			began = true
-			g.Word(trek.Began{Order: said.Request.Order})
+			g.Word(requests.Began{Order: said.Request.Order})
 		}
 		return out.piece(text)
 	})
-	ran := trek.Ran{Order: said.Request.Order, Outcome: outcome, Output: out.text.String(), Over: ctx.Err() != nil}
+	ran := requests.Ran{Order: said.Request.Order, Outcome: outcome, Output: out.text.String(), Over: ctx.Err() != nil}
 	if err != nil {
 		ran.Why = err.Error()
 	}
--- a/path/gate/gate_test.go
+++ b/path/gate/gate_test.go
@@ -18,7 +18,7 @@
 
 	"tuliprudder/core/config"
 	"tuliprudder/core/state"
-	"tuliprudder/daemon/planes"
+	"tuliprudder/daemon/machines"
 	"tuliprudder/kernel/cleanup"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
@@ -28,12 +28,12 @@
 	"tuliprudder/ledger/store"
 	"tuliprudder/ledger/token"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/roster"
-	"tuliprudder/path/serverline"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/registry"
 )
 
 func TestMain(m *testing.M) {
-	serverline.Prepare()
+	modelclient.Prepare()
 	logx.Disable()
 	os.Exit(m.Run())
 }
@@ -52,7 +52,7 @@
 // shell runs an edge's machine for a test, as the porter does.
 type shell struct {
 	mu    sync.Mutex
-	edge  *planes.Edge
+	edge  *machines.Edge
 	start time.Time
 	calls map[uint64]chan machine.Answer
 	last  uint64
@@ -94,16 +94,16 @@
 // gateWith is a gate whose one server answers by f and whose keeper by ask.
 func gateWith(t *testing.T, f http.HandlerFunc, ask asker) (*Gate, *shell) {
 	t.Helper()
-	set := planes.EdgeDefaults()
+	set := machines.EdgeDefaults()
 	set.Dispatch.Staleness, set.Trek.Silence = 600*clock.Second, 200*clock.Millisecond
-	s := &shell{edge: planes.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}, ask: ask}
+	s := &shell{edge: machines.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}, ask: ask}
 	parsed, err := config.Parse([]byte(plan))
 	if err != nil {
 		t.Fatal(err)
 	}
 	parsed.Version = 1
-	self := identity.Person{ID: "edge", Kind: identity.Trailhead, Zone: "z", Peer: "edge"}
-	chartMap, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: make([]replication.Pairing, 1)})
+	self := identity.Person{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
+	chartMap, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: make([]replication.Assignment, 1)})
 	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: 9, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
 	for _, rumour := range []machine.Rumour{{Key: identity.Key("edge"), Value: self.Encode()}, {Key: state.MapKey, Seq: 1, Value: chartMap}, {Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}} {
 		s.step(func(now clock.Micros) []machine.Effect { return s.edge.Heard(rumour, now) })
@@ -113,7 +113,7 @@
 	if f != nil {
 		server := httptest.NewServer(f)
 		t.Cleanup(server.Close)
-		s.edge.Dispatch.SetServer(roster.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4, Labels: map[string]string{"fleet": "main"}})
+		s.edge.Dispatch.SetServer(registry.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4, Labels: map[string]string{"fleet": "main"}})
 	}
 	var ends cleanup.Stack
 	t.Cleanup(ends.Run)
@@ -297,7 +297,7 @@
 		}
 	}, nil)
 	s.mu.Lock()
-	s.edge.Dispatch.SetServer(roster.Server{Name: "t", Address: s.edge.Dispatch.Servers()[0].Address, Slots: 4, Labels: map[string]string{"fleet": "main"}})
+	s.edge.Dispatch.SetServer(registry.Server{Name: "t", Address: s.edge.Dispatch.Servers()[0].Address, Slots: 4, Labels: map[string]string{"fleet": "main"}})
 	s.mu.Unlock()
 	got := call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "flow"})
 	if kind := kindOf(t, got); kind != errs.OutcomeUnknown || asked.Load() < 2 {
--- a/path/gate/outlet.go
+++ b/path/gate/outlet.go
@@ -10,7 +10,7 @@
 
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/httpserver"
-	"tuliprudder/path/trek"
+	"tuliprudder/path/requests"
 )
 
 func porchVar(r *http.Request, name string) string { return pathvar.Vars(r)[name] }
@@ -62,7 +62,7 @@
 }
 
 // end gives the whole answer, or the end mark that only a whole stream has.
-func (o *outlet) end(answer trek.Answer) error {
+func (o *outlet) end(answer requests.Answer) error {
 	if !o.streams {
 		return httpserver.WriteJSON(o.w, http.StatusOK, answer)
 	}
--- a/path/serverline/serverline.go
+++ b/path/modelclient/client.go
@@ -1,7 +1,7 @@
-// Package serverline speaks to model servers by their published protocol: chat
+// Package modelclient speaks to model servers by their published protocol: chat
 // completions streamed as events, a soundness page and a metrics page (DESIGN
 // §7.1).
-package serverline
+package modelclient
 
 import (
 	"bufio"
--- a/path/guidebook/guidebook.go
+++ b/path/openapi/openapi.go
@@ -1,7 +1,7 @@
-// Package guidebook turns an OpenAPI file into routes for a plan (DESIGN §8.5).
+// Package openapi turns an OpenAPI file into routes for a plan (DESIGN §8.5).
 // An operation becomes a route by its x-tuliprudder extension; what can't be
 // carried over is reported, and a broken file changes nothing.
-package guidebook
+package openapi
 
 import (
 	"encoding/json"
--- a/path/guidebook/guidebook_test.go
+++ b/path/openapi/openapi_test.go
@@ -1,4 +1,4 @@
-package guidebook
+package openapi
 
 import (
 	"os"
--- a/path/ford/ford.go
+++ b/path/proxy/proxy.go
@@ -1,8 +1,8 @@
-// Package ford is the way of opaque requests through an edge (reverse proxying;
+// Package proxy is the way of opaque requests through an edge (reverse proxying;
 // DESIGN §12.1, §12.2): which route a request matches, which server it is passed on to, how
 // often it may be sent, and what its caller may be told for certain. It is a part
 // of the edge's machine: the sockets are the shell's.
-package ford
+package proxy
 
 import (
 	"math/rand"
@@ -11,7 +11,7 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/path/dispatch"
+	"tuliprudder/path/scheduler"
 )
 
 // Settings of the passage; the defaults are ours.
@@ -87,11 +87,11 @@
 	Over struct{}
 )
 
-// Ford holds the requests under way.
-type Ford struct {
+// Proxy holds the requests under way.
+type Proxy struct {
 	set      Settings
 	wire     *machine.Wire
-	dispatch *dispatch.Dispatch
+	dispatch *scheduler.Scheduler
 	chance   *rand.Rand
 	open     map[string]*request
 	// Counters for the operators.
@@ -107,8 +107,8 @@
 	rank   int64
 	expiry clock.Micros
 	call   uint64
-	wanted *dispatch.Order
-	grip   *dispatch.Grip
+	wanted *scheduler.Order
+	grip   *scheduler.Grip
 	avoid  map[string]int
 	sent   int64
 	unsent int
@@ -116,15 +116,15 @@
 }
 
 // New makes the part of an edge's machine that passes requests on.
-func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, seed int64) *Ford {
-	return &Ford{set: set, wire: wire, dispatch: d, chance: rand.New(rand.NewSource(seed)), open: map[string]*request{}}
+func New(set Settings, wire *machine.Wire, d *scheduler.Scheduler, seed int64) *Proxy {
+	return &Proxy{set: set, wire: wire, dispatch: d, chance: rand.New(rand.NewSource(seed)), open: map[string]*request{}}
 }
 
 // Open is how many requests are under way.
-func (f *Ford) Open() int { return len(f.open) }
+func (f *Proxy) Open() int { return len(f.open) }
 
 // Call takes what the shell hands in; false for anything else.
-func (f *Ford) Call(number uint64, body any, now clock.Micros) bool {
+func (f *Proxy) Call(number uint64, body any, now clock.Micros) bool {
 	switch ask := body.(type) {
 	case Arrive:
 		f.arrive(number, ask, now)
@@ -141,7 +141,7 @@
 	return true
 }
 
-func (f *Ford) answer(call uint64, body any, err error) {
+func (f *Proxy) answer(call uint64, body any, err error) {
 	f.wire.Emit(machine.Answer{Call: call, Body: body, Err: err})
 }
 
@@ -151,7 +151,7 @@
 }
 
 // arrive finds the request's route; a daemon without a plan denies nothing.
-func (f *Ford) arrive(call uint64, ask Arrive, now clock.Micros) {
+func (f *Proxy) arrive(call uint64, ask Arrive, now clock.Micros) {
 	plan := f.dispatch.Plan()
 	if plan == nil {
 		f.answer(call, nil, errs.Later(errs.NotReady, f.set.Back, "ask another daemon; this one has just started", "no plan has arrived yet"))
@@ -180,7 +180,7 @@
 
 // hold is up to when a request may wait for a server: one that has waited longer
 // is worth more to its caller as a refusal that says when to come back.
-func (f *Ford) hold(r *request, now clock.Micros) clock.Micros {
+func (f *Proxy) hold(r *request, now clock.Micros) clock.Micros {
 	until := now + f.set.MostHold
 	if aim := r.route.Forward.Aim; aim > 0 {
 		until = min(until, now+aim/f.set.HoldShare)
@@ -189,19 +189,19 @@
 }
 
 // seek looks for a server; last is why one is needed once more.
-func (f *Ford) seek(r *request, last error, now clock.Micros) {
+func (f *Proxy) seek(r *request, last error, now clock.Micros) {
 	if now >= r.expiry {
 		f.giveUp(r, errs.Later(errs.Expired, f.set.Back, "ask again with a later expiry", "the request's time is over"), now)
 		return
 	}
-	r.wanted = &dispatch.Order{ID: r.Order, Customer: r.route.Name, Route: r.route, Rank: r.rank, Prefix: prefix(r.Parts), Prompt: r.Prompt, Pools: f.pools(r.route), Expiry: f.hold(r, now), Avoid: r.avoid}
+	r.wanted = &scheduler.Order{ID: r.Order, Customer: r.route.Name, Route: r.route, Rank: r.rank, Prefix: prefix(r.Parts), Prompt: r.Prompt, Pools: f.pools(r.route), Expiry: f.hold(r, now), Avoid: r.avoid}
 	r.wanted.Drop = func(err error, now clock.Micros) {
 		if last != nil {
 			err = last
 		}
 		f.giveUp(r, err, now)
 	}
-	r.wanted.Start = func(grip *dispatch.Grip, now clock.Micros) {
+	r.wanted.Start = func(grip *scheduler.Grip, now clock.Micros) {
 		r.grip = grip
 		r.sent++
 		f.answer(r.call, Run{Address: grip.Server.Address, Server: grip.Server.Name, Route: r.route, Expiry: r.expiry, Last: !f.more(r)}, nil)
@@ -212,7 +212,7 @@
 }
 
 // pools picks the part of a split route that this request goes to.
-func (f *Ford) pools(route *config.Route) config.Selector {
+func (f *Proxy) pools(route *config.Route) config.Selector {
 	sum := int64(0)
 	for _, part := range route.Forward.Split {
 		sum += part.Share
@@ -238,14 +238,14 @@
 }
 
 // more tells whether the request may be sent to a further server.
-func (f *Ford) more(r *request) bool { return r.sent < max(1, r.route.Forward.Tries) }
+func (f *Proxy) more(r *request) bool { return r.sent < max(1, r.route.Forward.Tries) }
 
 // mostUnsent is how many servers that take no connection are passed over: each may
 // cost the time of one.
 const mostUnsent = 3
 
 // went decides by how a try went.
-func (f *Ford) went(call uint64, ran Ran, now clock.Micros) {
+func (f *Proxy) went(call uint64, ran Ran, now clock.Micros) {
 	r := f.open[ran.Order]
 	if r == nil || r.grip == nil {
 		f.answer(call, nil, errs.New(errs.OutcomeUnknown, "ask anew", "no request %q is under way here", ran.Order))
@@ -302,7 +302,7 @@
 
 // giveUp ends a request that no server answered: it is refused, with when to come
 // back, only if no try of it can have run.
-func (f *Ford) giveUp(r *request, why error, now clock.Micros) {
+func (f *Proxy) giveUp(r *request, why error, now clock.Micros) {
 	if r.ran {
 		f.Unknown++
 		f.end(r, nil, errs.New(errs.ServerFault, "ask again where the request may run twice", "a try of the request may have run: %v", why))
@@ -315,7 +315,7 @@
 	f.end(r, nil, why)
 }
 
-func (f *Ford) end(r *request, body any, err error) {
+func (f *Proxy) end(r *request, body any, err error) {
 	delete(f.open, r.Order)
 	f.answer(r.call, body, err)
 }
--- a/path/ford/ford_test.go
+++ b/path/proxy/proxy_test.go
@@ -1,4 +1,4 @@
-package ford
+package proxy
 
 import (
 	"fmt"
@@ -8,17 +8,17 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
+	"tuliprudder/path/scheduler"
 )
 
 const millisecond = clock.Millisecond
 
 // bench is a ford with a backlog and servers, in virtual time.
 type bench struct {
-	*Ford
+	*Proxy
 	t       *testing.T
-	d       *dispatch.Dispatch
+	d       *scheduler.Scheduler
 	wire    *machine.Wire
 	now     clock.Micros
 	calls   uint64
@@ -29,10 +29,10 @@
 // there is a plan of one route of each kind.
 func newBench(t *testing.T, servers []string, routes ...config.Route) *bench {
 	t.Helper()
-	set := dispatch.Defaults()
-	set.Staleness = dispatch.ServeOn
-	b := &bench{t: t, d: dispatch.New(set, 7), wire: machine.NewWire(), now: 10 * clock.Second, answers: map[uint64]machine.Answer{}}
-	b.Ford = New(Defaults(), b.wire, b.d, 7)
+	set := scheduler.Defaults()
+	set.Staleness = scheduler.ServeOn
+	b := &bench{t: t, d: scheduler.New(set, 7), wire: machine.NewWire(), now: 10 * clock.Second, answers: map[uint64]machine.Answer{}}
+	b.Proxy = New(Defaults(), b.wire, b.d, 7)
 	if len(routes) > 0 {
 		plan := &config.Plan{Version: 1, Judges: map[string]float64{"fullness": 1, "spread": 1}, Routes: routes}
 		for _, pool := range []string{"a", "b"} {
@@ -57,7 +57,7 @@
 }
 
 func (b *bench) server(name, pool string, slots int) {
-	b.d.SetServer(roster.Server{Name: name, Address: "at-" + name, Slots: slots, Labels: map[string]string{"pool": pool}})
+	b.d.SetServer(registry.Server{Name: name, Address: "at-" + name, Slots: slots, Labels: map[string]string{"pool": pool}})
 }
 
 // route is one of a kind; its host is its kind.
@@ -127,7 +127,7 @@
 	case m != nil:
 		return string(m.Kind)
 	}
-	return map[bool]string{true: "again", false: fmt.Sprintf("%T", answer.Body)}[fmt.Sprintf("%T", answer.Body) == "ford.Run"]
+	return map[bool]string{true: "again", false: fmt.Sprintf("%T", answer.Body)}[fmt.Sprintf("%T", answer.Body) == "proxy.Run"]
 }
 
 // What a request may do after a try is told apart by its kind, by what is certain
@@ -146,8 +146,8 @@
 		tries   int64
 		want    string
 	}{
-		{[]string{one, rep, str, res}, Whole, true, last, "ford.Over"},
-		{[]string{one, rep, str, res}, Whole, true, more, "ford.Over"},
+		{[]string{one, rep, str, res}, Whole, true, last, "proxy.Over"},
+		{[]string{one, rep, str, res}, Whole, true, more, "proxy.Over"},
 		// Nothing reached the server: it counts for no try, and may go elsewhere.
 		{[]string{one, rep, str, res}, Unsent, false, last, "again"},
 		{[]string{one, rep, str, res}, Unsent, false, more, "again"},
--- a/path/purse/account.go
+++ b/path/quota/account.go
@@ -1,8 +1,8 @@
-// Package purse watches how much of a customer's work waits over all daemons
+// Package quota watches how much of a customer's work waits over all daemons
 // (DESIGN §11): the first live edge in the customer's agreed order holds the
 // account under an epoch and lends shares with an end; a successor asks those
 // who hold shares before it lends.
-package purse
+package quota
 
 import (
 	"sort"
--- a/path/purse/map_test.go
+++ b/path/quota/map_test.go
@@ -1,4 +1,4 @@
-package purse
+package quota
 
 import (
 	"testing"
@@ -15,7 +15,7 @@
 // trouble-3: after all processes were killed a holder knew too few stores.)
 func TestAHolderWaitsForEveryStoreOnTheMap(t *testing.T) {
 	wire := machine.NewWire()
-	folk := []identity.Person{{ID: "edge", Kind: identity.Trailhead, Peer: "e"}}
+	folk := []identity.Person{{ID: "edge", Kind: identity.Edge, Peer: "e"}}
 	p := New("edge", wire, func() []identity.Person { return folk }, nil)
 	var m state.Map
 	p.Map = func() (state.Map, bool) { return m, m.Seq > 0 }
@@ -33,7 +33,7 @@
 		t.Fatalf("without a map it lent %+v", got)
 	}
 	m = state.Map{Seq: 1, Stores: map[string]state.Store{"store": {ID: "store"}, "old": {ID: "old", Struck: true}},
-		Slots: []replication.Pairing{{Epoch: 1, Owner: replication.Member{ID: "store"}, Complete: true}}}
+		Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "store"}, Complete: true}}}
 	if got := ask(); got.Ready {
 		t.Fatalf("it lent %+v before the store on the map had told", got)
 	}
@@ -46,7 +46,7 @@
 // What a store held that is gone is let go once its slots are others', and no sooner.
 func TestALoanPassesOnWithTheSlots(t *testing.T) {
 	p := New("edge", machine.NewWire(), func() []identity.Person { return nil }, nil)
-	m := state.Map{Seq: 1, Slots: []replication.Pairing{{Epoch: 1, Owner: replication.Member{ID: "gone"}, Complete: true}}}
+	m := state.Map{Seq: 1, Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "gone"}, Complete: true}}}
 	p.Map = func() (state.Map, bool) { return m, true }
 	now := clock.Second
 	a := Open(1, nil, now)
--- a/path/purse/purse.go
+++ b/path/quota/quota.go
@@ -1,4 +1,4 @@
-package purse
+package quota
 
 import (
 	"slices"
@@ -10,7 +10,7 @@
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/transport"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
 )
 
 // Messages between borrowers and holders.
@@ -45,9 +45,9 @@
 
 func init() { transport.Register(LendAsk{}, LendAnswer{}, TellAsk{}, TellAnswer{}) }
 
-// Purse is one daemon's side: its shares, and the accounts it holds. It is a
+// Quota is one daemon's side: its shares, and the accounts it holds. It is a
 // part of the daemon's machine.
-type Purse struct {
+type Quota struct {
 	Self string
 	Wire *machine.Wire
 	// Folk is the directory as this daemon knows it.
@@ -96,12 +96,12 @@
 }
 
 // New makes a purse.
-func New(self string, wire *machine.Wire, folk func() []identity.Person, waiting func(string) int) *Purse {
-	return &Purse{Self: self, Wire: wire, Folk: folk, Waiting: waiting, shares: map[string]*Share{}, terms: map[string]LendAsk{},
+func New(self string, wire *machine.Wire, folk func() []identity.Person, waiting func(string) int) *Quota {
+	return &Quota{Self: self, Wire: wire, Folk: folk, Waiting: waiting, shares: map[string]*Share{}, terms: map[string]LendAsk{},
 		accounts: map[string]*Account{}, allowed: map[string]LendAsk{}, takers: map[string][]*taker{}, asking: map[string]bool{}, rounds: map[string]*round{}, kept: map[string]bool{}}
 }
 
-func (p *Purse) share(customer string) *Share {
+func (p *Quota) share(customer string) *Share {
 	s := p.shares[customer]
 	if s == nil {
 		s = &Share{}
@@ -111,7 +111,7 @@
 }
 
 // waits is what waits here of a customer without having been taken.
-func (p *Purse) waits(customer string) int {
+func (p *Quota) waits(customer string) int {
 	if p.Waiting == nil {
 		return 0
 	}
@@ -119,7 +119,7 @@
 }
 
 // held is all that waits here of a customer.
-func (p *Purse) held(s *Share, customer string) int { return s.InUse + p.waits(customer) }
+func (p *Quota) held(s *Share, customer string) int { return s.InUse + p.waits(customer) }
 
 const lendExpiry = 600 * clock.Millisecond
 
@@ -132,7 +132,7 @@
 
 // Take reserves waiting work; back is told once. An error turns the order away,
 // and nothing of it has run or will.
-func (p *Purse) Take(customer string, allowance int64, plan uint64, count int, now clock.Micros, back func(Give, error, clock.Micros)) {
+func (p *Quota) Take(customer string, allowance int64, plan uint64, count int, now clock.Micros, back func(Give, error, clock.Micros)) {
 	if int64(count) > allowance {
 		back(nil, errs.New(errs.OverAllowance, "send a smaller bundle, or buy a larger allowance", "%d at once are more than the whole allowance of %d", count, allowance), now)
 		return
@@ -156,7 +156,7 @@
 	return errs.Later(errs.NotReady, clock.Second, "come back after the time given", "the customer's account can't be reached")
 }
 
-func (p *Purse) giver(customer string, count int) Give {
+func (p *Quota) giver(customer string, count int) Give {
 	given := false
 	return func(now clock.Micros) {
 		if !given {
@@ -168,7 +168,7 @@
 
 // ask asks the holder for all who wait, one ask at a time for each customer:
 // those who come meanwhile may find room.
-func (p *Purse) ask(customer string, now clock.Micros) {
+func (p *Quota) ask(customer string, now clock.Micros) {
 	takers := p.takers[customer]
 	if p.asking[customer] || len(takers) == 0 {
 		return
@@ -186,7 +186,7 @@
 }
 
 // serve lets those in who fit now, and turns away those the ask was for.
-func (p *Purse) serve(customer string, answer LendAnswer, err error, now clock.Micros) {
+func (p *Quota) serve(customer string, answer LendAnswer, err error, now clock.Micros) {
 	s := p.share(customer)
 	if err != nil {
 		s.failed = now
@@ -221,9 +221,9 @@
 }
 
 // holder is the first live edge in the customer's agreed order.
-func (p *Purse) holder(customer string) (id, peer string) {
+func (p *Quota) holder(customer string) (id, peer string) {
 	folk := p.Folk()
-	id = roster.First("account/"+customer, folk, identity.Trailhead)
+	id = registry.First("account/"+customer, folk, identity.Edge)
 	for _, person := range folk {
 		if person.ID == id {
 			return id, person.Peer
@@ -233,7 +233,7 @@
 }
 
 // lend asks the holder and takes its answer.
-func (p *Purse) lend(ask LendAsk, asked clock.Micros, back func(LendAnswer, error, clock.Micros)) {
+func (p *Quota) lend(ask LendAsk, asked clock.Micros, back func(LendAnswer, error, clock.Micros)) {
 	p.asking[ask.Customer] = true
 	take := func(answer LendAnswer, err error, now clock.Micros) {
 		delete(p.asking, ask.Customer)
@@ -258,7 +258,7 @@
 
 // Lend is the holder's part: it answers once it has asked those who have not
 // told what they hold, or they had time enough.
-func (p *Purse) Lend(ask LendAsk, now clock.Micros, back func(LendAnswer, clock.Micros)) {
+func (p *Quota) Lend(ask LendAsk, now clock.Micros, back func(LendAnswer, clock.Micros)) {
 	a := p.accounts[ask.Customer]
 	if !p.mapped() {
 		back(LendAnswer{Epoch: ask.Epoch, Granted: ask.Held}, now)
@@ -300,17 +300,17 @@
 
 // keeps tells whether a borrower is a store: one that is not known any more may
 // have been.
-func (p *Purse) keeps(borrower string) bool {
+func (p *Quota) keeps(borrower string) bool {
 	for _, person := range p.Folk() {
 		if person.ID == borrower {
-			return person.Kind == identity.Refuge
+			return person.Kind == identity.Store
 		}
 	}
 	return p.kept[borrower]
 }
 
 // mapped tells whether this daemon knows which stores there are.
-func (p *Purse) mapped() bool {
+func (p *Quota) mapped() bool {
 	if p.Map == nil {
 		return true
 	}
@@ -320,7 +320,7 @@
 
 // holders are all that may hold work: the daemons that live, and the stores that
 // count, whether this daemon has heard of them in this life or not.
-func (p *Purse) holders() []string {
+func (p *Quota) holders() []string {
 	out := p.borrowers()
 	if p.Map == nil {
 		return out
@@ -341,7 +341,7 @@
 
 // passOn lets go of what is held for stores that are gone and own no slot any more:
 // those that took their slots over tell it now.
-func (p *Purse) passOn(now clock.Micros) {
+func (p *Quota) passOn(now clock.Micros) {
 	if p.Map == nil {
 		return
 	}
@@ -371,13 +371,13 @@
 }
 
 // borrowers are all daemons that may hold shares.
-func (p *Purse) borrowers() []string {
+func (p *Quota) borrowers() []string {
 	var out []string
 	for _, person := range p.Folk() {
-		if person.Kind == identity.Refuge {
+		if person.Kind == identity.Store {
 			p.kept[person.ID] = true
 		}
-		if person.Kind != identity.Cairn && person.Standing < identity.Dead && person.ID != p.Self {
+		if person.Kind != identity.Core && person.Standing < identity.Dead && person.ID != p.Self {
 			out = append(out, person.ID)
 		}
 	}
@@ -386,7 +386,7 @@
 
 // rebuild asks those who have not told what they hold; who asks meanwhile waits
 // for the same round.
-func (p *Purse) rebuild(customer string, a *Account, then func(now clock.Micros)) {
+func (p *Quota) rebuild(customer string, a *Account, then func(now clock.Micros)) {
 	if r := p.rounds[customer]; r != nil {
 		r.then = append(r.then, then)
 		return
@@ -418,7 +418,7 @@
 
 // Tell is the borrower's answer to a new holder: from here on the old one's
 // loans count only as far as they are in use.
-func (p *Purse) Tell(ask TellAsk) TellAnswer {
+func (p *Quota) Tell(ask TellAsk) TellAnswer {
 	s := p.share(ask.Customer)
 	if !s.Fence(ask.Epoch) {
 		return TellAnswer{Stale: true, Epoch: s.Epoch}
@@ -427,7 +427,7 @@
 }
 
 // Call answers the purse's asks; false for any other.
-func (p *Purse) Call(number uint64, body any, now clock.Micros) bool {
+func (p *Quota) Call(number uint64, body any, now clock.Micros) bool {
 	switch ask := body.(type) {
 	case LendAsk:
 		p.Lend(ask, now, func(answer LendAnswer, now clock.Micros) { p.Wire.Emit(machine.Answer{Call: number, Body: answer}) })
@@ -444,7 +444,7 @@
 }
 
 // ClockEvent renews the shares when they are due.
-func (p *Purse) ClockEvent(now clock.Micros) {
+func (p *Quota) ClockEvent(now clock.Micros) {
 	if now < p.renew {
 		return
 	}
@@ -490,14 +490,14 @@
 
 // Told notes waiting work that came by other ways (a takeover), so that it is
 // told at the next renewal.
-func (p *Purse) Told(customer string, allowance int64, plan uint64) {
+func (p *Quota) Told(customer string, allowance int64, plan uint64) {
 	if _, known := p.terms[customer]; !known {
 		p.terms[customer] = LendAsk{Customer: customer, Borrower: p.Self, Allowance: allowance, Plan: plan}
 	}
 }
 
 // View is what is held and lent here, for the operators.
-func (p *Purse) View(now clock.Micros) map[string]any {
+func (p *Quota) View(now clock.Micros) map[string]any {
 	shares, accounts := map[string]any{}, map[string]any{}
 	for customer, s := range p.shares {
 		if held := p.held(s, customer); held > 0 || s.Granted > 0 {
@@ -511,7 +511,7 @@
 }
 
 // Totals counts what is held here and lent from here.
-func (p *Purse) Totals(now clock.Micros) (held, lent int64) {
+func (p *Quota) Totals(now clock.Micros) (held, lent int64) {
 	for customer, s := range p.shares {
 		held += int64(p.held(s, customer))
 	}
--- a/path/purse/purse_test.go
+++ b/path/quota/quota_test.go
@@ -1,4 +1,4 @@
-package purse
+package quota
 
 import (
 	"fmt"
--- a/path/reader/reader_test.go
+++ b/path/reader/reader_test.go
@@ -26,7 +26,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
 	b.Reader = New(b.wire)
-	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Pairing{{Epoch: 1}}})
+	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Assignment{{Epoch: 1}}})
 	b.Hear(machine.Rumour{Key: state.MapKey, Seq: 1, Value: m}, b.now)
 	b.say(5)
 	return b
--- a/path/roster/roster.go
+++ b/path/registry/registry.go
@@ -1,7 +1,7 @@
-// Package roster is the news about model servers: the platform's list with its
+// Package registry is the news about model servers: the platform's list with its
 // leaving marks, and the load figures that one daemon a server reads (DESIGN
 // §7.2, §8.3).
-package roster
+package registry
 
 import (
 	"encoding/json"
--- a/path/trek/items.go
+++ b/path/requests/items.go
@@ -1,4 +1,4 @@
-package trek
+package requests
 
 import (
 	"fmt"
--- a/path/trek/trek.go
+++ b/path/requests/requests.go
@@ -1,8 +1,8 @@
-// Package trek is the way of callers' orders through an edge (DESIGN §7): who
+// Package requests is the way of callers' orders through an edge (DESIGN §7): who
 // calls, what the plan opens to them, the allowance, the claim of a key, the
 // backlog, the tries on servers, and what the caller may be told for certain. It
 // is a part of the edge's machine: the sockets are the shell's.
-package trek
+package requests
 
 import (
 	"encoding/json"
@@ -13,11 +13,11 @@
 	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/shard"
 	"tuliprudder/ledger/store"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/guestbook"
-	"tuliprudder/path/purse"
+	"tuliprudder/path/decisionlog"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/quota"
 	"tuliprudder/path/reader"
-	"tuliprudder/path/serverline"
+	"tuliprudder/path/scheduler"
 )
 
 // Settings of the orders; the defaults are ours.
@@ -47,7 +47,7 @@
 	// Ran tells how a try on a server went.
 	Ran struct {
 		Order   string
-		Outcome serverline.Outcome
+		Outcome modelclient.Outcome
 		Why     string // what went wrong
 		Output  string // all that has come so far, over all tries
 		Over    bool   // the order's expiry passed, or its caller left
@@ -96,7 +96,7 @@
 type (
 	// Run says: run the order on this server, then tell how it went.
 	Run struct {
-		Request serverline.Request
+		Request modelclient.Request
 		Kind    string // of the route
 		Expiry  clock.Micros
 	}
@@ -110,14 +110,14 @@
 	}
 )
 
-// Trek holds the orders under way.
-type Trek struct {
+// Machine holds the orders under way.
+type Machine struct {
 	set      Settings
 	wire     *machine.Wire
-	dispatch *dispatch.Dispatch
-	purse    *purse.Purse
+	dispatch *scheduler.Scheduler
+	purse    *quota.Quota
 	reader   *reader.Reader
-	book     *guestbook.Book
+	book     *decisionlog.Book
 	open     map[string]*order
 	// SecondRun is a fault planted by tests: a one-shot order whose outcome is
 	// not known is run again elsewhere.
@@ -143,9 +143,9 @@
 	arrived  clock.Micros
 	expiry   clock.Micros
 	call     uint64 // who waits for the next word
-	wanted   *dispatch.Order
-	grip     *dispatch.Grip
-	give     purse.Give
+	wanted   *scheduler.Order
+	grip     *scheduler.Grip
+	give     quota.Give
 	avoid    map[string]int
 	tries    int
 	ran      bool // a try may have run, in part at least
@@ -155,15 +155,15 @@
 }
 
 // New makes the part of an edge's machine that carries orders.
-func New(set Settings, wire *machine.Wire, d *dispatch.Dispatch, p *purse.Purse, r *reader.Reader, book *guestbook.Book) *Trek {
-	return &Trek{set: set, wire: wire, dispatch: d, purse: p, reader: r, book: book, open: map[string]*order{}}
+func New(set Settings, wire *machine.Wire, d *scheduler.Scheduler, p *quota.Quota, r *reader.Reader, book *decisionlog.Book) *Machine {
+	return &Machine{set: set, wire: wire, dispatch: d, purse: p, reader: r, book: book, open: map[string]*order{}}
 }
 
 // Open is how many live orders are under way.
-func (t *Trek) Open() int { return len(t.open) }
+func (t *Machine) Open() int { return len(t.open) }
 
 // Call takes what the shell hands in; false for anything else.
-func (t *Trek) Call(number uint64, body any, now clock.Micros) bool {
+func (t *Machine) Call(number uint64, body any, now clock.Micros) bool {
 	switch ask := body.(type) {
 	case Live:
 		t.live(number, ask, now)
@@ -197,12 +197,12 @@
 	return true
 }
 
-func (t *Trek) answer(call uint64, body any, err error) {
+func (t *Machine) answer(call uint64, body any, err error) {
 	t.wire.Emit(machine.Answer{Call: call, Body: body, Err: err})
 }
 
 // caller finds who calls by the key it carries.
-func (t *Trek) caller(key string) (*config.Plan, *config.Customer, *config.Class, error) {
+func (t *Machine) caller(key string) (*config.Plan, *config.Customer, *config.Class, error) {
 	plan := t.dispatch.Plan()
 	if plan == nil {
 		return nil, nil, nil, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no plan has arrived yet")
@@ -231,20 +231,20 @@
 
 // live begins an order: it is checked, takes its place in the allowance, claims
 // its key, and waits in the backlog.
-func (t *Trek) live(call uint64, ask Live, now clock.Micros) {
+func (t *Machine) live(call uint64, ask Live, now clock.Micros) {
 	o := &order{Live: ask, call: call, arrived: now, avoid: map[string]int{}}
 	if err := t.check(o, now); err != nil {
 		t.answer(call, nil, err)
 		return
 	}
 	t.open[o.Order] = o
-	t.purse.Take(o.customer.Name, o.class.Allowance, o.plan, 1, now, func(give purse.Give, err error, now clock.Micros) {
+	t.purse.Take(o.customer.Name, o.class.Allowance, o.plan, 1, now, func(give quota.Give, err error, now clock.Micros) {
 		if err != nil {
 			t.end(o, nil, err, now)
 			return
 		}
 		o.give = give
-		t.book.Begin(guestbook.Story{Order: o.Order, Customer: o.customer.Name, Route: o.route.Name, Rank: o.class.Rank, Arrived: o.arrived})
+		t.book.Begin(decisionlog.Story{Order: o.Order, Customer: o.customer.Name, Route: o.route.Name, Rank: o.class.Rank, Arrived: o.arrived})
 		if o.Key != "" && !t.Unclaimed {
 			t.claim(o, now)
 			return
@@ -253,7 +253,7 @@
 	})
 }
 
-func (t *Trek) check(o *order, now clock.Micros) error {
+func (t *Machine) check(o *order, now clock.Micros) error {
 	plan, customer, class, err := t.caller(o.Caller)
 	if err != nil {
 		return err
@@ -288,7 +288,7 @@
 }
 
 // end gives an order's last word.
-func (t *Trek) end(o *order, answer any, err error, now clock.Micros) {
+func (t *Machine) end(o *order, answer any, err error, now clock.Micros) {
 	delete(t.open, o.Order)
 	if o.give != nil {
 		o.give(now)
@@ -300,7 +300,7 @@
 }
 
 // keep asks the keeper of a bundle or a claim; back is told once.
-func (t *Trek) keep(id string, body func(slot int) any, expiry, now clock.Micros, back machine.Back) {
+func (t *Machine) keep(id string, body func(slot int) any, expiry, now clock.Micros, back machine.Back) {
 	slot, owner, err := t.reader.Keeper(id)
 	if err != nil {
 		back(nil, err, now)
@@ -311,7 +311,7 @@
 
 // claim claims the key before anything starts: a repeated key gets the first
 // order's answer.
-func (t *Trek) claim(o *order, now clock.Micros) {
+func (t *Machine) claim(o *order, now clock.Micros) {
 	claim := shard.Claim{Customer: o.customer.Name, Key: o.Key, Order: o.Order, Hash: shard.Hash(o.route.Name, o.Input)}
 	t.keep(shard.ClaimID(o.customer.Name, o.Key), func(slot int) any { return store.ClaimAsk{Slot: slot, Claim: claim, Expiry: t.set.Commit} },
 		t.set.Commit+clock.Second, now, func(body any, err error, now clock.Micros) {
@@ -343,7 +343,7 @@
 }
 
 // settle notes how a claimed order went, so that a repeated key hears it.
-func (t *Trek) settle(o *order, state string, answer any, now clock.Micros, back func(error, clock.Micros)) {
+func (t *Machine) settle(o *order, state string, answer any, now clock.Micros, back func(error, clock.Micros)) {
 	id := shard.ClaimID(o.customer.Name, o.Key)
 	data, _ := json.Marshal(answer)
 	t.keep(id, func(slot int) any {
@@ -353,7 +353,7 @@
 
 // turnAway says no for good. A claimed key is voided durably first; where that
 // can't be confirmed the outcome is unknown.
-func (t *Trek) turnAway(o *order, why error, now clock.Micros) {
+func (t *Machine) turnAway(o *order, why error, now clock.Micros) {
 	if !o.claimed {
 		t.end(o, nil, why, now)
 		return
@@ -368,7 +368,7 @@
 
 // giveUp ends an order that no server finished: it is turned away only if no try
 // of it can have run.
-func (t *Trek) giveUp(o *order, why error, now clock.Micros) {
+func (t *Machine) giveUp(o *order, why error, now clock.Micros) {
 	if o.ran && !t.LateRefusal {
 		t.end(o, nil, errs.Later(errs.OutcomeUnknown, clock.Second, "ask anew; this stream does not go on", "a try of the order may have run in part: %v", why), now)
 		return
@@ -377,7 +377,7 @@
 }
 
 // enrol lets an order wait for a server; last is why it has to once more.
-func (t *Trek) enrol(o *order, last error, now clock.Micros) {
+func (t *Machine) enrol(o *order, last error, now clock.Micros) {
 	switch {
 	case o.left:
 		t.giveUp(o, gone(), now)
@@ -387,14 +387,14 @@
 		return
 	}
 	o.tries++
-	o.wanted = &dispatch.Order{ID: o.Order, Customer: o.customer.Name, Route: o.route, Rank: o.class.Rank, Prefix: o.route.Prefix, Expiry: o.expiry, Avoid: o.avoid}
+	o.wanted = &scheduler.Order{ID: o.Order, Customer: o.customer.Name, Route: o.route, Rank: o.class.Rank, Prefix: o.route.Prefix, Expiry: o.expiry, Avoid: o.avoid}
 	o.wanted.Drop = func(err error, now clock.Micros) { t.giveUp(o, err, now) }
-	o.wanted.Start = func(grip *dispatch.Grip, now clock.Micros) {
+	o.wanted.Start = func(grip *scheduler.Grip, now clock.Micros) {
 		o.grip = grip
 		if t.FromStart {
 			o.output = ""
 		}
-		t.answer(o.call, Run{Kind: o.route.Kind, Expiry: o.expiry, Request: serverline.Request{Address: grip.Server.Address, Order: o.Order, Model: o.route.Model, Prefix: o.route.Prefix,
+		t.answer(o.call, Run{Kind: o.route.Kind, Expiry: o.expiry, Request: modelclient.Request{Address: grip.Server.Address, Order: o.Order, Model: o.route.Model, Prefix: o.route.Prefix,
 			Input: o.Input, Partial: o.output, MaxTokens: o.MaxTokens, Priority: t.dispatch.Priority(o.wanted), Silence: t.set.Silence}}, nil)
 	}
 	if err := t.dispatch.Enrol(o.wanted, now); err != nil {
@@ -408,7 +408,7 @@
 
 // leave takes an order whose caller has gone out of the backlog. One that runs
 // is ended by the shell, which tells how it went.
-func (t *Trek) leave(name string, now clock.Micros) {
+func (t *Machine) leave(name string, now clock.Micros) {
 	o := t.open[name]
 	if o == nil {
 		return
@@ -420,7 +420,7 @@
 }
 
 // went decides by how a try went.
-func (t *Trek) went(call uint64, ran Ran, now clock.Micros) {
+func (t *Machine) went(call uint64, ran Ran, now clock.Micros) {
 	o := t.open[ran.Order]
 	if o == nil || o.grip == nil {
 		t.answer(call, nil, errs.New(errs.OutcomeUnknown, "ask anew", "no order %q is under way here", ran.Order))
@@ -428,9 +428,9 @@
 	}
 	grip := o.grip
 	o.call, o.grip, o.wanted, o.output = call, nil, nil, ran.Output
-	t.book.Tried(o.Order, guestbook.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: now - grip.Started, Outcome: ran.Outcome.String(), Error: ran.Why})
+	t.book.Tried(o.Order, decisionlog.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: now - grip.Started, Outcome: ran.Outcome.String(), Error: ran.Why})
 	switch {
-	case ran.Outcome == serverline.Complete, t.TakeCut && ran.Outcome == serverline.Cut && ran.Output != "":
+	case ran.Outcome == modelclient.Complete, t.TakeCut && ran.Outcome == modelclient.Cut && ran.Output != "":
 		grip.Release(now-grip.Started, true, now)
 		answer := Answer{Order: o.Order, Status: "ok", Output: ran.Output, Server: grip.Server.Name}
 		if !o.claimed {
@@ -438,13 +438,13 @@
 			return
 		}
 		t.settle(o, shard.Answered, answer, now, func(_ error, now clock.Micros) { t.end(o, answer, nil, now) })
-	case ran.Outcome == serverline.NotStarted:
+	case ran.Outcome == modelclient.NotStarted:
 		grip.TurnedAway(now)
 		if o.avoid[grip.Server.Name] = 3; len(o.avoid) >= 3 {
 			clear(o.avoid)
 		}
 		t.enrol(o, errs.Later(errs.Busy, t.dispatch.After(now), "come back after the time given", "no server took the order: %s", ran.Why), now)
-	case ran.Outcome == serverline.Rejected:
+	case ran.Outcome == modelclient.Rejected:
 		grip.Release(0, true, now)
 		t.giveUp(o, errs.New(errs.BadInput, "correct the input for this route's model", "%s", ran.Why), now)
 	case o.route.Kind == config.OneShot && !t.SecondRun:
@@ -464,7 +464,7 @@
 }
 
 // handIn takes a bundle in: whole and on two disks, or not at all.
-func (t *Trek) handIn(call uint64, ask HandIn, now clock.Micros) {
+func (t *Machine) handIn(call uint64, ask HandIn, now clock.Micros) {
 	plan, customer, class, route, err := t.bundleWay(ask)
 	if err != nil {
 		t.answer(call, nil, err)
@@ -488,7 +488,7 @@
 	}, t.set.Commit+clock.Second, now, t.passOn(call))
 }
 
-func (t *Trek) bundleWay(ask HandIn) (*config.Plan, *config.Customer, *config.Class, *config.Route, error) {
+func (t *Machine) bundleWay(ask HandIn) (*config.Plan, *config.Customer, *config.Class, *config.Route, error) {
 	plan, customer, class, err := t.caller(ask.Caller)
 	if err != nil {
 		return nil, nil, nil, nil, err
@@ -501,7 +501,7 @@
 }
 
 // passOn hands a keeper's answer to who called.
-func (t *Trek) passOn(call uint64) machine.Back {
+func (t *Machine) passOn(call uint64) machine.Back {
 	return func(body any, err error, _ clock.Micros) { t.answer(call, body, err) }
 }
 
@@ -510,7 +510,7 @@
 
 // passOnLook hands on the answer to a question that changes nothing: where none
 // came, asking again is always safe.
-func (t *Trek) passOnLook(call uint64) machine.Back {
+func (t *Machine) passOnLook(call uint64) machine.Back {
 	return func(body any, err error, _ clock.Micros) {
 		if err != nil && errs.Of(err).Kind == errs.OutcomeUnknown {
 			err = errs.Later(errs.NotReady, clock.Second, "ask again; nothing was changed", "the keeper gave no answer: %v", err)
@@ -521,7 +521,7 @@
 
 // forwardBundle takes a bundle of requests in, as handIn does one of inputs. Its
 // route stands for the customer.
-func (t *Trek) forwardBundle(call uint64, ask ForwardBundle, now clock.Micros) {
+func (t *Machine) forwardBundle(call uint64, ask ForwardBundle, now clock.Micros) {
 	plan := t.dispatch.Plan()
 	if plan == nil {
 		t.answer(call, nil, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no plan has arrived yet"))
@@ -556,7 +556,7 @@
 	return nil
 }
 
-func (t *Trek) lookAny(call uint64, ask LookAny, now clock.Micros) {
+func (t *Machine) lookAny(call uint64, ask LookAny, now clock.Micros) {
 	if ask.End {
 		t.keep(ask.Bundle, func(slot int) any {
 			return store.EndAsk{Slot: slot, Bundle: ask.Bundle, Anyone: true, Expiry: t.set.Commit}
@@ -567,7 +567,7 @@
 }
 
 // pageAny reads one bundle: without a customer there is no feed.
-func (t *Trek) pageAny(call uint64, ask PageAny, now clock.Micros) {
+func (t *Machine) pageAny(call uint64, ask PageAny, now clock.Micros) {
 	if err := nameOf(ask.Read.Bundle); err != nil {
 		t.answer(call, nil, err)
 		return
@@ -581,7 +581,7 @@
 }
 
 // look asks a bundle's keeper how it stands, or ends it.
-func (t *Trek) look(call uint64, ask Look, now clock.Micros) {
+func (t *Machine) look(call uint64, ask Look, now clock.Micros) {
 	_, customer, _, err := t.caller(ask.Caller)
 	if err != nil {
 		t.answer(call, nil, err)
@@ -596,7 +596,7 @@
 	t.keep(ask.Bundle, func(slot int) any { return store.StatusAsk{Slot: slot, Bundle: ask.Bundle, Customer: customer.Name} }, lookExpiry, now, t.passOn(call))
 }
 
-func (t *Trek) page(call uint64, ask Page, now clock.Micros) {
+func (t *Machine) page(call uint64, ask Page, now clock.Micros) {
 	_, customer, _, err := t.caller(ask.Caller)
 	if err != nil {
 		t.answer(call, nil, err)
--- a/path/trek/trek_test.go
+++ b/path/requests/requests_test.go
@@ -1,4 +1,4 @@
-package trek
+package requests
 
 import (
 	"encoding/json"
@@ -13,14 +13,14 @@
 	"tuliprudder/ledger/shard"
 	"tuliprudder/ledger/store"
 	"tuliprudder/ledger/token"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/guestbook"
+	"tuliprudder/path/decisionlog"
 	"tuliprudder/path/reader"
+	"tuliprudder/path/scheduler"
 )
 
 // bench is an edge's orders with one slot, whose keeper is the test.
 type bench struct {
-	*Trek
+	*Machine
 	t    *testing.T
 	wire *machine.Wire
 	now  clock.Micros
@@ -28,17 +28,17 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
-	d, r := dispatch.New(dispatch.Defaults(), 1), reader.New(b.wire)
+	d, r := scheduler.New(scheduler.Defaults(), 1), reader.New(b.wire)
 	plan := &config.Plan{Version: 3, Classes: []config.Class{{Name: "a", Rank: 1, Allowance: 9}}, Customers: []config.Customer{{Name: "c", Key: "k", Class: "a"}},
 		Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{}}, {Name: "live", Kind: config.OneShot, Forward: &config.Forward{}},
 			{Name: "chat", Kind: config.Bundle, Classes: config.Selector{}, MostItems: 9}}}
 	plan.Index()
 	d.SetPlan(plan, b.now)
-	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Pairing{{Epoch: 1}}})
+	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Assignment{{Epoch: 1}}})
 	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: 5, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
 	r.Hear(machine.Rumour{Key: state.MapKey, Seq: 1, Value: m}, b.now)
 	r.Hear(machine.Rumour{Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
-	b.Trek = New(Defaults(), b.wire, d, nil, r, guestbook.New(1))
+	b.Machine = New(Defaults(), b.wire, d, nil, r, decisionlog.New(1))
 	return b
 }
 
--- a/path/dispatch/judged_test.go
+++ b/path/scheduler/judged_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package scheduler
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
 )
 
 // model is a model server in virtual time: slots, a speed, and a cache of
@@ -85,12 +85,12 @@
 		grip    *Grip
 	}
 	starts := make(chan started, 4096)
-	var daemons []*Dispatch
+	var daemons []*Scheduler
 	for i := 0; i < 6; i++ {
 		d := New(Defaults(), seed*100+int64(i))
 		d.SetPlan(plan, now)
 		for _, name := range names {
-			d.SetServer(roster.Server{Name: name, Slots: 4})
+			d.SetServer(registry.Server{Name: name, Slots: 4})
 		}
 		daemons = append(daemons, d)
 	}
@@ -119,7 +119,7 @@
 					next[name] = now + 100*clock.Millisecond
 				}
 				for _, d := range daemons {
-					d.SetLoad(name, 1, roster.Load{Running: load, Sound: true, At: now})
+					d.SetLoad(name, 1, registry.Load{Running: load, Sound: true, At: now})
 				}
 			}
 		}
--- a/path/dispatch/dispatch.go
+++ b/path/scheduler/scheduler.go
@@ -1,8 +1,8 @@
-// Package dispatch is a daemon's backlog and the choice of a server (DESIGN
+// Package scheduler is a daemon's backlog and the choice of a server (DESIGN
 // §7): orders wait by rank, expire in the backlog, and are assigned to the
 // server with the highest sum of marks. It is a part of the daemon's machine:
 // the time comes in with each step, and nothing here waits or runs beside it.
-package dispatch
+package scheduler
 
 import (
 	"container/heap"
@@ -15,8 +15,8 @@
 	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
-	"tuliprudder/path/judges"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
+	"tuliprudder/path/scoring"
 )
 
 // Settings of a dispatcher; the defaults are ours.
@@ -72,21 +72,21 @@
 
 // Grip is an order's hold on its chosen server.
 type Grip struct {
-	Server  roster.Server
-	Marks   []judges.Mark
+	Server  registry.Server
+	Marks   []scoring.Mark
 	Started clock.Micros
 	bundle  bool
 	prompt  int64
 	begun   bool
 	stay    *stay
-	d       *Dispatch
+	d       *Scheduler
 	s       *state
 	over    bool
 }
 
 type state struct {
-	server    roster.Server
-	load      roster.Load
+	server    registry.Server
+	load      registry.Load
 	loadEpoch uint64
 	own       int
 	stays     []*stay // this daemon's orders of late
@@ -115,7 +115,7 @@
 
 // figure takes a reading: what it counts beyond this daemon's own orders at that
 // time is the others'.
-func (s *state) figure(load roster.Load) {
+func (s *state) figure(load registry.Load) {
 	mine := 0
 	kept := s.stays[:0]
 	for _, one := range s.stays {
@@ -130,8 +130,8 @@
 	s.load, s.others = load, max(0, load.Running+load.Waiting-mine)
 }
 
-// Dispatch is the backlog and the servers of one daemon.
-type Dispatch struct {
+// Scheduler is the backlog and the servers of one daemon.
+type Scheduler struct {
 	set      Settings
 	plan     *config.Plan
 	levels   []int64
@@ -162,15 +162,15 @@
 }
 
 // New makes a dispatcher.
-func New(set Settings, seed int64) *Dispatch {
-	return &Dispatch{set: set, servers: map[string]*state{}, backlogs: map[int64]map[*config.Route]*list.List{}, waiting: map[string]int{},
+func New(set Settings, seed int64) *Scheduler {
+	return &Scheduler{set: set, servers: map[string]*state{}, backlogs: map[int64]map[*config.Route]*list.List{}, waiting: map[string]int{},
 		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), retries: mostRetries, part: 1}
 }
 
 // SetPlan puts a plan in force here, for what waits as well: each order goes by
 // the new plan's route and rank from now on, and one whose route or customer is
 // gone is dropped.
-func (d *Dispatch) SetPlan(plan *config.Plan, now clock.Micros) {
+func (d *Scheduler) SetPlan(plan *config.Plan, now clock.Micros) {
 	if d.plan != nil && plan.Version <= d.plan.Version {
 		return
 	}
@@ -190,7 +190,7 @@
 
 // follow lets an order go by the plan in force: the one it was checked by may be
 // another by now.
-func (d *Dispatch) follow(o *Order) error {
+func (d *Scheduler) follow(o *Order) error {
 	if d.plan == nil || d.Bygone {
 		return nil
 	}
@@ -209,7 +209,7 @@
 }
 
 // all are the orders that wait, in the order they came.
-func (d *Dispatch) all() []*Order {
+func (d *Scheduler) all() []*Order {
 	var out []*Order
 	for _, level := range d.open() {
 		for _, backlog := range d.turns(level) {
@@ -223,25 +223,25 @@
 }
 
 // Plan is the plan in force here; nil before the first.
-func (d *Dispatch) Plan() *config.Plan {
+func (d *Scheduler) Plan() *config.Plan {
 	return d.plan
 }
 
 // SetServer takes the platform's word on a server.
-func (d *Dispatch) SetServer(server roster.Server) {
+func (d *Scheduler) SetServer(server registry.Server) {
 	s := d.servers[server.Name]
 	if s == nil {
 		s = &state{}
 		d.servers[server.Name] = s
 	}
 	if s.server.Address != server.Address {
-		s.load, s.others, s.latency, s.failures, s.restUntil = roster.Load{}, 0, 0, 0, 0
+		s.load, s.others, s.latency, s.failures, s.restUntil = registry.Load{}, 0, 0, 0, 0
 	}
 	s.server, d.stirred = server, true
 }
 
 // SetLoad takes a load figure; one of a lower epoch is turned away.
-func (d *Dispatch) SetLoad(name string, epoch uint64, load roster.Load) {
+func (d *Scheduler) SetLoad(name string, epoch uint64, load registry.Load) {
 	if s := d.servers[name]; s != nil && epoch >= s.loadEpoch {
 		s.loadEpoch, d.stirred = epoch, true
 		s.figure(load)
@@ -249,7 +249,7 @@
 }
 
 // SetFresh tells up to when this daemon's news count as fresh.
-func (d *Dispatch) SetFresh(lastSwap clock.Micros) {
+func (d *Scheduler) SetFresh(lastSwap clock.Micros) {
 	d.fresh, d.stirred = max(d.fresh, lastSwap), true
 }
 
@@ -259,20 +259,20 @@
 const ServeOn clock.Micros = 1 << 62
 
 // SetTurn tells where this daemon's own order of servers begins, from 0 to 1.
-func (d *Dispatch) SetTurn(begin float64) { d.turn = begin }
+func (d *Scheduler) SetTurn(begin float64) { d.turn = begin }
 
 // SetPart tells which part of the servers' room for items is this store's.
-func (d *Dispatch) SetPart(part float64) { d.part, d.stirred = part, true }
+func (d *Scheduler) SetPart(part float64) { d.part, d.stirred = part, true }
 
 // Adjust changes the settings before the first order comes.
-func (d *Dispatch) Adjust(change func(set *Settings)) { change(&d.set) }
+func (d *Scheduler) Adjust(change func(set *Settings)) { change(&d.set) }
 
 // Fresh tells whether the news are fresh enough to assign by.
-func (d *Dispatch) Fresh(now clock.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
+func (d *Scheduler) Fresh(now clock.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
 
 // Servers copies the platform's list as known here.
-func (d *Dispatch) Servers() []roster.Server {
-	out := make([]roster.Server, 0, len(d.servers))
+func (d *Scheduler) Servers() []registry.Server {
+	out := make([]registry.Server, 0, len(d.servers))
 	for _, s := range d.servers {
 		out = append(out, s.server)
 	}
@@ -282,14 +282,14 @@
 
 // ServerView is one server as this daemon sees it.
 type ServerView struct {
-	roster.Server
-	Load    roster.Load  `json:"load"`
-	Own     int          `json:"own"`
-	Latency clock.Micros `json:"latency_us"`
+	registry.Server
+	Load    registry.Load `json:"load"`
+	Own     int           `json:"own"`
+	Latency clock.Micros  `json:"latency_us"`
 }
 
 // View is what this daemon sees, for the operators.
-func (d *Dispatch) View() ([]ServerView, map[string]int) {
+func (d *Scheduler) View() ([]ServerView, map[string]int) {
 	var out []ServerView
 	for _, s := range d.servers {
 		out = append(out, ServerView{s.server, s.load, s.own, s.latency})
@@ -303,12 +303,12 @@
 }
 
 // Waiting is how much of a customer's work waits here, by weight.
-func (d *Dispatch) Waiting(customer string) int {
+func (d *Scheduler) Waiting(customer string) int {
 	return d.waiting[customer]
 }
 
 // Backlog is how many orders wait here in all.
-func (d *Dispatch) Backlog() int {
+func (d *Scheduler) Backlog() int {
 	return d.count
 }
 
@@ -333,7 +333,7 @@
 // level, the more room it leaves for those above it, whichever daemon has them.
 // So that bundles never starve, a daemon whose bundles have none running may
 // start one that has waited long up to a full server.
-func (d *Dispatch) limit(o *Order, now clock.Micros) float64 {
+func (d *Scheduler) limit(o *Order, now clock.Micros) float64 {
 	place := 1.0
 	if n := len(d.levels); n > 1 {
 		at, _ := slices.BinarySearch(d.levels, levelOf(o))
@@ -347,7 +347,7 @@
 }
 
 // Priority is what a server is told: 0 for the highest level, more for lower.
-func (d *Dispatch) Priority(o *Order) int {
+func (d *Scheduler) Priority(o *Order) int {
 	at, _ := slices.BinarySearch(d.levels, levelOf(o))
 	return max(0, len(d.levels)-1-at)
 }
@@ -362,7 +362,7 @@
 }
 
 // Enrol puts an order into the backlog; an error means it never will run.
-func (d *Dispatch) Enrol(o *Order, now clock.Micros) error {
+func (d *Scheduler) Enrol(o *Order, now clock.Micros) error {
 	if d.closed {
 		return errs.Later(errs.NotReady, clock.Second, "ask another daemon", "this daemon is draining")
 	}
@@ -382,7 +382,7 @@
 	return nil
 }
 
-func (d *Dispatch) put(o *Order) {
+func (d *Scheduler) put(o *Order) {
 	level := levelOf(o)
 	if d.backlogs[level] == nil {
 		d.backlogs[level] = map[*config.Route]*list.List{}
@@ -404,7 +404,7 @@
 
 // After is when the backlog of now will have been worked off, by the pace of the
 // latest assignments, between half a second and half a minute.
-func (d *Dispatch) After(now clock.Micros) clock.Micros {
+func (d *Scheduler) After(now clock.Micros) clock.Micros {
 	if len(d.paces) < 2 {
 		return 2 * clock.Second
 	}
@@ -414,7 +414,7 @@
 
 // Retry spends of the budget for further tries: one for every five orders that
 // were assigned, so that a fault of all servers does not multiply the load.
-func (d *Dispatch) Retry() bool {
+func (d *Scheduler) Retry() bool {
 	if d.retries < 1 {
 		return false
 	}
@@ -423,7 +423,7 @@
 }
 
 // Cancel takes an order out of the backlog; false when it has started or gone.
-func (d *Dispatch) Cancel(o *Order) bool {
+func (d *Scheduler) Cancel(o *Order) bool {
 	if o.started || o.gone {
 		return false
 	}
@@ -431,7 +431,7 @@
 	return true
 }
 
-func (d *Dispatch) remove(o *Order) {
+func (d *Scheduler) remove(o *Order) {
 	level := levelOf(o)
 	backlog := d.backlogs[level][o.Route]
 	backlog.Remove(o.place)
@@ -449,7 +449,7 @@
 }
 
 // Close turns new orders away; what waits is dropped.
-func (d *Dispatch) Close(now clock.Micros) {
+func (d *Scheduler) Close(now clock.Micros) {
 	d.closed = true
 	dropped := d.all()
 	for _, o := range dropped {
@@ -462,14 +462,14 @@
 
 // Settle looks for as long as looking changes something: the daemon's machine
 // calls it at the end of each of its steps.
-func (d *Dispatch) Settle(now clock.Micros) {
+func (d *Scheduler) Settle(now clock.Micros) {
 	for d.stirred {
 		d.Match(now)
 	}
 }
 
 // Match assigns what can be assigned now, higher ranks first.
-func (d *Dispatch) Match(now clock.Micros) {
+func (d *Scheduler) Match(now clock.Micros) {
 	type start struct {
 		order *Order
 		grip  *Grip
@@ -513,7 +513,7 @@
 // strand takes the live orders out of a backlog whose daemon does not hear most of
 // the fleet: elsewhere their customers' allowance is lent anew. Items of bundles
 // were accepted, and wait on.
-func (d *Dispatch) strand() []*Order {
+func (d *Scheduler) strand() []*Order {
 	var out []*Order
 	for _, o := range d.all() {
 		if !o.Bundle {
@@ -525,7 +525,7 @@
 }
 
 // open lists the levels that have orders, highest first.
-func (d *Dispatch) open() []int64 {
+func (d *Scheduler) open() []int64 {
 	out := make([]int64, 0, len(d.backlogs))
 	for level, routes := range d.backlogs {
 		if len(routes) > 0 {
@@ -538,7 +538,7 @@
 }
 
 // turns lists a level's backlogs, the one whose first order came first in front.
-func (d *Dispatch) turns(level int64) []*list.List {
+func (d *Scheduler) turns(level int64) []*list.List {
 	out := make([]*list.List, 0, len(d.backlogs[level]))
 	for _, backlog := range d.backlogs[level] {
 		out = append(out, backlog)
@@ -551,7 +551,7 @@
 
 // drain assigns from one backlog until no server is left for its route. Only an
 // order that has servers to avoid is stepped over.
-func (d *Dispatch) drain(backlog *list.List, now clock.Micros, start func(*Order, *Grip)) {
+func (d *Scheduler) drain(backlog *list.List, now clock.Micros, start func(*Order, *Grip)) {
 	var next *list.Element
 	for e := backlog.Front(); e != nil; e = next {
 		next = e.Next()
@@ -598,7 +598,7 @@
 }
 
 // choose picks the server with the highest sum; ties fall by seeded chance.
-func (d *Dispatch) choose(o *Order, now clock.Micros) *Grip {
+func (d *Scheduler) choose(o *Order, now clock.Micros) *Grip {
 	limit := d.limit(o, now)
 	held := d.prefixes[prefixOf(o)]
 	fastest := clock.Micros(0)
@@ -612,13 +612,13 @@
 		}
 	}
 	sort.Strings(names)
-	wish := judges.Wish{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
+	wish := scoring.Wish{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
 	avoid := o.Avoid
 	if o.Bundle && len(avoid) > 0 && !d.elsewhere(o, names) {
 		avoid = nil // what was accepted rather goes where it failed than nowhere
 	}
 	var best []string
-	var bestMarks []judges.Mark
+	var bestMarks []scoring.Mark
 	top := -1.0
 	begin := int(d.turn * float64(len(names)))
 	for i, name := range names {
@@ -627,14 +627,14 @@
 			continue
 		}
 		sound := s.sound()
-		candidate := judges.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
+		candidate := scoring.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
 			Limit: limit, Leaving: s.server.Leaving && !d.Blind, Sound: sound, Prefix: held == name,
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now),
 			Turn: float64((i-begin+len(names))%len(names)) / float64(len(names))}
 		if o.Bundle && o.Route.Forward != nil {
-			candidate.Share = &judges.Share{Part: d.part, Window: s.window.room(), Running: s.bundles, Opening: s.opening}
+			candidate.Share = &scoring.Share{Part: d.part, Window: s.window.room(), Running: s.bundles, Opening: s.opening}
 		}
-		sum, marks, ok := judges.Sum(d.plan.Judges, wish, candidate)
+		sum, marks, ok := scoring.Sum(d.plan.Judges, wish, candidate)
 		if !ok {
 			continue
 		}
@@ -670,7 +670,7 @@
 	return grip
 }
 
-func (d *Dispatch) serves(o *Order, labels config.Labels) bool {
+func (d *Scheduler) serves(o *Order, labels config.Labels) bool {
 	if o.Pools != nil {
 		return d.plan.Selects(o.Pools, labels)
 	}
@@ -681,7 +681,7 @@
 
 // elsewhere tells whether there is a sound server for an order besides those it
 // avoids; one that is full or rests counts, for it will take orders again.
-func (d *Dispatch) elsewhere(o *Order, names []string) bool {
+func (d *Scheduler) elsewhere(o *Order, names []string) bool {
 	for _, name := range names {
 		if s := d.servers[name]; o.Avoid[name] < 3 && s.sound() && !s.server.Leaving && d.serves(o, s.server.Labels) {
 			return true
@@ -690,7 +690,7 @@
 	return false
 }
 
-func (d *Dispatch) remember(prefix uint64, server string) {
+func (d *Scheduler) remember(prefix uint64, server string) {
 	if _, known := d.prefixes[prefix]; !known {
 		d.prefixed.PushBack(prefix)
 		if d.prefixed.Len() > d.set.PrefixKept {
--- a/path/dispatch/dispatch_test.go
+++ b/path/scheduler/scheduler_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package scheduler
 
 import (
 	"fmt"
@@ -7,21 +7,21 @@
 	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
 )
 
 type bench struct {
-	*Dispatch
+	*Scheduler
 	now     clock.Micros
 	started chan string
 	dropped chan string
 	route   *config.Route
 }
 
-func newBench(t *testing.T, servers ...roster.Server) *bench {
+func newBench(t *testing.T, servers ...registry.Server) *bench {
 	t.Helper()
 	b := &bench{now: 10_000_000, started: make(chan string, 100), dropped: make(chan string, 100)}
-	b.Dispatch = New(Defaults(), 7)
+	b.Scheduler = New(Defaults(), 7)
 	plan, err := config.Parse([]byte(`{"classes":[{"name":"a1","rank":1,"allowance":1},{"name":"a5","rank":5,"allowance":1},{"name":"a9","rank":9,"allowance":1}],
 	 "customers":[{"name":"c1","key":"k1","class":"a1"},{"name":"c5","key":"k5","class":"a5"},{"name":"c9","key":"k9","class":"a9"}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{"fleet":"main"}}],
 	 "routes":[{"name":"r","kind":"one-shot","classes":{},"pools":{"u":"x"},"model":"m","weights":"w1"}],"judges":{"speed":0}}`))
@@ -38,8 +38,8 @@
 	return b
 }
 
-func server(name string, slots int) roster.Server {
-	return roster.Server{Name: name, Slots: slots, Labels: map[string]string{"fleet": "main", "weights": "w1"}}
+func server(name string, slots int) registry.Server {
+	return registry.Server{Name: name, Slots: slots, Labels: map[string]string{"fleet": "main", "weights": "w1"}}
 }
 
 func (b *bench) order(name string, rank int64, change func(*Order)) *Order {
@@ -74,9 +74,9 @@
 	var order []string
 	for _, level := range []string{"high", "live", "bundle", "low"} {
 		_ = level
-		b.Dispatch.servers["s"].server.Slots = 1
-		b.Dispatch.servers["s"].own, b.Dispatch.servers["s"].stays = 0, nil
-		b.Dispatch.set.HighLimit, b.Dispatch.set.LowLimit = 1, 1
+		b.Scheduler.servers["s"].server.Slots = 1
+		b.Scheduler.servers["s"].own, b.Scheduler.servers["s"].stays = 0, nil
+		b.Scheduler.set.HighLimit, b.Scheduler.set.LowLimit = 1, 1
 		b.Match(b.now)
 		order = append(order, <-b.started)
 	}
@@ -91,12 +91,12 @@
 	for what, change := range map[string]func(*bench){
 		"leaving":     func(b *bench) { s := server("s", 4); s.Leaving = true; b.SetServer(s) },
 		"gone":        func(b *bench) { s := server("s", 4); s.Gone = true; b.SetServer(s) },
-		"not sound":   func(b *bench) { b.SetLoad("s", 1, roster.Load{At: b.now, Sound: false}) },
-		"full":        func(b *bench) { b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 4, Waiting: 2}) },
+		"not sound":   func(b *bench) { b.SetLoad("s", 1, registry.Load{At: b.now, Sound: false}) },
+		"full":        func(b *bench) { b.SetLoad("s", 1, registry.Load{At: b.now, Sound: true, Running: 4, Waiting: 2}) },
 		"weights":     func(b *bench) { s := server("s", 4); s.Labels["weights"] = "w2"; b.SetServer(s) },
 		"other pool":  func(b *bench) { s := server("s", 4); s.Labels["fleet"] = "other"; b.SetServer(s) },
 		"old news":    func(b *bench) { b.now += 2600 * clock.Millisecond },
-		"turned away": func(b *bench) { b.Dispatch.servers["s"].restUntil = b.now + 1 },
+		"turned away": func(b *bench) { b.Scheduler.servers["s"].restUntil = b.now + 1 },
 	} {
 		b := newBench(t, server("s", 4))
 		change(b)
@@ -115,8 +115,8 @@
 // holds the servers; a load figure of a lower epoch is turned away.
 func TestExpiryAndEpoch(t *testing.T) {
 	b := newBench(t, server("s", 4))
-	b.SetLoad("s", 5, roster.Load{At: b.now, Sound: false})
-	b.SetLoad("s", 4, roster.Load{At: b.now, Sound: true})
+	b.SetLoad("s", 5, registry.Load{At: b.now, Sound: false})
+	b.SetLoad("s", 4, registry.Load{At: b.now, Sound: true})
 	b.order("x", 1, func(o *Order) { o.Expiry = b.now + 100 })
 	b.none(t, "the lower epoch's figure was taken")
 	b.now += 100
@@ -169,7 +169,7 @@
 // the server; none starves: after a while one at a time goes up to a full server.
 func TestBundlesLeaveRoomAndDoNotStarve(t *testing.T) {
 	b := newBench(t, server("s", 10))
-	b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 8})
+	b.SetLoad("s", 1, registry.Load{At: b.now, Sound: true, Running: 8})
 	b.order("b1", 1, func(o *Order) { o.Bundle = true })
 	b.order("b2", 1, func(o *Order) { o.Bundle = true })
 	b.none(t, "a bundle's order took the room of live ones")
@@ -193,7 +193,7 @@
 // full: only what runs there now does.
 func TestFinishedOrdersMakeRoomBeforeTheNextFigure(t *testing.T) {
 	b := newBench(t, server("s", 2))
-	b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 1})
+	b.SetLoad("s", 1, registry.Load{At: b.now, Sound: true, Running: 1})
 	grips := make(chan *Grip, 1)
 	for i := 0; i < 20; i++ {
 		b.now += 10 * clock.Millisecond
@@ -209,8 +209,8 @@
 	b.Match(b.now)
 	<-grips
 	b.now += clock.Second / 2
-	b.SetLoad("s", 1, roster.Load{At: b.now, Sound: true, Running: 2})
-	if s := b.Dispatch.servers["s"]; s.others != 1 || s.own != 1 {
+	b.SetLoad("s", 1, registry.Load{At: b.now, Sound: true, Running: 2})
+	if s := b.Scheduler.servers["s"]; s.others != 1 || s.own != 1 {
 		t.Fatalf("others %d, own %d", s.others, s.own)
 	}
 }
@@ -238,8 +238,8 @@
 	if after := b.After(b.now); after != clock.Second/2 {
 		t.Fatalf("nothing waits, and one is to come back after %d us", after)
 	}
-	b.Dispatch.set.MostWaiting = 400
-	b.Dispatch.servers["s"].server.Slots = 1
+	b.Scheduler.set.MostWaiting = 400
+	b.Scheduler.servers["s"].server.Slots = 1
 	for i := 0; i < 400; i++ {
 		b.order("w", 1, nil)
 	}
@@ -288,7 +288,7 @@
 		Routes: []config.Route{{Name: "r", Kind: config.Stream, Forward: &config.Forward{}}}, Customers: []config.Customer{{Name: "r", Class: "c"}}, Classes: []config.Class{{Name: "c", Rank: 1}}}
 	plan.Index()
 	d.SetPlan(plan, 1)
-	d.SetServer(roster.Server{Name: "s", Address: "s:1", Slots: 4})
+	d.SetServer(registry.Server{Name: "s", Address: "s:1", Slots: 4})
 	route, _ := plan.Route("r")
 	now := clock.Second
 	d.SetFresh(now)
--- a/path/dispatch/window_test.go
+++ b/path/scheduler/window_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package scheduler
 
 import (
 	"testing"
--- a/path/judges/judges.go
+++ b/path/scoring/scoring.go
@@ -1,6 +1,6 @@
-// Package judges picks a server: many small judges give marks that are added up
+// Package scoring picks a server: many small judges give marks that are added up
 // (DESIGN §7.3, §12.6). A judge may also rule a server out, and says why.
-package judges
+package scoring
 
 import (
 	"math"
--- a/path/judges/judges_test.go
+++ b/path/scoring/scoring_test.go
@@ -1,4 +1,4 @@
-package judges
+package scoring
 
 import (
 	"testing"
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -11,8 +11,8 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
+	"tuliprudder/path/scheduler"
 )
 
 // Look is work for the shell: read a server's pages.
@@ -31,7 +31,7 @@
 	self     string
 	every    clock.Micros
 	wire     *machine.Wire
-	dispatch *dispatch.Dispatch
+	dispatch *scheduler.Scheduler
 	folk     func() []identity.Person
 	due      map[string]clock.Micros // when a server is due again
 	busy     map[string]bool
@@ -40,7 +40,7 @@
 }
 
 // New makes an edge's scouts; with no span between readings there are none.
-func New(self string, every clock.Micros, wire *machine.Wire, d *dispatch.Dispatch, folk func() []identity.Person) *Scouts {
+func New(self string, every clock.Micros, wire *machine.Wire, d *scheduler.Scheduler, folk func() []identity.Person) *Scouts {
 	return &Scouts{self: self, every: every, wire: wire, dispatch: d, folk: folk, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Rumour{}}
 }
 
@@ -63,7 +63,7 @@
 	s.next = now + s.every/hurry
 	folk := s.folk()
 	for _, server := range s.dispatch.Servers() {
-		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || roster.First("load/"+server.Name, folk, identity.Trailhead) != s.self {
+		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || registry.First("load/"+server.Name, folk, identity.Edge) != s.self {
 			continue
 		}
 		s.busy[server.Name] = true
@@ -81,15 +81,15 @@
 		}
 	}
 	s.due[saw.Name] = saw.Began + rest - s.every/(2*hurry)
-	load := roster.Load{Running: saw.Running, Waiting: saw.Waiting, Sound: saw.Sound, At: saw.Began, By: s.self}
+	load := registry.Load{Running: saw.Running, Waiting: saw.Waiting, Sound: saw.Sound, At: saw.Began, By: s.self}
 	epoch, seq := uint64(1), uint64(1)
 	if known, ok := s.marks[saw.Name]; ok {
 		epoch, seq = known.Epoch, known.Seq+1
-		var last roster.Load
+		var last registry.Load
 		if json.Unmarshal(known.Value, &last) != nil || last.By != s.self {
 			epoch, seq = epoch+1, 1
 		}
 	}
 	value, _ := json.Marshal(load)
-	s.wire.Emit(machine.Publish{Rumour: machine.Rumour{Key: roster.LoadKey(saw.Name), Epoch: epoch, Seq: seq, Value: value}})
+	s.wire.Emit(machine.Publish{Rumour: machine.Rumour{Key: registry.LoadKey(saw.Name), Epoch: epoch, Seq: seq, Value: value}})
 }
--- a/path/causeway/answer.go
+++ b/path/upstream/answer.go
@@ -1,4 +1,4 @@
-package causeway
+package upstream
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 	Delimited bool  // false: the body ends with the connection, so nobody can tell whether it is whole
 	NotRun    bool  // the server's word that it didn't run the request
 
-	causeway *Causeway
+	causeway *Client
 	k        *connection
 	ctx      context.Context
 	cancel   func()
@@ -32,7 +32,7 @@
 	closed   atomic.Bool
 }
 
-func (c *Causeway) answer(ctx context.Context, k *connection, stop func() bool, r Request, response *http.Response) *Answer {
+func (c *Client) answer(ctx context.Context, k *connection, stop func() bool, r Request, response *http.Response) *Answer {
 	a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		causeway: c, k: k, ctx: ctx, stop: stop, source: response.Body, keepable: !response.Close && !r.Probe}
 	_, refused := response.Header[http.CanonicalHeaderKey(c.words.NotRun)]
@@ -101,7 +101,7 @@
 
 // idleSpan is how long a connection may be kept, by the server's Keep-Alive or
 // else by the settings.
-func (c *Causeway) idleSpan(header http.Header) time.Duration {
+func (c *Client) idleSpan(header http.Header) time.Duration {
 	span := c.set.IdleFor
 	for _, line := range header.Values("Keep-Alive") {
 		for parameter := range strings.SplitSeq(line, ",") {
--- a/path/causeway/causeway.go
+++ b/path/upstream/client.go
@@ -1,4 +1,4 @@
-// Package causeway is an HTTP/1.1 client for opaque requests: a bounded
+// Package upstream is an HTTP/1.1 client for opaque requests: a bounded
 // connection pool for each server (DESIGN §12.3).
 //
 // The Transport of net/http isn't used, for three reasons. The bound on a
@@ -8,7 +8,7 @@
 // And certainty whether anything was written decides if a request may go
 // elsewhere, while Transport retries by its own rules and doesn't tell. The
 // parsing of answers is net/http's own.
-package causeway
+package upstream
 
 import (
 	"context"
@@ -87,8 +87,8 @@
 // Unwrap is the cause.
 func (f *Fault) Unwrap() error { return f.Err }
 
-// Causeway has the connections to all servers.
-type Causeway struct {
+// Client has the connections to all servers.
+type Client struct {
 	Dialled, Reused, Mismatched, Dirty atomic.Int64
 
 	words   Words
@@ -116,7 +116,7 @@
 }
 
 // New makes a client without connections.
-func New(words Words, set Settings) *Causeway {
+func New(words Words, set Settings) *Client {
 	standard := func(span *time.Duration, value time.Duration) {
 		if *span == 0 {
 			*span = value
@@ -132,14 +132,14 @@
 	if set.Clock == nil {
 		set.Clock = clockwork.NewRealClock()
 	}
-	return &Causeway{words: words, set: set, clock: set.Clock, servers: map[string]*server{},
+	return &Client{words: words, set: set, clock: set.Clock, servers: map[string]*server{},
 		dialer: net.Dialer{Timeout: set.DialWait, KeepAlive: -1, Control: userTimeout(set.UserTimeout)}}
 }
 
 // Do sends a request and gives its answer when the head has come; the caller
 // closes the answer. An error is a *Fault. Only a request of which nothing was
 // written over a kept connection is tried again, over another one.
-func (c *Causeway) Do(ctx context.Context, r Request) (*Answer, error) {
+func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
 	if err := c.check(r); err != nil {
 		return nil, &Fault{NotWritten, err}
 	}
@@ -165,7 +165,7 @@
 }
 
 // attempt tries one connection.
-func (c *Causeway) attempt(ctx context.Context, r Request) (*Answer, bool, *Fault) {
+func (c *Client) attempt(ctx context.Context, r Request) (*Answer, bool, *Fault) {
 	if ctx.Err() != nil {
 		return nil, false, &Fault{NotWritten, ctx.Err()}
 	}
@@ -205,7 +205,7 @@
 }
 
 // take finds a clean idle connection, or dials one within the bound.
-func (c *Causeway) take(ctx context.Context, address string, fresh bool) (*connection, bool, error) {
+func (c *Client) take(ctx context.Context, address string, fresh bool) (*connection, bool, error) {
 	for {
 		k, room, err := c.claim(address, fresh)
 		if err != nil {
@@ -228,7 +228,7 @@
 
 // claim takes the idle connection used last, or else room for a new one. A fresh
 // connection is wanted for a probe: an idle one is claimed only to make room.
-func (c *Causeway) claim(address string, fresh bool) (*connection, place, error) {
+func (c *Client) claim(address string, fresh bool) (*connection, place, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.server(address)
@@ -248,7 +248,7 @@
 	return nil, place{s, s.era}, nil
 }
 
-func (c *Causeway) dial(ctx context.Context, room place) (*connection, error) {
+func (c *Client) dial(ctx context.Context, room place) (*connection, error) {
 	conn, err := c.dialer.DialContext(ctx, "tcp", room.server.address)
 	if err != nil {
 		c.released(room.server)
@@ -260,7 +260,7 @@
 
 // keep puts a connection back for the next request, unless its server is gone
 // or has too many.
-func (c *Causeway) keep(k *connection, expiry time.Time) {
+func (c *Client) keep(k *connection, expiry time.Time) {
 	c.mu.Lock()
 	s := k.server
 	kept := k.era == s.era && s.open <= s.most && c.clock.Now().Before(expiry)
@@ -275,12 +275,12 @@
 }
 
 // drop closes a connection; only then is there room for another.
-func (c *Causeway) drop(k *connection) {
+func (c *Client) drop(k *connection) {
 	k.conn.Close()
 	c.released(k.server)
 }
 
-func (c *Causeway) released(s *server) {
+func (c *Client) released(s *server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.open--
@@ -288,7 +288,7 @@
 }
 
 // server finds or makes a server's pool; the lock is held.
-func (c *Causeway) server(address string) *server {
+func (c *Client) server(address string) *server {
 	s := c.servers[address]
 	if s == nil {
 		s = &server{address: address, most: c.set.MostOpen}
@@ -298,7 +298,7 @@
 }
 
 // tidy forgets a pool that has nothing to remember; the lock is held.
-func (c *Causeway) tidy(s *server) {
+func (c *Client) tidy(s *server) {
 	if s.open == 0 && !s.bounded {
 		delete(c.servers, s.address)
 	}
@@ -306,7 +306,7 @@
 
 // SetMost bounds the connections to one server; with 0 there are none. Idle
 // ones beyond the bound are closed now, those in use after their answers.
-func (c *Causeway) SetMost(address string, most int) {
+func (c *Client) SetMost(address string, most int) {
 	c.mu.Lock()
 	s := c.server(address)
 	s.most, s.bounded = most, true
@@ -319,7 +319,7 @@
 
 // Forget closes the idle connections to a server that is gone, and unsets its
 // bound; connections in use are closed after their answers.
-func (c *Causeway) Forget(address string) {
+func (c *Client) Forget(address string) {
 	c.mu.Lock()
 	s := c.servers[address]
 	if s == nil {
@@ -335,7 +335,7 @@
 }
 
 // Sweep closes idle connections past their time; the owner calls it now and then.
-func (c *Causeway) Sweep() {
+func (c *Client) Sweep() {
 	now := c.clock.Now()
 	var closing []*connection
 	c.mu.Lock()
@@ -354,14 +354,14 @@
 	c.dropAll(closing)
 }
 
-func (c *Causeway) dropAll(closing []*connection) {
+func (c *Client) dropAll(closing []*connection) {
 	for _, k := range closing {
 		c.drop(k)
 	}
 }
 
 // check refuses what can't be written as one whole request.
-func (c *Causeway) check(r Request) error {
+func (c *Client) check(r Request) error {
 	refuse := func(format string, args ...any) error {
 		return errs.New(errs.BadInput, "send a request that HTTP/1.1 can carry", format, args...)
 	}
--- a/path/causeway/causeway_test.go
+++ b/path/upstream/client_test.go
@@ -1,4 +1,4 @@
-package causeway
+package upstream
 
 import (
 	"bufio"
@@ -111,7 +111,7 @@
 	return Request{Address: address, Method: "POST", Target: "/v1/x?y=%2F", Host: "model", ID: id, Body: []byte("hello " + id)}
 }
 
-func do(t *testing.T, c *Causeway, r Request) *Answer {
+func do(t *testing.T, c *Client, r Request) *Answer {
 	t.Helper()
 	a, err := c.Do(t.Context(), r)
 	if err != nil {
@@ -139,7 +139,7 @@
 	return f
 }
 
-func counts(t *testing.T, c *Causeway, dialled, reused, mismatched, dirty int64) {
+func counts(t *testing.T, c *Client, dialled, reused, mismatched, dirty int64) {
 	t.Helper()
 	got := []int64{c.Dialled.Load(), c.Reused.Load(), c.Mismatched.Load(), c.Dirty.Load()}
 	if want := []int64{dialled, reused, mismatched, dirty}; fmt.Sprint(got) != fmt.Sprint(want) {
@@ -148,7 +148,7 @@
 }
 
 // readable waits until the idle connection has bytes or an end to read.
-func readable(t *testing.T, c *Causeway, address string) {
+func readable(t *testing.T, c *Client, address string) {
 	t.Helper()
 	raw, err := c.servers[address].idle[0].conn.SyscallConn()
 	if err != nil {
--- a/path/causeway/connection.go
+++ b/path/upstream/connection.go
@@ -1,4 +1,4 @@
-package causeway
+package upstream
 
 import (
 	"bufio"
@@ -86,7 +86,7 @@
 
 // appendHead writes the request's head. What frames the message is written here
 // alone, and so are the headers of Words.
-func (c *Causeway) appendHead(b []byte, r Request, left int64) []byte {
+func (c *Client) appendHead(b []byte, r Request, left int64) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -119,7 +119,7 @@
 }
 
 // own tells whether a header is never taken from the caller's.
-func (c *Causeway) own(name string, r Request) bool {
+func (c *Client) own(name string, r Request) bool {
 	for _, fixed := range []string{"Host", "Content-Length", "Transfer-Encoding", "Connection", c.words.RequestID, c.words.Instance, c.words.Deadline} {
 		if strings.EqualFold(name, fixed) {
 			return true
--- a/path/causeway/socket_linux.go
+++ b/path/upstream/socket_linux.go
@@ -1,4 +1,4 @@
-package causeway
+package upstream
 
 import (
 	"net"
--- a/path/causeway/socket_other.go
+++ b/path/upstream/socket_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package causeway
+package upstream
 
 import (
 	"net"
--- a/proof/hollow/bench_test.go
+++ b/proof/capacitymodel/bench_test.go
@@ -1,4 +1,4 @@
-package hollow
+package capacitymodel
 
 import (
 	"encoding/gob"
@@ -18,8 +18,8 @@
 	"tuliprudder/ledger/token"
 	"tuliprudder/membership/gossip"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/dispatch"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
+	"tuliprudder/path/scheduler"
 	"tuliprudder/path/scouts"
 )
 
@@ -106,21 +106,21 @@
 	return plan
 }
 
-func backlog(b *testing.B, servers, running int) *dispatch.Dispatch {
-	d := dispatch.New(dispatch.Defaults(), 1)
+func backlog(b *testing.B, servers, running int) *scheduler.Scheduler {
+	d := scheduler.New(scheduler.Defaults(), 1)
 	d.SetPlan(plan(b), 1)
 	d.SetFresh(1)
 	for _, s := range New(Settings{Servers: int64(servers), Zones: 11, Regions: 3}).servers {
 		d.SetServer(s.word)
-		d.SetLoad(s.word.Name, 1, roster.Load{Running: running, Sound: true, At: 1})
+		d.SetLoad(s.word.Name, 1, registry.Load{Running: running, Sound: true, At: 1})
 	}
 	return d
 }
 
-func order(b *testing.B, d *dispatch.Dispatch, i int) *dispatch.Order {
+func order(b *testing.B, d *scheduler.Scheduler, i int) *scheduler.Order {
 	route, _ := d.Plan().Route("route-000")
-	return &dispatch.Order{ID: fmt.Sprint(i), Customer: "tenant-001", Route: route, Rank: 100, Prefix: fmt.Sprint(i % 100), Expiry: 1 << 40,
-		Start: func(grip *dispatch.Grip, now clock.Micros) { grip.Release(1000, true, now) }, Drop: func(error, clock.Micros) {}}
+	return &scheduler.Order{ID: fmt.Sprint(i), Customer: "tenant-001", Route: route, Rank: 100, Prefix: fmt.Sprint(i % 100), Expiry: 1 << 40,
+		Start: func(grip *scheduler.Grip, now clock.Micros) { grip.Release(1000, true, now) }, Drop: func(error, clock.Micros) {}}
 }
 
 // Choosing a server for one order.
@@ -153,7 +153,7 @@
 			b.ResetTimer()
 			began := processCPU()
 			for i := range b.N {
-				d.SetLoad("server-0001", 1, roster.Load{Running: 100, Sound: true, At: clock.Micros(i + 2)})
+				d.SetLoad("server-0001", 1, registry.Load{Running: 100, Sound: true, At: clock.Micros(i + 2)})
 				d.Settle(2)
 			}
 			report(b, began, 1, "cpu-µs/figure")
@@ -167,7 +167,7 @@
 		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
 			var folk []identity.Person
 			for i := range size[1] {
-				folk = append(folk, identity.Person{ID: fmt.Sprintf("trailhead-%03d.1", i), Kind: identity.Trailhead, Zone: "zone-01", Peer: "10.0.0.1:7100"})
+				folk = append(folk, identity.Person{ID: fmt.Sprintf("trailhead-%03d.1", i), Kind: identity.Edge, Zone: "zone-01", Peer: "10.0.0.1:7100"})
 			}
 			wire := machine.NewWire()
 			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []identity.Person { return folk })
@@ -186,7 +186,7 @@
 func BenchmarkCompareDigest(b *testing.B) {
 	for _, servers := range []int{60, 960, 5500} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
-			c := gossip.New(identity.Person{ID: "x", Kind: identity.Trailhead, Peer: "p", Incarnation: 1}, nil, gossip.Defaults(), 1)
+			c := gossip.New(identity.Person{ID: "x", Kind: identity.Edge, Peer: "p", Incarnation: 1}, nil, gossip.Defaults(), 1)
 			known := map[string]gossip.Mark{}
 			var told []machine.Rumour
 			for i := range servers {
--- a/proof/hollow/daemon.go
+++ b/proof/capacitymodel/daemon.go
@@ -1,4 +1,4 @@
-package hollow
+package capacitymodel
 
 import (
 	"encoding/json"
@@ -8,18 +8,18 @@
 	"tuliprudder/core/config"
 	"tuliprudder/core/control"
 	"tuliprudder/core/state"
-	"tuliprudder/daemon/planes"
-	"tuliprudder/daemon/porter"
+	"tuliprudder/daemon/eventloop"
+	"tuliprudder/daemon/machines"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/store"
 	"tuliprudder/membership/gossip"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/roster"
-	"tuliprudder/path/runner"
+	"tuliprudder/path/execution"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/registry"
 	"tuliprudder/path/scouts"
-	"tuliprudder/path/serverline"
 )
 
 // tickEvery is the porter's.
@@ -37,10 +37,10 @@
 	booted        clock.Micros
 	era           int
 	up            bool
-	circle        *gossip.Circle
-	machine       porter.Machine
-	summit        *control.Summit
-	keeper        *store.Keeper
+	gossip        *gossip.Node
+	machine       eventloop.Machine
+	core          *control.Core
+	keeper        *store.Store
 	calls         map[uint64]func(machine.Answer)
 	lines         []*line
 	asks          map[*daemon]*line
@@ -101,31 +101,31 @@
 	d.era++
 	d.life++
 	d.up, d.booted = true, f.Now
-	if d.kind == identity.Trailhead {
+	if d.kind == identity.Edge {
 		d.life = uint64(f.Now)
 		d.id = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, d.era)
 	}
 	d.calls, d.asks, d.hollow = map[uint64]func(machine.Answer){}, map[*daemon]*line{}, map[string]loadMark{}
 	d.planVersion, d.phase = 0, f.between(0, 100*clock.Millisecond)
-	d.circle = gossip.New(d.person(), f.seeds, gossip.Defaults(), f.chance.Int63())
+	d.gossip = gossip.New(d.person(), f.seeds, gossip.Defaults(), f.chance.Int63())
 	switch {
-	case d.kind == identity.Cairn:
+	case d.kind == identity.Core:
 		set := control.Defaults()
 		set.Slots, set.CheckPlan = int(f.Set.Slots), config.Check
-		d.summit = control.New(control.CoreRef{ID: d.id, Peer: d.peer, Zone: d.zone}, d.life, f.seeds, set, d.disk.durable)
-		d.machine = planes.NewCore(d.summit)
-	case d.kind == identity.Refuge:
+		d.core = control.New(control.CoreRef{ID: d.id, Peer: d.peer, Zone: d.zone}, d.life, f.seeds, set, d.disk.durable)
+		d.machine = machines.NewCore(d.core)
+	case d.kind == identity.Store:
 		if d.disk.shelf == nil {
 			d.disk.shelf = shelf{}
 		}
 		set := store.Defaults()
 		d.keeper = store.New(store.Self{ID: d.id, Zone: d.zone, Peer: d.peer, Life: d.life}, set, d.disk.durable, d.disk.shelf)
-		d.machine = planes.NewLedger(d.id, d.keeper, set.MostItems, f.chance.Int63())
+		d.machine = machines.NewLedger(d.id, d.keeper, set.MostItems, f.chance.Int63())
 	case d.whole:
-		d.machine = planes.NewEdge(d.id, planes.EdgeDefaults(), f.chance.Int63())
+		d.machine = machines.NewEdge(d.id, machines.EdgeDefaults(), f.chance.Int63())
 	}
 	d.step(func() {
-		d.do(d.circle.Drain())
+		d.do(d.gossip.Drain())
 		if len(told) > 0 {
 			d.acquaint(told)
 		}
@@ -137,7 +137,7 @@
 			return
 		}
 		d.step(func() {
-			d.do(d.circle.Do(gossip.ClockEvent{}, f.Now))
+			d.do(d.gossip.Do(gossip.ClockEvent{}, f.Now))
 			if d.machine != nil {
 				d.do(d.machine.ClockEvent(f.Now))
 			}
@@ -153,7 +153,7 @@
 	f := d.fleet
 	for range 6 {
 		other := f.daemons[f.chance.Intn(len(f.daemons))]
-		d.do(d.circle.Do(gossip.Letter{From: other.peer, Body: gossip.Gossip{}}, f.Now))
+		d.do(d.gossip.Do(gossip.Letter{From: other.peer, Body: gossip.Gossip{}}, f.Now))
 	}
 	d.learn(told)
 }
@@ -161,8 +161,8 @@
 // learn takes news in that everybody is told at this moment, and passes none on.
 func (d *daemon) learn(told []machine.Rumour) {
 	f := d.fleet
-	d.do(d.circle.Do(gossip.Letter{Body: gossip.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
-	for _, effect := range d.circle.Do(gossip.ClockEvent{}, f.Now) {
+	d.do(d.gossip.Do(gossip.Letter{Body: gossip.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
+	for _, effect := range d.gossip.Do(gossip.ClockEvent{}, f.Now) {
 		if _, sends := effect.(machine.Send); !sends {
 			d.do([]machine.Effect{effect})
 		}
@@ -191,7 +191,7 @@
 func (d *daemon) letter(from string, body any) {
 	switch body.(type) {
 	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
-		d.do(d.circle.Do(gossip.Letter{From: from, Body: body}, d.fleet.Now))
+		d.do(d.gossip.Do(gossip.Letter{From: from, Body: body}, d.fleet.Now))
 	default:
 		if d.machine != nil {
 			d.do(d.machine.Letter(from, body, d.fleet.Now))
@@ -221,9 +221,9 @@
 				back(e)
 			}
 		case machine.Publish:
-			d.do(d.circle.Do(gossip.Tell{Rumour: e.Rumour}, f.Now))
+			d.do(d.gossip.Do(gossip.Tell{Rumour: e.Rumour}, f.Now))
 		case machine.Spread:
-			d.do(d.circle.Do(gossip.Spread(e), f.Now))
+			d.do(d.gossip.Do(gossip.Spread(e), f.Now))
 		case machine.Heard:
 			if e.Rumour.Key == state.PlanKey && e.Rumour.Seq > d.planVersion {
 				d.planVersion = e.Rumour.Seq
@@ -323,10 +323,10 @@
 		f.count(d).looks++
 		running := f.running(o.Name)
 		later(f.between(500, 2500), scouts.Looked{Look: o, Running: running, Sound: true, Began: f.Now})
-	case runner.Run:
+	case execution.Run:
 		span := f.between(100, 300) * clock.Millisecond
-		later(span/8, runner.Began{Token: o.Token})
-		later(span, runner.Ran{Token: o.Token, Outcome: serverline.Complete, Output: itemOutput})
+		later(span/8, execution.Began{Token: o.Token})
+		later(span, execution.Ran{Token: o.Token, Outcome: modelclient.Complete, Output: itemOutput})
 	}
 }
 
@@ -367,7 +367,7 @@
 // 400 ms, four times as often for a server that is at least half full.
 func (d *daemon) read(s *hollowServer) {
 	f, era := d.fleet, d.era
-	every := planes.EdgeDefaults().ScoutEvery
+	every := machines.EdgeDefaults().ScoutEvery
 	if s.busy {
 		every /= 4
 	}
@@ -382,8 +382,8 @@
 				own = loadMark{epoch: mark.epoch + 1}
 			}
 			own.seq++
-			value, _ := json.Marshal(roster.Load{Running: f.running(name), Sound: true, At: f.Now, By: d.id})
-			d.do(d.circle.Do(gossip.Tell{Rumour: machine.Rumour{Key: roster.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
+			value, _ := json.Marshal(registry.Load{Running: f.running(name), Sound: true, At: f.Now, By: d.id})
+			d.do(d.gossip.Do(gossip.Tell{Rumour: machine.Rumour{Key: registry.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
 		})
 	}
 	var once func()
@@ -396,6 +396,6 @@
 		f.after(every, once)
 	}
 	// An edge sends for all that is due at once, every quarter of the span.
-	beat := planes.EdgeDefaults().ScoutEvery / 4
+	beat := machines.EdgeDefaults().ScoutEvery / 4
 	f.after((beat-f.Now%beat+d.phase)%beat, once)
 }
--- a/proof/hollow/fleet.go
+++ b/proof/capacitymodel/fleet.go
@@ -1,10 +1,10 @@
-// Package hollow is the hollow fleet: the decision machines of many daemons in
+// Package capacitymodel is the hollow fleet: the decision machines of many daemons in
 // one process under virtual time, with real messages by the real codec, to
 // measure what control costs at sizes that no test machine has room for
 // (docs/CAPACITY.md). Servers are hollow: figures without an engine. Edges may
 // be hollow beyond a number: they have their acquaintance and their duties, but
 // no backlog and no accounts.
-package hollow
+package capacitymodel
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 
 	"tuliprudder/kernel/clock"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
 )
 
 // Settings of one run.
@@ -91,7 +91,7 @@
 
 // hollowServer is a server's figures without an engine.
 type hollowServer struct {
-	word   roster.Server
+	word   registry.Server
 	busy   bool
 	reader *daemon // the hollow edge that reads it
 	era    int
@@ -139,16 +139,16 @@
 			d.id = fmt.Sprintf("%s-%03d", kind, i+1)
 			f.daemons = append(f.daemons, d)
 			f.byPeer[d.peer] = d
-			if kind == identity.Cairn && len(f.seeds) < 3 {
+			if kind == identity.Core && len(f.seeds) < 3 {
 				f.seeds = append(f.seeds, d.peer)
 			}
 		}
 	}
-	add(identity.Cairn, set.Cores, set.Cores)
-	add(identity.Refuge, set.Stores, set.Stores)
-	add(identity.Trailhead, set.Edges(), set.WholeEdges)
+	add(identity.Core, set.Cores, set.Cores)
+	add(identity.Store, set.Stores, set.Stores)
+	add(identity.Edge, set.Edges(), set.WholeEdges)
 	for i := int64(0); i < set.Servers; i++ {
-		f.servers = append(f.servers, &hollowServer{busy: i*100 < set.Busy*set.Servers, word: roster.Server{
+		f.servers = append(f.servers, &hollowServer{busy: i*100 < set.Busy*set.Servers, word: registry.Server{
 			Name: fmt.Sprintf("server-%04d", i+1), Address: fmt.Sprintf("http://10.%d.%d.%d:8000", 100+i%set.Zones, i/200, 1+i%200), Slots: 64,
 			Labels: map[string]string{"fleet": "main", "model": fmt.Sprintf("model-%02d", i%20), "zone": fmt.Sprintf("zone-%02d", i%set.Zones+1)}}})
 	}
@@ -192,7 +192,7 @@
 func (f *Fleet) primary() *daemon {
 	var best *daemon
 	for _, d := range f.daemons {
-		if d.summit != nil && d.up && d.summit.Serving() && (best == nil || d.summit.Oath().Granted > best.summit.Oath().Granted) {
+		if d.core != nil && d.up && d.core.Serving() && (best == nil || d.core.Oath().Granted > best.core.Oath().Granted) {
 			best = d
 		}
 	}
@@ -201,16 +201,16 @@
 
 func (f *Fleet) settled() bool {
 	p := f.primary()
-	if p == nil || len(p.summit.Chart().Slots) == 0 {
+	if p == nil || len(p.core.State().Slots) == 0 {
 		return false
 	}
-	for _, pairing := range p.summit.Chart().Slots {
+	for _, pairing := range p.core.State().Slots {
 		if !pairing.Complete {
 			return false
 		}
 	}
 	for _, d := range f.daemons {
-		if d.circle.LastSwap() == 0 || f.Now-d.circle.LastSwap() > staleAfter {
+		if d.gossip.LastSwap() == 0 || f.Now-d.gossip.LastSwap() > staleAfter {
 			return false
 		}
 	}
@@ -231,7 +231,7 @@
 		if !d.up {
 			continue
 		}
-		age := f.Now - max(d.circle.LastSwap(), d.booted)
+		age := f.Now - max(d.gossip.LastSwap(), d.booted)
 		f.stale.ages = append(f.stale.ages, age)
 		if age > staleAfter {
 			f.stale.stale++
@@ -260,13 +260,13 @@
 func (f *Fleet) duties() map[string][]*hollowServer {
 	var folk []identity.Person
 	for _, d := range f.daemons {
-		if d.kind == identity.Trailhead && d.up {
+		if d.kind == identity.Edge && d.up {
 			folk = append(folk, d.person())
 		}
 	}
 	out := map[string][]*hollowServer{}
 	for _, s := range f.servers {
-		first := roster.First("load/"+s.word.Name, folk, identity.Trailhead)
+		first := registry.First("load/"+s.word.Name, folk, identity.Edge)
 		out[first] = append(out[first], s)
 	}
 	return out
--- a/proof/hollow/meter.go
+++ b/proof/capacitymodel/meter.go
@@ -1,4 +1,4 @@
-package hollow
+package capacitymodel
 
 import (
 	"fmt"
@@ -40,9 +40,9 @@
 	switch {
 	case d == f.leader:
 		return "primary"
-	case d.kind == identity.Cairn:
+	case d.kind == identity.Core:
 		return "core"
-	case d.kind == identity.Refuge:
+	case d.kind == identity.Store:
 		return "store"
 	case d == f.holder:
 		return "duty"
--- a/proof/hollow/hollow_test.go
+++ b/proof/capacitymodel/model_test.go
@@ -1,4 +1,4 @@
-package hollow
+package capacitymodel
 
 import (
 	"encoding/gob"
@@ -66,7 +66,7 @@
 	}
 	for _, role := range []string{"duty", "store", "core", "primary"} {
 		f := r.Roles[role]
-		if f.Messages <= 0 || f.Bytes <= 0 || f.CPU <= 0 || f.Heap <= 0 || f.Kinds["circle.Digest"] == nil {
+		if f.Messages <= 0 || f.Bytes <= 0 || f.CPU <= 0 || f.Heap <= 0 || f.Kinds["gossip.Digest"] == nil {
 			t.Fatalf("%s: %+v", role, *f)
 		}
 	}
--- a/proof/hollow/rounds.go
+++ b/proof/capacitymodel/rounds.go
@@ -1,4 +1,4 @@
-package hollow
+package capacitymodel
 
 import (
 	"encoding/json"
@@ -67,7 +67,7 @@
 	}
 	body := f.document(f.plan.put)
 	f.plan.bytes = len(body)
-	latest, _ := p.summit.Chart().Latest()
+	latest, _ := p.core.State().Latest()
 	version := latest.Number + 1
 	for f.plan.pending[version] != nil {
 		version++
@@ -124,11 +124,11 @@
 func (f *Fleet) hand() {
 	p := f.primary()
 	f.bundles.handed++
-	if p == nil || len(p.summit.Chart().Slots) == 0 {
+	if p == nil || len(p.core.State().Slots) == 0 {
 		f.bundles.refused++
 		return
 	}
-	slots := p.summit.Chart().Slots
+	slots := p.core.State().Slots
 	id := fmt.Sprintf("bundle-%d-%d", f.Set.Seed, f.bundles.handed)
 	slot := shard.SlotOf(id, len(slots))
 	var keeper, edge *daemon
@@ -136,7 +136,7 @@
 		if d.id == slots[slot].Owner.ID && d.up {
 			keeper = d
 		}
-		if d.kind == identity.Trailhead && d.up && (edge == nil || f.chance.Intn(4) == 0) {
+		if d.kind == identity.Edge && d.up && (edge == nil || f.chance.Intn(4) == 0) {
 			edge = d
 		}
 	}
--- a/proof/hollow/run.go
+++ b/proof/capacitymodel/run.go
@@ -1,4 +1,4 @@
-package hollow
+package capacitymodel
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
 )
 
 // Figures are one role's, per daemon and second of virtual time.
@@ -140,14 +140,14 @@
 func (f *Fleet) boot() {
 	var told []machine.Rumour
 	for _, d := range f.daemons {
-		if d.kind == identity.Trailhead {
+		if d.kind == identity.Edge {
 			d.id, d.life = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, 1), uint64(f.Now)
 		} else {
 			d.life = 1
 		}
 		person := d.person()
 		told = append(told, machine.Rumour{Key: identity.Key(d.id), Epoch: d.life, Seq: person.Seq(), Value: person.Encode()})
-		if d.kind != identity.Trailhead {
+		if d.kind != identity.Edge {
 			d.life = 0
 		}
 	}
@@ -163,7 +163,7 @@
 func (f *Fleet) words() []machine.Rumour {
 	var out []machine.Rumour
 	for _, s := range f.servers {
-		out = append(out, roster.Word(s.word, machine.Rumour{}, f.Now))
+		out = append(out, registry.Word(s.word, machine.Rumour{}, f.Now))
 	}
 	return out
 }
@@ -173,7 +173,7 @@
 	f.charge(nil)
 	f.leader = f.primary()
 	for _, d := range f.daemons {
-		if d.kind == identity.Trailhead && d.whole && (f.holder == nil || d.duty > f.holder.duty) {
+		if d.kind == identity.Edge && d.whole && (f.holder == nil || d.duty > f.holder.duty) {
 			f.holder = d
 		}
 	}
@@ -206,8 +206,8 @@
 
 func (f *Fleet) suspicions() (suspected, refuted int64) {
 	for _, d := range f.daemons {
-		if d.circle != nil {
-			suspected, refuted = suspected+d.circle.Suspected, refuted+d.circle.Refuted
+		if d.gossip != nil {
+			suspected, refuted = suspected+d.gossip.Suspected, refuted+d.gossip.Refuted
 		}
 	}
 	return suspected, refuted
@@ -240,7 +240,7 @@
 			for _, d := range f.daemons {
 				if d.up && !in(d) {
 					all++
-					if f.Now-d.circle.LastSwap() > staleAfter {
+					if f.Now-d.gossip.LastSwap() > staleAfter {
 						stale++
 					}
 				}
@@ -294,7 +294,7 @@
 	for _, role := range Roles {
 		for _, d := range f.daemons {
 			if roles[d] == role {
-				d.circle, d.machine, d.summit, d.keeper, d.hollow = nil, nil, nil, nil, nil
+				d.gossip, d.machine, d.core, d.keeper, d.hollow = nil, nil, nil, nil, nil
 			}
 		}
 		if counts[role] == 0 {
--- a/proof/hollow/table.go
+++ b/proof/capacitymodel/table.go
@@ -1,4 +1,4 @@
-package hollow
+package capacitymodel
 
 import (
 	"encoding/csv"
--- a/proof/havoc/havoc.go
+++ b/proof/faultinject/faults.go
@@ -1,6 +1,6 @@
-// Package havoc takes a running fleet through a failure while callers call, and
+// Package faultinject takes a running fleet through a failure while callers call, and
 // judges (DESIGN §9).
-package havoc
+package faultinject
 
 import (
 	"context"
@@ -16,8 +16,8 @@
 
 	"tuliprudder/core/state"
 	"tuliprudder/kernel/settings"
-	"tuliprudder/proof/callers"
-	"tuliprudder/proof/camp"
+	"tuliprudder/proof/localfleet"
+	"tuliprudder/proof/verify"
 )
 
 // Settings of a run; a deployment's file gives most.
@@ -81,23 +81,23 @@
 }
 
 // Spec is the fleet the settings describe.
-func (s *Settings) Spec() camp.Spec {
-	return camp.Spec{Name: s.Name, Zones: int(s.Zones), Edges: int(s.Edges), Stores: int(s.Stores), Cores: int(s.Cores), Servers: int(s.Servers),
+func (s *Settings) Spec() localfleet.Spec {
+	return localfleet.Spec{Name: s.Name, Zones: int(s.Zones), Edges: int(s.Edges), Stores: int(s.Stores), Cores: int(s.Cores), Servers: int(s.Servers),
 		Items: int(s.Items), Plan: s.Plan, Pieces: int(s.Pieces), PieceUS: s.PieceUS, Slots: int(s.Slots)}
 }
 
 // Tour is the callers the settings describe.
-func (s *Settings) Tour(edges func() []string) *callers.Tour {
-	return &callers.Tour{Edges: edges, Seed: s.Seed, LiveKeys: strings.Split(s.LiveKeys, ","), BundleKey: s.BundleKey, BundleRoute: s.BundleRoute,
+func (s *Settings) Tour(edges func() []string) *verify.Tour {
+	return &verify.Tour{Edges: edges, Seed: s.Seed, LiveKeys: strings.Split(s.LiveKeys, ","), BundleKey: s.BundleKey, BundleRoute: s.BundleRoute,
 		Items: int(s.Items), Pieces: int(s.Pieces), LiveWorkers: int(s.Workers), Bundles: int(s.Bundles), Pace: time.Duration(s.PaceUS) * time.Microsecond, Patience: s.Patience}
 }
 
 type scene struct {
 	ctx    context.Context
-	c      *camp.Camp
+	c      *localfleet.Camp
 	set    Settings
-	leaves []callers.Leave
-	tours  []*callers.Tour // others' than the run's own
+	leaves []verify.Leave
+	tours  []*verify.Tour // others' than the run's own
 }
 
 // faults are the failures that can be caused, by name.
@@ -147,7 +147,7 @@
 }
 
 // Run lets callers call, causes the failure, and judges.
-func Run(ctx context.Context, c *camp.Camp, set Settings) (callers.Verdict, error) {
+func Run(ctx context.Context, c *localfleet.Camp, set Settings) (verify.Verdict, error) {
 	tour := set.Tour(func() []string {
 		var out []string
 		for _, name := range c.Names("trailhead") {
@@ -171,18 +171,18 @@
 	}
 	<-done
 	if failed != nil {
-		return callers.Verdict{}, errors.Wrap(failed, "causing the failure")
+		return verify.Verdict{}, errors.Wrap(failed, "causing the failure")
 	}
 	if err := readBack(c); err != nil {
-		return callers.Verdict{}, err
+		return verify.Verdict{}, err
 	}
 	var files []string
 	for _, name := range c.Names("scree") {
 		files = append(files, c.StartsFile(name))
 	}
-	starts, err := callers.ReadStarts(files)
+	starts, err := verify.ReadStarts(files)
 	if err != nil {
-		return callers.Verdict{}, err
+		return verify.Verdict{}, err
 	}
 	verdict := tour.Judge(starts, s.leaves)
 	verdict.Promises = append(verdict.Promises, office(), accounts())
@@ -210,7 +210,7 @@
 
 // unseen makes a breach of every promise that the run had to put to the test and
 // did not: a verdict of nothing proves nothing.
-func unseen(promises []callers.Promise, fault string) {
+func unseen(promises []verify.Promise, fault string) {
 	for i := range promises {
 		p := &promises[i]
 		must := true
@@ -226,9 +226,9 @@
 }
 
 // readBack reads every plan version back at the end of the day.
-func readBack(c *camp.Camp) error {
+func readBack(c *localfleet.Camp) error {
 	edge := c.Names("trailhead")[0]
-	return camp.Until(15*time.Second, func() error {
+	return localfleet.Until(15*time.Second, func() error {
 		var list struct {
 			Plans []struct {
 				Version uint64 `json:"version"`
@@ -384,7 +384,7 @@
 	if err := s.c.Ask(edges[len(edges)-1], http.MethodPost, "/v1/operator/servers/"+name+"/leaving", []byte(`{"leaving":true}`), nil); err != nil {
 		return err
 	}
-	s.leaves = append(s.leaves, callers.Leave{Server: name, From: time.Now().UnixMicro()})
+	s.leaves = append(s.leaves, verify.Leave{Server: name, From: time.Now().UnixMicro()})
 	return nil
 }
 
@@ -495,7 +495,7 @@
 		return err
 	}
 	peer := s.c.Get("store-new").Peer
-	return camp.Until(60*time.Second, func() error {
+	return localfleet.Until(60*time.Second, func() error {
 		var m state.Map
 		if err := s.ask("/v1/operator/map", &m); err != nil {
 			return err
@@ -544,7 +544,7 @@
 		}
 		return nil
 	}
-	if err := camp.Until(60*time.Second, func() error { return empty(byName[name]) }); err != nil {
+	if err := localfleet.Until(60*time.Second, func() error { return empty(byName[name]) }); err != nil {
 		return err
 	}
 	s.c.Kill(name)
@@ -577,7 +577,7 @@
 		if err != nil {
 			return err
 		}
-		if err := camp.Until(60*time.Second, func() error {
+		if err := localfleet.Until(60*time.Second, func() error {
 			var core state.CoreNews
 			if err := s.ask("/v1/operator/core", &core); err != nil {
 				return err
@@ -604,10 +604,10 @@
 	if err := s.c.Run(edges[0]); err != nil {
 		return err
 	}
-	if err := camp.Until(60*time.Second, func() error { return s.c.Ask(store, http.MethodGet, "/ready", nil, nil) }); err != nil {
+	if err := localfleet.Until(60*time.Second, func() error { return s.c.Ask(store, http.MethodGet, "/ready", nil, nil) }); err != nil {
 		return errors.Wrap(err, "the store with its old seeds")
 	}
-	return camp.Until(60*time.Second, func() error { return s.c.Ask(edges[0], http.MethodGet, "/ready", nil, nil) })
+	return localfleet.Until(60*time.Second, func() error { return s.c.Ask(edges[0], http.MethodGet, "/ready", nil, nil) })
 }
 
 // roll replaces servers one by one, as a release does: marked as leaving, left
@@ -623,13 +623,13 @@
 		if err := mark(true); err != nil {
 			return err
 		}
-		leave := callers.Leave{Server: name, From: time.Now().UnixMicro()}
+		leave := verify.Leave{Server: name, From: time.Now().UnixMicro()}
 		s.wait(4 * time.Second)
 		s.c.Kill(name)
 		if err := s.c.Run(name); err != nil {
 			return err
 		}
-		if err := camp.Until(30*time.Second, func() error { return s.c.Ask(name, http.MethodGet, "/health", nil, nil) }); err != nil {
+		if err := localfleet.Until(30*time.Second, func() error { return s.c.Ask(name, http.MethodGet, "/health", nil, nil) }); err != nil {
 			return err
 		}
 		leave.To = time.Now().UnixMicro()
@@ -664,7 +664,7 @@
 			if err := s.c.Run(name); err != nil {
 				return err
 			}
-			if err := camp.Until(60*time.Second, func() error { return s.c.Ask(name, http.MethodGet, "/ready", nil, nil) }); err != nil {
+			if err := localfleet.Until(60*time.Second, func() error { return s.c.Ask(name, http.MethodGet, "/ready", nil, nil) }); err != nil {
 				return errors.Wrap(err, name)
 			}
 			s.wait(time.Second)
--- a/proof/havoc/figures.go
+++ b/proof/faultinject/figures.go
@@ -1,17 +1,17 @@
-package havoc
+package faultinject
 
 import (
 	"fmt"
 	"net/http"
 	"strings"
 
-	"tuliprudder/proof/camp"
+	"tuliprudder/proof/localfleet"
 )
 
 var kindWords = map[string]string{"trailhead": "edge", "refuge": "store", "cairn": "core"}
 
 // Figures adds up what the daemons counted, for the measurements page.
-func Figures(c *camp.Camp) string {
+func Figures(c *localfleet.Camp) string {
 	var out strings.Builder
 	sums := map[string]int64{}
 	for _, kind := range []string{"trailhead", "refuge", "cairn"} {
--- a/proof/havoc/office.go
+++ b/proof/faultinject/office.go
@@ -1,4 +1,4 @@
-package havoc
+package faultinject
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 	"sync"
 	"time"
 
-	"tuliprudder/proof/callers"
-	"tuliprudder/proof/camp"
+	"tuliprudder/proof/localfleet"
+	"tuliprudder/proof/verify"
 )
 
 // operate puts whole plans all the while, now and then two at once, and watches
 // that each is in force everywhere within 2 s and that nobody goes back. The
 // returned function ends it and gives the verdict.
-func operate(ctx context.Context, c *camp.Camp) func() callers.Promise {
+func operate(ctx context.Context, c *localfleet.Camp) func() verify.Promise {
 	ctx, cancel := context.WithCancel(ctx)
-	p := callers.Promise{Name: "a confirmed plan is in force within 2 s, never slips back, reads back", Timed: true}
+	p := verify.Promise{Name: "a confirmed plan is in force within 2 s, never slips back, reads back", Timed: true}
 	var mu sync.Mutex
 	confirmed := map[uint64]string{}
 	seen := map[string]uint64{}
@@ -107,14 +107,14 @@
 			}
 		}
 	}()
-	return func() callers.Promise {
+	return func() verify.Promise {
 		cancel()
 		<-done
 		for version, body := range confirmed {
 			var got struct {
 				Plan json.RawMessage `json:"plan"`
 			}
-			err := camp.Until(15*time.Second, func() error {
+			err := localfleet.Until(15*time.Second, func() error {
 				return c.Ask(c.Names("trailhead")[0], http.MethodGet, fmt.Sprintf("/v1/operator/plans/%d", version), nil, &got)
 			})
 			if err != nil || string(got.Plan) != body {
@@ -127,9 +127,9 @@
 }
 
 // audit adds up what waits of each customer over all daemons.
-func audit(ctx context.Context, c *camp.Camp) func() callers.Promise {
+func audit(ctx context.Context, c *localfleet.Camp) func() verify.Promise {
 	ctx, cancel := context.WithCancel(ctx)
-	p := callers.Promise{Name: "a customer's waiting work stays within its allowance, by about a tenth"}
+	p := verify.Promise{Name: "a customer's waiting work stays within its allowance, by about a tenth"}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -169,5 +169,5 @@
 			}
 		}
 	}()
-	return func() callers.Promise { cancel(); <-done; return p }
+	return func() verify.Promise { cancel(); <-done; return p }
 }
--- a/proof/camp/camp.go
+++ b/proof/localfleet/localfleet.go
@@ -1,7 +1,7 @@
-// Package camp runs a whole fleet on one machine (DESIGN §9): every daemon a
+// Package localfleet runs a whole fleet on one machine (DESIGN §9): every daemon a
 // process with an address of its own, every link through a relay, with kills,
 // freezes, wiped folders and cuts.
-package camp
+package localfleet
 
 import (
 	"bytes"
@@ -21,7 +21,7 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/proof/relay"
+	"tuliprudder/proof/netproxy"
 )
 
 // Spec is a deployment: sizes, and where its plan is.
@@ -56,7 +56,7 @@
 	Spec    Spec
 	Dir     string
 	Bin     string
-	Net     *relay.Net
+	Net     *netproxy.Net
 	mu      sync.Mutex
 	daemons map[string]*Daemon
 	octet   int
@@ -65,7 +65,7 @@
 
 // New makes a camp in a folder, with the programs in bin.
 func New(spec Spec, dir, bin string) *Camp {
-	return &Camp{Spec: spec, Dir: dir, Bin: bin, Net: relay.New(), daemons: map[string]*Daemon{}, octet: 1 + os.Getpid()%250}
+	return &Camp{Spec: spec, Dir: dir, Bin: bin, Net: netproxy.New(), daemons: map[string]*Daemon{}, octet: 1 + os.Getpid()%250}
 }
 
 // Build builds the daemons' programs into a folder, with more words for the
--- a/proof/camp/camp_test.go
+++ b/proof/localfleet/localfleet_test.go
@@ -1,4 +1,4 @@
-package camp_test
+package localfleet_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"tuliprudder/proof/camp"
-	"tuliprudder/proof/havoc"
+	"tuliprudder/proof/faultinject"
+	"tuliprudder/proof/localfleet"
 )
 
 // A small real fleet of processes, with a failure on the way; every promise is
@@ -27,15 +27,15 @@
 		t.Fatal(err)
 	}
 	bin := filepath.Join(t.TempDir(), "bin")
-	if err := camp.Build(root, bin); err != nil {
+	if err := localfleet.Build(root, bin); err != nil {
 		t.Fatal(err)
 	}
 	badSettings(t, bin)
 	for _, fault := range []string{"kill-writer", "wipe-writer", "freeze-store", "kill-primary", "restart-edge", "leave-server", "retire-store"} {
 		t.Run(fault, func(t *testing.T) {
-			set := havoc.Settings{Name: fault, Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 2, Stores: 3, Cores: 3, Servers: 3, Items: 10,
+			set := faultinject.Settings{Name: fault, Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 2, Stores: 3, Cores: 3, Servers: 3, Items: 10,
 				Slots: 8, Pieces: 6, PieceUS: 4000, LiveKeys: "key-buyers,key-sellers", BundleKey: "key-notes", BundleRoute: "seller-notes", Workers: 4, Bundles: 16, PaceUS: 400_000, Seed: 1, Fault: fault}
-			c := camp.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
+			c := localfleet.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
 			defer c.End()
 			if err := c.Start(); err != nil {
 				t.Fatal(err)
@@ -45,7 +45,7 @@
 			if err := c.Ready(90 * time.Second); err != nil {
 				t.Fatal(err, tails(c))
 			}
-			verdict, err := havoc.Run(ctx, c, set)
+			verdict, err := faultinject.Run(ctx, c, set)
 			if err != nil {
 				t.Fatal(err, tails(c))
 			}
@@ -88,15 +88,15 @@
 		t.Fatal(err)
 	}
 	bin := filepath.Join(t.TempDir(), "bin")
-	if err := camp.Build(root, bin, "-tags", "planted"); err != nil {
+	if err := localfleet.Build(root, bin, "-tags", "planted"); err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("TULIPRUDDER_PLANT", "one-disk")
 	for zone := 1; zone <= 3; zone++ {
-		set := havoc.Settings{Name: "planted", Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 3, Stores: 3, Cores: 3, Servers: 3, Items: 10,
+		set := faultinject.Settings{Name: "planted", Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 3, Stores: 3, Cores: 3, Servers: 3, Items: 10,
 			Slots: 8, Pieces: 6, PieceUS: 4000, LiveKeys: "key-buyers,key-sellers", BundleKey: "key-notes", BundleRoute: "seller-notes", Workers: 2, Bundles: 24, PaceUS: 150_000, Seed: 1,
 			Fault: "zone-wipe", Zone: fmt.Sprintf("zone-%d", zone), Patience: 12 * time.Second}
-		c := camp.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
+		c := localfleet.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
 		broken := func() bool {
 			defer c.End()
 			if err := c.Start(); err != nil {
@@ -105,7 +105,7 @@
 			if err := c.Ready(90 * time.Second); err != nil {
 				t.Fatal(err, tails(c))
 			}
-			verdict, err := havoc.Run(context.Background(), c, set)
+			verdict, err := faultinject.Run(context.Background(), c, set)
 			return err != nil || verdict.BrokenUntimed()
 		}()
 		if broken {
@@ -116,7 +116,7 @@
 }
 
 // tails gathers the ends of the logs, for a failure.
-func tails(c *camp.Camp) string {
+func tails(c *localfleet.Camp) string {
 	out := ""
 	for _, name := range c.Names("") {
 		for _, suffix := range []string{".log", ".stderr"} {
--- a/proof/camp/resident.go
+++ b/proof/localfleet/resident.go
@@ -1,4 +1,4 @@
-package camp
+package localfleet
 
 import (
 	"fmt"
--- a/proof/wellspring/wellspring.go
+++ b/proof/modelcontent/content.go
@@ -1,7 +1,7 @@
-// Package wellspring says what a stand-in model server answers: the answer
+// Package modelcontent says what a stand-in model server answers: the answer
 // follows from the input alone, so that a caller can tell a mixed-up, joined or
 // cut-short answer from a whole one (DESIGN §9).
-package wellspring
+package modelcontent
 
 import (
 	"crypto/sha256"
--- a/proof/relay/relay.go
+++ b/proof/netproxy/netproxy.go
@@ -1,7 +1,7 @@
-// Package relay stands in for the network between daemons (DESIGN §9): each
+// Package netproxy stands in for the network between daemons (DESIGN §9): each
 // daemon is reached through one, and it sees who speaks by the address the
 // connection comes from. A cut link swallows what is sent; nothing is closed.
-package relay
+package netproxy
 
 import (
 	"net"
--- a/proof/weather/callers.go
+++ b/proof/simulation/callers.go
@@ -1,4 +1,4 @@
-package weather
+package simulation
 
 import (
 	"encoding/json"
@@ -8,9 +8,9 @@
 	"tuliprudder/core/config"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
-	"tuliprudder/path/serverline"
-	"tuliprudder/path/trek"
-	"tuliprudder/proof/wellspring"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/requests"
+	"tuliprudder/proof/modelcontent"
 )
 
 // Order is one live order as its caller saw it, with the servers' log of it.
@@ -24,7 +24,7 @@
 	Output                string
 	Ended                 bool // its answer is whole
 	Edge                  string
-	Starts                []wellspring.Start
+	Starts                []modelcontent.Start
 	leave                 func() // the caller goes
 }
 
@@ -134,22 +134,22 @@
 			return
 		}
 		switch said := word.(type) {
-		case trek.Run:
-			ran := trek.Ran{Order: name}
-			report := func(outcome serverline.Outcome, why string) {
+		case requests.Run:
+			ran := requests.Ran{Order: name}
+			report := func(outcome modelclient.Outcome, why string) {
 				under = nil
 				ran.Outcome, ran.Why, ran.Output, ran.Over = outcome, why, text, gone || w.Now >= said.Expiry
 				n.Here(ran, turn)
 			}
 			if gone {
-				report(serverline.NotStarted, "the caller left")
+				report(modelclient.NotStarted, "the caller left")
 				return
 			}
 			began := false
 			this := w.Serve(n, said.Request, func(piece string) {
 				if !began {
 					began = true
-					n.Here(trek.Began{Order: name}, func(any, error) {})
+					n.Here(requests.Began{Order: name}, func(any, error) {})
 				}
 				text += piece
 				if said.Kind != config.OneShot {
@@ -162,7 +162,7 @@
 					n.take(func() { v.hangUp(this, report) })
 				}
 			})
-		case trek.Answer:
+		case requests.Answer:
 			if o.Kind == config.OneShot {
 				o.Output = said.Output
 			}
@@ -182,7 +182,7 @@
 			return
 		}
 		gone = true
-		n.Here(trek.Left{Order: name}, func(any, error) {})
+		n.Here(requests.Left{Order: name}, func(any, error) {})
 		n.take(func() {
 			if under != nil && !under.over {
 				v.hangUp(under, under.done)
@@ -191,16 +191,16 @@
 		finish(wasUnknown, "the caller left")
 	}
 	w.After(patience, func() { o.leave() })
-	n.Here(trek.Live{Order: name, Caller: "key-" + o.Customer, Route: o.Route, Key: o.Key, Input: o.Input}, turn)
+	n.Here(requests.Live{Order: name, Caller: "key-" + o.Customer, Route: o.Route, Key: o.Key, Input: o.Input}, turn)
 }
 
 // hangUp ends a run from the edge's side: it may have run.
-func (v *Watch) hangUp(one *serving, report func(serverline.Outcome, string)) {
+func (v *Watch) hangUp(one *serving, report func(modelclient.Outcome, string)) {
 	if one.over {
 		return
 	}
 	one.cancel()
-	report(serverline.Cut, "the order's expiry passed, or its caller left")
+	report(modelclient.Cut, "the order's expiry passed, or its caller left")
 }
 
 // Live is one caller that goes on until the day ends.
@@ -294,7 +294,7 @@
 }
 
 // began is a server's word that an order has started there.
-func (v *Watch) began(start wellspring.Start) {
+func (v *Watch) began(start modelcontent.Start) {
 	v.Started++
 	at := start.At
 	v.isLeaving(start)
@@ -327,7 +327,7 @@
 
 // told judges what a caller was told.
 func (v *Watch) told(o *Order) {
-	want := wellspring.Answer(o.Input, pieces)
+	want := modelcontent.Answer(o.Input, pieces)
 	v.saw(streamed)
 	if !strings.HasPrefix(want, o.Output) {
 		v.breach(streamed, "%s order %s: pieces dropped, repeated or joined: %q of %q", o.Kind, o.Input, o.Output, want)
--- a/proof/weather/day.go
+++ b/proof/simulation/day.go
@@ -1,4 +1,4 @@
-package weather
+package simulation
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/ledger/store"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/registry"
 )
 
 // Act is one failure of a day.
@@ -54,14 +54,14 @@
 // holder is the edge that holds a customer's account.
 func (w *World) holder(who string) *Node {
 	if n := w.Watch.edgeNode(); n != nil {
-		id := roster.First("account/"+who, n.edge.Folk(), identity.Trailhead)
-		for _, name := range w.Names(identity.Trailhead) {
+		id := registry.First("account/"+who, n.edge.Folk(), identity.Edge)
+		for _, name := range w.Names(identity.Edge) {
 			if w.Nodes[name].ID == id {
 				return w.Nodes[name]
 			}
 		}
 	}
-	return w.any(identity.Trailhead)
+	return w.any(identity.Edge)
 }
 
 // keeperOf is the store that keeps a bundle, as an edge knows it.
@@ -71,13 +71,13 @@
 			return w.byPeer[owner.Peer]
 		}
 	}
-	return w.any(identity.Refuge)
+	return w.any(identity.Store)
 }
 
 // primary is the core that serves, or any.
 func (w *World) primary() *Node {
 	for _, name := range w.Names("cairn") {
-		if n := w.Nodes[name]; n.up && n.Summit.Serving() {
+		if n := w.Nodes[name]; n.up && n.Core.Serving() {
 			return n
 		}
 	}
@@ -409,8 +409,8 @@
 			var backup *Node
 			w.Until(8*clock.Second, func() bool {
 				for _, name := range w.Names("cairn") {
-					if n := w.Nodes[name]; n.up && n.Summit.Serving() {
-						for _, pairing := range n.Summit.Chart().Slots {
+					if n := w.Nodes[name]; n.up && n.Core.Serving() {
+						for _, pairing := range n.Core.State().Slots {
 							if b := w.byID(pairing.Backup.ID); !pairing.Complete && b != nil && b.up && w.live(pairing.Owner.ID) {
 								backup = b
 								return true
--- a/proof/weather/history.go
+++ b/proof/simulation/history.go
@@ -1,4 +1,4 @@
-package weather
+package simulation
 
 import (
 	"math"
--- a/proof/weather/promises.go
+++ b/proof/simulation/promises.go
@@ -1,4 +1,4 @@
-package weather
+package simulation
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/membership/gossip"
-	"tuliprudder/path/roster"
-	"tuliprudder/proof/wellspring"
+	"tuliprudder/path/registry"
+	"tuliprudder/proof/modelcontent"
 )
 
 // Promise is one line of what must never happen; each breach is one's.
@@ -84,7 +84,7 @@
 
 // tell spreads the platform's word on a server from one daemon, as its office
 // does: it is told once most of the fleet know it, or tells elsewhere again.
-func (v *Watch) tell(n *Node, server roster.Server, told func()) {
+func (v *Watch) tell(n *Node, server registry.Server, told func()) {
 	again := func() {
 		v.w.After(200*clock.Millisecond, func() {
 			if other := v.edgeNode(); other != nil {
@@ -103,7 +103,7 @@
 		if word != v.words[server.Name] {
 			return // the platform has said something else since
 		}
-		known, _ := n.circle.News(roster.ServerKey(server.Name))
+		known, _ := n.gossip.News(registry.ServerKey(server.Name))
 		n.number++
 		era := n.era
 		n.calls[n.number] = func(a machine.Answer) {
@@ -116,7 +116,7 @@
 			}
 		}
 		forget := n.onCrash(again)
-		n.do(n.circle.Do(gossip.Spread{Rumour: roster.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
+		n.do(n.gossip.Do(gossip.Spread{Rumour: registry.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
 		v.w.After(3*clock.Second, func() {
 			if n.era == era {
 				forget()
@@ -144,7 +144,7 @@
 	})
 }
 
-func (v *Watch) isLeaving(start wellspring.Start) {
+func (v *Watch) isLeaving(start modelcontent.Start) {
 	for _, m := range v.marks[start.Server] {
 		if m.to > 0 {
 			continue
@@ -158,7 +158,7 @@
 
 // inForceAt judges a start of the route extra by the newest plans: those that
 // were in force at any time since the order was sent, and a while before.
-func (v *Watch) inForceAt(o *Order, start wellspring.Start) {
+func (v *Watch) inForceAt(o *Order, start modelcontent.Start) {
 	if o.Route != "extra" {
 		return
 	}
--- a/proof/weather/server.go
+++ b/proof/simulation/server.go
@@ -1,14 +1,14 @@
-package weather
+package simulation
 
 import (
 	"fmt"
 	"sort"
 
 	"tuliprudder/kernel/clock"
-	"tuliprudder/path/roster"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/registry"
 	"tuliprudder/path/scouts"
-	"tuliprudder/path/serverline"
-	"tuliprudder/proof/wellspring"
+	"tuliprudder/proof/modelcontent"
 )
 
 // pieces is how many pieces a simulated answer has.
@@ -37,10 +37,10 @@
 	server    *Server
 	node      *Node
 	era       int
-	request   serverline.Request
+	request   modelclient.Request
 	latency   clock.Micros
 	piece     func(string)
-	done      func(serverline.Outcome, string)
+	done      func(modelclient.Outcome, string)
 	over      bool // the client's end has its outcome
 	dropped   bool // the server's end is rid of it
 	lost      bool // the connection carries nothing any more
@@ -56,8 +56,8 @@
 }
 
 // Listed is the server as the platform lists it.
-func (s *Server) Listed() roster.Server {
-	return roster.Server{Name: s.Name, Address: s.Address, Slots: s.slots, Labels: map[string]string{"fleet": "main", "weights": "w1", "half": s.half()}}
+func (s *Server) Listed() registry.Server {
+	return registry.Server{Name: s.Name, Address: s.Address, Slots: s.slots, Labels: map[string]string{"fleet": "main", "weights": "w1", "half": s.half()}}
 }
 
 func (s *Server) half() string { return fmt.Sprint(int(s.Name[len(s.Name)-1]) % 2) }
@@ -97,7 +97,7 @@
 }
 
 // end tells the client its outcome, once; it hears it when it is awake.
-func (one *serving) end(outcome serverline.Outcome, why string) {
+func (one *serving) end(outcome modelclient.Outcome, why string) {
 	if one.node.era != one.era {
 		return
 	}
@@ -111,7 +111,7 @@
 }
 
 // reset is a connection that breaks: the client hears it if it can be reached.
-func (one *serving) reset(why string) { one.reach(func() { one.end(serverline.Cut, why) }) }
+func (one *serving) reset(why string) { one.reach(func() { one.end(modelclient.Cut, why) }) }
 
 // cancel is the client leaving: its outcome no longer matters, and the server
 // hears of it if it can be reached.
@@ -121,11 +121,11 @@
 }
 
 // Serve sends an order from a node to the server at an address.
-func (w *World) Serve(n *Node, request serverline.Request, piece func(string), done func(serverline.Outcome, string)) *serving {
+func (w *World) Serve(n *Node, request modelclient.Request, piece func(string), done func(modelclient.Outcome, string)) *serving {
 	one := &serving{server: w.byAddress[request.Address], node: n, era: n.era, request: request, latency: w.between(150, 900), piece: piece, done: done, lastPiece: w.Now}
 	s := one.server
 	if s == nil || w.cut[[2]string{n.Name, s.Name}] {
-		w.After(clock.Second, func() { one.end(serverline.NotStarted, "no connection") })
+		w.After(clock.Second, func() { one.end(modelclient.NotStarted, "no connection") })
 		return one
 	}
 	var silent func()
@@ -137,7 +137,7 @@
 			w.After(one.lastPiece+request.Silence-w.Now, silent)
 			return
 		}
-		one.end(serverline.Cut, "the server was silent")
+		one.end(modelclient.Cut, "the server was silent")
 		one.reach(func() { s.drop(one) })
 	}
 	w.After(request.Silence, silent)
@@ -146,12 +146,12 @@
 		case w.cut[[2]string{n.Name, s.Name}]:
 			one.lost = true
 		case !s.up:
-			w.After(one.latency, func() { one.end(serverline.NotStarted, "connection refused") })
+			w.After(one.latency, func() { one.end(modelclient.NotStarted, "connection refused") })
 		case s.mode == "refuse" || len(s.waiting) >= s.queue:
-			one.reach(func() { one.end(serverline.NotStarted, "503") })
+			one.reach(func() { one.end(modelclient.NotStarted, "503") })
 		case s.mode == "late":
 			// It says no, but only after a good while.
-			w.After(2*clock.Second, func() { one.reach(func() { one.end(serverline.NotStarted, "503") }) })
+			w.After(2*clock.Second, func() { one.reach(func() { one.end(modelclient.NotStarted, "503") }) })
 		default:
 			s.enter(one)
 		}
@@ -176,9 +176,9 @@
 	w := s.world
 	s.running[one] = true
 	s.Starts++
-	w.Watch.began(wellspring.Start{At: w.Now, Server: s.Name, Order: one.request.Order, Input: one.request.Input, Resume: one.request.Partial != ""})
+	w.Watch.began(modelcontent.Start{At: w.Now, Server: s.Name, Order: one.request.Order, Input: one.request.Input, Resume: one.request.Partial != ""})
 	partial := one.request.Partial
-	for _, piece := range wellspring.Pieces(one.request.Input, pieces) {
+	for _, piece := range modelcontent.Pieces(one.request.Input, pieces) {
 		if len(partial) >= len(piece) && partial[:len(piece)] == piece {
 			partial = partial[len(piece):]
 			continue
@@ -215,7 +215,7 @@
 	if len(one.left) == 0 {
 		s.drop(one)
 		w.Watch.completed(one.request.Input)
-		one.reach(func() { one.end(serverline.Complete, "") })
+		one.reach(func() { one.end(modelclient.Complete, "") })
 		return
 	}
 	piece := one.left[0]
--- a/proof/weather/weather_test.go
+++ b/proof/simulation/simulation_test.go
@@ -1,4 +1,4 @@
-package weather
+package simulation
 
 import (
 	"flag"
@@ -43,11 +43,11 @@
 // unseen are the kinds of message that no simulated day sends, each with its
 // reason.
 var unseen = map[string]string{
-	"keeper.ShowAsk": "an operator's look", "keeper.Shown": "an operator's look",
-	"tether.Fenced":  "a deposed owner has to write on: the pairs' own test mutates it",
-	"summit.ShowAsk": "an operator's look", "summit.Shown": "an operator's look",
-	"keeper.ItemAsk": "a server's look at an opaque item: the keeper's own test", "keeper.ItemAnswer": "the same",
-	"keeper.Unwelcome": "TestCopiedFoldersAreTurnedAway sends it",
+	"store.ShowAsk": "an operator's look", "store.Shown": "an operator's look",
+	"replication.Fenced": "a deposed owner has to write on: the pairs' own test mutates it",
+	"control.ShowAsk":    "an operator's look", "control.Shown": "an operator's look",
+	"store.ItemAsk": "a server's look at an opaque item: the keeper's own test", "store.ItemAnswer": "the same",
+	"store.Unwelcome": "TestCopiedFoldersAreTurnedAway sends it",
 }
 
 // One message of a kind is dropped, repeated, made late, or swapped with those
@@ -208,7 +208,7 @@
 		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
 		w.Run(3 * clock.Second)
-		slots := fmt.Sprint(w.primary().Summit.Chart().Slots)
+		slots := fmt.Sprint(w.primary().Core.State().Slots)
 		stranger := w.Copy(w.Nodes[kind], "stranger")
 		stranger.ID, stranger.life, stranger.disk.durable = "stranger", 3, []machine.Record{record}
 		stranger.Boot(8)
@@ -216,7 +216,7 @@
 		if !errs.Is(stranger.Halted, errs.WrongFolder) {
 			t.Errorf("%s of another fleet: ended with %v", kind, stranger.Halted)
 		}
-		if now := w.primary().Summit.Chart(); fmt.Sprint(now.Slots) != slots || len(now.Stores) != 3 {
+		if now := w.primary().Core.State(); fmt.Sprint(now.Slots) != slots || len(now.Stores) != 3 {
 			t.Errorf("%s of another fleet changed the map: %d stores", kind, len(now.Stores))
 		}
 	}
@@ -240,7 +240,7 @@
 		}
 		// Then it comes to rest: nothing is moved to and fro.
 		epochs := func() (sum uint64) {
-			for _, p := range w.primary().Summit.Chart().Slots {
+			for _, p := range w.primary().Core.State().Slots {
 				sum += p.Epoch
 			}
 			return sum
@@ -267,10 +267,10 @@
 		}
 		w.Run(10 * clock.Second)
 		epochs := func() (out string) {
-			for _, p := range w.primary().Summit.Chart().Slots {
+			for _, p := range w.primary().Core.State().Slots {
 				out += fmt.Sprint(p.Epoch, p.Owner, " ")
 			}
-			return out + fmt.Sprint(w.primary().Summit.Oath().Done.Epoch)
+			return out + fmt.Sprint(w.primary().Core.Oath().Done.Epoch)
 		}
 		before := epochs()
 		for i := 0; i < 30; i++ {
