--- a/proof/weather/watch.go
+++ b/proof/simulation/watch.go
@@ -1,4 +1,4 @@
-package weather
+package simulation
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 	"tuliprudder/ledger/shard"
 	"tuliprudder/ledger/store"
 	"tuliprudder/path/reader"
-	"tuliprudder/path/trek"
-	"tuliprudder/proof/wellspring"
+	"tuliprudder/path/requests"
+	"tuliprudder/proof/modelcontent"
 )
 
 // Handed is a bundle as its caller saw it, with the servers' log of its items.
@@ -179,7 +179,7 @@
 		h.Tries++
 		e := &Entry{ID: h.ID, Called: v.w.Now}
 		v.Entries = append(v.Entries, e)
-		v.here(n, trek.HandIn{Caller: callerKey, Route: "r", Key: key, Items: append([]shard.Item(nil), list...)}, func(answer any, err error) {
+		v.here(n, requests.HandIn{Caller: callerKey, Route: "r", Key: key, Items: append([]shard.Item(nil), list...)}, func(answer any, err error) {
 			e.Told = v.w.Now
 			e.unknown = errs.Is(err, errs.OutcomeUnknown)
 			if err != nil && !e.unknown {
@@ -190,12 +190,12 @@
 				h.Accepted = v.w.Now
 				v.Busy--
 				v.saw(kept)
-				v.w.Note("bundle %s accepted by %s", h.ID, receipt.Keeper)
+				v.w.Note("bundle %s accepted by %s", h.ID, receipt.Store)
 				if v.Reading && v.w.Chance.Intn(3) == 0 {
 					v.wait(h, "")
 				}
 				if v.AfterReceipt != nil {
-					v.AfterReceipt(h, receipt.Keeper)
+					v.AfterReceipt(h, receipt.Store)
 				}
 				return
 			}
@@ -231,7 +231,7 @@
 			v.w.After(100*clock.Millisecond, try)
 			return
 		}
-		v.here(n, trek.Look{Caller: callerKey, Bundle: h.ID, End: true}, func(answer any, err error) {
+		v.here(n, requests.Look{Caller: callerKey, Bundle: h.ID, End: true}, func(answer any, err error) {
 			if _, ok := answer.(store.Status); ok && err == nil {
 				h.Ended = v.w.Now
 				v.Busy--
@@ -257,7 +257,7 @@
 	}
 	e := &Entry{ID: h.ID, Called: v.w.Now, entered: entered{look: true}}
 	v.Entries = append(v.Entries, e)
-	v.here(n, trek.Look{Caller: callerKey, Bundle: h.ID}, func(_ any, err error) {
+	v.here(n, requests.Look{Caller: callerKey, Bundle: h.ID}, func(_ any, err error) {
 		if e.found = err == nil; e.found || errs.Is(err, errs.NotFound) {
 			e.Told = v.w.Now
 		}
@@ -269,7 +269,7 @@
 }
 
 // itemBegan is a server's word that an item has started there.
-func (v *Watch) itemBegan(key string, start wellspring.Start) {
+func (v *Watch) itemBegan(key string, start modelcontent.Start) {
 	h := v.byKey[key]
 	if h == nil {
 		v.breach(mixed, "%s starts work of an unknown bundle %s", start.Server, key)
@@ -320,7 +320,7 @@
 	}
 	v.number++
 	read := reader.Read{Name: fmt.Sprintf("r-%d", v.number), Bundle: h.ID, Token: token, Most: 100, Wait: 2 * clock.Second}
-	v.here(n, trek.Page{Caller: callerKey, Read: read}, func(answer any, err error) {
+	v.here(n, requests.Page{Caller: callerKey, Read: read}, func(answer any, err error) {
 		page, _ := answer.(reader.Page)
 		if err != nil {
 			v.w.After(50*clock.Millisecond, func() { v.wait(h, token) })
@@ -356,7 +356,7 @@
 	v.saw(exact)
 	if h := v.byID[row.Bundle]; h != nil && row.Status == shard.StatusOK {
 		v.saw(mixed)
-		if want := wellspring.Answer(itemInput(h.Key, row.Item), pieces); row.Output != want {
+		if want := modelcontent.Answer(itemInput(h.Key, row.Item), pieces); row.Output != want {
 			v.breach(mixed, "%s: %s holds %q, not its answer %q", where, what, row.Output, want)
 		}
 	}
@@ -380,7 +380,7 @@
 			return
 		}
 		v.number++
-		v.here(n, trek.Page{Caller: callerKey, Read: reader.Read{Name: fmt.Sprintf("f-%d", v.number), Token: v.token, Most: 1 + v.w.Chance.Intn(20)}}, func(answer any, err error) {
+		v.here(n, requests.Page{Caller: callerKey, Read: reader.Read{Name: fmt.Sprintf("f-%d", v.number), Token: v.token, Most: 1 + v.w.Chance.Intn(20)}}, func(answer any, err error) {
 			if page, ok := answer.(reader.Page); ok && err == nil {
 				v.token = page.Next
 				v.Served[n.Name+" feed"] = v.w.Now
@@ -453,7 +453,7 @@
 			inside = n.edge.Dispatch.Plan().Version
 		case n.ledger != nil && n.ledger.Dispatch.Plan() != nil:
 			inside = n.ledger.Dispatch.Plan().Version
-		case n.Summit != nil:
+		case n.Core != nil:
 			continue
 		}
 		v.saw(inForce)
@@ -551,10 +551,10 @@
 func (w *World) Settled() bool {
 	for _, name := range w.Names("cairn") {
 		n := w.Nodes[name]
-		if !n.up || n.frozen || !n.Summit.Serving() {
+		if !n.up || n.frozen || !n.Core.Serving() {
 			continue
 		}
-		c := n.Summit.Chart()
+		c := n.Core.State()
 		if len(c.Slots) == 0 {
 			return false
 		}
@@ -568,7 +568,7 @@
 				}
 			}
 		}
-		for _, core := range n.Summit.Oath().Sworn {
+		for _, core := range n.Core.Oath().Sworn {
 			if !w.live(core.ID) {
 				return false
 			}
@@ -661,7 +661,7 @@
 			}
 		}
 		want[name+" feed"] = func(n *Node, done func()) {
-			v.here(n, trek.Page{Caller: callerKey, Read: reader.Read{Name: "back", Most: 1}}, func(_ any, err error) {
+			v.here(n, requests.Page{Caller: callerKey, Read: reader.Read{Name: "back", Most: 1}}, func(_ any, err error) {
 				if err == nil {
 					done()
 				}
@@ -670,7 +670,7 @@
 		want[name+" list"] = func(n *Node, done func()) {
 			for _, h := range v.Bundles {
 				if h.Accepted > 0 {
-					v.here(n, trek.Page{Caller: callerKey, Read: reader.Read{Name: "back", Bundle: h.ID, Most: 1}}, func(_ any, err error) {
+					v.here(n, requests.Page{Caller: callerKey, Read: reader.Read{Name: "back", Bundle: h.ID, Most: 1}}, func(_ any, err error) {
 						if err == nil {
 							done()
 						}
@@ -743,7 +743,7 @@
 	for !done && tries < 200 {
 		tries++
 		answered := false
-		v.here(v.edgeNode(), trek.Page{Caller: callerKey, Read: reader.Read{Name: "all", Bundle: h.ID, Token: token, Most: 1 + w.Chance.Intn(30)}}, func(answer any, err error) {
+		v.here(v.edgeNode(), requests.Page{Caller: callerKey, Read: reader.Read{Name: "all", Bundle: h.ID, Token: token, Most: 1 + w.Chance.Intn(30)}}, func(answer any, err error) {
 			answered = true
 			page, ok := answer.(reader.Page)
 			if err != nil || !ok {
@@ -817,10 +817,10 @@
 			out = append(out, name+" down")
 			continue
 		}
-		o := n.Summit.Oath()
-		out = append(out, fmt.Sprintf("%s(%s) %s granted %d owner %s backup %s done %d", name, n.ID, n.Summit.Gang().Rope("core").Role, o.Granted, o.Grant.Owner.ID, o.Grant.Backup.ID, o.Done.Epoch))
-		if n.Summit.Serving() {
-			for slot, p := range n.Summit.Chart().Slots {
+		o := n.Core.Oath()
+		out = append(out, fmt.Sprintf("%s(%s) %s granted %d owner %s backup %s done %d", name, n.ID, n.Core.Groups().Group("core").Role, o.Granted, o.Grant.Owner.ID, o.Grant.Backup.ID, o.Done.Epoch))
+		if n.Core.Serving() {
+			for slot, p := range n.Core.State().Slots {
 				if !p.Complete || !w.live(p.Owner.ID) || !w.live(p.Backup.ID) {
 					out = append(out, fmt.Sprintf("slot %d %+v", slot, p))
 				}
--- a/proof/weather/world.go
+++ b/proof/simulation/world.go
@@ -1,7 +1,7 @@
-// Package weather is the simulator (DESIGN §9): the daemons' own machines under
+// Package simulation is the simulator (DESIGN §9): the daemons' own machines under
 // seeded virtual time, links that drop, repeat, delay and cut, and disks that
 // lose what was not synced, stall, or are wiped.
-package weather
+package simulation
 
 import (
 	"container/heap"
@@ -15,18 +15,18 @@
 	"tuliprudder/core/config"
 	"tuliprudder/core/control"
 	"tuliprudder/core/state"
-	"tuliprudder/daemon/planes"
-	"tuliprudder/daemon/porter"
+	"tuliprudder/daemon/eventloop"
+	"tuliprudder/daemon/machines"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/ledger/store"
 	"tuliprudder/membership/gossip"
 	"tuliprudder/membership/identity"
-	"tuliprudder/path/purse"
-	"tuliprudder/path/runner"
+	"tuliprudder/path/execution"
+	"tuliprudder/path/modelclient"
+	"tuliprudder/path/quota"
 	"tuliprudder/path/scouts"
-	"tuliprudder/path/serverline"
 )
 
 type event struct {
@@ -74,12 +74,12 @@
 	Peer    string
 	ID      string
 	life    uint64
-	circle  *gossip.Circle
-	machine porter.Machine
-	Keeper  *store.Keeper
-	Summit  *control.Summit
-	edge    *planes.Edge
-	ledger  *planes.Ledger
+	gossip  *gossip.Node
+	machine eventloop.Machine
+	Keeper  *store.Store
+	Core    *control.Core
+	edge    *machines.Edge
+	ledger  *machines.Ledger
 	runs    map[uint64]*serving // items on servers, by token
 	crashed map[uint64]func()   // told when the node crashes
 	core    state.CoreNews      // as heard last
@@ -187,14 +187,14 @@
 			n.ID = fmt.Sprintf("%s-%02d", kind, i+1)
 			w.Nodes[name], w.byPeer[n.Peer] = n, n
 			w.names = append(w.names, name)
-			if kind == identity.Cairn {
+			if kind == identity.Core {
 				w.seeds = append(w.seeds, n.Peer)
 			}
 		}
 	}
-	add(identity.Cairn, "core", size.Cores)
-	add(identity.Refuge, "store", size.Stores)
-	add(identity.Trailhead, "edge", size.Edges)
+	add(identity.Core, "core", size.Cores)
+	add(identity.Store, "store", size.Stores)
+	add(identity.Edge, "edge", size.Edges)
 	for i := 0; i < max(size.Servers, 4); i++ {
 		s := newServer(w, i+1, fmt.Sprintf("zone-%d", 1+i%size.Zones))
 		w.Servers, w.byAddress[s.Address] = append(w.Servers, s), s
@@ -360,7 +360,7 @@
 
 func asked(body any) bool {
 	switch body.(type) {
-	case store.EnrolAsk, store.EndAsk, store.StatusAsk, store.ReadAsk, store.ClaimAsk, store.SettleAsk, control.PutPlanAsk, control.RetireAsk, purse.LendAsk, purse.TellAsk:
+	case store.EnrolAsk, store.EndAsk, store.StatusAsk, store.ReadAsk, store.ClaimAsk, store.SettleAsk, control.PutPlanAsk, control.RetireAsk, quota.LendAsk, quota.TellAsk:
 		return true
 	}
 	return false
@@ -390,20 +390,20 @@
 	n.core, n.plan, n.ledger = state.CoreNews{}, 0, nil
 	n.disk.queue, n.disk.busy = nil, false
 	life := n.life
-	if n.Kind == identity.Trailhead {
+	if n.Kind == identity.Edge {
 		life = uint64(w.Now)
 		n.ID = fmt.Sprintf("%s.%d", n.Name, n.era)
 	}
 	person := identity.Person{ID: n.ID, Kind: n.Kind, Zone: n.Zone, Peer: n.Peer, Incarnation: life, Version: identity.Release}
-	n.circle = gossip.New(person, w.seeds, gossip.Defaults(), w.Chance.Int63())
-	n.machine, n.Keeper, n.Summit, n.edge = nil, nil, nil, nil
+	n.gossip = gossip.New(person, w.seeds, gossip.Defaults(), w.Chance.Int63())
+	n.machine, n.Keeper, n.Core, n.edge = nil, nil, nil, nil
 	switch n.Kind {
-	case identity.Cairn:
+	case identity.Core:
 		set := control.Defaults()
 		set.Slots, set.CheckPlan = slots, config.Check
-		n.Summit = control.New(control.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
-		n.machine = planes.NewCore(n.Summit)
-	case identity.Refuge:
+		n.Core = control.New(control.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
+		n.machine = machines.NewCore(n.Core)
+	case identity.Store:
 		set := store.Defaults()
 		if n.disk.shelf.files == nil {
 			n.disk.shelf.files = map[uint64]map[string][]byte{}
@@ -411,10 +411,10 @@
 		set.FoldAfter = 300
 		n.Keeper = store.New(store.Self{ID: n.ID, Zone: n.Zone, Peer: n.Peer, Life: life}, set, n.disk.durable, &n.disk.shelf)
 		n.Keeper.Damaged = func(err error) { w.Watch.breach(kept, "%s: %v", n.Name, err) }
-		n.ledger = planes.NewLedger(n.ID, n.Keeper, set.MostItems, w.Chance.Int63())
+		n.ledger = machines.NewLedger(n.ID, n.Keeper, set.MostItems, w.Chance.Int63())
 		n.machine = n.ledger
-	case identity.Trailhead:
-		n.edge = planes.NewEdge(n.ID, planes.EdgeDefaults(), w.Chance.Int63())
+	case identity.Edge:
+		n.edge = machines.NewEdge(n.ID, machines.EdgeDefaults(), w.Chance.Int63())
 		n.machine = n.edge
 	}
 	if w.Plant != nil {
@@ -422,14 +422,14 @@
 	}
 	w.Note("%s boots as %s life %d with %d records", n.Name, n.ID, life, len(n.disk.durable))
 	era := n.era
-	n.do(n.circle.Drain())
+	n.do(n.gossip.Drain())
 	var tick func()
 	tick = func() {
 		if n.era != era {
 			return
 		}
 		n.take(func() {
-			n.do(n.circle.Do(gossip.ClockEvent{}, w.Now))
+			n.do(n.gossip.Do(gossip.ClockEvent{}, w.Now))
 			if n.machine != nil {
 				n.do(n.machine.ClockEvent(w.Now))
 			}
@@ -466,14 +466,14 @@
 				back(e)
 			}
 		case machine.Publish:
-			n.do(n.circle.Do(gossip.Tell{Rumour: e.Rumour}, w.Now))
+			n.do(n.gossip.Do(gossip.Tell{Rumour: e.Rumour}, w.Now))
 		case machine.Heard:
 			n.hear(e.Rumour)
 			if n.machine != nil {
 				n.do(n.machine.Heard(e.Rumour, w.Now))
 			}
 		case machine.Spread:
-			n.do(n.circle.Do(gossip.Spread(e), w.Now))
+			n.do(n.gossip.Do(gossip.Spread(e), w.Now))
 		case machine.Fresh:
 			if n.machine != nil {
 				n.do(n.machine.Fresh(e.At, w.Now))
@@ -503,7 +503,7 @@
 func (n *Node) letter(from string, body any) {
 	switch body.(type) {
 	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
-		n.do(n.circle.Do(gossip.Letter{From: from, Body: body}, n.world.Now))
+		n.do(n.gossip.Do(gossip.Letter{From: from, Body: body}, n.world.Now))
 	default:
 		if n.machine != nil {
 			n.do(n.machine.Letter(from, body, n.world.Now))
@@ -708,18 +708,18 @@
 func (n *Node) work(order any) {
 	w := n.world
 	switch o := order.(type) {
-	case runner.Run:
+	case execution.Run:
 		var output strings.Builder
 		n.runs[o.Token] = w.Serve(n, o.Request, func(piece string) {
 			if output.Len() == 0 {
-				n.do(n.machine.Call(0, runner.Began{Token: o.Token}, w.Now))
+				n.do(n.machine.Call(0, execution.Began{Token: o.Token}, w.Now))
 			}
 			output.WriteString(piece)
-		}, func(outcome serverline.Outcome, why string) {
+		}, func(outcome modelclient.Outcome, why string) {
 			delete(n.runs, o.Token)
-			n.do(n.machine.Call(0, runner.Ran{Token: o.Token, Outcome: outcome, Output: output.String(), Why: why}, w.Now))
+			n.do(n.machine.Call(0, execution.Ran{Token: o.Token, Outcome: outcome, Output: output.String(), Why: why}, w.Now))
 		})
-	case runner.Stop:
+	case execution.Stop:
 		if one := n.runs[o.Token]; one != nil {
 			delete(n.runs, o.Token)
 			one.cancel()
@@ -730,7 +730,7 @@
 }
 
 // road is an edge's or a store's way to the servers; nil on a core.
-func (n *Node) road() *planes.Road {
+func (n *Node) road() *machines.Road {
 	switch {
 	case n.edge != nil:
 		return n.edge.Road
--- a/proof/callers/verdict.go
+++ b/proof/verify/verdict.go
@@ -1,11 +1,11 @@
-package callers
+package verify
 
 import (
 	"fmt"
 	"sort"
 	"strings"
 
-	"tuliprudder/proof/wellspring"
+	"tuliprudder/proof/modelcontent"
 )
 
 // Promise is one promise's verdict.
@@ -85,10 +85,10 @@
 )
 
 // Judge checks every promise against what the servers logged.
-func (t *Tour) Judge(starts []wellspring.Start, leaves []Leave) Verdict {
+func (t *Tour) Judge(starts []modelcontent.Start, leaves []Leave) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byInput := map[string][]wellspring.Start{}
+	byInput := map[string][]modelcontent.Start{}
 	ends := map[string]int64{} // when an answer was whole on a server, last
 	all := starts
 	starts = nil
@@ -142,7 +142,7 @@
 			told[l.Kind]++
 		}
 		runs := byInput[l.Input]
-		expected := wellspring.Answer(l.Input, t.Pieces)
+		expected := modelcontent.Answer(l.Input, t.Pieces)
 		other.Checked++
 		if l.Once {
 			check(single, len(runs) <= 1, "order %s ran %d times: %v", l.Input, len(runs), runs)
@@ -216,7 +216,7 @@
 				continue
 			}
 			if row.Status == "ok" {
-				check(mixed, row.Output == wellspring.Answer(b.Inputs[row.Item], t.Pieces), "bundle %s item %d: %q is not its answer", b.ID, row.Item, row.Output)
+				check(mixed, row.Output == modelcontent.Answer(b.Inputs[row.Item], t.Pieces), "bundle %s item %d: %q is not its answer", b.ID, row.Item, row.Output)
 			} else {
 				told["items failed"]++
 			}
--- a/proof/callers/callers.go
+++ b/proof/verify/verify.go
@@ -1,6 +1,6 @@
-// Package callers stands in for the callers and checks every promise by what
+// Package verify stands in for the callers and checks every promise by what
 // they and the servers saw (DESIGN §9).
-package callers
+package verify
 
 import (
 	"bufio"
@@ -20,7 +20,7 @@
 
 	"github.com/pkg/errors"
 
-	"tuliprudder/proof/wellspring"
+	"tuliprudder/proof/modelcontent"
 )
 
 // Outcome is what a caller was told.
@@ -619,8 +619,8 @@
 }
 
 // ReadStarts reads the servers' logs.
-func ReadStarts(files []string) ([]wellspring.Start, error) {
-	var out []wellspring.Start
+func ReadStarts(files []string) ([]modelcontent.Start, error) {
+	var out []modelcontent.Start
 	for _, name := range files {
 		data, err := os.ReadFile(name)
 		if os.IsNotExist(err) {
@@ -630,7 +630,7 @@
 			return nil, errors.Wrap(err, "reading a log of starts")
 		}
 		for _, line := range bytes.Split(data, []byte("\n")) {
-			var start wellspring.Start
+			var start modelcontent.Start
 			if len(line) > 0 && json.Unmarshal(line, &start) == nil {
 				out = append(out, start)
 			}
--- a/test.sh
+++ b/test.sh
@@ -10,5 +10,5 @@
   exit 1
 fi
 go vet ./...
-go test -count=1 -timeout 8m ./proof/weather
+go test -count=1 -timeout 8m ./proof/simulation
 go test -race -count=1 -timeout 8m $(go list ./... | grep -v proof/weather)
