--- a/core/control/core.go
+++ b/core/control/core.go
@@ -47,14 +47,14 @@
 
 const (
 	unitCore   = "core"
-	unitOath   = "oath"
-	kindOath   = "oath"
+	unitVote   = "oath" // as the release before wrote it
+	kindVote   = "oath"
 	claimTries = 900 * clock.Millisecond
 )
 
 type heardCore struct {
-	greet Greet
-	at    clock.Micros
+	heartbeat Heartbeat
+	at        clock.Micros
 }
 
 type heardStore struct {
@@ -64,8 +64,8 @@
 }
 
 type claiming struct {
-	claim  Claim
-	yes    map[string]Oath
+	claim  VoteRequest
+	yes    map[string]Vote
 	at     clock.Micros
 	sworn  bool // our own grant is on disk
 	found  bool
@@ -97,7 +97,7 @@
 	seeds     []string
 	groups    *replication.Groups
 	state     *state.State
-	oath      Oath
+	vote      Vote
 	cores     map[string]heardCore
 	stores    map[string]heardStore
 	suspects  map[string]bool
@@ -125,8 +125,8 @@
 		cores: map[string]heardCore{}, stores: map[string]heardStore{}, suspects: map[string]bool{}, apart: map[[2]string]clock.Micros{}, listed: map[string]machine.Rumour{}}
 	s.groups = replication.NewGroups(&s.Out, s)
 	for _, record := range records {
-		if record.Unit == unitOath {
-			if err := json.Unmarshal(record.Body, &s.oath); err != nil {
+		if record.Unit == unitVote {
+			if err := json.Unmarshal(record.Body, &s.vote); err != nil {
 				s.BadRecord = err
 			}
 			continue
@@ -148,7 +148,7 @@
 	command.Apply(s, now)
 	if s.writes >= s.set.FoldAfter {
 		s.writes = 0
-		s.Emit(machine.Fold{Records: append(append([]machine.Record{s.oathRecord()}, s.listedRecords()...), s.groups.Records()...)})
+		s.Emit(machine.Fold{Records: append(append([]machine.Record{s.voteRecord()}, s.listedRecords()...), s.groups.Records()...)})
 	}
 	out := s.Drain()
 	for _, effect := range out {
@@ -159,9 +159,9 @@
 	return out
 }
 
-func (s *Core) oathRecord() machine.Record {
-	body, _ := json.Marshal(s.oath)
-	return machine.Record{Unit: unitOath, Kind: kindOath, Epoch: s.oath.Granted, Body: body}
+func (s *Core) voteRecord() machine.Record {
+	body, _ := json.Marshal(s.vote)
+	return machine.Record{Unit: unitVote, Kind: kindVote, Epoch: s.vote.Granted, Body: body}
 }
 
 func (s *Core) group() *replication.Group { return s.groups.Group(unitCore) }
@@ -172,8 +172,8 @@
 // Chart is the core's state; a copy must be taken before it is changed.
 func (s *Core) State() *state.State { return s.state }
 
-// Oath is what the witness keeps.
-func (s *Core) Oath() Oath { return s.oath }
+// Vote is what the witness keeps.
+func (s *Core) Vote() Vote { return s.vote }
 
 // Serving tells whether this core is the primary and may confirm.
 func (s *Core) Serving() bool { return s.group().Role == replication.Serving }
@@ -237,18 +237,18 @@
 // Ready has the witnesses write down that the pair is complete.
 func (s *Core) Ready(_ string, epoch uint64, now clock.Micros) {
 	if s.seal == nil || s.seal.pairing.Epoch != epoch {
-		pairing := s.oath.Grant
+		pairing := s.vote.Grant
 		pairing.Complete = true
 		pairing.Trusted = [2]string{pairing.Owner.ID, pairing.Backup.ID}
-		s.seal = &sealing{pairing: pairing, cores: s.oath.Cores, yes: map[string]bool{}}
+		s.seal = &sealing{pairing: pairing, cores: s.vote.Cores, yes: map[string]bool{}}
 	}
 	s.seal.at = now
 	for _, core := range s.seal.cores {
 		if core.ID == s.self.ID {
-			s.sealHere(Sealing{Fleet: s.oath.Fleet, Pairing: s.seal.pairing, Cores: s.seal.cores}, "")
+			s.sealHere(Commit{Fleet: s.vote.Fleet, Assignment: s.seal.pairing, Cores: s.seal.cores}, "")
 			continue
 		}
-		s.Emit(machine.Send{To: core.Peer, Body: Sealing{Fleet: s.oath.Fleet, Pairing: s.seal.pairing, Cores: s.seal.cores}})
+		s.Emit(machine.Send{To: core.Peer, Body: Commit{Fleet: s.vote.Fleet, Assignment: s.seal.pairing, Cores: s.seal.cores}})
 	}
 }
 
@@ -304,15 +304,15 @@
 		return
 	}
 	switch body := l.Body.(type) {
-	case Greet:
+	case Heartbeat:
 		s.greeted(body, now)
-	case Claim:
+	case VoteRequest:
 		s.claimed(l.From, body, now)
-	case Granted:
+	case VoteReply:
 		s.granted(body, now)
-	case Sealing:
+	case Commit:
 		s.sealHere(body, l.From)
-	case Sealed:
+	case CommitAck:
 		s.sealedBy(body.From, body.Epoch, now)
 	case store.Beat:
 		s.storeBeat(l.From, body, now)
--- a/core/control/core_test.go
+++ b/core/control/core_test.go
@@ -527,7 +527,7 @@
 // seats are the ids of the cores that have one, as the primary knows them.
 func (b *bench) seats() (ids []string) {
 	if p := b.primary(); p != nil {
-		for _, ref := range p.Oath().Sworn {
+		for _, ref := range p.Vote().Voters {
 			ids = append(ids, ref.ID)
 		}
 	}
@@ -552,12 +552,12 @@
 	}
 	b.pass(5 * clock.Second)
 	for _, core := range b.cores {
-		if core.Oath().Fleet != "" {
-			t.Fatalf("four of five founded %s", core.Oath().Fleet)
+		if core.Vote().Fleet != "" {
+			t.Fatalf("four of five founded %s", core.Vote().Fleet)
 		}
 	}
 	add(5)
-	b.drop = func(l letter) bool { _, grant := l.body.(Granted); return grant && l.from == "c5" }
+	b.drop = func(l letter) bool { _, grant := l.body.(VoteReply); return grant && l.from == "c5" }
 	b.pass(5 * clock.Second)
 	if b.primary() != nil {
 		t.Fatal("founded without the grant of one of the five")
@@ -620,21 +620,21 @@
 	for i := 1; i <= 4; i++ {
 		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c2", "c3", "c4")
 	}
-	b.drop = func(l letter) bool { _, claim := l.body.(Claim); return claim }
+	b.drop = func(l letter) bool { _, claim := l.body.(VoteRequest); return claim }
 	b.pass(clock.Second)
 	witness := b.cores["c2"]
 	var refs []CoreRef
 	for i := 1; i <= 3; i++ {
 		refs = append(refs, b.cores[fmt.Sprint("c", i)].self)
 	}
-	claim := Claim{Fleet: "f-core-1", Pairing: replication.Assignment{Epoch: 1}, Cores: refs, From: refs[0]}
+	claim := VoteRequest{Fleet: "f-core-1", Assignment: replication.Assignment{Epoch: 1}, Cores: refs, From: refs[0]}
 	witness.Do(Letter{"c1", claim}, b.now)
-	if witness.Oath().Fleet != "" {
+	if witness.Vote().Fleet != "" {
 		t.Fatal("granted the founding of other cores")
 	}
 	claim.Fleet, claim.Cores = "f-core-2", append(refs[1:], b.cores["c4"].self)
 	witness.Do(Letter{"c3", claim}, b.now)
-	if witness.Oath().Fleet == "" {
+	if witness.Vote().Fleet == "" {
 		t.Fatal("did not grant the founding of its own")
 	}
 }
@@ -649,7 +649,7 @@
 		b.pass(3 * clock.Second)
 		lose := func() (string, *Core) {
 			for _, peer := range sortedIDs(b.cores) {
-				if core := b.cores[peer]; core != b.primary() && core.self.ID != b.primary().Oath().Done.Backup.ID && seat(b.primary().Oath().Sworn, core.self.ID) >= 0 {
+				if core := b.cores[peer]; core != b.primary() && core.self.ID != b.primary().Vote().Done.Backup.ID && seat(b.primary().Vote().Voters, core.self.ID) >= 0 {
 					delete(b.cores, peer)
 					return core.self.ID, core
 				}
--- a/core/control/election.go
+++ b/core/control/election.go
@@ -13,7 +13,7 @@
 // This file is how the cores agree on who owns (DESIGN §5.1 to §5.3).
 
 func (s *Core) greet() {
-	hello := Greet{Core: s.self, Life: s.life, Fleet: s.oath.Fleet, Oath: s.oath, Role: s.group().Role.String()}
+	hello := Heartbeat{Core: s.self, Life: s.life, Fleet: s.vote.Fleet, Vote: s.vote, Role: s.group().Role.String()}
 	told := map[string]bool{s.self.Peer: true}
 	tell := func(peer string) {
 		if peer != "" && !told[peer] {
@@ -24,11 +24,11 @@
 	for _, seed := range s.seeds {
 		tell(seed)
 	}
-	for _, core := range s.oath.Cores {
+	for _, core := range s.vote.Cores {
 		tell(core.Peer)
 	}
 	for _, id := range sortedIDs(s.cores) {
-		tell(s.cores[id].greet.Core.Peer)
+		tell(s.cores[id].heartbeat.Core.Peer)
 	}
 }
 
@@ -39,22 +39,22 @@
 func (c Cairns) Apply(s *Core, now clock.Micros) {
 	for _, peer := range c.Peers {
 		if peer != s.self.Peer {
-			s.Emit(machine.Send{To: peer, Body: Greet{Core: s.self, Life: s.life, Fleet: s.oath.Fleet, Oath: s.oath, Role: s.group().Role.String()}})
+			s.Emit(machine.Send{To: peer, Body: Heartbeat{Core: s.self, Life: s.life, Fleet: s.vote.Fleet, Vote: s.vote, Role: s.group().Role.String()}})
 		}
 	}
 }
 
-func (s *Core) greeted(g Greet, now clock.Micros) {
+func (s *Core) greeted(g Heartbeat, now clock.Micros) {
 	if g.Core.ID == s.self.ID {
 		if g.Core.Peer != s.self.Peer && g.Life <= s.life {
 			s.Emit(machine.Halt{Err: errs.New(errs.WrongFolder, "start with an empty data folder; the cores give it a seat", "a core of the same identity lives at %s: this data folder is a copy", g.Core.Peer)})
 		}
 		return
 	}
-	if s.oath.Fleet != "" && g.Fleet != "" && g.Fleet != s.oath.Fleet {
+	if s.vote.Fleet != "" && g.Fleet != "" && g.Fleet != s.vote.Fleet {
 		if len(s.cores) == 0 && !s.group().Owns() {
 			// Alone among strangers: this core's seeds are wrong.
-			s.Emit(machine.Halt{Err: errs.New(errs.WrongFolder, "correct -seeds, or start with an empty data folder to be given a seat here", "this core is of fleet %s; at its seeds is fleet %s", s.oath.Fleet, g.Fleet)})
+			s.Emit(machine.Halt{Err: errs.New(errs.WrongFolder, "correct -seeds, or start with an empty data folder to be given a seat here", "this core is of fleet %s; at its seeds is fleet %s", s.vote.Fleet, g.Fleet)})
 			return
 		}
 		s.Emit(machine.Explain{What: "a core of another fleet greeted; it is passed over", Fields: map[string]any{"peer": g.Core.Peer, "fleet": g.Fleet}})
@@ -62,31 +62,31 @@
 	}
 	// An empty machine at an old address is a new identity: the old one is gone.
 	for id, other := range s.cores {
-		if id != g.Core.ID && other.greet.Core.Peer == g.Core.Peer && other.at < now {
+		if id != g.Core.ID && other.heartbeat.Core.Peer == g.Core.Peer && other.at < now {
 			delete(s.cores, id)
 		}
 	}
-	s.cores[g.Core.ID] = heardCore{greet: g, at: now}
-	s.learn(g.Oath, now)
+	s.cores[g.Core.ID] = heardCore{heartbeat: g, at: now}
+	s.learn(g.Vote, now)
 }
 
 // learn takes over what another witness knows to be complete.
-func (s *Core) learn(other Oath, now clock.Micros) {
-	if s.oath.Fleet == "" || other.Fleet != s.oath.Fleet || other.Done.Epoch <= s.oath.Done.Epoch {
+func (s *Core) learn(other Vote, now clock.Micros) {
+	if s.vote.Fleet == "" || other.Fleet != s.vote.Fleet || other.Done.Epoch <= s.vote.Done.Epoch {
 		return
 	}
-	s.oath.Done, s.oath.Sworn = other.Done, other.Sworn
-	if other.Done.Epoch >= s.oath.Granted {
-		s.oath.Granted, s.oath.Grant, s.oath.Cores = other.Done.Epoch, other.Done, other.Sworn
+	s.vote.Done, s.vote.Voters = other.Done, other.Voters
+	if other.Done.Epoch >= s.vote.Granted {
+		s.vote.Granted, s.vote.Grant, s.vote.Cores = other.Done.Epoch, other.Done, other.Voters
 	}
-	s.groups.Store([]machine.Record{s.oathRecord()}, nil)
+	s.groups.Store([]machine.Record{s.voteRecord()}, nil)
 	s.align(now)
 }
 
 // align gives up a role that a higher epoch ended.
 func (s *Core) align(now clock.Micros) {
 	rope := s.group()
-	if s.oath.Done.Epoch > rope.Epoch {
+	if s.vote.Done.Epoch > rope.Epoch {
 		s.groups.Release(unitCore, rope.Epoch, now)
 	}
 }
@@ -99,7 +99,7 @@
 	if !ok || now-heard.at > s.set.CoreSilent {
 		return 0, false
 	}
-	return heard.greet.Life, true
+	return heard.heartbeat.Life, true
 }
 
 func (s *Core) zoneOf(id string) string {
@@ -107,9 +107,9 @@
 		return s.self.Zone
 	}
 	if heard, ok := s.cores[id]; ok {
-		return heard.greet.Core.Zone
+		return heard.heartbeat.Core.Zone
 	}
-	for _, core := range s.oath.Cores {
+	for _, core := range s.vote.Cores {
 		if core.ID == id {
 			return core.Zone
 		}
@@ -134,11 +134,11 @@
 		}
 		s.claim = nil
 	}
-	if s.oath.Fleet == "" {
+	if s.vote.Fleet == "" {
 		s.found(now)
 		return
 	}
-	if seat(s.oath.Cores, s.self.ID) < 0 {
+	if seat(s.vote.Cores, s.self.ID) < 0 {
 		return
 	}
 	pairing, cores, reason := s.wanted(now)
@@ -150,19 +150,19 @@
 		s.unwell = now
 	}
 	// Each core waits a little longer than the one before it in the seats.
-	if now-s.unwell < clock.Micros(1+seat(s.oath.Cores, s.self.ID))*250*clock.Millisecond {
+	if now-s.unwell < clock.Micros(1+seat(s.vote.Cores, s.self.ID))*250*clock.Millisecond {
 		return
 	}
 	for _, id := range sortedIDs(s.cores) {
-		if heard := s.cores[id]; heard.greet.Fleet == s.oath.Fleet {
-			pairing.Epoch = max(pairing.Epoch, heard.greet.Oath.Granted+1)
+		if heard := s.cores[id]; heard.heartbeat.Fleet == s.vote.Fleet {
+			pairing.Epoch = max(pairing.Epoch, heard.heartbeat.Vote.Granted+1)
 		}
 	}
-	pairing.Epoch = max(pairing.Epoch, s.oath.Granted+1)
+	pairing.Epoch = max(pairing.Epoch, s.vote.Granted+1)
 	s.unwell = now
 	s.Claims++
 	s.Emit(machine.Explain{What: "claiming the cores", Fields: map[string]any{"epoch": pairing.Epoch, "reason": reason, "backup": pairing.Backup.ID}})
-	s.claim = &claiming{claim: Claim{Fleet: s.oath.Fleet, Pairing: pairing, Cores: cores, Base: s.oath.Done.Epoch, From: s.self}, yes: map[string]Oath{}, at: now}
+	s.claim = &claiming{claim: VoteRequest{Fleet: s.vote.Fleet, Assignment: pairing, Cores: cores, Base: s.vote.Done.Epoch, From: s.self}, yes: map[string]Vote{}, at: now}
 	s.send()
 }
 
@@ -176,14 +176,14 @@
 
 // wanted is the pairing this core should claim, with the reason, or none.
 func (s *Core) wanted(now clock.Micros) (replication.Assignment, []CoreRef, string) {
-	current := s.oath.Grant
-	current.Complete = s.oath.Done.Epoch == s.oath.Granted
-	if s.oath.Done.Epoch > 0 {
-		current.Trusted = [2]string{s.oath.Done.Owner.ID, s.oath.Done.Backup.ID}
+	current := s.vote.Grant
+	current.Complete = s.vote.Done.Epoch == s.vote.Granted
+	if s.vote.Done.Epoch > 0 {
+		current.Trusted = [2]string{s.vote.Done.Owner.ID, s.vote.Done.Backup.ID}
 	}
-	cores := s.oath.Cores
-	if s.oath.Done.Epoch > 0 {
-		cores = s.oath.Sworn
+	cores := s.vote.Cores
+	if s.vote.Done.Epoch > 0 {
+		cores = s.vote.Voters
 	}
 	scene := replication.Scene{
 		Life: func(id string) (uint64, bool) {
@@ -205,12 +205,12 @@
 	}
 	// A grant of ours that came to nothing is no pairing: look at the last
 	// complete one again.
-	if !current.Complete && s.oath.Done.Epoch > 0 && !(current.Owner.ID == s.self.ID && s.group().Owns() && s.group().Epoch == current.Epoch) {
+	if !current.Complete && s.vote.Done.Epoch > 0 && !(current.Owner.ID == s.self.ID && s.group().Owns() && s.group().Epoch == current.Epoch) {
 		owner, ok := s.cores[current.Owner.ID]
-		alive := ok && now-owner.at <= s.set.CoreSilent && owner.greet.Oath.Granted == current.Epoch && owner.greet.Role != replication.Cold.String()
+		alive := ok && now-owner.at <= s.set.CoreSilent && owner.heartbeat.Vote.Granted == current.Epoch && owner.heartbeat.Role != replication.Cold.String()
 		if !alive {
 			epoch := current.Epoch
-			current = s.oath.Done
+			current = s.vote.Done
 			current.Complete = true
 			next, reason, ok := replication.Next(current, scene)
 			if !ok {
@@ -251,11 +251,11 @@
 		if seat(cores, id) >= 0 || now-heard.at > s.set.CoreSilent {
 			continue
 		}
-		empty := heard.greet.Fleet == "" && heard.greet.Oath.Granted == 0
+		empty := heard.heartbeat.Fleet == "" && heard.heartbeat.Vote.Granted == 0
 		if empty && s.set.ReplaceSoon > 0 && s.set.ReplaceSoon < wait {
-			wait, heir = max(s.set.ReplaceSoon, min(s.set.CoreSilent, wait)), heard.greet.Core
+			wait, heir = max(s.set.ReplaceSoon, min(s.set.CoreSilent, wait)), heard.heartbeat.Core
 		} else if heir.ID == "" {
-			heir = heard.greet.Core
+			heir = heard.heartbeat.Core
 		}
 	}
 	if heir.ID == "" || now-s.serving <= wait {
@@ -284,7 +284,7 @@
 	refs := []CoreRef{s.self}
 	for _, id := range sortedIDs(s.cores) {
 		if heard := s.cores[id]; now-heard.at <= s.set.CoreSilent {
-			refs = append(refs, heard.greet.Core)
+			refs = append(refs, heard.heartbeat.Core)
 		}
 	}
 	if len(refs) > s.set.Founders {
@@ -304,8 +304,8 @@
 		heard := s.cores[id]
 		// A grant of our own founding that came to nothing is asked for again; any
 		// other fleet is founded: wait to be given a seat.
-		ours := heard.greet.Fleet == fleet && heard.greet.Oath.Granted <= 1 && heard.greet.Oath.Done.Epoch == 0
-		if heard.greet.Fleet != "" && !ours {
+		ours := heard.heartbeat.Fleet == fleet && heard.heartbeat.Vote.Granted <= 1 && heard.heartbeat.Vote.Done.Epoch == 0
+		if heard.heartbeat.Fleet != "" && !ours {
 			return
 		}
 	}
@@ -332,32 +332,32 @@
 		return
 	}
 	pairing := replication.Assignment{Epoch: 1, Owner: replication.Member{ID: s.self.ID, Life: s.life},
-		Backup: replication.Member{ID: second.ID, Life: s.cores[second.ID].greet.Life}, Trusted: [2]string{s.self.ID, second.ID}}
-	s.claim = &claiming{claim: Claim{Fleet: fleet, Pairing: pairing, Cores: refs, From: s.self}, yes: map[string]Oath{}, at: now, found: true}
+		Backup: replication.Member{ID: second.ID, Life: s.cores[second.ID].heartbeat.Life}, Trusted: [2]string{s.self.ID, second.ID}}
+	s.claim = &claiming{claim: VoteRequest{Fleet: fleet, Assignment: pairing, Cores: refs, From: s.self}, yes: map[string]Vote{}, at: now, found: true}
 	s.send()
 }
 
 // claimed is the witness's part.
-func (s *Core) claimed(from string, c Claim, now clock.Micros) {
+func (s *Core) claimed(from string, c VoteRequest, now clock.Micros) {
 	why := s.objection(c, now)
-	answer := Granted{Epoch: c.Pairing.Epoch, From: s.self.ID, Yes: why == "", Why: why}
+	answer := VoteReply{Epoch: c.Assignment.Epoch, From: s.self.ID, Yes: why == "", Why: why}
 	if why != "" {
-		answer.Oath = s.oath
+		answer.Vote = s.vote
 		s.Emit(machine.Send{To: from, Body: answer})
 		return
 	}
 	s.swear(c, func(now clock.Micros) {
-		answer.Oath = s.oath
+		answer.Vote = s.vote
 		s.Emit(machine.Send{To: from, Body: answer})
 	})
 }
 
 // objection is why a witness does not grant a claim; "" when it does.
-func (s *Core) objection(c Claim, now clock.Micros) string {
+func (s *Core) objection(c VoteRequest, now clock.Micros) string {
 	switch {
 	case seat(c.Cores, s.self.ID) < 0:
 		return "not a witness of this claim"
-	case s.oath.Fleet == "" && c.Pairing.Epoch == 1 && c.Base == 0:
+	case s.vote.Fleet == "" && c.Assignment.Epoch == 1 && c.Base == 0:
 		// Where more cores are empty than it takes, their views may differ.
 		for _, ref := range s.founders(now) {
 			if seat(c.Cores, ref.ID) < 0 {
@@ -365,26 +365,26 @@
 			}
 		}
 		return ""
-	case s.oath.Fleet == "":
+	case s.vote.Fleet == "":
 		return "" // given a seat by those who hold the fleet
-	case s.oath.Fleet != c.Fleet:
+	case s.vote.Fleet != c.Fleet:
 		return "another fleet"
-	case c.Pairing.Epoch == s.oath.Granted && s.oath.Grant == c.Pairing:
+	case c.Assignment.Epoch == s.vote.Granted && s.vote.Grant == c.Assignment:
 		return "" // asked again
-	case c.Pairing.Epoch == 1 && s.oath.Granted == 1 && s.oath.Done.Epoch == 0 && s.oath.Grant.Owner.ID == c.Pairing.Owner.ID:
+	case c.Assignment.Epoch == 1 && s.vote.Granted == 1 && s.vote.Done.Epoch == 0 && s.vote.Grant.Owner.ID == c.Assignment.Owner.ID:
 		return "" // the founder asks again, perhaps in another life
-	case c.Pairing.Epoch <= s.oath.Granted:
+	case c.Assignment.Epoch <= s.vote.Granted:
 		return "a higher epoch is granted"
-	case c.Base < s.oath.Done.Epoch:
+	case c.Base < s.vote.Done.Epoch:
 		return "a later pair is complete"
 	case s.Serving() && c.From.ID != s.self.ID:
 		if s.soundOwner(now) {
 			return "this core is primary and its pair is whole"
 		}
 	}
-	done := s.oath.Done
-	if owner, ok := s.cores[done.Owner.ID]; ok && done.Owner.ID != c.Pairing.Owner.ID && now-owner.at < s.set.CoreSilent/2 &&
-		owner.greet.Life == done.Owner.Life && owner.greet.Role == replication.Serving.String() && owner.greet.Oath.Granted == done.Epoch {
+	done := s.vote.Done
+	if owner, ok := s.cores[done.Owner.ID]; ok && done.Owner.ID != c.Assignment.Owner.ID && now-owner.at < s.set.CoreSilent/2 &&
+		owner.heartbeat.Life == done.Owner.Life && owner.heartbeat.Role == replication.Serving.String() && owner.heartbeat.Vote.Granted == done.Epoch {
 		return "the primary is heard here"
 	}
 	return ""
@@ -394,38 +394,38 @@
 func (s *Core) soundOwner(now clock.Micros) bool { return s.group().LeaseUntil() > now }
 
 // swear writes the grant down.
-func (s *Core) swear(c Claim, done func(now clock.Micros)) {
-	s.oath.Fleet, s.oath.Granted, s.oath.Grant, s.oath.Cores = c.Fleet, c.Pairing.Epoch, c.Pairing, c.Cores
-	if s.oath.Sworn == nil {
-		s.oath.Sworn = c.Cores
+func (s *Core) swear(c VoteRequest, done func(now clock.Micros)) {
+	s.vote.Fleet, s.vote.Granted, s.vote.Grant, s.vote.Cores = c.Fleet, c.Assignment.Epoch, c.Assignment, c.Cores
+	if s.vote.Voters == nil {
+		s.vote.Voters = c.Cores
 	}
-	s.groups.Store([]machine.Record{s.oathRecord()}, done)
+	s.groups.Store([]machine.Record{s.voteRecord()}, done)
 }
 
-func (s *Core) granted(g Granted, now clock.Micros) {
+func (s *Core) granted(g VoteReply, now clock.Micros) {
 	if !g.Yes {
-		s.learn(g.Oath, now)
+		s.learn(g.Vote, now)
 	}
-	if s.claim == nil || g.Epoch != s.claim.claim.Pairing.Epoch || s.claim.sworn {
+	if s.claim == nil || g.Epoch != s.claim.claim.Assignment.Epoch || s.claim.sworn {
 		return
 	}
 	if !g.Yes {
 		s.claim.failed = true
 		return
 	}
-	s.claim.yes[g.From] = g.Oath
+	s.claim.yes[g.From] = g.Vote
 	c := s.claim.claim
 	if s.claim.found {
 		if len(s.claim.yes) < len(c.Cores)-1 {
 			return
 		}
-	} else if !s.majority(s.claim.yes, c.Cores) || !s.majority(s.claim.yes, s.oath.Sworn) {
+	} else if !s.majority(s.claim.yes, c.Cores) || !s.majority(s.claim.yes, s.vote.Voters) {
 		return
 	}
-	for _, oath := range s.claim.yes {
-		if oath.Done.Epoch > c.Base {
+	for _, vote := range s.claim.yes {
+		if vote.Done.Epoch > c.Base {
 			s.claim.failed = true
-			s.learn(oath, now)
+			s.learn(vote, now)
 			return
 		}
 	}
@@ -435,14 +435,14 @@
 		if s.claim == mine {
 			s.claim = nil
 		}
-		if s.oath.Granted == c.Pairing.Epoch {
+		if s.vote.Granted == c.Assignment.Epoch {
 			s.own(c, now)
 		}
 	})
 }
 
 // majority counts this core as one.
-func (s *Core) majority(yes map[string]Oath, cores []CoreRef) bool {
+func (s *Core) majority(yes map[string]Vote, cores []CoreRef) bool {
 	count := 0
 	for _, core := range cores {
 		if _, ok := yes[core.ID]; ok || core.ID == s.self.ID {
@@ -452,16 +452,16 @@
 	return 2*count > len(cores)
 }
 
-func (s *Core) own(c Claim, now clock.Micros) {
+func (s *Core) own(c VoteRequest, now clock.Micros) {
 	s.Takeovers++
-	backup := c.Cores[seat(c.Cores, c.Pairing.Backup.ID)]
-	s.Emit(machine.Explain{What: "owning the plan", Fields: map[string]any{"epoch": c.Pairing.Epoch, "backup": backup.ID}})
-	s.groups.Own(unitCore, c.Pairing.Epoch, backup.Peer, now)
+	backup := c.Cores[seat(c.Cores, c.Assignment.Backup.ID)]
+	s.Emit(machine.Explain{What: "owning the plan", Fields: map[string]any{"epoch": c.Assignment.Epoch, "backup": backup.ID}})
+	s.groups.Own(unitCore, c.Assignment.Epoch, backup.Peer, now)
 }
 
 // sealHere is the witness's part of writing a complete pair down.
-func (s *Core) sealHere(m Sealing, from string) {
-	if s.oath.Fleet != "" && m.Fleet != s.oath.Fleet || m.Pairing.Epoch < s.oath.Granted || m.Pairing.Epoch < s.oath.Done.Epoch {
+func (s *Core) sealHere(m Commit, from string) {
+	if s.vote.Fleet != "" && m.Fleet != s.vote.Fleet || m.Assignment.Epoch < s.vote.Granted || m.Assignment.Epoch < s.vote.Done.Epoch {
 		return
 	}
 	if seat(m.Cores, s.self.ID) < 0 {
@@ -469,15 +469,15 @@
 	}
 	answer := func(now clock.Micros) {
 		if from == "" {
-			s.sealedBy(s.self.ID, m.Pairing.Epoch, now)
+			s.sealedBy(s.self.ID, m.Assignment.Epoch, now)
 			return
 		}
-		s.Emit(machine.Send{To: from, Body: Sealed{Epoch: m.Pairing.Epoch, From: s.self.ID}})
+		s.Emit(machine.Send{To: from, Body: CommitAck{Epoch: m.Assignment.Epoch, From: s.self.ID}})
 	}
-	s.oath.Fleet = m.Fleet
-	s.oath.Done, s.oath.Sworn = m.Pairing, m.Cores
-	s.oath.Granted, s.oath.Grant, s.oath.Cores = m.Pairing.Epoch, m.Pairing, m.Cores
-	s.groups.Store([]machine.Record{s.oathRecord()}, answer)
+	s.vote.Fleet = m.Fleet
+	s.vote.Done, s.vote.Voters = m.Assignment, m.Cores
+	s.vote.Granted, s.vote.Grant, s.vote.Cores = m.Assignment.Epoch, m.Assignment, m.Cores
+	s.groups.Store([]machine.Record{s.voteRecord()}, answer)
 }
 
 func (s *Core) sealedBy(id string, epoch uint64, now clock.Micros) {
@@ -498,7 +498,7 @@
 		s.serving = now
 		s.Emit(machine.Explain{What: "primary", Fields: map[string]any{"epoch": epoch, "backup": s.seal.pairing.Backup.ID}})
 		if s.state.Fleet == "" {
-			s.propose(change{entry: state.Found{Fleet: s.oath.Fleet, Slots: s.set.Slots}}, now)
+			s.propose(change{entry: state.Found{Fleet: s.vote.Fleet, Slots: s.set.Slots}}, now)
 		}
 		s.publish()
 		s.advance(now)
--- a/core/control/asks.go
+++ b/core/control/messages.go
@@ -16,50 +16,50 @@
 	Zone string `json:"zone"`
 }
 
-// Oath is all that a core keeps as a witness: epochs, and who they name.
-type Oath struct {
+// Vote is all that a core keeps as a witness: epochs, and who they name.
+type Vote struct {
 	Fleet   string                 `json:"fleet"`
 	Granted uint64                 `json:"granted"`
 	Grant   replication.Assignment `json:"grant"`
 	Cores   []CoreRef              `json:"cores"`
 	Done    replication.Assignment `json:"done"`
-	Sworn   []CoreRef              `json:"sworn"` // the cores at the last complete pair
+	Voters  []CoreRef              `json:"sworn"` // the cores at the last complete pair
 }
 
 // Messages between cores.
 type (
-	// Greet is a core's beat; it carries its oath's epochs.
-	Greet struct {
+	// Heartbeat is a core's beat; it carries its vote's epochs.
+	Heartbeat struct {
 		Core  CoreRef
 		Life  uint64
 		Fleet string
-		Oath  Oath
+		Vote  Vote
 		Role  string
 	}
-	// Claim asks a witness for an epoch.
-	Claim struct {
-		Fleet   string
-		Pairing replication.Assignment
-		Cores   []CoreRef
-		Base    uint64 // the claimant's last complete epoch
-		From    CoreRef
+	// VoteRequest asks a witness for an epoch.
+	VoteRequest struct {
+		Fleet      string
+		Assignment replication.Assignment
+		Cores      []CoreRef
+		Base       uint64 // the claimant's last complete epoch
+		From       CoreRef
 	}
-	// Granted answers it.
-	Granted struct {
+	// VoteReply answers it.
+	VoteReply struct {
 		Epoch uint64
 		From  string
 		Yes   bool
 		Why   string
-		Oath  Oath
+		Vote  Vote
 	}
-	// Sealing asks a witness to write down that a pair is complete.
-	Sealing struct {
-		Fleet   string
-		Pairing replication.Assignment
-		Cores   []CoreRef
+	// Commit asks a witness to write down that a pair is complete.
+	Commit struct {
+		Fleet      string
+		Assignment replication.Assignment
+		Cores      []CoreRef
 	}
-	// Sealed answers it.
-	Sealed struct {
+	// CommitAck answers it.
+	CommitAck struct {
 		Epoch uint64
 		From  string
 	}
@@ -110,13 +110,13 @@
 		Core  CoreRef
 		Role  string
 		Epoch uint64
-		Oath  Oath
+		Vote  Vote
 		Map   json.RawMessage
 		Plan  uint64
 	}
 )
 
 func init() {
-	transport.Register(Greet{}, Claim{}, Granted{}, Sealing{}, Sealed{},
+	transport.Register(Heartbeat{}, VoteRequest{}, VoteReply{}, Commit{}, CommitAck{},
 		PutPlanAsk{}, PlanReceipt{}, RetireAsk{}, RetireReceipt{}, PlansAsk{}, Plans{}, ShowAsk{}, Shown{})
 }
--- a/proof/simulation/day.go
+++ b/proof/simulation/day.go
@@ -430,7 +430,7 @@
 			w.Watch.PutPlan(false)
 			struck := false
 			w.Spy = func(from, to *Node, body any) {
-				if _, ok := body.(control.Sealed); ok && !struck && to.up {
+				if _, ok := body.(control.CommitAck); ok && !struck && to.up {
 					struck = true
 					w.After(1, func() { undos = append(undos, crash(to, slots)) })
 				}
--- a/proof/simulation/simulation_test.go
+++ b/proof/simulation/simulation_test.go
@@ -270,7 +270,7 @@
 			for _, p := range w.primary().Core.State().Slots {
 				out += fmt.Sprint(p.Epoch, p.Owner, " ")
 			}
-			return out + fmt.Sprint(w.primary().Core.Oath().Done.Epoch)
+			return out + fmt.Sprint(w.primary().Core.Vote().Done.Epoch)
 		}
 		before := epochs()
 		for i := 0; i < 30; i++ {
--- a/proof/simulation/watch.go
+++ b/proof/simulation/watch.go
@@ -568,7 +568,7 @@
 				}
 			}
 		}
-		for _, core := range n.Core.Oath().Sworn {
+		for _, core := range n.Core.Vote().Voters {
 			if !w.live(core.ID) {
 				return false
 			}
@@ -817,7 +817,7 @@
 			out = append(out, name+" down")
 			continue
 		}
-		o := n.Core.Oath()
+		o := n.Core.Vote()
 		out = append(out, fmt.Sprintf("%s(%s) %s granted %d owner %s backup %s done %d", name, n.ID, n.Core.Groups().Group("core").Role, o.Granted, o.Grant.Owner.ID, o.Grant.Backup.ID, o.Done.Epoch))
 		if n.Core.Serving() {
 			for slot, p := range n.Core.State().Slots {
