--- a/cmd/waymark/main.go
+++ b/cmd/waymark/main.go
@@ -249,10 +249,10 @@
 		Retired  bool   `json:"retired"`
 	} `json:"stores"`
 	Slots []struct {
-		Epoch  uint64 `json:"epoch"`
-		Owner  member `json:"owner"`
-		Backup member `json:"backup"`
-		Whole  bool   `json:"complete"`
+		Epoch    uint64   `json:"epoch"`
+		Primary  member   `json:"owner"`
+		Replicas []member `json:"replicas"`
+		Whole    bool     `json:"complete"`
 	} `json:"slots"`
 }
 
@@ -270,13 +270,17 @@
 	if err != nil {
 		return err
 	}
-	rows := [][]string{{"SLOT", "EPOCH", "OWNER", "BACKUP", "COPIES"}}
+	rows := [][]string{{"SLOT", "EPOCH", "PRIMARY", "REPLICAS", "COPIES"}}
 	for slot, p := range m.Slots {
-		copies := "2"
+		copies := fmt.Sprint(1 + len(p.Replicas))
 		if !p.Whole {
-			copies = "1, copying"
+			copies += ", copying"
 		}
-		rows = append(rows, []string{fmt.Sprint(slot), fmt.Sprint(p.Epoch), p.Owner.ID, p.Backup.ID, copies})
+		var replicas []string
+		for _, replica := range p.Replicas {
+			replicas = append(replicas, replica.ID)
+		}
+		rows = append(rows, []string{fmt.Sprint(slot), fmt.Sprint(p.Epoch), p.Primary.ID, strings.Join(replicas, " "), copies})
 	}
 	t.table(rows)
 	return nil
@@ -289,8 +293,10 @@
 	}
 	owned, backed := map[string]int{}, map[string]int{}
 	for _, p := range m.Slots {
-		owned[p.Owner.ID]++
-		backed[p.Backup.ID]++
+		owned[p.Primary.ID]++
+		for _, replica := range p.Replicas {
+			backed[replica.ID]++
+		}
 	}
 	var ids []string
 	for id := range m.Stores {
@@ -426,7 +432,7 @@
 		for _, risk := range []struct {
 			name  string
 			above int64
-		}{{"slots_with_one_copy", 0}, {"oldest_unannounced_us", 1_000_000}, {"news_age_us", 2_000_000}, {"protocol_ring_dropped", 0}, {"news_ring_dropped", 0}, {"copies_missing", 0}, {"disk_wait_us", 1_000_000}} {
+		}{{"shards_short_of_copies", 0}, {"oldest_unannounced_us", 1_000_000}, {"news_age_us", 2_000_000}, {"protocol_ring_dropped", 0}, {"news_ring_dropped", 0}, {"copies_missing", 0}, {"disk_wait_us", 1_000_000}} {
 			if counters[risk.name] > risk.above {
 				rows = append(rows, []string{d.ID, risk.name, fmt.Sprint(counters[risk.name])})
 			}
--- a/core/control/changes.go
+++ b/core/control/changes.go
@@ -33,7 +33,7 @@
 // advance takes one change at a time through the pair, so that two operators'
 // plans stand in one order.
 func (s *Core) advance(now clock.Micros) {
-	for s.flight == nil && len(s.queue) > 0 && s.Serving() {
+	for s.flight == nil && len(s.queue) > 0 && s.Leading(now) {
 		c := s.queue[0]
 		s.queue = s.queue[1:]
 		if err := c.settle(s, now); err != nil {
--- a/core/control/configurations.go
+++ b/core/control/configurations.go
@@ -45,7 +45,7 @@
 }
 
 func (s *Core) putPlan(call uint64, ask PutPlanAsk, now clock.Micros) {
-	if !s.Serving() {
+	if !s.Leading(now) {
 		s.notPrimary(call)
 		return
 	}
@@ -109,7 +109,7 @@
 // plans reads back what is confirmed. The latest is told only under a fresh lease: a
 // primary deposed without knowing would take an older one for it.
 func (s *Core) plans(call uint64, ask PlansAsk, now clock.Micros) {
-	if !s.Serving() || ask.Latest && !s.soundOwner(now) {
+	if !s.Leading(now) {
 		s.notPrimary(call)
 		return
 	}
@@ -158,8 +158,8 @@
 	}
 	if epoch := s.group().Epoch; epoch > s.published.epoch {
 		s.published.epoch = epoch
-		core := state.CoreNews{Fleet: s.state.Fleet, Epoch: epoch, Primary: s.self.ID, Peer: s.self.Peer, Backup: s.vote.Done.Backup.ID}
-		for _, ref := range s.vote.Cores {
+		core := state.CoreNews{Fleet: s.state.Fleet, Epoch: epoch, Primary: s.self.ID, Peer: s.self.Peer, Replicas: s.vote.Committed.IDs()[1:]}
+		for _, ref := range s.vote.Voters {
 			core.Cores, core.Seats = append(core.Cores, ref.Peer), append(core.Seats, ref.ID)
 		}
 		value, _ := json.Marshal(core)
--- a/core/control/core.go
+++ b/core/control/core.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 
 	"tuliprudder/core/state"
@@ -19,59 +20,47 @@
 
 // Settings of a core; the defaults are ours.
 type Settings struct {
-	Slots        int
-	Founders     int // cores that found a fleet: an odd number
-	GreetEvery   clock.Micros
-	CoreSilent   clock.Micros // after which a core counts as gone
-	ReplaceAfter clock.Micros // after which its seat is given to another
-	ReplaceSoon  clock.Micros // the same where an empty core is heard; 0: no sooner
-	StoreSilent  clock.Micros // after which a store counts as gone
-	Settle       clock.Micros // a new primary listens this long before it judges
-	BalanceEvery clock.Micros // between two moves towards even shares
-	BalanceAfter clock.Micros // a store lives this long before slots move to it
-	ApartFor     clock.Micros // two stores out of reach are not paired again before
-	FoldAfter    int
-	Staleness    clock.Micros // news older than this: the roll is not changed
-	StrikeAfter  clock.Micros // silence after which a store no longer counts
-	LostAfter    clock.Micros // after which a core takes those of the roll it does not hear for lost
-	CheckPlan    func(body []byte) error
+	Slots          int
+	Founders       int  // cores that found a fleet; 0: as many as there are seeds
+	Bootstrap      bool // this is the first start of the whole fleet: it may be founded
+	Tolerance      int  // machines with a disk that may be lost at once
+	ShardZones     int  // zones that the copies of a shard have to be in
+	HeartbeatEvery clock.Micros
+	CoreSilent     clock.Micros // after which a core counts as gone
+	ReplaceAfter   clock.Micros // after which its seat is given to another
+	ReplaceSoon    clock.Micros // the same where an empty core is heard; 0: no sooner
+	StoreSilent    clock.Micros // after which a store counts as gone
+	Settle         clock.Micros // a new primary listens this long before it judges
+	BalanceEvery   clock.Micros // between two moves towards even shares
+	BalanceAfter   clock.Micros // a store lives this long before slots move to it
+	ApartFor       clock.Micros // two stores out of reach are not paired again before
+	FoldAfter      int
+	Staleness      clock.Micros // news older than this: the roll is not changed
+	StrikeAfter    clock.Micros // silence after which a store no longer counts
+	LostAfter      clock.Micros // after which a core takes those of the roll it does not hear for lost
+	CheckPlan      func(body []byte) error
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
-	return Settings{Slots: 24, Founders: 3, GreetEvery: 250 * clock.Millisecond, CoreSilent: 1500 * clock.Millisecond,
+	return Settings{Slots: 24, Founders: 3, Tolerance: 1, ShardZones: 2, HeartbeatEvery: 250 * clock.Millisecond, CoreSilent: 1500 * clock.Millisecond,
 		ReplaceAfter: 4 * clock.Second, ReplaceSoon: 4 * clock.Second, StoreSilent: 2 * clock.Second, Settle: 1500 * clock.Millisecond,
 		BalanceEvery: 500 * clock.Millisecond, BalanceAfter: 4 * clock.Second, ApartFor: 30 * clock.Second, FoldAfter: 500,
 		Staleness: 2500 * clock.Millisecond, StrikeAfter: 10 * clock.Second, LostAfter: 20 * clock.Second}
 }
 
 const (
-	unitCore   = "core"
-	unitVote   = "oath" // as the release before wrote it
-	kindVote   = "oath"
-	claimTries = 900 * clock.Millisecond
+	unitCore = "core"
+	unitVote = "oath" // as the release before wrote it
+	kindVote = "oath"
 )
 
-type heardCore struct {
-	heartbeat Heartbeat
-	at        clock.Micros
-}
-
 type heardStore struct {
 	beat  store.Beat
 	at    clock.Micros
 	first clock.Micros
 }
 
-type claiming struct {
-	claim  VoteRequest
-	yes    map[string]Vote
-	at     clock.Micros
-	sworn  bool // our own grant is on disk
-	found  bool
-	failed bool
-}
-
 type change struct {
 	entry state.Entry
 	put   *plannedPut
@@ -81,36 +70,37 @@
 	until clock.Micros
 }
 
-type sealing struct {
-	pairing replication.Assignment
-	cores   []CoreRef
-	yes     map[string]bool
-	at      clock.Micros
-}
-
 // Core is the machine.
 type Core struct {
 	machine.Out
-	set       Settings
-	self      CoreRef
-	life      uint64
-	seeds     []string
-	groups    *replication.Groups
-	state     *state.State
-	vote      Vote
-	cores     map[string]heardCore
-	stores    map[string]heardStore
-	suspects  map[string]bool
-	apart     map[[2]string]clock.Micros // stores out of reach of each other, until
-	claim     *claiming
-	seal      *sealing
-	queue     []change
-	flight    *change
-	unwell    clock.Micros // since when a new pairing is wanted
-	serving   clock.Micros // since when this core serves
-	published struct{ plan, seq, epoch uint64 }
-	writes    int
-	next      struct{ greet, judge, balance clock.Micros }
+	set      Settings
+	self     CoreRef
+	life     uint64
+	seeds    []string
+	groups   *replication.Groups
+	state    *state.State
+	vote     Vote
+	cores    map[string]heardCore
+	stores   map[string]heardStore
+	suspects map[string]bool
+	apart    map[[2]string]clock.Micros // stores out of reach of each other, until
+	campaign *campaign                  // on its way
+	won      *campaign                  // the term this core leads or led last
+	commit   *commitRound               // its completion is being written down
+	wonAt    clock.Micros
+	termAt   clock.Micros // when the highest term was granted here
+	leaving  bool         // this core is about to go
+	// foundedElsewhere tells that a core of a founded fleet was heard.
+	foundedElsewhere bool
+	heardSince       clock.Micros // since when this core listens without a pause
+	lastClock        clock.Micros
+	queue            []change
+	flight           *change
+	unwell           clock.Micros // since when a new pairing is wanted
+	serving          clock.Micros // since when this core serves
+	published        struct{ plan, seq, epoch uint64 }
+	writes           int
+	next             struct{ beat, judge, balance clock.Micros }
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
@@ -159,11 +149,6 @@
 	return out
 }
 
-func (s *Core) voteRecord() machine.Record {
-	body, _ := json.Marshal(s.vote)
-	return machine.Record{Unit: unitVote, Kind: kindVote, Epoch: s.vote.Granted, Body: body}
-}
-
 func (s *Core) group() *replication.Group { return s.groups.Group(unitCore) }
 
 // Gang is the core's pair, for tests.
@@ -234,31 +219,13 @@
 	s.Emit(machine.Answer{Call: c.call, Body: c.body()})
 }
 
-// Ready has the witnesses write down that the pair is complete.
-func (s *Core) Ready(_ string, epoch uint64, now clock.Micros) {
-	if s.seal == nil || s.seal.pairing.Epoch != epoch {
-		pairing := s.vote.Grant
-		pairing.Complete = true
-		pairing.Trusted = [2]string{pairing.Owner.ID, pairing.Backup.ID}
-		s.seal = &sealing{pairing: pairing, cores: s.vote.Cores, yes: map[string]bool{}}
-	}
-	s.seal.at = now
-	for _, core := range s.seal.cores {
-		if core.ID == s.self.ID {
-			s.sealHere(Commit{Fleet: s.vote.Fleet, Assignment: s.seal.pairing, Cores: s.seal.cores}, "")
-			continue
-		}
-		s.Emit(machine.Send{To: core.Peer, Body: Commit{Fleet: s.vote.Fleet, Assignment: s.seal.pairing, Cores: s.seal.cores}})
-	}
-}
-
 // Deposed says "outcome unknown" to who waits.
 func (s *Core) Deposed(_ string, epoch uint64, now clock.Micros) {
 	lost := s.queue
 	if s.flight != nil {
 		lost = append([]change{*s.flight}, lost...)
 	}
-	s.flight, s.queue, s.seal = nil, nil, nil
+	s.flight, s.queue, s.commit = nil, nil, nil
 	for _, c := range lost {
 		s.unknown(c.call)
 	}
@@ -305,15 +272,15 @@
 	}
 	switch body := l.Body.(type) {
 	case Heartbeat:
-		s.greeted(body, now)
+		s.heard(body, now)
 	case VoteRequest:
-		s.claimed(l.From, body, now)
+		s.requested(l.From, body, now)
 	case VoteReply:
-		s.granted(body, now)
+		s.replied(body, now)
 	case Commit:
-		s.sealHere(body, l.From)
+		s.takeCommit(body, l.From)
 	case CommitAck:
-		s.sealedBy(body.From, body.Epoch, now)
+		s.committedBy(body.From, body.Epoch, now)
 	case store.Beat:
 		s.storeBeat(l.From, body, now)
 	}
@@ -324,11 +291,12 @@
 
 // Apply does what is due.
 func (ClockEvent) Apply(s *Core, now clock.Micros) {
+	s.noticePause(now)
 	s.retell()
 	s.groups.ClockEvent(now)
-	if now >= s.next.greet {
-		s.next.greet = now + s.set.GreetEvery
-		s.greet()
+	if now >= s.next.beat {
+		s.next.beat = now + s.set.HeartbeatEvery
+		s.beat(now)
 	}
 	s.stand(now)
 	if s.flight != nil && now >= s.flight.until && s.flight.call != 0 {
@@ -348,12 +316,41 @@
 		kept = append(kept, c)
 	}
 	s.queue = kept
+	s.advance(now) // the lease may have come back
 	if now >= s.next.judge {
 		s.next.judge = now + 100*clock.Millisecond
 		s.judge(now)
 	}
 }
 
+// pauseNoticed is how long no clock event may come until what was heard before counts
+// as old: the process was stopped, and messages wait that it has not read yet.
+const pauseNoticed = clock.Second
+
+// noticePause restarts the count of silence after this process stood still.
+func (s *Core) noticePause(now clock.Micros) {
+	if s.lastClock == 0 || now-s.lastClock > pauseNoticed {
+		s.heardSince = now
+	}
+	s.lastClock = now
+}
+
+// Leave tells the core that it is about to go: others take its duties over.
+type Leave struct{}
+
+// Apply notes it, and says so.
+func (Leave) Apply(s *Core, now clock.Micros) {
+	s.leaving = true
+	s.beat(now)
+}
+
+// Needed tells whether others still count on this core: it leads, holds a copy of the
+// control state, or has a vote that another core could have.
+func (s *Core) Needed(now clock.Micros) bool {
+	replaceable := isVoter(s.vote.Voters, s.self.ID) && (len(s.vote.Voters) > s.least() || len(s.candidates(now)) > 0)
+	return s.group().Leads() || slices.Contains(s.vote.Committed.IDs(), s.self.ID) || replaceable
+}
+
 func sortedIDs[V any](m map[string]V) []string {
 	ids := make([]string, 0, len(m))
 	for id := range m {
--- a/core/control/core_test.go
+++ b/core/control/core_test.go
@@ -99,7 +99,7 @@
 				beat := s.Beat
 				beat.Ready = map[int]uint64{}
 				for slot, p := range core.State().Slots {
-					if s.copies && p.Owner.ID == s.ID {
+					if s.copies && p.Primary.ID == s.ID {
 						beat.Ready[slot] = p.Epoch
 					}
 				}
@@ -157,6 +157,7 @@
 func small() Settings {
 	set := Defaults()
 	set.Slots = 6
+	set.Bootstrap = true
 	return set
 }
 
@@ -510,7 +511,7 @@
 	}
 	b.pass(3 * clock.Second)
 	for slot, p := range b.primary().State().Slots {
-		if p.Owner.ID == "store-1" || p.Backup.ID == "store-1" {
+		if slices.Contains(p.IDs(), "store-1") {
 			t.Fatalf("slot %d still names the store: %+v", slot, p)
 		}
 	}
@@ -605,10 +606,23 @@
 		if !early {
 			stranger()
 		}
+		var first []CoreRef
+		for i := 0; i < 400 && first == nil; i++ {
+			b.pass(50 * clock.Millisecond)
+			for _, core := range b.cores {
+				if !core.Vote().Committed.Zero() {
+					first = core.Vote().Voters
+				}
+			}
+		}
+		if got := fmt.Sprint(voterIDs(first)); got != "[core-1 core-2 core-3]" {
+			t.Errorf("strangers early %v: founded by %s", early, got)
+		}
+		// The others are given votes by agreement, one at a time.
 		b.settle(t)
 		b.pass(10 * clock.Second)
-		if got := fmt.Sprint(b.seats()); got != "[core-1 core-2 core-3]" {
-			t.Errorf("strangers early %v: seats %s", early, got)
+		if got := fmt.Sprint(b.seats()); got != "[core-0 core-1 core-2 core-3 core-4]" {
+			t.Errorf("strangers early %v: voters %s", early, got)
 		}
 	}
 }
@@ -627,12 +641,12 @@
 	for i := 1; i <= 3; i++ {
 		refs = append(refs, b.cores[fmt.Sprint("c", i)].self)
 	}
-	claim := VoteRequest{Fleet: "f-core-1", Assignment: replication.Assignment{Epoch: 1}, Cores: refs, From: refs[0]}
+	claim := VoteRequest{Fleet: "f-core-1", Assignment: replication.Assignment{Epoch: 1}, Voters: refs, From: refs[0], Founding: true}
 	witness.Do(Letter{"c1", claim}, b.now)
 	if witness.Vote().Fleet != "" {
 		t.Fatal("granted the founding of other cores")
 	}
-	claim.Fleet, claim.Cores = "f-core-2", append(refs[1:], b.cores["c4"].self)
+	claim.Fleet, claim.Voters = "f-core-2", append(refs[1:], b.cores["c4"].self)
 	witness.Do(Letter{"c3", claim}, b.now)
 	if witness.Vote().Fleet == "" {
 		t.Fatal("did not grant the founding of its own")
@@ -649,7 +663,7 @@
 		b.pass(3 * clock.Second)
 		lose := func() (string, *Core) {
 			for _, peer := range sortedIDs(b.cores) {
-				if core := b.cores[peer]; core != b.primary() && core.self.ID != b.primary().Vote().Done.Backup.ID && seat(b.primary().Vote().Voters, core.self.ID) >= 0 {
+				if core := b.cores[peer]; core != b.primary() && !slices.Contains(b.primary().Vote().Committed.IDs(), core.self.ID) && isVoter(b.primary().Vote().Voters, core.self.ID) {
 					delete(b.cores, peer)
 					return core.self.ID, core
 				}
@@ -668,10 +682,9 @@
 		if !slices.Contains(b.seats(), "core-9") {
 			t.Errorf("soon %d: after 25 s the seats are %v", soon, b.seats())
 		}
-		// The old one is back without a seat, and another is lost.
-		b.cores[old.self.Peer] = old
-		b.pass(3 * clock.Second)
+		// The old one is back without a vote at the moment when another is lost.
 		lose()
+		b.cores[old.self.Peer] = old
 		if b.pass(10 * clock.Second); slices.Contains(b.seats(), lost) {
 			t.Errorf("soon %d: one that had a seat has one again after 10 s", soon)
 		}
--- /dev/null
+++ b/core/control/founding.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"slices"
+
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/ledger/replication"
+)
+
+// This file is how a fleet begins (DESIGN §5.1): once, only where the settings say that
+// it is the first start, by the cores at the seeds, and only if every one of them
+// agrees. All other cores, and every core that lost its disk, are given a vote later.
+
+// found begins a fleet if this core is the one to do it.
+func (s *Core) found(now clock.Micros) {
+	if !s.set.Bootstrap || s.foundedElsewhere || !slices.Contains(s.seeds, s.self.Peer) {
+		return
+	}
+	founders := s.founders(now)
+	if founders == nil || s.firstFounder(founders) != s.self.ID {
+		return
+	}
+	epoch := s.vote.Term + 1
+	for _, ref := range founders {
+		epoch = max(epoch, s.cores[ref.ID].heartbeat.Vote.Term+1)
+	}
+	assignment := replication.Assignment{Epoch: epoch, Primary: replication.Member{ID: s.self.ID, Life: s.life}}
+	assignment.Replicas = s.foundingReplicas(founders, now)
+	assignment.Trusted = []string{s.self.ID}
+	s.Emit(machine.Explain{What: "founding", Fields: map[string]any{"term": epoch, "member": s.self.ID, "group": assignment.IDs(), "voters": voterIDs(founders)}})
+	s.begin(&campaign{
+		request:     VoteRequest{Fleet: "f-" + s.self.ID, Assignment: assignment, Voters: founders, From: s.self, Founding: true},
+		electorates: [][]CoreRef{founders},
+		unanimous:   true,
+	}, now)
+}
+
+// founders are the empty cores at the seeds; nil unless all of them are heard.
+func (s *Core) founders(now clock.Micros) []CoreRef {
+	refs := []CoreRef{s.self}
+	for _, id := range sortedIDs(s.cores) {
+		heard := s.cores[id]
+		if slices.Contains(s.seeds, heard.heartbeat.Core.Peer) && now-heard.at <= s.set.CoreSilent {
+			refs = append(refs, heard.heartbeat.Core)
+		}
+	}
+	wanted := s.set.Founders
+	if wanted == 0 {
+		wanted = len(s.seeds)
+	}
+	if len(refs) != wanted {
+		return nil
+	}
+	return refs
+}
+
+// firstFounder is the one that asks the others: the first in the order of ids of those
+// whose settings say that it is the first start.
+func (s *Core) firstFounder(founders []CoreRef) string {
+	first := s.self.ID
+	for _, ref := range founders {
+		if ref.ID < first && s.cores[ref.ID].heartbeat.Bootstrap {
+			first = ref.ID
+		}
+	}
+	return first
+}
+
+// foundingReplicas are the other members of the first group, zones of their own first.
+func (s *Core) foundingReplicas(founders []CoreRef, now clock.Micros) []replication.Member {
+	var replicas []replication.Member
+	members := []string{s.self.ID}
+	for _, mayShare := range []bool{false, true} {
+		for _, ref := range founders {
+			if len(members) == s.copies(len(founders)) || slices.Contains(members, ref.ID) || !mayShare && s.shares(members, ref.ID) {
+				continue
+			}
+			if member, ok := s.memberOf(ref.ID, now); ok {
+				members, replicas = append(members, ref.ID), append(replicas, member)
+			}
+		}
+	}
+	return replicas
+}
+
+// foundingObjection is why a core does not agree to a founding; "" when it does. What
+// an unfinished founding left behind binds nobody.
+func (s *Core) foundingObjection(request VoteRequest) string {
+	if !s.vote.Committed.Zero() || s.foundedElsewhere {
+		return "the fleet was founded before"
+	}
+	if !s.set.Bootstrap {
+		return ""
+	}
+	for _, ref := range request.Voters {
+		if !slices.Contains(s.seeds, ref.Peer) {
+			return "the seeds here name other founders"
+		}
+	}
+	return ""
+}
--- a/core/control/messages.go
+++ b/core/control/messages.go
@@ -9,40 +9,27 @@
 	"tuliprudder/ledger/replication"
 )
 
-// CoreRef is the identity of one core.
-type CoreRef struct {
-	ID   string `json:"id"`
-	Peer string `json:"peer"`
-	Zone string `json:"zone"`
-}
-
-// Vote is all that a core keeps as a witness: epochs, and who they name.
-type Vote struct {
-	Fleet   string                 `json:"fleet"`
-	Granted uint64                 `json:"granted"`
-	Grant   replication.Assignment `json:"grant"`
-	Cores   []CoreRef              `json:"cores"`
-	Done    replication.Assignment `json:"done"`
-	Voters  []CoreRef              `json:"sworn"` // the cores at the last complete pair
-}
-
 // Messages between cores.
 type (
-	// Heartbeat is a core's beat; it carries its vote's epochs.
+	// Heartbeat tells the others that a core lives, and what it keeps as a voter.
 	Heartbeat struct {
-		Core  CoreRef
-		Life  uint64
-		Fleet string
-		Vote  Vote
-		Role  string
+		Core      CoreRef
+		Life      uint64
+		Fleet     string
+		Vote      Vote
+		Role      string
+		Leading   bool // it is primary and holds its lease
+		Leaving   bool // it is about to go
+		Bootstrap bool // its settings say that this is the first start
 	}
-	// VoteRequest asks a witness for an epoch.
+	// VoteRequest asks a voter for a term.
 	VoteRequest struct {
 		Fleet      string
 		Assignment replication.Assignment
-		Cores      []CoreRef
-		Base       uint64 // the claimant's last complete epoch
+		Voters     []CoreRef // under that term
+		Base       uint64    // the newest committed term that the candidate knows
 		From       CoreRef
+		Founding   bool
 	}
 	// VoteReply answers it.
 	VoteReply struct {
@@ -52,11 +39,14 @@
 		Why   string
 		Vote  Vote
 	}
-	// Commit asks a witness to write down that a pair is complete.
+	// Commit asks a voter to write down that the group of a term is complete. Settled
+	// tells that majorities of all electorates have.
 	Commit struct {
 		Fleet      string
 		Assignment replication.Assignment
-		Cores      []CoreRef
+		Voters     []CoreRef
+		OldVoters  []CoreRef
+		Settled    bool
 	}
 	// CommitAck answers it.
 	CommitAck struct {
--- a/core/control/placement.go
+++ b/core/control/placement.go
@@ -44,76 +44,31 @@
 
 // judge works out the difference between the map and the stores that live.
 func (s *Core) judge(now clock.Micros) {
-	if !s.Serving() || s.state.Fleet == "" || !s.settled(now) || s.waiting(isPair) {
+	if !s.Leading(now) || s.state.Fleet == "" || !s.settled(now) || s.waiting(isPair) {
 		return
 	}
-	owned, backed := map[string]int{}, map[string]int{}
-	for _, pairing := range s.state.Slots {
-		owned[pairing.Owner.ID]++
-		backed[pairing.Backup.ID]++
-	}
 	s.strike(now)
-	willing := s.willing(now)
-	spare := func(owner string, shunned ...string) string {
-		best, last := "", ""
-		for _, id := range willing {
-			if id == owner || slices.Contains(shunned, id) || s.state.Stores[id].Zone == s.state.Stores[owner].Zone {
-				continue
-			}
-			if s.estranged(owner, id, now) {
-				last = id
-				continue
-			}
-			if best == "" || backed[id] < backed[best] {
-				best = id
-			}
-		}
-		if best == "" {
-			return last // better one that was out of reach a while ago than none
-		}
-		return best
-	}
-	scene := replication.Scene{
-		Life:  func(id string) (uint64, bool) { return s.storeLife(id, now) },
-		Zone:  func(id string) string { return s.state.Stores[id].Zone },
-		Spare: func(owner string) string { return spare(owner) },
-	}
-	changed := map[int]replication.Assignment{}
+	p := s.newPlacement(now)
 	unwell := false
-	for slot, pairing := range s.state.Slots {
-		unwell = unwell || !pairing.Complete
-		if pairing.Zero() {
-			if next, ok := s.first(willing, owned, spare, now); ok {
-				changed[slot] = next
-				owned[next.Owner.ID]++
-				backed[next.Backup.ID]++
-			}
-			continue
-		}
-		next, reason, ok := replication.Next(pairing, scene)
-		if !ok {
-			next, reason, ok = s.leave(pairing, spare, now)
-		}
-		if !ok {
-			next, reason, ok = s.console(slot, pairing, spare, now)
-		}
-		if !ok {
-			continue
-		}
-		changed[slot] = next
-		backed[next.Backup.ID]++
-		s.Emit(machine.Explain{What: "slot paired anew", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": next.Epoch, "owner": next.Owner.ID, "backup": next.Backup.ID}})
+	for shard, assignment := range s.state.Slots {
+		unwell = unwell || !assignment.Complete || len(assignment.Members()) < p.copies
+		p.mend(shard, assignment)
 	}
-	if len(changed) == 0 && !unwell {
-		s.balance(willing, changed, now)
+	if len(p.changed) == 0 && !unwell {
+		p.balance()
 	}
-	if len(changed) > 0 {
-		s.propose(change{entry: state.Pair{Slots: changed}}, now)
+	if len(p.changed) > 0 {
+		s.propose(change{entry: state.Pair{Slots: p.changed}}, now)
 		return
 	}
 	if unwell || s.flight != nil || len(s.queue) > 0 || !s.reaches(now) {
-		return // every pair is whole before a store may go, and what was asked first counts
+		return // every group is whole before a store may go, and what was asked first counts
 	}
+	s.finishRetiring(now)
+}
+
+// finishRetiring writes down that nothing depends on a retiring store any more.
+func (s *Core) finishRetiring(now clock.Micros) {
 	for _, id := range sortedIDs(s.state.Stores) {
 		if store := s.state.Stores[id]; store.Retiring && !store.Retired && s.depends(id) == 0 {
 			s.Emit(machine.Explain{What: "nothing depends on the store any more; it is retired", Fields: map[string]any{"store": id}})
@@ -123,148 +78,261 @@
 	}
 }
 
-// leave moves a slot off a store that is retiring or draining: the backup, which
-// holds all, owns, and a willing store becomes its backup.
-func (s *Core) leave(p replication.Assignment, spare func(string, ...string) string, now clock.Micros) (replication.Assignment, string, bool) {
-	if !p.Complete {
-		return p, "", false
-	}
-	next := replication.Assignment{Epoch: p.Epoch + 1, Owner: p.Owner, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
-	reason := "the backup's store is going"
-	switch {
-	case s.going(p.Owner.ID, now) && !s.going(p.Backup.ID, now):
-		next.Owner, reason = p.Backup, "the owner's store is going"
-	case s.going(p.Backup.ID, now) && !s.stores[p.Backup.ID].beat.Draining && !s.going(p.Owner.ID, now):
-	default:
-		return p, "", false
-	}
-	other := spare(next.Owner.ID)
-	life, ok := s.storeLife(other, now)
-	if !ok {
-		return p, "", false
-	}
-	next.Backup = replication.Member{ID: other, Life: life}
-	return next, reason, true
+// shardCopies is how many stores hold a shard: one more than may be lost at once.
+func (s *Core) shardCopies() int { return s.set.Tolerance + 1 }
+
+// leastCopies is how few copies a shard may go on with while stores are missing. Two
+// are the least where anything may be lost: what is lost already counts against the
+// tolerance, but a store may be missing only for this core.
+func (s *Core) leastCopies() int { return min(2, s.shardCopies()) }
+
+// shrinkAfter is how long a group that lacks a member waits for one before it goes on
+// with fewer copies than it should have.
+const shrinkAfter = 1500 * clock.Millisecond
+
+// placement is one look at all shards and the changes that it leads to.
+type placement struct {
+	core    *Core
+	now     clock.Micros
+	copies  int
+	willing []string
+	leads   map[string]int // shards by their primary
+	backs   map[string]int // shards by their replicas
+	changed map[int]replication.Assignment
+}
+
+func (s *Core) newPlacement(now clock.Micros) *placement {
+	p := &placement{core: s, now: now, copies: s.shardCopies(), willing: s.willing(now),
+		leads: map[string]int{}, backs: map[string]int{}, changed: map[int]replication.Assignment{}}
+	for _, assignment := range s.state.Slots {
+		p.count(assignment)
+	}
+	return p
 }
 
-// console finds another partner for an owner whose backup does not answer it,
-// though both live, or whose backup's disk is stalled. An owner that is alone
-// again before its pair was ever whole gives way to the other trusted store: it
-// may be the one that nobody hears.
-func (s *Core) console(slot int, p replication.Assignment, spare func(string, ...string) string, now clock.Micros) (replication.Assignment, string, bool) {
-	lonely := s.stores[p.Owner.ID].beat.Lonely[slot] == p.Epoch
-	alone := lonely || !p.Complete && s.going(p.Owner.ID, now)
-	if !alone && (p.Complete || !s.going(p.Backup.ID, now)) {
-		return p, "", false
-	}
-	if lonely {
-		s.apart[couple(p.Owner.ID, p.Backup.ID)] = now + s.set.ApartFor
-	}
-	next := replication.Assignment{Epoch: p.Epoch + 1, Owner: p.Owner, Trusted: p.Trusted}
-	shunned := []string{p.Backup.ID}
-	if p.Complete {
-		next.Trusted = [2]string{p.Owner.ID, p.Backup.ID}
-	} else if alone {
-		for _, id := range p.Trusted {
-			if life, ok := s.storeLife(id, now); ok && id != p.Owner.ID && !s.going(id, now) {
-				next.Owner, shunned = replication.Member{ID: id, Life: life}, []string{p.Owner.ID}
-			}
+func (p *placement) count(assignment replication.Assignment) {
+	if assignment.Zero() {
+		return
+	}
+	p.leads[assignment.Primary.ID]++
+	for _, replica := range assignment.Replicas {
+		p.backs[replica.ID]++
+	}
+}
+
+// assign notes a new assignment of a shard.
+func (p *placement) assign(shard int, next replication.Assignment, reason string) {
+	p.changed[shard] = next
+	p.count(next)
+	p.core.Emit(machine.Explain{What: "shard assigned anew", Fields: map[string]any{"shard": shard, "reason": reason, "epoch": next.Epoch, "group": next.IDs()}})
+}
+
+// mend gives a shard the assignment that it lacks, if any.
+func (p *placement) mend(shard int, assignment replication.Assignment) {
+	if assignment.Zero() {
+		if next, ok := p.first(); ok {
+			p.assign(shard, next, "first assignment")
 		}
+		return
+	}
+	scene := p.scene(assignment)
+	if next, reason, ok := replication.Next(assignment, scene); ok {
+		p.assign(shard, next, reason)
+		return
+	}
+	if next, reason, ok := p.leave(assignment, scene); ok {
+		p.assign(shard, next, reason)
+		return
 	}
-	other := spare(next.Owner.ID, shunned...)
-	life, ok := s.storeLife(other, now)
-	if !ok {
-		return p, "", false
+	if next, reason, ok := p.reconnect(shard, assignment, scene); ok {
+		p.assign(shard, next, reason)
 	}
-	next.Backup = replication.Member{ID: other, Life: life}
-	return next, "owner and backup do not reach each other", true
 }
 
-func couple(one, other string) [2]string {
-	if one > other {
-		one, other = other, one
+// scene is what the placement sees of the stores for one group.
+func (p *placement) scene(assignment replication.Assignment) replication.Scene {
+	return replication.Scene{
+		Copies: p.copies,
+		Life:   func(id string) (uint64, bool) { return p.core.storeLife(id, p.now) },
+		Enough: func(members []string) bool { return p.enough(assignment, members) },
+		Spare:  p.spare,
 	}
-	return [2]string{one, other}
 }
 
-// estranged tells whether two stores were out of each other's reach of late.
-func (s *Core) estranged(one, other string, now clock.Micros) bool {
-	return now < s.apart[couple(one, other)]
+// enough tells whether a group may go on with fewer copies than it should have.
+func (p *placement) enough(assignment replication.Assignment, members []string) bool {
+	if len(members) < p.core.leastCopies() || p.zones(members) < min(p.core.set.ShardZones, p.core.leastCopies()) {
+		return false
+	}
+	return p.core.missingFor(assignment, p.now) >= shrinkAfter
 }
 
-// pressing is how uneven the shares have to be for a slot to move whose bundles are
-// open: the new owner runs their items anew.
-const pressing = 6
+// missingFor is how long the member of a group that was heard last among those that
+// are gone has been silent.
+func (s *Core) missingFor(assignment replication.Assignment, now clock.Micros) clock.Micros {
+	missing := now - s.serving
+	for _, member := range assignment.Members() {
+		if life, ok := s.storeLife(member.ID, now); !ok || life != member.Life {
+			missing = min(missing, now-s.stores[member.ID].at)
+		}
+	}
+	return missing
+}
 
-// balance moves one slot at a time towards even shares: first its copy, then,
-// once that is whole, its owner.
-func (s *Core) balance(willing []string, changed map[int]replication.Assignment, now clock.Micros) {
-	if now < s.next.balance || len(willing) < 2 {
-		return
+func (p *placement) zone(id string) string { return p.core.state.Stores[id].Zone }
+
+// zones counts the zones that stores are in.
+func (p *placement) zones(ids []string) int {
+	zones := map[string]bool{}
+	for _, id := range ids {
+		zones[p.zone(id)] = true
 	}
-	s.next.balance = now + s.set.BalanceEvery
-	for _, id := range willing {
-		if now-s.stores[id].first < s.set.BalanceAfter {
-			return
+	return len(zones)
+}
+
+// spare picks a further member for a group: a store in a zone of its own if there is
+// one, else in any zone where the group is in enough of them; the one with the fewest
+// copies among these. One that was out of a member's reach of late is better than none.
+func (p *placement) spare(members, shunned []string) string {
+	best, bestCost := "", [3]int{}
+	for _, id := range p.willing {
+		if slices.Contains(members, id) || slices.Contains(shunned, id) {
+			continue
+		}
+		shared := slices.ContainsFunc(members, func(other string) bool { return p.zone(other) == p.zone(id) })
+		if shared && !p.mayShare(members) {
+			continue
+		}
+		estranged := slices.ContainsFunc(members, func(other string) bool { return p.core.estranged(other, id, p.now) })
+		cost := [3]int{asInt(estranged), asInt(shared), p.backs[id]}
+		if best == "" || slices.Compare(cost[:], bestCost[:]) < 0 {
+			best, bestCost = id, cost
 		}
 	}
-	owned, backed := map[string]int{}, map[string]int{}
-	for _, pairing := range s.state.Slots {
-		owned[pairing.Owner.ID]++
-		backed[pairing.Backup.ID]++
-	}
-	// least is who has fewest; above lists those with at least two more, most first.
-	least := func(counts map[string]int) string {
-		low := willing[0]
-		for _, id := range willing {
-			if counts[id] < counts[low] {
-				low = id
-			}
+	return best
+}
+
+// mayShare tells whether a further member may be in the zone of another one: the copies
+// that are still to come suffice for the zones that the group has to be in.
+func (p *placement) mayShare(members []string) bool {
+	left := p.copies - len(members) - 1
+	return p.zones(members)+left >= min(p.core.set.ShardZones, p.copies)
+}
+
+func asInt(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// leave moves a shard off a store that is retiring, draining or stalled. The store
+// counts as a holder until the new group is complete without it.
+func (p *placement) leave(a replication.Assignment, scene replication.Scene) (replication.Assignment, string, bool) {
+	if !a.Complete {
+		return a, "", false
+	}
+	var going []string
+	draining := false
+	for _, id := range a.IDs() {
+		if p.core.going(id, p.now) {
+			going = append(going, id)
+			draining = draining || id != a.Primary.ID && p.core.stores[id].beat.Draining
 		}
-		return low
 	}
-	above := func(counts map[string]int, low string) []string {
-		var out []string
-		for _, id := range willing {
-			if counts[id] >= counts[low]+2 {
-				out = append(out, id)
+	primary, reason := a.Primary.ID, "a replica's store is going"
+	if slices.Contains(going, primary) {
+		primary, reason = "", "the primary's store is going"
+		for _, replica := range a.Replicas {
+			if !slices.Contains(going, replica.ID) {
+				primary = replica.ID
+				break
 			}
 		}
-		sort.SliceStable(out, func(i, j int) bool { return counts[out[i]] > counts[out[j]] })
-		return out
-	}
-	zone := func(id string) string { return s.state.Stores[id].Zone }
-	move := func(slot int, owner, backup replication.Member, reason string) {
-		p := s.state.Slots[slot]
-		changed[slot] = replication.Assignment{Epoch: p.Epoch + 1, Owner: owner, Backup: backup, Trusted: [2]string{p.Owner.ID, p.Backup.ID}}
-		s.Emit(machine.Explain{What: "slot moved", Fields: map[string]any{"slot": slot, "reason": reason, "epoch": p.Epoch + 1, "owner": owner.ID, "backup": backup.ID}})
-	}
-	low := least(owned)
-	for _, high := range above(owned, low) {
-		for slot, p := range s.state.Slots {
-			if p.Owner.ID == high && p.Backup.ID == low && (owned[high]-owned[low] >= pressing || !slices.Contains(s.stores[high].beat.Busy, slot)) {
-				move(slot, p.Backup, p.Owner, "even shares: its backup owns it now")
-				return
+	}
+	if len(going) == 0 || primary == "" || primary == a.Primary.ID && draining {
+		return a, "", false // a replica that drains is replaced once it is gone
+	}
+	next, ok := replication.Reassign(a, scene, primary, going)
+	if ok && len(next.Members()) < len(a.Members()) && !p.mayShrink(a, going) {
+		return a, "", false
+	}
+	return next, reason, ok
+}
+
+// mayShrink tells whether a group may lose members that are about to go without others
+// in their place: only for those that are gone anyway.
+func (p *placement) mayShrink(a replication.Assignment, going []string) bool {
+	return !slices.ContainsFunc(going, func(id string) bool { return p.core.state.Stores[id].Retiring })
+}
+
+// reconnect finds other replicas for a primary that some do not answer, though all
+// live, or whose disk holds writes back. A primary that is alone again before its group
+// was ever complete gives way to another trusted store: it may be the one that nobody
+// hears.
+func (p *placement) reconnect(shard int, a replication.Assignment, scene replication.Scene) (replication.Assignment, string, bool) {
+	silent := p.silent(shard, a)
+	primaryGoing := !a.Complete && p.core.going(a.Primary.ID, p.now)
+	shunned := slices.Clone(silent)
+	if !a.Complete {
+		for _, replica := range a.Replicas {
+			if p.core.going(replica.ID, p.now) {
+				shunned = append(shunned, replica.ID)
 			}
 		}
 	}
-	for _, high := range above(owned, low) {
-		for slot, p := range s.state.Slots {
-			if p.Owner.ID == high && zone(low) != zone(high) && !s.estranged(low, high, now) {
-				move(slot, p.Owner, replication.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares: copied to the store that has fewest")
-				return
+	if len(shunned) == 0 && !primaryGoing {
+		return a, "", false
+	}
+	for _, id := range silent {
+		p.core.apart[couple(a.Primary.ID, id)] = p.now + p.core.set.ApartFor
+	}
+	primary := a.Primary.ID
+	if !a.Complete && (primaryGoing || len(silent) > 0) {
+		for _, id := range a.Trusted {
+			if _, ok := p.core.storeLife(id, p.now); ok && id != a.Primary.ID && !p.core.going(id, p.now) {
+				primary, shunned = id, []string{a.Primary.ID}
+				break
 			}
 		}
 	}
-	low = least(backed)
-	for _, high := range above(backed, low) {
-		for slot, p := range s.state.Slots {
-			if p.Backup.ID == high && p.Owner.ID != low && zone(p.Owner.ID) != zone(low) && !s.estranged(low, p.Owner.ID, now) {
-				move(slot, p.Owner, replication.Member{ID: low, Life: s.stores[low].beat.Life}, "even shares of copies")
-				return
-			}
+	const reason = "members of the group do not reach each other"
+	if next, ok := replication.Reassign(a, scene, primary, shunned); ok || !a.Complete {
+		return next, reason, ok
+	}
+	for _, replica := range a.Replicas {
+		if next, ok := replication.Reassign(a, scene, replica.ID, []string{a.Primary.ID}); ok {
+			return next, reason, true
+		}
+	}
+	return a, "", false
+}
+
+// silent are the replicas that the primary of a shard says don't answer it.
+func (p *placement) silent(shard int, a replication.Assignment) []string {
+	said, ok := p.core.stores[a.Primary.ID].beat.Silent[shard]
+	if !ok || said.Epoch != a.Epoch {
+		return nil
+	}
+	var out []string
+	for _, replica := range a.Replicas {
+		if slices.Contains(said.Peers, p.core.state.Stores[replica.ID].Peer) {
+			out = append(out, replica.ID)
 		}
 	}
+	return out
+}
+
+func couple(one, other string) [2]string {
+	if one > other {
+		one, other = other, one
+	}
+	return [2]string{one, other}
+}
+
+// estranged tells whether two stores were out of each other's reach of late.
+func (s *Core) estranged(one, other string, now clock.Micros) bool {
+	return now < s.apart[couple(one, other)]
 }
 
 // going tells whether a store is on its way out.
@@ -272,7 +340,7 @@
 	return s.state.Stores[id].Retiring || s.stores[id].beat.Draining || s.stores[id].beat.Stalled
 }
 
-// willing lists the living stores that take slots.
+// willing lists the living stores that take shards.
 func (s *Core) willing(now clock.Micros) []string {
 	var out []string
 	for _, id := range sortedIDs(s.state.Stores) {
@@ -283,20 +351,29 @@
 	return out
 }
 
-// first pairs a slot for the first time, once stores of two zones have been
-// there for a moment: the load is spread over all that came in time.
-func (s *Core) first(willing []string, owned map[string]int, spare func(string, ...string) string, now clock.Micros) (replication.Assignment, bool) {
-	for _, id := range willing {
-		if now-s.stores[id].first < 700*clock.Millisecond {
+// firstAfter is how long every store has to be there before shards are assigned for the
+// first time: the load is spread over all that came in time.
+const firstAfter = 700 * clock.Millisecond
+
+// firstPatience is how long a primary waits at the first assignment for as many stores
+// as there should be copies.
+const firstPatience = 4 * clock.Second
+
+// first assigns a shard for the first time.
+func (p *placement) first() (replication.Assignment, bool) {
+	for _, id := range p.willing {
+		if p.now-p.core.stores[id].first < firstAfter {
 			return replication.Assignment{}, false
 		}
 	}
-	byLoad := append([]string(nil), willing...)
-	sort.SliceStable(byLoad, func(i, j int) bool { return owned[byLoad[i]] < owned[byLoad[j]] })
-	for _, owner := range byLoad {
-		if backup := spare(owner); backup != "" {
-			return replication.Assignment{Epoch: 1, Owner: replication.Member{ID: owner, Life: s.stores[owner].beat.Life},
-				Backup: replication.Member{ID: backup, Life: s.stores[backup].beat.Life}, Trusted: [2]string{owner, backup}}, true
+	byLoad := slices.Clone(p.willing)
+	sort.SliceStable(byLoad, func(i, j int) bool { return p.leads[byLoad[i]] < p.leads[byLoad[j]] })
+	for _, primary := range byLoad {
+		blank := replication.Assignment{Trusted: []string{primary}}
+		next, ok := replication.Reassign(blank, p.scene(blank), primary, nil)
+		if ok && (len(next.Members()) == p.copies || p.now-p.core.serving > firstPatience) {
+			next.Trusted = next.IDs()
+			return next, true
 		}
 	}
 	return replication.Assignment{}, false
--- a/core/control/settled_test.go
+++ b/core/control/settled_test.go
@@ -36,7 +36,7 @@
 	owners := func(p *Core) map[string]int {
 		out := map[string]int{}
 		for _, pairing := range p.State().Slots {
-			out[pairing.Owner.ID]++
+			out[pairing.Primary.ID]++
 		}
 		return out
 	}
--- a/core/control/stores.go
+++ b/core/control/stores.go
@@ -86,10 +86,8 @@
 			continue
 		}
 		pairing := s.state.Slots[slot]
-		if pairing.Epoch == epoch && !pairing.Complete && pairing.Owner.ID == beat.ID && pairing.Owner.Life == beat.Life {
-			pairing.Complete = true
-			pairing.Trusted = [2]string{pairing.Owner.ID, pairing.Backup.ID}
-			done[slot] = pairing
+		if pairing.Epoch == epoch && !pairing.Complete && pairing.Primary.ID == beat.ID && pairing.Primary.Life == beat.Life {
+			done[slot] = pairing.Completed()
 		}
 	}
 	if len(done) > 0 {
@@ -180,16 +178,27 @@
 		return nil, store.ID, nil
 	}
 	if !p.ask.Back {
-		zones := map[string]bool{}
-		for _, id := range s.willing(now) {
-			if id != store.ID {
-				zones[s.state.Stores[id].Zone] = true
-			}
-		}
-		if len(zones) < 2 {
-			return nil, "", errs.New(errs.Refused, "add a store in another zone first, or wait until those that are down are back",
-				"without store %s the living stores are in %d zone(s); two copies need two", store.ID, len(zones))
+		if err := s.tooFewWithout(store.ID, now); err != nil {
+			return nil, "", err
 		}
 	}
 	return state.Retire{ID: store.ID, Back: p.ask.Back}, store.ID, nil
 }
+
+// tooFewWithout refuses a retirement that would leave fewer stores than a shard has
+// copies, or too few zones.
+func (s *Core) tooFewWithout(id string, now clock.Micros) error {
+	left, zones := 0, map[string]bool{}
+	for _, other := range s.willing(now) {
+		if other != id {
+			left++
+			zones[s.state.Stores[other].Zone] = true
+		}
+	}
+	copies := s.shardCopies()
+	if left >= copies && len(zones) >= min(s.set.ShardZones, copies) {
+		return nil
+	}
+	return errs.New(errs.Refused, "add a store first, in another zone if need be, or wait until those that are down are back",
+		"without store %s there are %d living stores in %d zone(s); %d copies need %d stores in %d zone(s)", id, left, len(zones), copies, copies, min(s.set.ShardZones, copies))
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -87,13 +87,13 @@
 
 // CoreNews says who is primary.
 type CoreNews struct {
-	Fleet   string   `json:"fleet"`
-	Epoch   uint64   `json:"epoch"`
-	Primary string   `json:"primary"`
-	Peer    string   `json:"peer"`
-	Backup  string   `json:"backup"`
-	Cores   []string `json:"cores"`
-	Seats   []string `json:"seats"` // the cores' ids
+	Fleet    string   `json:"fleet"`
+	Epoch    uint64   `json:"epoch"`
+	Primary  string   `json:"primary"`
+	Peer     string   `json:"peer"`
+	Replicas []string `json:"replicas"`
+	Cores    []string `json:"cores"`
+	Seats    []string `json:"seats"` // the cores' ids
 }
 
 // What a daemon counts for when most of the fleet has to have heard of something
--- a/daemon/machines/machines.go
+++ b/daemon/machines/machines.go
@@ -101,13 +101,16 @@
 		out = append(out, c.Do(control.Listed{Rumour: rumour}, now)...)
 	}
 	if c.cairns.hear(rumour) {
-		out = append(out, c.Do(control.Cairns{Peers: c.cairns.peers()}, now)...)
+		out = append(out, c.Do(control.Cores{Peers: c.cairns.peers()}, now)...)
 	}
 	return out
 }
 
 // Call is an ask.
 func (c *Core) Call(number uint64, body any, now clock.Micros) []machine.Effect {
+	if leave, ok := body.(control.Leave); ok {
+		return append(c.Do(leave, now), machine.Answer{Call: number})
+	}
 	return c.Do(control.Call{Number: number, Body: body}, now)
 }
 
--- a/daemon/roles/roles.go
+++ b/daemon/roles/roles.go
@@ -117,7 +117,7 @@
 	l.Porter.Carry(machines.NewCore(core), room)
 	l.Office.Ready = func() (why string) {
 		l.Porter.Inside(func(clock.Micros) {
-			if core.Vote().Done.Epoch == 0 {
+			if core.Vote().Committed.Zero() {
 				why = "the cores have not founded a fleet yet"
 			}
 		})
@@ -126,12 +126,12 @@
 	l.Office.Counters = func() map[string]int64 {
 		out := map[string]int64{}
 		l.Porter.Inside(func(clock.Micros) {
-			out["core_epoch"], out["core_claims"], out["core_takeovers"], out["core_changes"] = int64(core.Vote().Granted), core.Claims, core.Takeovers, core.Changes
+			out["core_epoch"], out["core_claims"], out["core_takeovers"], out["core_changes"] = int64(core.Vote().Term), core.Claims, core.Takeovers, core.Changes
 			if core.Serving() {
 				out["core_primary"] = 1
 				for _, pairing := range core.State().Slots {
-					if !pairing.Complete {
-						out["slots_with_one_copy"]++
+					if !pairing.Complete || len(pairing.Members()) < set.Tolerance+1 {
+						out["shards_short_of_copies"]++
 					}
 				}
 			}
--- a/ledger/replication/assignment.go
+++ b/ledger/replication/assignment.go
@@ -1,98 +1,211 @@
-// Package replication is the fenced pair (DESIGN §4): an owner and a backup in two
-// zones hold the same records under an epoch. It serves the plan on the cores
-// and the ledgers on the stores alike.
 package replication
 
+import (
+	"encoding/json"
+	"slices"
+)
+
 // Member is one life of one daemon: its identity and its incarnation. A daemon
-// that restarted is another member life and has to be paired anew.
+// that restarted is another life and has to be assigned anew.
 type Member struct {
 	ID   string `json:"id"`
 	Life uint64 `json:"life"`
 }
 
-// Assignment is what the granter has written down of one unit.
+// Assignment names the members of one replication group under one epoch, as the
+// authority that assigns groups has it written down: the voters for the control
+// state, the control state for the shards.
 type Assignment struct {
-	Epoch    uint64    `json:"epoch"`
-	Owner    Member    `json:"owner"`
-	Backup   Member    `json:"backup"`
-	Complete bool      `json:"complete"`
-	Trusted  [2]string `json:"trusted"` // the last complete pair: who may own next
+	Epoch    uint64   `json:"epoch"`
+	Primary  Member   `json:"owner"`
+	Replicas []Member `json:"replicas"`
+	// Complete tells that every member holds the whole state on its disk.
+	Complete bool `json:"complete"`
+	// Trusted are the members of the last complete group. Each of them holds all that
+	// was ever confirmed, so one of them has to be the next primary.
+	Trusted []string `json:"trusted"`
+}
+
+// UnmarshalJSON also reads the form of the release before, which had one replica.
+func (a *Assignment) UnmarshalJSON(data []byte) error {
+	type plain Assignment
+	var read struct {
+		plain
+		Backup Member `json:"backup"`
+	}
+	if err := json.Unmarshal(data, &read); err != nil {
+		return err
+	}
+	*a = Assignment(read.plain)
+	if len(a.Replicas) == 0 && read.Backup.ID != "" {
+		a.Replicas = []Member{read.Backup}
+	}
+	a.Trusted = slices.DeleteFunc(a.Trusted, func(id string) bool { return id == "" })
+	return nil
 }
 
-// Zero tells that the unit was never paired.
-func (p Assignment) Zero() bool { return p.Epoch == 0 }
+// Zero tells that the group was never assigned.
+func (a Assignment) Zero() bool { return a.Epoch == 0 }
+
+// Equal compares two assignments.
+func (a Assignment) Equal(b Assignment) bool {
+	return a.Epoch == b.Epoch && a.Primary == b.Primary && a.Complete == b.Complete &&
+		slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Trusted, b.Trusted)
+}
+
+// Members lists the primary and then the replicas.
+func (a Assignment) Members() []Member {
+	if a.Zero() {
+		return nil
+	}
+	return append([]Member{a.Primary}, a.Replicas...)
+}
+
+// IDs lists the members' identities, the primary's first.
+func (a Assignment) IDs() []string {
+	var ids []string
+	for _, member := range a.Members() {
+		ids = append(ids, member.ID)
+	}
+	return ids
+}
+
+// Replicates tells whether a life of a daemon is one of the replicas.
+func (a Assignment) Replicates(member Member) bool { return slices.Contains(a.Replicas, member) }
 
 // Trusts tells whether a daemon holds all that was ever confirmed.
-func (p Assignment) Trusts(id string) bool {
-	return id != "" && (p.Trusted[0] == id || p.Trusted[1] == id)
+func (a Assignment) Trusts(id string) bool { return id != "" && slices.Contains(a.Trusted, id) }
+
+// Holds tells whether a daemon must keep what it has of this group.
+func (a Assignment) Holds(id string) bool {
+	return slices.Contains(a.IDs(), id) || !a.Complete && a.Trusts(id)
 }
 
-// Holds tells whether a daemon must keep what it has of this unit.
-func (p Assignment) Holds(id string) bool {
-	return p.Owner.ID == id || p.Backup.ID == id || (!p.Complete && p.Trusts(id))
+// Completed is the assignment once every member holds the whole state.
+func (a Assignment) Completed() Assignment {
+	a.Complete = true
+	a.Trusted = a.IDs()
+	return a
 }
 
-// Scene is what the granter sees of the daemons.
+// Successors are the daemons of which one has to be primary of the next epoch.
+func (a Assignment) Successors() []string {
+	if a.Complete {
+		return a.IDs()
+	}
+	return a.Trusted
+}
+
+// Scene is what the authority sees of the daemons.
 type Scene struct {
 	// Life is the incarnation a daemon is living now; false when it is silent.
 	Life func(id string) (uint64, bool)
-	// Zone is a daemon's zone.
-	Zone func(id string) string
-	// Spare picks a new backup for an owner, in another zone, in order of
-	// preference; "" when there is none.
-	Spare func(owner string) string
-}
-
-// Next works out the pairing that should follow, or false when all is well or
-// nothing better can be had. Only a member of the last complete pair may own.
-func Next(p Assignment, scene Scene) (Assignment, string, bool) {
-	live := func(m Member) bool {
-		life, ok := scene.Life(m.ID)
-		return ok && life == m.Life
-	}
-	ownerLive, backupLive := live(p.Owner), live(p.Backup)
-	if ownerLive && backupLive {
-		return p, "", false
-	}
-	next := Assignment{Epoch: p.Epoch + 1, Trusted: p.Trusted}
-	if p.Complete {
-		next.Trusted = [2]string{p.Owner.ID, p.Backup.ID}
-	}
-	reason, heir := "", ""
-	switch {
-	case ownerLive:
-		heir, reason = p.Owner.ID, "backup lost"
-	case p.Complete && backupLive:
-		heir, reason = p.Backup.ID, "owner lost"
-	default:
-		// Neither lived through: any trusted daemon that is back may read its
-		// disk; the owner first, since it may hold more.
-		for _, id := range []string{p.Owner.ID, next.Trusted[0], next.Trusted[1]} {
-			if _, ok := scene.Life(id); ok && next.Trusts(id) {
-				heir, reason = id, "pair lost, disk of a member read back"
-				break
+	// Copies is how many members a group should have.
+	Copies int
+	// Enough tells whether a group may go on with these members although they are
+	// fewer than Copies.
+	Enough func(members []string) bool
+	// Spare picks a further member for a group, none of the shunned; "" when there is none.
+	Spare func(members, shunned []string) string
+}
+
+// Living gives a daemon its present life.
+func (s Scene) Living(id string) (Member, bool) {
+	life, ok := s.Life(id)
+	return Member{ID: id, Life: life}, ok
+}
+
+// Next works out the assignment that should follow, with the reason, or false when
+// all is well or nothing better can be had.
+func Next(a Assignment, scene Scene) (Assignment, string, bool) {
+	whole := len(scene.lost(a)) == 0
+	if whole && len(a.Members()) >= scene.Copies {
+		return a, "", false
+	}
+	primary, reason := scene.heir(a)
+	if primary == "" {
+		return a, "", false
+	}
+	next, ok := scene.assign(a, primary, nil)
+	if !ok || whole && len(next.Members()) <= len(a.Members()) {
+		return a, "", false
+	}
+	if whole {
+		reason = "a copy was missing"
+	}
+	return next, reason, true
+}
+
+// Reassign makes a group anew under a primary, without the shunned daemons.
+func Reassign(a Assignment, scene Scene, primary string, shunned []string) (Assignment, bool) {
+	return scene.assign(a, primary, shunned)
+}
+
+// lost lists the members that don't live the life they were assigned in.
+func (s Scene) lost(a Assignment) []Member {
+	var out []Member
+	for _, member := range a.Members() {
+		if now, ok := s.Living(member.ID); !ok || now != member {
+			out = append(out, member)
+		}
+	}
+	return out
+}
+
+// heir picks the next primary: the present one if it lives, else a replica of a
+// complete group that lived through, else whichever trusted daemon is back with its
+// disk. "" when none of them lives.
+func (s Scene) heir(a Assignment) (id, reason string) {
+	if now, ok := s.Living(a.Primary.ID); ok && now == a.Primary {
+		return a.Primary.ID, "replica lost"
+	}
+	if a.Complete {
+		for _, member := range a.Replicas {
+			if now, ok := s.Living(member.ID); ok && now == member {
+				return member.ID, "primary lost"
 			}
 		}
 	}
-	if heir == "" {
-		return p, "", false
+	successors := a.Successors()
+	for _, id := range append([]string{a.Primary.ID}, successors...) {
+		if _, ok := s.Life(id); ok && slices.Contains(successors, id) {
+			return id, "group lost, disk of a member read back"
+		}
 	}
-	life, _ := scene.Life(heir)
-	next.Owner = Member{heir, life}
-	spare := ""
-	// A trusted partner that is back is copied to first: it keeps the zones.
-	for _, id := range next.Trusted {
-		if _, ok := scene.Life(id); ok && id != heir && scene.Zone(id) != scene.Zone(heir) {
-			spare = id
+	return "", ""
+}
+
+// assign fills a group: the members that live stay, trusted daemons that are back
+// come next, then spares.
+func (s Scene) assign(a Assignment, primary string, shunned []string) (Assignment, bool) {
+	first, ok := s.Living(primary)
+	if !ok {
+		return a, false
+	}
+	next := Assignment{Epoch: a.Epoch + 1, Primary: first, Trusted: a.Successors()}
+	ids := []string{primary}
+	add := func(id string) {
+		member, living := s.Living(id)
+		if living && len(ids) < s.Copies && !slices.Contains(ids, id) && !slices.Contains(shunned, id) {
+			next.Replicas, ids = append(next.Replicas, member), append(ids, id)
 		}
 	}
-	if other := scene.Spare(heir); spare == "" {
-		spare = other
+	for _, id := range append(a.IDs(), next.Trusted...) {
+		add(id)
 	}
-	if spare == "" {
-		return p, "", false // no partner in another zone: wait for one
+	for len(ids) < s.Copies {
+		spare := s.Spare(ids, shunned)
+		if spare == "" || slices.Contains(ids, spare) {
+			break
+		}
+		before := len(ids)
+		add(spare)
+		if len(ids) == before {
+			break
+		}
 	}
-	life, _ = scene.Life(spare)
-	next.Backup = Member{spare, life}
-	return next, reason, true
+	if len(ids) < s.Copies && !s.Enough(ids) {
+		return a, false // wait for a further member
+	}
+	return next, true
 }
--- a/ledger/replication/replication_test.go
+++ b/ledger/replication/replication_test.go
@@ -1,7 +1,10 @@
 package replication
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -71,6 +74,7 @@
 	fate    func(number int) string
 	late    []letter
 	largest int
+	cut     func(from, to string) bool
 }
 
 func newBench(names ...string) *bench {
@@ -132,6 +136,9 @@
 }
 
 func (b *bench) deliver(l letter) {
+	if b.cut != nil && b.cut(l.from, l.to) {
+		return
+	}
 	if to := b.ends[l.to]; to != nil {
 		to.groups.Take(l.from, l.body, b.now)
 	}
@@ -150,12 +157,20 @@
 
 func (b *bench) pair(t *testing.T, owner, backup string, epoch uint64) {
 	t.Helper()
-	b.ends[backup].groups.Back("u", epoch, owner, b.now)
-	b.ends[owner].groups.Own("u", epoch, backup, b.now)
+	b.group(t, epoch, owner, backup)
+}
+
+// group has a primary serve with its replicas.
+func (b *bench) group(t *testing.T, epoch uint64, owner string, replicas ...string) {
+	t.Helper()
+	for _, replica := range replicas {
+		b.ends[replica].groups.Back("u", epoch, owner, b.now)
+	}
+	b.ends[owner].groups.Own("u", epoch, replicas, b.now)
 	b.pump()
 	b.pass(3 * clock.Second)
 	if b.ends[owner].ready != epoch {
-		t.Fatalf("%s never had its copy at %s", owner, backup)
+		t.Fatalf("%s never had its copy at %s", owner, replicas)
 	}
 	b.ends[owner].groups.Complete("u", epoch, b.now)
 	b.pump()
@@ -165,15 +180,15 @@
 // end both hold the same list and all is confirmed, once and in order.
 func TestEachMessageMutatedOnce(t *testing.T) {
 	total := 0
-	run := func(number int, fate string) *bench {
-		b := newBench("a", "b")
+	run := func(number int, fate string, replicas ...string) *bench {
+		b := newBench(append([]string{"a"}, replicas...)...)
 		b.fate = func(now int) string {
 			if now == number {
 				return fate
 			}
 			return ""
 		}
-		b.pair(t, "a", "b", 1)
+		b.group(t, 1, "a", replicas...)
 		for i := 0; i < 5; i++ {
 			if _, ok := b.ends["a"].add(fmt.Sprint(i), b.now); !ok {
 				t.Fatalf("message %d %s: the owner does not serve", number, fate)
@@ -190,18 +205,25 @@
 		b.pass(clock.Second)
 		return b
 	}
-	total = run(0, "").count
-	for number := 1; number <= total; number++ {
-		for _, fate := range []string{"drop", "repeat", "late"} {
-			b := run(number, fate)
-			a, back := b.ends["a"], b.ends["b"]
-			if fmt.Sprint(a.list) != "[0 1 2 3 4]" || fmt.Sprint(back.list) != "[0 1 2 3 4]" || fmt.Sprint(a.confirmed) != "[1 2 3 4 5]" {
-				t.Fatalf("message %d %s: owner %v, backup %v, confirmed %v", number, fate, a.list, back.list, a.confirmed)
+	for _, replicas := range [][]string{{"b"}, {"b", "c"}} {
+		total = run(0, "", replicas...).count
+		for number := 1; number <= total; number++ {
+			for _, fate := range []string{"drop", "repeat", "late"} {
+				b := run(number, fate, replicas...)
+				a := b.ends["a"]
+				for _, name := range append([]string{"a"}, replicas...) {
+					if list := b.ends[name].list; fmt.Sprint(list) != "[0 1 2 3 4]" {
+						t.Fatalf("message %d of %d replicas %s: %s holds %v", number, len(replicas), fate, name, list)
+					}
+				}
+				if fmt.Sprint(a.confirmed) != "[1 2 3 4 5]" {
+					t.Fatalf("message %d of %d replicas %s: confirmed %v", number, len(replicas), fate, a.confirmed)
+				}
 			}
 		}
-	}
-	if total < 12 {
-		t.Fatalf("only %d messages were mutated", total)
+		if total < 12*len(replicas) {
+			t.Fatalf("only %d messages were mutated", total)
+		}
 	}
 }
 
@@ -209,7 +231,7 @@
 func TestADeposedOwnerConfirmsNothing(t *testing.T) {
 	b := newBench("a", "b", "c")
 	b.pair(t, "a", "b", 1)
-	b.ends["b"].groups.Own("u", 2, "c", b.now)
+	b.ends["b"].groups.Own("u", 2, []string{"c"}, b.now)
 	if _, ok := b.ends["a"].add("stray", b.now); !ok {
 		t.Fatal("the old owner knows already; the test shows nothing")
 	}
@@ -233,7 +255,7 @@
 	}
 	a := b.ends["a"]
 	delete(b.ends, "a") // frozen
-	b.ends["b"].groups.Own("u", 2, "c", b.now)
+	b.ends["b"].groups.Own("u", 2, []string{"c"}, b.now)
 	for b.ends["b"].ready != 2 {
 		b.pass(50 * clock.Millisecond)
 		if b.ends["b"].ready == 2 && b.now < until {
@@ -284,7 +306,7 @@
 	}
 	now := clock.Micros(1000)
 	for i := 0; i < 10; i++ {
-		a.groups.Own(fmt.Sprint("u", i), 1, "b", now)
+		a.groups.Own(fmt.Sprint("u", i), 1, []string{"b"}, now)
 	}
 	took, most := 0, 0
 	for round := 0; round < 400; round++ {
@@ -311,7 +333,7 @@
 		t.Fatalf("%d pieces were under way, the budget is %d", most, copyBudget)
 	}
 	for i := 0; i < 10; i++ {
-		for at, done := range a.groups.Group(fmt.Sprint("u", i)).pieceTook {
+		for at, done := range a.groups.Group(fmt.Sprint("u", i)).replicas[0].pieceTook {
 			if !done {
 				t.Fatalf("slot %d: piece %d never had its turn (%d taken)", i, at, took)
 			}
@@ -341,33 +363,173 @@
 	}
 }
 
-// Only a member of the last complete pair may own next.
-func TestOnlyTheTrustedMayOwn(t *testing.T) {
-	zones := map[string]string{"a": "1", "b": "2", "c": "3"}
-	living := map[string]uint64{}
-	scene := Scene{Life: func(id string) (uint64, bool) { life, ok := living[id]; return life, ok },
-		Zone: func(id string) string { return zones[id] },
-		Spare: func(owner string) string {
-			for _, id := range []string{"a", "b", "c"} {
-				if _, ok := living[id]; ok && zones[id] != zones[owner] {
+// townsfolk is a scene of daemons in zones, with who lives in which life.
+func townsfolk(copies, least int, zones map[string]string, living map[string]uint64) Scene {
+	return Scene{Copies: copies,
+		Life:   func(id string) (uint64, bool) { life, ok := living[id]; return life, ok },
+		Enough: func(members []string) bool { return len(members) >= least },
+		Spare: func(members, shunned []string) string {
+			for _, id := range slices.Sorted(maps.Keys(zones)) {
+				_, ok := living[id]
+				taken := slices.ContainsFunc(members, func(other string) bool { return zones[other] == zones[id] })
+				if ok && !taken && !slices.Contains(shunned, id) {
 					return id
 				}
 			}
 			return ""
 		}}
-	filling := Assignment{Epoch: 5, Owner: Member{"a", 1}, Backup: Member{"c", 1}, Trusted: [2]string{"a", "b"}}
+}
+
+// Only a member of the last complete group may be primary next.
+func TestOnlyTheTrustedMayOwn(t *testing.T) {
+	living := map[string]uint64{}
+	scene := townsfolk(2, 2, map[string]string{"a": "1", "b": "2", "c": "3"}, living)
+	filling := Assignment{Epoch: 5, Primary: Member{"a", 1}, Replicas: []Member{{"c", 1}}, Trusted: []string{"a", "b"}}
 	living["c"] = 1
 	if next, _, ok := Next(filling, scene); ok {
 		t.Fatalf("c was being filled and becomes %+v", next)
 	}
 	living["b"] = 9
 	next, _, ok := Next(filling, scene)
-	if !ok || next.Owner != (Member{"b", 9}) || next.Backup.ID != "c" || next.Epoch != 6 {
+	if !ok || next.Primary != (Member{"b", 9}) || next.Replicas[0].ID != "c" || next.Epoch != 6 {
 		t.Fatalf("b holds all and is back: %+v %v", next, ok)
 	}
-	whole := Assignment{Epoch: 5, Owner: Member{"a", 1}, Backup: Member{"b", 9}, Complete: true, Trusted: [2]string{"a", "b"}}
+	whole := Assignment{Epoch: 5, Primary: Member{"a", 1}, Replicas: []Member{{"b", 9}}, Complete: true, Trusted: []string{"a", "b"}}
 	next, _, ok = Next(whole, scene)
-	if !ok || next.Owner.ID != "b" || next.Complete || !next.Trusts("a") {
+	if !ok || next.Primary.ID != "b" || next.Complete || !next.Trusts("a") {
 		t.Fatalf("a is lost: %+v %v", next, ok)
 	}
 }
+
+// A group of three goes on with the two that live once that is enough, and takes a
+// third member in as soon as there is one.
+func TestAGroupOfThreeShrinksAndGrows(t *testing.T) {
+	living := map[string]uint64{"a": 1, "b": 1}
+	zones := map[string]string{"a": "1", "b": "2", "c": "3", "d": "4"}
+	whole := Assignment{Epoch: 5, Primary: Member{"a", 1}, Replicas: []Member{{"b", 1}, {"c", 1}}, Complete: true, Trusted: []string{"a", "b", "c"}}
+	if next, _, ok := Next(whole, townsfolk(3, 3, zones, living)); ok {
+		t.Fatalf("two are not enough, and yet %+v follows", next)
+	}
+	next, _, ok := Next(whole, townsfolk(3, 2, zones, living))
+	if !ok || fmt.Sprint(next.IDs()) != "[a b]" || !next.Trusts("c") {
+		t.Fatalf("two are enough: %+v %v", next, ok)
+	}
+	next = next.Completed()
+	if again, _, ok := Next(next, townsfolk(3, 2, zones, living)); ok {
+		t.Fatalf("nothing better can be had, and yet %+v follows", again)
+	}
+	living["d"] = 1
+	next, _, ok = Next(next, townsfolk(3, 2, zones, living))
+	if !ok || fmt.Sprint(next.IDs()) != "[a b d]" || next.Complete || fmt.Sprint(next.Trusted) != "[a b]" {
+		t.Fatalf("d is there: %+v %v", next, ok)
+	}
+}
+
+// An entry is confirmed once every replica has it, not one of them; the planted fault
+// that is content with one is seen.
+func TestConfirmedMeansEveryReplica(t *testing.T) {
+	for _, planted := range []bool{false, true} {
+		b := newBench("a", "b", "c")
+		b.group(t, 1, "a", "b", "c")
+		b.ends["a"].groups.SkipLast = planted
+		b.cut = func(from, to string) bool { return to == "c" }
+		b.ends["a"].add("x", b.now)
+		b.pass(500 * clock.Millisecond)
+		if got := len(b.ends["a"].confirmed) > 0; got != planted {
+			t.Fatalf("planted %v: confirmed %v though c lacks it", planted, b.ends["a"].confirmed)
+		}
+	}
+}
+
+// The primary's lease is every replica's: with one of them cut off it ends, and the
+// one that is cut off may take over after it.
+func TestALeaseNeedsEveryReplica(t *testing.T) {
+	b := newBench("a", "b", "c")
+	b.group(t, 1, "a", "b", "c")
+	b.pass(clock.Second)
+	if b.ends["a"].groups.Group("u").LeaseUntil() <= b.now {
+		t.Fatal("the primary has no fresh lease")
+	}
+	b.cut = func(from, to string) bool { return (from == "c") != (to == "c") }
+	b.pass(LeaseWait)
+	if until := b.ends["a"].groups.Group("u").LeaseUntil(); until > b.now {
+		t.Fatalf("the lease runs to %d without c, now is %d", until, b.now)
+	}
+	b.pass(clock.Second)
+	if silent := b.ends["a"].groups.Group("u").Silent(b.now); fmt.Sprint(silent) != "[c]" {
+		t.Fatalf("silent are %v", silent)
+	}
+}
+
+// A replica that holds what the primary holds adopts the new epoch without a copy, and
+// reads the same back; one that holds anything else is filled.
+func TestWhatIsHeldAlreadyIsNotCopied(t *testing.T) {
+	for _, behind := range []bool{false, true} {
+		b := newBench("a", "b", "c")
+		b.group(t, 1, "a", "b", "c")
+		b.ends["a"].add("one", b.now)
+		b.pass(clock.Second)
+		if behind {
+			b.cut = func(from, to string) bool { return to == "c" }
+			b.ends["a"].add("two", b.now)
+			b.pump()
+			b.cut = nil
+		}
+		before := len(b.ends["c"].durable)
+		b.group(t, 2, "b", "c")
+		last := b.ends["c"].durable[before]
+		if copied := last.Kind == KindCopy; copied != behind {
+			t.Fatalf("behind %v: c wrote a record of kind %s", behind, last.Kind)
+		}
+		again := newEnd("c")
+		for _, record := range b.ends["c"].durable {
+			again.groups.Recover(record)
+		}
+		if fmt.Sprint(again.list) != fmt.Sprint(b.ends["b"].list) || again.groups.Group("u").Epoch != 2 {
+			t.Fatalf("behind %v: c reads %v of epoch %d back, b holds %v", behind, again.list, again.groups.Group("u").Epoch, b.ends["b"].list)
+		}
+	}
+}
+
+// A member that restarted may have granted a lease right before: it takes over once
+// that has ended.
+func TestARestartedReplicaWaitsForTheLeaseItGranted(t *testing.T) {
+	b := newBench("a", "b", "c")
+	b.group(t, 1, "a", "b")
+	b.pass(clock.Second)
+	until := b.ends["a"].groups.Group("u").LeaseUntil()
+	again := newEnd("b")
+	for _, record := range b.ends["b"].durable {
+		again.groups.Recover(record)
+	}
+	b.ends["b"] = again
+	delete(b.ends, "a") // frozen: it can't give its lease back
+	again.groups.ClockEvent(b.now)
+	again.groups.Own("u", 2, []string{"c"}, b.now)
+	for again.ready != 2 {
+		b.pass(50 * clock.Millisecond)
+		if again.ready == 2 && b.now < until {
+			t.Fatalf("the copy is done at %d, before the lease ends at %d", b.now, until)
+		}
+		if b.now > until+5*clock.Second {
+			t.Fatal("the takeover never came")
+		}
+	}
+}
+
+// The form of the release before, with one replica, is read.
+func TestAnOlderAssignmentIsRead(t *testing.T) {
+	var a Assignment
+	old := `{"epoch":4,"owner":{"id":"a","life":2},"backup":{"id":"b","life":3},"complete":true,"trusted":["a","b"]}`
+	if err := json.Unmarshal([]byte(old), &a); err != nil {
+		t.Fatal(err)
+	}
+	if !a.Equal(Assignment{Epoch: 4, Primary: Member{"a", 2}, Replicas: []Member{{"b", 3}}, Complete: true, Trusted: []string{"a", "b"}}) {
+		t.Fatalf("read as %+v", a)
+	}
+	data, _ := json.Marshal(a)
+	var again Assignment
+	if err := json.Unmarshal(data, &again); err != nil || !again.Equal(a) {
+		t.Fatalf("written as %s, read as %+v (%v)", data, again, err)
+	}
+}
--- a/ledger/store/asks.go
+++ b/ledger/store/asks.go
@@ -48,7 +48,7 @@
 		Writer   int          `json:"writer"`
 		Slot     int          `json:"slot"`
 		Epoch    uint64       `json:"epoch"`
-		Backup   string       `json:"backup"`
+		Replicas []string     `json:"replicas"`
 		Enrolled clock.Micros `json:"enrolled_us"`
 		Customer string       `json:"customer"`
 		Rows     []shard.Row  `json:"rows"` // for operators
@@ -137,9 +137,15 @@
 		Ready          map[int]uint64 // slots copied, by epoch
 		Fleet          string         // "" before a core gave it a writer id
 		Draining       bool
-		Stalled        bool           // its disk holds writes back
-		Lonely         map[int]uint64 // owned slots whose backup does not answer, by epoch
-		Busy           []int          // owned slots with bundles that are open: moving them runs items again
+		Stalled        bool                   // its disk holds writes back
+		Silent         map[int]SilentReplicas // of the slots it leads
+		Busy           []int                  // owned slots with bundles that are open: moving them runs items again
+	}
+	// SilentReplicas are the replicas that don't answer the primary of an epoch, by
+	// their addresses.
+	SilentReplicas struct {
+		Epoch uint64
+		Peers []string
 	}
 	// Unwelcome turns a store away for good: its folder is a copy, or an old one.
 	Unwelcome struct {
--- a/ledger/store/calls.go
+++ b/ledger/store/calls.go
@@ -113,7 +113,7 @@
 func (k *Store) openItems() int {
 	count := 0
 	for _, group := range k.groups.All() {
-		if !group.Owns() {
+		if !group.Leads() {
 			continue
 		}
 		for _, bundle := range k.place(group.Unit).state.Bundles {
@@ -161,7 +161,7 @@
 func (k *Store) statusOf(p *place, group *replication.Group, b *shard.Bundle) Status {
 	items, rows := b.Counts()
 	return Status{Bundle: b.ID, Route: b.Route, State: string(b.State), Items: items, Listed: rows,
-		Store: k.self.ID, Writer: k.writer, Slot: p.slot, Epoch: group.Epoch, Backup: group.Peer(), Enrolled: b.Enrolled, Customer: b.Customer}
+		Store: k.self.ID, Writer: k.writer, Slot: p.slot, Epoch: group.Epoch, Replicas: group.Peers(), Enrolled: b.Enrolled, Customer: b.Customer}
 }
 
 func (k *Store) status(call uint64, ask StatusAsk, now clock.Micros) {
--- a/ledger/store/free_test.go
+++ b/ledger/store/free_test.go
@@ -20,7 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
 			m := state.Map{Fleet: "f", Seq: 3, Stores: map[string]state.Store{"a": {Peer: "a", Life: c.life}, "b": {Peer: "b", Life: 1}},
-				Slots: []replication.Assignment{{Epoch: 2, Owner: replication.Member{ID: "b", Life: 1}, Backup: replication.Member{ID: "a", Life: c.life}, Trusted: [2]string{"a", "b"}}}}
+				Slots: []replication.Assignment{{Epoch: 2, Primary: replication.Member{ID: "b", Life: 1}, Replicas: []replication.Member{{ID: "a", Life: c.life}}, Trusted: []string{"a", "b"}}}}
 			value, _ := json.Marshal(m)
 			k := b.keepers["b"]
 			effects := k.Do(News{Rumour: machine.Rumour{Key: state.MapKey, Seq: m.Seq, Value: value}}, b.now)
--- a/ledger/store/store.go
+++ b/ledger/store/store.go
@@ -439,7 +439,7 @@
 func (k *Store) free(was state.Map) {
 	for slot, pairing := range was.Slots {
 		group := k.groups.Group(Unit(slot))
-		if pairing.Epoch == group.Epoch && pairing.Owner.ID != k.self.ID && k.placement.Stores[pairing.Owner.ID].Life > pairing.Owner.Life {
+		if pairing.Epoch == group.Epoch && pairing.Primary.ID != k.self.ID && k.placement.Stores[pairing.Primary.ID].Life > pairing.Primary.Life {
 			k.groups.Void(group.Unit)
 		}
 	}
@@ -454,19 +454,19 @@
 		switch {
 		case pairing.Epoch < group.Epoch || pairing.Zero():
 		case pairing.Epoch == group.Epoch:
-			if pairing.Owner == me && pairing.Complete && k.groups.Complete(unit, pairing.Epoch, now) {
+			if pairing.Primary == me && pairing.Complete && k.groups.Complete(unit, pairing.Epoch, now) {
 				k.serve(unit, now)
 			}
 			if pairing.Complete && !pairing.Holds(k.self.ID) && group.Seq > 0 {
 				k.groups.Drop(unit, pairing.Epoch, now)
 			}
-		case pairing.Owner == me:
+		case pairing.Primary == me:
 			k.Takeovers++
-			k.Emit(machine.Explain{What: "owning a slot", Fields: map[string]any{"slot": slot, "epoch": pairing.Epoch, "backup": pairing.Backup.ID, "from_role": group.Role.String()}})
-			k.groups.Own(unit, pairing.Epoch, k.placement.Stores[pairing.Backup.ID].Peer, now)
+			k.Emit(machine.Explain{What: "owning a slot", Fields: map[string]any{"slot": slot, "epoch": pairing.Epoch, "replicas": pairing.IDs()[1:], "from_role": group.Role.String()}})
+			k.groups.Own(unit, pairing.Epoch, k.peers(pairing.Replicas), now)
 			k.dirty = true
-		case pairing.Backup == me:
-			k.groups.Back(unit, pairing.Epoch, k.placement.Stores[pairing.Owner.ID].Peer, now)
+		case pairing.Replicates(me):
+			k.groups.Back(unit, pairing.Epoch, k.placement.Stores[pairing.Primary.ID].Peer, now)
 			k.dirty = true
 		case pairing.Holds(k.self.ID):
 			k.groups.Release(unit, pairing.Epoch, now)
@@ -478,6 +478,15 @@
 	}
 }
 
+// peers are the addresses of members of a group.
+func (k *Store) peers(members []replication.Member) []string {
+	var out []string
+	for _, member := range members {
+		out = append(out, k.placement.Stores[member.ID].Peer)
+	}
+	return out
+}
+
 // serve begins to confirm, list and start work under a complete pair.
 func (k *Store) serve(unit string, now clock.Micros) {
 	p := k.place(unit)
@@ -532,7 +541,7 @@
 		unit := Unit(f.slot)
 		group := k.groups.Group(unit)
 		bundle := k.place(unit).state.Bundles[f.row.Bundle]
-		if !group.Owns() || bundle == nil || bundle.State != shard.Open || f.row.Item < 0 || f.row.Item >= len(bundle.Items) || bundle.Listed(f.row.Item) {
+		if !group.Leads() || bundle == nil || bundle.State != shard.Open || f.row.Item < 0 || f.row.Item >= len(bundle.Items) || bundle.Listed(f.row.Item) {
 			continue // another keeper runs it, or it needs no row any more
 		}
 		if group.Role != replication.Serving {
@@ -622,10 +631,10 @@
 
 func (k *Store) beat(now clock.Micros) {
 	k.next.beat = now + k.set.BeatEvery
-	ready, lonely := map[int]uint64{}, map[int]uint64{}
+	ready, silent := map[int]uint64{}, map[int]SilentReplicas{}
 	for _, group := range k.groups.All() {
-		if group.Lonely(now) {
-			lonely[slotOf(group.Unit)] = group.Epoch
+		if peers := group.Silent(now); len(peers) > 0 {
+			silent[slotOf(group.Unit)] = SilentReplicas{Epoch: group.Epoch, Peers: peers}
 		}
 		if group.Role == replication.Copied {
 			ready[slotOf(group.Unit)] = group.Epoch
@@ -633,12 +642,12 @@
 	}
 	var busy []int
 	for _, group := range k.groups.All() {
-		if group.Owns() && k.place(group.Unit).state.Open() {
+		if group.Leads() && k.place(group.Unit).state.Open() {
 			busy = append(busy, slotOf(group.Unit))
 		}
 	}
 	for _, peer := range k.cairns {
-		k.Emit(machine.Send{To: peer, Body: Beat{Busy: busy, Fleet: k.fleet, ID: k.self.ID, Name: k.self.Name, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Lonely: lonely, Draining: k.drain, Stalled: k.Stalled(now)}})
+		k.Emit(machine.Send{To: peer, Body: Beat{Busy: busy, Fleet: k.fleet, ID: k.self.ID, Name: k.self.Name, Zone: k.self.Zone, Peer: k.self.Peer, Life: k.self.Life, Ready: ready, Silent: silent, Draining: k.drain, Stalled: k.Stalled(now)}})
 	}
 }
 
@@ -677,7 +686,7 @@
 // second copy, and how long the oldest result has waited to be announced.
 func (k *Store) AtRisk(now clock.Micros) (copies int64, oldest clock.Micros) {
 	for _, group := range k.groups.All() {
-		if group.Owns() && group.Role != replication.Serving {
+		if group.Leads() && group.Role != replication.Serving {
 			copies++
 		}
 		oldest = max(oldest, group.Oldest(now))
@@ -737,7 +746,7 @@
 func (k *Store) Owned() int {
 	count := 0
 	for _, group := range k.groups.All() {
-		if group.Owns() {
+		if group.Leads() {
 			count++
 		}
 	}
--- a/ledger/store/store_test.go
+++ b/ledger/store/store_test.go
@@ -55,7 +55,7 @@
 	b.do("b", Letter{Body: Welcome{Fleet: "f", Writer: 2}})
 	for seq, complete := range []bool{false, true} {
 		m := state.Map{Fleet: "f", Seq: uint64(seq + 1), Stores: map[string]state.Store{"a": {Peer: "a"}, "b": {Peer: "b"}},
-			Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "a", Life: 1}, Backup: replication.Member{ID: "b", Life: 1}, Complete: complete}}}
+			Slots: []replication.Assignment{{Epoch: 1, Primary: replication.Member{ID: "a", Life: 1}, Replicas: []replication.Member{{ID: "b", Life: 1}}, Complete: complete}}}
 		value, _ := json.Marshal(m)
 		for _, id := range []string{"a", "b"} {
 			b.do(id, News{Rumour: machine.Rumour{Key: state.MapKey, Seq: m.Seq, Value: value}})
--- a/ledger/store/waiting.go
+++ b/ledger/store/waiting.go
@@ -38,11 +38,11 @@
 // counts tells whether a slot's work counts here: at its owner, and at one that
 // was its owner in an earlier life until another is.
 func (k *Store) counts(group *replication.Group) bool {
-	if group.Owns() {
+	if group.Leads() {
 		return true
 	}
 	slot := slotOf(group.Unit)
-	return group.Role == replication.Cold && slot < len(k.placement.Slots) && k.placement.Slots[slot].Owner.ID == k.self.ID
+	return group.Role == replication.Cold && slot < len(k.placement.Slots) && k.placement.Slots[slot].Primary.ID == k.self.ID
 }
 
 // leave keeps what a slot counted for in mind for a while.
--- a/ledger/store/waiting_test.go
+++ b/ledger/store/waiting_test.go
@@ -12,7 +12,7 @@
 
 func mapNews(seq, epoch uint64, owner, backup string, ownerLife uint64) News {
 	m := state.Map{Fleet: "f", Seq: seq, Stores: map[string]state.Store{"a": {Peer: "a", Life: 1}, "b": {Peer: "b", Life: 1}},
-		Slots: []replication.Assignment{{Epoch: epoch, Owner: replication.Member{ID: owner, Life: ownerLife}, Backup: replication.Member{ID: backup, Life: 1}, Complete: true, Trusted: [2]string{owner, backup}}}}
+		Slots: []replication.Assignment{{Epoch: epoch, Primary: replication.Member{ID: owner, Life: ownerLife}, Replicas: []replication.Member{{ID: backup, Life: 1}}, Complete: true, Trusted: []string{owner, backup}}}}
 	value, _ := json.Marshal(m)
 	return News{Rumour: machine.Rumour{Key: state.MapKey, Seq: seq, Value: value}}
 }
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -60,7 +60,7 @@
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"bundle": status.Bundle, "route": status.Route, "state": status.State,
 		"items": status.Items, "listed": status.Listed, "enrolled_us": status.Enrolled,
-		"kept": map[string]any{"keeper": status.Store, "writer": status.Writer, "slot": status.Slot, "epoch": status.Epoch, "backup": status.Backup}})
+		"kept": map[string]any{"keeper": status.Store, "writer": status.Writer, "slot": status.Slot, "epoch": status.Epoch, "replicas": status.Replicas}})
 }
 
 // poll reads the paging parameters.
--- a/path/quota/map_test.go
+++ b/path/quota/map_test.go
@@ -33,7 +33,7 @@
 		t.Fatalf("without a map it lent %+v", got)
 	}
 	m = state.Map{Seq: 1, Stores: map[string]state.Store{"store": {ID: "store"}, "old": {ID: "old", Struck: true}},
-		Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "store"}, Complete: true}}}
+		Slots: []replication.Assignment{{Epoch: 1, Primary: replication.Member{ID: "store"}, Complete: true}}}
 	if got := ask(); got.Ready {
 		t.Fatalf("it lent %+v before the store on the map had told", got)
 	}
@@ -46,7 +46,7 @@
 // What a store held that is gone is let go once its slots are others', and no sooner.
 func TestALoanPassesOnWithTheSlots(t *testing.T) {
 	p := New("edge", machine.NewWire(), func() []identity.Person { return nil }, nil)
-	m := state.Map{Seq: 1, Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "gone"}, Complete: true}}}
+	m := state.Map{Seq: 1, Slots: []replication.Assignment{{Epoch: 1, Primary: replication.Member{ID: "gone"}, Complete: true}}}
 	p.Map = func() (state.Map, bool) { return m, true }
 	now := clock.Second
 	a := Open(1, nil, now)
@@ -63,7 +63,7 @@
 			t.Fatalf("%d lent while its slot is still its own", got)
 		}
 	}
-	m.Slots[0].Owner.ID = "other"
+	m.Slots[0].Primary.ID = "other"
 	if got := step(); got != 40 {
 		t.Fatalf("%d lent at once after the slot passed", got)
 	}
--- a/path/quota/quota.go
+++ b/path/quota/quota.go
@@ -351,9 +351,11 @@
 	}
 	owns := map[string]bool{}
 	for _, pairing := range m.Slots {
-		owns[pairing.Owner.ID] = true
+		owns[pairing.Primary.ID] = true
 		if !pairing.Complete {
-			owns[pairing.Trusted[0]], owns[pairing.Trusted[1]] = true, true
+			for _, id := range pairing.Trusted {
+				owns[id] = true
+			}
 		}
 	}
 	for _, person := range p.Folk() {
--- a/proof/capacitymodel/fleet.go
+++ b/proof/capacitymodel/fleet.go
@@ -192,7 +192,7 @@
 func (f *Fleet) primary() *daemon {
 	var best *daemon
 	for _, d := range f.daemons {
-		if d.core != nil && d.up && d.core.Serving() && (best == nil || d.core.Vote().Granted > best.core.Vote().Granted) {
+		if d.core != nil && d.up && d.core.Serving() && (best == nil || d.core.Vote().Term > best.core.Vote().Term) {
 			best = d
 		}
 	}
--- a/proof/capacitymodel/rounds.go
+++ b/proof/capacitymodel/rounds.go
@@ -133,7 +133,7 @@
 	slot := shard.SlotOf(id, len(slots))
 	var keeper, edge *daemon
 	for _, d := range f.daemons {
-		if d.id == slots[slot].Owner.ID && d.up {
+		if d.id == slots[slot].Primary.ID && d.up {
 			keeper = d
 		}
 		if d.kind == identity.Edge && d.up && (edge == nil || f.chance.Intn(4) == 0) {
--- a/proof/faultinject/faults.go
+++ b/proof/faultinject/faults.go
@@ -285,9 +285,9 @@
 	owned := map[string]int{}
 	best := ""
 	for _, pairing := range m.Slots {
-		owned[pairing.Owner.ID]++
-		if best == "" || owned[pairing.Owner.ID] > owned[best] {
-			best = pairing.Owner.ID
+		owned[pairing.Primary.ID]++
+		if best == "" || owned[pairing.Primary.ID] > owned[best] {
+			best = pairing.Primary.ID
 		}
 	}
 	return s.byPeer(m.Stores[best].Peer)
@@ -502,7 +502,7 @@
 		}
 		owned := 0
 		for _, pairing := range m.Slots {
-			if m.Stores[pairing.Owner.ID].Peer == peer && pairing.Complete {
+			if m.Stores[pairing.Primary.ID].Peer == peer && pairing.Complete {
 				owned++
 			}
 		}
--- a/proof/localfleet/localfleet.go
+++ b/proof/localfleet/localfleet.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -163,10 +164,14 @@
 			d.args = c.screeArgs(d, i)
 		} else {
 			d.args = append(d.args, "-seeds", strings.Join(seeds[:3], ","))
+			if d.Kind == "cairn" {
+				d.args = append(d.args, "-bootstrap")
+			}
 		}
 		if err := c.Run(d.Name); err != nil {
 			return err
 		}
+		d.args = slices.DeleteFunc(d.args, func(arg string) bool { return arg == "-bootstrap" }) // the first start only
 	}
 	return nil
 }
--- a/proof/simulation/day.go
+++ b/proof/simulation/day.go
@@ -411,9 +411,11 @@
 				for _, name := range w.Names("cairn") {
 					if n := w.Nodes[name]; n.up && n.Core.Serving() {
 						for _, pairing := range n.Core.State().Slots {
-							if b := w.byID(pairing.Backup.ID); !pairing.Complete && b != nil && b.up && w.live(pairing.Owner.ID) {
-								backup = b
-								return true
+							for _, replica := range pairing.Replicas {
+								if b := w.byID(replica.ID); !pairing.Complete && b != nil && b.up && w.live(pairing.Primary.ID) {
+									backup = b
+									return true
+								}
 							}
 						}
 					}
--- a/proof/simulation/simulation_test.go
+++ b/proof/simulation/simulation_test.go
@@ -268,9 +268,9 @@
 		w.Run(10 * clock.Second)
 		epochs := func() (out string) {
 			for _, p := range w.primary().Core.State().Slots {
-				out += fmt.Sprint(p.Epoch, p.Owner, " ")
+				out += fmt.Sprint(p.Epoch, p.Primary, " ")
 			}
-			return out + fmt.Sprint(w.primary().Core.Vote().Done.Epoch)
+			return out + fmt.Sprint(w.primary().Core.Vote().Committed.Epoch)
 		}
 		before := epochs()
 		for i := 0; i < 30; i++ {
--- a/proof/simulation/watch.go
+++ b/proof/simulation/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -562,7 +563,7 @@
 			if !pairing.Complete {
 				return false
 			}
-			for _, id := range []string{pairing.Owner.ID, pairing.Backup.ID} {
+			for _, id := range pairing.IDs() {
 				if !w.live(id) {
 					return false
 				}
@@ -818,10 +819,10 @@
 			continue
 		}
 		o := n.Core.Vote()
-		out = append(out, fmt.Sprintf("%s(%s) %s granted %d owner %s backup %s done %d", name, n.ID, n.Core.Groups().Group("core").Role, o.Granted, o.Grant.Owner.ID, o.Grant.Backup.ID, o.Done.Epoch))
+		out = append(out, fmt.Sprintf("%s(%s) %s term %d pending %v committed %d %v", name, n.ID, n.Core.Groups().Group("core").Role, o.Term, o.Pending.IDs(), o.Committed.Epoch, o.Committed.IDs()))
 		if n.Core.Serving() {
 			for slot, p := range n.Core.State().Slots {
-				if !p.Complete || !w.live(p.Owner.ID) || !w.live(p.Backup.ID) {
+				if !p.Complete || slices.ContainsFunc(p.IDs(), func(id string) bool { return !w.live(id) }) {
 					out = append(out, fmt.Sprintf("slot %d %+v", slot, p))
 				}
 			}
