--- a/proof/simulation/world.go
+++ b/proof/simulation/world.go
@@ -400,7 +400,7 @@
 	switch n.Kind {
 	case identity.Core:
 		set := control.Defaults()
-		set.Slots, set.CheckPlan, set.Bootstrap = slots, config.Check, w.Now < clock.Second
+		set.Slots, set.CheckPlan, set.Bootstrap = slots, config.Check, n.era == 1
 		n.Core = control.New(control.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
 		n.machine = machines.NewCore(n.Core)
 	case identity.Store:
