--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -192,11 +192,20 @@
 	if ask.Version > 0 && len(plans.Versions) == 1 {
 		return httpserver.WriteJSON(w, http.StatusOK, plans.Versions[0])
 	}
-	out := []map[string]any{}
+	return httpserver.WriteJSON(w, http.StatusOK, listOf(plans))
+}
+
+// listOf lists the versions that can be read back, and the orders that are still
+// recognised when they are sent again, by the digest of their documents.
+func listOf(plans control.Plans) map[string]any {
+	versions, orders := []map[string]any{}, []map[string]any{}
 	for _, version := range plans.Versions {
-		out = append(out, map[string]any{"version": version.Number, "by": version.By, "at_us": version.At})
+		versions = append(versions, map[string]any{"version": version.Number, "base": version.Base, "by": version.By, "at_us": version.At})
+	}
+	for _, order := range plans.Orders {
+		orders = append(orders, map[string]any{"version": order.Number, "base": order.Base, "digest": order.Digest.String()})
 	}
-	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"plans": out})
+	return map[string]any{"plans": versions, "orders": orders}
 }
 
 func (o *Admin) store(w http.ResponseWriter, r *http.Request) error {
