--- a/core/control/core_test.go
+++ b/core/control/core_test.go
@@ -35,6 +35,7 @@
 	calls   uint64
 	answers map[uint64]machine.Answer
 	spreads []machine.Spread
+	disks   map[string]*disk // what each core has written, where the test keeps it
 }
 
 func newBench(set Settings) *bench {
@@ -62,7 +63,14 @@
 		case machine.Send:
 			b.wire = append(b.wire, letter{e.To, peer, e.Body})
 		case machine.Store:
+			if b.disks != nil {
+				b.disk(peer).writes = append(b.disk(peer).writes, e.Records)
+			}
 			b.take(peer, b.cores[peer].Do(Stored{e.Token}, b.now))
+		case machine.Fold:
+			if b.disks != nil {
+				b.disks[peer] = &disk{snapshot: e.Records}
+			}
 		case machine.Answer:
 			b.answers[e.Call] = e
 		case machine.Spread:
--- /dev/null
+++ b/core/control/figures_test.go
@@ -0,0 +1,203 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/kernel/storage"
+	"tuliprudder/ledger/replication"
+)
+
+// disk is what a core has written: a snapshot, and the writes since.
+type disk struct {
+	snapshot []machine.Record
+	writes   [][]machine.Record
+}
+
+func (b *bench) disk(peer string) *disk {
+	if b.disks[peer] == nil {
+		b.disks[peer] = &disk{}
+	}
+	return b.disks[peer]
+}
+
+// writeTo writes the same files as a daemon does.
+func (d *disk) writeTo(t *testing.T, folder string) (files int, size int64) {
+	t.Helper()
+	room, _, err := storage.Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.snapshot != nil {
+		if err := room.Fold(d.snapshot); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, records := range d.writes {
+		if err := room.Write(records); err != nil {
+			t.Fatal(err)
+		}
+	}
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range entries {
+		info, err := os.Stat(filepath.Join(folder, entry.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += info.Size()
+	}
+	return len(entries), size
+}
+
+// configuration is a document of 30 routes, as the operators send them.
+func configuration(number int) string {
+	var routes []string
+	for i := 0; i < 30; i++ {
+		routes = append(routes, fmt.Sprintf(`{"name":"r-%d-%05d","host":"host%d.example","path-prefix":"/part%d/","kind":"stream","deadline-ms":%d,"target-ms":300,"prio":0,"split":[{"svc":"service-a","share":90},{"svc":"service-b","share":10}],"tries":2,"pin":true,"resumable":true,"token-gap-ms":150}`,
+			i, number, i%7, i, 2500+number%1000))
+	}
+	return fmt.Sprintf(`{"ver":%05d,"routes":[%s],"svcs":[{"name":"service-a","max-conns":210},{"name":"service-b","max-conns":210}]}`, 10_000+number, strings.Join(routes, ","))
+}
+
+// figures are what a number of changes costs a core that joins or starts afterwards.
+type figures struct {
+	changes     int
+	copyBytes   int           // of state sent to a core that joins the group
+	copyPieces  int           // messages of them
+	joinedAfter clock.Micros  // simulated time from the loss of a replica
+	diskBytes   int64         // on the primary's disk: snapshot and changes since
+	diskFiles   int           // files of them
+	startedIn   time.Duration // reading them back and making the core of them
+	heap        int64         // held by that core
+	mapBytes    int           // of news to every daemon
+}
+
+func (f figures) String() string {
+	return fmt.Sprintf("%6d changes: copy %7d bytes in %d pieces, whole again after %.2f s; disk %8d bytes in %3d files, start %5.1f ms, heap %5d KB; map %d bytes",
+		f.changes, f.copyBytes, f.copyPieces, float64(f.joinedAfter)/float64(clock.Second), f.diskBytes, f.diskFiles, float64(f.startedIn.Microseconds())/1000, f.heap/1024, f.mapBytes)
+}
+
+// measure puts a number of configurations, has another core take the place of the
+// replica that is lost, and starts a core from the primary's disk.
+func measure(t *testing.T, changes int) figures {
+	t.Helper()
+	b := fleet(t, small())
+	b.disks = map[string]*disk{}
+	primary := b.primary()
+	for n := 1; n <= changes; n++ {
+		b.acknowledged(t, primary, put(uint64(n), uint64(n-1), configuration(n)))
+		b.spreads, b.answers = nil, map[uint64]machine.Answer{}
+	}
+	out := figures{changes: changes}
+	written := b.disk(primary.self.Peer)
+	out.joinedAfter = b.join(t, primary, &out)
+	out.start(t, primary, written)
+	return out
+}
+
+// join takes the replica's machine away and waits until another core is replica.
+func (b *bench) join(t *testing.T, primary *Core, out *figures) clock.Micros {
+	t.Helper()
+	for peer, core := range b.cores {
+		if core != primary && core.state.Configured() {
+			delete(b.cores, peer)
+		}
+	}
+	b.drop = func(l letter) bool {
+		if piece, ok := l.body.(replication.Copy); ok {
+			out.copyPieces++
+			for _, part := range piece.Parts {
+				out.copyBytes += len(part)
+			}
+		}
+		return false
+	}
+	lost := b.now
+	for b.now < lost+20*clock.Second {
+		b.pass(50 * clock.Millisecond)
+		for _, core := range b.cores {
+			if core != primary && core.state.Configured() && primary.leads(b.now) {
+				return b.now - lost
+			}
+		}
+	}
+	t.Fatal("no other core became replica")
+	return 0
+}
+
+// start writes a core's disk down and starts a core from it.
+func (f *figures) start(t *testing.T, of *Core, written *disk) {
+	t.Helper()
+	folder := t.TempDir()
+	f.diskFiles, f.diskBytes = written.writeTo(t, folder)
+	var before, after runtime.MemStats
+	collect()
+	runtime.ReadMemStats(&before)
+	began := time.Now()
+	_, records, err := storage.Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core := New(of.self, of.life+1, of.seeds, of.set, records)
+	f.startedIn = time.Since(began)
+	records = nil
+	collect()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(written)
+	runtime.KeepAlive(of)
+	f.heap = int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	latest, _ := core.state.Latest()
+	if core.BadRecord != nil || f.changes > 0 && latest.Number != uint64(f.changes) {
+		t.Fatalf("started with version %d, %v", latest.Number, core.BadRecord)
+	}
+	mapNews, err := json.Marshal(core.state.Map())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.mapBytes = len(mapNews)
+}
+
+// collect frees what is no longer used.
+func collect() {
+	runtime.GC()
+	runtime.GC()
+}
+
+// Neither what a joining core is sent nor what a core holds on disk grows with the
+// number of changes, from 1,000 on. Run with -v for the figures.
+func TestChangesDoNotMakeTheStateGrow(t *testing.T) {
+	var at1000 figures
+	for _, changes := range []int{10, 100, 1_000, 10_000} {
+		if changes > 1_000 && testing.Short() {
+			break
+		}
+		f := measure(t, changes)
+		t.Log(f)
+		if changes < 1_000 {
+			continue
+		}
+		if at1000.changes == 0 {
+			at1000 = f
+		}
+		if limit := at1000.copyBytes + at1000.copyBytes/20; f.copyBytes > limit {
+			t.Errorf("%d changes: a copy of %d bytes, more than %d", changes, f.copyBytes, limit)
+		}
+		if f.copyPieces > at1000.copyPieces || f.mapBytes > at1000.mapBytes+16 {
+			t.Errorf("%d changes: %d pieces, a map of %d bytes", changes, f.copyPieces, f.mapBytes)
+		}
+		if limit := int64(at1000.copyBytes*2 + 2*foldAfterBytes); f.diskBytes > limit || f.diskFiles > Defaults().FoldAfter+1 {
+			t.Errorf("%d changes: %d bytes in %d files on disk, more than %d", changes, f.diskBytes, f.diskFiles, limit)
+		}
+	}
+}
--- a/core/control/orders_test.go
+++ b/core/control/orders_test.go
@@ -50,10 +50,10 @@
 type lostAnswer int
 
 const (
-	neverArrived lostAnswer = iota
-	onOneDisk               // no replica has it
-	onAllDisks              // the replica's acknowledgement is lost
-	confirmedThen           // only the answer to the operator is lost
+	neverArrived  lostAnswer = iota
+	onOneDisk                // no replica has it
+	onAllDisks               // the replica's acknowledgement is lost
+	confirmedThen            // only the answer to the operator is lost
 )
 
 var lostAnswers = map[lostAnswer]string{neverArrived: "never arrived", onOneDisk: "on one disk", onAllDisks: "on all disks", confirmedThen: "confirmed"}
