--- a/core/control/core_test.go
+++ b/core/control/core_test.go
@@ -35,6 +35,7 @@
 	calls   uint64
 	answers map[uint64]machine.Answer
 	spreads []machine.Spread
+	disks   map[string]*disk // what each core has written, where the test keeps it
 }
 
 func newBench(set Settings) *bench {
@@ -62,7 +63,14 @@
 		case machine.Send:
 			b.wire = append(b.wire, letter{e.To, peer, e.Body})
 		case machine.Store:
+			if b.disks != nil {
+				b.disk(peer).writes = append(b.disk(peer).writes, e.Records)
+			}
 			b.take(peer, b.cores[peer].Do(Stored{e.Token}, b.now))
+		case machine.Fold:
+			if b.disks != nil {
+				b.disks[peer] = &disk{snapshot: e.Records}
+			}
 		case machine.Answer:
 			b.answers[e.Call] = e
 		case machine.Spread:
@@ -143,7 +151,12 @@
 // fleet is three cores that have founded, three stores and their slots.
 func fleet(t *testing.T, set Settings) *bench {
 	t.Helper()
-	b := newBench(set)
+	return found(t, newBench(set))
+}
+
+// found has three cores found a fleet with three stores.
+func found(t *testing.T, b *bench) *bench {
+	t.Helper()
 	for i := 1; i <= 3; i++ {
 		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
 	}
@@ -241,7 +254,7 @@
 			t.Fatalf("%d on base %d: the receipt was given before most of the roll knew the plan", ask.Number, ask.Base)
 		}
 	}
-	if n := len(core.State().Plans); n != 2 {
+	if n := len(core.State().Versions); n != 2 {
 		t.Fatalf("%d versions are written, not 2", n)
 	}
 }
@@ -294,8 +307,8 @@
 				t.Errorf("the loser is told %v", answer.Err)
 			}
 		}
-		if won != 1 || len(core.State().Plans) != 1 {
-			t.Errorf("%d won, %d versions are written", won, len(core.State().Plans))
+		if won != 1 || len(core.State().Versions) != 1 {
+			t.Errorf("%d won, %d versions are written", won, len(core.State().Versions))
 		}
 	}
 }
