Storage: names an earlier life left are made durable before they are built on

Cause: Open read back files whose names a loss of power could still take: a process killed between the rename and the sync of the folder left a view, and the next start removed the groups under it without syncing the folder first. Then the view's name could be lost and the removals kept: everything gone. The records folder itself was never synced in its parent.

A fold that fails leaves all as it was.

Tried on the code without the folder's sync at Open, without the parent's, without the sync after the rename, and with the half-written file left: each makes a test fail.

--- /dev/null
+++ b/kernel/storage/memory_disk_test.go
@@ -0,0 +1,238 @@
+package storage
+
+import (
+	"bytes"
+	"io/fs"
+	"path/filepath"
+	"sort"
+)
+
+// memoryDisk is a file system in memory that knows what a loss of power takes:
+// each name that was made, renamed or removed is kept or lost by itself until its
+// folder is synced, and what was written to a file after its last sync is there,
+// missing or torn.
+type memoryDisk struct {
+	names   map[string]*inode // as a running program sees it
+	durable map[string]*inode // as it is after a loss of power that takes all it can
+	pending []nameChange      // not durable yet, oldest first
+	// before is told of each operation; an error fails it.
+	before func(operation, name string) error
+	// short, when set, has the next write take only half of its bytes.
+	short bool
+}
+
+// inode is a file or, with folder set, a folder.
+type inode struct {
+	folder       bool
+	data, synced []byte
+}
+
+// nameChange is one operation on a name, which a loss of power keeps or takes back.
+type nameChange struct {
+	folder string
+	apply  func(names map[string]*inode)
+}
+
+func newMemoryDisk() *memoryDisk {
+	root := map[string]*inode{"/": {folder: true}, "/data": {folder: true}}
+	return &memoryDisk{names: root, durable: copied(root)}
+}
+
+func copied(names map[string]*inode) map[string]*inode {
+	out := map[string]*inode{}
+	for name, file := range names {
+		out[name] = file
+	}
+	return out
+}
+
+func (d *memoryDisk) ask(operation, name string) error {
+	if d.before == nil {
+		return nil
+	}
+	return d.before(operation, name)
+}
+
+func (d *memoryDisk) change(name string, apply func(names map[string]*inode)) {
+	apply(d.names)
+	d.pending = append(d.pending, nameChange{filepath.Dir(name), apply})
+}
+
+func (d *memoryDisk) MakeFolder(name string) error {
+	if err := d.ask("make folder", name); err != nil {
+		return err
+	}
+	if d.names[name] == nil {
+		folder := &inode{folder: true}
+		d.change(name, func(names map[string]*inode) { names[name] = folder })
+	}
+	return nil
+}
+
+func (d *memoryDisk) List(folder string) ([]string, error) {
+	if err := d.ask("list", folder); err != nil {
+		return nil, err
+	}
+	var out []string
+	for name := range d.names {
+		if filepath.Dir(name) == folder && name != folder {
+			out = append(out, filepath.Base(name))
+		}
+	}
+	sort.Strings(out)
+	return out, nil
+}
+
+func (d *memoryDisk) Read(name string) ([]byte, error) {
+	if err := d.ask("read", name); err != nil {
+		return nil, err
+	}
+	file := d.names[name]
+	if file == nil {
+		return nil, fs.ErrNotExist
+	}
+	return bytes.Clone(file.data), nil
+}
+
+func (d *memoryDisk) Create(name string) (File, error) {
+	if err := d.ask("create", name); err != nil {
+		return nil, err
+	}
+	file := d.names[name]
+	if file == nil {
+		file = &inode{}
+		d.change(name, func(names map[string]*inode) { names[name] = file })
+	}
+	file.data = nil
+	return &memoryFile{disk: d, name: name, inode: file}, nil
+}
+
+func (d *memoryDisk) Rename(from, to string) error {
+	if err := d.ask("rename", to); err != nil {
+		return err
+	}
+	file := d.names[from]
+	if file == nil {
+		return fs.ErrNotExist
+	}
+	d.change(to, func(names map[string]*inode) {
+		names[to] = file
+		if names[from] == file {
+			delete(names, from)
+		}
+	})
+	return nil
+}
+
+func (d *memoryDisk) Remove(name string) error {
+	if err := d.ask("remove", name); err != nil {
+		return err
+	}
+	file := d.names[name]
+	if file == nil {
+		return fs.ErrNotExist
+	}
+	d.change(name, func(names map[string]*inode) {
+		if names[name] == file {
+			delete(names, name)
+		}
+	})
+	return nil
+}
+
+func (d *memoryDisk) SyncFolder(folder string) error {
+	if err := d.ask("sync folder", folder); err != nil {
+		return err
+	}
+	var left []nameChange
+	for _, change := range d.pending {
+		if change.folder == folder {
+			change.apply(d.durable)
+		} else {
+			left = append(left, change)
+		}
+	}
+	d.pending = left
+	return nil
+}
+
+// memoryFile is an open file of a memoryDisk.
+type memoryFile struct {
+	disk  *memoryDisk
+	name  string
+	inode *inode
+}
+
+func (f *memoryFile) Write(data []byte) (int, error) {
+	if err := f.disk.ask("write", f.name); err != nil {
+		f.inode.data = append(f.inode.data, data[:len(data)/2]...) // a part of it was taken
+		return len(data) / 2, err
+	}
+	if f.disk.short {
+		f.disk.short = false
+		data = data[:len(data)/2]
+	}
+	f.inode.data = append(f.inode.data, data...)
+	return len(data), nil
+}
+
+// Sync makes the file durable; a new file's name lasts through its own sync.
+func (f *memoryFile) Sync() error {
+	if err := f.disk.ask("sync", f.name); err != nil {
+		return err
+	}
+	f.inode.synced = bytes.Clone(f.inode.data)
+	if f.disk.durable[f.name] == nil {
+		f.disk.durable[f.name] = f.inode
+	}
+	return nil
+}
+
+func (f *memoryFile) Close() error { return f.disk.ask("close", f.name) }
+
+// afterPowerLoss lists all disks that a loss of power may leave: each change of a
+// name that was not made durable is kept or lost by itself, and each file that was
+// not synced holds what was synced, all that was written, or a torn half of it.
+func (d *memoryDisk) afterPowerLoss() []*memoryDisk {
+	var out []*memoryDisk
+	for kept := 0; kept < 1<<len(d.pending); kept++ {
+		names := copied(d.durable)
+		for i, change := range d.pending {
+			if kept&(1<<i) != 0 {
+				change.apply(names)
+			}
+		}
+		for _, contents := range []func(*inode) []byte{
+			func(file *inode) []byte { return file.synced },
+			func(file *inode) []byte { return file.data },
+			func(file *inode) []byte { return file.data[:len(file.data)/2] },
+		} {
+			out = append(out, diskOf(names, contents))
+		}
+	}
+	return out
+}
+
+// diskOf makes a disk of names that are all durable. Of a folder that is lost all
+// files are lost.
+func diskOf(names map[string]*inode, contents func(unsynced *inode) []byte) *memoryDisk {
+	disk := &memoryDisk{names: map[string]*inode{}}
+	for name, file := range names {
+		if names[filepath.Dir(name)] == nil {
+			continue
+		}
+		data := file.synced
+		if !bytes.Equal(file.data, file.synced) {
+			data = contents(file)
+		}
+		disk.names[name] = &inode{folder: file.folder, data: bytes.Clone(data), synced: bytes.Clone(data)}
+	}
+	disk.durable = copied(disk.names)
+	return disk
+}
+
+// afterKill is the disk as the next start of a killed program sees it: nothing is
+// lost, and nothing more is durable. The receiver is left as it is.
+func (d *memoryDisk) afterKill() *memoryDisk {
+	return &memoryDisk{names: copied(d.names), durable: copied(d.durable), pending: append([]nameChange(nil), d.pending...)}
+}
--- a/kernel/storage/shelf.go
+++ b/kernel/storage/shelf.go
@@ -1,12 +1,9 @@
 package storage
 
 import (
-	"os"
 	"path/filepath"
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
 )
@@ -26,21 +23,24 @@
 }
 
 // OpenShelf lists the files that are there; half-written ones are removed.
-func OpenShelf(folder string) (*Shelf, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return nil, errors.Wrap(err, "making the shelf's folder")
+func OpenShelf(folder string) (*Shelf, error) { return OpenShelfOn(localFiles{}, folder) }
+
+// OpenShelfOn is OpenShelf on another file system.
+func OpenShelfOn(files FileSystem, folder string) (*Shelf, error) {
+	if err := prepareFolder(files, folder); err != nil {
+		return nil, err
 	}
-	shelf := &Shelf{room: &Folder{folder: folder}}
-	entries, err := os.ReadDir(folder)
+	names, err := files.List(folder)
 	if err != nil {
-		return nil, errors.Wrap(err, "reading the shelf's folder")
+		return nil, errs.New(errs.Corrupt, remedyDamaged, "the shelf's folder can't be read: %v", err)
 	}
-	for _, entry := range entries {
-		if filepath.Ext(entry.Name()) == asideSuffix {
-			os.Remove(filepath.Join(folder, entry.Name()))
+	shelf := &Shelf{room: &Folder{files: files, folder: folder}}
+	for _, name := range names {
+		if filepath.Ext(name) == asideSuffix {
+			_ = files.Remove(filepath.Join(folder, name))
 			continue
 		}
-		number, err := numberOf(entry.Name())
+		number, err := numberOf(name)
 		if err != nil {
 			return nil, err
 		}
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	if err := WriteAside(s.room.path(file, shelfSuffix), data, s.room.Step); err != nil {
+	if err := writeAside(s.room.files, s.room.path(file, shelfSuffix), data, s.room.Step); err != nil {
 		return err
 	}
 	room.Syncs.Add(2)
@@ -99,6 +99,6 @@
 		if file == s.last {
 			s.decoded = nil
 		}
-		os.Remove(s.room.path(file, shelfSuffix))
+		_ = s.room.files.Remove(s.room.path(file, shelfSuffix)) // one that stays is found unused at the next start
 	}
 }
--- a/kernel/storage/storage.go
+++ b/kernel/storage/storage.go
@@ -7,8 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
-	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -31,8 +31,11 @@
 
 // Folder is one data folder. It is used by one thread.
 type Folder struct {
+	files  FileSystem
 	folder string
 	next   uint64
+	// replaced are the files that the next view says everything of.
+	replaced []string
 	// Syncs and Bytes count what the disk was asked for.
 	Syncs, Bytes atomic.Int64
 	// Step is called before each step of a write; tests stop a write there.
@@ -43,22 +46,63 @@
 // Half-written files were never renamed and are removed; a renamed file that
 // does not check out is damage, and the room refuses to open.
 func Open(folder string) (*Folder, []machine.Record, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return nil, nil, errors.Wrap(err, "making the data folder")
+	return OpenOn(localFiles{}, folder)
+}
+
+// OpenOn is Open on another file system. The names that are there are made
+// durable before anything is read or removed: the groups that a view covers must
+// not go for good while the view's own name may still be lost.
+func OpenOn(files FileSystem, folder string) (*Folder, []machine.Record, error) {
+	if err := prepareFolder(files, folder); err != nil {
+		return nil, nil, err
+	}
+	groups, views, err := listVersions(files, folder)
+	if err != nil {
+		return nil, nil, err
 	}
-	entries, err := os.ReadDir(folder)
+	room := &Folder{files: files, folder: folder, next: 1}
+	var records []machine.Record
+	var base uint64
+	if len(views) > 0 {
+		base = views[len(views)-1]
+		room.next = base + 1
+		if records, err = room.read(base, viewSuffix); err != nil {
+			return nil, nil, err
+		}
+		room.remove(views[:len(views)-1], viewSuffix)
+		room.replaced = append(room.replaced, room.path(base, viewSuffix))
+	}
+	covered := sort.Search(len(groups), func(i int) bool { return groups[i] >= base })
+	room.remove(groups[:covered], groupSuffix)
+	for _, number := range groups[covered:] {
+		// Where a view could not be made durable, the group after it has its number.
+		if number != room.next && number != base {
+			return nil, nil, errs.New(errs.Corrupt, remedyDamaged, "version %016x is missing: %016x is the next one there", room.next, number)
+		}
+		part, err := room.read(number, groupSuffix)
+		if err != nil {
+			return nil, nil, err
+		}
+		records = append(records, part...)
+		room.next = number + 1
+		room.replaced = append(room.replaced, room.path(number, groupSuffix))
+	}
+	return room, records, nil
+}
+
+const remedyDamaged = "this disk is damaged: move the whole data folder away and start empty; the fleet copies back what the pair holds"
+
+// listVersions lists the numbers of the groups and of the views in order, and
+// removes half-written files.
+func listVersions(files FileSystem, folder string) (groups, views []uint64, err error) {
+	names, err := files.List(folder)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "reading the data folder")
+		return nil, nil, errs.New(errs.Corrupt, remedyDamaged, "the data folder can't be read: %v", err)
 	}
-	room := &Folder{folder: folder, next: 1}
-	var groups, views []uint64
-	for _, entry := range entries {
-		name := entry.Name()
+	for _, name := range names {
 		switch filepath.Ext(name) {
 		case asideSuffix:
-			if err := os.Remove(filepath.Join(folder, name)); err != nil {
-				return nil, nil, errors.Wrap(err, "removing a half-written file")
-			}
+			_ = files.Remove(filepath.Join(folder, name)) // one that stays is never read
 		case groupSuffix, viewSuffix:
 			number, err := numberOf(name)
 			if err != nil {
@@ -69,34 +113,17 @@
 			} else {
 				groups = append(groups, number)
 			}
-			room.next = max(room.next, number+1)
-		}
-	}
-	sort.Slice(groups, func(i, j int) bool { return groups[i] < groups[j] })
-	sort.Slice(views, func(i, j int) bool { return views[i] < views[j] })
-	var records []machine.Record
-	var base uint64
-	if len(views) > 0 {
-		base = views[len(views)-1]
-		if records, err = room.read(base, viewSuffix); err != nil {
-			return nil, nil, err
-		}
-		for _, old := range views[:len(views)-1] {
-			os.Remove(room.path(old, viewSuffix))
 		}
 	}
-	for _, number := range groups {
-		if number < base {
-			os.Remove(room.path(number, groupSuffix))
-			continue
-		}
-		part, err := room.read(number, groupSuffix)
-		if err != nil {
-			return nil, nil, err
-		}
-		records = append(records, part...)
+	slices.Sort(groups)
+	slices.Sort(views)
+	return groups, views, nil
+}
+
+func (r *Folder) remove(numbers []uint64, suffix string) {
+	for _, number := range numbers {
+		_ = r.files.Remove(r.path(number, suffix)) // one that stays is covered by the view, and removed at the next start
 	}
-	return room, records, nil
 }
 
 // numberOf reads a version's number off its file's name.
@@ -113,11 +140,10 @@
 
 func (r *Folder) read(number uint64, suffix string) ([]machine.Record, error) {
 	name := r.path(number, suffix)
-	data, err := os.ReadFile(name)
+	data, err := r.files.Read(name)
 	if err != nil {
-		return nil, errors.Wrap(err, "reading a version")
+		return nil, errs.New(errs.Corrupt, remedyDamaged, "file %s can't be read: %v", filepath.Base(name), err)
 	}
-	const remedy = "this disk is damaged: move the whole data folder away and start empty; the fleet copies back what the pair holds"
 	form := ""
 	if len(data) >= 12 {
 		form = string(data[:4])
@@ -126,14 +152,14 @@
 		return nil, errs.New(errs.WrongFolder, "run the release that wrote it, or its neighbour", "file %s is of form %s, this release reads %s", filepath.Base(name), data[:4], magic)
 	}
 	if form != magic && form != firstForm {
-		return nil, errs.New(errs.Corrupt, remedy, "file %s is no version file", filepath.Base(name))
+		return nil, errs.New(errs.Corrupt, remedyDamaged, "file %s is no version file", filepath.Base(name))
 	}
 	if int(binary.BigEndian.Uint32(data[8:12])) != len(data)-12 || crc32.ChecksumIEEE(data[12:]) != binary.BigEndian.Uint32(data[4:8]) {
-		return nil, errs.New(errs.Corrupt, remedy, "file %s does not match its checksum", filepath.Base(name))
+		return nil, errs.New(errs.Corrupt, remedyDamaged, "file %s does not match its checksum", filepath.Base(name))
 	}
 	records, err := decode(form, data[12:])
 	if err != nil {
-		return nil, errs.New(errs.Corrupt, remedy, "file %s cannot be read: %v", filepath.Base(name), err)
+		return nil, errs.New(errs.Corrupt, remedyDamaged, "file %s cannot be read: %v", filepath.Base(name), err)
 	}
 	return records, nil
 }
@@ -181,37 +207,36 @@
 func (r *Folder) Write(records []machine.Record) error { return r.write(records, groupSuffix) }
 
 // Fold writes a view that says what all versions so far say, then removes them.
+// Where there is no room for the view all stays as it was: the caller folds again
+// later, with the records of that time.
 func (r *Folder) Fold(records []machine.Record) error {
+	replaced := r.replaced
 	if err := r.write(records, viewSuffix); err != nil {
 		return err
 	}
-	base := r.next - 1
-	entries, err := os.ReadDir(r.folder)
-	if err != nil {
-		return errors.Wrap(err, "reading the data folder")
-	}
-	for _, entry := range entries {
-		var number uint64
-		ext := filepath.Ext(entry.Name())
-		if ext != groupSuffix && ext != viewSuffix {
-			continue
-		}
-		if _, err := fmt.Sscanf(entry.Name(), "%016x", &number); err == nil && number < base {
-			os.Remove(filepath.Join(r.folder, entry.Name()))
+	view := r.replaced[len(replaced):]
+	r.replaced = append([]string(nil), view...)
+	for _, name := range replaced {
+		if err := r.files.Remove(name); err != nil {
+			r.replaced = append(r.replaced, name) // the next view's fold tries again
 		}
 	}
 	return nil
 }
 
+// write makes the next version durable. One that failed leaves the number where it
+// was, so that the next try, or the next version, takes its place.
 func (r *Folder) write(records []machine.Record, suffix string) error {
 	data, err := encode(records)
 	if err != nil {
 		return err
 	}
-	if err := WriteAside(r.path(r.next, suffix), data, r.step); err != nil {
+	name := r.path(r.next, suffix)
+	if err := writeAside(r.files, name, data, r.step); err != nil {
 		return err
 	}
 	r.next++
+	r.replaced = append(r.replaced, name)
 	r.Syncs.Add(2)
 	r.Bytes.Add(int64(len(data)))
 	return nil
@@ -239,47 +264,3 @@
 	binary.BigEndian.PutUint32(out[8:], uint32(len(out)-12))
 	return out, nil
 }
-
-// WriteAside makes a file durable: written aside, synced, renamed, and its
-// folder synced. step, when set, is told before each of these.
-func WriteAside(name string, data []byte, step func(string) error) error {
-	if step == nil {
-		step = func(string) error { return nil }
-	}
-	if err := step("write"); err != nil {
-		return err
-	}
-	aside := name + asideSuffix
-	file, err := os.Create(aside)
-	if err != nil {
-		return errors.Wrap(err, "writing aside")
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = step("sync")
-	}
-	if err == nil {
-		err = file.Sync()
-	}
-	if closing := file.Close(); err == nil {
-		err = closing
-	}
-	if err != nil {
-		return errors.Wrap(err, "syncing a version")
-	}
-	if err := step("rename"); err != nil {
-		return err
-	}
-	if err := os.Rename(aside, name); err != nil {
-		return errors.Wrap(err, "renaming a version")
-	}
-	if err := step("folder"); err != nil {
-		return err
-	}
-	folder, err := os.Open(filepath.Dir(name))
-	if err != nil {
-		return errors.Wrap(err, "opening the folder to sync it")
-	}
-	defer folder.Close()
-	return errors.Wrap(folder.Sync(), "syncing the folder")
-}
