--- a/daemon/eventloop/disk_health.go
+++ b/daemon/eventloop/disk_health.go
@@ -29,9 +29,9 @@
 func (c DiskCondition) Writable() bool { return c == DiskWell || c == DiskSlow }
 
 const (
-	slowWrite    = 250 * clock.Millisecond // a write that takes longer makes a disk slow
-	slowFor      = 5 * clock.Second        // and so long after the last of them it is well again
-	stalledWrite = clock.Second            // a write that is under way for longer makes it stalled
+	slowWrite    = 250 * clock.Millisecond  // a try that takes longer makes a disk slow
+	slowFor      = 5 * clock.Second         // and so long after the last of them it is well again
+	stalledWrite = 1500 * clock.Millisecond // a try that is under way for longer makes it stalled
 )
 
 // diskHealth works out the condition of the disk from how its writes go. The disk
@@ -101,7 +101,7 @@
 	case DiskSlow:
 		return "the disk is slow: writes take over 250 ms"
 	case DiskStalled:
-		return "the disk is stalled: a write has not come back for over 1 s"
+		return "the disk is stalled: a write has not come back for over 1.5 s"
 	case DiskFull:
 		return "the disk is full: make room, and what waits is written"
 	case DiskFailing:
--- a/ledger/store/disk.go
+++ b/ledger/store/disk.go
@@ -15,7 +15,11 @@
 
 // Apply notes it, and tells the cores at once.
 func (d DiskChanged) Apply(k *Store, now clock.Micros) {
+	changed := d.State.Writable != k.disk.Writable
 	k.disk = d.State
+	if !changed {
+		return
+	}
 	if d.State.Writable {
 		k.Emit(machine.Explain{What: "the disk takes writes again", Fields: map[string]any{"slots_back_after_us": k.set.DiskProof}})
 	} else {
