Fronts go by the limits of the configuration in force; busy pools use up no try

The fronts had bounds of their own (64 KiB of header, 10 s, 2 min idle): a header over 64 KiB that the configuration allows was refused, a connection that rested over 2 min by an idle time of 150 s or more was cut. httpserver.Raw takes limits that change now.

Also: a server with no connection free at this edge counted as one that takes no connection, so after four such a request was refused with other servers' places free (TestServersWithoutAFreeConnectionArePassedOver failed after 4 servers). It costs no time and no longer counts there. And a request's time ran from the end of its body, so that one with a slow body was held past its route's deadline (TestTimeRunsFromTheHead failed by 0.7 s); it runs from its head now.

Ruled out: net/http's own timeouts for this, since they are fixed once it serves.

No check weakened.

--- a/kernel/httpserver/raw.go
+++ b/kernel/httpserver/raw.go
@@ -5,7 +5,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
+
+	"tuliprudder/kernel/cleanup"
 )
 
 // Raw is a front whose handler sees every request as it came (DESIGN §12.2). It is
@@ -15,14 +18,34 @@
 type Raw struct {
 	Address string
 	Handler http.Handler
-	// HeaderBytes, HeaderWait and IdleWait bound what callers may send and how long
-	// they may take; 0 leaves net/http's own.
-	HeaderBytes          int
-	HeaderWait, IdleWait time.Duration
+	// Limits bound what callers may send and how long they may take.
+	Limits Limits
+	// Current, where set, gives the limits in force at any time; what is zero there is
+	// taken from Limits.
+	Current func() Limits
+
+	server   *http.Server
+	listener net.Listener
+	resting  restingConns
+	known    atomic.Pointer[Limits] // Current's latest answer, completed
+	ends     cleanup.Stack
+}
 
-	server *http.Server
+// Limits bound what callers may send and how long they may take.
+type Limits struct {
+	HeaderBytes int           // of a request's line and header
+	HeaderWait  time.Duration // from a request's first byte to the end of its header
+	IdleWait    time.Duration // for which a connection may rest
 }
 
+const (
+	// mostHeaderBytes is read of a header whatever the limits in force say.
+	mostHeaderBytes = 1 << 20
+	// limitsEvery is how often the limits in force are looked up, and connections
+	// that have rested for too long are looked for.
+	limitsEvery = time.Second
+)
+
 // Open listens and serves in the background; what the server can't go on after is
 // handed to failed.
 func (r *Raw) Open(failed func(error)) error {
@@ -30,7 +53,12 @@
 	if err != nil {
 		return err
 	}
-	r.server = &http.Server{Handler: r.Handler, MaxHeaderBytes: r.HeaderBytes, ReadHeaderTimeout: r.HeaderWait, IdleTimeout: r.IdleWait, ErrorLog: nil}
+	r.listener, r.server = listener, &http.Server{Handler: r.Handler}
+	if r.Current == nil {
+		r.server.MaxHeaderBytes, r.server.ReadHeaderTimeout, r.server.IdleTimeout = r.Limits.HeaderBytes, r.Limits.HeaderWait, r.Limits.IdleWait
+	} else {
+		r.followLimits()
+	}
 	go func() {
 		if err := r.server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed(err)
@@ -42,6 +70,7 @@
 // Close takes no new connections, closes the idle ones, and waits for the open
 // requests for as long as it may.
 func (r *Raw) Close(most time.Duration) {
+	defer r.ends.Run()
 	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
 	if r.server.Shutdown(ctx) != nil {
--- a/path/proxy/proxy.go
+++ b/path/proxy/proxy.go
@@ -32,6 +32,7 @@
 	Arrive struct {
 		Order      string // the name this edge gave it
 		Host, Path string
+		Came       clock.Micros // when its head came; 0: now
 		Wait       clock.Micros // how long the caller will wait; 0: it did not say
 		Parts      []Part       // of its prompt, in order
 		Prompt     int64        // tokens to be read
@@ -111,7 +112,8 @@
 	grip   *scheduler.Grip
 	avoid  map[string]int
 	sent   int64
-	unsent int
+	unsent int // servers that took no connection
+	here   int // servers to which no connection was free here
 	ran    bool
 }
 
@@ -170,9 +172,13 @@
 	if class := plan.ClassOf(route.Name); class != nil {
 		r.rank = class.Rank
 	}
-	r.expiry = now + route.Expiry
+	came := now
+	if ask.Came > 0 {
+		came = min(ask.Came, now)
+	}
+	r.expiry = came + route.Expiry
 	if ask.Wait > 0 {
-		r.expiry = min(r.expiry, now+ask.Wait)
+		r.expiry = min(r.expiry, came+ask.Wait)
 	}
 	f.open[ask.Order] = r
 	f.seek(r, nil, now)
@@ -241,8 +247,12 @@
 func (f *Proxy) more(r *request) bool { return r.sent < max(1, r.route.Forward.Tries) }
 
 // mostUnsent is how many servers that take no connection are passed over: each may
-// cost the time of one.
-const mostUnsent = 3
+// cost the time of one. mostHere is the same for servers to which no connection is
+// free here, which cost no time.
+const (
+	mostUnsent = 3
+	mostHere   = 32
+)
 
 // went decides by how a try went.
 func (f *Proxy) went(call uint64, ran Ran, now clock.Micros) {
@@ -270,7 +280,11 @@
 			grip.Release(0, false, now)
 		}
 		r.sent--
-		r.unsent++
+		if ran.Here {
+			r.here++
+		} else {
+			r.unsent++
+		}
 	case NotRun:
 		grip.TurnedAway(now)
 	case Failed:
@@ -292,7 +306,7 @@
 	case r.ran && !Repeatable(r.route) && !f.SecondRun,
 		ran.Began && r.route.Kind != config.Resumable:
 		f.giveUp(r, why, now)
-	case !f.more(r), r.unsent > mostUnsent:
+	case !f.more(r), r.unsent > mostUnsent, r.here > mostHere:
 		f.giveUp(r, why, now)
 	default:
 		f.Again++
--- a/path/proxy/proxy_test.go
+++ b/path/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"tuliprudder/core/config"
@@ -273,6 +274,57 @@
 	}
 }
 
+// A server with no connection free here is passed over, however many of them there
+// are: it costs no time, and a further one may have places.
+func TestServersWithoutAFreeConnectionArePassedOver(t *testing.T) {
+	const full = 2 * mostUnsent
+	b := newBench(t, slices.Repeat([]string{"a"}, full+1), route(config.OneShot, 1))
+	call := b.arrive("o", config.OneShot)
+	for i := range full {
+		if b.word(call) != "again" {
+			t.Fatalf("after %d servers it %s", i, b.word(call))
+		}
+		call = b.call(Ran{Order: "o", Outcome: Unsent, Here: true})
+	}
+	if b.word(call) != "again" {
+		t.Fatalf("after %d servers it %s, though one is left", full, b.word(call))
+	}
+	b.call(Ran{Order: "o", Outcome: Whole, Began: true})
+	b.idle("served")
+	// Where each of very many has none free, there is an end.
+	b = newBench(t, slices.Repeat([]string{"a"}, mostHere+5), route(config.OneShot, 1))
+	call = b.arrive("o", config.OneShot)
+	looked := 0
+	for ; b.word(call) == "again"; looked++ {
+		call = b.call(Ran{Order: "o", Outcome: Unsent, Here: true})
+	}
+	if looked != mostHere+1 || b.word(call) != "refused" {
+		t.Errorf("after %d servers it %s", looked, b.word(call))
+	}
+}
+
+// The time of a request begins as its head comes, not once its body is there: the
+// route's time and the caller's bound how long it is held.
+func TestTimeRunsFromTheHead(t *testing.T) {
+	for name, c := range map[string]struct{ wait, want clock.Micros }{
+		"the route's time":  {0, 5 * clock.Second},
+		"the caller's time": {2 * clock.Second, 2 * clock.Second},
+	} {
+		b := newBench(t, []string{"a"}, route(config.OneShot, 1))
+		came := b.now - 700*millisecond
+		run := b.run(b.call(Arrive{Order: "o", Host: config.OneShot, Path: "/x/y", Came: came, Wait: c.wait}))
+		if run.Expiry != came+c.want {
+			t.Errorf("%s: it may be held until %d, not %d", name, run.Expiry, came+c.want)
+		}
+	}
+	b := newBench(t, []string{"a"}, route(config.OneShot, 1))
+	call := b.call(Arrive{Order: "o", Host: config.OneShot, Path: "/x/y", Came: b.now - 6*clock.Second})
+	if got := b.word(call); got != "refused" {
+		t.Errorf("a body that took longer than the route's time: it %s", got)
+	}
+	b.idle("late")
+}
+
 // A daemon without a plan denies nothing; one with a plan denies what the plan does
 // not have, and hands lots on.
 func TestRoutes(t *testing.T) {
