--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -277,6 +277,99 @@
 	c.idle()
 }
 
+// An answer that bears a server's stamp has that server's status and body; one of the
+// edge's own bears none, whatever the servers said before it.
+func TestOnlyAServersAnswerBearsItsStamp(t *testing.T) {
+	turnsAway := func(w http.ResponseWriter, r *http.Request) {
+		head(w, r, "turns away", "text/plain")
+		w.Header().Set(words.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		io.WriteString(w, "full")
+	}
+	fails := func(w http.ResponseWriter, r *http.Request) {
+		head(w, r, "fails", "text/plain")
+		w.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(w, "it failed")
+	}
+	cutsAFailure := func(w http.ResponseWriter, r *http.Request) {
+		head(w, r, "cuts a failure", "text/plain")
+		w.Header().Set("Content-Length", "1000")
+		w.WriteHeader(http.StatusInternalServerError)
+		say(w, "it fai")
+		cut()
+	}
+	for name, handlers := range map[string][]http.HandlerFunc{
+		"all turn away":            {turnsAway, turnsAway, turnsAway},
+		"all fail":                 {fails, fails, fails},
+		"all cut their failures":   {cutsAFailure, cutsAFailure, cutsAFailure},
+		"turned away, then failed": {turnsAway, fails},
+		"failed, then turned away": {fails, turnsAway, turnsAway},
+		"each in its own way":      {cutsAFailure, turnsAway, fails},
+	} {
+		c := servers(t, handlers...)
+		for _, kind := range []string{"once", "again", "flow", "resume"} {
+			c.wake()
+			answer := c.ask("POST", "/"+kind+"/x", "y")
+			stamp := answer.header.Get("X-Stamp")
+			switch {
+			case answer.err != nil:
+				t.Errorf("%s, %s: %v", name, kind, answer.err)
+			case stamp == "fails" && answer.status == 500 && answer.body == "it failed":
+			case stamp == "" && answer.status >= 502 && answer.header.Get(words.RequestID) == "":
+			default:
+				t.Errorf("%s, %s: status %d, stamp %q, body %q", name, kind, answer.status, stamp, answer.body)
+			}
+		}
+		c.idle()
+	}
+}
+
+// No request runs on more servers than its route's tries, whatever went before: not
+// one that may run again, nor a stream that goes on.
+func TestNoMoreServersRunARequestThanItsTries(t *testing.T) {
+	var runs atomic.Int64
+	cutsAtOnce := func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		cut()
+	}
+	cutsAfterAnEvent := func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		from, _ := strconv.Atoi(r.Header.Get(words.LastEvent))
+		head(w, r, "stamp", eventStream)
+		say(w, event(from+1))
+		cut()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	for tries := int64(1); tries <= 3; tries++ {
+		plan := strings.ReplaceAll(forwardPlan, `"tries":3`, fmt.Sprintf(`"tries":%d`, tries))
+		c := newCrossing(t, plan, upstream.New(words, upstream.Settings{}))
+		c.list("dead", listener.Addr().String())
+		for i := range 5 {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.URL.Path, "/resume/") {
+					cutsAfterAnEvent(w, r)
+				}
+				cutsAtOnce(w, r)
+			}))
+			t.Cleanup(server.Close)
+			c.list(fmt.Sprint("s", i), strings.TrimPrefix(server.URL, "http://"))
+		}
+		for kind, want := range map[string]int64{"once": 1, "flow": 1, "again": tries, "resume": tries} {
+			c.wake()
+			runs.Store(0)
+			c.ask("POST", "/"+kind+"/x", "y")
+			if got := runs.Load(); got != want {
+				t.Errorf("%s with %d tries ran on %d servers", kind, tries, got)
+			}
+		}
+		c.idle()
+	}
+}
+
 // A status that callers take for a promise is none without the server's own word: a
 // request that may run only once is answered 502 then, and sent to nobody else. What
 // may run again gets the server's answer as it is; a 5xx sends it on until no server
