--- /dev/null
+++ b/proof/hunt/plan.go
@@ -0,0 +1,144 @@
+// Package hunt plays a plan of days of trouble on a bench and tables what came of
+// them. The bench and the tool that writes the days are programs given by path.
+package hunt
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"tuliprudder/kernel/errs"
+)
+
+// Focuses are the kinds of day that the tool writes.
+var Focuses = []string{"cut", "race", "second", "changes", "answers", "any"}
+
+// Plan is what is played: on each site HuntDays days that the bench draws, then
+// FocusDays days of each focus.
+type Plan struct {
+	Bench      string // path of the bench
+	DayTool    string // path of the tool that writes and plays days of a focus
+	Sites      []string
+	Focuses    []string
+	HuntDays   int
+	FocusDays  int
+	Seed       int    // of the first day of each focus
+	Jobs       int    // days played at once
+	Repository string // where the bench builds and leaves its journal
+	Folder     string // where days and their reports are written: outside the repository
+}
+
+// ParseFocuses reads a list of focuses by comma, or "all".
+func ParseFocuses(list string) []string {
+	if list == "all" {
+		return slices.Clone(Focuses)
+	}
+	return strings.Split(list, ",")
+}
+
+// Faults names everything in the plan that can't be played.
+func (p Plan) Faults() []string {
+	var faults []string
+	note := func(err error) {
+		if err != nil {
+			faults = append(faults, errs.Of(err).Message+"; "+errs.Of(err).Remedy)
+		}
+	}
+	note(checkProgram("bench", p.Bench))
+	note(checkProgram("day tool", p.DayTool))
+	if len(p.Sites) == 0 {
+		note(errs.New(errs.BadSettings, "name one or more site files", "no site is named"))
+	}
+	for _, site := range p.Sites {
+		note(checkSite(site))
+	}
+	for _, focus := range p.Focuses {
+		if !slices.Contains(Focuses, focus) {
+			note(errs.New(errs.BadSettings, "give all or some of "+strings.Join(Focuses, ", "), "focus %q is not known", focus))
+		}
+	}
+	if p.Jobs < 1 || p.HuntDays < 0 || p.FocusDays < 0 || p.HuntDays+p.FocusDays == 0 {
+		note(errs.New(errs.BadSettings, "play one day or more, with one job or more", "%d hunted days and %d days a focus with %d jobs", p.HuntDays, p.FocusDays, p.Jobs))
+	}
+	note(checkFolder(p.Folder, p.Repository))
+	return faults
+}
+
+func checkProgram(name, path string) error {
+	info, err := os.Stat(path)
+	if err != nil {
+		return errs.New(errs.BadSettings, "give the path of the program", "the %s %q can't be found", name, path)
+	}
+	if info.IsDir() || info.Mode()&0o111 == 0 {
+		return errs.New(errs.BadSettings, "give the path of the program", "the %s %q is no program", name, path)
+	}
+	return nil
+}
+
+// checkSite tells a site file by the days that it holds.
+func checkSite(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errs.New(errs.BadSettings, "give the path of a site file", "the site %q can't be read", path)
+	}
+	if !strings.Contains(string(text), "[[day]]") {
+		return errs.New(errs.BadSettings, "give the path of a site file", "the site %q holds no days", path)
+	}
+	return nil
+}
+
+// checkFolder refuses a folder inside the repository, where only the bench's journal
+// is written.
+func checkFolder(folder, repository string) error {
+	if folder == "" {
+		return errs.New(errs.BadSettings, "give a scratch folder outside the repository", "no folder is named")
+	}
+	inside, err := isInside(folder, repository)
+	if err != nil {
+		return errs.New(errs.BadSettings, "give a scratch folder outside the repository", "the folder %q can't be used: %v", folder, err)
+	}
+	if inside {
+		return errs.New(errs.BadSettings, "give a scratch folder outside the repository", "the folder %q is inside the repository", folder)
+	}
+	return nil
+}
+
+func isInside(folder, repository string) (bool, error) {
+	folder, err := resolve(folder)
+	if err != nil {
+		return false, err
+	}
+	repository, err = resolve(repository)
+	if err != nil {
+		return false, err
+	}
+	relative, err := filepath.Rel(repository, folder)
+	if err != nil {
+		return false, err
+	}
+	return relative != ".." && !strings.HasPrefix(relative, ".."+string(filepath.Separator)), nil
+}
+
+// resolve follows the links of that part of a path which there is.
+func resolve(path string) (string, error) {
+	path, err := filepath.Abs(path)
+	if err != nil {
+		return "", err
+	}
+	if info, err := os.Stat(path); err == nil && !info.IsDir() {
+		return "", &os.PathError{Op: "use", Path: path, Err: os.ErrExist}
+	}
+	rest := ""
+	for {
+		real, err := filepath.EvalSymlinks(path)
+		if err == nil {
+			return filepath.Join(real, rest), nil
+		}
+		if !os.IsNotExist(err) {
+			return "", err
+		}
+		rest = filepath.Join(filepath.Base(path), rest)
+		path = filepath.Dir(path)
+	}
+}
