--- a/core/control/voters.go
+++ b/core/control/voters.go
@@ -118,14 +118,15 @@
 }
 
 // gone finds a voter that has been silent for as long as this primary listens and
-// longer than the wait; "" when there is none.
+// longer than the wait, and that is no member of the group; "" when there is none.
 func (s *Core) gone(wait, now clock.Micros) string {
 	if now-s.heardSince <= wait {
 		return ""
 	}
 	for _, ref := range s.vote.Voters {
 		heard, ok := s.cores[ref.ID]
-		if ref.ID != s.self.ID && (!ok || now-heard.at > wait) {
+		silent := !ok || now-heard.at > wait
+		if silent && !slices.Contains(s.vote.Committed.IDs(), ref.ID) {
 			return ref.ID
 		}
 	}
