Cores say whom they hear; a term won resets campaigns; tests of cuts, losses and voters

A deaf primary was taken for a replica and held the next group up for 1.6 s; a successor campaigned right after another core had won. Tests bring about cuts of 20 s, losses after repairs and planned replacements, voters that change by halves, wiped cores, one to seven founders.

--- a/core/control/campaign.go
+++ b/core/control/campaign.go
@@ -243,7 +243,7 @@
 		Copies: s.copies(len(voters)),
 		Enough: func(members []string) bool { return len(members) >= coveringCopies(len(voters)) },
 		Life: func(id string) (uint64, bool) {
-			if !isVoter(voters, id) || s.leavingCore(id) && id != s.self.ID {
+			if !isVoter(voters, id) || s.leavingCore(id) && id != s.self.ID || !s.reachesCore(id, now) {
 				return 0, false
 			}
 			return s.lifeOf(id, now)
@@ -259,7 +259,7 @@
 		if slices.Contains(members, id) || slices.Contains(shunned, id) || s.leavingCore(id) {
 			continue
 		}
-		if _, ok := s.lifeOf(id, now); !ok {
+		if !s.reachesCore(id, now) {
 			continue
 		}
 		shared := slices.ContainsFunc(members, func(other string) bool { return s.zoneOf(other) == s.zoneOf(id) })
--- a/core/control/commit.go
+++ b/core/control/commit.go
@@ -50,7 +50,7 @@
 	if !isVoter(m.Voters, s.self.ID) && !isVoter(m.OldVoters, s.self.ID) {
 		return
 	}
-	s.vote.Fleet = m.Fleet
+	s.vote.Fleet, s.unwell = m.Fleet, 0
 	s.vote.Settled = m.Settled || s.vote.Settled && epoch == s.vote.Committed.Epoch
 	s.vote.Committed, s.vote.Voters, s.vote.OldVoters = m.Assignment, m.Voters, m.OldVoters
 	s.vote.Term, s.vote.Pending, s.vote.PendingVoters = epoch, m.Assignment, m.Voters
@@ -74,7 +74,7 @@
 	if !agreed(round.electorates, round.yes) || !s.groups.Complete(unitCore, epoch, now) {
 		return
 	}
-	s.serving = now
+	s.serving, s.next.beat = now, now
 	s.vote.Settled = true
 	s.keepVote(nil)
 	s.Emit(machine.Explain{What: "primary", Fields: map[string]any{"term": epoch, "member": s.self.ID, "group": s.vote.Committed.IDs(), "voters": voterIDs(s.vote.Voters)}})
--- a/core/control/core.go
+++ b/core/control/core.go
@@ -89,6 +89,7 @@
 	foundedElsewhere bool
 	heardSince       clock.Micros // since when this core listens without a pause
 	lastClock        clock.Micros
+	toldLeading      bool // what the last heartbeat said
 	queue            []change
 	flight           *change
 	unwell           clock.Micros // since when a new pairing is wanted
@@ -296,7 +297,7 @@
 	s.noticePause(now)
 	s.retell()
 	s.groups.ClockEvent(now)
-	if now >= s.next.beat {
+	if now >= s.next.beat || s.Leading(now) != s.toldLeading {
 		s.next.beat = now + s.set.HeartbeatEvery
 		s.beat(now)
 	}
--- a/core/control/heartbeat.go
+++ b/core/control/heartbeat.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
@@ -16,12 +17,30 @@
 }
 
 func (s *Core) heartbeat(now clock.Micros) Heartbeat {
-	return Heartbeat{Core: s.self, Life: s.life, Fleet: s.vote.Fleet, Vote: s.vote, Role: s.group().Role.String(), Leading: s.Leading(now), Leaving: s.leaving, Bootstrap: s.set.Bootstrap}
+	return Heartbeat{Core: s.self, Life: s.life, Fleet: s.vote.Fleet, Vote: s.vote, Role: s.group().Role.String(), Leading: s.Leading(now), Leaving: s.leaving, Bootstrap: s.set.Bootstrap, Hears: s.hears(now)}
+}
+
+// hears lists the cores that are heard: a link may carry messages in one direction only.
+func (s *Core) hears(now clock.Micros) []string {
+	var out []string
+	for _, id := range sortedIDs(s.cores) {
+		if _, ok := s.lifeOf(id, now); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// reachesCore tells whether a core is heard and hears this one.
+func (s *Core) reachesCore(id string, now clock.Micros) bool {
+	_, heard := s.lifeOf(id, now)
+	return heard && (id == s.self.ID || slices.Contains(s.cores[id].heartbeat.Hears, s.self.ID))
 }
 
 // beat tells the other cores that this one lives.
 func (s *Core) beat(now clock.Micros) {
 	heartbeat := s.heartbeat(now)
+	s.toldLeading = heartbeat.Leading
 	told := map[string]bool{s.self.Peer: true}
 	tell := func(peer string) {
 		if peer != "" && !told[peer] {
@@ -118,6 +137,7 @@
 
 // adopt takes over what is committed.
 func (s *Core) adopt(other Vote) {
+	s.unwell = 0
 	s.vote.Committed, s.vote.Voters, s.vote.OldVoters, s.vote.Settled = other.Committed, other.Voters, other.OldVoters, other.Settled
 	if other.Committed.Epoch >= s.vote.Term {
 		s.vote.Term, s.vote.Pending, s.vote.PendingVoters = other.Committed.Epoch, other.Committed, other.Voters
--- a/core/control/messages.go
+++ b/core/control/messages.go
@@ -18,9 +18,10 @@
 		Fleet     string
 		Vote      Vote
 		Role      string
-		Leading   bool // it is primary and holds its lease
-		Leaving   bool // it is about to go
-		Bootstrap bool // its settings say that this is the first start
+		Leading   bool     // it is primary and holds its lease
+		Leaving   bool     // it is about to go
+		Bootstrap bool     // its settings say that this is the first start
+		Hears     []string // the cores that it has heard of late
 	}
 	// VoteRequest asks a voter for a term.
 	VoteRequest struct {
--- a/core/control/vote.go
+++ b/core/control/vote.go
@@ -143,7 +143,7 @@
 func (s *Core) grantVote(request VoteRequest, now clock.Micros, done func(now clock.Micros)) {
 	s.vote.Fleet, s.vote.Term = request.Fleet, request.Assignment.Epoch
 	s.vote.Pending, s.vote.PendingVoters = request.Assignment, request.Voters
-	s.termAt = now
+	s.termAt, s.unwell = now, 0
 	s.keepVote(done)
 }
 
--- a/core/control/voters.go
+++ b/core/control/voters.go
@@ -109,7 +109,7 @@
 	var out []heardCore
 	for _, id := range sortedIDs(s.cores) {
 		heard := s.cores[id]
-		if isVoter(s.vote.Voters, id) || heard.heartbeat.Leaving || now-heard.at > s.set.CoreSilent {
+		if isVoter(s.vote.Voters, id) || heard.heartbeat.Leaving || !s.reachesCore(id, now) {
 			continue
 		}
 		out = append(out, heard)
--- /dev/null
+++ b/core/control/voters_test.go
@@ -0,0 +1,341 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"tuliprudder/kernel/clock"
+	"tuliprudder/ledger/replication"
+)
+
+// fleetOf is a fleet of so many cores in zones by turns, founded by the first three.
+func fleetOf(t *testing.T, set Settings, cores int, zones ...string) *bench {
+	t.Helper()
+	b := newBench(set)
+	seeds := []string{"c1", "c2", "c3"}[:min(cores, 3)]
+	b.set.Founders = len(seeds)
+	for i := range cores {
+		b.core(fmt.Sprint("core-", i+1), fmt.Sprint("c", i+1), zones[i%len(zones)], seeds...)
+	}
+	for i := range max(3, set.Tolerance+2) {
+		b.store(fmt.Sprint("store-", i+1), fmt.Sprint("s", i+1), fmt.Sprint("zone-", i+1))
+	}
+	b.settle(t)
+	b.await(t, "every core has a vote", func() bool { return len(b.seats()) == cores })
+	b.settle(t)
+	return b
+}
+
+// await lets time go by until something holds.
+func (b *bench) await(t *testing.T, what string, holds func() bool) clock.Micros {
+	t.Helper()
+	began := b.now
+	for b.now < began+30*clock.Second {
+		if holds() {
+			return b.now - began
+		}
+		b.pass(50 * clock.Millisecond)
+	}
+	t.Fatalf("never: %s (voters %v)", what, b.seats())
+	return 0
+}
+
+// leading is the core that is primary and holds its lease; nil when none does. Two are
+// a failure.
+func (b *bench) leading(t *testing.T) *Core {
+	t.Helper()
+	var found *Core
+	for _, core := range b.cores {
+		if !core.Leading(b.now) {
+			continue
+		}
+		if found != nil {
+			t.Fatalf("%s and %s both hold a lease", found.self.ID, core.self.ID)
+		}
+		found = core
+	}
+	return found
+}
+
+// kill takes a core away for good.
+func (b *bench) kill(core *Core) { delete(b.cores, core.self.Peer) }
+
+// member is the core at a place of the primary's group.
+func (b *bench) member(t *testing.T, at int) *Core {
+	t.Helper()
+	ids := b.leading(t).Vote().Committed.IDs()
+	for _, core := range b.cores {
+		if core.self.ID == ids[at] {
+			return core
+		}
+	}
+	t.Fatalf("member %d of %v is gone", at, ids)
+	return nil
+}
+
+// cutApart keeps the messages between two sides, for as long as it is set.
+func cutApart(side ...*Core) func(l letter) bool {
+	within := func(peer string) bool {
+		return slices.ContainsFunc(side, func(core *Core) bool { return core.self.Peer == peer })
+	}
+	return func(l letter) bool { return within(l.from) != within(l.to) }
+}
+
+// A fleet of any number of cores is founded once, whatever number is there at first:
+// by those at the seeds; the others are given votes. Its group covers every majority.
+func TestAnyNumberOfCoresFoundOneFleet(t *testing.T) {
+	for cores, copies := range map[int]int{1: 1, 2: 2, 3: 2, 4: 2, 5: 3, 6: 3, 7: 4} {
+		b := fleetOf(t, small(), cores, "zone-1", "zone-2", "zone-3")
+		fleets := map[string]bool{}
+		for _, core := range b.cores {
+			fleets[core.Vote().Fleet] = true
+		}
+		if len(fleets) != 1 {
+			t.Errorf("%d cores found %d fleets", cores, len(fleets))
+		}
+		b.await(t, fmt.Sprint(cores, " cores keep ", copies, " copies"), func() bool {
+			lead := b.leading(t)
+			return lead != nil && len(lead.Vote().Committed.IDs()) == copies
+		})
+	}
+}
+
+// Only a first start founds: empty cores that start later stand by, however many.
+func TestOnlyTheFirstStartFounds(t *testing.T) {
+	set := small()
+	set.Bootstrap = false
+	b := newBench(set)
+	for i := 1; i <= 3; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+	}
+	b.pass(20 * clock.Second)
+	for _, core := range b.cores {
+		if !core.Vote().Committed.Zero() || core.Vote().Fleet != "" {
+			t.Fatalf("%s founded %s", core.self.ID, core.Vote().Fleet)
+		}
+	}
+}
+
+// Three empty cores that hear each other before the seated ones do not found a second
+// fleet: the likely end of the grown Ghent site's trouble-1.
+func TestEmptyCoresOfAFoundedFleetFoundNone(t *testing.T) {
+	set := small()
+	set.Tolerance = 2
+	b := fleetOf(t, set, 5, "zone-1", "zone-2", "zone-3")
+	fleet := b.leading(t).Vote().Fleet
+	b.set.Bootstrap = false
+	kept := map[string]*Core{}
+	for _, peer := range []string{"c1", "c2", "c3"} {
+		kept[peer] = b.cores[peer]
+		delete(b.cores, peer)
+		b.core("empty-"+peer, peer, "zone-1", "c1", "c2", "c3")
+	}
+	b.drop = cutApart(b.cores["c1"], b.cores["c2"], b.cores["c3"])
+	b.pass(10 * clock.Second)
+	for _, core := range b.cores {
+		if got := core.Vote().Fleet; got != "" && got != fleet {
+			t.Fatalf("%s is of a second fleet %s", core.self.ID, got)
+		}
+	}
+}
+
+// Two cores of one zone are a majority of three: the loss of the third, alone in its
+// zone, leaves them a group.
+func TestZonesAreAPreference(t *testing.T) {
+	for _, cutOnly := range []bool{true, false} {
+		b := fleetOf(t, small(), 3, "zone-1", "zone-1", "zone-2")
+		lone := b.cores["c3"]
+		b.await(t, "the group is spread over both zones", func() bool {
+			lead := b.leading(t)
+			return lead != nil && slices.Contains(lead.Vote().Committed.IDs(), lone.self.ID)
+		})
+		if cutOnly {
+			b.drop = cutApart(lone)
+		} else {
+			b.kill(lone)
+		}
+		b.await(t, "the two of zone-1 lead", func() bool {
+			lead := b.leading(t)
+			return lead != nil && lead != lone
+		})
+	}
+}
+
+// A primary that is cut off for twenty seconds, alone or with one other core, neither
+// acknowledges nor reads back once its lease is over; the others go on within three
+// seconds, and it follows them afterwards.
+func TestACutOffPrimaryConfirmsAndReadsNothing(t *testing.T) {
+	for _, shape := range []struct{ cores, tolerance, with int }{{3, 1, 0}, {5, 2, 0}, {5, 2, 1}, {5, 1, 1}, {7, 1, 2}} {
+		set := small()
+		set.Tolerance = shape.tolerance
+		b := fleetOf(t, set, shape.cores, "zone-1", "zone-2", "zone-3")
+		old := b.leading(t)
+		b.primaryAcknowledges(t, 1, 0)
+		side := []*Core{old}
+		for at := 1; at <= shape.with; at++ {
+			side = append(side, b.member(t, at))
+		}
+		b.drop = cutApart(side...)
+		stale := b.ask(old, put(2, 1, `{"stale":true}`))
+		took := b.await(t, "the majority leads", func() bool { lead := b.leading(t); return lead != nil && lead != old })
+		if took > 3*clock.Second {
+			t.Errorf("%+v: the majority led after %d us", shape, took)
+		}
+		lead := b.leading(t)
+		call := b.ask(lead, put(3, 1, `{"a":3}`))
+		b.await(t, fmt.Sprintf("%+v: %s answers", shape, lead.self.ID), func() bool { _, told := b.answers[call]; return told })
+		if answer := b.told(t, call); answer.Err != nil {
+			t.Fatalf("%+v: %v", shape, answer.Err)
+		}
+		for range 20 {
+			b.pass(clock.Second)
+			for _, core := range side {
+				if answer := b.told(t, b.ask(core, PlansAsk{Latest: true})); answer.Err == nil {
+					t.Fatalf("%+v: %s read back %v while cut off", shape, core.self.ID, answer.Body)
+				}
+			}
+		}
+		if answer := b.told(t, stale); answer.Err == nil {
+			t.Fatalf("%+v: the cut off primary confirmed %v", shape, answer.Body)
+		}
+		b.drop = nil
+		b.pass(3 * clock.Second)
+		for _, core := range b.cores {
+			if slices.Contains(lead.Vote().Committed.IDs(), core.self.ID) && latest(core) != 3 {
+				t.Errorf("%+v: %s holds version %d after the cut", shape, core.self.ID, latest(core))
+			}
+			if core.Vote().Committed.Epoch != lead.Vote().Committed.Epoch {
+				t.Errorf("%+v: %s knows term %d after the cut, not %d", shape, core.self.ID, core.Vote().Committed.Epoch, lead.Vote().Committed.Epoch)
+			}
+		}
+	}
+}
+
+// A primary that is heard but hears nobody (a cut in one direction) gives way.
+func TestADeafPrimaryGivesWay(t *testing.T) {
+	for _, cores := range []int{3, 5} {
+		b := fleetOf(t, small(), cores, "zone-1", "zone-2", "zone-3")
+		old := b.leading(t)
+		b.drop = func(l letter) bool { return l.to == old.self.Peer }
+		if took := b.await(t, "another leads", func() bool { lead := b.leading(t); return lead != nil && lead != old }); took > 4*clock.Second {
+			t.Errorf("%d cores: another led after %d us", cores, took)
+		}
+	}
+}
+
+// A planned replacement: the new core has its vote before the old one has gone, so that
+// the next loss, right then, finds a majority.
+func TestALossRightAfterAPlannedReplacement(t *testing.T) {
+	set := small()
+	set.ReplaceSoon = 2300 * clock.Millisecond
+	b := fleetOf(t, set, 3, "zone-1", "zone-2", "zone-3")
+	for round := range 3 {
+		leaver := b.member(t, round%2)
+		b.set.Bootstrap = false
+		b.core(fmt.Sprint("new-", round), fmt.Sprint("n", round), leaver.self.Zone, sortedIDs(b.cores)...)
+		b.pass(3 * clock.Second)
+		b.take(leaver.self.Peer, leaver.Do(Leave{}, b.now))
+		b.await(t, "nobody counts on the core that leaves", func() bool { return !leaver.Needed(b.now) })
+		b.kill(leaver)
+		lost := b.leading(t)
+		if lost == nil {
+			t.Fatalf("round %d: nobody leads right after the planned replacement", round)
+		}
+		b.kill(lost)
+		b.await(t, "a majority leads after the next loss", func() bool { return b.leading(t) != nil })
+		b.core(fmt.Sprint("spare-", round), fmt.Sprint("p", round), lost.self.Zone, sortedIDs(b.cores)...)
+		b.await(t, "three have votes again", func() bool { return len(b.seats()) == 3 && !slices.Contains(b.seats(), lost.self.ID) })
+		b.settle(t)
+	}
+}
+
+// Losses one after the other, each replaced by an empty core: every one finds a
+// majority, and a copy, as long as it comes after the time that the deployment allows
+// for the last one's successor.
+func TestALossRightAfterARepair(t *testing.T) {
+	const syncTime = 4600 * clock.Millisecond
+	for _, shape := range []struct{ cores, tolerance int }{{3, 1}, {5, 2}} {
+		set := small()
+		set.Tolerance, set.ReplaceSoon = shape.tolerance, syncTime/2
+		b := fleetOf(t, set, shape.cores, "zone-1", "zone-2", "zone-3")
+		b.set.Bootstrap = false
+		b.primaryAcknowledges(t, 1, 0)
+		for round := 1; round <= 6; round++ {
+			for at := range shape.tolerance {
+				lost := b.member(t, 0)
+				b.kill(lost)
+				b.core(fmt.Sprintf("new-%d-%d", round, at), fmt.Sprintf("n%d.%d", round, at), lost.self.Zone, sortedIDs(b.cores)...)
+				b.await(t, "somebody leads after the loss", func() bool { return b.leading(t) != nil })
+			}
+			b.pass(syncTime)
+			if got := latest(b.leading(t)); got != uint64(round) {
+				t.Fatalf("%+v, round %d: version %d is in force", shape, round, got)
+			}
+			b.primaryAcknowledges(t, uint64(round+1), uint64(round))
+		}
+	}
+}
+
+// The voters change by majorities of both: a new set of voters that only its own
+// majority wrote down is no base for anybody, and the old ones go on without it.
+func TestVotersChangeByMajoritiesOfBoth(t *testing.T) {
+	b := fleetOf(t, small(), 3, "zone-1", "zone-2", "zone-3")
+	lead, replica := b.leading(t), b.member(t, 1)
+	var third *Core
+	for _, core := range b.cores {
+		if core != lead && core != replica {
+			third = core
+		}
+	}
+	// The third is cut off for long, and a new core is to have its vote. Right when the
+	// replica has the copy of that term, the primary and the new core are alone: only they
+	// write down that it is complete.
+	fresh := b.core("core-9", "c9", "zone-9", "c1", "c2", "c3")
+	parted := false
+	apart := cutApart(lead, fresh)
+	b.drop = func(l letter) bool {
+		if parted {
+			return apart(l)
+		}
+		ack, copied := l.body.(replication.Ack)
+		parted = copied && ack.Copied && isVoter(lead.Vote().PendingVoters, "core-9")
+		return l.from == third.self.Peer || l.to == third.self.Peer
+	}
+	b.await(t, "the new core writes its voters down", func() bool { return isVoter(fresh.Vote().Voters, "core-9") })
+	if b.leading(t) == lead && isVoter(lead.Vote().Voters, "core-9") {
+		t.Fatal("the primary leads under voters that the old ones have not written down")
+	}
+	// The old majority leads, and the other two don't, though they are one of the new voters.
+	b.await(t, "the old majority leads", func() bool {
+		now := b.leading(t)
+		return now != nil && now != lead && now != fresh
+	})
+	for range 100 {
+		b.pass(100 * clock.Millisecond)
+		if now := b.leading(t); now == lead || now == fresh {
+			t.Fatalf("%s leads with a minority of the old voters", now.self.ID)
+		}
+	}
+}
+
+// A core that lost its disk comes back under another identity: what its former one
+// granted and held counts for nothing, and it leads nobody before it was filled.
+func TestAWipedCoreIsNobodyItWas(t *testing.T) {
+	b := fleetOf(t, small(), 3, "zone-1", "zone-2", "zone-3")
+	b.set.Bootstrap = false
+	b.primaryAcknowledges(t, 1, 0)
+	wiped := b.member(t, 1)
+	b.kill(wiped)
+	again := b.core("core-8", wiped.self.Peer, wiped.self.Zone, "c1", "c2", "c3")
+	request := VoteRequest{Fleet: again.Vote().Fleet, Assignment: replication.Assignment{Epoch: 99}, Voters: b.leading(t).Vote().Voters, From: wiped.self}
+	again.Do(Letter{wiped.self.Peer, request}, b.now)
+	if again.Vote().Term != 0 {
+		t.Fatal("an empty core granted a term to voters that it is none of")
+	}
+	b.kill(b.leading(t))
+	b.pass(3 * clock.Second)
+	if lead := b.leading(t); lead == again {
+		t.Fatal("an empty core leads")
+	}
+}
