--- a/core/control/campaign.go
+++ b/core/control/campaign.go
@@ -73,14 +73,27 @@
 	if s.unwell == 0 {
 		s.unwell = now
 	}
-	rank := max(0, slices.Index(s.vote.Committed.IDs(), s.self.ID))
-	if now-s.unwell < clock.Micros(1+rank)*campaignStep {
+	if now-s.unwell < clock.Micros(1+s.rank(now))*campaignStep {
 		return
 	}
 	s.unwell = now
 	s.run(wanted, now)
 }
 
+// rank is this core's place among the members of the group that live.
+func (s *Core) rank(now clock.Micros) int {
+	rank := 0
+	for _, id := range s.vote.Committed.IDs() {
+		if id == s.self.ID {
+			break
+		}
+		if _, living := s.lifeOf(id, now); living {
+			rank++
+		}
+	}
+	return rank
+}
+
 // run begins a campaign under a term above all that are known.
 func (s *Core) run(wanted proposal, now clock.Micros) {
 	epoch := max(wanted.assignment.Epoch, s.vote.Term+1)
