--- /dev/null
+++ b/proof/explore/check.go
@@ -0,0 +1,266 @@
+package explore
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"tuliprudder/core/control"
+	"tuliprudder/core/state"
+	"tuliprudder/kernel/errs"
+	"tuliprudder/kernel/machine"
+)
+
+// Property is a promise of the control plane that every state of a run has to keep.
+type Property string
+
+// The properties.
+const (
+	OneDocument  Property = "one confirmed document a number"
+	OneSuccessor Property = "two changes on one base are never both confirmed"
+	NothingLost  Property = "nothing confirmed is lost"
+	NoStaleRead  Property = "no read is older than the newest confirmed configuration"
+	OneLease     Property = "no two processes hold the lease at one time"
+	WholeLeader  Property = "a member without the whole state never leads"
+	OldIdentity  Property = "a removed or wiped identity never counts"
+	Majority     Property = "a leader was elected by majorities of its voters"
+	NoRefusal    Property = "an order that was taken is never refused when sent again"
+	NoPanic      Property = "the machine never panics"
+	Progress     Property = "after healing a majority confirms again"
+)
+
+// Violation is a broken property.
+type Violation struct {
+	Property Property
+	Detail   string
+}
+
+// Error tells which property is broken and how.
+func (v *Violation) Error() string { return fmt.Sprintf("%s: %s", v.Property, v.Detail) }
+
+// confirmation is a document that somebody was told is in force.
+type confirmation struct {
+	number uint64
+	body   string
+	order  int    // among the orders; -1 for none of them
+	epoch  uint64 // in which it was confirmed
+}
+
+// grant is a durable vote: a voter, and for whom it voted.
+type grant struct {
+	epoch        uint64
+	voter, owner string
+}
+
+// history is what operators and the fleet were told so far, and who was lost.
+type history struct {
+	confirmed []confirmation
+	calls     []int    // the order of each call, by its number less one
+	lost      []string // wiped identities that the fleet may still count on
+	wiped     []string // all wiped identities
+}
+
+func (h history) clone() history {
+	return history{slices.Clip(h.confirmed), slices.Clip(h.calls), slices.Clip(h.lost), slices.Clip(h.wiped)}
+}
+
+// asked notes a call for an order and gives its number.
+func (h *history) asked(order int) uint64 {
+	h.calls = append(h.calls, order)
+	return uint64(len(h.calls))
+}
+
+// sent tells whether an order was handed in before.
+func (h *history) sent(order int) bool { return slices.Contains(h.calls, order) }
+
+func (h *history) newest() uint64 {
+	newest := uint64(0)
+	for _, c := range h.confirmed {
+		newest = max(newest, c.number)
+	}
+	return newest
+}
+
+func (w *World) fail(property Property, format string, args ...any) {
+	if w.violation == nil {
+		w.violation = &Violation{property, fmt.Sprintf(format, args...)}
+	}
+}
+
+// answered checks what an operator is told.
+func (w *World) answered(place int, call uint64, body any, err error) {
+	if call == 0 || call > uint64(len(w.history.calls)) {
+		return
+	}
+	index := w.history.calls[call-1]
+	order := orders[index]
+	if err == nil {
+		if receipt, ok := body.(control.PlanReceipt); ok && receipt.Version != order.Number {
+			w.fail(OneDocument, "order %s of number %d was confirmed as %d", order.Name, order.Number, receipt.Version)
+		}
+		w.confirm(place, order.Number, order.Body)
+		return
+	}
+	taken := slices.ContainsFunc(w.history.confirmed, func(c confirmation) bool { return c.order == index })
+	if taken && refusal(err) {
+		w.fail(NoRefusal, "order %s was confirmed and is refused by %s when sent again: %v", order.Name, w.processes[place].name, err)
+	}
+}
+
+// refusal tells whether an error says that an order was not and won't be taken, and
+// that sending it again is of no use.
+func refusal(err error) bool {
+	for _, unclear := range []errs.Kind{errs.OutcomeUnknown, errs.NotReady, errs.Busy, errs.Expired} {
+		if errs.Is(err, unclear) {
+			return false
+		}
+	}
+	return true
+}
+
+// published checks what the fleet is told.
+func (w *World) published(place int, rumour machine.Rumour) {
+	if rumour.Key != state.PlanKey {
+		return
+	}
+	var version state.Version
+	if json.Unmarshal(rumour.Value, &version) == nil {
+		w.confirm(place, version.Number, string(version.Body))
+	}
+}
+
+// confirm notes that a document is in force.
+func (w *World) confirm(place int, number uint64, body string) {
+	made := confirmation{number: number, body: body, epoch: w.processes[place].epoch}
+	made.order = slices.IndexFunc(orders, func(o Order) bool { return o.Number == number && o.Body == body })
+	for _, other := range w.history.confirmed {
+		switch {
+		case other.number == number && other.body == body:
+			return
+		case other.number == number:
+			w.fail(OneDocument, "number %d has %s and %s", number, other.body, body)
+		case made.order >= 0 && other.order >= 0 && orders[made.order].HasBase && orders[other.order].HasBase && orders[made.order].Base == orders[other.order].Base:
+			w.fail(OneSuccessor, "orders %s and %s build on %d", orders[other.order].Name, orders[made.order].Name, orders[made.order].Base)
+		}
+	}
+	w.history.confirmed = append(w.history.confirmed, made)
+}
+
+// holds tells whether a core's state has a confirmed document.
+func holds(core *control.Core, c confirmation) bool {
+	version, ok := core.State().Version(c.number)
+	return ok && (len(version.Body) == 0 || string(version.Body) == c.body)
+}
+
+// probe asks a process for the latest configuration: what it answers, and whether it
+// holds the lease that it answers under. Asking changes nothing.
+func (w *World) probe(p *process) (latest uint64, leased bool) {
+	if !p.up || p.frozen || !p.serving {
+		return 0, false
+	}
+	const call = 1 << 40
+	for _, effect := range p.machine(w.config).Do(control.Call{Number: call, Body: control.PlansAsk{Latest: true}}, w.now) {
+		answer, ok := effect.(machine.Answer)
+		if !ok || answer.Call != call {
+			continue
+		}
+		if plans, ok := answer.Body.(control.Plans); ok && len(plans.Versions) == 1 {
+			return plans.Versions[0].Number, true
+		}
+		return 0, errs.Is(answer.Err, errs.NotFound)
+	}
+	return 0, false
+}
+
+// leaseHolders are the processes that would serve a read now.
+func (w *World) leaseHolders() []*process {
+	var holders []*process
+	for _, p := range w.processes {
+		if _, leased := w.probe(p); leased {
+			holders = append(holders, p)
+		}
+	}
+	return holders
+}
+
+// check looks at the state for broken properties.
+func (w *World) check() {
+	if w.violation != nil {
+		return
+	}
+	var holders []*process
+	for _, p := range w.processes {
+		latest, leased := w.probe(p)
+		if !leased {
+			continue
+		}
+		holders = append(holders, p)
+		if newest := w.history.newest(); latest < newest {
+			w.fail(NoStaleRead, "%s answers a read with version %d; %d is confirmed", p.name, latest, newest)
+		}
+	}
+	if len(holders) > 1 {
+		w.fail(OneLease, "%s (epoch %d) and %s (epoch %d) would both serve a read", holders[0].name, holders[0].epoch, holders[1].name, holders[1].epoch)
+	}
+	for _, p := range w.processes {
+		if p.up && p.owns {
+			w.checkLeader(p, slices.Contains(holders, p))
+		}
+	}
+	if len(holders) == 1 {
+		w.forgive(holders[0])
+	}
+}
+
+// checkLeader has a leader hold all that was confirmed before its epoch; one that has
+// the lease, all that was ever confirmed.
+func (w *World) checkLeader(p *process, leased bool) {
+	for _, c := range w.history.confirmed {
+		if c.epoch >= p.epoch && !leased || holds(p.machine(w.config), c) {
+			continue
+		}
+		if leased {
+			w.fail(NothingLost, "%s leads in epoch %d with the lease and lacks version %d %s, confirmed in epoch %d", p.name, p.epoch, c.number, c.body, c.epoch)
+		} else {
+			w.fail(WholeLeader, "%s leads in epoch %d and lacks version %d %s, confirmed in epoch %d", p.name, p.epoch, c.number, c.body, c.epoch)
+		}
+	}
+}
+
+// checkSender has no message speak for an identity whose disk was wiped.
+func (w *World) checkSender(m message) {
+	from := ""
+	switch body := m.body.(type) {
+	case control.VoteReply:
+		from = body.From
+	case control.CommitAck:
+		from = body.From
+	}
+	if from != "" && slices.Contains(w.history.wiped, from) {
+		w.fail(OldIdentity, "%s answers a %s as %s, whose disk was wiped", m.from, m.kind(), from)
+	}
+}
+
+// forgive takes the wiped members off the losses once the fleet no longer counts on
+// them: the leader's members and voters are all others, and enough hold the state.
+func (w *World) forgive(leader *process) {
+	if len(w.history.lost) == 0 {
+		return
+	}
+	for _, id := range w.counted(leader) {
+		if slices.Contains(w.history.lost, id) {
+			return
+		}
+	}
+	w.history.lost = nil
+}
+
+// counted are the identities that a leader's last complete group and its voters name.
+func (w *World) counted(leader *process) []string {
+	vote := leader.machine(w.config).Vote()
+	ids := members(vote.Done)
+	for _, voter := range vote.Voters {
+		ids = append(ids, voter.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/proof/explore/config.go
@@ -0,0 +1,112 @@
+// Package explore runs the real machine of the core daemons (core/control, with the
+// replication group inside it) through all orders of a bounded set of events:
+// messages delivered, lost, repeated and held back past leases, clocks that move on
+// without a process, crashes that keep any prefix of the unsynced writes, wiped
+// disks, replacements, cut links and operators' orders. After each event it checks
+// the properties of the control plane (check.go). A violation comes with a run that
+// can be replayed, one event a line.
+package explore
+
+import (
+	"fmt"
+
+	"tuliprudder/core/control"
+	"tuliprudder/kernel/clock"
+)
+
+// Order is one change that an operator sends: the same each time it is sent again.
+type Order struct {
+	Name    string
+	Number  uint64
+	Base    uint64
+	HasBase bool
+	Body    string
+}
+
+// The orders of the runs: two documents under one number, another number on the
+// same base, and one that builds on the first.
+var orders = []Order{
+	{Name: "A", Number: 1, Base: 0, HasBase: true, Body: `{"doc":"A"}`},
+	{Name: "B", Number: 1, Base: 0, HasBase: true, Body: `{"doc":"B"}`},
+	{Name: "C", Number: 2, Base: 0, HasBase: true, Body: `{"doc":"C"}`},
+	{Name: "D", Number: 2, Base: 1, HasBase: true, Body: `{"doc":"D"}`},
+	{Name: finalOrder, Number: 1000, Body: `{"doc":"final"}`},
+}
+
+// finalOrder is put once all trouble has ended; it gives no base, so that it can't be
+// refused.
+const finalOrder = "final"
+
+// orderExpiry is how long an operator's order waits for its answer.
+const orderExpiry = 3 * clock.Second
+
+// Limits is how often each kind of trouble may come in one run.
+type Limits struct {
+	Crashes int // crashes and blackouts
+	Wipes   int // wiped disks and replacements
+	Cuts    int // cut, mute, deafen
+	Freezes int
+	Losses  int // messages dropped, repeated, held
+	Puts    int // orders handed in
+	Passes  int // times that time goes by
+}
+
+// Config is what is explored.
+type Config struct {
+	Voters int
+	// Losses is how many members may be lost for good at one time; below 0: what the
+	// voters tolerate.
+	Losses int
+	// Empty begins runs with empty processes instead of a fleet that serves.
+	Empty bool
+	// Fine has each message, sync and clock event as an event of its own; without
+	// it heartbeats and leases travel only while time goes by fairly.
+	Fine bool
+	// Kinds are the kinds of event to be tried; all when empty.
+	Kinds  []Kind
+	Limits Limits
+	// Fault names a planted fault, "" for none.
+	Fault string
+}
+
+// DefaultLimits is a little of every trouble.
+func DefaultLimits() Limits {
+	return Limits{Crashes: 3, Wipes: 2, Cuts: 3, Freezes: 2, Losses: 4, Puts: 5, Passes: 12}
+}
+
+// Tolerance is how many members may be lost for good at one time.
+func (c *Config) Tolerance() int {
+	if c.Losses >= 0 {
+		return c.Losses
+	}
+	return (c.Voters - 1) / 2
+}
+
+// settings are those of the cores: the defaults, for this many voters.
+func (c *Config) settings() control.Settings {
+	set := control.Defaults()
+	set.Slots = 1
+	set.Founders = c.Voters
+	return set
+}
+
+func processName(i int) string { return fmt.Sprint("c", i+1) }
+
+func (c *Config) seeds() []string {
+	seeds := make([]string, c.Voters)
+	for i := range seeds {
+		seeds[i] = processName(i)
+	}
+	return seeds
+}
+
+// newProcess is a process with an empty disk.
+func newProcess(i, generation int, address string) *process {
+	name := processName(i)
+	id := "core-" + name
+	if generation > 0 {
+		id = fmt.Sprintf("%s-%d", id, generation)
+	}
+	self := control.CoreRef{ID: id, Peer: address, Zone: "zone-" + name}
+	return &process{name: name, generation: generation, boot: boot{self: self}}
+}
--- /dev/null
+++ b/proof/explore/event.go
@@ -0,0 +1,152 @@
+package explore
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"tuliprudder/kernel/clock"
+)
+
+// Kind is what an event does.
+type Kind string
+
+// The kinds of event.
+const (
+	Pass     Kind = "pass"     // time goes by fairly: clock events, deliveries and syncs
+	Settle   Kind = "settle"   // all messages and syncs are carried out; no time passes
+	Advance  Kind = "advance"  // the clocks move; nobody acts
+	Tick     Kind = "tick"     // one process has its clock event
+	Deliver  Kind = "deliver"  // one message arrives
+	Drop     Kind = "drop"     // one message is lost
+	Repeat   Kind = "repeat"   // one message arrives and stays in flight
+	Hold     Kind = "hold"     // one message stays in flight until it is delivered by name
+	Sync     Kind = "sync"     // the oldest write of a process is synced
+	Crash    Kind = "crash"    // a process ends; Keep of its unsynced writes are on disk
+	Blackout Kind = "blackout" // all processes end; each keeps up to Keep unsynced writes
+	Start    Kind = "start"    // a process that ended starts from its disk
+	Wipe     Kind = "wipe"     // a process ends, its disk is emptied, it starts as a new identity
+	Replace  Kind = "replace"  // the same, at a new address
+	Cut      Kind = "cut"      // a set of processes and the others lose each other
+	Mute     Kind = "mute"     // nothing that a process sends arrives
+	Deafen   Kind = "deafen"   // nothing arrives at a process
+	Heal     Kind = "heal"     // all links work
+	Freeze   Kind = "freeze"   // a process stands still; what is sent to it waits
+	Thaw     Kind = "thaw"     // it goes on
+	Put      Kind = "put"      // an operator hands an order to a process
+)
+
+// Event is one step of a run.
+type Event struct {
+	Kind      Kind
+	Processes []string     // whom it is about; of a message: sender, receiver
+	Message   string       // type of a message
+	Index     int          // of a message among those of one sender, receiver and type
+	Keep      int          // unsynced writes that a crash leaves on the disk
+	Span      clock.Micros // of time that goes by
+	Order     string       // name of an order
+}
+
+// String writes an event as one line of a trace.
+func (e Event) String() string {
+	words := append([]string{string(e.Kind)}, e.Processes...)
+	switch e.Kind {
+	case Pass, Advance:
+		words = append(words, clock.Span(e.Span).String())
+	case Deliver, Drop, Repeat, Hold:
+		words = append(words, e.Message, strconv.Itoa(e.Index))
+	case Crash, Blackout:
+		words = append(words, strconv.Itoa(e.Keep))
+	case Put:
+		words = append(words, e.Order)
+	}
+	return strings.Join(words, " ")
+}
+
+// ParseEvent reads one line of a trace.
+func ParseEvent(line string) (Event, error) {
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return Event{}, fmt.Errorf("an empty line is no event")
+	}
+	e, rest := Event{Kind: Kind(words[0])}, words[1:]
+	wrong := func() (Event, error) { return Event{}, fmt.Errorf("not an event of a trace: %q", line) }
+	number := func(word string) (int, bool) {
+		n, err := strconv.Atoi(word)
+		return n, err == nil
+	}
+	ok := true
+	switch e.Kind {
+	case Pass, Advance:
+		if len(rest) != 1 {
+			return wrong()
+		}
+		span, err := time.ParseDuration(rest[0])
+		e.Span, ok = span.Microseconds(), err == nil
+	case Deliver, Drop, Repeat, Hold:
+		if len(rest) != 4 {
+			return wrong()
+		}
+		e.Processes, e.Message = rest[:2], rest[2]
+		e.Index, ok = number(rest[3])
+	case Blackout:
+		if len(rest) != 1 {
+			return wrong()
+		}
+		e.Keep, ok = number(rest[0])
+	case Crash:
+		if len(rest) != 2 {
+			return wrong()
+		}
+		e.Processes = rest[:1]
+		e.Keep, ok = number(rest[1])
+	case Put:
+		if len(rest) != 2 {
+			return wrong()
+		}
+		e.Processes, e.Order = rest[:1], rest[1]
+	case Tick, Sync, Start, Wipe, Replace, Mute, Deafen, Freeze, Thaw:
+		e.Processes, ok = rest, len(rest) == 1
+	case Cut:
+		e.Processes, ok = rest, len(rest) > 0
+	case Settle, Heal:
+		ok = len(rest) == 0
+	default:
+		ok = false
+	}
+	if !ok {
+		return wrong()
+	}
+	return e, nil
+}
+
+// Trace is a run, one event a line.
+type Trace []Event
+
+// String writes the run.
+func (t Trace) String() string {
+	var out strings.Builder
+	for _, e := range t {
+		out.WriteString(e.String())
+		out.WriteByte('\n')
+	}
+	return out.String()
+}
+
+// ParseTrace reads a run; blank lines and those that begin with # are passed over.
+func ParseTrace(text string) (Trace, error) {
+	var trace Trace
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		e, err := ParseEvent(line)
+		if err != nil {
+			return nil, err
+		}
+		trace = append(trace, e)
+	}
+	return trace, nil
+}
--- /dev/null
+++ b/proof/explore/faults.go
@@ -0,0 +1,49 @@
+package explore
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"tuliprudder/core/control"
+	"tuliprudder/ledger/replication"
+)
+
+// fault is a mistake planted to show that the checks catch it.
+type fault struct {
+	// KeepIdentity: a wiped process comes back under its old identity.
+	KeepIdentity bool
+	// Core plants a mistake in the machine.
+	Core func(core *control.Core)
+}
+
+func (f fault) plant(core *control.Core) {
+	if f.Core != nil {
+		f.Core(core)
+	}
+}
+
+// faults are the planted mistakes by name.
+var faults = map[string]fault{
+	"wiped-identity-votes": {KeepIdentity: true},
+	"old-epochs-accepted":  {Core: func(core *control.Core) { core.Groups().SkipFence = true }},
+	"one-copy-confirms":    {Core: func(core *control.Core) { core.Groups().SkipRemote = true }},
+}
+
+func (c *Config) fault() fault { return faults[c.Fault] }
+
+// members are the identities that an assignment names.
+func members(a replication.Assignment) []string {
+	return []string{a.Owner.ID, a.Backup.ID}
+}
+
+// Faults are the names of the planted mistakes.
+func Faults() []string { return slices.Sorted(maps.Keys(faults)) }
+
+// KnownFault tells whether there is a planted mistake of that name; "" is none.
+func KnownFault(name string) error {
+	if _, known := faults[name]; !known && name != "" {
+		return fmt.Errorf("no fault %q: give one of %v", name, Faults())
+	}
+	return nil
+}
