--- a/proof/explore/check.go
+++ b/proof/explore/check.go
@@ -258,7 +258,7 @@
 // counted are the identities that a leader's last complete group and its voters name.
 func (w *World) counted(leader *process) []string {
 	vote := leader.machine(w.config).Vote()
-	ids := members(vote.Done)
+	ids := vote.Committed.IDs()
 	for _, voter := range vote.Voters {
 		ids = append(ids, voter.ID)
 	}
--- a/proof/explore/config.go
+++ b/proof/explore/config.go
@@ -82,11 +82,12 @@
 	return (c.Voters - 1) / 2
 }
 
-// settings are those of the cores: the defaults, for this many voters.
-func (c *Config) settings() control.Settings {
+// settings are those of a core: the defaults, for this many voters. A process says that
+// the fleet may be founded until its disk is wiped.
+func (c *Config) settings(b boot) control.Settings {
 	set := control.Defaults()
 	set.Slots = 1
-	set.Founders = c.Voters
+	set.Founders, set.Bootstrap, set.Tolerance = 0, b.first, (c.Voters-1)/2
 	return set
 }
 
@@ -108,5 +109,5 @@
 		id = fmt.Sprintf("%s-%d", id, generation)
 	}
 	self := control.CoreRef{ID: id, Peer: address, Zone: "zone-" + name}
-	return &process{name: name, generation: generation, boot: boot{self: self}}
+	return &process{name: name, generation: generation, boot: boot{self: self, first: generation == 0}}
 }
--- a/proof/explore/faults.go
+++ b/proof/explore/faults.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"tuliprudder/core/control"
-	"tuliprudder/ledger/replication"
 )
 
 // fault is a mistake planted to show that the checks catch it.
@@ -32,11 +31,6 @@
 
 func (c *Config) fault() fault { return faults[c.Fault] }
 
-// members are the identities that an assignment names.
-func members(a replication.Assignment) []string {
-	return []string{a.Owner.ID, a.Backup.ID}
-}
-
 // Faults are the names of the planted mistakes.
 func Faults() []string { return slices.Sorted(maps.Keys(faults)) }
 
--- a/proof/explore/process.go
+++ b/proof/explore/process.go
@@ -31,6 +31,7 @@
 type boot struct {
 	self    control.CoreRef
 	life    uint64
+	first   bool // the disk is the one that the fleet began with
 	records []machine.Record
 }
 
@@ -62,7 +63,7 @@
 
 // start makes the machine from the boot records.
 func (c *Config) start(b boot) *control.Core {
-	core := control.New(b.self, b.life, c.seeds(), c.settings(), b.records)
+	core := control.New(b.self, b.life, c.seeds(), c.settings(b), b.records)
 	c.fault().plant(core)
 	return core
 }
@@ -102,7 +103,7 @@
 // look notes what the choices and checks ask for often.
 func (p *process) look() {
 	group := p.live.core.Groups().Group(coreUnit)
-	p.serving, p.owns, p.epoch = p.live.core.Serving(), group.Owns(), group.Epoch
+	p.serving, p.owns, p.epoch = p.live.core.Serving(), group.Leads(), group.Epoch
 }
 
 // booted is the process after a start from its disk, as another life.
--- a/proof/explore/world.go
+++ b/proof/explore/world.go
@@ -412,7 +412,7 @@
 		vote := core.Vote()
 		_, leased := w.probe(p)
 		lines = append(lines, fmt.Sprintf("%s (%s): %s in epoch %d, lease %t, granted %d, complete %d, plans %d",
-			p.name, p.id(), core.Groups().Group(coreUnit).Role, p.epoch, leased, vote.Granted, vote.Done.Epoch, len(core.State().Plans)))
+			p.name, p.id(), core.Groups().Group(coreUnit).Role, p.epoch, leased, vote.Term, vote.Committed.Epoch, len(core.State().Plans)))
 	}
 	return lines
 }
