--- a/cmd/controlcheck/main.go
+++ b/cmd/controlcheck/main.go
@@ -15,15 +15,16 @@
 )
 
 type options struct {
-	voters, losses, depth, states, seed, every, seconds int64
-	mode, fault, replay, kinds                          string
-	empty, fine                                         bool
+	voters, spares, losses, depth, states, seed, every, seconds int64
+	mode, fault, replay, kinds                                  string
+	empty, fine                                                 bool
 }
 
 func main() {
 	var set options
 	r := settings.New("controlcheck")
 	r.Int(&set.voters, "voters", 3, 1, 9, "voters")
+	r.Int(&set.spares, "spares", 0, 0, 4, "further processes, down at first, that ask for a vote")
 	r.Int(&set.losses, "losses", -1, -1, 9, "members that may be lost for good at one time; -1: what the voters tolerate")
 	r.Int(&set.depth, "depth", 5, 1, 1000, "events of one run")
 	r.Int(&set.states, "states", 100_000, 1, 1<<40, "states visited at most")
@@ -44,7 +45,7 @@
 }
 
 func (set options) config() *explore.Config {
-	c := &explore.Config{Voters: int(set.voters), Losses: int(set.losses), Empty: set.empty, Fine: set.fine, Limits: explore.DefaultLimits(), Fault: set.fault}
+	c := &explore.Config{Voters: int(set.voters), Losses: int(set.losses), Spares: int(set.spares), Empty: set.empty, Fine: set.fine, Limits: explore.DefaultLimits(), Fault: set.fault}
 	for word := range strings.SplitSeq(set.kinds, ",") {
 		if word != "" {
 			c.Kinds = append(c.Kinds, explore.Kind(word))
--- a/core/control/campaign.go
+++ b/core/control/campaign.go
@@ -94,11 +94,19 @@
 	s.Emit(machine.Explain{What: "campaign", Fields: map[string]any{"term": epoch, "member": s.self.ID, "reason": wanted.reason, "group": wanted.assignment.IDs(), "voters": voterIDs(wanted.voters)}})
 	s.begin(&campaign{
 		request:     VoteRequest{Fleet: s.vote.Fleet, Assignment: wanted.assignment, Voters: wanted.voters, Base: s.vote.Committed.Epoch, From: s.self},
-		electorates: s.vote.electorates(wanted.voters),
+		electorates: s.electorates(wanted.voters),
 		oldVoters:   s.vote.oldVoters(wanted.voters),
 	}, now)
 }
 
+// electorates are the sets of voters that a term with the next voters needs.
+func (s *Core) electorates(next []CoreRef) [][]CoreRef {
+	if s.SkipOldVoters {
+		return [][]CoreRef{next}
+	}
+	return s.vote.electorates(next)
+}
+
 // begin asks the voters.
 func (s *Core) begin(c *campaign, now clock.Micros) {
 	c.at, c.yes = now, map[string]bool{s.self.ID: true}
@@ -172,7 +180,7 @@
 // wanted is the term that this core should ask for, or none.
 func (s *Core) wanted(now clock.Micros) (proposal, bool) {
 	committed := s.vote.Committed
-	if !slices.Contains(committed.IDs(), s.self.ID) || !isVoter(s.vote.Voters, s.self.ID) {
+	if !slices.Contains(committed.IDs(), s.self.ID) && !s.SkipWhole || !isVoter(s.vote.Voters, s.self.ID) {
 		return proposal{}, false // it does not hold the whole state
 	}
 	if s.leaving {
--- a/core/control/commit.go
+++ b/core/control/commit.go
@@ -95,5 +95,5 @@
 // Leading tells whether this core is the primary and holds its lease: only then it
 // confirms, reads configurations back and assigns.
 func (s *Core) Leading(now clock.Micros) bool {
-	return s.group().Role == replication.Serving && s.group().LeaseUntil() > now
+	return s.group().Role == replication.Serving && (s.group().LeaseUntil() > now || s.SkipLease)
 }
--- a/core/control/core.go
+++ b/core/control/core.go
@@ -104,9 +104,15 @@
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
-	listed                     map[string]machine.Rumour // the platform's words on servers
-	retold                     bool
-	fresh                      clock.Micros // up to when its news include what most of the roll knew
+	// SkipLease is a fault planted by tests: a primary confirms and serves without a lease.
+	SkipLease bool
+	// SkipOldVoters is a fault planted by tests: a change of voters takes the new ones only.
+	SkipOldVoters bool
+	// SkipWhole is a fault planted by tests: a core without the whole state campaigns.
+	SkipWhole bool
+	listed    map[string]machine.Rumour // the platform's words on servers
+	retold    bool
+	fresh     clock.Micros // up to when its news include what most of the roll knew
 }
 
 // New makes a core from what was read back from its disk.
--- a/ledger/replication/copying.go
+++ b/ledger/replication/copying.go
@@ -30,7 +30,7 @@
 		g.copied(r, now)
 	}
 	for _, member := range r.replicas {
-		if !member.copied {
+		if !member.copied && !(g.SkipCopy && r.servedAt > 0) {
 			g.copyTo(r, member, now)
 		}
 	}
--- a/ledger/replication/groups.go
+++ b/ledger/replication/groups.go
@@ -41,6 +41,9 @@
 	// SkipLast is a fault planted by tests: an entry is confirmed once one replica has
 	// it, though the group has more.
 	SkipLast bool
+	// SkipCopy is a fault planted by tests: a group that is made anew counts as complete
+	// before its replicas have the copy.
+	SkipCopy bool
 }
 
 // NewGroups makes the groups of a daemon; their effects go to out.
--- a/proof/explore/choices.go
+++ b/proof/explore/choices.go
@@ -110,6 +110,9 @@
 			c.add(Event{Kind: Thaw, Processes: self})
 			continue
 		}
+		if w.spent.leaves < w.config.Limits.Leaves {
+			c.add(Event{Kind: Leave, Processes: self})
+		}
 		if w.spent.freezes < w.config.Limits.Freezes {
 			c.add(Event{Kind: Freeze, Processes: self})
 		}
--- a/proof/explore/config.go
+++ b/proof/explore/config.go
@@ -49,6 +49,7 @@
 	Losses  int // messages dropped, repeated, held
 	Puts    int // orders handed in
 	Passes  int // times that time goes by
+	Leaves  int // members told that they are about to go
 }
 
 // Config is what is explored.
@@ -57,6 +58,8 @@
 	// Losses is how many members may be lost for good at one time; below 0: what the
 	// voters tolerate.
 	Losses int
+	// Spares are further processes that are down at first; started, they ask for a vote.
+	Spares int
 	// Empty begins runs with empty processes instead of a fleet that serves.
 	Empty bool
 	// Fine has each message, sync and clock event as an event of its own; without
@@ -71,7 +74,7 @@
 
 // DefaultLimits is a little of every trouble.
 func DefaultLimits() Limits {
-	return Limits{Crashes: 3, Wipes: 2, Cuts: 3, Freezes: 2, Losses: 4, Puts: 5, Passes: 12}
+	return Limits{Crashes: 3, Wipes: 2, Cuts: 3, Freezes: 2, Losses: 4, Puts: 5, Passes: 12, Leaves: 1}
 }
 
 // Tolerance is how many members may be lost for good at one time.
--- a/proof/explore/event.go
+++ b/proof/explore/event.go
@@ -35,6 +35,7 @@
 	Freeze   Kind = "freeze"   // a process stands still; what is sent to it waits
 	Thaw     Kind = "thaw"     // it goes on
 	Put      Kind = "put"      // an operator hands an order to a process
+	Leave    Kind = "leave"    // a process is told that it is about to go
 )
 
 // Event is one step of a run.
@@ -106,7 +107,7 @@
 			return wrong()
 		}
 		e.Processes, e.Order = rest[:1], rest[1]
-	case Tick, Sync, Start, Wipe, Replace, Mute, Deafen, Freeze, Thaw:
+	case Tick, Sync, Start, Wipe, Replace, Mute, Deafen, Freeze, Thaw, Leave:
 		e.Processes, ok = rest, len(rest) == 1
 	case Cut:
 		e.Processes, ok = rest, len(rest) > 0
--- a/proof/explore/faults.go
+++ b/proof/explore/faults.go
@@ -12,6 +12,8 @@
 type fault struct {
 	// KeepIdentity: a wiped process comes back under its old identity.
 	KeepIdentity bool
+	// EarlySync: a disk says that a write is synced before it is.
+	EarlySync bool
 	// Core plants a mistake in the machine.
 	Core func(core *control.Core)
 }
@@ -25,8 +27,13 @@
 // faults are the planted mistakes by name.
 var faults = map[string]fault{
 	"wiped-identity-votes": {KeepIdentity: true},
-	"old-epochs-accepted":  {Core: func(core *control.Core) { core.Groups().SkipFence = true }},
 	"one-copy-confirms":    {Core: func(core *control.Core) { core.Groups().SkipRemote = true }},
+	"last-copy-missing":    {Core: func(core *control.Core) { core.Groups().SkipLast = true }},
+	"only-copy-removed":    {Core: func(core *control.Core) { core.Groups().SkipCopy = true }},
+	"lease-without-quorum": {Core: func(core *control.Core) { core.SkipLease = true }},
+	"new-voters-only":      {Core: func(core *control.Core) { core.SkipOldVoters = true }},
+	"empty-member-leads":   {Core: func(core *control.Core) { core.SkipWhole = true }},
+	"synced-too-early":     {EarlySync: true},
 }
 
 func (c *Config) fault() fault { return faults[c.Fault] }
--- a/proof/explore/process.go
+++ b/proof/explore/process.go
@@ -47,6 +47,7 @@
 	boot       boot
 	inputs     *input
 	up, frozen bool
+	leaving    bool // it was told that it is about to go
 	disk       []machine.Record
 	unsynced   []write
 
@@ -112,7 +113,7 @@
 	next.boot.life++
 	next.boot.records = p.disk
 	next.inputs, next.unsynced, next.print = nil, nil, 0
-	next.up, next.frozen = true, false
+	next.up, next.frozen, next.leaving = true, false, false
 	next.live = &running{c.start(next.boot)}
 	next.look()
 	return &next
--- a/proof/explore/search.go
+++ b/proof/explore/search.go
@@ -254,6 +254,8 @@
 	clear(next.cut)
 	for place, p := range next.processes {
 		switch {
+		case p.leaving:
+			next.processes[place] = p.ended(len(p.unsynced)).booted(next.config)
 		case !p.up:
 			next.processes[place] = p.booted(next.config)
 		case p.frozen:
--- a/proof/explore/world.go
+++ b/proof/explore/world.go
@@ -38,7 +38,7 @@
 
 // spent counts the trouble that came so far.
 type spent struct {
-	crashes, wipes, cuts, freezes, losses, puts, passes int
+	crashes, wipes, cuts, freezes, losses, puts, passes, leaves int
 }
 
 // World is all processes, the messages between them and what operators were told, at
@@ -61,6 +61,11 @@
 	for i := range c.Voters {
 		w.processes = append(w.processes, newProcess(i, 0, processName(i)).booted(c))
 	}
+	for i := range c.Spares {
+		spare := newProcess(c.Voters+i, 0, processName(c.Voters+i))
+		spare.boot.first = false
+		w.processes = append(w.processes, spare)
+	}
 	return w
 }
 
@@ -152,6 +157,9 @@
 	next.unsynced = append(slices.Clip(next.unsynced), request)
 	next.print = 0
 	w.processes[place] = &next
+	if w.config.fault().EarlySync && !request.fold {
+		w.do(place, control.Stored{Token: request.token})
+	}
 }
 
 // sync makes the oldest write of a process durable and tells the machine.
@@ -165,7 +173,7 @@
 	next.unsynced, next.print = p.unsynced[1:], 0
 	next.disk = written(p.disk, request)
 	w.processes[place] = &next
-	if !request.fold {
+	if !request.fold && !w.config.fault().EarlySync {
 		w.do(place, control.Stored{Token: request.token})
 	}
 	return true
@@ -361,10 +369,22 @@
 		return next.frozen != p.frozen
 	case Put:
 		return w.put(place, e.Order)
+	case Leave:
+		w.spent.leaves++
+		return w.leave(place)
 	}
 	return true
 }
 
+// leave tells a process that it is about to go.
+func (w *World) leave(place int) bool {
+	w.do(place, control.Leave{})
+	next := *w.processes[place]
+	next.leaving, next.print = true, 0
+	w.processes[place] = &next
+	return true
+}
+
 // wipe ends a process for good and starts an empty one in its place.
 func (w *World) wipe(place int, elsewhere bool) {
 	p := w.processes[place]
@@ -410,9 +430,10 @@
 		}
 		core := p.machine(w.config)
 		vote := core.Vote()
+		latest, _ := core.State().Latest()
 		_, leased := w.probe(p)
-		lines = append(lines, fmt.Sprintf("%s (%s): %s in epoch %d, lease %t, granted %d, complete %d, plans %d",
-			p.name, p.id(), core.Groups().Group(coreUnit).Role, p.epoch, leased, vote.Term, vote.Committed.Epoch, len(core.State().Plans)))
+		lines = append(lines, fmt.Sprintf("%s (%s): %s in epoch %d, lease %t, term %d, committed %d, newest configuration %d",
+			p.name, p.id(), core.Groups().Group(coreUnit).Role, p.epoch, leased, vote.Term, vote.Committed.Epoch, latest.Number))
 	}
 	return lines
 }
