--- a/proof/explore/faults.go
+++ b/proof/explore/faults.go
@@ -33,6 +33,7 @@
 	"lease-without-quorum": {Core: func(core *control.Core) { core.SkipLease = true }},
 	"new-voters-only":      {Core: func(core *control.Core) { core.SkipOldVoters = true }},
 	"empty-member-leads":   {Core: func(core *control.Core) { core.SkipWhole = true }},
+	"no-order-table":       {Core: func(core *control.Core) { core.SkipOrderTable = true }},
 	"synced-too-early":     {EarlySync: true},
 }
 
