--- a/ledger/replication/copying.go
+++ b/ledger/replication/copying.go
@@ -30,7 +30,7 @@
 		g.copied(r, now)
 	}
 	for _, member := range r.replicas {
-		if !member.copied && !(g.SkipCopy && r.servedAt > 0) {
+		if !member.copied {
 			g.copyTo(r, member, now)
 		}
 	}
@@ -118,7 +118,7 @@
 		return
 	}
 	for _, member := range r.replicas {
-		if !member.copied {
+		if !member.copied && !(g.SkipCopy && r.servedAt > 0) {
 			return
 		}
 	}
--- a/proof/explore/check.go
+++ b/proof/explore/check.go
@@ -58,10 +58,11 @@
 	calls     []int    // the order of each call, by its number less one
 	lost      []string // wiped identities that the fleet may still count on
 	wiped     []string // all wiped identities
+	served    bool     // somebody held the lease: the fleet is founded
 }
 
 func (h history) clone() history {
-	return history{slices.Clip(h.confirmed), slices.Clip(h.calls), slices.Clip(h.lost), slices.Clip(h.wiped)}
+	return history{slices.Clip(h.confirmed), slices.Clip(h.calls), slices.Clip(h.lost), slices.Clip(h.wiped), h.served}
 }
 
 // asked notes a call for an order and gives its number.
@@ -207,6 +208,7 @@
 			w.checkLeader(p, slices.Contains(holders, p))
 		}
 	}
+	w.history.served = w.history.served || len(holders) > 0
 	if len(holders) == 1 {
 		w.forgive(holders[0])
 	}
--- a/proof/explore/config.go
+++ b/proof/explore/config.go
@@ -44,7 +44,7 @@
 type Limits struct {
 	Crashes int // crashes and blackouts
 	Wipes   int // wiped disks and replacements
-	Cuts    int // cut, mute, deafen
+	Cuts    int // cut, mute, deafen, starve
 	Freezes int
 	Losses  int // messages dropped, repeated, held
 	Puts    int // orders handed in
@@ -65,8 +65,9 @@
 	// Fine has each message, sync and clock event as an event of its own; without
 	// it heartbeats and leases travel only while time goes by fairly.
 	Fine bool
-	// Kinds are the kinds of event to be tried; all when empty.
-	Kinds  []Kind
+	// Only are the first words of the events to be tried ("pass 6s", "crash"); all when
+	// empty.
+	Only   []string
 	Limits Limits
 	// Fault names a planted fault, "" for none.
 	Fault string
--- a/proof/explore/event.go
+++ b/proof/explore/event.go
@@ -31,6 +31,7 @@
 	Cut      Kind = "cut"      // a set of processes and the others lose each other
 	Mute     Kind = "mute"     // nothing that a process sends arrives
 	Deafen   Kind = "deafen"   // nothing arrives at a process
+	Starve   Kind = "starve"   // messages of one type don't arrive over one link
 	Heal     Kind = "heal"     // all links work
 	Freeze   Kind = "freeze"   // a process stands still; what is sent to it waits
 	Thaw     Kind = "thaw"     // it goes on
@@ -61,6 +62,8 @@
 		words = append(words, strconv.Itoa(e.Keep))
 	case Put:
 		words = append(words, e.Order)
+	case Starve:
+		words = append(words, e.Message)
 	}
 	return strings.Join(words, " ")
 }
@@ -91,6 +94,11 @@
 		}
 		e.Processes, e.Message = rest[:2], rest[2]
 		e.Index, ok = number(rest[3])
+	case Starve:
+		if len(rest) != 3 {
+			return wrong()
+		}
+		e.Processes, e.Message = rest[:2], rest[2]
 	case Blackout:
 		if len(rest) != 1 {
 			return wrong()
