--- a/core/control/core.go
+++ b/core/control/core.go
@@ -89,6 +89,7 @@
 	foundedElsewhere bool
 	heardSince       clock.Micros // since when this core listens without a pause
 	lastClock        clock.Micros
+	toldLeading      bool // what the last heartbeat said
 	queue            []change
 	flight           *change
 	unwell           clock.Micros // since when a new pairing is wanted
@@ -111,6 +112,7 @@
 	SkipOrderTable bool
 	listed         map[string]machine.Rumour // the platform's words on servers
 	retold         bool
+	disk           diskDuty
 	fresh          clock.Micros // up to when its news include what most of the roll knew
 }
 
@@ -140,7 +142,9 @@
 
 // Do applies a command and hands over the effects.
 func (s *Core) Do(command Command, now clock.Micros) []machine.Effect {
-	command.Apply(s, now)
+	if !s.withheld(command, now) {
+		command.Apply(s, now)
+	}
 	if s.writes >= s.set.FoldAfter || s.written >= foldAfterBytes {
 		s.writes, s.written = 0, 0
 		s.Emit(machine.Fold{Records: append(append([]machine.Record{s.voteRecord()}, s.listedRecords()...), s.groups.Records()...)})
@@ -299,7 +303,7 @@
 	s.noticePause(now)
 	s.retell()
 	s.groups.ClockEvent(now)
-	if now >= s.next.beat {
+	if now >= s.next.beat || s.Leading(now) != s.toldLeading {
 		s.next.beat = now + s.set.HeartbeatEvery
 		s.beat(now)
 	}
