--- a/core/control/core.go
+++ b/core/control/core.go
@@ -101,6 +101,12 @@
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
+	// SkipLease is a fault planted by tests: a primary confirms and serves without a lease.
+	SkipLease bool
+	// SkipOldVoters is a fault planted by tests: a change of voters takes the new ones only.
+	SkipOldVoters bool
+	// SkipWhole is a fault planted by tests: a core without the whole state campaigns.
+	SkipWhole bool
 	// SkipOrderTable is a fault planted by tests: a snapshot lacks what recognises
 	// repeated orders.
 	SkipOrderTable bool
