--- a/cmd/barometer/main.go
+++ b/cmd/simsweep/main.go
@@ -1,4 +1,4 @@
-// Program barometer sweeps seeds through the simulator; a day that breaks a
+// Program simsweep sweeps seeds through the simulator; a day that breaks a
 // promise is shrunk to the failures it needs, and its trace is printed (DESIGN
 // §11).
 package main
@@ -21,7 +21,7 @@
 
 func main() {
 	var set options
-	r := settings.New("barometer")
+	r := settings.New("simsweep")
 	r.Int(&set.first, "first", 1, 0, 1<<40, "first seed")
 	r.Int(&set.seeds, "seeds", 1000, 1, 1<<30, "how many seeds")
 	r.Int(&set.acts, "acts", 10, 0, 1000, "failures a day")
--- /dev/null
+++ b/proof/simulation/copies.go
@@ -0,0 +1,79 @@
+package simulation
+
+import (
+	"fmt"
+	"strings"
+
+	"tuliprudder/membership/identity"
+)
+
+// Settled tells whether every slot and the core have their two copies.
+func (w *World) Settled() bool {
+	for _, name := range w.Names(identity.Core) {
+		n := w.Nodes[name]
+		if !n.up || n.frozen || !n.Core.Serving() {
+			continue
+		}
+		c := n.Core.State()
+		if len(c.Slots) == 0 {
+			return false
+		}
+		for _, pairing := range c.Slots {
+			if !pairing.Complete {
+				return false
+			}
+			for _, id := range []string{pairing.Owner.ID, pairing.Backup.ID} {
+				if !w.live(id) {
+					return false
+				}
+			}
+		}
+		for _, core := range n.Core.Vote().Voters {
+			if !w.live(core.ID) {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
+func (w *World) live(id string) bool {
+	for _, name := range w.names {
+		if n := w.Nodes[name]; n.ID == id {
+			return n.up && !n.frozen
+		}
+	}
+	return false
+}
+
+// Standing is what the fleet looks like, for a breach.
+func (w *World) Standing() string {
+	var out []string
+	for _, name := range w.Names(identity.Core) {
+		n := w.Nodes[name]
+		if !n.up {
+			out = append(out, name+" down")
+			continue
+		}
+		o := n.Core.Vote()
+		out = append(out, fmt.Sprintf("%s(%s) %s granted %d owner %s backup %s done %d", name, n.ID, n.Core.Groups().Group("core").Role, o.Granted, o.Grant.Owner.ID, o.Grant.Backup.ID, o.Done.Epoch))
+		if n.Core.Serving() {
+			for slot, p := range n.Core.State().Slots {
+				if !p.Complete || !w.live(p.Owner.ID) || !w.live(p.Backup.ID) {
+					out = append(out, fmt.Sprintf("slot %d %+v", slot, p))
+				}
+			}
+		}
+	}
+	return strings.Join(out, "; ")
+}
+
+func (w *World) slots() int {
+	for _, name := range w.Names(identity.Edge) {
+		if n := w.Nodes[name]; n.edge != nil && len(n.edge.Reader.Map().Slots) > 0 {
+			return len(n.edge.Reader.Map().Slots)
+		}
+	}
+	return 1
+}
--- a/proof/simulation/simulation_test.go
+++ b/proof/simulation/simulation_test.go
@@ -10,6 +10,7 @@
 	"tuliprudder/kernel/errs"
 	"tuliprudder/kernel/machine"
 	"tuliprudder/kernel/transport"
+	"tuliprudder/membership/identity"
 )
 
 var ghent = Size{Zones: 3, Cores: 3, Stores: 3, Edges: 3, Slots: 8}
@@ -274,7 +275,7 @@
 		}
 		before := epochs()
 		for i := 0; i < 30; i++ {
-			n := w.any([]string{"refuge", "cairn", "trailhead"}[w.Chance.Intn(3)])
+			n := w.any([]string{identity.Store, identity.Core, identity.Edge}[w.Chance.Intn(3)])
 			n.Freeze()
 			w.Run(w.between(50, 500) * clock.Millisecond)
 			n.Thaw()
