--- a/proof/simulation/allowance.go
+++ b/proof/simulation/allowance.go
@@ -53,7 +53,7 @@
 		return fmt.Sprintf("live at %v; shares%s", at, shares)
 	}
 	for _, h := range v.Bundles {
-		if h.Accepted > 0 && h.Ended == 0 && h.begun < h.Items {
+		if !h.Forwarded && h.Accepted > 0 && h.Ended == 0 && h.begun < h.Items {
 			waiting[customer] += h.Items - h.begun
 		}
 	}
--- a/proof/simulation/bundles.go
+++ b/proof/simulation/bundles.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/ledger/shard"
 	"tuliprudder/ledger/store"
-	"tuliprudder/path/requests"
 	"tuliprudder/proof/modelcontent"
 )
 
@@ -28,6 +28,9 @@
 	starts   map[string]int       // by item
 	done     map[int]clock.Micros // when an item's result was whole on a server, last
 	lists    int                  // rows that a waiting reader has seen
+	failures map[int]int          // by item: how often a server failed it
+	// Forwarded bundles hold requests that are passed on unchanged.
+	Forwarded bool
 }
 
 // Hand hands a bundle in and goes on until it is accepted or given up.
@@ -38,12 +41,13 @@
 
 // HandAs is the same under a key of the caller's choice.
 func (v *Watch) HandAs(key string, items, tries int) *Handed {
-	h := &Handed{ID: shard.BundleID(customer, key), Key: key, Items: items, Asked: v.w.Now, starts: map[string]int{}, done: map[int]clock.Micros{}}
-	v.Bundles, v.byID[h.ID], v.byKey[key] = append(v.Bundles, h), h, h
-	var list []shard.Item
-	for i := 0; i < items; i++ {
-		list = append(list, shard.Item{ID: strconv.Itoa(i), Input: itemInput(key, i)})
-	}
+	return v.hand(&Handed{ID: shard.BundleID(customer, key), Key: key, Items: items}, tries)
+}
+
+// hand hands a bundle in until it is accepted or its tries are over.
+func (v *Watch) hand(h *Handed, tries int) *Handed {
+	h.Asked, h.starts, h.done, h.failures = v.w.Now, map[string]int{}, map[int]clock.Micros{}, map[int]int{}
+	v.Bundles, v.byID[h.ID], v.byKey[h.Key] = append(v.Bundles, h), h, h
 	v.Busy++
 	var try func()
 	try = func() {
@@ -60,7 +64,7 @@
 		h.Tries++
 		e := &Entry{ID: h.ID, Called: v.w.Now}
 		v.Entries = append(v.Entries, e)
-		v.here(n, requests.HandIn{Caller: callerKey, Route: "r", Key: key, Items: append([]shard.Item(nil), list...)}, func(answer any, err error) {
+		v.here(n, h.handIn(), func(answer any, err error) {
 			e.Told = v.w.Now
 			e.unknown = errs.Is(err, errs.OutcomeUnknown)
 			if err != nil && !e.unknown {
@@ -112,7 +116,7 @@
 			v.w.After(100*clock.Millisecond, try)
 			return
 		}
-		v.here(n, requests.Look{Caller: callerKey, Bundle: h.ID, End: true}, func(answer any, err error) {
+		v.here(n, h.look(true), func(answer any, err error) {
 			if _, ok := answer.(store.Status); ok && err == nil {
 				h.Ended = v.w.Now
 				v.Busy--
@@ -138,7 +142,7 @@
 	}
 	e := &Entry{ID: h.ID, Called: v.w.Now, entered: entered{look: true}}
 	v.Entries = append(v.Entries, e)
-	v.here(n, requests.Look{Caller: callerKey, Bundle: h.ID}, func(_ any, err error) {
+	v.here(n, h.look(false), func(_ any, err error) {
 		if e.found = err == nil; e.found || errs.Is(err, errs.NotFound) {
 			e.Told = v.w.Now
 		}
@@ -177,3 +181,11 @@
 		v.byKey[key].done[number] = v.w.Now
 	}
 }
+
+// failed is a server's word that it has failed an item.
+func (v *Watch) failed(input string) {
+	key, item, _ := strings.Cut(input, "#")
+	if number, err := strconv.Atoi(item); err == nil && v.byKey[key] != nil {
+		v.byKey[key].failures[number]++
+	}
+}
--- a/proof/simulation/callers.go
+++ b/proof/simulation/callers.go
@@ -26,6 +26,7 @@
 	Edge                  string
 	Starts                []modelcontent.Start
 	leave                 func() // the caller goes
+	Forwarded             bool   // passed on unchanged
 }
 
 // The outcomes.
@@ -33,8 +34,15 @@
 	wasOK      = "ok"
 	wasRefused = "refused"
 	wasUnknown = "unknown"
+	wasFailed  = "failed" // a server's own failure was passed on
 )
 
+// once tells whether the order may run no more than once. A stream may not either
+// where it is passed on: nobody could join its parts.
+func (o *Order) once() bool {
+	return o.Kind == config.OneShot || o.Forwarded && o.Kind == config.Stream
+}
+
 // patience is how long a caller waits before it goes.
 const patience = 15 * clock.Second
 
@@ -46,7 +54,7 @@
 
 // planOf is a plan as an operator writes it; its number says how it differs from
 // others: the route extra comes and goes, its pool moves, allowances change.
-func planOf(number int) []byte {
+func planOf(number int, forwarding bool) []byte {
 	route := func(name, kind, pool string) map[string]any {
 		return map[string]any{"name": name, "kind": kind, "classes": map[string]any{"live": "yes"}, "pools": map[string]any{"use": pool}, "model": "m", "prefix": "say " + name + strings.Repeat(" again", 100), "max_tokens": 64, "expiry_us": 4_000_000}
 	}
@@ -61,6 +69,12 @@
 	if number%3 > 0 {
 		routes = append(routes, route("extra", config.OneShot, "half"))
 	}
+	if forwarding {
+		for _, name := range forwardedRoutes {
+			routes = append(routes, forwardedRoute(name, forwarded[name]))
+		}
+		routes = append(routes, forwardedRoute(bulkRoute, config.Bundle))
+	}
 	data, _ := json.Marshal(map[string]any{
 		"classes":   []any{class("gold", 300+number%2, 40), class("silver", 200, 40), class("notes", 100, 300+20*(number%4))},
 		"customers": []any{map[string]any{"name": "gold", "key": "key-gold", "class": "gold"}, map[string]any{"name": "silver", "key": "key-silver", "class": "silver"}, map[string]any{"name": customer, "key": "key-caller", "class": "notes"}},
@@ -85,6 +99,11 @@
 	for i, who := range []string{"gold", "gold", "silver"} {
 		v.Live(fmt.Sprintf("live-%d", i), who)
 	}
+	if w.Forwarding {
+		for i := 0; i < 3; i++ {
+			v.Passing(fmt.Sprintf("pass-%d", i))
+		}
+	}
 	var count func()
 	count = func() {
 		v.countWaiting()
@@ -309,8 +328,8 @@
 	}
 	o.Starts = append(o.Starts, start)
 	v.saw(onceOnly)
-	if o.Kind == config.OneShot && len(o.Starts) > 1 {
-		v.breach(onceOnly, "one-shot order %s runs a second time, on %s", o.Input, start.Server)
+	if o.once() && len(o.Starts) > 1 {
+		v.breach(onceOnly, "%s order %s runs a second time, on %s", o.Kind, o.Input, start.Server)
 	}
 	if o.Outcome == wasRefused {
 		v.breach(onceOnly, "order %s was turned away (%s) %d us ago, and runs on %s", o.Input, o.Why, at-o.Told, start.Server)
--- a/proof/simulation/copies.go
+++ b/proof/simulation/copies.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
+	"tuliprudder/ledger/replication"
 	"tuliprudder/membership/identity"
 )
 
@@ -22,7 +24,7 @@
 			if !pairing.Complete {
 				return false
 			}
-			for _, id := range []string{pairing.Owner.ID, pairing.Backup.ID} {
+			for _, id := range membersOf(pairing) {
 				if !w.live(id) {
 					return false
 				}
@@ -38,6 +40,26 @@
 	return false
 }
 
+// membersOf are the daemons that hold a copy under an assignment.
+func membersOf(a replication.Assignment) []string {
+	return []string{a.Owner.ID, a.Backup.ID}
+}
+
+// holders are the daemons that hold a copy of a slot, as the primary has it.
+func (w *World) holders(slot int) []*Node {
+	var out []*Node
+	primary := w.primary()
+	if !primary.up || primary.Core == nil || slot >= len(primary.Core.State().Slots) {
+		return nil
+	}
+	for _, id := range membersOf(primary.Core.State().Slots[slot]) {
+		if n := w.byID(id); n != nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 func (w *World) live(id string) bool {
 	for _, name := range w.names {
 		if n := w.Nodes[name]; n.ID == id {
@@ -60,7 +82,7 @@
 		out = append(out, fmt.Sprintf("%s(%s) %s granted %d owner %s backup %s done %d", name, n.ID, n.Core.Groups().Group("core").Role, o.Granted, o.Grant.Owner.ID, o.Grant.Backup.ID, o.Done.Epoch))
 		if n.Core.Serving() {
 			for slot, p := range n.Core.State().Slots {
-				if !p.Complete || !w.live(p.Owner.ID) || !w.live(p.Backup.ID) {
+				if !p.Complete || slices.ContainsFunc(membersOf(p), func(id string) bool { return !w.live(id) }) {
 					out = append(out, fmt.Sprintf("slot %d %+v", slot, p))
 				}
 			}
--- a/proof/simulation/day.go
+++ b/proof/simulation/day.go
@@ -12,10 +12,16 @@
 	Seed    int64
 	Size    Size
 	Climate Climate
-	Acts    int   // how many failures
-	Skip    []int // acts left out, for shrinking
-	Only    string
-	Busy    bool // the callers use every kind of call early on
+	Acts    int    // how many failures
+	Skip    []int  // acts left out, for shrinking
+	Only    string // only acts whose names hold this
+	Busy    bool   // the callers use every kind of call early on
+	// Forwarding adds requests that are passed on unchanged, alone and in bundles.
+	Forwarding bool
+	// Scenarios adds the directed scenarios (Scenarios) to the acts.
+	Scenarios bool
+	// Measure times, before the acts, how fast the fleet recovers (Recovery).
+	Measure bool
 	Plant   func(n *Node)
 	Mutate  func(from, to string, body any) (bool, bool, clock.Micros)
 }
@@ -23,20 +29,43 @@
 // Run lives the day through and gives the world back.
 func (d Day) Run() *World {
 	w := NewWorld(d.Seed, d.Size, d.Climate)
-	w.Plant, w.Mutate = d.Plant, d.Mutate
+	w.Plant, w.Mutate, w.Forwarding = d.Plant, d.Mutate, d.Forwarding
 	v := w.Watch
-	if !w.Until(10*clock.Second, func() bool {
-		for _, name := range w.Names(identity.Edge) {
-			if e := w.Nodes[name].edge; e == nil || !e.Reader.Ready() {
-				return false
-			}
-		}
-		return true
-	}) {
+	if !w.Until(10*clock.Second, w.ready) {
 		v.breach(back, "the fleet is not ready 10 s after boot: %s", w.Standing())
 		return w
 	}
 	v.Open()
+	v.call()
+	if d.Forwarding {
+		v.callForwarded()
+	}
+	if d.Busy {
+		d.useAll(w)
+	}
+	if d.Measure && !w.measure(d.Size.Slots) {
+		return w
+	}
+	if !d.strikeAll(w) {
+		return w
+	}
+	v.Last(20 * clock.Second)
+	return w
+}
+
+// ready tells whether every edge can serve.
+func (w *World) ready() bool {
+	for _, name := range w.Names(identity.Edge) {
+		if e := w.Nodes[name].edge; e == nil || !e.Reader.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// call has callers use the fleet until Calling is false.
+func (v *Watch) call() {
+	w := v.w
 	var callers func()
 	callers = func() {
 		if !v.Calling {
@@ -51,33 +80,67 @@
 			v.Look()
 			v.Hand(1+w.Chance.Intn(10), 1)
 		case 3:
-			var open []*Handed
-			for _, h := range v.Bundles {
-				if h.Accepted > 0 && h.Ended == 0 {
-					open = append(open, h)
-				}
-			}
-			if len(open) > 0 && w.Chance.Intn(3) == 0 {
-				v.End(open[w.Chance.Intn(len(open))])
-			}
+			v.endSome()
 		default:
 			v.Hand(1+w.Chance.Intn(20), 200)
 		}
 		w.After(w.between(50, 400)*clock.Millisecond, callers)
 	}
 	callers()
-	if d.Busy {
-		h := v.Hand(10, 50)
-		w.Run(200 * clock.Millisecond)
-		v.Look()
-		v.End(h)
-		id := w.any(identity.Store).ID
-		v.Retire(id, false)
-		w.Run(2 * clock.Second)
-		v.Retire(id, true)
+}
+
+// endSome ends, now and then, one of the bundles that are open.
+func (v *Watch) endSome() {
+	var open []*Handed
+	for _, h := range v.Bundles {
+		if h.Accepted > 0 && h.Ended == 0 {
+			open = append(open, h)
+		}
 	}
+	if len(open) > 0 && v.w.Chance.Intn(3) == 0 {
+		v.End(open[v.w.Chance.Intn(len(open))])
+	}
+}
+
+// callForwarded has callers hand in bundles of requests until Calling is false.
+func (v *Watch) callForwarded() {
+	w := v.w
+	var callers func()
+	callers = func() {
+		if !v.Calling {
+			return
+		}
+		v.HandRequests(1+w.Chance.Intn(8), 200)
+		w.After(w.between(300, 1500)*clock.Millisecond, callers)
+	}
+	callers()
+}
+
+// useAll uses every kind of call early on.
+func (d Day) useAll(w *World) {
+	v := w.Watch
+	h := v.Hand(10, 50)
+	w.Run(200 * clock.Millisecond)
+	v.Look()
+	v.End(h)
+	id := w.any(identity.Store).ID
+	v.Retire(id, false)
+	w.Run(2 * clock.Second)
+	v.Retire(id, true)
+}
+
+// pool are the acts this day may pick from.
+func (d Day) pool() []Act {
 	acts := append(Acts(d.Size.Slots), Moments(d.Size.Slots)...)
-	skip := map[int]bool{}
+	if d.Scenarios {
+		acts = append(acts, Scenarios(d.Size)...)
+	}
+	return acts
+}
+
+// strikeAll lets the day's failures happen one after the other; false ends the day.
+func (d Day) strikeAll(w *World) bool {
+	acts, skip := d.pool(), map[int]bool{}
 	for _, i := range d.Skip {
 		skip[i] = true
 	}
@@ -90,21 +153,34 @@
 		if skip[i] {
 			continue
 		}
-		if act.Disk && !w.Until(20*clock.Second, w.Settled) {
-			v.breach(kept, "no second copy 20 s after a failure: %s", w.Standing())
-			return w
+		if !w.mayStrike(act) {
+			w.Watch.breach(kept, "no second copy %d s after a failure: %s", repairTime/clock.Second, w.Standing())
+			return false
 		}
 		w.Note("act %d: %s", i, act.Name)
-		v.Faults++
+		w.Watch.Faults++
 		undo := act.Do(w)
 		w.Run(act.Span/2 + w.between(0, act.Span))
 		if undo != nil {
 			undo()
 		}
 		if w.Chance.Intn(3) > 0 {
-			w.Until(15*clock.Second, w.Settled)
+			w.Until(15*clock.Second, w.noteSettled)
 		}
 	}
-	v.Last(20 * clock.Second)
-	return w
+	return true
+}
+
+// mayStrike waits until an act's losses are within the fleet's tolerance: false when
+// the fleet does not restore its copies in time. Where the tolerance allows, an act
+// comes before the copies of the one before are restored.
+func (w *World) mayStrike(act Act) bool {
+	if !act.Disk {
+		return true
+	}
+	counted := act.Stores+act.Cores > 0
+	if counted && w.Size.tolerance() > 1 && w.mayLose(identity.Store, act.Stores) && w.mayLose(identity.Core, act.Cores) {
+		return true
+	}
+	return w.Until(repairTime, w.noteSettled)
 }
--- a/proof/simulation/dayend.go
+++ b/proof/simulation/dayend.go
@@ -27,8 +27,8 @@
 	}
 	missing := func() string {
 		for _, h := range v.Bundles {
-			if h.Accepted == 0 || h.Ended > 0 {
-				continue
+			if h.Accepted == 0 || h.Ended > 0 || h.Forwarded {
+				continue // no feed has those that are passed on: their lists are read
 			}
 			for i := 0; i < h.Items; i++ {
 				if v.feedSeen[fmt.Sprintf("%s/%d", h.ID, i)] == 0 {
@@ -84,6 +84,20 @@
 				}
 			}
 		}
+		for _, route := range forwardedRoutes {
+			if !w.Forwarding {
+				break
+			}
+			want[name+" "+route+" passed on"] = func(n *Node, done func()) {
+				v.number++
+				o := v.forwardedOrder(route, fmt.Sprintf("back-%d", v.number))
+				v.Pass(n, o, func() {
+					if o.Outcome == wasOK {
+						done()
+					}
+				})
+			}
+		}
 		want[name+" feed"] = func(n *Node, done func()) {
 			v.here(n, requests.Page{Caller: callerKey, Read: reader.Read{Name: "back", Most: 1}}, func(_ any, err error) {
 				if err == nil {
@@ -94,7 +108,7 @@
 		want[name+" list"] = func(n *Node, done func()) {
 			for _, h := range v.Bundles {
 				if h.Accepted > 0 {
-					v.here(n, requests.Page{Caller: callerKey, Read: reader.Read{Name: "back", Bundle: h.ID, Most: 1}}, func(_ any, err error) {
+					v.here(n, h.page(reader.Read{Name: "back", Most: 1}), func(_ any, err error) {
 						if err == nil {
 							done()
 						}
--- a/proof/simulation/faults_daemons.go
+++ b/proof/simulation/faults_daemons.go
@@ -12,7 +12,7 @@
 	return []Act{
 		{Name: "kill a store", Span: 3000 * ms, Do: func(w *World) func() { return crash(w.any(identity.Store), slots) }},
 		{Name: "bounce a store", Span: 200 * ms, Do: func(w *World) func() { return crash(w.any(identity.Store), slots) }},
-		{Name: "wipe a store", Span: 1500 * ms, Disk: true, Do: func(w *World) func() { return wipe(w.any(identity.Store), slots) }},
+		{Name: "wipe a store", Span: 1500 * ms, Disk: true, Stores: 1, Do: func(w *World) func() { return wipe(w.any(identity.Store), slots) }},
 		{Name: "freeze a store", Span: 5000 * ms, Do: func(w *World) func() { return freeze(w.any(identity.Store)) }},
 		{Name: "blink a store", Span: 1200 * ms, Do: func(w *World) func() { return freeze(w.any(identity.Store)) }},
 		{Name: "cut a store off", Span: 5000 * ms, Do: func(w *World) func() { return isolate(w, w.any(identity.Store)) }},
@@ -32,7 +32,7 @@
 	return []Act{
 		{Name: "kill the primary", Span: 3000 * ms, Do: func(w *World) func() { return crash(w.primary(), slots) }},
 		{Name: "bounce a core", Span: 200 * ms, Do: func(w *World) func() { return crash(w.any(identity.Core), slots) }},
-		{Name: "wipe a core", Span: 1500 * ms, Disk: true, Do: func(w *World) func() { return wipe(w.any(identity.Core), slots) }},
+		{Name: "wipe a core", Span: 1500 * ms, Disk: true, Cores: 1, Do: func(w *World) func() { return wipe(w.any(identity.Core), slots) }},
 		{Name: "freeze the primary", Span: 5000 * ms, Do: func(w *World) func() { return freeze(w.primary()) }},
 		{Name: "cut a core off", Span: 5000 * ms, Do: func(w *World) func() { return isolate(w, w.any(identity.Core)) }},
 		{Name: "cut two cores", Span: 4000 * ms, Do: func(w *World) func() {
@@ -85,14 +85,14 @@
 			w.Note("%s drains", n.Name)
 			return func() { n.Crash(); n.Boot(slots) }
 		}},
-		{Name: "swap a store", Span: 1500 * ms, Disk: true, Do: func(w *World) func() {
+		{Name: "swap a store", Span: 1500 * ms, Disk: true, Stores: 1, Do: func(w *World) func() {
 			n := w.any(identity.Store)
 			n.Crash()
 			n.Wipe()
 			w.Move(n)
 			return func() { n.Boot(slots) }
 		}},
-		{Name: "swap a core", Span: 1500 * ms, Disk: true, Do: func(w *World) func() {
+		{Name: "swap a core", Span: 1500 * ms, Disk: true, Cores: 1, Do: func(w *World) func() {
 			n := w.any(identity.Core)
 			n.Crash()
 			n.Wipe()
--- a/proof/simulation/history.go
+++ b/proof/simulation/history.go
@@ -13,38 +13,6 @@
 // explains what every operator and every edge was told, those of unknown
 // outcome included (DESIGN §9).
 
-type planInput struct {
-	base    uint64
-	hasBase bool
-}
-
-type planOutput struct {
-	version uint64
-	stale   bool
-	unknown bool
-}
-
-// planModel is one counter: each confirmed plan is the next version.
-var planModel = porcupine.NondeterministicModel{
-	Init: func() []any { return []any{uint64(0)} },
-	Step: func(state, input, output any) []any {
-		now, in, out := state.(uint64), input.(planInput), output.(planOutput)
-		fits := !in.hasBase || in.base == now
-		switch {
-		case out.unknown && fits:
-			return []any{now, now + 1}
-		case out.unknown:
-			return []any{now}
-		case out.stale && !fits:
-			return []any{now}
-		case !out.stale && fits && out.version == now+1:
-			return []any{now + 1}
-		}
-		return nil
-	},
-	Equal: func(one, other any) bool { return one == other },
-}
-
 type claimOutput struct {
 	winner  string
 	unknown bool
@@ -107,19 +75,12 @@
 
 // CheckHistories looks for those orders; each history that has none is a breach.
 func (v *Watch) CheckHistories() {
-	var plans []porcupine.Operation
-	for i, p := range v.Puts {
-		out := planOutput{version: p.Version, stale: p.Stale, unknown: p.Unknown}
-		end := int64(p.Told)
-		if p.Told == 0 || p.Unknown {
-			out.unknown, end = true, math.MaxInt64
-		} else if p.Version == 0 && !p.Stale {
-			continue // turned away: it never was
-		}
-		plans = append(plans, porcupine.Operation{ClientId: i, Input: planInput{p.Base, p.HasBase}, Call: int64(p.Called), Output: out, Return: end})
-	}
-	if result := porcupine.CheckOperationsTimeout(planModel.ToModel(), plans, 20*time.Second); result == porcupine.Illegal {
+	switch porcupine.CheckOperationsTimeout(planModel.ToModel(), v.planOperations(), 20*time.Second) {
+	case porcupine.Illegal:
 		v.breach(inForce, "no order of the plans explains what their operators were told")
+	case porcupine.Unknown:
+		v.Undecided++
+		v.w.Note("the checker did not decide the history of the plans in time")
 	}
 	byBundle := map[string][]porcupine.Operation{}
 	for i, e := range v.Entries {
--- a/proof/simulation/node.go
+++ b/proof/simulation/node.go
@@ -100,7 +100,7 @@
 	switch n.Kind {
 	case identity.Core:
 		set := control.Defaults()
-		set.Slots, set.CheckPlan = slots, config.Check
+		set.Slots, set.Founders, set.CheckPlan = slots, w.Size.Cores, config.Check
 		n.Core = control.New(control.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
 		n.machine = machines.NewCore(n.Core)
 	case identity.Store:
@@ -216,6 +216,10 @@
 	w := n.world
 	switch o := order.(type) {
 	case execution.Run:
+		if o.Forward != nil {
+			n.passItem(o)
+			return
+		}
 		var output strings.Builder
 		n.runs[o.Token] = w.Serve(n, o.Request, func(piece string) {
 			if output.Len() == 0 {
--- a/proof/simulation/operators.go
+++ b/proof/simulation/operators.go
@@ -1,196 +1,235 @@
 package simulation
 
 import (
-	"fmt"
-
 	"tuliprudder/core/control"
-	"tuliprudder/core/state"
 	"tuliprudder/kernel/clock"
 	"tuliprudder/kernel/errs"
 	"tuliprudder/membership/identity"
-	"tuliprudder/proof/modelcontent"
 )
 
-// Put is a plan as its operator saw it.
-type Put struct {
-	Number  int
-	Body    string
-	Base    uint64
-	HasBase bool
-	Called  clock.Micros
-	Told    clock.Micros
-	Version uint64 // 0: turned away
-	Stale   bool
-	Refused bool
-	Unknown bool
-}
-
-// PutPlan puts a plan with or without a base.
-func (v *Watch) PutPlan(withBase bool) {
-	n := v.edgeNode()
-	if n == nil || n.core.Peer == "" {
+// This file is operators who number their own configurations, build them on the
+// version they read, and send an order again when its answer does not come.
+
+// ConfigRead is one reading of the latest configuration as its operator saw it.
+type ConfigRead struct {
+	Called, Told clock.Micros
+	Version      uint64
+	Document     int // its number among the documents of the day; -1 when unknown
+	None         bool
+	Failed       bool // no answer, or none that says anything
+}
+
+// order is an operator's numbered configuration; it may be sent more than once.
+type order struct {
+	document  int
+	body      []byte
+	number    uint64 // 0: the core numbers it, whatever is in force
+	base      uint64
+	confirmed bool // a receipt was given, whether the operator heard of it or not
+	settled   bool // the operator has a clear answer
+}
+
+const (
+	operatorExpiry = 4 * clock.Second
+	operatorSlack  = 500 * clock.Millisecond
+)
+
+// newOrder writes a configuration under a number of the operator's choice.
+func (v *Watch) newOrder(number, base uint64) *order {
+	v.documents++
+	o := &order{document: v.documents, number: number, base: base}
+	o.body = planOf(o.document, v.w.Forwarding)
+	v.docs[string(o.body)] = o.document
+	return o
+}
+
+// Send sends an order to a core, which asks whom it takes for the primary. Where
+// the answer is lost the operator hears nothing. told may be nil.
+func (v *Watch) Send(at *Node, o *order, loseAnswer bool, told func(p *Put)) {
+	w := v.w
+	if !at.up || at.core.Peer == "" {
+		if told != nil {
+			w.After(clock.Millisecond, func() { told(nil) })
+		}
 		return
 	}
-	number := len(v.Puts) + 1
-	body := planOf(number)
-	p := &Put{Number: number, Body: string(body), Called: v.w.Now, HasBase: withBase, Base: n.plan}
+	p := &Put{Number: o.document, Body: string(o.body), Called: w.Now, HasBase: o.number > 0, Base: o.base, Wanted: o.number}
 	v.Puts = append(v.Puts, p)
 	v.Busy++
-	v.w.Ask(n, n.core.Peer, control.PutPlanAsk{Body: body, Base: p.Base, HasBase: withBase, By: "sim", Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
+	ask := control.PutPlanAsk{Body: o.body, Number: o.number, Base: o.base, HasBase: o.number > 0, By: at.Name, Expiry: operatorExpiry}
+	w.Ask(at, at.core.Peer, ask, operatorExpiry+operatorSlack, func(answer any, err error) {
 		v.Busy--
-		p.Told = v.w.Now
-		v.w.Note("plan number %d (base %d %v): %v %v", p.Number, p.Base, withBase, answer, err)
+		p.Told = w.Now
 		receipt, ok := answer.(control.PlanReceipt)
+		w.Note("%s: order %d as version %d on %d: %v %v, answer lost %v", at.Name, o.document, o.number, o.base, answer, err, loseAnswer)
+		v.judgeAnswer(o, err, err == nil && ok)
 		switch {
+		case loseAnswer:
+			p.Unknown = true
 		case err == nil && ok:
-			p.Version = receipt.Version
-			v.Served["plan"] = v.w.Now
-			if known, taken := v.plans[receipt.Version]; taken && known != p.Body {
-				v.breach(inForce, "plan version %d confirmed as %s and as %s", receipt.Version, known, p.Body)
-			}
-			v.plans[receipt.Version] = p.Body
-			v.w.After(2*clock.Second, func() { v.planDue(p) })
-		case errs.Is(err, errs.StaleBase):
-			p.Stale = true
+			o.settled = true
+			v.confirmed(p, receipt)
+		case errs.Is(err, errs.StaleBase), errs.Is(err, errs.BadPlan):
+			p.Stale, o.settled = true, true
 		case errs.Is(err, errs.OutcomeUnknown):
 			p.Unknown = true
 		default:
 			p.Refused = true
 		}
+		if told != nil {
+			told(p)
+		}
 	})
 }
 
-// planDue looks, 2 s after a plan was confirmed, whether it is in force at every
-// edge and store that nothing was done to meanwhile.
-func (v *Watch) planDue(p *Put) {
-	for _, name := range v.w.names {
-		n := v.w.Nodes[name]
-		if !n.well(p.Told - clock.Second) {
-			continue
-		}
-		var inside uint64
-		switch {
-		case n.edge != nil && n.edge.Dispatch.Plan() != nil:
-			inside = n.edge.Dispatch.Plan().Version
-		case n.ledger != nil && n.ledger.Dispatch.Plan() != nil:
-			inside = n.ledger.Dispatch.Plan().Version
-		case n.Core != nil:
-			continue
-		}
-		v.saw(inForce)
-		if inside < p.Version {
-			v.breach(inForce, "%s acts by plan %d, 2 s after %d was confirmed", n.Name, inside, p.Version)
-		}
+// judgeAnswer judges an answer by what the order's earlier tries were given.
+func (v *Watch) judgeAnswer(o *order, err error, confirmed bool) {
+	if confirmed {
+		o.confirmed = true
+		return
+	}
+	v.saw(repeats)
+	if o.confirmed && (errs.Is(err, errs.StaleBase) || errs.Is(err, errs.BadPlan)) {
+		v.breach(repeats, "version %d was confirmed; sent again, it is refused: %v", o.number, err)
 	}
 }
 
-// Retire asks the primary to retire a store, or takes it back, until it is told.
-func (v *Watch) Retire(id string, back bool) {
-	v.Busy++
-	tries := 0
-	var try func()
-	try = func() {
-		n := v.edgeNode()
-		if tries++; tries > 60 {
-			v.Busy--
-			return
-		}
-		if n == nil || n.core.Peer == "" {
-			v.w.After(200*clock.Millisecond, try)
-			return
-		}
-		v.w.Ask(n, n.core.Peer, control.RetireAsk{ID: id, Back: back, Expiry: 4 * clock.Second}, 5*clock.Second, func(answer any, err error) {
-			if _, ok := answer.(control.RetireReceipt); err == nil && ok || errs.Is(err, errs.Refused) || errs.Is(err, errs.NotFound) {
-				v.w.Note("retire %s back %v: %v %v", id, back, answer, err)
-				v.Busy--
-				return
-			}
-			v.w.After(300*clock.Millisecond, try)
-		})
+// confirmed notes a receipt, and looks later whether it is in force.
+func (v *Watch) confirmed(p *Put, receipt control.PlanReceipt) {
+	p.Version = receipt.Version
+	v.Served["plan"] = v.w.Now
+	if known, taken := v.plans[receipt.Version]; taken && known != p.Body {
+		v.breach(inForce, "plan version %d confirmed as %s and as %s", receipt.Version, known, p.Body)
 	}
-	try()
+	v.plans[receipt.Version] = p.Body
+	v.w.After(2*clock.Second, func() { v.planDue(p) })
 }
 
-func (v *Watch) planHeard(n *Node, version state.Version) {
-	if version.Number < n.plan {
-		v.breach(inForce, "%s goes back from plan %d to %d", n.Name, n.plan, version.Number)
-	}
-	n.plan = version.Number
-	if known, ok := v.plans[version.Number]; ok && known != string(version.Body) {
-		v.breach(inForce, "plan version %d is %s at %s and was %s", version.Number, version.Body, n.Name, known)
+// SendUntilClear sends an order again, to any core, until its outcome is clear.
+func (v *Watch) SendUntilClear(o *order, tries int) {
+	if o.settled || tries == 0 {
+		return
 	}
-	v.plans[version.Number] = string(version.Body)
+	v.Send(v.w.any(identity.Core), o, false, func(*Put) {
+		v.w.After(v.w.between(100, 800)*clock.Millisecond, func() { v.SendUntilClear(o, tries-1) })
+	})
 }
 
-// planEnd checks that every confirmed plan stands, reads back at two edges, and
-// that the newest is in force everywhere.
-func (v *Watch) planEnd() {
+// ReadLatest reads the latest configuration at a core.
+func (v *Watch) ReadLatest(at *Node, told func(r *ConfigRead)) {
 	w := v.w
-	latest := uint64(0)
-	for _, p := range v.Puts {
-		latest = max(latest, p.Version)
+	r := &ConfigRead{Called: w.Now, Document: -1}
+	if !at.up || at.core.Peer == "" {
+		w.After(clock.Millisecond, func() { r.Failed = true; told(r) })
+		return
 	}
-	edges := w.Names(identity.Edge)
-	for _, p := range v.Puts {
-		if p.Version == 0 {
-			continue
-		}
-		for i := 0; i < min(2, len(edges)); i++ {
-			n, answered, body := w.Nodes[edges[(p.Number+i)%len(edges)]], false, ""
-			for tries := 0; tries < 5 && !answered; tries++ {
-				over := false
-				w.Ask(n, n.core.Peer, control.PlansAsk{Version: p.Version}, 2*clock.Second, func(answer any, err error) {
-					over = true
-					if got, ok := answer.(control.Plans); ok && err == nil && len(got.Versions) == 1 {
-						answered, body = true, string(got.Versions[0].Body)
-					}
-				})
-				w.Until(3*clock.Second, func() bool { return over })
-			}
+	v.Reads = append(v.Reads, r)
+	w.Ask(at, at.core.Peer, control.PlansAsk{Latest: true}, operatorExpiry, func(answer any, err error) {
+		r.Told = w.Now
+		plans, ok := answer.(control.Plans)
+		switch {
+		case errs.Is(err, errs.NotFound):
+			r.None = true
+		case err != nil || !ok || len(plans.Versions) != 1:
+			r.Failed = true
+		default:
+			r.Version = plans.Versions[0].Number
 			v.saw(inForce)
-			if body != p.Body {
-				v.breach(inForce, "confirmed plan %d does not read back at %s", p.Version, n.Name)
+			if document, known := v.docs[string(plans.Versions[0].Body)]; known {
+				r.Document = document
+			} else {
+				v.breach(inForce, "%s reads back version %d with a document that nobody put", at.Name, r.Version)
 			}
 		}
+		told(r)
+	})
+}
+
+// operator is one who reads, and puts the next version on what was read.
+type operator struct {
+	v      *Watch
+	cores  []*Node
+	latest uint64
+	// Confirmed is when each of this operator's orders was confirmed.
+	Confirmed []*Put
+	stopped   bool
+	orders    []*order
+}
+
+// Operate lets an operator work at some cores until it is stopped.
+func (v *Watch) Operate(cores []*Node) *operator {
+	op := &operator{v: v, cores: cores}
+	if len(cores) > 0 {
+		op.read()
 	}
-	for _, name := range w.names {
-		if n := w.Nodes[name]; n.up && n.plan < latest {
-			v.breach(inForce, "%s has plan %d in force, not %d", name, n.plan, latest)
+	return op
+}
+
+func (op *operator) at() *Node { return op.cores[op.v.w.Chance.Intn(len(op.cores))] }
+
+// rest waits a moment before the next step.
+func (op *operator) rest(next func()) {
+	op.v.w.After(op.v.w.between(100, 700)*clock.Millisecond, func() {
+		if !op.stopped && op.v.Calling {
+			next()
 		}
-	}
+	})
 }
 
-// numbersSince are the plans' numbers that may have been in force at some time
-// since then: confirmed ones from before the newest at that time are not.
-func (v *Watch) numbersSince(since clock.Micros) []int {
-	var out []int
-	newest := uint64(0)
-	for _, p := range v.Puts {
-		if p.Version > 0 && p.Told <= since {
-			newest = max(newest, p.Version)
+func (op *operator) read() {
+	op.v.ReadLatest(op.at(), func(r *ConfigRead) {
+		if !r.Failed {
+			op.latest = r.Version
 		}
-	}
-	for _, p := range v.Puts {
-		// One whose outcome is not known may be in force as well.
-		if p.Version >= newest && p.Version > 0 || p.Version == 0 && (p.Told == 0 || p.Unknown) {
-			out = append(out, p.Number)
+		if op.v.w.Chance.Intn(3) == 0 {
+			op.rest(op.read)
+			return
 		}
-	}
-	return out
+		op.rest(op.put)
+	})
 }
 
-// inForceAt judges a start of the route extra by the newest plans: those that
-// were in force at any time since the order was sent, and a while before.
-func (v *Watch) inForceAt(o *Order, start modelcontent.Start) {
-	if o.Route != "extra" {
-		return
-	}
-	v.saw(inForce)
-	for _, number := range v.numbersSince(o.Asked - 3*clock.Second - about) {
-		half := fmt.Sprint(number / 3 % 2)
-		if number%3 > 0 && half == v.w.serverNamed(start.Server).half() {
+func (op *operator) put() {
+	v := op.v
+	o := v.newOrder(op.latest+1, op.latest)
+	op.orders = append(op.orders, o)
+	op.send(o, 3)
+}
+
+// send sends an order, and again at other cores while nothing is clear.
+func (op *operator) send(o *order, tries int) {
+	v := op.v
+	v.Send(op.at(), o, v.w.Chance.Intn(6) == 0, func(p *Put) {
+		if p != nil && p.Version > 0 {
+			op.latest = max(op.latest, p.Version)
+			op.Confirmed = append(op.Confirmed, p)
+		}
+		if !o.settled && tries > 1 {
+			op.rest(func() { op.send(o, tries-1) })
 			return
 		}
+		op.rest(op.read)
+	})
+}
+
+// stop ends the operator's work; what is not clear yet is sent again to any core,
+// and some of what was confirmed too, though newer versions have come.
+func (op *operator) stop() {
+	op.stopped = true
+	for _, o := range op.orders {
+		if !o.settled {
+			op.v.SendUntilClear(o, 40)
+		} else if op.v.w.Chance.Intn(4) == 0 {
+			op.v.Send(op.v.w.any(identity.Core), o, false, nil)
+		}
 	}
-	v.breach(inForce, "%s, asked %d us ago at %s, runs on %s though none of the plans that can be in force sends it there: %v", o.Input, start.At-o.Asked, o.Edge, start.Server, v.numbersSince(o.Asked-3*clock.Second-about))
+}
+
+// nodes are the nodes of a kind.
+func (w *World) nodes(kind string) []*Node {
+	var out []*Node
+	for _, name := range w.Names(kind) {
+		out = append(out, w.Nodes[name])
+	}
+	return out
 }
--- a/proof/simulation/promises.go
+++ b/proof/simulation/promises.go
@@ -26,11 +26,13 @@
 	inForce  Promise = "a plan is in force in about 2 s, never slips back, reads back"
 	within   Promise = "waiting work stays within the allowance, by a tenth"
 	back     Promise = "service is back within about 12 s"
+	answered Promise = "a request that is passed on is answered or refused by its deadline"
+	repeats  Promise = "a confirmed order that is sent again is never refused"
 	typed    Promise = "the fleet works as its parts promise each other"
 )
 
 // Promises lists them.
-var Promises = []Promise{kept, soon, exact, goesOn, refused, ended, onceOnly, mixed, streamed, leaving, inForce, within, back}
+var Promises = []Promise{kept, soon, exact, goesOn, refused, ended, onceOnly, mixed, streamed, leaving, inForce, within, back, answered, repeats}
 
 // about is the grace for what is to hold within about 3 s.
 const about = 300 * clock.Millisecond
--- a/proof/simulation/readers.go
+++ b/proof/simulation/readers.go
@@ -7,7 +7,6 @@
 	"tuliprudder/ledger/shard"
 	"tuliprudder/path/reader"
 	"tuliprudder/path/requests"
-	"tuliprudder/proof/modelcontent"
 )
 
 // quiet tells whether nothing was done to any daemon since a time.
@@ -32,8 +31,8 @@
 		return
 	}
 	v.number++
-	read := reader.Read{Name: fmt.Sprintf("r-%d", v.number), Bundle: h.ID, Token: token, Most: 100, Wait: 2 * clock.Second}
-	v.here(n, requests.Page{Caller: callerKey, Read: read}, func(answer any, err error) {
+	read := reader.Read{Name: fmt.Sprintf("r-%d", v.number), Token: token, Most: 100, Wait: 2 * clock.Second}
+	v.here(n, h.page(read), func(answer any, err error) {
 		page, _ := answer.(reader.Page)
 		if err != nil {
 			v.w.After(50*clock.Millisecond, func() { v.wait(h, token) })
@@ -67,9 +66,16 @@
 	key := fmt.Sprintf("%d@%d", row.Writer, row.Position)
 	what := fmt.Sprintf("%s/%d", row.Bundle, row.Item)
 	v.saw(exact)
-	if h := v.byID[row.Bundle]; h != nil && row.Status == shard.StatusOK {
+	h := v.byID[row.Bundle]
+	if h != nil && h.Forwarded && row.Status == shard.StatusFailed {
+		v.saw(kept)
+		if h.failures[row.Item] < forwardTries {
+			v.breach(kept, "%s: %s is listed as failed (%s) though servers failed it %d times only", where, what, row.Output, h.failures[row.Item])
+		}
+	}
+	if h != nil && row.Status == shard.StatusOK {
 		v.saw(mixed)
-		if want := modelcontent.Answer(itemInput(h.Key, row.Item), pieces); row.Output != want {
+		if want := h.itemOutput(row.Item); row.Output != want {
 			v.breach(mixed, "%s: %s holds %q, not its answer %q", where, what, row.Output, want)
 		}
 	}
@@ -126,7 +132,7 @@
 	for !done && tries < 200 {
 		tries++
 		answered := false
-		v.here(v.edgeNode(), requests.Page{Caller: callerKey, Read: reader.Read{Name: "all", Bundle: h.ID, Token: token, Most: 1 + w.Chance.Intn(30)}}, func(answer any, err error) {
+		v.here(v.edgeNode(), h.page(reader.Read{Name: "all", Token: token, Most: 1 + w.Chance.Intn(30)}), func(answer any, err error) {
 			answered = true
 			page, ok := answer.(reader.Page)
 			if err != nil || !ok {
--- a/proof/simulation/server.go
+++ b/proof/simulation/server.go
@@ -25,7 +25,8 @@
 	queue   int
 	speed   clock.Micros // for a piece
 	up      bool
-	mode    string // "", dark, cut, refuse, late
+	mode    string  // "", dark, cut, refuse, late
+	trouble trouble // what may befall requests that are passed on to it
 	running map[*serving]bool
 	waiting []*serving
 	cache   []string
@@ -48,6 +49,7 @@
 	lastPiece clock.Micros
 	left      []string
 	forget    func()
+	passed    *passed // set where a request is passed on unchanged
 }
 
 func newServer(w *World, i int, zone string) *Server {
@@ -175,8 +177,11 @@
 func (s *Server) begin(one *serving) {
 	w := s.world
 	s.running[one] = true
+	if one.passed != nil && one.passed.stopsHere(one) {
+		return
+	}
 	s.Starts++
-	w.Watch.began(modelcontent.Start{At: w.Now, Server: s.Name, Order: one.request.Order, Input: one.request.Input, Resume: one.request.Partial != ""})
+	w.Watch.began(modelcontent.Start{At: w.Now, Server: s.Name, Order: one.request.Order, Input: one.request.Input, Resume: one.request.Partial != "" || one.passed.resumes()})
 	partial := one.request.Partial
 	for _, piece := range modelcontent.Pieces(one.request.Input, pieces) {
 		if len(partial) >= len(piece) && partial[:len(piece)] == piece {
@@ -185,6 +190,9 @@
 		}
 		one.left = append(one.left, piece)
 	}
+	if one.passed != nil {
+		one.left = one.passed.rest(one.left)
+	}
 	prefill := 20 * clock.Millisecond
 	for _, known := range s.cache {
 		if known == one.request.Prefix {
@@ -194,7 +202,7 @@
 	if s.cache = append(s.cache, one.request.Prefix); len(s.cache) > 4 {
 		s.cache = s.cache[1:]
 	}
-	w.After(prefill+s.speed, func() { s.next(one) })
+	w.After(prefill+s.speed+one.passed.delay(w), func() { s.next(one) })
 }
 
 // next makes the next piece, or the end.
@@ -212,14 +220,19 @@
 		one.reset("the stream broke off")
 		return
 	}
+	if one.passed != nil && one.passed.stopsHere(one) {
+		return
+	}
 	if len(one.left) == 0 {
 		s.drop(one)
 		w.Watch.completed(one.request.Input)
 		one.reach(func() { one.end(modelclient.Complete, "") })
+		one.passed.surplus(one)
 		return
 	}
 	piece := one.left[0]
 	one.left = one.left[1:]
+	one.passed.advance()
 	one.reach(func() {
 		one.node.take(func() {
 			if one.over || one.node.era != one.era {
--- /dev/null
+++ b/proof/simulation/shapes.go
@@ -0,0 +1,100 @@
+package simulation
+
+import (
+	"fmt"
+
+	"tuliprudder/kernel/clock"
+	"tuliprudder/membership/identity"
+)
+
+// Size is the shape of a simulated fleet.
+type Size struct {
+	Zones, Cores, Stores, Edges, Slots, Servers int
+	// Tolerance is how many daemons of a kind may lose their disks before the
+	// fleet has restored its copies; 0 counts as 1.
+	Tolerance int
+	// CoreZones and StoreZones say how many daemons stand in each zone, where
+	// they are not spread evenly.
+	CoreZones, StoreZones []int
+}
+
+// Shapes are the fleets that the sweeps are run on, by name.
+var Shapes = map[string]Size{
+	"three":  {Zones: 3, Cores: 3, Stores: 3, Edges: 3, Slots: 8},
+	"five":   {Zones: 5, Cores: 5, Stores: 5, Edges: 3, Slots: 8, Tolerance: 2},
+	"uneven": {Zones: 3, Cores: 3, Stores: 4, Edges: 3, Slots: 8, CoreZones: []int{2, 1}, StoreZones: []int{2, 1, 1}},
+	"seven":  {Zones: 4, Cores: 7, Stores: 5, Edges: 3, Slots: 8, Tolerance: 2},
+	"one":    {Zones: 3, Cores: 1, Stores: 3, Edges: 2, Slots: 8},
+}
+
+// Check tells what is wrong with a shape; nil when nothing is.
+func (s Size) Check() error {
+	for name, list := range map[string][]int{"core": s.CoreZones, "store": s.StoreZones} {
+		sum := 0
+		for _, count := range list {
+			sum += count
+		}
+		if want := s.count(name); len(list) > 0 && sum != want {
+			return fmt.Errorf("the zones hold %d daemons of kind %s; there are %d", sum, name, want)
+		}
+		if len(list) > s.Zones {
+			return fmt.Errorf("%d zones for daemons of kind %s; there are %d", len(list), name, s.Zones)
+		}
+	}
+	if s.Stores <= s.tolerance() {
+		return fmt.Errorf("%d stores can't bear the loss of %d", s.Stores, s.tolerance())
+	}
+	return nil
+}
+
+func (s Size) count(word string) int {
+	if word == "core" {
+		return s.Cores
+	}
+	return s.Stores
+}
+
+func (s Size) tolerance() int { return max(1, s.Tolerance) }
+
+// zone is the zone of the daemon of a kind with a number from 0.
+func (s Size) zone(kind string, number int) string {
+	spread := map[string][]int{identity.Core: s.CoreZones, identity.Store: s.StoreZones}[kind]
+	for zone, count := range spread {
+		if number < count {
+			return fmt.Sprintf("zone-%d", 1+zone)
+		}
+		number -= count
+	}
+	return fmt.Sprintf("zone-%d", 1+number%s.Zones)
+}
+
+// repairTime is how long the fleet may take to restore its copies after a loss.
+const repairTime = 20 * clock.Second
+
+// noteSettled remembers when the fleet was last seen to have all its copies.
+func (w *World) noteSettled() bool {
+	if !w.Settled() {
+		return false
+	}
+	w.settledAt = w.Now
+	return true
+}
+
+// missing counts the daemons of a kind that count as lost: those that are down,
+// and those that were down, cut off, frozen or emptied since the fleet was last
+// seen to have all its copies.
+func (w *World) missing(kind string) int {
+	count := 0
+	for _, name := range w.Names(kind) {
+		if !w.Nodes[name].well(w.settledAt) {
+			count++
+		}
+	}
+	return count
+}
+
+// mayLose tells whether so many more daemons of a kind may lose their disks now
+// within the fleet's tolerance.
+func (w *World) mayLose(kind string, count int) bool {
+	return count == 0 || w.missing(kind)+count <= w.Size.tolerance()
+}
--- a/proof/simulation/watch.go
+++ b/proof/simulation/watch.go
@@ -26,14 +26,20 @@
 	Calling  bool
 	plans    map[uint64]string
 	Puts     []*Put
-	Claims   []*Claimed
-	winners  map[string]string
-	Entries  []*Entry
-	marks    map[string][]mark
-	words    map[string]int          // the platform's words on each server, counted
-	Served   map[string]clock.Micros // by edge and route: the last whole answer
-	Counts   map[string]int
-	Started  int // orders that began on servers
+	Reads    []*ConfigRead
+	// docs are the configurations of the day, numbered in the order they were
+	// written; documents is the last number.
+	docs      map[string]int
+	documents int
+	Claims    []*Claimed
+	winners   map[string]string
+	Entries   []*Entry
+	marks     map[string][]mark
+	words     map[string]int          // the platform's words on each server, counted
+	Served    map[string]clock.Micros // by edge and route: the last whole answer
+	Counts    map[string]int
+	Started   int // orders that began on servers
+	Passed    int // requests that were handed in to be passed on
 	// MostWaiting is the most that waited of each customer, SlowestRow the longest
 	// from a whole result to a waiting reader with no fault near, SlowestBack the
 	// longest until a kind of service was back after the day's last fault.
@@ -44,12 +50,16 @@
 	// AfterReceipt is told of each bundle as its caller hears that it is accepted.
 	AfterReceipt func(h *Handed, keeper string)
 	Busy         int
-	number       int
-	Faults       int
+	// Recovery is what was measured before the day's failures.
+	Recovery Recovery
+	// Undecided counts histories that the checker did not decide in time.
+	Undecided int
+	number    int
+	Faults    int
 }
 
 func newWatch(w *World) *Watch {
-	return &Watch{w: w, Checked: map[Promise]int{}, byID: map[string]*Handed{}, byKey: map[string]*Handed{}, byInput: map[string]*Order{}, holds: map[string]string{}, feedSeen: map[string]int{}, feedLast: map[string]int64{}, plans: map[uint64]string{}, winners: map[string]string{},
+	return &Watch{w: w, Checked: map[Promise]int{}, byID: map[string]*Handed{}, byKey: map[string]*Handed{}, byInput: map[string]*Order{}, holds: map[string]string{}, feedSeen: map[string]int{}, feedLast: map[string]int64{}, plans: map[uint64]string{}, docs: map[string]int{}, winners: map[string]string{},
 		marks: map[string][]mark{}, words: map[string]int{}, Served: map[string]clock.Micros{}, Counts: map[string]int{}, MostWaiting: map[string]int{}}
 }
 
--- a/proof/simulation/world.go
+++ b/proof/simulation/world.go
@@ -51,20 +51,22 @@
 	// synced, before its machine hears of it.
 	Spy   func(from, to *Node, body any)
 	Wrote func(n *Node)
-	seeds []string
+	Size  Size
+	// Forwarding adds requests and bundles of requests that are passed on unchanged.
+	Forwarding bool
+	seeds      []string
+	// settledAt is when the fleet was last seen to have all its copies.
+	settledAt clock.Micros
 }
 
-// Size of a simulated fleet.
-type Size struct{ Zones, Cores, Stores, Edges, Slots, Servers int }
-
 // NewWorld makes a fleet that has not booted.
 func NewWorld(seed int64, size Size, climate Climate) *World {
-	w := &World{Now: 1_000_000_000, Chance: rand.New(rand.NewSource(seed)), Climate: climate, Nodes: map[string]*Node{}, byPeer: map[string]*Node{}, byAddress: map[string]*Server{}, cut: map[[2]string]bool{}}
+	w := &World{Now: 1_000_000_000, Chance: rand.New(rand.NewSource(seed)), Climate: climate, Nodes: map[string]*Node{}, byPeer: map[string]*Node{}, byAddress: map[string]*Server{}, cut: map[[2]string]bool{}, Size: size}
 	w.Watch = newWatch(w)
 	add := func(kind, word string, count int) {
 		for i := 0; i < count; i++ {
 			name := fmt.Sprintf("%s-%d", word, i+1)
-			n := &Node{world: w, Name: name, Kind: kind, Zone: fmt.Sprintf("zone-%d", 1+i%size.Zones), Peer: fmt.Sprintf("10.0.%d.%d:1", len(w.names)+1, i+1)}
+			n := &Node{world: w, Name: name, Kind: kind, Zone: size.zone(kind, i), Peer: fmt.Sprintf("10.0.%d.%d:1", len(w.names)+1, i+1)}
 			n.ID = fmt.Sprintf("%s-%02d", kind, i+1)
 			w.Nodes[name], w.byPeer[n.Peer] = n, n
 			w.names = append(w.names, name)
