Scheduler: a caller that leaves can't crash the edge

Cause: a claimed one-shot order whose route had gone from the configuration was turned away by Enrol; while its key was being voided it stayed open with an order that never waited. When its caller left just then, Cancel took that order out of a backlog it was not in: nil dereference, the whole edge went down. The test fails before (panic) and passes after; Cancel says false for what never found room.

--- a/path/scheduler/scheduler.go
+++ b/path/scheduler/scheduler.go
@@ -422,9 +422,10 @@
 	return true
 }
 
-// Cancel takes an order out of the backlog; false when it has started or gone.
+// Cancel takes an order out of the backlog; false when it has started, has gone, or
+// never found room there.
 func (d *Scheduler) Cancel(o *Order) bool {
-	if o.started || o.gone {
+	if o.place == nil || o.started || o.gone {
 		return false
 	}
 	d.remove(o)
--- a/path/scheduler/scheduler_test.go
+++ b/path/scheduler/scheduler_test.go
@@ -307,3 +307,24 @@
 		t.Fatalf("the server is silent for %d us", silent)
 	}
 }
+
+// An order that found no room in the backlog can't be taken out of it: whoever asked
+// for it may go while the rest of its refusal is still being written down.
+func TestCancelOfWhatNeverWaited(t *testing.T) {
+	b := newBench(t)
+	gone := *b.route
+	gone.Name = "gone"
+	for name, prepare := range map[string]func(){
+		"its route is not in the plan": func() {},
+		"the daemon is draining":       func() { b.Close(b.now) },
+	} {
+		prepare()
+		o := b.order("late", 5, func(o *Order) { o.Route = &gone })
+		if b.Cancel(o) {
+			t.Errorf("%s: an order that never waited was taken out of the backlog", name)
+		}
+		if got := b.Waiting("c5"); got != 0 {
+			t.Errorf("%s: %d orders wait", name, got)
+		}
+	}
+}
