--- a/proof/simulation/planted_test.go
+++ b/proof/simulation/planted_test.go
@@ -122,6 +122,30 @@
 		"an accepted bundle denied": func(v *Watch) {
 			v.Entries = []*Entry{{ID: "b", Called: 1, Told: 2}, {ID: "b", Called: 3, Told: 4, entered: entered{look: true}}}
 		},
+		"two documents under one number": func(v *Watch) {
+			v.Puts = []*Put{{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 4, Version: 1}, {Number: 2, Wanted: 1, HasBase: true, Called: 2, Told: 5, Version: 1}}
+		},
+		"two built on one base": func(v *Watch) {
+			v.Puts = []*Put{{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 4, Version: 1}, {Number: 2, Wanted: 2, HasBase: true, Called: 2, Told: 5, Version: 2}}
+		},
+		"a repeat of a confirmed order refused": func(v *Watch) {
+			v.Puts = []*Put{{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 2, Version: 1}, {Number: 2, Wanted: 2, Base: 1, HasBase: true, Called: 3, Told: 4, Version: 2}, {Number: 1, Wanted: 1, HasBase: true, Called: 5, Told: 6, Stale: true}}
+		},
+		"an order refused though it fits": func(v *Watch) {
+			v.Puts = []*Put{{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 2, Stale: true}}
+		},
+		"an older version read": func(v *Watch) {
+			v.Puts = []*Put{{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 2, Version: 1}, {Number: 2, Wanted: 2, Base: 1, HasBase: true, Called: 3, Told: 4, Version: 2}}
+			v.Reads = []*ConfigRead{{Called: 5, Told: 6, Version: 1, Document: 1}}
+		},
+		"nothing read after the first": func(v *Watch) {
+			v.Puts = []*Put{{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 2, Version: 1}}
+			v.Reads = []*ConfigRead{{Called: 5, Told: 6, Document: -1, None: true}}
+		},
+		"another document read": func(v *Watch) {
+			v.Puts = []*Put{{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 2, Version: 1}}
+			v.Reads = []*ConfigRead{{Called: 5, Told: 6, Version: 1, Document: 2}}
+		},
 		"two winners": func(v *Watch) {
 			v.Claims = []*Claimed{{Key: "k", Order: "a", Called: 1, Told: 2, Winner: "a"}, {Key: "k", Order: "b", Called: 3, Told: 4, Winner: "b"}}
 		},
@@ -138,4 +162,16 @@
 	if v.CheckHistories(); len(v.Breaches) != 0 {
 		t.Errorf("an outcome that was unknown may have been either: %v", v.Breaches)
 	}
+	v = newWatch(NewWorld(1, ghent, Mild()))
+	v.Puts = []*Put{
+		{Number: 1, Wanted: 1, HasBase: true, Called: 1, Told: 4, Unknown: true},
+		{Number: 2, Wanted: 1, HasBase: true, Called: 2, Told: 5, Stale: true},
+		{Number: 1, Wanted: 1, HasBase: true, Called: 6, Told: 7, Version: 1},
+		{Number: 3, Wanted: 5, Base: 1, HasBase: true, Called: 8, Told: 9, Version: 5},
+		{Number: 1, Wanted: 1, HasBase: true, Called: 10, Told: 11, Version: 1},
+	}
+	v.Reads = []*ConfigRead{{Called: 12, Told: 13, Version: 5, Document: 3}}
+	if v.CheckHistories(); len(v.Breaches) != 0 {
+		t.Errorf("orders that were sent again are acknowledged again: %v", v.Breaches)
+	}
 }
--- /dev/null
+++ b/proof/simulation/scenarios_test.go
@@ -0,0 +1,123 @@
+package simulation
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"tuliprudder/kernel/clock"
+)
+
+// families are the five kinds of trouble that are brought about on purpose.
+var families = []string{familyCutOff, familyOperators, familySecondLoss, familyChanges, familyAnswers}
+
+// A day of each family, with requests that are passed on, keeps every promise.
+func TestFamilies(t *testing.T) {
+	for i, family := range families {
+		t.Run(strings.TrimSuffix(family, ": "), func(t *testing.T) {
+			t.Parallel()
+			w := Day{Seed: 300 + int64(i), Size: ghent, Climate: Mild(), Acts: 3, Only: family, Forwarding: true, Scenarios: true}.Run()
+			if len(w.Watch.Breaches) > 0 {
+				t.Fatal(w.Report(*lines))
+			}
+			if w.Watch.Faults != 3 || w.Watch.Passed == 0 || w.Watch.Checked[answered] == 0 {
+				t.Errorf("%d acts, %d requests passed on, %d judged", w.Watch.Faults, w.Watch.Passed, w.Watch.Checked[answered])
+			}
+		})
+	}
+}
+
+// Every scenario names its family, and no two have one name.
+func TestScenarioNames(t *testing.T) {
+	seen := map[string]bool{}
+	for _, act := range Scenarios(Shapes["five"]) {
+		if seen[act.Name] || !slices.ContainsFunc(families, func(family string) bool { return strings.HasPrefix(act.Name, family) }) {
+			t.Errorf("scenario %q: its name is taken, or names no family", act.Name)
+		}
+		seen[act.Name] = true
+		if act.Stores+act.Cores > 0 && !act.Disk {
+			t.Errorf("scenario %q takes disks and does not say so", act.Name)
+		}
+	}
+}
+
+// Faults planted in what the scenarios are about are caught.
+func TestPlantedFaultsOfScenarios(t *testing.T) {
+	planted := map[string]struct {
+		plant func(n *Node)
+		only  string
+		broke []Promise
+	}{
+		"a request that is passed on runs again elsewhere": {onEdge(func(n *Node) { n.edge.Ford.SecondRun = true }), familyAnswers, []Promise{onceOnly}},
+		"cores keep changes in memory only":                {onCore(func(n *Node) { n.disk.liar = true }), familyChanges, []Promise{inForce, repeats}},
+	}
+	for name, p := range planted {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := int64(1); seed <= 25; seed++ {
+				w := Day{Seed: seed, Size: ghent, Climate: Mild(), Acts: 4, Only: p.only, Forwarding: true, Scenarios: true, Plant: p.plant}.Run()
+				if slices.ContainsFunc(p.broke, w.Watch.Broke) {
+					t.Logf("seed %d: %s", seed, w.Watch.Breaches[0].String())
+					return
+				}
+			}
+			t.Fatal("the planted fault was not caught on any of 25 seeds")
+		})
+	}
+}
+
+func onCore(plant func(n *Node)) func(n *Node) {
+	return func(n *Node) {
+		if n.Core != nil {
+			plant(n)
+		}
+	}
+}
+
+// Losses are counted against the tolerance: whoever is down, or was and has not been
+// seen whole since, counts as lost.
+func TestLossesAreCounted(t *testing.T) {
+	size := Size{Zones: 3, Cores: 3, Stores: 4, Edges: 2, Slots: 4, Tolerance: 2}
+	w := NewWorld(9, size, Climate{Sync: 2 * clock.Millisecond})
+	if !w.Until(15*clock.Second, w.noteSettled) {
+		t.Fatalf("not settled: %s", w.Standing())
+	}
+	w.Run(clock.Second)
+	w.noteSettled()
+	if !w.mayLose("refuge", 2) || w.mayLose("refuge", 3) {
+		t.Fatalf("%d stores count as lost in a whole fleet", w.missing("refuge"))
+	}
+	boot := wipe(w.Nodes["store-1"], size.Slots)
+	if !w.mayLose("refuge", 1) || w.mayLose("refuge", 2) {
+		t.Fatalf("%d stores count as lost, with one down", w.missing("refuge"))
+	}
+	boot()
+	if w.mayLose("refuge", 2) {
+		t.Fatal("an empty store counts before it has its copies")
+	}
+	if !w.Until(repairTime, w.noteSettled) {
+		t.Fatalf("not settled: %s", w.Standing())
+	}
+	w.Run(clock.Millisecond)
+	if w.noteSettled(); !w.mayLose("refuge", 2) {
+		t.Fatalf("%d stores count as lost after the repair", w.missing("refuge"))
+	}
+}
+
+// A shape that can't be is refused.
+func TestShapeCheck(t *testing.T) {
+	for name, shape := range Shapes {
+		if err := shape.Check(); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name, shape := range map[string]Size{
+		"zones that hold fewer cores": {Zones: 3, Cores: 3, Stores: 3, CoreZones: []int{1, 1}},
+		"more zones than there are":   {Zones: 2, Cores: 3, Stores: 3, CoreZones: []int{1, 1, 1}},
+		"no store left":               {Zones: 3, Cores: 5, Stores: 2, Tolerance: 2},
+	} {
+		if shape.Check() == nil {
+			t.Errorf("%s: taken as a shape", name)
+		}
+	}
+}
