--- a/proof/simulation/copies.go
+++ b/proof/simulation/copies.go
@@ -42,7 +42,7 @@
 
 // membersOf are the daemons that hold a copy under an assignment.
 func membersOf(a replication.Assignment) []string {
-	return []string{a.Owner.ID, a.Backup.ID}
+	return a.IDs()
 }
 
 // holders are the daemons that hold a copy of a slot, as the primary has it.
@@ -79,7 +79,7 @@
 			continue
 		}
 		o := n.Core.Vote()
-		out = append(out, fmt.Sprintf("%s(%s) %s granted %d owner %s backup %s done %d", name, n.ID, n.Core.Groups().Group("core").Role, o.Granted, o.Grant.Owner.ID, o.Grant.Backup.ID, o.Done.Epoch))
+		out = append(out, fmt.Sprintf("%s(%s) %s term %d pending %v committed %d %v", name, n.ID, n.Core.Groups().Group("core").Role, o.Term, o.Pending.IDs(), o.Committed.Epoch, o.Committed.IDs()))
 		if n.Core.Serving() {
 			for slot, p := range n.Core.State().Slots {
 				if !p.Complete || slices.ContainsFunc(membersOf(p), func(id string) bool { return !w.live(id) }) {
--- a/proof/simulation/node.go
+++ b/proof/simulation/node.go
@@ -101,6 +101,7 @@
 	case identity.Core:
 		set := control.Defaults()
 		set.Slots, set.Founders, set.CheckPlan = slots, w.Size.Cores, config.Check
+		set.Tolerance, set.Bootstrap = w.Size.tolerance(), n.era == 1
 		n.Core = control.New(control.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, life, w.seeds, set, n.disk.durable)
 		n.machine = machines.NewCore(n.Core)
 	case identity.Store:
