--- a/core/control/core.go
+++ b/core/control/core.go
@@ -105,6 +105,7 @@
 	SkipOrderTable bool
 	listed         map[string]machine.Rumour // the platform's words on servers
 	retold         bool
+	disk           diskDuty
 	fresh          clock.Micros // up to when its news include what most of the roll knew
 }
 
@@ -134,7 +135,9 @@
 
 // Do applies a command and hands over the effects.
 func (s *Core) Do(command Command, now clock.Micros) []machine.Effect {
-	command.Apply(s, now)
+	if !s.withheld(command, now) {
+		command.Apply(s, now)
+	}
 	if s.writes >= s.set.FoldAfter || s.written >= foldAfterBytes {
 		s.writes, s.written = 0, 0
 		s.Emit(machine.Fold{Records: append(append([]machine.Record{s.voteRecord()}, s.listedRecords()...), s.groups.Records()...)})
--- a/core/control/core_test.go
+++ b/core/control/core_test.go
@@ -36,6 +36,8 @@
 	answers map[uint64]machine.Answer
 	spreads []machine.Spread
 	disks   map[string]*disk // what each core has written, where the test keeps it
+	// holds keeps a store from a core's disk; nil: each is done at once.
+	holds func(peer string, write machine.Store) bool
 }
 
 func newBench(set Settings) *bench {
@@ -66,6 +68,9 @@
 			if b.disks != nil {
 				b.disk(peer).writes = append(b.disk(peer).writes, e.Records)
 			}
+			if b.holds != nil && b.holds(peer, e) {
+				continue
+			}
 			b.take(peer, b.cores[peer].Do(Stored{e.Token}, b.now))
 		case machine.Fold:
 			if b.disks != nil {
