--- a/kernel/httpserver/limits_test.go
+++ b/kernel/httpserver/limits_test.go
@@ -19,12 +19,12 @@
 	force atomic.Pointer[Limits]
 }
 
-func newFront(t *testing.T, own, inForce Limits) *front {
+func newFront(t *testing.T, own, inForce Limits, handler http.HandlerFunc) *front {
 	t.Helper()
 	f := &front{t: t}
 	f.force.Store(&inForce)
 	f.Raw = &Raw{Address: "127.0.0.1:0", Limits: own, Current: func() Limits { return *f.force.Load() },
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") })}
+		Handler: handler}
 	if err := f.Open(func(err error) { t.Error(err) }); err != nil {
 		t.Fatal(err)
 	}
@@ -32,6 +32,8 @@
 	return f
 }
 
+func answerOK(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }
+
 // caller is one connection to a front.
 type caller struct {
 	f    *front
@@ -84,7 +86,7 @@
 // A connection that has rested for as long as the limit in force allows is taken up
 // again, and one that has rested longer, with the time of a header, is closed.
 func TestConnectionsRestByTheLimitInForce(t *testing.T) {
-	f := newFront(t, Limits{HeaderBytes: 1000, HeaderWait: 10 * time.Second, IdleWait: time.Minute}, Limits{HeaderWait: 3 * time.Second, IdleWait: 5 * time.Minute})
+	f := newFront(t, Limits{HeaderBytes: 1000, HeaderWait: 10 * time.Second, IdleWait: time.Minute}, Limits{HeaderWait: 3 * time.Second, IdleWait: 5 * time.Minute}, answerOK)
 	kept, fresh := f.dial(), f.dial()
 	if got := kept.ask(0); got != 200 {
 		t.Fatal(got)
@@ -106,7 +108,7 @@
 // those that rest already.
 func TestLimitsChangeWhileConnectionsRest(t *testing.T) {
 	const second = time.Second
-	f := newFront(t, Limits{HeaderBytes: 1000, HeaderWait: second, IdleWait: 15 * second}, Limits{})
+	f := newFront(t, Limits{HeaderBytes: 1000, HeaderWait: second, IdleWait: 15 * second}, Limits{}, answerOK)
 	c := f.dial()
 	c.ask(0)
 	began := f.rests(1)
@@ -135,7 +137,7 @@
 // A header is turned away by the limit in force, at once when that changes, and the
 // front's own limit counts where none is in force.
 func TestHeadersByTheLimitInForce(t *testing.T) {
-	f := newFront(t, Limits{HeaderBytes: 1000, HeaderWait: time.Second, IdleWait: time.Minute}, Limits{})
+	f := newFront(t, Limits{HeaderBytes: 1000, HeaderWait: time.Second, IdleWait: time.Minute}, Limits{}, answerOK)
 	for _, c := range []struct{ inForce, more, want int }{
 		{0, 900, 200}, {0, 1000, 431}, {200, 100, 200}, {200, 200, 431}, {100_000, 99_000, 200}, {100_000, 100_000, 431},
 	} {
@@ -153,3 +155,39 @@
 		t.Errorf("by a limit that was just raised: %d", got)
 	}
 }
+
+// A front that closes waits for the requests under way, as long as it may: their
+// answers are whole. What rests is closed at once, and nobody new is let in.
+func TestClosingWaitsForOpenRequests(t *testing.T) {
+	reached, goOn := make(chan struct{}), make(chan struct{})
+	f := newFront(t, Limits{HeaderBytes: 1000, HeaderWait: time.Second, IdleWait: time.Minute}, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			close(reached)
+			<-goOn
+		}
+		io.WriteString(w, "whole")
+	})
+	resting, busy := f.dial(), f.dial()
+	resting.ask(0)
+	f.rests(2)
+	io.WriteString(busy.conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	<-reached
+	closed := make(chan struct{})
+	go func() { defer close(closed); f.Close(20 * time.Second) }()
+	if _, err := resting.in.ReadByte(); err != io.EOF {
+		t.Errorf("a connection that rested ended with %v", err)
+	}
+	if conn, err := net.Dial("tcp", f.listener.Addr().String()); err == nil {
+		conn.Close()
+		t.Error("somebody new was let in")
+	}
+	close(goOn)
+	response, err := http.ReadResponse(busy.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "whole" {
+		t.Errorf("the answer under way is %q, %v", body, err)
+	}
+	<-closed
+}
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -370,6 +370,48 @@
 	}
 }
 
+// A new configuration cuts no request that is under way: not when its route goes, nor
+// when its server leaves the list and its connections are to be closed.
+func TestAConfigurationCutsNothing(t *testing.T) {
+	for _, kind := range []string{"once", "flow"} {
+		reached, goOn := make(chan string, 1), make(chan struct{})
+		c := servers(t, func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			head(w, r, "stamp", map[string]string{"once": "text/plain", "flow": eventStream}[kind])
+			say(w, event(1))
+			reached <- r.Host
+			<-goOn
+			say(w, event(2))
+		})
+		answered := make(chan got, 1)
+		go func() { answered <- c.ask("POST", "/"+kind+"/x", "y") }()
+		<-reached
+		c.shell.step(func(now clock.Micros) []machine.Effect {
+			plan, err := config.Parse([]byte(strings.NewReplacer(`"/once/"`, `"/now/"`, `"/flow/"`, `"/then/"`, `"once"`, `"now"`, `"flow"`, `"then"`).Replace(forwardPlan)))
+			if err != nil {
+				t.Error(err)
+				return nil
+			}
+			plan.Version = 2
+			c.shell.edge.Dispatch.SetPlan(plan, now)
+			server := c.shell.edge.Dispatch.Servers()[0]
+			server.Gone = true
+			c.shell.edge.Dispatch.SetServer(server)
+			c.f.Client.SetMost(server.Address, 0)
+			c.f.Client.Forget(server.Address)
+			return c.shell.edge.ClockEvent(now)
+		})
+		if answer := c.ask("POST", "/"+kind+"/x", "y"); answer.status != http.StatusNotFound {
+			t.Errorf("%s: the new configuration is not in force: %+v", kind, answer)
+		}
+		close(goOn)
+		if answer := <-answered; answer.err != nil || answer.status != 200 || answer.body != run(1, 2) {
+			t.Errorf("%s: %+v", kind, answer)
+		}
+		c.idle()
+	}
+}
+
 // A status that callers take for a promise is none without the server's own word: a
 // request that may run only once is answered 502 then, and sent to nobody else. What
 // may run again gets the server's answer as it is; a 5xx sends it on until no server
