--- a/core/control/disk_test.go
+++ b/core/control/disk_test.go
@@ -185,7 +185,7 @@
 func TestAllDisksAreFull(t *testing.T) {
 	b := fleet(t, small())
 	b.acknowledged(t, 1, 0)
-	disks := withFullDisks(b)
+	disks, before := withFullDisks(b), append([]replication.Assignment(nil), b.primary().State().Slots...)
 	for _, peer := range sortedIDs(b.cores) {
 		disks.fill(b.cores[peer], nil)
 	}
@@ -204,9 +204,33 @@
 		t.Fatalf("version %d is in force", got)
 	}
 	b.acknowledged(t, 2, 1)
-	for _, s := range b.primary().State().Stores {
-		if s.Struck {
-			t.Fatal("a store was struck that only the cores' disks had silenced")
+	for slot, p := range b.primary().State().Slots {
+		if p != before[slot] {
+			t.Fatalf("slot %d was paired anew, as %+v, though all stores lived: only the cores could not hear them", slot, p)
+		}
+	}
+}
+
+// A core that has its disk back has heard no store meanwhile: it judges none before it
+// had the time to, also where some are heard sooner than others.
+func TestNoStoreIsJudgedBeforeItIsHeard(t *testing.T) {
+	b := fleet(t, small())
+	disks, before := withFullDisks(b), append([]replication.Assignment(nil), b.primary().State().Slots...)
+	for _, peer := range sortedIDs(b.cores) {
+		disks.fill(b.cores[peer], nil)
+	}
+	b.pass(20 * clock.Second)
+	for _, peer := range sortedIDs(b.cores) {
+		disks.clear(b.cores[peer])
+	}
+	b.stores[0].silent = true
+	b.pass(diskProof + clock.Second)
+	b.stores[0].silent = false
+	b.pass(3 * clock.Second)
+	b.settle(t)
+	for slot, p := range b.primary().State().Slots {
+		if p != before[slot] {
+			t.Fatalf("slot %d was paired anew, as %+v", slot, p)
 		}
 	}
 }
