--- a/proof/capacitymodel/daemon.go
+++ b/proof/capacitymodel/daemon.go
@@ -111,7 +111,7 @@
 	switch {
 	case d.kind == identity.Core:
 		set := control.Defaults()
-		set.Slots, set.CheckPlan, set.Bootstrap = int(f.Set.Slots), config.Check, d.era == 0 && f.Now < clock.Second
+		set.Slots, set.CheckPlan, set.Bootstrap = int(f.Set.Slots), config.Check, d.era == 1
 		d.core = control.New(control.CoreRef{ID: d.id, Peer: d.peer, Zone: d.zone}, d.life, f.seeds, set, d.disk.durable)
 		d.machine = machines.NewCore(d.core)
 	case d.kind == identity.Store:
