--- a/core/control/core.go
+++ b/core/control/core.go
@@ -99,8 +99,8 @@
 	written          int // bytes of them
 	next             struct{ beat, judge, balance clock.Micros }
 	// Counters for the operators.
-	Claims, Takeovers, Changes int64
-	BadRecord                  error
+	Claims, Takeovers, Changes, Unclear int64
+	BadRecord                           error
 	// SkipLease is a fault planted by tests: a primary confirms and serves without a lease.
 	SkipLease bool
 	// SkipOldVoters is a fault planted by tests: a change of voters takes the new ones only.
@@ -243,6 +243,7 @@
 
 func (s *Core) unknown(call uint64) {
 	if call != 0 {
+		s.Unclear++
 		s.Emit(machine.Answer{Call: call, Err: errs.Later(errs.OutcomeUnknown, clock.Second, "read back what is in force before you send it again", "it is not known whether this was made durable")})
 	}
 }
--- a/daemon/roles/roles.go
+++ b/daemon/roles/roles.go
@@ -141,18 +141,8 @@
 		return why
 	}
 	l.Office.Counters = func() map[string]int64 {
-		out := map[string]int64{}
-		l.Porter.Inside(func(clock.Micros) {
-			out["core_epoch"], out["core_claims"], out["core_takeovers"], out["core_changes"] = int64(core.Vote().Term), core.Claims, core.Takeovers, core.Changes
-			if core.Serving() {
-				out["core_primary"] = 1
-				for _, pairing := range core.State().Slots {
-					if !pairing.Complete || len(pairing.Members()) < set.Tolerance+1 {
-						out["shards_short_of_copies"]++
-					}
-				}
-			}
-		})
+		var out map[string]int64
+		l.Porter.Inside(func(now clock.Micros) { out = core.Counters(now) })
 		return out
 	}
 	return core, nil
--- a/ledger/replication/group.go
+++ b/ledger/replication/group.go
@@ -142,6 +142,19 @@
 	return false
 }
 
+// CopyLeft is how many pieces of the copy the replicas of this primary still lack.
+func (r *Group) CopyLeft() int {
+	left := 0
+	for _, member := range r.replicas {
+		for _, took := range member.pieceTook {
+			if !took && !member.copied {
+				left++
+			}
+		}
+	}
+	return left
+}
+
 // Leads tells whether this member is the primary in its epoch, serving or not yet.
 func (r *Group) Leads() bool { return r.Role == Copying || r.Role == Copied || r.Role == Serving }
 
