--- a/core/control/placement.go
+++ b/core/control/placement.go
@@ -167,12 +167,12 @@
 	return p.core.missingFor(assignment, p.now) >= shrinkAfter
 }
 
-// missingFor is how long the member of a group that was heard last among those that
-// are gone has been silent.
+// missingFor is how long every silent member of a group has been silent at least. One
+// that is back in another life is no longer missing.
 func (s *Core) missingFor(assignment replication.Assignment, now clock.Micros) clock.Micros {
 	missing := now - s.serving
 	for _, member := range assignment.Members() {
-		if life, ok := s.storeLife(member.ID, now); !ok || life != member.Life {
+		if _, living := s.storeLife(member.ID, now); !living {
 			missing = min(missing, now-s.stores[member.ID].at)
 		}
 	}
--- /dev/null
+++ b/core/control/shards_test.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"tuliprudder/kernel/clock"
+)
+
+// restart has a store come back in another life.
+func (s *fakeStore) restart() { s.Life++ }
+
+// shortOf lists the shards whose groups are not complete with so many members that live.
+func (b *bench) shortOf(copies int) (short []int) {
+	core := b.primary()
+	if core == nil {
+		return []int{-1}
+	}
+	for shard, assignment := range core.State().Slots {
+		living := 0
+		for _, member := range assignment.Members() {
+			if life, ok := core.storeLife(member.ID, b.now); ok && life == member.Life {
+				living++
+			}
+		}
+		if !assignment.Complete || living != len(assignment.Members()) || living < copies {
+			short = append(short, shard)
+		}
+	}
+	return short
+}
+
+// storesOf has a fleet with so many stores, one a zone.
+func storesOf(t *testing.T, tolerance, stores int) *bench {
+	t.Helper()
+	set := small()
+	set.Tolerance, set.ShardZones = tolerance, 1
+	b := newBench(set)
+	for i := 1; i <= 3; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+	}
+	for i := range stores {
+		b.store(fmt.Sprint("store-", i+1), fmt.Sprint("s", i+1), fmt.Sprint("zone-", i+1))
+	}
+	b.await(t, "shards are assigned", func() bool { return b.primary() != nil && len(b.primary().State().Slots) > 0 && len(b.shortOf(1)) == 0 })
+	return b
+}
+
+// All stores are killed and come back with their disks: every shard is whole again, as
+// far as there are stores, also where there are fewer stores than copies.
+func TestAllStoresRestart(t *testing.T) {
+	for _, shape := range []struct{ tolerance, stores int }{{1, 2}, {1, 3}, {2, 3}, {2, 5}, {3, 3}} {
+		b := storesOf(t, shape.tolerance, shape.stores)
+		for _, s := range b.stores {
+			s.restart()
+		}
+		took := b.await(t, fmt.Sprintf("%+v: every shard is whole", shape), func() bool {
+			return len(b.shortOf(min(shape.tolerance+1, shape.stores))) == 0
+		})
+		if took > 4*clock.Second {
+			t.Errorf("%+v: whole after %d us", shape, took)
+		}
+	}
+}
+
+// Two of four stores are lost at once, where two may be: each shard goes on with the two
+// that live, and is whole again with the successors.
+func TestAsManyStoresAsToleratedAreLost(t *testing.T) {
+	for _, stores := range []int{4, 5} {
+		b := storesOf(t, 2, stores)
+		for shard, assignment := range b.primary().State().Slots {
+			if len(assignment.Members()) != 3 {
+				t.Fatalf("shard %d has %d copies", shard, len(assignment.Members()))
+			}
+		}
+		b.stores[0].silent, b.stores[1].silent = true, true
+		b.await(t, "every shard goes on without the two", func() bool { return len(b.shortOf(2)) == 0 })
+		b.store("store-8", "s8", "zone-8")
+		b.store("store-9", "s9", "zone-9")
+		b.await(t, "every shard has three copies again", func() bool { return len(b.shortOf(3)) == 0 })
+	}
+}
+
+// One of two copies is never given up for want of another store: a single store does not
+// confirm alone where one may be lost.
+func TestASingleStoreDoesNotGoOnAlone(t *testing.T) {
+	b := storesOf(t, 1, 2)
+	b.stores[0].silent = true
+	b.pass(20 * clock.Second)
+	for shard, assignment := range b.primary().State().Slots {
+		if assignment.Complete && len(assignment.Members()) < 2 {
+			t.Fatalf("shard %d goes on with one copy", shard)
+		}
+	}
+}
+
+// A store that is to be emptied keeps what it holds until groups without it are complete,
+// and others may be lost right after it is done.
+func TestARetiringStoreAnswersForItsCopies(t *testing.T) {
+	for _, shape := range []struct{ tolerance, stores int }{{1, 3}, {2, 4}} {
+		b := storesOf(t, shape.tolerance, shape.stores)
+		for _, s := range b.stores {
+			s.copies = false // no copy becomes whole
+		}
+		if _, err := b.retire(t, RetireAsk{ID: "store-1"}); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(5 * clock.Second)
+		for shard, assignment := range b.primary().State().Slots {
+			if !assignment.Complete && slices.Contains(assignment.Trusted, "store-1") && !assignment.Holds("store-1") {
+				t.Fatalf("%+v: shard %d lets the leaving store forget its copy", shape, shard)
+			}
+		}
+		if receipt, err := b.retire(t, RetireAsk{ID: "store-1", Look: true}); err != nil || receipt.Done {
+			t.Fatalf("%+v: done before other stores hold its copies: %+v %v", shape, receipt, err)
+		}
+		for _, s := range b.stores {
+			s.copies = true
+		}
+		b.await(t, "the store is done", func() bool {
+			receipt, err := b.retire(t, RetireAsk{ID: "store-1", Look: true})
+			return err == nil && receipt.Done
+		})
+		if short := b.shortOf(shape.tolerance + 1); len(short) > 0 {
+			t.Fatalf("%+v: done, and shards %v lack copies", shape, short)
+		}
+	}
+}
+
+// Too few stores would remain: the order is refused and changes nothing.
+func TestARetirementThatLeavesTooFewIsRefused(t *testing.T) {
+	for _, shape := range []struct{ tolerance, stores int }{{1, 2}, {2, 3}, {3, 3}} {
+		b := storesOf(t, shape.tolerance, shape.stores)
+		if _, err := b.retire(t, RetireAsk{ID: "store-1"}); err == nil {
+			t.Errorf("%+v: taken", shape)
+		}
+		if b.primary().State().Stores["store-1"].Retiring {
+			t.Errorf("%+v: refused and still marked", shape)
+		}
+	}
+}
