--- a/proof/explore/config.go
+++ b/proof/explore/config.go
@@ -8,7 +8,10 @@
 package explore
 
 import (
+	"flag"
 	"fmt"
+	"io"
+	"strings"
 
 	"tuliprudder/core/control"
 	"tuliprudder/kernel/clock"
@@ -115,3 +118,30 @@
 	self := control.CoreRef{ID: id, Peer: address, Zone: "zone-" + name}
 	return &process{name: name, generation: generation, boot: boot{self: self, first: generation == 0}}
 }
+
+// configLine begins the line of a trace's file that tells what it runs on.
+const configLine = "# config:"
+
+// ParseConfig reads what a trace runs on from the line of its file that begins with
+// "# config:", in the words of cmd/controlcheck's flags.
+func ParseConfig(text string) (*Config, error) {
+	c := &Config{Voters: 3, Losses: -1, Limits: DefaultLimits()}
+	for line := range strings.Lines(text) {
+		words, found := strings.CutPrefix(strings.TrimSpace(line), configLine)
+		if !found {
+			continue
+		}
+		flags := flag.NewFlagSet("config", flag.ContinueOnError)
+		flags.SetOutput(io.Discard)
+		flags.IntVar(&c.Voters, "voters", c.Voters, "")
+		flags.IntVar(&c.Losses, "losses", c.Losses, "")
+		flags.IntVar(&c.Spares, "spares", c.Spares, "")
+		flags.BoolVar(&c.Empty, "empty", c.Empty, "")
+		flags.BoolVar(&c.Fine, "fine", c.Fine, "")
+		flags.StringVar(&c.Fault, "fault", c.Fault, "")
+		if err := flags.Parse(strings.Fields(words)); err != nil {
+			return nil, fmt.Errorf("reading %q: %w", line, err)
+		}
+	}
+	return c, nil
+}
--- a/proof/explore/explore_test.go
+++ b/proof/explore/explore_test.go
@@ -2,26 +2,213 @@
 
 import (
 	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 )
 
-// A run replayed from the start comes to the same state, for any run: without that no
-// trace could be trusted.
+// wander makes a random run and shows each of its states.
+func wander(c *Config, seed int64, depth int, show func(at *step)) {
+	s, chance := newSearch(c, Bounds{}), rand.New(rand.NewSource(seed))
+	at := &step{world: c.Begin()}
+	for at.depth < depth && at.world.violation == nil {
+		next := s.stray(at, chance)
+		if next == nil {
+			return
+		}
+		at = next
+		show(at)
+	}
+}
+
+// A run that is replayed from the start comes to the same state, for any run: without
+// that no trace could be trusted.
 func TestReplayComesToTheSameState(t *testing.T) {
 	for seed := int64(1); seed <= 12; seed++ {
-		c := &Config{Voters: 3, Losses: -1, Limits: DefaultLimits(), Fine: seed%2 == 0}
-		s := newSearch(c, Bounds{Depth: 25})
-		chance := rand.New(rand.NewSource(seed))
-		at := &step{world: c.Begin()}
-		for at.depth < 25 && at.world.violation == nil {
-			next := s.stray(at, chance)
-			if next == nil {
-				break
-			}
-			at = next
+		c := &Config{Voters: 3, Losses: -1, Spares: 1, Limits: DefaultLimits(), Fine: seed%2 == 0}
+		wander(c, seed, 25, func(at *step) {
 			if got, want := Replay(c, at.trace(), false).Fingerprint(), at.world.Fingerprint(); got != want {
 				t.Fatalf("seed %d: replayed to another state\n%s", seed, at.trace())
 			}
+		})
+	}
+}
+
+// Looking at a state changes nothing: neither the checks nor the trial of its recovery.
+func TestLookingChangesNothing(t *testing.T) {
+	c := &Config{Voters: 3, Losses: -1, Limits: DefaultLimits(), Fine: true}
+	wander(c, 3, 30, func(at *step) {
+		before := at.world.Fingerprint()
+		at.world.check()
+		at.world.Recover()
+		for _, p := range at.world.processes {
+			p.print = 0
+		}
+		if at.world.Fingerprint() != before {
+			t.Fatalf("checking changed the state\n%s", at.trace())
+		}
+	})
+}
+
+// Every event that may come is read back from its line.
+func TestEventsReadBack(t *testing.T) {
+	kinds := map[Kind]bool{}
+	for seed := int64(1); seed <= 4; seed++ {
+		c := &Config{Voters: 3, Losses: -1, Limits: DefaultLimits(), Fine: true}
+		wander(c, seed, 40, func(at *step) {
+			for _, event := range at.world.Choices() {
+				kinds[event.Kind] = true
+				read, err := ParseEvent(event.String())
+				if err != nil || read.String() != event.String() {
+					t.Fatalf("%q is read back as %q, %v", event, read, err)
+				}
+			}
+		})
+	}
+	if len(kinds) < 18 {
+		t.Errorf("only %d kinds of event came up: %v", len(kinds), kinds)
+	}
+	for _, wrong := range []string{"", "explode c1", "pass", "pass fast", "crash c1", "crash c1 some", "put c1", "deliver c1 c2 Ack", "settle now", "tick", "starve c1 c2"} {
+		if _, err := ParseEvent(wrong); err == nil {
+			t.Errorf("%q is taken for an event", wrong)
+		}
+	}
+}
+
+// planted is a fault, the runs to look for it in, and what it may break.
+type planted struct {
+	fault  string
+	config Config
+	depth  int
+	breaks []Property
+}
+
+func plantedFaults() []planted {
+	lines := func(text string) []string { return strings.Split(text, ", ") }
+	return []planted{
+		{"lease-without-quorum", Config{Voters: 3, Only: lines("cut, pass")}, 2,
+			[]Property{OneLease, NoStaleRead}},
+		{"lease-without-quorum", Config{Voters: 5, Only: lines("cut c1 c2, put, settle, pass 6s")}, 4,
+			[]Property{OneLease, NoStaleRead}},
+		{"wiped-identity-votes", Config{Voters: 3, Only: lines("wipe, pass")}, 2,
+			[]Property{OldIdentity}},
+		{"one-copy-confirms", Config{Voters: 3, Only: lines("put c1 A, sync c1, wipe c1, pass 6s")}, 4,
+			[]Property{WholeLeader, NothingLost, NoStaleRead}},
+		{"last-copy-missing", Config{Voters: 5, Only: lines("cut c2, heal, put c1 A, settle, wipe c1, pass 6s")}, 6,
+			[]Property{WholeLeader, NothingLost, NoStaleRead}},
+		{"empty-member-leads", Config{Voters: 3, Only: lines("put c1 A, settle, wipe c1, pass 1.5s")}, 4,
+			[]Property{WholeLeader, NothingLost, NoStaleRead}},
+		{"only-copy-removed", Config{Voters: 3, Fine: true, Only: lines("put c1 A, settle, starve c1 c3 Copy, crash c2, wipe c1, start c2, pass 6s")}, 8,
+			[]Property{WholeLeader, NothingLost, NoStaleRead}},
+		{"new-voters-only", Config{Voters: 3, Spares: 1, Fine: true, Limits: Limits{Cuts: 5, Passes: 2},
+			Only: lines("cut c3, start c4, starve c1 c2 Commit, starve c1 c2 Heartbeat, starve c4 c2 Heartbeat, heal, cut c2 c3, pass 20s")}, 9,
+			[]Property{OneLease, Majority, NoStaleRead}},
+		{"no-order-table", Config{Voters: 3, Only: lines("put c1 C, put c2 C, settle, crash c1, crash c2, start c2, pass 6s")}, 7,
+			[]Property{NoRefusal}},
+		{"synced-too-early", Config{Voters: 3, Only: lines("put c1 C, deliver c1 c2 Append, deliver c2 c1 Ack, blackout, start c1, start c2, pass 6s")}, 7,
+			[]Property{WholeLeader, NothingLost, NoStaleRead}},
+	}
+}
+
+// A check that can't fail proves nothing: each planted fault is caught by a shortest
+// run, which shows it again when it is read back and replayed, and shows nothing
+// without the fault.
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	caught := map[string]bool{}
+	for _, p := range plantedFaults() {
+		c := p.config
+		c.Fault, c.Losses = p.fault, -1
+		if c.Limits == (Limits{}) {
+			c.Limits = DefaultLimits()
+		}
+		result := BreadthFirst(&c, Bounds{Depth: p.depth, States: 60_000})
+		if result.Violation == nil {
+			t.Errorf("%s, %d voters: not caught in %d states to depth %d", p.fault, c.Voters, result.States, result.Depth)
+			continue
+		}
+		t.Logf("%s, %d voters: %d states, a run of %d events: %v", p.fault, c.Voters, result.States, len(result.Trace), result.Violation)
+		if !slices.Contains(p.breaks, result.Violation.Property) {
+			t.Errorf("%s breaks another property: %v", p.fault, result.Violation)
+		}
+		again, err := ParseTrace(result.Trace.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if w := Replay(&c, again, false); w.Violation() == nil || *w.Violation() != *result.Violation {
+			t.Errorf("%s: its run shows %v when replayed", p.fault, w.Violation())
 		}
+		c.Fault = ""
+		if w := Replay(&c, again, true); w.Violation() != nil {
+			t.Errorf("%s: its run breaks the machine without the fault: %v\n%s", p.fault, w.Violation(), again)
+		}
+		caught[p.fault] = true
+	}
+	for _, name := range Faults() {
+		if !caught[name] {
+			t.Errorf("no run catches %s", name)
+		}
+	}
+}
+
+// Runs that once broke a property stay whole.
+func TestFormerFailures(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no runs are found: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			trace, err := ParseTrace(string(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := ParseConfig(string(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if w := Replay(c, trace, true); w.Violation() != nil {
+				t.Errorf("%v\n%s", w.Violation(), strings.Join(w.Account(), "\n"))
+			}
+		})
+	}
+}
+
+// Nothing is broken in a bounded, seeded part of what cmd/controlcheck explores.
+func TestNothingIsBroken(t *testing.T) {
+	searches := []struct {
+		name   string
+		search func(*Config, Bounds) Result
+		config Config
+		bounds Bounds
+	}{
+		{"1 voter, breadth first", BreadthFirst, Config{Voters: 1}, Bounds{Depth: 4, States: 2_000, Every: 50}},
+		{"1 empty voter, breadth first", BreadthFirst, Config{Voters: 1, Empty: true, Fine: true}, Bounds{Depth: 6, States: 1_000, Every: 50}},
+		{"3 voters, breadth first", BreadthFirst, Config{Voters: 3}, Bounds{Depth: 3, States: 8_000, Every: 200}},
+		{"3 voters, depth first", DepthFirst, Config{Voters: 3, Fine: true}, Bounds{Depth: 14, States: 5_000, Seed: 1, Every: 200}},
+		{"3 voters, random", RandomWalk, Config{Voters: 3}, Bounds{Depth: 40, States: 6_000, Seed: 1}},
+		{"3 voters, fine, random", RandomWalk, Config{Voters: 3, Fine: true}, Bounds{Depth: 60, States: 6_000, Seed: 1}},
+		{"3 voters and a spare, random", RandomWalk, Config{Voters: 3, Spares: 1, Fine: true}, Bounds{Depth: 50, States: 4_000, Seed: 1}},
+		{"3 empty voters, fine, random", RandomWalk, Config{Voters: 3, Empty: true, Fine: true}, Bounds{Depth: 50, States: 4_000, Seed: 1}},
+		{"5 voters, breadth first", BreadthFirst, Config{Voters: 5}, Bounds{Depth: 2, States: 3_000, Every: 200}},
+		{"5 voters, random", RandomWalk, Config{Voters: 5}, Bounds{Depth: 40, States: 4_000, Seed: 1}},
+		{"5 voters, fine, random", RandomWalk, Config{Voters: 5, Fine: true}, Bounds{Depth: 60, States: 3_000, Seed: 1}},
+		{"7 voters, random", RandomWalk, Config{Voters: 7}, Bounds{Depth: 20, States: 1_000, Seed: 1}},
+	}
+	for _, s := range searches {
+		t.Run(s.name, func(t *testing.T) {
+			c := s.config
+			c.Losses, c.Limits = -1, DefaultLimits()
+			result := s.search(&c, s.bounds)
+			t.Logf("%d states, %d events, depth %d", result.States, result.Steps, result.Depth)
+			if result.Violation != nil {
+				t.Errorf("%v\n# a run of %d events that shows it\n%s", result.Violation, len(result.Trace), result.Trace)
+			}
+		})
 	}
 }
