--- a/cmd/simsweep/main.go
+++ b/cmd/simsweep/main.go
@@ -44,6 +44,9 @@
 	r.Flags.BoolVar(&set.noMeasure, "no-measure", false, "do not time a recovery from each loss before the failures")
 	r.MustParse(os.Args[1:])
 	size, err := set.size()
+	if err == nil {
+		err = set.day(set.first, size).Check()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
--- a/proof/simulation/day.go
+++ b/proof/simulation/day.go
@@ -1,6 +1,8 @@
 package simulation
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 
 	"tuliprudder/kernel/clock"
@@ -138,6 +140,15 @@
 	return acts
 }
 
+// Check tells what is wrong with a day; nil when nothing is.
+func (d Day) Check() error {
+	matches := func(act Act) bool { return strings.Contains(act.Name, d.Only) }
+	if !slices.ContainsFunc(d.pool(), matches) {
+		return fmt.Errorf("no failure's name holds %q; see the lists in proof/simulation", d.Only)
+	}
+	return d.Size.Check()
+}
+
 // strikeAll lets the day's failures happen one after the other; false ends the day.
 func (d Day) strikeAll(w *World) bool {
 	acts, skip := d.pool(), map[int]bool{}
--- a/proof/simulation/scenarios_test.go
+++ b/proof/simulation/scenarios_test.go
@@ -27,6 +27,45 @@
 	}
 }
 
+// A day on each shape of fleet, with what is timed before the failures.
+func TestShapes(t *testing.T) {
+	for name, size := range Shapes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := Day{Seed: 400, Size: size, Climate: Mild(), Acts: 3, Forwarding: true, Scenarios: true, Measure: true}.Run()
+			if len(w.Watch.Breaches) > 0 {
+				t.Fatal(w.Report(*lines))
+			}
+			found := w.Watch.Recovery
+			if size.Cores > 1 && (found.AfterKill == 0 || found.AfterCut == 0 || found.CoreWhole == 0 || found.StoreWhole == 0) {
+				t.Errorf("not all was timed: %+v", found)
+			}
+			t.Logf("%+v", found)
+		})
+	}
+}
+
+// With a tolerance of two, two disks go at once and nothing is lost.
+func TestTwoDisksAtOnce(t *testing.T) {
+	w := Day{Seed: 500, Size: Shapes["five"], Climate: Mild(), Acts: 4, Only: "at once", Forwarding: true, Scenarios: true}.Run()
+	if len(w.Watch.Breaches) > 0 {
+		t.Fatal(w.Report(*lines))
+	}
+}
+
+// A word that no failure's name holds is told before a day is lived.
+func TestUnknownFailures(t *testing.T) {
+	day := Day{Size: ghent, Only: "no such failure", Scenarios: true}
+	if day.Check() == nil {
+		t.Error("a day of failures that there are none of is taken")
+	}
+	for _, family := range families {
+		if day.Only = family; day.Check() != nil {
+			t.Errorf("no failure of the family %q: %v", family, day.Check())
+		}
+	}
+}
+
 // Every scenario names its family, and no two have one name.
 func TestScenarioNames(t *testing.T) {
 	seen := map[string]bool{}
