Simulator: a server that goes on at the wrong event sends one at least

To a client that is the same as a stream of which only the end was lost, so no client could tell; the trouble now strikes only where an event is left to be sent.

--- a/proof/simulation/passed.go
+++ b/proof/simulation/passed.go
@@ -48,6 +48,9 @@
 	if s := w.byAddress[request.Address]; s != nil && s.trouble != noTrouble && w.Chance.Intn(2) == 0 {
 		p.trouble = s.trouble
 	}
+	if p.trouble == wrongEvent && resume+1 >= pieces {
+		p.trouble = noTrouble // without a further event nobody could tell
+	}
 	id := resume
 	if p.trouble == wrongEvent && resume > 0 {
 		id++
