--- a/core/control/core.go
+++ b/core/control/core.go
@@ -89,6 +89,7 @@
 	foundedElsewhere bool
 	heardSince       clock.Micros // since when this core listens without a pause
 	lastClock        clock.Micros
+	toldLeading      bool // what the last heartbeat said
 	queue            []change
 	flight           *change
 	unwell           clock.Micros // since when a new pairing is wanted
@@ -100,6 +101,12 @@
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
+	// SkipLease is a fault planted by tests: a primary confirms and serves without a lease.
+	SkipLease bool
+	// SkipOldVoters is a fault planted by tests: a change of voters takes the new ones only.
+	SkipOldVoters bool
+	// SkipWhole is a fault planted by tests: a core without the whole state campaigns.
+	SkipWhole bool
 	// SkipOrderTable is a fault planted by tests: a snapshot lacks what recognises
 	// repeated orders.
 	SkipOrderTable bool
@@ -296,7 +303,7 @@
 	s.noticePause(now)
 	s.retell()
 	s.groups.ClockEvent(now)
-	if now >= s.next.beat {
+	if now >= s.next.beat || s.Leading(now) != s.toldLeading {
 		s.next.beat = now + s.set.HeartbeatEvery
 		s.beat(now)
 	}
