Receipts wait as before: the route's time costs lots where a store is lost

After the kill of a store the 202 comes later than the route's time, and the lot that is sent again comes later still.

--- a/path/requests/requests.go
+++ b/path/requests/requests.go
@@ -519,20 +519,6 @@
 	}
 }
 
-// lastWords is how much longer than the keeper's own time a receipt may be on its way
-// where the route's time is short.
-const lastWords = 200 * clock.Millisecond
-
-// receiptTimes are how long a keeper may take for a receipt, and how long the edge
-// waits for it: no longer than a request on the route may be held.
-func (t *Machine) receiptTimes(route *config.Route) (commit, wait clock.Micros) {
-	commit, wait = t.set.Commit, t.set.Commit+clock.Second
-	if route.Expiry > 0 {
-		commit, wait = min(commit, route.Expiry), min(wait, route.Expiry+lastWords)
-	}
-	return commit, wait
-}
-
 // forwardBundle takes a bundle of requests in, as handIn does one of inputs. Its
 // route stands for the customer.
 func (t *Machine) forwardBundle(call uint64, ask ForwardBundle, now clock.Micros) {
@@ -558,10 +544,9 @@
 	for _, item := range ask.Items {
 		words = append(words, item.ID, string(item.Request.Body))
 	}
-	commit, wait := t.receiptTimes(route)
 	t.keep(ask.ID, func(slot int) any {
-		return store.EnrolAsk{Slot: slot, Expiry: commit, Bundle: shard.Bundle{ID: ask.ID, Customer: route.Name, Hash: shard.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
-	}, wait, now, t.passOn(call))
+		return store.EnrolAsk{Slot: slot, Expiry: t.set.Commit, Bundle: shard.Bundle{ID: ask.ID, Customer: route.Name, Hash: shard.Hash(words...), Route: route.Name, Plan: plan.Version, Items: ask.Items}}
+	}, t.set.Commit+clock.Second, now, t.passOn(call))
 }
 
 func nameOf(bundle string) error {
