--- a/core/control/shards_test.go
+++ b/core/control/shards_test.go
@@ -55,6 +55,7 @@
 		for _, s := range b.stores {
 			s.restart()
 		}
+		b.pass(100 * clock.Millisecond) // the new lives are heard
 		took := b.await(t, fmt.Sprintf("%+v: every shard is whole", shape), func() bool {
 			return len(b.shortOf(min(shape.tolerance+1, shape.stores))) == 0
 		})
