--- a/core/control/placement.go
+++ b/core/control/placement.go
@@ -124,7 +124,11 @@
 func (p *placement) assign(shard int, next replication.Assignment, reason string) {
 	p.changed[shard] = next
 	p.count(next)
-	p.core.Emit(machine.Explain{What: "shard assigned anew", Fields: map[string]any{"shard": shard, "reason": reason, "epoch": next.Epoch, "group": next.IDs()}})
+	fields := map[string]any{"shard": shard, "reason": reason, "epoch": next.Epoch, "group": next.IDs()}
+	if missing := p.copies - len(next.Members()); missing > 0 {
+		fields["copies_missing"] = missing // too few stores live: fewer losses are borne until more are there
+	}
+	p.core.Emit(machine.Explain{What: "shard assigned anew", Fields: fields})
 }
 
 // mend gives a shard the assignment that it lacks, if any.
