A founder that won its term waits until it is complete and does not found again

Cause: between winning the founding term and committing it the founder has no campaign and no committed term, so the next clock event founded once more under a term above. The founders granted it and refused to commit the first; the founder, which had committed it alone, waited out its patience of 4 s. Ruled out: lost heartbeats (the campaign's reason), slow disks (the copy was on its way).

--- a/core/control/founding.go
+++ b/core/control/founding.go
@@ -17,6 +17,9 @@
 	if !s.set.Bootstrap || s.foundedElsewhere || !slices.Contains(s.seeds, s.self.Peer) {
 		return
 	}
+	if s.group().Leads() && now-s.wonAt < campaignPatience {
+		return // the founding is won and on its way to be complete
+	}
 	founders := s.founders(now)
 	if founders == nil || s.firstFounder(founders) != s.self.ID {
 		return
--- /dev/null
+++ b/core/control/founding_test.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"tuliprudder/kernel/clock"
+	"tuliprudder/ledger/replication"
+)
+
+// A founder that won its term and waits until its replicas hold the state does not
+// found again: the founders would grant the second term and refuse to commit the first.
+func TestAFounderThatWonDoesNotFoundAgain(t *testing.T) {
+	b := newBench(small())
+	for i := 1; i <= 3; i++ {
+		b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+	}
+	until := b.now + 300*clock.Millisecond
+	b.drop = func(l letter) bool {
+		_, isCopy := l.body.(replication.Copy)
+		return isCopy && b.now < until
+	}
+	b.pass(clock.Second)
+	if founder := b.cores["c1"]; founder.Takeovers != 1 || founder.Vote().Term != 1 || !founder.Serving() {
+		t.Errorf("a second on, the founder won %d terms, the last granted is %d, it serves: %v; wanted the first alone", founder.Takeovers, founder.Vote().Term, founder.Serving())
+	}
+}
