--- /dev/null
+++ b/core/control/shortage_test.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"tuliprudder/kernel/clock"
+	"tuliprudder/ledger/replication"
+)
+
+// A fleet has fewer stores than the copies that the tolerance asks for, and all its
+// stores start again at once with their disks: every shard is assigned to them anew,
+// with as many copies as there are stores.
+func TestShardsComeBackThoughStoresAreFewerThanCopies(t *testing.T) {
+	for stores := 3; stores <= 4; stores++ {
+		for restarted := 1; restarted <= 3; restarted++ {
+			set := small()
+			set.Tolerance = stores
+			b := newBench(set)
+			for i := 1; i <= 3; i++ {
+				b.core(fmt.Sprint("core-", i), fmt.Sprint("c", i), fmt.Sprint("zone-", i), "c1", "c2", "c3")
+			}
+			for i := 1; i <= stores; i++ {
+				b.store(fmt.Sprint("store-", i), fmt.Sprint("s", i), fmt.Sprint("zone-", i))
+			}
+			found(t, b)
+			for _, store := range b.stores[:restarted] {
+				store.Life++
+			}
+			b.pass(10 * clock.Second)
+			core := b.primary()
+			if core == nil {
+				t.Fatal("no core is primary")
+			}
+			for shard, assignment := range core.State().Slots {
+				if !assignment.Complete || len(assignment.Members()) != stores || !core.living(assignment, b.now) {
+					t.Errorf("%d of %d stores started again: shard %d is still %+v", restarted, stores, shard, assignment)
+					break
+				}
+			}
+		}
+	}
+}
+
+// living tells whether every member of an assignment lives the life it was assigned in.
+func (s *Core) living(assignment replication.Assignment, now clock.Micros) bool {
+	for _, member := range assignment.Members() {
+		if life, ok := s.storeLife(member.ID, now); !ok || life != member.Life {
+			return false
+		}
+	}
+	return true
+}
