--- a/cmd/controlcheck/main.go
+++ b/cmd/controlcheck/main.go
@@ -72,6 +72,8 @@
 	result := search(set.config(), bounds)
 	fmt.Printf("%d voters, %s: %d states, %d events, depth %d, complete to the depth: %t, %s\n", set.voters, set.mode,
 		result.States, result.Steps, result.Depth, result.Complete, time.Since(began).Round(time.Millisecond))
+	fmt.Printf("reached: %d documents confirmed, term %d, %d disks wiped, %d new voters\n",
+		result.Reached.Confirmed, result.Reached.Term, result.Reached.Wiped, result.Reached.Voters)
 	if result.Violation == nil {
 		return nil
 	}
--- a/proof/explore/check.go
+++ b/proof/explore/check.go
@@ -23,7 +23,8 @@
 	OneLease     Property = "no two processes hold the lease at one time"
 	WholeLeader  Property = "a member without the whole state never leads"
 	OldIdentity  Property = "a removed or wiped identity never counts"
-	Majority     Property = "a leader was elected by majorities of its voters"
+	OneVote      Property = "a voter grants a term to one candidate only"
+	Majority     Property = "a leader was granted its term by majorities of old and new voters"
 	NoRefusal    Property = "an order that was taken is never refused when sent again"
 	NoPanic      Property = "the machine never panics"
 	Progress     Property = "after healing a majority confirms again"
@@ -46,10 +47,10 @@
 	epoch  uint64 // in which it was confirmed
 }
 
-// grant is a durable vote: a voter, and for whom it voted.
+// grant is a durable vote: the term, the voter, and the candidate it voted for.
 type grant struct {
-	epoch        uint64
-	voter, owner string
+	term             uint64
+	voter, candidate string
 }
 
 // history is what operators and the fleet were told so far, and who was lost.
@@ -58,11 +59,13 @@
 	calls     []int    // the order of each call, by its number less one
 	lost      []string // wiped identities that the fleet may still count on
 	wiped     []string // all wiped identities
-	served    bool     // somebody held the lease: the fleet is founded
+	grants    []grant
+	newVoters []string // identities that were given a vote after the founding
+	served    bool // somebody held the lease: the fleet is founded
 }
 
 func (h history) clone() history {
-	return history{slices.Clip(h.confirmed), slices.Clip(h.calls), slices.Clip(h.lost), slices.Clip(h.wiped), h.served}
+	return history{slices.Clip(h.confirmed), slices.Clip(h.calls), slices.Clip(h.lost), slices.Clip(h.wiped), slices.Clip(h.grants), slices.Clip(h.newVoters), h.served}
 }
 
 // asked notes a call for an order and gives its number.
@@ -205,11 +208,13 @@
 	}
 	for _, p := range w.processes {
 		if p.up && p.owns {
+			w.checkElection(p)
 			w.checkLeader(p, slices.Contains(holders, p))
 		}
 	}
 	w.history.served = w.history.served || len(holders) > 0
 	if len(holders) == 1 {
+		w.joined(holders[0])
 		w.forgive(holders[0])
 	}
 }
@@ -229,6 +234,47 @@
 	}
 }
 
+// voteUnit is the unit of a core's vote on its disk.
+const voteUnit = "oath"
+
+// voted notes the durable votes among some records.
+func (w *World) voted(p *process, records []machine.Record) {
+	for _, record := range records {
+		var vote control.Vote
+		if record.Unit != voteUnit || json.Unmarshal(record.Body, &vote) != nil || vote.Pending.Zero() {
+			continue
+		}
+		made := grant{vote.Term, p.id(), vote.Pending.Primary.ID}
+		for _, other := range w.history.grants {
+			if other.term == made.term && other.voter == made.voter && other.candidate != made.candidate {
+				w.fail(OneVote, "%s voted for %s and for %s in term %d", made.voter, other.candidate, made.candidate, made.term)
+			}
+		}
+		if !slices.Contains(w.history.grants, made) {
+			w.history.grants = append(w.history.grants, made)
+		}
+	}
+}
+
+// checkElection has majorities of the voters before and under a new term grant it.
+func (w *World) checkElection(p *process) {
+	vote := p.machine(w.config).Vote()
+	if vote.Term != p.epoch || vote.Committed.Epoch >= p.epoch {
+		return // it leads no more, or its term is complete
+	}
+	for _, voters := range [][]control.CoreRef{vote.Voters, vote.PendingVoters} {
+		granted := 0
+		for _, voter := range voters {
+			if slices.Contains(w.history.grants, grant{p.epoch, voter.ID, p.id()}) {
+				granted++
+			}
+		}
+		if 2*granted <= len(voters) && len(voters) > 0 {
+			w.fail(Majority, "%s leads in epoch %d by %d of %d votes", p.name, p.epoch, granted, len(voters))
+		}
+	}
+}
+
 // checkSender has no message speak for an identity whose disk was wiped.
 func (w *World) checkSender(m message) {
 	from := ""
@@ -257,6 +303,16 @@
 	w.history.lost = nil
 }
 
+// joined notes the voters that the fleet did not begin with.
+func (w *World) joined(leader *process) {
+	for _, voter := range leader.machine(w.config).Vote().Voters {
+		first := slices.ContainsFunc(w.processes[:w.config.Voters], func(p *process) bool { return "core-"+p.name == voter.ID })
+		if !first && !slices.Contains(w.history.newVoters, voter.ID) {
+			w.history.newVoters = append(w.history.newVoters, voter.ID)
+		}
+	}
+}
+
 // counted are the identities that a leader's last complete group and its voters name.
 func (w *World) counted(leader *process) []string {
 	vote := leader.machine(w.config).Vote()
--- a/proof/explore/explore_test.go
+++ b/proof/explore/explore_test.go
@@ -215,7 +215,7 @@
 			c := s.config
 			c.Losses, c.Limits = -1, DefaultLimits()
 			result := s.search(&c, s.bounds)
-			t.Logf("%d states, %d events, depth %d", result.States, result.Steps, result.Depth)
+			t.Logf("%d states, %d events, depth %d, reached %+v", result.States, result.Steps, result.Depth, result.Reached)
 			if result.Violation != nil {
 				t.Errorf("%v\n# a run of %d events that shows it\n%s", result.Violation, len(result.Trace), result.Trace)
 			}
--- a/proof/explore/search.go
+++ b/proof/explore/search.go
@@ -23,12 +23,34 @@
 	return b.States > 0 && states >= b.States || b.Stop != nil && b.Stop()
 }
 
+// Reached is the most that any state of a search had: a search that reaches little shows
+// little.
+type Reached struct {
+	Confirmed int    // documents
+	Term      uint64 // in which somebody led
+	Wiped     int    // identities
+	Voters    int    // changes of the set of voters, at least
+}
+
+// see takes a state into account.
+func (r *Reached) see(w *World) {
+	r.Confirmed = max(r.Confirmed, len(w.history.confirmed))
+	r.Wiped = max(r.Wiped, len(w.history.wiped))
+	r.Voters = max(r.Voters, len(w.history.newVoters))
+	for _, p := range w.processes {
+		if p.owns {
+			r.Term = max(r.Term, p.epoch)
+		}
+	}
+}
+
 // Result is what a search found.
 type Result struct {
 	States    int // different states visited
 	Steps     int // events applied
 	Depth     int // of the deepest state
 	Complete  bool
+	Reached   Reached
 	Violation *Violation
 	Trace     Trace
 }
@@ -71,6 +93,7 @@
 	}
 	s.visited[print] = at.depth
 	s.result.States = len(s.visited)
+	s.result.Reached.see(at.world)
 	s.result.Depth = max(s.result.Depth, at.depth)
 	return true
 }
--- a/proof/explore/world.go
+++ b/proof/explore/world.go
@@ -178,6 +178,7 @@
 	next.unsynced, next.print = p.unsynced[1:], 0
 	next.disk = written(p.disk, request)
 	w.processes[place] = &next
+	w.voted(&next, request.records)
 	if !request.fold && !w.config.fault().EarlySync {
 		w.do(place, control.Stored{Token: request.token})
 	}
