--- a/cmd/controlcheck/main.go
+++ b/cmd/controlcheck/main.go
@@ -15,7 +15,7 @@
 )
 
 type options struct {
-	voters, spares, losses, depth, states, seed, every, seconds int64
+	voters, zones, spares, losses, depth, states, seed, every, seconds int64
 	mode, fault, replay, only                                   string
 	empty, fine                                                 bool
 }
@@ -24,6 +24,7 @@
 	var set options
 	r := settings.New("controlcheck")
 	r.Int(&set.voters, "voters", 3, 1, 9, "voters")
+	r.Int(&set.zones, "zones", 0, 0, 9, "zones that the processes are spread over; 0: each has its own")
 	r.Int(&set.spares, "spares", 0, 0, 4, "further processes, down at first, that ask for a vote")
 	r.Int(&set.losses, "losses", -1, -1, 9, "members that may be lost for good at one time; -1: what the voters tolerate")
 	r.Int(&set.depth, "depth", 5, 1, 1000, "events of one run")
@@ -45,7 +46,7 @@
 }
 
 func (set options) config() *explore.Config {
-	c := &explore.Config{Voters: int(set.voters), Losses: int(set.losses), Spares: int(set.spares), Empty: set.empty, Fine: set.fine, Limits: explore.DefaultLimits(), Fault: set.fault}
+	c := &explore.Config{Voters: int(set.voters), Losses: int(set.losses), Spares: int(set.spares), Zones: int(set.zones), Empty: set.empty, Fine: set.fine, Limits: explore.DefaultLimits(), Fault: set.fault}
 	if set.only != "" {
 		c.Only = strings.Split(set.only, ",")
 	}
--- a/proof/explore/check.go
+++ b/proof/explore/check.go
@@ -61,7 +61,7 @@
 	wiped     []string // all wiped identities
 	grants    []grant
 	newVoters []string // identities that were given a vote after the founding
-	served    bool // somebody held the lease: the fleet is founded
+	served    bool     // somebody held the lease: the fleet is founded
 }
 
 func (h history) clone() history {
--- a/proof/explore/config.go
+++ b/proof/explore/config.go
@@ -61,6 +61,8 @@
 	// Losses is how many members may be lost for good at one time; below 0: what the
 	// voters tolerate.
 	Losses int
+	// Zones are how many zones the processes are spread over; 0: each has its own.
+	Zones int
 	// Spares are further processes that are down at first; started, they ask for a vote.
 	Spares int
 	// Empty begins runs with empty processes instead of a fleet that serves.
@@ -111,13 +113,17 @@
 }
 
 // newProcess is a process with an empty disk.
-func newProcess(i, generation int, address string) *process {
+func (c *Config) newProcess(i, generation int, address string) *process {
 	name := processName(i)
 	id := "core-" + name
 	if generation > 0 {
 		id = fmt.Sprintf("%s-%d", id, generation)
 	}
-	self := control.CoreRef{ID: id, Peer: address, Zone: "zone-" + name}
+	zone := i
+	if c.Zones > 0 {
+		zone = i % c.Zones
+	}
+	self := control.CoreRef{ID: id, Peer: address, Zone: fmt.Sprint("zone-", zone)}
 	return &process{name: name, generation: generation, boot: boot{self: self, first: generation == 0}}
 }
 
@@ -138,6 +144,7 @@
 		flags.IntVar(&c.Voters, "voters", c.Voters, "")
 		flags.IntVar(&c.Losses, "losses", c.Losses, "")
 		flags.IntVar(&c.Spares, "spares", c.Spares, "")
+		flags.IntVar(&c.Zones, "zones", c.Zones, "")
 		flags.BoolVar(&c.Empty, "empty", c.Empty, "")
 		flags.BoolVar(&c.Fine, "fine", c.Fine, "")
 		flags.StringVar(&c.Fault, "fault", c.Fault, "")
--- a/proof/explore/explore_test.go
+++ b/proof/explore/explore_test.go
@@ -205,6 +205,7 @@
 		{"3 voters, fine, random", RandomWalk, Config{Voters: 3, Fine: true}, Bounds{Depth: 60, States: 6_000, Seed: 1}},
 		{"3 voters and a spare, random", RandomWalk, Config{Voters: 3, Spares: 1, Fine: true}, Bounds{Depth: 50, States: 4_000, Seed: 1}},
 		{"3 empty voters, fine, random", RandomWalk, Config{Voters: 3, Empty: true, Fine: true}, Bounds{Depth: 50, States: 4_000, Seed: 1}},
+		{"5 voters in 3 zones, random", RandomWalk, Config{Voters: 5, Zones: 3}, Bounds{Depth: 30, States: 1_000, Seed: 2}},
 		{"5 voters, breadth first", BreadthFirst, Config{Voters: 5}, Bounds{Depth: 2, States: 3_000, Every: 200}},
 		{"5 voters, random", RandomWalk, Config{Voters: 5}, Bounds{Depth: 40, States: 1_000, Seed: 1}},
 		{"5 voters, fine, random", RandomWalk, Config{Voters: 5, Fine: true}, Bounds{Depth: 60, States: 3_000, Seed: 1}},
--- a/proof/explore/world.go
+++ b/proof/explore/world.go
@@ -62,10 +62,10 @@
 func NewWorld(c *Config) *World {
 	w := &World{config: c, now: firstMoment, cut: map[link]bool{}}
 	for i := range c.Voters {
-		w.processes = append(w.processes, newProcess(i, 0, processName(i)).booted(c))
+		w.processes = append(w.processes, c.newProcess(i, 0, processName(i)).booted(c))
 	}
 	for i := range c.Spares {
-		spare := newProcess(c.Voters+i, 0, processName(c.Voters+i))
+		spare := c.newProcess(c.Voters+i, 0, processName(c.Voters+i))
 		spare.boot.first = false
 		w.processes = append(w.processes, spare)
 	}
@@ -413,7 +413,7 @@
 			address += "-again"
 		}
 	}
-	next := newProcess(place, p.generation+1, address)
+	next := w.config.newProcess(place, p.generation+1, address)
 	if w.config.fault().KeepIdentity {
 		next.boot.self.ID, next.boot.life = p.boot.self.ID, p.boot.life
 	}
