--- a/cmd/controlcheck/main.go
+++ b/cmd/controlcheck/main.go
@@ -16,8 +16,8 @@
 
 type options struct {
 	voters, zones, spares, losses, depth, states, seed, every, seconds int64
-	mode, fault, replay, only                                   string
-	empty, fine                                                 bool
+	mode, fault, replay, only                                          string
+	empty, fine                                                        bool
 }
 
 func main() {
--- a/proof/explore/check.go
+++ b/proof/explore/check.go
@@ -244,6 +244,9 @@
 		if record.Unit != voteUnit || json.Unmarshal(record.Body, &vote) != nil || vote.Pending.Zero() {
 			continue
 		}
+		if vote.Committed.Epoch >= vote.Term {
+			continue // it tells what others made complete, and is no vote
+		}
 		made := grant{vote.Term, p.id(), vote.Pending.Primary.ID}
 		for _, other := range w.history.grants {
 			if other.term == made.term && other.voter == made.voter && other.candidate != made.candidate {
