--- a/cmd/controlcheck/main.go
+++ b/cmd/controlcheck/main.go
@@ -15,15 +15,16 @@
 )
 
 type options struct {
-	voters, spares, losses, depth, states, seed, every, seconds int64
-	mode, fault, replay, only                                   string
-	empty, fine                                                 bool
+	voters, zones, spares, losses, depth, states, seed, every, seconds int64
+	mode, fault, replay, only                                          string
+	empty, fine                                                        bool
 }
 
 func main() {
 	var set options
 	r := settings.New("controlcheck")
 	r.Int(&set.voters, "voters", 3, 1, 9, "voters")
+	r.Int(&set.zones, "zones", 0, 0, 9, "zones that the processes are spread over; 0: each has its own")
 	r.Int(&set.spares, "spares", 0, 0, 4, "further processes, down at first, that ask for a vote")
 	r.Int(&set.losses, "losses", -1, -1, 9, "members that may be lost for good at one time; -1: what the voters tolerate")
 	r.Int(&set.depth, "depth", 5, 1, 1000, "events of one run")
@@ -45,7 +46,7 @@
 }
 
 func (set options) config() *explore.Config {
-	c := &explore.Config{Voters: int(set.voters), Losses: int(set.losses), Spares: int(set.spares), Empty: set.empty, Fine: set.fine, Limits: explore.DefaultLimits(), Fault: set.fault}
+	c := &explore.Config{Voters: int(set.voters), Losses: int(set.losses), Spares: int(set.spares), Zones: int(set.zones), Empty: set.empty, Fine: set.fine, Limits: explore.DefaultLimits(), Fault: set.fault}
 	if set.only != "" {
 		c.Only = strings.Split(set.only, ",")
 	}
@@ -72,6 +73,8 @@
 	result := search(set.config(), bounds)
 	fmt.Printf("%d voters, %s: %d states, %d events, depth %d, complete to the depth: %t, %s\n", set.voters, set.mode,
 		result.States, result.Steps, result.Depth, result.Complete, time.Since(began).Round(time.Millisecond))
+	fmt.Printf("reached: %d documents confirmed, term %d, %d disks wiped, %d new voters\n",
+		result.Reached.Confirmed, result.Reached.Term, result.Reached.Wiped, result.Reached.Voters)
 	if result.Violation == nil {
 		return nil
 	}
--- a/proof/explore/explore_test.go
+++ b/proof/explore/explore_test.go
@@ -205,6 +205,7 @@
 		{"3 voters, fine, random", RandomWalk, Config{Voters: 3, Fine: true}, Bounds{Depth: 60, States: 6_000, Seed: 1}},
 		{"3 voters and a spare, random", RandomWalk, Config{Voters: 3, Spares: 1, Fine: true}, Bounds{Depth: 50, States: 4_000, Seed: 1}},
 		{"3 empty voters, fine, random", RandomWalk, Config{Voters: 3, Empty: true, Fine: true}, Bounds{Depth: 50, States: 4_000, Seed: 1}},
+		{"5 voters in 3 zones, random", RandomWalk, Config{Voters: 5, Zones: 3}, Bounds{Depth: 30, States: 1_000, Seed: 2}},
 		{"5 voters, breadth first", BreadthFirst, Config{Voters: 5}, Bounds{Depth: 2, States: 3_000, Every: 200}},
 		{"5 voters, random", RandomWalk, Config{Voters: 5}, Bounds{Depth: 40, States: 1_000, Seed: 1}},
 		{"5 voters, fine, random", RandomWalk, Config{Voters: 5, Fine: true}, Bounds{Depth: 60, States: 3_000, Seed: 1}},
@@ -215,7 +216,7 @@
 			c := s.config
 			c.Losses, c.Limits = -1, DefaultLimits()
 			result := s.search(&c, s.bounds)
-			t.Logf("%d states, %d events, depth %d", result.States, result.Steps, result.Depth)
+			t.Logf("%d states, %d events, depth %d, reached %+v", result.States, result.Steps, result.Depth, result.Reached)
 			if result.Violation != nil {
 				t.Errorf("%v\n# a run of %d events that shows it\n%s", result.Violation, len(result.Trace), result.Trace)
 			}
