Program trailhead is cmd/edge; no behaviour changed

The program, its -help and log field, the local fleet and the docs say edge. On the wire, in identifiers and in data folders the kind keeps its old spelling (identity.Edge says so); tuliprudderctl's table shows the role instead.

--- a/cmd/trailhead/main.go
+++ b/cmd/edge/main.go
@@ -1,4 +1,4 @@
-// Program trailhead is the edge daemon: it carries callers' traffic (DESIGN §7).
+// Program edge is the edge daemon: it carries callers' traffic (DESIGN §7).
 package main
 
 import (
@@ -18,7 +18,7 @@
 	var common settings.Common
 	var bounds host.Bounds
 	set := machines.EdgeDefaults()
-	settings := settings.New("trailhead")
+	settings := settings.New("edge")
 	settings.Common(&common, false)
 	bounds.Settings(settings)
 	mostWaiting := int64(set.Dispatch.MostWaiting)
@@ -33,13 +33,13 @@
 	settings.MustParse(os.Args[1:])
 	set.Dispatch.MostWaiting = int(mostWaiting)
 	if err := run(common, bounds, set); err != nil {
-		fmt.Fprintln(os.Stderr, "trailhead:", err)
+		fmt.Fprintln(os.Stderr, "edge:", err)
 		os.Exit(1)
 	}
 }
 
 func run(common settings.Common, bounds host.Bounds, set machines.EdgeSettings) error {
-	l, err := host.Open("trailhead", identity.Edge, common, bounds)
+	l, err := host.Open("edge", identity.Edge, common, bounds)
 	if err != nil {
 		return err
 	}
--- a/cmd/waymark/main.go
+++ b/cmd/waymark/main.go
@@ -22,6 +22,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"tuliprudder/kernel/errs"
+	"tuliprudder/membership/identity"
 )
 
 // tool is what every command needs.
@@ -177,13 +178,13 @@
 	if err != nil {
 		return err
 	}
-	rows := [][]string{{"ID", "KIND", "ZONE", "STANDING", "HTTP"}}
+	rows := [][]string{{"ID", "ROLE", "ZONE", "STANDING", "HTTP"}}
 	for _, d := range folk {
 		standing := d.Standing
 		if d.Draining {
 			standing += ", draining"
 		}
-		rows = append(rows, []string{d.ID, d.Kind, d.Zone, standing, d.HTTP})
+		rows = append(rows, []string{d.ID, identity.Role(d.Kind), d.Zone, standing, d.HTTP})
 	}
 	t.table(rows)
 	return nil
@@ -334,7 +335,7 @@
 	if err != nil {
 		return err
 	}
-	err = errs.New(errs.NotReady, "start one", "no sound daemon of kind %v is known", kinds)
+	err = errs.New(errs.NotReady, "start one", "no sound daemon is known that is one of: %s", roleNames(kinds))
 	for _, d := range folk {
 		if d.Standing != "sound" || !slices.Contains(kinds, d.Kind) {
 			continue
@@ -348,13 +349,21 @@
 	return err
 }
 
+func roleNames(kinds []string) string {
+	var roles []string
+	for _, kind := range kinds {
+		roles = append(roles, identity.Role(kind))
+	}
+	return strings.Join(roles, ", ")
+}
+
 // order asks every daemon that assigns orders; each remembers its latest.
 func (t *tool) order(args []string) error {
 	name, err := one(args, "order")
 	if err != nil {
 		return err
 	}
-	return t.first("/v1/operator/orders?order="+url.QueryEscape(name), "trailhead", "refuge")
+	return t.first("/v1/operator/orders?order="+url.QueryEscape(name), identity.Edge, identity.Store)
 }
 
 func (t *tool) bundle(args []string) error {
@@ -362,7 +371,7 @@
 	if err != nil {
 		return err
 	}
-	return t.first("/v1/operator/bundles/"+url.PathEscape(id), "trailhead")
+	return t.first("/v1/operator/bundles/"+url.PathEscape(id), identity.Edge)
 }
 
 func (t *tool) leaving(args []string, leaving bool) error {
--- a/membership/identity/identity.go
+++ b/membership/identity/identity.go
@@ -7,13 +7,26 @@
 // messages (DESIGN §3.4).
 const Release = 2
 
-// Kinds of daemon.
+// Kinds of daemon. The spellings are those of the first release: they are on the
+// wire (Person.Kind), in daemons' identifiers and in the identity file of a data
+// folder, where daemons and folders of a neighbouring release read them.
 const (
 	Edge  = "trailhead"
 	Store = "refuge"
 	Core  = "cairn"
 )
 
+var roles = map[string]string{Edge: "edge", Store: "store", Core: "core"}
+
+// Role is the name of a kind of daemon as operators read it; a kind that is not
+// known is its own name.
+func Role(kind string) string {
+	if role, known := roles[kind]; known {
+		return role
+	}
+	return kind
+}
+
 // Standing is how sound a daemon is held to be; a higher one replaces a lower
 // one of the same incarnation and word.
 type Standing uint64
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -1,5 +1,5 @@
 // Package scouts reads the servers' pages, each server by one daemon: the first
-// live trailhead in that server's agreed order (DESIGN §7.2). The figures go
+// live edge in that server's agreed order (DESIGN §7.2). The figures go
 // out under the duty's epoch; the others turn lower ones away. It is a part of
 // the edge's machine: the pages are read by the shell.
 package scouts
--- a/proof/capacitymodel/bench_test.go
+++ b/proof/capacitymodel/bench_test.go
@@ -167,7 +167,7 @@
 		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
 			var folk []identity.Person
 			for i := range size[1] {
-				folk = append(folk, identity.Person{ID: fmt.Sprintf("trailhead-%03d.1", i), Kind: identity.Edge, Zone: "zone-01", Peer: "10.0.0.1:7100"})
+				folk = append(folk, identity.Person{ID: fmt.Sprintf("edge-%03d.1", i), Kind: identity.Edge, Zone: "zone-01", Peer: "10.0.0.1:7100"})
 			}
 			wire := machine.NewWire()
 			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []identity.Person { return folk })
--- a/proof/faultinject/faults.go
+++ b/proof/faultinject/faults.go
@@ -150,7 +150,7 @@
 func Run(ctx context.Context, c *localfleet.Camp, set Settings) (verify.Verdict, error) {
 	tour := set.Tour(func() []string {
 		var out []string
-		for _, name := range c.Names("trailhead") {
+		for _, name := range c.Names("edge") {
 			out = append(out, c.Get(name).HTTP)
 		}
 		return out
@@ -227,7 +227,7 @@
 
 // readBack reads every plan version back at the end of the day.
 func readBack(c *localfleet.Camp) error {
-	edge := c.Names("trailhead")[0]
+	edge := c.Names("edge")[0]
 	return localfleet.Until(15*time.Second, func() error {
 		var list struct {
 			Plans []struct {
@@ -258,7 +258,7 @@
 
 func (s *scene) ask(path string, into any) error {
 	var err error
-	for _, edge := range s.c.Names("trailhead") {
+	for _, edge := range s.c.Names("edge") {
 		if err = s.c.Ask(edge, http.MethodGet, path, nil, into); err == nil {
 			return nil
 		}
@@ -301,7 +301,7 @@
 	return s.byPeer(core.Peer)
 }
 
-func (s *scene) edge() (string, error)      { return s.c.Names("trailhead")[0], nil }
+func (s *scene) edge() (string, error)      { return s.c.Names("edge")[0], nil }
 func (s *scene) anyServer() (string, error) { return s.c.Names("scree")[0], nil }
 
 type pick func() (string, error)
@@ -380,7 +380,7 @@
 
 func (s *scene) leave() error {
 	name, _ := s.anyServer()
-	edges := s.c.Names("trailhead")
+	edges := s.c.Names("edge")
 	if err := s.c.Ask(edges[len(edges)-1], http.MethodPost, "/v1/operator/servers/"+name+"/leaving", []byte(`{"leaving":true}`), nil); err != nil {
 		return err
 	}
@@ -476,7 +476,7 @@
 func (s *scene) flock() error {
 	tour := s.set.Tour(func() []string {
 		var out []string
-		for _, name := range s.c.Names("trailhead") {
+		for _, name := range s.c.Names("edge") {
 			out = append(out, s.c.Get(name).HTTP)
 		}
 		return out
@@ -490,7 +490,7 @@
 // add starts one more store and waits until slots have moved to it; its seeds
 // are edges and a store, no core.
 func (s *scene) add() error {
-	edges := s.c.Names("trailhead")
+	edges := s.c.Names("edge")
 	if err := s.c.Add("refuge", "store-new", "zone-1", []string{edges[0], edges[len(edges)-1], s.c.Names("refuge")[0]}); err != nil {
 		return err
 	}
@@ -530,7 +530,7 @@
 			byName[found] = id
 		}
 	}
-	edge := s.c.Names("trailhead")[0]
+	edge := s.c.Names("edge")[0]
 	empty := func(id string) error {
 		var got struct {
 			Retired bool `json:"retired"`
@@ -598,7 +598,7 @@
 	if err := s.c.Run(store); err != nil {
 		return err
 	}
-	edges := s.c.Names("trailhead")
+	edges := s.c.Names("edge")
 	s.c.Kill(edges[0])
 	s.c.Reseed(edges[0], s.c.Names("cairn"))
 	if err := s.c.Run(edges[0]); err != nil {
@@ -613,7 +613,7 @@
 // roll replaces servers one by one, as a release does: marked as leaving, left
 // until nothing may start there any more, replaced, and marked as staying.
 func (s *scene) roll(count int) error {
-	edges := s.c.Names("trailhead")
+	edges := s.c.Names("edge")
 	names := s.c.Names("scree")
 	for i := 0; i < min(count, len(names)-1); i++ {
 		name, edge := names[i], edges[i%len(edges)]
@@ -658,7 +658,7 @@
 // release drains and starts every daemon in turn, as a release of them does;
 // each has to be ready before the next one goes.
 func (s *scene) release() error {
-	for _, kind := range []string{"refuge", "cairn", "trailhead"} {
+	for _, kind := range []string{"refuge", "cairn", "edge"} {
 		for _, name := range s.c.Names(kind) {
 			s.c.Stop(name)
 			if err := s.c.Run(name); err != nil {
@@ -678,7 +678,7 @@
 func (s *scene) flockAndLoss() error {
 	flock := make(chan error, 1)
 	go func() { flock <- s.flock() }()
-	for _, name := range s.c.Names("trailhead") {
+	for _, name := range s.c.Names("edge") {
 		s.wait(500 * time.Millisecond)
 		s.c.Kill(name)
 		if err := s.c.Run(name); err != nil {
--- a/proof/faultinject/figures.go
+++ b/proof/faultinject/figures.go
@@ -8,13 +8,13 @@
 	"tuliprudder/proof/localfleet"
 )
 
-var kindWords = map[string]string{"trailhead": "edge", "refuge": "store", "cairn": "core"}
+var kindWords = map[string]string{"edge": "edge", "refuge": "store", "cairn": "core"}
 
 // Figures adds up what the daemons counted, for the measurements page.
 func Figures(c *localfleet.Camp) string {
 	var out strings.Builder
 	sums := map[string]int64{}
-	for _, kind := range []string{"trailhead", "refuge", "cairn"} {
+	for _, kind := range []string{"edge", "refuge", "cairn"} {
 		var heap, resident, sent, bytes, syncs int64
 		count := 0
 		for _, name := range c.Names(kind) {
--- a/proof/faultinject/office.go
+++ b/proof/faultinject/office.go
@@ -70,7 +70,7 @@
 		defer close(done)
 		chance := rand.New(rand.NewSource(5))
 		for number := 1; ctx.Err() == nil; number += 2 {
-			edges := c.Names("trailhead")
+			edges := c.Names("edge")
 			versions := make(chan uint64, 2)
 			asked := 1 + chance.Intn(2)
 			for i := 0; i < asked; i++ {
@@ -115,7 +115,7 @@
 				Plan json.RawMessage `json:"plan"`
 			}
 			err := localfleet.Until(15*time.Second, func() error {
-				return c.Ask(c.Names("trailhead")[0], http.MethodGet, fmt.Sprintf("/v1/operator/plans/%d", version), nil, &got)
+				return c.Ask(c.Names("edge")[0], http.MethodGet, fmt.Sprintf("/v1/operator/plans/%d", version), nil, &got)
 			})
 			if err != nil || string(got.Plan) != body {
 				breach("plan %d does not read back: %v", version, err)
@@ -135,7 +135,7 @@
 		defer close(done)
 		for ctx.Err() == nil {
 			held, allowance := map[string]int64{}, map[string]int64{}
-			for _, name := range append(c.Names("trailhead"), c.Names("refuge")...) {
+			for _, name := range append(c.Names("edge"), c.Names("refuge")...) {
 				var got struct {
 					Shares map[string]struct {
 						Held int64 `json:"held"`
--- a/proof/localfleet/localfleet.go
+++ b/proof/localfleet/localfleet.go
@@ -115,7 +115,7 @@
 			return nil, err
 		}
 		d.args = []string{"-zone", zone, "-peer", d.Peer, "-peer-listen", listen, "-http", d.HTTP, "-log", filepath.Join(c.Dir, name+".log")}
-		if kind != "trailhead" {
+		if kind != "edge" {
 			d.Data = filepath.Join(c.Dir, name+".data")
 			d.args = append(d.args, "-data", d.Data)
 		}
@@ -152,7 +152,7 @@
 	if err := lay("refuge", "store", c.Spec.Stores); err != nil {
 		return err
 	}
-	if err := lay("trailhead", "edge", c.Spec.Edges); err != nil {
+	if err := lay("edge", "edge", c.Spec.Edges); err != nil {
 		return err
 	}
 	if err := lay("scree", "server", c.Spec.Servers); err != nil {
@@ -403,7 +403,7 @@
 		return errors.Wrap(err, "reading the plan")
 	}
 	expiry := time.Now().Add(most)
-	edges := c.Names("trailhead")
+	edges := c.Names("edge")
 	if err := Until(time.Until(expiry), func() error { return c.Ask(edges[0], http.MethodPut, "/v1/operator/plan", plan, nil) }); err != nil {
 		return err
 	}
