--- a/cmd/refuge/main.go
+++ b/cmd/store/main.go
@@ -1,4 +1,4 @@
-// Program refuge is the store daemon: it keeps ledgers and runs their items
+// Program store is the store daemon: it keeps ledgers and runs their items
 // (DESIGN §6).
 package main
 
@@ -18,7 +18,7 @@
 	var common settings.Common
 	var bounds host.Bounds
 	set := store.Defaults()
-	settings := settings.New("refuge")
+	settings := settings.New("store")
 	settings.Common(&common, true)
 	bounds.Settings(settings)
 	mostItems := int64(set.MostItems)
@@ -27,13 +27,13 @@
 	settings.MustParse(os.Args[1:])
 	set.MostItems = int(mostItems)
 	if err := run(common, bounds, set); err != nil {
-		fmt.Fprintln(os.Stderr, "refuge:", err)
+		fmt.Fprintln(os.Stderr, "store:", err)
 		os.Exit(1)
 	}
 }
 
 func run(common settings.Common, bounds host.Bounds, set store.Settings) error {
-	l, err := host.Open("refuge", identity.Store, common, bounds)
+	l, err := host.Open("store", identity.Store, common, bounds)
 	if err != nil {
 		return err
 	}
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -249,7 +249,7 @@
 // purse shows the shares held here and the accounts held here.
 func (o *Admin) purse(w http.ResponseWriter, r *http.Request) error {
 	if o.Road == nil {
-		return errs.New(errs.NotFound, "ask an edge or a refuge", "this daemon holds no shares")
+		return errs.New(errs.NotFound, "ask an edge or a store", "this daemon holds no shares")
 	}
 	var view map[string]any
 	o.Porter.Inside(func(now clock.Micros) { view = o.Road.Purse.View(now) })
@@ -267,7 +267,7 @@
 		return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"orders": o.Book.Slowest(count)})
 	}
 	if o.Book == nil || name == "" {
-		return errs.New(errs.NotFound, "ask an edge or a refuge, with ?order=NAME", "this daemon assigns no orders, or no order was named")
+		return errs.New(errs.NotFound, "ask an edge or a store, with ?order=NAME", "this daemon assigns no orders, or no order was named")
 	}
 	story, ok := o.Book.Look(name)
 	if !ok {
@@ -298,7 +298,7 @@
 
 func (o *Admin) servers(w http.ResponseWriter, r *http.Request) error {
 	if o.Road == nil {
-		return errs.New(errs.NotFound, "ask an edge or a refuge", "this daemon assigns no orders")
+		return errs.New(errs.NotFound, "ask an edge or a store", "this daemon assigns no orders")
 	}
 	var servers []scheduler.ServerView
 	var waiting map[string]int
--- a/proof/faultinject/faults.go
+++ b/proof/faultinject/faults.go
@@ -403,7 +403,7 @@
 }
 
 func (s *scene) allCores() error  { return s.allOf("cairn") }
-func (s *scene) allStores() error { return s.allOf("refuge") }
+func (s *scene) allStores() error { return s.allOf("store") }
 
 // zone kills every daemon and server of a zone, then brings them back.
 func (s *scene) zone(zone string, down time.Duration) error {
@@ -457,7 +457,7 @@
 		}
 		names = append(names, name)
 		s.c.Kill(name)
-		if d.Kind == "refuge" {
+		if d.Kind == "store" {
 			if err := s.c.Wipe(name); err != nil {
 				return err
 			}
@@ -491,7 +491,7 @@
 // are edges and a store, no core.
 func (s *scene) add() error {
 	edges := s.c.Names("edge")
-	if err := s.c.Add("refuge", "store-new", "zone-1", []string{edges[0], edges[len(edges)-1], s.c.Names("refuge")[0]}); err != nil {
+	if err := s.c.Add("store", "store-new", "zone-1", []string{edges[0], edges[len(edges)-1], s.c.Names("store")[0]}); err != nil {
 		return err
 	}
 	peer := s.c.Get("store-new").Peer
@@ -551,7 +551,7 @@
 	if err := s.c.Ask(edge, http.MethodPost, "/v1/operator/stores/nobody/retire", nil, nil); err == nil || !strings.Contains(err.Error(), "not_found") {
 		return errors.Errorf("an unknown store was retired: %v", err)
 	}
-	if len(s.c.Names("refuge")) == 3 {
+	if len(s.c.Names("store")) == 3 {
 		for other, id := range byName {
 			if other == name {
 				continue
@@ -593,7 +593,7 @@
 		}
 		s.wait(time.Second)
 	}
-	store := s.c.Names("refuge")[0]
+	store := s.c.Names("store")[0]
 	s.c.Kill(store)
 	if err := s.c.Run(store); err != nil {
 		return err
@@ -658,7 +658,7 @@
 // release drains and starts every daemon in turn, as a release of them does;
 // each has to be ready before the next one goes.
 func (s *scene) release() error {
-	for _, kind := range []string{"refuge", "cairn", "edge"} {
+	for _, kind := range []string{"store", "cairn", "edge"} {
 		for _, name := range s.c.Names(kind) {
 			s.c.Stop(name)
 			if err := s.c.Run(name); err != nil {
--- a/proof/faultinject/figures.go
+++ b/proof/faultinject/figures.go
@@ -8,13 +8,13 @@
 	"tuliprudder/proof/localfleet"
 )
 
-var kindWords = map[string]string{"edge": "edge", "refuge": "store", "cairn": "core"}
+var kindWords = map[string]string{"edge": "edge", "store": "store", "cairn": "core"}
 
 // Figures adds up what the daemons counted, for the measurements page.
 func Figures(c *localfleet.Camp) string {
 	var out strings.Builder
 	sums := map[string]int64{}
-	for _, kind := range []string{"edge", "refuge", "cairn"} {
+	for _, kind := range []string{"edge", "store", "cairn"} {
 		var heap, resident, sent, bytes, syncs int64
 		count := 0
 		for _, name := range c.Names(kind) {
@@ -34,7 +34,7 @@
 		sums[kind+" syncs"] = syncs
 	}
 	if entries := sums["entries_confirmed"]; entries > 0 {
-		fmt.Fprintf(&out, "figures  store syncs for each entry (bundle, row, claim) on two disks: %.2f (%d entries); asks of readers: %d\n", float64(sums["refuge syncs"])/float64(entries), entries, sums["reads"])
+		fmt.Fprintf(&out, "figures  store syncs for each entry (bundle, row, claim) on two disks: %.2f (%d entries); asks of readers: %d\n", float64(sums["store syncs"])/float64(entries), entries, sums["reads"])
 	}
 	return out.String()
 }
--- a/proof/faultinject/office.go
+++ b/proof/faultinject/office.go
@@ -135,7 +135,7 @@
 		defer close(done)
 		for ctx.Err() == nil {
 			held, allowance := map[string]int64{}, map[string]int64{}
-			for _, name := range append(c.Names("edge"), c.Names("refuge")...) {
+			for _, name := range append(c.Names("edge"), c.Names("store")...) {
 				var got struct {
 					Shares map[string]struct {
 						Held int64 `json:"held"`
--- a/proof/localfleet/localfleet.go
+++ b/proof/localfleet/localfleet.go
@@ -149,7 +149,7 @@
 	for _, d := range all {
 		seeds = append(seeds, d.Peer)
 	}
-	if err := lay("refuge", "store", c.Spec.Stores); err != nil {
+	if err := lay("store", "store", c.Spec.Stores); err != nil {
 		return err
 	}
 	if err := lay("edge", "edge", c.Spec.Edges); err != nil {
