--- a/cmd/cairn/main.go
+++ b/cmd/core/main.go
@@ -1,4 +1,4 @@
-// Program cairn is the core daemon (DESIGN §5).
+// Program core is the core daemon (DESIGN §5).
 package main
 
 import (
@@ -17,7 +17,7 @@
 	var common settings.Common
 	var bounds host.Bounds
 	set := control.Defaults()
-	settings := settings.New("cairn")
+	settings := settings.New("core")
 	settings.Common(&common, true)
 	bounds.Settings(settings)
 	slots := int64(set.Slots)
@@ -28,13 +28,13 @@
 	settings.MustParse(os.Args[1:])
 	set.Slots, set.CheckPlan = int(slots), config.Check
 	if err := run(common, bounds, set); err != nil {
-		fmt.Fprintln(os.Stderr, "cairn:", err)
+		fmt.Fprintln(os.Stderr, "core:", err)
 		os.Exit(1)
 	}
 }
 
 func run(common settings.Common, bounds host.Bounds, set control.Settings) error {
-	l, err := host.Open("cairn", identity.Core, common, bounds)
+	l, err := host.Open("core", identity.Core, common, bounds)
 	if err != nil {
 		return err
 	}
--- a/proof/faultinject/faults.go
+++ b/proof/faultinject/faults.go
@@ -402,7 +402,7 @@
 	return nil
 }
 
-func (s *scene) allCores() error  { return s.allOf("cairn") }
+func (s *scene) allCores() error  { return s.allOf("core") }
 func (s *scene) allStores() error { return s.allOf("store") }
 
 // zone kills every daemon and server of a zone, then brings them back.
@@ -568,7 +568,7 @@
 // the other, so that every seed that was ever given is dead. Then a store comes
 // back with its old seeds, by the addresses it learnt, and an edge with new ones.
 func (s *scene) exchange() error {
-	for _, old := range s.c.Names("cairn") {
+	for _, old := range s.c.Names("core") {
 		s.c.Kill(old)
 		if err := s.c.Wipe(old); err != nil {
 			return err
@@ -600,7 +600,7 @@
 	}
 	edges := s.c.Names("edge")
 	s.c.Kill(edges[0])
-	s.c.Reseed(edges[0], s.c.Names("cairn"))
+	s.c.Reseed(edges[0], s.c.Names("core"))
 	if err := s.c.Run(edges[0]); err != nil {
 		return err
 	}
@@ -658,7 +658,7 @@
 // release drains and starts every daemon in turn, as a release of them does;
 // each has to be ready before the next one goes.
 func (s *scene) release() error {
-	for _, kind := range []string{"store", "cairn", "edge"} {
+	for _, kind := range []string{"store", "core", "edge"} {
 		for _, name := range s.c.Names(kind) {
 			s.c.Stop(name)
 			if err := s.c.Run(name); err != nil {
--- a/proof/faultinject/figures.go
+++ b/proof/faultinject/figures.go
@@ -8,13 +8,11 @@
 	"tuliprudder/proof/localfleet"
 )
 
-var kindWords = map[string]string{"edge": "edge", "store": "store", "cairn": "core"}
-
 // Figures adds up what the daemons counted, for the measurements page.
 func Figures(c *localfleet.Camp) string {
 	var out strings.Builder
 	sums := map[string]int64{}
-	for _, kind := range []string{"edge", "store", "cairn"} {
+	for _, kind := range []string{"edge", "store", "core"} {
 		var heap, resident, sent, bytes, syncs int64
 		count := 0
 		for _, name := range c.Names(kind) {
@@ -30,7 +28,7 @@
 			}
 		}
 		sums["syncs"] += syncs
-		fmt.Fprintf(&out, "figures  %d %ss: largest resident %.1f MiB, heap %.1f MiB; messages %d, bytes sent %.2f MiB, syncs %d\n", count, kindWords[kind], float64(resident)/(1<<20), float64(heap)/(1<<20), sent, float64(bytes)/(1<<20), syncs)
+		fmt.Fprintf(&out, "figures  %d %ss: largest resident %.1f MiB, heap %.1f MiB; messages %d, bytes sent %.2f MiB, syncs %d\n", count, kind, float64(resident)/(1<<20), float64(heap)/(1<<20), sent, float64(bytes)/(1<<20), syncs)
 		sums[kind+" syncs"] = syncs
 	}
 	if entries := sums["entries_confirmed"]; entries > 0 {
--- a/proof/localfleet/localfleet.go
+++ b/proof/localfleet/localfleet.go
@@ -142,7 +142,7 @@
 		}
 		return nil
 	}
-	if err := lay("cairn", "core", c.Spec.Cores); err != nil {
+	if err := lay("core", "core", c.Spec.Cores); err != nil {
 		return err
 	}
 	var seeds []string
@@ -281,7 +281,7 @@
 	delete(c.daemons, name)
 	c.mu.Unlock()
 	d.args = append(d.args, "-seeds", "")
-	c.Reseed(fresh, c.Names("cairn"))
+	c.Reseed(fresh, c.Names("core"))
 	return d, c.Run(fresh)
 }
 
--- a/proof/localfleet/localfleet_test.go
+++ b/proof/localfleet/localfleet_test.go
@@ -64,7 +64,7 @@
 // badSettings starts daemons with settings that are wrong: each names every
 // fault and ends with code 2.
 func badSettings(t *testing.T, bin string) {
-	for _, program := range []string{"edge", "store", "cairn"} {
+	for _, program := range []string{"edge", "store", "core"} {
 		out, err := exec.Command(filepath.Join(bin, program), "-zone", "z", "-peer", "nowhere", "-colour", "red").CombinedOutput()
 		var exit *exec.ExitError
 		if !errors.As(err, &exit) || exit.ExitCode() != 2 || !strings.Contains(string(out), "colour") {
