--- /dev/null
+++ b/cmd/tuliprudderctl/address_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestTheOldAddressVariableIsReadWithAWarning(t *testing.T) {
+	for _, c := range []struct {
+		name, current, old, want string
+		warned                   bool
+	}{
+		{"neither", "", "", "", false},
+		{"the new one", "1.2.3.4:1", "", "1.2.3.4:1", false},
+		{"the old one", "", "1.2.3.4:2", "1.2.3.4:2", true},
+		{"both", "1.2.3.4:1", "1.2.3.4:2", "1.2.3.4:1", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			environment := map[string]string{addressVariable: c.current, oldAddressVariable: c.old}
+			var warnings strings.Builder
+			got := defaultAddress(&warnings, func(name string) string { return environment[name] })
+			if got != c.want || (warnings.Len() > 0) != c.warned {
+				t.Fatalf("address %q, warnings %q", got, warnings.String())
+			}
+		})
+	}
+}
--- a/cmd/waymark/main.go
+++ b/cmd/tuliprudderctl/main.go
@@ -1,4 +1,4 @@
-// Program waymark is the operators' command line (DESIGN §8).
+// Program tuliprudderctl is the operators' command line (DESIGN §8).
 package main
 
 import (
@@ -50,7 +50,7 @@
 // complain names the fault, its parts and the remedy.
 func (t *tool) complain(w io.Writer, err error) {
 	m := errs.Of(err)
-	fmt.Fprintf(w, "waymark: %s: %s\n", m.Kind, m.Message)
+	fmt.Fprintf(w, "tuliprudderctl: %s: %s\n", m.Kind, m.Message)
 	for _, fault := range m.Faults {
 		fmt.Fprintf(w, "  %s\n", fault)
 	}
@@ -58,11 +58,11 @@
 }
 
 func wrong(format string, args ...any) error {
-	return errs.New(errs.BadSettings, "see waymark -help", format, args...)
+	return errs.New(errs.BadSettings, "see tuliprudderctl -help", format, args...)
 }
 
 func (t *tool) command(name, usage, help string, run func(args []string) error) *ffcli.Command {
-	return &ffcli.Command{Name: name, ShortUsage: "waymark -at ADDRESS " + usage, ShortHelp: help, Exec: func(_ context.Context, args []string) error {
+	return &ffcli.Command{Name: name, ShortUsage: "tuliprudderctl -at ADDRESS " + usage, ShortHelp: help, Exec: func(_ context.Context, args []string) error {
 		if _, err := netip.ParseAddrPort(t.at); err != nil {
 			return wrong("-at %q is not an IP number with a port; name any daemon's http address", t.at)
 		}
@@ -71,11 +71,11 @@
 }
 
 func (t *tool) root() *ffcli.Command {
-	flags := flag.NewFlagSet("waymark", flag.ContinueOnError)
-	flags.StringVar(&t.at, "at", os.Getenv("WAYMARK_AT"), "http address of any daemon, IP:port")
+	flags := flag.NewFlagSet("tuliprudderctl", flag.ContinueOnError)
+	flags.StringVar(&t.at, "at", defaultAddress(os.Stderr, os.Getenv), "http address of any daemon, IP:port")
 	flags.StringVar(&t.by, "by", os.Getenv("USER"), "who puts a plan, for its record")
 	plan := t.planCommand()
-	return &ffcli.Command{Name: "waymark", FlagSet: flags, ShortUsage: "waymark -at ADDRESS COMMAND", Subcommands: []*ffcli.Command{
+	return &ffcli.Command{Name: "tuliprudderctl", FlagSet: flags, ShortUsage: "tuliprudderctl -at ADDRESS COMMAND", Subcommands: []*ffcli.Command{
 		plan,
 		t.command("daemons", "daemons", "list the daemons and their standing", t.daemons),
 		t.command("servers", "servers", "list the model servers as a daemon sees them", t.servers),
@@ -96,6 +96,24 @@
 	}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 }
 
+// addressVariable names a daemon's address where -at is left out; the spelling of
+// the release before is read for this one, with a warning.
+const (
+	addressVariable    = "TULIPRUDDERCTL_AT"
+	oldAddressVariable = "WAYMARK_AT"
+)
+
+func defaultAddress(warnings io.Writer, getenv func(string) string) string {
+	if address := getenv(addressVariable); address != "" {
+		return address
+	}
+	address := getenv(oldAddressVariable)
+	if address != "" {
+		fmt.Fprintf(warnings, "tuliprudderctl: %s is now %s; the old name is read for one release\n", oldAddressVariable, addressVariable)
+	}
+	return address
+}
+
 // ask asks a daemon; a typed error comes back as one.
 func (t *tool) ask(at, method, path string, body []byte, into any) error {
 	request, err := http.NewRequest(method, "http://"+at+path, bytes.NewReader(body))
--- a/cmd/waymark/plan.go
+++ b/cmd/tuliprudderctl/plan.go
@@ -19,17 +19,17 @@
 )
 
 func (t *tool) planCommand() *ffcli.Command {
-	putFlags := flag.NewFlagSet("waymark plan put", flag.ContinueOnError)
+	putFlags := flag.NewFlagSet("tuliprudderctl plan put", flag.ContinueOnError)
 	base := putFlags.String("base", "", "the version the plan was made from; another in force turns it away")
 	put := t.command("put", "plan put [-base VERSION] FILE", "check a plan and put it in force", func(args []string) error { return t.putPlan(args, *base) })
 	put.FlagSet = putFlags
-	return &ffcli.Command{Name: "plan", ShortUsage: "waymark -at ADDRESS plan COMMAND", ShortHelp: "put, get, list, check and compare plans", Subcommands: []*ffcli.Command{
+	return &ffcli.Command{Name: "plan", ShortUsage: "tuliprudderctl -at ADDRESS plan COMMAND", ShortHelp: "put, get, list, check and compare plans", Subcommands: []*ffcli.Command{
 		put,
 		t.command("get", "plan get [VERSION]", "print the plan in force, or a version", t.getPlan),
 		t.command("list", "plan list", "list the versions", t.listPlans),
 		t.importCommand(),
 		t.command("diff", "plan diff VERSION VERSION|FILE", "what changes from one to the other", t.diffPlans),
-		{Name: "check", ShortUsage: "waymark plan check FILE", ShortHelp: "check a plan file without a fleet", Exec: func(_ context.Context, args []string) error {
+		{Name: "check", ShortUsage: "tuliprudderctl plan check FILE", ShortHelp: "check a plan file without a fleet", Exec: func(_ context.Context, args []string) error {
 			data, err := file(args)
 			if err != nil {
 				return err
@@ -46,7 +46,7 @@
 // importCommand turns an OpenAPI file into routes, shows what changes, and puts
 // the plan only when told to.
 func (t *tool) importCommand() *ffcli.Command {
-	flags := flag.NewFlagSet("waymark plan import", flag.ContinueOnError)
+	flags := flag.NewFlagSet("tuliprudderctl plan import", flag.ContinueOnError)
 	put := flags.Bool("put", false, "put the plan; without it nothing changes")
 	command := t.command("import", "plan import [-put] FILE", "routes from an OpenAPI file into the plan in force", func(args []string) error {
 		data, err := file(args)
