--- a/cmd/basecamp/main.go
+++ b/cmd/localfleet/main.go
@@ -1,4 +1,4 @@
-// Program basecamp runs a whole deployment on this machine, serves callers, may
+// Program localfleet runs a whole deployment on this machine, serves callers, may
 // cause a failure on the way, and prints a verdict promise by promise (DESIGN
 // §11).
 package main
@@ -19,18 +19,18 @@
 
 func main() {
 	var set faultinject.Settings
-	r := settings.New("basecamp")
+	r := settings.New("localfleet")
 	set.Flags(r)
 	stay := r.Flags.Bool("stay", false, "boot, put the plan, and stay until interrupted")
 	r.MustParse(os.Args[1:])
 	if err := run(set, *stay); err != nil {
-		fmt.Fprintln(os.Stderr, "basecamp:", err)
+		fmt.Fprintln(os.Stderr, "localfleet:", err)
 		os.Exit(1)
 	}
 }
 
 func run(set faultinject.Settings, stay bool) error {
-	dir, err := os.MkdirTemp("", "basecamp-")
+	dir, err := os.MkdirTemp("", "localfleet-")
 	if err != nil {
 		return err
 	}
