--- a/cmd/avalanche/main.go
+++ b/cmd/zonedrill/main.go
@@ -1,4 +1,4 @@
-// Program avalanche is the zone drill (DESIGN §9): it takes a zone out of a
+// Program zonedrill is the zone drill (DESIGN §9): it takes a zone out of a
 // running fleet while callers call, brings it back, and checks every promise. It
 // ends with 1 on a breach.
 package main
@@ -22,7 +22,7 @@
 
 func main() {
 	var set faultinject.Settings
-	r := settings.New("avalanche")
+	r := settings.New("zonedrill")
 	set.Flags(r)
 	way := r.Flags.String("way", "kill", "how the zone goes: kill, cut (its daemons live on) or wipe (its stores' disks too)")
 	planted := r.Flags.String("planted", "", "build the stores with this fault, to see the drill catch it: one-disk or early")
@@ -35,13 +35,13 @@
 	r.MustParse(os.Args[1:])
 	set.Fault = ways[*way]
 	if err := run(set, *way, *planted); err != nil {
-		fmt.Fprintln(os.Stderr, "avalanche:", err)
+		fmt.Fprintln(os.Stderr, "zonedrill:", err)
 		os.Exit(1)
 	}
 }
 
 func run(set faultinject.Settings, way, planted string) error {
-	dir, err := os.MkdirTemp("", "avalanche-")
+	dir, err := os.MkdirTemp("", "zonedrill-")
 	if err != nil {
 		return err
 	}
