--- a/cmd/localfleet/main.go
+++ b/cmd/localfleet/main.go
@@ -60,7 +60,7 @@
 	}
 	fmt.Printf("%s: ready %.1f s after boot\n", set.Name, time.Since(began).Seconds())
 	if stay {
-		for _, kind := range []string{"core", "store", "edge", "scree"} {
+		for _, kind := range []string{"core", "store", "edge", "modelserver"} {
 			for _, name := range c.Names(kind) {
 				fmt.Printf("  %-10s http %s\n", name, c.Get(name).HTTP)
 			}
--- a/cmd/scree/main.go
+++ b/cmd/modelserver/main.go
@@ -1,4 +1,4 @@
-// Program scree is a stand-in model server (DESIGN §9): uneven speed, slots, a
+// Program modelserver is a stand-in model server (DESIGN §9): uneven speed, slots, a
 // prefix cache, and faults on demand. It logs every start.
 package main
 
@@ -31,9 +31,9 @@
 
 func main() {
 	var set options
-	r := settings.New("scree")
+	r := settings.New("modelserver")
 	r.Flags.StringVar(&set.listen, "listen", "", "address to serve on, IP:port")
-	r.Flags.StringVar(&set.name, "name", "scree", "name of the server in its log")
+	r.Flags.StringVar(&set.name, "name", "modelserver", "name of the server in its log")
 	r.Flags.StringVar(&set.starts, "starts", "", "file that every start is logged to")
 	r.Int(&set.slots, "slots", 8, 1, 10_000, "orders that run at once")
 	r.Int(&set.queue, "queue", 64, 0, 100_000, "orders that wait; more are turned away")
@@ -43,12 +43,12 @@
 	r.Int(&set.pieces, "pieces", 6, 1, 10_000, "pieces of an answer")
 	r.Check(func() { r.Address("listen", set.listen) })
 	r.MustParse(os.Args[1:])
-	logging.Open(os.Stderr, "scree", set.name)
+	logging.Open(os.Stderr, "modelserver", set.name)
 	s := &server{set: set, line: newLine(int(set.slots))}
 	if set.starts != "" {
 		file, err := os.OpenFile(set.starts, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "scree:", err)
+			fmt.Fprintln(os.Stderr, "modelserver:", err)
 			os.Exit(1)
 		}
 		s.log = file
@@ -61,7 +61,7 @@
 	var ends cleanup.Stack
 	defer ends.Run()
 	if err := front.Start(&ends); err != nil {
-		fmt.Fprintln(os.Stderr, "scree:", err)
+		fmt.Fprintln(os.Stderr, "modelserver:", err)
 		os.Exit(1)
 	}
 	signals := make(chan os.Signal, 1)
@@ -113,7 +113,7 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	fmt.Fprintf(w, "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running{model_name=\"m\"} %d\n", s.running.Load())
 	fmt.Fprintf(w, "# TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting{model_name=\"m\"} %d\n", s.waiting.Load())
-	fmt.Fprintf(w, "# TYPE scree:prefix_hits gauge\nscree:prefix_hits %d\n", s.hits.Load())
+	fmt.Fprintf(w, "# TYPE modelserver:prefix_hits gauge\nscree:prefix_hits %d\n", s.hits.Load())
 	return nil
 }
 
--- a/proof/faultinject/faults.go
+++ b/proof/faultinject/faults.go
@@ -177,7 +177,7 @@
 		return verify.Verdict{}, err
 	}
 	var files []string
-	for _, name := range c.Names("scree") {
+	for _, name := range c.Names("modelserver") {
 		files = append(files, c.StartsFile(name))
 	}
 	starts, err := verify.ReadStarts(files)
@@ -302,7 +302,7 @@
 }
 
 func (s *scene) edge() (string, error)      { return s.c.Names("edge")[0], nil }
-func (s *scene) anyServer() (string, error) { return s.c.Names("scree")[0], nil }
+func (s *scene) anyServer() (string, error) { return s.c.Names("modelserver")[0], nil }
 
 type pick func() (string, error)
 
@@ -614,7 +614,7 @@
 // until nothing may start there any more, replaced, and marked as staying.
 func (s *scene) roll(count int) error {
 	edges := s.c.Names("edge")
-	names := s.c.Names("scree")
+	names := s.c.Names("modelserver")
 	for i := 0; i < min(count, len(names)-1); i++ {
 		name, edge := names[i], edges[i%len(edges)]
 		mark := func(leaving bool) error {
--- a/proof/localfleet/localfleet.go
+++ b/proof/localfleet/localfleet.go
@@ -106,7 +106,7 @@
 	if d.HTTP, err = port(ip); err != nil {
 		return nil, err
 	}
-	if kind != "scree" {
+	if kind != "modelserver" {
 		listen, err := port(ip)
 		if err != nil {
 			return nil, err
@@ -155,12 +155,12 @@
 	if err := lay("edge", "edge", c.Spec.Edges); err != nil {
 		return err
 	}
-	if err := lay("scree", "server", c.Spec.Servers); err != nil {
+	if err := lay("modelserver", "server", c.Spec.Servers); err != nil {
 		return err
 	}
 	for i, d := range all {
-		if d.Kind == "scree" {
-			d.args = c.screeArgs(d, i)
+		if d.Kind == "modelserver" {
+			d.args = c.modelServerArgs(d, i)
 		} else {
 			d.args = append(d.args, "-seeds", strings.Join(seeds[:3], ","))
 		}
@@ -171,8 +171,8 @@
 	return nil
 }
 
-// screeArgs makes servers uneven in speed and slots.
-func (c *Camp) screeArgs(d *Daemon, i int) []string {
+// modelServerArgs makes servers uneven in speed and slots.
+func (c *Camp) modelServerArgs(d *Daemon, i int) []string {
 	return []string{"-listen", d.HTTP, "-name", d.Name, "-starts", c.StartsFile(d.Name), "-slots", fmt.Sprint(c.Spec.Slots),
 		"-piece-us", fmt.Sprint(c.Spec.PieceUS * int64(2+i%3) / 3), "-pieces", fmt.Sprint(c.Spec.Pieces), "-prefill-us", fmt.Sprint(5 * c.Spec.PieceUS)}
 }
@@ -388,7 +388,7 @@
 // ServerList is the platform's list for this camp.
 func (c *Camp) ServerList() map[string]any {
 	servers := []map[string]any{}
-	for i, name := range c.Names("scree") {
+	for i, name := range c.Names("modelserver") {
 		servers = append(servers, map[string]any{"name": name, "address": c.Get(name).HTTP, "slots": c.Spec.Slots,
 			"labels": map[string]string{"fleet": "main", "weights": "w1", "half": fmt.Sprint(i % 2)}})
 	}
