--- a/cmd/rambler/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Program rambler is stand-in callers for a fleet that runs already (DESIGN §9).
+// Program loadgen is stand-in callers for a fleet that runs already (DESIGN §9).
 package main
 
 import (
@@ -16,7 +16,7 @@
 
 func main() {
 	var set faultinject.Settings
-	r := settings.New("rambler")
+	r := settings.New("loadgen")
 	set.Flags(r)
 	edges := r.Flags.String("at", "", "http addresses of edges, by comma")
 	starts := r.Flags.String("starts", "", "the servers' logs of starts, by comma")
@@ -32,7 +32,7 @@
 	tour.Run(ctx)
 	log, err := verify.ReadStarts(strings.Split(*starts, ","))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "rambler:", err)
+		fmt.Fprintln(os.Stderr, "loadgen:", err)
 		os.Exit(1)
 	}
 	verdict := tour.Judge(log, nil)
