--- a/cmd/belvedere/main.go
+++ b/cmd/capacity/main.go
@@ -1,4 +1,4 @@
-// Program belvedere is the hollow fleet: capacity measurements of the decision
+// Program capacity is the hollow fleet: capacity measurements of the decision
 // machines of many daemons in one process under virtual time (docs/CAPACITY.md).
 package main
 
@@ -22,7 +22,7 @@
 // reader knows the settings and checks them together.
 func reader() (*settings.Reader, *options) {
 	set := &options{}
-	r := settings.New("belvedere")
+	r := settings.New("capacity")
 	s := &set.Settings
 	r.Int(&s.Daemons, "daemons", 30, 5, 1000, "daemons in all: cores, stores, and edges for the rest")
 	r.Int(&s.Stores, "stores", 0, 0, 500, "stores; 0: two in seven of the daemons, at least three")
@@ -97,7 +97,7 @@
 	}
 	r, set := reader()
 	r.MustParse(os.Args[1:])
-	logging.Open(io.Discard, "belvedere", "") // the libraries' own log would stand between the lines of the table
+	logging.Open(io.Discard, "capacity", "") // the libraries' own log would stand between the lines of the table
 	for seed := set.first; seed < set.first+set.seeds; seed++ {
 		set.Seed = seed
 		fmt.Fprintf(os.Stderr, "%d daemons (%d edges of which %d whole, %d stores, %d cores), %d servers, %d changes an hour, %d items a second, seed %d\n",
@@ -115,7 +115,7 @@
 }
 
 func fail(err error) {
-	fmt.Fprintln(os.Stderr, "belvedere:", err)
+	fmt.Fprintln(os.Stderr, "capacity:", err)
 	os.Exit(1)
 }
 
--- a/cmd/belvedere/page.go
+++ b/cmd/capacity/page.go
@@ -11,7 +11,7 @@
 
 // page works the tables of the capacity page out anew from the committed runs.
 func page(args []string) {
-	r := settings.New("belvedere page")
+	r := settings.New("capacity page")
 	tables := r.Flags.String("tables", "docs/capacity", "folder of the runs' tables")
 	path := r.Flags.String("page", "docs/CAPACITY.md", "the page")
 	r.MustParse(args)
--- a/docs/capacity/runs.sh
+++ b/docs/capacity/runs.sh
@@ -7,12 +7,12 @@
 export GOMAXPROCS=1
 bin=$(mktemp -d)
 trap 'rm -r "$bin"' EXIT
-go build -o "$bin/belvedere" ./cmd/belvedere
+go build -o "$bin/capacity" ./cmd/capacity
 groups=${*:-changes items servers busy presses daemons}
 run() {
   local group=$1
   shift
-  "$bin/belvedere" -out "docs/capacity/$group.csv" -kinds "docs/capacity/$group-kinds.csv" "$@"
+  "$bin/capacity" -out "docs/capacity/$group.csv" -kinds "docs/capacity/$group-kinds.csv" "$@"
 }
 for group in $groups; do
   rm -f "docs/capacity/$group.csv" "docs/capacity/$group-kinds.csv"
@@ -39,4 +39,4 @@
     ;;
   esac
 done
-go run ./cmd/belvedere page
+go run ./cmd/capacity page
--- a/proof/capacitymodel/model_test.go
+++ b/proof/capacitymodel/model_test.go
@@ -129,10 +129,10 @@
 		old, fresh := strings.Split(string(page), "\n"), strings.Split(again, "\n")
 		for i := range min(len(old), len(fresh)) {
 			if old[i] != fresh[i] {
-				t.Fatalf("line %d of docs/CAPACITY.md says\n%s\nthe runs say\n%s\nrun: go run ./cmd/belvedere page", i+1, old[i], fresh[i])
+				t.Fatalf("line %d of docs/CAPACITY.md says\n%s\nthe runs say\n%s\nrun: go run ./cmd/capacity page", i+1, old[i], fresh[i])
 			}
 		}
-		t.Fatal("docs/CAPACITY.md is shorter or longer than the runs make it; run: go run ./cmd/belvedere page")
+		t.Fatal("docs/CAPACITY.md is shorter or longer than the runs make it; run: go run ./cmd/capacity page")
 	}
 	for _, group := range Groups {
 		if len(tables.Runs[group]) == 0 && group != "full" {
