--- a/cmd/modelserver/main.go
+++ b/cmd/modelserver/main.go
@@ -113,7 +113,7 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	fmt.Fprintf(w, "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running{model_name=\"m\"} %d\n", s.running.Load())
 	fmt.Fprintf(w, "# TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting{model_name=\"m\"} %d\n", s.waiting.Load())
-	fmt.Fprintf(w, "# TYPE modelserver:prefix_hits gauge\nscree:prefix_hits %d\n", s.hits.Load())
+	fmt.Fprintf(w, "# TYPE modelserver:prefix_hits gauge\nmodelserver:prefix_hits %d\n", s.hits.Load())
 	return nil
 }
 
