--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -44,10 +44,10 @@
 		return err
 	}
 	edge := roles.NewEdge(l, set)
-	front := &gate.Gate{Set: gate.Defaults(), Machine: l.Porter.AskUntil, Word: l.Porter.Word, Clock: l.Porter.Now}
+	front := &gate.Gate{Set: gate.Defaults(), Machine: l.Porter.AskUntil, Word: l.Porter.Notify, Clock: l.Porter.Now}
 	front.Routes(l.Porch)
 	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(now clock.Micros) {
+		l.Porter.WithMachine(func(now clock.Micros) {
 			switch {
 			case edge.Dispatch.Plan() == nil:
 				why = "no plan has arrived yet"
@@ -60,7 +60,7 @@
 		return why
 	}
 	l.OnDrain(func() {
-		l.Porter.Word(machines.Close{})
+		l.Porter.Notify(machines.Close{})
 		host.Wait(6*clock.Second, func() bool { return l.Porch.Open() == 0 })
 	})
 	return l.Run()
--- a/cmd/store/main.go
+++ b/cmd/store/main.go
@@ -44,9 +44,9 @@
 	books := daemon.Keeper
 	plant(books, daemon.Folder, common.Data)
 	l.OnDrain(func() {
-		l.Porter.Word(store.Drain{})
+		l.Porter.Notify(store.Drain{})
 		host.Wait(7*clock.Second, func() (gone bool) {
-			l.Porter.Inside(func(clock.Micros) { gone = books.Owned() == 0 })
+			l.Porter.WithMachine(func(clock.Micros) { gone = books.Owned() == 0 })
 			return gone
 		})
 	})
--- a/cmd/tuliprudderctl/main.go
+++ b/cmd/tuliprudderctl/main.go
@@ -183,7 +183,7 @@
 	Draining bool   `json:"draining"`
 }
 
-func (t *tool) folk() ([]daemon, error) {
+func (t *tool) members() ([]daemon, error) {
 	var got struct {
 		Daemons []daemon `json:"daemons"`
 	}
@@ -192,12 +192,12 @@
 }
 
 func (t *tool) daemons([]string) error {
-	folk, err := t.folk()
+	members, err := t.members()
 	if err != nil {
 		return err
 	}
 	rows := [][]string{{"ID", "ROLE", "ZONE", "STANDING", "HTTP"}}
-	for _, d := range folk {
+	for _, d := range members {
 		standing := d.Standing
 		if d.Draining {
 			standing += ", draining"
@@ -349,12 +349,12 @@
 // first asks the sound daemons of some kinds one after the other, and prints the
 // first good answer.
 func (t *tool) first(path string, kinds ...string) error {
-	folk, err := t.folk()
+	members, err := t.members()
 	if err != nil {
 		return err
 	}
 	err = errs.New(errs.NotReady, "start one", "no sound daemon is known that is one of: %s", roleNames(kinds))
-	for _, d := range folk {
+	for _, d := range members {
 		if d.Standing != "sound" || !slices.Contains(kinds, d.Kind) {
 			continue
 		}
@@ -435,12 +435,12 @@
 
 // risks gathers what the daemons count that puts promises at risk.
 func (t *tool) risks([]string) error {
-	folk, err := t.folk()
+	members, err := t.members()
 	if err != nil {
 		return err
 	}
 	rows := [][]string{{"DAEMON", "RISK", "VALUE"}}
-	for _, d := range folk {
+	for _, d := range members {
 		if d.Standing != "sound" {
 			rows = append(rows, []string{d.ID, "standing", d.Standing})
 			continue
--- a/core/control/configurations.go
+++ b/core/control/configurations.go
@@ -149,12 +149,12 @@
 	}
 	if latest, ok := s.state.Latest(); ok && latest.Number > s.published.plan {
 		s.published.plan = latest.Number
-		s.Emit(machine.Publish{Rumour: planNews(latest)})
+		s.Emit(machine.Publish{Update: planNews(latest)})
 	}
 	if s.state.Seq > s.published.seq {
 		s.published.seq = s.state.Seq
 		value, _ := json.Marshal(s.state.Map())
-		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: state.MapKey, Seq: s.state.Seq, Value: value}})
+		s.Emit(machine.Publish{Update: machine.Update{Key: state.MapKey, Seq: s.state.Seq, Value: value}})
 	}
 	if epoch := s.group().Epoch; epoch > s.published.epoch {
 		s.published.epoch = epoch
@@ -163,11 +163,11 @@
 			core.Cores, core.Seats = append(core.Cores, ref.Peer), append(core.Seats, ref.ID)
 		}
 		value, _ := json.Marshal(core)
-		s.Emit(machine.Publish{Rumour: machine.Rumour{Key: state.CoreKey, Epoch: epoch, Value: value}})
+		s.Emit(machine.Publish{Update: machine.Update{Key: state.CoreKey, Epoch: epoch, Value: value}})
 	}
 }
 
-func planNews(version state.Version) machine.Rumour {
+func planNews(version state.Version) machine.Update {
 	value, _ := json.Marshal(version)
-	return machine.Rumour{Key: state.PlanKey, Seq: version.Number, Value: value}
+	return machine.Update{Key: state.PlanKey, Seq: version.Number, Value: value}
 }
--- a/core/control/core.go
+++ b/core/control/core.go
@@ -114,7 +114,7 @@
 	// Counters for the operators.
 	Claims, Takeovers, Changes int64
 	BadRecord                  error
-	listed                     map[string]machine.Rumour // the platform's words on servers
+	listed                     map[string]machine.Update // the platform's words on servers
 	retold                     bool
 	fresh                      clock.Micros // up to when its news include what most of the roll knew
 }
@@ -122,7 +122,7 @@
 // New makes a core from what was read back from its disk.
 func New(self CoreRef, life uint64, seeds []string, set Settings, records []machine.Record) *Core {
 	s := &Core{set: set, self: self, life: life, seeds: seeds, state: state.New(),
-		cores: map[string]heardCore{}, stores: map[string]heardStore{}, suspects: map[string]bool{}, apart: map[[2]string]clock.Micros{}, listed: map[string]machine.Rumour{}}
+		cores: map[string]heardCore{}, stores: map[string]heardStore{}, suspects: map[string]bool{}, apart: map[[2]string]clock.Micros{}, listed: map[string]machine.Update{}}
 	s.groups = replication.NewGroups(&s.Out, s)
 	for _, record := range records {
 		if record.Unit == unitVote {
@@ -228,7 +228,7 @@
 	}
 	if latest, ok := s.state.Latest(); ok && c.put != nil {
 		s.published.plan = max(s.published.plan, latest.Number)
-		s.Emit(machine.Spread{Rumour: planNews(latest), Call: c.call, Body: c.body(), Expiry: spreadFor})
+		s.Emit(machine.Broadcast{Update: planNews(latest), Call: c.call, Body: c.body(), Expiry: spreadFor})
 		return
 	}
 	s.Emit(machine.Answer{Call: c.call, Body: c.body()})
--- a/core/control/core_test.go
+++ b/core/control/core_test.go
@@ -34,7 +34,7 @@
 	drop    func(l letter) bool
 	calls   uint64
 	answers map[uint64]machine.Answer
-	spreads []machine.Spread
+	spreads []machine.Broadcast
 }
 
 func newBench(set Settings) *bench {
@@ -65,7 +65,7 @@
 			b.take(peer, b.cores[peer].Do(Stored{e.Token}, b.now))
 		case machine.Answer:
 			b.answers[e.Call] = e
-		case machine.Spread:
+		case machine.Broadcast:
 			b.spreads = append(b.spreads, e)
 			b.answers[e.Call] = machine.Answer{Call: e.Call, Body: e.Body}
 		}
--- a/core/control/listed.go
+++ b/core/control/listed.go
@@ -21,7 +21,7 @@
 )
 
 // Listed is the platform's word on a server, as the news have it.
-type Listed struct{ Rumour machine.Rumour }
+type Listed struct{ Rumour machine.Update }
 
 // Apply writes it down where it is newer.
 func (l Listed) Apply(s *Core, now clock.Micros) {
@@ -36,14 +36,14 @@
 	s.groups.Store([]machine.Record{listedRecord(l.Rumour)}, nil)
 }
 
-func listedRecord(rumour machine.Rumour) machine.Record {
+func listedRecord(rumour machine.Update) machine.Record {
 	body, _ := json.Marshal(rumour)
 	return machine.Record{Unit: unitListed, Kind: kindListed, Epoch: rumour.Epoch, Seq: rumour.Seq, Body: body}
 }
 
 // relist reads one back.
 func (s *Core) relist(record machine.Record) {
-	var rumour machine.Rumour
+	var rumour machine.Update
 	if err := json.Unmarshal(record.Body, &rumour); err != nil {
 		s.BadRecord = err
 		return
@@ -60,7 +60,7 @@
 	}
 	s.retold = true
 	for _, key := range s.listedInOrder() {
-		s.Emit(machine.Publish{Rumour: s.listed[key]})
+		s.Emit(machine.Publish{Update: s.listed[key]})
 	}
 }
 
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -86,19 +86,19 @@
 
 func (o *Admin) daemons(w http.ResponseWriter, r *http.Request) error {
 	out := []map[string]any{}
-	for _, p := range o.Porter.Folk() {
+	for _, p := range o.Porter.Members() {
 		out = append(out, map[string]any{"id": p.ID, "kind": p.Kind, "zone": p.Zone, "peer": p.Peer, "http": p.HTTP,
-			"incarnation": p.Incarnation, "standing": p.Standing.String(), "draining": p.Draining})
+			"incarnation": p.Incarnation, "standing": p.Status.String(), "draining": p.Draining})
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"daemons": out})
 }
 
 func (o *Admin) news(key string, into any, what string) error {
-	rumour, ok := o.Porter.News(key)
+	update, ok := o.Porter.Update(key)
 	if !ok {
 		return errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started, or none was ever put", "no %s has arrived yet", what)
 	}
-	return json.Unmarshal(rumour.Value, into)
+	return json.Unmarshal(update.Value, into)
 }
 
 func (o *Admin) chartMap(w http.ResponseWriter, r *http.Request) error {
@@ -201,8 +201,8 @@
 
 func (o *Admin) store(w http.ResponseWriter, r *http.Request) error {
 	id := pathvar.Vars(r)["id"]
-	for _, person := range o.Porter.Folk() {
-		if person.ID != id {
+	for _, member := range o.Porter.Members() {
+		if member.ID != id {
 			continue
 		}
 		var got any
@@ -210,7 +210,7 @@
 		if id == o.Porter.Who.ID {
 			got, err = o.Porter.AskHere(store.ShowAsk{})
 		} else {
-			got, err = o.Porter.Transport.Ask(person.Peer, store.ShowAsk{}, 2*clock.Second)
+			got, err = o.Porter.Transport.Ask(member.Peer, store.ShowAsk{}, 2*clock.Second)
 		}
 		if err != nil {
 			return err
@@ -246,13 +246,13 @@
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"store": receipt.ID, "retired": receipt.Done, "slots_left": receipt.Left})
 }
 
-// purse shows the shares held here and the accounts held here.
+// quota shows the shares held here and the accounts held here.
 func (o *Admin) purse(w http.ResponseWriter, r *http.Request) error {
 	if o.Road == nil {
 		return errs.New(errs.NotFound, "ask an edge or a store", "this daemon holds no shares")
 	}
 	var view map[string]any
-	o.Porter.Inside(func(now clock.Micros) { view = o.Road.Purse.View(now) })
+	o.Porter.WithMachine(func(now clock.Micros) { view = o.Road.Purse.View(now) })
 	return httpserver.WriteJSON(w, http.StatusOK, view)
 }
 
@@ -285,7 +285,7 @@
 	var slot int
 	var owner token.Owner
 	var err error
-	o.Porter.Inside(func(clock.Micros) { slot, owner, err = o.Reader.Keeper(id) })
+	o.Porter.WithMachine(func(clock.Micros) { slot, owner, err = o.Reader.Keeper(id) })
 	if err != nil {
 		return err
 	}
@@ -302,7 +302,7 @@
 	}
 	var servers []scheduler.ServerView
 	var waiting map[string]int
-	o.Porter.Inside(func(clock.Micros) { servers, waiting = o.Road.Dispatch.View() })
+	o.Porter.WithMachine(func(clock.Micros) { servers, waiting = o.Road.Dispatch.View() })
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"servers": servers, "waiting": waiting})
 }
 
@@ -358,12 +358,12 @@
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"servers": len(body.Servers)})
 }
 
-// known is the platform's list as the news have it.
+// known is the platform's list as the updates have it.
 func (o *Admin) known() []registry.Server {
 	var out []registry.Server
-	for _, rumour := range o.Porter.Under("server/") {
+	for _, update := range o.Porter.UpdatesUnder("server/") {
 		var server registry.Server
-		if json.Unmarshal(rumour.Value, &server) == nil {
+		if json.Unmarshal(update.Value, &server) == nil {
 			out = append(out, server)
 		}
 	}
@@ -377,13 +377,13 @@
 // tellServers spreads the newest words on servers, and waits until most of the
 // fleet know each: from then on the promise counts.
 func (o *Admin) tellServers(servers []registry.Server) error {
-	if err := o.Porter.Reaches(); err != nil {
+	if err := o.Porter.CheckQuorumContact(); err != nil {
 		return err
 	}
 	words := make(chan error, len(servers))
 	for _, server := range servers {
-		known, _ := o.Porter.News(registry.ServerKey(server.Name))
-		go func() { words <- o.Porter.Spread(registry.Word(server, known, o.Porter.Now()), spreadFor) }()
+		known, _ := o.Porter.Update(registry.ServerKey(server.Name))
+		go func() { words <- o.Porter.Broadcast(registry.Word(server, known, o.Porter.Now()), spreadFor) }()
 	}
 	var failed error
 	for range servers {
@@ -409,12 +409,12 @@
 		}
 	}
 	name := pathvar.Vars(r)["name"]
-	rumour, ok := o.Porter.News(registry.ServerKey(name))
+	update, ok := o.Porter.Update(registry.ServerKey(name))
 	if !ok {
 		return errs.New(errs.NotFound, "list the servers to see the names there are", "no server %q is on the platform's list", name)
 	}
 	var server registry.Server
-	if err := json.Unmarshal(rumour.Value, &server); err != nil {
+	if err := json.Unmarshal(update.Value, &server); err != nil {
 		return err
 	}
 	server.Leaving = body.Leaving
--- a/daemon/discovery/discovery.go
+++ b/daemon/discovery/discovery.go
@@ -32,7 +32,7 @@
 	return Settings{Every: clock.Second, Late: 1600 * clock.Millisecond, Step: 300 * clock.Millisecond, Wait: 900 * clock.Millisecond}
 }
 
-// StampKey is the news key of the latest reading.
+// StampKey is the update key of the latest reading.
 const StampKey = "lookout"
 
 // Stamp says when the list was read last, and by whom.
@@ -68,16 +68,16 @@
 // turn reads the list if it is due here.
 func (l *Poller) turn() {
 	now := l.Porter.Now()
-	rumour, known := l.Porter.News(StampKey)
-	if known && rumour.Seq > l.heard {
-		l.heard, l.since = rumour.Seq, now
+	update, known := l.Porter.Update(StampKey)
+	if known && update.Seq > l.heard {
+		l.heard, l.since = update.Seq, now
 	}
 	if now < l.next {
 		return
 	}
 	var stamp Stamp
-	json.Unmarshal(rumour.Value, &stamp)
-	if !Due(l.Porter.Who.ID, stamp.By, l.Porter.Folk(), now-l.since, l.Set) {
+	json.Unmarshal(update.Value, &stamp)
+	if !Due(l.Porter.Who.ID, stamp.By, l.Porter.Members(), now-l.since, l.Set) {
 		return
 	}
 	l.next = now + l.Set.Every
@@ -90,32 +90,32 @@
 		return
 	}
 	var servers []registry.Server
-	for _, one := range l.Porter.Under("server/") {
+	for _, one := range l.Porter.UpdatesUnder("server/") {
 		var server registry.Server
 		if json.Unmarshal(one.Value, &server) == nil {
 			servers = append(servers, server)
 		}
 	}
 	for _, server := range Compare(servers, listed, l.missed) {
-		l.Porter.Tell(Word(server, l.Porter.Now()))
+		l.Porter.Publish(Word(server, l.Porter.Now()))
 	}
 	value, _ := json.Marshal(Stamp{By: l.Porter.Who.ID, At: l.Porter.Now()})
 	l.heard, l.since = max(l.heard+1, uint64(l.Porter.Now())), l.Porter.Now()
-	l.Porter.Tell(machine.Rumour{Key: StampKey, Seq: l.heard, Value: value})
+	l.Porter.Publish(machine.Update{Key: StampKey, Seq: l.heard, Value: value})
 }
 
 // Due tells whether a daemon is to read the list: who read it last goes on; when
 // nothing has been heard for a while, the first in the agreed order takes over, the
 // ones after it a little later each.
-func Due(self, last string, folk []identity.Person, silent clock.Micros, set Settings) bool {
+func Due(self, last string, members []identity.Member, silent clock.Micros, set Settings) bool {
 	if last == self {
 		return true
 	}
 	place := 0
 	var ids []string
-	for _, person := range folk {
-		if person.Kind == identity.Core && person.Standing <= identity.Suspect && person.ID != last {
-			ids = append(ids, person.ID)
+	for _, member := range members {
+		if member.Kind == identity.Core && member.Status <= identity.Suspect && member.ID != last {
+			ids = append(ids, member.ID)
 		}
 	}
 	sort.Strings(ids)
@@ -134,9 +134,9 @@
 	wordGone
 )
 
-// Word is the news of a server's state: one that leaves never comes back, whoever
+// Word is the updates of a server's state: one that leaves never comes back, whoever
 // read an older list later.
-func Word(server registry.Server, now clock.Micros) machine.Rumour {
+func Word(server registry.Server, now clock.Micros) machine.Update {
 	value, _ := json.Marshal(server)
 	state := uint64(wordUp)
 	switch {
@@ -145,7 +145,7 @@
 	case server.Leaving:
 		state = wordLeaving
 	}
-	return machine.Rumour{Key: registry.ServerKey(server.Name), Epoch: state, Seq: uint64(now), Value: value}
+	return machine.Update{Key: registry.ServerKey(server.Name), Epoch: state, Seq: uint64(now), Value: value}
 }
 
 // goneAfter is how many readings in a row have to lack a server before it counts
--- a/daemon/discovery/discovery_test.go
+++ b/daemon/discovery/discovery_test.go
@@ -55,16 +55,16 @@
 // One reads; the next in order only after silence, each a little later.
 func TestDue(t *testing.T) {
 	set := Defaults()
-	var folk []identity.Person
+	var members []identity.Member
 	for _, id := range []string{"a", "b", "c"} {
-		folk = append(folk, identity.Person{ID: id, Kind: identity.Core})
+		members = append(members, identity.Member{ID: id, Kind: identity.Core})
 	}
 	for _, c := range []struct {
 		self, last string
 		silent     clock.Micros
 		due        bool
 	}{{"b", "b", 0, true}, {"a", "b", 0, false}, {"a", "b", set.Late, true}, {"c", "b", set.Late, false}, {"c", "b", set.Late + set.Step, true}} {
-		if got := Due(c.self, c.last, folk, c.silent, set); got != c.due {
+		if got := Due(c.self, c.last, members, c.silent, set); got != c.due {
 			t.Errorf("%s after %s read last, %d us silent: due is %v", c.self, c.last, c.silent, got)
 		}
 	}
--- a/daemon/eventloop/identity.go
+++ b/daemon/eventloop/identity.go
@@ -28,13 +28,13 @@
 	return kind + "-" + hex.EncodeToString(random[:])
 }
 
-// Fleeting is the identity of a daemon without a disk.
-func Fleeting(kind string, now clock.Micros) Identity {
+// NewIdentity is the identity of a daemon without a disk.
+func NewIdentity(kind string, now clock.Micros) Identity {
 	return Identity{Kind: kind, ID: newID(kind), Life: uint64(now)}
 }
 
-// Lasting reads the identity from the data folder and begins a new life.
-func Lasting(folder, kind string) (Identity, error) {
+// LoadIdentity reads the identity from the data folder and begins a new life.
+func LoadIdentity(folder, kind string) (Identity, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return Identity{}, errors.Wrap(err, "making the data folder")
 	}
--- a/daemon/eventloop/identity_test.go
+++ b/daemon/eventloop/identity_test.go
@@ -10,15 +10,15 @@
 
 func TestEachStartIsANewLife(t *testing.T) {
 	folder := t.TempDir()
-	first, err := Lasting(folder, "refuge")
+	first, err := LoadIdentity(folder, "refuge")
 	if err != nil {
 		t.Fatal(err)
 	}
-	second, err := Lasting(folder, "refuge")
+	second, err := LoadIdentity(folder, "refuge")
 	if err != nil || second.ID != first.ID || second.Life != first.Life+1 {
 		t.Fatalf("first %+v, second %+v, %v", first, second, err)
 	}
-	other, err := Lasting(t.TempDir(), "refuge")
+	other, err := LoadIdentity(t.TempDir(), "refuge")
 	if err != nil || other.ID == first.ID {
 		t.Fatalf("an empty folder is %+v, %v", other, err)
 	}
@@ -27,16 +27,16 @@
 // A folder that is another's, damaged, or without an owner is never guessed at.
 func TestWrongFolders(t *testing.T) {
 	folder := t.TempDir()
-	if _, err := Lasting(folder, "refuge"); err != nil {
+	if _, err := LoadIdentity(folder, "refuge"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Lasting(folder, "cairn"); !errs.Is(err, errs.WrongFolder) {
+	if _, err := LoadIdentity(folder, "cairn"); !errs.Is(err, errs.WrongFolder) {
 		t.Fatalf("a store's folder for a core: %v", err)
 	}
 	if err := os.WriteFile(filepath.Join(folder, "identity.json"), []byte("{"), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Lasting(folder, "refuge"); !errs.Is(err, errs.Corrupt) {
+	if _, err := LoadIdentity(folder, "refuge"); !errs.Is(err, errs.Corrupt) {
 		t.Fatalf("a damaged identity: %v", err)
 	}
 	os.Remove(filepath.Join(folder, "identity.json"))
@@ -46,7 +46,7 @@
 	if err := os.WriteFile(filepath.Join(folder, "records", "0000000000000001.group"), []byte("x"), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Lasting(folder, "refuge"); !errs.Is(err, errs.Corrupt) {
+	if _, err := LoadIdentity(folder, "refuge"); !errs.Is(err, errs.Corrupt) {
 		t.Fatalf("records without an identity: %v", err)
 	}
 }
--- a/daemon/eventloop/loop.go
+++ b/daemon/eventloop/loop.go
@@ -26,18 +26,18 @@
 	"tuliprudder/membership/identity"
 )
 
-// Machine is what the shell needs of the machine of a daemon's plane.
+// Machine is what the event loop needs of the machine of a daemon's plane.
 type Machine interface {
-	Letter(from string, body any, now clock.Micros) []machine.Effect
+	Message(from string, body any, now clock.Micros) []machine.Effect
 	Stored(token uint64, now clock.Micros) []machine.Effect
-	Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect
+	Heard(update machine.Update, now clock.Micros) []machine.Effect
 	Call(number uint64, body any, now clock.Micros) []machine.Effect
-	Told(token uint64, body any, err error, now clock.Micros) []machine.Effect
+	Answered(token uint64, body any, err error, now clock.Micros) []machine.Effect
 	Fresh(at, now clock.Micros) []machine.Effect
 	ClockEvent(now clock.Micros) []machine.Effect
 }
 
-// Name is the porter's name in the hut.
+// Name is the event loop's name in the service registry.
 const Name = "porter"
 
 const (
@@ -49,7 +49,7 @@
 
 type step func(now clock.Micros) []machine.Effect
 
-// Loop is the shell.
+// Loop is the event loop.
 type Loop struct {
 	Who       Identity
 	Zone      string
@@ -77,17 +77,17 @@
 	exit    func(code int)
 }
 
-// New makes the shell of a daemon.
-func New(person identity.Person, seeds []string, who Identity, log zerolog.Logger) *Loop {
-	p := &Loop{Who: who, Zone: person.Zone, Address: person.Peer, Clock: clock.New(clockwork.NewRealClock()), Log: log, exit: os.Exit,
+// New makes the event loop of a daemon.
+func New(member identity.Member, seeds []string, who Identity, log zerolog.Logger) *Loop {
+	p := &Loop{Who: who, Zone: member.Zone, Address: member.Peer, Clock: clock.New(clockwork.NewRealClock()), Log: log, exit: os.Exit,
 		gossipRing: ring.New[step](ringSize)}
-	p.gossip = gossip.New(person, seeds, gossip.Defaults(), int64(who.Life)^int64(len(who.ID))^time.Now().UnixNano())
-	p.Transport = transport.New(person.Peer, p)
+	p.gossip = gossip.New(member, seeds, gossip.Defaults(), int64(who.Life)^int64(len(who.ID))^time.Now().UnixNano())
+	p.Transport = transport.New(member.Peer, p)
 	return p
 }
 
-// Carry gives the porter the machine of the daemon's plane.
-func (p *Loop) Carry(handler Machine, room *storage.Folder) {
+// SetMachine gives the event loop the machine of the daemon's plane.
+func (p *Loop) SetMachine(handler Machine, room *storage.Folder) {
 	p.machine, p.Folder = handler, room
 	p.protocol, p.disk = ring.New[step](ringSize), ring.New[machine.Effect](diskRing)
 }
@@ -110,9 +110,9 @@
 		threads.Add(1)
 		go func() { defer threads.Done(); f() }()
 	}
-	run(func() { p.turn(p.gossipRing, &p.gossipMu) })
+	run(func() { p.run(p.gossipRing, &p.gossipMu) })
 	if p.machine != nil {
-		run(func() { p.turn(p.protocol, &p.machineMu) })
+		run(func() { p.run(p.protocol, &p.machineMu) })
 		run(p.write)
 	}
 	ends.Push(func() {
@@ -128,7 +128,7 @@
 }
 
 // turn is a protocol thread: it takes steps off its ring, one after the other.
-func (p *Loop) turn(ring *ring.Ring[step], mu *sync.Mutex) {
+func (p *Loop) run(ring *ring.Ring[step], mu *sync.Mutex) {
 	for {
 		steps := ring.Take(256)
 		if steps == nil {
@@ -138,7 +138,7 @@
 			mu.Lock()
 			effects := one(p.Now())
 			mu.Unlock()
-			p.carry(effects)
+			p.execute(effects)
 		}
 	}
 }
@@ -162,7 +162,7 @@
 }
 
 // carry does what a machine decided.
-func (p *Loop) carry(effects []machine.Effect) {
+func (p *Loop) execute(effects []machine.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case machine.Send:
@@ -179,16 +179,16 @@
 				waiting.(chan machine.Answer) <- e
 			}
 		case machine.Publish:
-			p.Tell(e.Rumour)
-		case machine.Spread:
-			p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Spread(e), now) })
+			p.Publish(e.Update)
+		case machine.Broadcast:
+			p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Broadcast(e), now) })
 		case machine.Heard:
 			if p.machine != nil {
-				p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Heard(e.Rumour, now) })
+				p.Enqueue(func(now clock.Micros) []machine.Effect { return p.machine.Heard(e.Update, now) })
 			}
 		case machine.Fresh:
 			if p.machine != nil {
-				p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Fresh(e.At, now) })
+				p.Enqueue(func(now clock.Micros) []machine.Effect { return p.machine.Fresh(e.At, now) })
 			}
 		case machine.Ask:
 			go p.ask(e)
@@ -213,13 +213,13 @@
 	if e.To != "" {
 		body, err = p.Transport.Ask(e.To, e.Body, e.Expiry)
 	}
-	p.Insist(func(now clock.Micros) []machine.Effect { return p.machine.Told(e.Token, body, err, now) })
+	p.EnqueueWait(func(now clock.Micros) []machine.Effect { return p.machine.Answered(e.Token, body, err, now) })
 }
 
-// Insist puts a step for the machine on its ring, and waits where the ring is
+// EnqueueWait puts a step for the machine on its ring, and waits where the ring is
 // full: what it says must not be lost. It gives up once the ring is closed.
-func (p *Loop) Insist(one step) {
-	for !p.Do(one) && !p.protocol.Closed() {
+func (p *Loop) EnqueueWait(one step) {
+	for !p.Enqueue(one) && !p.protocol.Closed() {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -235,7 +235,7 @@
 		var records []machine.Record
 		var tokens []uint64
 		stored := func(done []uint64) {
-			p.Insist(func(now clock.Micros) []machine.Effect {
+			p.EnqueueWait(func(now clock.Micros) []machine.Effect {
 				var out []machine.Effect
 				for _, token := range done {
 					out = append(out, p.machine.Stored(token, now)...)
@@ -281,15 +281,15 @@
 	}
 }
 
-// Do puts a step for the machine on its ring; false when the ring is full.
-func (p *Loop) Do(one step) bool { return p.protocol.Put(one) }
+// Enqueue puts a step for the machine on its ring; false when the ring is full.
+func (p *Loop) Enqueue(one step) bool { return p.protocol.Put(one) }
 
-// Tell spreads news that starts at this daemon.
-func (p *Loop) Tell(rumour machine.Rumour) {
-	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Tell{Rumour: rumour}, now) })
+// Publish spreads updates that starts at this daemon.
+func (p *Loop) Publish(update machine.Update) {
+	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Publish{Update: update}, now) })
 }
 
-// staleAfter is the age of this daemon's news past which it takes no words of the
+// staleAfter is the age of this daemon's updates past which it takes no words of the
 // platform: they might not reach most of the fleet.
 const staleAfter = 2500 * clock.Millisecond
 
@@ -298,8 +298,8 @@
 	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Reseed{Seeds: seeds}, now) })
 }
 
-// Reaches tells whether this daemon hears most of the fleet's roll.
-func (p *Loop) Reaches() error {
+// CheckQuorumContact tells whether this daemon hears most of the fleet's voters.
+func (p *Loop) CheckQuorumContact() error {
 	p.gossipMu.Lock()
 	age := p.Now() - p.gossip.LastSwap()
 	p.gossipMu.Unlock()
@@ -309,14 +309,14 @@
 	return nil
 }
 
-// Spread spreads news that start at this daemon, and waits until most of the
+// Broadcast spreads updates that start at this daemon, and waits until most of the
 // fleet's roll know them.
-func (p *Loop) Spread(rumour machine.Rumour, expiry clock.Micros) error {
+func (p *Loop) Broadcast(update machine.Update, expiry clock.Micros) error {
 	number := p.number.Add(1)
 	answer := make(chan machine.Answer, 1)
 	p.calls.Store(number, answer)
 	if !p.gossipRing.Put(func(now clock.Micros) []machine.Effect {
-		return p.gossip.Do(gossip.Spread{Rumour: rumour, Call: number, Expiry: expiry}, now)
+		return p.gossip.Do(gossip.Broadcast{Update: update, Call: number, Expiry: expiry}, now)
 	}) {
 		p.calls.Delete(number)
 		return errs.Later(errs.Busy, clock.Second, "come back after the time given", "the daemon's ring is full")
@@ -325,29 +325,29 @@
 }
 
 // Deliver takes a message off the wire.
-func (p *Loop) Deliver(letter transport.Envelope) {
-	if ofCircle(letter.Body) {
+func (p *Loop) Deliver(message transport.Envelope) {
+	if isGossip(message.Body) {
 		p.gossipRing.Put(func(now clock.Micros) []machine.Effect {
-			return p.gossip.Do(gossip.Letter{From: letter.From, Body: letter.Body}, now)
+			return p.gossip.Do(gossip.Message{From: message.From, Body: message.Body}, now)
 		})
 		return
 	}
 	if p.machine != nil {
-		p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Letter(letter.From, letter.Body, now) })
+		p.Enqueue(func(now clock.Micros) []machine.Effect { return p.machine.Message(message.From, message.Body, now) })
 	}
 }
 
-func ofCircle(body any) bool {
+func isGossip(body any) bool {
 	switch body.(type) {
-	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
+	case gossip.Gossip, gossip.Digest, gossip.DigestReply, gossip.FetchUpdates, gossip.Announcement, gossip.Probe, gossip.ProbeReply, gossip.IndirectProbe, gossip.IndirectResult, gossip.Shuffle, gossip.PushUpdate, gossip.PushAck:
 		return true
 	}
 	return false
 }
 
 // Ask answers a question off the wire.
-func (p *Loop) Ask(letter transport.Envelope) (any, error) {
-	return p.AskHere(letter.Body)
+func (p *Loop) Ask(message transport.Envelope) (any, error) {
+	return p.AskHere(message.Body)
 }
 
 // AskHere asks this daemon's own machine.
@@ -364,7 +364,7 @@
 	number := p.number.Add(1)
 	answer := make(chan machine.Answer, 1)
 	p.calls.Store(number, answer)
-	if !p.Do(func(now clock.Micros) []machine.Effect { return p.machine.Call(number, body, now) }) {
+	if !p.Enqueue(func(now clock.Micros) []machine.Effect { return p.machine.Call(number, body, now) }) {
 		p.calls.Delete(number)
 		return nil, errs.Later(errs.Busy, clock.Second, "come back after the time given", "the daemon's ring is full")
 	}
@@ -377,7 +377,7 @@
 			return got.Body, got.Err
 		case <-gone:
 			gone = nil
-			p.Word(left)
+			p.Notify(left)
 		case <-clockEvent.C:
 			p.calls.Delete(number)
 			return nil, errors.New("the machine gave no answer")
@@ -385,50 +385,50 @@
 	}
 }
 
-// Word hands the machine a word that nobody waits for the answer of.
-func (p *Loop) Word(body any) {
-	p.Insist(func(now clock.Micros) []machine.Effect { return p.machine.Call(p.number.Add(1), body, now) })
+// Notify hands the machine a word that nobody waits for the answer of.
+func (p *Loop) Notify(body any) {
+	p.EnqueueWait(func(now clock.Micros) []machine.Effect { return p.machine.Call(p.number.Add(1), body, now) })
 }
 
-// Folk is the directory as this daemon knows it.
-func (p *Loop) Folk() []identity.Person {
+// Members is the directory as this daemon knows it.
+func (p *Loop) Members() []identity.Member {
 	p.gossipMu.Lock()
 	defer p.gossipMu.Unlock()
-	return p.gossip.Folk()
+	return p.gossip.Members()
 }
 
-// News is the rumour known under a key.
-func (p *Loop) News(key string) (machine.Rumour, bool) {
+// Update is the update known under a key.
+func (p *Loop) Update(key string) (machine.Update, bool) {
 	p.gossipMu.Lock()
 	defer p.gossipMu.Unlock()
-	return p.gossip.News(key)
+	return p.gossip.Update(key)
 }
 
-// Under lists the rumours whose keys begin with a word.
-func (p *Loop) Under(prefix string) []machine.Rumour {
+// UpdatesUnder lists the updates whose keys begin with a word.
+func (p *Loop) UpdatesUnder(prefix string) []machine.Update {
 	p.gossipMu.Lock()
 	defer p.gossipMu.Unlock()
-	return p.gossip.Under(prefix)
+	return p.gossip.UpdatesUnder(prefix)
 }
 
-// Inside runs f while the machine stands still.
-func (p *Loop) Inside(f func(now clock.Micros)) {
+// WithMachine runs f while the machine stands still.
+func (p *Loop) WithMachine(f func(now clock.Micros)) {
 	p.machineMu.Lock()
 	defer p.machineMu.Unlock()
 	f(p.Now())
 }
 
-// Draining tells everyone that this daemon goes soon; Leaving that it is gone.
-func (p *Loop) Draining() {
+// AnnounceDraining tells everyone that this daemon goes soon; AnnounceLeaving that it is gone.
+func (p *Loop) AnnounceDraining() {
 	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Drain{}, now) })
 }
 
-// Leaving tells everyone that this daemon has left on purpose.
-func (p *Loop) Leaving() {
+// AnnounceLeaving tells everyone that this daemon has left on purpose.
+func (p *Loop) AnnounceLeaving() {
 	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Leave{}, now) })
 }
 
-// Counters are the shell's counts for the operators.
+// Counters are the event loop's counts for the operators.
 func (p *Loop) Counters() map[string]int64 {
 	out := map[string]int64{
 		"messages_sent": p.Transport.Sent.Load(), "calls_made": p.Transport.Calls.Load(),
@@ -436,7 +436,7 @@
 		"news_ring_dropped": p.gossipRing.Dropped(),
 	}
 	p.gossipMu.Lock()
-	out["news_heard"], out["news_repeated"], out["news_mended"] = p.gossip.Heard, p.gossip.Repeated, p.gossip.Mended
+	out["news_heard"], out["news_repeated"], out["news_mended"] = p.gossip.Received, p.gossip.Repeated, p.gossip.Repaired
 	out["suspicions"], out["refutations"] = p.gossip.Suspected, p.gossip.Refuted
 	out["news_age_us"] = p.Now() - p.gossip.LastSwap()
 	p.gossipMu.Unlock()
@@ -454,7 +454,7 @@
 	return storage.OpenShelf(filepath.Join(folder, "shelf"))
 }
 
-// OpenRoom opens the records under a data folder.
-func OpenRoom(folder string) (*storage.Folder, []machine.Record, error) {
+// OpenRecords opens the records under a data folder.
+func OpenRecords(folder string) (*storage.Folder, []machine.Record, error) {
 	return storage.Open(filepath.Join(folder, "records"))
 }
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -70,16 +70,16 @@
 	var who eventloop.Identity
 	var err error
 	if common.Data != "" {
-		if who, err = eventloop.Lasting(common.Data, kind); err != nil {
+		if who, err = eventloop.LoadIdentity(common.Data, kind); err != nil {
 			return nil, err
 		}
 	} else {
-		who = eventloop.Fleeting(kind, time.Now().UnixMicro())
+		who = eventloop.NewIdentity(kind, time.Now().UnixMicro())
 	}
 	log := logging.Open(out, program, who.ID)
 	l := &Daemon{Services: services.New(), Log: log, Who: who, Common: common, Grace: 8 * clock.Second}
-	person := identity.Person{ID: who.ID, Name: common.Name, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: identity.Release}
-	l.Porter = eventloop.New(person, append(append([]string(nil), common.Seeds...), l.remembered()...), who, log)
+	member := identity.Member{ID: who.ID, Name: common.Name, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: identity.Release}
+	l.Porter = eventloop.New(member, append(append([]string(nil), common.Seeds...), l.remembered()...), who, log)
 	l.Porter.Address = common.Listen
 	l.Porch = httpserver.New(common.HTTP, int(bounds.Open), bounds.Bytes)
 	l.Office = &admin.Admin{Porter: l.Porter, Ready: func() string { return "" }, Counters: func() map[string]int64 { return nil }}
@@ -116,9 +116,9 @@
 	last := ""
 	cleanup.Every(ends, 5*time.Second, func() {
 		var peers []string
-		for _, person := range r.l.Porter.Folk() {
-			if person.Standing == identity.Sound && person.ID != r.l.Who.ID && len(peers) < mostRemembered {
-				peers = append(peers, person.Peer)
+		for _, member := range r.l.Porter.Members() {
+			if member.Status == identity.Alive && member.ID != r.l.Who.ID && len(peers) < mostRemembered {
+				peers = append(peers, member.Peer)
 			}
 		}
 		data, _ := json.Marshal(peers)
@@ -156,7 +156,7 @@
 	l.Log.Info().Str("zone", l.Common.Zone).Str("peer", l.Common.Peer).Str("http", l.Common.HTTP).Uint64("life", l.Who.Life).Msg("started")
 	<-signals
 	l.Log.Info().Msg("told to go: draining")
-	l.Porter.Draining()
+	l.Porter.AnnounceDraining()
 	var drains sync.WaitGroup
 	for _, f := range l.drain {
 		drains.Add(1)
@@ -170,7 +170,7 @@
 	case <-time.After(clock.Span(l.Grace)):
 		l.Log.Warn().Msg("the drain took too long; going all the same")
 	}
-	l.Porter.Leaving()
+	l.Porter.AnnounceLeaving()
 	time.Sleep(100 * time.Millisecond) // the last word goes out
 	l.Services.Stop()
 	l.Log.Info().Msg("gone")
--- a/daemon/machines/demand.go
+++ b/daemon/machines/demand.go
@@ -58,19 +58,19 @@
 }
 
 // tell tells the other stores, when there is something to tell.
-func (d *demands) tell(own int, folk map[string]identity.Person, emit func(machine.Effect), now clock.Micros) {
+func (d *demands) tell(own int, members map[string]identity.Member, emit func(machine.Effect), now clock.Micros) {
 	if own == d.said && now-d.at < demandLate || now-d.at < demandEvery {
 		return
 	}
 	d.said, d.at = own, now
-	ids := make([]string, 0, len(folk))
-	for id := range folk {
+	ids := make([]string, 0, len(members))
+	for id := range members {
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		if person := folk[id]; person.Kind == identity.Store && id != d.self && person.Standing <= identity.Suspect {
-			emit(machine.Send{To: person.Peer, Body: Demand{ID: d.self, Items: own}})
+		if member := members[id]; member.Kind == identity.Store && id != d.self && member.Status <= identity.Suspect {
+			emit(machine.Send{To: member.Peer, Body: Demand{ID: d.self, Items: own}})
 		}
 	}
 }
--- a/daemon/machines/demand_test.go
+++ b/daemon/machines/demand_test.go
@@ -26,13 +26,13 @@
 // A store tells the other stores alone, soon when its demand changed, and now and
 // then when it did not.
 func TestDemandsAreToldToStores(t *testing.T) {
-	folk := map[string]identity.Person{"a": {ID: "a", Kind: identity.Store, Peer: "pa"}, "b": {ID: "b", Kind: identity.Store, Peer: "pb"},
-		"c": {ID: "c", Kind: identity.Edge, Peer: "pc"}, "d": {ID: "d", Kind: identity.Store, Peer: "pd", Standing: identity.Dead}}
+	members := map[string]identity.Member{"a": {ID: "a", Kind: identity.Store, Peer: "pa"}, "b": {ID: "b", Kind: identity.Store, Peer: "pb"},
+		"c": {ID: "c", Kind: identity.Edge, Peer: "pc"}, "d": {ID: "d", Kind: identity.Store, Peer: "pd", Status: identity.Dead}}
 	d := demands{self: "a", heard: map[string]demand{}}
 	var told []string
 	tell := func(own int, now clock.Micros) int {
 		told = nil
-		d.tell(own, folk, func(e machine.Effect) { told = append(told, e.(machine.Send).To) }, now)
+		d.tell(own, members, func(e machine.Effect) { told = append(told, e.(machine.Send).To) }, now)
 		return len(told)
 	}
 	now := 10 * clock.Second
--- a/daemon/machines/edge.go
+++ b/daemon/machines/edge.go
@@ -48,30 +48,30 @@
 	return e
 }
 
-// Letter is not for an edge: its machine takes asks alone.
-func (e *Edge) Letter(string, any, clock.Micros) []machine.Effect { return nil }
+// Message is not for an edge: its machine takes asks alone.
+func (e *Edge) Message(string, any, clock.Micros) []machine.Effect { return nil }
 
 // Stored is not for an edge: it keeps nothing.
 func (e *Edge) Stored(uint64, clock.Micros) []machine.Effect { return nil }
 
-// Heard is news.
-func (e *Edge) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
-	e.hear(rumour, now)
-	e.Scouts.Hear(rumour)
-	e.Reader.Hear(rumour, now)
+// Heard is an update.
+func (e *Edge) Heard(update machine.Update, now clock.Micros) []machine.Effect {
+	e.hear(update, now)
+	e.Scouts.Hear(update)
+	e.Reader.Hear(update, now)
 	return e.settle(now)
 }
 
-// Told is another daemon's answer.
-func (e *Edge) Told(token uint64, body any, err error, now clock.Micros) []machine.Effect {
-	e.Wire.Told(token, body, err, now)
+// Answered is another daemon's answer.
+func (e *Edge) Answered(token uint64, body any, err error, now clock.Micros) []machine.Effect {
+	e.Wire.Answered(token, body, err, now)
 	return e.settle(now)
 }
 
 // Close turns new live orders away; what waits is dropped.
 type Close struct{}
 
-// Call is an ask, of a caller's by the shell or of another daemon's.
+// Call is an ask, of a caller's by the event loop or of another daemon's.
 func (e *Edge) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	switch ask := body.(type) {
 	case scouts.Looked:
--- a/daemon/machines/machines.go
+++ b/daemon/machines/machines.go
@@ -1,4 +1,4 @@
-// Package machines fits the machines of the planes into the shell (DESIGN §2).
+// Package machines fits the machines of the planes into the event loop (DESIGN §2).
 package machines
 
 import (
@@ -13,29 +13,29 @@
 	"tuliprudder/membership/identity"
 )
 
-// cairns gathers the cores' addresses from the directory and the core's news.
+// cores gathers the cores' addresses from the directory and the cores' updates.
 type cairns struct {
-	seeds []string
-	folk  map[string]identity.Person
-	core  state.CoreNews
+	seeds   []string
+	members map[string]identity.Member
+	core    state.CoreNews
 }
 
 // hear tells whether the addresses changed.
-func (c *cairns) hear(rumour machine.Rumour) bool {
-	if rumour.Key == state.CoreKey {
-		return json.Unmarshal(rumour.Value, &c.core) == nil
+func (c *cairns) hear(update machine.Update) bool {
+	if update.Key == state.CoreKey {
+		return json.Unmarshal(update.Value, &c.core) == nil
 	}
-	if !strings.HasPrefix(rumour.Key, "daemon/") {
+	if !strings.HasPrefix(update.Key, "daemon/") {
 		return false
 	}
-	person, ok := identity.Decode(rumour.Value)
-	if !ok || person.Kind != identity.Core {
+	member, ok := identity.Decode(update.Value)
+	if !ok || member.Kind != identity.Core {
 		return false
 	}
-	if person.Standing >= identity.Dead {
-		delete(c.folk, person.ID)
+	if member.Status >= identity.Dead {
+		delete(c.members, member.ID)
 	} else {
-		c.folk[person.ID] = person
+		c.members[member.ID] = member
 	}
 	return true
 }
@@ -52,13 +52,13 @@
 	for _, peer := range c.core.Cores {
 		add(peer)
 	}
-	ids := make([]string, 0, len(c.folk))
-	for id := range c.folk {
+	ids := make([]string, 0, len(c.members))
+	for id := range c.members {
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		add(c.folk[id].Peer)
+		add(c.members[id].Peer)
 	}
 	if len(out) == 0 {
 		for _, peer := range c.seeds {
@@ -68,7 +68,7 @@
 	return out
 }
 
-// Core is the summit as the shell's machine.
+// Core is the summit as the event loop's machine.
 type Core struct {
 	*control.Core
 	cairns cairns
@@ -76,11 +76,11 @@
 
 // NewCore fits a summit in.
 func NewCore(s *control.Core) *Core {
-	return &Core{Core: s, cairns: cairns{folk: map[string]identity.Person{}}}
+	return &Core{Core: s, cairns: cairns{members: map[string]identity.Member{}}}
 }
 
-// Letter is a message.
-func (c *Core) Letter(from string, body any, now clock.Micros) []machine.Effect {
+// Message is a message.
+func (c *Core) Message(from string, body any, now clock.Micros) []machine.Effect {
 	return c.Do(control.Letter{From: from, Body: body}, now)
 }
 
@@ -89,18 +89,18 @@
 	return c.Do(control.Stored{Token: token}, now)
 }
 
-// Heard is news: other cores, and what is thought of the stores.
-func (c *Core) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
+// Heard is an update: other cores, and what is thought of the stores.
+func (c *Core) Heard(update machine.Update, now clock.Micros) []machine.Effect {
 	var out []machine.Effect
-	if strings.HasPrefix(rumour.Key, "daemon/") {
-		if person, ok := identity.Decode(rumour.Value); ok && person.Kind == identity.Store {
-			out = append(out, c.Do(control.Suspicion{ID: person.ID, Ill: person.Standing != identity.Sound}, now)...)
+	if strings.HasPrefix(update.Key, "daemon/") {
+		if member, ok := identity.Decode(update.Value); ok && member.Kind == identity.Store {
+			out = append(out, c.Do(control.Suspicion{ID: member.ID, Ill: member.Status != identity.Alive}, now)...)
 		}
 	}
-	if strings.HasPrefix(rumour.Key, "server/") {
-		out = append(out, c.Do(control.Listed{Rumour: rumour}, now)...)
+	if strings.HasPrefix(update.Key, "server/") {
+		out = append(out, c.Do(control.Listed{Rumour: update}, now)...)
 	}
-	if c.cairns.hear(rumour) {
+	if c.cairns.hear(update) {
 		out = append(out, c.Do(control.Cairns{Peers: c.cairns.peers()}, now)...)
 	}
 	return out
@@ -116,10 +116,10 @@
 	return c.Do(control.ClockEvent{}, now)
 }
 
-// Told is not for a core: it asks nobody.
-func (c *Core) Told(uint64, any, error, clock.Micros) []machine.Effect { return nil }
+// Answered is not for a core: it asks nobody.
+func (c *Core) Answered(uint64, any, error, clock.Micros) []machine.Effect { return nil }
 
-// Fresh tells up to when this daemon's news are within reach.
+// Fresh tells up to when this daemon's updates are within reach.
 func (c *Core) Fresh(at, now clock.Micros) []machine.Effect {
 	return c.Do(control.Fresh{At: at}, now)
 }
--- a/daemon/machines/road.go
+++ b/daemon/machines/road.go
@@ -22,22 +22,22 @@
 	Dispatch *scheduler.Scheduler
 	Purse    *quota.Quota
 	// Read turns a confirmed document into a plan.
-	Read config.Reader
-	self string
-	folk map[string]identity.Person
+	Read    config.Reader
+	self    string
+	members map[string]identity.Member
 }
 
 func newRoad(self string, set scheduler.Settings, seed int64, waiting func(r *Road) func(string) int) *Road {
-	r := &Road{Wire: machine.NewWire(), Dispatch: scheduler.New(set, seed), Read: config.Parse, self: self, folk: map[string]identity.Person{}}
+	r := &Road{Wire: machine.NewWire(), Dispatch: scheduler.New(set, seed), Read: config.Parse, self: self, members: map[string]identity.Member{}}
 	r.Purse = quota.New(self, r.Wire, r.Folk, waiting(r))
 	return r
 }
 
 // Folk is the directory in the agreed order.
-func (r *Road) Folk() []identity.Person {
-	out := make([]identity.Person, 0, len(r.folk))
-	for _, person := range r.folk {
-		out = append(out, person)
+func (r *Road) Folk() []identity.Member {
+	out := make([]identity.Member, 0, len(r.members))
+	for _, member := range r.members {
+		out = append(out, member)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
@@ -46,13 +46,13 @@
 // turn is this daemon's place among those of its kind in the agreed order, from 0
 // to 1; stores begin half a step later than edges.
 func (r *Road) turn() float64 {
-	mine, ok := r.folk[r.self]
+	mine, ok := r.members[r.self]
 	if !ok {
 		return 0
 	}
 	before, all := 0.0, 0.0
-	for id, person := range r.folk {
-		if person.Kind == mine.Kind && person.Standing <= identity.Suspect {
+	for id, member := range r.members {
+		if member.Kind == mine.Kind && member.Status <= identity.Suspect {
 			all++
 			if id < r.self {
 				before++
@@ -65,19 +65,19 @@
 	return before / max(1, all)
 }
 
-// heardBy says what the road does with each kind of news.
-var heardBy = map[string]func(r *Road, rumour machine.Rumour, now clock.Micros){
-	"daemon": func(r *Road, rumour machine.Rumour, now clock.Micros) {
-		if person, ok := identity.Decode(rumour.Value); ok && person.Standing >= identity.Dead {
-			delete(r.folk, person.ID)
+// heardBy says what the road does with each kind of updates.
+var heardBy = map[string]func(r *Road, update machine.Update, now clock.Micros){
+	"daemon": func(r *Road, update machine.Update, now clock.Micros) {
+		if member, ok := identity.Decode(update.Value); ok && member.Status >= identity.Dead {
+			delete(r.members, member.ID)
 		} else if ok {
-			r.folk[person.ID] = person
+			r.members[member.ID] = member
 		}
 		r.Dispatch.SetTurn(r.turn())
 	},
-	state.PlanKey: func(r *Road, rumour machine.Rumour, now clock.Micros) {
+	state.PlanKey: func(r *Road, update machine.Update, now clock.Micros) {
 		var version state.Version
-		if json.Unmarshal(rumour.Value, &version) != nil {
+		if json.Unmarshal(update.Value, &version) != nil {
 			return
 		}
 		plan, err := r.Read(version.Body)
@@ -89,28 +89,28 @@
 		r.Dispatch.SetPlan(plan, now)
 		r.Wire.Emit(machine.Explain{What: "plan in force", Fields: map[string]any{"version": version.Number}})
 	},
-	"server": func(r *Road, rumour machine.Rumour, now clock.Micros) {
+	"server": func(r *Road, update machine.Update, now clock.Micros) {
 		var server registry.Server
-		if json.Unmarshal(rumour.Value, &server) == nil {
+		if json.Unmarshal(update.Value, &server) == nil {
 			r.Dispatch.SetServer(server)
 		}
 	},
-	"load": func(r *Road, rumour machine.Rumour, now clock.Micros) {
+	"load": func(r *Road, update machine.Update, now clock.Micros) {
 		var load registry.Load
-		if json.Unmarshal(rumour.Value, &load) == nil {
-			r.Dispatch.SetLoad(strings.TrimPrefix(rumour.Key, "load/"), rumour.Epoch, load)
+		if json.Unmarshal(update.Value, &load) == nil {
+			r.Dispatch.SetLoad(strings.TrimPrefix(update.Key, "load/"), update.Epoch, load)
 		}
 	},
 }
 
-func (r *Road) hear(rumour machine.Rumour, now clock.Micros) {
-	word, _, _ := strings.Cut(rumour.Key, "/")
+func (r *Road) hear(update machine.Update, now clock.Micros) {
+	word, _, _ := strings.Cut(update.Key, "/")
 	if act, ok := heardBy[word]; ok {
-		act(r, rumour, now)
+		act(r, update, now)
 	}
 }
 
-// Fresh tells up to when this daemon's news are within reach.
+// Fresh tells up to when this daemon's updates are within reach.
 func (r *Road) Fresh(at, now clock.Micros) []machine.Effect {
 	r.Dispatch.SetFresh(at)
 	return r.settle(now)
--- a/daemon/machines/store.go
+++ b/daemon/machines/store.go
@@ -13,7 +13,7 @@
 	"tuliprudder/path/scheduler"
 )
 
-// Ledger is the machine of a store daemon: the keeper, the runs of its items,
+// Ledger is the machine of a store daemon: the store, the runs of its items,
 // and its shares.
 type Ledger struct {
 	*Road
@@ -32,8 +32,8 @@
 // repeatable.
 func NewLedger(self string, k *store.Store, mostItems int, seed int64) *Ledger {
 	set := scheduler.Defaults()
-	set.MostWaiting = 2*mostItems + 1000 // the keeper's own bound comes first
-	l := &Ledger{Keeper: k, cairns: cairns{folk: map[string]identity.Person{}}, gives: map[uint64]quota.Give{}, waiting: map[string]int{}, demands: demands{self: self, heard: map[string]demand{}}}
+	set.MostWaiting = 2*mostItems + 1000 // the store's own bound comes first
+	l := &Ledger{Keeper: k, cairns: cairns{members: map[string]identity.Member{}}, gives: map[uint64]quota.Give{}, waiting: map[string]int{}, demands: demands{self: self, heard: map[string]demand{}}}
 	l.Road = newRoad(self, set, seed, func(*Road) func(string) int {
 		return func(customer string) int {
 			if count, ok := l.waiting[customer]; ok {
@@ -48,13 +48,13 @@
 }
 
 // Greet names the seeds: until this store has heard of the cores, its beats go there,
-// so that one that has started again is paired without waiting for news.
+// so that one that has started again is paired without waiting for updates.
 func (l *Ledger) Greet(seeds []string) {
 	l.cairns.seeds = seeds
 	l.keep(store.Cairns{Peers: l.cairns.peers()}, 0)
 }
 
-// keep applies a command to the keeper and takes what is the path's.
+// keep applies a command to the store and takes what is the path's.
 func (l *Ledger) keep(command store.Command, now clock.Micros) {
 	for _, effect := range l.Keeper.Do(command, now) {
 		switch e := effect.(type) {
@@ -86,8 +86,8 @@
 	}
 }
 
-// Letter is a message.
-func (l *Ledger) Letter(from string, body any, now clock.Micros) []machine.Effect {
+// Message is a message.
+func (l *Ledger) Message(from string, body any, now clock.Micros) []machine.Effect {
 	if word, ok := body.(Demand); ok {
 		l.demands.hear(word, now)
 	} else {
@@ -102,23 +102,23 @@
 	return l.settle(now)
 }
 
-// Heard is news.
-func (l *Ledger) Heard(rumour machine.Rumour, now clock.Micros) []machine.Effect {
-	l.hear(rumour, now)
-	if l.cairns.hear(rumour) {
+// Heard is an update.
+func (l *Ledger) Heard(update machine.Update, now clock.Micros) []machine.Effect {
+	l.hear(update, now)
+	if l.cairns.hear(update) {
 		l.keep(store.Cairns{Peers: l.cairns.peers()}, now)
 	}
-	l.keep(store.News{Rumour: rumour}, now)
+	l.keep(store.News{Rumour: update}, now)
 	return l.settle(now)
 }
 
-// Told is another daemon's answer.
-func (l *Ledger) Told(token uint64, body any, err error, now clock.Micros) []machine.Effect {
-	l.Wire.Told(token, body, err, now)
+// Answered is another daemon's answer.
+func (l *Ledger) Answered(token uint64, body any, err error, now clock.Micros) []machine.Effect {
+	l.Wire.Answered(token, body, err, now)
 	return l.settle(now)
 }
 
-// Call is an ask, or the shell's word on a run.
+// Call is an ask, or the event loop's word on a run.
 func (l *Ledger) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	switch ask := body.(type) {
 	case store.EnrolAsk:
@@ -246,7 +246,7 @@
 	l.keep(store.ClockEvent{}, now)
 	if now-l.counted >= recountEvery {
 		l.recount(now)
-		l.demands.tell(l.Items.Open(), l.folk, l.Wire.Emit, now)
+		l.demands.tell(l.Items.Open(), l.members, l.Wire.Emit, now)
 		l.Dispatch.SetPart(l.demands.part(l.Items.Open(), now))
 	}
 	l.Items.ClockEvent(now)
--- a/daemon/machines/store_test.go
+++ b/daemon/machines/store_test.go
@@ -29,8 +29,8 @@
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
 	l.Fresh(now, now)
-	edge := identity.Person{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
-	l.Heard(machine.Rumour{Key: identity.Key("edge"), Value: edge.Encode()}, now)
+	edge := identity.Member{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
+	l.Heard(machine.Update{Key: identity.Key("edge"), Value: edge.Encode()}, now)
 	route := "r"
 	if most < 0 {
 		route = "plain"
@@ -79,8 +79,8 @@
 	plan := &config.Plan{Version: 1, Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{MostTokens: 1000}}}}
 	plan.Index()
 	l.Dispatch.SetPlan(plan, now)
-	edge := identity.Person{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
-	l.Heard(machine.Rumour{Key: identity.Key("edge"), Value: edge.Encode()}, now)
+	edge := identity.Member{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
+	l.Heard(machine.Update{Key: identity.Key("edge"), Value: edge.Encode()}, now)
 	l.work(store.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Request: &shard.Request{Tokens: 70}}, now)
 	for _, effect := range l.ClockEvent(now + clock.Second) {
 		if ask, ok := effect.(machine.Ask); ok {
--- a/daemon/roles/roles.go
+++ b/daemon/roles/roles.go
@@ -25,13 +25,13 @@
 // NewEdge puts an edge daemon together.
 func NewEdge(l *host.Daemon, set machines.EdgeSettings) *Edge {
 	edge := machines.NewEdge(l.Who.ID, set, int64(l.Who.Life))
-	track := effects.New(l.Porter.Now, l.Porter.Word)
-	l.Porter.Carry(edge, nil)
+	track := effects.New(l.Porter.Now, l.Porter.Notify)
+	l.Porter.SetMachine(edge, nil)
 	l.Porter.OnWork(track.Take)
 	l.Path(edge.Road, edge.Reader, edge.Book)
 	l.Office.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.Inside(func(now clock.Micros) {
+		l.Porter.WithMachine(func(now clock.Micros) {
 			out["shares_held"], out["shares_lent"] = edge.Purse.Totals(now)
 			out["over_allowance"], out["backlog"], out["assigned"] = edge.Purse.Refused, int64(edge.Dispatch.Backlog()), edge.Dispatch.Assigned
 			out["expired"], out["turned_away"] = edge.Dispatch.Expired, edge.Dispatch.TurnedAway
@@ -53,7 +53,7 @@
 
 // NewStore puts a store daemon together from what its data folder holds.
 func NewStore(l *host.Daemon, set store.Settings) (*Store, error) {
-	room, records, err := eventloop.OpenRoom(l.Common.Data)
+	room, records, err := eventloop.OpenRecords(l.Common.Data)
 	if err != nil {
 		return nil, err
 	}
@@ -72,12 +72,12 @@
 	}
 	ledger := machines.NewLedger(l.Who.ID, books, set.MostItems, int64(l.Who.Life))
 	ledger.Greet(l.Common.Seeds)
-	track := effects.New(l.Porter.Now, l.Porter.Word)
-	l.Porter.Carry(ledger, room)
+	track := effects.New(l.Porter.Now, l.Porter.Notify)
+	l.Porter.SetMachine(ledger, room)
 	l.Porter.OnWork(track.Take)
 	l.Path(ledger.Road, nil, ledger.Items.Book)
 	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(clock.Micros) {
+		l.Porter.WithMachine(func(clock.Micros) {
 			if books.Writer() == 0 {
 				why = "the core has not given this store a writer id yet"
 			}
@@ -86,7 +86,7 @@
 	}
 	l.Office.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.Inside(func(now clock.Micros) {
+		l.Porter.WithMachine(func(now clock.Micros) {
 			out["copies_missing"], out["oldest_unannounced_us"] = books.AtRisk(now)
 			out["entries_confirmed"], out["reads"] = books.Entries, books.Reads
 			out["bundles_shelved"] = books.Shelved
@@ -103,7 +103,7 @@
 
 // NewCore puts a core daemon together from what its data folder holds.
 func NewCore(l *host.Daemon, set control.Settings) (*control.Core, error) {
-	room, records, err := eventloop.OpenRoom(l.Common.Data)
+	room, records, err := eventloop.OpenRecords(l.Common.Data)
 	if err != nil {
 		return nil, err
 	}
@@ -114,9 +114,9 @@
 	if core.BadRecord != nil {
 		return nil, core.BadRecord
 	}
-	l.Porter.Carry(machines.NewCore(core), room)
+	l.Porter.SetMachine(machines.NewCore(core), room)
 	l.Office.Ready = func() (why string) {
-		l.Porter.Inside(func(clock.Micros) {
+		l.Porter.WithMachine(func(clock.Micros) {
 			if core.Vote().Done.Epoch == 0 {
 				why = "the cores have not founded a fleet yet"
 			}
@@ -125,7 +125,7 @@
 	}
 	l.Office.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.Inside(func(clock.Micros) {
+		l.Porter.WithMachine(func(clock.Micros) {
 			out["core_epoch"], out["core_claims"], out["core_takeovers"], out["core_changes"] = int64(core.Vote().Granted), core.Claims, core.Takeovers, core.Changes
 			if core.Serving() {
 				out["core_primary"] = 1
--- a/daemon/roles/tend.go
+++ b/daemon/roles/tend.go
@@ -32,10 +32,10 @@
 func (t *Tend) turn() {
 	t.Client.Sweep()
 	var servers []registry.Server
-	var folk []identity.Person
+	var members []identity.Member
 	most := map[string]int64{}
-	t.Lodge.Porter.Inside(func(clock.Micros) {
-		servers, folk = t.Road.Dispatch.Servers(), t.Road.Folk()
+	t.Lodge.Porter.WithMachine(func(clock.Micros) {
+		servers, members = t.Road.Dispatch.Servers(), t.Road.Folk()
 		plan := t.Road.Dispatch.Plan()
 		for _, server := range servers {
 			if plan != nil {
@@ -44,15 +44,15 @@
 		}
 	})
 	edges, stores, kind := 0, 0, ""
-	for _, person := range folk {
-		switch person.Kind {
+	for _, member := range members {
+		switch member.Kind {
 		case identity.Edge:
 			edges++
 		case identity.Store:
 			stores++
 		}
-		if person.ID == t.Lodge.Who.ID {
-			kind = person.Kind
+		if member.ID == t.Lodge.Who.ID {
+			kind = member.Kind
 		}
 	}
 	for _, server := range servers {
--- a/kernel/clock/clock.go
+++ b/kernel/clock/clock.go
@@ -24,7 +24,7 @@
 	base  Micros
 }
 
-// New starts a sundial on the given clock.
+// New starts a Clock on the given clock.
 func New(clock clockwork.Clock) *Clock {
 	start := clock.Now()
 	return &Clock{clock: clock, start: start, base: start.UnixMicro()}
--- a/kernel/errs/errs.go
+++ b/kernel/errs/errs.go
@@ -69,17 +69,17 @@
 	return http.StatusInternalServerError
 }
 
-// New makes a mishap with a stack.
+// New makes a typed error with a stack.
 func New(kind Kind, remedy, format string, args ...any) error {
 	return errors.WithStack(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy})
 }
 
-// Later makes a mishap that tells the caller when to come back.
+// Later makes a typed error that tells the caller when to retry.
 func Later(kind Kind, after int64, remedy, format string, args ...any) error {
 	return errors.WithStack(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy, RetryAfter: after})
 }
 
-// Of finds the mishap inside an error; an error without one is a server fault
+// Of finds the typed error inside an error; an error without one is a server fault
 // whose outcome is unknown.
 func Of(err error) *Error {
 	var found *Error
--- a/kernel/httpserver/server.go
+++ b/kernel/httpserver/server.go
@@ -31,7 +31,7 @@
 	most    int64
 }
 
-// New makes a porch with bounds on open requests and body size.
+// New makes a HTTP server with bounds on open requests and body size.
 func New(address string, mostOpen int, mostBytes int64) *Server {
 	return &Server{address: address, gate: make(chan struct{}, mostOpen), most: mostBytes}
 }
--- a/kernel/machine/machine.go
+++ b/kernel/machine/machine.go
@@ -1,11 +1,11 @@
-// Package machine is what every state machine takes and yields (DESIGN §2):
-// commands and the time in, effects out. Nothing here touches a thread, a
-// socket, a file or a clock.
+// Package machine has the inputs and outputs of every state machine (DESIGN §2):
+// commands and the time in, effects out. Nothing here touches a thread, a socket,
+// a file or a clock.
 package machine
 
 import "tuliprudder/kernel/clock"
 
-// Effect is one thing the shell has to do.
+// Effect is one thing that a machine asks the event loop to do.
 type Effect interface{ effect() }
 
 // Send passes a message to a daemon by its address; it may be lost.
@@ -23,7 +23,7 @@
 	Body  []byte `json:"body,omitempty"`
 }
 
-// Store writes records and syncs; the shell answers with Stored{Token}.
+// Store writes records and syncs; the event loop answers with Stored{Token}.
 type Store struct {
 	Token   uint64
 	Records []Record
@@ -33,7 +33,7 @@
 type Fold struct{ Records []Record }
 
 // Shelve puts settled records away in a file of their own, to be read back one
-// by one; the shell answers with Stored{Token}. Unshelve removes such files.
+// by one; the event loop answers with Stored{Token}. Unshelve removes such files.
 type Shelve struct {
 	Token   uint64
 	File    uint64
@@ -50,26 +50,26 @@
 	Err  error
 }
 
-// Rumour is one piece of news: the highest (Epoch, Seq) of a key wins.
-type Rumour struct {
+// Update is one versioned value: the highest (Epoch, Seq) of a key wins.
+type Update struct {
 	Key        string
 	Epoch, Seq uint64
 	Value      []byte
 }
 
 // Newer tells whether r replaces other.
-func (r Rumour) Newer(other Rumour) bool {
+func (r Update) Newer(other Update) bool {
 	if r.Epoch != other.Epoch {
 		return r.Epoch > other.Epoch
 	}
 	return r.Seq > other.Seq
 }
 
-// Publish hands news to the acquaintance.
-type Publish struct{ Rumour Rumour }
+// Publish hands an update to the gossip node.
+type Publish struct{ Update Update }
 
-// Heard tells the other machines of a daemon that news came in.
-type Heard struct{ Rumour Rumour }
+// Heard tells the daemon's other machines that an update was received.
+type Heard struct{ Update Update }
 
 // Explain is one decision for the log.
 type Explain struct {
@@ -80,7 +80,7 @@
 // Halt ends the daemon: going on would put a promise at risk.
 type Halt struct{ Err error }
 
-// Work asks the path to run something (an item of a bundle).
+// Work asks the request path to run something (an item of a bundle).
 type Work struct{ Order any }
 
 func (Send) effect()     {}
@@ -105,7 +105,7 @@
 // Emit adds an effect.
 func (o *Out) Emit(e Effect) { o.effects = append(o.effects, e) }
 
-// Drain hands over what was collected.
+// Drain returns the effects collected and begins anew.
 func (o *Out) Drain() []Effect {
 	out := o.effects
 	o.effects = nil
--- a/kernel/services/services.go
+++ b/kernel/services/services.go
@@ -1,4 +1,4 @@
-// Package services is the micro-kernel: services are registered by name, find
+// Package services is the service registry: services are registered by name, find
 // each other by name, start in order and end in reverse (DESIGN §2).
 package services
 
@@ -12,7 +12,7 @@
 // Service is a part of a daemon. Start must not block; what it started is
 // ended by the clean-ups it pushes.
 type Service interface {
-	Start(hut *Registry, ends *cleanup.Stack) error
+	Start(registry *Registry, ends *cleanup.Stack) error
 }
 
 // Registry holds a daemon's services.
@@ -23,7 +23,7 @@
 	ends   cleanup.Stack
 }
 
-// New makes an empty hut.
+// New makes an empty registry.
 func New() *Registry { return &Registry{byName: map[string]Service{}} }
 
 // Register adds a service under a name that is not yet taken.
--- a/kernel/storage/shelf.go
+++ b/kernel/storage/shelf.go
@@ -13,7 +13,7 @@
 
 const shelfSuffix = ".shelf"
 
-// Shelf holds files of settled records beside a room's versions. Put and Drop
+// Shelf holds files of settled records beside a Folder's versions. Put and Drop
 // are the disk thread's, Get may be called by any.
 type Shelf struct {
 	room *Folder
--- a/kernel/storage/storage.go
+++ b/kernel/storage/storage.go
@@ -41,7 +41,7 @@
 
 // Open reads the folder back: the newest view, then the groups after it.
 // Half-written files were never renamed and are removed; a renamed file that
-// does not check out is damage, and the room refuses to open.
+// does not check out is damage, and Open refuses to open.
 func Open(folder string) (*Folder, []machine.Record, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, nil, errors.Wrap(err, "making the data folder")
--- a/kernel/transport/transport.go
+++ b/kernel/transport/transport.go
@@ -29,16 +29,16 @@
 	Body any
 }
 
-// Batch is what one call delivers.
-type Batch struct{ Letters []Envelope }
+// Batch is what one call of Deliver carries.
+type Batch struct{ Messages []Envelope }
 
-// Nothing is an empty answer.
-type Nothing struct{ Took int }
+// Delivered says how many messages of a batch were taken.
+type Delivered struct{ Count int }
 
 // Reply is the answer to an ask.
 type Reply struct {
-	Body   any
-	Mishap *errs.Error
+	Body any
+	Err  *errs.Error
 }
 
 var (
@@ -66,59 +66,64 @@
 // Receiver takes what comes in. Deliver must not block; Ask may, up to the
 // expiry the asker put into its own body.
 type Receiver interface {
-	Deliver(letter Envelope)
-	Ask(letter Envelope) (any, error)
+	Deliver(message Envelope)
+	Ask(message Envelope) (any, error)
 }
 
-// Transport is one daemon's end.
+// Transport is one daemon's end of its connections. Its methods may be called by
+// several threads.
 type Transport struct {
 	self     string
 	receiver Receiver
 	mu       sync.Mutex
-	lines    map[string]*line
-	asks     map[string]*askLine
+	outboxes map[string]*outbox
+	requests map[string]*requestConnection
 	closed   bool
 	// Sent counts messages, Calls the calls that carried them, Lost those that
 	// were dropped or expired, BytesOut what went over the wire.
 	Sent, Calls, Lost, BytesOut atomic.Int64
 }
 
+// serviceName is the service's name on the wire; it keeps the spelling of the first
+// release.
+const serviceName = "Post"
+
 const (
-	ringSize   = 4096
-	batchSize  = 256
-	sendExpiry = time.Second
-	idleLines  = 256
+	ringSize      = 4096
+	batchSize     = 256
+	deliverExpiry = time.Second
+	maxOutboxes   = 256
 )
 
-type line struct{ ring *ring.Ring[Envelope] }
+type outbox struct{ ring *ring.Ring[Envelope] }
 
-type askLine struct {
+type requestConnection struct {
 	mu     sync.Mutex
 	client *rpc.Client
 }
 
-// New makes a bridge for a daemon with the given peer address.
+// New makes the transport of a daemon with the given peer address.
 func New(self string, receiver Receiver) *Transport {
-	return &Transport{self: self, receiver: receiver, lines: map[string]*line{}, asks: map[string]*askLine{}}
+	return &Transport{self: self, receiver: receiver, outboxes: map[string]*outbox{}, requests: map[string]*requestConnection{}}
 }
 
-// Post is the service net/rpc serves.
-type Post struct{ bridge *Transport }
+// Service has the methods that net/rpc serves.
+type Service struct{ transport *Transport }
 
 // Deliver takes a batch of messages.
-func (p *Post) Deliver(batch Batch, took *Nothing) error {
-	for _, letter := range batch.Letters {
-		p.bridge.receiver.Deliver(letter)
+func (p *Service) Deliver(batch Batch, delivered *Delivered) error {
+	for _, message := range batch.Messages {
+		p.transport.receiver.Deliver(message)
 	}
-	took.Took = len(batch.Letters)
+	delivered.Count = len(batch.Messages)
 	return nil
 }
 
 // Ask answers one question.
-func (p *Post) Ask(letter Envelope, reply *Reply) error {
-	body, err := p.bridge.receiver.Ask(letter)
+func (p *Service) Ask(message Envelope, reply *Reply) error {
+	body, err := p.transport.receiver.Ask(message)
 	if err != nil {
-		reply.Mishap = errs.Of(err)
+		reply.Err = errs.Of(err)
 		return nil
 	}
 	reply.Body = body
@@ -126,15 +131,15 @@
 }
 
 // Listen serves on an address until the returned function is called.
-func (b *Transport) Listen(address string) (func(), error) {
+func (t *Transport) Listen(address string) (func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", address)
 	}
 	server := rpc.NewServer()
-	if err := server.RegisterName("Post", &Post{bridge: b}); err != nil {
+	if err := server.RegisterName(serviceName, &Service{transport: t}); err != nil {
 		listener.Close()
-		return nil, errors.Wrap(err, "registering the post")
+		return nil, errors.Wrap(err, "registering the service")
 	}
 	var mu sync.Mutex
 	open := map[net.Conn]bool{}
@@ -162,18 +167,18 @@
 			conn.Close()
 		}
 		mu.Unlock()
-		b.close()
+		t.close()
 	}, nil
 }
 
-func (b *Transport) close() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.closed = true
-	for _, l := range b.lines {
+func (t *Transport) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for _, l := range t.outboxes {
 		l.ring.Close()
 	}
-	for _, a := range b.asks {
+	for _, a := range t.requests {
 		a.mu.Lock()
 		if a.client != nil {
 			a.client.Close()
@@ -182,33 +187,34 @@
 	}
 }
 
-// Send queues a message; when the line is full it is dropped and counted.
-func (b *Transport) Send(to string, body any) {
-	b.mu.Lock()
-	l := b.lines[to]
-	if l == nil && !b.closed {
-		if len(b.lines) >= idleLines {
-			for address, old := range b.lines {
+// Send queues a message; when the queue to its daemon is full it is dropped and
+// counted.
+func (t *Transport) Send(to string, body any) {
+	t.mu.Lock()
+	l := t.outboxes[to]
+	if l == nil && !t.closed {
+		if len(t.outboxes) >= maxOutboxes {
+			for address, old := range t.outboxes {
 				if old.ring.Len() == 0 {
 					old.ring.Close()
-					delete(b.lines, address)
+					delete(t.outboxes, address)
 					break
 				}
 			}
 		}
-		l = &line{ring: ring.New[Envelope](ringSize)}
-		b.lines[to] = l
-		go b.carry(to, l.ring)
+		l = &outbox{ring: ring.New[Envelope](ringSize)}
+		t.outboxes[to] = l
+		go t.deliver(to, l.ring)
 	}
-	b.mu.Unlock()
-	if l == nil || !l.ring.Put(Envelope{From: b.self, Body: body}) {
-		b.Lost.Add(1)
+	t.mu.Unlock()
+	if l == nil || !l.ring.Put(Envelope{From: t.self, Body: body}) {
+		t.Lost.Add(1)
 	}
 }
 
-// carry is the thread of one line: it takes what waits and delivers it in one
+// deliver is the thread of one outbox: it takes what waits and delivers it in one
 // call, so that messages of one moment share a round trip.
-func (b *Transport) carry(to string, ring *ring.Ring[Envelope]) {
+func (t *Transport) deliver(to string, ring *ring.Ring[Envelope]) {
 	var client *rpc.Client
 	defer func() {
 		if client != nil {
@@ -216,49 +222,49 @@
 		}
 	}()
 	for {
-		letters := ring.Take(batchSize)
-		if letters == nil {
+		messages := ring.Take(batchSize)
+		if messages == nil {
 			return
 		}
 		if client == nil {
 			var err error
-			if client, err = b.dial(to); err != nil {
-				b.Lost.Add(int64(len(letters)))
+			if client, err = t.dial(to); err != nil {
+				t.Lost.Add(int64(len(messages)))
 				continue
 			}
 		}
-		if err := within(client, "Post.Deliver", Batch{Letters: letters}, &Nothing{}, sendExpiry); err != nil {
+		if err := callWithin(client, serviceName+".Deliver", Batch{Messages: messages}, &Delivered{}, deliverExpiry); err != nil {
 			client.Close()
 			client = nil
-			b.Lost.Add(int64(len(letters)))
+			t.Lost.Add(int64(len(messages)))
 			continue
 		}
-		b.Sent.Add(int64(len(letters)))
-		b.Calls.Add(1)
+		t.Sent.Add(int64(len(messages)))
+		t.Calls.Add(1)
 	}
 }
 
 var errExpired = errors.New("the call expired; its connection was closed")
 
-func within(client *rpc.Client, method string, args, reply any, expiry time.Duration) error {
+func callWithin(client *rpc.Client, method string, args, reply any, expiry time.Duration) error {
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	clockEvent := time.NewTimer(expiry)
-	defer clockEvent.Stop()
+	timer := time.NewTimer(expiry)
+	defer timer.Stop()
 	select {
 	case <-call.Done:
 		return call.Error
-	case <-clockEvent.C:
+	case <-timer.C:
 		client.Close()
 		return errExpired
 	}
 }
 
-type counted struct {
+type countedConn struct {
 	net.Conn
 	out *atomic.Int64
 }
 
-func (c counted) Write(data []byte) (int, error) {
+func (c countedConn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
 	c.out.Add(int64(n))
 	return n, err
@@ -266,33 +272,33 @@
 
 // dial goes out from the daemon's own address, so that a network between two
 // daemons sees who speaks.
-func (b *Transport) dial(to string) (*rpc.Client, error) {
+func (t *Transport) dial(to string) (*rpc.Client, error) {
 	dialer := net.Dialer{Timeout: 500 * time.Millisecond}
-	if own, err := netip.ParseAddrPort(b.self); err == nil {
+	if own, err := netip.ParseAddrPort(t.self); err == nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: own.Addr().AsSlice()}
 	}
 	conn, err := dialer.DialContext(context.Background(), "tcp", to)
 	if err != nil {
 		return nil, err
 	}
-	return rpc.NewClient(counted{conn, &b.BytesOut}), nil
+	return rpc.NewClient(countedConn{conn, &t.BytesOut}), nil
 }
 
-// Ask calls and waits for the answer, at most until the expiry. An error that
-// is no mishap means the outcome is unknown.
-func (b *Transport) Ask(to string, body any, expiry clock.Micros) (any, error) {
-	b.mu.Lock()
-	a := b.asks[to]
+// Ask calls and waits for the answer, at most until the expiry. An error that is no
+// *errs.Error means that the outcome is unknown.
+func (t *Transport) Ask(to string, body any, expiry clock.Micros) (any, error) {
+	t.mu.Lock()
+	a := t.requests[to]
 	if a == nil {
-		a = &askLine{}
-		b.asks[to] = a
+		a = &requestConnection{}
+		t.requests[to] = a
 	}
-	b.mu.Unlock()
+	t.mu.Unlock()
 	a.mu.Lock()
 	client := a.client
 	if client == nil {
 		var err error
-		if client, err = b.dial(to); err != nil {
+		if client, err = t.dial(to); err != nil {
 			a.mu.Unlock()
 			return nil, errs.Later(errs.NotReady, clock.Second, "ask again; another daemon may serve it by then", "daemon at %s can't be reached: %v", to, err)
 		}
@@ -300,7 +306,7 @@
 	}
 	a.mu.Unlock()
 	var reply Reply
-	if err := within(client, "Post.Ask", Envelope{From: b.self, Body: body}, &reply, clock.Span(expiry)); err != nil {
+	if err := callWithin(client, serviceName+".Ask", Envelope{From: t.self, Body: body}, &reply, clock.Span(expiry)); err != nil {
 		a.mu.Lock()
 		if a.client == client {
 			a.client = nil
@@ -309,8 +315,8 @@
 		a.mu.Unlock()
 		return nil, errors.Wrapf(err, "asking %s", to)
 	}
-	if reply.Mishap != nil {
-		return nil, errors.WithStack(reply.Mishap)
+	if reply.Err != nil {
+		return nil, errors.WithStack(reply.Err)
 	}
 	return reply.Body, nil
 }
--- a/kernel/transport/transport_test.go
+++ b/kernel/transport/transport_test.go
@@ -20,15 +20,15 @@
 	hold  chan struct{}
 }
 
-func (e *ears) Deliver(letter Envelope) { e.heard <- letter.Body.(note).Text }
-func (e *ears) Ask(letter Envelope) (any, error) {
-	if letter.Body.(note).Text == "hold" {
+func (e *ears) Deliver(message Envelope) { e.heard <- message.Body.(note).Text }
+func (e *ears) Ask(message Envelope) (any, error) {
+	if message.Body.(note).Text == "hold" {
 		<-e.hold
 	}
-	if letter.Body.(note).Text == "fail" {
+	if message.Body.(note).Text == "fail" {
 		return nil, errs.New(errs.Busy, "come back", "no room")
 	}
-	return note{"answer to " + letter.Body.(note).Text}, nil
+	return note{"answer to " + message.Body.(note).Text}, nil
 }
 
 func listen(t *testing.T) (string, *ears, *Transport) {
@@ -40,13 +40,13 @@
 	address := listener.Addr().String()
 	listener.Close()
 	e := &ears{heard: make(chan string, 100), hold: make(chan struct{})}
-	b := New(address, e)
-	end, err := b.Listen(address)
+	bridge := New(address, e)
+	end, err := bridge.Listen(address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { close(e.hold); end() })
-	return address, e, b
+	return address, e, bridge
 }
 
 // A peer that takes connections and says nothing holds up neither the others
--- a/ledger/store/free_test.go
+++ b/ledger/store/free_test.go
@@ -23,7 +23,7 @@
 				Slots: []replication.Assignment{{Epoch: 2, Owner: replication.Member{ID: "b", Life: 1}, Backup: replication.Member{ID: "a", Life: c.life}, Trusted: [2]string{"a", "b"}}}}
 			value, _ := json.Marshal(m)
 			k := b.keepers["b"]
-			effects := k.Do(News{Rumour: machine.Rumour{Key: state.MapKey, Seq: m.Seq, Value: value}}, b.now)
+			effects := k.Do(News{Rumour: machine.Update{Key: state.MapKey, Seq: m.Seq, Value: value}}, b.now)
 			effects = append(effects, k.Do(ClockEvent{}, b.now+10*clock.Millisecond)...)
 			copying := false
 			for _, effect := range effects {
--- a/ledger/store/store.go
+++ b/ledger/store/store.go
@@ -397,7 +397,7 @@
 func (c Cairns) Apply(k *Store, now clock.Micros) { k.cairns = c.Peers }
 
 // News is a rumour from the acquaintance.
-type News struct{ Rumour machine.Rumour }
+type News struct{ Rumour machine.Update }
 
 // Apply takes a new map, and the announcements that settle orphans.
 func (n News) Apply(k *Store, now clock.Micros) {
@@ -704,7 +704,7 @@
 	}
 	k.seq++
 	value, _ := json.Marshal(a)
-	k.Emit(machine.Publish{Rumour: machine.Rumour{Key: token.Key(k.writer), Epoch: k.self.Life, Seq: k.seq, Value: value}})
+	k.Emit(machine.Publish{Update: machine.Update{Key: token.Key(k.writer), Epoch: k.self.Life, Seq: k.seq, Value: value}})
 }
 
 // forget drops finished bundles and claims past their keeping.
--- a/ledger/store/store_test.go
+++ b/ledger/store/store_test.go
@@ -58,7 +58,7 @@
 			Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "a", Life: 1}, Backup: replication.Member{ID: "b", Life: 1}, Complete: complete}}}
 		value, _ := json.Marshal(m)
 		for _, id := range []string{"a", "b"} {
-			b.do(id, News{Rumour: machine.Rumour{Key: state.MapKey, Seq: m.Seq, Value: value}})
+			b.do(id, News{Rumour: machine.Update{Key: state.MapKey, Seq: m.Seq, Value: value}})
 		}
 		b.pass(clock.Second)
 	}
@@ -95,7 +95,7 @@
 		b.orders = append(b.orders, e.Order)
 	case machine.Publish:
 		if id == "a" {
-			json.Unmarshal(e.Rumour.Value, &b.said)
+			json.Unmarshal(e.Update.Value, &b.said)
 		}
 	}
 }
--- a/ledger/store/waiting_test.go
+++ b/ledger/store/waiting_test.go
@@ -14,7 +14,7 @@
 	m := state.Map{Fleet: "f", Seq: seq, Stores: map[string]state.Store{"a": {Peer: "a", Life: 1}, "b": {Peer: "b", Life: 1}},
 		Slots: []replication.Assignment{{Epoch: epoch, Owner: replication.Member{ID: owner, Life: ownerLife}, Backup: replication.Member{ID: backup, Life: 1}, Complete: true, Trusted: [2]string{owner, backup}}}}
 	value, _ := json.Marshal(m)
-	return News{Rumour: machine.Rumour{Key: state.MapKey, Seq: seq, Value: value}}
+	return News{Rumour: machine.Update{Key: state.MapKey, Seq: seq, Value: value}}
 }
 
 // What was accepted counts from the write on; at a store that starts again, until
--- a/ledger/token/token_test.go
+++ b/ledger/token/token_test.go
@@ -72,9 +72,9 @@
 	}
 }
 
-func said(seq uint64, a Announcement) machine.Rumour {
+func said(seq uint64, a Announcement) machine.Update {
 	value, _ := json.Marshal(a)
-	return machine.Rumour{Key: Key(a.Writer), Epoch: 1, Seq: seq, Value: value}
+	return machine.Update{Key: Key(a.Writer), Epoch: 1, Seq: seq, Value: value}
 }
 
 func twoWriters() *View {
--- a/ledger/token/view.go
+++ b/ledger/token/view.go
@@ -41,7 +41,7 @@
 // View is what one reading daemon knows of the writers.
 type View struct {
 	said   map[int]Announcement
-	marks  map[int]machine.Rumour
+	marks  map[int]machine.Update
 	owners map[int]Owner
 	slots  int
 	floor  map[int]uint64 // epochs the map told of, whether complete or not
@@ -49,7 +49,7 @@
 
 // NewView is an empty view.
 func NewView() *View {
-	return &View{said: map[int]Announcement{}, marks: map[int]machine.Rumour{}, owners: map[int]Owner{}, floor: map[int]uint64{}}
+	return &View{said: map[int]Announcement{}, marks: map[int]machine.Update{}, owners: map[int]Owner{}, floor: map[int]uint64{}}
 }
 
 // SetMap tells the view how many slots there are and their epochs.
@@ -62,7 +62,7 @@
 
 // Hear takes a writer's announcement; an older one changes nothing. It tells
 // whether anything changed.
-func (v *View) Hear(rumour machine.Rumour) bool {
+func (v *View) Hear(rumour machine.Update) bool {
 	var a Announcement
 	if json.Unmarshal(rumour.Value, &a) != nil || a.Writer == 0 {
 		return false
@@ -70,7 +70,7 @@
 	if mark, ok := v.marks[a.Writer]; ok && !rumour.Newer(mark) {
 		return false
 	}
-	v.marks[a.Writer] = machine.Rumour{Epoch: rumour.Epoch, Seq: rumour.Seq}
+	v.marks[a.Writer] = machine.Update{Epoch: rumour.Epoch, Seq: rumour.Seq}
 	if old := v.said[a.Writer]; old.UpTo > a.UpTo {
 		a.UpTo = old.UpTo
 	}
--- /dev/null
+++ b/membership/gossip/commands.go
@@ -0,0 +1,145 @@
+package gossip
+
+import (
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+	"tuliprudder/membership/identity"
+)
+
+// Command is an input of the gossip node.
+type Command = machine.Command[*Node]
+
+// Message is a gossip message that was received.
+type Message struct {
+	From string
+	Body any
+}
+
+// Apply handles the message by its type.
+func (l Message) Apply(c *Node, now clock.Micros) {
+	c.addToView(l.From)
+	switch body := l.Body.(type) {
+	case Gossip:
+		c.receive(body.Updates, now)
+	case Digest:
+		c.answerDigest(l.From, body, now)
+	case DigestReply:
+		c.Repaired += int64(len(body.Updates))
+		c.receive(body.Updates, now)
+		c.sendUpdates(l.From, body.Missing)
+		if body.Counts && len(c.voters) > 0 && !c.NoVoters {
+			c.learnAges(body.Ages, body.Stamp, now)
+		} else if c.inOtherZone(l.From) && body.Stamp > c.lastSwap {
+			c.lastSwap = body.Stamp
+			c.Emit(machine.Fresh{At: c.lastSwap})
+		}
+	case PushUpdate:
+		c.receive([]machine.Update{body.Update}, now)
+		c.sendPending()
+		c.Emit(machine.Send{To: l.From, Body: PushAck{Nonce: body.Nonce, ID: c.self.ID}})
+	case PushAck:
+		if p := c.pushes[body.Nonce]; p != nil {
+			p.acknowledged[body.ID] = true
+			c.resendPushes(now)
+		}
+	case FetchUpdates:
+		c.sendUpdates(l.From, body.Keys)
+	case Announcement:
+		c.requestAnnounced(l.From, body, now)
+	case Probe:
+		c.Emit(machine.Send{To: l.From, Body: ProbeReply{Nonce: body.Nonce, For: body.For}})
+	case ProbeReply:
+		c.probeAnswered(body)
+	case IndirectProbe:
+		c.nonce++
+		c.indirectProbes[c.nonce] = indirectProbe{requester: l.From, nonce: body.Nonce, expiry: now + c.set.ProbeWait}
+		c.Emit(machine.Send{To: body.Target, Body: Probe{Nonce: c.nonce, For: l.From}})
+	case IndirectResult:
+		if p := c.probes[body.Nonce]; p != nil {
+			if body.Reached {
+				delete(c.probes, body.Nonce)
+			} else {
+				p.failures++
+			}
+		}
+	case Shuffle:
+		c.mergeView(l.From, body)
+	}
+}
+
+// Publish is an update that starts at this daemon.
+type Publish struct{ Update machine.Update }
+
+// Apply records the update and passes it on.
+func (t Publish) Apply(c *Node, now clock.Micros) { c.receive([]machine.Update{t.Update}, now) }
+
+// Reseed replaces the seed addresses.
+type Reseed struct{ Seeds []string }
+
+// Apply replaces the seed addresses.
+func (r Reseed) Apply(c *Node, now clock.Micros) { c.seeds = r.Seeds }
+
+// Drain marks this daemon as draining, Leave as gone on purpose.
+type (
+	Drain struct{}
+	Leave struct{}
+)
+
+// Apply announces that the daemon drains.
+func (Drain) Apply(c *Node, now clock.Micros) {
+	c.self.Draining = true
+	c.self.Statement++
+	c.announceSelf(now)
+	c.sendPending()
+}
+
+// Apply announces that the daemon has left.
+func (Leave) Apply(c *Node, now clock.Micros) {
+	c.self.Status = identity.Left
+	c.announceSelf(now)
+	c.sendPending()
+}
+
+// ClockEvent runs the duties that are due.
+type ClockEvent struct{}
+
+// Apply runs the duties that are due; each duty keeps its own next time.
+func (ClockEvent) Apply(c *Node, now clock.Micros) {
+	c.judgeProbes(now)
+	c.resendPushes(now)
+	if now >= c.next.probe {
+		c.next.probe = now + c.set.Probe
+		c.probe(now)
+	}
+	if now >= c.next.digest {
+		c.next.digest = now + c.set.Digest
+		c.exchangeDigest(now)
+	}
+	if now >= c.next.shuffle {
+		c.next.shuffle = now + c.set.Shuffle
+		if peer := c.pickOne(c.view); peer != "" {
+			c.Emit(machine.Send{To: peer, Body: Shuffle{Peers: append(c.sample(2), c.self.Peer)}})
+		}
+		c.forget(now)
+	}
+	if now >= c.next.seed {
+		c.next.seed = now + 3*clock.Second
+		if len(c.live()) < 2 {
+			c.next.seed = now + 200*clock.Millisecond
+		}
+		if seed := c.pickOne(c.seeds); seed != "" && seed != c.self.Peer {
+			c.Emit(machine.Send{To: seed, Body: c.digest(now)})
+		}
+		// A dead daemon may only have been partitioned: contact one from time to time.
+		var dead []string
+		for _, p := range c.sortedMembers() {
+			if p.Status == identity.Dead {
+				dead = append(dead, p.Peer)
+			}
+		}
+		if peer := c.pickOne(dead); peer != "" {
+			c.Emit(machine.Send{To: peer, Body: c.digest(now)})
+		}
+	}
+	c.sendPending()
+}
--- a/membership/gossip/gossip_test.go
+++ b/membership/gossip/gossip_test.go
@@ -9,7 +9,7 @@
 	"tuliprudder/membership/identity"
 )
 
-// town is some circles with links that can be cut.
+// town is some gossip nodes with links that can be cut.
 type town struct {
 	now     clock.Micros
 	circles map[string]*Node
@@ -25,7 +25,7 @@
 	for i := 0; i < count; i++ {
 		name := fmt.Sprintf("d%02d", i)
 		w.names = append(w.names, name)
-		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Edge, Peer: name, Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
+		w.circles[name] = New(identity.Member{ID: name, Kind: identity.Edge, Peer: name, Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
 	}
 	return w
 }
@@ -38,7 +38,7 @@
 			if to == nil || w.cut[from] || w.cut[send.To] || w.lose != nil && w.lose(send.Body) || w.apart != nil && w.apart(from, send.To) {
 				continue
 			}
-			w.deliver(send.To, to.Do(Letter{From: from, Body: send.Body}, w.now))
+			w.deliver(send.To, to.Do(Message{From: from, Body: send.Body}, w.now))
 		}
 	}
 }
@@ -54,38 +54,38 @@
 	}
 }
 
-func (w *town) standing(at, of string) identity.Standing {
-	for _, person := range w.circles[at].Folk() {
-		if person.ID == of {
-			return person.Standing
+func (w *town) standing(at, of string) identity.Status {
+	for _, member := range w.circles[at].Members() {
+		if member.ID == of {
+			return member.Status
 		}
 	}
 	return 99
 }
 
 // Fifteen daemons that know three seeds come to know all, each through a
-// partial view; news reaches everyone within a moment.
+// partial view; updates reaches everyone within a moment.
 func TestEveryoneComesToKnowEveryone(t *testing.T) {
 	w := newTown(15)
 	w.pass(3 * clock.Second)
 	for _, name := range w.names {
-		if known := len(w.circles[name].Folk()); known != 15 {
+		if known := len(w.circles[name].Members()); known != 15 {
 			t.Fatalf("%s knows %d of 15", name, known)
 		}
 		if size := len(w.circles[name].view); size > Defaults().View {
 			t.Fatalf("%s talks through %d, not a partial view", name, size)
 		}
 	}
-	w.deliver("d07", w.circles["d07"].Do(Tell{machine.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
+	w.deliver("d07", w.circles["d07"].Do(Publish{machine.Update{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
 	w.pass(clock.Second)
 	for _, name := range w.names {
-		if _, ok := w.circles[name].News("plan"); !ok {
+		if _, ok := w.circles[name].Update("plan"); !ok {
 			t.Fatalf("%s has not heard the news after a second", name)
 		}
 	}
 }
 
-// A large rumour reaches everyone about once, not from every side; and though
+// A large update reaches everyone about once, not from every side; and though
 // the first who was asked for it falls silent.
 func TestALargeRumourTravelsOnce(t *testing.T) {
 	for _, lost := range []bool{false, true} {
@@ -94,7 +94,7 @@
 		copies, first := 0, true
 		w.lose = func(body any) bool {
 			gossip, ok := body.(Gossip)
-			if !ok || gossip.Rumours[0].Key != "plan" {
+			if !ok || gossip.Updates[0].Key != "plan" {
 				return false
 			}
 			copies++
@@ -102,10 +102,10 @@
 			first = false
 			return drop
 		}
-		w.deliver("d07", w.circles["d07"].Do(Tell{machine.Rumour{Key: "plan", Seq: 1, Value: make([]byte, 100<<10)}}, w.now))
+		w.deliver("d07", w.circles["d07"].Do(Publish{machine.Update{Key: "plan", Seq: 1, Value: make([]byte, 100<<10)}}, w.now))
 		w.pass(2 * clock.Second)
 		for _, name := range w.names {
-			if _, ok := w.circles[name].News("plan"); !ok {
+			if _, ok := w.circles[name].Update("plan"); !ok {
 				t.Fatalf("%s has not heard it (first answer lost: %v)", name, lost)
 			}
 		}
@@ -115,15 +115,15 @@
 	}
 }
 
-// Rumours are lost altogether: comparing digests mends every gap.
+// Updates are lost altogether: comparing digests mends every gap.
 func TestDigestsMendWhatGossipLost(t *testing.T) {
 	w := newTown(9)
 	w.pass(3 * clock.Second)
 	w.lose = func(body any) bool { _, gossip := body.(Gossip); return gossip }
-	w.deliver("d03", w.circles["d03"].Do(Tell{machine.Rumour{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
+	w.deliver("d03", w.circles["d03"].Do(Publish{machine.Update{Key: "plan", Seq: 1, Value: []byte("x")}}, w.now))
 	w.pass(4 * clock.Second)
 	for _, name := range w.names {
-		if _, ok := w.circles[name].News("plan"); !ok {
+		if _, ok := w.circles[name].Update("plan"); !ok {
 			t.Fatalf("%s never heard", name)
 		}
 	}
@@ -141,20 +141,20 @@
 	w.cut["d04"] = false
 	w.pass(8 * clock.Second)
 	for _, name := range w.names {
-		if got := w.standing(name, "d04"); got != identity.Sound {
+		if got := w.standing(name, "d04"); got != identity.Alive {
 			t.Fatalf("at %s d04 is %s after its return", name, got)
 		}
 	}
 }
 
-// A zone that is cut off takes its own news for old, though its daemons hear
+// A zone that is cut off takes its own updates for old, though its daemons hear
 // each other; the rest goes on.
 func TestACutZoneIsNotFresh(t *testing.T) {
 	w := &town{now: 1_000_000, circles: map[string]*Node{}, cut: map[string]bool{}, sent: map[string]int{}}
 	for i := 0; i < 9; i++ {
 		name := fmt.Sprintf("d%02d", i)
 		w.names = append(w.names, name)
-		w.circles[name] = New(identity.Person{ID: name, Kind: identity.Edge, Peer: name, Zone: fmt.Sprint(i % 3), Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
+		w.circles[name] = New(identity.Member{ID: name, Kind: identity.Edge, Peer: name, Zone: fmt.Sprint(i % 3), Incarnation: 1}, []string{"d00", "d01", "d02"}, Defaults(), int64(i+1))
 	}
 	w.pass(3 * clock.Second)
 	w.apart = func(one, other string) bool {
@@ -169,17 +169,17 @@
 	}
 }
 
-// A word that has to be kept everywhere is told once most of the roll have given
+// A word that has to be kept everywhere is told once most of the voters have given
 // their word; one of the release before is told by gossip, and sent no press.
 func TestAWordIsOutOnceMostOfTheRollKnowIt(t *testing.T) {
 	for _, reached := range []bool{true, false} {
-		c := New(identity.Person{ID: "e", Kind: identity.Edge, Peer: "e", Zone: "z"}, nil, Defaults(), 1)
+		c := New(identity.Member{ID: "e", Kind: identity.Edge, Peer: "e", Zone: "z"}, nil, Defaults(), 1)
 		for id, version := range map[string]int{"s1": 2, "s2": 2, "s3": 1, "k1": 2, "k2": 2} {
-			p := identity.Person{ID: id, Kind: identity.Store, Peer: id, Zone: "y", Version: version}
-			c.Do(Tell{machine.Rumour{Key: identity.Key(id), Seq: p.Seq(), Value: p.Encode()}}, 1)
+			p := identity.Member{ID: id, Kind: identity.Store, Peer: id, Zone: "y", Version: version}
+			c.Do(Publish{machine.Update{Key: identity.Key(id), Seq: p.Seq(), Value: p.Encode()}}, 1)
 		}
-		c.Do(Tell{machine.Rumour{Key: "map", Seq: 1, Value: []byte(`{"stores":{"s1":{},"s2":{},"s3":{}}}`)}}, 1)
-		c.Do(Tell{machine.Rumour{Key: "core", Seq: 1, Value: []byte(`{"seats":["k1","k2","k3"]}`)}}, 1)
+		c.Do(Publish{machine.Update{Key: "map", Seq: 1, Value: []byte(`{"stores":{"s1":{},"s2":{},"s3":{}}}`)}}, 1)
+		c.Do(Publish{machine.Update{Key: "core", Seq: 1, Value: []byte(`{"seats":["k1","k2","k3"]}`)}}, 1)
 		var answer *machine.Answer
 		pressed := map[string]uint64{}
 		take := func(effects []machine.Effect) {
@@ -188,23 +188,23 @@
 					answer = &a
 				}
 				if send, ok := effect.(machine.Send); ok {
-					if press, ok := send.Body.(Press); ok {
+					if press, ok := send.Body.(PushUpdate); ok {
 						pressed[send.To] = press.Nonce
 					}
 				}
 			}
 		}
-		take(c.Do(Spread{Rumour: machine.Rumour{Key: "server/a", Seq: 1}, Call: 7, Body: "out", Expiry: clock.Second}, 10))
+		take(c.Do(Broadcast{Update: machine.Update{Key: "server/a", Seq: 1}, Call: 7, Body: "out", Expiry: clock.Second}, 10))
 		if _, old := pressed["s3"]; old || len(pressed) != 4 || answer != nil {
 			t.Fatalf("pressed %v, answered %v before anybody's word", pressed, answer)
 		}
 		// s3 counts two of nine; s1 makes four, and k1 five.
-		take(c.Do(Letter{From: "s1", Body: Pressed{Nonce: pressed["s1"], ID: "s1"}}, 20))
+		take(c.Do(Message{From: "s1", Body: PushAck{Nonce: pressed["s1"], ID: "s1"}}, 20))
 		if answer != nil {
 			t.Fatal("four of nine were taken for most")
 		}
 		if reached {
-			take(c.Do(Letter{From: "k1", Body: Pressed{Nonce: pressed["k1"], ID: "k1"}}, 30))
+			take(c.Do(Message{From: "k1", Body: PushAck{Nonce: pressed["k1"], ID: "k1"}}, 30))
 		}
 		take(c.Do(ClockEvent{}, 2*clock.Second))
 		if answer == nil || answer.Call != 7 || (answer.Err == nil) != reached {
@@ -221,9 +221,9 @@
 	for end := w.now + 10*clock.Second; w.now < end; w.now += 20 * clock.Millisecond {
 		alone.Do(ClockEvent{}, w.now)
 	}
-	for _, person := range alone.Folk() {
-		if person.Standing != identity.Sound {
-			t.Fatalf("d05, alone, holds %s to be %s", person.ID, person.Standing)
+	for _, member := range alone.Members() {
+		if member.Status != identity.Alive {
+			t.Fatalf("d05, alone, holds %s to be %s", member.ID, member.Status)
 		}
 	}
 	if alone.LastSwap() > w.now-9*clock.Second {
--- /dev/null
+++ b/membership/gossip/view.go
@@ -0,0 +1,62 @@
+package gossip
+
+import (
+	"tuliprudder/kernel/machine"
+)
+
+func (c *Node) addToView(peer string) {
+	if peer == "" || peer == c.self.Peer {
+		return
+	}
+	for _, known := range c.view {
+		if known == peer {
+			return
+		}
+	}
+	if len(c.view) < c.set.View {
+		c.view = append(c.view, peer)
+	}
+}
+
+func (c *Node) sample(count int) []string {
+	var out []string
+	for _, at := range c.random.Perm(len(c.view)) {
+		if len(out) == count {
+			break
+		}
+		out = append(out, c.view[at])
+	}
+	return out
+}
+
+func (c *Node) mergeView(from string, shuffle Shuffle) {
+	if !shuffle.Answer {
+		c.Emit(machine.Send{To: from, Body: Shuffle{Peers: c.sample(3), Answer: true}})
+	}
+	for _, peer := range shuffle.Peers {
+		if peer == c.self.Peer || contains(c.view, peer) {
+			continue
+		}
+		if len(c.view) < c.set.View {
+			c.view = append(c.view, peer)
+		} else {
+			c.view[c.random.Intn(len(c.view))] = peer
+		}
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, one := range list {
+		if one == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Node) pickOne(from []string) string {
+	if len(from) == 0 {
+		return ""
+	}
+	return from[c.random.Intn(len(from))]
+}
--- a/membership/identity/identity.go
+++ b/membership/identity/identity.go
@@ -1,14 +1,15 @@
-// Package identity says who a daemon is (DESIGN §3).
+// Package identity describes a daemon to the others: its kind, addresses, zone,
+// incarnation and health status (DESIGN §3).
 package identity
 
 import "encoding/json"
 
-// Release is the version daemons tell each other. From 2 on they know the roll's
-// messages (DESIGN §3.4).
+// Release is the protocol version that daemons tell each other. From 2 on they know
+// the messages between voters (DESIGN §3.4).
 const Release = 2
 
 // Kinds of daemon. The spellings are those of the first release: they are on the
-// wire (Person.Kind), in daemons' identifiers and in the identity file of a data
+// wire (Member.Kind), in daemons' identifiers and in the identity file of a data
 // folder, where daemons and folders of a neighbouring release read them.
 const (
 	Edge  = "trailhead"
@@ -27,50 +28,52 @@
 	return kind
 }
 
-// Standing is how sound a daemon is held to be; a higher one replaces a lower
-// one of the same incarnation and word.
-type Standing uint64
+// Status is a daemon's health as the directory knows it; a higher one replaces a
+// lower one of the same incarnation and statement.
+type Status uint64
 
-// The standings in the order in which they replace each other.
+// The statuses in the order in which they replace each other.
 const (
-	Sound Standing = iota
+	Alive Status = iota
 	Suspect
 	Dead
 	Left
-	standings
+	statusCount
 )
 
-var standingNames = map[Standing]string{Sound: "sound", Suspect: "suspect", Dead: "dead", Left: "left"}
+var statusNames = map[Status]string{Alive: "sound", Suspect: "suspect", Dead: "dead", Left: "left"}
 
-// String names the standing.
-func (s Standing) String() string { return standingNames[s] }
+// String names the status.
+func (s Status) String() string { return statusNames[s] }
 
-// Person is one daemon as the directory knows it.
-type Person struct {
+// Member is one daemon as the directory knows it.
+type Member struct {
 	ID, Kind, Zone string
 	Peer, HTTP     string
 	Incarnation    uint64
-	Word           uint64 // how often it spoke for itself in this incarnation
-	Standing       Standing
-	Draining       bool
-	Version        int
-	Name           string `json:",omitempty"` // the operator's name of the machine; "": none
+	// Statement counts how often the daemon spoke for itself in this incarnation.
+	// On the wire it keeps the spelling of the first release, as Status does.
+	Statement uint64 `json:"Word"`
+	Status    Status `json:"Standing"`
+	Draining  bool
+	Version   int
+	Name      string `json:",omitempty"` // the operator's name of the machine; "": none
 }
 
-// Seq orders what is said of one incarnation.
-func (p Person) Seq() uint64 { return p.Word*uint64(standings) + uint64(p.Standing) }
+// Seq orders the updates about one incarnation.
+func (p Member) Seq() uint64 { return p.Statement*uint64(statusCount) + uint64(p.Status) }
 
-// Key is the news key of a daemon.
+// Key is the update key of a daemon.
 func Key(id string) string { return "daemon/" + id }
 
-// Encode and Decode carry a person as news.
-func (p Person) Encode() []byte {
+// Encode writes a member as the value of an update.
+func (p Member) Encode() []byte {
 	data, _ := json.Marshal(p)
 	return data
 }
 
-// Decode reads a person from news.
-func Decode(data []byte) (Person, bool) {
-	var p Person
+// Decode reads a member from the value of an update; false where it is none.
+func Decode(data []byte) (Member, bool) {
+	var p Member
 	return p, json.Unmarshal(data, &p) == nil && p.ID != ""
 }
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -59,9 +59,9 @@
 		t.Fatal(err, errs.Of(err).Faults)
 	}
 	parsed.Version = 1
-	self := identity.Person{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
+	self := identity.Member{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
 	s.step(func(now clock.Micros) []machine.Effect {
-		return s.edge.Heard(machine.Rumour{Key: identity.Key("edge"), Value: self.Encode()}, now)
+		return s.edge.Heard(machine.Update{Key: identity.Key("edge"), Value: self.Encode()}, now)
 	})
 	c := &crossing{t: t, shell: s}
 	for i, handler := range handlers {
--- a/path/gate/gate_test.go
+++ b/path/gate/gate_test.go
@@ -74,7 +74,7 @@
 		case machine.Ask:
 			go func() {
 				body, err := s.ask(e.Body)
-				s.step(func(now clock.Micros) []machine.Effect { return s.edge.Told(e.Token, body, err, now) })
+				s.step(func(now clock.Micros) []machine.Effect { return s.edge.Answered(e.Token, body, err, now) })
 			}()
 		}
 	}
@@ -102,11 +102,11 @@
 		t.Fatal(err)
 	}
 	parsed.Version = 1
-	self := identity.Person{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
+	self := identity.Member{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
 	chartMap, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: make([]replication.Assignment, 1)})
 	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: 9, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
-	for _, rumour := range []machine.Rumour{{Key: identity.Key("edge"), Value: self.Encode()}, {Key: state.MapKey, Seq: 1, Value: chartMap}, {Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}} {
-		s.step(func(now clock.Micros) []machine.Effect { return s.edge.Heard(rumour, now) })
+	for _, update := range []machine.Update{{Key: identity.Key("edge"), Value: self.Encode()}, {Key: state.MapKey, Seq: 1, Value: chartMap}, {Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}} {
+		s.step(func(now clock.Micros) []machine.Effect { return s.edge.Heard(update, now) })
 	}
 	s.edge.Dispatch.SetPlan(parsed, s.now())
 	s.step(func(now clock.Micros) []machine.Effect { return s.edge.Fresh(now, now) })
--- a/path/quota/map_test.go
+++ b/path/quota/map_test.go
@@ -15,8 +15,8 @@
 // trouble-3: after all processes were killed a holder knew too few stores.)
 func TestAHolderWaitsForEveryStoreOnTheMap(t *testing.T) {
 	wire := machine.NewWire()
-	folk := []identity.Person{{ID: "edge", Kind: identity.Edge, Peer: "e"}}
-	p := New("edge", wire, func() []identity.Person { return folk }, nil)
+	members := []identity.Member{{ID: "edge", Kind: identity.Edge, Peer: "e"}}
+	p := New("edge", wire, func() []identity.Member { return members }, nil)
 	var m state.Map
 	p.Map = func() (state.Map, bool) { return m, m.Seq > 0 }
 	now := clock.Second
@@ -24,7 +24,7 @@
 		p.Lend(LendAsk{Customer: "c", Borrower: "edge", Want: 10, Allowance: 100, Plan: 1}, now, func(got LendAnswer, _ clock.Micros) { answer = got })
 		for _, effect := range wire.Drain() {
 			if asked, ok := effect.(machine.Ask); ok {
-				wire.Told(asked.Token, nil, nil, now)
+				wire.Answered(asked.Token, nil, nil, now)
 			}
 		}
 		return answer
@@ -45,7 +45,7 @@
 
 // What a store held that is gone is let go once its slots are others', and no sooner.
 func TestALoanPassesOnWithTheSlots(t *testing.T) {
-	p := New("edge", machine.NewWire(), func() []identity.Person { return nil }, nil)
+	p := New("edge", machine.NewWire(), func() []identity.Member { return nil }, nil)
 	m := state.Map{Seq: 1, Slots: []replication.Assignment{{Epoch: 1, Owner: replication.Member{ID: "gone"}, Complete: true}}}
 	p.Map = func() (state.Map, bool) { return m, true }
 	now := clock.Second
--- a/path/quota/quota.go
+++ b/path/quota/quota.go
@@ -51,7 +51,7 @@
 	Self string
 	Wire *machine.Wire
 	// Folk is the directory as this daemon knows it.
-	Folk func() []identity.Person
+	Folk func() []identity.Member
 	// Waiting is work that waits here without having been taken one by one
 	// (items of bundles at a keeper).
 	Waiting func(customer string) int
@@ -96,8 +96,8 @@
 }
 
 // New makes a purse.
-func New(self string, wire *machine.Wire, folk func() []identity.Person, waiting func(string) int) *Quota {
-	return &Quota{Self: self, Wire: wire, Folk: folk, Waiting: waiting, shares: map[string]*Share{}, terms: map[string]LendAsk{},
+func New(self string, wire *machine.Wire, members func() []identity.Member, waiting func(string) int) *Quota {
+	return &Quota{Self: self, Wire: wire, Folk: members, Waiting: waiting, shares: map[string]*Share{}, terms: map[string]LendAsk{},
 		accounts: map[string]*Account{}, allowed: map[string]LendAsk{}, takers: map[string][]*taker{}, asking: map[string]bool{}, rounds: map[string]*round{}, kept: map[string]bool{}}
 }
 
@@ -222,11 +222,11 @@
 
 // holder is the first live edge in the customer's agreed order.
 func (p *Quota) holder(customer string) (id, peer string) {
-	folk := p.Folk()
-	id = registry.First("account/"+customer, folk, identity.Edge)
-	for _, person := range folk {
-		if person.ID == id {
-			return id, person.Peer
+	members := p.Folk()
+	id = registry.First("account/"+customer, members, identity.Edge)
+	for _, member := range members {
+		if member.ID == id {
+			return id, member.Peer
 		}
 	}
 	return "", ""
@@ -301,9 +301,9 @@
 // keeps tells whether a borrower is a store: one that is not known any more may
 // have been.
 func (p *Quota) keeps(borrower string) bool {
-	for _, person := range p.Folk() {
-		if person.ID == borrower {
-			return person.Kind == identity.Store
+	for _, member := range p.Folk() {
+		if member.ID == borrower {
+			return member.Kind == identity.Store
 		}
 	}
 	return p.kept[borrower]
@@ -356,9 +356,9 @@
 			owns[pairing.Trusted[0]], owns[pairing.Trusted[1]] = true, true
 		}
 	}
-	for _, person := range p.Folk() {
-		if person.Standing == identity.Sound {
-			owns[person.ID] = true
+	for _, member := range p.Folk() {
+		if member.Status == identity.Alive {
+			owns[member.ID] = true
 		}
 	}
 	for _, a := range p.accounts {
@@ -373,12 +373,12 @@
 // borrowers are all daemons that may hold shares.
 func (p *Quota) borrowers() []string {
 	var out []string
-	for _, person := range p.Folk() {
-		if person.Kind == identity.Store {
-			p.kept[person.ID] = true
+	for _, member := range p.Folk() {
+		if member.Kind == identity.Store {
+			p.kept[member.ID] = true
 		}
-		if person.Kind != identity.Core && person.Standing < identity.Dead && person.ID != p.Self {
-			out = append(out, person.ID)
+		if member.Kind != identity.Core && member.Status < identity.Dead && member.ID != p.Self {
+			out = append(out, member.ID)
 		}
 	}
 	return out
@@ -392,8 +392,8 @@
 		return
 	}
 	peers := map[string]string{}
-	for _, person := range p.Folk() {
-		peers[person.ID] = person.Peer
+	for _, member := range p.Folk() {
+		peers[member.ID] = member.Peer
 	}
 	missing := a.Missing()
 	r := &round{left: len(missing), then: []func(clock.Micros){then}}
--- a/path/reader/reader.go
+++ b/path/reader/reader.go
@@ -70,11 +70,11 @@
 }
 
 // Hear takes the news that concern reading.
-func (r *Reader) Hear(rumour machine.Rumour, now clock.Micros) {
+func (r *Reader) Hear(update machine.Update, now clock.Micros) {
 	switch {
-	case rumour.Key == state.MapKey:
+	case update.Key == state.MapKey:
 		var m state.Map
-		if json.Unmarshal(rumour.Value, &m) != nil || m.Seq <= r.chart.Seq {
+		if json.Unmarshal(update.Value, &m) != nil || m.Seq <= r.chart.Seq {
 			return
 		}
 		r.chart = m
@@ -83,8 +83,8 @@
 			epochs[i] = pairing.Epoch
 		}
 		r.view.SetMap(epochs)
-	case strings.HasPrefix(rumour.Key, "writer/"):
-		if !r.view.Hear(rumour) {
+	case strings.HasPrefix(update.Key, "writer/"):
+		if !r.view.Hear(update) {
 			return
 		}
 	default:
--- a/path/reader/reader_test.go
+++ b/path/reader/reader_test.go
@@ -27,7 +27,7 @@
 	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
 	b.Reader = New(b.wire)
 	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Assignment{{Epoch: 1}}})
-	b.Hear(machine.Rumour{Key: state.MapKey, Seq: 1, Value: m}, b.now)
+	b.Hear(machine.Update{Key: state.MapKey, Seq: 1, Value: m}, b.now)
 	b.say(5)
 	return b
 }
@@ -36,7 +36,7 @@
 func (b *bench) say(upTo int64) {
 	b.seq++
 	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: upTo, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
-	b.Hear(machine.Rumour{Key: token.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
+	b.Hear(machine.Update{Key: token.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
 }
 
 func (b *bench) read(read Read) {
@@ -69,7 +69,7 @@
 	if !ask.Indexed || ask.From != 3 || ask.MostBytes != 99 || ask.Most != 10 || !ask.Anyone || ask.Bound[0][1] != 5 {
 		t.Fatalf("the keeper was asked %+v", ask)
 	}
-	b.wire.Told(first.Token, store.Rows{State: string(shard.Open), Items: 9, Index: 3}, nil, b.now)
+	b.wire.Answered(first.Token, store.Rows{State: string(shard.Open), Items: 9, Index: 3}, nil, b.now)
 	if len(b.pages) > 0 {
 		t.Fatalf("it did not wait: %+v", b.pages)
 	}
@@ -85,7 +85,7 @@
 	if second == nil || second.Body.(store.ReadAsk).Bound[0][1] != 6 {
 		t.Fatalf("after the writer's word it asked %+v", second)
 	}
-	b.wire.Told(second.Token, store.Rows{Rows: []shard.Row{{Writer: 1, Position: 6}}, State: string(shard.Open), Items: 9, Index: 3}, nil, b.now)
+	b.wire.Answered(second.Token, store.Rows{Rows: []shard.Row{{Writer: 1, Position: 6}}, State: string(shard.Open), Items: 9, Index: 3}, nil, b.now)
 	if len(b.pages) != 1 || len(b.pages[0].Rows) != 1 || b.pages[0].Index != 3 || b.pages[0].Items != 9 || b.pages[0].Next != "" {
 		t.Fatalf("%+v", b.pages)
 	}
@@ -95,7 +95,7 @@
 func TestTheEndOfASettledListIsToldAtOnce(t *testing.T) {
 	b := newBench(t)
 	b.read(Read{Name: "n", Bundle: "one", Wait: 30 * clock.Second, Indexed: true, From: 9, Anyone: true})
-	b.wire.Told(b.next().Token, store.Rows{State: string(shard.Done), Items: 9, Index: 9}, nil, b.now)
+	b.wire.Answered(b.next().Token, store.Rows{State: string(shard.Done), Items: 9, Index: 9}, nil, b.now)
 	if len(b.pages) != 1 || b.pages[0].State != string(shard.Done) || b.pages[0].Items != 9 || b.Open() != 0 {
 		t.Fatalf("%+v", b.pages)
 	}
--- a/path/registry/registry.go
+++ b/path/registry/registry.go
@@ -33,9 +33,9 @@
 }
 
 // Word is the newest word on a server, for the news: always above what is known.
-func Word(server Server, known machine.Rumour, now clock.Micros) machine.Rumour {
+func Word(server Server, known machine.Update, now clock.Micros) machine.Update {
 	value, _ := json.Marshal(server)
-	return machine.Rumour{Key: ServerKey(server.Name), Seq: max(uint64(now), known.Seq+1), Value: value}
+	return machine.Update{Key: ServerKey(server.Name), Seq: max(uint64(now), known.Seq+1), Value: value}
 }
 
 // ServerKey and LoadKey are the news keys of a server.
@@ -46,17 +46,17 @@
 
 // First is the first live daemon in the agreed order for a duty: each duty has
 // an order of its own, so duties spread over the daemons.
-func First(duty string, folk []identity.Person, kind string) string {
+func First(duty string, members []identity.Member, kind string) string {
 	type place struct {
 		id   string
 		rank uint64
 	}
 	var order []place
-	for _, person := range folk {
-		if person.Kind == kind && person.Standing == identity.Sound && !person.Draining {
+	for _, member := range members {
+		if member.Kind == kind && member.Status == identity.Alive && !member.Draining {
 			h := fnv.New64a()
-			h.Write([]byte(duty + "\x00" + person.ID))
-			order = append(order, place{person.ID, h.Sum64()})
+			h.Write([]byte(duty + "\x00" + member.ID))
+			order = append(order, place{member.ID, h.Sum64()})
 		}
 	}
 	if len(order) == 0 {
--- a/path/requests/requests.go
+++ b/path/requests/requests.go
@@ -300,7 +300,7 @@
 }
 
 // keep asks the keeper of a bundle or a claim; back is told once.
-func (t *Machine) keep(id string, body func(slot int) any, expiry, now clock.Micros, back machine.Back) {
+func (t *Machine) keep(id string, body func(slot int) any, expiry, now clock.Micros, back machine.Callback) {
 	slot, owner, err := t.reader.Keeper(id)
 	if err != nil {
 		back(nil, err, now)
@@ -501,7 +501,7 @@
 }
 
 // passOn hands a keeper's answer to who called.
-func (t *Machine) passOn(call uint64) machine.Back {
+func (t *Machine) passOn(call uint64) machine.Callback {
 	return func(body any, err error, _ clock.Micros) { t.answer(call, body, err) }
 }
 
@@ -510,7 +510,7 @@
 
 // passOnLook hands on the answer to a question that changes nothing: where none
 // came, asking again is always safe.
-func (t *Machine) passOnLook(call uint64) machine.Back {
+func (t *Machine) passOnLook(call uint64) machine.Callback {
 	return func(body any, err error, _ clock.Micros) {
 		if err != nil && errs.Of(err).Kind == errs.OutcomeUnknown {
 			err = errs.Later(errs.NotReady, clock.Second, "ask again; nothing was changed", "the keeper gave no answer: %v", err)
--- a/path/requests/requests_test.go
+++ b/path/requests/requests_test.go
@@ -36,8 +36,8 @@
 	d.SetPlan(plan, b.now)
 	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Assignment{{Epoch: 1}}})
 	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: 5, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
-	r.Hear(machine.Rumour{Key: state.MapKey, Seq: 1, Value: m}, b.now)
-	r.Hear(machine.Rumour{Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
+	r.Hear(machine.Update{Key: state.MapKey, Seq: 1, Value: m}, b.now)
+	r.Hear(machine.Update{Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
 	b.Machine = New(Defaults(), b.wire, d, nil, r, decisionlog.New(1))
 	return b
 }
@@ -92,7 +92,7 @@
 			t.Fatalf("%+v", bundle)
 		}
 		hashes[bundle.Hash] = true
-		b.wire.Told(ask.Token, store.Receipt{Bundle: "mine"}, nil, b.now)
+		b.wire.Answered(ask.Token, store.Receipt{Bundle: "mine"}, nil, b.now)
 		if _, answer := b.effects(); answer == nil || answer.Body.(store.Receipt).Bundle != "mine" {
 			t.Fatalf("answered %+v", answer)
 		}
@@ -150,7 +150,7 @@
 			if ask == nil || !one.fits(ask.Body) {
 				t.Fatalf("%T: asked %+v, answered %+v", one.body, ask, answer)
 			}
-			b.wire.Told(ask.Token, nil, err, b.now)
+			b.wire.Answered(ask.Token, nil, err, b.now)
 			wanted := one.silent
 			if err == denial {
 				wanted = errs.NotFound
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -32,16 +32,16 @@
 	every    clock.Micros
 	wire     *machine.Wire
 	dispatch *scheduler.Scheduler
-	folk     func() []identity.Person
+	members  func() []identity.Member
 	due      map[string]clock.Micros // when a server is due again
 	busy     map[string]bool
-	marks    map[string]machine.Rumour // the latest figures' epoch and sequence
+	marks    map[string]machine.Update // the latest figures' epoch and sequence
 	next     clock.Micros
 }
 
 // New makes an edge's scouts; with no span between readings there are none.
-func New(self string, every clock.Micros, wire *machine.Wire, d *scheduler.Scheduler, folk func() []identity.Person) *Scouts {
-	return &Scouts{self: self, every: every, wire: wire, dispatch: d, folk: folk, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Rumour{}}
+func New(self string, every clock.Micros, wire *machine.Wire, d *scheduler.Scheduler, members func() []identity.Member) *Scouts {
+	return &Scouts{self: self, every: every, wire: wire, dispatch: d, members: members, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Update{}}
 }
 
 // hurry is how much more often a busy server is looked at: old figures of a full
@@ -49,9 +49,9 @@
 const hurry = 4
 
 // Hear notes the latest figures of a server.
-func (s *Scouts) Hear(rumour machine.Rumour) {
-	if name, ok := strings.CutPrefix(rumour.Key, "load/"); ok {
-		s.marks[name] = rumour
+func (s *Scouts) Hear(update machine.Update) {
+	if name, ok := strings.CutPrefix(update.Key, "load/"); ok {
+		s.marks[name] = update
 	}
 }
 
@@ -61,9 +61,9 @@
 		return
 	}
 	s.next = now + s.every/hurry
-	folk := s.folk()
+	members := s.members()
 	for _, server := range s.dispatch.Servers() {
-		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || registry.First("load/"+server.Name, folk, identity.Edge) != s.self {
+		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || registry.First("load/"+server.Name, members, identity.Edge) != s.self {
 			continue
 		}
 		s.busy[server.Name] = true
@@ -91,5 +91,5 @@
 		}
 	}
 	value, _ := json.Marshal(load)
-	s.wire.Emit(machine.Publish{Rumour: machine.Rumour{Key: registry.LoadKey(saw.Name), Epoch: epoch, Seq: seq, Value: value}})
+	s.wire.Emit(machine.Publish{Update: machine.Update{Key: registry.LoadKey(saw.Name), Epoch: epoch, Seq: seq, Value: value}})
 }
--- a/proof/capacitymodel/bench_test.go
+++ b/proof/capacitymodel/bench_test.go
@@ -64,11 +64,11 @@
 func BenchmarkLineMemory(b *testing.B) {
 	for _, keys := range []int{500, 11_000} {
 		b.Run(fmt.Sprint(keys), func(b *testing.B) {
-			known := map[string]gossip.Mark{}
+			known := map[string]gossip.Version{}
 			for i := range keys {
-				known[fmt.Sprintf("server/server-%05d", i)] = gossip.Mark{Seq: 1_000_000_000_000_000 + uint64(i)}
+				known[fmt.Sprintf("server/server-%05d", i)] = gossip.Version{Seq: 1_000_000_000_000_000 + uint64(i)}
 			}
-			batch := transport.Batch{Letters: []transport.Envelope{{Body: gossip.Digest{Known: known}}}}
+			batch := transport.Batch{Messages: []transport.Envelope{{Body: gossip.Digest{Known: known}}}}
 			for range b.N {
 				var encoders []*gob.Encoder
 				var decoders []*gob.Decoder
@@ -165,12 +165,12 @@
 func BenchmarkDutyRound(b *testing.B) {
 	for _, size := range [][2]int{{60, 8}, {960, 8}, {5500, 8}, {5500, 245}} {
 		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
-			var folk []identity.Person
+			var folk []identity.Member
 			for i := range size[1] {
-				folk = append(folk, identity.Person{ID: fmt.Sprintf("edge-%03d.1", i), Kind: identity.Edge, Zone: "zone-01", Peer: "10.0.0.1:7100"})
+				folk = append(folk, identity.Member{ID: fmt.Sprintf("edge-%03d.1", i), Kind: identity.Edge, Zone: "zone-01", Peer: "10.0.0.1:7100"})
 			}
 			wire := machine.NewWire()
-			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []identity.Person { return folk })
+			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []identity.Member { return folk })
 			b.ResetTimer()
 			began := processCPU()
 			for i := range b.N {
@@ -186,20 +186,20 @@
 func BenchmarkCompareDigest(b *testing.B) {
 	for _, servers := range []int{60, 960, 5500} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
-			c := gossip.New(identity.Person{ID: "x", Kind: identity.Edge, Peer: "p", Incarnation: 1}, nil, gossip.Defaults(), 1)
-			known := map[string]gossip.Mark{}
-			var told []machine.Rumour
+			c := gossip.New(identity.Member{ID: "x", Kind: identity.Edge, Peer: "p", Incarnation: 1}, nil, gossip.Defaults(), 1)
+			known := map[string]gossip.Version{}
+			var told []machine.Update
 			for i := range servers {
 				for _, key := range []string{"server/", "load/"} {
-					rumour := machine.Rumour{Key: fmt.Sprintf("%sserver-%04d", key, i), Epoch: 1, Seq: 1, Value: []byte(strings.Repeat("x", 120))}
-					told, known[rumour.Key] = append(told, rumour), gossip.Mark{Epoch: 1, Seq: 1}
+					rumour := machine.Update{Key: fmt.Sprintf("%sserver-%04d", key, i), Epoch: 1, Seq: 1, Value: []byte(strings.Repeat("x", 120))}
+					told, known[rumour.Key] = append(told, rumour), gossip.Version{Epoch: 1, Seq: 1}
 				}
 			}
-			c.Do(gossip.Letter{Body: gossip.Gossip{Rumours: told}}, 1)
+			c.Do(gossip.Message{Body: gossip.Gossip{Updates: told}}, 1)
 			b.ResetTimer()
 			began := processCPU()
 			for range b.N {
-				c.Do(gossip.Letter{From: "q", Body: gossip.Digest{Known: known}}, 2)
+				c.Do(gossip.Message{From: "q", Body: gossip.Digest{Known: known}}, 2)
 			}
 			report(b, began, 1, "cpu-µs/digest")
 		})
@@ -237,7 +237,7 @@
 					}
 					value += fmt.Sprintf(`{"slot":%d,"epoch":1,"last":{"%d":5},"tenures":[{"writer":%d,"first":1,"last":5},{"writer":%d,"first":6,"last":900}]}`, slot, (w+1)%size[1]+1, (w+1)%size[1]+1, w+1)
 				}
-				v.Hear(machine.Rumour{Key: token.Key(w + 1), Epoch: 1, Seq: 1, Value: []byte(value + "]}")})
+				v.Hear(machine.Update{Key: token.Key(w + 1), Epoch: 1, Seq: 1, Value: []byte(value + "]}")})
 			}
 			b.ResetTimer()
 			began := processCPU()
--- a/proof/capacitymodel/codec.go
+++ b/proof/capacitymodel/codec.go
@@ -75,7 +75,7 @@
 		return size
 	}
 	c.deliver = framed(&rpc.Request{ServiceMethod: "Post.Deliver", Seq: 1000})
-	c.delivered = framed(&rpc.Response{ServiceMethod: "Post.Deliver", Seq: 1000}, &transport.Nothing{Took: 1})
+	c.delivered = framed(&rpc.Response{ServiceMethod: "Post.Deliver", Seq: 1000}, &transport.Delivered{Count: 1})
 	c.ask = framed(&rpc.Request{ServiceMethod: "Post.Ask", Seq: 1000})
 	c.asked = framed(&rpc.Response{ServiceMethod: "Post.Ask", Seq: 1000})
 	return c
@@ -96,11 +96,11 @@
 		c.kinds[name] = kind
 		c.samples = append(c.samples, body)
 		// The shared pairs learn the type now, outside of any count.
-		must(c.encoder.Encode(transport.Batch{Letters: []transport.Envelope{{Body: body}}}))
+		must(c.encoder.Encode(transport.Batch{Messages: []transport.Envelope{{Body: body}}}))
 		must(c.decoder.Decode(&transport.Batch{}))
 		must(c.encoder.Encode(transport.Reply{Body: body}))
 		must(c.decoder.Decode(&transport.Reply{}))
-		must(c.lone.Encode(transport.Batch{Letters: []transport.Envelope{{Body: body}}}))
+		must(c.lone.Encode(transport.Batch{Messages: []transport.Envelope{{Body: body}}}))
 		must(c.lone.Encode(transport.Reply{Body: body}))
 	}
 	return kind
@@ -142,22 +142,22 @@
 		must(line.Encode(&rpc.Request{}))
 		must(line.Encode(transport.Envelope{}))
 	default:
-		must(line.Encode(transport.Batch{Letters: []transport.Envelope{{Body: c.samples[kind]}}}))
+		must(line.Encode(transport.Batch{Messages: []transport.Envelope{{Body: c.samples[kind]}}}))
 	}
 }
 
 // size is a letter's own size in a batch, without descriptions.
 func (c *codec) size(letter transport.Envelope) int {
 	before := c.lonely.bytes
-	must(c.lone.Encode(transport.Batch{Letters: []transport.Envelope{letter}}))
+	must(c.lone.Encode(transport.Batch{Messages: []transport.Envelope{letter}}))
 	return c.lonely.bytes - before
 }
 
 // copied are the same news in memory of their own, as if they had arrived.
-func (c *codec) copied(rumours []machine.Rumour) []machine.Rumour {
+func (c *codec) copied(rumours []machine.Update) []machine.Update {
 	var buffer bytes.Buffer
 	must(gob.NewEncoder(&buffer).Encode(rumours))
-	var out []machine.Rumour
+	var out []machine.Update
 	must(gob.NewDecoder(&buffer).Decode(&out))
 	return out
 }
--- a/proof/capacitymodel/daemon.go
+++ b/proof/capacitymodel/daemon.go
@@ -90,13 +90,13 @@
 	return top
 }
 
-func (d *daemon) person() identity.Person {
-	return identity.Person{ID: d.id, Kind: d.kind, Zone: d.zone, Peer: d.peer, HTTP: d.peer, Incarnation: d.life, Version: identity.Release}
+func (d *daemon) person() identity.Member {
+	return identity.Member{ID: d.id, Kind: d.kind, Zone: d.zone, Peer: d.peer, HTTP: d.peer, Incarnation: d.life, Version: identity.Release}
 }
 
 // boot starts a daemon from what its disk holds. Those told are known from the
 // start, so that a run need not wait for a large fleet to get acquainted.
-func (d *daemon) boot(told []machine.Rumour) {
+func (d *daemon) boot(told []machine.Update) {
 	f := d.fleet
 	d.era++
 	d.life++
@@ -149,19 +149,19 @@
 
 // acquaint tells a daemon all at once what a fleet that has run for long knows:
 // a view of six others at random, and the news. It passes none of it on.
-func (d *daemon) acquaint(told []machine.Rumour) {
+func (d *daemon) acquaint(told []machine.Update) {
 	f := d.fleet
 	for range 6 {
 		other := f.daemons[f.chance.Intn(len(f.daemons))]
-		d.do(d.gossip.Do(gossip.Letter{From: other.peer, Body: gossip.Gossip{}}, f.Now))
+		d.do(d.gossip.Do(gossip.Message{From: other.peer, Body: gossip.Gossip{}}, f.Now))
 	}
 	d.learn(told)
 }
 
 // learn takes news in that everybody is told at this moment, and passes none on.
-func (d *daemon) learn(told []machine.Rumour) {
+func (d *daemon) learn(told []machine.Update) {
 	f := d.fleet
-	d.do(d.gossip.Do(gossip.Letter{Body: gossip.Gossip{Rumours: f.codec.copied(told)}}, f.Now))
+	d.do(d.gossip.Do(gossip.Message{Body: gossip.Gossip{Updates: f.codec.copied(told)}}, f.Now))
 	for _, effect := range d.gossip.Do(gossip.ClockEvent{}, f.Now) {
 		if _, sends := effect.(machine.Send); !sends {
 			d.do([]machine.Effect{effect})
@@ -190,11 +190,11 @@
 
 func (d *daemon) letter(from string, body any) {
 	switch body.(type) {
-	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
-		d.do(d.gossip.Do(gossip.Letter{From: from, Body: body}, d.fleet.Now))
+	case gossip.Gossip, gossip.Digest, gossip.DigestReply, gossip.FetchUpdates, gossip.Announcement, gossip.Probe, gossip.ProbeReply, gossip.IndirectProbe, gossip.IndirectResult, gossip.Shuffle, gossip.PushUpdate, gossip.PushAck:
+		d.do(d.gossip.Do(gossip.Message{From: from, Body: body}, d.fleet.Now))
 	default:
 		if d.machine != nil {
-			d.do(d.machine.Letter(from, body, d.fleet.Now))
+			d.do(d.machine.Message(from, body, d.fleet.Now))
 		}
 	}
 }
@@ -221,18 +221,18 @@
 				back(e)
 			}
 		case machine.Publish:
-			d.do(d.gossip.Do(gossip.Tell{Rumour: e.Rumour}, f.Now))
-		case machine.Spread:
-			d.do(d.gossip.Do(gossip.Spread(e), f.Now))
+			d.do(d.gossip.Do(gossip.Publish{Update: e.Update}, f.Now))
+		case machine.Broadcast:
+			d.do(d.gossip.Do(gossip.Broadcast(e), f.Now))
 		case machine.Heard:
-			if e.Rumour.Key == state.PlanKey && e.Rumour.Seq > d.planVersion {
-				d.planVersion = e.Rumour.Seq
-				f.plan.heard(f, d, e.Rumour.Seq)
+			if e.Update.Key == state.PlanKey && e.Update.Seq > d.planVersion {
+				d.planVersion = e.Update.Seq
+				f.plan.heard(f, d, e.Update.Seq)
 			}
 			if d.machine != nil {
-				d.do(d.machine.Heard(e.Rumour, f.Now))
-			} else if name, ok := loadOf(e.Rumour.Key); ok {
-				d.hollow[name] = loadMark{e.Rumour.Epoch, e.Rumour.Seq}
+				d.do(d.machine.Heard(e.Update, f.Now))
+			} else if name, ok := loadOf(e.Update.Key); ok {
+				d.hollow[name] = loadMark{e.Update.Epoch, e.Update.Seq}
 			}
 		case machine.Fresh:
 			if d.machine != nil {
@@ -242,7 +242,7 @@
 			era := d.era
 			f.ask(d, e.To, e.Body, e.Expiry, func(body any, err error) {
 				if d.up && d.era == era {
-					d.step(func() { d.do(d.machine.Told(e.Token, body, err, f.Now)) })
+					d.step(func() { d.do(d.machine.Answered(e.Token, body, err, f.Now)) })
 				}
 			})
 		case machine.Work:
@@ -383,7 +383,7 @@
 			}
 			own.seq++
 			value, _ := json.Marshal(registry.Load{Running: f.running(name), Sound: true, At: f.Now, By: d.id})
-			d.do(d.gossip.Do(gossip.Tell{Rumour: machine.Rumour{Key: registry.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
+			d.do(d.gossip.Do(gossip.Publish{Update: machine.Update{Key: registry.LoadKey(name), Epoch: own.epoch, Seq: own.seq, Value: value}}, f.Now))
 		})
 	}
 	var once func()
--- a/proof/capacitymodel/fleet.go
+++ b/proof/capacitymodel/fleet.go
@@ -258,7 +258,7 @@
 // duties are the servers that each edge reads, by the agreed order. It is
 // worked out here once for the hollow edges; whole ones work it out themselves.
 func (f *Fleet) duties() map[string][]*hollowServer {
-	var folk []identity.Person
+	var folk []identity.Member
 	for _, d := range f.daemons {
 		if d.kind == identity.Edge && d.up {
 			folk = append(folk, d.person())
--- a/proof/capacitymodel/line.go
+++ b/proof/capacitymodel/line.go
@@ -106,7 +106,7 @@
 		kinds[i] = f.codec.kind(letter.Body)
 		extra += f.codec.describe(&l.there, kinds[i])
 	}
-	batch := transport.Batch{Letters: letters}
+	batch := transport.Batch{Messages: letters}
 	was := f.charge(l.from)
 	must(f.codec.encoder.Encode(batch))
 	size := f.codec.buffer.Len()
@@ -120,7 +120,7 @@
 		if l.to.era == era && l.to.up {
 			f.count(l.to).bytes += int64(f.codec.delivered)
 			l.to.step(func() {
-				for _, letter := range arrived.Letters {
+				for _, letter := range arrived.Messages {
 					l.to.letter(letter.From, letter.Body)
 				}
 			})
@@ -202,7 +202,7 @@
 			to.call(letter.Body, func(a machine.Answer) {
 				reply := transport.Reply{Body: a.Body}
 				if a.Err != nil {
-					reply = transport.Reply{Mishap: errs.Of(a.Err)}
+					reply = transport.Reply{Err: errs.Of(a.Err)}
 				} else if a.Body != nil {
 					f.codec.kind(a.Body)
 				}
@@ -229,8 +229,8 @@
 }
 
 func mishapOf(reply transport.Reply) error {
-	if reply.Mishap != nil {
-		return reply.Mishap
+	if reply.Err != nil {
+		return reply.Err
 	}
 	return nil
 }
--- a/proof/capacitymodel/model_test.go
+++ b/proof/capacitymodel/model_test.go
@@ -20,8 +20,8 @@
 func TestALineIsCountedAsByItsOwnEncoder(t *testing.T) {
 	chance := rand.New(rand.NewSource(1))
 	bodies := []any{
-		gossip.Probe{Nonce: 300}, gossip.Echo{Nonce: 7, For: "a"}, gossip.Gossip{Rumours: []machine.Rumour{{Key: "load/x", Epoch: 1, Seq: 900, Value: make([]byte, 120)}}},
-		gossip.Digest{Known: map[string]gossip.Mark{"one": {Epoch: 1, Seq: 2}}, Stamp: 1}, gossip.Mend{Rumours: []machine.Rumour{{Key: "k"}}, Ages: gossip.Ages{Raw: map[string]int64{"s": 4}}},
+		gossip.Probe{Nonce: 300}, gossip.ProbeReply{Nonce: 7, For: "a"}, gossip.Gossip{Updates: []machine.Update{{Key: "load/x", Epoch: 1, Seq: 900, Value: make([]byte, 120)}}},
+		gossip.Digest{Known: map[string]gossip.Version{"one": {Epoch: 1, Seq: 2}}, Stamp: 1}, gossip.DigestReply{Updates: []machine.Update{{Key: "k"}}, Ages: gossip.Ages{Raw: map[string]int64{"s": 4}}},
 		store.Beat{ID: "s", Ready: map[int]uint64{1: 2}}, replication.Beat{}, gossip.Shuffle{Peers: []string{"a", "b"}},
 	}
 	c := newCodec()
@@ -31,7 +31,7 @@
 		l, counted := &kindSet{}, 0
 		for seq := range 40 {
 			body := bodies[chance.Intn(len(bodies))]
-			batch := transport.Batch{Letters: []transport.Envelope{{From: "10.0.0.1:1", Body: body}}}
+			batch := transport.Batch{Messages: []transport.Envelope{{From: "10.0.0.1:1", Body: body}}}
 			// One number for all requests: their length is counted as a constant.
 			must(line.Encode(&rpc.Request{ServiceMethod: "Post.Deliver", Seq: 1000}))
 			must(line.Encode(batch))
--- a/proof/capacitymodel/run.go
+++ b/proof/capacitymodel/run.go
@@ -138,7 +138,7 @@
 
 // boot starts every daemon, acquainted with all others and with the servers.
 func (f *Fleet) boot() {
-	var told []machine.Rumour
+	var told []machine.Update
 	for _, d := range f.daemons {
 		if d.kind == identity.Edge {
 			d.id, d.life = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, 1), uint64(f.Now)
@@ -146,7 +146,7 @@
 			d.life = 1
 		}
 		person := d.person()
-		told = append(told, machine.Rumour{Key: identity.Key(d.id), Epoch: d.life, Seq: person.Seq(), Value: person.Encode()})
+		told = append(told, machine.Update{Key: identity.Key(d.id), Epoch: d.life, Seq: person.Seq(), Value: person.Encode()})
 		if d.kind != identity.Edge {
 			d.life = 0
 		}
@@ -160,10 +160,10 @@
 }
 
 // words are the platform's on all servers.
-func (f *Fleet) words() []machine.Rumour {
-	var out []machine.Rumour
+func (f *Fleet) words() []machine.Update {
+	var out []machine.Update
 	for _, s := range f.servers {
-		out = append(out, registry.Word(s.word, machine.Rumour{}, f.Now))
+		out = append(out, registry.Word(s.word, machine.Update{}, f.Now))
 	}
 	return out
 }
--- a/proof/simulation/planted_test.go
+++ b/proof/simulation/planted_test.go
@@ -56,7 +56,7 @@
 		"a cut answer is taken as whole":          {onEdge(func(n *Node) { n.edge.Trek.TakeCut = true }), "streams", 4, 2 * ms, 1, []Promise{mixed}},
 		"old news are taken for fresh":            {onRoad(func(n *Node) { n.road().Dispatch.Blind = true }), "leaves", 4, 2 * ms, 1, []Promise{leaving}},
 		"what waits goes by the old plan":         {onRoad(func(n *Node) { n.road().Dispatch.Bygone = true }), "", 8, 2 * ms, 27, []Promise{inForce}},
-		"neighbours alone make news fresh":        {func(n *Node) { n.gossip.NoRoll = true }, "mark a server in each part", 4, 2 * ms, 1, []Promise{leaving, inForce}},
+		"neighbours alone make news fresh":        {func(n *Node) { n.gossip.NoVoters = true }, "mark a server in each part", 4, 2 * ms, 1, []Promise{leaving, inForce}},
 		"work goes on without permit":             {onStore(func(n *Node) { n.ledger.Items.NoPermit, n.ledger.Items.Deaf = true, true }), "a bundle ends", 5, 2 * ms, 1, []Promise{ended}},
 		"every order is let in":                   {onRoad(func(n *Node) { n.road().Purse.Boundless = true }), "a flock comes", 4, 2 * ms, 1, []Promise{within}},
 		"a waiting reader is not woken":           {onEdge(func(n *Node) { n.edge.Reader.Sleepy = true }), "a crowd comes", 10, 2 * ms, 1, []Promise{soon}},
--- a/proof/simulation/promises.go
+++ b/proof/simulation/promises.go
@@ -103,7 +103,7 @@
 		if word != v.words[server.Name] {
 			return // the platform has said something else since
 		}
-		known, _ := n.gossip.News(registry.ServerKey(server.Name))
+		known, _ := n.gossip.Update(registry.ServerKey(server.Name))
 		n.number++
 		era := n.era
 		n.calls[n.number] = func(a machine.Answer) {
@@ -116,7 +116,7 @@
 			}
 		}
 		forget := n.onCrash(again)
-		n.do(n.gossip.Do(gossip.Spread{Rumour: registry.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
+		n.do(n.gossip.Do(gossip.Broadcast{Update: registry.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
 		v.w.After(3*clock.Second, func() {
 			if n.era == era {
 				forget()
--- a/proof/simulation/world.go
+++ b/proof/simulation/world.go
@@ -394,7 +394,7 @@
 		life = uint64(w.Now)
 		n.ID = fmt.Sprintf("%s.%d", n.Name, n.era)
 	}
-	person := identity.Person{ID: n.ID, Kind: n.Kind, Zone: n.Zone, Peer: n.Peer, Incarnation: life, Version: identity.Release}
+	person := identity.Member{ID: n.ID, Kind: n.Kind, Zone: n.Zone, Peer: n.Peer, Incarnation: life, Version: identity.Release}
 	n.gossip = gossip.New(person, w.seeds, gossip.Defaults(), w.Chance.Int63())
 	n.machine, n.Keeper, n.Core, n.edge = nil, nil, nil, nil
 	switch n.Kind {
@@ -466,14 +466,14 @@
 				back(e)
 			}
 		case machine.Publish:
-			n.do(n.gossip.Do(gossip.Tell{Rumour: e.Rumour}, w.Now))
+			n.do(n.gossip.Do(gossip.Publish{Update: e.Update}, w.Now))
 		case machine.Heard:
-			n.hear(e.Rumour)
+			n.hear(e.Update)
 			if n.machine != nil {
-				n.do(n.machine.Heard(e.Rumour, w.Now))
+				n.do(n.machine.Heard(e.Update, w.Now))
 			}
-		case machine.Spread:
-			n.do(n.gossip.Do(gossip.Spread(e), w.Now))
+		case machine.Broadcast:
+			n.do(n.gossip.Do(gossip.Broadcast(e), w.Now))
 		case machine.Fresh:
 			if n.machine != nil {
 				n.do(n.machine.Fresh(e.At, w.Now))
@@ -483,7 +483,7 @@
 			w.Ask(n, e.To, e.Body, e.Expiry, func(body any, err error) {
 				n.take(func() {
 					if n.era == era {
-						n.do(n.machine.Told(e.Token, body, err, w.Now))
+						n.do(n.machine.Answered(e.Token, body, err, w.Now))
 					}
 				})
 			})
@@ -502,11 +502,11 @@
 
 func (n *Node) letter(from string, body any) {
 	switch body.(type) {
-	case gossip.Gossip, gossip.Digest, gossip.Mend, gossip.Want, gossip.Hint, gossip.Probe, gossip.Echo, gossip.HelpProbe, gossip.Witnessed, gossip.Shuffle, gossip.Press, gossip.Pressed:
-		n.do(n.gossip.Do(gossip.Letter{From: from, Body: body}, n.world.Now))
+	case gossip.Gossip, gossip.Digest, gossip.DigestReply, gossip.FetchUpdates, gossip.Announcement, gossip.Probe, gossip.ProbeReply, gossip.IndirectProbe, gossip.IndirectResult, gossip.Shuffle, gossip.PushUpdate, gossip.PushAck:
+		n.do(n.gossip.Do(gossip.Message{From: from, Body: body}, n.world.Now))
 	default:
 		if n.machine != nil {
-			n.do(n.machine.Letter(from, body, n.world.Now))
+			n.do(n.machine.Message(from, body, n.world.Now))
 		}
 	}
 }
@@ -741,7 +741,7 @@
 }
 
 // hear notes what a daemon's office knows.
-func (n *Node) hear(rumour machine.Rumour) {
+func (n *Node) hear(rumour machine.Update) {
 	switch rumour.Key {
 	case state.CoreKey:
 		json.Unmarshal(rumour.Value, &n.core)
