--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -21,9 +21,9 @@
 	settings := settings.New("edge")
 	settings.Common(&common, false)
 	bounds.Settings(settings)
-	mostWaiting := int64(set.Dispatch.MostWaiting)
+	mostWaiting := int64(set.Scheduler.MostWaiting)
 	settings.Int(&mostWaiting, "most-waiting", mostWaiting, 1, 1_000_000, "live orders that may wait here")
-	settings.Int(&set.Dispatch.Staleness, "staleness-us", set.Dispatch.Staleness, 500_000, 10_000_000, "age of the news past which orders are turned away")
+	settings.Int(&set.Scheduler.Staleness, "staleness-us", set.Scheduler.Staleness, 500_000, 10_000_000, "age of the news past which orders are turned away")
 	settings.Int(&set.ScoutEvery, "scout-every-us", set.ScoutEvery, 50_000, 10_000_000, "between two readings of a server's pages")
 	settings.Check(func() {
 		if common.Data != "" {
@@ -31,7 +31,7 @@
 		}
 	})
 	settings.MustParse(os.Args[1:])
-	set.Dispatch.MostWaiting = int(mostWaiting)
+	set.Scheduler.MostWaiting = int(mostWaiting)
 	if err := run(common, bounds, set); err != nil {
 		fmt.Fprintln(os.Stderr, "edge:", err)
 		os.Exit(1)
@@ -44,24 +44,24 @@
 		return err
 	}
 	edge := roles.NewEdge(l, set)
-	front := &gate.Gate{Set: gate.Defaults(), Machine: l.Porter.AskUntil, Word: l.Porter.Notify, Clock: l.Porter.Now}
-	front.Routes(l.Porch)
-	l.Office.Ready = func() (why string) {
-		l.Porter.WithMachine(func(now clock.Micros) {
+	front := &gate.Gate{Set: gate.Defaults(), Machine: l.Loop.AskUntil, Word: l.Loop.Notify, Clock: l.Loop.Now}
+	front.Routes(l.HTTP)
+	l.Admin.Ready = func() (why string) {
+		l.Loop.WithMachine(func(now clock.Micros) {
 			switch {
-			case edge.Dispatch.Plan() == nil:
+			case edge.Scheduler.Plan() == nil:
 				why = "no plan has arrived yet"
 			case !edge.Reader.Ready():
 				why = "not every slot has a keeper yet"
-			case !edge.Dispatch.Fresh(now):
+			case !edge.Scheduler.Fresh(now):
 				why = "the news are old"
 			}
 		})
 		return why
 	}
 	l.OnDrain(func() {
-		l.Porter.Notify(machines.Close{})
-		host.Wait(6*clock.Second, func() bool { return l.Porch.Open() == 0 })
+		l.Loop.Notify(machines.Close{})
+		host.Wait(6*clock.Second, func() bool { return l.HTTP.Open() == 0 })
 	})
 	return l.Run()
 }
--- a/cmd/store/main.go
+++ b/cmd/store/main.go
@@ -41,12 +41,12 @@
 	if err != nil {
 		return err
 	}
-	books := daemon.Keeper
+	books := daemon.Ledger
 	plant(books, daemon.Folder, common.Data)
 	l.OnDrain(func() {
-		l.Porter.Notify(store.Drain{})
+		l.Loop.Notify(store.Drain{})
 		host.Wait(7*clock.Second, func() (gone bool) {
-			l.Porter.WithMachine(func(clock.Micros) { gone = books.Owned() == 0 })
+			l.Loop.WithMachine(func(clock.Micros) { gone = books.Owned() == 0 })
 			return gone
 		})
 	})
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -1,5 +1,5 @@
-// Package admin is the operators' and the platform's side of every daemon
-// (DESIGN §8): plans, the list of servers, and what the fleet knows of itself.
+// Package admin is the administration API of every daemon (DESIGN §8): health and
+// readiness, counters, plans, the list of servers, and the state of the fleet.
 package admin
 
 import (
@@ -28,54 +28,55 @@
 	"tuliprudder/path/scheduler"
 )
 
-// Admin hangs on a daemon's httpserver.
+// Admin serves the administration API of one daemon. The handlers may be called by
+// several threads.
 type Admin struct {
-	Porter *eventloop.Loop
-	Road   *machines.Road // nil on cores
-	Reader *reader.Reader // nil but on edges
-	Book   *decisionlog.Book
+	Loop       *eventloop.Loop
+	Scheduling *machines.Scheduling // nil on cores
+	Reader     *reader.Reader       // nil but on edges
+	Decisions  *decisionlog.Log
 	// Ready tells why the daemon is not ready; "" when it is.
 	Ready func() string
 	// Counters adds the daemon's own counts.
 	Counters func() map[string]int64
 }
 
-// Routes hangs the operators' paths on the httpserver.
-func (o *Admin) Routes(p *httpserver.Server) {
-	p.Handle(http.MethodGet, "/soundness", o.soundness)
-	p.Handle(http.MethodGet, "/ready", o.ready)
-	p.Handle(http.MethodGet, "/counters", o.counters)
-	p.Handle(http.MethodGet, "/v1/operator/daemons", o.daemons)
-	p.Handle(http.MethodGet, "/v1/operator/map", o.chartMap)
-	p.Handle(http.MethodGet, "/v1/operator/core", o.core)
-	p.Handle(http.MethodGet, "/v1/operator/servers", o.servers)
-	p.Handle(http.MethodPut, "/v1/operator/servers", o.putServers)
-	p.Handle(http.MethodPost, "/v1/operator/servers/:name/leaving", o.leaving)
-	p.Handle(http.MethodGet, "/v1/operator/plan", o.plan)
-	p.Handle(http.MethodPut, "/v1/operator/plan", o.putPlan)
-	p.Handle(http.MethodGet, "/v1/operator/plans", o.plans)
-	p.Handle(http.MethodGet, "/v1/operator/plans/:version", o.plans)
-	p.Handle(http.MethodGet, "/v1/operator/stores/:id", o.store)
-	p.Handle(http.MethodPost, "/v1/operator/stores/:id/retire", o.retire)
-	p.Handle(http.MethodGet, "/v1/operator/purse", o.purse)
-	p.Handle(http.MethodGet, "/v1/operator/orders", o.order)
-	p.Handle(http.MethodGet, "/v1/operator/bundles/:bundle", o.bundle)
+// Routes registers the API's routes on the daemon's HTTP server.
+func (a *Admin) Routes(p *httpserver.Server) {
+	p.Handle(http.MethodGet, "/soundness", a.health)
+	p.Handle(http.MethodGet, "/ready", a.ready)
+	p.Handle(http.MethodGet, "/counters", a.counters)
+	p.Handle(http.MethodGet, "/v1/operator/daemons", a.daemons)
+	p.Handle(http.MethodGet, "/v1/operator/map", a.stateMap)
+	p.Handle(http.MethodGet, "/v1/operator/core", a.core)
+	p.Handle(http.MethodGet, "/v1/operator/servers", a.servers)
+	p.Handle(http.MethodPut, "/v1/operator/servers", a.putServers)
+	p.Handle(http.MethodPost, "/v1/operator/servers/:name/leaving", a.leaving)
+	p.Handle(http.MethodGet, "/v1/operator/plan", a.plan)
+	p.Handle(http.MethodPut, "/v1/operator/plan", a.putPlan)
+	p.Handle(http.MethodGet, "/v1/operator/plans", a.plans)
+	p.Handle(http.MethodGet, "/v1/operator/plans/:version", a.plans)
+	p.Handle(http.MethodGet, "/v1/operator/stores/:id", a.store)
+	p.Handle(http.MethodPost, "/v1/operator/stores/:id/retire", a.retire)
+	p.Handle(http.MethodGet, "/v1/operator/purse", a.quota)
+	p.Handle(http.MethodGet, "/v1/operator/orders", a.order)
+	p.Handle(http.MethodGet, "/v1/operator/bundles/:bundle", a.bundle)
 }
 
-func (o *Admin) soundness(w http.ResponseWriter, r *http.Request) error {
-	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"id": o.Porter.Who.ID, "life": o.Porter.Who.Life, "zone": o.Porter.Zone, "sound": true, "now_us": o.Porter.Now()})
+func (a *Admin) health(w http.ResponseWriter, r *http.Request) error {
+	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"id": a.Loop.Who.ID, "life": a.Loop.Who.Life, "zone": a.Loop.Zone, "sound": true, "now_us": a.Loop.Now()})
 }
 
-func (o *Admin) ready(w http.ResponseWriter, r *http.Request) error {
-	if why := o.Ready(); why != "" {
+func (a *Admin) ready(w http.ResponseWriter, r *http.Request) error {
+	if why := a.Ready(); why != "" {
 		return errs.Later(errs.NotReady, clock.Second, "wait; it becomes ready by itself", "%s", why)
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"ready": true})
 }
 
-func (o *Admin) counters(w http.ResponseWriter, r *http.Request) error {
-	out := o.Porter.Counters()
-	for name, value := range o.Counters() {
+func (a *Admin) counters(w http.ResponseWriter, r *http.Request) error {
+	out := a.Loop.Counters()
+	for name, value := range a.Counters() {
 		out[name] = value
 	}
 	var memory runtime.MemStats
@@ -84,68 +85,68 @@
 	return httpserver.WriteJSON(w, http.StatusOK, out)
 }
 
-func (o *Admin) daemons(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) daemons(w http.ResponseWriter, r *http.Request) error {
 	out := []map[string]any{}
-	for _, p := range o.Porter.Members() {
+	for _, p := range a.Loop.Members() {
 		out = append(out, map[string]any{"id": p.ID, "kind": p.Kind, "zone": p.Zone, "peer": p.Peer, "http": p.HTTP,
 			"incarnation": p.Incarnation, "standing": p.Status.String(), "draining": p.Draining})
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"daemons": out})
 }
 
-func (o *Admin) news(key string, into any, what string) error {
-	update, ok := o.Porter.Update(key)
+func (a *Admin) readUpdate(key string, into any, what string) error {
+	update, ok := a.Loop.Update(key)
 	if !ok {
 		return errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started, or none was ever put", "no %s has arrived yet", what)
 	}
 	return json.Unmarshal(update.Value, into)
 }
 
-func (o *Admin) chartMap(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) stateMap(w http.ResponseWriter, r *http.Request) error {
 	var m state.Map
-	if err := o.news(state.MapKey, &m, "map of the stores"); err != nil {
+	if err := a.readUpdate(state.MapKey, &m, "map of the stores"); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, m)
 }
 
-func (o *Admin) core(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) core(w http.ResponseWriter, r *http.Request) error {
 	var c state.CoreNews
-	if err := o.news(state.CoreKey, &c, "word of the cores"); err != nil {
+	if err := a.readUpdate(state.CoreKey, &c, "word of the cores"); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, c)
 }
 
-func (o *Admin) plan(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) plan(w http.ResponseWriter, r *http.Request) error {
 	var version state.Version
-	if err := o.news(state.PlanKey, &version, "plan"); err != nil {
+	if err := a.readUpdate(state.PlanKey, &version, "plan"); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, version)
 }
 
-func (o *Admin) primary() (state.CoreNews, error) {
+func (a *Admin) primary() (state.CoreNews, error) {
 	var c state.CoreNews
-	err := o.news(state.CoreKey, &c, "word of the cores")
+	err := a.readUpdate(state.CoreKey, &c, "word of the cores")
 	return c, err
 }
 
 // AskPrimary asks the primary core, or this daemon's own machine if that is it.
-func (o *Admin) AskPrimary(body any, expiry clock.Micros) (any, error) {
-	core, err := o.primary()
+func (a *Admin) AskPrimary(body any, expiry clock.Micros) (any, error) {
+	core, err := a.primary()
 	if err != nil {
 		return nil, err
 	}
-	if core.Primary == o.Porter.Who.ID {
-		return o.Porter.AskHere(body)
+	if core.Primary == a.Loop.Who.ID {
+		return a.Loop.AskHere(body)
 	}
-	return o.Porter.Transport.Ask(core.Peer, body, expiry)
+	return a.Loop.Transport.Ask(core.Peer, body, expiry)
 }
 
 const planExpiry = 5 * clock.Second
 
-func (o *Admin) putPlan(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) putPlan(w http.ResponseWriter, r *http.Request) error {
 	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
@@ -161,7 +162,7 @@
 		}
 		ask.Base, ask.HasBase = base, true
 	}
-	got, err := o.AskPrimary(ask, planExpiry+clock.Second)
+	got, err := a.AskPrimary(ask, planExpiry+clock.Second)
 	if err != nil {
 		return err
 	}
@@ -172,7 +173,7 @@
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"version": receipt.Version})
 }
 
-func (o *Admin) plans(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) plans(w http.ResponseWriter, r *http.Request) error {
 	var ask control.PlansAsk
 	if text := pathvar.Vars(r)["version"]; text != "" {
 		version, err := strconv.ParseUint(text, 10, 64)
@@ -181,7 +182,7 @@
 		}
 		ask.Version = version
 	}
-	got, err := o.AskPrimary(ask, 3*clock.Second)
+	got, err := a.AskPrimary(ask, 3*clock.Second)
 	if err != nil {
 		return err
 	}
@@ -199,18 +200,18 @@
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"plans": out})
 }
 
-func (o *Admin) store(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) store(w http.ResponseWriter, r *http.Request) error {
 	id := pathvar.Vars(r)["id"]
-	for _, member := range o.Porter.Members() {
+	for _, member := range a.Loop.Members() {
 		if member.ID != id {
 			continue
 		}
 		var got any
 		var err error
-		if id == o.Porter.Who.ID {
-			got, err = o.Porter.AskHere(store.ShowAsk{})
+		if id == a.Loop.Who.ID {
+			got, err = a.Loop.AskHere(store.ShowAsk{})
 		} else {
-			got, err = o.Porter.Transport.Ask(member.Peer, store.ShowAsk{}, 2*clock.Second)
+			got, err = a.Loop.Transport.Ask(member.Peer, store.ShowAsk{}, 2*clock.Second)
 		}
 		if err != nil {
 			return err
@@ -222,7 +223,7 @@
 
 // retire empties a store and retires it, or takes that back; asked again it
 // tells how far it is.
-func (o *Admin) retire(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) retire(w http.ResponseWriter, r *http.Request) error {
 	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
@@ -235,7 +236,7 @@
 			return err
 		}
 	}
-	got, err := o.AskPrimary(control.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+clock.Second)
+	got, err := a.AskPrimary(control.RetireAsk{ID: pathvar.Vars(r)["id"], Back: body.Back, Expiry: planExpiry}, planExpiry+clock.Second)
 	if err != nil {
 		return err
 	}
@@ -247,29 +248,29 @@
 }
 
 // quota shows the shares held here and the accounts held here.
-func (o *Admin) purse(w http.ResponseWriter, r *http.Request) error {
-	if o.Road == nil {
+func (a *Admin) quota(w http.ResponseWriter, r *http.Request) error {
+	if a.Scheduling == nil {
 		return errs.New(errs.NotFound, "ask an edge or a store", "this daemon holds no shares")
 	}
 	var view map[string]any
-	o.Porter.WithMachine(func(now clock.Micros) { view = o.Road.Purse.View(now) })
+	a.Loop.WithMachine(func(now clock.Micros) { view = a.Scheduling.Quota.View(now) })
 	return httpserver.WriteJSON(w, http.StatusOK, view)
 }
 
 // order explains an order that this daemon assigned.
-func (o *Admin) order(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) order(w http.ResponseWriter, r *http.Request) error {
 	name := r.URL.Query().Get("order")
-	if text := r.URL.Query().Get("slowest"); o.Book != nil && text != "" {
+	if text := r.URL.Query().Get("slowest"); a.Decisions != nil && text != "" {
 		count, err := strconv.Atoi(text)
 		if err != nil || count < 1 || count > 1000 {
 			return errs.New(errs.BadInput, "give a whole number from 1 to 1000", "slowest=%q", text)
 		}
-		return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"orders": o.Book.Slowest(count)})
+		return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"orders": a.Decisions.Slowest(count)})
 	}
-	if o.Book == nil || name == "" {
+	if a.Decisions == nil || name == "" {
 		return errs.New(errs.NotFound, "ask an edge or a store, with ?order=NAME", "this daemon assigns no orders, or no order was named")
 	}
-	story, ok := o.Book.Look(name)
+	story, ok := a.Decisions.Find(name)
 	if !ok {
 		return errs.New(errs.NotFound, "ask the daemon that served it; each remembers its latest orders", "no order %q is remembered here", name)
 	}
@@ -277,32 +278,32 @@
 }
 
 // bundle explains a bundle: who keeps it, and which server ran which item.
-func (o *Admin) bundle(w http.ResponseWriter, r *http.Request) error {
-	if o.Reader == nil {
+func (a *Admin) bundle(w http.ResponseWriter, r *http.Request) error {
+	if a.Reader == nil {
 		return errs.New(errs.NotFound, "ask an edge", "this daemon reads no ledgers")
 	}
 	id := pathvar.Vars(r)["bundle"]
 	var slot int
 	var owner token.Owner
 	var err error
-	o.Porter.WithMachine(func(clock.Micros) { slot, owner, err = o.Reader.Keeper(id) })
+	a.Loop.WithMachine(func(clock.Micros) { slot, owner, err = a.Reader.StoreOf(id) })
 	if err != nil {
 		return err
 	}
-	got, err := o.Porter.Transport.Ask(owner.Peer, store.StatusAsk{Slot: slot, Bundle: id, Operator: true}, 2*clock.Second)
+	got, err := a.Loop.Transport.Ask(owner.Peer, store.StatusAsk{Slot: slot, Bundle: id, Operator: true}, 2*clock.Second)
 	if err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, got)
 }
 
-func (o *Admin) servers(w http.ResponseWriter, r *http.Request) error {
-	if o.Road == nil {
+func (a *Admin) servers(w http.ResponseWriter, r *http.Request) error {
+	if a.Scheduling == nil {
 		return errs.New(errs.NotFound, "ask an edge or a store", "this daemon assigns no orders")
 	}
 	var servers []scheduler.ServerView
 	var waiting map[string]int
-	o.Porter.WithMachine(func(clock.Micros) { servers, waiting = o.Road.Dispatch.View() })
+	a.Loop.WithMachine(func(clock.Micros) { servers, waiting = a.Scheduling.Scheduler.View() })
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"servers": servers, "waiting": waiting})
 }
 
@@ -312,7 +313,7 @@
 }
 
 // putServers takes the platform's list: what is not on it is gone.
-func (o *Admin) putServers(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) putServers(w http.ResponseWriter, r *http.Request) error {
 	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
@@ -345,23 +346,23 @@
 	if len(faults) > 0 {
 		return &errs.Error{Kind: errs.BadInput, Message: "the list has faults; the list in force stays", Remedy: "correct each named place and put the list again", Faults: faults}
 	}
-	words := body.Servers
-	for _, known := range o.known() {
+	updated := body.Servers
+	for _, known := range a.listedServers() {
 		if !listed[known.Name] && !known.Gone {
 			known.Gone = true
-			words = append(words, known)
+			updated = append(updated, known)
 		}
 	}
-	if err := o.tellServers(words); err != nil {
+	if err := a.broadcastServers(updated); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"servers": len(body.Servers)})
 }
 
-// known is the platform's list as the updates have it.
-func (o *Admin) known() []registry.Server {
+// listedServers is the platform's list as the updates have it.
+func (a *Admin) listedServers() []registry.Server {
 	var out []registry.Server
-	for _, update := range o.Porter.UpdatesUnder("server/") {
+	for _, update := range a.Loop.UpdatesUnder("server/") {
 		var server registry.Server
 		if json.Unmarshal(update.Value, &server) == nil {
 			out = append(out, server)
@@ -370,24 +371,26 @@
 	return out
 }
 
-// spreadFor is how long the platform's word may take until most of the fleet
-// have heard it.
-const spreadFor = 2 * clock.Second
+// broadcastExpiry is how long a change of the list of servers may take until a
+// majority of the voters know it.
+const broadcastExpiry = 2 * clock.Second
 
-// tellServers spreads the newest words on servers, and waits until most of the
-// fleet know each: from then on the promise counts.
-func (o *Admin) tellServers(servers []registry.Server) error {
-	if err := o.Porter.CheckQuorumContact(); err != nil {
+// broadcastServers broadcasts the servers' new states, and waits until a majority of
+// the voters know each: from then on every daemon keeps to them.
+func (a *Admin) broadcastServers(servers []registry.Server) error {
+	if err := a.Loop.CheckQuorumContact(); err != nil {
 		return err
 	}
-	words := make(chan error, len(servers))
+	updated := make(chan error, len(servers))
 	for _, server := range servers {
-		known, _ := o.Porter.Update(registry.ServerKey(server.Name))
-		go func() { words <- o.Porter.Broadcast(registry.Word(server, known, o.Porter.Now()), spreadFor) }()
+		known, _ := a.Loop.Update(registry.ServerKey(server.Name))
+		go func() {
+			updated <- a.Loop.Broadcast(registry.ServerUpdate(server, known, a.Loop.Now()), broadcastExpiry)
+		}()
 	}
 	var failed error
 	for range servers {
-		if err := <-words; err != nil {
+		if err := <-updated; err != nil {
 			failed = err
 		}
 	}
@@ -395,7 +398,7 @@
 }
 
 // leaving marks a server as leaving, or takes the mark back.
-func (o *Admin) leaving(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) leaving(w http.ResponseWriter, r *http.Request) error {
 	data, err := httpserver.ReadBody(r)
 	if err != nil {
 		return err
@@ -409,7 +412,7 @@
 		}
 	}
 	name := pathvar.Vars(r)["name"]
-	update, ok := o.Porter.Update(registry.ServerKey(name))
+	update, ok := a.Loop.Update(registry.ServerKey(name))
 	if !ok {
 		return errs.New(errs.NotFound, "list the servers to see the names there are", "no server %q is on the platform's list", name)
 	}
@@ -418,7 +421,7 @@
 		return err
 	}
 	server.Leaving = body.Leaving
-	if err := o.tellServers([]registry.Server{server}); err != nil {
+	if err := a.broadcastServers([]registry.Server{server}); err != nil {
 		return err
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, server)
--- a/daemon/discovery/discovery.go
+++ b/daemon/discovery/discovery.go
@@ -1,6 +1,6 @@
 // Package discovery is the duty of reading the platform's list of servers (service
 // discovery; DESIGN §12.4): one core reads it and tells all; the next in order
-// reads when no word has come for a while.
+// reads when no stamp has come for a while.
 package discovery
 
 import (
@@ -19,7 +19,7 @@
 	"tuliprudder/path/registry"
 )
 
-// Settings of the duty; the defaults are ours.
+// Settings are the duty's intervals.
 type Settings struct {
 	Every clock.Micros // between two readings
 	Late  clock.Micros // silence after which the next in order reads
@@ -27,7 +27,7 @@
 	Wait  clock.Micros // for one reading
 }
 
-// Defaults are the starting values.
+// Defaults are the values used where nothing is set.
 func Defaults() Settings {
 	return Settings{Every: clock.Second, Late: 1600 * clock.Millisecond, Step: 300 * clock.Millisecond, Wait: 900 * clock.Millisecond}
 }
@@ -43,8 +43,8 @@
 
 // Poller reads the list when it is this daemon's turn.
 type Poller struct {
-	Set    Settings
-	Porter *eventloop.Loop
+	Set  Settings
+	Loop *eventloop.Loop
 	// Read reads the whole list.
 	Read func(ctx context.Context) ([]registry.Server, error)
 	// Failed counts the readings that came to nothing.
@@ -58,50 +58,50 @@
 }
 
 // Start starts the duty's thread.
-func (l *Poller) Start(_ *services.Registry, ends *cleanup.Stack) error {
-	l.missed = map[string]int{}
-	l.since = l.Porter.Now()
-	cleanup.Every(ends, 50*time.Millisecond, l.turn)
+func (p *Poller) Start(_ *services.Registry, ends *cleanup.Stack) error {
+	p.missed = map[string]int{}
+	p.since = p.Loop.Now()
+	cleanup.Every(ends, 50*time.Millisecond, p.poll)
 	return nil
 }
 
-// turn reads the list if it is due here.
-func (l *Poller) turn() {
-	now := l.Porter.Now()
-	update, known := l.Porter.Update(StampKey)
-	if known && update.Seq > l.heard {
-		l.heard, l.since = update.Seq, now
+// poll reads the list if it is due here.
+func (p *Poller) poll() {
+	now := p.Loop.Now()
+	update, known := p.Loop.Update(StampKey)
+	if known && update.Seq > p.heard {
+		p.heard, p.since = update.Seq, now
 	}
-	if now < l.next {
+	if now < p.next {
 		return
 	}
 	var stamp Stamp
 	json.Unmarshal(update.Value, &stamp)
-	if !Due(l.Porter.Who.ID, stamp.By, l.Porter.Members(), now-l.since, l.Set) {
+	if !Due(p.Loop.Who.ID, stamp.By, p.Loop.Members(), now-p.since, p.Set) {
 		return
 	}
-	l.next = now + l.Set.Every
-	ctx, cancel := context.WithTimeout(context.Background(), clock.Span(l.Set.Wait))
+	p.next = now + p.Set.Every
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Span(p.Set.Wait))
 	defer cancel()
-	listed, err := l.Read(ctx)
+	listed, err := p.Read(ctx)
 	if err != nil {
-		l.Failed++
-		l.Porter.Log.Warn().Err(err).Msg("the platform's list can't be read; what is known serves on")
+		p.Failed++
+		p.Loop.Log.Warn().Err(err).Msg("the platform's list can't be read; what is known serves on")
 		return
 	}
 	var servers []registry.Server
-	for _, one := range l.Porter.UpdatesUnder("server/") {
+	for _, one := range p.Loop.UpdatesUnder("server/") {
 		var server registry.Server
 		if json.Unmarshal(one.Value, &server) == nil {
 			servers = append(servers, server)
 		}
 	}
-	for _, server := range Compare(servers, listed, l.missed) {
-		l.Porter.Publish(Word(server, l.Porter.Now()))
+	for _, server := range Compare(servers, listed, p.missed) {
+		p.Loop.Publish(ServerUpdate(server, p.Loop.Now()))
 	}
-	value, _ := json.Marshal(Stamp{By: l.Porter.Who.ID, At: l.Porter.Now()})
-	l.heard, l.since = max(l.heard+1, uint64(l.Porter.Now())), l.Porter.Now()
-	l.Porter.Publish(machine.Update{Key: StampKey, Seq: l.heard, Value: value})
+	value, _ := json.Marshal(Stamp{By: p.Loop.Who.ID, At: p.Loop.Now()})
+	p.heard, p.since = max(p.heard+1, uint64(p.Loop.Now())), p.Loop.Now()
+	p.Loop.Publish(machine.Update{Key: StampKey, Seq: p.heard, Value: value})
 }
 
 // Due tells whether a daemon is to read the list: who read it last goes on; when
@@ -127,16 +127,16 @@
 	return silent >= set.Late+clock.Micros(place)*set.Step
 }
 
-// A server's word only ever goes one way: a name stands for one life of it.
+// A server's states have one direction: a name stands for one life of a server.
 const (
 	wordUp = iota
 	wordLeaving
 	wordGone
 )
 
-// Word is the updates of a server's state: one that leaves never comes back, whoever
-// read an older list later.
-func Word(server registry.Server, now clock.Micros) machine.Update {
+// ServerUpdate is the update of a server's state: one that leaves never comes back,
+// also where another daemon reads an older list later.
+func ServerUpdate(server registry.Server, now clock.Micros) machine.Update {
 	value, _ := json.Marshal(server)
 	state := uint64(wordUp)
 	switch {
--- a/daemon/discovery/discovery_test.go
+++ b/daemon/discovery/discovery_test.go
@@ -47,7 +47,7 @@
 func TestWordNeverGoesBack(t *testing.T) {
 	up, gone := registry.Server{Name: "a"}, registry.Server{Name: "a", Gone: true}
 	leaving := registry.Server{Name: "a", Leaving: true}
-	if Word(up, 900).Newer(Word(leaving, 100)) || Word(leaving, 900).Newer(Word(gone, 100)) {
+	if ServerUpdate(up, 900).Newer(ServerUpdate(leaving, 100)) || ServerUpdate(leaving, 900).Newer(ServerUpdate(gone, 100)) {
 		t.Fatal("a later reading of an older list takes a server's leaving back")
 	}
 }
--- a/daemon/effects/effects.go
+++ b/daemon/effects/effects.go
@@ -1,6 +1,6 @@
-// Package effects does the work a daemon's machine asks for towards the
-// servers (DESIGN §2, §7): it runs items, reads pages, and tells how it went. It
-// decides nothing.
+// Package effects executes the work that a daemon's machine asks for towards model
+// servers (DESIGN §2, §7): it runs items, reads servers' load pages, and reports the
+// results. It decides nothing.
 package effects
 
 import (
@@ -16,10 +16,11 @@
 	"tuliprudder/path/scouts"
 )
 
-// Executor carries work out; Tell hands the machine its word.
+// Executor executes work; Notify reports to the machine. It may be called by several
+// threads.
 type Executor struct {
-	Tell func(body any)
-	Now  func() clock.Micros
+	Notify func(body any)
+	Now    func() clock.Micros
 	// Forward passes an opaque item on and tells how that went; set before the
 	// first work comes.
 	Forward func(ctx context.Context, run execution.Run) execution.Ran
@@ -27,12 +28,12 @@
 	runs    map[uint64]context.CancelFunc
 }
 
-// New makes a track.
+// New makes an executor.
 func New(now func() clock.Micros, tell func(body any)) *Executor {
-	return &Executor{Tell: tell, Now: now, runs: map[uint64]context.CancelFunc{}}
+	return &Executor{Notify: tell, Now: now, runs: map[uint64]context.CancelFunc{}}
 }
 
-// Take takes work in; it does not block.
+// Take begins a piece of work; it does not block.
 func (t *Executor) Take(work any) {
 	switch w := work.(type) {
 	case execution.Run:
@@ -48,8 +49,8 @@
 		if cancel != nil {
 			cancel()
 		}
-	case scouts.Look:
-		go t.look(w)
+	case scouts.ReadServer:
+		go t.readServer(w)
 	}
 }
 
@@ -61,7 +62,7 @@
 		t.mu.Unlock()
 	}()
 	if w.Forward != nil {
-		t.Tell(t.forward(ctx, w))
+		t.Notify(t.forward(ctx, w))
 		return
 	}
 	var output strings.Builder
@@ -70,7 +71,7 @@
 			return errs.New(errs.TooLarge, "lower max_tokens of the route", "the result is over %d bytes", w.MostBytes)
 		}
 		if output.Len() == 0 {
-			t.Tell(execution.Began{Token: w.Token})
+			t.Notify(execution.Began{Token: w.Token})
 		}
 		output.WriteString(piece)
 		return nil
@@ -79,7 +80,7 @@
 	if err != nil {
 		ran.Why = err.Error()
 	}
-	t.Tell(ran)
+	t.Notify(ran)
 }
 
 func (t *Executor) forward(ctx context.Context, w execution.Run) execution.Ran {
@@ -91,10 +92,10 @@
 	return ran
 }
 
-func (t *Executor) look(w scouts.Look) {
+func (t *Executor) readServer(w scouts.ReadServer) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	began := t.Now()
 	running, waiting, err := modelclient.Figures(ctx, w.Address)
-	t.Tell(scouts.Looked{Look: w, Running: running, Waiting: waiting, Sound: err == nil, Began: began})
+	t.Notify(scouts.ServerReading{ReadServer: w, Running: running, Waiting: waiting, Sound: err == nil, Began: began})
 }
--- a/daemon/effects/forward.go
+++ b/daemon/effects/forward.go
@@ -64,7 +64,7 @@
 	return ran
 }
 
-// gather takes the events of an answer in. One that is out of its order belongs to
+// gather collects the events of an answer. An event that is out of order belongs to
 // no run that was asked for.
 func (f Forwarder) gather(w execution.Run, answer *upstream.Answer, ran *execution.Ran) (modelclient.Outcome, string) {
 	events := upstream.NewEventReader(answer.Body)
@@ -85,7 +85,7 @@
 			return modelclient.Cut, "the result is over " + strconv.Itoa(w.MostBytes) + " bytes"
 		}
 		if len(ran.Events) == 0 {
-			f.Executor.Tell(execution.Began{Token: w.Token})
+			f.Executor.Notify(execution.Began{Token: w.Token})
 		}
 		ran.LastEvent = id
 		ran.Events = append(ran.Events, event.Data)
--- a/daemon/eventloop/loop.go
+++ b/daemon/eventloop/loop.go
@@ -1,5 +1,6 @@
-// Package eventloop is the thin shell round a daemon's machines (DESIGN §2):
-// threads, bounded rings, net/rpc and the disk. It decides nothing.
+// Package eventloop runs a daemon's state machines (DESIGN §2): it has the threads,
+// bounded rings, net/rpc and the disk, feeds the machines and executes their effects.
+// It decides nothing.
 package eventloop
 
 import (
@@ -38,7 +39,7 @@
 }
 
 // Name is the event loop's name in the service registry.
-const Name = "porter"
+const Name = "eventloop"
 
 const (
 	ringSize  = 65536
@@ -49,7 +50,7 @@
 
 type step func(now clock.Micros) []machine.Effect
 
-// Loop is the event loop.
+// Loop is the event loop of one daemon. Its methods may be called by several threads.
 type Loop struct {
 	Who       Identity
 	Zone      string
@@ -92,7 +93,7 @@
 	p.protocol, p.disk = ring.New[step](ringSize), ring.New[machine.Effect](diskRing)
 }
 
-// OnWork is handed the machine's work.
+// OnWork sets the function that executes the machine's work.
 func (p *Loop) OnWork(f func(any)) { p.onWork = f }
 
 // Now is the daemon's time.
@@ -127,7 +128,7 @@
 	return nil
 }
 
-// turn is a protocol thread: it takes steps off its ring, one after the other.
+// run is a protocol thread: it takes steps off its ring, one after the other.
 func (p *Loop) run(ring *ring.Ring[step], mu *sync.Mutex) {
 	for {
 		steps := ring.Take(256)
@@ -161,7 +162,7 @@
 	}
 }
 
-// carry does what a machine decided.
+// execute executes the effects of a machine's step.
 func (p *Loop) execute(effects []machine.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
@@ -284,21 +285,22 @@
 // Enqueue puts a step for the machine on its ring; false when the ring is full.
 func (p *Loop) Enqueue(one step) bool { return p.protocol.Put(one) }
 
-// Publish spreads updates that starts at this daemon.
+// Publish passes on an update that starts at this daemon.
 func (p *Loop) Publish(update machine.Update) {
 	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Publish{Update: update}, now) })
 }
 
-// staleAfter is the age of this daemon's updates past which it takes no words of the
-// platform: they might not reach most of the fleet.
+// staleAfter is the age of this daemon's updates past which it takes no changes of
+// the list of servers: they might not reach a majority of the voters.
 const staleAfter = 2500 * clock.Millisecond
 
-// Reseed names other seeds to ask.
+// Reseed replaces the seed addresses.
 func (p *Loop) Reseed(seeds []string) {
 	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Reseed{Seeds: seeds}, now) })
 }
 
-// CheckQuorumContact tells whether this daemon hears most of the fleet's voters.
+// CheckQuorumContact is nil if this daemon has recently heard from a majority of the
+// voters.
 func (p *Loop) CheckQuorumContact() error {
 	p.gossipMu.Lock()
 	age := p.Now() - p.gossip.LastSwap()
@@ -309,8 +311,8 @@
 	return nil
 }
 
-// Broadcast spreads updates that start at this daemon, and waits until most of the
-// fleet's roll know them.
+// Broadcast passes on an update that starts at this daemon, and waits until a
+// majority of the voters know it.
 func (p *Loop) Broadcast(update machine.Update, expiry clock.Micros) error {
 	number := p.number.Add(1)
 	answer := make(chan machine.Answer, 1)
@@ -345,7 +347,7 @@
 	return false
 }
 
-// Ask answers a question off the wire.
+// Ask answers a request off the wire.
 func (p *Loop) Ask(message transport.Envelope) (any, error) {
 	return p.AskHere(message.Body)
 }
@@ -385,12 +387,12 @@
 	}
 }
 
-// Notify hands the machine a word that nobody waits for the answer of.
+// Notify hands the machine a report whose answer nobody waits for.
 func (p *Loop) Notify(body any) {
 	p.EnqueueWait(func(now clock.Micros) []machine.Effect { return p.machine.Call(p.number.Add(1), body, now) })
 }
 
-// Members is the directory as this daemon knows it.
+// Members lists the directory as this daemon knows it.
 func (p *Loop) Members() []identity.Member {
 	p.gossipMu.Lock()
 	defer p.gossipMu.Unlock()
@@ -404,7 +406,7 @@
 	return p.gossip.Update(key)
 }
 
-// UpdatesUnder lists the updates whose keys begin with a word.
+// UpdatesUnder lists the updates whose keys begin with a prefix.
 func (p *Loop) UpdatesUnder(prefix string) []machine.Update {
 	p.gossipMu.Lock()
 	defer p.gossipMu.Unlock()
@@ -418,12 +420,12 @@
 	f(p.Now())
 }
 
-// AnnounceDraining tells everyone that this daemon goes soon; AnnounceLeaving that it is gone.
+// AnnounceDraining tells the members that this daemon stops soon.
 func (p *Loop) AnnounceDraining() {
 	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Drain{}, now) })
 }
 
-// AnnounceLeaving tells everyone that this daemon has left on purpose.
+// AnnounceLeaving tells the members that this daemon has stopped on purpose.
 func (p *Loop) AnnounceLeaving() {
 	p.gossipRing.Put(func(now clock.Micros) []machine.Effect { return p.gossip.Do(gossip.Leave{}, now) })
 }
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -1,5 +1,5 @@
-// Package host puts a daemon's services together, so that the programs stay
-// thin (DESIGN §2).
+// Package host assembles and runs the services that every daemon has: event loop,
+// HTTP server, administration API (DESIGN §2).
 package host
 
 import (
@@ -32,10 +32,10 @@
 	"tuliprudder/path/reader"
 )
 
-// Bounds of a daemon's front.
+// Bounds limit a daemon's HTTP server: requests open at once, bytes of a body.
 type Bounds struct{ Open, Bytes int64 }
 
-// Settings adds the front's bounds to a reader of settings.
+// Settings adds the HTTP server's bounds to a reader of settings.
 func (b *Bounds) Settings(r *settings.Reader) {
 	r.Int(&b.Open, "most-open", 4096, 1, 1_000_000, "most requests open at once")
 	r.Int(&b.Bytes, "most-bytes", 8<<20, 1024, 256<<20, "largest body of a request, in bytes")
@@ -45,17 +45,18 @@
 type Daemon struct {
 	Services *services.Registry
 	Log      zerolog.Logger
-	Who      eventloop.Identity
-	Porter   *eventloop.Loop
-	Porch    *httpserver.Server
-	Office   *admin.Admin
+	Identity eventloop.Identity
+	Loop     *eventloop.Loop
+	HTTP     *httpserver.Server
+	Admin    *admin.Admin
 	Common   settings.Common
 	// Grace is how long a drain may take.
 	Grace clock.Micros
 	drain []func()
 }
 
-// Open begins a daemon: its log, identity, shell and front.
+// Open begins a daemon: its log, identity, event loop and HTTP server. program is its
+// name in the log; kind is one of the kinds of package identity.
 func Open(program, kind string, common settings.Common, bounds Bounds) (*Daemon, error) {
 	var out io.Writer = os.Stderr
 	if common.Log != "" {
@@ -77,47 +78,47 @@
 		who = eventloop.NewIdentity(kind, time.Now().UnixMicro())
 	}
 	log := logging.Open(out, program, who.ID)
-	l := &Daemon{Services: services.New(), Log: log, Who: who, Common: common, Grace: 8 * clock.Second}
+	d := &Daemon{Services: services.New(), Log: log, Identity: who, Common: common, Grace: 8 * clock.Second}
 	member := identity.Member{ID: who.ID, Name: common.Name, Kind: kind, Zone: common.Zone, Peer: common.Peer, HTTP: common.HTTP, Incarnation: who.Life, Version: identity.Release}
-	l.Porter = eventloop.New(member, append(append([]string(nil), common.Seeds...), l.remembered()...), who, log)
-	l.Porter.Address = common.Listen
-	l.Porch = httpserver.New(common.HTTP, int(bounds.Open), bounds.Bytes)
-	l.Office = &admin.Admin{Porter: l.Porter, Ready: func() string { return "" }, Counters: func() map[string]int64 { return nil }}
-	return l, nil
+	d.Loop = eventloop.New(member, append(append([]string(nil), common.Seeds...), d.loadPeers()...), who, log)
+	d.Loop.Address = common.Listen
+	d.HTTP = httpserver.New(common.HTTP, int(bounds.Open), bounds.Bytes)
+	d.Admin = &admin.Admin{Loop: d.Loop, Ready: func() string { return "" }, Counters: func() map[string]int64 { return nil }}
+	return d, nil
 }
 
-const mostRemembered = 64
+const maxSavedPeers = 64
 
-// remembered reads the addresses learnt in earlier lives: the seeds may be dead.
-func (l *Daemon) remembered() []string {
-	if l.Common.Data == "" {
+// loadPeers reads the addresses learnt in earlier runs: the seeds may be dead.
+func (d *Daemon) loadPeers() []string {
+	if d.Common.Data == "" {
 		return nil
 	}
-	data, err := os.ReadFile(l.Folder("peers.json"))
+	data, err := os.ReadFile(d.Folder("peers.json"))
 	if err != nil {
 		return nil
 	}
 	var peers []string
 	if err := json.Unmarshal(data, &peers); err != nil {
-		l.Log.Warn().Err(err).Msg("the learnt addresses can't be read; starting from the seeds alone")
+		d.Log.Warn().Err(err).Msg("the learnt addresses can't be read; starting from the seeds alone")
 		return nil
 	}
 	return peers
 }
 
-// remember keeps the addresses learnt, whenever they changed.
-type remember struct{ l *Daemon }
+// peerSaver writes the addresses learnt to the data folder whenever they changed.
+type peerSaver struct{ d *Daemon }
 
 // Start starts the thread.
-func (r remember) Start(_ *services.Registry, ends *cleanup.Stack) error {
-	if r.l.Common.Data == "" {
+func (r peerSaver) Start(_ *services.Registry, ends *cleanup.Stack) error {
+	if r.d.Common.Data == "" {
 		return nil
 	}
 	last := ""
 	cleanup.Every(ends, 5*time.Second, func() {
 		var peers []string
-		for _, member := range r.l.Porter.Members() {
-			if member.Status == identity.Alive && member.ID != r.l.Who.ID && len(peers) < mostRemembered {
+		for _, member := range r.d.Loop.Members() {
+			if member.Status == identity.Alive && member.ID != r.d.Identity.ID && len(peers) < maxSavedPeers {
 				peers = append(peers, member.Peer)
 			}
 		}
@@ -126,39 +127,39 @@
 			return
 		}
 		last = string(data)
-		if err := storage.WriteAside(r.l.Folder("peers.json"), data, nil); err != nil {
-			r.l.Log.Warn().Err(err).Msg("the learnt addresses could not be kept")
+		if err := storage.WriteAside(r.d.Folder("peers.json"), data, nil); err != nil {
+			r.d.Log.Warn().Err(err).Msg("the learnt addresses could not be kept")
 		}
 	})
 	return nil
 }
 
-// OnDrain adds something to do when the daemon is told to go.
-func (l *Daemon) OnDrain(f func()) { l.drain = append(l.drain, f) }
+// OnDrain adds a function that is called when the daemon is asked to stop.
+func (d *Daemon) OnDrain(f func()) { d.drain = append(d.drain, f) }
 
-type front struct{ l *Daemon }
+type httpService struct{ d *Daemon }
 
-func (f front) Start(_ *services.Registry, ends *cleanup.Stack) error {
-	f.l.Office.Routes(f.l.Porch)
-	return f.l.Porch.Start(ends)
+func (f httpService) Start(_ *services.Registry, ends *cleanup.Stack) error {
+	f.d.Admin.Routes(f.d.HTTP)
+	return f.d.HTTP.Start(ends)
 }
 
-// Run starts the services and waits for the word to go; then it drains.
-func (l *Daemon) Run() error {
-	l.Services.Register(eventloop.Name, l.Porter)
-	l.Services.Register("front", front{l})
-	l.Services.Register("remember", remember{l})
+// Run starts the services and waits for SIGTERM or SIGINT; then it drains.
+func (d *Daemon) Run() error {
+	d.Services.Register(eventloop.Name, d.Loop)
+	d.Services.Register("http", httpService{d})
+	d.Services.Register("peers", peerSaver{d})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	if err := l.Services.Start(); err != nil {
+	if err := d.Services.Start(); err != nil {
 		return err
 	}
-	l.Log.Info().Str("zone", l.Common.Zone).Str("peer", l.Common.Peer).Str("http", l.Common.HTTP).Uint64("life", l.Who.Life).Msg("started")
+	d.Log.Info().Str("zone", d.Common.Zone).Str("peer", d.Common.Peer).Str("http", d.Common.HTTP).Uint64("life", d.Identity.Life).Msg("started")
 	<-signals
-	l.Log.Info().Msg("told to go: draining")
-	l.Porter.AnnounceDraining()
+	d.Log.Info().Msg("told to go: draining")
+	d.Loop.AnnounceDraining()
 	var drains sync.WaitGroup
-	for _, f := range l.drain {
+	for _, f := range d.drain {
 		drains.Add(1)
 		go func() { defer drains.Done(); f() }()
 	}
@@ -167,23 +168,23 @@
 	select {
 	case <-done:
 	case <-signals:
-	case <-time.After(clock.Span(l.Grace)):
-		l.Log.Warn().Msg("the drain took too long; going all the same")
+	case <-time.After(clock.Span(d.Grace)):
+		d.Log.Warn().Msg("the drain took too long; going all the same")
 	}
-	l.Porter.AnnounceLeaving()
-	time.Sleep(100 * time.Millisecond) // the last word goes out
-	l.Services.Stop()
-	l.Log.Info().Msg("gone")
+	d.Loop.AnnounceLeaving()
+	time.Sleep(100 * time.Millisecond) // the announcement goes out
+	d.Services.Stop()
+	d.Log.Info().Msg("gone")
 	return nil
 }
 
-// Path tells the operators' front of the road to the servers.
-func (l *Daemon) Path(road *machines.Road, lists *reader.Reader, book *decisionlog.Book) {
-	l.Office.Road, l.Office.Reader, l.Office.Book = road, lists, book
+// ServePath gives the administration API the parts of the request path it shows.
+func (d *Daemon) ServePath(road *machines.Scheduling, lists *reader.Reader, book *decisionlog.Log) {
+	d.Admin.Scheduling, d.Admin.Reader, d.Admin.Decisions = road, lists, book
 }
 
 // Folder is a folder below the data folder.
-func (l *Daemon) Folder(name string) string { return filepath.Join(l.Common.Data, name) }
+func (d *Daemon) Folder(name string) string { return filepath.Join(d.Common.Data, name) }
 
 // Wait waits until a condition holds, looking every few milliseconds.
 func Wait(most clock.Micros, until func() bool) bool {
--- a/daemon/machines/demand.go
+++ b/daemon/machines/demand.go
@@ -10,10 +10,10 @@
 )
 
 // Stores share the servers' room for items by what each has to run (DESIGN §12.6):
-// each tells the others its demand, and takes the part that is its own. An old word
-// or a lost one only makes the parts less even.
+// each tells the others its demand, and takes the part that is its own. An old or a
+// lost message only makes the parts less even.
 
-// Demand is a store's word on how many items it has to run.
+// Demand tells how many items a store has to run.
 type Demand struct {
 	ID    string
 	Items int
@@ -32,24 +32,24 @@
 	at    clock.Micros
 }
 
-// demands is what a store knows of the others' demands.
+// demands holds the latest demand of each other store.
 type demands struct {
-	self  string
-	heard map[string]demand
-	said  int
-	at    clock.Micros
+	self   string
+	others map[string]demand
+	sent   int
+	at     clock.Micros
 }
 
-func (d *demands) hear(word Demand, now clock.Micros) {
-	d.heard[word.ID] = demand{word.Items, now}
+func (d *demands) receive(message Demand, now clock.Micros) {
+	d.others[message.ID] = demand{message.Items, now}
 }
 
 // part is this store's part of the room, by its own demand and the others'.
 func (d *demands) part(own int, now clock.Micros) float64 {
 	sum := max(1, own)
-	for id, one := range d.heard {
+	for id, one := range d.others {
 		if now-one.at > demandKept {
-			delete(d.heard, id)
+			delete(d.others, id)
 			continue
 		}
 		sum += one.items
@@ -57,12 +57,12 @@
 	return float64(max(1, own)) / float64(sum)
 }
 
-// tell tells the other stores, when there is something to tell.
-func (d *demands) tell(own int, members map[string]identity.Member, emit func(machine.Effect), now clock.Micros) {
-	if own == d.said && now-d.at < demandLate || now-d.at < demandEvery {
+// send tells the other stores this one's demand, when it changed or is due.
+func (d *demands) send(own int, members map[string]identity.Member, emit func(machine.Effect), now clock.Micros) {
+	if own == d.sent && now-d.at < demandLate || now-d.at < demandEvery {
 		return
 	}
-	d.said, d.at = own, now
+	d.sent, d.at = own, now
 	ids := make([]string, 0, len(members))
 	for id := range members {
 		ids = append(ids, id)
--- a/daemon/machines/demand_test.go
+++ b/daemon/machines/demand_test.go
@@ -10,11 +10,11 @@
 
 // The parts follow the demands, add up to one, and forget who is not heard.
 func TestPartsFollowDemands(t *testing.T) {
-	d := demands{self: "a", heard: map[string]demand{}}
+	d := demands{self: "a", others: map[string]demand{}}
 	if got := d.part(0, 1); got != 1 {
 		t.Fatalf("alone: %v", got)
 	}
-	d.hear(Demand{ID: "b", Items: 60}, 1)
+	d.receive(Demand{ID: "b", Items: 60}, 1)
 	if got := d.part(20, 2); got != 0.25 {
 		t.Fatalf("20 of 80: %v", got)
 	}
@@ -28,11 +28,11 @@
 func TestDemandsAreToldToStores(t *testing.T) {
 	members := map[string]identity.Member{"a": {ID: "a", Kind: identity.Store, Peer: "pa"}, "b": {ID: "b", Kind: identity.Store, Peer: "pb"},
 		"c": {ID: "c", Kind: identity.Edge, Peer: "pc"}, "d": {ID: "d", Kind: identity.Store, Peer: "pd", Status: identity.Dead}}
-	d := demands{self: "a", heard: map[string]demand{}}
+	d := demands{self: "a", others: map[string]demand{}}
 	var told []string
 	tell := func(own int, now clock.Micros) int {
 		told = nil
-		d.tell(own, members, func(e machine.Effect) { told = append(told, e.(machine.Send).To) }, now)
+		d.send(own, members, func(e machine.Effect) { told = append(told, e.(machine.Send).To) }, now)
 		return len(told)
 	}
 	now := 10 * clock.Second
--- a/daemon/machines/machines.go
+++ b/daemon/machines/machines.go
@@ -1,4 +1,5 @@
-// Package machines fits the machines of the planes into the event loop (DESIGN §2).
+// Package machines adapts the state machines of the packages core, ledger and path
+// to the event loop's Machine interface, one for each kind of daemon (DESIGN §2).
 package machines
 
 import (
@@ -13,15 +14,15 @@
 	"tuliprudder/membership/identity"
 )
 
-// cores gathers the cores' addresses from the directory and the cores' updates.
-type cairns struct {
+// coreDirectory holds the cores' addresses, from the directory and the cores' updates.
+type coreDirectory struct {
 	seeds   []string
 	members map[string]identity.Member
 	core    state.CoreNews
 }
 
-// hear tells whether the addresses changed.
-func (c *cairns) hear(update machine.Update) bool {
+// receive records an update and tells whether the addresses changed.
+func (c *coreDirectory) receive(update machine.Update) bool {
 	if update.Key == state.CoreKey {
 		return json.Unmarshal(update.Value, &c.core) == nil
 	}
@@ -40,7 +41,7 @@
 	return true
 }
 
-func (c *cairns) peers() []string {
+func (c *coreDirectory) peers() []string {
 	seen := map[string]bool{}
 	var out []string
 	add := func(peer string) {
@@ -68,28 +69,28 @@
 	return out
 }
 
-// Core is the summit as the event loop's machine.
+// Core is the control machine of a core daemon.
 type Core struct {
 	*control.Core
-	cairns cairns
+	cores coreDirectory
 }
 
-// NewCore fits a summit in.
+// NewCore makes the machine of a core daemon.
 func NewCore(s *control.Core) *Core {
-	return &Core{Core: s, cairns: cairns{members: map[string]identity.Member{}}}
+	return &Core{Core: s, cores: coreDirectory{members: map[string]identity.Member{}}}
 }
 
-// Message is a message.
+// Message handles a message that was received.
 func (c *Core) Message(from string, body any, now clock.Micros) []machine.Effect {
 	return c.Do(control.Letter{From: from, Body: body}, now)
 }
 
-// Stored is the disk's word.
+// Stored handles the completion of a write.
 func (c *Core) Stored(token uint64, now clock.Micros) []machine.Effect {
 	return c.Do(control.Stored{Token: token}, now)
 }
 
-// Heard is an update: other cores, and what is thought of the stores.
+// Heard handles an update: addresses of other cores, status of stores.
 func (c *Core) Heard(update machine.Update, now clock.Micros) []machine.Effect {
 	var out []machine.Effect
 	if strings.HasPrefix(update.Key, "daemon/") {
@@ -100,26 +101,26 @@
 	if strings.HasPrefix(update.Key, "server/") {
 		out = append(out, c.Do(control.Listed{Rumour: update}, now)...)
 	}
-	if c.cairns.hear(update) {
-		out = append(out, c.Do(control.Cairns{Peers: c.cairns.peers()}, now)...)
+	if c.cores.receive(update) {
+		out = append(out, c.Do(control.Cairns{Peers: c.cores.peers()}, now)...)
 	}
 	return out
 }
 
-// Call is an ask.
+// Call handles a request.
 func (c *Core) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	return c.Do(control.Call{Number: number, Body: body}, now)
 }
 
-// ClockEvent lets the core do what is due.
+// ClockEvent runs the duties that are due.
 func (c *Core) ClockEvent(now clock.Micros) []machine.Effect {
 	return c.Do(control.ClockEvent{}, now)
 }
 
-// Answered is not for a core: it asks nobody.
+// Answered does nothing: a core requests nothing of others by this way.
 func (c *Core) Answered(uint64, any, error, clock.Micros) []machine.Effect { return nil }
 
-// Fresh tells up to when this daemon's updates are within reach.
+// Fresh tells up to when this daemon's updates are complete.
 func (c *Core) Fresh(at, now clock.Micros) []machine.Effect {
 	return c.Do(control.Fresh{At: at}, now)
 }
--- a/daemon/machines/store_test.go
+++ b/daemon/machines/store_test.go
@@ -21,13 +21,13 @@
 
 // handed is what a store that serves nothing does with a bundle: the ask for a
 // share, if there was one, and the error it answered.
-func handed(t *testing.T, most int64, items ...shard.Item) (*quota.LendAsk, error) {
+func handed(t *testing.T, most int64, items ...shard.Item) (*quota.LendRequest, error) {
 	t.Helper()
 	now := 5 * clock.Second
-	l := NewLedger("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
+	l := NewStore("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
 	plan := &config.Plan{Version: 1, Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{MostTokens: most}}, {Name: "plain", Kind: config.Bundle}}}
 	plan.Index()
-	l.Dispatch.SetPlan(plan, now)
+	l.Scheduler.SetPlan(plan, now)
 	l.Fresh(now, now)
 	edge := identity.Member{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
 	l.Heard(machine.Update{Key: identity.Key("edge"), Value: edge.Encode()}, now)
@@ -35,12 +35,12 @@
 	if most < 0 {
 		route = "plain"
 	}
-	var lend *quota.LendAsk
+	var lend *quota.LendRequest
 	var err error
 	for _, effect := range l.Call(1, store.EnrolAsk{Bundle: shard.Bundle{ID: "b", Customer: "r", Route: route, Items: items}}, now) {
 		switch e := effect.(type) {
 		case machine.Ask:
-			ask := e.Body.(quota.LendAsk)
+			ask := e.Body.(quota.LendRequest)
 			lend = &ask
 		case machine.Answer:
 			err = e.Err
@@ -54,7 +54,7 @@
 }
 
 // A bundle that is passed on takes its tokens from its route's bound; without a
-// bound it asks for no share, and without such a route it is turned away.
+// bound it asks for no share, and without such a route it is rejected.
 func TestAForwardedBundleTakesItsTokens(t *testing.T) {
 	lend, err := handed(t, 1000, opaque(300), opaque(40), opaque(0))
 	if err != nil || lend == nil || lend.Customer != "r" || lend.Allowance != 1000 || lend.Want != 341+1000/128 {
@@ -75,16 +75,16 @@
 // route's bound.
 func TestTakenOverItemsAreToldToTheirRoutesAccount(t *testing.T) {
 	now := 5 * clock.Second
-	l := NewLedger("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
+	l := NewStore("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
 	plan := &config.Plan{Version: 1, Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{MostTokens: 1000}}}}
 	plan.Index()
-	l.Dispatch.SetPlan(plan, now)
+	l.Scheduler.SetPlan(plan, now)
 	edge := identity.Member{ID: "edge", Kind: identity.Edge, Zone: "z", Peer: "edge"}
 	l.Heard(machine.Update{Key: identity.Key("edge"), Value: edge.Encode()}, now)
 	l.work(store.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Request: &shard.Request{Tokens: 70}}, now)
 	for _, effect := range l.ClockEvent(now + clock.Second) {
 		if ask, ok := effect.(machine.Ask); ok {
-			if lend := ask.Body.(quota.LendAsk); lend.Customer != "r" || lend.Held != 70 || lend.Allowance != 1000 {
+			if lend := ask.Body.(quota.LendRequest); lend.Customer != "r" || lend.Held != 70 || lend.Allowance != 1000 {
 				t.Fatalf("%+v", lend)
 			}
 			return
@@ -96,10 +96,10 @@
 // The store's clock lets go of items that are too old.
 func TestTheClockReachesItemsThatAreTooOld(t *testing.T) {
 	now := 5 * clock.Second
-	l := NewLedger("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
+	l := NewStore("store", store.New(store.Self{ID: "store"}, store.Defaults(), nil, noShelf{}), 100, 1)
 	plan := &config.Plan{Version: 1, Routes: []config.Route{{Name: "r", Kind: config.Bundle, Forward: &config.Forward{Keep: 10 * clock.Second}}}}
 	plan.Index()
-	l.Dispatch.SetPlan(plan, now)
+	l.Scheduler.SetPlan(plan, now)
 	l.work(store.ItemOrder{Bundle: "b", Customer: "r", Route: "r", Enrolled: now, Request: &shard.Request{}}, now)
 	l.ClockEvent(now + 10*clock.Second)
 	if l.Items.Open() != 1 {
@@ -114,8 +114,8 @@
 // A store that knows no core yet beats at its seeds.
 func TestAStoreThatStartsBeatsAtItsSeeds(t *testing.T) {
 	k := store.New(store.Self{ID: "s", Zone: "z", Peer: "p", Life: 2}, store.Defaults(), nil, noShelf{})
-	l := NewLedger("s", k, 10, 1)
-	l.Greet([]string{"seed:1"})
+	l := NewStore("s", k, 10, 1)
+	l.SetSeeds([]string{"seed:1"})
 	for _, effect := range l.ClockEvent(clock.Second) {
 		if send, ok := effect.(machine.Send); ok && send.To == "seed:1" {
 			if beat, ok := send.Body.(store.Beat); ok && beat.Life == 2 {
--- a/daemon/roles/tend.go
+++ b/daemon/roles/connections.go
@@ -13,30 +13,30 @@
 	"tuliprudder/path/upstream"
 )
 
-// Tend keeps the connections to servers in order: each server's bound is shared out
-// over the daemons, and what leads to servers that are gone is closed (DESIGN §12.3).
-type Tend struct {
-	Lodge  *host.Daemon
-	Road   *machines.Road
-	Client *upstream.Client
-	gone   map[string]bool
+// ConnectionLimiter limits the connections to each server to this daemon's share of
+// the server's bound, and closes those to servers that are gone (DESIGN §12.3).
+type ConnectionLimiter struct {
+	Daemon     *host.Daemon
+	Scheduling *machines.Scheduling
+	Client     *upstream.Client
+	gone       map[string]bool
 }
 
 // Start starts the thread.
-func (t *Tend) Start(_ *services.Registry, ends *cleanup.Stack) error {
+func (t *ConnectionLimiter) Start(_ *services.Registry, ends *cleanup.Stack) error {
 	t.gone = map[string]bool{}
-	cleanup.Every(ends, time.Second, t.turn)
+	cleanup.Every(ends, time.Second, t.adjust)
 	return nil
 }
 
-func (t *Tend) turn() {
+func (t *ConnectionLimiter) adjust() {
 	t.Client.Sweep()
 	var servers []registry.Server
 	var members []identity.Member
 	most := map[string]int64{}
-	t.Lodge.Porter.WithMachine(func(clock.Micros) {
-		servers, members = t.Road.Dispatch.Servers(), t.Road.Folk()
-		plan := t.Road.Dispatch.Plan()
+	t.Daemon.Loop.WithMachine(func(clock.Micros) {
+		servers, members = t.Scheduling.Scheduler.Servers(), t.Scheduling.Members()
+		plan := t.Scheduling.Scheduler.Plan()
 		for _, server := range servers {
 			if plan != nil {
 				most[server.Name] = plan.MostOpen(server.Labels)
@@ -51,7 +51,7 @@
 		case identity.Store:
 			stores++
 		}
-		if member.ID == t.Lodge.Who.ID {
+		if member.ID == t.Daemon.Identity.ID {
 			kind = member.Kind
 		}
 	}
--- a/daemon/roles/roles.go
+++ b/daemon/roles/roles.go
@@ -1,5 +1,5 @@
-// Package roles puts each kind of daemon together (composition; DESIGN §2): the
-// programs and the adapters to other platforms only choose settings and fronts.
+// Package roles assembles each kind of daemon (DESIGN §2): the programs and the
+// adapters to other platforms only choose settings and listeners.
 package roles
 
 import (
@@ -24,36 +24,36 @@
 
 // NewEdge puts an edge daemon together.
 func NewEdge(l *host.Daemon, set machines.EdgeSettings) *Edge {
-	edge := machines.NewEdge(l.Who.ID, set, int64(l.Who.Life))
-	track := effects.New(l.Porter.Now, l.Porter.Notify)
-	l.Porter.SetMachine(edge, nil)
-	l.Porter.OnWork(track.Take)
-	l.Path(edge.Road, edge.Reader, edge.Book)
-	l.Office.Counters = func() map[string]int64 {
+	edge := machines.NewEdge(l.Identity.ID, set, int64(l.Identity.Life))
+	executor := effects.New(l.Loop.Now, l.Loop.Notify)
+	l.Loop.SetMachine(edge, nil)
+	l.Loop.OnWork(executor.Take)
+	l.ServePath(edge.Scheduling, edge.Reader, edge.Decisions)
+	l.Admin.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.WithMachine(func(now clock.Micros) {
-			out["shares_held"], out["shares_lent"] = edge.Purse.Totals(now)
-			out["over_allowance"], out["backlog"], out["assigned"] = edge.Purse.Refused, int64(edge.Dispatch.Backlog()), edge.Dispatch.Assigned
-			out["expired"], out["turned_away"] = edge.Dispatch.Expired, edge.Dispatch.TurnedAway
-			out["orders_open"], out["reads_waiting"] = int64(edge.Trek.Open()), int64(edge.Reader.Open())
-			out["requests_open"], out["requests_passed"], out["requests_refused"] = int64(edge.Ford.Open()), edge.Ford.Passed, edge.Ford.Refused
-			out["requests_unknown"], out["requests_sent_again"] = edge.Ford.Unknown, edge.Ford.Again
+		l.Loop.WithMachine(func(now clock.Micros) {
+			out["shares_held"], out["shares_lent"] = edge.Quota.Totals(now)
+			out["over_allowance"], out["backlog"], out["assigned"] = edge.Quota.Refused, int64(edge.Scheduler.Backlog()), edge.Scheduler.Assigned
+			out["expired"], out["turned_away"] = edge.Scheduler.Expired, edge.Scheduler.Rejected
+			out["orders_open"], out["reads_waiting"] = int64(edge.Requests.Open()), int64(edge.Reader.Open())
+			out["requests_open"], out["requests_passed"], out["requests_refused"] = int64(edge.Proxy.Open()), edge.Proxy.Passed, edge.Proxy.Refused
+			out["requests_unknown"], out["requests_sent_again"] = edge.Proxy.Unknown, edge.Proxy.Again
 		})
 		return out
 	}
-	return &Edge{Edge: edge, Executor: track}
+	return &Edge{Edge: edge, Executor: executor}
 }
 
 // Store is a store daemon's parts.
 type Store struct {
-	*machines.Ledger
+	*machines.Store
 	Executor *effects.Executor
 	Folder   *storage.Folder
 }
 
 // NewStore puts a store daemon together from what its data folder holds.
 func NewStore(l *host.Daemon, set store.Settings) (*Store, error) {
-	room, records, err := eventloop.OpenRecords(l.Common.Data)
+	folder, records, err := eventloop.OpenRecords(l.Common.Data)
 	if err != nil {
 		return nil, err
 	}
@@ -61,71 +61,71 @@
 	if err != nil {
 		return nil, err
 	}
-	l.Porter.Shelf = shelf
-	books := store.New(store.Self{ID: l.Who.ID, Name: l.Common.Name, Zone: l.Common.Zone, Peer: l.Common.Peer, Life: l.Who.Life}, set, records, shelf)
-	if books.BadRecord != nil {
-		return nil, books.BadRecord
+	l.Loop.Shelf = shelf
+	ledgerState := store.New(store.Self{ID: l.Identity.ID, Name: l.Common.Name, Zone: l.Common.Zone, Peer: l.Common.Peer, Life: l.Identity.Life}, set, records, shelf)
+	if ledgerState.BadRecord != nil {
+		return nil, ledgerState.BadRecord
 	}
-	books.Damaged = func(err error) {
+	ledgerState.Damaged = func(err error) {
 		l.Log.Error().Err(err).Msg("a shelved bundle can't be read; ending, so that the pair's other end serves")
 		os.Exit(3)
 	}
-	ledger := machines.NewLedger(l.Who.ID, books, set.MostItems, int64(l.Who.Life))
-	ledger.Greet(l.Common.Seeds)
-	track := effects.New(l.Porter.Now, l.Porter.Notify)
-	l.Porter.SetMachine(ledger, room)
-	l.Porter.OnWork(track.Take)
-	l.Path(ledger.Road, nil, ledger.Items.Book)
-	l.Office.Ready = func() (why string) {
-		l.Porter.WithMachine(func(clock.Micros) {
-			if books.Writer() == 0 {
+	ledger := machines.NewStore(l.Identity.ID, ledgerState, set.MostItems, int64(l.Identity.Life))
+	ledger.SetSeeds(l.Common.Seeds)
+	executor := effects.New(l.Loop.Now, l.Loop.Notify)
+	l.Loop.SetMachine(ledger, folder)
+	l.Loop.OnWork(executor.Take)
+	l.ServePath(ledger.Scheduling, nil, ledger.Items.Decisions)
+	l.Admin.Ready = func() (why string) {
+		l.Loop.WithMachine(func(clock.Micros) {
+			if ledgerState.Writer() == 0 {
 				why = "the core has not given this store a writer id yet"
 			}
 		})
 		return why
 	}
-	l.Office.Counters = func() map[string]int64 {
+	l.Admin.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.WithMachine(func(now clock.Micros) {
-			out["copies_missing"], out["oldest_unannounced_us"] = books.AtRisk(now)
-			out["entries_confirmed"], out["reads"] = books.Entries, books.Reads
-			out["bundles_shelved"] = books.Shelved
-			out["disk_wait_us"] = books.DiskWait(now)
-			out["shares_held"], out["shares_lent"] = ledger.Purse.Totals(now)
-			out["over_allowance"] = ledger.Purse.Refused
-			out["backlog"], out["items_open"] = int64(ledger.Dispatch.Backlog()), int64(ledger.Items.Open())
-			out["rows_listed"], out["bundles_enrolled"], out["outcomes_unknown"], out["takeovers"] = books.Listed, books.Enrolled, books.Unknown, books.Takeovers
+		l.Loop.WithMachine(func(now clock.Micros) {
+			out["copies_missing"], out["oldest_unannounced_us"] = ledgerState.AtRisk(now)
+			out["entries_confirmed"], out["reads"] = ledgerState.Entries, ledgerState.Reads
+			out["bundles_shelved"] = ledgerState.Shelved
+			out["disk_wait_us"] = ledgerState.DiskWait(now)
+			out["shares_held"], out["shares_lent"] = ledger.Quota.Totals(now)
+			out["over_allowance"] = ledger.Quota.Refused
+			out["backlog"], out["items_open"] = int64(ledger.Scheduler.Backlog()), int64(ledger.Items.Open())
+			out["rows_listed"], out["bundles_enrolled"], out["outcomes_unknown"], out["takeovers"] = ledgerState.Listed, ledgerState.Enrolled, ledgerState.Unknown, ledgerState.Takeovers
 		})
 		return out
 	}
-	return &Store{Ledger: ledger, Executor: track, Folder: room}, nil
+	return &Store{Store: ledger, Executor: executor, Folder: folder}, nil
 }
 
 // NewCore puts a core daemon together from what its data folder holds.
 func NewCore(l *host.Daemon, set control.Settings) (*control.Core, error) {
-	room, records, err := eventloop.OpenRecords(l.Common.Data)
+	folder, records, err := eventloop.OpenRecords(l.Common.Data)
 	if err != nil {
 		return nil, err
 	}
 	if set.CheckPlan == nil {
 		set.CheckPlan = config.Check
 	}
-	core := control.New(control.CoreRef{ID: l.Who.ID, Peer: l.Common.Peer, Zone: l.Common.Zone}, l.Who.Life, l.Common.Seeds, set, records)
+	core := control.New(control.CoreRef{ID: l.Identity.ID, Peer: l.Common.Peer, Zone: l.Common.Zone}, l.Identity.Life, l.Common.Seeds, set, records)
 	if core.BadRecord != nil {
 		return nil, core.BadRecord
 	}
-	l.Porter.SetMachine(machines.NewCore(core), room)
-	l.Office.Ready = func() (why string) {
-		l.Porter.WithMachine(func(clock.Micros) {
+	l.Loop.SetMachine(machines.NewCore(core), folder)
+	l.Admin.Ready = func() (why string) {
+		l.Loop.WithMachine(func(clock.Micros) {
 			if core.Vote().Done.Epoch == 0 {
 				why = "the cores have not founded a fleet yet"
 			}
 		})
 		return why
 	}
-	l.Office.Counters = func() map[string]int64 {
+	l.Admin.Counters = func() map[string]int64 {
 		out := map[string]int64{}
-		l.Porter.WithMachine(func(clock.Micros) {
+		l.Loop.WithMachine(func(clock.Micros) {
 			out["core_epoch"], out["core_claims"], out["core_takeovers"], out["core_changes"] = int64(core.Vote().Granted), core.Claims, core.Takeovers, core.Changes
 			if core.Serving() {
 				out["core_primary"] = 1
--- a/path/decisionlog/decisionlog.go
+++ b/path/decisionlog/decisionlog.go
@@ -12,16 +12,16 @@
 
 // Try is one assignment of an order.
 type Try struct {
-	Server  string         `json:"server"`
-	Marks   []scoring.Mark `json:"marks"`
-	At      clock.Micros   `json:"at_us"`
-	Took    clock.Micros   `json:"took_us"`
-	Outcome string         `json:"outcome"`
-	Error   string         `json:"error,omitempty"`
+	Server  string          `json:"server"`
+	Scores  []scoring.Score `json:"marks"`
+	At      clock.Micros    `json:"at_us"`
+	Took    clock.Micros    `json:"took_us"`
+	Outcome string          `json:"outcome"`
+	Error   string          `json:"error,omitempty"`
 }
 
-// Story is what happened to one order.
-type Story struct {
+// Entry is what happened to one order.
+type Entry struct {
 	Order    string       `json:"order"`
 	Customer string       `json:"customer"`
 	Route    string       `json:"route"`
@@ -31,10 +31,10 @@
 	End      string       `json:"end,omitempty"`
 }
 
-// Book keeps the latest stories, a bounded number of them.
-type Book struct {
+// Log keeps the latest stories, a bounded number of them.
+type Log struct {
 	mu      sync.Mutex
-	stories map[string]*Story
+	entries map[string]*Entry
 	order   []string
 	next    int
 }
@@ -42,50 +42,50 @@
 const mostTries = 16
 
 // New makes a book for so many stories.
-func New(size int) *Book {
-	return &Book{stories: map[string]*Story{}, order: make([]string, max(1, size))}
+func New(size int) *Log {
+	return &Log{entries: map[string]*Entry{}, order: make([]string, max(1, size))}
 }
 
 // Begin opens an order's story, or goes on with it; the oldest makes room.
-func (b *Book) Begin(s Story) {
+func (b *Log) Begin(s Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stories[s.Order] != nil {
+	if b.entries[s.Order] != nil {
 		return
 	}
 	if old := b.order[b.next]; old != "" {
-		delete(b.stories, old)
+		delete(b.entries, old)
 	}
 	b.order[b.next] = s.Order
 	b.next = (b.next + 1) % len(b.order)
-	b.stories[s.Order] = &s
+	b.entries[s.Order] = &s
 }
 
 // Tried adds an assignment to an order's story.
-func (b *Book) Tried(order string, try Try) {
+func (b *Log) Tried(order string, try Try) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.stories[order]; s != nil && len(s.Tries) < mostTries {
+	if s := b.entries[order]; s != nil && len(s.Tries) < mostTries {
 		s.Tries = append(s.Tries, try)
 	}
 }
 
 // Ended notes how an order went.
-func (b *Book) Ended(order, end string) {
+func (b *Log) Ended(order, end string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.stories[order]; s != nil {
+	if s := b.entries[order]; s != nil {
 		s.End = end
 	}
 }
 
-// Look finds an order's story.
-func (b *Book) Look(order string) (Story, bool) {
+// Find finds an order's story.
+func (b *Log) Find(order string) (Entry, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.stories[order]
+	s := b.entries[order]
 	if s == nil {
-		return Story{}, false
+		return Entry{}, false
 	}
 	out := *s
 	out.Tries = append([]Try(nil), s.Tries...)
@@ -94,11 +94,11 @@
 
 // Slowest lists the stories that took longest from arrival to their last try's
 // end, the slowest first.
-func (b *Book) Slowest(count int) []Story {
+func (b *Log) Slowest(count int) []Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]Story, 0, len(b.stories))
-	for _, s := range b.stories {
+	out := make([]Entry, 0, len(b.entries))
+	for _, s := range b.entries {
 		if len(s.Tries) > 0 {
 			one := *s
 			one.Tries = append([]Try(nil), s.Tries...)
@@ -109,7 +109,7 @@
 	return out[:min(count, len(out))]
 }
 
-func (s Story) span() clock.Micros {
+func (s Entry) span() clock.Micros {
 	last := s.Tries[len(s.Tries)-1]
 	return last.At + last.Took - s.Arrived
 }
--- a/path/execution/execution.go
+++ b/path/execution/execution.go
@@ -1,6 +1,6 @@
-// Package execution runs a keeper's items on servers (DESIGN §6.3, §7, §12.5): each waits
-// in the backlog by its customer's rank, and is started only under a fresh
-// lease. It is a part of the store's machine: the sockets are the shell's.
+// Package execution runs a store's items on servers (DESIGN §6.3, §7, §12.5): each waits
+// in the queue by its customer's rank, and is started only under a fresh
+// lease. It is a part of the store's machine: the sockets are the event loop's.
 package execution
 
 import (
@@ -18,19 +18,19 @@
 	"tuliprudder/path/scheduler"
 )
 
-// Settings of a runner; the defaults are ours.
+// Settings of a runner; Defaults has the usual values.
 type Settings struct {
 	MostTries int
 	Silence   clock.Micros
 	MostBytes int
 }
 
-// Defaults are the starting values.
+// Defaults are the values used where nothing is set.
 func Defaults() Settings {
 	return Settings{MostTries: 8, Silence: 4 * clock.Second, MostBytes: 1 << 20}
 }
 
-// What the shell is told, as work.
+// What the event loop is told, as work.
 type (
 	// Run says: run this item on its server, then tell how it went.
 	Run struct {
@@ -53,11 +53,11 @@
 	Stop struct{ Token uint64 }
 )
 
-// Began is the shell's word that a server has begun a run: until then the item
+// Began is the event loop's word that a server has begun a run: until then the item
 // waits, in the server's own queue as well.
 type Began struct{ Token uint64 }
 
-// Ran is the shell's word on how a run went. Of an opaque item Complete is whole,
+// Ran is the event loop's word on how a run went. Of an opaque item Complete is whole,
 // NotStarted certainly did not run (the server said so, or took no connection),
 // Cut may be gone on with, and Rejected can never be done.
 type Ran struct {
@@ -74,46 +74,46 @@
 
 // Runner is the store daemon's part of the path.
 type Runner struct {
-	set      Settings
-	wire     *machine.Wire
-	dispatch *scheduler.Scheduler
-	allowed  func(slot int, bundle string, item int, now clock.Micros) bool
-	ran      func(store.Ran, clock.Micros)
-	Book     *decisionlog.Book
-	open     map[string]*job
-	runs     map[uint64]*job
-	queued   map[string]int  // weights by customer: assigned, not begun (an opaque item: not finished)
-	parked   map[string]*job // those that could not wait or start here just now
-	kept     map[string]int  // the same, counted by customer
-	next     clock.Micros    // next look at what is too old
-	tried    clock.Micros    // last look at what could not start
-	// NoPermit is a fault planted by tests: work starts without a lease.
-	NoPermit bool
-	// Deaf is a fault planted by tests: work goes on after it was called back.
-	Deaf bool
+	set          Settings
+	wire         *machine.Wire
+	scheduler    *scheduler.Scheduler
+	allowed      func(slot int, bundle string, item int, now clock.Micros) bool
+	ran          func(store.Ran, clock.Micros)
+	Decisions    *decisionlog.Log
+	open         map[string]*job
+	runs         map[uint64]*job
+	queued       map[string]int  // weights by customer: assigned, not begun (an opaque item: not finished)
+	parked       map[string]*job // those that could not wait or start here just now
+	parkedWeight map[string]int  // the same, counted by customer
+	next         clock.Micros    // next look at what is too old
+	tried        clock.Micros    // last look at what could not start
+	// SkipPermit is a fault planted by tests: work starts without a lease.
+	SkipPermit bool
+	// IgnoreRevoke is a fault planted by tests: work goes on after it was called back.
+	IgnoreRevoke bool
 }
 
 type job struct {
-	name   string
-	item   store.ItemOrder
-	weight int
-	order  *scheduler.Order
-	grip   *scheduler.Grip
-	token  uint64
-	avoid  map[string]int
-	tries  int // of an opaque item: attempts that failed
-	begun  bool
-	events []string // of an opaque item: what came over all tries
-	size   int      // of the events
-	last   int      // id of the last of them
+	name       string
+	item       store.ItemOrder
+	weight     int
+	order      *scheduler.Order
+	assignment *scheduler.Assignment
+	token      uint64
+	avoid      map[string]int
+	tries      int // of an opaque item: attempts that failed
+	begun      bool
+	events     []string // of an opaque item: what came over all tries
+	size       int      // of the events
+	last       int      // id of the last of them
 }
 
 // New makes a runner; ran is told each item's result.
 func New(set Settings, wire *machine.Wire, d *scheduler.Scheduler, allowed func(int, string, int, clock.Micros) bool, ran func(store.Ran, clock.Micros)) *Runner {
-	return &Runner{set: set, wire: wire, dispatch: d, allowed: allowed, ran: ran, Book: decisionlog.New(8192), open: map[string]*job{}, runs: map[uint64]*job{}, queued: map[string]int{}, parked: map[string]*job{}, kept: map[string]int{}}
+	return &Runner{set: set, wire: wire, scheduler: d, allowed: allowed, ran: ran, Decisions: decisionlog.New(8192), open: map[string]*job{}, runs: map[uint64]*job{}, queued: map[string]int{}, parked: map[string]*job{}, parkedWeight: map[string]int{}}
 }
 
-// Take puts one of the keeper's items into the backlog; one that waits or runs
+// Take puts one of the store's items into the queue; one that waits or runs
 // already is passed over.
 func (r *Runner) Take(item store.ItemOrder, now clock.Micros) {
 	name := item.Bundle + "/" + strconv.Itoa(item.Item)
@@ -127,7 +127,7 @@
 		j.avoid, j.tries, j.events, j.size, j.last = was.avoid, was.tries, was.events, was.size, was.last
 	}
 	r.open[name] = j
-	r.enrol(j, now)
+	r.submit(j, now)
 }
 
 const (
@@ -145,10 +145,10 @@
 	return j.item.Request != nil && route.Forward.Keep > 0 && now > j.item.Enrolled+route.Forward.Keep
 }
 
-// enrol puts an item into the backlog. A route that is gone from the plan fails
+// submit puts an item into the queue. A route that is gone from the plan fails
 // the item rather than leave the bundle open for ever.
-func (r *Runner) enrol(j *job, now clock.Micros) {
-	plan := r.dispatch.Plan()
+func (r *Runner) submit(j *job, now clock.Micros) {
+	plan := r.scheduler.Plan()
 	if plan == nil || plan.Version < j.item.Plan {
 		r.park(j) // this daemon's plan is behind
 		return
@@ -168,9 +168,9 @@
 	}
 	j.order = &scheduler.Order{ID: j.name, Customer: j.item.Customer, Route: route, Rank: rank, Bundle: true, Weight: j.weight, Prefix: route.Prefix, Prompt: int64(j.weight), Avoid: j.avoid}
 	j.order.Permit = func(now clock.Micros) bool {
-		return r.NoPermit || r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now)
+		return r.SkipPermit || r.allowed(j.item.Slot, j.item.Bundle, j.item.Item, now)
 	}
-	j.order.Start = func(grip *scheduler.Grip, now clock.Micros) { r.start(j, grip, now) }
+	j.order.Start = func(assignment *scheduler.Assignment, now clock.Micros) { r.start(j, assignment, now) }
 	j.order.Drop = func(err error, now clock.Micros) {
 		if errs.Is(err, errs.UnknownRoute) {
 			r.finish(j, store.Ran{Status: shard.StatusFailed, Output: gone}, now)
@@ -178,7 +178,7 @@
 		}
 		r.park(j)
 	}
-	if err := r.dispatch.Enrol(j.order, now); errs.Is(err, errs.UnknownRoute) {
+	if err := r.scheduler.Submit(j.order, now); errs.Is(err, errs.UnknownRoute) {
 		j.order.Drop(err, now)
 	} else if err != nil {
 		r.wire.Emit(machine.Explain{What: "an item found no room in the backlog; the keeper hands it over again", Fields: map[string]any{"order": j.name, "why": err.Error()}})
@@ -186,13 +186,13 @@
 	}
 }
 
-// park keeps an item in mind that can't wait or start here just now: the keeper
+// park keeps an item in mind that can't wait or start here just now: the store
 // hands it over again, and until then it counts as waiting.
 func (r *Runner) park(j *job) {
 	r.forget(j)
 	if r.parked[j.name] == nil {
 		r.parked[j.name] = j
-		r.kept[j.item.Customer] += j.weight
+		r.parkedWeight[j.item.Customer] += j.weight
 	}
 }
 
@@ -202,8 +202,8 @@
 		return nil
 	}
 	delete(r.parked, name)
-	if r.kept[j.item.Customer] -= j.weight; r.kept[j.item.Customer] <= 0 {
-		delete(r.kept, j.item.Customer)
+	if r.parkedWeight[j.item.Customer] -= j.weight; r.parkedWeight[j.item.Customer] <= 0 {
+		delete(r.parkedWeight, j.item.Customer)
 	}
 	return j
 }
@@ -221,22 +221,22 @@
 }
 
 // start goes by the order's route, which is that of the plan in force.
-func (r *Runner) start(j *job, grip *scheduler.Grip, now clock.Micros) {
+func (r *Runner) start(j *job, assignment *scheduler.Assignment, now clock.Micros) {
 	route := j.order.Route
 	if !fits(j, route) {
-		grip.Release(0, true, now)
+		assignment.Release(0, true, now)
 		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: gone}, now)
 		return
 	}
-	j.grip, j.token, j.begun = grip, r.wire.Token(), false
+	j.assignment, j.token, j.begun = assignment, r.wire.Token(), false
 	r.runs[j.token] = j
 	r.queued[j.item.Customer] += j.weight
 	var forward *Forwarded
 	if j.item.Request != nil {
-		forward = &Forwarded{Request: j.item.Request, Bundle: j.item.Bundle, ID: j.item.ItemID, Instance: grip.Server.Name, Resume: j.last}
+		forward = &Forwarded{Request: j.item.Request, Bundle: j.item.Bundle, ID: j.item.ItemID, Instance: assignment.Server.Name, Resume: j.last}
 	}
-	r.wire.Emit(machine.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Forward: forward, Request: modelclient.Request{Address: grip.Server.Address, Order: j.name, Model: route.Model,
-		Prefix: route.Prefix, Input: j.item.Input, MaxTokens: route.MaxTokens, Priority: r.dispatch.Priority(j.order), Silence: r.set.Silence}}})
+	r.wire.Emit(machine.Work{Order: Run{Token: j.token, MostBytes: r.set.MostBytes, Forward: forward, Request: modelclient.Request{Address: assignment.Server.Address, Order: j.name, Model: route.Model,
+		Prefix: route.Prefix, Input: j.item.Input, MaxTokens: route.MaxTokens, Priority: r.scheduler.Priority(j.order), Silence: r.set.Silence}}})
 }
 
 // Begin notes that a run has begun. What an opaque item counts for is work that
@@ -246,7 +246,7 @@
 	if j == nil {
 		return
 	}
-	j.grip.Began(now)
+	j.assignment.Began(now)
 	if j.item.Request == nil {
 		r.begin(j)
 	}
@@ -265,78 +265,78 @@
 // Waiting is what a customer's items that wait count for, here or in a server's
 // queue; opaque ones that run count as well.
 func (r *Runner) Waiting(customer string) int {
-	return r.dispatch.Waiting(customer) + r.queued[customer] + r.kept[customer]
+	return r.scheduler.Waiting(customer) + r.queued[customer] + r.parkedWeight[customer]
 }
 
-// Went takes the shell's word. An item may run again elsewhere: only one result
+// Finished takes the event loop's word. An item may run again elsewhere: only one result
 // is listed.
-func (r *Runner) Went(ran Ran, now clock.Micros) {
+func (r *Runner) Finished(ran Ran, now clock.Micros) {
 	j := r.runs[ran.Token]
 	if j == nil {
 		return // called back
 	}
 	delete(r.runs, ran.Token)
 	r.begin(j)
-	grip := j.grip
-	j.grip, j.token = nil, 0
-	r.Book.Begin(decisionlog.Story{Order: j.name, Customer: j.item.Customer, Route: j.item.Route, Rank: j.order.Rank, Arrived: j.item.Enrolled})
-	r.Book.Tried(j.name, decisionlog.Try{Server: grip.Server.Name, Marks: grip.Marks, At: grip.Started, Took: now - grip.Started, Outcome: ran.Outcome.String(), Error: ran.Why})
+	assignment := j.assignment
+	j.assignment, j.token = nil, 0
+	r.Decisions.Begin(decisionlog.Entry{Order: j.name, Customer: j.item.Customer, Route: j.item.Route, Rank: j.order.Rank, Arrived: j.item.Enrolled})
+	r.Decisions.Tried(j.name, decisionlog.Try{Server: assignment.Server.Name, Scores: assignment.Scores, At: assignment.Started, Took: now - assignment.Started, Outcome: ran.Outcome.String(), Error: ran.Why})
 	if j.item.Request != nil {
-		r.passedOn(j, grip, ran, now)
+		r.opaqueFinished(j, assignment, ran, now)
 		return
 	}
 	if ran.Outcome == modelclient.Complete {
-		grip.Release(now-grip.Started, true, now)
-		r.finish(j, store.Ran{Status: shard.StatusOK, Output: ran.Output, Server: grip.Server.Name}, now)
+		assignment.Release(now-assignment.Started, true, now)
+		r.finish(j, store.Ran{Status: shard.StatusOK, Output: ran.Output, Server: assignment.Server.Name}, now)
 		return
 	}
 	if ran.Outcome == modelclient.NotStarted {
-		grip.TurnedAway(now)
+		assignment.Rejected(now)
 	} else {
-		grip.Release(0, ran.Outcome == modelclient.Rejected, now)
+		assignment.Release(0, ran.Outcome == modelclient.Rejected, now)
 		j.tries++ // one that did not start is no try
 	}
 	if ran.Outcome == modelclient.Rejected || j.tries >= r.set.MostTries {
-		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "no server finished it: " + ran.Why, Server: grip.Server.Name}, now)
+		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "no server finished it: " + ran.Why, Server: assignment.Server.Name}, now)
 		return
 	}
-	if j.avoid[grip.Server.Name]++; len(j.avoid) >= 3 {
+	if j.avoid[assignment.Server.Name]++; len(j.avoid) >= 3 {
 		clear(j.avoid)
 	}
-	r.enrol(j, now)
+	r.submit(j, now)
 }
 
-// passedOn decides by how a try of an opaque item went. It is listed as failed only
+// opaqueFinished decides by how a try of an opaque item went. It is listed as failed only
 // when a server rejects it, when its route's attempts have failed, when it is too
 // old, or when its route is gone; whatever else goes wrong, it waits again.
-func (r *Runner) passedOn(j *job, grip *scheduler.Grip, ran Ran, now clock.Micros) {
-	server := grip.Server.Name
+func (r *Runner) opaqueFinished(j *job, assignment *scheduler.Assignment, ran Ran, now clock.Micros) {
+	server := assignment.Server.Name
 	switch {
 	case ran.Failed:
-		grip.Release(0, false, now)
+		assignment.Release(0, false, now)
 		r.gather(j, ran)
 		j.tries++
 		j.avoid[server] = 3 // elsewhere first
-		route, _ := r.dispatch.Plan().Route(j.item.Route)
+		route, _ := r.scheduler.Plan().Route(j.item.Route)
 		if fits(j, route) && route.Forward.Tries > 0 && int64(j.tries) >= route.Forward.Tries {
 			r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "its attempts have failed: " + ran.Why, Server: server}, now)
 			return
 		}
 	case ran.Outcome == modelclient.Complete:
-		grip.Release(now-grip.Started, true, now)
+		assignment.Release(now-assignment.Started, true, now)
 		r.finish(j, store.Ran{Status: shard.StatusOK, Output: strings.Join(append(j.events, ran.Events...), "\n"), Server: server}, now)
 		return
 	case ran.Outcome == modelclient.Rejected:
-		grip.Release(0, true, now)
+		assignment.Release(0, true, now)
 		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: "the server rejected it: " + ran.Why, Server: server}, now)
 		return
 	case ran.Outcome == modelclient.NotStarted:
-		grip.TurnedAway(now)
+		assignment.Rejected(now)
 	default:
-		grip.Release(0, false, now)
+		assignment.Release(0, false, now)
 		r.gather(j, ran)
 	}
-	r.enrol(j, now)
+	r.submit(j, now)
 }
 
 // gather keeps the events of a try that was not whole, so that the next one goes on
@@ -378,7 +378,7 @@
 // has none any more.
 // What runs is left to its server.
 func (r *Runner) ClockEvent(now clock.Micros) {
-	plan := r.dispatch.Plan()
+	plan := r.scheduler.Plan()
 	if plan == nil {
 		return
 	}
@@ -390,7 +390,7 @@
 	due, why := map[string]*job{}, map[string]string{}
 	for _, jobs := range []map[string]*job{r.open, r.parked} {
 		for name, j := range jobs {
-			if j.grip != nil || j.item.Request == nil || plan.Version < j.item.Plan {
+			if j.assignment != nil || j.item.Request == nil || plan.Version < j.item.Plan {
 				continue
 			}
 			if route, _ := plan.Route(j.item.Route); !fits(j, route) {
@@ -403,7 +403,7 @@
 	for _, name := range sorted(due) {
 		j := due[name]
 		if r.unpark(name) == nil {
-			r.dispatch.Cancel(j.order)
+			r.scheduler.Cancel(j.order)
 		}
 		r.finish(j, store.Ran{Status: shard.StatusFailed, Output: why[name]}, now)
 	}
@@ -411,7 +411,7 @@
 
 // Revoke drops what waits or runs of a bundle or of a slot.
 func (r *Runner) Revoke(w store.Revoke, now clock.Micros) {
-	if r.Deaf {
+	if r.IgnoreRevoke {
 		return
 	}
 	called := func(j *job) bool {
@@ -428,14 +428,14 @@
 			continue
 		}
 		delete(r.open, name)
-		if j.grip != nil {
+		if j.assignment != nil {
 			r.wire.Emit(machine.Work{Order: Stop{Token: j.token}})
 			delete(r.runs, j.token)
 			r.begin(j)
-			j.grip.Release(0, true, now)
-			j.grip = nil
+			j.assignment.Release(0, true, now)
+			j.assignment = nil
 		} else if j.order != nil {
-			r.dispatch.Cancel(j.order)
+			r.scheduler.Cancel(j.order)
 		}
 	}
 }
--- a/path/execution/execution_test.go
+++ b/path/execution/execution_test.go
@@ -51,7 +51,7 @@
 		Request: &shard.Request{Target: "/x", Body: []byte(fmt.Sprint("body ", item)), Tokens: tokens}}, b.now)
 }
 
-// runs are the runs the shell is told of now.
+// runs are the runs the event loop is told of now.
 func (b *bench) runs() []Run {
 	b.d.SetFresh(b.now)
 	b.d.Settle(b.now)
@@ -90,12 +90,12 @@
 	if got := b.Waiting("r"); got != 500 {
 		t.Fatalf("%d wait while it runs", got)
 	}
-	b.Went(Ran{Token: first.Token, Outcome: modelclient.Cut}, b.now)
+	b.Finished(Ran{Token: first.Token, Outcome: modelclient.Cut}, b.now)
 	if got := b.Waiting("r"); got != 500 {
 		t.Fatalf("%d wait after a try that was cut", got)
 	}
 	second := b.run()
-	b.Went(Ran{Token: second.Token, Outcome: modelclient.Complete}, b.now)
+	b.Finished(Ran{Token: second.Token, Outcome: modelclient.Complete}, b.now)
 	if got := b.Waiting("r"); got != 0 {
 		t.Fatalf("%d wait once it is finished", got)
 	}
@@ -131,7 +131,7 @@
 	b.t.Helper()
 	run := b.run()
 	ran.Token = run.Token
-	b.Went(ran, b.now)
+	b.Finished(ran, b.now)
 	return run
 }
 
@@ -275,7 +275,7 @@
 		b.now += 25 * hour
 		b.ClockEvent(b.now)
 		b.none()
-		b.Went(Ran{Token: run.Token, Outcome: modelclient.NotStarted}, b.now)
+		b.Finished(Ran{Token: run.Token, Outcome: modelclient.NotStarted}, b.now)
 		b.only(shard.StatusFailed, late)
 	})
 	t.Run("kept for good", func(t *testing.T) {
@@ -309,7 +309,7 @@
 	b := newBench(t, "s1", "s2")
 	b.take(0, 1)
 	first := b.run()
-	b.Went(Ran{Token: first.Token, Failed: true}, b.now) // waits for the other server now
+	b.Finished(Ran{Token: first.Token, Failed: true}, b.now) // waits for the other server now
 	other := map[string]string{"s1": "s2", "s2": "s1"}[first.Forward.Instance]
 	b.d.SetLoad(other, 1, registry.Load{Running: 40, Sound: true, At: b.now})
 	b.take(1, 1)
@@ -325,7 +325,7 @@
 }
 
 // A keeper's items keep to its part of a server: the first level's limit, shared by
-// the keepers that live.
+// the stores that live.
 func TestAKeepersItemsKeepToTheirPart(t *testing.T) {
 	b := newBench(t, "s") // with 4 slots, of which the lowest level may fill 0.7
 	ranked := &config.Plan{Version: 2, Classes: []config.Class{{Name: "low", Rank: 1}, {Name: "high", Rank: 2}}, Judges: map[string]float64{"spread": 1}, Pools: []config.Pool{{Name: "p"}},
@@ -362,7 +362,7 @@
 }
 
 // What found no fresh lease when its slot began to serve starts as soon as there is
-// one; the keeper does not have to hand it over again.
+// one; the store does not have to hand it over again.
 func TestAParkedItemStartsOnceItMay(t *testing.T) {
 	b := newBench(t, "s")
 	lease := false
--- a/path/gate/bundles.go
+++ b/path/gate/bundles.go
@@ -32,7 +32,7 @@
 	if key == "" {
 		key = NewName()
 	}
-	receipt, err := ask[store.Receipt](g, r, requests.HandIn{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
+	receipt, err := ask[store.Receipt](g, r, requests.SubmitBundle{Caller: caller(r), Route: porchVar(r, "route"), Key: key, Items: body.Items}, nil)
 	if err != nil {
 		if errs.Is(err, errs.OutcomeUnknown) {
 			w.Header().Set("Idempotency-Key", key)
@@ -54,7 +54,7 @@
 func (g *Gate) End(w http.ResponseWriter, r *http.Request) error { return g.look(w, r, true) }
 
 func (g *Gate) look(w http.ResponseWriter, r *http.Request, end bool) error {
-	status, err := ask[store.Status](g, r, requests.Look{Caller: caller(r), Bundle: porchVar(r, "bundle"), End: end}, nil)
+	status, err := ask[store.Status](g, r, requests.BundleStatus{Caller: caller(r), Bundle: porchVar(r, "bundle"), End: end}, nil)
 	if err != nil {
 		return err
 	}
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -52,7 +52,7 @@
 func servers(t *testing.T, handlers ...http.HandlerFunc) *crossing {
 	t.Helper()
 	set := machines.EdgeDefaults()
-	set.Dispatch.Staleness, set.ScoutEvery = scheduler.ServeOn, 0
+	set.Scheduler.Staleness, set.ScoutEvery = scheduler.ServeOn, 0
 	s := &shell{edge: machines.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}}
 	parsed, err := config.Parse([]byte(forwardPlan))
 	if err != nil {
@@ -70,7 +70,7 @@
 		c.list(fmt.Sprint("s", i), strings.TrimPrefix(server.URL, "http://"))
 	}
 	s.step(func(now clock.Micros) []machine.Effect {
-		s.edge.Dispatch.SetPlan(parsed, now)
+		s.edge.Scheduler.SetPlan(parsed, now)
 		return s.edge.Fresh(now, now)
 	})
 	var ends cleanup.Stack
@@ -98,7 +98,7 @@
 
 func (c *crossing) list(name, address string) {
 	c.shell.step(func(now clock.Micros) []machine.Effect {
-		c.shell.edge.Dispatch.SetServer(registry.Server{Name: name, Address: address, Slots: 64, Labels: map[string]string{"fleet": "main"}})
+		c.shell.edge.Scheduler.SetServer(registry.Server{Name: name, Address: address, Slots: 64, Labels: map[string]string{"fleet": "main"}})
 		return nil
 	})
 }
@@ -109,12 +109,12 @@
 	waitFor(c.t, "the edge to be idle", func() bool {
 		c.shell.mu.Lock()
 		defer c.shell.mu.Unlock()
-		views, _ := c.shell.edge.Dispatch.View()
+		views, _ := c.shell.edge.Scheduler.View()
 		held := 0
 		for _, view := range views {
 			held += view.Own
 		}
-		return c.f.Open() == 0 && c.shell.edge.Ford.Open() == 0 && held == 0
+		return c.f.Open() == 0 && c.shell.edge.Proxy.Open() == 0 && held == 0
 	})
 }
 
@@ -315,7 +315,7 @@
 
 // wake has the servers rested: their latest refusals count no more.
 func (c *crossing) wake() {
-	for _, server := range c.shell.edge.Dispatch.Servers() {
+	for _, server := range c.shell.edge.Scheduler.Servers() {
 		address := server.Address
 		c.list(server.Name, "127.0.0.1:1")
 		c.list(server.Name, address)
--- a/path/gate/gate_test.go
+++ b/path/gate/gate_test.go
@@ -95,7 +95,7 @@
 func gateWith(t *testing.T, f http.HandlerFunc, ask asker) (*Gate, *shell) {
 	t.Helper()
 	set := machines.EdgeDefaults()
-	set.Dispatch.Staleness, set.Trek.Silence = 600*clock.Second, 200*clock.Millisecond
+	set.Scheduler.Staleness, set.Requests.Silence = 600*clock.Second, 200*clock.Millisecond
 	s := &shell{edge: machines.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}, ask: ask}
 	parsed, err := config.Parse([]byte(plan))
 	if err != nil {
@@ -108,12 +108,12 @@
 	for _, update := range []machine.Update{{Key: identity.Key("edge"), Value: self.Encode()}, {Key: state.MapKey, Seq: 1, Value: chartMap}, {Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}} {
 		s.step(func(now clock.Micros) []machine.Effect { return s.edge.Heard(update, now) })
 	}
-	s.edge.Dispatch.SetPlan(parsed, s.now())
+	s.edge.Scheduler.SetPlan(parsed, s.now())
 	s.step(func(now clock.Micros) []machine.Effect { return s.edge.Fresh(now, now) })
 	if f != nil {
 		server := httptest.NewServer(f)
 		t.Cleanup(server.Close)
-		s.edge.Dispatch.SetServer(registry.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4, Labels: map[string]string{"fleet": "main"}})
+		s.edge.Scheduler.SetServer(registry.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4, Labels: map[string]string{"fleet": "main"}})
 	}
 	var ends cleanup.Stack
 	t.Cleanup(ends.Run)
@@ -297,7 +297,7 @@
 		}
 	}, nil)
 	s.mu.Lock()
-	s.edge.Dispatch.SetServer(registry.Server{Name: "t", Address: s.edge.Dispatch.Servers()[0].Address, Slots: 4, Labels: map[string]string{"fleet": "main"}})
+	s.edge.Scheduler.SetServer(registry.Server{Name: "t", Address: s.edge.Scheduler.Servers()[0].Address, Slots: 4, Labels: map[string]string{"fleet": "main"}})
 	s.mu.Unlock()
 	got := call(g.Live, "POST", "/", "key-c", "", `{"input":"x"}`, map[string]string{"route": "flow"})
 	if kind := kindOf(t, got); kind != errs.OutcomeUnknown || asked.Load() < 2 {
--- a/path/proxy/proxy.go
+++ b/path/proxy/proxy.go
@@ -108,7 +108,7 @@
 	expiry clock.Micros
 	call   uint64
 	wanted *scheduler.Order
-	grip   *scheduler.Grip
+	grip   *scheduler.Assignment
 	avoid  map[string]int
 	sent   int64
 	unsent int
@@ -201,12 +201,12 @@
 		}
 		f.giveUp(r, err, now)
 	}
-	r.wanted.Start = func(grip *scheduler.Grip, now clock.Micros) {
+	r.wanted.Start = func(grip *scheduler.Assignment, now clock.Micros) {
 		r.grip = grip
 		r.sent++
 		f.answer(r.call, Run{Address: grip.Server.Address, Server: grip.Server.Name, Route: r.route, Expiry: r.expiry, Last: !f.more(r)}, nil)
 	}
-	if err := f.dispatch.Enrol(r.wanted, now); err != nil {
+	if err := f.dispatch.Submit(r.wanted, now); err != nil {
 		f.giveUp(r, err, now)
 	}
 }
@@ -260,25 +260,25 @@
 		f.end(r, Over{}, nil)
 		return
 	case Invalid:
-		grip.Leave(now)
+		grip.Abandon(now)
 		f.end(r, nil, errs.New(errs.BadInput, "correct the request", "%s", ran.Why))
 		return
 	case Unsent:
 		if ran.Here || ran.Over {
-			grip.Leave(now)
+			grip.Abandon(now)
 		} else {
 			grip.Release(0, false, now)
 		}
 		r.sent--
 		r.unsent++
 	case NotRun:
-		grip.TurnedAway(now)
+		grip.Rejected(now)
 	case Failed:
 		grip.Release(0, true, now)
 		r.ran = true
 	case Cut:
 		if ran.Over {
-			grip.Leave(now)
+			grip.Abandon(now)
 		} else {
 			grip.Release(0, false, now)
 		}
--- a/path/quota/account.go
+++ b/path/quota/account.go
@@ -15,9 +15,9 @@
 const (
 	LoanSpan  = 2 * clock.Second
 	LoanGrace = 300 * clock.Millisecond
-	// KeptSpan is how long what a store holds counts after its last word: items
+	// StoreLoanSpan is how long what a store holds counts after its last word: items
 	// of bundles were accepted, and wait on at the store that takes over.
-	KeptSpan = 12 * clock.Second
+	StoreLoanSpan = 12 * clock.Second
 )
 
 type loan struct {
@@ -29,12 +29,12 @@
 // Account is one customer's account at its holder. It is a plain machine: time
 // comes in with each step.
 type Account struct {
-	Epoch   uint64
-	Keeps   func(borrower string) bool // it holds items of bundles; nil: nobody does
-	loans   map[string]loan
-	missing map[string]bool // borrowers that have not told what they hold
-	opened  clock.Micros
-	used    clock.Micros
+	Epoch      uint64
+	HoldsItems func(borrower string) bool // it holds items of bundles; nil: nobody does
+	loans      map[string]loan
+	missing    map[string]bool // borrowers that have not told what they hold
+	opened     clock.Micros
+	used       clock.Micros
 	// SkipRebuild is a fault planted by tests: a successor lends at once.
 	SkipRebuild bool
 }
@@ -62,20 +62,20 @@
 }
 
 func (a *Account) span(borrower string) clock.Micros {
-	if a.Keeps != nil && a.Keeps(borrower) {
-		return KeptSpan
+	if a.HoldsItems != nil && a.HoldsItems(borrower) {
+		return StoreLoanSpan
 	}
 	return LoanSpan + LoanGrace
 }
 
-// PassageSpan is how long a store that died may take to pass its slots on: its
+// TransferSpan is how long a store that died may take to pass its slots on: its
 // items are told by those that took them over.
-const PassageSpan = 6 * clock.Second
+const TransferSpan = 6 * clock.Second
 
-// Forgo gives up waiting for a borrower's word that is dead, once its slots have
+// StopWaiting gives up waiting for a borrower's word that is dead, once its slots have
 // had time to pass on.
-func (a *Account) Forgo(borrower string, now clock.Micros) {
-	if now-a.opened > PassageSpan {
+func (a *Account) StopWaiting(borrower string, now clock.Micros) {
+	if now-a.opened > TransferSpan {
 		delete(a.missing, borrower)
 	}
 }
@@ -90,14 +90,14 @@
 	return out
 }
 
-// Passed lets go of a loan whose work is others', once they have had time to tell
+// TransferElapsed lets go of a loan whose work is others', once they have had time to tell
 // it.
-func (a *Account) Passed(borrower string, now clock.Micros) {
+func (a *Account) TransferElapsed(borrower string, now clock.Micros) {
 	l := a.loans[borrower]
 	if l.passed == 0 {
 		l.passed = now
 		a.loans[borrower] = l
-	} else if now-l.passed >= passedAfter {
+	} else if now-l.passed >= transferGrace {
 		delete(a.loans, borrower)
 	}
 }
@@ -177,8 +177,8 @@
 // Take uses what was lent.
 func (s *Share) Take(count int) { s.InUse += count }
 
-// Give returns what was used.
-func (s *Share) Give(count int, now clock.Micros) {
+// Release returns what was used.
+func (s *Share) Release(count int, now clock.Micros) {
 	s.InUse = max(0, s.InUse-count)
 	if s.leaving = append(s.leaving, now); len(s.leaving) > 32 {
 		s.leaving = s.leaving[1:]
--- a/path/quota/map_test.go
+++ b/path/quota/map_test.go
@@ -21,7 +21,7 @@
 	p.Map = func() (state.Map, bool) { return m, m.Seq > 0 }
 	now := clock.Second
 	ask := func() (answer LendAnswer) {
-		p.Lend(LendAsk{Customer: "c", Borrower: "edge", Want: 10, Allowance: 100, Plan: 1}, now, func(got LendAnswer, _ clock.Micros) { answer = got })
+		p.Lend(LendRequest{Customer: "c", Borrower: "edge", Want: 10, Allowance: 100, Plan: 1}, now, func(got LendAnswer, _ clock.Micros) { answer = got })
 		for _, effect := range wire.Drain() {
 			if asked, ok := effect.(machine.Ask); ok {
 				wire.Answered(asked.Token, nil, nil, now)
@@ -50,11 +50,11 @@
 	p.Map = func() (state.Map, bool) { return m, true }
 	now := clock.Second
 	a := Open(1, nil, now)
-	a.Keeps = func(string) bool { return true }
+	a.HoldsItems = func(string) bool { return true }
 	a.Told("gone", 40, now)
-	p.accounts["c"], p.kept["gone"] = a, true
+	p.accounts["c"], p.knownStores["gone"] = a, true
 	step := func() int {
-		p.passOn(now)
+		p.dropTransferred(now)
 		now += clock.Second
 		return a.Lent(now)["gone"]
 	}
--- a/path/quota/quota_test.go
+++ b/path/quota/quota_test.go
@@ -72,7 +72,7 @@
 		}
 	case 7, 8:
 		if s.InUse > 0 {
-			s.Give(1, f.now)
+			s.Release(1, f.now)
 		}
 	case 9:
 		// A renewal.
--- a/path/reader/reader.go
+++ b/path/reader/reader.go
@@ -21,14 +21,14 @@
 type Reader struct {
 	wire  *machine.Wire
 	view  *token.View
-	chart state.Map
+	state state.Map
 	open  map[string]*reading // reads that wait for rows, by name
 	order []string            // the same in the order they came
 	// PollRest is the least time between two asks of one reader that waits: every
 	// writer's word turns the view, and many readers must not ask at each of them.
 	PollRest clock.Micros
-	// Sleepy is a fault planted by tests: the view's turns wake nobody.
-	Sleepy bool
+	// SkipWakeups is a fault planted by tests: the view's turns wake nobody.
+	SkipWakeups bool
 }
 
 // Read is a page that a caller wants: of one bundle's list, or of the feed over
@@ -69,15 +69,15 @@
 	return &Reader{wire: wire, view: token.NewView(), open: map[string]*reading{}, PollRest: pollRest}
 }
 
-// Hear takes the news that concern reading.
-func (r *Reader) Hear(update machine.Update, now clock.Micros) {
+// Receive takes the updates that concern reading.
+func (r *Reader) Receive(update machine.Update, now clock.Micros) {
 	switch {
 	case update.Key == state.MapKey:
 		var m state.Map
-		if json.Unmarshal(update.Value, &m) != nil || m.Seq <= r.chart.Seq {
+		if json.Unmarshal(update.Value, &m) != nil || m.Seq <= r.state.Seq {
 			return
 		}
-		r.chart = m
+		r.state = m
 		epochs := make([]uint64, len(m.Slots))
 		for i, pairing := range m.Slots {
 			epochs[i] = pairing.Epoch
@@ -91,7 +91,7 @@
 		return
 	}
 	for _, name := range r.order {
-		if one := r.open[name]; !r.Sleepy && one != nil && (one.due == 0 || one.due > one.asked+r.PollRest) {
+		if one := r.open[name]; !r.SkipWakeups && one != nil && (one.due == 0 || one.due > one.asked+r.PollRest) {
 			one.due = max(now, one.asked+r.PollRest)
 		}
 	}
@@ -177,20 +177,20 @@
 }
 
 // Map is the map as heard last.
-func (r *Reader) Map() state.Map { return r.chart }
+func (r *Reader) Map() state.Map { return r.state }
 
-// Ready tells whether every slot has a keeper that serves it.
+// Ready tells whether every slot has a store that serves it.
 func (r *Reader) Ready() bool {
 	_, whole := r.view.UpTo()
 	return whole
 }
 
-// Keeper is the slot of a bundle or claim and who serves it.
-func (r *Reader) Keeper(id string) (int, token.Owner, error) {
-	if len(r.chart.Slots) == 0 {
+// StoreOf is the slot of a bundle or claim and who serves it.
+func (r *Reader) StoreOf(id string) (int, token.Owner, error) {
+	if len(r.state.Slots) == 0 {
 		return 0, token.Owner{}, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet")
 	}
-	slot := shard.SlotOf(id, len(r.chart.Slots))
+	slot := shard.SlotOf(id, len(r.state.Slots))
 	owner, ok := r.view.Owner(slot)
 	if !ok {
 		return slot, owner, errs.Later(errs.NotReady, clock.Second, "ask again; the slot passes to another keeper", "slot %d has no keeper with two disks now", slot)
@@ -210,7 +210,7 @@
 
 func scope(fleet, what string) string { return fleet + "/" + what }
 
-// readExpiry is how long a keeper may take. Reading changes nothing, so one that
+// readExpiry is how long a store may take. Reading changes nothing, so one that
 // waits anyway asks anew sooner, and later each time: a lost message must not
 // hold its rows back for longer than users bear.
 const (
@@ -236,8 +236,8 @@
 
 // bundle reads one bundle's list after a token, or from an index on.
 func (r *Reader) bundle(read Read, patience, now clock.Micros, back func(Page, error, clock.Micros)) {
-	fleet := r.chart.Fleet
-	slot, owner, err := r.Keeper(read.Bundle)
+	fleet := r.state.Fleet
+	slot, owner, err := r.StoreOf(read.Bundle)
 	if err != nil {
 		back(Page{}, err, now)
 		return
@@ -269,7 +269,7 @@
 	})
 }
 
-// rowsOf turns a keeper's answer into rows, or what went wrong into words for a
+// rowsOf turns a store's answer into rows, or what went wrong into words for a
 // reader: reading changes nothing, so asking again is always safe.
 func rowsOf(answer any, err error) (store.Rows, error) {
 	if err != nil {
@@ -287,7 +287,7 @@
 
 // feed reads all of a customer's bundles after a token.
 func (r *Reader) feed(read Read, patience, now clock.Micros, back func(Page, error, clock.Micros)) {
-	fleet := r.chart.Fleet
+	fleet := r.state.Fleet
 	if fleet == "" {
 		back(Page{}, errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "no map of the stores has arrived yet"), now)
 		return
@@ -298,7 +298,7 @@
 		return
 	}
 	after := from.Vector()
-	asks, upTo, whole := FeedAsks(r.view, len(r.chart.Slots), read.Customer, after, read.Most)
+	asks, upTo, whole := FeedAsks(r.view, len(r.state.Slots), read.Customer, after, read.Most)
 	if !whole {
 		back(Page{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "a slot passes to another keeper; the feed goes on when it has"), now)
 		return
--- a/path/reader/reader_test.go
+++ b/path/reader/reader_test.go
@@ -27,7 +27,7 @@
 	b := &bench{t: t, wire: machine.NewWire(), now: clock.Second}
 	b.Reader = New(b.wire)
 	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Assignment{{Epoch: 1}}})
-	b.Hear(machine.Update{Key: state.MapKey, Seq: 1, Value: m}, b.now)
+	b.Receive(machine.Update{Key: state.MapKey, Seq: 1, Value: m}, b.now)
 	b.say(5)
 	return b
 }
@@ -36,7 +36,7 @@
 func (b *bench) say(upTo int64) {
 	b.seq++
 	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: upTo, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
-	b.Hear(machine.Update{Key: token.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
+	b.Receive(machine.Update{Key: token.Key(1), Epoch: 1, Seq: b.seq, Value: said}, b.now)
 }
 
 func (b *bench) read(read Read) {
@@ -48,7 +48,7 @@
 	})
 }
 
-// next is what the keeper is asked; nil for nothing.
+// next is what the store is asked; nil for nothing.
 func (b *bench) next() *machine.Ask {
 	for _, effect := range b.wire.Drain() {
 		if ask, ok := effect.(machine.Ask); ok {
--- a/path/requests/requests_test.go
+++ b/path/requests/requests_test.go
@@ -36,13 +36,13 @@
 	d.SetPlan(plan, b.now)
 	m, _ := json.Marshal(state.Map{Fleet: "f", Seq: 1, Slots: []replication.Assignment{{Epoch: 1}}})
 	said, _ := json.Marshal(token.Announcement{Writer: 1, Peer: "keeper", UpTo: 5, Slots: []token.Claimed{{Slot: 0, Epoch: 1}}})
-	r.Hear(machine.Update{Key: state.MapKey, Seq: 1, Value: m}, b.now)
-	r.Hear(machine.Update{Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
+	r.Receive(machine.Update{Key: state.MapKey, Seq: 1, Value: m}, b.now)
+	r.Receive(machine.Update{Key: token.Key(1), Epoch: 1, Seq: 1, Value: said}, b.now)
 	b.Machine = New(Defaults(), b.wire, d, nil, r, decisionlog.New(1))
 	return b
 }
 
-// hand hands an ask in: what the keeper is asked, or what was answered at once.
+// hand hands an ask in: what the store is asked, or what was answered at once.
 func (b *bench) hand(body any) (*machine.Ask, *machine.Answer) {
 	b.t.Helper()
 	if !b.Call(1, body, b.now) {
@@ -111,10 +111,10 @@
 // route nor by an item.
 func TestCallersWithKeysPassNothingOn(t *testing.T) {
 	b := newBench(t)
-	b.refused(errs.UnknownRoute, HandIn{Caller: "k", Route: "r", Key: "1", Items: []shard.Item{{Input: "x"}}})
+	b.refused(errs.UnknownRoute, SubmitBundle{Caller: "k", Route: "r", Key: "1", Items: []shard.Item{{Input: "x"}}})
 	b.refused(errs.UnknownRoute, Live{Caller: "k", Route: "live", Input: "x"})
-	b.refused(errs.BadInput, HandIn{Caller: "k", Route: "chat", Key: "1", Items: requests("x")})
-	if ask, answer := b.hand(HandIn{Caller: "k", Route: "chat", Key: "1", Items: []shard.Item{{Input: "x"}}}); ask == nil {
+	b.refused(errs.BadInput, SubmitBundle{Caller: "k", Route: "chat", Key: "1", Items: requests("x")})
+	if ask, answer := b.hand(SubmitBundle{Caller: "k", Route: "chat", Key: "1", Items: []shard.Item{{Input: "x"}}}); ask == nil {
 		t.Fatalf("a bundle of inputs was turned away: %+v", answer)
 	}
 	ask, _ := b.hand(Page{Caller: "k", Read: reader.Read{Bundle: "one", Anyone: true}})
@@ -134,11 +134,11 @@
 		fits   func(any) bool
 		silent errs.Kind
 	}{
-		{LookAny{Bundle: "one"}, func(a any) bool {
+		{BundleStatusAny{Bundle: "one"}, func(a any) bool {
 			s, ok := a.(store.StatusAsk)
 			return ok && s.Bundle == "one" && s.Anyone && !s.Operator
 		}, errs.NotReady},
-		{LookAny{Bundle: "one", End: true}, func(a any) bool { s, ok := a.(store.EndAsk); return ok && s.Bundle == "one" && s.Anyone }, errs.OutcomeUnknown},
+		{BundleStatusAny{Bundle: "one", End: true}, func(a any) bool { s, ok := a.(store.EndAsk); return ok && s.Bundle == "one" && s.Anyone }, errs.OutcomeUnknown},
 		{ItemBody{Bundle: "one", Item: "i"}, func(a any) bool { s, ok := a.(store.ItemAsk); return ok && s.Bundle == "one" && s.Item == "i" }, errs.NotReady},
 		{PageAny{Read: reader.Read{Name: "n", Bundle: "one", Indexed: true, From: 4, Customer: "c"}}, func(a any) bool {
 			s, ok := a.(store.ReadAsk)
--- a/path/scheduler/judged_test.go
+++ b/path/scheduler/judged_test.go
@@ -79,10 +79,10 @@
 		servers[m.name], names = m, append(names, m.name)
 	}
 	type started struct {
-		id      int
-		arrived clock.Micros
-		prefix  string
-		grip    *Grip
+		id         int
+		arrived    clock.Micros
+		prefix     string
+		assignment *Assignment
 	}
 	starts := make(chan started, 4096)
 	var daemons []*Scheduler
@@ -95,9 +95,9 @@
 		daemons = append(daemons, d)
 	}
 	type running struct {
-		end   clock.Micros
-		began clock.Micros
-		grip  *Grip
+		end        clock.Micros
+		began      clock.Micros
+		assignment *Assignment
 	}
 	var open []running
 	var latencies []clock.Micros
@@ -107,7 +107,7 @@
 		now += 5 * clock.Millisecond
 		open = slices.DeleteFunc(open, func(r running) bool {
 			if r.end <= now {
-				r.grip.Release(r.end-r.began, true, now)
+				r.assignment.Release(r.end-r.began, true, now)
 			}
 			return r.end <= now
 		})
@@ -129,9 +129,9 @@
 				out.orders++
 				id, arrived, prefix := out.orders, now, fmt.Sprint(chance.Intn(24)*chance.Intn(24)/24)
 				o := &Order{ID: fmt.Sprint(id), Customer: "c", Route: route, Rank: 1, Prefix: prefix}
-				o.Start = func(grip *Grip, _ clock.Micros) { starts <- started{id, arrived, prefix, grip} }
+				o.Start = func(assignment *Assignment, _ clock.Micros) { starts <- started{id, arrived, prefix, assignment} }
 				o.Drop = func(error, clock.Micros) {}
-				if err := d.Enrol(o, now); err != nil {
+				if err := d.Submit(o, now); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -143,12 +143,12 @@
 			}
 			sort.Slice(batch, func(i, j int) bool { return batch[i].id < batch[j].id })
 			for _, s := range batch {
-				end, hit := servers[s.grip.Server.Name].run(now, s.prefix)
+				end, hit := servers[s.assignment.Server.Name].run(now, s.prefix)
 				if hit {
 					out.hits++
 				}
 				latencies = append(latencies, end-s.arrived)
-				open = append(open, running{end, now, s.grip})
+				open = append(open, running{end, now, s.assignment})
 			}
 		}
 	}
--- a/path/scheduler/scheduler.go
+++ b/path/scheduler/scheduler.go
@@ -1,6 +1,6 @@
-// Package scheduler is a daemon's backlog and the choice of a server (DESIGN
-// §7): orders wait by rank, expire in the backlog, and are assigned to the
-// server with the highest sum of marks. It is a part of the daemon's machine:
+// Package scheduler is a daemon's queue and the choice of a server (DESIGN
+// §7): orders wait by rank, expire in the queue, and are assigned to the
+// server with the highest sum of scores. It is a part of the daemon's machine:
 // the time comes in with each step, and nothing here waits or runs beside it.
 package scheduler
 
@@ -19,7 +19,7 @@
 	"tuliprudder/path/scoring"
 )
 
-// Settings of a dispatcher; the defaults are ours.
+// Settings of a scheduler; Defaults has the usual values.
 type Settings struct {
 	MostWaiting int
 	PrefixKept  int
@@ -27,7 +27,7 @@
 	HighLimit   float64      // the same for the highest
 	Patience    clock.Micros // after which one waiting bundle order may go up to a full server
 	Rest        clock.Micros
-	Staleness   clock.Micros // news older than this: turn away, don't assign
+	Staleness   clock.Micros // updates older than this: reject, don't assign
 }
 
 // A budget of further tries: what an order adds, and the most that is saved up.
@@ -36,7 +36,7 @@
 	mostRetries = 50.0
 )
 
-// Defaults are the starting values.
+// Defaults are the values used where nothing is set.
 func Defaults() Settings {
 	return Settings{MostWaiting: 20_000, PrefixKept: 4096, LowLimit: 0.7, HighLimit: 1.3, Patience: 3 * clock.Second, Rest: 300 * clock.Millisecond, Staleness: 2500 * clock.Millisecond}
 }
@@ -58,67 +58,67 @@
 	// Permit is asked right before the start; false drops the order.
 	Permit func(now clock.Micros) bool
 	// Start is told the chosen server.
-	Start func(grip *Grip, now clock.Micros)
+	Start func(assignment *Assignment, now clock.Micros)
 	// Drop ends an order that never started.
 	Drop func(err error, now clock.Micros)
 
-	since   clock.Micros
-	seq     uint64
-	at      int
-	place   *list.Element
-	started bool
-	gone    bool
-}
-
-// Grip is an order's hold on its chosen server.
-type Grip struct {
-	Server  registry.Server
-	Marks   []scoring.Mark
-	Started clock.Micros
-	bundle  bool
-	prompt  int64
-	begun   bool
-	stay    *stay
-	d       *Scheduler
-	s       *state
-	over    bool
-}
-
-type state struct {
+	since     clock.Micros
+	seq       uint64
+	heapIndex int
+	element   *list.Element
+	started   bool
+	gone      bool
+}
+
+// Assignment is an order's hold on its chosen server.
+type Assignment struct {
+	Server    registry.Server
+	Scores    []scoring.Score
+	Started   clock.Micros
+	bundle    bool
+	prompt    int64
+	begun     bool
+	presence  *presence
+	scheduler *Scheduler
+	server    *serverState
+	released  bool
+}
+
+type serverState struct {
 	server    registry.Server
 	load      registry.Load
 	loadEpoch uint64
 	own       int
-	stays     []*stay // this daemon's orders of late
-	others    int     // the others' orders at the last figure
+	presences []*presence // this daemon's orders of late
+	others    int         // the others' orders at the last figure
 	latency   clock.Micros
 	failures  int
 	restUntil clock.Micros
-	bundles   int          // this daemon's items
-	opening   int          // those of them that it has not begun
-	reading   int64        // prompt tokens of this daemon's orders that it has not begun
-	pending   []*Grip      // these orders, the oldest first
-	heard     clock.Micros // when it last began or ended one
-	window    window       // of items
+	bundles   int           // this daemon's items
+	opening   int           // those of them that it has not begun
+	reading   int64         // prompt tokens of this daemon's orders that it has not begun
+	pending   []*Assignment // these orders, the oldest first
+	lastSign  clock.Micros  // when it last began or ended one
+	window    window        // of items
 }
 
 // silent is how long the server has left this daemon's orders without a word.
-func (s *state) silent(now clock.Micros) clock.Micros {
+func (s *serverState) silent(now clock.Micros) clock.Micros {
 	if len(s.pending) == 0 {
 		return 0
 	}
-	return now - max(s.heard, s.pending[0].Started)
+	return now - max(s.lastSign, s.pending[0].Started)
 }
 
-// stay is one order's time on a server; it has not ended while end is 0.
-type stay struct{ start, end clock.Micros }
+// presence is one order's time on a server; it has not ended while end is 0.
+type presence struct{ start, end clock.Micros }
 
-// figure takes a reading: what it counts beyond this daemon's own orders at that
+// setLoad takes a reading: what it counts beyond this daemon's own orders at that
 // time is the others'.
-func (s *state) figure(load registry.Load) {
+func (s *serverState) setLoad(load registry.Load) {
 	mine := 0
-	kept := s.stays[:0]
-	for _, one := range s.stays {
+	kept := s.presences[:0]
+	for _, one := range s.presences {
 		if one.start <= load.At && (one.end == 0 || one.end > load.At) {
 			mine++
 		}
@@ -126,45 +126,45 @@
 			kept = append(kept, one)
 		}
 	}
-	s.stays = kept
+	s.presences = kept
 	s.load, s.others = load, max(0, load.Running+load.Waiting-mine)
 }
 
-// Scheduler is the backlog and the servers of one daemon.
+// Scheduler is the queue and the servers of one daemon.
 type Scheduler struct {
-	set      Settings
-	plan     *config.Plan
-	levels   []int64
-	bundles  int     // bundle orders of this daemon that run
-	turn     float64 // where this daemon's own order of servers begins, from 0 to 1
-	part     float64 // of the room for items, this store's
-	servers  map[string]*state
-	backlogs map[int64]map[*config.Route]*list.List // by level, then by route
-	expiries expiries                               // those that expire, the next one first
-	waiting  map[string]int                         // weights, by customer
-	count    int
-	seq      uint64
-	prefixes map[uint64]string
-	prefixed *list.List
-	fresh    clock.Micros
-	chance   *rand.Rand
-	paces    []clock.Micros // the latest assignments
-	retries  float64        // budget for further tries
-	stirred  bool           // something changed since the last look
-	closed   bool
-	// Blind is a fault planted by tests: old news are taken for fresh, and leaving
-	// marks are passed over.
-	Blind bool
-	// Bygone is a fault planted by tests: what waits goes by the plan it came under.
-	Bygone bool
+	set          Settings
+	plan         *config.Plan
+	levels       []int64
+	bundles      int     // bundle orders of this daemon that run
+	serverOffset float64 // where this daemon's own order of servers begins, from 0 to 1
+	part         float64 // of the room for items, this store's
+	servers      map[string]*serverState
+	backlogs     map[int64]map[*config.Route]*list.List // by level, then by route
+	expiries     expiries                               // those that expire, the next one first
+	waiting      map[string]int                         // weights, by customer
+	count        int
+	seq          uint64
+	prefixes     map[uint64]string
+	prefixOrder  *list.List
+	fresh        clock.Micros
+	random       *rand.Rand
+	assignedAt   []clock.Micros // the latest assignments
+	retries      float64        // budget for further tries
+	changed      bool           // something changed since the last look
+	closed       bool
+	// IgnoreStaleness is a fault planted by tests: old updates are taken for fresh, and leaving
+	// scores are passed over.
+	IgnoreStaleness bool
+	// KeepOldPlan is a fault planted by tests: what waits goes by the plan it came under.
+	KeepOldPlan bool
 	// Counters for the operators.
-	Assigned, Expired, TurnedAway, NotPermitted int64
+	Assigned, Expired, Rejected, NotPermitted int64
 }
 
-// New makes a dispatcher.
+// New makes a scheduler.
 func New(set Settings, seed int64) *Scheduler {
-	return &Scheduler{set: set, servers: map[string]*state{}, backlogs: map[int64]map[*config.Route]*list.List{}, waiting: map[string]int{},
-		prefixes: map[uint64]string{}, prefixed: list.New(), chance: rand.New(rand.NewSource(seed)), retries: mostRetries, part: 1}
+	return &Scheduler{set: set, servers: map[string]*serverState{}, backlogs: map[int64]map[*config.Route]*list.List{}, waiting: map[string]int{},
+		prefixes: map[uint64]string{}, prefixOrder: list.New(), random: rand.New(rand.NewSource(seed)), retries: mostRetries, part: 1}
 }
 
 // SetPlan puts a plan in force here, for what waits as well: each order goes by
@@ -178,9 +178,9 @@
 	for _, o := range waiting {
 		d.remove(o)
 	}
-	d.plan, d.levels, d.stirred = plan, levels(plan), true
+	d.plan, d.levels, d.changed = plan, levels(plan), true
 	for _, o := range waiting {
-		if err := d.follow(o); err != nil {
+		if err := d.applyPlan(o); err != nil {
 			o.Drop(err, now)
 			continue
 		}
@@ -188,10 +188,10 @@
 	}
 }
 
-// follow lets an order go by the plan in force: the one it was checked by may be
+// applyPlan lets an order go by the plan in force: the one it was checked by may be
 // another by now.
-func (d *Scheduler) follow(o *Order) error {
-	if d.plan == nil || d.Bygone {
+func (d *Scheduler) applyPlan(o *Order) error {
+	if d.plan == nil || d.KeepOldPlan {
 		return nil
 	}
 	route, class := d.plan.Lookup(o.Route.Name, o.Customer)
@@ -211,8 +211,8 @@
 // all are the orders that wait, in the order they came.
 func (d *Scheduler) all() []*Order {
 	var out []*Order
-	for _, level := range d.open() {
-		for _, backlog := range d.turns(level) {
+	for _, level := range d.openLevels() {
+		for _, backlog := range d.backlogsOf(level) {
 			for e := backlog.Front(); e != nil; e = e.Next() {
 				out = append(out, e.Value.(*Order))
 			}
@@ -231,44 +231,46 @@
 func (d *Scheduler) SetServer(server registry.Server) {
 	s := d.servers[server.Name]
 	if s == nil {
-		s = &state{}
+		s = &serverState{}
 		d.servers[server.Name] = s
 	}
 	if s.server.Address != server.Address {
 		s.load, s.others, s.latency, s.failures, s.restUntil = registry.Load{}, 0, 0, 0, 0
 	}
-	s.server, d.stirred = server, true
+	s.server, d.changed = server, true
 }
 
-// SetLoad takes a load figure; one of a lower epoch is turned away.
+// SetLoad takes a load figure; one of a lower epoch is rejected.
 func (d *Scheduler) SetLoad(name string, epoch uint64, load registry.Load) {
 	if s := d.servers[name]; s != nil && epoch >= s.loadEpoch {
-		s.loadEpoch, d.stirred = epoch, true
-		s.figure(load)
+		s.loadEpoch, d.changed = epoch, true
+		s.setLoad(load)
 	}
 }
 
-// SetFresh tells up to when this daemon's news count as fresh.
+// SetFresh tells up to when this daemon's updates count as fresh.
 func (d *Scheduler) SetFresh(lastSwap clock.Micros) {
-	d.fresh, d.stirred = max(d.fresh, lastSwap), true
+	d.fresh, d.changed = max(d.fresh, lastSwap), true
 }
 
 // ServeOn as Staleness has a daemon assign by its last knowledge however old its
-// news are: where the promises bind only daemons that are in touch, serving on is
+// updates are: where the promises bind only daemons that are in touch, serving on is
 // worth more (DESIGN §3.4).
 const ServeOn clock.Micros = 1 << 62
 
-// SetTurn tells where this daemon's own order of servers begins, from 0 to 1.
-func (d *Scheduler) SetTurn(begin float64) { d.turn = begin }
+// SetServerOffset tells where this daemon's own order of servers begins, from 0 to 1.
+func (d *Scheduler) SetServerOffset(begin float64) { d.serverOffset = begin }
 
 // SetPart tells which part of the servers' room for items is this store's.
-func (d *Scheduler) SetPart(part float64) { d.part, d.stirred = part, true }
+func (d *Scheduler) SetPart(part float64) { d.part, d.changed = part, true }
 
 // Adjust changes the settings before the first order comes.
 func (d *Scheduler) Adjust(change func(set *Settings)) { change(&d.set) }
 
-// Fresh tells whether the news are fresh enough to assign by.
-func (d *Scheduler) Fresh(now clock.Micros) bool { return now-d.fresh <= d.set.Staleness || d.Blind }
+// Fresh tells whether the updates are fresh enough to assign by.
+func (d *Scheduler) Fresh(now clock.Micros) bool {
+	return now-d.fresh <= d.set.Staleness || d.IgnoreStaleness
+}
 
 // Servers copies the platform's list as known here.
 func (d *Scheduler) Servers() []registry.Server {
@@ -361,16 +363,16 @@
 	return 2*o.Rank + 1
 }
 
-// Enrol puts an order into the backlog; an error means it never will run.
-func (d *Scheduler) Enrol(o *Order, now clock.Micros) error {
+// Submit puts an order into the queue; an error means it never will run.
+func (d *Scheduler) Submit(o *Order, now clock.Micros) error {
 	if d.closed {
 		return errs.Later(errs.NotReady, clock.Second, "ask another daemon", "this daemon is draining")
 	}
 	if d.count >= d.set.MostWaiting {
-		d.TurnedAway++
+		d.Rejected++
 		return errs.Later(errs.Busy, d.After(now), "come back after the time given", "the backlog is full")
 	}
-	if err := d.follow(o); err != nil {
+	if err := d.applyPlan(o); err != nil {
 		return err
 	}
 	if o.since == 0 {
@@ -392,23 +394,23 @@
 		backlog = list.New()
 		d.backlogs[level][o.Route] = backlog
 	}
-	o.place = backlog.PushBack(o)
+	o.element = backlog.PushBack(o)
 	o.started, o.gone = false, false
 	if o.Expiry > 0 {
 		heap.Push(&d.expiries, o)
 	}
 	d.count++
 	d.waiting[o.Customer] += o.weight()
-	d.stirred = true
+	d.changed = true
 }
 
-// After is when the backlog of now will have been worked off, by the pace of the
+// After is when the queue of now will have been worked off, by the pace of the
 // latest assignments, between half a second and half a minute.
 func (d *Scheduler) After(now clock.Micros) clock.Micros {
-	if len(d.paces) < 2 {
+	if len(d.assignedAt) < 2 {
 		return 2 * clock.Second
 	}
-	pace := (now - d.paces[0]) / clock.Micros(len(d.paces))
+	pace := (now - d.assignedAt[0]) / clock.Micros(len(d.assignedAt))
 	return min(30*clock.Second, max(clock.Second/2, pace*clock.Micros(d.count)))
 }
 
@@ -422,7 +424,7 @@
 	return true
 }
 
-// Cancel takes an order out of the backlog; false when it has started or gone.
+// Cancel takes an order out of the queue; false when it has started or gone.
 func (d *Scheduler) Cancel(o *Order) bool {
 	if o.started || o.gone {
 		return false
@@ -434,12 +436,12 @@
 func (d *Scheduler) remove(o *Order) {
 	level := levelOf(o)
 	backlog := d.backlogs[level][o.Route]
-	backlog.Remove(o.place)
+	backlog.Remove(o.element)
 	if backlog.Len() == 0 {
 		delete(d.backlogs[level], o.Route)
 	}
 	if o.Expiry > 0 {
-		heap.Remove(&d.expiries, o.at)
+		heap.Remove(&d.expiries, o.heapIndex)
 	}
 	o.gone = true
 	d.count--
@@ -463,7 +465,7 @@
 // Settle looks for as long as looking changes something: the daemon's machine
 // calls it at the end of each of its steps.
 func (d *Scheduler) Settle(now clock.Micros) {
-	for d.stirred {
+	for d.changed {
 		d.Match(now)
 	}
 }
@@ -471,12 +473,12 @@
 // Match assigns what can be assigned now, higher ranks first.
 func (d *Scheduler) Match(now clock.Micros) {
 	type start struct {
-		order *Order
-		grip  *Grip
+		order      *Order
+		assignment *Assignment
 	}
 	var starts []start
 	var expired []*Order
-	d.stirred = false
+	d.changed = false
 	for len(d.expiries) > 0 && now >= d.expiries[0].Expiry {
 		o := d.expiries[0]
 		d.remove(o)
@@ -484,22 +486,22 @@
 		d.Expired++
 	}
 	if !d.Fresh(now) {
-		expired = append(expired, d.strand()...)
+		expired = append(expired, d.removeLive()...)
 	} else if d.plan != nil {
-		for _, level := range d.open() {
-			for _, backlog := range d.turns(level) {
-				d.drain(backlog, now, func(o *Order, grip *Grip) { starts = append(starts, start{o, grip}) })
+		for _, level := range d.openLevels() {
+			for _, backlog := range d.backlogsOf(level) {
+				d.drain(backlog, now, func(o *Order, assignment *Assignment) { starts = append(starts, start{o, assignment}) })
 			}
 		}
 	}
 	for _, s := range starts {
 		if s.order.Permit != nil && !s.order.Permit(now) {
-			s.grip.Release(0, true, now)
+			s.assignment.Release(0, true, now)
 			d.NotPermitted++
 			s.order.Drop(errs.New(errs.Refused, "nothing to do: another keeper runs it, or it has ended", "no permit to start"), now)
 			continue
 		}
-		s.order.Start(s.grip, now)
+		s.order.Start(s.assignment, now)
 	}
 	for _, o := range expired {
 		if o.Expiry == 0 || now < o.Expiry {
@@ -510,10 +512,10 @@
 	}
 }
 
-// strand takes the live orders out of a backlog whose daemon does not hear most of
+// removeLive takes the live orders out of a queue whose daemon does not hear most of
 // the fleet: elsewhere their customers' allowance is lent anew. Items of bundles
 // were accepted, and wait on.
-func (d *Scheduler) strand() []*Order {
+func (d *Scheduler) removeLive() []*Order {
 	var out []*Order
 	for _, o := range d.all() {
 		if !o.Bundle {
@@ -524,8 +526,8 @@
 	return out
 }
 
-// open lists the levels that have orders, highest first.
-func (d *Scheduler) open() []int64 {
+// openLevels lists the levels that have orders, highest first.
+func (d *Scheduler) openLevels() []int64 {
 	out := make([]int64, 0, len(d.backlogs))
 	for level, routes := range d.backlogs {
 		if len(routes) > 0 {
@@ -537,8 +539,8 @@
 	return out
 }
 
-// turns lists a level's backlogs, the one whose first order came first in front.
-func (d *Scheduler) turns(level int64) []*list.List {
+// backlogsOf lists a level's backlogs, the one whose first order came first in front.
+func (d *Scheduler) backlogsOf(level int64) []*list.List {
 	out := make([]*list.List, 0, len(d.backlogs[level]))
 	for _, backlog := range d.backlogs[level] {
 		out = append(out, backlog)
@@ -549,15 +551,15 @@
 	return out
 }
 
-// drain assigns from one backlog until no server is left for its route. Only an
+// drain assigns from one queue until no server is left for its route. Only an
 // order that has servers to avoid is stepped over.
-func (d *Scheduler) drain(backlog *list.List, now clock.Micros, start func(*Order, *Grip)) {
+func (d *Scheduler) drain(backlog *list.List, now clock.Micros, start func(*Order, *Assignment)) {
 	var next *list.Element
 	for e := backlog.Front(); e != nil; e = next {
 		next = e.Next()
 		o := e.Value.(*Order)
-		grip := d.choose(o, now)
-		if grip == nil {
+		assignment := d.choose(o, now)
+		if assignment == nil {
 			if len(o.Avoid) == 0 {
 				return
 			}
@@ -565,7 +567,7 @@
 		}
 		d.remove(o)
 		o.started = true
-		start(o, grip)
+		start(o, assignment)
 	}
 }
 
@@ -574,12 +576,12 @@
 
 func (e expiries) Len() int           { return len(e) }
 func (e expiries) Less(i, j int) bool { return e[i].Expiry < e[j].Expiry }
-func (e expiries) Swap(i, j int)      { e[i], e[j] = e[j], e[i]; e[i].at, e[j].at = i, j }
+func (e expiries) Swap(i, j int)      { e[i], e[j] = e[j], e[i]; e[i].heapIndex, e[j].heapIndex = i, j }
 
 // Push and Pop are the heap's.
 func (e *expiries) Push(x any) {
 	o := x.(*Order)
-	o.at = len(*e)
+	o.heapIndex = len(*e)
 	*e = append(*e, o)
 }
 
@@ -598,7 +600,7 @@
 }
 
 // choose picks the server with the highest sum; ties fall by seeded chance.
-func (d *Scheduler) choose(o *Order, now clock.Micros) *Grip {
+func (d *Scheduler) choose(o *Order, now clock.Micros) *Assignment {
 	limit := d.limit(o, now)
 	held := d.prefixes[prefixOf(o)]
 	fastest := clock.Micros(0)
@@ -612,23 +614,23 @@
 		}
 	}
 	sort.Strings(names)
-	wish := scoring.Wish{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
+	wish := scoring.Requirements{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
 	avoid := o.Avoid
-	if o.Bundle && len(avoid) > 0 && !d.elsewhere(o, names) {
+	if o.Bundle && len(avoid) > 0 && !d.otherServer(o, names) {
 		avoid = nil // what was accepted rather goes where it failed than nowhere
 	}
 	var best []string
-	var bestMarks []scoring.Mark
+	var bestMarks []scoring.Score
 	top := -1.0
-	begin := int(d.turn * float64(len(names)))
+	begin := int(d.serverOffset * float64(len(names)))
 	for i, name := range names {
 		s := d.servers[name]
 		if !d.serves(o, s.server.Labels) || avoid[name] >= 3 {
 			continue
 		}
-		sound := s.sound()
+		sound := s.healthy()
 		candidate := scoring.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
-			Limit: limit, Leaving: s.server.Leaving && !d.Blind, Sound: sound, Prefix: held == name,
+			Limit: limit, Leaving: s.server.Leaving && !d.IgnoreStaleness, Sound: sound, Prefix: held == name,
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now),
 			Turn: float64((i-begin+len(names))%len(names)) / float64(len(names))}
 		if o.Bundle && o.Route.Forward != nil {
@@ -648,26 +650,26 @@
 	if len(best) == 0 {
 		return nil
 	}
-	chosen := d.servers[best[d.chance.Intn(len(best))]]
+	chosen := d.servers[best[d.random.Intn(len(best))]]
 	chosen.own++
 	if o.Bundle {
 		d.bundles++
 	}
-	here := &stay{start: now}
-	chosen.stays = append(chosen.stays, here)
+	here := &presence{start: now}
+	chosen.presences = append(chosen.presences, here)
 	d.Assigned++
 	d.retries = min(mostRetries, d.retries+retryShare)
-	if d.paces = append(d.paces, now); len(d.paces) > 64 {
-		d.paces = d.paces[1:]
+	if d.assignedAt = append(d.assignedAt, now); len(d.assignedAt) > 64 {
+		d.assignedAt = d.assignedAt[1:]
 	}
 	d.remember(prefixOf(o), chosen.server.Name)
-	grip := &Grip{Server: chosen.server, Marks: bestMarks, Started: now, bundle: o.Bundle, prompt: o.Prompt, stay: here, d: d, s: chosen}
-	chosen.pending, chosen.reading = append(chosen.pending, grip), chosen.reading+grip.prompt
+	assignment := &Assignment{Server: chosen.server, Scores: bestMarks, Started: now, bundle: o.Bundle, prompt: o.Prompt, presence: here, scheduler: d, server: chosen}
+	chosen.pending, chosen.reading = append(chosen.pending, assignment), chosen.reading+assignment.prompt
 	if o.Bundle {
 		chosen.bundles++
 		chosen.opening++
 	}
-	return grip
+	return assignment
 }
 
 func (d *Scheduler) serves(o *Order, labels config.Labels) bool {
@@ -677,13 +679,13 @@
 	return d.plan.Serves(o.Route, labels)
 }
 
-func (s *state) sound() bool { return s.failures < 3 && (s.load.At == 0 || s.load.Sound) }
+func (s *serverState) healthy() bool { return s.failures < 3 && (s.load.At == 0 || s.load.Sound) }
 
-// elsewhere tells whether there is a sound server for an order besides those it
+// otherServer tells whether there is a sound server for an order besides those it
 // avoids; one that is full or rests counts, for it will take orders again.
-func (d *Scheduler) elsewhere(o *Order, names []string) bool {
+func (d *Scheduler) otherServer(o *Order, names []string) bool {
 	for _, name := range names {
-		if s := d.servers[name]; o.Avoid[name] < 3 && s.sound() && !s.server.Leaving && d.serves(o, s.server.Labels) {
+		if s := d.servers[name]; o.Avoid[name] < 3 && s.healthy() && !s.server.Leaving && d.serves(o, s.server.Labels) {
 			return true
 		}
 	}
@@ -692,9 +694,9 @@
 
 func (d *Scheduler) remember(prefix uint64, server string) {
 	if _, known := d.prefixes[prefix]; !known {
-		d.prefixed.PushBack(prefix)
-		if d.prefixed.Len() > d.set.PrefixKept {
-			oldest := d.prefixed.Remove(d.prefixed.Front()).(uint64)
+		d.prefixOrder.PushBack(prefix)
+		if d.prefixOrder.Len() > d.set.PrefixKept {
+			oldest := d.prefixOrder.Remove(d.prefixOrder.Front()).(uint64)
 			delete(d.prefixes, oldest)
 		}
 	}
@@ -702,78 +704,78 @@
 }
 
 // Began notes that the server has begun the order: its prompt is read.
-func (g *Grip) Began(now clock.Micros) {
-	if g.over || g.begun {
+func (g *Assignment) Began(now clock.Micros) {
+	if g.released || g.begun {
 		return
 	}
-	g.s.heard = now
+	g.server.lastSign = now
 	if g.bundle {
-		g.s.window.began(now-g.Started, now)
+		g.server.window.began(now-g.Started, now)
 	}
 	g.begin()
 }
 
-func (g *Grip) begin() {
+func (g *Assignment) begin() {
 	if g.begun {
 		return
 	}
 	g.begun = true
-	g.d.stirred = true
-	g.s.reading -= g.prompt
+	g.scheduler.changed = true
+	g.server.reading -= g.prompt
 	if g.bundle {
-		g.s.opening--
+		g.server.opening--
 	}
-	g.s.pending = slices.DeleteFunc(g.s.pending, func(one *Grip) bool { return one == g })
+	g.server.pending = slices.DeleteFunc(g.server.pending, func(one *Assignment) bool { return one == g })
 }
 
 // Release lets the server go: took is how long the order ran (0: unknown), and
 // ok whether the server behaved.
-func (g *Grip) Release(took clock.Micros, ok bool, now clock.Micros) {
-	if g.over {
+func (g *Assignment) Release(took clock.Micros, ok bool, now clock.Micros) {
+	if g.released {
 		return
 	}
 	g.begin()
-	g.over = true
-	g.s.own--
-	g.stay.end = now
+	g.released = true
+	g.server.own--
+	g.presence.end = now
 	if g.bundle {
-		g.d.bundles--
-		g.s.bundles--
+		g.scheduler.bundles--
+		g.server.bundles--
 	}
 	if ok {
-		g.s.heard = now
+		g.server.lastSign = now
 	}
-	g.d.stirred = true
+	g.scheduler.changed = true
 	if ok {
-		g.s.failures = 0
+		g.server.failures = 0
 		if took > 0 {
-			if g.s.latency == 0 {
-				g.s.latency = took
+			if g.server.latency == 0 {
+				g.server.latency = took
 			}
-			g.s.latency += (took - g.s.latency) / 8
+			g.server.latency += (took - g.server.latency) / 8
 		}
 		return
 	}
-	g.s.failures++
-	g.s.restUntil = now + g.d.set.Rest*clock.Micros(min(g.s.failures, 8))
-	if g.s.failures >= 3 {
-		g.s.failures = 2 // after its rest it may be tried once
+	g.server.failures++
+	g.server.restUntil = now + g.scheduler.set.Rest*clock.Micros(min(g.server.failures, 8))
+	if g.server.failures >= 3 {
+		g.server.failures = 2 // after its rest it may be tried once
 	}
 }
 
-// Leave lets the server go without a word on it: its order ended for reasons of its
+// Abandon lets the server go without a word on it: its order ended for reasons of its
 // own.
-func (g *Grip) Leave(now clock.Micros) {
-	if g.over {
+func (g *Assignment) Abandon(now clock.Micros) {
+	if g.released {
 		return
 	}
-	heard, failures := g.s.heard, g.s.failures
+	heard, failures := g.server.lastSign, g.server.failures
 	g.Release(0, true, now)
-	g.s.heard, g.s.failures = heard, failures
+	g.server.lastSign, g.server.failures = heard, failures
 }
 
-// TurnedAway notes that the server was full: it rests a moment.
-func (g *Grip) TurnedAway(now clock.Micros) {
-	g.s.restUntil = now + g.d.set.Rest
+// Rejected notes that the server was full: it rests a moment.
+func (g *Assignment) Rejected(now clock.Micros) {
+	g.server.restUntil = now + g.scheduler.set.Rest
 	g.Release(0, true, now)
 }
--- a/path/scheduler/scheduler_test.go
+++ b/path/scheduler/scheduler_test.go
@@ -44,12 +44,12 @@
 
 func (b *bench) order(name string, rank int64, change func(*Order)) *Order {
 	o := &Order{ID: name, Customer: fmt.Sprint("c", rank), Route: b.route, Rank: rank, Avoid: map[string]int{}}
-	o.Start = func(grip *Grip, _ clock.Micros) { b.started <- name + "@" + grip.Server.Name }
+	o.Start = func(assignment *Assignment, _ clock.Micros) { b.started <- name + "@" + assignment.Server.Name }
 	o.Drop = func(err error, _ clock.Micros) { b.dropped <- name + ":" + string(errs.Of(err).Kind) }
 	if change != nil {
 		change(o)
 	}
-	if err := b.Enrol(o, b.now); err != nil {
+	if err := b.Submit(o, b.now); err != nil {
 		b.dropped <- name + ":" + string(errs.Of(err).Kind)
 	}
 	return o
@@ -75,7 +75,7 @@
 	for _, level := range []string{"high", "live", "bundle", "low"} {
 		_ = level
 		b.Scheduler.servers["s"].server.Slots = 1
-		b.Scheduler.servers["s"].own, b.Scheduler.servers["s"].stays = 0, nil
+		b.Scheduler.servers["s"].own, b.Scheduler.servers["s"].presences = 0, nil
 		b.Scheduler.set.HighLimit, b.Scheduler.set.LowLimit = 1, 1
 		b.Match(b.now)
 		order = append(order, <-b.started)
@@ -86,7 +86,7 @@
 }
 
 // A leaving server, one that is not sound, one with other weights and one out of
-// the pool get nothing; old news assign nothing.
+// the pool get nothing; old updates assign nothing.
 func TestRuledOut(t *testing.T) {
 	for what, change := range map[string]func(*bench){
 		"leaving":     func(b *bench) { s := server("s", 4); s.Leaving = true; b.SetServer(s) },
@@ -111,8 +111,8 @@
 	}
 }
 
-// An order whose expiry passes leaves the backlog at the next look, whatever
-// holds the servers; a load figure of a lower epoch is turned away.
+// An order whose expiry passes leaves the queue at the next look, whatever
+// holds the servers; a load figure of a lower epoch is rejected.
 func TestExpiryAndEpoch(t *testing.T) {
 	b := newBench(t, server("s", 4))
 	b.SetLoad("s", 5, registry.Load{At: b.now, Sound: false})
@@ -194,10 +194,10 @@
 func TestFinishedOrdersMakeRoomBeforeTheNextFigure(t *testing.T) {
 	b := newBench(t, server("s", 2))
 	b.SetLoad("s", 1, registry.Load{At: b.now, Sound: true, Running: 1})
-	grips := make(chan *Grip, 1)
+	grips := make(chan *Assignment, 1)
 	for i := 0; i < 20; i++ {
 		b.now += 10 * clock.Millisecond
-		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip, _ clock.Micros) { grips <- grip } })
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(assignment *Assignment, _ clock.Micros) { grips <- assignment } })
 		b.Match(b.now)
 		if b.Assigned != int64(i+1) {
 			t.Fatalf("order %d was not assigned, though one other and none of ours runs there", i)
@@ -205,7 +205,7 @@
 		(<-grips).Release(5*clock.Millisecond, true, b.now)
 	}
 	// What ran at the time of a figure is not counted twice.
-	b.order("long", 1, func(o *Order) { o.Start = func(grip *Grip, _ clock.Micros) { grips <- grip } })
+	b.order("long", 1, func(o *Order) { o.Start = func(assignment *Assignment, _ clock.Micros) { grips <- assignment } })
 	b.Match(b.now)
 	<-grips
 	b.now += clock.Second / 2
@@ -216,7 +216,7 @@
 }
 
 // Further tries have a budget: where every server fails, they stop multiplying
-// the load; and a full backlog says when it will have been worked off.
+// the load; and a full queue says when it will have been worked off.
 func TestRetriesHaveABudget(t *testing.T) {
 	b := newBench(t, server("s", 1000))
 	spent := 0
@@ -225,7 +225,7 @@
 	}
 	for i := 0; i < 100; i++ {
 		b.now += 10 * clock.Millisecond
-		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(grip *Grip, _ clock.Micros) {} })
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(assignment *Assignment, _ clock.Micros) {} })
 		b.Match(b.now)
 	}
 	again := 0
@@ -292,17 +292,17 @@
 	route, _ := plan.Route("r")
 	now := clock.Second
 	d.SetFresh(now)
-	var grips []*Grip
+	var grips []*Assignment
 	for range 2 {
 		o := &Order{ID: "o", Customer: "r", Route: route, Rank: 1}
-		o.Start = func(grip *Grip, _ clock.Micros) { grips = append(grips, grip) }
-		if err := d.Enrol(o, now); err != nil {
+		o.Start = func(assignment *Assignment, _ clock.Micros) { grips = append(grips, assignment) }
+		if err := d.Submit(o, now); err != nil {
 			t.Fatal(err)
 		}
 	}
 	d.Settle(now)
 	later := now + 2*clock.Second
-	grips[0].Leave(later)
+	grips[0].Abandon(later)
 	if silent := d.servers["s"].silent(later); silent != 2*clock.Second {
 		t.Fatalf("the server is silent for %d us", silent)
 	}
--- a/path/scoring/scoring.go
+++ b/path/scoring/scoring.go
@@ -1,4 +1,4 @@
-// Package scoring picks a server: many small judges give marks that are added up
+// Package scoring picks a server: many small judges give scores that are added up
 // (DESIGN §7.3, §12.6). A judge may also rule a server out, and says why.
 package scoring
 
@@ -32,24 +32,24 @@
 // Share is what one keeper's items may take of a server: each keeps to its part,
 // so that all together leave room for live orders.
 type Share struct {
-	Part    float64 // of what all keepers' items may take, by what each has to run
+	Part    float64 // of what all stores' items may take, by what each has to run
 	Window  int     // how many the server begins without delay; 0: not known
 	Running int     // this daemon's items on the server
 	Opening int     // those of them that it has not begun
 }
 
-// Wish is what the order needs.
-type Wish struct{ Model, Adapter, Weights string }
+// Requirements is what the order needs.
+type Requirements struct{ Model, Adapter, Weights string }
 
-// Mark is one judge's word.
-type Mark struct {
+// Score is one judge's word.
+type Score struct {
 	Judge string  `json:"judge"`
-	Mark  float64 `json:"mark"`
+	Value float64 `json:"mark"`
 	Out   string  `json:"out,omitempty"`
 }
 
-// Judge gives a mark from 0 to 1, or rules the server out with the reason.
-type Judge func(wish Wish, c Candidate) (float64, string)
+// Scorer gives a mark from 0 to 1, or rules the server out with the reason.
+type Scorer func(wish Requirements, c Candidate) (float64, string)
 
 // Load is the estimate of what the server has: what the others had there at its
 // last figure, and what this daemon has there now.
@@ -58,24 +58,24 @@
 // All are the judges by name, in the order they are asked.
 var All = []struct {
 	Name  string
-	Judge Judge
+	Judge Scorer
 }{
 	{"leaving", Leaving}, {"soundness", Soundness}, {"adapter", Adapter}, {"weights", Weights},
 	{"share", KeeperShare}, {"fullness", Fullness}, {"prefix", Prefix}, {"speed", Speed}, {"spread", Spread},
 	{"reading", Reading}, {"silence", Silence}, {"turn", Turn},
 }
 
-// Turn marks a server by its place in this daemon's own order. Daemons begin their
+// Turn scores a server by its place in this daemon's own order. Daemons begin their
 // orders at different servers, so that those which don't know of each other's latest
 // orders seldom meet; the further ones are for when the first are busy.
-func Turn(_ Wish, c Candidate) (float64, string) { return 1 - c.Turn, "" }
+func Turn(_ Requirements, c Candidate) (float64, string) { return 1 - c.Turn, "" }
 
 // mostOpening is how many items of one keeper a server may have to begin at a time:
 // it reads their prompts between the tokens of the others.
 const mostOpening = 1
 
 // KeeperShare rules out a server on which this keeper's items have their part.
-func KeeperShare(_ Wish, c Candidate) (float64, string) {
+func KeeperShare(_ Requirements, c Candidate) (float64, string) {
 	switch {
 	case c.Share == nil:
 		return 0, ""
@@ -92,8 +92,8 @@
 // readingScale is how many tokens of prompts halve the mark.
 const readingScale = 2000
 
-// Reading marks a server that has few tokens of prompts to read.
-func Reading(_ Wish, c Candidate) (float64, string) {
+// Reading scores a server that has few tokens of prompts to read.
+func Reading(_ Requirements, c Candidate) (float64, string) {
 	return 1 / (1 + float64(c.Reading)/readingScale), ""
 }
 
@@ -101,8 +101,8 @@
 // go elsewhere: one that is lost says nothing.
 const mostSilence = 350 * clock.Millisecond
 
-// Silence marks a server that lets hear of itself.
-func Silence(_ Wish, c Candidate) (float64, string) {
+// Silence scores a server that lets hear of itself.
+func Silence(_ Requirements, c Candidate) (float64, string) {
 	if c.Silent > mostSilence {
 		return 0, ""
 	}
@@ -110,7 +110,7 @@
 }
 
 // Leaving rules out a server marked as leaving.
-func Leaving(_ Wish, c Candidate) (float64, string) {
+func Leaving(_ Requirements, c Candidate) (float64, string) {
 	if c.Leaving {
 		return 0, "marked as leaving"
 	}
@@ -118,7 +118,7 @@
 }
 
 // Soundness rules out a server that does not answer, or rests.
-func Soundness(_ Wish, c Candidate) (float64, string) {
+func Soundness(_ Requirements, c Candidate) (float64, string) {
 	if !c.Sound {
 		return 0, "not sound"
 	}
@@ -129,7 +129,7 @@
 }
 
 // Adapter rules out a server without the adapter the route names.
-func Adapter(w Wish, c Candidate) (float64, string) {
+func Adapter(w Requirements, c Candidate) (float64, string) {
 	if w.Adapter != "" && c.Labels["adapter"] != w.Adapter {
 		return 0, "has not the adapter " + w.Adapter
 	}
@@ -137,15 +137,15 @@
 }
 
 // Weights rules out a server with other weights than the route names.
-func Weights(w Wish, c Candidate) (float64, string) {
+func Weights(w Requirements, c Candidate) (float64, string) {
 	if w.Weights != "" && c.Labels["weights"] != w.Weights {
 		return 0, "has not the weights " + w.Weights
 	}
 	return 0, ""
 }
 
-// Fullness marks free room, and rules out a server full for this rank.
-func Fullness(_ Wish, c Candidate) (float64, string) {
+// Fullness scores free room, and rules out a server full for this rank.
+func Fullness(_ Requirements, c Candidate) (float64, string) {
 	if c.Slots <= 0 {
 		return 0, "has no slots"
 	}
@@ -156,35 +156,35 @@
 	return max(0, 1-full), ""
 }
 
-// Prefix marks a server that lately ran the same prefix, but less the fuller it
+// Prefix scores a server that lately ran the same prefix, but less the fuller it
 // is: affinity must not overload it.
-func Prefix(_ Wish, c Candidate) (float64, string) {
+func Prefix(_ Requirements, c Candidate) (float64, string) {
 	if !c.Prefix || c.Slots <= 0 {
 		return 0, ""
 	}
 	return max(0, 1-float64(c.Load())/float64(c.Slots)), ""
 }
 
-// Speed marks a server by how close it comes to the fastest.
-func Speed(_ Wish, c Candidate) (float64, string) {
+// Speed scores a server by how close it comes to the fastest.
+func Speed(_ Requirements, c Candidate) (float64, string) {
 	if c.Latency <= 0 || c.Fastest <= 0 {
 		return 0.5, ""
 	}
 	return min(1, float64(c.Fastest)/float64(c.Latency)), ""
 }
 
-// Spread marks a server that few of this daemon's own orders are on: figures
+// Spread scores a server that few of this daemon's own orders are on: figures
 // that are old everywhere else are fresh here.
-func Spread(_ Wish, c Candidate) (float64, string) { return 1 / float64(1+c.Own), "" }
+func Spread(_ Requirements, c Candidate) (float64, string) { return 1 / float64(1+c.Own), "" }
 
-// Sum asks every judge and adds the weighted marks up.
-func Sum(weights map[string]float64, wish Wish, c Candidate) (float64, []Mark, bool) {
+// Sum asks every judge and adds the weighted scores up.
+func Sum(weights map[string]float64, wish Requirements, c Candidate) (float64, []Score, bool) {
 	total := 0.0
-	marks := make([]Mark, 0, len(All))
+	marks := make([]Score, 0, len(All))
 	for _, one := range All {
 		mark, out := one.Judge(wish, c)
 		mark *= weights[one.Name]
-		marks = append(marks, Mark{Judge: one.Name, Mark: mark, Out: out})
+		marks = append(marks, Score{Judge: one.Name, Value: mark, Out: out})
 		if out != "" {
 			return 0, marks, false
 		}
--- a/path/scoring/scoring_test.go
+++ b/path/scoring/scoring_test.go
@@ -8,7 +8,7 @@
 
 // A keeper's items keep to its part of a server: as many as its part of the room
 // holds, at least one, and one at a time that has still to begin. It is no matter
-// of who is not a keeper.
+// of who is not a store.
 func TestKeeperShare(t *testing.T) {
 	for name, c := range map[string]struct {
 		share *Share
@@ -34,14 +34,14 @@
 		"a server with few slots":  {&Share{Part: 0.5, Running: 0}, 0.75, 1, false},
 		"the same, and it has one": {&Share{Part: 0.5, Running: 1}, 0.75, 1, true},
 	} {
-		mark, out := KeeperShare(Wish{}, Candidate{Limit: c.limit, Slots: c.slots, Share: c.share})
+		mark, out := KeeperShare(Requirements{}, Candidate{Limit: c.limit, Slots: c.slots, Share: c.share})
 		if mark != 0 || (out != "") != c.out {
 			t.Errorf("%s: mark %v, out %q", name, mark, out)
 		}
 	}
 }
 
-// Shares of all keepers together leave the room above the limit to live orders.
+// Shares of all stores together leave the room above the limit to live orders.
 func TestKeepersSharesAddUp(t *testing.T) {
 	for _, keepers := range []int{1, 2, 3, 4} {
 		for _, slots := range []int{16, 32} {
@@ -49,7 +49,7 @@
 			for range keepers {
 				mine := &Share{Part: 1 / float64(keepers)}
 				for {
-					if _, out := KeeperShare(Wish{}, Candidate{Limit: 0.75, Slots: slots, Share: mine}); out != "" {
+					if _, out := KeeperShare(Requirements{}, Candidate{Limit: 0.75, Slots: slots, Share: mine}); out != "" {
 						break
 					}
 					mine.Running++
@@ -68,16 +68,16 @@
 func TestReading(t *testing.T) {
 	before := 2.0
 	for _, tokens := range []int64{0, 1, 500, readingScale, 10 * readingScale, 1 << 40} {
-		mark, out := Reading(Wish{}, Candidate{Reading: tokens})
+		mark, out := Reading(Requirements{}, Candidate{Reading: tokens})
 		if out != "" || mark >= before || mark < 0 || mark > 1 {
 			t.Errorf("%d tokens: mark %v after %v, out %q", tokens, mark, before, out)
 		}
 		before = mark
 	}
-	if mark, _ := Reading(Wish{}, Candidate{}); mark != 1 {
+	if mark, _ := Reading(Requirements{}, Candidate{}); mark != 1 {
 		t.Errorf("nothing to read: %v", mark)
 	}
-	if mark, _ := Reading(Wish{}, Candidate{Reading: readingScale}); mark != 0.5 {
+	if mark, _ := Reading(Requirements{}, Candidate{Reading: readingScale}); mark != 0.5 {
 		t.Errorf("the scale: %v", mark)
 	}
 }
@@ -86,7 +86,7 @@
 // not ruled out.
 func TestSilence(t *testing.T) {
 	for silent, want := range map[clock.Micros]float64{0: 1, mostSilence: 1, mostSilence + 1: 0, clock.Second: 0} {
-		if mark, out := Silence(Wish{}, Candidate{Silent: silent}); mark != want || out != "" {
+		if mark, out := Silence(Requirements{}, Candidate{Silent: silent}); mark != want || out != "" {
 			t.Errorf("%d us silent: mark %v, out %q", silent, mark, out)
 		}
 	}
@@ -96,17 +96,17 @@
 func TestSum(t *testing.T) {
 	sound := Candidate{Sound: true, Slots: 4, Limit: 1, Own: 1, Reading: readingScale}
 	weights := map[string]float64{"fullness": 4, "spread": 2, "reading": 6, "silence": 20}
-	sum, marks, ok := Sum(weights, Wish{}, sound)
+	sum, marks, ok := Sum(weights, Requirements{}, sound)
 	if want := 4*0.75 + 2*0.5 + 6*0.5 + 20*1; !ok || sum != want || len(marks) != len(All) {
 		t.Errorf("sum %v, not %v; %v", sum, want, marks)
 	}
 	lost := sound
 	lost.Silent = clock.Second
-	if other, _, ok := Sum(weights, Wish{}, lost); !ok || other != sum-20 {
+	if other, _, ok := Sum(weights, Requirements{}, lost); !ok || other != sum-20 {
 		t.Errorf("a silent one: %v", other)
 	}
 	sound.Share = &Share{Part: 1, Opening: 1}
-	if _, marks, ok := Sum(weights, Wish{}, sound); ok || marks[len(marks)-1].Judge != "share" || marks[len(marks)-1].Out == "" {
+	if _, marks, ok := Sum(weights, Requirements{}, sound); ok || marks[len(marks)-1].Judge != "share" || marks[len(marks)-1].Out == "" {
 		t.Errorf("ruled out by %v", marks)
 	}
 }
@@ -114,7 +114,7 @@
 // A server's place in the daemon's own order is its mark, the first the highest.
 func TestTurn(t *testing.T) {
 	for place, want := range map[float64]float64{0: 1, 0.25: 0.75, 0.75: 0.25} {
-		if mark, out := Turn(Wish{}, Candidate{Turn: place}); mark != want || out != "" {
+		if mark, out := Turn(Requirements{}, Candidate{Turn: place}); mark != want || out != "" {
 			t.Errorf("place %v: mark %v, out %q", place, mark, out)
 		}
 	}
--- a/path/scouts/scouts.go
+++ b/path/scouts/scouts.go
@@ -1,7 +1,7 @@
 // Package scouts reads the servers' pages, each server by one daemon: the first
 // live edge in that server's agreed order (DESIGN §7.2). The figures go
 // out under the duty's epoch; the others turn lower ones away. It is a part of
-// the edge's machine: the pages are read by the shell.
+// the edge's machine: the pages are read by the event loop.
 package scouts
 
 import (
@@ -15,12 +15,12 @@
 	"tuliprudder/path/scheduler"
 )
 
-// Look is work for the shell: read a server's pages.
-type Look struct{ Name, Address string }
+// ReadServer is work for the event loop: read a server's pages.
+type ReadServer struct{ Name, Address string }
 
-// Looked is what it found; Sound is false when the pages could not be read.
-type Looked struct {
-	Look
+// ServerReading is what it found; Sound is false when the pages could not be read.
+type ServerReading struct {
+	ReadServer
 	Running, Waiting int
 	Sound            bool
 	Began            clock.Micros
@@ -28,54 +28,54 @@
 
 // Scouts holds an edge's duties.
 type Scouts struct {
-	self     string
-	every    clock.Micros
-	wire     *machine.Wire
-	dispatch *scheduler.Scheduler
-	members  func() []identity.Member
-	due      map[string]clock.Micros // when a server is due again
-	busy     map[string]bool
-	marks    map[string]machine.Update // the latest figures' epoch and sequence
-	next     clock.Micros
+	self      string
+	every     clock.Micros
+	wire      *machine.Wire
+	scheduler *scheduler.Scheduler
+	members   func() []identity.Member
+	due       map[string]clock.Micros // when a server is due again
+	busy      map[string]bool
+	marks     map[string]machine.Update // the latest figures' epoch and sequence
+	next      clock.Micros
 }
 
 // New makes an edge's scouts; with no span between readings there are none.
 func New(self string, every clock.Micros, wire *machine.Wire, d *scheduler.Scheduler, members func() []identity.Member) *Scouts {
-	return &Scouts{self: self, every: every, wire: wire, dispatch: d, members: members, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Update{}}
+	return &Scouts{self: self, every: every, wire: wire, scheduler: d, members: members, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Update{}}
 }
 
 // hurry is how much more often a busy server is looked at: old figures of a full
 // server keep orders waiting that it could take.
 const hurry = 4
 
-// Hear notes the latest figures of a server.
-func (s *Scouts) Hear(update machine.Update) {
+// Receive notes the latest figures of a server.
+func (s *Scouts) Receive(update machine.Update) {
 	if name, ok := strings.CutPrefix(update.Key, "load/"); ok {
 		s.marks[name] = update
 	}
 }
 
-// ClockEvent sends the shell to the servers that are due and this daemon's duty.
+// ClockEvent sends the event loop to the servers that are due and this daemon's duty.
 func (s *Scouts) ClockEvent(now clock.Micros) {
 	if now < s.next || s.every == 0 {
 		return
 	}
 	s.next = now + s.every/hurry
 	members := s.members()
-	for _, server := range s.dispatch.Servers() {
+	for _, server := range s.scheduler.Servers() {
 		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || registry.First("load/"+server.Name, members, identity.Edge) != s.self {
 			continue
 		}
 		s.busy[server.Name] = true
-		s.wire.Emit(machine.Work{Order: Look{Name: server.Name, Address: server.Address}})
+		s.wire.Emit(machine.Work{Order: ReadServer{Name: server.Name, Address: server.Address}})
 	}
 }
 
-// Saw spreads what was found. Taking the duty over raises its epoch by one.
-func (s *Scouts) Saw(saw Looked, now clock.Micros) {
+// Report spreads what was found. Taking the duty over raises its epoch by one.
+func (s *Scouts) Report(saw ServerReading, now clock.Micros) {
 	delete(s.busy, saw.Name)
 	rest := s.every
-	for _, server := range s.dispatch.Servers() {
+	for _, server := range s.scheduler.Servers() {
 		if server.Name == saw.Name && saw.Sound && 2*(saw.Running+saw.Waiting) >= server.Slots {
 			rest = s.every / hurry
 		}
--- a/proof/capacitymodel/bench_test.go
+++ b/proof/capacitymodel/bench_test.go
@@ -120,7 +120,7 @@
 func order(b *testing.B, d *scheduler.Scheduler, i int) *scheduler.Order {
 	route, _ := d.Plan().Route("route-000")
 	return &scheduler.Order{ID: fmt.Sprint(i), Customer: "tenant-001", Route: route, Rank: 100, Prefix: fmt.Sprint(i % 100), Expiry: 1 << 40,
-		Start: func(grip *scheduler.Grip, now clock.Micros) { grip.Release(1000, true, now) }, Drop: func(error, clock.Micros) {}}
+		Start: func(grip *scheduler.Assignment, now clock.Micros) { grip.Release(1000, true, now) }, Drop: func(error, clock.Micros) {}}
 }
 
 // Choosing a server for one order.
@@ -131,7 +131,7 @@
 			b.ResetTimer()
 			began := processCPU()
 			for i := range b.N {
-				if err := d.Enrol(order(b, d, i), 2); err != nil {
+				if err := d.Submit(order(b, d, i), 2); err != nil {
 					b.Fatal(err)
 				}
 				d.Settle(2)
@@ -146,7 +146,7 @@
 	for _, servers := range []int{60, 960, 5500} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			d := backlog(b, servers, 100)
-			if err := d.Enrol(order(b, d, 1), 2); err != nil {
+			if err := d.Submit(order(b, d, 1), 2); err != nil {
 				b.Fatal(err)
 			}
 			d.Settle(2)
--- a/proof/capacitymodel/daemon.go
+++ b/proof/capacitymodel/daemon.go
@@ -120,7 +120,7 @@
 		}
 		set := store.Defaults()
 		d.keeper = store.New(store.Self{ID: d.id, Zone: d.zone, Peer: d.peer, Life: d.life}, set, d.disk.durable, d.disk.shelf)
-		d.machine = machines.NewLedger(d.id, d.keeper, set.MostItems, f.chance.Int63())
+		d.machine = machines.NewStore(d.id, d.keeper, set.MostItems, f.chance.Int63())
 	case d.whole:
 		d.machine = machines.NewEdge(d.id, machines.EdgeDefaults(), f.chance.Int63())
 	}
@@ -315,14 +315,14 @@
 		})
 	}
 	switch o := order.(type) {
-	case scouts.Look:
+	case scouts.ReadServer:
 		if !f.served {
 			f.held = append(f.held, func() { d.work(order) })
 			return
 		}
 		f.count(d).looks++
 		running := f.running(o.Name)
-		later(f.between(500, 2500), scouts.Looked{Look: o, Running: running, Sound: true, Began: f.Now})
+		later(f.between(500, 2500), scouts.ServerReading{ReadServer: o, Running: running, Sound: true, Began: f.Now})
 	case execution.Run:
 		span := f.between(100, 300) * clock.Millisecond
 		later(span/8, execution.Began{Token: o.Token})
--- a/proof/capacitymodel/run.go
+++ b/proof/capacitymodel/run.go
@@ -163,7 +163,7 @@
 func (f *Fleet) words() []machine.Update {
 	var out []machine.Update
 	for _, s := range f.servers {
-		out = append(out, registry.Word(s.word, machine.Update{}, f.Now))
+		out = append(out, registry.ServerUpdate(s.word, machine.Update{}, f.Now))
 	}
 	return out
 }
--- a/proof/simulation/day.go
+++ b/proof/simulation/day.go
@@ -54,7 +54,7 @@
 // holder is the edge that holds a customer's account.
 func (w *World) holder(who string) *Node {
 	if n := w.Watch.edgeNode(); n != nil {
-		id := registry.First("account/"+who, n.edge.Folk(), identity.Edge)
+		id := registry.First("account/"+who, n.edge.Members(), identity.Edge)
 		for _, name := range w.Names(identity.Edge) {
 			if w.Nodes[name].ID == id {
 				return w.Nodes[name]
@@ -67,7 +67,7 @@
 // keeperOf is the store that keeps a bundle, as an edge knows it.
 func (w *World) keeperOf(h *Handed) *Node {
 	if n := w.Watch.edgeNode(); n != nil {
-		if _, owner, err := n.edge.Reader.Keeper(h.ID); err == nil && w.byPeer[owner.Peer] != nil {
+		if _, owner, err := n.edge.Reader.StoreOf(h.ID); err == nil && w.byPeer[owner.Peer] != nil {
 			return w.byPeer[owner.Peer]
 		}
 	}
--- a/proof/simulation/planted_test.go
+++ b/proof/simulation/planted_test.go
@@ -49,17 +49,17 @@
 			}
 		}, "bounce", 1, 8 * ms, 1, []Promise{refused}},
 		"sync skipped": {func(n *Node) { n.disk.liar = true }, "", 10, 8 * ms, 1, []Promise{kept, exact, goesOn, inForce}},
-		"a one-shot order is run again elsewhere": {onEdge(func(n *Node) { n.edge.Trek.SecondRun = true }), "server", 6, 2 * ms, 1, []Promise{onceOnly}},
-		"turned away after it may have run":       {onEdge(func(n *Node) { n.edge.Trek.LateRefusal, n.edge.Trek.SecondRun = true, true }), "server", 6, 2 * ms, 1, []Promise{onceOnly}},
-		"a key is not claimed":                    {onEdge(func(n *Node) { n.edge.Trek.Unclaimed = true }), "server", 4, 2 * ms, 1, []Promise{onceOnly}},
-		"a stream is begun anew":                  {onEdge(func(n *Node) { n.edge.Trek.FromStart = true }), "streams", 6, 2 * ms, 1, []Promise{streamed}},
-		"a cut answer is taken as whole":          {onEdge(func(n *Node) { n.edge.Trek.TakeCut = true }), "streams", 4, 2 * ms, 1, []Promise{mixed}},
-		"old news are taken for fresh":            {onRoad(func(n *Node) { n.road().Dispatch.Blind = true }), "leaves", 4, 2 * ms, 1, []Promise{leaving}},
-		"what waits goes by the old plan":         {onRoad(func(n *Node) { n.road().Dispatch.Bygone = true }), "", 8, 2 * ms, 27, []Promise{inForce}},
+		"a one-shot order is run again elsewhere": {onEdge(func(n *Node) { n.edge.Requests.SecondRun = true }), "server", 6, 2 * ms, 1, []Promise{onceOnly}},
+		"turned away after it may have run":       {onEdge(func(n *Node) { n.edge.Requests.LateRefusal, n.edge.Requests.SecondRun = true, true }), "server", 6, 2 * ms, 1, []Promise{onceOnly}},
+		"a key is not claimed":                    {onEdge(func(n *Node) { n.edge.Requests.Unclaimed = true }), "server", 4, 2 * ms, 1, []Promise{onceOnly}},
+		"a stream is begun anew":                  {onEdge(func(n *Node) { n.edge.Requests.FromStart = true }), "streams", 6, 2 * ms, 1, []Promise{streamed}},
+		"a cut answer is taken as whole":          {onEdge(func(n *Node) { n.edge.Requests.TakeCut = true }), "streams", 4, 2 * ms, 1, []Promise{mixed}},
+		"old news are taken for fresh":            {onRoad(func(n *Node) { n.road().Scheduler.IgnoreStaleness = true }), "leaves", 4, 2 * ms, 1, []Promise{leaving}},
+		"what waits goes by the old plan":         {onRoad(func(n *Node) { n.road().Scheduler.KeepOldPlan = true }), "", 8, 2 * ms, 27, []Promise{inForce}},
 		"neighbours alone make news fresh":        {func(n *Node) { n.gossip.NoVoters = true }, "mark a server in each part", 4, 2 * ms, 1, []Promise{leaving, inForce}},
-		"work goes on without permit":             {onStore(func(n *Node) { n.ledger.Items.NoPermit, n.ledger.Items.Deaf = true, true }), "a bundle ends", 5, 2 * ms, 1, []Promise{ended}},
-		"every order is let in":                   {onRoad(func(n *Node) { n.road().Purse.Boundless = true }), "a flock comes", 4, 2 * ms, 1, []Promise{within}},
-		"a waiting reader is not woken":           {onEdge(func(n *Node) { n.edge.Reader.Sleepy = true }), "a crowd comes", 10, 2 * ms, 1, []Promise{soon}},
+		"work goes on without permit":             {onStore(func(n *Node) { n.ledger.Items.SkipPermit, n.ledger.Items.IgnoreRevoke = true, true }), "a bundle ends", 5, 2 * ms, 1, []Promise{ended}},
+		"every order is let in":                   {onRoad(func(n *Node) { n.road().Quota.Boundless = true }), "a flock comes", 4, 2 * ms, 1, []Promise{within}},
+		"a waiting reader is not woken":           {onEdge(func(n *Node) { n.edge.Reader.SkipWakeups = true }), "a crowd comes", 10, 2 * ms, 1, []Promise{soon}},
 	}
 	for name, p := range planted {
 		t.Run(name, func(t *testing.T) {
--- a/proof/simulation/promises.go
+++ b/proof/simulation/promises.go
@@ -116,7 +116,7 @@
 			}
 		}
 		forget := n.onCrash(again)
-		n.do(n.gossip.Do(gossip.Broadcast{Update: registry.Word(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
+		n.do(n.gossip.Do(gossip.Broadcast{Update: registry.ServerUpdate(server, known, v.w.Now), Call: n.number, Expiry: 2 * clock.Second}, v.w.Now))
 		v.w.After(3*clock.Second, func() {
 			if n.era == era {
 				forget()
@@ -241,7 +241,7 @@
 		shares := ""
 		for _, name := range v.w.names {
 			if road := v.w.Nodes[name].road(); road != nil {
-				shares += fmt.Sprintf(" %s %v", name, road.Purse.View(v.w.Now))
+				shares += fmt.Sprintf(" %s %v", name, road.Quota.View(v.w.Now))
 			}
 		}
 		return fmt.Sprintf("live at %v; shares%s", at, shares)
--- a/proof/simulation/server.go
+++ b/proof/simulation/server.go
@@ -265,10 +265,10 @@
 }
 
 // read is a scout's look at the server's pages.
-func (w *World) read(n *Node, look scouts.Look) {
+func (w *World) read(n *Node, look scouts.ReadServer) {
 	s, began, era := w.byAddress[look.Address], w.Now, n.era
 	span := 2 * w.between(150, 900)
-	saw := scouts.Looked{Look: look, Began: began}
+	saw := scouts.ServerReading{ReadServer: look, Began: began}
 	if s == nil || w.cut[[2]string{n.Name, s.Name}] || (s.up && s.mode == "dark") {
 		span = clock.Second
 	} else if s.up {
--- a/proof/simulation/watch.go
+++ b/proof/simulation/watch.go
@@ -179,7 +179,7 @@
 		h.Tries++
 		e := &Entry{ID: h.ID, Called: v.w.Now}
 		v.Entries = append(v.Entries, e)
-		v.here(n, requests.HandIn{Caller: callerKey, Route: "r", Key: key, Items: append([]shard.Item(nil), list...)}, func(answer any, err error) {
+		v.here(n, requests.SubmitBundle{Caller: callerKey, Route: "r", Key: key, Items: append([]shard.Item(nil), list...)}, func(answer any, err error) {
 			e.Told = v.w.Now
 			e.unknown = errs.Is(err, errs.OutcomeUnknown)
 			if err != nil && !e.unknown {
@@ -231,7 +231,7 @@
 			v.w.After(100*clock.Millisecond, try)
 			return
 		}
-		v.here(n, requests.Look{Caller: callerKey, Bundle: h.ID, End: true}, func(answer any, err error) {
+		v.here(n, requests.BundleStatus{Caller: callerKey, Bundle: h.ID, End: true}, func(answer any, err error) {
 			if _, ok := answer.(store.Status); ok && err == nil {
 				h.Ended = v.w.Now
 				v.Busy--
@@ -257,7 +257,7 @@
 	}
 	e := &Entry{ID: h.ID, Called: v.w.Now, entered: entered{look: true}}
 	v.Entries = append(v.Entries, e)
-	v.here(n, requests.Look{Caller: callerKey, Bundle: h.ID}, func(_ any, err error) {
+	v.here(n, requests.BundleStatus{Caller: callerKey, Bundle: h.ID}, func(_ any, err error) {
 		if e.found = err == nil; e.found || errs.Is(err, errs.NotFound) {
 			e.Told = v.w.Now
 		}
@@ -449,10 +449,10 @@
 		}
 		var inside uint64
 		switch {
-		case n.edge != nil && n.edge.Dispatch.Plan() != nil:
-			inside = n.edge.Dispatch.Plan().Version
-		case n.ledger != nil && n.ledger.Dispatch.Plan() != nil:
-			inside = n.ledger.Dispatch.Plan().Version
+		case n.edge != nil && n.edge.Scheduler.Plan() != nil:
+			inside = n.edge.Scheduler.Plan().Version
+		case n.ledger != nil && n.ledger.Scheduler.Plan() != nil:
+			inside = n.ledger.Scheduler.Plan().Version
 		case n.Core != nil:
 			continue
 		}
@@ -516,7 +516,7 @@
 				v.Busy--
 				return
 			}
-			slot, owner, err := n.edge.Reader.Keeper(shard.ClaimID(customer, key))
+			slot, owner, err := n.edge.Reader.StoreOf(shard.ClaimID(customer, key))
 			if err != nil {
 				v.w.After(v.w.between(50, 600)*clock.Millisecond, try)
 				return
--- a/proof/simulation/world.go
+++ b/proof/simulation/world.go
@@ -79,7 +79,7 @@
 	Keeper  *store.Store
 	Core    *control.Core
 	edge    *machines.Edge
-	ledger  *machines.Ledger
+	ledger  *machines.Store
 	runs    map[uint64]*serving // items on servers, by token
 	crashed map[uint64]func()   // told when the node crashes
 	core    state.CoreNews      // as heard last
@@ -360,7 +360,7 @@
 
 func asked(body any) bool {
 	switch body.(type) {
-	case store.EnrolAsk, store.EndAsk, store.StatusAsk, store.ReadAsk, store.ClaimAsk, store.SettleAsk, control.PutPlanAsk, control.RetireAsk, quota.LendAsk, quota.TellAsk:
+	case store.EnrolAsk, store.EndAsk, store.StatusAsk, store.ReadAsk, store.ClaimAsk, store.SettleAsk, control.PutPlanAsk, control.RetireAsk, quota.LendRequest, quota.HoldingsRequest:
 		return true
 	}
 	return false
@@ -411,7 +411,7 @@
 		set.FoldAfter = 300
 		n.Keeper = store.New(store.Self{ID: n.ID, Zone: n.Zone, Peer: n.Peer, Life: life}, set, n.disk.durable, &n.disk.shelf)
 		n.Keeper.Damaged = func(err error) { w.Watch.breach(kept, "%s: %v", n.Name, err) }
-		n.ledger = machines.NewLedger(n.ID, n.Keeper, set.MostItems, w.Chance.Int63())
+		n.ledger = machines.NewStore(n.ID, n.Keeper, set.MostItems, w.Chance.Int63())
 		n.machine = n.ledger
 	case identity.Edge:
 		n.edge = machines.NewEdge(n.ID, machines.EdgeDefaults(), w.Chance.Int63())
@@ -724,18 +724,18 @@
 			delete(n.runs, o.Token)
 			one.cancel()
 		}
-	case scouts.Look:
+	case scouts.ReadServer:
 		w.read(n, o)
 	}
 }
 
 // road is an edge's or a store's way to the servers; nil on a core.
-func (n *Node) road() *machines.Road {
+func (n *Node) road() *machines.Scheduling {
 	switch {
 	case n.edge != nil:
-		return n.edge.Road
+		return n.edge.Scheduling
 	case n.ledger != nil:
-		return n.ledger.Road
+		return n.ledger.Scheduling
 	}
 	return nil
 }
