--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -52,7 +52,7 @@
 			case edge.Scheduler.Plan() == nil:
 				why = "no plan has arrived yet"
 			case !edge.Reader.Ready():
-				why = "not every slot has a keeper yet"
+				why = "not every slot has a store yet"
 			case !edge.Scheduler.Fresh(now):
 				why = "the news are old"
 			}
--- a/daemon/machines/store.go
+++ b/daemon/machines/store.go
@@ -150,10 +150,10 @@
 		s.apply(store.Call{Number: number, Body: ask}, now)
 		return
 	case !s.Scheduler.Fresh(now):
-		s.refuse(number, errs.Later(errs.NotReady, clock.Second, "ask again; another keeper may take the slot over", "the keeper does not hear most of the fleet"))
+		s.refuse(number, errs.Later(errs.NotReady, clock.Second, "ask again; another store may take the slot over", "the store does not hear most of the fleet"))
 		return
 	case plan == nil || plan.Version < ask.Bundle.Plan:
-		s.refuse(number, errs.Later(errs.NotReady, clock.Second, "ask again; the store has just started", "the plan has not arrived at the keeper yet"))
+		s.refuse(number, errs.Later(errs.NotReady, clock.Second, "ask again; the store has just started", "the plan has not arrived at the store yet"))
 		return
 	}
 	forward, weight := false, 0
--- a/path/execution/execution.go
+++ b/path/execution/execution.go
@@ -181,7 +181,7 @@
 	if err := r.scheduler.Submit(j.order, now); errs.Is(err, errs.UnknownRoute) {
 		j.order.Drop(err, now)
 	} else if err != nil {
-		r.wire.Emit(machine.Explain{What: "an item found no room in the backlog; the keeper hands it over again", Fields: map[string]any{"order": j.name, "why": err.Error()}})
+		r.wire.Emit(machine.Explain{What: "an item found no room in the backlog; the store hands it over again", Fields: map[string]any{"order": j.name, "why": err.Error()}})
 		r.park(j)
 	}
 }
--- a/path/reader/reader.go
+++ b/path/reader/reader.go
@@ -55,7 +55,7 @@
 	due    clock.Micros // not asked again before; 0: only once the view turns
 	asked  clock.Micros
 	busy   bool
-	lost   int // asks in a row that no keeper answered in time
+	lost   int // asks in a row that no store answered in time
 }
 
 // pollRest is PollRest where nothing else is set.
@@ -193,7 +193,7 @@
 	slot := shard.SlotOf(id, len(r.state.Slots))
 	owner, ok := r.view.Owner(slot)
 	if !ok {
-		return slot, owner, errs.Later(errs.NotReady, clock.Second, "ask again; the slot passes to another keeper", "slot %d has no keeper with two disks now", slot)
+		return slot, owner, errs.Later(errs.NotReady, clock.Second, "ask again; the slot passes to another store", "slot %d has no store with two disks now", slot)
 	}
 	return slot, owner, nil
 }
@@ -276,11 +276,11 @@
 		if m := errs.Of(err); m.Kind != errs.OutcomeUnknown {
 			return store.Rows{}, err
 		}
-		return store.Rows{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "the keeper gave no answer: %v", err)
+		return store.Rows{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "the store gave no answer: %v", err)
 	}
 	rows, ok := answer.(store.Rows)
 	if !ok {
-		return rows, errs.New(errs.ServerFault, "run the same release on all daemons", "the keeper answered %T", answer)
+		return rows, errs.New(errs.ServerFault, "run the same release on all daemons", "the store answered %T", answer)
 	}
 	return rows, nil
 }
@@ -300,7 +300,7 @@
 	after := from.Vector()
 	asks, upTo, whole := FeedAsks(r.view, len(r.state.Slots), read.Customer, after, read.Most)
 	if !whole {
-		back(Page{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "a slot passes to another keeper; the feed goes on when it has"), now)
+		back(Page{}, errs.Later(errs.NotReady, clock.Second, "ask again with the same token", "a slot passes to another store; the feed goes on when it has"), now)
 		return
 	}
 	var page Page
@@ -332,7 +332,7 @@
 	}
 }
 
-// FeedAsks works out whom to ask for what: each keeper for the slots it serves,
+// FeedAsks works out whom to ask for what: each store for the slots it serves,
 // up to the vector that may be read now.
 func FeedAsks(view *token.View, slots int, customer string, after token.Vector, most int) (map[string]store.ReadAsk, token.Vector, bool) {
 	upTo, whole := view.UpTo()
--- a/path/scoring/scoring.go
+++ b/path/scoring/scoring.go
@@ -29,7 +29,7 @@
 	Share     *Share       // set for an item that is passed on unchanged
 }
 
-// Share is what one keeper's items may take of a server: each keeps to its part,
+// Share is what one store's items may take of a server: each keeps to its part,
 // so that all together leave room for live orders.
 type Share struct {
 	Part    float64 // of what all stores' items may take, by what each has to run
@@ -70,11 +70,11 @@
 // orders seldom meet; the further ones are for when the first are busy.
 func Turn(_ Requirements, c Candidate) (float64, string) { return 1 - c.Turn, "" }
 
-// mostOpening is how many items of one keeper a server may have to begin at a time:
+// mostOpening is how many items of one store a server may have to begin at a time:
 // it reads their prompts between the tokens of the others.
 const mostOpening = 1
 
-// KeeperShare rules out a server on which this keeper's items have their part.
+// KeeperShare rules out a server on which this store's items have their part.
 func KeeperShare(_ Requirements, c Candidate) (float64, string) {
 	switch {
 	case c.Share == nil:
@@ -84,7 +84,7 @@
 	case c.Share.Window > 0 && c.Share.Running >= c.Share.Window:
 		return 0, "begins items late"
 	case c.Share.Running >= max(1, int(math.Round(c.Limit*float64(c.Slots)*c.Share.Part))):
-		return 0, "this keeper's items have their part of it"
+		return 0, "this store's items have their part of it"
 	}
 	return 0, ""
 }
