--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -28,14 +28,14 @@
 	r.MustParse(os.Args[1:])
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	tour := set.Tour(func() []string { return strings.Split(*edges, ",") })
+	tour := set.Workload(func() []string { return strings.Split(*edges, ",") })
 	tour.Run(ctx)
 	log, err := verify.ReadStarts(strings.Split(*starts, ","))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "loadgen:", err)
 		os.Exit(1)
 	}
-	verdict := tour.Judge(log, nil)
+	verdict := tour.Verdict(log, nil)
 	fmt.Print(verdict)
 	if verdict.Broken() {
 		os.Exit(1)
--- a/cmd/localfleet/main.go
+++ b/cmd/localfleet/main.go
@@ -44,13 +44,13 @@
 		return err
 	}
 	bin := filepath.Join(dir, "bin")
-	if err := localfleet.Build(root, bin, set.BuildWords()...); err != nil {
+	if err := localfleet.Build(root, bin, set.BuildArgs()...); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	c := localfleet.New(set.Spec(), filepath.Join(dir, "fleet"), bin)
-	defer c.End()
+	defer c.Stop()
 	began := time.Now()
 	if err := c.Start(); err != nil {
 		return err
--- a/cmd/modelserver/main.go
+++ b/cmd/modelserver/main.go
@@ -87,7 +87,7 @@
 }
 
 // control sets a fault: {"mode":"dark"} holds everything open and silent,
-// "cut" breaks streams off half way, "refuse" turns away, "" ends it.
+// "cut" breaks streams off half way, "refuse" rejects, "" ends it.
 func (s *server) control(w http.ResponseWriter, r *http.Request) error {
 	data, err := httpserver.ReadBody(r)
 	if err != nil {
--- a/cmd/zonedrill/main.go
+++ b/cmd/zonedrill/main.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	bin := filepath.Join(dir, "bin")
-	words := set.BuildWords()
+	words := set.BuildArgs()
 	if planted != "" {
 		words = append(words, "-tags", "planted")
 		os.Setenv("TULIPRUDDER_PLANT", planted)
@@ -61,7 +61,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	c := localfleet.New(set.Spec(), filepath.Join(dir, "fleet"), bin)
-	defer c.End()
+	defer c.Stop()
 	if err := c.Start(); err != nil {
 		return err
 	}
--- a/proof/capacitymodel/bench_test.go
+++ b/proof/capacitymodel/bench_test.go
@@ -249,7 +249,7 @@
 	}
 }
 
-// A lot of many items on a keeper without a backup's answer: what taking it in
+// A lot of many items on a store without a backup's answer: what taking it in
 // costs, and what it keeps.
 func BenchmarkLot(b *testing.B) {
 	for _, items := range []int{1000, 10_000, 87_000} {
--- a/proof/capacitymodel/codec.go
+++ b/proof/capacitymodel/codec.go
@@ -153,7 +153,7 @@
 	return c.lonely.bytes - before
 }
 
-// copied are the same news in memory of their own, as if they had arrived.
+// copied are the same updates in memory of their own, as if they had arrived.
 func (c *codec) copied(rumours []machine.Update) []machine.Update {
 	var buffer bytes.Buffer
 	must(gob.NewEncoder(&buffer).Encode(rumours))
--- a/proof/capacitymodel/daemon.go
+++ b/proof/capacitymodel/daemon.go
@@ -22,10 +22,10 @@
 	"tuliprudder/path/scouts"
 )
 
-// tickEvery is the porter's.
+// tickEvery is the event loop's.
 const tickEvery = 15 * clock.Millisecond
 
-// daemon is one daemon: its acquaintance, and its plane's machine where it has one.
+// daemon is one daemon: its gossip, and its plane's machine where it has one.
 type daemon struct {
 	fleet         *Fleet
 	kind, id      string
@@ -40,13 +40,13 @@
 	gossip        *gossip.Node
 	machine       eventloop.Machine
 	core          *control.Core
-	keeper        *store.Store
+	store         *store.Store
 	calls         map[uint64]func(machine.Answer)
 	lines         []*line
 	asks          map[*daemon]*line
 	disk          disk
 	duty          int // servers it reads
-	hollow        map[string]loadMark
+	model         map[string]loadMark
 	phase         clock.Micros // within a hollow edge's beat of readings
 	planVersion   uint64
 }
@@ -63,7 +63,7 @@
 
 type shelf map[uint64]map[string][]byte
 
-// Get, Held and Top are the keeper's view of the shelf.
+// Get, Held and Top are the store's view of the shelf.
 func (s shelf) Get(file uint64, unit string) ([]byte, error) {
 	if body, ok := s[file][unit]; ok {
 		return body, nil
@@ -105,7 +105,7 @@
 		d.life = uint64(f.Now)
 		d.id = fmt.Sprintf("%s-%03d.%d", d.kind, d.number, d.era)
 	}
-	d.calls, d.asks, d.hollow = map[uint64]func(machine.Answer){}, map[*daemon]*line{}, map[string]loadMark{}
+	d.calls, d.asks, d.model = map[uint64]func(machine.Answer){}, map[*daemon]*line{}, map[string]loadMark{}
 	d.planVersion, d.phase = 0, f.between(0, 100*clock.Millisecond)
 	d.gossip = gossip.New(d.person(), f.seeds, gossip.Defaults(), f.chance.Int63())
 	switch {
@@ -119,15 +119,15 @@
 			d.disk.shelf = shelf{}
 		}
 		set := store.Defaults()
-		d.keeper = store.New(store.Self{ID: d.id, Zone: d.zone, Peer: d.peer, Life: d.life}, set, d.disk.durable, d.disk.shelf)
-		d.machine = machines.NewStore(d.id, d.keeper, set.MostItems, f.chance.Int63())
+		d.store = store.New(store.Self{ID: d.id, Zone: d.zone, Peer: d.peer, Life: d.life}, set, d.disk.durable, d.disk.shelf)
+		d.machine = machines.NewStore(d.id, d.store, set.MostItems, f.chance.Int63())
 	case d.whole:
 		d.machine = machines.NewEdge(d.id, machines.EdgeDefaults(), f.chance.Int63())
 	}
 	d.step(func() {
 		d.do(d.gossip.Drain())
 		if len(told) > 0 {
-			d.acquaint(told)
+			d.addMembers(told)
 		}
 	})
 	era := d.era
@@ -147,9 +147,9 @@
 	f.after(f.between(0, tickEvery), tick)
 }
 
-// acquaint tells a daemon all at once what a fleet that has run for long knows:
-// a view of six others at random, and the news. It passes none of it on.
-func (d *daemon) acquaint(told []machine.Update) {
+// addMembers tells a daemon all at once what a fleet that has run for long knows:
+// a view of six others at random, and the updates. It passes none of it on.
+func (d *daemon) addMembers(told []machine.Update) {
 	f := d.fleet
 	for range 6 {
 		other := f.daemons[f.chance.Intn(len(f.daemons))]
@@ -158,7 +158,7 @@
 	d.learn(told)
 }
 
-// learn takes news in that everybody is told at this moment, and passes none on.
+// learn takes updates in that everybody is told at this moment, and passes none on.
 func (d *daemon) learn(told []machine.Update) {
 	f := d.fleet
 	d.do(d.gossip.Do(gossip.Message{Body: gossip.Gossip{Updates: f.codec.copied(told)}}, f.Now))
@@ -188,7 +188,7 @@
 	d.fleet.flush()
 }
 
-func (d *daemon) letter(from string, body any) {
+func (d *daemon) message(from string, body any) {
 	switch body.(type) {
 	case gossip.Gossip, gossip.Digest, gossip.DigestReply, gossip.FetchUpdates, gossip.Announcement, gossip.Probe, gossip.ProbeReply, gossip.IndirectProbe, gossip.IndirectResult, gossip.Shuffle, gossip.PushUpdate, gossip.PushAck:
 		d.do(d.gossip.Do(gossip.Message{From: from, Body: body}, d.fleet.Now))
@@ -205,7 +205,7 @@
 	d.do(d.machine.Call(d.fleet.calls, body, d.fleet.Now))
 }
 
-// do carries out what a machine decided, as the porter does.
+// do carries out what a machine decided, as the event loop does.
 func (d *daemon) do(effects []machine.Effect) {
 	f := d.fleet
 	for _, effect := range effects {
@@ -232,7 +232,7 @@
 			if d.machine != nil {
 				d.do(d.machine.Heard(e.Update, f.Now))
 			} else if name, ok := loadOf(e.Update.Key); ok {
-				d.hollow[name] = loadMark{e.Update.Epoch, e.Update.Seq}
+				d.model[name] = loadMark{e.Update.Epoch, e.Update.Seq}
 			}
 		case machine.Fresh:
 			if d.machine != nil {
@@ -365,7 +365,7 @@
 
 // read has a hollow edge read a server as the scouts do: one figure every
 // 400 ms, four times as often for a server that is at least half full.
-func (d *daemon) read(s *hollowServer) {
+func (d *daemon) read(s *modelServer) {
 	f, era := d.fleet, d.era
 	every := machines.EdgeDefaults().ScoutEvery
 	if s.busy {
@@ -378,7 +378,7 @@
 			return
 		}
 		d.step(func() {
-			if mark := d.hollow[name]; own.epoch == 0 || mark.epoch > own.epoch {
+			if mark := d.model[name]; own.epoch == 0 || mark.epoch > own.epoch {
 				own = loadMark{epoch: mark.epoch + 1}
 			}
 			own.seq++
--- a/proof/capacitymodel/fleet.go
+++ b/proof/capacitymodel/fleet.go
@@ -2,8 +2,8 @@
 // one process under virtual time, with real messages by the real codec, to
 // measure what control costs at sizes that no test machine has room for
 // (docs/CAPACITY.md). Servers are hollow: figures without an engine. Edges may
-// be hollow beyond a number: they have their acquaintance and their duties, but
-// no backlog and no accounts.
+// be hollow beyond a number: they have their gossip and their duties, but
+// no queue and no accounts.
 package capacitymodel
 
 import (
@@ -89,8 +89,8 @@
 	return first
 }
 
-// hollowServer is a server's figures without an engine.
-type hollowServer struct {
+// modelServer is a server's figures without an engine.
+type modelServer struct {
 	word   registry.Server
 	busy   bool
 	reader *daemon // the hollow edge that reads it
@@ -107,7 +107,7 @@
 	daemons []*daemon
 	byPeer  map[string]*daemon
 	seeds   []string
-	servers []*hollowServer
+	servers []*modelServer
 	codec   *codec
 	lines   map[lineKey]*line
 	woken   []*line
@@ -148,7 +148,7 @@
 	add(identity.Store, set.Stores, set.Stores)
 	add(identity.Edge, set.Edges(), set.WholeEdges)
 	for i := int64(0); i < set.Servers; i++ {
-		f.servers = append(f.servers, &hollowServer{busy: i*100 < set.Busy*set.Servers, word: registry.Server{
+		f.servers = append(f.servers, &modelServer{busy: i*100 < set.Busy*set.Servers, word: registry.Server{
 			Name: fmt.Sprintf("server-%04d", i+1), Address: fmt.Sprintf("http://10.%d.%d.%d:8000", 100+i%set.Zones, i/200, 1+i%200), Slots: 64,
 			Labels: map[string]string{"fleet": "main", "model": fmt.Sprintf("model-%02d", i%20), "zone": fmt.Sprintf("zone-%02d", i%set.Zones+1)}}})
 	}
@@ -217,10 +217,10 @@
 	return true
 }
 
-// staleAfter is the age of news from which a daemon assigns nothing.
+// staleAfter is the age of updates from which a daemon assigns nothing.
 const staleAfter = 2500 * clock.Millisecond
 
-// staleness are the ages of the daemons' news, looked at twice a second.
+// staleness are the ages of the daemons' updates, looked at twice a second.
 type staleness struct {
 	ages  []clock.Micros
 	stale int
@@ -257,14 +257,14 @@
 
 // duties are the servers that each edge reads, by the agreed order. It is
 // worked out here once for the hollow edges; whole ones work it out themselves.
-func (f *Fleet) duties() map[string][]*hollowServer {
+func (f *Fleet) duties() map[string][]*modelServer {
 	var folk []identity.Member
 	for _, d := range f.daemons {
 		if d.kind == identity.Edge && d.up {
 			folk = append(folk, d.person())
 		}
 	}
-	out := map[string][]*hollowServer{}
+	out := map[string][]*modelServer{}
 	for _, s := range f.servers {
 		first := registry.First("load/"+s.word.Name, folk, identity.Edge)
 		out[first] = append(out[first], s)
--- a/proof/capacitymodel/line.go
+++ b/proof/capacitymodel/line.go
@@ -23,7 +23,7 @@
 type line struct {
 	lineKey
 	there, back kindSet // described to the other end, and by it
-	letters     []transport.Envelope
+	messages    []transport.Envelope
 	busy        bool
 	woken       bool
 }
@@ -40,11 +40,11 @@
 		l = &line{lineKey: key}
 		f.open(l)
 	}
-	if len(l.letters) >= ringSize {
+	if len(l.messages) >= ringSize {
 		f.count(from).lost++
 		return
 	}
-	l.letters = append(l.letters, transport.Envelope{From: from.peer, Body: body})
+	l.messages = append(l.messages, transport.Envelope{From: from.peer, Body: body})
 	if !l.busy && !l.woken {
 		l.woken = true
 		f.woken = append(f.woken, l)
@@ -60,7 +60,7 @@
 	at := f.chance.Intn(len(l.from.lines) - 1)
 	for i := range len(l.from.lines) - 1 {
 		old := l.from.lines[(at+i)%(len(l.from.lines)-1)]
-		if len(old.letters) == 0 && !old.busy {
+		if len(old.messages) == 0 && !old.busy {
 			delete(f.lines, old.lineKey)
 			l.from.lines[(at+i)%(len(l.from.lines)-1)] = l
 			l.from.lines = l.from.lines[:len(l.from.lines)-1]
@@ -83,13 +83,13 @@
 }
 
 func (f *Fleet) carry(l *line) {
-	if l.busy || len(l.letters) == 0 || !l.from.up {
+	if l.busy || len(l.messages) == 0 || !l.from.up {
 		return
 	}
-	count := min(batchSize, len(l.letters))
-	letters := l.letters[:count:count]
-	if l.letters = l.letters[count:]; len(l.letters) == 0 {
-		l.letters = nil
+	count := min(batchSize, len(l.messages))
+	letters := l.messages[:count:count]
+	if l.messages = l.messages[count:]; len(l.messages) == 0 {
+		l.messages = nil
 	}
 	l.busy = true
 	if f.cut(l.from, l.to) || !l.to.up {
@@ -121,7 +121,7 @@
 			f.count(l.to).bytes += int64(f.codec.delivered)
 			l.to.step(func() {
 				for _, letter := range arrived.Messages {
-					l.to.letter(letter.From, letter.Body)
+					l.to.message(letter.From, letter.Body)
 				}
 			})
 		}
@@ -220,7 +220,7 @@
 				}
 				f.after(f.delay(to, from), func() {
 					if from.up {
-						finish(reply.Body, mishapOf(reply))
+						finish(reply.Body, errorOf(reply))
 					}
 				})
 			})
@@ -228,7 +228,7 @@
 	})
 }
 
-func mishapOf(reply transport.Reply) error {
+func errorOf(reply transport.Reply) error {
 	if reply.Err != nil {
 		return reply.Err
 	}
--- a/proof/capacitymodel/model_test.go
+++ b/proof/capacitymodel/model_test.go
@@ -88,7 +88,7 @@
 }
 
 // A hollow edge sends what a whole one sends while no callers come. One seed's random
-// walk of news differs by up to a sixth; the sum over several shows what is due to the
+// walk of updates differs by up to a sixth; the sum over several shows what is due to the
 // edges.
 func TestHollowEdgesSendAsWholeOnes(t *testing.T) {
 	bytes := func(r *Result) (sum float64) {
--- a/proof/capacitymodel/page.go
+++ b/proof/capacitymodel/page.go
@@ -242,7 +242,7 @@
 	return "not measured"
 }
 
-// freshness is what the number of daemons does to the news and to a change.
+// freshness is what the number of daemons does to the updates and to a change.
 func freshness(t *Tables) string {
 	out := &table{}
 	out.row("daemons (stores)", "servers", "changes an hour", "seed", "settled after", "age of the news, median", "oldest", "looks at news over 2.5 s", "changes in force", "median until everywhere", "slowest")
--- a/proof/capacitymodel/run.go
+++ b/proof/capacitymodel/run.go
@@ -30,13 +30,13 @@
 type Result struct {
 	Set     Settings
 	Counted float64 // seconds counted
-	Settled float64 // seconds until every slot had its pair and all news were fresh; -1: never
+	Settled float64 // seconds until every slot had its pair and all updates were fresh; -1: never
 	Roles   map[string]*Figures
-	// Shares of looks at news older than 2.5 s, and ages in ms.
+	// Shares of looks at updates older than 2.5 s, and ages in ms.
 	Stale, AgeMedian, AgeMost            float64
 	PlanBytes, Changes, Refused, Pending int
 	ChangeMedian, ChangeMost             float64 // ms until in force everywhere
-	Items, ItemsRefused                  float64 // listed, turned away
+	Items, ItemsRefused                  float64 // listed, rejected
 	Suspected, Refuted                   int64
 	RunCPU, Collector                    float64 // seconds of this process, and its collector's share
 	Restarted                            int
@@ -197,8 +197,8 @@
 func (f *Fleet) listed() int64 {
 	sum := int64(0)
 	for _, d := range f.daemons {
-		if d.keeper != nil {
-			sum += d.keeper.Listed
+		if d.store != nil {
+			sum += d.store.Listed
 		}
 	}
 	return sum
@@ -294,7 +294,7 @@
 	for _, role := range Roles {
 		for _, d := range f.daemons {
 			if roles[d] == role {
-				d.gossip, d.machine, d.core, d.keeper, d.hollow = nil, nil, nil, nil, nil
+				d.gossip, d.machine, d.core, d.store, d.model = nil, nil, nil, nil, nil
 			}
 		}
 		if counts[role] == 0 {
--- a/proof/faultinject/figures.go
+++ b/proof/faultinject/figures.go
@@ -9,7 +9,7 @@
 )
 
 // Figures adds up what the daemons counted, for the measurements page.
-func Figures(c *localfleet.Camp) string {
+func Figures(c *localfleet.Fleet) string {
 	var out strings.Builder
 	sums := map[string]int64{}
 	for _, kind := range []string{"edge", "store", "core"} {
--- a/proof/faultinject/office.go
+++ b/proof/faultinject/operators.go
@@ -17,7 +17,7 @@
 // operate puts whole plans all the while, now and then two at once, and watches
 // that each is in force everywhere within 2 s and that nobody goes back. The
 // returned function ends it and gives the verdict.
-func operate(ctx context.Context, c *localfleet.Camp) func() verify.Promise {
+func operate(ctx context.Context, c *localfleet.Fleet) func() verify.Promise {
 	ctx, cancel := context.WithCancel(ctx)
 	p := verify.Promise{Name: "a confirmed plan is in force within 2 s, never slips back, reads back", Timed: true}
 	var mu sync.Mutex
@@ -127,7 +127,7 @@
 }
 
 // audit adds up what waits of each customer over all daemons.
-func audit(ctx context.Context, c *localfleet.Camp) func() verify.Promise {
+func audit(ctx context.Context, c *localfleet.Fleet) func() verify.Promise {
 	ctx, cancel := context.WithCancel(ctx)
 	p := verify.Promise{Name: "a customer's waiting work stays within its allowance, by about a tenth"}
 	done := make(chan struct{})
--- a/proof/localfleet/localfleet.go
+++ b/proof/localfleet/localfleet.go
@@ -51,8 +51,8 @@
 	frozen           bool
 }
 
-// Camp is a running fleet.
-type Camp struct {
+// Fleet is a running fleet.
+type Fleet struct {
 	Spec    Spec
 	Dir     string
 	Bin     string
@@ -64,8 +64,8 @@
 }
 
 // New makes a camp in a folder, with the programs in bin.
-func New(spec Spec, dir, bin string) *Camp {
-	return &Camp{Spec: spec, Dir: dir, Bin: bin, Net: netproxy.New(), daemons: map[string]*Daemon{}, octet: 1 + os.Getpid()%250}
+func New(spec Spec, dir, bin string) *Fleet {
+	return &Fleet{Spec: spec, Dir: dir, Bin: bin, Net: netproxy.New(), daemons: map[string]*Daemon{}, octet: 1 + os.Getpid()%250}
 }
 
 // Build builds the daemons' programs into a folder, with more words for the
@@ -80,7 +80,7 @@
 }
 
 // address gives each process an address of its own on the loopback network.
-func (c *Camp) address() string {
+func (c *Fleet) address() string {
 	c.next++
 	return fmt.Sprintf("127.%d.%d.%d", c.octet, 1+c.next/200, 1+c.next%200)
 }
@@ -94,10 +94,10 @@
 	return listener.Addr().String(), nil
 }
 
-func (c *Camp) zone(i int) string { return fmt.Sprintf("zone-%d", 1+i%c.Spec.Zones) }
+func (c *Fleet) zone(i int) string { return fmt.Sprintf("zone-%d", 1+i%c.Spec.Zones) }
 
 // plan lays a daemon out without starting it.
-func (c *Camp) layOut(kind, name, zone, ip string) (*Daemon, error) {
+func (c *Fleet) layOut(kind, name, zone, ip string) (*Daemon, error) {
 	d := &Daemon{Name: name, Kind: kind, Zone: zone, IP: ip}
 	var err error
 	if d.Peer, err = port(ip); err != nil {
@@ -127,7 +127,7 @@
 }
 
 // Start lays the fleet out and starts it all at once.
-func (c *Camp) Start() error {
+func (c *Fleet) Start() error {
 	if err := os.MkdirAll(c.Dir, 0o755); err != nil {
 		return errors.Wrap(err, "making the camp's folder")
 	}
@@ -172,23 +172,23 @@
 }
 
 // modelServerArgs makes servers uneven in speed and slots.
-func (c *Camp) modelServerArgs(d *Daemon, i int) []string {
+func (c *Fleet) modelServerArgs(d *Daemon, i int) []string {
 	return []string{"-listen", d.HTTP, "-name", d.Name, "-starts", c.StartsFile(d.Name), "-slots", fmt.Sprint(c.Spec.Slots),
 		"-piece-us", fmt.Sprint(c.Spec.PieceUS * int64(2+i%3) / 3), "-pieces", fmt.Sprint(c.Spec.Pieces), "-prefill-us", fmt.Sprint(5 * c.Spec.PieceUS)}
 }
 
 // StartsFile is a server's log of starts.
-func (c *Camp) StartsFile(name string) string { return filepath.Join(c.Dir, name+".starts") }
+func (c *Fleet) StartsFile(name string) string { return filepath.Join(c.Dir, name+".starts") }
 
 // Get finds a daemon by name.
-func (c *Camp) Get(name string) *Daemon {
+func (c *Fleet) Get(name string) *Daemon {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.daemons[name]
 }
 
 // Names lists the daemons of a kind in order; all for "".
-func (c *Camp) Names(kind string) []string {
+func (c *Fleet) Names(kind string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
@@ -202,7 +202,7 @@
 }
 
 // Run starts a daemon's process.
-func (c *Camp) Run(name string) error {
+func (c *Fleet) Run(name string) error {
 	d := c.Get(name)
 	cmd := exec.Command(filepath.Join(c.Bin, d.Kind), d.args...)
 	errs, err := os.OpenFile(filepath.Join(c.Dir, name+".stderr"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -223,38 +223,38 @@
 	return nil
 }
 
-func (c *Camp) signal(name string, signal syscall.Signal) {
+func (c *Fleet) signal(name string, signal syscall.Signal) {
 	if d := c.Get(name); d != nil && d.cmd != nil {
 		d.cmd.Process.Signal(signal)
 	}
 }
 
-// Kill ends a process at once; Stop asks it to drain; both wait for the end.
-func (c *Camp) Kill(name string) { c.signal(name, syscall.SIGKILL); c.Wait(name) }
+// Kill ends a process at once; Drain asks it to drain; both wait for the end.
+func (c *Fleet) Kill(name string) { c.signal(name, syscall.SIGKILL); c.Wait(name) }
 
-// Stop asks a daemon to drain and waits.
-func (c *Camp) Stop(name string) { c.signal(name, syscall.SIGTERM); c.Wait(name) }
+// Drain asks a daemon to drain and waits.
+func (c *Fleet) Drain(name string) { c.signal(name, syscall.SIGTERM); c.Wait(name) }
 
 // Wait waits for a process to end.
-func (c *Camp) Wait(name string) {
+func (c *Fleet) Wait(name string) {
 	if d := c.Get(name); d != nil && d.exited != nil {
 		<-d.exited
 	}
 }
 
 // Freeze and Thaw stop and go on with a process.
-func (c *Camp) Freeze(name string) { c.signal(name, syscall.SIGSTOP) }
+func (c *Fleet) Freeze(name string) { c.signal(name, syscall.SIGSTOP) }
 
 // Thaw lets a frozen process go on.
-func (c *Camp) Thaw(name string) { c.signal(name, syscall.SIGCONT) }
+func (c *Fleet) Thaw(name string) { c.signal(name, syscall.SIGCONT) }
 
 // Wipe empties a daemon's data folder; the process must be dead.
-func (c *Camp) Wipe(name string) error {
+func (c *Fleet) Wipe(name string) error {
 	return errors.Wrap(os.RemoveAll(c.Get(name).Data), "wiping a data folder")
 }
 
 // CutOff cuts or heals all links between a daemon and the rest.
-func (c *Camp) CutOff(name string, cut bool) {
+func (c *Fleet) CutOff(name string, cut bool) {
 	for _, other := range c.Names("") {
 		if other != name {
 			c.Cut(name, other, cut)
@@ -263,15 +263,15 @@
 }
 
 // Cut cuts or heals the links between two daemons, both ways.
-func (c *Camp) Cut(one, other string, cut bool) {
+func (c *Fleet) Cut(one, other string, cut bool) {
 	a, b := c.Get(one), c.Get(other)
 	c.Net.Cut(a.IP, b.IP, cut)
 	c.Net.Cut(b.IP, a.IP, cut)
 }
 
-// Swap replaces a dead daemon by an empty one at a new address, under a new name;
+// Replace replaces a dead daemon by an empty one at a new address, under a new name;
 // its seeds are the cores of now.
-func (c *Camp) Swap(name, fresh string) (*Daemon, error) {
+func (c *Fleet) Replace(name, fresh string) (*Daemon, error) {
 	old := c.Get(name)
 	d, err := c.layOut(old.Kind, fresh, old.Zone, c.address())
 	if err != nil {
@@ -287,7 +287,7 @@
 
 // Add starts one more daemon of a kind in a zone; its seeds are daemons that
 // need not be cores.
-func (c *Camp) Add(kind, name, zone string, seeds []string) error {
+func (c *Fleet) Add(kind, name, zone string, seeds []string) error {
 	d, err := c.layOut(kind, name, zone, c.address())
 	if err != nil {
 		return err
@@ -301,7 +301,7 @@
 }
 
 // Reseed gives a daemon other seeds for its next start.
-func (c *Camp) Reseed(name string, seeds []string) {
+func (c *Fleet) Reseed(name string, seeds []string) {
 	var peers []string
 	for _, seed := range seeds[:3] {
 		peers = append(peers, c.Get(seed).Peer)
@@ -314,8 +314,8 @@
 	}
 }
 
-// End kills every process that this camp started.
-func (c *Camp) End() {
+// Drain kills every process that this camp started.
+func (c *Fleet) Stop() {
 	for _, name := range c.Names("") {
 		c.signal(name, syscall.SIGCONT)
 		c.signal(name, syscall.SIGKILL)
@@ -323,14 +323,14 @@
 	for _, name := range c.Names("") {
 		c.Wait(name)
 	}
-	c.Net.End()
+	c.Net.Close()
 }
 
 // Client is the HTTP client of the camp's own questions.
 var Client = &http.Client{Timeout: 8 * time.Second}
 
 // Ask asks a daemon's HTTP front; a status other than 2xx is an error.
-func (c *Camp) Ask(name, method, path string, body, into any) error {
+func (c *Fleet) Ask(name, method, path string, body, into any) error {
 	return Ask(c.Get(name).HTTP, method, path, body, into)
 }
 
@@ -386,7 +386,7 @@
 }
 
 // ServerList is the platform's list for this camp.
-func (c *Camp) ServerList() map[string]any {
+func (c *Fleet) ServerList() map[string]any {
 	servers := []map[string]any{}
 	for i, name := range c.Names("modelserver") {
 		servers = append(servers, map[string]any{"name": name, "address": c.Get(name).HTTP, "slots": c.Spec.Slots,
@@ -397,7 +397,7 @@
 
 // Ready puts the plan and the list of servers and waits until every edge is
 // ready to serve.
-func (c *Camp) Ready(most time.Duration) error {
+func (c *Fleet) Ready(most time.Duration) error {
 	plan, err := os.ReadFile(c.Spec.Plan)
 	if err != nil {
 		return errors.Wrap(err, "reading the plan")
--- a/proof/localfleet/localfleet_test.go
+++ b/proof/localfleet/localfleet_test.go
@@ -36,7 +36,7 @@
 			set := faultinject.Settings{Name: fault, Plan: filepath.Join(root, "deploy/ghent.plan.json"), Zones: 3, Edges: 2, Stores: 3, Cores: 3, Servers: 3, Items: 10,
 				Slots: 8, Pieces: 6, PieceUS: 4000, LiveKeys: "key-buyers,key-sellers", BundleKey: "key-notes", BundleRoute: "seller-notes", Workers: 4, Bundles: 16, PaceUS: 400_000, Seed: 1, Fault: fault}
 			c := localfleet.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
-			defer c.End()
+			defer c.Stop()
 			if err := c.Start(); err != nil {
 				t.Fatal(err)
 			}
@@ -98,7 +98,7 @@
 			Fault: "zone-wipe", Zone: fmt.Sprintf("zone-%d", zone), Patience: 12 * time.Second}
 		c := localfleet.New(set.Spec(), filepath.Join(t.TempDir(), "fleet"), bin)
 		broken := func() bool {
-			defer c.End()
+			defer c.Stop()
 			if err := c.Start(); err != nil {
 				t.Fatal(err)
 			}
@@ -116,7 +116,7 @@
 }
 
 // tails gathers the ends of the logs, for a failure.
-func tails(c *localfleet.Camp) string {
+func tails(c *localfleet.Fleet) string {
 	out := ""
 	for _, name := range c.Names("") {
 		for _, suffix := range []string{".log", ".stderr"} {
--- a/proof/localfleet/resident.go
+++ b/proof/localfleet/resident.go
@@ -7,7 +7,7 @@
 )
 
 // Resident is how much memory a daemon's process has resident, in bytes.
-func (c *Camp) Resident(name string) int64 {
+func (c *Fleet) Resident(name string) int64 {
 	d := c.Get(name)
 	if d == nil || d.cmd == nil {
 		return 0
--- a/proof/netproxy/netproxy.go
+++ b/proof/netproxy/netproxy.go
@@ -102,8 +102,8 @@
 	<-done
 }
 
-// End closes all.
-func (n *Net) End() {
+// Close closes all.
+func (n *Net) Close() {
 	n.mu.Lock()
 	n.ended = true
 	ends := n.ends
--- a/proof/verify/verdict.go
+++ b/proof/verify/verdict.go
@@ -72,8 +72,8 @@
 	return out.String()
 }
 
-// Leave is a server marked as leaving at a time.
-type Leave struct {
+// LeavingSpan is a server marked as leaving at a time.
+type LeavingSpan struct {
 	Server   string
 	From, To int64
 }
@@ -84,8 +84,8 @@
 	readWithin = 1_200_000  // "about a second"
 )
 
-// Judge checks every promise against what the servers logged.
-func (t *Tour) Judge(starts []modelcontent.Start, leaves []Leave) Verdict {
+// Verdict checks every promise against what the servers logged.
+func (t *Workload) Verdict(starts []modelcontent.Start, leaves []LeavingSpan) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	byInput := map[string][]modelcontent.Start{}
@@ -129,9 +129,9 @@
 	soon := at("results can be read within about a second of being whole")
 	soon.Timed = true
 	other := at("answers are typed, and tell when to come back")
-	sawBroken := map[about]*Promise{aboutKept: whole, aboutExact: once, aboutOnce: single, aboutTyped: other}
+	sawBroken := map[promise]*Promise{promiseKept: whole, promiseExact: once, promiseOnce: single, promiseTyped: other}
 	for _, breach := range t.breaches {
-		sawBroken[breach.about].Breaches = append(sawBroken[breach.about].Breaches, breach.text)
+		sawBroken[breach.promise].Breaches = append(sawBroken[breach.promise].Breaches, breach.text)
 	}
 	told := map[string]int{}
 	var bundleTimes []int64
@@ -151,14 +151,14 @@
 			}
 			if l.Outcome == OK {
 				check(mixed, l.Output == expected, "order %s: answer %q is not its own", l.Input, l.Output)
-				liveTimes["one-shot of "+l.Key] = append(liveTimes["one-shot of "+l.Key], l.Told-l.Asked)
+				liveTimes["one-shot of "+l.Key] = append(liveTimes["one-shot of "+l.Key], l.AnsweredAt-l.SentAt)
 			}
 			continue
 		}
 		check(streams, strings.HasPrefix(expected, l.Output), "stream %s: pieces dropped, repeated or joined: %q of %q", l.Input, l.Output, expected)
 		if l.Ended {
 			check(mixed, l.Output == expected, "stream %s: ended with %q of %q", l.Input, l.Output, expected)
-			liveTimes["stream of "+l.Key] = append(liveTimes["stream of "+l.Key], l.Told-l.Asked)
+			liveTimes["stream of "+l.Key] = append(liveTimes["stream of "+l.Key], l.AnsweredAt-l.SentAt)
 		}
 		if l.Outcome == Refused {
 			check(single, len(runs) == 0, "stream %s was turned away (%s) and ran", l.Input, l.Kind)
@@ -188,13 +188,13 @@
 			ran += len(byInput[input])
 		}
 		if !b.Accepted {
-			if !b.Maybe {
+			if !b.OutcomeUnknown {
 				check(never, ran == 0, "bundle %s was refused at every try and %d of its items ran", b.Key, ran)
 			}
 			continue
 		}
 		accepted++
-		check(never, !b.Bad, "bundle %s with a bad item was accepted", b.Key)
+		check(never, !b.Invalid, "bundle %s with a bad item was accepted", b.Key)
 		if b.Ended > 0 {
 			for _, input := range b.Inputs {
 				for _, start := range byInput[input] {
@@ -226,7 +226,7 @@
 				continue
 			}
 			// Nobody can wait for a list before its receipt.
-			lag := b.SeenAt[i] - max(b.Told, ends[b.Inputs[row.Item]])
+			lag := b.SeenAt[i] - max(b.AnsweredAt, ends[b.Inputs[row.Item]])
 			slowestRow = max(slowestRow, lag)
 			bound := int64(backWithin)
 			if t.Quiet {
@@ -241,21 +241,21 @@
 				check(follow, feedSeen[fmt.Sprintf("%s/%d", b.ID, i)] == 1, "feed: bundle %s item %d seen %d times", b.ID, i, feedSeen[fmt.Sprintf("%s/%d", b.ID, i)])
 			}
 		}
-		if b.Whole > 0 {
-			bundleTimes = append(bundleTimes, b.Whole-b.Told)
+		if b.CompleteAt > 0 {
+			bundleTimes = append(bundleTimes, b.CompleteAt-b.AnsweredAt)
 		}
 	}
 	slowest := int64(0)
 	for _, b := range t.bundles {
 		if b.Accepted {
-			slowest = max(slowest, b.Told-b.Asked)
-			check(back, b.Told-b.Asked <= backWithin, "bundle %s was accepted only %d us after it was first handed in", b.ID, b.Told-b.Asked)
+			slowest = max(slowest, b.AnsweredAt-b.SentAt)
+			check(back, b.AnsweredAt-b.SentAt <= backWithin, "bundle %s was accepted only %d us after it was first handed in", b.ID, b.AnsweredAt-b.SentAt)
 		}
 	}
 	var served []int64
 	for _, l := range t.lives {
 		if l.Outcome == OK {
-			served = append(served, l.Told)
+			served = append(served, l.AnsweredAt)
 		}
 	}
 	sort.Slice(served, func(i, j int) bool { return served[i] < served[j] })
