Server polling, settings' former names and operators' words take the field's names

path/scouts is path/serverpoll; -scout-every-us is -poll-every-us and tuliprudderctl purse is quota, the old spellings are read for one release with a warning (test of settings.Reader.Former).

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -1,4 +1,4 @@
-// Program capacity is the hollow fleet: capacity measurements of the decision
+// Program capacity is the simulated fleet: capacity measurements of the decision
 // machines of many daemons in one process under virtual time (docs/CAPACITY.md).
 package main
 
--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -24,7 +24,8 @@
 	mostWaiting := int64(set.Scheduler.MostWaiting)
 	settings.Int(&mostWaiting, "most-waiting", mostWaiting, 1, 1_000_000, "live orders that may wait here")
 	settings.Int(&set.Scheduler.Staleness, "staleness-us", set.Scheduler.Staleness, 500_000, 10_000_000, "age of the news past which orders are turned away")
-	settings.Int(&set.ScoutEvery, "scout-every-us", set.ScoutEvery, 50_000, 10_000_000, "between two readings of a server's pages")
+	settings.Int(&set.PollEvery, "poll-every-us", set.PollEvery, 50_000, 10_000_000, "between two readings of a server's pages")
+	settings.Former("scout-every-us", "poll-every-us")
 	settings.Check(func() {
 		if common.Data != "" {
 			settings.Fault("-data %q: an edge keeps nothing on disk; leave it out", common.Data)
--- a/cmd/tuliprudderctl/main.go
+++ b/cmd/tuliprudderctl/main.go
@@ -39,7 +39,7 @@
 		if errors.Is(err, flag.ErrHelp) {
 			os.Exit(2)
 		}
-		t.complain(os.Stderr, err)
+		t.printError(os.Stderr, err)
 		if errs.Is(err, errs.BadSettings) {
 			os.Exit(2)
 		}
@@ -47,8 +47,8 @@
 	}
 }
 
-// complain names the fault, its parts and the remedy.
-func (t *tool) complain(w io.Writer, err error) {
+// printError names the fault, its parts and the remedy.
+func (t *tool) printError(w io.Writer, err error) {
 	m := errs.Of(err)
 	fmt.Fprintf(w, "tuliprudderctl: %s: %s\n", m.Kind, m.Message)
 	for _, fault := range m.Faults {
@@ -70,6 +70,9 @@
 	}}
 }
 
+// quotaPath keeps the spelling of the first release.
+const quotaPath = "/v1/operator/purse"
+
 func (t *tool) root() *ffcli.Command {
 	flags := flag.NewFlagSet("tuliprudderctl", flag.ContinueOnError)
 	flags.StringVar(&t.at, "at", defaultAddress(os.Stderr, os.Getenv), "http address of any daemon, IP:port")
@@ -77,7 +80,7 @@
 	plan := t.planCommand()
 	return &ffcli.Command{Name: "tuliprudderctl", FlagSet: flags, ShortUsage: "tuliprudderctl -at ADDRESS COMMAND", Subcommands: []*ffcli.Command{
 		plan,
-		t.command("daemons", "daemons", "list the daemons and their standing", t.daemons),
+		t.command("daemons", "daemons", "list the daemons and their status", t.daemons),
 		t.command("servers", "servers", "list the model servers as a daemon sees them", t.servers),
 		t.command("slots", "slots", "list the slots with owner, backup and epoch", t.slots),
 		t.command("stores", "stores", "list the stores with writer ids and slots held", t.stores),
@@ -86,7 +89,11 @@
 		t.command("counters", "counters", "the counters of the daemon at -at", func([]string) error { return t.show("/counters") }),
 		t.command("risks", "risks", "promises at risk now, over all daemons", t.risks),
 		t.command("slowest", "slowest", "the slowest orders that the daemon at -at remembers", func([]string) error { return t.show("/v1/operator/orders?slowest=20") }),
-		t.command("purse", "purse", "shares and accounts of the daemon at -at", func([]string) error { return t.show("/v1/operator/purse") }),
+		t.command("quota", "quota", "shares and accounts of the daemon at -at", func([]string) error { return t.show(quotaPath) }),
+		t.command("purse", "purse", "former name of quota", func([]string) error {
+			fmt.Fprintln(os.Stderr, "tuliprudderctl: purse is now quota; the old name is read for one release")
+			return t.show(quotaPath)
+		}),
 		t.command("order", "order NAME", "explain an order: which server, with which marks", t.order),
 		t.command("bundle", "bundle ID", "explain a bundle: who keeps it, which server ran what", t.bundle),
 		t.command("leaving", "leaving SERVER", "mark a server as leaving", func(args []string) error { return t.leaving(args, true) }),
@@ -179,7 +186,7 @@
 	Kind     string `json:"kind"`
 	Zone     string `json:"zone"`
 	HTTP     string `json:"http"`
-	Standing string `json:"standing"`
+	Status   string `json:"standing"`
 	Draining bool   `json:"draining"`
 }
 
@@ -196,9 +203,9 @@
 	if err != nil {
 		return err
 	}
-	rows := [][]string{{"ID", "ROLE", "ZONE", "STANDING", "HTTP"}}
+	rows := [][]string{{"ID", "ROLE", "ZONE", "STATUS", "HTTP"}}
 	for _, d := range members {
-		standing := d.Standing
+		standing := d.Status
 		if d.Draining {
 			standing += ", draining"
 		}
@@ -230,7 +237,7 @@
 	if err := t.ask(t.at, http.MethodGet, "/v1/operator/servers", nil, &got); err != nil {
 		return err
 	}
-	rows := [][]string{{"SERVER", "ADDRESS", "STANDING", "RUNNING", "WAITING", "SLOTS", "OWN", "LATENCY US", "READ BY", "LABELS"}}
+	rows := [][]string{{"SERVER", "ADDRESS", "STATUS", "RUNNING", "WAITING", "SLOTS", "OWN", "LATENCY US", "READ BY", "LABELS"}}
 	for _, s := range got.Servers {
 		standing := "sound"
 		switch {
@@ -316,7 +323,7 @@
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
-	rows := [][]string{{"STORE", "WRITER", "ZONE", "OWNS", "BACKS", "STANDING"}}
+	rows := [][]string{{"STORE", "WRITER", "ZONE", "OWNS", "BACKS", "STATUS"}}
 	for _, id := range ids {
 		s := m.Stores[id]
 		standing := "enrolled"
@@ -355,7 +362,7 @@
 	}
 	err = errs.New(errs.NotReady, "start one", "no sound daemon is known that is one of: %s", roleNames(kinds))
 	for _, d := range members {
-		if d.Standing != "sound" || !slices.Contains(kinds, d.Kind) {
+		if d.Status != "sound" || !slices.Contains(kinds, d.Kind) {
 			continue
 		}
 		var data json.RawMessage
@@ -441,8 +448,8 @@
 	}
 	rows := [][]string{{"DAEMON", "RISK", "VALUE"}}
 	for _, d := range members {
-		if d.Standing != "sound" {
-			rows = append(rows, []string{d.ID, "standing", d.Standing})
+		if d.Status != "sound" {
+			rows = append(rows, []string{d.ID, "status", d.Status})
 			continue
 		}
 		var counters map[string]int64
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -312,7 +312,7 @@
 	Servers []registry.Server `json:"servers"`
 }
 
-// putServers takes the platform's list: what is not on it is gone.
+// putServers takes the list of servers: what is not on it is gone.
 func (a *Admin) putServers(w http.ResponseWriter, r *http.Request) error {
 	data, err := httpserver.ReadBody(r)
 	if err != nil {
@@ -359,7 +359,7 @@
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"servers": len(body.Servers)})
 }
 
-// listedServers is the platform's list as the updates have it.
+// listedServers is the list of servers as the updates have it.
 func (a *Admin) listedServers() []registry.Server {
 	var out []registry.Server
 	for _, update := range a.Loop.UpdatesUnder("server/") {
--- a/daemon/discovery/discovery.go
+++ b/daemon/discovery/discovery.go
@@ -1,4 +1,4 @@
-// Package discovery is the duty of reading the platform's list of servers (service
+// Package discovery is the duty of reading the list of servers of servers (service
 // discovery; DESIGN §12.4): one core reads it and tells all; the next in order
 // reads when no stamp has come for a while.
 package discovery
--- a/daemon/effects/effects.go
+++ b/daemon/effects/effects.go
@@ -13,7 +13,7 @@
 	"tuliprudder/kernel/errs"
 	"tuliprudder/path/execution"
 	"tuliprudder/path/modelclient"
-	"tuliprudder/path/scouts"
+	"tuliprudder/path/serverpoll"
 )
 
 // Executor executes work; Notify reports to the machine. It may be called by several
@@ -49,7 +49,7 @@
 		if cancel != nil {
 			cancel()
 		}
-	case scouts.ReadServer:
+	case serverpoll.ReadServer:
 		go t.readServer(w)
 	}
 }
@@ -92,10 +92,10 @@
 	return ran
 }
 
-func (t *Executor) readServer(w scouts.ReadServer) {
+func (t *Executor) readServer(w serverpoll.ReadServer) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	began := t.Now()
-	running, waiting, err := modelclient.Figures(ctx, w.Address)
-	t.Notify(scouts.ServerReading{ReadServer: w, Running: running, Waiting: waiting, Sound: err == nil, Began: began})
+	running, waiting, err := modelclient.ReadLoad(ctx, w.Address)
+	t.Notify(serverpoll.ServerReading{ReadServer: w, Running: running, Waiting: waiting, Sound: err == nil, Began: began})
 }
--- a/daemon/machines/edge.go
+++ b/daemon/machines/edge.go
@@ -10,31 +10,31 @@
 	"tuliprudder/path/reader"
 	"tuliprudder/path/requests"
 	"tuliprudder/path/scheduler"
-	"tuliprudder/path/scouts"
+	"tuliprudder/path/serverpoll"
 )
 
 // EdgeSettings are the settings of an edge daemon's machine.
 type EdgeSettings struct {
-	Scheduler  scheduler.Settings
-	Requests   requests.Settings
-	Proxy      proxy.Settings
-	ScoutEvery clock.Micros
+	Scheduler scheduler.Settings
+	Requests  requests.Settings
+	Proxy     proxy.Settings
+	PollEvery clock.Micros
 }
 
 // EdgeDefaults are the values used where nothing is set.
 func EdgeDefaults() EdgeSettings {
-	return EdgeSettings{Scheduler: scheduler.Defaults(), Requests: requests.Defaults(), Proxy: proxy.Defaults(), ScoutEvery: 400 * clock.Millisecond}
+	return EdgeSettings{Scheduler: scheduler.Defaults(), Requests: requests.Defaults(), Proxy: proxy.Defaults(), PollEvery: 400 * clock.Millisecond}
 }
 
 // Edge is the machine of an edge daemon: orders, forwarded requests, reading,
-// shares, scouts.
+// shares, serverpoll.
 type Edge struct {
 	*Scheduling
-	Reader    *reader.Reader
-	Requests  *requests.Machine
-	Proxy     *proxy.Proxy
-	Scouts    *scouts.Scouts
-	Decisions *decisionlog.Log
+	Reader      *reader.Reader
+	Requests    *requests.Machine
+	Proxy       *proxy.Proxy
+	ServerPolls *serverpoll.Poller
+	Decisions   *decisionlog.Log
 }
 
 // NewEdge puts an edge's machine together; the seed makes its choices repeatable.
@@ -44,7 +44,7 @@
 	e.Quota.Map = func() (state.Map, bool) { return e.Reader.Map(), e.Reader.Map().Seq > 0 }
 	e.Requests = requests.New(set.Requests, e.Wire, e.Scheduler, e.Quota, e.Reader, e.Decisions)
 	e.Proxy = proxy.New(set.Proxy, e.Wire, e.Scheduler, seed+1)
-	e.Scouts = scouts.New(self, set.ScoutEvery, e.Wire, e.Scheduler, e.Members)
+	e.ServerPolls = serverpoll.New(self, set.PollEvery, e.Wire, e.Scheduler, e.Members)
 	return e
 }
 
@@ -57,7 +57,7 @@
 // Heard handles an update that was received.
 func (e *Edge) Heard(update machine.Update, now clock.Micros) []machine.Effect {
 	e.receive(update, now)
-	e.Scouts.Receive(update)
+	e.ServerPolls.Receive(update)
 	e.Reader.Receive(update, now)
 	return e.finish(now)
 }
@@ -74,8 +74,8 @@
 // Call handles a request, of a caller through the event loop or of another daemon.
 func (e *Edge) Call(number uint64, body any, now clock.Micros) []machine.Effect {
 	switch ask := body.(type) {
-	case scouts.ServerReading:
-		e.Scouts.Report(ask, now)
+	case serverpoll.ServerReading:
+		e.ServerPolls.Report(ask, now)
 		e.Wire.Emit(machine.Answer{Call: number})
 	case reader.Left:
 		e.Reader.Leave(ask)
@@ -97,7 +97,7 @@
 func (e *Edge) ClockEvent(now clock.Micros) []machine.Effect {
 	e.Quota.ClockEvent(now)
 	e.Reader.ClockEvent(now)
-	e.Scouts.ClockEvent(now)
+	e.ServerPolls.ClockEvent(now)
 	e.Scheduler.Match(now)
 	return e.finish(now)
 }
--- a/kernel/httpserver/server.go
+++ b/kernel/httpserver/server.go
@@ -1,4 +1,4 @@
-// Package httpserver is the HTTP front of every daemon, built on go-zero's rest
+// Package httpserver is the HTTP server of every daemon, built on go-zero's rest
 // (DESIGN §2, §10). Of go-zero's own chain only the recovery stays on: its
 // shedding, breaker, timeout and size limits turn away or cut on their own, and
 // an order's outcome must never be hidden by its front door.
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -30,9 +30,11 @@
 
 // Reader reads settings and gathers faults.
 type Reader struct {
-	Flags  *flag.FlagSet
-	faults []string
-	checks []func()
+	Flags *flag.FlagSet
+	// Warnings is where a former name of a setting is reported.
+	Warnings io.Writer
+	faults   []string
+	checks   []func()
 }
 
 // New makes a reader for a program.
@@ -40,7 +42,7 @@
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	flags.SetOutput(io.Discard)
 	flags.String("settings", "", "settings file: one 'name value' a line")
-	return &Reader{Flags: flags}
+	return &Reader{Flags: flags, Warnings: os.Stderr}
 }
 
 // Fault notes a fault in the settings.
@@ -68,6 +70,27 @@
 	})
 }
 
+// formerValue is the value of a setting under its former name: it sets the setting
+// under its current name and warns.
+type formerValue struct {
+	reader          *Reader
+	former, current string
+}
+
+// String is empty: the value is kept under the current name.
+func (formerValue) String() string { return "" }
+
+// Set sets the setting under its current name.
+func (v formerValue) Set(value string) error {
+	fmt.Fprintf(v.reader.Warnings, "%s: -%s is now -%s; the old name is read for one release\n", v.reader.Flags.Name(), v.former, v.current)
+	return v.reader.Flags.Set(v.current, value)
+}
+
+// Former reads a setting's former name for one release, with a warning.
+func (r *Reader) Former(former, current string) {
+	r.Flags.Var(formerValue{r, former, current}, former, "former name of -"+current)
+}
+
 // Common adds the settings every daemon has; disk says whether it needs one.
 func (r *Reader) Common(c *Common, disk bool) {
 	r.Flags.StringVar(&c.Name, "name", "", "the operators' name of this machine")
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -54,3 +55,33 @@
 		t.Fatalf("an unknown setting in the file: %v", err)
 	}
 }
+
+// A setting is read under its former name, from the arguments and from a file, and
+// the reader says so.
+func TestAFormerNameIsReadWithAWarning(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings")
+	if err := os.WriteFile(file, []byte("old 5\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		want int64
+		warn bool
+	}{{nil, 3, false}, {[]string{"-new", "4"}, 4, false}, {[]string{"-old", "4"}, 4, true}, {[]string{"-settings", file}, 5, true}} {
+		var warnings strings.Builder
+		r, value := New("program"), int64(0)
+		r.Warnings = &warnings
+		r.Int(&value, "new", 3, 1, 10, "a number")
+		r.Former("old", "new")
+		if err := r.Parse(c.args); err != nil || value != c.want || (warnings.Len() > 0) != c.warn {
+			t.Errorf("%v: %v, value %d, warnings %q", c.args, err, value, warnings.String())
+		}
+	}
+	r, value := New("program"), int64(0)
+	r.Warnings = io.Discard
+	r.Int(&value, "new", 3, 1, 10, "a number")
+	r.Former("old", "new")
+	if err := r.Parse([]string{"-old", "11"}); err == nil {
+		t.Error("a value out of bounds is taken under the former name")
+	}
+}
--- a/path/decisionlog/decisionlog.go
+++ b/path/decisionlog/decisionlog.go
@@ -31,7 +31,7 @@
 	End      string       `json:"end,omitempty"`
 }
 
-// Log keeps the latest stories, a bounded number of them.
+// Log keeps the latest entries, a bounded number of them.
 type Log struct {
 	mu      sync.Mutex
 	entries map[string]*Entry
@@ -41,12 +41,12 @@
 
 const mostTries = 16
 
-// New makes a book for so many stories.
+// New makes a log for so many entries.
 func New(size int) *Log {
 	return &Log{entries: map[string]*Entry{}, order: make([]string, max(1, size))}
 }
 
-// Begin opens an order's story, or goes on with it; the oldest makes room.
+// Begin opens an order's entry, or goes on with it; the oldest makes room.
 func (b *Log) Begin(s Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -61,7 +61,7 @@
 	b.entries[s.Order] = &s
 }
 
-// Tried adds an assignment to an order's story.
+// Tried adds an assignment to an order's entry.
 func (b *Log) Tried(order string, try Try) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -79,7 +79,7 @@
 	}
 }
 
-// Find finds an order's story.
+// Find finds an order's entry.
 func (b *Log) Find(order string) (Entry, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -92,7 +92,7 @@
 	return out, true
 }
 
-// Slowest lists the stories that took longest from arrival to their last try's
+// Slowest lists the entries that took longest from arrival to their last try's
 // end, the slowest first.
 func (b *Log) Slowest(count int) []Entry {
 	b.mu.Lock()
--- a/path/gate/forward_test.go
+++ b/path/gate/forward_test.go
@@ -52,7 +52,7 @@
 func servers(t *testing.T, handlers ...http.HandlerFunc) *crossing {
 	t.Helper()
 	set := machines.EdgeDefaults()
-	set.Scheduler.Staleness, set.ScoutEvery = scheduler.ServeOn, 0
+	set.Scheduler.Staleness, set.PollEvery = scheduler.ServeOn, 0
 	s := &shell{edge: machines.NewEdge("edge", set, 1), start: time.Now(), calls: map[uint64]chan machine.Answer{}}
 	parsed, err := config.Parse([]byte(forwardPlan))
 	if err != nil {
--- a/path/modelclient/client.go
+++ b/path/modelclient/client.go
@@ -1,5 +1,5 @@
 // Package modelclient speaks to model servers by their published protocol: chat
-// completions streamed as events, a soundness page and a metrics page (DESIGN
+// completions streamed as events, a health page and a metrics page (DESIGN
 // §7.1).
 package modelclient
 
@@ -178,8 +178,8 @@
 	return Cut, errors.New("the stream ended without its end mark")
 }
 
-// Figures reads a server's soundness and metrics pages.
-func Figures(ctx context.Context, address string) (running, waiting int, err error) {
+// ReadLoad reads a server's health and metrics pages.
+func ReadLoad(ctx context.Context, address string) (running, waiting int, err error) {
 	if err := get(ctx, "http://"+address+"/health", func(io.Reader) error { return nil }); err != nil {
 		return 0, 0, err
 	}
--- a/path/quota/account.go
+++ b/path/quota/account.go
@@ -15,7 +15,7 @@
 const (
 	LoanSpan  = 2 * clock.Second
 	LoanGrace = 300 * clock.Millisecond
-	// StoreLoanSpan is how long what a store holds counts after its last word: items
+	// StoreLoanSpan is how long what a store holds counts after its last report: items
 	// of bundles were accepted, and wait on at the store that takes over.
 	StoreLoanSpan = 12 * clock.Second
 )
@@ -49,7 +49,7 @@
 	return a
 }
 
-// Told takes a borrower's word on what it holds; it is believed even above the
+// Told takes a borrower's report of what it holds; it is believed even above the
 // allowance, because that work waits already.
 func (a *Account) Told(borrower string, held int, now clock.Micros) {
 	delete(a.missing, borrower)
@@ -72,7 +72,7 @@
 // items are told by those that took them over.
 const TransferSpan = 6 * clock.Second
 
-// StopWaiting gives up waiting for a borrower's word that is dead, once its slots have
+// StopWaiting gives up waiting for the report of a borrower that is dead, once its slots have
 // had time to pass on.
 func (a *Account) StopWaiting(borrower string, now clock.Micros) {
 	if now-a.opened > TransferSpan {
--- a/path/registry/registry.go
+++ b/path/registry/registry.go
@@ -1,5 +1,5 @@
-// Package registry is the updates about model servers: the platform's list with its
-// leaving scores, and the load figures that one daemon a server reads (DESIGN
+// Package registry is the updates about model servers: the list of servers with its
+// leaving marks, and the load figures that one daemon a server reads (DESIGN
 // §7.2, §8.3).
 package registry
 
@@ -13,7 +13,7 @@
 	"tuliprudder/membership/identity"
 )
 
-// Server is one entry of the platform's list.
+// Server is one entry of the list of servers.
 type Server struct {
 	Name    string            `json:"name"`
 	Address string            `json:"address"`
@@ -32,13 +32,13 @@
 	By      string       `json:"by"`
 }
 
-// ServerUpdate is the newest word on a server, for the updates: always above what is known.
+// ServerUpdate is the newest state of a server, as an update: always above what is known.
 func ServerUpdate(server Server, known machine.Update, now clock.Micros) machine.Update {
 	value, _ := json.Marshal(server)
 	return machine.Update{Key: ServerKey(server.Name), Seq: max(uint64(now), known.Seq+1), Value: value}
 }
 
-// ServerKey and LoadKey are the updates keys of a server.
+// ServerKey and LoadKey are the update keys of a server.
 func ServerKey(name string) string { return "server/" + name }
 
 // LoadKey is the key of a server's load figures.
--- a/path/scheduler/assignment.go
+++ b/path/scheduler/assignment.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// Abandon lets the server go without a word on it: its order ended for reasons of its
+// Abandon lets the server go without a report on it: its order ended for reasons of its
 // own.
 func (g *Assignment) Abandon(now clock.Micros) {
 	if g.released {
--- a/path/scheduler/judged_test.go
+++ b/path/scheduler/judged_test.go
@@ -60,7 +60,7 @@
 }
 
 // live lets six daemons assign to twelve uneven servers for a quarter of a minute of
-// virtual time, with the judges weighed as given.
+// virtual time, with the scorers weighed as given.
 func live(t *testing.T, seed int64, weights string) figures {
 	t.Helper()
 	plan, err := config.Parse([]byte(`{"classes":[{"name":"a","rank":1,"allowance":1}],"customers":[{"name":"c","key":"k","class":"a"}],"pools":[{"name":"p","labels":{"u":"x"},"servers":{}}],
@@ -162,7 +162,7 @@
 	return out
 }
 
-// The judges together, against fewer of them: affinity to prefixes finds more
+// The scorers together, against fewer of them: affinity to prefixes finds more
 // cached ones, and does not overload a server or lengthen the worst waits.
 func TestJudgesTogether(t *testing.T) {
 	sum := func(weights string) (out figures) {
--- a/path/scheduler/match.go
+++ b/path/scheduler/match.go
@@ -111,7 +111,7 @@
 		}
 		sound := s.healthy()
 		candidate := scoring.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
-			Limit: limit, Leaving: s.server.Leaving && !d.IgnoreStaleness, Sound: sound, Prefix: held == name,
+			Limit: limit, Leaving: s.server.Leaving && !d.IgnoreStaleness, Healthy: sound, Prefix: held == name,
 			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now),
 			Turn: float64((i-begin+len(names))%len(names)) / float64(len(names))}
 		if o.Bundle && o.Route.Forward != nil {
--- a/path/scheduler/order.go
+++ b/path/scheduler/order.go
@@ -19,12 +19,12 @@
 	Prefix   string
 	Prompt   int64          // tokens that the server reads before it begins
 	Expiry   clock.Micros   // 0: none
-	Avoid    map[string]int // servers that turned it away
+	Avoid    map[string]int // servers that rejected it
 	// Pools, where set, are those that serve this order instead of its route's.
 	Pools config.Selector
 	// Permit is asked right before the start; false drops the order.
 	Permit func(now clock.Micros) bool
-	// Start is told the chosen server.
+	// Start is called with the chosen server.
 	Start func(assignment *Assignment, now clock.Micros)
 	// Drop ends an order that never started.
 	Drop func(err error, now clock.Micros)
--- a/path/scheduler/queue.go
+++ b/path/scheduler/queue.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// Close turns new orders away; what waits is dropped.
+// Close rejects new orders; what waits is dropped.
 func (d *Scheduler) Close(now clock.Micros) {
 	d.closed = true
 	dropped := d.all()
--- a/path/scheduler/scheduler.go
+++ b/path/scheduler/scheduler.go
@@ -73,7 +73,7 @@
 		prefixes: map[uint64]string{}, prefixOrder: list.New(), random: rand.New(rand.NewSource(seed)), retries: mostRetries, part: 1}
 }
 
-// SetServer takes the platform's word on a server.
+// SetServer takes the listed state of a server.
 func (d *Scheduler) SetServer(server registry.Server) {
 	s := d.servers[server.Name]
 	if s == nil {
@@ -118,7 +118,7 @@
 	return now-d.fresh <= d.set.Staleness || d.IgnoreStaleness
 }
 
-// Servers copies the platform's list as known here.
+// Servers copies the list of servers as known here.
 func (d *Scheduler) Servers() []registry.Server {
 	out := make([]registry.Server, 0, len(d.servers))
 	for _, s := range d.servers {
--- a/path/scheduler/server.go
+++ b/path/scheduler/server.go
@@ -23,7 +23,7 @@
 	window    window        // of items
 }
 
-// silent is how long the server has left this daemon's orders without a word.
+// silent is how long the server has left this daemon's orders without a sign.
 func (s *serverState) silent(now clock.Micros) clock.Micros {
 	if len(s.pending) == 0 {
 		return 0
--- a/path/scoring/scoring.go
+++ b/path/scoring/scoring.go
@@ -1,5 +1,5 @@
-// Package scoring picks a server: many small judges give scores that are added up
-// (DESIGN §7.3, §12.6). A judge may also rule a server out, and says why.
+// Package scoring picks a server: many small scorers give scores that are added up
+// (DESIGN §7.3, §12.6). A scorer may also rule a server out, and says why.
 package scoring
 
 import (
@@ -17,14 +17,14 @@
 	Others    int          // the others', by its last figure
 	Limit     float64      // fullness up to which this rank may fill it
 	Leaving   bool         // marked as leaving
-	Sound     bool         // its soundness page answers, and orders come back
+	Healthy   bool         // its health page answers, and orders come back
 	Prefix    bool         // it lately ran the same prefix
 	Latency   clock.Micros // what an order takes there of late
 	Fastest   clock.Micros // the same of the fastest server
-	RestUntil clock.Micros // it turned an order away; not before
+	RestUntil clock.Micros // it rejected an order; not before
 	Now       clock.Micros
 	Reading   int64        // prompt tokens of this daemon's orders that it has not begun
-	Silent    clock.Micros // how long it has left this daemon's orders without a word
+	Silent    clock.Micros // how long it has left this daemon's orders without a sign
 	Turn      float64      // its place in this daemon's own order of servers, from 0 to 1
 	Share     *Share       // set for an item that is passed on unchanged
 }
@@ -41,7 +41,7 @@
 // Requirements is what the order needs.
 type Requirements struct{ Model, Adapter, Weights string }
 
-// Score is one judge's word.
+// Score is one scorer's result.
 type Score struct {
 	Judge string  `json:"judge"`
 	Value float64 `json:"mark"`
@@ -55,13 +55,13 @@
 // last figure, and what this daemon has there now.
 func (c Candidate) Load() int { return c.Others + c.Own }
 
-// All are the judges by name, in the order they are asked.
+// All are the scorers by name, in the order they are asked.
 var All = []struct {
 	Name  string
 	Judge Scorer
 }{
-	{"leaving", Leaving}, {"soundness", Soundness}, {"adapter", Adapter}, {"weights", Weights},
-	{"share", KeeperShare}, {"fullness", Fullness}, {"prefix", Prefix}, {"speed", Speed}, {"spread", Spread},
+	{"leaving", Leaving}, {"soundness", Health}, {"adapter", Adapter}, {"weights", Weights},
+	{"share", StoreShare}, {"fullness", Fullness}, {"prefix", Prefix}, {"speed", Speed}, {"spread", Spread},
 	{"reading", Reading}, {"silence", Silence}, {"turn", Turn},
 }
 
@@ -74,8 +74,8 @@
 // it reads their prompts between the tokens of the others.
 const mostOpening = 1
 
-// KeeperShare rules out a server on which this store's items have their part.
-func KeeperShare(_ Requirements, c Candidate) (float64, string) {
+// StoreShare rules out a server on which this store's items have their part.
+func StoreShare(_ Requirements, c Candidate) (float64, string) {
 	switch {
 	case c.Share == nil:
 		return 0, ""
@@ -97,7 +97,7 @@
 	return 1 / (1 + float64(c.Reading)/readingScale), ""
 }
 
-// mostSilence is how long a server may leave orders without a word before others
+// mostSilence is how long a server may leave orders without a sign before others
 // go elsewhere: one that is lost says nothing.
 const mostSilence = 350 * clock.Millisecond
 
@@ -117,9 +117,9 @@
 	return 0, ""
 }
 
-// Soundness rules out a server that does not answer, or rests.
-func Soundness(_ Requirements, c Candidate) (float64, string) {
-	if !c.Sound {
+// Health rules out a server that does not answer, or rests.
+func Health(_ Requirements, c Candidate) (float64, string) {
+	if !c.Healthy {
 		return 0, "not sound"
 	}
 	if c.Now < c.RestUntil {
--- a/path/scoring/scoring_test.go
+++ b/path/scoring/scoring_test.go
@@ -34,7 +34,7 @@
 		"a server with few slots":  {&Share{Part: 0.5, Running: 0}, 0.75, 1, false},
 		"the same, and it has one": {&Share{Part: 0.5, Running: 1}, 0.75, 1, true},
 	} {
-		mark, out := KeeperShare(Requirements{}, Candidate{Limit: c.limit, Slots: c.slots, Share: c.share})
+		mark, out := StoreShare(Requirements{}, Candidate{Limit: c.limit, Slots: c.slots, Share: c.share})
 		if mark != 0 || (out != "") != c.out {
 			t.Errorf("%s: mark %v, out %q", name, mark, out)
 		}
@@ -49,7 +49,7 @@
 			for range keepers {
 				mine := &Share{Part: 1 / float64(keepers)}
 				for {
-					if _, out := KeeperShare(Requirements{}, Candidate{Limit: 0.75, Slots: slots, Share: mine}); out != "" {
+					if _, out := StoreShare(Requirements{}, Candidate{Limit: 0.75, Slots: slots, Share: mine}); out != "" {
 						break
 					}
 					mine.Running++
@@ -82,7 +82,7 @@
 	}
 }
 
-// A server that has left orders without a word for too long loses its mark; it is
+// A server that has left orders without a sign for too long loses its mark; it is
 // not ruled out.
 func TestSilence(t *testing.T) {
 	for silent, want := range map[clock.Micros]float64{0: 1, mostSilence: 1, mostSilence + 1: 0, clock.Second: 0} {
@@ -94,7 +94,7 @@
 
 // The sum weighs each judge's mark by the plan, and one that rules out is enough.
 func TestSum(t *testing.T) {
-	sound := Candidate{Sound: true, Slots: 4, Limit: 1, Own: 1, Reading: readingScale}
+	sound := Candidate{Healthy: true, Slots: 4, Limit: 1, Own: 1, Reading: readingScale}
 	weights := map[string]float64{"fullness": 4, "spread": 2, "reading": 6, "silence": 20}
 	sum, marks, ok := Sum(weights, Requirements{}, sound)
 	if want := 4*0.75 + 2*0.5 + 6*0.5 + 20*1; !ok || sum != want || len(marks) != len(All) {
--- a/path/scouts/scouts.go
+++ b/path/serverpoll/serverpoll.go
@@ -1,8 +1,8 @@
-// Package scouts reads the servers' pages, each server by one daemon: the first
+// Package serverpoll reads the servers' pages, each server by one daemon: the first
 // live edge in that server's agreed order (DESIGN §7.2). The figures go
-// out under the duty's epoch; the others turn lower ones away. It is a part of
+// out under the duty's epoch; the others reject lower ones. It is a part of
 // the edge's machine: the pages are read by the event loop.
-package scouts
+package serverpoll
 
 import (
 	"encoding/json"
@@ -26,8 +26,8 @@
 	Began            clock.Micros
 }
 
-// Scouts holds an edge's duties.
-type Scouts struct {
+// Poller holds an edge's duties.
+type Poller struct {
 	self      string
 	every     clock.Micros
 	wire      *machine.Wire
@@ -35,32 +35,32 @@
 	members   func() []identity.Member
 	due       map[string]clock.Micros // when a server is due again
 	busy      map[string]bool
-	marks     map[string]machine.Update // the latest figures' epoch and sequence
+	versions  map[string]machine.Update // the latest figures' epoch and sequence
 	next      clock.Micros
 }
 
-// New makes an edge's scouts; with no span between readings there are none.
-func New(self string, every clock.Micros, wire *machine.Wire, d *scheduler.Scheduler, members func() []identity.Member) *Scouts {
-	return &Scouts{self: self, every: every, wire: wire, scheduler: d, members: members, due: map[string]clock.Micros{}, busy: map[string]bool{}, marks: map[string]machine.Update{}}
+// New makes an edge's pollers; with no span between readings there are none.
+func New(self string, every clock.Micros, wire *machine.Wire, d *scheduler.Scheduler, members func() []identity.Member) *Poller {
+	return &Poller{self: self, every: every, wire: wire, scheduler: d, members: members, due: map[string]clock.Micros{}, busy: map[string]bool{}, versions: map[string]machine.Update{}}
 }
 
-// hurry is how much more often a busy server is looked at: old figures of a full
+// busyFactor is how much more often a busy server is looked at: old figures of a full
 // server keep orders waiting that it could take.
-const hurry = 4
+const busyFactor = 4
 
 // Receive notes the latest figures of a server.
-func (s *Scouts) Receive(update machine.Update) {
+func (s *Poller) Receive(update machine.Update) {
 	if name, ok := strings.CutPrefix(update.Key, "load/"); ok {
-		s.marks[name] = update
+		s.versions[name] = update
 	}
 }
 
 // ClockEvent sends the event loop to the servers that are due and this daemon's duty.
-func (s *Scouts) ClockEvent(now clock.Micros) {
+func (s *Poller) ClockEvent(now clock.Micros) {
 	if now < s.next || s.every == 0 {
 		return
 	}
-	s.next = now + s.every/hurry
+	s.next = now + s.every/busyFactor
 	members := s.members()
 	for _, server := range s.scheduler.Servers() {
 		if server.Gone || s.busy[server.Name] || now < s.due[server.Name] || registry.First("load/"+server.Name, members, identity.Edge) != s.self {
@@ -72,18 +72,18 @@
 }
 
 // Report spreads what was found. Taking the duty over raises its epoch by one.
-func (s *Scouts) Report(saw ServerReading, now clock.Micros) {
+func (s *Poller) Report(saw ServerReading, now clock.Micros) {
 	delete(s.busy, saw.Name)
 	rest := s.every
 	for _, server := range s.scheduler.Servers() {
 		if server.Name == saw.Name && saw.Sound && 2*(saw.Running+saw.Waiting) >= server.Slots {
-			rest = s.every / hurry
+			rest = s.every / busyFactor
 		}
 	}
-	s.due[saw.Name] = saw.Began + rest - s.every/(2*hurry)
+	s.due[saw.Name] = saw.Began + rest - s.every/(2*busyFactor)
 	load := registry.Load{Running: saw.Running, Waiting: saw.Waiting, Sound: saw.Sound, At: saw.Began, By: s.self}
 	epoch, seq := uint64(1), uint64(1)
-	if known, ok := s.marks[saw.Name]; ok {
+	if known, ok := s.versions[saw.Name]; ok {
 		epoch, seq = known.Epoch, known.Seq+1
 		var last registry.Load
 		if json.Unmarshal(known.Value, &last) != nil || last.By != s.self {
--- a/proof/capacitymodel/bench_test.go
+++ b/proof/capacitymodel/bench_test.go
@@ -20,7 +20,7 @@
 	"tuliprudder/membership/identity"
 	"tuliprudder/path/registry"
 	"tuliprudder/path/scheduler"
-	"tuliprudder/path/scouts"
+	"tuliprudder/path/serverpoll"
 )
 
 // The figures of docs/CAPACITY.md that are not of whole fleets:
@@ -170,7 +170,7 @@
 				folk = append(folk, identity.Member{ID: fmt.Sprintf("edge-%03d.1", i), Kind: identity.Edge, Zone: "zone-01", Peer: "10.0.0.1:7100"})
 			}
 			wire := machine.NewWire()
-			s := scouts.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []identity.Member { return folk })
+			s := serverpoll.New("nobody", 400*clock.Millisecond, wire, backlog(b, size[0], 1), func() []identity.Member { return folk })
 			b.ResetTimer()
 			began := processCPU()
 			for i := range b.N {
--- a/proof/capacitymodel/daemon.go
+++ b/proof/capacitymodel/daemon.go
@@ -19,7 +19,7 @@
 	"tuliprudder/path/execution"
 	"tuliprudder/path/modelclient"
 	"tuliprudder/path/registry"
-	"tuliprudder/path/scouts"
+	"tuliprudder/path/serverpoll"
 )
 
 // tickEvery is the event loop's.
@@ -47,7 +47,7 @@
 	disk          disk
 	duty          int // servers it reads
 	model         map[string]loadMark
-	phase         clock.Micros // within a hollow edge's beat of readings
+	phase         clock.Micros // within a simulated edge's beat of readings
 	planVersion   uint64
 }
 
@@ -315,14 +315,14 @@
 		})
 	}
 	switch o := order.(type) {
-	case scouts.ReadServer:
+	case serverpoll.ReadServer:
 		if !f.served {
 			f.held = append(f.held, func() { d.work(order) })
 			return
 		}
 		f.count(d).looks++
 		running := f.running(o.Name)
-		later(f.between(500, 2500), scouts.ServerReading{ReadServer: o, Running: running, Sound: true, Began: f.Now})
+		later(f.between(500, 2500), serverpoll.ServerReading{ReadServer: o, Running: running, Sound: true, Began: f.Now})
 	case execution.Run:
 		span := f.between(100, 300) * clock.Millisecond
 		later(span/8, execution.Began{Token: o.Token})
@@ -340,7 +340,7 @@
 	return f.chance.Intn(24)
 }
 
-// assign gives the hollow edges their duties; a reader that is no longer the
+// assign gives the simulated edges their duties; a reader that is no longer the
 // first ends, and its successor reads under a higher epoch.
 func (f *Fleet) assign() {
 	byID := map[string]*daemon{}
@@ -363,11 +363,11 @@
 	}
 }
 
-// read has a hollow edge read a server as the scouts do: one figure every
+// read has a simulated edge read a server as the pollers do: one figure every
 // 400 ms, four times as often for a server that is at least half full.
 func (d *daemon) read(s *modelServer) {
 	f, era := d.fleet, d.era
-	every := machines.EdgeDefaults().ScoutEvery
+	every := machines.EdgeDefaults().PollEvery
 	if s.busy {
 		every /= 4
 	}
@@ -396,6 +396,6 @@
 		f.after(every, once)
 	}
 	// An edge sends for all that is due at once, every quarter of the span.
-	beat := machines.EdgeDefaults().ScoutEvery / 4
+	beat := machines.EdgeDefaults().PollEvery / 4
 	f.after((beat-f.Now%beat+d.phase)%beat, once)
 }
--- a/proof/capacitymodel/fleet.go
+++ b/proof/capacitymodel/fleet.go
@@ -1,4 +1,4 @@
-// Package capacitymodel is the hollow fleet: the decision machines of many daemons in
+// Package capacitymodel is the simulated fleet: the decision machines of many daemons in
 // one process under virtual time, with real messages by the real codec, to
 // measure what control costs at sizes that no test machine has room for
 // (docs/CAPACITY.md). Servers are hollow: figures without an engine. Edges may
@@ -93,7 +93,7 @@
 type modelServer struct {
 	word   registry.Server
 	busy   bool
-	reader *daemon // the hollow edge that reads it
+	reader *daemon // the simulated edge that reads it
 	era    int
 }
 
@@ -256,7 +256,7 @@
 }
 
 // duties are the servers that each edge reads, by the agreed order. It is
-// worked out here once for the hollow edges; whole ones work it out themselves.
+// worked out here once for the simulated edges; whole ones work it out themselves.
 func (f *Fleet) duties() map[string][]*modelServer {
 	var folk []identity.Member
 	for _, d := range f.daemons {
--- a/proof/capacitymodel/line.go
+++ b/proof/capacitymodel/line.go
@@ -9,7 +9,7 @@
 	"tuliprudder/kernel/transport"
 )
 
-// As kernel/footbridge has them.
+// The limits of kernel/transport.
 const (
 	batchSize = 256
 	ringSize  = 4096
--- a/proof/capacitymodel/model_test.go
+++ b/proof/capacitymodel/model_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// A hollow edge sends what a whole one sends while no callers come. One seed's random
+// A simulated edge sends what a whole one sends while no callers come. One seed's random
 // walk of updates differs by up to a sixth; the sum over several shows what is due to the
 // edges.
 func TestHollowEdgesSendAsWholeOnes(t *testing.T) {
--- a/proof/capacitymodel/run.go
+++ b/proof/capacitymodel/run.go
@@ -136,7 +136,7 @@
 	return true
 }
 
-// boot starts every daemon, acquainted with all others and with the servers.
+// boot starts every daemon, with all others in its directory and with the servers.
 func (f *Fleet) boot() {
 	var told []machine.Update
 	for _, d := range f.daemons {
--- a/proof/faultinject/faults.go
+++ b/proof/faultinject/faults.go
@@ -1,5 +1,5 @@
 // Package faultinject takes a running fleet through a failure while callers call, and
-// judges (DESIGN §9).
+// scorers (DESIGN §9).
 package faultinject
 
 import (
--- a/proof/faultinject/run.go
+++ b/proof/faultinject/run.go
@@ -13,7 +13,7 @@
 	"tuliprudder/proof/verify"
 )
 
-// Run lets callers call, causes the failure, and judges.
+// Run lets callers call, causes the failure, and scorers.
 func Run(ctx context.Context, c *localfleet.Fleet, set Settings) (verify.Verdict, error) {
 	tour := set.Workload(func() []string {
 		var out []string
--- a/proof/localfleet/localfleet.go
+++ b/proof/localfleet/localfleet.go
@@ -63,7 +63,7 @@
 	next    int
 }
 
-// New makes a camp in a folder, with the programs in bin.
+// New makes a fleet in a folder, with the programs in bin.
 func New(spec Spec, dir, bin string) *Fleet {
 	return &Fleet{Spec: spec, Dir: dir, Bin: bin, Net: netproxy.New(), daemons: map[string]*Daemon{}, octet: 1 + os.Getpid()%250}
 }
@@ -314,7 +314,7 @@
 	}
 }
 
-// Drain kills every process that this camp started.
+// Drain kills every process that this fleet started.
 func (c *Fleet) Stop() {
 	for _, name := range c.Names("") {
 		c.signal(name, syscall.SIGCONT)
@@ -326,15 +326,15 @@
 	c.Net.Close()
 }
 
-// Client is the HTTP client of the camp's own questions.
+// Client is the HTTP client of the fleet's own questions.
 var Client = &http.Client{Timeout: 8 * time.Second}
 
-// Ask asks a daemon's HTTP front; a status other than 2xx is an error.
+// Ask asks a daemon's HTTP server; a status other than 2xx is an error.
 func (c *Fleet) Ask(name, method, path string, body, into any) error {
 	return Ask(c.Get(name).HTTP, method, path, body, into)
 }
 
-// Ask asks any HTTP front by address.
+// Ask asks any HTTP server by address.
 func Ask(address, method, path string, body, into any) error {
 	var reader io.Reader
 	switch b := body.(type) {
@@ -385,7 +385,7 @@
 	}
 }
 
-// ServerList is the platform's list for this camp.
+// ServerList is the list of servers for this fleet.
 func (c *Fleet) ServerList() map[string]any {
 	servers := []map[string]any{}
 	for i, name := range c.Names("modelserver") {
--- a/proof/simulation/server.go
+++ b/proof/simulation/server.go
@@ -7,7 +7,7 @@
 	"tuliprudder/kernel/clock"
 	"tuliprudder/path/modelclient"
 	"tuliprudder/path/registry"
-	"tuliprudder/path/scouts"
+	"tuliprudder/path/serverpoll"
 	"tuliprudder/proof/modelcontent"
 )
 
@@ -265,10 +265,10 @@
 }
 
 // read is a scout's look at the server's pages.
-func (w *World) read(n *Node, look scouts.ReadServer) {
+func (w *World) read(n *Node, look serverpoll.ReadServer) {
 	s, began, era := w.byAddress[look.Address], w.Now, n.era
 	span := 2 * w.between(150, 900)
-	saw := scouts.ServerReading{ReadServer: look, Began: began}
+	saw := serverpoll.ServerReading{ReadServer: look, Began: began}
 	if s == nil || w.cut[[2]string{n.Name, s.Name}] || (s.up && s.mode == "dark") {
 		span = clock.Second
 	} else if s.up {
--- a/proof/simulation/world.go
+++ b/proof/simulation/world.go
@@ -26,7 +26,7 @@
 	"tuliprudder/path/execution"
 	"tuliprudder/path/modelclient"
 	"tuliprudder/path/quota"
-	"tuliprudder/path/scouts"
+	"tuliprudder/path/serverpoll"
 )
 
 type event struct {
@@ -724,7 +724,7 @@
 			delete(n.runs, o.Token)
 			one.cancel()
 		}
-	case scouts.ReadServer:
+	case serverpoll.ReadServer:
 		w.read(n, o)
 	}
 }
--- a/proof/verify/bundles.go
+++ b/proof/verify/bundles.go
@@ -115,14 +115,14 @@
 		return
 	}
 	if i%9 == 8 {
-		t.end(ctx, chance, b)
+		t.endBundle(ctx, chance, b)
 		return
 	}
 	t.readBundle(ctx, chance, b)
 }
 
-// end ends a bundle half way.
-func (t *Workload) end(ctx context.Context, chance *rand.Rand, b *Bundle) {
+// endBundle ends a bundle half way.
+func (t *Workload) endBundle(ctx context.Context, chance *rand.Rand, b *Bundle) {
 	for try := 0; try < t.MostTries && ctx.Err() == nil; try++ {
 		got, err := t.do(ctx, t.edge(chance), http.MethodDelete, "/v1/bundles/"+b.ID, t.BundleKey, "", nil)
 		if got.outcome(err) == OK {
--- a/proof/verify/verify.go
+++ b/proof/verify/verify.go
@@ -85,7 +85,7 @@
 	return fmt.Sprintf("%s-%d-%d", word, t.Seed, t.number)
 }
 
-// Run runs the tour: live workers go on until all bundles are read or ctx ends.
+// Run runs the workload: live workers go on until all bundles are read or ctx ends.
 func (t *Workload) Run(ctx context.Context) {
 	t.counts = map[string]int{}
 	t.client = &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
