--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -63,18 +63,18 @@
 	p.Handle(http.MethodGet, "/v1/operator/bundles/:bundle", a.bundle)
 }
 
-func (a *Admin) health(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) health(w http.ResponseWriter, _ *http.Request) error {
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"id": a.Loop.Who.ID, "life": a.Loop.Who.Life, "zone": a.Loop.Zone, "sound": true, "now_us": a.Loop.Now()})
 }
 
-func (a *Admin) ready(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) error {
 	if why := a.Ready(); why != "" {
 		return errs.Later(errs.NotReady, clock.Second, "wait; it becomes ready by itself", "%s", why)
 	}
 	return httpserver.WriteJSON(w, http.StatusOK, map[string]any{"ready": true})
 }
 
-func (a *Admin) counters(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) counters(w http.ResponseWriter, _ *http.Request) error {
 	out := a.Loop.Counters()
 	for name, value := range a.Counters() {
 		out[name] = value
@@ -85,7 +85,7 @@
 	return httpserver.WriteJSON(w, http.StatusOK, out)
 }
 
-func (a *Admin) daemons(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) daemons(w http.ResponseWriter, _ *http.Request) error {
 	out := []map[string]any{}
 	for _, p := range a.Loop.Members() {
 		out = append(out, map[string]any{"id": p.ID, "kind": p.Kind, "zone": p.Zone, "peer": p.Peer, "http": p.HTTP,
@@ -102,7 +102,7 @@
 	return json.Unmarshal(update.Value, into)
 }
 
-func (a *Admin) stateMap(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) stateMap(w http.ResponseWriter, _ *http.Request) error {
 	var m state.Map
 	if err := a.readUpdate(state.MapKey, &m, "map of the stores"); err != nil {
 		return err
@@ -110,7 +110,7 @@
 	return httpserver.WriteJSON(w, http.StatusOK, m)
 }
 
-func (a *Admin) core(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) core(w http.ResponseWriter, _ *http.Request) error {
 	var c state.CoreNews
 	if err := a.readUpdate(state.CoreKey, &c, "word of the cores"); err != nil {
 		return err
@@ -118,7 +118,7 @@
 	return httpserver.WriteJSON(w, http.StatusOK, c)
 }
 
-func (a *Admin) plan(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) plan(w http.ResponseWriter, _ *http.Request) error {
 	var version state.Version
 	if err := a.readUpdate(state.PlanKey, &version, "plan"); err != nil {
 		return err
@@ -248,7 +248,7 @@
 }
 
 // quota shows the shares held here and the accounts held here.
-func (a *Admin) quota(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) quota(w http.ResponseWriter, _ *http.Request) error {
 	if a.Scheduling == nil {
 		return errs.New(errs.NotFound, "ask an edge or a store", "this daemon holds no shares")
 	}
@@ -297,7 +297,7 @@
 	return httpserver.WriteJSON(w, http.StatusOK, got)
 }
 
-func (a *Admin) servers(w http.ResponseWriter, r *http.Request) error {
+func (a *Admin) servers(w http.ResponseWriter, _ *http.Request) error {
 	if a.Scheduling == nil {
 		return errs.New(errs.NotFound, "ask an edge or a store", "this daemon assigns no orders")
 	}
--- a/daemon/effects/forward_test.go
+++ b/daemon/effects/forward_test.go
@@ -60,7 +60,7 @@
 }
 
 func stream(text string, cut bool) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		io.WriteString(w, text)
 		http.NewResponseController(w).Flush()
@@ -71,7 +71,7 @@
 }
 
 func status(code int, headers ...string) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
 		for i := 0; i < len(headers); i += 2 {
 			w.Header().Set(headers[i], headers[i+1])
 		}
@@ -175,7 +175,7 @@
 // A body without an end of its own is never whole.
 func TestAnswerWithoutAnEnd(t *testing.T) {
 	f, _ := forwarder()
-	address := server(t, func(w http.ResponseWriter, r *http.Request) {
+	address := server(t, func(w http.ResponseWriter, _ *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			t.Error(err)
--- a/membership/gossip/commands.go
+++ b/membership/gossip/commands.go
@@ -77,7 +77,7 @@
 type Reseed struct{ Seeds []string }
 
 // Apply replaces the seed addresses.
-func (r Reseed) Apply(c *Node, now clock.Micros) { c.seeds = r.Seeds }
+func (r Reseed) Apply(c *Node, _ clock.Micros) { c.seeds = r.Seeds }
 
 // Drain marks this daemon as draining, Leave as gone on purpose.
 type (
--- a/membership/gossip/probes.go
+++ b/membership/gossip/probes.go
@@ -58,41 +58,66 @@
 // judgeProbes asks second witnesses where the direct reply stayed out, and suspects
 // a daemon only when a witness could not reach it either.
 func (c *Node) judgeProbes(now clock.Micros) {
-	for _, nonce := range sortedNonces(c.indirectProbes) {
-		if help := c.indirectProbes[nonce]; now >= help.expiry {
-			delete(c.indirectProbes, nonce)
-			c.Emit(machine.Send{To: help.requester, Body: IndirectResult{Nonce: help.nonce}})
-		}
-	}
+	c.reportIndirectProbes(now)
 	for _, nonce := range sortedNonces(c.probes) {
 		p := c.probes[nonce]
 		switch {
 		case !p.askedOthers && now-p.sentAt >= c.set.ProbeWait:
 			p.askedOthers = true
-			helpers := 0
-			for _, at := range c.random.Perm(len(c.view)) {
-				if peer := c.view[at]; peer != p.peer && helpers < 2 {
-					helpers++
-					c.Emit(machine.Send{To: peer, Body: IndirectProbe{Nonce: nonce, Target: p.peer}})
-				}
-			}
+			c.askWitnesses(nonce, p.peer)
 		case p.askedOthers && now-p.sentAt >= 4*c.set.ProbeWait:
 			delete(c.probes, nonce)
-			if member, ok := c.members[p.id]; ok && p.failures > 0 && member.Status == identity.Alive {
-				member.Status = identity.Suspect
+			member, known := c.members[p.id]
+			if known && p.failures > 0 && member.Status == identity.Alive {
 				c.Suspected++
-				c.receive([]machine.Update{{Key: identity.Key(member.ID), Epoch: member.Incarnation, Seq: member.Seq(), Value: member.Encode()}}, now)
+				c.setStatus(member, identity.Suspect, now)
 			}
 		}
 	}
+	c.declareDead(now)
+}
+
+// reportIndirectProbes answers those that asked this daemon to probe another, where
+// that one has not replied in time.
+func (c *Node) reportIndirectProbes(now clock.Micros) {
+	for _, nonce := range sortedNonces(c.indirectProbes) {
+		if probe := c.indirectProbes[nonce]; now >= probe.expiry {
+			delete(c.indirectProbes, nonce)
+			c.Emit(machine.Send{To: probe.requester, Body: IndirectResult{Nonce: probe.nonce}})
+		}
+	}
+}
+
+// maxWitnesses is how many daemons are asked to probe one that has not replied.
+const maxWitnesses = 2
+
+func (c *Node) askWitnesses(nonce uint64, target string) {
+	witnesses := 0
+	for _, at := range c.random.Perm(len(c.view)) {
+		if peer := c.view[at]; peer != target && witnesses < maxWitnesses {
+			witnesses++
+			c.Emit(machine.Send{To: peer, Body: IndirectProbe{Nonce: nonce, Target: target}})
+		}
+	}
+}
+
+// declareDead declares suspects dead that have not refuted it in time; not while
+// this daemon's own updates are old.
+func (c *Node) declareDead(now clock.Micros) {
 	for _, member := range c.sortedMembers() {
-		if member.Status == identity.Suspect && now-c.statusSince[member.ID] >= c.set.Suspicion && member.ID != c.self.ID && now-c.lastSwap < c.set.Suspicion {
-			member.Status = identity.Dead
-			c.receive([]machine.Update{{Key: identity.Key(member.ID), Epoch: member.Incarnation, Seq: member.Seq(), Value: member.Encode()}}, now)
+		expired := member.Status == identity.Suspect && now-c.statusSince[member.ID] >= c.set.Suspicion
+		if expired && member.ID != c.self.ID && now-c.lastSwap < c.set.Suspicion {
+			c.setStatus(member, identity.Dead, now)
 		}
 	}
 }
 
+// setStatus records and passes on another status of a member.
+func (c *Node) setStatus(member identity.Member, status identity.Status, now clock.Micros) {
+	member.Status = status
+	c.receive([]machine.Update{{Key: identity.Key(member.ID), Epoch: member.Incarnation, Seq: member.Seq(), Value: member.Encode()}}, now)
+}
+
 func sortedNonces[T any](m map[uint64]T) []uint64 {
 	out := make([]uint64, 0, len(m))
 	for nonce := range m {
--- a/path/modelclient/client.go
+++ b/path/modelclient/client.go
@@ -96,30 +96,14 @@
 // Run sends one order and hands its pieces over as they come. Only a stream
 // with a finish reason and the end mark is complete.
 func Run(ctx context.Context, r Request, piece func(string) error) (Outcome, error) {
-	ask := body{Model: r.Model, MaxTokens: r.MaxTokens, Stream: true, User: r.Order, Priority: r.Priority}
-	if r.Prefix != "" {
-		ask.Messages = append(ask.Messages, message{"system", r.Prefix})
-	}
-	ask.Messages = append(ask.Messages, message{"user", r.Input})
-	if r.Partial != "" {
-		no := false
-		ask.Messages, ask.Continue, ask.Generate = append(ask.Messages, message{"assistant", r.Partial}), true, &no
-	}
-	data, err := json.Marshal(ask)
-	if err != nil {
-		return NotStarted, errors.Wrap(err, "encoding the order")
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wrote atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+"/v1/chat/completions", io.NopCloser(bytes.NewReader(data)))
+	request, err := r.httpRequest(ctx)
 	if err != nil {
-		return NotStarted, errors.Wrap(err, "making the request")
+		return NotStarted, err
 	}
-	request.ContentLength = int64(len(data))
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("X-Request-Id", r.Order)
 	silence := time.AfterFunc(clock.Span(r.Silence), cancel)
 	defer silence.Stop()
 	response, err := httpc.DoRequest(request)
@@ -138,11 +122,45 @@
 	case response.StatusCode != http.StatusOK:
 		return Cut, errors.Errorf("the server failed: %s", response.Status)
 	}
-	lines := bufio.NewScanner(response.Body)
-	lines.Buffer(make([]byte, 4096), 1<<20)
+	return readStream(response.Body, func() { silence.Reset(clock.Span(r.Silence)) }, piece)
+}
+
+// httpRequest is the order as a server takes it.
+func (r Request) httpRequest(ctx context.Context) (*http.Request, error) {
+	ask := body{Model: r.Model, MaxTokens: r.MaxTokens, Stream: true, User: r.Order, Priority: r.Priority}
+	if r.Prefix != "" {
+		ask.Messages = append(ask.Messages, message{"system", r.Prefix})
+	}
+	ask.Messages = append(ask.Messages, message{"user", r.Input})
+	if r.Partial != "" {
+		no := false
+		ask.Messages, ask.Continue, ask.Generate = append(ask.Messages, message{"assistant", r.Partial}), true, &no
+	}
+	data, err := json.Marshal(ask)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding the order")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+"/v1/chat/completions", io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		return nil, errors.Wrap(err, "making the request")
+	}
+	request.ContentLength = int64(len(data))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Id", r.Order)
+	return request, nil
+}
+
+// longestEvent is the longest line of a stream, in bytes.
+const longestEvent = 1 << 20
+
+// readStream hands the pieces of an answer's events over; alive is called at every
+// line.
+func readStream(answer io.Reader, alive func(), piece func(string) error) (Outcome, error) {
+	lines := bufio.NewScanner(answer)
+	lines.Buffer(make([]byte, 4096), longestEvent)
 	finished := false
 	for lines.Scan() {
-		silence.Reset(clock.Span(r.Silence))
+		alive()
 		text, ok := strings.CutPrefix(lines.Text(), "data:")
 		if !ok {
 			continue
@@ -154,23 +172,11 @@
 			}
 			return Cut, errors.New("the server's end mark came without a finish reason")
 		}
-		var c chunk
-		if err := json.Unmarshal([]byte(text), &c); err != nil {
-			return Cut, errors.Wrap(err, "the server sent what is no event")
-		}
-		if c.Error != nil {
-			return Cut, errors.Errorf("the server reported: %s", c.Error.Message)
-		}
-		for _, choice := range c.Choices {
-			if choice.Delta.Content != "" {
-				if err := piece(choice.Delta.Content); err != nil {
-					return Cut, err
-				}
-			}
-			if choice.Finish != nil && *choice.Finish != "" {
-				finished = true
-			}
+		last, err := readEvent(text, piece)
+		if err != nil {
+			return Cut, err
 		}
+		finished = finished || last
 	}
 	if err := lines.Err(); err != nil {
 		return Cut, errors.Wrap(err, "the stream broke off")
@@ -178,6 +184,29 @@
 	return Cut, errors.New("the stream ended without its end mark")
 }
 
+// readEvent hands one event's pieces over; finished tells whether it has a finish
+// reason.
+func readEvent(text string, piece func(string) error) (finished bool, err error) {
+	var c chunk
+	if err := json.Unmarshal([]byte(text), &c); err != nil {
+		return false, errors.Wrap(err, "the server sent what is no event")
+	}
+	if c.Error != nil {
+		return false, errors.Errorf("the server reported: %s", c.Error.Message)
+	}
+	for _, choice := range c.Choices {
+		if choice.Delta.Content != "" {
+			if err := piece(choice.Delta.Content); err != nil {
+				return false, err
+			}
+		}
+		if choice.Finish != nil && *choice.Finish != "" {
+			finished = true
+		}
+	}
+	return finished, nil
+}
+
 // ReadLoad reads a server's health and metrics pages.
 func ReadLoad(ctx context.Context, address string) (running, waiting int, err error) {
 	if err := get(ctx, "http://"+address+"/health", func(io.Reader) error { return nil }); err != nil {
--- a/path/openapi/openapi.go
+++ b/path/openapi/openapi.go
@@ -6,7 +6,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 
@@ -47,48 +49,10 @@
 	var out Result
 	defaults, faults := settings(doc.Extensions, "the file's "+extension)
 	paths := doc.Paths.Map()
-	names := make([]string, 0, len(paths))
-	for path := range paths {
-		names = append(names, path)
-	}
-	sort.Strings(names)
-	for _, path := range names {
+	for _, path := range sortedNames(paths) {
 		operations := paths[path].Operations()
-		methods := make([]string, 0, len(operations))
-		for method := range operations {
-			methods = append(methods, method)
-		}
-		sort.Strings(methods)
-		for _, method := range methods {
-			at := method + " " + path
-			operation := operations[method]
-			if method != "POST" {
-				out.Left = append(out.Left, at+": only POST operations become routes")
-				continue
-			}
-			own, wrong := settings(operation.Extensions, at)
-			faults = append(faults, wrong...)
-			if own == nil && defaults["kind"] == nil {
-				out.Left = append(out.Left, at+": has no "+extension+" with a kind")
-				continue
-			}
-			route := map[string]any{}
-			for name, value := range defaults {
-				route[name] = value
-			}
-			for name, value := range own {
-				route[name] = value
-			}
-			if route["name"] == nil {
-				route["name"] = nameOf(operation.OperationID, path)
-			}
-			if operation.Security != nil && len(*operation.Security) > 0 {
-				out.Left = append(out.Left, at+": its security is not carried over; callers use their customer key")
-			}
-			if len(operation.Parameters) > 0 {
-				out.Left = append(out.Left, at+": its parameters are not carried over; an order has an input")
-			}
-			out.Routes, out.Names = append(out.Routes, route), append(out.Names, fmt.Sprint(route["name"]))
+		for _, method := range sortedNames(operations) {
+			faults = append(faults, out.add(method, path, operations[method], defaults)...)
 		}
 	}
 	if len(faults) > 0 {
@@ -103,6 +67,41 @@
 	return out, nil
 }
 
+// add makes an operation a route, or notes why it is none; it returns the faults of
+// the operation's extension.
+func (r *Result) add(method, path string, operation *openapi3.Operation, defaults map[string]any) []string {
+	at := method + " " + path
+	if method != "POST" {
+		r.Left = append(r.Left, at+": only POST operations become routes")
+		return nil
+	}
+	own, faults := settings(operation.Extensions, at)
+	if own == nil && defaults["kind"] == nil {
+		r.Left = append(r.Left, at+": has no "+extension+" with a kind")
+		return faults
+	}
+	route := maps.Clone(defaults)
+	if route == nil {
+		route = map[string]any{}
+	}
+	maps.Copy(route, own)
+	if route["name"] == nil {
+		route["name"] = nameOf(operation.OperationID, path)
+	}
+	if operation.Security != nil && len(*operation.Security) > 0 {
+		r.Left = append(r.Left, at+": its security is not carried over; callers use their customer key")
+	}
+	if len(operation.Parameters) > 0 {
+		r.Left = append(r.Left, at+": its parameters are not carried over; an order has an input")
+	}
+	r.Routes, r.Names = append(r.Routes, route), append(r.Names, fmt.Sprint(route["name"]))
+	return faults
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 // settings reads an extension; nil when there is none.
 func settings(extensions map[string]any, at string) (map[string]any, []string) {
 	value, there := extensions[extension]
--- a/path/quota/quota.go
+++ b/path/quota/quota.go
@@ -55,7 +55,7 @@
 func (q *Quota) Call(number uint64, body any, now clock.Micros) bool {
 	switch ask := body.(type) {
 	case LendRequest:
-		q.Lend(ask, now, func(answer LendAnswer, now clock.Micros) { q.Wire.Emit(machine.Answer{Call: number, Body: answer}) })
+		q.Lend(ask, now, func(answer LendAnswer, _ clock.Micros) { q.Wire.Emit(machine.Answer{Call: number, Body: answer}) })
 	case HoldingsRequest:
 		if !q.mapped() {
 			q.Wire.Emit(machine.Answer{Call: number, Err: errs.Later(errs.NotReady, clock.Second, "ask again; the daemon has just started", "what is held here is not known yet")})
@@ -74,32 +74,43 @@
 		return
 	}
 	q.renew = now + LoanSpan/4
-	// Every holder is told what is held here, and asked for no more. An ask that
+	// Every holder is told what is held here, and asked for no more. A request that
 	// is under way renews as well, and for more: it goes first.
 	for _, customer := range sorted(q.lastAsked) {
-		terms, s := q.lastAsked[customer], q.share(customer)
-		held := q.held(s, customer)
-		if q.asking[customer] {
-			continue
+		if !q.asking[customer] {
+			q.renewShare(customer, now)
 		}
-		if held == 0 && s.Granted == 0 {
-			delete(q.lastAsked, customer)
-			continue
-		}
-		terms.Held, terms.Want, terms.Epoch = held, held, s.Epoch
-		if held == 0 {
-			s.Granted = 0
-		}
-		q.lend(terms, now, func(answer LendAnswer, err error, now clock.Micros) {
-			if err != nil {
-				// Who came meanwhile is not kept waiting for a second ask.
-				q.admitWaiters(customer, answer, err, now)
-				return
-			}
-			q.ask(customer, now)
-		})
 	}
 	q.dropTransferred(now)
+	q.forgetIdle(now)
+}
+
+func (q *Quota) renewShare(customer string, now clock.Micros) {
+	terms, s := q.lastAsked[customer], q.share(customer)
+	held := q.held(s, customer)
+	if held == 0 && s.Granted == 0 {
+		delete(q.lastAsked, customer)
+		return
+	}
+	terms.Held, terms.Want, terms.Epoch = held, held, s.Epoch
+	if held == 0 {
+		s.Granted = 0
+	}
+	q.lend(terms, now, func(answer LendAnswer, err error, now clock.Micros) {
+		if err != nil {
+			// Who came meanwhile is not kept waiting for a second request.
+			q.admitWaiters(customer, answer, err, now)
+			return
+		}
+		q.ask(customer, now)
+	})
+}
+
+// shareKept is how long a share that is not used is remembered after its end.
+const shareKept = 600 * clock.Second
+
+// forgetIdle drops accounts and shares that nobody has used for a while.
+func (q *Quota) forgetIdle(now clock.Micros) {
 	for _, customer := range sorted(q.accounts) {
 		if q.accounts[customer].Idle(now) && q.rounds[customer] == nil {
 			delete(q.accounts, customer)
@@ -107,7 +118,8 @@
 		}
 	}
 	for customer, s := range q.shares {
-		if s.InUse == 0 && s.Granted == 0 && now >= s.Until+600*clock.Second && q.waiters[customer] == nil && !q.asking[customer] {
+		unused := s.InUse == 0 && s.Granted == 0 && now >= s.Until+shareKept
+		if unused && q.waiters[customer] == nil && !q.asking[customer] {
 			delete(q.shares, customer)
 		}
 	}
--- a/path/requests/live.go
+++ b/path/requests/live.go
@@ -195,7 +195,7 @@
 	o.tries++
 	o.queued = &scheduler.Order{ID: o.Order, Customer: o.customer.Name, Route: o.route, Rank: o.class.Rank, Prefix: o.route.Prefix, Expiry: o.expiry, Avoid: o.avoid}
 	o.queued.Drop = func(err error, now clock.Micros) { m.giveUp(o, err, now) }
-	o.queued.Start = func(assignment *scheduler.Assignment, now clock.Micros) {
+	o.queued.Start = func(assignment *scheduler.Assignment, _ clock.Micros) {
 		o.assignment = assignment
 		if m.FromStart {
 			o.output = ""
--- a/path/scheduler/match.go
+++ b/path/scheduler/match.go
@@ -80,28 +80,30 @@
 	}
 }
 
-// choose picks the server with the highest sum; ties fall by seeded chance.
+// choose assigns an order to the server with the highest sum of scores; ties fall by
+// seeded chance. It returns nil where no server may take the order now.
 func (d *Scheduler) choose(o *Order, now clock.Micros) *Assignment {
-	limit := d.limit(o, now)
-	held := d.prefixes[prefixOf(o)]
-	fastest := clock.Micros(0)
-	names := make([]string, 0, len(d.servers))
-	for name, s := range d.servers {
-		if !s.server.Gone {
-			names = append(names, name)
-		}
-		if s.latency > 0 && (fastest == 0 || s.latency < fastest) {
-			fastest = s.latency
-		}
+	best, scores := d.bestServers(o, now)
+	if len(best) == 0 {
+		return nil
 	}
-	sort.Strings(names)
-	wish := scoring.Requirements{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
+	return d.assign(o, d.servers[best[d.random.Intn(len(best))]], scores, now)
+}
+
+// sumTolerance is how far apart two sums of scores may be and count as equal.
+const sumTolerance = 1e-9
+
+// bestServers are the servers with the highest sum of scores for an order, and the
+// scores of the first of them.
+func (d *Scheduler) bestServers(o *Order, now clock.Micros) (best []string, bestScores []scoring.Score) {
+	names, fastest := d.listedServers()
+	limit := d.limit(o, now)
+	lastOfPrefix := d.prefixes[prefixOf(o)]
+	requirements := scoring.Requirements{Model: o.Route.Model, Adapter: o.Route.Adapter, Weights: o.Route.Weights}
 	avoid := o.Avoid
 	if o.Bundle && len(avoid) > 0 && !d.otherServer(o, names) {
 		avoid = nil // what was accepted rather goes where it failed than nowhere
 	}
-	var best []string
-	var bestMarks []scoring.Score
 	top := -1.0
 	begin := int(d.serverOffset * float64(len(names)))
 	for i, name := range names {
@@ -109,29 +111,55 @@
 		if !d.serves(o, s.server.Labels) || avoid[name] >= 3 {
 			continue
 		}
-		sound := s.healthy()
-		candidate := scoring.Candidate{Name: name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
-			Limit: limit, Leaving: s.server.Leaving && !d.IgnoreStaleness, Healthy: sound, Prefix: held == name,
-			Latency: s.latency, Fastest: fastest, RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now),
-			Turn: float64((i-begin+len(names))%len(names)) / float64(len(names))}
-		if o.Bundle && o.Route.Forward != nil {
-			candidate.Share = &scoring.Share{Part: d.part, Window: s.window.room(), Running: s.bundles, Opening: s.opening}
-		}
-		sum, marks, ok := scoring.Sum(d.plan.Judges, wish, candidate)
+		candidate := d.candidate(s, o, now)
+		candidate.Limit, candidate.Prefix, candidate.Fastest = limit, lastOfPrefix == name, fastest
+		candidate.Turn = float64((i-begin+len(names))%len(names)) / float64(len(names))
+		sum, scores, ok := scoring.Sum(d.plan.Judges, requirements, candidate)
 		if !ok {
 			continue
 		}
-		if sum > top+1e-9 {
-			top, best, bestMarks = sum, best[:0], marks
+		if sum > top+sumTolerance {
+			top, best, bestScores = sum, best[:0], scores
 		}
-		if sum >= top-1e-9 {
+		if sum >= top-sumTolerance {
 			best = append(best, name)
 		}
 	}
-	if len(best) == 0 {
-		return nil
+	return best, bestScores
+}
+
+// listedServers are the names of the servers that are not gone, in order, and the
+// latency of the fastest server; 0 where none is known.
+func (d *Scheduler) listedServers() (names []string, fastest clock.Micros) {
+	names = make([]string, 0, len(d.servers))
+	for name, s := range d.servers {
+		if !s.server.Gone {
+			names = append(names, name)
+		}
+		if s.latency > 0 && (fastest == 0 || s.latency < fastest) {
+			fastest = s.latency
+		}
 	}
-	chosen := d.servers[best[d.random.Intn(len(best))]]
+	sort.Strings(names)
+	return names, fastest
+}
+
+// candidate is what is known of a server by itself.
+func (d *Scheduler) candidate(s *serverState, o *Order, now clock.Micros) scoring.Candidate {
+	out := scoring.Candidate{Name: s.server.Name, Labels: s.server.Labels, Slots: s.server.Slots, Own: s.own, Others: s.others,
+		Leaving: s.server.Leaving && !d.IgnoreStaleness, Healthy: s.healthy(), Latency: s.latency,
+		RestUntil: s.restUntil, Now: now, Reading: s.reading, Silent: s.silent(now)}
+	if o.Bundle && o.Route.Forward != nil {
+		out.Share = &scoring.Share{Part: d.part, Window: s.window.room(), Running: s.bundles, Opening: s.opening}
+	}
+	return out
+}
+
+// keptAssignments is how many of the latest assignments the pace is taken from.
+const keptAssignments = 64
+
+// assign counts an order in at its chosen server.
+func (d *Scheduler) assign(o *Order, chosen *serverState, scores []scoring.Score, now clock.Micros) *Assignment {
 	chosen.own++
 	if o.Bundle {
 		d.bundles++
@@ -140,11 +168,11 @@
 	chosen.presences = append(chosen.presences, here)
 	d.Assigned++
 	d.retries = min(mostRetries, d.retries+retryShare)
-	if d.assignedAt = append(d.assignedAt, now); len(d.assignedAt) > 64 {
+	if d.assignedAt = append(d.assignedAt, now); len(d.assignedAt) > keptAssignments {
 		d.assignedAt = d.assignedAt[1:]
 	}
 	d.remember(prefixOf(o), chosen.server.Name)
-	assignment := &Assignment{Server: chosen.server, Scores: bestMarks, Started: now, bundle: o.Bundle, prompt: o.Prompt, presence: here, scheduler: d, server: chosen}
+	assignment := &Assignment{Server: chosen.server, Scores: scores, Started: now, bundle: o.Bundle, prompt: o.Prompt, presence: here, scheduler: d, server: chosen}
 	chosen.pending, chosen.reading = append(chosen.pending, assignment), chosen.reading+assignment.prompt
 	if o.Bundle {
 		chosen.bundles++
--- a/path/scheduler/scheduler_test.go
+++ b/path/scheduler/scheduler_test.go
@@ -225,7 +225,7 @@
 	}
 	for i := 0; i < 100; i++ {
 		b.now += 10 * clock.Millisecond
-		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(assignment *Assignment, _ clock.Micros) {} })
+		b.order(fmt.Sprint(i), 1, func(o *Order) { o.Start = func(_ *Assignment, _ clock.Micros) {} })
 		b.Match(b.now)
 	}
 	again := 0
--- a/path/serverpoll/serverpoll.go
+++ b/path/serverpoll/serverpoll.go
@@ -72,7 +72,7 @@
 }
 
 // Report spreads what was found. Taking the duty over raises its epoch by one.
-func (s *Poller) Report(saw ServerReading, now clock.Micros) {
+func (s *Poller) Report(saw ServerReading, _ clock.Micros) {
 	delete(s.busy, saw.Name)
 	rest := s.every
 	for _, server := range s.scheduler.Servers() {
--- a/proof/capacitymodel/bench_test.go
+++ b/proof/capacitymodel/bench_test.go
@@ -117,7 +117,7 @@
 	return d
 }
 
-func order(b *testing.B, d *scheduler.Scheduler, i int) *scheduler.Order {
+func order(_ *testing.B, d *scheduler.Scheduler, i int) *scheduler.Order {
 	route, _ := d.Plan().Route("route-000")
 	return &scheduler.Order{ID: fmt.Sprint(i), Customer: "tenant-001", Route: route, Rank: 100, Prefix: fmt.Sprint(i % 100), Expiry: 1 << 40,
 		Start: func(grip *scheduler.Assignment, now clock.Micros) { grip.Release(1000, true, now) }, Drop: func(error, clock.Micros) {}}
