Capacity model: bundles are counted after the warm-up, like all other figures

The share of refused bundles counted the warm-up too, in which shards still move to even shares; a fleet that founds sooner showed one refusal (not_ready, shard on its way). The test warms up past these moves and asks for none refused, as before.

--- a/proof/capacitymodel/rounds.go
+++ b/proof/capacitymodel/rounds.go
@@ -116,6 +116,16 @@
 // bundleRounds hand bundles in at a steady pace.
 type bundleRounds struct {
 	handed, refused int64
+	// warmHanded and warmRefused are those of the warm-up, which don't count.
+	warmHanded, warmRefused int64
+}
+
+// begin ends the warm-up.
+func (b *bundleRounds) begin() { b.warmHanded, b.warmRefused = b.handed, b.refused }
+
+// counted is what was handed in and refused since the warm-up.
+func (b *bundleRounds) counted() (handed, refused int64) {
+	return b.handed - b.warmHanded, b.refused - b.warmRefused
 }
 
 const itemOutput = "a label and two sentences that say why it was given, about as long as an answer"
