--- a/core/control/core.go
+++ b/core/control/core.go
@@ -1,8 +1,9 @@
-// Package control is the machine of a core daemon (DESIGN §5). An odd number
-// of cores, three as a rule: one primary, one backup, and each a witness that keeps
-// only epochs. The state is
-// held by one fenced pair, the same as a ledger's; what differs is the granter:
-// here most of the witnesses.
+// Package control is the machine of a core daemon (DESIGN §5, docs/CONTROL.md): the
+// election of a primary by the cores with a vote, the control state that a replication
+// group of cores holds, and what the primary does for the fleet with it.
+//
+// A Core is a pure state machine: inputs are commands (messages, asks, clock events, the
+// disk's words), outputs are effects. It is not safe for concurrent use.
 package control
 
 import (
@@ -163,13 +164,13 @@
 
 func (s *Core) group() *replication.Group { return s.groups.Group(unitCore) }
 
-// Gang is the core's pair, for tests.
+// Groups is the core's replication group, for tests.
 func (s *Core) Groups() *replication.Groups { return s.groups }
 
-// Chart is the core's state; a copy must be taken before it is changed.
+// State is the replicated control state; a copy must be taken before it is changed.
 func (s *Core) State() *state.State { return s.state }
 
-// Vote is what the witness keeps.
+// Vote is what this core keeps as a voter.
 func (s *Core) Vote() Vote { return s.vote }
 
 // Serving tells whether this core is the primary and may confirm.
--- a/daemon/machines/store.go
+++ b/daemon/machines/store.go
@@ -51,7 +51,7 @@
 // there, so that one that has restarted is paired without waiting for updates.
 func (s *Store) SetSeeds(seeds []string) {
 	s.cores.seeds = seeds
-	s.apply(store.Cairns{Peers: s.cores.peers()}, 0)
+	s.apply(store.Cores{Peers: s.cores.peers()}, 0)
 }
 
 // apply applies a command to the ledgers and keeps back the effects that are for the
@@ -119,7 +119,7 @@
 func (s *Store) Heard(update machine.Update, now clock.Micros) []machine.Effect {
 	s.receive(update, now)
 	if s.cores.receive(update) {
-		s.apply(store.Cairns{Peers: s.cores.peers()}, now)
+		s.apply(store.Cores{Peers: s.cores.peers()}, now)
 	}
 	s.apply(store.News{Rumour: update}, now)
 	return s.finish(now)
--- a/ledger/positions/positions.go
+++ b/ledger/positions/positions.go
@@ -2,9 +2,9 @@
 // position: the one before which all have finished (DESIGN §6.2).
 package positions
 
-// Ladder is one writer's positions. Gaps are normal: a position given above a
+// Allocator is one writer's positions. Gaps are normal: a position given above a
 // floor leaves one, and so does a restart.
-type Ladder struct {
+type Allocator struct {
 	last     int64 // last position given
 	reserved int64 // positions up to here are reserved on disk
 	open     []rung
@@ -19,14 +19,14 @@
 const Block = 4096
 
 // New starts after everything that an earlier life may have given.
-func New(reserved int64) *Ladder { return &Ladder{last: reserved, reserved: reserved} }
+func New(reserved int64) *Allocator { return &Allocator{last: reserved, reserved: reserved} }
 
 // Raise leaves a gap so that the next position is above the floor.
-func (l *Ladder) Raise(floor int64) { l.last = max(l.last, floor) }
+func (l *Allocator) Raise(floor int64) { l.last = max(l.last, floor) }
 
 // Wanted is the reservation that should be made durable next; 0 when there is
 // room enough.
-func (l *Ladder) Wanted() int64 {
+func (l *Allocator) Wanted() int64 {
 	if l.reserved-l.last > Block/4 {
 		return 0
 	}
@@ -34,10 +34,10 @@
 }
 
 // Reserved notes a durable reservation.
-func (l *Ladder) Reserved(upTo int64) { l.reserved = max(l.reserved, upTo) }
+func (l *Allocator) Reserved(upTo int64) { l.reserved = max(l.reserved, upTo) }
 
-// Give gives the next position, or false until the reservation is durable.
-func (l *Ladder) Give() (int64, bool) {
+// Allocate gives the next position, or false until the reservation is durable.
+func (l *Allocator) Allocate() (int64, bool) {
 	if l.last >= l.reserved {
 		return 0, false
 	}
@@ -47,7 +47,7 @@
 }
 
 // Finish marks a position as finished: durable on both, or void for good.
-func (l *Ladder) Finish(position int64) {
+func (l *Allocator) Finish(position int64) {
 	for i := range l.open {
 		if l.open[i].position == position {
 			l.open[i].done = true
@@ -60,7 +60,7 @@
 }
 
 // UpTo is the persisted-up-to position.
-func (l *Ladder) UpTo() int64 {
+func (l *Allocator) UpTo() int64 {
 	if len(l.open) > 0 {
 		return l.open[0].position - 1
 	}
@@ -68,10 +68,10 @@
 }
 
 // Next is the position that would be given next; Open how many are unfinished.
-func (l *Ladder) Next() int64 { return l.last + 1 }
+func (l *Allocator) Next() int64 { return l.last + 1 }
 
 // Open is how many positions are unfinished.
-func (l *Ladder) Open() int { return len(l.open) }
+func (l *Allocator) Open() int { return len(l.open) }
 
 // Reservation is up to where positions are reserved on disk.
-func (l *Ladder) Reservation() int64 { return l.reserved }
+func (l *Allocator) Reservation() int64 { return l.reserved }
--- a/ledger/positions/positions_test.go
+++ b/ledger/positions/positions_test.go
@@ -2,9 +2,9 @@
 
 import "testing"
 
-func give(t *testing.T, l *Ladder) int64 {
+func give(t *testing.T, l *Allocator) int64 {
 	t.Helper()
-	position, ok := l.Give()
+	position, ok := l.Allocate()
 	if !ok {
 		t.Fatal("no position given")
 	}
@@ -52,7 +52,7 @@
 // later life can give it again.
 func TestNothingBeyondTheReservation(t *testing.T) {
 	l := New(7)
-	if position, ok := l.Give(); ok {
+	if position, ok := l.Allocate(); ok {
 		t.Fatalf("gave %d without a reservation", position)
 	}
 	wanted := l.Wanted()
@@ -62,7 +62,7 @@
 			t.Fatalf("gave %d, not %d", position, i)
 		}
 	}
-	if _, ok := l.Give(); ok {
+	if _, ok := l.Allocate(); ok {
 		t.Fatal("gave a position beyond the reservation")
 	}
 	if next := New(wanted); next.Next() <= wanted {
--- a/ledger/store/beat_test.go
+++ b/ledger/store/beat_test.go
@@ -9,7 +9,7 @@
 // A store tells the cores the operator's name of its machine.
 func TestABeatCarriesTheName(t *testing.T) {
 	k := New(Self{ID: "s", Zone: "z", Peer: "p", Life: 1, Name: "machine"}, Defaults(), nil, shelf{})
-	k.Do(Cairns{Peers: []string{"c"}}, 1000)
+	k.Do(Cores{Peers: []string{"c"}}, 1000)
 	told := false
 	for _, effect := range k.Do(ClockEvent{}, 1_000_000) {
 		if send, ok := effect.(machine.Send); ok {
--- a/ledger/store/calls.go
+++ b/ledger/store/calls.go
@@ -207,7 +207,7 @@
 // slots' epochs have to be the reader's: a deposed keeper would leave rows out.
 func (k *Store) read(call uint64, ask ReadAsk, now clock.Micros) {
 	var out Rows
-	upTo := k.stairs.UpTo()
+	upTo := k.positions.UpTo()
 	slots := make([]int, 0, len(ask.Slots))
 	for slot := range ask.Slots {
 		slots = append(slots, slot)
@@ -352,7 +352,7 @@
 
 func (k *Store) show() Shown {
 	shown := Shown{Store: k.self.ID, Zone: k.self.Zone, Writer: k.writer, Life: k.self.Life,
-		UpTo: k.stairs.UpTo(), Next: k.stairs.Next(), Unfinished: k.stairs.Open()}
+		UpTo: k.positions.UpTo(), Next: k.positions.Next(), Unfinished: k.positions.Open()}
 	for _, group := range k.groups.All() {
 		shown.Slots = append(shown.Slots, SlotShown{Slot: slotOf(group.Unit), Role: group.Role.String(), Epoch: group.Epoch, Seq: group.Seq, Open: group.Open(), Bundles: len(k.place(group.Unit).state.Bundles), Peer: group.Peer()})
 	}
--- a/ledger/store/disk_test.go
+++ b/ledger/store/disk_test.go
@@ -29,7 +29,7 @@
 // and takes them again once the disk has kept up for a while.
 func TestAFullDiskIsToldAtOnce(t *testing.T) {
 	k := New(Self{ID: "s", Zone: "z", Peer: "p", Life: 1}, Defaults(), nil, shelf{})
-	k.Do(Cairns{Peers: []string{"c"}}, clock.Second)
+	k.Do(Cores{Peers: []string{"c"}}, clock.Second)
 	now := clock.Micros(2 * clock.Second)
 	if stalled, told := stalledBeat(k.Do(diskFull, now)); !told || !stalled {
 		t.Fatalf("told %v, stalled %v", told, stalled)
