--- a/core/control/core.go
+++ b/core/control/core.go
@@ -219,7 +219,7 @@
 const spreadFor = 2 * clock.Second
 
 // Confirmed answers the operator and takes the next change up.
-func (s *Core) Confirmed(_ string, seq uint64, now clock.Micros) {
+func (s *Core) Confirmed(_ string, _ uint64, now clock.Micros) {
 	if s.flight != nil {
 		done := s.flight
 		s.flight = nil
@@ -230,7 +230,7 @@
 }
 
 // Deposed says "outcome unknown" to who waits.
-func (s *Core) Deposed(_ string, epoch uint64, now clock.Micros) {
+func (s *Core) Deposed(_ string, epoch uint64, _ clock.Micros) {
 	lost := s.queue
 	if s.flight != nil {
 		lost = append([]change{*s.flight}, lost...)
@@ -262,7 +262,7 @@
 }
 
 // Apply notes it.
-func (n Suspicion) Apply(s *Core, now clock.Micros) {
+func (n Suspicion) Apply(s *Core, _ clock.Micros) {
 	if n.Ill {
 		s.suspects[n.ID] = true
 	} else {
--- a/ledger/store/following.go
+++ b/ledger/store/following.go
@@ -71,7 +71,7 @@
 type Cores struct{ Peers []string }
 
 // Apply notes them.
-func (c Cores) Apply(k *Store, now clock.Micros) { k.cores = c.Peers }
+func (c Cores) Apply(k *Store, _ clock.Micros) { k.cores = c.Peers }
 
 // News is a rumour from the acquaintance.
 type News struct{ Rumour machine.Update }
--- a/ledger/store/group.go
+++ b/ledger/store/group.go
@@ -38,7 +38,7 @@
 }
 
 // Confirmed answers who waits, finishes the position and starts new work.
-func (k *Store) Confirmed(unit string, seq uint64, now clock.Micros) {
+func (k *Store) Confirmed(unit string, seq uint64, _ clock.Micros) {
 	k.Entries++
 	if position, ok := k.given[unit][seq]; ok {
 		delete(k.given[unit], seq)
@@ -72,7 +72,7 @@
 }
 
 // Ready tells the cores that a copy is on two disks.
-func (k *Store) Ready(unit string, epoch uint64, now clock.Micros) { k.beat(now) }
+func (k *Store) Ready(_ string, _ uint64, now clock.Micros) { k.beat(now) }
 
 // Deposed says "outcome unknown" to who waits and leaves the slot's unfinished
 // positions open until its new owner has settled.
