--- a/proof/explore/config.go
+++ b/proof/explore/config.go
@@ -27,12 +27,13 @@
 }
 
 // The orders of the runs: two documents under one number, another number on the
-// same base, and one that builds on the first.
+// same base, one that builds on the first, and one that builds on the second number.
 var orders = []Order{
 	{Name: "A", Number: 1, Base: 0, HasBase: true, Body: `{"doc":"A"}`},
 	{Name: "B", Number: 1, Base: 0, HasBase: true, Body: `{"doc":"B"}`},
 	{Name: "C", Number: 2, Base: 0, HasBase: true, Body: `{"doc":"C"}`},
 	{Name: "D", Number: 2, Base: 1, HasBase: true, Body: `{"doc":"D"}`},
+	{Name: "E", Number: 3, Base: 2, HasBase: true, Body: `{"doc":"E"}`},
 	{Name: finalOrder, Number: 1000, Body: `{"doc":"final"}`},
 }
 
