--- a/proof/explore/check.go
+++ b/proof/explore/check.go
@@ -159,7 +159,7 @@
 // probe asks a process for the latest configuration: what it answers, and whether it
 // holds the lease that it answers under. Asking changes nothing.
 func (w *World) probe(p *process) (latest uint64, leased bool) {
-	if !p.up || p.frozen || !p.serving {
+	if !p.up || p.frozen || !p.serving || p.resumes(w.now) {
 		return 0, false
 	}
 	const call = 1 << 40
--- a/proof/explore/choices.go
+++ b/proof/explore/choices.go
@@ -122,6 +122,12 @@
 		}
 		if w.spent.freezes < w.config.Limits.Freezes {
 			c.add(Event{Kind: Freeze, Processes: self})
+			if !p.clogged {
+				c.add(Event{Kind: Clog, Processes: self})
+			}
+		}
+		if p.clogged {
+			c.add(Event{Kind: Unclog, Processes: self})
 		}
 		if w.config.Fine {
 			c.add(Event{Kind: Tick, Processes: self})
--- a/proof/explore/config.go
+++ b/proof/explore/config.go
@@ -49,7 +49,7 @@
 	Crashes int // crashes and blackouts
 	Wipes   int // wiped disks and replacements
 	Cuts    int // cut, mute, deafen, starve
-	Freezes int
+	Freezes int // frozen processes and disks that take no writes
 	Losses  int // messages dropped, repeated, held
 	Puts    int // orders handed in
 	Passes  int // times that time goes by
--- a/proof/explore/event.go
+++ b/proof/explore/event.go
@@ -35,6 +35,8 @@
 	Heal     Kind = "heal"     // all links work
 	Freeze   Kind = "freeze"   // a process stands still; what is sent to it waits
 	Thaw     Kind = "thaw"     // it goes on
+	Clog     Kind = "clog"     // the disk of a process takes no writes
+	Unclog   Kind = "unclog"   // it takes them again
 	Put      Kind = "put"      // an operator hands an order to a process
 	Leave    Kind = "leave"    // a process is told that it is about to go
 )
@@ -115,7 +117,7 @@
 			return wrong()
 		}
 		e.Processes, e.Order = rest[:1], rest[1]
-	case Tick, Sync, Start, Wipe, Replace, Mute, Deafen, Freeze, Thaw, Leave:
+	case Tick, Sync, Start, Wipe, Replace, Mute, Deafen, Freeze, Thaw, Clog, Unclog, Leave:
 		e.Processes, ok = rest, len(rest) == 1
 	case Cut:
 		e.Processes, ok = rest, len(rest) > 0
--- a/proof/explore/fingerprint.go
+++ b/proof/explore/fingerprint.go
@@ -161,7 +161,7 @@
 	}
 	out := newPrinter(now)
 	out.hash.WriteString(p.name)
-	out.add(reflect.ValueOf([]bool{p.up, p.frozen, p.leaving}))
+	out.add(reflect.ValueOf([]bool{p.up, p.frozen, p.leaving, p.clogged}))
 	out.number(uint64(p.generation))
 	out.add(reflect.ValueOf(p.disk))
 	for _, w := range p.unsynced {
--- a/proof/explore/process.go
+++ b/proof/explore/process.go
@@ -47,7 +47,10 @@
 	boot       boot
 	inputs     *input
 	up, frozen bool
-	leaving    bool // it was told that it is about to go
+	leaving    bool         // it was told that it is about to go
+	clogged    bool         // its disk takes no writes
+	unclogged  clock.Micros // when its disk took them again; 0: it always did
+	ticked     clock.Micros // its latest clock event
 	disk       []machine.Record
 	unsynced   []write
 
@@ -98,10 +101,24 @@
 	effects = core.Do(command, now)
 	next := *p
 	next.live, next.inputs, next.print = &running{core}, &input{p.inputs, command, now}, 0
+	if _, ok := command.(control.ClockEvent); ok {
+		next.ticked = now
+	}
 	next.look()
 	return &next, effects, nil
 }
 
+// diskProof is how long a disk takes writes again until its process, at the next
+// command, takes up its duties.
+const diskProof = clock.Second
+
+// resumes tells whether the next command, even a question, makes the process take up
+// its duties again.
+func (p *process) resumes(now clock.Micros) bool {
+	proven := p.unclogged + diskProof
+	return p.unclogged > 0 && now >= proven && p.ticked < proven
+}
+
 // look notes what the choices and checks ask for often.
 func (p *process) look() {
 	group := p.live.core.Groups().Group(coreUnit)
@@ -114,7 +131,8 @@
 	next.boot.life++
 	next.boot.records = p.disk
 	next.inputs, next.unsynced, next.print = nil, nil, 0
-	next.up, next.frozen, next.leaving = true, false, false
+	next.unclogged, next.ticked = 0, 0
+	next.up, next.frozen, next.leaving, next.clogged = true, false, false, false
 	next.live = &running{c.start(next.boot)}
 	next.look()
 	return &next
@@ -125,6 +143,9 @@
 	next := *p
 	next.live, next.inputs, next.print = nil, nil, 0
 	next.up, next.frozen, next.serving, next.owns = false, false, false, false
+	if p.clogged {
+		keep = 0
+	}
 	for _, w := range p.unsynced[:min(keep, len(p.unsynced))] {
 		next.disk = written(next.disk, w)
 	}
--- a/proof/explore/search.go
+++ b/proof/explore/search.go
@@ -281,10 +281,15 @@
 			next.processes[place] = p.ended(len(p.unsynced)).booted(next.config)
 		case !p.up:
 			next.processes[place] = p.booted(next.config)
+		case p.clogged && !p.frozen:
+			next.clog(place, false)
 		case p.frozen:
 			thawed := *p
 			thawed.frozen, thawed.print = false, 0
 			next.processes[place] = &thawed
+			if p.clogged {
+				next.clog(place, false)
+			}
 		}
 	}
 	for i := range next.flight {
--- a/proof/explore/world.go
+++ b/proof/explore/world.go
@@ -170,7 +170,7 @@
 // sync makes the oldest write of a process durable and tells the machine.
 func (w *World) sync(place int) bool {
 	p := w.processes[place]
-	if len(p.unsynced) == 0 {
+	if len(p.unsynced) == 0 || p.clogged {
 		return false
 	}
 	request := p.unsynced[0]
@@ -383,6 +383,8 @@
 		}
 		w.processes[place] = &next
 		return next.frozen != p.frozen
+	case Clog, Unclog:
+		return w.clog(place, e.Kind == Clog)
 	case Put:
 		return w.put(place, e.Order)
 	case Leave:
@@ -392,6 +394,19 @@
 	return true
 }
 
+// clog has the disk of a process take no writes, or take them again.
+func (w *World) clog(place int, clogged bool) bool {
+	before := w.processes[place].clogged
+	next := *w.processes[place]
+	next.clogged, next.unclogged, next.print = clogged, w.now, 0
+	w.processes[place] = &next
+	if clogged {
+		w.spent.freezes++
+	}
+	w.do(place, control.DiskChanged{State: machine.DiskState{Writable: !clogged, Reason: "explored"}})
+	return before != clogged
+}
+
 // leave tells a process that it is about to go.
 func (w *World) leave(place int) bool {
 	w.do(place, control.Leave{})
