--- a/proof/explore/check.go
+++ b/proof/explore/check.go
@@ -23,6 +23,7 @@
 	OneLease     Property = "no two processes hold the lease at one time"
 	WholeLeader  Property = "a member without the whole state never leads"
 	OldIdentity  Property = "a removed or wiped identity never counts"
+	OneFleet     Property = "a fleet is founded once"
 	OneVote      Property = "a voter grants a term to one candidate only"
 	Majority     Property = "a leader was granted its term by majorities of old and new voters"
 	NoRefusal    Property = "an order that was taken is never refused when sent again"
@@ -61,11 +62,12 @@
 	wiped     []string // all wiped identities
 	grants    []grant
 	newVoters []string // identities that were given a vote after the founding
+	fleet     string   // of the first that led
 	served    bool     // somebody held the lease: the fleet is founded
 }
 
 func (h history) clone() history {
-	return history{slices.Clip(h.confirmed), slices.Clip(h.calls), slices.Clip(h.lost), slices.Clip(h.wiped), slices.Clip(h.grants), slices.Clip(h.newVoters), h.served}
+	return history{slices.Clip(h.confirmed), slices.Clip(h.calls), slices.Clip(h.lost), slices.Clip(h.wiped), slices.Clip(h.grants), slices.Clip(h.newVoters), h.fleet, h.served}
 }
 
 // asked notes a call for an order and gives its number.
@@ -306,8 +308,13 @@
 	w.history.lost = nil
 }
 
-// joined notes the voters that the fleet did not begin with.
+// joined notes the fleet, and the voters that it did not begin with.
 func (w *World) joined(leader *process) {
+	fleet := leader.machine(w.config).Vote().Fleet
+	if w.history.fleet != "" && fleet != w.history.fleet {
+		w.fail(OneFleet, "%s leads fleet %s; fleet %s was founded", leader.name, fleet, w.history.fleet)
+	}
+	w.history.fleet = fleet
 	for _, voter := range leader.machine(w.config).Vote().Voters {
 		first := slices.ContainsFunc(w.processes[:w.config.Voters], func(p *process) bool { return "core-"+p.name == voter.ID })
 		if !first && !slices.Contains(w.history.newVoters, voter.ID) {
--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # The test command: format, vet, tests with the race detector (a small real fleet
-# is among them), and a seeded set of simulations. These run in one thread each,
-# where there is nothing to race, and without the detector.
+# is among them), and a seeded set of simulations and of the explorer's searches. These
+# run in one thread each, where there is nothing to race, and without the detector.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -10,5 +10,5 @@
   exit 1
 fi
 go vet ./...
-go test -count=1 -timeout 8m ./proof/simulation
-go test -race -count=1 -timeout 8m $(go list ./... | grep -v proof/weather)
+go test -count=1 -timeout 8m ./proof/simulation ./proof/explore
+go test -race -count=1 -timeout 8m $(go list ./... | grep -v -e proof/weather -e proof/explore)
