An order on a base that is yet to come waits and is left unclear, never refused

Found on real processes: an order built on a version above the one in force was refused (412), and taken when a copy of it came after its base. A verdict on it isn't final. It waits in the queue now and ends as not_ready.

--- a/core/control/changes.go
+++ b/core/control/changes.go
@@ -88,8 +88,10 @@
 	return -1
 }
 
+// baseWaits tells whether the configuration that another is built on waits here, or may
+// yet come: its order may have overtaken that one on the way.
 func (s *Core) baseWaits(put *pendingConfiguration) bool {
-	return slices.ContainsFunc(s.queue, func(other change) bool {
+	return put.baseToCome(s.state) || slices.ContainsFunc(s.queue, func(other change) bool {
 		return other.put != nil && put.dependsOn(other.put)
 	})
 }
--- a/core/control/configurations.go
+++ b/core/control/configurations.go
@@ -112,11 +112,19 @@
 	return p.ask.HasBase && p.ask.Base < oldest
 }
 
+// baseToCome tells whether an order is built on a version above the one in force, which
+// somebody may have put and nobody has brought here yet. No verdict on it would be final.
+func (p *pendingConfiguration) baseToCome(c *state.State) bool {
+	latest, _ := c.Latest()
+	return p.ask.HasBase && p.ask.Base > latest.Number && (p.ask.Number == 0 || p.ask.Number > p.ask.Base)
+}
+
 // judge numbers the configuration, or turns it away where its base is not in force
 // or its number is not above the one in force (DESIGN §8.1, §12.7). The entry is nil
 // where the very same order was taken before: it is not written again. A refusal is
 // final: numbers in force only rise, so an order that is refused once would be
-// refused at any later time.
+// refused at any later time. (One built on a version that is yet to come waits, and is
+// not judged.)
 func (p *pendingConfiguration) judge(c *state.State) (state.Entry, uint64, error) {
 	if number, taken := p.taken(c); taken {
 		return nil, number, nil
--- a/core/control/orders_test.go
+++ b/core/control/orders_test.go
@@ -384,3 +384,31 @@
 		t.Errorf("the core goes on: %v", effects)
 	}
 }
+
+// An order that overtook the one it is built on is not refused: that verdict would not be
+// final, as it is valid once its base is in force (found on real processes).
+func TestAnOrderThatOvertookItsBaseIsNotRefused(t *testing.T) {
+	b := fleet(t, small())
+	core := b.primary()
+	b.acknowledged(t, core, put(1, 0, `{"n":1}`))
+	early := b.ask(core, put(3, 2, `{"n":3}`))
+	b.pass(clock.Second)
+	if answer, told := b.answers[early]; told {
+		t.Fatalf("told %v %v before its base came", answer.Body, answer.Err)
+	}
+	b.acknowledged(t, core, put(2, 1, `{"n":2}`))
+	b.pass(clock.Second)
+	if answer := b.told(t, early); answer.Err != nil {
+		t.Fatalf("its base is in force, and it is told %v", answer.Err)
+	}
+	lost := b.ask(core, put(9, 8, `{"n":9}`))
+	b.pass(5 * clock.Second)
+	if answer := b.told(t, lost); !errs.Is(answer.Err, errs.NotReady) {
+		t.Fatalf("its base never came, and it is told %v %v", answer.Body, answer.Err)
+	}
+	senseless := b.ask(core, put(9, 9, `{"n":9}`))
+	b.pass(clock.Second)
+	if answer := b.told(t, senseless); !refused(answer) {
+		t.Fatalf("an order under its own base's number is told %v %v", answer.Body, answer.Err)
+	}
+}
