--- a/proof/simulation/scenarios_test.go
+++ b/proof/simulation/scenarios_test.go
@@ -165,3 +165,17 @@
 		}
 	}
 }
+
+// The same seed lives the same day with all that the scenarios add.
+func TestTheSameSeedIsTheSameDayOfScenarios(t *testing.T) {
+	day := Day{Seed: 6, Size: Shapes["five"], Climate: Mild(), Acts: 3, Forwarding: true, Scenarios: true, Measure: true}
+	one, two := day.Run(), day.Run()
+	if one.Steps != two.Steps || one.Messages != two.Messages || strings.Join(one.Trace, "\n") != strings.Join(two.Trace, "\n") {
+		t.Fatalf("%d and %d steps, %d and %d messages", one.Steps, two.Steps, one.Messages, two.Messages)
+	}
+	for _, promise := range []Promise{answered, onceOnly, inForce, repeats} {
+		if one.Watch.Checked[promise] == 0 {
+			t.Errorf("not put to the test: %s", promise)
+		}
+	}
+}
