--- a/ledger/store/store.go
+++ b/ledger/store/store.go
@@ -94,10 +94,10 @@
 	places    map[string]*place
 	fleet     string
 	writer    int
-	positions    *positions.Allocator
+	positions *positions.Allocator
 	asking    bool // a reservation is being written
 	placement state.Map
-	cores    []string
+	cores     []string
 	waits     map[string]map[uint64][]waiting
 	given     map[string]map[uint64]int64 // unit, entry -> position
 	news      map[string]map[uint64]string
