--- a/core/control/core.go
+++ b/core/control/core.go
@@ -342,6 +342,10 @@
 // Needed tells whether others still count on this core: it leads, holds a copy of the
 // control state, or has a vote that another core could have.
 func (s *Core) Needed(now clock.Micros) bool {
+	others := without(s.vote.Voters, s.self.ID)
+	if !slices.ContainsFunc(others, func(ref CoreRef) bool { return s.reachesCore(ref.ID, now) }) {
+		return false // nobody is there to take its duties over
+	}
 	replaceable := isVoter(s.vote.Voters, s.self.ID) && (len(s.vote.Voters) > s.least() || len(s.candidates(now)) > 0)
 	return s.group().Leads() || slices.Contains(s.vote.Committed.IDs(), s.self.ID) || replaceable
 }
--- a/core/control/voters_test.go
+++ b/core/control/voters_test.go
@@ -339,3 +339,17 @@
 		t.Fatal("an empty core leads")
 	}
 }
+
+// A core that leaves waits for others to take its duties over, and only where there are
+// any: the only one goes at once.
+func TestTheOnlyCoreLeavesAtOnce(t *testing.T) {
+	for cores, waits := range map[int]bool{1: false, 2: true, 3: true} {
+		b := fleetOf(t, small(), cores, "zone-1", "zone-2", "zone-3")
+		lead := b.leading(t)
+		b.take(lead.self.Peer, lead.Do(Leave{}, b.now))
+		if got := lead.Needed(b.now); got != waits {
+			t.Errorf("%d cores: needed %v", cores, got)
+		}
+		b.await(t, "nobody counts on it", func() bool { return !lead.Needed(b.now) })
+	}
+}
