--- a/cmd/simsweep/main.go
+++ b/cmd/simsweep/main.go
@@ -93,6 +93,6 @@
 }
 
 func (set options) day(seed int64, size simulation.Size) simulation.Day {
-	return simulation.Day{Seed: seed, Acts: int(set.acts), Only: set.only, Climate: simulation.Mild(), Size: size,
+	return simulation.Day{Seed: seed, Acts: int(set.acts), Only: set.only, Conditions: simulation.Mild(), Size: size,
 		Forwarding: !set.plain, Scenarios: !set.plain, Measure: !set.noMeasure}
 }
--- a/proof/naming/naming_test.go
+++ b/proof/naming/naming_test.go
@@ -63,11 +63,6 @@
 	"ledger/store.Store.Shelved",
 	"path/scoring.Score.Judge",
 	"platform.Operator.Office",
-	"proof/simulation.Climate",
-	"proof/simulation.Day.Climate",
-	"proof/simulation.Node.Keeper",
-	"proof/simulation.World.Climate",
-	"proof/simulation.World.Standing",
 }
 
 var camelWord = regexp.MustCompile(`[A-Z]+(?:[^A-Za-z]|$)|[A-Z]?[a-z0-9]+|[A-Z]+`)
--- a/proof/simulation/copies.go
+++ b/proof/simulation/copies.go
@@ -73,8 +73,8 @@
 	return false
 }
 
-// Standing is what the fleet looks like, for a breach.
-func (w *World) Standing() string {
+// Describe is what the fleet looks like, for a breach.
+func (w *World) Describe() string {
 	var out []string
 	for _, name := range w.Names(identity.Core) {
 		n := w.Nodes[name]
--- a/proof/simulation/day.go
+++ b/proof/simulation/day.go
@@ -11,13 +11,13 @@
 
 // Day is one simulated day.
 type Day struct {
-	Seed    int64
-	Size    Size
-	Climate Climate
-	Acts    int    // how many failures
-	Skip    []int  // acts left out, for shrinking
-	Only    string // only acts whose names hold this
-	Busy    bool   // the callers use every kind of call early on
+	Seed       int64
+	Size       Size
+	Conditions Conditions
+	Acts       int    // how many failures
+	Skip       []int  // acts left out, for shrinking
+	Only       string // only acts whose names hold this
+	Busy       bool   // the callers use every kind of call early on
 	// Forwarding adds requests that are passed on unchanged, alone and in bundles.
 	Forwarding bool
 	// Scenarios adds the directed scenarios (Scenarios) to the acts.
@@ -30,11 +30,11 @@
 
 // Run lives the day through and gives the world back.
 func (d Day) Run() *World {
-	w := NewWorld(d.Seed, d.Size, d.Climate)
+	w := NewWorld(d.Seed, d.Size, d.Conditions)
 	w.Plant, w.Mutate, w.Forwarding = d.Plant, d.Mutate, d.Forwarding
 	v := w.Watch
 	if !w.Until(10*clock.Second, w.ready) {
-		v.breach(back, "the fleet is not ready 10 s after boot: %s", w.Standing())
+		v.breach(back, "the fleet is not ready 10 s after boot: %s", w.Describe())
 		return w
 	}
 	v.Open()
@@ -165,7 +165,7 @@
 			continue
 		}
 		if !w.mayStrike(act) {
-			w.Watch.breach(kept, "no second copy %d s after a failure: %s", repairTime/clock.Second, w.Standing())
+			w.Watch.breach(kept, "no second copy %d s after a failure: %s", repairTime/clock.Second, w.Describe())
 			return false
 		}
 		w.Note("act %d: %s", i, act.Name)
--- a/proof/simulation/dayend.go
+++ b/proof/simulation/dayend.go
@@ -18,7 +18,7 @@
 	healed := w.Now
 	v.serviceBack(healed)
 	if !w.Until(max(0, healed+12*clock.Second-w.Now), w.Settled) {
-		v.breach(back, "the fleet has not settled 12 s after the last fault: %s", w.Standing())
+		v.breach(back, "the fleet has not settled 12 s after the last fault: %s", w.Describe())
 		return
 	}
 	v.Calling = false
@@ -175,7 +175,7 @@
 	for _, name := range names {
 		v.saw(back)
 		if given[name] == 0 {
-			v.breach(back, "%s is not back 12 s after the last fault: %s", name, w.Standing())
+			v.breach(back, "%s is not back 12 s after the last fault: %s", name, w.Describe())
 		} else if span := given[name] - since; span > v.SlowestBack {
 			v.SlowestBack, v.SlowestKind = span, name
 		}
--- a/proof/simulation/disk.go
+++ b/proof/simulation/disk.go
@@ -67,7 +67,7 @@
 			count++
 		}
 	}
-	span := w.between(w.Climate.Sync/2, 2*w.Climate.Sync)
+	span := w.between(w.Conditions.Sync/2, 2*w.Conditions.Sync)
 	span += n.disk.slow
 	if n.disk.stalled > w.Now {
 		span += n.disk.stalled - w.Now
--- a/proof/simulation/faults_daemons.go
+++ b/proof/simulation/faults_daemons.go
@@ -80,7 +80,7 @@
 		{Name: "drain a store", Span: 2500 * ms, Do: func(w *World) func() {
 			n := w.any(identity.Store)
 			if n.up && !n.frozen {
-				n.do(n.Keeper.Do(store.Drain{}, w.Now))
+				n.do(n.Store.Do(store.Drain{}, w.Now))
 			}
 			w.Note("%s drains", n.Name)
 			return func() { n.Crash(); n.Boot(slots) }
--- a/proof/simulation/full_disk_test.go
+++ b/proof/simulation/full_disk_test.go
@@ -34,7 +34,7 @@
 // confirms plans; every promise is kept, and the core is taken back.
 func TestAFullDiskOfThePrimary(t *testing.T) {
 	for seed := int64(1); seed <= 12; seed++ {
-		w := NewWorld(seed, ghent, Climate{Sync: 2 * clock.Millisecond})
+		w := NewWorld(seed, ghent, Conditions{Sync: 2 * clock.Millisecond})
 		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
 		w.Run(2 * clock.Second)
@@ -46,7 +46,7 @@
 		fill(old, 30*clock.Second)
 		w.Run(5 * clock.Second)
 		if !confirmedPut(w, 4*clock.Second) {
-			t.Fatalf("seed %d: 5 s on no plan is confirmed: %s %s", seed, w.Standing(), w.Report(40))
+			t.Fatalf("seed %d: 5 s on no plan is confirmed: %s %s", seed, w.Describe(), w.Report(40))
 		}
 		if now := w.primary(); now == old {
 			t.Fatalf("seed %d: %s leads without its disk", seed, old.Name)
@@ -65,7 +65,7 @@
 // them meanwhile. Nothing that was confirmed is lost.
 func TestFullDisksOfAllCores(t *testing.T) {
 	for seed := int64(1); seed <= 12; seed++ {
-		w := NewWorld(100+seed, ghent, Climate{Sync: 2 * clock.Millisecond})
+		w := NewWorld(100+seed, ghent, Conditions{Sync: 2 * clock.Millisecond})
 		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
 		w.Run(2 * clock.Second)
@@ -84,7 +84,7 @@
 		}
 		w.Run(14 * clock.Second)
 		if !confirmedPut(w, 10*clock.Second) {
-			t.Fatalf("seed %d: no plan is confirmed after the disks are well: %s %s", seed, w.Standing(), w.Report(40))
+			t.Fatalf("seed %d: no plan is confirmed after the disks are well: %s %s", seed, w.Describe(), w.Report(40))
 		}
 		if w.Watch.Last(20 * clock.Second); len(w.Watch.Breaches) > 0 {
 			t.Fatalf("seed %d: %s", seed, w.Report(30))
@@ -96,7 +96,7 @@
 // taken in meanwhile.
 func TestAFullDiskOfAStore(t *testing.T) {
 	for seed := int64(1); seed <= 6; seed++ {
-		w := NewWorld(200+seed, ghent, Climate{Sync: 2 * clock.Millisecond})
+		w := NewWorld(200+seed, ghent, Conditions{Sync: 2 * clock.Millisecond})
 		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
 		w.Run(2 * clock.Second)
@@ -109,7 +109,7 @@
 		w.Run(4 * clock.Second)
 		for _, h := range w.Watch.Bundles[before:] {
 			if h.Accepted == 0 {
-				t.Fatalf("seed %d: 10 s on bundle %s was not taken in: %s %s", seed, h.ID, w.Standing(), w.Report(40))
+				t.Fatalf("seed %d: 10 s on bundle %s was not taken in: %s %s", seed, h.ID, w.Describe(), w.Report(40))
 			}
 		}
 		w.Run(26 * clock.Second)
--- a/proof/simulation/measure.go
+++ b/proof/simulation/measure.go
@@ -41,13 +41,13 @@
 	}
 	for _, step := range steps {
 		if !w.Until(repairTime, w.noteSettled) {
-			v.breach(back, "not settled before %s: %s", step.name, w.Standing())
+			v.breach(back, "not settled before %s: %s", step.name, w.Describe())
 			return false
 		}
 		w.Run(w.between(0, 2*clock.Second))
 		w.Note("measuring: %s", step.name)
 		if *step.found = step.do(); *step.found == 0 {
-			v.breach(back, "no recovery within %d s after %s: %s", repairTime/clock.Second, step.name, w.Standing())
+			v.breach(back, "no recovery within %d s after %s: %s", repairTime/clock.Second, step.name, w.Describe())
 			return false
 		}
 	}
--- a/proof/simulation/moments.go
+++ b/proof/simulation/moments.go
@@ -116,7 +116,7 @@
 			w.Run(500 * ms)
 			first()
 			if !w.Until(20*clock.Second, w.Settled) {
-				w.Watch.breach(kept, "no second copy 20 s after a disk was lost: %s", w.Standing())
+				w.Watch.breach(kept, "no second copy 20 s after a disk was lost: %s", w.Describe())
 				return nil
 			}
 			return wipe(w.busiest(), slots)
@@ -130,7 +130,7 @@
 				w.Run(300 * ms)
 				n.Boot(slots)
 				if !w.Until(20*clock.Second, w.Settled) {
-					w.Watch.breach(back, "the exchange of %s has not settled after 20 s: %s", name, w.Standing())
+					w.Watch.breach(back, "the exchange of %s has not settled after 20 s: %s", name, w.Describe())
 				}
 			}
 			var undos []func()
--- a/proof/simulation/network.go
+++ b/proof/simulation/network.go
@@ -72,9 +72,9 @@
 	if to == nil || w.cut[[2]string{from.Name, to.Name}] {
 		return
 	}
-	drop, repeat, late := w.Chance.Float64() < w.Climate.Drop, w.Chance.Float64() < w.Climate.Repeat, clock.Micros(0)
-	if w.Chance.Float64() < w.Climate.Late {
-		late = w.between(0, w.Climate.LateBy)
+	drop, repeat, late := w.Chance.Float64() < w.Conditions.Drop, w.Chance.Float64() < w.Conditions.Repeat, clock.Micros(0)
+	if w.Chance.Float64() < w.Conditions.Late {
+		late = w.between(0, w.Conditions.LateBy)
 	}
 	if w.Mutate != nil {
 		d, r, l := w.Mutate(from.Name, to.Name, body)
--- a/proof/simulation/node.go
+++ b/proof/simulation/node.go
@@ -31,7 +31,7 @@
 	life    uint64
 	gossip  *gossip.Node
 	machine eventloop.Machine
-	Keeper  *store.Store
+	Store   *store.Store
 	Core    *control.Core
 	edge    *machines.Edge
 	ledger  *machines.Store
@@ -96,7 +96,7 @@
 	}
 	person := identity.Member{ID: n.ID, Kind: n.Kind, Zone: n.Zone, Peer: n.Peer, Incarnation: life, Version: identity.Release}
 	n.gossip = gossip.New(person, w.seeds, gossip.Defaults(), w.Chance.Int63())
-	n.machine, n.Keeper, n.Core, n.edge = nil, nil, nil, nil
+	n.machine, n.Store, n.Core, n.edge = nil, nil, nil, nil
 	switch n.Kind {
 	case identity.Core:
 		set := control.Defaults()
@@ -110,9 +110,9 @@
 			n.disk.shelf.files = map[uint64]map[string][]byte{}
 		}
 		set.FoldAfter = 300
-		n.Keeper = store.New(store.Self{ID: n.ID, Zone: n.Zone, Peer: n.Peer, Life: life}, set, n.disk.durable, &n.disk.shelf)
-		n.Keeper.Damaged = func(err error) { w.Watch.breach(kept, "%s: %v", n.Name, err) }
-		n.ledger = machines.NewStore(n.ID, n.Keeper, set.MostItems, w.Chance.Int63())
+		n.Store = store.New(store.Self{ID: n.ID, Zone: n.Zone, Peer: n.Peer, Life: life}, set, n.disk.durable, &n.disk.shelf)
+		n.Store.Damaged = func(err error) { w.Watch.breach(kept, "%s: %v", n.Name, err) }
+		n.ledger = machines.NewStore(n.ID, n.Store, set.MostItems, w.Chance.Int63())
 		n.machine = n.ledger
 	case identity.Edge:
 		n.edge = machines.NewEdge(n.ID, machines.EdgeDefaults(), w.Chance.Int63())
--- a/proof/simulation/planted_test.go
+++ b/proof/simulation/planted_test.go
@@ -21,31 +21,31 @@
 		broke []Promise // one of these has to be found broken
 	}{
 		"one disk taken for two": {func(n *Node) {
-			if n.Keeper != nil {
-				n.Keeper.Groups().SkipRemote = true
+			if n.Store != nil {
+				n.Store.Groups().SkipRemote = true
 			}
 		}, "store", 8, 8 * ms, 1, []Promise{kept}},
 		"old epochs not refused": {func(n *Node) {
-			if n.Keeper != nil {
-				n.Keeper.Groups().SkipFence = true
+			if n.Store != nil {
+				n.Store.Groups().SkipFence = true
 			}
 			if n.Core != nil {
 				n.Core.Groups().SkipFence = true
 			}
 		}, "", 12, 8 * ms, 20, nil},
 		"positions announced early": {func(n *Node) {
-			if n.Keeper != nil {
-				n.Keeper.EarlyAnnounce = true
+			if n.Store != nil {
+				n.Store.EarlyAnnounce = true
 			}
 		}, "all stores at once", 8, 60 * ms, 7, []Promise{exact, goesOn, kept}},
 		"asks answered without a lease": {func(n *Node) {
-			if n.Keeper != nil {
-				n.Keeper.NoLease = true
+			if n.Store != nil {
+				n.Store.NoLease = true
 			}
 		}, "cut a zone", 6, 8 * ms, 21, []Promise{kept}},
 		"turned away after the writing": {func(n *Node) {
-			if n.Keeper != nil {
-				n.Keeper.RefuseLate = true
+			if n.Store != nil {
+				n.Store.RefuseLate = true
 			}
 		}, "bounce", 1, 8 * ms, 1, []Promise{refused}},
 		"sync skipped": {func(n *Node) { n.disk.liar = true }, "", 10, 8 * ms, 1, []Promise{kept, exact, goesOn, inForce}},
@@ -65,13 +65,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := p.from; seed < p.from+25; seed++ {
-				climate := Mild()
-				climate.Sync = p.sync
+				conditions := Mild()
+				conditions.Sync = p.sync
 				size := ghent
 				if strings.HasPrefix(name, "neighbours") {
 					size = Size{Zones: 4, Cores: 3, Stores: 4, Edges: 4, Slots: 8} // two halves of two zones each
 				}
-				w := Day{Seed: seed, Size: size, Climate: climate, Acts: p.acts, Only: p.only, Plant: p.plant}.Run()
+				w := Day{Seed: seed, Size: size, Conditions: conditions, Acts: p.acts, Only: p.only, Plant: p.plant}.Run()
 				if len(p.broke) == 0 && len(w.Watch.Breaches) > 0 || slices.ContainsFunc(p.broke, w.Watch.Broke) {
 					t.Logf("seed %d: %s", seed, w.Watch.Breaches[0].String())
 					return
--- a/proof/simulation/scenarios.go
+++ b/proof/simulation/scenarios.go
@@ -121,7 +121,7 @@
 		if whole && most == other && w.bears(group) && w.Now > from+takeoverTime {
 			v.saw(back)
 			if len(most.Confirmed) == 0 {
-				v.breach(back, "most of the cores confirmed nothing in %d us of a cut: %s", w.Now-from, w.Standing())
+				v.breach(back, "most of the cores confirmed nothing in %d us of a cut: %s", w.Now-from, w.Describe())
 			}
 		}
 		w.separate(group, false)
--- a/proof/simulation/scenarios_losses.go
+++ b/proof/simulation/scenarios_losses.go
@@ -81,7 +81,7 @@
 	w.Run(w.between(200, 1500) * clock.Millisecond)
 	boot()
 	if !w.Until(repairTime, w.noteSettled) {
-		w.Watch.breach(kept, "no second copy %d s after a disk was lost: %s", repairTime/clock.Second, w.Standing())
+		w.Watch.breach(kept, "no second copy %d s after a disk was lost: %s", repairTime/clock.Second, w.Describe())
 		return nil
 	}
 	others := slices.DeleteFunc(w.nodes(kind), func(n *Node) bool { return n == first })
--- a/proof/simulation/scenarios_test.go
+++ b/proof/simulation/scenarios_test.go
@@ -16,7 +16,7 @@
 	for i, family := range families {
 		t.Run(strings.TrimSuffix(family, ": "), func(t *testing.T) {
 			t.Parallel()
-			w := Day{Seed: 300 + int64(i), Size: ghent, Climate: Mild(), Acts: 2, Only: family, Forwarding: true, Scenarios: true}.Run()
+			w := Day{Seed: 300 + int64(i), Size: ghent, Conditions: Mild(), Acts: 2, Only: family, Forwarding: true, Scenarios: true}.Run()
 			if len(w.Watch.Breaches) > 0 {
 				t.Fatal(w.Report(*lines))
 			}
@@ -32,7 +32,7 @@
 	for name, size := range Shapes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := Day{Seed: 400, Size: size, Climate: Mild(), Acts: 2, Forwarding: true, Scenarios: true, Measure: true}.Run()
+			w := Day{Seed: 400, Size: size, Conditions: Mild(), Acts: 2, Forwarding: true, Scenarios: true, Measure: true}.Run()
 			if len(w.Watch.Breaches) > 0 {
 				t.Fatal(w.Report(*lines))
 			}
@@ -47,7 +47,7 @@
 
 // With a tolerance of two, two disks go at once and nothing is lost.
 func TestTwoDisksAtOnce(t *testing.T) {
-	w := Day{Seed: 500, Size: Shapes["five"], Climate: Mild(), Acts: 4, Only: "at once", Forwarding: true, Scenarios: true}.Run()
+	w := Day{Seed: 500, Size: Shapes["five"], Conditions: Mild(), Acts: 4, Only: "at once", Forwarding: true, Scenarios: true}.Run()
 	if len(w.Watch.Breaches) > 0 {
 		t.Fatal(w.Report(*lines))
 	}
@@ -90,7 +90,7 @@
 		broke []Promise
 	}{
 		"a snapshot without what recognises repeated orders": {onCore(func(n *Node) { n.Core.SkipOrderTable = true }), familyOperators, ghent, 1, []Promise{inForce, repeats}},
-		"a bundle is confirmed before the last copy":         {onStore(func(n *Node) { n.Keeper.Groups().SkipLast = true }), "slot but the slowest", Shapes["five"], 1, []Promise{kept, exact, goesOn}},
+		"a bundle is confirmed before the last copy":         {onStore(func(n *Node) { n.Store.Groups().SkipLast = true }), "slot but the slowest", Shapes["five"], 1, []Promise{kept, exact, goesOn}},
 		"a configuration is confirmed before the last copy":  {onCore(func(n *Node) { n.Core.Groups().SkipLast = true }), "control state but the slowest", Shapes["five"], 1, []Promise{inForce, repeats}},
 		"a request that is passed on runs again elsewhere":   {onEdge(func(n *Node) { n.edge.Proxy.SecondRun = true }), familyAnswers, ghent, 1, []Promise{onceOnly}},
 		"cores keep changes in memory only":                  {onCore(func(n *Node) { n.disk.liar = true }), familyChanges, ghent, 6, []Promise{inForce, repeats}},
@@ -99,7 +99,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := p.from; seed < p.from+25; seed++ {
-				w := Day{Seed: seed, Size: p.size, Climate: Mild(), Acts: 4, Only: p.only, Forwarding: true, Scenarios: true, Plant: p.plant}.Run()
+				w := Day{Seed: seed, Size: p.size, Conditions: Mild(), Acts: 4, Only: p.only, Forwarding: true, Scenarios: true, Plant: p.plant}.Run()
 				if slices.ContainsFunc(p.broke, w.Watch.Broke) {
 					t.Logf("seed %d: %s", seed, w.Watch.Breaches[0].String())
 					return
@@ -122,9 +122,9 @@
 // seen whole since, counts as lost.
 func TestLossesAreCounted(t *testing.T) {
 	size := Size{Zones: 3, Cores: 3, Stores: 4, Edges: 2, Slots: 4, Tolerance: 2}
-	w := NewWorld(9, size, Climate{Sync: 2 * clock.Millisecond})
+	w := NewWorld(9, size, Conditions{Sync: 2 * clock.Millisecond})
 	if !w.Until(15*clock.Second, w.noteSettled) {
-		t.Fatalf("not settled: %s", w.Standing())
+		t.Fatalf("not settled: %s", w.Describe())
 	}
 	w.Run(clock.Second)
 	w.noteSettled()
@@ -140,7 +140,7 @@
 		t.Fatal("an empty store counts before it has its copies")
 	}
 	if !w.Until(repairTime, w.noteSettled) {
-		t.Fatalf("not settled: %s", w.Standing())
+		t.Fatalf("not settled: %s", w.Describe())
 	}
 	w.Run(clock.Millisecond)
 	if w.noteSettled(); !w.mayLose("refuge", 2) {
@@ -168,7 +168,7 @@
 
 // The same seed lives the same day with all that the scenarios add.
 func TestTheSameSeedIsTheSameDayOfScenarios(t *testing.T) {
-	day := Day{Seed: 6, Size: Shapes["five"], Climate: Mild(), Acts: 3, Forwarding: true, Scenarios: true, Measure: true}
+	day := Day{Seed: 6, Size: Shapes["five"], Conditions: Mild(), Acts: 3, Forwarding: true, Scenarios: true, Measure: true}
 	one, two := day.Run(), day.Run()
 	if one.Steps != two.Steps || one.Messages != two.Messages || strings.Join(one.Trace, "\n") != strings.Join(two.Trace, "\n") {
 		t.Fatalf("%d and %d steps, %d and %d messages", one.Steps, two.Steps, one.Messages, two.Messages)
--- a/proof/simulation/simulation_test.go
+++ b/proof/simulation/simulation_test.go
@@ -23,7 +23,7 @@
 )
 
 func TestADayWithoutFailures(t *testing.T) {
-	w := Day{Seed: 1, Size: ghent, Climate: Mild(), Acts: 0}.Run()
+	w := Day{Seed: 1, Size: ghent, Conditions: Mild(), Acts: 0}.Run()
 	if len(w.Watch.Breaches) > 0 {
 		t.Fatal(w.Report(40))
 	}
@@ -31,7 +31,7 @@
 
 func TestSweep(t *testing.T) {
 	for seed := *first; seed < *first+int64(*seeds); seed++ {
-		w := Day{Seed: seed, Size: ghent, Climate: Mild(), Acts: *acts}.Run()
+		w := Day{Seed: seed, Size: ghent, Conditions: Mild(), Acts: *acts}.Run()
 		if len(w.Watch.Breaches) > 0 {
 			t.Errorf("seed %d: %s", seed, w.Report(*lines))
 			return
@@ -54,11 +54,11 @@
 // One message of a kind is dropped, repeated, made late, or swapped with those
 // behind it, for every kind there is; every promise holds whichever it is.
 func TestOneMessageMutated(t *testing.T) {
-	quiet := Climate{Sync: 2 * clock.Millisecond}
+	quiet := Conditions{Sync: 2 * clock.Millisecond}
 	small := Size{Zones: 3, Cores: 3, Stores: 3, Edges: 2, Slots: 4}
 	live := func(kind string, target int, drop, repeat bool, late clock.Micros) (*World, map[string]int) {
 		counts := map[string]int{}
-		day := Day{Seed: 77, Size: small, Climate: quiet, Acts: 4, Only: "a store", Busy: true}
+		day := Day{Seed: 77, Size: small, Conditions: quiet, Acts: 4, Only: "a store", Busy: true}
 		day.Mutate = func(_, _ string, body any) (bool, bool, clock.Micros) {
 			name := fmt.Sprintf("%T", body)
 			if counts[name]++; name != kind || counts[name] != target {
@@ -91,7 +91,7 @@
 
 // The same seed lives the same day: verdicts do not depend on the machine.
 func TestTheSameSeedIsTheSameDay(t *testing.T) {
-	day := Day{Seed: 5, Size: ghent, Climate: Mild(), Acts: 4}
+	day := Day{Seed: 5, Size: ghent, Conditions: Mild(), Acts: 4}
 	one, two := day.Run(), day.Run()
 	if one.Steps != two.Steps || one.Messages != two.Messages || strings.Join(one.Trace, "\n") != strings.Join(two.Trace, "\n") {
 		t.Fatalf("%d and %d steps, %d and %d messages", one.Steps, two.Steps, one.Messages, two.Messages)
@@ -101,7 +101,7 @@
 // A store's disk stalls for half a minute: its slots pass on, and bundles are
 // taken in again long before it is back.
 func TestAStalledDiskPassesItsSlotsOn(t *testing.T) {
-	w := NewWorld(3, ghent, Climate{Sync: 2 * clock.Millisecond})
+	w := NewWorld(3, ghent, Conditions{Sync: 2 * clock.Millisecond})
 	w.Until(10*clock.Second, w.Settled)
 	w.Watch.Open()
 	w.Run(2 * clock.Second)
@@ -118,7 +118,7 @@
 		}
 	}
 	if accepted != 30 {
-		t.Fatalf("8 s into the stall only %d of 30 bundles were taken in: %s %s", accepted, w.Standing(), w.Report(*lines))
+		t.Fatalf("8 s into the stall only %d of 30 bundles were taken in: %s %s", accepted, w.Describe(), w.Report(*lines))
 	}
 	w.Run(25 * clock.Second)
 	if w.Watch.Last(20 * clock.Second); len(w.Watch.Breaches) > 0 {
@@ -129,7 +129,7 @@
 // Two stores that both live can't reach each other for half a minute: their
 // slots find other partners, and bundles are taken in meanwhile.
 func TestAPairThatIsCutFindsOtherPartners(t *testing.T) {
-	w := NewWorld(4, ghent, Climate{Sync: 2 * clock.Millisecond})
+	w := NewWorld(4, ghent, Conditions{Sync: 2 * clock.Millisecond})
 	w.Until(10*clock.Second, w.Settled)
 	w.Watch.Open()
 	w.Run(6 * clock.Second)
@@ -141,7 +141,7 @@
 	w.Run(4 * clock.Second)
 	for _, h := range w.Watch.Bundles {
 		if h.Accepted == 0 {
-			t.Fatalf("12 s into the cut bundle %s was not taken in: %s %s", h.ID, w.Standing(), w.Report(60))
+			t.Fatalf("12 s into the cut bundle %s was not taken in: %s %s", h.ID, w.Describe(), w.Report(60))
 		}
 	}
 	w.Cut("store-1", "store-2", false)
@@ -159,7 +159,7 @@
 			if kind == "core-1" && !alive {
 				continue // a core's old copy has an old epoch: it can claim nothing
 			}
-			w := NewWorld(8, ghent, Climate{Sync: 2 * clock.Millisecond})
+			w := NewWorld(8, ghent, Conditions{Sync: 2 * clock.Millisecond})
 			w.Until(10*clock.Second, w.Settled)
 			w.Watch.Open()
 			for i := 0; i < 20; i++ {
@@ -205,7 +205,7 @@
 		"store-1": {Unit: "self", Kind: "writer", Body: []byte(`{"fleet":"f-other","writer":3}`)},
 		"core-1":  {Unit: "oath", Kind: "oath", Epoch: 4, Body: []byte(`{"fleet":"f-other","granted":4,"cores":[{"id":"x-1"},{"id":"x-2"},{"id":"stranger"}],"done":{"epoch":4},"sworn":[{"id":"x-1"},{"id":"x-2"},{"id":"stranger"}]}`)},
 	} {
-		w := NewWorld(8, ghent, Climate{Sync: 2 * clock.Millisecond})
+		w := NewWorld(8, ghent, Conditions{Sync: 2 * clock.Millisecond})
 		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
 		w.Run(3 * clock.Second)
@@ -227,7 +227,7 @@
 // that owns most is in its own zone.
 func TestAnAddedStoreTakesItsShare(t *testing.T) {
 	for zone := 1; zone <= 2; zone++ {
-		w := NewWorld(21, Size{Zones: 4, Cores: 3, Stores: 4, Edges: 2, Slots: 24}, Climate{Sync: 2 * clock.Millisecond})
+		w := NewWorld(21, Size{Zones: 4, Cores: 3, Stores: 4, Edges: 2, Slots: 24}, Conditions{Sync: 2 * clock.Millisecond})
 		w.Until(10*clock.Second, w.Settled)
 		w.Watch.Open()
 		for i := 0; i < 20; i++ {
@@ -236,8 +236,8 @@
 		added := w.Copy(w.Nodes["store-1"], "store-5")
 		added.ID, added.Zone, added.life, added.disk.durable = "refuge-05", fmt.Sprintf("zone-%d", zone), 0, nil
 		added.Boot(24)
-		if !w.Until(60*clock.Second, func() bool { return added.Keeper.Owned() >= 3 }) {
-			t.Errorf("in zone-%d the added store owns %d of 24 slots after a minute", zone, added.Keeper.Owned())
+		if !w.Until(60*clock.Second, func() bool { return added.Store.Owned() >= 3 }) {
+			t.Errorf("in zone-%d the added store owns %d of 24 slots after a minute", zone, added.Store.Owned())
 		}
 		// Then it comes to rest: nothing is moved to and fro.
 		epochs := func() (sum uint64) {
@@ -262,9 +262,9 @@
 func TestBadWeatherAloneMovesNothing(t *testing.T) {
 	moved := 0
 	for seed := int64(1); seed <= 3; seed++ {
-		w := NewWorld(seed, ghent, Climate{Drop: 0.02, Repeat: 0.02, Late: 0.2, LateBy: 150 * clock.Millisecond, Sync: 10 * clock.Millisecond})
+		w := NewWorld(seed, ghent, Conditions{Drop: 0.02, Repeat: 0.02, Late: 0.2, LateBy: 150 * clock.Millisecond, Sync: 10 * clock.Millisecond})
 		if !w.Until(15*clock.Second, w.Settled) {
-			t.Fatalf("seed %d: not settled: %s", seed, w.Standing())
+			t.Fatalf("seed %d: not settled: %s", seed, w.Describe())
 		}
 		w.Run(10 * clock.Second)
 		epochs := func() (out string) {
@@ -295,10 +295,10 @@
 // seed.
 func TestLessons(t *testing.T) {
 	for _, day := range []Day{
-		{Seed: 5005, Size: ghent, Climate: Mild(), Acts: 0},                   // a founding whose grants were lost
-		{Seed: 1004, Size: ghent, Climate: Mild(), Acts: 8},                   // a deposed writer's open positions never settled
-		{Seed: 6011, Size: ghent, Climate: Mild(), Acts: 8},                   // a slot that passed on twice turned its order round in the feed
-		{Seed: 45, Size: ghent, Climate: Mild(), Acts: 6, Only: "cut a zone"}, // a deposed keeper in a cut zone denied an accepted bundle
+		{Seed: 5005, Size: ghent, Conditions: Mild(), Acts: 0},                   // a founding whose grants were lost
+		{Seed: 1004, Size: ghent, Conditions: Mild(), Acts: 8},                   // a deposed writer's open positions never settled
+		{Seed: 6011, Size: ghent, Conditions: Mild(), Acts: 8},                   // a slot that passed on twice turned its order round in the feed
+		{Seed: 45, Size: ghent, Conditions: Mild(), Acts: 6, Only: "cut a zone"}, // a deposed keeper in a cut zone denied an accepted bundle
 	} {
 		if w := day.Run(); len(w.Watch.Breaches) > 0 {
 			t.Errorf("seed %d: %s", day.Seed, w.Report(40))
--- a/proof/simulation/world.go
+++ b/proof/simulation/world.go
@@ -13,39 +13,39 @@
 	"tuliprudder/path/registry"
 )
 
-// Climate is how bad links and disks are.
-type Climate struct {
+// Conditions say how bad links and disks are.
+type Conditions struct {
 	Drop, Repeat, Late float64
 	LateBy             clock.Micros
 	Sync               clock.Micros
 }
 
-// Mild is the climate of an ordinary day.
-func Mild() Climate {
-	return Climate{Drop: 0.002, Repeat: 0.002, Late: 0.01, LateBy: 60 * clock.Millisecond, Sync: 2 * clock.Millisecond}
+// Mild gives the conditions of an ordinary day.
+func Mild() Conditions {
+	return Conditions{Drop: 0.002, Repeat: 0.002, Late: 0.01, LateBy: 60 * clock.Millisecond, Sync: 2 * clock.Millisecond}
 }
 
 // World is a whole fleet.
 type World struct {
-	Now       clock.Micros
-	Chance    *rand.Rand
-	Climate   Climate
-	queue     events
-	seq       uint64
-	Nodes     map[string]*Node
-	names     []string
-	byPeer    map[string]*Node
-	Servers   []*Server
-	byAddress map[string]*Server
-	cut       map[[2]string]bool
-	Trace     []string
-	Watch     *Watch
-	Steps     int
-	Messages  int
-	Syncs     int
+	Now        clock.Micros
+	Chance     *rand.Rand
+	Conditions Conditions
+	queue      events
+	seq        uint64
+	Nodes      map[string]*Node
+	names      []string
+	byPeer     map[string]*Node
+	Servers    []*Server
+	byAddress  map[string]*Server
+	cut        map[[2]string]bool
+	Trace      []string
+	Watch      *Watch
+	Steps      int
+	Messages   int
+	Syncs      int
 	// Plant lets a test plant a fault in the machines it starts.
 	Plant func(n *Node)
-	// Mutate may change the fate of one message; nil leaves it to the climate.
+	// Mutate may change the fate of one message; nil leaves it to the conditions.
 	Mutate func(from, to string, body any) (drop, repeat bool, late clock.Micros)
 	// Spy sees each message as it is sent; Wrote each node whose disk has just
 	// synced, before its machine hears of it.
@@ -60,8 +60,8 @@
 }
 
 // NewWorld makes a fleet that has not booted.
-func NewWorld(seed int64, size Size, climate Climate) *World {
-	w := &World{Now: 1_000_000_000, Chance: rand.New(rand.NewSource(seed)), Climate: climate, Nodes: map[string]*Node{}, byPeer: map[string]*Node{}, byAddress: map[string]*Server{}, cut: map[[2]string]bool{}, Size: size}
+func NewWorld(seed int64, size Size, conditions Conditions) *World {
+	w := &World{Now: 1_000_000_000, Chance: rand.New(rand.NewSource(seed)), Conditions: conditions, Nodes: map[string]*Node{}, byPeer: map[string]*Node{}, byAddress: map[string]*Server{}, cut: map[[2]string]bool{}, Size: size}
 	w.Watch = newWatch(w)
 	add := func(kind, word string, count int) {
 		for i := 0; i < count; i++ {
@@ -140,7 +140,7 @@
 func (w *World) busiest() *Node {
 	var best *Node
 	for _, name := range w.Names(identity.Store) {
-		if n := w.Nodes[name]; n.up && !n.frozen && (best == nil || n.Keeper.Listed > best.Keeper.Listed) {
+		if n := w.Nodes[name]; n.up && !n.frozen && (best == nil || n.Store.Listed > best.Store.Listed) {
 			best = n
 		}
 	}
