A term that nobody holds is awaited for a second, not four

Cause: two members that campaign for one term at the same moment grant it to each other before they write their own grant; each then takes the other for working on that term, as its vote names the same number, and waits out the patience of 4 s. Now the other counts as working only while its own vote is for that very assignment. Ruled out by the explorer: refusing a term that one campaigns for oneself (nobody holds the lease a minute after healing).

--- a/core/control/campaign.go
+++ b/core/control/campaign.go
@@ -223,7 +223,8 @@
 	}
 	since := now - s.termAt
 	heard, ok := s.cores[s.vote.Pending.Primary.ID]
-	working := ok && now-heard.at <= s.set.CoreSilent && heard.heartbeat.Life == s.vote.Pending.Primary.Life && heard.heartbeat.Vote.Term == s.vote.Term
+	working := ok && now-heard.at <= s.set.CoreSilent && heard.heartbeat.Life == s.vote.Pending.Primary.Life &&
+		heard.heartbeat.Vote.Term == s.vote.Term && heard.heartbeat.Vote.Pending.Equal(s.vote.Pending)
 	return since < grantPatience || working && since < campaignPatience
 }
 
--- /dev/null
+++ b/core/control/restart_test.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"math/rand"
+	"testing"
+
+	"tuliprudder/kernel/clock"
+	"tuliprudder/kernel/machine"
+)
+
+// restarted is a core that is started again, and when its next clock event is due.
+type restarted struct {
+	core *Core
+	due  clock.Micros
+}
+
+// restartAll ends every core at once and starts each again within the spread, with what
+// its disk holds. It returns how long after the last start the fleet has a primary.
+func (b *bench) restartAll(t *testing.T, rng *rand.Rand, spread clock.Micros) clock.Micros {
+	t.Helper()
+	const step, tick, patience = 5 * clock.Millisecond, 50 * clock.Millisecond, 30 * clock.Second
+	b.now += clock.Second
+	b.wire = nil
+	last := b.now
+	starts := map[string]*restarted{}
+	for _, peer := range sortedIDs(b.cores) {
+		at := b.now + rng.Int63n(spread)
+		last = max(last, at)
+		starts[peer] = &restarted{b.again(peer), at}
+	}
+	b.cores = map[string]*Core{}
+	for ; b.now < last+patience; b.now += step {
+		for _, peer := range sortedIDs(starts) {
+			if start := starts[peer]; b.now >= start.due {
+				start.due = b.now + tick
+				b.cores[peer] = start.core
+				b.take(peer, start.core.Do(ClockEvent{}, b.now))
+			}
+		}
+		b.deliver()
+		if b.primary() != nil {
+			return max(0, b.now-last)
+		}
+	}
+	t.Fatal("no core is primary half a minute after all were started again")
+	return 0
+}
+
+// again is a core in its next life, with what its disk holds.
+func (b *bench) again(peer string) *Core {
+	old := b.cores[peer]
+	records := append([]machine.Record(nil), b.disk(peer).snapshot...)
+	for _, write := range b.disk(peer).writes {
+		records = append(records, write...)
+	}
+	return New(old.self, old.life+1, old.seeds, old.set, records)
+}
+
+// deliver hands over what is on the wire now; answers to it come with the next step.
+func (b *bench) deliver() {
+	wire := b.wire
+	b.wire = nil
+	for _, l := range wire {
+		if to := b.cores[l.to]; to != nil {
+			b.take(l.to, to.Do(Letter{l.from, l.body}, b.now))
+		}
+	}
+}
+
+// Two members that campaign for one term at the same moment may grant it to each
+// other and win it neither: they don't wait for a term that nobody holds.
+func TestATermThatNobodyHoldsIsNotAwaited(t *testing.T) {
+	const most = 2 * clock.Second
+	for seed := int64(1); seed <= 120; seed++ {
+		b := newBench(small())
+		b.disks = map[string]*disk{}
+		for _, id := range []string{"1", "2", "3"} {
+			b.core("core-"+id, "c"+id, "zone-"+id, "c1", "c2", "c3")
+			b.store("store-"+id, "s"+id, "zone-"+id)
+		}
+		b.settle(t)
+		if took := b.restartAll(t, rand.New(rand.NewSource(seed)), 500*clock.Millisecond); took > most {
+			t.Errorf("seed %d: no primary until %d us after the last start", seed, took)
+		}
+	}
+}
