Edges count and log callers' connections that end without an answer

Change: httpserver's connections know what was read and written of the present request; one that is closed here unanswered is an event (connection_closed_unanswered), one whose caller left is counted with the longest wait; idle closes are counted. No decision changes. Measured: TestConnectionsThatEndUnansweredAreCounted; httpserver, platform, roles, naming and pages' tests ok with the race detector.

--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"net/http"
 	"time"
 
@@ -24,9 +23,7 @@
 	r.refreshLimits()
 	r.server.MaxHeaderBytes = maxHeaderBytes
 	r.server.Handler = http.HandlerFunc(r.serveWithinLimits)
-	r.server.ConnState = func(conn net.Conn, state http.ConnState) {
-		r.idle.stateChanged(conn, state, time.Now(), r.limitsInForce.Load().IdleTimeout)
-	}
+	r.tracksIdle = true
 	cleanup.Every(&r.cleanups, limitsInterval, func() { r.closeExpiredIdle(time.Now()) })
 }
 
@@ -74,6 +71,7 @@
 func (r *RawServer) closeExpiredIdle(now time.Time) {
 	limits := r.refreshLimits()
 	for _, conn := range r.idle.expired(now, limits) {
+		r.Unanswered.ClosedIdle.Add(1)
 		conn.Close()
 	}
 }
--- a/internal/httpserver/raw_server.go
+++ b/internal/httpserver/raw_server.go
@@ -23,10 +23,16 @@
 	// CurrentLimits, where set, gives the limits in force, which may change at any time; a limit
 	// that is zero there is taken from Limits. It is called from many goroutines.
 	CurrentLimits func() Limits
+	// Unanswered counts the connections that ended without an answer.
+	Unanswered UnansweredStats
+	// OnUnanswered, where set, is told of each that this daemon closed. It is called from many
+	// goroutines.
+	OnUnanswered func(Unanswered)
 
 	server        *http.Server
 	listener      net.Listener
 	idle          idleConns
+	tracksIdle    bool                   // idle connections are closed by the limits in force
 	limitsInForce atomic.Pointer[Limits] // the latest CurrentLimits, completed
 	cleanups      cleanup.Stack
 }
@@ -45,8 +51,8 @@
 	if err != nil {
 		return err
 	}
-	r.listener = listener
-	r.server = &http.Server{Handler: r.Handler}
+	r.listener = callerListener{listener, r}
+	r.server = &http.Server{Handler: r.Handler, ConnState: r.connStateChanged}
 	if r.CurrentLimits == nil {
 		r.server.MaxHeaderBytes = r.Limits.HeaderBytes
 		r.server.ReadHeaderTimeout = r.Limits.HeaderTimeout
@@ -55,13 +61,23 @@
 		r.enforceCurrentLimits()
 	}
 	go func() {
-		if err := r.server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := r.server.Serve(r.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			onFailure(err)
 		}
 	}()
 	return nil
 }
 
+// connStateChanged notes a connection's state, as net/http reports it.
+func (r *RawServer) connStateChanged(conn net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		conn.(*callerConn).requestEnded()
+	}
+	if r.tracksIdle {
+		r.idle.stateChanged(conn, state, time.Now(), r.limitsInForce.Load().IdleTimeout)
+	}
+}
+
 // Close accepts no new connections, closes the idle ones, and waits for the open requests until
 // the timeout; then it closes their connections.
 func (r *RawServer) Close(timeout time.Duration) {
--- a/internal/httpserver/raw_server_test.go
+++ b/internal/httpserver/raw_server_test.go
@@ -118,3 +118,43 @@
 	}
 	<-closed
 }
+
+// A connection that this daemon closes after it has read of a request and before it answered is
+// counted and told; one whose caller left first is counted apart, and one that was answered
+// not at all.
+func TestConnectionsThatEndUnansweredAreCounted(t *testing.T) {
+	told := make(chan Unanswered, 1)
+	reached := make(chan struct{})
+	release := make(chan struct{})
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method {
+		case http.MethodPost:
+			reached <- struct{}{}
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		case http.MethodPut:
+			<-release
+			panic(http.ErrAbortHandler)
+		}
+		io.WriteString(w, "ok")
+	})
+	f.OnUnanswered = func(ended Unanswered) { told <- ended }
+	answered, left, cut := f.dial(), f.dial(), f.dial()
+	answered.get(0)
+	answered.conn.Close()
+	io.WriteString(left.conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	<-reached
+	left.conn.Close()
+	const request = "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	io.WriteString(cut.conn, request)
+	close(release)
+	if ended := <-told; ended.RequestBytes != int64(len(request)) || ended.Remote != cut.conn.LocalAddr().String() {
+		t.Errorf("told of %+v", ended)
+	}
+	f.waitForIdle(0)
+	f.Close(20 * time.Second)
+	stats := &f.Unanswered
+	if here, left := stats.ClosedHere.Load(), stats.CallersLeft.Load(); here != 1 || left != 1 || stats.LongestWait.Load() == 0 {
+		t.Errorf("closed here: %d, callers that left: %d, after %d us", here, left, stats.LongestWait.Load())
+	}
+}
