Two tests, red: a request that was read is answered when its connection closes

An idle connection is listed under a lock and closed after it; the stop of an edge uses net/http's Shutdown, which drops what it has read.

--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -1,6 +1,9 @@
 package httpserver
 
 import (
+	"bytes"
+	"net/http"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -77,3 +80,44 @@
 		t.Errorf("by a limit that was just raised: %d", got)
 	}
 }
+
+// A request that was read on an idle connection is answered, even if that connection is found to
+// be idle for too long before net/http reports it as active.
+func TestARequestThatWasReadIsAnsweredWhenItsConnectionExpires(t *testing.T) {
+	handled := make(chan struct{}, 1)
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		handled <- struct{}{}
+		answerOK(w, r)
+	})
+	c := f.dial()
+	c.get(0)
+	<-handled
+	idleSince := f.waitForIdle(1)
+	f.idle.mu.Lock() // the closer waits here first, then the connection with its request
+	expired := make(chan struct{})
+	go func() {
+		defer close(expired)
+		f.closeExpiredIdle(idleSince.Add(time.Hour))
+	}()
+	waitForGoroutine(t, "(*idleConns).expired")
+	status := make(chan int, 1)
+	go func() { status <- c.get(0) }()
+	waitForGoroutine(t, "(*idleConns).stateChanged")
+	f.idle.mu.Unlock()
+	<-expired
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("the request that had been read is answered with %d; it reached the handler: %v", got, len(handled) == 1)
+	}
+}
+
+// waitForGoroutine waits until a goroutine is in a function.
+func waitForGoroutine(t *testing.T, function string) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for stacks := make([]byte, 1<<20); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if bytes.Contains(stacks[:runtime.Stack(stacks, true)], []byte(function)) {
+			return
+		}
+	}
+	t.Fatalf("no goroutine came to %s", function)
+}
--- a/internal/httpserver/raw_server_test.go
+++ b/internal/httpserver/raw_server_test.go
@@ -158,3 +158,37 @@
 		t.Errorf("closed here: %d, callers that left: %d, after %d us", here, left, stats.LongestWait.Load())
 	}
 }
+
+// A request that was read is answered, even if the server begins to close before its handler
+// has it.
+func TestARequestThatWasReadIsAnsweredWhenTheServerCloses(t *testing.T) {
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, Limits{}, answerOK)
+	c := f.dial()
+	c.get(0)
+	f.waitForIdle(1)
+	f.idle.mu.Lock() // holds the connection up between its request and the handler
+	status := make(chan int, 1)
+	go func() { status <- c.get(0) }()
+	waitForGoroutine(t, "(*idleConns).stateChanged")
+	closed := make(chan struct{})
+	go func() { defer close(closed); f.Close(20 * time.Second) }()
+	f.waitUntilRefused()
+	f.idle.mu.Unlock()
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("the request that had been read is answered with %d", got)
+	}
+	<-closed
+}
+
+// waitUntilRefused waits until the server accepts no new connections.
+func (f *testServer) waitUntilRefused() {
+	f.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", f.listener.Addr().String())
+		if err != nil {
+			return
+		}
+		conn.Close()
+	}
+	f.t.Fatal("new connections are still accepted")
+}
