Only the reader of a connection ends it, so that what was read is answered

Change: a connection that is to end (idle for too long, or its server closes) is told to retire: the read that waits on it ends, and the goroutine that serves it closes it, unless that read brought a request. RawServer closes by itself instead of by Shutdown: no new connections, answers say close, idle ones retire, open requests are waited for. Half a head keeps a connection for the header's time and no longer.

--- a/internal/httpserver/idle_conns.go
+++ b/internal/httpserver/idle_conns.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -10,7 +9,7 @@
 // idleConns are the connections without a request in progress.
 type idleConns struct {
 	mu    sync.Mutex // guards conns
-	conns map[net.Conn]idlePeriod
+	conns map[*callerConn]idlePeriod
 }
 
 // idlePeriod is since when a connection is idle, with the limit that was in force then: a caller
@@ -22,7 +21,7 @@
 
 // stateChanged notes a connection's state, as net/http reports it. A connection is active from
 // the end of a request's header to the end of the response.
-func (c *idleConns) stateChanged(conn net.Conn, state http.ConnState, now time.Time, timeout time.Duration) {
+func (c *idleConns) stateChanged(conn *callerConn, state http.ConnState, now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isIdle := state == http.StateNew || state == http.StateIdle
@@ -31,17 +30,17 @@
 		return
 	}
 	if c.conns == nil {
-		c.conns = map[net.Conn]idlePeriod{}
+		c.conns = map[*callerConn]idlePeriod{}
 	}
 	c.conns[conn] = idlePeriod{now, timeout}
 }
 
 // expired lists the connections that have been idle for too long. net/http reports a connection
 // as idle until the next request's header is complete, so the time for a header is added.
-func (c *idleConns) expired(now time.Time, limits Limits) []net.Conn {
+func (c *idleConns) expired(now time.Time, limits Limits) []*callerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []net.Conn
+	var out []*callerConn
 	for conn, period := range c.conns {
 		timeout := max(period.timeout, limits.IdleTimeout) + limits.HeaderTimeout
 		if now.Sub(period.since) > timeout {
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -22,8 +22,6 @@
 func (r *RawServer) enforceCurrentLimits() {
 	r.refreshLimits()
 	r.server.MaxHeaderBytes = maxHeaderBytes
-	r.server.Handler = http.HandlerFunc(r.serveWithinLimits)
-	r.tracksIdle = true
 	cleanup.Every(&r.cleanups, limitsInterval, func() { r.closeExpiredIdle(time.Now()) })
 }
 
@@ -39,16 +37,16 @@
 	return limits
 }
 
-// serveWithinLimits rejects a request whose header exceeds the limit in force. The limit is read
-// again first: it may have been raised since the last time.
-func (r *RawServer) serveWithinLimits(w http.ResponseWriter, request *http.Request) {
+// rejectLargeHeader rejects a request whose header exceeds the limit in force, and tells whether
+// it did. The limit is read again first: it may have been raised since the last time.
+func (r *RawServer) rejectLargeHeader(w http.ResponseWriter, request *http.Request) bool {
 	size := headerSize(request)
-	if size > r.limitsInForce.Load().HeaderBytes && size > r.refreshLimits().HeaderBytes {
-		w.Header().Set("Connection", "close")
-		http.Error(w, "the header is larger than it may be", http.StatusRequestHeaderFieldsTooLarge)
-		return
+	if size <= r.limitsInForce.Load().HeaderBytes || size <= r.refreshLimits().HeaderBytes {
+		return false
 	}
-	r.Handler.ServeHTTP(w, request)
+	w.Header().Set("Connection", "close")
+	http.Error(w, "the header is larger than it may be", http.StatusRequestHeaderFieldsTooLarge)
+	return true
 }
 
 // headerSize is the least number of bytes that a request's line and header took.
@@ -67,11 +65,10 @@
 	return size
 }
 
-// closeExpiredIdle closes the connections that have been idle for too long.
+// closeExpiredIdle has the connections closed that have been idle for too long.
 func (r *RawServer) closeExpiredIdle(now time.Time) {
 	limits := r.refreshLimits()
 	for _, conn := range r.idle.expired(now, limits) {
-		r.Unanswered.ClosedIdle.Add(1)
-		conn.Close()
+		conn.retire(limits.HeaderTimeout)
 	}
 }
--- a/internal/httpserver/raw_server.go
+++ b/internal/httpserver/raw_server.go
@@ -1,8 +1,6 @@
 package httpserver
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -31,9 +29,10 @@
 
 	server        *http.Server
 	listener      net.Listener
+	open          openConns
 	idle          idleConns
-	tracksIdle    bool                   // idle connections are closed by the limits in force
-	limitsInForce atomic.Pointer[Limits] // the latest CurrentLimits, completed
+	limitsInForce atomic.Pointer[Limits] // the latest CurrentLimits, completed; nil without these
+	isClosing     atomic.Bool
 	cleanups      cleanup.Stack
 }
 
@@ -44,6 +43,14 @@
 	IdleTimeout   time.Duration // for which a connection may be idle
 }
 
+const (
+	// newConnectionGrace is how long a server that closes waits for the first request on a
+	// connection.
+	newConnectionGrace = time.Second
+	// closeInterval is how often a server that closes looks at its connections.
+	closeInterval = 20 * time.Millisecond
+)
+
 // Start listens, and serves in a goroutine that ends with Close. onFailure is called with the
 // error after which the server can't go on.
 func (r *RawServer) Start(onFailure func(error)) error {
@@ -52,7 +59,7 @@
 		return err
 	}
 	r.listener = callerListener{listener, r}
-	r.server = &http.Server{Handler: r.Handler, ConnState: r.connStateChanged}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serveRequest), ConnState: r.connStateChanged}
 	if r.CurrentLimits == nil {
 		r.server.MaxHeaderBytes = r.Limits.HeaderBytes
 		r.server.ReadHeaderTimeout = r.Limits.HeaderTimeout
@@ -61,30 +68,69 @@
 		r.enforceCurrentLimits()
 	}
 	go func() {
-		if err := r.server.Serve(r.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := r.server.Serve(r.listener); err != nil && !r.isClosing.Load() {
 			onFailure(err)
 		}
 	}()
 	return nil
 }
 
+// serveRequest serves one request. Once the server closes, its caller is told to use another
+// connection for the next one.
+func (r *RawServer) serveRequest(w http.ResponseWriter, request *http.Request) {
+	if r.isClosing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.limitsInForce.Load() != nil && r.rejectLargeHeader(w, request) {
+		return
+	}
+	r.Handler.ServeHTTP(w, request)
+}
+
 // connStateChanged notes a connection's state, as net/http reports it.
-func (r *RawServer) connStateChanged(conn net.Conn, state http.ConnState) {
-	if state == http.StateIdle {
-		conn.(*callerConn).requestEnded()
+func (r *RawServer) connStateChanged(netConn net.Conn, state http.ConnState) {
+	conn := netConn.(*callerConn)
+	switch state {
+	case http.StateActive:
+		conn.requestStarted()
+	case http.StateIdle:
+		conn.requestEnded()
 	}
-	if r.tracksIdle {
-		r.idle.stateChanged(conn, state, time.Now(), r.limitsInForce.Load().IdleTimeout)
+	if limits := r.limitsInForce.Load(); limits != nil {
+		r.idle.stateChanged(conn, state, time.Now(), limits.IdleTimeout)
 	}
 }
 
-// Close accepts no new connections, closes the idle ones, and waits for the open requests until
-// the timeout; then it closes their connections.
+// forget forgets a connection that is closed.
+func (r *RawServer) forget(conn *callerConn) { r.open.remove(conn) }
+
+// Close accepts no new connections, has the idle ones closed, and waits for the open requests
+// until the timeout; then it closes their connections. Every request that is read until then is
+// served. The server's own Shutdown isn't used, as it drops a request that was read while it
+// began.
 func (r *RawServer) Close(timeout time.Duration) {
 	defer r.cleanups.Run()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	if r.server.Shutdown(ctx) != nil {
-		r.server.Close()
+	r.isClosing.Store(true)
+	r.listener.Close()
+	deadline := time.Now().Add(timeout)
+	for r.retireIdle(time.Now()) > 0 && time.Now().Before(deadline) {
+		time.Sleep(closeInterval)
+	}
+	r.server.Close()
+}
+
+// retireIdle has the connections closed on which no request is open, and gives the number of
+// those that are still there.
+func (r *RawServer) retireIdle(now time.Time) (open int) {
+	limits := r.Limits
+	if inForce := r.limitsInForce.Load(); inForce != nil {
+		limits = *inForce
+	}
+	conns := r.open.list()
+	for _, conn := range conns {
+		if conn.mayRetire(now) {
+			conn.retire(limits.HeaderTimeout)
+		}
 	}
+	return len(conns)
 }
--- a/internal/httpserver/raw_server_test.go
+++ b/internal/httpserver/raw_server_test.go
@@ -65,6 +65,13 @@
 	return response.StatusCode
 }
 
+// waitForEnd waits until the server has closed the connection, on which nothing is sent, and gives
+// how it ended.
+func (c *testClient) waitForEnd() error {
+	_, err := c.reader.ReadByte()
+	return err
+}
+
 // waitForIdle waits until the server takes so many connections for idle, and gives the time.
 func (f *testServer) waitForIdle(count int) time.Time {
 	f.t.Helper()
@@ -192,3 +199,42 @@
 	}
 	f.t.Fatal("new connections are still accepted")
 }
+
+// A head that doesn't come to its end does not keep its connection, and one that does in time
+// is served.
+func TestAnIncompleteHeadDoesNotKeepItsConnection(t *testing.T) {
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}, Limits{}, answerOK)
+	slow, late := f.dial(), f.dial()
+	const half = "GET / HTTP/1.1\r\nHost:"
+	idleSince := f.waitForIdle(2)
+	io.WriteString(slow.conn, half)
+	io.WriteString(late.conn, half)
+	f.waitForRequestBytes(2 * len(half))
+	f.closeExpiredIdle(idleSince.Add(time.Hour))
+	io.WriteString(late.conn, " h\r\n\r\n")
+	if response, err := http.ReadResponse(late.reader, nil); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("a head that came in time is answered with %+v, %v", response, err)
+	}
+	f.limits.Store(&Limits{HeaderTimeout: time.Nanosecond})
+	f.closeExpiredIdle(idleSince.Add(time.Hour))
+	if _, err := slow.reader.ReadByte(); err != io.EOF {
+		t.Errorf("a connection with half a head ended with %v", err)
+	}
+}
+
+// waitForRequestBytes waits until the server has read so many bytes of unfinished requests.
+func (f *testServer) waitForRequestBytes(want int) {
+	f.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		got := int64(0)
+		for _, conn := range f.open.list() {
+			conn.mu.Lock()
+			got += conn.exchange.requestBytes
+			conn.mu.Unlock()
+		}
+		if got == int64(want) {
+			return
+		}
+	}
+	f.t.Fatalf("the server has not read %d bytes", want)
+}
