--- a/internal/batchstore/archive.go
+++ b/internal/batchstore/archive.go
@@ -170,3 +170,20 @@
 		s.Emit(machine.DeleteArchive{Files: unused})
 	}
 }
+
+// FinishedInMemory is how many bytes of outputs of finished batches are in memory because they
+// are not in the archive yet.
+func (s *Store) FinishedInMemory() int64 {
+	size := int64(0)
+	for _, local := range s.shards {
+		for _, batch := range local.state.Batches {
+			if batch.State == shard.Open {
+				continue
+			}
+			for _, result := range batch.Results {
+				size += int64(len(result.Output))
+			}
+		}
+	}
+	return size
+}
--- a/internal/daemon/roles/store_metrics.go
+++ b/internal/daemon/roles/store_metrics.go
@@ -17,6 +17,7 @@
 	oldestUnannounced, oldestWrite                                              clock.Micros
 	entriesConfirmed, reads, batchesArchived                                    int64
 	itemsInFlight, visibleResults, batchesSubmitted, unknownOutcomes, takeovers int64
+	finishedInMemory, snapshotsInMemory                                         int64 // bytes
 }
 
 func sampleStore(loop *eventloop.Loop, store *machines.Store) (s storeSample) {
@@ -33,6 +34,9 @@
 			batchesSubmitted: store.Batches.BatchesSubmitted,
 			unknownOutcomes:  store.Batches.UnknownOutcomes,
 			takeovers:        store.Batches.Takeovers,
+
+			finishedInMemory:  store.Batches.FinishedInMemory(),
+			snapshotsInMemory: store.Batches.Groups().SnapshotBytes(),
 		}
 		s.underReplicated, s.oldestUnannounced = store.Batches.UnderReplicated(now)
 	})
@@ -66,6 +70,16 @@
 		Help:  "Finished batches moved to the archive.",
 		Value: func(s storeSample) int64 { return s.batchesArchived },
 	},
+	{
+		Key: "finished_in_memory_bytes", Name: "tuliprudder_store_finished_in_memory_bytes", Type: prometheus.GaugeValue, Unit: metrics.Bytes,
+		Help:  "Outputs of finished batches that are not in the archive yet.",
+		Value: func(s storeSample) int64 { return s.finishedInMemory },
+	},
+	{
+		Key: "snapshots_in_memory_bytes", Name: "tuliprudder_store_snapshots_in_memory_bytes", Type: prometheus.GaugeValue, Unit: metrics.Bytes,
+		Help:  "Snapshots of shards on their way to or from other stores.",
+		Value: func(s storeSample) int64 { return s.snapshotsInMemory },
+	},
 	{
 		Key: "disk_wait_us", Name: "tuliprudder_store_oldest_write_seconds", Type: prometheus.GaugeValue, Unit: metrics.Microseconds,
 		Help:  "Age of the oldest write that is not durable yet.",
--- a/internal/replication/snapshot_sender.go
+++ b/internal/replication/snapshot_sender.go
@@ -229,3 +229,26 @@
 	p.snapshot.chunks = nil
 	gs.state.GroupReady(g.Unit, g.Epoch, now)
 }
+
+// SnapshotBytes is how many bytes of snapshots are in memory, on their way to or from other
+// members.
+func (gs *Groups) SnapshotBytes() int64 {
+	size := int64(0)
+	for _, g := range gs.groups {
+		for _, chunk := range g.asPrimary.snapshot.chunks {
+			size += chunkBytes(chunk)
+		}
+		for _, chunk := range g.asReplica.snapshot.chunks {
+			size += chunkBytes(chunk)
+		}
+	}
+	return size
+}
+
+func chunkBytes(parts [][]byte) int64 {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	return int64(size)
+}
