--- a/internal/batchstore/archive_test.go
+++ b/internal/batchstore/archive_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestUnusedArchiveFilesAreTakenOnce(t *testing.T) {
-	a := newArchiver(memoryArchive{})
+	a := newArchiver(newMemoryArchive())
 	a.files = map[uint64]bool{1: true, 2: true, 3: true}
 	if got := a.takeUnused(map[uint64]bool{2: true, 4: true}); !slices.Equal(got, []uint64{1, 3}) {
 		t.Fatalf("unused are %v", got)
@@ -46,7 +46,7 @@
 	c.advance(3 * clock.Second)
 	var damage error
 	c.stores["a"].OnDamage = func(err error) { damage = err }
-	clear(c.archives["a"])
+	clear(c.archives["a"].files)
 	c.mustCall(BatchStatusRequest{Batch: "one", Operator: true})
 	if damage == nil || c.stores["a"].BadRecord == nil {
 		t.Fatal("nothing was reported")
--- a/internal/batchstore/fixture_test.go
+++ b/internal/batchstore/fixture_test.go
@@ -15,11 +15,19 @@
 	"tuliprudder/internal/replication"
 )
 
-// memoryArchive is an archive in memory: the records of each file.
-type memoryArchive map[uint64][]machine.Record
+// memoryArchive is an archive in memory.
+type memoryArchive struct {
+	files map[uint64][]machine.Record
+	reads int // of records
+}
+
+func newMemoryArchive() *memoryArchive {
+	return &memoryArchive{files: map[uint64][]machine.Record{}}
+}
 
-func (a memoryArchive) Get(file uint64, unit string) ([]byte, error) {
-	for _, record := range a[file] {
+func (a *memoryArchive) Get(file uint64, unit string) ([]byte, error) {
+	a.reads++
+	for _, record := range a.files[file] {
 		if record.Unit == unit {
 			return record.Body, nil
 		}
@@ -27,38 +35,42 @@
 	return nil, fmt.Errorf("no record of %s in file %d", unit, file)
 }
 
-func (a memoryArchive) Files() []uint64  { return nil }
-func (a memoryArchive) LastFile() uint64 { return 0 }
+func (a *memoryArchive) Files() []uint64  { return nil }
+func (a *memoryArchive) LastFile() uint64 { return 0 }
 
 // newStore makes a store with an empty disk and an empty archive.
-func newStore(self Self) *Store { return New(self, Defaults(), nil, memoryArchive{}) }
+func newStore(self Self) *Store { return New(self, Defaults(), nil, newMemoryArchive()) }
 
 // cluster is two stores that replicate the one shard there is: "a" is its primary, "b" its
 // replica. Writes are durable and messages arrive at once, unless a's are delayed.
 type cluster struct {
-	t         *testing.T
-	now       clock.Micros
-	stores    map[string]*Store
-	archives  map[string]memoryArchive
-	delayed   bool     // the writes and messages of "a" wait
-	waiting   []func() // these
-	replies   map[uint64]machine.Reply
-	tasks     []any              // of the Execute effects
-	announced token.Announcement // the last one of "a"
-	lastCall  uint64
+	t              *testing.T
+	now            clock.Micros
+	stores         map[string]*Store
+	archives       map[string]*memoryArchive
+	delayed        bool     // the writes and messages of "a" wait
+	waiting        []func() // these
+	replies        map[uint64]machine.Reply
+	tasks          []any              // of the Execute effects
+	announced      token.Announcement // the last one of "a"
+	lastCall       uint64
+	mapSeq         uint64         // of the latest map
+	muted          string         // messages to this store are lost
+	persistedBytes map[string]int // in bodies of records, by store
 }
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{
-		t:        t,
-		now:      clock.Second,
-		stores:   map[string]*Store{},
-		archives: map[string]memoryArchive{},
-		replies:  map[uint64]machine.Reply{},
+		t:              t,
+		now:            clock.Second,
+		stores:         map[string]*Store{},
+		archives:       map[string]*memoryArchive{},
+		persistedBytes: map[string]int{},
+		replies:        map[uint64]machine.Reply{},
 	}
 	for _, id := range []string{"a", "b"} {
-		c.archives[id] = memoryArchive{}
+		c.archives[id] = newMemoryArchive()
 		c.stores[id] = New(Self{ID: id, Zone: id, Peer: id, Incarnation: 1}, Defaults(), nil, c.archives[id])
 	}
 	c.do("a", Message{Body: registration.Registered{Fleet: "f", Writer: 1}})
@@ -74,6 +86,7 @@
 		for _, id := range []string{"a", "b"} {
 			c.do(id, mapUpdate(uint64(seq+1), stores, assignment))
 		}
+		c.mapSeq = uint64(seq + 1)
 		c.advance(clock.Second)
 	}
 	return c
@@ -102,12 +115,15 @@
 	}
 	switch e := effect.(type) {
 	case machine.Persist:
+		for _, record := range e.Records {
+			c.persistedBytes[id] += len(record.Body)
+		}
 		c.do(id, Persisted{Token: e.Token})
 	case machine.Archive:
-		c.archives[id][e.File] = e.Records
+		c.archives[id].files[e.File] = e.Records
 		c.do(id, Persisted{Token: e.Token})
 	case machine.Send:
-		if c.stores[e.To] != nil {
+		if c.stores[e.To] != nil && e.To != c.muted {
 			c.do(e.To, Message{From: id, Body: e.Body})
 		}
 	case machine.Reply:
--- /dev/null
+++ b/internal/batchstore/memory_test.go
@@ -0,0 +1,130 @@
+package batchstore
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/registration"
+	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/replication"
+)
+
+// These tests hold that a store's memory, and what its next start reads, are bounded by its open
+// work, however many batches have finished (docs/DESIGN.md §6.7).
+
+// outputSize is the size of one output in these tests, in bytes: far above what a batch takes
+// beside its outputs.
+const outputSize = 64 << 10
+
+// finishBatches has batches of one item each submitted and finished at "a".
+func (c *cluster) finishBatches(count int) {
+	c.t.Helper()
+	for i := range count {
+		id := fmt.Sprint("batch", i)
+		c.mustCall(forwardedBatch(id, 1))
+		c.do("a", ItemFinished{Batch: id, Status: shard.StatusOK, Output: outputOf(id)})
+	}
+}
+
+// outputOf is the output of the item of a batch.
+func outputOf(batch string) string { return strings.Repeat(batch+" ", outputSize/(len(batch)+1)) }
+
+// assign makes "a" the primary of the shard under an epoch, with one replica.
+func (c *cluster) assign(epoch uint64, replica string, complete bool) {
+	assignment := replication.Assignment{
+		Epoch:    epoch,
+		Primary:  replication.Member{ID: "a", Incarnation: 1},
+		Replicas: []replication.Member{{ID: replica, Incarnation: 1}},
+		Complete: complete,
+	}
+	stores := map[string]state.Store{}
+	for id := range c.stores {
+		stores[id] = state.Store{Peer: id}
+	}
+	c.mapSeq++
+	for id := range c.stores {
+		c.do(id, mapUpdate(c.mapSeq, stores, assignment))
+	}
+}
+
+// addStore adds an empty store.
+func (c *cluster) addStore(id string, writer int) {
+	c.archives[id] = newMemoryArchive()
+	c.stores[id] = New(Self{ID: id, Zone: id, Peer: id, Incarnation: 1}, Defaults(), nil, c.archives[id])
+	c.do(id, Message{Body: registration.Registered{Fleet: "f", Writer: writer}})
+}
+
+// Finished batches leave memory as fast as they finish, at the primary and at its replica.
+func TestFinishedBatchesLeaveMemoryAsFastAsTheyFinish(t *testing.T) {
+	c := newCluster(t)
+	const batches = 100
+	c.finishBatches(batches)
+	c.advance(3 * resumeInterval)
+	for id, store := range c.stores {
+		if left := store.FinishedInMemory(); left > 0 {
+			t.Errorf("%s has %d KB of the outputs of %d finished batches in memory, after %d s", id, left>>10, batches, 3*resumeInterval/clock.Second)
+		}
+	}
+}
+
+// A store that is filled with another one's shard has the finished batches in its archive, not
+// in its memory, and not in the records that its next start reads.
+func TestAFilledStoreHasFinishedBatchesInItsArchive(t *testing.T) {
+	c := newCluster(t)
+	const batches = 60
+	c.finishBatches(batches)
+	c.advance(60 * clock.Second)
+	c.addStore("c", 3)
+	c.assign(2, "c", false)
+	c.advance(clock.Second)
+	c.assign(2, "c", true)
+	c.advance(clock.Second)
+	filled := c.stores["c"]
+	if got := filled.Groups().Group(Unit(0)).Role; got != replication.Replicating {
+		t.Fatalf("the store is not filled: it is %v", got)
+	}
+	if left := filled.FinishedInMemory(); left > 0 {
+		t.Errorf("%d KB of outputs are in memory", left>>10)
+	}
+	if got := c.persistedBytes["c"]; got > batches*outputSize/10 {
+		t.Errorf("the records that the next start reads have %d KB, of %d KB of outputs", got>>10, batches*outputSize>>10)
+	}
+	known := filled.shard(Unit(0)).state.Batches
+	if len(known) != batches {
+		t.Fatalf("it has %d batches, not %d", len(known), batches)
+	}
+	for id, batch := range known {
+		if batch.Archived == nil {
+			t.Fatalf("%s is not in the archive", id)
+		}
+		results := filled.readArchived(batch).Results
+		if len(results) != 1 || results[0].Output != outputOf(id) {
+			t.Fatalf("%s is read back with %d results", id, len(results))
+		}
+	}
+}
+
+// What a snapshot has of the archive is read as it is sent: a primary whose replica has the same
+// state reads nothing, and one whose replica does not answer no more than it may send.
+func TestASnapshotIsReadAsItIsSent(t *testing.T) {
+	c := newCluster(t)
+	c.finishBatches(60)
+	c.advance(60 * clock.Second)
+	c.archives["a"].reads = 0
+	c.assign(2, "b", false)
+	c.advance(clock.Second)
+	if got := c.archives["a"].reads; got > 0 {
+		t.Errorf("%d batches were read back for a replica that has them", got)
+	}
+	c.addStore("c", 3)
+	c.muted = "c"
+	c.assign(3, "c", false)
+	c.advance(clock.Second)
+	const chunk = 256 << 10
+	if got, held := c.archives["a"].reads, c.stores["a"].Groups().SnapshotBytes(); got > 2*chunk/outputSize || held > chunk {
+		t.Errorf("for a replica that does not answer %d batches were read back, and %d KB are kept in memory", got, held>>10)
+	}
+}
--- a/internal/batchstore/pending_weights_test.go
+++ b/internal/batchstore/pending_weights_test.go
@@ -33,7 +33,7 @@
 		t.Fatalf("%d tokens are pending at the replica as well", got)
 	}
 	records := append(c.stores["a"].ownRecords(), c.stores["a"].groups.CompactedRecords()...)
-	restarted := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 2}, Defaults(), records, memoryArchive{})
+	restarted := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 2}, Defaults(), records, newMemoryArchive())
 	restarted.Do(assignedTo(9, 1, "a", "b"), c.now)
 	if got := restarted.PendingWeights(c.now)["route"]; got != 33 {
 		t.Fatalf("%d tokens are pending at the primary that restarted", got)
--- a/internal/batchstore/writer_identity_test.go
+++ b/internal/batchstore/writer_identity_test.go
@@ -17,7 +17,7 @@
 	if s.Fleet() != "f" || s.Writer() != 3 {
 		t.Fatalf("registered as writer %d of %q", s.Writer(), s.Fleet())
 	}
-	restarted := New(Self{ID: "s", Incarnation: 2}, Defaults(), s.ownRecords(), memoryArchive{})
+	restarted := New(Self{ID: "s", Incarnation: 2}, Defaults(), s.ownRecords(), newMemoryArchive())
 	if restarted.Fleet() != "f" || restarted.Writer() != 3 {
 		t.Fatalf("after a restart registered as writer %d of %q", restarted.Writer(), restarted.Fleet())
 	}
