--- a/internal/batchstore/archive.go
+++ b/internal/batchstore/archive.go
@@ -26,12 +26,13 @@
 }
 
 const (
-	// archiveFileSize is about how many bytes of outputs one file holds.
+	// archiveFileSize is about how many bytes of batches one file holds.
 	archiveFileSize = 256 << 10
 	// archiveBatchLimit is how many batches one file holds at most.
 	archiveBatchLimit = 256
-	// resultOverhead is about how many bytes a result takes besides its output.
-	resultOverhead = 128
+	// maxArchiveFiles is how many files are written at one pass at most (archiveFinished): twice
+	// what a disk of 4 MB a second takes between two passes.
+	maxArchiveFiles = 64
 )
 
 // archiver keeps account of the archive files.
@@ -52,12 +53,18 @@
 // nextFile is the number of a new file.
 func (a *archiver) nextFile() uint64 {
 	a.lastFile++
+	a.files[a.lastFile] = true // to be deleted if no batch comes to refer to it
 	return a.lastFile
 }
 
+// readEncoded reads an archived batch back as the file has it.
+func (a *archiver) readEncoded(batch *shard.Batch) ([]byte, error) {
+	return a.archive.Get(batch.Archived.File, batch.ID)
+}
+
 // read reads an archived batch back.
 func (a *archiver) read(batch *shard.Batch) (*shard.Batch, error) {
-	data, err := a.archive.Get(batch.Archived.File, batch.ID)
+	data, err := a.readEncoded(batch)
 	if err != nil {
 		return nil, err
 	}
@@ -77,55 +84,69 @@
 	return unused
 }
 
-// archiveFinished writes finished batches into a file. They leave memory only once it is
-// durable; the entries that made them stay on disk until a compaction refers to the file.
+// archiveFinished writes the finished batches of shards whose entries are all durable into
+// files, as many as there are, up to a bound.
 func (s *Store) archiveFinished() {
-	batches := s.archivableBatches()
-	if len(batches) == 0 {
-		return
-	}
-	file := s.archiver.nextFile()
-	records := make([]machine.Record, len(batches))
-	for i, batch := range batches {
-		batch.BeginArchiving()
-		records[i] = machine.Record{Unit: batch.ID, Kind: kindBatch, Body: batch.EncodeForArchive()}
-	}
-	writeToken := s.groups.RegisterWrite(func(clock.Micros) {
-		for _, batch := range batches {
-			batch.CompleteArchiving(file)
+	var batches []*shard.Batch
+	for _, group := range s.groups.All() {
+		if isStable(group) {
+			batches = append(batches, archivableBatches(s.shard(group.Unit).state)...)
 		}
-		s.BatchesArchived += int64(len(batches))
-	})
-	s.Emit(machine.Archive{Token: writeToken, File: file, Records: records})
+	}
+	s.archiveBatches(batches, maxArchiveFiles)
+}
+
+// archiveInstalled writes all finished batches of a state that came from another store.
+func (s *Store) archiveInstalled(state *shard.State) {
+	batches := archivableBatches(state)
+	s.archiveBatches(batches, len(batches))
 }
 
-// archivableBatches are the batches for the next file, of shards whose entries are all
-// durable.
-func (s *Store) archivableBatches() []*shard.Batch {
+// archivableBatches are the finished batches of a shard that are neither in a file nor on the
+// way there.
+func archivableBatches(state *shard.State) []*shard.Batch {
 	var batches []*shard.Batch
-	size := 0
-	for _, group := range s.groups.All() {
-		if !isStable(group) {
-			continue
-		}
-		state := s.shard(group.Unit).state
-		for _, id := range sortedBatches(state) {
-			if len(batches) >= archiveBatchLimit || size >= archiveFileSize {
-				return batches
-			}
-			batch := state.Batches[id]
-			if !batch.IsArchivable() {
-				continue
-			}
+	for _, id := range sortedBatches(state) {
+		if batch := state.Batches[id]; batch.IsArchivable() {
 			batches = append(batches, batch)
-			for _, result := range batch.Results {
-				size += len(result.Output) + resultOverhead
-			}
 		}
 	}
 	return batches
 }
 
+// archiveBatches writes batches into at most maxFiles files.
+func (s *Store) archiveBatches(batches []*shard.Batch, maxFiles int) {
+	for range maxFiles {
+		if len(batches) == 0 {
+			return
+		}
+		batches = batches[s.writeArchiveFile(batches):]
+	}
+}
+
+// writeArchiveFile writes the first batches into a file and gives how many. They leave memory only
+// once it is durable; the entries that made them stay on disk until a compaction refers to the
+// file.
+func (s *Store) writeArchiveFile(batches []*shard.Batch) (count int) {
+	file := s.archiver.nextFile()
+	var records []machine.Record
+	for size := 0; count < min(len(batches), archiveBatchLimit) && size < archiveFileSize; count++ {
+		batch := batches[count]
+		body := batch.BeginArchiving(file)
+		records = append(records, machine.Record{Unit: batch.ID, Kind: kindBatch, Body: body})
+		size += len(body)
+	}
+	written := batches[:count]
+	writeToken := s.groups.RegisterWrite(func(clock.Micros) {
+		for _, batch := range written {
+			batch.CompleteArchiving()
+		}
+		s.BatchesArchived += int64(count)
+	})
+	s.Emit(machine.Archive{Token: writeToken, File: file, Records: records})
+	return count
+}
+
 // isStable tells whether every entry that this member has is durable: on all members at the
 // primary, on its own disk at a replica.
 func isStable(group *replication.Group) bool {
@@ -138,18 +159,32 @@
 	return false
 }
 
-// readArchived reads an archived batch back. One that can't be read is damage: it is
-// reported, so that the daemon ends and another member of the group serves the shard.
+// readArchived reads an archived batch back.
 func (s *Store) readArchived(batch *shard.Batch) *shard.Batch {
 	complete, err := s.archiver.read(batch)
-	if err == nil {
-		return complete
+	if err != nil {
+		s.reportDamage(err)
+		return batch
 	}
+	return complete
+}
+
+// readArchivedEncoded reads an archived batch back as the archive has it.
+func (s *Store) readArchivedEncoded(batch *shard.Batch) []byte {
+	data, err := s.archiver.readEncoded(batch)
+	if err != nil {
+		s.reportDamage(err)
+	}
+	return data
+}
+
+// reportDamage tells of an archived batch that can't be read: the daemon ends, so that another
+// member of the group serves the shard.
+func (s *Store) reportDamage(err error) {
 	s.BadRecord = err
 	if s.OnDamage != nil {
 		s.OnDamage(err)
 	}
-	return batch
 }
 
 // deleteUnusedArchives deletes the archive files that no batch refers to any more. It waits
--- a/internal/batchstore/disk_test.go
+++ b/internal/batchstore/disk_test.go
@@ -100,7 +100,7 @@
 func TestNoSnapshotIsTakenByAFullDisk(t *testing.T) {
 	s := newStore(Self{ID: "s", Zone: "z", Peer: "p", Incarnation: 1})
 	s.Do(diskFull, clock.Second)
-	chunk := replication.SnapshotChunk{Unit: Unit(0), Epoch: 3, Seq: 1, Count: 1, Parts: shard.New().Snapshot(nil)}
+	chunk := replication.SnapshotChunk{Unit: Unit(0), Epoch: 3, Seq: 1, Count: 1, Parts: shard.New().LocalParts()}
 	for _, effect := range s.Do(Message{From: "o", Body: chunk}, 2*clock.Second) {
 		switch effect.(type) {
 		case machine.Persist, machine.Send:
--- a/internal/batchstore/fixture_test.go
+++ b/internal/batchstore/fixture_test.go
@@ -57,6 +57,8 @@
 	mapSeq         uint64         // of the latest map
 	muted          string         // messages to this store are lost
 	persistedBytes map[string]int // in bodies of records, by store
+	recordBytes    map[string]int // the same since its last compaction
+	compactions    map[string]int // by store
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -66,8 +68,8 @@
 		now:            clock.Second,
 		stores:         map[string]*Store{},
 		archives:       map[string]*memoryArchive{},
-		persistedBytes: map[string]int{},
-		replies:        map[uint64]machine.Reply{},
+		persistedBytes: map[string]int{}, recordBytes: map[string]int{}, compactions: map[string]int{},
+		replies: map[uint64]machine.Reply{},
 	}
 	for _, id := range []string{"a", "b"} {
 		c.archives[id] = newMemoryArchive()
@@ -117,8 +119,12 @@
 	case machine.Persist:
 		for _, record := range e.Records {
 			c.persistedBytes[id] += len(record.Body)
+			c.recordBytes[id] += len(record.Body)
 		}
 		c.do(id, Persisted{Token: e.Token})
+	case machine.Compact:
+		c.recordBytes[id] = 0
+		c.compactions[id]++
 	case machine.Archive:
 		c.archives[id].files[e.File] = e.Records
 		c.do(id, Persisted{Token: e.Token})
--- a/internal/batchstore/memory_test.go
+++ b/internal/batchstore/memory_test.go
@@ -128,3 +128,23 @@
 		t.Errorf("for a replica that does not answer %d batches were read back, and %d KB are kept in memory", got, held>>10)
 	}
 }
+
+// A store whose records are few and large makes a snapshot of them in time: the next start has them
+// all in memory.
+func TestLargeRecordsAreCompactedByTheirSize(t *testing.T) {
+	c := newCluster(t)
+	store := c.stores["a"]
+	const bodySize = 1 << 20
+	bound := store.settings.CompactAfterBytes
+	for i := range 3 * bound / bodySize {
+		request := forwardedBatch(fmt.Sprint("large", i), 1)
+		request.Batch.Items[0].Request.Body = make([]byte, bodySize)
+		c.mustCall(request)
+		if got := c.recordBytes["a"]; got > bound+2*bodySize {
+			t.Fatalf("%d MB of records lie behind the last snapshot, after %d batches", got>>20, i+1)
+		}
+	}
+	if c.compactions["a"] == 0 {
+		t.Error("there was no snapshot")
+	}
+}
--- a/internal/batchstore/replicated_state.go
+++ b/internal/batchstore/replicated_state.go
@@ -10,14 +10,21 @@
 // This file is the store as the state machine of its replication groups.
 var _ replication.StateMachine = (*Store)(nil)
 
-// Snapshot is the complete state of a shard, for another member of the group.
-func (s *Store) Snapshot(unit string) [][]byte {
-	return s.shard(unit).state.Snapshot(s.readArchived)
+// Snapshot is the complete state of a shard, for other members of the group.
+func (s *Store) Snapshot(unit string) replication.Snapshot {
+	return s.shard(unit).state.Snapshot(s.readArchivedEncoded)
 }
 
 // LocalSnapshot is the state of a shard for this daemon's own disk: it refers to the archive.
-func (s *Store) LocalSnapshot(unit string) [][]byte {
-	return s.shard(unit).state.Snapshot(nil)
+func (s *Store) LocalSnapshot(unit string) [][]byte { return s.shard(unit).state.LocalParts() }
+
+// Install replaces the state of a shard by another member's snapshot. Its finished batches are
+// written to the archive before the parts that refer to it.
+func (s *Store) Install(unit string, parts [][]byte) [][]byte {
+	s.Restore(unit, parts)
+	installed := s.shard(unit).state
+	s.archiveInstalled(installed)
+	return installed.LocalParts()
 }
 
 // Restore replaces the state of a shard by a snapshot; without parts it is empty then.
--- a/internal/batchstore/settings.go
+++ b/internal/batchstore/settings.go
@@ -9,6 +9,9 @@
 	MaxItems int
 	// CompactAfter is the number of records between two compactions; default 2000.
 	CompactAfter int
+	// CompactAfterBytes is the size of the records between two compactions at which the next one
+	// comes, however few there are: the next start reads them all; default 16 MiB.
+	CompactAfterBytes int
 	// RetainFinished is how long, in microseconds from its submission, a finished batch or
 	// a claim is kept; default 48 h.
 	RetainFinished clock.Micros
@@ -28,13 +31,14 @@
 // Defaults are the default settings.
 func Defaults() Settings {
 	return Settings{
-		MaxItems:       50_000,
-		CompactAfter:   2000,
-		RetainFinished: 48 * 3600 * clock.Second,
-		HeartbeatEvery: 300 * clock.Millisecond,
-		AnnounceEvery:  15 * clock.Millisecond,
-		DiskTimeout:    1500 * clock.Millisecond,
-		DiskProbation:  5 * clock.Second,
+		MaxItems:          50_000,
+		CompactAfter:      2000,
+		CompactAfterBytes: 16 << 20,
+		RetainFinished:    48 * 3600 * clock.Second,
+		HeartbeatEvery:    300 * clock.Millisecond,
+		AnnounceEvery:     15 * clock.Millisecond,
+		DiskTimeout:       1500 * clock.Millisecond,
+		DiskProbation:     5 * clock.Second,
 	}
 }
 
--- a/internal/batchstore/shard/archive_test.go
+++ b/internal/batchstore/shard/archive_test.go
@@ -9,16 +9,15 @@
 	s := apply(submitOpen(2), listed(1, 5), listed(0, 9))
 	batch := s.Batches["b"]
 	before := *batch
-	batch.BeginArchiving()
+	data := batch.BeginArchiving(4)
 	if batch.IsArchivable() || !batch.IsBeingArchived() {
 		t.Fatal("a batch that is being archived may be archived again")
 	}
-	data := batch.EncodeForArchive()
-	batch.CompleteArchiving(4)
+	batch.CompleteArchiving()
 	if batch.IsArchivable() || batch.IsBeingArchived() || batch.Items != nil || batch.Results != nil {
 		t.Fatalf("archived it is %+v", batch)
 	}
-	want := ArchiveLocation{File: 4, Items: 2, Results: 2, LastPositions: map[int]int64{1: 9}}
+	want := ArchiveLocation{File: 4, Items: 2, Results: 2, LastPositions: map[int]int64{1: 9}, size: len(data)}
 	if !reflect.DeepEqual(*batch.Archived, want) {
 		t.Fatalf("it lies at %+v, not at %+v", *batch.Archived, want)
 	}
--- a/internal/batchstore/shard/batch.go
+++ b/internal/batchstore/shard/batch.go
@@ -21,8 +21,9 @@
 	Archived *ArchiveLocation `json:"shelved,omitempty"`
 	// hasResult holds the indices of the items that have their result.
 	hasResult map[int]bool
-	// archiving is set while an archive file with this batch is being written.
-	archiving bool
+	// archiving is where the batch will be once an archive file that is being written is durable;
+	// nil where none is.
+	archiving *ArchiveLocation
 }
 
 // BatchState is where a batch is in its life; the states are in stored_names.go.
--- a/internal/batchstore/shard/snapshot.go
+++ b/internal/batchstore/shard/snapshot.go
@@ -22,17 +22,78 @@
 	return data
 }
 
-// Snapshot is the whole state in parts, in an order that depends on the state only.
-// readArchived returns the complete batch of an archived one, for a member that doesn't
-// have this daemon's archive; nil leaves references to the archive.
-func (s *State) Snapshot(readArchived func(*Batch) *Batch) [][]byte {
-	out := [][]byte{snapshotPart{LastPositions: s.LastPositions, Ownerships: s.Ownerships}.encode()}
+// Snapshot is the whole state for another member, in parts that are made one by one, in an order
+// that depends on the state only.
+type Snapshot struct {
+	state *State
+	// batches and claims are their IDs in order. The positions are the first part.
+	batches, claims []string
+	readArchived    func(*Batch) []byte
+}
+
+// Snapshot is the whole state. readArchived gives an archived batch as the archive has it
+// (BeginArchiving): the other member doesn't have this daemon's archive. The state must not
+// change while parts are made.
+func (s *State) Snapshot(readArchived func(*Batch) []byte) *Snapshot {
+	return &Snapshot{
+		state:        s,
+		batches:      slices.Sorted(maps.Keys(s.Batches)),
+		claims:       slices.Sorted(maps.Keys(s.Claims)),
+		readArchived: readArchived,
+	}
+}
+
+// Sizes gives about how many bytes each part has.
+func (s *Snapshot) Sizes() []int {
+	sizes := []int{len(s.state.positionsPart())}
+	for _, id := range s.batches {
+		sizes = append(sizes, s.state.Batches[id].size())
+	}
+	for _, id := range s.claims {
+		sizes = append(sizes, len(snapshotPart{Claim: s.state.Claims[id]}.encode()))
+	}
+	return sizes
+}
+
+// Part makes one part.
+func (s *Snapshot) Part(index int) []byte {
+	if index == 0 {
+		return s.state.positionsPart()
+	}
+	index--
+	if index < len(s.batches) {
+		return s.batchPart(s.state.Batches[s.batches[index]])
+	}
+	return snapshotPart{Claim: s.state.Claims[s.claims[index-len(s.batches)]]}.encode()
+}
+
+func (s *Snapshot) batchPart(batch *Batch) []byte {
+	if batch.Archived == nil {
+		return snapshotPart{Batch: batch}.encode()
+	}
+	return wrapBatch(s.readArchived(batch))
+}
+
+// wrapBatch is the part of a batch that is encoded already.
+func wrapBatch(batch []byte) []byte {
+	const before, after = `{"bundle":`, `}`
+	out := make([]byte, 0, len(before)+len(batch)+len(after))
+	out = append(out, before...)
+	out = append(out, batch...)
+	return append(out, after...)
+}
+
+func (s *State) positionsPart() []byte {
+	return snapshotPart{LastPositions: s.LastPositions, Ownerships: s.Ownerships}.encode()
+}
+
+// LocalParts is the whole state in parts for this daemon's own disk: they refer to its archive, for
+// those batches too whose file is being written. So the file has to be durable before the parts
+// are.
+func (s *State) LocalParts() [][]byte {
+	out := [][]byte{s.positionsPart()}
 	for _, id := range slices.Sorted(maps.Keys(s.Batches)) {
-		batch := s.Batches[id]
-		if batch.Archived != nil && readArchived != nil {
-			batch = readArchived(batch)
-		}
-		out = append(out, snapshotPart{Batch: batch}.encode())
+		out = append(out, snapshotPart{Batch: s.Batches[id].inArchive()}.encode())
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Claims)) {
 		out = append(out, snapshotPart{Claim: s.Claims[id]}.encode())
--- a/internal/batchstore/shard/snapshot_test.go
+++ b/internal/batchstore/shard/snapshot_test.go
@@ -2,43 +2,86 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 )
 
+// partsOf are all parts of a snapshot.
+func partsOf(snapshot *Snapshot) [][]byte {
+	var parts [][]byte
+	for index := range snapshot.Sizes() {
+		parts = append(parts, snapshot.Part(index))
+	}
+	return parts
+}
+
 func TestSnapshotRestoresTheState(t *testing.T) {
 	other := submitOpen(1)
 	other.Batch.ID = "a"
 	s := apply(submitOpen(2), other, listed(1, 5), BeginClaim{Claim: Claim{Tenant: "t", Key: "k", State: Claimed}})
-	back, err := Restore(s.Snapshot(nil))
-	if err != nil || !reflect.DeepEqual(back, s) {
-		t.Fatalf("restored as %+v, %v", back, err)
+	for name, parts := range map[string][][]byte{"for another member": partsOf(s.Snapshot(nil)), "for this disk": s.LocalParts()} {
+		back, err := Restore(parts)
+		if err != nil || !reflect.DeepEqual(back, s) {
+			t.Fatalf("%s: restored as %+v, %v", name, back, err)
+		}
+		if !reflect.DeepEqual(partsOf(back.Snapshot(nil)), parts) {
+			t.Fatalf("%s: the snapshot of the same state differs", name)
+		}
+		// The index of results is restored as well: the item is not listed again.
+		listed(1, 6).Apply(back)
+		if got := len(back.Batches["b"].Results); got != 1 {
+			t.Fatalf("%s: %d results", name, got)
+		}
 	}
-	if !reflect.DeepEqual(back.Snapshot(nil), s.Snapshot(nil)) {
-		t.Fatal("the snapshot of the same state differs")
+}
+
+// Another member gets an archived batch as the archive has it, this daemon's own disk where it is;
+// that holds from the moment at which the file is being written.
+func TestSnapshotHasArchivedBatchesForOthersOnly(t *testing.T) {
+	s := apply(submitOpen(1), listed(0, 5))
+	batch := s.Batches["b"]
+	encoded := batch.BeginArchiving(4)
+	check := func(when string) {
+		t.Helper()
+		local, err := Restore(s.LocalParts())
+		if err != nil || len(local.Batches["b"].Results) != 0 || local.Batches["b"].Archived.File != 4 {
+			t.Errorf("%s, for this disk: %+v, %v", when, local.Batches["b"], err)
+		}
+		sent, err := Restore(partsOf(s.Snapshot(func(*Batch) []byte { return encoded })))
+		if err != nil || len(sent.Batches["b"].Results) != 1 || sent.Batches["b"].Archived != nil || !sent.Batches["b"].HasResult(0) {
+			t.Errorf("%s, for another member: %+v, %v", when, sent.Batches["b"], err)
+		}
 	}
-	// The index of results is restored as well: the item is not listed again.
-	listed(1, 6).Apply(back)
-	if got := len(back.Batches["b"].Results); got != 1 {
-		t.Fatalf("%d results", got)
+	check("while the file is being written")
+	if len(batch.Results) != 1 {
+		t.Error("the results left memory before the file was durable")
 	}
+	batch.CompleteArchiving()
+	check("once it is durable")
 }
 
-func TestSnapshotReadsArchivedBatchesOnlyWhenAsked(t *testing.T) {
-	s := apply(submitOpen(1), listed(0, 5))
-	complete := *s.Batches["b"]
-	s.Batches["b"].CompleteArchiving(4)
-	for name, c := range map[string]struct {
-		read    func(*Batch) *Batch
-		results int
-	}{
-		"for this disk":      {nil, 0},
-		"for another member": {func(*Batch) *Batch { return &complete }, 1},
-	} {
-		back, err := Restore(s.Snapshot(c.read))
-		if err != nil || len(back.Batches["b"].Results) != c.results {
-			t.Errorf("%s: %+v, %v", name, back.Batches["b"], err)
+// The sizes of the parts are about what they have, so that chunks of a snapshot are of even size.
+func TestSizesOfSnapshotParts(t *testing.T) {
+	submit := submitOpen(40)
+	for i := range submit.Batch.Items {
+		submit.Batch.Items[i].Request = &Request{Target: "/some/target", Host: "host.example", Header: map[string]string{"name": "some value"}, Body: make([]byte, 1000)}
+	}
+	result := listed(3, 5)
+	result.Result.Output = strings.Repeat("some output\n", 2000)
+	s := apply(submit, result)
+	snapshot := s.Snapshot(nil)
+	for index, size := range snapshot.Sizes() {
+		if got := len(snapshot.Part(index)); size < got*3/4 || size > got*3/2+batchOverhead {
+			t.Errorf("part %d is taken for %d bytes, it has %d", index, size, got)
 		}
 	}
+	batch := s.Batches["b"]
+	batch.State = Ended
+	encoded := batch.BeginArchiving(1)
+	batch.CompleteArchiving()
+	if got := s.Snapshot(nil).Sizes()[1]; got != len(encoded) {
+		t.Errorf("an archived batch is taken for %d bytes, it has %d", got, len(encoded))
+	}
 }
 
 func TestRestoreRejectsADamagedPart(t *testing.T) {
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -63,9 +63,10 @@
 
 	archiver archiver
 	disk     diskMonitor
-	// recordsSinceCompaction counts the Persist effects since the last Compact effect.
-	recordsSinceCompaction int
-	due                    schedule
+	// recordsSinceCompaction counts the Persist effects since the last Compact effect, and
+	// bytesSinceCompaction the bodies of their records.
+	recordsSinceCompaction, bytesSinceCompaction int
+	due                                          schedule
 }
 
 // localShard is this daemon's state of a shard, in any role.
@@ -113,20 +114,35 @@
 // Do applies a command and returns the effects.
 func (s *Store) Do(command Command, now clock.Micros) []machine.Effect {
 	command.Apply(s, now)
-	if s.recordsSinceCompaction >= s.settings.CompactAfter {
-		s.recordsSinceCompaction = 0
-		s.Emit(machine.Compact{Records: append(s.ownRecords(), s.groups.CompactedRecords()...)})
-	}
+	s.compactIfDue()
 	effects := s.Drain()
 	for _, effect := range effects {
 		if write, ok := effect.(machine.Persist); ok {
-			s.recordsSinceCompaction++
+			s.countPersist(write)
 			s.disk.writeStarted(write.Token, now)
 		}
 	}
 	return effects
 }
 
+// compactIfDue has a snapshot of all shards replace the records on the disk.
+func (s *Store) compactIfDue() {
+	isDue := s.recordsSinceCompaction >= s.settings.CompactAfter || s.bytesSinceCompaction >= s.settings.CompactAfterBytes
+	if !isDue {
+		return
+	}
+	s.recordsSinceCompaction = 0
+	s.bytesSinceCompaction = 0
+	s.Emit(machine.Compact{Records: append(s.ownRecords(), s.groups.CompactedRecords()...)})
+}
+
+func (s *Store) countPersist(write machine.Persist) {
+	s.recordsSinceCompaction++
+	for _, record := range write.Records {
+		s.bytesSinceCompaction += len(record.Body)
+	}
+}
+
 // ownRecords are the compacted records of the store itself, which belong to no shard.
 func (s *Store) ownRecords() []machine.Record {
 	reservedUpTo := max(s.positions.Next()-1, s.positions.ReservedUpTo())
--- a/internal/batchstore/tick.go
+++ b/internal/batchstore/tick.go
@@ -14,7 +14,7 @@
 	// finished batches archived.
 	resumeInterval = 2 * clock.Second
 	// forgetInterval is the interval at which what has passed its retention is dropped.
-	forgetInterval = 60 * clock.Second
+	forgetInterval = 10 * clock.Second
 )
 
 // Tick lets the store do what is due.
--- a/internal/controlplane/election/vote_test.go
+++ b/internal/controlplane/election/vote_test.go
@@ -12,7 +12,8 @@
 // replicatedNothing is the state of a group in tests of the election alone.
 type replicatedNothing struct{ election *Election }
 
-func (replicatedNothing) Snapshot(string) [][]byte               { return nil }
+func (replicatedNothing) Snapshot(string) replication.Snapshot   { return replication.Parts(nil) }
+func (replicatedNothing) Install(string, [][]byte) [][]byte      { return nil }
 func (replicatedNothing) LocalSnapshot(string) [][]byte          { return nil }
 func (replicatedNothing) Restore(string, [][]byte)               {}
 func (replicatedNothing) ApplyEntry(string, []byte)              {}
--- a/internal/controlplane/repeated_requests_test.go
+++ b/internal/controlplane/repeated_requests_test.go
@@ -370,7 +370,7 @@
 	b := bootstrappedCluster(t, smallSettings())
 	core := b.primary()
 	b.mustAcknowledge(t, core, putRequest(1, 0, `{}`))
-	parts := core.Snapshot("")
+	parts := core.LocalSnapshot("")
 	parts[0][len(parts[0])-2] ^= 1
 	core.Restore("", parts)
 	if !errs.Is(core.BadRecord, errs.Corrupt) || errs.Of(core.BadRecord).Remedy == "" {
--- a/internal/controlplane/replicated_state.go
+++ b/internal/controlplane/replicated_state.go
@@ -4,13 +4,19 @@
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/machine"
+	"tuliprudder/internal/replication"
 )
 
 // This file has the callbacks of the replication group (replication.StateMachine). The
 // core has one group, so the unit that they are given is always the same.
 
-// Snapshot is the whole state as a snapshot.
-func (c *Core) Snapshot(string) [][]byte {
+// Snapshot is the whole state as a snapshot: it is small.
+func (c *Core) Snapshot(unit string) replication.Snapshot {
+	return replication.Parts(c.LocalSnapshot(unit))
+}
+
+// LocalSnapshot is the same: a core archives nothing.
+func (c *Core) LocalSnapshot(string) [][]byte {
 	if c.faults.SkipRequestTable {
 		bare := *c.state
 		bare.Requests = state.RequestTable{}
@@ -19,8 +25,11 @@
 	return c.state.Snapshot()
 }
 
-// LocalSnapshot is the same: a core archives nothing.
-func (c *Core) LocalSnapshot(unit string) [][]byte { return c.Snapshot(unit) }
+// Install replaces the state by the primary's snapshot.
+func (c *Core) Install(unit string, parts [][]byte) [][]byte {
+	c.Restore(unit, parts)
+	return parts
+}
 
 // Restore replaces the state by a snapshot.
 func (c *Core) Restore(_ string, parts [][]byte) {
--- a/internal/replication/cluster_test.go
+++ b/internal/replication/cluster_test.go
@@ -38,7 +38,9 @@
 	return again
 }
 
-func (m *testMember) Snapshot(string) [][]byte {
+func (m *testMember) Snapshot(unit string) Snapshot { return Parts(m.LocalSnapshot(unit)) }
+
+func (m *testMember) LocalSnapshot(string) [][]byte {
 	var parts [][]byte
 	for _, text := range m.list {
 		parts = append(parts, []byte(text))
@@ -46,7 +48,10 @@
 	return parts
 }
 
-func (m *testMember) LocalSnapshot(unit string) [][]byte { return m.Snapshot(unit) }
+func (m *testMember) Install(unit string, parts [][]byte) [][]byte {
+	m.Restore(unit, parts)
+	return parts
+}
 
 func (m *testMember) Restore(_ string, parts [][]byte) {
 	m.list = nil
--- a/internal/replication/groups.go
+++ b/internal/replication/groups.go
@@ -9,12 +9,17 @@
 
 // StateMachine is the replicated state of the units, implemented by the daemon's machine.
 type StateMachine interface {
-	// Snapshot gives the whole state of a unit in parts, to be sent to a replica.
-	Snapshot(unit string) [][]byte
+	// Snapshot gives the whole state of a unit, to be sent to other members.
+	Snapshot(unit string) Snapshot
 	// LocalSnapshot gives the whole state for this daemon's own disk: it may refer to archives
 	// that are on that disk.
 	LocalSnapshot(unit string) [][]byte
-	// Restore replaces the state of a unit by a snapshot; no parts are the empty state.
+	// Install replaces the state of a unit by another member's snapshot. It gives the parts from
+	// which Restore makes the same state on this daemon: they may refer to archives whose writes
+	// Install has emitted, and which are durable before what is written next.
+	Install(unit string, parts [][]byte) (localParts [][]byte)
+	// Restore replaces the state of a unit by a snapshot of this daemon's own (LocalSnapshot,
+	// Install); no parts are the empty state.
 	Restore(unit string, parts [][]byte)
 	// ApplyEntry applies an entry at a replica, or when it is read back from disk. The primary
 	// applies its entries before it appends them.
--- a/internal/replication/snapshot_receiver.go
+++ b/internal/replication/snapshot_receiver.go
@@ -90,10 +90,10 @@
 	g.asReplica.snapshot.chunks = nil
 	g.asReplica.earlyEntries = nil
 	g.stateEpoch = m.Epoch
-	gs.state.Restore(m.Unit, parts)
+	localParts := gs.state.Install(m.Unit, parts)
 	g.Seq = m.Seq
 	g.SyncedSeq = 0
-	record := machine.Record{Unit: m.Unit, Kind: KindSnapshot, Epoch: m.Epoch, Seq: m.Seq, Body: encodeParts(parts)}
+	record := machine.Record{Unit: m.Unit, Kind: KindSnapshot, Epoch: m.Epoch, Seq: m.Seq, Body: encodeParts(localParts)}
 	gs.Persist([]machine.Record{record}, gs.snapshotPersisted(g, from, m))
 }
 
--- a/internal/replication/snapshot_sender.go
+++ b/internal/replication/snapshot_sender.go
@@ -7,32 +7,20 @@
 
 // outgoingSnapshot is the state of the primary at the start of an epoch, divided into chunks.
 type outgoingSnapshot struct {
-	chunks [][][]byte // parts by chunk
+	source Snapshot    // nil once every replica has it
+	chunks []partRange // its parts by chunk
 	// baseEpoch and seq identify the state: a replica with the same stateEpoch and Seq has it.
 	baseEpoch uint64
 	seq       uint64
 }
 
-func newOutgoingSnapshot(baseEpoch, seq uint64, parts [][]byte) outgoingSnapshot {
-	return outgoingSnapshot{chunks: splitIntoChunks(parts), baseEpoch: baseEpoch, seq: seq}
-}
-
-// splitIntoChunks groups parts into chunks of chunkSize at most. A larger part is a chunk of its
-// own; the empty state is one empty chunk.
-func splitIntoChunks(parts [][]byte) [][][]byte {
-	var chunks [][][]byte
-	var chunk [][]byte
-	size := 0
-	for _, part := range parts {
-		if size > 0 && size+len(part) > chunkSize {
-			chunks = append(chunks, chunk)
-			chunk = nil
-			size = 0
-		}
-		chunk = append(chunk, part)
-		size += len(part)
+func newOutgoingSnapshot(baseEpoch, seq uint64, source Snapshot) outgoingSnapshot {
+	return outgoingSnapshot{
+		source:    source,
+		chunks:    splitIntoChunks(source.Sizes()),
+		baseEpoch: baseEpoch,
+		seq:       seq,
 	}
-	return append(chunks, chunk)
 }
 
 // snapshotTransfer is the progress of the primary's snapshot at one replica.
@@ -185,7 +173,7 @@
 			Seq:        snapshot.seq,
 			Index:      chunk,
 			Count:      len(snapshot.chunks),
-			Parts:      snapshot.chunks[chunk],
+			Parts:      makeParts(snapshot.source, snapshot.chunks[chunk]),
 		},
 	})
 }
@@ -226,18 +214,15 @@
 		}
 	}
 	g.Role = AwaitingCommit
+	p.snapshot.source = nil
 	p.snapshot.chunks = nil
 	gs.state.GroupReady(g.Unit, g.Epoch, now)
 }
 
-// SnapshotBytes is how many bytes of snapshots are in memory, on their way to or from other
-// members.
+// SnapshotBytes is how many bytes of snapshots are in memory, gathered from other members.
 func (gs *Groups) SnapshotBytes() int64 {
 	size := int64(0)
 	for _, g := range gs.groups {
-		for _, chunk := range g.asPrimary.snapshot.chunks {
-			size += chunkBytes(chunk)
-		}
 		for _, chunk := range g.asReplica.snapshot.chunks {
 			size += chunkBytes(chunk)
 		}
--- a/test/storedformat/folders_test.go
+++ b/test/storedformat/folders_test.go
@@ -17,6 +17,7 @@
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/daemon/eventloop"
 	"tuliprudder/internal/machine"
+	"tuliprudder/internal/replication"
 )
 
 // object is a JSON object whose keys are spelled out by this test: what is compared with
@@ -199,7 +200,7 @@
 	machine, _ := startStore(t, folder)
 	shards := object{}
 	for _, known := range machine.Groups().All() {
-		shards[known.Unit] = shardObject(t, machine.LocalSnapshot(known.Unit), machine.Snapshot(known.Unit))
+		shards[known.Unit] = shardObject(t, machine.LocalSnapshot(known.Unit), replication.AllParts(machine.Snapshot(known.Unit)))
 	}
 	return object{"fleet": machine.Fleet(), "writer": machine.Writer(), "next_position": nextPosition(t, machine), "groups": groupObjects(machine.Groups()), "shards": shards}
 }
--- a/test/storedformat/golden_test.go
+++ b/test/storedformat/golden_test.go
@@ -134,7 +134,7 @@
 	filled := shard.New()
 	filled.Batches[batch.ID], filled.Claims[claim.Key] = &batch, &claim
 	filled.LastPositions, filled.Ownerships = map[int]int64{3: 9}, []shard.Ownership{span}
-	if err := goldenjson.CheckBytes(goldenFile("shard-snapshot"), bytes.Join(filled.Snapshot(nil), []byte("\n"))); err != nil {
+	if err := goldenjson.CheckBytes(goldenFile("shard-snapshot"), bytes.Join(filled.LocalParts(), []byte("\n"))); err != nil {
 		t.Error(err)
 	}
 }
