An item does not wait 30 s for a server that is gone or silent

An item whose server fell silent was waited for until its attempt ended after 30 s: nothing is written on that connection, so nothing fails on it. Edges are as before: a caller's silence is no reason to end an answer.

--- a/internal/daemon/effects/forward.go
+++ b/internal/daemon/effects/forward.go
@@ -1,19 +1,21 @@
 package effects
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tuliprudder/internal/dataplane/execution"
 	"tuliprudder/internal/dataplane/modelclient"
 	"tuliprudder/internal/dataplane/upstream"
 )
 
-// itemAttemptTimeout is how long one attempt of an item may take: a server that sends
-// nothing for so long counts as lost.
+// itemAttemptTimeout is how long one attempt of an item may take.
 const itemAttemptTimeout = 30 * time.Second
 
 // maxDiscardedBytes is how much of a body that is of no use is read, so that its connection
@@ -24,6 +26,8 @@
 type Forwarder struct {
 	Client   *upstream.Client
 	Executor *Executor
+	// SilenceTimeout is how long a server may send nothing of an item; 0: 10 s.
+	SilenceTimeout time.Duration
 }
 
 // Forward forwards an item to its server unchanged (DESIGN §12.5) and collects the events of
@@ -31,6 +35,8 @@
 func (f Forwarder) Forward(ctx context.Context, attempt execution.Attempt) execution.AttemptResult {
 	ctx, cancel := context.WithTimeout(ctx, itemAttemptTimeout)
 	defer cancel()
+	ctx, silence := watchSilence(ctx, cmp.Or(f.SilenceTimeout, itemSilenceTimeout))
+	defer silence.stop()
 	result := execution.AttemptResult{
 		AttemptID:   attempt.ID,
 		Outcome:     modelclient.Interrupted,
@@ -38,7 +44,7 @@
 	}
 	response, err := f.Client.Do(ctx, upstreamRequest(attempt))
 	if err != nil {
-		result.Reason = err.Error()
+		result.Reason = reasonOf(ctx, err)
 		if upstream.DeliveryOf(err) == upstream.NotWritten {
 			result.Outcome = modelclient.NotStarted
 		}
@@ -46,7 +52,11 @@
 	}
 	defer response.Close()
 	if response.Status == http.StatusOK && !response.NotRun {
-		result.Outcome, result.Reason = f.collectEvents(attempt, response, &result)
+		if err := f.collectEvents(attempt, response, silence, &result); err != nil {
+			result.Reason = reasonOf(ctx, err)
+			return result
+		}
+		result.Outcome = modelclient.Complete
 		return result
 	}
 	recordFailure(response, &result)
@@ -96,26 +106,26 @@
 	}
 }
 
-// collectEvents collects the events of a response into the result, and gives how it ended
-// and, unless it is complete, why. An event that is out of order belongs to no attempt of
-// this item.
-func (f Forwarder) collectEvents(attempt execution.Attempt, response *upstream.Response, result *execution.AttemptResult) (modelclient.Outcome, string) {
+// collectEvents collects the events of a response into the result. The error is why the response
+// is not complete. An event that is out of order belongs to no attempt of this item.
+func (f Forwarder) collectEvents(attempt execution.Attempt, response *upstream.Response, silence silenceWatch, result *execution.AttemptResult) error {
 	events := upstream.NewEventReader(response.Body)
 	size := 0
 	for {
 		event, err := events.Next()
 		if err == io.EOF && response.Delimited {
-			return modelclient.Complete, ""
+			return nil
 		}
 		if err != nil {
-			return modelclient.Interrupted, err.Error()
+			return err
 		}
+		silence.heard()
 		id, err := strconv.Atoi(event.ID)
 		if err != nil || id != result.LastEventID+1 {
-			return modelclient.Interrupted, "event " + event.ID + " follows event " + strconv.Itoa(result.LastEventID)
+			return errors.Errorf("event %s follows event %d", event.ID, result.LastEventID)
 		}
 		if size += len(event.Data); size > attempt.MaxOutputBytes {
-			return modelclient.Interrupted, "the result is over " + strconv.Itoa(attempt.MaxOutputBytes) + " bytes"
+			return errors.Errorf("the result is over %d bytes", attempt.MaxOutputBytes)
 		}
 		if len(result.Events) == 0 {
 			f.Executor.Notify(execution.AttemptStarted{AttemptID: attempt.ID})
--- a/internal/daemon/effects/forward_test.go
+++ b/internal/daemon/effects/forward_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
@@ -377,3 +378,39 @@
 		t.Errorf("%+v after %v", result, all)
 	}
 }
+
+// A server that falls silent, before its response or within it, has the item for as long as it may
+// be silent and no longer; what it sent before stays.
+func TestASilentServerDoesNotKeepAnItem(t *testing.T) {
+	for events, lastEvent := range map[int]int{0: 0, 2: 2} {
+		f, _ := newForwarder()
+		f.SilenceTimeout = 50 * time.Millisecond
+		address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body) // the server sees the end of the connection only then
+			if events > 0 {
+				stream(eventStream(1, events), false)(w, r)
+			}
+			<-r.Context().Done()
+		})
+		result := f.Forward(t.Context(), newAttempt(address, 0))
+		if result.Outcome != modelclient.Interrupted || result.LastEventID != lastEvent || len(result.Events) != events || result.Reason != errSilent.Error() {
+			t.Errorf("silent after %d events: %+v", events, result)
+		}
+	}
+}
+
+// A server that goes on sending is not silent, however long it takes altogether.
+func TestASlowServerIsNotSilent(t *testing.T) {
+	f, _ := newForwarder()
+	f.SilenceTimeout = 300 * time.Millisecond
+	const events = 8
+	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		for id := 1; id <= events; id++ {
+			stream(eventStream(id, id), false)(w, r)
+			<-time.After(f.SilenceTimeout / 4)
+		}
+	})
+	if result := f.Forward(t.Context(), newAttempt(address, 0)); result.Outcome != modelclient.Complete || len(result.Events) != events {
+		t.Errorf("it ends as %+v", result)
+	}
+}
--- a/internal/dataplane/upstream/client.go
+++ b/internal/dataplane/upstream/client.go
@@ -46,6 +46,7 @@
 	KeepAliveMargin time.Duration   // subtracted from the time that a server names; default 500 ms
 	MaxConnections  int             // connections to each server, idle ones counted; default 64
 	TCPUserTimeout  time.Duration   // longest that written bytes stay unacknowledged (Linux); default 2 s
+	ProbeInterval   time.Duration   // silence after which the kernel probes a server; 0: no probes
 	Clock           clockwork.Clock // default: the real one
 }
 
@@ -69,6 +70,20 @@
 	return s
 }
 
+// maxLostProbes is how many probes in a row a server may leave unanswered.
+const maxLostProbes = 3
+
+// keepAlive is how the kernel probes servers that send nothing: one whose machine is gone, or cut
+// off, is found out though nothing is being written to it. One that is merely slow answers probes.
+func (s Settings) keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   s.ProbeInterval > 0,
+		Idle:     s.ProbeInterval,
+		Interval: s.ProbeInterval,
+		Count:    maxLostProbes,
+	}
+}
+
 // Request is sent unchanged but for the headers of HeaderNames.
 type Request struct {
 	Address  string // IP and port
@@ -123,9 +138,10 @@
 		settings:    settings,
 		clock:       settings.Clock,
 		dialer: net.Dialer{
-			Timeout:   settings.DialTimeout,
-			KeepAlive: -1, // no probes: an idle connection is checked before it is used (isClean)
-			Control:   setUserTimeout(settings.TCPUserTimeout),
+			Timeout:         settings.DialTimeout,
+			KeepAlive:       -1, // none by default: an idle connection is checked before it is used (isClean)
+			KeepAliveConfig: settings.keepAlive(),
+			Control:         setUserTimeout(settings.TCPUserTimeout),
 		},
 		pools: map[string]*serverPool{},
 	}
