--- a/internal/daemon/effects/forward.go
+++ b/internal/daemon/effects/forward.go
@@ -26,8 +26,8 @@
 type Forwarder struct {
 	Client   *upstream.Client
 	Executor *Executor
-	// SilenceTimeout is how long a server may send nothing of an item; 0: 10 s.
-	SilenceTimeout time.Duration
+	// IdleTimeout is how long a server may send nothing of an item; 0: 10 s.
+	IdleTimeout time.Duration
 }
 
 // Forward forwards an item to its server unchanged (DESIGN §12.5) and collects the events of
@@ -35,8 +35,8 @@
 func (f Forwarder) Forward(ctx context.Context, attempt execution.Attempt) execution.AttemptResult {
 	ctx, cancel := context.WithTimeout(ctx, itemAttemptTimeout)
 	defer cancel()
-	ctx, silence := watchSilence(ctx, cmp.Or(f.SilenceTimeout, itemSilenceTimeout))
-	defer silence.stop()
+	ctx, idle := withIdleTimeout(ctx, cmp.Or(f.IdleTimeout, itemIdleTimeout))
+	defer idle.stop()
 	result := execution.AttemptResult{
 		AttemptID:   attempt.ID,
 		Outcome:     modelclient.Interrupted,
@@ -52,7 +52,7 @@
 	}
 	defer response.Close()
 	if response.Status == http.StatusOK && !response.NotRun {
-		if err := f.collectEvents(attempt, response, silence, &result); err != nil {
+		if err := f.collectEvents(attempt, response, idle, &result); err != nil {
 			result.Reason = reasonOf(ctx, err)
 			return result
 		}
@@ -108,7 +108,7 @@
 
 // collectEvents collects the events of a response into the result. The error is why the response
 // is not complete. An event that is out of order belongs to no attempt of this item.
-func (f Forwarder) collectEvents(attempt execution.Attempt, response *upstream.Response, silence silenceWatch, result *execution.AttemptResult) error {
+func (f Forwarder) collectEvents(attempt execution.Attempt, response *upstream.Response, idle idleTimer, result *execution.AttemptResult) error {
 	events := upstream.NewEventReader(response.Body)
 	size := 0
 	for {
@@ -119,7 +119,7 @@
 		if err != nil {
 			return err
 		}
-		silence.heard()
+		idle.reset()
 		id, err := strconv.Atoi(event.ID)
 		if err != nil || id != result.LastEventID+1 {
 			return errors.Errorf("event %s follows event %d", event.ID, result.LastEventID)
--- a/internal/daemon/effects/forward_test.go
+++ b/internal/daemon/effects/forward_test.go
@@ -384,7 +384,7 @@
 func TestASilentServerDoesNotKeepAnItem(t *testing.T) {
 	for events, lastEvent := range map[int]int{0: 0, 2: 2} {
 		f, _ := newForwarder()
-		f.SilenceTimeout = 50 * time.Millisecond
+		f.IdleTimeout = 50 * time.Millisecond
 		address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 			io.Copy(io.Discard, r.Body) // the server sees the end of the connection only then
 			if events > 0 {
@@ -393,7 +393,7 @@
 			<-r.Context().Done()
 		})
 		result := f.Forward(t.Context(), newAttempt(address, 0))
-		if result.Outcome != modelclient.Interrupted || result.LastEventID != lastEvent || len(result.Events) != events || result.Reason != errSilent.Error() {
+		if result.Outcome != modelclient.Interrupted || result.LastEventID != lastEvent || len(result.Events) != events || result.Reason != errIdleTimeout.Error() {
 			t.Errorf("silent after %d events: %+v", events, result)
 		}
 	}
@@ -402,12 +402,12 @@
 // A server that goes on sending is not silent, however long it takes altogether.
 func TestASlowServerIsNotSilent(t *testing.T) {
 	f, _ := newForwarder()
-	f.SilenceTimeout = 300 * time.Millisecond
+	f.IdleTimeout = 300 * time.Millisecond
 	const events = 8
 	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		for id := 1; id <= events; id++ {
 			stream(eventStream(id, id), false)(w, r)
-			<-time.After(f.SilenceTimeout / 4)
+			<-time.After(f.IdleTimeout / 4)
 		}
 	})
 	if result := f.Forward(t.Context(), newAttempt(address, 0)); result.Outcome != modelclient.Complete || len(result.Events) != events {
--- a/internal/dataplane/upstream/client.go
+++ b/internal/dataplane/upstream/client.go
@@ -41,13 +41,13 @@
 
 // Settings of the pools; what is zero has its default.
 type Settings struct {
-	DialTimeout     time.Duration   // longest wait for a connection; default 1 s
-	IdleTimeout     time.Duration   // how long an idle connection is kept if the server names no time; default 10 s
-	KeepAliveMargin time.Duration   // subtracted from the time that a server names; default 500 ms
-	MaxConnections  int             // connections to each server, idle ones counted; default 64
-	TCPUserTimeout  time.Duration   // longest that written bytes stay unacknowledged (Linux); default 2 s
-	ProbeInterval   time.Duration   // silence after which the kernel probes a server; 0: no probes
-	Clock           clockwork.Clock // default: the real one
+	DialTimeout       time.Duration   // longest wait for a connection; default 1 s
+	IdleTimeout       time.Duration   // how long an idle connection is kept if the server names no time; default 10 s
+	KeepAliveMargin   time.Duration   // subtracted from the time that a server names; default 500 ms
+	MaxConnections    int             // connections to each server, idle ones counted; default 64
+	TCPUserTimeout    time.Duration   // longest that written bytes stay unacknowledged (Linux); default 2 s
+	KeepAliveInterval time.Duration   // silence after which the kernel probes a server; 0: no probes
+	Clock             clockwork.Clock // default: the real one
 }
 
 // withDefaults fills in what is zero.
@@ -70,17 +70,17 @@
 	return s
 }
 
-// maxLostProbes is how many probes in a row a server may leave unanswered.
-const maxLostProbes = 3
+// maxLostKeepAlives is how many probes in a row a server may leave unanswered.
+const maxLostKeepAlives = 3
 
 // keepAlive is how the kernel probes servers that send nothing: one whose machine is gone, or cut
 // off, is found out though nothing is being written to it. One that is merely slow answers probes.
 func (s Settings) keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{
-		Enable:   s.ProbeInterval > 0,
-		Idle:     s.ProbeInterval,
-		Interval: s.ProbeInterval,
-		Count:    maxLostProbes,
+		Enable:   s.KeepAliveInterval > 0,
+		Idle:     s.KeepAliveInterval,
+		Interval: s.KeepAliveInterval,
+		Count:    maxLostKeepAlives,
 	}
 }
 
--- a/internal/dataplane/upstream/client_test.go
+++ b/internal/dataplane/upstream/client_test.go
@@ -82,10 +82,10 @@
 }
 
 // A client with a probe interval has the kernel probe its servers; one without doesn't.
-func TestServersAreProbed(t *testing.T) {
+func TestServersGetKeepAlives(t *testing.T) {
 	for interval, want := range map[time.Duration]bool{0: false, 2 * time.Second: true} {
-		client := New(HeaderNames{}, Settings{ProbeInterval: interval})
-		if got := client.dialer.KeepAliveConfig; got.Enable != want || got.Idle != interval || got.Count != maxLostProbes {
+		client := New(HeaderNames{}, Settings{KeepAliveInterval: interval})
+		if got := client.dialer.KeepAliveConfig; got.Enable != want || got.Idle != interval || got.Count != maxLostKeepAlives {
 			t.Errorf("with an interval of %v: %+v", interval, got)
 		}
 	}
