Two tests, red: accepted tokens count until a shard's new owner has reported

The old expectation of the first test (0 at once) was the fault itself; it is now as strict with the time: counted for the grace, 0 after it.

--- a/internal/batchstore/pending_weights_test.go
+++ b/internal/batchstore/pending_weights_test.go
@@ -38,8 +38,13 @@
 	if got := restarted.PendingWeights(c.now)["route"]; got != 33 {
 		t.Fatalf("%d tokens are pending at the primary that restarted", got)
 	}
-	restarted.Do(assignedTo(10, 2, "b", "a"), c.now)
-	if got := restarted.PendingWeights(c.now)["route"]; got != 0 {
+	// One that restarted and then loses the shard counts it until the other has reported.
+	lostAt := c.now + 5*clock.Second
+	restarted.Do(assignedTo(10, 2, "b", "a"), lostAt)
+	if got := restarted.PendingWeights(lostAt)["route"]; got != 33 {
+		t.Fatalf("%d tokens still count where a shard has been lost since the restart", got)
+	}
+	if got := restarted.PendingWeights(lostAt + formerShardGrace + clock.Millisecond)["route"]; got != 0 {
 		t.Fatalf("%d tokens are pending where another owns the shard", got)
 	}
 	// One that loses the shard while it serves counts it until the other has reported.
@@ -52,3 +57,25 @@
 		t.Fatalf("%d tokens count for ever", got)
 	}
 }
+
+// A store that restarted and first hears that another owns its shard counts what it read back until
+// that one has reported: its own report from before the restart is replaced by its next one. (Issue
+// 26: long-heavy-61 and long-rolls-11, all stores restarted.)
+func TestAcceptedWorkCountsWhereAShardPassedOnDuringTheRestart(t *testing.T) {
+	c := newCluster(t)
+	c.mustCall(forwardedBatch("one", 3))
+	records := append(c.stores["a"].ownRecords(), c.stores["a"].groups.CompactedRecords()...)
+	restarted := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 2}, Defaults(), records, newMemoryArchive())
+	restarted.Do(assignedTo(10, 2, "b", "a"), c.now)
+	if got := restarted.PendingWeights(c.now)["route"]; got != 33 {
+		t.Errorf("%d tokens are pending at the store that restarted", got)
+	}
+	if got := restarted.PendingWeights(c.now + 2*formerShardGrace)["route"]; got != 0 {
+		t.Errorf("%d tokens count for ever", got)
+	}
+	empty := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 1}, Defaults(), nil, newMemoryArchive())
+	empty.Do(assignedTo(10, 2, "b", "a"), c.now)
+	if got := empty.PendingWeights(c.now)["route"]; got != 0 {
+		t.Errorf("%d tokens are pending at an empty store", got)
+	}
+}
