A store that restarted counts accepted tokens until the new owner has reported

Cause: which of its shards a store was primary of is not on its disk. Change: from its first map on it counts all that it read back for 1.5 s, and a shard that passes on counts for the second that deposed primaries already give.

--- a/internal/batchstore/cluster_map.go
+++ b/internal/batchstore/cluster_map.go
@@ -43,11 +43,16 @@
 		return
 	}
 	previous := s.clusterMap
+	counted := s.restartedShardWeights()
+	if s.readBack && previous.Seq == 0 {
+		s.countsAllUntil = now + restartGrace
+	}
 	s.clusterMap = received
 	s.voidEndedLeases(previous)
 	for shardIndex, assignment := range s.clusterMap.Shards {
 		s.reconcile(shardIndex, assignment, now)
 	}
+	s.keepCounting(counted, now)
 }
 
 // member is this store as a member of replication groups.
--- a/internal/batchstore/pending_weights.go
+++ b/internal/batchstore/pending_weights.go
@@ -14,6 +14,12 @@
 // the new one has reported its weights.
 const formerShardGrace = clock.Second
 
+// restartGrace is how long a store that restarted counts all that it has read back, from the first
+// map on: which of its shards it was the primary of is not on its disk, and those that have passed
+// on meanwhile count nowhere else until their new owners have reported. Until that map the store
+// reports nothing, and its report from before the restart stays in force.
+const restartGrace = 1500 * clock.Millisecond
+
 // weights are the weights of pending requests by tenant, see shard.Request.Weight.
 type weights map[string]int
 
@@ -56,7 +62,7 @@
 func (s *Store) PendingWeights(now clock.Micros) map[string]int {
 	sum := weights{}
 	for _, group := range s.groups.All() {
-		if s.countsWeightsOf(group) {
+		if now < s.countsAllUntil || s.countsWeightsOf(group) {
 			sum.add(pendingWeights(s.shard(group.Unit).state))
 		}
 	}
@@ -78,6 +84,27 @@
 	return shardIndex < len(assignments) && assignments[shardIndex].Primary.ID == s.self.ID
 }
 
+// restartedShardWeights are the weights of the shards that count here though this store, which
+// restarted, has no role in them, by unit.
+func (s *Store) restartedShardWeights() map[string]weights {
+	out := map[string]weights{}
+	for _, group := range s.groups.All() {
+		if !group.IsPrimary() && s.countsWeightsOf(group) {
+			out[group.Unit] = pendingWeights(s.shard(group.Unit).state)
+		}
+	}
+	return out
+}
+
+// keepCounting has shards that counted here and no longer do count for formerShardGrace.
+func (s *Store) keepCounting(counted map[string]weights, now clock.Micros) {
+	for unit, pending := range counted {
+		if !s.countsWeightsOf(s.groups.Group(unit)) {
+			s.formerShards.add(pending, now)
+		}
+	}
+}
+
 // pendingWeights are the weights of a shard's forwarded requests that have no result.
 func pendingWeights(state *shard.State) weights {
 	sum := weights{}
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -54,6 +54,9 @@
 	shards       map[string]*localShard // by unit
 	formerShards formerShards
 	draining     bool
+	readBack     bool // this store restarted: records of before were on its disk
+	// countsAllUntil is until when all that was read back counts as pending (restartGrace).
+	countsAllUntil clock.Micros
 
 	pendingCalls   pendingCalls
 	submitted      byEntry[string] // IDs of batches whose items run once their entry is durable
@@ -85,6 +88,7 @@
 		pendingCalls: newPendingCalls(),
 		submitted:    byEntry[string]{},
 		archiver:     newArchiver(archive),
+		readBack:     len(records) > 0,
 		disk:         newDiskMonitor(settings.DiskTimeout, settings.DiskProbation),
 	}
 	s.groups = replication.NewGroups(&s.Effects, s)
