--- a/cmd/hunt/main.go
+++ b/cmd/hunt/main.go
@@ -2,7 +2,7 @@
 // of the results. The bench and the tool that writes days are given by path; nothing but
 // the bench's journal entries is written into the repository, at whose root it is run.
 //
-//	hunt -bench PATH -day-tool PATH -out FOLDER [-hunt-days N] [-focus all] [-focus-days N] [-seed S] [-jobs J] SITE...
+//	hunt -bench PATH -day-tool PATH -out FOLDER [-hunt-days N] [-focus all] [-focus-days N] [-long-days N] [-long-seconds S] [-seed S] [-jobs J] SITE...
 //
 // Exit status: 0 when no day failed, 1 when one did, 2 on bad arguments.
 package main
@@ -65,6 +65,8 @@
 	flags.StringVar(&focuses, "focus", "all", "kinds of faults to focus on: all, or names by comma")
 	flags.IntVar(&plan.HuntDays, "hunt-days", 0, "days that the bench draws at random, on each site")
 	flags.IntVar(&plan.FocusDays, "focus-days", 0, "days with each focus, on each site")
+	flags.IntVar(&plan.LongDays, "long-days", 0, "longer days with each focus, on a copy of each site")
+	flags.IntVar(&plan.LongSeconds, "long-seconds", 300, "seconds of traffic of a longer day")
 	flags.IntVar(&plan.Seed, "seed", 1, "seed of the first day with each focus; the next days count up")
 	flags.IntVar(&plan.Jobs, "jobs", 2, "days that run at once")
 	if err := flags.Parse(args); err != nil {
--- a/test/hunt/hunt_test.go
+++ b/test/hunt/hunt_test.go
@@ -84,6 +84,8 @@
 		"file as folder":          {func(p *Plan) { p.OutputFolder = p.Bench }, "can't be used"},
 		"no jobs":                 {func(p *Plan) { p.Jobs = 0 }, "0 jobs"},
 		"no days":                 {func(p *Plan) { p.HuntDays, p.FocusDays = 0, 0 }, "0 hunted days"},
+		"long days of no length":  {func(p *Plan) { p.LongDays = 1 }, "0 seconds"},
+		"site without a length":   {func(p *Plan) { p.LongDays, p.LongSeconds = 1, 300 }, "have no length"},
 		"more than one, each one": {func(p *Plan) { p.Focuses, p.Jobs = []string{"storm"}, -1 }, `"storm"`},
 	}
 	for name, test := range cases {
@@ -154,3 +156,29 @@
 		t.Error("a day that was abandoned and then run fails the plan")
 	}
 }
+
+// The day tool gets a copy of the site with the length, beside its wire file.
+func TestLongDaysArePlayedOnALongerCopyOfTheSite(t *testing.T) {
+	plan := newTestPlan(t)
+	folder := t.TempDir()
+	plan.Sites = []string{writeFile(t, folder, "site.toml", 0o644, "length_s = 34.0\n[[day]]\nname = \"quiet\"\n")}
+	writeFile(t, folder, "wire.json", 0o644, "{}")
+	plan.HuntDays, plan.FocusDays, plan.LongDays, plan.LongSeconds = 0, 0, 1, 300
+	plan.DayTool = writeFile(t, t.TempDir(), "tool", 0o755, `#!/bin/sh
+site=$1
+while [ $# -gt 0 ]; do case $1 in --out) out=$2;; esac; shift; done
+mkdir -p "$out"
+[ -f "$(dirname "$site")/wire.json" ] && grep -q '^length_s = 300.0$' "$site" &&
+  echo "cut-5   3/1   0.8  0.80  1.0   0.0  0.0  fine" >"$out/cut-5.txt"
+`)
+	if faults := plan.Faults(); len(faults) != 0 {
+		t.Fatalf("the plan has faults: %q", faults)
+	}
+	var table Table
+	plan.Run(context.Background(), table.Add)
+	var text strings.Builder
+	table.Write(&text)
+	if want := "| site | worst-days cut, 300 s | 1 | 0 | 0 | 0.800 | 0 | 0 (0) |"; !strings.Contains(text.String(), want) {
+		t.Errorf("the table lacks %q:\n%s", want, text.String())
+	}
+}
--- a/test/hunt/plan.go
+++ b/test/hunt/plan.go
@@ -16,7 +16,7 @@
 var Focuses = []string{"cut", "race", "second", "changes", "answers", "any"}
 
 // Plan is what is run: on each site HuntDays days that the bench draws, then FocusDays days of
-// each focus.
+// each focus, then LongDays longer days of each focus.
 type Plan struct {
 	Bench        string // path of the bench
 	DayTool      string // path of the tool that writes and runs days of a focus
@@ -24,6 +24,8 @@
 	Focuses      []string
 	HuntDays     int
 	FocusDays    int
+	LongDays     int
+	LongSeconds  int    // seconds of traffic of a long day
 	Seed         int    // of the first day of each focus
 	Jobs         int    // days run at once
 	Repository   string // where the bench builds and leaves its journal
@@ -53,19 +55,31 @@
 	}
 	for _, site := range p.Sites {
 		addFault(checkSite(site))
+		if p.LongDays > 0 {
+			addFault(checkLongSite(site))
+		}
 	}
 	for _, focus := range p.Focuses {
 		if !slices.Contains(Focuses, focus) {
 			addFault(errs.New(errs.BadSettings, "give all or some of "+strings.Join(Focuses, ", "), "focus %q is not known", focus))
 		}
 	}
-	if p.Jobs < 1 || p.HuntDays < 0 || p.FocusDays < 0 || p.HuntDays+p.FocusDays == 0 {
-		addFault(errs.New(errs.BadSettings, "play one day or more, with one job or more", "%d hunted days and %d days a focus with %d jobs", p.HuntDays, p.FocusDays, p.Jobs))
-	}
+	addFault(p.checkAmount())
 	addFault(checkFolder(p.OutputFolder, p.Repository))
 	return faults
 }
 
+// checkAmount rejects a plan that plays nothing.
+func (p Plan) checkAmount() error {
+	if p.Jobs < 1 || p.HuntDays < 0 || p.FocusDays < 0 || p.LongDays < 0 || p.HuntDays+p.FocusDays+p.LongDays == 0 {
+		return errs.New(errs.BadSettings, "play one day or more, with one job or more", "%d hunted days, %d days a focus and %d long ones with %d jobs", p.HuntDays, p.FocusDays, p.LongDays, p.Jobs)
+	}
+	if p.LongDays > 0 && p.LongSeconds < 1 {
+		return errs.New(errs.BadSettings, "give long days one second or more", "long days of %d seconds", p.LongSeconds)
+	}
+	return nil
+}
+
 func checkProgram(name, path string) error {
 	info, err := os.Stat(path)
 	if err != nil {
--- a/test/hunt/tasks.go
+++ b/test/hunt/tasks.go
@@ -22,8 +22,13 @@
 	args  []string
 	// reportPath is the file with the day's complete report; "" where the command prints it.
 	reportPath string
+	// longSeconds is how long the day's traffic lasts, on a copy of the site; 0: as the site says.
+	longSeconds int
 }
 
+// siteArgument is where a command of the day tool has the site file.
+const siteArgument = 1
+
 // Result is a task with its days.
 type Result struct {
 	Task
@@ -40,10 +45,17 @@
 			tasks = append(tasks, p.huntTask(site))
 		}
 	}
+	tasks = append(tasks, p.focusTasks(p.FocusDays, p.focusTask)...)
+	return append(tasks, p.focusTasks(p.LongDays, p.longTask)...)
+}
+
+// focusTasks are a number of tasks for each site and focus.
+func (p Plan) focusTasks(days int, newTask func(site, focus string, seed int) Task) []Task {
+	var tasks []Task
 	for _, site := range p.Sites {
 		for _, focus := range p.Focuses {
-			for day := range p.FocusDays {
-				tasks = append(tasks, p.focusTask(site, focus, p.Seed+day))
+			for day := range days {
+				tasks = append(tasks, newTask(site, focus, p.Seed+day))
 			}
 		}
 	}
@@ -58,8 +70,19 @@
 }
 
 func (p Plan) focusTask(site, focus string, seed int) Task {
-	folder := filepath.Join(p.OutputFolder, siteName(site))
-	return Task{Site: siteName(site), Label: "worst-days " + focus, Days: 1, Jobs: 1,
+	return p.dayToolTask(site, "worst-days "+focus, focus, seed, filepath.Join(p.OutputFolder, siteName(site)))
+}
+
+// longTask is a day of a focus on a copy of the site with longer days.
+func (p Plan) longTask(site, focus string, seed int) Task {
+	label := fmt.Sprintf("worst-days %s, %d s", focus, p.LongSeconds)
+	task := p.dayToolTask(site, label, focus, seed, filepath.Join(p.OutputFolder, fmt.Sprintf("%s-%ds", siteName(site), p.LongSeconds), "days"))
+	task.longSeconds = p.LongSeconds
+	return task
+}
+
+func (p Plan) dayToolTask(site, label, focus string, seed int, folder string) Task {
+	return Task{Site: siteName(site), Label: label, Days: 1, Jobs: 1,
 		args: []string{p.DayTool, site, "--focus", focus, "--days", "1", "--seed", strconv.Itoa(seed),
 			"--bench", p.Bench, "--jobs", "1", "--out", folder},
 		reportPath: filepath.Join(folder, fmt.Sprintf("%s-%d.txt", focus, seed))}
@@ -112,6 +135,14 @@
 }
 
 func (p Plan) runTask(ctx context.Context, task Task) Result {
+	if task.longSeconds > 0 {
+		site, err := writeLongSite(task.args[siteArgument], task.longSeconds, p.OutputFolder)
+		if err != nil {
+			return Result{Task: task, Days: withMissingDays(nil, task, err.Error())}
+		}
+		task.args = slices.Clone(task.args)
+		task.args[siteArgument] = site
+	}
 	command := exec.CommandContext(ctx, task.args[0], task.args[1:]...)
 	command.Dir = p.Repository
 	// The day tool starts the bench: both end together.
