--- a/test/hunt/hunt_test.go
+++ b/test/hunt/hunt_test.go
@@ -57,6 +57,15 @@
 		Repository: repository, OutputFolder: filepath.Join(folder, "out")}
 }
 
+// runPlan runs a plan and returns its table, also as it is printed.
+func runPlan(plan Plan) (*Table, string) {
+	var table Table
+	plan.Run(context.Background(), table.Add)
+	var text strings.Builder
+	table.Write(&text)
+	return &table, text.String()
+}
+
 func writeFile(t *testing.T, folder, name string, mode os.FileMode, text string) string {
 	t.Helper()
 	path := filepath.Join(folder, name)
@@ -117,18 +126,15 @@
 mkdir -p "$out"
 echo "$focus-$seed   3/1   0.0  0.25  1.0   0.0  0.0  weak; 2 exits of its own  BROKEN: LOST 1 (else 0.25)" >"$out/$focus-$seed.txt"
 `)
-	var table Table
-	plan.Run(context.Background(), table.Add)
-	var text strings.Builder
-	table.Write(&text)
+	table, text := runPlan(plan)
 	for _, want := range []string{
 		"| site | hunt | 1 | 0 | 0 | 0.900 | 0 | 0 (0) |",
 		"| site | worst-days cut | 1 | 1 | 0 | 0.250 | 2 | 0 (0) |",
 		"| all |  | 2 | 1 | 0 | 0.250 | 2 | 0 (0) |",
 		"- site, worst-days cut, cut-5: LOST 1",
 	} {
-		if !strings.Contains(text.String(), want) {
-			t.Errorf("the table lacks %q:\n%s", want, text.String())
+		if !strings.Contains(text, want) {
+			t.Errorf("the table lacks %q:\n%s", want, text)
 		}
 	}
 	if !table.Failed() {
@@ -145,12 +151,9 @@
 [ -f "$out/tried" ] || { touch "$out/tried"; echo "too busy"; exit 1; }
 echo "cut-5   3/1   0.8  0.80  1.0   0.0  0.0  fine" >"$out/cut-5.txt"
 `)
-	var table Table
-	plan.Run(context.Background(), table.Add)
-	var text strings.Builder
-	table.Write(&text)
-	if want := "| site | worst-days cut | 1 | 0 | 0 | 0.800 | 0 | 1 (1) |"; !strings.Contains(text.String(), want) {
-		t.Errorf("the table lacks %q:\n%s", want, text.String())
+	table, text := runPlan(plan)
+	if want := "| site | worst-days cut | 1 | 0 | 0 | 0.800 | 0 | 1 (1) |"; !strings.Contains(text, want) {
+		t.Errorf("the table lacks %q:\n%s", want, text)
 	}
 	if table.Failed() {
 		t.Error("a day that was abandoned and then run fails the plan")
@@ -174,11 +177,8 @@
 	if faults := plan.Faults(); len(faults) != 0 {
 		t.Fatalf("the plan has faults: %q", faults)
 	}
-	var table Table
-	plan.Run(context.Background(), table.Add)
-	var text strings.Builder
-	table.Write(&text)
-	if want := "| site | worst-days cut, 300 s | 1 | 0 | 0 | 0.800 | 0 | 0 (0) |"; !strings.Contains(text.String(), want) {
-		t.Errorf("the table lacks %q:\n%s", want, text.String())
+	_, text := runPlan(plan)
+	if want := "| site | worst-days cut, 300 s | 1 | 0 | 0 | 0.800 | 0 | 0 (0) |"; !strings.Contains(text, want) {
+		t.Errorf("the table lacks %q:\n%s", want, text)
 	}
 }
