A test, red: a store that restarted reports its pending tokens as 0 for up to 100 ms

By reading: between the first map and the next count, every 100 ms, a store answers an account's new owner from the count of before the map. The owner takes 0 for complete and grants the rest.

--- a/internal/daemon/machines/store_test.go
+++ b/internal/daemon/machines/store_test.go
@@ -25,7 +25,11 @@
 // newTestStore is a store that serves no shard, with one edge and a configuration of a route
 // "r" that forwards batches.
 func newTestStore(forward config.Forward) *Store {
-	batches := batchstore.New(batchstore.Self{ID: "store"}, batchstore.Defaults(), nil, noArchive{})
+	return newTestStoreOf(batchstore.New(batchstore.Self{ID: "store"}, batchstore.Defaults(), nil, noArchive{}), forward)
+}
+
+// newTestStoreOf is newTestStore on a store's replicas.
+func newTestStoreOf(batches *batchstore.Store, forward config.Forward) *Store {
 	s := NewStore("store", batches, 100, 1)
 	configuration := &config.Configuration{
 		Version: 1,
