Pending tokens are counted and reported when a map moves shards, not up to 0.6 s later

Cause: a store counted its pending tokens every 100 ms and reported them every 500 ms, whatever happened between. After a restart an account's new owner that asked within those 100 ms was told 0; and the new owner of a shard reported up to 0.6 s after the former one had begun its last second. A store that lost its disk reported 0 while nobody counted the shards that the map still gave it. Change: a new map is followed by a count at once and a renewal at the next tick; a store without its disk says that it doesn't know until its shards have passed on (batchstore KnowsPendingWeights).

--- a/internal/batchstore/pending_weights.go
+++ b/internal/batchstore/pending_weights.go
@@ -70,6 +70,19 @@
 	return sum
 }
 
+// KnowsPendingWeights tells whether PendingWeights is all that may be pending here. It is not before
+// the first map, nor at a store that lost its disk while the map still has it as the primary of
+// a shard: the replicas have that shard's requests, but don't count them yet.
+func (s *Store) KnowsPendingWeights() bool {
+	for shardIndex, assignment := range s.clusterMap.Shards {
+		isFormerLife := assignment.Primary.ID == s.self.ID && assignment.Primary != s.member()
+		if isFormerLife && s.groups.Group(Unit(shardIndex)).Seq == 0 {
+			return false
+		}
+	}
+	return s.HasClusterMap()
+}
+
 // countsWeightsOf tells whether a shard's requests count here: at its primary, and at a
 // store that restarted, for as long as the map still has it as the primary.
 func (s *Store) countsWeightsOf(group *replication.Group) bool {
--- a/internal/batchstore/pending_weights_test.go
+++ b/internal/batchstore/pending_weights_test.go
@@ -79,3 +79,28 @@
 		t.Errorf("%d tokens are pending at an empty store", got)
 	}
 }
+
+// A store that lost its disk doesn't know what is pending while the map still has it as the primary
+// of before: nobody else counts that shard yet.
+func TestAStoreWithoutItsDiskDoesNotKnowWhatIsPending(t *testing.T) {
+	c := newCluster(t)
+	c.mustCall(forwardedBatch("one", 3))
+	empty := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 2}, Defaults(), nil, newMemoryArchive())
+	if empty.KnowsPendingWeights() {
+		t.Error("it knows before the first map")
+	}
+	empty.Do(assignedTo(10, 1, "a", "b"), c.now)
+	if empty.KnowsPendingWeights() {
+		t.Error("it knows though nobody counts its shard")
+	}
+	empty.Do(assignedTo(11, 2, "b", "a"), c.now)
+	if !empty.KnowsPendingWeights() {
+		t.Error("it doesn't know though another has the shard")
+	}
+	records := append(c.stores["a"].ownRecords(), c.stores["a"].groups.CompactedRecords()...)
+	restarted := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 2}, Defaults(), records, newMemoryArchive())
+	restarted.Do(assignedTo(10, 1, "a", "b"), c.now)
+	if !restarted.KnowsPendingWeights() {
+		t.Error("it doesn't know though it has read the shard back")
+	}
+}
--- a/internal/daemon/machines/queued.go
+++ b/internal/daemon/machines/queued.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// reportQueued counts anew and has the count reported at once. A map moves whole shards between
+// stores: the former owner of one counts it for a second more, so the new one must not wait for the
+// next count and the next renewal.
+func (s *Store) reportQueued(now clock.Micros) {
+	s.recountQueued(now)
+	s.Quota.RenewAtNextTick()
+}
+
 // trackUsage has the quota report a tenant's usage, where the configuration limits it.
 func (s *Store) trackUsage(tenant, route string, forwarded bool) {
 	configuration := s.Scheduler.Configuration()
--- a/internal/daemon/machines/restart_test.go
+++ b/internal/daemon/machines/restart_test.go
@@ -97,3 +97,24 @@
 	}
 	t.Fatal("it reported nothing")
 }
+
+// A map that moves shards is followed by a report at the next tick.
+func TestAMapIsFollowedByAReport(t *testing.T) {
+	pair := newReplicaPair()
+	pair.do("store", batchstore.Call{Number: 1, Body: batchstore.SubmitRequest{
+		Timeout: clock.Second,
+		Batch:   shard.Batch{ID: "b", Tenant: "r", Route: "r", Items: []shard.Item{forwardedItem(70)}},
+	}})
+	restarted := batchstore.New(batchstore.Self{ID: "store", Zone: "store", Peer: "store", Incarnation: 2}, batchstore.Defaults(), pair.records["store"], noArchive{})
+	s := newTestStoreOf(restarted, config.Forward{MaxQueuedTokens: 1000})
+	s.Tick(testTime)
+	s.UpdateReceived(mapUpdate(3, true), testTime+clock.Millisecond)
+	for _, effect := range s.Tick(testTime + 2*clock.Millisecond) {
+		if request, ok := effect.(machine.Request); ok {
+			if lease, ok := request.Body.(quota.LeaseRequest); ok && lease.Tenant == "r" && lease.InUse == 70 {
+				return
+			}
+		}
+	}
+	t.Error("the tick after the map reports nothing of it")
+}
--- a/internal/daemon/machines/store.go
+++ b/internal/daemon/machines/store.go
@@ -42,7 +42,7 @@
 		demands:             demandTracker{self: self, others: map[string]demand{}},
 	}
 	s.Scheduling = newScheduling(self, settings, seed, s.queuedWeight)
-	s.Quota.ShardMap = func() (state.Map, bool) { return batches.ClusterMap(), batches.HasClusterMap() }
+	s.Quota.ShardMap = func() (state.Map, bool) { return batches.ClusterMap(), batches.KnowsPendingWeights() }
 	s.Runner = execution.New(execution.Defaults(), s.Calls, s.Scheduler, batches.MayStart, func(result batchstore.ItemFinished, now clock.Micros) { s.apply(result, now) })
 	return s
 }
@@ -118,7 +118,11 @@
 	if s.cores.receive(update) {
 		s.apply(batchstore.CorePeers{Peers: s.cores.addresses()}, now)
 	}
+	mapSeq := s.Batches.ClusterMap().Seq
 	s.apply(batchstore.UpdateReceived{Update: update}, now)
+	if s.Batches.ClusterMap().Seq != mapSeq {
+		s.reportQueued(now)
+	}
 	return s.finishStep(now)
 }
 
--- a/internal/dataplane/quota/quota.go
+++ b/internal/dataplane/quota/quota.go
@@ -108,6 +108,9 @@
 	q.forgetUnusedShares(now)
 }
 
+// RenewAtNextTick has the leases renewed at the next tick, because what is in use changed by much.
+func (q *Quota) RenewAtNextTick() { q.nextRenewal = 0 }
+
 // handleUsageRequest answers a new owner: from here on the former one's lease counts
 // only as far as it is in use.
 func (q *Quota) handleUsageRequest(request UsageRequest) (UsageResponse, error) {
