--- a/internal/batchstore/pending_weights.go
+++ b/internal/batchstore/pending_weights.go
@@ -75,8 +75,8 @@
 // a shard: the replicas have that shard's requests, but don't count them yet.
 func (s *Store) KnowsPendingWeights() bool {
 	for shardIndex, assignment := range s.clusterMap.Shards {
-		isFormerLife := assignment.Primary.ID == s.self.ID && assignment.Primary != s.member()
-		if isFormerLife && s.groups.Group(Unit(shardIndex)).Seq == 0 {
+		ofEarlierIncarnation := assignment.Primary.ID == s.self.ID && assignment.Primary != s.member()
+		if ofEarlierIncarnation && s.groups.Group(Unit(shardIndex)).Seq == 0 {
 			return false
 		}
 	}
