Quota: the owner logs opened accounts, and reports above the quota

Cause: neither logs nor metrics of an edge tell whether two edges own one account (hypothesis B), or whether more is reported in use than the quota (hypothesis A). No decision changes.

--- a/internal/dataplane/quota/account.go
+++ b/internal/dataplane/quota/account.go
@@ -50,6 +50,7 @@
 	unreported map[string]bool  // daemons that have not said yet what they have in use
 	openedAt   clock.Micros
 	lastUsedAt clock.Micros
+	exceeded   bool // more than the quota was counted at the latest grant
 }
 
 // OpenAccount begins an account under an epoch. It grants nothing until each of these
--- /dev/null
+++ b/internal/dataplane/quota/events.go
@@ -0,0 +1,33 @@
+package quota
+
+import "tuliprudder/internal/machine"
+
+// The log events of an account's owner.
+type (
+	// AccountOpened tells that this daemon began to own a tenant's account, and whose reports it
+	// waits for before it grants.
+	AccountOpened struct {
+		machine.Info
+		Tenant     string   `json:"tenant"`
+		Epoch      uint64   `json:"epoch"`
+		Client     string   `json:"client"` // whose request opened it
+		Unreported []string `json:"unreported"`
+	}
+	// QuotaExceeded tells that daemons report more of a tenant's work than its quota. That is so
+	// after the quota was lowered; otherwise it is a fault.
+	QuotaExceeded struct {
+		machine.Warning
+		Tenant   string         `json:"tenant"`
+		Epoch    uint64         `json:"epoch"`
+		Quota    int64          `json:"quota"`
+		Counted  int            `json:"counted"`
+		Reported map[string]int `json:"reported"` // by daemon
+		Remedy   string         `json:"remedy"`
+	}
+)
+
+// EventName is the event's key in the log.
+func (AccountOpened) EventName() string { return "quota_account_opened" }
+
+// EventName is the event's key in the log.
+func (QuotaExceeded) EventName() string { return "quota_exceeded" }
--- a/internal/dataplane/quota/owner.go
+++ b/internal/dataplane/quota/owner.go
@@ -3,6 +3,7 @@
 import (
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/dataplane/endpoints"
+	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
 )
 
@@ -49,6 +50,12 @@
 	a.InjectedFaults = q.InjectedFaults
 	a.IsStore = q.isStore
 	q.accounts[request.Tenant] = a
+	q.calls.Emit(machine.LogEvent{Event: AccountOpened{
+		Tenant:     request.Tenant,
+		Epoch:      a.Epoch,
+		Client:     request.DaemonID,
+		Unreported: a.Unreported(),
+	}})
 	// This daemon's own share is known at once.
 	q.share(request.Tenant).Fence(a.Epoch)
 	a.RecordUsage(q.self, q.inUse(request.Tenant), now)
@@ -63,9 +70,32 @@
 		q.quotas[request.Tenant] = latest
 	}
 	granted := a.Grant(request.DaemonID, request.InUse, request.Wanted, latest.Limit, now)
+	q.logExcess(a, latest, now)
 	return LeaseResponse{Epoch: a.Epoch, Granted: granted, Ready: a.IsReady(now)}
 }
 
+// logExcess logs, once until it ends, that daemons report more than the quota.
+func (q *Quota) logExcess(a *Account, quota TenantQuota, now clock.Micros) {
+	reported := a.Granted(now)
+	counted := 0
+	for _, count := range reported {
+		counted += count
+	}
+	wasExceeded := a.exceeded
+	a.exceeded = int64(counted) > quota.Limit
+	if !a.exceeded || wasExceeded {
+		return
+	}
+	q.calls.Emit(machine.LogEvent{Event: QuotaExceeded{
+		Tenant:   quota.Tenant,
+		Epoch:    a.Epoch,
+		Quota:    quota.Limit,
+		Counted:  counted,
+		Reported: reported,
+		Remedy:   "none where the quota was lowered; otherwise report it with the logs of the daemons named",
+	}})
+}
+
 // forgetIdleAccounts forgets accounts that nobody has used for a while.
 func (q *Quota) forgetIdleAccounts(now clock.Micros) {
 	for tenant, a := range q.accounts {
