--- a/test/simulator/batches.go
+++ b/test/simulator/batches.go
@@ -19,6 +19,7 @@
 	AcceptedAt     clock.Micros
 	OutcomeUnknown bool
 	Abandoned      bool
+	endRequested   bool // its caller has asked for its end
 	EndedAt        clock.Micros
 	StartCount     int
 	Attempts       int
@@ -30,6 +31,8 @@
 	failuresByItem map[int]int          // how often a server failed an item
 	// Forwarded batches hold requests that are forwarded unchanged.
 	Forwarded bool
+	// Limited ones of them are on the route with a quota of tokens.
+	Limited bool
 }
 
 // SubmitBatch submits a batch until it is accepted or its attempts are used up.
@@ -110,6 +113,9 @@
 	v.PendingCalls--
 	v.countCheck(batchKept)
 	v.world.Tracef("batch %s accepted by %s", b.ID, ack.Store)
+	if b.Limited {
+		v.checkTokenQuota(b)
+	}
 	if v.Reading && v.world.Random.Intn(3) == 0 {
 		v.followBatch(b, "")
 	}
@@ -127,6 +133,7 @@
 
 // EndBatch cancels an accepted batch, and tries again until that is acknowledged.
 func (v *Workload) EndBatch(b *Batch) {
+	b.endRequested = true
 	v.PendingCalls++
 	var attempt func()
 	attempt = func() {
--- a/test/simulator/configuration_document.go
+++ b/test/simulator/configuration_document.go
@@ -25,7 +25,7 @@
 
 // configurationDocument is a configuration as an operator writes it. Its number says how it
 // differs from others: the route extra comes and goes, its pool moves, quotas change.
-func configurationDocument(number int, forwarding bool) []byte {
+func (w *World) configurationDocument(number int) []byte {
 	routes := []document{
 		liveRouteDocument("once", "all"),
 		liveRouteDocument("flow", "all"),
@@ -35,12 +35,15 @@
 	if hasExtraRoute(number) {
 		routes = append(routes, liveRouteDocument("extra", "half"))
 	}
-	if forwarding {
+	if w.Forwarding {
 		for _, name := range forwardedRoutes {
 			routes = append(routes, forwardedRouteDocument(name, forwardedKinds[name]))
 		}
 		routes = append(routes, forwardedRouteDocument(batchRoute, config.Batch))
 	}
+	if w.TokenQuota {
+		routes = append(routes, limitedRouteDocument(config.Batch))
+	}
 	data, _ := json.Marshal(document{
 		"classes": []document{
 			classDocument("gold", 300+number%2, liveQuota),
--- a/test/simulator/configurations.go
+++ b/test/simulator/configurations.go
@@ -32,7 +32,7 @@
 	}
 	v.lastDocument++
 	number := v.lastDocument
-	body := configurationDocument(number, v.world.Forwarding)
+	body := v.world.configurationDocument(number)
 	v.documentNumbers[string(body)] = number
 	p := &ConfigurationPut{Document: number, Body: string(body), CalledAt: v.world.Now, HasBase: withBase, Base: n.configurationVersion}
 	v.ConfigurationPuts = append(v.ConfigurationPuts, p)
--- a/test/simulator/forwarded_batches.go
+++ b/test/simulator/forwarded_batches.go
@@ -69,18 +69,34 @@
 	for i := 0; i < b.ItemCount; i++ {
 		item := shard.Item{ID: strconv.Itoa(i)}
 		if input := itemInput(b.Key, i); b.Forwarded {
-			item.Request = &shard.Request{Target: "/v1/item", Host: hostOf(batchRoute), Body: []byte(input), Tokens: 1}
+			item.Request = &shard.Request{Target: "/v1/item", Host: hostOf(b.route()), Body: []byte(input), Tokens: b.tokens()}
 		} else {
 			item.Input = input
 		}
 		items = append(items, item)
 	}
 	if b.Forwarded {
-		return requests.SubmitForwardedBatchRequest{Route: batchRoute, ID: b.ID, Items: items}
+		return requests.SubmitForwardedBatchRequest{Route: b.route(), ID: b.ID, Items: items}
 	}
 	return requests.SubmitBatchRequest{APIKey: callerKey, Route: "r", IdempotencyKey: b.Key, Items: items}
 }
 
+// route is the route of a forwarded batch.
+func (b *Batch) route() string {
+	if b.Limited {
+		return limitedRoute
+	}
+	return batchRoute
+}
+
+// tokens is what each item of a forwarded batch counts for.
+func (b *Batch) tokens() int64 {
+	if b.Limited {
+		return tokensPerItem
+	}
+	return 1
+}
+
 // statusRequest is the call that reads the status of the batch, or cancels it.
 func (b *Batch) statusRequest(end bool) any {
 	if b.Forwarded {
--- a/test/simulator/operators.go
+++ b/test/simulator/operators.go
@@ -40,7 +40,7 @@
 func (v *Workload) newConfigurationChange(number, base uint64) *configurationChange {
 	v.lastDocument++
 	change := &configurationChange{document: v.lastDocument, version: number, base: base}
-	change.body = configurationDocument(change.document, v.world.Forwarding)
+	change.body = v.world.configurationDocument(change.document)
 	v.documentNumbers[string(change.body)] = change.document
 	return change
 }
--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -21,6 +21,8 @@
 	AllCalls   bool   // the callers use every kind of call early on
 	// Forwarding adds requests that are forwarded unchanged, alone and in batches.
 	Forwarding bool
+	// TokenQuota adds callers who press against a quota of tokens.
+	TokenQuota bool
 	// Scenarios adds the directed scenarios (Scenarios) to the faults.
 	Scenarios bool
 	// MeasureRecovery times, before the faults, how fast the fleet recovers (Recovery).
@@ -39,6 +41,7 @@
 	w.DeliveryFault = r.DeliveryFault
 	w.OnEffect = r.OnEffect
 	w.Forwarding = r.Forwarding
+	w.TokenQuota = r.TokenQuota
 	v := w.Workload
 	if !w.RunUntil(10*clock.Second, w.allEdgesReady) {
 		v.reportViolation(serviceRestored, "the fleet is not ready 10 s after boot: %s", w.Describe())
@@ -49,6 +52,9 @@
 	if r.Forwarding {
 		v.runForwardedBatchCallers()
 	}
+	if r.TokenQuota {
+		v.runLimitedBatchCallers()
+	}
 	if r.AllCalls {
 		v.exerciseAllCalls()
 	}
--- a/test/simulator/world.go
+++ b/test/simulator/world.go
@@ -62,6 +62,8 @@
 	Workload *Workload
 	// Forwarding adds requests and batches of requests that are forwarded unchanged.
 	Forwarding bool
+	// TokenQuota adds a route of forwarded batches with a quota of tokens.
+	TokenQuota bool
 
 	Trace                  []string
 	Steps, Messages, Syncs int // events, messages sent, syncs of disks so far
