--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -156,7 +156,7 @@
 }
 
 // Run starts the services and waits for SIGTERM or SIGINT; then it drains, announces that
-// the daemon leaves, and stops the services. A second signal ends the draining.
+// the daemon leaves, and stops the services. SIGINT ends the draining; a second SIGTERM doesn't.
 func (d *Daemon) Run() error {
 	d.Services.Register(eventloop.Name, d.Loop)
 	d.Services.Register("http", httpService{d})
@@ -179,7 +179,8 @@
 }
 
 // drain calls the functions that drain the daemon, at once, and waits until all are done, the
-// time-out has passed, or another signal comes.
+// time-out has passed, or the daemon is interrupted. It may be told to stop more than once, as by
+// rollouts that overlap: that cuts no request short.
 func (d *Daemon) drain(signals <-chan os.Signal) {
 	var draining sync.WaitGroup
 	for _, f := range d.drainFuncs {
@@ -190,11 +191,19 @@
 		draining.Wait()
 		close(drained)
 	}()
-	select {
-	case <-drained:
-	case <-signals:
-	case <-time.After(clock.Duration(d.DrainTimeout)):
-		logging.Write(d.Log, DrainTimedOut{TimeoutUS: d.DrainTimeout})
+	timeout := time.After(clock.Duration(d.DrainTimeout))
+	for {
+		select {
+		case <-drained:
+			return
+		case received := <-signals:
+			if received == syscall.SIGINT {
+				return
+			}
+		case <-timeout:
+			logging.Write(d.Log, DrainTimedOut{TimeoutUS: d.DrainTimeout})
+			return
+		}
 	}
 }
 
