A read ends within a second of its deadline, also where its store never answers

A read polls its store once more when its time is up, and waited for that answer for 2 s, after a poll that might last for 2 s as well: a caller that allows 1 s waited for up to 3.3 s, callers leave before. Change: a poll's time-out ends a second after the read's deadline, and one that fails then is the last; requests about a batch that change nothing wait for 1 s, not 2 s.

--- a/internal/dataplane/reader/wakeups.go
+++ b/internal/dataplane/reader/wakeups.go
@@ -22,6 +22,9 @@
 	maxPollTimeout      = 2 * clock.Second
 	initialPollTimeout  = 400 * clock.Millisecond
 	maxTimeoutDoublings = 3
+	// maxReadOverrun is how long after its deadline a read ends at the latest, with an error where
+	// the store has not answered: callers wait little longer than they allow.
+	maxReadOverrun = clock.Second
 )
 
 // pendingRead is a read under way. It is polled until there is something to return, or it
@@ -37,11 +40,13 @@
 	failedPolls int          // in a row
 }
 
-func (p *pendingRead) pollTimeout() clock.Micros {
-	if !p.waits {
-		return maxPollTimeout
+// pollTimeout is how long the store may take to answer a poll that begins now.
+func (p *pendingRead) pollTimeout(now clock.Micros) clock.Micros {
+	timeout := maxPollTimeout
+	if p.waits {
+		timeout = min(maxPollTimeout, initialPollTimeout<<min(p.failedPolls, maxTimeoutDoublings))
 	}
-	return min(maxPollTimeout, initialPollTimeout<<min(p.failedPolls, maxTimeoutDoublings))
+	return min(timeout, p.deadline+maxReadOverrun-now)
 }
 
 // wake has the read polled as soon as the interval allows.
@@ -119,7 +124,7 @@
 	p.inFlight = true
 	p.pollAt = 0
 	p.polledAt = now
-	r.fetchPage(p.Request, p.pollTimeout(), now, func(page Page, err error, now clock.Micros) {
+	r.fetchPage(p.Request, p.pollTimeout(now), now, func(page Page, err error, now clock.Micros) {
 		p.inFlight = false
 		if err == nil {
 			p.failedPolls = 0
@@ -128,7 +133,7 @@
 		}
 		mayRetry := errs.Is(err, errs.NotReady)
 		isFinal := err == nil && page.isReady() || err != nil && !mayRetry
-		if isFinal || !p.waits {
+		if isFinal || !p.waits || now >= p.deadline {
 			r.pending.remove(p.ID)
 			p.callback(page, err, now)
 			return
--- a/internal/dataplane/reader/wakeups_test.go
+++ b/internal/dataplane/reader/wakeups_test.go
@@ -7,6 +7,7 @@
 	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/errs"
+	"tuliprudder/internal/machine"
 )
 
 // A pending read by index ends as soon as there is a result, polls no sooner than it
@@ -96,3 +97,32 @@
 		t.Fatalf("ended with %v, %d pending", ended, f.Pending())
 	}
 }
+
+// A read ends within a second of its deadline, also where its store never answers: its caller does
+// not wait much longer. (Issue 26, hypothesis C: it took up to four seconds.)
+func TestAReadEndsSoonAfterItsDeadline(t *testing.T) {
+	for _, wait := range []clock.Micros{0, 400 * clock.Millisecond, clock.Second, 5 * clock.Second} {
+		f := newFixture(t)
+		began := f.now
+		var ended error
+		f.Start(Request{ID: "n", BatchID: "one", MaxWait: wait, ByIndex: true}, f.now, func(_ Page, err error, _ clock.Micros) { ended = err })
+		var request *machine.Request
+		timeoutAt := clock.Micros(0)
+		for ended == nil && f.now < began+60*clock.Second {
+			if sent := f.nextRequest(); sent != nil {
+				request, timeoutAt = sent, f.now+sent.Timeout
+			}
+			f.now += 10 * clock.Millisecond
+			if request != nil && f.now >= timeoutAt {
+				token := request.Token
+				request = nil
+				f.calls.ReplyReceived(token, nil, errs.New(errs.OutcomeUnknown, "retry", "timed out"), f.now)
+			}
+			f.Tick(f.now)
+		}
+		took := f.now - began
+		if !errs.Is(ended, errs.NotReady) || took < wait || took > wait+clock.Second+50*clock.Millisecond {
+			t.Errorf("a read that waits for %d us ended after %d us with %v", wait, took, ended)
+		}
+	}
+}
--- a/internal/dataplane/requests/store_calls.go
+++ b/internal/dataplane/requests/store_calls.go
@@ -6,8 +6,9 @@
 	"tuliprudder/internal/machine"
 )
 
-// statusTimeout is how long a store may take for a request that changes nothing.
-const statusTimeout = 2 * clock.Second
+// statusTimeout is how long a store may take for a request that changes nothing: its caller can
+// retry, and doesn't wait much longer.
+const statusTimeout = clock.Second
 
 // commitCallTimeout is how long a store may take for a request that it has to commit: its own
 // time-out, and a margin for the messages.
