A SIGTERM that comes while a daemon starts ends it

Change: proc.Done, which go-zero closes at the first signal, is what tells a daemon to stop; before it serves it ends at once. Later signals are kept from ending the process, SIGINT ends the draining (host/stop.go).

--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -6,16 +6,13 @@
 import (
 	"io"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
-	"github.com/zeromicro/go-zero/core/proc"
 
 	"tuliprudder/internal/cleanup"
 	"tuliprudder/internal/clock"
@@ -58,6 +55,7 @@
 	// DrainTimeout is how long draining may take; default 8 s.
 	DrainTimeout clock.Micros
 	drainFuncs   []func()
+	stops        *stopListener
 }
 
 const (
@@ -76,7 +74,7 @@
 		return nil, err
 	}
 	modelclient.ConfigureDefaultClient()
-	proc.SetTimeToForceQuit(time.Hour) // this package drains; go-zero must not end the process first
+	stops := newStopListener()
 	self, err := loadIdentity(logging.New(out, program, ""), kind, common.DataDir)
 	if err != nil {
 		return nil, err
@@ -89,6 +87,7 @@
 		HTTP:         httpserver.New(common.HTTP, int(limits.MaxOpenRequests), limits.MaxBodyBytes),
 		Common:       common,
 		DrainTimeout: defaultDrainTimeout,
+		stops:        stops,
 	}
 	d.Loop = eventloop.New(d.member(), slices.Concat(common.Seeds, d.loadPeers()), self, log)
 	d.Loop.Address = common.PeerListen
@@ -157,20 +156,19 @@
 
 // Run starts the services and waits for SIGTERM or SIGINT; then it drains, announces that
 // the daemon leaves, and stops the services. SIGINT ends the draining; a second SIGTERM doesn't.
+// A daemon that is told to stop before its services run ends at once.
 func (d *Daemon) Run() error {
 	d.Services.Register(eventloop.Name, d.Loop)
 	d.Services.Register("http", httpService{d})
 	d.Services.Register("peers", peerSaver{d})
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := d.Services.Start(); err != nil {
 		return err
 	}
 	logging.Write(d.Log, DaemonStarted{Zone: d.Common.Zone, Peer: d.Common.Peer, HTTP: d.Common.HTTP, Incarnation: d.Identity.Incarnation})
-	<-signals
+	d.stops.wait()
 	logging.Write(d.Log, DrainStarted{TimeoutUS: d.DrainTimeout})
 	d.Loop.AnnounceDraining()
-	d.drain(signals)
+	d.drain(interrupts())
 	d.Loop.AnnounceLeft()
 	time.Sleep(announcementDelay)
 	d.Services.Stop()
@@ -179,9 +177,8 @@
 }
 
 // drain calls the functions that drain the daemon, at once, and waits until all are done, the
-// time-out has passed, or the daemon is interrupted. It may be told to stop more than once, as by
-// rollouts that overlap: that cuts no request short.
-func (d *Daemon) drain(signals <-chan os.Signal) {
+// time-out has passed, or the daemon is interrupted.
+func (d *Daemon) drain(interrupts <-chan os.Signal) {
 	var draining sync.WaitGroup
 	for _, f := range d.drainFuncs {
 		draining.Go(f)
@@ -191,19 +188,11 @@
 		draining.Wait()
 		close(drained)
 	}()
-	timeout := time.After(clock.Duration(d.DrainTimeout))
-	for {
-		select {
-		case <-drained:
-			return
-		case received := <-signals:
-			if received == syscall.SIGINT {
-				return
-			}
-		case <-timeout:
-			logging.Write(d.Log, DrainTimedOut{TimeoutUS: d.DrainTimeout})
-			return
-		}
+	select {
+	case <-drained:
+	case <-interrupts:
+	case <-time.After(clock.Duration(d.DrainTimeout)):
+		logging.Write(d.Log, DrainTimedOut{TimeoutUS: d.DrainTimeout})
 	}
 }
 
