--- a/internal/config/lookup.go
+++ b/internal/config/lookup.go
@@ -53,13 +53,18 @@
 // the path; nil when there is none.
 func (c *Configuration) MatchRoute(host, path string) *Route {
 	for _, route := range c.index.forwardedByHost[host] {
-		if strings.HasPrefix(path, route.Forward.PathPrefix) {
+		if route.Forward.Matches(host, path) {
 			return route
 		}
 	}
 	return nil
 }
 
+// Matches tells whether a request for a host and path is the route's.
+func (f *Forward) Matches(host, path string) bool {
+	return f.Host == host && strings.HasPrefix(path, f.PathPrefix)
+}
+
 // TenantByKey finds a tenant and its class by the key that a caller sends.
 func (c *Configuration) TenantByKey(key string) (*Tenant, *PriorityClass, bool) {
 	tenant := c.index.tenantsByKey[key]
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -59,6 +59,7 @@
 	scheduler *scheduler.Scheduler
 	random    *rand.Rand
 	inFlight  map[string]*activeRequest // by request ID
+	removed   removedRoutes
 
 	// Counters of requests for the operators, since the start.
 	Forwarded       int64 // a server's response reached the caller
--- a/internal/dataplane/requests/batches.go
+++ b/internal/dataplane/requests/batches.go
@@ -75,6 +75,9 @@
 		return shard.Batch{}, err
 	}
 	route, _ := configuration.Route(request.Route)
+	if route == nil && request.Removed != nil {
+		route = request.Removed // the store knows the batch, or rejects it
+	}
 	if route == nil || route.Forward == nil || route.Kind != config.Batch {
 		return shard.Batch{}, errs.New(errs.UnknownRoute, "name a route of the configuration in force that forwards batches", "the configuration forwards no batches by a route %q", request.Route)
 	}
--- a/internal/dataplane/requests/messages.go
+++ b/internal/dataplane/requests/messages.go
@@ -3,6 +3,7 @@
 import (
 	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/config"
 	"tuliprudder/internal/dataplane/modelclient"
 	"tuliprudder/internal/dataplane/reader"
 )
@@ -93,8 +94,10 @@
 // carries no API key (DESIGN §12.5). The reply is a batchstore.SubmitResponse.
 type SubmitForwardedBatchRequest struct {
 	Route string
-	ID    string
-	Items []shard.Item
+	// Removed is the route where the configuration may have it no more; nil otherwise.
+	Removed *config.Route
+	ID      string
+	Items   []shard.Item
 }
 
 // ForwardedBatchStatusRequest is a BatchStatusRequest for a batch of opaque requests.
