--- a/test/hunt/plan.go
+++ b/test/hunt/plan.go
@@ -16,7 +16,8 @@
 var Focuses = []string{"cut", "race", "second", "changes", "answers", "any"}
 
 // Plan is what is run: on each site HuntDays days that the bench draws, then FocusDays days of
-// each focus, then LongDays longer days of each focus.
+// each focus, then LongDays longer days of each focus, then QuotaDays days of each kind that press
+// against the quota.
 type Plan struct {
 	Bench        string // path of the bench
 	DayTool      string // path of the tool that writes and runs days of a focus
@@ -25,7 +26,8 @@
 	HuntDays     int
 	FocusDays    int
 	LongDays     int
-	LongSeconds  int    // seconds of traffic of a long day
+	LongSeconds  int // seconds of traffic of a long day
+	QuotaDays    int
 	Seed         int    // of the first day of each focus
 	Jobs         int    // days run at once
 	Repository   string // where the bench builds and leaves its journal
@@ -71,8 +73,9 @@
 
 // checkAmount rejects a plan that plays nothing.
 func (p Plan) checkAmount() error {
-	if p.Jobs < 1 || p.HuntDays < 0 || p.FocusDays < 0 || p.LongDays < 0 || p.HuntDays+p.FocusDays+p.LongDays == 0 {
-		return errs.New(errs.BadSettings, "play one day or more, with one job or more", "%d hunted days, %d days a focus and %d long ones with %d jobs", p.HuntDays, p.FocusDays, p.LongDays, p.Jobs)
+	if p.Jobs < 1 || p.HuntDays < 0 || p.FocusDays < 0 || p.LongDays < 0 || p.QuotaDays < 0 || p.HuntDays+p.FocusDays+p.LongDays+p.QuotaDays == 0 {
+		return errs.New(errs.BadSettings, "play one day or more, with one job or more", "%d hunted days, %d days a focus, %d long ones and %d a kind at the quota with %d jobs",
+			p.HuntDays, p.FocusDays, p.LongDays, p.QuotaDays, p.Jobs)
 	}
 	if p.LongDays > 0 && p.LongSeconds < 1 {
 		return errs.New(errs.BadSettings, "give long days one second or more", "long days of %d seconds", p.LongSeconds)
--- a/test/hunt/tasks.go
+++ b/test/hunt/tasks.go
@@ -24,6 +24,8 @@
 	reportPath string
 	// longSeconds is how long the day's traffic lasts, on a copy of the site; 0: as the site says.
 	longSeconds int
+	// prepare, where it is set, is called before the command runs.
+	prepare func() error
 }
 
 // siteArgument is where a command of the day tool has the site file.
@@ -46,7 +48,8 @@
 		}
 	}
 	tasks = append(tasks, p.focusTasks(p.FocusDays, p.focusTask)...)
-	return append(tasks, p.focusTasks(p.LongDays, p.longTask)...)
+	tasks = append(tasks, p.focusTasks(p.LongDays, p.longTask)...)
+	return append(tasks, p.quotaTasks()...)
 }
 
 // focusTasks are a number of tasks for each site and focus.
@@ -135,6 +138,11 @@
 }
 
 func (p Plan) runTask(ctx context.Context, task Task) Result {
+	if task.prepare != nil {
+		if err := task.prepare(); err != nil {
+			return Result{Task: task, Days: withMissingDays(nil, task, err.Error())}
+		}
+	}
 	if task.longSeconds > 0 {
 		site, err := writeLongSite(task.args[siteArgument], task.longSeconds, p.OutputFolder)
 		if err != nil {
