--- a/test/simulator/scenarios_test.go
+++ b/test/simulator/scenarios_test.go
@@ -91,7 +91,7 @@
 		violates  []Guarantee
 	}{
 		"a snapshot lacks what recognises repeated requests": {onCore(func(n *Node) { n.Core.InjectFaults(controlplane.InjectedFaults{SkipRequestTable: true}) }), familyOperators, defaultShape, 1, []Guarantee{configurationInForce, resendAcknowledged}},
-		"a batch is confirmed before its last copy":         {onStore(func(n *Node) { n.Store.Groups().InjectedFaults.SkipLastReplica = true }), "slot but the slowest", Shapes["five"], 1, []Guarantee{batchKept, resultsExactlyOnce, readerResumes}},
+		"a batch is confirmed before its last copy":          {onStore(func(n *Node) { n.Store.Groups().InjectedFaults.SkipLastReplica = true }), "slot but the slowest", Shapes["five"], 1, []Guarantee{batchKept, resultsExactlyOnce, readerResumes}},
 		"a configuration is confirmed before the last copy":  {onCore(func(n *Node) { n.Core.Groups().InjectedFaults.SkipLastReplica = true }), "control state but the slowest", Shapes["five"], 1, []Guarantee{configurationInForce, resendAcknowledged}},
 		"a request that is passed on runs again elsewhere":   {onEdge(func(n *Node) { n.edge.Proxy.InjectedFaults.RetryUnsafely = true }), familyResponses, defaultShape, 1, []Guarantee{runsAtMostOnce}},
 		"cores keep changes in memory only":                  {onCore(func(n *Node) { n.disk.skipsSync = true }), familyChanges, defaultShape, 6, []Guarantee{configurationInForce, resendAcknowledged}},
