--- a/internal/dataplane/quota/account.go
+++ b/internal/dataplane/quota/account.go
@@ -53,13 +53,13 @@
 	// InjectedFaults are set by tests only.
 	InjectedFaults InjectedFaults
 
-	leases       map[Queue]lease
-	unreported   map[Queue]bool // queues on which there is no report yet
-	lastUsedAt   clock.Micros
-	isOverQuota  bool        // more than the quota was in use at the latest grant
-	usageRequest *usageQuery // under way; nil: none is
-	usageAskedAt clock.Micros
-	limitSetAt   clock.Micros // when a request came first with the newest configuration
+	leases           map[Queue]lease
+	unreported       map[Queue]bool // queues on which there is no report yet
+	lastUsedAt       clock.Micros
+	isOverQuota      bool        // more than the quota was in use at the latest grant
+	usageRequest     *usageQuery // under way; nil: none is
+	usageRequestedAt clock.Micros
+	limitSetAt       clock.Micros // when a request came first with the newest configuration
 }
 
 // OpenAccount begins an account. It grants nothing until there is a report on each of these queues.
@@ -195,13 +195,13 @@
 // report on.
 func (a *Account) SetLimit(now clock.Micros) {
 	a.limitSetAt = now
-	a.usageAskedAt = 0
+	a.usageRequestedAt = 0
 }
 
 // reportedBeforeLimit lists the shards that have not reported since the limit was set; none, if
 // they were asked a moment ago.
 func (a *Account) reportedBeforeLimit(now clock.Micros) []Queue {
-	if a.usageRequest == nil && now-a.usageAskedAt < limitCheckInterval {
+	if a.usageRequest == nil && now-a.usageRequestedAt < limitCheckInterval {
 		return nil
 	}
 	var out []Queue
