Quota: what is in use above it is no grant; a new account where no limit may have been

Cause: two ways found after in the model, which now lifts and lowers the limit: what was reported in use above the quota was a grant of that size, so a store admitted in place of what ended while its request was under way (80 of 50 in a test); and asking the shards once more was not enough where a configuration had set no limit in between (9 of 300 runs of the model). Change: Account.Grant returns what a queue may admit, less than is in use where more than the quota is; an owner opens a new account where the versions of two requests leave one out. SetLimit and its check go.

--- a/internal/dataplane/quota/account.go
+++ b/internal/dataplane/quota/account.go
@@ -19,9 +19,6 @@
 	// maxReportAge is how old the reports on other queues may be when a request is rejected
 	// because of them.
 	maxReportAge = 200 * clock.Millisecond
-	// limitCheckInterval is how often shards are asked that have not reported since the limit was
-	// set.
-	limitCheckInterval = clock.Second
 	// lostShardTimeout is how long an account of batches waits, once opened, for a shard that
 	// nobody serves. One whose replicas are all lost for good must not stop the tenant's work for
 	// ever; one whose machines come back within that time counts.
@@ -53,13 +50,11 @@
 	// InjectedFaults are set by tests only.
 	InjectedFaults InjectedFaults
 
-	leases           map[Queue]lease
-	unreported       map[Queue]bool // queues on which there is no report yet
-	lastUsedAt       clock.Micros
-	isOverQuota      bool        // more than the quota was in use at the latest grant
-	usageRequest     *usageQuery // under way; nil: none is
-	usageRequestedAt clock.Micros
-	limitSetAt       clock.Micros // when a request came first with the newest configuration
+	leases       map[Queue]lease
+	unreported   map[Queue]bool // queues on which there is no report yet
+	lastUsedAt   clock.Micros
+	isOverQuota  bool        // more than the quota was in use at the latest grant
+	usageRequest *usageQuery // under way; nil: none is
 }
 
 // OpenAccount begins an account. It grants nothing until there is a report on each of these queues.
@@ -97,9 +92,10 @@
 	return true
 }
 
-// Grant extends the lease of a report's queue up to what is wanted, as far as the quota allows,
-// and returns its size: at least what was reported in use. It returns false, and changes nothing,
-// where the report is no longer the latest on its queue.
+// Grant extends the lease of a report's queue up to what is wanted, as far as the quota allows. It
+// returns up to how much in use the queue may admit: less than is in use there, where more than the
+// quota is. It returns false, and changes nothing, where the report is no longer the latest on its
+// queue.
 func (a *Account) Grant(report Report, wanted int, quota int64, now clock.Micros) (granted int, ok bool) {
 	a.lastUsedAt = now
 	l := a.leases[report.Queue]
@@ -107,12 +103,19 @@
 	if !isLatest && !a.InjectedFaults.AcceptOldReports {
 		return 0, false
 	}
-	if wanted > l.granted && a.IsReady(now) {
-		available := int(quota) - a.leasedToOthers(report.Queue, now)
+	available := max(0, int(quota)-a.leasedToOthers(report.Queue, now))
+	isReady := a.IsReady(now)
+	if wanted > l.granted && isReady {
 		l.granted = max(l.granted, min(wanted, available))
 		a.leases[report.Queue] = l
 	}
-	return l.granted, true
+	switch {
+	case isReady:
+		return min(l.granted, available), true
+	case report.Queue.isShard():
+		return 0, true
+	}
+	return l.granted, true // a former owner has granted it
 }
 
 // leasedToOthers sums up the leases of all other queues.
@@ -164,7 +167,7 @@
 
 // Outdated lists the queues to be asked before a request is answered: while the account is not
 // ready, those without a report; where the request doesn't fit into the quota, the shards whose
-// reports are old; otherwise those that have not reported since the limit was set.
+// reports are old.
 func (a *Account) Outdated(request LeaseRequest, quota int64, now clock.Micros) []Queue {
 	switch {
 	case a.unreported[request.Report.Queue]:
@@ -177,7 +180,7 @@
 	case !a.IsReady(now):
 		return a.Unreported()
 	case int64(request.Wanted+a.leasedToOthers(request.Report.Queue, now)) <= quota:
-		return a.reportedBeforeLimit(now)
+		return nil
 	}
 	var out []Queue
 	for queue, l := range a.leases {
@@ -190,30 +193,6 @@
 	return out
 }
 
-// SetLimit notes that the quota is from a new configuration. Batches that were accepted under an
-// earlier one, which set no limit or had another account count them, are counted from the next
-// report on.
-func (a *Account) SetLimit(now clock.Micros) {
-	a.limitSetAt = now
-	a.usageRequestedAt = 0
-}
-
-// reportedBeforeLimit lists the shards that have not reported since the limit was set; none, if
-// they were asked a moment ago.
-func (a *Account) reportedBeforeLimit(now clock.Micros) []Queue {
-	if a.usageRequest == nil && now-a.usageRequestedAt < limitCheckInterval {
-		return nil
-	}
-	var out []Queue
-	for queue, l := range a.leases {
-		if queue.isShard() && l.reportedAt < a.limitSetAt {
-			out = append(out, queue)
-		}
-	}
-	sortQueues(out)
-	return out
-}
-
 // queuesBut lists all queues but one.
 func (a *Account) queuesBut(queue Queue) []Queue {
 	out := a.Unreported()
--- a/internal/dataplane/quota/account_test.go
+++ b/internal/dataplane/quota/account_test.go
@@ -179,17 +179,20 @@
 	}
 }
 
-// What is wanted is granted as far as the other queues leave room, and at least what is in use;
-// an answer to a report that is not the latest is refused.
+// What is wanted is granted as far as the other queues leave room; an answer to a report that is not
+// the latest is refused. What is in use counts, but is no grant while the account isn't ready.
 func TestGrantsLeaveWhatOthersHave(t *testing.T) {
 	now := clock.Second
 	a := OpenAccount(AccountID{Epoch: 1, OpenedAt: now}, true, []Queue{shardQueue(0), shardQueue(1)})
 	other := Report{Queue: shardQueue(1), Epoch: 1, Sequence: 1, Account: a.ID, InUse: 60}
 	own := Report{Queue: shardQueue(0), Epoch: 1, Sequence: 1, Account: a.ID, InUse: 10}
 	a.Record(own, now)
-	if granted, ok := a.Grant(own, 30, testQuota, now); granted != 10 || !ok {
+	if granted, ok := a.Grant(own, 30, testQuota, now); granted != 0 || !ok {
 		t.Errorf("before the other has reported %d were granted", granted)
 	}
+	if got := a.Leases(now)[shardQueue(0)]; got != 10 {
+		t.Errorf("before the other has reported %d count", got)
+	}
 	a.Record(other, now)
 	if granted, ok := a.Grant(own, 50, testQuota, now); granted != 40 || !ok {
 		t.Errorf("%d were granted", granted)
@@ -203,6 +206,26 @@
 	}
 }
 
+// Where more than the quota is in use, all of it counts, and no queue may admit until what it has is
+// within what the others leave.
+func TestMoreThanTheQuotaInUseIsNoGrant(t *testing.T) {
+	now := clock.Second
+	a := OpenAccount(AccountID{Epoch: 1, OpenedAt: now}, true, nil)
+	shard := Report{Queue: shardQueue(0), Epoch: 1, Sequence: 1, InUse: 70}
+	edge := Report{Queue: daemonQueue("edge"), Epoch: 1, Sequence: 1, InUse: 80}
+	a.Record(shard, now)
+	a.Record(edge, now)
+	for _, report := range []Report{shard, edge} {
+		want := testQuota - (70 + 80 - report.InUse)
+		if granted, ok := a.Grant(report, report.InUse+10, testQuota, now); granted != want || !ok {
+			t.Errorf("%v: %d were granted, not %d", report.Queue, granted, want)
+		}
+	}
+	if got := a.Leases(now); got[shard.Queue] != 70 || got[edge.Queue] != 80 {
+		t.Errorf("%v count", got)
+	}
+}
+
 // A daemon's lease ends by itself; a shard's counts until its next report, for its batches wait
 // whether it is served or not.
 func TestAShardsLeaseNeverExpires(t *testing.T) {
--- a/internal/dataplane/quota/doc.go
+++ b/internal/dataplane/quota/doc.go
@@ -37,9 +37,11 @@
 //     batches wait on disk. Its successor finds no more than was reported, for results count as
 //     in use until they are durable (Shards.PendingWeight).
 //   - An owner that has just taken over grants nothing until there is a report on every queue.
-//   - With a new configuration the shards are asked once more (Account.SetLimit): under an earlier one
-//     the tenant may have had no limit, and its batches no grant. What a store accepts before it has
-//     received the configuration counts from its next report on.
+//   - Where more than the quota is in use (it was lowered, or the tenant had none), all of it counts
+//     and nothing is admitted, not even in place of what ends meanwhile (Account.Grant).
+//   - An owner opens a new account, and so asks every queue, where the tenant may have had no limit
+//     since the latest request: batches accepted then had no grant (Quota.mayHaveHadNoLimit). What a
+//     store accepts before it has received the configuration counts from its next report on.
 //   - An account of batches has one owner at a time, by its home shard's lease.
 //
 // What is not exact: live requests. Their account is owned by an edge, so that they don't depend on
--- a/internal/dataplane/quota/model_test.go
+++ b/internal/dataplane/quota/model_test.go
@@ -21,6 +21,11 @@
 	cut    map[string]bool // daemons whose messages are all lost
 	calm   bool            // messages arrive soon, nothing fails
 
+	liftsLimit bool   // the limit is lifted now and then; version counts the configurations
+	unlimited  bool   // it is lifted now
+	limit      int    // when it isn't
+	version    uint64 // of the configuration in force
+
 	// How bad it is, drawn anew for each seed.
 	lossRate, slowRate, lateMapRate float64
 	actionsPerFault                 int
@@ -46,10 +51,12 @@
 const (
 	modelShards = 6
 	modelStep   = 20 * clock.Millisecond
+	// actionsPerLift is how many actions come before the limit is lifted, on average.
+	actionsPerLift = 400
 )
 
 func newModel(seed int64, mixed bool, faults InjectedFaults) *model {
-	m := &model{fleet: newFleet(3, 4, modelShards), rng: rand.New(rand.NewSource(seed)), mixed: mixed, cut: map[string]bool{}}
+	m := &model{fleet: newFleet(3, 4, modelShards), rng: rand.New(rand.NewSource(seed)), mixed: mixed, cut: map[string]bool{}, version: 1, limit: testQuota}
 	m.faults = faults
 	m.lossRate = m.rng.Float64() * 0.1
 	m.slowRate = m.rng.Float64() * 0.4
@@ -135,12 +142,54 @@
 		}
 	}
 	m.most = max(m.most, waiting)
-	if waiting > testQuota && m.excess == "" {
+	if waiting > testQuota && m.excess == "" && !m.liftsLimit {
 		m.excess = fmt.Sprintf("%d wait at %d ms; the quota is %d", waiting, m.now/clock.Millisecond, testQuota)
 		m.logf("EXCESS: %s", m.excess)
 	}
 }
 
+// checkAdmission checks, where the limit was lifted and more may wait, that nothing is admitted
+// beyond it once it is in force again.
+func (m *model) checkAdmission() {
+	waiting := m.pending()
+	if m.liftsLimit && !m.unlimited && waiting > m.limit && m.excess == "" {
+		m.excess = fmt.Sprintf("a batch is admitted at %d ms; now %d wait, the quota is %d", m.now/clock.Millisecond, waiting, m.limit)
+		m.logf("EXCESS: %s", m.excess)
+	}
+}
+
+// quota is the tenant's quota in the configuration in force.
+func (m *model) quota() TenantQuota {
+	quota := tenantQuota(m.mixed)
+	quota.ConfigurationVersion = m.version
+	quota.Limit = int64(m.limit)
+	return quota
+}
+
+// liftLimit has a configuration without a limit in force for longer than any lease request lasts, and
+// then one with a limit, which may be another.
+func (m *model) liftLimit() {
+	m.unlimited = true
+	m.version++
+	m.logf("there is no limit, by configuration %d", m.version)
+	m.after(6*clock.Second+m.upTo(4*clock.Second), func() {
+		m.unlimited = false
+		m.version++
+		m.limit = testQuota/2 + m.rng.Intn(testQuota)
+		m.logf("the limit is %d, by configuration %d; %d wait", m.limit, m.version, m.pending())
+	})
+}
+
+// acceptWithoutLimit queues a batch without a grant.
+func (m *model) acceptWithoutLimit(shardIndex, weight int) {
+	shard := m.shards[shardIndex]
+	if shard.primary == "" || m.pending() > testQuota {
+		return
+	}
+	shard.pending += weight
+	m.logf("shard %d of %s accepts %d, %d wait in all", shardIndex, shard.primary, weight, m.pending())
+}
+
 func (m *model) logf(format string, args ...any) {
 	m.log = append(m.log, fmt.Sprintf("%7d ms  ", m.now/clock.Millisecond)+fmt.Sprintf(format, args...))
 }
@@ -160,6 +209,9 @@
 	if !m.calm && m.rng.Intn(m.actionsPerFault) == 0 {
 		m.fail()
 	}
+	if m.liftsLimit && !m.unlimited && m.rng.Intn(actionsPerLift) == 0 {
+		m.liftLimit()
+	}
 }
 
 // fail lets a fault happen.
@@ -181,11 +233,16 @@
 func (m *model) submitBatch() {
 	shardIndex := m.rng.Intn(modelShards)
 	weight := 1 + m.rng.Intn(30)
-	m.submit(shardIndex, weight, tenantQuota(m.mixed), func(err error) {
+	if m.unlimited {
+		m.acceptWithoutLimit(shardIndex, weight)
+		return
+	}
+	m.submit(shardIndex, weight, m.quota(), func(err error) {
 		if err != nil {
 			m.rejected++
 			return
 		}
+		m.checkAdmission()
 		m.admitted++
 		m.logf("shard %d of %s admits %d, %d wait in all", shardIndex, m.shards[shardIndex].primary, weight, m.pending())
 	})
@@ -381,6 +438,22 @@
 	}
 }
 
+// What was accepted while a configuration set no limit counts as soon as one sets it again.
+func TestNothingIsAdmittedBeyondALimitThatReturns(t *testing.T) {
+	const (
+		seeds = 150
+		steps = 1500
+	)
+	for seed := int64(1); seed <= seeds; seed++ {
+		m := newModel(seed, false, InjectedFaults{})
+		m.liftsLimit = true
+		m.run(steps)
+		if m.excess != "" {
+			t.Fatalf("seed %d: %s%s", seed, m.excess, m.tail(60))
+		}
+	}
+}
+
 // Once nothing fails any more, the quota can be used up again: what is counted too much does not
 // stay.
 func TestTheQuotaIsFreeAgainAfterFaults(t *testing.T) {
--- a/internal/dataplane/quota/owner.go
+++ b/internal/dataplane/quota/owner.go
@@ -69,7 +69,7 @@
 		respond(LeaseResponse{}, errNotOwner(q.self, request.Tenant), now)
 		return
 	}
-	limit := q.latestQuota(a, request, now).Limit
+	limit := q.latestQuota(request).Limit
 	if !a.Record(request.Report, now) && !a.unreported[request.Report.Queue] {
 		respond(LeaseResponse{Account: a.ID, Superseded: true}, nil, now)
 		return
@@ -103,7 +103,7 @@
 			return nil
 		}
 	}
-	if a := q.accounts[request.key()]; a != nil && !a.isSucceeded(request, epoch) {
+	if a := q.accounts[request.key()]; a != nil && !a.isSucceeded(request, epoch) && !q.mayHaveHadNoLimit(request) {
 		return a
 	}
 	id := AccountID{Epoch: epoch, OpenedAt: now, Owner: q.self}
@@ -145,11 +145,8 @@
 }
 
 // latestQuota is the newest quota of a request's tenant that any client has named.
-func (q *Quota) latestQuota(a *Account, request LeaseRequest, now clock.Micros) TenantQuota {
+func (q *Quota) latestQuota(request LeaseRequest) TenantQuota {
 	latest := q.quotas[request.key()]
-	if request.ConfigurationVersion > latest.ConfigurationVersion {
-		a.SetLimit(now)
-	}
 	if request.ConfigurationVersion >= latest.ConfigurationVersion {
 		latest = TenantQuota{
 			Tenant:               request.Tenant,
@@ -162,12 +159,20 @@
 	return latest
 }
 
+// mayHaveHadNoLimit tells whether the tenant may have had no limit, or another account, since this
+// owner's latest quota: an owner hears nothing of such a configuration, and what was accepted
+// under it is in no report.
+func (q *Quota) mayHaveHadNoLimit(request LeaseRequest) bool {
+	latest, isKnown := q.quotas[request.key()]
+	return isKnown && request.ConfigurationVersion > latest.ConfigurationVersion+1
+}
+
 // grant answers a request from an account, if this daemon still owns it.
 func (q *Quota) grant(a *Account, request LeaseRequest, now clock.Micros) (LeaseResponse, error) {
 	if !q.owns(request.key(), a, now) {
 		return LeaseResponse{}, errNotOwner(q.self, request.Tenant)
 	}
-	latest := q.latestQuota(a, request, now)
+	latest := q.latestQuota(request)
 	granted, ok := a.Grant(request.Report, request.Wanted, latest.Limit, now)
 	if !ok {
 		return LeaseResponse{Account: a.ID, Superseded: true}, nil
--- a/internal/dataplane/quota/owner_test.go
+++ b/internal/dataplane/quota/owner_test.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// While more waits than a lowered limit allows, nothing is admitted in place of what gets results
+// while the lease request is under way.
+func TestALoweredLimitAdmitsNothingInPlaceOfWhatEnds(t *testing.T) {
+	f := newFleet(1, 3, 3)
+	f.submitAll(30, 0, 1, 2)
+	var outcome error
+	lowered := TenantQuota{Tenant: "t", Limit: 50, ConfigurationVersion: 2, BatchesOnly: true}
+	away := (homeShard("t", f.maps[0]) + 1) % 3
+	f.submit(away, 10, lowered, func(err error) { outcome = err })
+	f.shards[away].pending -= 20
+	f.deliver()
+	if !errs.Is(outcome, errs.OverQuota) {
+		t.Errorf("the outcome is %v, and %d of 50 wait", outcome, f.pending())
+	}
+}
+
 // The quota of the newest configuration counts, whoever names it.
 func TestTheNewestQuotaCounts(t *testing.T) {
 	f := newFleet(1, 2, 2)
--- a/internal/dataplane/quota/usage.go
+++ b/internal/dataplane/quota/usage.go
@@ -30,7 +30,6 @@
 		return
 	}
 	a.usageRequest = query
-	a.usageRequestedAt = now
 	for _, daemonID := range sortedKeys(requests) {
 		q.sendUsageRequest(daemonID, *requests[daemonID], now, func(response UsageResponse, now clock.Micros) {
 			q.handleUsageResponse(key, a, response, now)
