A store whose machine another has taken over loses its vote for updates sooner

Change: a live store that was registered later under the same machine's name has the former one evicted after 2 s without a heartbeat under one primary.

--- a/internal/controlplane/stores/evict.go
+++ b/internal/controlplane/stores/evict.go
@@ -19,18 +19,17 @@
 	return now-max(t.freshUntil, t.servingSince) > t.settings.AssumeLostAfter
 }
 
-// ToEvict lists the stores, in the order of their ids, that were not heard for long and that no shard
-// depends on: evicted, they no longer count as voters for updates, so that lost ones do not come to
-// be half of these.
+// ToEvict lists the stores, in the order of their ids, that are lost and that no shard depends on:
+// evicted, they no longer count as voters for updates, so that lost ones do not come to be half of
+// these.
 func (t *Table) ToEvict(current *state.State, now clock.Micros) []state.Store {
-	servedLongEnough := now-t.servingSince >= t.settings.EvictAfter
-	if !t.HasQuorumContact(current, now) || !current.Configured() || !servedLongEnough {
+	if !t.HasQuorumContact(current, now) || !current.Configured() {
 		return nil
 	}
 	var out []state.Store
 	for _, id := range slices.Sorted(maps.Keys(current.Stores)) {
 		store := current.Stores[id]
-		if store.Evicted || store.Retired || now-t.byID[id].heardAt < t.settings.EvictAfter {
+		if store.Evicted || store.Retired || !t.isLost(current, store, now) {
 			continue
 		}
 		if current.DependentShards(id) == 0 {
@@ -39,3 +38,24 @@
 	}
 	return out
 }
+
+// isLost tells whether this core, since it serves, has not heard a store for long enough to
+// evict it. That is sooner where another store has taken its machine over: where cores restart
+// often, no primary may serve for EvictAfter.
+func (t *Table) isLost(current *state.State, store state.Store, now clock.Micros) bool {
+	timeout := t.settings.EvictAfter
+	if t.hasSuccessor(current, store, now) {
+		timeout = max(t.settings.ListenDelay, t.settings.Timeout)
+	}
+	return now-max(t.byID[store.ID].heardAt, t.servingSince) >= timeout
+}
+
+// hasSuccessor tells whether a live store was registered later under the same machine's name.
+func (t *Table) hasSuccessor(current *state.State, store state.Store, now clock.Micros) bool {
+	newest, found := current.StoreNamed(store.Name)
+	if !found || newest.ID == store.ID {
+		return false
+	}
+	_, live := t.Incarnation(current, newest.ID, now)
+	return live
+}
--- a/internal/controlplane/stores/table_test.go
+++ b/internal/controlplane/stores/table_test.go
@@ -186,6 +186,47 @@
 	}
 }
 
+// A store whose machine another store has taken over is evicted sooner; one that is still heard,
+// or whose successor is not, is not.
+func TestAReplacedStoreIsEvictedSooner(t *testing.T) {
+	const sooner = 2 * clock.Second // Timeout, which is longer than ListenDelay
+	for name, c := range map[string]struct {
+		name       string // of the later store's machine
+		silence    clock.Micros
+		laterHeard clock.Micros // how long ago the later store was heard
+		want       []string
+	}{
+		"replaced":                         {"m", sooner, 0, []string{"a"}},
+		"replaced a moment ago":            {"m", sooner - 1, 0, nil},
+		"another machine":                  {"n", sooner, 0, nil},
+		"machines without a name":          {"", sooner, 0, nil},
+		"its successor is not heard":       {"m", sooner, 5 * clock.Second, nil},
+		"lost for long, no successor":      {"n", testSettings.EvictAfter, 0, []string{"a"}},
+		"lost for long, successor is, too": {"m", testSettings.EvictAfter, 5 * clock.Second, []string{"a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, current := New(testSettings), registered()
+			machine := "m"
+			if c.name == "" {
+				machine = ""
+			}
+			state.RegisterStore{Store: state.Store{ID: "a", Peer: "p1", Name: machine, Incarnation: 1}}.Apply(current)
+			state.RegisterStore{Store: state.Store{ID: "b", Peer: "p2", Name: c.name, Incarnation: 1}}.Apply(current)
+			table.StartServing(testNow - 60*clock.Second)
+			table.SetFreshUntil(testNow)
+			table.Record(heartbeat("a", 1), testNow-c.silence)
+			table.Record(heartbeat("b", 1), testNow-c.laterHeard)
+			var got []string
+			for _, store := range table.ToEvict(current, testNow) {
+				got = append(got, store.ID)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("evicted are %v, not %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Many stores are lost at once, on top of many that are evicted: each eviction may have the
 // state forget an older store, and only stores that are registered are evicted.
 func TestManyEvictionsAtOnce(t *testing.T) {
