Configurations can be patched: named entries, applied where the base is checked

Change: config.PatchFormat and config.Patch (upsert and remove by name, every fault named); the primary applies a patch at its turn, to the version that it checks the base against, and stores the whole document with the patch's digest, so that a repeat is recognised, by a successor, too. Protocol version 5. The simulator's operators patch every other time, so its decisions change.

--- a/cmd/tuliprudderctl/commands.go
+++ b/cmd/tuliprudderctl/commands.go
@@ -48,6 +48,8 @@
 var subcommands = []subcommand{
 	{name: "config put", former: "plan put", arguments: "[-base VERSION] FILE", summary: "check a configuration and put it in force",
 		example: "config put -base 7 configuration.json", define: definePutConfiguration},
+	{name: "config patch", arguments: "[-put] FILE", summary: "add, replace and remove named entries of the configuration in force",
+		example: "config patch -put patch.json", define: definePatchConfiguration},
 	{name: "config get", former: "plan get", arguments: "[VERSION]", summary: "print the configuration in force, or a version of it",
 		example: "config get 7", define: defineGetConfiguration},
 	{name: "config list", former: "plan list", summary: "list the versions that are kept, with who put them and when",
--- a/cmd/tuliprudderctl/commands_test.go
+++ b/cmd/tuliprudderctl/commands_test.go
@@ -7,6 +7,10 @@
 	"testing"
 )
 
+// examplePatch renames nothing and removes nothing: it gives a tenant of the example configuration
+// another key.
+const examplePatch = `{"upsert":{"customers":[{"name":"buyers","key":"another-key","class":"platinum"}]}}`
+
 // writeExampleFiles makes a folder with the files that the examples name the current one.
 func writeExampleFiles(t *testing.T) {
 	t.Helper()
@@ -14,6 +18,7 @@
 	files := map[string]string{
 		"configuration.json": readTestFile(t, configurationFile),
 		"openapi.json":       readTestFile(t, openAPIFile),
+		"patch.json":         examplePatch,
 		"servers.json":       `{"servers":[{"name":"gpu-1","address":"10.0.0.1:80","slots":8}]}`,
 	}
 	for name, text := range files {
--- a/cmd/tuliprudderctl/configurations.go
+++ b/cmd/tuliprudderctl/configurations.go
@@ -48,16 +48,23 @@
 
 // putConfiguration puts a checked configuration; an empty base is none.
 func (s *session) putConfiguration(ctx context.Context, document []byte, base string) error {
-	path := pathConfiguration
 	if base != "" {
 		if _, err := strconv.ParseUint(base, 10, 64); err != nil {
 			return usageError("-base %q is no version", base)
 		}
+	}
+	return s.changeConfiguration(ctx, http.MethodPut, document, base)
+}
+
+// changeConfiguration sends a configuration (PUT) or a patch of it (PATCH); an empty base is none.
+func (s *session) changeConfiguration(ctx context.Context, method string, body []byte, base string) error {
+	path := pathConfiguration
+	if base != "" {
 		path += "?base=" + base
 	}
 	response, err := send[struct {
 		Version uint64 `json:"version"`
-	}](ctx, s.client, http.MethodPut, path, document)
+	}](ctx, s.client, method, path, body)
 	if err != nil {
 		return err
 	}
@@ -65,6 +72,68 @@
 	return nil
 }
 
+// patchConfiguration changes named entries of the configuration in force.
+type patchConfiguration struct {
+	file string
+	put  bool
+}
+
+func definePatchConfiguration(flags *flag.FlagSet) argumentParser {
+	put := flags.Bool("put", false, "put the patched configuration in force; without it only the changes are printed")
+	return func(args []string) (command, error) {
+		file, err := singleArgument(args, "file")
+		return patchConfiguration{file: file, put: *put}, err
+	}
+}
+
+// Apply prints what the patch changes, and sends it where the command says so. The cluster applies
+// it only to the version whose changes were printed.
+func (p patchConfiguration) Apply(ctx context.Context, s *session) error {
+	data, err := readFile(p.file)
+	if err != nil {
+		return err
+	}
+	patch, err := config.OwnPatchFormat.Parse(data)
+	if err != nil {
+		return err
+	}
+	current, err := s.fetchConfiguration(ctx, "")
+	if err != nil {
+		return err
+	}
+	patched, err := patch.Apply(current.Configuration)
+	if err != nil {
+		return err
+	}
+	if err := config.Validate(patched); err != nil {
+		return err
+	}
+	if err := s.printDifferences(current.Configuration, patched); err != nil {
+		return err
+	}
+	if !p.put {
+		s.printf("%s\n", s.wording.nothingPut)
+		return nil
+	}
+	return s.changeConfiguration(ctx, http.MethodPatch, data, fmt.Sprint(current.Version))
+}
+
+// printDifferences prints a line for each entry that differs between two documents, and one for
+// each field of it.
+func (s *session) printDifferences(from, to []byte) error {
+	var before, after document
+	if err := json.Unmarshal(from, &before); err != nil {
+		return invalidResponse(s.client.address, err)
+	}
+	if err := json.Unmarshal(to, &after); err != nil {
+		return invalidResponse(s.client.address, err)
+	}
+	for _, line := range diffDocuments(before, after) {
+		s.printf("%s\n", line)
+	}
+	return nil
+}
+
 // getConfiguration prints a version, or the one in force where none is named.
 type getConfiguration struct{ version string }
 
@@ -198,21 +267,17 @@
 	for _, skipped := range imported.Skipped {
 		s.printf("not carried over: %s\n", skipped)
 	}
-	var before document
-	if err := json.Unmarshal(current.Configuration, &before); err != nil {
-		return invalidResponse(s.client.address, err)
+	body, err := json.Marshal(imported.Configuration)
+	if err != nil {
+		return err
 	}
-	for _, line := range diffDocuments(before, imported.Configuration) {
-		s.printf("%s\n", line)
+	if err := s.printDifferences(current.Configuration, body); err != nil {
+		return err
 	}
 	if !i.put {
 		s.printf("%s\n", s.wording.nothingPut)
 		return nil
 	}
-	body, err := json.Marshal(imported.Configuration)
-	if err != nil {
-		return err
-	}
 	return s.putConfiguration(ctx, body, fmt.Sprint(current.Version))
 }
 
--- a/cmd/tuliprudderctl/fake_daemon_test.go
+++ b/cmd/tuliprudderctl/fake_daemon_test.go
@@ -111,6 +111,7 @@
 		"GET /v1/operator/plans":                       ok(`{"plans":[` + version(7) + `,` + version(8) + `]}`),
 		"PUT /v1/operator/plan":                        ok(`{"version":9}`),
 		"PUT /v1/operator/plan?base=7":                 ok(`{"version":8}`),
+		"PATCH /v1/operator/plan?base=7":               ok(`{"version":8}`),
 		"PUT /v1/operator/plan?base=6":                 rejected(http.StatusConflict, "stale_base", "version 7 is in force"),
 		"POST /v1/operator/servers/gpu-1/leaving":      ok(`{}`),
 		"POST /v1/operator/servers/gpu%2F9/leaving":    rejected(http.StatusNotFound, "not_found", "no such server"),
--- a/internal/config/stored_names.go
+++ b/internal/config/stored_names.go
@@ -35,6 +35,9 @@
 	ScorerRotation,
 }
 
+// patchableLists are the lists of a document whose entries have names and can be patched.
+var patchableLists = []string{"classes", "customers", "pools", "routes"}
+
 // Fields of a document's objects.
 var (
 	documentFields = []string{"classes", "customers", "pools", "routes", "judges", "bounds"}
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -21,6 +21,8 @@
 	switch request := call.Body.(type) {
 	case PutConfigurationRequest:
 		c.putConfiguration(call.Number, request, now)
+	case PatchConfigurationRequest:
+		c.patchConfiguration(call.Number, request, now)
 	case ConfigurationsRequest:
 		c.readConfigurations(call.Number, request, now)
 	case RetireRequest:
@@ -63,23 +65,51 @@
 		c.Emit(machine.Reply{Call: call, Err: err})
 		return
 	}
+	c.queueConfiguration(call, request.Timeout, now, changequeue.Configuration{
+		Number:     request.Number,
+		Base:       request.Base,
+		HasBase:    request.HasBase,
+		Body:       request.Body,
+		By:         request.By,
+		Digest:     digest,
+		ReceivedAt: now,
+	})
+}
+
+// patchConfiguration queues a patch; it is applied and decided at its turn.
+func (c *Core) patchConfiguration(call uint64, request PatchConfigurationRequest, now clock.Micros) {
+	if !c.IsServing() {
+		c.rejectNotPrimary(call)
+		return
+	}
+	patch, err := c.settings.PatchFormat.Parse(request.Body)
+	if err != nil {
+		c.Emit(machine.Reply{Call: call, Err: err})
+		return
+	}
+	digest, err := state.DigestOf(request.Body)
+	if err != nil {
+		c.Emit(machine.Reply{Call: call, Err: errUnreadableConfiguration(err)})
+		return
+	}
+	c.queueConfiguration(call, request.Timeout, now, changequeue.Configuration{
+		Number:     patch.Version,
+		Base:       request.Base,
+		HasBase:    request.HasBase,
+		Patch:      patch,
+		By:         request.By,
+		Digest:     digest,
+		ReceivedAt: now,
+	})
+}
+
+// queueConfiguration queues an operator's request, as far as there is room.
+func (c *Core) queueConfiguration(call uint64, timeout, now clock.Micros, configuration changequeue.Configuration) {
 	if c.queue.IsFull() {
 		c.Emit(machine.Reply{Call: call, Err: errs.NewWithRetry(errs.Busy, clock.Second, "send it again; it was not put", "too many configurations wait")})
 		return
 	}
-	c.queue.Add(changequeue.Change{
-		Call:     call,
-		Deadline: now + request.Timeout,
-		Configuration: &changequeue.Configuration{
-			Number:     request.Number,
-			Base:       request.Base,
-			HasBase:    request.HasBase,
-			Body:       request.Body,
-			By:         request.By,
-			Digest:     digest,
-			ReceivedAt: now,
-		},
-	})
+	c.queue.Add(changequeue.Change{Call: call, Deadline: now + timeout, Configuration: &configuration})
 	c.processQueue(now)
 }
 
@@ -87,7 +117,7 @@
 func (c *Core) checkConfiguration(body []byte) (state.Digest, error) {
 	digest, err := state.DigestOf(body)
 	if err != nil {
-		return digest, errs.New(errs.InvalidConfiguration, "send one whole JSON document", "the configuration can't be read: %v", err)
+		return digest, errUnreadableConfiguration(err)
 	}
 	if c.settings.CheckConfiguration == nil {
 		return digest, nil
@@ -95,6 +125,10 @@
 	return digest, c.settings.CheckConfiguration(body)
 }
 
+func errUnreadableConfiguration(err error) error {
+	return errs.New(errs.InvalidConfiguration, "send one whole JSON document", "the configuration can't be read: %v", err)
+}
+
 // readOnlyTimeout is how long a request that changes nothing may wait for its turn.
 const readOnlyTimeout = 2 * clock.Second
 
--- a/internal/controlplane/changequeue/configuration.go
+++ b/internal/controlplane/changequeue/configuration.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/config"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/errs"
 )
@@ -13,9 +14,10 @@
 	Number     uint64 // the operator's own version; 0: the core numbers it
 	Base       uint64 // the version that it is built on; 0: none is in force
 	HasBase    bool   // only if Base is in force
-	Body       []byte
+	Body       []byte // the whole document; nil for a patch
+	Patch      *config.Patch
 	By         string
-	Digest     state.Digest // of Body
+	Digest     state.Digest // of the document, or of the patch, as it was sent
 	ReceivedAt clock.Micros
 
 	decidedNumber uint64
@@ -73,7 +75,7 @@
 // final: numbers in force only rise, so a request that is refused once would be
 // refused at any later time. (One built on a version that is yet to come waits, and is
 // not decided.)
-func (p *Configuration) decide(current *state.State) (state.Entry, error) {
+func (p *Configuration) decide(current *state.State, check CheckDocument) (state.Entry, error) {
 	if number, applied := p.appliedVersion(current); applied {
 		p.decidedNumber = number
 		return nil, nil
@@ -86,16 +88,33 @@
 	if err := p.objection(current, latest.Number); err != nil {
 		return nil, err
 	}
-	p.decidedNumber = p.Number
-	if p.decidedNumber == 0 {
-		p.decidedNumber = latest.Number + 1
+	entry := state.PutConfiguration{Version: state.Version{Number: p.Number, Body: p.Body, By: p.By, At: p.ReceivedAt}}
+	if p.Patch != nil {
+		patched, err := p.patch(latest.Body, check)
+		if err != nil {
+			return nil, err
+		}
+		entry.Version.Body = patched
+		entry.RequestDigest = p.Digest[:]
 	}
-	return state.PutConfiguration{Version: state.Version{
-		Number: p.decidedNumber,
-		Body:   p.Body,
-		By:     p.By,
-		At:     p.ReceivedAt,
-	}}, nil
+	if entry.Version.Number == 0 {
+		entry.Version.Number = latest.Number + 1
+	}
+	p.decidedNumber = entry.Version.Number
+	return entry, nil
+}
+
+// patch makes the whole document of the one in force. A patch is applied here, where its base is
+// checked, so that no other change can come between the two.
+func (p *Configuration) patch(document []byte, check CheckDocument) ([]byte, error) {
+	patched, err := p.Patch.Apply(document)
+	if err != nil {
+		return nil, err
+	}
+	if check == nil {
+		return patched, nil
+	}
+	return patched, check(patched)
 }
 
 // objection is why the request can't be applied on top of the version in force.
--- a/internal/controlplane/changequeue/queue.go
+++ b/internal/controlplane/changequeue/queue.go
@@ -31,13 +31,23 @@
 	Deadline      clock.Micros   // of the call
 }
 
+// CheckDocument says what is wrong with a whole configuration document.
+type CheckDocument func(document []byte) error
+
+// Checks are what operators' requests are held against at their turn, besides the control state.
+type Checks struct {
+	CanRetire func(id string) error // why a store can't be retired; nil when it can
+	// Document checks what a patch makes; nil: all is valid.
+	Document CheckDocument
+}
+
 // decide decides an operator's request at its turn.
-func (c *Change) decide(current *state.State, canRetire func(id string) error) (err error) {
+func (c *Change) decide(current *state.State, checks Checks) (err error) {
 	switch {
 	case c.Configuration != nil:
-		c.Entry, err = c.Configuration.decide(current)
+		c.Entry, err = c.Configuration.decide(current, checks.Document)
 	case c.Retirement != nil:
-		c.Entry, err = c.Retirement.decide(current, canRetire)
+		c.Entry, err = c.Retirement.decide(current, checks.CanRetire)
 	}
 	return err
 }
@@ -78,8 +88,7 @@
 // Next takes the change whose turn it is out of the queue and decides it; false when all
 // wait. The error is why an operator's request is refused. Only a primary that holds its
 // lease may call it: what another one decides could differ from what is in force.
-// canRetire says why a store can't be retired.
-func (q *Queue) Next(current *state.State, canRetire func(id string) error) (c Change, ok bool, err error) {
+func (q *Queue) Next(current *state.State, checks Checks) (c Change, ok bool, err error) {
 	at := slices.IndexFunc(q.waiting, func(c Change) bool {
 		return c.Configuration == nil || !q.baseIsPending(c.Configuration, current)
 	})
@@ -88,7 +97,7 @@
 	}
 	c = q.waiting[at]
 	q.waiting = slices.Delete(q.waiting, at, at+1)
-	err = c.decide(current, canRetire)
+	err = c.decide(current, checks)
 	return c, true, err
 }
 
--- a/internal/controlplane/changequeue/queue_test.go
+++ b/internal/controlplane/changequeue/queue_test.go
@@ -53,7 +53,7 @@
 		t.Run(name, func(t *testing.T) {
 			var q Queue
 			q.Add(put(t, 1, c.number, c.base))
-			change, ok, err := q.Next(c.current, anyStore)
+			change, ok, err := q.Next(c.current, Checks{CanRetire: anyStore})
 			if ok == c.waits {
 				t.Fatalf("its turn came: %v", ok)
 			}
@@ -79,7 +79,7 @@
 	other := put(t, 1, 7, 5)
 	other.Configuration.Digest[0] ^= 1
 	q.Add(other)
-	if _, ok, err := q.Next(inForce(5, 7), anyStore); !ok || !errs.Is(err, errs.StaleBase) {
+	if _, ok, err := q.Next(inForce(5, 7), Checks{CanRetire: anyStore}); !ok || !errs.Is(err, errs.StaleBase) {
 		t.Errorf("its turn came: %v, %v", ok, err)
 	}
 }
@@ -90,12 +90,12 @@
 	q.Add(put(t, 1, 3, 2))
 	q.Add(put(t, 2, 2, 1))
 	current := inForce(1)
-	change, ok, err := q.Next(current, anyStore)
+	change, ok, err := q.Next(current, Checks{CanRetire: anyStore})
 	if !ok || err != nil || change.Call != 2 {
 		t.Fatalf("first is call %d, %v", change.Call, err)
 	}
 	change.Entry.Apply(current)
-	if change, ok, err = q.Next(current, anyStore); !ok || err != nil || change.Call != 1 {
+	if change, ok, err = q.Next(current, Checks{CanRetire: anyStore}); !ok || err != nil || change.Call != 1 {
 		t.Fatalf("second is call %d, %v", change.Call, err)
 	}
 }
@@ -127,7 +127,7 @@
 		t.Run(name, func(t *testing.T) {
 			var q Queue
 			q.Add(Change{Call: 1, Retirement: &c.request})
-			change, ok, err := q.Next(current, func(string) error { return c.check })
+			change, ok, err := q.Next(current, Checks{CanRetire: func(string) error { return c.check }})
 			if !ok || change.Entry != c.entry || c.request.StoreID() != c.store {
 				t.Errorf("store %q, entry %v", c.request.StoreID(), change.Entry)
 			}
--- a/internal/controlplane/changes.go
+++ b/internal/controlplane/changes.go
@@ -26,8 +26,12 @@
 // processQueue takes one change at a time through the group, so that two operators'
 // configurations have one order. Nothing is decided without the lease.
 func (c *Core) processQueue(now clock.Micros) {
+	checks := changequeue.Checks{
+		CanRetire: func(id string) error { return c.canRetire(id, now) },
+		Document:  c.settings.CheckConfiguration,
+	}
 	for !c.queue.HasInFlight() && c.HoldsLease(now) {
-		change, ok, err := c.queue.Next(c.state, func(id string) error { return c.canRetire(id, now) })
+		change, ok, err := c.queue.Next(c.state, checks)
 		if !ok {
 			return
 		}
--- a/internal/controlplane/messages.go
+++ b/internal/controlplane/messages.go
@@ -24,6 +24,16 @@
 		By      string
 		Timeout clock.Micros
 	}
+	// PatchConfigurationRequest changes named entries of the configuration in force; the primary
+	// applies it where it checks the base. Body is the patch as the operator wrote it; the other
+	// fields are those of a PutConfigurationRequest. The response is a PutConfigurationResponse.
+	PatchConfigurationRequest struct {
+		Body    []byte
+		Base    uint64
+		HasBase bool
+		By      string
+		Timeout clock.Micros
+	}
 	// PutConfigurationResponse acknowledges a configuration, once every replica has it on disk.
 	PutConfigurationResponse struct{ Version uint64 }
 	// ConfigurationsRequest reads configurations back: one version, the latest one that is
@@ -67,6 +77,6 @@
 )
 
 func init() {
-	transport.Register(PutConfigurationRequest{}, PutConfigurationResponse{}, RetireRequest{}, RetireResponse{},
+	transport.Register(PutConfigurationRequest{}, PatchConfigurationRequest{}, PutConfigurationResponse{}, RetireRequest{}, RetireResponse{},
 		ConfigurationsRequest{}, ConfigurationsResponse{}, StatusRequest{}, StatusResponse{})
 }
--- /dev/null
+++ b/internal/controlplane/patches_test.go
@@ -0,0 +1,136 @@
+package controlplane
+
+import (
+	"strings"
+	"testing"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/config"
+	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/errs"
+)
+
+// patchSettings are those of a cluster whose documents carry the operator's version.
+func patchSettings() Settings {
+	settings := smallSettings()
+	settings.PatchFormat = config.PatchFormat{Lists: []string{"routes", "svcs"}, VersionField: "ver"}
+	settings.CheckConfiguration = func(body []byte) error {
+		if strings.Contains(string(body), "invalid") {
+			return errs.New(errs.InvalidConfiguration, "correct it", "it is invalid")
+		}
+		return nil
+	}
+	return settings
+}
+
+func patchRequest(base uint64, body string) PatchConfigurationRequest {
+	return PatchConfigurationRequest{Base: base, HasBase: true, Body: []byte(body), By: "o", Timeout: 3 * clock.Second}
+}
+
+// latestDocument is what the primary reads back.
+func (b *testCluster) latestDocument(t *testing.T) string {
+	t.Helper()
+	call := b.call(b.primary(), ConfigurationsRequest{Latest: true})
+	b.deliverAll()
+	response, ok := b.reply(t, call).Body.(ConfigurationsResponse)
+	if !ok || len(response.Versions) != 1 {
+		t.Fatalf("read back %+v", b.reply(t, call))
+	}
+	return string(response.Versions[0].Body)
+}
+
+// A patch is applied where its base is checked. It is acknowledged again if it is sent again, and
+// refused on another base than the one in force.
+func TestPatchesAreDecidedAtTheirTurn(t *testing.T) {
+	b := bootstrappedCluster(t, patchSettings())
+	const whole = `{"ver":7,"routes":[{"name":"a"}]}`
+	add, other := `{"ver":9,"upsert":{"routes":[{"name":"b"}]}}`, `{"ver":9,"upsert":{"routes":[{"name":"c"}]}}`
+	for i, step := range []struct {
+		ask      any
+		want     any
+		document string
+	}{
+		{putRequest(7, 0, whole), uint64(7), whole},
+		{patchRequest(3, add), errs.StaleBase, whole},
+		{patchRequest(7, `{"ver":7,"upsert":{"routes":[{"name":"b"}]}}`), errs.StaleBase, whole},
+		{patchRequest(7, `{"ver":6,"upsert":{"routes":[{"name":"b"}]}}`), errs.InvalidConfiguration, whole},
+		{patchRequest(7, `{"ver":9,"remove":{"routes":["z"]}}`), errs.InvalidConfiguration, whole},
+		{patchRequest(7, `{"ver":9,"upsert":{"routes":[{"name":"invalid"}]}}`), errs.InvalidConfiguration, whole},
+		{patchRequest(7, `{"ver":9,`), errs.InvalidConfiguration, whole},
+		{patchRequest(7, add), uint64(9), `{"routes":[{"name":"a"},{"name":"b"}],"ver":9}`},
+		{patchRequest(7, other), errs.StaleBase, `{"routes":[{"name":"a"},{"name":"b"}],"ver":9}`},
+		{patchRequest(7, add), uint64(9), `{"routes":[{"name":"a"},{"name":"b"}],"ver":9}`}, // sent again
+		{patchRequest(9, `{"ver":11,"remove":{"routes":["a"]}}`), uint64(11), `{"routes":[{"name":"b"}],"ver":11}`},
+		{patchRequest(7, ` {"ver" : 9, "upsert":{"routes":[{"name":"b"}]}}`), uint64(9), `{"routes":[{"name":"b"}],"ver":11}`}, // again, after a later one
+		{putRequest(9, 7, `{"ver":9,"routes":[{"name":"a"},{"name":"c"}]}`), errs.StaleBase, `{"routes":[{"name":"b"}],"ver":11}`},
+	} {
+		call := b.call(b.primary(), step.ask)
+		b.deliverAll()
+		answer := b.reply(t, call)
+		switch want := step.want.(type) {
+		case errs.Kind:
+			if !errs.Is(answer.Err, want) || errs.Of(answer.Err).Remedy == "" {
+				t.Errorf("step %d: told %v %v, not %s", i, answer.Body, answer.Err, want)
+			}
+		case uint64:
+			if answer.Body != (PutConfigurationResponse{Version: want}) {
+				t.Errorf("step %d: told %v %v, not version %d", i, answer.Body, answer.Err, want)
+			}
+		}
+		if got := b.latestDocument(t); got != step.document {
+			t.Errorf("step %d: in force is %s", i, got)
+		}
+	}
+}
+
+// Of two operators' patches on one base one is applied, and nothing of the other.
+func TestTwoPatchesOnOneBase(t *testing.T) {
+	b := bootstrappedCluster(t, patchSettings())
+	core := b.primary()
+	b.mustAcknowledge(t, core, putRequest(1, 0, `{"ver":1,"routes":[]}`))
+	first := b.call(core, patchRequest(1, `{"ver":2,"upsert":{"routes":[{"name":"a"}]}}`))
+	second := b.call(core, patchRequest(1, `{"ver":3,"upsert":{"routes":[{"name":"b"}]}}`))
+	b.deliverAll()
+	if answer := b.reply(t, first); answer.Err != nil {
+		t.Errorf("the first got %v", answer.Err)
+	}
+	if answer := b.reply(t, second); !errs.Is(answer.Err, errs.StaleBase) {
+		t.Errorf("the second got %v %v", answer.Body, answer.Err)
+	}
+	if got := b.latestDocument(t); got != `{"routes":[{"name":"a"}],"ver":2}` {
+		t.Errorf("in force is %s", got)
+	}
+}
+
+// A patch is recognised when it is sent again to the successor of the primary that applied it.
+func TestARepeatedPatchIsRecognisedByTheSuccessor(t *testing.T) {
+	b := bootstrappedCluster(t, patchSettings())
+	old := b.primary()
+	b.mustAcknowledge(t, old, putRequest(1, 0, `{"ver":1,"routes":[]}`))
+	patch := patchRequest(1, `{"ver":2,"upsert":{"routes":[{"name":"a"}]}}`)
+	b.call(old, patch)
+	b.deliverAll()
+	b.drop = cutOff(old)
+	core := b.awaitOtherPrimary(t, old)
+	call := b.call(core, patch)
+	b.deliverAll()
+	if answer := b.reply(t, call); answer.Body != (PutConfigurationResponse{Version: 2}) {
+		t.Errorf("told %v %v", answer.Body, answer.Err)
+	}
+}
+
+// The digest of a patch is stored with the configuration that it made.
+func TestTheDigestOfAPatchIsStored(t *testing.T) {
+	digest, err := state.DigestOf([]byte(`{"ver":2}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	current := state.New()
+	entry := state.PutConfiguration{Version: state.Version{Number: 2, Body: []byte(`{"routes":[],"ver":2}`)}, RequestDigest: digest[:]}
+	if err := current.ApplyEntry(state.Encode(entry)); err != nil {
+		t.Fatal(err)
+	}
+	if applied, found := current.Requests.Find(2); !found || applied.Digest != digest {
+		t.Errorf("stored is %v", applied)
+	}
+}
--- a/internal/controlplane/settings.go
+++ b/internal/controlplane/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/config"
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/placement"
 	"tuliprudder/internal/controlplane/stores"
@@ -28,6 +29,7 @@
 	EvictAfter         clock.Micros            // after which a lost store no longer counts as a voter for updates; default 10 s
 	AssumeLostAfter    clock.Micros            // after which a core takes the voters for updates that it does not hear for lost; default 20 s
 	CheckConfiguration func(body []byte) error // refuses an invalid configuration; default nil: none is
+	PatchFormat        config.PatchFormat      // how operators' patches are written; default: that of the product's own documents
 }
 
 // Defaults are the starting values.
@@ -50,6 +52,7 @@
 		MaxStaleness:     2500 * clock.Millisecond,
 		EvictAfter:       10 * clock.Second,
 		AssumeLostAfter:  20 * clock.Second,
+		PatchFormat:      config.OwnPatchFormat,
 	}
 }
 
--- a/internal/controlplane/state/snapshot_test.go
+++ b/internal/controlplane/state/snapshot_test.go
@@ -15,7 +15,7 @@
 // put plays one configuration as a replica does.
 func put(t *testing.T, s *State, number uint64, body string) {
 	t.Helper()
-	if err := s.ApplyEntry(Encode(PutConfiguration{Version{Number: number, Body: json.RawMessage(body), By: "o"}})); err != nil {
+	if err := s.ApplyEntry(Encode(PutConfiguration{Version: Version{Number: number, Body: json.RawMessage(body), By: "o"}})); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/controlplane/state/versions.go
+++ b/internal/controlplane/state/versions.go
@@ -49,6 +49,9 @@
 // PutConfiguration adds the next version.
 type PutConfiguration struct {
 	Version Version `json:"Version"`
+	// RequestDigest identifies the request where that was no whole document but a patch; nil where
+	// it was the document.
+	RequestDigest []byte `json:"Request,omitempty"`
 }
 
 // Apply adds the version. One whose number is not above all others is ignored:
@@ -62,6 +65,9 @@
 	if err != nil {
 		return // what does not read as JSON is never put
 	}
+	if len(e.RequestDigest) == DigestSize {
+		digest = Digest(e.RequestDigest)
+	}
 	e.Version.Base = latest.Number
 	s.Requests.add(AppliedRequest{Number: e.Version.Number, Base: latest.Number, Digest: digest})
 	s.Versions = append(slices.Clone(s.Versions), e.Version)
--- a/internal/daemon/admin/admin.go
+++ b/internal/daemon/admin/admin.go
@@ -50,6 +50,7 @@
 	r.Handle(http.MethodPost, "/v1/operator/servers/:name/leaving", a.setDraining)
 	r.Handle(http.MethodGet, "/v1/operator/plan", a.getConfiguration)
 	r.Handle(http.MethodPut, "/v1/operator/plan", a.putConfiguration)
+	r.Handle(http.MethodPatch, "/v1/operator/plan", a.patchConfiguration)
 	r.Handle(http.MethodGet, "/v1/operator/plans", a.listConfigurations)
 	r.Handle(http.MethodGet, "/v1/operator/plans/:version", a.getConfigurationVersion)
 	r.Handle(http.MethodGet, "/v1/operator/stores/:id", a.getStore)
--- a/internal/daemon/admin/configurations.go
+++ b/internal/daemon/admin/configurations.go
@@ -68,14 +68,46 @@
 	if err := config.Validate(document); err != nil {
 		return err
 	}
-	request := controlplane.PutConfigurationRequest{Body: document, By: r.Header.Get("X-Operator"), Timeout: changeTimeout}
-	if text := r.URL.Query().Get("base"); text != "" {
-		base, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			return errs.New(errs.BadInput, "give the version that the configuration is based on, or leave base out", "base=%q is no version", text)
-		}
-		request.Base, request.HasBase = base, true
+	base, hasBase, err := baseVersion(r)
+	if err != nil {
+		return err
 	}
+	return a.changeConfiguration(w, controlplane.PutConfigurationRequest{
+		Body: document, Base: base, HasBase: hasBase, By: r.Header.Get("X-Operator"), Timeout: changeTimeout,
+	})
+}
+
+// patchConfiguration changes named entries of the configuration in force. Where the query has a
+// base, they are changed only if that version is in force.
+func (a *Admin) patchConfiguration(w http.ResponseWriter, r *http.Request) error {
+	patch, err := httpserver.ReadBody(r)
+	if err != nil {
+		return err
+	}
+	base, hasBase, err := baseVersion(r)
+	if err != nil {
+		return err
+	}
+	return a.changeConfiguration(w, controlplane.PatchConfigurationRequest{
+		Body: patch, Base: base, HasBase: hasBase, By: r.Header.Get("X-Operator"), Timeout: changeTimeout,
+	})
+}
+
+// baseVersion reads the version that a change is based on from the query; false where it names none.
+func baseVersion(r *http.Request) (base uint64, hasBase bool, err error) {
+	text := r.URL.Query().Get("base")
+	if text == "" {
+		return 0, false, nil
+	}
+	base, err = strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, false, errs.New(errs.BadInput, "give the version that the configuration is based on, or leave base out", "base=%q is no version", text)
+	}
+	return base, true, nil
+}
+
+// changeConfiguration has the primary change the configuration, and writes the version that it got.
+func (a *Admin) changeConfiguration(w http.ResponseWriter, request any) error {
 	response, err := callPrimary[controlplane.PutConfigurationResponse](a, request, changeTimeout+networkMargin)
 	if err != nil {
 		return err
--- a/test/simulator/configurations.go
+++ b/test/simulator/configurations.go
@@ -1,7 +1,12 @@
 package simulator
 
 import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/config"
 	"tuliprudder/internal/controlplane"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/errs"
@@ -13,6 +18,7 @@
 type ConfigurationPut struct {
 	Document         int // its number among the documents of the run
 	Body             string
+	Sent             string // the request: the document, or the patch that makes it
 	Base             uint64
 	HasBase          bool
 	CalledAt         clock.Micros
@@ -24,7 +30,11 @@
 	RequestedVersion uint64       // the operator's own number; 0: the core numbers it
 }
 
-// PutConfiguration puts a configuration with or without a base.
+// putTimeout is how long the core has for a configuration.
+const putTimeout = 4 * clock.Second
+
+// PutConfiguration puts a configuration with or without a base; with one, every other time as a
+// patch of it.
 func (v *Workload) PutConfiguration(withBase bool) {
 	n := v.randomEdge()
 	if n == nil || n.coreUpdate.Peer == "" {
@@ -33,11 +43,20 @@
 	v.lastDocument++
 	number := v.lastDocument
 	body := v.world.configurationDocument(number)
+	sent, base := body, n.configurationVersion
+	var request any = controlplane.PutConfigurationRequest{Body: body, Base: base, HasBase: withBase, By: "sim", Timeout: putTimeout}
+	if withBase && number%2 == 0 {
+		if patch, patched, ok := patchTo(body, v.configurationBodies[base], number); ok {
+			v.patchNumbers[string(patch)] = number
+			sent, body = patch, patched
+			request = controlplane.PatchConfigurationRequest{Body: patch, Base: base, HasBase: true, By: "sim", Timeout: putTimeout}
+		}
+	}
 	v.documentNumbers[string(body)] = number
-	p := &ConfigurationPut{Document: number, Body: string(body), CalledAt: v.world.Now, HasBase: withBase, Base: n.configurationVersion}
+	p := &ConfigurationPut{Document: number, Body: string(body), Sent: string(sent), CalledAt: v.world.Now, HasBase: withBase, Base: base}
 	v.ConfigurationPuts = append(v.ConfigurationPuts, p)
 	v.PendingCalls++
-	v.world.Call(n, n.coreUpdate.Peer, controlplane.PutConfigurationRequest{Body: body, Base: p.Base, HasBase: withBase, By: "sim", Timeout: 4 * clock.Second}, 5*clock.Second, func(response any, err error) {
+	v.world.Call(n, n.coreUpdate.Peer, request, putTimeout+clock.Second, func(response any, err error) {
 		v.PendingCalls--
 		p.AnsweredAt = v.world.Now
 		v.world.Tracef("configuration %d (base %d %v): %v %v", p.Document, p.Base, withBase, response, err)
@@ -55,6 +74,36 @@
 	})
 }
 
+// patchTo is a patch that gives a document, which operators put before, the lists of another one,
+// and what it makes; false where the document isn't known. A label with the number makes both
+// unlike any other.
+func patchTo(target []byte, base string, number int) (patch, patched []byte, ok bool) {
+	if base == "" {
+		return nil, nil, false
+	}
+	var before, after map[string][]document
+	_ = json.Unmarshal([]byte(base), &before) // what is no list stays out
+	_ = json.Unmarshal(target, &after)
+	after["pools"][0]["labels"].(map[string]any)["put"] = fmt.Sprint(number)
+	upsert, remove := map[string][]document{}, map[string][]string{}
+	for _, list := range config.OwnPatchFormat.Lists {
+		upsert[list] = after[list]
+		for _, entry := range before[list] {
+			hasName := func(other document) bool { return other["name"] == entry["name"] }
+			if !slices.ContainsFunc(after[list], hasName) {
+				remove[list] = append(remove[list], entry["name"].(string))
+			}
+		}
+	}
+	patch, _ = json.Marshal(document{"upsert": upsert, "remove": remove})
+	parsed, err := config.OwnPatchFormat.Parse(patch)
+	if err != nil {
+		return nil, nil, false
+	}
+	patched, err = parsed.Apply([]byte(base))
+	return patch, patched, err == nil
+}
+
 // checkInForceEverywhere checks, 2 s after a configuration was confirmed, that it is in force
 // at every edge and store that had no fault meanwhile.
 func (v *Workload) checkInForceEverywhere(p *ConfigurationPut) {
@@ -175,7 +224,7 @@
 // listsPut says whether the response has a confirmed put's version under the digest of this
 // very document, and newer documents, to which this one may have given way.
 func listsPut(list controlplane.ConfigurationsResponse, p *ConfigurationPut) bool {
-	digest, err := state.DigestOf([]byte(p.Body))
+	digest, err := state.DigestOf([]byte(p.Sent))
 	if err != nil || len(list.Versions) == 0 || p.Version >= list.Versions[0].Number {
 		return false // its document has to be there still
 	}
--- a/test/simulator/history_configurations.go
+++ b/test/simulator/history_configurations.go
@@ -207,12 +207,15 @@
 	return versions, certain
 }
 
-// documentsByDigest are the numbers of the documents by their digest.
+// documentsByDigest are the numbers of the documents by the digest of the request that brings
+// them: the document itself, or a patch.
 func (h *History) documentsByDigest() map[state.Digest]int {
 	documents := map[state.Digest]int{}
-	for body, document := range h.documentNumbers {
-		if digest, err := state.DigestOf([]byte(body)); err == nil {
-			documents[digest] = document
+	for _, numbers := range []map[string]int{h.documentNumbers, h.patchNumbers} {
+		for body, document := range numbers {
+			if digest, err := state.DigestOf([]byte(body)); err == nil {
+				documents[digest] = document
+			}
 		}
 	}
 	return documents
--- a/test/simulator/network.go
+++ b/test/simulator/network.go
@@ -121,7 +121,7 @@
 
 func isRequest(body any) bool {
 	switch body.(type) {
-	case batchstore.SubmitRequest, batchstore.EndRequest, batchstore.BatchStatusRequest, batchstore.ReadRequest, batchstore.ClaimRequest, batchstore.CompleteClaimRequest, controlplane.PutConfigurationRequest, controlplane.RetireRequest, quota.LeaseRequest, quota.UsageRequest:
+	case batchstore.SubmitRequest, batchstore.EndRequest, batchstore.BatchStatusRequest, batchstore.ReadRequest, batchstore.ClaimRequest, batchstore.CompleteClaimRequest, controlplane.PutConfigurationRequest, controlplane.PatchConfigurationRequest, controlplane.RetireRequest, quota.LeaseRequest, quota.UsageRequest:
 		return true
 	}
 	return false
--- a/test/simulator/operators.go
+++ b/test/simulator/operators.go
@@ -74,6 +74,7 @@
 	return &ConfigurationPut{
 		Document:         change.document,
 		Body:             string(change.body),
+		Sent:             string(change.body),
 		CalledAt:         now,
 		HasBase:          change.version > 0,
 		Base:             change.base,
--- a/test/simulator/workload.go
+++ b/test/simulator/workload.go
@@ -78,6 +78,7 @@
 		Checker: Checker{world: w, CheckCounts: map[Guarantee]int{}},
 		History: History{
 			configurationBodies: map[uint64]string{},
+			patchNumbers:        map[string]int{},
 			documentNumbers:     map[string]int{},
 			claimWinners:        map[string]string{},
 		},
--- a/test/storedformat/golden_test.go
+++ b/test/storedformat/golden_test.go
@@ -101,6 +101,15 @@
 	return shard.Encode(entry)
 }
 
+// wholeConfiguration is a configuration that was put whole, not by a patch.
+func wholeConfiguration(t *testing.T) []byte {
+	t.Helper()
+	var entry state.PutConfiguration
+	must(t, goldenjson.Fill(&entry))
+	entry.RequestDigest = nil
+	return state.Encode(entry)
+}
+
 // Each change is written byte for byte as the earlier build wrote it.
 func TestGoldenEntries(t *testing.T) {
 	for name, data := range map[string][]byte{
@@ -108,7 +117,8 @@
 		"control-enrol.json":      controlEntry[state.RegisterStore](t),
 		"control-retire.json":     controlEntry[state.Retire](t),
 		"control-pair.json":       controlEntry[state.AssignShards](t),
-		"control-put-plan.json":   controlEntry[state.PutConfiguration](t),
+		"control-put-plan.json":   wholeConfiguration(t),
+		"control-patch.json":      controlEntry[state.PutConfiguration](t),
 		"shard-enrol.json":        withoutBodies(t),
 		"shard-enrol-with-bodies": shardEntry[shard.SubmitBatch](t),
 		"shard-list.json":         shardEntry[shard.ListResult](t),
--- a/test/storedformat/messages_test.go
+++ b/test/storedformat/messages_test.go
@@ -11,6 +11,7 @@
 
 	"tuliprudder/internal/batchstore"
 	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/controlplane"
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/registration"
 	"tuliprudder/internal/dataplane/quota"
@@ -41,6 +42,9 @@
 		quota.UsageRequest{Tenant: "customer-1", BatchesOnly: true, Account: account, Shards: []int{2, 3}},
 		quota.UsageResponse{Reports: []quota.Report{report}, Account: account},
 	)
+	bodies = append(bodies, // since version 5
+		controlplane.PatchConfigurationRequest{Body: []byte(`{"upsert":{}}`), Base: 16, HasBase: true, By: "anna", Timeout: 17},
+	)
 	var out transport.MessageBatch
 	for _, body := range bodies {
 		out.Messages = append(out.Messages, transport.Envelope{From: "10.0.0.2:7000", Body: body})
@@ -48,11 +52,14 @@
 	return out
 }
 
-// messagesFile holds the messages as the builds of protocol version 4 encode them.
-var messagesFile = filepath.Join("testdata", "messages-4.gob")
+// messagesFile holds the messages as the builds of protocol version 5 encode them.
+var messagesFile = filepath.Join("testdata", "messages-5.gob")
 
-// messagesSinceVersion3 is how many of the messages are as they were in protocol version 3.
-const messagesSinceVersion3 = 5
+// How many of the messages are as they were in earlier protocol versions.
+const (
+	messagesSinceVersion3 = 5
+	messagesSinceVersion4 = 9
+)
 
 func writeMessages(t *testing.T) {
 	t.Helper()
@@ -67,6 +74,7 @@
 	all := messages().Messages
 	for file, want := range map[string][]transport.Envelope{
 		messagesFile: all,
+		filepath.Join("testdata", "messages-4.gob"): all[:messagesSinceVersion4],
 		filepath.Join("testdata", "messages-3.gob"): all[:messagesSinceVersion3],
 	} {
 		data, err := os.ReadFile(file)
