--- a/internal/controlplane/stores/evict.go
+++ b/internal/controlplane/stores/evict.go
@@ -52,8 +52,8 @@
 
 // hasSuccessor tells whether a live store was registered later under the same machine's name.
 func (t *Table) hasSuccessor(current *state.State, store state.Store, now clock.Micros) bool {
-	newest, found := current.StoreNamed(store.Name)
-	if !found || newest.ID == store.ID {
+	newest, known := current.StoreNamed(store.Name)
+	if !known || newest.ID == store.ID {
 		return false
 	}
 	_, live := t.Incarnation(current, newest.ID, now)
