Gossip: digests by checksums, updates zone by zone, dead voters are looked for

Change: a digest has one checksum for about eight keys; versions are sent of buckets that differ, updates are fetched, and the ages count once they have come. Ages are lists by the voters' order. An update goes to one daemon of each other zone from its origin, to three of the own zone from everyone, and to another zone from one in five.

--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -41,6 +41,7 @@
 type InjectedFaults struct {
 	Election         election.InjectedFaults
 	SkipRequestTable bool // a snapshot lacks what recognises repeated requests
+	KeepVotes        bool // a lost store keeps its vote for updates
 }
 
 // Core is the state machine of a core daemon.
--- a/internal/gossip/anti_entropy.go
+++ b/internal/gossip/anti_entropy.go
@@ -1,18 +1,30 @@
 package gossip
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/machine"
 )
 
+// Two daemons compare their updates in up to four messages:
+//
+//	Digest         checksums of all updates of the one that begins
+//	DigestReply    what differs, and what the other one knows of it, with its ages
+//	DigestUpdates  what the other one lacks; and
+//	DigestFetch    what the one that began lacks, answered by DigestUpdates
+//
+// The ages count once everything that the other one knew when it replied is known here.
+
+// comparison is one whose missing updates were asked for.
+type comparison struct {
+	stamp clock.Micros // of the digest
+	ages  Ages
+}
+
 func (n *Node) digest(now clock.Micros) Digest {
-	known := make(map[string]Version, len(n.updates))
-	for key, update := range n.updates {
-		known[key] = versionOf(update)
-	}
-	return Digest{Known: known, Stamp: now}
+	return Digest{Sums: newBucketSums(n.updates, bucketCount(len(n.updates)), now), Stamp: now}
 }
 
 // exchangeDigest compares digests with one daemon. Every other time it is a voter in another
@@ -40,22 +52,54 @@
 	return peers
 }
 
-// handle answers a digest with what its sender lacks, and asks for what is missing here.
+// handle answers a digest with the versions that are known here where the two differ.
 func (m Digest) handle(n *Node, from string, now clock.Micros) {
-	reply := DigestReply{
-		Missing: n.missingKeys(m.Known),
-		Stamp:   m.Stamp,
-		Ages:    n.currentAges(now),
-		Counts:  true,
+	sums := bucketSums(m.Sums)
+	buckets := sums.count()
+	if buckets == 0 {
+		return
+	}
+	differing := sums.differing(newBucketSums(n.updates, buckets, m.Stamp))
+	n.Emit(machine.Send{To: from, Body: DigestReply{
+		Buckets:   buckets,
+		Differing: differing,
+		Known:     n.versionsInBuckets(differing, buckets),
+		Stamp:     m.Stamp,
+		Ages:      n.currentAges(now),
+	}})
+}
+
+// handle sends what the answerer lacks, and asks for what is missing here. Where nothing is, it
+// notes up to when this daemon's updates are now complete.
+func (m DigestReply) handle(n *Node, from string, now clock.Micros) {
+	if lacking := n.updatesLackingThere(m); len(lacking) > 0 {
+		n.Emit(machine.Send{To: from, Body: DigestUpdates{Updates: lacking}})
+	}
+	missing := n.missingKeys(m.Known)
+	if len(missing) == 0 {
+		n.comparisonDone(comparison{m.Stamp, m.Ages}, from, now)
+		return
 	}
-	for _, key := range n.sortedKeys() {
+	n.comparisons[from] = comparison{m.Stamp, m.Ages}
+	n.Emit(machine.Send{To: from, Body: DigestFetch{Keys: missing, Stamp: m.Stamp}})
+}
+
+// updatesLackingThere are the updates in the buckets that differ of which the answerer has an older
+// one, or none, in the order of their keys.
+func (n *Node) updatesLackingThere(reply DigestReply) []machine.Update {
+	if len(reply.Differing) == 0 || reply.Buckets <= 0 {
+		return nil
+	}
+	var out []machine.Update
+	here := n.versionsInBuckets(reply.Differing, reply.Buckets)
+	for _, key := range slices.Sorted(maps.Keys(here)) {
 		update := n.updates[key]
-		version, known := m.Known[key]
+		version, known := reply.Known[key]
 		if !known || update.Newer(machine.Update{Epoch: version.Epoch, Seq: version.Seq}) {
-			reply.Updates = append(reply.Updates, update)
+			out = append(out, update)
 		}
 	}
-	n.Emit(machine.Send{To: from, Body: reply})
+	return out
 }
 
 // missingKeys lists the keys of which this daemon has an older update than given, or none.
@@ -66,22 +110,40 @@
 			missing = append(missing, key)
 		}
 	}
-	sort.Strings(missing)
+	slices.Sort(missing)
 	return missing
 }
 
-// handle records the updates that were missing here, sends those that the answerer lacks, and
-// notes up to when this daemon's updates are now complete.
-func (m DigestReply) handle(n *Node, from string, now clock.Micros) {
+func (m DigestFetch) handle(n *Node, from string, _ clock.Micros) {
+	n.Emit(machine.Send{To: from, Body: DigestUpdates{Updates: n.updatesOf(m.Keys), Stamp: m.Stamp}})
+}
+
+// handle records the updates that were missing here. Those that were asked for complete a
+// comparison, whether each of them is kept here or not.
+func (m DigestUpdates) handle(n *Node, from string, now clock.Micros) {
 	n.UpdatesRepaired += int64(len(m.Updates))
 	n.receive(m.Updates, now)
-	n.sendUpdates(from, m.Missing)
-	if m.Counts && len(n.voters) > 0 && !n.InjectedFaults.SkipVoterMajority {
-		n.learnAges(m.Ages, m.Stamp, now)
+	if compared, pending := n.comparisons[from]; pending && compared.stamp == m.Stamp {
+		delete(n.comparisons, from)
+		n.comparisonDone(compared, from, now)
+	}
+}
+
+// comparisonDone notes up to when this daemon's updates are now complete.
+func (n *Node) comparisonDone(compared comparison, from string, now clock.Micros) {
+	if len(n.voters) > 0 && !n.InjectedFaults.SkipVoterMajority {
+		n.learnAges(compared.ages, compared.stamp, now)
 		return
 	}
-	// Without voters, or from a release that knows no ages, another zone's answer counts.
+	// Without voters another zone's answer counts.
 	if n.inOtherZone(from) {
-		n.advanceFreshness(m.Stamp)
+		n.advanceFreshness(compared.stamp)
 	}
 }
+
+// forgetComparisons drops the comparisons whose updates have not come for long.
+func (n *Node) forgetComparisons(now clock.Micros) {
+	maps.DeleteFunc(n.comparisons, func(_ string, pending comparison) bool {
+		return now-pending.stamp > n.settings.SuspicionTimeout
+	})
+}
--- a/internal/gossip/broadcast.go
+++ b/internal/gossip/broadcast.go
@@ -35,7 +35,7 @@
 
 // Apply records the update and pushes it to the voters.
 func (b Broadcast) Apply(n *Node, now clock.Micros) {
-	n.receive([]machine.Update{b.Update}, now)
+	n.publish(b.Update, now)
 	n.sendPending()
 	n.pushes[n.nextNonce()] = &outstandingPush{
 		Broadcast:    b,
--- a/internal/gossip/commands.go
+++ b/internal/gossip/commands.go
@@ -28,7 +28,7 @@
 type Publish struct{ Update machine.Update }
 
 // Apply records the update; it is sent on at the next tick or message that sends updates on.
-func (p Publish) Apply(n *Node, now clock.Micros) { n.receive([]machine.Update{p.Update}, now) }
+func (p Publish) Apply(n *Node, now clock.Micros) { n.publish(p.Update, now) }
 
 // Reseed replaces the addresses to join by.
 type Reseed struct{ Seeds []string }
@@ -88,6 +88,7 @@
 		n.nextDue.shuffle = now + n.settings.ShuffleInterval
 		n.shuffleView()
 		n.forgetDead(now)
+		n.forgetComparisons(now)
 	}
 	if now >= n.nextDue.join {
 		n.nextDue.join = now + n.joinInterval()
--- /dev/null
+++ b/internal/gossip/digest.go
@@ -0,0 +1,100 @@
+package gossip
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math/bits"
+	"slices"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/machine"
+)
+
+// A digest doesn't list the versions of all updates, for most comparisons find no difference: the
+// keys are hashed into buckets, and the digest has one checksum a bucket, of all keys in it with
+// their versions. Only of buckets that differ the versions are sent.
+
+const (
+	// keysPerBucket is how many keys a bucket has on average, where the fleet has enough of them:
+	// a difference costs the versions of so many keys, and each bucket a checksum.
+	keysPerBucket = 8
+	minBuckets    = 16
+	maxBuckets    = 1024
+	checksumBytes = 4
+)
+
+// bucketSums are the checksums of all buckets, checksumBytes each. Their number is a power of two.
+type bucketSums []byte
+
+// bucketCount is the number of buckets for a number of keys.
+func bucketCount(keys int) int {
+	wanted := (keys + keysPerBucket - 1) / keysPerBucket
+	count := 1 << bits.Len(uint(max(0, wanted-1)))
+	return min(maxBuckets, max(minBuckets, count))
+}
+
+// newBucketSums computes the checksums of some buckets over all updates. The salt makes two
+// different buckets with the same checksum differ the next time.
+func newBucketSums(updates map[string]machine.Update, buckets int, salt clock.Micros) bucketSums {
+	sums := make([]uint32, buckets)
+	for key, update := range updates {
+		// The sum doesn't depend on the order of the keys.
+		sums[bucketOf(key, buckets)] += updateChecksum(key, versionOf(update), salt)
+	}
+	out := make(bucketSums, 0, buckets*checksumBytes)
+	for _, sum := range sums {
+		out = binary.BigEndian.AppendUint32(out, sum)
+	}
+	return out
+}
+
+// count is the number of buckets; 0 where the checksums are malformed.
+func (s bucketSums) count() int {
+	count := len(s) / checksumBytes
+	if count == 0 || len(s)%checksumBytes != 0 || count > maxBuckets || bits.OnesCount(uint(count)) != 1 {
+		return 0
+	}
+	return count
+}
+
+// differing lists the buckets whose checksums are not the same. Both have the same number.
+func (s bucketSums) differing(other bucketSums) []int {
+	var out []int
+	for i := range s.count() {
+		from, to := i*checksumBytes, (i+1)*checksumBytes
+		if !slices.Equal(s[from:to], other[from:to]) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// bucketOf is the bucket of a key.
+func bucketOf(key string, buckets int) int {
+	h := fnv.New32a()
+	h.Write([]byte(key))
+	return int(h.Sum32()) & (buckets - 1)
+}
+
+func updateChecksum(key string, version Version, salt clock.Micros) uint32 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	var numbers [24]byte
+	binary.BigEndian.PutUint64(numbers[:], version.Epoch)
+	binary.BigEndian.PutUint64(numbers[8:], version.Seq)
+	binary.BigEndian.PutUint64(numbers[16:], uint64(salt))
+	h.Write(numbers[:])
+	sum := h.Sum64()
+	return uint32(sum ^ sum>>32)
+}
+
+// versionsInBuckets are the versions of the updates here whose keys are in some buckets.
+func (n *Node) versionsInBuckets(differing []int, buckets int) map[string]Version {
+	out := map[string]Version{}
+	for key, update := range n.updates {
+		if _, found := slices.BinarySearch(differing, bucketOf(key, buckets)); found {
+			out[key] = versionOf(update)
+		}
+	}
+	return out
+}
--- a/internal/gossip/directory.go
+++ b/internal/gossip/directory.go
@@ -19,7 +19,7 @@
 }
 
 func (n *Node) announceSelf(now clock.Micros) {
-	n.receive([]machine.Update{memberUpdate(n.self)}, now)
+	n.publish(memberUpdate(n.self), now)
 }
 
 // recordMember records what an update says of a member. It returns false where the update must
@@ -71,7 +71,7 @@
 // setStatus records and sends on another status of a member.
 func (n *Node) setStatus(member membership.Member, status membership.Status, now clock.Micros) {
 	member.Status = status
-	n.receive([]machine.Update{memberUpdate(member)}, now)
+	n.publish(memberUpdate(member), now)
 }
 
 // forgetDead drops the entries of members that have been dead for ForgetAfter.
@@ -93,16 +93,24 @@
 	}
 }
 
-// contactDead sends a digest to a dead member, which may only have been partitioned.
+// contactDead sends a digest to a dead member, which may only have been partitioned, and to a dead
+// voter: where all voters were gone for a while, nobody else knows how to find their successors, and
+// those that died long ago may be many.
 func (n *Node) contactDead(now clock.Micros) {
-	var dead []string
+	var dead, voters []string
 	for _, member := range n.sortedMembers() {
-		if member.Status == membership.Dead {
+		switch {
+		case member.Status != membership.Dead:
+		case n.isVoter(member.ID):
+			voters = append(voters, member.Peer)
+		default:
 			dead = append(dead, member.Peer)
 		}
 	}
-	if peer := n.pickRandom(dead); peer != "" {
-		n.Emit(machine.Send{To: peer, Body: n.digest(now)})
+	for _, peer := range []string{n.pickRandom(dead), n.pickRandom(voters)} {
+		if peer != "" {
+			n.Emit(machine.Send{To: peer, Body: n.digest(now)})
+		}
 	}
 }
 
--- a/internal/gossip/dissemination.go
+++ b/internal/gossip/dissemination.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -19,54 +21,118 @@
 	sentAt  clock.Micros
 }
 
-// receive records updates. What is new goes to this daemon's other machines and is sent on.
+// crossZoneDivisor is of how many daemons that send an update on one sends it to another zone, too.
+// Each zone gets an update from its origin; this covers for what is lost on that way.
+const crossZoneDivisor = 5
+
+// unsentUpdates are updates that are new here and were not sent on yet.
+type unsentUpdates struct {
+	own      []machine.Update // that started here
+	received []machine.Update
+}
+
+func (u unsentUpdates) all() []machine.Update { return slices.Concat(u.own, u.received) }
+
+// publish records an update that starts at this daemon.
+func (n *Node) publish(update machine.Update, now clock.Micros) {
+	if n.record(update, now) {
+		n.unsent.own = append(n.unsent.own, update)
+	}
+}
+
+// receive records updates of other daemons. What is new goes to this daemon's other machines and is
+// sent on.
 func (n *Node) receive(updates []machine.Update, now clock.Micros) {
 	for _, update := range updates {
-		n.receiveOne(update, now)
+		if n.record(update, now) {
+			n.unsent.received = append(n.unsent.received, update)
+		}
 	}
 }
 
-func (n *Node) receiveOne(update machine.Update, now clock.Micros) {
+// record keeps an update; false where it is not new, or not to be kept.
+func (n *Node) record(update machine.Update, now clock.Micros) bool {
 	if known, ok := n.updates[update.Key]; ok && !update.Newer(known) {
 		n.DuplicatesReceived++
-		return
+		return false
 	}
 	isAboutMember := strings.HasPrefix(update.Key, membership.KeyPrefix)
 	if isAboutMember && !n.recordMember(update, now) {
-		return
+		return false
 	}
 	n.UpdatesReceived++
 	n.updates[update.Key] = update
 	n.updateVoters(update.Key)
-	n.unsent = append(n.unsent, update)
 	n.Emit(machine.UpdateReceived{Update: update})
+	return true
 }
 
-// sendPending sends updates that are new here on to Fanout peers.
+// sendPending sends updates that are new here on: all of them to Fanout peers of the own zone, those
+// that started here to one of each other zone, and now and then the others to one of another zone. So
+// an update crosses to another zone a few times, not once for nearly each daemon.
 func (n *Node) sendPending() {
-	if len(n.unsent) == 0 {
+	unsent := n.unsent
+	n.unsent = unsentUpdates{}
+	if len(unsent.own)+len(unsent.received) == 0 {
 		return
 	}
+	zones := n.peersByZone()
+	for _, peer := range n.samplePeersOf(zones[n.self.Zone], n.settings.Fanout) {
+		n.sendOn(peer, unsent.all())
+	}
+	others := slices.Sorted(maps.Keys(zones))
+	others = slices.DeleteFunc(others, func(zone string) bool { return zone == n.self.Zone })
+	if len(unsent.own) > 0 {
+		for _, zone := range others {
+			n.sendOn(n.pickRandom(zones[zone]), unsent.own)
+		}
+	}
+	if len(unsent.received) > 0 && len(others) > 0 && n.random.Intn(crossZoneDivisor) == 0 {
+		n.sendOn(n.pickRandom(zones[n.pickRandom(others)]), unsent.received)
+	}
+}
+
+// peersByZone are the addresses to send updates to, by zone: those of the live members, or of the
+// view while none are known.
+func (n *Node) peersByZone() map[string][]string {
+	zones := map[string][]string{}
+	for _, member := range n.liveMembers() {
+		zones[member.Zone] = append(zones[member.Zone], member.Peer)
+	}
+	if len(zones) == 0 {
+		zones[n.self.Zone] = n.view
+	}
+	return zones
+}
+
+// samplePeersOf picks some of these addresses.
+func (n *Node) samplePeersOf(peers []string, count int) []string {
+	var out []string
+	for _, at := range n.random.Perm(len(peers)) {
+		if len(out) == count {
+			break
+		}
+		out = append(out, peers[at])
+	}
+	return out
+}
+
+// sendOn sends updates to a peer, large ones by their versions alone.
+func (n *Node) sendOn(peer string, updates []machine.Update) {
 	var small []machine.Update
 	large := map[string]Version{}
-	for _, update := range n.unsent {
+	for _, update := range updates {
 		if len(update.Value) >= largeUpdate {
 			large[update.Key] = versionOf(update)
 		} else {
 			small = append(small, update)
 		}
 	}
-	n.unsent = nil
-	for i, at := range n.random.Perm(len(n.view)) {
-		if i >= n.settings.Fanout {
-			break
-		}
-		if len(small) > 0 {
-			n.Emit(machine.Send{To: n.view[at], Body: Gossip{Updates: small}})
-		}
-		if len(large) > 0 {
-			n.Emit(machine.Send{To: n.view[at], Body: Announcement{Versions: large}})
-		}
+	if len(small) > 0 {
+		n.Emit(machine.Send{To: peer, Body: Gossip{Updates: small}})
+	}
+	if len(large) > 0 {
+		n.Emit(machine.Send{To: peer, Body: Announcement{Versions: large}})
 	}
 }
 
@@ -96,15 +162,20 @@
 func (m FetchUpdates) handle(n *Node, from string, _ clock.Micros) { n.sendUpdates(from, m.Keys) }
 
 func (n *Node) sendUpdates(to string, keys []string) {
+	if updates := n.updatesOf(keys); len(updates) > 0 {
+		n.Emit(machine.Send{To: to, Body: Gossip{Updates: updates}})
+	}
+}
+
+// updatesOf are the updates of those keys that are known here.
+func (n *Node) updatesOf(keys []string) []machine.Update {
 	var updates []machine.Update
 	for _, key := range keys {
 		if update, ok := n.updates[key]; ok {
 			updates = append(updates, update)
 		}
 	}
-	if len(updates) > 0 {
-		n.Emit(machine.Send{To: to, Body: Gossip{Updates: updates}})
-	}
+	return updates
 }
 
 func (n *Node) sortedKeys() []string {
--- a/internal/gossip/failure_detection_test.go
+++ b/internal/gossip/failure_detection_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
 )
 
@@ -42,3 +43,34 @@
 		t.Fatal("d05 takes its updates for fresh")
 	}
 }
+
+// Of many dead members the voters are contacted as often as all others together: who was cut off from
+// all of them finds them again while they are still at their addresses.
+func TestDeadVotersAreContactedSoon(t *testing.T) {
+	n := New(membership.Member{ID: "e", Kind: membership.Edge, Peer: "e", Zone: "z"}, nil, settingsWithVoters(), 1)
+	var updates []machine.Update
+	for _, id := range []string{"v1", "v2", "v3", "o1", "o2", "o3", "o4", "o5", "o6", "o7"} {
+		member := membership.Member{ID: id, Kind: membership.Core, Peer: id, Zone: "z", Incarnation: 1}
+		updates = append(updates, memberUpdate(member))
+		member.Status, member.Statement = membership.Dead, 1
+		updates = append(updates, memberUpdate(member))
+	}
+	updates = append(updates, machine.Update{Key: votersKey, Seq: 1, Value: []byte(`{"v1":2,"v2":2,"v3":2}`)})
+	now := 10 * clock.Second
+	n.Do(Message{From: "x", Body: Gossip{Updates: updates}}, now)
+	contacted := map[string]int{}
+	const rounds = 12
+	for range rounds {
+		now += joinInterval
+		for _, effect := range n.Do(Tick{}, now) {
+			if send, ok := effect.(machine.Send); ok {
+				if _, isDigest := send.Body.(Digest); isDigest {
+					contacted[send.To]++
+				}
+			}
+		}
+	}
+	if voters := contacted["v1"] + contacted["v2"] + contacted["v3"]; voters != rounds {
+		t.Errorf("in %d rounds voters were contacted %d times: %v", rounds, voters, contacted)
+	}
+}
--- a/internal/gossip/freshness.go
+++ b/internal/gossip/freshness.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"hash/fnv"
 	"sort"
 
 	"tuliprudder/internal/clock"
@@ -26,37 +27,60 @@
 
 // currentAges is what this daemon's updates include, for another one to add to its own.
 func (n *Node) currentAges(now clock.Micros) Ages {
-	ages := Ages{Counted: map[string]clock.Micros{}, Raw: map[string]clock.Micros{}}
-	for id, at := range n.knownUntil {
-		ages.Counted[id] = now - at
-	}
-	for id, at := range n.knownUntilRaw {
-		ages.Raw[id] = now - at
-	}
-	if n.isVoter(n.self.ID) {
-		ages.Raw[n.self.ID] = 0
-		if n.caughtUp {
-			ages.Counted[n.self.ID] = 0
+	ids := n.sortedVoters()
+	ages := Ages{Voters: checksumOf(ids)}
+	for _, id := range ids {
+		counted, raw := ageOf(n.knownUntil, id, now), ageOf(n.knownUntilRaw, id, now)
+		if id == n.self.ID {
+			raw = 0
+			if n.caughtUp {
+				counted = 0
+			}
 		}
+		ages.Counted = append(ages.Counted, counted)
+		ages.Raw = append(ages.Raw, raw)
 	}
 	return ages
 }
 
+// unknownAge stands in Ages where nothing is known of a voter.
+const unknownAge clock.Micros = -1
+
+func ageOf(knownUntil map[string]clock.Micros, id string, now clock.Micros) clock.Micros {
+	at, known := knownUntil[id]
+	if !known {
+		return unknownAge
+	}
+	return now - at
+}
+
+// checksumOf is a checksum of some identities, in their order.
+func checksumOf(ids []string) uint64 {
+	h := fnv.New64a()
+	for _, id := range ids {
+		h.Write([]byte(id))
+		h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
 // learnAges adds what another daemon's updates included when it answered a digest that was sent
 // at sentAt: this daemon's include it now.
 func (n *Node) learnAges(ages Ages, sentAt, now clock.Micros) {
-	if len(n.voters) == 0 {
+	ids := n.sortedVoters()
+	isComplete := len(ages.Counted) == len(ids) && len(ages.Raw) == len(ids)
+	if len(ids) == 0 || !isComplete || ages.Voters != checksumOf(ids) {
 		return
 	}
-	n.learnKnownUntil(n.knownUntil, ages.Counted, sentAt)
-	n.learnKnownUntil(n.knownUntilRaw, ages.Raw, sentAt)
+	n.learnKnownUntil(n.knownUntil, ids, ages.Counted, sentAt)
+	n.learnKnownUntil(n.knownUntilRaw, ids, ages.Raw, sentAt)
 	n.updateCaughtUp(now)
 	n.advanceFreshness(n.majorityFreshness(now))
 }
 
-func (n *Node) learnKnownUntil(known, ages map[string]clock.Micros, sentAt clock.Micros) {
-	for id, age := range ages {
-		if n.isVoter(id) && id != n.self.ID {
+func (n *Node) learnKnownUntil(known map[string]clock.Micros, ids []string, ages []clock.Micros, sentAt clock.Micros) {
+	for i, id := range ids {
+		if age := ages[i]; age != unknownAge && id != n.self.ID {
 			known[id] = max(known[id], sentAt-age)
 		}
 	}
--- a/internal/gossip/messages.go
+++ b/internal/gossip/messages.go
@@ -16,21 +16,31 @@
 type (
 	// Gossip has updates that are new to its sender, or that its receiver asked for.
 	Gossip struct{ Updates []machine.Update }
-	// Digest has the versions of all updates that the sender knows, by key. Stamp is the time of
-	// sending on the sender's clock.
+	// Digest has checksums of the versions of all updates that the sender knows, by buckets of
+	// keys (digest.go). Stamp is the time of sending on the sender's clock.
 	Digest struct {
-		Known  map[string]Version
-		Answer bool // always false
-		Stamp  clock.Micros
+		Sums  []byte
+		Stamp clock.Micros
 	}
-	// DigestReply answers a digest: the updates that its sender lacked, the keys of those that
-	// the receiver lacks, and the digest's stamp.
+	// DigestReply answers a digest: the buckets whose checksums differ, the versions of the updates
+	// that its sender knows in these, and the digest's stamp.
 	DigestReply struct {
+		Buckets   int // of the digest
+		Differing []int
+		Known     map[string]Version
+		Stamp     clock.Micros
+		Ages      Ages
+	}
+	// DigestFetch asks for the updates that the sender lacks by a digest's reply.
+	DigestFetch struct {
+		Keys  []string
+		Stamp clock.Micros
+	}
+	// DigestUpdates has updates that the receiver lacks by a comparison of digests. Stamp is that
+	// of the DigestFetch that asked for them, 0 where the sender saw that they are missing.
+	DigestUpdates struct {
 		Updates []machine.Update
-		Missing []string
 		Stamp   clock.Micros
-		Ages    Ages
-		Counts  bool // false from a release that knows no ages
 	}
 	// FetchUpdates asks for the updates of some keys.
 	FetchUpdates struct{ Keys []string }
@@ -74,10 +84,15 @@
 	}
 	// Version is the version of one key's update.
 	Version struct{ Epoch, Seq uint64 }
-	// Ages says, by voter, up to how long ago the sender's updates include all that the voter
-	// knew, in microseconds. Raw also counts voters that have only just restarted and may lack
-	// what they knew before.
-	Ages struct{ Counted, Raw map[string]clock.Micros }
+	// Ages says of each voter, in the order of their identities, up to how long ago the sender's
+	// updates include all that the voter knew, in microseconds; -1 where that is not known. Raw
+	// also counts voters that have only just restarted and may lack what they knew before.
+	// Voters is a checksum of the voters' identities: the ages say nothing to a daemon that takes
+	// others for the voters.
+	Ages struct {
+		Voters       uint64
+		Counted, Raw []clock.Micros
+	}
 )
 
 func init() {
@@ -85,6 +100,8 @@
 		Gossip{},
 		Digest{},
 		DigestReply{},
+		DigestFetch{},
+		DigestUpdates{},
 		FetchUpdates{},
 		Announcement{},
 		Probe{},
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -24,9 +24,11 @@
 	nextDue   schedule
 
 	// Updates and their dissemination.
-	updates   map[string]machine.Update     // by key
-	unsent    []machine.Update              // new here, not yet sent on
+	updates   map[string]machine.Update // by key
+	unsent    unsentUpdates
 	requested map[string]outstandingRequest // large updates that were fetched, by key
+	// comparisons of digests whose missing updates were asked for, by the other daemon's address.
+	comparisons map[string]comparison
 	// digestOtherZone: the next digest goes to another zone.
 	digestOtherZone bool
 
@@ -76,6 +78,7 @@
 		random:         rand.New(rand.NewSource(seed)),
 		updates:        map[string]machine.Update{},
 		requested:      map[string]outstandingRequest{},
+		comparisons:    map[string]comparison{},
 		members:        map[string]membership.Member{},
 		statusSince:    map[string]clock.Micros{},
 		probes:         map[uint64]*outstandingProbe{},
--- a/internal/gossip/partial_view.go
+++ b/internal/gossip/partial_view.go
@@ -24,16 +24,7 @@
 }
 
 // samplePeers picks some addresses of the partial view.
-func (n *Node) samplePeers(count int) []string {
-	var out []string
-	for _, at := range n.random.Perm(len(n.view)) {
-		if len(out) == count {
-			break
-		}
-		out = append(out, n.view[at])
-	}
-	return out
-}
+func (n *Node) samplePeers(count int) []string { return n.samplePeersOf(n.view, count) }
 
 // shuffleView swaps a sample of the partial view, with this daemon's own address, with one peer.
 func (n *Node) shuffleView() {
--- a/internal/gossip/settings.go
+++ b/internal/gossip/settings.go
@@ -18,7 +18,7 @@
 	DigestInterval clock.Micros
 	// ShuffleInterval is the time between shuffles of the partial view. Default 2 s.
 	ShuffleInterval clock.Micros
-	// Fanout is the number of peers to which a new update is sent on. Default 3.
+	// Fanout is the number of peers of the own zone to which a new update is sent on. Default 3.
 	Fanout int
 	// ViewSize is the number of peers in the partial view. Default 6.
 	ViewSize int
--- a/internal/gossip/voters.go
+++ b/internal/gossip/voters.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// sortedVoters are the identities of the voters, in order.
+func (n *Node) sortedVoters() []string {
+	out := make([]string, 0, len(n.voters))
+	for id, weight := range n.voters {
+		if weight > 0 {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (n *Node) isVoter(id string) bool { return n.voters[id] > 0 }
 
 // isMajority reports whether the voters that count weigh more than half of all. Before the voters
--- a/test/simulator/history.go
+++ b/test/simulator/history.go
@@ -21,6 +21,7 @@
 	ClaimAttempts      []*ClaimAttempt
 
 	configurationBodies map[uint64]string // in force, by version
+	putsWithBase        int               // configurations that were put on a base
 	patchNumbers        map[string]int    // by the patch: numbers of the documents that patches make
 	documentNumbers     map[string]int    // by body: documents numbered in the order they were written
 	lastDocument        int
