Readers learn a store's position with each page; positions are announced seldom

What shards a store serves is still announced within 15 ms. No reader reads past the last position that it has received; feeds go by announcements as before.

--- a/internal/batchstore/announce.go
+++ b/internal/batchstore/announce.go
@@ -11,24 +11,37 @@
 	"tuliprudder/internal/replication"
 )
 
-// announcer tells when the next announcement is due: soon after something changed, but not
-// more often than the settings allow.
+// announcer tells when the next announcement is due: at once after a change of the shards that
+// this store serves, and after a change of its position not more often than the settings allow.
 type announcer struct {
-	requested bool // something changed since the last announcement
-	seq       uint64
-	notBefore clock.Micros
+	positionChanged bool // since the last announcement
+	shardsChanged   bool
+	seq             uint64
+	lastAt          clock.Micros
 }
 
-// request makes an announcement due as soon as it may be.
-func (a *announcer) request() { a.requested = true }
+// minAnnounceInterval is the shortest time between two announcements, whatever changed.
+const minAnnounceInterval = 15 * clock.Millisecond
+
+// requestForPosition makes an announcement of a new position due.
+func (a *announcer) requestForPosition() { a.positionChanged = true }
+
+// requestForShards makes an announcement of the shards served here due: readers don't find these
+// until then.
+func (a *announcer) requestForShards() { a.shardsChanged = true }
 
 // begin begins an announcement if one is due, and tells whether it is.
-func (a *announcer) begin(now, interval clock.Micros) bool {
-	if !a.requested || now < a.notBefore {
+func (a *announcer) begin(now, positionInterval clock.Micros) bool {
+	interval := positionInterval
+	if a.shardsChanged {
+		interval = min(interval, minAnnounceInterval)
+	}
+	isFirst := a.seq == 0
+	if !a.positionChanged && !a.shardsChanged || !isFirst && now < a.lastAt+interval {
 		return false
 	}
-	a.requested = false
-	a.notBefore = now + interval
+	a.positionChanged, a.shardsChanged = false, false
+	a.lastAt = now
 	a.seq++
 	return true
 }
--- a/internal/batchstore/announce_test.go
+++ b/internal/batchstore/announce_test.go
@@ -16,20 +16,20 @@
 }
 
 func TestAnnouncementsAreMadeOnRequestAndNotTooOften(t *testing.T) {
-	const interval = 15 * clock.Millisecond
+	const interval = 150 * clock.Millisecond
 	var a announcer
 	if a.begin(0, interval) {
 		t.Fatal("announced without a request")
 	}
-	a.request()
-	a.request()
+	a.requestForPosition()
+	a.requestForPosition()
 	if !a.begin(clock.Second, interval) || a.seq != 1 {
 		t.Fatal("not announced on request")
 	}
 	if a.begin(clock.Second+interval, interval) {
 		t.Fatal("announced again without a request")
 	}
-	a.request()
+	a.requestForPosition()
 	if a.begin(clock.Second+interval-1, interval) {
 		t.Fatal("announced again too early")
 	}
@@ -38,6 +38,25 @@
 	}
 }
 
+// Readers learn soon of shards that move, however seldom positions are announced.
+func TestShardsAreAnnouncedSoonerThanPositions(t *testing.T) {
+	const interval = clock.Second
+	var a announcer
+	a.requestForPosition()
+	a.begin(clock.Second, interval)
+	a.requestForShards()
+	if a.begin(clock.Second+minAnnounceInterval-1, interval) {
+		t.Fatal("announced again too early")
+	}
+	if !a.begin(clock.Second+minAnnounceInterval, interval) {
+		t.Fatal("not announced soon")
+	}
+	a.requestForPosition()
+	if a.begin(clock.Second+2*minAnnounceInterval, interval) {
+		t.Fatal("a position is announced as soon as shards are")
+	}
+}
+
 func TestAnnouncementNamesServedShards(t *testing.T) {
 	c := newCluster(t)
 	c.advance(clock.Second)
--- a/internal/batchstore/cluster_map.go
+++ b/internal/batchstore/cluster_map.go
@@ -131,7 +131,7 @@
 	case becomeReplica:
 		primary := s.clusterMap.Stores[assignment.Primary.ID]
 		s.groups.BecomeReplica(group.Unit, assignment.Epoch, primary.Peer, now)
-		s.announcer.request()
+		s.announcer.requestForShards()
 	case releaseShard:
 		s.groups.Release(group.Unit, assignment.Epoch, now)
 	case dropShard:
@@ -165,7 +165,7 @@
 		FormerRole: group.Role.String(),
 	}})
 	s.groups.BecomePrimary(group.Unit, assignment.Epoch, s.peersOf(assignment.Replicas), now)
-	s.announcer.request()
+	s.announcer.requestForShards()
 }
 
 // peersOf are the addresses of some members of a group.
@@ -185,7 +185,7 @@
 	s.positions.RaiseAbove(local.state.HighestPosition())
 	s.reservePositions()
 	s.finishOrphans(local.index, group.Epoch)
-	s.announcer.request()
+	s.announcer.requestForShards()
 	s.startShardItems(group.Unit)
 	s.Emit(machine.LogEvent{Event: ShardServing{
 		Shard:         local.index,
--- a/internal/batchstore/messages.go
+++ b/internal/batchstore/messages.go
@@ -79,6 +79,9 @@
 		Items   int    // of the batch
 		More    bool   // the page was cut at a limit
 		Index   int    // of the first result in the batch's list; of an indexed read only
+		// Writer and PersistedUpTo tell the reader this store's position, like an announcement.
+		Writer        int
+		PersistedUpTo int64
 	}
 	// ItemBodyRequest asks for the body of a forwarded item that has no result yet.
 	ItemBodyRequest struct {
--- a/internal/batchstore/read.go
+++ b/internal/batchstore/read.go
@@ -14,7 +14,7 @@
 // shards: those after a vector of positions, or those from an index of the batch's list on.
 func (s *Store) readResults(call uint64, request ReadRequest, now clock.Micros) {
 	s.Reads++
-	var response ReadResponse
+	response := ReadResponse{Writer: s.identity.Writer, PersistedUpTo: s.positions.PersistedUpTo()}
 	for _, shardIndex := range slices.Sorted(maps.Keys(request.Shards)) {
 		served, err := s.requireServingAt(shardIndex, request.Shards[shardIndex], now)
 		if err == nil {
--- a/internal/batchstore/replicated_state.go
+++ b/internal/batchstore/replicated_state.go
@@ -68,7 +68,7 @@
 	s.EntriesConfirmed++
 	s.unconfirmedReleases.take(unit, seq)
 	if s.positions.finishEntry(unit, seq) {
-		s.announcer.request()
+		s.announcer.requestForPosition()
 	}
 	if batch, ok := s.submitted.take(unit, seq); ok {
 		s.startItems(unit, batch)
@@ -94,5 +94,5 @@
 	shardIndex := shardOfUnit(unit)
 	s.Emit(machine.Execute{Task: CancelItems{Shard: shardIndex}})
 	s.Emit(machine.LogEvent{Event: ShardTransferred{Shard: shardIndex, UnfinishedPositions: unfinished}})
-	s.announcer.request()
+	s.announcer.requestForShards()
 }
--- a/internal/batchstore/results.go
+++ b/internal/batchstore/results.go
@@ -77,7 +77,7 @@
 	s.ResultsRecorded++
 	if s.InjectedFaults.SkipDurability {
 		s.positions.Finish(position)
-		s.announcer.request()
+		s.announcer.requestForPosition()
 		return true
 	}
 	s.positions.assign(unit, seq, position)
@@ -104,6 +104,6 @@
 // serves it.
 func (s *Store) finishOrphans(shardIndex int, ownerEpoch uint64) {
 	if s.positions.finishOrphans(shardIndex, ownerEpoch) {
-		s.announcer.request()
+		s.announcer.requestForPosition()
 	}
 }
--- a/internal/batchstore/settings.go
+++ b/internal/batchstore/settings.go
@@ -17,8 +17,8 @@
 	RetainFinished clock.Micros
 	// HeartbeatEvery is the interval of the heartbeats to the cores; default 300 ms.
 	HeartbeatEvery clock.Micros
-	// AnnounceEvery is the shortest time between two announcements to the readers; default
-	// 15 ms.
+	// AnnounceEvery is the shortest time between two announcements of this store's position to the
+	// readers; default 15 ms. Shards that it begins or ceases to serve are announced within 15 ms.
 	AnnounceEvery clock.Micros
 	// DiskTimeout is how long a write may take before the disk counts as stalled; default
 	// 1.5 s.
--- a/internal/batchstore/token/known_positions.go
+++ b/internal/batchstore/token/known_positions.go
@@ -57,6 +57,18 @@
 	return true
 }
 
+// Advance takes a position that a writer has told otherwise than by an announcement, and tells
+// whether it is a later one than was known. It is ignored before the writer's first announcement.
+func (v *KnownPositions) Advance(writer int, persistedUpTo int64) bool {
+	a, known := v.announcements[writer]
+	if !known || persistedUpTo <= a.PersistedUpTo {
+		return false
+	}
+	a.PersistedUpTo = persistedUpTo
+	v.announcements[writer] = a
+	return true
+}
+
 // Owner is the owner of a shard, by the highest epoch announced; false while the map has a
 // higher epoch whose owner has not announced itself yet.
 func (v *KnownPositions) Owner(shard int) (Owner, bool) {
--- a/internal/dataplane/reader/fetch.go
+++ b/internal/dataplane/reader/fetch.go
@@ -23,17 +23,31 @@
 	r.fetchFeed(request, timeout, now, callback)
 }
 
-// fetchBatch reads one batch's results, after a token or from an index on.
+// fetchBatch reads one batch's results, after a token or from an index on. Where there are none as
+// far as this daemon knows the writer's position, and the store tells a later one, it reads once
+// more.
 func (r *Reader) fetchBatch(request Request, timeout, now clock.Micros, callback func(Page, error, clock.Micros)) {
+	r.fetchBatchOnce(request, timeout, now, func(page Page, isPositionNew bool, err error, now clock.Micros) {
+		if err != nil || page.isReady() || !isPositionNew {
+			callback(page, err, now)
+			return
+		}
+		r.fetchBatchOnce(request, timeout, now, func(page Page, _ bool, err error, now clock.Micros) { callback(page, err, now) })
+	})
+}
+
+// fetchBatchOnce asks the batch's store once, and tells whether that told a later position than was
+// known.
+func (r *Reader) fetchBatchOnce(request Request, timeout, now clock.Micros, callback func(page Page, isPositionNew bool, err error, now clock.Micros)) {
 	shardIndex, owner, err := r.Locate(request.BatchID)
 	if err != nil {
-		callback(Page{}, err, now)
+		callback(Page{}, false, err, now)
 		return
 	}
 	scope := tokenScope(r.shardMap.Fleet, request.BatchID)
 	from, err := token.Parse(scope, request.Token)
 	if err != nil {
-		callback(Page{}, err, now)
+		callback(Page{}, false, err, now)
 		return
 	}
 	after := from.Vector()
@@ -41,7 +55,7 @@
 	r.calls.Request(owner.Peer, read, timeout, func(body any, err error, now clock.Micros) {
 		response, err := readResponse(body, err)
 		if err != nil {
-			callback(Page{}, err, now)
+			callback(Page{}, false, err, now)
 			return
 		}
 		page := batchPage(response)
@@ -49,7 +63,7 @@
 			advance(after, response.Results)
 			page.NextToken = token.NewToken(scope, after).String()
 		}
-		callback(page, nil, now)
+		callback(page, r.positions.Advance(response.Writer, response.PersistedUpTo), nil, now)
 	})
 }
 
--- a/internal/dataplane/reader/reader.go
+++ b/internal/dataplane/reader/reader.go
@@ -36,6 +36,10 @@
 	// 40 ms. Every store announces its positions often, and many reads must not poll at
 	// each announcement.
 	MinPollInterval clock.Micros
+	// PollInterval is after how long a read of a batch that waits is polled again though nothing
+	// was announced; 0, the default: it is not. Stores may announce their positions seldom, since
+	// each announcement goes to every daemon; a poll brings the position of the one that matters.
+	PollInterval clock.Micros
 	// InjectedFaults are set by tests only.
 	InjectedFaults InjectedFaults
 
--- a/internal/dataplane/reader/wakeups.go
+++ b/internal/dataplane/reader/wakeups.go
@@ -138,8 +138,11 @@
 			p.callback(page, err, now)
 			return
 		}
-		if mayRetry {
+		switch {
+		case mayRetry:
 			p.pollAt = now + transferPollInterval
+		case r.PollInterval > 0 && p.pollAt == 0 && p.BatchID != "":
+			p.pollAt = now + r.PollInterval
 		}
 	})
 }
