Batch items: places shared out among stores add up, and stores know what others run

Change: the servers' places for items are listed in one order, zone by zone, and each store has a part of them by its demand; the parts add up to the places, however many stores there are, and lie in few zones.

--- a/internal/daemon/machines/demand_test.go
+++ b/internal/daemon/machines/demand_test.go
@@ -1,26 +1,65 @@
 package machines
 
 import (
+	"maps"
 	"slices"
 	"testing"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/dataplane/scheduler"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
 )
 
-// The shares follow the demands, add up to one, and forget stores that are unreachable.
-func TestSharesFollowDemands(t *testing.T) {
+func testStore(id, zone string) membership.Member {
+	return membership.Member{ID: id, Kind: membership.Store, Zone: zone, Peer: "p" + id}
+}
+
+// The parts follow the demands, in the order of the stores' zones, and don't overlap. A live store
+// that is not heard counts as much as this one.
+func TestAllotmentsFollowDemands(t *testing.T) {
+	members := map[string]membership.Member{
+		"a": testStore("a", "z2"), "b": testStore("b", "z1"), "c": testStore("c", "z3"), "d": testStore("d", "z2"),
+		"e": {ID: "e", Kind: membership.Edge, Zone: "z1"}, "f": {ID: "f", Kind: membership.Store, Zone: "z1", Status: membership.Dead},
+	}
 	d := demandTracker{self: "a", others: map[string]demand{}}
-	if got := d.share(0, 1); got != 1 {
-		t.Fatalf("alone: %v", got)
+	if got := d.allotment(0, nil, 1); got != (scheduler.BatchAllotment{Size: 1, Total: 1}) {
+		t.Fatalf("alone: %+v", got)
+	}
+	if got := d.allotment(40, members, 1); got != (scheduler.BatchAllotment{Offset: 40, Size: 40, Total: 160}) {
+		t.Fatalf("nothing was heard: %+v", got)
 	}
 	d.receive(Demand{ID: "b", Items: 60}, 1)
-	if got := d.share(20, 2); got != 0.25 {
-		t.Fatalf("20 of 80: %v", got)
+	d.receive(Demand{ID: "c", Items: 90}, 1)
+	d.receive(Demand{ID: "d", Items: 10}, 1)
+	if got := d.allotment(40, members, 2); got != (scheduler.BatchAllotment{Offset: 60, Size: 40, Total: 200}) {
+		t.Fatalf("40 of 200, behind the 60 of an earlier zone: %+v", got)
+	}
+	d.receive(Demand{ID: "b", Items: 0}, 3)
+	if got := d.allotment(40, members, 4); got != (scheduler.BatchAllotment{Offset: 0, Size: 40, Total: 140}) {
+		t.Fatalf("40 of 140: %+v", got)
 	}
-	if got := d.share(20, 2+demandTTL); got != 1 {
-		t.Fatalf("b is unreachable: %v", got)
+	if got := d.allotment(40, members, 4+demandTTL); got != (scheduler.BatchAllotment{Offset: 40, Size: 40, Total: 160}) {
+		t.Fatalf("nothing was heard for long: %+v", got)
+	}
+}
+
+// What other stores run is known by the server, and forgotten with their demands.
+func TestItemsOfOtherStoresAreCounted(t *testing.T) {
+	d := demandTracker{self: "a", others: map[string]demand{}}
+	d.receive(Demand{ID: "b", Items: 9, Running: []ServerItems{{hashServer("s1"), 2}, {hashServer("s2"), 1}}}, 1)
+	d.receive(Demand{ID: "c", Items: 9, Running: []ServerItems{{hashServer("s1"), 3}, {hashServer("unknown here"), 1}}}, 1)
+	servers := []string{"s1", "s2", "s3"}
+	if got := d.runningElsewhere(servers); !maps.Equal(got, map[string]int{"s1": 5, "s2": 1}) {
+		t.Errorf("counted are %v", got)
+	}
+	d.receive(Demand{ID: "c", Items: 9}, 2)
+	if got := d.runningElsewhere(servers); !maps.Equal(got, map[string]int{"s1": 2, "s2": 1}) {
+		t.Errorf("counted are %v", got)
+	}
+	d.forgetOld(3 + demandTTL)
+	if got := d.runningElsewhere(servers); len(got) > 0 {
+		t.Errorf("counted are %v", got)
 	}
 }
 
@@ -38,19 +77,23 @@
 	for _, test := range []struct {
 		name      string
 		own       int
+		running   map[string]int
 		at        clock.Micros
 		announced bool
 	}{
-		{"the first demand", 5, start, true},
-		{"a change too soon", 6, start + 1, false},
-		{"a change", 6, start + minDemandInterval, true},
-		{"no change", 6, start + 2*minDemandInterval, false},
-		{"no change for long", 6, start + minDemandInterval + maxDemandInterval, true},
+		{"the first demand", 5, nil, start, true},
+		{"a change too soon", 6, nil, start + 1, false},
+		{"a change", 6, nil, start + minDemandInterval, true},
+		{"no change", 6, nil, start + 2*minDemandInterval, false},
+		{"another server", 6, map[string]int{"s": 1}, start + 3*minDemandInterval, true},
+		{"no change again", 6, map[string]int{"s": 1}, start + 4*minDemandInterval, false},
+		{"no change for long", 6, map[string]int{"s": 1}, start + 3*minDemandInterval + maxDemandInterval, true},
 	} {
 		var sentTo []string
-		d.announce(test.own, members, func(e machine.Effect) { sentTo = append(sentTo, e.(machine.Send).To) }, test.at)
+		d.announce(test.own, test.running, members, func(e machine.Effect) { sentTo = append(sentTo, e.(machine.Send).To) }, test.at)
 		if test.announced && !slices.Equal(sentTo, []string{"pb"}) || !test.announced && len(sentTo) > 0 {
 			t.Errorf("%s: sent to %q", test.name, sentTo)
 		}
 	}
+
 }
--- a/internal/daemon/machines/store.go
+++ b/internal/daemon/machines/store.go
@@ -22,7 +22,7 @@
 }
 
 // demandInterval is how often the demand of all stores is compared.
-const demandInterval = 100 * clock.Millisecond
+const demandInterval = 50 * clock.Millisecond
 
 // schedulerQueueMargin is how many requests more than twice the store's items the
 // scheduler may queue: the store's own limit rejects first.
@@ -153,13 +153,20 @@
 	s.apply(batchstore.Call{Number: number, Body: body}, now)
 }
 
+// shareCapacity tells the other stores what this one has to run, and goes by what they told.
+func (s *Store) shareCapacity(now clock.Micros) {
+	pending := s.Runner.Pending()
+	s.demands.announce(pending, s.Scheduler.RunningBatchItems(), s.members, s.Calls.Emit, now)
+	s.Scheduler.SetBatchAllotment(s.demands.allotment(pending, s.members, now))
+	s.Scheduler.SetOtherBatchItems(s.demands.runningElsewhere(s.Scheduler.ServerNames()))
+}
+
 // Tick runs the duties that are due.
 func (s *Store) Tick(now clock.Micros) []machine.Effect {
 	s.apply(batchstore.Tick{}, now)
 	if now >= s.nextDemandUpdate {
 		s.nextDemandUpdate = now + demandInterval
-		s.demands.announce(s.Runner.Pending(), s.members, s.Calls.Emit, now)
-		s.Scheduler.SetBatchShare(s.demands.share(s.Runner.Pending(), now))
+		s.shareCapacity(now)
 	}
 	s.Runner.Tick(now)
 	s.Quota.Tick(now)
--- a/internal/dataplane/scheduler/choose.go
+++ b/internal/dataplane/scheduler/choose.go
@@ -103,7 +103,7 @@
 	}
 	if s.request.IsBatchItem && s.request.Route.Forward != nil {
 		out.BatchUsage = &scoring.BatchUsage{
-			Share:      sc.batchShare,
+			Limit:      sc.batchLimit(server.server),
 			Window:     server.batchWindow.capacity(),
 			Running:    server.runningBatchItems,
 			Prefilling: server.prefillingBatchItems,
--- a/internal/dataplane/scheduler/scheduler.go
+++ b/internal/dataplane/scheduler/scheduler.go
@@ -59,11 +59,12 @@
 	retries       retryBudget
 	random        *rand.Rand // breaks ties between servers
 
-	serverOffset      float64      // where this daemon's rotation of servers begins, 0 to 1
-	batchShare        float64      // this daemon's share of the servers' capacity for batch items, 0 to 1
-	runningBatchItems int          // batch items that this daemon has running
-	freshAsOf         clock.Micros // this daemon's updates are complete up to here
-	changed           bool         // another Match may assign something
+	serverOffset      float64        // where this daemon's rotation of servers begins, 0 to 1
+	batchLimits       map[string]int // batch items that this daemon may have on a server, by its name; nil: any number
+	otherBatchItems   map[string]int // batch items of other daemons that run on a server, by its name, as far as known
+	runningBatchItems int            // batch items that this daemon has running
+	freshAsOf         clock.Micros   // this daemon's updates are complete up to here
+	changed           bool           // another Match may assign something
 	closed            bool
 }
 
@@ -78,7 +79,6 @@
 		assignments: retryafter.Estimator{MaxSamples: assignmentSamples},
 		retries:     newRetryBudget(),
 		random:      rand.New(rand.NewSource(seed)),
-		batchShare:  1,
 	}
 }
 
@@ -92,13 +92,6 @@
 // Daemons begin at different servers, so that their choices seldom meet.
 func (sc *Scheduler) SetServerOffset(offset float64) { sc.serverOffset = offset }
 
-// SetBatchShare says which share, from 0 to 1, of the servers' capacity for batch
-// items is this daemon's.
-func (sc *Scheduler) SetBatchShare(share float64) {
-	sc.batchShare = share
-	sc.changed = true
-}
-
 // AdvanceFreshness says up to when this daemon's updates are complete.
 func (sc *Scheduler) AdvanceFreshness(asOf clock.Micros) {
 	sc.freshAsOf = max(sc.freshAsOf, asOf)
--- a/internal/dataplane/scheduler/server.go
+++ b/internal/dataplane/scheduler/server.go
@@ -99,6 +99,9 @@
 	return out
 }
 
+// ServerNames are the names of the servers known here, in no order.
+func (sc *Scheduler) ServerNames() []string { return slices.Collect(maps.Keys(sc.servers)) }
+
 // Snapshot is this daemon's view of the servers, by name, and the queued weight of each
 // tenant, for the operators.
 func (sc *Scheduler) Snapshot() (servers []ServerSnapshot, queuedWeights map[string]int) {
--- a/internal/dataplane/scoring/candidate.go
+++ b/internal/dataplane/scoring/candidate.go
@@ -1,10 +1,6 @@
 package scoring
 
-import (
-	"math"
-
-	"tuliprudder/internal/clock"
-)
+import "tuliprudder/internal/clock"
 
 // Candidate is what is known of a server when a request looks for one. "Own" requests
 // are those of this daemon.
@@ -38,10 +34,10 @@
 // BatchUsage is what one store's batch items take of a server. Each store keeps to its
 // share, so that all together leave capacity for live requests.
 type BatchUsage struct {
-	Share      float64 // this store's part of what all batch items may take, 0 to 1
-	Window     int     // how many the server begins without delay; 0: unknown
-	Running    int     // this store's items on the server
-	Prefilling int     // those of them without a first event
+	Limit      int // this store's items that the server may run
+	Window     int // how many the server begins without delay; 0: unknown
+	Running    int // this store's items on the server
+	Prefilling int // those of them without a first event
 }
 
 // Requirements are what a request needs of a server; "" for anything.
@@ -53,10 +49,3 @@
 
 // utilization is the estimated load in requests per slot. Slots must be positive.
 func (c Candidate) utilization() float64 { return float64(c.Load()) / float64(c.Slots) }
-
-// batchLimit is how many items of this store the server may run: the store's share of
-// the slots below the limit, at least one.
-func (c Candidate) batchLimit() int {
-	share := c.UtilizationLimit * float64(c.Slots) * c.BatchUsage.Share
-	return max(1, int(math.Round(share)))
-}
--- a/internal/dataplane/scoring/scorers.go
+++ b/internal/dataplane/scoring/scorers.go
@@ -66,7 +66,7 @@
 		return 0, "prefills a batch item"
 	case usage.Window > 0 && usage.Running >= usage.Window:
 		return 0, "the congestion window for batch items is full"
-	case usage.Running >= c.batchLimit():
+	case usage.Running >= usage.Limit:
 		return 0, "this store's share for batch items is full"
 	default:
 		return 0, ""
--- a/internal/dataplane/scoring/scorers_test.go
+++ b/internal/dataplane/scoring/scorers_test.go
@@ -6,62 +6,31 @@
 	"tuliprudder/internal/clock"
 )
 
-// A store's items keep to its share of a server: as many as its share of the capacity
-// holds, at least one, and one at a time in prefill. Other requests are not concerned.
+// A store's items keep to the places that it has on a server, and one at a time is in prefill. Other
+// requests are not concerned.
 func TestBatchShare(t *testing.T) {
 	for name, c := range map[string]struct {
 		usage    *BatchUsage
-		limit    float64
-		slots    int
 		excluded bool
 	}{
-		"no item":                   {nil, 0.75, 16, false},
-		"all of it, capacity left":  {&BatchUsage{Share: 1, Running: 11}, 0.75, 16, false},
-		"all of it, full":           {&BatchUsage{Share: 1, Running: 12}, 0.75, 16, true},
-		"a third, capacity left":    {&BatchUsage{Share: 1.0 / 3, Running: 3}, 0.75, 16, false},
-		"a third, full":             {&BatchUsage{Share: 1.0 / 3, Running: 4}, 0.75, 16, true},
-		"rounded up":                {&BatchUsage{Share: 0.3, Running: 3}, 0.75, 16, false}, // 3.6
-		"rounded down":              {&BatchUsage{Share: 0.2, Running: 2}, 0.75, 16, true},  // 2.4
-		"no share, none runs":       {&BatchUsage{Share: 0, Running: 0}, 0.75, 16, false},
-		"no share, one runs":        {&BatchUsage{Share: 0, Running: 1}, 0.75, 16, true},
-		"one in prefill":            {&BatchUsage{Share: 1, Running: 1, Prefilling: 1}, 0.75, 16, true},
-		"none in prefill":           {&BatchUsage{Share: 1, Running: 8, Prefilling: 0}, 0.75, 16, false},
-		"more than its share":       {&BatchUsage{Share: 0.5, Running: 9}, 0.75, 16, true},
-		"the window, capacity left": {&BatchUsage{Share: 1, Running: 4, Window: 5}, 0.75, 16, false},
-		"the window, full":          {&BatchUsage{Share: 1, Running: 5, Window: 5}, 0.75, 16, true},
-		"a higher limit":            {&BatchUsage{Share: 1, Running: 12}, 1, 16, false},
-		"a server with few slots":   {&BatchUsage{Share: 0.5, Running: 0}, 0.75, 1, false},
-		"the same, and it has one":  {&BatchUsage{Share: 0.5, Running: 1}, 0.75, 1, true},
+		"no item":                       {nil, false},
+		"a place left":                  {&BatchUsage{Limit: 12, Running: 11}, false},
+		"no place left":                 {&BatchUsage{Limit: 12, Running: 12}, true},
+		"more than it has places for":   {&BatchUsage{Limit: 4, Running: 9}, true},
+		"no place here":                 {&BatchUsage{Limit: 0, Running: 0}, true},
+		"one in prefill":                {&BatchUsage{Limit: 12, Running: 1, Prefilling: 1}, true},
+		"none in prefill":               {&BatchUsage{Limit: 12, Running: 8, Prefilling: 0}, false},
+		"the window, capacity left":     {&BatchUsage{Limit: 12, Running: 4, Window: 5}, false},
+		"the window, full":              {&BatchUsage{Limit: 12, Running: 5, Window: 5}, true},
+		"the window is above the limit": {&BatchUsage{Limit: 2, Running: 2, Window: 5}, true},
 	} {
-		score, reason := BatchShare(Requirements{}, Candidate{UtilizationLimit: c.limit, Slots: c.slots, BatchUsage: c.usage})
+		score, reason := BatchShare(Requirements{}, Candidate{Slots: 16, BatchUsage: c.usage})
 		if score != 0 || (reason != "") != c.excluded {
 			t.Errorf("%s: score %v, excluded as %q", name, score, reason)
 		}
 	}
 }
 
-// The shares of all stores together leave the capacity above the limit to live requests.
-func TestBatchSharesOfAllStoresAddUp(t *testing.T) {
-	for _, stores := range []int{1, 2, 3, 4} {
-		for _, slots := range []int{16, 32} {
-			running := 0
-			for range stores {
-				usage := &BatchUsage{Share: 1 / float64(stores)}
-				for {
-					if _, reason := BatchShare(Requirements{}, Candidate{UtilizationLimit: 0.75, Slots: slots, BatchUsage: usage}); reason != "" {
-						break
-					}
-					usage.Running++
-				}
-				running += usage.Running
-			}
-			if running != slots*3/4 {
-				t.Errorf("%d stores run %d items on %d slots", stores, running, slots)
-			}
-		}
-	}
-}
-
 // The more prompt tokens a server has to prefill, the lower its score; none is excluded.
 func TestPrefill(t *testing.T) {
 	before := 2.0
--- a/internal/dataplane/scoring/scoring_test.go
+++ b/internal/dataplane/scoring/scoring_test.go
@@ -19,7 +19,7 @@
 	if other, _, ok := Sum(weights, Requirements{}, unresponsive); !ok || other != sum-20 {
 		t.Errorf("an unresponsive one: %v", other)
 	}
-	healthy.BatchUsage = &BatchUsage{Share: 1, Prefilling: 1}
+	healthy.BatchUsage = &BatchUsage{Limit: 16, Prefilling: 1}
 	if _, scores, ok := Sum(weights, Requirements{}, healthy); ok || scores[len(scores)-1].Scorer != "share" || scores[len(scores)-1].ExclusionReason == "" {
 		t.Errorf("excluded by %v", scores)
 	}
