--- a/internal/gossip/digest_test.go
+++ b/internal/gossip/digest_test.go
@@ -61,7 +61,7 @@
 }
 
 // A malformed digest is passed over.
-func TestAMalformedDigestIsPassedOver(t *testing.T) {
+func TestAMalformedDigestIsPassedOver(_ *testing.T) {
 	c := newTestCluster(1, 1)
 	for _, body := range []any{Digest{Sums: make([]byte, 7)}, DigestReply{Differing: []int{-1, 3, 900}, Buckets: -2}, DigestFetch{Keys: []string{"none"}}, DigestUpdates{Stamp: 4}} {
 		c.nodes["d00"].Do(Message{From: "x", Body: body}, c.now)
