Cores keep the configuration in force on disk, and publish it at their start

The cores now write the update of the configuration down beside those of model servers (package durableupdates, formerly endpointupdates; same unit and kind on disk) and publish it as soon as they start; a newer one goes before it as always.

--- a/internal/controlplane/commands.go
+++ b/internal/controlplane/commands.go
@@ -23,8 +23,8 @@
 	// FreshnessAdvanced tells up to when this daemon's updates include what a majority of the
 	// voters for updates knew.
 	FreshnessAdvanced struct{ At clock.Micros }
-	// EndpointUpdate is an update of the platform on a model server.
-	EndpointUpdate struct{ Update machine.Update }
+	// DurableUpdate is an update that is to outlive a stop of the whole fleet.
+	DurableUpdate struct{ Update machine.Update }
 	// Message is a message that was received.
 	Message struct {
 		From string
@@ -60,7 +60,7 @@
 
 // Apply does what is due.
 func (Tick) Apply(c *Core, now clock.Micros) {
-	c.republishEndpoints()
+	c.republishUpdates()
 	c.groups.Tick(now)
 	c.election.Tick(now)
 	c.expireChanges(now)
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -9,7 +9,7 @@
 //	changequeue      the order of changes, and the decision on operators' requests
 //	placement        which stores hold which shard
 //	stores           the stores that are heard: who may join, who is evicted
-//	endpointupdates  the platform's updates on model servers, kept on disk
+//	durableupdates   updates that outlive a stop of the fleet, kept on disk
 //
 // A Core is pure: commands and the time go in, effects come out, and nothing here touches
 // a clock, a socket or a file. It is not safe for concurrent use; the daemon's event loop
@@ -23,8 +23,8 @@
 import (
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/changequeue"
+	"tuliprudder/internal/controlplane/durableupdates"
 	"tuliprudder/internal/controlplane/election"
-	"tuliprudder/internal/controlplane/endpointupdates"
 	"tuliprudder/internal/controlplane/placement"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/controlplane/stores"
@@ -51,12 +51,12 @@
 	faults   InjectedFaults
 	self     election.CoreRef
 
-	groups    *replication.Groups
-	state     *state.State
-	election  *election.Election
-	queue     changequeue.Queue
-	stores    *stores.Table
-	endpoints *endpointupdates.Table
+	groups         *replication.Groups
+	state          *state.State
+	election       *election.Election
+	queue          changequeue.Queue
+	stores         *stores.Table
+	durableUpdates *durableupdates.Table
 
 	placementMemory placement.Memory
 	nextReconcileAt clock.Micros
@@ -77,11 +77,11 @@
 // this process, seeds are the addresses of the cores that bootstrap the fleet.
 func New(self election.CoreRef, incarnation uint64, seeds []string, settings Settings, records []machine.Record) *Core {
 	c := &Core{
-		settings:  settings,
-		self:      self,
-		state:     state.New(),
-		stores:    stores.New(settings.stores()),
-		endpoints: endpointupdates.New(),
+		settings:       settings,
+		self:           self,
+		state:          state.New(),
+		stores:         stores.New(settings.stores()),
+		durableUpdates: durableupdates.New(),
 	}
 	c.groups = replication.NewGroups(&c.Effects, c)
 	identity := election.Identity{Core: self, Incarnation: incarnation, Seeds: seeds}
@@ -100,7 +100,7 @@
 		}
 		return
 	}
-	if isEndpoint, err := c.endpoints.Restore(record); isEndpoint {
+	if isEndpoint, err := c.durableUpdates.Restore(record); isEndpoint {
 		if err != nil {
 			c.BadRecord = err
 		}
@@ -126,7 +126,7 @@
 // compactedRecords are records that say the same as all written so far.
 func (c *Core) compactedRecords() []machine.Record {
 	records := []machine.Record{c.election.VoteRecord()}
-	records = append(records, c.endpoints.Records()...)
+	records = append(records, c.durableUpdates.Records()...)
 	return append(records, c.groups.CompactedRecords()...)
 }
 
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -81,7 +81,7 @@
 // what the disk itself tells, and what only makes this core know more.
 func isAllowedWithoutDisk(command Command) bool {
 	switch command := command.(type) {
-	case Persisted, DiskStateChanged, CompactAgain, Suspicion, EndpointUpdate, FreshnessAdvanced:
+	case Persisted, DiskStateChanged, CompactAgain, Suspicion, DurableUpdate, FreshnessAdvanced:
 		return true
 	case Message:
 		_, isHeartbeat := command.Body.(election.Heartbeat)
--- a/internal/controlplane/endpointupdates/table_test.go
+++ b/internal/controlplane/durableupdates/table_test.go
@@ -1,4 +1,4 @@
-package endpointupdates
+package durableupdates
 
 import (
 	"errors"
@@ -23,14 +23,17 @@
 	return records
 }
 
-func TestOnlyNewerUpdatesOfEndpointsAreWritten(t *testing.T) {
+func TestOnlyNewerUpdatesAreWritten(t *testing.T) {
 	table := New()
 	accept(t, table, update("server/a", 2), true)
 	accept(t, table, update("server/a", 2), false)
 	accept(t, table, update("server/a", 1), false)
 	accept(t, table, update("server/a", 3), true)
-	accept(t, table, update("plan", 9), false)
-	if n := len(table.Records()); n != 1 {
+	accept(t, table, update("map", 9), false)
+	accept(t, table, update("planet", 9), false)
+	accept(t, table, update("plan", 9), true)
+	accept(t, table, update("plan", 8), false)
+	if n := len(table.Records()); n != 2 {
 		t.Errorf("%d records say the same as all", n)
 	}
 }
@@ -42,13 +45,14 @@
 	old := accept(t, written, update("server/b", 1), true)
 	records := accept(t, written, update("server/b", 4), true)
 	records = append(records, accept(t, written, update("server/a", 2), true)...)
+	records = append(records, accept(t, written, update("plan", 7), true)...)
 	for _, record := range append(records, old...) {
-		if isEndpoint, err := table.Restore(record); !isEndpoint || err != nil {
-			t.Fatalf("%+v: %v %v", record, isEndpoint, err)
+		if isKept, err := table.Restore(record); !isKept || err != nil {
+			t.Fatalf("%+v: %v %v", record, isKept, err)
 		}
 	}
 	published := table.Republish()
-	if len(published) != 2 || published[0].Key != "server/a" || published[1].Key != "server/b" || published[1].Seq != 4 {
+	if len(published) != 3 || published[0].Key != "plan" || published[1].Key != "server/a" || published[2].Key != "server/b" || published[2].Seq != 4 {
 		t.Errorf("published are %+v", published)
 	}
 	if again := table.Republish(); again != nil {
@@ -58,21 +62,21 @@
 
 func TestOtherRecordsAndDamage(t *testing.T) {
 	table := New()
-	if isEndpoint, err := table.Restore(machine.Record{Unit: "core"}); isEndpoint || err != nil {
-		t.Errorf("another unit: %v %v", isEndpoint, err)
+	if isKept, err := table.Restore(machine.Record{Unit: "core"}); isKept || err != nil {
+		t.Errorf("another unit: %v %v", isKept, err)
 	}
-	if isEndpoint, err := table.Restore(machine.Record{Unit: unitEndpoints, Body: []byte("{")}); !isEndpoint || !errs.Is(err, errs.Corrupt) || errs.Of(err).Remedy == "" {
-		t.Errorf("a damaged record: %v %v", isEndpoint, err)
+	if isKept, err := table.Restore(machine.Record{Unit: unitUpdates, Body: []byte("{")}); !isKept || !errs.Is(err, errs.Corrupt) || errs.Of(err).Remedy == "" {
+		t.Errorf("a damaged record: %v %v", isKept, err)
 	}
 }
 
 func TestTheTableIsBounded(t *testing.T) {
 	table := New()
-	for i := range maxEndpoints {
+	for i := range maxUpdates {
 		accept(t, table, update(fmt.Sprint("server/", i), 1), true)
 	}
 	var limit *LimitError
-	if _, err := table.Accept(update("server/more", 1)); !errors.As(err, &limit) || limit.Endpoint != "server/more" {
+	if _, err := table.Accept(update("server/more", 1)); !errors.As(err, &limit) || limit.Key != "server/more" {
 		t.Errorf("one more: %v", err)
 	}
 	accept(t, table, update("server/0", 2), true) // a known one is still updated
--- a/internal/daemon/machines/core.go
+++ b/internal/daemon/machines/core.go
@@ -5,7 +5,7 @@
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane"
-	"tuliprudder/internal/dataplane/endpoints"
+	"tuliprudder/internal/controlplane/durableupdates"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
 )
@@ -44,8 +44,8 @@
 // UpdateReceived handles an update: addresses of other cores, status of stores.
 func (c *Core) UpdateReceived(update machine.Update, now clock.Micros) []machine.Effect {
 	out := c.reportStoreHealth(update, now)
-	if strings.HasPrefix(update.Key, endpoints.ServerPrefix) {
-		out = append(out, c.Do(controlplane.EndpointUpdate{Update: update}, now)...)
+	if durableupdates.IsKept(update.Key) {
+		out = append(out, c.Do(controlplane.DurableUpdate{Update: update}, now)...)
 	}
 	if c.cores.receive(update) {
 		out = append(out, c.Do(controlplane.CorePeers{Peers: c.cores.addresses()}, now)...)
--- a/test/storedformat/scenario_test.go
+++ b/test/storedformat/scenario_test.go
@@ -89,7 +89,7 @@
 	update := endpoints.ServerUpdate(server, machine.Update{}, 0)
 	update.Epoch, update.Seq = epoch, seq
 	for peer, core := range f.cores {
-		f.step(peer, core.Do(controlplane.EndpointUpdate{Update: update}, f.now))
+		f.step(peer, core.Do(controlplane.DurableUpdate{Update: update}, f.now))
 	}
 	f.pass(tick)
 }
