--- a/internal/daemon/machines/store.go
+++ b/internal/daemon/machines/store.go
@@ -165,10 +165,9 @@
 		Overdue: s.Scheduler.OverdueBatchItems(),
 		Tokens:  s.Runner.PendingWeight(),
 		Running: s.Scheduler.RunningBatchItems(),
-		Pace:    s.Scheduler.BatchPace(),
 	}
 	s.demands.Announce(own, s.members, s.Calls.Emit, now)
-	s.Scheduler.SetBatchAllotment(s.demands.Allotment(own, s.members, now), now)
+	s.Scheduler.SetBatchAllotment(s.demands.Allotment(own, s.members, now))
 	s.Scheduler.SetOtherBatchItems(s.demands.RunningElsewhere(s.Scheduler.ServerNames()))
 }
 
--- a/internal/daemon/program/program_test.go
+++ b/internal/daemon/program/program_test.go
@@ -40,9 +40,9 @@
 		{"edge with defaults", NewEdge(), nil, ""},
 		{"edge with the former name of a setting", NewEdge(), []string{"-scout-every-us", "100000"}, ""},
 		{"edge with a data folder", NewEdge(), []string{"-data", "/data"}, "an edge keeps nothing on disk"},
-		{"edge with an unknown mechanism off", NewEdge(), []string{"-disable", "pace"}, `no mechanism "pace"`},
+		{"edge with an unknown mechanism off", NewEdge(), []string{"-disable", "memory"}, `no mechanism "memory"`},
 		{"store with defaults", NewStore(), nil, ""},
-		{"store with an unknown mechanism off", NewStore(), []string{"-disable", "batch-pace,"}, `no mechanism ""`},
+		{"store with an unknown mechanism off", NewStore(), []string{"-disable", "batch-memory,"}, `no mechanism ""`},
 		{"store without room", NewStore(), []string{"-most-items", "0"}, "-most-items 0"},
 	}
 	for _, c := range cases {
@@ -72,7 +72,7 @@
 	}
 	store := NewStore()
 	for role, disabled := range map[Role]*mechanism.Set{edge: &edge.settings.Scheduler.Disabled, store: &store.disabled} {
-		if err := parse(role, "-disable", "batch-pace,retry-budget"); err != nil || !disabled.Has(mechanism.BatchPace) || !disabled.Has(mechanism.RetryBudget) {
+		if err := parse(role, "-disable", "batch-memory,retry-budget"); err != nil || !disabled.Has(mechanism.BatchMemory) || !disabled.Has(mechanism.RetryBudget) {
 			t.Errorf("%s: off are %v, %v", role.Name(), *disabled, err)
 		}
 	}
--- a/internal/dataplane/batchshare/messages.go
+++ b/internal/dataplane/batchshare/messages.go
@@ -14,7 +14,6 @@
 	Overdue int    // of these, queued ones that can't be ready in time
 	Tokens  int    // of the items, prompts and outputs together
 	Running []ServerItems
-	Pace    uint8 // percent of the places that should be in use, by what the store sees
 }
 
 // ServerItems is how many items of a store run on a server. The server's name is hashed: these
--- a/internal/dataplane/batchshare/tracker.go
+++ b/internal/dataplane/batchshare/tracker.go
@@ -11,7 +11,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 
 	"tuliprudder/internal/clock"
@@ -25,7 +24,6 @@
 	maxInterval    = clock.Second            // the same when nothing did
 	demandTTL      = 3 * clock.Second        // after which a store's last announcement no longer counts
 	maxServerItems = 255                     // on one server, in a message
-	percent        = 100.0
 	// itemsPerOverdue is how many overdue items count as much as one that can be ready in time.
 	itemsPerOverdue = 8
 )
@@ -36,7 +34,6 @@
 	Overdue int            // of these, queued ones that can't be ready in time
 	Tokens  int            // of the items, prompts and outputs together
 	Running map[string]int // items on servers, by the server's name
-	Pace    float64        // which part of the places should be in use, by what this store sees
 }
 
 // Tracker holds the latest demand of each other store.
@@ -98,7 +95,7 @@
 			before += part
 		}
 	}
-	return scheduler.BatchAllotment{Offset: before, Size: size, Total: total, ItemTokens: t.meanItemTokens(own), Pace: t.meanPace(own)}
+	return scheduler.BatchAllotment{Offset: before, Size: size, Total: total, ItemTokens: t.meanItemTokens(own)}
 }
 
 // partOf is the part of the places that a store's items ask for: overdue ones run only now and then.
@@ -117,15 +114,6 @@
 	return tokens / max(1, items)
 }
 
-// meanPace is the mean of the stores' paces. All use it, so that they list the same places.
-func (t *Tracker) meanPace(own Own) float64 {
-	sum := own.Pace
-	for _, other := range t.others {
-		sum += float64(other.Pace) / percent
-	}
-	return sum / float64(len(t.others)+1)
-}
-
 // RunningElsewhere counts the other stores' items on each of these servers.
 func (t *Tracker) RunningElsewhere(servers []string) map[string]int {
 	byHash := map[uint32]int{}
@@ -160,7 +148,7 @@
 }
 
 func (t *Tracker) demandOf(own Own) Demand {
-	message := Demand{ID: t.self, Items: own.Items, Overdue: own.Overdue, Tokens: own.Tokens, Pace: uint8(math.Round(own.Pace * percent))}
+	message := Demand{ID: t.self, Items: own.Items, Overdue: own.Overdue, Tokens: own.Tokens}
 	for _, name := range slices.Sorted(maps.Keys(own.Running)) {
 		message.Running = append(message.Running, ServerItems{Server: hashServer(name), Items: uint8(min(maxServerItems, own.Running[name]))})
 	}
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -20,8 +20,6 @@
 const (
 	// BatchMemory bounds batch items by servers' memory, not only by their slots.
 	BatchMemory Name = "batch-memory"
-	// BatchPace has batch items give way where requests queue at servers.
-	BatchPace Name = "batch-pace"
 	// BatchPrefillLimit bounds how many of a store's items a server prefills at a time.
 	BatchPrefillLimit Name = "batch-prefill-limit"
 	// BatchRunning has stores count the other stores' items on servers.
@@ -54,7 +52,7 @@
 // All are all names, sorted.
 func All() []Name {
 	out := []Name{
-		BatchMemory, BatchPace, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
+		BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
 		OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
 	}
 	for _, scorer := range config.ScorerNames {
--- a/internal/dataplane/mechanism/mechanism_test.go
+++ b/internal/dataplane/mechanism/mechanism_test.go
@@ -7,11 +7,11 @@
 
 func TestSetsAreParsed(t *testing.T) {
 	empty, err := Parse("")
-	if err != nil || empty.Has(BatchPace) {
+	if err != nil || empty.Has(BatchMemory) {
 		t.Fatalf("the empty set is %v, %v", empty, err)
 	}
-	set, err := Parse("batch-pace, scorer-prefix")
-	if err != nil || !set.Has(BatchPace) || !set.Has(Scorer("prefix")) || set.Has(RetryBudget) {
+	set, err := Parse("batch-memory, scorer-prefix")
+	if err != nil || !set.Has(BatchMemory) || !set.Has(Scorer("prefix")) || set.Has(RetryBudget) {
 		t.Fatalf("the set is %v, %v", set, err)
 	}
 	for _, name := range All() {
@@ -22,7 +22,7 @@
 }
 
 func TestUnknownNamesAreRejected(t *testing.T) {
-	for _, text := range []string{"pace", "batch-pace,", "scorer-leaving"} {
+	for _, text := range []string{"pace", "batch-memory,", "scorer-leaving"} {
 		_, err := Parse(text)
 		if err == nil || !strings.Contains(err.Error(), "retry-budget") {
 			t.Errorf("%q: %v", text, err)
--- a/internal/dataplane/scheduler/assignment.go
+++ b/internal/dataplane/scheduler/assignment.go
@@ -56,9 +56,6 @@
 		return
 	}
 	a.server.lastProgressAt = now
-	if a.isBatchItem {
-		a.scheduler.batch.ownPace.observeDelay(now-a.AssignedAt, now)
-	}
 	a.endPrefill()
 }
 
--- a/internal/dataplane/scheduler/batch_allotment.go
+++ b/internal/dataplane/scheduler/batch_allotment.go
@@ -18,8 +18,6 @@
 // the same places, but that each has one place at least.
 type BatchAllotment struct {
 	Offset, Size, Total int
-	// Pace is which part of the places are in use (batchPace); 0: all.
-	Pace float64
 	// ItemTokens is how many tokens an item takes of a server's memory, on average over what all
 	// daemons have to run; 0: unknown.
 	ItemTokens int
@@ -45,15 +43,11 @@
 	// itemDuration is the moving average of how long a batch item runs.
 	itemDuration  clock.Micros
 	startedOnTime int // items since the latest overdue one started
-	ownPace       batchPace
-	pace          float64 // of all daemons; 0: 1
 }
 
 // SetBatchAllotment says which part of the servers' places for batch items is this daemon's.
-func (sc *Scheduler) SetBatchAllotment(allotment BatchAllotment, now clock.Micros) {
+func (sc *Scheduler) SetBatchAllotment(allotment BatchAllotment) {
 	sc.batch.itemTokens = allotment.ItemTokens
-	sc.batch.ownPace.adjust(now)
-	sc.batch.pace = allotment.Pace
 	sc.listBatchPlaces()
 	sc.batch.ownLimits = map[string]int{}
 	for _, name := range sc.ownPlaces(allotment) {
@@ -69,14 +63,6 @@
 	return allotment.of(sc.batch.inOrder)
 }
 
-// BatchPace is the part of the places for batch items that should be in use, by what this daemon sees.
-func (sc *Scheduler) BatchPace() float64 {
-	if sc.Disables(mechanism.BatchPace) {
-		return 1
-	}
-	return sc.batch.ownPace.factor()
-}
-
 // SetOtherBatchItems says how many batch items of other daemons run on the servers, by their names.
 func (sc *Scheduler) SetOtherBatchItems(byServer map[string]int) {
 	sc.batch.elsewhere = byServer
@@ -123,10 +109,9 @@
 // servers have one more than others, so that all together have as many as they should.
 func (sc *Scheduler) placesByServer(servers []endpoints.Server) map[string]int {
 	out := make(map[string]int, len(servers))
-	pace := cmp.Or(sc.batch.pace, 1)
 	sum, listed := 0.0, 0
 	for _, server := range servers {
-		sum += max(1, sc.batchCapacity(server)) * pace
+		sum += max(1, sc.batchCapacity(server))
 		count := int(math.Round(sum)) - listed
 		listed += count
 		out[server.Name] = count
--- a/internal/dataplane/scheduler/batch_allotment_test.go
+++ b/internal/dataplane/scheduler/batch_allotment_test.go
@@ -42,7 +42,7 @@
 		running, before, shared := map[string]int{}, 0, 0 // shared: stores whose part is less than a place
 		for i, demand := range demands {
 			sc := newFleetScheduler(c.zones, c.servers, c.slots)
-			sc.SetBatchAllotment(BatchAllotment{Offset: before, Size: demand, Total: sum}, 1)
+			sc.SetBatchAllotment(BatchAllotment{Offset: before, Size: demand, Total: sum})
 			before += demand
 			if demand*places < sum {
 				shared++
@@ -75,7 +75,7 @@
 // A store's places are in as few zones as possible, and there on as many servers.
 func TestAnAllotmentIsInFewZones(t *testing.T) {
 	sc := newFleetScheduler(5, 18, 9)
-	sc.SetBatchAllotment(BatchAllotment{Offset: 113, Size: 36, Total: 567}, 1)
+	sc.SetBatchAllotment(BatchAllotment{Offset: 113, Size: 36, Total: 567})
 	if len(sc.batch.ownLimits) != 18 {
 		t.Errorf("36 places are on %d servers", len(sc.batch.ownLimits))
 	}
@@ -91,11 +91,11 @@
 	sc := newFleetScheduler(1, 3, 4)
 	sc.SetServer(endpoints.Server{Name: "server-0-00", Slots: 4, Draining: true})
 	sc.SetServer(endpoints.Server{Name: "server-0-01", Slots: 4, Removed: true})
-	sc.SetBatchAllotment(BatchAllotment{Size: 1, Total: 1}, 1)
+	sc.SetBatchAllotment(BatchAllotment{Size: 1, Total: 1})
 	if len(sc.batch.ownLimits) != 1 || sc.batch.ownLimits["server-0-02"] == 0 {
 		t.Errorf("the places are %v", sc.batch.ownLimits)
 	}
-	New(Defaults(), 1).SetBatchAllotment(BatchAllotment{Size: 1, Total: 1}, 1) // a fleet without servers
+	New(Defaults(), 1).SetBatchAllotment(BatchAllotment{Size: 1, Total: 1}) // a fleet without servers
 }
 
 // A server has no more places than its memory holds items, where the configuration names the memory;
@@ -106,7 +106,7 @@
 		want               int // places of all ten servers
 	}{
 		"the slots are fewer":    {1_000_000, 1000, 63},
-		"the memory is fewer":    {6_000, 1000, 45},
+		"the memory is fewer":    {7_000, 1000, 46},
 		"it holds less than one": {1000, 1000, 10},
 		"the memory is unknown":  {0, 1000, 63},
 		"items are unknown":      {10_000, 0, 63},
@@ -114,7 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			sc := newFleetScheduler(2, 5, 9)
 			sc.SetConfiguration(&config.Configuration{Version: 1, Pools: []config.Pool{{Name: "p", Servers: config.Selector{}, MemoryTokens: int64(c.memory)}}}, 1)
-			sc.SetBatchAllotment(BatchAllotment{Size: 1, Total: 1, ItemTokens: c.itemTokens}, 1)
+			sc.SetBatchAllotment(BatchAllotment{Size: 1, Total: 1, ItemTokens: c.itemTokens})
 			least, most := 1<<30, 0
 			for _, limit := range sc.batch.byServer {
 				least, most = min(least, limit), max(most, limit)
@@ -129,7 +129,7 @@
 // A store starts nothing where others' items have taken the places.
 func TestPlacesThatOthersHaveAreLeft(t *testing.T) {
 	sc := newFleetScheduler(1, 2, 10)
-	sc.SetBatchAllotment(BatchAllotment{Size: 1, Total: 2}, 1)
+	sc.SetBatchAllotment(BatchAllotment{Size: 1, Total: 2})
 	first, second := sc.servers["server-0-00"].server, sc.servers["server-0-01"].server
 	sc.SetOtherBatchItems(map[string]int{first.Name: 5, second.Name: 9})
 	if got := [2]int{sc.batchLimit(first), sc.batchLimit(second)}; got != [2]int{2, 0} {
--- a/internal/dataplane/scheduler/mechanism_test.go
+++ b/internal/dataplane/scheduler/mechanism_test.go
@@ -16,10 +16,6 @@
 			sc.batch.itemTokens = 1000
 			return sc.batchCapacity(endpoints.Server{Slots: 10, Labels: map[string]string{"memory": "little"}}) < 3
 		},
-		mechanism.BatchPace: func(sc *Scheduler) bool {
-			sc.batch.ownPace.reduction = 0.2
-			return sc.BatchPace() < 1
-		},
 		mechanism.BatchPrefillLimit: func(sc *Scheduler) bool {
 			return sc.batchUsage(&serverState{prefillingBatchItems: 1}).Prefilling == 1
 		},
--- a/internal/dataplane/scheduler/observation.go
+++ b/internal/dataplane/scheduler/observation.go
@@ -68,7 +68,6 @@
 		return
 	}
 	s.observeLoad(*load, now)
-	sc.batch.ownPace.observe(hasQueue(*load), now)
 	unsent := sc.unsentObservation(name)
 	unsent.Load, unsent.At = load, now
 	sc.changed = true
@@ -112,7 +111,6 @@
 	}
 	if observation.Load != nil {
 		s.observeLoad(*observation.Load, observation.At)
-		sc.batch.ownPace.observe(hasQueue(*observation.Load), now)
 	}
 	s.outcomes.add(observation.Succeeded, observation.Failed, now)
 	sc.changed = true
@@ -125,13 +123,6 @@
 	}
 }
 
-// queueDivisor says from which part of its slots on the requests that wait on a server are a queue:
-// servers count those whose prompt they prefill, and there nearly always are some.
-const queueDivisor = 8
-
-// hasQueue tells whether requests queue at a server that told this load.
-func hasQueue(load endpoints.ReportedLoad) bool { return load.Waiting*queueDivisor > load.Slots }
-
 // expectedWaiting is how many requests wait on the server by what it told: the longer ago that was,
 // the less it counts.
 func (s *serverState) expectedWaiting(now clock.Micros) float64 {
--- a/internal/dataplane/scheduler/settings.go
+++ b/internal/dataplane/scheduler/settings.go
@@ -15,7 +15,7 @@
 	// MinUtilizationLimit is the utilization of a server, requests per slot, up to
 	// which the lowest queue level may fill it (0.7).
 	MinUtilizationLimit float64
-	// BatchMemoryShare is which part of a server's memory, in tokens, batch items may take (0.75):
+	// BatchMemoryShare is which part of a server's memory, in tokens, batch items may take (0.66):
 	// a server that runs out of it takes up no request, or puts the newest one back. It counts only
 	// where the configuration names the memory.
 	BatchMemoryShare float64
@@ -47,7 +47,7 @@
 		MaxPrefixes:         4096,
 		MinUtilizationLimit: 0.7,
 		MaxUtilizationLimit: 1.3,
-		BatchMemoryShare:    0.75,
+		BatchMemoryShare:    0.66,
 		StarvationTimeout:   3 * clock.Second,
 		ServerBackoff:       300 * clock.Millisecond,
 		MaxStaleness:        2500 * clock.Millisecond,
