--- a/internal/dataplane/batchshare/messages.go
+++ b/internal/dataplane/batchshare/messages.go
@@ -1,10 +1,6 @@
 package batchshare
 
-import (
-	"hash/fnv"
-
-	"tuliprudder/internal/transport"
-)
+import "tuliprudder/internal/transport"
 
 // Demand is the message that tells how many items a store has to run, and where some run. Its type
 // and fields are on the wire.
@@ -24,9 +20,3 @@
 }
 
 func init() { transport.Register(Demand{}) }
-
-func hashServer(name string) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return h.Sum32()
-}
--- a/internal/dataplane/batchshare/tracker.go
+++ b/internal/dataplane/batchshare/tracker.go
@@ -14,6 +14,7 @@
 	"slices"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/dataplane/scheduler"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
@@ -124,7 +125,7 @@
 	}
 	out := map[string]int{}
 	for _, name := range servers {
-		if count := byHash[hashServer(name)]; count > 0 {
+		if count := byHash[endpoints.NameHash(name)]; count > 0 {
 			out[name] = count
 		}
 	}
@@ -150,7 +151,7 @@
 func (t *Tracker) demandOf(own Own) Demand {
 	message := Demand{ID: t.self, Items: own.Items, Overdue: own.Overdue, Tokens: own.Tokens}
 	for _, name := range slices.Sorted(maps.Keys(own.Running)) {
-		message.Running = append(message.Running, ServerItems{Server: hashServer(name), Items: uint8(min(maxServerItems, own.Running[name]))})
+		message.Running = append(message.Running, ServerItems{Server: endpoints.NameHash(name), Items: uint8(min(maxServerItems, own.Running[name]))})
 	}
 	return message
 }
--- a/internal/dataplane/batchshare/tracker_test.go
+++ b/internal/dataplane/batchshare/tracker_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/dataplane/scheduler"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
@@ -47,8 +48,8 @@
 // What other stores run is known by the server, and forgotten with their demands.
 func TestItemsOfOtherStoresAreCounted(t *testing.T) {
 	d := NewTracker("a")
-	d.Receive(Demand{ID: "b", Items: 9, Running: []ServerItems{{hashServer("s1"), 2}, {hashServer("s2"), 1}}}, 1)
-	d.Receive(Demand{ID: "c", Items: 9, Running: []ServerItems{{hashServer("s1"), 3}, {hashServer("unknown here"), 1}}}, 1)
+	d.Receive(Demand{ID: "b", Items: 9, Running: []ServerItems{{endpoints.NameHash("s1"), 2}, {endpoints.NameHash("s2"), 1}}}, 1)
+	d.Receive(Demand{ID: "c", Items: 9, Running: []ServerItems{{endpoints.NameHash("s1"), 3}, {endpoints.NameHash("unknown here"), 1}}}, 1)
 	servers := []string{"s1", "s2", "s3"}
 	if got := d.RunningElsewhere(servers); !maps.Equal(got, map[string]int{"s1": 5, "s2": 1}) {
 		t.Errorf("counted are %v", got)
--- a/internal/dataplane/observations/observations.go
+++ b/internal/dataplane/observations/observations.go
@@ -9,7 +9,6 @@
 package observations
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 
@@ -104,7 +103,7 @@
 func (x *Exchange) Receive(message Reports, now clock.Micros) {
 	names := map[uint32]string{}
 	for _, name := range x.scheduler.ServerNames() {
-		names[hashServer(name)] = name
+		names[endpoints.NameHash(name)] = name
 	}
 	for _, report := range message.Servers {
 		if name, known := names[report.Server]; known {
@@ -115,7 +114,7 @@
 
 func newReport(observation scheduler.Observation, now clock.Micros) Report {
 	report := Report{
-		Server:    hashServer(observation.Server),
+		Server:    endpoints.NameHash(observation.Server),
 		Succeeded: uint8(min(maxCount, observation.Succeeded)),
 		Failed:    uint8(min(maxCount, observation.Failed)),
 	}
@@ -137,9 +136,3 @@
 	}
 	return out
 }
-
-func hashServer(name string) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return h.Sum32()
-}
--- a/internal/dataplane/observations/observations_test.go
+++ b/internal/dataplane/observations/observations_test.go
@@ -54,7 +54,7 @@
 	if len(got) != 2 || len(got["pb"].Servers) != 1 || len(got["pc"].Servers) != 1 {
 		t.Fatalf("sent are %+v", got)
 	}
-	want := Report{Server: hashServer("s1"), Running: 255, Waiting: 7, Slots: 9, AgeMS: 500}
+	want := Report{Server: endpoints.NameHash("s1"), Running: 255, Waiting: 7, Slots: 9, AgeMS: 500}
 	if got["pb"].Servers[0] != want {
 		t.Errorf("sent is %+v", got["pb"].Servers[0])
 	}
@@ -65,12 +65,12 @@
 
 // A report says of a server what its sender saw, and nothing where the receiver knows no such server.
 func TestReportsAreReceived(t *testing.T) {
-	report := Report{Server: hashServer("s2"), Running: 3, Waiting: 2, Slots: 9, AgeMS: 40, Succeeded: 5, Failed: 1}
+	report := Report{Server: endpoints.NameHash("s2"), Running: 3, Waiting: 2, Slots: 9, AgeMS: 40, Succeeded: 5, Failed: 1}
 	got := report.observation("s2", start)
 	if got.Load == nil || *got.Load != (endpoints.ReportedLoad{Running: 3, Waiting: 2, Slots: 9}) || got.At != start-40*clock.Millisecond || got.Succeeded != 5 || got.Failed != 1 {
 		t.Errorf("received is %+v", got)
 	}
-	if got := (Report{Server: hashServer("s2"), Failed: 1}).observation("s2", start); got.Load != nil {
+	if got := (Report{Server: endpoints.NameHash("s2"), Failed: 1}).observation("s2", start); got.Load != nil {
 		t.Errorf("a load was received: %+v", got.Load)
 	}
 	there := newScheduler()
