--- a/internal/dataplane/scheduler/batch_allotment.go
+++ b/internal/dataplane/scheduler/batch_allotment.go
@@ -109,11 +109,11 @@
 // servers have one more than others, so that all together have as many as they should.
 func (sc *Scheduler) placesByServer(servers []endpoints.Server) map[string]int {
 	out := make(map[string]int, len(servers))
-	sum, listed := 0.0, 0
+	sum, counted := 0.0, 0
 	for _, server := range servers {
 		sum += max(1, sc.batchCapacity(server))
-		count := int(math.Round(sum)) - listed
-		listed += count
+		count := int(math.Round(sum)) - counted
+		counted += count
 		out[server.Name] = count
 	}
 	return out
@@ -121,10 +121,10 @@
 
 // listPlacesInTurn lists the places of some servers, one of each in turn.
 func (sc *Scheduler) listPlacesInTurn(servers []endpoints.Server) {
-	for round := 0; ; round++ {
+	for rank := 0; ; rank++ {
 		before := len(sc.batch.inOrder)
 		for _, server := range servers {
-			if round < sc.batch.byServer[server.Name] {
+			if rank < sc.batch.byServer[server.Name] {
 				sc.batch.inOrder = append(sc.batch.inOrder, server.Name)
 			}
 		}
--- a/internal/dataplane/scheduler/observation.go
+++ b/internal/dataplane/scheduler/observation.go
@@ -44,7 +44,7 @@
 }
 
 func (r *outcomeRate) decay(now clock.Micros) {
-	factor := halfLife(now-r.at, outcomeMemory)
+	factor := remaining(now-r.at, outcomeMemory)
 	r.succeeded *= factor
 	r.failed *= factor
 	r.at = now
@@ -56,8 +56,8 @@
 	return r.failed / (r.succeeded + r.failed + priorOutcomes)
 }
 
-// halfLife is what is left of 1 after a while.
-func halfLife(elapsed, half clock.Micros) float64 {
+// remaining is what is left of 1 after a while.
+func remaining(elapsed, half clock.Micros) float64 {
 	return math.Exp2(-float64(max(0, elapsed)) / float64(half))
 }
 
@@ -118,13 +118,13 @@
 
 // observeLoad takes a load that a server told some daemon, unless a later one is known.
 func (s *serverState) observeLoad(load endpoints.ReportedLoad, at clock.Micros) {
-	if at > s.toldAt {
-		s.told, s.toldAt = load, at
+	if at > s.reportedAt {
+		s.reported, s.reportedAt = load, at
 	}
 }
 
 // expectedWaiting is how many requests wait on the server by what it told: the longer ago that was,
 // the less it counts.
 func (s *serverState) expectedWaiting(now clock.Micros) float64 {
-	return float64(s.told.Waiting) * halfLife(now-s.toldAt, loadMemory)
+	return float64(s.reported.Waiting) * remaining(now-s.reportedAt, loadMemory)
 }
--- a/internal/dataplane/scheduler/server.go
+++ b/internal/dataplane/scheduler/server.go
@@ -30,8 +30,8 @@
 	otherRequests int            // of other daemons, at the latest load report
 
 	outcomes            outcomeRate
-	told                endpoints.ReportedLoad // the latest load that the server told a daemon of the zone
-	toldAt              clock.Micros
+	reported            endpoints.ReportedLoad // the latest load that the server told a daemon of the zone
+	reportedAt          clock.Micros
 	latency             clock.Micros // moving average of a request's duration; 0: unknown
 	consecutiveFailures int
 	backoffUntil        clock.Micros
@@ -72,7 +72,7 @@
 		s.load = endpoints.Load{}
 		s.otherRequests = 0
 		s.outcomes = outcomeRate{}
-		s.told, s.toldAt = endpoints.ReportedLoad{}, 0
+		s.reported, s.reportedAt = endpoints.ReportedLoad{}, 0
 		s.latency = 0
 		s.consecutiveFailures = 0
 		s.backoffUntil = 0
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -92,7 +92,7 @@
 func (n *Node) versionsInBuckets(differing []int, buckets int) map[string]Version {
 	out := map[string]Version{}
 	for key, update := range n.updates {
-		if _, found := slices.BinarySearch(differing, bucketOf(key, buckets)); found {
+		if _, differs := slices.BinarySearch(differing, bucketOf(key, buckets)); differs {
 			out[key] = versionOf(update)
 		}
 	}
--- a/internal/gossip/dissemination.go
+++ b/internal/gossip/dissemination.go
@@ -78,17 +78,17 @@
 	}
 	zones := n.peersByZone()
 	for _, peer := range n.samplePeersOf(zones[n.self.Zone], n.settings.Fanout) {
-		n.sendOn(peer, unsent.all())
+		n.forward(peer, unsent.all())
 	}
 	others := slices.Sorted(maps.Keys(zones))
 	others = slices.DeleteFunc(others, func(zone string) bool { return zone == n.self.Zone })
 	if len(unsent.own) > 0 {
 		for _, zone := range others {
-			n.sendOn(n.pickRandom(zones[zone]), unsent.own)
+			n.forward(n.pickRandom(zones[zone]), unsent.own)
 		}
 	}
 	if len(unsent.received) > 0 && len(others) > 0 && n.random.Intn(crossZoneDivisor) == 0 {
-		n.sendOn(n.pickRandom(zones[n.pickRandom(others)]), unsent.received)
+		n.forward(n.pickRandom(zones[n.pickRandom(others)]), unsent.received)
 	}
 }
 
@@ -117,8 +117,8 @@
 	return out
 }
 
-// sendOn sends updates to a peer, large ones by their versions alone.
-func (n *Node) sendOn(peer string, updates []machine.Update) {
+// forward sends updates to a peer, large ones by their versions alone.
+func (n *Node) forward(peer string, updates []machine.Update) {
 	var small []machine.Update
 	large := map[string]Version{}
 	for _, update := range updates {
