--- /dev/null
+++ b/test/servingsim/result.go
@@ -0,0 +1,86 @@
+package servingsim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"tuliprudder/internal/clock"
+)
+
+// Result is what came of a run.
+type Result struct {
+	Classes         map[string]*ClassResult // by the name of the live class, or of the batches' route
+	CrossZoneBytes  int                     // between daemons and servers of other zones
+	Messages        int                     // between daemons
+	Preempted       int                     // requests that a server preempted because its memory was full
+	ServerImbalance float64                 // busy time of the busiest server over the mean
+}
+
+// ClassResult counts what became of the requests, or items, of a class.
+type ClassResult struct{ Owed, InTime, Late, Failed int }
+
+// InTimeShare is which part of what was owed came in time.
+func (c ClassResult) InTimeShare() float64 { return float64(c.InTime) / float64(max(1, c.Owed)) }
+
+func (w *World) classResult(name string) *ClassResult {
+	if w.Result.Classes[name] == nil {
+		w.Result.Classes[name] = &ClassResult{}
+	}
+	return w.Result.Classes[name]
+}
+
+// bytesPerToken is a request's or an answer's size for each token, its framing included.
+const bytesPerToken = 2
+
+func bytesOf(tokens ...int) int {
+	sum := 0
+	for _, one := range tokens {
+		sum += one * bytesPerToken
+	}
+	return sum
+}
+
+func (w *World) countServerBytes(from, to string, bytes int) {
+	if from != to {
+		w.Result.CrossZoneBytes += bytes
+	}
+}
+
+// Run lets traffic come for a while, and then waits until it is over.
+func (w *World) Run(length clock.Micros) Result {
+	end := w.now + length
+	w.start(end)
+	third := length / 3
+	w.after(third, func() { w.setFailing(true) })
+	w.after(2*third, func() { w.setFailing(false) })
+	w.runUntil(end + w.Deployment.Batch.Due)
+	busiest, sum := clock.Micros(0), clock.Micros(0)
+	for _, s := range w.servers {
+		w.Result.Preempted += s.preempted
+		busiest = max(busiest, s.busyFor)
+		sum += s.busyFor
+	}
+	w.Result.ServerImbalance = float64(busiest) * float64(len(w.servers)) / float64(max(1, sum))
+	return w.Result
+}
+
+// setFailing has the first servers of each zone in turn fail, or not any more.
+func (w *World) setFailing(failing bool) {
+	names := slices.Sorted(maps.Keys(w.servers))
+	slices.SortStableFunc(names, func(a, b string) int { return strings.Compare(a[len(a)-2:], b[len(b)-2:]) })
+	for _, name := range names[:min(len(names), w.Deployment.FailingServers)] {
+		w.servers[name].failing = failing
+	}
+}
+
+// String is the result in a line.
+func (r Result) String() string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
+		c := r.Classes[name]
+		out = append(out, fmt.Sprintf("%s %.3f in time, %.3f late, %.3f failed of %d", name, c.InTimeShare(), float64(c.Late)/float64(max(1, c.Owed)), float64(c.Failed)/float64(max(1, c.Owed)), c.Owed))
+	}
+	return strings.Join(out, "; ") + fmt.Sprintf("; %d preempted, imbalance %.2f, %.1f MB between zones, %d messages", r.Preempted, r.ServerImbalance, float64(r.CrossZoneBytes)/1e6, r.Messages)
+}
--- /dev/null
+++ b/test/servingsim/store.go
@@ -0,0 +1,157 @@
+package servingsim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"tuliprudder/internal/batchstore"
+	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/dataplane/batchshare"
+	"tuliprudder/internal/dataplane/endpoints"
+	"tuliprudder/internal/dataplane/execution"
+	"tuliprudder/internal/dataplane/modelclient"
+	"tuliprudder/internal/dataplane/observations"
+	"tuliprudder/internal/dataplane/scheduler"
+	"tuliprudder/internal/machine"
+	"tuliprudder/internal/membership"
+)
+
+// store is what runs a store daemon's items: its batches are in memory, and durable at once.
+type store struct {
+	world     *World
+	id        string // its address, too
+	zone      string
+	calls     *machine.Calls
+	scheduler *scheduler.Scheduler
+	runner    *execution.Runner
+	tracker   *batchshare.Tracker
+	exchange  *observations.Exchange
+	members   map[string]membership.Member
+	nextShare clock.Micros
+	attempts  map[uint64]*server // the server of each attempt
+}
+
+// shareInterval is the time between two comparisons of the stores' demands.
+const shareInterval = 100 * clock.Millisecond
+
+func newStore(w *World, id, zone string) *store {
+	s := &store{
+		world: w, id: id, zone: zone, calls: machine.NewCalls(), tracker: batchshare.NewTracker(id),
+		members: map[string]membership.Member{}, attempts: map[uint64]*server{},
+		scheduler: scheduler.New(scheduler.Defaults(), w.random.Int63()),
+	}
+	s.scheduler.AdjustSettings(w.adjust)
+	s.scheduler.SetZone(zone)
+	s.exchange = observations.New(id, s.scheduler)
+	mayRun := func(int, string, int, clock.Micros) bool { return true }
+	s.runner = execution.New(execution.Defaults(), s.calls, s.scheduler, mayRun, s.finished)
+	w.after(clock.Micros(w.random.Int63n(int64(tickInterval))), s.tick)
+	return s
+}
+
+func (s *store) receiveUpdate(update machine.Update) {
+	switch {
+	case strings.HasPrefix(update.Key, membership.KeyPrefix):
+		if member, ok := membership.Decode(update.Value); ok {
+			s.members[member.ID] = member
+		}
+	case update.Key == state.ConfigurationKey:
+		configuration, _ := s.world.configuration(nil)
+		configuration.Version = 1
+		s.scheduler.SetConfiguration(configuration, s.world.now)
+	case strings.HasPrefix(update.Key, endpoints.ServerPrefix):
+		var server endpoints.Server
+		if json.Unmarshal(update.Value, &server) == nil {
+			s.scheduler.SetServer(server)
+		}
+	}
+}
+
+func (s *store) receive(_ string, body any) {
+	switch message := body.(type) {
+	case batchshare.Demand:
+		s.tracker.Receive(message, s.world.now)
+	case observations.Reports:
+		s.exchange.Receive(message, s.world.now)
+	}
+	s.finishStep()
+}
+
+func (s *store) tick() {
+	now := s.world.now
+	if now >= s.nextShare {
+		s.nextShare = now + shareInterval
+		own := batchshare.Own{Items: s.runner.Pending(), Overdue: s.scheduler.OverdueBatchItems(), Tokens: s.runner.PendingWeight(), Running: s.scheduler.RunningBatchItems()}
+		s.tracker.Announce(own, s.members, s.calls.Emit, now)
+		s.scheduler.SetBatchAllotment(s.tracker.Allotment(own, s.members, now))
+		s.scheduler.SetOtherBatchItems(s.tracker.RunningElsewhere(s.scheduler.ServerNames()))
+	}
+	s.runner.Tick(now)
+	s.exchange.Tick(s.members, s.calls.Emit, now)
+	s.scheduler.Match(now)
+	s.finishStep()
+	s.world.after(tickInterval, s.tick)
+}
+
+func (s *store) finishStep() {
+	s.scheduler.MatchUntilStable(s.world.now)
+	for _, effect := range s.calls.Drain() {
+		switch effect := effect.(type) {
+		case machine.Send:
+			s.world.send(s.id, s.zone, effect.To, effect.Body)
+		case machine.Execute:
+			if attempt, ok := effect.Task.(execution.Attempt); ok {
+				s.run(attempt)
+			}
+		}
+	}
+}
+
+// submit takes a batch.
+func (s *store) submit(b *batch) {
+	for i, item := range b.items {
+		s.runner.Submit(batchstore.RunItem{
+			Batch: b.id, Item: i, ItemID: fmt.Sprint(b.id, "-", i), Tenant: batchRoute, Route: batchRoute,
+			Request: &shard.Request{Tokens: int64(item.promptTokens + item.outputTokens)}, SubmittedAt: b.submittedAt, ConfigurationVersion: 1,
+		}, s.world.now)
+	}
+	s.finishStep()
+}
+
+// run sends an item to its server.
+func (s *store) run(attempt execution.Attempt) {
+	w := s.world
+	target := w.servers[attempt.ForwardedItem.Instance]
+	item := w.item(attempt.ForwardedItem.Batch, attempt.ForwardedItem.ItemID)
+	delay := w.oneWay(s.zone, target.zone)
+	w.countServerBytes(s.zone, target.zone, bytesOf(item.promptTokens, item.outputTokens))
+	j := &job{id: attempt.ForwardedItem.ItemID, promptTokens: item.promptTokens, outputTokens: item.outputTokens}
+	j.onStart = func(load serverLoad) {
+		w.after(delay, func() {
+			s.runner.HandleAttemptStarted(execution.AttemptStarted{AttemptID: attempt.ID, Load: w.reported(load)}, w.now)
+			s.finishStep()
+		})
+	}
+	j.onEnd = func(outcome jobOutcome, _ serverLoad) {
+		result := execution.AttemptResult{AttemptID: attempt.ID, Outcome: modelclient.Complete}
+		switch outcome {
+		case jobRejected:
+			result.Outcome = modelclient.NotStarted
+		case jobFailed:
+			result.Outcome, result.ServerFailed = modelclient.Interrupted, true
+		}
+		w.after(delay, func() {
+			s.runner.HandleAttemptResult(result, w.now)
+			s.finishStep()
+		})
+	}
+	w.after(delay, func() { target.submit(j) })
+}
+
+// finished takes an item's result.
+func (s *store) finished(result batchstore.ItemFinished, now clock.Micros) {
+	s.world.itemFinished(result.Batch, result.Item, result.Status == shard.StatusOK, now)
+}
