Quota: a live tenant's new account goes before the one it replaces

Cause: since an owner opens a new account where the versions of two requests leave one out. Its epoch came from what the request's client and the owner's own had heard of, which may be older than the account replaced; daemons that knew that one refused the new one, the owner dropped it, and batches were refused for 400 ms. Class: a term that doesn't rise above all that the same owner gave. Mend: the epoch is above the account's that is replaced.

--- a/internal/dataplane/quota/owner.go
+++ b/internal/dataplane/quota/owner.go
@@ -103,8 +103,14 @@
 			return nil
 		}
 	}
-	if a := q.accounts[request.key()]; a != nil && !a.isSucceeded(request, epoch) && !q.mayHaveHadNoLimit(request) {
-		return a
+	if a := q.accounts[request.key()]; a != nil {
+		if !a.isSucceeded(request, epoch) && !q.mayHaveHadNoLimit(request) {
+			return a
+		}
+		if !request.BatchesOnly {
+			// The request's client may not have heard of this one; others have.
+			epoch = max(epoch, a.ID.Epoch+1)
+		}
 	}
 	id := AccountID{Epoch: epoch, OpenedAt: now, Owner: q.self}
 	a := OpenAccount(id, request.BatchesOnly, q.queuesOf(request))
--- a/internal/dataplane/quota/owner_test.go
+++ b/internal/dataplane/quota/owner_test.go
@@ -129,3 +129,21 @@
 		t.Errorf("by a newer one: %v", err)
 	}
 }
+
+// A live tenant's new account goes before all that its owner had, also where the request's client has
+// not heard of the latest: others have, and would refuse a lower one.
+func TestANewAccountGoesBeforeTheOneItReplaces(t *testing.T) {
+	f := newFleet(1, 2, 2)
+	owner := f.daemons["edge-1"]
+	request := LeaseRequest{Tenant: "t", Report: Report{Queue: shardQueue(1), Epoch: 1, Sequence: 1}, Wanted: 10, Quota: testQuota, ConfigurationVersion: 1}
+	request.Report.Account.Epoch = 5
+	former := owner.accountOf(request, f.now)
+	owner.latestQuota(request)
+	request.Report.Account.Epoch = 1
+	request.ConfigurationVersion = 3 // the second may have set no limit
+	f.now++
+	replacement := owner.accountOf(request, f.now)
+	if replacement == former || replacement.ID.Epoch <= former.ID.Epoch {
+		t.Errorf("account %+v replaces %+v", replacement.ID, former.ID)
+	}
+}
