--- a/internal/daemon/effects/forward_test.go
+++ b/internal/daemon/effects/forward_test.go
@@ -49,7 +49,7 @@
 			Request: &shard.Request{
 				Target: "/lot/a%2Fb?c=1",
 				Host:   "lots.example",
-				Header: map[string]string{"X-Model": "m", "x-lower": "l", "X-Token-Count": "1460, 80 ,\t0012", "X-Prompt-Prefix": "5C1e07a2:800,,91bd3f06:410 ; e=\"4\""},
+				Header: map[string]string{"X-Model": "m", "x-lower": "l", "X-Sizes": "1460, 80 ,\t0012", "X-Shared-Parts": "5C1e07a2:800,,91bd3f06:410 ; e=\"4\""},
 				Body:   []byte("a\x00b"),
 			},
 		},
@@ -124,8 +124,8 @@
 		}
 		for name, value := range map[string]string{
 			"X-Model":                   "m",
-			"X-Token-Count":             "1460, 80 ,\t0012",
-			"X-Prompt-Prefix":           "5C1e07a2:800,,91bd3f06:410 ; e=\"4\"",
+			"X-Sizes":             "1460, 80 ,\t0012",
+			"X-Shared-Parts":           "5C1e07a2:800,,91bd3f06:410 ; e=\"4\"",
 			"X-Lower":                   "l",
 			testHeaderNames.RequestID:   "item-1",
 			testHeaderNames.Instance:    "s1",
--- a/internal/dataplane/gateway/proxied_request_test.go
+++ b/internal/dataplane/gateway/proxied_request_test.go
@@ -225,8 +225,8 @@
 func TestHeadersReachEachServerAsTheyCame(t *testing.T) {
 	sent := []string{
 		"X-Model", "m, M;q=\"1\"",
-		"X-Token-Count", "1460, 80 ,\t0012",
-		"X-Prompt-Prefix", "5C1e07a2:800,,91bd3f06:410 ; " + strings.Repeat("a:1,", 900),
+		"X-Sizes", "1460, 80 ,\t0012",
+		"X-Shared-Parts", "5C1e07a2:800,,91bd3f06:410 ; " + strings.Repeat("a:1,", 900),
 	}
 	var mu sync.Mutex
 	attempts := 0
