--- a/internal/daemon/effects/forward_test.go
+++ b/internal/daemon/effects/forward_test.go
@@ -124,8 +124,8 @@
 		}
 		for name, value := range map[string]string{
 			"X-Model":                   "m",
-			"X-Sizes":             "1460, 80 ,\t0012",
-			"X-Shared-Parts":           "5C1e07a2:800,,91bd3f06:410 ; e=\"4\"",
+			"X-Sizes":                   "1460, 80 ,\t0012",
+			"X-Shared-Parts":            "5C1e07a2:800,,91bd3f06:410 ; e=\"4\"",
 			"X-Lower":                   "l",
 			testHeaderNames.RequestID:   "item-1",
 			testHeaderNames.Instance:    "s1",
