--- a/cmd/hunt/main.go
+++ b/cmd/hunt/main.go
@@ -2,7 +2,7 @@
 // of the results. The bench and the tool that writes days are given by path; nothing but
 // the bench's journal entries is written into the repository, at whose root it is run.
 //
-//	hunt -bench PATH -day-tool PATH -out FOLDER [-hunt-days N] [-focus all] [-focus-days N] [-long-days N] [-long-seconds S] [-quota-days N] [-seed S] [-jobs J] SITE...
+//	hunt -bench PATH -day-tool PATH -out FOLDER [-hunt-days N] [-focus all] [-focus-days N] [-long-days N] [-long-seconds S] [-quota-days N] [-exclusive-days N] [-seed S] [-jobs J] SITE...
 //
 // Exit status: 0 when no day failed, 1 when one did, 2 on bad arguments.
 package main
@@ -68,6 +68,7 @@
 	flags.IntVar(&plan.LongDays, "long-days", 0, "longer days with each focus, on a copy of each site")
 	flags.IntVar(&plan.LongSeconds, "long-seconds", 300, "seconds of traffic of a longer day")
 	flags.IntVar(&plan.QuotaDays, "quota-days", 0, "days of each kind that press against the quota, on each site")
+	flags.IntVar(&plan.ExclusiveDays, "exclusive-days", 0, "days of each kind on which keys change and acts are performed, on each site")
 	flags.IntVar(&plan.Seed, "seed", 1, "seed of the first day with each focus; the next days count up")
 	flags.IntVar(&plan.Jobs, "jobs", 2, "days that run at once")
 	if err := flags.Parse(args); err != nil {
--- a/test/hunt/plan.go
+++ b/test/hunt/plan.go
@@ -17,21 +17,22 @@
 
 // Plan is what is run: on each site HuntDays days that the bench draws, then FocusDays days of
 // each focus, then LongDays longer days of each focus, then QuotaDays days of each kind that press
-// against the quota.
+// against the quota, and ExclusiveDays days of each kind on which keys change and acts are performed.
 type Plan struct {
-	Bench        string // path of the bench
-	DayTool      string // path of the tool that writes and runs days of a focus
-	Sites        []string
-	Focuses      []string
-	HuntDays     int
-	FocusDays    int
-	LongDays     int
-	LongSeconds  int // seconds of traffic of a long day
-	QuotaDays    int
-	Seed         int    // of the first day of each focus
-	Jobs         int    // days run at once
-	Repository   string // where the bench builds and leaves its journal
-	OutputFolder string // where days and their reports are written: outside the repository
+	Bench         string // path of the bench
+	DayTool       string // path of the tool that writes and runs days of a focus
+	Sites         []string
+	Focuses       []string
+	HuntDays      int
+	FocusDays     int
+	LongDays      int
+	LongSeconds   int // seconds of traffic of a long day
+	QuotaDays     int
+	ExclusiveDays int
+	Seed          int    // of the first day of each focus
+	Jobs          int    // days run at once
+	Repository    string // where the bench builds and leaves its journal
+	OutputFolder  string // where days and their reports are written: outside the repository
 }
 
 // ParseFocuses reads a list of focuses by comma, or "all".
@@ -73,9 +74,10 @@
 
 // checkAmount rejects a plan that plays nothing.
 func (p Plan) checkAmount() error {
-	if p.Jobs < 1 || p.HuntDays < 0 || p.FocusDays < 0 || p.LongDays < 0 || p.QuotaDays < 0 || p.HuntDays+p.FocusDays+p.LongDays+p.QuotaDays == 0 {
-		return errs.New(errs.BadSettings, "play one day or more, with one job or more", "%d hunted days, %d days a focus, %d long ones and %d a kind at the quota with %d jobs",
-			p.HuntDays, p.FocusDays, p.LongDays, p.QuotaDays, p.Jobs)
+	amounts := []int{p.HuntDays, p.FocusDays, p.LongDays, p.QuotaDays, p.ExclusiveDays}
+	if p.Jobs < 1 || slices.Min(amounts) < 0 || slices.Max(amounts) == 0 {
+		return errs.New(errs.BadSettings, "play one day or more, with one job or more", "%d hunted days, %d days a focus, %d long ones, %d a kind at the quota and %d a kind with exclusive acts, with %d jobs",
+			p.HuntDays, p.FocusDays, p.LongDays, p.QuotaDays, p.ExclusiveDays, p.Jobs)
 	}
 	if p.LongDays > 0 && p.LongSeconds < 1 {
 		return errs.New(errs.BadSettings, "give long days one second or more", "long days of %d seconds", p.LongSeconds)
--- a/test/hunt/quota_days_test.go
+++ b/test/hunt/quota_days_test.go
@@ -19,13 +19,13 @@
 		t.Fatalf("the plan has faults: %q", faults)
 	}
 	_, text := runPlan(plan)
-	for _, kind := range quotaDayKinds {
+	for _, kind := range quotaDays.kinds {
 		if want := "| site | quota " + kind.name + " | 2 | 0 | 0 | 0.800 | 0 | 0 (0) |"; !strings.Contains(text, want) {
 			t.Errorf("the table lacks %q:\n%s", want, text)
 		}
 	}
 	written, err := os.ReadFile(filepath.Join(plan.OutputFolder, "site-quota", "mixed-6.toml"))
-	if err != nil || string(written) != quotaDayText("mixed-6", quotaDayKinds[len(quotaDayKinds)-1], 6) {
+	if err != nil || string(written) != quotaDays.text("mixed-6", quotaDays.kinds[len(quotaDays.kinds)-1], 6) {
 		t.Errorf("another day was written: %s %v", written, err)
 	}
 }
@@ -33,9 +33,9 @@
 // Days of other seeds and kinds differ, and each entry has a moment and a kind.
 func TestDaysAtTheQuotaDiffer(t *testing.T) {
 	seen := map[string]string{}
-	for _, kind := range quotaDayKinds {
+	for _, kind := range quotaDays.kinds {
 		for seed := range 10 {
-			text := quotaDayText("day", kind, seed)
+			text := quotaDays.text("day", kind, seed)
 			if other, known := seen[text]; known {
 				t.Errorf("%s and %s-%d are one day", other, kind.name, seed)
 			}
--- a/test/hunt/tasks.go
+++ b/test/hunt/tasks.go
@@ -49,7 +49,8 @@
 	}
 	tasks = append(tasks, p.focusTasks(p.FocusDays, p.focusTask)...)
 	tasks = append(tasks, p.focusTasks(p.LongDays, p.longTask)...)
-	return append(tasks, p.quotaTasks()...)
+	tasks = append(tasks, p.writtenTasks(quotaDays, p.QuotaDays)...)
+	return append(tasks, p.writtenTasks(exclusiveDays, p.ExclusiveDays)...)
 }
 
 // focusTasks are a number of tasks for each site and focus.
