--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -36,11 +36,15 @@
 	Labels Labels // (labels) for the routes' selectors
 }
 
-// Tenant is a customer, known by its key.
+// Tenant is a customer, known by its API keys.
 type Tenant struct {
-	Name  string // (name) unique
-	Key   string // (key) unique, at most 256 bytes
-	Class string // (class) name of a PriorityClass
+	Name string // (name) unique
+	// Keys are the digests of its API keys (key, keys): at most 64 of at most 256 bytes, none of
+	// which another tenant has. One without keys is known, and nobody can call in its name.
+	Keys []KeyDigest
+	// Class is the name of a PriorityClass (class). The document of Parse requires it; where it
+	// is "", the tenant's forwarded requests go by their routes' priorities.
+	Class string
 }
 
 // Pool is a set of servers, chosen by their labels.
@@ -104,6 +108,12 @@
 	MaxQueuedTokens int64
 	// Split, where set, says which pools serve the route instead of Route.Pools (split).
 	Split []WeightedPools
+	// Authentication says whether requests have to carry a tenant's API key (authentication):
+	// AuthenticationNone, AuthenticationOptional or AuthenticationRequired; default: none.
+	Authentication string
+	// Priority is that of requests without a tenant, and of a tenant without a class (rank): 1 to
+	// 1000, higher goes first; default 1.
+	Priority int64
 }
 
 // WeightedPools is one part of a split route.
--- a/internal/config/lookup.go
+++ b/internal/config/lookup.go
@@ -9,7 +9,7 @@
 // index has the look-ups of a configuration; its pointers are into the configuration's
 // slices.
 type index struct {
-	tenantsByKey    map[string]*Tenant
+	tenantsByKey    map[KeyDigest]*Tenant
 	tenantsByName   map[string]*Tenant
 	classesByName   map[string]*PriorityClass
 	routesByName    map[string]*Route
@@ -20,7 +20,7 @@
 // must not be changed afterwards. Parse calls it.
 func (c *Configuration) Index() {
 	c.index = index{
-		tenantsByKey:    map[string]*Tenant{},
+		tenantsByKey:    map[KeyDigest]*Tenant{},
 		tenantsByName:   map[string]*Tenant{},
 		classesByName:   map[string]*PriorityClass{},
 		routesByName:    map[string]*Route{},
@@ -28,7 +28,9 @@
 	}
 	for i := range c.Tenants {
 		tenant := &c.Tenants[i]
-		c.index.tenantsByKey[tenant.Key] = tenant
+		for _, key := range tenant.Keys {
+			c.index.tenantsByKey[key] = tenant
+		}
 		c.index.tenantsByName[tenant.Name] = tenant
 	}
 	for i := range c.Classes {
@@ -65,13 +67,10 @@
 	return f.Host == host && strings.HasPrefix(path, f.PathPrefix)
 }
 
-// TenantByKey finds a tenant and its class by the key that a caller sends.
-func (c *Configuration) TenantByKey(key string) (*Tenant, *PriorityClass, bool) {
-	tenant := c.index.tenantsByKey[key]
-	if tenant == nil {
-		return nil, nil, false
-	}
-	return tenant, c.index.classesByName[tenant.Class], true
+// TenantByKey finds a tenant by an API key that a caller sends; nil where no tenant has it. How
+// long that takes tells nothing of the keys that there are: only digests are looked up.
+func (c *Configuration) TenantByKey(key string) *Tenant {
+	return c.index.tenantsByKey[DigestKey(key)]
 }
 
 // ClassOfTenant is the class of a tenant by name; nil when the configuration has none.
@@ -83,6 +82,15 @@
 	return c.index.classesByName[entry.Class]
 }
 
+// PriorityOf is the priority of a forwarded route's requests of a tenant ("" for none): that of the
+// tenant's class, or the route's own where the tenant has none.
+func (c *Configuration) PriorityOf(forward *Forward, tenant string) int64 {
+	if class := c.ClassOfTenant(tenant); class != nil {
+		return class.Priority
+	}
+	return forward.Priority
+}
+
 // Lookup finds a route and a tenant's class by their names; nil for what is not
 // configured.
 func (c *Configuration) Lookup(route, tenant string) (*Route, *PriorityClass) {
--- a/internal/config/lookup_test.go
+++ b/internal/config/lookup_test.go
@@ -18,14 +18,31 @@
 func TestTenantsAreFoundWithTheirClass(t *testing.T) {
 	c := Configuration{
 		Classes: []PriorityClass{{Name: "gold", Priority: 7}},
-		Tenants: []Tenant{{Name: "t", Key: "k", Class: "gold"}},
+		Tenants: []Tenant{{Name: "t", Keys: []KeyDigest{DigestKey("k"), DigestKey("l")}, Class: "gold"}, {Name: "u"}},
 	}
 	c.Index()
-	tenant, class, ok := c.TenantByKey("k")
-	if !ok || tenant.Name != "t" || class.Priority != 7 || c.ClassOfTenant("t") != class {
-		t.Errorf("found %+v of class %+v", tenant, class)
+	for _, key := range []string{"k", "l"} {
+		tenant, class := c.TenantByKey(key), c.ClassOfTenant("t")
+		if tenant == nil || tenant.Name != "t" || class == nil || class.Priority != 7 {
+			t.Errorf("key %s: found %+v of class %+v", key, tenant, class)
+		}
+	}
+	if c.TenantByKey("t") != nil || c.TenantByKey("") != nil || c.ClassOfTenant("k") != nil || c.ClassOfTenant("u") != nil {
+		t.Error("a name was taken for a key, or no key for one")
 	}
-	if _, _, ok := c.TenantByKey("t"); ok || c.ClassOfTenant("k") != nil {
-		t.Error("a name was taken for a key")
+}
+
+// A forwarded request goes by its tenant's class, and by its route where there is none.
+func TestPriorityOfForwardedRequests(t *testing.T) {
+	c := Configuration{
+		Classes: []PriorityClass{{Name: "gold", Priority: 7}},
+		Tenants: []Tenant{{Name: "t", Class: "gold"}, {Name: "u"}},
+	}
+	c.Index()
+	route := &Forward{Priority: 4}
+	for tenant, want := range map[string]int64{"t": 7, "u": 4, "": 4, "unknown": 4} {
+		if got := c.PriorityOf(route, tenant); got != want {
+			t.Errorf("%q: priority %d, not %d", tenant, got, want)
+		}
 	}
 }
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -8,7 +8,10 @@
 	"tuliprudder/internal/clock"
 )
 
-var routeKinds = []string{OneShot, Repeatable, Stream, Resumable, Batch}
+var (
+	routeKinds      = []string{OneShot, Repeatable, Stream, Resumable, Batch}
+	authentications = []string{AuthenticationNone, AuthenticationOptional, AuthenticationRequired}
+)
 
 // routeReader reads the routes of a document, which refer to its classes and pools.
 type routeReader struct {
@@ -113,6 +116,8 @@
 		CompletionWindow: f.integer("due_us", integerRange{min: clock.Millisecond, max: year}),
 		ItemRetention:    f.integer("keep_us", integerRange{min: clock.Millisecond, max: year}),
 		MaxQueuedTokens:  f.integer("most_tokens", integerRange{min: 0, max: 1 << 53}),
+		Authentication:   r.authentication(f),
+		Priority:         f.integer("rank", integerRange{min: 1, max: 1000, defaultValue: 1}),
 	}
 	if strings.ToLower(forward.Host) != forward.Host || strings.ContainsAny(forward.Host, "/ ") {
 		f.addFault("host", fmt.Sprintf("%q is no host", forward.Host), "write it in lower case, without spaces and slashes")
@@ -126,6 +131,18 @@
 	return forward
 }
 
+// authentication reads whether a forwarded route's requests have to carry a key.
+func (r *routeReader) authentication(f object) string {
+	if !f.has("authentication") {
+		return AuthenticationNone
+	}
+	kind := f.text("authentication", 32)
+	if !slices.Contains(authentications, kind) {
+		f.addFault("authentication", fmt.Sprintf("%q is unknown", kind), "give one of "+strings.Join(authentications, ", "))
+	}
+	return kind
+}
+
 func (r *routeReader) split(forward object) []WeightedPools {
 	var out []WeightedPools
 	sum := int64(0)
--- a/internal/config/routes_test.go
+++ b/internal/config/routes_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatalf("%v %v", err, errs.Of(err).Faults)
 	}
-	want := Forward{Host: "a.example", PathPrefix: "/v1/", MaxAttempts: 3, LatencyTarget: 2_000_000, MaxEventGap: 500_000, CompletionWindow: 3_600_000_000, ItemRetention: 7_200_000_000, MaxQueuedTokens: 1_000_000,
+	want := Forward{Host: "a.example", PathPrefix: "/v1/", MaxAttempts: 3, LatencyTarget: 2_000_000, MaxEventGap: 500_000, CompletionWindow: 3_600_000_000, ItemRetention: 7_200_000_000, MaxQueuedTokens: 1_000_000, Authentication: AuthenticationNone, Priority: 1,
 		Split: []WeightedPools{{Selector{"u": {"1"}}, 90}, {Selector{"u": {"2"}}, 10}, {Selector{"u": {"3"}}, 0}}}
 	if got := *configuration.Routes[1].Forward; !reflect.DeepEqual(got, want) {
 		t.Errorf("read %+v", got)
--- a/internal/config/sections.go
+++ b/internal/config/sections.go
@@ -70,15 +70,17 @@
 		classNames[class.Name] = true
 	}
 	var out []Tenant
-	names, keys := newUniqueNames("customer"), newUniqueNames("the key of")
+	names, owners := newUniqueNames("customer"), keyOwners{}
 	o.objects("customers", maxTenants, tenantFields, func(f object) {
 		tenant := Tenant{
 			Name:  f.name("name"),
-			Key:   f.requiredText("key", 256),
 			Class: f.requiredText("class", maxNameBytes),
 		}
 		names.add(o.parser, f.pathOf("name"), tenant.Name)
-		keys.add(o.parser, f.pathOf("key"), tenant.Key)
+		for _, key := range f.apiKeys() {
+			owners.add(o.parser, key, tenant.Name)
+			tenant.Keys = append(tenant.Keys, key.digest)
+		}
 		if tenant.Class != "" && !classNames[tenant.Class] {
 			f.addFault("class", fmt.Sprintf("no class %q in this configuration", tenant.Class), "add it, or name one of them")
 		}
--- a/internal/config/stored_names.go
+++ b/internal/config/stored_names.go
@@ -12,6 +12,16 @@
 	Batch      = "bundle"     // batch items; each may run again elsewhere
 )
 
+// Values of a forwarded route's authentication.
+const (
+	// AuthenticationNone: keys mean nothing; the headers that carry them are forwarded like others.
+	AuthenticationNone = "none"
+	// AuthenticationOptional: the route is public. A known key names the tenant.
+	AuthenticationOptional = "optional"
+	// AuthenticationRequired: a request without a tenant's key is unauthorised.
+	AuthenticationRequired = "required"
+)
+
 // Names of the scorers that a configuration may weigh; package scoring says what each
 // one does.
 const (
@@ -48,10 +58,10 @@
 var (
 	documentFields = []string{"classes", "customers", "pools", "routes", "judges", "bounds"}
 	classFields    = []string{"name", "rank", "allowance", "labels"}
-	tenantFields   = []string{"name", "key", "class"}
+	tenantFields   = []string{"name", "key", "keys", "class"}
 	poolFields     = []string{"name", "labels", "servers"}
 	routeFields    = []string{"name", "kind", "labels", "classes", "pools", "model", "adapter", "weights", "prefix", "max_tokens", "expiry_us", "most_items", "forward"}
-	forwardFields  = []string{"host", "path_prefix", "tries", "aim_us", "gap_us", "due_us", "keep_us", "most_tokens", "split"}
+	forwardFields  = []string{"host", "path_prefix", "tries", "aim_us", "gap_us", "due_us", "keep_us", "most_tokens", "split", "authentication", "rank"}
 	splitFields    = []string{"pools", "share"}
 	limitsFields   = []string{"header_bytes", "body_bytes", "header_wait_us", "idle_wait_us"}
 )
--- a/internal/dataplane/requests/authorization.go
+++ b/internal/dataplane/requests/authorization.go
@@ -31,10 +31,14 @@
 	if apiKey == "" {
 		return caller{}, errs.New(errs.Unauthorised, "send the header Authorization: Bearer KEY", "the request carries no API key")
 	}
-	tenant, class, ok := configuration.TenantByKey(apiKey)
-	if !ok {
+	tenant := configuration.TenantByKey(apiKey)
+	if tenant == nil {
 		return caller{}, errs.New(errs.Unauthorised, "check the key, or have the operators add the tenant to the configuration", "no tenant has this API key")
 	}
+	class := configuration.ClassOfTenant(tenant.Name)
+	if class == nil {
+		return caller{}, errs.New(errs.Unauthorised, "have the operators give the tenant a priority class", "the tenant has no priority class, so only forwarding routes are open to it")
+	}
 	return caller{configuration: configuration, tenant: tenant, class: class}, nil
 }
 
--- a/internal/dataplane/requests/harness_test.go
+++ b/internal/dataplane/requests/harness_test.go
@@ -28,7 +28,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, machineCalls: machine.NewCalls(), now: clock.Second}
 	sched, r := scheduler.New(scheduler.Defaults(), 1), reader.New(b.machineCalls)
-	configuration := &config.Configuration{Version: 3, Classes: []config.PriorityClass{{Name: "a", Priority: 1, Quota: 9}}, Tenants: []config.Tenant{{Name: "c", Key: "k", Class: "a"}},
+	configuration := &config.Configuration{Version: 3, Classes: []config.PriorityClass{{Name: "a", Priority: 1, Quota: 9}}, Tenants: []config.Tenant{{Name: "c", Keys: []config.KeyDigest{config.DigestKey("k")}, Class: "a"}},
 		Routes: []config.Route{{Name: "r", Kind: config.Batch, Forward: &config.Forward{}}, {Name: "live", Kind: config.OneShot, Forward: &config.Forward{}},
 			{Name: "chat", Kind: config.Batch, Classes: config.Selector{}, MaxItems: 9}}}
 	configuration.Index()
--- a/internal/dataplane/scheduler/configuration_test.go
+++ b/internal/dataplane/scheduler/configuration_test.go
@@ -12,7 +12,7 @@
 	f := newFixture(t, newServer("s", 4))
 	configuration := &config.Configuration{Version: 2, ScorerWeights: f.Configuration().ScorerWeights, Pools: f.Configuration().Pools,
 		Classes: []config.PriorityClass{{Name: "a9", Priority: 9, Quota: 1}},
-		Tenants: []config.Tenant{{Name: "c1", Key: "k", Class: "a9"}},
+		Tenants: []config.Tenant{{Name: "c1", Keys: []config.KeyDigest{config.DigestKey("k")}, Class: "a9"}},
 		Routes:  []config.Route{{Name: "c1", Kind: config.Batch, Forward: &config.Forward{}}, {Name: "c2", Kind: config.Batch, Forward: &config.Forward{}}}}
 	configuration.Index()
 	f.SetConfiguration(configuration, f.now)
--- a/test/ci/layers_test.go
+++ b/test/ci/layers_test.go
@@ -43,6 +43,8 @@
 	// A replication group replicates a state that it does not know, to members that are assigned
 	// to it.
 	{"replication", []string{"internal/replication"}},
+	// Permits for acts are part of the control state; what the acts are it does not know.
+	{"exclusive acts", []string{"internal/exclusive"}},
 	// The control state is the data that the control plane replicates and publishes; stores and
 	// the data plane read it without the machine that decides on it.
 	{"control state", []string{"internal/controlplane/state"}},
