--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -6,6 +6,9 @@
 	"tuliprudder/internal/errs"
 )
 
+// noTenant stands for the tenant of a request that belongs to none.
+const noTenant = ""
+
 // IsIdempotent tells whether the requests of a route may run more than once.
 func IsIdempotent(route *config.Route) bool {
 	return route.Kind == config.Repeatable || route.Kind == config.Resumable
@@ -33,11 +36,9 @@
 		route:          route,
 		call:           call,
 		deadline:       deadline(request, route, now),
+		priority:       configuration.PriorityOf(route.Forward, noTenant),
 		avoidedServers: map[string]int{},
 	}
-	if class := configuration.ClassOfTenant(route.Name); class != nil {
-		r.priority = class.Priority
-	}
 	p.inFlight[request.ID] = r
 	p.scheduleAttempt(r, nil, now)
 }
--- a/internal/dataplane/proxy/attempts_test.go
+++ b/internal/dataplane/proxy/attempts_test.go
@@ -277,12 +277,8 @@
 // is not in flight is answered with an error.
 func TestPriorityAndUnknownRequests(t *testing.T) {
 	low, high := newRoute(config.OneShot, 1), newRoute(config.Repeatable, 1)
+	low.Forward.Priority, high.Forward.Priority = 1, 9
 	b := newBench(t, nil, low, high)
-	configuration := *b.scheduler.Configuration()
-	configuration.Version, configuration.Classes = 2, []config.PriorityClass{{Name: "low", Priority: 1}, {Name: "high", Priority: 9}}
-	configuration.Tenants = []config.Tenant{{Name: low.Name, Class: "low"}, {Name: high.Name, Class: "high"}}
-	configuration.Index()
-	b.scheduler.SetConfiguration(&configuration, b.now)
 	first, second := b.submit("low", config.OneShot), b.submit("high", config.Repeatable)
 	b.addServer("only", "a", 1)
 	b.collectReplies()
@@ -334,7 +330,7 @@
 	call := b.submit("o", config.OneShot)
 	other := newRoute(config.Stream, 1)
 	configuration := &config.Configuration{Version: 2, Routes: []config.Route{other}}
-	addTenants(configuration)
+	configuration.Index()
 	b.scheduler.SetConfiguration(configuration, b.now)
 	b.collectReplies()
 	if got := b.outcomeOf(call); got != string(errs.UnknownRoute) {
--- a/internal/dataplane/proxy/fairness_test.go
+++ b/internal/dataplane/proxy/fairness_test.go
@@ -97,9 +97,9 @@
 	for step := range steps {
 		if step == steps/3 {
 			later := newRoute(config.Repeatable, 2)
-			later.Name, later.Forward = "r-later", &config.Forward{Host: "later", PathPrefix: "/x/", MaxAttempts: 2, LatencyTarget: later.Forward.LatencyTarget}
+			later.Name, later.Forward = "r-later", &config.Forward{Host: "later", PathPrefix: "/x/", MaxAttempts: 2, LatencyTarget: later.Forward.LatencyTarget, Priority: later.Forward.Priority}
 			configuration := &config.Configuration{Version: 2, ScorerWeights: c.scheduler.Configuration().ScorerWeights, Pools: c.scheduler.Configuration().Pools, Routes: append(append([]config.Route(nil), routes...), later)}
-			addTenants(configuration)
+			configuration.Index()
 			c.scheduler.SetConfiguration(configuration, c.now)
 			hosts = append(append([]string(nil), kinds...), "later")
 		}
--- a/internal/dataplane/proxy/harness_test.go
+++ b/internal/dataplane/proxy/harness_test.go
@@ -38,7 +38,7 @@
 		for _, pool := range []string{"a", "b"} {
 			configuration.Pools = append(configuration.Pools, config.Pool{Name: pool, Labels: config.Labels{"u": pool}, Servers: config.Selector{"pool": {pool}}})
 		}
-		addTenants(configuration)
+		configuration.Index()
 		b.scheduler.SetConfiguration(configuration, b.now)
 	}
 	for i, pool := range servers {
@@ -47,15 +47,6 @@
 	return b
 }
 
-// addTenants gives a configuration's routes the tenants and the class they stand for.
-func addTenants(configuration *config.Configuration) {
-	configuration.Classes = append(configuration.Classes, config.PriorityClass{Name: "c", Priority: 5})
-	for _, route := range configuration.Routes {
-		configuration.Tenants = append(configuration.Tenants, config.Tenant{Name: route.Name, Class: "c"})
-	}
-	configuration.Index()
-}
-
 func (b *bench) addServer(name, pool string, slots int) {
 	b.scheduler.SetServer(endpoints.Server{Name: name, Address: "at-" + name, Slots: slots, Labels: map[string]string{"pool": pool}})
 }
@@ -63,7 +54,7 @@
 // newRoute is one of a kind; its host is its kind.
 func newRoute(kind string, attempts int64) config.Route {
 	return config.Route{Name: "r-" + kind, Kind: kind, Pools: config.Selector{"u": {"a"}}, Timeout: 5 * clock.Second,
-		Forward: &config.Forward{Host: kind, PathPrefix: "/x/", MaxAttempts: attempts, LatencyTarget: 300 * millisecond}}
+		Forward: &config.Forward{Host: kind, PathPrefix: "/x/", MaxAttempts: attempts, LatencyTarget: 300 * millisecond, Priority: 5}}
 }
 
 // send passes a message to the proxy and matches the queue, as the edge's machine does.
--- a/internal/dataplane/proxy/messages.go
+++ b/internal/dataplane/proxy/messages.go
@@ -19,6 +19,8 @@
 	ID string
 	// Host and Path select the route. Host comes without a port, Path escaped.
 	Host, Path string
+	// APIKey is the tenant's API key that it carries; "" for none. It is never logged or listed.
+	APIKey string
 	// ReceivedAt is when its head arrived; 0 means now.
 	ReceivedAt clock.Micros
 	// CallerTimeout is how long the caller waits for the response; 0 if it did not say.
--- a/internal/dataplane/scheduler/levels.go
+++ b/internal/dataplane/scheduler/levels.go
@@ -22,13 +22,19 @@
 	return liveLevel(r.Priority)
 }
 
-// levelTable lists the levels that a configuration's classes have, lowest first.
+// levelTable lists the levels that a configuration's classes and forwarded routes have, lowest first.
 type levelTable []int64
 
 func newLevelTable(configuration *config.Configuration) levelTable {
 	var out levelTable
+	add := func(priority int64) { out = append(out, batchLevel(priority), liveLevel(priority)) }
 	for _, class := range configuration.Classes {
-		out = append(out, batchLevel(class.Priority), liveLevel(class.Priority))
+		add(class.Priority)
+	}
+	for _, route := range configuration.Routes {
+		if route.Forward != nil {
+			add(route.Forward.Priority)
+		}
 	}
 	slices.Sort(out)
 	return slices.Compact(out)
--- a/internal/dataplane/scheduler/levels_test.go
+++ b/internal/dataplane/scheduler/levels_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 
 	"tuliprudder/internal/clock"
@@ -32,6 +33,15 @@
 	}
 }
 
+// A forwarded route's own priority is a level, as that of a class is.
+func TestForwardedRoutesHaveLevels(t *testing.T) {
+	table := newLevelTable(&config.Configuration{Classes: []config.PriorityClass{{Priority: 5}},
+		Routes: []config.Route{{Forward: &config.Forward{Priority: 3}}, {}, {Forward: &config.Forward{Priority: 5}}}})
+	if want := (levelTable{batchLevel(3), liveLevel(3), batchLevel(5), liveLevel(5)}); !slices.Equal(table, want) {
+		t.Errorf("levels %v, not %v", table, want)
+	}
+}
+
 func TestLevelPositions(t *testing.T) {
 	table := newLevelTable(&config.Configuration{Classes: []config.PriorityClass{{Priority: 5}, {Priority: 1}, {Priority: 5}}})
 	for level, want := range map[int64]struct {
--- a/internal/dataplane/upstream/client.go
+++ b/internal/dataplane/upstream/client.go
@@ -44,6 +44,11 @@
 	// WeightVersion is, in a response, the version of the server's weights, a whole number; in lower case
 	// it is the name of the field of an event at which the version changes.
 	WeightVersion string
+	// Authorization is, in a caller's request, the header that carries its API key. It is never sent where
+	// callers are known by their keys (Request.IsAuthenticated).
+	Authorization string
+	// Tenant is, in a request, the name of the tenant that it belongs to.
+	Tenant string
 }
 
 // Settings of the pools; what is zero has its default.
@@ -104,6 +109,11 @@
 	// Deadline is when the request ends, the response's body included; zero for none.
 	Deadline    time.Time
 	LastEventID string
+	// IsAuthenticated: callers are known by their API keys. The headers HeaderNames.Authorization and
+	// HeaderNames.Tenant that Header has are left out then, in whatever case they are spelled, and Tenant is sent instead.
+	IsAuthenticated bool
+	// Tenant is the name of the tenant that the request belongs to; "" for none.
+	Tenant string
 	// IsHealthCheck marks a request to the server itself, such as for its health page. It goes over a
 	// new connection that isn't kept, so its response needs no ID; but one that is there has
 	// to match.
--- a/internal/dataplane/upstream/request_head.go
+++ b/internal/dataplane/upstream/request_head.go
@@ -26,6 +26,9 @@
 	b = appendOptionalField(b, c.headerNames.RequestID, req.ID)
 	b = appendOptionalField(b, c.headerNames.Instance, req.Instance)
 	b = appendOptionalField(b, c.headerNames.LastEventID, req.LastEventID)
+	if req.IsAuthenticated {
+		b = appendOptionalField(b, c.headerNames.Tenant, req.Tenant)
+	}
 	if remainingMS > 0 {
 		b = appendOptionalField(b, c.headerNames.Deadline, strconv.FormatInt(remainingMS, 10))
 	}
@@ -48,6 +51,10 @@
 			return true
 		}
 	}
+	isIdentity := strings.EqualFold(name, names.Authorization) || strings.EqualFold(name, names.Tenant)
+	if req.IsAuthenticated && isIdentity {
+		return true
+	}
 	return req.LastEventID != "" && strings.EqualFold(name, names.LastEventID)
 }
 
--- a/internal/dataplane/upstream/validate.go
+++ b/internal/dataplane/upstream/validate.go
@@ -20,7 +20,7 @@
 	if req.ID == "" && !req.IsHealthCheck {
 		return malformedError("the request has no ID")
 	}
-	for _, value := range []string{req.ID, req.Instance, req.LastEventID} {
+	for _, value := range []string{req.ID, req.Instance, req.LastEventID, req.Tenant} {
 		if !isFieldValue(value) {
 			return malformedError("the header value %q has control characters", value)
 		}
--- a/test/servingsim/deployment.go
+++ b/test/servingsim/deployment.go
@@ -170,7 +170,6 @@
 func (w *World) configuration([]byte) (*config.Configuration, error) {
 	c := &config.Configuration{
 		ScorerWeights: w.Deployment.ScorerWeights,
-		Classes:       []config.PriorityClass{{Name: "live", Priority: 1000, Quota: 1 << 40}, {Name: "batch", Priority: 998, Quota: 1 << 40}},
 		Pools:         []config.Pool{{Name: "all", Servers: config.Selector{}, MemoryTokens: int64(w.Deployment.Engine.MemoryTokens)}},
 	}
 	for _, class := range w.Deployment.Live {
@@ -180,15 +179,19 @@
 		}
 		c.Routes = append(c.Routes, config.Route{
 			Name: class.Name, Kind: kind, Timeout: class.Timeout,
-			Forward: &config.Forward{Host: class.Name, PathPrefix: "/", MaxAttempts: class.MaxAttempts, LatencyTarget: class.Target},
+			Forward: &config.Forward{Host: class.Name, PathPrefix: "/", MaxAttempts: class.MaxAttempts, LatencyTarget: class.Target, Priority: livePriority},
 		})
-		c.Tenants = append(c.Tenants, config.Tenant{Name: class.Name, Class: "live"})
 	}
-	c.Routes = append(c.Routes, config.Route{Name: batchRoute, Kind: config.Batch, MaxItems: 1000, Forward: &config.Forward{Host: batchRoute, PathPrefix: "/", MaxAttempts: 3, CompletionWindow: w.Deployment.Batch.CompletionWindow}})
-	c.Tenants = append(c.Tenants, config.Tenant{Name: batchRoute, Class: "batch"})
+	c.Routes = append(c.Routes, config.Route{Name: batchRoute, Kind: config.Batch, MaxItems: 1000, Forward: &config.Forward{Host: batchRoute, PathPrefix: "/", MaxAttempts: 3, CompletionWindow: w.Deployment.Batch.CompletionWindow, Priority: batchPriority}})
 	c.Index()
 	return c, nil
 }
 
 // batchRoute is the name of the batches' route.
 const batchRoute = "batches"
+
+// Priorities of the live routes and of the batches'.
+const (
+	livePriority  = 1000
+	batchPriority = 998
+)
