Forwarded requests need a tenant's key where the configuration asks for one; servers get the tenant, never the key

Admission looks up the route, then the key (config.Configuration.Authenticate): no route 404, no or an unknown key 401, no configuration 503. A public route asks for none, but refuses a key that no tenant has: one that was removed must not run. The priority is the tenant's, else the route's, also in the queue when a configuration comes. proxy.Attempt tells the Identity on every attempt; upstream.Client leaves the caller's headers of both names out, in any case, however often they stand there, and writes the tenant's. A configuration that begins to ask for keys between two attempts holds back the key as well.

--- /dev/null
+++ b/internal/config/authentication_test.go
@@ -0,0 +1,33 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"tuliprudder/internal/errs"
+)
+
+// Whether a request is let in goes by its route's authentication and its key. A key that no tenant has is
+// refused on a public route, too: it was meant to name somebody.
+func TestAuthenticate(t *testing.T) {
+	c := Configuration{Tenants: []Tenant{{Name: "t", Keys: []KeyDigest{DigestKey("k"), DigestKey("l")}}, {Name: "u"}}}
+	c.Index()
+	const unauthorised = "unauthorised"
+	for authentication, cases := range map[string]map[string]string{
+		"":                     {"": "", "k": "", "secret": ""},
+		AuthenticationNone:     {"": "", "k": "", "secret": ""},
+		AuthenticationOptional: {"": "", "k": "t", "l": "t", "secret": unauthorised},
+		AuthenticationRequired: {"": unauthorised, "k": "t", "l": "t", "t": unauthorised, "u": unauthorised, "secret": unauthorised},
+	} {
+		for key, want := range cases {
+			tenant, err := c.Authenticate(&Forward{Authentication: authentication}, key)
+			got := tenant
+			if errs.Is(err, errs.Unauthorised) {
+				got = unauthorised
+			}
+			if got != want || err != nil && (got != unauthorised || strings.Contains(err.Error(), "secret")) {
+				t.Errorf("authentication %q, key %q: %q, %v", authentication, key, tenant, err)
+			}
+		}
+	}
+}
--- a/internal/dataplane/gateway/proxied_request.go
+++ b/internal/dataplane/gateway/proxied_request.go
@@ -108,16 +108,18 @@
 // event that the caller has.
 func (p *proxiedRequest) upstreamRequest(attempt proxy.Attempt, remaining time.Duration) upstream.Request {
 	return upstream.Request{
-		Address:     attempt.Address,
-		Instance:    attempt.Server,
-		Method:      p.r.Method,
-		Target:      p.r.RequestURI,
-		Host:        p.r.Host,
-		ID:          p.r.Header.Get(p.forwarder.HeaderNames.RequestID),
-		Header:      p.header,
-		Body:        p.body,
-		Deadline:    time.Now().Add(remaining),
-		LastEventID: p.lastEventID,
+		Address:         attempt.Address,
+		Instance:        attempt.Server,
+		Method:          p.r.Method,
+		Target:          p.r.RequestURI,
+		Host:            p.r.Host,
+		ID:              p.r.Header.Get(p.forwarder.HeaderNames.RequestID),
+		Header:          p.header,
+		Body:            p.body,
+		Deadline:        time.Now().Add(remaining),
+		LastEventID:     p.lastEventID,
+		IsAuthenticated: attempt.Identity.IsAuthenticated,
+		Tenant:          attempt.Identity.Tenant,
 	}
 }
 
--- a/internal/dataplane/gateway/test_cluster_test.go
+++ b/internal/dataplane/gateway/test_cluster_test.go
@@ -32,7 +32,8 @@
   {"name":"brief","kind":"repeatable","classes":{},"pools":{"u":"all"},"expiry_us":300000,"forward":{"host":"h.example","path_prefix":"/brief/","tries":3}},
   {"name":"many","kind":"bundle","classes":{},"pools":{"u":"all"},"forward":{"host":"h.example","path_prefix":"/many/"}}]}`
 
-var headerNames = upstream.HeaderNames{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEventID: "Last-Event-ID", Deadline: "X-Time-Left-Ms", WantedWeights: "X-Wanted-Weights", WeightVersion: "X-Weights"}
+var headerNames = upstream.HeaderNames{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEventID: "Last-Event-ID", Deadline: "X-Time-Left-Ms", WantedWeights: "X-Wanted-Weights", WeightVersion: "X-Weights",
+	Authorization: "Authorization", Tenant: "X-Tenant"}
 
 // testCluster is an edge that forwards requests to stand-in servers.
 type testCluster struct {
@@ -47,7 +48,13 @@
 // newClusterWithServers is an edge with these servers; their names are s0, s1, ...
 func newClusterWithServers(t *testing.T, handlers ...http.HandlerFunc) *testCluster {
 	t.Helper()
-	c := newTestCluster(t, forwardConfiguration, upstream.New(headerNames, upstream.Settings{}))
+	return newConfiguredCluster(t, forwardConfiguration, handlers...)
+}
+
+// newConfiguredCluster is the same with a configuration.
+func newConfiguredCluster(t *testing.T, configurationText string, handlers ...http.HandlerFunc) *testCluster {
+	t.Helper()
+	c := newTestCluster(t, configurationText, upstream.New(headerNames, upstream.Settings{}))
 	for i, handler := range handlers {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
@@ -89,7 +96,8 @@
 		})
 		defer stop()
 		wanted, _ := strconv.ParseInt(r.Header.Get(headerNames.WantedWeights), 10, 64)
-		c.forwarder.Forward(w, r, proxy.Request{Host: r.Host, Path: r.URL.EscapedPath(), CallerTimeout: wait * clock.Millisecond, WantedWeights: wanted}, body)
+		key := strings.TrimPrefix(r.Header.Get(headerNames.Authorization), "Token ")
+		c.forwarder.Forward(w, r, proxy.Request{Host: r.Host, Path: r.URL.EscapedPath(), APIKey: key, CallerTimeout: wait * clock.Millisecond, WantedWeights: wanted}, body)
 	}))
 	t.Cleanup(c.front.Close)
 	return c
--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -6,16 +6,13 @@
 	"tuliprudder/internal/errs"
 )
 
-// noTenant stands for the tenant of a request that belongs to none.
-const noTenant = ""
-
 // IsIdempotent tells whether the requests of a route may run more than once.
 func IsIdempotent(route *config.Route) bool {
 	return route.Kind == config.Repeatable || route.Kind == config.Resumable
 }
 
-// handleRequest finds the route of a request and schedules its first attempt. Without a
-// configuration the daemon can't tell whether a route exists: it says that it is not ready.
+// handleRequest finds the route and the tenant of a request and schedules its first attempt. Without a
+// configuration the daemon can't tell whether a route or a key exists: it says that it is not ready.
 func (p *Proxy) handleRequest(call uint64, request Request, now clock.Micros) {
 	configuration := p.scheduler.Configuration()
 	if configuration == nil {
@@ -27,6 +24,11 @@
 		p.fail(call, errs.New(errs.UnknownRoute, "correct host and path, or have the operators add a route", "no route for host %q and path %q", request.Host, request.Path))
 		return
 	}
+	tenant, err := configuration.Authenticate(route.Forward, request.APIKey)
+	if err != nil {
+		p.fail(call, err)
+		return
+	}
 	if route.Kind == config.Batch {
 		p.decide(call, BatchSubmission{Route: route, Deadline: deadline(request, route, now)})
 		return
@@ -34,9 +36,10 @@
 	r := &activeRequest{
 		Request:        request,
 		route:          route,
+		identity:       Identity{IsAuthenticated: route.Forward.IsAuthenticated(), Tenant: tenant},
 		call:           call,
 		deadline:       deadline(request, route, now),
-		priority:       configuration.PriorityOf(route.Forward, noTenant),
+		priority:       configuration.PriorityOf(route.Forward, tenant),
 		avoidedServers: map[string]int{},
 	}
 	p.inFlight[request.ID] = r
--- a/internal/dataplane/proxy/attempts.go
+++ b/internal/dataplane/proxy/attempts.go
@@ -26,7 +26,7 @@
 	}
 	r.schedulerRequest = &scheduler.Request{
 		ID:             r.ID,
-		Tenant:         r.route.Name,
+		Tenant:         r.identity.Tenant,
 		Route:          r.route,
 		Priority:       r.priority,
 		Prefix:         sharedPrefix(r.PromptSegments),
@@ -97,11 +97,20 @@
 		Address:  assignment.Server.Address,
 		Server:   assignment.Server.Name,
 		Route:    r.route,
+		Identity: r.identityNow(),
 		Deadline: r.deadline,
 		IsLast:   !r.hasAttemptsLeft(),
 	})
 }
 
+// identityNow is what the server of an attempt is told. The tenant is that by which the request was let in;
+// where a newer configuration has begun to tell callers apart by keys, a key isn't passed on any more.
+func (r *activeRequest) identityNow() Identity {
+	identity := r.identity
+	identity.IsAuthenticated = identity.IsAuthenticated || r.schedulerRequest.Route.Forward.IsAuthenticated()
+	return identity
+}
+
 // hasAttemptsLeft tells whether the route allows an attempt on a further server.
 func (r *activeRequest) hasAttemptsLeft() bool {
 	return r.attempts < max(1, r.route.Forward.MaxAttempts)
--- /dev/null
+++ b/internal/dataplane/proxy/authentication_test.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"testing"
+
+	"tuliprudder/internal/config"
+	"tuliprudder/internal/dataplane/scheduler"
+	"tuliprudder/internal/errs"
+)
+
+// useTenants puts a configuration in force whose routes have an authentication, with tenants a (keys a1 and a2,
+// priority 3), b (key b1, priority 9) and c (key c1, without a class).
+func (b *bench) useTenants(version uint64, authentication string, routes ...config.Route) {
+	configuration := &config.Configuration{Version: version, ScorerWeights: map[string]float64{"fullness": 1},
+		Pools:   []config.Pool{{Name: "a", Labels: config.Labels{"u": "a"}, Servers: config.Selector{"pool": {"a"}}}},
+		Classes: []config.PriorityClass{{Name: "low", Priority: 3}, {Name: "high", Priority: 9}},
+		Tenants: []config.Tenant{
+			{Name: "a", Keys: []config.KeyDigest{config.DigestKey("a1"), config.DigestKey("a2")}, Class: "low"},
+			{Name: "b", Keys: []config.KeyDigest{config.DigestKey("b1")}, Class: "high"},
+			{Name: "c", Keys: []config.KeyDigest{config.DigestKey("c1")}},
+		}}
+	for _, route := range routes {
+		forward := *route.Forward
+		forward.Authentication = authentication
+		route.Forward = &forward
+		configuration.Routes = append(configuration.Routes, route)
+	}
+	configuration.Index()
+	b.scheduler.SetConfiguration(configuration, b.now)
+}
+
+func (b *bench) submitWithKey(requestID, kind, key string) uint64 {
+	return b.send(Request{ID: requestID, Host: kind, Path: "/x/y", APIKey: key})
+}
+
+// What a request is answered goes by the configuration, the route and the key, in this order.
+func TestAdmissionByKey(t *testing.T) {
+	kinds := []string{config.OneShot, config.Repeatable, config.Stream, config.Resumable}
+	const unauthorised, unknownRoute = string(errs.Unauthorised), string(errs.UnknownRoute)
+	for authentication, byKey := range map[string]map[string]string{
+		config.AuthenticationNone:     {"": "attempt", "a1": "attempt", "wrong": "attempt"},
+		config.AuthenticationOptional: {"": "attempt", "a1": "attempt", "wrong": unauthorised},
+		config.AuthenticationRequired: {"": unauthorised, "a1": "attempt", "c1": "attempt", "wrong": unauthorised, "a": unauthorised},
+	} {
+		for key, want := range byKey {
+			for _, kind := range kinds {
+				b := newBench(t, []string{"a"})
+				if got := b.outcomeOf(b.submitWithKey("o", kind, key)); got != "rejected" {
+					t.Errorf("%s, key %q, without a configuration: %s", kind, key, got)
+				}
+				b.useTenants(1, authentication, newRoute(kind, 1))
+				if got := b.outcomeOf(b.submitWithKey("o", kind, key)); got != want {
+					t.Errorf("%s with authentication %s, key %q: %s, not %s", kind, authentication, key, got, want)
+				}
+				if got := b.outcomeOf(b.submitWithKey("p", "nowhere", key)); got != unknownRoute {
+					t.Errorf("without a route, key %q: %s", key, got)
+				}
+			}
+			b := newBench(t, []string{"a"})
+			b.useTenants(1, authentication, newRoute(config.Batch, 1))
+			batchWant := want
+			if want == "attempt" {
+				batchWant = "proxy.BatchSubmission"
+			}
+			if got := b.outcomeOf(b.submitWithKey("o", config.Batch, key)); got != batchWant {
+				t.Errorf("a batch with authentication %s, key %q: %s, not %s", authentication, key, got, batchWant)
+			}
+		}
+	}
+}
+
+// Each attempt tells the tenant of the request's key, whichever of its keys that is.
+func TestAttemptsTellTheTenant(t *testing.T) {
+	for key, want := range map[string]Identity{"a1": {true, "a"}, "a2": {true, "a"}, "b1": {true, "b"}, "c1": {true, "c"}} {
+		b := newBench(t, []string{"a", "a"})
+		b.useTenants(1, config.AuthenticationRequired, newRoute(config.Repeatable, 2))
+		if got := b.attempt(b.submitWithKey("o", config.Repeatable, key)).Identity; got != want {
+			t.Errorf("key %s: %+v", key, got)
+		}
+		retry := b.send(AttemptResult{RequestID: "o", Outcome: Interrupted})
+		if got := b.attempt(retry).Identity; got != want {
+			t.Errorf("key %s, next attempt: %+v", key, got)
+		}
+	}
+}
+
+// A request that was let in keeps its tenant, whatever the configurations are that come meanwhile; once one of
+// them tells callers apart by keys, a key is passed on no more.
+func TestConfigurationsBetweenAttempts(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after string
+		want          Identity
+	}{
+		"keys are asked for":         {config.AuthenticationNone, config.AuthenticationRequired, Identity{IsAuthenticated: true}},
+		"keys are asked for no more": {config.AuthenticationRequired, config.AuthenticationNone, Identity{IsAuthenticated: true, Tenant: "a"}},
+		"nothing changes":            {config.AuthenticationRequired, config.AuthenticationRequired, Identity{IsAuthenticated: true, Tenant: "a"}},
+	} {
+		b := newBench(t, []string{"a", "a"})
+		b.useTenants(1, c.before, newRoute(config.Repeatable, 2))
+		b.attempt(b.submitWithKey("o", config.Repeatable, "a1"))
+		b.useTenants(2, c.after, newRoute(config.Repeatable, 2))
+		if got := b.attempt(b.send(AttemptResult{RequestID: "o", Outcome: Interrupted})).Identity; got != c.want {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
+
+// A tenant's priority goes before its route's; one without a priority goes by the route's.
+func TestATenantsPriorityGoesBeforeTheRoutes(t *testing.T) {
+	for name, c := range map[string]struct {
+		later, earlier string // their keys
+		laterGoesFirst bool
+	}{
+		"a higher tenant":                  {"b1", "a1", true},
+		"a lower tenant":                   {"a1", "b1", false},
+		"the route's, between them":        {"c1", "a1", true},
+		"the route's, below a high tenant": {"c1", "b1", false},
+	} {
+		b := newBench(t, nil)
+		b.scheduler.AdjustSettings(func(settings *scheduler.Settings) { settings.MaxUtilizationLimit = 1 })
+		b.useTenants(1, config.AuthenticationRequired, newRoute(config.OneShot, 1), newRoute(config.Stream, 1)) // of priority 5
+		earlier, later := b.submitWithKey("earlier", config.OneShot, c.earlier), b.submitWithKey("later", config.Stream, c.later)
+		b.addServer("only", "a", 1)
+		b.collectReplies()
+		if got := b.outcomeOf(later) == "attempt"; got != c.laterGoesFirst || b.outcomeOf(earlier) == b.outcomeOf(later) {
+			t.Errorf("%s: earlier %s, later %s", name, b.outcomeOf(earlier), b.outcomeOf(later))
+		}
+	}
+}
+
+// A request that waits goes by its tenant's priority in the newest configuration.
+func TestAWaitingRequestGetsItsTenantsNewPriority(t *testing.T) {
+	b := newBench(t, nil)
+	route, other := newRoute(config.OneShot, 1), newRoute(config.Stream, 1)
+	b.useTenants(1, config.AuthenticationNone, route, other)
+	first, second := b.submitWithKey("first", config.OneShot, ""), b.submitWithKey("second", config.Stream, "")
+	raised := newRoute(config.Stream, 1)
+	raised.Forward.Priority = 7
+	b.useTenants(2, config.AuthenticationNone, route, raised)
+	b.addServer("only", "a", 1)
+	b.collectReplies()
+	if b.outcomeOf(first) != "waits" || b.outcomeOf(second) != "attempt" {
+		t.Errorf("first %s, second %s", b.outcomeOf(first), b.outcomeOf(second))
+	}
+}
--- a/internal/dataplane/proxy/messages.go
+++ b/internal/dataplane/proxy/messages.go
@@ -118,12 +118,22 @@
 type Attempt struct {
 	Address, Server string // of the server: IP and port, and its name
 	Route           *config.Route
+	Identity        Identity
 	Deadline        clock.Micros
 	// IsLast: no attempt on another server can follow, so that the server's own failure is
 	// forwarded to the caller.
 	IsLast bool
 }
 
+// Identity is what a server is told of who sent a request.
+type Identity struct {
+	// IsAuthenticated: callers are known by their API keys. The server gets the name of the tenant, and
+	// neither the key nor what the caller itself says of its tenant. Otherwise it gets these headers as they came.
+	IsAuthenticated bool
+	// Tenant is the name of the tenant whose key the request carries; "" for none.
+	Tenant string
+}
+
 // BatchSubmission decides that the request's body is a batch to submit to the stores; the
 // request goes to no server.
 type BatchSubmission struct {
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -73,6 +73,7 @@
 type activeRequest struct {
 	Request
 	route            *config.Route
+	identity         Identity
 	priority         int64
 	deadline         clock.Micros
 	call             uint64 // the call that the next decision answers
--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -50,17 +50,18 @@
 	if route == nil {
 		return errRouteRemoved(r.Route.Name)
 	}
-	// A batch item was accepted and runs for as long as its route exists; a forwarded
-	// request belongs to no tenant.
+	// A batch item was accepted and runs for as long as its route exists; so does a forwarded request,
+	// whose tenant may have no class, or none at all.
 	needsClass := !r.IsBatchItem && r.Route.Forward == nil
 	if needsClass && (class == nil || !route.Classes.Matches(class.Labels)) {
 		return errRouteRemoved(r.Route.Name)
 	}
 	r.Route = route
-	// A forwarded route's requests carry its name as their tenant; a tenant that happens
-	// to be named like it must not change their priority.
-	if class != nil && route.Forward == nil {
+	switch {
+	case route.Forward == nil && class != nil:
 		r.Priority = class.Priority
+	case route.Forward != nil && !r.IsBatchItem:
+		r.Priority = sc.configuration.PriorityOf(route.Forward, r.Tenant)
 	}
 	return nil
 }
--- a/internal/dataplane/upstream/harness_test.go
+++ b/internal/dataplane/upstream/harness_test.go
@@ -12,7 +12,8 @@
 	"testing"
 )
 
-var testHeaderNames = HeaderNames{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEventID: "Last-Event-ID", Deadline: "X-Time-Left-Ms"}
+var testHeaderNames = HeaderNames{RequestID: "X-Request-Id", Instance: "X-Instance", NotRun: "X-Unrun", LastEventID: "Last-Event-ID", Deadline: "X-Time-Left-Ms",
+	Authorization: "Authorization", Tenant: "X-Tenant"}
 
 // startServer runs one script for each connection, in the order in which they are opened.
 func startServer(t *testing.T, scripts ...func(*peer)) string {
--- a/internal/dataplane/upstream/request_head_test.go
+++ b/internal/dataplane/upstream/request_head_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -35,6 +36,36 @@
 	}
 }
 
+// Where callers are known by keys, the server gets the tenant alone, however the caller spells its own
+// headers and however often it repeats them; elsewhere it gets them as they came.
+func TestCallersIdentityIsReplaced(t *testing.T) {
+	header := http.Header{"Authorization": {"Token k"}, "authorization": {"Token l", "Token m"}, "AUTHORIZATION": {"Token n"},
+		"X-Tenant": {"forged"}, "x-tenant": {"forged", "again"}, "X-TENANT": {""}, "X-Other": {"1"}}
+	for name, c := range map[string]struct {
+		authenticated bool
+		tenant        string
+		want          http.Header
+	}{
+		"a tenant":     {true, "t", http.Header{"X-Tenant": {"t"}, "X-Other": {"1"}}},
+		"no tenant":    {true, "", http.Header{"X-Other": {"1"}}},
+		"without keys": {false, "", header},
+		"a tenant that the configuration doesn't know": {false, "t", header},
+	} {
+		client := New(testHeaderNames, Settings{})
+		head := client.appendHead(nil, Request{Method: "GET", Target: "/", Host: "h", ID: "a", Header: header, IsAuthenticated: c.authenticated, Tenant: c.tenant}, 0)
+		got := http.Header{}
+		for _, line := range strings.Split(strings.TrimSpace(string(head)), "\r\n")[1:] {
+			field, value, _ := strings.Cut(line, ": ")
+			got[field] = append(got[field], value)
+		}
+		delete(got, "Host")
+		delete(got, "X-Request-Id")
+		if !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: the server gets %v", name, got)
+		}
+	}
+}
+
 func TestDeadlineHeader(t *testing.T) {
 	seen := make(chan string, 2)
 	address := startServer(t, func(p *peer) {
