--- a/cmd/tuliprudderctl/diff.go
+++ b/cmd/tuliprudderctl/diff.go
@@ -34,8 +34,8 @@
 	return lines
 }
 
-// fieldKey is the field with a tenant's key, which no list or diff shows.
-const fieldKey = "key"
+// keyFields are the fields with a tenant's keys, which no list or diff shows.
+var keyFields = []string{"key", "keys"}
 
 // diffEntries compares two entries of one name; nil is none.
 func diffEntries(name string, before, after document) []string {
@@ -52,7 +52,7 @@
 		if reflect.DeepEqual(before[field], after[field]) {
 			continue
 		}
-		if field == fieldKey {
+		if slices.Contains(keyFields, field) {
 			lines = append(lines, "    "+field+" changes")
 			continue
 		}
--- a/cmd/tuliprudderctl/diff_test.go
+++ b/cmd/tuliprudderctl/diff_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -15,6 +16,17 @@
 	return out
 }
 
+// A difference tells that a tenant's keys change, and never shows one.
+func TestDiffShowsNoKey(t *testing.T) {
+	from := mustDecode(t, `{"customers":[{"name":"a","key":"secret-1"},{"name":"b","keys":["secret-2"]},{"name":"c","keys":["secret-3"]}]}`)
+	to := mustDecode(t, `{"customers":[{"name":"a","keys":["secret-1","secret-4"]},{"name":"b","keys":["secret-5"],"class":"x"},{"name":"d","keys":["secret-6"]}]}`)
+	got := diffDocuments(from, to)
+	want := []string{"~ customers a", "    key changes", "    keys changes", "~ customers b", `    class: null -> "x"`, "    keys changes", "- customers c", "+ customers d"}
+	if !slices.Equal(got, want) || strings.Contains(strings.Join(got, "\n"), "secret") {
+		t.Errorf("%q, not %q", got, want)
+	}
+}
+
 func TestDiffDocuments(t *testing.T) {
 	const base = `{"classes":[{"name":"live","rank":3}],"pools":[{"name":"main"}],"judges":{"fullness":1}}`
 	cases := []struct {
