A report to the primary core once a second: one small message with what it has not acknowledged

Edges' counts of usage, and load reports, go to the primary alike: the parts of a daemon's machine add what the primary hasn't acknowledged (primaryreport.Part), the Sender sends it once a second, and nothing where there is nothing new. Acknowledgements count for one term: under another everything is told anew. Flush is for a daemon that drains.

--- /dev/null
+++ b/internal/controlplane/primaryreport/sender_test.go
@@ -0,0 +1,181 @@
+package primaryreport
+
+import (
+	"errors"
+	"testing"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/machine"
+)
+
+// figure is a part that tells one number when it differs from the acknowledged one.
+type figure struct{ value, acknowledged int64 }
+
+func (f *figure) Add(report *Report, _ clock.Micros) bool {
+	if f.value == f.acknowledged {
+		return false
+	}
+	report.Usage = []WindowCounts{{Window: 1, Counts: map[string]int64{"t": f.value}}}
+	return true
+}
+
+func (f *figure) Acknowledged(report Report, _ Reply) { f.acknowledged = report.Usage[0].Counts["t"] }
+func (f *figure) Reset()                              { f.acknowledged = 0 }
+
+// senderBench is a sender with one part, whose requests wait for their replies.
+type senderBench struct {
+	*Sender
+	*figure
+	t     *testing.T
+	calls *machine.Calls
+	now   clock.Micros
+}
+
+func newSenderBench(t *testing.T) *senderBench {
+	b := &senderBench{t: t, calls: machine.NewCalls(), figure: &figure{}, now: 100 * clock.Second}
+	b.Sender = NewSender("edge-1", 7, b.calls, b.figure)
+	return b
+}
+
+// tick advances the time by one interval and gives the report that is sent; false for none.
+func (b *senderBench) tick() (machine.Request, bool) {
+	b.now += Interval
+	b.Tick(b.now)
+	return b.sent()
+}
+
+func (b *senderBench) sent() (machine.Request, bool) {
+	effects := b.calls.Drain()
+	if len(effects) == 0 {
+		return machine.Request{}, false
+	}
+	if len(effects) > 1 {
+		b.t.Fatalf("%d effects", len(effects))
+	}
+	return effects[0].(machine.Request), true
+}
+
+func (b *senderBench) mustTick() machine.Request {
+	b.t.Helper()
+	request, ok := b.tick()
+	if !ok {
+		b.t.Fatal("nothing is sent")
+	}
+	return request
+}
+
+func (b *senderBench) reply(request machine.Request, reply Reply) {
+	b.calls.ReplyReceived(request.Token, reply, nil, b.now)
+}
+
+func TestNothingIsSentWithoutNews(t *testing.T) {
+	b := newSenderBench(t)
+	b.value = 1
+	if _, ok := b.tick(); ok {
+		t.Fatal("sent without a primary")
+	}
+	b.SetPrimary(state.CoreUpdate{Epoch: 3, Peer: "core"})
+	request := b.mustTick()
+	report := request.Body.(Report)
+	if request.To != "core" || report.Daemon != "edge-1" || report.Incarnation != 7 || report.Epoch != 3 || report.SentAt != b.now {
+		t.Fatalf("sent %+v", request)
+	}
+	b.reply(request, Reply{Epoch: 3})
+	if _, ok := b.tick(); ok {
+		t.Fatal("sent what was acknowledged")
+	}
+	b.value = 2
+	b.mustTick()
+}
+
+func TestWhatFailedIsToldAgain(t *testing.T) {
+	b := newSenderBench(t)
+	b.SetPrimary(state.CoreUpdate{Epoch: 3, Peer: "core"})
+	b.value = 1
+	first := b.mustTick()
+	if _, ok := b.tick(); ok {
+		t.Fatal("a second report while the first one waits")
+	}
+	b.calls.ReplyReceived(first.Token, nil, errors.New("lost"), b.now)
+	b.mustTick()
+	if b.Sent != 2 || b.Failed != 1 {
+		t.Errorf("sent %d, failed %d", b.Sent, b.Failed)
+	}
+}
+
+// Acknowledgements of a former primary don't count at the next one, whichever way its term is learnt.
+func TestEverythingIsToldAnewToAnotherPrimary(t *testing.T) {
+	b := newSenderBench(t)
+	b.SetPrimary(state.CoreUpdate{Epoch: 3, Peer: "core"})
+	b.value = 1
+	b.reply(b.mustTick(), Reply{Epoch: 3})
+	b.SetPrimary(state.CoreUpdate{Epoch: 4, Peer: "next"})
+	if request := b.mustTick(); request.To != "next" || request.Body.(Report).Epoch != 4 {
+		t.Fatalf("sent %+v", request)
+	} else {
+		b.reply(request, Reply{Epoch: 5})
+	}
+	again := b.mustTick()
+	if again.Body.(Report).Epoch != 5 || b.acknowledged != 0 {
+		t.Fatalf("after a reply of term 5: %+v, acknowledged %d", again, b.acknowledged)
+	}
+	b.SetPrimary(state.CoreUpdate{Epoch: 4, Peer: "other"})
+	b.reply(again, Reply{Epoch: 5})
+	b.value = 2
+	if request := b.mustTick(); request.To != "next" {
+		t.Errorf("an older update changed the primary to %s", request.To)
+	}
+}
+
+// A reply that crosses a change of the primary acknowledges nothing.
+func TestALateAcknowledgementDoesNotCount(t *testing.T) {
+	b := newSenderBench(t)
+	b.SetPrimary(state.CoreUpdate{Epoch: 3, Peer: "core"})
+	b.value = 1
+	request := b.mustTick()
+	b.SetPrimary(state.CoreUpdate{Epoch: 4, Peer: "next"})
+	b.reply(request, Reply{Epoch: 3})
+	if b.acknowledged != 0 {
+		t.Error("acknowledged")
+	}
+}
+
+func TestAFlushEndsOnceAllIsTold(t *testing.T) {
+	b := newSenderBench(t)
+	ended := 0
+	b.Flush(b.now, func() { ended++ })
+	if ended != 1 {
+		t.Fatal("a flush without a primary waits")
+	}
+	b.SetPrimary(state.CoreUpdate{Epoch: 3, Peer: "core"})
+	b.value = 1
+	waiting := b.mustTick()
+	b.value = 2
+	b.Flush(b.now, func() { ended++ })
+	b.reply(waiting, Reply{Epoch: 3})
+	last, ok := b.sent()
+	if !ok || ended != 1 {
+		t.Fatalf("after the report before the flush: sent %v, ended %d", ok, ended)
+	}
+	b.reply(last, Reply{Epoch: 3})
+	if ended != 2 || b.acknowledged != 2 {
+		t.Errorf("ended %d, acknowledged %d", ended, b.acknowledged)
+	}
+}
+
+func TestAFlushEndsAfterAFewFailures(t *testing.T) {
+	b := newSenderBench(t)
+	b.SetPrimary(state.CoreUpdate{Epoch: 3, Peer: "core"})
+	b.value = 1
+	ended := 0
+	b.Flush(b.now, func() { ended++ })
+	attempts := 0
+	for request, ok := b.sent(); ok; request, ok = b.sent() {
+		attempts++
+		b.calls.ReplyReceived(request.Token, nil, errors.New("lost"), b.now)
+	}
+	if ended != 1 || attempts != maxFlushAttempts {
+		t.Errorf("ended %d after %d attempts", ended, attempts)
+	}
+}
