Usage by window and tenant: the edge's counter, the primary's collector, and a model of both

The platform wants, for each window, the requests of each tenant that began to run. An edge counts them by its clock and keeps a window until the primary says that it is decided; it tells cumulative counts of the tenants that changed, so a report that is lost, late or doubled does no harm. The collector sums over incarnations and proposes a window once every living edge told all of it, or after 60 % of the due delay. A daemon that ends tells all voters, as the primary may be lost before the window is decided. Seven planted faults are all found.

--- a/internal/controlplane/primaryreport/sender.go
+++ b/internal/controlplane/primaryreport/sender.go
@@ -9,6 +9,8 @@
 const (
 	// Interval is between two reports of a daemon.
 	Interval = clock.Second
+	// retryDelay is between a report that failed and the next.
+	retryDelay = 500 * clock.Millisecond
 	// replyTimeout is how long a report waits for its acknowledgement.
 	replyTimeout = 800 * clock.Millisecond
 	// maxFlushAttempts is how many reports are sent at most for one Flush.
@@ -32,16 +34,27 @@
 	calls       *machine.Calls
 	parts       []Part
 
-	primary string // its address; "" while none is known
-	epoch   uint64 // the newest term that is known
+	primary string   // its address; "" while none is known
+	voters  []string // the addresses of the cores with a vote
+	epoch   uint64   // the newest term that is known
 	nextAt  clock.Micros
-	waiting bool // for the reply to a report
+	waiting uint64 // the number of the report whose reply is waited for; 0: none is
 
 	flushes       []func() // who waits for a Flush
 	flushAttempts int
 
 	// Sent and Failed count reports, for the operators.
 	Sent, Failed int64
+
+	InjectedFaults InjectedFaults
+}
+
+// InjectedFaults are set by tests only, to show that their checks find such a fault.
+type InjectedFaults struct {
+	// KeepAcknowledgements: what a former primary acknowledged is not told to the next one.
+	KeepAcknowledgements bool
+	// FlushToPrimaryOnly: a daemon that ends tells the primary alone.
+	FlushToPrimaryOnly bool
 }
 
 // NewSender makes the sender of a daemon in one incarnation.
@@ -54,21 +67,37 @@
 	if update.Epoch < s.epoch {
 		return
 	}
-	s.primary = update.Peer
+	s.primary, s.voters = update.Peer, update.VoterPeers
 	s.learnEpoch(update.Epoch)
 }
 
-// learnEpoch has everything told anew under a new term.
+// learnEpoch has everything told anew under a new term, at once: a reply of the former primary is not
+// waited for.
 func (s *Sender) learnEpoch(epoch uint64) {
 	if epoch <= s.epoch {
 		return
 	}
-	s.epoch = epoch
+	s.epoch, s.waiting, s.nextAt = epoch, 0, 0
+	if !s.InjectedFaults.KeepAcknowledgements {
+		s.resetParts()
+	}
+}
+
+func (s *Sender) resetParts() {
 	for _, part := range s.parts {
 		part.Reset()
 	}
 }
 
+// newReport is a report of what isn't acknowledged; false where that is nothing.
+func (s *Sender) newReport(now clock.Micros) (report Report, hasNews bool) {
+	report = Report{Daemon: s.daemon, Incarnation: s.incarnation, Epoch: s.epoch, SentAt: now}
+	for _, part := range s.parts {
+		hasNews = part.Add(&report, now) || hasNews
+	}
+	return report, hasNews
+}
+
 // Tick sends a report when it is due and has something to tell.
 func (s *Sender) Tick(now clock.Micros) {
 	if now < s.nextAt {
@@ -78,17 +107,29 @@
 	s.send(now)
 }
 
-// Flush sends what there is to tell at once; done is called once the primary has it, or after a few
-// attempts.
+// Flush is for a daemon that is about to end: all that is undecided goes to the primary at once, and to
+// all cores with a vote, of which another may be primary before it is decided. done is called once the
+// primary has it, or after a few attempts.
 func (s *Sender) Flush(now clock.Micros, done func()) {
+	s.resetParts()
+	if report, hasNews := s.newReport(now); hasNews && !s.InjectedFaults.FlushToPrimaryOnly {
+		s.sendToVoters(report)
+	}
 	s.flushes = append(s.flushes, done)
 	s.flushAttempts = 0
 	s.continueFlush(now)
 }
 
+// sendToVoters sends a report to all cores with a vote, without an acknowledgement.
+func (s *Sender) sendToVoters(report Report) {
+	for _, peer := range s.voters {
+		s.calls.Emit(machine.Send{To: peer, Body: report})
+	}
+}
+
 // continueFlush sends the next report of a Flush, or ends it.
 func (s *Sender) continueFlush(now clock.Micros) {
-	if s.waiting || len(s.flushes) == 0 {
+	if s.waiting > 0 || len(s.flushes) == 0 {
 		return
 	}
 	s.flushAttempts++
@@ -104,38 +145,35 @@
 
 // send sends a report; false where there is nothing to tell, or nobody to tell it.
 func (s *Sender) send(now clock.Micros) bool {
-	if s.waiting || s.primary == "" {
+	if s.waiting > 0 || s.primary == "" {
 		return false
 	}
-	report := Report{Daemon: s.daemon, Incarnation: s.incarnation, Epoch: s.epoch, SentAt: now}
-	hasNews := false
-	for _, part := range s.parts {
-		hasNews = part.Add(&report, now) || hasNews
-	}
+	report, hasNews := s.newReport(now)
 	if !hasNews {
 		return false
 	}
-	s.waiting = true
 	s.Sent++
+	number := uint64(s.Sent)
+	s.waiting = number
 	s.calls.Request(s.primary, report, replyTimeout, func(body any, err error, now clock.Micros) {
-		s.handleReply(report, body, err, now)
+		if s.waiting == number {
+			s.waiting = 0
+			s.handleReply(report, body, err, now)
+		}
 	})
 	return true
 }
 
 // handleReply takes the primary's answer to a report. What a failed one said is told again.
 func (s *Sender) handleReply(report Report, body any, err error, now clock.Micros) {
-	s.waiting = false
 	reply, ok := body.(Reply)
 	if err != nil || !ok {
 		s.Failed++
+		s.nextAt = min(s.nextAt, now+retryDelay)
 		s.continueFlush(now)
 		return
 	}
-	if reply.Epoch > s.epoch {
-		s.learnEpoch(reply.Epoch)
-		s.nextAt = now
-	}
+	s.learnEpoch(reply.Epoch)
 	if reply.Epoch == report.Epoch && report.Epoch == s.epoch {
 		for _, part := range s.parts {
 			part.Acknowledged(report, reply)
--- a/internal/controlplane/primaryreport/sender_test.go
+++ b/internal/controlplane/primaryreport/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"tuliprudder/internal/clock"
@@ -135,6 +136,10 @@
 	b.value = 1
 	request := b.mustTick()
 	b.SetPrimary(state.CoreUpdate{Epoch: 4, Peer: "next"})
+	b.Tick(b.now)
+	if anew, ok := b.sent(); !ok || anew.To != "next" {
+		t.Fatal("the next primary has to wait")
+	}
 	b.reply(request, Reply{Epoch: 3})
 	if b.acknowledged != 0 {
 		t.Error("acknowledged")
@@ -155,7 +160,7 @@
 	b.Flush(b.now, func() { ended++ })
 	b.reply(waiting, Reply{Epoch: 3})
 	last, ok := b.sent()
-	if !ok || ended != 1 {
+	if !ok || ended != 1 || last.Body.(Report).Usage[0].Counts["t"] != 2 {
 		t.Fatalf("after the report before the flush: sent %v, ended %d", ok, ended)
 	}
 	b.reply(last, Reply{Epoch: 3})
@@ -179,3 +184,27 @@
 		t.Errorf("ended %d after %d attempts", ended, attempts)
 	}
 }
+
+// A report to the primary alone would be lost with it.
+func TestAFlushGoesToAllVoters(t *testing.T) {
+	b := newSenderBench(t)
+	b.SetPrimary(state.CoreUpdate{Epoch: 3, Peer: "core", VoterPeers: []string{"a", "core", "b"}})
+	b.value = 1
+	b.reply(b.mustTick(), Reply{Epoch: 3})
+	b.Flush(b.now, func() {})
+	var to []string
+	for _, effect := range b.calls.Drain() {
+		switch effect := effect.(type) {
+		case machine.Send:
+			to = append(to, effect.To)
+			if len(effect.Body.(Report).Usage) != 1 {
+				t.Errorf("sent %+v", effect)
+			}
+		case machine.Request:
+			to = append(to, effect.To)
+		}
+	}
+	if !slices.Equal(to, []string{"a", "core", "b", "core"}) {
+		t.Errorf("sent to %q", to)
+	}
+}
--- /dev/null
+++ b/internal/controlplane/usage/collector_test.go
@@ -0,0 +1,176 @@
+package usage
+
+import (
+	"fmt"
+	"testing"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/primaryreport"
+	"tuliprudder/internal/exclusive"
+	"tuliprudder/internal/machine"
+)
+
+// collectorBench is a collector that serves in term 3, with the log that it emits.
+type collectorBench struct {
+	*Collector
+	t      *testing.T
+	table  exclusive.Table
+	events []machine.Effect
+}
+
+const firstWindow = 100
+
+func newCollectorBench(t *testing.T, edges ...string) *collectorBench {
+	b := &collectorBench{t: t}
+	b.Collector = NewCollector(Settings{Interval: 5 * clock.Second, Delay: 10 * clock.Second}, func(effect machine.Effect) { b.events = append(b.events, effect) })
+	for _, id := range edges {
+		b.SetEdge(id, 1, true)
+	}
+	b.SetConfiguredAt(inWindow(firstWindow, 0))
+	b.Start(3, inWindow(firstWindow, 0))
+	return b
+}
+
+// inWindow is a time after the start of a window.
+func inWindow(window int64, after clock.Micros) clock.Micros { return window*5*clock.Second + after }
+
+// report has an edge tell the counts of a window and that it is complete up to now.
+func (b *collectorBench) report(id string, window uint64, counts map[string]int64, now clock.Micros) primaryreport.Reply {
+	report := primaryreport.Report{Daemon: id, Incarnation: 1, Epoch: 3, SentAt: now}
+	if counts != nil {
+		report.Usage = []primaryreport.WindowCounts{{Window: window, Counts: counts}}
+	}
+	return b.Receive(report, now)
+}
+
+// due lists the contents that are due at a time.
+func (b *collectorBench) due(now clock.Micros) string {
+	b.Advance(now)
+	out := ""
+	for _, act := range b.Due(&b.table) {
+		if act.Subject != Subject {
+			b.t.Errorf("an act on %q", act.Subject)
+		}
+		out += string(act.Content)
+	}
+	return out
+}
+
+func (b *collectorBench) check(now clock.Micros, want string) {
+	b.t.Helper()
+	if got := b.due(now); got != want {
+		b.t.Errorf("%.1f s after the start of window %d: %q is due, not %q", float64(now-inWindow(firstWindow, 0))/1e6, firstWindow, got, want)
+	}
+}
+
+func TestAWindowIsProposedOnceAllEdgesToldIt(t *testing.T) {
+	b := newCollectorBench(t, "e1", "e2")
+	b.report("e1", firstWindow, map[string]int64{"b": 2, "a": 1}, inWindow(firstWindow, clock.Second))
+	b.report("e2", firstWindow, map[string]int64{"a": 4}, inWindow(firstWindow, 2*clock.Second))
+	b.report("e1", firstWindow, map[string]int64{"a": 3}, inWindow(firstWindow+1, 200*clock.Millisecond))
+	b.check(inWindow(firstWindow+1, 3*clock.Second), "")
+	b.report("e2", 0, nil, inWindow(firstWindow+1, 3*clock.Second))
+	b.check(inWindow(firstWindow+1, 3*clock.Second), `{"window":100,"counts":{"a":7,"b":2}}`)
+}
+
+func TestASilentEdgeIsWaitedForToABound(t *testing.T) {
+	b := newCollectorBench(t, "e1", "silent")
+	b.report("e1", firstWindow, map[string]int64{"a": 1}, inWindow(firstWindow+1, clock.Second))
+	b.check(inWindow(firstWindow+1, 5900*clock.Millisecond), "")
+	b.check(inWindow(firstWindow+1, 6*clock.Second), `{"window":100,"counts":{"a":1}}`)
+	b.SetEdge("silent", 1, false)
+	b.report("e1", 0, nil, inWindow(firstWindow+2, clock.Second))
+	b.check(inWindow(firstWindow+2, 1500*clock.Millisecond), `{"window":100,"counts":{"a":1}}{"window":101,"counts":{}}`)
+}
+
+// What an edge told another primary is not known here, so its word that all is told doesn't count.
+func TestTheWordToAFormerPrimaryDoesNotCount(t *testing.T) {
+	b := newCollectorBench(t, "e1")
+	b.Start(4, inWindow(firstWindow, 4*clock.Second))
+	if reply := b.report("e1", firstWindow, map[string]int64{"a": 1}, inWindow(firstWindow+1, clock.Second)); reply.Epoch != 4 {
+		t.Errorf("the reply is of term %d", reply.Epoch)
+	}
+	b.check(inWindow(firstWindow+1, 2*clock.Second), "")
+}
+
+func TestANewPrimaryListensFirst(t *testing.T) {
+	b := newCollectorBench(t, "e1")
+	b.Start(4, inWindow(firstWindow+2, 4*clock.Second))
+	b.check(inWindow(firstWindow+2, 6900*clock.Millisecond), "")
+	b.check(inWindow(firstWindow+2, 7*clock.Second), `{"window":100,"counts":{}}{"window":101,"counts":{}}`)
+}
+
+func TestDecidedWindowsAreNotProposedAgain(t *testing.T) {
+	b := newCollectorBench(t, "e1")
+	b.report("e1", firstWindow, map[string]int64{"a": 1}, inWindow(firstWindow+1, clock.Second))
+	now := inWindow(firstWindow+1, 2*clock.Second)
+	b.Advance(now)
+	b.table.ApplyGrant(exclusive.Grant{Subject: Subject, Holder: "h", Fence: 1, Acts: b.Due(&b.table)})
+	b.check(now, "")
+	b.SetDecided(firstWindow)
+	reply := b.report("e1", firstWindow, map[string]int64{"a": 3}, now)
+	if reply.UsageDecidedUpTo != firstWindow || b.Late != 2 {
+		t.Errorf("the reply is %+v, %d were late", reply, b.Late)
+	}
+}
+
+func TestOldWindowsAreGivenUp(t *testing.T) {
+	b := newCollectorBench(t, "e1")
+	b.table.ApplyGrant(exclusive.Grant{Subject: Subject, Holder: "h", Fence: 1, Acts: []exclusive.Act{{Subject: Subject, Number: firstWindow, Content: []byte("{}")}}})
+	now := inWindow(firstWindow+100, 0)
+	b.Advance(now)
+	due := b.Due(&b.table)
+	oldest := uint64(firstWindow + 100 - int64(maxAge/(5*clock.Second)))
+	if len(due) != maxWindows/2 || due[0].Number != oldest || b.GivenUp != int64(oldest-firstWindow-1) {
+		t.Fatalf("%d are due, the first is %d; %d were given up", len(due), due[0].Number, b.GivenUp)
+	}
+	if b.Due(&b.table); len(b.events) != 1 {
+		t.Errorf("logged %+v", b.events)
+	}
+}
+
+func TestNothingIsDueWithoutAConfiguration(t *testing.T) {
+	b := newCollectorBench(t, "e1")
+	b.SetConfiguredAt(0)
+	b.check(inWindow(firstWindow+9, 0), "")
+}
+
+// One edge whose clock is far off moves no other edge's counts, and its own are dropped.
+func TestCountsFarFromTheClockAreDropped(t *testing.T) {
+	b := newCollectorBench(t, "e1", "e2")
+	now := inWindow(firstWindow+1, 2*clock.Second)
+	b.report("e1", firstWindow, map[string]int64{"a": 1}, now)
+	b.Receive(primaryreport.Report{Daemon: "e2", Incarnation: 1, Epoch: 3, SentAt: 2 * now, Usage: []primaryreport.WindowCounts{{Window: 2 * firstWindow, Counts: map[string]int64{"a": 9}}}}, now)
+	b.check(now, `{"window":100,"counts":{"a":1}}`)
+	if status := b.Status(); b.Misdated != 9 || status.SkewedClocks != 1 || status.Edges != 2 || status.SilentEdges != 0 {
+		t.Errorf("%d misdated, %+v", b.Misdated, status)
+	}
+}
+
+func TestReportersThatAreGoneAreForgotten(t *testing.T) {
+	b := newCollectorBench(t)
+	for i := range 50 {
+		b.report(fmt.Sprint("e", i), firstWindow, map[string]int64{"a": 1}, inWindow(firstWindow, clock.Second))
+	}
+	b.SetDecided(firstWindow + keptWindows)
+	if len(b.reporters) != 0 {
+		t.Errorf("%d reporters are kept", len(b.reporters))
+	}
+}
+
+func TestContentsAreTheSameBytes(t *testing.T) {
+	content := Content{Window: 7, Counts: map[string]int64{"b": 2, "a": 1}}
+	if got := string(content.Encode()); got != `{"window":7,"counts":{"a":1,"b":2}}` {
+		t.Errorf("encoded as %s", got)
+	}
+	if got := string(Content{Window: 7}.Encode()); got != `{"window":7,"counts":{}}` {
+		t.Errorf("no counts are encoded as %s", got)
+	}
+	decoded, err := DecodeContent(content.Encode())
+	if err != nil || decoded.Window != 7 || decoded.Counts["b"] != 2 {
+		t.Errorf("decoded as %+v, %v", decoded, err)
+	}
+	if _, err := DecodeContent([]byte("{")); err == nil {
+		t.Error("half a document was decoded")
+	}
+}
--- /dev/null
+++ b/internal/dataplane/usage/counter.go
@@ -0,0 +1,172 @@
+// Package usage counts, for each window of the wall clock and each tenant, the requests that began to
+// run (docs/notes/duties.md). A Counter is a part of an edge's state machine, and a part of its
+// reports to the primary core (primaryreport.Part): it keeps a window until the primary says that its
+// counts are decided, so that a new primary can be told all of it again.
+//
+// Nothing here reads a clock, and nothing is safe for concurrent use.
+package usage
+
+import (
+	"maps"
+	"slices"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/primaryreport"
+	"tuliprudder/internal/machine"
+)
+
+const (
+	// maxWindows is how many undecided windows are kept; the oldest is dropped for a new one.
+	maxWindows = 64
+	// maxCounts bounds the counts of all kept windows together; the oldest window is dropped.
+	maxCounts = 32_768
+)
+
+// Settings of a Counter.
+type Settings struct {
+	// Interval is the length of a window; window k starts k intervals after 1970. 0, the default:
+	// nothing is counted.
+	Interval clock.Micros
+}
+
+// Counter counts the requests that begin at one edge.
+type Counter struct {
+	settings Settings
+	calls    *machine.Calls
+	windows  map[uint64]*window
+	counts   int // over all windows
+	// decidedUpTo is the last window that the primary said to be decided.
+	decidedUpTo uint64
+	// toldUpTo is the window in which the last acknowledged report was sent; 0 for none.
+	toldUpTo uint64
+
+	// Counted and Dropped count requests since the start, for the operators: those that began, and
+	// those of windows that were dropped undecided.
+	Counted, Dropped int64
+}
+
+// window is what is kept of one window.
+type window struct {
+	counts       map[string]int64 // by tenant
+	acknowledged map[string]int64 // what of them the primary has
+}
+
+// NewCounter makes a counter that has counted nothing.
+func NewCounter(settings Settings, calls *machine.Calls) *Counter {
+	return &Counter{settings: settings, calls: calls, windows: map[uint64]*window{}}
+}
+
+// IsEnabled tells whether requests are counted.
+func (c *Counter) IsEnabled() bool { return c.settings.Interval > 0 }
+
+// windowAt is the window that a time is in.
+func (c *Counter) windowAt(now clock.Micros) uint64 { return uint64(now / c.settings.Interval) }
+
+// Began counts a request of a tenant that has just begun to run; tenant is "" where it has none.
+func (c *Counter) Began(tenant string, now clock.Micros) {
+	if !c.IsEnabled() || tenant == "" {
+		return
+	}
+	number := c.windowAt(now)
+	known := c.windows[number]
+	if known == nil {
+		known = &window{counts: map[string]int64{}, acknowledged: map[string]int64{}}
+		c.windows[number] = known
+	}
+	if known.counts[tenant] == 0 {
+		c.counts++
+	}
+	known.counts[tenant]++
+	c.Counted++
+	c.dropExcess()
+}
+
+// dropExcess drops the oldest windows while there is too much to keep.
+func (c *Counter) dropExcess() {
+	for len(c.windows) > maxWindows || (c.counts > maxCounts && len(c.windows) > 1) {
+		oldest := slices.Min(slices.Collect(maps.Keys(c.windows)))
+		requests := c.windows[oldest].total()
+		c.Dropped += requests
+		c.forget(oldest)
+		c.calls.Emit(machine.LogEvent{Event: WindowDropped{Window: oldest, Requests: requests}})
+	}
+}
+
+func (c *Counter) forget(number uint64) {
+	c.counts -= len(c.windows[number].counts)
+	delete(c.windows, number)
+}
+
+// total is how many requests of a window were counted.
+func (w *window) total() int64 {
+	sum := int64(0)
+	for _, count := range w.counts {
+		sum += count
+	}
+	return sum
+}
+
+// news are the counts that the primary doesn't have.
+func (w *window) news() map[string]int64 {
+	var news map[string]int64
+	for tenant, count := range w.counts {
+		if count == w.acknowledged[tenant] {
+			continue
+		}
+		if news == nil {
+			news = map[string]int64{}
+		}
+		news[tenant] = count
+	}
+	return news
+}
+
+// Add adds the counts that changed. Where none did there is news still once a window has ended: that
+// the counts of it are complete.
+func (c *Counter) Add(report *primaryreport.Report, now clock.Micros) bool {
+	if !c.IsEnabled() {
+		return false
+	}
+	for _, number := range slices.Sorted(maps.Keys(c.windows)) {
+		if news := c.windows[number].news(); news != nil {
+			report.Usage = append(report.Usage, primaryreport.WindowCounts{Window: number, Counts: news})
+		}
+	}
+	return len(report.Usage) > 0 || c.windowAt(now) > c.toldUpTo
+}
+
+// Acknowledged records what the primary has, and forgets the windows that are decided.
+func (c *Counter) Acknowledged(report primaryreport.Report, reply primaryreport.Reply) {
+	if !c.IsEnabled() {
+		return
+	}
+	c.toldUpTo = max(c.toldUpTo, c.windowAt(report.SentAt))
+	for _, told := range report.Usage {
+		if known := c.windows[told.Window]; known != nil {
+			maps.Copy(known.acknowledged, told.Counts)
+		}
+	}
+	c.decidedUpTo = max(c.decidedUpTo, reply.UsageDecidedUpTo)
+	for number := range c.windows {
+		if number <= c.decidedUpTo {
+			c.forget(number)
+		}
+	}
+}
+
+// Reset forgets what the former primary has.
+func (c *Counter) Reset() {
+	c.toldUpTo = 0
+	for _, known := range c.windows {
+		clear(known.acknowledged)
+	}
+}
+
+// Undecided is how many requests are in the windows that are kept.
+func (c *Counter) Undecided() int64 {
+	sum := int64(0)
+	for _, known := range c.windows {
+		sum += known.total()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/dataplane/usage/model_test.go
@@ -0,0 +1,586 @@
+package usage
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/primaryreport"
+	"tuliprudder/internal/controlplane/state"
+	collector "tuliprudder/internal/controlplane/usage"
+	"tuliprudder/internal/exclusive"
+	"tuliprudder/internal/machine"
+)
+
+const (
+	modelInterval = 5 * clock.Second
+	modelDelay    = 10 * clock.Second
+	modelTick     = 25 * clock.Millisecond
+	modelCores    = 3
+	modelEdges    = 6
+	modelTenants  = 5
+	// reportLag is how long what an edge counted may take to the primary: an interval, a report that
+	// was lost, and the way of the next.
+	reportLag = 2*primaryreport.Interval + 900*clock.Millisecond
+	// gossipLag is how long it may take until an edge hears of a new primary.
+	gossipLag = 800 * clock.Millisecond
+)
+
+// troubles are what happens in a run of the model.
+type troubles struct {
+	primaryChanges, kills, drains, cuts, wrongClocks bool
+}
+
+// began is a request that began, as the model itself counts it.
+type began struct {
+	tenant   string
+	at       clock.Micros
+	edge     *modelEdge
+	isBehind bool // the window was over, and the edge's clock is behind
+}
+
+// modelEdge is one incarnation of an edge.
+type modelEdge struct {
+	*Counter
+	sender   *primaryreport.Sender
+	calls    *machine.Calls
+	id       string
+	skew     clock.Micros // of its clock
+	killedAt clock.Micros // 0: it lives, or drained
+	isGone   bool
+	isQuiet  bool // takes no requests any more
+	cutUntil clock.Micros
+	cuts     [][2]clock.Micros
+	hasLost  bool // its last message or the reply
+}
+
+func (e *modelEdge) clock(now clock.Micros) clock.Micros { return now + e.skew }
+
+// modelCore is a core, with what the membership tells it.
+type modelCore struct {
+	*collector.Collector
+}
+
+// event is something that happens at a time; of those at one time the first added goes first.
+type event struct {
+	at    clock.Micros
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// model is edges, cores, and the network between them, in virtual time.
+type model struct {
+	rng      *rand.Rand
+	troubles troubles
+	faults   collector.InjectedFaults
+	sender   primaryreport.InjectedFaults
+	now      clock.Micros
+	events   eventHeap
+	order    int
+
+	edges []*modelEdge
+	lives int
+	cores [modelCores]*modelCore
+
+	primary      int // -1: there is none
+	epoch        uint64
+	servingSince clock.Micros
+	changes      []clock.Micros // of the primary
+	kills        []clock.Micros // of cores that were primary
+
+	table     exclusive.Table
+	began     map[uint64][]began // by the window of the edge's clock
+	decided   []uint64
+	late      int
+	missing   int
+	requests  int
+	violation string
+}
+
+func newModel(seed int64, troubles troubles, faults collector.InjectedFaults, sender primaryreport.InjectedFaults) *model {
+	m := &model{
+		rng: rand.New(rand.NewSource(seed)), troubles: troubles, faults: faults, sender: sender,
+		now: 1000*modelInterval + 300*clock.Millisecond, primary: -1, began: map[uint64][]began{},
+	}
+	for i := range m.cores {
+		m.startCore(i)
+	}
+	for i := range modelEdges {
+		m.startEdge(fmt.Sprint("edge-", i))
+	}
+	m.elect(0)
+	m.everyTick()
+	m.poll()
+	m.disturb()
+	return m
+}
+
+func (m *model) after(delay clock.Micros, run func()) {
+	m.order++
+	heap.Push(&m.events, event{m.now + delay, m.order, run})
+}
+
+func (m *model) upTo(span clock.Micros) clock.Micros { return 1 + m.rng.Int63n(span) }
+
+func (m *model) run(until clock.Micros) {
+	for m.violation == "" && len(m.events) > 0 && m.events[0].at <= until {
+		next := heap.Pop(&m.events).(event)
+		m.now = next.at
+		next.run()
+	}
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.violation == "" {
+		m.violation = fmt.Sprintf("at %.3f s: ", float64(m.now-1000*modelInterval)/1e6) + fmt.Sprintf(format, args...)
+	}
+}
+
+// startEdge starts an incarnation; the identity is the former one's, as of a daemon with a disk.
+func (m *model) startEdge(id string) {
+	m.lives++
+	e := &modelEdge{calls: machine.NewCalls(), id: id}
+	if m.troubles.wrongClocks && m.rng.Intn(3) == 0 {
+		e.skew = m.rng.Int63n(4*clock.Second) - 2*clock.Second
+	}
+	e.Counter = NewCounter(Settings{Interval: modelInterval}, e.calls)
+	e.sender = primaryreport.NewSender(id, uint64(m.lives), e.calls, e.Counter)
+	e.sender.InjectedFaults = m.sender
+	m.edges = append(m.edges, e)
+	m.tellMembership(e, uint64(m.lives), true, 100*clock.Millisecond, 800*clock.Millisecond)
+	m.tellPrimary(e)
+}
+
+// tellMembership tells the cores, each after a while, that an edge lives or doesn't.
+func (m *model) tellMembership(e *modelEdge, incarnation uint64, isLive bool, least, most clock.Micros) {
+	for _, core := range m.cores {
+		m.after(least+m.upTo(most-least), func() {
+			if isLive && e.isGone {
+				return
+			}
+			core.SetEdge(e.id, incarnation, isLive)
+		})
+	}
+}
+
+// tellPrimary tells an edge who is primary, after a while.
+func (m *model) tellPrimary(e *modelEdge) {
+	if m.primary < 0 {
+		return
+	}
+	update := state.CoreUpdate{Epoch: m.epoch, Peer: coreNames[m.primary], VoterPeers: coreNames}
+	m.after(50*clock.Millisecond+m.upTo(700*clock.Millisecond), func() { e.sender.SetPrimary(update) })
+}
+
+// startCore starts a core, which knows nothing; the membership tells it of the edges in a while.
+func (m *model) startCore(i int) {
+	settings := collector.Settings{Interval: modelInterval, Delay: modelDelay}
+	core := &modelCore{Collector: collector.NewCollector(settings, func(machine.Effect) {})}
+	core.InjectFaults(m.faults)
+	core.SetConfiguredAt(m.now)
+	m.cores[i] = core
+	for at, e := range m.edges {
+		m.after(m.upTo(800*clock.Millisecond), func() {
+			if !e.isGone {
+				core.SetEdge(e.id, uint64(at+1), true)
+			}
+		})
+	}
+}
+
+func (m *model) elect(core int) {
+	m.primary, m.servingSince = core, m.now
+	m.epoch++
+	m.changes = append(m.changes, m.now)
+	m.cores[core].Start(m.epoch, m.now)
+	for _, e := range m.edges {
+		m.tellPrimary(e)
+	}
+}
+
+func (m *model) everyTick() {
+	for _, e := range m.edges {
+		if e.isGone {
+			continue
+		}
+		if !e.isQuiet && m.rng.Intn(4) == 0 {
+			m.begin(e)
+		}
+		e.sender.Tick(e.clock(m.now))
+		m.sendReports(e)
+	}
+	m.after(modelTick, m.everyTick)
+}
+
+func (m *model) begin(e *modelEdge) {
+	tenant := fmt.Sprint("tenant-", min(m.rng.Intn(modelTenants), m.rng.Intn(modelTenants)))
+	window := uint64(e.clock(m.now) / modelInterval)
+	m.began[window] = append(m.began[window], began{tenant, m.now, e, uint64(m.now/modelInterval) > window})
+	m.requests++
+	e.Began(tenant, e.clock(m.now))
+}
+
+// sendReports carries out what an edge's machine emitted.
+func (m *model) sendReports(e *modelEdge) {
+	for _, effect := range e.calls.Drain() {
+		switch effect := effect.(type) {
+		case machine.Request:
+			m.carry(e, effect)
+		case machine.Send:
+			m.after(m.delay(), func() { m.deliver(e, effect) })
+		default:
+			m.fail("%s emitted %+v", e.id, effect)
+		}
+	}
+}
+
+// deliver delivers a message to a core; without a cut TCP loses none.
+func (m *model) deliver(e *modelEdge, message machine.Send) {
+	if m.now >= e.cutUntil {
+		m.cores[slices.Index(coreNames, message.To)].Receive(message.Body.(primaryreport.Report), m.now)
+	}
+}
+
+// carry takes a report over the network: it is lost, late or doubled at times, and its reply too.
+func (m *model) carry(e *modelEdge, request machine.Request) {
+	isAnswered := false
+	answer := func(body any, err error) {
+		if isAnswered || e.isGone {
+			return
+		}
+		isAnswered = true
+		e.calls.ReplyReceived(request.Token, body, err, e.clock(m.now))
+		m.sendReports(e)
+	}
+	m.after(request.Timeout, func() { answer(nil, errors.New("timed out")) })
+	deliver := func() {
+		if m.now < e.cutUntil {
+			return
+		}
+		reply, err := m.receive(request)
+		if !m.isLost(e) {
+			m.after(m.delay(), func() {
+				if m.now >= e.cutUntil {
+					answer(reply, err)
+				}
+			})
+		}
+	}
+	if !m.isLost(e) {
+		m.after(m.delay(), deliver)
+	}
+	if m.rng.Intn(20) == 0 {
+		m.after(m.upTo(9*clock.Second), deliver)
+	}
+}
+
+// isLost tells whether a message from or to an edge is lost; of two in a row one arrives.
+func (m *model) isLost(e *modelEdge) bool {
+	e.hasLost = !e.hasLost && m.rng.Intn(25) == 0
+	return e.hasLost
+}
+
+func (m *model) delay() clock.Micros {
+	if m.rng.Intn(20) == 0 {
+		return m.upTo(600 * clock.Millisecond)
+	}
+	return m.upTo(30 * clock.Millisecond)
+}
+
+// coreNames are the addresses of the cores.
+var coreNames = []string{"0", "1", "2"}
+
+// receive has the core at the request's address answer a report. One that isn't primary remembers it.
+func (m *model) receive(request machine.Request) (any, error) {
+	at := slices.Index(coreNames, request.To)
+	reply := m.cores[at].Receive(request.Body.(primaryreport.Report), m.now)
+	if at != m.primary {
+		return nil, errors.New("not primary")
+	}
+	return reply, nil
+}
+
+// poll has a node ask for permits: what is due is decided then.
+func (m *model) poll() {
+	if m.primary >= 0 {
+		core := m.cores[m.primary]
+		core.Advance(m.now)
+		if due := core.Due(&m.table); len(due) > 0 {
+			m.decide(core, due)
+		}
+	}
+	m.after(100*clock.Millisecond+m.upTo(400*clock.Millisecond), m.poll)
+}
+
+// decide has acts decided; the primary learns a little later that they are durable. Where it is killed
+// first, they may be decided or not.
+func (m *model) decide(core *modelCore, due []exclusive.Act) {
+	if m.troubles.primaryChanges && m.rng.Intn(12) == 0 {
+		m.killPrimary()
+		if m.rng.Intn(2) == 0 {
+			return
+		}
+	} else {
+		last := due[len(due)-1].Number
+		m.after(m.upTo(20*clock.Millisecond), func() { core.SetDecided(last) })
+	}
+	m.table.ApplyGrant(exclusive.Grant{Subject: collector.Subject, Holder: "h", Fence: 1, Acts: due})
+	for _, act := range due {
+		m.check(act)
+		m.table.ApplySettlement(exclusive.Settlement{Subject: collector.Subject, Numbers: []uint64{act.Number}})
+	}
+}
+
+func (m *model) killPrimary() {
+	dead := m.primary
+	if dead < 0 {
+		return
+	}
+	m.primary = -1
+	m.kills = append(m.kills, m.now)
+	m.startCore(dead)
+	m.after(500*clock.Millisecond+m.upTo(3*clock.Second), func() {
+		next := (dead + 1 + m.rng.Intn(modelCores-1)) % modelCores
+		m.elect(next)
+		for _, core := range m.cores {
+			core.SetDecided(m.table.Record(collector.Subject).LastNumber)
+		}
+	})
+}
+
+// disturb makes trouble now and then.
+func (m *model) disturb() {
+	m.after(200*clock.Millisecond+m.upTo(3*clock.Second), m.disturb)
+	e := m.edges[m.rng.Intn(len(m.edges))]
+	switch m.rng.Intn(10) {
+	case 0:
+		if m.troubles.primaryChanges && m.primary >= 0 {
+			m.killPrimary()
+		}
+	case 1:
+		if m.troubles.primaryChanges && m.primary >= 0 {
+			m.elect(m.primary) // under another term, with other voters
+		}
+	case 2, 3:
+		if m.troubles.kills && !e.isQuiet {
+			m.kill(e)
+		}
+	case 4:
+		if m.troubles.drains && !e.isQuiet {
+			m.drain(e)
+		}
+	case 5, 6:
+		if m.troubles.cuts && m.now >= e.cutUntil && !e.isQuiet {
+			e.cutUntil = m.now + m.upTo(9*clock.Second)
+			e.cuts = append(e.cuts, [2]clock.Micros{m.now, e.cutUntil})
+		}
+	}
+}
+
+func (m *model) incarnationOf(e *modelEdge) uint64 { return uint64(slices.Index(m.edges, e) + 1) }
+
+// kill ends an edge without notice; it is started again, or not noticed to be gone, for a while.
+func (m *model) kill(e *modelEdge) {
+	e.isQuiet, e.isGone, e.killedAt = true, true, m.now
+	m.tellMembership(e, m.incarnationOf(e), false, 2*clock.Second, 5*clock.Second)
+	m.after(m.upTo(3*clock.Second), func() { m.startEdge(e.id) })
+}
+
+// drain ends an edge on purpose: it takes no more requests and tells what it has.
+func (m *model) drain(e *modelEdge) {
+	e.isQuiet = true
+	leave := func() {
+		if e.isGone {
+			return
+		}
+		e.isGone = true
+		if e.hasNews(m) {
+			e.killedAt = m.now
+		}
+		m.tellMembership(e, m.incarnationOf(e), false, 50*clock.Millisecond, 800*clock.Millisecond)
+		m.after(m.upTo(clock.Second), func() { m.startEdge(e.id) })
+	}
+	m.after(clock.Millisecond, func() {
+		if e.isGone {
+			return
+		}
+		e.sender.Flush(e.clock(m.now), func() { m.after(1, leave) })
+		m.sendReports(e)
+	})
+}
+
+// hasNews tells whether an edge counted what the present primary was not told.
+func (e *modelEdge) hasNews(m *model) bool {
+	var report primaryreport.Report
+	e.Add(&report, e.clock(m.now))
+	return len(report.Usage) > 0
+}
+
+// check compares what is decided for a window with what began in it.
+func (m *model) check(act exclusive.Act) {
+	content, err := collector.DecodeContent(act.Content)
+	if err != nil || content.Window != act.Number {
+		m.fail("window %d has the content %s: %v", act.Number, act.Content, err)
+		return
+	}
+	if n := len(m.decided); n > 0 && act.Number != m.decided[n-1]+1 {
+		m.fail("window %d follows window %d", act.Number, m.decided[n-1])
+	}
+	m.decided = append(m.decided, act.Number)
+	m.checkTime(act.Number)
+	counted, excusable := map[string]int64{}, map[string]int64{}
+	for _, one := range m.began[act.Number] {
+		counted[one.tenant]++
+		if m.isExcusable(one) {
+			excusable[one.tenant]++
+		}
+	}
+	for _, tenant := range slices.Sorted(maps.Keys(counted)) {
+		missing := counted[tenant] - content.Counts[tenant]
+		m.missing += int(max(0, missing))
+		if missing < 0 || missing > excusable[tenant] {
+			m.fail("window %d has %d of %s; %d began, %d may be missing", act.Number, content.Counts[tenant], tenant, counted[tenant], excusable[tenant])
+		}
+	}
+	for tenant := range content.Counts {
+		if counted[tenant] == 0 {
+			m.fail("window %d has %s, of which nothing began", act.Number, tenant)
+		}
+	}
+}
+
+// checkTime checks that a window is decided once it is over, and in time where a primary served.
+func (m *model) checkTime(window uint64) {
+	const pollTime = 700 * clock.Millisecond
+	end := clock.Micros(window+1) * modelInterval
+	if m.now < end {
+		m.fail("window %d is decided %d us before its end", window, end-m.now)
+	}
+	if latest := max(end+modelDelay*6/10, m.servingSince+3*clock.Second) + pollTime; m.now > latest {
+		m.fail("window %d is decided %d us late", window, m.now-latest)
+	}
+}
+
+// isExcusable tells whether a request may be missing in what is decided now.
+func (m *model) isExcusable(one began) bool {
+	if m.wasCut(one) {
+		return true
+	}
+	killsSince := 0
+	for _, at := range m.kills {
+		if at > one.at {
+			killsSince++
+		}
+	}
+	switch {
+	case one.edge.killedAt > 0: // what it had told is known to the primary that it told alone
+		hadNobodyToTell := slices.ContainsFunc(m.changes, func(at clock.Micros) bool {
+			return at > one.at && at > one.edge.killedAt-reportLag-gossipLag
+		})
+		return killsSince > 0 || hadNobodyToTell || one.at > one.edge.killedAt-reportLag
+	case one.edge.isGone: // all cores were told by a drained edge; two may have started again since
+		return killsSince > 1
+	case one.isBehind: // the edge may be so new that the primary doesn't know of it
+		return one.at > m.now-reportLag-gossipLag
+	}
+	return false
+}
+
+// wasCut tells whether an edge was cut off, since a request, for so long that it may not have told the
+// present primary of it. An edge that ended may have told the former one alone.
+func (m *model) wasCut(one began) bool {
+	return slices.ContainsFunc(one.edge.cuts, func(cut [2]clock.Micros) bool {
+		untilNow := cut[1]+reportLag > m.now-clock.Second
+		return cut[1]+reportLag > one.at && (untilNow || one.edge.isGone)
+	})
+}
+
+// allTroubles are the kinds of run that every window has to be right in.
+var allTroubles = map[string]troubles{
+	"nothing but losses":   {},
+	"changes of primary":   {primaryChanges: true},
+	"wrong clocks":         {primaryChanges: true, wrongClocks: true},
+	"drained edges":        {drains: true},
+	"drained and changes":  {drains: true, primaryChanges: true},
+	"killed edges":         {kills: true},
+	"cuts":                 {cuts: true},
+	"everything at a time": {true, true, true, true, true},
+}
+
+func (m *model) String() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%d requests, %d windows, %d missing, %d changes of primary, %d incarnations", m.requests, len(m.decided), m.missing, len(m.changes)-1, m.lives)
+	return out.String()
+}
+
+func TestEveryWindowIsWithinTheTruth(t *testing.T) {
+	const (
+		seeds    = 60
+		duration = 90 * clock.Second
+	)
+	for _, name := range slices.Sorted(maps.Keys(allTroubles)) {
+		t.Run(name, func(t *testing.T) {
+			requests, missing, windows := 0, 0, 0
+			for seed := int64(1); seed <= seeds; seed++ {
+				m := newModel(seed, allTroubles[name], collector.InjectedFaults{}, primaryreport.InjectedFaults{})
+				m.run(m.now + duration)
+				if m.violation != "" {
+					t.Fatalf("seed %d: %s (%s)", seed, m.violation, m)
+				}
+				if len(m.decided) < 10 {
+					t.Fatalf("seed %d: %s", seed, m)
+				}
+				requests, missing, windows = requests+m.requests, missing+m.missing, windows+len(m.decided)
+			}
+			t.Logf("%d requests in %d windows, %d missing", requests, windows, missing)
+		})
+	}
+}
+
+// The search finds each safeguard that is left out.
+func TestTheModelFindsWhatIsLeftOut(t *testing.T) {
+	for name, test := range map[string]struct {
+		collector collector.InjectedFaults
+		sender    primaryreport.InjectedFaults
+	}{
+		"a report is added to the one before":            {collector: collector.InjectedFaults{AddRepeatedReports: true}},
+		"a restarted edge replaces its former counts":    {collector: collector.InjectedFaults{ForgetIncarnations: true}},
+		"counts go by the time of their arrival":         {collector: collector.InjectedFaults{CountByArrival: true}},
+		"a window is proposed at its end":                {collector: collector.InjectedFaults{ProposeWithoutWait: true}},
+		"a new primary proposes without the edges' word": {collector: collector.InjectedFaults{ProposeAfterElection: true}},
+		"acknowledgements outlive their primary":         {sender: primaryreport.InjectedFaults{KeepAcknowledgements: true}},
+		"a drained edge tells the primary alone":         {sender: primaryreport.InjectedFaults{FlushToPrimaryOnly: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := int64(1); seed <= 100; seed++ {
+				m := newModel(seed, troubles{primaryChanges: true, drains: true}, test.collector, test.sender)
+				m.run(m.now + 90*clock.Second)
+				if m.violation != "" {
+					t.Logf("seed %d: %s", seed, m.violation)
+					return
+				}
+			}
+			t.Error("none of 100 seeds found it")
+		})
+	}
+}
