--- a/internal/exclusive/arbiter.go
+++ b/internal/exclusive/arbiter.go
@@ -1,173 +1,156 @@
 package exclusive
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
 	"tuliprudder/internal/clock"
 )
 
-// Settings are the times of permits; Defaults has the usual values.
-type Settings struct {
-	// Validity is for how long a holder may perform an act, from the moment at which it asked for
-	// the permit. Default 2 s.
-	Validity clock.Micros
-	// HolderLease is for how long after its last permit a subject stays with its holder. It is longer
-	// than Validity, so that the former holder's calls have ended before the next one's begin.
-	// Default 3.5 s.
-	HolderLease clock.Micros
-	// MinRetryDelay and MaxRetryDelay are between two permits for an act that was not done; the delay
-	// doubles with each. Defaults 300 ms and 2 s.
-	MinRetryDelay, MaxRetryDelay clock.Micros
-	// MaxFailures is how many of its permits in a row may end without an answer of the outside system
-	// until a holder has to leave the subject to another. Default 3.
-	MaxFailures int
-	// ExclusionTime is for how long such a holder gets no permit for the subject. Default 10 s.
-	ExclusionTime clock.Micros
-}
-
-// Defaults are the usual settings.
-func Defaults() Settings {
-	return Settings{
-		Validity:      2 * clock.Second,
-		HolderLease:   3500 * clock.Millisecond,
-		MinRetryDelay: 300 * clock.Millisecond,
-		MaxRetryDelay: 2 * clock.Second,
-		MaxFailures:   3,
-		ExclusionTime: 10 * clock.Second,
-	}
-}
+const (
+	// heardMemory is for how long the arbiter remembers a holder that it doesn't hear any more.
+	heardMemory = 60 * clock.Second
+)
 
 // Arbiter is what the primary knows of permits beside the table. It is forgotten with the primary: the
 // next one lets a whole HolderLease pass before a subject changes hands.
 type Arbiter struct {
-	settings     Settings
+	settings Settings
+	faults   InjectedFaults
+
+	epoch        uint64 // of the term in which this core serves
 	servingSince clock.Micros
+	lastSerial   uint64 // of a permit
+	lastBatch    uint64
+	rate         rateLimit
 	subjects     map[Subject]*attempts
+	heard        map[Holder]clock.Micros // when each holder's latest request came
+
+	Counters
 }
 
-// attempts is what the arbiter knows of one subject.
-type attempts struct {
-	lastPermitAt  clock.Micros // 0: none was granted by this primary
-	notBefore     clock.Micros // when the next permit is due
-	delay         clock.Micros // between the last permit and the next
-	failures      int          // permits in a row without an answer of the outside system
-	excluded      string       // holder that has to leave the subject to another; "" for none
-	excludedUntil clock.Micros
+// Counters count since the start of the daemon.
+type Counters struct {
+	Permits       int64 // that were granted
+	HolderChanges int64
+	Outcomes      map[Result]int64
 }
 
 // NewArbiter makes an arbiter; Start is called before its first decision.
 func NewArbiter(settings Settings) *Arbiter {
-	return &Arbiter{settings: settings, subjects: map[Subject]*attempts{}}
+	a := &Arbiter{settings: settings, Counters: Counters{Outcomes: map[Result]int64{}}}
+	a.Start(0, 0)
+	return a
 }
 
-// Start begins anew: this core serves as primary from now on.
-func (a *Arbiter) Start(now clock.Micros) {
-	a.servingSince = now
+// InjectFaults plants faults. For tests only.
+func (a *Arbiter) InjectFaults(faults InjectedFaults) { a.faults = faults }
+
+// Start begins anew: this core serves as primary of a term from now on.
+func (a *Arbiter) Start(epoch uint64, now clock.Micros) {
+	a.epoch, a.servingSince = epoch, now
+	a.lastSerial, a.lastBatch = 0, 0
+	a.rate = newRateLimit(a.settings.CallsPerSecond, now)
 	a.subjects = map[Subject]*attempts{}
+	a.heard = map[Holder]clock.Micros{}
 }
 
-// Offer is the permits that a node may have now, with the grants that have to be durable before the
-// node may hear of them. A permit of the present holder for acts that are decided needs none.
-type Offer struct {
+// Heard records that a holder sent a request.
+func (a *Arbiter) Heard(holder Holder, now clock.Micros) {
+	a.heard[holder] = now
+	maps.DeleteFunc(a.heard, func(_ Holder, at clock.Micros) bool { return now-at > heardMemory })
+}
+
+// Decision answers a request. The update has to be durable before the holder may hear of the permits.
+type Decision struct {
 	Permits []Permit
-	Grants  []Grant
+	Update  Update
 }
 
-// Decide makes the offer to a node. due are the acts that the sources propose.
-func (a *Arbiter) Decide(table *Table, holder string, due []Act, now clock.Micros) Offer {
-	var offer Offer
-	for _, subject := range subjectsOf(table, due) {
-		record := table.Record(subject)
-		fresh := actsOf(due, subject, record.LastNumber)
-		if len(record.Open)+len(fresh) == 0 || !a.isEligible(record, subject, holder, now) {
-			continue
-		}
-		granted := *table
-		grant := Grant{Subject: subject, Holder: holder, Fence: record.nextFence(holder), Acts: fresh}
-		if grant.Fence != record.Fence || len(fresh) > 0 {
-			granted.ApplyGrant(grant)
-			offer.Grants = append(offer.Grants, grant)
-		}
-		for _, act := range granted.Record(subject).Open {
-			offer.Permits = append(offer.Permits, Permit{Act: act, Holder: holder, Fence: grant.Fence})
-		}
-		a.setPermitted(subject, now)
-	}
-	return offer
+// Response is the decision as the holder is sent it.
+func (a *Arbiter) Response(permits []Permit) Response {
+	return Response{Permits: permits, Validity: a.settings.Validity}
 }
 
-// nextFence is the fence of a holder's next permit.
-func (r Record) nextFence(holder string) uint64 {
-	if r.Fence > 0 && r.Holder == holder {
-		return r.Fence
-	}
-	return r.Fence + 1
+// IsIdle tells that a request can't change anything: it reports nothing, and nothing is to be done.
+func IsIdle(table *Table, request Request, due []Act) bool {
+	return len(request.Outcomes) == 0 && len(due) == 0 && !table.HasOpen()
 }
 
-// isEligible tells whether a node may have the next permit for a subject now.
-func (a *Arbiter) isEligible(record Record, subject Subject, holder string, now clock.Micros) bool {
-	known := a.attemptsAt(subject)
-	if now < known.notBefore {
-		return false
-	}
-	if known.excluded == holder && now < known.excludedUntil {
-		return false
+// Decide decides on a request. Everything in the table is durable on all replicas; due are the acts
+// that the sources propose.
+func (a *Arbiter) Decide(table *Table, request Request, due []Act, now clock.Micros) Decision {
+	a.Heard(request.Holder, now)
+	a.expirePermits(table, now)
+	var decision Decision
+	after := *table
+	for _, outcome := range request.Outcomes {
+		if settlement, ends := a.report(&after, request.Holder, outcome, now); ends {
+			after.applySettlement(settlement)
+			decision.Update.Settlements = append(decision.Update.Settlements, settlement)
+		}
 	}
-	isFirst := record.Fence == 0
-	if isFirst || record.Holder == holder {
-		return true
+	for _, subject := range a.candidates(&after, due) {
+		permits, grant, isNew := a.grant(&after, subject, request.Holder, due, now)
+		decision.Permits = append(decision.Permits, permits...)
+		if isNew {
+			decision.Update.Grants = append(decision.Update.Grants, grant)
+		}
 	}
-	// A former primary may have granted the holder a permit until it was succeeded.
-	lastPermitAt := max(known.lastPermitAt, a.servingSince)
-	return now >= lastPermitAt+a.settings.HolderLease
+	return decision
 }
 
-// setPermitted records that a permit for a subject is being granted. Its holder asked for it before, so
-// that it expires within Validity from now. The next one is not due before, unless this one's outcome
-// is reported.
-func (a *Arbiter) setPermitted(subject Subject, now clock.Micros) {
-	known := a.attemptsAt(subject)
-	known.lastPermitAt = now
-	known.notBefore = now + a.settings.Validity
+// expirePermits ends the permits that no holder may perform any more, and forgets what is of no use.
+func (a *Arbiter) expirePermits(table *Table, now clock.Micros) {
+	for subject, known := range a.subjects {
+		record := table.Record(subject)
+		known.expire(a.settings, record.Holder, now)
+		isForgotten := record.Fence == 0 && now-known.lastPermitAt > a.settings.HolderLease
+		if isForgotten && len(known.pending) == 0 {
+			delete(a.subjects, subject)
+		}
+	}
 }
 
-// Report takes the outcome of a permit, and gives the settlement that follows; false where none does.
-func (a *Arbiter) Report(table *Table, outcome Outcome, now clock.Micros) (Settlement, bool) {
+// report takes the outcome of a permit, and gives the settlement that follows; false where none does.
+func (a *Arbiter) report(table *Table, holder Holder, outcome Outcome, now clock.Micros) (Settlement, bool) {
 	record := table.Record(outcome.Subject)
-	if outcome.Fence != record.Fence || outcome.Holder != record.Holder {
-		return Settlement{}, false // of a former holder
-	}
 	known := a.attemptsAt(outcome.Subject)
+	permit, isPending := known.pending[outcome.ID]
+	delete(known.pending, outcome.ID)
+	if isPending {
+		a.Outcomes[outcome.Result]++
+		known.lastResult, known.hasResult = outcome.Result, true
+	}
 	switch outcome.Result {
 	case Done, Refused:
-		known.failures, known.delay, known.notBefore = 0, 0, now
-		return Settlement{Subject: outcome.Subject, Numbers: []uint64{outcome.Number}}, true
+		known.succeeded(now)
+		return Settlement{Subject: outcome.Subject, Numbers: []uint64{outcome.Number}}, endsAct(table, record, holder, outcome)
 	case NoAnswer:
-		known.failures++
-		if known.failures >= a.settings.MaxFailures {
-			known.failures = 0
-			known.excluded, known.excludedUntil = outcome.Holder, now+a.settings.ExclusionTime
+		if isPending {
+			known.unanswered(a.settings, holder, permit.batch, now)
 		}
 	case RetryLater:
-		known.failures = 0
+		if isPending {
+			known.postponed(a.settings, now)
+		}
 	}
-	known.delay = min(a.settings.MaxRetryDelay, max(a.settings.MinRetryDelay, 2*known.delay))
-	known.notBefore = now + known.delay
 	return Settlement{}, false
 }
 
-func (a *Arbiter) attemptsAt(subject Subject) *attempts {
-	known := a.subjects[subject]
-	if known == nil {
-		known = &attempts{}
-		a.subjects[subject] = known
+// endsAct tells whether an act need not be performed any more after an outcome. That it was done is
+// true whoever did it, as its content is the same. A refusal of a former holder may be due to its fence.
+func endsAct(table *Table, record Record, holder Holder, outcome Outcome) bool {
+	if !record.isOpen(outcome.Number) || outcome.Fence <= table.FenceFloor {
+		return false
 	}
-	return known
+	isCurrent := outcome.Fence == record.Fence && holder == record.Holder
+	return outcome.Result == Done || isCurrent
 }
 
-// subjectsOf are the subjects that have something to perform, in order.
-func subjectsOf(table *Table, due []Act) []Subject {
+// candidates are the subjects that have something to perform, the one that waited longest first.
+func (a *Arbiter) candidates(table *Table, due []Act) []Subject {
 	subjects := map[Subject]bool{}
 	for subject, record := range table.Subjects {
 		if len(record.Open) > 0 {
@@ -175,18 +158,154 @@
 		}
 	}
 	for _, act := range due {
-		subjects[act.Subject] = true
+		if act.Number > table.Record(act.Subject).LastNumber {
+			subjects[act.Subject] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(subjects), func(one, other Subject) int {
+		return cmp.Or(cmp.Compare(a.lastPermitAt(one), a.lastPermitAt(other)), compareSubjects(one, other))
+	})
+}
+
+func (a *Arbiter) lastPermitAt(subject Subject) clock.Micros {
+	if known := a.subjects[subject]; known != nil {
+		return known.lastPermitAt
+	}
+	return 0
+}
+
+// grant gives a holder the permits for a subject that it may have now. The grant is to be recorded where
+// it is new: the holder, or the content of an act.
+func (a *Arbiter) grant(table *Table, subject Subject, holder Holder, due []Act, now clock.Micros) (permits []Permit, grant Grant, isNew bool) {
+	record, isKnown := table.Subjects[subject]
+	if !a.isEligible(table, subject, holder, now) {
+		return nil, Grant{}, false
+	}
+	fresh := freshActs(due, subject, record.LastNumber, now)
+	if a.mustWait(subject, record, fresh) || (!isKnown && !table.hasCapacity()) {
+		return nil, Grant{}, false
 	}
-	return slices.Sorted(maps.Keys(subjects))
+	grant = Grant{Subject: subject, Holder: holder, Fence: nextFence(table, subject, holder), Acts: fresh}
+	isNewHolder := !isKnown || record.Fence != grant.Fence
+	if isNewHolder || len(fresh) > 0 {
+		table.applyGrant(grant)
+		isNew = true
+	}
+	if isNewHolder {
+		a.HolderChanges++
+	}
+	permits = a.permits(table.Record(subject), subject, now)
+	a.plantFaults(permits, record, due)
+	return permits, grant, isNew
+}
+
+// mustWait tells whether no permit for a subject can be granted now: every act of it may be being
+// performed, or one that a newer one would supersede.
+func (a *Arbiter) mustWait(subject Subject, record Record, fresh []Act) bool {
+	known := a.attemptsAt(subject)
+	if len(known.pending) == 0 {
+		return false
+	}
+	if slices.ContainsFunc(slices.Concat(record.Open, fresh), func(act Act) bool { return act.Supersedes }) {
+		return true
+	}
+	isPending := func(act Act) bool { return known.isPending(act.Number) }
+	return len(fresh) == 0 && !slices.ContainsFunc(record.Open, func(act Act) bool { return !isPending(act) })
+}
+
+// permits gives the holder of a subject permits for its open acts, as far as the outside system takes
+// calls.
+func (a *Arbiter) permits(record Record, subject Subject, now clock.Micros) []Permit {
+	known := a.attemptsAt(subject)
+	known.lastPermitAt = now
+	a.lastBatch++
+	var permits []Permit
+	for _, act := range record.Open {
+		if known.isPending(act.Number) || !a.rate.take(now) {
+			continue
+		}
+		a.lastSerial++
+		id := PermitID{Epoch: a.epoch, Serial: a.lastSerial}
+		known.pending[id] = pendingPermit{number: act.Number, batch: a.lastBatch, expiresAt: now + a.settings.Validity}
+		permits = append(permits, Permit{Act: act, ID: id, Holder: record.Holder, Fence: record.Fence})
+	}
+	a.Permits += int64(len(permits))
+	return permits
+}
+
+// plantFaults changes permits as the planted faults would.
+func (a *Arbiter) plantFaults(permits []Permit, former Record, due []Act) {
+	for i := range permits {
+		if a.faults.FormerFence && former.Fence > 0 {
+			permits[i].Fence = former.Fence
+		}
+		for _, act := range due {
+			if a.faults.LaterContent && act.Subject == permits[i].Subject && act.Number == permits[i].Number {
+				permits[i].Content = act.Content
+			}
+		}
+	}
+}
+
+// nextFence is the fence of a holder's next permit.
+func nextFence(table *Table, subject Subject, holder Holder) uint64 {
+	record, isKnown := table.Subjects[subject]
+	switch {
+	case !isKnown:
+		return table.firstFence()
+	case record.Holder == holder:
+		return record.Fence
+	default:
+		return record.Fence + 1
+	}
+}
+
+// isEligible tells whether a node may have the next permit for a subject now.
+func (a *Arbiter) isEligible(table *Table, subject Subject, holder Holder, now clock.Micros) bool {
+	known := a.attemptsAt(subject)
+	isExcluded := known.excluded == holder && now < known.excludedUntil
+	if now < known.notBefore || isExcluded || !a.rate.allows(now) {
+		return false
+	}
+	record, isKnown := table.Subjects[subject]
+	if isKnown && record.Holder == holder {
+		return true
+	}
+	isFirst := !isKnown && table.FenceFloor == 0
+	return isFirst || a.mayTakeOver(record.Holder, known, now)
+}
+
+// mayTakeOver tells whether a subject may pass on from its holder: all permits of it have expired, and
+// it is absent or has to leave the subject.
+func (a *Arbiter) mayTakeOver(former Holder, known *attempts, now clock.Micros) bool {
+	// A former primary may have granted the holder a permit until it was succeeded.
+	lastPermitAt := max(known.lastPermitAt, a.servingSince)
+	if now < lastPermitAt+a.settings.HolderLease && !a.faults.NoHolderLease {
+		return false
+	}
+	isExcluded := known.excluded == former && now < known.excludedUntil
+	heardAt := max(a.heard[former], a.servingSince)
+	return isExcluded || now-heardAt >= a.settings.PresenceTimeout
+}
+
+func (a *Arbiter) attemptsAt(subject Subject) *attempts {
+	known := a.subjects[subject]
+	if known == nil {
+		known = &attempts{pending: map[PermitID]pendingPermit{}}
+		a.subjects[subject] = known
+	}
+	return known
 }
 
-// actsOf are the acts of a subject beyond a number.
-func actsOf(due []Act, subject Subject, lastNumber uint64) []Act {
-	var out []Act
+// freshActs are the acts of a subject beyond a number, in order.
+func freshActs(due []Act, subject Subject, lastNumber uint64, now clock.Micros) []Act {
+	var fresh []Act
 	for _, act := range due {
 		if act.Subject == subject && act.Number > lastNumber {
-			out = append(out, act)
+			act.DecidedAt = now
+			fresh = append(fresh, act)
 		}
 	}
-	return out
+	slices.SortStableFunc(fresh, func(one, other Act) int { return cmp.Compare(one.Number, other.Number) })
+	return fresh
 }
--- /dev/null
+++ b/internal/exclusive/arbiter_test.go
@@ -0,0 +1,241 @@
+package exclusive
+
+import (
+	"testing"
+
+	"tuliprudder/internal/clock"
+)
+
+// fixture is an arbiter with its table, in which every update is durable at once.
+type fixture struct {
+	t       *testing.T
+	arbiter *Arbiter
+	table   Table
+	now     clock.Micros
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, arbiter: NewArbiter(Defaults()), now: 100 * clock.Second}
+	f.arbiter.Start(1, f.now)
+	f.now += 20 * clock.Second
+	return f
+}
+
+// request has a holder request permits, with the outcomes of earlier ones.
+func (f *fixture) request(holder Holder, due []Act, outcomes ...Outcome) Decision {
+	decision := f.arbiter.Decide(&f.table, Request{Holder: holder, Outcomes: outcomes}, due, f.now)
+	f.table.Apply(decision.Update)
+	return decision
+}
+
+// one has a holder request the only permit.
+func (f *fixture) one(holder Holder, due ...Act) Permit {
+	f.t.Helper()
+	permits := f.request(holder, due).Permits
+	if len(permits) != 1 {
+		f.t.Fatalf("%d permits", len(permits))
+	}
+	return permits[0]
+}
+
+func outcomeOf(permit Permit, result Result) Outcome {
+	return Outcome{ID: permit.ID, Subject: permit.Subject, Number: permit.Number, Fence: permit.Fence, Result: result}
+}
+
+func TestASubjectPassesOnOnlyAfterTheHolderLease(t *testing.T) {
+	f := newFixture(t)
+	settings := Defaults()
+	first := f.one(holderA, act("s", 1, "x"))
+	f.now += settings.HolderLease - 1
+	if got := f.request(holderB, []Act{act("s", 1, "y")}).Permits; len(got) > 0 {
+		t.Fatalf("within the lease of the holder another gets %+v", got)
+	}
+	f.now++
+	second := f.one(holderB, act("s", 1, "y"))
+	if second.Fence <= first.Fence || string(second.Content) != "x" {
+		t.Fatalf("first %+v, then %+v", first, second)
+	}
+}
+
+// Permits that a former primary granted are not known to its successor.
+func TestANewPrimaryWaitsForTheFormerOnesPermits(t *testing.T) {
+	f := newFixture(t)
+	f.one(holderA, act("s", 1, "x"))
+	f.now += 50 * clock.Millisecond
+	f.arbiter.Start(2, f.now)
+	f.now += Defaults().HolderLease - 1
+	if got := f.request(holderB, nil).Permits; len(got) > 0 {
+		t.Fatalf("another gets %+v", got)
+	}
+	f.now++
+	f.one(holderB)
+}
+
+func TestAPresentHolderKeepsItsSubject(t *testing.T) {
+	f := newFixture(t)
+	done := f.one(holderA, act("s", 1, "x"))
+	f.request(holderA, nil, outcomeOf(done, Done))
+	f.now += 10 * clock.Second
+	f.arbiter.Heard(holderA, f.now)
+	due := []Act{act("s", 2, "y")}
+	if got := f.request(holderB, due).Permits; len(got) > 0 {
+		t.Fatalf("beside a holder that is present another gets %+v", got)
+	}
+	f.now += Defaults().PresenceTimeout
+	if got := f.request(holderB, due).Permits; len(got) != 1 {
+		t.Fatalf("once the holder is absent another gets %+v", got)
+	}
+}
+
+// A process that was started again doesn't know what the one before has under way.
+func TestARestartedHolderIsAnother(t *testing.T) {
+	f := newFixture(t)
+	first := f.one(holderA, act("s", 1, "x"))
+	again := Holder{Name: holderA.Name, Instance: "run-2"}
+	f.now += clock.Second
+	if got := f.request(again, nil).Permits; len(got) > 0 {
+		t.Fatalf("it gets %+v at once", got)
+	}
+	f.now += Defaults().HolderLease
+	if second := f.one(again); second.Fence <= first.Fence {
+		t.Fatalf("first %+v, then %+v", first, second)
+	}
+}
+
+func TestAnActIsSettledOnce(t *testing.T) {
+	f := newFixture(t)
+	permit := f.one(holderA, act("s", 1, "x"))
+	if got := f.request(holderA, nil, outcomeOf(permit, Done)).Update.Settlements; len(got) != 1 {
+		t.Fatalf("settled %+v", got)
+	}
+	if got := f.request(holderA, nil, outcomeOf(permit, Done)).Update; !got.IsEmpty() {
+		t.Fatalf("a request that comes again updates %+v", got)
+	}
+}
+
+// That an act was done is true whoever did it; a refusal may be due to the former fence.
+func TestOutcomesOfAFormerFence(t *testing.T) {
+	for _, test := range []struct {
+		result Result
+		ends   bool
+	}{{Done, true}, {Refused, false}, {RetryLater, false}, {NoAnswer, false}} {
+		f := newFixture(t)
+		former := f.one(holderA, act("s", 1, "x"))
+		f.now += Defaults().HolderLease
+		f.one(holderB)
+		f.request(holderA, nil, outcomeOf(former, test.result))
+		if ends := len(f.table.Record("s").Open) == 0; ends != test.ends {
+			t.Errorf("%s of a former holder: settled is %v", test.result, ends)
+		}
+	}
+}
+
+// A request that comes again must not end the delay, nor the permit that was granted since.
+func TestAnOutcomeCountsOnce(t *testing.T) {
+	f := newFixture(t)
+	first := f.one(holderA, act("s", 1, "x"))
+	f.request(holderA, nil, outcomeOf(first, NoAnswer))
+	f.now += Defaults().MinRetryDelay
+	f.one(holderA)
+	f.now += Defaults().MinRetryDelay
+	if got := f.request(holderA, nil, outcomeOf(first, NoAnswer)).Permits; len(got) > 0 {
+		t.Fatalf("a second permit beside the one that is pending: %+v", got)
+	}
+}
+
+func TestAnActIsNotGrantedTwiceAtATime(t *testing.T) {
+	f := newFixture(t)
+	f.one(holderA, act("s", 1, "x"))
+	got := f.request(holderA, []Act{act("s", 2, "y")}).Permits
+	if len(got) != 1 || got[0].Number != 2 {
+		t.Fatalf("beside act 1 it gets %+v", got)
+	}
+}
+
+// A call with the former target could otherwise arrive after one with the newer.
+func TestASupersedingActWaitsForTheOneBefore(t *testing.T) {
+	f := newFixture(t)
+	older, newer := act("s", 1, "x"), act("s", 2, "y")
+	older.Supersedes, newer.Supersedes = true, true
+	first := f.one(holderA, older)
+	if got := f.request(holderA, []Act{newer}); len(got.Permits) > 0 || !got.Update.IsEmpty() {
+		t.Fatalf("while the first is pending: %+v", got)
+	}
+	got := f.request(holderA, []Act{newer}, outcomeOf(first, Done)).Permits
+	if len(got) != 1 || got[0].Number != 2 {
+		t.Fatalf("once it is done: %+v", got)
+	}
+}
+
+func TestAHolderWithoutAnswersLeavesTheSubject(t *testing.T) {
+	f := newFixture(t)
+	settings := Defaults()
+	permit := f.one(holderA, act("s", 1, "x"))
+	for range settings.MaxFailures - 1 {
+		f.request(holderA, nil, outcomeOf(permit, NoAnswer))
+		f.now += settings.MaxRetryDelay
+		permit = f.one(holderA)
+	}
+	f.request(holderA, nil, outcomeOf(permit, NoAnswer))
+	f.now += settings.HolderLease
+	f.arbiter.Heard(holderA, f.now)
+	if got := f.request(holderA, nil).Permits; len(got) > 0 {
+		t.Fatalf("it gets %+v again", got)
+	}
+	f.one(holderB)
+}
+
+// The permits of one batch are one failure.
+func TestAnOutageOfABatchIsOneFailure(t *testing.T) {
+	f := newFixture(t)
+	permits := f.request(holderA, []Act{act("s", 1, "x"), act("s", 2, "y"), act("s", 3, "z")}).Permits
+	var outcomes []Outcome
+	for _, permit := range permits {
+		outcomes = append(outcomes, outcomeOf(permit, NoAnswer))
+	}
+	f.request(holderA, nil, outcomes...)
+	f.now += Defaults().MinRetryDelay
+	if got := f.request(holderA, nil).Permits; len(got) != 3 {
+		t.Fatalf("%d of 3 are granted again", len(got))
+	}
+}
+
+func TestCallsOfAllSubjectsShareTheRate(t *testing.T) {
+	f := newFixture(t)
+	var due []Act
+	for _, subject := range []Subject{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		for number := range uint64(8) {
+			due = append(due, act(subject, number+1, "x"))
+		}
+	}
+	var times []clock.Micros
+	for range 1000 {
+		f.now += 10 * clock.Millisecond
+		for _, permit := range f.request(holderA, due).Permits {
+			times = append(times, f.now)
+			f.request(holderA, nil, outcomeOf(permit, Done))
+		}
+	}
+	if len(times) < 40 {
+		t.Fatalf("only %d of 64 calls in 10 s", len(times))
+	}
+	limit := Defaults().CallsPerSecond
+	for i := limit; i < len(times); i++ {
+		if times[i]-times[i-limit] < clock.Second {
+			t.Fatalf("%d calls within %d us", limit+1, times[i]-times[i-limit])
+		}
+	}
+}
+
+func TestARequestThatChangesNothingIsIdle(t *testing.T) {
+	var table Table
+	if !IsIdle(&table, Request{Holder: holderA}, nil) {
+		t.Fatal("nothing is to be done")
+	}
+	due := []Act{act("s", 1, "x")}
+	isIdle := IsIdle(&table, Request{Holder: holderA}, due)
+	table.Apply(granted("s", holderA, 1, due...))
+	if isIdle || IsIdle(&table, Request{Holder: holderA}, nil) || IsIdle(&Table{}, Request{Outcomes: make([]Outcome, 1)}, nil) {
+		t.Fatal("something is due, open or reported")
+	}
+}
--- a/internal/exclusive/messages.go
+++ b/internal/exclusive/messages.go
@@ -1,6 +1,9 @@
 package exclusive
 
-import "tuliprudder/internal/transport"
+import (
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/transport"
+)
 
 // Result is how a permit ended.
 type Result int
@@ -11,17 +14,23 @@
 	NoAnswer Result = iota
 	// Done: it took the act.
 	Done
-	// RetryLater: it answered that it takes the act later.
+	// RetryLater: it can take the act later.
 	RetryLater
 	// Refused: it will never take the act.
 	Refused
 )
 
+// results are the results' names for operators.
+var results = map[Result]string{NoAnswer: "no_answer", Done: "done", RetryLater: "retry_later", Refused: "refused"}
+
+// String is the result's name for operators.
+func (r Result) String() string { return results[r] }
+
 // Outcome is the result of a permit.
 type Outcome struct {
+	ID      PermitID
 	Subject Subject
 	Number  uint64
-	Holder  string
 	Fence   uint64
 	Result  Result
 }
@@ -29,14 +38,18 @@
 // Messages between nodes and the primary. The names of these types and of their fields are on the
 // wire between daemons (gob).
 type (
-	// Request asks the primary for permits, and reports the outcomes of earlier ones. It may be sent
-	// again: an outcome counts once.
+	// Request requests permits, and reports the outcomes of earlier ones. It may be sent again: an
+	// outcome counts once.
 	Request struct {
-		Holder   string // the node's name
+		Holder   Holder
 		Outcomes []Outcome
 	}
 	// Response has the permits that the node may perform now; none is usual.
-	Response struct{ Permits []Permit }
+	Response struct {
+		Permits []Permit
+		// Validity is for how long they may be performed, from the moment at which the request was sent.
+		Validity clock.Micros
+	}
 )
 
 func init() { transport.Register(Request{}, Response{}) }
--- /dev/null
+++ b/internal/exclusive/performer_test.go
@@ -0,0 +1,142 @@
+package exclusive
+
+import (
+	"errors"
+	"testing"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/machine"
+)
+
+// performerFixture is a performer whose requests are answered by hand.
+type performerFixture struct {
+	t         *testing.T
+	performer *Performer
+	calls     *machine.Calls
+	now       clock.Micros
+	request   machine.Request // the latest
+	tasks     []Task
+}
+
+func newPerformerFixture(t *testing.T) *performerFixture {
+	calls := machine.NewCalls()
+	return &performerFixture{t: t, calls: calls, now: 100 * clock.Second, performer: NewPerformer(holderA, PerformerDefaults(), calls)}
+}
+
+// tick tells whether a request was sent.
+func (f *performerFixture) tick() (isSent bool) {
+	f.performer.Tick("primary", false, f.now)
+	return f.drain()
+}
+
+func (f *performerFixture) drain() (isSent bool) {
+	for _, effect := range f.calls.Drain() {
+		switch e := effect.(type) {
+		case machine.Request:
+			f.request, isSent = e, true
+		case machine.Execute:
+			f.tasks = append(f.tasks, e.Task.(Task))
+		}
+	}
+	return isSent
+}
+
+// respond answers the latest request.
+func (f *performerFixture) respond(permits ...Permit) {
+	response := Response{Permits: permits, Validity: Defaults().Validity}
+	f.calls.ReplyReceived(f.request.Token, response, nil, f.now)
+	f.drain()
+}
+
+func (f *performerFixture) outcomes() []Outcome { return f.request.Body.(Request).Outcomes }
+
+func permitOf(serial uint64, act Act) Permit {
+	return Permit{Act: act, ID: PermitID{1, serial}, Holder: holderA, Fence: 1}
+}
+
+// The response may have been on its way, or the process frozen, for any time.
+func TestAPermitCountsFromTheMomentOfTheRequest(t *testing.T) {
+	f := newPerformerFixture(t)
+	f.tick()
+	sentAt := f.now
+	f.now += 900 * clock.Millisecond
+	f.respond(permitOf(1, act("s", 1, "x")))
+	if len(f.tasks) != 1 || f.tasks[0].Deadline != sentAt+Defaults().Validity {
+		t.Fatalf("the tasks are %+v", f.tasks)
+	}
+}
+
+func TestAPermitThatCameTooLateIsNotPerformed(t *testing.T) {
+	f := newPerformerFixture(t)
+	f.tick()
+	f.now += Defaults().Validity
+	f.respond(permitOf(1, act("s", 1, "x")))
+	f.tick()
+	if len(f.tasks) > 0 || len(f.outcomes()) != 1 || f.outcomes()[0].Result != NoAnswer {
+		t.Fatalf("tasks %+v, outcomes %+v", f.tasks, f.outcomes())
+	}
+}
+
+func TestOutcomesAreReportedUntilTheyAreAnswered(t *testing.T) {
+	f := newPerformerFixture(t)
+	f.tick()
+	f.respond(permitOf(1, act("s", 1, "x")))
+	f.performer.Performed(Performed{PermitID{1, 1}, Done}, f.now)
+	f.performer.Performed(Performed{PermitID{1, 1}, NoAnswer}, f.now)
+	if !f.tick() || len(f.outcomes()) != 1 || f.outcomes()[0].Result != Done {
+		t.Fatalf("reported at once: %+v", f.outcomes())
+	}
+	f.calls.ReplyReceived(f.request.Token, nil, errors.New("lost"), f.now)
+	if f.tick() {
+		t.Fatal("a request that failed is sent again without a pause")
+	}
+	f.now += clock.Second
+	if !f.tick() || len(f.outcomes()) != 1 {
+		t.Fatalf("reported again: %+v", f.outcomes())
+	}
+	f.respond()
+	f.now += clock.Second
+	if !f.tick() || len(f.outcomes()) != 0 {
+		t.Fatalf("reported once more: %+v", f.outcomes())
+	}
+}
+
+// A new primary doesn't know what is being performed.
+func TestASupersededActIsOverBeforeTheNextBegins(t *testing.T) {
+	f := newPerformerFixture(t)
+	older, newer := act("s", 1, "x"), act("s", 2, "y")
+	older.Supersedes, newer.Supersedes = true, true
+	f.tick()
+	f.respond(permitOf(1, older))
+	f.now += clock.Second
+	f.tick()
+	f.respond(permitOf(2, newer), permitOf(3, act("other", 1, "z")))
+	if len(f.tasks) != 2 || f.tasks[1].Permit.Subject != "other" {
+		t.Fatalf("the tasks are %+v", f.tasks)
+	}
+	f.tick()
+	if got := f.outcomes(); len(got) != 1 || got[0].ID != (PermitID{1, 2}) || got[0].Result != RetryLater {
+		t.Fatalf("the outcomes are %+v", got)
+	}
+}
+
+func TestRequestsComeAtIntervals(t *testing.T) {
+	f := newPerformerFixture(t)
+	if !f.tick() || f.tick() {
+		t.Fatal("one request at a time")
+	}
+	f.respond()
+	f.now += PerformerDefaults().Interval - 1
+	if f.tick() {
+		t.Fatal("the next one is not due")
+	}
+	f.now++
+	if !f.tick() {
+		t.Fatal("the next one is due")
+	}
+	f.respond()
+	f.performer.Tick("", false, f.now+clock.Second)
+	if f.drain() {
+		t.Fatal("no primary is known")
+	}
+}
--- /dev/null
+++ b/internal/exclusive/table_test.go
@@ -0,0 +1,101 @@
+package exclusive
+
+import (
+	"fmt"
+	"testing"
+)
+
+var (
+	holderA = Holder{"node-a", "run-1"}
+	holderB = Holder{"node-b", "run-1"}
+)
+
+func act(subject Subject, number uint64, content string) Act {
+	return Act{Subject: subject, Number: number, Content: []byte(content)}
+}
+
+func granted(subject Subject, holder Holder, fence uint64, acts ...Act) Update {
+	return Update{Grants: []Grant{{Subject: subject, Holder: holder, Fence: fence, Acts: acts}}}
+}
+
+func TestContentOfAnActNeverChanges(t *testing.T) {
+	var table Table
+	table.Apply(granted("s", holderA, 1, act("s", 5, "first")))
+	table.Apply(granted("s", holderB, 2, act("s", 5, "second"), act("s", 4, "earlier")))
+	open := table.Record("s").Open
+	if len(open) != 1 || string(open[0].Content) != "first" {
+		t.Fatalf("open are %+v", open)
+	}
+}
+
+func TestAFenceNeverGoesBackNorHasTwoHolders(t *testing.T) {
+	var table Table
+	table.Apply(granted("s", holderA, 3, act("s", 1, "x")))
+	table.Apply(granted("s", holderB, 2, act("s", 2, "y")))
+	table.Apply(granted("s", holderB, 3, act("s", 2, "y")))
+	table.Apply(granted("s", Holder{"node-a", "run-2"}, 3, act("s", 2, "y")))
+	if record := table.Record("s"); record.Holder != holderA || record.Fence != 3 || record.LastNumber != 1 {
+		t.Fatalf("the record is %+v", record)
+	}
+}
+
+func TestASupersedingActLeavesItselfOnly(t *testing.T) {
+	var table Table
+	table.Apply(granted("s", holderA, 1, act("s", 1, "x")))
+	newer := act("s", 2, "y")
+	newer.Supersedes = true
+	table.Apply(granted("s", holderA, 1, newer))
+	record := table.Record("s")
+	if len(record.Open) != 1 || record.Open[0].Number != 2 || string(record.LastContent) != "y" {
+		t.Fatalf("the record is %+v", record)
+	}
+}
+
+func TestASettledActIsNotOpenAndNotDecidedAgain(t *testing.T) {
+	var table Table
+	table.Apply(granted("s", holderA, 1, act("s", 1, "x"), act("s", 2, "y")))
+	copied := table
+	table.Apply(Update{Settlements: []Settlement{{Subject: "s", Numbers: []uint64{1, 9}}, {Subject: "unknown", Numbers: []uint64{1}}}})
+	table.Apply(granted("s", holderA, 1, act("s", 1, "z")))
+	if open := table.Record("s").Open; len(open) != 1 || open[0].Number != 2 {
+		t.Fatalf("open are %+v", open)
+	}
+	if len(copied.Record("s").Open) != 2 {
+		t.Fatal("a copy of the table has changed")
+	}
+}
+
+func TestOpenActsAreBounded(t *testing.T) {
+	var table Table
+	for number := range uint64(maxOpenActs + 3) {
+		table.Apply(granted("s", holderA, 1, act("s", number+1, "x")))
+	}
+	open := table.Record("s").Open
+	if len(open) != maxOpenActs || open[0].Number != 4 || table.Abandoned != 3 {
+		t.Fatalf("%d are open from %d, %d given up", len(open), open[0].Number, table.Abandoned)
+	}
+}
+
+// A subject that was forgotten gets no fence that it had before.
+func TestAForgottenSubjectGetsAHigherFence(t *testing.T) {
+	var table Table
+	table.Apply(granted("forgotten", holderA, 7, act("forgotten", 1, "x")))
+	table.Apply(Update{Settlements: []Settlement{{Subject: "forgotten", Numbers: []uint64{1}}}})
+	for i := range maxSubjects {
+		subject := Subject(fmt.Sprintf("s%d", i))
+		table.Apply(granted(subject, holderA, nextFence(&table, subject, holderA), act(subject, 1, "x")))
+	}
+	if _, isKnown := table.Subjects["forgotten"]; isKnown || len(table.Subjects) != maxSubjects {
+		t.Fatalf("%d subjects are known", len(table.Subjects))
+	}
+	if table.hasCapacity() {
+		t.Fatal("every subject has an open act, and there is room for one more")
+	}
+	if fence := nextFence(&table, "forgotten", holderA); fence <= 7 {
+		t.Fatalf("its next fence is %d", fence)
+	}
+	table.Apply(granted("forgotten", holderB, 7, act("forgotten", 2, "y")))
+	if _, isKnown := table.Subjects["forgotten"]; isKnown {
+		t.Fatal("a former fence was granted again")
+	}
+}
