Control state: permits are decided at the primary, durable on every replica before they are heard of

state.UpdateActs changes exclusive.Table in the control state (key omitted while nothing was decided: what earlier builds wrote reads and writes as before, TestGoldenControlStateWithoutActs; golden data for the new entry and the state with acts is new).

A request for permits has a turn after each change and when none can be started, one of each holder at most, 64 in all; it is decided under the lease when nothing is in flight. One that can change nothing is answered at once and costs neither a write nor a turn. Acts don't publish the map of shards anew: that would go to every daemon twice for each act.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -7,6 +7,7 @@
 	"tuliprudder/internal/controlplane/changequeue"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/errs"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 )
 
@@ -27,6 +28,8 @@
 		c.readConfigurations(call.Number, request, now)
 	case RetireRequest:
 		c.retire(call.Number, request, now)
+	case exclusive.Request:
+		c.requestPermits(call.Number, request, now)
 	case StatusRequest:
 		c.Emit(machine.Reply{Call: call.Number, Body: c.status()})
 	default:
--- a/internal/controlplane/changes.go
+++ b/internal/controlplane/changes.go
@@ -24,32 +24,43 @@
 }
 
 // processQueue takes one change at a time through the group, so that two operators'
-// configurations have one order. Nothing is decided without the lease.
+// configurations have one order. Nothing is decided without the lease. A request for permits has
+// its turn after each change, and when no change can be started.
 func (c *Core) processQueue(now clock.Micros) {
-	checks := changequeue.Checks{
-		CanRetire: func(id string) error { return c.canRetire(id, now) },
-		Document:  c.settings.CheckConfiguration,
-	}
 	for !c.queue.HasInFlight() && c.HoldsLease(now) {
-		change, ok, err := c.queue.Next(c.state, checks)
-		if !ok {
-			return
-		}
-		if err != nil {
-			c.Emit(machine.Reply{Call: change.Call, Err: err})
-			continue
-		}
-		if change.Entry == nil {
-			// Nothing to write; all in the state is confirmed, as nothing is in flight.
-			c.replyToChange(change)
+		if c.permitRequests.isTurn && c.decideOnPermits(now) {
 			continue
 		}
-		if !c.replicate(change, now) {
+		isTaken, ok := c.startNextChange(now)
+		if !ok || !isTaken && !c.decideOnPermits(now) {
 			return
 		}
 	}
 }
 
+// startNextChange decides the next change and sends it to the replicas. isTaken is false where all wait,
+// ok where the state is damaged.
+func (c *Core) startNextChange(now clock.Micros) (isTaken, ok bool) {
+	checks := changequeue.Checks{
+		CanRetire: func(id string) error { return c.canRetire(id, now) },
+		Document:  c.settings.CheckConfiguration,
+	}
+	change, isTaken, err := c.queue.Next(c.state, checks)
+	switch {
+	case !isTaken:
+		return false, true
+	case err != nil:
+		c.Emit(machine.Reply{Call: change.Call, Err: err})
+		return true, true
+	case change.Entry == nil:
+		// Nothing to write; all in the state is confirmed, as nothing is in flight.
+		c.replyToChange(change)
+		return true, true
+	}
+	c.permitRequests.isTurn = true
+	return true, c.replicate(change, now)
+}
+
 // replicate applies a change here and sends it to the replicas; false when it can't be applied.
 func (c *Core) replicate(change changequeue.Change, now clock.Micros) bool {
 	c.Changes++
@@ -101,6 +112,7 @@
 
 // expireChanges answers those whose deadlines passed while they waited.
 func (c *Core) expireChanges(now clock.Micros) {
+	c.rejectPermitRequests(c.permitRequests.expire(now))
 	for _, timedOut := range c.queue.Expire(c.state, now) {
 		if timedOut.MayBeApplied {
 			c.replyUnknown(timedOut.Call)
--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -37,6 +37,7 @@
 	lastCall   uint64
 	replies    map[uint64]machine.Reply
 	broadcasts []machine.Broadcast
+	published  []machine.Update
 	disks      map[string]*disk // what each core has written, where the test keeps it
 	// blocksWrite keeps a write from a core's disk; nil: each is done at once.
 	blocksWrite func(peer string, write machine.Persist) bool
@@ -111,6 +112,8 @@
 			}
 		case machine.Reply:
 			b.replies[e.Call] = e
+		case machine.Publish:
+			b.published = append(b.published, e.Update)
 		case machine.Broadcast:
 			b.broadcasts = append(b.broadcasts, e)
 			b.replies[e.Call] = machine.Reply{Call: e.Call, Body: e.Body}
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -11,6 +11,9 @@
 //	stores           the stores that are heard: who may join, who is evicted
 //	durableupdates   updates that outlive a stop of the fleet, kept on disk
 //
+// Which node performs acts on outside systems is decided by internal/exclusive; permits.go takes
+// its decisions through the replication group.
+//
 // A Core is pure: commands and the time go in, effects come out, and nothing here touches
 // a clock, a socket or a file. It is not safe for concurrent use; the daemon's event loop
 // owns it.
@@ -28,6 +31,7 @@
 	"tuliprudder/internal/controlplane/placement"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/controlplane/stores"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/replication"
 )
@@ -57,6 +61,9 @@
 	queue          changequeue.Queue
 	stores         *stores.Table
 	durableUpdates *durableupdates.Table
+	arbiter        *exclusive.Arbiter
+	permitRequests permitRequests
+	actSources     []exclusive.Source
 
 	placementMemory placement.Memory
 	nextReconcileAt clock.Micros
@@ -82,6 +89,7 @@
 		state:          state.New(),
 		stores:         stores.New(settings.stores()),
 		durableUpdates: durableupdates.New(),
+		arbiter:        exclusive.NewArbiter(settings.Acts),
 	}
 	c.groups = replication.NewGroups(&c.Effects, c)
 	identity := election.Identity{Core: self, Incarnation: incarnation, Seeds: seeds}
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -47,6 +47,7 @@
 	for _, call := range c.queue.ReleaseCalls() {
 		c.replyUnknown(call)
 	}
+	c.rejectPermitRequests(c.permitRequests.clear())
 }
 
 // CompactAgain asks for another snapshot: the last one could not be written.
--- /dev/null
+++ b/internal/controlplane/permits.go
@@ -0,0 +1,171 @@
+package controlplane
+
+import (
+	"slices"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/changequeue"
+	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/errs"
+	"tuliprudder/internal/exclusive"
+	"tuliprudder/internal/machine"
+)
+
+// This file takes requests for permits (package exclusive) through the replication group. Each is
+// decided at a turn at which nothing is in flight, under the lease, so that the whole state is
+// confirmed; what the decision changes is on every replica's disk before the node hears of a permit.
+
+const (
+	// maxPermitRequests is how many nodes may wait for a decision.
+	maxPermitRequests = 64
+	// permitRequestTimeout is how long a node waits for one.
+	permitRequestTimeout = clock.Second
+)
+
+// permitRequest is a node's request that waits for its turn.
+type permitRequest struct {
+	call     uint64
+	deadline clock.Micros
+	exclusive.Request
+}
+
+// permitRequests are the requests that wait, at most one of each holder, and the response that waits
+// until its update is confirmed.
+type permitRequests struct {
+	waiting []permitRequest
+	isTurn  bool // a change was started since the latest decision
+
+	pendingCall     uint64 // 0: none, or nobody waits for it any more
+	pendingDeadline clock.Micros
+	pendingResponse exclusive.Response
+}
+
+// add has a request wait; it replaces an earlier one of the same holder, whose call is given back.
+func (p *permitRequests) add(request permitRequest) (replaced []uint64) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(other permitRequest) bool {
+		isSame := other.Holder == request.Holder
+		if isSame {
+			replaced = append(replaced, other.call)
+		}
+		return isSame
+	})
+	p.waiting = append(p.waiting, request)
+	return replaced
+}
+
+// next takes the request whose turn it is; false where none waits.
+func (p *permitRequests) next() (permitRequest, bool) {
+	if len(p.waiting) == 0 {
+		return permitRequest{}, false
+	}
+	first := p.waiting[0]
+	p.waiting = slices.Delete(p.waiting, 0, 1)
+	return first, true
+}
+
+// expire drops what waited too long and lists its calls. What is in flight goes on without its caller.
+func (p *permitRequests) expire(now clock.Micros) (calls []uint64) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(request permitRequest) bool {
+		isLate := now >= request.deadline
+		if isLate {
+			calls = append(calls, request.call)
+		}
+		return isLate
+	})
+	if p.pendingCall != 0 && now >= p.pendingDeadline {
+		calls = append(calls, p.pendingCall)
+		p.pendingCall = 0
+	}
+	return calls
+}
+
+// clear drops all and lists the calls.
+func (p *permitRequests) clear() (calls []uint64) {
+	for _, request := range p.waiting {
+		calls = append(calls, request.call)
+	}
+	if p.pendingCall != 0 {
+		calls = append(calls, p.pendingCall)
+	}
+	*p = permitRequests{}
+	return calls
+}
+
+// AddActSource adds a source of acts; it is asked while this core is primary under its lease.
+func (c *Core) AddActSource(source exclusive.Source) { c.actSources = append(c.actSources, source) }
+
+// dueActs are the acts that the sources propose.
+func (c *Core) dueActs() (due []exclusive.Act) {
+	for _, source := range c.actSources {
+		due = append(due, source.Due(&c.state.Acts)...)
+	}
+	return due
+}
+
+// requestPermits has a node's request decided. One that can change nothing is answered at once, so that
+// it costs no turn.
+func (c *Core) requestPermits(call uint64, request exclusive.Request, now clock.Micros) {
+	if !c.HoldsLease(now) {
+		c.rejectNotPrimary(call)
+		return
+	}
+	c.arbiter.Heard(request.Holder, now)
+	if exclusive.IsIdle(&c.state.Acts, request, c.dueActs()) {
+		c.Emit(machine.Reply{Call: call, Body: c.arbiter.Response(nil)})
+		return
+	}
+	if len(c.permitRequests.waiting) >= maxPermitRequests {
+		c.Emit(machine.Reply{Call: call, Err: errs.NewWithRetry(errs.Busy, clock.Second, "send it again", "too many requests for permits wait")})
+		return
+	}
+	replaced := c.permitRequests.add(permitRequest{call: call, deadline: now + permitRequestTimeout, Request: request})
+	c.rejectPermitRequests(replaced)
+	c.processQueue(now)
+}
+
+// decideOnPermits decides the next request for permits; false where none waits. Nothing is in flight and
+// this core holds its lease.
+func (c *Core) decideOnPermits(now clock.Micros) bool {
+	request, ok := c.permitRequests.next()
+	c.permitRequests.isTurn = false
+	if !ok {
+		return false
+	}
+	decision := c.arbiter.Decide(&c.state.Acts, request.Request, c.dueActs(), now)
+	response := c.arbiter.Response(decision.Permits)
+	if decision.Update.IsEmpty() {
+		c.Emit(machine.Reply{Call: request.call, Body: response})
+		return true
+	}
+	p := &c.permitRequests
+	p.pendingCall, p.pendingDeadline, p.pendingResponse = request.call, request.deadline, response
+	return c.replicate(changequeue.Change{Entry: state.UpdateActs{Update: decision.Update}}, now)
+}
+
+// replyWithPermits answers the node whose request led to a change that is confirmed.
+func (c *Core) replyWithPermits(confirmed changequeue.Change) {
+	if !updatesActs(confirmed.Entry) {
+		return
+	}
+	c.skipMapUpdate()
+	p := &c.permitRequests
+	if p.pendingCall != 0 {
+		c.Emit(machine.Reply{Call: p.pendingCall, Body: p.pendingResponse})
+	}
+	p.pendingCall, p.pendingResponse = 0, exclusive.Response{}
+}
+
+// rejectPermitRequests answers nodes whose requests were not decided, or whose decisions may not be
+// durable. Their outcomes stay with them and come again.
+func (c *Core) rejectPermitRequests(calls []uint64) {
+	for _, call := range calls {
+		c.Emit(machine.Reply{Call: call, Err: errs.NewWithRetry(errs.OutcomeUnknown, clock.Second,
+			"send it again, with all outcomes", "it is not known whether the permits are durable")})
+	}
+}
+
+// updatesActs tells whether an entry changes the table of acts, and nothing else.
+func updatesActs(entry state.Entry) bool {
+	_, ok := entry.(state.UpdateActs)
+	return ok
+}
--- a/internal/controlplane/publish.go
+++ b/internal/controlplane/publish.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// skipMapUpdate records, after a change that the map of shards has no part of, that the map is as it was
+// published.
+func (c *Core) skipMapUpdate() {
+	if c.published.seq+1 == c.state.Seq {
+		c.published.seq = c.state.Seq
+	}
+}
+
 // coreUpdate says that this core is primary, and who the other cores are.
 func (c *Core) coreUpdate(epoch uint64) state.CoreUpdate {
 	vote := c.Vote()
--- a/internal/controlplane/replicated_state.go
+++ b/internal/controlplane/replicated_state.go
@@ -61,6 +61,7 @@
 func (c *Core) Confirmed(_ string, _ uint64, now clock.Micros) {
 	if confirmed, ok := c.queue.Confirm(); ok {
 		c.replyToChange(confirmed)
+		c.replyWithPermits(confirmed)
 	}
 	c.publish()
 	c.processQueue(now)
@@ -75,12 +76,14 @@
 	for _, call := range c.queue.Clear() {
 		c.replyUnknown(call)
 	}
+	c.rejectPermitRequests(c.permitRequests.clear())
 	c.Emit(machine.LogEvent{Event: LostPrimary{Epoch: epoch}})
 }
 
 // startServing is called when this core begins to serve as the primary of a committed term.
 func (c *Core) startServing(now clock.Micros) {
 	c.stores.StartServing(now)
+	c.arbiter.Start(c.group().Epoch, now)
 	if c.state.Fleet == "" {
 		c.propose(state.Bootstrap{Fleet: c.Vote().Fleet, Shards: c.settings.Shards}, now)
 	}
--- a/internal/controlplane/settings.go
+++ b/internal/controlplane/settings.go
@@ -6,6 +6,7 @@
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/placement"
 	"tuliprudder/internal/controlplane/stores"
+	"tuliprudder/internal/exclusive"
 )
 
 // Settings of a core. All spans are in microseconds; the defaults are those of Defaults.
@@ -30,6 +31,7 @@
 	AssumeLostAfter    clock.Micros            // after which a core takes the voters for updates that it does not hear for lost; default 20 s
 	CheckConfiguration func(body []byte) error // refuses an invalid configuration; default nil: none is
 	PatchFormat        config.PatchFormat      // how operators' patches are written; default: that of the product's own documents
+	Acts               exclusive.Settings      // times of permits for acts on outside systems; default: exclusive.Defaults
 }
 
 // Defaults are the starting values.
@@ -53,6 +55,7 @@
 		EvictAfter:       10 * clock.Second,
 		AssumeLostAfter:  20 * clock.Second,
 		PatchFormat:      config.OwnPatchFormat,
+		Acts:             exclusive.Defaults(),
 	}
 }
 
--- a/internal/controlplane/state/entries.go
+++ b/internal/controlplane/state/entries.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/replication"
 )
@@ -34,6 +35,10 @@
 	AssignShards struct {
 		Shards map[int]replication.Assignment `json:"Slots"`
 	}
+	// UpdateActs writes down who may perform which acts on outside systems, and which are done.
+	UpdateActs struct {
+		Update exclusive.Update `json:"update"`
+	}
 )
 
 // Apply does so once only: the number of shards is fixed from then on.
@@ -43,10 +48,14 @@
 	}
 }
 
+// Apply changes the table of acts.
+func (e UpdateActs) Apply(s *State) { s.Acts.Apply(e.Update) }
+
 func (Bootstrap) kind() string     { return kindBootstrap }
 func (RegisterStore) kind() string { return kindRegisterStore }
 func (AssignShards) kind() string  { return kindPair }
 func (Retire) kind() string        { return kindRetire }
+func (UpdateActs) kind() string    { return kindUpdateActs }
 
 var entries = machine.EntryCodec[Entry]{
 	kindBootstrap:        machine.Decoder(func(e Bootstrap) Entry { return e }),
@@ -54,6 +63,7 @@
 	kindRegisterStore:    machine.Decoder(func(e RegisterStore) Entry { return e }),
 	kindPair:             machine.Decoder(func(e AssignShards) Entry { return e }),
 	kindRetire:           machine.Decoder(func(e Retire) Entry { return e }),
+	kindUpdateActs:       machine.Decoder(func(e UpdateActs) Entry { return e }),
 }
 
 // Encode is an entry as the replicas get it.
--- a/internal/controlplane/state/state.go
+++ b/internal/controlplane/state/state.go
@@ -10,7 +10,10 @@
 // what Map returned stays as it is.
 package state
 
-import "tuliprudder/internal/replication"
+import (
+	"tuliprudder/internal/exclusive"
+	"tuliprudder/internal/replication"
+)
 
 // Store is a store daemon; its writer id is never given to another.
 type Store struct {
@@ -35,6 +38,7 @@
 	Stores     map[string]Store         `json:"stores"`
 	NextWriter int                      `json:"next_writer"`
 	Shards     []replication.Assignment `json:"slots"`
+	Acts       exclusive.Table          `json:"acts,omitzero"` // on outside systems
 }
 
 // New is an empty state.
--- a/internal/controlplane/state/stored_names.go
+++ b/internal/controlplane/state/stored_names.go
@@ -15,6 +15,7 @@
 	kindRegisterStore    = "enrol-store"
 	kindPair             = "pair"
 	kindRetire           = "retire"
+	kindUpdateActs       = "acts"
 )
 
 // What a snapshot begins with, and what the snapshots of all formats begin with.
--- a/test/storedformat/golden_test.go
+++ b/test/storedformat/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"path/filepath"
 	"testing"
 
@@ -19,6 +20,7 @@
 	"tuliprudder/internal/dataplane/requests"
 	"tuliprudder/internal/dataplane/scheduler"
 	"tuliprudder/internal/errs"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
 	"tuliprudder/internal/replication"
@@ -34,15 +36,15 @@
 	must(t, controlState.Requests.UnmarshalJSON([]byte(`{"forgotten":7,"packed":"AgEAAQIDBAUGBwgJCgsMDQ4P"}`)))
 	return map[string]any{
 		// On disk.
-		"record.json":          &machine.Record{},
-		"vote.json":            &election.Vote{},
-		"control-state.json":   controlState,
-		"assignment.json":      &replication.Assignment{},
-		"batch.json":           &shard.Batch{},
-		"claim.json":           &shard.Claim{},
-		"claim-answer.json":    &requests.Response{},
-		"identity.json":        &eventloop.Identity{},
-		"endpoint-update.json": &machine.Update{},
+		"record.json":             &machine.Record{},
+		"vote.json":               &election.Vote{},
+		"control-state-acts.json": controlState,
+		"assignment.json":         &replication.Assignment{},
+		"batch.json":              &shard.Batch{},
+		"claim.json":              &shard.Claim{},
+		"claim-answer.json":       &requests.Response{},
+		"identity.json":           &eventloop.Identity{},
+		"endpoint-update.json":    &machine.Update{},
 		// Updates that are gossiped.
 		"map.json":             &state.Map{},
 		"core-news.json":       &state.CoreUpdate{},
@@ -77,6 +79,21 @@
 	}
 }
 
+// A control state without acts is written byte for byte as the build before them wrote it.
+func TestGoldenControlStateWithoutActs(t *testing.T) {
+	controlState := state.New()
+	must(t, goldenjson.Fill(controlState))
+	must(t, controlState.Requests.UnmarshalJSON([]byte(`{"forgotten":7,"packed":"AgEAAQIDBAUGBwgJCgsMDQ4P"}`)))
+	controlState.Acts = exclusive.Table{}
+	filled, err := json.Marshal(controlState)
+	must(t, err)
+	zero, err := json.Marshal(&state.State{})
+	must(t, err)
+	if err := goldenjson.CheckBytes(goldenFile("control-state.json"), bytes.Join([][]byte{filled, zero}, []byte("\n"))); err != nil {
+		t.Error(err)
+	}
+}
+
 // controlEntry and shardEntry fill a change and encode it.
 func controlEntry[E state.Entry](t *testing.T) []byte {
 	t.Helper()
@@ -119,6 +136,7 @@
 		"control-pair.json":       controlEntry[state.AssignShards](t),
 		"control-put-plan.json":   wholeConfiguration(t),
 		"control-patch.json":      controlEntry[state.PutConfiguration](t),
+		"control-acts.json":       controlEntry[state.UpdateActs](t),
 		"shard-enrol.json":        withoutBodies(t),
 		"shard-enrol-with-bodies": shardEntry[shard.SubmitBatch](t),
 		"shard-list.json":         shardEntry[shard.ListResult](t),
