--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -11,8 +11,8 @@
 	return route.Kind == config.Repeatable || route.Kind == config.Resumable
 }
 
-// handleRequest finds the route of a request and schedules its first attempt. Without a
-// configuration the daemon can't tell whether a route exists: it says that it is not ready.
+// handleRequest finds the route and the tenant of a request and schedules its first attempt. Without a
+// configuration the daemon can't tell whether a route or a key exists: it says that it is not ready.
 func (p *Proxy) handleRequest(call uint64, request Request, now clock.Micros) {
 	configuration := p.scheduler.Configuration()
 	if configuration == nil {
@@ -24,6 +24,11 @@
 		p.fail(call, errs.New(errs.UnknownRoute, "correct host and path, or have the operators add a route", "no route for host %q and path %q", request.Host, request.Path))
 		return
 	}
+	tenant, err := configuration.Authenticate(route.Forward, request.APIKey)
+	if err != nil {
+		p.fail(call, err)
+		return
+	}
 	if route.Kind == config.Batch {
 		p.decide(call, BatchSubmission{Route: route, Deadline: deadline(request, route, now)})
 		return
@@ -31,13 +36,12 @@
 	r := &activeRequest{
 		Request:        request,
 		route:          route,
+		identity:       Identity{IsAuthenticated: route.Forward.IsAuthenticated(), Tenant: tenant},
 		call:           call,
 		deadline:       deadline(request, route, now),
+		priority:       configuration.PriorityOf(route.Forward, tenant),
 		avoidedServers: map[string]int{},
 	}
-	if class := configuration.ClassOfTenant(route.Name); class != nil {
-		r.priority = class.Priority
-	}
 	p.inFlight[request.ID] = r
 	p.scheduleAttempt(r, nil, now)
 }
