Edges tell the primary core what began to run; the core proposes each window's report as an act

A core of a deployment with the duty collects reports (any core remembers them; the primary alone acknowledges), and is a source of exclusive acts. What is decided is told to the edges only from a confirmed state. An edge counts a request once, at its first event or, of another response, with its success; it tells nothing where the settings ask for no usage.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -5,6 +5,7 @@
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/changequeue"
+	"tuliprudder/internal/controlplane/primaryreport"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/errs"
 	"tuliprudder/internal/exclusive"
@@ -28,6 +29,8 @@
 		c.readConfigurations(call.Number, request, now)
 	case RetireRequest:
 		c.retire(call.Number, request, now)
+	case primaryreport.Report:
+		c.receiveReport(call.Number, request, now)
 	case exclusive.Request:
 		c.requestPermits(call.Number, request, now)
 	case StatusRequest:
--- a/internal/controlplane/commands.go
+++ b/internal/controlplane/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/primaryreport"
 	"tuliprudder/internal/controlplane/registration"
 	"tuliprudder/internal/machine"
 )
@@ -18,6 +19,12 @@
 		ID        string
 		Unhealthy bool
 	}
+	// EdgeHealth tells whether an incarnation of an edge lives, as the membership takes it.
+	EdgeHealth struct {
+		ID          string
+		Incarnation uint64
+		IsLive      bool
+	}
 	// CorePeers tells the addresses of the cores that the membership knows.
 	CorePeers struct{ Peers []string }
 	// FreshnessAdvanced tells up to when this daemon's updates include what a majority of the
@@ -42,6 +49,9 @@
 // Apply records it.
 func (n Suspicion) Apply(c *Core, _ clock.Micros) { c.stores.SetSuspected(n.ID, n.Unhealthy) }
 
+// Apply records it.
+func (e EdgeHealth) Apply(c *Core, _ clock.Micros) { c.setEdgeHealth(e) }
+
 // Apply sends these cores a heartbeat.
 func (p CorePeers) Apply(c *Core, now clock.Micros) { c.election.Greet(p.Peers, now) }
 
@@ -56,11 +66,15 @@
 	if heartbeat, ok := m.Body.(registration.Heartbeat); ok {
 		c.handleStoreHeartbeat(m.From, heartbeat, now)
 	}
+	if report, ok := m.Body.(primaryreport.Report); ok {
+		c.rememberReport(report, now)
+	}
 }
 
 // Apply does what is due.
 func (Tick) Apply(c *Core, now clock.Micros) {
 	c.republishUpdates()
+	c.advanceUsage(now)
 	c.groups.Tick(now)
 	c.election.Tick(now)
 	c.expireChanges(now)
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -10,6 +10,8 @@
 //	placement        which stores hold which shard
 //	stores           the stores that are heard: who may join, who is evicted
 //	durableupdates   updates that outlive a stop of the fleet, kept on disk
+//	primaryreport    what other daemons tell the primary of their work
+//	usage            the reports of use that are due, from what the edges counted
 //
 // Which node performs acts on outside systems is decided by internal/exclusive; permits.go takes
 // its decisions through the replication group.
@@ -31,6 +33,7 @@
 	"tuliprudder/internal/controlplane/placement"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/controlplane/stores"
+	"tuliprudder/internal/controlplane/usage"
 	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/replication"
@@ -64,6 +67,7 @@
 	arbiter        *exclusive.Arbiter
 	permitRequests permitRequests
 	actSources     []exclusive.Source
+	usage          *usage.Collector // nil where nothing is reported of use
 
 	placementMemory placement.Memory
 	nextReconcileAt clock.Micros
@@ -91,6 +95,10 @@
 		durableUpdates: durableupdates.New(),
 		arbiter:        exclusive.NewArbiter(settings.Acts),
 	}
+	if settings.Usage.IsEnabled() {
+		c.usage = usage.NewCollector(settings.Usage, c.Emit)
+		c.AddActSource(c.usage)
+	}
 	c.groups = replication.NewGroups(&c.Effects, c)
 	identity := election.Identity{Core: self, Incarnation: incarnation, Seeds: seeds}
 	c.election = election.New(identity, settings.election(), c.groups, &c.Effects, c.startServing)
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -82,7 +82,7 @@
 // what the disk itself tells, and what only makes this core know more.
 func isAllowedWithoutDisk(command Command) bool {
 	switch command := command.(type) {
-	case Persisted, DiskStateChanged, CompactAgain, Suspicion, DurableUpdate, FreshnessAdvanced:
+	case Persisted, DiskStateChanged, CompactAgain, Suspicion, EdgeHealth, DurableUpdate, FreshnessAdvanced:
 		return true
 	case Message:
 		_, isHeartbeat := command.Body.(election.Heartbeat)
--- a/internal/controlplane/primaryreport/sender.go
+++ b/internal/controlplane/primaryreport/sender.go
@@ -30,7 +30,7 @@
 // Sender sends the reports of one daemon.
 type Sender struct {
 	daemon      string
-	incarnation uint64
+	incarnation uint64 // 0: not known yet
 	calls       *machine.Calls
 	parts       []Part
 
@@ -57,11 +57,18 @@
 	FlushToPrimaryOnly bool
 }
 
-// NewSender makes the sender of a daemon in one incarnation.
-func NewSender(daemon string, incarnation uint64, calls *machine.Calls, parts ...Part) *Sender {
-	return &Sender{daemon: daemon, incarnation: incarnation, calls: calls, parts: parts}
+// NewSender makes the sender of a daemon. Nothing is sent before it has a part, and its incarnation and
+// the primary are known.
+func NewSender(daemon string, calls *machine.Calls) *Sender {
+	return &Sender{daemon: daemon, calls: calls}
 }
 
+// AddPart adds a part of the reports.
+func (s *Sender) AddPart(part Part) { s.parts = append(s.parts, part) }
+
+// SetIncarnation takes the daemon's incarnation.
+func (s *Sender) SetIncarnation(incarnation uint64) { s.incarnation = incarnation }
+
 // SetPrimary takes who the primary is.
 func (s *Sender) SetPrimary(update state.CoreUpdate) {
 	if update.Epoch < s.epoch {
@@ -90,12 +97,12 @@
 }
 
 // newReport is a report of what isn't acknowledged; false where that is nothing.
-func (s *Sender) newReport(now clock.Micros) (report Report, hasNews bool) {
+func (s *Sender) newReport(now clock.Micros) (report Report, hasChanges bool) {
 	report = Report{Daemon: s.daemon, Incarnation: s.incarnation, Epoch: s.epoch, SentAt: now}
 	for _, part := range s.parts {
-		hasNews = part.Add(&report, now) || hasNews
+		hasChanges = part.Add(&report, now) || hasChanges
 	}
-	return report, hasNews
+	return report, hasChanges
 }
 
 // Tick sends a report when it is due and has something to tell.
@@ -112,7 +119,7 @@
 // primary has it, or after a few attempts.
 func (s *Sender) Flush(now clock.Micros, done func()) {
 	s.resetParts()
-	if report, hasNews := s.newReport(now); hasNews && !s.InjectedFaults.FlushToPrimaryOnly {
+	if report, hasChanges := s.newReport(now); hasChanges && !s.InjectedFaults.FlushToPrimaryOnly {
 		s.sendToVoters(report)
 	}
 	s.flushes = append(s.flushes, done)
@@ -145,11 +152,11 @@
 
 // send sends a report; false where there is nothing to tell, or nobody to tell it.
 func (s *Sender) send(now clock.Micros) bool {
-	if s.waiting > 0 || s.primary == "" {
+	if s.waiting > 0 || s.primary == "" || s.incarnation == 0 {
 		return false
 	}
-	report, hasNews := s.newReport(now)
-	if !hasNews {
+	report, hasChanges := s.newReport(now)
+	if !hasChanges {
 		return false
 	}
 	s.Sent++
--- a/internal/controlplane/primaryreport/sender_test.go
+++ b/internal/controlplane/primaryreport/sender_test.go
@@ -35,7 +35,9 @@
 
 func newSenderBench(t *testing.T) *senderBench {
 	b := &senderBench{t: t, calls: machine.NewCalls(), figure: &figure{}, now: 100 * clock.Second}
-	b.Sender = NewSender("edge-1", 7, b.calls, b.figure)
+	b.Sender = NewSender("edge-1", b.calls)
+	b.AddPart(b.figure)
+	b.SetIncarnation(7)
 	return b
 }
 
--- a/internal/controlplane/replicated_state.go
+++ b/internal/controlplane/replicated_state.go
@@ -63,6 +63,7 @@
 		c.replyToChange(confirmed)
 		c.replyWithPermits(confirmed)
 	}
+	c.updateDecidedUsage()
 	c.publish()
 	c.processQueue(now)
 }
@@ -84,6 +85,7 @@
 func (c *Core) startServing(now clock.Micros) {
 	c.stores.StartServing(now)
 	c.arbiter.Start(c.group().Epoch, now)
+	c.startUsage(now)
 	if c.state.Fleet == "" {
 		c.propose(state.Bootstrap{Fleet: c.Vote().Fleet, Shards: c.settings.Shards}, now)
 	}
--- a/internal/controlplane/settings.go
+++ b/internal/controlplane/settings.go
@@ -6,6 +6,7 @@
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/placement"
 	"tuliprudder/internal/controlplane/stores"
+	"tuliprudder/internal/controlplane/usage"
 	"tuliprudder/internal/exclusive"
 )
 
@@ -32,6 +33,7 @@
 	CheckConfiguration func(body []byte) error // refuses an invalid configuration; default nil: none is
 	PatchFormat        config.PatchFormat      // how operators' patches are written; default: that of the product's own documents
 	Acts               exclusive.Settings      // times of permits for acts on outside systems; default: exclusive.Defaults
+	Usage              usage.Settings          // windows of the reports of use; default: none are made
 }
 
 // Defaults are the starting values.
@@ -56,6 +58,7 @@
 		AssumeLostAfter:  20 * clock.Second,
 		PatchFormat:      config.OwnPatchFormat,
 		Acts:             exclusive.Defaults(),
+		Usage:            usage.Defaults(),
 	}
 }
 
--- a/internal/controlplane/usage/collector.go
+++ b/internal/controlplane/usage/collector.go
@@ -18,7 +18,7 @@
 	// listenTime is how long a new primary waits for reports where a window's wait is over already:
 	// the edges have to learn of it first.
 	listenTime = 3 * clock.Second
-	// maxAge is how old an undecided window may get; older ones are given up.
+	// maxAge is how old an undecided window may get; older ones are skipped.
 	maxAge = 300 * clock.Second
 	// maxWindows is how many undecided windows are proposed and kept.
 	maxWindows = 64
@@ -51,16 +51,16 @@
 	servingSince clock.Micros
 	// configuredAt is when the control state first had a configuration, as far as it is known; 0: it
 	// has none.
-	configuredAt clock.Micros
-	decidedUpTo  uint64 // the last window that is durably decided; 0: none is
-	givenUpTo    uint64 // the windows before this one are given up
+	configuredAt  clock.Micros
+	decidedUpTo   uint64 // the last window that is durably decided; 0: none is
+	skippedBefore uint64 // the windows before this one are skipped
 
 	edges     map[string]uint64 // the incarnations of the edges that live, by id
-	reporters map[reporter]*reported
+	reporters map[reporter]*reporterState
 
-	// Late, GivenUp and Misdated are for the operators, since the start: requests that were told after
-	// their window was decided, windows that were given up, and counts whose window is too far off.
-	Late, GivenUp, Misdated int64
+	// Late, Skipped and Misdated are for the operators, since the start: requests that were told after
+	// their window was decided, windows that were skipped, and counts whose window is too far off.
+	Late, Skipped, Misdated int64
 }
 
 // reporter is one incarnation of an edge.
@@ -69,8 +69,8 @@
 	incarnation uint64
 }
 
-// reported is what one reporter told.
-type reported struct {
+// reporterState is what one reporter told.
+type reporterState struct {
 	windows map[uint64]map[string]int64
 	counts  int // over all windows
 	// completeUntil is up to when this primary was told all that began, by the edge's clock; 0: it
@@ -81,7 +81,7 @@
 
 // NewCollector makes a collector; Start is called before its first proposal. What it logs is emitted.
 func NewCollector(settings Settings, emit func(machine.Effect)) *Collector {
-	return &Collector{settings: settings, emit: emit, edges: map[string]uint64{}, reporters: map[reporter]*reported{}}
+	return &Collector{settings: settings, emit: emit, edges: map[string]uint64{}, reporters: map[reporter]*reporterState{}}
 }
 
 // InjectFaults plants faults. For tests only.
@@ -91,6 +91,7 @@
 // have been told to another primary since.
 func (c *Collector) Start(epoch uint64, now clock.Micros) {
 	c.epoch, c.servingSince, c.now = epoch, now, now
+	c.decidedUpTo = 0
 	for _, known := range c.reporters {
 		known.completeUntil = 0
 	}
@@ -130,8 +131,8 @@
 func (c *Collector) Receive(report primaryreport.Report, now clock.Micros) primaryreport.Reply {
 	c.now = now
 	known := c.reporterOf(report)
-	for _, told := range report.Usage {
-		c.receiveWindow(known, told)
+	for _, entry := range report.Usage {
+		c.receiveWindow(known, entry)
 	}
 	if known != nil {
 		known.clockError = report.SentAt - now
@@ -143,14 +144,14 @@
 }
 
 // reporterOf finds or adds who sent a report; nil where there are too many already.
-func (c *Collector) reporterOf(report primaryreport.Report) *reported {
+func (c *Collector) reporterOf(report primaryreport.Report) *reporterState {
 	key := reporter{report.Daemon, report.Incarnation}
 	if c.faults.ForgetIncarnations {
 		key.incarnation = 0
 	}
 	known := c.reporters[key]
 	if known == nil && len(c.reporters) < maxReporters {
-		known = &reported{windows: map[uint64]map[string]int64{}}
+		known = &reporterState{windows: map[uint64]map[string]int64{}}
 		c.reporters[key] = known
 	}
 	return known
@@ -158,34 +159,34 @@
 
 // receiveWindow takes the counts of one window. They only grow, so of two reports the higher count is
 // the later one.
-func (c *Collector) receiveWindow(known *reported, told primaryreport.WindowCounts) {
-	number := told.Window
+func (c *Collector) receiveWindow(known *reporterState, entry primaryreport.WindowCounts) {
+	number := entry.Window
 	if c.faults.CountByArrival {
 		number = c.settings.window(c.now)
 	}
 	if known == nil || !c.isNear(number) {
-		c.Misdated += sumOf(told.Counts)
+		c.Misdated += sumOf(entry.Counts)
 		return
 	}
 	counts := known.windows[number]
 	if counts == nil {
 		if number <= c.decidedUpTo {
-			c.Late += sumOf(told.Counts)
+			c.Late += sumOf(entry.Counts)
 			return
 		}
 		counts = map[string]int64{}
 		known.windows[number] = counts
 	}
 	before := sumOf(counts)
-	c.merge(known, counts, told.Counts)
+	c.merge(known, counts, entry.Counts)
 	if number <= c.decidedUpTo {
 		c.Late += sumOf(counts) - before
 	}
 }
 
 // merge takes the higher of each tenant's counts.
-func (c *Collector) merge(known *reported, counts, told map[string]int64) {
-	for tenant, count := range told {
+func (c *Collector) merge(known *reporterState, counts, entry map[string]int64) {
+	for tenant, count := range entry {
 		before, isKnown := counts[tenant]
 		switch {
 		case !isKnown && known.counts >= maxCounts:
@@ -236,13 +237,13 @@
 	if last == 0 {
 		return max(oldest, c.settings.window(c.configuredAt))
 	}
-	next := max(last+1, c.givenUpTo)
+	next := max(last+1, c.skippedBefore)
 	if next >= oldest {
 		return next
 	}
-	c.givenUpTo = oldest
-	c.GivenUp += int64(oldest - next)
-	c.emit(machine.LogEvent{Event: WindowsGivenUp{First: next, Last: oldest - 1}})
+	c.skippedBefore = oldest
+	c.Skipped += int64(oldest - next)
+	c.emit(machine.LogEvent{Event: WindowsSkipped{First: next, Last: oldest - 1}})
 	return oldest
 }
 
@@ -297,7 +298,7 @@
 	return content
 }
 
-// prune drops what is not needed any more: windows that were decided, or are given up, and edges that
+// prune drops what is not needed any more: windows that were decided, or are skipped, and edges that
 // are gone and have told of no other.
 func (c *Collector) prune() {
 	oldest := c.oldestWindow()
@@ -316,9 +317,9 @@
 
 // Status is the collector's part of a core's figures.
 type Status struct {
-	Edges, SilentEdges int64 // that live, and of them those that have told this primary nothing yet
-	SkewedClocks       int64 // edges whose clocks differ from this core's
-	DecidedUpTo        uint64
+	Edges, UnreportedEdges int64 // that live, and of them those that have told this primary nothing yet
+	SkewedClocks           int64 // edges whose clocks differ from this core's
+	DecidedUpTo            uint64
 }
 
 // Status tells what is known of the edges.
@@ -328,7 +329,7 @@
 		known := c.reporters[reporter{id, c.edges[id]}]
 		switch {
 		case known == nil || known.completeUntil == 0:
-			status.SilentEdges++
+			status.UnreportedEdges++
 		case max(known.clockError, -known.clockError) > maxClockError:
 			status.SkewedClocks++
 		}
--- a/internal/controlplane/usage/collector_test.go
+++ b/internal/controlplane/usage/collector_test.go
@@ -56,6 +56,12 @@
 	return out
 }
 
+// decide writes acts down as decided.
+func (b *collectorBench) decide(acts []exclusive.Act) {
+	grant := exclusive.Grant{Subject: Subject, Holder: exclusive.Holder{Name: "h"}, Fence: 1, Acts: acts}
+	b.table.Apply(exclusive.Update{Grants: []exclusive.Grant{grant}})
+}
+
 func (b *collectorBench) check(now clock.Micros, want string) {
 	b.t.Helper()
 	if got := b.due(now); got != want {
@@ -105,7 +111,7 @@
 	b.report("e1", firstWindow, map[string]int64{"a": 1}, inWindow(firstWindow+1, clock.Second))
 	now := inWindow(firstWindow+1, 2*clock.Second)
 	b.Advance(now)
-	b.table.ApplyGrant(exclusive.Grant{Subject: Subject, Holder: "h", Fence: 1, Acts: b.Due(&b.table)})
+	b.decide(b.Due(&b.table))
 	b.check(now, "")
 	b.SetDecided(firstWindow)
 	reply := b.report("e1", firstWindow, map[string]int64{"a": 3}, now)
@@ -116,13 +122,13 @@
 
 func TestOldWindowsAreGivenUp(t *testing.T) {
 	b := newCollectorBench(t, "e1")
-	b.table.ApplyGrant(exclusive.Grant{Subject: Subject, Holder: "h", Fence: 1, Acts: []exclusive.Act{{Subject: Subject, Number: firstWindow, Content: []byte("{}")}}})
+	b.decide([]exclusive.Act{{Subject: Subject, Number: firstWindow, Content: []byte("{}")}})
 	now := inWindow(firstWindow+100, 0)
 	b.Advance(now)
 	due := b.Due(&b.table)
 	oldest := uint64(firstWindow + 100 - int64(maxAge/(5*clock.Second)))
-	if len(due) != maxWindows/2 || due[0].Number != oldest || b.GivenUp != int64(oldest-firstWindow-1) {
-		t.Fatalf("%d are due, the first is %d; %d were given up", len(due), due[0].Number, b.GivenUp)
+	if len(due) != maxWindows/2 || due[0].Number != oldest || b.Skipped != int64(oldest-firstWindow-1) {
+		t.Fatalf("%d are due, the first is %d; %d were given up", len(due), due[0].Number, b.Skipped)
 	}
 	if b.Due(&b.table); len(b.events) != 1 {
 		t.Errorf("logged %+v", b.events)
@@ -142,7 +148,7 @@
 	b.report("e1", firstWindow, map[string]int64{"a": 1}, now)
 	b.Receive(primaryreport.Report{Daemon: "e2", Incarnation: 1, Epoch: 3, SentAt: 2 * now, Usage: []primaryreport.WindowCounts{{Window: 2 * firstWindow, Counts: map[string]int64{"a": 9}}}}, now)
 	b.check(now, `{"window":100,"counts":{"a":1}}`)
-	if status := b.Status(); b.Misdated != 9 || status.SkewedClocks != 1 || status.Edges != 2 || status.SilentEdges != 0 {
+	if status := b.Status(); b.Misdated != 9 || status.SkewedClocks != 1 || status.Edges != 2 || status.UnreportedEdges != 0 {
 		t.Errorf("%d misdated, %+v", b.Misdated, status)
 	}
 }
--- a/internal/controlplane/usage/events.go
+++ b/internal/controlplane/usage/events.go
@@ -2,12 +2,12 @@
 
 import "tuliprudder/internal/machine"
 
-// WindowsGivenUp is the log event of windows that are too old to be reported any more.
-type WindowsGivenUp struct {
+// WindowsSkipped is the log event of windows that are too old to be reported any more.
+type WindowsSkipped struct {
 	machine.Warning
 	First uint64 `json:"first_window"`
 	Last  uint64 `json:"last_window"`
 }
 
 // EventName is the event's key in the log.
-func (WindowsGivenUp) EventName() string { return "usage_windows_given_up" }
+func (WindowsSkipped) EventName() string { return "usage_windows_skipped" }
--- a/internal/daemon/machines/core.go
+++ b/internal/daemon/machines/core.go
@@ -43,7 +43,7 @@
 
 // UpdateReceived handles an update: addresses of other cores, status of stores.
 func (c *Core) UpdateReceived(update machine.Update, now clock.Micros) []machine.Effect {
-	out := c.reportStoreHealth(update, now)
+	out := c.reportHealth(update, now)
 	if durableupdates.IsKept(update.Key) {
 		out = append(out, c.Do(controlplane.DurableUpdate{Update: update}, now)...)
 	}
@@ -53,17 +53,23 @@
 	return out
 }
 
-// reportStoreHealth tells the control plane whether a store is suspected, where the update
-// is one of a store's status.
-func (c *Core) reportStoreHealth(update machine.Update, now clock.Micros) []machine.Effect {
+// reportHealth tells the control plane whether a store is suspected or an edge lives, where the update is
+// one of its status.
+func (c *Core) reportHealth(update machine.Update, now clock.Micros) []machine.Effect {
 	if !strings.HasPrefix(update.Key, membership.KeyPrefix) {
 		return nil
 	}
 	member, ok := membership.Decode(update.Value)
-	if !ok || member.Kind != membership.Store {
+	switch {
+	case !ok:
 		return nil
+	case member.Kind == membership.Store:
+		return c.Do(controlplane.Suspicion{ID: member.ID, Unhealthy: member.Status != membership.Alive}, now)
+	case member.Kind == membership.Edge:
+		isLive := member.Status < membership.Dead
+		return c.Do(controlplane.EdgeHealth{ID: member.ID, Incarnation: member.Incarnation, IsLive: isLive}, now)
 	}
-	return c.Do(controlplane.Suspicion{ID: member.ID, Unhealthy: member.Status != membership.Alive}, now)
+	return nil
 }
 
 // Call handles a request: the daemon's own to drain, or one for the control plane.
--- a/internal/daemon/machines/edge.go
+++ b/internal/daemon/machines/edge.go
@@ -10,6 +10,7 @@
 	"tuliprudder/internal/dataplane/requests"
 	"tuliprudder/internal/dataplane/scheduler"
 	"tuliprudder/internal/dataplane/serverpoll"
+	"tuliprudder/internal/dataplane/usage"
 	"tuliprudder/internal/errs"
 	"tuliprudder/internal/machine"
 )
@@ -23,6 +24,7 @@
 	Requests     requests.Settings
 	Proxy        proxy.Settings
 	PollInterval clock.Micros // between two polls of a model server's load; 0: none is polled. Default: 400 ms
+	Usage        usage.Settings
 }
 
 // EdgeDefaults are the values used where nothing is set.
@@ -36,7 +38,7 @@
 }
 
 // Edge is the machine of an edge daemon: callers' requests, proxied requests, reading of
-// batches, quota shares, and polling of the model servers.
+// batches, quota shares, polling of the model servers, and counts of the requests that began.
 type Edge struct {
 	*Scheduling
 	Reader       *reader.Reader
@@ -44,6 +46,7 @@
 	Proxy        *proxy.Proxy
 	ServerPoller *serverpoll.Poller
 	Decisions    *decisionlog.Log
+	Usage        *usage.Counter
 }
 
 // NewEdge makes the machine of the edge with the id self; the seed makes its choices
@@ -54,6 +57,11 @@
 	e.Reader = reader.New(e.Calls)
 	e.Requests = requests.New(settings.Requests, e.Calls, e.Scheduler, e.Quota, e.Reader, e.Decisions)
 	e.Proxy = proxy.New(settings.Proxy, e.Calls, e.Scheduler, seed+1)
+	e.Usage = usage.NewCounter(settings.Usage, e.Calls)
+	e.Proxy.RequestBegan = e.Usage.Began
+	if e.Usage.IsEnabled() {
+		e.Reports.AddPart(e.Usage)
+	}
 	e.ServerPoller = serverpoll.New(self, settings.PollInterval, e.Calls, e.Scheduler, e.Members)
 	return e
 }
@@ -92,9 +100,17 @@
 // Drain makes the edge reject new requests; those that are queued are dropped.
 type Drain struct{}
 
+// FlushReports has the edge tell the primary core at once what it has to tell. The reply comes once the
+// primary has it, or after a few attempts.
+type FlushReports struct{}
+
 // Call handles a request: a report of the daemon's own, or a request of a caller or of
 // another daemon.
 func (e *Edge) Call(number uint64, body any, now clock.Micros) []machine.Effect {
+	if _, ok := body.(FlushReports); ok {
+		e.Reports.Flush(now, func() { e.acknowledge(number) })
+		return e.finishStep(now)
+	}
 	switch {
 	case e.handleReport(body, now):
 		e.acknowledge(number)
@@ -127,6 +143,7 @@
 	e.Reader.Tick(now)
 	e.ServerPoller.Tick(now)
 	e.Observations.Tick(e.members, e.Calls.Emit, now)
+	e.Reports.Tick(now)
 	e.Scheduler.Match(now)
 	return e.finishStep(now)
 }
--- a/internal/daemon/machines/scheduling.go
+++ b/internal/daemon/machines/scheduling.go
@@ -7,6 +7,7 @@
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/config"
+	"tuliprudder/internal/controlplane/primaryreport"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/dataplane/observations"
 	"tuliprudder/internal/dataplane/quota"
@@ -23,6 +24,8 @@
 	Quota     *quota.Quota
 	// Observations shares what daemons of a zone see of servers.
 	Observations *observations.Exchange
+	// Reports tells the primary core what the parts that are added to it have to tell.
+	Reports *primaryreport.Sender
 	// ParseConfiguration turns a confirmed document into a configuration.
 	ParseConfiguration config.ParseFunc
 
@@ -39,6 +42,7 @@
 		self:               self,
 		members:            map[string]membership.Member{},
 	}
+	s.Reports = primaryreport.NewSender(self, s.Calls)
 	s.Quota = quota.New(self, s.Calls, s.Members, shardMap)
 	s.Observations = observations.New(self, s.Scheduler)
 	return s
--- a/internal/daemon/machines/store.go
+++ b/internal/daemon/machines/store.go
@@ -190,6 +190,7 @@
 	s.Runner.Tick(now)
 	s.Quota.Tick(now)
 	s.Observations.Tick(s.members, s.Calls.Emit, now)
+	s.Reports.Tick(now)
 	s.Scheduler.Match(now)
 	return s.finishStep(now)
 }
--- a/internal/daemon/machines/updates.go
+++ b/internal/daemon/machines/updates.go
@@ -16,6 +16,7 @@
 var updateHandlers = map[string]func(s *Scheduling, update machine.Update, now clock.Micros){
 	membership.KeyKind:     (*Scheduling).receiveMember,
 	state.ConfigurationKey: (*Scheduling).receiveConfiguration,
+	state.CoreKey:          (*Scheduling).receiveCores,
 	endpoints.ServerKind:   (*Scheduling).receiveServer,
 	endpoints.LoadKind:     (*Scheduling).receiveLoad,
 }
@@ -34,6 +35,7 @@
 	} else if ok {
 		s.members[member.ID] = member
 	}
+	s.Reports.SetIncarnation(s.members[s.self].Incarnation)
 	s.Scheduler.SetServerOffset(s.serverOffset())
 	s.Scheduler.SetZone(s.members[s.self].Zone)
 }
@@ -53,6 +55,13 @@
 	s.Calls.Emit(machine.LogEvent{Event: ConfigurationApplied{Version: version.Number}})
 }
 
+func (s *Scheduling) receiveCores(update machine.Update, _ clock.Micros) {
+	var cores state.CoreUpdate
+	if json.Unmarshal(update.Value, &cores) == nil {
+		s.Reports.SetPrimary(cores)
+	}
+}
+
 func (s *Scheduling) receiveServer(update machine.Update, _ clock.Micros) {
 	var server endpoints.Server
 	if json.Unmarshal(update.Value, &server) == nil {
--- a/internal/dataplane/gateway/proxied_request.go
+++ b/internal/dataplane/gateway/proxied_request.go
@@ -87,14 +87,23 @@
 	}
 	if err := p.forwardResponse(response); err != nil {
 		result := p.result(proxy.Interrupted, err.Error())
+		result.HasBegun = showsBegin(response)
 		result.ContextDone = ctx.Err() != nil
 		return result
 	}
 	result := p.result(proxy.Complete, "")
+	result.HasBegun = showsBegin(response)
 	result.WeightVersion = response.WeightVersion
 	return result
 }
 
+// showsBegin tells whether a response shows by itself that the server began to run the request. Of an event
+// stream its first event does (proxy.AttemptStarted).
+func showsBegin(response *upstream.Response) bool {
+	isSuccess := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+	return isSuccess && !isEventStream(response)
+}
+
 func (p *proxiedRequest) result(outcome proxy.Outcome, reason string) proxy.AttemptResult {
 	return proxy.AttemptResult{
 		RequestID:       p.requestID,
--- a/internal/dataplane/gateway/response.go
+++ b/internal/dataplane/gateway/response.go
@@ -19,7 +19,7 @@
 // forwardResponse forwards a response to the caller. One that is not an event stream is read
 // completely first: of an interrupted one nothing gets out, its head neither.
 func (p *proxiedRequest) forwardResponse(response *upstream.Response) error {
-	if response.Status == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), contentTypeEventStream) {
+	if isEventStream(response) {
 		return p.forwardEvents(response)
 	}
 	if p.responseStarted {
@@ -38,6 +38,10 @@
 	return err
 }
 
+func isEventStream(response *upstream.Response) bool {
+	return response.Status == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), contentTypeEventStream)
+}
+
 // startResponse sends the head of a response to the caller. A resumed stream keeps the head
 // of the first server's response.
 func (p *proxiedRequest) startResponse(response *upstream.Response, length int) {
--- a/internal/dataplane/proxy/attempts.go
+++ b/internal/dataplane/proxy/attempts.go
@@ -121,10 +121,20 @@
 		p.scheduler.ObserveLoad(r.assignment.Server.Name, started.Load, now)
 		p.scheduler.ObserveWeights(r.assignment.Server.Name, started.WeightVersion, now)
 		r.assignment.PrefillDone(now)
+		p.setBegun(r, now)
 	}
 	p.acknowledge(call)
 }
 
+// setBegun records that a server has begun to run a request; a further attempt of it doesn't count.
+func (p *Proxy) setBegun(r *activeRequest, now clock.Micros) {
+	if r.hasBegun || p.RequestBegan == nil {
+		return
+	}
+	r.hasBegun = true
+	p.RequestBegan(r.identity.Tenant, now)
+}
+
 // handleAttemptResult frees the server of an attempt and decides what follows.
 func (p *Proxy) handleAttemptResult(call uint64, result AttemptResult, now clock.Micros) {
 	r := p.inFlight[result.RequestID]
@@ -136,6 +146,9 @@
 	r.call = call
 	r.assignment = nil
 	r.schedulerRequest = nil
+	if result.HasBegun {
+		p.setBegun(r, now)
+	}
 	p.scheduler.ObserveLoad(assignment.Server.Name, result.Load, now)
 	p.scheduler.ObserveWeights(assignment.Server.Name, result.WeightVersion, now)
 	releaseServer(assignment, result, now)
--- a/internal/dataplane/proxy/messages.go
+++ b/internal/dataplane/proxy/messages.go
@@ -60,6 +60,9 @@
 	Outcome   Outcome
 	// ResponseStarted: a part of the response has reached the caller.
 	ResponseStarted bool
+	// HasBegun: the server began to run it, of which no AttemptStarted told: its response is a success
+	// and no event stream.
+	HasBegun bool
 	// ContextDone: the caller disconnected, or the deadline passed.
 	ContextDone bool
 	// LocalFailure: the cause is in this daemon and says nothing about the server.
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -66,6 +66,10 @@
 	UnknownOutcomes int64 // failed, and possibly run
 	Retries         int64 // attempts after a request's first
 
+	// RequestBegan, where set, is told once of each request that begins to run at a server; tenant is ""
+	// where it has none.
+	RequestBegan func(tenant string, now clock.Micros)
+
 	InjectedFaults InjectedFaults
 }
 
@@ -84,6 +88,7 @@
 	unsentAttempts   int   // attempts whose server accepted no connection
 	localFailures    int   // attempts for which no connection to the server was free here
 	mayHaveRun       bool  // an attempt may have run, at least in part
+	hasBegun         bool  // a server has begun to run it
 }
 
 // New makes the proxy of an edge's machine; the seed makes its random choices repeatable.
--- a/internal/dataplane/usage/counter.go
+++ b/internal/dataplane/usage/counter.go
@@ -37,8 +37,8 @@
 	counts   int // over all windows
 	// decidedUpTo is the last window that the primary said to be decided.
 	decidedUpTo uint64
-	// toldUpTo is the window in which the last acknowledged report was sent; 0 for none.
-	toldUpTo uint64
+	// reportedUpTo is the window in which the last acknowledged report was sent; 0 for none.
+	reportedUpTo uint64
 
 	// Counted and Dropped count requests since the start, for the operators: those that began, and
 	// those of windows that were dropped undecided.
@@ -106,33 +106,33 @@
 	return sum
 }
 
-// news are the counts that the primary doesn't have.
-func (w *window) news() map[string]int64 {
-	var news map[string]int64
+// unacknowledged are the counts that the primary doesn't have.
+func (w *window) unacknowledged() map[string]int64 {
+	var unacknowledged map[string]int64
 	for tenant, count := range w.counts {
 		if count == w.acknowledged[tenant] {
 			continue
 		}
-		if news == nil {
-			news = map[string]int64{}
+		if unacknowledged == nil {
+			unacknowledged = map[string]int64{}
 		}
-		news[tenant] = count
+		unacknowledged[tenant] = count
 	}
-	return news
+	return unacknowledged
 }
 
-// Add adds the counts that changed. Where none did there is news still once a window has ended: that
+// Add adds the counts that changed. Where none did there is unacknowledged still once a window has ended: that
 // the counts of it are complete.
 func (c *Counter) Add(report *primaryreport.Report, now clock.Micros) bool {
 	if !c.IsEnabled() {
 		return false
 	}
 	for _, number := range slices.Sorted(maps.Keys(c.windows)) {
-		if news := c.windows[number].news(); news != nil {
-			report.Usage = append(report.Usage, primaryreport.WindowCounts{Window: number, Counts: news})
+		if unacknowledged := c.windows[number].unacknowledged(); unacknowledged != nil {
+			report.Usage = append(report.Usage, primaryreport.WindowCounts{Window: number, Counts: unacknowledged})
 		}
 	}
-	return len(report.Usage) > 0 || c.windowAt(now) > c.toldUpTo
+	return len(report.Usage) > 0 || c.windowAt(now) > c.reportedUpTo
 }
 
 // Acknowledged records what the primary has, and forgets the windows that are decided.
@@ -140,10 +140,10 @@
 	if !c.IsEnabled() {
 		return
 	}
-	c.toldUpTo = max(c.toldUpTo, c.windowAt(report.SentAt))
-	for _, told := range report.Usage {
-		if known := c.windows[told.Window]; known != nil {
-			maps.Copy(known.acknowledged, told.Counts)
+	c.reportedUpTo = max(c.reportedUpTo, c.windowAt(report.SentAt))
+	for _, entry := range report.Usage {
+		if known := c.windows[entry.Window]; known != nil {
+			maps.Copy(known.acknowledged, entry.Counts)
 		}
 	}
 	c.decidedUpTo = max(c.decidedUpTo, reply.UsageDecidedUpTo)
@@ -156,7 +156,7 @@
 
 // Reset forgets what the former primary has.
 func (c *Counter) Reset() {
-	c.toldUpTo = 0
+	c.reportedUpTo = 0
 	for _, known := range c.windows {
 		clear(known.acknowledged)
 	}
--- a/internal/dataplane/usage/model_test.go
+++ b/internal/dataplane/usage/model_test.go
@@ -164,7 +164,9 @@
 		e.skew = m.rng.Int63n(4*clock.Second) - 2*clock.Second
 	}
 	e.Counter = NewCounter(Settings{Interval: modelInterval}, e.calls)
-	e.sender = primaryreport.NewSender(id, uint64(m.lives), e.calls, e.Counter)
+	e.sender = primaryreport.NewSender(id, e.calls)
+	e.sender.AddPart(e.Counter)
+	e.sender.SetIncarnation(uint64(m.lives))
 	e.sender.InjectedFaults = m.sender
 	m.edges = append(m.edges, e)
 	m.tellMembership(e, uint64(m.lives), true, 100*clock.Millisecond, 800*clock.Millisecond)
@@ -213,6 +215,7 @@
 	m.epoch++
 	m.changes = append(m.changes, m.now)
 	m.cores[core].Start(m.epoch, m.now)
+	m.cores[core].SetDecided(m.table.Record(collector.Subject).LastNumber)
 	for _, e := range m.edges {
 		m.tellPrimary(e)
 	}
@@ -344,10 +347,10 @@
 		last := due[len(due)-1].Number
 		m.after(m.upTo(20*clock.Millisecond), func() { core.SetDecided(last) })
 	}
-	m.table.ApplyGrant(exclusive.Grant{Subject: collector.Subject, Holder: "h", Fence: 1, Acts: due})
+	m.table.Apply(exclusive.Update{Grants: []exclusive.Grant{{Subject: collector.Subject, Holder: exclusive.Holder{Name: "h"}, Fence: 1, Acts: due}}})
 	for _, act := range due {
 		m.check(act)
-		m.table.ApplySettlement(exclusive.Settlement{Subject: collector.Subject, Numbers: []uint64{act.Number}})
+		m.table.Apply(exclusive.Update{Settlements: []exclusive.Settlement{{Subject: collector.Subject, Numbers: []uint64{act.Number}}}})
 	}
 }
 
@@ -360,11 +363,7 @@
 	m.kills = append(m.kills, m.now)
 	m.startCore(dead)
 	m.after(500*clock.Millisecond+m.upTo(3*clock.Second), func() {
-		next := (dead + 1 + m.rng.Intn(modelCores-1)) % modelCores
-		m.elect(next)
-		for _, core := range m.cores {
-			core.SetDecided(m.table.Record(collector.Subject).LastNumber)
-		}
+		m.elect((dead + 1 + m.rng.Intn(modelCores-1)) % modelCores)
 	})
 }
 
@@ -414,7 +413,7 @@
 			return
 		}
 		e.isGone = true
-		if e.hasNews(m) {
+		if e.hasChanges(m) {
 			e.killedAt = m.now
 		}
 		m.tellMembership(e, m.incarnationOf(e), false, 50*clock.Millisecond, 800*clock.Millisecond)
@@ -429,8 +428,8 @@
 	})
 }
 
-// hasNews tells whether an edge counted what the present primary was not told.
-func (e *modelEdge) hasNews(m *model) bool {
+// hasChanges tells whether an edge counted what the present primary was not told.
+func (e *modelEdge) hasChanges(m *model) bool {
 	var report primaryreport.Report
 	e.Add(&report, e.clock(m.now))
 	return len(report.Usage) > 0
