--- a/internal/controlplane/counters.go
+++ b/internal/controlplane/counters.go
@@ -25,10 +25,24 @@
 		counters["core_primary"] = 1
 		counters["core_copies_missing"] = int64(status.ReplicasMissing)
 		counters["shards_short_of_copies"] = c.underReplicatedShards()
+		c.addUsageCounters(counters)
 	}
 	return counters
 }
 
+// addUsageCounters adds those of the reports of use, where there are any.
+func (c *Core) addUsageCounters(counters map[string]int64) {
+	if c.usage == nil {
+		return
+	}
+	status := c.usage.Status()
+	counters["usage_edges_unreported"] = status.UnreportedEdges
+	counters["usage_clocks_skewed"] = status.SkewedClocks
+	counters["usage_late"] = c.usage.Late
+	counters["usage_misdated"] = c.usage.Misdated
+	counters["usage_windows_skipped"] = c.usage.Skipped
+}
+
 // underReplicatedShards counts the shards with fewer complete copies than there should be.
 func (c *Core) underReplicatedShards() int64 {
 	short := int64(0)
--- a/internal/daemon/roles/core_metrics.go
+++ b/internal/daemon/roles/core_metrics.go
@@ -82,4 +82,24 @@
 		Key: "shards_short_of_copies", Name: "tuliprudder_core_under_replicated_shards", Type: prometheus.GaugeValue,
 		Help: "Shards with too few complete replicas; at the primary only.",
 	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "usage_edges_unreported", Name: "tuliprudder_core_usage_edges_unreported", Type: prometheus.GaugeValue,
+		Help: "Live edges that have not reported their use to this primary; at the primary only.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "usage_clocks_skewed", Name: "tuliprudder_core_usage_clocks_skewed", Type: prometheus.GaugeValue,
+		Help: "Live edges whose clocks differ from the primary's by more than 1 s; at the primary only.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "usage_late", Name: "tuliprudder_core_usage_late_requests_total", Type: prometheus.CounterValue,
+		Help: "Requests that were reported after their window was decided; at the primary only.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "usage_misdated", Name: "tuliprudder_core_usage_misdated_requests_total", Type: prometheus.CounterValue,
+		Help: "Requests that were reported for a window too far from the primary's clock, or for which there was no room; at the primary only.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "usage_windows_skipped", Name: "tuliprudder_core_usage_windows_skipped_total", Type: prometheus.CounterValue,
+		Help: "Windows that got too old to be reported; at the primary only.",
+	}),
 }
--- a/internal/daemon/roles/edge_metrics.go
+++ b/internal/daemon/roles/edge_metrics.go
@@ -15,6 +15,8 @@
 	scheduler                                                                        schedulerSample
 	requestsInFlight, readsPending                                                   int64
 	proxyInFlight, proxyForwarded, proxyRejected, proxyUnknownOutcomes, proxyRetries int64
+	usageCounted, usageUndecided, usageDropped                                       int64
+	reportsSent, reportsFailed                                                       int64
 }
 
 func sampleEdge(loop *eventloop.Loop, edge *machines.Edge) (s edgeSample) {
@@ -29,6 +31,11 @@
 			proxyRejected:        edge.Proxy.Rejected,
 			proxyUnknownOutcomes: edge.Proxy.UnknownOutcomes,
 			proxyRetries:         edge.Proxy.Retries,
+			usageCounted:         edge.Usage.Counted,
+			usageUndecided:       edge.Usage.Undecided(),
+			usageDropped:         edge.Usage.Dropped,
+			reportsSent:          edge.Reports.Sent,
+			reportsFailed:        edge.Reports.Failed,
 		}
 	})
 	return s
@@ -106,4 +113,29 @@
 		Help:  "Requests that were sent to a further server.",
 		Value: func(s edgeSample) int64 { return s.proxyRetries },
 	},
+	{
+		Key: "usage_counted", Name: "tuliprudder_usage_requests_total", Type: prometheus.CounterValue,
+		Help:  "Tenants' requests that began to run at a server, where use is reported.",
+		Value: func(s edgeSample) int64 { return s.usageCounted },
+	},
+	{
+		Key: "usage_undecided", Name: "tuliprudder_usage_undecided_requests", Type: prometheus.GaugeValue,
+		Help:  "Requests of windows whose reports of use are not decided yet.",
+		Value: func(s edgeSample) int64 { return s.usageUndecided },
+	},
+	{
+		Key: "usage_dropped", Name: "tuliprudder_usage_dropped_requests_total", Type: prometheus.CounterValue,
+		Help:  "Requests of windows that were dropped before they were decided.",
+		Value: func(s edgeSample) int64 { return s.usageDropped },
+	},
+	{
+		Key: "reports_sent", Name: "tuliprudder_primary_reports_sent_total", Type: prometheus.CounterValue,
+		Help:  "Reports sent to the primary core.",
+		Value: func(s edgeSample) int64 { return s.reportsSent },
+	},
+	{
+		Key: "reports_failed", Name: "tuliprudder_primary_reports_failed_total", Type: prometheus.CounterValue,
+		Help:  "Reports that the primary core did not acknowledge; what they said is sent again.",
+		Value: func(s edgeSample) int64 { return s.reportsFailed },
+	},
 }
