Cores perform acts: performer in the core's machine, executor, and an outside system in the simulator

A core that drains says so, and its subjects pass on without the time that an absence takes. Messages between daemons have two new kinds: protocol version 6, with messages-6.gob beside the earlier ones.

The simulator has a system outside the fleet that remembers what arrives: the holder killed, frozen, cut off (one way too) at any moment and right after each of five steps of an act, the outside down, slow, busy, its answers lost.

--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -46,6 +46,7 @@
 	Election         election.InjectedFaults
 	SkipRequestTable bool // a snapshot lacks what recognises repeated requests
 	KeepVotes        bool // a lost store keeps its vote for updates
+	Acts             exclusive.InjectedFaults
 }
 
 // Core is the state machine of a core daemon.
@@ -156,6 +157,7 @@
 func (c *Core) InjectFaults(faults InjectedFaults) {
 	c.faults = faults
 	c.election.InjectFaults(faults.Election)
+	c.arbiter.InjectFaults(faults.Acts)
 }
 
 // group is the replication group that holds the control state.
--- a/internal/controlplane/permits.go
+++ b/internal/controlplane/permits.go
@@ -109,7 +109,7 @@
 		c.rejectNotPrimary(call)
 		return
 	}
-	c.arbiter.Heard(request.Holder, now)
+	c.arbiter.Heard(request, now)
 	if exclusive.IsIdle(&c.state.Acts, request, c.dueActs()) {
 		c.Emit(machine.Reply{Call: call, Body: c.arbiter.Response(nil)})
 		return
@@ -132,6 +132,9 @@
 		return false
 	}
 	decision := c.arbiter.Decide(&c.state.Acts, request.Request, c.dueActs(), now)
+	for _, event := range decision.Events {
+		c.Emit(machine.LogEvent{Event: event})
+	}
 	response := c.arbiter.Response(decision.Permits)
 	if decision.Update.IsEmpty() {
 		c.Emit(machine.Reply{Call: request.call, Body: response})
@@ -169,3 +172,15 @@
 	_, ok := entry.(state.UpdateActs)
 	return ok
 }
+
+// PrimaryAddress is the address of the primary core as this one knows it, with the epoch of its term; ""
+// where it knows none.
+func (c *Core) PrimaryAddress() (address string, epoch uint64) {
+	vote := c.Vote()
+	for _, ref := range vote.Voters {
+		if ref.ID == vote.Committed.Primary.ID {
+			return ref.Peer, vote.Committed.Epoch
+		}
+	}
+	return "", 0
+}
--- /dev/null
+++ b/internal/daemon/effects/acts_test.go
@@ -0,0 +1,38 @@
+package effects
+
+import (
+	"context"
+	"testing"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/exclusive"
+)
+
+// A process that was frozen executes its tasks when it goes on.
+func TestAnActIsNotPerformedAfterItsDeadline(t *testing.T) {
+	now := 100 * clock.Second
+	reports := make(chan any, 1)
+	performed := 0
+	executor := &ActExecutor{
+		Notify: func(report any) { reports <- report },
+		Now:    func() clock.Micros { return now },
+		Perform: func(ctx context.Context, _ exclusive.Permit) exclusive.Result {
+			performed++
+			if deadline, ok := ctx.Deadline(); !ok || deadline.IsZero() {
+				t.Error("an act without a deadline")
+			}
+			return exclusive.Done
+		},
+	}
+	id := exclusive.PermitID{Epoch: 3, Serial: 4}
+	task := exclusive.Task{Permit: exclusive.Permit{ID: id}, Deadline: now + clock.Second}
+	executor.Execute(task)
+	if got := <-reports; got != (exclusive.Performed{ID: id, Result: exclusive.Done}) || performed != 1 {
+		t.Fatalf("reported %+v", got)
+	}
+	task.Deadline = now
+	executor.Execute(task)
+	if got := <-reports; got != (exclusive.Performed{ID: id, Result: exclusive.NoAnswer}) || performed != 1 {
+		t.Fatalf("reported %+v after the deadline, performed %d times", got, performed)
+	}
+}
--- a/internal/daemon/machines/core.go
+++ b/internal/daemon/machines/core.go
@@ -6,19 +6,22 @@
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane"
 	"tuliprudder/internal/controlplane/durableupdates"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
 )
 
-// Core is the machine of a core daemon: the control plane, and the addresses of the cores.
+// Core is the machine of a core daemon: the control plane, the addresses of the cores, and acts on
+// outside systems.
 type Core struct {
 	*controlplane.Core
 	cores coreDirectory
+	acts  corePerformer
 }
 
 // NewCore makes the machine of a core daemon.
 func NewCore(core *controlplane.Core) *Core {
-	return &Core{Core: core, cores: newCoreDirectory()}
+	return &Core{Core: core, cores: newCoreDirectory(), acts: newCorePerformer()}
 }
 
 // Message handles a message that was received.
@@ -66,21 +69,31 @@
 	return c.Do(controlplane.Suspicion{ID: member.ID, Unhealthy: member.Status != membership.Alive}, now)
 }
 
-// Call handles a request: the daemon's own to drain, or one for the control plane.
+// Call handles a request: the daemon's own to drain, the result of an act, or one for the control
+// plane.
 func (c *Core) Call(number uint64, body any, now clock.Micros) []machine.Effect {
-	if drain, ok := body.(controlplane.Drain); ok {
-		return append(c.Do(drain, now), machine.Reply{Call: number})
+	switch request := body.(type) {
+	case controlplane.Drain:
+		if c.acts.performer != nil {
+			c.acts.performer.Drain()
+		}
+		return append(c.Do(request, now), machine.Reply{Call: number})
+	case exclusive.Performed:
+		return c.handlePerformed(number, request, now)
 	}
 	return c.Do(controlplane.Call{Number: number, Body: body}, now)
 }
 
-// Tick runs the duties that are due.
+// Tick runs what is due.
 func (c *Core) Tick(now clock.Micros) []machine.Effect {
-	return c.Do(controlplane.Tick{}, now)
+	return append(c.Do(controlplane.Tick{}, now), c.tickPerformer(now)...)
 }
 
-// ReplyReceived does nothing: a core sends no machine.Request.
-func (c *Core) ReplyReceived(uint64, any, error, clock.Micros) []machine.Effect { return nil }
+// ReplyReceived handles the primary's response to a request for permits.
+func (c *Core) ReplyReceived(token uint64, body any, err error, now clock.Micros) []machine.Effect {
+	c.acts.calls.ReplyReceived(token, body, err, now)
+	return c.acts.calls.Drain()
+}
 
 // FreshnessAdvanced handles up to when this daemon's updates are complete.
 func (c *Core) FreshnessAdvanced(at, now clock.Micros) []machine.Effect {
--- a/internal/daemon/program/core.go
+++ b/internal/daemon/program/core.go
@@ -47,7 +47,7 @@
 	c.settings.Tolerance = int(c.tolerance)
 	c.settings.ShardZones = int(c.shardZones)
 	c.settings.CheckConfiguration = config.Validate
-	_, err := roles.NewCore(daemon, c.settings)
+	_, err := roles.NewCore(daemon, c.settings, nil)
 	return err
 }
 
--- a/internal/daemon/roles/core.go
+++ b/internal/daemon/roles/core.go
@@ -1,24 +1,35 @@
 package roles
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/config"
 	"tuliprudder/internal/controlplane"
 	"tuliprudder/internal/controlplane/election"
+	"tuliprudder/internal/daemon/effects"
 	"tuliprudder/internal/daemon/eventloop"
 	"tuliprudder/internal/daemon/host"
 	"tuliprudder/internal/daemon/machines"
 	"tuliprudder/internal/daemon/metrics"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/storage"
 )
 
-// NewCore puts a core daemon together from what its data folder holds. It waits until the
-// disk takes writes; the error is one of a folder that can't be read. The core is read
+// Acts is a core's part in acts on an outside system.
+type Acts struct {
+	Settings exclusive.PerformerSettings
+	// Perform performs an act; see effects.ActExecutor.
+	Perform func(ctx context.Context, permit exclusive.Permit) exclusive.Result
+}
+
+// NewCore puts a core daemon together from what its data folder holds; acts is nil where it performs none.
+// It waits until the disk takes writes; the error is one of a folder that can't be read. The core is read
 // within Loop.WithMachine only.
-func NewCore(d *host.Daemon, settings controlplane.Settings) (*controlplane.Core, error) {
+func NewCore(d *host.Daemon, settings controlplane.Settings, acts *Acts) (*controlplane.Core, error) {
 	var folder *storage.Folder
 	var records []machine.Record
 	err := eventloop.WaitForDisk(d.Log, time.Sleep, func() (err error) {
@@ -36,12 +47,24 @@
 	if core.BadRecord != nil {
 		return nil, core.BadRecord
 	}
-	d.Loop.SetMachine(machines.NewCore(core), folder)
+	coreMachine := machines.NewCore(core)
+	if acts != nil {
+		enableActs(d, coreMachine, acts)
+	}
+	d.Loop.SetMachine(coreMachine, folder)
 	d.Admin.Ready = func() string { return coreFault(d.Loop, core) }
 	d.Admin.Metrics.Register(metrics.NewModule(coreMetrics, func() coreSample { return sampleCore(d.Loop, core) }))
 	return core, nil
 }
 
+// enableActs has a core perform acts. Each start of the process is another holder.
+func enableActs(d *host.Daemon, core *machines.Core, acts *Acts) {
+	instance := fmt.Sprintf("%s/%d", d.Identity.ID, d.Identity.Incarnation)
+	core.EnablePerformer(exclusive.Holder{Name: d.Common.Name, Instance: instance}, acts.Settings)
+	executor := &effects.ActExecutor{Notify: d.Loop.Notify, Now: d.Loop.Now, Perform: acts.Perform}
+	d.Loop.SetExecutor(executor.Execute)
+}
+
 // coreFault tells why a core is not ready; "" when it is.
 func coreFault(loop *eventloop.Loop, core *controlplane.Core) (reason string) {
 	if fault := loop.DiskFault(); fault != "" {
--- a/internal/daemon/roles/metrics_test.go
+++ b/internal/daemon/roles/metrics_test.go
@@ -57,7 +57,7 @@
 	d := newDaemon(t, membership.Core, t.TempDir())
 	cfg := controlplane.Defaults()
 	cfg.Bootstrap, cfg.Founders, cfg.Tolerance = true, 1, 0
-	core, err := NewCore(d, cfg)
+	core, err := NewCore(d, cfg, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/exclusive/arbiter.go
+++ b/internal/exclusive/arbiter.go
@@ -6,12 +6,11 @@
 	"slices"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/machine"
 )
 
-const (
-	// heardMemory is for how long the arbiter remembers a holder that it doesn't hear any more.
-	heardMemory = 60 * clock.Second
-)
+// heardMemory is for how long the arbiter remembers a holder that it doesn't hear any more.
+const heardMemory = 60 * clock.Second
 
 // Arbiter is what the primary knows of permits beside the table. It is forgotten with the primary: the
 // next one lets a whole HolderLease pass before a subject changes hands.
@@ -56,9 +55,12 @@
 	a.heard = map[Holder]clock.Micros{}
 }
 
-// Heard records that a holder sent a request.
-func (a *Arbiter) Heard(holder Holder, now clock.Micros) {
-	a.heard[holder] = now
+// Heard records that a holder sent a request. One that leaves its subjects counts as absent.
+func (a *Arbiter) Heard(request Request, now clock.Micros) {
+	a.heard[request.Holder] = now
+	if request.ReportOnly {
+		a.heard[request.Holder] = now - a.settings.PresenceTimeout
+	}
 	maps.DeleteFunc(a.heard, func(_ Holder, at clock.Micros) bool { return now-at > heardMemory })
 }
 
@@ -66,6 +68,7 @@
 type Decision struct {
 	Permits []Permit
 	Update  Update
+	Events  []machine.Event // to be logged
 }
 
 // Response is the decision as the holder is sent it.
@@ -75,13 +78,14 @@
 
 // IsIdle tells that a request can't change anything: it reports nothing, and nothing is to be done.
 func IsIdle(table *Table, request Request, due []Act) bool {
-	return len(request.Outcomes) == 0 && len(due) == 0 && !table.HasOpen()
+	isNew := func(act Act) bool { return act.Number > table.Record(act.Subject).LastNumber }
+	return len(request.Outcomes) == 0 && !table.HasOpen() && !slices.ContainsFunc(due, isNew)
 }
 
 // Decide decides on a request. Everything in the table is durable on all replicas; due are the acts
 // that the sources propose.
 func (a *Arbiter) Decide(table *Table, request Request, due []Act, now clock.Micros) Decision {
-	a.Heard(request.Holder, now)
+	a.Heard(request, now)
 	a.expirePermits(table, now)
 	var decision Decision
 	after := *table
@@ -89,15 +93,20 @@
 		if settlement, ends := a.report(&after, request.Holder, outcome, now); ends {
 			after.applySettlement(settlement)
 			decision.Update.Settlements = append(decision.Update.Settlements, settlement)
+			decision.Events = append(decision.Events, refusals(request.Holder, outcome)...)
 		}
 	}
 	for _, subject := range a.candidates(&after, due) {
+		if request.ReportOnly {
+			break
+		}
 		permits, grant, isNew := a.grant(&after, subject, request.Holder, due, now)
 		decision.Permits = append(decision.Permits, permits...)
 		if isNew {
 			decision.Update.Grants = append(decision.Update.Grants, grant)
 		}
 	}
+	decision.Events = append(decision.Events, changes(table, &after)...)
 	return decision
 }
 
@@ -284,8 +293,11 @@
 		return false
 	}
 	isExcluded := known.excluded == former && now < known.excludedUntil
-	heardAt := max(a.heard[former], a.servingSince)
-	return isExcluded || now-heardAt >= a.settings.PresenceTimeout
+	heardAt, isHeard := a.heard[former]
+	if !isHeard {
+		heardAt = a.servingSince
+	}
+	return isExcluded || a.faults.IgnorePresence || now-heardAt >= a.settings.PresenceTimeout
 }
 
 func (a *Arbiter) attemptsAt(subject Subject) *attempts {
--- a/internal/exclusive/arbiter_test.go
+++ b/internal/exclusive/arbiter_test.go
@@ -76,7 +76,7 @@
 	done := f.one(holderA, act("s", 1, "x"))
 	f.request(holderA, nil, outcomeOf(done, Done))
 	f.now += 10 * clock.Second
-	f.arbiter.Heard(holderA, f.now)
+	f.arbiter.Heard(Request{Holder: holderA}, f.now)
 	due := []Act{act("s", 2, "y")}
 	if got := f.request(holderB, due).Permits; len(got) > 0 {
 		t.Fatalf("beside a holder that is present another gets %+v", got)
@@ -178,7 +178,7 @@
 	}
 	f.request(holderA, nil, outcomeOf(permit, NoAnswer))
 	f.now += settings.HolderLease
-	f.arbiter.Heard(holderA, f.now)
+	f.arbiter.Heard(Request{Holder: holderA}, f.now)
 	if got := f.request(holderA, nil).Permits; len(got) > 0 {
 		t.Fatalf("it gets %+v again", got)
 	}
@@ -239,3 +239,15 @@
 		t.Fatal("something is due, open or reported")
 	}
 }
+
+func TestASubjectPassesOnFromANodeThatLeaves(t *testing.T) {
+	f := newFixture(t)
+	done := f.one(holderA, act("s", 1, "x"))
+	f.now += Defaults().HolderLease
+	f.request(holderA, nil, outcomeOf(done, Done))
+	leaving := f.arbiter.Decide(&f.table, Request{Holder: holderA, ReportOnly: true}, []Act{act("s", 2, "y")}, f.now)
+	if len(leaving.Permits) > 0 {
+		t.Fatalf("it gets %+v", leaving.Permits)
+	}
+	f.one(holderB, act("s", 2, "y"))
+}
--- a/internal/exclusive/messages.go
+++ b/internal/exclusive/messages.go
@@ -43,6 +43,8 @@
 	Request struct {
 		Holder   Holder
 		Outcomes []Outcome
+		// ReportOnly: the node takes no permit any more, and leaves its subjects.
+		ReportOnly bool
 	}
 	// Response has the permits that the node may perform now; none is usual.
 	Response struct {
--- a/internal/exclusive/performer.go
+++ b/internal/exclusive/performer.go
@@ -50,6 +50,8 @@
 	holder   Holder
 	calls    *machine.Calls
 
+	isDraining    bool
+	hasLeft       bool // the primary knows that this node drains
 	isRequesting  bool
 	nextRequestAt clock.Micros
 	running       map[PermitID]Permit
@@ -76,7 +78,7 @@
 // Tick sends a request where one is due. primary is the address of the primary core, "" where none is
 // known.
 func (p *Performer) Tick(primary string, isPrimary bool, now clock.Micros) {
-	if p.isRequesting || now < p.nextRequestAt || primary == "" {
+	if p.isRequesting || now < p.nextRequestAt || primary == "" || p.isDone() {
 		return
 	}
 	interval := p.settings.Interval
@@ -86,10 +88,11 @@
 	p.isRequesting = true
 	p.nextRequestAt = now + interval
 	reported := len(p.outcomes)
-	request := Request{Holder: p.holder, Outcomes: slices.Clone(p.outcomes)}
+	request := Request{Holder: p.holder, Outcomes: slices.Clone(p.outcomes), ReportOnly: p.isDraining}
 	p.calls.Request(primary, request, p.settings.RequestTimeout, func(body any, err error, receivedAt clock.Micros) {
 		p.isRequesting = false
 		if response, ok := body.(Response); ok && err == nil {
+			p.hasLeft = request.ReportOnly
 			p.receive(response, reported, now, receivedAt)
 		}
 	})
@@ -158,5 +161,12 @@
 	p.nextRequestAt = min(p.nextRequestAt, now)
 }
 
+// Drain ends the requests for further permits: this daemon is about to stop, and the primary is notified.
+// Outcomes are reported on.
+func (p *Performer) Drain() { p.isDraining, p.nextRequestAt = true, 0 }
+
+// isDone tells that a performer that drains has nothing to report any more.
+func (p *Performer) isDone() bool { return p.hasLeft && len(p.running)+len(p.outcomes) == 0 }
+
 // Running is the number of permits that are being performed.
 func (p *Performer) Running() int { return len(p.running) }
--- a/internal/exclusive/performer_test.go
+++ b/internal/exclusive/performer_test.go
@@ -140,3 +140,24 @@
 		t.Fatal("no primary is known")
 	}
 }
+
+// A node that stops is succeeded without the time that an absence takes.
+func TestADrainingNodeLeavesItsSubjects(t *testing.T) {
+	f := newPerformerFixture(t)
+	f.tick()
+	f.respond(permitOf(1, act("s", 1, "x")))
+	f.performer.Drain()
+	if !f.tick() || !f.request.Body.(Request).ReportOnly {
+		t.Fatalf("its next request is %+v", f.request)
+	}
+	f.respond()
+	f.performer.Performed(Performed{PermitID{1, 1}, Done}, f.now)
+	if !f.tick() || len(f.outcomes()) != 1 {
+		t.Fatal("the outcome of what it performed is not reported")
+	}
+	f.respond()
+	f.now += 10 * clock.Second
+	if f.tick() {
+		t.Fatal("it requests on")
+	}
+}
--- /dev/null
+++ b/internal/exclusive/status.go
@@ -0,0 +1,69 @@
+package exclusive
+
+import (
+	"maps"
+	"slices"
+
+	"tuliprudder/internal/clock"
+)
+
+// SubjectStatus is what is known of a subject, for operators. Its JSON is given to them; the keys never
+// change.
+type SubjectStatus struct {
+	Subject Subject `json:"subject"`
+	Holder  string  `json:"holder"`
+	Fence   uint64  `json:"fence"`
+	// LastNumber is that of the latest act whose content was decided.
+	LastNumber uint64 `json:"last_number"`
+	// LastResult is that of the latest permit that this primary granted; "" before it is known.
+	LastResult string `json:"last_result"`
+	// Failures is how many permits in a row brought no answer.
+	Failures int         `json:"failures"`
+	Open     []ActStatus `json:"open"`
+}
+
+// ActStatus is an act that is decided and not known to be done. Its JSON is given to operators; the keys
+// never change.
+type ActStatus struct {
+	Number uint64 `json:"number"`
+	// AgeUS is the time since its content was decided, in microseconds.
+	AgeUS clock.Micros `json:"age_us"`
+	// IsPending: a node may be performing it now.
+	IsPending bool `json:"pending"`
+}
+
+// Status lists the subjects, by name.
+func (a *Arbiter) Status(table *Table, now clock.Micros) []SubjectStatus {
+	list := []SubjectStatus{}
+	for _, subject := range slices.Sorted(maps.Keys(table.Subjects)) {
+		list = append(list, a.subjectStatus(subject, table.Subjects[subject], now))
+	}
+	return list
+}
+
+func (a *Arbiter) subjectStatus(subject Subject, record Record, now clock.Micros) SubjectStatus {
+	status := SubjectStatus{Subject: subject, Holder: record.Holder.Name, Fence: record.Fence, LastNumber: record.LastNumber, Open: []ActStatus{}}
+	known := a.subjects[subject]
+	if known == nil {
+		known = &attempts{}
+	}
+	status.Failures = known.failures
+	if known.hasResult {
+		status.LastResult = known.lastResult.String()
+	}
+	for _, act := range record.Open {
+		status.Open = append(status.Open, ActStatus{Number: act.Number, AgeUS: max(0, now-act.DecidedAt), IsPending: known.isPending(act.Number)})
+	}
+	return status
+}
+
+// OldestOpen is the age of the oldest open act; 0 without one.
+func (t *Table) OldestOpen(now clock.Micros) clock.Micros {
+	age := clock.Micros(0)
+	for _, record := range t.Subjects {
+		for _, act := range record.Open {
+			age = max(age, now-act.DecidedAt)
+		}
+	}
+	return age
+}
--- a/test/simulator/final_checks.go
+++ b/test/simulator/final_checks.go
@@ -35,6 +35,9 @@
 	v.checkBatches()
 	w.RunFor(4 * clock.Second)
 	v.checkConfigurations()
+	if w.Outside != nil {
+		w.Outside.checkPerformed()
+	}
 	v.CheckHistories()
 }
 
--- a/test/simulator/guarantees.go
+++ b/test/simulator/guarantees.go
@@ -29,6 +29,8 @@
 	serviceRestored      Guarantee = "service is restored within about 12 s"
 	answeredByDeadline   Guarantee = "a forwarded request is answered or rejected by its deadline"
 	resendAcknowledged   Guarantee = "a confirmed request that is sent again is never rejected"
+	actsExclusive        Guarantee = "an act has one content, a fence one holder, and holders never alternate"
+	actsPerformed        Guarantee = "an act that is due is performed in bounded time"
 )
 
 // Guarantees lists them.
@@ -36,6 +38,7 @@
 	batchKept, resultsTimely, resultsExactlyOnce, readerResumes, rejectedNeverRuns,
 	endedBatchStops, runsAtMostOnce, answerIntact, streamIntact, drainingRespected,
 	configurationInForce, withinQuota, serviceRestored, answeredByDeadline, resendAcknowledged,
+	actsExclusive, actsPerformed,
 }
 
 // timingGrace is the grace for what is to hold within about 3 s.
--- a/test/simulator/node_boot.go
+++ b/test/simulator/node_boot.go
@@ -75,7 +75,11 @@
 	settings.Tolerance = w.Shape.tolerance()
 	settings.Bootstrap = n.generation == 1
 	n.Core = controlplane.New(election.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, incarnation, w.seeds, settings, n.disk.durable)
-	n.machine = machines.NewCore(n.Core)
+	coreMachine := machines.NewCore(n.Core)
+	if w.Outside != nil {
+		w.Outside.enable(n, coreMachine, incarnation)
+	}
+	n.machine = coreMachine
 }
 
 func (n *Node) bootStore(incarnation uint64) {
--- a/test/simulator/node_effects.go
+++ b/test/simulator/node_effects.go
@@ -6,6 +6,7 @@
 	"tuliprudder/internal/dataplane/execution"
 	"tuliprudder/internal/dataplane/modelclient"
 	"tuliprudder/internal/dataplane/serverpoll"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/gossip"
 	"tuliprudder/internal/machine"
 )
@@ -114,6 +115,8 @@
 		}
 	case serverpoll.PollTask:
 		w.pollServer(n, t)
+	case exclusive.Task:
+		w.Outside.perform(n, t)
 	}
 }
 
--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -25,6 +25,8 @@
 	TokenQuota bool
 	// Scenarios adds the directed scenarios (Scenarios) to the faults.
 	Scenarios bool
+	// Acts adds a system outside the fleet that cores perform acts on, and its faults.
+	Acts bool
 	// MeasureRecovery times, before the faults, how fast the fleet recovers (Recovery).
 	MeasureRecovery bool
 
@@ -42,6 +44,9 @@
 	w.OnEffect = r.OnEffect
 	w.Forwarding = r.Forwarding
 	w.TokenQuota = r.TokenQuota
+	if r.Acts {
+		w.Outside = newOutside(w)
+	}
 	v := w.Workload
 	if !w.RunUntil(10*clock.Second, w.allEdgesReady) {
 		v.reportViolation(serviceRestored, "the fleet is not ready 10 s after boot: %s", w.Describe())
@@ -84,6 +89,9 @@
 	if r.Scenarios {
 		faults = append(faults, Scenarios(r.Shape)...)
 	}
+	if r.Acts {
+		faults = append(faults, actFaults(r.Shape.Shards)...)
+	}
 	return faults
 }
 
--- a/test/simulator/simulation_test.go
+++ b/test/simulator/simulation_test.go
@@ -57,7 +57,7 @@
 	small := Shape{Zones: 3, Cores: 3, Stores: 3, Edges: 2, Shards: 4}
 	simulate := func(kind string, target int, drop, duplicate bool, delay clock.Micros) (*World, map[string]int) {
 		counts := map[string]int{}
-		run := Run{Seed: 77, Shape: small, Conditions: quiet, Faults: 4, Filter: "a store", AllCalls: true}
+		run := Run{Seed: 77, Shape: small, Conditions: quiet, Faults: 4, Filter: "a store", AllCalls: true, Acts: true}
 		run.DeliveryFault = func(_, _ string, body any) (bool, bool, clock.Micros) {
 			name := fmt.Sprintf("%T", body)
 			if counts[name]++; name != kind || counts[name] != target {
--- a/test/simulator/world.go
+++ b/test/simulator/world.go
@@ -63,6 +63,8 @@
 	Forwarding bool
 	// TokenQuota adds a route of forwarded batches with a quota of tokens.
 	TokenQuota bool
+	// Outside is a system outside the fleet that cores perform acts on; nil: there is none.
+	Outside *Outside
 
 	Trace                  []string
 	Steps, Messages, Syncs int // events, messages sent, syncs of disks so far
--- a/test/storedformat/messages_test.go
+++ b/test/storedformat/messages_test.go
@@ -15,6 +15,7 @@
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/registration"
 	"tuliprudder/internal/dataplane/quota"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/gossip"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/replication"
@@ -45,6 +46,13 @@
 	bodies = append(bodies, // since version 5
 		controlplane.PatchConfigurationRequest{Body: []byte(`{"upsert":{}}`), Base: 16, HasBase: true, By: "anna", Timeout: 17},
 	)
+	bodies = append(bodies, // since version 6
+		exclusive.Request{Holder: exclusive.Holder{Name: "cairn-1", Instance: "core-a/3"}, ReportOnly: true, Outcomes: []exclusive.Outcome{
+			{ID: exclusive.PermitID{Epoch: 18, Serial: 19}, Subject: "windows", Number: 20, Fence: 21, Result: exclusive.RetryLater}}},
+		exclusive.Response{Validity: 22, Permits: []exclusive.Permit{{ID: exclusive.PermitID{Epoch: 23, Serial: 24}, Fence: 25,
+			Holder: exclusive.Holder{Name: "cairn-2", Instance: "core-b/1"},
+			Act:    exclusive.Act{Subject: "windows", Number: 26, Content: []byte("{}"), Supersedes: true, DecidedAt: 27}}}},
+	)
 	var out transport.MessageBatch
 	for _, body := range bodies {
 		out.Messages = append(out.Messages, transport.Envelope{From: "10.0.0.2:7000", Body: body})
@@ -52,13 +60,14 @@
 	return out
 }
 
-// messagesFile holds the messages as the builds of protocol version 5 encode them.
-var messagesFile = filepath.Join("testdata", "messages-5.gob")
+// messagesFile holds the messages as the builds of protocol version 6 encode them.
+var messagesFile = filepath.Join("testdata", "messages-6.gob")
 
 // How many of the messages are as they were in earlier protocol versions.
 const (
 	messagesSinceVersion3 = 5
 	messagesSinceVersion4 = 9
+	messagesSinceVersion5 = 10
 )
 
 func writeMessages(t *testing.T) {
@@ -74,6 +83,7 @@
 	all := messages().Messages
 	for file, want := range map[string][]transport.Envelope{
 		messagesFile: all,
+		filepath.Join("testdata", "messages-5.gob"): all[:messagesSinceVersion5],
 		filepath.Join("testdata", "messages-4.gob"): all[:messagesSinceVersion4],
 		filepath.Join("testdata", "messages-3.gob"): all[:messagesSinceVersion3],
 	} {
