--- /dev/null
+++ b/cmd/tuliprudderctl/acts.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"time"
+)
+
+// actSubject is what acts on an outside system are about, as the primary core describes it.
+type actSubject struct {
+	Subject    string `json:"subject"`
+	Holder     string `json:"holder"`
+	Fence      uint64 `json:"fence"`
+	LastResult string `json:"last_result"`
+	Open       []struct {
+		Number  uint64 `json:"number"`
+		AgeUS   int64  `json:"age_us"`
+		Pending bool   `json:"pending"`
+	} `json:"open"`
+}
+
+// listActs lists who performs acts on outside systems, and the acts that are open.
+type listActs struct{}
+
+// Apply prints a line a subject, and one for each further open act.
+func (listActs) Apply(ctx context.Context, s *session) error {
+	response, err := get[struct {
+		Subjects []actSubject `json:"subjects"`
+	}](ctx, s.client, pathActs)
+	if err != nil {
+		return err
+	}
+	t := table{{"SUBJECT", "HOLDER", "FENCE", "LAST RESULT", "OPEN ACT", "AGE", "STATE"}}
+	for _, subject := range response.Subjects {
+		if len(subject.Open) == 0 {
+			t.add(subject.Subject, subject.Holder, subject.Fence, subject.LastResult, "-", "", "")
+		}
+		for _, act := range subject.Open {
+			state := "waits"
+			if act.Pending {
+				state = "performed now"
+			}
+			age := (time.Duration(act.AgeUS) * time.Microsecond).Round(time.Millisecond)
+			t.add(subject.Subject, subject.Holder, subject.Fence, subject.LastResult, act.Number, age, state)
+		}
+	}
+	s.printTable(t)
+	return nil
+}
--- a/cmd/tuliprudderctl/client.go
+++ b/cmd/tuliprudderctl/client.go
@@ -22,6 +22,7 @@
 	pathConfiguration  = "/v1/operator/plan"
 	pathConfigurations = "/v1/operator/plans"
 	pathQuota          = "/v1/operator/purse"
+	pathActs           = "/v1/operator/acts"
 	pathRequests       = "/v1/operator/orders"
 	pathBatches        = "/v1/operator/bundles/"
 	suffixDraining     = "/leaving"
--- a/cmd/tuliprudderctl/commands.go
+++ b/cmd/tuliprudderctl/commands.go
@@ -69,6 +69,8 @@
 		example: "counters", define: withoutArguments(printDocument{path: pathCounters})},
 	{name: "risks", summary: "list what puts guarantees at risk now, over all daemons",
 		example: "risks", define: withoutArguments(listRisks{})},
+	{name: "acts", summary: "list who performs acts on outside systems, and the acts that are open",
+		example: "acts", define: withoutArguments(listActs{})},
 	{name: "quota", former: "purse", summary: "print the quota shares of the daemon that -at names",
 		example: "quota", define: withoutArguments(printDocument{path: pathQuota})},
 
--- a/cmd/tuliprudderctl/fake_daemon_test.go
+++ b/cmd/tuliprudderctl/fake_daemon_test.go
@@ -92,12 +92,14 @@
 		t.Fatal(err)
 	}
 	return map[string][]cannedResponse{
-		"GET /v1/operator/daemons":                     ok(daemonsResponse),
-		"GET /v1/operator/servers":                     ok(serversResponse),
-		"PUT /v1/operator/servers":                     ok(`{"servers":1}`),
-		"GET /v1/operator/map":                         ok(mapResponse),
-		"GET /v1/operator/core":                        ok(`{"primary":"core-1","term":4}`),
-		"GET /counters":                                ok(`{"shards_short_of_copies":2,"news_age_us":5000000,"disk_condition":1,"reads":70}`),
+		"GET /v1/operator/daemons": ok(daemonsResponse),
+		"GET /v1/operator/servers": ok(serversResponse),
+		"PUT /v1/operator/servers": ok(`{"servers":1}`),
+		"GET /v1/operator/map":     ok(mapResponse),
+		"GET /v1/operator/core":    ok(`{"primary":"core-1","term":4}`),
+		"GET /counters":            ok(`{"shards_short_of_copies":2,"news_age_us":5000000,"disk_condition":1,"reads":70}`),
+		"GET /v1/operator/acts": ok(`{"subjects":[{"subject":"scale/big/a","holder":"core-a-1","fence":7,"last_result":"done","open":[]},
+			{"subject":"usage","holder":"core-b-2","fence":12,"last_result":"no_answer","open":[{"number":41,"age_us":2500000,"pending":true},{"number":42,"age_us":700,"pending":false}]}]}`),
 		"GET /v1/operator/purse":                       ok(`{"shares":{"live":0.5}}`),
 		"GET /v1/operator/orders?slowest=20":           ok(`{"orders":[{"order":"o-1","took_us":900}]}`),
 		"GET /v1/operator/orders?order=b-1%2F7":        ok(`{"order":"b-1/7","server":"gpu-1"}`),
--- a/cmd/tuliprudderctl/golden_test.go
+++ b/cmd/tuliprudderctl/golden_test.go
@@ -16,6 +16,7 @@
 		"draining_change.json":   &drainingChange{},
 		"retirement.json":        &retirement{},
 		"retirement_change.json": &retirementChange{},
+		"act_subject.json":       &actSubject{},
 	} {
 		if err := goldenjson.Check("testdata/golden/"+name, pointer); err != nil {
 			t.Errorf("%T: %v", pointer, err)
--- a/cmd/tuliprudderctl/risks.go
+++ b/cmd/tuliprudderctl/risks.go
@@ -25,6 +25,7 @@
 	{"disk_wait_us", 1_000_000},
 	{"disk_condition", diskConditionSlow},
 	{"disk_folds_given_up", 0},
+	{"act_oldest_us", 30_000_000},
 }
 
 // listRisks gathers what puts guarantees at risk from all daemons.
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -33,6 +33,8 @@
 		c.receiveReport(call.Number, request, now)
 	case exclusive.Request:
 		c.requestPermits(call.Number, request, now)
+	case ActsRequest:
+		c.readActs(call.Number, now)
 	case StatusRequest:
 		c.Emit(machine.Reply{Call: call.Number, Body: c.status()})
 	default:
--- a/internal/controlplane/counters.go
+++ b/internal/controlplane/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/exclusive"
 )
 
 // Counters are this core's figures for its operators (docs/OPERATORS.md).
@@ -25,11 +26,29 @@
 		counters["core_primary"] = 1
 		counters["core_copies_missing"] = int64(status.ReplicasMissing)
 		counters["shards_short_of_copies"] = c.underReplicatedShards()
+		c.addActCounters(counters, now)
 		c.addUsageCounters(counters)
 	}
 	return counters
 }
 
+// addActCounters adds those of acts on outside systems, where there are any.
+func (c *Core) addActCounters(counters map[string]int64, now clock.Micros) {
+	table := &c.state.Acts
+	if len(c.actSources) == 0 && table.IsZero() {
+		return
+	}
+	counters["acts_open"] = int64(table.OpenActs())
+	counters["act_oldest_us"] = table.OldestOpen(now)
+	counters["acts_abandoned"] = int64(table.Abandoned)
+	counters["act_permits"] = c.arbiter.Permits
+	counters["act_holder_changes"] = c.arbiter.HolderChanges
+	counters["acts_done"] = c.arbiter.Outcomes[exclusive.Done]
+	counters["acts_no_answer"] = c.arbiter.Outcomes[exclusive.NoAnswer]
+	counters["acts_postponed"] = c.arbiter.Outcomes[exclusive.RetryLater]
+	counters["acts_refused"] = c.arbiter.Outcomes[exclusive.Refused]
+}
+
 // addUsageCounters adds those of the reports of use, where there are any.
 func (c *Core) addUsageCounters(counters map[string]int64) {
 	if c.usage == nil {
--- a/internal/controlplane/messages.go
+++ b/internal/controlplane/messages.go
@@ -6,6 +6,7 @@
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/transport"
 )
 
@@ -63,6 +64,10 @@
 		Done       bool
 		ShardsLeft int // shards that still depend on it
 	}
+	// ActsRequest reads from the primary what is known of acts on outside systems.
+	ActsRequest struct{ Brief bool }
+	// ActsResponse is the answer: the subjects by name.
+	ActsResponse struct{ Subjects []exclusive.SubjectStatus }
 	// StatusRequest asks a core for its own account.
 	StatusRequest struct{ Brief bool }
 	// StatusResponse is that account.
@@ -78,5 +83,5 @@
 
 func init() {
 	transport.Register(PutConfigurationRequest{}, PatchConfigurationRequest{}, PutConfigurationResponse{}, RetireRequest{}, RetireResponse{},
-		ConfigurationsRequest{}, ConfigurationsResponse{}, StatusRequest{}, StatusResponse{})
+		ConfigurationsRequest{}, ConfigurationsResponse{}, StatusRequest{}, StatusResponse{}, ActsRequest{}, ActsResponse{})
 }
--- a/internal/controlplane/permits.go
+++ b/internal/controlplane/permits.go
@@ -173,6 +173,15 @@
 	return ok
 }
 
+// readActs answers an operator; only the primary knows of permits.
+func (c *Core) readActs(call uint64, now clock.Micros) {
+	if !c.HoldsLease(now) {
+		c.rejectNotPrimary(call)
+		return
+	}
+	c.Emit(machine.Reply{Call: call, Body: ActsResponse{Subjects: c.arbiter.Status(&c.state.Acts, now)}})
+}
+
 // PrimaryAddress is the address of the primary core as this one knows it, with the epoch of its term; ""
 // where it knows none.
 func (c *Core) PrimaryAddress() (address string, epoch uint64) {
--- a/internal/controlplane/permits_test.go
+++ b/internal/controlplane/permits_test.go
@@ -204,3 +204,22 @@
 		t.Fatalf("after a change of the map, published is %+v", b.published)
 	}
 }
+
+func TestOperatorsReadActsAtThePrimaryOnly(t *testing.T) {
+	b := actingCluster(t, &proposed{[]exclusive.Act{windowAct(1, "x")}})
+	b.permits(t, nodeA)
+	b.now += clock.Millisecond
+	for _, core := range b.cores {
+		answer := b.reply(t, b.call(core, ActsRequest{}))
+		if core != b.primary() {
+			if kindOf(answer.Err) != errs.NotReady {
+				t.Errorf("another core answers %+v", answer)
+			}
+			continue
+		}
+		subjects := answer.Body.(ActsResponse).Subjects
+		if len(subjects) != 1 || subjects[0].Holder != nodeA.Name || len(subjects[0].Open) != 1 || !subjects[0].Open[0].IsPending || subjects[0].Open[0].AgeUS != clock.Millisecond {
+			t.Errorf("the primary answers %+v", subjects)
+		}
+	}
+}
--- a/internal/daemon/admin/admin.go
+++ b/internal/daemon/admin/admin.go
@@ -55,6 +55,7 @@
 	r.Handle(http.MethodGet, "/v1/operator/plans/:version", a.getConfigurationVersion)
 	r.Handle(http.MethodGet, "/v1/operator/stores/:id", a.getStore)
 	r.Handle(http.MethodPost, "/v1/operator/stores/:id/retire", a.retireStore)
+	r.Handle(http.MethodGet, "/v1/operator/acts", a.listActs)
 	r.Handle(http.MethodGet, "/v1/operator/purse", a.getQuota)
 	r.Handle(http.MethodGet, "/v1/operator/orders", a.explainRequests)
 	r.Handle(http.MethodGet, "/v1/operator/bundles/:bundle", a.explainBatch)
--- a/internal/daemon/admin/responses_test.go
+++ b/internal/daemon/admin/responses_test.go
@@ -15,6 +15,7 @@
 	"tuliprudder/internal/dataplane/decisionlog"
 	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/errs"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/storage"
 	"tuliprudder/test/goldenjson"
@@ -74,6 +75,11 @@
 		{"configurations_none", call{route: "GET /v1/operator/plans"}, controlplane.ConfigurationsResponse{}},
 		{"configuration_version", call{route: "GET /v1/operator/plans/:version", vars: map[string]string{"version": "7"}}, controlplane.ConfigurationsResponse{Versions: []state.Version{testVersion}}},
 		{"store", call{route: "GET /v1/operator/stores/:id", vars: map[string]string{"id": testDaemonID}}, batchstore.StatusResponse{Store: "s", Shards: []batchstore.ShardStatus{{Shard: 1}}}},
+		{"acts", call{route: "GET /v1/operator/acts"}, controlplane.ActsResponse{Subjects: []exclusive.SubjectStatus{
+			{Subject: "windows", Holder: "machine-1", Fence: 2, LastNumber: 3, LastResult: "done", Failures: 1, Open: []exclusive.ActStatus{{Number: 3, AgeUS: 4, IsPending: true}}},
+			{Subject: "target", Holder: "machine-2", Fence: 5, LastNumber: 6},
+		}}},
+		{"acts_none", call{route: "GET /v1/operator/acts"}, controlplane.ActsResponse{}},
 		{"retire", call{route: "POST /v1/operator/stores/:id/retire", vars: map[string]string{"id": "s"}, body: `{"back":true}`}, controlplane.RetireResponse{ID: "s", Done: true, ShardsLeft: 2}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/daemon/roles/core_metrics.go
+++ b/internal/daemon/roles/core_metrics.go
@@ -78,6 +78,42 @@
 		Key: "core_copies_missing", Name: "tuliprudder_core_replicas_missing", Type: prometheus.GaugeValue,
 		Help: "Replicas of the control state that are missing; at the primary only.",
 	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "acts_open", Name: "tuliprudder_core_acts_open", Type: prometheus.GaugeValue,
+		Help: "Acts on outside systems that are decided and not known to be done; at the primary only.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "act_oldest_us", Name: "tuliprudder_core_act_oldest_age_seconds", Type: prometheus.GaugeValue, Unit: metrics.Microseconds,
+		Help: "Age of the oldest of them; at the primary only.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "acts_abandoned", Name: "tuliprudder_core_acts_abandoned_total", Type: prometheus.CounterValue,
+		Help: "Acts that were given up since too many waited.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "act_permits", Name: "tuliprudder_core_act_permits_total", Type: prometheus.CounterValue,
+		Help: "Permits that this core granted as primary.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "act_holder_changes", Name: "tuliprudder_core_act_holder_changes_total", Type: prometheus.CounterValue,
+		Help: "Changes of a subject's holder that this core decided as primary.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "acts_done", Name: "tuliprudder_core_acts_done_total", Type: prometheus.CounterValue,
+		Help: "Permits that ended with the act done.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "acts_no_answer", Name: "tuliprudder_core_acts_unanswered_total", Type: prometheus.CounterValue,
+		Help: "Permits that ended without an answer of the outside system.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "acts_postponed", Name: "tuliprudder_core_acts_postponed_total", Type: prometheus.CounterValue,
+		Help: "Permits that ended with an answer to come back later.",
+	}),
+	coreMetric(metrics.Metric[coreSample]{
+		Key: "acts_refused", Name: "tuliprudder_core_acts_refused_total", Type: prometheus.CounterValue,
+		Help: "Acts that the outside system refused for good.",
+	}),
 	coreMetric(metrics.Metric[coreSample]{
 		Key: "shards_short_of_copies", Name: "tuliprudder_core_under_replicated_shards", Type: prometheus.GaugeValue,
 		Help: "Shards with too few complete replicas; at the primary only.",
--- a/internal/exclusive/arbiter.go
+++ b/internal/exclusive/arbiter.go
@@ -79,7 +79,7 @@
 // IsIdle tells that a request can't change anything: it reports nothing, and nothing is to be done.
 func IsIdle(table *Table, request Request, due []Act) bool {
 	isNew := func(act Act) bool { return act.Number > table.Record(act.Subject).LastNumber }
-	return len(request.Outcomes) == 0 && !table.HasOpen() && !slices.ContainsFunc(due, isNew)
+	return len(request.Outcomes) == 0 && table.OpenActs() == 0 && !slices.ContainsFunc(due, isNew)
 }
 
 // Decide decides on a request. Everything in the table is durable on all replicas; due are the acts
--- a/internal/exclusive/status.go
+++ b/internal/exclusive/status.go
@@ -67,3 +67,11 @@
 	}
 	return age
 }
+
+// OpenActs is the number of acts that are decided and not known to be done.
+func (t *Table) OpenActs() (count int) {
+	for _, record := range t.Subjects {
+		count += len(record.Open)
+	}
+	return count
+}
--- a/internal/exclusive/table.go
+++ b/internal/exclusive/table.go
@@ -74,16 +74,6 @@
 // Record is what has been decided of a subject; the zero value before the first permit.
 func (t *Table) Record(subject Subject) Record { return t.Subjects[subject] }
 
-// HasOpen tells whether an act of any subject is decided and not known to be done.
-func (t *Table) HasOpen() bool {
-	for _, record := range t.Subjects {
-		if len(record.Open) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Apply applies an update.
 func (t *Table) Apply(update Update) {
 	for _, settlement := range update.Settlements {
--- a/test/simulator/simulation_test.go
+++ b/test/simulator/simulation_test.go
@@ -47,6 +47,7 @@
 	"replication.StaleEpoch":     "a deposed owner has to go on writing: the test of replication groups mutates it",
 	"controlplane.StatusRequest": "an operator's read", "controlplane.StatusResponse": "an operator's read",
 	"batchstore.ItemBodyRequest": "a server's read of an opaque item: the store's own test", "batchstore.ItemBodyResponse": "the same",
+	"controlplane.ActsRequest": "an operator's read", "controlplane.ActsResponse": "an operator's read",
 	"registration.Rejected": "TestCopiedFoldersAreRejected sends it",
 }
 
