--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -47,6 +47,7 @@
 	for _, call := range c.queue.ReleaseCalls() {
 		c.replyUnknown(call)
 	}
+	c.rejectPermitRequests(c.permitRequests.clear())
 }
 
 // CompactAgain asks for another snapshot: the last one could not be written.
@@ -81,7 +82,7 @@
 // what the disk itself tells, and what only makes this core know more.
 func isAllowedWithoutDisk(command Command) bool {
 	switch command := command.(type) {
-	case Persisted, DiskStateChanged, CompactAgain, Suspicion, DurableUpdate, FreshnessAdvanced:
+	case Persisted, DiskStateChanged, CompactAgain, Suspicion, EdgeHealth, DurableUpdate, FreshnessAdvanced:
 		return true
 	case Message:
 		_, isHeartbeat := command.Body.(election.Heartbeat)
--- a/test/simulator/simulation_test.go
+++ b/test/simulator/simulation_test.go
@@ -47,6 +47,7 @@
 	"replication.StaleEpoch":     "a deposed owner has to go on writing: the test of replication groups mutates it",
 	"controlplane.StatusRequest": "an operator's read", "controlplane.StatusResponse": "an operator's read",
 	"batchstore.ItemBodyRequest": "a server's read of an opaque item: the store's own test", "batchstore.ItemBodyResponse": "the same",
+	"controlplane.ActsRequest": "an operator's read", "controlplane.ActsResponse": "an operator's read",
 	"registration.Rejected": "TestCopiedFoldersAreRejected sends it",
 }
 
@@ -57,7 +58,7 @@
 	small := Shape{Zones: 3, Cores: 3, Stores: 3, Edges: 2, Shards: 4}
 	simulate := func(kind string, target int, drop, duplicate bool, delay clock.Micros) (*World, map[string]int) {
 		counts := map[string]int{}
-		run := Run{Seed: 77, Shape: small, Conditions: quiet, Faults: 4, Filter: "a store", AllCalls: true}
+		run := Run{Seed: 77, Shape: small, Conditions: quiet, Faults: 4, Filter: "a store", AllCalls: true, Acts: true}
 		run.DeliveryFault = func(_, _ string, body any) (bool, bool, clock.Micros) {
 			name := fmt.Sprintf("%T", body)
 			if counts[name]++; name != kind || counts[name] != target {
