--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -49,6 +49,7 @@
 	Election         election.InjectedFaults
 	SkipRequestTable bool // a snapshot lacks what recognises repeated requests
 	KeepVotes        bool // a lost store keeps its vote for updates
+	Usage            usage.InjectedFaults
 	Acts             exclusive.InjectedFaults
 }
 
@@ -165,6 +166,9 @@
 func (c *Core) InjectFaults(faults InjectedFaults) {
 	c.faults = faults
 	c.election.InjectFaults(faults.Election)
+	if c.usage != nil {
+		c.usage.InjectFaults(faults.Usage)
+	}
 	c.arbiter.InjectFaults(faults.Acts)
 }
 
--- a/test/simulator/node_boot.go
+++ b/test/simulator/node_boot.go
@@ -9,6 +9,7 @@
 	"tuliprudder/internal/controlplane"
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/controlplane/usage"
 	"tuliprudder/internal/daemon/eventloop"
 	"tuliprudder/internal/daemon/machines"
 	"tuliprudder/internal/gossip"
@@ -41,7 +42,14 @@
 	case membership.Store:
 		n.bootStore(incarnation)
 	case membership.Edge:
-		n.edge = machines.NewEdge(n.ID, machines.EdgeDefaults(), w.Random.Int63())
+		settings := machines.EdgeDefaults()
+		if w.Outside != nil {
+			settings.Usage.Interval = actInterval
+		}
+		n.edge = machines.NewEdge(n.ID, settings, w.Random.Int63())
+		if w.Outside != nil {
+			w.Outside.usage.observe(n)
+		}
 		n.machine = n.edge
 	}
 	if w.InjectBug != nil {
@@ -74,6 +82,9 @@
 	settings.CheckConfiguration = config.Validate
 	settings.Tolerance = w.Shape.tolerance()
 	settings.Bootstrap = n.generation == 1
+	if w.Outside != nil {
+		settings.Usage = usage.Settings{Interval: actInterval, Delay: usageDelay}
+	}
 	n.Core = controlplane.New(election.CoreRef{ID: n.ID, Peer: n.Peer, Zone: n.Zone}, incarnation, w.seeds, settings, n.disk.durable)
 	coreMachine := machines.NewCore(n.Core)
 	if w.Outside != nil {
--- a/test/simulator/outside.go
+++ b/test/simulator/outside.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/usage"
 	"tuliprudder/internal/daemon/machines"
 	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/membership"
@@ -34,6 +35,7 @@
 	calls     []outsideCall
 	accepted  int
 	proposals int
+	usage     *usageTruth
 	// Until when it fails in a way.
 	slowUntil, downUntil, busyUntil, answersLostUntil clock.Micros
 	// onStep, where it is set, is notified of each step of an act at a node.
@@ -64,7 +66,7 @@
 	return fmt.Sprintf("%s %d %q by %s fence %d at %d ms", c.permit.Subject, c.permit.Number, c.permit.Content, c.permit.Holder.Name, c.permit.Fence, c.at/clock.Millisecond)
 }
 
-func newOutside(w *World) *Outside { return &Outside{world: w} }
+func newOutside(w *World) *Outside { return &Outside{world: w, usage: newUsageTruth(w)} }
 
 // enable has a core propose and perform acts.
 func (o *Outside) enable(n *Node, core *machines.Core, incarnation uint64) {
@@ -174,6 +176,9 @@
 	latest := outsideCall{at: w.Now, permit: a.task.Permit}
 	w.Tracef("outside: %s", latest)
 	o.check(latest)
+	if latest.permit.Subject == usage.Subject {
+		o.usage.check(latest)
+	}
 	o.calls = append(o.calls, latest)
 	o.step(stepArrived, a.node)
 	result, delay := exclusive.Done, w.randomBetween(300, 3*clock.Millisecond)
@@ -248,6 +253,7 @@
 	if decided := table.Record(subjectWindows).LastNumber; decided < latest {
 		w.Workload.reportViolation(actsPerformed, "act %d is not decided, the latest is %d", latest, decided)
 	}
+	o.usage.checkDecided()
 }
 
 // lastHolder is the node that acted last; any core before the first act.
--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -27,6 +27,8 @@
 	Scenarios bool
 	// Acts adds a system outside the fleet that cores perform acts on, and its faults.
 	Acts bool
+	// Calm is for how long callers go on before the first fault.
+	Calm clock.Micros
 	// MeasureRecovery times, before the faults, how fast the fleet recovers (Recovery).
 	MeasureRecovery bool
 
@@ -66,6 +68,7 @@
 	if r.MeasureRecovery && !w.measureRecovery(r.Shape.Shards) {
 		return w
 	}
+	w.RunFor(r.Calm)
 	if !r.injectFaults(w) {
 		return w
 	}
