--- a/internal/batchstore/pending_weights.go
+++ b/internal/batchstore/pending_weights.go
@@ -13,8 +13,8 @@
 
 // released is weight that counts until the entry that released it is durable.
 type released struct {
-	tenant string
-	weight int
+	account shard.AccountName
+	weight  int
 }
 
 // ServingEpoch is the epoch under which this store serves a shard now; false where it doesn't, or
@@ -27,30 +27,37 @@
 	return served.group.Epoch, true
 }
 
-// PendingWeight is the weight of a tenant's items that wait or run in a shard.
-func (s *Store) PendingWeight(shardIndex int, tenant string) int {
-	return s.pendingWeights(Unit(shardIndex))[tenant]
+// PendingWeight is the weight of an account's items that wait or run in a shard.
+func (s *Store) PendingWeight(shardIndex int, account shard.AccountName) int {
+	unit := Unit(shardIndex)
+	sum := s.shard(unit).state.PendingWeight(account)
+	for _, r := range s.unconfirmedReleases[unit] {
+		if r.account == account {
+			sum += r.weight
+		}
+	}
+	return sum
 }
 
 // PendingWeights are the weights of the items that wait or run in the shards that this store
-// serves, by tenant.
-func (s *Store) PendingWeights(now clock.Micros) map[string]int {
-	sum := map[string]int{}
+// serves, by account.
+func (s *Store) PendingWeights(now clock.Micros) map[shard.AccountName]int {
+	sum := map[shard.AccountName]int{}
 	for _, group := range s.groups.All() {
 		if group.Role != replication.Serving || now >= group.LeaseUntil() {
 			continue
 		}
-		for tenant, weight := range s.pendingWeights(group.Unit) {
-			sum[tenant] += weight
+		for account, weight := range s.pendingWeights(group.Unit) {
+			sum[account] += weight
 		}
 	}
 	return sum
 }
 
-func (s *Store) pendingWeights(unit string) map[string]int {
+func (s *Store) pendingWeights(unit string) map[shard.AccountName]int {
 	sum := s.shard(unit).state.PendingWeights()
 	for _, r := range s.unconfirmedReleases[unit] {
-		sum[r.tenant] += r.weight
+		sum[r.account] += r.weight
 	}
 	return sum
 }
@@ -61,11 +68,11 @@
 	case shard.ListResult:
 		batch := state.Batches[e.Result.Batch]
 		if batch != nil && batch.AwaitsResult(e.Result.Item) {
-			return released{batch.Tenant, batch.Items[e.Result.Item].Request.Weight()}
+			return released{batch.Account(), batch.Items[e.Result.Item].Request.Weight()}
 		}
 	case shard.EndBatch:
 		if batch := state.Batches[e.Batch]; batch != nil {
-			return released{batch.Tenant, batch.PendingWeight()}
+			return released{batch.Account(), batch.PendingWeight()}
 		}
 	}
 	return released{}
--- a/internal/batchstore/pending_weights_test.go
+++ b/internal/batchstore/pending_weights_test.go
@@ -21,12 +21,15 @@
 	})
 }
 
+// routeAccount is the account of forwarded batches without a tenant.
+var routeAccount = shard.AccountName{Route: "route"}
+
 // pending is what a store reports of the shard; serving is false where it must report nothing.
 func (c *cluster) pending(id string) (weight int, serving bool) {
 	if _, serving = c.stores[id].ServingEpoch(0, c.now); !serving {
 		return 0, false
 	}
-	return c.stores[id].PendingWeight(0, "route"), true
+	return c.stores[id].PendingWeight(0, routeAccount), true
 }
 
 func (c *cluster) expectPending(id string, want int) {
@@ -36,29 +39,56 @@
 	}
 }
 
+// expectPendingOf checks what the store "a" counts in an account.
+func (c *cluster) expectPendingOf(account shard.AccountName, want int) {
+	c.t.Helper()
+	if got := c.stores["a"].PendingWeight(0, account); got != want {
+		c.t.Fatalf("%d count in %s, not %d", got, account, want)
+	}
+	if got := c.stores["a"].PendingWeights(c.now)[account]; got != want {
+		c.t.Fatalf("%d count in %s in all shards, not %d", got, account, want)
+	}
+}
+
 // Items count from their batch's entry on until their results are durable, whatever attempts there
 // are: a forwarded one by its tokens, one with an input as one.
 func TestItemsCountUntilTheirResultsAreDurable(t *testing.T) {
 	c := newCluster(t)
 	c.mustCall(forwardedBatch("one", 3)) // 10, 11 and 12 tokens
 	c.expectPending("a", 33)
-	chat := SubmitRequest{Batch: shard.Batch{ID: "chat", Tenant: "route", Items: []shard.Item{{ID: "x", Input: "in"}, {ID: "y", Input: "in"}}}, Timeout: clock.Second}
+	chatAccount := shard.AccountName{Tenant: "route"} // named like the route
+	chat := SubmitRequest{Batch: shard.Batch{ID: "chat", Tenant: "route", Key: "k", Items: []shard.Item{{ID: "x", Input: "in"}, {ID: "y", Input: "in"}}}, Timeout: clock.Second}
 	c.mustCall(chat)
-	c.expectPending("a", 35)
+	c.expectPendingOf(chatAccount, 2)
+	c.expectPendingOf(routeAccount, 33)
 	c.do("a", finished("chat", 0))
-	c.expectPending("a", 34)
+	c.expectPendingOf(chatAccount, 1)
 	c.delayed = true
 	c.do("a", finished("one", 1))
-	c.expectPending("a", 34)
+	c.expectPendingOf(routeAccount, 33)
 	c.release()
-	c.expectPending("a", 23)
+	c.expectPendingOf(routeAccount, 22)
 	c.delayed = true
 	c.call(EndRequest{Batch: "one", Tenant: "route", AnyTenant: true, Timeout: clock.Second})
-	c.expectPending("a", 23)
+	c.expectPendingOf(routeAccount, 22)
 	c.release()
-	c.expectPending("a", 1)
-	if got := c.stores["a"].PendingWeights(c.now)["route"]; got != 1 {
-		t.Errorf("%d count in all shards", got)
+	c.expectPendingOf(routeAccount, 0)
+	c.expectPendingOf(chatAccount, 1)
+}
+
+// The batches of each tenant of a route count in an account of its own, those without a tenant in the
+// route's.
+func TestEachTenantOfARouteHasAnAccount(t *testing.T) {
+	c := newCluster(t)
+	c.mustCall(forwardedBatch("shared", 1))
+	for _, tenant := range []string{"x", "route"} {
+		request := forwardedBatch("of "+tenant, 2)
+		request.Batch.Tenant, request.Batch.Key = tenant, request.Batch.ID
+		c.mustCall(request)
+	}
+	c.expectPendingOf(routeAccount, 10)
+	for _, tenant := range []string{"x", "route"} {
+		c.expectPendingOf(shard.AccountName{Tenant: tenant, Route: "route"}, 21)
 	}
 }
 
@@ -75,7 +105,7 @@
 	records := append(c.stores["a"].ownRecords(), c.stores["a"].groups.CompactedRecords()...)
 	restarted := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 2}, Defaults(), records, newMemoryArchive())
 	restarted.Do(assignedTo(9, 1, "a", "b"), c.now)
-	if _, serving := restarted.ServingEpoch(0, c.now); serving || restarted.PendingWeights(c.now)["route"] != 0 {
+	if _, serving := restarted.ServingEpoch(0, c.now); serving || restarted.PendingWeights(c.now)[routeAccount] != 0 {
 		t.Error("a store that restarted reports a shard that it doesn't serve yet")
 	}
 	empty := New(Self{ID: "a", Zone: "a", Peer: "a", Incarnation: 2}, Defaults(), nil, newMemoryArchive())
@@ -85,7 +115,7 @@
 	}
 	primary := c.stores["a"]
 	primary.Do(assignedTo(10, 2, "b", "a"), c.now)
-	if _, serving := primary.ServingEpoch(0, c.now); serving || primary.PendingWeights(c.now)["route"] != 0 {
+	if _, serving := primary.ServingEpoch(0, c.now); serving || primary.PendingWeights(c.now)[routeAccount] != 0 {
 		t.Error("a store that lost the shard reports it")
 	}
 }
@@ -118,7 +148,7 @@
 	c.mustCall(forwardedBatch("one", 3))
 	c.muted = "b"
 	c.advance(2 * clock.Second)
-	if _, serving := c.pending("a"); serving || c.stores["a"].PendingWeights(c.now)["route"] != 0 {
+	if _, serving := c.pending("a"); serving || c.stores["a"].PendingWeights(c.now)[routeAccount] != 0 {
 		t.Error("it reports without a lease")
 	}
 }
--- a/internal/batchstore/shard/batch.go
+++ b/internal/batchstore/shard/batch.go
@@ -6,9 +6,12 @@
 // were listed. It is stored, and sent between daemons: its keys and the names of its fields
 // never change.
 type Batch struct {
-	ID                   string       `json:"id"`
-	Tenant               string       `json:"customer"`
-	Key                  string       `json:"key"`  // idempotency key; "" where the caller has none
+	ID string `json:"id"`
+	// Tenant is the tenant that submitted it; where Key is "", the name of its route.
+	Tenant string `json:"customer"`
+	// Key is the tenant's idempotency key, for opaque requests the batch's ID. It is "" where the batch
+	// has no tenant: it was accepted before there were tenants, or without an API key on a public route.
+	Key                  string       `json:"key"`
 	Hash                 string       `json:"hash"` // of the caller's body, see Hash
 	Route                string       `json:"route"`
 	ConfigurationVersion uint64       `json:"plan,omitempty"` // in force when it was submitted
@@ -76,6 +79,29 @@
 	}
 }
 
+// TenantName is the tenant that the batch belongs to; "" where it has none.
+func (b *Batch) TenantName() string {
+	if b.HasNoTenant() {
+		return ""
+	}
+	return b.Tenant
+}
+
+// HasNoTenant tells whether the batch belongs to no tenant: whoever knows its ID may use it.
+func (b *Batch) HasNoTenant() bool { return b.Key == "" }
+
+// Account is the account that the batch's items count in.
+func (b *Batch) Account() AccountName {
+	if !b.IsForwarded() {
+		return AccountName{Tenant: b.Tenant}
+	}
+	return AccountName{Tenant: b.TenantName(), Route: b.Route}
+}
+
+// IsForwarded tells whether the items are opaque requests. Other batches have a key, and an ID that is
+// made of it (BatchID).
+func (b *Batch) IsForwarded() bool { return b.Key == "" || b.Key == b.ID }
+
 // PendingWeight is the weight of the items that have no result; 0 once the batch is not open.
 func (b *Batch) PendingWeight() int {
 	if b.State != Open {
--- a/internal/batchstore/shard/state.go
+++ b/internal/batchstore/shard/state.go
@@ -43,12 +43,23 @@
 	return false
 }
 
-// PendingWeights are the weights of the items without a result in open batches, by tenant.
-func (s *State) PendingWeights() map[string]int {
-	sum := map[string]int{}
+// PendingWeights are the weights of the items without a result in open batches, by account.
+func (s *State) PendingWeights() map[AccountName]int {
+	sum := map[AccountName]int{}
 	for _, batch := range s.Batches {
 		if weight := batch.PendingWeight(); weight > 0 {
-			sum[batch.Tenant] += weight
+			sum[batch.Account()] += weight
+		}
+	}
+	return sum
+}
+
+// PendingWeight is that of one account.
+func (s *State) PendingWeight(account AccountName) int {
+	sum := 0
+	for _, batch := range s.Batches {
+		if batch.State == Open && batch.Account() == account {
+			sum += batch.PendingWeight()
 		}
 	}
 	return sum
--- a/internal/daemon/machines/late_configuration_test.go
+++ b/internal/daemon/machines/late_configuration_test.go
@@ -2,50 +2,104 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
+	"tuliprudder/internal/batchstore"
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/config"
 	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/dataplane/quota"
 	"tuliprudder/internal/machine"
+	"tuliprudder/internal/replication"
 )
 
 // receiveLimit has a store receive a configuration with another limit of the route "r".
-func receiveLimit(s *Store, version uint64, limit int64, now clock.Micros) {
+func receiveLimit(s *Store, version uint64, limit int64, now clock.Micros) []machine.Effect {
 	s.ParseConfiguration = func([]byte) (*config.Configuration, error) {
 		configuration := &config.Configuration{Routes: []config.Route{{Name: "r", Kind: config.Batch, Forward: &config.Forward{MaxQueuedTokens: limit}}}}
 		configuration.Index()
 		return configuration, nil
 	}
 	value, _ := json.Marshal(state.Version{Number: version})
-	s.UpdateReceived(machine.Update{Key: state.ConfigurationKey, Seq: version, Value: value}, now)
+	return s.UpdateReceived(machine.Update{Key: state.ConfigurationKey, Seq: version, Value: value}, now)
+}
+
+// ownedElsewhere has "store" know a map in which "other" serves one shard more, and gives a tenant of
+// the route "r" whose account that shard's primary owns.
+func (p *replicaPair) ownedElsewhere(t *testing.T) (tenant string) {
+	t.Helper()
+	var m state.Map
+	update := mapUpdate(9, true)
+	if err := json.Unmarshal(update.Value, &m); err != nil {
+		t.Fatal(err)
+	}
+	m.Shards = append(m.Shards, replication.Assignment{Epoch: 1, Primary: replication.Member{ID: "other", Incarnation: 1}})
+	update.Value, _ = json.Marshal(m)
+	p.do("store", batchstore.UpdateReceived{Update: update})
+	s := newTestStoreOf(p.stores["store"], config.Forward{})
+	for i := range 100 {
+		tenant = fmt.Sprint("tenant-", i)
+		if s.Quota.OwnerOf(shard.AccountName{Tenant: tenant, Route: "r"}) == "other" {
+			return tenant
+		}
+	}
+	t.Fatal("no tenant's account is owned elsewhere")
+	return ""
+}
+
+// submitOf has "store" accept a batch of a tenant, with one forwarded item.
+func (p *replicaPair) submitOf(tenant string, tokens int64) {
+	p.do("store", batchstore.Call{Number: 1, Body: batchstore.SubmitRequest{
+		Timeout: clock.Second,
+		Batch:   shard.Batch{ID: "b", Tenant: tenant, Key: "b", Route: "r", Items: []shard.Item{forwardedItem(tokens)}},
+	}})
+}
+
+// reportedTo lists the reports on pending batches among some effects, by the daemon that gets them.
+func reportedTo(effects []machine.Effect) map[string][]quota.LeaseRequest {
+	out := map[string][]quota.LeaseRequest{}
+	for _, effect := range effects {
+		if request, ok := effect.(machine.Request); ok {
+			if reports, ok := request.Body.(quota.PendingReports); ok {
+				out[request.To] = append(out[request.To], reports.Requests...)
+			}
+		}
+	}
+	return out
+}
+
+// expectReport checks that "other" gets one report, of 70 tokens of a tenant.
+func expectReport(t *testing.T, tenant string, effects []machine.Effect) {
+	t.Helper()
+	want := shard.AccountName{Tenant: tenant, Route: "r"}
+	got := reportedTo(effects)
+	if len(got) != 1 || len(got["other"]) != 1 || got["other"][0].Name != want || got["other"][0].Report.InUse != 70 || got["other"][0].Quota != 100 {
+		t.Errorf("reported %+v", got)
+	}
 }
 
 // What a store accepted while its configuration set no limit is known to the account's owner as soon as
 // the store has one that does, without another submission.
 func TestWhatWasAcceptedWithoutALimitIsReported(t *testing.T) {
 	pair := newReplicaPair()
+	tenant := pair.ownedElsewhere(t)
 	s := newTestStoreOf(pair.stores["store"], config.Forward{})
-	if err := submitTo(s, pair.now, "r", forwardedItem(70)); err != nil {
-		t.Fatal(err)
-	}
-	if accounts := s.Quota.Snapshot(pair.now).Accounts; len(accounts) != 0 {
-		t.Fatalf("there is no limit, and accounts %+v", accounts)
-	}
-	receiveLimit(s, 2, 100, pair.now)
-	if account := s.Quota.Snapshot(pair.now).Accounts["r"]; account.Granted["store"] != 70 {
-		t.Errorf("its account is %+v", account)
+	pair.submitOf(tenant, 70)
+	if effects := s.Tick(pair.now); len(reportedTo(effects)) != 0 {
+		t.Fatalf("there is no limit, and %+v", effects)
 	}
+	expectReport(t, tenant, receiveLimit(s, 2, 100, pair.now))
 }
 
 // A store that begins to serve a shard reports what it finds there: the shard's former primary may have
 // accepted it without a grant.
 func TestWhatIsFoundInAShardIsReported(t *testing.T) {
 	pair := newReplicaPair()
-	pair.submit(70)
+	tenant := pair.ownedElsewhere(t)
+	pair.submitOf(tenant, 70)
 	s := newTestStoreOf(pair.stores["store"], config.Forward{MaxQueuedTokens: 100})
-	s.Tick(pair.now)
-	if account := s.Quota.Snapshot(pair.now).Accounts["r"]; account.Granted["store"] != 70 {
-		t.Errorf("its account is %+v", account)
-	}
+	s.Quota.Tick(pair.now) // reports are not repeated soon
+	expectReport(t, tenant, s.Tick(pair.now))
 }
--- a/internal/daemon/machines/restart_test.go
+++ b/internal/daemon/machines/restart_test.go
@@ -106,7 +106,7 @@
 // usageOf asks a store for its reports, as the owner of the account of "r" does.
 func usageOf(t *testing.T, s *Store, now clock.Micros) []quota.Report {
 	t.Helper()
-	question := quota.UsageRequest{Tenant: "r", BatchesOnly: true, Account: quota.AccountID{Epoch: 9}, Shards: []int{0}}
+	question := quota.UsageRequest{Name: shard.AccountName{Route: "r"}, Account: quota.AccountID{Epoch: 9}, Shards: []int{0}}
 	for _, effect := range s.Call(1, question, now) {
 		if reply, ok := effect.(machine.Reply); ok {
 			return reply.Body.(quota.UsageResponse).Reports
--- a/internal/daemon/machines/submit.go
+++ b/internal/daemon/machines/submit.go
@@ -1,9 +1,6 @@
 package machines
 
 import (
-	"maps"
-	"slices"
-
 	"tuliprudder/internal/batchstore"
 	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
@@ -26,21 +23,20 @@
 		s.reject(number, err)
 		return
 	}
-	forwarded, weight := batchWeight(request.Batch)
-	limit := quotaLimit(configuration, request.Batch.Tenant, request.Batch.Route, forwarded)
+	account := request.Batch.Account()
+	limit := quotaLimit(configuration, account)
 	switch {
 	case limit == notConfigured:
-		s.reject(number, notConfiguredError(request.Batch, forwarded))
+		s.reject(number, notConfiguredError(account))
 	case limit == unlimited:
 		s.write(number, request, now)
 	default:
-		tenant := quota.TenantQuota{
-			Tenant:               request.Batch.Tenant,
+		accountQuota := quota.AccountQuota{
+			Account:              account,
 			Limit:                limit,
 			ConfigurationVersion: configuration.Version,
-			BatchesOnly:          forwarded,
 		}
-		s.Quota.ReserveInShard(tenant, request.Shard, weight, now, func(err error, now clock.Micros) {
+		s.Quota.ReserveInShard(accountQuota, request.Shard, batchWeight(request.Batch), now, func(err error, now clock.Micros) {
 			if err != nil {
 				s.reject(number, err)
 				return
@@ -67,32 +63,31 @@
 	return nil
 }
 
-// batchWeight is how much of the quota a batch takes, and whether its items are forwarded
-// unchanged.
-func batchWeight(batch shard.Batch) (forwarded bool, weight int) {
+// batchWeight is how much of the quota a batch takes.
+func batchWeight(batch shard.Batch) int {
+	weight := 0
 	for _, item := range batch.Items {
-		forwarded = forwarded || item.Request != nil
 		weight += item.Request.Weight()
 	}
-	return forwarded, weight
+	return weight
 }
 
-func notConfiguredError(batch shard.Batch, forwarded bool) error {
-	if forwarded {
-		return errs.New(errs.UnknownRoute, "have the operators add the route to the configuration", "the configuration in force forwards no batches on a route %q", batch.Route)
+func notConfiguredError(account shard.AccountName) error {
+	if account.BatchesOnly() {
+		return errs.New(errs.UnknownRoute, "have the operators add the route to the configuration", "the configuration in force forwards no batches on a route %q", account.Route)
 	}
-	return errs.New(errs.Unauthorised, "have the operators add the tenant to the configuration", "the configuration has no tenant %q", batch.Tenant)
+	return errs.New(errs.Unauthorised, "have the operators add the tenant to the configuration", "the configuration has no tenant %q", account.Tenant)
 }
 
-// reportNewLimits tells the owners of accounts what waits here of the tenants whose limit is new: it may
+// reportNewLimits tells the owners of accounts what waits here of those whose limit is new: it may
 // have been accepted without a grant, before this store received the configuration.
 func (s *Store) reportNewLimits(previous, current *config.Configuration, now clock.Micros) {
-	s.reportPending(current, now, func(tenant string, forwarded bool) bool {
-		return previous == nil || quotaLimit(previous, tenant, tenant, forwarded) <= unlimited
+	s.reportPending(current, now, func(account shard.AccountName) bool {
+		return previous == nil || quotaLimit(previous, account) <= unlimited
 	})
 }
 
-// reportServedShards does so for all tenants where this store has begun to serve a shard: its former
+// reportServedShards does so for all accounts where this store has begun to serve a shard: its former
 // primary may have accepted work without a grant and be gone before it reported that.
 func (s *Store) reportServedShards(now clock.Micros) {
 	configuration := s.Scheduler.Configuration()
@@ -108,26 +103,26 @@
 		}
 	}
 	if isNew {
-		s.reportPending(configuration, now, func(string, bool) bool { return true })
+		s.reportPending(configuration, now, func(shard.AccountName) bool { return true })
 	}
 }
 
-// reportPending tells the owners of accounts what waits here of some tenants that have a limit.
-func (s *Store) reportPending(current *config.Configuration, now clock.Micros, isDue func(tenant string, forwarded bool) bool) {
-	pending := s.Batches.PendingWeights(now)
-	for _, tenant := range slices.Sorted(maps.Keys(pending)) {
-		for _, forwarded := range []bool{false, true} {
-			limit := quotaLimit(current, tenant, tenant, forwarded)
-			if limit <= unlimited || !isDue(tenant, forwarded) {
-				continue
-			}
-			s.Quota.ReportPending(quota.TenantQuota{
-				Tenant:               tenant,
-				Limit:                limit,
-				ConfigurationVersion: current.Version,
-				BatchesOnly:          forwarded,
-			}, now)
+// reportPending tells the owners of accounts what waits here of some that have a limit.
+func (s *Store) reportPending(current *config.Configuration, now clock.Micros, isDue func(account shard.AccountName) bool) {
+	var due []quota.AccountQuota
+	for account := range s.Batches.PendingWeights(now) {
+		limit := quotaLimit(current, account)
+		if limit <= unlimited || !isDue(account) {
+			continue
 		}
+		due = append(due, quota.AccountQuota{
+			Account:              account,
+			Limit:                limit,
+			ConfigurationVersion: current.Version,
+		})
+	}
+	if len(due) > 0 {
+		s.Quota.ReportPending(due, now)
 	}
 }
 
@@ -138,17 +133,18 @@
 	notConfigured = -1
 )
 
-// quotaLimit is how much work may be queued: of a tenant by its priority class, of a route
-// whose requests are forwarded unchanged by its own limit of tokens (DESIGN §11.3, §12.5).
-func quotaLimit(configuration *config.Configuration, tenant, route string, forwarded bool) int64 {
-	if forwarded {
-		entry, _ := configuration.Route(route)
+// quotaLimit is how much work may be queued in an account: of a tenant by its priority class; on a
+// route whose requests are forwarded unchanged by the route's limit of tokens, which each tenant has
+// for itself (DESIGN §11.3, §12.5).
+func quotaLimit(configuration *config.Configuration, account shard.AccountName) int64 {
+	if account.BatchesOnly() {
+		entry, _ := configuration.Route(account.Route)
 		if entry == nil || entry.Forward == nil || entry.Kind != config.Batch {
 			return notConfigured
 		}
 		return max(unlimited, entry.Forward.MaxQueuedTokens)
 	}
-	if class := configuration.ClassOfTenant(tenant); class != nil {
+	if class := configuration.ClassOfTenant(account.Tenant); class != nil {
 		return class.Quota
 	}
 	return notConfigured
--- a/internal/dataplane/quota/account.go
+++ b/internal/dataplane/quota/account.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 )
 
@@ -35,7 +36,7 @@
 	reportedAt      clock.Micros
 }
 
-// Account is one tenant's account at its owner. It is a plain state machine; all
+// Account is one account at its owner. It is a plain state machine; all
 // amounts are weights.
 //
 // The invariant: a queue's lease is at least what the queue has in use, at every moment and
@@ -43,7 +44,7 @@
 // keeps to until a later grant; so the sum of the leases is an upper bound of what is in use.
 type Account struct {
 	ID AccountID
-	// batchesOnly: there are no live requests of the tenant.
+	// batchesOnly: there are no live requests in it.
 	batchesOnly bool
 	// InjectedFaults are set by tests only.
 	InjectedFaults InjectedFaults
@@ -241,14 +242,9 @@
 	})
 }
 
-// sortedTenants lists accounts in an order that doesn't differ between runs.
-func sortedTenants(m map[accountKey]TenantQuota) []accountKey {
-	return slices.SortedFunc(maps.Keys(m), func(x, y accountKey) int {
-		if x.tenant == y.tenant && x.batchesOnly != y.batchesOnly {
-			return map[bool]int{true: 1, false: -1}[x.batchesOnly]
-		}
-		return cmp.Compare(x.tenant, y.tenant)
-	})
+// sortedAccounts lists accounts in an order that doesn't differ between runs.
+func sortedAccounts[V any](m map[shard.AccountName]V) []shard.AccountName {
+	return slices.SortedFunc(maps.Keys(m), shard.AccountName.Compare)
 }
 
 // sortedKeys lists a map's keys in an order that doesn't differ between runs: effects
--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/dataplane/retryafter"
 	"tuliprudder/internal/errs"
@@ -16,7 +17,7 @@
 	unusedClientTTL = 600 * clock.Second
 )
 
-// client is what this daemon has of one tenant's account, wherever that is owned.
+// client is what this daemon has of one account, wherever that is owned.
 type client struct {
 	live       liveClient
 	shards     map[int]*shardClient // by index; of batches
@@ -26,18 +27,18 @@
 }
 
 // client is the client of an account.
-func (q *Quota) client(key accountKey) *client {
-	c := q.clients[key]
+func (q *Quota) client(name shard.AccountName) *client {
+	c := q.clients[name]
 	if c == nil {
 		c = &client{}
-		q.clients[key] = c
+		q.clients[name] = c
 	}
 	return c
 }
 
 // follows takes an owner's account into account from now on; false where a later one is known.
-func (q *Quota) follows(key accountKey, account AccountID) bool {
-	c := q.client(key)
+func (q *Quota) follows(name shard.AccountName, account AccountID) bool {
+	c := q.client(name)
 	if account.compare(c.account) < 0 && !q.InjectedFaults.FollowAnyAccount {
 		return false
 	}
@@ -57,12 +58,12 @@
 
 // forgetUnusedClients forgets clients that nobody has used for a while.
 func (q *Quota) forgetUnusedClients(now clock.Micros) {
-	for key, c := range q.clients {
+	for name, c := range q.clients {
 		if c.isBusy() {
 			c.lastUsedAt = now
 		}
 		if now-c.lastUsedAt > unusedClientTTL {
-			delete(q.clients, key)
+			delete(q.clients, name)
 		}
 	}
 }
@@ -83,32 +84,31 @@
 }
 
 // newLeaseRequest is a request for what is in use, and no more.
-func newLeaseRequest(quota TenantQuota, report Report) LeaseRequest {
+func newLeaseRequest(quota AccountQuota, report Report) LeaseRequest {
 	return LeaseRequest{
-		Tenant:               quota.Tenant,
+		Name:                 quota.Account,
 		Report:               report,
 		Wanted:               report.InUse,
 		Quota:                quota.Limit,
 		ConfigurationVersion: quota.ConfigurationVersion,
-		BatchesOnly:          quota.BatchesOnly,
 	}
 }
 
 // sendLeaseRequest sends a lease request to the account's owner, which may be this daemon.
 func (q *Quota) sendLeaseRequest(request LeaseRequest, now clock.Micros, callback func(LeaseResponse, error, clock.Micros)) {
 	receive := func(response LeaseResponse, err error, now clock.Micros) {
-		if err == nil && !q.follows(request.key(), response.Account) {
+		if err == nil && !q.follows(request.Name, response.Account) {
 			response.Superseded = true
 		}
 		callback(response, err, now)
 	}
-	owner := q.OwnerOf(request.Tenant, request.BatchesOnly)
+	owner := q.OwnerOf(request.Name)
 	peer := q.peerOf(owner)
 	switch {
 	case owner == q.self:
 		q.handleLeaseRequest(request, now, receive)
 	case peer == "":
-		receive(LeaseResponse{}, errNoOwner(request.Tenant), now)
+		receive(LeaseResponse{}, errNoOwner(request.Name), now)
 	default:
 		q.calls.Request(peer, request, leaseRequestTimeout, func(body any, err error, now clock.Micros) {
 			response, _ := body.(LeaseResponse)
@@ -117,13 +117,13 @@
 	}
 }
 
-func errExceedsQuota(quota TenantQuota, count int) error {
+func errExceedsQuota(quota AccountQuota, count int) error {
 	return errs.New(errs.OverQuota, "send a smaller batch, or buy a larger quota", "%d at once is more than the whole quota of %d", count, quota.Limit)
 }
 
-func errOverQuota(quota TenantQuota, count int, retryAfter clock.Micros) error {
+func errOverQuota(quota AccountQuota, count int, retryAfter clock.Micros) error {
 	return errs.NewWithRetry(errs.OverQuota, retryAfter, "retry after the time given, or buy a larger quota",
-		"%d more would take tenant %s over its quota of %d queued", count, quota.Tenant, quota.Limit)
+		"%d more would take %s over the quota of %d queued", count, quota.Account, quota.Limit)
 }
 
 func errOwnerUnreachable() error {
@@ -138,8 +138,8 @@
 	return errs.NewWithRetry(errs.NotReady, clock.Second, "retry after the time given", "the tenant's account moves to another daemon")
 }
 
-func errNoOwner(tenant string) error {
-	return errs.NewWithRetry(errs.NotReady, clock.Second, "retry; the daemon has just started", "no daemon is known that owns tenant %q's account", tenant)
+func errNoOwner(name shard.AccountName) error {
+	return errs.NewWithRetry(errs.NotReady, clock.Second, "retry; the daemon has just started", "no daemon is known that owns the account %s", name)
 }
 
 func errNotServing(daemonID string, shardIndex int) error {
--- a/internal/dataplane/quota/client_test.go
+++ b/internal/dataplane/quota/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/errs"
@@ -11,6 +12,9 @@
 	"tuliprudder/internal/replication"
 )
 
+// clientsBatches is the account of batches in these tests.
+var clientsBatches = shard.AccountName{Tenant: "c", Route: "r"}
+
 // clientFixture is an edge's quota, or a store's that serves shard 0. Accounts are owned by other
 // daemons, which are the test.
 type clientFixture struct {
@@ -39,7 +43,7 @@
 
 func (f *clientFixture) reserve(count int) *reservation {
 	out := &reservation{}
-	f.Reserve(TenantQuota{Tenant: "c", Limit: 100, ConfigurationVersion: 1}, count, f.now, func(release Release, err error, _ clock.Micros) {
+	f.Reserve(AccountQuota{Account: shard.AccountName{Tenant: "c"}, Limit: 100, ConfigurationVersion: 1}, count, f.now, func(release Release, err error, _ clock.Micros) {
 		*out = reservation{done: true, release: release, err: err}
 	})
 	return out
@@ -163,10 +167,10 @@
 	f := newClientFixture(t)
 	got := f.reserve(10)
 	token, first := f.sent()
-	f.report(UsageRequest{Tenant: "c", Account: AccountID{Epoch: 2}}, f.now)
+	f.report(UsageRequest{Name: shard.AccountName{Tenant: "c"}, Account: AccountID{Epoch: 2}}, f.now)
 	f.calls.ReplyReceived(token, LeaseResponse{Account: AccountID{Epoch: 1}, Granted: 40, Ready: true}, nil, f.now)
-	if got.done || f.live(accountKey{tenant: "c"}).share.Granted != 0 {
-		t.Fatalf("%+v with a share of %+v", got, f.live(accountKey{tenant: "c"}).share)
+	if got.done || f.live(shard.AccountName{Tenant: "c"}).share.Granted != 0 {
+		t.Fatalf("%+v with a share of %+v", got, f.live(shard.AccountName{Tenant: "c"}).share)
 	}
 	token, second := f.sent()
 	if second.Report.Sequence <= first.Report.Sequence+1 || second.Wanted != 10 {
@@ -185,8 +189,10 @@
 }
 
 func (s *oneShard) ServingEpoch(int, clock.Micros) (uint64, bool) { return s.epoch, s.epoch > 0 }
-func (s *oneShard) PendingWeight(int, string) int                 { return s.pending }
-func (s *oneShard) PendingWeights(clock.Micros) map[string]int    { return map[string]int{"c": s.pending} }
+func (s *oneShard) PendingWeight(int, shard.AccountName) int      { return s.pending }
+func (s *oneShard) PendingWeights(clock.Micros) map[shard.AccountName]int {
+	return map[shard.AccountName]int{clientsBatches: s.pending}
+}
 
 // shardFixture is a clientFixture of a store with batches.
 type shardFixture struct {
@@ -203,7 +209,7 @@
 // submit reserves for a batch, which waits in the shard once it is admitted.
 func (f *shardFixture) submit(weight int) *reservation {
 	out := &reservation{}
-	quota := TenantQuota{Tenant: "c", Limit: 100, ConfigurationVersion: 1, BatchesOnly: true}
+	quota := AccountQuota{Account: clientsBatches, Limit: 100, ConfigurationVersion: 1}
 	f.ReserveInShard(quota, 0, weight, f.now, func(err error, _ clock.Micros) {
 		if err == nil {
 			f.shard.pending += weight
@@ -218,7 +224,7 @@
 	first, second := f.submit(30), f.submit(50)
 	token, request := f.sent()
 	want := Report{Queue: shardQueue(0), Epoch: 3, Sequence: request.Report.Sequence, InUse: 20}
-	if request.Report != want || request.Wanted != 50 || !request.BatchesOnly {
+	if request.Report != want || request.Wanted != 50 || request.Name != clientsBatches {
 		t.Fatalf("requested %+v", request)
 	}
 	if token, _ := f.sent(); token != 0 {
@@ -283,7 +289,7 @@
 	requests := 0
 	for token, _ := f.sent(); token != 0; token, _ = f.sent() {
 		requests++
-		f.report(UsageRequest{Tenant: "c", BatchesOnly: true, Shards: []int{0}}, f.now)
+		f.report(UsageRequest{Name: clientsBatches, Shards: []int{0}}, f.now)
 		f.calls.ReplyReceived(token, LeaseResponse{Granted: 90, Ready: true}, nil, f.now)
 	}
 	if requests != maxLeaseRequests || !errs.Is(got.err, errs.NotReady) || f.shard.pending != 20 {
--- a/internal/dataplane/quota/events.go
+++ b/internal/dataplane/quota/events.go
@@ -4,19 +4,21 @@
 
 // The log events of an account's owner.
 type (
-	// AccountOpened tells that this daemon began to own a tenant's account. It grants once there
+	// AccountOpened tells that this daemon began to own an account. It grants once there
 	// is a report on each of the queues.
 	AccountOpened struct {
 		machine.Info
-		Tenant string `json:"tenant"`
+		Tenant string `json:"tenant,omitempty"`
+		Route  string `json:"route,omitempty"`
 		Epoch  uint64 `json:"epoch"`
 		Queues int    `json:"queues"`
 	}
-	// QuotaExceeded tells that daemons report more of a tenant's work than its quota. That is so
+	// QuotaExceeded tells that daemons report more work of an account than its quota. That is so
 	// after the quota was lowered; otherwise it is a fault.
 	QuotaExceeded struct {
 		machine.Warning
-		Tenant   string         `json:"tenant"`
+		Tenant   string         `json:"tenant,omitempty"`
+		Route    string         `json:"route,omitempty"`
 		Epoch    uint64         `json:"epoch"`
 		Quota    int64          `json:"quota"`
 		InUse    int            `json:"in_use"`
--- a/internal/dataplane/quota/fleet_test.go
+++ b/internal/dataplane/quota/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/machine"
@@ -13,21 +14,57 @@
 
 const testQuota = 100
 
-// tenantQuota is the quota of tests: of batches, and of live requests where mixed.
-func tenantQuota(mixed bool) TenantQuota {
-	return TenantQuota{Tenant: "t", Limit: testQuota, ConfigurationVersion: 1, BatchesOnly: !mixed}
+// accountName is shard.AccountName where a variable shadows the package.
+type accountName = shard.AccountName
+
+// The accounts of most tests: with live requests, and of batches alone.
+var (
+	mixedAccount = shard.AccountName{Tenant: "t"}
+	batchAccount = shard.AccountName{Route: "t"}
+)
+
+// accountQuota is the quota of tests: of batches, and of live requests where mixed.
+func accountQuota(mixed bool) AccountQuota {
+	if mixed {
+		return quotaOf(mixedAccount)
+	}
+	return quotaOf(batchAccount)
 }
 
-// testShard is one shard: who serves it, and what waits in it.
-type testShard struct {
-	epoch   uint64
-	primary string // "" while nobody serves it
-	holder  string // who served it last: its work is there
+func quotaOf(name shard.AccountName) AccountQuota {
+	return AccountQuota{Account: name, Limit: testQuota, ConfigurationVersion: 1}
+}
+
+// testWork is what waits of one account in a shard.
+type testWork struct {
 	pending int
 	// unconfirmed is the weight of released items that a successor may find again.
 	unconfirmed int
 }
 
+// testShard is one shard: who serves it, and what waits in it.
+type testShard struct {
+	epoch    uint64
+	primary  string                          // "" while nobody serves it
+	holder   string                          // who served it last: its work is there
+	testWork                                 // of mixedAccount or batchAccount
+	others   map[shard.AccountName]*testWork // of the other accounts
+}
+
+// of is what waits of an account.
+func (s *testShard) of(name shard.AccountName) *testWork {
+	if name == mixedAccount || name == batchAccount {
+		return &s.testWork
+	}
+	if s.others == nil {
+		s.others = map[shard.AccountName]*testWork{}
+	}
+	if s.others[name] == nil {
+		s.others[name] = &testWork{}
+	}
+	return s.others[name]
+}
+
 // testStore is one store's view of the shards.
 type testStore struct {
 	fleet *fleet
@@ -41,13 +78,13 @@
 }
 
 // PendingWeight is what a successor may find.
-func (s testStore) PendingWeight(shardIndex int, _ string) int {
-	shard := s.fleet.shards[shardIndex]
-	return shard.pending + shard.unconfirmed
+func (s testStore) PendingWeight(shardIndex int, account shard.AccountName) int {
+	work := s.fleet.shards[shardIndex].of(account)
+	return work.pending + work.unconfirmed
 }
 
 // PendingWeights sums up what waits in the shards that this store serves.
-func (s testStore) PendingWeights(clock.Micros) map[string]int {
+func (s testStore) PendingWeights(clock.Micros) map[shard.AccountName]int {
 	sum := 0
 	for _, shard := range s.fleet.shards {
 		if shard.primary == s.id {
@@ -55,9 +92,9 @@
 		}
 	}
 	if sum == 0 {
-		return map[string]int{}
+		return map[shard.AccountName]int{}
 	}
-	return map[string]int{"t": sum}
+	return map[shard.AccountName]int{mixedAccount: sum}
 }
 
 // daemon is one daemon of a fleet.
@@ -190,7 +227,7 @@
 }
 
 // owner is the store that owns the account.
-func (f *fleet) owner() string { return f.shards[homeShard("t", f.maps[0])].primary }
+func (f *fleet) owner() string { return f.shards[homeShard(batchAccount, f.maps[0])].primary }
 
 // deliver carries messages to and fro until there are none.
 func (f *fleet) deliver() {
@@ -261,7 +298,7 @@
 }
 
 // submit has the store that serves a shard submit a batch, and calls back with the outcome.
-func (f *fleet) submit(shardIndex, weight int, quota TenantQuota, callback func(err error)) {
+func (f *fleet) submit(shardIndex, weight int, quota AccountQuota, callback func(err error)) {
 	shard := f.shards[shardIndex]
 	if shard.primary == "" {
 		callback(errNotServing("nobody", shardIndex))
@@ -269,7 +306,7 @@
 	}
 	f.daemons[shard.primary].ReserveInShard(quota, shardIndex, weight, f.now, func(err error, _ clock.Micros) {
 		if err == nil {
-			shard.pending += weight
+			shard.of(quota.Account).pending += weight
 		}
 		callback(err)
 	})
@@ -279,7 +316,7 @@
 // was admitted.
 func (f *fleet) submitAll(weight int, shardIndices ...int) (admitted int) {
 	for _, shardIndex := range shardIndices {
-		f.submit(shardIndex, weight, tenantQuota(false), func(err error) {
+		f.submit(shardIndex, weight, accountQuota(false), func(err error) {
 			if err == nil {
 				admitted += weight
 			}
@@ -289,7 +326,16 @@
 	return admitted
 }
 
-// pending is all that waits in the shards.
+// pendingOf is all that waits of an account in the shards.
+func (f *fleet) pendingOf(name shard.AccountName) int {
+	sum := 0
+	for _, shard := range f.shards {
+		sum += shard.of(name).pending
+	}
+	return sum
+}
+
+// pending is all that waits in the shards of mixedAccount or batchAccount.
 func (f *fleet) pending() int {
 	sum := 0
 	for _, shard := range f.shards {
--- a/internal/dataplane/quota/granted_once_test.go
+++ b/internal/dataplane/quota/granted_once_test.go
@@ -42,7 +42,7 @@
 // Two stores know different maps, by which different stores own the account. (Hypothesis B.)
 func twoOwners(t *testing.T) {
 	f := newFleet(1, 3, 6)
-	home := homeShard("t", f.maps[0])
+	home := homeShard(batchAccount, f.maps[0])
 	former := f.owner()
 	var others []int
 	for shardIndex, shard := range f.shards {
@@ -72,7 +72,7 @@
 	f.unknown = map[string][]string{"store-1": {"edge-1"}, "store-2": {"edge-2"}}
 	submit := func(weight int) {
 		for shardIndex := range f.shards {
-			f.submit(shardIndex, weight, tenantQuota(true), func(error) {})
+			f.submit(shardIndex, weight, accountQuota(true), func(error) {})
 		}
 		f.deliver()
 		f.now += failureBackoff
@@ -99,7 +99,7 @@
 	var releases []Release
 	live := 0
 	reserve := func(id string, count int) {
-		f.daemons[id].Reserve(tenantQuota(true), count, f.now, func(release Release, err error, _ clock.Micros) {
+		f.daemons[id].Reserve(accountQuota(true), count, f.now, func(release Release, err error, _ clock.Micros) {
 			if err == nil {
 				releases = append(releases, release)
 				live += count
@@ -128,9 +128,9 @@
 // asked: it says less than was granted since. (The model of this package found it.)
 func lateReport(t *testing.T) {
 	f := newFleet(1, 2, 2)
-	home := homeShard("t", f.maps[0])
+	home := homeShard(batchAccount, f.maps[0])
 	other := 1 - home
-	f.submit(other, 5, tenantQuota(false), func(error) {})
+	f.submit(other, 5, accountQuota(false), func(error) {})
 	arrive := f.sendLate()
 	f.now += failureBackoff
 	if admitted := f.submitAll(90, other); admitted != 90 {
--- a/internal/dataplane/quota/live_client.go
+++ b/internal/dataplane/quota/live_client.go
@@ -1,8 +1,7 @@
 package quota
 
 import (
-	"slices"
-
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 )
 
@@ -16,36 +15,36 @@
 // is needed now, so that the next few reservations need no request of their own.
 const leaseHeadroomDivisor = 128
 
-// liveClient is a tenant's part of this daemon's queue.
+// liveClient is an account's part of this daemon's queue.
 type liveClient struct {
 	share      Share
-	quota      *TenantQuota // of the latest reservation; nil: there is nothing to renew
-	waiters    []*waiter    // reservations that wait for a lease request, the oldest first
-	requesting bool         // a lease request is under way
-	failedAt   clock.Micros // when one failed last
-	sequence   uint64       // of the latest report
+	quota      *AccountQuota // of the latest reservation; nil: there is nothing to renew
+	waiters    []*waiter     // reservations that wait for a lease request, the oldest first
+	requesting bool          // a lease request is under way
+	failedAt   clock.Micros  // when one failed last
+	sequence   uint64        // of the latest report
 }
 
 // waiter is a reservation that waits for a larger lease.
 type waiter struct {
-	quota    TenantQuota
+	quota    AccountQuota
 	count    int
 	requests int // how many lease requests have included it
 	callback func(release Release, err error, now clock.Micros)
 }
 
-func (q *Quota) live(key accountKey) *liveClient { return &q.client(key).live }
+func (q *Quota) live(name shard.AccountName) *liveClient { return &q.client(name).live }
 
-// Reserve reserves the given weight of the tenant's quota for live work that waits here. The
+// Reserve reserves the given weight of an account's quota for live work that waits here. The
 // callback is called once, at once or when the account's owner has answered: with the means to
 // return the reservation, or with an error. An error means that the work must not be queued; its
 // kind is errs.OverQuota, or errs.NotReady while the account can't be used.
-func (q *Quota) Reserve(quota TenantQuota, count int, now clock.Micros, callback func(Release, error, clock.Micros)) {
+func (q *Quota) Reserve(quota AccountQuota, count int, now clock.Micros, callback func(Release, error, clock.Micros)) {
 	if int64(count) > quota.Limit {
 		callback(nil, errExceedsQuota(quota, count), now)
 		return
 	}
-	c := q.live(quota.key())
+	c := q.live(quota.Account)
 	if q.InjectedFaults.AdmitEverything || c.share.HasCapacity(count, now) {
 		callback(c.reserve(count), nil, now)
 		return
@@ -55,7 +54,7 @@
 		return
 	}
 	c.waiters = append(c.waiters, &waiter{quota: quota, count: count, callback: callback})
-	q.requestLease(quota.key(), now)
+	q.requestLease(quota.Account, now)
 }
 
 // reserve takes a weight into use and returns the means to return it.
@@ -72,9 +71,9 @@
 }
 
 // requestLease asks the owner for all that wait. There is one request at a time for
-// each tenant; those that come meanwhile may fit into its response.
-func (q *Quota) requestLease(key accountKey, now clock.Micros) {
-	c := q.live(key)
+// each account; those that come meanwhile may fit into its response.
+func (q *Quota) requestLease(name shard.AccountName, now clock.Micros) {
+	c := q.live(name)
 	if c.requesting || len(c.waiters) == 0 {
 		return
 	}
@@ -87,18 +86,18 @@
 	c.quota = &latest
 	wanted := c.share.InUse + needed + int(latest.Limit/leaseHeadroomDivisor)
 	q.sendLiveRequest(latest, wanted, now, func(response LeaseResponse, err error, now clock.Micros) {
-		q.admitWaiters(key, response, err, now)
+		q.admitWaiters(name, response, err, now)
 	})
 }
 
 // sendLiveRequest asks the owner for a lease of a size, and applies the response. What exceeds
 // that size is given up first: the owner may grant it to others before the response arrives.
-func (q *Quota) sendLiveRequest(quota TenantQuota, wanted int, sent clock.Micros, callback func(LeaseResponse, error, clock.Micros)) {
-	c := q.live(quota.key())
+func (q *Quota) sendLiveRequest(quota AccountQuota, wanted int, sent clock.Micros, callback func(LeaseResponse, error, clock.Micros)) {
+	c := q.live(quota.Account)
 	if !q.InjectedFaults.UseReturnedLease {
 		c.share.GiveBack(wanted)
 	}
-	report := q.reportLive(quota.key(), sent)
+	report := q.reportLive(quota.Account, sent)
 	request := newLeaseRequest(quota, report)
 	request.Wanted = max(wanted, report.InUse)
 	c.requesting = true
@@ -115,8 +114,8 @@
 }
 
 // reportLive reports on this daemon's own queue. What may still be admitted counts as in use.
-func (q *Quota) reportLive(key accountKey, now clock.Micros) Report {
-	c := q.live(key)
+func (q *Quota) reportLive(name shard.AccountName, now clock.Micros) Report {
+	c := q.live(name)
 	if q.startedAt == 0 {
 		q.startedAt = now
 	}
@@ -130,15 +129,15 @@
 		Queue:    daemonQueue(q.self),
 		Epoch:    uint64(q.startedAt),
 		Sequence: c.sequence,
-		Account:  q.client(key).account,
+		Account:  q.client(name).account,
 		InUse:    inUse,
 	}
 }
 
 // admitWaiters admits the reservations that fit after a lease request, and rejects the
 // others that it was for.
-func (q *Quota) admitWaiters(key accountKey, response LeaseResponse, err error, now clock.Micros) {
-	c := q.live(key)
+func (q *Quota) admitWaiters(name shard.AccountName, response LeaseResponse, err error, now clock.Micros) {
+	c := q.live(name)
 	if err != nil {
 		c.failedAt = now
 	}
@@ -157,7 +156,7 @@
 		}
 	}
 	c.waiters = append(remaining, c.waiters...)
-	q.requestLease(key, now)
+	q.requestLease(name, now)
 }
 
 // mayRetry tells whether a reservation waits for another lease request: the last one was not
@@ -181,20 +180,15 @@
 // renewLeases reports what is in use to every account's owner, and asks for no more. A
 // request that is under way renews as well.
 func (q *Quota) renewLeases(now clock.Micros) {
-	var tenants []string
-	for key, c := range q.clients {
-		if c.live.quota != nil && !c.live.requesting {
-			tenants = append(tenants, key.tenant)
+	for _, name := range sortedAccounts(q.clients) { // effects have an order that doesn't differ between runs
+		if c := q.clients[name]; c.live.quota != nil && !c.live.requesting {
+			q.renewLease(name, now)
 		}
 	}
-	slices.Sort(tenants) // effects are emitted in an order that doesn't differ between runs
-	for _, tenant := range tenants {
-		q.renewLease(accountKey{tenant: tenant}, now)
-	}
 }
 
-func (q *Quota) renewLease(key accountKey, now clock.Micros) {
-	c := q.live(key)
+func (q *Quota) renewLease(name shard.AccountName, now clock.Micros) {
+	c := q.live(name)
 	quota := *c.quota
 	if c.share.InUse == 0 {
 		c.quota = nil // this report is the last one
@@ -202,9 +196,9 @@
 	q.sendLiveRequest(quota, c.share.InUse, now, func(response LeaseResponse, err error, now clock.Micros) {
 		if err != nil {
 			// Those that came meanwhile don't wait for a second request.
-			q.admitWaiters(key, response, err, now)
+			q.admitWaiters(name, response, err, now)
 			return
 		}
-		q.requestLease(key, now)
+		q.requestLease(name, now)
 	})
 }
--- a/internal/dataplane/quota/messages.go
+++ b/internal/dataplane/quota/messages.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/transport"
 )
@@ -11,7 +12,7 @@
 // their fields are on the wire between daemons (gob): a change of one is a new version of the
 // protocol (internal/transport).
 type (
-	// Queue is one place where work of a tenant waits: the memory of a daemon, for live
+	// Queue is one place where work waits: the memory of a daemon, for live
 	// requests, or a shard, for batches. A daemon's queue ends with its process; a shard's
 	// passes on with the shard.
 	Queue struct {
@@ -24,7 +25,7 @@
 		OpenedAt clock.Micros
 		Owner    string // id of the daemon
 	}
-	// Report says how much of a tenant's work waits in a queue. The daemon that serves the
+	// Report says how much work of an account waits in a queue. The daemon that serves the
 	// queue admits nothing beyond it until it has received a grant that answers this report.
 	Report struct {
 		Queue Queue
@@ -40,11 +41,10 @@
 	}
 	// LeaseRequest reports on one queue and asks for more.
 	LeaseRequest struct {
-		Tenant               string
-		BatchesOnly          bool // no daemon queues live requests of this tenant
+		Name                 shard.AccountName
 		Report               Report
 		Wanted               int    // by weight, what is in use included
-		Quota                int64  // the tenant's, by the client's configuration
+		Quota                int64  // the account's, by the client's configuration
 		ConfigurationVersion uint64 // of that configuration
 	}
 	// LeaseResponse is what the queue may have in use.
@@ -58,11 +58,16 @@
 		// has changed nothing.
 		Superseded bool
 	}
+	// PendingReports reports to an owner on batches that may have been accepted without a grant, of
+	// any number of accounts; the requests ask for no more than is in use.
+	PendingReports struct{ Requests []LeaseRequest }
+	// PendingReportsResponse acknowledges the reports, but for those of accounts that the daemon does
+	// not own.
+	PendingReportsResponse struct{ Refused []shard.AccountName }
 	// UsageRequest is an owner's question for new reports.
 	UsageRequest struct {
-		Tenant      string
-		BatchesOnly bool // as in LeaseRequest
-		Account     AccountID
+		Name    shard.AccountName
+		Account AccountID
 		// Shards are the indices of the shards that are asked about; none asks about the
 		// daemon's own queue.
 		Shards []int
@@ -76,11 +81,9 @@
 	}
 )
 
-func init() { transport.Register(LeaseRequest{}, LeaseResponse{}, UsageRequest{}, UsageResponse{}) }
-
-func (r LeaseRequest) key() accountKey { return accountKey{r.Tenant, r.BatchesOnly} }
-
-func (r UsageRequest) key() accountKey { return accountKey{r.Tenant, r.BatchesOnly} }
+func init() {
+	transport.Register(LeaseRequest{}, LeaseResponse{}, PendingReports{}, PendingReportsResponse{}, UsageRequest{}, UsageResponse{})
+}
 
 // isNewerThan tells whether a report was made after another one on the same queue.
 func (r Report) isNewerThan(epoch, sequence uint64) bool {
--- a/internal/dataplane/quota/model_test.go
+++ b/internal/dataplane/quota/model_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 )
 
@@ -22,6 +23,8 @@
 	deaf   map[link]bool   // messages from one daemon to another that are lost: a cut in one direction
 	frozen map[string]bool // daemons that do nothing; what is sent to them arrives when they go on
 	calm   bool            // messages arrive soon, nothing fails
+	// tenants have batches on one route beside those without a tenant, each with a quota of its own.
+	tenants []shard.AccountName
 
 	longAbsences bool // some shards are served by nobody for minutes
 
@@ -35,6 +38,7 @@
 	actionsPerFault                 int
 
 	admitted, rejected int // batches
+	admittedBy         map[shard.AccountName]int
 	most               int // that waited at any step
 	excess             string
 	log                []string
@@ -69,7 +73,7 @@
 // newModelOf is a model of a fleet.
 func newModelOf(f *fleet, seed int64, mixed bool, faults InjectedFaults) *model {
 	m := &model{fleet: f, rng: rand.New(rand.NewSource(seed)), mixed: mixed, version: 1, limit: testQuota,
-		cut: map[string]bool{}, deaf: map[link]bool{}, frozen: map[string]bool{}}
+		admittedBy: map[shard.AccountName]int{}, cut: map[string]bool{}, deaf: map[link]bool{}, frozen: map[string]bool{}}
 	m.faults = faults
 	m.lossRate = m.rng.Float64() * 0.1
 	m.slowRate = m.rng.Float64() * 0.4
@@ -159,13 +163,21 @@
 func (m *model) check() {
 	waiting := m.pending()
 	for _, r := range m.live {
-		if m.now < r.daemon.live(accountKey{tenant: "t"}).share.ExpiresAt {
+		if m.now < r.daemon.live(mixedAccount).share.ExpiresAt {
 			waiting += r.weight
 		}
 	}
 	m.most = max(m.most, waiting)
+	m.checkWaiting("in all", waiting)
+	for _, tenant := range m.tenants {
+		m.checkWaiting(tenant.String(), m.pendingOf(tenant))
+	}
+}
+
+// checkWaiting compares what waits of one account with its quota.
+func (m *model) checkWaiting(whose string, waiting int) {
 	if waiting > testQuota && m.excess == "" && !m.liftsLimit {
-		m.excess = fmt.Sprintf("%d wait at %d ms; the quota is %d", waiting, m.now/clock.Millisecond, testQuota)
+		m.excess = fmt.Sprintf("%s %d wait at %d ms; the quota is %d", whose, waiting, m.now/clock.Millisecond, testQuota)
 		m.logf("EXCESS: %s", m.excess)
 	}
 }
@@ -181,8 +193,8 @@
 }
 
 // quota is the tenant's quota in the configuration in force.
-func (m *model) quota() TenantQuota {
-	quota := tenantQuota(m.mixed)
+func (m *model) quota() AccountQuota {
+	quota := accountQuota(m.mixed)
 	quota.ConfigurationVersion = m.version
 	quota.Limit = int64(m.limit)
 	return quota
@@ -199,9 +211,20 @@
 		m.version++
 		m.limit = testQuota/2 + m.rng.Intn(testQuota)
 		m.logf("the limit is %d, by configuration %d; %d wait", m.limit, m.version, m.pending())
+		for _, id := range m.storeIDs() {
+			m.after(m.upTo(3*clock.Second), func() { m.reportPending(id) })
+		}
 	})
 }
 
+// reportPending has a store report what it accepted without a grant, as it does when it receives a
+// configuration with a limit.
+func (m *model) reportPending(id string) {
+	if !m.unlimited {
+		m.daemons[id].ReportPending([]AccountQuota{m.quota()}, m.now)
+	}
+}
+
 // acceptWithoutLimit queues a batch without a grant.
 func (m *model) acceptWithoutLimit(shardIndex, weight int) {
 	shard := m.shards[shardIndex]
@@ -240,7 +263,7 @@
 func (m *model) fail() {
 	switch kind := m.rng.Intn(20); {
 	case kind < 5:
-		m.moveShard(homeShard("t", m.maps[0]))
+		m.moveShard(homeShard(batchAccount, m.maps[0]))
 	case kind < 12:
 		m.moveShard(m.rng.Intn(modelShards))
 	case kind < 16:
@@ -259,30 +282,45 @@
 		m.acceptWithoutLimit(shardIndex, weight)
 		return
 	}
-	m.submit(shardIndex, weight, m.quota(), func(err error) {
+	quota := m.quota()
+	quota.Account = m.anyAccount(quota.Account)
+	m.submit(shardIndex, weight, quota, func(err error) {
 		if err != nil {
 			m.rejected++
 			return
 		}
+		m.admittedBy[quota.Account] += weight
 		m.checkAdmission()
 		m.admitted++
 		m.logf("shard %d of %s admits %d, %d wait in all", shardIndex, m.shards[shardIndex].primary, weight, m.pending())
 	})
 }
 
+// anyAccount draws one of the accounts.
+func (m *model) anyAccount(first shard.AccountName) shard.AccountName {
+	if len(m.tenants) == 0 {
+		return first
+	}
+	if i := m.rng.Intn(1 + len(m.tenants)); i > 0 {
+		return m.tenants[i-1]
+	}
+	return first
+}
+
 // finishItems has a part of what waits in a shard get results, which are durable a little later.
 func (m *model) finishItems() {
 	shard := m.shards[m.rng.Intn(modelShards)]
-	if shard.primary == "" || shard.pending == 0 {
+	work := shard.of(m.anyAccount(batchAccount))
+	if shard.primary == "" || work.pending == 0 {
 		return
 	}
-	count := 1 + m.rng.Intn(shard.pending)
+	count := 1 + m.rng.Intn(work.pending)
 	epoch := shard.epoch
-	shard.pending -= count
-	shard.unconfirmed += count
+	work.pending -= count
+	work.unconfirmed += count
 	m.after(m.upTo(300*clock.Millisecond), func() {
 		if shard.epoch == epoch {
-			shard.unconfirmed -= count
+			work.unconfirmed -= count
 		}
 	})
 }
@@ -291,7 +329,7 @@
 	edges := m.edgeIDs()
 	d := m.daemons[edges[m.rng.Intn(len(edges))]]
 	weight := 1 + m.rng.Intn(6)
-	d.Reserve(tenantQuota(true), weight, m.now, func(release Release, err error, _ clock.Micros) {
+	d.Reserve(accountQuota(true), weight, m.now, func(release Release, err error, _ clock.Micros) {
 		if err == nil {
 			m.live = append(m.live, &liveRequest{d, weight, release})
 		}
@@ -317,9 +355,11 @@
 	shard.primary = ""
 	shard.epoch++
 	epoch := shard.epoch
-	found := m.rng.Intn(shard.unconfirmed + 1)
-	shard.pending += found
-	shard.unconfirmed = 0
+	for _, account := range append([]accountName{batchAccount}, m.tenants...) {
+		work := shard.of(account)
+		work.pending += m.rng.Intn(work.unconfirmed + 1)
+		work.unconfirmed = 0
+	}
 	absence := m.upTo(clock.Second)
 	if m.longAbsences && m.rng.Intn(4) == 0 {
 		absence = 10*clock.Second + m.upTo(300*clock.Second)
@@ -441,6 +481,33 @@
 	}
 }
 
+// Several tenants press against their quotas on one route: each is bounded by itself, and each is
+// admitted as much as the others.
+func TestEachTenantOfARouteIsBoundedByItself(t *testing.T) {
+	const (
+		seeds = 60
+		steps = 1500
+	)
+	admitted := map[shard.AccountName]int{}
+	for seed := int64(1); seed <= seeds; seed++ {
+		m := newModel(seed, false, InjectedFaults{})
+		m.tenants = []shard.AccountName{{Tenant: "a", Route: "t"}, {Tenant: "b", Route: "t"}, {Tenant: "c", Route: "t"}}
+		m.run(steps)
+		if m.excess != "" {
+			t.Fatalf("seed %d: %s%s", seed, m.excess, m.tail(60))
+		}
+		for account, weight := range m.admittedBy {
+			admitted[account] += weight
+		}
+	}
+	t.Logf("admitted: %v", admitted)
+	for account, weight := range admitted {
+		if 2*weight < admitted[batchAccount] || weight > 2*admitted[batchAccount] {
+			t.Errorf("%s is admitted %d, batches without a tenant %d", account, weight, admitted[batchAccount])
+		}
+	}
+}
+
 // A shard that nobody serves for minutes, as in a long partition, counts all the while and when it is
 // back: no time that an account waits for it ends.
 func TestTheSumStaysAnUpperBoundOverLongAbsences(t *testing.T) {
@@ -580,7 +647,7 @@
 		}
 		admitted := 0
 		for shardIndex := range m.shards {
-			m.submit(shardIndex, 16, tenantQuota(false), func(err error) {
+			m.submit(shardIndex, 16, accountQuota(false), func(err error) {
 				if err == nil {
 					admitted++
 				}
--- a/internal/dataplane/quota/owner.go
+++ b/internal/dataplane/quota/owner.go
@@ -18,49 +18,49 @@
 // An account of batches alone is owned by the primary of its home shard, as long as that one holds
 // the shard's lease: there is one owner at a time, and its epoch is the shard's. Live requests must
 // not depend on the stores, so an account that has some is owned by the first live edge in the
-// rendezvous order of the tenant's name, by each daemon's own directory. Two edges may own one for as
+// rendezvous order of the account's name, by each daemon's own directory. Two edges may own one for as
 // long as directories differ; a daemon follows the higher of the accounts that it has met.
 
-// homeShard is the shard whose primary owns a tenant's account of batches.
-func homeShard(tenant string, m state.Map) int {
-	return shard.ShardOf(accountRole(tenant), len(m.Shards))
+// homeShard is the shard whose primary owns an account of batches.
+func homeShard(name shard.AccountName, m state.Map) int {
+	return shard.ShardOf(accountRole(name), len(m.Shards))
 }
 
-// accountRole is the name of the role of a tenant's owner.
-func accountRole(tenant string) string { return "account/" + tenant }
+// accountRole is the name of the role of an account's owner.
+func accountRole(name shard.AccountName) string { return "account/" + name.String() }
 
-// OwnerOf is the id of the daemon that owns a tenant's account as far as this one knows; "" where it
-// knows none.
-func (q *Quota) OwnerOf(tenant string, batchesOnly bool) string {
-	if !batchesOnly {
-		return endpoints.RendezvousOwner(accountRole(tenant), q.members(), membership.Edge)
+// OwnerOf is the id of the daemon that owns an account as far as this one knows; "" where it knows
+// none.
+func (q *Quota) OwnerOf(name shard.AccountName) string {
+	if !name.BatchesOnly() {
+		return endpoints.RendezvousOwner(accountRole(name), q.members(), membership.Edge)
 	}
 	m := q.shardMap()
 	if len(m.Shards) == 0 {
 		return ""
 	}
-	return m.Shards[homeShard(tenant, m)].Primary.ID
+	return m.Shards[homeShard(name, m)].Primary.ID
 }
 
-// homeEpoch is the epoch under which this daemon serves a tenant's home shard now; false where it
+// homeEpoch is the epoch under which this daemon serves an account's home shard now; false where it
 // doesn't: then another daemon may.
-func (q *Quota) homeEpoch(tenant string, now clock.Micros) (epoch uint64, ok bool) {
+func (q *Quota) homeEpoch(name shard.AccountName, now clock.Micros) (epoch uint64, ok bool) {
 	m := q.shardMap()
 	if q.Shards == nil || len(m.Shards) == 0 {
 		return 0, false
 	}
-	return q.Shards.ServingEpoch(homeShard(tenant, m), now)
+	return q.Shards.ServingEpoch(homeShard(name, m), now)
 }
 
 // owns tells whether this daemon owns an account now.
-func (q *Quota) owns(key accountKey, a *Account, now clock.Micros) bool {
+func (q *Quota) owns(name shard.AccountName, a *Account, now clock.Micros) bool {
 	if q.InjectedFaults.SkipOwnership {
 		return true
 	}
 	if !a.batchesOnly {
-		return q.accounts[key] == a
+		return q.accounts[name] == a
 	}
-	epoch, ok := q.homeEpoch(key.tenant, now)
+	epoch, ok := q.homeEpoch(name, now)
 	return ok && epoch == a.ID.Epoch
 }
 
@@ -69,7 +69,7 @@
 func (q *Quota) handleLeaseRequest(request LeaseRequest, now clock.Micros, respond func(LeaseResponse, error, clock.Micros)) {
 	a := q.accountOf(request, now)
 	if a == nil {
-		respond(LeaseResponse{}, errNotOwner(q.self, request.Tenant), now)
+		respond(LeaseResponse{}, errNotOwner(q.self, request.Name), now)
 		return
 	}
 	q.forgetLostShards(a)
@@ -83,7 +83,7 @@
 		respond(response, err, now)
 	}
 	if outdated := a.Outdated(request, limit, now); len(outdated) > 0 {
-		q.requestUsage(request.key(), a, outdated, now, finish)
+		q.requestUsage(request.Name, a, outdated, now, finish)
 		return
 	}
 	finish(now)
@@ -95,32 +95,32 @@
 	if len(q.shardMap().Shards) == 0 {
 		return nil // it can't tell who else may have work
 	}
-	epoch := max(request.Report.Account.Epoch, q.client(request.key()).account.Epoch) + 1
-	if request.BatchesOnly {
-		serving, ok := q.homeEpoch(request.Tenant, now)
+	epoch := max(request.Report.Account.Epoch, q.client(request.Name).account.Epoch) + 1
+	if request.Name.BatchesOnly() {
+		serving, ok := q.homeEpoch(request.Name, now)
 		switch {
 		case ok:
 			epoch = serving
 		case q.InjectedFaults.SkipOwnership:
-			return q.accounts[request.key()]
+			return q.accounts[request.Name]
 		default:
 			return nil
 		}
 	}
-	if a := q.accounts[request.key()]; a != nil {
+	if a := q.accounts[request.Name]; a != nil {
 		if !a.isSucceeded(request, epoch) && !q.mayHaveHadNoLimit(request) {
 			return a
 		}
-		if !request.BatchesOnly {
+		if !request.Name.BatchesOnly() {
 			// The request's client may not have heard of this one; others have.
 			epoch = max(epoch, a.ID.Epoch+1)
 		}
 	}
 	id := AccountID{Epoch: epoch, OpenedAt: now, Owner: q.self}
-	a := OpenAccount(id, request.BatchesOnly, q.queuesOf(request))
+	a := OpenAccount(id, request.Name.BatchesOnly(), q.queuesOf(request))
 	a.InjectedFaults = q.InjectedFaults
-	q.accounts[request.key()] = a
-	q.calls.Emit(machine.LogEvent{Event: AccountOpened{Tenant: request.Tenant, Epoch: epoch, Queues: len(a.unreported)}})
+	q.accounts[request.Name] = a
+	q.calls.Emit(machine.LogEvent{Event: AccountOpened{Tenant: request.Name.Tenant, Route: request.Name.Route, Epoch: epoch, Queues: len(a.unreported)}})
 	return a
 }
 
@@ -159,8 +159,8 @@
 	return a.ID.compare(request.Report.Account) < 0
 }
 
-// queuesOf are the queues in which work of a request's tenant may wait: all shards, and the live
-// edges where there are live requests of the tenant. An edge that this daemon has not heard of
+// queuesOf are the queues in which work of a request's account may wait: all shards, and the live
+// edges where there are live requests in it. An edge that this daemon has not heard of
 // may use a lease of the former owner for LeaseDuration.
 func (q *Quota) queuesOf(request LeaseRequest) []Queue {
 	var out []Queue
@@ -169,7 +169,7 @@
 			out = append(out, shardQueue(shardIndex))
 		}
 	}
-	if request.BatchesOnly {
+	if request.Name.BatchesOnly() {
 		return out
 	}
 	for _, member := range q.members() {
@@ -180,33 +180,32 @@
 	return out
 }
 
-// latestQuota is the newest quota of a request's tenant that any client has named.
-func (q *Quota) latestQuota(request LeaseRequest) TenantQuota {
-	latest := q.quotas[request.key()]
+// latestQuota is the newest quota of a request's account that any client has named.
+func (q *Quota) latestQuota(request LeaseRequest) AccountQuota {
+	latest := q.quotas[request.Name]
 	if request.ConfigurationVersion >= latest.ConfigurationVersion {
-		latest = TenantQuota{
-			Tenant:               request.Tenant,
+		latest = AccountQuota{
+			Account:              request.Name,
 			Limit:                request.Quota,
 			ConfigurationVersion: request.ConfigurationVersion,
-			BatchesOnly:          request.BatchesOnly,
 		}
-		q.quotas[request.key()] = latest
+		q.quotas[request.Name] = latest
 	}
 	return latest
 }
 
-// mayHaveHadNoLimit tells whether the tenant may have had no limit, or another account, since this
+// mayHaveHadNoLimit tells whether there may have been no limit, or another account, since this
 // owner's latest quota: an owner hears nothing of such a configuration, and what was accepted
 // under it is in no report.
 func (q *Quota) mayHaveHadNoLimit(request LeaseRequest) bool {
-	latest, isKnown := q.quotas[request.key()]
+	latest, isKnown := q.quotas[request.Name]
 	return isKnown && request.ConfigurationVersion > latest.ConfigurationVersion+1
 }
 
 // grant answers a request from an account, if this daemon still owns it.
 func (q *Quota) grant(a *Account, request LeaseRequest, now clock.Micros) (LeaseResponse, error) {
-	if !q.owns(request.key(), a, now) {
-		return LeaseResponse{}, errNotOwner(q.self, request.Tenant)
+	if !q.owns(request.Name, a, now) {
+		return LeaseResponse{}, errNotOwner(q.self, request.Name)
 	}
 	latest := q.latestQuota(request)
 	granted, ok := a.Grant(request.Report, request.Wanted, latest.Limit, now)
@@ -218,7 +217,7 @@
 }
 
 // logExcess logs, once until it ends, that more than the quota is in use.
-func (q *Quota) logExcess(a *Account, latest TenantQuota, now clock.Micros) {
+func (q *Quota) logExcess(a *Account, latest AccountQuota, now clock.Micros) {
 	inUse := 0
 	for _, count := range a.Leases(now) {
 		inUse += count
@@ -229,7 +228,8 @@
 		return
 	}
 	q.calls.Emit(machine.LogEvent{Event: QuotaExceeded{
-		Tenant:   latest.Tenant,
+		Tenant:   latest.Account.Tenant,
+		Route:    latest.Account.Route,
 		Epoch:    a.ID.Epoch,
 		Quota:    latest.Limit,
 		InUse:    inUse,
@@ -261,16 +261,16 @@
 
 // forgetIdleAccounts forgets accounts that nobody has used for a while.
 func (q *Quota) forgetIdleAccounts(now clock.Micros) {
-	for key, a := range q.accounts {
+	for name, a := range q.accounts {
 		a.forgetEnded(now)
 		if a.IsIdle(now) {
-			delete(q.accounts, key)
-			delete(q.quotas, key)
+			delete(q.accounts, name)
+			delete(q.quotas, name)
 		}
 	}
 }
 
-func errNotOwner(daemonID, tenant string) error {
+func errNotOwner(daemonID string, name shard.AccountName) error {
 	return errs.NewWithRetry(errs.NotReady, clock.Second, "retry; the account has another owner",
-		"%s does not own the account of tenant %s now", daemonID, tenant)
+		"%s does not own the account %s now", daemonID, name)
 }
--- a/internal/dataplane/quota/owner_test.go
+++ b/internal/dataplane/quota/owner_test.go
@@ -12,7 +12,7 @@
 // an owner knew too few stores.)
 func TestAnOwnerWaitsForEveryShard(t *testing.T) {
 	f := newFleet(1, 3, 3)
-	home := homeShard("t", f.maps[0])
+	home := homeShard(batchAccount, f.maps[0])
 	f.submitAll(30, 0, 1, 2)
 	f.move(home, f.owner())
 	unserved := (home + 1) % 3
@@ -20,7 +20,7 @@
 	f.move(unserved, "")
 	f.receiveMap(f.ids...)
 	var outcome error
-	f.submit(served, 5, tenantQuota(false), func(err error) { outcome = err })
+	f.submit(served, 5, accountQuota(false), func(err error) { outcome = err })
 	f.deliver()
 	if !errs.Is(outcome, errs.NotReady) {
 		t.Fatalf("while a shard is not served the outcome is %v", outcome)
@@ -39,7 +39,7 @@
 func TestADaemonThatIsNotTheOwnerGrantsNothing(t *testing.T) {
 	f := newFleet(1, 2, 2)
 	former := f.owner()
-	request := LeaseRequest{Tenant: "t", Report: Report{Queue: shardQueue(1), Epoch: 1, Sequence: 1}, Wanted: 10, Quota: testQuota, BatchesOnly: true}
+	request := LeaseRequest{Name: batchAccount, Report: Report{Queue: shardQueue(1), Epoch: 1, Sequence: 1}, Wanted: 10, Quota: testQuota}
 	ask := func(id string) (outcome error) {
 		f.daemons[id].handleLeaseRequest(request, f.now, func(_ LeaseResponse, err error, _ clock.Micros) { outcome = err })
 		f.deliver()
@@ -49,7 +49,7 @@
 	if err := ask(former); err != nil {
 		t.Fatal(err)
 	}
-	f.move(homeShard("t", f.maps[0]), "")
+	f.move(homeShard(batchAccount, f.maps[0]), "")
 	if err := ask(former); !errs.Is(err, errs.NotReady) {
 		t.Errorf("the former owner answered with %v", err)
 	}
@@ -81,7 +81,7 @@
 	f.shards[1].pending += 80 // under the second, which sets no limit
 	admitted := 0
 	for _, shardIndex := range []int{0, 2} {
-		quota := TenantQuota{Tenant: "t", Limit: testQuota, ConfigurationVersion: 3, BatchesOnly: true}
+		quota := AccountQuota{Account: batchAccount, Limit: testQuota, ConfigurationVersion: 3}
 		f.submit(shardIndex, 12, quota, func(err error) {
 			if err == nil {
 				admitted++
@@ -100,8 +100,8 @@
 	f := newFleet(1, 3, 3)
 	f.submitAll(30, 0, 1, 2)
 	var outcome error
-	lowered := TenantQuota{Tenant: "t", Limit: 50, ConfigurationVersion: 2, BatchesOnly: true}
-	away := (homeShard("t", f.maps[0]) + 1) % 3
+	lowered := AccountQuota{Account: batchAccount, Limit: 50, ConfigurationVersion: 2}
+	away := (homeShard(batchAccount, f.maps[0]) + 1) % 3
 	f.submit(away, 10, lowered, func(err error) { outcome = err })
 	f.shards[away].pending -= 20
 	f.deliver()
@@ -114,7 +114,7 @@
 func TestTheNewestQuotaCounts(t *testing.T) {
 	f := newFleet(1, 2, 2)
 	submit := func(shardIndex, weight int, limit int64, version uint64) (outcome error) {
-		quota := TenantQuota{Tenant: "t", Limit: limit, ConfigurationVersion: version, BatchesOnly: true}
+		quota := AccountQuota{Account: batchAccount, Limit: limit, ConfigurationVersion: version}
 		f.submit(shardIndex, weight, quota, func(err error) { outcome = err })
 		f.deliver()
 		return outcome
@@ -135,7 +135,7 @@
 func TestANewAccountGoesBeforeTheOneItReplaces(t *testing.T) {
 	f := newFleet(1, 2, 2)
 	owner := f.daemons["edge-1"]
-	request := LeaseRequest{Tenant: "t", Report: Report{Queue: shardQueue(1), Epoch: 1, Sequence: 1}, Wanted: 10, Quota: testQuota, ConfigurationVersion: 1}
+	request := LeaseRequest{Name: mixedAccount, Report: Report{Queue: shardQueue(1), Epoch: 1, Sequence: 1}, Wanted: 10, Quota: testQuota, ConfigurationVersion: 1}
 	request.Report.Account.Epoch = 5
 	former := owner.accountOf(request, f.now)
 	owner.latestQuota(request)
--- a/internal/dataplane/quota/pending_reports.go
+++ b/internal/dataplane/quota/pending_reports.go
@@ -1,48 +1,150 @@
 package quota
 
-import "tuliprudder/internal/clock"
+import (
+	"slices"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/machine"
+)
 
 // This file tells owners of batches that may have been accepted without a grant: by a store that
-// received a configuration late, under one that set no limit or had the tenant's work count in another
+// received a configuration late, under one that set no limit or had the work count in another
 // account. An owner asks only queues that it knows to have something in use, so without this such work
 // would count at the store's next submission, which may never come.
+//
+// A store may have to report on very many accounts at once, so the reports for one owner share a
+// message, and an account that its owner has not opened stays closed: when it is opened, every queue is
+// asked.
+
+// maxReportsPerMessage is how many reports one message may have; an account's are in one message.
+const maxReportsPerMessage = 512
 
-// ReportPending has the batches of a tenant that wait here reported to the account's owner, until it has
-// acknowledged that.
-func (q *Quota) ReportPending(quota TenantQuota, now clock.Micros) {
-	q.unreported[quota.key()] = quota
-	q.sendPendingReports(quota, now)
+// ReportPending has the batches of an account that wait here reported to the account's owner, until it
+// has acknowledged that.
+func (q *Quota) ReportPending(quotas []AccountQuota, now clock.Micros) {
+	for _, quota := range quotas {
+		q.unreported[quota.Account] = quota
+	}
+	q.reportPending(now)
 }
 
-// reportPending repeats the reports that no owner has acknowledged.
+// reportPending sends the reports that no owner has acknowledged.
 func (q *Quota) reportPending(now clock.Micros) {
-	for _, tenant := range sortedTenants(q.unreported) {
-		q.sendPendingReports(q.unreported[tenant], now)
+	byOwner := map[string][]pendingReports{}
+	for _, name := range sortedAccounts(q.unreported) {
+		reports, isComplete := q.pendingReportsOf(q.unreported[name], now)
+		switch {
+		case !isComplete:
+		case len(reports.requests) == 0:
+			delete(q.unreported, name)
+		default:
+			owner := q.OwnerOf(name)
+			byOwner[owner] = append(byOwner[owner], reports)
+		}
 	}
+	for _, owner := range sortedKeys(byOwner) {
+		for _, message := range splitReports(byOwner[owner]) {
+			q.sendPendingReports(owner, message, now)
+		}
+	}
+}
+
+// pendingReports are the reports on one account from all shards that a daemon serves.
+type pendingReports struct {
+	quota    AccountQuota
+	requests []LeaseRequest
 }
 
-// sendPendingReports reports on each shard that this daemon serves.
-func (q *Quota) sendPendingReports(quota TenantQuota, now clock.Micros) {
-	key := quota.key()
-	outstanding, failed := 1, false
-	finish := func(err error) {
-		outstanding--
-		failed = failed || err != nil
-		if outstanding == 0 && !failed && q.unreported[key] == quota {
-			delete(q.unreported, key)
+// pendingReportsOf reports on each shard that this daemon serves; false where a lease request is under
+// way: it tells less, and a report would supersede it.
+func (q *Quota) pendingReportsOf(quota AccountQuota, now clock.Micros) (reports pendingReports, isComplete bool) {
+	reports.quota = quota
+	c := q.client(quota.Account)
+	for shardIndex := range q.shardMap().Shards {
+		if s := c.shards[shardIndex]; s != nil && s.requesting {
+			return reports, false
 		}
 	}
 	for shardIndex := range q.shardMap().Shards {
-		if c := q.client(key).shards[shardIndex]; c != nil && c.requesting {
-			failed = true // its request tells less; this one comes when that has ended
-			continue
+		if report, isServing := q.reportShard(quota.Account, shardIndex, now); isServing && report.InUse > 0 {
+			reports.requests = append(reports.requests, newLeaseRequest(quota, report))
 		}
-		report, isServing := q.reportShard(key, shardIndex, now)
-		if !isServing || report.InUse == 0 {
-			continue
+	}
+	return reports, true
+}
+
+// splitReports divides what one owner is told into messages.
+func splitReports(all []pendingReports) [][]pendingReports {
+	var out [][]pendingReports
+	size := maxReportsPerMessage
+	for _, reports := range all {
+		if size+len(reports.requests) > maxReportsPerMessage {
+			out = append(out, nil)
+			size = 0
 		}
-		outstanding++
-		q.sendLeaseRequest(newLeaseRequest(quota, report), now, func(_ LeaseResponse, err error, _ clock.Micros) { finish(err) })
+		size += len(reports.requests)
+		out[len(out)-1] = append(out[len(out)-1], reports)
+	}
+	return out
+}
+
+// sendPendingReports sends a message to an owner, which may be this daemon.
+func (q *Quota) sendPendingReports(owner string, message []pendingReports, now clock.Micros) {
+	var body PendingReports
+	for _, reports := range message {
+		body.Requests = append(body.Requests, reports.requests...)
 	}
-	finish(nil)
+	acknowledge := func(response PendingReportsResponse) {
+		for _, reports := range message {
+			name := reports.quota.Account
+			if !slices.Contains(response.Refused, name) && q.unreported[name] == reports.quota {
+				delete(q.unreported, name)
+			}
+		}
+	}
+	peer := q.peerOf(owner)
+	switch {
+	case owner == q.self:
+		acknowledge(q.takePendingReports(body, now))
+	case peer != "":
+		q.calls.Request(peer, body, leaseRequestTimeout, func(body any, err error, _ clock.Micros) {
+			if response, ok := body.(PendingReportsResponse); ok && err == nil {
+				acknowledge(response)
+			}
+		})
+	}
+}
+
+// takePendingReports is the owner's side: it records the reports.
+func (q *Quota) takePendingReports(message PendingReports, now clock.Micros) PendingReportsResponse {
+	var response PendingReportsResponse
+	for _, request := range message.Requests {
+		if !q.takePendingReport(request, now) {
+			response.Refused = append(response.Refused, request.Name)
+		}
+	}
+	return response
+}
+
+// takePendingReport records one report; false where this daemon doesn't own the account. One that is not
+// open stays closed, and one that has to be opened anew asks nobody before the next lease request.
+func (q *Quota) takePendingReport(request LeaseRequest, now clock.Micros) bool {
+	if request.Name.BatchesOnly() && q.accounts[request.Name] == nil {
+		_, ok := q.homeEpoch(request.Name, now)
+		return ok
+	}
+	a := q.accountOf(request, now)
+	if a == nil {
+		return false
+	}
+	latest := q.latestQuota(request)
+	if a.Record(request.Report, now) {
+		q.logExcess(a, latest, now)
+	}
+	return true
+}
+
+// replyPendingReports answers another daemon's reports.
+func (q *Quota) replyPendingReports(number uint64, message PendingReports, now clock.Micros) {
+	q.calls.Emit(machine.Reply{Call: number, Body: q.takePendingReports(message, now)})
 }
--- a/internal/dataplane/quota/pending_reports_test.go
+++ b/internal/dataplane/quota/pending_reports_test.go
@@ -16,7 +16,7 @@
 	f.submitAll(1, 0, 1) // the account is open, and both shards have reported
 	late := f.daemons[f.shards[1].primary]
 	f.acceptWithoutGrant(1, 60)
-	late.ReportPending(tenantQuota(false), f.now)
+	late.ReportPending([]AccountQuota{accountQuota(false)}, f.now)
 	f.deliver()
 	if admitted := f.submitAll(50, 0); admitted != 0 {
 		t.Fatalf("%d are admitted beside 62 of %d", admitted, testQuota)
@@ -30,12 +30,12 @@
 func TestPendingReportsAreRepeatedUntilTheyArrive(t *testing.T) {
 	f := newFleet(1, 2, 2)
 	f.submitAll(1, 0, 1)
-	shardIndex := 1 - homeShard("t", f.maps[0]) // of the store that doesn't own the account
+	shardIndex := 1 - homeShard(batchAccount, f.maps[0]) // of the store that doesn't own the account
 	late := f.daemons[f.shards[shardIndex].primary]
 	f.acceptWithoutGrant(shardIndex, 60)
 	f.route = func(string, string, func()) {} // every message is lost
 	f.onRequest = func(sent sentRequest) { f.receiveReply(sent, nil, errOwnerUnreachable()) }
-	late.ReportPending(tenantQuota(false), f.now)
+	late.ReportPending([]AccountQuota{accountQuota(false)}, f.now)
 	f.send()
 	if len(late.unreported) != 1 {
 		t.Fatal("a report that did not arrive is forgotten")
@@ -56,7 +56,7 @@
 // nothing meanwhile; one of which the control state knows no copy any more doesn't count.
 func TestOnlyAShardThatIsLostForGoodCountsNoMore(t *testing.T) {
 	f := newFleet(1, 3, 3)
-	home := homeShard("t", f.maps[0])
+	home := homeShard(batchAccount, f.maps[0])
 	away, other := (home+1)%3, (home+2)%3
 	f.submitAll(60, away)
 	f.shards[away].primary = "" // nobody serves it
--- a/internal/dataplane/quota/quota.go
+++ b/internal/dataplane/quota/quota.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/machine"
@@ -26,31 +27,21 @@
 	AdmitEverything bool
 }
 
-// TenantQuota is how much work of a tenant may be queued over all daemons.
-type TenantQuota struct {
-	Tenant string
+// AccountQuota is how much work may be queued in an account over all daemons.
+type AccountQuota struct {
+	Account shard.AccountName
 	// Limit is in weights: pieces of work, or tokens where requests are forwarded.
 	Limit int64
 	// ConfigurationVersion is the version of the configuration that the limit is from; an
 	// owner goes by the newest.
 	ConfigurationVersion uint64
-	// BatchesOnly: no daemon queues live requests of this tenant.
-	BatchesOnly bool
 }
 
-// accountKey names an account.
-type accountKey struct {
-	tenant      string
-	batchesOnly bool
-}
-
-func (t TenantQuota) key() accountKey { return accountKey{t.Tenant, t.BatchesOnly} }
-
 // Release returns what was reserved; a second call does nothing.
 type Release func(now clock.Micros)
 
-// Quota is one daemon's part: a client of the accounts of all tenants whose work it
-// queues, and at a store the owner of some.
+// Quota is one daemon's part: a client of all accounts whose work it queues, and at a store the
+// owner of some.
 type Quota struct {
 	// Shards are the shards of a store; nil at other daemons.
 	Shards Shards
@@ -65,16 +56,16 @@
 	shardMap    func() state.Map           // the cluster map as this daemon knows it
 	nextRenewal clock.Micros
 
-	// unreported are the tenants whose waiting batches an owner is to be told of: they may have been
-	// accepted without a grant.
-	unreported map[accountKey]TenantQuota
+	// unreported are the accounts whose owners are to be told of the batches that wait here: they may
+	// have been accepted without a grant.
+	unreported map[shard.AccountName]AccountQuota
 
-	clients      map[accountKey]*client
+	clients      map[shard.AccountName]*client
 	lastSequence uint64       // of this daemon's reports
 	startedAt    clock.Micros // when this process made its first report on its own queue
 
-	accounts map[accountKey]*Account    // owned here, or until lately
-	quotas   map[accountKey]TenantQuota // newest known to the owner
+	accounts map[shard.AccountName]*Account     // owned here, or until lately
+	quotas   map[shard.AccountName]AccountQuota // newest known to the owner
 }
 
 // New makes a daemon's quota. shardMap gives the cluster map as this daemon knows it; the zero map
@@ -85,10 +76,10 @@
 		calls:      calls,
 		members:    members,
 		shardMap:   shardMap,
-		unreported: map[accountKey]TenantQuota{},
-		clients:    map[accountKey]*client{},
-		accounts:   map[accountKey]*Account{},
-		quotas:     map[accountKey]TenantQuota{},
+		unreported: map[shard.AccountName]AccountQuota{},
+		clients:    map[shard.AccountName]*client{},
+		accounts:   map[shard.AccountName]*Account{},
+		quotas:     map[shard.AccountName]AccountQuota{},
 	}
 }
 
@@ -104,6 +95,8 @@
 			}
 			q.calls.Emit(machine.Reply{Call: number, Body: response})
 		})
+	case PendingReports:
+		q.replyPendingReports(number, request, now)
 	case UsageRequest:
 		q.calls.Emit(machine.Reply{Call: number, Body: q.report(request, now)})
 	default:
--- a/internal/dataplane/quota/shard_client.go
+++ b/internal/dataplane/quota/shard_client.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 )
 
@@ -12,18 +13,18 @@
 	// ServingEpoch is the epoch under which this daemon serves a shard at a time: no other
 	// daemon does then. It is false where this one doesn't, or can't be sure.
 	ServingEpoch(shardIndex int, now clock.Micros) (epoch uint64, ok bool)
-	// PendingWeight is the weight of a tenant's work in a shard that this daemon serves. A
+	// PendingWeight is the weight of an account's work in a shard that this daemon serves. A
 	// successor finds no more than that, as long as nothing is admitted.
-	PendingWeight(shardIndex int, tenant string) int
-	// PendingWeights are the weights in all shards that this daemon serves, by tenant.
-	PendingWeights(now clock.Micros) map[string]int
+	PendingWeight(shardIndex int, account shard.AccountName) int
+	// PendingWeights are the weights in all shards that this daemon serves, by account.
+	PendingWeights(now clock.Micros) map[shard.AccountName]int
 }
 
 // maxLeaseRequests is how many lease requests a batch may need because its shard's report was
 // superseded while one was under way.
 const maxLeaseRequests = 4
 
-// shardClient is a tenant's part of one shard.
+// shardClient is an account's part of one shard.
 type shardClient struct {
 	waiters    []*batchWaiter // the oldest first
 	requesting bool           // a lease request is under way
@@ -33,18 +34,18 @@
 
 // batchWaiter is a batch that waits for its grant.
 type batchWaiter struct {
-	quota    TenantQuota
+	quota    AccountQuota
 	weight   int
 	requests int // how many lease requests have included it
 	callback func(err error, now clock.Micros)
 }
 
-// ReserveInShard asks for the given weight of the tenant's quota for a batch in a shard that this
+// ReserveInShard asks for the given weight of an account's quota for a batch in a shard that this
 // daemon serves. The callback is called once, at once or when the account's owner has answered.
 // Without an error it has to queue the batch in the shard in the same step; an error means that
 // the batch must not be queued; its kind is errs.OverQuota, or errs.NotReady while the account
 // can't be used.
-func (q *Quota) ReserveInShard(quota TenantQuota, shardIndex, weight int, now clock.Micros, callback func(err error, now clock.Micros)) {
+func (q *Quota) ReserveInShard(quota AccountQuota, shardIndex, weight int, now clock.Micros, callback func(err error, now clock.Micros)) {
 	if int64(weight) > quota.Limit {
 		callback(errExceedsQuota(quota, weight), now)
 		return
@@ -53,16 +54,16 @@
 		callback(nil, now)
 		return
 	}
-	c := q.client(quota.key()).shard(shardIndex)
+	c := q.client(quota.Account).shard(shardIndex)
 	if err := q.rejectsEarly(c.failedAt, len(c.waiters), now); err != nil {
 		callback(err, now)
 		return
 	}
 	c.waiters = append(c.waiters, &batchWaiter{quota: quota, weight: weight, callback: callback})
-	q.requestShardLease(quota.key(), shardIndex, now)
+	q.requestShardLease(quota.Account, shardIndex, now)
 }
 
-// shard is the tenant's part of a shard.
+// shard is the account's part of a shard.
 func (c *client) shard(shardIndex int) *shardClient {
 	if c.shards == nil {
 		c.shards = map[int]*shardClient{}
@@ -75,7 +76,7 @@
 
 // reportShard reports on a shard's queue; false where this daemon doesn't serve the shard. A
 // grant that answers an earlier report is refused from here on.
-func (q *Quota) reportShard(key accountKey, shardIndex int, now clock.Micros) (Report, bool) {
+func (q *Quota) reportShard(name shard.AccountName, shardIndex int, now clock.Micros) (Report, bool) {
 	if q.Shards == nil {
 		return Report{}, false
 	}
@@ -84,7 +85,7 @@
 		return Report{}, false
 	}
 	q.lastSequence++
-	c := q.client(key)
+	c := q.client(name)
 	if c.shards[shardIndex] != nil {
 		c.shards[shardIndex].sequence = q.lastSequence
 	}
@@ -93,18 +94,18 @@
 		Epoch:    epoch,
 		Sequence: q.lastSequence,
 		Account:  c.account,
-		InUse:    q.Shards.PendingWeight(shardIndex, key.tenant),
+		InUse:    q.Shards.PendingWeight(shardIndex, name),
 	}, true
 }
 
 // requestShardLease asks the owner for all batches that wait. There is one request at a time for
 // each shard.
-func (q *Quota) requestShardLease(key accountKey, shardIndex int, now clock.Micros) {
-	c := q.client(key).shard(shardIndex)
+func (q *Quota) requestShardLease(name shard.AccountName, shardIndex int, now clock.Micros) {
+	c := q.client(name).shard(shardIndex)
 	if c.requesting || len(c.waiters) == 0 {
 		return
 	}
-	report, isServing := q.reportShard(key, shardIndex, now)
+	report, isServing := q.reportShard(name, shardIndex, now)
 	if !isServing {
 		q.rejectBatches(c.takeWaiters(), errNotServing(q.self, shardIndex), now)
 		return
@@ -123,7 +124,7 @@
 			return
 		}
 		q.handleShardLease(c, request, response, now)
-		q.requestShardLease(key, shardIndex, now)
+		q.requestShardLease(name, shardIndex, now)
 	})
 }
 
@@ -147,7 +148,7 @@
 		case !q.isServingAt(request.Report, now):
 			q.rejectBatches([]*batchWaiter{w}, errNotServing(q.self, request.Report.Queue.Shard), now)
 		case q.fitsInto(response.Granted, w, request):
-			q.client(request.key()).admissions.Record(now)
+			q.client(request.Name).admissions.Record(now)
 			w.callback(nil, now)
 		default:
 			q.rejectBatches([]*batchWaiter{w}, q.batchRejection(w, response, now), now)
@@ -163,7 +164,7 @@
 
 // fitsInto tells whether a batch fits into a grant beside what is pending in its shard now.
 func (q *Quota) fitsInto(granted int, w *batchWaiter, request LeaseRequest) bool {
-	return q.Shards.PendingWeight(request.Report.Queue.Shard, request.Tenant)+w.weight <= granted
+	return q.Shards.PendingWeight(request.Report.Queue.Shard, request.Name)+w.weight <= granted
 }
 
 // batchRejection is why a batch isn't admitted after a lease request.
@@ -171,7 +172,7 @@
 	if !response.Ready {
 		return errRebuilding()
 	}
-	return errOverQuota(w.quota, w.weight, q.client(w.quota.key()).admissions.Estimate(w.weight, now))
+	return errOverQuota(w.quota, w.weight, q.client(w.quota.Account).admissions.Estimate(w.weight, now))
 }
 
 // rejectBatches rejects batches with an error.
--- a/internal/dataplane/quota/snapshot.go
+++ b/internal/dataplane/quota/snapshot.go
@@ -1,8 +1,11 @@
 package quota
 
-import "tuliprudder/internal/clock"
+import (
+	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/clock"
+)
 
-// Snapshot is what a daemon uses and grants, by tenant, for the operators.
+// Snapshot is what a daemon uses and grants, by account (shard.AccountName), for the operators.
 type Snapshot struct {
 	Accounts map[string]AccountSnapshot `json:"accounts"` // owned here
 	Shares   map[string]ShareSnapshot   `json:"shares"`
@@ -16,7 +19,7 @@
 	Unreported []string       `json:"missing"` // daemons that have not reported yet
 }
 
-// ShareSnapshot is the daemon's part of one tenant's quota. Amounts are weights.
+// ShareSnapshot is the daemon's part of one account's quota. Amounts are weights.
 type ShareSnapshot struct {
 	Epoch   uint64 `json:"epoch"` // of the account, by the owner's latest response
 	InUse   int    `json:"held"`
@@ -26,22 +29,25 @@
 // Snapshot is what is in use and granted here now.
 func (q *Quota) Snapshot(now clock.Micros) Snapshot {
 	out := Snapshot{Accounts: map[string]AccountSnapshot{}, Shares: map[string]ShareSnapshot{}}
-	for tenant, pending := range q.pendingInShards(now) {
-		out.Shares[tenant] = ShareSnapshot{InUse: pending, Granted: pending}
+	for name, pending := range q.pendingInShards(now) {
+		share := out.Shares[name.String()]
+		share.InUse += pending
+		share.Granted += pending
+		out.Shares[name.String()] = share
 	}
-	for key, c := range q.clients {
-		share := out.Shares[key.tenant]
+	for name, c := range q.clients {
+		share := out.Shares[name.String()]
 		share.InUse += c.live.share.InUse
 		share.Granted += c.live.share.Granted
 		share.Epoch = max(share.Epoch, c.account.Epoch)
 		if share.InUse > 0 || share.Granted > 0 {
-			out.Shares[key.tenant] = share
+			out.Shares[name.String()] = share
 		}
 	}
-	for key, a := range q.accounts {
-		if q.owns(key, a, now) {
-			out.Accounts[key.tenant] = AccountSnapshot{
-				Quota:      q.quotas[key].Limit,
+	for name, a := range q.accounts {
+		if q.owns(name, a, now) {
+			out.Accounts[name.String()] = AccountSnapshot{
+				Quota:      q.quotas[name].Limit,
 				Epoch:      a.ID.Epoch,
 				Granted:    q.leasesByDaemon(a, now),
 				Unreported: q.unreportedDaemons(a),
@@ -51,7 +57,7 @@
 	return out
 }
 
-// Totals sums up over all tenants what is in use here and what is granted from here.
+// Totals sums up over all accounts what is in use here and what is granted from here.
 func (q *Quota) Totals(now clock.Micros) (inUse, granted int64) {
 	for _, c := range q.clients {
 		inUse += int64(c.live.share.InUse)
@@ -59,8 +65,8 @@
 	for _, pending := range q.pendingInShards(now) {
 		inUse += int64(pending)
 	}
-	for key, a := range q.accounts {
-		if !q.owns(key, a, now) {
+	for name, a := range q.accounts {
+		if !q.owns(name, a, now) {
 			continue
 		}
 		for _, count := range a.Leases(now) {
@@ -70,8 +76,8 @@
 	return inUse, granted
 }
 
-// pendingInShards is what waits in the shards that this daemon serves, by tenant.
-func (q *Quota) pendingInShards(now clock.Micros) map[string]int {
+// pendingInShards is what waits in the shards that this daemon serves, by account.
+func (q *Quota) pendingInShards(now clock.Micros) map[shard.AccountName]int {
 	if q.Shards == nil {
 		return nil
 	}
--- a/internal/dataplane/quota/usage.go
+++ b/internal/dataplane/quota/usage.go
@@ -1,6 +1,9 @@
 package quota
 
-import "tuliprudder/internal/clock"
+import (
+	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/clock"
+)
 
 // This file asks the daemons that serve an account's queues for new reports, and answers such
 // questions.
@@ -18,12 +21,12 @@
 // requestUsage asks for reports on some queues of an account, and calls back when all daemons have
 // answered or timed out. There is one set of questions at a time for each account; requests that come
 // meanwhile wait for it.
-func (q *Quota) requestUsage(key accountKey, a *Account, queues []Queue, now clock.Micros, callback func(now clock.Micros)) {
+func (q *Quota) requestUsage(name shard.AccountName, a *Account, queues []Queue, now clock.Micros, callback func(now clock.Micros)) {
 	if a.usageRequest != nil {
 		a.usageRequest.callbacks = append(a.usageRequest.callbacks, callback)
 		return
 	}
-	requests := q.usageRequests(key, a, queues)
+	requests := q.usageRequests(name, a, queues)
 	query := &usageQuery{outstanding: len(requests), callbacks: []func(clock.Micros){callback}}
 	if len(requests) == 0 {
 		callback(now)
@@ -32,7 +35,7 @@
 	a.usageRequest = query
 	for _, daemonID := range sortedKeys(requests) {
 		q.sendUsageRequest(daemonID, *requests[daemonID], now, func(response UsageResponse, now clock.Micros) {
-			q.handleUsageResponse(key, a, response, now)
+			q.handleUsageResponse(name, a, response, now)
 			a.finishResponse(query, now)
 		})
 	}
@@ -53,7 +56,7 @@
 
 // usageRequests are the questions about some queues, by the daemons that serve them as far as this
 // daemon knows.
-func (q *Quota) usageRequests(key accountKey, a *Account, queues []Queue) map[string]*UsageRequest {
+func (q *Quota) usageRequests(name shard.AccountName, a *Account, queues []Queue) map[string]*UsageRequest {
 	out := map[string]*UsageRequest{}
 	for _, queue := range queues {
 		daemonID := q.daemonOf(queue)
@@ -61,7 +64,7 @@
 			continue
 		}
 		if out[daemonID] == nil {
-			out[daemonID] = &UsageRequest{Tenant: key.tenant, BatchesOnly: key.batchesOnly, Account: a.ID}
+			out[daemonID] = &UsageRequest{Name: name, Account: a.ID}
 		}
 		if queue.isShard() {
 			out[daemonID].Shards = append(out[daemonID].Shards, queue.Shard)
@@ -86,11 +89,11 @@
 
 // handleUsageResponse records a daemon's reports. One that knows a later account ends this one: the
 // next request opens another, above that.
-func (q *Quota) handleUsageResponse(key accountKey, a *Account, response UsageResponse, now clock.Micros) {
+func (q *Quota) handleUsageResponse(name shard.AccountName, a *Account, response UsageResponse, now clock.Micros) {
 	if response.Account.compare(a.ID) > 0 {
-		q.follows(key, response.Account)
-		if q.accounts[key] == a {
-			delete(q.accounts, key)
+		q.follows(name, response.Account)
+		if q.accounts[name] == a {
+			delete(q.accounts, name)
 		}
 		return
 	}
@@ -114,15 +117,15 @@
 // report answers an owner's question. From here on this daemon admits nothing more until it has a
 // grant for a later report.
 func (q *Quota) report(request UsageRequest, now clock.Micros) UsageResponse {
-	if !q.follows(request.key(), request.Account) {
-		return UsageResponse{Account: q.client(request.key()).account}
+	if !q.follows(request.Name, request.Account) {
+		return UsageResponse{Account: q.client(request.Name).account}
 	}
 	if len(request.Shards) == 0 {
-		return UsageResponse{Account: request.Account, Reports: []Report{q.reportOwnQueue(request.key(), now)}}
+		return UsageResponse{Account: request.Account, Reports: []Report{q.reportOwnQueue(request.Name, now)}}
 	}
 	response := UsageResponse{Account: request.Account}
 	for _, shardIndex := range request.Shards {
-		if report, ok := q.reportShard(request.key(), shardIndex, now); ok {
+		if report, ok := q.reportShard(request.Name, shardIndex, now); ok {
 			response.Reports = append(response.Reports, report)
 		}
 	}
@@ -130,8 +133,8 @@
 }
 
 // reportOwnQueue reports what live requests have in use here, and gives the rest of the lease up.
-func (q *Quota) reportOwnQueue(key accountKey, now clock.Micros) Report {
-	c := q.live(key)
+func (q *Quota) reportOwnQueue(name shard.AccountName, now clock.Micros) Report {
+	c := q.live(name)
 	c.share.GiveBack(c.share.InUse)
-	return q.reportLive(key, now)
+	return q.reportLive(name, now)
 }
--- a/internal/dataplane/requests/live.go
+++ b/internal/dataplane/requests/live.go
@@ -40,7 +40,8 @@
 		return
 	}
 	m.inFlight[r.ID] = r
-	m.quota.Reserve(quota.TenantQuota{Tenant: r.tenant.Name, Limit: r.class.Quota, ConfigurationVersion: r.configurationVersion}, 1, now, func(release quota.Release, err error, now clock.Micros) {
+	account := quota.AccountQuota{Account: shard.AccountName{Tenant: r.tenant.Name}, Limit: r.class.Quota, ConfigurationVersion: r.configurationVersion}
+	m.quota.Reserve(account, 1, now, func(release quota.Release, err error, now clock.Micros) {
 		if err != nil {
 			m.finishWithError(r, err, now)
 			return
--- a/internal/transport/messages.go
+++ b/internal/transport/messages.go
@@ -14,7 +14,7 @@
 // have other names would be misread. Daemons of two versions therefore find no service at each
 // other, and their messages count as lost (docs/DESIGN.md, section 3). Raise the version with
 // every change of a message's type or field; "Post" was the name of versions 1 and 2.
-const serviceName = "tuliprudder.5"
+const serviceName = "tuliprudder.6"
 
 // The methods of the service, as net/rpc calls them.
 const (
--- a/test/simulator/world.go
+++ b/test/simulator/world.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sort"
 
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
@@ -193,7 +194,7 @@
 // quotaOwner is the edge that owns a tenant's quota, as an edge knows it.
 func (w *World) quotaOwner(tenant string) *Node {
 	if n := w.Workload.randomEdge(); n != nil {
-		if owner := w.nodeByID(n.edge.Quota.OwnerOf(tenant, false)); owner != nil {
+		if owner := w.nodeByID(n.edge.Quota.OwnerOf(shard.AccountName{Tenant: tenant})); owner != nil {
 			return owner
 		}
 	}
--- a/test/storedformat/messages_test.go
+++ b/test/storedformat/messages_test.go
@@ -36,15 +36,21 @@
 	}
 	account := quota.AccountID{Epoch: 6, OpenedAt: 44, Owner: "refuge-2"}
 	report := quota.Report{Queue: quota.Queue{Daemon: "mule-1", Shard: 3}, Epoch: 5, Sequence: 7, Account: account, InUse: 11}
-	bodies = append(bodies, // since version 4
-		quota.LeaseRequest{Tenant: "customer-1", BatchesOnly: true, Report: report, Wanted: 12, Quota: 13, ConfigurationVersion: 14},
+	name := shard.AccountName{Tenant: "customer-1", Route: "nightly"}
+	lease := quota.LeaseRequest{Name: name, Report: report, Wanted: 12, Quota: 13, ConfigurationVersion: 14}
+	bodies = append(bodies, // since version 4, requests since version 6
+		lease,
 		quota.LeaseResponse{Account: account, Granted: 15, Ready: true, Superseded: true},
-		quota.UsageRequest{Tenant: "customer-1", BatchesOnly: true, Account: account, Shards: []int{2, 3}},
+		quota.UsageRequest{Name: name, Account: account, Shards: []int{2, 3}},
 		quota.UsageResponse{Reports: []quota.Report{report}, Account: account},
 	)
 	bodies = append(bodies, // since version 5
 		controlplane.PatchConfigurationRequest{Body: []byte(`{"upsert":{}}`), Base: 16, HasBase: true, By: "anna", Timeout: 17},
 	)
+	bodies = append(bodies, // since version 6
+		quota.PendingReports{Requests: []quota.LeaseRequest{lease}},
+		quota.PendingReportsResponse{Refused: []shard.AccountName{name}},
+	)
 	var out transport.MessageBatch
 	for _, body := range bodies {
 		out.Messages = append(out.Messages, transport.Envelope{From: "10.0.0.2:7000", Body: body})
@@ -52,15 +58,19 @@
 	return out
 }
 
-// messagesFile holds the messages as the builds of protocol version 5 encode them.
-var messagesFile = filepath.Join("testdata", "messages-5.gob")
+// messagesFile holds the messages as the builds of protocol version 6 encode them.
+var messagesFile = filepath.Join("testdata", "messages-6.gob")
 
-// How many of the messages are as they were in earlier protocol versions.
+// How many of the messages there were in earlier protocol versions.
 const (
 	messagesSinceVersion3 = 5
 	messagesSinceVersion4 = 9
+	messagesSinceVersion5 = 10
 )
 
+// changedInVersion6 are the messages, by their place, whose types have other fields since version 6.
+var changedInVersion6 = map[int]bool{5: true, 7: true}
+
 func writeMessages(t *testing.T) {
 	t.Helper()
 	var data bytes.Buffer
@@ -74,6 +84,7 @@
 	all := messages().Messages
 	for file, want := range map[string][]transport.Envelope{
 		messagesFile: all,
+		filepath.Join("testdata", "messages-5.gob"): all[:messagesSinceVersion5],
 		filepath.Join("testdata", "messages-4.gob"): all[:messagesSinceVersion4],
 		filepath.Join("testdata", "messages-3.gob"): all[:messagesSinceVersion3],
 	} {
@@ -85,6 +96,9 @@
 			t.Fatalf("%s: %d messages were decoded, not %d", file, len(got.Messages), len(want))
 		}
 		for i, message := range got.Messages {
+			if file != messagesFile && changedInVersion6[i] {
+				continue
+			}
 			if !reflect.DeepEqual(message, want[i]) {
 				t.Errorf("%s: message %d was decoded as %+v, not %+v", file, i, message, want[i])
 			}
