A client of an account is kept between two batches

What it cost: a store forgot its client of an account at the next tick (half a second) unless something was under way just then, as the time of its latest use was never set: unusedClientTTL of 600 s had no effect. The next report named no account, so the owner took it for one who may know more, and asked every other store: 320 usage requests for 40 batches of one tenant on nine stores, two seconds apart, and a round trip more for each batch.

Change: reports on shards set the time, and a client's first tick does. TestABatchCostsOneRequestWhileItsAccountIsOpen fails before: 35 lease requests and 320 usage requests for 40 batches; now at most 40 and none.

--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -22,8 +22,8 @@
 	live       liveClient
 	shards     map[int]*shardClient // by index; of batches
 	admissions retryafter.Estimator // when batches were admitted
-	lastUsedAt clock.Micros
-	account    AccountID // the highest of which an owner has sent a message
+	lastUsedAt clock.Micros         // of its latest report on a shard, or its latest tick with something in use
+	account    AccountID            // the highest of which an owner has sent a message
 }
 
 // client is the client of an account.
@@ -59,7 +59,7 @@
 // forgetUnusedClients forgets clients that nobody has used for a while.
 func (q *Quota) forgetUnusedClients(now clock.Micros) {
 	for name, c := range q.clients {
-		if c.isBusy() {
+		if c.isBusy() || c.lastUsedAt == 0 {
 			c.lastUsedAt = now
 		}
 		if now-c.lastUsedAt > unusedClientTTL {
--- a/internal/dataplane/quota/shard_client.go
+++ b/internal/dataplane/quota/shard_client.go
@@ -86,6 +86,7 @@
 	}
 	q.lastSequence++
 	c := q.client(name)
+	c.lastUsedAt = now
 	if c.shards[shardIndex] != nil {
 		c.shards[shardIndex].sequence = q.lastSequence
 	}
--- a/internal/dataplane/quota/tenants_test.go
+++ b/internal/dataplane/quota/tenants_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/clock"
 )
 
 // tenantsOnARoute names the accounts of some tenants on the route "r".
@@ -70,6 +71,33 @@
 	}
 }
 
+// A store asked all others before each batch that came more than half a second after the one before, as
+// it had forgotten its account.
+func TestABatchCostsOneRequestWhileItsAccountIsOpen(t *testing.T) {
+	f := newFleet(1, 9, 64)
+	f.now = 3600 * clock.Second
+	tenant := tenantsOnARoute(1)[0]
+	for shardIndex := range 9 {
+		if err := f.submitFor(tenant, shardIndex, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	counts := f.countRequests()
+	const batches = 40
+	for i := range batches {
+		f.now += 2 * clock.Second
+		for _, id := range f.ids {
+			f.daemons[id].Tick(f.now)
+		}
+		if err := f.submitFor(tenant, i%9, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if counts["quota.LeaseRequest"] > batches || counts["quota.UsageRequest"] > 0 {
+		t.Errorf("%v for %d batches", counts, batches)
+	}
+}
+
 // A store that has to report on many accounts sends each owner one message, and opens no account.
 func TestReportsForOneOwnerShareAMessage(t *testing.T) {
 	const stores, shards = 9, 64
