Batches of opaque requests belong to the tenant that submitted them; calls on them need one of its keys

Where the configuration authenticates (config.Configuration.BatchAuthentication, over all forwarded routes, as these calls name none), a call needs a known key: 401 without one, 503 without a configuration. Keyless calls are let in only where a route for batches is public, and find what has no tenant. A call finds its tenant's batches and those of no tenant; any other is not found (404), its items' bodies and its end included. A configuration without authentication is as before. The access goes with the request to the store (batchstore.Access), which holds the batch's tenant.

An ID that another tenant's batch has is a conflict (409) even with the same content: it is not acknowledged as a repeat, and nothing of the first is read or changed. IDs stay one space over all tenants: that an ID is taken can be told, whose it is can't. A batch of no tenant is recognised from every tenant. A batch without its route that comes again: 404 first, whatever the key is.

Stored form: the batch's tenant, and as its key the ID; what was stored before has no key, and so no tenant.

Changed: TestFeedIsInTheOrderOfPositions read batches of no tenant as a tenant named like their route; its batches have a tenant now.

--- /dev/null
+++ b/internal/batchstore/access_test.go
@@ -0,0 +1,109 @@
+package batchstore
+
+import (
+	"testing"
+
+	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/errs"
+)
+
+// batchOf is a batch of opaque requests that a tenant submits.
+func batchOf(tenant, id string, items int) SubmitRequest {
+	request := forwardedBatch(id, items)
+	request.Batch.Tenant, request.Batch.Key = tenant, id
+	request.By = Access{Tenant: tenant, WithoutTenant: true}
+	return request
+}
+
+// Which batches a call finds, by its access.
+func TestWhichBatchesACallFinds(t *testing.T) {
+	batches := map[string]*shard.Batch{
+		"of t":               {ID: "id", Key: "id", Tenant: "t", Route: "r"},
+		"of a tenant like r": {ID: "id", Key: "id", Tenant: "r", Route: "r"},
+		"of no tenant":       {ID: "id", Tenant: "r", Route: "r"},
+		"chat of t":          {ID: shard.BatchID("t", "k"), Key: "k", Tenant: "t", Route: "r"},
+	}
+	for _, test := range []struct {
+		by    Access
+		finds []string
+	}{
+		{Access{Tenant: "t", WithoutTenant: true}, []string{"of t", "of no tenant", "chat of t"}},
+		{Access{Tenant: "r", WithoutTenant: true}, []string{"of a tenant like r", "of no tenant"}},
+		{Access{WithoutTenant: true}, []string{"of no tenant"}},
+		{Access{AnyTenant: true}, []string{"of t", "of a tenant like r", "of no tenant"}},
+		{Access{Tenant: "t"}, []string{"of t", "chat of t"}},
+		{Access{Tenant: "r"}, []string{"of a tenant like r"}},
+		{Access{}, nil},
+	} {
+		want := map[string]bool{}
+		for _, name := range test.finds {
+			want[name] = true
+		}
+		for name, batch := range batches {
+			if test.by.finds(batch) != want[name] {
+				t.Errorf("%+v: finds the batch %s: %v", test.by, name, !want[name])
+			}
+		}
+	}
+}
+
+// A call of another tenant, or of a caller without one, read, ended and took bodies of a batch by its ID
+// alone. (Issue 40.)
+func TestAnotherTenantsBatchIsNotFound(t *testing.T) {
+	c := newCluster(t)
+	c.mustCall(batchOf("t", "one", 2))
+	for _, by := range []Access{{Tenant: "other", WithoutTenant: true}, {WithoutTenant: true}, {Tenant: "route", WithoutTenant: true}} {
+		for _, request := range []any{
+			BatchStatusRequest{Batch: "one", By: by},
+			EndRequest{Batch: "one", By: by, Timeout: clock.Second},
+			ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "one", By: by},
+			ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "one", By: by, Indexed: true},
+			ItemBodyRequest{Batch: "one", Item: "i0", By: by},
+		} {
+			c.mustReject(errs.NotFound, request)
+		}
+	}
+	own := Access{Tenant: "t", WithoutTenant: true}
+	if status := c.mustCall(BatchStatusRequest{Batch: "one", By: own}).(BatchStatus); status.State != string(shard.Open) || status.Tenant != "t" {
+		t.Errorf("the status is %+v", status)
+	}
+	if body := c.mustCall(ItemBodyRequest{Batch: "one", Item: "i0", By: own}).(ItemBodyResponse); string(body.Body) != "body 0" {
+		t.Errorf("the body is %q", body.Body)
+	}
+	c.mustCall(EndRequest{Batch: "one", By: own, Timeout: clock.Second})
+}
+
+// An ID that another tenant's batch has is taken, whatever comes under it; nothing of that batch changes.
+// One of no tenant is recognised by every tenant.
+func TestAnIDThatAnotherTenantUses(t *testing.T) {
+	c := newCluster(t)
+	c.mustCall(batchOf("t", "one", 2))
+	c.mustReject(errs.Conflict, batchOf("other", "one", 2))
+	c.mustReject(errs.Conflict, batchOf("other", "one", 1))
+	without := forwardedBatch("one", 2)
+	without.By = Access{WithoutTenant: true}
+	c.mustReject(errs.Conflict, without)
+	if again := c.mustCall(batchOf("t", "one", 2)).(SubmitResponse); !again.Repeated {
+		t.Errorf("the tenant's own is answered %+v", again)
+	}
+	if batch := c.stores["a"].shard(Unit(0)).state.Batches["one"]; batch.Tenant != "t" || len(batch.Items) != 2 {
+		t.Errorf("the batch is %+v", batch)
+	}
+	c.mustCall(forwardedBatch("shared", 1))
+	if again := c.mustCall(batchOf("t", "shared", 1)).(SubmitResponse); !again.Repeated {
+		t.Errorf("a batch of no tenant is answered %+v", again)
+	}
+}
+
+// A batch that was stored before there were tenants has none, and every tenant finds it.
+func TestBatchesOfAnEarlierReleaseHaveNoTenant(t *testing.T) {
+	state, err := shard.Restore([][]byte{[]byte(`{"bundle":{"id":"one","customer":"r","key":"","hash":"h","route":"r","items":[{"id":"x","request":{"target":"/","host":"h","tokens":7}}],"state":"open","enrolled":1,"changed":0,"rows":null}}`)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch := state.Batches["one"]
+	if !batch.HasNoTenant() || batch.TenantName() != "" || batch.Account() != (shard.AccountName{Route: "r"}) || !(Access{Tenant: "t", WithoutTenant: true}).finds(batch) {
+		t.Errorf("tenant %q, account %+v", batch.TenantName(), batch.Account())
+	}
+}
--- a/internal/batchstore/call.go
+++ b/internal/batchstore/call.go
@@ -1,7 +1,6 @@
 package batchstore
 
 import (
-	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/replication"
@@ -95,25 +94,3 @@
 	}
 	return served, err
 }
-
-// batchSelector selects a batch by its ID and by whose it has to be.
-type batchSelector struct {
-	batch  string
-	tenant string
-	// anyTenant also finds a batch that was submitted without an idempotency key: whoever
-	// knows its ID may use it.
-	anyTenant bool
-}
-
-// find returns a batch if it is the tenant's.
-func (sh servedShard) find(selector batchSelector) (*shard.Batch, error) {
-	batch := sh.state.Batches[selector.batch]
-	if batch == nil {
-		return nil, errNoSuchBatch(selector.batch)
-	}
-	isPublic := selector.anyTenant && batch.Key == ""
-	if !isPublic && batch.Tenant != selector.tenant {
-		return nil, errNoSuchBatch(selector.batch)
-	}
-	return batch, nil
-}
--- a/internal/batchstore/disk_test.go
+++ b/internal/batchstore/disk_test.go
@@ -63,13 +63,13 @@
 	c := newCluster(t)
 	c.mustCall(forwardedBatch("one", 1))
 	c.do("a", diskFull)
-	for _, request := range []any{forwardedBatch("two", 1), EndRequest{Batch: "one", AnyTenant: true, Timeout: clock.Second}} {
+	for _, request := range []any{forwardedBatch("two", 1), EndRequest{Batch: "one", By: byID, Timeout: clock.Second}} {
 		c.mustReject(errs.NotReady, request)
 	}
 	if c.stores["a"].shard(Unit(0)).state.Batches["two"] != nil {
 		t.Fatal("a batch that was rejected is there")
 	}
-	if status := c.mustCall(BatchStatusRequest{Batch: "one", AnyTenant: true}).(BatchStatus); status.Items != 1 {
+	if status := c.mustCall(BatchStatusRequest{Batch: "one", By: byID}).(BatchStatus); status.Items != 1 {
 		t.Fatalf("the status is %+v", status)
 	}
 	c.do("a", diskWritable)
--- a/internal/batchstore/end_batch_test.go
+++ b/internal/batchstore/end_batch_test.go
@@ -12,7 +12,7 @@
 func TestEndIsAcknowledgedOnceItIsDurable(t *testing.T) {
 	c := newCluster(t)
 	c.mustCall(forwardedBatch("one", 2))
-	request := EndRequest{Batch: "one", AnyTenant: true, Timeout: clock.Second}
+	request := EndRequest{Batch: "one", By: byID, Timeout: clock.Second}
 	c.delayed = true
 	if response, err := c.call(request); response != nil || err != nil {
 		t.Fatalf("not durable: %v %v", response, err)
--- a/internal/batchstore/fixture_test.go
+++ b/internal/batchstore/fixture_test.go
@@ -186,8 +186,10 @@
 	}
 }
 
-// forwardedBatch submits a batch of requests that are forwarded, without an idempotency
-// key. The items i0, i1, … have 10, 11, … tokens.
+// byID is the access of callers that are not known by keys.
+var byID = Access{AnyTenant: true}
+
+// forwardedBatch submits a batch of requests that are forwarded, without a tenant. The items i0, i1, … have 10, 11, … tokens.
 func forwardedBatch(id string, items int) SubmitRequest {
 	batch := shard.Batch{ID: id, Tenant: "route", Hash: "h", Route: "route"}
 	for i := range items {
@@ -199,7 +201,7 @@
 			Tokens: int64(10 + i),
 		}})
 	}
-	return SubmitRequest{Batch: batch, Timeout: clock.Second}
+	return SubmitRequest{Batch: batch, By: byID, Timeout: clock.Second}
 }
 
 // finished is the successful outcome of an item's run.
--- a/internal/batchstore/heartbeat_test.go
+++ b/internal/batchstore/heartbeat_test.go
@@ -38,7 +38,7 @@
 	if got := busy(); got != 1 {
 		t.Fatalf("%d shards are busy with an open batch", got)
 	}
-	c.mustCall(EndRequest{Batch: "one", AnyTenant: true, Timeout: clock.Second})
+	c.mustCall(EndRequest{Batch: "one", By: byID, Timeout: clock.Second})
 	if got := busy(); got != 0 {
 		t.Fatalf("%d shards are busy once it has ended", got)
 	}
--- a/internal/batchstore/item_body_test.go
+++ b/internal/batchstore/item_body_test.go
@@ -23,11 +23,11 @@
 	if first.ItemID != "i0" || first.Request == nil || string(first.Request.Body) != "body 0" {
 		t.Fatalf("the task is %+v", first)
 	}
-	if got := c.mustCall(ItemBodyRequest{Batch: "one", Item: "i0"}).(ItemBodyResponse); string(got.Body) != "body 0" {
+	if got := c.mustCall(ItemBodyRequest{Batch: "one", Item: "i0", By: byID}).(ItemBodyResponse); string(got.Body) != "body 0" {
 		t.Fatalf("the body is %q", got.Body)
 	}
 	c.do("a", ItemFinished{Batch: "one", Item: 0, Status: shard.StatusOK, Output: "x"})
-	c.mustCall(EndRequest{Batch: "two", AnyTenant: true, Timeout: clock.Second})
+	c.mustCall(EndRequest{Batch: "two", By: byID, Timeout: clock.Second})
 	for _, s := range c.stores {
 		for _, id := range []string{"one", "two"} {
 			request := s.shard(Unit(0)).state.Batches[id].Items[0].Request
@@ -39,10 +39,10 @@
 	if string(first.Request.Body) != "body 0" {
 		t.Fatal("an attempt under way lost its body")
 	}
-	for _, request := range []ItemBodyRequest{{Batch: "one", Item: "i0"}, {Batch: "two", Item: "i0"}, {Batch: "one", Item: "i9"}, {Batch: "three", Item: "i0"}} {
+	for _, request := range []ItemBodyRequest{{Batch: "one", Item: "i0", By: byID}, {Batch: "two", Item: "i0", By: byID}, {Batch: "one", Item: "i9", By: byID}, {Batch: "three", Item: "i0", By: byID}} {
 		c.mustReject(errs.NotFound, request)
 	}
-	if got := c.mustCall(ItemBodyRequest{Batch: "one", Item: "i1"}).(ItemBodyResponse); string(got.Body) != "body 1" {
+	if got := c.mustCall(ItemBodyRequest{Batch: "one", Item: "i1", By: byID}).(ItemBodyResponse); string(got.Body) != "body 1" {
 		t.Fatalf("the body is %q", got.Body)
 	}
 	if again := c.mustCall(forwardedBatch("one", 2)).(SubmitResponse); !again.Repeated || again.Items != 2 {
@@ -53,7 +53,7 @@
 // Without a valid lease a store does not deny an item: its successor may have it.
 func TestAnItemIsDeniedOnlyUnderALease(t *testing.T) {
 	c := newCluster(t)
-	c.mustReject(errs.NotFound, ItemBodyRequest{Batch: "one", Item: "i0"})
+	c.mustReject(errs.NotFound, ItemBodyRequest{Batch: "one", Item: "i0", By: byID})
 	c.now += 10 * clock.Second
-	c.mustReject(errs.NotReady, ItemBodyRequest{Batch: "one", Item: "i0"})
+	c.mustReject(errs.NotReady, ItemBodyRequest{Batch: "one", Item: "i0", By: byID})
 }
--- a/internal/batchstore/items_test.go
+++ b/internal/batchstore/items_test.go
@@ -11,7 +11,7 @@
 	c := newCluster(t)
 	c.mustCall(forwardedBatch("one", 2))
 	c.mustCall(forwardedBatch("ended", 1))
-	c.mustCall(EndRequest{Batch: "ended", AnyTenant: true, Timeout: clock.Second})
+	c.mustCall(EndRequest{Batch: "ended", By: byID, Timeout: clock.Second})
 	c.do("a", finished("one", 0))
 	for name, test := range map[string]struct {
 		store string
--- a/internal/batchstore/messages.go
+++ b/internal/batchstore/messages.go
@@ -16,6 +16,7 @@
 	SubmitRequest struct {
 		Shard   int
 		Batch   shard.Batch
+		By      Access // by which the caller recognises a batch that it has submitted before
 		Timeout clock.Micros
 	}
 	// SubmitResponse acknowledges a batch, once it is durable on every member of its
@@ -28,17 +29,17 @@
 	}
 	// EndRequest ends a batch; the response is its BatchStatus.
 	EndRequest struct {
-		Shard         int
-		Batch, Tenant string
-		AnyTenant     bool // see BatchStatusRequest
-		Timeout       clock.Micros
+		Shard   int
+		Batch   string
+		By      Access
+		Timeout clock.Micros
 	}
 	// BatchStatusRequest asks for the status of a batch.
 	BatchStatusRequest struct {
-		Shard         int
-		Batch, Tenant string
-		AnyTenant     bool // the caller has no key: it finds a batch that has none either by its ID alone
-		Operator      bool // the batch may be any tenant's; the response has its results
+		Shard    int
+		Batch    string
+		By       Access
+		Operator bool // the batch may be any tenant's; the response has its results
 	}
 	// BatchStatus is the status of a batch.
 	BatchStatus struct {
@@ -59,12 +60,12 @@
 	// ReadRequest reads results after a vector of positions, up to another one: of one
 	// batch, or of all batches of a tenant in the given shards.
 	ReadRequest struct {
-		Shards        map[int]uint64 // the epoch of each shard that is read
-		Batch, Tenant string         // Batch is "" for all batches
-		AnyTenant     bool           // see BatchStatusRequest
-		After         token.Vector
-		Bound         map[int]token.Vector // by shard: the last positions that may be read
-		Limit         int                  // of results; 0 is no limit
+		Shards map[int]uint64 // the epoch of each shard that is read
+		Batch  string         // "" for all batches
+		By     Access
+		After  token.Vector
+		Bound  map[int]token.Vector // by shard: the last positions that may be read
+		Limit  int                  // of results; 0 is no limit
 		// Indexed reads the list of one batch from the index From on instead, as far as
 		// every result before may be read. Outputs have at most MaxBytes bytes together (0
 		// is no limit), unless the first result alone has more.
@@ -87,6 +88,7 @@
 	ItemBodyRequest struct {
 		Shard       int
 		Batch, Item string // IDs
+		By          Access
 	}
 	// ItemBodyResponse is that body.
 	ItemBodyResponse struct{ Body []byte }
--- a/internal/batchstore/pending_weights_test.go
+++ b/internal/batchstore/pending_weights_test.go
@@ -69,7 +69,7 @@
 	c.release()
 	c.expectPendingOf(routeAccount, 22)
 	c.delayed = true
-	c.call(EndRequest{Batch: "one", Tenant: "route", AnyTenant: true, Timeout: clock.Second})
+	c.call(EndRequest{Batch: "one", By: byID, Timeout: clock.Second})
 	c.expectPendingOf(routeAccount, 22)
 	c.release()
 	c.expectPendingOf(routeAccount, 0)
--- a/internal/batchstore/read.go
+++ b/internal/batchstore/read.go
@@ -85,7 +85,7 @@
 		return s.readBatch(served, request, bound, response)
 	}
 	for _, id := range sortedBatches(served.state) {
-		if batch := served.state.Batches[id]; batch.Tenant == request.Tenant {
+		if batch := served.state.Batches[id]; request.By.finds(batch) {
 			s.readAfter(batch, request.After, bound, response)
 		}
 	}
@@ -95,7 +95,7 @@
 // readBatch adds the results and the state of one batch. To a reader that may not have all
 // results yet, the batch is open.
 func (s *Store) readBatch(served servedShard, request ReadRequest, bound readBound, response *ReadResponse) error {
-	batch, err := served.find(batchSelector{batch: request.Batch, tenant: request.Tenant, anyTenant: request.AnyTenant})
+	batch, err := served.find(request.Batch, request.By)
 	if err != nil {
 		return err
 	}
--- a/internal/batchstore/read_test.go
+++ b/internal/batchstore/read_test.go
@@ -14,12 +14,12 @@
 func (c *cluster) readIndexed(from int, change func(*ReadRequest)) ReadResponse {
 	c.t.Helper()
 	request := ReadRequest{
-		Shards:    map[int]uint64{0: 1},
-		Batch:     "one",
-		AnyTenant: true,
-		Indexed:   true,
-		From:      from,
-		Bound:     map[int]token.Vector{0: {1: c.announced.PersistedUpTo}},
+		Shards:  map[int]uint64{0: 1},
+		Batch:   "one",
+		By:      byID,
+		Indexed: true,
+		From:    from,
+		Bound:   map[int]token.Vector{0: {1: c.announced.PersistedUpTo}},
 	}
 	if change != nil {
 		change(&request)
@@ -102,24 +102,27 @@
 	c := newCluster(t)
 	c.mustCall(forwardedBatch("one", 1))
 	for _, epoch := range []uint64{0, 2} {
-		c.mustReject(errs.NotReady, ReadRequest{Shards: map[int]uint64{0: epoch}, Batch: "one", AnyTenant: true})
+		c.mustReject(errs.NotReady, ReadRequest{Shards: map[int]uint64{0: epoch}, Batch: "one", By: byID})
 	}
-	c.mustCall(ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "one", AnyTenant: true})
+	c.mustCall(ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "one", By: byID})
 }
 
 // The feed of all of a tenant's batches is in the order of positions, after the reader's
 // vector and cut at the limit.
 func TestFeedIsInTheOrderOfPositions(t *testing.T) {
 	c := newCluster(t)
-	c.mustCall(forwardedBatch("one", 2))
-	c.mustCall(forwardedBatch("two", 2))
+	for _, id := range []string{"one", "two"} {
+		request := forwardedBatch(id, 2)
+		request.Batch.Key = id
+		c.mustCall(request)
+	}
 	c.do("a", finished("two", 1))
 	c.do("a", finished("one", 0))
 	c.do("a", finished("two", 0))
 	c.advance(clock.Second)
 	request := ReadRequest{
 		Shards: map[int]uint64{0: 1},
-		Tenant: "route",
+		By:     Access{Tenant: "route"},
 		Bound:  map[int]token.Vector{0: {1: c.announced.PersistedUpTo}},
 		Limit:  2,
 	}
--- a/internal/batchstore/results_test.go
+++ b/internal/batchstore/results_test.go
@@ -105,7 +105,7 @@
 	if announced <= stuck {
 		t.Fatalf("announced up to %d, the position is %d", announced, stuck)
 	}
-	response := c.mustCall(ReadRequest{Shards: map[int]uint64{0: 3}, Batch: "one", AnyTenant: true, Indexed: true, Bound: map[int]token.Vector{0: {1: announced}}})
+	response := c.mustCall(ReadRequest{Shards: map[int]uint64{0: 3}, Batch: "one", By: byID, Indexed: true, Bound: map[int]token.Vector{0: {1: announced}}})
 	if got := response.(ReadResponse).Results; len(got) != 1 {
 		t.Fatalf("%d results are read", len(got))
 	}
--- a/internal/batchstore/status.go
+++ b/internal/batchstore/status.go
@@ -13,11 +13,10 @@
 		s.replyError(call, err)
 		return
 	}
-	selector := batchSelector{batch: request.Batch, tenant: request.Tenant, anyTenant: request.AnyTenant}
+	batch, err := served.find(request.Batch, request.By)
 	if known := served.state.Batches[request.Batch]; request.Operator && known != nil {
-		selector.tenant = known.Tenant
+		batch, err = known, nil
 	}
-	batch, err := served.find(selector)
 	if err != nil {
 		s.replyError(call, err)
 		return
--- a/internal/batchstore/status_test.go
+++ b/internal/batchstore/status_test.go
@@ -17,14 +17,14 @@
 	mine.Batch.Key = "k"
 	c.mustCall(mine)
 	c.mustReject(errs.NotFound, BatchStatusRequest{Batch: "one"})
-	if status := c.mustCall(BatchStatusRequest{Batch: "one", AnyTenant: true}).(BatchStatus); status.Items != 1 {
+	if status := c.mustCall(BatchStatusRequest{Batch: "one", By: byID}).(BatchStatus); status.Items != 1 {
 		t.Fatalf("the status is %+v", status)
 	}
-	c.mustCall(ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "one", AnyTenant: true})
-	c.mustReject(errs.NotFound, BatchStatusRequest{Batch: "mine", AnyTenant: true})
-	c.mustReject(errs.NotFound, EndRequest{Batch: "mine", AnyTenant: true, Timeout: clock.Second})
-	c.mustReject(errs.NotFound, ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "mine", AnyTenant: true})
-	c.mustCall(BatchStatusRequest{Batch: "mine", Tenant: "c"})
+	c.mustCall(ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "one", By: byID})
+	c.mustReject(errs.NotFound, BatchStatusRequest{Batch: "mine", By: byID})
+	c.mustReject(errs.NotFound, EndRequest{Batch: "mine", By: byID, Timeout: clock.Second})
+	c.mustReject(errs.NotFound, ReadRequest{Shards: map[int]uint64{0: 1}, Batch: "mine", By: byID})
+	c.mustCall(BatchStatusRequest{Batch: "mine", By: Access{Tenant: "c"}})
 }
 
 // An operator sees any tenant's batch, with its results but not their outputs.
--- a/internal/batchstore/submit.go
+++ b/internal/batchstore/submit.go
@@ -20,7 +20,8 @@
 		Store: s.self.ID,
 	}
 	if known := served.state.Batches[request.Batch.ID]; known != nil {
-		if known.Hash != request.Batch.Hash {
+		// Another tenant's batch is neither changed nor told of, but that its ID is taken.
+		if !request.By.finds(known) || known.Hash != request.Batch.Hash {
 			s.replyError(call, errBatchKeyReused(known.ID))
 			return
 		}
--- a/internal/config/authentication.go
+++ b/internal/config/authentication.go
@@ -11,13 +11,43 @@
 // apiKey is "" where it carries none, and the name is "" where it belongs to no tenant. The error, of kind
 // errs.Unauthorised, is that no tenant has the key, or that the route requires one.
 func (c *Configuration) Authenticate(forward *Forward, apiKey string) (tenant string, err error) {
-	if !forward.IsAuthenticated() {
-		return "", nil
-	}
-	if apiKey == "" {
-		if forward.Authentication == AuthenticationOptional {
-			return "", nil
+	return c.authenticate(forward.Authentication, apiKey)
+}
+
+// AuthenticateBatchCall does so for calls on batches of opaque requests, which name no route, by
+// BatchAuthentication.
+func (c *Configuration) AuthenticateBatchCall(apiKey string) (tenant string, err error) {
+	return c.authenticate(c.BatchAuthentication(), apiKey)
+}
+
+// BatchAuthentication is the authentication of calls on batches of opaque requests: none where no
+// route has any; otherwise a key is required, unless a route for batches lets callers submit without one.
+func (c *Configuration) BatchAuthentication() string {
+	isAuthenticated, hasPublicBatches := false, false
+	for _, route := range c.Routes {
+		if route.Forward == nil {
+			continue
 		}
+		isAuthenticated = isAuthenticated || route.Forward.IsAuthenticated()
+		isPublic := route.Forward.Authentication != AuthenticationRequired
+		hasPublicBatches = hasPublicBatches || isPublic && route.Kind == Batch
+	}
+	switch {
+	case !isAuthenticated:
+		return AuthenticationNone
+	case hasPublicBatches:
+		return AuthenticationOptional
+	}
+	return AuthenticationRequired
+}
+
+func (c *Configuration) authenticate(authentication, apiKey string) (tenant string, err error) {
+	switch {
+	case authentication != AuthenticationRequired && authentication != AuthenticationOptional:
+		return "", nil
+	case apiKey == "" && authentication == AuthenticationOptional:
+		return "", nil
+	case apiKey == "":
 		return "", errs.New(errs.Unauthorised, "send a tenant's API key with the request", "the request carries no API key")
 	}
 	known := c.TenantByKey(apiKey)
--- a/internal/config/authentication_test.go
+++ b/internal/config/authentication_test.go
@@ -31,3 +31,27 @@
 		}
 	}
 }
+
+// Calls on batches name no route: all routes together say whether they need a key.
+func TestBatchAuthentication(t *testing.T) {
+	route := func(kind, authentication string) Route {
+		return Route{Kind: kind, Forward: &Forward{Authentication: authentication}}
+	}
+	chat := Route{Kind: Batch}
+	for name, c := range map[string]struct {
+		routes []Route
+		want   string
+	}{
+		"no routes":                                {nil, AuthenticationNone},
+		"no authentication":                        {[]Route{chat, route(Batch, ""), route(Stream, AuthenticationNone)}, AuthenticationNone},
+		"batches require a key":                    {[]Route{chat, route(Batch, AuthenticationRequired), route(Stream, AuthenticationOptional)}, AuthenticationRequired},
+		"no batches, live requests require a key":  {[]Route{chat, route(Stream, AuthenticationRequired)}, AuthenticationRequired},
+		"some batches are public":                  {[]Route{route(Batch, AuthenticationRequired), route(Batch, AuthenticationOptional)}, AuthenticationOptional},
+		"batches without, live requests with keys": {[]Route{route(Batch, AuthenticationNone), route(Stream, AuthenticationRequired)}, AuthenticationOptional},
+	} {
+		configuration := Configuration{Routes: c.routes}
+		if got := configuration.BatchAuthentication(); got != c.want {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
--- a/internal/dataplane/reader/fetch.go
+++ b/internal/dataplane/reader/fetch.go
@@ -69,16 +69,15 @@
 
 func (r *Reader) batchReadRequest(request Request, shardIndex int, owner token.Owner, after token.Vector) batchstore.ReadRequest {
 	return batchstore.ReadRequest{
-		Shards:    map[int]uint64{shardIndex: owner.Epoch},
-		Batch:     request.BatchID,
-		Tenant:    request.Tenant,
-		AnyTenant: request.AnyTenant,
-		After:     after,
-		Bound:     map[int]token.Vector{shardIndex: r.positions.ReadableInShard(shardIndex)},
-		Limit:     request.Limit,
-		Indexed:   request.ByIndex,
-		From:      request.FromIndex,
-		MaxBytes:  request.MaxBytes,
+		Shards:   map[int]uint64{shardIndex: owner.Epoch},
+		Batch:    request.BatchID,
+		By:       request.By,
+		After:    after,
+		Bound:    map[int]token.Vector{shardIndex: r.positions.ReadableInShard(shardIndex)},
+		Limit:    request.Limit,
+		Indexed:  request.ByIndex,
+		From:     request.FromIndex,
+		MaxBytes: request.MaxBytes,
 	}
 }
 
@@ -122,7 +121,7 @@
 		callback(Page{}, errNoMap(), now)
 		return
 	}
-	scope := tokenScope(r.shardMap.Fleet, feedPrefix+request.Tenant)
+	scope := tokenScope(r.shardMap.Fleet, feedPrefix+request.By.Tenant)
 	from, err := token.Parse(scope, request.Token)
 	if err != nil {
 		callback(Page{}, err, now)
@@ -177,7 +176,7 @@
 		if !known {
 			read = batchstore.ReadRequest{
 				Shards: map[int]uint64{},
-				Tenant: request.Tenant,
+				By:     request.By,
 				After:  after,
 				Bound:  map[int]token.Vector{},
 				Limit:  request.Limit,
--- a/internal/dataplane/reader/page.go
+++ b/internal/dataplane/reader/page.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"tuliprudder/internal/batchstore"
 	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/batchstore/token"
 	"tuliprudder/internal/clock"
@@ -14,7 +15,7 @@
 // all its batches.
 type Request struct {
 	ID      string // for CancelRead
-	Tenant  string
+	By      batchstore.Access
 	BatchID string // "" for the feed
 	Token   string // from where on; "" for the beginning
 	Limit   int    // results on the page
@@ -25,9 +26,6 @@
 	ByIndex   bool
 	FromIndex int
 	MaxBytes  int
-	// AnyTenant says that the caller sends no key: a batch without a tenant's key is found
-	// by its id alone.
-	AnyTenant bool
 }
 
 // Page is what a caller gets.
--- a/internal/dataplane/reader/wakeups_test.go
+++ b/internal/dataplane/reader/wakeups_test.go
@@ -15,10 +15,10 @@
 func TestAPendingReadByIndex(t *testing.T) {
 	f := newFixture(t)
 	f.MinPollInterval = 7 * clock.Millisecond
-	f.read(Request{ID: "n", BatchID: "one", MaxWait: 30 * clock.Second, ByIndex: true, FromIndex: 3, MaxBytes: 99, Limit: 10, AnyTenant: true})
+	f.read(Request{ID: "n", BatchID: "one", MaxWait: 30 * clock.Second, ByIndex: true, FromIndex: 3, MaxBytes: 99, Limit: 10, By: batchstore.Access{AnyTenant: true}})
 	first := f.nextRequest()
 	request := first.Body.(batchstore.ReadRequest)
-	if !request.Indexed || request.From != 3 || request.MaxBytes != 99 || request.Limit != 10 || !request.AnyTenant || request.Bound[0][1] != 5 {
+	if !request.Indexed || request.From != 3 || request.MaxBytes != 99 || request.Limit != 10 || !request.By.AnyTenant || request.Bound[0][1] != 5 {
 		t.Fatalf("the store was asked %+v", request)
 	}
 	f.calls.ReplyReceived(first.Token, batchstore.ReadResponse{State: string(shard.Open), Items: 9, Index: 3}, nil, f.now)
@@ -46,7 +46,7 @@
 // A batch that will have no more results is reported at once.
 func TestTheEndOfACompleteListIsReportedAtOnce(t *testing.T) {
 	f := newFixture(t)
-	f.read(Request{ID: "n", BatchID: "one", MaxWait: 30 * clock.Second, ByIndex: true, FromIndex: 9, AnyTenant: true})
+	f.read(Request{ID: "n", BatchID: "one", MaxWait: 30 * clock.Second, ByIndex: true, FromIndex: 9, By: batchstore.Access{AnyTenant: true}})
 	f.calls.ReplyReceived(f.nextRequest().Token, batchstore.ReadResponse{State: string(shard.Done), Items: 9, Index: 9}, nil, f.now)
 	if len(f.pages) != 1 || f.pages[0].State != string(shard.Done) || f.pages[0].ItemCount != 9 || f.Pending() != 0 {
 		t.Fatalf("%+v", f.pages)
--- a/internal/dataplane/requests/authorization.go
+++ b/internal/dataplane/requests/authorization.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"tuliprudder/internal/batchstore"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/config"
 	"tuliprudder/internal/errs"
@@ -55,6 +56,29 @@
 	return route, nil
 }
 
+// batchAccess says which batches of opaque requests a caller may use: its tenant's ("" for none) and
+// those of no tenant. Where callers aren't known by keys, it may use all whose ID it knows.
+func batchAccess(configuration *config.Configuration, tenant string) batchstore.Access {
+	if configuration.BatchAuthentication() == config.AuthenticationNone {
+		return batchstore.Access{AnyTenant: true}
+	}
+	return batchstore.Access{Tenant: tenant, WithoutTenant: true}
+}
+
+// authorizeBatchCall is the batchAccess of a caller by the key that it sends, and by the configuration
+// in force.
+func (m *Machine) authorizeBatchCall(apiKey string) (batchstore.Access, error) {
+	configuration, err := m.currentConfiguration()
+	if err != nil {
+		return batchstore.Access{}, err
+	}
+	tenant, err := configuration.AuthenticateBatchCall(apiKey)
+	if err != nil {
+		return batchstore.Access{}, err
+	}
+	return batchAccess(configuration, tenant), nil
+}
+
 // maxIdempotencyKeyBytes bounds a caller's idempotency key, and the ID that a caller gives to a
 // batch of opaque requests.
 const maxIdempotencyKeyBytes = 256
--- a/internal/dataplane/requests/batches.go
+++ b/internal/dataplane/requests/batches.go
@@ -10,13 +10,6 @@
 	"tuliprudder/internal/machine"
 )
 
-// access is by what right a batch is read or changed: as its tenant's or, for batches of opaque
-// requests, whose callers carry no API key, as anybody's who knows its ID.
-type access struct {
-	tenant    string
-	anyTenant bool
-}
-
 // submitBatch submits a tenant's batch; the store acknowledges it once all of it is durable on
 // two disks.
 func (m *Machine) submitBatch(call uint64, request SubmitBatchRequest, now clock.Micros) {
@@ -25,7 +18,7 @@
 		m.fail(call, err)
 		return
 	}
-	m.submit(call, batch, 0, now)
+	m.submit(call, batch, batchstore.Access{Tenant: batch.Tenant}, 0, now)
 }
 
 // newBatch checks a tenant's batch and names it by its idempotency key.
@@ -60,31 +53,36 @@
 
 // submitForwardedBatch submits a batch of opaque requests, as submitBatch does one of inputs.
 func (m *Machine) submitForwardedBatch(call uint64, request SubmitForwardedBatchRequest, now clock.Micros) {
-	batch, err := m.newForwardedBatch(request)
+	batch, by, err := m.newForwardedBatch(request)
 	if err != nil {
 		m.fail(call, err)
 		return
 	}
-	m.submit(call, batch, request.Deadline, now)
+	m.submit(call, batch, by, request.Deadline, now)
 }
 
-// newForwardedBatch checks a batch of opaque requests.
-func (m *Machine) newForwardedBatch(request SubmitForwardedBatchRequest) (shard.Batch, error) {
+// newForwardedBatch checks a batch of opaque requests, first its route and then its caller's key.
+func (m *Machine) newForwardedBatch(request SubmitForwardedBatchRequest) (batch shard.Batch, by batchstore.Access, err error) {
 	configuration, err := m.currentConfiguration()
 	if err != nil {
-		return shard.Batch{}, err
+		return batch, by, err
 	}
 	route, _ := configuration.Route(request.Route)
 	if route == nil || route.Forward == nil || route.Kind != config.Batch {
-		return shard.Batch{}, errs.New(errs.UnknownRoute, "name a route of the configuration in force that forwards batches", "the configuration forwards no batches by a route %q", request.Route)
+		return batch, by, errs.New(errs.UnknownRoute, "name a route of the configuration in force that forwards batches", "the configuration forwards no batches by a route %q", request.Route)
+	}
+	tenant, err := configuration.Authenticate(route.Forward, request.APIKey)
+	if err != nil {
+		return batch, by, err
 	}
 	if err := checkBatchID(request.ID); err != nil {
-		return shard.Batch{}, err
+		return batch, by, err
 	}
 	if err := validateItems(request.Items, int(route.MaxItems), true); err != nil {
-		return shard.Batch{}, err
+		return batch, by, err
 	}
-	return forwardedBatch(request.ID, route.Name, configuration, request.Items), nil
+	batch = forwardedBatch(request.ID, route.Name, tenant, configuration, request.Items)
+	return batch, batchAccess(configuration, tenant), nil
 }
 
 func checkBatchID(id string) error {
@@ -109,11 +107,11 @@
 }
 
 // submit has a batch accepted by the deadline; 0: the usual time.
-func (m *Machine) submit(call uint64, batch shard.Batch, deadline, now clock.Micros) {
+func (m *Machine) submit(call uint64, batch shard.Batch, by batchstore.Access, deadline, now clock.Micros) {
 	m.commit(&commitCall{
 		id: batch.ID,
 		newRequest: func(shardIndex int, timeout clock.Micros) any {
-			return batchstore.SubmitRequest{Shard: shardIndex, Timeout: timeout, Batch: batch}
+			return batchstore.SubmitRequest{Shard: shardIndex, Timeout: timeout, Batch: batch, By: by}
 		},
 		deadline: deadline,
 		callback: m.relayReply(call),
@@ -127,7 +125,7 @@
 		m.fail(call, err)
 		return
 	}
-	by := access{tenant: c.tenant.Name}
+	by := batchstore.Access{Tenant: c.tenant.Name}
 	if request.Cancel {
 		m.cancelBatch(call, request.Batch, by, 0, now)
 		return
@@ -137,7 +135,11 @@
 
 // forwardedBatchStatus reads the status of a batch of opaque requests, or cancels it.
 func (m *Machine) forwardedBatchStatus(call uint64, request ForwardedBatchStatusRequest, now clock.Micros) {
-	by := access{anyTenant: true}
+	by, err := m.authorizeBatchCall(request.APIKey)
+	if err != nil {
+		m.fail(call, err)
+		return
+	}
 	if request.Cancel {
 		m.cancelBatch(call, request.Batch, by, request.Deadline, now)
 		return
@@ -146,20 +148,20 @@
 }
 
 // cancelBatch ends a batch by the deadline; 0: the usual time.
-func (m *Machine) cancelBatch(call uint64, batch string, by access, deadline, now clock.Micros) {
+func (m *Machine) cancelBatch(call uint64, batch string, by batchstore.Access, deadline, now clock.Micros) {
 	m.commit(&commitCall{
 		id: batch,
 		newRequest: func(shardIndex int, timeout clock.Micros) any {
-			return batchstore.EndRequest{Shard: shardIndex, Batch: batch, Tenant: by.tenant, AnyTenant: by.anyTenant, Timeout: timeout}
+			return batchstore.EndRequest{Shard: shardIndex, Batch: batch, By: by, Timeout: timeout}
 		},
 		deadline: deadline,
 		callback: m.relayReply(call),
 	}, now)
 }
 
-func (m *Machine) readStatus(batch string, by access, now clock.Micros, callback machine.Callback) {
+func (m *Machine) readStatus(batch string, by batchstore.Access, now clock.Micros, callback machine.Callback) {
 	newRequest := func(shardIndex int) any {
-		return batchstore.BatchStatusRequest{Shard: shardIndex, Batch: batch, Tenant: by.tenant, AnyTenant: by.anyTenant}
+		return batchstore.BatchStatusRequest{Shard: shardIndex, Batch: batch, By: by}
 	}
 	m.callStore(batch, newRequest, statusTimeout, now, callback)
 }
@@ -171,7 +173,7 @@
 		m.fail(call, err)
 		return
 	}
-	m.read(call, request.Read, access{tenant: c.tenant.Name}, now)
+	m.read(call, request.Read, batchstore.Access{Tenant: c.tenant.Name}, now)
 }
 
 // readForwardedPage reads results of one batch of opaque requests: without a tenant there is no
@@ -185,19 +187,28 @@
 		m.fail(call, errs.New(errs.BadInput, "count from 0", "there is no result %d", request.Read.FromIndex))
 		return
 	}
-	m.read(call, request.Read, access{anyTenant: true}, now)
+	by, err := m.authorizeBatchCall(request.APIKey)
+	if err != nil {
+		m.fail(call, err)
+		return
+	}
+	m.read(call, request.Read, by, now)
 }
 
-func (m *Machine) read(call uint64, request reader.Request, by access, now clock.Micros) {
-	request.Tenant = by.tenant
-	request.AnyTenant = by.anyTenant
+func (m *Machine) read(call uint64, request reader.Request, by batchstore.Access, now clock.Micros) {
+	request.By = by
 	m.reader.Start(request, now, func(page reader.Page, err error, _ clock.Micros) { m.relay(call, page, err) })
 }
 
 // readItemBody reads the body of an item without a result, in a batch of opaque requests.
 func (m *Machine) readItemBody(call uint64, request ItemBodyRequest, now clock.Micros) {
+	by, err := m.authorizeBatchCall(request.APIKey)
+	if err != nil {
+		m.fail(call, err)
+		return
+	}
 	newRequest := func(shardIndex int) any {
-		return batchstore.ItemBodyRequest{Shard: shardIndex, Batch: request.Batch, Item: request.Item}
+		return batchstore.ItemBodyRequest{Shard: shardIndex, Batch: request.Batch, Item: request.Item, By: by}
 	}
 	m.callStore(request.Batch, newRequest, statusTimeout, now, m.relayStatus(call))
 }
--- a/internal/dataplane/requests/batches_test.go
+++ b/internal/dataplane/requests/batches_test.go
@@ -50,8 +50,8 @@
 	if request, response := b.submit(SubmitBatchRequest{APIKey: "k", Route: "chat", IdempotencyKey: "1", Items: []shard.Item{{Input: "x"}}}); request == nil {
 		t.Fatalf("a batch of inputs was rejected: %+v", response)
 	}
-	request, _ := b.submit(PageRequest{APIKey: "k", Read: reader.Request{BatchID: "one", AnyTenant: true}})
-	if read := request.Body.(batchstore.ReadRequest); read.AnyTenant || read.Tenant != "c" {
+	request, _ := b.submit(PageRequest{APIKey: "k", Read: reader.Request{BatchID: "one", By: batchstore.Access{AnyTenant: true}}})
+	if read := request.Body.(batchstore.ReadRequest); read.By != (batchstore.Access{Tenant: "c"}) {
 		t.Fatalf("a caller with a key reads as %+v", read)
 	}
 }
@@ -69,16 +69,19 @@
 	}{
 		{ForwardedBatchStatusRequest{Batch: "one"}, func(a any) bool {
 			s, ok := a.(batchstore.BatchStatusRequest)
-			return ok && s.Batch == "one" && s.AnyTenant && !s.Operator
+			return ok && s.Batch == "one" && s.By == anyTenant && !s.Operator
 		}, errs.NotReady},
-		{ForwardedBatchStatusRequest{Batch: "one", Cancel: true}, func(a any) bool { s, ok := a.(batchstore.EndRequest); return ok && s.Batch == "one" && s.AnyTenant }, errs.OutcomeUnknown},
+		{ForwardedBatchStatusRequest{Batch: "one", Cancel: true}, func(a any) bool {
+			s, ok := a.(batchstore.EndRequest)
+			return ok && s.Batch == "one" && s.By == anyTenant
+		}, errs.OutcomeUnknown},
 		{ItemBodyRequest{Batch: "one", Item: "i"}, func(a any) bool {
 			s, ok := a.(batchstore.ItemBodyRequest)
-			return ok && s.Batch == "one" && s.Item == "i"
+			return ok && s.Batch == "one" && s.Item == "i" && s.By == anyTenant
 		}, errs.NotReady},
-		{ForwardedPageRequest{Read: reader.Request{ID: "n", BatchID: "one", ByIndex: true, FromIndex: 4, Tenant: "c"}}, func(a any) bool {
+		{ForwardedPageRequest{Read: reader.Request{ID: "n", BatchID: "one", ByIndex: true, FromIndex: 4, By: batchstore.Access{Tenant: "c"}}}, func(a any) bool {
 			s, ok := a.(batchstore.ReadRequest)
-			return ok && s.Batch == "one" && s.AnyTenant && s.Indexed && s.From == 4 && s.Tenant == ""
+			return ok && s.Batch == "one" && s.By == anyTenant && s.Indexed && s.From == 4
 		}, errs.NotReady},
 	} {
 		for _, err := range []error{timeoutErr, notFoundErr} {
--- a/internal/dataplane/requests/harness_test.go
+++ b/internal/dataplane/requests/harness_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"testing"
 
+	"tuliprudder/internal/batchstore"
 	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/batchstore/token"
 	"tuliprudder/internal/clock"
@@ -41,6 +42,9 @@
 	return b
 }
 
+// anyTenant is the access of callers that aren't known by keys.
+var anyTenant = batchstore.Access{AnyTenant: true}
+
 // submit passes a message to the machine; it returns the request to the store, or the reply.
 func (b *bench) submit(body any) (*machine.Request, *machine.Reply) {
 	b.t.Helper()
--- a/internal/dataplane/requests/messages.go
+++ b/internal/dataplane/requests/messages.go
@@ -89,12 +89,13 @@
 	Read   reader.Request
 }
 
-// SubmitForwardedBatchRequest submits a batch of opaque requests, under its own ID. The caller
-// carries no API key (DESIGN §12.5). The reply is a batchstore.SubmitResponse.
+// SubmitForwardedBatchRequest submits a batch of opaque requests, under its own ID (DESIGN §12.5). The
+// reply is a batchstore.SubmitResponse.
 type SubmitForwardedBatchRequest struct {
-	Route string
-	ID    string
-	Items []shard.Item
+	APIKey string // that the caller carries; "" for none, also in the following requests
+	Route  string
+	ID     string
+	Items  []shard.Item
 	// Deadline is when the caller has to have its answer; 0: the usual time after the request.
 	Deadline clock.Micros
 }
@@ -103,6 +104,7 @@
 // is a batchstore.SubmitResponse if the cluster has accepted the batch before, otherwise
 // errs.UnknownRoute.
 type ResubmitForwardedBatchRequest struct {
+	APIKey   string
 	ID       string
 	Items    []shard.Item
 	Deadline clock.Micros // as in SubmitForwardedBatchRequest
@@ -110,14 +112,18 @@
 
 // ForwardedBatchStatusRequest is a BatchStatusRequest for a batch of opaque requests.
 type ForwardedBatchStatusRequest struct {
+	APIKey   string
 	Batch    string
 	Cancel   bool
 	Deadline clock.Micros // of a cancellation, as in SubmitForwardedBatchRequest
 }
 
 // ForwardedPageRequest reads results of a batch of opaque requests; the reply is a reader.Page.
-type ForwardedPageRequest struct{ Read reader.Request }
+type ForwardedPageRequest struct {
+	APIKey string
+	Read   reader.Request
+}
 
 // ItemBodyRequest reads the body of an item without a result, in a batch of opaque requests; the
 // reply is a batchstore.ItemBodyResponse.
-type ItemBodyRequest struct{ Batch, Item string }
+type ItemBodyRequest struct{ APIKey, Batch, Item string }
--- a/internal/dataplane/requests/resubmission.go
+++ b/internal/dataplane/requests/resubmission.go
@@ -21,38 +21,55 @@
 		m.fail(call, err)
 		return
 	}
-	by := access{anyTenant: true}
+	by, err := m.authorizeBatchCall(request.APIKey)
+	if errs.Is(err, errs.Unauthorised) {
+		err = errNoRouteNorBatch(request.ID) // the route comes first, whoever calls
+	}
+	if err != nil {
+		m.fail(call, err)
+		return
+	}
 	m.readStatus(request.ID, by, now, func(body any, err error, now clock.Micros) {
 		status, isStatus := body.(batchstore.BatchStatus)
 		switch {
 		case errs.Is(err, errs.NotFound):
-			m.fail(call, errs.New(errs.UnknownRoute, "correct host and path, or have the operators add a route", "no route for batch %q, and no such batch", request.ID))
+			m.fail(call, errNoRouteNorBatch(request.ID))
 		case err != nil:
 			m.relayStatus(call)(body, err, now)
 		case !isStatus:
 			m.fail(call, unexpectedReplyError(body))
 		default:
-			m.submitKnown(call, status.Route, request, now)
+			m.submitKnown(call, status.Route, by, request, now)
 		}
 	})
 }
 
 // submitKnown submits a batch that its shard has: the store compares the content with what it
 // accepted. If the batch has been forgotten meanwhile, the store finds no such route either.
-func (m *Machine) submitKnown(call uint64, routeName string, request ResubmitForwardedBatchRequest, now clock.Micros) {
+func (m *Machine) submitKnown(call uint64, routeName string, by batchstore.Access, request ResubmitForwardedBatchRequest, now clock.Micros) {
 	configuration, err := m.currentConfiguration()
 	if err != nil {
 		m.fail(call, err)
 		return
 	}
-	m.submit(call, forwardedBatch(request.ID, routeName, configuration, request.Items), request.Deadline, now)
+	m.submit(call, forwardedBatch(request.ID, routeName, by.Tenant, configuration, request.Items), by, request.Deadline, now)
+}
+
+func errNoRouteNorBatch(batch string) error {
+	return errs.New(errs.UnknownRoute, "correct host and path, or have the operators add a route", "no route for batch %q, and no such batch", batch)
 }
 
-// forwardedBatch is a batch of opaque requests. Its route stands for the tenant.
-func forwardedBatch(id, routeName string, configuration *config.Configuration, items []shard.Item) shard.Batch {
+// forwardedBatch is a batch of opaque requests. Where it belongs to no tenant, its route stands in the
+// tenant's place.
+func forwardedBatch(id, routeName, tenant string, configuration *config.Configuration, items []shard.Item) shard.Batch {
+	key := id
+	if tenant == "" {
+		tenant, key = routeName, ""
+	}
 	return shard.Batch{
 		ID:                   id,
-		Tenant:               routeName,
+		Tenant:               tenant,
+		Key:                  key,
 		Hash:                 hashItems(routeName, items),
 		Route:                routeName,
 		ConfigurationVersion: configuration.Version,
--- a/internal/dataplane/requests/resubmission_test.go
+++ b/internal/dataplane/requests/resubmission_test.go
@@ -17,7 +17,7 @@
 	if query == nil {
 		t.Fatalf("the shard isn't asked: %+v", response)
 	}
-	if status := query.Body.(batchstore.BatchStatusRequest); status.Batch != "mine" || !status.AnyTenant || status.Operator {
+	if status := query.Body.(batchstore.BatchStatusRequest); status.Batch != "mine" || status.By != anyTenant || status.Operator {
 		t.Fatalf("asked %+v", status)
 	}
 	b.machineCalls.ReplyReceived(query.Token, batchstore.BatchStatus{Batch: "mine", Route: "r"}, nil, b.now)
--- a/test/storedformat/fleet_test.go
+++ b/test/storedformat/fleet_test.go
@@ -300,7 +300,7 @@
 func (f *fleet) end(batch, tenant string) {
 	f.t.Helper()
 	shardIndex := shard.ShardOf(batch, shardCount)
-	f.callStore(shardIndex, batchstore.EndRequest{Shard: shardIndex, Batch: batch, Tenant: tenant, Timeout: callDeadline})
+	f.callStore(shardIndex, batchstore.EndRequest{Shard: shardIndex, Batch: batch, By: batchstore.Access{Tenant: tenant}, Timeout: callDeadline})
 }
 
 // claim begins an idempotency claim, and complete completes it.
