Items reach their servers with their tenant and no key, and go by its priority among themselves

RunItem and ForwardedItem tell the batch's tenant; upstream.Client writes it and leaves both headers of the item out, where the batch has a tenant or its route tells callers apart by keys. A tenant that is removed ends nothing: its open batches run on under its name, by the route's priority, and are found again once it is back. A batch whose route is removed fails as before.

Priority: the tenant's, else the route's (config.Configuration.PriorityOf), orders forwarded items among themselves alone: they have levels of their own below all others, so that no live request waits behind one and each leaves what the lowest level leaves. Those that can be ready in time go first, by priority, then the overdue, by priority; the overdue one whose turn it is goes before them all. There may be a level for each tenant: once an ordinary item of a route finds no place in a pass, the others of that route aren't tried. It can be switched off (item-priority). Chat items of the lowest priority used to share the level of forwarded ones and go first now.

New besides: TestAttemptsTellTheBatchsTenant, TestAnItemRunsOnWithoutItsTenant.

--- a/internal/batchstore/access_test.go
+++ b/internal/batchstore/access_test.go
@@ -65,6 +65,11 @@
 		}
 	}
 	own := Access{Tenant: "t", WithoutTenant: true}
+	for _, task := range c.tasks {
+		if item, ok := task.(RunItem); ok && item.Tenant != "t" {
+			t.Errorf("an item runs as %+v", item)
+		}
+	}
 	if status := c.mustCall(BatchStatusRequest{Batch: "one", By: own}).(BatchStatus); status.State != string(shard.Open) || status.Tenant != "t" {
 		t.Errorf("the status is %+v", status)
 	}
--- a/internal/batchstore/items.go
+++ b/internal/batchstore/items.go
@@ -16,8 +16,8 @@
 	Shard                int
 	Epoch                uint64
 	Batch                string
-	Item                 int // index in the batch
-	Tenant               string
+	Item                 int    // index in the batch
+	Tenant               string // "" for none
 	Route                string
 	ItemID               string
 	Input                string
@@ -63,7 +63,7 @@
 			Epoch:                epoch,
 			Batch:                batchID,
 			Item:                 i,
-			Tenant:               batch.Tenant,
+			Tenant:               batch.TenantName(),
 			Route:                batch.Route,
 			ItemID:               item.ID,
 			Input:                item.Input,
--- a/internal/daemon/effects/forward.go
+++ b/internal/daemon/effects/forward.go
@@ -77,14 +77,16 @@
 		header.Set(name, value)
 	}
 	request := upstream.Request{
-		Address:  attempt.Request.Address,
-		Instance: item.Instance,
-		Method:   http.MethodPost,
-		Target:   item.Request.Target,
-		Host:     item.Request.Host,
-		ID:       item.ItemID,
-		Header:   header,
-		Body:     item.Request.Body,
+		Address:         attempt.Request.Address,
+		Instance:        item.Instance,
+		Method:          http.MethodPost,
+		Target:          item.Request.Target,
+		Host:            item.Request.Host,
+		ID:              item.ItemID,
+		Header:          header,
+		Body:            item.Request.Body,
+		IsAuthenticated: item.IsAuthenticated,
+		Tenant:          item.Tenant,
 	}
 	if item.LastEventID > 0 {
 		request.LastEventID = strconv.Itoa(item.LastEventID)
--- a/internal/daemon/effects/forward_test.go
+++ b/internal/daemon/effects/forward_test.go
@@ -29,6 +29,9 @@
 
 	WantedWeights: "X-Wanted-Weights",
 	WeightVersion: "X-Weights",
+
+	Authorization: "Authorization",
+	Tenant:        "X-Tenant",
 }
 
 // newForwarder makes a forwarder with a client of its own; its reports to the machine come on
--- a/internal/dataplane/execution/messages.go
+++ b/internal/dataplane/execution/messages.go
@@ -30,6 +30,10 @@
 	ItemID      string // the item's ID
 	Instance    string // name of the server
 	LastEventID int    // of the last event that came, over all attempts; 0 for none
+	// IsAuthenticated: callers are known by their API keys. The server gets the name of the tenant, and
+	// nothing that the item's own headers say of a key or a tenant.
+	IsAuthenticated bool
+	Tenant          string // of the batch; "" for none
 }
 
 // CancelAttempt asks to cancel an attempt, whose result is ignored.
--- a/internal/dataplane/execution/runner.go
+++ b/internal/dataplane/execution/runner.go
@@ -178,7 +178,7 @@
 		r.failItem(j, reason, "", now)
 		return
 	}
-	j.schedulerRequest = r.newSchedulerRequest(j, route, priorityOf(j, configuration))
+	j.schedulerRequest = r.newSchedulerRequest(j, route, priorityOf(j, route, configuration))
 	err := r.scheduler.Submit(j.schedulerRequest, now)
 	if errs.Is(err, errs.UnknownRoute) {
 		r.failItem(j, outputRouteRemoved, "", now)
@@ -190,12 +190,12 @@
 	}
 }
 
-// priorityOf is the priority of the tenant's class; that of opaque items, which have no tenant
-// but their route, is the lowest.
-func priorityOf(j *job, configuration *config.Configuration) int64 {
+// priorityOf is the priority of the tenant's class; where an opaque item's tenant has none, or the item no
+// tenant, that of its route. The scheduler has opaque items wait behind all other requests, whatever it is.
+func priorityOf(j *job, route *config.Route, configuration *config.Configuration) int64 {
 	const lowest = 1
 	if j.isOpaque() {
-		return lowest
+		return configuration.PriorityOf(route.Forward, j.item.Tenant)
 	}
 	if class := configuration.ClassOfTenant(j.item.Tenant); class != nil {
 		return class.Priority
@@ -267,7 +267,7 @@
 	r.execute(Attempt{
 		ID:             j.attemptID,
 		MaxOutputBytes: r.settings.MaxOutputBytes,
-		ForwardedItem:  j.forwardedItem(),
+		ForwardedItem:  j.forwardedItem(route),
 		Request: modelclient.Request{
 			Address:     assignment.Server.Address,
 			RequestID:   j.name,
@@ -282,7 +282,7 @@
 }
 
 // forwardedItem is the opaque item of a job on its server; nil for a chat item.
-func (j *job) forwardedItem() *ForwardedItem {
+func (j *job) forwardedItem(route *config.Route) *ForwardedItem {
 	if !j.isOpaque() {
 		return nil
 	}
@@ -292,6 +292,9 @@
 		ItemID:      j.item.ItemID,
 		Instance:    j.assignment.Server.Name,
 		LastEventID: j.lastEventID,
+		// A configuration that asks for no keys any more says nothing of what came before it.
+		IsAuthenticated: j.item.Tenant != "" || route.Forward.IsAuthenticated(),
+		Tenant:          j.item.Tenant,
 	}
 }
 
--- /dev/null
+++ b/internal/dataplane/execution/tenants_test.go
@@ -0,0 +1,61 @@
+package execution
+
+import (
+	"testing"
+
+	"tuliprudder/internal/batchstore"
+	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/config"
+	"tuliprudder/internal/dataplane/modelclient"
+)
+
+// submitOf submits an item of a tenant; "" for none.
+func (b *bench) submitOf(tenant string) {
+	b.Submit(batchstore.RunItem{Batch: "b", ItemID: "i", Tenant: tenant, Route: "r", SubmittedAt: hour, ConfigurationVersion: 1,
+		Request: &shard.Request{Target: "/x", Tokens: 1}}, b.now)
+}
+
+// Each attempt tells the tenant that the batch belongs to, also where that one has been removed, or the
+// configuration knows tenants no more; what the item itself says of one goes along only where nobody is known
+// by a key.
+func TestAttemptsTellTheBatchsTenant(t *testing.T) {
+	for name, c := range map[string]struct {
+		authentication, tenant string
+		isAuthenticated        bool
+	}{
+		"of a tenant":                         {config.AuthenticationRequired, "t", true},
+		"of a tenant on a public route":       {config.AuthenticationOptional, "t", true},
+		"of none on a public route":           {config.AuthenticationOptional, "", true},
+		"from before there were tenants":      {config.AuthenticationRequired, "", true},
+		"of a tenant, and there are none now": {config.AuthenticationNone, "t", true},
+		"of none, and there are none":         {config.AuthenticationNone, "", false},
+	} {
+		b := newBench(t, "s")
+		b.setConfiguration(2, config.Forward{MaxAttempts: 3, ItemRetention: 24 * hour, Authentication: c.authentication})
+		b.submitOf(c.tenant)
+		for range 2 {
+			item := b.finishNext(AttemptResult{Outcome: modelclient.Interrupted, Reason: "cut"}).ForwardedItem
+			if item.Tenant != c.tenant || item.IsAuthenticated != c.isAuthenticated {
+				t.Errorf("%s: tenant %q, authenticated %v", name, item.Tenant, item.IsAuthenticated)
+			}
+		}
+	}
+}
+
+// Keys and tenants come and go while a batch runs: its items run on. One whose route is removed fails, as ever.
+func TestAnItemRunsOnWithoutItsTenant(t *testing.T) {
+	b := newBench(t, "s")
+	withTenant := *b.scheduler.Configuration()
+	withTenant.Version, withTenant.Tenants = 2, []config.Tenant{{Name: "t", Keys: []config.KeyDigest{config.DigestKey("k")}}}
+	withTenant.Index()
+	b.scheduler.SetConfiguration(&withTenant, b.now)
+	b.submitOf("t")
+	b.finishNext(AttemptResult{Outcome: modelclient.Interrupted, Reason: "cut"})
+	without := withTenant
+	without.Version, without.Tenants = 3, nil
+	without.Index()
+	b.scheduler.SetConfiguration(&without, b.now)
+	b.expectNone()
+	b.finishNext(AttemptResult{Outcome: modelclient.Complete, Events: []string{"x"}, LastEventID: 1})
+	b.expectOnly(shard.StatusOK, "x")
+}
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -26,6 +26,8 @@
 	BatchRunning Name = "batch-running"
 	// BatchShares gives each store its own part of the places for batch items.
 	BatchShares Name = "batch-shares"
+	// ItemPriority orders batch items of opaque requests by the priority of their tenant or route.
+	ItemPriority Name = "item-priority"
 	// LevelLimits leaves places on each server for requests of higher levels.
 	LevelLimits Name = "level-limits"
 	// Observations has daemons of a zone tell each other what they see of servers.
@@ -52,7 +54,7 @@
 // All are all names, sorted.
 func All() []Name {
 	out := []Name{
-		BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
+		BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, ItemPriority, LevelLimits, Observations,
 		OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
 	}
 	for _, scorer := range config.ScorerNames {
--- a/internal/dataplane/scheduler/choose.go
+++ b/internal/dataplane/scheduler/choose.go
@@ -109,7 +109,7 @@
 		UnresponsiveFor:  server.unresponsiveFor(s.now),
 		Rotation:         float64((index-s.rotationStart+count)%count) / float64(count),
 	}
-	if s.request.IsBatchItem && s.request.Route.Forward != nil {
+	if s.request.isForwardedItem() {
 		out.BatchUsage = sc.batchUsage(s.request, server)
 	}
 	return out
--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -60,7 +60,9 @@
 	switch {
 	case route.Forward == nil && class != nil:
 		r.Priority = class.Priority
-	case route.Forward != nil && !r.IsBatchItem:
+	case r.isForwardedItem() && sc.Disables(mechanism.ItemPriority):
+		r.Priority = maxPriority
+	case route.Forward != nil:
 		r.Priority = sc.configuration.PriorityOf(route.Forward, r.Tenant)
 	}
 	return nil
--- a/internal/dataplane/scheduler/levels.go
+++ b/internal/dataplane/scheduler/levels.go
@@ -9,17 +9,36 @@
 )
 
 // Each priority has two queue levels (docs/DESIGN.md section 11.1): its batch items, and
-// above them its live requests.
+// above them its live requests. Forwarded batch items have levels of their own, see queueLevel.
 func batchLevel(priority int64) int64 { return 2 * priority }
 
 func liveLevel(priority int64) int64 { return 2*priority + 1 }
 
+// maxPriority is the highest priority of classes and routes; the lowest is 1.
+const maxPriority = 1000
+
+// Forwarded batch items wait below everything else: no live request waits behind one, whatever their
+// priorities are. Among themselves those that can be ready in time go first, by priority, then the overdue
+// ones, by priority; the one whose turn it is in spite of that goes before them all.
+const promotedItemLevel int64 = 1
+
+func onTimeItemLevel(priority int64) int64 { return priority - maxPriority }
+
+func overdueItemLevel(priority int64) int64 { return onTimeItemLevel(priority) - maxPriority }
+
 // queueLevel is the level of a request; a higher one goes first.
 func queueLevel(r *Request) int64 {
-	if r.IsBatchItem {
+	switch {
+	case !r.IsBatchItem:
+		return liveLevel(r.Priority)
+	case !r.isForwardedItem():
 		return batchLevel(r.Priority)
+	case r.overdue == isOverdue:
+		return overdueItemLevel(r.Priority)
+	case r.overdue == isPromoted:
+		return promotedItemLevel
 	}
-	return liveLevel(r.Priority)
+	return onTimeItemLevel(r.Priority)
 }
 
 // levelTable lists the levels that a configuration's classes and forwarded routes have, lowest first.
--- a/internal/dataplane/scheduler/match.go
+++ b/internal/dataplane/scheduler/match.go
@@ -4,6 +4,7 @@
 	"container/list"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/config"
 )
 
 // assignedRequest is a request with the server that was chosen for it.
@@ -49,36 +50,47 @@
 // assignQueued assigns from all lists of the queue, the highest level first.
 func (sc *Scheduler) assignQueued(now clock.Micros) []assignedRequest {
 	sc.demoteOverdue(now)
-	var out []assignedRequest
+	pass := &matchPass{withoutPlaces: map[*config.Route]bool{}}
 	for _, level := range sc.queue.nonEmptyLevels() {
 		for _, requests := range sc.queue.listsAt(level) {
-			out = append(out, sc.assignFromList(requests, now)...)
+			sc.assignFromList(pass, requests, now)
 		}
 	}
-	return out
+	return pass.assigned
+}
+
+// matchPass is one pass through the queue.
+type matchPass struct {
+	assigned []assignedRequest
+	// withoutPlaces are the routes for whose forwarded batch items no server has a place. It is the same
+	// at each of their levels, of which there may be one for each tenant.
+	withoutPlaces map[*config.Route]bool
 }
 
 // assignFromList assigns the requests of one level and route, the oldest first, until no
 // server is left for them. A request that not every server may take says nothing about the
 // rest, so the list goes on behind it.
-func (sc *Scheduler) assignFromList(requests *list.List, now clock.Micros) []assignedRequest {
-	var out []assignedRequest
+func (sc *Scheduler) assignFromList(pass *matchPass, requests *list.List, now clock.Micros) {
 	var next *list.Element
 	for e := requests.Front(); e != nil; e = next {
 		next = e.Next()
 		r := e.Value.(*Request)
+		if pass.withoutPlaces[r.Route] && r.isForwardedItem() && !r.isParticular() {
+			return
+		}
 		assignment := sc.assignToBest(r, now)
 		if assignment == nil {
-			if !r.isParticular() {
-				break
+			if r.isParticular() {
+				continue
 			}
-			continue
+			// While none of them runs, one that has waited long may start all the same (isStarving).
+			pass.withoutPlaces[r.Route] = r.isForwardedItem() && sc.runningBatchItems > 0
+			return
 		}
 		sc.queue.remove(r)
 		r.started = true
-		out = append(out, assignedRequest{request: r, assignment: assignment})
+		pass.assigned = append(pass.assigned, assignedRequest{request: r, assignment: assignment})
 	}
-	return out
 }
 
 // startAssigned starts the assigned requests that may start now.
--- a/internal/dataplane/scheduler/mechanism_test.go
+++ b/internal/dataplane/scheduler/mechanism_test.go
@@ -29,6 +29,10 @@
 			sc.batch.inOrder = []string{"a", "b"}
 			return len(sc.ownPlaces(BatchAllotment{Size: 1, Total: 2})) == 1
 		},
+		mechanism.ItemPriority: func(sc *Scheduler) bool {
+			item := &Request{IsBatchItem: true, Route: &config.Route{Name: "r", Forward: &config.Forward{}}}
+			return sc.applyConfiguration(item) == nil && item.Priority == 3
+		},
 		mechanism.LevelLimits: func(sc *Scheduler) bool {
 			return sc.utilizationLimit(&Request{IsBatchItem: true, Priority: 1}, 0) < 1
 		},
@@ -65,11 +69,14 @@
 	t.Helper()
 	sc := New(Defaults(), 1)
 	disable(t, sc, disabled...)
-	sc.SetConfiguration(&config.Configuration{
+	configuration := &config.Configuration{
 		Version:       1,
 		ScorerWeights: config.DefaultScorerWeights(),
 		Classes:       []config.PriorityClass{{Name: "low", Priority: 1}, {Name: "high", Priority: 2}},
+		Routes:        []config.Route{{Name: "r", Kind: config.Batch, Forward: &config.Forward{Priority: 3}}},
 		Pools:         []config.Pool{{Name: "p", Servers: config.Selector{"memory": {"little"}}, MemoryTokens: 2500}},
-	}, 1)
+	}
+	configuration.Index()
+	sc.SetConfiguration(configuration, 1)
 	return sc
 }
--- a/internal/dataplane/scheduler/request.go
+++ b/internal/dataplane/scheduler/request.go
@@ -14,7 +14,7 @@
 	ID          string
 	Tenant      string
 	Route       *config.Route
-	Priority    int64 // of the tenant's class; higher goes first
+	Priority    int64 // of the tenant's class, or of a forwarded route; higher goes first
 	IsBatchItem bool
 	// Weight is what the request adds to its tenant's queued work; 0 counts as 1.
 	Weight int
@@ -64,6 +64,11 @@
 // its route.
 func (r *Request) isParticular() bool { return len(r.AvoidedServers) > 0 || r.WantedWeights != 0 }
 
+// isForwardedItem tells whether the request is a batch item that is forwarded unchanged.
+func (r *Request) isForwardedItem() bool {
+	return r.IsBatchItem && r.Route != nil && r.Route.Forward != nil
+}
+
 // isQueued tells whether the request waits in a queue now.
 func (r *Request) isQueued() bool {
 	return r.queueElement != nil && !r.started && !r.removed
