Simulator: batches of several tenants, whose keys come and go while they run, and strangers who call for them

Run.Tenants: three tenants in three classes submit the batches of requests, each with a key that lasts and one that changes with each configuration; each limit of tokens is a tenant's. Others ask for accepted batches with another tenant's key, an unknown one or none: status, end, page, body, the same ID. Checked: none of that succeeds, a key that every configuration has is never refused, each item runs under its batch's tenant, and each tenant's accepted tokens stay within the quota.

--- a/test/simulator/batches.go
+++ b/test/simulator/batches.go
@@ -29,6 +29,10 @@
 	completedAt    map[int]clock.Micros // when an item's result was last complete on a server
 	resultsRead    int                  // results that a waiting reader has read
 	failuresByItem map[int]int          // how often a server failed an item
+	// Tenant is whose a forwarded batch is; "" for nobody's.
+	Tenant   string
+	workload *Workload
+	calls    int // made for the batch
 	// Forwarded batches hold requests that are forwarded unchanged.
 	Forwarded bool
 	// Limited ones of them are on the route with a quota of tokens.
@@ -56,6 +60,7 @@
 // submit sends a batch until it is accepted or its attempts are used up.
 func (v *Workload) submit(b *Batch, attempts int) *Batch {
 	b.SubmittedAt = v.world.Now
+	b.workload = v
 	b.startsByItem = map[string]int{}
 	b.completedAt = map[int]clock.Micros{}
 	b.failuresByItem = map[int]int{}
--- a/test/simulator/configuration_document.go
+++ b/test/simulator/configuration_document.go
@@ -39,10 +39,18 @@
 		for _, name := range forwardedRoutes {
 			routes = append(routes, forwardedRouteDocument(name, forwardedKinds[name]))
 		}
-		routes = append(routes, forwardedRouteDocument(batchRoute, config.Batch))
+		routes = append(routes, w.batchRouteDocument(forwardedRouteDocument(batchRoute, config.Batch)))
 	}
 	if w.TokenQuota {
-		routes = append(routes, limitedRouteDocument(config.Batch))
+		routes = append(routes, w.batchRouteDocument(limitedRouteDocument(config.Batch)))
+	}
+	customers := []document{
+		{"name": "gold", "key": "key-gold", "class": "gold"},
+		{"name": "silver", "key": "key-silver", "class": "silver"},
+		{"name": defaultTenant, "key": callerKey, "class": "notes"},
+	}
+	if w.Tenants {
+		customers = append(customers, tenantDocuments(number)...)
 	}
 	data, _ := json.Marshal(document{
 		"classes": []document{
@@ -50,11 +58,7 @@
 			classDocument("silver", 200, liveQuota),
 			classDocument("notes", 100, batchQuota(number)),
 		},
-		"customers": []document{
-			{"name": "gold", "key": "key-gold", "class": "gold"},
-			{"name": "silver", "key": "key-silver", "class": "silver"},
-			{"name": defaultTenant, "key": callerKey, "class": "notes"},
-		},
+		"customers": customers,
 		"pools": []document{
 			{"name": "main", "labels": document{"use": "all"}, "servers": document{"fleet": "main"}},
 			{"name": "half", "labels": document{"use": "half"}, "servers": document{"half": extraRouteHalf(number)}},
@@ -65,6 +69,14 @@
 	return data
 }
 
+// batchRouteDocument has a route of forwarded batches require keys where there are tenants.
+func (w *World) batchRouteDocument(route document) document {
+	if w.Tenants {
+		return withAuthentication(route)
+	}
+	return route
+}
+
 // hasExtraRoute says whether a document, by its number, has the route extra.
 func hasExtraRoute(number int) bool { return number%3 > 0 }
 
--- a/test/simulator/forwarded_batches.go
+++ b/test/simulator/forwarded_batches.go
@@ -25,6 +25,7 @@
 // daemon's shell does (internal/daemon/effects).
 func (n *Node) forwardItem(item execution.Attempt) {
 	w := n.world
+	w.Workload.checkTenantOfItem(item.ForwardedItem)
 	result := execution.AttemptResult{AttemptID: item.ID, Outcome: modelclient.Interrupted, LastEventID: item.ForwardedItem.LastEventID}
 	request := modelclient.Request{Address: item.Request.Address, RequestID: item.Request.RequestID, Input: string(item.ForwardedItem.Request.Body), Priority: item.Request.Priority, IdleTimeout: itemIdleTimeout}
 	report := func() {
@@ -79,7 +80,7 @@
 		items = append(items, item)
 	}
 	if b.Forwarded {
-		return requests.SubmitForwardedBatchRequest{Route: b.route(), ID: b.ID, Items: items, Deadline: now + forwardedBatchTimeout}
+		return requests.SubmitForwardedBatchRequest{APIKey: b.apiKey(), Route: b.route(), ID: b.ID, Items: items, Deadline: now + forwardedBatchTimeout}
 	}
 	return requests.SubmitBatchRequest{APIKey: callerKey, Route: "r", IdempotencyKey: b.Key, Items: items}
 }
@@ -103,7 +104,7 @@
 // statusRequest is the call that reads the status of the batch, or cancels it.
 func (b *Batch) statusRequest(end bool, now clock.Micros) any {
 	if b.Forwarded {
-		return requests.ForwardedBatchStatusRequest{Batch: b.ID, Cancel: end, Deadline: now + forwardedBatchTimeout}
+		return requests.ForwardedBatchStatusRequest{APIKey: b.apiKey(), Batch: b.ID, Cancel: end, Deadline: now + forwardedBatchTimeout}
 	}
 	return requests.BatchStatusRequest{APIKey: callerKey, Batch: b.ID, Cancel: end}
 }
@@ -112,7 +113,7 @@
 func (b *Batch) pageRequest(read reader.Request) any {
 	read.BatchID = b.ID
 	if b.Forwarded {
-		return requests.ForwardedPageRequest{Read: read}
+		return requests.ForwardedPageRequest{APIKey: b.apiKey(), Read: read}
 	}
 	return requests.PageRequest{APIKey: callerKey, Read: read}
 }
@@ -121,7 +122,7 @@
 func (v *Workload) SubmitForwardedBatch(items, attempts int) *Batch {
 	v.lastNumber++
 	key := fmt.Sprintf("bulk-%d", v.lastNumber)
-	b := &Batch{ID: key, Key: key, ItemCount: items, Forwarded: true}
+	b := &Batch{ID: key, Key: key, ItemCount: items, Forwarded: true, Tenant: v.tenantOf(v.lastNumber)}
 	v.ForwardedRequests += items
 	return v.submit(b, attempts)
 }
--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -23,6 +23,8 @@
 	Forwarding bool
 	// TokenQuota adds callers who press against a quota of tokens.
 	TokenQuota bool
+	// Tenants has batches of requests belong to tenants, and others try to use them.
+	Tenants bool
 	// Scenarios adds the directed scenarios (Scenarios) to the faults.
 	Scenarios bool
 	// MeasureRecovery times, before the faults, how fast the fleet recovers (Recovery).
@@ -42,6 +44,7 @@
 	w.OnEffect = r.OnEffect
 	w.Forwarding = r.Forwarding
 	w.TokenQuota = r.TokenQuota
+	w.Tenants = r.Tenants
 	v := w.Workload
 	if !w.RunUntil(10*clock.Second, w.allEdgesReady) {
 		v.reportViolation(serviceRestored, "the fleet is not ready 10 s after boot: %s", w.Describe())
@@ -55,6 +58,9 @@
 	if r.TokenQuota {
 		v.runLimitedBatchCallers()
 	}
+	if r.Tenants {
+		v.runStrangers()
+	}
 	if r.AllCalls {
 		v.exerciseAllCalls()
 	}
--- a/test/simulator/token_quota.go
+++ b/test/simulator/token_quota.go
@@ -29,12 +29,13 @@
 func (v *Workload) SubmitLimitedBatch(items, attempts int) *Batch {
 	v.lastNumber++
 	key := fmt.Sprintf("limited-%d", v.lastNumber)
-	b := &Batch{ID: key, Key: key, ItemCount: items, Forwarded: true, Limited: true}
+	b := &Batch{ID: key, Key: key, ItemCount: items, Forwarded: true, Limited: true, Tenant: v.tenantOf(v.lastNumber)}
 	v.ForwardedRequests += items
 	return v.submit(b, attempts)
 }
 
-// runLimitedBatchCallers has callers press against the quota of tokens until Calling is false.
+// runLimitedBatchCallers has callers press against the quota of tokens until Calling is false; where there
+// are tenants, each against its own.
 func (v *Workload) runLimitedBatchCallers() {
 	w := v.world
 	var callers func()
@@ -43,17 +44,21 @@
 			return
 		}
 		v.SubmitLimitedBatch(8+w.Random.Intn(17), 6)
-		w.After(w.randomBetween(20, 80)*clock.Millisecond, callers)
+		interval := w.randomBetween(20, 80) * clock.Millisecond
+		if w.Tenants {
+			interval /= clock.Micros(len(batchTenants))
+		}
+		w.After(interval, callers)
 	}
 	callers()
 }
 
-// pendingTokens is what was accepted on limitedRoute and waits: items that no server has
+// pendingTokens is what was accepted of a tenant on limitedRoute and waits: items that no server has
 // completed, that servers have not failed for good, and whose batch was not ended.
-func (v *Workload) pendingTokens() int {
+func (v *Workload) pendingTokens(tenant string) int {
 	sum := 0
 	for _, b := range v.Batches {
-		if !b.Limited || b.AcceptedAt == 0 || b.endRequested || len(b.completedAt) == b.ItemCount {
+		if !b.Limited || b.Tenant != tenant || b.AcceptedAt == 0 || b.endRequested || len(b.completedAt) == b.ItemCount {
 			continue
 		}
 		for item := range b.ItemCount {
@@ -68,9 +73,9 @@
 // checkTokenQuota is called when a batch on limitedRoute is acknowledged to its caller.
 func (v *Workload) checkTokenQuota(b *Batch) {
 	v.countCheck(withinTokenQuota)
-	pending := v.pendingTokens()
-	v.MaxWaiting[limitedRoute] = max(v.MaxWaiting[limitedRoute], pending)
+	pending := v.pendingTokens(b.Tenant)
+	v.MaxWaiting[limitedRoute+b.Tenant] = max(v.MaxWaiting[limitedRoute+b.Tenant], pending)
 	if pending > tokenQuota {
-		v.reportViolation(withinTokenQuota, "with batch %s %d tokens wait; the quota is %d", b.ID, pending, tokenQuota)
+		v.reportViolation(withinTokenQuota, "with batch %s %d tokens of tenant %q wait; the quota is %d", b.ID, pending, b.Tenant, tokenQuota)
 	}
 }
--- a/test/simulator/token_quota_test.go
+++ b/test/simulator/token_quota_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"strings"
 	"testing"
 )
 
@@ -14,6 +15,9 @@
 		{Seed: 1, Filter: "all stores at once"},
 		{Seed: 1, Filter: "store"},
 		{Seed: 2},
+		{Seed: 1, Filter: "store", Tenants: true},
+		{Seed: 2, Tenants: true},
+		{Seed: 3, Filter: "zone", Tenants: true},
 	} {
 		run.Shape = defaultShape
 		run.Conditions = MildConditions()
@@ -24,6 +28,12 @@
 		if len(v.Violations) > 0 {
 			t.Errorf("faults %q, seed %d: %s", run.Filter, run.Seed, w.Report(20))
 		}
-		t.Logf("faults %q, seed %d: at most %d tokens waited of %d, %d checks", run.Filter, run.Seed, v.MaxWaiting[limitedRoute], tokenQuota, v.CheckCounts[withinTokenQuota])
+		waited := map[string]int{}
+		for name, tokens := range v.MaxWaiting {
+			if tenant, isLimited := strings.CutPrefix(name, limitedRoute); isLimited {
+				waited[tenant] = tokens
+			}
+		}
+		t.Logf("faults %q, seed %d: at most %v tokens waited of %d, %d checks", run.Filter, run.Seed, waited, tokenQuota, v.CheckCounts[withinTokenQuota])
 	}
 }
--- a/test/simulator/workload.go
+++ b/test/simulator/workload.go
@@ -132,6 +132,7 @@
 		if !finished {
 			finished = true
 			removeCrashHook()
+			v.checkKeyAccepted(n, body, err)
 			callback(response, err)
 		}
 	}
--- a/test/simulator/world.go
+++ b/test/simulator/world.go
@@ -64,6 +64,8 @@
 	Forwarding bool
 	// TokenQuota adds a route of forwarded batches with a quota of tokens.
 	TokenQuota bool
+	// Tenants has batches of requests belong to tenants, whose keys change with the configurations.
+	Tenants bool
 
 	Trace                  []string
 	Steps, Messages, Syncs int // events, messages sent, syncs of disks so far
