--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -57,13 +57,20 @@
 		return errRouteRemoved(r.Route.Name)
 	}
 	r.Route = route
+	r.Priority = sc.priorityOf(r, class)
+	return nil
+}
+
+// priorityOf is a request's priority by the configuration in force; class is that of its tenant, nil
+// for none. The request has the route of that configuration already.
+func (sc *Scheduler) priorityOf(r *Request, class *config.PriorityClass) int64 {
 	switch {
-	case route.Forward == nil && class != nil:
-		r.Priority = class.Priority
+	case r.Route.Forward == nil && class != nil:
+		return class.Priority
 	case r.isForwardedItem() && sc.Disables(mechanism.ItemPriority):
-		r.Priority = maxPriority
-	case route.Forward != nil:
-		r.Priority = sc.configuration.PriorityOf(route.Forward, r.Tenant)
+		return maxPriority
+	case r.Route.Forward != nil:
+		return sc.configuration.PriorityOf(r.Route.Forward, r.Tenant)
 	}
-	return nil
+	return r.Priority
 }
