Live requests of tenants with a lower priority are not left out under overload

Every fourth forwarded live request that starts while some of lower levels wait is the oldest of these, under the higher level's utilization; one that is dropped meanwhile leaves its turn to the next. By name live-promotion, so that it can be switched off. Every fourth, as a quarter of the starts bounds the worst tenant from below whatever its level's part of the load is. Requests of the product's own API and items go by level as before.

--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -30,6 +30,8 @@
 	ItemPriority Name = "item-priority"
 	// LevelLimits leaves places on each server for requests of higher levels.
 	LevelLimits Name = "level-limits"
+	// LivePromotion lets a live request of a lower level start now and then where higher ones take all servers.
+	LivePromotion Name = "live-promotion"
 	// Observations has daemons of a zone tell each other what they see of servers.
 	Observations Name = "observations"
 	// OverdueLast has batch items that can't be ready in time go last.
@@ -54,7 +56,7 @@
 // All are all names, sorted.
 func All() []Name {
 	out := []Name{
-		BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, ItemPriority, LevelLimits, Observations,
+		BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, ItemPriority, LevelLimits, LivePromotion, Observations,
 		OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
 	}
 	for _, scorer := range config.ScorerNames {
--- a/internal/dataplane/proxy/fairness_test.go
+++ b/internal/dataplane/proxy/fairness_test.go
@@ -123,3 +123,81 @@
 		}
 	}
 }
+
+// tenantLoad is a load by tenants: the first of them are large ones.
+const (
+	loadTenants  = 24
+	largeTenants = 3
+	largeWeight  = 10 // how many requests a large tenant sends for one of a small tenant
+)
+
+// tenantsConfiguration has tenants t0, t1, … with the keys k0, k1, …; those whose number classOf gives a class
+// have that.
+func tenantsConfiguration(route config.Route, classOf func(i int) string) *config.Configuration {
+	forward := *route.Forward
+	forward.Authentication = config.AuthenticationRequired
+	route.Forward = &forward
+	configuration := &config.Configuration{Version: 1, ScorerWeights: map[string]float64{"fullness": 1, "spread": 1}, Routes: []config.Route{route},
+		Pools:   []config.Pool{{Name: "a", Labels: config.Labels{"u": "a"}, Servers: config.Selector{"pool": {"a"}}}},
+		Classes: []config.PriorityClass{{Name: "low", Priority: 4}, {Name: "high", Priority: 6}}}
+	for i := range loadTenants {
+		configuration.Tenants = append(configuration.Tenants, config.Tenant{Name: fmt.Sprint("t", i), Keys: []config.KeyDigest{config.DigestKey(fmt.Sprint("k", i))}, Class: classOf(i)})
+	}
+	configuration.Index()
+	return configuration
+}
+
+// submitAsTenant sends a request of one of the tenants.
+func (c *contention) submitAsTenant(route config.Route, classOf func(i int) string) {
+	c.next++
+	tenant := largeTenants + c.random.Intn(loadTenants-largeTenants)
+	if c.random.Intn(largeTenants*largeWeight+loadTenants-largeTenants) < largeTenants*largeWeight {
+		tenant = c.random.Intn(largeTenants)
+	}
+	request := contentionRequest{fmt.Sprint(c.next), 200, []string{"all", fmt.Sprint("tenant ", tenant), "class " + classOf(tenant)}}
+	c.count(request.categories, false)
+	call := c.send(Request{ID: request.id, Host: route.Forward.Host, Path: "/x/y", APIKey: fmt.Sprint("k", tenant), PromptTokens: request.size})
+	c.waiting[call] = request
+}
+
+// With more requests than there are slots for, tenants of one priority are served alike, however many
+// requests each sends; and those of a lower one are still served.
+func TestNoTenantIsStarvedUnderContention(t *testing.T) {
+	for name, classOf := range map[string]func(i int) string{
+		"one priority":             func(int) string { return "" },
+		"large tenants go first":   func(i int) string { return map[bool]string{true: "high", false: "low"}[i < largeTenants] },
+		"every other one is first": func(i int) string { return []string{"high", "low"}[i%2] },
+	} {
+		route := newRoute(config.Stream, 2)
+		c := &contention{bench: newBench(t, []string{"a", "a"}), random: rand.New(rand.NewSource(5)),
+			waiting: map[uint64]contentionRequest{}, running: map[string]clock.Micros{}, ratios: map[string]*serviceRatio{}}
+		c.scheduler.SetConfiguration(tenantsConfiguration(route, classOf), c.now)
+		for range 6000 {
+			if c.random.Intn(100) < 90 {
+				c.submitAsTenant(route, classOf)
+			}
+			c.step(5 * millisecond)
+		}
+		all := c.ratios["all"].ratio()
+		t.Logf("%s: served %.2f of all; classes high %.2f, low %.2f", name, all, c.ratio("class high"), c.ratio("class low"))
+		if all > 0.95 || all < 0.4 {
+			t.Fatalf("%s: %.2f of the requests are served: there is no contention", name, all)
+		}
+		for category, one := range c.ratios {
+			least := 0.25 * all
+			if name == "one priority" {
+				least = 0.75 * all
+			}
+			if one.ratio() < least {
+				t.Errorf("%s: %s: %d of %d served, of all %.2f", name, category, one.served, one.requested, all)
+			}
+		}
+	}
+}
+
+func (c *contention) ratio(category string) float64 {
+	if c.ratios[category] == nil {
+		return 0
+	}
+	return c.ratios[category].ratio()
+}
--- a/internal/dataplane/scheduler/assignment.go
+++ b/internal/dataplane/scheduler/assignment.go
@@ -34,6 +34,8 @@
 	if r.IsBatchItem {
 		sc.runningBatchItems++
 		sc.countStarted(r)
+	} else {
+		sc.countLiveStart(r)
 	}
 	assignment := &Assignment{
 		Server:       server.server,
--- a/internal/dataplane/scheduler/levels.go
+++ b/internal/dataplane/scheduler/levels.go
@@ -30,7 +30,7 @@
 func queueLevel(r *Request) int64 {
 	switch {
 	case !r.IsBatchItem:
-		return liveLevel(r.Priority)
+		return max(liveLevel(r.Priority), r.promotedLevel)
 	case !r.isForwardedItem():
 		return batchLevel(r.Priority)
 	case r.overdue == isOverdue:
--- a/internal/dataplane/scheduler/match.go
+++ b/internal/dataplane/scheduler/match.go
@@ -50,6 +50,7 @@
 // assignQueued assigns from all lists of the queue, the highest level first.
 func (sc *Scheduler) assignQueued(now clock.Micros) []assignedRequest {
 	sc.demoteOverdue(now)
+	sc.promoteIfDue()
 	pass := &matchPass{withoutPlaces: map[*config.Route]bool{}}
 	for _, level := range sc.queue.nonEmptyLevels() {
 		for _, requests := range sc.queue.listsAt(level) {
--- a/internal/dataplane/scheduler/mechanism_test.go
+++ b/internal/dataplane/scheduler/mechanism_test.go
@@ -36,6 +36,16 @@
 		mechanism.LevelLimits: func(sc *Scheduler) bool {
 			return sc.utilizationLimit(&Request{IsBatchItem: true, Priority: 1}, 0) < 1
 		},
+		mechanism.LivePromotion: func(sc *Scheduler) bool {
+			live := func(priority int64) *Request {
+				return &Request{Priority: priority, Route: &config.Route{Forward: &config.Forward{}}}
+			}
+			sc.queue.submit(live(1))
+			for range startsPerPromotion {
+				sc.countLiveStart(live(2))
+			}
+			return sc.promotions.isDue
+		},
 		mechanism.OverdueLast: func(sc *Scheduler) bool {
 			sc.queue.submit(&Request{IsBatchItem: true, Route: &config.Route{}, DueAt: 1})
 			sc.demoteOverdue(2)
--- a/internal/dataplane/scheduler/queue.go
+++ b/internal/dataplane/scheduler/queue.go
@@ -160,13 +160,16 @@
 	return out
 }
 
-// listsAt lists a level's lists, that with the oldest first request in front, and those of overdue
-// requests behind the others.
+// listsAt lists a level's lists, that with the oldest first request in front, that of a promoted one before it, and
+// those of overdue requests behind the others.
 func (q *requestQueue) listsAt(level int64) []*list.List {
 	out := slices.Collect(maps.Values(q.byLevel[level]))
 	slices.SortFunc(out, func(a, b *list.List) int {
 		first, second := firstOf(a), firstOf(b)
-		return cmp.Or(cmp.Compare(overdueRank(first), overdueRank(second)), bySubmission(first, second))
+		return cmp.Or(
+			cmp.Compare(overdueRank(first), overdueRank(second)),
+			cmp.Compare(second.promotedLevel, first.promotedLevel),
+			bySubmission(first, second))
 	})
 	return out
 }
--- a/internal/dataplane/scheduler/request.go
+++ b/internal/dataplane/scheduler/request.go
@@ -45,8 +45,10 @@
 	heapIndex    int           // in the deadlineHeap
 	queueElement *list.Element // in the queue of its level and route
 	overdue      overdueState
-	started      bool
-	removed      bool
+	// promotedLevel is the level that a live request was promoted to; 0: it was not.
+	promotedLevel int64
+	started       bool
+	removed       bool
 }
 
 // MaxFailuresPerServer is how often one request may fail on a server before that
--- a/internal/dataplane/scheduler/scheduler.go
+++ b/internal/dataplane/scheduler/scheduler.go
@@ -65,7 +65,8 @@
 
 	serverOffset      float64 // where this daemon's rotation of servers begins, 0 to 1
 	batch             batchPlaces
-	runningBatchItems int          // batch items that this daemon has running
+	runningBatchItems int // batch items that this daemon has running
+	promotions        promotions
 	freshAsOf         clock.Micros // this daemon's updates are complete up to here
 	changed           bool         // another Match may assign something
 	closed            bool
