--- a/test/simulator/configuration_document.go
+++ b/test/simulator/configuration_document.go
@@ -44,13 +44,13 @@
 	if w.TokenQuota {
 		routes = append(routes, w.batchRouteDocument(limitedRouteDocument(config.Batch)))
 	}
-	customers := []document{
+	tenants := []document{
 		{"name": "gold", "key": "key-gold", "class": "gold"},
 		{"name": "silver", "key": "key-silver", "class": "silver"},
 		{"name": defaultTenant, "key": callerKey, "class": "notes"},
 	}
 	if w.Tenants {
-		customers = append(customers, tenantDocuments(number)...)
+		tenants = append(tenants, tenantDocuments(number)...)
 	}
 	data, _ := json.Marshal(document{
 		"classes": []document{
@@ -58,7 +58,7 @@
 			classDocument("silver", 200, liveQuota),
 			classDocument("notes", 100, batchQuota(number)),
 		},
-		"customers": customers,
+		"customers": tenants,
 		"pools": []document{
 			{"name": "main", "labels": document{"use": "all"}, "servers": document{"fleet": "main"}},
 			{"name": "half", "labels": document{"use": "half"}, "servers": document{"half": extraRouteHalf(number)}},
