--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -57,13 +57,18 @@
 		return errRouteRemoved(r.Route.Name)
 	}
 	r.Route = route
+	sc.applyPriority(r, class)
+	return nil
+}
+
+// applyPriority gives a request the priority of its tenant's class (nil for none) or of its route.
+func (sc *Scheduler) applyPriority(r *Request, class *config.PriorityClass) {
 	switch {
-	case route.Forward == nil && class != nil:
-		r.Priority = class.Priority
 	case r.isForwardedItem() && sc.Disables(mechanism.ItemPriority):
 		r.Priority = maxPriority
-	case route.Forward != nil:
-		r.Priority = sc.configuration.PriorityOf(route.Forward, r.Tenant)
+	case r.Route.Forward != nil:
+		r.Priority = sc.configuration.PriorityOf(r.Route.Forward, r.Tenant)
+	case class != nil:
+		r.Priority = class.Priority
 	}
-	return nil
 }
--- a/test/storedformat/messages_test.go
+++ b/test/storedformat/messages_test.go
@@ -11,6 +11,7 @@
 
 	"tuliprudder/internal/batchstore"
 	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/batchstore/token"
 	"tuliprudder/internal/controlplane"
 	"tuliprudder/internal/controlplane/election"
 	"tuliprudder/internal/controlplane/registration"
@@ -36,6 +37,7 @@
 	}
 	account := quota.AccountID{Epoch: 6, OpenedAt: 44, Owner: "refuge-2"}
 	report := quota.Report{Queue: quota.Queue{Daemon: "mule-1", Shard: 3}, Epoch: 5, Sequence: 7, Account: account, InUse: 11}
+	by := batchstore.Access{Tenant: "customer-1", WithoutTenant: true, AnyTenant: true}
 	name := shard.AccountName{Tenant: "customer-1", Route: "nightly"}
 	lease := quota.LeaseRequest{Name: name, Report: report, Wanted: 12, Quota: 13, ConfigurationVersion: 14}
 	bodies = append(bodies, // since version 4, requests since version 6
@@ -50,6 +52,11 @@
 	bodies = append(bodies, // since version 6
 		quota.PendingReports{Requests: []quota.LeaseRequest{lease}},
 		quota.PendingReportsResponse{Refused: []shard.AccountName{name}},
+		batchstore.SubmitRequest{Shard: 2, Batch: batch, By: by, Timeout: 77},
+		batchstore.EndRequest{Shard: 3, Batch: "b-1", By: by, Timeout: 78},
+		batchstore.BatchStatusRequest{Shard: 4, Batch: "b-1", By: by, Operator: true},
+		batchstore.ReadRequest{Shards: map[int]uint64{2: 8}, Batch: "b-1", By: by, After: token.Vector{1: 2}, Limit: 3, Indexed: true, From: 4, MaxBytes: 5},
+		batchstore.ItemBodyRequest{Shard: 5, Batch: "b-1", Item: "x", By: by},
 	)
 	var out transport.MessageBatch
 	for _, body := range bodies {
