--- a/test/capacitymodel/workload.go
+++ b/test/capacitymodel/workload.go
@@ -195,7 +195,7 @@
 func (f *Fleet) newBatch(id string) shard.Batch {
 	tenant := f.rng.Int63n(f.Settings.Tenants)
 	route := 2 + 3*f.rng.Int63n(max(1, f.Settings.Routes/3)) // every third is one for batches
-	batch := shard.Batch{ID: id, Tenant: fmt.Sprintf("tenant-%03d", tenant), Key: id, Hash: id, Route: fmt.Sprintf("route-%03d", route)}
+	batch := shard.Batch{ID: id, Tenant: fmt.Sprintf("tenant-%03d", tenant), Key: "key of " + id, Hash: id, Route: fmt.Sprintf("route-%03d", route)}
 	for i := range f.Settings.BatchItems {
 		batch.Items = append(batch.Items, shard.Item{ID: fmt.Sprintf("item-%d", i), Input: itemInput})
 	}
