--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -57,20 +57,18 @@
 		return errRouteRemoved(r.Route.Name)
 	}
 	r.Route = route
-	r.Priority = sc.priorityOf(r, class)
+	sc.applyPriority(r, class)
 	return nil
 }
 
-// priorityOf is a request's priority by the configuration in force; class is that of its tenant, nil
-// for none. The request has the route of that configuration already.
-func (sc *Scheduler) priorityOf(r *Request, class *config.PriorityClass) int64 {
+// applyPriority gives a request the priority of its tenant's class (nil for none) or of its route.
+func (sc *Scheduler) applyPriority(r *Request, class *config.PriorityClass) {
 	switch {
-	case r.Route.Forward == nil && class != nil:
-		return class.Priority
 	case r.isForwardedItem() && sc.Disables(mechanism.ItemPriority):
-		return maxPriority
+		r.Priority = maxPriority
 	case r.Route.Forward != nil:
-		return sc.configuration.PriorityOf(r.Route.Forward, r.Tenant)
+		r.Priority = sc.configuration.PriorityOf(r.Route.Forward, r.Tenant)
+	case class != nil:
+		r.Priority = class.Priority
 	}
-	return r.Priority
 }
