--- a/internal/controlplane/reports.go
+++ b/internal/controlplane/reports.go
@@ -10,6 +10,9 @@
 // This file takes what other daemons report to the primary (package primaryreport), and keeps the
 // collector of reports of use up to date.
 
+// ReportsUsage tells whether this core makes reports of use as primary.
+func (c *Core) ReportsUsage() bool { return c.usage != nil }
+
 // receiveReport takes a daemon's report. A core that isn't primary remembers it, as it may be soon, but
 // acknowledges nothing.
 func (c *Core) receiveReport(call uint64, report primaryreport.Report, now clock.Micros) {
--- a/internal/daemon/machines/core.go
+++ b/internal/daemon/machines/core.go
@@ -68,7 +68,7 @@
 		return nil
 	case member.Kind == membership.Store:
 		return c.Do(controlplane.Suspicion{ID: member.ID, Unhealthy: member.Status != membership.Alive}, now)
-	case member.Kind == membership.Edge:
+	case member.Kind == membership.Edge && c.ReportsUsage():
 		isLive := member.Status < membership.Dead
 		return c.Do(controlplane.EdgeHealth{ID: member.ID, Incarnation: member.Incarnation, IsLive: isLive}, now)
 	}
--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -68,7 +68,9 @@
 	if r.MeasureRecovery && !w.measureRecovery(r.Shape.Shards) {
 		return w
 	}
-	w.RunFor(r.Calm)
+	if r.Calm > 0 {
+		w.RunFor(r.Calm)
+	}
 	if !r.injectFaults(w) {
 		return w
 	}
