--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -23,6 +23,8 @@
 	Forwarding bool
 	// TokenQuota adds callers who press against a quota of tokens.
 	TokenQuota bool
+	// Tenants has batches of requests belong to tenants, and others try to use them.
+	Tenants bool
 	// Scenarios adds the directed scenarios (Scenarios) to the faults.
 	Scenarios bool
 	// Acts adds a system outside the fleet that cores perform acts on, and its faults.
@@ -49,6 +51,7 @@
 	if r.Acts {
 		w.Outside = newOutside(w)
 	}
+	w.Tenants = r.Tenants
 	v := w.Workload
 	if !w.RunUntil(10*clock.Second, w.allEdgesReady) {
 		v.reportViolation(serviceRestored, "the fleet is not ready 10 s after boot: %s", w.Describe())
@@ -62,6 +65,9 @@
 	if r.TokenQuota {
 		v.runLimitedBatchCallers()
 	}
+	if r.Tenants {
+		v.runStrangers()
+	}
 	if r.AllCalls {
 		v.exerciseAllCalls()
 	}
