A store's part of the places for batch items fits its connections

Cause: the allotment gives a store all places of a few servers (12.8 of each, zone by zone), and its share of the connections is 3 to each server.

The list of places now goes over the zones in passes with as many places of a server as a store has connections there, and a store takes no more than that on a server. connections.Shares, which was the limiter's, says how many. What the configuration says of a server's connections is kept with the server: it is asked for at every allotment.

TestAPartFitsItsStoresConnections failed before (11 places of one server for a store with 3 connections).

--- a/internal/daemon/machines/scheduling.go
+++ b/internal/daemon/machines/scheduling.go
@@ -8,6 +8,7 @@
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/config"
 	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/dataplane/connections"
 	"tuliprudder/internal/dataplane/observations"
 	"tuliprudder/internal/dataplane/quota"
 	"tuliprudder/internal/dataplane/scheduler"
@@ -49,6 +50,14 @@
 	return slices.SortedFunc(maps.Values(s.members), func(a, b membership.Member) int { return strings.Compare(a.ID, b.ID) })
 }
 
+// connectionShares are the live members that share the model servers' connections.
+func (s *Scheduling) connectionShares() (shares connections.Shares) {
+	for _, member := range s.members {
+		shares.Count(member.Kind)
+	}
+	return shares
+}
+
 // storeOffset is how much later, in steps of one daemon, stores begin than edges.
 const storeOffset = 0.5
 
--- a/internal/daemon/machines/store.go
+++ b/internal/daemon/machines/store.go
@@ -175,7 +175,9 @@
 		Running: s.Scheduler.RunningBatchItems(),
 	}
 	s.demands.Announce(own, s.members, s.Calls.Emit, now)
-	s.Scheduler.SetBatchAllotment(s.demands.Allotment(own, s.members, now))
+	allotment := s.demands.Allotment(own, s.members, now)
+	allotment.Connections = s.connectionShares()
+	s.Scheduler.SetBatchAllotment(allotment)
 	s.Scheduler.SetOtherBatchItems(s.demands.RunningElsewhere(s.Scheduler.ServerNames()))
 }
 
--- a/internal/daemon/roles/connections.go
+++ b/internal/daemon/roles/connections.go
@@ -7,6 +7,7 @@
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/daemon/host"
 	"tuliprudder/internal/daemon/machines"
+	"tuliprudder/internal/dataplane/connections"
 	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/dataplane/upstream"
 	"tuliprudder/internal/membership"
@@ -44,7 +45,7 @@
 			continue
 		}
 		if limit := snapshot.limits[server.Name]; limit > 0 {
-			c.Client.SetMaxConnections(server.Address, snapshot.shares.limit(snapshot.kind, int(limit), server.Slots))
+			c.Client.SetMaxConnections(server.Address, snapshot.shares.Of(snapshot.kind, limit, server.Slots))
 		}
 	}
 }
@@ -62,7 +63,7 @@
 	servers []endpoints.Server
 	limits  map[string]int64 // of connections to a server, by its name; 0: none
 	kind    string           // of this daemon; "" while it does not know itself
-	shares  connectionShares
+	shares  connections.Shares
 }
 
 func (c *ConnectionLimiter) snapshot() connectionSnapshot {
@@ -79,40 +80,10 @@
 		}
 	})
 	for _, member := range members {
-		snapshot.shares.count(member.Kind)
+		snapshot.shares.Count(member.Kind)
 		if member.ID == c.Daemon.Identity.ID {
 			snapshot.kind = member.Kind
 		}
 	}
 	return snapshot
 }
-
-// extraConnections is how many connections more than a server's slots a store may have: for
-// requests that end while the next ones begin.
-const extraConnections = 4
-
-// connectionShares are the daemons that share a server's connections.
-type connectionShares struct{ edges, stores int }
-
-// count counts one member.
-func (c *connectionShares) count(kind string) {
-	switch kind {
-	case membership.Edge:
-		c.edges++
-	case membership.Store:
-		c.stores++
-	}
-}
-
-// limit is one daemon's share of the connections that a server takes: a store may have as
-// many as the server has slots and a few more, but the stores together no more than half;
-// the edges share the rest.
-func (c connectionShares) limit(kind string, total, slots int) int {
-	stores, edges := max(1, c.stores), max(1, c.edges)
-	half, afterEdges := total/2/stores, (total-c.edges)/stores
-	ofStore := max(1, min(slots+extraConnections, half, afterEdges))
-	if kind == membership.Store {
-		return ofStore
-	}
-	return max(1, (total-ofStore*c.stores)/edges)
-}
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -18,6 +18,8 @@
 
 // The mechanisms, but for the scorers, which are scorerPrefix and the scorer's name.
 const (
+	// BatchConnections has stores take no more places on a server than they have connections there.
+	BatchConnections Name = "batch-connections"
 	// BatchMemory bounds batch items by servers' memory, not only by their slots.
 	BatchMemory Name = "batch-memory"
 	// BatchPrefillLimit bounds how many of a store's items a server prefills at a time.
@@ -52,7 +54,7 @@
 // All are all names, sorted.
 func All() []Name {
 	out := []Name{
-		BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
+		BatchConnections, BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
 		OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
 	}
 	for _, scorer := range config.ScorerNames {
--- a/internal/dataplane/scheduler/batch_allotment.go
+++ b/internal/dataplane/scheduler/batch_allotment.go
@@ -6,8 +6,10 @@
 	"slices"
 
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/dataplane/connections"
 	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/dataplane/mechanism"
+	"tuliprudder/internal/membership"
 )
 
 // labelZone is the label that names a server's zone.
@@ -21,6 +23,9 @@
 	// ItemTokens is how many tokens an item takes of a server's memory, on average over what all
 	// daemons have to run; 0: unknown.
 	ItemTokens int
+	// Connections are the daemons that share the servers' connections: a daemon runs no more items on a
+	// server than it has connections there. The zero value is no limit.
+	Connections connections.Shares
 }
 
 // of are the places in the allotment.
@@ -40,6 +45,8 @@
 	ownLimits  map[string]int // how many of them are this daemon's; nil: all
 	elsewhere  map[string]int // items of other daemons that run there, as far as known
 	itemTokens int            // of an item, on average; 0: unknown
+	// connections are the daemons that share the servers' connections.
+	connections connections.Shares
 	// itemDuration is the moving average of how long a batch item runs.
 	itemDuration  clock.Micros
 	startedOnTime int // items since the latest overdue one started
@@ -48,14 +55,27 @@
 // SetBatchAllotment says which part of the servers' places for batch items is this daemon's.
 func (sc *Scheduler) SetBatchAllotment(allotment BatchAllotment) {
 	sc.batch.itemTokens = allotment.ItemTokens
+	sc.batch.connections = allotment.Connections
 	sc.listBatchPlaces()
 	sc.batch.ownLimits = map[string]int{}
 	for _, name := range sc.ownPlaces(allotment) {
 		sc.batch.ownLimits[name]++
 	}
+	for name, limit := range sc.batch.ownLimits {
+		sc.batch.ownLimits[name] = min(limit, sc.connectionLimit(sc.servers[name].server))
+	}
 	sc.changed = true
 }
 
+// connectionLimit is how many connections to a known server a store may have.
+func (sc *Scheduler) connectionLimit(server endpoints.Server) int {
+	total := sc.servers[server.Name].maxConnections
+	if total == 0 || sc.batch.connections == (connections.Shares{}) || sc.Disables(mechanism.BatchConnections) {
+		return math.MaxInt
+	}
+	return sc.batch.connections.Of(membership.Store, total, server.Slots)
+}
+
 func (sc *Scheduler) ownPlaces(allotment BatchAllotment) []string {
 	if sc.Disables(mechanism.BatchShares) {
 		return sc.batch.inOrder
@@ -83,7 +103,30 @@
 // listBatchPlaces lists the places for batch items of all servers. Every daemon lists them in the
 // same order: zone by zone, and in a zone first one place of each server, then a second one of each,
 // and so on. So a daemon's places are on as many servers as possible, in as few zones as possible.
+// Where a store has fewer connections to a server than that has places, the zones come in rounds with as
+// many places of each server: a part of the list would have more on a server than its store can use there.
 func (sc *Scheduler) listBatchPlaces() {
+	servers := sc.sortedServers()
+	sc.batch.byServer = sc.placesByServer(servers)
+	sc.batch.inOrder = sc.batch.inOrder[:0]
+	for pass := 0; ; pass++ {
+		before := len(sc.batch.inOrder)
+		for from := 0; from < len(servers); {
+			to := from
+			for to < len(servers) && servers[to].Labels[labelZone] == servers[from].Labels[labelZone] {
+				to++
+			}
+			sc.listPlacesInTurn(servers[from:to], pass)
+			from = to
+		}
+		if len(sc.batch.inOrder) == before {
+			return
+		}
+	}
+}
+
+// sortedServers are the servers that may have places, in the order of their zones and names.
+func (sc *Scheduler) sortedServers() []endpoints.Server {
 	servers := make([]endpoints.Server, 0, len(sc.servers))
 	for _, s := range sc.servers {
 		if !s.server.Removed && !s.server.Draining {
@@ -93,16 +136,7 @@
 	slices.SortFunc(servers, func(a, b endpoints.Server) int {
 		return cmp.Or(cmp.Compare(a.Labels[labelZone], b.Labels[labelZone]), cmp.Compare(a.Name, b.Name))
 	})
-	sc.batch.byServer = sc.placesByServer(servers)
-	sc.batch.inOrder = sc.batch.inOrder[:0]
-	for from := 0; from < len(servers); {
-		to := from
-		for to < len(servers) && servers[to].Labels[labelZone] == servers[from].Labels[labelZone] {
-			to++
-		}
-		sc.listPlacesInTurn(servers[from:to])
-		from = to
-	}
+	return servers
 }
 
 // placesByServer is how many places each server has. Their exact number needs not be whole: then some
@@ -119,12 +153,16 @@
 	return out
 }
 
-// listPlacesInTurn lists the places of some servers, one of each in turn.
-func (sc *Scheduler) listPlacesInTurn(servers []endpoints.Server) {
+// listPlacesInTurn lists the places that some servers have in a pass, one of each in turn.
+func (sc *Scheduler) listPlacesInTurn(servers []endpoints.Server, pass int) {
+	left := make([]int, len(servers))
+	for i, server := range servers {
+		left[i] = placesInPass(sc.batch.byServer[server.Name], sc.connectionLimit(server), pass)
+	}
 	for rank := 0; ; rank++ {
 		before := len(sc.batch.inOrder)
-		for _, server := range servers {
-			if rank < sc.batch.byServer[server.Name] {
+		for i, server := range servers {
+			if rank < left[i] {
 				sc.batch.inOrder = append(sc.batch.inOrder, server.Name)
 			}
 		}
@@ -134,6 +172,12 @@
 	}
 }
 
+// placesInPass is how many of a server's places are in a pass that has so many at most.
+func placesInPass(places, perPass, pass int) int {
+	perPass = max(1, min(perPass, places))
+	return max(0, min(perPass, places-pass*perPass))
+}
+
 // batchCapacity is how many batch items of all daemons a server may run, by its slots and by its
 // memory.
 func (sc *Scheduler) batchCapacity(server endpoints.Server) float64 {
--- a/internal/dataplane/scheduler/batch_allotment_test.go
+++ b/internal/dataplane/scheduler/batch_allotment_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand"
 	"testing"
 
 	"tuliprudder/internal/config"
+	"tuliprudder/internal/dataplane/connections"
 	"tuliprudder/internal/dataplane/endpoints"
 )
 
@@ -86,6 +88,50 @@
 	}
 }
 
+// newConnectionLimitedScheduler is a fleet of 5 zones with 10 servers, each of 16 slots, that take 79
+// connections each; 49 edges and 9 stores share them, so that a store has 3 connections to a server.
+func newConnectionLimitedScheduler() (*Scheduler, connections.Shares) {
+	sc := newFleetScheduler(5, 10, 16)
+	sc.SetConfiguration(&config.Configuration{Version: 1, Pools: []config.Pool{{Name: "p", Servers: config.Selector{}, MaxConnections: 79}}}, 1)
+	return sc, connections.Shares{Edges: 49, Stores: 9}
+}
+
+// A store with a third of all items had all places of a third of the servers and the connections for a
+// quarter of them: its items waited beside free servers.
+func TestAPartFitsItsStoresConnections(t *testing.T) {
+	for _, test := range []struct{ size, want int }{
+		{size: 10, want: 6},
+		{size: 230, want: 150},
+		{size: 614, want: 150},
+	} {
+		sc, shares := newConnectionLimitedScheduler()
+		sc.SetBatchAllotment(BatchAllotment{Offset: 0, Size: test.size, Total: 614, Connections: shares})
+		usable := 0
+		for name, limit := range sc.batch.ownLimits {
+			if limit > 3 {
+				t.Errorf("size %d: %d places on %s", test.size, limit, name)
+			}
+			usable += limit
+		}
+		if usable < test.want {
+			t.Errorf("size %d of 614: %d places are usable, not %d", test.size, usable, test.want)
+		}
+	}
+}
+
+// Passes over the servers leave no place out and list none twice.
+func TestPassesListEachPlaceOnce(t *testing.T) {
+	sc, shares := newConnectionLimitedScheduler()
+	sc.SetBatchAllotment(BatchAllotment{Size: 1, Total: 1, Connections: shares})
+	listed := map[string]int{}
+	for _, name := range sc.batch.inOrder {
+		listed[name]++
+	}
+	if !maps.Equal(listed, sc.batch.byServer) {
+		t.Errorf("the list has %v, and the servers %v", listed, sc.batch.byServer)
+	}
+}
+
 // Servers that are draining or removed have no places.
 func TestDrainingServersHaveNoPlaces(t *testing.T) {
 	sc := newFleetScheduler(1, 3, 4)
--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -20,6 +20,9 @@
 	sc.levels = newLevelTable(configuration)
 	sc.scorerWeights = sc.enabledScorers(configuration.ScorerWeights)
 	sc.changed = true
+	for _, s := range sc.servers {
+		sc.configureServer(s)
+	}
 	for _, r := range queued {
 		if err := sc.applyConfiguration(r); err != nil {
 			r.Drop(err, now)
--- a/internal/dataplane/scheduler/server.go
+++ b/internal/dataplane/scheduler/server.go
@@ -21,7 +21,10 @@
 // serverState is what this daemon knows of one server. Counts of "own" requests are
 // those of this daemon.
 type serverState struct {
-	server    endpoints.Server
+	server endpoints.Server
+	// maxConnections is how many connections it takes, by the configuration in force; 0: any number.
+	maxConnections int64
+
 	load      endpoints.Load
 	loadEpoch uint64 // of the reader that load is from
 
@@ -80,9 +83,17 @@
 		s.backoffUntil = 0
 	}
 	s.server = server
+	sc.configureServer(s)
 	sc.changed = true
 }
 
+// configureServer notes what the configuration in force says about a server.
+func (sc *Scheduler) configureServer(s *serverState) {
+	if sc.configuration != nil {
+		s.maxConnections = sc.configuration.MaxConnections(s.server.Labels)
+	}
+}
+
 // SetLoad takes a load report. One of a lower epoch is ignored: it is from a daemon
 // that no longer reads this server.
 func (sc *Scheduler) SetLoad(name string, epoch uint64, load endpoints.Load) {
--- a/test/servingsim/deployment.go
+++ b/test/servingsim/deployment.go
@@ -50,6 +50,8 @@
 	Batch                                              BatchClass
 	// FailingServers is how many servers fail each request from a third of the run to two thirds.
 	FailingServers int
+	// MaxConnections is how many connections a server takes; stores keep to their shares of them. 0: any.
+	MaxConnections int64
 	// TellsLoad has the servers tell their load with each answer.
 	TellsLoad bool
 	// Adjust changes the settings of all schedulers, for an ablation.
@@ -82,6 +84,22 @@
 	}
 }
 
+// ConnectionBound is a deployment whose servers have many slots and take few connections, with batches
+// that come to few stores at a time.
+func ConnectionBound(zones, edges, stores, servers int) Deployment {
+	d := Bazaar(zones, edges, stores, servers, 1)
+	d.Engine = Engine{
+		Slots: 16, QueueLimit: 48, MemoryTokens: 305_000, StepTime: 1800, PrefillRate: 0.1,
+		ChunkTokens: 4096, FirstDelay: 15 * clock.Millisecond, EventTokens: 19,
+	}
+	d.Batch = BatchClass{
+		HeapEvery: 5 * clock.Second, HeapBatches: zones, Items: 26 * servers,
+		PromptTokens: 768, OutputTokens: 665, Due: 8 * clock.Second, CompletionWindow: 8 * clock.Second,
+	}
+	d.MaxConnections = int64(zones * (edges + 3*stores))
+	return d
+}
+
 // New makes a run of a deployment.
 func New(deployment Deployment, seed int64) *World {
 	w := &World{
@@ -171,7 +189,7 @@
 	c := &config.Configuration{
 		ScorerWeights: w.Deployment.ScorerWeights,
 		Classes:       []config.PriorityClass{{Name: "live", Priority: 1000, Quota: 1 << 40}, {Name: "batch", Priority: 998, Quota: 1 << 40}},
-		Pools:         []config.Pool{{Name: "all", Servers: config.Selector{}, MemoryTokens: int64(w.Deployment.Engine.MemoryTokens)}},
+		Pools:         []config.Pool{{Name: "all", Servers: config.Selector{}, MemoryTokens: int64(w.Deployment.Engine.MemoryTokens), MaxConnections: w.Deployment.MaxConnections}},
 	}
 	for _, class := range w.Deployment.Live {
 		kind := config.Stream
--- a/test/servingsim/policies_test.go
+++ b/test/servingsim/policies_test.go
@@ -105,8 +105,9 @@
 			{mechanism.Scorer("queue"), utility, 0.005},
 			{mechanism.Scorer("reading"), utility, 0.01},
 		}},
-		"heaped": {heaped(), []mechanismCase{{mechanism.OverdueLast, utility, 0.01}}},
-		"loaded": {loaded(), []mechanismCase{{mechanism.Scorer("zone"), savedBytes, 0.8}}},
+		"heaped":          {heaped(), []mechanismCase{{mechanism.OverdueLast, utility, 0.01}}},
+		"loaded":          {loaded(), []mechanismCase{{mechanism.Scorer("zone"), savedBytes, 0.8}}},
+		"few connections": {ConnectionBound(3, 14, 3, 16), []mechanismCase{{mechanism.BatchConnections, utility, 0.028}}},
 		"half loaded": {halfLoaded(), []mechanismCase{
 			{mechanism.Scorer("reliability"), notFailed, 0.002},
 			{mechanism.ServerBackoff, utility, 0.03},
--- a/test/servingsim/store.go
+++ b/test/servingsim/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"strings"
 
 	"tuliprudder/internal/batchstore"
@@ -10,6 +11,7 @@
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/dataplane/batchshare"
+	"tuliprudder/internal/dataplane/connections"
 	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/dataplane/execution"
 	"tuliprudder/internal/dataplane/modelclient"
@@ -31,7 +33,7 @@
 	exchange  *observations.Exchange
 	members   map[string]membership.Member
 	nextShare clock.Micros
-	attempts  map[uint64]*server // the server of each attempt
+	open      map[*server]int // connections in use
 }
 
 // shareInterval is the time between two comparisons of the stores' demands.
@@ -40,7 +42,7 @@
 func newStore(w *World, id, zone string) *store {
 	s := &store{
 		world: w, id: id, zone: zone, calls: machine.NewCalls(), tracker: batchshare.NewTracker(id),
-		members: map[string]membership.Member{}, attempts: map[uint64]*server{},
+		members: map[string]membership.Member{}, open: map[*server]int{},
 		scheduler: scheduler.New(scheduler.Defaults(), w.random.Int63()),
 	}
 	s.scheduler.AdjustSettings(w.adjust)
@@ -86,7 +88,9 @@
 		s.nextShare = now + shareInterval
 		own := batchshare.Own{Items: s.runner.Pending(), Overdue: s.scheduler.OverdueBatchItems(), Tokens: s.runner.PendingWeight(), Running: s.scheduler.RunningBatchItems()}
 		s.tracker.Announce(own, s.members, s.calls.Emit, now)
-		s.scheduler.SetBatchAllotment(s.tracker.Allotment(own, s.members, now))
+		allotment := s.tracker.Allotment(own, s.members, now)
+		allotment.Connections = s.connectionShares()
+		s.scheduler.SetBatchAllotment(allotment)
 		s.scheduler.SetOtherBatchItems(s.tracker.RunningElsewhere(s.scheduler.ServerNames()))
 	}
 	s.runner.Tick(now)
@@ -110,6 +114,23 @@
 	}
 }
 
+// connectionShares are the daemons that share the servers' connections.
+func (s *store) connectionShares() (shares connections.Shares) {
+	for _, member := range s.members {
+		shares.Count(member.Kind)
+	}
+	return shares
+}
+
+// maxConnections is how many connections to a server this store may have.
+func (s *store) maxConnections() int {
+	deployment := s.world.Deployment
+	if deployment.MaxConnections == 0 {
+		return math.MaxInt
+	}
+	return s.connectionShares().Of(membership.Store, deployment.MaxConnections, deployment.Engine.Slots)
+}
+
 // submit takes a batch.
 func (s *store) submit(b *batch) {
 	for i, item := range b.items {
@@ -125,6 +146,14 @@
 func (s *store) run(attempt execution.Attempt) {
 	w := s.world
 	target := w.servers[attempt.ForwardedItem.Instance]
+	if s.open[target] >= s.maxConnections() {
+		w.after(0, func() {
+			s.runner.HandleAttemptResult(execution.AttemptResult{AttemptID: attempt.ID, Outcome: modelclient.NotStarted}, w.now)
+			s.finishStep()
+		})
+		return
+	}
+	s.open[target]++
 	item := w.item(attempt.ForwardedItem.Batch, attempt.ForwardedItem.ItemID)
 	delay := w.oneWay(s.zone, target.zone)
 	w.countServerBytes(s.zone, target.zone, bytesOf(item.promptTokens, item.outputTokens))
@@ -144,6 +173,7 @@
 			result.Outcome, result.ServerFailed = modelclient.Interrupted, true
 		}
 		w.after(delay, func() {
+			s.open[target]--
 			s.runner.HandleAttemptResult(result, w.now)
 			s.finishStep()
 		})
