--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -10,6 +10,11 @@
 //	placement        which stores hold which shard
 //	stores           the stores that are heard: who may join, who is evicted
 //	durableupdates   updates that outlive a stop of the fleet, kept on disk
+//	primaryreport    what other daemons tell the primary of their work
+//	usage            the reports of use that are due, from what the edges counted
+//
+// Which node performs acts on outside systems is decided by internal/exclusive; permits.go takes
+// its decisions through the replication group.
 //
 // A Core is pure: commands and the time go in, effects come out, and nothing here touches
 // a clock, a socket or a file. It is not safe for concurrent use; the daemon's event loop
@@ -28,6 +33,8 @@
 	"tuliprudder/internal/controlplane/placement"
 	"tuliprudder/internal/controlplane/state"
 	"tuliprudder/internal/controlplane/stores"
+	"tuliprudder/internal/controlplane/usage"
+	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/replication"
 )
@@ -42,6 +49,8 @@
 	Election         election.InjectedFaults
 	SkipRequestTable bool // a snapshot lacks what recognises repeated requests
 	KeepVotes        bool // a lost store keeps its vote for updates
+	Usage            usage.InjectedFaults
+	Acts             exclusive.InjectedFaults
 }
 
 // Core is the state machine of a core daemon.
@@ -57,6 +66,10 @@
 	queue          changequeue.Queue
 	stores         *stores.Table
 	durableUpdates *durableupdates.Table
+	arbiter        *exclusive.Arbiter
+	permitRequests permitRequests
+	actSources     []exclusive.Source
+	usage          *usage.Collector // nil where nothing is reported of use
 
 	placementMemory placement.Memory
 	nextReconcileAt clock.Micros
@@ -82,6 +95,11 @@
 		state:          state.New(),
 		stores:         stores.New(settings.stores()),
 		durableUpdates: durableupdates.New(),
+		arbiter:        exclusive.NewArbiter(settings.Acts),
+	}
+	if settings.Usage.IsEnabled() {
+		c.usage = usage.NewCollector(settings.Usage, c.Emit)
+		c.AddActSource(c.usage)
 	}
 	c.groups = replication.NewGroups(&c.Effects, c)
 	identity := election.Identity{Core: self, Incarnation: incarnation, Seeds: seeds}
@@ -148,6 +166,10 @@
 func (c *Core) InjectFaults(faults InjectedFaults) {
 	c.faults = faults
 	c.election.InjectFaults(faults.Election)
+	if c.usage != nil {
+		c.usage.InjectFaults(faults.Usage)
+	}
+	c.arbiter.InjectFaults(faults.Acts)
 }
 
 // group is the replication group that holds the control state.
--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -25,6 +25,10 @@
 	TokenQuota bool
 	// Scenarios adds the directed scenarios (Scenarios) to the faults.
 	Scenarios bool
+	// Acts adds a system outside the fleet that cores perform acts on, and its faults.
+	Acts bool
+	// Calm is for how long callers go on before the first fault.
+	Calm clock.Micros
 	// MeasureRecovery times, before the faults, how fast the fleet recovers (Recovery).
 	MeasureRecovery bool
 
@@ -42,6 +46,9 @@
 	w.OnEffect = r.OnEffect
 	w.Forwarding = r.Forwarding
 	w.TokenQuota = r.TokenQuota
+	if r.Acts {
+		w.Outside = newOutside(w)
+	}
 	v := w.Workload
 	if !w.RunUntil(10*clock.Second, w.allEdgesReady) {
 		v.reportViolation(serviceRestored, "the fleet is not ready 10 s after boot: %s", w.Describe())
@@ -61,6 +68,7 @@
 	if r.MeasureRecovery && !w.measureRecovery(r.Shape.Shards) {
 		return w
 	}
+	w.RunFor(r.Calm)
 	if !r.injectFaults(w) {
 		return w
 	}
@@ -84,6 +92,9 @@
 	if r.Scenarios {
 		faults = append(faults, Scenarios(r.Shape)...)
 	}
+	if r.Acts {
+		faults = append(faults, actFaults(r.Shape.Shards)...)
+	}
 	return faults
 }
 
