--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -58,8 +58,7 @@
 // All are all names, sorted.
 func All() []Name {
 	out := []Name{
-		BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, ItemPriority, LevelLimits, LivePromotion, Observations,
-		BatchConnections, BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
+		BatchConnections, BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, ItemPriority, LevelLimits, LivePromotion, Observations,
 		OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
 	}
 	for _, scorer := range config.ScorerNames {
