An account stays open over configurations that all set a limit

While a store is away an account that opens admits nothing.

Configurations name the version before them. A store that has received them all tells the owner since which one it knows of a limit without a break (AccountQuota.LimitedSince, limitHistory); the owner opens the account anew only where its latest is from before that.

The model changes configurations under a limit as well; TestALimitThatWasLiftedIsNoOldOne shows that it finds a store that takes a new limit for an old one.

--- a/internal/daemon/machines/late_configuration_test.go
+++ b/internal/daemon/machines/late_configuration_test.go
@@ -17,12 +17,17 @@
 
 // receiveLimit has a store receive a configuration with another limit of the route "r".
 func receiveLimit(s *Store, version uint64, limit int64, now clock.Micros) []machine.Effect {
+	return receiveLimitOn(s, version, 0, limit, now)
+}
+
+// receiveLimitOn is receiveLimit of a configuration that names the version before it.
+func receiveLimitOn(s *Store, version, base uint64, limit int64, now clock.Micros) []machine.Effect {
 	s.ParseConfiguration = func([]byte) (*config.Configuration, error) {
 		configuration := &config.Configuration{Routes: []config.Route{{Name: "r", Kind: config.Batch, Forward: &config.Forward{MaxQueuedTokens: limit}}}}
 		configuration.Index()
 		return configuration, nil
 	}
-	value, _ := json.Marshal(state.Version{Number: version})
+	value, _ := json.Marshal(state.Version{Number: version, Base: base})
 	return s.UpdateReceived(machine.Update{Key: state.ConfigurationKey, Seq: version, Value: value}, now)
 }
 
--- /dev/null
+++ b/internal/daemon/machines/limits.go
@@ -0,0 +1,54 @@
+package machines
+
+import (
+	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/config"
+)
+
+// limitHistory knows since which configuration accounts have had a limit without a break, by the
+// configurations that this daemon has received one after the other. An owner that heard of a limit under one of
+// them need not ask every queue again: nothing can have been accepted without a grant since.
+type limitHistory struct {
+	version uint64 // of the newest configuration
+	// since has the versions by route, for accounts of batches alone, and by tenant, for others.
+	since map[shard.AccountName]uint64
+}
+
+// add takes the configuration in force and the version that was in force before it; 0: that is not known.
+func (h *limitHistory) add(configuration *config.Configuration, base uint64) {
+	isNext := base > 0 && base == h.version
+	since := map[shard.AccountName]uint64{}
+	for _, account := range limitedAccounts(configuration) {
+		since[account] = configuration.Version
+		if earlier := h.since[account]; isNext && earlier > 0 {
+			since[account] = earlier
+		}
+	}
+	h.version = configuration.Version
+	h.since = since
+}
+
+// of is since when an account has had a limit.
+func (h *limitHistory) of(account shard.AccountName) uint64 {
+	if account.BatchesOnly() {
+		account.Tenant = ""
+	}
+	return h.since[account]
+}
+
+// limitedAccounts lists the routes and the tenants that have a limit.
+func limitedAccounts(configuration *config.Configuration) []shard.AccountName {
+	var out []shard.AccountName
+	add := func(account shard.AccountName) {
+		if quotaLimit(configuration, account) > unlimited {
+			out = append(out, account)
+		}
+	}
+	for _, route := range configuration.Routes {
+		add(shard.AccountName{Route: route.Name})
+	}
+	for _, tenant := range configuration.Tenants {
+		add(shard.AccountName{Tenant: tenant.Name})
+	}
+	return out
+}
--- a/internal/daemon/machines/scheduling.go
+++ b/internal/daemon/machines/scheduling.go
@@ -28,6 +28,8 @@
 
 	self    string // the daemon's id
 	members map[string]membership.Member
+	// configurationBase is the version that was in force before the configuration; 0: not known.
+	configurationBase uint64
 }
 
 // newScheduling makes the common parts. shardMap gives the cluster map as this daemon knows it.
--- a/internal/daemon/machines/store.go
+++ b/internal/daemon/machines/store.go
@@ -19,6 +19,7 @@
 
 	cores   coreDirectory
 	demands *batchshare.Tracker
+	limits  limitHistory
 	// servedEpochs are, by shard, the epochs under which this store has told owners what waits there.
 	servedEpochs map[int]uint64
 	// nextDemandUpdate is when the share of the servers for batch items is due again.
@@ -115,6 +116,7 @@
 	previous := s.Scheduler.Configuration()
 	s.receive(update, now)
 	if current := s.Scheduler.Configuration(); current != previous {
+		s.limits.add(current, s.configurationBase)
 		s.reportNewLimits(previous, current, now)
 	}
 	if s.cores.receive(update) {
--- a/internal/daemon/machines/submit.go
+++ b/internal/daemon/machines/submit.go
@@ -35,6 +35,7 @@
 			Account:              account,
 			Limit:                limit,
 			ConfigurationVersion: configuration.Version,
+			LimitedSince:         s.limits.of(account),
 		}
 		s.Quota.ReserveInShard(accountQuota, request.Shard, batchWeight(request.Batch), now, func(err error, now clock.Micros) {
 			if err != nil {
@@ -119,6 +120,7 @@
 			Account:              account,
 			Limit:                limit,
 			ConfigurationVersion: current.Version,
+			LimitedSince:         s.limits.of(account),
 		})
 	}
 	if len(due) > 0 {
--- a/internal/daemon/machines/updates.go
+++ b/internal/daemon/machines/updates.go
@@ -50,6 +50,9 @@
 	}
 	configuration.Version = version.Number
 	s.Scheduler.SetConfiguration(configuration, now)
+	if s.Scheduler.Configuration() == configuration {
+		s.configurationBase = version.Base
+	}
 	s.Calls.Emit(machine.LogEvent{Event: ConfigurationApplied{Version: version.Number}})
 }
 
--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -91,6 +91,7 @@
 		Wanted:               report.InUse,
 		Quota:                quota.Limit,
 		ConfigurationVersion: quota.ConfigurationVersion,
+		LimitedSince:         quota.LimitedSince,
 	}
 }
 
--- a/internal/dataplane/quota/doc.go
+++ b/internal/dataplane/quota/doc.go
@@ -40,7 +40,8 @@
 //   - Where more than the quota is in use (it was lowered, or the tenant had none), all of it counts
 //     and nothing is admitted, not even in place of what ends meanwhile (Account.Grant).
 //   - An owner opens a new account, and so asks every queue, where the tenant may have had no limit
-//     since the latest request: batches accepted then had no grant (Quota.mayHaveHadNoLimit). What a
+//     since the latest request: batches accepted then had no grant (Quota.mayHaveHadNoLimit); a client
+//     tells since which configuration it knows of a limit without a break (AccountQuota.LimitedSince). What a
 //     store accepts before it has received the configuration is reported as soon as it has that, and
 //     what it finds in a shard as soon as it serves it (Quota.ReportPending).
 //   - An account of batches has one owner at a time, by its home shard's lease.
--- a/internal/dataplane/quota/messages.go
+++ b/internal/dataplane/quota/messages.go
@@ -46,6 +46,7 @@
 		Wanted               int    // by weight, what is in use included
 		Quota                int64  // the account's, by the client's configuration
 		ConfigurationVersion uint64 // of that configuration
+		LimitedSince         uint64 // as in AccountQuota
 	}
 	// LeaseResponse is what the queue may have in use.
 	LeaseResponse struct {
--- a/internal/dataplane/quota/model_test.go
+++ b/internal/dataplane/quota/model_test.go
@@ -32,6 +32,10 @@
 	unlimited  bool   // it is lifted now
 	limit      int    // when it isn't
 	version    uint64 // of the configuration in force
+	// limitedSince is the version since which there has been a limit; claimsLimit has stores name the first
+	// one instead.
+	limitedSince uint64
+	claimsLimit  bool
 
 	// How bad it is, drawn anew for each seed.
 	lossRate, slowRate, lateMapRate float64
@@ -72,7 +76,7 @@
 
 // newModelOf is a model of a fleet.
 func newModelOf(f *fleet, seed int64, mixed bool, faults InjectedFaults) *model {
-	m := &model{fleet: f, rng: rand.New(rand.NewSource(seed)), mixed: mixed, version: 1, limit: testQuota,
+	m := &model{fleet: f, rng: rand.New(rand.NewSource(seed)), mixed: mixed, version: 1, limitedSince: 1, limit: testQuota,
 		admittedBy: map[shard.AccountName]int{}, cut: map[string]bool{}, deaf: map[link]bool{}, frozen: map[string]bool{}}
 	m.faults = faults
 	m.lossRate = m.rng.Float64() * 0.1
@@ -197,9 +201,19 @@
 	quota := accountQuota(m.mixed)
 	quota.ConfigurationVersion = m.version
 	quota.Limit = int64(m.limit)
+	quota.LimitedSince = m.limitedSince
+	if m.claimsLimit {
+		quota.LimitedSince = 1
+	}
 	return quota
 }
 
+// changeConfiguration has another configuration with the same limit in force; its number is any above.
+func (m *model) changeConfiguration() {
+	m.version += 1 + uint64(m.rng.Intn(4))
+	m.logf("configuration %d has the limit %d", m.version, m.limit)
+}
+
 // liftLimit has a configuration without a limit in force for longer than any lease request lasts, and
 // then one with a limit, which may be another.
 func (m *model) liftLimit() {
@@ -209,6 +223,7 @@
 	m.after(6*clock.Second+m.upTo(4*clock.Second), func() {
 		m.unlimited = false
 		m.version++
+		m.limitedSince = m.version
 		m.limit = testQuota/2 + m.rng.Intn(testQuota)
 		m.logf("the limit is %d, by configuration %d; %d wait", m.limit, m.version, m.pending())
 		for _, id := range m.storeIDs() {
@@ -257,6 +272,9 @@
 	if m.liftsLimit && !m.unlimited && m.rng.Intn(actionsPerLift) == 0 {
 		m.liftLimit()
 	}
+	if m.liftsLimit && !m.unlimited && m.rng.Intn(actionsPerLift/4) == 0 {
+		m.changeConfiguration()
+	}
 }
 
 // fail lets a fault happen.
@@ -629,6 +647,22 @@
 	}
 }
 
+// The model finds that a store takes a limit for an old one that has been lifted meanwhile.
+func TestALimitThatWasLiftedIsNoOldOne(t *testing.T) {
+	for seed := int64(1); seed <= 200; seed++ {
+		m := newModel(seed, false, InjectedFaults{})
+		m.liftsLimit, m.claimsLimit = true, true
+		for m.excess == "" && m.now < 60*clock.Second {
+			m.run(1)
+		}
+		if m.excess != "" {
+			t.Logf("seed %d: %s", seed, m.excess)
+			return
+		}
+	}
+	t.Error("none of 200 seeds found it")
+}
+
 // Once nothing fails any more, the quota can be used up again: what is counted too much does not
 // stay.
 func TestTheQuotaIsFreeAgainAfterFaults(t *testing.T) {
--- a/internal/dataplane/quota/owner.go
+++ b/internal/dataplane/quota/owner.go
@@ -188,6 +188,7 @@
 			Account:              request.Name,
 			Limit:                request.Quota,
 			ConfigurationVersion: request.ConfigurationVersion,
+			LimitedSince:         request.LimitedSince,
 		}
 		q.quotas[request.Name] = latest
 	}
@@ -199,7 +200,8 @@
 // under it is in no report.
 func (q *Quota) mayHaveHadNoLimit(request LeaseRequest) bool {
 	latest, isKnown := q.quotas[request.Name]
-	return isKnown && request.ConfigurationVersion > latest.ConfigurationVersion+1
+	wasLimited := request.LimitedSince > 0 && request.LimitedSince <= latest.ConfigurationVersion
+	return isKnown && request.ConfigurationVersion > latest.ConfigurationVersion+1 && !wasLimited
 }
 
 // grant answers a request from an account, if this daemon still owns it.
--- a/internal/dataplane/quota/quota.go
+++ b/internal/dataplane/quota/quota.go
@@ -35,6 +35,9 @@
 	// ConfigurationVersion is the version of the configuration that the limit is from; an
 	// owner goes by the newest.
 	ConfigurationVersion uint64
+	// LimitedSince is the version since which the account has had a limit in each configuration, as
+	// far as this daemon knows; 0: it doesn't know more than this configuration.
+	LimitedSince uint64
 }
 
 // Release returns what was reserved; a second call does nothing.
--- a/internal/dataplane/quota/tenants_test.go
+++ b/internal/dataplane/quota/tenants_test.go
@@ -98,6 +98,37 @@
 	}
 }
 
+// An account was opened anew, and every store asked, with the first batch after each change of
+// configuration: operators' numbers leave some out.
+func TestAnAccountStaysOpenOverConfigurations(t *testing.T) {
+	f := newFleet(1, 9, 64)
+	tenant := tenantsOnARoute(1)[0]
+	submit := func(version, limitedSince uint64) {
+		quota := quotaOf(tenant)
+		quota.ConfigurationVersion, quota.LimitedSince = version, limitedSince
+		f.submit(int(version)%9, 1, quota, func(err error) {
+			if err != nil {
+				t.Errorf("configuration %d: %v", version, err)
+			}
+		})
+		f.deliver()
+	}
+	for version := uint64(3); version < 12; version++ {
+		submit(version, 3)
+	}
+	counts := f.countRequests()
+	for version := uint64(20); version <= 100; version += 5 {
+		submit(version, 3)
+	}
+	if counts["quota.UsageRequest"] > 0 {
+		t.Errorf("%v", counts)
+	}
+	submit(110, 105) // there was none under 104
+	if counts["quota.UsageRequest"] == 0 {
+		t.Error("nobody was asked though there was no limit meanwhile")
+	}
+}
+
 // A store that has to report on many accounts sends each owner one message, and opens no account.
 func TestReportsForOneOwnerShareAMessage(t *testing.T) {
 	const stores, shards = 9, 64
--- a/test/storedformat/messages_test.go
+++ b/test/storedformat/messages_test.go
@@ -39,7 +39,7 @@
 	report := quota.Report{Queue: quota.Queue{Daemon: "mule-1", Shard: 3}, Epoch: 5, Sequence: 7, Account: account, InUse: 11}
 	by := batchstore.Access{Tenant: "customer-1", WithoutTenant: true, AnyTenant: true}
 	name := shard.AccountName{Tenant: "customer-1", Route: "nightly"}
-	lease := quota.LeaseRequest{Name: name, Report: report, Wanted: 12, Quota: 13, ConfigurationVersion: 14}
+	lease := quota.LeaseRequest{Name: name, Report: report, Wanted: 12, Quota: 13, ConfigurationVersion: 14, LimitedSince: 15}
 	bodies = append(bodies, // since version 4, requests since version 6
 		lease,
 		quota.LeaseResponse{Account: account, Granted: 15, Ready: true, Superseded: true},
