The collector bounds its counts over all edges together: a core has 280 MB

Bounded per edge, 350 edges with 450 tenants could keep ten million counts for as long as nothing is decided. Now 500,000 in all, which is three windows at that size.

--- a/internal/controlplane/usage/collector.go
+++ b/internal/controlplane/usage/collector.go
@@ -24,9 +24,9 @@
 	maxWindows = 64
 	// keptWindows is how many decided windows are remembered, to tell late counts from repeated ones.
 	keptWindows = 4
-	// maxReporters and maxCounts bound what is kept: incarnations of edges, and the counts of one.
+	// maxReporters and maxCounts bound what is kept: incarnations of edges, and the counts of all.
 	maxReporters = 8192
-	maxCounts    = 32_768
+	maxCounts    = 500_000
 	// maxClockError is by how much the clocks of an edge and the primary may differ until it is told.
 	maxClockError = clock.Second
 )
@@ -57,6 +57,7 @@
 
 	edges     map[string]uint64 // the incarnations of the edges that live, by id
 	reporters map[reporter]*reporterState
+	counts    int // of all reporters, windows and tenants
 
 	// Late, Skipped and Misdated are for the operators, since the start: requests that were told after
 	// their window was decided, windows that were skipped, and counts whose window is too far off.
@@ -72,7 +73,6 @@
 // reporterState is what one reporter told.
 type reporterState struct {
 	windows map[uint64]map[string]int64
-	counts  int // over all windows
 	// completeUntil is up to when this primary was told all that began, by the edge's clock; 0: it
 	// was not.
 	completeUntil clock.Micros
@@ -178,22 +178,22 @@
 		known.windows[number] = counts
 	}
 	before := sumOf(counts)
-	c.merge(known, counts, entry.Counts)
+	c.merge(counts, entry.Counts)
 	if number <= c.decidedUpTo {
 		c.Late += sumOf(counts) - before
 	}
 }
 
 // merge takes the higher of each tenant's counts.
-func (c *Collector) merge(known *reporterState, counts, entry map[string]int64) {
+func (c *Collector) merge(counts, entry map[string]int64) {
 	for tenant, count := range entry {
 		before, isKnown := counts[tenant]
 		switch {
-		case !isKnown && known.counts >= maxCounts:
+		case !isKnown && c.counts >= maxCounts:
 			c.Misdated += count
 			continue
 		case !isKnown:
-			known.counts++
+			c.counts++
 		}
 		counts[tenant] = max(before, count)
 		if c.faults.AddRepeatedReports || c.faults.CountByArrival {
@@ -305,7 +305,7 @@
 	for key, known := range c.reporters {
 		for number, counts := range known.windows {
 			if number+keptWindows <= c.decidedUpTo || number < oldest {
-				known.counts -= len(counts)
+				c.counts -= len(counts)
 				delete(known.windows, number)
 			}
 		}
--- a/internal/controlplane/usage/collector_test.go
+++ b/internal/controlplane/usage/collector_test.go
@@ -164,6 +164,25 @@
 	}
 }
 
+// What is kept is bounded over all edges, and there is room again once windows are decided.
+func TestCountsAreBounded(t *testing.T) {
+	b := newCollectorBench(t)
+	tenants := map[string]int64{}
+	for i := range maxCounts/10 + 10 {
+		tenants[fmt.Sprint("t", i)] = 1
+	}
+	for i := range 10 {
+		b.report(fmt.Sprint("e", i), firstWindow, tenants, inWindow(firstWindow, clock.Second))
+	}
+	if b.counts != maxCounts || b.Misdated != 100 {
+		t.Errorf("%d are kept, %d were dropped", b.counts, b.Misdated)
+	}
+	b.SetDecided(firstWindow + keptWindows)
+	if b.counts != 0 {
+		t.Errorf("%d are kept of a decided window", b.counts)
+	}
+}
+
 func TestContentsAreTheSameBytes(t *testing.T) {
 	content := Content{Window: 7, Counts: map[string]int64{"b": 2, "a": 1}}
 	if got := string(content.Encode()); got != `{"window":7,"counts":{"a":1,"b":2}}` {
--- a/internal/dataplane/usage/model_test.go
+++ b/internal/dataplane/usage/model_test.go
@@ -111,7 +111,6 @@
 	table     exclusive.Table
 	began     map[uint64][]began // by the window of the edge's clock
 	decided   []uint64
-	late      int
 	missing   int
 	requests  int
 	violation string
