Acts: the only node keeps its subject though it gets no answer; a run for each way of failing at each step

A holder without three answers in a row got no permit for 10 s, also where nobody else was there to take the subject over: a silent outside system cost a lone core up to 10 s more. TestActsAtEachStep: killed, frozen, cut off at each of five steps, 15 runs, in which the step was reached.

--- a/internal/exclusive/arbiter.go
+++ b/internal/exclusive/arbiter.go
@@ -272,7 +272,7 @@
 // isEligible tells whether a node may have the next permit for a subject now.
 func (a *Arbiter) isEligible(table *Table, subject Subject, holder Holder, now clock.Micros) bool {
 	known := a.attemptsAt(subject)
-	isExcluded := known.excluded == holder && now < known.excludedUntil
+	isExcluded := known.excluded == holder && now < known.excludedUntil && a.hearsOther(holder, now)
 	if now < known.notBefore || isExcluded || !a.rate.allows(now) {
 		return false
 	}
@@ -284,6 +284,16 @@
 	return isFirst || a.mayTakeOver(record.Holder, known, now)
 }
 
+// hearsOther tells whether a node other than the holder is there to take a subject over.
+func (a *Arbiter) hearsOther(holder Holder, now clock.Micros) bool {
+	for other, heardAt := range a.heard {
+		if other != holder && now-heardAt < a.settings.PresenceTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // mayTakeOver tells whether a subject may pass on from its holder: all permits of it have expired, and
 // it is absent or has to leave the subject.
 func (a *Arbiter) mayTakeOver(former Holder, known *attempts, now clock.Micros) bool {
--- a/test/simulator/acts_test.go
+++ b/test/simulator/acts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"slices"
+	"strings"
 	"testing"
 
 	"tuliprudder/internal/clock"
@@ -30,6 +32,26 @@
 	}
 }
 
+// Each way of failing comes right after each step of an act: before the grant is durable, with the permit,
+// before and during the call, before the report.
+func TestActsAtEachStep(t *testing.T) {
+	for i, fault := range actFaults(defaultShape.Shards) {
+		if !strings.Contains(fault.Name, " as the ") {
+			continue
+		}
+		t.Run(fault.Name, func(t *testing.T) {
+			t.Parallel()
+			w := Run{Seed: 800 + int64(i), Shape: defaultShape, Conditions: MildConditions(), Faults: 2, Filter: fault.Name, Acts: true}.Execute()
+			if len(w.Workload.Violations) > 0 {
+				t.Fatal(w.Report(60))
+			}
+			if !slices.ContainsFunc(w.Trace, func(line string) bool { return strings.Contains(line, "has its fault at step") }) {
+				t.Fatal("no act came to the step")
+			}
+		})
+	}
+}
+
 // All other faults of a fleet leave the rules intact, too.
 func TestActsBesideOtherFaults(t *testing.T) {
 	for seed := range max(2, *actSeeds/2) {
