--- a/internal/daemon/roles/edge_metrics.go
+++ b/internal/daemon/roles/edge_metrics.go
@@ -11,10 +11,12 @@
 
 // edgeSample is an edge's metrics at one moment.
 type edgeSample struct {
-	quota                                                                            quotaSample
-	scheduler                                                                        schedulerSample
-	requestsInFlight, readsPending                                                   int64
-	proxyInFlight, proxyForwarded, proxyRejected, proxyUnknownOutcomes, proxyRetries int64
+	quota                              quotaSample
+	scheduler                          schedulerSample
+	requestsInFlight, readsPending     int64
+	proxyInFlight, proxyForwarded      int64
+	proxyRejected, proxyUnauthorised   int64
+	proxyUnknownOutcomes, proxyRetries int64
 }
 
 func sampleEdge(loop *eventloop.Loop, edge *machines.Edge) (s edgeSample) {
@@ -27,6 +29,7 @@
 			proxyInFlight:        int64(edge.Proxy.InFlight()),
 			proxyForwarded:       edge.Proxy.Forwarded,
 			proxyRejected:        edge.Proxy.Rejected,
+			proxyUnauthorised:    edge.Proxy.Unauthorised,
 			proxyUnknownOutcomes: edge.Proxy.UnknownOutcomes,
 			proxyRetries:         edge.Proxy.Retries,
 		}
@@ -96,6 +99,11 @@
 		Help:  "Requests to forward that were rejected.",
 		Value: func(s edgeSample) int64 { return s.proxyRejected },
 	},
+	{
+		Key: "requests_unauthorised", Name: "tuliprudder_proxy_requests_unauthorised_total", Type: prometheus.CounterValue,
+		Help:  "Requests to forward without an API key of a tenant, where their route asks for one.",
+		Value: func(s edgeSample) int64 { return s.proxyUnauthorised },
+	},
 	{
 		Key: "requests_unknown", Name: "tuliprudder_proxy_unknown_outcomes_total", Type: prometheus.CounterValue,
 		Help:  "Requests forwarded that may have run, with no clear outcome.",
--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -26,6 +26,7 @@
 	}
 	tenant, err := configuration.Authenticate(route.Forward, request.APIKey)
 	if err != nil {
+		p.Unauthorised++
 		p.fail(call, err)
 		return
 	}
--- a/internal/dataplane/proxy/authentication_test.go
+++ b/internal/dataplane/proxy/authentication_test.go
@@ -52,6 +52,9 @@
 				if got := b.outcomeOf(b.submitWithKey("o", kind, key)); got != want {
 					t.Errorf("%s with authentication %s, key %q: %s, not %s", kind, authentication, key, got, want)
 				}
+				if counted := b.Unauthorised == 1; counted != (want == unauthorised) {
+					t.Errorf("%s with authentication %s, key %q: counted as unauthorised: %v", kind, authentication, key, counted)
+				}
 				if got := b.outcomeOf(b.submitWithKey("p", "nowhere", key)); got != unknownRoute {
 					t.Errorf("without a route, key %q: %s", key, got)
 				}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -63,6 +63,7 @@
 	// Counters of requests for the operators, since the start.
 	Forwarded       int64 // a server's response reached the caller
 	Rejected        int64 // failed, and certainly not run
+	Unauthorised    int64 // without an API key that its route asks for, or with one that no tenant has
 	UnknownOutcomes int64 // failed, and possibly run
 	Retries         int64 // attempts after a request's first
 
