--- a/test/simulator/callers.go
+++ b/test/simulator/callers.go
@@ -172,4 +172,15 @@
 	v.RetireStore(id, false)
 	w.RunFor(2 * clock.Second)
 	v.RetireStore(id, true)
+	if w.Outside != nil { // the recorded decisions of runs without acts have other puts
+		v.putTwoOnABase()
+	}
+}
+
+// putTwoOnABase puts two configurations on a base; one of them is a patch.
+func (v *Workload) putTwoOnABase() {
+	for range 2 {
+		v.PutConfiguration(true)
+		v.world.RunFor(clock.Second)
+	}
 }
