--- a/internal/daemon/effects/acts_test.go
+++ b/internal/daemon/effects/acts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/exclusive"
@@ -36,3 +37,26 @@
 		t.Fatalf("reported %+v after the deadline, performed %d times", got, performed)
 	}
 }
+
+// A process that is frozen right after it looked at the clock gave its act new time when it went on.
+func TestAFreezeAfterALookAtTheClockExtendsNoDeadline(t *testing.T) {
+	now := 100 * clock.Second
+	var lookedAt, deadline time.Time
+	reports := make(chan any, 1)
+	executor := &ActExecutor{
+		Notify: func(report any) { reports <- report },
+		Now: func() clock.Micros {
+			lookedAt = time.Now()
+			return now
+		},
+		Perform: func(ctx context.Context, _ exclusive.Permit) exclusive.Result {
+			deadline, _ = ctx.Deadline()
+			return exclusive.Done
+		},
+	}
+	executor.Execute(exclusive.Task{Deadline: now + clock.Second})
+	<-reports
+	if late := deadline.Sub(lookedAt.Add(time.Second)); late > 0 {
+		t.Fatalf("the deadline moves with what passes after the look at the clock, here by %v", late)
+	}
+}
