--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -25,6 +25,12 @@
 	index index
 }
 
+// The range of priorities; higher goes first.
+const (
+	MinPriority = 1
+	MaxPriority = 1000
+)
+
 // PriorityClass is what tenants pay for.
 type PriorityClass struct {
 	Name string // (name) unique
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -117,7 +117,7 @@
 		ItemRetention:    f.integer("keep_us", integerRange{min: clock.Millisecond, max: year}),
 		MaxQueuedTokens:  f.integer("most_tokens", integerRange{min: 0, max: 1 << 53}),
 		Authentication:   r.authentication(f),
-		Priority:         f.integer("rank", integerRange{min: 1, max: 1000, defaultValue: 1}),
+		Priority:         f.integer("rank", integerRange{min: MinPriority, max: MaxPriority, defaultValue: MinPriority}),
 	}
 	if strings.ToLower(forward.Host) != forward.Host || strings.ContainsAny(forward.Host, "/ ") {
 		f.addFault("host", fmt.Sprintf("%q is no host", forward.Host), "write it in lower case, without spaces and slashes")
--- a/internal/config/sections.go
+++ b/internal/config/sections.go
@@ -53,7 +53,7 @@
 		class := PriorityClass{
 			Name:     f.name("name"),
 			Labels:   f.labels("labels"),
-			Priority: f.integer("rank", integerRange{min: 1, max: 1000}),
+			Priority: f.integer("rank", integerRange{min: MinPriority, max: MaxPriority}),
 			Quota:    f.integer("allowance", integerRange{min: 1, max: 1_000_000}),
 		}
 		f.require("rank", "give a whole number from 1 to 1000, higher goes first")
--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -68,7 +68,7 @@
 func (sc *Scheduler) applyPriority(r *Request, class *config.PriorityClass) {
 	switch {
 	case r.isForwardedItem() && sc.Disables(mechanism.ItemPriority):
-		r.Priority = maxPriority
+		r.Priority = config.MaxPriority
 	case r.Route.Forward != nil:
 		r.Priority = sc.configuration.PriorityOf(r.Route.Forward, r.Tenant)
 	case class != nil:
--- a/internal/dataplane/scheduler/levels.go
+++ b/internal/dataplane/scheduler/levels.go
@@ -14,17 +14,14 @@
 
 func liveLevel(priority int64) int64 { return 2*priority + 1 }
 
-// maxPriority is the highest priority of classes and routes; the lowest is 1.
-const maxPriority = 1000
-
 // Forwarded batch items wait below everything else: no live request waits behind one, whatever their
 // priorities are. Among themselves those that can be ready in time go first, by priority, then the overdue
 // ones, by priority; the one whose turn it is in spite of that goes before them all.
 const promotedItemLevel int64 = 1
 
-func onTimeItemLevel(priority int64) int64 { return priority - maxPriority }
+func onTimeItemLevel(priority int64) int64 { return priority - config.MaxPriority }
 
-func overdueItemLevel(priority int64) int64 { return onTimeItemLevel(priority) - maxPriority }
+func overdueItemLevel(priority int64) int64 { return onTimeItemLevel(priority) - config.MaxPriority }
 
 // queueLevel is the level of a request; a higher one goes first.
 func queueLevel(r *Request) int64 {
