A subject whose acts are all to be performed is never forgotten

What the platform could see: with more than 1,024 subjects the one that was granted least recently was forgotten, with the number of its last decided act. Were that the reports of use, up to 64 windows that had been reported were proposed and decided anew, with other counts (the edges drop decided windows): two accepted contents of one act.

Only subjects whose acts supersede each other are forgotten now. Where none may be, a new subject waits, as it did where all had open acts.

TestASubjectWhoseActsAreAllPerformedIsNotForgotten fails without the change (the act is decided again, with fence 8 and the second content). TestAForgottenSubjectGetsAHigherFence forgets a subject with a superseding act now, and checks the same.

--- a/internal/exclusive/table.go
+++ b/internal/exclusive/table.go
@@ -9,8 +9,8 @@
 const (
 	// maxOpenActs is how many undone acts of a subject are kept; the oldest is given up for a new one.
 	maxOpenActs = 64
-	// maxSubjects is how many subjects are remembered; the one that was granted least recently and has
-	// no open act is forgotten for a new one.
+	// maxSubjects is how many subjects are remembered; of those that may be forgotten (Record.mayBeForgotten)
+	// the one that was granted least recently is, for a new one.
 	maxSubjects = 1024
 )
 
@@ -117,11 +117,10 @@
 	delete(t.Subjects, oldest)
 }
 
-// oldestIdle is the subject without an open act that was granted least recently; false where each has
-// one.
+// oldestIdle is the subject that was granted least recently of those that may be forgotten; false where none may.
 func (t *Table) oldestIdle() (oldest Subject, exists bool) {
 	for subject, record := range t.Subjects {
-		if len(record.Open) > 0 {
+		if !record.mayBeForgotten() {
 			continue
 		}
 		if !exists || record.GrantedAt < t.Subjects[oldest].GrantedAt {
@@ -162,6 +161,10 @@
 	return r, abandoned
 }
 
+// mayBeForgotten tells whether nothing is lost with the record: it has no open act, and its acts supersede each
+// other. Of others LastNumber tells which are decided; without it they would be decided anew.
+func (r Record) mayBeForgotten() bool { return len(r.Open) == 0 && len(r.LastContent) > 0 }
+
 // isOpen tells whether an act of the subject is decided and not known to be done.
 func (r Record) isOpen(number uint64) bool {
 	return slices.ContainsFunc(r.Open, func(act Act) bool { return act.Number == number })
--- a/internal/exclusive/table_test.go
+++ b/internal/exclusive/table_test.go
@@ -79,7 +79,9 @@
 // A subject that was forgotten gets no fence that it had before.
 func TestAForgottenSubjectGetsAHigherFence(t *testing.T) {
 	var table Table
-	table.Apply(granted("forgotten", holderA, 7, act("forgotten", 1, "x")))
+	target := act("forgotten", 1, "x")
+	target.Supersedes = true
+	table.Apply(granted("forgotten", holderA, 7, target))
 	table.Apply(Update{Settlements: []Settlement{{Subject: "forgotten", Numbers: []uint64{1}}}})
 	for i := range maxSubjects {
 		subject := Subject(fmt.Sprintf("s%d", i))
@@ -99,3 +101,20 @@
 		t.Fatal("a former fence was granted again")
 	}
 }
+
+// Acts that are all to be performed were decided anew, with other contents, once their subject was forgotten.
+func TestASubjectWhoseActsAreAllPerformedIsNotForgotten(t *testing.T) {
+	var table Table
+	table.Apply(granted("windows", holderA, 7, act("windows", 5, "first")))
+	table.Apply(Update{Settlements: []Settlement{{Subject: "windows", Numbers: []uint64{5}}}})
+	for i := range maxSubjects {
+		subject, target := Subject(fmt.Sprintf("s%d", i)), act("", 1, "x")
+		target.Subject, target.Supersedes = subject, true
+		table.Apply(granted(subject, holderA, nextFence(&table, subject, holderA), target))
+		table.Apply(Update{Settlements: []Settlement{{Subject: subject, Numbers: []uint64{1}}}})
+	}
+	table.Apply(granted("windows", holderA, nextFence(&table, "windows", holderA), act("windows", 5, "second")))
+	if record := table.Record("windows"); record.LastNumber != 5 || len(record.Open) > 0 {
+		t.Fatalf("the act was decided again: %+v", record)
+	}
+}
