Acts: the primary leaves a subject to another node that is there

Its loss then costs the election and a whole holder's lease, while a holder that isn't the primary goes on at once after an election. The primary takes a subject only where it hears no other node that may. TestThePrimaryLeavesActsToOthers and TestThePrimaryTakesWhatAnotherHasToLeave are about the new method SetSelf; without the check the first fails.

--- a/internal/daemon/machines/core_performer.go
+++ b/internal/daemon/machines/core_performer.go
@@ -17,6 +17,7 @@
 // EnablePerformer has this core request permits as a holder and perform acts. It is called before the
 // first step.
 func (c *Core) EnablePerformer(holder exclusive.Holder, settings exclusive.PerformerSettings) {
+	c.SetOwnHolder(holder)
 	c.acts.performer = exclusive.NewPerformer(holder, settings, c.acts.calls)
 }
 
--- a/internal/exclusive/arbiter.go
+++ b/internal/exclusive/arbiter.go
@@ -17,6 +17,7 @@
 type Arbiter struct {
 	settings Settings
 	faults   InjectedFaults
+	self     Holder // this core, where it performs acts itself
 
 	epoch        uint64 // of the term in which this core serves
 	servingSince clock.Micros
@@ -46,6 +47,9 @@
 // InjectFaults plants faults. For tests only.
 func (a *Arbiter) InjectFaults(faults InjectedFaults) { a.faults = faults }
 
+// SetSelf tells which holder this core itself is.
+func (a *Arbiter) SetSelf(self Holder) { a.self = self }
+
 // Start begins anew: this core serves as primary of a term from now on.
 func (a *Arbiter) Start(epoch uint64, now clock.Micros) {
 	a.epoch, a.servingSince = epoch, now
@@ -272,7 +276,7 @@
 // isEligible tells whether a node may have the next permit for a subject now.
 func (a *Arbiter) isEligible(table *Table, subject Subject, holder Holder, now clock.Micros) bool {
 	known := a.attemptsAt(subject)
-	isExcluded := known.excluded == holder && now < known.excludedUntil && a.hearsOther(holder, now)
+	isExcluded := known.isExcluded(holder, now) && a.hearsOther(known, holder, now)
 	if now < known.notBefore || isExcluded || !a.rate.allows(now) {
 		return false
 	}
@@ -280,14 +284,19 @@
 	if isKnown && record.Holder == holder {
 		return true
 	}
+	// A holder that isn't the primary survives the loss of the primary, and the primary its loss.
+	if holder == a.self && a.hearsOther(known, holder, now) {
+		return false
+	}
 	isFirst := !isKnown && table.FenceFloor == 0
 	return isFirst || a.mayTakeOver(record.Holder, known, now)
 }
 
-// hearsOther tells whether a node other than the holder is there to take a subject over.
-func (a *Arbiter) hearsOther(holder Holder, now clock.Micros) bool {
+// hearsOther tells whether a node other than a holder is there that may take a subject over.
+func (a *Arbiter) hearsOther(known *attempts, holder Holder, now clock.Micros) bool {
 	for other, heardAt := range a.heard {
-		if other != holder && now-heardAt < a.settings.PresenceTimeout {
+		isPresent := now-heardAt < a.settings.PresenceTimeout
+		if other != holder && isPresent && !known.isExcluded(other, now) {
 			return true
 		}
 	}
@@ -302,12 +311,11 @@
 	if now < lastPermitAt+a.settings.HolderLease && !a.faults.NoHolderLease {
 		return false
 	}
-	isExcluded := known.excluded == former && now < known.excludedUntil
 	heardAt, isHeard := a.heard[former]
 	if !isHeard {
 		heardAt = a.servingSince
 	}
-	return isExcluded || a.faults.IgnorePresence || now-heardAt >= a.settings.PresenceTimeout
+	return known.isExcluded(former, now) || a.faults.IgnorePresence || now-heardAt >= a.settings.PresenceTimeout
 }
 
 func (a *Arbiter) attemptsAt(subject Subject) *attempts {
--- a/internal/exclusive/arbiter_test.go
+++ b/internal/exclusive/arbiter_test.go
@@ -264,3 +264,25 @@
 	}
 	f.one(holderB, act("s", 2, "y"))
 }
+
+// A holder that is the primary would be lost together with it.
+func TestThePrimaryLeavesActsToOthers(t *testing.T) {
+	f := newFixture(t)
+	f.arbiter.SetSelf(holderA)
+	f.arbiter.Heard(Request{Holder: holderB}, f.now)
+	due := []Act{act("s", 1, "x")}
+	if got := f.request(holderA, due).Permits; len(got) > 0 {
+		t.Fatalf("beside another node the primary gets %+v", got)
+	}
+	f.now += Defaults().PresenceTimeout
+	f.one(holderA, due...)
+}
+
+// The other node is there and can't reach the outside system.
+func TestThePrimaryTakesWhatAnotherHasToLeave(t *testing.T) {
+	f := newFixture(t)
+	f.arbiter.SetSelf(holderB)
+	f.withoutAnswers(holderA)
+	f.arbiter.Heard(Request{Holder: holderA}, f.now)
+	f.one(holderB)
+}
--- a/internal/exclusive/attempts.go
+++ b/internal/exclusive/attempts.go
@@ -41,6 +41,11 @@
 	return false
 }
 
+// isExcluded tells whether a holder has to leave the subject to another.
+func (a *attempts) isExcluded(holder Holder, now clock.Micros) bool {
+	return a.excluded == holder && now < a.excludedUntil
+}
+
 // succeeded records that the outside system took an act, or refused it for good.
 func (a *attempts) succeeded(now clock.Micros) {
 	a.failures, a.delay, a.notBefore = 0, 0, now
--- a/internal/exclusive/model_control_test.go
+++ b/internal/exclusive/model_control_test.go
@@ -43,6 +43,7 @@
 	settings := Defaults()
 	term := &modelTerm{model: m, node: running[m.rng.Intn(len(running))], arbiter: NewArbiter(settings), confirmed: table, table: table}
 	term.arbiter.InjectFaults(m.faults.InjectedFaults)
+	term.arbiter.SetSelf(Holder{term.node.name, term.node.instance})
 	term.arbiter.Start(m.epoch, term.node.now())
 	m.term = term
 	m.logf("%s serves as primary of term %d", term.node.name, m.epoch)
