Numbers of servers are planned by load: report, planner at the primary, acts "scale/SERVICE/ZONE"

Edges and stores tell the primary once a second (primaryreport.Report, field Loads) what they run in each pool that has an autoscale section: slots taken, requests and batch work that waits, live requests started, without a server and late. A response is late by its route's targets: the first event, and the longest pause between events, which the gateway now measures. The planner (internal/controlplane/autoscale) keeps 12 samples of a second, and proposes an act for a zone whose number changes; the policy is policy.go.

--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -58,8 +58,24 @@
 	// MemoryTokens is how many tokens of prompts and outputs one of its servers holds at a time
 	// (its KV cache); 0: unknown. The document of Parse has no field for it.
 	MemoryTokens int64
+	// Autoscale bounds how many servers the pool has (autoscale); the zero value: they are not scaled.
+	Autoscale Autoscale
 }
 
+// Autoscale bounds how many servers a pool has in each zone that it runs in.
+type Autoscale struct {
+	Min int64 // (min) 1 to 100,000
+	Max int64 // (max) at least Min, at most 100,000
+	// BootTime is how long a new server takes until it serves (boot_us): up to 1 h; default 0.
+	BootTime clock.Micros
+}
+
+// IsEnabled tells whether the pool's servers are scaled.
+func (a Autoscale) IsEnabled() bool { return a.Min > 0 && a.Max >= a.Min }
+
+// Clamp is the number of servers nearest to one that is within the bounds.
+func (a Autoscale) Clamp(servers int64) int64 { return min(max(servers, a.Min), a.Max) }
+
 // Route is a kind of request that callers may send.
 type Route struct {
 	Name    string   // (name) unique
--- a/internal/config/lookup.go
+++ b/internal/config/lookup.go
@@ -139,6 +139,49 @@
 	return c.lowestOfPools(labels, func(pool *Pool) int64 { return pool.MemoryTokens })
 }
 
+// ScaledPoolOf is the name of the scaled pool that a server with these labels is in; "" where there is
+// none.
+func (c *Configuration) ScaledPoolOf(labels Labels) string {
+	for i := range c.Pools {
+		if pool := &c.Pools[i]; pool.Autoscale.IsEnabled() && pool.Servers.Matches(labels) {
+			return pool.Name
+		}
+	}
+	return ""
+}
+
+// ScaledPools are the names of the scaled pools that serve a route: those that chosen matches, where it is
+// set, or else all of the route's.
+func (c *Configuration) ScaledPools(route *Route, chosen Selector) []string {
+	selectors := []Selector{chosen}
+	if chosen == nil {
+		selectors = route.poolSelectors()
+	}
+	var out []string
+	for i := range c.Pools {
+		pool := &c.Pools[i]
+		isChosen := func(selector Selector) bool { return selector.Matches(pool.Labels) }
+		if pool.Autoscale.IsEnabled() && slices.ContainsFunc(selectors, isChosen) {
+			out = append(out, pool.Name)
+		}
+	}
+	return out
+}
+
+// poolSelectors are the selectors of the pools that serve a route.
+func (r *Route) poolSelectors() []Selector {
+	if r.Forward == nil || len(r.Forward.Split) == 0 {
+		return []Selector{r.Pools}
+	}
+	var out []Selector
+	for _, part := range r.Forward.Split {
+		if part.Weight > 0 {
+			out = append(out, part.Pools)
+		}
+	}
+	return out
+}
+
 // lowestOfPools is the lowest positive value of the pools that a server with these labels is in; 0
 // where there is none.
 func (c *Configuration) lowestOfPools(labels Labels, value func(pool *Pool) int64) int64 {
--- a/internal/config/sections.go
+++ b/internal/config/sections.go
@@ -23,6 +23,9 @@
 	maxSplitParts = 64
 )
 
+// maxZoneServers is the highest bound of a pool's servers in a zone.
+const maxZoneServers = 100_000
+
 // maxScorerWeight is the highest weight of a scorer.
 const maxScorerWeight = 1000
 
@@ -98,12 +101,35 @@
 			Labels:  f.labels("labels"),
 			Servers: f.selector("servers"),
 		}
+		if f.has("autoscale") {
+			pool.Autoscale = f.autoscale()
+		}
 		names.add(o.parser, f.pathOf("name"), pool.Name)
 		out = append(out, pool)
 	})
 	return out
 }
 
+// autoscale reads the bounds of a pool's servers.
+func (o object) autoscale() Autoscale {
+	f, ok := o.parser.object(o.pathOf("autoscale"), o.fields["autoscale"], autoscaleFields)
+	if !ok {
+		return Autoscale{}
+	}
+	f.require("min", "give the fewest servers of a zone")
+	f.require("max", "give the most servers of a zone")
+	servers := integerRange{min: 1, max: maxZoneServers}
+	out := Autoscale{
+		Min:      f.integer("min", servers),
+		Max:      f.integer("max", servers),
+		BootTime: f.integer("boot_us", integerRange{max: hour}),
+	}
+	if out.Max < out.Min {
+		f.addFault("max", "is less than min", "give as many or more")
+	}
+	return out
+}
+
 // scorerWeights puts the weights that the document names over the defaults.
 func (o object) scorerWeights(weights map[string]float64) {
 	if !o.has("judges") {
--- a/internal/config/stored_names.go
+++ b/internal/config/stored_names.go
@@ -56,12 +56,13 @@
 
 // Fields of a document's objects.
 var (
-	documentFields = []string{"classes", "customers", "pools", "routes", "judges", "bounds"}
-	classFields    = []string{"name", "rank", "allowance", "labels"}
-	tenantFields   = []string{"name", "key", "keys", "class"}
-	poolFields     = []string{"name", "labels", "servers"}
-	routeFields    = []string{"name", "kind", "labels", "classes", "pools", "model", "adapter", "weights", "prefix", "max_tokens", "expiry_us", "most_items", "forward"}
-	forwardFields  = []string{"host", "path_prefix", "tries", "aim_us", "gap_us", "due_us", "keep_us", "most_tokens", "split", "authentication", "rank"}
-	splitFields    = []string{"pools", "share"}
-	limitsFields   = []string{"header_bytes", "body_bytes", "header_wait_us", "idle_wait_us"}
+	documentFields  = []string{"classes", "customers", "pools", "routes", "judges", "bounds"}
+	classFields     = []string{"name", "rank", "allowance", "labels"}
+	tenantFields    = []string{"name", "key", "keys", "class"}
+	poolFields      = []string{"name", "labels", "servers", "autoscale"}
+	autoscaleFields = []string{"min", "max", "boot_us"}
+	routeFields     = []string{"name", "kind", "labels", "classes", "pools", "model", "adapter", "weights", "prefix", "max_tokens", "expiry_us", "most_items", "forward"}
+	forwardFields   = []string{"host", "path_prefix", "tries", "aim_us", "gap_us", "due_us", "keep_us", "most_tokens", "split", "authentication", "rank"}
+	splitFields     = []string{"pools", "share"}
+	limitsFields    = []string{"header_bytes", "body_bytes", "header_wait_us", "idle_wait_us"}
 )
--- /dev/null
+++ b/internal/controlplane/autoscale/policy.go
@@ -0,0 +1,194 @@
+package autoscale
+
+import (
+	"math"
+
+	"tuliprudder/internal/clock"
+)
+
+// The policy: up when slots are taken or requests miss their targets, a quarter of a minute later down
+// again when neither is so. Requests that share a server slow each other down before its slots are used up
+// (one's prefill interrupts the others' tokens), at another utilization for each kind of server; so
+// what requests miss counts beside the slots. A burst of 2 to 4 s changes nothing: new servers would serve
+// after it.
+const (
+	// evaluationInterval is between two samples of the load.
+	evaluationInterval = clock.Second
+
+	// raiseUtilization is the part of all slots that is to be taken after servers were added for the load.
+	raiseUtilization = 0.85
+	// batchUtilization is the same where batch items would be late otherwise.
+	batchUtilization = 0.8
+	// raiseSamples is how many samples in a row have to require more servers. A swing of the load within 11 s
+	// and a burst of 4 s are shorter.
+	raiseSamples = 6
+	// raiseMargin is the part of its servers that a service has to be short of.
+	raiseMargin = 0.05
+	// maxRaise is the largest part of its servers that a service is raised by at once.
+	maxRaise = 0.5
+
+	// raiseMisses is the part of the live requests that miss their targets, or get no server, from which on
+	// servers are added, and minMisses the smallest number of them. In each of the samples it is lowerMisses
+	// or more.
+	raiseMisses = 0.04
+	minMisses   = 10
+	// severeMisses is the part that adds servers after severeSamples samples.
+	severeMisses  = 0.1
+	severeSamples = 3
+	// minMissUtilization is the utilization below which they have another cause than a want of servers.
+	minMissUtilization = 0.3
+	// raisePerMiss is how much a service is raised by, as a multiple of the part that missed; maxMissRaise is
+	// the most.
+	raisePerMiss = 3
+	maxMissRaise = 0.3
+	// stabilizationTime is how long after new servers serve what requests miss counts again.
+	stabilizationTime = 3 * clock.Second
+
+	// lowerUtilization is the part of all slots that may be taken after servers were taken away. It leaves
+	// room for the loss of a zone of two.
+	lowerUtilization = 0.4
+	// lowerSamples is over how many samples the load has to be low.
+	lowerSamples = 12
+	// lowerMisses is the part of the live requests from which on no server is taken away.
+	lowerMisses = 0.02
+	// maxLower is the largest part of its servers that a service is lowered by at once; one server in each
+	// zone may always go.
+	maxLower = 0.1
+	// lowerInterval is between two steps down, and after servers were added.
+	lowerInterval = 4 * clock.Second
+)
+
+// sample is a service's load at one time.
+type sample struct {
+	busy            float64 // slots that requests take or wait for
+	required        float64 // slots that queued batch items need besides to be in time
+	slots, servers  float64
+	started, missed float64 // live requests since the sample before
+}
+
+// newSample makes a sample of what all daemons have to run, before so many servers with so many slots in all.
+func newSample(load Load, servers int64, slots int) sample {
+	return sample{
+		busy:     float64(load.Busy)/milli + float64(load.Queued),
+		required: float64(load.Required) / milli,
+		slots:    float64(slots),
+		servers:  float64(servers),
+		started:  float64(load.Started + load.Rejected),
+		missed:   float64(load.Rejected + load.Late),
+	}
+}
+
+// utilization is the part of the slots that is taken.
+func (s sample) utilization() float64 { return s.busy / max(1, s.slots) }
+
+// serversFor is how many servers the sample requires, at some utilization.
+func (s sample) serversFor(utilization float64) float64 {
+	slots := max(s.busy/utilization, (s.busy+s.required)/batchUtilization)
+	return slots * s.servers / max(1, s.slots)
+}
+
+// mean is the mean of samples; what is counted is summed.
+func mean(samples history) sample {
+	var out sample
+	for _, s := range samples {
+		out.busy += s.busy / float64(len(samples))
+		out.required += s.required / float64(len(samples))
+		out.slots += s.slots / float64(len(samples))
+		out.servers += s.servers / float64(len(samples))
+		out.started += s.started
+		out.missed += s.missed
+	}
+	return out
+}
+
+// misses is the part of the live requests that missed their targets.
+func (s sample) misses() float64 { return s.missed / max(1, s.started) }
+
+// history are the last samples of a service, the newest last.
+type history []sample
+
+func (h history) add(s sample) history {
+	h = append(h, s)
+	return h[max(0, len(h)-lowerSamples):]
+}
+
+// last are the newest samples; nil where there are fewer.
+func (h history) last(count int) history {
+	if len(h) < count {
+		return nil
+	}
+	return h[len(h)-count:]
+}
+
+// decision is how many servers a service is to have, and why.
+type decision struct {
+	servers float64
+	reason  reason
+}
+
+// raised is how many servers a service with so many is raised to; false where it isn't. What requests miss
+// counts only where the latest new servers have served for a while.
+func (h history) raised(current float64, countMisses bool) (decision, bool) {
+	out := decision{servers: current}
+	if required := h.sustained(); required > current*(1+raiseMargin) {
+		out = decision{min(required, current*(1+maxRaise)), reasonLoad}
+	}
+	misses := max(h.sustainedMisses(raiseSamples, lowerMisses), h.sustainedMisses(severeSamples, severeMisses))
+	if byMisses := current * (1 + min(raisePerMiss*misses, maxMissRaise)); countMisses && misses >= raiseMisses && byMisses > out.servers {
+		out = decision{byMisses, reasonMisses}
+	}
+	return out, out.servers > current
+}
+
+// sustainedMisses is the part of the live requests that missed their targets over so many newest samples; 0
+// where one of these has a smaller part than minimum, or too few slots are taken for a want of servers.
+func (h history) sustainedMisses(count int, minimum float64) float64 {
+	samples := h.last(count)
+	for _, s := range samples {
+		if s.misses() < minimum || s.utilization() < minMissUtilization {
+			return 0
+		}
+	}
+	all := mean(samples)
+	if all.missed < minMisses {
+		return 0
+	}
+	return all.misses()
+}
+
+// sustained is the number of servers that all of the newest samples require; 0 where there are too few.
+func (h history) sustained() float64 {
+	samples := h.last(raiseSamples)
+	if samples == nil {
+		return 0
+	}
+	out := math.Inf(1)
+	for _, s := range samples {
+		out = min(out, s.serversFor(raiseUtilization))
+	}
+	return out
+}
+
+// lowered is how many servers a service with so many, over some zones, is lowered to; false where it isn't.
+func (h history) lowered(current, zones float64) (decision, bool) {
+	samples := h.last(lowerSamples)
+	if samples == nil {
+		return decision{}, false
+	}
+	all := mean(samples)
+	required := all.serversFor(lowerUtilization)
+	if required >= current || all.missed >= minMisses && all.misses() >= lowerMisses {
+		return decision{}, false
+	}
+	return decision{max(required, current-max(zones, current*maxLower)), reasonLowLoad}, true
+}
+
+// reason says why a target changes. It is in the log; the spelling never changes.
+type reason string
+
+const (
+	reasonLoad    reason = "load"
+	reasonMisses  reason = "misses"
+	reasonLowLoad reason = "low load"
+	reasonBounds  reason = "bounds"
+)
--- a/internal/controlplane/commands.go
+++ b/internal/controlplane/commands.go
@@ -75,6 +75,7 @@
 func (Tick) Apply(c *Core, now clock.Micros) {
 	c.republishUpdates()
 	c.advanceUsage(now)
+	c.advanceAutoscale(now)
 	c.groups.Tick(now)
 	c.election.Tick(now)
 	c.expireChanges(now)
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -12,6 +12,7 @@
 //	durableupdates   updates that outlive a stop of the fleet, kept on disk
 //	primaryreport    what other daemons tell the primary of their work
 //	usage            the reports of use that are due, from what the edges counted
+//	autoscale        how many servers the zones of a pool are to have
 //
 // Which node performs acts on outside systems is decided by internal/exclusive; permits.go takes
 // its decisions through the replication group.
@@ -27,6 +28,7 @@
 
 import (
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/autoscale"
 	"tuliprudder/internal/controlplane/changequeue"
 	"tuliprudder/internal/controlplane/durableupdates"
 	"tuliprudder/internal/controlplane/election"
@@ -69,7 +71,8 @@
 	arbiter        *exclusive.Arbiter
 	permitRequests permitRequests
 	actSources     []exclusive.Source
-	usage          *usage.Collector // nil where nothing is reported of use
+	usage          *usage.Collector   // nil where nothing is reported of use
+	autoscale      *autoscale.Planner // nil where no servers are scaled
 
 	placementMemory placement.Memory
 	nextReconcileAt clock.Micros
@@ -101,6 +104,10 @@
 		c.usage = usage.NewCollector(settings.Usage, c.Emit)
 		c.AddActSource(c.usage)
 	}
+	if settings.Autoscale {
+		c.autoscale = autoscale.New(c.Emit)
+		c.AddActSource(c.autoscale)
+	}
 	c.groups = replication.NewGroups(&c.Effects, c)
 	identity := election.Identity{Core: self, Incarnation: incarnation, Seeds: seeds}
 	c.election = election.New(identity, settings.election(), c.groups, &c.Effects, c.startServing)
--- a/internal/controlplane/primaryreport/messages.go
+++ b/internal/controlplane/primaryreport/messages.go
@@ -12,6 +12,7 @@
 
 import (
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/autoscale"
 	"tuliprudder/internal/transport"
 )
 
@@ -30,6 +31,8 @@
 		SentAt clock.Micros
 		// Usage has the windows with changed counts; none where nothing changed.
 		Usage []WindowCounts
+		// Loads has the pools whose servers are scaled and that have something to run.
+		Loads []autoscale.Load
 	}
 	// WindowCounts are the requests of each tenant that began in a window. A tenant whose count is as
 	// it was acknowledged is left out.
--- a/internal/controlplane/replicated_state.go
+++ b/internal/controlplane/replicated_state.go
@@ -86,6 +86,7 @@
 	c.stores.StartServing(now)
 	c.arbiter.Start(c.group().Epoch, now)
 	c.startUsage(now)
+	c.startAutoscale(now)
 	if c.state.Fleet == "" {
 		c.propose(state.Bootstrap{Fleet: c.Vote().Fleet, Shards: c.settings.Shards}, now)
 	}
--- a/internal/controlplane/reports.go
+++ b/internal/controlplane/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/internal/clock"
+	"tuliprudder/internal/controlplane/autoscale"
 	"tuliprudder/internal/controlplane/primaryreport"
 	"tuliprudder/internal/controlplane/usage"
 	"tuliprudder/internal/machine"
@@ -23,6 +24,9 @@
 
 // rememberReport takes a report, and gives the reply to it.
 func (c *Core) rememberReport(report primaryreport.Report, now clock.Micros) primaryreport.Reply {
+	if c.autoscale != nil {
+		c.autoscale.Receive(autoscale.Reporter{Daemon: report.Daemon, Incarnation: report.Incarnation}, report.Loads, now)
+	}
 	if c.usage == nil {
 		return primaryreport.Reply{Epoch: c.group().Epoch}
 	}
--- a/internal/controlplane/settings.go
+++ b/internal/controlplane/settings.go
@@ -31,34 +31,37 @@
 	EvictAfter         clock.Micros            // after which a lost store no longer counts as a voter for updates; default 10 s
 	AssumeLostAfter    clock.Micros            // after which a core takes the voters for updates that it does not hear for lost; default 20 s
 	CheckConfiguration func(body []byte) error // refuses an invalid configuration; default nil: none is
+	ParseConfiguration config.ParseFunc        // reads a configuration; default: one of the product's own documents
 	PatchFormat        config.PatchFormat      // how operators' patches are written; default: that of the product's own documents
 	Acts               exclusive.Settings      // times of permits for acts on outside systems; default: exclusive.Defaults
+	Autoscale          bool                    // numbers of servers are planned; default false
 	Usage              usage.Settings          // windows of the reports of use; default: none are made
 }
 
 // Defaults are the starting values.
 func Defaults() Settings {
 	return Settings{
-		Shards:           24,
-		Founders:         3,
-		Tolerance:        1,
-		ShardZones:       2,
-		HeartbeatEvery:   250 * clock.Millisecond,
-		CoreTimeout:      1500 * clock.Millisecond,
-		ReplaceAfter:     4 * clock.Second,
-		ReplaceSoonAfter: 4 * clock.Second,
-		StoreTimeout:     2 * clock.Second,
-		ListenDelay:      1500 * clock.Millisecond,
-		BalanceEvery:     500 * clock.Millisecond,
-		BalanceAfter:     4 * clock.Second,
-		PartitionMemory:  30 * clock.Second,
-		CompactAfter:     500,
-		MaxStaleness:     2500 * clock.Millisecond,
-		EvictAfter:       10 * clock.Second,
-		AssumeLostAfter:  20 * clock.Second,
-		PatchFormat:      config.OwnPatchFormat,
-		Acts:             exclusive.Defaults(),
-		Usage:            usage.Defaults(),
+		Shards:             24,
+		Founders:           3,
+		Tolerance:          1,
+		ShardZones:         2,
+		HeartbeatEvery:     250 * clock.Millisecond,
+		CoreTimeout:        1500 * clock.Millisecond,
+		ReplaceAfter:       4 * clock.Second,
+		ReplaceSoonAfter:   4 * clock.Second,
+		StoreTimeout:       2 * clock.Second,
+		ListenDelay:        1500 * clock.Millisecond,
+		BalanceEvery:       500 * clock.Millisecond,
+		BalanceAfter:       4 * clock.Second,
+		PartitionMemory:    30 * clock.Second,
+		CompactAfter:       500,
+		MaxStaleness:       2500 * clock.Millisecond,
+		EvictAfter:         10 * clock.Second,
+		AssumeLostAfter:    20 * clock.Second,
+		ParseConfiguration: config.Parse,
+		PatchFormat:        config.OwnPatchFormat,
+		Acts:               exclusive.Defaults(),
+		Usage:              usage.Defaults(),
 	}
 }
 
--- a/internal/daemon/machines/core.go
+++ b/internal/daemon/machines/core.go
@@ -1,11 +1,15 @@
 package machines
 
 import (
+	"encoding/json"
 	"strings"
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/controlplane"
+	"tuliprudder/internal/controlplane/autoscale"
 	"tuliprudder/internal/controlplane/durableupdates"
+	"tuliprudder/internal/controlplane/state"
+	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/exclusive"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
@@ -46,7 +50,7 @@
 
 // UpdateReceived handles an update: addresses of other cores, status of stores.
 func (c *Core) UpdateReceived(update machine.Update, now clock.Micros) []machine.Effect {
-	out := c.reportHealth(update, now)
+	out := append(c.reportHealth(update, now), c.reportServers(update, now)...)
 	if durableupdates.IsKept(update.Key) {
 		out = append(out, c.Do(controlplane.DurableUpdate{Update: update}, now)...)
 	}
@@ -56,6 +60,30 @@
 	return out
 }
 
+// reportServers tells the control plane of a model server, or of the configuration that says which are
+// scaled, where the update is of one. An update whose value can't be read is ignored: it is of a later release.
+func (c *Core) reportServers(update machine.Update, now clock.Micros) []machine.Effect {
+	var server endpoints.Server
+	var version state.Version
+	switch {
+	case strings.HasPrefix(update.Key, endpoints.ServerPrefix) && json.Unmarshal(update.Value, &server) == nil:
+		return c.Do(serverCommand(server), now)
+	case update.Key == state.ConfigurationKey && json.Unmarshal(update.Value, &version) == nil:
+		return c.Do(controlplane.ConfigurationInForce{Body: version.Body}, now)
+	}
+	return nil
+}
+
+// serverCommand tells the control plane of a server's entry on the list.
+func serverCommand(server endpoints.Server) controlplane.Command {
+	if server.Removed {
+		return controlplane.EndpointRemoved{Name: server.Name}
+	}
+	return controlplane.EndpointKnown{Server: autoscale.Server{
+		Name: server.Name, Labels: server.Labels, Zone: server.Labels[endpoints.LabelZone], Slots: server.Slots, Serving: !server.Draining,
+	}}
+}
+
 // reportHealth tells the control plane whether a store is suspected or an edge lives, where the update is
 // one of its status.
 func (c *Core) reportHealth(update machine.Update, now clock.Micros) []machine.Effect {
--- a/internal/daemon/machines/scheduling.go
+++ b/internal/daemon/machines/scheduling.go
@@ -44,6 +44,7 @@
 		members:            map[string]membership.Member{},
 	}
 	s.Reports = primaryreport.NewSender(self, s.Calls)
+	s.Reports.AddPart(loadReport{s.Scheduler})
 	s.Quota = quota.New(self, s.Calls, s.Members, shardMap)
 	s.Observations = observations.New(self, s.Scheduler)
 	return s
--- a/internal/dataplane/endpoints/endpoints.go
+++ b/internal/dataplane/endpoints/endpoints.go
@@ -12,6 +12,9 @@
 	"tuliprudder/internal/machine"
 )
 
+// LabelZone is the label that names a server's zone.
+const LabelZone = "zone"
+
 // Server is one entry of the list of servers.
 type Server struct {
 	Name     string            `json:"name"`
--- a/internal/dataplane/gateway/proxied_request.go
+++ b/internal/dataplane/gateway/proxied_request.go
@@ -24,6 +24,8 @@
 
 	responseStarted bool   // the head of a response has gone to the caller
 	lastEventID     string // of the last event that was forwarded, or that the caller has
+	lastEventAt     clock.Micros
+	longestPause    clock.Micros // between two events that were forwarded
 }
 
 // serve carries out the machine's decisions on the request until one ends it.
@@ -109,6 +111,7 @@
 		RequestID:       p.requestID,
 		Outcome:         outcome,
 		ResponseStarted: p.responseStarted,
+		LongestPause:    p.longestPause,
 		Reason:          reason,
 	}
 }
--- a/internal/dataplane/gateway/response.go
+++ b/internal/dataplane/gateway/response.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"tuliprudder/internal/clock"
 	"tuliprudder/internal/dataplane/proxy"
 	"tuliprudder/internal/dataplane/upstream"
 	"tuliprudder/internal/errs"
@@ -96,12 +97,21 @@
 	if err := http.NewResponseController(p.w).Flush(); err != nil {
 		return err
 	}
+	p.observePause(p.forwarder.Now())
 	if event.ID != "" {
 		p.lastEventID = event.ID
 	}
 	return nil
 }
 
+// observePause notes that an event was forwarded.
+func (p *proxiedRequest) observePause(now clock.Micros) {
+	if p.lastEventAt > 0 {
+		p.longestPause = max(p.longestPause, now-p.lastEventAt)
+	}
+	p.lastEventAt = now
+}
+
 // endStream forwards what follows the last event.
 func (p *proxiedRequest) endStream(response *upstream.Response, reader *upstream.EventReader) error {
 	p.startResponse(response, unknownLength)
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -18,6 +18,8 @@
 
 // The mechanisms, but for the scorers, which are scorerPrefix and the scorer's name.
 const (
+	// Autoscale requests as many servers from the platform as the load needs.
+	Autoscale Name = "autoscale"
 	// BatchConnections has stores take no more places on a server than they have connections there.
 	BatchConnections Name = "batch-connections"
 	// BatchMemory bounds batch items by servers' memory, not only by their slots.
@@ -54,7 +56,7 @@
 // All are all names, sorted.
 func All() []Name {
 	out := []Name{
-		BatchConnections, BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
+		Autoscale, BatchConnections, BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, LevelLimits, Observations,
 		OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
 	}
 	for _, scorer := range config.ScorerNames {
--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -38,6 +38,7 @@
 		route:          route,
 		identity:       Identity{IsAuthenticated: route.Forward.IsAuthenticated(), Tenant: tenant},
 		call:           call,
+		receivedAt:     receivedAt(request, now),
 		deadline:       deadline(request, route, now),
 		priority:       configuration.PriorityOf(route.Forward, tenant),
 		avoidedServers: map[string]int{},
@@ -49,13 +50,17 @@
 // deadline is when a request's time is over: the route's time-out or the caller's, whichever
 // is shorter, counted from the arrival of its head.
 func deadline(request Request, route *config.Route, now clock.Micros) clock.Micros {
-	receivedAt := now
-	if request.ReceivedAt > 0 {
-		receivedAt = min(request.ReceivedAt, now)
-	}
 	timeout := route.Timeout
 	if request.CallerTimeout > 0 {
 		timeout = min(timeout, request.CallerTimeout)
 	}
-	return receivedAt + timeout
+	return receivedAt(request, now) + timeout
+}
+
+// receivedAt is when the head of a request arrived.
+func receivedAt(request Request, now clock.Micros) clock.Micros {
+	if request.ReceivedAt > 0 {
+		return min(request.ReceivedAt, now)
+	}
+	return now
 }
--- a/internal/dataplane/proxy/attempts.go
+++ b/internal/dataplane/proxy/attempts.go
@@ -118,6 +118,7 @@
 
 func (p *Proxy) handleAttemptStarted(call uint64, started AttemptStarted, now clock.Micros) {
 	if r := p.inFlight[started.RequestID]; r != nil && r.assignment != nil {
+		r.setStarted(now)
 		p.scheduler.ObserveLoad(r.assignment.Server.Name, started.Load, now)
 		p.scheduler.ObserveWeights(r.assignment.Server.Name, started.WeightVersion, now)
 		r.assignment.PrefillDone(now)
@@ -135,6 +136,20 @@
 	p.RequestBegan(r.identity.Tenant, now)
 }
 
+// setStarted records that the response has begun; only the first time counts.
+func (r *activeRequest) setStarted(now clock.Micros) {
+	if r.startedAt == 0 {
+		r.startedAt = now
+	}
+}
+
+// isLate tells whether a complete response came later than its route's targets.
+func (r *activeRequest) isLate(result AttemptResult) bool {
+	targets := r.route.Forward
+	isSlowToStart := targets.LatencyTarget > 0 && r.startedAt-r.receivedAt > targets.LatencyTarget
+	return isSlowToStart || targets.MaxEventGap > 0 && result.LongestPause > targets.MaxEventGap
+}
+
 // handleAttemptResult frees the server of an attempt and decides what follows.
 func (p *Proxy) handleAttemptResult(call uint64, result AttemptResult, now clock.Micros) {
 	r := p.inFlight[result.RequestID]
@@ -155,6 +170,10 @@
 	switch result.Outcome {
 	case Complete:
 		p.Forwarded++
+		r.setStarted(now)
+		if r.isLate(result) {
+			assignment.CountLate()
+		}
 		delete(p.inFlight, r.ID)
 		p.decide(call, Done{})
 	case Invalid:
--- a/internal/dataplane/proxy/messages.go
+++ b/internal/dataplane/proxy/messages.go
@@ -63,6 +63,8 @@
 	// HasBegun: the server began to run it, of which no AttemptStarted told: its response is a success
 	// and no event stream.
 	HasBegun bool
+	// LongestPause is the longest time between two events of the response, over all attempts.
+	LongestPause clock.Micros
 	// ContextDone: the caller disconnected, or the deadline passed.
 	ContextDone bool
 	// LocalFailure: the cause is in this daemon and says nothing about the server.
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -79,6 +79,8 @@
 	route            *config.Route
 	identity         Identity
 	priority         int64
+	receivedAt       clock.Micros
+	startedAt        clock.Micros // when its response began; 0: it hasn't
 	deadline         clock.Micros
 	call             uint64 // the call that the next decision answers
 	schedulerRequest *scheduler.Request
--- a/internal/dataplane/scheduler/assignment.go
+++ b/internal/dataplane/scheduler/assignment.go
@@ -22,6 +22,7 @@
 	interval     *runInterval
 	scheduler    *Scheduler
 	server       *serverState
+	usage        *poolUsage // of the scaled pool that the server is in; nil: of none
 	released     bool
 }
 
@@ -44,11 +45,31 @@
 		interval:     &runInterval{startedAt: now},
 		scheduler:    sc,
 		server:       server,
+		usage:        sc.usageOf(server.scaledPool, now),
 	}
 	server.add(assignment)
+	assignment.countStart(now)
 	return assignment
 }
 
+// countStart counts the assignment in the pool's usage.
+func (a *Assignment) countStart(now clock.Micros) {
+	if a.usage == nil {
+		return
+	}
+	a.usage.add(1, now)
+	if !a.isBatchItem {
+		a.usage.started++
+	}
+}
+
+// CountLate counts that the request's response came later than its route's targets.
+func (a *Assignment) CountLate() {
+	if a.usage != nil {
+		a.usage.late++
+	}
+}
+
 // PrefillDone notes that the server has produced the first event: the prompt is
 // prefilled, and decoding has begun.
 func (a *Assignment) PrefillDone(now clock.Micros) {
@@ -127,6 +148,9 @@
 	a.released = true
 	a.interval.endedAt = now
 	a.server.ownRequests--
+	if a.usage != nil {
+		a.usage.add(-1, now)
+	}
 	if a.isBatchItem {
 		a.scheduler.runningBatchItems--
 		a.server.runningBatchItems--
--- a/internal/dataplane/scheduler/batch_allotment.go
+++ b/internal/dataplane/scheduler/batch_allotment.go
@@ -12,9 +12,6 @@
 	"tuliprudder/internal/membership"
 )
 
-// labelZone is the label that names a server's zone.
-const labelZone = "zone"
-
 // BatchAllotment is a daemon's part of the places that all servers together have for batch items:
 // of Total parts those from Offset on, Size of them. Daemons whose parts don't overlap don't take
 // the same places, but that each has one place at least.
@@ -113,7 +110,7 @@
 		before := len(sc.batch.inOrder)
 		for from := 0; from < len(servers); {
 			to := from
-			for to < len(servers) && servers[to].Labels[labelZone] == servers[from].Labels[labelZone] {
+			for to < len(servers) && servers[to].Labels[endpoints.LabelZone] == servers[from].Labels[endpoints.LabelZone] {
 				to++
 			}
 			sc.listPlacesInTurn(servers[from:to], pass)
@@ -134,7 +131,7 @@
 		}
 	}
 	slices.SortFunc(servers, func(a, b endpoints.Server) int {
-		return cmp.Or(cmp.Compare(a.Labels[labelZone], b.Labels[labelZone]), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.Labels[endpoints.LabelZone], b.Labels[endpoints.LabelZone]), cmp.Compare(a.Name, b.Name))
 	})
 	return servers
 }
--- a/internal/dataplane/scheduler/batch_allotment_test.go
+++ b/internal/dataplane/scheduler/batch_allotment_test.go
@@ -20,7 +20,7 @@
 			sc.SetServer(endpoints.Server{
 				Name:   fmt.Sprintf("server-%d-%02d", zone, i),
 				Slots:  slots,
-				Labels: map[string]string{labelZone: fmt.Sprint("zone-", zone)},
+				Labels: map[string]string{endpoints.LabelZone: fmt.Sprint("zone-", zone)},
 			})
 		}
 	}
@@ -82,7 +82,7 @@
 		t.Errorf("36 places are on %d servers", len(sc.batch.ownLimits))
 	}
 	for name, limit := range sc.batch.ownLimits {
-		if sc.servers[name].server.Labels[labelZone] != "zone-1" || limit != 2 {
+		if sc.servers[name].server.Labels[endpoints.LabelZone] != "zone-1" || limit != 2 {
 			t.Errorf("%d places on %s", limit, name)
 		}
 	}
--- a/internal/dataplane/scheduler/choose.go
+++ b/internal/dataplane/scheduler/choose.go
@@ -5,6 +5,7 @@
 
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/config"
+	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/dataplane/mechanism"
 	"tuliprudder/internal/dataplane/scoring"
 )
@@ -100,7 +101,7 @@
 		WeightVersion:    server.weights.at(s.now),
 		HasPrefix:        s.prefixServer == server.server.Name,
 		FailureRate:      server.outcomes.failureRate(s.now),
-		SameZone:         sc.zone != "" && server.server.Labels[labelZone] == sc.zone,
+		SameZone:         sc.zone != "" && server.server.Labels[endpoints.LabelZone] == sc.zone,
 		Latency:          server.latency,
 		FastestLatency:   s.fastestLatency,
 		BackoffUntil:     server.backoffUntil,
--- a/internal/dataplane/scheduler/match.go
+++ b/internal/dataplane/scheduler/match.go
@@ -39,6 +39,7 @@
 	}
 	sc.startAssigned(assigned, now)
 	for _, r := range expired {
+		sc.countRejected(r, now)
 		r.Drop(errDeadlineExceeded(sc.RetryAfter(now)), now)
 	}
 	for _, r := range stale {
--- a/internal/dataplane/scheduler/scheduler.go
+++ b/internal/dataplane/scheduler/scheduler.go
@@ -61,6 +61,7 @@
 	retries       retryBudget
 	random        *rand.Rand              // breaks ties between servers
 	observations  map[string]*Observation // since other daemons were told, by the server's name
+	pools         map[string]*poolUsage   // of the scaled pools, by name
 	zone          string                  // this daemon's
 
 	serverOffset      float64 // where this daemon's rotation of servers begins, 0 to 1
@@ -82,6 +83,7 @@
 		assignments:  retryafter.Estimator{MaxSamples: assignmentSamples},
 		retries:      newRetryBudget(),
 		observations: map[string]*Observation{},
+		pools:        map[string]*poolUsage{},
 		random:       rand.New(rand.NewSource(seed)),
 	}
 }
--- a/internal/dataplane/scheduler/server.go
+++ b/internal/dataplane/scheduler/server.go
@@ -24,6 +24,7 @@
 	server endpoints.Server
 	// maxConnections is how many connections it takes, by the configuration in force; 0: any number.
 	maxConnections int64
+	scaledPool     string // the scaled pool that it is in, by the same; "": none
 
 	load      endpoints.Load
 	loadEpoch uint64 // of the reader that load is from
@@ -91,6 +92,7 @@
 func (sc *Scheduler) configureServer(s *serverState) {
 	if sc.configuration != nil {
 		s.maxConnections = sc.configuration.MaxConnections(s.server.Labels)
+		s.scaledPool = sc.configuration.ScaledPoolOf(s.server.Labels)
 	}
 }
 
--- a/internal/dataplane/scheduler/submit.go
+++ b/internal/dataplane/scheduler/submit.go
@@ -12,6 +12,7 @@
 	}
 	if sc.queue.length >= sc.settings.MaxQueued {
 		sc.Rejected++
+		sc.countRejected(r, now)
 		return errQueueFull(sc.RetryAfter(now))
 	}
 	if err := sc.applyConfiguration(r); err != nil {
--- a/test/servingsim/deployment.go
+++ b/test/servingsim/deployment.go
@@ -41,6 +41,12 @@
 	CompletionWindow clock.Micros // of the route, as the configuration says; 0: none
 }
 
+// Crash has a part of the servers fail all requests for a while.
+type Crash struct {
+	After, For clock.Micros // from the start of the traffic
+	Share      float64
+}
+
 // Deployment is what a run simulates.
 type Deployment struct {
 	Zones, EdgesPerZone, StoresPerZone, ServersPerZone int
@@ -52,6 +58,13 @@
 	FailingServers int
 	// MaxConnections is how many connections a server takes; stores keep to their shares of them. 0: any.
 	MaxConnections int64
+	// Autoscale bounds the servers of each zone, which come and go as the planner has it; the zero value:
+	// they stay as they are.
+	Autoscale config.Autoscale
+	// LoadFactor is what the live traffic is multiplied by so long after its start; nil: 1.
+	LoadFactor func(elapsed clock.Micros) float64
+	// Crash is when some servers are down, and which part of them.
+	Crash Crash
 	// TellsLoad has the servers tell their load with each answer.
 	TellsLoad bool
 	// Adjust changes the settings of all schedulers, for an ablation.
@@ -120,11 +133,15 @@
 	for zone := range w.Deployment.Zones {
 		for i := range w.Deployment.ServersPerZone {
 			name := fmt.Sprintf("server-%d-%02d", zone, i)
-			w.servers[name] = &server{world: w, name: name, address: name + ":1", zone: zoneName(zone), engine: w.Deployment.Engine}
+			w.servers[name] = w.newServer(name, zoneName(zone))
 		}
 	}
 }
 
+func (w *World) newServer(name, zone string) *server {
+	return &server{world: w, name: name, address: name + ":1", zone: zone, engine: w.Deployment.Engine, startedAt: w.now}
+}
+
 func (w *World) addDaemons() {
 	for zone := range w.Deployment.Zones {
 		for i := range w.Deployment.EdgesPerZone {
@@ -161,13 +178,19 @@
 	version, _ := json.Marshal(state.Version{Number: 1, Body: json.RawMessage(`{}`)})
 	out = append(out, machine.Update{Key: state.ConfigurationKey, Epoch: 1, Seq: 1, Value: version})
 	for _, name := range slices.Sorted(maps.Keys(w.servers)) {
-		s := w.servers[name]
-		entry := endpoints.Server{Name: s.name, Address: s.address, Slots: s.engine.Slots, Labels: map[string]string{"zone": s.zone}}
-		out = append(out, endpoints.ServerUpdate(entry, machine.Update{}, w.now))
+		out = append(out, endpoints.ServerUpdate(w.servers[name].entry(), machine.Update{}, w.now))
 	}
 	return out
 }
 
+// entry is the server's entry on the list.
+func (s *server) entry() endpoints.Server {
+	return endpoints.Server{
+		Name: s.name, Address: s.address, Slots: s.engine.Slots, Labels: map[string]string{"zone": s.zone},
+		Draining: s.draining, Removed: s.endedAt > 0,
+	}
+}
+
 func memberUpdate(id, kind, zone string) machine.Update {
 	member := membership.Member{ID: id, Kind: kind, Zone: zone, Peer: id, Incarnation: 1}
 	return machine.Update{Key: membership.Key(id), Epoch: 1, Seq: member.Seq(), Value: member.Encode()}
@@ -188,7 +211,7 @@
 func (w *World) configuration([]byte) (*config.Configuration, error) {
 	c := &config.Configuration{
 		ScorerWeights: w.Deployment.ScorerWeights,
-		Pools:         []config.Pool{{Name: "all", Servers: config.Selector{}, MemoryTokens: int64(w.Deployment.Engine.MemoryTokens), MaxConnections: w.Deployment.MaxConnections}},
+		Pools:         []config.Pool{{Name: "all", Servers: config.Selector{}, MemoryTokens: int64(w.Deployment.Engine.MemoryTokens), MaxConnections: w.Deployment.MaxConnections, Autoscale: w.Deployment.Autoscale}},
 	}
 	for _, class := range w.Deployment.Live {
 		kind := config.Stream
@@ -197,7 +220,7 @@
 		}
 		c.Routes = append(c.Routes, config.Route{
 			Name: class.Name, Kind: kind, Timeout: class.Timeout,
-			Forward: &config.Forward{Host: class.Name, PathPrefix: "/", MaxAttempts: class.MaxAttempts, LatencyTarget: class.Target, Priority: livePriority},
+			Forward: &config.Forward{Host: class.Name, PathPrefix: "/", MaxAttempts: class.MaxAttempts, LatencyTarget: class.Target, MaxEventGap: maxGap, Priority: livePriority},
 		})
 	}
 	c.Routes = append(c.Routes, config.Route{Name: batchRoute, Kind: config.Batch, MaxItems: 1000, Forward: &config.Forward{Host: batchRoute, PathPrefix: "/", MaxAttempts: 3, CompletionWindow: w.Deployment.Batch.CompletionWindow, Priority: batchPriority}})
--- a/test/servingsim/engine.go
+++ b/test/servingsim/engine.go
@@ -58,6 +58,10 @@
 	engine  Engine
 	failing bool // it fails each request at once
 
+	startedAt clock.Micros
+	draining  bool
+	endedAt   clock.Micros // 0: it runs
+
 	waiting []*job
 	running []*job // in the order in which they were taken up
 	stepped bool   // a step is scheduled
@@ -83,7 +87,7 @@
 // submit takes a request, or rejects it when the queue is full.
 func (s *server) submit(j *job) {
 	switch {
-	case s.failing:
+	case s.failing, s.endedAt > 0:
 		j.onEnd(jobFailed, s.load())
 		return
 	case len(s.waiting) >= s.engine.QueueLimit || j.promptTokens+j.outputTokens > s.engine.MemoryTokens:
--- a/test/servingsim/result.go
+++ b/test/servingsim/result.go
@@ -16,6 +16,8 @@
 	Messages        int                     // between daemons
 	Preempted       int                     // requests that a server preempted because its memory was full
 	ServerImbalance float64                 // busy time of the busiest server over the mean
+	ServerTime      clock.Micros            // of all servers, over the run
+	Changes         []TargetChange          // of the numbers of servers, in their order
 }
 
 // ClassResult counts what became of the requests, or items, of a class.
@@ -50,8 +52,13 @@
 
 // Run lets traffic come for a while, and then waits until it is over.
 func (w *World) Run(length clock.Micros) Result {
+	w.startedAt = w.now
 	end := w.now + length
 	w.start(end)
+	if w.Deployment.Autoscale.IsEnabled() {
+		w.scaler = newScaler(w)
+	}
+	w.scheduleCrash()
 	third := length / 3
 	w.after(third, func() { w.setFailing(true) })
 	w.after(2*third, func() { w.setFailing(false) })
@@ -61,11 +68,38 @@
 		w.Result.Preempted += s.preempted
 		busiest = max(busiest, s.busyFor)
 		sum += s.busyFor
+		w.Result.ServerTime += s.runningTime(end)
 	}
 	w.Result.ServerImbalance = float64(busiest) * float64(len(w.servers)) / float64(max(1, sum))
 	return w.Result
 }
 
+// runningTime is how long a server ran until the end of the traffic.
+func (s *server) runningTime(end clock.Micros) clock.Micros {
+	if s.endedAt > 0 {
+		end = min(end, s.endedAt)
+	}
+	return max(0, end-s.startedAt)
+}
+
+// scheduleCrash has the servers of Deployment.Crash fail for a while.
+func (w *World) scheduleCrash() {
+	crash := w.Deployment.Crash
+	if crash.For == 0 {
+		return
+	}
+	names := slices.Sorted(maps.Keys(w.servers))
+	w.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	crashing := names[:int(crash.Share*float64(len(names)))]
+	set := func(failing bool) {
+		for _, name := range crashing {
+			w.servers[name].failing = failing
+		}
+	}
+	w.after(crash.After, func() { set(true) })
+	w.after(crash.After+crash.For, func() { set(false) })
+}
+
 // setFailing has the first servers of each zone in turn fail, or not any more.
 func (w *World) setFailing(failing bool) {
 	names := slices.Sorted(maps.Keys(w.servers))
--- a/test/servingsim/traffic.go
+++ b/test/servingsim/traffic.go
@@ -39,7 +39,7 @@
 
 // nextLive lets the next request of a class come from a zone.
 func (w *World) nextLive(class LiveClass, zone int, end clock.Micros) {
-	w.after(w.exponential(1/class.PerSecond), func() {
+	w.after(w.exponential(1/(class.PerSecond*w.loadFactor())), func() {
 		if w.now >= end {
 			return
 		}
@@ -55,6 +55,14 @@
 	})
 }
 
+// loadFactor is what the live traffic is multiplied by now.
+func (w *World) loadFactor() float64 {
+	if w.Deployment.LoadFactor == nil {
+		return 1
+	}
+	return w.Deployment.LoadFactor(w.now - w.startedAt)
+}
+
 // someEdge is an edge of a zone; callers are spread unevenly.
 func (w *World) someEdge(zone int) *edge {
 	n := w.Deployment.EdgesPerZone
--- a/test/servingsim/world.go
+++ b/test/servingsim/world.go
@@ -31,6 +31,9 @@
 	requests int // live requests so far
 	batches  int
 	open     []*batch // all batches, in their order
+
+	startedAt clock.Micros // of the traffic
+	scaler    *scaler      // nil: the servers stay as they are
 }
 
 // daemon receives other daemons' messages.
