--- a/internal/controlplane/autoscale/planner.go
+++ b/internal/controlplane/autoscale/planner.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// listenTime is how long a new primary listens to reports before it changes anything.
+	// listenTime is how long a new primary listens to reports, and to the list of servers as it arrives,
+	// before it changes anything.
 	listenTime = 3 * clock.Second
 	// idleDelay is how long a new primary waits for the first request until it takes a service for idle: a
 	// fleet that has just started isn't.
@@ -44,31 +45,6 @@
 	services      map[string]*service // the scaled ones, by name
 }
 
-// service is a pool whose servers are scaled.
-type service struct {
-	bounds  config.Autoscale
-	zones   map[string]*zone // those that it runs in, by name
-	slots   int              // of all servers that serve
-	history history
-	// hasServed: it has had something to run under this primary, or nothing for long.
-	hasServed bool
-	raisedAt  clock.Micros
-	loweredAt clock.Micros
-}
-
-// zone is a service in a zone.
-type zone struct {
-	target int64 // 0: none was decided
-	// serving is how many of its servers serve.
-	serving int64
-	// emptySince is since when it has had no server; 0: it has some.
-	emptySince clock.Micros
-	// missingSince is since when it has had fewer servers than its target; 0: it has as many.
-	missingSince clock.Micros
-	// repeated is the number of the act that has to be repeated, as its servers haven't come; 0: none.
-	repeated uint64
-}
-
 // New makes a planner; Start is called before its first act. What it logs is emitted.
 func New(emit func(machine.Effect)) *Planner {
 	return &Planner{emit: emit, servers: map[string]Server{}, loads: newLoadTable(), services: map[string]*service{}}
@@ -105,14 +81,14 @@
 	}
 	p.evaluateAt = now + evaluationInterval
 	p.loads.forgetOld(now)
-	p.updateServices(table)
+	p.updateServices()
 	for _, name := range slices.Sorted(maps.Keys(p.services)) {
 		p.evaluate(name, p.services[name], table, now)
 	}
 }
 
 // updateServices has the services of the configuration, their zones and servers.
-func (p *Planner) updateServices(table *exclusive.Table) {
+func (p *Planner) updateServices() {
 	for _, known := range p.services {
 		known.bounds, known.slots = config.Autoscale{}, 0
 		for _, z := range known.zones {
@@ -130,9 +106,6 @@
 			known.addServer(server)
 		}
 	}
-	for name, known := range p.services {
-		known.takeDecided(name, table)
-	}
 }
 
 func (p *Planner) serviceOf(name string) *service {
@@ -142,116 +115,63 @@
 	return p.services[name]
 }
 
-// addServer counts a server in its zone.
-func (s *service) addServer(server Server) {
-	z := s.zoneOf(server.Zone)
-	if server.Serving {
-		z.serving++
-		s.slots += server.Slots
-	}
-}
-
-func (s *service) zoneOf(name string) *zone {
-	if s.zones[name] == nil {
-		s.zones[name] = &zone{}
-	}
-	return s.zones[name]
-}
-
-// takeDecided takes the targets of zones that this primary has none of from what was decided, or else
-// from the servers that there are.
-func (s *service) takeDecided(name string, table *exclusive.Table) {
-	for subject := range table.Subjects {
-		if zoneName, ok := zoneOfSubject(subject, name); ok {
-			s.zoneOf(zoneName)
-		}
-	}
-	for zoneName, z := range s.zones {
-		if z.target > 0 {
-			continue
-		}
-		z.target = z.serving
-		if decided, ok := decidedTarget(table, Subject(name, zoneName)); ok {
-			z.target = decided.Desired
-		}
-	}
-}
-
-// decidedTarget is the last target that was decided of a subject; false for none.
-func decidedTarget(table *exclusive.Table, subject exclusive.Subject) (Target, bool) {
-	record := table.Record(subject)
-	if len(record.LastContent) == 0 {
-		return Target{}, false
-	}
-	target, err := DecodeTarget(record.LastContent)
-	return target, err == nil
-}
-
 // evaluate takes a sample of a service and changes its targets.
 func (p *Planner) evaluate(name string, s *service, table *exclusive.Table, now clock.Micros) {
 	if s.slots == 0 {
 		return // no server is known
 	}
-	load := p.loads.take(name)
-	s.hasServed = s.hasServed || !load.isIdle() || now-p.servingSince >= idleDelay
-	if s.hasServed {
-		s.history = s.history.add(newSample(load, s.serving(), s.slots))
-	}
-	if now-p.servingSince < listenTime {
+	p.sample(name, s, now)
+	s.takeDecided(name, table, now)
+	if now < p.servingSince+listenTime {
 		return
 	}
 	p.keepBounds(name, s)
 	for _, z := range s.zones {
 		z.watchEmpty(now)
 	}
-	zones := s.availableZones(now)
-	current := float64(sumOfTargets(zones))
-	mayCountMisses := now >= s.raisedAt+s.bounds.BootTime+stabilizationTime
-	mayLower := now >= s.loweredAt+lowerInterval && now >= s.raisedAt+s.bounds.BootTime+lowerInterval
-	if up, ok := s.history.raised(current, mayCountMisses); ok {
-		p.raise(name, s, zones, up, now)
-	} else if down, ok := s.history.lowered(current, float64(len(zones))); ok && mayLower {
-		p.lower(name, s, zones, down, now)
-	}
+	p.follow(name, s, now)
 	for zoneName, z := range s.zones {
 		z.watchMissing(table.Record(Subject(name, zoneName)), s.bounds, now)
 	}
 }
 
-func (s *service) serving() int64 {
-	sum := int64(0)
-	for _, z := range s.zones {
-		sum += z.serving
+// sample adds the present load to a service's history.
+func (p *Planner) sample(name string, s *service, now clock.Micros) {
+	load := p.loads.take(name)
+	s.hasServed = s.hasServed || !load.isIdle() || now-p.servingSince >= idleDelay
+	if s.hasServed {
+		s.history = s.history.add(newSample(load, s.serving(), s.slots))
 	}
-	return sum
 }
 
-// availableZones are the zones that the servers are spread over: not one whose servers have been missing
-// for longer than new ones take.
-func (s *service) availableZones(now clock.Micros) map[string]*zone {
-	out := maps.Clone(s.zones)
-	maps.DeleteFunc(out, func(_ string, z *zone) bool {
-		return z.emptySince > 0 && now-z.emptySince >= s.bounds.BootTime+replaceDelay
-	})
-	if len(out) == 0 {
-		return s.zones
+// follow has a service's targets follow its load.
+func (p *Planner) follow(name string, s *service, now clock.Micros) {
+	zones := s.availableZones(now)
+	if len(zones) == 0 {
+		return
 	}
-	return out
-}
-
-func sumOfTargets(zones map[string]*zone) int64 {
-	sum := int64(0)
-	for _, z := range zones {
-		sum += z.target
+	current := float64(sumOfTargets(zones))
+	mayRaise := now >= s.raisedAt+raiseInterval
+	mayCountMisses := now >= s.raisedAt+s.bounds.BootTime+stabilizationTime
+	mayLower := now >= s.loweredAt+lowerInterval && now >= s.raisedAt+s.bounds.BootTime+lowerInterval
+	if up, ok := s.history.raised(current, mayCountMisses); ok {
+		if mayRaise {
+			p.raise(name, s, zones, up, now)
+		}
+		return
+	}
+	if down, ok := s.history.lowered(current, float64(len(zones))); ok && mayLower {
+		p.lower(name, s, zones, down, now)
 	}
-	return sum
 }
 
 // keepBounds changes the targets that are out of the configuration's bounds.
 func (p *Planner) keepBounds(name string, s *service) {
 	for _, zoneName := range slices.Sorted(maps.Keys(s.zones)) {
 		z := s.zones[zoneName]
-		p.change(name, zoneName, z, s.bounds.Clamp(z.target), reasonBounds, s)
+		if z.target > 0 {
+			p.change(name, zoneName, z, s.bounds.Clamp(z.target), reasonBounds, s)
+		}
 	}
 }
 
@@ -277,11 +197,6 @@
 	}
 }
 
-// perZone is how many servers each zone has for a total of all.
-func (s *service) perZone(total float64, zones map[string]*zone) int64 {
-	return s.bounds.Clamp(int64(math.Ceil(total / float64(len(zones)))))
-}
-
 // change sets a target, and tells whether it is another one.
 func (p *Planner) change(service, zoneName string, z *zone, target int64, cause reason, s *service) bool {
 	if target == z.target {
@@ -298,32 +213,6 @@
 
 func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
 
-// watchEmpty notes since when the zone has had no server.
-func (z *zone) watchEmpty(now clock.Micros) {
-	switch {
-	case z.serving > 0:
-		z.emptySince = 0
-	case z.emptySince == 0:
-		z.emptySince = now
-	}
-}
-
-// watchMissing has the last act repeated where its servers haven't come.
-func (z *zone) watchMissing(record exclusive.Record, bounds config.Autoscale, now clock.Micros) {
-	if z.serving >= z.target {
-		z.missingSince = 0
-		return
-	}
-	if z.missingSince == 0 {
-		z.missingSince = now
-	}
-	waited := now - z.missingSince
-	if waited >= bounds.BootTime+replaceDelay && len(record.Open) == 0 {
-		z.missingSince = now
-		z.repeated = record.LastNumber + 1
-	}
-}
-
 // Due are the acts for the zones whose target isn't the one that was decided last.
 func (p *Planner) Due(table *exclusive.Table) []exclusive.Act {
 	var out []exclusive.Act
@@ -337,17 +226,3 @@
 	}
 	return out
 }
-
-// act is the act that sets a zone's target; false where there is none to propose.
-func (z *zone) act(service, zoneName string, table *exclusive.Table) (exclusive.Act, bool) {
-	subject := Subject(service, zoneName)
-	record := table.Record(subject)
-	number := record.LastNumber + 1
-	decided, isDecided := decidedTarget(table, subject)
-	isInForce := isDecided && decided.Desired == z.target || !isDecided && z.serving == z.target
-	if z.target == 0 || isInForce && z.repeated != number {
-		return exclusive.Act{}, false
-	}
-	content := Target{Service: service, Zone: zoneName, Desired: z.target}.Encode()
-	return exclusive.Act{Subject: subject, Number: number, Content: content, Supersedes: true}, true
-}
--- a/internal/controlplane/autoscale/policy.go
+++ b/internal/controlplane/autoscale/policy.go
@@ -26,6 +26,8 @@
 	raiseMargin = 0.05
 	// maxRaise is the largest part of its servers that a service is raised by at once.
 	maxRaise = 0.5
+	// raiseInterval is between two steps up.
+	raiseInterval = 3 * clock.Second
 
 	// raiseMisses is the part of the live requests that miss their targets, or get no server, from which on
 	// servers are added, and minMisses the smallest number of them. In each of the samples it is lowerMisses
@@ -83,7 +85,10 @@
 
 // serversFor is how many servers the sample requires, at some utilization.
 func (s sample) serversFor(utilization float64) float64 {
-	slots := max(s.busy/utilization, (s.busy+s.required)/batchUtilization)
+	slots := s.busy / utilization
+	if s.required > 0 {
+		slots = max(slots, (s.busy+s.required)/batchUtilization)
+	}
 	return slots * s.servers / max(1, s.slots)
 }
 
--- /dev/null
+++ b/internal/controlplane/autoscale/policy_test.go
@@ -0,0 +1,90 @@
+package autoscale
+
+import (
+	"math"
+	"testing"
+)
+
+// second is what a service of 48 servers with 8 slots each does in a second.
+type second struct {
+	utilization, misses float64
+	required            int64 // slots that queued batch items need
+}
+
+// historyOf is a history of such seconds, with 500 live requests in each.
+func historyOf(seconds ...second) (h history) {
+	const servers, slots, requests = 48, 48 * 8, 500
+	for _, s := range seconds {
+		load := Load{Busy: int64(s.utilization * slots * milli), Required: s.required * milli, Started: requests, Late: int64(s.misses * requests)}
+		h = h.add(newSample(load, servers, slots))
+	}
+	return h
+}
+
+// repeated is the same second several times, after others.
+func repeated(count int, s second, before ...second) []second {
+	for range count {
+		before = append(before, s)
+	}
+	return before
+}
+
+func TestWhenServersAreAdded(t *testing.T) {
+	usual := second{utilization: 0.5}
+	for name, c := range map[string]struct {
+		seconds []second
+		want    float64 // servers; 48: none are added
+	}{
+		"nothing is known":                        {nil, 48},
+		"the load is usual":                       {repeated(12, usual), 48},
+		"slots are taken for 5 s":                 {repeated(5, second{utilization: 1.7}, repeated(7, usual)...), 48},
+		"slots are taken for 6 s":                 {repeated(6, second{utilization: 1.02}, usual), 57.6},
+		"far more slots are needed":               {repeated(6, second{utilization: 4}), 72},
+		"a little too many slots are taken":       {repeated(6, second{utilization: 0.88}), 48},
+		"batch items would be late":               {repeated(6, second{utilization: 0.7, required: 96}), 57},
+		"few requests miss their targets":         {repeated(12, second{utilization: 0.6, misses: 0.03}), 48},
+		"many do for 5 s":                         {repeated(5, second{utilization: 0.6, misses: 0.06}, repeated(7, usual)...), 48},
+		"many do for 6 s":                         {repeated(6, second{utilization: 0.6, misses: 0.06}, usual), 56.64},
+		"very many do for 2 s":                    {repeated(2, second{utilization: 0.6, misses: 0.3}, repeated(7, usual)...), 48},
+		"very many do for 3 s":                    {repeated(3, second{utilization: 0.6, misses: 0.3}, repeated(7, usual)...), 62.4},
+		"they do though most slots are free":      {repeated(12, second{utilization: 0.2, misses: 0.3}), 48},
+		"both: what asks for more servers counts": {repeated(6, second{utilization: 0.95, misses: 0.3}), 62.4},
+	} {
+		decided, changes := historyOf(c.seconds...).raised(48, true)
+		if math.Abs(decided.servers-c.want) > 0.01 || changes != (c.want > 48) {
+			t.Errorf("%s: %.2f servers (%s), not %.2f", name, decided.servers, decided.reason, c.want)
+		}
+	}
+	if decided, changes := historyOf(repeated(6, second{utilization: 0.6, misses: 0.3})...).raised(48, false); changes {
+		t.Errorf("misses count while new servers boot: %.1f", decided.servers)
+	}
+}
+
+func TestWhenServersAreTakenAway(t *testing.T) {
+	low := second{utilization: 0.2}
+	for name, c := range map[string]struct {
+		seconds []second
+		want    float64 // servers; 48: none are taken away
+	}{
+		"too little is known":             {repeated(11, low), 48},
+		"the load is low":                 {repeated(12, low), 43.2},
+		"the load is a little low":        {repeated(12, second{utilization: 0.38}), 45.6},
+		"the load is usual":               {repeated(12, second{utilization: 0.5}), 48},
+		"it was high a moment ago":        {repeated(9, low, repeated(3, second{utilization: 1.2})...), 48},
+		"requests miss their targets":     {repeated(12, second{utilization: 0.2, misses: 0.03}), 48},
+		"batch items wait":                {repeated(12, second{utilization: 0.2, required: 220}), 46.375},
+		"nothing runs":                    {repeated(12, second{}), 43.2},
+		"a second without a single sound": {repeated(11, low, second{utilization: 0.3}), 43.2},
+	} {
+		decided, changes := historyOf(c.seconds...).lowered(48, 3)
+		if !changes {
+			decided.servers = 48
+		}
+		if math.Abs(decided.servers-c.want) > 0.01 {
+			t.Errorf("%s: %.2f servers, not %.2f", name, decided.servers, c.want)
+		}
+	}
+	if decided, _ := historyOf(repeated(12, second{})...).lowered(9, 3); decided.servers != 6 {
+		t.Errorf("of 9 servers in 3 zones %.1f are left at once", decided.servers)
+	}
+}
