--- a/internal/controlplane/autoscale/planner.go
+++ b/internal/controlplane/autoscale/planner.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// listenTime is how long a new primary listens to reports, and to the list of servers as it arrives,
-	// before it changes anything.
+	// listenTime is how long a new primary listens to reports before it changes anything.
 	listenTime = 3 * clock.Second
+	// growthTime is how long a zone that nothing was decided of has to have no more servers than before until
+	// they count as all: at a fleet's start they come one by one.
+	growthTime = 5 * clock.Second
 	// idleDelay is how long a new primary waits for the first request until it takes a service for idle: a
 	// fleet that has just started isn't.
 	idleDelay = 60 * clock.Second
--- a/internal/controlplane/autoscale/service.go
+++ b/internal/controlplane/autoscale/service.go
@@ -28,8 +28,10 @@
 	initial int64
 	// serving is how many of its servers serve.
 	serving int64
-	// knownSince is since when this primary has known the zone.
-	knownSince clock.Micros
+	// highest is the highest number of servers that served while no target was known, and grownAt is when
+	// that was reached.
+	highest int64
+	grownAt clock.Micros
 	// emptySince is since when it has had no server; 0: it has some.
 	emptySince clock.Micros
 	// missingSince is since when it has had fewer servers than its target; 0: it has as many.
@@ -55,7 +57,7 @@
 }
 
 // takeDecided takes the targets of zones that this primary has none of from what was decided, or else
-// from the servers that there are once the list of them has come.
+// from the servers that there are, once these don't become more any longer.
 func (s *service) takeDecided(name string, table *exclusive.Table, now clock.Micros) {
 	for subject := range table.Subjects {
 		if zoneName, ok := zoneOfSubject(subject, name); ok {
@@ -63,16 +65,16 @@
 		}
 	}
 	for zoneName, z := range s.zones {
-		if z.knownSince == 0 {
-			z.knownSince = now
+		if z.grownAt == 0 || z.serving > z.highest {
+			z.highest, z.grownAt = z.serving, now
 		}
 		decided, isDecided := decidedTarget(table, Subject(name, zoneName))
 		switch {
 		case z.target > 0:
 		case isDecided:
 			z.target = decided.Desired
-		case now >= z.knownSince+listenTime:
-			z.target, z.initial = z.serving, z.serving
+		case now >= z.grownAt+growthTime:
+			z.target, z.initial = z.highest, z.highest
 		}
 	}
 }
