--- a/internal/controlplane/autoscale/policy.go
+++ b/internal/controlplane/autoscale/policy.go
@@ -29,14 +29,15 @@
 	// raiseInterval is between two steps up.
 	raiseInterval = 3 * clock.Second
 
-	// raiseMisses is the part of the live requests that miss their targets, or get no server, from which on
-	// servers are added, and minMisses the smallest number of them. In each of the samples it is lowerMisses
-	// or more.
-	raiseMisses = 0.04
-	minMisses   = 10
-	// severeMisses is the part that adds servers after severeSamples samples.
-	severeMisses  = 0.1
-	severeSamples = 3
+	// raiseMisses is the part of a second's live requests that miss their targets, or get no server, from
+	// which on it counts; so many of the latest samples have to count for servers to be added.
+	raiseMisses        = 0.03
+	raiseMissesSamples = 7
+	// severeMisses is the part that adds servers when as many samples in a row have it.
+	severeMisses        = 0.1
+	severeMissesSamples = 3
+	// minMisses is the smallest number of such requests.
+	minMisses = 10
 	// minMissUtilization is the utilization below which they have another cause than a want of servers.
 	minMissUtilization = 0.3
 	// raisePerMiss is how much a service is raised by, as a multiple of the part that missed; maxMissRaise is
@@ -138,27 +139,35 @@
 	if required := h.sustained(); required > current*(1+raiseMargin) {
 		out = decision{min(required, current*(1+maxRaise)), reasonLoad}
 	}
-	misses := max(h.sustainedMisses(raiseSamples, lowerMisses), h.sustainedMisses(severeSamples, severeMisses))
-	if byMisses := current * (1 + min(raisePerMiss*misses, maxMissRaise)); countMisses && misses >= raiseMisses && byMisses > out.servers {
+	misses := h.misses()
+	if byMisses := current * (1 + min(raisePerMiss*misses, maxMissRaise)); countMisses && byMisses > out.servers {
 		out = decision{byMisses, reasonMisses}
 	}
 	return out, out.servers > current
 }
 
-// sustainedMisses is the part of the live requests that missed their targets over so many newest samples; 0
-// where one of these has a smaller part than minimum, or too few slots are taken for a want of servers.
-func (h history) sustainedMisses(count int, minimum float64) float64 {
-	samples := h.last(count)
-	for _, s := range samples {
-		if s.misses() < minimum || s.utilization() < minMissUtilization {
-			return 0
-		}
+// misses is the part of the live requests that miss their targets for want of servers; 0 where that is too
+// few, or for too short.
+func (h history) misses() float64 {
+	latest, all := mean(h.last(severeMissesSamples)), mean(h)
+	switch {
+	case h.last(severeMissesSamples).withMisses(severeMisses) == severeMissesSamples && latest.missed >= minMisses:
+		return latest.misses()
+	case h.withMisses(raiseMisses) >= raiseMissesSamples && all.missed >= minMisses:
+		return all.misses()
 	}
-	all := mean(samples)
-	if all.missed < minMisses {
-		return 0
+	return 0
+}
+
+// withMisses counts the samples in which this part of the live requests missed their targets, and in which
+// enough slots were taken for a want of servers.
+func (h history) withMisses(part float64) (count int) {
+	for _, s := range h {
+		if s.misses() >= part && s.missed > 0 && s.utilization() >= minMissUtilization {
+			count++
+		}
 	}
-	return all.misses()
+	return count
 }
 
 // sustained is the number of servers that all of the newest samples require; 0 where there are too few.
