Autoscale: the load of 8 of 12 s adds servers, at 0.6 of the slots where requests miss targets, 0.85 elsewhere

What two thirds of the last samples all require is asked for: a burst of 4 s and a swing within 11 s have fewer.

--- a/internal/controlplane/autoscale/events.go
+++ b/internal/controlplane/autoscale/events.go
@@ -10,7 +10,7 @@
 	From        int64   `json:"from"`
 	To          int64   `json:"to"`
 	Serving     int64   `json:"serving"`
-	Utilization float64 `json:"utilization"` // of all zones' slots, in the newest samples
+	Utilization float64 `json:"utilization"` // of all zones' slots, in the last samples
 	Misses      float64 `json:"misses"`      // part of the live requests, in the same
 	Reason      string  `json:"reason"`
 }
--- a/internal/controlplane/autoscale/planner.go
+++ b/internal/controlplane/autoscale/planner.go
@@ -204,7 +204,7 @@
 	if target == z.target {
 		return false
 	}
-	latest := mean(s.history.last(min(raiseSamples, len(s.history))))
+	latest := mean(s.history)
 	p.emit(machine.LogEvent{Event: TargetChanged{
 		Service: service, Zone: zoneName, From: z.target, To: target, Serving: z.serving, Reason: string(cause),
 		Utilization: hundredths(latest.utilization()), Misses: hundredths(latest.misses()),
--- a/internal/controlplane/autoscale/policy.go
+++ b/internal/controlplane/autoscale/policy.go
@@ -1,7 +1,7 @@
 package autoscale
 
 import (
-	"math"
+	"slices"
 
 	"tuliprudder/internal/clock"
 )
@@ -15,15 +15,19 @@
 	// evaluationInterval is between two samples of the load.
 	evaluationInterval = clock.Second
 
-	// raiseUtilization is the part of all slots that is to be taken after servers were added for the load.
-	raiseUtilization = 0.85
+	// raiseUtilization is the part of all slots that is to be taken after servers were added for the load. Where
+	// hardly any requests miss their targets, less than raiseEvidence of them, servers of that kind bear
+	// more: fullUtilization.
+	raiseUtilization = 0.6
+	fullUtilization  = 0.85
+	raiseEvidence    = 0.015
 	// batchUtilization is the same where batch items would be late otherwise.
 	batchUtilization = 0.8
-	// raiseSamples is how many samples in a row have to require more servers. A swing of the load within 11 s
-	// and a burst of 4 s are shorter.
-	raiseSamples = 6
+	// raiseSamples is how many of the last samples have to require more servers. A burst of 4 s and a swing of
+	// the load within 11 s have fewer.
+	raiseSamples = 8
 	// raiseMargin is the part of its servers that a service has to be short of.
-	raiseMargin = 0.05
+	raiseMargin = 0.1
 	// maxRaise is the largest part of its servers that a service is raised by at once.
 	maxRaise = 0.5
 	// raiseInterval is between two steps up.
@@ -136,7 +140,7 @@
 // counts only where the latest new servers have served for a while.
 func (h history) raised(current float64, countMisses bool) (decision, bool) {
 	out := decision{servers: current}
-	if required := h.sustained(); required > current*(1+raiseMargin) {
+	if required := h.required(); required > current*(1+raiseMargin) {
 		out = decision{min(required, current*(1+maxRaise)), reasonLoad}
 	}
 	misses := h.misses()
@@ -170,17 +174,22 @@
 	return count
 }
 
-// sustained is the number of servers that all of the newest samples require; 0 where there are too few.
-func (h history) sustained() float64 {
-	samples := h.last(raiseSamples)
-	if samples == nil {
-		return 0
+// required is the number of servers that as many as raiseSamples of the samples require; 0 where there are
+// fewer.
+func (h history) required() float64 {
+	utilization := fullUtilization
+	if mean(h).misses() >= raiseEvidence {
+		utilization = raiseUtilization
 	}
-	out := math.Inf(1)
-	for _, s := range samples {
-		out = min(out, s.serversFor(raiseUtilization))
+	var required []float64
+	for _, s := range h {
+		required = append(required, s.serversFor(utilization))
 	}
-	return out
+	if len(required) < raiseSamples {
+		return 0
+	}
+	slices.Sort(required)
+	return required[len(required)-raiseSamples]
 }
 
 // lowered is how many servers a service with so many, over some zones, is lowered to; false where it isn't.
