--- a/test/simulator/world.go
+++ b/test/simulator/world.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sort"
 
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/machine"
 	"tuliprudder/internal/membership"
@@ -65,6 +66,8 @@
 	TokenQuota bool
 	// Outside is a system outside the fleet that cores perform acts on; nil: there is none.
 	Outside *Outside
+	// Tenants has batches of requests belong to tenants, whose keys change with the configurations.
+	Tenants bool
 
 	Trace                  []string
 	Steps, Messages, Syncs int // events, messages sent, syncs of disks so far
@@ -195,7 +198,7 @@
 // quotaOwner is the edge that owns a tenant's quota, as an edge knows it.
 func (w *World) quotaOwner(tenant string) *Node {
 	if n := w.Workload.randomEdge(); n != nil {
-		if owner := w.nodeByID(n.edge.Quota.OwnerOf(tenant, false)); owner != nil {
+		if owner := w.nodeByID(n.edge.Quota.OwnerOf(shard.AccountName{Tenant: tenant})); owner != nil {
 			return owner
 		}
 	}
