--- a/internal/controlplane/autoscale/policy.go
+++ b/internal/controlplane/autoscale/policy.go
@@ -48,8 +48,9 @@
 	// the most.
 	raisePerMiss = 3
 	maxMissRaise = 0.3
-	// stabilizationTime is how long after new servers serve what requests miss counts again.
-	stabilizationTime = 3 * clock.Second
+	// stabilizationTime is how long after new servers have booted what requests miss counts again: they have
+	// to be known everywhere, and what waited before has to be gone.
+	stabilizationTime = 6 * clock.Second
 
 	// lowerUtilization is the part of all slots that may be taken after servers were taken away. It leaves
 	// room for the loss of a zone of two.
@@ -60,9 +61,9 @@
 	lowerMisses = 0.02
 	// maxLower is the largest part of its servers that a service is lowered by at once; one server in each
 	// zone may always go.
-	maxLower = 0.1
+	maxLower = 0.15
 	// lowerInterval is between two steps down, and after servers were added.
-	lowerInterval = 4 * clock.Second
+	lowerInterval = 3 * clock.Second
 )
 
 // sample is a service's load at one time.
