--- /dev/null
+++ b/internal/controlplane/autoscale/planner.go
@@ -0,0 +1,230 @@
+package autoscale
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"tuliprudder/internal/clock"
+	"tuliprudder/internal/config"
+	"tuliprudder/internal/exclusive"
+	"tuliprudder/internal/machine"
+)
+
+const (
+	// listenTime is how long a new primary listens to reports before it changes anything.
+	listenTime = 3 * clock.Second
+	// growthTime is how long a zone that nothing was decided of has to have no more servers than before until
+	// they count as all: at a fleet's start they come one by one.
+	growthTime = 5 * clock.Second
+	// idleDelay is how long a new primary waits for the first request until it takes a service for idle: a
+	// fleet that has just started isn't.
+	idleDelay = 60 * clock.Second
+	// replaceDelay is how long beyond the time that servers take to boot a zone may have fewer than
+	// its target until that is requested again.
+	replaceDelay = 8 * clock.Second
+)
+
+// Server is one entry of the list of servers.
+type Server struct {
+	Name   string
+	Labels map[string]string
+	Zone   string
+	Slots  int
+	// Serving is false for one that drains.
+	Serving bool
+}
+
+// Planner plans the numbers of servers.
+type Planner struct {
+	emit func(machine.Effect)
+
+	servingSince  clock.Micros
+	evaluateAt    clock.Micros
+	configuration *config.Configuration
+	servers       map[string]Server // by name
+	loads         loadTable
+	services      map[string]*service // the scaled ones, by name
+}
+
+// New makes a planner; Start is called before its first act. What it logs is emitted.
+func New(emit func(machine.Effect)) *Planner {
+	return &Planner{emit: emit, servers: map[string]Server{}, loads: newLoadTable(), services: map[string]*service{}}
+}
+
+// Start begins a term of this core as primary.
+func (p *Planner) Start(now clock.Micros) {
+	p.servingSince = now
+	p.loads = newLoadTable()
+	p.services = map[string]*service{}
+}
+
+// SetConfiguration takes the configuration in force.
+func (p *Planner) SetConfiguration(configuration *config.Configuration) {
+	p.configuration = configuration
+}
+
+// SetServer takes a server that is on the list.
+func (p *Planner) SetServer(server Server) { p.servers[server.Name] = server }
+
+// RemoveServer takes that a server is not on the list any more.
+func (p *Planner) RemoveServer(name string) { delete(p.servers, name) }
+
+// Receive takes a daemon's report.
+func (p *Planner) Receive(reporter Reporter, loads []Load, now clock.Micros) {
+	p.loads.receive(reporter, loads, now)
+}
+
+// Advance looks at the load and the servers when that is due, and changes the targets. It is called by the
+// core that serves as primary alone.
+func (p *Planner) Advance(table *exclusive.Table, now clock.Micros) {
+	if now < p.evaluateAt || p.configuration == nil {
+		return
+	}
+	p.evaluateAt = now + evaluationInterval
+	p.loads.forgetOld(now)
+	p.updateServices()
+	for _, name := range slices.Sorted(maps.Keys(p.services)) {
+		p.evaluate(name, p.services[name], table, now)
+	}
+}
+
+// updateServices has the services of the configuration, their zones and servers.
+func (p *Planner) updateServices() {
+	for _, known := range p.services {
+		known.bounds, known.slots = config.Autoscale{}, 0
+		for _, z := range known.zones {
+			z.serving = 0
+		}
+	}
+	for _, pool := range p.configuration.Pools {
+		if pool.Autoscale.IsEnabled() {
+			p.serviceOf(pool.Name).bounds = pool.Autoscale
+		}
+	}
+	maps.DeleteFunc(p.services, func(_ string, known *service) bool { return !known.bounds.IsEnabled() })
+	for _, server := range p.servers {
+		if known := p.services[p.configuration.ScaledPoolOf(server.Labels)]; known != nil {
+			known.addServer(server)
+		}
+	}
+}
+
+func (p *Planner) serviceOf(name string) *service {
+	if p.services[name] == nil {
+		p.services[name] = &service{zones: map[string]*zone{}}
+	}
+	return p.services[name]
+}
+
+// evaluate takes a sample of a service and changes its targets.
+func (p *Planner) evaluate(name string, s *service, table *exclusive.Table, now clock.Micros) {
+	if s.slots == 0 {
+		return // no server is known
+	}
+	p.sample(name, s, now)
+	s.takeDecided(name, table, now)
+	if now < p.servingSince+listenTime {
+		return
+	}
+	p.keepBounds(name, s)
+	for _, z := range s.zones {
+		z.watchEmpty(now)
+	}
+	p.follow(name, s, now)
+	for zoneName, z := range s.zones {
+		z.watchMissing(table.Record(Subject(name, zoneName)), s.bounds, now)
+	}
+}
+
+// sample adds the present load to a service's history.
+func (p *Planner) sample(name string, s *service, now clock.Micros) {
+	load := p.loads.take(name)
+	s.hasServed = s.hasServed || !load.isIdle() || now-p.servingSince >= idleDelay
+	if s.hasServed {
+		s.history = s.history.add(newSample(load, s.serving(), s.slots))
+	}
+}
+
+// follow has a service's targets follow its load.
+func (p *Planner) follow(name string, s *service, now clock.Micros) {
+	zones := s.availableZones(now)
+	if len(zones) == 0 {
+		return
+	}
+	current := float64(sumOfTargets(zones))
+	mayRaise := now >= s.raisedAt+raiseInterval
+	mayCountMisses := now >= s.raisedAt+s.bounds.BootTime+stabilizationTime
+	mayLower := now >= s.loweredAt+lowerInterval && now >= s.raisedAt+s.bounds.BootTime+lowerInterval
+	if up, ok := s.history.raised(current, mayCountMisses); ok {
+		if mayRaise {
+			p.raise(name, s, zones, up, now)
+		}
+		return
+	}
+	if down, ok := s.history.lowered(current, float64(len(zones))); ok && mayLower {
+		p.lower(name, s, zones, down, now)
+	}
+}
+
+// keepBounds changes the targets that are out of the configuration's bounds.
+func (p *Planner) keepBounds(name string, s *service) {
+	for _, zoneName := range slices.Sorted(maps.Keys(s.zones)) {
+		z := s.zones[zoneName]
+		if z.target > 0 {
+			p.change(name, zoneName, z, s.bounds.Clamp(z.target), reasonBounds, s)
+		}
+	}
+}
+
+// raise raises a service to a number of servers, the same in each zone.
+func (p *Planner) raise(name string, s *service, zones map[string]*zone, up decision, now clock.Micros) {
+	perZone := s.perZone(up.servers, zones)
+	for _, zoneName := range slices.Sorted(maps.Keys(zones)) {
+		z := zones[zoneName]
+		if p.change(name, zoneName, z, max(z.target, perZone), up.reason, s) {
+			s.raisedAt = now
+		}
+	}
+}
+
+// lower lowers a service to a number of servers, the same in each zone.
+func (p *Planner) lower(name string, s *service, zones map[string]*zone, down decision, now clock.Micros) {
+	perZone := s.perZone(down.servers, zones)
+	for _, zoneName := range slices.Sorted(maps.Keys(zones)) {
+		z := zones[zoneName]
+		if p.change(name, zoneName, z, min(z.target, perZone), down.reason, s) {
+			s.loweredAt = now
+		}
+	}
+}
+
+// change sets a target, and tells whether it is another one.
+func (p *Planner) change(service, zoneName string, z *zone, target int64, cause reason, s *service) bool {
+	if target == z.target {
+		return false
+	}
+	latest := mean(s.history)
+	p.emit(machine.LogEvent{Event: TargetChanged{
+		Service: service, Zone: zoneName, From: z.target, To: target, Serving: z.serving, Reason: string(cause),
+		Utilization: hundredths(latest.utilization()), Misses: hundredths(latest.misses()),
+	}})
+	z.target, z.missingSince, z.repeated = target, 0, 0
+	return true
+}
+
+func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
+
+// Due are the acts for the zones whose target isn't the one that was decided last.
+func (p *Planner) Due(table *exclusive.Table) []exclusive.Act {
+	var out []exclusive.Act
+	for _, name := range slices.Sorted(maps.Keys(p.services)) {
+		zones := p.services[name].zones
+		for _, zoneName := range slices.Sorted(maps.Keys(zones)) {
+			if act, ok := zones[zoneName].act(name, zoneName, table); ok {
+				out = append(out, act)
+			}
+		}
+	}
+	return out
+}
