Arbiter: names for a node's requests and new acts; planted faults in one struct

Readability only. Heard, hearsOther and fresh are RequestReceived, hasSuccessor and newActs; the performer's planted fault stands in InjectedFaults with the arbiter's, as in other packages. The model's test of it is the same. Run: go test ./internal/exclusive ./internal/controlplane, ok.

--- a/internal/controlplane/permits.go
+++ b/internal/controlplane/permits.go
@@ -112,7 +112,7 @@
 		c.rejectNotPrimary(call)
 		return
 	}
-	c.arbiter.Heard(request, now)
+	c.arbiter.RequestReceived(request, now)
 	if exclusive.IsIdle(&c.state.Acts, request, c.dueActs()) {
 		c.Emit(machine.Reply{Call: call, Body: c.arbiter.Response(nil)})
 		return
--- a/internal/exclusive/arbiter.go
+++ b/internal/exclusive/arbiter.go
@@ -9,8 +9,8 @@
 	"tuliprudder/internal/machine"
 )
 
-// heardMemory is for how long the arbiter remembers a holder that it doesn't hear any more.
-const heardMemory = 60 * clock.Second
+// requestMemory is for how long the arbiter remembers a node that requests no permits any more.
+const requestMemory = 60 * clock.Second
 
 // Arbiter is what the primary knows of permits beside the table. It is forgotten with the primary: the
 // next one lets a whole HolderLease pass before a subject changes hands.
@@ -25,7 +25,7 @@
 	lastBatch    uint64
 	rate         rateLimit
 	subjects     map[Subject]*attempts
-	heard        map[Holder]clock.Micros // when each holder's latest request came
+	requestedAt  map[Holder]clock.Micros // when each node's latest request came
 
 	Counters
 }
@@ -56,16 +56,16 @@
 	a.lastSerial, a.lastBatch = 0, 0
 	a.rate = newRateLimit(a.settings.CallsPerSecond, now)
 	a.subjects = map[Subject]*attempts{}
-	a.heard = map[Holder]clock.Micros{}
+	a.requestedAt = map[Holder]clock.Micros{}
 }
 
-// Heard records that a holder sent a request. One that leaves its subjects counts as absent.
-func (a *Arbiter) Heard(request Request, now clock.Micros) {
-	a.heard[request.Holder] = now
+// RequestReceived records that a node sent a request. One that leaves its subjects counts as absent.
+func (a *Arbiter) RequestReceived(request Request, now clock.Micros) {
+	a.requestedAt[request.Holder] = now
 	if request.ReportOnly {
-		a.heard[request.Holder] = now - a.settings.PresenceTimeout
+		a.requestedAt[request.Holder] = now - a.settings.PresenceTimeout
 	}
-	maps.DeleteFunc(a.heard, func(_ Holder, at clock.Micros) bool { return now-at > heardMemory })
+	maps.DeleteFunc(a.requestedAt, func(_ Holder, at clock.Micros) bool { return now-at > requestMemory })
 }
 
 // Decision answers a request. The update has to be durable before the holder may hear of the permits.
@@ -89,7 +89,7 @@
 // Decide decides on a request. Everything in the table is durable on all replicas; due are the acts
 // that the sources propose.
 func (a *Arbiter) Decide(table *Table, request Request, due []Act, now clock.Micros) Decision {
-	a.Heard(request, now)
+	a.RequestReceived(request, now)
 	a.expirePermits(table, now)
 	var decision Decision
 	after := *table
@@ -194,13 +194,13 @@
 	if !a.isEligible(table, subject, holder, now) {
 		return nil, Grant{}, false
 	}
-	fresh := freshActs(due, subject, record.LastNumber, now)
-	if a.mustWait(subject, record, fresh) || (!isKnown && !table.hasCapacity()) {
+	newActs := newActsOf(due, subject, record.LastNumber, now)
+	if a.mustWait(subject, record, newActs) || (!isKnown && !table.hasCapacity()) {
 		return nil, Grant{}, false
 	}
-	grant = Grant{Subject: subject, Holder: holder, Fence: nextFence(table, subject, holder), Acts: fresh}
+	grant = Grant{Subject: subject, Holder: holder, Fence: nextFence(table, subject, holder), Acts: newActs}
 	isNewHolder := !isKnown || record.Fence != grant.Fence
-	if isNewHolder || len(fresh) > 0 {
+	if isNewHolder || len(newActs) > 0 {
 		table.applyGrant(grant)
 		isNew = true
 	}
@@ -214,16 +214,16 @@
 
 // mustWait tells whether no permit for a subject can be granted now: every act of it may be being
 // performed, or one that a newer one would supersede.
-func (a *Arbiter) mustWait(subject Subject, record Record, fresh []Act) bool {
+func (a *Arbiter) mustWait(subject Subject, record Record, newActs []Act) bool {
 	known := a.attemptsAt(subject)
 	if len(known.pending) == 0 {
 		return false
 	}
-	if slices.ContainsFunc(slices.Concat(record.Open, fresh), func(act Act) bool { return act.Supersedes }) {
+	if slices.ContainsFunc(slices.Concat(record.Open, newActs), func(act Act) bool { return act.Supersedes }) {
 		return true
 	}
 	isPending := func(act Act) bool { return known.isPending(act.Number) }
-	return len(fresh) == 0 && !slices.ContainsFunc(record.Open, func(act Act) bool { return !isPending(act) })
+	return len(newActs) == 0 && !slices.ContainsFunc(record.Open, func(act Act) bool { return !isPending(act) })
 }
 
 // permits gives the holder of a subject permits for its open acts, as far as the outside system takes
@@ -276,7 +276,7 @@
 // isEligible tells whether a node may have the next permit for a subject now.
 func (a *Arbiter) isEligible(table *Table, subject Subject, holder Holder, now clock.Micros) bool {
 	known := a.attemptsAt(subject)
-	isExcluded := known.isExcluded(holder, now) && a.hearsOther(known, holder, now)
+	isExcluded := known.isExcluded(holder, now) && a.hasSuccessor(known, holder, now)
 	if now < known.notBefore || isExcluded || !a.rate.allows(now) {
 		return false
 	}
@@ -285,17 +285,17 @@
 		return true
 	}
 	// A holder that isn't the primary survives the loss of the primary, and the primary its loss.
-	if holder == a.self && a.hearsOther(known, holder, now) {
+	if holder == a.self && a.hasSuccessor(known, holder, now) {
 		return false
 	}
 	isFirst := !isKnown && table.FenceFloor == 0
 	return isFirst || a.mayTakeOver(record.Holder, known, now)
 }
 
-// hearsOther tells whether a node other than a holder is there that may take a subject over.
-func (a *Arbiter) hearsOther(known *attempts, holder Holder, now clock.Micros) bool {
-	for other, heardAt := range a.heard {
-		isPresent := now-heardAt < a.settings.PresenceTimeout
+// hasSuccessor tells whether a node other than a holder is present that may take a subject over.
+func (a *Arbiter) hasSuccessor(known *attempts, holder Holder, now clock.Micros) bool {
+	for other, requestedAt := range a.requestedAt {
+		isPresent := now-requestedAt < a.settings.PresenceTimeout
 		if other != holder && isPresent && !known.isExcluded(other, now) {
 			return true
 		}
@@ -311,11 +311,11 @@
 	if now < lastPermitAt+a.settings.HolderLease && !a.faults.NoHolderLease {
 		return false
 	}
-	heardAt, isHeard := a.heard[former]
-	if !isHeard {
-		heardAt = a.servingSince
+	requestedAt, hasRequested := a.requestedAt[former]
+	if !hasRequested {
+		requestedAt = a.servingSince
 	}
-	return known.isExcluded(former, now) || a.faults.IgnorePresence || now-heardAt >= a.settings.PresenceTimeout
+	return known.isExcluded(former, now) || a.faults.IgnorePresence || now-requestedAt >= a.settings.PresenceTimeout
 }
 
 func (a *Arbiter) attemptsAt(subject Subject) *attempts {
@@ -327,15 +327,15 @@
 	return known
 }
 
-// freshActs are the acts of a subject beyond a number, in order.
-func freshActs(due []Act, subject Subject, lastNumber uint64, now clock.Micros) []Act {
-	var fresh []Act
+// newActsOf are the acts of a subject beyond the number of the last decided one, in order.
+func newActsOf(due []Act, subject Subject, lastNumber uint64, now clock.Micros) []Act {
+	var newActs []Act
 	for _, act := range due {
 		if act.Subject == subject && act.Number > lastNumber {
 			act.DecidedAt = now
-			fresh = append(fresh, act)
+			newActs = append(newActs, act)
 		}
 	}
-	slices.SortStableFunc(fresh, func(one, other Act) int { return cmp.Compare(one.Number, other.Number) })
-	return fresh
+	slices.SortStableFunc(newActs, func(one, other Act) int { return cmp.Compare(one.Number, other.Number) })
+	return newActs
 }
--- a/internal/exclusive/arbiter_test.go
+++ b/internal/exclusive/arbiter_test.go
@@ -76,7 +76,7 @@
 	done := f.one(holderA, act("s", 1, "x"))
 	f.request(holderA, nil, outcomeOf(done, Done))
 	f.now += 10 * clock.Second
-	f.arbiter.Heard(Request{Holder: holderA}, f.now)
+	f.arbiter.RequestReceived(Request{Holder: holderA}, f.now)
 	due := []Act{act("s", 2, "y")}
 	if got := f.request(holderB, due).Permits; len(got) > 0 {
 		t.Fatalf("beside a holder that is present another gets %+v", got)
@@ -184,7 +184,7 @@
 func TestAHolderWithoutAnswersLeavesTheSubject(t *testing.T) {
 	f := newFixture(t)
 	f.withoutAnswers(holderA)
-	f.arbiter.Heard(Request{Holder: holderB}, f.now)
+	f.arbiter.RequestReceived(Request{Holder: holderB}, f.now)
 	if got := f.request(holderA, nil).Permits; len(got) > 0 {
 		t.Fatalf("it gets %+v again", got)
 	}
@@ -269,7 +269,7 @@
 func TestThePrimaryLeavesActsToOthers(t *testing.T) {
 	f := newFixture(t)
 	f.arbiter.SetSelf(holderA)
-	f.arbiter.Heard(Request{Holder: holderB}, f.now)
+	f.arbiter.RequestReceived(Request{Holder: holderB}, f.now)
 	due := []Act{act("s", 1, "x")}
 	if got := f.request(holderA, due).Permits; len(got) > 0 {
 		t.Fatalf("beside another node the primary gets %+v", got)
@@ -283,6 +283,6 @@
 	f := newFixture(t)
 	f.arbiter.SetSelf(holderB)
 	f.withoutAnswers(holderA)
-	f.arbiter.Heard(Request{Holder: holderA}, f.now)
+	f.arbiter.RequestReceived(Request{Holder: holderA}, f.now)
 	f.one(holderB)
 }
--- a/internal/exclusive/model_control_test.go
+++ b/internal/exclusive/model_control_test.go
@@ -88,7 +88,7 @@
 	now := t.node.now()
 	due := t.due()
 	if IsIdle(&t.table, request, due) {
-		t.arbiter.Heard(request, now)
+		t.arbiter.RequestReceived(request, now)
 		reply(t.arbiter.Response(nil))
 		return
 	}
--- a/internal/exclusive/model_test.go
+++ b/internal/exclusive/model_test.go
@@ -27,7 +27,6 @@
 // modelFaults are faults that are planted in the model or in the package.
 type modelFaults struct {
 	InjectedFaults
-	validFromArrival    bool // a permit counts from the arrival of the response
 	answerBeforeDurable bool // a response goes out while its update is in flight
 	tableLost           bool // a new primary begins without the table
 	noDeadlineCheck     bool // a process that was frozen sends after the deadline
@@ -267,7 +266,7 @@
 	node.clockAhead = m.upTo(20*clock.Second) - 10*clock.Second
 	node.calls = machine.NewCalls()
 	node.performer = NewPerformer(Holder{name, node.instance}, PerformerDefaults(), node.calls)
-	node.performer.ValidFromArrival = m.faults.validFromArrival
+	node.performer.InjectFaults(m.faults.InjectedFaults)
 	m.nodes = append(m.nodes, node)
 	m.logf("%s starts as %s", name, node.instance)
 }
@@ -406,7 +405,7 @@
 		"no holder lease":           {InjectedFaults: InjectedFaults{NoHolderLease: true}},
 		"content of later proposer": {InjectedFaults: InjectedFaults{LaterContent: true}},
 		"fence not raised":          {InjectedFaults: InjectedFaults{FormerFence: true}},
-		"valid from arrival":        {validFromArrival: true},
+		"valid from arrival":        {InjectedFaults: InjectedFaults{ValidFromArrival: true}},
 		"answer before durable":     {answerBeforeDurable: true},
 		"table lost":                {tableLost: true},
 		"no deadline check":         {noDeadlineCheck: true},
--- a/internal/exclusive/performer.go
+++ b/internal/exclusive/performer.go
@@ -49,6 +49,7 @@
 	settings PerformerSettings
 	holder   Holder
 	calls    *machine.Calls
+	faults   InjectedFaults
 
 	isDraining    bool
 	hasLeft       bool // the primary knows that this node drains
@@ -57,9 +58,6 @@
 	running       map[PermitID]Permit
 	outcomes      []Outcome // to be reported
 
-	// ValidFromArrival is a planted fault: permits count from the arrival of the response. Set by tests
-	// only.
-	ValidFromArrival bool
 	// Performances counts the results by kind.
 	Performances map[Result]int64
 }
@@ -75,6 +73,9 @@
 	}
 }
 
+// InjectFaults plants faults. For tests only.
+func (p *Performer) InjectFaults(faults InjectedFaults) { p.faults = faults }
+
 // Tick sends a request where one is due. primary is the address of the primary core, "" where none is
 // known.
 func (p *Performer) Tick(primary string, isPrimary bool, now clock.Micros) {
@@ -104,7 +105,7 @@
 	if len(p.outcomes) > 0 {
 		p.nextRequestAt = now
 	}
-	if p.ValidFromArrival {
+	if p.faults.ValidFromArrival {
 		sentAt = now
 	}
 	for _, permit := range response.Permits {
--- a/internal/exclusive/settings.go
+++ b/internal/exclusive/settings.go
@@ -47,4 +47,6 @@
 	IgnorePresence bool // a subject passes on though its holder is present
 	LaterContent   bool // a permit has the content that is proposed now, not the decided one
 	FormerFence    bool // a new holder's permits have the former holder's fence
+	// ValidFromArrival: permits count from the arrival of the response at the performer.
+	ValidFromArrival bool
 }
