--- a/internal/controlplane/autoscale/planner.go
+++ b/internal/controlplane/autoscale/planner.go
@@ -157,13 +157,13 @@
 	mayCountMisses := now >= s.raisedAt+s.bounds.BootTime+stabilizationTime
 	mayLower := now >= s.loweredAt+lowerInterval && now >= s.raisedAt+s.bounds.BootTime+lowerInterval
 	if up, ok := s.history.raised(current, mayCountMisses); ok {
-		if mayRaise {
-			p.raise(name, s, zones, up, now)
+		if mayRaise && p.setTargets(name, s, zones, up, higher) {
+			s.raisedAt = now
 		}
 		return
 	}
-	if down, ok := s.history.lowered(current, float64(len(zones))); ok && mayLower {
-		p.lower(name, s, zones, down, now)
+	if down, ok := s.history.lowered(current, float64(len(zones))); ok && mayLower && p.setTargets(name, s, zones, down, lower) {
+		s.loweredAt = now
 	}
 }
 
@@ -177,27 +177,21 @@
 	}
 }
 
-// raise raises a service to a number of servers, the same in each zone.
-func (p *Planner) raise(name string, s *service, zones map[string]*zone, up decision, now clock.Micros) {
-	perZone := s.perZone(up.servers, zones)
+// setTargets sets the targets of a service's zones to the same number each, where choose takes that rather than
+// the present one; it tells whether any target has changed.
+func (p *Planner) setTargets(name string, s *service, zones map[string]*zone, d decision, choose func(present, perZone int64) int64) (changed bool) {
+	perZone := s.perZone(d.servers, zones)
 	for _, zoneName := range slices.Sorted(maps.Keys(zones)) {
 		z := zones[zoneName]
-		if p.change(name, zoneName, z, max(z.target, perZone), up.reason, s) {
-			s.raisedAt = now
-		}
+		changed = p.change(name, zoneName, z, choose(z.target, perZone), d.reason, s) || changed
 	}
+	return changed
 }
 
-// lower lowers a service to a number of servers, the same in each zone.
-func (p *Planner) lower(name string, s *service, zones map[string]*zone, down decision, now clock.Micros) {
-	perZone := s.perZone(down.servers, zones)
-	for _, zoneName := range slices.Sorted(maps.Keys(zones)) {
-		z := zones[zoneName]
-		if p.change(name, zoneName, z, min(z.target, perZone), down.reason, s) {
-			s.loweredAt = now
-		}
-	}
-}
+// higher and lower choose the target of a zone when a service is raised and lowered.
+func higher(present, perZone int64) int64 { return max(present, perZone) }
+
+func lower(present, perZone int64) int64 { return min(present, perZone) }
 
 // change sets a target, and tells whether it is another one.
 func (p *Planner) change(service, zoneName string, z *zone, target int64, cause reason, s *service) bool {
