Reports of use: comments in the field's terms; the simulator's reference and unauthorised calls

Counts are reported, acknowledged and awaited, no longer told and waited for; usageTruth is usageReference, strangers are unauthorised callers. No statement changed; the simulator's strings are as they were.

--- a/internal/controlplane/permits.go
+++ b/internal/controlplane/permits.go
@@ -94,7 +94,7 @@
 // AddActSource adds a source of acts; it is asked while this core is primary under its lease.
 func (c *Core) AddActSource(source exclusive.Source) { c.actSources = append(c.actSources, source) }
 
-// SetOwnHolder tells which holder this core is in acts.
+// SetOwnHolder sets which holder this core is in acts.
 func (c *Core) SetOwnHolder(holder exclusive.Holder) { c.arbiter.SetSelf(holder) }
 
 // dueActs are the acts that the sources propose.
--- a/internal/controlplane/primaryreport/messages.go
+++ b/internal/controlplane/primaryreport/messages.go
@@ -1,10 +1,10 @@
 // Package primaryreport carries what the primary core has to know of other daemons' work, in one
 // small message from each, about once a second (docs/notes/duties.md). A daemon that has nothing
-// new to tell sends nothing.
+// new to report sends nothing.
 //
 // Sender is the daemon's side; parts of the daemon's machine add their own figures to each report
 // (Part). A report says only what the primary hasn't acknowledged. Acknowledgements count for the
-// term of the primary that gave them: under another one everything is told anew. A report may be
+// term of the primary that gave them: under another one everything is reported anew. A report may be
 // lost, late or doubled, so its figures replace earlier ones and are never added to them.
 //
 // Nothing here reads a clock or opens a socket, and nothing is safe for concurrent use.
@@ -19,7 +19,7 @@
 // Messages between a daemon and the primary core. Their Go names and those of their fields are on
 // the wire.
 type (
-	// Report is what a daemon tells the primary core. The answer is a Reply, or an error.
+	// Report is what a daemon reports to the primary core. The answer is a Reply, or an error.
 	Report struct {
 		Daemon      string // its id
 		Incarnation uint64
--- a/internal/controlplane/primaryreport/sender.go
+++ b/internal/controlplane/primaryreport/sender.go
@@ -38,7 +38,7 @@
 	voters  []string // the addresses of the cores with a vote
 	epoch   uint64   // the newest term that is known
 	nextAt  clock.Micros
-	waiting uint64 // the number of the report whose reply is waited for; 0: none is
+	waiting uint64 // the number of the report whose reply is awaited; 0: none is
 
 	flushes       []func() // who waits for a Flush
 	flushAttempts int
@@ -51,9 +51,9 @@
 
 // InjectedFaults are set by tests only, to show that their checks find such a fault.
 type InjectedFaults struct {
-	// KeepAcknowledgements: what a former primary acknowledged is not told to the next one.
+	// KeepAcknowledgements: what a former primary acknowledged is not reported to the next one.
 	KeepAcknowledgements bool
-	// FlushToPrimaryOnly: a daemon that ends tells the primary alone.
+	// FlushToPrimaryOnly: a daemon that ends reports to the primary alone.
 	FlushToPrimaryOnly bool
 }
 
@@ -69,7 +69,7 @@
 // SetIncarnation takes the daemon's incarnation.
 func (s *Sender) SetIncarnation(incarnation uint64) { s.incarnation = incarnation }
 
-// SetPrimary takes who the primary is.
+// SetPrimary takes the primary's address and term, and the cores with a vote.
 func (s *Sender) SetPrimary(update state.CoreUpdate) {
 	if update.Epoch < s.epoch {
 		return
@@ -78,8 +78,8 @@
 	s.learnEpoch(update.Epoch)
 }
 
-// learnEpoch has everything told anew under a new term, at once: a reply of the former primary is not
-// waited for.
+// learnEpoch has everything reported anew under a new term, at once: a reply of the former primary is not
+// awaited.
 func (s *Sender) learnEpoch(epoch uint64) {
 	if epoch <= s.epoch {
 		return
@@ -105,7 +105,7 @@
 	return report, hasChanges
 }
 
-// Tick sends a report when it is due and has something to tell.
+// Tick sends a report when it is due and has something to report.
 func (s *Sender) Tick(now clock.Micros) {
 	if now < s.nextAt {
 		return
@@ -150,7 +150,7 @@
 	}
 }
 
-// send sends a report; false where there is nothing to tell, or nobody to tell it.
+// send sends a report; false where there is nothing to report, or no primary is known.
 func (s *Sender) send(now clock.Micros) bool {
 	if s.waiting > 0 || s.primary == "" || s.incarnation == 0 {
 		return false
@@ -171,7 +171,7 @@
 	return true
 }
 
-// handleReply takes the primary's answer to a report. What a failed one said is told again.
+// handleReply takes the primary's answer to a report. What a failed one had is reported again.
 func (s *Sender) handleReply(report Report, body any, err error, now clock.Micros) {
 	reply, ok := body.(Reply)
 	if err != nil || !ok {
--- a/internal/controlplane/reports.go
+++ b/internal/controlplane/reports.go
@@ -36,7 +36,7 @@
 	return c.usage.Receive(report, now)
 }
 
-// setEdgeHealth tells the collector which edges to wait for.
+// setEdgeHealth has the collector wait for the live edges.
 func (c *Core) setEdgeHealth(health EdgeHealth) {
 	if c.usage != nil {
 		c.usage.SetEdge(health.ID, health.Incarnation, health.IsLive)
@@ -51,14 +51,14 @@
 	}
 }
 
-// advanceUsage tells the collector the time.
+// advanceUsage sets the collector's time.
 func (c *Core) advanceUsage(now clock.Micros) {
 	if c.usage != nil {
 		c.usage.Advance(now)
 	}
 }
 
-// updateDecidedUsage tells the collector what is decided and since when there is a configuration. It is
+// updateDecidedUsage gives the collector what is decided and since when there is a configuration. It is
 // called while nothing is in flight, so that every replica has it.
 func (c *Core) updateDecidedUsage() {
 	if c.usage == nil || !c.IsServing() || c.queue.HasInFlight() {
--- a/internal/controlplane/usage/collector.go
+++ b/internal/controlplane/usage/collector.go
@@ -13,10 +13,10 @@
 const (
 	// minDelay is the shortest time from the end of a window to its proposal.
 	minDelay = 1500 * clock.Millisecond
-	// waitPercent is the part of Settings.Delay for which reports are waited for.
+	// waitPercent is the part of Settings.Delay for which reports are awaited.
 	waitPercent = 60
 	// listenTime is how long a new primary waits for reports where a window's wait is over already:
-	// the edges have to learn of it first.
+	// the edges have to learn first that it is primary.
 	listenTime = 3 * clock.Second
 	// maxAge is how old an undecided window may get; older ones are skipped.
 	maxAge = 300 * clock.Second
@@ -27,7 +27,7 @@
 	// maxReporters and maxCounts bound what is kept: incarnations of edges, and the counts of all.
 	maxReporters = 8192
 	maxCounts    = 500_000
-	// maxClockError is by how much the clocks of an edge and the primary may differ until it is told.
+	// maxClockError is by how much the clocks of an edge and the primary may differ until the edge's counts as skewed.
 	maxClockError = clock.Second
 )
 
@@ -37,7 +37,7 @@
 	ForgetIncarnations   bool // a restarted edge's counts replace those of its former incarnation
 	CountByArrival       bool // a count is taken for the window in which it arrives
 	ProposeWithoutWait   bool // a window is proposed at its end, whoever has reported
-	ProposeAfterElection bool // a new primary does not wait for what the former one had been told
+	ProposeAfterElection bool // a new primary does not wait for what was reported to the former one
 }
 
 // Collector sums the counts of the edges.
@@ -59,7 +59,7 @@
 	reporters map[reporter]*reporterState
 	counts    int // of all reporters, windows and tenants
 
-	// Late, Skipped and Misdated are for the operators, since the start: requests that were told after
+	// Late, Skipped and Misdated are for the operators, since the start: requests that were reported after
 	// their window was decided, windows that were skipped, and counts whose window is too far off.
 	Late, Skipped, Misdated int64
 }
@@ -70,11 +70,11 @@
 	incarnation uint64
 }
 
-// reporterState is what one reporter told.
+// reporterState is what one reporter reported.
 type reporterState struct {
 	windows map[uint64]map[string]int64
-	// completeUntil is up to when this primary was told all that began, by the edge's clock; 0: it
-	// was not.
+	// completeUntil is up to when all that began was reported to this primary, by the edge's clock;
+	// 0: nothing was.
 	completeUntil clock.Micros
 	clockError    clock.Micros // of its last report, and the time on the way
 }
@@ -87,8 +87,8 @@
 // InjectFaults plants faults. For tests only.
 func (c *Collector) InjectFaults(faults InjectedFaults) { c.faults = faults }
 
-// Start begins a term of this core as primary. Counts that were told before remain true, but more may
-// have been told to another primary since.
+// Start begins a term of this core as primary. Counts that were reported before remain true, but more may
+// have been reported to another primary since.
 func (c *Collector) Start(epoch uint64, now clock.Micros) {
 	c.epoch, c.servingSince, c.now = epoch, now, now
 	c.decidedUpTo = 0
@@ -97,10 +97,10 @@
 	}
 }
 
-// SetConfiguredAt tells when the control state first had a configuration; the first window is that one.
+// SetConfiguredAt sets when the control state first had a configuration; the first window is the one then.
 func (c *Collector) SetConfiguredAt(at clock.Micros) { c.configuredAt = at }
 
-// SetEdge tells whether an incarnation of an edge lives.
+// SetEdge sets whether an incarnation of an edge is alive.
 func (c *Collector) SetEdge(id string, incarnation uint64, isLive bool) {
 	switch {
 	case isLive:
@@ -110,7 +110,7 @@
 	}
 }
 
-// SetDecided tells the last window that is decided on every member of the control state's group.
+// SetDecided sets the last window that is decided on every member of the control state's group.
 func (c *Collector) SetDecided(window uint64) {
 	if window > c.decidedUpTo {
 		c.decidedUpTo = window
@@ -118,7 +118,7 @@
 	}
 }
 
-// Advance tells the time. With each new window the oldest ones are dropped.
+// Advance sets the time. With each new window the oldest ones are dropped.
 func (c *Collector) Advance(now clock.Micros) {
 	before := c.now
 	c.now = now
@@ -257,8 +257,8 @@
 	return byAge
 }
 
-// isReady tells whether a window may be proposed: it is over, and every edge has told all of it or has
-// been waited for long enough.
+// isReady tells whether a window may be proposed: it is over, and every edge has reported all of it or has
+// been awaited for long enough.
 func (c *Collector) isReady(window uint64) bool {
 	end := c.settings.end(window)
 	if c.faults.ProposeWithoutWait {
@@ -272,8 +272,8 @@
 	return c.now >= earliest && (c.now >= waitUntil || c.isComplete(end))
 }
 
-// isComplete tells whether every edge that lives has told this primary all that began before a time. A
-// primary that knows of no edge has yet to hear of them.
+// isComplete tells whether every live edge has reported to this primary all that began before a time. A
+// primary that knows of no edge has not learnt of them yet.
 func (c *Collector) isComplete(until clock.Micros) bool {
 	if c.faults.ProposeAfterElection {
 		return true
@@ -299,7 +299,7 @@
 }
 
 // prune drops what is not needed any more: windows that were decided, or are skipped, and edges that
-// are gone and have told of no other.
+// are gone and have reported no other window.
 func (c *Collector) prune() {
 	oldest := c.oldestWindow()
 	for key, known := range c.reporters {
@@ -317,12 +317,12 @@
 
 // Status is the collector's part of a core's figures.
 type Status struct {
-	Edges, UnreportedEdges int64 // that live, and of them those that have told this primary nothing yet
+	Edges, UnreportedEdges int64 // live ones, and of them those that have reported nothing to this primary yet
 	SkewedClocks           int64 // edges whose clocks differ from this core's
 	DecidedUpTo            uint64
 }
 
-// Status tells what is known of the edges.
+// Status gives what is known of the edges.
 func (c *Collector) Status() Status {
 	status := Status{Edges: int64(len(c.edges)), DecidedUpTo: c.decidedUpTo}
 	for _, id := range slices.Sorted(maps.Keys(c.edges)) {
--- a/internal/controlplane/usage/content.go
+++ b/internal/controlplane/usage/content.go
@@ -2,8 +2,8 @@
 // what the edges counted, and proposes one act for each window of the wall clock, in their order.
 //
 // What is proposed may still grow; it is decided when a permit for the act is granted (package
-// exclusive). A Collector is forgotten with its primary: the next one is told everything anew by the
-// edges, which keep their counts until they are decided.
+// exclusive). A Collector is forgotten with its primary: the edges, which keep their counts until they
+// are decided, report everything anew to the next one.
 //
 // Nothing here reads a clock or opens a socket, and nothing is safe for concurrent use.
 package usage
--- a/internal/daemon/machines/scheduling.go
+++ b/internal/daemon/machines/scheduling.go
@@ -25,7 +25,7 @@
 	Quota     *quota.Quota
 	// Observations shares what daemons of a zone see of servers.
 	Observations *observations.Exchange
-	// Reports tells the primary core what the parts that are added to it have to tell.
+	// Reports reports to the primary core what the parts that are added to it have.
 	Reports *primaryreport.Sender
 	// ParseConfiguration turns a confirmed document into a configuration.
 	ParseConfiguration config.ParseFunc
--- a/internal/dataplane/scheduler/batch_allotment.go
+++ b/internal/dataplane/scheduler/batch_allotment.go
@@ -100,8 +100,8 @@
 // listBatchPlaces lists the places for batch items of all servers. Every daemon lists them in the
 // same order: zone by zone, and in a zone first one place of each server, then a second one of each,
 // and so on. So a daemon's places are on as many servers as possible, in as few zones as possible.
-// Where a store has fewer connections to a server than that has places, the zones come in rounds with as
-// many places of each server: a part of the list would have more on a server than its store can use there.
+// Where a store has fewer connections to a server than that has places, the zones are passed through with as
+// many places of each server at a time: a part of the list would have more on a server than its store can use there.
 func (sc *Scheduler) listBatchPlaces() {
 	servers := sc.sortedServers()
 	sc.batch.byServer = sc.placesByServer(servers)
--- a/internal/dataplane/usage/counter.go
+++ b/internal/dataplane/usage/counter.go
@@ -1,7 +1,7 @@
 // Package usage counts, for each window of the wall clock and each tenant, the requests that began to
 // run (docs/notes/duties.md). A Counter is a part of an edge's state machine, and a part of its
-// reports to the primary core (primaryreport.Part): it keeps a window until the primary says that its
-// counts are decided, so that a new primary can be told all of it again.
+// reports to the primary core (primaryreport.Part): it keeps a window until the primary replies that its
+// counts are decided, so that all of it can be reported again to a new primary.
 //
 // Nothing here reads a clock, and nothing is safe for concurrent use.
 package usage
@@ -35,7 +35,7 @@
 	calls    *machine.Calls
 	windows  map[uint64]*window
 	counts   int // over all windows
-	// decidedUpTo is the last window that the primary said to be decided.
+	// decidedUpTo is the last window that the primary replied to be decided.
 	decidedUpTo uint64
 	// reportedUpTo is the window in which the last acknowledged report was sent; 0 for none.
 	reportedUpTo uint64
@@ -121,8 +121,8 @@
 	return unacknowledged
 }
 
-// Add adds the counts that changed. Where none did there is unacknowledged still once a window has ended: that
-// the counts of it are complete.
+// Add adds the counts that changed. Where none did, a report is due once a window has ended: it shows the primary
+// that the counts of the window are complete.
 func (c *Counter) Add(report *primaryreport.Report, now clock.Micros) bool {
 	if !c.IsEnabled() {
 		return false
--- a/internal/dataplane/usage/counter_test.go
+++ b/internal/dataplane/usage/counter_test.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// An edge without the duty counts and sends nothing.
+// An edge where use isn't reported counts and sends nothing.
 func TestNothingIsCountedWithoutAnInterval(t *testing.T) {
 	c := NewCounter(Settings{}, machine.NewCalls())
 	c.Began("a", at(1))
--- a/internal/exclusive/arbiter.go
+++ b/internal/exclusive/arbiter.go
@@ -47,7 +47,7 @@
 // InjectFaults plants faults. For tests only.
 func (a *Arbiter) InjectFaults(faults InjectedFaults) { a.faults = faults }
 
-// SetSelf tells which holder this core itself is.
+// SetSelf sets which holder this core itself is.
 func (a *Arbiter) SetSelf(self Holder) { a.self = self }
 
 // Start begins anew: this core serves as primary of a term from now on.
--- a/test/simulator/guarantees.go
+++ b/test/simulator/guarantees.go
@@ -31,7 +31,7 @@
 	resendAcknowledged   Guarantee = "a confirmed request that is sent again is never rejected"
 	actsExclusive        Guarantee = "an act has one content, a fence one holder, and holders never alternate"
 	actsPerformed        Guarantee = "an act that is due is performed in bounded time"
-	usageWithinTruth     Guarantee = "a report of use has each request at most once, and all while nothing fails"
+	usageReportsExact    Guarantee = "a report of use has each request at most once, and all while nothing fails"
 )
 
 // Guarantees lists them.
@@ -39,7 +39,7 @@
 	batchKept, resultsTimely, resultsExactlyOnce, readerResumes, rejectedNeverRuns,
 	endedBatchStops, runsAtMostOnce, answerIntact, streamIntact, drainingRespected,
 	configurationInForce, withinQuota, serviceRestored, answeredByDeadline, resendAcknowledged,
-	actsExclusive, actsPerformed, usageWithinTruth,
+	actsExclusive, actsPerformed, usageReportsExact,
 }
 
 // timingGrace is the grace for what is to hold within about 3 s.
--- a/test/simulator/outside.go
+++ b/test/simulator/outside.go
@@ -35,7 +35,7 @@
 	calls     []outsideCall
 	accepted  int
 	proposals int
-	usage     *usageTruth
+	usage     *usageReference
 	// Until when it fails in a way.
 	slowUntil, downUntil, busyUntil, answersLostUntil clock.Micros
 	// onStep, where it is set, is notified of each step of an act at a node.
@@ -66,7 +66,7 @@
 	return fmt.Sprintf("%s %d %q by %s fence %d at %d ms", c.permit.Subject, c.permit.Number, c.permit.Content, c.permit.Holder.Name, c.permit.Fence, c.at/clock.Millisecond)
 }
 
-func newOutside(w *World) *Outside { return &Outside{world: w, usage: newUsageTruth(w)} }
+func newOutside(w *World) *Outside { return &Outside{world: w, usage: newUsageReference(w)} }
 
 // enable has a core propose and perform acts.
 func (o *Outside) enable(n *Node, core *machines.Core, incarnation uint64) {
--- a/test/simulator/run.go
+++ b/test/simulator/run.go
@@ -66,7 +66,7 @@
 		v.runLimitedBatchCallers()
 	}
 	if r.Tenants {
-		v.runStrangers()
+		v.runUnauthorisedCallers()
 	}
 	if r.AllCalls {
 		v.exerciseAllCalls()
--- a/test/simulator/tenants.go
+++ b/test/simulator/tenants.go
@@ -112,21 +112,21 @@
 	}
 }
 
-// runStrangers has callers try to use batches of others until Calling is false.
-func (v *Workload) runStrangers() {
+// runUnauthorisedCallers has callers try to use batches of others until Calling is false.
+func (v *Workload) runUnauthorisedCallers() {
 	var next func()
 	next = func() {
 		if !v.Calling {
 			return
 		}
-		v.useAsStranger()
+		v.callUnauthorised()
 		v.world.After(v.world.randomBetween(50, 300)*clock.Millisecond, next)
 	}
 	next()
 }
 
-// useAsStranger calls for an accepted batch of a tenant with another tenant's key, an unknown one or none.
-func (v *Workload) useAsStranger() {
+// callUnauthorised calls for an accepted batch of a tenant with another tenant's key, an unknown one or none.
+func (v *Workload) callUnauthorised() {
 	w := v.world
 	n := v.randomEdge()
 	if n == nil || len(v.Batches) == 0 {
@@ -142,7 +142,7 @@
 		requests.ForwardedBatchStatusRequest{APIKey: key, Batch: b.ID, Cancel: true, Deadline: w.Now + forwardedBatchTimeout},
 		requests.ForwardedPageRequest{APIKey: key, Read: reader.Request{ID: "stranger", BatchID: b.ID, ByIndex: true}},
 		requests.ItemBodyRequest{APIKey: key, Batch: b.ID, Item: "0"},
-		requests.SubmitForwardedBatchRequest{APIKey: key, Route: b.route(), ID: b.ID, Items: []shard.Item{strangersItem}, Deadline: w.Now + forwardedBatchTimeout},
+		requests.SubmitForwardedBatchRequest{APIKey: key, Route: b.route(), ID: b.ID, Items: []shard.Item{unauthorisedItem}, Deadline: w.Now + forwardedBatchTimeout},
 	}
 	call := calls[w.Random.Intn(len(calls))]
 	v.callEdge(n, call, func(response any, err error) {
@@ -153,8 +153,8 @@
 	})
 }
 
-// strangersItem would run under an ID that is taken.
-var strangersItem = shard.Item{ID: "0", Request: &shard.Request{Target: "/v1/item", Host: "stranger", Body: []byte("stranger#0"), Tokens: 1}}
+// unauthorisedItem would run under an ID that is taken.
+var unauthorisedItem = shard.Item{ID: "0", Request: &shard.Request{Target: "/v1/item", Host: "stranger", Body: []byte("stranger#0"), Tokens: 1}}
 
 // otherTenant is another tenant than one.
 func otherTenant(tenant string) string {
--- a/test/simulator/usage_test.go
+++ b/test/simulator/usage_test.go
@@ -45,7 +45,7 @@
 					n.Core.InjectFaults(controlplane.InjectedFaults{Usage: faults})
 				}
 			}
-			if w := run.Execute(); !w.Workload.HasViolated(usageWithinTruth) {
+			if w := run.Execute(); !w.Workload.HasViolated(usageReportsExact) {
 				t.Fatal("not caught")
 			}
 		})
