--- a/internal/controlplane/usage/collector.go
+++ b/internal/controlplane/usage/collector.go
@@ -27,7 +27,7 @@
 	// maxReporters and maxCounts bound what is kept: incarnations of edges, and the counts of all.
 	maxReporters = 8192
 	maxCounts    = 500_000
-	// maxClockError is by how much the clocks of an edge and the primary may differ until the edge's counts as skewed.
+	// maxClockError is by how much the clocks of an edge and the primary may differ until the edge's clock counts as skewed.
 	maxClockError = clock.Second
 )
 
