--- a/internal/controlplane/permits.go
+++ b/internal/controlplane/permits.go
@@ -94,7 +94,7 @@
 // AddActSource adds a source of acts; it is asked while this core is primary under its lease.
 func (c *Core) AddActSource(source exclusive.Source) { c.actSources = append(c.actSources, source) }
 
-// SetOwnHolder tells which holder this core is in acts.
+// SetOwnHolder sets which holder this core is in acts.
 func (c *Core) SetOwnHolder(holder exclusive.Holder) { c.arbiter.SetSelf(holder) }
 
 // dueActs are the acts that the sources propose.
@@ -112,7 +112,7 @@
 		c.rejectNotPrimary(call)
 		return
 	}
-	c.arbiter.Heard(request, now)
+	c.arbiter.RequestReceived(request, now)
 	if exclusive.IsIdle(&c.state.Acts, request, c.dueActs()) {
 		c.Emit(machine.Reply{Call: call, Body: c.arbiter.Response(nil)})
 		return
