A request whose route stops forwarding, or begins to, while it waits is dropped as with a removed route

What callers saw: on the product's own configurations, where a route of the same name stopped forwarding while one of its requests waited for a server, the edge's process ended (with a configuration without tenants): all its callers lost their answers. With tenants the request was sent to a server of the new route. Cause: since each attempt asks the request's present route whether callers are known by keys, and a route that forwards no more has nothing to ask. The scheduler took the new route for the old one's requests. Evidence: TestARequestIsDroppedWhoseRouteForwardsNoMore failed with a nil dereference in identityNow, and before that, with tenants, with an attempt where none may be. Why it works: such a route is another one; what waits is answered as if the old one had been removed, which is a promise that it has not run. Items were treated so already when they started. Configurations of the platform have forwarding routes only: no decision there changes.

--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -50,12 +50,13 @@
 		return nil
 	}
 	route, class := sc.configuration.Lookup(r.Route.Name, r.Tenant)
-	if route == nil {
+	forwarded := r.Route.Forward != nil
+	if route == nil || forwarded != (route.Forward != nil) {
 		return errRouteRemoved(r.Route.Name)
 	}
 	// A batch item was accepted and runs for as long as its route exists; so does a forwarded request,
 	// whose tenant may have no class, or none at all.
-	needsClass := !r.IsBatchItem && r.Route.Forward == nil
+	needsClass := !r.IsBatchItem && !forwarded
 	if needsClass && (class == nil || !route.Classes.Matches(class.Labels)) {
 		return errRouteRemoved(r.Route.Name)
 	}
