Items that avoid a server, or want certain weights, keep to their store's connections as well

What callers saw: results later than their lots' due times. The attempt ends before it is written, and the store then leaves that server alone for the time of a backoff, for all its items, as if the server were full. Cause: the same as in the issue (places counted apart from connections), in the one other place where places for items are counted. Evidence: TestAParticularItemNeedsAConnectionToo: 11 places on each server, for a store with 3 connections. Why it works: the limit is the smaller of both, and at least one, as connections are. Decisions can change where such items wait: TestDecisionsAreAsRecorded may need its digests recorded.

--- a/internal/dataplane/scheduler/batch_allotment_test.go
+++ b/internal/dataplane/scheduler/batch_allotment_test.go
@@ -119,6 +119,20 @@
 	}
 }
 
+// Items that avoid a server, or want certain weights, were sent to servers that the store had no connection to left.
+func TestAParticularItemNeedsAConnectionToo(t *testing.T) {
+	sc, shares := newConnectionLimitedScheduler()
+	sc.SetBatchAllotment(BatchAllotment{Offset: 0, Size: 10, Total: 614, Connections: shares})
+	avoiding := &Request{IsBatchItem: true, AvoidedServers: map[string]int{"server-0-00": MaxFailuresPerServer}}
+	for _, r := range []*Request{avoiding, {IsBatchItem: true, WantedWeights: 2}} {
+		for name, server := range sc.servers {
+			if limit := sc.batchUsage(r, server).Limit; limit > 3 || limit < 1 {
+				t.Errorf("%d places on %s", limit, name)
+			}
+		}
+	}
+}
+
 // Passes over the servers leave no place out and list none twice.
 func TestPassesListEachPlaceOnce(t *testing.T) {
 	sc, shares := newConnectionLimitedScheduler()
--- a/internal/dataplane/scheduler/choose.go
+++ b/internal/dataplane/scheduler/choose.go
@@ -119,7 +119,7 @@
 func (sc *Scheduler) batchUsage(r *Request, server *serverState) *scoring.BatchUsage {
 	out := &scoring.BatchUsage{Limit: sc.batchLimit(server.server), Running: server.runningBatchItems}
 	if r.isParticular() {
-		out.Limit = sc.freeBatchPlaces(server.server)
+		out.Limit = min(sc.freeBatchPlaces(server.server), sc.connectionLimit(server.server))
 	}
 	if !sc.Disables(mechanism.BatchPrefillLimit) {
 		out.Prefilling = server.prefillingBatchItems
