Autoscale: a new primary waits for servers that boot before it adds servers for missed targets

What callers and the platform saw: after a change of the primary in an overload, the number of servers was raised by up to 30% a second time, while the servers of the first raise were still booting: servers paid for nothing. Evidence: TestANewPrimaryWaitsForServersThatBoot: 15 servers a zone were decided instead of 11, 4 s into the term. Why it works: the term's start stands for the last raise. What the load requires is raised as before (that is an absolute number, and waits 3 s anyhow), and lowering needs 12 s of reports in any case.

--- a/internal/controlplane/autoscale/planner.go
+++ b/internal/controlplane/autoscale/planner.go
@@ -112,7 +112,8 @@
 
 func (p *Planner) serviceOf(name string) *service {
 	if p.services[name] == nil {
-		p.services[name] = &service{zones: map[string]*zone{}}
+		// A former primary may have raised it until it was succeeded.
+		p.services[name] = &service{zones: map[string]*zone{}, raisedAt: p.servingSince}
 	}
 	return p.services[name]
 }
--- a/internal/controlplane/autoscale/planner_test.go
+++ b/internal/controlplane/autoscale/planner_test.go
@@ -228,6 +228,19 @@
 	}
 }
 
+// A new primary took the misses of before for a want of more servers, beside those that had just been requested.
+func TestANewPrimaryWaitsForServersThatBoot(t *testing.T) {
+	b := newPlanBench(t, 8)
+	b.platform = nil
+	b.pass(10, 110, 0.5)
+	b.expect("decided", map[string]int64{"a": 11})
+	b.Start(b.now)
+	b.pass(9, 110, 0.5)
+	b.expect("while they boot", map[string]int64{"a": 11, "b": 11, "c": 11})
+	b.pass(1, 110, 0.5)
+	b.expect("afterwards", map[string]int64{"a": 15, "b": 15, "c": 15})
+}
+
 func TestServersThatDontComeAreRequestedAgain(t *testing.T) {
 	b := newPlanBench(t, 8)
 	b.platform = func(string, int64) {}
