Autoscale: a service whose last server is gone is requested again

Cause: the planner looked at nothing of a service of which it knew no server, also at what is missing. Evidence: TestAServiceWithoutServersIsRequestedAgain: no act in the 13 s after the loss. Why it works: without servers no sample is taken and no load followed, so that no number changes; what was decided is still taken from the table, and missing servers are counted.

--- a/internal/controlplane/autoscale/planner.go
+++ b/internal/controlplane/autoscale/planner.go
@@ -118,12 +118,13 @@
 	return p.services[name]
 }
 
-// evaluate takes a sample of a service and changes its targets.
+// evaluate takes a sample of a service and changes its targets. While none of its servers is known, it has no load
+// to follow; that they are missing counts all the same.
 func (p *Planner) evaluate(name string, s *service, table *exclusive.Table, now clock.Micros) {
-	if s.slots == 0 {
-		return // no server is known
+	hasServers := s.slots > 0
+	if hasServers {
+		p.sample(name, s, now)
 	}
-	p.sample(name, s, now)
 	s.takeDecided(name, table, now)
 	if now < p.servingSince+listenTime {
 		return
@@ -132,7 +133,9 @@
 	for _, z := range s.zones {
 		z.watchEmpty(now)
 	}
-	p.follow(name, s, now)
+	if hasServers {
+		p.follow(name, s, now)
+	}
 	for zoneName, z := range s.zones {
 		z.watchMissing(table.Record(Subject(name, zoneName)), s.bounds, now)
 	}
--- a/internal/controlplane/autoscale/planner_test.go
+++ b/internal/controlplane/autoscale/planner_test.go
@@ -241,6 +241,27 @@
 	b.expect("afterwards", map[string]int64{"a": 15, "b": 15, "c": 15})
 }
 
+// Where the last server was lost, nothing was requested any more.
+func TestAServiceWithoutServersIsRequestedAgain(t *testing.T) {
+	b := newPlanBench(t, 8)
+	b.pass(8, 300, 0)
+	b.expect("decided", map[string]int64{"a": 12})
+	b.pass(1, 300, 0)
+	acts := len(b.acts)
+	b.platform = nil
+	for _, zone := range []string{"a", "b", "c"} {
+		b.removeServers(zone, 12)
+	}
+	b.pass(12, 0, 0)
+	if len(b.acts) != acts {
+		t.Fatalf("while they may boot: acts %+v", b.acts[acts:])
+	}
+	b.pass(1, 0, 0)
+	if len(b.acts) != acts+3 || string(b.acts[acts].Content) != string(b.acts[0].Content) {
+		t.Errorf("then: acts %+v", b.acts[acts:])
+	}
+}
+
 func TestServersThatDontComeAreRequestedAgain(t *testing.T) {
 	b := newPlanBench(t, 8)
 	b.platform = func(string, int64) {}
