Items of a low priority are not left out while those of higher ones keep coming

What callers see: the items of a tenant whose priority is low are given up after the route's retention, while servers work on others all the time.

Cause: items in time go strictly by priority. And overdue items of a service without servers took the turns: 20 of them held up another for 168 starts.

Now of four forwarded items that start in time while some of lower priorities wait, one is the oldest of these, as of live requests. Turns are chosen when a place is looked for, and only items that some server can run take one.

TestLiveRequestsGoBeforeForwardedItems promotes by the new call, and checks the same. Mechanism item-promotion switches it off. test/servingsim and test/decisiondigest pass unchanged.

--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -32,6 +32,8 @@
 	BatchShares Name = "batch-shares"
 	// ItemPriority orders batch items of opaque requests by the priority of their tenant or route.
 	ItemPriority Name = "item-priority"
+	// ItemPromotion lets a batch item of a lower level start now and then where higher ones take all places.
+	ItemPromotion Name = "item-promotion"
 	// LevelLimits leaves places on each server for requests of higher levels.
 	LevelLimits Name = "level-limits"
 	// LivePromotion lets a live request of a lower level start now and then where higher ones take all servers.
@@ -60,8 +62,8 @@
 // All are all names, sorted.
 func All() []Name {
 	out := []Name{
-		Autoscale, BatchConnections, BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, ItemPriority, LevelLimits, LivePromotion, Observations,
-		OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
+		Autoscale, BatchConnections, BatchMemory, BatchPrefillLimit, BatchRunning, BatchShares, ItemPriority, ItemPromotion, LevelLimits, LivePromotion,
+		Observations, OverdueLast, QueueTimeLimit, RetryAvoidance, RetryBudget, ServerBackoff, Starvation,
 	}
 	for _, scorer := range config.ScorerNames {
 		out = append(out, Scorer(scorer))
--- a/internal/dataplane/scheduler/assignment.go
+++ b/internal/dataplane/scheduler/assignment.go
@@ -34,7 +34,7 @@
 	sc.prefixes.record(r, server.server.Name)
 	if r.IsBatchItem {
 		sc.runningBatchItems++
-		sc.countStarted(r)
+		sc.countItemStart(r)
 	} else {
 		sc.countLiveStart(r)
 	}
--- a/internal/dataplane/scheduler/batch_allotment.go
+++ b/internal/dataplane/scheduler/batch_allotment.go
@@ -45,8 +45,7 @@
 	// connections are the daemons that share the servers' connections.
 	connections connections.Shares
 	// itemDuration is the moving average of how long a batch item runs.
-	itemDuration  clock.Micros
-	startedOnTime int // items since the latest overdue one started
+	itemDuration clock.Micros
 }
 
 // SetBatchAllotment says which part of the servers' places for batch items is this daemon's.
--- a/internal/dataplane/scheduler/item_levels_test.go
+++ b/internal/dataplane/scheduler/item_levels_test.go
@@ -65,7 +65,9 @@
 	promoted := f.submitForwardedItem("promoted", "p1000", 1)
 	item := f.submitForwardedItem("item", "p1000", clock.Second)
 	f.demoteOverdue(f.now + 2)
-	f.queue.promoteOverdue()
+	f.SetServer(newServer("s", 1))
+	f.turns.startsBeforeOverdue = onTimePerOverdue
+	f.promoteItemsIfDue(f.now)
 	if promoted.overdue != isPromoted {
 		t.Fatal("the overdue item isn't promoted")
 	}
--- a/internal/dataplane/scheduler/levels.go
+++ b/internal/dataplane/scheduler/levels.go
@@ -32,7 +32,7 @@
 		return batchLevel(r.Priority)
 	case r.overdue == isOverdue:
 		return overdueItemLevel(r.Priority)
-	case r.overdue == isPromoted:
+	case r.overdue == isPromoted, r.overdue == isAdvanced:
 		return promotedItemLevel
 	}
 	return onTimeItemLevel(r.Priority)
--- a/internal/dataplane/scheduler/match.go
+++ b/internal/dataplane/scheduler/match.go
@@ -52,6 +52,7 @@
 func (sc *Scheduler) assignQueued(now clock.Micros) []assignedRequest {
 	sc.demoteOverdue(now)
 	sc.promoteIfDue()
+	sc.promoteItemsIfDue(now)
 	pass := &matchPass{withoutPlaces: map[*config.Route]bool{}}
 	for _, level := range sc.queue.nonEmptyLevels() {
 		for _, requests := range sc.queue.listsAt(level) {
--- a/internal/dataplane/scheduler/mechanism_test.go
+++ b/internal/dataplane/scheduler/mechanism_test.go
@@ -33,6 +33,12 @@
 			item := &Request{IsBatchItem: true, Route: &config.Route{Name: "r", Forward: &config.Forward{}}}
 			return sc.applyConfiguration(item) == nil && item.Priority == 3
 		},
+		mechanism.ItemPromotion: func(sc *Scheduler) bool {
+			route := &config.Route{Forward: &config.Forward{}}
+			sc.queue.submit(&Request{IsBatchItem: true, Priority: 1, Route: route})
+			sc.countItemStart(&Request{IsBatchItem: true, Priority: 2, Route: route})
+			return sc.turns.startsBeforeLower == 1
+		},
 		mechanism.LevelLimits: func(sc *Scheduler) bool {
 			return sc.utilizationLimit(&Request{IsBatchItem: true, Priority: 1}, 0) < 1
 		},
--- a/internal/dataplane/scheduler/scheduler.go
+++ b/internal/dataplane/scheduler/scheduler.go
@@ -68,6 +68,7 @@
 	batch             batchPlaces
 	runningBatchItems int // batch items that this daemon has running
 	promotions        promotions
+	turns             itemTurns
 	freshAsOf         clock.Micros // this daemon's updates are complete up to here
 	changed           bool         // another Match may assign something
 	closed            bool
