--- a/internal/dataplane/quota/model_test.go
+++ b/internal/dataplane/quota/model_test.go
@@ -480,6 +480,7 @@
 // quota, with batches alone and with live requests beside them. All daemons know the same members
 // here: where edges disagree on who owns an account with live requests, the bound is not exact.
 func TestTheSumStaysAnUpperBound(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds = 150
 		steps = 1500
@@ -502,6 +503,7 @@
 // Several tenants press against their quotas on one route: each is bounded by itself, and each is
 // admitted as much as the others.
 func TestEachTenantOfARouteIsBoundedByItself(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds = 60
 		steps = 1500
@@ -529,6 +531,7 @@
 // A shard that nobody serves for minutes, as in a long partition, counts all the while and when it is
 // back: no time that an account waits for it ends.
 func TestTheSumStaysAnUpperBoundOverLongAbsences(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds = 60
 		steps = 12_000
@@ -611,6 +614,7 @@
 // (Of 1,500 seeds three admitted too much, 6 of 100 at most. With cuts in one direction and frozen
 // daemons beside it, it is not: TestWorstExcessOfLiveAccounts.)
 func TestDirectoriesThatDifferExceedTheQuotaByATenthAtMost(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds               = 100
 		steps               = 1500
@@ -633,6 +637,7 @@
 
 // What was accepted while a configuration set no limit counts as soon as one sets it again.
 func TestNothingIsAdmittedBeyondALimitThatReturns(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds = 150
 		steps = 1500
@@ -649,6 +654,7 @@
 
 // The model finds that a store takes a limit for an old one that has been lifted meanwhile.
 func TestALimitThatWasLiftedIsNoOldOne(t *testing.T) {
+	t.Parallel()
 	for seed := int64(1); seed <= 200; seed++ {
 		m := newModel(seed, false, InjectedFaults{})
 		m.liftsLimit, m.claimsLimit = true, true
@@ -666,6 +672,7 @@
 // Once nothing fails any more, the quota can be used up again: what is counted too much does not
 // stay.
 func TestTheQuotaIsFreeAgainAfterFaults(t *testing.T) {
+	t.Parallel()
 	for seed := int64(1); seed <= 50; seed++ {
 		m := newModel(seed, false, InjectedFaults{})
 		m.run(600)
@@ -698,6 +705,7 @@
 
 // The search finds each safeguard that is left out.
 func TestTheModelFindsWhatIsLeftOut(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		mixed  bool
 		faults InjectedFaults
@@ -709,6 +717,7 @@
 		"live requests spend what their edge has offered back": {true, InjectedFaults{UseReturnedLease: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := int64(1); seed <= 200; seed++ {
 				m := newModel(seed, test.mixed, test.faults)
 				for m.excess == "" && m.now < 40*clock.Second {
