--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -68,7 +68,7 @@
 // applyPriority gives a request the priority of its tenant's class (nil for none) or of its route.
 func (sc *Scheduler) applyPriority(r *Request, class *config.PriorityClass) {
 	switch {
-	case r.isForwardedItem() && !sc.ordersItemsByPriority(r.Route):
+	case r.isForwardedItem() && !sc.prioritizesItems(r.Route):
 		r.Priority = config.MaxPriority
 	case r.Route.Forward != nil:
 		r.Priority = sc.configuration.PriorityOf(r.Route.Forward, r.Tenant)
@@ -77,8 +77,8 @@
 	}
 }
 
-// ordersItemsByPriority tells whether a forwarded route's batch items go by priority. Where callers have no tenants, a
+// prioritizesItems tells whether a forwarded route's batch items go by priority. Where callers have no tenants, a
 // route's priority is one of urgency among live requests alone, and its items go by their due times.
-func (sc *Scheduler) ordersItemsByPriority(route *config.Route) bool {
+func (sc *Scheduler) prioritizesItems(route *config.Route) bool {
 	return route.Forward.IsAuthenticated() && !sc.Disables(mechanism.ItemPriority)
 }
