Tests' fleets: a daemon's ports are its own

Cause, by edge-1.stderr: 'listen tcp 127.95.1.8:45955: bind: address already in use'. The tool asked the kernel for a free port several times for each daemon and closed it each time, so that it could be given again, to the same daemon or to a client's socket, before the daemon listened. Which of the two it was isn't known.

Run after it: kill-writer once (12 s), TestAStreamIsBrokenOffWhenItsRoutesTimeIsOver and TestTwoOperatorsUnderOneNumber once; passed. No whole run.

--- a/test/localfleet/daemon.go
+++ b/test/localfleet/daemon.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -43,14 +46,28 @@
 	return fmt.Sprintf("127.%d.%d.%d", f.octet, 1+f.nextAddress/addressesPerOctet, 1+f.nextAddress%addressesPerOctet)
 }
 
-// freeAddress is an address with a port that the kernel finds free.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "finding a free port")
+// Ports of daemons are below those that the kernel gives to clients' sockets (from 32768 on by default).
+const (
+	firstDaemonPort = 10_000
+	endDaemonPort   = 32_000
+	portAttempts    = 100
+)
+
+// freeAddress is an address whose port is free and none of the taken ones, which needn't be listened on yet.
+func freeAddress(ip string, taken ...string) (string, error) {
+	var err error
+	for range portAttempts {
+		port := firstDaemonPort + rand.IntN(endDaemonPort-firstDaemonPort)
+		address := net.JoinHostPort(ip, strconv.Itoa(port))
+		if slices.Contains(taken, address) {
+			continue
+		}
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.Wrap(err, "finding a free port")
 }
 
 // prepare lays a daemon out without starting it.
@@ -60,7 +77,7 @@
 	if d.Peer, err = freeAddress(d.IP); err != nil {
 		return nil, err
 	}
-	if d.HTTP, err = freeAddress(d.IP); err != nil {
+	if d.HTTP, err = freeAddress(d.IP, d.Peer); err != nil {
 		return nil, err
 	}
 	if kind != kindModelServer {
@@ -76,7 +93,7 @@
 
 // prepareArgs puts a daemon behind the network and gives it its folder.
 func (f *Fleet) prepareArgs(d *Daemon) error {
-	listen, err := freeAddress(d.IP)
+	listen, err := freeAddress(d.IP, d.Peer, d.HTTP)
 	if err != nil {
 		return err
 	}
