Review, case 3: an old version sent on top of the newest one is acknowledged

Part one. review/3: version 3 and, on it, version 5 are acknowledged; the document of version 3 is then sent on base 5. The stand-in has servers of a second service for it.

--- a/review/standin/boot.go
+++ b/review/standin/boot.go
@@ -74,7 +74,7 @@
 }
 
 // newDeployment lays out a fleet with one edge, store and core in each zone, and starts the
-// platform's list and two servers in each zone.
+// platform's list and two servers of each service in each zone.
 func newDeployment(r *record) (*fleet, error) {
 	l, err := startList()
 	if err != nil {
@@ -82,11 +82,13 @@
 	}
 	for range 2 {
 		for _, zone := range zones {
-			s, err := startServer(r, "dahu75a", zone)
-			if err != nil {
-				return nil, err
+			for _, service := range []string{"dahu75a", "dahu75b"} {
+				s, err := startServer(r, service, zone)
+				if err != nil {
+					return nil, err
+				}
+				l.servers = append(l.servers, s)
 			}
-			l.servers = append(l.servers, s)
 		}
 	}
 	return newFleet(r, program(), l.address, 1)
