--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,9 +18,9 @@
 
 // cases are the scripts, by name.
 var cases = map[string]func(r *record, trouble bool) (code int, err error){
-	"boot":        boot,
-	"boot-loss":   bootLoss,
-	"old-version": oldVersion,
+	"boot":      boot,
+	"boot-loss": bootLoss,
+	"drain":     drain,
 }
 
 func main() {
