--- a/review/standin/boot.go
+++ b/review/standin/boot.go
@@ -24,33 +24,33 @@
 // boot kills all processes of the core at the same moment, while the system starts for the first
 // time, and has them back within a second, with the settings of that moment and their disks. The
 // operator then sends the first configuration until it is taken.
-func boot(r *record, trouble bool) (int, error) { return firstStart(r, trouble, restartCore) }
+func boot(r *record, disrupted bool) (int, error) { return firstStart(r, disrupted, restartCore) }
 
 // bootLoss loses one machine of the core for good while the system starts for the first time; an
 // empty one comes at another address.
-func bootLoss(r *record, trouble bool) (int, error) { return firstStart(r, trouble, replaceCore) }
+func bootLoss(r *record, disrupted bool) (int, error) { return firstStart(r, disrupted, replaceCore) }
 
 // firstStart disturbs the first start of a deployment and checks that it comes into service.
-func firstStart(r *record, trouble bool, disturb func(*record, *fleet) error) (int, error) {
+func firstStart(r *record, disrupted bool, disturb func(*record, *fleet) error) (int, error) {
 	f, err := startDeployment(r)
 	if err != nil {
 		return cannotRun, err
 	}
 	defer f.stop()
-	if trouble {
+	if disrupted {
 		if err := disturb(r, f); err != nil {
 			return cannotRun, err
 		}
 	}
-	settled := time.Now()
+	lastEventAt := time.Now()
 	if until(maxWait, func() bool { return sendConfiguration(r, f) }) {
-		r.say("first configuration acknowledged %.1f s after the last event at the core", time.Since(settled).Seconds())
+		r.say("first configuration acknowledged %.1f s after the last event at the core", time.Since(lastEventAt).Seconds())
 		return served(r, f), nil
 	}
 	for _, core := range f.byRole("core") {
 		r.say("process of %s has ended by itself: %v", core.name, core.hasEnded())
 	}
-	r.say("no acknowledgement in %.1f s after the last event at the core; nothing was done to any machine since", time.Since(settled).Seconds())
+	r.say("no acknowledgement in %.1f s after the last event at the core; nothing was done to any machine since", time.Since(lastEventAt).Seconds())
 	return broken, nil
 }
 
@@ -181,7 +181,7 @@
 		return status == 200
 	})
 	if isServed {
-		return held
+		return ruleKept
 	}
 	return broken
 }
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -36,7 +36,7 @@
 
 // drain tells an edge to stop while its clients read streams of 4.2 s, one after the other on the
 // same connection. Every request that the edge has read and passed on has to be answered.
-func drain(r *record, trouble bool) (int, error) {
+func drain(r *record, disrupted bool) (int, error) {
 	events, pause = streamEvents, eventGap
 	f, err := startDeployment(r)
 	if err != nil {
@@ -62,13 +62,13 @@
 		workers.Go(func() { answers[i] = readTwoStreams(r, edge, i, term) })
 	}
 	time.Sleep(time.Until(term))
-	if trouble {
+	if disrupted {
 		r.say("SIGTERM to %s", edge.name)
 		edge.signal(syscall.SIGTERM)
 		pollReadiness(r, edge, term)
 	}
 	workers.Wait()
-	return judge(r, answers, term, trouble), nil
+	return countLost(r, answers, term, disrupted), nil
 }
 
 // pollReadiness asks the edge once a second whether it is ready, as the platform does.
@@ -128,15 +128,15 @@
 	return a
 }
 
-// judge counts the requests that were lost, as the rule says.
-func judge(r *record, answers [][]answer, term time.Time, trouble bool) int {
+// countLost counts the requests that were lost, as the rule says.
+func countLost(r *record, answers [][]answer, term time.Time, disrupted bool) int {
 	lost, second := 0, 0
 	for _, client := range answers {
 		for n, a := range client {
 			second += n
 			isExcused := a.endedAt.Sub(a.sentAt) >= streamTimeout || a.sentAt.Sub(term) <= excusedUntil
 			wasRead := a.receivedSize > 0 // its server's events came, so it was passed on
-			if !a.complete && wasRead && (!isExcused || !trouble) {
+			if !a.complete && wasRead && (!isExcused || !disrupted) {
 				lost++
 				r.say("lost: %s was sent %.3f s after the SIGTERM, read, passed on, and cut at %.3f s of %v of grace, %.3f s before its deadline",
 					a.id, a.sentAt.Sub(term).Seconds(), a.endedAt.Sub(term).Seconds(), grace, (streamTimeout - a.endedAt.Sub(a.sentAt)).Seconds())
@@ -147,8 +147,8 @@
 	switch {
 	case lost > 0:
 		return broken
-	case !trouble && second < clients:
+	case !disrupted && second < clients:
 		return cannotRun
 	}
-	return held
+	return ruleKept
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -108,8 +108,8 @@
 }
 
 // remove forgets a machine that is gone for good.
-func (f *fleet) remove(gone *machine) {
-	f.machines = slices.DeleteFunc(f.machines, func(m *machine) bool { return m == gone })
+func (f *fleet) remove(removed *machine) {
+	f.machines = slices.DeleteFunc(f.machines, func(m *machine) bool { return m == removed })
 }
 
 // byRole returns the machines of a role.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,13 +11,13 @@
 
 // The exit codes.
 const (
-	held      = 0
+	ruleKept  = 0
 	broken    = 1
 	cannotRun = 2
 )
 
 // cases are the scripts, by name.
-var cases = map[string]func(r *record, trouble bool) (code int, err error){
+var cases = map[string]func(r *record, disrupted bool) (code int, err error){
 	"boot":      boot,
 	"boot-loss": bootLoss,
 	"drain":     drain,
