A stopping edge passes on only what it can answer, and ends connections after their answers

Cause: a head that went out before the signal bears no Connection: close, so its caller keeps the connection. RawServer.Close looked for idle connections every 20 ms, so the next request of a busy caller always came first and was served; nothing compared its time with what was left of the drain, at whose end Close cuts what is open.

Change: - A request that a draining edge reads carries the time at which the edge stops (proxy.Request.AnswerBy). If its deadline is later, it is rejected at once with a promise (503, Retry-After) and not passed on. So whatever is passed on has its answer, or its deadline, before the drain is over. - A closing server retires a connection as soon as the response to its open request is complete. A request that crosses this isn't read, so its caller may send it again. - Each head that is written from the signal on bears Connection: close, also if its request was read before (RawServer.StartDraining).

--- a/internal/dataplane/gateway/body.go
+++ b/internal/dataplane/gateway/body.go
@@ -12,6 +12,6 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, limit)
+	httpserver.LimitBody(w, r, limit)
 	return httpserver.ReadBody(r)
 }
--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -30,6 +30,10 @@
 		p.fail(call, err)
 		return
 	}
+	if request.AnswerBy > 0 && deadline(request, route, now) > request.AnswerBy {
+		p.rejectBeforeStop(call)
+		return
+	}
 	if route.Kind == config.Batch {
 		p.decide(call, BatchSubmission{Route: route, Deadline: deadline(request, route, now)})
 		return
@@ -48,6 +52,13 @@
 	p.scheduleAttempt(r, nil, now)
 }
 
+// rejectBeforeStop rejects a request that may take longer than this daemon still runs. If it were passed on, its
+// response might be cut, and the caller could not tell whether it has run.
+func (p *Proxy) rejectBeforeStop(call uint64) {
+	p.Rejected++
+	p.fail(call, errs.NewWithRetry(errs.NotReady, p.settings.MinRetryAfter, "use another daemon; this one is stopping", "the daemon may stop before the request is answered"))
+}
+
 // deadline returns when a request times out: after the route's or the caller's timeout, whichever
 // is shorter, counted from the arrival of the request's head.
 func deadline(request Request, route *config.Route, now clock.Micros) clock.Micros {
--- a/internal/dataplane/proxy/messages.go
+++ b/internal/dataplane/proxy/messages.go
@@ -25,6 +25,8 @@
 	ReceivedAt clock.Micros
 	// CallerTimeout is how long the caller waits for the response; 0 if the caller did not set it.
 	CallerTimeout clock.Micros
+	// AnswerBy is when the response must be complete because this daemon stops then; 0 for no such time.
+	AnswerBy clock.Micros
 	// PromptSegments are the segments of the prompt, in order.
 	PromptSegments []PromptSegment
 	// PromptTokens is the number of prompt tokens that the server has to prefill.
--- a/internal/httpserver/caller_conn.go
+++ b/internal/httpserver/caller_conn.go
@@ -55,6 +55,11 @@
 	if c.exchange.isOpen(time.Now(), headTimeout) {
 		return
 	}
+	c.startRetiring()
+}
+
+// startRetiring makes the current read, or the next one, end at once; c.mu is held.
+func (c *callerConn) startRetiring() {
 	c.retiring = true
 	// An error means that the connection is closed already.
 	_ = c.Conn.SetReadDeadline(pastDeadline)
@@ -141,12 +146,16 @@
 	c.stopRetiring() // the request may have been read together with the previous one
 }
 
-// requestEnded records that the response to the current request is complete.
+// requestEnded records that the response to the current request is complete. A closing server reads
+// no further request on the connection, unless it was read together with the current one.
 func (c *callerConn) requestEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange = exchange{}
 	c.served = true
+	if c.server.IsClosing() {
+		c.startRetiring()
+	}
 }
 
 // mayRetire reports whether a closing server need not wait for a request on the connection: one
--- a/internal/httpserver/raw_server.go
+++ b/internal/httpserver/raw_server.go
@@ -12,7 +12,8 @@
 // RawServer is an HTTP server whose handler gets every request as it was sent (docs/DESIGN.md,
 // section 12.2). It uses net/http's server directly: go-zero's router cleans paths, traces each
 // request, and closes its listener by itself a second after the termination signal, while callers
-// are still being directed to this daemon. Start and Close are called once each, in this order.
+// are still being directed to this daemon. Start and Close are called once each, in this order;
+// StartDraining may be called in between.
 type RawServer struct {
 	Address string
 	Handler http.Handler
@@ -32,7 +33,9 @@
 	open          openConns
 	idle          idleConns
 	limitsInForce atomic.Pointer[Limits] // the latest CurrentLimits, with zeros taken from Limits; nil if CurrentLimits is nil
-	isClosing     atomic.Bool
+	isDraining    atomic.Bool            // responses tell callers to use another connection
+	isClosing     atomic.Bool            // no further connection is accepted
+	serveEnded    chan struct{}          // closed once every accepted connection is among the open ones
 	cleanups      cleanup.Stack
 }
 
@@ -67,7 +70,9 @@
 	} else {
 		r.enforceCurrentLimits()
 	}
+	r.serveEnded = make(chan struct{})
 	go func() {
+		defer close(r.serveEnded)
 		if err := r.server.Serve(r.listener); err != nil && !r.isClosing.Load() {
 			onFailure(err)
 		}
@@ -75,12 +80,16 @@
 	return nil
 }
 
-// serveRequest serves one request. Once the server is closing, the response tells the caller to use
-// another connection for the next request.
+// StartDraining has every response whose head is written from now on tell its caller to use another
+// connection for the next request. New connections are still accepted.
+func (r *RawServer) StartDraining() { r.isDraining.Store(true) }
+
+// IsClosing reports whether the server has stopped accepting connections.
+func (r *RawServer) IsClosing() bool { return r.isClosing.Load() }
+
+// serveRequest serves one request.
 func (r *RawServer) serveRequest(w http.ResponseWriter, request *http.Request) {
-	if r.isClosing.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	w = &responseWriter{ResponseWriter: w, server: r}
 	if r.limitsInForce.Load() != nil && r.rejectLargeHeader(w, request) {
 		return
 	}
@@ -105,12 +114,16 @@
 func (r *RawServer) removeConn(conn *callerConn) { r.open.remove(conn) }
 
 // Close stops accepting connections, retires the idle ones, and waits for the open requests until
-// the timeout; then it closes their connections. Every request that is read until then is served.
-// net/http's Shutdown isn't used because it drops a request that is read just as it begins.
+// the timeout; then it closes their connections. A connection is retired as soon as the response to
+// its open request is complete, so only requests that were arriving when Close was called, and the
+// first one on a new connection, are still taken. net/http's Shutdown isn't used because it drops a
+// request that is read just as it begins.
 func (r *RawServer) Close(timeout time.Duration) {
 	defer r.cleanups.Run()
+	r.isDraining.Store(true)
 	r.isClosing.Store(true)
 	r.listener.Close()
+	<-r.serveEnded
 	deadline := time.Now().Add(timeout)
 	for r.retireIdle(time.Now()) > 0 && time.Now().Before(deadline) {
 		time.Sleep(closeInterval)
--- a/internal/httpserver/raw_server_test.go
+++ b/internal/httpserver/raw_server_test.go
@@ -126,6 +126,103 @@
 	<-closed
 }
 
+// A draining server accepts connections, and each response whose head it writes then says that the connection is closed,
+// so that no caller keeps using a daemon that stops.
+func TestDrainingServerTellsCallersToUseAnotherConnection(t *testing.T) {
+	reached, release := make(chan struct{}), make(chan struct{})
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			reached <- struct{}{}
+			<-release
+		}
+		if r.Method == http.MethodPut {
+			http.NewResponseController(w).Flush()
+		}
+		io.WriteString(w, "ok")
+	})
+	closes := func(c *testClient, method string) bool {
+		t.Helper()
+		fmt.Fprintf(c.conn, "%s / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", method)
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, response.Body)
+		return response.Close
+	}
+	open, kept := f.dial(), f.dial()
+	if closes(kept, "GET") {
+		t.Error("a server that is not draining closes a connection")
+	}
+	answered := make(chan bool, 1)
+	go func() { answered <- closes(open, "POST") }()
+	<-reached
+	f.StartDraining()
+	close(release)
+	if !<-answered {
+		t.Error("a request that was read before the drain keeps its connection")
+	}
+	if !closes(kept, "GET") || !closes(f.dial(), "PUT") {
+		t.Error("a request that was read while the server was draining keeps its connection")
+	}
+}
+
+// A body over the limit closes its connection, so that the rest of it isn't taken for a request.
+func TestTooLargeBodyClosesTheConnection(t *testing.T) {
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		LimitBody(w, r, 10)
+		if _, err := ReadBody(r); err != nil {
+			WriteError(w, err)
+		}
+	})
+	c := f.dial()
+	fmt.Fprintf(c.conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n%s", strings.Repeat("x", 1000))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil || response.StatusCode != http.StatusRequestEntityTooLarge || !response.Close {
+		t.Errorf("answered %+v, %v", response, err)
+	}
+}
+
+// A closing server takes no further request on a connection whose response was open when it began to close: it passed
+// such requests on and cut them when its time was over.
+func TestClosingServerTakesNoRequestAfterAnOpenResponse(t *testing.T) {
+	const clients = 8
+	reached, release := make(chan struct{}, 2*clients), make(chan struct{})
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, Limits{}, func(w http.ResponseWriter, _ *http.Request) {
+		http.NewResponseController(w).Flush() // the head is written before the server begins to close
+		reached <- struct{}{}
+		<-release
+		io.WriteString(w, "complete")
+	})
+	var callers []*testClient
+	for range clients {
+		c := f.dial()
+		callers = append(callers, c)
+		io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-reached
+	}
+	closed := make(chan struct{})
+	go func() { defer close(closed); f.Close(20 * time.Second) }()
+	waitUntilRefused(t, f.listener.Addr())
+	close(release)
+	for _, c := range callers {
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(response.Body); err != nil || string(body) != "complete" {
+			t.Errorf("the response to the open request is %q, %v", body, err)
+		}
+		if status := c.get(0); status != 0 {
+			t.Errorf("the next request on the connection got status %d", status)
+		}
+	}
+	<-closed
+	if taken := len(reached); taken != 0 {
+		t.Errorf("the handler got %d requests after the open ones", taken)
+	}
+}
+
 // A connection that this daemon closes after it has read part of a request and before it has written
 // any response is counted and reported. One whose caller disconnected first is counted separately,
 // and one whose request was answered is not counted.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -56,7 +56,7 @@
 			WriteError(w, errs.NewWithRetry(errs.Busy, clock.Second, "retry after the time given", "this daemon has reached its limit of open requests"))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, s.maxBodyBytes)
+		LimitBody(w, r, s.maxBodyBytes)
 		if err := handler(w, r); err != nil {
 			WriteError(w, err)
 		}
