A stopping edge answers the reads of results that it holds

Callers saw: a read of results that may be held (X-Hold-Max up to 10 s; wait_us up to 30 s in the product's own interface) and was open when the edge's drain time was over ended without an answer.

Cause: the reader knew nothing of the drain, so a read waited for its own time; at the end of the drain its connection was closed (platform/edge.go), or the HTTP server's 3 s were over (the program edge).

Change: Reader.EndWaits ends the pending reads with what can be read then, and holds none from then on.

--- a/internal/daemon/machines/edge.go
+++ b/internal/daemon/machines/edge.go
@@ -97,9 +97,12 @@
 	return e.finishStep(now)
 }
 
-// Drain makes the edge reject new requests and drop queued ones.
+// Drain makes the edge reject new requests and drop queued ones, and ends the waits of reads.
 type Drain struct{}
 
+// EndWaits makes reads end with the results that there are, instead of waiting for more.
+type EndWaits struct{}
+
 // FlushReports makes the edge send its pending reports to the primary core at once. The reply comes once
 // the primary has acknowledged them, or after a few attempts.
 type FlushReports struct{}
@@ -130,6 +133,9 @@
 		e.Reader.CancelRead(report)
 	case Drain:
 		e.Scheduler.Close(now)
+		e.Reader.EndWaits(now)
+	case EndWaits:
+		e.Reader.EndWaits(now)
 	case nil: // a caller disconnected, but its request continues
 	default:
 		return false
--- a/internal/dataplane/reader/reader.go
+++ b/internal/dataplane/reader/reader.go
@@ -48,6 +48,7 @@
 	positions *token.KnownPositions // as announced by the stores
 	shardMap  state.Map             // Seq is 0 until a map is received
 	pending   pendingReads
+	stopping  bool // no read waits for results
 }
 
 // New returns a Reader that sends its requests through calls.
@@ -104,7 +105,7 @@
 	p := &pendingRead{
 		Request:  request,
 		callback: callback,
-		waits:    request.MaxWait > 0,
+		waits:    request.MaxWait > 0 && !r.stopping,
 		deadline: now + request.MaxWait,
 	}
 	if p.waits {
@@ -130,6 +131,15 @@
 	}
 }
 
+// EndWaits makes no read wait for results from now on, because the daemon stops: the pending ones end
+// with what can be read now.
+func (r *Reader) EndWaits(now clock.Micros) {
+	r.stopping = true
+	for _, p := range r.pending.inOrder() {
+		r.endWait(p, now)
+	}
+}
+
 // Pending returns the number of pending reads.
 func (r *Reader) Pending() int { return len(r.pending.byID) }
 
--- a/internal/dataplane/reader/wakeups.go
+++ b/internal/dataplane/reader/wakeups.go
@@ -111,15 +111,22 @@
 		switch {
 		case !isPending || p.inFlight:
 		case now >= p.deadline:
-			r.pending.remove(p.ID)
-			p.waits = false
-			r.poll(p, now)
+			r.endWait(p, now)
 		case p.pollAt > 0 && now >= p.pollAt:
 			r.poll(p, now)
 		}
 	}
 }
 
+// endWait ends a pending read with the next response: that of the poll in flight, or of a last one.
+func (r *Reader) endWait(p *pendingRead, now clock.Micros) {
+	r.pending.remove(p.ID)
+	p.waits = false
+	if !p.inFlight {
+		r.poll(p, now)
+	}
+}
+
 // poll fetches a page once. It then ends the read, or leaves it pending and may schedule the next
 // poll.
 func (r *Reader) poll(p *pendingRead, now clock.Micros) {
--- a/internal/dataplane/reader/wakeups_test.go
+++ b/internal/dataplane/reader/wakeups_test.go
@@ -70,6 +70,33 @@
 	}
 }
 
+// A stopping daemon ends the reads that wait, with what can be read then, and holds no further one: they were cut as it
+// stopped.
+func TestStoppingDaemonHoldsNoReads(t *testing.T) {
+	empty := batchstore.ReadResponse{State: string(shard.Open), Items: 9}
+	f := newFixture(t)
+	f.read(Request{ID: "waits", BatchID: "one", MaxWait: 30 * clock.Second, ByIndex: true})
+	f.calls.ReplyReceived(f.nextRequest().Token, empty, nil, f.now)
+	f.read(Request{ID: "polls", BatchID: "one", MaxWait: 30 * clock.Second, ByIndex: true})
+	polling := f.nextRequest()
+	f.EndWaits(f.now)
+	last := f.nextRequest()
+	f.read(Request{ID: "late", BatchID: "one", MaxWait: 30 * clock.Second, ByIndex: true})
+	late := f.nextRequest()
+	for i, request := range []*machine.Request{polling, last, late} {
+		if request == nil {
+			t.Fatalf("read %d is not polled", i)
+		}
+		f.calls.ReplyReceived(request.Token, empty, nil, f.now)
+		if len(f.pages) != i+1 || f.pages[i].ItemCount != 9 {
+			t.Fatalf("after %d responses the pages are %+v", i+1, f.pages)
+		}
+	}
+	if f.Pending() != 0 {
+		t.Errorf("%d reads are still held", f.Pending())
+	}
+}
+
 // A store that doesn't respond is polled again, with a longer time-out each time up to the limit.
 func TestPollTimeoutDoublesAfterFailure(t *testing.T) {
 	f := newFixture(t)
