A stopping daemon's own interface rejects requests that arrive as it closes

Callers and operators of the programs under cmd/ saw: a request that a daemon read after it had begun to close its HTTP server was run, and cut 3 s later if it took longer (a submission may take 4 s, a change of the configuration 6 s).

Cause: httpserver.Server took every request until its RawServer closed the connections.

Evidence: TestStoppingServerRejectsLateRequests failed before: the handler got a request whose header ended after the stop.

Change: requests that arrive while the server closes get a NotReady (503) with the time for a retry, and run nowhere. From the signal on, responses tell callers to use another connection (host.Daemon), so that open requests come to an end while the daemon drains.

--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -167,6 +167,7 @@
 	logging.Write(d.Log, DaemonStarted{Zone: d.Common.Zone, Peer: d.Common.Peer, HTTP: d.Common.HTTP, Incarnation: d.Identity.Incarnation})
 	d.stops.wait()
 	logging.Write(d.Log, DrainStarted{TimeoutUS: d.DrainTimeout})
+	d.HTTP.StartDraining()
 	d.Loop.AnnounceDraining()
 	d.drain(interrupts())
 	d.Loop.AnnounceLeft()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -24,20 +24,19 @@
 
 // Server has routes and serves them. Routes are added before Start, by one goroutine.
 type Server struct {
-	address string
-	routes  []rest.Route
+	routes []rest.Route
 	// openRequests holds a token for each open request; its capacity is the limit.
 	openRequests chan struct{}
 	maxBodyBytes int64
-	raw          *RawServer // nil before Start
+	raw          *RawServer
 }
 
 // New returns a server with limits on the number of open requests and on the size of a body.
 func New(address string, maxOpenRequests int, maxBodyBytes int64) *Server {
 	return &Server{
-		address:      address,
 		openRequests: make(chan struct{}, maxOpenRequests),
 		maxBodyBytes: maxBodyBytes,
+		raw:          &RawServer{Address: address, Limits: Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
 	}
 }
 
@@ -46,9 +45,14 @@
 	s.routes = append(s.routes, rest.Route{Method: method, Path: path, Handler: s.withLimits(handler)})
 }
 
-// withLimits wraps a handler with the limits on open requests and on the size of a body.
+// withLimits wraps a handler with the limits on open requests and on the size of a body. A request that
+// arrives while the server is stopping is rejected, as it may take longer than the server waits.
 func (s *Server) withLimits(handler Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if s.raw.IsClosing() {
+			WriteError(w, errs.NewWithRetry(errs.NotReady, clock.Second, "use another daemon, or retry once this one has restarted", "this daemon is stopping"))
+			return
+		}
 		select {
 		case s.openRequests <- struct{}{}:
 			defer func() { <-s.openRequests }()
@@ -63,6 +67,9 @@
 	}
 }
 
+// StartDraining has each response from now on tell its caller to use another connection for the next request.
+func (s *Server) StartDraining() { s.raw.StartDraining() }
+
 // OpenRequests returns the number of open requests.
 func (s *Server) OpenRequests() int { return len(s.openRequests) }
 
@@ -83,16 +90,11 @@
 	if err != nil {
 		return err
 	}
-	server := &RawServer{
-		Address: s.address,
-		Handler: http.HandlerFunc(router.Serve),
-		Limits:  Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-	}
-	if err := server.Start(exitOnFailure); err != nil {
+	s.raw.Handler = http.HandlerFunc(router.Serve)
+	if err := s.raw.Start(exitOnFailure); err != nil {
 		return errors.Wrap(err, "starting the HTTP server")
 	}
-	s.raw = server
-	cleanups.Push(func() { server.Close(closeTimeout) })
+	cleanups.Push(func() { s.raw.Close(closeTimeout) })
 	return nil
 }
 
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -56,6 +57,31 @@
 	<-stopped
 }
 
+// A stopping server rejects a request that arrives only then, instead of running it for longer than it waits.
+func TestStoppingServerRejectsLateRequests(t *testing.T) {
+	server, stop := startServer(t, func(http.ResponseWriter, *http.Request) error {
+		t.Error("the handler got a request that arrived after the stop")
+		return nil
+	})
+	conn, err := net.Dial("tcp", server.raw.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const half = "GET /at/x HTTP/1.1\r\nHost:"
+	io.WriteString(conn, half)
+	(&testServer{t: t, RawServer: server.raw}).waitForRequestBytes(len(half))
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); stop() }()
+	waitUntilRefused(t, server.raw.listener.Addr())
+	io.WriteString(conn, " h\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+		t.Errorf("answered %+v, %v", response, err)
+	}
+	<-stopped
+}
+
 // waitUntilRefused waits until an address refuses new connections.
 func waitUntilRefused(t *testing.T, address net.Addr) {
 	t.Helper()
