--- a/internal/httpserver/raw_server_test.go
+++ b/internal/httpserver/raw_server_test.go
@@ -223,6 +223,33 @@
 	}
 }
 
+// A closing server takes the connections that the kernel has accepted for it: they were reset, with the requests that
+// their callers had sent, on a machine so busy that the server hadn't got to them.
+func TestClosingServerTakesQueuedConnections(t *testing.T) {
+	const clients = 5
+	f := newTestServer(t, Limits{HeaderBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, Limits{}, answerOK)
+	f.open.mu.Lock() // blocks the goroutine that accepts connections
+	f.dial()
+	waitForGoroutine(t, "(*openConns).add")
+	statuses := make(chan int, clients)
+	for range clients {
+		c := f.dial()
+		go func() { statuses <- c.get(0) }()
+	}
+	closed := make(chan struct{})
+	go func() { defer close(closed); f.Close(20 * time.Second) }()
+	for deadline := time.Now().Add(20 * time.Second); !f.IsClosing() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	f.open.mu.Unlock()
+	for range clients {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("a request on a queued connection got status %d", status)
+		}
+	}
+	<-closed
+}
+
 // A connection that this daemon closes after it has read part of a request and before it has written
 // any response is counted and reported. One whose caller disconnected first is counted separately,
 // and one whose request was answered is not counted.
