--- a/test/ci/knownred_test.go
+++ b/test/ci/knownred_test.go
@@ -27,6 +27,14 @@
 		"a pattern":          {"Test.*, cause, 16\n", "", true},
 		"a package":          {"./..., cause, 16\n", "", true},
 		"every test at once": {"Test, cause, 16\n", "", true},
+		"a test twice":       {"TestOne, x, 1\nTestOne, y, 1\n", "", true},
+		"crowds beside three": {"TestA, x, 1\nTestCrowdOfStalledBodies, x, 53\nTestB, x, 1\nTestCrowdOfWholeBodies, x, 53\nTestC, x, 1\n",
+			"^(TestA|TestCrowdOfStalledBodies|TestB|TestCrowdOfWholeBodies|TestC)$", false},
+		"crowds beside four":          {"TestA, x, 1\nTestCrowdOfStalledBodies, x, 53\nTestB, x, 1\nTestC, x, 1\nTestD, x, 1\n", "", true},
+		"no test of a crowd":          {"TestCrowdOfNothing, x, 53\n", "", true},
+		"a part of a name":            {"TestCrowdOfStalled, x, 53\n", "", true},
+		"two crowds in one line":      {"TestCrowdOfStalledBodies, as TestCrowdOfWholeBodies, 53\n", "", true},
+		"the same crowd in two lines": {"TestCrowdOfStalledBodies, x, 53\nTestCrowdOfStalledBodies, y, 53\n", "", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			file := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
