A forwarded route is known by its host and path prefix where requests wait and go on

Cause: the scheduler looks the route of every attempt, and of every queued request, up anew under the configuration in force, and did so by its name.

Change: config.RouteID identifies a route in all versions of the configuration, a forwarded one by host and path prefix, a route without a host by its name, as callers ask for it. The scheduler looks routes up by it.

--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -84,7 +84,7 @@
 
 // Route is a kind of request that callers may send.
 type Route struct {
-	Name    string   // (name) unique
+	Name    string   // (name) unique; of a forwarded route, only shown to operators (RouteID)
 	Kind    string   // (kind) OneShot, Repeatable, Stream, Resumable or Batch
 	Labels  Labels   // (labels)
 	Classes Selector // (classes) selects the classes that may use it, by their labels
--- a/internal/config/lookup.go
+++ b/internal/config/lookup.go
@@ -13,6 +13,7 @@
 	tenantsByName   map[string]*Tenant
 	classesByName   map[string]*PriorityClass
 	routesByName    map[string]*Route
+	routesByID      map[RouteID]*Route
 	forwardedByHost map[string][]*Route // forwarded routes, the longest path prefix first
 }
 
@@ -24,6 +25,7 @@
 		tenantsByName:   map[string]*Tenant{},
 		classesByName:   map[string]*PriorityClass{},
 		routesByName:    map[string]*Route{},
+		routesByID:      map[RouteID]*Route{},
 		forwardedByHost: map[string][]*Route{},
 	}
 	for i := range c.Tenants {
@@ -39,6 +41,7 @@
 	for i := range c.Routes {
 		route := &c.Routes[i]
 		c.index.routesByName[route.Name] = route
+		c.index.routesByID[route.ID()] = route
 		if route.Forward != nil {
 			host := route.Forward.Host
 			c.index.forwardedByHost[host] = append(c.index.forwardedByHost[host], route)
@@ -91,13 +94,7 @@
 	return forward.Priority
 }
 
-// Lookup returns the named route and the named tenant's class; nil for each that is not
-// configured.
-func (c *Configuration) Lookup(route, tenant string) (*Route, *PriorityClass) {
-	return c.index.routesByName[route], c.ClassOfTenant(tenant)
-}
-
-// Route returns the named route.
+// Route returns the named route. The names of forwarded routes don't identify them, see RouteID.
 func (c *Configuration) Route(name string) (*Route, bool) {
 	route := c.index.routesByName[name]
 	return route, route != nil
--- /dev/null
+++ b/internal/config/route_id.go
@@ -0,0 +1,23 @@
+package config
+
+// RouteID identifies a route in all versions of the configuration. A forwarded route is identified by
+// the host and the path prefix that select it, a route without a host by the name by which callers ask
+// for it.
+// The name of a forwarded route is only shown to operators: they may change it, or give it to another
+// route. IDs are stored, so their form must not change.
+type RouteID string
+
+// ForwardedRouteID returns the ID of the forwarded route with a host and a path prefix. It contains a
+// slash, which names don't.
+func ForwardedRouteID(host, pathPrefix string) RouteID { return RouteID(host + pathPrefix) }
+
+// ID returns the route's ID.
+func (r *Route) ID() RouteID {
+	if r.Forward == nil || r.Forward.Host == "" {
+		return RouteID(r.Name)
+	}
+	return ForwardedRouteID(r.Forward.Host, r.Forward.PathPrefix)
+}
+
+// RouteByID returns the route with an ID; nil if the configuration has none.
+func (c *Configuration) RouteByID(id RouteID) *Route { return c.index.routesByID[id] }
--- a/internal/dataplane/scheduler/configuration.go
+++ b/internal/dataplane/scheduler/configuration.go
@@ -49,7 +49,8 @@
 	if sc.configuration == nil || sc.InjectedFaults.KeepOldConfiguration {
 		return nil
 	}
-	route, class := sc.configuration.Lookup(r.Route.Name, r.Tenant)
+	route := sc.configuration.RouteByID(r.Route.ID())
+	class := sc.configuration.ClassOfTenant(r.Tenant)
 	forwarded := r.Route.Forward != nil
 	if route == nil || forwarded != (route.Forward != nil) {
 		return errRouteRemoved(r.Route.Name)
