Waiting items fail with their own route only

Within a second 39 waiting items of a lot that was accepted on the second route are listed as dead, though its host, prefix and service are as before.

Cause: the store's search for items that can't run any more (each second) asked for the route by the name that the batch was accepted under; no route had it any more.

Change: the search resolves the route as the attempts do. An item still fails when its own host and prefix are gone, also where another route has the name by now.

--- a/internal/dataplane/execution/renamed_routes_test.go
+++ b/internal/dataplane/execution/renamed_routes_test.go
@@ -6,20 +6,23 @@
 
 	"tuliprudder/internal/batchstore"
 	"tuliprudder/internal/batchstore/shard"
+	"tuliprudder/internal/clock"
 	"tuliprudder/internal/config"
 	"tuliprudder/internal/dataplane/endpoints"
 	"tuliprudder/internal/dataplane/modelclient"
 )
 
 // setPlaces applies a configuration of forwarded batch routes that are named by their position: r-1, r-2 and so
-// on. Each has the host of its place, a path prefix in it, and the server of that name.
+// on. Each has the host of its place, a path prefix in it, and the server of that name. Items on "labels" get one
+// attempt, others three.
 func (b *harness) setPlaces(version uint64, places ...string) {
 	configuration := &config.Configuration{Version: version, ScorerWeights: map[string]float64{"spread": 1}}
+	attempts := map[string]int64{"labels": 1, "screening": 3, "alerts": 3}
 	for i, place := range places {
 		configuration.Pools = append(configuration.Pools, config.Pool{Name: place, Labels: config.Labels{"u": place}, Servers: config.Selector{"place": {place}}})
 		configuration.Routes = append(configuration.Routes, config.Route{
 			Name: fmt.Sprint("r-", i+1), Kind: config.Batch, Pools: config.Selector{"u": {place}},
-			Forward: &config.Forward{Host: place, PathPrefix: "/v1/", MaxAttempts: 3, ItemRetention: 24 * hour},
+			Forward: &config.Forward{Host: place, PathPrefix: "/v1/", MaxAttempts: attempts[place], ItemRetention: 24 * hour},
 		})
 		b.scheduler.SetServer(endpoints.Server{Name: place, Address: place + ":1", Slots: 4, Labels: map[string]string{"place": place}})
 	}
@@ -64,6 +67,45 @@
 	}
 }
 
+// Guards against waiting items that are listed as failed though their route goes on, since no route has its former
+// name any more: the routine search for items that can't run.
+func TestWaitingItemsDoNotFailWhenNamesMove(t *testing.T) {
+	for _, id := range screeningIDs {
+		for state, prepare := range map[string]func(*harness){
+			"queued":   func(*harness) {},
+			"deferred": func(b *harness) { b.scheduler.Close(b.now) },
+		} {
+			b := newHarness(t)
+			b.setPlaces(2, "labels", "screening")
+			item := itemOf("screening", "r-2")
+			item.RouteID = id
+			b.Submit(item, b.now)
+			prepare(b)
+			b.setPlaces(3, "screening")
+			b.now += 2 * clock.Second
+			b.Tick(b.now)
+			if len(b.results) > 0 || b.Pending() != 1 {
+				t.Errorf("%s, ID %q: results %+v, %d pending", state, id, b.results, b.Pending())
+			}
+		}
+	}
+}
+
+// Items of a route that is gone fail, even if another route has its name by now.
+func TestItemsOfARemovedRouteFailThoughItsNameIsUsed(t *testing.T) {
+	for _, id := range screeningIDs {
+		b := newHarness(t)
+		b.setPlaces(2, "screening", "labels")
+		item := itemOf("screening", "r-1")
+		item.RouteID = id
+		b.Submit(item, b.now)
+		b.setPlaces(3, "labels")
+		b.now += 2 * clock.Second
+		b.Tick(b.now)
+		b.expectOnlyResult(shard.StatusFailed, outputRouteRemoved)
+	}
+}
+
 // The limit of an item's attempts is that of its own route, not of the one that has its route's name.
 func TestAttemptsAreLimitedByTheItemsOwnRoute(t *testing.T) {
 	b := newHarness(t)
--- a/internal/dataplane/execution/retention.go
+++ b/internal/dataplane/execution/retention.go
@@ -68,7 +68,7 @@
 		if j.assignment != nil || !j.isOpaque() || configuration.Version < j.item.ConfigurationVersion {
 			continue
 		}
-		route, _ := configuration.Route(j.item.Route)
+		route := configuration.ResolveRoute(j.item.RouteReference())
 		if reason := j.failureReason(route, now); reason != "" {
 			unrunnable = append(unrunnable, unrunnableItem{job: j, reason: reason})
 		}
