An accepted batch that comes again is recognised under another name of its route

Cause: the hash by which a store tells a repeated batch from another one with its ID is made of the route's name and the items, and the edge made it with the name of the moment.

Change: the store also makes the hash of the submitted items with the name that it has stored (shard.Batch, method IsRepeatedBy). What is stored and sent stays as it is, so that batches of earlier builds, also archived ones of which only the hash is left, are acknowledged again, and so they are between builds. The name did one more thing: it kept the same content on two routes apart. That is now the routes' IDs, of which one has to begin with the other, as both must select the path of the submission; batches without an ID are compared by the host of their requests. So a lot is also recognised when a route with a longer or shorter prefix has come or gone around its path, which was answered 409 too.

--- a/internal/batchstore/shard/batch.go
+++ b/internal/batchstore/shard/batch.go
@@ -17,7 +17,7 @@
 	// Key is the tenant's idempotency key, or the batch's ID for opaque requests. It is "" if the batch
 	// has no tenant: it was accepted by a release without tenants, or without an API key on a public route.
 	Key                  string       `json:"key"`
-	Hash                 string       `json:"hash"`           // of the caller's body, see Hash
+	Hash                 string       `json:"hash"`           // of the caller's body, see HashItems
 	Route                string       `json:"route"`          // its name when the batch was submitted
 	ConfigurationVersion uint64       `json:"plan,omitempty"` // the version in force when it was submitted
 	Items                []Item       `json:"items"`
--- a/internal/batchstore/submit.go
+++ b/internal/batchstore/submit.go
@@ -21,7 +21,7 @@
 	}
 	if existing := served.state.Batches[request.Batch.ID]; existing != nil {
 		// Another tenant's batch is not changed, and the error reveals only that its ID is in use.
-		if !request.By.allows(existing) || existing.Hash != request.Batch.Hash {
+		if !request.By.allows(existing) || !existing.IsRepeatedBy(&request.Batch) {
 			s.replyError(call, errBatchKeyReused(existing.ID))
 			return
 		}
--- a/internal/config/route_id.go
+++ b/internal/config/route_id.go
@@ -1,5 +1,7 @@
 package config
 
+import "strings"
+
 // RouteID identifies a route in all versions of the configuration. A forwarded route is identified by
 // the host and the path prefix that select it, a route without a host by the name by which callers ask
 // for it.
@@ -22,6 +24,12 @@
 // RouteByID returns the route with an ID; nil if the configuration has none.
 func (c *Configuration) RouteByID(id RouteID) *Route { return c.index.routesByID[id] }
 
+// Overlaps reports whether two forwarded routes may select the same request: they have the same host,
+// and the path prefix of one begins with that of the other.
+func (id RouteID) Overlaps(other RouteID) bool {
+	return strings.HasPrefix(string(id), string(other)) || strings.HasPrefix(string(other), string(id))
+}
+
 // RouteReference refers to the route of a stored batch.
 type RouteReference struct {
 	ID RouteID // "" if the batch was accepted by a release that stored only the name
--- a/internal/config/route_id_test.go
+++ b/internal/config/route_id_test.go
@@ -30,6 +30,16 @@
 	if moved := before.MatchRoute("b", "/x/1"); after.RouteByID(moved.ID()).Name != "r-1" {
 		t.Errorf("%s was not found under its new name", moved.ID())
 	}
+	for _, pair := range [][2]RouteID{{"a/", "a/x/"}, {"a/x/y/", "a/x/"}, {"a/x/", "a/x/"}} {
+		if !pair[0].Overlaps(pair[1]) {
+			t.Errorf("%s and %s don't overlap", pair[0], pair[1])
+		}
+	}
+	for _, pair := range [][2]RouteID{{"a/x/", "a/y/"}, {"a/", "ab/"}, {"b/x/", "a/x/"}, {"a/x/", "a/xy/"}} {
+		if pair[0].Overlaps(pair[1]) {
+			t.Errorf("%s and %s overlap", pair[0], pair[1])
+		}
+	}
 }
 
 // Guards against stored batches that are lost, or go to another route, since only its route's name was stored: while
--- a/internal/dataplane/requests/batches.go
+++ b/internal/dataplane/requests/batches.go
@@ -44,7 +44,7 @@
 		ID:                   shard.BatchID(c.tenant.Name, request.IdempotencyKey),
 		Tenant:               c.tenant.Name,
 		Key:                  request.IdempotencyKey,
-		Hash:                 hashItems(route.Name, request.Items),
+		Hash:                 shard.HashItems(route.Name, request.Items),
 		Route:                route.Name,
 		ConfigurationVersion: c.configuration.Version,
 		Items:                request.Items,
@@ -92,20 +92,6 @@
 	return nil
 }
 
-// hashItems returns the hash by which a store distinguishes a repeated batch from a different one with
-// the same ID. The hash is stored, so its inputs must not change.
-func hashItems(route string, items []shard.Item) string {
-	parts := []string{route}
-	for _, item := range items {
-		content := item.Input
-		if item.Request != nil {
-			content = string(item.Request.Body)
-		}
-		parts = append(parts, item.ID, content)
-	}
-	return shard.Hash(parts...)
-}
-
 // submit sends a batch to its store for acceptance by the deadline; 0 means the default timeout.
 func (m *Machine) submit(call uint64, batch shard.Batch, access batchstore.Access, deadline, now clock.Micros) {
 	m.commit(&commitCall{
--- a/internal/dataplane/requests/resubmission.go
+++ b/internal/dataplane/requests/resubmission.go
@@ -78,7 +78,7 @@
 		ID:                   id,
 		Tenant:               tenant,
 		Key:                  key,
-		Hash:                 hashItems(route.name, items),
+		Hash:                 shard.HashItems(route.name, items),
 		Route:                route.name,
 		RouteID:              route.id,
 		ConfigurationVersion: configuration.Version,
