A rename splits no account of quota

What callers would see: under QUOTA, accepted tokens of a route beyond its max-queued.

Cause: the account of a route's batches was named by the route's name. After a rename, accepted batches count in the old account, new ones in a new account with the whole limit; and a route that gets another's name gets its account.

Change: the account bears the route's ID, and so does the history of limits. A batch without an ID is charged to the account of the route that it resolves to now (batchstore.Store.AccountOf).

While daemons of an earlier build serve beside this one, the two name the account differently, so that a route's limit may be taken twice until the last store is new.

--- a/internal/batchstore/pending_weights.go
+++ b/internal/batchstore/pending_weights.go
@@ -30,7 +30,7 @@
 // PendingWeight returns the total weight of an account's items that wait or run in a shard.
 func (s *Store) PendingWeight(shardIndex int, account shard.AccountName) int {
 	unit := Unit(shardIndex)
-	sum := s.shard(unit).state.PendingWeight(account)
+	sum := s.shard(unit).state.PendingWeight(account, s.AccountOf)
 	for _, r := range s.unconfirmedReleases[unit] {
 		if r.account == account {
 			sum += r.weight
@@ -55,7 +55,7 @@
 }
 
 func (s *Store) pendingWeights(unit string) map[shard.AccountName]int {
-	sum := s.shard(unit).state.PendingWeights()
+	sum := s.shard(unit).state.PendingWeights(s.AccountOf)
 	for _, r := range s.unconfirmedReleases[unit] {
 		sum[r.account] += r.weight
 	}
@@ -63,16 +63,16 @@
 }
 
 // weightReleasedBy returns the weight that an entry will release when it is applied to a shard.
-func weightReleasedBy(entry shard.Entry, state *shard.State) releasedWeight {
+func (s *Store) weightReleasedBy(entry shard.Entry, state *shard.State) releasedWeight {
 	switch e := entry.(type) {
 	case shard.ListResult:
 		batch := state.Batches[e.Result.Batch]
 		if batch != nil && batch.AwaitsResult(e.Result.Item) {
-			return releasedWeight{batch.Account(), batch.Items[e.Result.Item].Request.Weight()}
+			return releasedWeight{s.AccountOf(batch), batch.Items[e.Result.Item].Request.Weight()}
 		}
 	case shard.EndBatch:
 		if batch := state.Batches[e.Batch]; batch != nil {
-			return releasedWeight{batch.Account(), batch.PendingWeight()}
+			return releasedWeight{s.AccountOf(batch), batch.PendingWeight()}
 		}
 	}
 	return releasedWeight{}
--- a/internal/batchstore/replicated_state.go
+++ b/internal/batchstore/replicated_state.go
@@ -53,7 +53,7 @@
 // number.
 func (s *Store) appendEntry(unit string, entry shard.Entry, now clock.Micros) (seq uint64) {
 	data := shard.Encode(entry)
-	release := weightReleasedBy(entry, s.shard(unit).state)
+	release := s.weightReleasedBy(entry, s.shard(unit).state)
 	entry.Apply(s.shard(unit).state)
 	seq, _ = s.groups.Append(unit, data, now)
 	if release.weight > 0 {
--- a/internal/batchstore/shard/account.go
+++ b/internal/batchstore/shard/account.go
@@ -7,11 +7,14 @@
 type AccountName struct {
 	// Tenant owns the work; "" for batches that have no tenant.
 	Tenant string
-	// Route is the forwarded route of the batches; "" for work that is charged to one account over all
-	// routes.
+	// Route is the ID of the forwarded route of the batches, or the route's name where that is all that
+	// is known; "" for work that is charged to one account over all routes.
 	Route string
 }
 
+// AccountOf returns the account to which a batch's items are charged.
+type AccountOf func(batch *Batch) AccountName
+
 // BatchesOnly reports whether the account has only batch items, never live requests.
 func (n AccountName) BatchesOnly() bool { return n.Route != "" }
 
--- a/internal/batchstore/shard/batch.go
+++ b/internal/batchstore/shard/batch.go
@@ -135,6 +135,9 @@
 	if !b.IsForwarded() {
 		return AccountName{Tenant: b.Tenant}
 	}
+	if b.RouteID != "" {
+		return AccountName{Tenant: b.TenantName(), Route: string(b.RouteID)}
+	}
 	return AccountName{Tenant: b.TenantName(), Route: b.Route}
 }
 
--- a/internal/batchstore/shard/state.go
+++ b/internal/batchstore/shard/state.go
@@ -44,21 +44,21 @@
 }
 
 // PendingWeights returns, by account, the total weight of the items without a result in open batches.
-func (s *State) PendingWeights() map[AccountName]int {
+func (s *State) PendingWeights(accountOf AccountOf) map[AccountName]int {
 	sum := map[AccountName]int{}
 	for _, batch := range s.Batches {
 		if weight := batch.PendingWeight(); weight > 0 {
-			sum[batch.Account()] += weight
+			sum[accountOf(batch)] += weight
 		}
 	}
 	return sum
 }
 
 // PendingWeight returns the total weight of the items without a result in one account's open batches.
-func (s *State) PendingWeight(account AccountName) int {
+func (s *State) PendingWeight(account AccountName, accountOf AccountOf) int {
 	sum := 0
 	for _, batch := range s.Batches {
-		if batch.State == Open && batch.Account() == account {
+		if batch.State == Open && accountOf(batch) == account {
 			sum += batch.PendingWeight()
 		}
 	}
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -44,6 +44,8 @@
 	BadRecord error
 	// OnDamage, if set, is called with the error when an archived batch can't be read.
 	OnDamage func(error)
+	// AccountOf returns the account of a batch; default: (*shard.Batch).Account.
+	AccountOf shard.AccountOf
 
 	settings Settings
 	self     Self
@@ -85,6 +87,7 @@
 // could not be decoded.
 func New(self Self, settings Settings, records []machine.Record, archive Archive) *Store {
 	s := &Store{
+		AccountOf:           (*shard.Batch).Account,
 		settings:            settings,
 		self:                self,
 		shards:              map[string]*localShard{},
--- a/internal/daemon/machines/limits.go
+++ b/internal/daemon/machines/limits.go
@@ -11,7 +11,7 @@
 // without a grant.
 type limitHistory struct {
 	version uint64 // of the newest configuration
-	// since has the versions, by route for accounts of batches only, and by tenant for others.
+	// since has the versions, by the route's ID for accounts of batches only, and by tenant for others.
 	since map[shard.AccountName]uint64
 }
 
@@ -46,7 +46,7 @@
 		}
 	}
 	for _, route := range configuration.Routes {
-		add(shard.AccountName{Route: route.Name})
+		add(shard.AccountName{Route: string(route.ID())})
 	}
 	for _, tenant := range configuration.Tenants {
 		add(shard.AccountName{Tenant: tenant.Name})
--- a/internal/daemon/machines/store.go
+++ b/internal/daemon/machines/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"tuliprudder/internal/batchstore"
+	"tuliprudder/internal/batchstore/shard"
 	"tuliprudder/internal/clock"
 	"tuliprudder/internal/dataplane/batchshare"
 	"tuliprudder/internal/dataplane/execution"
@@ -48,6 +49,7 @@
 	}
 	s.Scheduling = newScheduling(self, settings, seed, batches.ClusterMap)
 	s.Quota.Shards = batches
+	batches.AccountOf = func(batch *shard.Batch) shard.AccountName { return accountOf(s.Scheduler.Configuration(), batch) }
 	s.Runner = execution.New(execution.Defaults(), s.Calls, s.Scheduler, batches.MayStart, s.apply)
 	return s
 }
--- a/internal/daemon/machines/submit.go
+++ b/internal/daemon/machines/submit.go
@@ -23,7 +23,7 @@
 		s.reject(number, err)
 		return
 	}
-	account := request.Batch.Account()
+	account := accountOf(configuration, &request.Batch)
 	limit := quotaLimit(configuration, account)
 	switch {
 	case limit == notConfigured:
@@ -47,6 +47,19 @@
 	}
 }
 
+// accountOf returns the account of a batch. A batch that was stored without the ID of its route is charged to
+// the account of the route that it has under the configuration in force.
+func accountOf(configuration *config.Configuration, batch *shard.Batch) shard.AccountName {
+	account := batch.Account()
+	if configuration == nil || !account.BatchesOnly() || batch.RouteID != "" {
+		return account
+	}
+	if route := configuration.ResolveRoute(batch.RouteReference()); route != nil {
+		account.Route = string(route.ID())
+	}
+	return account
+}
+
 // write submits the batch to its shard.
 func (s *Store) write(number uint64, request batchstore.SubmitRequest, now clock.Micros) {
 	s.apply(batchstore.Call{Number: number, Body: request}, now)
@@ -140,11 +153,11 @@
 // which applies to each tenant separately (DESIGN §11.3, §12.5).
 func quotaLimit(configuration *config.Configuration, account shard.AccountName) int64 {
 	if account.BatchesOnly() {
-		entry, _ := configuration.Route(account.Route)
-		if entry == nil || entry.Forward == nil || entry.Kind != config.Batch {
+		route := configuration.RouteByID(config.RouteID(account.Route))
+		if route == nil || route.Forward == nil || route.Kind != config.Batch {
 			return notConfigured
 		}
-		return max(unlimited, entry.Forward.MaxQueuedTokens)
+		return max(unlimited, route.Forward.MaxQueuedTokens)
 	}
 	if class := configuration.ClassOfTenant(account.Tenant); class != nil {
 		return class.Quota
