--- a/test/simulator/configuration_document.go
+++ b/test/simulator/configuration_document.go
@@ -35,15 +35,7 @@
 	if hasExtraRoute(number) {
 		routes = append(routes, liveRouteDocument("extra", "half"))
 	}
-	if w.Forwarding {
-		for _, name := range forwardedRoutes {
-			routes = append(routes, forwardedRouteDocument(name, forwardedKinds[name]))
-		}
-		routes = append(routes, w.batchRouteDocument(forwardedRouteDocument(batchRoute, config.Batch)))
-	}
-	if w.TokenQuota {
-		routes = append(routes, w.batchRouteDocument(limitedRouteDocument(config.Batch)))
-	}
+	routes = append(routes, w.forwardedRouteDocuments(number)...)
 	tenants := []document{
 		{"name": "gold", "key": "key-gold", "class": "gold"},
 		{"name": "silver", "key": "key-silver", "class": "silver"},
@@ -52,6 +44,13 @@
 	if w.Tenants {
 		tenants = append(tenants, tenantDocuments(number)...)
 	}
+	pools := []document{
+		{"name": "main", "labels": document{"use": "all"}, "servers": document{"fleet": "main"}},
+		{"name": "half", "labels": document{"use": "half"}, "servers": document{"half": extraRouteHalf(number)}},
+	}
+	if w.Forwarding {
+		pools = append(pools, document{"name": "resuming", "labels": document{"use": "resuming"}, "servers": document{"half": resumingHalf}})
+	}
 	data, _ := json.Marshal(document{
 		"classes": []document{
 			classDocument("gold", 300+number%2, liveQuota),
@@ -59,16 +58,31 @@
 			classDocument("notes", 100, batchQuota(number)),
 		},
 		"customers": tenants,
-		"pools": []document{
-			{"name": "main", "labels": document{"use": "all"}, "servers": document{"fleet": "main"}},
-			{"name": "half", "labels": document{"use": "half"}, "servers": document{"half": extraRouteHalf(number)}},
-		},
-		"routes": routes,
-		"judges": document{"speed": 1 + float64(number)/1000},
+		"pools":     pools,
+		"routes":    routes,
+		"judges":    document{"speed": 1 + float64(number)/1000},
 	})
 	return data
 }
 
+// forwardedRouteDocuments are the routes whose requests are forwarded unchanged. Their names move among them from
+// document to document; their hosts, by which requests select them, stay.
+func (w *World) forwardedRouteDocuments(number int) (routes []document) {
+	if w.Forwarding {
+		for _, name := range forwardedRoutes {
+			routes = append(routes, forwardedRouteDocument(name, forwardedKinds[name]))
+		}
+		routes = append(routes, w.batchRouteDocument(forwardedRouteDocument(batchRoute, config.Batch)))
+	}
+	if w.TokenQuota {
+		routes = append(routes, w.batchRouteDocument(limitedRouteDocument(config.Batch)))
+	}
+	for i := range routes {
+		routes[i]["name"] = fmt.Sprint("forwarded-", (i+number)%(len(routes)+1))
+	}
+	return routes
+}
+
 // batchRouteDocument has a route of forwarded batches require keys where there are tenants.
 func (w *World) batchRouteDocument(route document) document {
 	if w.Tenants {
@@ -83,6 +97,9 @@
 // extraRouteHalf is the label of the servers that the route extra may use.
 func extraRouteHalf(number int) string { return fmt.Sprint(number / 3 % 2) }
 
+// resumingHalf is the label of the servers that the forwarded route of resumable streams may use.
+const resumingHalf = "0"
+
 // liveQuota is the quota of a tenant of live requests, in requests that wait.
 const liveQuota = 40
 
@@ -117,6 +134,10 @@
 	}
 }
 
+// forwardedModel is the model of a forwarded route. Servers have no models; an item's attempt tells by it which route
+// it goes by.
+func forwardedModel(route string) string { return "model of " + route }
+
 // forwardedRouteDocument is a route whose requests are forwarded unchanged.
 func forwardedRouteDocument(name, kind string) document {
 	route := document{
@@ -124,10 +145,14 @@
 		"kind":    kind,
 		"classes": document{},
 		"pools":   document{"use": "all"},
-		"forward": document{"host": hostOf(name), "path_prefix": "/v1/", "tries": forwardAttempts},
+		"model":   forwardedModel(name),
+		"forward": document{"host": hostOf(name), "path_prefix": forwardedPrefix, "tries": forwardAttempts},
 	}
 	if kind != config.Batch {
 		route["expiry_us"] = forwardTimeout
 	}
+	if kind == config.Resumable {
+		route["pools"] = document{"use": "resuming"}
+	}
 	return route
 }
--- a/test/simulator/forwarded_batches.go
+++ b/test/simulator/forwarded_batches.go
@@ -26,6 +26,7 @@
 func (n *Node) forwardItem(item execution.Attempt) {
 	w := n.world
 	w.Workload.checkTenantOfItem(item.ForwardedItem)
+	w.Workload.checkRouteOfItem(item)
 	result := execution.AttemptResult{AttemptID: item.ID, Outcome: modelclient.Interrupted, LastEventID: item.ForwardedItem.LastEventID}
 	request := modelclient.Request{Address: item.Request.Address, RequestID: item.Request.RequestID, Input: string(item.ForwardedItem.Request.Body), Priority: item.Request.Priority, IdleTimeout: itemIdleTimeout}
 	report := func() {
@@ -85,6 +86,20 @@
 	return requests.SubmitBatchRequest{APIKey: callerKey, Route: "r", IdempotencyKey: b.Key, Items: items}
 }
 
+// checkRouteOfItem checks that an attempt goes by the route that the item's batch was accepted on, whatever that is
+// called by now.
+func (v *Workload) checkRouteOfItem(attempt execution.Attempt) {
+	v.countCheck(routeKept)
+	b := v.batchByID[attempt.ForwardedItem.Batch]
+	if b == nil {
+		v.reportViolation(routeKept, "an item of the unknown batch %s is forwarded", attempt.ForwardedItem.Batch)
+		return
+	}
+	if want := forwardedModel(b.route()); attempt.Request.Model != want {
+		v.reportViolation(routeKept, "an item of batch %s goes by the route of %q, not of %q", b.ID, attempt.Request.Model, want)
+	}
+}
+
 // route is the route of a forwarded batch.
 func (b *Batch) route() string {
 	if b.Limited {
--- a/test/simulator/forwarded_requests.go
+++ b/test/simulator/forwarded_requests.go
@@ -21,12 +21,15 @@
 	batchRoute      = "bulk"
 	forwardTimeout  = 4 * clock.Second
 	forwardAttempts = 3
+	forwardedPrefix = "/v1/" // of all their paths
 )
 
 func hostOf(route string) string { return route + ".sim" }
 
-// routeIDOf is the ID of a forwarded route.
-func routeIDOf(route string) config.RouteID { return config.ForwardedRouteID(hostOf(route), "/v1/") }
+// routeIDOf is the ID of a forwarded route, which stays while its name changes.
+func routeIDOf(route string) config.RouteID {
+	return config.ForwardedRouteID(hostOf(route), forwardedPrefix)
+}
 
 // newForwardedRequest is a request of a route, known to the checks.
 func (v *Workload) newForwardedRequest(route, input string) *Request {
@@ -115,6 +118,7 @@
 		e.reportAttempt(proxy.AttemptResult{Outcome: proxy.NotSent, ContextDone: true, Reason: "the caller left"})
 		return
 	}
+	e.workload.checkRouteOfAttempt(e.request, attempt)
 	body := ""
 	onChunk := func(_ int, text string) { body += text }
 	if attempt.Route.Kind == config.Stream || attempt.Route.Kind == config.Resumable {
@@ -128,6 +132,17 @@
 	e.abortAt(attempt.Deadline, call, func() { e.abort("the request's deadline passed") })
 }
 
+// checkRouteOfAttempt checks that a request goes to a server of its own route, whatever that is called by now.
+func (v *Workload) checkRouteOfAttempt(req *Request, attempt proxy.Attempt) {
+	if req.Kind != config.Resumable {
+		return // all servers are theirs
+	}
+	v.countCheck(routeKept)
+	if half := v.world.serverByAddress[attempt.Address].halfLabel(); half != resumingHalf {
+		v.reportViolation(routeKept, "%s on the route %s goes to %s, which is not one of its servers", req.Input, req.Route, attempt.Server)
+	}
+}
+
 // eventReceiver takes the events of one attempt. A stream that is resumed has to go on with
 // the event after the last one that the caller received.
 func (e *forwardedExchange) eventReceiver() func(id int, text string) {
--- a/test/simulator/guarantees.go
+++ b/test/simulator/guarantees.go
@@ -31,6 +31,7 @@
 	resendAcknowledged   Guarantee = "a confirmed request that is sent again is never rejected"
 	actsExclusive        Guarantee = "an act has one content, a fence one holder, and holders never alternate"
 	actsPerformed        Guarantee = "an act that is due is performed in bounded time"
+	routeKept            Guarantee = "what was accepted on a route goes by that route, whatever its name is by now"
 	usageReportsExact    Guarantee = "a report of use has each request at most once, and all while nothing fails"
 )
 
@@ -39,7 +40,7 @@
 	batchKept, resultsTimely, resultsExactlyOnce, readerResumes, rejectedNeverRuns,
 	endedBatchStops, runsAtMostOnce, answerIntact, streamIntact, drainingRespected,
 	configurationInForce, withinQuota, serviceRestored, answeredByDeadline, resendAcknowledged,
-	actsExclusive, actsPerformed, usageReportsExact,
+	actsExclusive, actsPerformed, usageReportsExact, routeKept,
 }
 
 // timingGrace is the grace for what is to hold within about 3 s.
